--- /dev/null
+++ b/Makefile
@@ -0,0 +1,99 @@
+# heathsail: build, test and measurement targets. `make help` lists them.
+CC ?= cc
+BUILD ?= build
+PACKAGES = libulfius glib-2.0 libprotobuf-c jansson libxxhash
+WARNINGS = -Wall -Wextra -Werror
+CFLAGS ?= -O2 -g
+CPPFLAGS += -D_GNU_SOURCE -Iinclude -Isrc -I. -Igen $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+CPPFLAGS += '-DG_LOG_DOMAIN="heathsail"' $(EXTRA_CPPFLAGS)
+ALL_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) $(EXTRA_CFLAGS)
+LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lck -lmicrohttpd -lm -lpthread
+
+PRODUCT_SOURCES = $(filter-out src/daemon/main.c,$(wildcard src/*/*.c)) $(wildcard gen/*.c)
+STANDIN_SOURCES = $(filter-out %/main.c,$(wildcard standin/*/*.c))
+TOOL_SOURCES = $(filter-out %/main.c,$(wildcard tools/*/*.c))
+SUPPORT_SOURCES = $(wildcard tests/support/*.c)
+UNIT_SOURCES = $(wildcard tests/unit/*.c)
+SYSTEM_SOURCES = $(wildcard tests/system/*.c)
+MATRIX_SOURCES = $(wildcard tests/matrix/*.c)
+
+objects = $(patsubst %.c,$(BUILD)/obj/%.o,$(1))
+PRODUCT_LIB = $(BUILD)/libheathsail.a
+STANDIN_LIB = $(BUILD)/libstandin.a
+TOOL_LIB = $(BUILD)/libtools.a
+PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load
+BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
+
+.PHONY: all deps help test unit system demo fleet bench matrix check-spec lint format generate clean
+all: $(BINARIES)
+
+help:
+	@grep -E '^## ' Makefile | sed 's/^## //'
+
+$(BUILD)/obj/%.o: %.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CPPFLAGS) $(ALL_CFLAGS) -MMD -MP -c $< -o $@
+
+$(PRODUCT_LIB): $(call objects,$(PRODUCT_SOURCES))
+$(STANDIN_LIB): $(call objects,$(STANDIN_SOURCES))
+$(TOOL_LIB): $(call objects,$(TOOL_SOURCES))
+%.a:
+	@rm -f $@ && ar rcs $@ $^
+
+LIBS = $(TOOL_LIB) $(STANDIN_LIB) $(PRODUCT_LIB)
+define link_program
+$(BUILD)/$(1): $(BUILD)/obj/$(2) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) -o $$@ $$(filter %.o %.a,$$^) $(LDLIBS) $(3)
+endef
+$(eval $(call link_program,heathsaild,src/daemon/main.o))
+$(eval $(call link_program,heathsailctl,tools/ctl/main.o))
+$(eval $(call link_program,heathsail-platform,standin/platform/main.o))
+$(eval $(call link_program,heathsail-engine,standin/engine/main.o))
+$(eval $(call link_program,heathsail-fleet,tools/fleet/main.o))
+$(eval $(call link_program,heathsail-load,tools/load/main.o))
+
+$(BUILD)/unit-tests: $(call objects,$(UNIT_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+$(BUILD)/system-tests: $(call objects,$(SYSTEM_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+$(BUILD)/fault-matrix: $(call objects,$(MATRIX_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+
+## deps        install the Debian packages that are missing
+deps:
+	@./tools/install-packages.sh
+
+## demo        install, build, start a small fleet, send three requests, stop
+demo: deps
+	@$(MAKE) --no-print-directory -j8 all
+	@$(BUILD)/heathsail-fleet --programs $(BUILD) --demo
+
+## fleet       a small fleet in the foreground until SIGINT or SIGTERM
+fleet: deps
+	@$(MAKE) --no-print-directory -j8 all
+	@exec $(BUILD)/heathsail-fleet --programs $(BUILD)
+
+## test        install, build, run every test; the last line is "N passed, N failed"
+test: deps
+	@$(MAKE) --no-print-directory -j8 all $(BUILD)/unit-tests
+	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD)/fault EXTRA_CPPFLAGS=-DHS_FAULT_POINTS all $(BUILD)/fault/system-tests
+	@./tests/run.sh $(BUILD)
+
+## generate    write gen/ anew from proto/ (needs protobuf-c-compiler; not part of the build)
+generate:
+	protoc-c --c_out=gen --proto_path=proto proto/record.proto proto/peer.proto
+
+CHECKED = $(filter-out gen/%,$(wildcard src/*/*.[ch] include/heathsail/*.h standin/*/*.[ch] tools/*/*.[ch] tests/*/*.[ch]))
+## format      rewrite the sources with clang-format
+format:
+	@clang-format -i $(CHECKED)
+
+## lint        clang-format and clang-tidy, both without a finding
+lint:
+	@clang-format --dry-run -Werror $(CHECKED)
+	@printf '%s\n' $(filter %.c,$(CHECKED)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' lint
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/heathsail/settings.h
@@ -0,0 +1,61 @@
+/**
+ * @file settings.h
+ * Settings of one daemon. Read once at the start, then never changed; freely shared by threads.
+ * The table in src/daemon/settings.c gives each key's type, unit, range, default and meaning.
+ */
+#ifndef HEATHSAIL_SETTINGS_H
+#define HEATHSAIL_SETTINGS_H
+
+#include <stdint.h>
+
+/** All strings are owned by the struct and freed by hs_settings_free. */
+typedef struct {
+    char *daemon_id;
+    char *zone;
+    char *region;
+    char *address;
+    char *log_level;
+    int64_t shutdown_grace_ms;
+
+    int64_t caller_enabled;
+    int64_t caller_port;
+    int64_t max_body_bytes;
+    int64_t max_file_bytes;
+    int64_t max_header_bytes;
+    int64_t default_timeout_ms;
+    int64_t max_timeout_ms;
+    int64_t max_tokens;
+
+    int64_t admin_port;
+
+    int64_t peer_port;
+    int64_t probe_interval_ms;
+    int64_t probe_timeout_ms;
+    int64_t suspect_ms;
+
+    char *platform_url;
+    int64_t platform_timeout_s;
+    int64_t machine_list_interval_ms;
+
+    int64_t partitions;
+    int64_t chunk_items;
+    int64_t max_line_bytes;
+    int64_t max_items;
+    int64_t grant_lease_ms;
+    int64_t snapshot_records;
+    int64_t job_window_s;
+
+    int64_t max_batch_per_engine;
+    int64_t batch_beside_online;
+    int64_t idle_hold_ms;
+    int64_t run_once_recovery_ms;
+
+    int64_t subset_size;
+    int64_t max_attempts;
+    int64_t retry_budget_percent;
+    int64_t max_in_flight_per_engine;
+    int64_t ejection_failures;
+    int64_t ejection_ms;
+} hs_settings;
+
+#endif
--- /dev/null
+++ b/src/batch/coordinator.c
@@ -0,0 +1,301 @@
+/** @file coordinator.c  Claiming and handing over partitions; see coordinator.h. */
+#include "batch/coordinator.h"
+
+#include "base/clock.h"
+#include "base/fault_point.h"
+#include "base/log.h"
+#include "batch/ownership.h"
+#include "batch/partition_owner.h"
+#include "batch/partition_record.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define TICK_MS 100
+#define SETTLE_MS 500
+#define HANDOVER_MS 5000
+#define CLAIM_PATIENCE_MS 2000
+#define RELEASE_PATIENCE_MS 3000
+
+struct hs_coordinator {
+    hs_coordinator_context context;
+    uint32_t partition_count;
+    GMutex lock;
+    hs_partition_owner **owners; /**< By partition; NULL: not ours. */
+    hs_ownership_history *histories;
+    gint released;
+    gint stopping;
+    GThread *thread;
+};
+
+hs_coordinator *hs_coordinator_new(const hs_coordinator_context *context) {
+    hs_coordinator *coordinator = g_new0(hs_coordinator, 1);
+    coordinator->context = *context;
+    coordinator->partition_count = hs_replica_set_count(context->replicas);
+    coordinator->owners = g_new0(hs_partition_owner *, coordinator->partition_count);
+    coordinator->histories = g_new0(hs_ownership_history, coordinator->partition_count);
+    g_mutex_init(&coordinator->lock);
+    return coordinator;
+}
+
+void hs_coordinator_free(hs_coordinator *coordinator) {
+    g_free(coordinator->owners);
+    g_free(coordinator->histories);
+    g_mutex_clear(&coordinator->lock);
+    g_free(coordinator);
+}
+
+/** The partition's key for the rendezvous hash. */
+static void partition_key(uint32_t partition, char key[32]) {
+    g_snprintf(key, 32, "partition-%u", partition);
+}
+
+static hs_ownership_view view_partition(hs_coordinator *coordinator, uint32_t partition) {
+    char key[32];
+    partition_key(partition, key);
+    uint32_t epoch = 0;
+    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
+    const hs_member *self = hs_membership_self(membership);
+    const hs_member *owner = hs_membership_owner(membership, partition, &epoch);
+    hs_ownership_view view = {.self_is_first =
+                                  hs_membership_rank_first(membership, key, NULL) == self,
+                              .self_is_leaving = self->state == HS_MEMBER_LEAVING,
+                              .self_owns = coordinator->owners[partition] != NULL,
+                              .owner_is_known = owner != NULL && owner != self};
+    hs_membership_service_unlock(coordinator->context.membership);
+    return view;
+}
+
+/** Whether the folded owner is a live member under the same incarnation, so that we must wait. */
+static bool folded_owner_lives(hs_coordinator *coordinator, const hs_partition *state) {
+    if (state->owner_id == NULL || state->owner_released)
+        return false;
+    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
+    const hs_member *owner = hs_membership_find(membership, state->owner_id);
+    bool lives = owner != NULL && owner != hs_membership_self(membership) &&
+                 hs_member_is_live(owner) && owner->incarnation == state->owner_incarnation;
+    hs_membership_service_unlock(coordinator->context.membership);
+    return lives;
+}
+
+static uint64_t own_incarnation(hs_coordinator *coordinator) {
+    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
+    uint64_t incarnation = hs_membership_self(membership)->incarnation;
+    hs_membership_service_unlock(coordinator->context.membership);
+    return incarnation;
+}
+
+/** Whether the fold shows us as owner under @p epoch. */
+static bool claim_won(hs_coordinator *coordinator, hs_replica *replica, uint32_t epoch,
+                      uint64_t incarnation) {
+    hs_partition *state = hs_replica_lock(replica);
+    bool won = state->epoch == epoch && state->owner_id != NULL &&
+               strcmp(state->owner_id, coordinator->context.settings->daemon_id) == 0 &&
+               state->owner_incarnation == incarnation;
+    hs_replica_unlock(replica);
+    return won;
+}
+
+/** Read the stream, append a claim, read it back. @return the epoch won, or 0. */
+static uint32_t try_claim(hs_coordinator *coordinator, uint32_t partition) {
+    hs_replica *replica = hs_replica_set_get(coordinator->context.replicas, partition);
+    hs_error error = {0};
+    if (hs_replica_refresh(replica, &error) != 0)
+        return 0;
+    hs_partition *state = hs_replica_lock(replica);
+    bool must_wait = folded_owner_lives(coordinator, state);
+    uint32_t epoch = state->epoch + 1;
+    hs_replica_unlock(replica);
+    if (must_wait)
+        return 0;
+    uint64_t incarnation = own_incarnation(coordinator);
+    g_autoptr(GByteArray) record =
+        hs_record_claim(epoch, coordinator->context.settings->daemon_id, incarnation);
+    uint64_t offset = 0;
+    HS_FAULT_POINT("claim_before");
+    hs_appender_append(coordinator->context.appender, hs_replica_stream(replica), record->data,
+                       record->len, CLAIM_PATIENCE_MS, &offset, &error);
+    HS_FAULT_POINT("claim_after");
+    if (hs_replica_refresh(replica, &error) != 0)
+        return 0;
+    return claim_won(coordinator, replica, epoch, incarnation) ? epoch : 0;
+}
+
+static void claim(hs_coordinator *coordinator, uint32_t partition) {
+    uint32_t epoch = try_claim(coordinator, partition);
+    coordinator->histories[partition].first_since_ms = 0;
+    if (epoch == 0)
+        return;
+    hs_partition_owner *owner = hs_partition_owner_start(&coordinator->context, partition, epoch);
+    g_mutex_lock(&coordinator->lock);
+    coordinator->owners[partition] = owner;
+    g_mutex_unlock(&coordinator->lock);
+    hs_log_info("partition_claimed", "partition=%u epoch=%u", partition, epoch);
+}
+
+static void drop_owner(hs_coordinator *coordinator, uint32_t partition) {
+    g_mutex_lock(&coordinator->lock);
+    hs_partition_owner *owner = coordinator->owners[partition];
+    coordinator->owners[partition] = NULL;
+    g_mutex_unlock(&coordinator->lock);
+    if (owner != NULL)
+        hs_partition_owner_stop(owner);
+}
+
+/** Hand the partition over: stop granting first, then say so in the stream. */
+static void release(hs_coordinator *coordinator, uint32_t partition) {
+    hs_replica *replica = hs_replica_set_get(coordinator->context.replicas, partition);
+    uint32_t epoch = hs_partition_owner_epoch(coordinator->owners[partition]);
+    drop_owner(coordinator, partition);
+    g_autoptr(GByteArray) record =
+        hs_record_release(epoch, coordinator->context.settings->daemon_id);
+    uint64_t offset = 0;
+    hs_error error = {0};
+    HS_FAULT_POINT("release");
+    hs_appender_append(coordinator->context.appender, hs_replica_stream(replica), record->data,
+                       record->len, RELEASE_PATIENCE_MS, &offset, &error);
+    hs_log_info("partition_released", "partition=%u epoch=%u", partition, epoch);
+}
+
+/** End an ownership that another's claim, or our own new incarnation, has overtaken. */
+static void drop_if_lost(hs_coordinator *coordinator, uint32_t partition) {
+    hs_partition_owner *owner = coordinator->owners[partition];
+    if (owner == NULL || hs_partition_owner_is_valid(owner))
+        return;
+    hs_ownership_note_loss(&coordinator->histories[partition], hs_clock_monotonic_ms());
+    hs_log_warning("partition_lost", "partition=%u epoch=%u", partition,
+                   hs_partition_owner_epoch(owner));
+    drop_owner(coordinator, partition);
+}
+
+/** Tell the others, by gossip, what we own. */
+static void publish_owned(hs_coordinator *coordinator) {
+    g_autoptr(GArray) owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
+    for (uint32_t partition = 0; partition < coordinator->partition_count; partition++) {
+        const hs_partition_owner *owner = coordinator->owners[partition];
+        if (owner == NULL)
+            continue;
+        hs_owned_partition entry = {.partition = partition,
+                                    .epoch = hs_partition_owner_epoch(owner),
+                                    .has_ready_items = hs_partition_owner_has_ready(owner)};
+        g_array_append_val(owned, entry);
+    }
+    uint64_t offset = coordinator->context.config_offset(coordinator->context.config_user_data);
+    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
+    hs_membership_update_self(membership, offset, owned);
+    hs_membership_service_unlock(coordinator->context.membership);
+}
+
+static void act_on_partition(hs_coordinator *coordinator, uint32_t partition) {
+    static const hs_ownership_settings settings = {.settle_ms = SETTLE_MS,
+                                                   .handover_ms = HANDOVER_MS};
+    drop_if_lost(coordinator, partition);
+    hs_ownership_view view = view_partition(coordinator, partition);
+    switch (hs_ownership_decide(&settings, &view, &coordinator->histories[partition],
+                                hs_clock_monotonic_ms())) {
+    case HS_OWNERSHIP_CLAIM:
+        claim(coordinator, partition);
+        break;
+    case HS_OWNERSHIP_RELEASE:
+        release(coordinator, partition);
+        break;
+    case HS_OWNERSHIP_KEEP:
+        break;
+    }
+}
+
+static gpointer run_coordinator(gpointer data) {
+    hs_coordinator *coordinator = data;
+    while (g_atomic_int_get(&coordinator->stopping) == 0) {
+        if (hs_membership_service_has_probed(coordinator->context.membership))
+            for (uint32_t partition = 0; partition < coordinator->partition_count; partition++)
+                act_on_partition(coordinator, partition);
+        publish_owned(coordinator);
+        hs_clock_sleep_ms(TICK_MS);
+    }
+    for (uint32_t partition = 0; partition < coordinator->partition_count; partition++)
+        drop_owner(coordinator, partition);
+    return NULL;
+}
+
+void hs_coordinator_start(hs_coordinator *coordinator) {
+    coordinator->thread = g_thread_new("coordinator", run_coordinator, coordinator);
+}
+
+void hs_coordinator_release_all(hs_coordinator *coordinator) {
+    /* The leaving state makes the coordinator's thread release each partition. */
+    while (hs_coordinator_owned_count(coordinator) > 0)
+        hs_clock_sleep_ms(TICK_MS / 10);
+}
+
+void hs_coordinator_stop(hs_coordinator *coordinator) {
+    g_atomic_int_set(&coordinator->stopping, 1);
+    g_thread_join(coordinator->thread);
+}
+
+static void handle_pull(hs_coordinator *coordinator, const Hs__PeerMessage *message,
+                        const struct sockaddr_in *from) {
+    uint32_t partition = message->pull_request->partition;
+    if (partition >= coordinator->partition_count)
+        return;
+    g_mutex_lock(&coordinator->lock);
+    hs_partition_owner *owner = coordinator->owners[partition];
+    if (owner != NULL)
+        hs_partition_owner_pull(owner, message, from);
+    g_mutex_unlock(&coordinator->lock);
+}
+
+static void send_revocation(hs_coordinator *coordinator, GPtrArray *refs,
+                            const struct sockaddr_in *to) {
+    Hs__GrantRevoke revoke = HS__GRANT_REVOKE__INIT;
+    revoke.n_grants = refs->len;
+    revoke.grants = (Hs__GrantRef **)refs->pdata;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(coordinator->context.membership, &message);
+    message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_REVOKE;
+    message.grant_revoke = &revoke;
+    hs_peer_socket_send(coordinator->context.socket, ntohl(to->sin_addr.s_addr),
+                        ntohs(to->sin_port), &message);
+}
+
+/** Renew what stands; answer with what does not, if we own the partition and so can tell. */
+static void handle_renew(hs_coordinator *coordinator, const Hs__PeerMessage *message,
+                         const struct sockaddr_in *from) {
+    const Hs__GrantRenew *renew = message->grant_renew;
+    g_autoptr(GPtrArray) fallen = g_ptr_array_new();
+    g_mutex_lock(&coordinator->lock);
+    for (size_t index = 0; index < renew->n_grants; index++) {
+        Hs__GrantRef *ref = renew->grants[index];
+        hs_partition_owner *owner = ref->partition < coordinator->partition_count
+                                        ? coordinator->owners[ref->partition]
+                                        : NULL;
+        if (owner != NULL && !hs_partition_owner_renew(owner, ref, message->sender_id))
+            g_ptr_array_add(fallen, ref);
+    }
+    g_mutex_unlock(&coordinator->lock);
+    if (fallen->len > 0)
+        send_revocation(coordinator, fallen, from);
+}
+
+bool hs_coordinator_handle(hs_coordinator *coordinator, const Hs__PeerMessage *message,
+                           const struct sockaddr_in *from) {
+    switch (message->kind_case) {
+    case HS__PEER_MESSAGE__KIND_PULL_REQUEST:
+        handle_pull(coordinator, message, from);
+        return true;
+    case HS__PEER_MESSAGE__KIND_GRANT_RENEW:
+        handle_renew(coordinator, message, from);
+        return true;
+    default:
+        return false;
+    }
+}
+
+uint32_t hs_coordinator_owned_count(hs_coordinator *coordinator) {
+    uint32_t count = 0;
+    g_mutex_lock(&coordinator->lock);
+    for (uint32_t partition = 0; partition < coordinator->partition_count; partition++)
+        count += coordinator->owners[partition] != NULL;
+    g_mutex_unlock(&coordinator->lock);
+    return count;
+}
--- /dev/null
+++ b/src/batch/grant_table.c
@@ -0,0 +1,271 @@
+/** @file grant_table.c  Handing out items; see grant_table.h. */
+#include "batch/grant_table.h"
+
+#include <string.h>
+
+#define BITS_PER_BYTE 8U
+
+/** What is out of one job. */
+typedef struct {
+    uint8_t *granted; /**< One bit an item. */
+    uint32_t cursor;  /**< No item below it can be handed out. */
+    uint32_t item_count;
+    uint32_t out_count;
+} job_grants;
+
+struct hs_grant_table {
+    uint32_t lease_ms;
+    uint64_t next_id;
+    GHashTable *grants; /**< id -> hs_grant */
+    GHashTable *jobs;   /**< job id -> job_grants */
+};
+
+static void free_grant(gpointer data) {
+    hs_grant *grant = data;
+    g_free(grant->job_id);
+    g_free(grant->scheduler_id);
+    g_free(grant);
+}
+
+static void free_job_grants(gpointer data) {
+    g_free(((job_grants *)data)->granted);
+    g_free(data);
+}
+
+hs_grant_table *hs_grant_table_new(uint32_t lease_ms) {
+    hs_grant_table *table = g_new0(hs_grant_table, 1);
+    table->lease_ms = lease_ms;
+    table->next_id = 1;
+    table->grants = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_grant);
+    table->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_job_grants);
+    return table;
+}
+
+void hs_grant_table_free(hs_grant_table *table) {
+    if (table == NULL)
+        return;
+    g_hash_table_destroy(table->grants);
+    g_hash_table_destroy(table->jobs);
+    g_free(table);
+}
+
+static bool bit_is_set(const job_grants *out, uint32_t item) {
+    return (out->granted[item / BITS_PER_BYTE] >> (item % BITS_PER_BYTE)) & 1U;
+}
+
+static void set_bit(job_grants *out, uint32_t item, bool value) {
+    uint8_t mask = (uint8_t)(1U << (item % BITS_PER_BYTE));
+    if (value == bit_is_set(out, item))
+        return;
+    out->granted[item / BITS_PER_BYTE] ^= mask;
+    out->out_count += value ? 1U : -1U;
+}
+
+static job_grants *grants_of_job(hs_grant_table *table, const hs_job *job) {
+    job_grants *out = g_hash_table_lookup(table->jobs, job->id);
+    if (out != NULL)
+        return out;
+    out = g_new0(job_grants, 1);
+    out->item_count = job->item_count;
+    out->granted = g_new0(uint8_t, job->item_count / BITS_PER_BYTE + 1);
+    g_hash_table_insert(table->jobs, g_strdup(job->id), out);
+    return out;
+}
+
+/** Whether the item may be handed out now. */
+static bool item_is_ready(const hs_job *job, const job_grants *out, uint32_t item) {
+    return job->result_offsets[item] == 0 && !bit_is_set(out, item) &&
+           !g_hash_table_contains(job->intents, GUINT_TO_POINTER(item));
+}
+
+/** First item that may be handed out, or the job's item count. Moves the cursor past the done. */
+static uint32_t next_ready_item(const hs_job *job, job_grants *out) {
+    while (out->cursor < job->item_count && !item_is_ready(job, out, out->cursor))
+        out->cursor++;
+    return out->cursor;
+}
+
+static bool serves_model(const hs_grant_request *request, const char *model) {
+    for (size_t index = 0; index < request->model_count; index++)
+        if (strcmp(request->models[index], model) == 0)
+            return true;
+    return false;
+}
+
+/** Items out of all of the tenant's jobs in the partition. */
+static uint32_t tenant_out_count(hs_grant_table *table, const hs_partition *partition,
+                                 const char *tenant) {
+    uint32_t count = 0;
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, table->jobs);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        const hs_job *job = hs_partition_job(partition, key);
+        if (job != NULL && strcmp(job->tenant, tenant) == 0)
+            count += ((job_grants *)value)->out_count;
+    }
+    return count;
+}
+
+/** The running job to hand items of next: fair across tenants, then earliest deadline first. */
+static hs_job *choose_job(hs_grant_table *table, const hs_partition *partition,
+                          const hs_grant_request *request) {
+    hs_job *best = NULL;
+    uint32_t best_out = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, partition->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        hs_job *job = data;
+        if (hs_job_state_of(job) != HS_JOB_RUNNING)
+            continue;
+        const hs_file *file = hs_partition_file(partition, job->file_id);
+        if (request != NULL && !serves_model(request, file->model))
+            continue;
+        if (next_ready_item(job, grants_of_job(table, job)) >= job->item_count)
+            continue;
+        uint32_t out = tenant_out_count(table, partition, job->tenant);
+        bool better = best == NULL || out < best_out ||
+                      (out == best_out && job->deadline_ms < best->deadline_ms) ||
+                      (out == best_out && job->deadline_ms == best->deadline_ms &&
+                       strcmp(job->id, best->id) < 0);
+        if (!better)
+            continue;
+        best = job;
+        best_out = out;
+    }
+    return best;
+}
+
+/** Length of the run of ready items from @p first on, within its chunk and of one kind. */
+static uint32_t run_length(const hs_job *job, const hs_file *file, const job_grants *out,
+                           uint32_t first, uint32_t want) {
+    if (hs_file_item_is_run_once(file, first))
+        return 1;
+    const hs_chunk_ref *chunk = hs_file_chunk_of(file, first);
+    uint32_t end = MIN(chunk->first_item + chunk->item_count, first + want);
+    uint32_t item = first + 1;
+    while (item < end && item_is_ready(job, out, item) && !hs_file_item_is_run_once(file, item))
+        item++;
+    return item - first;
+}
+
+static hs_grant *grant_run(hs_grant_table *table, const hs_partition *partition, const hs_job *job,
+                           const hs_grant_request *request, uint32_t want, uint64_t now_ms) {
+    job_grants *out = grants_of_job(table, job);
+    const hs_file *file = hs_partition_file(partition, job->file_id);
+    hs_grant *grant = g_new0(hs_grant, 1);
+    grant->id = table->next_id++;
+    grant->job_id = g_strdup(job->id);
+    grant->scheduler_id = g_strdup(request->scheduler_id);
+    grant->scheduler_incarnation = request->incarnation;
+    grant->first_item = out->cursor;
+    grant->item_count = run_length(job, file, out, out->cursor, want);
+    grant->run_once = hs_file_item_is_run_once(file, grant->first_item);
+    grant->expires_ms = now_ms + table->lease_ms;
+    for (uint32_t index = 0; index < grant->item_count; index++)
+        set_bit(out, grant->first_item + index, true);
+    g_hash_table_insert(table->grants, &grant->id, grant);
+    return grant;
+}
+
+uint32_t hs_grant_table_take(hs_grant_table *table, const hs_partition *partition,
+                             const hs_grant_request *request, uint32_t want, uint64_t now_ms,
+                             GPtrArray *grants) {
+    uint32_t taken = 0;
+    while (taken < want) {
+        const hs_job *job = choose_job(table, partition, request);
+        if (job == NULL)
+            break;
+        hs_grant *grant = grant_run(table, partition, job, request, want - taken, now_ms);
+        taken += grant->item_count;
+        g_ptr_array_add(grants, grant);
+    }
+    return taken;
+}
+
+bool hs_grant_table_renew(hs_grant_table *table, uint64_t grant_id, const char *scheduler_id,
+                          uint64_t now_ms) {
+    hs_grant *grant = g_hash_table_lookup(table->grants, &grant_id);
+    if (grant == NULL || strcmp(grant->scheduler_id, scheduler_id) != 0)
+        return false;
+    grant->expires_ms = now_ms + table->lease_ms;
+    return true;
+}
+
+/** Make the grant's items without a result ready again. */
+static void release_items(hs_grant_table *table, const hs_grant *grant) {
+    job_grants *out = g_hash_table_lookup(table->jobs, grant->job_id);
+    if (out == NULL)
+        return;
+    for (uint32_t index = 0; index < grant->item_count; index++)
+        set_bit(out, grant->first_item + index, false);
+    out->cursor = MIN(out->cursor, grant->first_item);
+}
+
+static bool all_items_done(const hs_job *job, const hs_grant *grant) {
+    for (uint32_t index = 0; index < grant->item_count; index++)
+        if (job->result_offsets[grant->first_item + index] == 0)
+            return false;
+    return true;
+}
+
+void hs_grant_table_settle(hs_grant_table *table, const hs_partition *partition, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->grants);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_grant *grant = data;
+        const hs_job *job = hs_partition_job(partition, grant->job_id);
+        bool over = job == NULL || hs_job_state_of(job) != HS_JOB_RUNNING ||
+                    all_items_done(job, grant) || now_ms >= grant->expires_ms;
+        if (!over)
+            continue;
+        release_items(table, grant);
+        g_hash_table_iter_remove(&iterator);
+    }
+    g_hash_table_iter_init(&iterator, table->jobs);
+    gpointer key;
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const hs_job *job = hs_partition_job(partition, key);
+        if (job == NULL || hs_job_state_of(job) != HS_JOB_RUNNING)
+            g_hash_table_iter_remove(&iterator);
+    }
+}
+
+void hs_grant_table_drop_scheduler(hs_grant_table *table, const char *scheduler_id,
+                                   uint64_t live_incarnation) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->grants);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_grant *grant = data;
+        if (strcmp(grant->scheduler_id, scheduler_id) != 0 ||
+            grant->scheduler_incarnation == live_incarnation)
+            continue;
+        release_items(table, grant);
+        g_hash_table_iter_remove(&iterator);
+    }
+}
+
+bool hs_grant_table_has_ready(hs_grant_table *table, const hs_partition *partition) {
+    return choose_job(table, partition, NULL) != NULL;
+}
+
+bool hs_grant_table_covers(const hs_grant_table *table, const char *job_id, uint32_t item) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->grants);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_grant *grant = data;
+        if (strcmp(grant->job_id, job_id) == 0 && item >= grant->first_item &&
+            item - grant->first_item < grant->item_count)
+            return true;
+    }
+    return false;
+}
+
+uint32_t hs_grant_table_size(const hs_grant_table *table) {
+    return g_hash_table_size(table->grants);
+}
--- /dev/null
+++ b/src/batch/partition_owner.c
@@ -0,0 +1,276 @@
+/** @file partition_owner.c  Following an owned partition; see partition_owner.h. */
+#include "batch/partition_owner.h"
+
+#include "base/clock.h"
+#include "base/fault_point.h"
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define FOLLOW_WAIT_MS 200
+#define FAILED_READ_MS 100
+#define RECOVERY_INTERVAL_MS 500
+#define MAX_GRANTS_IN_REPLY 32
+
+struct hs_partition_owner {
+    const hs_coordinator_context *context;
+    hs_replica *replica;
+    uint32_t partition;
+    uint32_t epoch;
+    hs_grant_table *grants; /**< Guarded by the replica's lock. */
+    GHashTable *orphans;    /**< attempt id -> ms since when it has no scheduler; thread only */
+    uint64_t next_recovery_ms;
+    gint valid;
+    gint has_ready;
+    gint stopping;
+    GThread *thread;
+};
+
+/** A run-once attempt without a scheduler, as values. */
+typedef struct {
+    char *job_id;
+    char *endpoint;
+    char *attempt_id;
+    char *engine_url;
+    uint64_t chunk_offset;
+    uint32_t index_in_chunk;
+    uint32_t item;
+} orphan_attempt;
+
+static void free_orphan(gpointer data) {
+    orphan_attempt *orphan = data;
+    g_free(orphan->job_id);
+    g_free(orphan->endpoint);
+    g_free(orphan->attempt_id);
+    g_free(orphan->engine_url);
+    g_free(orphan);
+}
+
+/** Learn from the stream whether we still own it. The caller holds the replica's lock. */
+static bool still_owns(const hs_partition_owner *owner, const hs_partition *state) {
+    return state->epoch == owner->epoch && state->owner_id != NULL && !state->owner_released &&
+           strcmp(state->owner_id, owner->context->settings->daemon_id) == 0;
+}
+
+/** Drop the grants of schedulers that died or came back as another incarnation. */
+static void drop_dead_schedulers(hs_partition_owner *owner) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(owner->context->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        uint64_t live = member->state == HS_MEMBER_DEAD ? UINT64_MAX : member->incarnation;
+        if (member->state != HS_MEMBER_PROPOSED)
+            hs_grant_table_drop_scheduler(owner->grants, member->id, live);
+    }
+    hs_membership_service_unlock(owner->context->membership);
+}
+
+static void settle(hs_partition_owner *owner) {
+    hs_partition *state = hs_replica_lock(owner->replica);
+    if (!still_owns(owner, state))
+        g_atomic_int_set(&owner->valid, 0);
+    hs_grant_table_settle(owner->grants, state, hs_clock_monotonic_ms());
+    drop_dead_schedulers(owner);
+    g_atomic_int_set(&owner->has_ready, hs_grant_table_has_ready(owner->grants, state));
+    hs_replica_unlock(owner->replica);
+}
+
+/** Run-once attempts with an intent, no result and no standing grant. */
+static GPtrArray *find_orphans(hs_partition_owner *owner) {
+    GPtrArray *orphans = g_ptr_array_new_with_free_func(free_orphan);
+    hs_partition *state = hs_replica_lock(owner->replica);
+    GHashTableIter jobs;
+    gpointer data;
+    g_hash_table_iter_init(&jobs, state->jobs);
+    while (g_hash_table_iter_next(&jobs, NULL, &data)) {
+        const hs_job *job = data;
+        const hs_file *file = hs_partition_file(state, job->file_id);
+        GHashTableIter intents;
+        gpointer value;
+        g_hash_table_iter_init(&intents, job->intents);
+        while (g_hash_table_iter_next(&intents, NULL, &value)) {
+            const hs_intent *intent = value;
+            if (hs_grant_table_covers(owner->grants, job->id, intent->item))
+                continue;
+            const hs_chunk_ref *chunk = hs_file_chunk_of(file, intent->item);
+            orphan_attempt *orphan = g_new0(orphan_attempt, 1);
+            orphan->job_id = g_strdup(job->id);
+            orphan->endpoint = g_strdup(job->endpoint);
+            orphan->attempt_id = g_strdup(intent->attempt_id);
+            orphan->engine_url = g_strdup(intent->engine_url);
+            orphan->chunk_offset = chunk->offset;
+            orphan->index_in_chunk = intent->item - chunk->first_item;
+            orphan->item = intent->item;
+            g_ptr_array_add(orphans, orphan);
+        }
+    }
+    hs_replica_unlock(owner->replica);
+    return orphans;
+}
+
+/** Since when the attempt is an orphan. */
+static uint64_t orphan_since_ms(hs_partition_owner *owner, const char *attempt_id,
+                                uint64_t now_ms) {
+    uint64_t *since = g_hash_table_lookup(owner->orphans, attempt_id);
+    if (since == NULL) {
+        since = g_new(uint64_t, 1);
+        *since = now_ms;
+        g_hash_table_insert(owner->orphans, g_strdup(attempt_id), since);
+    }
+    return *since;
+}
+
+static void recover_orphans(hs_partition_owner *owner) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (now_ms < owner->next_recovery_ms)
+        return;
+    owner->next_recovery_ms = now_ms + RECOVERY_INTERVAL_MS;
+    static const gint never_revoked = 0;
+    g_autoptr(GPtrArray) orphans = find_orphans(owner);
+    for (guint index = 0; index < orphans->len; index++) {
+        const orphan_attempt *orphan = orphans->pdata[index];
+        uint64_t waited_ms = now_ms - orphan_since_ms(owner, orphan->attempt_id, now_ms);
+        hs_item_work work = {.partition = owner->partition,
+                             .epoch = owner->epoch,
+                             .job_id = orphan->job_id,
+                             .endpoint = orphan->endpoint,
+                             .chunk_offset = orphan->chunk_offset,
+                             .index_in_chunk = orphan->index_in_chunk,
+                             .item = orphan->item,
+                             .run_once = true,
+                             .attempt_id = orphan->attempt_id,
+                             .engine_url = orphan->engine_url,
+                             .revoked = &never_revoked};
+        bool may_be_lost = waited_ms >= (uint64_t)owner->context->settings->run_once_recovery_ms;
+        if (hs_item_recover(owner->context->runner, &work, may_be_lost))
+            hs_log_info("attempt_recovered", "job=%s item=%u attempt=%s", work.job_id, work.item,
+                        work.attempt_id);
+    }
+}
+
+static gpointer follow_partition(gpointer data) {
+    hs_partition_owner *owner = data;
+    while (g_atomic_int_get(&owner->stopping) == 0 && hs_partition_owner_is_valid(owner)) {
+        hs_error error = {0};
+        uint32_t applied = 0;
+        if (hs_replica_follow(owner->replica, FOLLOW_WAIT_MS, &applied, &error) != 0)
+            hs_clock_sleep_ms(FAILED_READ_MS);
+        settle(owner);
+        if (!hs_partition_owner_is_valid(owner))
+            break;
+        recover_orphans(owner);
+        HS_FAULT_POINT("snapshot");
+        hs_replica_write_snapshot(owner->replica,
+                                  (uint64_t)owner->context->settings->snapshot_records, &error);
+    }
+    return NULL;
+}
+
+hs_partition_owner *hs_partition_owner_start(const hs_coordinator_context *context,
+                                             uint32_t partition, uint32_t epoch) {
+    hs_partition_owner *owner = g_new0(hs_partition_owner, 1);
+    owner->context = context;
+    owner->replica = hs_replica_set_get(context->replicas, partition);
+    owner->partition = partition;
+    owner->epoch = epoch;
+    owner->grants = hs_grant_table_new((uint32_t)context->settings->grant_lease_ms);
+    owner->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    owner->valid = 1;
+    owner->thread = g_thread_new("partition-owner", follow_partition, owner);
+    return owner;
+}
+
+void hs_partition_owner_stop(hs_partition_owner *owner) {
+    g_atomic_int_set(&owner->stopping, 1);
+    g_thread_join(owner->thread);
+    hs_grant_table_free(owner->grants);
+    g_hash_table_destroy(owner->orphans);
+    g_free(owner);
+}
+
+uint32_t hs_partition_owner_epoch(const hs_partition_owner *owner) {
+    return owner->epoch;
+}
+
+bool hs_partition_owner_is_valid(const hs_partition_owner *owner) {
+    return g_atomic_int_get(&owner->valid) != 0;
+}
+
+bool hs_partition_owner_has_ready(const hs_partition_owner *owner) {
+    return g_atomic_int_get(&owner->has_ready) != 0;
+}
+
+/** The grant as a message that borrows the state's strings. */
+static Hs__Grant describe_grant(const hs_partition_owner *owner, const hs_partition *state,
+                                const hs_grant *grant) {
+    const hs_job *job = hs_partition_job(state, grant->job_id);
+    const hs_file *file = hs_partition_file(state, job->file_id);
+    const hs_chunk_ref *chunk = hs_file_chunk_of(file, grant->first_item);
+    Hs__Grant message = HS__GRANT__INIT;
+    message.partition = owner->partition;
+    message.epoch = owner->epoch;
+    message.grant_id = grant->id;
+    message.job_id = job->id;
+    message.tenant = job->tenant;
+    message.first_item = grant->first_item;
+    message.item_count = grant->item_count;
+    message.chunk_offset = chunk->offset;
+    message.chunk_first_item = chunk->first_item;
+    message.run_once = grant->run_once;
+    message.endpoint = job->endpoint;
+    message.deadline_ms = job->deadline_ms;
+    message.model = file->model;
+    return message;
+}
+
+static void send_grants(hs_partition_owner *owner, const hs_partition *state, GPtrArray *grants,
+                        uint64_t sequence, const struct sockaddr_in *to) {
+    Hs__Grant messages[MAX_GRANTS_IN_REPLY];
+    Hs__Grant *pointers[MAX_GRANTS_IN_REPLY];
+    guint count = MIN(grants->len, MAX_GRANTS_IN_REPLY);
+    for (guint index = 0; index < count; index++) {
+        messages[index] = describe_grant(owner, state, grants->pdata[index]);
+        pointers[index] = &messages[index];
+    }
+    Hs__GrantReply reply = HS__GRANT_REPLY__INIT;
+    reply.sequence = sequence;
+    reply.n_grants = count;
+    reply.grants = pointers;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(owner->context->membership, &message);
+    message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_REPLY;
+    message.grant_reply = &reply;
+    HS_FAULT_POINT("grant");
+    hs_peer_socket_send(owner->context->socket, ntohl(to->sin_addr.s_addr), ntohs(to->sin_port),
+                        &message);
+}
+
+void hs_partition_owner_pull(hs_partition_owner *owner, const Hs__PeerMessage *message,
+                             const struct sockaddr_in *from) {
+    const Hs__PullRequest *pull = message->pull_request;
+    hs_grant_request request = {.scheduler_id = message->sender_id,
+                                .incarnation = message->sender_incarnation,
+                                .models = (const char *const *)pull->models,
+                                .model_count = pull->n_models};
+    g_autoptr(GPtrArray) grants = g_ptr_array_new();
+    hs_partition *state = hs_replica_lock(owner->replica);
+    if (hs_partition_owner_is_valid(owner) && still_owns(owner, state)) {
+        uint32_t want = MIN(pull->want, MAX_GRANTS_IN_REPLY);
+        hs_grant_table_take(owner->grants, state, &request, want, hs_clock_monotonic_ms(), grants);
+        send_grants(owner, state, grants, pull->sequence, from);
+        g_atomic_int_set(&owner->has_ready, hs_grant_table_has_ready(owner->grants, state));
+    }
+    hs_replica_unlock(owner->replica);
+}
+
+bool hs_partition_owner_renew(hs_partition_owner *owner, const Hs__GrantRef *ref,
+                              const char *scheduler_id) {
+    hs_replica_lock(owner->replica);
+    bool stands =
+        ref->epoch == owner->epoch &&
+        hs_grant_table_renew(owner->grants, ref->grant_id, scheduler_id, hs_clock_monotonic_ms());
+    hs_replica_unlock(owner->replica);
+    return stands;
+}
--- /dev/null
+++ b/src/batch/partition_record.h
@@ -0,0 +1,31 @@
+/** @file partition_record.h  Packing of partition records into bytes. */
+#ifndef HS_BATCH_PARTITION_RECORD_H
+#define HS_BATCH_PARTITION_RECORD_H
+
+#include "gen/record.pb-c.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+/** Free each with g_byte_array_unref. */
+GByteArray *hs_record_pack(const Hs__PartitionRecord *record);
+GByteArray *hs_record_claim(uint32_t epoch, const char *daemon_id, uint64_t incarnation);
+GByteArray *hs_record_release(uint32_t epoch, const char *daemon_id);
+GByteArray *hs_record_cancel(const char *job_id, uint64_t requested_ms);
+GByteArray *hs_record_intent(const char *job_id, uint32_t item, const char *attempt_id,
+                             uint32_t epoch, const char *engine_url);
+
+/** What one item came to. */
+typedef struct {
+    const char *job_id;
+    uint32_t epoch;
+    uint32_t item;
+    const char *attempt_id;
+    uint32_t status_code;
+    const char *body; /**< The whole output line. */
+    bool indeterminate;
+} hs_item_outcome;
+
+GByteArray *hs_record_completion(const hs_item_outcome *outcome, uint64_t recorded_ms);
+
+#endif
--- /dev/null
+++ b/src/batch/replica_set.c
@@ -0,0 +1,45 @@
+/** @file replica_set.c  See replica_set.h. */
+#include "batch/replica_set.h"
+
+struct hs_replica_set {
+    const hs_log_client *log;
+    uint32_t count;
+    uint64_t window_ms;
+    GMutex lock;
+    hs_replica **replicas;
+};
+
+hs_replica_set *hs_replica_set_new(const hs_log_client *log, uint32_t partition_count,
+                                   uint64_t window_ms) {
+    hs_replica_set *set = g_new0(hs_replica_set, 1);
+    set->log = log;
+    set->count = partition_count;
+    set->window_ms = window_ms;
+    set->replicas = g_new0(hs_replica *, partition_count);
+    g_mutex_init(&set->lock);
+    return set;
+}
+
+void hs_replica_set_free(hs_replica_set *set) {
+    for (uint32_t index = 0; index < set->count; index++)
+        if (set->replicas[index] != NULL)
+            hs_replica_free(set->replicas[index]);
+    g_free(set->replicas);
+    g_mutex_clear(&set->lock);
+    g_free(set);
+}
+
+hs_replica *hs_replica_set_get(hs_replica_set *set, uint32_t partition) {
+    if (partition >= set->count)
+        return NULL;
+    g_mutex_lock(&set->lock);
+    if (set->replicas[partition] == NULL)
+        set->replicas[partition] = hs_replica_new(set->log, partition, set->window_ms);
+    hs_replica *replica = set->replicas[partition];
+    g_mutex_unlock(&set->lock);
+    return replica;
+}
+
+uint32_t hs_replica_set_count(const hs_replica_set *set) {
+    return set->count;
+}
--- /dev/null
+++ b/src/commands/command_routes.c
@@ -0,0 +1,18 @@
+/** @file command_routes.c  See command_routes.h. */
+#include "commands/command_routes.h"
+
+#include "commands/completion_check.h"
+
+void hs_command_routes_caller(hs_node *node, hs_http_server *server) {
+    hs_http_server_route(server, "POST", HS_PATH_CHAT, hs_command_chat, node);
+    hs_http_server_route(server, "POST", HS_PATH_TEXT, hs_command_text, node);
+    hs_http_server_route(server, "POST", "/v1/files", hs_command_upload, node);
+    hs_http_server_route(server, "POST", "/v1/batches", hs_command_submit, node);
+    hs_http_server_route(server, "POST", "/v1/batches/:id/cancel", hs_command_cancel, node);
+    hs_http_server_collect_uploads(server, hs_command_upload_part, node);
+}
+
+void hs_command_routes_admin(hs_node *node, hs_http_server *server) {
+    hs_http_server_route(server, "PUT", "/admin/v1/:kind/:name", hs_command_publish, node);
+    hs_http_server_route(server, "DELETE", "/admin/v1/:kind/:name", hs_command_delete, node);
+}
--- /dev/null
+++ b/src/commands/upload.c
@@ -0,0 +1,282 @@
+/**
+ * @file upload.c
+ * POST /v1/files: a JSONL file is checked whole, then written to its partition's stream as chunks
+ * and a seal. Its identity is its digest, so that a repeated upload is the same file.
+ */
+#include "base/clock.h"
+#include "base/fault_point.h"
+#include "base/log.h"
+#include "batch/batch_id.h"
+#include "batch/jsonl.h"
+#include "batch/partition_record.h"
+#include "commands/command_routes.h"
+#include "commands/completion_check.h"
+#include "http/auth.h"
+#include "http/refusal.h"
+
+#include <string.h>
+
+#define CHUNK_BYTES (512U << 10)
+#define APPEND_PATIENCE_MS 5000
+#define RETRY_AFTER_S 2
+#define MS_PER_S 1000
+
+/** Parts of uploads now coming in: request -> collected file. */
+typedef struct {
+    GString *content;
+    char *filename;
+    bool too_large;
+} collected_file;
+
+static GMutex collected_lock;
+static GHashTable *collected_files; /**< of struct _u_request* -> collected_file */
+
+static void free_collected(gpointer data) {
+    collected_file *file = data;
+    g_string_free(file->content, TRUE);
+    g_free(file->filename);
+    g_free(file);
+}
+
+/** The request's collection, new at offset 0. The caller holds the lock. */
+static collected_file *collection_of(const struct _u_request *request, const char *filename,
+                                     uint64_t offset) {
+    if (collected_files == NULL)
+        collected_files =
+            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_collected);
+    collected_file *file = g_hash_table_lookup(collected_files, request);
+    if (file != NULL && offset > 0)
+        return file;
+    file = g_new0(collected_file, 1);
+    file->content = g_string_new(NULL);
+    file->filename = g_strdup(filename);
+    g_hash_table_replace(collected_files, (gpointer)request, file);
+    return file;
+}
+
+int hs_command_upload_part(const struct _u_request *request, const char *key, const char *filename,
+                           const char *content_type, const char *transfer_encoding,
+                           const char *data, uint64_t offset, size_t size, void *user_data) {
+    (void)content_type;
+    (void)transfer_encoding;
+    const hs_node *node = user_data;
+    if (strcmp(key, "file") != 0)
+        return U_OK;
+    g_mutex_lock(&collected_lock);
+    collected_file *file = collection_of(request, filename, offset);
+    if (file->content->len + size > (size_t)node->settings->max_file_bytes)
+        file->too_large = true;
+    else
+        g_string_append_len(file->content, data, (gssize)size);
+    g_mutex_unlock(&collected_lock);
+    return U_OK;
+}
+
+/** Take the request's collected file out; NULL when it had none. Free with free_collected. */
+static collected_file *take_collected(const struct _u_request *request) {
+    gpointer file = NULL;
+    g_mutex_lock(&collected_lock);
+    if (collected_files != NULL)
+        g_hash_table_steal_extended(collected_files, request, NULL, &file);
+    g_mutex_unlock(&collected_lock);
+    return file;
+}
+
+static int check_body(const json_t *body, const char *url, void *user_data, hs_error *error) {
+    const hs_node *node = user_data;
+    bool chat = strcmp(url, HS_PATH_CHAT) == 0;
+    if (!chat && strcmp(url, HS_PATH_TEXT) != 0)
+        return hs_error_set(error, HS_LAYER_HTTP, HS_INVALID, "url is not supported");
+    return hs_completion_check(body, chat, node->settings->max_tokens, error);
+}
+
+/** An upload on its way into the log. */
+typedef struct {
+    hs_node *node;
+    const char *tenant;
+    const collected_file *collected;
+    const hs_jsonl_file *checked;
+    const char *file_id;
+    hs_replica *replica;
+} upload;
+
+static int append_record(const upload *self, const Hs__PartitionRecord *record, hs_error *error) {
+    g_autoptr(GByteArray) bytes = hs_record_pack(record);
+    uint64_t offset = 0;
+    return hs_appender_append(self->node->appender, hs_replica_stream(self->replica), bytes->data,
+                              bytes->len, APPEND_PATIENCE_MS, &offset, error);
+}
+
+static int append_chunk(const upload *self, guint index, hs_error *error) {
+    const hs_jsonl_chunk *chunk = &g_array_index(self->checked->chunks, hs_jsonl_chunk, index);
+    const GString *content = self->collected->content;
+    bool last_without_newline = chunk->begin + chunk->length > content->len;
+    g_autoptr(GString) lines = g_string_new_len(content->str + chunk->begin,
+                                                (gssize)(chunk->length - last_without_newline));
+    if (last_without_newline)
+        g_string_append_c(lines, '\n');
+    Hs__FileChunk message = HS__FILE_CHUNK__INIT;
+    message.file_id = (char *)self->file_id;
+    message.chunk_index = index;
+    message.first_item = chunk->first_item;
+    message.item_count = chunk->item_count;
+    message.lines.data = (uint8_t *)lines->str;
+    message.lines.len = lines->len;
+    message.n_run_once_items = chunk->run_once_items->len;
+    message.run_once_items = (uint32_t *)(void *)chunk->run_once_items->data;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    record.kind_case = HS__PARTITION_RECORD__KIND_FILE_CHUNK;
+    record.file_chunk = &message;
+    return append_record(self, &record, error);
+}
+
+static int append_seal(const upload *self, hs_error *error) {
+    Hs__FileSealed message = HS__FILE_SEALED__INIT;
+    message.file_id = (char *)self->file_id;
+    message.tenant = (char *)self->tenant;
+    message.filename = self->collected->filename;
+    message.chunk_count = self->checked->chunks->len;
+    message.item_count = self->checked->item_count;
+    message.byte_count = self->collected->content->len;
+    message.created_ms = hs_clock_wall_ms();
+    message.model = self->checked->model;
+    message.endpoint = self->checked->endpoint;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    record.kind_case = HS__PARTITION_RECORD__KIND_FILE_SEALED;
+    record.file_sealed = &message;
+    return append_record(self, &record, error);
+}
+
+/** Whether the log, read to its end, holds the file whole. */
+static bool file_is_sealed(const upload *self, hs_error *error) {
+    if (hs_replica_refresh(self->replica, error) != 0)
+        return false;
+    const hs_partition *state = hs_replica_lock(self->replica);
+    const hs_file *file = hs_partition_file(state, self->file_id);
+    bool sealed = file != NULL && file->sealed;
+    hs_replica_unlock(self->replica);
+    return sealed;
+}
+
+static int write_file(const upload *self, hs_error *error) {
+    for (guint index = 0; index < self->checked->chunks->len; index++) {
+        int result = append_chunk(self, index, error);
+        if (result != 0)
+            return result;
+    }
+    HS_FAULT_POINT("accept_file");
+    return append_seal(self, error);
+}
+
+static int reply_file(const upload *self, struct _u_response *response) {
+    hs_metrics_add(&self->node->metrics, HS_COUNT_FILES_ACCEPTED, 1);
+    hs_log_info("file_accepted", "file=%s tenant=%s items=%u bytes=%zu", self->file_id,
+                self->tenant, self->checked->item_count, self->collected->content->len);
+    return hs_http_reply_json(
+        response, 200,
+        json_pack("{s:s,s:s,s:I,s:I,s:s,s:s}", "id", self->file_id, "object", "file", "bytes",
+                  (json_int_t)self->collected->content->len, "created_at",
+                  (json_int_t)(hs_clock_wall_ms() / MS_PER_S), "filename",
+                  self->collected->filename != NULL ? self->collected->filename : "", "purpose",
+                  "batch"));
+}
+
+static int store(const upload *self, struct _u_response *response) {
+    hs_error error = {0};
+    if (file_is_sealed(self, &error))
+        return reply_file(self, response);
+    if (error.code != 0)
+        return hs_refuse_unavailable(response, "platform_unavailable", error.message,
+                                     RETRY_AFTER_S);
+    int result = write_file(self, &error);
+    /* A file is harmless until a job names it, so that even an unknown outcome can be read back. */
+    if (file_is_sealed(self, &error))
+        return reply_file(self, response);
+    if (result == HS_PLATFORM_BUSY || result == HS_PLATFORM_REFUSED)
+        return hs_refuse_unavailable(response, "platform_unavailable", error.message,
+                                     RETRY_AFTER_S);
+    return hs_refuse_unknown(response, 504, "outcome_unknown", error.message);
+}
+
+/** True when the multipart body was closed by its final boundary. */
+static bool multipart_is_closed(const struct _u_request *request) {
+    const char *type = u_map_get_case(request->map_header, "Content-Type");
+    const char *boundary = type != NULL ? strstr(type, "boundary=") : NULL;
+    if (boundary == NULL)
+        return false;
+    g_autofree char *name = g_strdup(boundary + strlen("boundary="));
+    name = g_strdelimit(name, "\";", ' ');
+    g_autofree char *closing = g_strdup_printf("--%s--", g_strstrip(name));
+    const void *body = request->binary_body;
+    return body == NULL || memmem(body, request->binary_body_length, closing, strlen(closing));
+}
+
+static int check_and_store(hs_node *node, const char *tenant, const collected_file *collected,
+                           struct _u_response *response) {
+    hs_jsonl_rules rules = {.max_line_bytes = (size_t)node->settings->max_line_bytes,
+                            .max_items = (uint32_t)node->settings->max_items,
+                            .chunk_items = (uint32_t)node->settings->chunk_items,
+                            .chunk_bytes = CHUNK_BYTES,
+                            .check_body = check_body,
+                            .user_data = node};
+    hs_jsonl_file checked;
+    hs_error error = {0};
+    const GString *content = collected->content;
+    if (hs_jsonl_read(content->str, content->len, &rules, &checked, &error) != 0) {
+        hs_jsonl_file_clear(&checked);
+        return hs_refuse_invalid(response, 400, "bad_file", error.message);
+    }
+    g_autofree char *file_id = hs_file_id(tenant, content->str, content->len, rules.chunk_items,
+                                          hs_replica_set_count(node->replicas));
+    uint32_t partition = 0;
+    hs_id_partition(file_id, &partition);
+    upload self = {.node = node,
+                   .tenant = tenant,
+                   .collected = collected,
+                   .checked = &checked,
+                   .file_id = file_id,
+                   .replica = hs_replica_set_get(node->replicas, partition)};
+    store(&self, response);
+    hs_jsonl_file_clear(&checked);
+    return U_CALLBACK_COMPLETE;
+}
+
+static int upload_file(hs_node *node, const struct _u_request *request,
+                       const collected_file *collected, struct _u_response *response) {
+    const char *tenant = hs_http_tenant(request);
+    const char *purpose = u_map_get(request->map_post_body, "purpose");
+    if (tenant == NULL)
+        return hs_refuse_invalid(response, 401, "no_tenant",
+                                 "Authorization: Bearer must name a tenant");
+    if (collected == NULL)
+        return hs_refuse_invalid(response, 400, "bad_multipart", "no part named file");
+    if (collected->too_large)
+        return hs_refuse_invalid(response, 413, "file_too_large", "the file is over the limit");
+    if (!multipart_is_closed(request))
+        return hs_refuse_invalid(response, 400, "bad_multipart", "the multipart body is cut");
+    if (purpose == NULL || strcmp(purpose, "batch") != 0)
+        return hs_refuse_invalid(response, 400, "bad_purpose", "purpose must be batch");
+    hs_config_view *view = hs_config_store_view(node->config);
+    bool known = hs_config_view_knows_tenant(view, tenant);
+    hs_config_view_release(view);
+    if (!known)
+        return hs_refuse_invalid(response, 401, "unknown_tenant", "this tenant is not listed");
+    return check_and_store(node, tenant, collected, response);
+}
+
+int hs_command_upload(const struct _u_request *request, struct _u_response *response,
+                      void *user_data) {
+    hs_node *node = user_data;
+    collected_file *collected = take_collected(request);
+    if (hs_node_state_of(node) != HS_NODE_READY) {
+        hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
+                              RETRY_AFTER_S);
+    } else {
+        g_atomic_int_inc(&node->call_count);
+        upload_file(node, request, collected, response);
+        g_atomic_int_add(&node->call_count, -1);
+    }
+    if (collected != NULL)
+        free_collected(collected);
+    return U_CALLBACK_COMPLETE;
+}
--- /dev/null
+++ b/src/daemon/daemon.c
@@ -0,0 +1,213 @@
+/**
+ * @file daemon.c
+ * Wiring. Lower parts are made first and stopped last; nothing here decides anything.
+ */
+#include "daemon/daemon.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "commands/command_routes.h"
+#include "commands/online_request.h"
+#include "daemon/listing.h"
+#include "queries/query_routes.h"
+
+#include <arpa/inet.h>
+
+#define APPENDER_CAPACITY 8192
+#define TRACE_CAPACITY 4096
+#define STOP_POLL_MS 10
+#define MULTIPART_OVERHEAD_BYTES 65536
+#define FORGET_MS 60000
+
+struct hs_daemon {
+    hs_node node;
+    hs_listing *listing;
+    hs_http_server *caller_server;
+    hs_http_server *admin_server;
+};
+
+static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
+                           void *user_data) {
+    hs_node *node = user_data;
+    if (hs_membership_service_handle(node->membership, message, from))
+        return;
+    if (hs_coordinator_handle(node->coordinator, message, from))
+        return;
+    if (hs_scheduler_handle(node->scheduler, message, from))
+        return;
+    if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_LOAD)
+        hs_engine_table_learn_load(node->engines, message->engine_load->engine_id,
+                                   message->engine_load->online_in_flight,
+                                   message->engine_load->leaving, hs_clock_monotonic_ms());
+}
+
+static uint64_t read_config_offset(void *user_data) {
+    return hs_config_store_offset(user_data);
+}
+
+static void make_membership(hs_node *node) {
+    const hs_settings *settings = node->settings;
+    struct in_addr address;
+    inet_pton(AF_INET, settings->address, &address);
+    hs_member self = {.id = settings->daemon_id,
+                      .zone = settings->zone,
+                      .incarnation = hs_clock_wall_ms(),
+                      .address = ntohl(address.s_addr),
+                      .peer_port = (uint16_t)settings->peer_port,
+                      .admin_port = (uint16_t)settings->admin_port};
+    hs_membership_service_settings service_settings = {
+        .probe_interval_ms = (uint32_t)settings->probe_interval_ms,
+        .membership = {.probe_timeout_ms = (uint32_t)settings->probe_timeout_ms,
+                       .suspect_ms = (uint32_t)settings->suspect_ms,
+                       .forget_ms = FORGET_MS}};
+    node->membership = hs_membership_service_new(&self, &service_settings, node->socket);
+}
+
+static void make_platform_parts(hs_node *node) {
+    const hs_settings *settings = node->settings;
+    node->log = (hs_log_client){.base_url = settings->platform_url,
+                                .timeout_s = (uint32_t)settings->platform_timeout_s};
+    node->appender = hs_appender_new(&node->log, APPENDER_CAPACITY);
+    node->config = hs_config_store_new(&node->log);
+    node->replicas = hs_replica_set_new(&node->log, (uint32_t)settings->partitions,
+                                        (uint64_t)settings->job_window_s * 1000);
+    node->chunks = hs_chunk_reader_new(&node->log);
+}
+
+static void make_routing_parts(hs_node *node) {
+    const hs_settings *settings = node->settings;
+    hs_engine_table_settings table = {.subset_size = (uint32_t)settings->subset_size,
+                                      .max_in_flight = (uint32_t)settings->max_in_flight_per_engine,
+                                      .ejection_failures = (uint32_t)settings->ejection_failures,
+                                      .ejection_ms = (uint32_t)settings->ejection_ms};
+    node->engines = hs_engine_table_new(settings->daemon_id, settings->zone, &table);
+    node->limits = hs_tenant_limits_new();
+    g_mutex_init(&node->retry_lock);
+    hs_retry_budget_init(&node->retry_budget, (double)settings->retry_budget_percent);
+    hs_metrics_init(&node->metrics);
+    node->traces = hs_trace_log_new(TRACE_CAPACITY);
+    node->online_workers = g_thread_pool_new(hs_online_request_work, NULL, -1, FALSE, NULL);
+}
+
+static void make_batch_parts(hs_node *node) {
+    node->runner =
+        (hs_item_runner){.appender = node->appender,
+                         .replicas = node->replicas,
+                         .chunks = node->chunks,
+                         .run_once_recovery_ms = (uint32_t)node->settings->run_once_recovery_ms};
+    hs_coordinator_context coordinator = {.settings = node->settings,
+                                          .membership = node->membership,
+                                          .socket = node->socket,
+                                          .replicas = node->replicas,
+                                          .appender = node->appender,
+                                          .runner = &node->runner,
+                                          .config_offset = read_config_offset,
+                                          .config_user_data = node->config};
+    node->coordinator = hs_coordinator_new(&coordinator);
+    hs_scheduler_context scheduler = {.settings = node->settings,
+                                      .membership = node->membership,
+                                      .socket = node->socket,
+                                      .engines = node->engines,
+                                      .config = node->config,
+                                      .runner = &node->runner};
+    node->scheduler = hs_scheduler_new(&scheduler);
+}
+
+static int start_listeners(hs_daemon *daemon, hs_error *error) {
+    hs_node *node = &daemon->node;
+    const hs_settings *settings = node->settings;
+    daemon->admin_server = hs_http_server_new(settings->address, (uint16_t)settings->admin_port,
+                                              (size_t)settings->max_body_bytes);
+    hs_command_routes_admin(node, daemon->admin_server);
+    hs_query_routes_admin(node, daemon->admin_server);
+    int result = hs_http_server_start(daemon->admin_server, error);
+    if (result != 0 || !settings->caller_enabled)
+        return result;
+    daemon->caller_server =
+        hs_http_server_new(settings->address, (uint16_t)settings->caller_port,
+                           (size_t)settings->max_file_bytes + MULTIPART_OVERHEAD_BYTES);
+    hs_command_routes_caller(node, daemon->caller_server);
+    hs_query_routes_caller(node, daemon->caller_server);
+    return hs_http_server_start(daemon->caller_server, error);
+}
+
+hs_daemon *hs_daemon_start(const hs_settings *settings, hs_error *error) {
+    hs_daemon *daemon = g_new0(hs_daemon, 1);
+    hs_node *node = &daemon->node;
+    node->settings = settings;
+    node->socket = hs_peer_socket_new(settings->address, (uint16_t)settings->peer_port, error);
+    if (node->socket == NULL) {
+        g_free(daemon);
+        return NULL;
+    }
+    make_membership(node);
+    make_platform_parts(node);
+    make_routing_parts(node);
+    make_batch_parts(node);
+    /* A daemon that cannot listen ends at once, so that what was made is left to the exit. */
+    if (start_listeners(daemon, error) != 0)
+        return NULL;
+    hs_appender_start(node->appender);
+    hs_config_store_start(node->config);
+    hs_peer_socket_start(node->socket, handle_message, node);
+    hs_membership_service_start(node->membership);
+    hs_coordinator_start(node->coordinator);
+    hs_scheduler_start(node->scheduler);
+    daemon->listing = hs_listing_start(node);
+    hs_log_info("started", "zone=%s region=%s caller_port=%d admin_port=%d peer_port=%d",
+                settings->zone, settings->region, (int)settings->caller_port,
+                (int)settings->admin_port, (int)settings->peer_port);
+    return daemon;
+}
+
+/** Wait until @p count falls to 0 or the time is up. */
+static bool wait_for_zero(gint *count, uint64_t deadline_ms) {
+    while (g_atomic_int_get(count) > 0) {
+        if (hs_clock_monotonic_ms() >= deadline_ms)
+            return false;
+        hs_clock_sleep_ms(STOP_POLL_MS);
+    }
+    return true;
+}
+
+static bool wait_for_items(hs_scheduler *scheduler, uint64_t deadline_ms) {
+    while (hs_scheduler_busy_count(scheduler) > 0) {
+        if (hs_clock_monotonic_ms() >= deadline_ms)
+            return false;
+        hs_clock_sleep_ms(STOP_POLL_MS);
+    }
+    return true;
+}
+
+static void stop_threads(hs_daemon *daemon) {
+    hs_node *node = &daemon->node;
+    g_atomic_int_set(&node->runner.stopping, 1);
+    hs_listing_stop(daemon->listing);
+    hs_scheduler_stop(node->scheduler);
+    hs_coordinator_stop(node->coordinator);
+    hs_membership_service_stop(node->membership);
+    hs_peer_socket_stop(node->socket);
+    hs_config_store_stop(node->config);
+    hs_appender_stop(node->appender);
+}
+
+int hs_daemon_stop(hs_daemon *daemon) {
+    hs_node *node = &daemon->node;
+    uint64_t deadline_ms = hs_clock_monotonic_ms() + (uint64_t)node->settings->shutdown_grace_ms;
+    hs_log_info("stopping", "online=%d calls=%d", g_atomic_int_get(&node->online_count),
+                g_atomic_int_get(&node->call_count));
+    g_atomic_int_set(&node->state, HS_NODE_STOPPING);
+    hs_scheduler_drain(node->scheduler);
+    hs_membership_service_leave(node->membership);
+    hs_coordinator_release_all(node->coordinator);
+    bool calls_done = wait_for_zero(&node->call_count, deadline_ms);
+    bool items_done = wait_for_items(node->scheduler, deadline_ms);
+    if (daemon->caller_server != NULL)
+        hs_http_server_quiesce(daemon->caller_server);
+    calls_done = wait_for_zero(&node->call_count, deadline_ms) && calls_done;
+    hs_http_server_free(daemon->caller_server);
+    hs_http_server_free(daemon->admin_server);
+    stop_threads(daemon);
+    hs_log_info("stopped", "calls_done=%d items_done=%d", calls_done, items_done);
+    return calls_done && items_done ? 0 : 1;
+}
--- /dev/null
+++ b/src/daemon/settings.c
@@ -0,0 +1,292 @@
+/**
+ * @file settings.c
+ * One table describes every key; reading, overriding, checking and the reference all walk it, so
+ * that the reference cannot differ from what is accepted.
+ */
+#include "daemon/settings.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <string.h>
+
+typedef enum { SETTING_NUMBER, SETTING_TEXT } setting_type;
+
+typedef struct {
+    const char *group;
+    const char *key;
+    setting_type type;
+    size_t position; /**< Offset of the field in hs_settings. */
+    const char *unit;
+    int64_t minimum;
+    int64_t maximum;
+    int64_t default_number;
+    const char *default_text;
+    const char *meaning;
+} setting;
+
+#define NUMBER(group, key, field, unit, minimum, maximum, initial, meaning)                        \
+    {                                                                                              \
+        group, key, SETTING_NUMBER, offsetof(hs_settings, field), unit, minimum, maximum, initial, \
+            NULL, meaning                                                                          \
+    }
+#define TEXT(group, key, field, unit, initial, meaning)                                            \
+    { group, key, SETTING_TEXT, offsetof(hs_settings, field), unit, 0, 0, 0, initial, meaning }
+
+#define PORT_MAX 65535
+#define HOUR_MS 3600000
+#define GIB (1LL << 30)
+
+static const setting setting_table[] = {
+    TEXT("daemon", "id", daemon_id, "name", "", "Unique name of this daemon. Required."),
+    TEXT("daemon", "zone", zone, "name", "zone-a", "Zone this daemon stands in."),
+    TEXT("daemon", "region", region, "name", "region-a", "Region this daemon stands in."),
+    TEXT("daemon", "address", address, "IPv4", "127.0.0.1", "Address of all listeners."),
+    TEXT("daemon", "log_level", log_level, "debug|info|warning", "info",
+         "Most verbose level logged."),
+    NUMBER("daemon", "shutdown_grace_ms", shutdown_grace_ms, "ms", 0, HOUR_MS, 60000,
+           "Longest wait for open requests on a planned stop."),
+    NUMBER("caller", "enabled", caller_enabled, "0|1", 0, 1, 1, "Whether callers are listened to."),
+    NUMBER("caller", "port", caller_port, "port", 1, PORT_MAX, 8080,
+           "Port of the callers' listener."),
+    NUMBER("caller", "max_body_bytes", max_body_bytes, "bytes", 1024, GIB, 4194304,
+           "Largest body of a completion request."),
+    NUMBER("caller", "max_file_bytes", max_file_bytes, "bytes", 1024, GIB, 67108864,
+           "Largest uploaded file."),
+    NUMBER("caller", "max_header_bytes", max_header_bytes, "bytes", 1024, 65536, 16384,
+           "Largest request head; above it the answer is 431."),
+    NUMBER("caller", "default_timeout_ms", default_timeout_ms, "ms", 1, HOUR_MS, 60000,
+           "Deadline of a request that names none."),
+    NUMBER("caller", "max_timeout_ms", max_timeout_ms, "ms", 1, HOUR_MS, 600000,
+           "Longest deadline a request may name."),
+    NUMBER("caller", "max_tokens", max_tokens, "tokens", 1, 1000000, 32768,
+           "Largest max_tokens a request may ask for."),
+    NUMBER("admin", "port", admin_port, "port", 1, PORT_MAX, 8090,
+           "Port of the operators' listener; peers fetch configuration from it too."),
+    NUMBER("peer", "port", peer_port, "port", 1, PORT_MAX, 8100, "UDP port between daemons."),
+    NUMBER("peer", "probe_interval_ms", probe_interval_ms, "ms", 20, 60000, 500,
+           "Time between two probes that this daemon sends."),
+    NUMBER("peer", "probe_timeout_ms", probe_timeout_ms, "ms", 10, 60000, 250,
+           "Wait for an answer before others are asked to probe."),
+    NUMBER("peer", "suspect_ms", suspect_ms, "ms", 50, 600000, 2000,
+           "Time a suspected member has to refute before it counts as dead."),
+    TEXT("platform", "url", platform_url, "URL", "http://127.0.0.1:8070",
+         "Platform services, by IP number."),
+    NUMBER("platform", "timeout_s", platform_timeout_s, "s", 1, 600, 3,
+           "Limit of one platform call."),
+    NUMBER("platform", "machine_list_interval_ms", machine_list_interval_ms, "ms", 20, 600000, 1000,
+           "Time between two reads of the machine list."),
+    NUMBER("batch", "partitions", partitions, "count", 1, 4096, 16,
+           "Partitions of batch jobs. The same on all daemons, set once for a log."),
+    NUMBER("batch", "chunk_items", chunk_items, "items", 1, 10000, 256,
+           "Most items in one record of an uploaded file."),
+    NUMBER("batch", "max_line_bytes", max_line_bytes, "bytes", 64, 16777216, 262144,
+           "Longest JSONL line."),
+    NUMBER("batch", "max_items", max_items, "items", 1, 1000000, 200000, "Most items of one job."),
+    NUMBER("batch", "grant_lease_ms", grant_lease_ms, "ms", 100, 600000, 5000,
+           "Time after which items of a silent scheduler are granted anew."),
+    NUMBER("batch", "snapshot_records", snapshot_records, "records", 16, 1000000, 2000,
+           "Records after which the owner writes a snapshot of its partition."),
+    NUMBER("batch", "job_window_s", job_window_s, "s", 60, 31536000, 2592000,
+           "How long a finished job is kept, its results read and a resent job recognised."),
+    NUMBER("scheduling", "max_batch_per_engine", max_batch_per_engine, "items", 1, 4096, 32,
+           "Batch items on an engine without online requests."),
+    NUMBER("scheduling", "batch_beside_online", batch_beside_online, "items", 0, 4096, 2,
+           "Batch items that stay on an engine beside online requests: the knob between batch "
+           "throughput and online tail."),
+    NUMBER("scheduling", "idle_hold_ms", idle_hold_ms, "ms", 0, 60000, 20,
+           "Time an engine must be free of online requests before full batch returns."),
+    NUMBER("scheduling", "run_once_recovery_ms", run_once_recovery_ms, "ms", 100, HOUR_MS, 30000,
+           "Time an engine may stay unreachable before a run-once item is recorded indeterminate."),
+    NUMBER("routing", "subset_size", subset_size, "engines", 1, 4096, 16,
+           "Engines of a group that one daemon sends to."),
+    NUMBER("routing", "max_attempts", max_attempts, "attempts", 1, 10, 3,
+           "Attempts of one request."),
+    NUMBER("routing", "retry_budget_percent", retry_budget_percent, "percent", 0, 100, 10,
+           "Retries allowed, as a share of requests."),
+    NUMBER("routing", "max_in_flight_per_engine", max_in_flight_per_engine, "requests", 1, 100000,
+           256, "Online requests on one engine above which new ones are refused."),
+    NUMBER("routing", "ejection_failures", ejection_failures, "failures", 1, 1000, 3,
+           "Failures in a row after which an engine is avoided."),
+    NUMBER("routing", "ejection_ms", ejection_ms, "ms", 100, HOUR_MS, 5000,
+           "First time an engine is avoided; doubles with each further ejection."),
+};
+
+static char **text_field(hs_settings *settings, const setting *entry) {
+    return (char **)(void *)((char *)settings + entry->position);
+}
+
+static int64_t *number_field(hs_settings *settings, const setting *entry) {
+    return (int64_t *)(void *)((char *)settings + entry->position);
+}
+
+hs_settings *hs_settings_new(void) {
+    hs_settings *settings = g_new0(hs_settings, 1);
+    for (size_t index = 0; index < G_N_ELEMENTS(setting_table); index++) {
+        const setting *entry = &setting_table[index];
+        if (entry->type == SETTING_TEXT)
+            *text_field(settings, entry) = g_strdup(entry->default_text);
+        else
+            *number_field(settings, entry) = entry->default_number;
+    }
+    return settings;
+}
+
+void hs_settings_free(hs_settings *settings) {
+    if (settings == NULL)
+        return;
+    for (size_t index = 0; index < G_N_ELEMENTS(setting_table); index++)
+        if (setting_table[index].type == SETTING_TEXT)
+            g_free(*text_field(settings, &setting_table[index]));
+    g_free(settings);
+}
+
+static const setting *find_setting(const char *group, const char *key) {
+    for (size_t index = 0; index < G_N_ELEMENTS(setting_table); index++) {
+        const setting *entry = &setting_table[index];
+        if (strcmp(entry->group, group) == 0 && strcmp(entry->key, key) == 0)
+            return entry;
+    }
+    return NULL;
+}
+
+/** Set one value; @p place names where it stands, for the error. */
+static int set_value(hs_settings *settings, const char *place, const char *group, const char *key,
+                     const char *value, hs_error *error) {
+    const setting *entry = find_setting(group, key);
+    if (entry == NULL)
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s: unknown key %s.%s", place,
+                            group, key);
+    if (entry->type == SETTING_TEXT) {
+        g_free(*text_field(settings, entry));
+        *text_field(settings, entry) = g_strdup(value);
+        return 0;
+    }
+    gint64 number = 0;
+    if (!g_ascii_string_to_signed(value, 10, entry->minimum, entry->maximum, &number, NULL))
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
+                            "%s: key %s.%s: \"%s\" is not a whole number from %" G_GINT64_FORMAT
+                            " to %" G_GINT64_FORMAT " (%s)",
+                            place, group, key, value, entry->minimum, entry->maximum, entry->unit);
+    *number_field(settings, entry) = number;
+    return 0;
+}
+
+/** Line of @p key in @p group in the file's text, counted from 1; 0 when not found. */
+static int line_of_key(const char *text, const char *group, const char *key) {
+    g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
+    g_autofree char *header = g_strdup_printf("[%s]", group);
+    bool inside = false;
+    for (int index = 0; lines[index] != NULL; index++) {
+        const char *line = g_strstrip(lines[index]);
+        if (*line == '[')
+            inside = strcmp(line, header) == 0;
+        if (key == NULL && inside)
+            return index + 1;
+        size_t length = key != NULL ? strlen(key) : 0;
+        if (inside && key != NULL && strncmp(line, key, length) == 0 &&
+            strchr("= \t", line[length]) != NULL)
+            return index + 1;
+    }
+    return 0;
+}
+
+static int load_group(hs_settings *settings, GKeyFile *file, const char *path, const char *text,
+                      const char *group, hs_error *error) {
+    g_auto(GStrv) keys = g_key_file_get_keys(file, group, NULL, NULL);
+    for (int index = 0; keys != NULL && keys[index] != NULL; index++) {
+        g_autofree char *value = g_key_file_get_string(file, group, keys[index], NULL);
+        g_autofree char *place =
+            g_strdup_printf("%s:%d", path, line_of_key(text, group, keys[index]));
+        int result = set_value(settings, place, group, keys[index],
+                               value != NULL ? g_strstrip(value) : "", error);
+        if (result != 0)
+            return result;
+    }
+    return 0;
+}
+
+static bool is_known_group(const char *group) {
+    for (size_t index = 0; index < G_N_ELEMENTS(setting_table); index++)
+        if (strcmp(setting_table[index].group, group) == 0)
+            return true;
+    return false;
+}
+
+int hs_settings_load(hs_settings *settings, const char *path, hs_error *error) {
+    g_autofree char *text = NULL;
+    g_autoptr(GError) cause = NULL;
+    if (!g_file_get_contents(path, &text, NULL, &cause))
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s", cause->message);
+    g_autoptr(GKeyFile) file = g_key_file_new();
+    if (!g_key_file_load_from_data(file, text, (gsize)-1, G_KEY_FILE_NONE, &cause))
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s: %s", path, cause->message);
+    g_auto(GStrv) groups = g_key_file_get_groups(file, NULL);
+    for (int index = 0; groups[index] != NULL; index++) {
+        if (!is_known_group(groups[index]))
+            return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s:%d: unknown group [%s]",
+                                path, line_of_key(text, groups[index], NULL), groups[index]);
+        int result = load_group(settings, file, path, text, groups[index], error);
+        if (result != 0)
+            return result;
+    }
+    return 0;
+}
+
+int hs_settings_override(hs_settings *settings, const char *assignment, hs_error *error) {
+    const char *dot = strchr(assignment, '.');
+    const char *equals = dot != NULL ? strchr(dot, '=') : NULL;
+    if (equals == NULL)
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
+                            "command line: \"%s\" is not group.key=value", assignment);
+    g_autofree char *group = g_strndup(assignment, (gsize)(dot - assignment));
+    g_autofree char *key = g_strndup(dot + 1, (gsize)(equals - dot - 1));
+    return set_value(settings, "command line", group, key, equals + 1, error);
+}
+
+static int invalid(hs_error *error, const char *message) {
+    return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s", message);
+}
+
+int hs_settings_check(const hs_settings *settings, hs_error *error) {
+    struct in_addr address;
+    if (*settings->daemon_id == '\0')
+        return invalid(error, "key daemon.id: must be given");
+    if (inet_pton(AF_INET, settings->address, &address) != 1)
+        return invalid(error, "key daemon.address: not an IPv4 number");
+    if (!g_str_has_prefix(settings->platform_url, "http://"))
+        return invalid(error, "key platform.url: must start with http://");
+    if (strcmp(settings->log_level, "debug") != 0 && strcmp(settings->log_level, "info") != 0 &&
+        strcmp(settings->log_level, "warning") != 0)
+        return invalid(error, "key daemon.log_level: must be debug, info or warning");
+    if (settings->caller_enabled && settings->caller_port == settings->admin_port)
+        return invalid(error, "keys caller.port and admin.port: must differ");
+    if (settings->probe_timeout_ms >= settings->probe_interval_ms)
+        return invalid(error, "key peer.probe_timeout_ms: must be below peer.probe_interval_ms");
+    return 0;
+}
+
+void hs_settings_print_reference(FILE *output) {
+    fprintf(output, "# Settings\n\nMade by `heathsaild --settings-reference`. A file is a GLib key "
+                    "file; `--set group.key=value` overrides it.\n");
+    const char *group = "";
+    for (size_t index = 0; index < G_N_ELEMENTS(setting_table); index++) {
+        const setting *entry = &setting_table[index];
+        if (strcmp(group, entry->group) != 0)
+            fprintf(
+                output,
+                "\n## [%s]\n\n| key | default | unit | range | meaning |\n|---|---|---|---|---|\n",
+                entry->group);
+        group = entry->group;
+        if (entry->type == SETTING_TEXT)
+            fprintf(output, "| `%s` | `%s` | %s | | %s |\n", entry->key, entry->default_text,
+                    entry->unit, entry->meaning);
+        else
+            fprintf(output,
+                    "| `%s` | %" G_GINT64_FORMAT " | %s | %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+                    " | %s |\n",
+                    entry->key, entry->default_number, entry->unit, entry->minimum, entry->maximum,
+                    entry->meaning);
+    }
+}
--- /dev/null
+++ b/src/engine/engine_client.c
@@ -0,0 +1,255 @@
+/** @file engine_client.c  The engines' wire forms; see engine_client.h. */
+#include "engine/engine_client.h"
+
+#include "base/http_exchange.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+#include <unistd.h>
+
+#define DATA_PREFIX "data: "
+#define DONE_MARK "[DONE]"
+#define CONTROL_TIMEOUT_S 2
+#define MAX_EVENT_BYTES (1U << 20)
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+#define HTTP_TOO_MANY 429
+#define HTTP_UNAVAILABLE 503
+
+/** Reads server-sent events out of the body as its bytes come. */
+typedef struct {
+    GString *line;
+    uint32_t next_token;
+    bool finish_seen;
+    bool done_seen;
+    bool cancelled;
+    bool out_of_order;
+    bool aborted;
+    hs_token_callback on_token;
+    void *user_data;
+} event_reader;
+
+static bool has_finish_reason(const json_t *event) {
+    const json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
+    return json_is_string(json_object_get(choice, "finish_reason"));
+}
+
+/** Take one event's JSON. False when reading must stop. */
+static bool take_event(event_reader *reader, const char *text) {
+    if (strcmp(text, DONE_MARK) == 0) {
+        reader->done_seen = true;
+        return true;
+    }
+    json_t *event = json_loads(text, 0, NULL);
+    if (json_is_true(json_object_get(event, "cancelled"))) {
+        reader->cancelled = true;
+        json_decref(event);
+        return true;
+    }
+    const json_t *index = json_object_get(event, "token_index");
+    if (!json_is_integer(index) || json_integer_value(index) != (json_int_t)reader->next_token) {
+        reader->out_of_order = true;
+        json_decref(event);
+        return false;
+    }
+    reader->finish_seen = has_finish_reason(event);
+    reader->aborted = !reader->on_token(reader->next_token, event, reader->user_data);
+    if (!reader->aborted)
+        reader->next_token++;
+    json_decref(event);
+    return !reader->aborted;
+}
+
+/** curl's write callback: a count other than the one given ends the transfer. */
+static size_t read_events(void *contents, size_t size, size_t count, void *user_data) {
+    event_reader *reader = user_data;
+    const char *bytes = contents;
+    size_t length = size * count;
+    for (size_t index = 0; index < length; index++) {
+        if (bytes[index] != '\n') {
+            g_string_append_c(reader->line, bytes[index]);
+            if (reader->line->len > MAX_EVENT_BYTES)
+                return 0;
+            continue;
+        }
+        bool is_data = g_str_has_prefix(reader->line->str, DATA_PREFIX);
+        if (is_data && !take_event(reader, reader->line->str + strlen(DATA_PREFIX)))
+            return 0;
+        g_string_truncate(reader->line, 0);
+    }
+    return length;
+}
+
+/** Error code of a JSON error body that the reader collected in its line. */
+static void copy_error_code(const event_reader *reader, hs_run_result *result) {
+    json_t *body = json_loads(reader->line->str, 0, NULL);
+    const char *code = json_string_value(json_object_get(json_object_get(body, "error"), "code"));
+    g_strlcpy(result->code, code != NULL ? code : "", sizeof result->code);
+    json_decref(body);
+}
+
+static hs_run_end end_of(const event_reader *reader, bool answered, long status) {
+    if (reader->aborted)
+        return HS_RUN_ABORTED;
+    if (answered &&
+        (status == HTTP_UNAVAILABLE || status == HTTP_TOO_MANY || status == HTTP_NOT_FOUND))
+        return HS_RUN_REFUSED;
+    if (answered && status == HTTP_BAD_REQUEST)
+        return HS_RUN_INVALID;
+    if (!answered || status != HTTP_OK || reader->out_of_order)
+        return HS_RUN_CUT;
+    if (reader->cancelled)
+        return HS_RUN_CANCELLED;
+    return reader->done_seen && reader->finish_seen ? HS_RUN_WHOLE : HS_RUN_CUT;
+}
+
+static hs_run_result stream_request(struct _u_request *request, uint32_t first_token,
+                                    hs_token_callback on_token, void *user_data) {
+    event_reader reader = {.line = g_string_new(NULL),
+                           .next_token = first_token,
+                           .on_token = on_token,
+                           .user_data = user_data};
+    struct _u_response response;
+    ulfius_init_response(&response);
+    bool answered =
+        ulfius_send_http_streaming_request(request, &response, read_events, &reader) == U_OK;
+    hs_run_result result = {.end = end_of(&reader, answered, response.status),
+                            .next_token = reader.next_token,
+                            .status = answered ? response.status : 0};
+    copy_error_code(&reader, &result);
+    ulfius_clean_response(&response);
+    g_string_free(reader.line, TRUE);
+    return result;
+}
+
+hs_run_result hs_engine_run(const hs_engine_call *call, hs_token_callback on_token,
+                            void *user_data) {
+    struct _u_request request;
+    ulfius_init_request(&request);
+    g_autofree char *url = g_strconcat(call->engine_url, call->path, NULL);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
+                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
+                                  U_OPT_STRING_BODY, call->body, U_OPT_NONE);
+    hs_run_result result = stream_request(&request, 0, on_token, user_data);
+    ulfius_clean_request(&request);
+    return result;
+}
+
+hs_run_result hs_engine_resume(const hs_engine_call *call, uint32_t first_token,
+                               hs_token_callback on_token, void *user_data) {
+    struct _u_request request;
+    ulfius_init_request(&request);
+    g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/stream?offset=%u", call->engine_url,
+                                           call->request_id, first_token);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "GET", U_OPT_HTTP_URL, url,
+                                  U_OPT_NONE);
+    hs_run_result result = stream_request(&request, first_token, on_token, user_data);
+    ulfius_clean_request(&request);
+    return result;
+}
+
+bool hs_engine_cancel(const char *engine_url, const char *request_id) {
+    g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/cancel", engine_url, request_id);
+    hs_http_request request = {.method = "POST",
+                               .url = url,
+                               .content_type = "application/json",
+                               .body = "{}",
+                               .body_length = 2,
+                               .timeout_s = CONTROL_TIMEOUT_S};
+    hs_http_answer answer;
+    bool known = hs_http_exchange(&request, &answer) && answer.status == HTTP_OK;
+    hs_http_answer_clear(&answer);
+    return known;
+}
+
+static bool parse_engine_address(const char *engine_url, struct sockaddr_in *address) {
+    g_auto(GStrv) parts = g_strsplit(engine_url + strlen("http://"), ":", 2);
+    if (g_strv_length(parts) != 2)
+        return false;
+    address->sin_family = AF_INET;
+    address->sin_port = htons((uint16_t)g_ascii_strtoull(parts[1], NULL, 10));
+    return inet_pton(AF_INET, parts[0], &address->sin_addr) == 1;
+}
+
+bool hs_engine_is_reachable(const char *engine_url, uint32_t timeout_ms) {
+    struct sockaddr_in address = {0};
+    if (!parse_engine_address(engine_url, &address))
+        return false;
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return false;
+    bool open = connect(descriptor, (struct sockaddr *)&address, sizeof address) == 0;
+    if (!open && errno == EINPROGRESS) {
+        struct pollfd waiting = {.fd = descriptor, .events = POLLOUT};
+        int failure = 0;
+        socklen_t failure_size = sizeof failure;
+        open = poll(&waiting, 1, (int)timeout_ms) == 1 &&
+               getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &failure_size) == 0 &&
+               failure == 0;
+    }
+    close(descriptor);
+    return open;
+}
+
+/** GET a JSON document of the engine; NULL on failure. The caller owns it. */
+static json_t *read_document(const char *engine_url, const char *path) {
+    g_autofree char *url = g_strconcat(engine_url, path, NULL);
+    hs_http_request request = {.method = "GET", .url = url, .timeout_s = CONTROL_TIMEOUT_S};
+    hs_http_answer answer;
+    json_t *document = NULL;
+    if (hs_http_exchange(&request, &answer) && answer.status == HTTP_OK)
+        document = json_loads(answer.body, 0, NULL);
+    hs_http_answer_clear(&answer);
+    return document;
+}
+
+bool hs_engine_read_load(const char *engine_url, hs_engine_report *report) {
+    json_t *document = read_document(engine_url, "/load");
+    if (document == NULL)
+        return false;
+    report->online = (uint32_t)json_integer_value(json_object_get(document, "online"));
+    report->batch = (uint32_t)json_integer_value(json_object_get(document, "batch"));
+    report->max_sequences =
+        (uint32_t)json_integer_value(json_object_get(document, "max_sequences"));
+    report->leaving = json_is_true(json_object_get(document, "leaving"));
+    json_decref(document);
+    return true;
+}
+
+json_t *hs_engine_read_models(const char *engine_url) {
+    json_t *document = read_document(engine_url, "/v1/models");
+    if (document == NULL)
+        return NULL;
+    json_t *names = json_array();
+    size_t index;
+    json_t *model;
+    json_array_foreach(json_object_get(document, "data"), index, model)
+        json_array_append(names, json_object_get(model, "id"));
+    json_decref(document);
+    return names;
+}
+
+long hs_engine_order(const char *engine_url, const char *action, const char *model,
+                     uint32_t epoch) {
+    g_autofree char *url = g_strconcat(engine_url, "/orders", NULL);
+    json_t *order =
+        json_pack("{s:s,s:s,s:I}", "action", action, "model", model, "epoch", (json_int_t)epoch);
+    char *text = json_dumps(order, JSON_COMPACT);
+    json_decref(order);
+    hs_http_request request = {.method = "POST",
+                               .url = url,
+                               .content_type = "application/json",
+                               .body = text,
+                               .body_length = strlen(text),
+                               .timeout_s = CONTROL_TIMEOUT_S};
+    hs_http_answer answer;
+    long status = hs_http_exchange(&request, &answer) ? answer.status : 0;
+    hs_http_answer_clear(&answer);
+    free(text);
+    return status;
+}
--- /dev/null
+++ b/src/http/http_server.c
@@ -0,0 +1,126 @@
+/** @file http_server.c  Listener over ulfius; see http_server.h. */
+#include "http/http_server.h"
+
+#include "http/error_body.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROUTE_PRIORITY_CHECK 0
+#define ROUTE_PRIORITY_HANDLER 1
+#define MAX_MULTIPART_PARAMETER_BYTES 0
+
+struct hs_http_server {
+    struct _u_instance instance;
+    struct sockaddr_in address;
+    size_t max_body_bytes;
+    bool started;
+    int quiesced_socket;
+};
+
+static int reply_not_found(const struct _u_request *request, struct _u_response *response,
+                           void *user_data) {
+    (void)request;
+    (void)user_data;
+    return hs_http_reply_error(response, &(hs_error_body){.status = 404,
+                                                          .type = "invalid_request_error",
+                                                          .code = "not_found",
+                                                          .message = "no such path"});
+}
+
+/** Runs before every handler: refuses a body over the limit. */
+static int check_body_size(const struct _u_request *request, struct _u_response *response,
+                           void *user_data) {
+    const hs_http_server *server = user_data;
+    const char *declared = u_map_get_case(request->map_header, "Content-Length");
+    uint64_t declared_bytes = declared != NULL ? g_ascii_strtoull(declared, NULL, 10) : 0;
+    bool too_large = declared_bytes > server->max_body_bytes ||
+                     request->binary_body_length > server->max_body_bytes;
+    if (!too_large)
+        return U_CALLBACK_CONTINUE;
+    hs_http_reply_error(response, &(hs_error_body){.status = 413,
+                                                   .type = "invalid_request_error",
+                                                   .code = "body_too_large",
+                                                   .message = "the body is over the limit"});
+    return U_CALLBACK_COMPLETE;
+}
+
+hs_http_server *hs_http_server_new(const char *address, uint16_t port, size_t max_body_bytes) {
+    hs_http_server *server = g_new0(hs_http_server, 1);
+    server->address.sin_family = AF_INET;
+    server->address.sin_port = htons(port);
+    server->quiesced_socket = -1;
+    if (inet_pton(AF_INET, address, &server->address.sin_addr) != 1 ||
+        ulfius_init_instance(&server->instance, port, &server->address, NULL) != U_OK) {
+        g_free(server);
+        return NULL;
+    }
+    server->max_body_bytes = max_body_bytes;
+    server->instance.max_post_param_size = MAX_MULTIPART_PARAMETER_BYTES;
+    /* One byte above the limit, so that an oversized chunked body is seen as such, not cut short.
+     */
+    server->instance.max_post_body_size = max_body_bytes == 0 ? 0 : max_body_bytes + 1;
+    ulfius_set_default_endpoint(&server->instance, reply_not_found, NULL);
+    return server;
+}
+
+void hs_http_server_route(hs_http_server *server, const char *method, const char *path,
+                          hs_http_handler handler, void *user_data) {
+    if (server->max_body_bytes > 0 && (strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0))
+        ulfius_add_endpoint_by_val(&server->instance, method, NULL, path, ROUTE_PRIORITY_CHECK,
+                                   check_body_size, server);
+    ulfius_add_endpoint_by_val(&server->instance, method, NULL, path, ROUTE_PRIORITY_HANDLER,
+                               handler, user_data);
+}
+
+void hs_http_server_collect_uploads(hs_http_server *server, hs_upload_callback callback,
+                                    void *user_data) {
+    ulfius_set_upload_file_callback_function(&server->instance, callback, user_data);
+}
+
+int hs_http_server_start(hs_http_server *server, hs_error *error) {
+    if (ulfius_start_framework(&server->instance) != U_OK)
+        return hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on port %u",
+                            ntohs(server->address.sin_port));
+    server->started = true;
+    return 0;
+}
+
+void hs_http_server_quiesce(hs_http_server *server) {
+    if (server->started && server->quiesced_socket < 0)
+        server->quiesced_socket = MHD_quiesce_daemon(server->instance.mhd_daemon);
+}
+
+void hs_http_server_free(hs_http_server *server) {
+    if (server == NULL)
+        return;
+    if (server->started)
+        ulfius_stop_framework(&server->instance);
+    if (server->quiesced_socket >= 0)
+        close(server->quiesced_socket);
+    ulfius_clean_instance(&server->instance);
+    g_free(server);
+}
+
+int hs_http_reply_json(struct _u_response *response, unsigned int status, json_t *body) {
+    ulfius_set_json_body_response(response, status, body);
+    json_decref(body);
+    return U_CALLBACK_COMPLETE;
+}
+
+const char *hs_http_parameter(const struct _u_request *request, const char *name) {
+    return u_map_get(request->map_url, name);
+}
+
+uint64_t hs_http_parameter_number(const struct _u_request *request, const char *name,
+                                  uint64_t fallback) {
+    const char *text = hs_http_parameter(request, name);
+    guint64 number = 0;
+    if (text == NULL || !g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &number, NULL))
+        return fallback;
+    return number;
+}
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,58 @@
+/**
+ * @file http_server.h
+ * A listener on ulfius: start, stop accepting, stop. Handlers run one thread a connection.
+ */
+#ifndef HS_HTTP_HTTP_SERVER_H
+#define HS_HTTP_HTTP_SERVER_H
+
+#include "heathsail/error.h"
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <ulfius.h>
+
+typedef struct hs_http_server hs_http_server;
+
+typedef int (*hs_http_handler)(const struct _u_request *request, struct _u_response *response,
+                               void *user_data);
+
+/**
+ * Prepare a listener on an IPv4 number and a port. Bodies above @p max_body_bytes (0: no limit)
+ * are answered 413 and reach no handler.
+ */
+hs_http_server *hs_http_server_new(const char *address, uint16_t port, size_t max_body_bytes);
+
+/** Route @p method and @p path (":name" binds a parameter) to @p handler. Before start only. */
+void hs_http_server_route(hs_http_server *server, const char *method, const char *path,
+                          hs_http_handler handler, void *user_data);
+
+typedef int (*hs_upload_callback)(const struct _u_request *request, const char *key,
+                                  const char *filename, const char *content_type,
+                                  const char *transfer_encoding, const char *data, uint64_t offset,
+                                  size_t size, void *user_data);
+
+/** Give parts of multipart uploads to @p callback as they come. Before start only. */
+void hs_http_server_collect_uploads(hs_http_server *server, hs_upload_callback callback,
+                                    void *user_data);
+
+/** Open the port and serve. */
+int hs_http_server_start(hs_http_server *server, hs_error *error);
+
+/** Stop accepting connections; those open are served to their end. */
+void hs_http_server_quiesce(hs_http_server *server);
+
+/** Cut what is left and free the listener. NULL is allowed. */
+void hs_http_server_free(hs_http_server *server);
+
+/** Answer with a JSON document; takes the reference of @p body. */
+int hs_http_reply_json(struct _u_response *response, unsigned int status, json_t *body);
+
+/** The request's parameter of the path or query, or NULL. Borrowed from the request. */
+const char *hs_http_parameter(const struct _u_request *request, const char *name);
+
+/** A whole number of the query, or @p fallback where it is missing or malformed. */
+uint64_t hs_http_parameter_number(const struct _u_request *request, const char *name,
+                                  uint64_t fallback);
+
+#endif
--- /dev/null
+++ b/src/membership/membership.c
@@ -0,0 +1,466 @@
+/** @file membership.c  The state machine; see membership.h. */
+#include "membership/membership.h"
+
+#include "base/hash.h"
+
+#include <string.h>
+
+#define INDIRECT_PROBES 2
+#define GOSSIP_FACTOR 3 /* An account rides GOSSIP_FACTOR * log2(size) times before it rests. */
+#define EPOCH_NONE 0
+
+/** A probe that has not been answered yet. */
+typedef struct {
+    uint32_t sequence;
+    char *member_id;
+    uint64_t sent_ms;
+    bool asked_others;
+} open_probe;
+
+struct hs_membership {
+    hs_membership_settings settings;
+    hs_member *self;
+    GHashTable *members; /**< id -> hs_member, self included */
+    GPtrArray *round;    /**< ids still to be probed in this round */
+    GArray *open_probes;
+    GRand *random;
+    uint32_t next_sequence;
+    uint32_t rejoin_count;
+};
+
+static void free_member(gpointer data) {
+    hs_member *member = data;
+    g_free(member->id);
+    g_free(member->zone);
+    g_array_free(member->owned, TRUE);
+    g_free(member);
+}
+
+static void clear_probe(gpointer data) {
+    g_free(((open_probe *)data)->member_id);
+}
+
+static hs_member *add_member(hs_membership *membership, const char *id) {
+    hs_member *member = g_new0(hs_member, 1);
+    member->id = g_strdup(id);
+    member->zone = g_strdup("");
+    member->owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
+    g_hash_table_insert(membership->members, member->id, member);
+    return member;
+}
+
+hs_membership *hs_membership_new(const hs_member *self, const hs_membership_settings *settings,
+                                 uint32_t random_seed) {
+    hs_membership *membership = g_new0(hs_membership, 1);
+    membership->settings = *settings;
+    membership->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_member);
+    membership->round = g_ptr_array_new_with_free_func(g_free);
+    membership->open_probes = g_array_new(FALSE, FALSE, sizeof(open_probe));
+    g_array_set_clear_func(membership->open_probes, clear_probe);
+    membership->random = g_rand_new_with_seed(random_seed);
+    membership->next_sequence = 1;
+    hs_member *own = add_member(membership, self->id);
+    g_free(own->zone);
+    own->zone = g_strdup(self->zone);
+    own->state = HS_MEMBER_ALIVE;
+    own->incarnation = self->incarnation;
+    own->version = 1;
+    own->address = self->address;
+    own->peer_port = self->peer_port;
+    own->admin_port = self->admin_port;
+    membership->self = own;
+    return membership;
+}
+
+void hs_membership_free(hs_membership *membership) {
+    if (membership == NULL)
+        return;
+    g_hash_table_destroy(membership->members);
+    g_ptr_array_free(membership->round, TRUE);
+    g_array_free(membership->open_probes, TRUE);
+    g_rand_free(membership->random);
+    g_free(membership);
+}
+
+const hs_member *hs_membership_self(const hs_membership *membership) {
+    return membership->self;
+}
+
+bool hs_member_is_live(const hs_member *member) {
+    return member->state == HS_MEMBER_ALIVE || member->state == HS_MEMBER_SUSPECT;
+}
+
+static void raise_own_version(hs_membership *membership) {
+    membership->self->version++;
+    membership->self->sent_count = 0;
+}
+
+static bool same_owned(const GArray *left, const GArray *right) {
+    if (left->len != right->len)
+        return false;
+    for (guint index = 0; index < left->len; index++) {
+        const hs_owned_partition *first = &g_array_index(left, hs_owned_partition, index);
+        const hs_owned_partition *second = &g_array_index(right, hs_owned_partition, index);
+        if (first->partition != second->partition || first->epoch != second->epoch ||
+            first->has_ready_items != second->has_ready_items)
+            return false;
+    }
+    return true;
+}
+
+void hs_membership_update_self(hs_membership *membership, uint64_t config_offset,
+                               const GArray *owned) {
+    hs_member *self = membership->self;
+    if (self->config_offset == config_offset && same_owned(self->owned, owned))
+        return;
+    self->config_offset = config_offset;
+    g_array_set_size(self->owned, 0);
+    if (owned->len > 0)
+        g_array_append_vals(self->owned, owned->data, owned->len);
+    raise_own_version(membership);
+}
+
+void hs_membership_leave(hs_membership *membership) {
+    membership->self->state = HS_MEMBER_LEAVING;
+    raise_own_version(membership);
+}
+
+void hs_membership_propose(hs_membership *membership, const char *id, uint32_t address,
+                           uint16_t peer_port, uint64_t now_ms) {
+    if (g_hash_table_contains(membership->members, id))
+        return;
+    hs_member *member = add_member(membership, id);
+    member->state = HS_MEMBER_PROPOSED;
+    member->address = address;
+    member->peer_port = peer_port;
+    member->state_since_ms = now_ms;
+}
+
+static hs_member_state state_of_record(const Hs__MemberRecord *record) {
+    switch (record->state) {
+    case HS__MEMBER_STATE__MEMBER_SUSPECT:
+        return HS_MEMBER_SUSPECT;
+    case HS__MEMBER_STATE__MEMBER_LEAVING:
+        return HS_MEMBER_LEAVING;
+    case HS__MEMBER_STATE__MEMBER_DEAD:
+        return HS_MEMBER_DEAD;
+    default:
+        return HS_MEMBER_ALIVE;
+    }
+}
+
+static void set_state(hs_member *member, hs_member_state state, uint64_t now_ms) {
+    if (member->state != state)
+        member->state_since_ms = now_ms;
+    member->state = state;
+    member->sent_count = 0;
+}
+
+/** Others speak ill of us: answer with a newer version, or a new incarnation if held for dead. */
+static bool refute(hs_membership *membership, const Hs__MemberRecord *record) {
+    hs_member *self = membership->self;
+    hs_member_state claimed = state_of_record(record);
+    bool about_now = record->incarnation > self->incarnation ||
+                     (record->incarnation == self->incarnation && record->version >= self->version);
+    if (claimed == HS_MEMBER_DEAD && record->incarnation >= self->incarnation &&
+        self->state != HS_MEMBER_LEAVING) {
+        self->incarnation = record->incarnation + 1;
+        membership->rejoin_count++;
+        raise_own_version(membership);
+        return true;
+    }
+    if (claimed == HS_MEMBER_SUSPECT && about_now) {
+        self->version = record->version;
+        raise_own_version(membership);
+    }
+    return false;
+}
+
+/** Whether @p record overtakes what we hold of @p member. */
+static bool overtakes(const hs_member *member, const Hs__MemberRecord *record) {
+    hs_member_state state = state_of_record(record);
+    if (member->state == HS_MEMBER_PROPOSED)
+        return state != HS_MEMBER_DEAD;
+    if (record->incarnation != member->incarnation)
+        return record->incarnation > member->incarnation;
+    if (member->state == HS_MEMBER_DEAD)
+        return false;
+    if (state == HS_MEMBER_DEAD)
+        return true;
+    if (member->state == HS_MEMBER_LEAVING)
+        return state == HS_MEMBER_LEAVING && record->version > member->version;
+    if (state == HS_MEMBER_LEAVING)
+        return true;
+    if (record->version != member->version)
+        return record->version > member->version;
+    return state == HS_MEMBER_SUSPECT && member->state == HS_MEMBER_ALIVE;
+}
+
+static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
+    member->incarnation = record->incarnation;
+    member->version = record->version;
+    if (record->address != 0) {
+        member->address = record->address;
+        member->peer_port = (uint16_t)record->peer_port;
+        member->admin_port = (uint16_t)record->admin_port;
+    }
+    if (strcmp(member->zone, record->zone) != 0) {
+        g_free(member->zone);
+        member->zone = g_strdup(record->zone);
+    }
+    member->config_offset = record->config_offset;
+    g_array_set_size(member->owned, 0);
+    for (size_t index = 0; index < record->n_owned; index++) {
+        hs_owned_partition owned = {.partition = record->owned[index]->partition,
+                                    .epoch = record->owned[index]->epoch,
+                                    .has_ready_items = record->owned[index]->has_ready_items};
+        g_array_append_val(member->owned, owned);
+    }
+}
+
+bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
+                         uint64_t now_ms) {
+    if (strcmp(record->id, membership->self->id) == 0)
+        return refute(membership, record);
+    hs_member *member = g_hash_table_lookup(membership->members, record->id);
+    if (member == NULL) {
+        if (state_of_record(record) == HS_MEMBER_DEAD)
+            return false;
+        member = add_member(membership, record->id);
+        member->state = HS_MEMBER_PROPOSED;
+    }
+    if (!overtakes(member, record))
+        return false;
+    bool was_live = hs_member_is_live(member);
+    copy_record(member, record);
+    set_state(member, state_of_record(record), now_ms);
+    return was_live != hs_member_is_live(member);
+}
+
+/** Ids of all others worth probing, shuffled. */
+static void start_round(hs_membership *membership) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (member != membership->self && member->state != HS_MEMBER_DEAD)
+            g_ptr_array_add(membership->round, g_strdup(member->id));
+    }
+    for (guint index = membership->round->len; index > 1; index--) {
+        guint other = (guint)g_rand_int_range(membership->random, 0, (gint32)index);
+        gpointer kept = membership->round->pdata[index - 1];
+        membership->round->pdata[index - 1] = membership->round->pdata[other];
+        membership->round->pdata[other] = kept;
+    }
+}
+
+static hs_member *next_target(hs_membership *membership) {
+    if (membership->round->len == 0)
+        start_round(membership);
+    while (membership->round->len > 0) {
+        g_autofree char *id =
+            g_ptr_array_steal_index(membership->round, membership->round->len - 1);
+        hs_member *member = g_hash_table_lookup(membership->members, id);
+        if (member != NULL && member->state != HS_MEMBER_DEAD)
+            return member;
+    }
+    return NULL;
+}
+
+/** Suspects past their time are dead; the dead past theirs are forgotten. */
+static bool age_members(hs_membership *membership, uint64_t now_ms) {
+    bool changed = false;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        hs_member *member = data;
+        uint64_t age_ms = now_ms - member->state_since_ms;
+        if (member->state == HS_MEMBER_SUSPECT && age_ms > membership->settings.suspect_ms) {
+            set_state(member, HS_MEMBER_DEAD, now_ms);
+            changed = true;
+        } else if (member->state == HS_MEMBER_DEAD && age_ms > membership->settings.forget_ms) {
+            g_hash_table_iter_remove(&iterator);
+        }
+    }
+    return changed;
+}
+
+static void order_probe(GArray *orders, const hs_member *receiver, uint32_t sequence,
+                        const char *target_id) {
+    hs_probe_order order = {
+        .address = receiver->address, .port = receiver->peer_port, .sequence = sequence};
+    g_strlcpy(order.target_id, target_id, sizeof order.target_id);
+    g_array_append_val(orders, order);
+}
+
+bool hs_membership_probe_next(hs_membership *membership, uint64_t now_ms, GArray *orders) {
+    bool changed = age_members(membership, now_ms);
+    hs_member *target = next_target(membership);
+    if (target == NULL)
+        return changed;
+    open_probe probe = {.sequence = membership->next_sequence++,
+                        .member_id = g_strdup(target->id),
+                        .sent_ms = now_ms};
+    g_array_append_val(membership->open_probes, probe);
+    order_probe(orders, target, probe.sequence, "");
+    return changed;
+}
+
+static void ask_others(hs_membership *membership, const open_probe *probe, GArray *orders) {
+    g_autoptr(GPtrArray) helpers = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (member != membership->self && member->state == HS_MEMBER_ALIVE &&
+            strcmp(member->id, probe->member_id) != 0)
+            g_ptr_array_add(helpers, data);
+    }
+    for (int count = 0; count < INDIRECT_PROBES && helpers->len > 0; count++) {
+        guint chosen = (guint)g_rand_int_range(membership->random, 0, (gint32)helpers->len);
+        order_probe(orders, helpers->pdata[chosen], probe->sequence, probe->member_id);
+        g_ptr_array_remove_index_fast(helpers, chosen);
+    }
+}
+
+bool hs_membership_check_probes(hs_membership *membership, uint64_t now_ms, GArray *orders) {
+    bool changed = false;
+    uint32_t timeout_ms = membership->settings.probe_timeout_ms;
+    for (guint index = 0; index < membership->open_probes->len;) {
+        open_probe *probe = &g_array_index(membership->open_probes, open_probe, index);
+        uint64_t waited_ms = now_ms - probe->sent_ms;
+        if (waited_ms > timeout_ms && !probe->asked_others) {
+            probe->asked_others = true;
+            ask_others(membership, probe, orders);
+        }
+        if (waited_ms <= 2 * (uint64_t)timeout_ms) {
+            index++;
+            continue;
+        }
+        hs_member *member = g_hash_table_lookup(membership->members, probe->member_id);
+        if (member != NULL && member->state == HS_MEMBER_ALIVE)
+            set_state(member, HS_MEMBER_SUSPECT, now_ms);
+        if (member != NULL && member->state == HS_MEMBER_LEAVING) {
+            set_state(member, HS_MEMBER_DEAD, now_ms);
+            changed = true;
+        }
+        g_array_remove_index(membership->open_probes, index);
+    }
+    return changed;
+}
+
+void hs_membership_acknowledge(hs_membership *membership, uint32_t sequence,
+                               const char *subject_id) {
+    for (guint index = 0; index < membership->open_probes->len; index++) {
+        const open_probe *probe = &g_array_index(membership->open_probes, open_probe, index);
+        if (probe->sequence != sequence || strcmp(probe->member_id, subject_id) != 0)
+            continue;
+        g_array_remove_index(membership->open_probes, index);
+        return;
+    }
+}
+
+static gint compare_sent_count(gconstpointer left, gconstpointer right) {
+    const hs_member *first = *(hs_member *const *)left;
+    const hs_member *second = *(hs_member *const *)right;
+    return (first->sent_count > second->sent_count) - (first->sent_count < second->sent_count);
+}
+
+void hs_membership_gossip(hs_membership *membership, size_t limit, GPtrArray *records) {
+    uint32_t rest_after =
+        GOSSIP_FACTOR * (uint32_t)g_bit_storage(g_hash_table_size(membership->members));
+    g_autoptr(GPtrArray) candidates = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (member != membership->self && member->state != HS_MEMBER_PROPOSED &&
+            member->sent_count < rest_after)
+            g_ptr_array_add(candidates, data);
+    }
+    g_ptr_array_sort(candidates, compare_sent_count);
+    g_ptr_array_add(records, membership->self);
+    for (guint index = 0; index < candidates->len && records->len < limit; index++) {
+        hs_member *member = candidates->pdata[index];
+        member->sent_count++;
+        g_ptr_array_add(records, member);
+    }
+}
+
+const hs_member *hs_membership_find(const hs_membership *membership, const char *id) {
+    return g_hash_table_lookup(membership->members, id);
+}
+
+void hs_membership_list(const hs_membership *membership, GPtrArray *members) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data))
+        g_ptr_array_add(members, data);
+}
+
+const hs_member *hs_membership_rank_first(const hs_membership *membership, const char *key,
+                                          const char *zone) {
+    const hs_member *best = NULL;
+    uint64_t best_weight = 0;
+    bool best_in_zone = false;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (!hs_member_is_live(member))
+            continue;
+        bool in_zone = zone != NULL && strcmp(zone, member->zone) == 0;
+        uint64_t weight = hs_hash_pair(key, member->id);
+        bool better = best == NULL || (in_zone && !best_in_zone) ||
+                      (in_zone == best_in_zone && weight > best_weight);
+        if (!better)
+            continue;
+        best = member;
+        best_weight = weight;
+        best_in_zone = in_zone;
+    }
+    return best;
+}
+
+const hs_member *hs_membership_owner(const hs_membership *membership, uint32_t partition,
+                                     uint32_t *epoch) {
+    const hs_member *owner = NULL;
+    *epoch = EPOCH_NONE;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (!hs_member_is_live(member) && member->state != HS_MEMBER_LEAVING)
+            continue;
+        for (guint index = 0; index < member->owned->len; index++) {
+            const hs_owned_partition *owned =
+                &g_array_index(member->owned, hs_owned_partition, index);
+            if (owned->partition != partition || owned->epoch <= *epoch)
+                continue;
+            owner = member;
+            *epoch = owned->epoch;
+        }
+    }
+    return owner;
+}
+
+uint32_t hs_membership_rejoin_count(const hs_membership *membership) {
+    return membership->rejoin_count;
+}
+
+uint32_t hs_membership_live_count(const hs_membership *membership) {
+    uint32_t count = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data))
+        count += hs_member_is_live(data);
+    return count;
+}
--- /dev/null
+++ b/src/membership/membership_service.c
@@ -0,0 +1,323 @@
+/** @file membership_service.c  Probes over the peer socket; see membership_service.h. */
+#include "membership/membership_service.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define GOSSIP_LIMIT 12
+#define TICK_MS 20
+#define RELAYS_KEPT 256
+#define LEAVE_MESSAGES 32
+
+/** An indirect probe that we run for somebody else. */
+typedef struct {
+    uint32_t own_sequence;
+    uint32_t origin_sequence;
+    uint32_t origin_address;
+    uint16_t origin_port;
+    char subject_id[64];
+} relay;
+
+struct hs_membership_service {
+    hs_membership_service_settings settings;
+    hs_peer_socket *socket;
+    GMutex lock;
+    hs_membership *membership;
+    GArray *relays;
+    uint32_t next_relay_sequence;
+    uint64_t next_probe_ms;
+    uint32_t rounds;
+    char *self_id;
+    gint stopping;
+    GThread *thread;
+};
+
+#define RELAY_SEQUENCE_BASE 0x80000000U
+
+hs_membership_service *hs_membership_service_new(const hs_member *self,
+                                                 const hs_membership_service_settings *settings,
+                                                 hs_peer_socket *socket) {
+    hs_membership_service *service = g_new0(hs_membership_service, 1);
+    service->settings = *settings;
+    service->socket = socket;
+    g_mutex_init(&service->lock);
+    service->membership = hs_membership_new(self, &settings->membership, g_str_hash(self->id));
+    service->relays = g_array_new(FALSE, FALSE, sizeof(relay));
+    service->next_relay_sequence = RELAY_SEQUENCE_BASE;
+    service->self_id = g_strdup(self->id);
+    return service;
+}
+
+void hs_membership_service_free(hs_membership_service *service) {
+    hs_membership_free(service->membership);
+    g_array_free(service->relays, TRUE);
+    g_free(service->self_id);
+    g_mutex_clear(&service->lock);
+    g_free(service);
+}
+
+hs_membership *hs_membership_service_lock(hs_membership_service *service) {
+    g_mutex_lock(&service->lock);
+    return service->membership;
+}
+
+void hs_membership_service_unlock(hs_membership_service *service) {
+    g_mutex_unlock(&service->lock);
+}
+
+/** Gossip as messages; arrays and records are owned by the caller's arena (free_gossip). */
+typedef struct {
+    GPtrArray *records; /**< of Hs__MemberRecord* */
+} gossip;
+
+static void free_record(gpointer data) {
+    Hs__MemberRecord *record = data;
+    for (size_t index = 0; index < record->n_owned; index++)
+        g_free(record->owned[index]);
+    g_free(record->owned);
+    g_free(record->id);
+    g_free(record->zone);
+    g_free(record);
+}
+
+static Hs__MemberState wire_state(hs_member_state state) {
+    switch (state) {
+    case HS_MEMBER_SUSPECT:
+        return HS__MEMBER_STATE__MEMBER_SUSPECT;
+    case HS_MEMBER_LEAVING:
+        return HS__MEMBER_STATE__MEMBER_LEAVING;
+    case HS_MEMBER_DEAD:
+        return HS__MEMBER_STATE__MEMBER_DEAD;
+    default:
+        return HS__MEMBER_STATE__MEMBER_ALIVE;
+    }
+}
+
+static Hs__MemberRecord *describe_member(const hs_member *member) {
+    Hs__MemberRecord *record = g_new(Hs__MemberRecord, 1);
+    hs__member_record__init(record);
+    record->id = g_strdup(member->id);
+    record->zone = g_strdup(member->zone);
+    record->incarnation = member->incarnation;
+    record->version = member->version;
+    record->state = wire_state(member->state);
+    record->address = member->address;
+    record->peer_port = member->peer_port;
+    record->admin_port = member->admin_port;
+    record->config_offset = member->config_offset;
+    record->n_owned = member->owned->len;
+    record->owned = g_new0(Hs__OwnedPartition *, member->owned->len);
+    for (guint index = 0; index < member->owned->len; index++) {
+        const hs_owned_partition *owned = &g_array_index(member->owned, hs_owned_partition, index);
+        record->owned[index] = g_new(Hs__OwnedPartition, 1);
+        hs__owned_partition__init(record->owned[index]);
+        record->owned[index]->partition = owned->partition;
+        record->owned[index]->epoch = owned->epoch;
+        record->owned[index]->has_ready_items = owned->has_ready_items;
+    }
+    return record;
+}
+
+static gossip take_gossip(hs_membership_service *service) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    gossip taken = {.records = g_ptr_array_new_with_free_func(free_record)};
+    g_mutex_lock(&service->lock);
+    hs_membership_gossip(service->membership, GOSSIP_LIMIT, members);
+    for (guint index = 0; index < members->len; index++)
+        g_ptr_array_add(taken.records, describe_member(members->pdata[index]));
+    g_mutex_unlock(&service->lock);
+    return taken;
+}
+
+void hs_membership_service_sign(hs_membership_service *service, Hs__PeerMessage *message) {
+    g_mutex_lock(&service->lock);
+    message->sender_id = service->self_id;
+    message->sender_incarnation = hs_membership_self(service->membership)->incarnation;
+    g_mutex_unlock(&service->lock);
+}
+
+static void send_probe(hs_membership_service *service, uint32_t address, uint16_t port,
+                       uint32_t sequence, const char *target_id) {
+    gossip taken = take_gossip(service);
+    Hs__Probe probe = HS__PROBE__INIT;
+    probe.sequence = sequence;
+    probe.target_id = (char *)target_id;
+    probe.n_gossip = taken.records->len;
+    probe.gossip = (Hs__MemberRecord **)taken.records->pdata;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(service, &message);
+    message.kind_case = HS__PEER_MESSAGE__KIND_PROBE;
+    message.probe = &probe;
+    hs_peer_socket_send(service->socket, address, port, &message);
+    g_ptr_array_free(taken.records, TRUE);
+}
+
+static void send_ack(hs_membership_service *service, uint32_t address, uint16_t port,
+                     uint32_t sequence, const char *subject_id) {
+    gossip taken = take_gossip(service);
+    Hs__ProbeAck ack = HS__PROBE_ACK__INIT;
+    ack.sequence = sequence;
+    ack.subject_id = (char *)subject_id;
+    ack.n_gossip = taken.records->len;
+    ack.gossip = (Hs__MemberRecord **)taken.records->pdata;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(service, &message);
+    message.kind_case = HS__PEER_MESSAGE__KIND_PROBE_ACK;
+    message.probe_ack = &ack;
+    hs_peer_socket_send(service->socket, address, port, &message);
+    g_ptr_array_free(taken.records, TRUE);
+}
+
+static void learn_all(hs_membership_service *service, Hs__MemberRecord **records, size_t count) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&service->lock);
+    for (size_t index = 0; index < count; index++) {
+        if (!hs_membership_learn(service->membership, records[index], now_ms))
+            continue;
+        hs_log_info("membership_change", "member=%s state=%d incarnation=%" G_GUINT64_FORMAT,
+                    records[index]->id, (int)records[index]->state, records[index]->incarnation);
+    }
+    g_mutex_unlock(&service->lock);
+}
+
+/** Probe @p target_id for the sender and remember whom to tell. */
+static void relay_probe(hs_membership_service *service, const Hs__Probe *probe,
+                        const struct sockaddr_in *from) {
+    relay entry = {.origin_sequence = probe->sequence,
+                   .origin_address = ntohl(from->sin_addr.s_addr),
+                   .origin_port = ntohs(from->sin_port)};
+    g_strlcpy(entry.subject_id, probe->target_id, sizeof entry.subject_id);
+    g_mutex_lock(&service->lock);
+    const hs_member *target = hs_membership_find(service->membership, probe->target_id);
+    uint32_t address = target != NULL ? target->address : 0;
+    uint16_t port = target != NULL ? target->peer_port : 0;
+    entry.own_sequence = service->next_relay_sequence++ | RELAY_SEQUENCE_BASE;
+    if (target != NULL)
+        g_array_append_val(service->relays, entry);
+    if (service->relays->len > RELAYS_KEPT)
+        g_array_remove_index(service->relays, 0);
+    g_mutex_unlock(&service->lock);
+    if (target != NULL)
+        send_probe(service, address, port, entry.own_sequence, "");
+}
+
+static bool take_relay(hs_membership_service *service, uint32_t sequence, relay *found) {
+    bool matches = false;
+    g_mutex_lock(&service->lock);
+    for (guint index = 0; index < service->relays->len && !matches; index++) {
+        *found = g_array_index(service->relays, relay, index);
+        matches = found->own_sequence == sequence;
+        if (matches)
+            g_array_remove_index(service->relays, index);
+    }
+    g_mutex_unlock(&service->lock);
+    return matches;
+}
+
+static void handle_ack(hs_membership_service *service, const Hs__ProbeAck *ack) {
+    relay found;
+    if (take_relay(service, ack->sequence, &found)) {
+        send_ack(service, found.origin_address, found.origin_port, found.origin_sequence,
+                 found.subject_id);
+        return;
+    }
+    g_mutex_lock(&service->lock);
+    hs_membership_acknowledge(service->membership, ack->sequence, ack->subject_id);
+    g_mutex_unlock(&service->lock);
+}
+
+bool hs_membership_service_handle(hs_membership_service *service, const Hs__PeerMessage *message,
+                                  const struct sockaddr_in *from) {
+    if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE) {
+        const Hs__Probe *probe = message->probe;
+        learn_all(service, probe->gossip, probe->n_gossip);
+        if (*probe->target_id != '\0')
+            relay_probe(service, probe, from);
+        else
+            send_ack(service, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port), probe->sequence,
+                     service->self_id);
+        return true;
+    }
+    if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE_ACK) {
+        learn_all(service, message->probe_ack->gossip, message->probe_ack->n_gossip);
+        handle_ack(service, message->probe_ack);
+        return true;
+    }
+    return false;
+}
+
+void hs_membership_service_tick(hs_membership_service *service, uint64_t now_ms) {
+    g_autoptr(GArray) orders = g_array_new(FALSE, FALSE, sizeof(hs_probe_order));
+    g_mutex_lock(&service->lock);
+    hs_membership_check_probes(service->membership, now_ms, orders);
+    if (now_ms >= service->next_probe_ms) {
+        service->next_probe_ms = now_ms + service->settings.probe_interval_ms;
+        hs_membership_probe_next(service->membership, now_ms, orders);
+        service->rounds++;
+    }
+    g_mutex_unlock(&service->lock);
+    for (guint index = 0; index < orders->len; index++) {
+        const hs_probe_order *order = &g_array_index(orders, hs_probe_order, index);
+        send_probe(service, order->address, order->port, order->sequence, order->target_id);
+    }
+}
+
+static gpointer run_ticker(gpointer data) {
+    hs_membership_service *service = data;
+    while (!g_atomic_int_get(&service->stopping)) {
+        hs_membership_service_tick(service, hs_clock_monotonic_ms());
+        hs_clock_sleep_ms(TICK_MS);
+    }
+    return NULL;
+}
+
+void hs_membership_service_start(hs_membership_service *service) {
+    service->thread = g_thread_new("membership", run_ticker, service);
+}
+
+void hs_membership_service_stop(hs_membership_service *service) {
+    g_atomic_int_set(&service->stopping, 1);
+    g_thread_join(service->thread);
+}
+
+void hs_membership_service_leave(hs_membership_service *service) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    g_autoptr(GArray) orders = g_array_new(FALSE, FALSE, sizeof(hs_probe_order));
+    g_mutex_lock(&service->lock);
+    hs_membership_leave(service->membership);
+    hs_membership_list(service->membership, members);
+    for (guint index = 0; index < members->len && orders->len < LEAVE_MESSAGES; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member == hs_membership_self(service->membership) || !hs_member_is_live(member))
+            continue;
+        hs_probe_order order = {.address = member->address, .port = member->peer_port};
+        g_array_append_val(orders, order);
+    }
+    g_mutex_unlock(&service->lock);
+    for (guint index = 0; index < orders->len; index++) {
+        const hs_probe_order *order = &g_array_index(orders, hs_probe_order, index);
+        send_probe(service, order->address, order->port, 0, "");
+    }
+}
+
+bool hs_membership_service_address(hs_membership_service *service, const char *id,
+                                   uint32_t *address, uint16_t *peer_port) {
+    g_mutex_lock(&service->lock);
+    const hs_member *member = hs_membership_find(service->membership, id);
+    if (member != NULL) {
+        *address = member->address;
+        *peer_port = member->peer_port;
+    }
+    g_mutex_unlock(&service->lock);
+    return member != NULL;
+}
+
+bool hs_membership_service_has_probed(hs_membership_service *service) {
+    g_mutex_lock(&service->lock);
+    bool probed = service->rounds > 1;
+    g_mutex_unlock(&service->lock);
+    return probed;
+}
--- /dev/null
+++ b/src/platform/machine_list.c
@@ -0,0 +1,77 @@
+/** @file machine_list.c  Reading the machine list; see machine_list.h. */
+#include "platform/machine_list.h"
+
+#include "base/http_exchange.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define HTTP_OK 200
+
+static void free_machine(gpointer data) {
+    hs_machine *machine = data;
+    g_free(machine->id);
+    g_free(machine->zone);
+    g_free(machine->url);
+    json_decref(machine->labels);
+    g_free(machine);
+}
+
+static char *text_of(const json_t *entry, const char *key) {
+    const char *text = json_string_value(json_object_get(entry, key));
+    return g_strdup(text != NULL ? text : "");
+}
+
+static uint32_t address_of(const json_t *entry) {
+    struct in_addr address = {0};
+    const char *text = json_string_value(json_object_get(entry, "address"));
+    if (text == NULL || inet_pton(AF_INET, text, &address) != 1)
+        return 0;
+    return ntohl(address.s_addr);
+}
+
+static hs_machine *parse_machine(const json_t *entry) {
+    const char *kind = json_string_value(json_object_get(entry, "kind"));
+    if (kind == NULL || json_string_value(json_object_get(entry, "id")) == NULL)
+        return NULL;
+    const char *state = json_string_value(json_object_get(entry, "state"));
+    hs_machine *machine = g_new0(hs_machine, 1);
+    machine->kind = strcmp(kind, "engine") == 0 ? HS_MACHINE_ENGINE : HS_MACHINE_DAEMON;
+    machine->id = text_of(entry, "id");
+    machine->zone = text_of(entry, "zone");
+    machine->url = text_of(entry, "url");
+    machine->leaving = state != NULL && strcmp(state, "leaving") == 0;
+    machine->labels = json_deep_copy(json_object_get(entry, "labels"));
+    if (machine->labels == NULL)
+        machine->labels = json_object();
+    machine->address = address_of(entry);
+    machine->peer_port = (uint16_t)json_integer_value(json_object_get(entry, "peer_port"));
+    machine->admin_port = (uint16_t)json_integer_value(json_object_get(entry, "admin_port"));
+    return machine;
+}
+
+int hs_machine_list_read(const char *platform_url, uint32_t timeout_s, GPtrArray **machines,
+                         hs_error *error) {
+    g_autofree char *url = g_strdup_printf("%s/machines/v1/list", platform_url);
+    hs_http_request request = {.method = "GET", .url = url, .timeout_s = timeout_s};
+    hs_http_answer answer;
+    if (!hs_http_exchange(&request, &answer))
+        return hs_error_set(error, HS_LAYER_PLATFORM, HS_PLATFORM_UNKNOWN, "list: no answer");
+    json_t *root = answer.status == HTTP_OK ? json_loads(answer.body, 0, NULL) : NULL;
+    hs_http_answer_clear(&answer);
+    const json_t *entries = json_object_get(root, "machines");
+    if (!json_is_array(entries)) {
+        json_decref(root);
+        return hs_error_set(error, HS_LAYER_PLATFORM, HS_PLATFORM_REFUSED, "list: no machines");
+    }
+    *machines = g_ptr_array_new_with_free_func(free_machine);
+    size_t index;
+    json_t *entry;
+    json_array_foreach(entries, index, entry) {
+        hs_machine *machine = parse_machine(entry);
+        if (machine != NULL)
+            g_ptr_array_add(*machines, machine);
+    }
+    json_decref(root);
+    return 0;
+}
--- /dev/null
+++ b/src/queries/query_routes.h
@@ -0,0 +1,24 @@
+/**
+ * @file query_routes.h
+ * The requests that only read: models, files, batches, status, metrics, explain, configuration.
+ */
+#ifndef HS_QUERIES_QUERY_ROUTES_H
+#define HS_QUERIES_QUERY_ROUTES_H
+
+#include "http/http_server.h"
+#include "node/node.h"
+
+/** Routes of callers. */
+void hs_query_routes_caller(hs_node *node, hs_http_server *server);
+
+/** Routes of operators and of peers. */
+void hs_query_routes_admin(hs_node *node, hs_http_server *server);
+
+/* Handlers of batch_queries.c and file_content.c. user_data is the hs_node. */
+int hs_query_batch(const struct _u_request *request, struct _u_response *response, void *node);
+int hs_query_batch_list(const struct _u_request *request, struct _u_response *response, void *node);
+int hs_query_file(const struct _u_request *request, struct _u_response *response, void *node);
+int hs_query_file_content(const struct _u_request *request, struct _u_response *response,
+                          void *node);
+
+#endif
--- /dev/null
+++ b/src/routing/engine_table.c
@@ -0,0 +1,328 @@
+/** @file engine_table.c  Known engines and the candidates of a choice; see engine_table.h. */
+#include "routing/engine_table.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+#include "config/config_object.h"
+
+#include <string.h>
+
+#define LOAD_FRESH_MS 500
+#define LEAVING_RECHECK_MS 30000
+#define NO_MODEL_MS 2000
+#define REFUSED_MS 50
+#define MAX_EJECTION_DOUBLINGS 6
+#define AFFINE_EXTRA 2
+
+typedef struct {
+    char *id;
+    char *url;
+    char *zone;
+    json_t *labels;
+    bool listed;
+    bool listed_leaving;
+    uint64_t said_leaving_until_ms; /**< Its own word or its scheduler's. */
+    uint64_t refused_until_ms;
+    uint64_t no_model_until_ms;
+    char *missing_model;
+    uint32_t in_flight;
+    uint32_t known_online;
+    uint64_t known_at_ms;
+    uint32_t failures_in_row;
+    uint32_t ejections_in_row;
+    uint64_t ejected_until_ms;
+    uint64_t subset_weight; /**< Rank of the engine for this daemon. */
+} engine_entry;
+
+struct hs_engine_table {
+    char *daemon_id;
+    char *zone;
+    hs_engine_table_settings settings;
+    GMutex lock;
+    GHashTable *entries; /**< id -> engine_entry */
+    GRand *random;
+};
+
+static void free_entry(gpointer data) {
+    engine_entry *entry = data;
+    g_free(entry->id);
+    g_free(entry->url);
+    g_free(entry->zone);
+    g_free(entry->missing_model);
+    json_decref(entry->labels);
+    g_free(entry);
+}
+
+hs_engine_table *hs_engine_table_new(const char *daemon_id, const char *zone,
+                                     const hs_engine_table_settings *settings) {
+    hs_engine_table *table = g_new0(hs_engine_table, 1);
+    table->daemon_id = g_strdup(daemon_id);
+    table->zone = g_strdup(zone);
+    table->settings = *settings;
+    table->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    table->random = g_rand_new_with_seed(g_str_hash(daemon_id));
+    g_mutex_init(&table->lock);
+    return table;
+}
+
+void hs_engine_table_free(hs_engine_table *table) {
+    g_hash_table_destroy(table->entries);
+    g_rand_free(table->random);
+    g_mutex_clear(&table->lock);
+    g_free(table->daemon_id);
+    g_free(table->zone);
+    g_free(table);
+}
+
+void hs_engine_table_listing_begin(hs_engine_table *table) {
+    g_mutex_lock(&table->lock);
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &data))
+        ((engine_entry *)data)->listed = false;
+    g_mutex_unlock(&table->lock);
+}
+
+void hs_engine_table_list(hs_engine_table *table, const char *id, const char *url, const char *zone,
+                          const json_t *labels, bool leaving) {
+    g_mutex_lock(&table->lock);
+    engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    if (entry == NULL) {
+        entry = g_new0(engine_entry, 1);
+        entry->id = g_strdup(id);
+        entry->subset_weight = hs_hash_pair(table->daemon_id, id);
+        g_hash_table_insert(table->entries, entry->id, entry);
+    }
+    g_free(entry->url);
+    g_free(entry->zone);
+    json_decref(entry->labels);
+    entry->url = g_strdup(url);
+    entry->zone = g_strdup(zone);
+    entry->labels = json_deep_copy(labels);
+    entry->listed_leaving = leaving;
+    entry->listed = true;
+    g_mutex_unlock(&table->lock);
+}
+
+static gboolean entry_is_gone(gpointer key, gpointer value, gpointer user_data) {
+    (void)key;
+    (void)user_data;
+    const engine_entry *entry = value;
+    return !entry->listed && entry->in_flight == 0;
+}
+
+void hs_engine_table_listing_end(hs_engine_table *table) {
+    g_mutex_lock(&table->lock);
+    g_hash_table_foreach_remove(table->entries, entry_is_gone, NULL);
+    g_mutex_unlock(&table->lock);
+}
+
+static bool is_leaving(const engine_entry *entry, uint64_t now_ms) {
+    return entry->listed_leaving || !entry->listed || now_ms < entry->said_leaving_until_ms;
+}
+
+static uint32_t online_load(const engine_entry *entry, uint64_t now_ms) {
+    bool fresh = entry->known_at_ms + LOAD_FRESH_MS > now_ms;
+    return fresh ? MAX(entry->known_online, entry->in_flight) : entry->in_flight;
+}
+
+static bool was_tried(const hs_engine_query *query, const char *id) {
+    for (uint32_t index = 0; index < query->tried_count; index++)
+        if (strcmp(query->tried_ids[index], id) == 0)
+            return true;
+    return false;
+}
+
+static bool lacks_model(const engine_entry *entry, const char *model, uint64_t now_ms) {
+    return now_ms < entry->no_model_until_ms && g_strcmp0(entry->missing_model, model) == 0;
+}
+
+static gint compare_subset_weight(gconstpointer left, gconstpointer right) {
+    const engine_entry *first = *(engine_entry *const *)left;
+    const engine_entry *second = *(engine_entry *const *)right;
+    return (first->subset_weight < second->subset_weight) -
+           (first->subset_weight > second->subset_weight);
+}
+
+/** Move the engine with the highest prefix weight of [from, len) to position from. */
+static void raise_affine(GPtrArray *entries, guint from, uint64_t prefix_hash) {
+    guint best = from;
+    uint64_t best_weight = 0;
+    char prefix[24];
+    g_snprintf(prefix, sizeof prefix, "%" G_GUINT64_FORMAT, prefix_hash);
+    for (guint index = from; index < entries->len; index++) {
+        uint64_t weight = hs_hash_pair(prefix, ((engine_entry *)entries->pdata[index])->id);
+        if (weight < best_weight)
+            continue;
+        best = index;
+        best_weight = weight;
+    }
+    gpointer kept = entries->pdata[from];
+    entries->pdata[from] = entries->pdata[best];
+    entries->pdata[best] = kept;
+}
+
+/** Engines of the group: this daemon's subset first, then those affine to the prefix. Borrowed. */
+static GPtrArray *candidates_of(hs_engine_table *table, const hs_engine_query *query) {
+    GPtrArray *entries = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const engine_entry *entry = data;
+        if (hs_selector_matches(query->group->selector, entry->labels))
+            g_ptr_array_add(entries, data);
+    }
+    g_ptr_array_sort(entries, compare_subset_weight);
+    guint kept = MIN(entries->len, table->settings.subset_size);
+    for (int extra = 0; extra < AFFINE_EXTRA && kept < entries->len; extra++)
+        raise_affine(entries, kept++, query->prefix_hash);
+    g_ptr_array_set_size(entries, (gint)kept);
+    return entries;
+}
+
+static hs_route_candidate describe_candidate(const hs_engine_table *table,
+                                             const engine_entry *entry,
+                                             const hs_engine_query *query, uint64_t now_ms) {
+    char prefix[24];
+    g_snprintf(prefix, sizeof prefix, "%" G_GUINT64_FORMAT, query->prefix_hash);
+    hs_route_candidate candidate = {.engine_id = entry->id,
+                                    .online_in_flight = online_load(entry, now_ms),
+                                    .same_zone = strcmp(entry->zone, table->zone) == 0,
+                                    .holds_model = !lacks_model(entry, query->model, now_ms),
+                                    .prefix_weight = hs_hash_pair(prefix, entry->id)};
+    candidate.available = !is_leaving(entry, now_ms) && now_ms >= entry->ejected_until_ms &&
+                          now_ms >= entry->refused_until_ms && !was_tried(query, entry->id) &&
+                          candidate.online_in_flight < table->settings.max_in_flight;
+    return candidate;
+}
+
+bool hs_engine_table_take(hs_engine_table *table, const hs_engine_query *query, uint64_t now_ms,
+                          hs_engine_choice *choice) {
+    g_mutex_lock(&table->lock);
+    g_autoptr(GPtrArray) entries = candidates_of(table, query);
+    g_autofree hs_route_candidate *candidates = g_new0(hs_route_candidate, entries->len + 1);
+    for (guint index = 0; index < entries->len; index++)
+        candidates[index] = describe_candidate(table, entries->pdata[index], query, now_ms);
+    hs_route_choice picked = hs_route_pick(candidates, entries->len, table->random);
+    *choice = (hs_engine_choice){.reason = picked.reason,
+                                 .score = picked.score,
+                                 .available_count = picked.available_count,
+                                 .candidate_count = entries->len};
+    if (picked.index >= 0) {
+        engine_entry *entry = entries->pdata[picked.index];
+        entry->in_flight++;
+        g_strlcpy(choice->id, entry->id, sizeof choice->id);
+        g_strlcpy(choice->url, entry->url, sizeof choice->url);
+        g_strlcpy(choice->zone, entry->zone, sizeof choice->zone);
+    }
+    g_mutex_unlock(&table->lock);
+    return picked.index >= 0;
+}
+
+static void note_failure(const hs_engine_table *table, engine_entry *entry, uint64_t now_ms) {
+    entry->failures_in_row++;
+    if (entry->failures_in_row < table->settings.ejection_failures)
+        return;
+    uint32_t doublings = MIN(entry->ejections_in_row, MAX_EJECTION_DOUBLINGS);
+    entry->ejected_until_ms = now_ms + ((uint64_t)table->settings.ejection_ms << doublings);
+    entry->ejections_in_row++;
+    /* After its time the engine is on probation: a single failure ejects it again. */
+    entry->failures_in_row = table->settings.ejection_failures - 1;
+    hs_log_warning("engine_ejected", "engine=%s ejections=%u", entry->id, entry->ejections_in_row);
+}
+
+static void note_verdict(const hs_engine_table *table, engine_entry *entry, const char *model,
+                         hs_attempt_verdict verdict, uint64_t now_ms) {
+    switch (verdict) {
+    case HS_ATTEMPT_GOOD:
+        entry->failures_in_row = 0;
+        entry->ejections_in_row = 0;
+        return;
+    case HS_ATTEMPT_FAILED:
+        note_failure(table, entry, now_ms);
+        return;
+    case HS_ATTEMPT_REFUSED:
+        entry->refused_until_ms = now_ms + REFUSED_MS;
+        return;
+    case HS_ATTEMPT_LEAVING:
+        entry->said_leaving_until_ms = now_ms + LEAVING_RECHECK_MS;
+        hs_log_info("engine_leaving", "engine=%s source=refusal", entry->id);
+        return;
+    case HS_ATTEMPT_NO_MODEL:
+        entry->no_model_until_ms = now_ms + NO_MODEL_MS;
+        g_free(entry->missing_model);
+        entry->missing_model = g_strdup(model);
+        return;
+    }
+}
+
+uint32_t hs_engine_table_finish(hs_engine_table *table, const char *id, const char *model,
+                                hs_attempt_verdict verdict, uint64_t now_ms) {
+    uint32_t left = 0;
+    g_mutex_lock(&table->lock);
+    engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    if (entry != NULL) {
+        entry->in_flight -= entry->in_flight > 0;
+        left = entry->in_flight;
+        note_verdict(table, entry, model, verdict, now_ms);
+    }
+    g_mutex_unlock(&table->lock);
+    return left;
+}
+
+bool hs_engine_table_in_flight(hs_engine_table *table, const char *id, uint32_t *in_flight,
+                               char zone[64]) {
+    g_mutex_lock(&table->lock);
+    const engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    if (entry != NULL) {
+        *in_flight = entry->in_flight;
+        g_strlcpy(zone, entry->zone, 64);
+    }
+    g_mutex_unlock(&table->lock);
+    return entry != NULL;
+}
+
+void hs_engine_table_learn_load(hs_engine_table *table, const char *id, uint32_t online,
+                                bool leaving, uint64_t now_ms) {
+    g_mutex_lock(&table->lock);
+    engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    if (entry != NULL) {
+        entry->known_online = online;
+        entry->known_at_ms = now_ms;
+        if (leaving)
+            entry->said_leaving_until_ms = now_ms + LEAVING_RECHECK_MS;
+        else
+            entry->said_leaving_until_ms = 0;
+    }
+    g_mutex_unlock(&table->lock);
+}
+
+GArray *hs_engine_table_infos(hs_engine_table *table, uint64_t now_ms) {
+    GArray *infos = g_array_new(FALSE, TRUE, sizeof(hs_engine_info));
+    g_mutex_lock(&table->lock);
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const engine_entry *entry = data;
+        hs_engine_info info = {.labels = json_incref(entry->labels),
+                               .leaving = is_leaving(entry, now_ms),
+                               .ejected = now_ms < entry->ejected_until_ms,
+                               .in_flight = entry->in_flight,
+                               .known_online = online_load(entry, now_ms)};
+        g_strlcpy(info.id, entry->id, sizeof info.id);
+        g_strlcpy(info.url, entry->url, sizeof info.url);
+        g_strlcpy(info.zone, entry->zone, sizeof info.zone);
+        g_array_append_val(infos, info);
+    }
+    g_mutex_unlock(&table->lock);
+    return infos;
+}
+
+void hs_engine_infos_free(GArray *infos) {
+    for (guint index = 0; index < infos->len; index++)
+        json_decref(g_array_index(infos, hs_engine_info, index).labels);
+    g_array_free(infos, TRUE);
+}
--- /dev/null
+++ b/src/scheduling/batch_item.c
@@ -0,0 +1,56 @@
+/** @file batch_item.c  See batch_item.h. */
+#include "scheduling/batch_item.h"
+
+hs_held_grant *hs_held_grant_new(const Hs__Grant *message, const char *owner_id,
+                                 uint64_t incarnation) {
+    hs_held_grant *grant = g_atomic_rc_box_new0(hs_held_grant);
+    grant->partition = message->partition;
+    grant->epoch = message->epoch;
+    grant->grant_id = message->grant_id;
+    grant->incarnation = incarnation;
+    grant->job_id = g_strdup(message->job_id);
+    grant->model = g_strdup(message->model);
+    grant->endpoint = g_strdup(message->endpoint);
+    grant->chunk_offset = message->chunk_offset;
+    grant->chunk_first_item = message->chunk_first_item;
+    grant->run_once = message->run_once;
+    grant->owner_id = g_strdup(owner_id);
+    return grant;
+}
+
+static void clear_grant(gpointer data) {
+    hs_held_grant *grant = data;
+    g_free(grant->job_id);
+    g_free(grant->model);
+    g_free(grant->endpoint);
+    g_free(grant->owner_id);
+}
+
+hs_held_grant *hs_held_grant_acquire(hs_held_grant *grant) {
+    return g_atomic_rc_box_acquire(grant);
+}
+
+void hs_held_grant_release(hs_held_grant *grant) {
+    g_atomic_rc_box_release_full(grant, clear_grant);
+}
+
+hs_batch_item *hs_batch_item_new(hs_held_grant *grant, uint32_t item) {
+    hs_batch_item *result = g_new0(hs_batch_item, 1);
+    result->grant = hs_held_grant_acquire(grant);
+    result->item = item;
+    return result;
+}
+
+void hs_batch_item_free(hs_batch_item *item) {
+    hs_held_grant_release(item->grant);
+    g_free(item);
+}
+
+void hs_batch_item_name_attempt(hs_batch_item *item, const char *daemon_id) {
+    if (item->grant->run_once && item->tries > 0)
+        return;
+    item->tries++;
+    g_snprintf(item->attempt_id, sizeof item->attempt_id,
+               "%.20s-p%u-e%u-g%" G_GUINT64_FORMAT "-i%u-t%u", daemon_id, item->grant->partition,
+               item->grant->epoch, item->grant->grant_id, item->item, item->tries);
+}
--- /dev/null
+++ b/tools/fleet/client.c
@@ -0,0 +1,192 @@
+/** @file client.c  See client.h. */
+#include "tools/fleet/client.h"
+
+#include "base/clock.h"
+
+#include <string.h>
+#include <ulfius.h>
+
+#define CALL_TIMEOUT_S 60
+#define POLL_MS 20
+#define HTTP_OK 200
+#define MAX_HEADERS 16
+#define BOUNDARY "heathsail-upload-boundary"
+
+/** The bearer header and the extra ones. @p bearer must outlive the use of @p list. */
+static void fill_headers(const char **list, const char *bearer, client_headers headers) {
+    int count = 0;
+    if (bearer != NULL) {
+        list[count++] = "Authorization";
+        list[count++] = bearer;
+    }
+    for (; headers != NULL && *headers != NULL && count < MAX_HEADERS; headers++)
+        list[count++] = *headers;
+    list[count] = NULL;
+}
+
+bool client_exchange(const char *method, const char *base_url, const char *path, const char *tenant,
+                     const char *json_body, client_headers headers, hs_http_answer *answer) {
+    g_autofree char *url = g_strconcat(base_url, path, NULL);
+    g_autofree char *bearer = tenant != NULL ? g_strconcat("Bearer ", tenant, NULL) : NULL;
+    const char *list[MAX_HEADERS + 2];
+    fill_headers(list, bearer, headers);
+    hs_http_request request = {.method = method,
+                               .url = url,
+                               .content_type = json_body != NULL ? "application/json" : NULL,
+                               .body = json_body,
+                               .body_length = json_body != NULL ? strlen(json_body) : 0,
+                               .timeout_s = CALL_TIMEOUT_S,
+                               .header_list = list};
+    return hs_http_exchange(&request, answer);
+}
+
+long client_call(const char *method, const char *base_url, const char *path, const char *tenant,
+                 const char *json_body, client_headers headers, json_t **body) {
+    hs_http_answer answer;
+    long status = client_exchange(method, base_url, path, tenant, json_body, headers, &answer)
+                      ? answer.status
+                      : 0;
+    if (body != NULL)
+        *body = status != 0 ? json_loadb(answer.body, answer.body_length, 0, NULL) : NULL;
+    hs_http_answer_clear(&answer);
+    return status;
+}
+
+long client_upload(const char *base_url, const char *tenant, const char *jsonl, char **file_id) {
+    g_autofree char *url = g_strconcat(base_url, "/v1/files", NULL);
+    g_autofree char *bearer = g_strconcat("Bearer ", tenant, NULL);
+    g_autofree char *body = g_strdup_printf(
+        "--" BOUNDARY "\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n"
+        "--" BOUNDARY "\r\nContent-Disposition: form-data; name=\"file\"; "
+        "filename=\"items.jsonl\"\r\nContent-Type: application/jsonl\r\n\r\n%s\r\n"
+        "--" BOUNDARY "--\r\n",
+        jsonl);
+    const char *headers[] = {"Authorization", bearer, NULL};
+    hs_http_request request = {.method = "POST",
+                               .url = url,
+                               .content_type = "multipart/form-data; boundary=" BOUNDARY,
+                               .body = body,
+                               .body_length = strlen(body),
+                               .timeout_s = CALL_TIMEOUT_S,
+                               .header_list = headers};
+    hs_http_answer answer;
+    long status = hs_http_exchange(&request, &answer) ? answer.status : 0;
+    json_t *document = status != 0 ? json_loads(answer.body, 0, NULL) : NULL;
+    *file_id = g_strdup(json_string_value(json_object_get(document, "id")));
+    json_decref(document);
+    hs_http_answer_clear(&answer);
+    return status;
+}
+
+/** Reading of a stream's events. */
+typedef struct {
+    client_stream *stream;
+    GString *line;
+    uint32_t stop_after;
+} stream_reading;
+
+static void take_error(client_stream *stream, const json_t *document) {
+    const json_t *error = json_object_get(document, "error");
+    if (error == NULL)
+        return;
+    stream->error_code = g_strdup(json_string_value(json_object_get(error, "code")));
+    stream->executed = g_strdup(json_string_value(json_object_get(error, "executed")));
+}
+
+static void take_event(client_stream *stream, const char *text) {
+    if (strcmp(text, "[DONE]") == 0) {
+        stream->done_seen = true;
+        return;
+    }
+    json_t *event = json_loads(text, 0, NULL);
+    const json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
+    const json_t *piece = json_object_get(json_object_get(choice, "delta"), "content");
+    if (piece == NULL)
+        piece = json_object_get(choice, "text");
+    if (json_is_string(piece)) {
+        if (stream->token_count == 0)
+            stream->first_token_us = g_get_monotonic_time();
+        g_string_append(stream->text, json_string_value(piece));
+        stream->token_count++;
+    }
+    take_error(stream, event);
+    json_decref(event);
+}
+
+static size_t read_stream(void *contents, size_t size, size_t count, void *user_data) {
+    stream_reading *reading = user_data;
+    const char *bytes = contents;
+    for (size_t index = 0; index < size * count; index++) {
+        if (bytes[index] != '\n') {
+            g_string_append_c(reading->line, bytes[index]);
+            continue;
+        }
+        if (g_str_has_prefix(reading->line->str, "data: "))
+            take_event(reading->stream, reading->line->str + strlen("data: "));
+        g_string_truncate(reading->line, 0);
+    }
+    bool enough = reading->stop_after > 0 && reading->stream->token_count >= reading->stop_after;
+    return enough ? 0 : size * count;
+}
+
+void client_stream_run(const char *base_url, const char *path, const char *tenant,
+                       const char *json_body, client_headers headers, uint32_t stop_after,
+                       client_stream *stream) {
+    *stream = (client_stream){.text = g_string_new(NULL)};
+    stream_reading reading = {
+        .stream = stream, .line = g_string_new(NULL), .stop_after = stop_after};
+    g_autofree char *url = g_strconcat(base_url, path, NULL);
+    g_autofree char *bearer = g_strconcat("Bearer ", tenant, NULL);
+    struct _u_request request;
+    struct _u_response response;
+    ulfius_init_request(&request);
+    ulfius_init_response(&response);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
+                                  U_OPT_HEADER_PARAMETER, "Authorization", bearer,
+                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
+                                  U_OPT_STRING_BODY, json_body, U_OPT_NONE);
+    for (; headers != NULL && headers[0] != NULL; headers += 2)
+        u_map_put(request.map_header, headers[0], headers[1]);
+    int result = ulfius_send_http_streaming_request(&request, &response, read_stream, &reading);
+    stream->transfer_broken = result != U_OK;
+    stream->status = response.status;
+    json_t *document = json_loads(reading.line->str, 0, NULL);
+    take_error(stream, document);
+    json_decref(document);
+    g_string_free(reading.line, TRUE);
+    ulfius_clean_request(&request);
+    ulfius_clean_response(&response);
+}
+
+void client_stream_clear(client_stream *stream) {
+    g_string_free(stream->text, TRUE);
+    g_free(stream->error_code);
+    g_free(stream->executed);
+}
+
+bool client_wait_ok(const char *base_url, const char *path, uint32_t timeout_ms) {
+    uint64_t deadline_ms = hs_clock_monotonic_ms() + timeout_ms;
+    while (hs_clock_monotonic_ms() < deadline_ms) {
+        if (client_call("GET", base_url, path, NULL, NULL, NULL, NULL) == HTTP_OK)
+            return true;
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    return false;
+}
+
+json_t *client_wait_batch(const char *base_url, const char *tenant, const char *job_id,
+                          uint32_t timeout_ms) {
+    g_autofree char *path = g_strconcat("/v1/batches/", job_id, NULL);
+    uint64_t deadline_ms = hs_clock_monotonic_ms() + timeout_ms;
+    while (hs_clock_monotonic_ms() < deadline_ms) {
+        json_t *job = NULL;
+        client_call("GET", base_url, path, tenant, NULL, NULL, &job);
+        const char *status = json_string_value(json_object_get(job, "status"));
+        if (status != NULL &&
+            (strcmp(status, "completed") == 0 || strcmp(status, "cancelled") == 0))
+            return job;
+        json_decref(job);
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    return NULL;
+}
--- /dev/null
+++ b/tools/load/main.c
@@ -0,0 +1,3 @@
+int main(void) {
+    return 0;
+}
