--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,8 @@
 PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
 
-.PHONY: all deps help test unit system demo fleet bench matrix check-spec lint format generate clean
+PHONY_CHECKS = sanitize-address sanitize-thread
+.PHONY: $(PHONY_CHECKS) all deps help test unit system demo fleet bench matrix check-spec lint format generate clean
 all: $(BINARIES)
 
 help:
@@ -93,6 +94,16 @@
 	@clang-format --dry-run -Werror $(CHECKED)
 	@printf '%s\n' $(filter %.c,$(CHECKED)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' lint
 
+## sanitize-address  unit tests under the address and undefined sanitizers
+sanitize-address:
+	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD)/asan EXTRA_CFLAGS="-fsanitize=address,undefined -fno-sanitize-recover=all" $(BUILD)/asan/unit-tests
+	@$(BUILD)/asan/unit-tests >$(BUILD)/asan/output.txt 2>&1 || { cat $(BUILD)/asan/output.txt; exit 1; }
+
+## sanitize-thread   the threaded unit tests under the thread sanitizer
+sanitize-thread:
+	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD)/tsan EXTRA_CFLAGS=-fsanitize=thread $(BUILD)/tsan/unit-tests
+	@for suite in ring config; do $(BUILD)/tsan/unit-tests $$suite >$(BUILD)/tsan/output.txt 2>&1 || { cat $(BUILD)/tsan/output.txt; exit 1; }; done
+
 clean:
 	rm -rf $(BUILD)
 
--- a/src/commands/command_routes.c
+++ b/src/commands/command_routes.c
@@ -9,7 +9,6 @@
     hs_http_server_route(server, "POST", "/v1/files", hs_command_upload, node);
     hs_http_server_route(server, "POST", "/v1/batches", hs_command_submit, node);
     hs_http_server_route(server, "POST", "/v1/batches/:id/cancel", hs_command_cancel, node);
-    hs_http_server_collect_uploads(server, hs_command_upload_part, node);
 }
 
 void hs_command_routes_admin(hs_node *node, hs_http_server *server) {
--- a/src/commands/command_routes.h
+++ b/src/commands/command_routes.h
@@ -23,9 +23,4 @@
 int hs_command_publish(const struct _u_request *request, struct _u_response *response, void *node);
 int hs_command_delete(const struct _u_request *request, struct _u_response *response, void *node);
 
-/** ulfius's callback for the parts of a multipart upload; collects them for hs_command_upload. */
-int hs_command_upload_part(const struct _u_request *request, const char *key, const char *filename,
-                           const char *content_type, const char *transfer_encoding,
-                           const char *data, uint64_t offset, size_t size, void *node);
-
 #endif
--- a/src/commands/upload.c
+++ b/src/commands/upload.c
@@ -12,6 +12,7 @@
 #include "commands/command_routes.h"
 #include "commands/completion_check.h"
 #include "http/auth.h"
+#include "http/multipart.h"
 #include "http/refusal.h"
 
 #include <string.h>
@@ -20,67 +21,7 @@
 #define APPEND_PATIENCE_MS 5000
 #define RETRY_AFTER_S 2
 #define MS_PER_S 1000
-
-/** Parts of uploads now coming in: request -> collected file. */
-typedef struct {
-    GString *content;
-    char *filename;
-    bool too_large;
-} collected_file;
-
-static GMutex collected_lock;
-static GHashTable *collected_files; /**< of struct _u_request* -> collected_file */
-
-static void free_collected(gpointer data) {
-    collected_file *file = data;
-    g_string_free(file->content, TRUE);
-    g_free(file->filename);
-    g_free(file);
-}
-
-/** The request's collection, new at offset 0. The caller holds the lock. */
-static collected_file *collection_of(const struct _u_request *request, const char *filename,
-                                     uint64_t offset) {
-    if (collected_files == NULL)
-        collected_files =
-            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, free_collected);
-    collected_file *file = g_hash_table_lookup(collected_files, request);
-    if (file != NULL && offset > 0)
-        return file;
-    file = g_new0(collected_file, 1);
-    file->content = g_string_new(NULL);
-    file->filename = g_strdup(filename);
-    g_hash_table_replace(collected_files, (gpointer)request, file);
-    return file;
-}
-
-int hs_command_upload_part(const struct _u_request *request, const char *key, const char *filename,
-                           const char *content_type, const char *transfer_encoding,
-                           const char *data, uint64_t offset, size_t size, void *user_data) {
-    (void)content_type;
-    (void)transfer_encoding;
-    const hs_node *node = user_data;
-    if (strcmp(key, "file") != 0)
-        return U_OK;
-    g_mutex_lock(&collected_lock);
-    collected_file *file = collection_of(request, filename, offset);
-    if (file->content->len + size > (size_t)node->settings->max_file_bytes)
-        file->too_large = true;
-    else
-        g_string_append_len(file->content, data, (gssize)size);
-    g_mutex_unlock(&collected_lock);
-    return U_OK;
-}
-
-/** Take the request's collected file out; NULL when it had none. Free with free_collected. */
-static collected_file *take_collected(const struct _u_request *request) {
-    gpointer file = NULL;
-    g_mutex_lock(&collected_lock);
-    if (collected_files != NULL)
-        g_hash_table_steal_extended(collected_files, request, NULL, &file);
-    g_mutex_unlock(&collected_lock);
-    return file;
-}
+#define PURPOSE "batch"
 
 static int check_body(const json_t *body, const char *url, void *user_data, hs_error *error) {
     const hs_node *node = user_data;
@@ -94,7 +35,7 @@
 typedef struct {
     hs_node *node;
     const char *tenant;
-    const collected_file *collected;
+    const hs_multipart_part *part;
     const hs_jsonl_file *checked;
     const char *file_id;
     hs_replica *replica;
@@ -109,9 +50,8 @@
 
 static int append_chunk(const upload *self, guint index, hs_error *error) {
     const hs_jsonl_chunk *chunk = &g_array_index(self->checked->chunks, hs_jsonl_chunk, index);
-    const GString *content = self->collected->content;
-    bool last_without_newline = chunk->begin + chunk->length > content->len;
-    g_autoptr(GString) lines = g_string_new_len(content->str + chunk->begin,
+    bool last_without_newline = chunk->begin + chunk->length > self->part->length;
+    g_autoptr(GString) lines = g_string_new_len(self->part->content + chunk->begin,
                                                 (gssize)(chunk->length - last_without_newline));
     if (last_without_newline)
         g_string_append_c(lines, '\n');
@@ -134,10 +74,10 @@
     Hs__FileSealed message = HS__FILE_SEALED__INIT;
     message.file_id = (char *)self->file_id;
     message.tenant = (char *)self->tenant;
-    message.filename = self->collected->filename;
+    message.filename = (char *)self->part->filename;
     message.chunk_count = self->checked->chunks->len;
     message.item_count = self->checked->item_count;
-    message.byte_count = self->collected->content->len;
+    message.byte_count = self->part->length;
     message.created_ms = hs_clock_wall_ms();
     message.model = self->checked->model;
     message.endpoint = self->checked->endpoint;
@@ -171,14 +111,12 @@
 static int reply_file(const upload *self, struct _u_response *response) {
     hs_metrics_add(&self->node->metrics, HS_COUNT_FILES_ACCEPTED, 1);
     hs_log_info("file_accepted", "file=%s tenant=%s items=%u bytes=%zu", self->file_id,
-                self->tenant, self->checked->item_count, self->collected->content->len);
-    return hs_http_reply_json(
-        response, 200,
-        json_pack("{s:s,s:s,s:I,s:I,s:s,s:s}", "id", self->file_id, "object", "file", "bytes",
-                  (json_int_t)self->collected->content->len, "created_at",
-                  (json_int_t)(hs_clock_wall_ms() / MS_PER_S), "filename",
-                  self->collected->filename != NULL ? self->collected->filename : "", "purpose",
-                  "batch"));
+                self->tenant, self->checked->item_count, self->part->length);
+    return hs_http_reply_json(response, 200,
+                              json_pack("{s:s,s:s,s:I,s:I,s:s,s:s}", "id", self->file_id, "object",
+                                        "file", "bytes", (json_int_t)self->part->length,
+                                        "created_at", (json_int_t)(hs_clock_wall_ms() / MS_PER_S),
+                                        "filename", self->part->filename, "purpose", "batch"));
 }
 
 static int store(const upload *self, struct _u_response *response) {
@@ -198,20 +136,7 @@
     return hs_refuse_unknown(response, 504, "outcome_unknown", error.message);
 }
 
-/** True when the multipart body was closed by its final boundary. */
-static bool multipart_is_closed(const struct _u_request *request) {
-    const char *type = u_map_get_case(request->map_header, "Content-Type");
-    const char *boundary = type != NULL ? strstr(type, "boundary=") : NULL;
-    if (boundary == NULL)
-        return false;
-    g_autofree char *name = g_strdup(boundary + strlen("boundary="));
-    name = g_strdelimit(name, "\";", ' ');
-    g_autofree char *closing = g_strdup_printf("--%s--", g_strstrip(name));
-    const void *body = request->binary_body;
-    return body == NULL || memmem(body, request->binary_body_length, closing, strlen(closing));
-}
-
-static int check_and_store(hs_node *node, const char *tenant, const collected_file *collected,
+static int check_and_store(hs_node *node, const char *tenant, const hs_multipart_part *part,
                            struct _u_response *response) {
     hs_jsonl_rules rules = {.max_line_bytes = (size_t)node->settings->max_line_bytes,
                             .max_items = (uint32_t)node->settings->max_items,
@@ -221,18 +146,17 @@
                             .user_data = node};
     hs_jsonl_file checked;
     hs_error error = {0};
-    const GString *content = collected->content;
-    if (hs_jsonl_read(content->str, content->len, &rules, &checked, &error) != 0) {
+    if (hs_jsonl_read(part->content, part->length, &rules, &checked, &error) != 0) {
         hs_jsonl_file_clear(&checked);
         return hs_refuse_invalid(response, 400, "bad_file", error.message);
     }
-    g_autofree char *file_id = hs_file_id(tenant, content->str, content->len, rules.chunk_items,
+    g_autofree char *file_id = hs_file_id(tenant, part->content, part->length, rules.chunk_items,
                                           hs_replica_set_count(node->replicas));
     uint32_t partition = 0;
     hs_id_partition(file_id, &partition);
     upload self = {.node = node,
                    .tenant = tenant,
-                   .collected = collected,
+                   .part = part,
                    .checked = &checked,
                    .file_id = file_id,
                    .replica = hs_replica_set_get(node->replicas, partition)};
@@ -241,42 +165,45 @@
     return U_CALLBACK_COMPLETE;
 }
 
+static bool tenant_is_known(hs_node *node, const char *tenant) {
+    hs_config_view *view = hs_config_store_view(node->config);
+    bool known = hs_config_view_knows_tenant(view, tenant);
+    hs_config_view_release(view);
+    return known;
+}
+
 static int upload_file(hs_node *node, const struct _u_request *request,
-                       const collected_file *collected, struct _u_response *response) {
+                       struct _u_response *response) {
     const char *tenant = hs_http_tenant(request);
-    const char *purpose = u_map_get(request->map_post_body, "purpose");
+    const char *type = u_map_get_case(request->map_header, "Content-Type");
+    hs_multipart_part purpose = {0};
+    hs_multipart_part file = {0};
     if (tenant == NULL)
         return hs_refuse_invalid(response, 401, "no_tenant",
                                  "Authorization: Bearer must name a tenant");
-    if (collected == NULL)
-        return hs_refuse_invalid(response, 400, "bad_multipart", "no part named file");
-    if (collected->too_large)
+    if (hs_multipart_find(type, request->binary_body, request->binary_body_length, "file", &file) !=
+        HS_MULTIPART_FOUND)
+        return hs_refuse_invalid(response, 400, "bad_multipart",
+                                 "the body must be whole multipart with a part named file");
+    if (file.length > (size_t)node->settings->max_file_bytes)
         return hs_refuse_invalid(response, 413, "file_too_large", "the file is over the limit");
-    if (!multipart_is_closed(request))
-        return hs_refuse_invalid(response, 400, "bad_multipart", "the multipart body is cut");
-    if (purpose == NULL || strcmp(purpose, "batch") != 0)
+    if (hs_multipart_find(type, request->binary_body, request->binary_body_length, "purpose",
+                          &purpose) != HS_MULTIPART_FOUND ||
+        purpose.length != strlen(PURPOSE) || memcmp(purpose.content, PURPOSE, purpose.length) != 0)
         return hs_refuse_invalid(response, 400, "bad_purpose", "purpose must be batch");
-    hs_config_view *view = hs_config_store_view(node->config);
-    bool known = hs_config_view_knows_tenant(view, tenant);
-    hs_config_view_release(view);
-    if (!known)
+    if (!tenant_is_known(node, tenant))
         return hs_refuse_invalid(response, 401, "unknown_tenant", "this tenant is not listed");
-    return check_and_store(node, tenant, collected, response);
+    return check_and_store(node, tenant, &file, response);
 }
 
 int hs_command_upload(const struct _u_request *request, struct _u_response *response,
                       void *user_data) {
     hs_node *node = user_data;
-    collected_file *collected = take_collected(request);
-    if (hs_node_state_of(node) != HS_NODE_READY) {
-        hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
-                              RETRY_AFTER_S);
-    } else {
-        g_atomic_int_inc(&node->call_count);
-        upload_file(node, request, collected, response);
-        g_atomic_int_add(&node->call_count, -1);
-    }
-    if (collected != NULL)
-        free_collected(collected);
+    if (hs_node_state_of(node) != HS_NODE_READY)
+        return hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
+                                     RETRY_AFTER_S);
+    g_atomic_int_inc(&node->call_count);
+    upload_file(node, request, response);
+    g_atomic_int_add(&node->call_count, -1);
     return U_CALLBACK_COMPLETE;
 }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -126,6 +126,7 @@
     daemon->caller_server =
         hs_http_server_new(settings->address, (uint16_t)settings->caller_port,
                            (size_t)settings->max_file_bytes + MULTIPART_OVERHEAD_BYTES);
+    hs_http_server_limit_headers(daemon->caller_server, (size_t)settings->max_header_bytes);
     hs_command_routes_caller(node, daemon->caller_server);
     hs_query_routes_caller(node, daemon->caller_server);
     return hs_http_server_start(daemon->caller_server, error);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -12,12 +12,12 @@
 
 #define ROUTE_PRIORITY_CHECK 0
 #define ROUTE_PRIORITY_HANDLER 1
-#define MAX_MULTIPART_PARAMETER_BYTES 0
 
 struct hs_http_server {
     struct _u_instance instance;
     struct sockaddr_in address;
     size_t max_body_bytes;
+    size_t max_header_bytes;
     bool started;
     int quiesced_socket;
 };
@@ -32,15 +32,35 @@
                                                           .message = "no such path"});
 }
 
-/** Runs before every handler: refuses a body over the limit. */
-static int check_body_size(const struct _u_request *request, struct _u_response *response,
-                           void *user_data) {
-    const hs_http_server *server = user_data;
+/** Bytes of all header lines as they came. */
+static size_t header_bytes(const struct _u_request *request) {
+    static const size_t separators = 4; /* ": " and the line's end */
+    size_t total = strlen(request->http_url);
+    for (int index = 0; index < request->map_header->nb_values; index++)
+        total += strlen(request->map_header->keys[index]) + request->map_header->lengths[index] +
+                 separators;
+    return total;
+}
+
+static bool body_is_too_large(const hs_http_server *server, const struct _u_request *request) {
     const char *declared = u_map_get_case(request->map_header, "Content-Length");
     uint64_t declared_bytes = declared != NULL ? g_ascii_strtoull(declared, NULL, 10) : 0;
-    bool too_large = declared_bytes > server->max_body_bytes ||
-                     request->binary_body_length > server->max_body_bytes;
-    if (!too_large)
+    return server->max_body_bytes > 0 && (declared_bytes > server->max_body_bytes ||
+                                          request->binary_body_length > server->max_body_bytes);
+}
+
+/** Runs before every handler: refuses a head or a body over the limit. */
+static int check_size(const struct _u_request *request, struct _u_response *response,
+                      void *user_data) {
+    const hs_http_server *server = user_data;
+    if (server->max_header_bytes > 0 && header_bytes(request) > server->max_header_bytes) {
+        hs_http_reply_error(response, &(hs_error_body){.status = 431,
+                                                       .type = "invalid_request_error",
+                                                       .code = "headers_too_large",
+                                                       .message = "the head is over the limit"});
+        return U_CALLBACK_COMPLETE;
+    }
+    if (!body_is_too_large(server, request))
         return U_CALLBACK_CONTINUE;
     hs_http_reply_error(response, &(hs_error_body){.status = 413,
                                                    .type = "invalid_request_error",
@@ -60,7 +80,8 @@
         return NULL;
     }
     server->max_body_bytes = max_body_bytes;
-    server->instance.max_post_param_size = MAX_MULTIPART_PARAMETER_BYTES;
+    /* Bodies are taken raw: a broken form must get an answer, not a dropped connection. */
+    server->instance.allowed_post_processor = U_POST_PROCESS_NONE;
     /* One byte above the limit, so that an oversized chunked body is seen as such, not cut short.
      */
     server->instance.max_post_body_size = max_body_bytes == 0 ? 0 : max_body_bytes + 1;
@@ -70,16 +91,14 @@
 
 void hs_http_server_route(hs_http_server *server, const char *method, const char *path,
                           hs_http_handler handler, void *user_data) {
-    if (server->max_body_bytes > 0 && (strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0))
-        ulfius_add_endpoint_by_val(&server->instance, method, NULL, path, ROUTE_PRIORITY_CHECK,
-                                   check_body_size, server);
+    ulfius_add_endpoint_by_val(&server->instance, method, NULL, path, ROUTE_PRIORITY_CHECK,
+                               check_size, server);
     ulfius_add_endpoint_by_val(&server->instance, method, NULL, path, ROUTE_PRIORITY_HANDLER,
                                handler, user_data);
 }
 
-void hs_http_server_collect_uploads(hs_http_server *server, hs_upload_callback callback,
-                                    void *user_data) {
-    ulfius_set_upload_file_callback_function(&server->instance, callback, user_data);
+void hs_http_server_limit_headers(hs_http_server *server, size_t max_header_bytes) {
+    server->max_header_bytes = max_header_bytes;
 }
 
 int hs_http_server_start(hs_http_server *server, hs_error *error) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -27,14 +27,8 @@
 void hs_http_server_route(hs_http_server *server, const char *method, const char *path,
                           hs_http_handler handler, void *user_data);
 
-typedef int (*hs_upload_callback)(const struct _u_request *request, const char *key,
-                                  const char *filename, const char *content_type,
-                                  const char *transfer_encoding, const char *data, uint64_t offset,
-                                  size_t size, void *user_data);
-
-/** Give parts of multipart uploads to @p callback as they come. Before start only. */
-void hs_http_server_collect_uploads(hs_http_server *server, hs_upload_callback callback,
-                                    void *user_data);
+/** Requests whose head is larger than @p max_header_bytes are answered 431. Before routes. */
+void hs_http_server_limit_headers(hs_http_server *server, size_t max_header_bytes);
 
 /** Open the port and serve. */
 int hs_http_server_start(hs_http_server *server, hs_error *error);
--- /dev/null
+++ b/tests/system/main.c
@@ -0,0 +1,14 @@
+/** @file main.c  Runs the system tests over a fleet of real processes. */
+#include "tests/system/system_tests.h"
+
+#include <ulfius.h>
+
+int main(int argument_count, char **arguments) {
+    static const test_suite suites[] = {
+        {"path", path_tests, begin_fleet, end_fleet},
+        {"refusals", refusal_tests, begin_fleet, end_fleet},
+        {"online", online_tests, begin_fleet, end_fleet},
+    };
+    ulfius_global_init();
+    return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
+}
--- /dev/null
+++ b/tests/system/support.c
@@ -0,0 +1,114 @@
+/** @file support.c  See system_tests.h. */
+#include "base/clock.h"
+#include "tests/system/system_tests.h"
+
+#include <string.h>
+
+#define POLL_MS 10
+
+fleet test_fleet;
+
+static const fleet_ports test_ports = {
+    .platform = 18070, .caller = 18080, .admin = 18100, .peer = 18120, .engine = 18200};
+
+static const char *const test_settings[] = {
+    "daemon.log_level=debug",       "peer.probe_interval_ms=100",
+    "peer.probe_timeout_ms=50",     "peer.suspect_ms=400",
+    "platform.timeout_s=2",         "platform.machine_list_interval_ms=100",
+    "batch.grant_lease_ms=1500",    "scheduling.run_once_recovery_ms=2000",
+    "caller.max_body_bytes=20000",  "caller.max_file_bytes=60000000",
+    "caller.max_header_bytes=4096", "caller.max_tokens=2000",
+    "batch.max_line_bytes=4000",    "batch.snapshot_records=64",
+    "batch.partitions=8",           NULL};
+
+int begin_fleet(void) {
+    static char log_directory[] = "/tmp/heathsail-test-XXXXXX";
+    if (strstr(log_directory, "XXXXXX") != NULL && g_mkdtemp(log_directory) == NULL)
+        return -1;
+    fleet_options options = {.programs = g_getenv("HS_TEST_PROGRAMS"),
+                             .ports = test_ports,
+                             .daemon_count = 3,
+                             .drafting_engines = 3,
+                             .order_engines = 1,
+                             .list_lag_ms = 50,
+                             .log_directory = log_directory,
+                             .daemon_settings = test_settings};
+    if (fleet_start(&test_fleet, &options))
+        return 0;
+    fleet_stop(&test_fleet);
+    return -1;
+}
+
+int end_fleet(void) {
+    return fleet_stop(&test_fleet) ? 0 : -1;
+}
+
+char *test_lines(const char *prefix, int count, int max_tokens, int run_once_every) {
+    GString *lines = g_string_new(NULL);
+    for (int item = 0; item < count; item++) {
+        bool run_once = run_once_every > 0 && item % run_once_every == 0;
+        g_string_append_printf(lines,
+                               "{\"custom_id\":\"%s-%d\",\"method\":\"POST\",\"url\":"
+                               "\"/v1/completions\",\"body\":{\"model\":\"drafting-7b\","
+                               "\"max_tokens\":%d,\"prompt\":\"%s-%d\"}%s}\n",
+                               prefix, item, max_tokens, prefix, item,
+                               run_once ? ",\"run_once\":true" : "");
+    }
+    return g_string_free(lines, FALSE);
+}
+
+char *submit_lines(const char *lines, int upload_daemon, int submit_daemon, const char *key) {
+    g_autofree char *file_id = NULL;
+    if (client_upload(test_fleet.caller_urls[upload_daemon], TEST_TENANT, lines, &file_id) != 200)
+        return NULL;
+    g_autofree char *body =
+        g_strdup_printf("{\"input_file_id\":\"%s\",\"endpoint\":\"/v1/completions\"}", file_id);
+    const char *const headers[] = {key != NULL ? "Idempotency-Key" : NULL, key, NULL};
+    json_t *job = NULL;
+    client_call("POST", test_fleet.caller_urls[submit_daemon], "/v1/batches", TEST_TENANT, body,
+                headers, &job);
+    char *job_id = g_strdup(json_string_value(json_object_get(job, "id")));
+    json_decref(job);
+    return job_id;
+}
+
+json_t *read_results(const char *job_id, int daemon) {
+    g_autofree char *path =
+        g_strdup_printf("/v1/files/output_%s/content", job_id + strlen("batch_"));
+    hs_http_answer answer;
+    json_t *results = json_array();
+    if (client_exchange("GET", test_fleet.caller_urls[daemon], path, TEST_TENANT, NULL, NULL,
+                        &answer) &&
+        answer.status == 200) {
+        g_auto(GStrv) lines = g_strsplit(answer.body, "\n", -1);
+        for (int index = 0; lines[index] != NULL && *lines[index] != '\0'; index++)
+            json_array_append_new(results, json_loads(lines[index], 0, NULL));
+    }
+    hs_http_answer_clear(&answer);
+    return results;
+}
+
+int count_engine_runs(const char *prompt_prefix, const char *state) {
+    json_t *records = fleet_engine_records(&test_fleet);
+    int count = 0;
+    size_t index;
+    json_t *record;
+    json_array_foreach(records, index, record) {
+        const char *prompt = json_string_value(json_object_get(record, "prompt"));
+        const char *record_state = json_string_value(json_object_get(record, "state"));
+        count += g_str_has_prefix(prompt, prompt_prefix) &&
+                 (state == NULL || strcmp(record_state, state) == 0);
+    }
+    json_decref(records);
+    return count;
+}
+
+bool wait_until(bool (*condition)(void *user_data), void *user_data, unsigned timeout_ms) {
+    uint64_t deadline_ms = hs_clock_monotonic_ms() + timeout_ms;
+    while (hs_clock_monotonic_ms() < deadline_ms) {
+        if (condition(user_data))
+            return true;
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    return false;
+}
--- /dev/null
+++ b/tests/system/system_tests.h
@@ -0,0 +1,37 @@
+/** @file system_tests.h  Suites over real processes, and the fleet they share. */
+#ifndef TESTS_SYSTEM_SYSTEM_TESTS_H
+#define TESTS_SYSTEM_SYSTEM_TESTS_H
+
+#include "tests/support/runner.h"
+#include "tools/fleet/client.h"
+#include "tools/fleet/fleet.h"
+
+#define TEST_TENANT "tenant-a"
+
+/** The fleet of the running suite. */
+extern fleet test_fleet;
+
+/** Three daemons, three drafting engines, one order engine. For suites' begin and end. */
+int begin_fleet(void);
+int end_fleet(void);
+
+/** Lines of a batch: items "PREFIX-n"; @p run_once_every: 0 for none. Free with g_free. */
+char *test_lines(const char *prefix, int count, int max_tokens, int run_once_every);
+
+/** Upload and submit through the given daemons. @return the job's id, owned; NULL on failure. */
+char *submit_lines(const char *lines, int upload_daemon, int submit_daemon, const char *key);
+
+/** Result lines of a job as a JSON array, read through a daemon. Owned. */
+json_t *read_results(const char *job_id, int daemon);
+
+/** Engine requests (of all engines) whose prompt begins with @p prefix. */
+int count_engine_runs(const char *prompt_prefix, const char *state);
+
+/** Poll until @p condition says true; false after @p timeout_ms. */
+bool wait_until(bool (*condition)(void *user_data), void *user_data, unsigned timeout_ms);
+
+extern const test_case path_tests[];
+extern const test_case refusal_tests[];
+extern const test_case online_tests[];
+
+#endif
--- /dev/null
+++ b/tests/system/test_online.c
@@ -0,0 +1,97 @@
+/** @file test_online.c  Online requests under failure: hang-ups, cuts, refusals, deadlines. */
+#include "standin/engine/answer.h"
+#include "tests/system/system_tests.h"
+
+#include <string.h>
+
+static bool is_cancelled(void *prompt) {
+    return count_engine_runs(prompt, "cancelled") == 1;
+}
+
+static void hang_up_cancels_the_engines_work(void) {
+    client_stream stream;
+    client_stream_run(test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                      "{\"model\":\"drafting-7b\",\"max_tokens\":2000,\"stream\":true,"
+                      "\"prompt\":\"hang-up\"}",
+                      NULL, 3, &stream);
+    client_stream_clear(&stream);
+    CU_ASSERT_TRUE(wait_until(is_cancelled, (gpointer) "hang-up", 5000));
+}
+
+static void all_engines(const char *faults) {
+    for (int index = 0; index < test_fleet.engine_count; index++)
+        CU_ASSERT_TRUE(fleet_set_faults(test_fleet.engine_urls[index], faults));
+}
+
+static void cut_stream_is_resumed_whole(void) {
+    all_engines("{\"cut_count\":1,\"cut_after_tokens\":4}");
+    g_autofree char *expected = answer_text("cut-stream", 20);
+    client_stream stream;
+    client_stream_run(test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                      "{\"model\":\"drafting-7b\",\"max_tokens\":20,\"stream\":true,"
+                      "\"prompt\":\"cut-stream\"}",
+                      NULL, 0, &stream);
+    all_engines("{\"cut_count\":0}");
+    CU_ASSERT_TRUE(stream.done_seen);
+    CU_ASSERT_STRING_EQUAL(stream.text->str, expected);
+    CU_ASSERT_EQUAL(count_engine_runs("cut-stream", NULL), 1);
+    client_stream_clear(&stream);
+}
+
+static void hopeless_stream_ends_in_an_explicit_error(void) {
+    all_engines("{\"cut_count\":100,\"cut_after_tokens\":1}");
+    client_stream stream;
+    client_stream_run(test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                      "{\"model\":\"drafting-7b\",\"max_tokens\":50,\"stream\":true,"
+                      "\"prompt\":\"hopeless\"}",
+                      NULL, 0, &stream);
+    all_engines("{\"cut_count\":0}");
+    CU_ASSERT_FALSE(stream.done_seen);
+    CU_ASSERT_EQUAL(g_strcmp0(stream.executed, "unknown"), 0);
+    CU_ASSERT_EQUAL(g_strcmp0(stream.error_code, "answer_lost"), 0);
+    client_stream_clear(&stream);
+}
+
+static void refusal_by_all_engines_did_not_run(void) {
+    all_engines("{\"refuse\":true}");
+    hs_http_answer answer;
+    CU_ASSERT_TRUE(
+        client_exchange("POST", test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                        "{\"model\":\"drafting-7b\",\"prompt\":\"refused\"}", NULL, &answer));
+    all_engines("{\"refuse\":false}");
+    CU_ASSERT_EQUAL(answer.status, 503);
+    CU_ASSERT(answer.retry_after_s >= 1);
+    CU_ASSERT_PTR_NOT_NULL(strstr(answer.body, "\"executed\":\"no\""));
+    CU_ASSERT_EQUAL(count_engine_runs("refused", NULL), 0);
+    hs_http_answer_clear(&answer);
+}
+
+static bool is_served(void *user_data) {
+    (void)user_data;
+    return client_call("POST", test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                       "{\"model\":\"drafting-7b\",\"max_tokens\":1,\"prompt\":\"served\"}", NULL,
+                       NULL) == 200;
+}
+
+static void deadline_is_answered_at_once_and_cancelled(void) {
+    CU_ASSERT_TRUE(wait_until(is_served, NULL, 5000));
+    const char *const headers[] = {"Heathsail-Timeout-Ms", "150", NULL};
+    json_t *answer = NULL;
+    long status = client_call("POST", test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                              "{\"model\":\"drafting-7b\",\"max_tokens\":2000,"
+                              "\"prompt\":\"deadline\"}",
+                              headers, &answer);
+    const json_t *error = json_object_get(answer, "error");
+    CU_ASSERT_EQUAL(status, 504);
+    CU_ASSERT_EQUAL(g_strcmp0(json_string_value(json_object_get(error, "executed")), "unknown"), 0);
+    json_decref(answer);
+    CU_ASSERT_TRUE(wait_until(is_cancelled, (gpointer) "deadline", 5000));
+}
+
+const test_case online_tests[] = {
+    {"hang_up_cancels_the_engines_work", hang_up_cancels_the_engines_work},
+    {"cut_stream_is_resumed_whole", cut_stream_is_resumed_whole},
+    {"hopeless_stream_ends_in_an_explicit_error", hopeless_stream_ends_in_an_explicit_error},
+    {"refusal_by_all_engines_did_not_run", refusal_by_all_engines_did_not_run},
+    {"deadline_is_answered_at_once_and_cancelled", deadline_is_answered_at_once_and_cancelled},
+    {NULL, NULL}};
--- /dev/null
+++ b/tests/unit/main.c
@@ -0,0 +1,13 @@
+/** @file main.c  Runs the unit tests. */
+#include "tests/unit/unit_tests.h"
+
+int main(int argument_count, char **arguments) {
+    static const test_suite suites[] = {
+        {"settings", settings_tests, NULL, NULL},     {"config", config_tests, NULL, NULL},
+        {"partition", partition_tests, NULL, NULL},   {"grants", grant_tests, NULL, NULL},
+        {"membership", membership_tests, NULL, NULL}, {"routing", routing_tests, NULL, NULL},
+        {"scheduling", scheduling_tests, NULL, NULL}, {"input", input_tests, NULL, NULL},
+        {"engine", engine_tests, NULL, NULL},         {"ring", ring_tests, NULL, NULL},
+    };
+    return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
+}
--- /dev/null
+++ b/tests/unit/test_membership.c
@@ -0,0 +1,157 @@
+/** @file test_membership.c  The membership state machine, driven without a network. */
+#include "membership/membership.h"
+#include "tests/unit/unit_tests.h"
+
+#include <string.h>
+
+static const hs_membership_settings settings = {
+    .probe_timeout_ms = 10, .suspect_ms = 100, .forget_ms = 1000};
+
+static hs_membership *new_membership(void) {
+    hs_member self = {.id = (char *)"self", .zone = (char *)"z", .incarnation = 5};
+    return hs_membership_new(&self, &settings, 1);
+}
+
+static bool learn(hs_membership *membership, const char *id, uint64_t incarnation, uint32_t version,
+                  Hs__MemberState state, uint64_t now_ms) {
+    Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
+    record.id = (char *)id;
+    record.incarnation = incarnation;
+    record.version = version;
+    record.state = state;
+    record.address = 1;
+    record.peer_port = 1;
+    record.zone = (char *)"z";
+    return hs_membership_learn(membership, &record, now_ms);
+}
+
+static hs_member_state state_of(const hs_membership *membership, const char *id) {
+    return hs_membership_find(membership, id)->state;
+}
+
+static void list_only_proposes(void) {
+    hs_membership *membership = new_membership();
+    hs_membership_propose(membership, "b", 1, 1, 0);
+    CU_ASSERT_EQUAL(hs_membership_live_count(membership), 1);
+    learn(membership, "b", 1, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 1);
+    CU_ASSERT_EQUAL(hs_membership_live_count(membership), 2);
+    learn(membership, "b", 1, 2, HS__MEMBER_STATE__MEMBER_LEAVING, 2);
+    hs_membership_propose(membership, "b", 1, 1, 3);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_LEAVING);
+    hs_membership_free(membership);
+}
+
+static void leaving_is_final_within_an_incarnation(void) {
+    hs_membership *membership = new_membership();
+    learn(membership, "b", 1, 5, HS__MEMBER_STATE__MEMBER_LEAVING, 1);
+    learn(membership, "b", 1, 9, HS__MEMBER_STATE__MEMBER_ALIVE, 2);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_LEAVING);
+    learn(membership, "b", 2, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 3);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_ALIVE);
+    hs_membership_free(membership);
+}
+
+static void members_own_word_overtakes_suspicion(void) {
+    hs_membership *membership = new_membership();
+    learn(membership, "b", 1, 3, HS__MEMBER_STATE__MEMBER_ALIVE, 1);
+    learn(membership, "b", 1, 3, HS__MEMBER_STATE__MEMBER_SUSPECT, 2);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_SUSPECT);
+    learn(membership, "b", 1, 3, HS__MEMBER_STATE__MEMBER_ALIVE, 3);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_SUSPECT);
+    learn(membership, "b", 1, 4, HS__MEMBER_STATE__MEMBER_ALIVE, 4);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_ALIVE);
+    hs_membership_free(membership);
+}
+
+static void silent_member_is_suspected_then_dead(void) {
+    hs_membership *membership = new_membership();
+    g_autoptr(GArray) orders = g_array_new(FALSE, FALSE, sizeof(hs_probe_order));
+    learn(membership, "b", 1, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 0);
+    learn(membership, "c", 1, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 0);
+    hs_membership_probe_next(membership, 0, orders);
+    CU_ASSERT_EQUAL_FATAL(orders->len, 1);
+    hs_membership_check_probes(membership, 11, orders);
+    CU_ASSERT_EQUAL(orders->len, 2);
+    CU_ASSERT_STRING_NOT_EQUAL(g_array_index(orders, hs_probe_order, 1).target_id, "");
+    const char *target = g_array_index(orders, hs_probe_order, 1).target_id;
+    g_autofree char *silent = g_strdup(target);
+    hs_membership_check_probes(membership, 21, orders);
+    CU_ASSERT_EQUAL(state_of(membership, silent), HS_MEMBER_SUSPECT);
+    CU_ASSERT_EQUAL(hs_membership_live_count(membership), 3);
+    hs_membership_probe_next(membership, 122, orders);
+    CU_ASSERT_EQUAL(state_of(membership, silent), HS_MEMBER_DEAD);
+    CU_ASSERT_EQUAL(hs_membership_live_count(membership), 2);
+    hs_membership_free(membership);
+}
+
+static void answered_probe_raises_no_suspicion(void) {
+    hs_membership *membership = new_membership();
+    g_autoptr(GArray) orders = g_array_new(FALSE, FALSE, sizeof(hs_probe_order));
+    learn(membership, "b", 1, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 0);
+    hs_membership_probe_next(membership, 0, orders);
+    hs_membership_acknowledge(membership, g_array_index(orders, hs_probe_order, 0).sequence, "b");
+    hs_membership_check_probes(membership, 50, orders);
+    CU_ASSERT_EQUAL(state_of(membership, "b"), HS_MEMBER_ALIVE);
+    hs_membership_free(membership);
+}
+
+static void refutes_suspicion_and_rejoins_after_death(void) {
+    hs_membership *membership = new_membership();
+    uint32_t version = hs_membership_self(membership)->version;
+    learn(membership, "self", 5, version, HS__MEMBER_STATE__MEMBER_SUSPECT, 1);
+    CU_ASSERT(hs_membership_self(membership)->version > version);
+    CU_ASSERT_EQUAL(hs_membership_self(membership)->incarnation, 5);
+    learn(membership, "self", 5, version, HS__MEMBER_STATE__MEMBER_DEAD, 2);
+    CU_ASSERT_EQUAL(hs_membership_self(membership)->incarnation, 6);
+    CU_ASSERT_EQUAL(hs_membership_rejoin_count(membership), 1);
+    hs_membership_free(membership);
+}
+
+static void rank_prefers_the_zone_and_skips_the_dead(void) {
+    hs_membership *membership = new_membership();
+    Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
+    record.id = (char *)"far";
+    record.incarnation = 1;
+    record.zone = (char *)"y";
+    hs_membership_learn(membership, &record, 0);
+    CU_ASSERT_STRING_EQUAL(hs_membership_rank_first(membership, "engine-1", "y")->id, "far");
+    CU_ASSERT_STRING_EQUAL(hs_membership_rank_first(membership, "engine-1", "z")->id, "self");
+    record.state = HS__MEMBER_STATE__MEMBER_DEAD;
+    hs_membership_learn(membership, &record, 1);
+    CU_ASSERT_STRING_EQUAL(hs_membership_rank_first(membership, "engine-1", "y")->id, "self");
+    hs_membership_free(membership);
+}
+
+static void owner_is_the_claimer_of_the_highest_epoch(void) {
+    hs_membership *membership = new_membership();
+    uint32_t epoch = 0;
+    CU_ASSERT_PTR_NULL(hs_membership_owner(membership, 3, &epoch));
+    Hs__OwnedPartition owned = HS__OWNED_PARTITION__INIT;
+    owned.partition = 3;
+    owned.epoch = 4;
+    Hs__OwnedPartition *list[] = {&owned};
+    Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
+    record.id = (char *)"b";
+    record.incarnation = 1;
+    record.zone = (char *)"z";
+    record.n_owned = 1;
+    record.owned = list;
+    hs_membership_learn(membership, &record, 0);
+    record.id = (char *)"c";
+    owned.epoch = 5;
+    hs_membership_learn(membership, &record, 0);
+    CU_ASSERT_STRING_EQUAL(hs_membership_owner(membership, 3, &epoch)->id, "c");
+    CU_ASSERT_EQUAL(epoch, 5);
+    hs_membership_free(membership);
+}
+
+const test_case membership_tests[] = {
+    {"list_only_proposes", list_only_proposes},
+    {"leaving_is_final_within_an_incarnation", leaving_is_final_within_an_incarnation},
+    {"members_own_word_overtakes_suspicion", members_own_word_overtakes_suspicion},
+    {"silent_member_is_suspected_then_dead", silent_member_is_suspected_then_dead},
+    {"answered_probe_raises_no_suspicion", answered_probe_raises_no_suspicion},
+    {"refutes_suspicion_and_rejoins_after_death", refutes_suspicion_and_rejoins_after_death},
+    {"rank_prefers_the_zone_and_skips_the_dead", rank_prefers_the_zone_and_skips_the_dead},
+    {"owner_is_the_claimer_of_the_highest_epoch", owner_is_the_claimer_of_the_highest_epoch},
+    {NULL, NULL}};
--- /dev/null
+++ b/tests/unit/test_partition.c
@@ -0,0 +1,224 @@
+/** @file test_partition.c  The partition fold's rules and its snapshots. */
+#include "batch/snapshot.h"
+#include "tests/unit/partition_builder.h"
+#include "tests/unit/unit_tests.h"
+
+#include <string.h>
+
+static void first_claim_of_an_epoch_wins(void) {
+    hs_partition *partition = hs_partition_new(TEST_WINDOW_MS);
+    CU_ASSERT_EQUAL(apply_claim_of(partition, 1, "a"), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_claim_of(partition, 1, "b"), HS_FOLD_STALE);
+    CU_ASSERT_EQUAL(apply_claim_of(partition, 1, "a"), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_claim_of(partition, 3, "b"), HS_FOLD_STALE);
+    CU_ASSERT_EQUAL(apply_claim_of(partition, 2, "b"), HS_FOLD_APPLIED);
+    CU_ASSERT_STRING_EQUAL(partition->owner_id, "b");
+    hs_partition_free(partition);
+}
+
+static void stale_release_is_ignored(void) {
+    hs_partition *partition = hs_partition_new(TEST_WINDOW_MS);
+    apply_claim_of(partition, 1, "a");
+    apply_claim_of(partition, 2, "b");
+    CU_ASSERT_EQUAL(apply_release_of(partition, 1, "a"), HS_FOLD_STALE);
+    CU_ASSERT_FALSE(partition->owner_released);
+    CU_ASSERT_EQUAL(apply_release_of(partition, 2, "b"), HS_FOLD_APPLIED);
+    CU_ASSERT_TRUE(partition->owner_released);
+    hs_partition_free(partition);
+}
+
+static void file_with_a_missing_chunk_is_not_sealed(void) {
+    hs_partition *partition = hs_partition_new(TEST_WINDOW_MS);
+    apply_chunk_of(partition, 0, 0, 4, NULL, 0);
+    CU_ASSERT_EQUAL(apply_seal_of(partition, 2, 8), HS_FOLD_INVALID);
+    CU_ASSERT_EQUAL(apply_job_of(partition, TEST_JOB, 2), HS_FOLD_INVALID);
+    apply_chunk_of(partition, 1, 4, 4, NULL, 0);
+    CU_ASSERT_EQUAL(apply_seal_of(partition, 2, 8), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_job_of(partition, TEST_JOB, 2), HS_FOLD_APPLIED);
+    hs_partition_free(partition);
+}
+
+static void resent_job_is_the_same_job(void) {
+    hs_partition *partition = partition_with_job();
+    CU_ASSERT_EQUAL(apply_job_of(partition, TEST_JOB, 9), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(g_hash_table_size(partition->jobs), 1);
+    CU_ASSERT_EQUAL(hs_partition_job(partition, TEST_JOB)->created_ms, 2);
+    hs_partition_free(partition);
+}
+
+static void first_result_of_an_item_counts(void) {
+    hs_partition *partition = partition_with_job();
+    const hs_job *job = hs_partition_job(partition, TEST_JOB);
+    uint64_t offset = partition->next_offset;
+    CU_ASSERT_EQUAL(apply_result_of(partition, 0, "a", 1, false), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 0, "b", 1, false), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(job->completed_count, 1);
+    CU_ASSERT_EQUAL(job->result_offsets[0], offset + 1);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 8, "a", 1, false), HS_FOLD_REPEATED);
+    hs_partition_free(partition);
+}
+
+static void no_result_counts_after_a_cancel(void) {
+    hs_partition *partition = partition_with_job();
+    const hs_job *job = hs_partition_job(partition, TEST_JOB);
+    apply_result_of(partition, 0, "a", 1, false);
+    CU_ASSERT_EQUAL(apply_cancel_of(partition, TEST_JOB), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 1, "a", 1, false), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(job->completed_count, 1);
+    CU_ASSERT_EQUAL(hs_job_state_of(job), HS_JOB_CANCELLED);
+    CU_ASSERT_EQUAL(apply_cancel_of(partition, TEST_JOB), HS_FOLD_REPEATED);
+    hs_partition_free(partition);
+}
+
+static void run_once_result_needs_the_winning_intent(void) {
+    hs_partition *partition = partition_with_job();
+    CU_ASSERT_EQUAL(apply_result_of(partition, 5, "a", 1, false), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_intent_of(partition, 5, "a", 1), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_intent_of(partition, 5, "b", 1), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 5, "b", 1, false), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 5, "a", 1, false), HS_FOLD_APPLIED);
+    hs_partition_free(partition);
+}
+
+static void intent_of_an_ended_epoch_is_dropped(void) {
+    hs_partition *partition = partition_with_job();
+    apply_claim_of(partition, 2, "other");
+    CU_ASSERT_EQUAL(apply_intent_of(partition, 5, "a", 1), HS_FOLD_STALE);
+    CU_ASSERT_EQUAL(apply_intent_of(partition, 5, "b", 2), HS_FOLD_APPLIED);
+    hs_partition_free(partition);
+}
+
+static void intent_of_an_ordinary_item_is_invalid(void) {
+    hs_partition *partition = partition_with_job();
+    CU_ASSERT_EQUAL(apply_intent_of(partition, 4, "a", 1), HS_FOLD_INVALID);
+    hs_partition_free(partition);
+}
+
+static void only_the_current_epoch_calls_an_item_indeterminate(void) {
+    hs_partition *partition = partition_with_job();
+    apply_intent_of(partition, 5, "a", 1);
+    apply_claim_of(partition, 2, "other");
+    CU_ASSERT_EQUAL(apply_result_of(partition, 5, "a", 1, true), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 5, "a", 1, false), HS_FOLD_APPLIED);
+    hs_partition_free(partition);
+}
+
+static void cancelled_run_once_item_stays_open_until_known(void) {
+    hs_partition *partition = partition_with_job();
+    const hs_job *job = hs_partition_job(partition, TEST_JOB);
+    apply_intent_of(partition, 5, "a", 1);
+    apply_cancel_of(partition, TEST_JOB);
+    CU_ASSERT_EQUAL(hs_job_state_of(job), HS_JOB_CANCELLING);
+    CU_ASSERT_EQUAL(apply_result_of(partition, 5, "a", 1, true), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(hs_job_state_of(job), HS_JOB_CANCELLED);
+    CU_ASSERT_EQUAL(job->failed_count, 1);
+    hs_partition_free(partition);
+}
+
+static void no_intent_after_a_cancel(void) {
+    hs_partition *partition = partition_with_job();
+    apply_cancel_of(partition, TEST_JOB);
+    CU_ASSERT_EQUAL(apply_intent_of(partition, 5, "a", 1), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(hs_job_state_of(hs_partition_job(partition, TEST_JOB)), HS_JOB_CANCELLED);
+    hs_partition_free(partition);
+}
+
+static void record_out_of_order_changes_nothing(void) {
+    hs_partition *partition = partition_with_job();
+    uint64_t next = partition->next_offset;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    CU_ASSERT_EQUAL(hs_partition_apply(partition, next + 1, &record), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(partition->next_offset, next);
+    CU_ASSERT_EQUAL(hs_partition_apply(partition, next, NULL), HS_FOLD_INVALID);
+    CU_ASSERT_EQUAL(partition->next_offset, next + 1);
+    hs_partition_free(partition);
+}
+
+static void ended_job_is_forgotten_after_the_window(void) {
+    hs_partition *partition = partition_with_job();
+    apply_cancel_of(partition, TEST_JOB);
+    apply_job_of(partition, "batch_0000_b", TEST_WINDOW_MS / 2);
+    CU_ASSERT_PTR_NOT_NULL(hs_partition_job(partition, TEST_JOB));
+    apply_job_of(partition, "batch_0000_c", TEST_WINDOW_MS + 100);
+    CU_ASSERT_PTR_NULL(hs_partition_job(partition, TEST_JOB));
+    CU_ASSERT_PTR_NOT_NULL(hs_partition_job(partition, "batch_0000_b"));
+    hs_partition_free(partition);
+}
+
+/** The state as its snapshot's bytes, in a fixed order of parts. */
+static hs_partition *through_snapshot(const hs_partition *partition) {
+    hs_partition *copy = hs_partition_new(partition->window_ms);
+    g_autoptr(GPtrArray) parts = hs_snapshot_encode_parts(partition, "s");
+    for (guint index = 0; index < parts->len; index++) {
+        const GByteArray *bytes = parts->pdata[index];
+        Hs__SnapshotRecord *record = hs__snapshot_record__unpack(NULL, bytes->len, bytes->data);
+        CU_ASSERT_TRUE(hs_snapshot_apply_part(copy, record->part));
+        hs__snapshot_record__free_unpacked(record, NULL);
+    }
+    g_autoptr(GByteArray) seal = hs_snapshot_encode_seal(partition, "s", parts->len);
+    g_autoptr(GByteArray) placed = hs_snapshot_place_seal(seal, 7);
+    Hs__SnapshotRecord *record = hs__snapshot_record__unpack(NULL, placed->len, placed->data);
+    CU_ASSERT_EQUAL(record->seal->first_part_offset, 7);
+    hs_snapshot_apply_seal(copy, record->seal);
+    hs__snapshot_record__free_unpacked(record, NULL);
+    return copy;
+}
+
+static void snapshot_holds_the_whole_state(void) {
+    hs_partition *partition = partition_with_job();
+    apply_result_of(partition, 0, "a", 1, false);
+    apply_result_of(partition, 3, "a", 1, false);
+    apply_intent_of(partition, 5, "x", 1);
+    hs_partition *copy = through_snapshot(partition);
+    const hs_job *job = hs_partition_job(copy, TEST_JOB);
+    CU_ASSERT_EQUAL(copy->next_offset, partition->next_offset);
+    CU_ASSERT_EQUAL(copy->epoch, 1);
+    CU_ASSERT_STRING_EQUAL(copy->owner_id, "owner");
+    CU_ASSERT_EQUAL(job->completed_count, 2);
+    CU_ASSERT_EQUAL(memcmp(job->result_offsets,
+                           hs_partition_job(partition, TEST_JOB)->result_offsets,
+                           8 * sizeof(uint64_t)),
+                    0);
+    CU_ASSERT_EQUAL(apply_result_of(copy, 0, "late", 1, false), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_intent_of(copy, 5, "y", 1), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_result_of(copy, 5, "x", 1, false), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_job_of(copy, TEST_JOB, 3), HS_FOLD_REPEATED);
+    hs_partition_free(copy);
+    hs_partition_free(partition);
+}
+
+static void snapshot_of_a_large_job_takes_several_parts(void) {
+    const uint32_t items = 130000;
+    hs_partition *partition = hs_partition_new(TEST_WINDOW_MS);
+    apply_chunk_of(partition, 0, 0, items, NULL, 0);
+    apply_seal_of(partition, 1, items);
+    apply_job_of(partition, TEST_JOB, 2);
+    apply_result_of(partition, items - 1, "a", 0, false);
+    hs_partition *copy = through_snapshot(partition);
+    CU_ASSERT_EQUAL(hs_partition_job(copy, TEST_JOB)->item_count, items);
+    CU_ASSERT_EQUAL(hs_partition_job(copy, TEST_JOB)->completed_count, 1);
+    CU_ASSERT_EQUAL(apply_result_of(copy, items - 1, "b", 0, false), HS_FOLD_REPEATED);
+    hs_partition_free(copy);
+    hs_partition_free(partition);
+}
+
+const test_case partition_tests[] = {
+    {"first_claim_of_an_epoch_wins", first_claim_of_an_epoch_wins},
+    {"stale_release_is_ignored", stale_release_is_ignored},
+    {"file_with_a_missing_chunk_is_not_sealed", file_with_a_missing_chunk_is_not_sealed},
+    {"resent_job_is_the_same_job", resent_job_is_the_same_job},
+    {"first_result_of_an_item_counts", first_result_of_an_item_counts},
+    {"no_result_counts_after_a_cancel", no_result_counts_after_a_cancel},
+    {"run_once_result_needs_the_winning_intent", run_once_result_needs_the_winning_intent},
+    {"intent_of_an_ended_epoch_is_dropped", intent_of_an_ended_epoch_is_dropped},
+    {"intent_of_an_ordinary_item_is_invalid", intent_of_an_ordinary_item_is_invalid},
+    {"only_the_current_epoch_calls_an_item_indeterminate",
+     only_the_current_epoch_calls_an_item_indeterminate},
+    {"cancelled_run_once_item_stays_open_until_known",
+     cancelled_run_once_item_stays_open_until_known},
+    {"no_intent_after_a_cancel", no_intent_after_a_cancel},
+    {"record_out_of_order_changes_nothing", record_out_of_order_changes_nothing},
+    {"ended_job_is_forgotten_after_the_window", ended_job_is_forgotten_after_the_window},
+    {"snapshot_holds_the_whole_state", snapshot_holds_the_whole_state},
+    {"snapshot_of_a_large_job_takes_several_parts", snapshot_of_a_large_job_takes_several_parts},
+    {NULL, NULL}};
--- /dev/null
+++ b/tests/unit/test_routing.c
@@ -0,0 +1,177 @@
+/** @file test_routing.c  Engine choice, health, retry budget, tenant limits. */
+#include "config/config_object.h"
+#include "routing/engine_table.h"
+#include "routing/retry_budget.h"
+#include "routing/route.h"
+#include "routing/tenant_limits.h"
+#include "tests/unit/unit_tests.h"
+
+#include <string.h>
+
+static void picks_the_only_available_candidate(void) {
+    GRand *random = g_rand_new_with_seed(1);
+    hs_route_candidate candidates[] = {{.engine_id = "a", .holds_model = true, .available = false},
+                                       {.engine_id = "b", .holds_model = true, .available = true}};
+    hs_route_choice choice = hs_route_pick(candidates, 2, random);
+    CU_ASSERT_EQUAL(choice.index, 1);
+    CU_ASSERT_EQUAL(choice.reason, HS_ROUTE_ONLY_ONE);
+    candidates[1].available = false;
+    CU_ASSERT_EQUAL(hs_route_pick(candidates, 2, random).index, -1);
+    g_rand_free(random);
+}
+
+static void prefers_the_affine_engine_until_it_is_loaded(void) {
+    GRand *random = g_rand_new_with_seed(1);
+    hs_route_candidate candidates[4];
+    for (int index = 0; index < 4; index++)
+        candidates[index] = (hs_route_candidate){.holds_model = true,
+                                                 .available = true,
+                                                 .same_zone = true,
+                                                 .prefix_weight = (uint64_t)index + 1,
+                                                 .online_in_flight = 1};
+    candidates[3].online_in_flight = 0;
+    CU_ASSERT_EQUAL(hs_route_pick(candidates, 4, random).index, 3);
+    candidates[3].online_in_flight = 50;
+    candidates[2].online_in_flight = 50;
+    int elsewhere = 0;
+    for (int round = 0; round < 100; round++)
+        elsewhere += hs_route_pick(candidates, 4, random).index < 2;
+    CU_ASSERT(elsewhere > 60);
+    g_rand_free(random);
+}
+
+static void avoids_an_engine_without_the_model(void) {
+    GRand *random = g_rand_new_with_seed(1);
+    hs_route_candidate candidates[] = {
+        {.available = true, .holds_model = false, .same_zone = true, .prefix_weight = 9},
+        {.available = true, .holds_model = true, .online_in_flight = 20, .prefix_weight = 1}};
+    CU_ASSERT_EQUAL(hs_route_pick(candidates, 2, random).index, 1);
+    g_rand_free(random);
+}
+
+/** A table with engines a and b of one group. */
+typedef struct {
+    hs_engine_table *table;
+    hs_engine_group group;
+    hs_engine_query query;
+} table_fixture;
+
+static void open_table(table_fixture *fixture) {
+    static const hs_engine_table_settings settings = {
+        .subset_size = 8, .max_in_flight = 4, .ejection_failures = 2, .ejection_ms = 100};
+    fixture->table = hs_engine_table_new("daemon", "z", &settings);
+    fixture->group =
+        (hs_engine_group){.name = (char *)"g", .selector = json_pack("{s:s}", "service", "s")};
+    fixture->query = (hs_engine_query){.group = &fixture->group, .model = "m", .prefix_hash = 1};
+    json_t *labels = json_pack("{s:s}", "service", "s");
+    hs_engine_table_listing_begin(fixture->table);
+    hs_engine_table_list(fixture->table, "a", "http://127.0.0.1:1", "z", labels, false);
+    hs_engine_table_list(fixture->table, "b", "http://127.0.0.1:2", "z", labels, false);
+    hs_engine_table_listing_end(fixture->table);
+    json_decref(labels);
+}
+
+static void close_table(table_fixture *fixture) {
+    json_decref(fixture->group.selector);
+    hs_engine_table_free(fixture->table);
+}
+
+static bool take_and_finish(table_fixture *fixture, hs_attempt_verdict verdict, uint64_t now_ms,
+                            char id[64]) {
+    hs_engine_choice choice;
+    if (!hs_engine_table_take(fixture->table, &fixture->query, now_ms, &choice))
+        return false;
+    g_strlcpy(id, choice.id, 64);
+    hs_engine_table_finish(fixture->table, choice.id, "m", verdict, now_ms);
+    return true;
+}
+
+static void leaving_engine_gets_no_new_work(void) {
+    table_fixture fixture;
+    open_table(&fixture);
+    char first[64];
+    char next[64];
+    CU_ASSERT_TRUE(take_and_finish(&fixture, HS_ATTEMPT_LEAVING, 1, first));
+    for (int round = 0; round < 20; round++) {
+        CU_ASSERT_TRUE(take_and_finish(&fixture, HS_ATTEMPT_GOOD, 2, next));
+        CU_ASSERT_STRING_NOT_EQUAL(first, next);
+    }
+    close_table(&fixture);
+}
+
+static void failing_engine_is_ejected_and_returns(void) {
+    table_fixture fixture;
+    open_table(&fixture);
+    json_t *labels = json_pack("{s:s}", "service", "s");
+    hs_engine_table_listing_begin(fixture.table);
+    hs_engine_table_list(fixture.table, "a", "http://127.0.0.1:1", "z", labels, false);
+    hs_engine_table_listing_end(fixture.table);
+    json_decref(labels);
+    char id[64];
+    CU_ASSERT_TRUE(take_and_finish(&fixture, HS_ATTEMPT_FAILED, 1, id));
+    CU_ASSERT_TRUE(take_and_finish(&fixture, HS_ATTEMPT_FAILED, 2, id));
+    CU_ASSERT_FALSE(take_and_finish(&fixture, HS_ATTEMPT_GOOD, 50, id));
+    CU_ASSERT_TRUE(take_and_finish(&fixture, HS_ATTEMPT_FAILED, 103, id));
+    CU_ASSERT_FALSE(take_and_finish(&fixture, HS_ATTEMPT_GOOD, 250, id));
+    CU_ASSERT_TRUE(take_and_finish(&fixture, HS_ATTEMPT_GOOD, 310, id));
+    close_table(&fixture);
+}
+
+static void full_engines_refuse(void) {
+    table_fixture fixture;
+    open_table(&fixture);
+    hs_engine_choice choice;
+    for (int count = 0; count < 8; count++)
+        CU_ASSERT_TRUE(hs_engine_table_take(fixture.table, &fixture.query, 1, &choice));
+    CU_ASSERT_FALSE(hs_engine_table_take(fixture.table, &fixture.query, 1, &choice));
+    close_table(&fixture);
+}
+
+static void retries_stay_a_share_of_requests(void) {
+    hs_retry_budget budget;
+    hs_retry_budget_init(&budget, 10);
+    int retries = 0;
+    for (int request = 0; request < 1000; request++) {
+        hs_retry_budget_request(&budget);
+        retries += hs_retry_budget_take(&budget);
+    }
+    CU_ASSERT(retries >= 100 && retries <= 111);
+}
+
+static void limit_is_shared_among_daemons(void) {
+    hs_config_fold *fold = hs_config_fold_new();
+    Hs__ConfigChange change = HS__CONFIG_CHANGE__INIT;
+    change.change_id = (char *)"c";
+    change.kind = (char *)HS_KIND_LIMIT;
+    change.name = (char *)"tenant";
+    change.object_json = (char *)"{\"requests_per_second\":100,\"max_in_flight\":8}";
+    hs_config_fold_apply(fold, 0, &change);
+    hs_config_view *view = hs_config_view_new(fold);
+    hs_tenant_limits *limits = hs_tenant_limits_new();
+    for (int count = 0; count < 2; count++)
+        CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "tenant", 4, 1), 0);
+    CU_ASSERT(hs_tenant_limits_enter(limits, view, "tenant", 4, 1) > 0);
+    CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "other", 4, 1), 0);
+    int admitted = 0;
+    for (int count = 0; count < 100; count++) {
+        hs_tenant_limits_leave(limits, "tenant");
+        admitted += hs_tenant_limits_enter(limits, view, "tenant", 4, 1) == 0;
+        if (admitted < count + 1)
+            break;
+    }
+    CU_ASSERT_EQUAL(admitted, 23);
+    hs_tenant_limits_free(limits);
+    hs_config_view_release(view);
+    hs_config_fold_free(fold);
+}
+
+const test_case routing_tests[] = {
+    {"picks_the_only_available_candidate", picks_the_only_available_candidate},
+    {"prefers_the_affine_engine_until_it_is_loaded", prefers_the_affine_engine_until_it_is_loaded},
+    {"avoids_an_engine_without_the_model", avoids_an_engine_without_the_model},
+    {"leaving_engine_gets_no_new_work", leaving_engine_gets_no_new_work},
+    {"failing_engine_is_ejected_and_returns", failing_engine_is_ejected_and_returns},
+    {"full_engines_refuse", full_engines_refuse},
+    {"retries_stay_a_share_of_requests", retries_stay_a_share_of_requests},
+    {"limit_is_shared_among_daemons", limit_is_shared_among_daemons},
+    {NULL, NULL}};
--- /dev/null
+++ b/tests/unit/unit_tests.h
@@ -0,0 +1,18 @@
+/** @file unit_tests.h  The suites of unit tests, one a file. */
+#ifndef TESTS_UNIT_UNIT_TESTS_H
+#define TESTS_UNIT_UNIT_TESTS_H
+
+#include "tests/support/runner.h"
+
+extern const test_case settings_tests[];
+extern const test_case config_tests[];
+extern const test_case partition_tests[];
+extern const test_case grant_tests[];
+extern const test_case membership_tests[];
+extern const test_case routing_tests[];
+extern const test_case scheduling_tests[];
+extern const test_case input_tests[];
+extern const test_case engine_tests[];
+extern const test_case ring_tests[];
+
+#endif
