--- a/gen/record.pb-c.c
+++ b/gen/record.pb-c.c
@@ -412,6 +412,96 @@
   assert(message->base.descriptor == &hs__items_completed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__online_intent__init
+                     (Hs__OnlineIntent         *message)
+{
+  static const Hs__OnlineIntent init_value = HS__ONLINE_INTENT__INIT;
+  *message = init_value;
+}
+size_t hs__online_intent__get_packed_size
+                     (const Hs__OnlineIntent *message)
+{
+  assert(message->base.descriptor == &hs__online_intent__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__online_intent__pack
+                     (const Hs__OnlineIntent *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__online_intent__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__online_intent__pack_to_buffer
+                     (const Hs__OnlineIntent *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__online_intent__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__OnlineIntent *
+       hs__online_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__OnlineIntent *)
+     protobuf_c_message_unpack (&hs__online_intent__descriptor,
+                                allocator, len, data);
+}
+void   hs__online_intent__free_unpacked
+                     (Hs__OnlineIntent *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__online_intent__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__online_intent_void__init
+                     (Hs__OnlineIntentVoid         *message)
+{
+  static const Hs__OnlineIntentVoid init_value = HS__ONLINE_INTENT_VOID__INIT;
+  *message = init_value;
+}
+size_t hs__online_intent_void__get_packed_size
+                     (const Hs__OnlineIntentVoid *message)
+{
+  assert(message->base.descriptor == &hs__online_intent_void__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__online_intent_void__pack
+                     (const Hs__OnlineIntentVoid *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__online_intent_void__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__online_intent_void__pack_to_buffer
+                     (const Hs__OnlineIntentVoid *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__online_intent_void__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__OnlineIntentVoid *
+       hs__online_intent_void__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__OnlineIntentVoid *)
+     protobuf_c_message_unpack (&hs__online_intent_void__descriptor,
+                                allocator, len, data);
+}
+void   hs__online_intent_void__free_unpacked
+                     (Hs__OnlineIntentVoid *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__online_intent_void__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__partition_record__init
                      (Hs__PartitionRecord         *message)
 {
@@ -727,51 +817,6 @@
   assert(message->base.descriptor == &hs__config_change__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   hs__online_intent__init
-                     (Hs__OnlineIntent         *message)
-{
-  static const Hs__OnlineIntent init_value = HS__ONLINE_INTENT__INIT;
-  *message = init_value;
-}
-size_t hs__online_intent__get_packed_size
-                     (const Hs__OnlineIntent *message)
-{
-  assert(message->base.descriptor == &hs__online_intent__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t hs__online_intent__pack
-                     (const Hs__OnlineIntent *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &hs__online_intent__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t hs__online_intent__pack_to_buffer
-                     (const Hs__OnlineIntent *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &hs__online_intent__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Hs__OnlineIntent *
-       hs__online_intent__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Hs__OnlineIntent *)
-     protobuf_c_message_unpack (&hs__online_intent__descriptor,
-                                allocator, len, data);
-}
-void   hs__online_intent__free_unpacked
-                     (Hs__OnlineIntent *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &hs__online_intent__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 static const ProtobufCFieldDescriptor hs__owner_claim__field_descriptors[3] =
 {
   {
@@ -1556,7 +1601,135 @@
   (ProtobufCMessageInit) hs__items_completed__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__partition_record__field_descriptors[8] =
+static const ProtobufCFieldDescriptor hs__online_intent__field_descriptors[4] =
+{
+  {
+    "key_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__OnlineIntent, key_hash),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__OnlineIntent, attempt_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine_url",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__OnlineIntent, engine_url),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "created_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__OnlineIntent, created_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__online_intent__field_indices_by_name[] = {
+  1,   /* field[1] = attempt_id */
+  3,   /* field[3] = created_ms */
+  2,   /* field[2] = engine_url */
+  0,   /* field[0] = key_hash */
+};
+static const ProtobufCIntRange hs__online_intent__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor hs__online_intent__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.OnlineIntent",
+  "OnlineIntent",
+  "Hs__OnlineIntent",
+  "hs",
+  sizeof(Hs__OnlineIntent),
+  4,
+  hs__online_intent__field_descriptors,
+  hs__online_intent__field_indices_by_name,
+  1,  hs__online_intent__number_ranges,
+  (ProtobufCMessageInit) hs__online_intent__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__online_intent_void__field_descriptors[2] =
+{
+  {
+    "key_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__OnlineIntentVoid, key_hash),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt_id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__OnlineIntentVoid, attempt_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__online_intent_void__field_indices_by_name[] = {
+  1,   /* field[1] = attempt_id */
+  0,   /* field[0] = key_hash */
+};
+static const ProtobufCIntRange hs__online_intent_void__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__online_intent_void__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.OnlineIntentVoid",
+  "OnlineIntentVoid",
+  "Hs__OnlineIntentVoid",
+  "hs",
+  sizeof(Hs__OnlineIntentVoid),
+  2,
+  hs__online_intent_void__field_descriptors,
+  hs__online_intent_void__field_indices_by_name,
+  1,  hs__online_intent_void__number_ranges,
+  (ProtobufCMessageInit) hs__online_intent_void__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__partition_record__field_descriptors[10] =
 {
   {
     "owner_claim",
@@ -1654,6 +1827,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "online_intent",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PartitionRecord, kind_case),
+    offsetof(Hs__PartitionRecord, online_intent),
+    &hs__online_intent__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "online_intent_void",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PartitionRecord, kind_case),
+    offsetof(Hs__PartitionRecord, online_intent_void),
+    &hs__online_intent_void__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__partition_record__field_indices_by_name[] = {
   2,   /* field[2] = file_chunk */
@@ -1662,13 +1859,15 @@
   7,   /* field[7] = items_completed */
   5,   /* field[5] = job_cancelled */
   4,   /* field[4] = job_submitted */
+  8,   /* field[8] = online_intent */
+  9,   /* field[9] = online_intent_void */
   0,   /* field[0] = owner_claim */
   1,   /* field[1] = owner_release */
 };
 static const ProtobufCIntRange hs__partition_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor hs__partition_record__descriptor =
 {
@@ -1678,7 +1877,7 @@
   "Hs__PartitionRecord",
   "hs",
   sizeof(Hs__PartitionRecord),
-  8,
+  10,
   hs__partition_record__field_descriptors,
   hs__partition_record__field_indices_by_name,
   1,  hs__partition_record__number_ranges,
@@ -2034,7 +2233,7 @@
   (ProtobufCMessageInit) hs__job_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__snapshot_part__field_descriptors[4] =
+static const ProtobufCFieldDescriptor hs__snapshot_part__field_descriptors[5] =
 {
   {
     "snapshot_id",
@@ -2084,17 +2283,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "online_intents",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__SnapshotPart, n_online_intents),
+    offsetof(Hs__SnapshotPart, online_intents),
+    &hs__online_intent__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__snapshot_part__field_indices_by_name[] = {
   2,   /* field[2] = files */
   3,   /* field[3] = jobs */
+  4,   /* field[4] = online_intents */
   1,   /* field[1] = part_index */
   0,   /* field[0] = snapshot_id */
 };
 static const ProtobufCIntRange hs__snapshot_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor hs__snapshot_part__descriptor =
 {
@@ -2104,7 +2316,7 @@
   "Hs__SnapshotPart",
   "hs",
   sizeof(Hs__SnapshotPart),
-  4,
+  5,
   hs__snapshot_part__field_descriptors,
   hs__snapshot_part__field_indices_by_name,
   1,  hs__snapshot_part__number_ranges,
@@ -2420,80 +2632,3 @@
   (ProtobufCMessageInit) hs__config_change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__online_intent__field_descriptors[4] =
-{
-  {
-    "key_hash",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hs__OnlineIntent, key_hash),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "attempt_id",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hs__OnlineIntent, attempt_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "daemon_id",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Hs__OnlineIntent, daemon_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "created_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Hs__OnlineIntent, created_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned hs__online_intent__field_indices_by_name[] = {
-  1,   /* field[1] = attempt_id */
-  3,   /* field[3] = created_ms */
-  2,   /* field[2] = daemon_id */
-  0,   /* field[0] = key_hash */
-};
-static const ProtobufCIntRange hs__online_intent__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor hs__online_intent__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "hs.OnlineIntent",
-  "OnlineIntent",
-  "Hs__OnlineIntent",
-  "hs",
-  sizeof(Hs__OnlineIntent),
-  4,
-  hs__online_intent__field_descriptors,
-  hs__online_intent__field_indices_by_name,
-  1,  hs__online_intent__number_ranges,
-  (ProtobufCMessageInit) hs__online_intent__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
--- a/gen/record.pb-c.h
+++ b/gen/record.pb-c.h
@@ -24,6 +24,8 @@
 typedef struct Hs__ItemIntent Hs__ItemIntent;
 typedef struct Hs__ItemResult Hs__ItemResult;
 typedef struct Hs__ItemsCompleted Hs__ItemsCompleted;
+typedef struct Hs__OnlineIntent Hs__OnlineIntent;
+typedef struct Hs__OnlineIntentVoid Hs__OnlineIntentVoid;
 typedef struct Hs__PartitionRecord Hs__PartitionRecord;
 typedef struct Hs__FileSnapshot Hs__FileSnapshot;
 typedef struct Hs__JobSnapshot Hs__JobSnapshot;
@@ -31,7 +33,6 @@
 typedef struct Hs__SnapshotSeal Hs__SnapshotSeal;
 typedef struct Hs__SnapshotRecord Hs__SnapshotRecord;
 typedef struct Hs__ConfigChange Hs__ConfigChange;
-typedef struct Hs__OnlineIntent Hs__OnlineIntent;
 
 
 /* --- enums --- */
@@ -183,6 +184,37 @@
     , (char *)protobuf_c_empty_string, 0, 0,NULL, 0 }
 
 
+/*
+ * Right to run an online run-once request that carries an idempotency key. The first intent of a
+ * key wins; the same attempt may move to another engine after a refusal.
+ */
+struct  Hs__OnlineIntent
+{
+  ProtobufCMessage base;
+  char *key_hash;
+  char *attempt_id;
+  char *engine_url;
+  uint64_t created_ms;
+};
+#define HS__ONLINE_INTENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__online_intent__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The holder of an online intent never sent the request, and never will: the key is free again.
+ */
+struct  Hs__OnlineIntentVoid
+{
+  ProtobufCMessage base;
+  char *key_hash;
+  char *attempt_id;
+};
+#define HS__ONLINE_INTENT_VOID__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__online_intent_void__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   HS__PARTITION_RECORD__KIND__NOT_SET = 0,
   HS__PARTITION_RECORD__KIND_OWNER_CLAIM = 1,
@@ -192,7 +224,9 @@
   HS__PARTITION_RECORD__KIND_JOB_SUBMITTED = 5,
   HS__PARTITION_RECORD__KIND_JOB_CANCELLED = 6,
   HS__PARTITION_RECORD__KIND_ITEM_INTENT = 7,
-  HS__PARTITION_RECORD__KIND_ITEMS_COMPLETED = 8
+  HS__PARTITION_RECORD__KIND_ITEMS_COMPLETED = 8,
+  HS__PARTITION_RECORD__KIND_ONLINE_INTENT = 9,
+  HS__PARTITION_RECORD__KIND_ONLINE_INTENT_VOID = 10
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PARTITION_RECORD__KIND__CASE)
 } Hs__PartitionRecord__KindCase;
 
@@ -212,6 +246,8 @@
     Hs__JobCancelled *job_cancelled;
     Hs__ItemIntent *item_intent;
     Hs__ItemsCompleted *items_completed;
+    Hs__OnlineIntent *online_intent;
+    Hs__OnlineIntentVoid *online_intent_void;
   };
 };
 #define HS__PARTITION_RECORD__INIT \
@@ -285,10 +321,12 @@
   Hs__FileSnapshot **files;
   size_t n_jobs;
   Hs__JobSnapshot **jobs;
+  size_t n_online_intents;
+  Hs__OnlineIntent **online_intents;
 };
 #define HS__SNAPSHOT_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__snapshot_part__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Hs__SnapshotSeal
@@ -352,22 +390,6 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
-/*
- * Intent of an online run-once request that carries an idempotency key.
- */
-struct  Hs__OnlineIntent
-{
-  ProtobufCMessage base;
-  char *key_hash;
-  char *attempt_id;
-  char *daemon_id;
-  uint64_t created_ms;
-};
-#define HS__ONLINE_INTENT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&hs__online_intent__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
-
-
 /* Hs__OwnerClaim methods */
 void   hs__owner_claim__init
                      (Hs__OwnerClaim         *message);
@@ -539,6 +561,44 @@
 void   hs__items_completed__free_unpacked
                      (Hs__ItemsCompleted *message,
                       ProtobufCAllocator *allocator);
+/* Hs__OnlineIntent methods */
+void   hs__online_intent__init
+                     (Hs__OnlineIntent         *message);
+size_t hs__online_intent__get_packed_size
+                     (const Hs__OnlineIntent   *message);
+size_t hs__online_intent__pack
+                     (const Hs__OnlineIntent   *message,
+                      uint8_t             *out);
+size_t hs__online_intent__pack_to_buffer
+                     (const Hs__OnlineIntent   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__OnlineIntent *
+       hs__online_intent__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__online_intent__free_unpacked
+                     (Hs__OnlineIntent *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__OnlineIntentVoid methods */
+void   hs__online_intent_void__init
+                     (Hs__OnlineIntentVoid         *message);
+size_t hs__online_intent_void__get_packed_size
+                     (const Hs__OnlineIntentVoid   *message);
+size_t hs__online_intent_void__pack
+                     (const Hs__OnlineIntentVoid   *message,
+                      uint8_t             *out);
+size_t hs__online_intent_void__pack_to_buffer
+                     (const Hs__OnlineIntentVoid   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__OnlineIntentVoid *
+       hs__online_intent_void__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__online_intent_void__free_unpacked
+                     (Hs__OnlineIntentVoid *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PartitionRecord methods */
 void   hs__partition_record__init
                      (Hs__PartitionRecord         *message);
@@ -672,25 +732,6 @@
 void   hs__config_change__free_unpacked
                      (Hs__ConfigChange *message,
                       ProtobufCAllocator *allocator);
-/* Hs__OnlineIntent methods */
-void   hs__online_intent__init
-                     (Hs__OnlineIntent         *message);
-size_t hs__online_intent__get_packed_size
-                     (const Hs__OnlineIntent   *message);
-size_t hs__online_intent__pack
-                     (const Hs__OnlineIntent   *message,
-                      uint8_t             *out);
-size_t hs__online_intent__pack_to_buffer
-                     (const Hs__OnlineIntent   *message,
-                      ProtobufCBuffer     *buffer);
-Hs__OnlineIntent *
-       hs__online_intent__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   hs__online_intent__free_unpacked
-                     (Hs__OnlineIntent *message,
-                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Hs__OwnerClaim_Closure)
@@ -720,6 +761,12 @@
 typedef void (*Hs__ItemsCompleted_Closure)
                  (const Hs__ItemsCompleted *message,
                   void *closure_data);
+typedef void (*Hs__OnlineIntent_Closure)
+                 (const Hs__OnlineIntent *message,
+                  void *closure_data);
+typedef void (*Hs__OnlineIntentVoid_Closure)
+                 (const Hs__OnlineIntentVoid *message,
+                  void *closure_data);
 typedef void (*Hs__PartitionRecord_Closure)
                  (const Hs__PartitionRecord *message,
                   void *closure_data);
@@ -741,9 +788,6 @@
 typedef void (*Hs__ConfigChange_Closure)
                  (const Hs__ConfigChange *message,
                   void *closure_data);
-typedef void (*Hs__OnlineIntent_Closure)
-                 (const Hs__OnlineIntent *message,
-                  void *closure_data);
 
 /* --- services --- */
 
@@ -759,6 +803,8 @@
 extern const ProtobufCMessageDescriptor hs__item_intent__descriptor;
 extern const ProtobufCMessageDescriptor hs__item_result__descriptor;
 extern const ProtobufCMessageDescriptor hs__items_completed__descriptor;
+extern const ProtobufCMessageDescriptor hs__online_intent__descriptor;
+extern const ProtobufCMessageDescriptor hs__online_intent_void__descriptor;
 extern const ProtobufCMessageDescriptor hs__partition_record__descriptor;
 extern const ProtobufCMessageDescriptor hs__file_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor hs__job_snapshot__descriptor;
@@ -766,7 +812,6 @@
 extern const ProtobufCMessageDescriptor hs__snapshot_seal__descriptor;
 extern const ProtobufCMessageDescriptor hs__snapshot_record__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_change__descriptor;
-extern const ProtobufCMessageDescriptor hs__online_intent__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/batch/partition_record.c
+++ b/src/batch/partition_record.c
@@ -55,6 +55,29 @@
     return hs_record_pack(&record);
 }
 
+GByteArray *hs_record_online_intent(const char *key_hash, const char *attempt_id,
+                                    const char *engine_url, uint64_t created_ms) {
+    Hs__OnlineIntent intent = HS__ONLINE_INTENT__INIT;
+    intent.key_hash = (char *)key_hash;
+    intent.attempt_id = (char *)attempt_id;
+    intent.engine_url = (char *)engine_url;
+    intent.created_ms = created_ms;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    record.kind_case = HS__PARTITION_RECORD__KIND_ONLINE_INTENT;
+    record.online_intent = &intent;
+    return hs_record_pack(&record);
+}
+
+GByteArray *hs_record_online_void(const char *key_hash, const char *attempt_id) {
+    Hs__OnlineIntentVoid voided = HS__ONLINE_INTENT_VOID__INIT;
+    voided.key_hash = (char *)key_hash;
+    voided.attempt_id = (char *)attempt_id;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    record.kind_case = HS__PARTITION_RECORD__KIND_ONLINE_INTENT_VOID;
+    record.online_intent_void = &voided;
+    return hs_record_pack(&record);
+}
+
 GByteArray *hs_record_completion(const hs_item_outcome *outcome, uint64_t recorded_ms) {
     Hs__ItemResult result = HS__ITEM_RESULT__INIT;
     result.item = outcome->item;
--- a/src/batch/partition_record.h
+++ b/src/batch/partition_record.h
@@ -15,6 +15,10 @@
 GByteArray *hs_record_intent(const char *job_id, uint32_t item, const char *attempt_id,
                              uint32_t epoch, const char *engine_url);
 
+GByteArray *hs_record_online_intent(const char *key_hash, const char *attempt_id,
+                                    const char *engine_url, uint64_t created_ms);
+GByteArray *hs_record_online_void(const char *key_hash, const char *attempt_id);
+
 /** What one item came to. */
 typedef struct {
     const char *job_id;
--- a/src/batch/partition_state.c
+++ b/src/batch/partition_state.c
@@ -34,11 +34,21 @@
     g_free(job);
 }
 
+static void free_online_intent(gpointer data) {
+    hs_online_intent *intent = data;
+    g_free(intent->key_hash);
+    g_free(intent->attempt_id);
+    g_free(intent->engine_url);
+    g_free(intent);
+}
+
 hs_partition *hs_partition_new(uint64_t window_ms) {
     hs_partition *partition = g_new0(hs_partition, 1);
     partition->window_ms = window_ms;
     partition->files = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_file);
     partition->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+    partition->online_intents =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_online_intent);
     return partition;
 }
 
@@ -47,6 +57,7 @@
         return;
     g_hash_table_destroy(partition->files);
     g_hash_table_destroy(partition->jobs);
+    g_hash_table_destroy(partition->online_intents);
     g_free(partition->owner_id);
     g_free(partition);
 }
@@ -59,6 +70,20 @@
     return g_hash_table_lookup(partition->files, file_id);
 }
 
+const hs_online_intent *hs_partition_online_intent(const hs_partition *partition,
+                                                   const char *key_hash) {
+    return g_hash_table_lookup(partition->online_intents, key_hash);
+}
+
+void hs_partition_add_online_intent(hs_partition *partition, const Hs__OnlineIntent *source) {
+    hs_online_intent *intent = g_new0(hs_online_intent, 1);
+    intent->key_hash = g_strdup(source->key_hash);
+    intent->attempt_id = g_strdup(source->attempt_id);
+    intent->engine_url = g_strdup(source->engine_url);
+    intent->created_ms = source->created_ms;
+    g_hash_table_replace(partition->online_intents, intent->key_hash, intent);
+}
+
 hs_job_state hs_job_state_of(const hs_job *job) {
     if (job->cancelled)
         return g_hash_table_size(job->intents) > 0 ? HS_JOB_CANCELLING : HS_JOB_CANCELLED;
@@ -234,6 +259,13 @@
     return TRUE;
 }
 
+static gboolean online_intent_is_old(gpointer key, gpointer value, gpointer user_data) {
+    (void)key;
+    const hs_partition *partition = user_data;
+    return ((hs_online_intent *)value)->created_ms + partition->window_ms <
+           partition->stream_time_ms;
+}
+
 /** Forget jobs and files past the window; by stream time, so that all readers forget alike. */
 static void forget_old(hs_partition *partition) {
     GHashTableIter iterator;
@@ -243,6 +275,7 @@
         if (job_is_forgotten(partition, job))
             g_hash_table_iter_remove(&iterator);
     g_hash_table_foreach_remove(partition->files, file_is_unused, partition);
+    g_hash_table_foreach_remove(partition->online_intents, online_intent_is_old, partition);
 }
 
 static hs_fold_outcome apply_submission(hs_partition *partition,
@@ -346,6 +379,28 @@
     return HS_FOLD_APPLIED;
 }
 
+static hs_fold_outcome apply_online_intent(hs_partition *partition,
+                                           const Hs__OnlineIntent *intent) {
+    advance_stream_time(partition, intent->created_ms);
+    const hs_online_intent *present = hs_partition_online_intent(partition, intent->key_hash);
+    bool same_attempt = present != NULL && strcmp(present->attempt_id, intent->attempt_id) == 0;
+    if (present != NULL && !same_attempt)
+        return HS_FOLD_REPEATED;
+    if (same_attempt && strcmp(present->engine_url, intent->engine_url) == 0)
+        return HS_FOLD_REPEATED;
+    hs_partition_add_online_intent(partition, intent);
+    return HS_FOLD_APPLIED;
+}
+
+static hs_fold_outcome apply_online_void(hs_partition *partition,
+                                         const Hs__OnlineIntentVoid *voided) {
+    const hs_online_intent *present = hs_partition_online_intent(partition, voided->key_hash);
+    if (present == NULL || strcmp(present->attempt_id, voided->attempt_id) != 0)
+        return HS_FOLD_REPEATED;
+    g_hash_table_remove(partition->online_intents, voided->key_hash);
+    return HS_FOLD_APPLIED;
+}
+
 hs_fold_outcome hs_partition_apply(hs_partition *partition, uint64_t offset,
                                    const Hs__PartitionRecord *record) {
     if (offset != partition->next_offset)
@@ -370,6 +425,10 @@
         return apply_intent(partition, record->item_intent);
     case HS__PARTITION_RECORD__KIND_ITEMS_COMPLETED:
         return apply_completion(partition, offset, record->items_completed);
+    case HS__PARTITION_RECORD__KIND_ONLINE_INTENT:
+        return apply_online_intent(partition, record->online_intent);
+    case HS__PARTITION_RECORD__KIND_ONLINE_INTENT_VOID:
+        return apply_online_void(partition, record->online_intent_void);
     default:
         return HS_FOLD_INVALID;
     }
--- a/src/batch/partition_state.h
+++ b/src/batch/partition_state.h
@@ -76,16 +76,25 @@
     bool cancelled;
 } hs_job;
 
+/** The right of one attempt to run an online run-once request under its key. */
+typedef struct {
+    char *key_hash;
+    char *attempt_id;
+    char *engine_url;
+    uint64_t created_ms;
+} hs_online_intent;
+
 typedef struct {
     uint64_t next_offset;
     uint32_t epoch;
     char *owner_id; /**< NULL: nobody claimed it yet. */
     uint64_t owner_incarnation;
     bool owner_released;
-    uint64_t stream_time_ms; /**< Newest time any record carried; stands in for a clock. */
-    uint64_t window_ms;      /**< Ended jobs older than this are forgotten. */
-    GHashTable *files;       /**< id -> hs_file */
-    GHashTable *jobs;        /**< id -> hs_job */
+    uint64_t stream_time_ms;    /**< Newest time any record carried; stands in for a clock. */
+    uint64_t window_ms;         /**< Ended jobs and online intents older than this are forgotten. */
+    GHashTable *files;          /**< id -> hs_file */
+    GHashTable *jobs;           /**< id -> hs_job */
+    GHashTable *online_intents; /**< key hash -> hs_online_intent */
 } hs_partition;
 
 typedef enum {
@@ -102,6 +111,10 @@
 hs_fold_outcome hs_partition_apply(hs_partition *partition, uint64_t offset,
                                    const Hs__PartitionRecord *record);
 
+/** The intent that holds @p key_hash, or NULL. Borrowed. */
+const hs_online_intent *hs_partition_online_intent(const hs_partition *partition,
+                                                   const char *key_hash);
+
 /** Borrowed, or NULL. */
 hs_job *hs_partition_job(const hs_partition *partition, const char *job_id);
 hs_file *hs_partition_file(const hs_partition *partition, const char *file_id);
@@ -117,5 +130,6 @@
 hs_job *hs_partition_add_job(hs_partition *partition, const char *job_id, uint32_t item_count);
 hs_file *hs_partition_add_file(hs_partition *partition, const char *file_id);
 void hs_job_add_intent(hs_job *job, const Hs__ItemIntent *intent);
+void hs_partition_add_online_intent(hs_partition *partition, const Hs__OnlineIntent *intent);
 
 #endif
--- a/src/batch/snapshot.c
+++ b/src/batch/snapshot.c
@@ -13,8 +13,9 @@
     return bytes;
 }
 
+/** Pack a part that carries at most one of the three. */
 static GByteArray *pack_part(const char *snapshot_id, uint32_t part_index, Hs__FileSnapshot *file,
-                             Hs__JobSnapshot *job) {
+                             Hs__JobSnapshot *job, Hs__OnlineIntent *intent) {
     Hs__SnapshotPart part = HS__SNAPSHOT_PART__INIT;
     part.snapshot_id = (char *)snapshot_id;
     part.part_index = part_index;
@@ -22,6 +23,8 @@
     part.files = &file;
     part.n_jobs = job != NULL;
     part.jobs = &job;
+    part.n_online_intents = intent != NULL;
+    part.online_intents = &intent;
     Hs__SnapshotRecord record = HS__SNAPSHOT_RECORD__INIT;
     record.kind_case = HS__SNAPSHOT_RECORD__KIND_PART;
     record.part = &part;
@@ -62,7 +65,7 @@
     message.chunk_item_count = item_counts;
     message.n_run_once_items = file->run_once_items->len;
     message.run_once_items = (uint32_t *)(void *)file->run_once_items->data;
-    return pack_part(snapshot_id, part_index, &message, NULL);
+    return pack_part(snapshot_id, part_index, &message, NULL, NULL);
 }
 
 /** Intents of @p job as messages that borrow its strings. */
@@ -119,7 +122,17 @@
     message.result_offset_delta = deltas;
     message.n_intents = intent_list->len;
     message.intents = (Hs__ItemIntent **)intent_list->pdata;
-    return pack_part(snapshot_id, part_index, NULL, &message);
+    return pack_part(snapshot_id, part_index, NULL, &message, NULL);
+}
+
+static GByteArray *encode_online_intent(const hs_online_intent *intent, const char *snapshot_id,
+                                        uint32_t part_index) {
+    Hs__OnlineIntent message = HS__ONLINE_INTENT__INIT;
+    message.key_hash = intent->key_hash;
+    message.attempt_id = intent->attempt_id;
+    message.engine_url = intent->engine_url;
+    message.created_ms = intent->created_ms;
+    return pack_part(snapshot_id, part_index, NULL, NULL, &message);
 }
 
 GPtrArray *hs_snapshot_encode_parts(const hs_partition *partition, const char *snapshot_id) {
@@ -135,6 +148,9 @@
         for (uint32_t first = 0; first < job->item_count; first += ITEMS_PER_PART)
             g_ptr_array_add(parts, encode_job(job, first, snapshot_id, parts->len));
     }
+    g_hash_table_iter_init(&iterator, partition->online_intents);
+    while (g_hash_table_iter_next(&iterator, NULL, &data))
+        g_ptr_array_add(parts, encode_online_intent(data, snapshot_id, parts->len));
     return parts;
 }
 
@@ -228,6 +244,8 @@
 bool hs_snapshot_apply_part(hs_partition *partition, const Hs__SnapshotPart *part) {
     for (size_t index = 0; index < part->n_files; index++)
         apply_file(partition, part->files[index]);
+    for (size_t index = 0; index < part->n_online_intents; index++)
+        hs_partition_add_online_intent(partition, part->online_intents[index]);
     for (size_t index = 0; index < part->n_jobs; index++)
         if (!apply_job(partition, part->jobs[index]))
             return false;
--- a/src/commands/complete.c
+++ b/src/commands/complete.c
@@ -7,6 +7,7 @@
 #include "base/hash.h"
 #include "commands/command_routes.h"
 #include "commands/completion_check.h"
+#include "commands/online_key.h"
 #include "commands/online_request.h"
 #include "engine/whole_answer.h"
 #include "http/auth.h"
@@ -72,6 +73,9 @@
     fields->chat = chat;
     fields->stream = json_is_true(json_object_get(fields->body, "stream"));
     fields->run_once = is_run_once(request);
+    const char *key = u_map_get_case(request->map_header, "Idempotency-Key");
+    if (fields->run_once && key != NULL)
+        fields->key_hash = hs_online_key_hash(tenant, key);
     fields->prefix_hash = hs_completion_prefix_hash(fields->body, chat);
     fields->deadline_ms = hs_clock_monotonic_ms() + (uint64_t)timeout_ms;
     return true;
@@ -106,6 +110,7 @@
     g_free(fields->request_id);
     g_free(fields->tenant);
     g_free(fields->model);
+    g_free(fields->key_hash);
     json_decref(fields->body);
     hs_config_view_release(fields->view);
 }
@@ -124,6 +129,12 @@
                                .code = "no_engine",
                                .message = request->failure,
                                .retry_after_s = RETRY_AFTER_S};
+    case HS_ONLINE_DUPLICATE:
+        return (hs_error_body){.status = 409,
+                               .type = "outcome_unknown",
+                               .code = "duplicate_request",
+                               .message = request->failure,
+                               .may_have_run = true};
     case HS_ONLINE_RUNNING:
         return (hs_error_body){.status = HTTP_GATEWAY_TIMEOUT,
                                .type = "outcome_unknown",
@@ -145,7 +156,8 @@
                                           [HS_ONLINE_WHOLE] = HS_COUNT_ONLINE_ANSWERED,
                                           [HS_ONLINE_INVALID] = HS_COUNT_ONLINE_INVALID,
                                           [HS_ONLINE_NOT_RUN] = HS_COUNT_ONLINE_REFUSED,
-                                          [HS_ONLINE_MAY_HAVE_RUN] = HS_COUNT_ONLINE_UNKNOWN};
+                                          [HS_ONLINE_MAY_HAVE_RUN] = HS_COUNT_ONLINE_UNKNOWN,
+                                          [HS_ONLINE_DUPLICATE] = HS_COUNT_ONLINE_INVALID};
     hs_metrics_add(&node->metrics, counters[state], 1);
 }
 
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -5,6 +5,7 @@
 #include "base/fault_point.h"
 #include "base/log.h"
 #include "commands/completion_check.h"
+#include "commands/online_key.h"
 #include "engine/engine_client.h"
 
 #include <stdlib.h>
@@ -26,6 +27,7 @@
     g_free(request->request_id);
     g_free(request->tenant);
     g_free(request->model);
+    g_free(request->key_hash);
     json_decref(request->body);
     hs_config_view_release(request->view);
     g_mutex_clear(&request->lock);
@@ -129,11 +131,14 @@
     return over;
 }
 
-/** Name the attempt, so that an abandoned request can be cancelled at its engine. */
+/**
+ * Name the attempt, so that an abandoned request can be cancelled at its engine. Under a key there
+ * is one attempt for good: it may only move after an engine refused it as not run.
+ */
 static void set_attempt(hs_online_request *request, const hs_engine_choice *choice, int number) {
     g_mutex_lock(&request->lock);
     g_snprintf(request->attempt_id, sizeof request->attempt_id, "%s-a%d", request->request_id,
-               number);
+               request->key_hash != NULL ? 1 : number);
     g_strlcpy(request->engine_url, choice->url, sizeof request->engine_url);
     g_mutex_unlock(&request->lock);
 }
@@ -265,14 +270,79 @@
                 reason);
 }
 
+/** Engines tried so far, and the query that leaves them out. */
+typedef struct {
+    char ids[MAX_TRIED][64];
+    const char *pointers[MAX_TRIED];
+    hs_engine_query query;
+} tried_engines;
+
+static void add_tried(tried_engines *tried, const char *id) {
+    uint32_t count = tried->query.tried_count;
+    g_strlcpy(tried->ids[count], id, sizeof tried->ids[count]);
+    tried->pointers[count] = tried->ids[count];
+    tried->query.tried_count++;
+}
+
+/** Another attempt holds our key: read its answer from its engine, without ever running ours. */
+static void answer_from_holder(hs_online_request *request, const hs_key_holder *holder) {
+    hs_engine_call call = {.engine_url = holder->engine_url, .request_id = holder->attempt_id};
+    hs_run_result result = {.end = HS_RUN_REFUSED};
+    g_mutex_lock(&request->lock);
+    request->attempt_id[0] = '\0'; /* Not ours to cancel. */
+    g_mutex_unlock(&request->lock);
+    while (result.end != HS_RUN_WHOLE && result.end != HS_RUN_CANCELLED && !is_over(request)) {
+        result = hs_engine_resume(&call, result.next_token, take_token, request);
+        if (result.end == HS_RUN_REFUSED || result.end == HS_RUN_CUT)
+            hs_clock_sleep_ms(RESUME_WAIT_MS);
+    }
+    bool whole = result.end == HS_RUN_WHOLE;
+    end_request(request, whole ? HS_ONLINE_WHOLE : HS_ONLINE_DUPLICATE,
+                whole ? "" : "another request holds this key and its answer cannot be read");
+}
+
+/** Whether the attempt may be sent; ends the request when not. */
+static bool obtain_key(hs_online_request *request, const hs_engine_choice *choice) {
+    hs_key_holder holder;
+    if (request->key_hash == NULL)
+        return true;
+    switch (hs_online_key_take(request->node, request->key_hash, request->attempt_id, choice->url,
+                               &holder)) {
+    case HS_KEY_OURS:
+        return true;
+    case HS_KEY_TAKEN:
+        answer_from_holder(request, &holder);
+        return false;
+    case HS_KEY_UNKNOWN:
+        break;
+    }
+    end_request(request, HS_ONLINE_NOT_RUN, "the platform cannot hold the key now");
+    return false;
+}
+
+/** One attempt at the chosen engine. True when another may follow. */
+static bool attempt(hs_online_request *request, const hs_engine_choice *choice) {
+    hs_run_result result = {.end = HS_RUN_REFUSED};
+    bool reachable =
+        !request->run_once || hs_engine_is_reachable(choice->url, REACHABLE_TIMEOUT_MS);
+    bool sent = reachable && obtain_key(request, choice);
+    if (sent)
+        result = run_attempt(request, choice);
+    hs_attempt_verdict verdict = reachable ? HS_ATTEMPT_GOOD : HS_ATTEMPT_FAILED;
+    hs_engine_table_finish(request->node->engines, choice->id, request->model,
+                           sent ? verdict_of(&result) : verdict, hs_clock_monotonic_ms());
+    hs_node_notice_online(request->node, choice->id);
+    if (reachable && !sent)
+        return false;
+    return continue_after(request, &result);
+}
+
 static void run_attempts(hs_online_request *request) {
     hs_node *node = request->node;
-    char tried[MAX_TRIED][64];
-    const char *tried_ids[MAX_TRIED];
-    hs_engine_query query = {.group = request->group,
-                             .model = request->model,
-                             .prefix_hash = request->prefix_hash,
-                             .tried_ids = tried_ids};
+    tried_engines tried = {.query = {.group = request->group,
+                                     .model = request->model,
+                                     .prefix_hash = request->prefix_hash}};
+    tried.query.tried_ids = tried.pointers;
     int attempts = (int)MIN(node->settings->max_attempts, MAX_TRIED);
     for (int number = 1; number <= attempts; number++) {
         hs_engine_choice choice;
@@ -284,26 +354,15 @@
             end_without_engine(request, "the retry budget is spent");
             return;
         }
-        if (!hs_engine_table_take(node->engines, &query, hs_clock_monotonic_ms(), &choice)) {
+        if (!hs_engine_table_take(node->engines, &tried.query, hs_clock_monotonic_ms(), &choice)) {
             end_without_engine(request, "no engine is available");
             return;
         }
         trace_choice(request, &choice, number);
         set_attempt(request, &choice, number);
-        hs_run_result result = {.end = HS_RUN_REFUSED};
-        bool reachable =
-            !request->run_once || hs_engine_is_reachable(choice.url, REACHABLE_TIMEOUT_MS);
-        if (reachable)
-            result = run_attempt(request, &choice);
-        hs_engine_table_finish(node->engines, choice.id, request->model,
-                               reachable ? verdict_of(&result) : HS_ATTEMPT_FAILED,
-                               hs_clock_monotonic_ms());
-        hs_node_notice_online(node, choice.id);
-        if (!continue_after(request, &result))
+        if (!attempt(request, &choice))
             return;
-        g_strlcpy(tried[query.tried_count], choice.id, sizeof tried[0]);
-        tried_ids[query.tried_count] = tried[query.tried_count];
-        query.tried_count++;
+        add_tried(&tried, choice.id);
     }
     end_without_engine(request, "every attempt failed");
 }
@@ -320,6 +379,8 @@
                 "request=%s state=%d tokens=%u ms=%" G_GUINT64_FORMAT " failure=\"%s\"",
                 request->request_id, (int)request->state, request->token_count,
                 hs_clock_monotonic_ms() - request->started_ms, request->failure);
+    if (request->key_hash != NULL && request->state == HS_ONLINE_NOT_RUN)
+        hs_online_key_void(node, request->key_hash, request->attempt_id);
     g_atomic_int_add(&node->online_count, -1);
     hs_online_request_release(request);
 }
--- a/src/commands/online_request.h
+++ b/src/commands/online_request.h
@@ -17,9 +17,10 @@
 typedef enum {
     HS_ONLINE_RUNNING,
     HS_ONLINE_WHOLE,
-    HS_ONLINE_INVALID,     /**< The engine calls it invalid; it did not run. */
-    HS_ONLINE_NOT_RUN,     /**< No engine took it; it certainly did not run. */
-    HS_ONLINE_MAY_HAVE_RUN /**< It failed after a byte may have reached an engine. */
+    HS_ONLINE_INVALID,      /**< The engine calls it invalid; it did not run. */
+    HS_ONLINE_NOT_RUN,      /**< No engine took it; it certainly did not run. */
+    HS_ONLINE_MAY_HAVE_RUN, /**< It failed after a byte may have reached an engine. */
+    HS_ONLINE_DUPLICATE     /**< Another attempt holds its key, and its answer cannot be read. */
 } hs_online_state;
 
 typedef struct {
@@ -31,6 +32,7 @@
     bool chat;
     bool stream; /**< Tokens are passed on as they come, so that no other attempt may start. */
     bool run_once;
+    char *key_hash; /**< Of a run-once request with an idempotency key; NULL: none. */
     uint64_t prefix_hash;
     uint64_t deadline_ms; /**< Of the monotonic clock. */
     uint64_t started_ms;
--- a/tests/system/test_online.c
+++ b/tests/system/test_online.c
@@ -88,7 +88,62 @@
     CU_ASSERT_TRUE(wait_until(is_cancelled, (gpointer) "deadline", 5000));
 }
 
+/** A run-once completion under a key. @return status; @p text: owned, may be NULL. */
+static long send_run_once(int daemon, const char *prompt, const char *key, char **text) {
+    const char *const headers[] = {"Heathsail-Run-Once", "true", "Idempotency-Key", key, NULL};
+    g_autofree char *body =
+        g_strdup_printf("{\"model\":\"drafting-7b\",\"max_tokens\":5,\"prompt\":\"%s\"}", prompt);
+    json_t *answer = NULL;
+    long status = client_call("POST", test_fleet.caller_urls[daemon], "/v1/completions",
+                              TEST_TENANT, body, headers, &answer);
+    const json_t *choice = json_array_get(json_object_get(answer, "choices"), 0);
+    *text = g_strdup(json_string_value(json_object_get(choice, "text")));
+    json_decref(answer);
+    return status;
+}
+
+static void run_once_resent_through_another_daemon_runs_once(void) {
+    g_autofree char *expected = answer_text("fee-1", 5);
+    for (int daemon = 0; daemon < 3; daemon++) {
+        g_autofree char *text = NULL;
+        CU_ASSERT_EQUAL(send_run_once(daemon, "fee-1", "fee-key", &text), 200);
+        CU_ASSERT_EQUAL(g_strcmp0(text, expected), 0);
+    }
+    CU_ASSERT_EQUAL(count_engine_runs("fee-1", NULL), 1);
+}
+
+static void run_once_is_not_resent_after_a_cut(void) {
+    CU_ASSERT_TRUE(wait_until(is_served, NULL, 5000));
+    all_engines("{\"cut_count\":100,\"cut_after_tokens\":1}");
+    g_autofree char *text = NULL;
+    long status = send_run_once(0, "fee-cut", "fee-cut-key", &text);
+    all_engines("{\"cut_count\":0}");
+    CU_ASSERT_EQUAL(status, 502);
+    CU_ASSERT_EQUAL(count_engine_runs("fee-cut", NULL), 1);
+    g_autofree char *again = NULL;
+    CU_ASSERT_EQUAL(send_run_once(1, "fee-cut", "fee-cut-key", &again), 200);
+    CU_ASSERT_EQUAL(count_engine_runs("fee-cut", NULL), 1);
+}
+
+static void keyed_run_once_is_refused_while_the_platform_is_down(void) {
+    CU_ASSERT_TRUE(wait_until(is_served, NULL, 5000));
+    CU_ASSERT_TRUE(fleet_set_faults(test_fleet.platform_url, "{\"down\":true}"));
+    g_autofree char *text = NULL;
+    CU_ASSERT_EQUAL(send_run_once(0, "fee-down", "fee-down-key", &text), 503);
+    CU_ASSERT_TRUE(is_served(NULL));
+    CU_ASSERT_TRUE(fleet_set_faults(test_fleet.platform_url, "{\"down\":false}"));
+    CU_ASSERT_EQUAL(count_engine_runs("fee-down", NULL), 0);
+    g_autofree char *later = NULL;
+    CU_ASSERT_EQUAL(send_run_once(1, "fee-down", "fee-down-key", &later), 200);
+    CU_ASSERT_EQUAL(count_engine_runs("fee-down", NULL), 1);
+}
+
 const test_case online_tests[] = {
+    {"run_once_resent_through_another_daemon_runs_once",
+     run_once_resent_through_another_daemon_runs_once},
+    {"run_once_is_not_resent_after_a_cut", run_once_is_not_resent_after_a_cut},
+    {"keyed_run_once_is_refused_while_the_platform_is_down",
+     keyed_run_once_is_refused_while_the_platform_is_down},
     {"hang_up_cancels_the_engines_work", hang_up_cancels_the_engines_work},
     {"cut_stream_is_resumed_whole", cut_stream_is_resumed_whole},
     {"hopeless_stream_ends_in_an_explicit_error", hopeless_stream_ends_in_an_explicit_error},
--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -145,6 +145,40 @@
     hs_partition_free(partition);
 }
 
+static hs_fold_outcome apply_key(hs_partition *partition, const char *attempt_id, const char *url) {
+    Hs__OnlineIntent intent = HS__ONLINE_INTENT__INIT;
+    intent.key_hash = (char *)"key";
+    intent.attempt_id = (char *)attempt_id;
+    intent.engine_url = (char *)url;
+    intent.created_ms = 3;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    record.kind_case = HS__PARTITION_RECORD__KIND_ONLINE_INTENT;
+    record.online_intent = &intent;
+    return hs_partition_apply(partition, partition->next_offset, &record);
+}
+
+static hs_fold_outcome apply_void(hs_partition *partition, const char *attempt_id) {
+    Hs__OnlineIntentVoid voided = HS__ONLINE_INTENT_VOID__INIT;
+    voided.key_hash = (char *)"key";
+    voided.attempt_id = (char *)attempt_id;
+    Hs__PartitionRecord record = HS__PARTITION_RECORD__INIT;
+    record.kind_case = HS__PARTITION_RECORD__KIND_ONLINE_INTENT_VOID;
+    record.online_intent_void = &voided;
+    return hs_partition_apply(partition, partition->next_offset, &record);
+}
+
+static void first_attempt_holds_an_online_key(void) {
+    hs_partition *partition = hs_partition_new(TEST_WINDOW_MS);
+    CU_ASSERT_EQUAL(apply_key(partition, "a", "u"), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_key(partition, "b", "u"), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_key(partition, "a", "v"), HS_FOLD_APPLIED);
+    CU_ASSERT_STRING_EQUAL(hs_partition_online_intent(partition, "key")->engine_url, "v");
+    CU_ASSERT_EQUAL(apply_void(partition, "b"), HS_FOLD_REPEATED);
+    CU_ASSERT_EQUAL(apply_void(partition, "a"), HS_FOLD_APPLIED);
+    CU_ASSERT_EQUAL(apply_key(partition, "b", "u"), HS_FOLD_APPLIED);
+    hs_partition_free(partition);
+}
+
 /** The state as its snapshot's bytes, in a fixed order of parts. */
 static hs_partition *through_snapshot(const hs_partition *partition) {
     hs_partition *copy = hs_partition_new(partition->window_ms);
@@ -169,11 +203,13 @@
     apply_result_of(partition, 0, "a", 1, false);
     apply_result_of(partition, 3, "a", 1, false);
     apply_intent_of(partition, 5, "x", 1);
+    apply_key(partition, "holder", "u");
     hs_partition *copy = through_snapshot(partition);
     const hs_job *job = hs_partition_job(copy, TEST_JOB);
     CU_ASSERT_EQUAL(copy->next_offset, partition->next_offset);
     CU_ASSERT_EQUAL(copy->epoch, 1);
     CU_ASSERT_STRING_EQUAL(copy->owner_id, "owner");
+    CU_ASSERT_EQUAL(apply_key(copy, "other", "u"), HS_FOLD_REPEATED);
     CU_ASSERT_EQUAL(job->completed_count, 2);
     CU_ASSERT_EQUAL(memcmp(job->result_offsets,
                            hs_partition_job(partition, TEST_JOB)->result_offsets,
@@ -219,6 +255,7 @@
     {"no_intent_after_a_cancel", no_intent_after_a_cancel},
     {"record_out_of_order_changes_nothing", record_out_of_order_changes_nothing},
     {"ended_job_is_forgotten_after_the_window", ended_job_is_forgotten_after_the_window},
+    {"first_attempt_holds_an_online_key", first_attempt_holds_an_online_key},
     {"snapshot_holds_the_whole_state", snapshot_holds_the_whole_state},
     {"snapshot_of_a_large_job_takes_several_parts", snapshot_of_a_large_job_takes_several_parts},
     {NULL, NULL}};
