Model of the core protocol, and the fault matrix (not green yet)

Change: spec/core.pml with four variants that must be found wrong; fault points switched at run time in a test build; tests/matrix runs 20 steps by 12 faults and 8 pairs over real processes, with an oracle outside the daemons.

Found by the model: an owner that appended verdicts under a dead epoch could go on for ever without reading; the C code reads its stream after each append (settle), the model now says so (LEARN).

--- a/Makefile
+++ b/Makefile
@@ -108,3 +108,12 @@
 	rm -rf $(BUILD)
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+## check-spec  the model check of the core protocol, and of its broken variants
+check-spec: deps
+	@./spec/check.sh $(BUILD)/spec
+
+## matrix      the fault matrix over real processes: one line a cell, "fault step verdict"
+matrix: deps
+	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD)/fault EXTRA_CPPFLAGS=-DHS_FAULT_POINTS all $(BUILD)/fault/fault-matrix
+	@HS_TEST_PROGRAMS=$(BUILD)/fault $(BUILD)/fault/fault-matrix
--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -43,6 +43,8 @@
     int64_t max_items;
     int64_t grant_lease_ms;
     int64_t snapshot_records;
+    int64_t claim_settle_ms;
+    int64_t handover_ms;
     int64_t job_window_s;
 
     int64_t max_batch_per_engine;
--- a/src/base/fault_point.c
+++ b/src/base/fault_point.c
@@ -6,47 +6,62 @@
 #include "base/log.h"
 
 #include <signal.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #define FAULT_VARIABLE "HS_FAULT"
 
-/** The fault asked for, read once. */
+/** The fault asked for. */
 typedef struct {
-    char *point;
-    char *action;
-    int nth;
+    char point[48];
+    char action[16];
+    int passes_left;
 } wanted_fault;
 
-static gint pass_count;
+static GMutex fault_lock;
+static wanted_fault fault;
+static bool environment_was_read;
 
-static gpointer read_fault(gpointer unused) {
-    (void)unused;
-    wanted_fault *fault = g_new0(wanted_fault, 1);
-    const char *text = getenv(FAULT_VARIABLE);
-    if (text == NULL)
-        return fault;
-    g_auto(GStrv) parts = g_strsplit(text, ":", 3);
+/** The caller holds the lock. */
+static void parse_fault(const char *text) {
+    fault = (wanted_fault){{0}, {0}, 0};
+    g_auto(GStrv) parts = g_strsplit(text != NULL ? text : "", ":", 3);
     if (g_strv_length(parts) < 2)
-        return fault;
-    fault->point = g_strdup(parts[0]);
-    fault->action = g_strdup(parts[1]);
-    fault->nth = parts[2] != NULL ? atoi(parts[2]) : 1;
-    return fault;
+        return;
+    g_strlcpy(fault.point, parts[0], sizeof fault.point);
+    g_strlcpy(fault.action, parts[1], sizeof fault.action);
+    fault.passes_left = parts[2] != NULL ? atoi(parts[2]) : 1;
+}
+
+void hs_fault_point_set(const char *text) {
+    g_mutex_lock(&fault_lock);
+    environment_was_read = true;
+    parse_fault(text);
+    g_mutex_unlock(&fault_lock);
+}
+
+/** True, once, when the fault strikes at this passing. */
+static bool strikes(const char *name, char action[16]) {
+    g_mutex_lock(&fault_lock);
+    if (!environment_was_read)
+        parse_fault(getenv(FAULT_VARIABLE));
+    environment_was_read = true;
+    bool now = fault.passes_left > 0 && strcmp(fault.point, name) == 0 && --fault.passes_left == 0;
+    g_strlcpy(action, fault.action, sizeof fault.action);
+    g_mutex_unlock(&fault_lock);
+    return now;
 }
 
 void hs_fault_point_pass(const char *name) {
-    static GOnce once = G_ONCE_INIT;
-    const wanted_fault *fault = g_once(&once, read_fault, NULL);
-    if (fault->point == NULL || strcmp(fault->point, name) != 0)
-        return;
-    if (g_atomic_int_add(&pass_count, 1) + 1 != fault->nth)
+    char action[16];
+    if (!strikes(name, action))
         return;
-    hs_log_warning("fault_point", "point=%s action=%s", name, fault->action);
-    if (strcmp(fault->action, "kill") == 0)
+    hs_log_warning("fault_point", "point=%s action=%s", name, action);
+    if (strcmp(action, "kill") == 0)
         kill(getpid(), SIGKILL);
-    if (strcmp(fault->action, "freeze") == 0)
+    if (strcmp(action, "freeze") == 0)
         kill(getpid(), SIGSTOP);
 }
 
--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -12,8 +12,6 @@
 #include <string.h>
 
 #define TICK_MS 100
-#define SETTLE_MS 500
-#define HANDOVER_MS 5000
 #define CLAIM_PATIENCE_MS 2000
 #define RELEASE_PATIENCE_MS 3000
 
@@ -187,8 +185,9 @@
 }
 
 static void act_on_partition(hs_coordinator *coordinator, uint32_t partition) {
-    static const hs_ownership_settings settings = {.settle_ms = SETTLE_MS,
-                                                   .handover_ms = HANDOVER_MS};
+    hs_ownership_settings settings = {
+        .settle_ms = (uint32_t)coordinator->context.settings->claim_settle_ms,
+        .handover_ms = (uint32_t)coordinator->context.settings->handover_ms};
     drop_if_lost(coordinator, partition);
     hs_ownership_view view = view_partition(coordinator, partition);
     switch (hs_ownership_decide(&settings, &view, &coordinator->histories[partition],
--- a/src/batch/partition_owner.c
+++ b/src/batch/partition_owner.c
@@ -161,7 +161,6 @@
         if (!hs_partition_owner_is_valid(owner))
             break;
         recover_orphans(owner);
-        HS_FAULT_POINT("snapshot");
         hs_replica_write_snapshot(owner->replica,
                                   (uint64_t)owner->context->settings->snapshot_records, &error);
     }
--- a/src/batch/replica.c
+++ b/src/batch/replica.c
@@ -1,6 +1,7 @@
 /** @file replica.c  Reading a partition's streams; see replica.h. */
 #include "batch/replica.h"
 
+#include "base/fault_point.h"
 #include "base/hash.h"
 #include "base/log.h"
 #include "batch/snapshot.h"
@@ -198,6 +199,7 @@
         if (result != 0)
             return result;
     }
+    HS_FAULT_POINT("snapshot");
     g_autoptr(GByteArray) placed = hs_snapshot_place_seal(seal, first_offset);
     g_byte_array_set_size(batch, 0);
     hs_log_frame_append(batch, placed->data, placed->len);
--- a/src/commands/command_routes.c
+++ b/src/commands/command_routes.c
@@ -12,6 +12,7 @@
 }
 
 void hs_command_routes_admin(hs_node *node, hs_http_server *server) {
+    hs_fault_routes(server);
     hs_http_server_route(server, "POST", "/admin/v1/drain", hs_command_drain, node);
     hs_http_server_route(server, "PUT", "/admin/v1/:kind/:name", hs_command_publish, node);
     hs_http_server_route(server, "DELETE", "/admin/v1/:kind/:name", hs_command_delete, node);
--- a/src/commands/command_routes.h
+++ b/src/commands/command_routes.h
@@ -14,6 +14,9 @@
 /** Routes of operators. */
 void hs_command_routes_admin(hs_node *node, hs_http_server *server);
 
+/** Routes of a test build; none in a product build. */
+void hs_fault_routes(hs_http_server *server);
+
 /* The handlers, one a file. user_data is the hs_node. */
 int hs_command_chat(const struct _u_request *request, struct _u_response *response, void *node);
 int hs_command_text(const struct _u_request *request, struct _u_response *response, void *node);
--- a/src/queries/file_content.c
+++ b/src/queries/file_content.c
@@ -3,6 +3,7 @@
  * GET /v1/files/{id}/content: the lines of an input file, or the results of a job, read from the
  * log slice by slice as they are written out. A job of any size takes a slice's memory.
  */
+#include "base/fault_point.h"
 #include "batch/batch_id.h"
 #include "http/auth.h"
 #include "http/refusal.h"
@@ -81,6 +82,7 @@
 static bool read_slice(content_stream *stream) {
     uint64_t offset = g_array_index(stream->wanted, wanted_record, stream->next).offset;
     guint before = stream->next;
+    HS_FAULT_POINT("result_read");
     hs_log_slice slice;
     if (hs_log_read(&stream->node->log, hs_replica_stream(stream->replica), offset, 0, SLICE_BYTES,
                     &slice, NULL) != 0)
--- a/standin/platform/platform.h
+++ b/standin/platform/platform.h
@@ -39,6 +39,7 @@
     double weight_tokens;
     gint64 weight_refilled_us;
     uint64_t append_count;
+    uint64_t failed_calls; /**< Calls broken or refused by a fault. */
 } platform;
 
 platform *platform_new(uint32_t list_lag_ms, uint32_t weight_loads_per_minute);
--- a/standin/platform/platform_log.c
+++ b/standin/platform/platform_log.c
@@ -44,6 +44,7 @@
     bool down = self->faults.down;
     bool refuse = self->faults.refuse;
     uint32_t slow_ms = self->faults.slow_ms;
+    self->failed_calls += down || refuse;
     g_mutex_unlock(&self->lock);
     if (slow_ms > 0)
         g_usleep((gulong)slow_ms * 1000);
--- /dev/null
+++ b/tests/matrix/operations.c
@@ -0,0 +1,210 @@
+/** @file operations.c  What a cell does so that the victim comes to its step. */
+#include "base/clock.h"
+#include "batch/batch_id.h"
+#include "tests/matrix/matrix.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CHUNK_ITEMS 256
+#define MAX_NONCE 400
+#define JOB_TIMEOUT_MS 40000
+#define OWN_TIMEOUT_MS 10000
+#define ONLINE_TOKENS 40
+
+static char *job_lines(const char *name, int nonce) {
+    GString *lines = g_string_new(NULL);
+    for (int item = 0; item < JOB_ITEMS; item++)
+        g_string_append_printf(lines,
+                               "{\"custom_id\":\"%s.%d-%d\",\"method\":\"POST\",\"url\":"
+                               "\"/v1/completions\",\"body\":{\"model\":\"drafting-7b\","
+                               "\"max_tokens\":%d,\"prompt\":\"%s.%d-%d\"}%s}\n",
+                               name, nonce, item, JOB_TOKENS, name, nonce, item,
+                               item % RUN_ONCE_EVERY == 0 ? ",\"run_once\":true" : "");
+    return g_string_free(lines, FALSE);
+}
+
+/** Whether the daemon's own account lists @p partition among what it owns. */
+static bool owns_partition(const fleet *fleet, int daemon, uint32_t partition) {
+    json_t *status = NULL;
+    client_call("GET", fleet->admin_urls[daemon], "/admin/v1/status", NULL, NULL, NULL, &status);
+    const char *self = json_string_value(json_object_get(status, "id"));
+    bool owns = false;
+    size_t index;
+    json_t *member;
+    json_array_foreach(json_object_get(status, "members"), index, member) {
+        if (g_strcmp0(json_string_value(json_object_get(member, "id")), self) != 0)
+            continue;
+        size_t position;
+        json_t *owned;
+        json_array_foreach(json_object_get(member, "partitions"), position, owned)
+            owns = owns || (uint32_t)json_integer_value(owned) == partition;
+    }
+    json_decref(status);
+    return owns;
+}
+
+/** Lines whose file falls into a partition of the wanted owner (-1: any). */
+static bool choose_lines(matrix_cell *cell, int owner) {
+    uint64_t deadline_ms = hs_clock_monotonic_ms() + OWN_TIMEOUT_MS;
+    for (int nonce = 0; nonce < MAX_NONCE && hs_clock_monotonic_ms() < deadline_ms; nonce++) {
+        g_free(cell->lines);
+        cell->lines = job_lines(cell->name, nonce);
+        g_autofree char *file_id = hs_file_id(MATRIX_TENANT, cell->lines, strlen(cell->lines),
+                                              CHUNK_ITEMS, MATRIX_PARTITIONS);
+        uint32_t partition = 0;
+        hs_id_partition(file_id, &partition);
+        if (owner < 0 || owns_partition(cell->fleet, owner, partition))
+            return true;
+    }
+    return false;
+}
+
+/** Upload and submit through one daemon. @return status of the last call; sets the job's id. */
+static long submit(matrix_cell *cell, int daemon) {
+    g_autofree char *file_id = NULL;
+    const char *url = cell->fleet->caller_urls[daemon];
+    long status = client_upload(url, MATRIX_TENANT, cell->lines, &file_id);
+    if (file_id == NULL)
+        return status;
+    g_autofree char *body = g_strdup_printf(
+        "{\"input_file_id\":\"%s\",\"endpoint\":\"/v1/completions\"}", file_id);
+    json_t *job = NULL;
+    status = client_call("POST", url, "/v1/batches", MATRIX_TENANT, body, NULL, &job);
+    if (status == 200) {
+        g_free(cell->job_id);
+        cell->job_id = g_strdup(json_string_value(json_object_get(job, "id")));
+    }
+    json_decref(job);
+    return status;
+}
+
+static long cancel(matrix_cell *cell, int daemon) {
+    g_autofree char *path = g_strdup_printf("/v1/batches/%s/cancel", cell->job_id);
+    return client_call("POST", cell->fleet->caller_urls[daemon], path, MATRIX_TENANT, "{}", NULL,
+                       NULL);
+}
+
+static long publish(matrix_cell *cell, int daemon) {
+    g_autofree char *path = g_strdup_printf("/admin/v1/limits/%s", cell->name);
+    return client_call("PUT", cell->fleet->admin_urls[daemon], path, NULL, "{\"max_in_flight\":7}",
+                       NULL, NULL);
+}
+
+/** Read the results whole; 0 when the transfer broke or lines are missing. */
+static long read_whole(matrix_cell *cell, int daemon) {
+    g_autofree char *path =
+        g_strdup_printf("/v1/files/output_%s/content", cell->job_id + strlen("batch_"));
+    hs_http_answer answer;
+    long status = 0;
+    if (client_exchange("GET", cell->fleet->caller_urls[daemon], path, MATRIX_TENANT, NULL, NULL,
+                        &answer)) {
+        int lines = 0;
+        for (size_t index = 0; index < answer.body_length; index++)
+            lines += answer.body[index] == '\n';
+        status = answer.status == 200 && lines != JOB_ITEMS ? 0 : answer.status;
+    }
+    hs_http_answer_clear(&answer);
+    return status;
+}
+
+static void send_online(matrix_cell *cell, int daemon, client_stream *stream) {
+    const char *const headers[] = {"Heathsail-Run-Once", "true", "Idempotency-Key", cell->name,
+                                   "Heathsail-Timeout-Ms", "8000", NULL};
+    g_autofree char *body = g_strdup_printf(
+        "{\"model\":\"drafting-7b\",\"max_tokens\":%d,\"stream\":true,\"prompt\":\"%s-online\"}",
+        ONLINE_TOKENS, cell->name);
+    client_stream_run(cell->fleet->caller_urls[daemon], "/v1/completions", MATRIX_TENANT, body,
+                      headers, 0, stream);
+}
+
+static gpointer call_victim(gpointer data) {
+    matrix_cell *cell = data;
+    switch (cell->step->operation) {
+    case OPERATION_SUBMIT:
+        cell->call_status = submit(cell, VICTIM);
+        break;
+    case OPERATION_CANCEL:
+        cell->call_status = cancel(cell, VICTIM);
+        break;
+    case OPERATION_READ:
+        cell->call_status = read_whole(cell, VICTIM);
+        break;
+    case OPERATION_PUBLISH:
+        cell->call_status = publish(cell, VICTIM);
+        break;
+    case OPERATION_ONLINE:
+        send_online(cell, VICTIM, &cell->stream);
+        cell->call_status = cell->stream.done_seen ? cell->stream.status : 0;
+        break;
+    default:
+        break;
+    }
+    return NULL;
+}
+
+/** What must stand before the victim is armed. */
+bool operation_prepare(matrix_cell *cell) {
+    operation_kind operation = cell->step->operation;
+    if (!choose_lines(cell, cell->step->victim_owns ? VICTIM : -1))
+        return false;
+    if (operation == OPERATION_READ) {
+        submit(cell, HELPER);
+        json_t *job =
+            cell->job_id == NULL
+                ? NULL
+                : client_wait_batch(cell->fleet->caller_urls[HELPER], MATRIX_TENANT, cell->job_id,
+                                    JOB_TIMEOUT_MS);
+        json_decref(job);
+        return job != NULL;
+    }
+    if (operation == OPERATION_CANCEL || operation == OPERATION_RELEASE)
+        return submit(cell, HELPER) == 200;
+    if (operation == OPERATION_CLAIM)
+        return submit(cell, WITNESS) == 200;
+    return true;
+}
+
+bool operation_begin(matrix_cell *cell) {
+    switch (cell->step->operation) {
+    case OPERATION_JOB:
+        return submit(cell, HELPER) == 200;
+    case OPERATION_CLAIM:
+        return kill(cell->fleet->daemon_pids[HELPER], SIGTERM) == 0;
+    case OPERATION_RELEASE:
+        return kill(cell->fleet->daemon_pids[VICTIM], SIGTERM) == 0;
+    default:
+        cell->thread = g_thread_new("call", call_victim, cell);
+        return true;
+    }
+}
+
+void operation_join(matrix_cell *cell) {
+    if (cell->thread != NULL)
+        g_thread_join(cell->thread);
+    cell->thread = NULL;
+}
+
+bool operation_repeat(matrix_cell *cell) {
+    if (cell->call_status == 200)
+        return true;
+    switch (cell->step->operation) {
+    case OPERATION_SUBMIT:
+        return submit(cell, WITNESS) == 200;
+    case OPERATION_CANCEL:
+        return cancel(cell, WITNESS) == 200;
+    case OPERATION_READ:
+        return read_whole(cell, WITNESS) == 200;
+    case OPERATION_PUBLISH:
+        return publish(cell, WITNESS) == 200;
+    case OPERATION_ONLINE: {
+        client_stream again;
+        send_online(cell, WITNESS, &again);
+        client_stream_clear(&again);
+        return true;
+    }
+    default:
+        return true;
+    }
+}
