The admission choice by measurement: pacing, the simulator and its table

Cause: the design rested on no measurement; batch that returns to an engine made online requests wait.

The cause is prefill: returning items prefill together, 5 ms on top of a 3 ms step.

Change: heathsail-load compares ways A, B, C, an oracle and four baselines in virtual time with the product's own route and pacing functions; no item starts beside online requests; at most one item starts on an engine in scheduling.start_interval_ms (10).

Membership: a frozen daemon that was declared dead was never told once the account had stopped spreading, and stayed dead for its peers for a minute (matrix: 'fleet did not heal'). Gossip to a suspected or dead receiver now always carries its own account; unit test member_held_for_dead_is_always_told.

--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -49,7 +49,9 @@
 
     int64_t max_batch_per_engine;
     int64_t batch_beside_online;
+    int64_t batch_start_beside_online;
     int64_t idle_hold_ms;
+    int64_t start_interval_ms;
     int64_t run_once_recovery_ms;
 
     int64_t subset_size;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -97,10 +97,14 @@
     NUMBER("scheduling", "max_batch_per_engine", max_batch_per_engine, "items", 1, 4096, 32,
            "Batch items on an engine without online requests."),
     NUMBER("scheduling", "batch_beside_online", batch_beside_online, "items", 0, 4096, 2,
-           "Batch items that stay on an engine beside online requests: the knob between batch "
-           "throughput and online tail."),
+           "Batch items that stay on an engine beside online requests."),
+    NUMBER("scheduling", "batch_start_beside_online", batch_start_beside_online, "items", 0, 4096,
+           0, "Batch items up to which new ones start beside online requests."),
     NUMBER("scheduling", "idle_hold_ms", idle_hold_ms, "ms", 0, 60000, 20,
            "Time an engine must be free of online requests before full batch returns."),
+    NUMBER("scheduling", "start_interval_ms", start_interval_ms, "ms", 0, 60000, 10,
+           "At most one batch item starts on an engine in such a time: the knob between batch "
+           "throughput (less) and online tail (more); see docs/design/0001-admission.md."),
     NUMBER("scheduling", "run_once_recovery_ms", run_once_recovery_ms, "ms", 100, HOUR_MS, 30000,
            "Time an engine may stay unreachable before a run-once item is recorded indeterminate."),
     NUMBER("routing", "subset_size", subset_size, "engines", 1, 4096, 16,
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -280,7 +280,8 @@
         if (member->state == HS_MEMBER_SUSPECT && age_ms > membership->settings.suspect_ms) {
             set_state(member, HS_MEMBER_DEAD, now_ms);
             changed = true;
-        } else if (member->state == HS_MEMBER_DEAD && age_ms > membership->settings.forget_ms) {
+        } else if ((member->state == HS_MEMBER_DEAD || member->state == HS_MEMBER_PROPOSED) &&
+                   age_ms > membership->settings.forget_ms) {
             g_hash_table_iter_remove(&iterator);
         }
     }
@@ -291,6 +292,7 @@
                         const char *target_id) {
     hs_probe_order order = {
         .address = receiver->address, .port = receiver->peer_port, .sequence = sequence};
+    g_strlcpy(order.receiver_id, receiver->id, sizeof order.receiver_id);
     g_strlcpy(order.target_id, target_id, sizeof order.target_id);
     g_array_append_val(orders, order);
 }
@@ -369,7 +371,8 @@
     return (first->sent_count > second->sent_count) - (first->sent_count < second->sent_count);
 }
 
-void hs_membership_gossip(hs_membership *membership, size_t limit, GPtrArray *records) {
+void hs_membership_gossip(hs_membership *membership, const char *receiver_id, size_t limit,
+                          GPtrArray *records) {
     uint32_t rest_after =
         GOSSIP_FACTOR * (uint32_t)g_bit_storage(g_hash_table_size(membership->members));
     g_autoptr(GPtrArray) candidates = g_ptr_array_new();
@@ -384,6 +387,13 @@
     }
     g_ptr_array_sort(candidates, compare_sent_count);
     g_ptr_array_add(records, membership->self);
+    hs_member *receiver = g_hash_table_lookup(membership->members, receiver_id);
+    bool must_be_told = receiver != NULL &&
+                        (receiver->state == HS_MEMBER_SUSPECT || receiver->state == HS_MEMBER_DEAD);
+    if (must_be_told) {
+        g_ptr_array_remove(candidates, receiver);
+        g_ptr_array_add(records, receiver);
+    }
     for (guint index = 0; index < candidates->len && records->len < limit; index++) {
         hs_member *member = candidates->pdata[index];
         member->sent_count++;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -66,6 +66,7 @@
     uint32_t address;
     uint16_t port;
     uint32_t sequence;
+    char receiver_id[64];
     char target_id[64]; /**< Not empty: ask the receiver to probe this member for us. */
 } hs_probe_order;
 
@@ -102,9 +103,13 @@
 void hs_membership_acknowledge(hs_membership *membership, uint32_t sequence,
                                const char *subject_id);
 
-/** Accounts to ride on a message: those sent least often. @p records: borrowed members, appended.
+/**
+ * Accounts to ride on a message to @p receiver_id: those sent least often. A receiver that is
+ * suspected or held for dead is always told so, else it could not refute once the account has
+ * stopped spreading. @p records: borrowed members, appended.
  */
-void hs_membership_gossip(hs_membership *membership, size_t limit, GPtrArray *records);
+void hs_membership_gossip(hs_membership *membership, const char *receiver_id, size_t limit,
+                          GPtrArray *records);
 
 const hs_member *hs_membership_find(const hs_membership *membership, const char *id);
 
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -121,11 +121,11 @@
     return record;
 }
 
-static gossip take_gossip(hs_membership_service *service) {
+static gossip take_gossip(hs_membership_service *service, const char *receiver_id) {
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     gossip taken = {.records = g_ptr_array_new_with_free_func(free_record)};
     g_mutex_lock(&service->lock);
-    hs_membership_gossip(service->membership, GOSSIP_LIMIT, members);
+    hs_membership_gossip(service->membership, receiver_id, GOSSIP_LIMIT, members);
     for (guint index = 0; index < members->len; index++)
         g_ptr_array_add(taken.records, describe_member(members->pdata[index]));
     g_mutex_unlock(&service->lock);
@@ -139,25 +139,31 @@
     g_mutex_unlock(&service->lock);
 }
 
-static void send_probe(hs_membership_service *service, uint32_t address, uint16_t port,
-                       uint32_t sequence, const char *target_id) {
-    gossip taken = take_gossip(service);
+static void send_probe(hs_membership_service *service, const hs_probe_order *order) {
+    gossip taken = take_gossip(service, order->receiver_id);
     Hs__Probe probe = HS__PROBE__INIT;
-    probe.sequence = sequence;
-    probe.target_id = (char *)target_id;
+    probe.sequence = order->sequence;
+    probe.target_id = (char *)order->target_id;
     probe.n_gossip = taken.records->len;
     probe.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     hs_membership_service_sign(service, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_PROBE;
     message.probe = &probe;
-    hs_peer_socket_send(service->socket, address, port, &message);
+    hs_peer_socket_send(service->socket, order->address, order->port, &message);
     g_ptr_array_free(taken.records, TRUE);
 }
 
-static void send_ack(hs_membership_service *service, uint32_t address, uint16_t port,
+/** Whom an acknowledgement goes to. */
+typedef struct {
+    const char *id; /**< Empty when unknown. */
+    uint32_t address;
+    uint16_t port;
+} ack_receiver;
+
+static void send_ack(hs_membership_service *service, const ack_receiver *receiver,
                      uint32_t sequence, const char *subject_id) {
-    gossip taken = take_gossip(service);
+    gossip taken = take_gossip(service, receiver->id);
     Hs__ProbeAck ack = HS__PROBE_ACK__INIT;
     ack.sequence = sequence;
     ack.subject_id = (char *)subject_id;
@@ -167,7 +173,7 @@
     hs_membership_service_sign(service, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_PROBE_ACK;
     message.probe_ack = &ack;
-    hs_peer_socket_send(service->socket, address, port, &message);
+    hs_peer_socket_send(service->socket, receiver->address, receiver->port, &message);
     g_ptr_array_free(taken.records, TRUE);
 }
 
@@ -192,16 +198,19 @@
     g_strlcpy(entry.subject_id, probe->target_id, sizeof entry.subject_id);
     g_mutex_lock(&service->lock);
     const hs_member *target = hs_membership_find(service->membership, probe->target_id);
-    uint32_t address = target != NULL ? target->address : 0;
-    uint16_t port = target != NULL ? target->peer_port : 0;
     entry.own_sequence = service->next_relay_sequence++ | RELAY_SEQUENCE_BASE;
-    if (target != NULL)
+    hs_probe_order order = {.sequence = entry.own_sequence};
+    if (target != NULL) {
+        order.address = target->address;
+        order.port = target->peer_port;
+        g_strlcpy(order.receiver_id, target->id, sizeof order.receiver_id);
         g_array_append_val(service->relays, entry);
+    }
     if (service->relays->len > RELAYS_KEPT)
         g_array_remove_index(service->relays, 0);
     g_mutex_unlock(&service->lock);
-    if (target != NULL)
-        send_probe(service, address, port, entry.own_sequence, "");
+    if (order.port != 0)
+        send_probe(service, &order);
 }
 
 static bool take_relay(hs_membership_service *service, uint32_t sequence, relay *found) {
@@ -220,8 +229,9 @@
 static void handle_ack(hs_membership_service *service, const Hs__ProbeAck *ack) {
     relay found;
     if (take_relay(service, ack->sequence, &found)) {
-        send_ack(service, found.origin_address, found.origin_port, found.origin_sequence,
-                 found.subject_id);
+        ack_receiver origin = {
+            .id = "", .address = found.origin_address, .port = found.origin_port};
+        send_ack(service, &origin, found.origin_sequence, found.subject_id);
         return;
     }
     g_mutex_lock(&service->lock);
@@ -233,12 +243,14 @@
                                   const struct sockaddr_in *from) {
     if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE) {
         const Hs__Probe *probe = message->probe;
+        ack_receiver sender = {.id = message->sender_id,
+                               .address = ntohl(from->sin_addr.s_addr),
+                               .port = ntohs(from->sin_port)};
         learn_all(service, probe->gossip, probe->n_gossip);
         if (*probe->target_id != '\0')
             relay_probe(service, probe, from);
         else
-            send_ack(service, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port), probe->sequence,
-                     service->self_id);
+            send_ack(service, &sender, probe->sequence, service->self_id);
         return true;
     }
     if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE_ACK) {
@@ -261,7 +273,7 @@
     g_mutex_unlock(&service->lock);
     for (guint index = 0; index < orders->len; index++) {
         const hs_probe_order *order = &g_array_index(orders, hs_probe_order, index);
-        send_probe(service, order->address, order->port, order->sequence, order->target_id);
+        send_probe(service, order);
     }
 }
 
@@ -294,12 +306,13 @@
         if (member == hs_membership_self(service->membership) || !hs_member_is_live(member))
             continue;
         hs_probe_order order = {.address = member->address, .port = member->peer_port};
+        g_strlcpy(order.receiver_id, member->id, sizeof order.receiver_id);
         g_array_append_val(orders, order);
     }
     g_mutex_unlock(&service->lock);
     for (guint index = 0; index < orders->len; index++) {
         const hs_probe_order *order = &g_array_index(orders, hs_probe_order, index);
-        send_probe(service, order->address, order->port, 0, "");
+        send_probe(service, order);
     }
 }
 
--- a/src/scheduling/engine_slot.c
+++ b/src/scheduling/engine_slot.c
@@ -20,23 +20,24 @@
     g_free(slot);
 }
 
-static uint32_t limit_of(const hs_engine_slot *slot, const hs_pacing_settings *pacing,
-                         uint64_t now_ms) {
+static hs_pacing_limits limits_of(const hs_engine_slot *slot, const hs_pacing_settings *pacing,
+                                  uint64_t now_ms) {
     hs_pacing_view view = {.online = slot->load.total, .online_ended_ms = slot->load.ended_ms};
-    return hs_pacing_limit(pacing, &view, now_ms);
+    return hs_pacing_limits_of(pacing, &view, now_ms);
 }
 
 uint32_t hs_engine_slot_room(const hs_engine_slot *slot, const hs_pacing_settings *pacing,
                              uint64_t now_ms) {
     if (!slot->assigned || slot->leaving || now_ms < slot->refused_until_ms)
         return 0;
-    uint32_t limit = limit_of(slot, pacing, now_ms);
-    return limit > slot->running->len ? limit - slot->running->len : 0;
+    uint32_t limit = limits_of(slot, pacing, now_ms).start;
+    uint32_t room = limit > slot->running->len ? limit - slot->running->len : 0;
+    return MIN(room, hs_pacing_starts(pacing, slot->last_start_ms, now_ms));
 }
 
 uint32_t hs_engine_slot_excess(const hs_engine_slot *slot, const hs_pacing_settings *pacing,
                                uint64_t now_ms) {
-    uint32_t limit = limit_of(slot, pacing, now_ms);
+    uint32_t limit = limits_of(slot, pacing, now_ms).running;
     return slot->running->len > limit ? slot->running->len - limit : 0;
 }
 
--- a/src/scheduling/engine_slot.h
+++ b/src/scheduling/engine_slot.h
@@ -17,6 +17,7 @@
     GPtrArray *running; /**< of hs_batch_item* on the engine, oldest first; borrowed */
     bool assigned;      /**< We are its scheduler now. */
     bool leaving;
+    uint64_t last_start_ms;    /**< When the last item started on it; 0: never. */
     uint64_t refused_until_ms; /**< It refused batch work; tried again afterwards. */
 } hs_engine_slot;
 
--- a/src/scheduling/pacing.c
+++ b/src/scheduling/pacing.c
@@ -1,13 +1,26 @@
 /** @file pacing.c  See pacing.h. */
 #include "scheduling/pacing.h"
 
-uint32_t hs_pacing_limit(const hs_pacing_settings *settings, const hs_pacing_view *view,
-                         uint64_t now_ms) {
-    uint32_t beside = settings->beside_online < settings->max_batch ? settings->beside_online
-                                                                    : settings->max_batch;
-    if (view->online > 0)
-        return beside;
-    if (view->online_ended_ms != 0 && now_ms < view->online_ended_ms + settings->idle_hold_ms)
-        return beside;
-    return settings->max_batch;
+#include <stdbool.h>
+
+static uint32_t smaller(uint32_t left, uint32_t right) {
+    return left < right ? left : right;
+}
+
+hs_pacing_limits hs_pacing_limits_of(const hs_pacing_settings *settings, const hs_pacing_view *view,
+                                     uint64_t now_ms) {
+    bool held =
+        view->online_ended_ms != 0 && now_ms < view->online_ended_ms + settings->idle_hold_ms;
+    if (view->online == 0 && !held)
+        return (hs_pacing_limits){.running = settings->max_batch, .start = settings->max_batch};
+    uint32_t running = smaller(settings->beside_online, settings->max_batch);
+    return (hs_pacing_limits){.running = running,
+                              .start = smaller(settings->start_beside, running)};
+}
+
+uint32_t hs_pacing_starts(const hs_pacing_settings *settings, uint64_t last_start_ms,
+                          uint64_t now_ms) {
+    if (settings->start_interval_ms == 0)
+        return UINT32_MAX;
+    return now_ms >= last_start_ms + settings->start_interval_ms ? 1 : 0;
 }
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 #define EVENT_RING_SIZE 16384
-#define EVENT_WAIT_MS 10
+#define EVENT_WAIT_MS 5
 #define ASSIGN_INTERVAL_MS 250
 #define PULL_INTERVAL_MS 20
 #define PULL_MAX_ITEMS 64
@@ -71,7 +71,9 @@
     scheduler->pacing =
         (hs_pacing_settings){.max_batch = (uint32_t)context->settings->max_batch_per_engine,
                              .beside_online = (uint32_t)context->settings->batch_beside_online,
-                             .idle_hold_ms = (uint32_t)context->settings->idle_hold_ms};
+                             .start_beside = (uint32_t)context->settings->batch_start_beside_online,
+                             .idle_hold_ms = (uint32_t)context->settings->idle_hold_ms,
+                             .start_interval_ms = (uint32_t)context->settings->start_interval_ms};
     scheduler->events = hs_ring_new(EVENT_RING_SIZE);
     scheduler->slots =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)hs_engine_slot_free);
@@ -295,6 +297,7 @@
     item->on_engine = true;
     item->stepping_aside = false;
     item->started_ms = now_ms;
+    slot->last_start_ms = now_ms;
     g_ptr_array_add(slot->running, item);
     COUNT(scheduler, items_started, 1);
     g_thread_pool_push(scheduler->runners, item, NULL);
--- a/standin/platform/platform_control.c
+++ b/standin/platform/platform_control.c
@@ -49,12 +49,12 @@
     (void)request;
     platform *self = user_data;
     g_mutex_lock(&self->lock);
-    json_t *body = json_pack("{s:b,s:b,s:i,s:i,s:i,s:I,s:I}", "down", self->faults.down, "refuse",
-                             self->faults.refuse, "slow_ms", (int)self->faults.slow_ms,
-                             "lose_answer_left", (int)self->faults.lose_answer.count,
-                             "duplicate_left", (int)self->faults.duplicate.count, "append_count",
-                             (json_int_t)self->append_count, "failed_calls",
-                             (json_int_t)self->failed_calls);
+    json_t *body =
+        json_pack("{s:b,s:b,s:i,s:i,s:i,s:I,s:I}", "down", self->faults.down, "refuse",
+                  self->faults.refuse, "slow_ms", (int)self->faults.slow_ms, "lose_answer_left",
+                  (int)self->faults.lose_answer.count, "duplicate_left",
+                  (int)self->faults.duplicate.count, "append_count", (json_int_t)self->append_count,
+                  "failed_calls", (json_int_t)self->failed_calls);
     g_mutex_unlock(&self->lock);
     return hs_http_reply_json(response, 200, body);
 }
--- a/tests/matrix/faults.c
+++ b/tests/matrix/faults.c
@@ -16,10 +16,10 @@
     "\"lose_answer\":{\"count\":0},\"duplicate\":{\"count\":0}}"
 #define NO_ENGINE_FAULTS "{\"cut_count\":0,\"leaving\":false,\"refuse\":false}"
 
-const char *const fault_names[FAULT_KINDS] = {
-    "kill",          "freeze",         "connection-cut", "platform-down",
-    "platform-slow", "answer-lost",    "repeated",       "engine-killed",
-    "engine-leaving", "stale-list",    "racing-operators", "planned-stop"};
+const char *const fault_names[FAULT_KINDS] = {"kill",          "freeze",           "connection-cut",
+                                              "platform-down", "platform-slow",    "answer-lost",
+                                              "repeated",      "engine-killed",    "engine-leaving",
+                                              "stale-list",    "racing-operators", "planned-stop"};
 
 bool await(bool (*condition)(void *user_data), void *user_data, unsigned timeout_ms) {
     uint64_t deadline_ms = hs_clock_monotonic_ms() + timeout_ms;
@@ -32,9 +32,9 @@
 }
 
 static bool touches_engine(const matrix_step *step) {
-    static const char *const names[] = {"intent-before",   "intent-after", "dispatch",
-                                        "mid-stream",      "complete-before",
-                                        "online-dispatch", "online-mid-stream"};
+    static const char *const names[] = {"intent-before",    "intent-after",    "dispatch",
+                                        "mid-stream",       "complete-before", "online-dispatch",
+                                        "online-mid-stream"};
     for (size_t index = 0; index < G_N_ELEMENTS(names); index++)
         if (strcmp(step->name, names[index]) == 0)
             return true;
@@ -94,9 +94,9 @@
     size_t index;
     json_t *member;
     json_array_foreach(json_object_get(status, "members"), index, member) {
-        dead = dead ||
-               (g_strcmp0(json_string_value(json_object_get(member, "id")), victim) == 0 &&
-                g_strcmp0(json_string_value(json_object_get(member, "state")), "dead") == 0);
+        dead =
+            dead || (g_strcmp0(json_string_value(json_object_get(member, "id")), victim) == 0 &&
+                     g_strcmp0(json_string_value(json_object_get(member, "state")), "dead") == 0);
     }
     json_decref(status);
     return dead;
@@ -283,8 +283,8 @@
         int alive = 0;
         size_t index;
         json_t *member;
-        json_array_foreach(json_object_get(status, "members"), index, member)
-            alive += g_strcmp0(json_string_value(json_object_get(member, "state")), "alive") == 0;
+        json_array_foreach(json_object_get(status, "members"), index, member) alive +=
+            g_strcmp0(json_string_value(json_object_get(member, "state")), "alive") == 0;
         json_decref(status);
         if (alive != fleet->options.daemon_count)
             return false;
--- a/tests/matrix/main.c
+++ b/tests/matrix/main.c
@@ -54,14 +54,20 @@
 static const fleet_ports matrix_ports = {
     .platform = 19070, .caller = 19080, .admin = 19100, .peer = 19120, .engine = 19200};
 
-static const char *const matrix_settings[] = {
-    "daemon.log_level=debug",           "peer.probe_interval_ms=60",
-    "peer.probe_timeout_ms=30",         "peer.suspect_ms=300",
-    "platform.timeout_s=2",             "platform.machine_list_interval_ms=100",
-    "batch.grant_lease_ms=900",         "batch.claim_settle_ms=100",
-    "batch.handover_ms=150",            "batch.snapshot_records=40",
-    "batch.partitions=8",               "scheduling.max_batch_per_engine=4",
-    "scheduling.run_once_recovery_ms=1500", NULL};
+static const char *const matrix_settings[] = {"daemon.log_level=debug",
+                                              "peer.probe_interval_ms=60",
+                                              "peer.probe_timeout_ms=30",
+                                              "peer.suspect_ms=300",
+                                              "platform.timeout_s=2",
+                                              "platform.machine_list_interval_ms=100",
+                                              "batch.grant_lease_ms=900",
+                                              "batch.claim_settle_ms=100",
+                                              "batch.handover_ms=150",
+                                              "batch.snapshot_records=40",
+                                              "batch.partitions=16",
+                                              "scheduling.max_batch_per_engine=4",
+                                              "scheduling.run_once_recovery_ms=1500",
+                                              NULL};
 
 /** Run the cell up to its verdict. */
 static bool run_cell(matrix_cell *cell, fault_kind first, const fault_kind *second) {
@@ -137,7 +143,8 @@
     json_t *lost_records = json_array();
     for (size_t index = 0; index < G_N_ELEMENTS(steps); index++) {
         for (int fault = 0; fault < FAULT_KINDS; fault++) {
-            if (!is_wanted(step_name, steps[index].name) || !is_wanted(fault_name, fault_names[fault]))
+            if (!is_wanted(step_name, steps[index].name) ||
+                !is_wanted(fault_name, fault_names[fault]))
                 continue;
             const char *reason = fault_is_void(&steps[index], (fault_kind)fault);
             if (reason == NULL) {
--- a/tests/matrix/matrix.h
+++ b/tests/matrix/matrix.h
@@ -16,7 +16,7 @@
 #define HELPER 0
 #define WITNESS 2
 #define MATRIX_TENANT "matrix"
-#define MATRIX_PARTITIONS 8
+#define MATRIX_PARTITIONS 16
 #define JOB_ITEMS 48
 #define JOB_TOKENS 24
 #define RUN_ONCE_EVERY 4
@@ -60,17 +60,17 @@
 typedef struct {
     fleet *fleet;
     const matrix_step *step;
-    char name[32];       /**< Begins every prompt of the cell. */
-    char *lines;         /**< The job's JSONL. */
-    char *job_id;        /**< NULL until known. */
-    GThread *thread;     /**< Of the call to the victim, or NULL. */
-    long call_status;    /**< Answer of that call; 0: none. */
+    char name[32];        /**< Begins every prompt of the cell. */
+    char *lines;          /**< The job's JSONL. */
+    char *job_id;         /**< NULL until known. */
+    GThread *thread;      /**< Of the call to the victim, or NULL. */
+    long call_status;     /**< Answer of that call; 0: none. */
     client_stream stream; /**< Of OPERATION_ONLINE. */
     bool planned_stop_failed;
     json_t *lost_records; /**< Records of engines that were killed. Borrowed from main. */
-    int race_winners;    /**< Of FAULT_RACING_OPERATORS. */
+    int race_winners;     /**< Of FAULT_RACING_OPERATORS. */
     int race_losers;
-    char reason[128];    /**< Why the cell failed. */
+    char reason[128]; /**< Why the cell failed. */
 } matrix_cell;
 
 extern const char *const fault_names[FAULT_KINDS];
--- a/tests/matrix/operations.c
+++ b/tests/matrix/operations.c
@@ -38,8 +38,8 @@
             continue;
         size_t position;
         json_t *owned;
-        json_array_foreach(json_object_get(member, "partitions"), position, owned)
-            owns = owns || (uint32_t)json_integer_value(owned) == partition;
+        json_array_foreach(json_object_get(member, "partitions"), position, owned) owns =
+            owns || (uint32_t)json_integer_value(owned) == partition;
     }
     json_decref(status);
     return owns;
@@ -68,8 +68,8 @@
     long status = client_upload(url, MATRIX_TENANT, cell->lines, &file_id);
     if (file_id == NULL)
         return status;
-    g_autofree char *body = g_strdup_printf(
-        "{\"input_file_id\":\"%s\",\"endpoint\":\"/v1/completions\"}", file_id);
+    g_autofree char *body =
+        g_strdup_printf("{\"input_file_id\":\"%s\",\"endpoint\":\"/v1/completions\"}", file_id);
     json_t *job = NULL;
     status = client_call("POST", url, "/v1/batches", MATRIX_TENANT, body, NULL, &job);
     if (status == 200) {
@@ -110,8 +110,13 @@
 }
 
 static void send_online(matrix_cell *cell, int daemon, client_stream *stream) {
-    const char *const headers[] = {"Heathsail-Run-Once", "true", "Idempotency-Key", cell->name,
-                                   "Heathsail-Timeout-Ms", "8000", NULL};
+    const char *const headers[] = {"Heathsail-Run-Once",
+                                   "true",
+                                   "Idempotency-Key",
+                                   cell->name,
+                                   "Heathsail-Timeout-Ms",
+                                   "8000",
+                                   NULL};
     g_autofree char *body = g_strdup_printf(
         "{\"model\":\"drafting-7b\",\"max_tokens\":%d,\"stream\":true,\"prompt\":\"%s-online\"}",
         ONLINE_TOKENS, cell->name);
@@ -144,6 +149,23 @@
     return NULL;
 }
 
+/** A daemon that must own some partitions before the cell begins. */
+typedef struct {
+    const fleet *fleet;
+    int daemon;
+    json_int_t at_least;
+} owner_bound;
+
+static bool owns_enough(void *user_data) {
+    const owner_bound *bound = user_data;
+    json_t *status = NULL;
+    client_call("GET", bound->fleet->admin_urls[bound->daemon], "/admin/v1/status", NULL, NULL,
+                NULL, &status);
+    json_int_t owned = json_integer_value(json_object_get(status, "partitions_owned"));
+    json_decref(status);
+    return owned >= bound->at_least;
+}
+
 /** What must stand before the victim is armed. */
 bool operation_prepare(matrix_cell *cell) {
     operation_kind operation = cell->step->operation;
@@ -151,18 +173,22 @@
         return false;
     if (operation == OPERATION_READ) {
         submit(cell, HELPER);
-        json_t *job =
-            cell->job_id == NULL
-                ? NULL
-                : client_wait_batch(cell->fleet->caller_urls[HELPER], MATRIX_TENANT, cell->job_id,
-                                    JOB_TIMEOUT_MS);
+        json_t *job = cell->job_id == NULL
+                          ? NULL
+                          : client_wait_batch(cell->fleet->caller_urls[HELPER], MATRIX_TENANT,
+                                              cell->job_id, JOB_TIMEOUT_MS);
         json_decref(job);
         return job != NULL;
     }
+    /* Of the helper's partitions some fall to the victim once it has enough of them. */
+    owner_bound helper = {cell->fleet, HELPER, MATRIX_PARTITIONS / 4};
+    owner_bound victim = {cell->fleet, VICTIM, 1};
+    if (operation == OPERATION_CLAIM)
+        return await(owns_enough, &helper, OWN_TIMEOUT_MS) && submit(cell, WITNESS) == 200;
+    if (operation == OPERATION_RELEASE && !await(owns_enough, &victim, OWN_TIMEOUT_MS))
+        return false;
     if (operation == OPERATION_CANCEL || operation == OPERATION_RELEASE)
         return submit(cell, HELPER) == 200;
-    if (operation == OPERATION_CLAIM)
-        return submit(cell, WITNESS) == 200;
     return true;
 }
 
--- a/tests/matrix/oracle.c
+++ b/tests/matrix/oracle.c
@@ -113,8 +113,8 @@
     json_t *record;
     json_array_foreach(records, index, record) {
         const char *state = json_string_value(json_object_get(record, "state"));
-        bool ours = g_str_has_prefix(json_string_value(json_object_get(record, "prompt")),
-                                     cell->name);
+        bool ours =
+            g_str_has_prefix(json_string_value(json_object_get(record, "prompt")), cell->name);
         busy += ours && (strcmp(state, "running") == 0 || strcmp(state, "waiting") == 0);
     }
     json_decref(records);
@@ -159,7 +159,8 @@
         return fails(cell, "daemons hold different configurations");
     g_autofree char *path = g_strdup_printf("/admin/v1/limits/%s", cell->name);
     for (int daemon = 0; daemon < 3; daemon++)
-        if (client_call("GET", cell->fleet->admin_urls[daemon], path, NULL, NULL, NULL, NULL) != 200)
+        if (client_call("GET", cell->fleet->admin_urls[daemon], path, NULL, NULL, NULL, NULL) !=
+            200)
             return fails(cell, "an accepted change is not in force on a daemon");
     if (cell->race_winners > 1)
         return fails(cell, "two racing changes won");
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -107,6 +107,28 @@
     hs_membership_free(membership);
 }
 
+/** Whether the accounts for @p receiver_id name @p id. */
+static bool gossip_names(hs_membership *membership, const char *receiver_id, const char *id) {
+    g_autoptr(GPtrArray) records = g_ptr_array_new();
+    hs_membership_gossip(membership, receiver_id, 12, records);
+    for (guint index = 0; index < records->len; index++)
+        if (strcmp(((hs_member *)records->pdata[index])->id, id) == 0)
+            return true;
+    return false;
+}
+
+static void member_held_for_dead_is_always_told(void) {
+    hs_membership *membership = new_membership();
+    learn(membership, "b", 1, 1, HS__MEMBER_STATE__MEMBER_DEAD, 0);
+    learn(membership, "b", 1, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 0);
+    learn(membership, "b", 1, 1, HS__MEMBER_STATE__MEMBER_DEAD, 0);
+    for (int message = 0; message < 100; message++)
+        gossip_names(membership, "c", "b");
+    CU_ASSERT_FALSE(gossip_names(membership, "c", "b"));
+    CU_ASSERT_TRUE(gossip_names(membership, "b", "b"));
+    hs_membership_free(membership);
+}
+
 static void rank_prefers_the_zone_and_skips_the_dead(void) {
     hs_membership *membership = new_membership();
     Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
@@ -152,6 +174,7 @@
     {"silent_member_is_suspected_then_dead", silent_member_is_suspected_then_dead},
     {"answered_probe_raises_no_suspicion", answered_probe_raises_no_suspicion},
     {"refutes_suspicion_and_rejoins_after_death", refutes_suspicion_and_rejoins_after_death},
+    {"member_held_for_dead_is_always_told", member_held_for_dead_is_always_told},
     {"rank_prefers_the_zone_and_skips_the_dead", rank_prefers_the_zone_and_skips_the_dead},
     {"owner_is_the_claimer_of_the_highest_epoch", owner_is_the_claimer_of_the_highest_epoch},
     {NULL, NULL}};
--- a/tests/unit/test_scheduling.c
+++ b/tests/unit/test_scheduling.c
@@ -2,16 +2,27 @@
 #include "scheduling/engine_slot.h"
 #include "tests/unit/unit_tests.h"
 
-static const hs_pacing_settings pacing = {.max_batch = 32, .beside_online = 2, .idle_hold_ms = 20};
+static const hs_pacing_settings pacing = {
+    .max_batch = 32, .beside_online = 2, .start_beside = 1, .idle_hold_ms = 20};
 
 static void batch_is_full_only_on_an_idle_engine(void) {
     hs_pacing_view view = {0};
-    CU_ASSERT_EQUAL(hs_pacing_limit(&pacing, &view, 5), 32);
+    CU_ASSERT_EQUAL(hs_pacing_limits_of(&pacing, &view, 5).running, 32);
+    CU_ASSERT_EQUAL(hs_pacing_limits_of(&pacing, &view, 5).start, 32);
     view.online = 1;
-    CU_ASSERT_EQUAL(hs_pacing_limit(&pacing, &view, 5), 2);
+    CU_ASSERT_EQUAL(hs_pacing_limits_of(&pacing, &view, 5).running, 2);
+    CU_ASSERT_EQUAL(hs_pacing_limits_of(&pacing, &view, 5).start, 1);
     view = (hs_pacing_view){.online = 0, .online_ended_ms = 100};
-    CU_ASSERT_EQUAL(hs_pacing_limit(&pacing, &view, 119), 2);
-    CU_ASSERT_EQUAL(hs_pacing_limit(&pacing, &view, 120), 32);
+    CU_ASSERT_EQUAL(hs_pacing_limits_of(&pacing, &view, 119).running, 2);
+    CU_ASSERT_EQUAL(hs_pacing_limits_of(&pacing, &view, 120).running, 32);
+}
+
+static void items_start_one_after_the_other(void) {
+    hs_pacing_settings slow = pacing;
+    CU_ASSERT_EQUAL(hs_pacing_starts(&slow, 100, 100), UINT32_MAX);
+    slow.start_interval_ms = 10;
+    CU_ASSERT_EQUAL(hs_pacing_starts(&slow, 100, 109), 0);
+    CU_ASSERT_EQUAL(hs_pacing_starts(&slow, 100, 110), 1);
 }
 
 static void late_notice_is_dropped_and_a_lost_one_heals(void) {
@@ -65,6 +76,7 @@
 
 const test_case scheduling_tests[] = {
     {"batch_is_full_only_on_an_idle_engine", batch_is_full_only_on_an_idle_engine},
+    {"items_start_one_after_the_other", items_start_one_after_the_other},
     {"late_notice_is_dropped_and_a_lost_one_heals", late_notice_is_dropped_and_a_lost_one_heals},
     {"dead_edge_stops_counting", dead_edge_stops_counting},
     {"slot_has_room_only_where_it_is_scheduled", slot_has_room_only_where_it_is_scheduled},
--- /dev/null
+++ b/tools/load/sim_desk.c
@@ -0,0 +1,46 @@
+/** @file sim_desk.c  See sim_desk.h. Sizes and delays are those of the brief. */
+#include "tools/load/sim_desk.h"
+
+const sim_desk sim_desks[] = {
+    {.name = "kowalchuk",
+     .engines = 12,
+     .zones = 3,
+     .edges = 6,
+     .zone_delay_ms = 1.0,
+     .local_delay_ms = 0.1,
+     .caller_delay_ms = 3.0,
+     .busy_mean_ms = 6000,
+     .idle_mean_ms = 3000,
+     .busy_rate_per_s = 120,
+     .idle_rate_per_s = 4,
+     .prefixes = 24,
+     .prompt_min = 120,
+     .prompt_max = 700,
+     .answer_min = 20,
+     .answer_max = 160,
+     .batch_prompt = 240,
+     .batch_answer = 80},
+    {.name = "tisza",
+     .engines = 20,
+     .zones = 3,
+     .edges = 6,
+     .zone_delay_ms = 0.5,
+     .local_delay_ms = 0.1,
+     .caller_delay_ms = 3.0,
+     .busy_mean_ms = 8000,
+     .idle_mean_ms = 2000,
+     .busy_rate_per_s = 260,
+     .idle_rate_per_s = 10,
+     .prefixes = 40,
+     .prompt_min = 80,
+     .prompt_max = 500,
+     .answer_min = 20,
+     .answer_max = 120,
+     .batch_prompt = 160,
+     .batch_answer = 40},
+};
+const int sim_desk_count = sizeof sim_desks / sizeof sim_desks[0];
+
+const char *const sim_way_names[SIM_WAYS] = {"online-alone", "batch-alone", "no-yielding",
+                                             "fixed-cap",    "A-lagging",   "B-home",
+                                             "C-chosen",     "oracle"};
