--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -746,7 +746,7 @@
   (ProtobufCMessageInit) hs__owned_partition__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[10] =
+static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[11] =
 {
   {
     "id",
@@ -868,6 +868,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_engines",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Hs__MemberRecord, n_leaving_engines),
+    offsetof(Hs__MemberRecord, leaving_engines),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__member_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -875,6 +887,7 @@
   8,   /* field[8] = config_offset */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
+  10,   /* field[10] = leaving_engines */
   9,   /* field[9] = owned */
   5,   /* field[5] = peer_port */
   3,   /* field[3] = state */
@@ -884,7 +897,7 @@
 static const ProtobufCIntRange hs__member_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor hs__member_record__descriptor =
 {
@@ -894,7 +907,7 @@
   "Hs__MemberRecord",
   "hs",
   sizeof(Hs__MemberRecord),
-  10,
+  11,
   hs__member_record__field_descriptors,
   hs__member_record__field_indices_by_name,
   1,  hs__member_record__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -73,10 +73,15 @@
   uint64_t config_offset;
   size_t n_owned;
   Hs__OwnedPartition **owned;
+  /*
+   * Engines of which this member knows at first hand that they leave.
+   */
+  size_t n_leaving_engines;
+  char **leaving_engines;
 };
 #define HS__MEMBER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__member_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 struct  Hs__Probe
--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -16,6 +16,7 @@
     char *address;
     char *log_level;
     int64_t shutdown_grace_ms;
+    int64_t drain_notice_ms;
 
     int64_t caller_enabled;
     int64_t caller_port;
@@ -29,6 +30,7 @@
     int64_t admin_port;
 
     int64_t peer_port;
+    char *peer_seeds;
     int64_t probe_interval_ms;
     int64_t probe_timeout_ms;
     int64_t suspect_ms;
--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -21,7 +21,11 @@
     GMutex lock;
     hs_partition_owner **owners; /**< By partition; NULL: not ours. */
     hs_ownership_history *histories;
-    gint released;
+    bool *self_is_first;     /**< By partition, for ranked_version. */
+    bool *owner_is_known;    /**< By partition: another member says it owns it. */
+    uint64_t ranked_version; /**< Of the live set the ranks were worked out for. */
+    bool ranked;
+    bool self_is_leaving;
     gint stopping;
     GThread *thread;
 };
@@ -32,6 +36,8 @@
     coordinator->partition_count = hs_replica_set_count(context->replicas);
     coordinator->owners = g_new0(hs_partition_owner *, coordinator->partition_count);
     coordinator->histories = g_new0(hs_ownership_history, coordinator->partition_count);
+    coordinator->self_is_first = g_new0(bool, coordinator->partition_count);
+    coordinator->owner_is_known = g_new0(bool, coordinator->partition_count);
     g_mutex_init(&coordinator->lock);
     return coordinator;
 }
@@ -39,6 +45,8 @@
 void hs_coordinator_free(hs_coordinator *coordinator) {
     g_free(coordinator->owners);
     g_free(coordinator->histories);
+    g_free(coordinator->self_is_first);
+    g_free(coordinator->owner_is_known);
     g_mutex_clear(&coordinator->lock);
     g_free(coordinator);
 }
@@ -48,20 +56,52 @@
     g_snprintf(key, 32, "partition-%u", partition);
 }
 
-static hs_ownership_view view_partition(hs_coordinator *coordinator, uint32_t partition) {
-    char key[32];
-    partition_key(partition, key);
-    uint32_t epoch = 0;
-    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
+/** Work out the ranks anew when the live set has changed: partitions times members, so not often.
+ */
+static void refresh_ranks(hs_coordinator *coordinator, const hs_membership *membership) {
+    uint64_t version = hs_membership_live_version(membership);
+    if (coordinator->ranked && coordinator->ranked_version == version)
+        return;
     const hs_member *self = hs_membership_self(membership);
-    const hs_member *owner = hs_membership_owner(membership, partition, &epoch);
-    hs_ownership_view view = {.self_is_first =
-                                  hs_membership_rank_first(membership, key, NULL) == self,
-                              .self_is_leaving = self->state == HS_MEMBER_LEAVING,
-                              .self_owns = coordinator->owners[partition] != NULL,
-                              .owner_is_known = owner != NULL && owner != self};
+    for (uint32_t partition = 0; partition < coordinator->partition_count; partition++) {
+        char key[32];
+        partition_key(partition, key);
+        coordinator->self_is_first[partition] =
+            hs_membership_rank_first(membership, key, NULL) == self;
+    }
+    coordinator->ranked = true;
+    coordinator->ranked_version = version;
+}
+
+static void note_owned_by(hs_coordinator *coordinator, const hs_member *member) {
+    if (!hs_member_is_live(member) && member->state != HS_MEMBER_LEAVING)
+        return;
+    for (guint index = 0; index < member->owned->len; index++) {
+        uint32_t partition = g_array_index(member->owned, hs_owned_partition, index).partition;
+        if (partition < coordinator->partition_count)
+            coordinator->owner_is_known[partition] = true;
+    }
+}
+
+/** What membership says of all partitions, read once a tick. */
+static void read_membership(hs_coordinator *coordinator) {
+    memset(coordinator->owner_is_known, 0, coordinator->partition_count * sizeof(bool));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
+    refresh_ranks(coordinator, membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++)
+        if (members->pdata[index] != hs_membership_self(membership))
+            note_owned_by(coordinator, members->pdata[index]);
+    coordinator->self_is_leaving = hs_membership_self(membership)->state == HS_MEMBER_LEAVING;
     hs_membership_service_unlock(coordinator->context.membership);
-    return view;
+}
+
+static hs_ownership_view view_partition(const hs_coordinator *coordinator, uint32_t partition) {
+    return (hs_ownership_view){.self_is_first = coordinator->self_is_first[partition],
+                               .self_is_leaving = coordinator->self_is_leaving,
+                               .self_owns = coordinator->owners[partition] != NULL,
+                               .owner_is_known = coordinator->owner_is_known[partition]};
 }
 
 /** Whether the folded owner is a live member under the same incarnation, so that we must wait. */
@@ -143,8 +183,9 @@
 /** Hand the partition over: stop granting first, then say so in the stream. */
 static void release(hs_coordinator *coordinator, uint32_t partition) {
     hs_replica *replica = hs_replica_set_get(coordinator->context.replicas, partition);
-    uint32_t epoch = hs_partition_owner_epoch(coordinator->owners[partition]);
-    drop_owner(coordinator, partition);
+    hs_partition_owner *owner = coordinator->owners[partition];
+    uint32_t epoch = hs_partition_owner_epoch(owner);
+    hs_partition_owner_close(owner);
     g_autoptr(GByteArray) record =
         hs_record_release(epoch, coordinator->context.settings->daemon_id);
     uint64_t offset = 0;
@@ -152,6 +193,7 @@
     HS_FAULT_POINT("release");
     hs_appender_append(coordinator->context.appender, hs_replica_stream(replica), record->data,
                        record->len, RELEASE_PATIENCE_MS, &offset, &error);
+    drop_owner(coordinator, partition);
     hs_log_info("partition_released", "partition=%u epoch=%u", partition, epoch);
 }
 
@@ -178,9 +220,11 @@
                                     .has_ready_items = hs_partition_owner_has_ready(owner)};
         g_array_append_val(owned, entry);
     }
-    uint64_t offset = coordinator->context.config_offset(coordinator->context.config_user_data);
+    uint64_t offset = coordinator->context.config_offset(coordinator->context.gossip_user_data);
+    g_autoptr(GPtrArray) leaving =
+        coordinator->context.leaving_engines(coordinator->context.gossip_user_data);
     hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
-    hs_membership_update_self(membership, offset, owned);
+    hs_membership_update_self(membership, offset, owned, leaving);
     hs_membership_service_unlock(coordinator->context.membership);
 }
 
@@ -206,6 +250,7 @@
 static gpointer run_coordinator(gpointer data) {
     hs_coordinator *coordinator = data;
     while (g_atomic_int_get(&coordinator->stopping) == 0) {
+        read_membership(coordinator);
         if (hs_membership_service_has_probed(coordinator->context.membership))
             for (uint32_t partition = 0; partition < coordinator->partition_count; partition++)
                 act_on_partition(coordinator, partition);
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -23,8 +23,10 @@
     hs_replica_set *replicas;
     hs_appender *appender;
     hs_item_runner *runner;
-    uint64_t (*config_offset)(void *user_data); /**< Offset to say in gossip. */
-    void *config_user_data;
+    /** What to say of ourselves in gossip besides partitions. */
+    uint64_t (*config_offset)(void *user_data);
+    GPtrArray *(*leaving_engines)(void *user_data); /**< of char*; freed by the coordinator */
+    void *gossip_user_data;
 } hs_coordinator_context;
 
 hs_coordinator *hs_coordinator_new(const hs_coordinator_context *context);
--- a/src/batch/partition_owner.c
+++ b/src/batch/partition_owner.c
@@ -8,7 +8,8 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-#define FOLLOW_WAIT_MS 200
+#define BUSY_WAIT_MS 200   /* While jobs run, grants expire and attempts are recovered. */
+#define QUIET_WAIT_MS 5000 /* Else only a record can change anything, and ends the wait. */
 #define FAILED_READ_MS 100
 #define RECOVERY_INTERVAL_MS 500
 #define MAX_GRANTS_IN_REPLY 32
@@ -21,6 +22,7 @@
     hs_grant_table *grants; /**< Guarded by the replica's lock. */
     GHashTable *orphans;    /**< attempt id -> ms since when it has no scheduler; thread only */
     uint64_t next_recovery_ms;
+    uint32_t wait_ms; /**< Of the next read of the stream; of the thread alone. */
     gint valid;
     gint has_ready;
     gint stopping;
@@ -67,6 +69,18 @@
     hs_membership_service_unlock(owner->context->membership);
 }
 
+static bool has_open_jobs(const hs_partition *state) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, state->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        hs_job_state job_state = hs_job_state_of(data);
+        if (job_state == HS_JOB_RUNNING || job_state == HS_JOB_CANCELLING)
+            return true;
+    }
+    return false;
+}
+
 static void settle(hs_partition_owner *owner) {
     hs_partition *state = hs_replica_lock(owner->replica);
     if (!still_owns(owner, state))
@@ -74,6 +88,7 @@
     hs_grant_table_settle(owner->grants, state, hs_clock_monotonic_ms());
     drop_dead_schedulers(owner);
     g_atomic_int_set(&owner->has_ready, hs_grant_table_has_ready(owner->grants, state));
+    owner->wait_ms = has_open_jobs(state) ? BUSY_WAIT_MS : QUIET_WAIT_MS;
     hs_replica_unlock(owner->replica);
 }
 
@@ -155,7 +170,7 @@
     while (g_atomic_int_get(&owner->stopping) == 0 && hs_partition_owner_is_valid(owner)) {
         hs_error error = {0};
         uint32_t applied = 0;
-        if (hs_replica_follow(owner->replica, FOLLOW_WAIT_MS, &applied, &error) != 0)
+        if (hs_replica_follow(owner->replica, owner->wait_ms, &applied, &error) != 0)
             hs_clock_sleep_ms(FAILED_READ_MS);
         settle(owner);
         if (!hs_partition_owner_is_valid(owner))
@@ -177,10 +192,15 @@
     owner->grants = hs_grant_table_new((uint32_t)context->settings->grant_lease_ms);
     owner->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     owner->valid = 1;
+    owner->wait_ms = BUSY_WAIT_MS;
     owner->thread = g_thread_new("partition-owner", follow_partition, owner);
     return owner;
 }
 
+void hs_partition_owner_close(hs_partition_owner *owner) {
+    g_atomic_int_set(&owner->valid, 0);
+}
+
 void hs_partition_owner_stop(hs_partition_owner *owner) {
     g_atomic_int_set(&owner->stopping, 1);
     g_thread_join(owner->thread);
--- a/src/batch/partition_owner.h
+++ b/src/batch/partition_owner.h
@@ -14,7 +14,10 @@
 hs_partition_owner *hs_partition_owner_start(const hs_coordinator_context *context,
                                              uint32_t partition, uint32_t epoch);
 
-/** Stop the thread and free. */
+/** Grant nothing more; a record that follows ends the thread's wait. */
+void hs_partition_owner_close(hs_partition_owner *owner);
+
+/** Stop the thread and free; waits for its read of the stream to end. */
 void hs_partition_owner_stop(hs_partition_owner *owner);
 
 uint32_t hs_partition_owner_epoch(const hs_partition_owner *owner);
--- a/src/commands/complete.c
+++ b/src/commands/complete.c
@@ -276,7 +276,7 @@
 static int complete(hs_node *node, const struct _u_request *request, struct _u_response *response,
                     bool chat) {
     hs_metrics_add(&node->metrics, HS_COUNT_ONLINE_REQUESTS, 1);
-    if (hs_node_state_of(node) != HS_NODE_READY)
+    if (!hs_node_takes_requests(node))
         return hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
                                      RETRY_AFTER_S);
     hs_online_request fields = {0};
--- a/src/commands/submit.c
+++ b/src/commands/submit.c
@@ -196,7 +196,7 @@
 int hs_command_submit(const struct _u_request *request, struct _u_response *response,
                       void *user_data) {
     hs_node *node = user_data;
-    if (hs_node_state_of(node) != HS_NODE_READY)
+    if (!hs_node_takes_requests(node))
         return hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
                                      RETRY_AFTER_S);
     json_t *body = json_loadb(request->binary_body, request->binary_body_length, 0, NULL);
--- a/src/commands/upload.c
+++ b/src/commands/upload.c
@@ -199,7 +199,7 @@
 int hs_command_upload(const struct _u_request *request, struct _u_response *response,
                       void *user_data) {
     hs_node *node = user_data;
-    if (hs_node_state_of(node) != HS_NODE_READY)
+    if (!hs_node_takes_requests(node))
         return hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
                                      RETRY_AFTER_S);
     g_atomic_int_inc(&node->call_count);
--- a/src/config/config_store.c
+++ b/src/config/config_store.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#define READ_WAIT_MS 1000
+#define READ_WAIT_MS 10000
 #define READ_MAX_BYTES (4U << 20)
 #define RETRY_MS 100
 #define US_PER_MS 1000
@@ -94,6 +94,21 @@
     g_mutex_unlock(&store->lock);
 }
 
+bool hs_config_store_catch_up(hs_config_store *store) {
+    for (;;) {
+        hs_log_slice slice;
+        hs_error error = {0};
+        if (hs_log_read(store->log, HS_CONFIG_STREAM, hs_config_store_offset(store), 0,
+                        READ_MAX_BYTES, &slice, &error) != 0)
+            return false;
+        bool at_end = slice.records->len == 0;
+        apply_slice(store, &slice);
+        hs_log_slice_clear(&slice);
+        if (at_end)
+            return true;
+    }
+}
+
 static gpointer read_changes(gpointer data) {
     hs_config_store *store = data;
     while (!g_atomic_int_get(&store->stopping)) {
@@ -117,8 +132,9 @@
 }
 
 void hs_config_store_stop(hs_config_store *store) {
+    /* Its read may wait for long; the process does not wait for it. */
     g_atomic_int_set(&store->stopping, true);
-    g_thread_join(store->reader);
+    g_thread_unref(store->reader);
 }
 
 hs_config_view *hs_config_store_view(hs_config_store *store) {
@@ -142,6 +158,12 @@
     return confirmed;
 }
 
+void hs_config_store_doubt(hs_config_store *store) {
+    g_mutex_lock(&store->lock);
+    store->confirmed = false;
+    g_mutex_unlock(&store->lock);
+}
+
 void hs_config_store_confirm(hs_config_store *store) {
     g_mutex_lock(&store->lock);
     store->confirmed = true;
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -18,6 +18,7 @@
 void hs_config_store_free(hs_config_store *store);
 
 void hs_config_store_start(hs_config_store *store);
+/** Ask the reader to end; it may still be in its last read, so that the store is not freed. */
 void hs_config_store_stop(hs_config_store *store);
 
 /** The view in force. Release with hs_config_view_release. */
@@ -28,6 +29,12 @@
 /** True once the stream's end was reached, or a peer's state was confirmed. */
 bool hs_config_store_is_confirmed(hs_config_store *store);
 
+/** What is known may be old: the offset must be confirmed anew. */
+void hs_config_store_doubt(hs_config_store *store);
+
+/** Read the stream to its end at once, on the caller's thread; confirms. False when it fails. */
+bool hs_config_store_catch_up(hs_config_store *store);
+
 /** Say that enough peers hold no higher offset (see daemon/config_sync.c). */
 void hs_config_store_confirm(hs_config_store *store);
 
--- a/src/daemon/config_sync.c
+++ b/src/daemon/config_sync.c
@@ -10,6 +10,7 @@
 #define FETCH_TIMEOUT_S 2
 #define UNCONFIRMED_START_MS 5000
 #define HTTP_OK 200
+#define FRESH_ROUNDS 3
 
 struct hs_config_sync {
     hs_node *node;
@@ -80,7 +81,10 @@
     if (hs_node_state_of(node) != HS_NODE_STARTING)
         return;
     bool level = hs_config_store_offset(node->config) >= offsets->best_offset;
-    bool majority = offsets->heard > 0 && (offsets->heard + 1) * 2 > offsets->named + 1;
+    /* What members said before this start, or before a sleep, may be as old as what we hold. */
+    uint64_t rounds_ms = FRESH_ROUNDS * (uint64_t)node->settings->probe_interval_ms;
+    bool fresh = now_ms > sync->started_ms + rounds_ms;
+    bool majority = fresh && offsets->heard > 0 && (offsets->heard + 1) * 2 > offsets->named + 1;
     if (!hs_config_store_is_confirmed(node->config) && level && majority)
         hs_config_store_confirm(node->config);
     bool late = now_ms > sync->started_ms + UNCONFIRMED_START_MS;
@@ -93,6 +97,11 @@
                 hs_config_store_offset(node->config), hs_config_store_is_confirmed(node->config));
 }
 
+void hs_config_sync_restart(hs_config_sync *sync, uint64_t now_ms) {
+    sync->started_ms = now_ms;
+    g_atomic_int_compare_and_exchange(&sync->node->state, HS_NODE_READY, HS_NODE_STARTING);
+}
+
 void hs_config_sync_step(hs_config_sync *sync, uint64_t now_ms) {
     peer_offsets offsets = read_peer_offsets(sync->node);
     bool behind = offsets.best_offset > hs_config_store_offset(sync->node->config);
--- a/src/daemon/config_sync.h
+++ b/src/daemon/config_sync.h
@@ -14,6 +14,9 @@
 hs_config_sync *hs_config_sync_new(hs_node *node);
 void hs_config_sync_free(hs_config_sync *sync);
 
+/** Back from READY to STARTING, until the offset is confirmed again. */
+void hs_config_sync_restart(hs_config_sync *sync, uint64_t now_ms);
+
 /** One step; also moves the node from STARTING to READY. */
 void hs_config_sync_step(hs_config_sync *sync, uint64_t now_ms);
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -10,6 +10,7 @@
 #include "commands/online_request.h"
 #include "daemon/listing.h"
 #include "queries/query_routes.h"
+#include "scheduling/report_reader.h"
 
 #include <arpa/inet.h>
 
@@ -22,6 +23,7 @@
 struct hs_daemon {
     hs_node node;
     hs_listing *listing;
+    hs_report_reader *reports;
     hs_http_server *caller_server;
     hs_http_server *admin_server;
 };
@@ -42,7 +44,13 @@
 }
 
 static uint64_t read_config_offset(void *user_data) {
-    return hs_config_store_offset(user_data);
+    const hs_node *node = user_data;
+    return hs_config_store_offset(node->config);
+}
+
+static GPtrArray *read_leaving_engines(void *user_data) {
+    const hs_node *node = user_data;
+    return hs_engine_table_leaving(node->engines, hs_clock_monotonic_ms());
 }
 
 static void make_membership(hs_node *node) {
@@ -102,7 +110,8 @@
                                           .appender = node->appender,
                                           .runner = &node->runner,
                                           .config_offset = read_config_offset,
-                                          .config_user_data = node->config};
+                                          .leaving_engines = read_leaving_engines,
+                                          .gossip_user_data = node};
     node->coordinator = hs_coordinator_new(&coordinator);
     hs_scheduler_context scheduler = {.settings = node->settings,
                                       .membership = node->membership,
@@ -154,6 +163,7 @@
     hs_membership_service_start(node->membership);
     hs_coordinator_start(node->coordinator);
     hs_scheduler_start(node->scheduler);
+    daemon->reports = hs_report_reader_start(node->scheduler, node->engines);
     daemon->listing = hs_listing_start(node);
     hs_log_info("started", "zone=%s region=%s caller_port=%d admin_port=%d peer_port=%d",
                 settings->zone, settings->region, (int)settings->caller_port,
@@ -184,6 +194,7 @@
     hs_node *node = &daemon->node;
     g_atomic_int_set(&node->runner.stopping, 1);
     hs_listing_stop(daemon->listing);
+    hs_report_reader_stop(daemon->reports);
     hs_scheduler_stop(node->scheduler);
     hs_coordinator_stop(node->coordinator);
     hs_membership_service_stop(node->membership);
@@ -197,10 +208,13 @@
     uint64_t deadline_ms = hs_clock_monotonic_ms() + (uint64_t)node->settings->shutdown_grace_ms;
     hs_log_info("stopping", "online=%d calls=%d", g_atomic_int_get(&node->online_count),
                 g_atomic_int_get(&node->call_count));
-    g_atomic_int_set(&node->state, HS_NODE_STOPPING);
+    g_atomic_int_set(&node->state, HS_NODE_DRAINING);
     hs_scheduler_drain(node->scheduler);
     hs_membership_service_leave(node->membership);
     hs_coordinator_release_all(node->coordinator);
+    /* Callers learn that we are not ready before they are refused. */
+    hs_clock_sleep_ms((uint64_t)node->settings->drain_notice_ms);
+    g_atomic_int_set(&node->state, HS_NODE_STOPPING);
     bool calls_done = wait_for_zero(&node->call_count, deadline_ms);
     bool items_done = wait_for_items(node->scheduler, deadline_ms);
     if (daemon->caller_server != NULL)
--- a/src/daemon/listing.c
+++ b/src/daemon/listing.c
@@ -2,25 +2,43 @@
 #include "daemon/listing.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "daemon/config_sync.h"
+#include "daemon/peer_engines.h"
 #include "platform/machine_list.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #define TICK_MS 50
 #define RENEW_NOTICES_MS 2000
+#define SLEEP_JUMP_MS 1500
 
 struct hs_listing {
     hs_node *node;
     uint64_t next_list_ms;
     uint64_t next_renew_ms;
+    uint64_t last_tick_ms; /**< When the last round ended; 0: none yet. */
     hs_config_sync *sync;
+    char *etag; /**< Of the list last read; NULL: none yet. */
     gint stopping;
     GThread *thread;
 };
 
+static bool names_an_engine(const GPtrArray *machines) {
+    for (guint index = 0; index < machines->len; index++)
+        if (((hs_machine *)machines->pdata[index])->kind == HS_MACHINE_ENGINE)
+            return true;
+    return false;
+}
+
 static void take_machines(hs_node *node, GPtrArray *machines) {
     uint64_t now_ms = hs_clock_monotonic_ms();
+    /* A list without any engine is a fault of the list: it must not end all serving. */
+    if (!names_an_engine(machines)) {
+        hs_log_warning("list_without_engines", "machines=%u", machines->len);
+        return;
+    }
     hs_engine_table_listing_begin(node->engines);
     for (guint index = 0; index < machines->len; index++) {
         const hs_machine *machine = machines->pdata[index];
@@ -39,6 +57,58 @@
     hs_membership_service_unlock(node->membership);
 }
 
+/** Peers named in the settings, for a start while the list cannot be read. */
+static void propose_seeds(hs_node *node) {
+    g_auto(GStrv) seeds = g_strsplit(node->settings->peer_seeds, ",", -1);
+    for (int index = 0; seeds[index] != NULL; index++) {
+        g_auto(GStrv) parts = g_strsplit(g_strstrip(seeds[index]), ":", 2);
+        struct in_addr address;
+        if (g_strv_length(parts) != 2 || inet_pton(AF_INET, parts[0], &address) != 1)
+            continue;
+        /* Its real name comes with its first answer; until then it goes by its address. */
+        g_autofree char *name = g_strdup_printf("seed-%s:%s", parts[0], parts[1]);
+        hs_membership *membership = hs_membership_service_lock(node->membership);
+        hs_membership_propose(membership, name, ntohl(address.s_addr),
+                              (uint16_t)g_ascii_strtoull(parts[1], NULL, 10),
+                              hs_clock_monotonic_ms());
+        hs_membership_service_unlock(node->membership);
+    }
+}
+
+/** Take over what peers know at first hand of engines that leave. */
+static void learn_leaving_engines(hs_node *node) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    g_autoptr(GPtrArray) names = g_ptr_array_new_with_free_func(g_free);
+    hs_membership *membership = hs_membership_service_lock(node->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member == hs_membership_self(membership) || !hs_member_is_live(member))
+            continue;
+        for (guint position = 0; position < member->leaving_engines->len; position++)
+            g_ptr_array_add(names, g_strdup(member->leaving_engines->pdata[position]));
+    }
+    hs_membership_service_unlock(node->membership);
+    for (guint index = 0; index < names->len; index++)
+        hs_engine_table_note_leaving(node->engines, names->pdata[index], false,
+                                     hs_clock_monotonic_ms());
+}
+
+/**
+ * A jump of the clock between two ticks means that the process slept: what it knows may be old, so
+ * that it takes no new work until the configuration's offset is confirmed again.
+ */
+static void notice_sleep(hs_listing *listing, uint64_t now_ms) {
+    bool slept = listing->last_tick_ms != 0 && now_ms > listing->last_tick_ms + SLEEP_JUMP_MS;
+    if (slept && hs_node_state_of(listing->node) == HS_NODE_READY) {
+        hs_log_warning("slept", "ms=%" G_GUINT64_FORMAT, now_ms - listing->last_tick_ms);
+        hs_config_store_doubt(listing->node->config);
+        hs_config_sync_restart(listing->sync, now_ms);
+        hs_config_store_catch_up(listing->node->config);
+    }
+    listing->last_tick_ms = hs_clock_monotonic_ms();
+}
+
 /** Counts go out again from time to time, so that a lost notice does not linger. */
 static void renew_notices(hs_node *node) {
     GArray *infos = hs_engine_table_infos(node->engines, hs_clock_monotonic_ms());
@@ -50,27 +120,40 @@
     hs_engine_infos_free(infos);
 }
 
+/** Read the list; while that fails and no list was ever read, a peer's will do. */
+static void read_list(hs_listing *listing) {
+    hs_node *node = listing->node;
+    GPtrArray *machines = NULL;
+    hs_error error = {0};
+    int result = hs_machine_list_read(node->settings->platform_url,
+                                      (uint32_t)node->settings->platform_timeout_s, &listing->etag,
+                                      &machines, &error);
+    if (machines != NULL) {
+        take_machines(node, machines);
+        g_ptr_array_unref(machines);
+    }
+    if (result != 0 && listing->etag == NULL)
+        hs_peer_engines_fetch(node);
+}
+
 static gpointer run_listing(gpointer data) {
     hs_listing *listing = data;
     hs_node *node = listing->node;
+    propose_seeds(node);
     while (g_atomic_int_get(&listing->stopping) == 0) {
         uint64_t now_ms = hs_clock_monotonic_ms();
-        GPtrArray *machines = NULL;
-        hs_error error = {0};
+        notice_sleep(listing, now_ms);
         if (now_ms >= listing->next_list_ms) {
             listing->next_list_ms = now_ms + (uint64_t)node->settings->machine_list_interval_ms;
-            if (hs_machine_list_read(node->settings->platform_url,
-                                     (uint32_t)node->settings->platform_timeout_s, &machines,
-                                     &error) == 0) {
-                take_machines(node, machines);
-                g_ptr_array_unref(machines);
-            }
+            read_list(listing);
         }
         if (now_ms >= listing->next_renew_ms) {
             listing->next_renew_ms = now_ms + RENEW_NOTICES_MS;
             renew_notices(node);
         }
+        learn_leaving_engines(node);
         hs_config_sync_step(listing->sync, now_ms);
+        listing->last_tick_ms = hs_clock_monotonic_ms();
         hs_clock_sleep_ms(TICK_MS);
     }
     return NULL;
@@ -88,5 +171,6 @@
     g_atomic_int_set(&listing->stopping, 1);
     g_thread_join(listing->thread);
     hs_config_sync_free(listing->sync);
+    g_free(listing->etag);
     g_free(listing);
 }
--- /dev/null
+++ b/src/daemon/peer_engines.c
@@ -0,0 +1,62 @@
+/** @file peer_engines.c  See peer_engines.h. */
+#include "daemon/peer_engines.h"
+
+#include "base/http_exchange.h"
+#include "base/log.h"
+
+#define FETCH_TIMEOUT_S 2
+#define HTTP_OK 200
+
+/** URL of some live peer's listing; NULL when no peer is known. Free with g_free. */
+static char *peer_url(hs_node *node) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    char *url = NULL;
+    hs_membership *membership = hs_membership_service_lock(node->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len && url == NULL; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member == hs_membership_self(membership) || !hs_member_is_live(member) ||
+            member->admin_port == 0)
+            continue;
+        url = g_strdup_printf("http://%u.%u.%u.%u:%u/internal/v1/engines", member->address >> 24,
+                              (member->address >> 16) & 0xffU, (member->address >> 8) & 0xffU,
+                              member->address & 0xffU, member->admin_port);
+    }
+    hs_membership_service_unlock(node->membership);
+    return url;
+}
+
+static void list_engines(hs_node *node, const json_t *engines) {
+    hs_engine_table_listing_begin(node->engines);
+    size_t index;
+    json_t *engine;
+    json_array_foreach(engines, index, engine) {
+        const char *id = json_string_value(json_object_get(engine, "id"));
+        const char *url = json_string_value(json_object_get(engine, "url"));
+        const char *zone = json_string_value(json_object_get(engine, "zone"));
+        if (id != NULL && url != NULL && zone != NULL)
+            hs_engine_table_list(node->engines, id, url, zone, json_object_get(engine, "labels"),
+                                 json_is_true(json_object_get(engine, "leaving")));
+    }
+    hs_engine_table_listing_end(node->engines);
+}
+
+bool hs_peer_engines_fetch(hs_node *node) {
+    g_autofree char *url = peer_url(node);
+    if (url == NULL)
+        return false;
+    hs_http_request request = {.method = "GET", .url = url, .timeout_s = FETCH_TIMEOUT_S};
+    hs_http_answer answer;
+    json_t *document = NULL;
+    if (hs_http_exchange(&request, &answer) && answer.status == HTTP_OK)
+        document = json_loads(answer.body, 0, NULL);
+    hs_http_answer_clear(&answer);
+    const json_t *engines = json_object_get(document, "engines");
+    size_t count = json_array_size(engines);
+    if (count > 0) {
+        list_engines(node, engines);
+        hs_log_info("engines_from_peer", "engines=%zu", count);
+    }
+    json_decref(document);
+    return count > 0;
+}
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -26,6 +26,7 @@
     GRand *random;
     uint32_t next_sequence;
     uint32_t rejoin_count;
+    uint64_t live_version;
 };
 
 static void free_member(gpointer data) {
@@ -33,6 +34,7 @@
     g_free(member->id);
     g_free(member->zone);
     g_array_free(member->owned, TRUE);
+    g_ptr_array_free(member->leaving_engines, TRUE);
     g_free(member);
 }
 
@@ -45,6 +47,7 @@
     member->id = g_strdup(id);
     member->zone = g_strdup("");
     member->owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
+    member->leaving_engines = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_insert(membership->members, member->id, member);
     return member;
 }
@@ -108,11 +111,28 @@
     return true;
 }
 
+static bool same_names(const GPtrArray *left, const GPtrArray *right) {
+    if (left->len != right->len)
+        return false;
+    for (guint index = 0; index < left->len; index++)
+        if (strcmp(left->pdata[index], right->pdata[index]) != 0)
+            return false;
+    return true;
+}
+
+static void copy_names(GPtrArray *to, const GPtrArray *from) {
+    g_ptr_array_set_size(to, 0);
+    for (guint index = 0; index < from->len; index++)
+        g_ptr_array_add(to, g_strdup(from->pdata[index]));
+}
+
 void hs_membership_update_self(hs_membership *membership, uint64_t config_offset,
-                               const GArray *owned) {
+                               const GArray *owned, const GPtrArray *leaving_engines) {
     hs_member *self = membership->self;
-    if (self->config_offset == config_offset && same_owned(self->owned, owned))
+    if (self->config_offset == config_offset && same_owned(self->owned, owned) &&
+        same_names(self->leaving_engines, leaving_engines))
         return;
+    copy_names(self->leaving_engines, leaving_engines);
     self->config_offset = config_offset;
     g_array_set_size(self->owned, 0);
     if (owned->len > 0)
@@ -122,6 +142,7 @@
 
 void hs_membership_leave(hs_membership *membership) {
     membership->self->state = HS_MEMBER_LEAVING;
+    membership->live_version++;
     raise_own_version(membership);
 }
 
@@ -149,10 +170,13 @@
     }
 }
 
-static void set_state(hs_member *member, hs_member_state state, uint64_t now_ms) {
+static void set_state(hs_membership *membership, hs_member *member, hs_member_state state,
+                      uint64_t now_ms) {
+    bool was_live = hs_member_is_live(member);
     if (member->state != state)
         member->state_since_ms = now_ms;
     member->state = state;
+    membership->live_version += was_live != hs_member_is_live(member);
     member->sent_count = 0;
 }
 
@@ -209,6 +233,9 @@
         member->zone = g_strdup(record->zone);
     }
     member->config_offset = record->config_offset;
+    g_ptr_array_set_size(member->leaving_engines, 0);
+    for (size_t index = 0; index < record->n_leaving_engines; index++)
+        g_ptr_array_add(member->leaving_engines, g_strdup(record->leaving_engines[index]));
     g_array_set_size(member->owned, 0);
     for (size_t index = 0; index < record->n_owned; index++) {
         hs_owned_partition owned = {.partition = record->owned[index]->partition,
@@ -233,7 +260,7 @@
         return false;
     bool was_live = hs_member_is_live(member);
     copy_record(member, record);
-    set_state(member, state_of_record(record), now_ms);
+    set_state(membership, member, state_of_record(record), now_ms);
     return was_live != hs_member_is_live(member);
 }
 
@@ -278,7 +305,7 @@
         hs_member *member = data;
         uint64_t age_ms = now_ms - member->state_since_ms;
         if (member->state == HS_MEMBER_SUSPECT && age_ms > membership->settings.suspect_ms) {
-            set_state(member, HS_MEMBER_DEAD, now_ms);
+            set_state(membership, member, HS_MEMBER_DEAD, now_ms);
             changed = true;
         } else if ((member->state == HS_MEMBER_DEAD || member->state == HS_MEMBER_PROPOSED) &&
                    age_ms > membership->settings.forget_ms) {
@@ -344,9 +371,9 @@
         }
         hs_member *member = g_hash_table_lookup(membership->members, probe->member_id);
         if (member != NULL && member->state == HS_MEMBER_ALIVE)
-            set_state(member, HS_MEMBER_SUSPECT, now_ms);
+            set_state(membership, member, HS_MEMBER_SUSPECT, now_ms);
         if (member != NULL && member->state == HS_MEMBER_LEAVING) {
-            set_state(member, HS_MEMBER_DEAD, now_ms);
+            set_state(membership, member, HS_MEMBER_DEAD, now_ms);
             changed = true;
         }
         g_array_remove_index(membership->open_probes, index);
@@ -465,6 +492,10 @@
     return membership->rejoin_count;
 }
 
+uint64_t hs_membership_live_version(const hs_membership *membership) {
+    return membership->live_version;
+}
+
 uint32_t hs_membership_live_count(const hs_membership *membership) {
     uint32_t count = 0;
     GHashTableIter iterator;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -48,7 +48,8 @@
     uint16_t peer_port;
     uint16_t admin_port;
     uint64_t config_offset;
-    GArray *owned; /**< of hs_owned_partition */
+    GArray *owned;              /**< of hs_owned_partition */
+    GPtrArray *leaving_engines; /**< of char*: engines it knows at first hand to leave */
     uint64_t state_since_ms;
     uint32_t sent_count; /**< Times this account rode on a message. */
 } hs_member;
@@ -80,7 +81,7 @@
 
 /** Change what we say of ourselves; raises our version when something changed. */
 void hs_membership_update_self(hs_membership *membership, uint64_t config_offset,
-                               const GArray *owned);
+                               const GArray *owned, const GPtrArray *leaving_engines);
 
 /** Say that we leave; final for this incarnation. */
 void hs_membership_leave(hs_membership *membership);
@@ -130,6 +131,9 @@
 /** Number of times we took a new incarnation because others held us for dead. */
 uint32_t hs_membership_rejoin_count(const hs_membership *membership);
 
+/** Changes whenever the set of live members does, so that ranks may be kept until then. */
+uint64_t hs_membership_live_version(const hs_membership *membership);
+
 /** Live members, self included. */
 uint32_t hs_membership_live_count(const hs_membership *membership);
 
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -78,6 +78,9 @@
     for (size_t index = 0; index < record->n_owned; index++)
         g_free(record->owned[index]);
     g_free(record->owned);
+    for (size_t index = 0; index < record->n_leaving_engines; index++)
+        g_free(record->leaving_engines[index]);
+    g_free(record->leaving_engines);
     g_free(record->id);
     g_free(record->zone);
     g_free(record);
@@ -108,6 +111,10 @@
     record->peer_port = member->peer_port;
     record->admin_port = member->admin_port;
     record->config_offset = member->config_offset;
+    record->n_leaving_engines = member->leaving_engines->len;
+    record->leaving_engines = g_new0(char *, member->leaving_engines->len);
+    for (guint index = 0; index < member->leaving_engines->len; index++)
+        record->leaving_engines[index] = g_strdup(member->leaving_engines->pdata[index]);
     record->n_owned = member->owned->len;
     record->owned = g_new0(Hs__OwnedPartition *, member->owned->len);
     for (guint index = 0; index < member->owned->len; index++) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,16 @@
     return (hs_node_state)g_atomic_int_get(&node->state);
 }
 
+bool hs_node_takes_requests(hs_node *node) {
+    hs_node_state state = hs_node_state_of(node);
+    return state == HS_NODE_READY || state == HS_NODE_DRAINING;
+}
+
+const char *hs_node_state_name(hs_node_state state) {
+    static const char *const names[] = {"starting", "ready", "draining", "stopping"};
+    return names[state];
+}
+
 uint32_t hs_node_live_daemons(hs_node *node) {
     hs_membership *membership = hs_membership_service_lock(node->membership);
     uint32_t count = hs_membership_live_count(membership);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -17,8 +17,16 @@
 #include "routing/tenant_limits.h"
 #include "scheduling/scheduler.h"
 
-/** STARTING -> READY when configuration is known; READY -> STOPPING by a signal. */
-typedef enum { HS_NODE_STARTING, HS_NODE_READY, HS_NODE_STOPPING } hs_node_state;
+/**
+ * STARTING -> READY when configuration is known; READY -> STARTING after a sleep;
+ * any -> DRAINING by a signal; DRAINING -> STOPPING after the notice time.
+ */
+typedef enum {
+    HS_NODE_STARTING,
+    HS_NODE_READY,
+    HS_NODE_DRAINING, /**< Not ready any more, but still takes what comes. */
+    HS_NODE_STOPPING, /**< Refuses new requests; finishes open ones. */
+} hs_node_state;
 
 typedef struct {
     const hs_settings *settings;
@@ -47,6 +55,11 @@
 
 hs_node_state hs_node_state_of(hs_node *node);
 
+/** Whether new requests are taken. */
+bool hs_node_takes_requests(hs_node *node);
+
+const char *hs_node_state_name(hs_node_state state);
+
 /** Live daemons, self included. */
 uint32_t hs_node_live_daemons(hs_node *node);
 
--- a/src/platform/machine_list.c
+++ b/src/platform/machine_list.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #define HTTP_OK 200
+#define HTTP_NOT_MODIFIED 304
 
 static void free_machine(gpointer data) {
     hs_machine *machine = data;
@@ -50,13 +51,21 @@
     return machine;
 }
 
-int hs_machine_list_read(const char *platform_url, uint32_t timeout_s, GPtrArray **machines,
-                         hs_error *error) {
+int hs_machine_list_read(const char *platform_url, uint32_t timeout_s, char **etag,
+                         GPtrArray **machines, hs_error *error) {
     g_autofree char *url = g_strdup_printf("%s/machines/v1/list", platform_url);
-    hs_http_request request = {.method = "GET", .url = url, .timeout_s = timeout_s};
+    const char *const headers[] = {*etag != NULL ? "If-None-Match" : NULL, *etag, NULL};
+    hs_http_request request = {
+        .method = "GET", .url = url, .timeout_s = timeout_s, .header_list = headers};
     hs_http_answer answer;
+    *machines = NULL;
     if (!hs_http_exchange(&request, &answer))
         return hs_error_set(error, HS_LAYER_PLATFORM, HS_PLATFORM_UNKNOWN, "list: no answer");
+    if (answer.status == HTTP_NOT_MODIFIED) {
+        hs_http_answer_clear(&answer);
+        return 0;
+    }
+    g_autofree char *new_etag = g_strdup(answer.etag);
     json_t *root = answer.status == HTTP_OK ? json_loads(answer.body, 0, NULL) : NULL;
     hs_http_answer_clear(&answer);
     const json_t *entries = json_object_get(root, "machines");
@@ -73,5 +82,7 @@
             g_ptr_array_add(*machines, machine);
     }
     json_decref(root);
+    g_free(*etag);
+    *etag = g_steal_pointer(&new_etag);
     return 0;
 }
--- a/src/platform/machine_list.h
+++ b/src/platform/machine_list.h
@@ -27,8 +27,11 @@
     uint16_t admin_port; /**< Daemons. */
 } hs_machine;
 
-/** Read the list. The caller frees @p machines (of hs_machine*) with g_ptr_array_unref. */
-int hs_machine_list_read(const char *platform_url, uint32_t timeout_s, GPtrArray **machines,
-                         hs_error *error);
+/**
+ * Read the list if it changed since the answer that @p etag names (owned; replaced on change).
+ * The caller frees @p machines (of hs_machine*) with g_ptr_array_unref; NULL: unchanged.
+ */
+int hs_machine_list_read(const char *platform_url, uint32_t timeout_s, char **etag,
+                         GPtrArray **machines, hs_error *error);
 
 #endif
--- a/src/queries/status_queries.c
+++ b/src/queries/status_queries.c
@@ -37,10 +37,9 @@
                        void *user_data) {
     (void)request;
     hs_node *node = user_data;
-    static const char *const names[] = {"starting", "ready", "stopping"};
     hs_node_state state = hs_node_state_of(node);
     return hs_http_reply_json(response, state == HS_NODE_READY ? 200 : HTTP_UNAVAILABLE,
-                              json_pack("{s:s,s:b}", "status", names[state],
+                              json_pack("{s:s,s:b}", "status", hs_node_state_name(state),
                                         "configuration_confirmed",
                                         hs_config_store_is_confirmed(node->config)));
 }
@@ -77,11 +76,11 @@
     GArray *infos = hs_engine_table_infos(node->engines, hs_clock_monotonic_ms());
     for (guint index = 0; index < infos->len; index++) {
         const hs_engine_info *info = &g_array_index(infos, hs_engine_info, index);
-        json_array_append_new(list,
-                              json_pack("{s:s,s:s,s:O,s:b,s:b,s:i,s:i}", "id", info->id, "zone",
-                                        info->zone, "labels", info->labels, "leaving",
-                                        info->leaving, "ejected", info->ejected, "in_flight",
-                                        (int)info->in_flight, "online", (int)info->known_online));
+        json_array_append_new(list, json_pack("{s:s,s:s,s:s,s:O,s:b,s:b,s:i,s:i}", "id", info->id,
+                                              "url", info->url, "zone", info->zone, "labels",
+                                              info->labels, "leaving", info->leaving, "ejected",
+                                              info->ejected, "in_flight", (int)info->in_flight,
+                                              "online", (int)info->known_online));
     }
     hs_engine_infos_free(infos);
     return list;
@@ -91,12 +90,11 @@
                         void *user_data) {
     (void)request;
     hs_node *node = user_data;
-    static const char *const names[] = {"starting", "ready", "stopping"};
     hs_scheduler_counters scheduler = hs_scheduler_read_counters(node->scheduler);
     json_t *body = json_pack(
         "{s:s,s:s,s:s,s:I,s:b,s:i,s:i,s:{s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I},s:o,s:o}", "id",
         node->settings->daemon_id, "zone", node->settings->zone, "state",
-        names[hs_node_state_of(node)], "config_offset",
+        hs_node_state_name(hs_node_state_of(node)), "config_offset",
         (json_int_t)hs_config_store_offset(node->config), "configuration_confirmed",
         hs_config_store_is_confirmed(node->config), "partitions_owned",
         (int)hs_coordinator_owned_count(node->coordinator), "online_requests",
@@ -161,6 +159,14 @@
         json_pack("{s:s,s:o}", "request", hs_http_parameter(request, "id"), "attempts", lines));
 }
 
+/** The engines alone, for a peer that cannot read the machine list. */
+static int query_engines(const struct _u_request *request, struct _u_response *response,
+                         void *user_data) {
+    (void)request;
+    return hs_http_reply_json(response, 200,
+                              json_pack("{s:o}", "engines", describe_engines(user_data)));
+}
+
 void hs_status_routes_caller(hs_node *node, hs_http_server *server) {
     hs_http_server_route(server, "GET", "/v1/models", query_models, node);
     hs_http_server_route(server, "GET", "/healthz", query_health, node);
@@ -171,6 +177,7 @@
     hs_http_server_route(server, "GET", "/healthz", query_health, node);
     hs_http_server_route(server, "GET", "/readyz", query_ready, node);
     hs_http_server_route(server, "GET", "/metrics", query_metrics, node);
+    hs_http_server_route(server, "GET", "/internal/v1/engines", query_engines, node);
     hs_http_server_route(server, "GET", "/admin/v1/status", query_status, node);
     hs_http_server_route(server, "GET", "/admin/v1/explain/:id", query_explain, node);
 }
--- a/src/routing/engine_table.c
+++ b/src/routing/engine_table.c
@@ -9,6 +9,7 @@
 
 #define LOAD_FRESH_MS 500
 #define LEAVING_RECHECK_MS 30000
+#define REPORT_LAG_MS 3000
 #define NO_MODEL_MS 2000
 #define REFUSED_MS 50
 #define MAX_EJECTION_DOUBLINGS 6
@@ -21,7 +22,8 @@
     json_t *labels;
     bool listed;
     bool listed_leaving;
-    uint64_t said_leaving_until_ms; /**< Its own word or its scheduler's. */
+    uint64_t said_leaving_until_ms; /**< Its own word, or a peer's. */
+    uint64_t first_hand_until_ms;   /**< Its own word, heard here. */
     uint64_t refused_until_ms;
     uint64_t no_model_until_ms;
     char *missing_model;
@@ -41,6 +43,7 @@
     GMutex lock;
     GHashTable *entries; /**< id -> engine_entry */
     GRand *random;
+    uint64_t version;
 };
 
 static void free_entry(gpointer data) {
@@ -94,12 +97,16 @@
         entry->subset_weight = hs_hash_pair(table->daemon_id, id);
         g_hash_table_insert(table->entries, entry->id, entry);
     }
-    g_free(entry->url);
-    g_free(entry->zone);
-    json_decref(entry->labels);
-    entry->url = g_strdup(url);
-    entry->zone = g_strdup(zone);
-    entry->labels = json_deep_copy(labels);
+    if (g_strcmp0(entry->url, url) != 0 || g_strcmp0(entry->zone, zone) != 0 ||
+        !json_equal(entry->labels, labels)) {
+        table->version++;
+        g_free(entry->url);
+        g_free(entry->zone);
+        json_decref(entry->labels);
+        entry->url = g_strdup(url);
+        entry->zone = g_strdup(zone);
+        entry->labels = json_deep_copy(labels);
+    }
     entry->listed_leaving = leaving;
     entry->listed = true;
     g_mutex_unlock(&table->lock);
@@ -114,7 +121,7 @@
 
 void hs_engine_table_listing_end(hs_engine_table *table) {
     g_mutex_lock(&table->lock);
-    g_hash_table_foreach_remove(table->entries, entry_is_gone, NULL);
+    table->version += g_hash_table_foreach_remove(table->entries, entry_is_gone, NULL) > 0;
     g_mutex_unlock(&table->lock);
 }
 
@@ -248,6 +255,7 @@
         return;
     case HS_ATTEMPT_LEAVING:
         entry->said_leaving_until_ms = now_ms + LEAVING_RECHECK_MS;
+        entry->first_hand_until_ms = entry->said_leaving_until_ms;
         hs_log_info("engine_leaving", "engine=%s source=refusal", entry->id);
         return;
     case HS_ATTEMPT_NO_MODEL:
@@ -293,12 +301,72 @@
         entry->known_at_ms = now_ms;
         if (leaving)
             entry->said_leaving_until_ms = now_ms + LEAVING_RECHECK_MS;
-        else
-            entry->said_leaving_until_ms = 0;
     }
     g_mutex_unlock(&table->lock);
 }
 
+void hs_engine_table_note_leaving(hs_engine_table *table, const char *id, bool first_hand,
+                                  uint64_t now_ms) {
+    g_mutex_lock(&table->lock);
+    engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    if (entry != NULL) {
+        if (now_ms >= entry->said_leaving_until_ms)
+            hs_log_info("engine_leaving", "engine=%s source=%s", id,
+                        first_hand ? "report" : "peer");
+        entry->said_leaving_until_ms = now_ms + LEAVING_RECHECK_MS;
+        if (first_hand)
+            entry->first_hand_until_ms = entry->said_leaving_until_ms;
+    }
+    g_mutex_unlock(&table->lock);
+}
+
+void hs_engine_table_note_serving(hs_engine_table *table, const char *id, uint64_t now_ms) {
+    g_mutex_lock(&table->lock);
+    engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    bool outlived = entry != NULL &&
+                    now_ms + LEAVING_RECHECK_MS >= entry->said_leaving_until_ms + REPORT_LAG_MS;
+    if (outlived) {
+        entry->said_leaving_until_ms = 0;
+        entry->first_hand_until_ms = 0;
+    }
+    g_mutex_unlock(&table->lock);
+}
+
+static gint compare_names(gconstpointer left, gconstpointer right) {
+    return strcmp(*(char *const *)left, *(char *const *)right);
+}
+
+GPtrArray *hs_engine_table_leaving(hs_engine_table *table, uint64_t now_ms) {
+    GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+    g_mutex_lock(&table->lock);
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const engine_entry *entry = data;
+        if (now_ms < entry->first_hand_until_ms)
+            g_ptr_array_add(names, g_strdup(entry->id));
+    }
+    g_mutex_unlock(&table->lock);
+    g_ptr_array_sort(names, compare_names);
+    return names;
+}
+
+uint64_t hs_engine_table_version(hs_engine_table *table) {
+    g_mutex_lock(&table->lock);
+    uint64_t version = table->version;
+    g_mutex_unlock(&table->lock);
+    return version;
+}
+
+bool hs_engine_table_is_avoided(hs_engine_table *table, const char *id, uint64_t now_ms) {
+    g_mutex_lock(&table->lock);
+    const engine_entry *entry = g_hash_table_lookup(table->entries, id);
+    bool avoided = entry == NULL || is_leaving(entry, now_ms) || now_ms < entry->ejected_until_ms;
+    g_mutex_unlock(&table->lock);
+    return avoided;
+}
+
 GArray *hs_engine_table_infos(hs_engine_table *table, uint64_t now_ms) {
     GArray *infos = g_array_new(FALSE, TRUE, sizeof(hs_engine_info));
     g_mutex_lock(&table->lock);
--- a/src/routing/engine_table.h
+++ b/src/routing/engine_table.h
@@ -78,6 +78,25 @@
 void hs_engine_table_learn_load(hs_engine_table *table, const char *id, uint32_t online,
                                 bool leaving, uint64_t now_ms);
 
+/** Mark an engine that a peer, or its own report, says is leaving. */
+void hs_engine_table_note_leaving(hs_engine_table *table, const char *id, bool first_hand,
+                                  uint64_t now_ms);
+
+/**
+ * The engine's own report says that it serves. Reports lag, so that one does not undo a mark that
+ * is younger than a few seconds.
+ */
+void hs_engine_table_note_serving(hs_engine_table *table, const char *id, uint64_t now_ms);
+
+/** Engines known at first hand to leave: by their refusal or report. of char*; free the array. */
+GPtrArray *hs_engine_table_leaving(hs_engine_table *table, uint64_t now_ms);
+
+/** Changes whenever the list of engines does, in what schedulers assign by. */
+uint64_t hs_engine_table_version(hs_engine_table *table);
+
+/** Whether new work must keep off the engine now; true for an unknown one. */
+bool hs_engine_table_is_avoided(hs_engine_table *table, const char *id, uint64_t now_ms);
+
 /** One engine as values, for schedulers and queries. */
 typedef struct {
     char id[64];
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -38,6 +38,13 @@
     hs_item_end end;
 } scheduler_event;
 
+/** Versions of all that an assignment of engines depends on. */
+typedef struct {
+    uint64_t live_version;
+    uint64_t engines_version;
+    uint64_t config_offset;
+} assignment_basis;
+
 struct hs_scheduler {
     hs_scheduler_context context;
     hs_pacing_settings pacing;
@@ -52,6 +59,7 @@
     GHashTable *slots;   /**< engine id -> hs_engine_slot */
     GPtrArray *queued;   /**< of hs_batch_item*, owned */
     uint32_t item_count; /**< Items queued or running. */
+    assignment_basis basis;
     uint64_t next_assign_ms;
     uint64_t next_pull_ms;
     uint64_t next_renew_ms;
@@ -59,6 +67,7 @@
     GPtrArray *items; /**< of hs_batch_item*: all, queued and running; borrowed */
 
     GMutex counter_lock;
+    GArray *scheduled; /**< of hs_scheduled_engine; for other threads */
     hs_scheduler_counters counters;
 };
 
@@ -82,6 +91,7 @@
     scheduler->runners = g_thread_pool_new(run_item, scheduler, RUNNER_THREADS, FALSE, NULL);
     scheduler->cancellers = g_thread_pool_new(cancel_item, scheduler, 16, FALSE, NULL);
     g_mutex_init(&scheduler->counter_lock);
+    scheduler->scheduled = g_array_new(FALSE, TRUE, sizeof(hs_scheduled_engine));
     return scheduler;
 }
 
@@ -91,6 +101,7 @@
     g_ptr_array_free(scheduler->queued, TRUE);
     g_ptr_array_free(scheduler->items, TRUE);
     g_mutex_clear(&scheduler->counter_lock);
+    g_array_free(scheduler->scheduled, TRUE);
     g_free(scheduler);
 }
 
@@ -215,11 +226,18 @@
     hs_membership_service_unlock(scheduler->context.membership);
 }
 
-/** Work out anew which engines are ours and what they serve. */
-static void assign_engines(hs_scheduler *scheduler, uint64_t now_ms) {
-    if (now_ms < scheduler->next_assign_ms)
-        return;
-    scheduler->next_assign_ms = now_ms + ASSIGN_INTERVAL_MS;
+/** What the assignment was worked out from. */
+static assignment_basis read_basis(hs_scheduler *scheduler) {
+    hs_membership *membership = hs_membership_service_lock(scheduler->context.membership);
+    assignment_basis basis = {.live_version = hs_membership_live_version(membership)};
+    hs_membership_service_unlock(scheduler->context.membership);
+    basis.engines_version = hs_engine_table_version(scheduler->context.engines);
+    basis.config_offset = hs_config_store_offset(scheduler->context.config);
+    return basis;
+}
+
+/** Which engines are ours and what they serve: engines times members, so only after a change. */
+static void reassign_engines(hs_scheduler *scheduler, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer data;
     g_hash_table_iter_init(&iterator, scheduler->slots);
@@ -227,7 +245,6 @@
         ((hs_engine_slot *)data)->assigned = false;
     hs_config_view *view = hs_config_store_view(scheduler->context.config);
     GArray *infos = hs_engine_table_infos(scheduler->context.engines, now_ms);
-    uint32_t assigned = 0;
     for (guint index = 0; index < infos->len; index++) {
         const hs_engine_info *info = &g_array_index(infos, hs_engine_info, index);
         if (!is_scheduled_here(scheduler, info))
@@ -235,12 +252,55 @@
         hs_engine_slot *slot = slot_of(scheduler, info->id, info->url);
         g_strlcpy(slot->url, info->url, sizeof slot->url);
         slot->assigned = true;
-        slot->leaving = info->leaving || info->ejected;
         refresh_models(slot, view, info->labels);
-        assigned++;
     }
     hs_engine_infos_free(infos);
     hs_config_view_release(view);
+}
+
+/** Let other threads know which engines are ours. */
+static void publish_scheduled(hs_scheduler *scheduler) {
+    g_mutex_lock(&scheduler->counter_lock);
+    g_array_set_size(scheduler->scheduled, 0);
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, scheduler->slots);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_engine_slot *slot = data;
+        hs_scheduled_engine engine = {{0}, {0}};
+        g_strlcpy(engine.id, slot->id, sizeof engine.id);
+        g_strlcpy(engine.url, slot->url, sizeof engine.url);
+        if (slot->assigned)
+            g_array_append_val(scheduler->scheduled, engine);
+    }
+    g_mutex_unlock(&scheduler->counter_lock);
+}
+
+/** Note which of our engines are to be avoided. @return engines that are ours. */
+static uint32_t refresh_slots(hs_scheduler *scheduler, uint64_t now_ms) {
+    uint32_t assigned = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, scheduler->slots);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        hs_engine_slot *slot = data;
+        slot->leaving = hs_engine_table_is_avoided(scheduler->context.engines, slot->id, now_ms);
+        assigned += slot->assigned;
+    }
+    return assigned;
+}
+
+static void assign_engines(hs_scheduler *scheduler, uint64_t now_ms) {
+    if (now_ms < scheduler->next_assign_ms)
+        return;
+    scheduler->next_assign_ms = now_ms + ASSIGN_INTERVAL_MS;
+    assignment_basis basis = read_basis(scheduler);
+    if (memcmp(&basis, &scheduler->basis, sizeof basis) != 0) {
+        scheduler->basis = basis;
+        reassign_engines(scheduler, now_ms);
+        publish_scheduled(scheduler);
+    }
+    uint32_t assigned = refresh_slots(scheduler, now_ms);
     prune_loads(scheduler, now_ms);
     g_mutex_lock(&scheduler->counter_lock);
     scheduler->counters.engines = assigned;
@@ -648,6 +708,13 @@
     return true;
 }
 
+GArray *hs_scheduler_engines(hs_scheduler *scheduler) {
+    g_mutex_lock(&scheduler->counter_lock);
+    GArray *copy = g_array_copy(scheduler->scheduled);
+    g_mutex_unlock(&scheduler->counter_lock);
+    return copy;
+}
+
 hs_scheduler_counters hs_scheduler_read_counters(hs_scheduler *scheduler) {
     g_mutex_lock(&scheduler->counter_lock);
     hs_scheduler_counters counters = scheduler->counters;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -46,6 +46,15 @@
 bool hs_scheduler_handle(hs_scheduler *scheduler, const Hs__PeerMessage *message,
                          const struct sockaddr_in *from);
 
+/** An engine that is scheduled here. */
+typedef struct {
+    char id[64];
+    char url[64];
+} hs_scheduled_engine;
+
+/** Engines scheduled here, of hs_scheduled_engine. Free with g_array_unref. Any thread. */
+GArray *hs_scheduler_engines(hs_scheduler *scheduler);
+
 /** Counters for metrics; snapshots. */
 typedef struct {
     uint64_t notices;
--- a/standin/engine/engine.c
+++ b/standin/engine/engine.c
@@ -292,9 +292,10 @@
         return refuse(response, 400, "bad_request");
     }
     g_mutex_lock(&self->lock);
-    if (self->faults.leaving)
+    if (self->faults.leaving) {
+        self->leaving_refusals++;
         refuse(response, 503, "leaving");
-    else if (self->faults.refuse)
+    } else if (self->faults.refuse)
         refuse(response, 503, "overloaded");
     else if (!holds_model(self, model))
         refuse(response, 404, "model_not_loaded");
--- a/standin/platform/main.c
+++ b/standin/platform/main.c
@@ -59,6 +59,7 @@
     }
     int received = 0;
     sigwait(&stop_signals, &received);
+    platform_stop(self);
     hs_http_server_free(server);
     return EXIT_SUCCESS;
 }
--- a/standin/platform/platform.h
+++ b/standin/platform/platform.h
@@ -34,10 +34,12 @@
     GHashTable *streams;     /**< name -> GPtrArray of GBytes */
     GHashTable *machines;    /**< id -> json_t* */
     GArray *machine_history; /**< of platform_machine_version */
+    guint shown_version;     /**< The list never goes back when its lag is raised. */
     platform_faults faults;
     uint32_t weight_loads_per_minute;
     double weight_tokens;
     gint64 weight_refilled_us;
+    bool stopping; /**< Waiting reads end. */
     uint64_t append_count;
     uint64_t failed_calls; /**< Calls broken or refused by a fault. */
 } platform;
@@ -45,6 +47,9 @@
 platform *platform_new(uint32_t list_lag_ms, uint32_t weight_loads_per_minute);
 void platform_routes(platform *self, hs_http_server *server);
 
+/** End waiting reads, so that the listener can be stopped. */
+void platform_stop(platform *self);
+
 /** Adds the routes under /control that switch faults and edit the machine list. */
 void platform_control_routes(platform *self, hs_http_server *server);
 
--- a/standin/platform/platform_log.c
+++ b/standin/platform/platform_log.c
@@ -8,6 +8,13 @@
 #define DEFAULT_READ_BYTES (4U << 20)
 #define MAX_WAIT_MS 30000U
 
+void platform_stop(platform *self) {
+    g_mutex_lock(&self->lock);
+    self->stopping = true;
+    g_cond_broadcast(&self->appended);
+    g_mutex_unlock(&self->lock);
+}
+
 static void free_stream(gpointer stream) {
     g_ptr_array_free(stream, TRUE);
 }
@@ -164,7 +171,7 @@
     gint64 until = g_get_monotonic_time() + (gint64)wait_ms * 1000;
     g_mutex_lock(&self->lock);
     GPtrArray *stream = stream_of(self, name);
-    while (stream->len <= offset && wait_ms > 0 && !self->faults.down)
+    while (stream->len <= offset && wait_ms > 0 && !self->faults.down && !self->stopping)
         if (!g_cond_wait_until(&self->appended, &self->lock, until))
             break;
     bool down = self->faults.down;
--- a/standin/platform/platform_machines.c
+++ b/standin/platform/platform_machines.c
@@ -52,19 +52,32 @@
 
 static int handle_list(const struct _u_request *request, struct _u_response *response,
                        void *user_data) {
-    (void)request;
     platform *self = user_data;
     if (platform_fault_hits(self, response))
         return U_CALLBACK_COMPLETE;
     json_t *shown = NULL;
+    guint number = 0;
+    const char *known = u_map_get_case(request->map_header, "If-None-Match");
     g_mutex_lock(&self->lock);
     gint64 horizon = g_get_monotonic_time() - (gint64)self->faults.list_lag_ms * US_PER_MS;
     guint count = self->machine_history != NULL ? self->machine_history->len : 0;
     for (guint index = 0; index < count; index++) {
         platform_machine_version *version =
             &g_array_index(self->machine_history, platform_machine_version, index);
-        if (version->since_us <= horizon)
-            shown = version->machines;
+        if (version->since_us > horizon)
+            continue;
+        number = index + 1;
+    }
+    number = MAX(number, self->shown_version);
+    self->shown_version = number;
+    if (number > 0)
+        shown = g_array_index(self->machine_history, platform_machine_version, number - 1).machines;
+    g_autofree char *etag = g_strdup_printf("\"%u\"", number);
+    u_map_put(response->map_header, "ETag", etag);
+    if (g_strcmp0(known, etag) == 0) {
+        g_mutex_unlock(&self->lock);
+        ulfius_set_empty_body_response(response, 304);
+        return U_CALLBACK_COMPLETE;
     }
     json_t *body = json_object();
     json_object_set_new(body, "machines", shown != NULL ? json_deep_copy(shown) : json_array());
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -8,6 +8,8 @@
         {"path", path_tests, begin_fleet, end_fleet},
         {"refusals", refusal_tests, begin_fleet, end_fleet},
         {"online", online_tests, begin_fleet, end_fleet},
+        {"configuration", configuration_tests, begin_fleet, end_fleet},
+        {"leaving", leaving_tests, begin_fleet, end_fleet},
     };
     ulfius_global_init();
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
--- a/tests/system/support.c
+++ b/tests/system/support.c
@@ -11,15 +11,25 @@
 static const fleet_ports test_ports = {
     .platform = 18070, .caller = 18080, .admin = 18100, .peer = 18120, .engine = 18200};
 
-static const char *const test_settings[] = {
-    "daemon.log_level=debug",       "peer.probe_interval_ms=100",
-    "peer.probe_timeout_ms=50",     "peer.suspect_ms=400",
-    "platform.timeout_s=2",         "platform.machine_list_interval_ms=100",
-    "batch.grant_lease_ms=1500",    "scheduling.run_once_recovery_ms=2000",
-    "caller.max_body_bytes=20000",  "caller.max_file_bytes=60000000",
-    "caller.max_header_bytes=4096", "caller.max_tokens=2000",
-    "batch.max_line_bytes=4000",    "batch.snapshot_records=64",
-    "batch.partitions=8",           NULL};
+static const char *const test_settings[] = {"daemon.log_level=debug",
+                                            "peer.probe_interval_ms=100",
+                                            "peer.probe_timeout_ms=50",
+                                            "peer.suspect_ms=400",
+                                            "platform.timeout_s=2",
+                                            "platform.machine_list_interval_ms=100",
+                                            "batch.grant_lease_ms=1500",
+                                            "scheduling.run_once_recovery_ms=2000",
+                                            "caller.max_body_bytes=20000",
+                                            "caller.max_file_bytes=60000000",
+                                            "caller.max_header_bytes=4096",
+                                            "caller.max_tokens=2000",
+                                            "batch.max_line_bytes=4000",
+                                            "batch.snapshot_records=64",
+                                            "batch.partitions=8",
+                                            "batch.claim_settle_ms=100",
+                                            "batch.handover_ms=200",
+                                            "peer.seeds=127.0.0.1:18120,127.0.0.1:18121",
+                                            NULL};
 
 int begin_fleet(void) {
     static char log_directory[] = "/tmp/heathsail-test-XXXXXX";
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -33,5 +33,7 @@
 extern const test_case path_tests[];
 extern const test_case refusal_tests[];
 extern const test_case online_tests[];
+extern const test_case configuration_tests[];
+extern const test_case leaving_tests[];
 
 #endif
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -99,6 +99,19 @@
     close_table(&fixture);
 }
 
+static void lagging_report_does_not_undo_a_young_mark(void) {
+    table_fixture fixture;
+    open_table(&fixture);
+    hs_engine_table_note_leaving(fixture.table, "a", true, 1000);
+    hs_engine_table_note_serving(fixture.table, "a", 1500);
+    CU_ASSERT_TRUE(hs_engine_table_is_avoided(fixture.table, "a", 1600));
+    g_autoptr(GPtrArray) leaving = hs_engine_table_leaving(fixture.table, 1600);
+    CU_ASSERT_EQUAL(leaving->len, 1);
+    hs_engine_table_note_serving(fixture.table, "a", 4100);
+    CU_ASSERT_FALSE(hs_engine_table_is_avoided(fixture.table, "a", 4100));
+    close_table(&fixture);
+}
+
 static void failing_engine_is_ejected_and_returns(void) {
     table_fixture fixture;
     open_table(&fixture);
@@ -170,6 +183,7 @@
     {"prefers_the_affine_engine_until_it_is_loaded", prefers_the_affine_engine_until_it_is_loaded},
     {"avoids_an_engine_without_the_model", avoids_an_engine_without_the_model},
     {"leaving_engine_gets_no_new_work", leaving_engine_gets_no_new_work},
+    {"lagging_report_does_not_undo_a_young_mark", lagging_report_does_not_undo_a_young_mark},
     {"failing_engine_is_ejected_and_returns", failing_engine_is_ejected_and_returns},
     {"full_engines_refuse", full_engines_refuse},
     {"retries_stay_a_share_of_requests", retries_stay_a_share_of_requests},
