Membership at size: whole exchange on joining, offsets not relayed

Cause: with hollow daemons, joining took half a round of probes (47 s at 180) and the death of 3 daemons took 30 s to be known by all at 180.

Found: (1) accounts rest once they have spread, so that a newcomer heard of old members only by probing each; (2) every change of configuration raised every member's version, so that all accounts became news and deaths queued behind them. Ruled out: lost datagrams, processor time (0.4% of a core each).

Change: a daemon asks for all accounts for its first 10 s and once a minute; a configuration offset rides in its member's own messages only.

Unit test new_offset_alone_is_not_relayed.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &hs__probe__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__member_list__init
+                     (Hs__MemberList         *message)
+{
+  static const Hs__MemberList init_value = HS__MEMBER_LIST__INIT;
+  *message = init_value;
+}
+size_t hs__member_list__get_packed_size
+                     (const Hs__MemberList *message)
+{
+  assert(message->base.descriptor == &hs__member_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__member_list__pack
+                     (const Hs__MemberList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__member_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__member_list__pack_to_buffer
+                     (const Hs__MemberList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__member_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__MemberList *
+       hs__member_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__MemberList *)
+     protobuf_c_message_unpack (&hs__member_list__descriptor,
+                                allocator, len, data);
+}
+void   hs__member_list__free_unpacked
+                     (Hs__MemberList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__member_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__probe_ack__init
                      (Hs__ProbeAck         *message)
 {
@@ -914,7 +959,7 @@
   (ProtobufCMessageInit) hs__member_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__probe__field_descriptors[3] =
+static const ProtobufCFieldDescriptor hs__probe__field_descriptors[4] =
 {
   {
     "sequence",
@@ -952,16 +997,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want_all",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__Probe, want_all),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__probe__field_indices_by_name[] = {
   2,   /* field[2] = gossip */
   0,   /* field[0] = sequence */
   1,   /* field[1] = target_id */
+  3,   /* field[3] = want_all */
 };
 static const ProtobufCIntRange hs__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor hs__probe__descriptor =
 {
@@ -971,13 +1029,51 @@
   "Hs__Probe",
   "hs",
   sizeof(Hs__Probe),
-  3,
+  4,
   hs__probe__field_descriptors,
   hs__probe__field_indices_by_name,
   1,  hs__probe__number_ranges,
   (ProtobufCMessageInit) hs__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor hs__member_list__field_descriptors[1] =
+{
+  {
+    "records",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__MemberList, n_records),
+    offsetof(Hs__MemberList, records),
+    &hs__member_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__member_list__field_indices_by_name[] = {
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange hs__member_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor hs__member_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.MemberList",
+  "MemberList",
+  "Hs__MemberList",
+  "hs",
+  sizeof(Hs__MemberList),
+  1,
+  hs__member_list__field_descriptors,
+  hs__member_list__field_indices_by_name,
+  1,  hs__member_list__number_ranges,
+  (ProtobufCMessageInit) hs__member_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor hs__probe_ack__field_descriptors[3] =
 {
   {
@@ -1710,7 +1806,7 @@
   (ProtobufCMessageInit) hs__grant_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[10] =
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[11] =
 {
   {
     "sender_id",
@@ -1832,12 +1928,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "member_list",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, member_list),
+    &hs__member_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   5,   /* field[5] = engine_load */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
   9,   /* field[9] = grant_revoke */
+  10,   /* field[10] = member_list */
   4,   /* field[4] = online_notice */
   2,   /* field[2] = probe */
   3,   /* field[3] = probe_ack */
@@ -1848,7 +1957,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -1858,7 +1967,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  10,
+  11,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Hs__OwnedPartition Hs__OwnedPartition;
 typedef struct Hs__MemberRecord Hs__MemberRecord;
 typedef struct Hs__Probe Hs__Probe;
+typedef struct Hs__MemberList Hs__MemberList;
 typedef struct Hs__ProbeAck Hs__ProbeAck;
 typedef struct Hs__OnlineNotice Hs__OnlineNotice;
 typedef struct Hs__EngineLoad Hs__EngineLoad;
@@ -94,10 +95,28 @@
   char *target_id;
   size_t n_gossip;
   Hs__MemberRecord **gossip;
+  /*
+   * The sender is new, or compares notes: answer with every account there is.
+   */
+  protobuf_c_boolean want_all;
 };
 #define HS__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__probe__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+
+
+/*
+ * Accounts beyond those that ride on an acknowledgement.
+ */
+struct  Hs__MemberList
+{
+  ProtobufCMessage base;
+  size_t n_records;
+  Hs__MemberRecord **records;
+};
+#define HS__MEMBER_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__member_list__descriptor) \
+    , 0,NULL }
 
 
 struct  Hs__ProbeAck
@@ -247,7 +266,8 @@
   HS__PEER_MESSAGE__KIND_PULL_REQUEST = 7,
   HS__PEER_MESSAGE__KIND_GRANT_REPLY = 8,
   HS__PEER_MESSAGE__KIND_GRANT_RENEW = 9,
-  HS__PEER_MESSAGE__KIND_GRANT_REVOKE = 10
+  HS__PEER_MESSAGE__KIND_GRANT_REVOKE = 10,
+  HS__PEER_MESSAGE__KIND_MEMBER_LIST = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -266,6 +286,7 @@
     Hs__GrantReply *grant_reply;
     Hs__GrantRenew *grant_renew;
     Hs__GrantRevoke *grant_revoke;
+    Hs__MemberList *member_list;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -363,6 +384,25 @@
 void   hs__probe__free_unpacked
                      (Hs__Probe *message,
                       ProtobufCAllocator *allocator);
+/* Hs__MemberList methods */
+void   hs__member_list__init
+                     (Hs__MemberList         *message);
+size_t hs__member_list__get_packed_size
+                     (const Hs__MemberList   *message);
+size_t hs__member_list__pack
+                     (const Hs__MemberList   *message,
+                      uint8_t             *out);
+size_t hs__member_list__pack_to_buffer
+                     (const Hs__MemberList   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__MemberList *
+       hs__member_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__member_list__free_unpacked
+                     (Hs__MemberList *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__ProbeAck methods */
 void   hs__probe_ack__init
                      (Hs__ProbeAck         *message);
@@ -602,6 +642,9 @@
 typedef void (*Hs__Probe_Closure)
                  (const Hs__Probe *message,
                   void *closure_data);
+typedef void (*Hs__MemberList_Closure)
+                 (const Hs__MemberList *message,
+                  void *closure_data);
 typedef void (*Hs__ProbeAck_Closure)
                  (const Hs__ProbeAck *message,
                   void *closure_data);
@@ -648,6 +691,7 @@
 extern const ProtobufCMessageDescriptor hs__owned_partition__descriptor;
 extern const ProtobufCMessageDescriptor hs__member_record__descriptor;
 extern const ProtobufCMessageDescriptor hs__probe__descriptor;
+extern const ProtobufCMessageDescriptor hs__member_list__descriptor;
 extern const ProtobufCMessageDescriptor hs__probe_ack__descriptor;
 extern const ProtobufCMessageDescriptor hs__online_notice__descriptor;
 extern const ProtobufCMessageDescriptor hs__engine_load__descriptor;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -220,6 +220,23 @@
     return state == HS_MEMBER_SUSPECT && member->state == HS_MEMBER_ALIVE;
 }
 
+static bool same_owned_as_record(const hs_member *member, const Hs__MemberRecord *record) {
+    if (member->owned->len != record->n_owned ||
+        member->leaving_engines->len != record->n_leaving_engines)
+        return false;
+    for (size_t index = 0; index < record->n_owned; index++) {
+        const hs_owned_partition *held = &g_array_index(member->owned, hs_owned_partition, index);
+        if (held->partition != record->owned[index]->partition ||
+            held->epoch != record->owned[index]->epoch ||
+            held->has_ready_items != record->owned[index]->has_ready_items)
+            return false;
+    }
+    for (size_t index = 0; index < record->n_leaving_engines; index++)
+        if (strcmp(member->leaving_engines->pdata[index], record->leaving_engines[index]) != 0)
+            return false;
+    return true;
+}
+
 static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
     member->incarnation = record->incarnation;
     member->version = record->version;
@@ -233,9 +250,6 @@
         member->zone = g_strdup(record->zone);
     }
     member->config_offset = record->config_offset;
-    g_ptr_array_set_size(member->leaving_engines, 0);
-    for (size_t index = 0; index < record->n_leaving_engines; index++)
-        g_ptr_array_add(member->leaving_engines, g_strdup(record->leaving_engines[index]));
     g_array_set_size(member->owned, 0);
     for (size_t index = 0; index < record->n_owned; index++) {
         hs_owned_partition owned = {.partition = record->owned[index]->partition,
@@ -243,6 +257,9 @@
                                     .has_ready_items = record->owned[index]->has_ready_items};
         g_array_append_val(member->owned, owned);
     }
+    g_ptr_array_set_size(member->leaving_engines, 0);
+    for (size_t index = 0; index < record->n_leaving_engines; index++)
+        g_ptr_array_add(member->leaving_engines, g_strdup(record->leaving_engines[index]));
 }
 
 bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
@@ -259,8 +276,16 @@
     if (!overtakes(member, record))
         return false;
     bool was_live = hs_member_is_live(member);
+    uint32_t sent_count = member->sent_count;
+    /* A new configuration offset alone is not passed on: each member says its own with every
+     * message, and one change of configuration would else make every account news to relay. */
+    bool is_news = member->state != state_of_record(record) ||
+                   member->incarnation != record->incarnation ||
+                   !same_owned_as_record(member, record);
     copy_record(member, record);
     set_state(membership, member, state_of_record(record), now_ms);
+    if (!is_news)
+        member->sent_count = sent_count;
     return was_live != hs_member_is_live(member);
 }
 
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -11,6 +11,8 @@
 #define TICK_MS 20
 #define RELAYS_KEPT 256
 #define LEAVE_MESSAGES 32
+#define JOINING_MS 10000       /* A new daemon asks for all accounts with each probe. */
+#define COMPARE_EVERY_MS 60000 /* Later now and then, so that nothing stays unheard for good. */
 
 /** An indirect probe that we run for somebody else. */
 typedef struct {
@@ -30,6 +32,8 @@
     uint32_t next_relay_sequence;
     uint64_t next_probe_ms;
     uint32_t rounds;
+    uint64_t started_ms;      /**< When the first probe went out; 0: none yet. */
+    uint64_t next_compare_ms; /**< When all accounts are asked for again. */
     char *self_id;
     gint stopping;
     GThread *thread;
@@ -146,11 +150,12 @@
     g_mutex_unlock(&service->lock);
 }
 
-static void send_probe(hs_membership_service *service, const hs_probe_order *order) {
+static void send_probe(hs_membership_service *service, const hs_probe_order *order, bool want_all) {
     gossip taken = take_gossip(service, order->receiver_id);
     Hs__Probe probe = HS__PROBE__INIT;
     probe.sequence = order->sequence;
     probe.target_id = (char *)order->target_id;
+    probe.want_all = want_all;
     probe.n_gossip = taken.records->len;
     probe.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
@@ -217,7 +222,7 @@
         g_array_remove_index(service->relays, 0);
     g_mutex_unlock(&service->lock);
     if (order.port != 0)
-        send_probe(service, &order);
+        send_probe(service, &order, false);
 }
 
 static bool take_relay(hs_membership_service *service, uint32_t sequence, relay *found) {
@@ -246,6 +251,28 @@
     g_mutex_unlock(&service->lock);
 }
 
+/** Send every account, a datagram's worth at a time. */
+static void send_all(hs_membership_service *service, const ack_receiver *receiver) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    g_autoptr(GPtrArray) records = g_ptr_array_new_with_free_func(free_record);
+    g_mutex_lock(&service->lock);
+    hs_membership_list(service->membership, members);
+    for (guint index = 0; index < members->len; index++)
+        if (((hs_member *)members->pdata[index])->state != HS_MEMBER_PROPOSED)
+            g_ptr_array_add(records, describe_member(members->pdata[index]));
+    g_mutex_unlock(&service->lock);
+    for (guint first = 0; first < records->len; first += GOSSIP_LIMIT) {
+        Hs__MemberList list = HS__MEMBER_LIST__INIT;
+        list.n_records = MIN(GOSSIP_LIMIT, records->len - first);
+        list.records = (Hs__MemberRecord **)records->pdata + first;
+        Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+        hs_membership_service_sign(service, &message);
+        message.kind_case = HS__PEER_MESSAGE__KIND_MEMBER_LIST;
+        message.member_list = &list;
+        hs_peer_socket_send(service->socket, receiver->address, receiver->port, &message);
+    }
+}
+
 bool hs_membership_service_handle(hs_membership_service *service, const Hs__PeerMessage *message,
                                   const struct sockaddr_in *from) {
     if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE) {
@@ -258,6 +285,12 @@
             relay_probe(service, probe, from);
         else
             send_ack(service, &sender, probe->sequence, service->self_id);
+        if (probe->want_all)
+            send_all(service, &sender);
+        return true;
+    }
+    if (message->kind_case == HS__PEER_MESSAGE__KIND_MEMBER_LIST) {
+        learn_all(service, message->member_list->records, message->member_list->n_records);
         return true;
     }
     if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE_ACK) {
@@ -268,19 +301,33 @@
     return false;
 }
 
+/** Whether this round's probe asks for all accounts. The caller holds the lock. */
+static bool must_compare(hs_membership_service *service, uint64_t now_ms) {
+    if (service->started_ms == 0)
+        service->started_ms = now_ms;
+    if (now_ms < service->started_ms + JOINING_MS)
+        return true;
+    if (now_ms < service->next_compare_ms)
+        return false;
+    service->next_compare_ms = now_ms + COMPARE_EVERY_MS;
+    return true;
+}
+
 void hs_membership_service_tick(hs_membership_service *service, uint64_t now_ms) {
     g_autoptr(GArray) orders = g_array_new(FALSE, FALSE, sizeof(hs_probe_order));
+    bool want_all = false;
     g_mutex_lock(&service->lock);
     hs_membership_check_probes(service->membership, now_ms, orders);
     if (now_ms >= service->next_probe_ms) {
         service->next_probe_ms = now_ms + service->settings.probe_interval_ms;
         hs_membership_probe_next(service->membership, now_ms, orders);
+        want_all = must_compare(service, now_ms);
         service->rounds++;
     }
     g_mutex_unlock(&service->lock);
     for (guint index = 0; index < orders->len; index++) {
         const hs_probe_order *order = &g_array_index(orders, hs_probe_order, index);
-        send_probe(service, order);
+        send_probe(service, order, want_all && *order->target_id == '\0');
     }
 }
 
@@ -319,7 +366,7 @@
     g_mutex_unlock(&service->lock);
     for (guint index = 0; index < orders->len; index++) {
         const hs_probe_order *order = &g_array_index(orders, hs_probe_order, index);
-        send_probe(service, order);
+        send_probe(service, order, false);
     }
 }
 
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -129,6 +129,28 @@
     hs_membership_free(membership);
 }
 
+static void new_offset_alone_is_not_relayed(void) {
+    hs_membership *membership = new_membership();
+    Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
+    record.id = (char *)"b";
+    record.incarnation = 1;
+    record.version = 1;
+    record.zone = (char *)"z";
+    hs_membership_learn(membership, &record, 0);
+    for (int message = 0; message < 100; message++)
+        gossip_names(membership, "c", "b");
+    record.version = 2;
+    record.config_offset = 7;
+    hs_membership_learn(membership, &record, 1);
+    CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->config_offset, 7);
+    CU_ASSERT_FALSE(gossip_names(membership, "c", "b"));
+    record.version = 3;
+    record.state = HS__MEMBER_STATE__MEMBER_LEAVING;
+    hs_membership_learn(membership, &record, 2);
+    CU_ASSERT_TRUE(gossip_names(membership, "c", "b"));
+    hs_membership_free(membership);
+}
+
 static void rank_prefers_the_zone_and_skips_the_dead(void) {
     hs_membership *membership = new_membership();
     Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
@@ -175,6 +197,7 @@
     {"answered_probe_raises_no_suspicion", answered_probe_raises_no_suspicion},
     {"refutes_suspicion_and_rejoins_after_death", refutes_suspicion_and_rejoins_after_death},
     {"member_held_for_dead_is_always_told", member_held_for_dead_is_always_told},
+    {"new_offset_alone_is_not_relayed", new_offset_alone_is_not_relayed},
     {"rank_prefers_the_zone_and_skips_the_dead", rank_prefers_the_zone_and_skips_the_dead},
     {"owner_is_the_claimer_of_the_highest_epoch", owner_is_the_claimer_of_the_highest_epoch},
     {NULL, NULL}};
--- a/tools/hollow/hollow.c
+++ b/tools/hollow/hollow.c
@@ -169,12 +169,19 @@
     return owned;
 }
 
+/** Joining waits for reads of streams, which a crash would not. */
+static gpointer end_threads(gpointer data) {
+    hollow_daemon *daemon = data;
+    hs_membership_service_stop(daemon->membership);
+    hs_coordinator_stop(daemon->coordinator);
+    hs_scheduler_stop(daemon->scheduler);
+    hs_config_store_stop(daemon->config);
+    return NULL;
+}
+
 void hollow_daemon_fail(hollow_daemon *daemon) {
     daemon->failed = true;
     /* The receiver first: from here on nobody is answered. */
     hs_peer_socket_stop(daemon->socket);
-    hs_membership_service_stop(daemon->membership);
-    hs_scheduler_stop(daemon->scheduler);
-    hs_coordinator_stop(daemon->coordinator);
-    hs_config_store_stop(daemon->config);
+    g_thread_unref(g_thread_new("hollow-end", end_threads, daemon));
 }
--- a/tools/hollow/main.c
+++ b/tools/hollow/main.c
@@ -20,6 +20,7 @@
 #define POLL_MS 5
 #define MS_PER_S 1000.0
 #define US_PER_S 1e6
+#define QUIET_AFTER_JOIN_MS 14000 /* The exchange of all accounts at the start is over. */
 
 static const struct argp_option option_list[] = {
     {"daemons", 'n', "N", 0, "hollow daemons (45)", 0},
@@ -236,6 +237,7 @@
            options.partitions);
     printf("joined_ms=%.0f\n", await_level(&fleet, (uint32_t)options.daemons));
     printf("partitions_owned_ms=%.0f\n", await_owned(&fleet));
+    hs_clock_sleep_ms(QUIET_AFTER_JOIN_MS);
     measure_idle(&fleet);
     measure_spread(&fleet);
     printf("false_deaths=%u\n", rejoins(&fleet));
