--- a/Makefile
+++ b/Makefile
@@ -118,3 +118,12 @@
 matrix: deps
 	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD)/fault EXTRA_CPPFLAGS=-DHS_FAULT_POINTS all $(BUILD)/fault/fault-matrix
 	@HS_TEST_PROGRAMS=$(BUILD)/fault $(BUILD)/fault/fault-matrix
+
+## bench       the measurements the docs quote, one name=value a line (about six minutes)
+bench: deps
+	@$(MAKE) --no-print-directory -j8 all
+	@./tools/bench/run.sh $(BUILD)
+
+## mutants     take one mechanism out at a time; each must be found by a failing test
+mutants: deps
+	@./tests/mutants/run.sh
--- a/src/batch/item_runner.c
+++ b/src/batch/item_runner.c
@@ -6,7 +6,6 @@
 #include "base/log.h"
 #include "batch/partition_record.h"
 #include "engine/engine_client.h"
-#include "engine/whole_answer.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -20,18 +19,24 @@
 #define HTTP_BAD_GATEWAY 502
 #define MID_STREAM_TOKEN 2
 
+void hs_item_progress_clear(hs_item_progress *progress) {
+    if (progress->started)
+        hs_whole_answer_clear(&progress->answer);
+    *progress = (hs_item_progress){0};
+}
+
 /** An item on its way through the engine. */
 typedef struct {
     const hs_item_work *work;
-    json_t *line; /**< The JSONL line: custom_id, url, body. */
-    hs_whole_answer answer;
+    json_t *line;            /**< The JSONL line: custom_id, url, body. */
+    hs_whole_answer *answer; /**< Of the work's progress. */
 } item_run;
 
 static bool collect_token(uint32_t token_index, json_t *event, void *user_data) {
     item_run *run = user_data;
     if (token_index == MID_STREAM_TOKEN)
         HS_FAULT_POINT("mid_stream");
-    hs_whole_answer_add(&run->answer, event);
+    hs_whole_answer_add(run->answer, event);
     return g_atomic_int_get(run->work->revoked) == 0;
 }
 
@@ -89,7 +94,7 @@
 static hs_item_end record_answer(hs_item_runner *runner, item_run *run) {
     const char *model =
         json_string_value(json_object_get(json_object_get(run->line, "body"), "model"));
-    json_t *body = hs_whole_answer_body(&run->answer, run->work->attempt_id, model,
+    json_t *body = hs_whole_answer_body(run->answer, run->work->attempt_id, model,
                                         hs_clock_wall_ms() / MS_PER_S);
     char *line = output_line(run, HTTP_OK, body, NULL);
     bool recorded = record_outcome(runner, run->work, HTTP_OK, line, false);
@@ -160,6 +165,28 @@
     return record_failure(runner, run, HTTP_BAD_GATEWAY, "indeterminate", true);
 }
 
+/** Go on where the item stopped, if this engine has its tokens; else begin. */
+static hs_run_result start_or_continue(item_run *run, const hs_engine_call *call) {
+    hs_item_progress *progress = run->work->progress;
+    bool resumable = progress->resumable && strcmp(progress->engine_url, call->engine_url) == 0;
+    progress->resumable = false;
+    if (resumable) {
+        hs_run_result result = hs_engine_continue(call, progress->next_token, collect_token, run);
+        if (result.end != HS_RUN_REFUSED)
+            return result;
+    }
+    hs_whole_answer_reset(run->answer);
+    return hs_engine_run(call, collect_token, run);
+}
+
+/** Keep the tokens of an item that stepped aside. */
+static void keep_progress(const item_run *run, const hs_run_result *result) {
+    hs_item_progress *progress = run->work->progress;
+    progress->resumable = true;
+    progress->next_token = result->next_token;
+    g_strlcpy(progress->engine_url, run->work->engine_url, sizeof progress->engine_url);
+}
+
 static hs_item_end finish_ordinary(hs_item_runner *runner, item_run *run,
                                    const hs_engine_call *call, hs_run_result result) {
     if (result.end == HS_RUN_CUT && result.next_token > 0)
@@ -168,6 +195,8 @@
         return record_answer(runner, run);
     if (result.end == HS_RUN_INVALID)
         return record_failure(runner, run, HTTP_BAD_REQUEST, "invalid_request", false);
+    if (result.end == HS_RUN_CANCELLED)
+        keep_progress(run, &result);
     if (result.end == HS_RUN_ABORTED) {
         hs_engine_cancel(call->engine_url, call->request_id);
         return HS_ITEM_DROPPED;
@@ -184,7 +213,7 @@
                            .request_id = work->attempt_id,
                            .body = body};
     HS_FAULT_POINT("dispatch");
-    hs_run_result result = hs_engine_run(&call, collect_token, run);
+    hs_run_result result = start_or_continue(run, &call);
     on_engine_free(user_data);
     hs_item_end end = work->run_once ? finish_run_once(runner, run, &call, result)
                                      : finish_ordinary(runner, run, &call, result);
@@ -200,12 +229,16 @@
                                      work->index_in_chunk, &error);
     if (run->line == NULL)
         return false;
-    hs_whole_answer_init(&run->answer, strcmp(work->endpoint, "/v1/chat/completions") == 0);
+    hs_item_progress *progress = work->progress;
+    if (!progress->started)
+        hs_whole_answer_init(&progress->answer,
+                             strcmp(work->endpoint, "/v1/chat/completions") == 0);
+    progress->started = true;
+    run->answer = &progress->answer;
     return true;
 }
 
 static void item_run_close(item_run *run) {
-    hs_whole_answer_clear(&run->answer);
     json_decref(run->line);
 }
 
@@ -231,6 +264,7 @@
         return false;
     hs_engine_call call = {
         .engine_url = work->engine_url, .path = work->endpoint, .request_id = work->attempt_id};
+    hs_whole_answer_reset(run.answer);
     hs_run_result result = hs_engine_resume(&call, 0, collect_token, &run);
     hs_item_end end = HS_ITEM_AGAIN;
     if (result.end == HS_RUN_WHOLE)
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -12,6 +12,7 @@
 
 #include "batch/chunk_reader.h"
 #include "batch/replica_set.h"
+#include "engine/whole_answer.h"
 #include "platform/appender.h"
 
 #define HS_BATCH_PRIORITY 10
@@ -25,6 +26,18 @@
     gint stopping; /**< Not 0: give up waiting, the process ends. */
 } hs_item_runner;
 
+/** Tokens of an item that stepped aside, so that its engine can go on where it stopped. */
+typedef struct {
+    bool started; /**< The answer is initialised. */
+    bool resumable;
+    char engine_url[64];
+    uint32_t next_token;
+    hs_whole_answer answer;
+} hs_item_progress;
+
+/** Free what the progress holds. */
+void hs_item_progress_clear(hs_item_progress *progress);
+
 /** One item to run, and where. */
 typedef struct {
     uint32_t partition;
@@ -37,7 +50,8 @@
     bool run_once;
     const char *attempt_id;
     const char *engine_url;
-    const gint *revoked; /**< Not 0: the grant no longer stands. */
+    const gint *revoked;        /**< Not 0: the grant no longer stands. */
+    hs_item_progress *progress; /**< In and out; kept by the caller between runs. */
 } hs_item_work;
 
 typedef enum {
--- a/src/batch/partition_owner.c
+++ b/src/batch/partition_owner.c
@@ -147,6 +147,7 @@
     for (guint index = 0; index < orphans->len; index++) {
         const orphan_attempt *orphan = orphans->pdata[index];
         uint64_t waited_ms = now_ms - orphan_since_ms(owner, orphan->attempt_id, now_ms);
+        hs_item_progress progress = {0};
         hs_item_work work = {.partition = owner->partition,
                              .epoch = owner->epoch,
                              .job_id = orphan->job_id,
@@ -157,11 +158,13 @@
                              .run_once = true,
                              .attempt_id = orphan->attempt_id,
                              .engine_url = orphan->engine_url,
-                             .revoked = &never_revoked};
+                             .revoked = &never_revoked,
+                             .progress = &progress};
         bool may_be_lost = waited_ms >= (uint64_t)owner->context->settings->run_once_recovery_ms;
         if (hs_item_recover(owner->context->runner, &work, may_be_lost))
             hs_log_info("attempt_recovered", "job=%s item=%u attempt=%s", work.job_id, work.item,
                         work.attempt_id);
+        hs_item_progress_clear(&progress);
     }
 }
 
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -153,6 +153,20 @@
     return result;
 }
 
+hs_run_result hs_engine_continue(const hs_engine_call *call, uint32_t first_token,
+                                 hs_token_callback on_token, void *user_data) {
+    struct _u_request request;
+    ulfius_init_request(&request);
+    g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/continue?offset=%u", call->engine_url,
+                                           call->request_id, first_token);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
+                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
+                                  U_OPT_STRING_BODY, "{}", U_OPT_NONE);
+    hs_run_result result = stream_request(&request, first_token, on_token, user_data);
+    ulfius_clean_request(&request);
+    return result;
+}
+
 bool hs_engine_cancel(const char *engine_url, const char *request_id) {
     g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/cancel", engine_url, request_id);
     hs_http_request request = {.method = "POST",
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -51,6 +51,13 @@
 hs_run_result hs_engine_resume(const hs_engine_call *call, uint32_t first_token,
                                hs_token_callback on_token, void *user_data);
 
+/**
+ * Put a request that was cancelled back to work and take its tokens from @p first_token on. REFUSED
+ * when the engine does not know it any more or takes no work. Blocks.
+ */
+hs_run_result hs_engine_continue(const hs_engine_call *call, uint32_t first_token,
+                                 hs_token_callback on_token, void *user_data);
+
 /** Cancel at the engine, over a connection of its own. True when the engine knew the request. */
 bool hs_engine_cancel(const char *engine_url, const char *request_id);
 
--- a/src/scheduling/batch_item.c
+++ b/src/scheduling/batch_item.c
@@ -1,6 +1,8 @@
 /** @file batch_item.c  See batch_item.h. */
 #include "scheduling/batch_item.h"
 
+#include <string.h>
+
 hs_held_grant *hs_held_grant_new(const Hs__Grant *message, const char *owner_id,
                                  uint64_t incarnation) {
     hs_held_grant *grant = g_atomic_rc_box_new0(hs_held_grant);
@@ -42,12 +44,15 @@
 }
 
 void hs_batch_item_free(hs_batch_item *item) {
+    hs_item_progress_clear(&item->progress);
     hs_held_grant_release(item->grant);
     g_free(item);
 }
 
-void hs_batch_item_name_attempt(hs_batch_item *item, const char *daemon_id) {
-    if (item->grant->run_once && item->tries > 0)
+void hs_batch_item_name_attempt(hs_batch_item *item, const char *daemon_id,
+                                const char *engine_url) {
+    bool goes_on = item->progress.resumable && strcmp(item->progress.engine_url, engine_url) == 0;
+    if (goes_on || (item->grant->run_once && item->tries > 0))
         return;
     item->tries++;
     g_snprintf(item->attempt_id, sizeof item->attempt_id,
--- a/src/scheduling/batch_item.h
+++ b/src/scheduling/batch_item.h
@@ -2,6 +2,7 @@
 #ifndef HS_SCHEDULING_BATCH_ITEM_H
 #define HS_SCHEDULING_BATCH_ITEM_H
 
+#include "batch/item_runner.h"
 #include "gen/peer.pb-c.h"
 
 #include <glib.h>
@@ -34,6 +35,7 @@
     char attempt_id[96];
     char engine_id[64];
     char engine_url[64];
+    hs_item_progress progress; /**< Tokens of a run that stepped aside. */
     hs_batch_item_state state;
     bool on_engine;      /**< Counts against the engine's batch. */
     bool stepping_aside; /**< A cancel was sent to the engine. */
@@ -50,7 +52,10 @@
 hs_batch_item *hs_batch_item_new(hs_held_grant *grant, uint32_t item);
 void hs_batch_item_free(hs_batch_item *item);
 
-/** Give the item an identity for its next attempt; run-once items keep their first. */
-void hs_batch_item_name_attempt(hs_batch_item *item, const char *daemon_id);
+/**
+ * Give the item an identity for its next attempt on @p engine_url. A run-once item keeps its first,
+ * and one that goes on where it stopped keeps the one its engine knows.
+ */
+void hs_batch_item_name_attempt(hs_batch_item *item, const char *daemon_id, const char *engine_url);
 
 #endif
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -149,7 +149,8 @@
                          .run_once = grant->run_once,
                          .attempt_id = item->attempt_id,
                          .engine_url = item->engine_url,
-                         .revoked = &grant->revoked};
+                         .revoked = &grant->revoked,
+                         .progress = &item->progress};
     engine_free_context free_context = {.scheduler = scheduler, .item = item};
     hs_item_end end =
         hs_item_run(scheduler->context.runner, &work, post_engine_free, &free_context);
@@ -329,7 +330,10 @@
     }
 }
 
-/** The assigned engine with the most room for the item's model, or NULL. */
+/**
+ * The assigned engine with the most room for the item's model, or NULL; the one that has the item's
+ * tokens goes first.
+ */
 static hs_engine_slot *choose_slot(hs_scheduler *scheduler, const hs_batch_item *item,
                                    uint64_t now_ms) {
     hs_engine_slot *best = NULL;
@@ -340,7 +344,11 @@
     while (g_hash_table_iter_next(&iterator, NULL, &data)) {
         hs_engine_slot *slot = data;
         uint32_t room = hs_engine_slot_room(slot, &scheduler->pacing, now_ms);
-        if (room <= best_room || !hs_engine_slot_serves(slot, item->grant->model))
+        if (room == 0 || !hs_engine_slot_serves(slot, item->grant->model))
+            continue;
+        if (item->progress.resumable && strcmp(slot->url, item->progress.engine_url) == 0)
+            return slot;
+        if (room <= best_room)
             continue;
         best = slot;
         best_room = room;
@@ -350,7 +358,7 @@
 
 static void start_item(hs_scheduler *scheduler, hs_batch_item *item, hs_engine_slot *slot,
                        uint64_t now_ms) {
-    hs_batch_item_name_attempt(item, scheduler->context.settings->daemon_id);
+    hs_batch_item_name_attempt(item, scheduler->context.settings->daemon_id, slot->url);
     g_strlcpy(item->engine_id, slot->id, sizeof item->engine_id);
     g_strlcpy(item->engine_url, slot->url, sizeof item->engine_url);
     item->state = HS_ITEM_RUNNING;
--- a/standin/engine/engine.c
+++ b/standin/engine/engine.c
@@ -338,6 +338,20 @@
     reply_stream(self, request, (uint32_t)hs_http_parameter_number(wire, "offset", 0), response);
 }
 
+/** Put a cancelled request back into the batch; its tokens so far stand. */
+static void continue_request(engine *self, engine_request *request, const struct _u_request *wire,
+                             struct _u_response *response) {
+    if (self->faults.leaving || self->faults.refuse) {
+        refuse(response, 503, self->faults.leaving ? "leaving" : "overloaded");
+        return;
+    }
+    if (request->sequence.state == ENGINE_SEQUENCE_CANCELLED) {
+        engine_model_submit(self->model, &request->sequence);
+        g_cond_broadcast(&self->progressed);
+    }
+    reply_stream(self, request, (uint32_t)hs_http_parameter_number(wire, "offset", 0), response);
+}
+
 static void cancel_request(engine *self, engine_request *request, const struct _u_request *wire,
                            struct _u_response *response) {
     (void)wire;
@@ -367,6 +381,11 @@
     return with_request(data, wire, response, resume_request);
 }
 
+static int handle_continue(const struct _u_request *wire, struct _u_response *response,
+                           void *data) {
+    return with_request(data, wire, response, continue_request);
+}
+
 static int handle_cancel(const struct _u_request *wire, struct _u_response *response, void *data) {
     return with_request(data, wire, response, cancel_request);
 }
@@ -380,6 +399,7 @@
     hs_http_server_route(server, "POST", "/v1/chat/completions", handle_chat, self);
     hs_http_server_route(server, "POST", "/v1/completions", handle_text, self);
     hs_http_server_route(server, "GET", "/v1/requests/:id/stream", handle_resume, self);
+    hs_http_server_route(server, "POST", "/v1/requests/:id/continue", handle_continue, self);
     hs_http_server_route(server, "POST", "/v1/requests/:id/cancel", handle_cancel, self);
     hs_http_server_route(server, "GET", "/v1/requests/:id", handle_describe, self);
     engine_control_routes(self, server);
--- /dev/null
+++ b/tests/mutants/run.sh
@@ -0,0 +1,40 @@
+#!/bin/sh
+# Takes one mechanism out at a time, in a scratch copy, and runs the unit tests (and, where named,
+# one system suite): each mutant must be found by a failing test. Prints one line a mutant.
+set -u
+root=$(cd "$(dirname "$0")/../.." && pwd)
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+found=0
+missed=0
+mkdir "$scratch/base"
+(cd "$root" && git ls-files -z | xargs -0 cp --parents -t "$scratch/base")
+(cd "$scratch/base" && make -s -j8 build/unit-tests >/dev/null 2>&1)
+while IFS='|' read -r name file expression suite; do
+    case "$name" in '' | '#'*) continue ;; esac
+    rm -rf "$scratch/mutant" && cp -r "$scratch/base" "$scratch/mutant"
+    cd "$scratch/mutant" || exit 1
+    sed -i "$expression" "$file"
+    if cmp -s "$file" "$scratch/base/$file"; then
+        echo "$name NOT-APPLIED ($file)"
+        missed=$((missed + 1))
+        continue
+    fi
+    if [ -z "$suite" ]; then
+        make -s -j8 EXTRA_CFLAGS=-Wno-error build/unit-tests >/dev/null 2>&1
+        output=$(./build/unit-tests 2>/dev/null)
+    else
+        make -s -j8 BUILD=build/fault EXTRA_CPPFLAGS=-DHS_FAULT_POINTS EXTRA_CFLAGS=-Wno-error all build/fault/system-tests >/dev/null 2>&1
+        output=$(HS_TEST_PROGRAMS=build/fault timeout 120 build/fault/system-tests "$suite" 2>/dev/null)
+    fi
+    tests=$(echo "$output" | sed -n 's/^not ok //p' | tr '\n' ' ')
+    if [ -n "$tests" ]; then
+        found=$((found + 1))
+        echo "$name found-by $tests"
+    else
+        missed=$((missed + 1))
+        echo "$name MISSED"
+    fi
+done <"$root/tests/mutants/list.txt"
+echo "mutants found=$found missed=$missed"
+[ "$missed" -eq 0 ]
--- a/tests/system/test_path.c
+++ b/tests/system/test_path.c
@@ -121,6 +121,54 @@
     json_decref(job);
 }
 
+static bool some_item_runs(void *prefix) {
+    return count_engine_runs(prefix, "running") > 0;
+}
+
+/** Keeps every engine busy with a stream, so that batch must step aside. */
+static gpointer occupy_engines(gpointer data) {
+    const char *prompt = data;
+    for (int request = 0; request < 6; request++) {
+        g_autofree char *body = g_strdup_printf(
+            "{\"model\":\"drafting-7b\",\"max_tokens\":40,\"stream\":true,\"prompt\":\"%s-%d\"}",
+            prompt, request);
+        client_stream stream;
+        client_stream_run(test_fleet.caller_urls[request % 3], "/v1/completions", TEST_TENANT, body,
+                          NULL, 0, &stream);
+        CU_ASSERT_TRUE(stream.done_seen);
+        client_stream_clear(&stream);
+    }
+    return NULL;
+}
+
+static void items_that_stepped_aside_complete_whole(void) {
+    static const char *const prompts[] = {"occupy-a", "occupy-b", "occupy-c", "occupy-d"};
+    GThread *threads[G_N_ELEMENTS(prompts)];
+    g_autofree char *lines = test_lines("aside", 40, 150, 0);
+    g_autofree char *job_id = submit_lines(lines, 0, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job_id);
+    CU_ASSERT_TRUE(wait_until(some_item_runs, (gpointer) "aside-", 10000));
+    for (size_t index = 0; index < G_N_ELEMENTS(prompts); index++)
+        threads[index] = g_thread_new("occupy", occupy_engines, (gpointer)prompts[index]);
+    for (size_t index = 0; index < G_N_ELEMENTS(prompts); index++)
+        g_thread_join(threads[index]);
+    json_t *job = client_wait_batch(test_fleet.caller_urls[2], TEST_TENANT, job_id, JOB_TIMEOUT_MS);
+    CU_ASSERT_PTR_NOT_NULL(job);
+    json_decref(job);
+    json_t *results = read_results(job_id, 1);
+    CU_ASSERT_EQUAL(json_array_size(results), 40);
+    size_t index;
+    json_t *line;
+    json_array_foreach(results, index, line) {
+        g_autofree char *expected =
+            answer_text(json_string_value(json_object_get(line, "custom_id")), 150);
+        const json_t *body = json_object_get(json_object_get(line, "response"), "body");
+        const json_t *choice = json_array_get(json_object_get(body, "choices"), 0);
+        CU_ASSERT_EQUAL(g_strcmp0(json_string_value(json_object_get(choice, "text")), expected), 0);
+    }
+    json_decref(results);
+}
+
 static void jobs_are_listed_to_their_tenant_only(void) {
     json_t *mine = NULL;
     json_t *others = NULL;
@@ -187,6 +235,7 @@
     {"resent_job_is_the_same", resent_job_is_the_same},
     {"run_once_items_run_once", run_once_items_run_once},
     {"cancelled_job_stops", cancelled_job_stops},
+    {"items_that_stepped_aside_complete_whole", items_that_stepped_aside_complete_whole},
     {"jobs_are_listed_to_their_tenant_only", jobs_are_listed_to_their_tenant_only},
     {"uploaded_file_reads_back", uploaded_file_reads_back},
     {"metrics_are_prometheus_text", metrics_are_prometheus_text},
--- a/tools/fleet/main.c
+++ b/tools/fleet/main.c
@@ -9,13 +9,18 @@
 
 const char *argp_program_version = "heathsail-fleet 0.1.0";
 
+#define MAX_SETTINGS 16
+
 typedef struct {
     const char *programs;
     bool demo;
+    const char *settings[MAX_SETTINGS + 1]; /**< For every daemon; NULL-terminated. */
+    int setting_count;
 } command_line;
 
 static const struct argp_option option_list[] = {
     {"programs", 'p', "DIR", 0, "directory of the programs (build)", 0},
+    {"set", 's', "GROUP.KEY=VALUE", 0, "a setting of every daemon; may be repeated", 0},
     {"demo", 'd', NULL, 0, "send the demo's requests, then stop", 0},
     {0}};
 
@@ -25,6 +30,11 @@
     case 'p':
         line->programs = argument;
         return 0;
+    case 's':
+        if (line->setting_count >= MAX_SETTINGS)
+            argp_error(state, "too many settings");
+        line->settings[line->setting_count++] = argument;
+        return 0;
     case 'd':
         line->demo = true;
         return 0;
@@ -46,7 +56,8 @@
                              .drafting_engines = 4,
                              .order_engines = 2,
                              .list_lag_ms = 200,
-                             .log_directory = log_directory};
+                             .log_directory = log_directory,
+                             .daemon_settings = line.settings};
     sigset_t stop_signals;
     sigset_t earlier;
     sigemptyset(&stop_signals);
