--- a/tools/fleet/client.c
+++ b/tools/fleet/client.c
@@ -104,8 +104,8 @@
     if (piece == NULL)
         piece = json_object_get(choice, "text");
     if (json_is_string(piece)) {
-        if (stream->token_count == 0)
-            stream->first_token_us = g_get_monotonic_time();
+        gint64 now_us = g_get_monotonic_time();
+        g_array_append_val(stream->token_times_us, now_us);
         g_string_append(stream->text, json_string_value(piece));
         stream->token_count++;
     }
@@ -132,7 +132,8 @@
 void client_stream_run(const char *base_url, const char *path, const char *tenant,
                        const char *json_body, client_headers headers, uint32_t stop_after,
                        client_stream *stream) {
-    *stream = (client_stream){.text = g_string_new(NULL)};
+    *stream = (client_stream){.text = g_string_new(NULL),
+                              .token_times_us = g_array_new(FALSE, FALSE, sizeof(gint64))};
     stream_reading reading = {
         .stream = stream, .line = g_string_new(NULL), .stop_after = stop_after};
     g_autofree char *url = g_strconcat(base_url, path, NULL);
@@ -160,6 +161,7 @@
 
 void client_stream_clear(client_stream *stream) {
     g_string_free(stream->text, TRUE);
+    g_array_free(stream->token_times_us, TRUE);
     g_free(stream->error_code);
     g_free(stream->executed);
 }
--- a/tools/fleet/client.h
+++ b/tools/fleet/client.h
@@ -35,7 +35,7 @@
     bool transfer_broken;
     char *error_code; /**< Of an error event or body, or NULL. */
     char *executed;
-    gint64 first_token_us; /**< Of the monotonic clock; 0: none came. */
+    GArray *token_times_us; /**< of gint64, of the monotonic clock, one a token */
 } client_stream;
 
 /** Send a completion with "stream": true and read it to its end, or until @p stop_after tokens. */
--- a/tools/load/main.c
+++ b/tools/load/main.c
@@ -1,4 +1,5 @@
 /** @file main.c  heathsail-load: the load and experiment tool. */
+#include "tools/load/online_run.h"
 #include "tools/load/sim_desk.h"
 
 #include <argp.h>
@@ -11,10 +12,22 @@
 typedef struct {
     const char *desk;
     sim_options simulation;
-    int only_way; /**< -1: all. */
+    int only_way;           /**< -1: all. */
+    online_run_options run; /**< With callers: load on real daemons in place of a simulation. */
 } command_line;
 
-enum { OPTION_LOSE = 256, OPTION_WAY, OPTION_CAP, OPTION_START, OPTION_INTERVAL };
+enum {
+    OPTION_LOSE = 256,
+    OPTION_WAY,
+    OPTION_CAP,
+    OPTION_START,
+    OPTION_INTERVAL,
+    OPTION_RATE,
+    OPTION_TOKENS,
+    OPTION_MODEL,
+    OPTION_BUSY,
+    OPTION_IDLE
+};
 
 static const struct argp_option option_list[] = {
     {"desk", 'd', "NAME", 0, "kowalchuk or tisza (both)", 0},
@@ -27,6 +40,12 @@
     {"hold", 'h', "MS", 0, "hold after the last online request", 0},
     {"start-interval", OPTION_INTERVAL, "MS", 0, "at most one item starts in it (0: no limit)", 0},
     {"cap", OPTION_CAP, "N", 0, "items of the fixed cap (4)", 0},
+    {"callers", 'u', "URL,...", 0, "send real load to these daemons instead", 0},
+    {"rate", OPTION_RATE, "N", 0, "requests a second of real load (20)", 0},
+    {"tokens", OPTION_TOKENS, "N", 0, "tokens of each answer (40)", 0},
+    {"model", OPTION_MODEL, "NAME", 0, "model asked for (drafting-7b)", 0},
+    {"busy", OPTION_BUSY, "S", 0, "real load comes for such a time (0: always)", 0},
+    {"idle", OPTION_IDLE, "S", 0, "and then pauses for such a time", 0},
     {"lose-tokens", OPTION_LOSE, NULL, 0, "preempted items begin anew", 0},
     {0}};
 
@@ -64,6 +83,24 @@
     case OPTION_LOSE:
         simulation->keep_tokens = false;
         return 0;
+    case 'u':
+        line->run.callers = argument;
+        return 0;
+    case OPTION_RATE:
+        line->run.rate_per_s = atof(argument);
+        return 0;
+    case OPTION_TOKENS:
+        line->run.tokens = atoi(argument);
+        return 0;
+    case OPTION_MODEL:
+        line->run.model = argument;
+        return 0;
+    case OPTION_BUSY:
+        line->run.busy_s = atof(argument);
+        return 0;
+    case OPTION_IDLE:
+        line->run.idle_s = atof(argument);
+        return 0;
     case OPTION_WAY:
         for (int way = 0; way < SIM_WAYS; way++)
             if (strcmp(sim_way_names[way], argument) == 0)
@@ -124,6 +161,7 @@
 
 int main(int argument_count, char **arguments) {
     command_line line = {.only_way = -1,
+                         .run = {.model = "drafting-7b", .rate_per_s = 20, .tokens = 40},
                          .simulation = {.pacing = {.max_batch = 32,
                                                    .beside_online = 2,
                                                    .start_beside = 0,
@@ -137,6 +175,10 @@
         option_list, parse_option, NULL, "Compare ways of letting batch yield, in virtual time.",
         NULL,        NULL,         NULL};
     argp_parse(&parser, argument_count, arguments, 0, NULL, &line);
+    line.run.seconds = line.simulation.seconds;
+    line.run.seed = line.simulation.seed;
+    if (line.run.callers != NULL)
+        return online_run(&line.run) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
     for (int index = 0; index < sim_desk_count; index++)
         if (line.desk == NULL || strcmp(line.desk, sim_desks[index].name) == 0)
             compare_ways(&line, &sim_desks[index]);
