Scheduler in four files; failing engines left alone; a stop drops queued items

Cause: a planned stop with a job running waited its whole grace (60 s), and a daemon whose engines were gone used 795% of a core starting items anew.

Found: queued items can no longer start once the daemon leaves (no engine is its own), yet the stop waited for them; items that came back failed were started again after a fixed 200 ms, 256 at a time. Ruled out: the appender's retries (one thread) and the partition followers (asleep).

--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -116,13 +116,6 @@
     return lives;
 }
 
-static uint64_t own_incarnation(hs_coordinator *coordinator) {
-    hs_membership *membership = hs_membership_service_lock(coordinator->context.membership);
-    uint64_t incarnation = hs_membership_self(membership)->incarnation;
-    hs_membership_service_unlock(coordinator->context.membership);
-    return incarnation;
-}
-
 /** Whether the fold shows us as owner under @p epoch. */
 static bool claim_won(hs_coordinator *coordinator, hs_replica *replica, uint32_t epoch,
                       uint64_t incarnation) {
@@ -146,7 +139,7 @@
     hs_replica_unlock(replica);
     if (must_wait)
         return 0;
-    uint64_t incarnation = own_incarnation(coordinator);
+    uint64_t incarnation = hs_membership_service_incarnation(coordinator->context.membership);
     g_autoptr(GByteArray) record =
         hs_record_claim(epoch, coordinator->context.settings->daemon_id, incarnation);
     uint64_t offset = 0;
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "commands/completion_check.h"
 #include "commands/online_key.h"
+#include "engine/cancel_queue.h"
 #include "engine/engine_client.h"
 
 #include <stdlib.h>
@@ -66,32 +67,13 @@
     return event;
 }
 
-/** The cancel needs a connection of its own and may take long: not on the caller's thread. */
-typedef struct {
-    char engine_url[64];
-    char attempt_id[96];
-} cancel_order;
-
-static gpointer send_cancel(gpointer data) {
-    cancel_order *order = data;
-    hs_engine_cancel(order->engine_url, order->attempt_id);
-    g_free(order);
-    return NULL;
-}
-
 void hs_online_request_abandon(hs_online_request *request) {
-    cancel_order *order = NULL;
     g_mutex_lock(&request->lock);
     request->abandoned = true;
-    if (request->state == HS_ONLINE_RUNNING && request->attempt_id[0] != '\0') {
-        order = g_new0(cancel_order, 1);
-        g_strlcpy(order->engine_url, request->engine_url, sizeof order->engine_url);
-        g_strlcpy(order->attempt_id, request->attempt_id, sizeof order->attempt_id);
-    }
+    if (request->state == HS_ONLINE_RUNNING && request->attempt_id[0] != '\0')
+        hs_engine_cancel_soon(request->engine_url, request->attempt_id);
     g_cond_broadcast(&request->changed);
     g_mutex_unlock(&request->lock);
-    if (order != NULL)
-        g_thread_unref(g_thread_new("online-cancel", send_cancel, order));
 }
 
 /* ---- The worker's side -------------------------------------------------------------------- */
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -181,6 +181,27 @@
     return known;
 }
 
+bool hs_engine_cancel_many(const char *engine_url, const GPtrArray *request_ids) {
+    g_autofree char *url = g_strconcat(engine_url, "/v1/cancellations", NULL);
+    json_t *ids = json_array();
+    for (guint index = 0; index < request_ids->len; index++)
+        json_array_append_new(ids, json_string(request_ids->pdata[index]));
+    json_t *body = json_pack("{s:o}", "ids", ids);
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    hs_http_request request = {.method = "POST",
+                               .url = url,
+                               .content_type = "application/json",
+                               .body = text,
+                               .body_length = strlen(text),
+                               .timeout_s = CONTROL_TIMEOUT_S};
+    hs_http_answer answer;
+    bool answered = hs_http_exchange(&request, &answer) && answer.status == HTTP_OK;
+    hs_http_answer_clear(&answer);
+    free(text);
+    return answered;
+}
+
 static bool parse_engine_address(const char *engine_url, struct sockaddr_in *address) {
     g_auto(GStrv) parts = g_strsplit(engine_url + strlen("http://"), ":", 2);
     if (g_strv_length(parts) != 2)
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -61,6 +61,9 @@
 /** Cancel at the engine, over a connection of its own. True when the engine knew the request. */
 bool hs_engine_cancel(const char *engine_url, const char *request_id);
 
+/** Cancel several requests in one exchange. @p request_ids: of char*. True when it was answered. */
+bool hs_engine_cancel_many(const char *engine_url, const GPtrArray *request_ids);
+
 /** Whether a TCP connection to the engine opens within @p timeout_ms; sends no byte. */
 bool hs_engine_is_reachable(const char *engine_url, uint32_t timeout_ms);
 
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -1,33 +1,10 @@
 /** @file membership.c  The state machine; see membership.h. */
-#include "membership/membership.h"
-
-#include "base/hash.h"
+#include "membership/membership_state.h"
 
 #include <string.h>
 
 #define INDIRECT_PROBES 2
 #define GOSSIP_FACTOR 3 /* An account rides GOSSIP_FACTOR * log2(size) times before it rests. */
-#define EPOCH_NONE 0
-
-/** A probe that has not been answered yet. */
-typedef struct {
-    uint32_t sequence;
-    char *member_id;
-    uint64_t sent_ms;
-    bool asked_others;
-} open_probe;
-
-struct hs_membership {
-    hs_membership_settings settings;
-    hs_member *self;
-    GHashTable *members; /**< id -> hs_member, self included */
-    GPtrArray *round;    /**< ids still to be probed in this round */
-    GArray *open_probes;
-    GRand *random;
-    uint32_t next_sequence;
-    uint32_t rejoin_count;
-    uint64_t live_version;
-};
 
 static void free_member(gpointer data) {
     hs_member *member = data;
@@ -89,10 +66,6 @@
     return membership->self;
 }
 
-bool hs_member_is_live(const hs_member *member) {
-    return member->state == HS_MEMBER_ALIVE || member->state == HS_MEMBER_SUSPECT;
-}
-
 static void raise_own_version(hs_membership *membership) {
     membership->self->version++;
     membership->self->sent_count = 0;
@@ -452,81 +425,3 @@
         g_ptr_array_add(records, member);
     }
 }
-
-const hs_member *hs_membership_find(const hs_membership *membership, const char *id) {
-    return g_hash_table_lookup(membership->members, id);
-}
-
-void hs_membership_list(const hs_membership *membership, GPtrArray *members) {
-    GHashTableIter iterator;
-    gpointer data;
-    g_hash_table_iter_init(&iterator, membership->members);
-    while (g_hash_table_iter_next(&iterator, NULL, &data))
-        g_ptr_array_add(members, data);
-}
-
-const hs_member *hs_membership_rank_first(const hs_membership *membership, const char *key,
-                                          const char *zone) {
-    const hs_member *best = NULL;
-    uint64_t best_weight = 0;
-    bool best_in_zone = false;
-    GHashTableIter iterator;
-    gpointer data;
-    g_hash_table_iter_init(&iterator, membership->members);
-    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
-        const hs_member *member = data;
-        if (!hs_member_is_live(member))
-            continue;
-        bool in_zone = zone != NULL && strcmp(zone, member->zone) == 0;
-        uint64_t weight = hs_hash_pair(key, member->id);
-        bool better = best == NULL || (in_zone && !best_in_zone) ||
-                      (in_zone == best_in_zone && weight > best_weight);
-        if (!better)
-            continue;
-        best = member;
-        best_weight = weight;
-        best_in_zone = in_zone;
-    }
-    return best;
-}
-
-const hs_member *hs_membership_owner(const hs_membership *membership, uint32_t partition,
-                                     uint32_t *epoch) {
-    const hs_member *owner = NULL;
-    *epoch = EPOCH_NONE;
-    GHashTableIter iterator;
-    gpointer data;
-    g_hash_table_iter_init(&iterator, membership->members);
-    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
-        const hs_member *member = data;
-        if (!hs_member_is_live(member) && member->state != HS_MEMBER_LEAVING)
-            continue;
-        for (guint index = 0; index < member->owned->len; index++) {
-            const hs_owned_partition *owned =
-                &g_array_index(member->owned, hs_owned_partition, index);
-            if (owned->partition != partition || owned->epoch <= *epoch)
-                continue;
-            owner = member;
-            *epoch = owned->epoch;
-        }
-    }
-    return owner;
-}
-
-uint32_t hs_membership_rejoin_count(const hs_membership *membership) {
-    return membership->rejoin_count;
-}
-
-uint64_t hs_membership_live_version(const hs_membership *membership) {
-    return membership->live_version;
-}
-
-uint32_t hs_membership_live_count(const hs_membership *membership) {
-    uint32_t count = 0;
-    GHashTableIter iterator;
-    gpointer data;
-    g_hash_table_iter_init(&iterator, membership->members);
-    while (g_hash_table_iter_next(&iterator, NULL, &data))
-        count += hs_member_is_live(data);
-    return count;
-}
--- /dev/null
+++ b/src/membership/membership_query.c
@@ -0,0 +1,89 @@
+/** @file membership_query.c  Questions to the membership state: who is live, first, owner. */
+#include "base/hash.h"
+#include "membership/membership_state.h"
+
+#include <string.h>
+
+#define EPOCH_NONE 0
+
+bool hs_member_is_live(const hs_member *member) {
+    return member->state == HS_MEMBER_ALIVE || member->state == HS_MEMBER_SUSPECT;
+}
+
+const hs_member *hs_membership_find(const hs_membership *membership, const char *id) {
+    return g_hash_table_lookup(membership->members, id);
+}
+
+void hs_membership_list(const hs_membership *membership, GPtrArray *members) {
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data))
+        g_ptr_array_add(members, data);
+}
+
+const hs_member *hs_membership_rank_first(const hs_membership *membership, const char *key,
+                                          const char *zone) {
+    const hs_member *best = NULL;
+    uint64_t best_weight = 0;
+    bool best_in_zone = false;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (!hs_member_is_live(member))
+            continue;
+        bool in_zone = zone != NULL && strcmp(zone, member->zone) == 0;
+        uint64_t weight = hs_hash_pair(key, member->id);
+        bool better = best == NULL || (in_zone && !best_in_zone) ||
+                      (in_zone == best_in_zone && weight > best_weight);
+        if (!better)
+            continue;
+        best = member;
+        best_weight = weight;
+        best_in_zone = in_zone;
+    }
+    return best;
+}
+
+const hs_member *hs_membership_owner(const hs_membership *membership, uint32_t partition,
+                                     uint32_t *epoch) {
+    const hs_member *owner = NULL;
+    *epoch = EPOCH_NONE;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (!hs_member_is_live(member) && member->state != HS_MEMBER_LEAVING)
+            continue;
+        for (guint index = 0; index < member->owned->len; index++) {
+            const hs_owned_partition *owned =
+                &g_array_index(member->owned, hs_owned_partition, index);
+            if (owned->partition != partition || owned->epoch <= *epoch)
+                continue;
+            owner = member;
+            *epoch = owned->epoch;
+        }
+    }
+    return owner;
+}
+
+uint32_t hs_membership_rejoin_count(const hs_membership *membership) {
+    return membership->rejoin_count;
+}
+
+uint64_t hs_membership_live_version(const hs_membership *membership) {
+    return membership->live_version;
+}
+
+uint32_t hs_membership_live_count(const hs_membership *membership) {
+    uint32_t count = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data))
+        count += hs_member_is_live(data);
+    return count;
+}
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -143,6 +143,13 @@
     return taken;
 }
 
+uint64_t hs_membership_service_incarnation(hs_membership_service *service) {
+    g_mutex_lock(&service->lock);
+    uint64_t incarnation = hs_membership_self(service->membership)->incarnation;
+    g_mutex_unlock(&service->lock);
+    return incarnation;
+}
+
 void hs_membership_service_sign(hs_membership_service *service, Hs__PeerMessage *message) {
     g_mutex_lock(&service->lock);
     message->sender_id = service->self_id;
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -37,6 +37,9 @@
 /** Tell everyone that we leave, a few times over, since datagrams may be lost. */
 void hs_membership_service_leave(hs_membership_service *service);
 
+/** Our incarnation now. */
+uint64_t hs_membership_service_incarnation(hs_membership_service *service);
+
 /** Fill sender id and incarnation. The id is borrowed from the service. */
 void hs_membership_service_sign(hs_membership_service *service, Hs__PeerMessage *message);
 
--- a/src/scheduling/engine_slot.c
+++ b/src/scheduling/engine_slot.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+#define FAILURE_WAIT_MS 250
+#define MAX_DOUBLINGS 5U
+
 hs_engine_slot *hs_engine_slot_new(const char *id, const char *url) {
     hs_engine_slot *slot = g_new0(hs_engine_slot, 1);
     g_strlcpy(slot->id, id, sizeof slot->id);
@@ -41,6 +44,19 @@
     return slot->running->len > limit ? slot->running->len - limit : 0;
 }
 
+void hs_engine_slot_note_failure(hs_engine_slot *slot, uint64_t now_ms) {
+    /* Items that failed together count as one failure: they were all out before the first came. */
+    if (now_ms < slot->refused_until_ms)
+        return;
+    uint64_t wait_ms = (uint64_t)FAILURE_WAIT_MS << MIN(slot->failures_in_row, MAX_DOUBLINGS);
+    slot->failures_in_row++;
+    slot->refused_until_ms = now_ms + wait_ms;
+}
+
+void hs_engine_slot_note_success(hs_engine_slot *slot) {
+    slot->failures_in_row = 0;
+}
+
 bool hs_engine_slot_serves(const hs_engine_slot *slot, const char *model) {
     for (guint index = 0; index < slot->models->len; index++)
         if (strcmp(slot->models->pdata[index], model) == 0)
--- a/src/scheduling/engine_slot.h
+++ b/src/scheduling/engine_slot.h
@@ -17,7 +17,9 @@
     GPtrArray *running; /**< of hs_batch_item* on the engine, oldest first; borrowed */
     bool assigned;      /**< We are its scheduler now. */
     bool leaving;
-    uint64_t last_start_ms;    /**< When the last item started on it; 0: never. */
+    uint64_t last_start_ms; /**< When the last item started on it; 0: never. */
+    uint32_t
+        failures_in_row; /**< Items that came back without a result, since the last good one. */
     uint64_t refused_until_ms; /**< It refused batch work; tried again afterwards. */
 } hs_engine_slot;
 
@@ -32,6 +34,12 @@
 uint32_t hs_engine_slot_excess(const hs_engine_slot *slot, const hs_pacing_settings *pacing,
                                uint64_t now_ms);
 
+/** An item came back without a result: leave the engine alone for a while that grows. */
+void hs_engine_slot_note_failure(hs_engine_slot *slot, uint64_t now_ms);
+
+/** An item's result came from the engine. */
+void hs_engine_slot_note_success(hs_engine_slot *slot);
+
 bool hs_engine_slot_serves(const hs_engine_slot *slot, const char *model);
 
 #endif
--- /dev/null
+++ b/src/scheduling/scheduler_items.c
@@ -0,0 +1,143 @@
+/** @file scheduler_items.c  Running items on engines, starting them and letting them step aside. */
+#include "base/clock.h"
+#include "engine/cancel_queue.h"
+#include "scheduling/scheduler_state.h"
+
+#include <string.h>
+
+#define RING_RETRY_MS 1
+
+/** Hand an item's event to the scheduler; waits while the ring is full. */
+static void post_item_event(hs_scheduler *scheduler, event_kind kind, hs_batch_item *item,
+                            hs_item_end end) {
+    scheduler_event *event = g_new0(scheduler_event, 1);
+    event->kind = kind;
+    event->item = item;
+    event->end = end;
+    while (!hs_ring_put(scheduler->events, event))
+        hs_clock_sleep_ms(RING_RETRY_MS);
+}
+
+typedef struct {
+    hs_scheduler *scheduler;
+    hs_batch_item *item;
+} engine_free_context;
+
+static void post_engine_free(void *user_data) {
+    engine_free_context *context = user_data;
+    post_item_event(context->scheduler, EVENT_ENGINE_FREE, context->item, HS_ITEM_AGAIN);
+}
+
+void hs_scheduler_run_item(gpointer data, gpointer user_data) {
+    hs_batch_item *item = data;
+    hs_scheduler *scheduler = user_data;
+    const hs_held_grant *grant = item->grant;
+    hs_item_work work = {.partition = grant->partition,
+                         .epoch = grant->epoch,
+                         .job_id = grant->job_id,
+                         .endpoint = grant->endpoint,
+                         .chunk_offset = grant->chunk_offset,
+                         .index_in_chunk = item->item - grant->chunk_first_item,
+                         .item = item->item,
+                         .run_once = grant->run_once,
+                         .attempt_id = item->attempt_id,
+                         .engine_url = item->engine_url,
+                         .revoked = &grant->revoked,
+                         .progress = &item->progress};
+    engine_free_context free_context = {.scheduler = scheduler, .item = item};
+    hs_item_end end =
+        hs_item_run(scheduler->context.runner, &work, post_engine_free, &free_context);
+    post_item_event(scheduler, EVENT_ITEM_END, item, end);
+}
+
+/** Cancel the newest items above the limit; run-once items are never cancelled. */
+void hs_scheduler_step_aside(hs_scheduler *scheduler, hs_engine_slot *slot, uint64_t now_ms) {
+    uint32_t excess = hs_engine_slot_excess(slot, &scheduler->pacing, now_ms);
+    GPtrArray *cancelled = g_ptr_array_new_with_free_func(g_free);
+    for (guint index = slot->running->len; index > 0 && excess > 0; index--) {
+        hs_batch_item *item = slot->running->pdata[index - 1];
+        if (!item->stepping_aside && item->grant->run_once)
+            continue;
+        excess--;
+        if (item->stepping_aside)
+            continue;
+        item->stepping_aside = true;
+        g_ptr_array_add(cancelled, g_strdup(item->attempt_id));
+    }
+    COUNT(scheduler, preemptions, cancelled->len);
+    if (cancelled->len > 0)
+        hs_engine_cancel_many_soon(slot->url, cancelled);
+    else
+        g_ptr_array_free(cancelled, TRUE);
+}
+
+/**
+ * The assigned engine with the most room for the item's model, or NULL; the one that has the item's
+ * tokens goes first.
+ */
+static hs_engine_slot *choose_slot(hs_scheduler *scheduler, const hs_batch_item *item,
+                                   uint64_t now_ms) {
+    hs_engine_slot *best = NULL;
+    uint32_t best_room = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, scheduler->slots);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        hs_engine_slot *slot = data;
+        uint32_t room = hs_engine_slot_room(slot, &scheduler->pacing, now_ms);
+        if (room == 0 || !hs_engine_slot_serves(slot, item->grant->model))
+            continue;
+        if (item->progress.resumable && strcmp(slot->url, item->progress.engine_url) == 0)
+            return slot;
+        if (room <= best_room)
+            continue;
+        best = slot;
+        best_room = room;
+    }
+    return best;
+}
+
+static void start_item(hs_scheduler *scheduler, hs_batch_item *item, hs_engine_slot *slot,
+                       uint64_t now_ms) {
+    hs_batch_item_name_attempt(item, scheduler->context.settings->daemon_id, slot->url);
+    g_strlcpy(item->engine_id, slot->id, sizeof item->engine_id);
+    g_strlcpy(item->engine_url, slot->url, sizeof item->engine_url);
+    item->state = HS_ITEM_RUNNING;
+    item->on_engine = true;
+    item->stepping_aside = false;
+    item->started_ms = now_ms;
+    slot->last_start_ms = now_ms;
+    g_ptr_array_add(slot->running, item);
+    COUNT(scheduler, items_started, 1);
+    g_thread_pool_push(scheduler->runners, item, NULL);
+}
+
+void hs_scheduler_forget_item(hs_scheduler *scheduler, hs_batch_item *item) {
+    g_ptr_array_remove(scheduler->items, item);
+    hs_batch_item_free(item);
+}
+
+/** True when the item must not be started: its grant was revoked or is of an ended incarnation. */
+static bool item_is_void(hs_scheduler *scheduler, const hs_batch_item *item) {
+    uint64_t incarnation = hs_membership_service_incarnation(scheduler->context.membership);
+    return g_atomic_int_get(&item->grant->revoked) != 0 || item->grant->incarnation != incarnation;
+}
+
+void hs_scheduler_start_items(hs_scheduler *scheduler, uint64_t now_ms) {
+    for (guint index = 0; index < scheduler->queued->len;) {
+        hs_batch_item *item = scheduler->queued->pdata[index];
+        if (item_is_void(scheduler, item)) {
+            g_ptr_array_remove_index(scheduler->queued, index);
+            hs_scheduler_forget_item(scheduler, item);
+            continue;
+        }
+        hs_engine_slot *slot =
+            now_ms >= item->not_before_ms ? choose_slot(scheduler, item, now_ms) : NULL;
+        if (slot == NULL) {
+            index++;
+            continue;
+        }
+        g_ptr_array_remove_index(scheduler->queued, index);
+        start_item(scheduler, item, slot, now_ms);
+    }
+}
--- /dev/null
+++ b/src/scheduling/scheduler_pull.c
@@ -0,0 +1,111 @@
+/** @file scheduler_pull.c  Asking partition owners for items, and keeping their grants alive. */
+#include "scheduling/scheduler_state.h"
+
+#define PULL_INTERVAL_MS 20
+#define PULL_MAX_ITEMS 64
+
+/** Room on our engines, and the models they serve. @p models: borrowed strings, appended. */
+static uint32_t total_room(hs_scheduler *scheduler, uint64_t now_ms, GPtrArray *models) {
+    uint32_t room = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, scheduler->slots);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_engine_slot *slot = data;
+        uint32_t slot_room = hs_engine_slot_room(slot, &scheduler->pacing, now_ms);
+        room += slot_room;
+        for (guint index = 0; slot_room > 0 && index < slot->models->len; index++)
+            if (!g_ptr_array_find_with_equal_func(models, slot->models->pdata[index], g_str_equal,
+                                                  NULL))
+                g_ptr_array_add(models, slot->models->pdata[index]);
+    }
+    return room;
+}
+
+/** Partitions whose owners say they have items ready. */
+static GArray *ready_partitions(hs_scheduler *scheduler) {
+    GArray *partitions = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(scheduler->context.membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        if (!hs_member_is_live(member))
+            continue;
+        for (guint position = 0; position < member->owned->len; position++) {
+            const hs_owned_partition *owned =
+                &g_array_index(member->owned, hs_owned_partition, position);
+            if (owned->has_ready_items)
+                g_array_append_val(partitions, owned->partition);
+        }
+    }
+    hs_membership_service_unlock(scheduler->context.membership);
+    return partitions;
+}
+
+static void send_to_owner(hs_scheduler *scheduler, uint32_t partition, Hs__PeerMessage *message) {
+    uint32_t epoch = 0;
+    hs_membership *membership = hs_membership_service_lock(scheduler->context.membership);
+    const hs_member *owner = hs_membership_owner(membership, partition, &epoch);
+    uint32_t address = owner != NULL ? owner->address : 0;
+    uint16_t port = owner != NULL ? owner->peer_port : 0;
+    hs_membership_service_unlock(scheduler->context.membership);
+    if (port == 0)
+        return;
+    hs_membership_service_sign(scheduler->context.membership, message);
+    hs_peer_socket_send(scheduler->context.socket, address, port, message);
+}
+
+void hs_scheduler_pull_items(hs_scheduler *scheduler, uint64_t now_ms) {
+    if (now_ms < scheduler->next_pull_ms || g_atomic_int_get(&scheduler->draining) != 0)
+        return;
+    scheduler->next_pull_ms = now_ms + PULL_INTERVAL_MS;
+    g_autoptr(GPtrArray) models = g_ptr_array_new();
+    uint32_t room = total_room(scheduler, now_ms, models);
+    if (room <= scheduler->queued->len)
+        return;
+    g_autoptr(GArray) partitions = ready_partitions(scheduler);
+    if (partitions->len == 0)
+        return;
+    uint32_t partition =
+        g_array_index(partitions, uint32_t, scheduler->pull_sequence % partitions->len);
+    Hs__PullRequest request = HS__PULL_REQUEST__INIT;
+    request.partition = partition;
+    request.want = MIN(room - scheduler->queued->len, PULL_MAX_ITEMS);
+    request.sequence = ++scheduler->pull_sequence;
+    request.n_models = models->len;
+    request.models = (char **)models->pdata;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_PULL_REQUEST;
+    message.pull_request = &request;
+    send_to_owner(scheduler, partition, &message);
+    COUNT(scheduler, pulls, 1);
+}
+
+static void renew_grant(hs_scheduler *scheduler, const hs_held_grant *grant) {
+    Hs__GrantRef ref = HS__GRANT_REF__INIT;
+    ref.partition = grant->partition;
+    ref.epoch = grant->epoch;
+    ref.grant_id = grant->grant_id;
+    Hs__GrantRef *refs[] = {&ref};
+    Hs__GrantRenew renew = HS__GRANT_RENEW__INIT;
+    renew.n_grants = 1;
+    renew.grants = refs;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_RENEW;
+    message.grant_renew = &renew;
+    send_to_owner(scheduler, grant->partition, &message);
+}
+
+/** Keep the grants of all our items alive. */
+void hs_scheduler_renew_grants(hs_scheduler *scheduler, uint64_t now_ms) {
+    if (now_ms < scheduler->next_renew_ms)
+        return;
+    scheduler->next_renew_ms = now_ms + (uint64_t)scheduler->context.settings->grant_lease_ms / 3;
+    g_autoptr(GHashTable) renewed = g_hash_table_new(g_direct_hash, g_direct_equal);
+    for (guint index = 0; index < scheduler->items->len; index++) {
+        const hs_batch_item *item = scheduler->items->pdata[index];
+        if (g_hash_table_add(renewed, item->grant))
+            renew_grant(scheduler, item->grant);
+    }
+}
--- a/standin/engine/engine.c
+++ b/standin/engine/engine.c
@@ -295,9 +295,10 @@
     if (self->faults.leaving) {
         self->leaving_refusals++;
         refuse(response, 503, "leaving");
-    } else if (self->faults.refuse)
+    } else if (self->faults.refuse) {
+        self->refusals++;
         refuse(response, 503, "overloaded");
-    else if (!holds_model(self, model))
+    } else if (!holds_model(self, model))
         refuse(response, 404, "model_not_loaded");
     else {
         engine_request *request = start_request(self, body, chat);
@@ -362,6 +363,29 @@
                        json_pack("{s:i}", "tokens", (int)request->sequence.produced));
 }
 
+/** Cancel several requests in one exchange: {"ids": [...]}; those unknown are passed over. */
+static int handle_cancel_many(const struct _u_request *wire, struct _u_response *response,
+                              void *data) {
+    engine *self = data;
+    json_t *body = ulfius_get_json_body_request(wire, NULL);
+    int cancelled = 0;
+    size_t index;
+    json_t *id;
+    g_mutex_lock(&self->lock);
+    json_array_foreach(json_object_get(body, "ids"), index, id) {
+        engine_request *request =
+            json_is_string(id) ? g_hash_table_lookup(self->requests, json_string_value(id)) : NULL;
+        if (request == NULL || has_ended(request))
+            continue;
+        engine_model_cancel(self->model, &request->sequence);
+        cancelled++;
+    }
+    g_cond_broadcast(&self->progressed);
+    g_mutex_unlock(&self->lock);
+    json_decref(body);
+    return hs_http_reply_json(response, 200, json_pack("{s:i}", "cancelled", cancelled));
+}
+
 static const char *state_name(const engine_request *request) {
     static const char *const names[] = {"waiting", "running", "done", "cancelled"};
     return names[request->sequence.state];
@@ -400,6 +424,7 @@
     hs_http_server_route(server, "POST", "/v1/completions", handle_text, self);
     hs_http_server_route(server, "GET", "/v1/requests/:id/stream", handle_resume, self);
     hs_http_server_route(server, "POST", "/v1/requests/:id/continue", handle_continue, self);
+    hs_http_server_route(server, "POST", "/v1/cancellations", handle_cancel_many, self);
     hs_http_server_route(server, "POST", "/v1/requests/:id/cancel", handle_cancel, self);
     hs_http_server_route(server, "GET", "/v1/requests/:id", handle_describe, self);
     engine_control_routes(self, server);
--- a/standin/engine/engine.h
+++ b/standin/engine/engine.h
@@ -58,6 +58,7 @@
     GArray *cache_events; /**< of uint64_t prefix hash; the index is the event's number */
     engine_faults faults;
     uint32_t leaving_refusals; /**< New work that came while leaving. */
+    uint32_t refusals;         /**< New work refused by the fault "refuse". */
     uint32_t order_epoch;      /**< Highest epoch of an order obeyed; older ones are refused. */
     bool stopping;
     GThread *step_thread;
--- a/standin/engine/engine_control.c
+++ b/standin/engine/engine_control.c
@@ -136,9 +136,9 @@
                                               state_names[request->sequence.state], "received_us",
                                               (json_int_t)request->received_us));
     }
-    json_t *body = json_pack("{s:s,s:i,s:I,s:o}", "engine", self->id, "leaving_refusals",
-                             (int)self->leaving_refusals, "now_us",
-                             (json_int_t)g_get_monotonic_time(), "requests", list);
+    json_t *body = json_pack("{s:s,s:i,s:i,s:I,s:o}", "engine", self->id, "refusals",
+                             (int)self->refusals, "leaving_refusals", (int)self->leaving_refusals,
+                             "now_us", (json_int_t)g_get_monotonic_time(), "requests", list);
     g_mutex_unlock(&self->lock);
     return hs_http_reply_json(response, 200, body);
 }
--- a/tests/system/test_online.c
+++ b/tests/system/test_online.c
@@ -66,6 +66,34 @@
     hs_http_answer_clear(&answer);
 }
 
+static int total_refusals(void) {
+    int refusals = 0;
+    for (int index = 0; index < test_fleet.engine_count; index++) {
+        json_t *record = NULL;
+        client_call("GET", test_fleet.engine_urls[index], "/control/record", NULL, NULL, NULL,
+                    &record);
+        refusals += (int)json_integer_value(json_object_get(record, "refusals"));
+        json_decref(record);
+    }
+    return refusals;
+}
+
+/** Engines that refuse are asked little more often than there are requests. */
+static void outage_is_not_doubled_by_retries(void) {
+    const int requests = 300;
+    const int budget_at_rest = 50;
+    all_engines("{\"refuse\":true}");
+    int before = total_refusals();
+    for (int request = 0; request < requests; request++)
+        CU_ASSERT_EQUAL(client_call("POST", test_fleet.caller_urls[0], "/v1/completions",
+                                    TEST_TENANT, "{\"model\":\"drafting-7b\",\"prompt\":\"storm\"}",
+                                    NULL, NULL),
+                        503);
+    int asked = total_refusals() - before;
+    all_engines("{\"refuse\":false}");
+    CU_ASSERT(asked <= requests + requests / 10 + budget_at_rest);
+}
+
 static bool is_served(void *user_data) {
     (void)user_data;
     return client_call("POST", test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
@@ -139,6 +167,7 @@
 }
 
 const test_case online_tests[] = {
+    {"outage_is_not_doubled_by_retries", outage_is_not_doubled_by_retries},
     {"run_once_resent_through_another_daemon_runs_once",
      run_once_resent_through_another_daemon_runs_once},
     {"run_once_is_not_resent_after_a_cut", run_once_is_not_resent_after_a_cut},
--- a/tests/unit/test_scheduling.c
+++ b/tests/unit/test_scheduling.c
@@ -74,7 +74,24 @@
     hs_engine_slot_free(slot);
 }
 
+static void failing_engine_is_left_alone_for_growing_times(void) {
+    hs_engine_slot *slot = hs_engine_slot_new("e", "http://127.0.0.1:1");
+    slot->assigned = true;
+    hs_engine_slot_note_failure(slot, 1000);
+    hs_engine_slot_note_failure(slot, 1001);
+    CU_ASSERT_EQUAL(hs_engine_slot_room(slot, &pacing, 1249), 0);
+    CU_ASSERT_EQUAL(hs_engine_slot_room(slot, &pacing, 1250), 32);
+    hs_engine_slot_note_failure(slot, 1300);
+    CU_ASSERT_EQUAL(hs_engine_slot_room(slot, &pacing, 1799), 0);
+    hs_engine_slot_note_success(slot);
+    hs_engine_slot_note_failure(slot, 2000);
+    CU_ASSERT_EQUAL(hs_engine_slot_room(slot, &pacing, 2250), 32);
+    hs_engine_slot_free(slot);
+}
+
 const test_case scheduling_tests[] = {
+    {"failing_engine_is_left_alone_for_growing_times",
+     failing_engine_is_left_alone_for_growing_times},
     {"batch_is_full_only_on_an_idle_engine", batch_is_full_only_on_an_idle_engine},
     {"items_start_one_after_the_other", items_start_one_after_the_other},
     {"late_notice_is_dropped_and_a_lost_one_heals", late_notice_is_dropped_and_a_lost_one_heals},
--- a/tools/bench/large_job.sh
+++ b/tools/bench/large_job.sh
@@ -8,17 +8,7 @@
 "$programs/heathsail-fleet" --programs "$programs" --set scheduling.start_interval_ms=0 \
     --set scheduling.max_batch_per_engine=64 --set daemon.log_level=warning >"$work/fleet.txt" 2>&1 &
 fleet=$!
-finish() {
-    kill "$fleet" 2>/dev/null || true
-    wait "$fleet" 2>/dev/null || true
-    rm -rf "$work"
-}
-trap finish EXIT
-tries=0
-until grep -q '^fleet ready' "$work/fleet.txt" || [ "$tries" -ge 300 ]; do
-    tries=$((tries + 1))
-    sleep 0.1
-done
+. "$(dirname "$0")/with_fleet.sh"
 awk -v n="$items" 'BEGIN { for (i = 0; i < n; i++)
     printf "{\"custom_id\":\"c%d\",\"method\":\"POST\",\"url\":\"/v1/completions\",\"body\":{\"model\":\"drafting-7b\",\"max_tokens\":1,\"prompt\":\"line %d of a large requisition\"}}\n", i, i }' >"$work/lines.jsonl"
 ctl() { "$programs/heathsailctl" --tenant bench --endpoint /v1/completions --output json "$@"; }
--- a/tools/bench/real_tail.sh
+++ b/tools/bench/real_tail.sh
@@ -7,17 +7,7 @@
 work=$(mktemp -d)
 "$programs/heathsail-fleet" --programs "$programs" --set daemon.log_level=warning >"$work/fleet.txt" 2>&1 &
 fleet=$!
-finish() {
-    kill "$fleet" 2>/dev/null || true
-    wait "$fleet" 2>/dev/null || true
-    rm -rf "$work"
-}
-trap finish EXIT
-tries=0
-until grep -q '^fleet ready' "$work/fleet.txt" || [ "$tries" -ge 300 ]; do
-    tries=$((tries + 1))
-    sleep 0.1
-done
+. "$(dirname "$0")/with_fleet.sh"
 callers=http://127.0.0.1:8080,http://127.0.0.1:8081,http://127.0.0.1:8082
 cpu_ticks() { for pid in $(pgrep -P "$fleet" heathsaild); do awk '{ print $14 + $15 }' "/proc/$pid/stat"; done | awk '{ s += $1 } END { print s }'; }
 load() { "$programs/heathsail-load" --callers "$callers" --rate 40 --tokens 40 --busy 4 --idle 2 --seconds "$seconds" 2>/dev/null; }
