--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -48,6 +48,7 @@
     int64_t claim_settle_ms;
     int64_t handover_ms;
     int64_t job_window_s;
+    int64_t replica_idle_s;
 
     int64_t max_batch_per_engine;
     int64_t batch_beside_online;
--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -21,6 +21,7 @@
     GMutex lock;
     hs_partition_owner **owners; /**< By partition; NULL: not ours. */
     hs_ownership_history *histories;
+    bool release_failed;     /**< The last release could not be appended. */
     bool *self_is_first;     /**< By partition, for ranked_version. */
     bool *owner_is_known;    /**< By partition: another member says it owns it. */
     uint64_t ranked_version; /**< Of the live set the ranks were worked out for. */
@@ -184,8 +185,11 @@
     uint64_t offset = 0;
     hs_error error = {0};
     HS_FAULT_POINT("release");
-    hs_appender_append(coordinator->context.appender, hs_replica_stream(replica), record->data,
-                       record->len, RELEASE_PATIENCE_MS, &offset, &error);
+    /* While the log is out of reach one try is enough: the others claim once we are gone. */
+    uint32_t patience_ms = coordinator->release_failed ? 0 : RELEASE_PATIENCE_MS;
+    int result = hs_appender_append(coordinator->context.appender, hs_replica_stream(replica),
+                                    record->data, record->len, patience_ms, &offset, &error);
+    coordinator->release_failed = result != 0;
     drop_owner(coordinator, partition);
     hs_log_info("partition_released", "partition=%u epoch=%u", partition, epoch);
 }
--- a/src/batch/replica.c
+++ b/src/batch/replica.c
@@ -1,6 +1,7 @@
 /** @file replica.c  Reading a partition's streams; see replica.h. */
 #include "batch/replica.h"
 
+#include "base/clock.h"
 #include "base/fault_point.h"
 #include "base/hash.h"
 #include "base/log.h"
@@ -19,6 +20,7 @@
     hs_partition *state;
     bool loaded; /**< The newest snapshot was looked for. */
     uint64_t snapshot_offset;
+    uint64_t followed_ms; /**< When it was last read; 0: never. */
 };
 
 hs_replica *hs_replica_new(const hs_log_client *log, uint32_t partition, uint64_t window_ms) {
@@ -152,6 +154,7 @@
     if (result != 0)
         return result;
     g_mutex_lock(&replica->lock);
+    replica->followed_ms = hs_clock_monotonic_ms();
     uint64_t offset = replica->state->next_offset;
     g_mutex_unlock(&replica->lock);
     hs_log_slice slice;
@@ -165,6 +168,19 @@
     return 0;
 }
 
+bool hs_replica_trim(hs_replica *replica, uint64_t now_ms, uint64_t idle_ms) {
+    g_mutex_lock(&replica->lock);
+    bool idle = replica->loaded && now_ms > replica->followed_ms + idle_ms;
+    if (idle) {
+        hs_partition_free(replica->state);
+        replica->state = hs_partition_new(replica->window_ms);
+        replica->loaded = false;
+        replica->snapshot_offset = 0;
+    }
+    g_mutex_unlock(&replica->lock);
+    return idle;
+}
+
 int hs_replica_refresh(hs_replica *replica, hs_error *error) {
     uint32_t applied = 1;
     while (applied > 0) {
--- a/src/batch/replica.h
+++ b/src/batch/replica.h
@@ -28,7 +28,17 @@
 /** Read once, waiting at most @p wait_ms for a record. @p applied: records that came. */
 int hs_replica_follow(hs_replica *replica, uint32_t wait_ms, uint32_t *applied, hs_error *error);
 
-/** Lock and borrow the state; unlock when done. Hold it for short computations only. */
+/**
+ * Drop the state of a replica that nobody followed for @p idle_ms; the next read starts from the
+ * newest snapshot again. An owner's replica is followed all the time, and so is never dropped.
+ * @return true when it was dropped.
+ */
+bool hs_replica_trim(hs_replica *replica, uint64_t now_ms, uint64_t idle_ms);
+
+/**
+ * Lock and borrow the state; unlock when done, and keep no pointer into it. Hold it for short
+ * computations only.
+ */
 hs_partition *hs_replica_lock(hs_replica *replica);
 void hs_replica_unlock(hs_replica *replica);
 
--- a/src/batch/replica_set.c
+++ b/src/batch/replica_set.c
@@ -40,6 +40,17 @@
     return replica;
 }
 
+uint32_t hs_replica_set_trim(hs_replica_set *set, uint64_t now_ms, uint64_t idle_ms) {
+    uint32_t trimmed = 0;
+    for (uint32_t index = 0; index < set->count; index++) {
+        g_mutex_lock(&set->lock);
+        hs_replica *replica = set->replicas[index];
+        g_mutex_unlock(&set->lock);
+        trimmed += replica != NULL && hs_replica_trim(replica, now_ms, idle_ms);
+    }
+    return trimmed;
+}
+
 uint32_t hs_replica_set_count(const hs_replica_set *set) {
     return set->count;
 }
--- a/src/daemon/listing.c
+++ b/src/daemon/listing.c
@@ -13,11 +13,13 @@
 #define TICK_MS 50
 #define RENEW_NOTICES_MS 2000
 #define SLEEP_JUMP_MS 1500
+#define TRIM_INTERVAL_MS 1000
 
 struct hs_listing {
     hs_node *node;
     uint64_t next_list_ms;
     uint64_t next_renew_ms;
+    uint64_t next_trim_ms;
     uint64_t last_tick_ms; /**< When the last round ended; 0: none yet. */
     hs_config_sync *sync;
     char *etag; /**< Of the list last read; NULL: none yet. */
@@ -147,6 +149,11 @@
             listing->next_list_ms = now_ms + (uint64_t)node->settings->machine_list_interval_ms;
             read_list(listing);
         }
+        if (now_ms >= listing->next_trim_ms) {
+            listing->next_trim_ms = now_ms + TRIM_INTERVAL_MS;
+            hs_replica_set_trim(node->replicas, now_ms,
+                                (uint64_t)node->settings->replica_idle_s * 1000);
+        }
         if (now_ms >= listing->next_renew_ms) {
             listing->next_renew_ms = now_ms + RENEW_NOTICES_MS;
             renew_notices(node);
--- a/tools/bench/run.sh
+++ b/tools/bench/run.sh
@@ -15,7 +15,13 @@
 for size in 45 90 180 360; do
     "$programs/heathsail-hollow" --daemons "$size" | sed "s/^/hollow_${size}_/"
 done
+echo "# a zone's daemons fall silent together"
+"$programs/heathsail-hollow" --daemons 360 --failures 72 --changes 5 | sed "s/^/hollow_zone_/"
 kill "$platform"
 wait "$platform" 2>/dev/null || true
 echo "# a large job"
 "$(dirname "$0")/large_job.sh" "$programs"
+echo "# processor time of the edge"
+"$(dirname "$0")/edge_cost.sh" "$programs"
+echo "# online tail over real processes"
+"$(dirname "$0")/real_tail.sh" "$programs"
