A silent engine holds neither a job nor a worker

Cause: an engine that accepts and then says nothing (frozen, not dead) kept its items for ever: their grants were renewed, and the exchange had no limit.

Change: every exchange with an engine has a limit (the caller's deadline online, scheduling.item_timeout_s in batch); an item that came back twice without a result is given back by no longer renewing its grant; a check in lint that a lower layer never includes a higher one.

Test frozen_engine_does_not_hold_a_job: SIGSTOP on an engine with items on it. Before: not tested, the job waits for ever by reading the code.

--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -56,6 +56,7 @@
     int64_t idle_hold_ms;
     int64_t start_interval_ms;
     int64_t run_once_recovery_ms;
+    int64_t item_timeout_s;
 
     int64_t subset_size;
     int64_t max_attempts;
--- a/src/batch/item_runner.c
+++ b/src/batch/item_runner.c
@@ -211,7 +211,8 @@
     hs_engine_call call = {.engine_url = work->engine_url,
                            .path = work->endpoint,
                            .request_id = work->attempt_id,
-                           .body = body};
+                           .body = body,
+                           .timeout_s = runner->item_timeout_s};
     HS_FAULT_POINT("dispatch");
     hs_run_result result = start_or_continue(run, &call);
     on_engine_free(user_data);
@@ -262,8 +263,10 @@
     item_run run;
     if (!item_run_open(runner, work, &run))
         return false;
-    hs_engine_call call = {
-        .engine_url = work->engine_url, .path = work->endpoint, .request_id = work->attempt_id};
+    hs_engine_call call = {.engine_url = work->engine_url,
+                           .path = work->endpoint,
+                           .request_id = work->attempt_id,
+                           .timeout_s = runner->item_timeout_s};
     hs_whole_answer_reset(run.answer);
     hs_run_result result = hs_engine_resume(&call, 0, collect_token, &run);
     hs_item_end end = HS_ITEM_AGAIN;
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -23,7 +23,8 @@
     hs_replica_set *replicas;
     hs_chunk_reader *chunks;
     uint32_t run_once_recovery_ms;
-    gint stopping; /**< Not 0: give up waiting, the process ends. */
+    uint32_t item_timeout_s; /**< Limit of one exchange with an engine. */
+    gint stopping;           /**< Not 0: give up waiting, the process ends. */
 } hs_item_runner;
 
 /** Tokens of an item that stepped aside, so that its engine can go on where it stopped. */
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -17,6 +17,7 @@
 #define RESUME_WAIT_MS 50
 #define REACHABLE_TIMEOUT_MS 500
 #define MAX_TRIED 16
+#define EXCHANGE_SLACK_S 2
 #define US_PER_MS 1000
 #define MS_PER_S 1000.0
 
@@ -184,13 +185,21 @@
     return result;
 }
 
+/** A silent engine holds the worker little longer than the caller waits. */
+static uint32_t exchange_limit_s(const hs_online_request *request) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t left_ms = request->deadline_ms > now_ms ? request->deadline_ms - now_ms : 0;
+    return (uint32_t)(left_ms / 1000) + EXCHANGE_SLACK_S;
+}
+
 /** Run the request once on the chosen engine. */
 static hs_run_result run_attempt(hs_online_request *request, const hs_engine_choice *choice) {
     char *body = attempt_body(request);
     hs_engine_call call = {.engine_url = choice->url,
                            .path = request->chat ? HS_PATH_CHAT : HS_PATH_TEXT,
                            .request_id = request->attempt_id,
-                           .body = body};
+                           .body = body,
+                           .timeout_s = exchange_limit_s(request)};
     hs_node_notice_online(request->node, choice->id);
     HS_FAULT_POINT("online_dispatch");
     hs_run_result result = hs_engine_run(&call, take_token, request);
@@ -268,7 +277,9 @@
 
 /** Another attempt holds our key: read its answer from its engine, without ever running ours. */
 static void answer_from_holder(hs_online_request *request, const hs_key_holder *holder) {
-    hs_engine_call call = {.engine_url = holder->engine_url, .request_id = holder->attempt_id};
+    hs_engine_call call = {.engine_url = holder->engine_url,
+                           .request_id = holder->attempt_id,
+                           .timeout_s = exchange_limit_s(request)};
     hs_run_result result = {.end = HS_RUN_REFUSED};
     g_mutex_lock(&request->lock);
     request->attempt_id[0] = '\0'; /* Not ours to cancel. */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -102,7 +102,8 @@
         (hs_item_runner){.appender = node->appender,
                          .replicas = node->replicas,
                          .chunks = node->chunks,
-                         .run_once_recovery_ms = (uint32_t)node->settings->run_once_recovery_ms};
+                         .run_once_recovery_ms = (uint32_t)node->settings->run_once_recovery_ms,
+                         .item_timeout_s = (uint32_t)node->settings->item_timeout_s};
     hs_coordinator_context coordinator = {.settings = node->settings,
                                           .membership = node->membership,
                                           .socket = node->socket,
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -113,6 +113,8 @@
            "throughput (less) and online tail (more); see docs/design/0001-admission.md."),
     NUMBER("scheduling", "run_once_recovery_ms", run_once_recovery_ms, "ms", 100, HOUR_MS, 30000,
            "Time an engine may stay unreachable before a run-once item is recorded indeterminate."),
+    NUMBER("scheduling", "item_timeout_s", item_timeout_s, "s", 1, 86400, 600,
+           "Longest time of a batch item on an engine; then it runs elsewhere."),
     NUMBER("routing", "subset_size", subset_size, "engines", 1, 4096, 16,
            "Engines of a group that one daemon sends to."),
     NUMBER("routing", "max_attempts", max_attempts, "attempts", 1, 10, 3,
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -133,6 +133,7 @@
     ulfius_init_request(&request);
     g_autofree char *url = g_strconcat(call->engine_url, call->path, NULL);
     ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
+                                  U_OPT_TIMEOUT, (unsigned long)call->timeout_s,
                                   U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
                                   U_OPT_STRING_BODY, call->body, U_OPT_NONE);
     hs_run_result result = stream_request(&request, 0, on_token, user_data);
@@ -147,7 +148,7 @@
     g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/stream?offset=%u", call->engine_url,
                                            call->request_id, first_token);
     ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "GET", U_OPT_HTTP_URL, url,
-                                  U_OPT_NONE);
+                                  U_OPT_TIMEOUT, (unsigned long)call->timeout_s, U_OPT_NONE);
     hs_run_result result = stream_request(&request, first_token, on_token, user_data);
     ulfius_clean_request(&request);
     return result;
@@ -160,6 +161,7 @@
     g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/continue?offset=%u", call->engine_url,
                                            call->request_id, first_token);
     ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
+                                  U_OPT_TIMEOUT, (unsigned long)call->timeout_s,
                                   U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
                                   U_OPT_STRING_BODY, "{}", U_OPT_NONE);
     hs_run_result result = stream_request(&request, first_token, on_token, user_data);
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -21,6 +21,7 @@
     const char *path;       /**< /v1/chat/completions or /v1/completions */
     const char *request_id; /**< The attempt's identity at the engine. */
     const char *body;       /**< JSON text that already carries stream, request_id and priority. */
+    uint32_t timeout_s; /**< Limit of each exchange, so that a silent engine lets go; 0: none. */
 } hs_engine_call;
 
 /** How a run ended. */
--- a/src/scheduling/batch_item.h
+++ b/src/scheduling/batch_item.h
@@ -32,6 +32,7 @@
     hs_held_grant *grant;
     uint32_t item;
     uint32_t tries;
+    uint32_t failures; /**< Runs that came back without a result, stepping aside left out. */
     char attempt_id[96];
     char engine_id[64];
     char engine_url[64];
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -11,6 +11,7 @@
 #define EVENT_RING_SIZE 16384
 #define EVENT_WAIT_MS 5
 #define AGAIN_DELAY_MS 200
+#define MAX_ITEM_FAILURES 1
 #define RUNNER_THREADS 512
 
 hs_scheduler *hs_scheduler_new(const hs_scheduler_context *context) {
@@ -140,13 +141,19 @@
         return;
     }
     bool stepped_aside = item->stepping_aside;
+    item->failures += !stepped_aside;
+    hs_engine_slot *slot = g_hash_table_lookup(scheduler->slots, item->engine_id);
+    if (slot != NULL && !stepped_aside)
+        hs_engine_slot_note_failure(slot, now_ms);
+    /* Our engines cannot run it: give it back, by no longer renewing its grant. */
+    if (item->failures > MAX_ITEM_FAILURES && !item->grant->run_once) {
+        hs_scheduler_forget_item(scheduler, item);
+        return;
+    }
     item->state = HS_ITEM_QUEUED;
     item->not_before_ms = stepped_aside ? now_ms : now_ms + AGAIN_DELAY_MS;
     g_ptr_array_insert(scheduler->queued, 0, item);
     COUNT(scheduler, items_again, 1);
-    hs_engine_slot *slot = g_hash_table_lookup(scheduler->slots, item->engine_id);
-    if (slot != NULL && !stepped_aside)
-        hs_engine_slot_note_failure(slot, now_ms);
 }
 
 static void take_event(hs_scheduler *scheduler, scheduler_event *event, uint64_t now_ms) {
--- a/standin/platform/platform_machines.c
+++ b/standin/platform/platform_machines.c
@@ -70,7 +70,7 @@
     }
     number = MAX(number, self->shown_version);
     self->shown_version = number;
-    if (number > 0)
+    if (number > 0 && self->machine_history != NULL)
         shown = g_array_index(self->machine_history, platform_machine_version, number - 1).machines;
     g_autofree char *etag = g_strdup_printf("\"%u\"", number);
     u_map_put(response->map_header, "ETag", etag);
--- /dev/null
+++ b/tests/check_layers.sh
@@ -0,0 +1,28 @@
+#!/bin/sh
+# A lower layer of src/ never includes a higher one; the product never includes stand-ins or tools.
+# Prints each breach; fails when there is one.
+set -eu
+cd "$(dirname "$0")/.."
+layers="base http platform engine config peer membership routing batch scheduling node commands queries daemon"
+rank() {
+    position=0
+    for layer in $layers; do
+        position=$((position + 1))
+        [ "$layer" = "$1" ] && echo "$position" && return
+    done
+    echo 0
+}
+breaches=0
+for file in src/*/*.[ch]; do
+    own=$(rank "$(echo "$file" | cut -d/ -f2)")
+    for included in $(sed -n 's/^#include "\([a-z_]*\)\/.*/\1/p' "$file" | sort -u); do
+        case "$included" in
+        heathsail | gen) continue ;;
+        standin | tools | tests) ;;
+        *) [ "$(rank "$included")" -le "$own" ] && continue ;;
+        esac
+        echo "$file includes $included/"
+        breaches=$((breaches + 1))
+    done
+done
+[ "$breaches" -eq 0 ]
--- a/tests/system/test_path.c
+++ b/tests/system/test_path.c
@@ -2,6 +2,7 @@
 #include "standin/engine/answer.h"
 #include "tests/system/system_tests.h"
 
+#include <signal.h>
 #include <string.h>
 
 #define JOB_TIMEOUT_MS 30000
@@ -169,6 +170,38 @@
     json_decref(results);
 }
 
+/** Freezes the first engine that works on the prefix's items. @return its index, or -1. */
+static int freeze_busy_engine(const char *prefix) {
+    for (int engine = 0; engine < 3; engine++) {
+        json_t *record = NULL;
+        client_call("GET", test_fleet.engine_urls[engine], "/control/record", NULL, NULL, NULL,
+                    &record);
+        char *text = json_dumps(record, JSON_COMPACT);
+        bool busy = strstr(text, prefix) != NULL && strstr(text, "\"running\"") != NULL;
+        free(text);
+        json_decref(record);
+        if (busy && fleet_signal(&test_fleet.engine_pids[engine], SIGSTOP) == 0)
+            return engine;
+    }
+    return -1;
+}
+
+static void frozen_engine_does_not_hold_a_job(void) {
+    g_autofree char *lines = test_lines("held", 60, 100, 0);
+    g_autofree char *job_id = submit_lines(lines, 0, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job_id);
+    CU_ASSERT_TRUE(wait_until(some_item_runs, (gpointer) "held-", 10000));
+    int frozen = freeze_busy_engine("held-");
+    CU_ASSERT(frozen >= 0);
+    json_t *job = client_wait_batch(test_fleet.caller_urls[2], TEST_TENANT, job_id, JOB_TIMEOUT_MS);
+    CU_ASSERT_EQUAL(
+        json_integer_value(json_object_get(json_object_get(job, "request_counts"), "completed")),
+        60);
+    json_decref(job);
+    if (frozen >= 0)
+        fleet_signal(&test_fleet.engine_pids[frozen], SIGCONT);
+}
+
 static void jobs_are_listed_to_their_tenant_only(void) {
     json_t *mine = NULL;
     json_t *others = NULL;
@@ -236,6 +269,7 @@
     {"run_once_items_run_once", run_once_items_run_once},
     {"cancelled_job_stops", cancelled_job_stops},
     {"items_that_stepped_aside_complete_whole", items_that_stepped_aside_complete_whole},
+    {"frozen_engine_does_not_hold_a_job", frozen_engine_does_not_hold_a_job},
     {"jobs_are_listed_to_their_tenant_only", jobs_are_listed_to_their_tenant_only},
     {"uploaded_file_reads_back", uploaded_file_reads_back},
     {"metrics_are_prometheus_text", metrics_are_prometheus_text},
--- a/tools/load/online_run.c
+++ b/tools/load/online_run.c
@@ -99,20 +99,21 @@
     gint64 started_us = g_get_monotonic_time();
     double progress_s = PROGRESS_S;
     int number = 0;
-    for (double time_s = next_time(random, options, 0); time_s < options->seconds;
-         time_s = next_time(random, options, time_s)) {
+    double time_s = next_time(random, options, 0);
+    while (time_s < options->seconds) {
         planned_request *planned = g_new0(planned_request, 1);
         planned->number = number++;
-        planned->prefix = g_rand_int_range(random, 0, PREFIXES);
+        planned->prefix = (uint32_t)g_rand_int_range(random, 0, PREFIXES);
         planned->planned_us = started_us + (gint64)(time_s * US_PER_S);
         gint64 wait_us = planned->planned_us - g_get_monotonic_time();
         if (wait_us > 0)
             g_usleep((gulong)wait_us);
         g_thread_pool_push(pool, planned, NULL);
-        if (time_s < progress_s)
-            continue;
-        progress_s += PROGRESS_S;
-        fprintf(stderr, "progress seconds=%.0f sent=%d\n", time_s, number);
+        if (time_s >= progress_s) {
+            progress_s += PROGRESS_S;
+            fprintf(stderr, "progress seconds=%.0f sent=%d\n", time_s, number);
+        }
+        time_s = next_time(random, options, time_s);
     }
     g_rand_free(random);
     return number;
