--- a/tests/matrix/matrix.h
+++ b/tests/matrix/matrix.h
@@ -62,6 +62,7 @@
     const matrix_step *step;
     char name[32];        /**< Begins every prompt of the cell. */
     char *lines;          /**< The job's JSONL. */
+    int next_nonce;       /**< Part of the lines' text, so that each job is another one. */
     char *job_id;         /**< NULL until known. */
     GThread *thread;      /**< Of the call to the victim, or NULL. */
     long call_status;     /**< Answer of that call; 0: none. */
--- a/tools/load/main.c
+++ b/tools/load/main.c
@@ -3,6 +3,8 @@
 #include "tools/load/sim_desk.h"
 
 #include <argp.h>
+#include <jansson.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +15,7 @@
     const char *desk;
     sim_options simulation;
     int only_way;           /**< -1: all. */
+    bool json;              /**< One JSON object a way in place of the table. */
     online_run_options run; /**< With callers: load on real daemons in place of a simulation. */
 } command_line;
 
@@ -26,7 +29,8 @@
     OPTION_TOKENS,
     OPTION_MODEL,
     OPTION_BUSY,
-    OPTION_IDLE
+    OPTION_IDLE,
+    OPTION_JSON
 };
 
 static const struct argp_option option_list[] = {
@@ -46,6 +50,7 @@
     {"model", OPTION_MODEL, "NAME", 0, "model asked for (drafting-7b)", 0},
     {"busy", OPTION_BUSY, "S", 0, "real load comes for such a time (0: always)", 0},
     {"idle", OPTION_IDLE, "S", 0, "and then pauses for such a time", 0},
+    {"json", OPTION_JSON, NULL, 0, "one JSON object a way instead of a table", 0},
     {"lose-tokens", OPTION_LOSE, NULL, 0, "preempted items begin anew", 0},
     {0}};
 
@@ -80,6 +85,9 @@
     case OPTION_CAP:
         simulation->fixed_cap = atoi(argument);
         return 0;
+    case OPTION_JSON:
+        line->json = true;
+        return 0;
     case OPTION_LOSE:
         simulation->keep_tokens = false;
         return 0;
@@ -131,7 +139,39 @@
     fflush(stdout);
 }
 
-/** All ways of one desk, or one of them, as a table. */
+static void print_json(const sim_options *options, const char *way, const sim_result *result,
+                       const sim_result *floor) {
+    json_t *document = json_pack(
+        "{s:s,s:s,s:i,s:i,s:i,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:I}", "desk", options->desk->name,
+        "way", way, "seed", (int)options->seed, "max_batch", (int)options->pacing.max_batch,
+        "start_interval_ms", (int)options->pacing.start_interval_ms, "first_token_p50_ms",
+        result->first_token_p50_ms, "first_token_p99_ms", result->first_token_p99_ms,
+        "first_token_p99_harm_percent",
+        percent_over(result->first_token_p99_ms, floor->first_token_p99_ms), "gap_p50_ms",
+        result->gap_p50_ms, "gap_p99_ms", result->gap_p99_ms, "gap_p99_harm_percent",
+        percent_over(result->gap_p99_ms, floor->gap_p99_ms), "batch_items_per_s",
+        result->batch_items_per_s, "control_bytes_per_s", result->control_bytes_per_s,
+        "preemptions", (json_int_t)result->preemptions);
+    char *text = json_dumps(document, JSON_COMPACT | JSON_REAL_PRECISION(6));
+    printf("%s\n", text);
+    free(text);
+    json_decref(document);
+}
+
+static void print_heading(const sim_options *options, const sim_result *floor) {
+    const hs_pacing_settings *pacing = &options->pacing;
+    printf("desk=%s engines=%d seconds=%.0f seed=%u online=%llu max_batch=%u beside=%u "
+           "start_beside=%u hold_ms=%u start_interval_ms=%u keep_tokens=%d\n",
+           options->desk->name, options->desk->engines, options->seconds, options->seed,
+           (unsigned long long)floor->online_requests, pacing->max_batch, pacing->beside_online,
+           pacing->start_beside, pacing->idle_hold_ms, pacing->start_interval_ms,
+           options->keep_tokens);
+    printf("%-13s %8s %8s %8s %7s %7s %8s %9s %9s %8s %9s %10s\n", "way", "ttft50", "ttft99",
+           "harm", "gap50", "gap99", "harm", "items/s", "tokens/s", "oracle", "preempted",
+           "ctl-B/s");
+}
+
+/** All ways of one desk, or one of them. */
 static void compare_ways(const command_line *line, const sim_desk *desk) {
     sim_options options = line->simulation;
     options.desk = desk;
@@ -139,15 +179,8 @@
     sim_result floor = sim_run(&options);
     options.way = SIM_ORACLE;
     sim_result oracle = sim_run(&options);
-    printf("desk=%s engines=%d seconds=%.0f seed=%u online=%llu max_batch=%u beside=%u "
-           "start_beside=%u hold_ms=%u start_interval_ms=%u keep_tokens=%d\n",
-           desk->name, desk->engines, options.seconds, options.seed,
-           (unsigned long long)floor.online_requests, options.pacing.max_batch,
-           options.pacing.beside_online, options.pacing.start_beside, options.pacing.idle_hold_ms,
-           options.pacing.start_interval_ms, options.keep_tokens);
-    printf("%-13s %8s %8s %8s %7s %7s %8s %9s %9s %8s %9s %10s\n", "way", "ttft50", "ttft99",
-           "harm", "gap50", "gap99", "harm", "items/s", "tokens/s", "oracle", "preempted",
-           "ctl-B/s");
+    if (!line->json)
+        print_heading(&options, &floor);
     for (int way = 0; way < SIM_WAYS; way++) {
         if (line->only_way >= 0 && way != line->only_way)
             continue;
@@ -155,7 +188,10 @@
         sim_result result = way == SIM_ONLINE_ALONE ? floor
                             : way == SIM_ORACLE     ? oracle
                                                     : sim_run(&options);
-        print_result(sim_way_names[way], &result, &floor, &oracle);
+        if (line->json)
+            print_json(&options, sim_way_names[way], &result, &floor);
+        else
+            print_result(sim_way_names[way], &result, &floor, &oracle);
     }
 }
 
