Tenant limits hold over the fleet, wherever requests come in

Cause: a limit was divided by the number of daemons, so that a tenant whose callers use one of 360 daemons got 1/360 of it.

Ways weighed: equal shares (above); every request asks a home (a trip in front of each); a home that allows each edge what it may admit in the next 50 ms (chosen: no request waits for a datagram, the error is bounded).

Change: routing/limit_home (pure bucket at the tenant's home by rendezvous hash), routing/tenant_limits (allowances, some in advance, equal share while the home is silent), node/limit_exchange (datagrams).

The test limit_is_shared_among_daemons checked the equal share and is replaced by four stricter ones: the rate holds within 5% over 10 virtual seconds for four spreads of demand over three edges, demand below it is admitted to 95%, the equal share holds while the home is silent, in flight counts all edges. System test tenant_over_its_limit_is_told_when_to_come_back.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -592,6 +592,96 @@
   assert(message->base.descriptor == &hs__grant_revoke__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__limit_ask__init
+                     (Hs__LimitAsk         *message)
+{
+  static const Hs__LimitAsk init_value = HS__LIMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t hs__limit_ask__get_packed_size
+                     (const Hs__LimitAsk *message)
+{
+  assert(message->base.descriptor == &hs__limit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__limit_ask__pack
+                     (const Hs__LimitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__limit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__limit_ask__pack_to_buffer
+                     (const Hs__LimitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__limit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__LimitAsk *
+       hs__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__LimitAsk *)
+     protobuf_c_message_unpack (&hs__limit_ask__descriptor,
+                                allocator, len, data);
+}
+void   hs__limit_ask__free_unpacked
+                     (Hs__LimitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__limit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__limit_grant__init
+                     (Hs__LimitGrant         *message)
+{
+  static const Hs__LimitGrant init_value = HS__LIMIT_GRANT__INIT;
+  *message = init_value;
+}
+size_t hs__limit_grant__get_packed_size
+                     (const Hs__LimitGrant *message)
+{
+  assert(message->base.descriptor == &hs__limit_grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__limit_grant__pack
+                     (const Hs__LimitGrant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__limit_grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__limit_grant__pack_to_buffer
+                     (const Hs__LimitGrant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__limit_grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__LimitGrant *
+       hs__limit_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__LimitGrant *)
+     protobuf_c_message_unpack (&hs__limit_grant__descriptor,
+                                allocator, len, data);
+}
+void   hs__limit_grant__free_unpacked
+                     (Hs__LimitGrant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__limit_grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -1806,7 +1896,135 @@
   (ProtobufCMessageInit) hs__grant_revoke__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[11] =
+static const ProtobufCFieldDescriptor hs__limit_ask__field_descriptors[4] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__LimitAsk, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__LimitAsk, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "advanced",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__LimitAsk, advanced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__LimitAsk, in_flight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__limit_ask__field_indices_by_name[] = {
+  2,   /* field[2] = advanced */
+  3,   /* field[3] = in_flight */
+  0,   /* field[0] = tenant */
+  1,   /* field[1] = wanted */
+};
+static const ProtobufCIntRange hs__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor hs__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.LimitAsk",
+  "LimitAsk",
+  "Hs__LimitAsk",
+  "hs",
+  sizeof(Hs__LimitAsk),
+  4,
+  hs__limit_ask__field_descriptors,
+  hs__limit_ask__field_indices_by_name,
+  1,  hs__limit_ask__number_ranges,
+  (ProtobufCMessageInit) hs__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__limit_grant__field_descriptors[2] =
+{
+  {
+    "tenant",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__LimitGrant, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "allowance",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__LimitGrant, allowance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__limit_grant__field_indices_by_name[] = {
+  1,   /* field[1] = allowance */
+  0,   /* field[0] = tenant */
+};
+static const ProtobufCIntRange hs__limit_grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__limit_grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.LimitGrant",
+  "LimitGrant",
+  "Hs__LimitGrant",
+  "hs",
+  sizeof(Hs__LimitGrant),
+  2,
+  hs__limit_grant__field_descriptors,
+  hs__limit_grant__field_indices_by_name,
+  1,  hs__limit_grant__number_ranges,
+  (ProtobufCMessageInit) hs__limit_grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[13] =
 {
   {
     "sender_id",
@@ -1940,12 +2158,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_ask",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, limit_ask),
+    &hs__limit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_grant",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, limit_grant),
+    &hs__limit_grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   5,   /* field[5] = engine_load */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
   9,   /* field[9] = grant_revoke */
+  11,   /* field[11] = limit_ask */
+  12,   /* field[12] = limit_grant */
   10,   /* field[10] = member_list */
   4,   /* field[4] = online_notice */
   2,   /* field[2] = probe */
@@ -1957,7 +2201,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -1967,7 +2211,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  11,
+  13,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -28,6 +28,8 @@
 typedef struct Hs__GrantRef Hs__GrantRef;
 typedef struct Hs__GrantRenew Hs__GrantRenew;
 typedef struct Hs__GrantRevoke Hs__GrantRevoke;
+typedef struct Hs__LimitAsk Hs__LimitAsk;
+typedef struct Hs__LimitGrant Hs__LimitGrant;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -257,6 +259,42 @@
     , 0,NULL }
 
 
+/*
+ * An edge with requests of a limited tenant asks the tenant's home for an allowance.
+ */
+struct  Hs__LimitAsk
+{
+  ProtobufCMessage base;
+  char *tenant;
+  /*
+   * Requests it would admit in the next interval.
+   */
+  uint32_t wanted;
+  /*
+   * Requests it admitted without an allowance since it last asked.
+   */
+  uint32_t advanced;
+  uint32_t in_flight;
+};
+#define HS__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__limit_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Hs__LimitGrant
+{
+  ProtobufCMessage base;
+  char *tenant;
+  /*
+   * Requests it may admit until it asks again.
+   */
+  uint32_t allowance;
+};
+#define HS__LIMIT_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__limit_grant__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -267,7 +305,9 @@
   HS__PEER_MESSAGE__KIND_GRANT_REPLY = 8,
   HS__PEER_MESSAGE__KIND_GRANT_RENEW = 9,
   HS__PEER_MESSAGE__KIND_GRANT_REVOKE = 10,
-  HS__PEER_MESSAGE__KIND_MEMBER_LIST = 11
+  HS__PEER_MESSAGE__KIND_MEMBER_LIST = 11,
+  HS__PEER_MESSAGE__KIND_LIMIT_ASK = 12,
+  HS__PEER_MESSAGE__KIND_LIMIT_GRANT = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -287,6 +327,8 @@
     Hs__GrantRenew *grant_renew;
     Hs__GrantRevoke *grant_revoke;
     Hs__MemberList *member_list;
+    Hs__LimitAsk *limit_ask;
+    Hs__LimitGrant *limit_grant;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -574,6 +616,44 @@
 void   hs__grant_revoke__free_unpacked
                      (Hs__GrantRevoke *message,
                       ProtobufCAllocator *allocator);
+/* Hs__LimitAsk methods */
+void   hs__limit_ask__init
+                     (Hs__LimitAsk         *message);
+size_t hs__limit_ask__get_packed_size
+                     (const Hs__LimitAsk   *message);
+size_t hs__limit_ask__pack
+                     (const Hs__LimitAsk   *message,
+                      uint8_t             *out);
+size_t hs__limit_ask__pack_to_buffer
+                     (const Hs__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__LimitAsk *
+       hs__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__limit_ask__free_unpacked
+                     (Hs__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__LimitGrant methods */
+void   hs__limit_grant__init
+                     (Hs__LimitGrant         *message);
+size_t hs__limit_grant__get_packed_size
+                     (const Hs__LimitGrant   *message);
+size_t hs__limit_grant__pack
+                     (const Hs__LimitGrant   *message,
+                      uint8_t             *out);
+size_t hs__limit_grant__pack_to_buffer
+                     (const Hs__LimitGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__LimitGrant *
+       hs__limit_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__limit_grant__free_unpacked
+                     (Hs__LimitGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -672,6 +752,12 @@
 typedef void (*Hs__GrantRevoke_Closure)
                  (const Hs__GrantRevoke *message,
                   void *closure_data);
+typedef void (*Hs__LimitAsk_Closure)
+                 (const Hs__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Hs__LimitGrant_Closure)
+                 (const Hs__LimitGrant *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -701,6 +787,8 @@
 extern const ProtobufCMessageDescriptor hs__grant_ref__descriptor;
 extern const ProtobufCMessageDescriptor hs__grant_renew__descriptor;
 extern const ProtobufCMessageDescriptor hs__grant_revoke__descriptor;
+extern const ProtobufCMessageDescriptor hs__limit_ask__descriptor;
+extern const ProtobufCMessageDescriptor hs__limit_grant__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -9,6 +9,7 @@
 #include "commands/command_routes.h"
 #include "commands/online_request.h"
 #include "daemon/listing.h"
+#include "node/limit_exchange.h"
 #include "queries/query_routes.h"
 #include "scheduling/report_reader.h"
 
@@ -23,6 +24,7 @@
 struct hs_daemon {
     hs_node node;
     hs_listing *listing;
+    hs_limit_exchange *limit_exchange;
     hs_report_reader *reports;
     hs_http_server *caller_server;
     hs_http_server *admin_server;
@@ -30,13 +32,16 @@
 
 static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
                            void *user_data) {
-    hs_node *node = user_data;
+    hs_daemon *daemon = user_data;
+    hs_node *node = &daemon->node;
     if (hs_membership_service_handle(node->membership, message, from))
         return;
     if (hs_coordinator_handle(node->coordinator, message, from))
         return;
     if (hs_scheduler_handle(node->scheduler, message, from))
         return;
+    if (hs_limit_exchange_handle(daemon->limit_exchange, message, from))
+        return;
     if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_LOAD)
         hs_engine_table_learn_load(node->engines, message->engine_load->engine_id,
                                    message->engine_load->online_in_flight,
@@ -160,7 +165,8 @@
         return NULL;
     hs_appender_start(node->appender);
     hs_config_store_start(node->config);
-    hs_peer_socket_start(node->socket, handle_message, node);
+    daemon->limit_exchange = hs_limit_exchange_start(node);
+    hs_peer_socket_start(node->socket, handle_message, daemon);
     hs_membership_service_start(node->membership);
     hs_coordinator_start(node->coordinator);
     hs_scheduler_start(node->scheduler);
@@ -195,6 +201,7 @@
     hs_node *node = &daemon->node;
     g_atomic_int_set(&node->runner.stopping, 1);
     hs_listing_stop(daemon->listing);
+    hs_limit_exchange_stop(daemon->limit_exchange);
     hs_report_reader_stop(daemon->reports);
     hs_scheduler_stop(node->scheduler);
     hs_coordinator_stop(node->coordinator);
--- /dev/null
+++ b/src/node/limit_exchange.c
@@ -0,0 +1,105 @@
+/** @file limit_exchange.c  See limit_exchange.h. */
+#include "node/limit_exchange.h"
+
+#include "base/clock.h"
+
+#include <arpa/inet.h>
+
+#define TICK_MS 10
+
+struct hs_limit_exchange {
+    hs_node *node;
+    GMutex lock;
+    hs_limit_home *home; /**< Of the tenants whose home we are. */
+    gint stopping;
+    GThread *thread;
+};
+
+/** Send the ask to the tenant's home: the first daemon by rendezvous. */
+static void send_ask(const hs_limit_ask *ask, void *user_data) {
+    hs_node *node = user_data;
+    hs_membership *membership = hs_membership_service_lock(node->membership);
+    const hs_member *home = hs_membership_rank_first(membership, ask->tenant, NULL);
+    uint32_t address = home != NULL ? home->address : 0;
+    uint16_t port = home != NULL ? home->peer_port : 0;
+    hs_membership_service_unlock(node->membership);
+    Hs__LimitAsk body = HS__LIMIT_ASK__INIT;
+    body.tenant = (char *)ask->tenant;
+    body.wanted = ask->wanted;
+    body.advanced = ask->advanced;
+    body.in_flight = ask->in_flight;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(node->membership, &message);
+    message.kind_case = HS__PEER_MESSAGE__KIND_LIMIT_ASK;
+    message.limit_ask = &body;
+    if (port != 0)
+        hs_peer_socket_send(node->socket, address, port, &message);
+}
+
+static gpointer run_asks(gpointer data) {
+    hs_limit_exchange *exchange = data;
+    hs_node *node = exchange->node;
+    while (g_atomic_int_get(&exchange->stopping) == 0) {
+        hs_config_view *view = hs_config_store_view(node->config);
+        hs_tenant_limits_ask(node->limits, view, hs_clock_monotonic_ms(), send_ask, node);
+        hs_config_view_release(view);
+        hs_clock_sleep_ms(TICK_MS);
+    }
+    return NULL;
+}
+
+hs_limit_exchange *hs_limit_exchange_start(hs_node *node) {
+    hs_limit_exchange *exchange = g_new0(hs_limit_exchange, 1);
+    exchange->node = node;
+    exchange->home = hs_limit_home_new();
+    g_mutex_init(&exchange->lock);
+    exchange->thread = g_thread_new("tenant-limits", run_asks, exchange);
+    return exchange;
+}
+
+void hs_limit_exchange_stop(hs_limit_exchange *exchange) {
+    g_atomic_int_set(&exchange->stopping, 1);
+    g_thread_join(exchange->thread);
+}
+
+static void answer_ask(hs_limit_exchange *exchange, const Hs__PeerMessage *message,
+                       const struct sockaddr_in *from) {
+    hs_node *node = exchange->node;
+    const Hs__LimitAsk *body = message->limit_ask;
+    hs_config_view *view = hs_config_store_view(node->config);
+    const hs_tenant_limit *limit = hs_config_view_limit(view, body->tenant);
+    hs_limit_ask ask = {.edge_id = message->sender_id,
+                        .tenant = body->tenant,
+                        .wanted = body->wanted,
+                        .advanced = body->advanced,
+                        .in_flight = body->in_flight};
+    g_mutex_lock(&exchange->lock);
+    uint32_t allowance =
+        limit == NULL ? body->wanted
+                      : hs_limit_home_grant(exchange->home, limit, &ask, hs_clock_monotonic_ms());
+    g_mutex_unlock(&exchange->lock);
+    hs_config_view_release(view);
+    Hs__LimitGrant grant = HS__LIMIT_GRANT__INIT;
+    grant.tenant = body->tenant;
+    grant.allowance = allowance;
+    Hs__PeerMessage answer = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(node->membership, &answer);
+    answer.kind_case = HS__PEER_MESSAGE__KIND_LIMIT_GRANT;
+    answer.limit_grant = &grant;
+    hs_peer_socket_send(node->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port), &answer);
+}
+
+bool hs_limit_exchange_handle(hs_limit_exchange *exchange, const Hs__PeerMessage *message,
+                              const struct sockaddr_in *from) {
+    switch (message->kind_case) {
+    case HS__PEER_MESSAGE__KIND_LIMIT_ASK:
+        answer_ask(exchange, message, from);
+        return true;
+    case HS__PEER_MESSAGE__KIND_LIMIT_GRANT:
+        hs_tenant_limits_allow(exchange->node->limits, message->limit_grant->tenant,
+                               message->limit_grant->allowance, hs_clock_monotonic_ms());
+        return true;
+    default:
+        return false;
+    }
+}
--- a/src/routing/tenant_limits.h
+++ b/src/routing/tenant_limits.h
@@ -1,14 +1,19 @@
 /**
  * @file tenant_limits.h
- * Rate and concurrency limits of tenants on this daemon.
+ * Rate and concurrency limits of tenants on this edge, against allowances from the tenant's home.
  *
- * A limit of the fleet is divided by the number of live daemons, so that it holds without a word
- * between them; a tenant whose callers all use one daemon is held to that daemon's share.
+ * While the home answers, this edge admits what it was allowed, and some in advance where it has
+ * asked for nothing yet, so that a first request never waits for a datagram. While the home is
+ * silent, it admits its equal share of the fleet's limit.
  */
 #ifndef HS_ROUTING_TENANT_LIMITS_H
 #define HS_ROUTING_TENANT_LIMITS_H
 
 #include "config/config_view.h"
+#include "routing/limit_home.h"
+
+/** Time between two asks of an edge for one tenant. */
+#define HS_LIMIT_INTERVAL_MS 50U
 
 typedef struct hs_tenant_limits hs_tenant_limits;
 
@@ -22,4 +27,12 @@
 /** The request is over. */
 void hs_tenant_limits_leave(hs_tenant_limits *limits, const char *tenant);
 
+/** Run @p send for each tenant whose home is to be asked now; the edge's id is left empty. */
+void hs_tenant_limits_ask(hs_tenant_limits *limits, const hs_config_view *view, uint64_t now_ms,
+                          void (*send)(const hs_limit_ask *ask, void *user_data), void *user_data);
+
+/** The home's answer. */
+void hs_tenant_limits_allow(hs_tenant_limits *limits, const char *tenant, uint32_t allowance,
+                            uint64_t now_ms);
+
 #endif
--- a/tests/system/test_refusals.c
+++ b/tests/system/test_refusals.c
@@ -57,6 +57,27 @@
                     200);
 }
 
+static void tenant_over_its_limit_is_told_when_to_come_back(void) {
+    const char *limit = "/admin/v1/limits/" TEST_TENANT;
+    CU_ASSERT_EQUAL(client_call("PUT", test_fleet.admin_urls[0], limit, NULL,
+                                "{\"requests_per_second\":2}", NULL, NULL),
+                    200);
+    int refused = 0;
+    for (int request = 0; request < 30; request++) {
+        hs_http_answer answer;
+        client_exchange("POST", test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                        "{\"model\":\"drafting-7b\",\"max_tokens\":1,\"prompt\":\"limited\"}", NULL,
+                        &answer);
+        CU_ASSERT(answer.status == 200 || answer.status == 429);
+        CU_ASSERT(answer.status == 200 || answer.retry_after_s >= 1);
+        refused += answer.status == 429;
+        hs_http_answer_clear(&answer);
+    }
+    CU_ASSERT(refused > 0);
+    CU_ASSERT_EQUAL(client_call("DELETE", test_fleet.admin_urls[0], limit, NULL, NULL, NULL, NULL),
+                    200);
+}
+
 static long upload(const char *lines) {
     g_autofree char *file_id = NULL;
     return client_upload(test_fleet.caller_urls[0], TEST_TENANT, lines, &file_id);
@@ -162,6 +183,8 @@
                                    {"large_head_is_refused", large_head_is_refused},
                                    {"unknown_tenant_is_refused_where_tenants_are_listed",
                                     unknown_tenant_is_refused_where_tenants_are_listed},
+                                   {"tenant_over_its_limit_is_told_when_to_come_back",
+                                    tenant_over_its_limit_is_told_when_to_come_back},
                                    {"bad_files_are_refused", bad_files_are_refused},
                                    {"broken_multipart_is_refused", broken_multipart_is_refused},
                                    {"bad_batches_are_refused", bad_batches_are_refused},
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -151,31 +151,134 @@
     CU_ASSERT(retries >= 100 && retries <= 111);
 }
 
-static void limit_is_shared_among_daemons(void) {
+#define LIMIT_EDGES 3
+#define LIMIT_RATE 100
+#define LIMIT_SECONDS 10
+
+/** A view with one limit. Release with hs_config_view_release. */
+static hs_config_view *view_with_limit(const char *object_json) {
     hs_config_fold *fold = hs_config_fold_new();
     Hs__ConfigChange change = HS__CONFIG_CHANGE__INIT;
     change.change_id = (char *)"c";
     change.kind = (char *)HS_KIND_LIMIT;
     change.name = (char *)"tenant";
-    change.object_json = (char *)"{\"requests_per_second\":100,\"max_in_flight\":8}";
+    change.object_json = (char *)object_json;
     hs_config_fold_apply(fold, 0, &change);
     hs_config_view *view = hs_config_view_new(fold);
-    hs_tenant_limits *limits = hs_tenant_limits_new();
-    for (int count = 0; count < 2; count++)
-        CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "tenant", 4, 1), 0);
-    CU_ASSERT(hs_tenant_limits_enter(limits, view, "tenant", 4, 1) > 0);
-    CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "other", 4, 1), 0);
+    hs_config_fold_free(fold);
+    return view;
+}
+
+/** Edges and the home, joined without a network. */
+typedef struct {
+    hs_config_view *view;
+    hs_limit_home *home;
+    hs_tenant_limits *edges[LIMIT_EDGES];
+    int asking; /**< The edge whose asks are carried now. */
+    uint64_t now_ms;
+} limit_world;
+
+static void carry_ask(const hs_limit_ask *ask, void *user_data) {
+    limit_world *world = user_data;
+    hs_limit_ask signed_ask = *ask;
+    char edge_id[8];
+    g_snprintf(edge_id, sizeof edge_id, "edge-%d", world->asking);
+    signed_ask.edge_id = edge_id;
+    const hs_tenant_limit *limit = hs_config_view_limit(world->view, ask->tenant);
+    uint32_t allowance = hs_limit_home_grant(world->home, limit, &signed_ask, world->now_ms);
+    /* The answer comes after the edge's lock is free again: taken over by the caller. */
+    world->asking = -1 - (int)allowance;
+}
+
+/** One millisecond: each edge may ask, then its requests come. @return requests admitted. */
+static int tick(limit_world *world, const int *one_in_ms) {
     int admitted = 0;
-    for (int count = 0; count < 100; count++) {
-        hs_tenant_limits_leave(limits, "tenant");
-        admitted += hs_tenant_limits_enter(limits, view, "tenant", 4, 1) == 0;
-        if (admitted < count + 1)
-            break;
+    world->now_ms++;
+    for (int edge = 0; edge < LIMIT_EDGES; edge++) {
+        world->asking = edge;
+        hs_tenant_limits_ask(world->edges[edge], world->view, world->now_ms, carry_ask, world);
+        if (world->asking < 0)
+            hs_tenant_limits_allow(world->edges[edge], "tenant", (uint32_t)(-1 - world->asking),
+                                   world->now_ms);
+        if (one_in_ms[edge] == 0 || world->now_ms % (uint64_t)one_in_ms[edge] != 0)
+            continue;
+        if (hs_tenant_limits_enter(world->edges[edge], world->view, "tenant", LIMIT_EDGES,
+                                   world->now_ms) != 0)
+            continue;
+        admitted++;
+        hs_tenant_limits_leave(world->edges[edge], "tenant");
+    }
+    return admitted;
+}
+
+/** Requests admitted in all when edge e sends one in one_in_ms[e] milliseconds (0: none). */
+static int admitted_under_rate(const int *one_in_ms) {
+    limit_world world = {.view = view_with_limit("{\"requests_per_second\":100}"),
+                         .home = hs_limit_home_new(),
+                         .now_ms = 5000};
+    for (int edge = 0; edge < LIMIT_EDGES; edge++)
+        world.edges[edge] = hs_tenant_limits_new();
+    int admitted = 0;
+    for (int ms = 0; ms < LIMIT_SECONDS * 1000; ms++)
+        admitted += tick(&world, one_in_ms);
+    for (int edge = 0; edge < LIMIT_EDGES; edge++)
+        hs_tenant_limits_free(world.edges[edge]);
+    hs_limit_home_free(world.home);
+    hs_config_view_release(world.view);
+    return admitted;
+}
+
+static void rate_holds_wherever_requests_come_in(void) {
+    static const int patterns[][LIMIT_EDGES] = {{2, 0, 0}, {6, 6, 6}, {2, 30, 200}, {1, 1, 1}};
+    const int allowed = LIMIT_RATE * LIMIT_SECONDS;
+    for (size_t index = 0; index < G_N_ELEMENTS(patterns); index++) {
+        int admitted = admitted_under_rate(patterns[index]);
+        CU_ASSERT(admitted >= allowed * 95 / 100);
+        CU_ASSERT(admitted <= allowed * 105 / 100);
     }
-    CU_ASSERT_EQUAL(admitted, 23);
+}
+
+static void demand_below_the_rate_is_not_refused(void) {
+    static const int slow[] = {40, 50, 0};
+    int sent = LIMIT_SECONDS * 1000 / 40 + LIMIT_SECONDS * 1000 / 50;
+    CU_ASSERT(admitted_under_rate(slow) >= sent * 95 / 100);
+}
+
+static void silent_home_leaves_the_equal_share(void) {
+    hs_config_view *view = view_with_limit("{\"requests_per_second\":100,\"max_in_flight\":8}");
+    hs_tenant_limits *limits = hs_tenant_limits_new();
+    limit_world world = {.view = view, .home = hs_limit_home_new(), .now_ms = 5000};
+    for (int request = 0; request < 11; request++)
+        CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "tenant", 4, 5000), 0);
+    CU_ASSERT(hs_tenant_limits_enter(limits, view, "tenant", 4, 5000) > 0);
+    for (int request = 0; request < 11; request++)
+        hs_tenant_limits_leave(limits, "tenant");
+    hs_tenant_limits_ask(limits, view, 5050, carry_ask, &world);
+    CU_ASSERT(hs_tenant_limits_enter(limits, view, "tenant", 4, 5100) > 0);
+    /* A quarter of 8 in flight. */
+    CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "tenant", 4, 5600), 0);
+    CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "tenant", 4, 5600), 0);
+    CU_ASSERT(hs_tenant_limits_enter(limits, view, "tenant", 4, 5601) > 0);
+    CU_ASSERT_EQUAL(hs_tenant_limits_enter(limits, view, "other", 4, 5601), 0);
+    hs_limit_home_free(world.home);
     hs_tenant_limits_free(limits);
     hs_config_view_release(view);
-    hs_config_fold_free(fold);
+}
+
+static void in_flight_limit_counts_all_edges(void) {
+    hs_config_view *view = view_with_limit("{\"max_in_flight\":8}");
+    const hs_tenant_limit *limit = hs_config_view_limit(view, "tenant");
+    hs_limit_home *home = hs_limit_home_new();
+    hs_limit_ask first = {.edge_id = "a", .tenant = "tenant", .wanted = 5};
+    hs_limit_ask second = {.edge_id = "b", .tenant = "tenant", .wanted = 5};
+    CU_ASSERT_EQUAL(hs_limit_home_grant(home, limit, &first, 1000), 5);
+    CU_ASSERT_EQUAL(hs_limit_home_grant(home, limit, &second, 1000), 3);
+    first.in_flight = 2;
+    CU_ASSERT_EQUAL(hs_limit_home_grant(home, limit, &first, 1100), 3);
+    second.in_flight = 3;
+    CU_ASSERT_EQUAL(hs_limit_home_grant(home, limit, &second, 9000), 5);
+    hs_limit_home_free(home);
+    hs_config_view_release(view);
 }
 
 const test_case routing_tests[] = {
@@ -187,5 +290,8 @@
     {"failing_engine_is_ejected_and_returns", failing_engine_is_ejected_and_returns},
     {"full_engines_refuse", full_engines_refuse},
     {"retries_stay_a_share_of_requests", retries_stay_a_share_of_requests},
-    {"limit_is_shared_among_daemons", limit_is_shared_among_daemons},
+    {"rate_holds_wherever_requests_come_in", rate_holds_wherever_requests_come_in},
+    {"demand_below_the_rate_is_not_refused", demand_below_the_rate_is_not_refused},
+    {"silent_home_leaves_the_equal_share", silent_home_leaves_the_equal_share},
+    {"in_flight_limit_counts_all_edges", in_flight_limit_counts_all_edges},
     {NULL, NULL}};
