Limits are asked for after demand only

Cause: an ask every 50 ms for each active tenant would cost a daemon about 26 KB/s at the target (worked out: 13 tenants, 20 asks a second, 100 B), over the 12 KB/s for all control.

Change: an ask follows demand, and once a second while requests are in flight: 2 KB/s worked out. The four limit tests hold unchanged.

--- a/src/routing/tenant_limits.c
+++ b/src/routing/tenant_limits.c
@@ -4,6 +4,7 @@
 #define MS_PER_S 1000.0
 #define BUSY_RETRY_MS 1000U
 #define ACTIVE_MS 1000U /* A tenant whose requests came within such a time is asked for. */
+#define RENEW_MS 1000U  /* Requests in flight are told of again after such a time. */
 #define SILENT_MS 400U  /* A home that answered nothing for such a time is silent. */
 #define ADVANCE_S 0.1   /* What may come in before the first answer, as time at the full rate. */
 #define ADVANCE_PART 8U /* The same, as a part of the requests allowed in flight. */
@@ -119,9 +120,11 @@
     g_mutex_unlock(&limits->lock);
 }
 
+/** After demand, soon; else only so often that the home still counts what is in flight here. */
 static bool must_ask(const tenant_use *use, uint64_t now_ms) {
-    bool active = use->in_flight > 0 || now_ms <= use->came_ms + ACTIVE_MS;
-    return active && now_ms >= use->asked_ms + HS_LIMIT_INTERVAL_MS;
+    if (use->demand > 0)
+        return now_ms >= use->asked_ms + HS_LIMIT_INTERVAL_MS;
+    return use->in_flight > 0 && now_ms >= use->asked_ms + RENEW_MS;
 }
 
 /** What is left of the last allowance goes back with the ask: it is taken off what is wanted. */
