Placement of models by a controller a group

Ways weighed: each scheduler for its own engines, one controller for all, one controller a group under its partition's epoch (chosen); docs/design/0004.

Change: a pure plan that never drops a routed model's last copy, copies by replicas or by demand, the weight store's rate, orders fenced by (group, epoch); a refusal for want of the model costs no retry budget.

Tests: 5 unit, 3 system (copies as wanted, a copy lost with its engine is loaded elsewhere, an older epoch gets 409). Not measured against static placement.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -682,6 +682,51 @@
   assert(message->base.descriptor == &hs__limit_grant__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__demand_report__init
+                     (Hs__DemandReport         *message)
+{
+  static const Hs__DemandReport init_value = HS__DEMAND_REPORT__INIT;
+  *message = init_value;
+}
+size_t hs__demand_report__get_packed_size
+                     (const Hs__DemandReport *message)
+{
+  assert(message->base.descriptor == &hs__demand_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__demand_report__pack
+                     (const Hs__DemandReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__demand_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__demand_report__pack_to_buffer
+                     (const Hs__DemandReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__demand_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__DemandReport *
+       hs__demand_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__DemandReport *)
+     protobuf_c_message_unpack (&hs__demand_report__descriptor,
+                                allocator, len, data);
+}
+void   hs__demand_report__free_unpacked
+                     (Hs__DemandReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__demand_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -2024,7 +2069,71 @@
   (ProtobufCMessageInit) hs__limit_grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[13] =
+static const ProtobufCFieldDescriptor hs__demand_report__field_descriptors[3] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__DemandReport, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "model",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__DemandReport, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__DemandReport, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__demand_report__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = model */
+  2,   /* field[2] = requests */
+};
+static const ProtobufCIntRange hs__demand_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor hs__demand_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.DemandReport",
+  "DemandReport",
+  "Hs__DemandReport",
+  "hs",
+  sizeof(Hs__DemandReport),
+  3,
+  hs__demand_report__field_descriptors,
+  hs__demand_report__field_indices_by_name,
+  1,  hs__demand_report__number_ranges,
+  (ProtobufCMessageInit) hs__demand_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[14] =
 {
   {
     "sender_id",
@@ -2182,8 +2291,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "demand_report",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, demand_report),
+    &hs__demand_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
+  13,   /* field[13] = demand_report */
   5,   /* field[5] = engine_load */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
@@ -2201,7 +2323,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -2211,7 +2333,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  13,
+  14,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -30,6 +30,7 @@
 typedef struct Hs__GrantRevoke Hs__GrantRevoke;
 typedef struct Hs__LimitAsk Hs__LimitAsk;
 typedef struct Hs__LimitGrant Hs__LimitGrant;
+typedef struct Hs__DemandReport Hs__DemandReport;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -295,6 +296,21 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Requests for a group's model that came in at the sender since its last report.
+ */
+struct  Hs__DemandReport
+{
+  ProtobufCMessage base;
+  char *group;
+  char *model;
+  uint32_t requests;
+};
+#define HS__DEMAND_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__demand_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -307,7 +323,8 @@
   HS__PEER_MESSAGE__KIND_GRANT_REVOKE = 10,
   HS__PEER_MESSAGE__KIND_MEMBER_LIST = 11,
   HS__PEER_MESSAGE__KIND_LIMIT_ASK = 12,
-  HS__PEER_MESSAGE__KIND_LIMIT_GRANT = 13
+  HS__PEER_MESSAGE__KIND_LIMIT_GRANT = 13,
+  HS__PEER_MESSAGE__KIND_DEMAND_REPORT = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -329,6 +346,7 @@
     Hs__MemberList *member_list;
     Hs__LimitAsk *limit_ask;
     Hs__LimitGrant *limit_grant;
+    Hs__DemandReport *demand_report;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -654,6 +672,25 @@
 void   hs__limit_grant__free_unpacked
                      (Hs__LimitGrant *message,
                       ProtobufCAllocator *allocator);
+/* Hs__DemandReport methods */
+void   hs__demand_report__init
+                     (Hs__DemandReport         *message);
+size_t hs__demand_report__get_packed_size
+                     (const Hs__DemandReport   *message);
+size_t hs__demand_report__pack
+                     (const Hs__DemandReport   *message,
+                      uint8_t             *out);
+size_t hs__demand_report__pack_to_buffer
+                     (const Hs__DemandReport   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__DemandReport *
+       hs__demand_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__demand_report__free_unpacked
+                     (Hs__DemandReport *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -758,6 +795,9 @@
 typedef void (*Hs__LimitGrant_Closure)
                  (const Hs__LimitGrant *message,
                   void *closure_data);
+typedef void (*Hs__DemandReport_Closure)
+                 (const Hs__DemandReport *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -789,6 +829,7 @@
 extern const ProtobufCMessageDescriptor hs__grant_revoke__descriptor;
 extern const ProtobufCMessageDescriptor hs__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor hs__limit_grant__descriptor;
+extern const ProtobufCMessageDescriptor hs__demand_report__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -58,6 +58,8 @@
     int64_t run_once_recovery_ms;
     int64_t item_timeout_s;
 
+    int64_t placement_interval_ms;
+
     int64_t subset_size;
     int64_t max_attempts;
     int64_t retry_budget_percent;
--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -332,6 +332,16 @@
     }
 }
 
+uint32_t hs_coordinator_epoch(hs_coordinator *coordinator, uint32_t partition) {
+    g_mutex_lock(&coordinator->lock);
+    const hs_partition_owner *owner =
+        partition < coordinator->partition_count ? coordinator->owners[partition] : NULL;
+    bool ours = owner != NULL && hs_partition_owner_is_valid(owner);
+    uint32_t epoch = ours ? hs_partition_owner_epoch(owner) : 0;
+    g_mutex_unlock(&coordinator->lock);
+    return epoch;
+}
+
 uint32_t hs_coordinator_owned_count(hs_coordinator *coordinator) {
     uint32_t count = 0;
     g_mutex_lock(&coordinator->lock);
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -42,6 +42,9 @@
 bool hs_coordinator_handle(hs_coordinator *coordinator, const Hs__PeerMessage *message,
                            const struct sockaddr_in *from);
 
+/** Our epoch of the partition, 0 when it is not ours. Any thread. */
+uint32_t hs_coordinator_epoch(hs_coordinator *coordinator, uint32_t partition);
+
 /** Partitions owned now. */
 uint32_t hs_coordinator_owned_count(hs_coordinator *coordinator);
 
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -313,8 +313,12 @@
     return false;
 }
 
-/** One attempt at the chosen engine. True when another may follow. */
-static bool attempt(hs_online_request *request, const hs_engine_choice *choice) {
+/**
+ * One attempt at the chosen engine. True when another may follow. @p lacked_model: the engine is
+ * well but does not hold the model, so that asking another costs the fleet nothing.
+ */
+static bool attempt(hs_online_request *request, const hs_engine_choice *choice,
+                    bool *lacked_model) {
     hs_run_result result = {.end = HS_RUN_REFUSED};
     bool reachable =
         !request->run_once || hs_engine_is_reachable(choice->url, REACHABLE_TIMEOUT_MS);
@@ -327,6 +331,7 @@
     hs_node_notice_online(request->node, choice->id);
     if (reachable && !sent)
         return false;
+    *lacked_model = sent && verdict_of(&result) == HS_ATTEMPT_NO_MODEL;
     return continue_after(request, &result);
 }
 
@@ -336,14 +341,15 @@
                                      .model = request->model,
                                      .prefix_hash = request->prefix_hash}};
     tried.query.tried_ids = tried.pointers;
-    int attempts = (int)MIN(node->settings->max_attempts, MAX_TRIED);
-    for (int number = 1; number <= attempts; number++) {
+    int number = 1;
+    bool free_attempt = true;
+    while (number <= node->settings->max_attempts && tried.query.tried_count < MAX_TRIED) {
         hs_engine_choice choice;
         if (is_over(request)) {
             end_without_engine(request, "the deadline has passed");
             return;
         }
-        if (number > 1 && !may_retry(request)) {
+        if (!free_attempt && !may_retry(request)) {
             end_without_engine(request, "the retry budget is spent");
             return;
         }
@@ -353,9 +359,10 @@
         }
         trace_choice(request, &choice, number);
         set_attempt(request, &choice, number);
-        if (!attempt(request, &choice))
+        if (!attempt(request, &choice, &free_attempt))
             return;
         add_tried(&tried, choice.id);
+        number += !free_attempt;
     }
     end_without_engine(request, "every attempt failed");
 }
@@ -367,6 +374,7 @@
     g_mutex_lock(&node->retry_lock);
     hs_retry_budget_request(&node->retry_budget);
     g_mutex_unlock(&node->retry_lock);
+    hs_demand_add(node->demand, request->group->name, request->model, 1);
     run_attempts(request);
     hs_log_info("online_end",
                 "request=%s state=%d tokens=%u ms=%" G_GUINT64_FORMAT " failure=\"%s\"",
--- a/src/config/config_object.c
+++ b/src/config/config_object.c
@@ -26,6 +26,7 @@
     {HS_KIND_ENGINE_GROUP, "models", FIELD_TEXT_LIST, true, 0, 0},
     {HS_KIND_ENGINE_GROUP, "batch", FIELD_FLAG, false, 0, 0},
     {HS_KIND_ENGINE_GROUP, "replicas", FIELD_NUMBER, false, 1, 100000},
+    {HS_KIND_ENGINE_GROUP, "models_per_engine", FIELD_NUMBER, false, 1, 1000},
     {HS_KIND_ROUTING_RULE, "labels", FIELD_LABELS, false, 0, 0},
     {HS_KIND_ROUTING_RULE, "model", FIELD_TEXT, true, 0, 0},
     {HS_KIND_ROUTING_RULE, "tenant", FIELD_TEXT, false, 0, 0},
--- a/src/config/config_view.c
+++ b/src/config/config_view.c
@@ -61,6 +61,8 @@
         const json_t *batch = json_object_get(object->content, "batch");
         group->batch = batch == NULL || json_is_true(batch);
         group->replicas = (uint32_t)json_number_value(json_object_get(object->content, "replicas"));
+        group->models_per_engine =
+            (uint32_t)json_number_value(json_object_get(object->content, "models_per_engine"));
         size_t position;
         json_t *model;
         json_array_foreach(json_object_get(object->content, "models"), position, model)
--- a/src/config/config_view.h
+++ b/src/config/config_view.h
@@ -9,10 +9,11 @@
 
 typedef struct {
     char *name;
-    json_t *selector;  /**< Labels an engine must carry. */
-    GPtrArray *models; /**< of char* */
-    bool batch;        /**< Whether batch items may run on the group. */
-    uint32_t replicas; /**< Engines that should hold each model; 0: all of them. */
+    json_t *selector;           /**< Labels an engine must carry. */
+    GPtrArray *models;          /**< of char* */
+    bool batch;                 /**< Whether batch items may run on the group. */
+    uint32_t replicas;          /**< Engines that should hold each model; 0: all of them. */
+    uint32_t models_per_engine; /**< Models an engine has room for; 0: the default. */
 } hs_engine_group;
 
 typedef struct {
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -10,6 +10,7 @@
 #include "commands/online_request.h"
 #include "daemon/listing.h"
 #include "node/limit_exchange.h"
+#include "placement/controller.h"
 #include "queries/query_routes.h"
 #include "scheduling/report_reader.h"
 
@@ -25,6 +26,7 @@
     hs_node node;
     hs_listing *listing;
     hs_limit_exchange *limit_exchange;
+    hs_placement_controller *placement;
     hs_report_reader *reports;
     hs_http_server *caller_server;
     hs_http_server *admin_server;
@@ -42,6 +44,8 @@
         return;
     if (hs_limit_exchange_handle(daemon->limit_exchange, message, from))
         return;
+    if (hs_placement_controller_handle(daemon->placement, message))
+        return;
     if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_LOAD)
         hs_engine_table_learn_load(node->engines, message->engine_load->engine_id,
                                    message->engine_load->online_in_flight,
@@ -95,6 +99,7 @@
                                       .ejection_ms = (uint32_t)settings->ejection_ms};
     node->engines = hs_engine_table_new(settings->daemon_id, settings->zone, &table);
     node->limits = hs_tenant_limits_new();
+    node->demand = hs_demand_new();
     g_mutex_init(&node->retry_lock);
     hs_retry_budget_init(&node->retry_budget, (double)settings->retry_budget_percent);
     hs_metrics_init(&node->metrics);
@@ -147,6 +152,18 @@
     return hs_http_server_start(daemon->caller_server, error);
 }
 
+static void start_placement(hs_daemon *daemon) {
+    hs_node *node = &daemon->node;
+    hs_placement_context context = {.settings = node->settings,
+                                    .config = node->config,
+                                    .engines = node->engines,
+                                    .membership = node->membership,
+                                    .socket = node->socket,
+                                    .coordinator = node->coordinator,
+                                    .counted = node->demand};
+    daemon->placement = hs_placement_controller_start(&context);
+}
+
 hs_daemon *hs_daemon_start(const hs_settings *settings, hs_error *error) {
     hs_daemon *daemon = g_new0(hs_daemon, 1);
     hs_node *node = &daemon->node;
@@ -166,6 +183,7 @@
     hs_appender_start(node->appender);
     hs_config_store_start(node->config);
     daemon->limit_exchange = hs_limit_exchange_start(node);
+    start_placement(daemon);
     hs_peer_socket_start(node->socket, handle_message, daemon);
     hs_membership_service_start(node->membership);
     hs_coordinator_start(node->coordinator);
@@ -201,6 +219,7 @@
     hs_node *node = &daemon->node;
     g_atomic_int_set(&node->runner.stopping, 1);
     hs_listing_stop(daemon->listing);
+    hs_placement_controller_stop(daemon->placement);
     hs_limit_exchange_stop(daemon->limit_exchange);
     hs_report_reader_stop(daemon->reports);
     hs_scheduler_stop(node->scheduler);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -115,6 +115,8 @@
            "Time an engine may stay unreachable before a run-once item is recorded indeterminate."),
     NUMBER("scheduling", "item_timeout_s", item_timeout_s, "s", 1, 86400, 600,
            "Longest time of a batch item on an engine; then it runs elsewhere."),
+    NUMBER("placement", "interval_ms", placement_interval_ms, "ms", 50, HOUR_MS, 2000,
+           "Time between two rounds of an engine group's controller."),
     NUMBER("routing", "subset_size", subset_size, "engines", 1, 4096, 16,
            "Engines of a group that one daemon sends to."),
     NUMBER("routing", "max_attempts", max_attempts, "attempts", 1, 10, 3,
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -271,13 +271,13 @@
     return names;
 }
 
-long hs_engine_order(const char *engine_url, const char *action, const char *model,
-                     uint32_t epoch) {
+long hs_engine_give_order(const char *engine_url, const hs_engine_order *order) {
     g_autofree char *url = g_strconcat(engine_url, "/orders", NULL);
-    json_t *order =
-        json_pack("{s:s,s:s,s:I}", "action", action, "model", model, "epoch", (json_int_t)epoch);
-    char *text = json_dumps(order, JSON_COMPACT);
-    json_decref(order);
+    json_t *body =
+        json_pack("{s:s,s:I,s:s,s:s}", "scope", order->scope, "epoch", (json_int_t)order->epoch,
+                  "action", order->action, "model", order->model);
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
     hs_http_request request = {.method = "POST",
                                .url = url,
                                .content_type = "application/json",
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -81,7 +81,15 @@
 /** Models the engine holds, as a JSON array of names. The caller owns it; NULL on failure. */
 json_t *hs_engine_read_models(const char *engine_url);
 
-/** Fenced order: "load" or "unload" of a model. @return HTTP status, 0: no answer. */
-long hs_engine_order(const char *engine_url, const char *action, const char *model, uint32_t epoch);
+/** An order, fenced by epoch within its scope: the engine refuses (409) one of an older epoch. */
+typedef struct {
+    const char *scope; /**< The engine group. */
+    uint32_t epoch;
+    const char *action; /**< "load" or "unload". */
+    const char *model;
+} hs_engine_order;
+
+/** @return HTTP status, 0: no answer. */
+long hs_engine_give_order(const char *engine_url, const hs_engine_order *order);
 
 #endif
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "membership/membership_service.h"
 #include "node/metrics.h"
 #include "node/trace_log.h"
+#include "placement/demand.h"
 #include "platform/appender.h"
 #include "routing/engine_table.h"
 #include "routing/retry_budget.h"
@@ -42,6 +43,7 @@
     hs_coordinator *coordinator;
     hs_scheduler *scheduler;
     hs_tenant_limits *limits;
+    hs_demand *demand; /**< Requests that came in here, by group and model. */
     GMutex retry_lock;
     hs_retry_budget retry_budget;
     hs_metrics metrics;
--- /dev/null
+++ b/src/platform/weight_store.c
@@ -0,0 +1,29 @@
+/** @file weight_store.c  See weight_store.h. */
+#include "platform/weight_store.h"
+
+#include "base/http_exchange.h"
+
+#include <glib.h>
+
+#define HTTP_OK 200
+#define HTTP_TOO_MANY 429
+
+int hs_weight_store_take(const char *platform_url, const char *model, uint32_t timeout_s,
+                         uint32_t *retry_after_s, hs_error *error) {
+    g_autofree char *url = g_strdup_printf("%s/weights/v1/%s", platform_url, model);
+    hs_http_request request = {.method = "GET", .url = url, .timeout_s = timeout_s};
+    hs_http_answer answer;
+    *retry_after_s = 0;
+    if (!hs_http_exchange(&request, &answer))
+        return hs_error_set(error, HS_LAYER_PLATFORM, HS_PLATFORM_UNKNOWN, "weights: no answer");
+    long status = answer.status;
+    *retry_after_s = answer.retry_after_s;
+    hs_http_answer_clear(&answer);
+    if (status == HTTP_OK)
+        return 0;
+    if (status == HTTP_TOO_MANY)
+        return hs_error_set(error, HS_LAYER_PLATFORM, HS_PLATFORM_REFUSED,
+                            "weights: over the rate");
+    return hs_error_set(error, HS_LAYER_PLATFORM, HS_PLATFORM_UNKNOWN, "weights: status %ld",
+                        status);
+}
--- a/standin/engine/engine.c
+++ b/standin/engine/engine.c
@@ -85,6 +85,7 @@
     self->loaded_models = g_ptr_array_new_with_free_func(g_free);
     self->load_samples = g_array_new(FALSE, FALSE, sizeof(engine_load_sample));
     self->cache_events = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    self->order_epochs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     self->faults.load_lag_ms = 1000;
     g_ptr_array_add(self->loaded_models, g_strdup(ENGINE_DEFAULT_MODEL));
     self->step_thread = g_thread_new("engine-steps", run_steps, self);
@@ -112,6 +113,7 @@
     g_ptr_array_free(self->loaded_models, TRUE);
     g_array_free(self->load_samples, TRUE);
     g_array_free(self->cache_events, TRUE);
+    g_hash_table_destroy(self->order_epochs);
     g_free(self->id);
     g_free(self);
 }
--- a/standin/engine/engine.h
+++ b/standin/engine/engine.h
@@ -59,7 +59,7 @@
     engine_faults faults;
     uint32_t leaving_refusals; /**< New work that came while leaving. */
     uint32_t refusals;         /**< New work refused by the fault "refuse". */
-    uint32_t order_epoch;      /**< Highest epoch of an order obeyed; older ones are refused. */
+    GHashTable *order_epochs;  /**< scope -> highest epoch of an order obeyed in it */
     bool stopping;
     GThread *step_thread;
 } engine;
--- a/standin/engine/engine_control.c
+++ b/standin/engine/engine_control.c
@@ -69,26 +69,28 @@
     }
 }
 
-/** A fenced order: refused when its epoch is older than the newest one obeyed. */
+/** A fenced order: refused when its epoch is older than the newest one obeyed in its scope. */
 static int handle_order(const struct _u_request *wire, struct _u_response *response, void *data) {
     engine *self = data;
     json_t *body = ulfius_get_json_body_request(wire, NULL);
     const char *action = json_string_value(json_object_get(body, "action"));
     const char *model = json_string_value(json_object_get(body, "model"));
-    uint32_t epoch = (uint32_t)json_integer_value(json_object_get(body, "epoch"));
-    if (action == NULL || model == NULL) {
+    const char *scope = json_string_value(json_object_get(body, "scope"));
+    guint epoch = (guint)json_integer_value(json_object_get(body, "epoch"));
+    if (action == NULL || model == NULL || scope == NULL) {
         json_decref(body);
         return hs_http_reply_json(response, 400, json_object());
     }
     g_mutex_lock(&self->lock);
-    bool fenced = epoch < self->order_epoch;
+    guint newest = GPOINTER_TO_UINT(g_hash_table_lookup(self->order_epochs, scope));
+    bool fenced = epoch < newest;
     if (!fenced) {
-        self->order_epoch = epoch;
+        newest = epoch;
+        g_hash_table_replace(self->order_epochs, g_strdup(scope), GUINT_TO_POINTER(epoch));
         unload_model(self, model);
         if (strcmp(action, "load") == 0)
             g_ptr_array_add(self->loaded_models, g_strdup(model));
     }
-    uint32_t newest = self->order_epoch;
     g_mutex_unlock(&self->lock);
     json_decref(body);
     return hs_http_reply_json(response, fenced ? 409 : 200,
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -10,6 +10,7 @@
         {"online", online_tests, begin_fleet, end_fleet},
         {"configuration", configuration_tests, begin_fleet, end_fleet},
         {"leaving", leaving_tests, begin_fleet, end_fleet},
+        {"placement", placement_system_tests, begin_fleet, end_fleet},
     };
     ulfius_global_init();
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
--- a/tests/system/support.c
+++ b/tests/system/support.c
@@ -28,6 +28,8 @@
                                             "batch.partitions=8",
                                             "batch.claim_settle_ms=100",
                                             "batch.handover_ms=200",
+                                            "placement.interval_ms=200",
+
                                             "scheduling.item_timeout_s=3",
 
                                             "peer.seeds=127.0.0.1:18120,127.0.0.1:18121",
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -14,5 +14,6 @@
 extern const test_case input_tests[];
 extern const test_case engine_tests[];
 extern const test_case ring_tests[];
+extern const test_case placement_tests[];
 
 #endif
