Mutant list: tab-separated, a mutant that did not run is not called missed

Cause: the first run called all 22 mutants missed: the list's separator stood in the expressions, and the scratch copy lacked untracked files, so that nothing ran. Change: tabs; the base must build; DID-NOT-RUN is its own verdict. Not run yet with this list.

--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -9,8 +9,12 @@
 missed=0
 mkdir "$scratch/base"
 (cd "$root" && git ls-files -z | xargs -0 cp --parents -t "$scratch/base")
-(cd "$scratch/base" && make -s -j8 build/unit-tests >/dev/null 2>&1)
-while IFS='|' read -r name file expression suite; do
+(cd "$scratch/base" && make -s -j8 build/unit-tests >/dev/null 2>&1) || {
+    echo "the unmutated tree does not build"
+    exit 1
+}
+tab=$(printf '\t')
+while IFS="$tab" read -r name file expression suite; do
     case "$name" in '' | '#'*) continue ;; esac
     rm -rf "$scratch/mutant" && cp -r "$scratch/base" "$scratch/mutant"
     cd "$scratch/mutant" || exit 1
@@ -27,10 +31,13 @@
         make -s -j8 BUILD=build/fault EXTRA_CPPFLAGS=-DHS_FAULT_POINTS EXTRA_CFLAGS=-Wno-error all build/fault/system-tests >/dev/null 2>&1
         output=$(HS_TEST_PROGRAMS=build/fault timeout 120 build/fault/system-tests "$suite" 2>/dev/null)
     fi
-    tests=$(echo "$output" | sed -n 's/^not ok //p' | tr '\n' ' ')
+    tests=$(echo "$output" | sed -n 's/^not ok //p' | head -3 | tr '\n' ' ')
     if [ -n "$tests" ]; then
         found=$((found + 1))
         echo "$name found-by $tests"
+    elif [ -z "$(echo "$output" | grep '^ok ')" ]; then
+        missed=$((missed + 1))
+        echo "$name DID-NOT-RUN"
     else
         missed=$((missed + 1))
         echo "$name MISSED"
