--- a/spec/check.sh
+++ b/spec/check.sh
@@ -15,7 +15,7 @@
     cc -O2 -DNFAIR=4 -DMEMLIM=2048 -o pan pan.c 2>cc.txt
     started=$(date +%s.%N)
     ./pan -a -f -m100000 -N "$2" >pan.txt 2>&1 || true
-    seconds=$(echo "$(date +%s.%N) - $started" | bc)
+    seconds=$(awk -v from="$started" -v to="$(date +%s.%N)" 'BEGIN { printf "%.2f", to - from }')
     errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' pan.txt)
     states=$(sed -n 's/ *\([0-9]*\) states, stored.*/\1/p' pan.txt)
     # A search that was cut short proves nothing.
--- a/tests/system/test_online.c
+++ b/tests/system/test_online.c
@@ -2,6 +2,7 @@
 #include "standin/engine/answer.h"
 #include "tests/system/system_tests.h"
 
+#include <signal.h>
 #include <string.h>
 
 static bool is_cancelled(void *prompt) {
@@ -166,8 +167,67 @@
     CU_ASSERT_EQUAL(count_engine_runs("fee-down", NULL), 1);
 }
 
+/** A plain request in a thread, for one engine's loss under it. */
+typedef struct {
+    long status;
+    char *text;
+} plain_call;
+
+static gpointer send_plain(gpointer data) {
+    plain_call *call = data;
+    json_t *answer = NULL;
+    call->status = client_call("POST", test_fleet.caller_urls[0], "/v1/completions", TEST_TENANT,
+                               "{\"model\":\"drafting-7b\",\"max_tokens\":150,"
+                               "\"prompt\":\"engine-lost\"}",
+                               NULL, &answer);
+    const json_t *choice = json_array_get(json_object_get(answer, "choices"), 0);
+    call->text = g_strdup(json_string_value(json_object_get(choice, "text")));
+    json_decref(answer);
+    return NULL;
+}
+
+/** Index of the engine that has sent tokens of the prompt; -1: none. */
+static int engine_under_way(const char *prompt) {
+    for (int engine = 0; engine < test_fleet.engine_count; engine++) {
+        json_t *record = NULL;
+        bool here = false;
+        client_call("GET", test_fleet.engine_urls[engine], "/control/record", NULL, NULL, NULL,
+                    &record);
+        size_t index;
+        json_t *entry;
+        json_array_foreach(json_object_get(record, "requests"), index, entry) {
+            here =
+                here || (strcmp(json_string_value(json_object_get(entry, "prompt")), prompt) == 0 &&
+                         json_integer_value(json_object_get(entry, "tokens")) > 10);
+        }
+        json_decref(record);
+        if (here)
+            return engine;
+    }
+    return -1;
+}
+
+static bool is_under_way(void *prompt) {
+    return engine_under_way(prompt) >= 0;
+}
+
+static void plain_answer_is_whole_though_its_engine_dies(void) {
+    CU_ASSERT_TRUE(wait_until(is_served, NULL, 5000));
+    plain_call call = {0, NULL};
+    GThread *thread = g_thread_new("plain", send_plain, &call);
+    CU_ASSERT_TRUE(wait_until(is_under_way, (gpointer) "engine-lost", 5000));
+    int engine = engine_under_way("engine-lost");
+    CU_ASSERT_FATAL(engine >= 0);
+    fleet_signal(&test_fleet.engine_pids[engine], SIGKILL);
+    g_thread_join(thread);
+    g_autofree char *expected = answer_text("engine-lost", 150);
+    CU_ASSERT_EQUAL(call.status, 200);
+    CU_ASSERT_EQUAL(g_strcmp0(call.text, expected), 0);
+    g_free(call.text);
+    CU_ASSERT_TRUE(fleet_start_engine(&test_fleet, engine));
+}
+
 const test_case online_tests[] = {
-    {"outage_is_not_doubled_by_retries", outage_is_not_doubled_by_retries},
     {"run_once_resent_through_another_daemon_runs_once",
      run_once_resent_through_another_daemon_runs_once},
     {"run_once_is_not_resent_after_a_cut", run_once_is_not_resent_after_a_cut},
@@ -178,4 +238,6 @@
     {"hopeless_stream_ends_in_an_explicit_error", hopeless_stream_ends_in_an_explicit_error},
     {"refusal_by_all_engines_did_not_run", refusal_by_all_engines_did_not_run},
     {"deadline_is_answered_at_once_and_cancelled", deadline_is_answered_at_once_and_cancelled},
+    {"plain_answer_is_whole_though_its_engine_dies", plain_answer_is_whole_though_its_engine_dies},
+    {"outage_is_not_doubled_by_retries", outage_is_not_doubled_by_retries},
     {NULL, NULL}};
