Ring: putters go one by one, so that none spins behind another

Cause: a job of 130,000 items ran slower per item than one of 40,000. Stacks of a daemon under way showed up to 512 workers in hs_ring_put: the ring's enqueue for many producers waits, spinning, for producers before it, and on 8 cores one that lost its core made all others burn theirs. Change: hs_ring_put enqueues under the ring's mutex, where putters sleep.

--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -1,4 +1,8 @@
-/** @file ring.c  Bounded ring; see ring.h. The mutex only guards sleeping, not the entries. */
+/**
+ * @file ring.c  Bounded ring; see ring.h. Takers need the mutex only to sleep. Putters go through
+ * it one by one: without it each waits, spinning, for putters before it to finish, and with
+ * hundreds of worker threads one that lost its core makes all others burn theirs.
+ */
 #include "base/ring.h"
 
 #include <ck_ring.h>
@@ -38,12 +42,12 @@
 }
 
 bool hs_ring_put(hs_ring *ring, void *entry) {
-    if (!ck_ring_enqueue_mpmc(&ring->indexes, ring->slots, entry))
-        return false;
     g_mutex_lock(&ring->sleep_lock);
-    g_cond_signal(&ring->entry_added);
+    bool added = ck_ring_enqueue_mpmc(&ring->indexes, ring->slots, entry);
+    if (added)
+        g_cond_signal(&ring->entry_added);
     g_mutex_unlock(&ring->sleep_lock);
-    return true;
+    return added;
 }
 
 void *hs_ring_take(hs_ring *ring, uint32_t wait_ms) {
