--- a/src/batch/item_runner.c
+++ b/src/batch/item_runner.c
@@ -175,7 +175,6 @@
         if (result.end != HS_RUN_REFUSED)
             return result;
     }
-    hs_whole_answer_reset(run->answer);
     return hs_engine_run(call, collect_token, run);
 }
 
@@ -267,7 +266,6 @@
                            .path = work->endpoint,
                            .request_id = work->attempt_id,
                            .timeout_s = runner->item_timeout_s};
-    hs_whole_answer_reset(run.answer);
     hs_run_result result = hs_engine_resume(&call, 0, collect_token, &run);
     hs_item_end end = HS_ITEM_AGAIN;
     if (result.end == HS_RUN_WHOLE)
--- a/src/commands/complete.c
+++ b/src/commands/complete.c
@@ -180,9 +180,6 @@
     hs_whole_answer_init(&answer, request->chat);
     json_t *event;
     while ((event = hs_online_request_next(request, &state)) != NULL) {
-        /* Another attempt begins anew: what was collected of a failed one is not part of it. */
-        if (json_integer_value(json_object_get(event, "token_index")) == 0)
-            hs_whole_answer_reset(&answer);
         hs_whole_answer_add(&answer, event);
         json_decref(event);
     }
--- a/src/daemon/config_sync.c
+++ b/src/daemon/config_sync.c
@@ -60,10 +60,8 @@
 }
 
 static void fetch(hs_node *node, const peer_offsets *offsets) {
-    uint32_t address = offsets->best_address;
-    g_autofree char *url = g_strdup_printf(
-        "http://%u.%u.%u.%u:%u/internal/v1/config-state", address >> 24, (address >> 16) & 0xffU,
-        (address >> 8) & 0xffU, address & 0xffU, offsets->best_port);
+    g_autofree char *url =
+        hs_member_admin_url(offsets->best_address, offsets->best_port, "/internal/v1/config-state");
     hs_http_request request = {.method = "GET", .url = url, .timeout_s = FETCH_TIMEOUT_S};
     hs_http_answer answer;
     if (hs_http_exchange(&request, &answer) && answer.status == HTTP_OK) {
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -158,7 +158,6 @@
                                     .config = node->config,
                                     .engines = node->engines,
                                     .membership = node->membership,
-                                    .socket = node->socket,
                                     .coordinator = node->coordinator,
                                     .counted = node->demand};
     daemon->placement = hs_placement_controller_start(&context);
--- a/src/daemon/peer_engines.c
+++ b/src/daemon/peer_engines.c
@@ -18,9 +18,7 @@
         if (member == hs_membership_self(membership) || !hs_member_is_live(member) ||
             member->admin_port == 0)
             continue;
-        url = g_strdup_printf("http://%u.%u.%u.%u:%u/internal/v1/engines", member->address >> 24,
-                              (member->address >> 16) & 0xffU, (member->address >> 8) & 0xffU,
-                              member->address & 0xffU, member->admin_port);
+        url = hs_member_admin_url(member->address, member->admin_port, "/internal/v1/engines");
     }
     hs_membership_service_unlock(node->membership);
     return url;
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -127,60 +127,74 @@
     return result;
 }
 
-hs_run_result hs_engine_run(const hs_engine_call *call, hs_token_callback on_token,
-                            void *user_data) {
+/** One streamed exchange. */
+typedef struct {
+    const char *method;
+    const char *url;
+    const char *body; /**< JSON text; NULL: none. */
+    uint32_t first_token;
+} stream_exchange;
+
+static hs_run_result run_exchange(const hs_engine_call *call, const stream_exchange *exchange,
+                                  hs_token_callback on_token, void *user_data) {
     struct _u_request request;
     ulfius_init_request(&request);
-    g_autofree char *url = g_strconcat(call->engine_url, call->path, NULL);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
-                                  U_OPT_TIMEOUT, (unsigned long)call->timeout_s,
-                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
-                                  U_OPT_STRING_BODY, call->body, U_OPT_NONE);
-    hs_run_result result = stream_request(&request, 0, on_token, user_data);
+    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, exchange->method, U_OPT_HTTP_URL,
+                                  exchange->url, U_OPT_TIMEOUT, (unsigned long)call->timeout_s,
+                                  U_OPT_NONE);
+    if (exchange->body != NULL)
+        ulfius_set_request_properties(&request, U_OPT_HEADER_PARAMETER, "Content-Type",
+                                      "application/json", U_OPT_STRING_BODY, exchange->body,
+                                      U_OPT_NONE);
+    hs_run_result result = stream_request(&request, exchange->first_token, on_token, user_data);
     ulfius_clean_request(&request);
     return result;
 }
 
+hs_run_result hs_engine_run(const hs_engine_call *call, hs_token_callback on_token,
+                            void *user_data) {
+    g_autofree char *url = g_strconcat(call->engine_url, call->path, NULL);
+    stream_exchange exchange = {.method = "POST", .url = url, .body = call->body};
+    return run_exchange(call, &exchange, on_token, user_data);
+}
+
 hs_run_result hs_engine_resume(const hs_engine_call *call, uint32_t first_token,
                                hs_token_callback on_token, void *user_data) {
-    struct _u_request request;
-    ulfius_init_request(&request);
     g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/stream?offset=%u", call->engine_url,
                                            call->request_id, first_token);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "GET", U_OPT_HTTP_URL, url,
-                                  U_OPT_TIMEOUT, (unsigned long)call->timeout_s, U_OPT_NONE);
-    hs_run_result result = stream_request(&request, first_token, on_token, user_data);
-    ulfius_clean_request(&request);
-    return result;
+    stream_exchange exchange = {.method = "GET", .url = url, .first_token = first_token};
+    return run_exchange(call, &exchange, on_token, user_data);
 }
 
 hs_run_result hs_engine_continue(const hs_engine_call *call, uint32_t first_token,
                                  hs_token_callback on_token, void *user_data) {
-    struct _u_request request;
-    ulfius_init_request(&request);
     g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/continue?offset=%u", call->engine_url,
                                            call->request_id, first_token);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
-                                  U_OPT_TIMEOUT, (unsigned long)call->timeout_s,
-                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
-                                  U_OPT_STRING_BODY, "{}", U_OPT_NONE);
-    hs_run_result result = stream_request(&request, first_token, on_token, user_data);
-    ulfius_clean_request(&request);
-    return result;
+    stream_exchange exchange = {
+        .method = "POST", .url = url, .body = "{}", .first_token = first_token};
+    return run_exchange(call, &exchange, on_token, user_data);
 }
 
-bool hs_engine_cancel(const char *engine_url, const char *request_id) {
-    g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/cancel", engine_url, request_id);
+/** POST @p body, which is taken over. @return HTTP status, 0: no answer. */
+static long post_json(const char *url, json_t *body) {
+    char *text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
     hs_http_request request = {.method = "POST",
                                .url = url,
                                .content_type = "application/json",
-                               .body = "{}",
-                               .body_length = 2,
+                               .body = text,
+                               .body_length = strlen(text),
                                .timeout_s = CONTROL_TIMEOUT_S};
     hs_http_answer answer;
-    bool known = hs_http_exchange(&request, &answer) && answer.status == HTTP_OK;
+    long status = hs_http_exchange(&request, &answer) ? answer.status : 0;
     hs_http_answer_clear(&answer);
-    return known;
+    free(text);
+    return status;
+}
+
+bool hs_engine_cancel(const char *engine_url, const char *request_id) {
+    g_autofree char *url = g_strdup_printf("%s/v1/requests/%s/cancel", engine_url, request_id);
+    return post_json(url, json_object()) == HTTP_OK;
 }
 
 bool hs_engine_cancel_many(const char *engine_url, const GPtrArray *request_ids) {
@@ -188,20 +202,7 @@
     json_t *ids = json_array();
     for (guint index = 0; index < request_ids->len; index++)
         json_array_append_new(ids, json_string(request_ids->pdata[index]));
-    json_t *body = json_pack("{s:o}", "ids", ids);
-    char *text = json_dumps(body, JSON_COMPACT);
-    json_decref(body);
-    hs_http_request request = {.method = "POST",
-                               .url = url,
-                               .content_type = "application/json",
-                               .body = text,
-                               .body_length = strlen(text),
-                               .timeout_s = CONTROL_TIMEOUT_S};
-    hs_http_answer answer;
-    bool answered = hs_http_exchange(&request, &answer) && answer.status == HTTP_OK;
-    hs_http_answer_clear(&answer);
-    free(text);
-    return answered;
+    return post_json(url, json_pack("{s:o}", "ids", ids)) == HTTP_OK;
 }
 
 static bool parse_engine_address(const char *engine_url, struct sockaddr_in *address) {
@@ -273,20 +274,7 @@
 
 long hs_engine_give_order(const char *engine_url, const hs_engine_order *order) {
     g_autofree char *url = g_strconcat(engine_url, "/orders", NULL);
-    json_t *body =
-        json_pack("{s:s,s:I,s:s,s:s}", "scope", order->scope, "epoch", (json_int_t)order->epoch,
-                  "action", order->action, "model", order->model);
-    char *text = json_dumps(body, JSON_COMPACT);
-    json_decref(body);
-    hs_http_request request = {.method = "POST",
-                               .url = url,
-                               .content_type = "application/json",
-                               .body = text,
-                               .body_length = strlen(text),
-                               .timeout_s = CONTROL_TIMEOUT_S};
-    hs_http_answer answer;
-    long status = hs_http_exchange(&request, &answer) ? answer.status : 0;
-    hs_http_answer_clear(&answer);
-    free(text);
-    return status;
+    return post_json(url, json_pack("{s:s,s:I,s:s,s:s}", "scope", order->scope, "epoch",
+                                    (json_int_t)order->epoch, "action", order->action, "model",
+                                    order->model));
 }
--- a/src/engine/whole_answer.c
+++ b/src/engine/whole_answer.c
@@ -9,13 +9,15 @@
     g_string_free(answer->text, TRUE);
 }
 
-void hs_whole_answer_reset(hs_whole_answer *answer) {
+static void forget_tokens(hs_whole_answer *answer) {
     g_string_truncate(answer->text, 0);
     answer->token_count = 0;
     answer->finish_reason[0] = '\0';
 }
 
 void hs_whole_answer_add(hs_whole_answer *answer, const json_t *event) {
+    if (json_integer_value(json_object_get(event, "token_index")) == 0)
+        forget_tokens(answer);
     const json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
     const json_t *piece = answer->chat
                               ? json_object_get(json_object_get(choice, "delta"), "content")
--- a/src/engine/whole_answer.h
+++ b/src/engine/whole_answer.h
@@ -17,10 +17,7 @@
 void hs_whole_answer_init(hs_whole_answer *answer, bool chat);
 void hs_whole_answer_clear(hs_whole_answer *answer);
 
-/** Forget the tokens, for another attempt. */
-void hs_whole_answer_reset(hs_whole_answer *answer);
-
-/** Add one event of the stream. */
+/** Add one event of the stream. Token 0 begins an attempt and drops what another one left. */
 void hs_whole_answer_add(hs_whole_answer *answer, const json_t *event);
 
 /** The answer's body under @p id. The caller owns it. */
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -128,6 +128,9 @@
 const hs_member *hs_membership_owner(const hs_membership *membership, uint32_t partition,
                                      uint32_t *epoch);
 
+/** URL on the operators' listener of a member at @p address and @p port. Free with g_free. */
+char *hs_member_admin_url(uint32_t address, uint16_t port, const char *path);
+
 /** Number of times we took a new incarnation because others held us for dead. */
 uint32_t hs_membership_rejoin_count(const hs_membership *membership);
 
--- a/src/membership/membership_query.c
+++ b/src/membership/membership_query.c
@@ -10,6 +10,11 @@
     return member->state == HS_MEMBER_ALIVE || member->state == HS_MEMBER_SUSPECT;
 }
 
+char *hs_member_admin_url(uint32_t address, uint16_t port, const char *path) {
+    return g_strdup_printf("http://%u.%u.%u.%u:%u%s", address >> 24, (address >> 16) & 0xffU,
+                           (address >> 8) & 0xffU, address & 0xffU, port, path);
+}
+
 const hs_member *hs_membership_find(const hs_membership *membership, const char *id) {
     return g_hash_table_lookup(membership->members, id);
 }
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -157,6 +157,43 @@
     g_mutex_unlock(&service->lock);
 }
 
+/** Where a member's datagrams go. */
+typedef struct {
+    uint32_t address;
+    uint16_t port; /**< 0: nowhere. */
+} member_address;
+
+static member_address address_of(const hs_member *member) {
+    if (member == NULL)
+        return (member_address){0};
+    return (member_address){.address = member->address, .port = member->peer_port};
+}
+
+static void send_signed(hs_membership_service *service, member_address to,
+                        Hs__PeerMessage *message) {
+    if (to.port == 0)
+        return;
+    hs_membership_service_sign(service, message);
+    hs_peer_socket_send(service->socket, to.address, to.port, message);
+}
+
+void hs_membership_service_send_to_owner(hs_membership_service *service, uint32_t partition,
+                                         Hs__PeerMessage *message) {
+    uint32_t epoch = 0;
+    g_mutex_lock(&service->lock);
+    member_address to = address_of(hs_membership_owner(service->membership, partition, &epoch));
+    g_mutex_unlock(&service->lock);
+    send_signed(service, to, message);
+}
+
+void hs_membership_service_send_to_first(hs_membership_service *service, const char *key,
+                                         Hs__PeerMessage *message) {
+    g_mutex_lock(&service->lock);
+    member_address to = address_of(hs_membership_rank_first(service->membership, key, NULL));
+    g_mutex_unlock(&service->lock);
+    send_signed(service, to, message);
+}
+
 static void send_probe(hs_membership_service *service, const hs_probe_order *order, bool want_all) {
     gossip taken = take_gossip(service, order->receiver_id);
     Hs__Probe probe = HS__PROBE__INIT;
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -43,6 +43,14 @@
 /** Fill sender id and incarnation. The id is borrowed from the service. */
 void hs_membership_service_sign(hs_membership_service *service, Hs__PeerMessage *message);
 
+/** Sign @p message and send it to the partition's owner; dropped when no owner is known. */
+void hs_membership_service_send_to_owner(hs_membership_service *service, uint32_t partition,
+                                         Hs__PeerMessage *message);
+
+/** Sign @p message and send it to the live member that comes first for @p key by rendezvous. */
+void hs_membership_service_send_to_first(hs_membership_service *service, const char *key,
+                                         Hs__PeerMessage *message);
+
 /** Address of a member by id; false when unknown. */
 bool hs_membership_service_address(hs_membership_service *service, const char *id,
                                    uint32_t *address, uint16_t *peer_port);
--- a/src/node/limit_exchange.c
+++ b/src/node/limit_exchange.c
@@ -18,22 +18,15 @@
 /** Send the ask to the tenant's home: the first daemon by rendezvous. */
 static void send_ask(const hs_limit_ask *ask, void *user_data) {
     hs_node *node = user_data;
-    hs_membership *membership = hs_membership_service_lock(node->membership);
-    const hs_member *home = hs_membership_rank_first(membership, ask->tenant, NULL);
-    uint32_t address = home != NULL ? home->address : 0;
-    uint16_t port = home != NULL ? home->peer_port : 0;
-    hs_membership_service_unlock(node->membership);
     Hs__LimitAsk body = HS__LIMIT_ASK__INIT;
     body.tenant = (char *)ask->tenant;
     body.wanted = ask->wanted;
     body.advanced = ask->advanced;
     body.in_flight = ask->in_flight;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(node->membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_LIMIT_ASK;
     message.limit_ask = &body;
-    if (port != 0)
-        hs_peer_socket_send(node->socket, address, port, &message);
+    hs_membership_service_send_to_first(node->membership, ask->tenant, &message);
 }
 
 static gpointer run_asks(gpointer data) {
@@ -97,7 +90,7 @@
         return true;
     case HS__PEER_MESSAGE__KIND_LIMIT_GRANT:
         hs_tenant_limits_allow(exchange->node->limits, message->limit_grant->tenant,
-                               message->limit_grant->allowance, hs_clock_monotonic_ms());
+                               message->limit_grant->allowance);
         return true;
     default:
         return false;
--- a/src/placement/controller.c
+++ b/src/placement/controller.c
@@ -42,23 +42,15 @@
 /** Hand a count on to the group's controller. */
 static void send_demand(const char *group, const char *model, double count, void *user_data) {
     hs_placement_controller *controller = user_data;
-    hs_membership_service *membership = controller->context.membership;
-    uint32_t epoch = 0;
-    const hs_member *owner = hs_membership_owner(hs_membership_service_lock(membership),
-                                                 group_partition(controller, group), &epoch);
-    uint32_t address = owner != NULL ? owner->address : 0;
-    uint16_t port = owner != NULL ? owner->peer_port : 0;
-    hs_membership_service_unlock(membership);
     Hs__DemandReport report = HS__DEMAND_REPORT__INIT;
     report.group = (char *)group;
     report.model = (char *)model;
     report.requests = (uint32_t)count;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_DEMAND_REPORT;
     message.demand_report = &report;
-    if (port != 0)
-        hs_peer_socket_send(controller->context.socket, address, port, &message);
+    hs_membership_service_send_to_owner(controller->context.membership,
+                                        group_partition(controller, group), &message);
 }
 
 bool hs_placement_controller_handle(hs_placement_controller *controller,
--- a/src/placement/controller.h
+++ b/src/placement/controller.h
@@ -19,7 +19,6 @@
     hs_config_store *config;
     hs_engine_table *engines;
     hs_membership_service *membership;
-    hs_peer_socket *socket;
     hs_coordinator *coordinator;
     hs_demand *counted; /**< Requests that came in here. */
 } hs_placement_context;
--- a/src/routing/tenant_limits.c
+++ b/src/routing/tenant_limits.c
@@ -92,10 +92,15 @@
     return fresh;
 }
 
+/** Whether the limit, NULL for none, bounds anything. */
+static bool is_limited(const hs_tenant_limit *limit) {
+    return limit != NULL && (limit->requests_per_second > 0 || limit->max_in_flight > 0);
+}
+
 uint32_t hs_tenant_limits_enter(hs_tenant_limits *limits, const hs_config_view *view,
                                 const char *tenant, uint32_t daemon_count, uint64_t now_ms) {
     const hs_tenant_limit *limit = hs_config_view_limit(view, tenant);
-    bool limited = limit != NULL && (limit->requests_per_second > 0 || limit->max_in_flight > 0);
+    bool limited = is_limited(limit);
     bool admitted = true;
     g_mutex_lock(&limits->lock);
     tenant_use *use = use_of(limits, tenant, now_ms);
@@ -151,10 +156,7 @@
     gpointer use;
     g_hash_table_iter_init(&iterator, limits->tenants);
     while (g_hash_table_iter_next(&iterator, &tenant, &use)) {
-        const hs_tenant_limit *limit = hs_config_view_limit(view, tenant);
-        bool limited =
-            limit != NULL && (limit->requests_per_second > 0 || limit->max_in_flight > 0);
-        if (!limited || !must_ask(use, now_ms))
+        if (!is_limited(hs_config_view_limit(view, tenant)) || !must_ask(use, now_ms))
             continue;
         hs_limit_ask ask = make_ask(use, tenant, now_ms);
         send(&ask, user_data);
@@ -162,9 +164,7 @@
     g_mutex_unlock(&limits->lock);
 }
 
-void hs_tenant_limits_allow(hs_tenant_limits *limits, const char *tenant, uint32_t allowance,
-                            uint64_t now_ms) {
-    (void)now_ms;
+void hs_tenant_limits_allow(hs_tenant_limits *limits, const char *tenant, uint32_t allowance) {
     g_mutex_lock(&limits->lock);
     tenant_use *use = g_hash_table_lookup(limits->tenants, tenant);
     if (use != NULL) {
--- a/src/routing/tenant_limits.h
+++ b/src/routing/tenant_limits.h
@@ -32,7 +32,6 @@
                           void (*send)(const hs_limit_ask *ask, void *user_data), void *user_data);
 
 /** The home's answer. */
-void hs_tenant_limits_allow(hs_tenant_limits *limits, const char *tenant, uint32_t allowance,
-                            uint64_t now_ms);
+void hs_tenant_limits_allow(hs_tenant_limits *limits, const char *tenant, uint32_t allowance);
 
 #endif
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -132,17 +132,16 @@
 
 static void take_item_end(hs_scheduler *scheduler, hs_batch_item *item, hs_item_end end,
                           uint64_t now_ms) {
+    hs_engine_slot *slot = g_hash_table_lookup(scheduler->slots, item->engine_id);
     if (end == HS_ITEM_RECORDED || end == HS_ITEM_DROPPED) {
-        hs_engine_slot *used = g_hash_table_lookup(scheduler->slots, item->engine_id);
-        if (used != NULL && end == HS_ITEM_RECORDED)
-            hs_engine_slot_note_success(used);
+        if (slot != NULL && end == HS_ITEM_RECORDED)
+            hs_engine_slot_note_success(slot);
         COUNT(scheduler, items_recorded, end == HS_ITEM_RECORDED);
         hs_scheduler_forget_item(scheduler, item);
         return;
     }
     bool stepped_aside = item->stepping_aside;
     item->failures += !stepped_aside;
-    hs_engine_slot *slot = g_hash_table_lookup(scheduler->slots, item->engine_id);
     if (slot != NULL && !stepped_aside)
         hs_engine_slot_note_failure(slot, now_ms);
     /* Our engines cannot run it: give it back, by no longer renewing its grant. */
--- a/src/scheduling/scheduler_items.c
+++ b/src/scheduling/scheduler_items.c
@@ -118,15 +118,15 @@
 }
 
 /** True when the item must not be started: its grant was revoked or is of an ended incarnation. */
-static bool item_is_void(hs_scheduler *scheduler, const hs_batch_item *item) {
-    uint64_t incarnation = hs_membership_service_incarnation(scheduler->context.membership);
+static bool item_is_void(const hs_batch_item *item, uint64_t incarnation) {
     return g_atomic_int_get(&item->grant->revoked) != 0 || item->grant->incarnation != incarnation;
 }
 
 void hs_scheduler_start_items(hs_scheduler *scheduler, uint64_t now_ms) {
+    uint64_t incarnation = hs_membership_service_incarnation(scheduler->context.membership);
     for (guint index = 0; index < scheduler->queued->len;) {
         hs_batch_item *item = scheduler->queued->pdata[index];
-        if (item_is_void(scheduler, item)) {
+        if (item_is_void(item, incarnation)) {
             g_ptr_array_remove_index(scheduler->queued, index);
             hs_scheduler_forget_item(scheduler, item);
             continue;
--- a/src/scheduling/scheduler_pull.c
+++ b/src/scheduling/scheduler_pull.c
@@ -43,19 +43,6 @@
     return partitions;
 }
 
-static void send_to_owner(hs_scheduler *scheduler, uint32_t partition, Hs__PeerMessage *message) {
-    uint32_t epoch = 0;
-    hs_membership *membership = hs_membership_service_lock(scheduler->context.membership);
-    const hs_member *owner = hs_membership_owner(membership, partition, &epoch);
-    uint32_t address = owner != NULL ? owner->address : 0;
-    uint16_t port = owner != NULL ? owner->peer_port : 0;
-    hs_membership_service_unlock(scheduler->context.membership);
-    if (port == 0)
-        return;
-    hs_membership_service_sign(scheduler->context.membership, message);
-    hs_peer_socket_send(scheduler->context.socket, address, port, message);
-}
-
 void hs_scheduler_pull_items(hs_scheduler *scheduler, uint64_t now_ms) {
     if (now_ms < scheduler->next_pull_ms || g_atomic_int_get(&scheduler->draining) != 0)
         return;
@@ -78,7 +65,7 @@
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_PULL_REQUEST;
     message.pull_request = &request;
-    send_to_owner(scheduler, partition, &message);
+    hs_membership_service_send_to_owner(scheduler->context.membership, partition, &message);
     COUNT(scheduler, pulls, 1);
 }
 
@@ -94,7 +81,7 @@
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_RENEW;
     message.grant_renew = &renew;
-    send_to_owner(scheduler, grant->partition, &message);
+    hs_membership_service_send_to_owner(scheduler->context.membership, grant->partition, &message);
 }
 
 /** Keep the grants of all our items alive. */
--- a/tests/matrix/faults.c
+++ b/tests/matrix/faults.c
@@ -156,12 +156,10 @@
 
 /** Kill the engine of the victim's zone; its record of what it ran is kept first. */
 static void strike_engine(matrix_cell *cell) {
-    json_t *records = fleet_engine_records(cell->fleet);
     json_t *own = NULL;
     client_call("GET", cell->fleet->engine_urls[VICTIM], "/control/record", NULL, NULL, NULL, &own);
     json_array_extend(cell->lost_records, json_object_get(own, "requests"));
     json_decref(own);
-    json_decref(records);
     fleet_signal(&cell->fleet->engine_pids[VICTIM], SIGKILL);
     let_go_on(cell);
 }
--- a/tests/matrix/operations.c
+++ b/tests/matrix/operations.c
@@ -98,8 +98,7 @@
 
 /** Read the results whole; 0 when the transfer broke or lines are missing. */
 static long read_whole(matrix_cell *cell, int daemon) {
-    g_autofree char *path =
-        g_strdup_printf("/v1/files/output_%s/content", cell->job_id + strlen("batch_"));
+    g_autofree char *path = client_results_path(cell->job_id);
     hs_http_answer answer;
     long status = 0;
     if (client_exchange("GET", cell->fleet->caller_urls[daemon], path, MATRIX_TENANT, NULL, NULL,
--- a/tests/matrix/oracle.c
+++ b/tests/matrix/oracle.c
@@ -38,19 +38,7 @@
 }
 
 static json_t *read_results(matrix_cell *cell) {
-    g_autofree char *path =
-        g_strdup_printf("/v1/files/output_%s/content", cell->job_id + strlen("batch_"));
-    hs_http_answer answer;
-    json_t *results = json_array();
-    if (client_exchange("GET", cell->fleet->caller_urls[WITNESS], path, MATRIX_TENANT, NULL, NULL,
-                        &answer) &&
-        answer.status == 200) {
-        g_auto(GStrv) lines = g_strsplit(answer.body, "\n", -1);
-        for (int index = 0; lines[index] != NULL && *lines[index] != '\0'; index++)
-            json_array_append_new(results, json_loads(lines[index], 0, NULL));
-    }
-    hs_http_answer_clear(&answer);
-    return results;
+    return client_read_results(cell->fleet->caller_urls[WITNESS], MATRIX_TENANT, cell->job_id);
 }
 
 /** One result line: its own answer, whole; or, for a run-once item only, indeterminate. */
--- a/tests/system/support.c
+++ b/tests/system/support.c
@@ -87,19 +87,7 @@
 }
 
 json_t *read_results(const char *job_id, int daemon) {
-    g_autofree char *path =
-        g_strdup_printf("/v1/files/output_%s/content", job_id + strlen("batch_"));
-    hs_http_answer answer;
-    json_t *results = json_array();
-    if (client_exchange("GET", test_fleet.caller_urls[daemon], path, TEST_TENANT, NULL, NULL,
-                        &answer) &&
-        answer.status == 200) {
-        g_auto(GStrv) lines = g_strsplit(answer.body, "\n", -1);
-        for (int index = 0; lines[index] != NULL && *lines[index] != '\0'; index++)
-            json_array_append_new(results, json_loads(lines[index], 0, NULL));
-    }
-    hs_http_answer_clear(&answer);
-    return results;
+    return client_read_results(test_fleet.caller_urls[daemon], TEST_TENANT, job_id);
 }
 
 int count_engine_runs(const char *prompt_prefix, const char *state) {
--- a/tests/unit/test_routing.c
+++ b/tests/unit/test_routing.c
@@ -198,8 +198,7 @@
         world->asking = edge;
         hs_tenant_limits_ask(world->edges[edge], world->view, world->now_ms, carry_ask, world);
         if (world->asking < 0)
-            hs_tenant_limits_allow(world->edges[edge], "tenant", (uint32_t)(-1 - world->asking),
-                                   world->now_ms);
+            hs_tenant_limits_allow(world->edges[edge], "tenant", (uint32_t)(-1 - world->asking));
         if (one_in_ms[edge] == 0 || world->now_ms % (uint64_t)one_in_ms[edge] != 0)
             continue;
         if (hs_tenant_limits_enter(world->edges[edge], world->view, "tenant", LIMIT_EDGES,
--- a/tools/bench/edge_cost.sh
+++ b/tools/bench/edge_cost.sh
@@ -3,12 +3,7 @@
 # request. Prints name=value lines. Usage: edge_cost.sh PROGRAMS
 set -eu
 programs=$1
-work=$(mktemp -d)
-"$programs/heathsail-fleet" --programs "$programs" --set daemon.log_level=warning >"$work/fleet.txt" 2>&1 &
-fleet=$!
 . "$(dirname "$0")/with_fleet.sh"
-callers=http://127.0.0.1:8080,http://127.0.0.1:8081,http://127.0.0.1:8082
-cpu_ticks() { for pid in $(pgrep -P "$fleet" heathsaild); do awk '{ print $14 + $15 }' "/proc/$pid/stat"; done | awk '{ s += $1 } END { print s }'; }
 sleep 3
 before=$(cpu_ticks)
 sleep 10
--- a/tools/bench/large_job.sh
+++ b/tools/bench/large_job.sh
@@ -4,14 +4,10 @@
 set -eu
 programs=$1
 items=${2:-130000}
-work=$(mktemp -d)
-"$programs/heathsail-fleet" --programs "$programs" --set scheduling.start_interval_ms=0 \
-    --set scheduling.max_batch_per_engine=64 --set daemon.log_level=warning >"$work/fleet.txt" 2>&1 &
-fleet=$!
+fleet_settings="--set scheduling.start_interval_ms=0 --set scheduling.max_batch_per_engine=64"
 . "$(dirname "$0")/with_fleet.sh"
 awk -v n="$items" 'BEGIN { for (i = 0; i < n; i++)
     printf "{\"custom_id\":\"c%d\",\"method\":\"POST\",\"url\":\"/v1/completions\",\"body\":{\"model\":\"drafting-7b\",\"max_tokens\":1,\"prompt\":\"line %d of a large requisition\"}}\n", i, i }' >"$work/lines.jsonl"
-ctl() { "$programs/heathsailctl" --tenant bench --endpoint /v1/completions --output json "$@"; }
 started=$(date +%s)
 id=$(ctl batch submit "$work/lines.jsonl" | sed -n 's/.*"id":"\(batch_[^"]*\)".*/\1/p')
 echo "large_job_items=$items"
--- a/tools/bench/real_tail.sh
+++ b/tools/bench/real_tail.sh
@@ -4,14 +4,8 @@
 set -eu
 programs=$1
 seconds=${2:-30}
-work=$(mktemp -d)
-"$programs/heathsail-fleet" --programs "$programs" --set daemon.log_level=warning >"$work/fleet.txt" 2>&1 &
-fleet=$!
 . "$(dirname "$0")/with_fleet.sh"
-callers=http://127.0.0.1:8080,http://127.0.0.1:8081,http://127.0.0.1:8082
-cpu_ticks() { for pid in $(pgrep -P "$fleet" heathsaild); do awk '{ print $14 + $15 }' "/proc/$pid/stat"; done | awk '{ s += $1 } END { print s }'; }
 load() { "$programs/heathsail-load" --callers "$callers" --rate 40 --tokens 40 --busy 4 --idle 2 --seconds "$seconds" 2>/dev/null; }
-ctl() { "$programs/heathsailctl" --tenant bench --endpoint /v1/completions --output json "$@"; }
 completed() { ctl batch status "$1" | sed -n 's/.*"completed":\([0-9]*\).*/\1/p'; }
 before=$(cpu_ticks)
 load | sed 's/^/alone_/'
--- a/tools/bench/with_fleet.sh
+++ b/tools/bench/with_fleet.sh
@@ -1,5 +1,14 @@
-# Sourced by benches that started a fleet as $fleet with its output in $work/fleet.txt: waits until
-# it serves, and stops it at the end.
+# Sourced by benches: starts a fleet of $programs with the daemons' settings in $fleet_settings, waits
+# until it serves, and stops it at the end. Gives $fleet (its pid), $work (a scratch directory),
+# $callers, cpu_ticks and ctl.
+work=$(mktemp -d)
+# shellcheck disable=SC2086
+"$programs/heathsail-fleet" --programs "$programs" --set daemon.log_level=warning ${fleet_settings:-} >"$work/fleet.txt" 2>&1 &
+fleet=$!
+callers=http://127.0.0.1:8080,http://127.0.0.1:8081,http://127.0.0.1:8082
+# Processor time of all daemons so far.
+cpu_ticks() { for pid in $(pgrep -P "$fleet" heathsaild); do awk '{ print $14 + $15 }' "/proc/$pid/stat"; done | awk '{ s += $1 } END { print s }'; }
+ctl() { "$programs/heathsailctl" --tenant bench --endpoint /v1/completions --output json "$@"; }
 finish() {
     kill "$fleet" 2>/dev/null || true
     wait "$fleet" 2>/dev/null || true
--- a/tools/fleet/client.c
+++ b/tools/fleet/client.c
@@ -192,3 +192,21 @@
     }
     return NULL;
 }
+
+char *client_results_path(const char *job_id) {
+    return g_strdup_printf("/v1/files/output_%s/content", job_id + strlen("batch_"));
+}
+
+json_t *client_read_results(const char *base_url, const char *tenant, const char *job_id) {
+    g_autofree char *path = client_results_path(job_id);
+    hs_http_answer answer;
+    json_t *results = json_array();
+    if (client_exchange("GET", base_url, path, tenant, NULL, NULL, &answer) &&
+        answer.status == 200) {
+        g_auto(GStrv) lines = g_strsplit(answer.body, "\n", -1);
+        for (int index = 0; lines[index] != NULL && *lines[index] != '\0'; index++)
+            json_array_append_new(results, json_loads(lines[index], 0, NULL));
+    }
+    hs_http_answer_clear(&answer);
+    return results;
+}
--- a/tools/fleet/client.h
+++ b/tools/fleet/client.h
@@ -51,4 +51,10 @@
 json_t *client_wait_batch(const char *base_url, const char *tenant, const char *job_id,
                           uint32_t timeout_ms);
 
+/** Path of a batch's results. Free with g_free. */
+char *client_results_path(const char *job_id);
+
+/** A batch's result lines as a JSON array; empty when they cannot be read. Owned. */
+json_t *client_read_results(const char *base_url, const char *tenant, const char *job_id);
+
 #endif
--- a/tools/load/online_run.c
+++ b/tools/load/online_run.c
@@ -2,6 +2,7 @@
 #include "tools/load/online_run.h"
 
 #include "tools/fleet/client.h"
+#include "tools/load/percentile.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -68,20 +69,12 @@
     g_free(planned);
 }
 
-static gint compare_doubles(gconstpointer left, gconstpointer right) {
-    double first = *(const double *)left;
-    double second = *(const double *)right;
-    return (first > second) - (first < second);
-}
-
 static void print_percentiles(const char *name, GArray *values) {
     static const double shares[] = {0.50, 0.95, 0.99};
-    g_array_sort(values, compare_doubles);
-    for (size_t index = 0; index < G_N_ELEMENTS(shares) && values->len > 0; index++) {
-        guint rank = (guint)ceil(shares[index] * values->len);
+    percentile_sort(values);
+    for (size_t index = 0; index < G_N_ELEMENTS(shares) && values->len > 0; index++)
         printf("%s_p%.0f_ms=%.2f\n", name, shares[index] * 100,
-               g_array_index(values, double, CLAMP(rank, 1, values->len) - 1));
-    }
+               percentile_of(values, shares[index]));
 }
 
 /** Time of the next request: exponential gaps within the busy times. */
--- a/tools/load/sim_online.c
+++ b/tools/load/sim_online.c
@@ -136,7 +136,6 @@
 }
 
 void sim_online_notice(sim_world *world, const sim_event *event) {
-    const sim_desk *desk = world->options->desk;
     sim_engine *engine = &world->engines[event->engine];
     engine->online_known += event->count;
     if (engine->online_known == 0)
@@ -148,7 +147,6 @@
                                               .engine = event->engine,
                                               .edge = event->edge,
                                               .count = engine->online_known});
-    (void)desk;
     if (world->options->way != SIM_LAGGING)
         sim_batch_schedule(world, event->engine);
 }
--- a/tools/load/sim_world.h
+++ b/tools/load/sim_world.h
@@ -19,7 +19,6 @@
     double sent_ms;       /**< When its caller planned to send it. */
     double last_token_ms; /**< 0: none yet. */
     double return_delay_ms;
-    int owner_edge;  /**< Way A: the edge that sent a batch item. */
     bool cancelling; /**< A cancel is on its way. */
 } sim_sequence;
 
--- a/tools/load/simulate.c
+++ b/tools/load/simulate.c
@@ -1,8 +1,7 @@
 /** @file simulate.c  The loop of virtual time; see sim_desk.h. */
+#include "tools/load/percentile.h"
 #include "tools/load/sim_world.h"
 
-#include <math.h>
-
 #define MS_PER_S 1000.0
 #define WARM_UP_SHARE 0.1
 
@@ -93,20 +92,6 @@
     }
 }
 
-static gint compare_doubles(gconstpointer left, gconstpointer right) {
-    double first = *(const double *)left;
-    double second = *(const double *)right;
-    return (first > second) - (first < second);
-}
-
-/** Value below which @p share of the sorted values lie. */
-static double percentile(const GArray *sorted, double share) {
-    if (sorted->len == 0)
-        return 0;
-    guint index = (guint)ceil(share * sorted->len);
-    return g_array_index(sorted, double, CLAMP(index, 1, sorted->len) - 1);
-}
-
 static sim_world *new_world(const sim_options *options) {
     sim_world *world = g_new0(sim_world, 1);
     const sim_desk *desk = options->desk;
@@ -150,15 +135,15 @@
 
 static sim_result read_result(sim_world *world) {
     double seconds = world->options->seconds;
-    g_array_sort(world->first_tokens, compare_doubles);
-    g_array_sort(world->gaps, compare_doubles);
+    percentile_sort(world->first_tokens);
+    percentile_sort(world->gaps);
     return (sim_result){.online_requests = world->online_requests,
-                        .first_token_p50_ms = percentile(world->first_tokens, 0.50),
-                        .first_token_p95_ms = percentile(world->first_tokens, 0.95),
-                        .first_token_p99_ms = percentile(world->first_tokens, 0.99),
-                        .gap_p50_ms = percentile(world->gaps, 0.50),
-                        .gap_p95_ms = percentile(world->gaps, 0.95),
-                        .gap_p99_ms = percentile(world->gaps, 0.99),
+                        .first_token_p50_ms = percentile_of(world->first_tokens, 0.50),
+                        .first_token_p95_ms = percentile_of(world->first_tokens, 0.95),
+                        .first_token_p99_ms = percentile_of(world->first_tokens, 0.99),
+                        .gap_p50_ms = percentile_of(world->gaps, 0.50),
+                        .gap_p95_ms = percentile_of(world->gaps, 0.95),
+                        .gap_p99_ms = percentile_of(world->gaps, 0.99),
                         .batch_items_per_s = (double)world->items_completed / seconds,
                         .batch_tokens_per_s = (double)world->item_tokens / seconds,
                         .preemptions = world->preemptions,
