--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,9 @@
 CPPFLAGS += -D_GNU_SOURCE -Iinclude -Isrc -I. -Igen $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 CPPFLAGS += $(EXTRA_CPPFLAGS)
 ALL_CFLAGS = -std=gnu11 $(WARNINGS) $(CFLAGS) $(EXTRA_CFLAGS)
-LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lck -lmicrohttpd -lm -lpthread
+LDLIBS = $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lck -lmicrohttpd -lhttp_parser -lm -lpthread
 
-PRODUCT_SOURCES = $(filter-out src/daemon/main.c,$(wildcard src/*/*.c)) $(wildcard gen/*.c)
+PRODUCT_SOURCES = $(filter-out src/daemon/main.c,$(wildcard src/*/*.c)) $(wildcard platform/*.c) $(wildcard gen/*.c)
 STANDIN_SOURCES = $(filter-out %/main.c,$(wildcard standin/*/*.c))
 TOOL_SOURCES = $(filter-out %/main.c,$(wildcard tools/*/*.c))
 SUPPORT_SOURCES = $(wildcard tests/support/*.c)
@@ -83,9 +83,9 @@
 
 ## generate    write gen/ anew from proto/ (needs protobuf-c-compiler; not part of the build)
 generate:
-	protoc-c --c_out=gen --proto_path=proto proto/record.proto proto/peer.proto
+	protoc-c --c_out=gen --proto_path=proto proto/record.proto proto/peer.proto proto/job.proto
 
-CHECKED = $(filter-out gen/%,$(wildcard src/*/*.[ch] include/heathsail/*.h standin/*/*.[ch] tools/*/*.[ch] tests/*/*.[ch]))
+CHECKED = $(filter-out gen/%,$(wildcard src/*/*.[ch] platform/*.[ch] include/heathsail/*.h standin/*/*.[ch] tools/*/*.[ch] tests/*/*.[ch]))
 ## format      rewrite the sources with clang-format
 format:
 	@clang-format -i $(CHECKED)
--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -727,6 +727,96 @@
   assert(message->base.descriptor == &hs__demand_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__engine_share__init
+                     (Hs__EngineShare         *message)
+{
+  static const Hs__EngineShare init_value = HS__ENGINE_SHARE__INIT;
+  *message = init_value;
+}
+size_t hs__engine_share__get_packed_size
+                     (const Hs__EngineShare *message)
+{
+  assert(message->base.descriptor == &hs__engine_share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__engine_share__pack
+                     (const Hs__EngineShare *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__engine_share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__engine_share__pack_to_buffer
+                     (const Hs__EngineShare *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__engine_share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EngineShare *
+       hs__engine_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EngineShare *)
+     protobuf_c_message_unpack (&hs__engine_share__descriptor,
+                                allocator, len, data);
+}
+void   hs__engine_share__free_unpacked
+                     (Hs__EngineShare *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__engine_share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__engine_shares__init
+                     (Hs__EngineShares         *message)
+{
+  static const Hs__EngineShares init_value = HS__ENGINE_SHARES__INIT;
+  *message = init_value;
+}
+size_t hs__engine_shares__get_packed_size
+                     (const Hs__EngineShares *message)
+{
+  assert(message->base.descriptor == &hs__engine_shares__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__engine_shares__pack
+                     (const Hs__EngineShares *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__engine_shares__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__engine_shares__pack_to_buffer
+                     (const Hs__EngineShares *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__engine_shares__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EngineShares *
+       hs__engine_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EngineShares *)
+     protobuf_c_message_unpack (&hs__engine_shares__descriptor,
+                                allocator, len, data);
+}
+void   hs__engine_shares__free_unpacked
+                     (Hs__EngineShares *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__engine_shares__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -2133,7 +2223,135 @@
   (ProtobufCMessageInit) hs__demand_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[14] =
+static const ProtobufCFieldDescriptor hs__engine_share__field_descriptors[5] =
+{
+  {
+    "engine_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, engine_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "online",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, online),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued_tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, queued_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspected",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, suspected),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__engine_share__field_indices_by_name[] = {
+  2,   /* field[2] = batch */
+  0,   /* field[0] = engine_hash */
+  1,   /* field[1] = online */
+  3,   /* field[3] = queued_tokens */
+  4,   /* field[4] = suspected */
+};
+static const ProtobufCIntRange hs__engine_share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor hs__engine_share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EngineShare",
+  "EngineShare",
+  "Hs__EngineShare",
+  "hs",
+  sizeof(Hs__EngineShare),
+  5,
+  hs__engine_share__field_descriptors,
+  hs__engine_share__field_indices_by_name,
+  1,  hs__engine_share__number_ranges,
+  (ProtobufCMessageInit) hs__engine_share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__engine_shares__field_descriptors[1] =
+{
+  {
+    "shares",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__EngineShares, n_shares),
+    offsetof(Hs__EngineShares, shares),
+    &hs__engine_share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__engine_shares__field_indices_by_name[] = {
+  0,   /* field[0] = shares */
+};
+static const ProtobufCIntRange hs__engine_shares__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor hs__engine_shares__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EngineShares",
+  "EngineShares",
+  "Hs__EngineShares",
+  "hs",
+  sizeof(Hs__EngineShares),
+  1,
+  hs__engine_shares__field_descriptors,
+  hs__engine_shares__field_indices_by_name,
+  1,  hs__engine_shares__number_ranges,
+  (ProtobufCMessageInit) hs__engine_shares__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[15] =
 {
   {
     "sender_id",
@@ -2303,10 +2521,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engine_shares",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, engine_shares),
+    &hs__engine_shares__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   13,   /* field[13] = demand_report */
   5,   /* field[5] = engine_load */
+  14,   /* field[14] = engine_shares */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
   9,   /* field[9] = grant_revoke */
@@ -2323,7 +2554,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -2333,7 +2564,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  14,
+  15,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -31,6 +31,8 @@
 typedef struct Hs__LimitAsk Hs__LimitAsk;
 typedef struct Hs__LimitGrant Hs__LimitGrant;
 typedef struct Hs__DemandReport Hs__DemandReport;
+typedef struct Hs__EngineShare Hs__EngineShare;
+typedef struct Hs__EngineShares Hs__EngineShares;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -311,6 +313,37 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What one daemon has on an engine.
+ */
+struct  Hs__EngineShare
+{
+  ProtobufCMessage base;
+  uint64_t engine_hash;
+  uint32_t online;
+  uint32_t batch;
+  uint32_t queued_tokens;
+  protobuf_c_boolean suspected;
+};
+#define HS__ENGINE_SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__engine_share__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+/*
+ * All engines on which the sender has requests; replaces what it told before.
+ */
+struct  Hs__EngineShares
+{
+  ProtobufCMessage base;
+  size_t n_shares;
+  Hs__EngineShare **shares;
+};
+#define HS__ENGINE_SHARES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__engine_shares__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -324,7 +357,8 @@
   HS__PEER_MESSAGE__KIND_MEMBER_LIST = 11,
   HS__PEER_MESSAGE__KIND_LIMIT_ASK = 12,
   HS__PEER_MESSAGE__KIND_LIMIT_GRANT = 13,
-  HS__PEER_MESSAGE__KIND_DEMAND_REPORT = 14
+  HS__PEER_MESSAGE__KIND_DEMAND_REPORT = 14,
+  HS__PEER_MESSAGE__KIND_ENGINE_SHARES = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -347,6 +381,7 @@
     Hs__LimitAsk *limit_ask;
     Hs__LimitGrant *limit_grant;
     Hs__DemandReport *demand_report;
+    Hs__EngineShares *engine_shares;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -691,6 +726,44 @@
 void   hs__demand_report__free_unpacked
                      (Hs__DemandReport *message,
                       ProtobufCAllocator *allocator);
+/* Hs__EngineShare methods */
+void   hs__engine_share__init
+                     (Hs__EngineShare         *message);
+size_t hs__engine_share__get_packed_size
+                     (const Hs__EngineShare   *message);
+size_t hs__engine_share__pack
+                     (const Hs__EngineShare   *message,
+                      uint8_t             *out);
+size_t hs__engine_share__pack_to_buffer
+                     (const Hs__EngineShare   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EngineShare *
+       hs__engine_share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__engine_share__free_unpacked
+                     (Hs__EngineShare *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__EngineShares methods */
+void   hs__engine_shares__init
+                     (Hs__EngineShares         *message);
+size_t hs__engine_shares__get_packed_size
+                     (const Hs__EngineShares   *message);
+size_t hs__engine_shares__pack
+                     (const Hs__EngineShares   *message,
+                      uint8_t             *out);
+size_t hs__engine_shares__pack_to_buffer
+                     (const Hs__EngineShares   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EngineShares *
+       hs__engine_shares__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__engine_shares__free_unpacked
+                     (Hs__EngineShares *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -798,6 +871,12 @@
 typedef void (*Hs__DemandReport_Closure)
                  (const Hs__DemandReport *message,
                   void *closure_data);
+typedef void (*Hs__EngineShare_Closure)
+                 (const Hs__EngineShare *message,
+                  void *closure_data);
+typedef void (*Hs__EngineShares_Closure)
+                 (const Hs__EngineShares *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -830,6 +909,8 @@
 extern const ProtobufCMessageDescriptor hs__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor hs__limit_grant__descriptor;
 extern const ProtobufCMessageDescriptor hs__demand_report__descriptor;
+extern const ProtobufCMessageDescriptor hs__engine_share__descriptor;
+extern const ProtobufCMessageDescriptor hs__engine_shares__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -18,6 +18,8 @@
     int64_t shutdown_grace_ms;
     int64_t drain_notice_ms;
 
+    char *surface; /**< "openai" or "fleet". */
+
     int64_t caller_enabled;
     int64_t caller_port;
     int64_t max_body_bytes;
@@ -66,6 +68,25 @@
     int64_t max_in_flight_per_engine;
     int64_t ejection_failures;
     int64_t ejection_ms;
+
+    /* The fleet surface; see src/daemon/fleet_daemon.c. Addresses are "IPv4:port". */
+    char *fleet_front;
+    char *fleet_ready;
+    char *fleet_directory;
+    char *fleet_control;
+    char *fleet_metrics;
+    char *fleet_seeds;
+    char *fleet_store;
+    int64_t fleet_parts;
+    int64_t fleet_record_bytes;
+    int64_t fleet_call_bytes;
+    int64_t fleet_group_ttl_least_ms;
+    int64_t fleet_drain_ms;
+    int64_t fleet_config_apply_ms;
+    int64_t fleet_contact_ms;
+    double fleet_grace_s;
+    double fleet_status_s;
+    double fleet_resolve_ttl_most_s;
 } hs_settings;
 
 #endif
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -36,7 +36,7 @@
     if ((level & G_LOG_LEVEL_MASK) > log_most_verbose)
         return G_LOG_WRITER_HANDLED;
     const char *event = field_value(fields, field_count, "EVENT");
-    fprintf(stderr, "ts_ms=%" G_GUINT64_FORMAT " level=%s instance=%s event=%s %s\n",
+    fprintf(stdout, "ts_ms=%" G_GUINT64_FORMAT " level=%s instance=%s event=%s %s\n",
             (guint64)hs_clock_wall_ms(), level_name(level), log_instance_id,
             *event != '\0' ? event : "library", field_value(fields, field_count, "MESSAGE"));
     return G_LOG_WRITER_HANDLED;
--- a/src/batch/chunk_reader.h
+++ b/src/batch/chunk_reader.h
@@ -6,7 +6,7 @@
 #ifndef HS_BATCH_CHUNK_READER_H
 #define HS_BATCH_CHUNK_READER_H
 
-#include "platform/log_client.h"
+#include "store/log_client.h"
 
 #include <jansson.h>
 
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -13,7 +13,7 @@
 #include "batch/chunk_reader.h"
 #include "batch/replica_set.h"
 #include "engine/whole_answer.h"
-#include "platform/appender.h"
+#include "store/appender.h"
 
 #define HS_BATCH_PRIORITY 10
 
--- a/src/batch/replica.h
+++ b/src/batch/replica.h
@@ -9,7 +9,7 @@
 #define HS_BATCH_REPLICA_H
 
 #include "batch/partition_state.h"
-#include "platform/log_client.h"
+#include "store/log_client.h"
 
 typedef struct hs_replica hs_replica;
 
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -7,7 +7,7 @@
 #define HS_CONFIG_CONFIG_STORE_H
 
 #include "config/config_view.h"
-#include "platform/log_client.h"
+#include "store/log_client.h"
 
 #define HS_CONFIG_STREAM "config"
 
--- /dev/null
+++ b/src/daemon/fleet_daemon.c
@@ -0,0 +1,187 @@
+/** @file fleet_daemon.c  Wiring, start and stop of the fleet surface; see fleet_daemon.h. */
+#include "daemon/fleet_daemon.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "fleet/engine_source.h"
+#include "jobs/job_owner.h"
+#include "surface/fleet_surface.h"
+
+#include <arpa/inet.h>
+#include <math.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+#define PROBE_INTERVAL_MS 300
+/** The group drops a silent daemon after so many of its shortest times. */
+#define GROUP_TTL_FACTOR 3
+#define RESOLVE_TTL_S 1
+/** Share of the grace time used for open requests; the rest is for the end itself. */
+#define GRACE_SHARE 0.8
+#define DRAIN_POLL_MS 50
+/** Callers keep a resolve answer for up to three times what it says. */
+#define ANSWER_HELD_FACTOR 3
+
+struct hs_fleet_daemon {
+    const hs_settings *settings;
+    hs_store_client *store;
+    hs_config_source *config;
+    hs_fleet_engines *engines;
+    hs_engine_source *engine_source;
+    hs_daemon_directory *directory;
+    hs_job_service *jobs;
+    hs_job_owner *owner;
+    hs_online online;
+    hs_fleet_surface *surface;
+};
+
+/** An IPv4 endpoint; the settings were checked before. */
+typedef struct {
+    char host[INET_ADDRSTRLEN];
+    uint32_t address;
+    uint16_t port;
+} endpoint;
+
+static endpoint endpoint_of(const char *text) {
+    endpoint result = {0};
+    const char *colon = strchr(text, ':');
+    if (colon == NULL)
+        return result;
+    g_strlcpy(result.host, text, MIN(sizeof result.host, (gsize)(colon - text) + 1));
+    struct in_addr number = {0};
+    inet_pton(AF_INET, result.host, &number);
+    result.address = ntohl(number.s_addr);
+    result.port = (uint16_t)g_ascii_strtoull(colon + 1, NULL, 10);
+    return result;
+}
+
+static uint32_t live_daemons(void *user_data) {
+    hs_fleet_daemon *daemon = user_data;
+    return hs_daemon_directory_live_count(daemon->directory);
+}
+
+static bool make_directory(hs_fleet_daemon *daemon, hs_error *error) {
+    const hs_settings *settings = daemon->settings;
+    endpoint control = endpoint_of(settings->fleet_control);
+    hs_daemon_directory_settings directory = {
+        .id = settings->daemon_id,
+        .zone = settings->zone,
+        .address = settings->address,
+        .front_port = endpoint_of(settings->fleet_front).port,
+        .peer_port = control.port,
+        .seeds = settings->fleet_seeds,
+        .probe_interval_ms = PROBE_INTERVAL_MS,
+        .resolve_ttl_s = (uint32_t)fmin(RESOLVE_TTL_S, settings->fleet_resolve_ttl_most_s),
+        .store = daemon->store,
+        .engines = daemon->engines};
+    daemon->directory = hs_daemon_directory_new(&directory, error);
+    return daemon->directory != NULL;
+}
+
+static void make_jobs(hs_fleet_daemon *daemon) {
+    const hs_settings *settings = daemon->settings;
+    hs_job_store_settings store = {.store = daemon->store,
+                                   .part_count = (uint32_t)settings->fleet_parts,
+                                   .record_bytes = (uint32_t)settings->fleet_record_bytes,
+                                   .call_bytes = (uint32_t)settings->fleet_call_bytes,
+                                   .status_ms = (uint64_t)(settings->fleet_status_s * MS_PER_S)};
+    daemon->jobs = hs_job_service_new(&store);
+    hs_job_owner_settings owner = {
+        .member = settings->daemon_id,
+        .part_count = store.part_count,
+        .group_ttl_ms = (uint32_t)settings->fleet_group_ttl_least_ms * GROUP_TTL_FACTOR,
+        .store = daemon->store,
+        .jobs = daemon->jobs,
+        .config = daemon->config,
+        .engines = daemon->engines,
+        .live_daemons = live_daemons,
+        .user_data = daemon};
+    daemon->owner = hs_job_owner_new(&owner);
+}
+
+static bool make_surface(hs_fleet_daemon *daemon, hs_error *error) {
+    daemon->online.config = daemon->config;
+    daemon->online.engines = daemon->engines;
+    g_mutex_init(&daemon->online.counters.lock);
+    hs_fleet_surface_settings surface = {.front = daemon->settings->fleet_front,
+                                         .ready = daemon->settings->fleet_ready,
+                                         .directory = daemon->settings->fleet_directory,
+                                         .metrics = daemon->settings->fleet_metrics,
+                                         .online = &daemon->online,
+                                         .jobs = daemon->jobs,
+                                         .members = daemon->directory,
+                                         .store = daemon->store};
+    daemon->surface = hs_fleet_surface_start(&surface, error);
+    return daemon->surface != NULL;
+}
+
+static void free_daemon(hs_fleet_daemon *daemon) {
+    hs_fleet_surface_stop(daemon->surface);
+    hs_job_owner_free(daemon->owner);
+    hs_engine_source_free(daemon->engine_source);
+    hs_config_source_free(daemon->config);
+    hs_daemon_directory_free(daemon->directory);
+    hs_job_service_free(daemon->jobs);
+    hs_fleet_engines_free(daemon->engines);
+    hs_store_client_free(daemon->store);
+    g_free(daemon);
+}
+
+hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error) {
+    hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
+    daemon->settings = settings;
+    endpoint store = endpoint_of(settings->fleet_store);
+    daemon->store = hs_store_client_new(store.address, store.port);
+    daemon->config =
+        hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
+    daemon->engines = hs_fleet_engines_new(settings->zone);
+    daemon->engine_source = hs_engine_source_new(daemon->store, daemon->engines,
+                                                 (uint32_t)settings->fleet_drain_ms);
+    if (!make_directory(daemon, error)) {
+        free_daemon(daemon);
+        return NULL;
+    }
+    make_jobs(daemon);
+    if (!make_surface(daemon, error)) {
+        free_daemon(daemon);
+        return NULL;
+    }
+    hs_config_source_start(daemon->config);
+    hs_engine_source_start(daemon->engine_source);
+    hs_daemon_directory_start(daemon->directory);
+    hs_job_owner_start(daemon->owner);
+    hs_log_info("daemon_started", "surface=fleet zone=%s front=%s store=%s parts=%d",
+                settings->zone, settings->fleet_front, settings->fleet_store,
+                (int)settings->fleet_parts);
+    return daemon;
+}
+
+/** Whether callers may still hold an answer that names this daemon. */
+static bool may_be_named(const hs_fleet_daemon *daemon, uint64_t stopped_ms) {
+    uint64_t held_ms = (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) *
+                       ANSWER_HELD_FACTOR * (uint64_t)MS_PER_S;
+    return hs_clock_monotonic_ms() < stopped_ms + held_ms;
+}
+
+void hs_fleet_daemon_stop(hs_fleet_daemon *daemon) {
+    uint64_t stopped_ms = hs_clock_monotonic_ms();
+    uint64_t limit_ms =
+        stopped_ms + (uint64_t)(daemon->settings->fleet_grace_s * MS_PER_S * GRACE_SHARE);
+    hs_log_info("daemon_stopping", "open_requests=%u running_items=%u",
+                hs_fleet_surface_open_requests(daemon->surface),
+                hs_job_owner_running(daemon->owner));
+    hs_job_owner_drain(daemon->owner);
+    hs_fleet_surface_leave(daemon->surface);
+    hs_daemon_directory_leave(daemon->directory);
+    while (hs_clock_monotonic_ms() < limit_ms &&
+           (may_be_named(daemon, stopped_ms) ||
+            hs_fleet_surface_open_requests(daemon->surface) > 0 ||
+            hs_job_owner_running(daemon->owner) > 0))
+        hs_clock_sleep_ms(DRAIN_POLL_MS);
+    hs_job_owner_leave(daemon->owner);
+    hs_log_info("daemon_stopped", "open_requests=%u took_ms=%u",
+                hs_fleet_surface_open_requests(daemon->surface),
+                (unsigned)(hs_clock_monotonic_ms() - stopped_ms));
+    hs_store_client_abandon(daemon->store);
+    free_daemon(daemon);
+}
--- a/src/daemon/listing.c
+++ b/src/daemon/listing.c
@@ -5,7 +5,7 @@
 #include "base/log.h"
 #include "daemon/config_sync.h"
 #include "daemon/peer_engines.h"
-#include "platform/machine_list.h"
+#include "store/machine_list.h"
 
 #include <arpa/inet.h>
 #include <string.h>
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -1,6 +1,7 @@
 /** @file main.c  heathsaild: command line, settings, signals. */
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "daemon/fleet_daemon.h"
 #include "daemon/settings.h"
 
 #include <argp.h>
@@ -13,10 +14,13 @@
 const char *argp_program_version = "heathsaild 0.1.0";
 
 #define EXIT_BAD_SETTINGS 2
+/** Names the settings file where the command line names none. */
+#define SETTINGS_VARIABLE "HEATHSAIL_CONFIG"
 
 typedef struct {
     hs_settings *settings;
     bool check_only;
+    bool has_file; /**< A settings file was named on the command line. */
     hs_error error;
 } command_line;
 
@@ -34,6 +38,7 @@
     command_line *line = state->input;
     switch (key) {
     case 'c':
+        line->has_file = true;
         if (line->error.code == 0)
             hs_settings_load(line->settings, argument, &line->error);
         return 0;
@@ -58,15 +63,7 @@
     return strcmp(name, "warning") == 0 ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO;
 }
 
-static int serve(const hs_settings *settings) {
-    sigset_t stop_signals;
-    sigemptyset(&stop_signals);
-    sigaddset(&stop_signals, SIGINT);
-    sigaddset(&stop_signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
-    signal(SIGPIPE, SIG_IGN);
-    hs_log_open(settings->daemon_id, log_level_of(settings->log_level));
-    ulfius_global_init();
+static int serve_openai(const hs_settings *settings, const sigset_t *stop_signals) {
     hs_error error = {0};
     hs_daemon *daemon = hs_daemon_start(settings, &error);
     if (daemon == NULL) {
@@ -74,11 +71,37 @@
         return EXIT_FAILURE;
     }
     int received = 0;
-    sigwait(&stop_signals, &received);
+    sigwait(stop_signals, &received);
     int result = hs_daemon_stop(daemon);
     return result == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+static int serve_fleet(const hs_settings *settings, const sigset_t *stop_signals) {
+    hs_error error = {0};
+    hs_fleet_daemon *daemon = hs_fleet_daemon_start(settings, &error);
+    if (daemon == NULL) {
+        fprintf(stderr, "heathsaild: %s\n", error.message);
+        return EXIT_FAILURE;
+    }
+    int received = 0;
+    sigwait(stop_signals, &received);
+    hs_fleet_daemon_stop(daemon);
+    return EXIT_SUCCESS;
+}
+
+static int serve(const hs_settings *settings) {
+    sigset_t stop_signals;
+    sigemptyset(&stop_signals);
+    sigaddset(&stop_signals, SIGINT);
+    sigaddset(&stop_signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    hs_log_open(settings->daemon_id, log_level_of(settings->log_level));
+    ulfius_global_init();
+    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(settings, &stop_signals)
+                                                   : serve_openai(settings, &stop_signals);
+}
+
 int main(int argument_count, char **arguments) {
     command_line line = {.settings = hs_settings_new()};
     struct argp parser = {
@@ -87,6 +110,9 @@
         NULL,        NULL,
         NULL};
     argp_parse(&parser, argument_count, arguments, 0, NULL, &line);
+    const char *named = getenv(SETTINGS_VARIABLE);
+    if (line.error.code == 0 && !line.has_file && named != NULL)
+        hs_settings_load(line.settings, named, &line.error);
     if (line.error.code == 0)
         hs_settings_check(line.settings, &line.error);
     if (line.error.code != 0) {
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -11,7 +11,7 @@
 #include <stddef.h>
 #include <string.h>
 
-typedef enum { SETTING_NUMBER, SETTING_TEXT } setting_type;
+typedef enum { SETTING_NUMBER, SETTING_DECIMAL, SETTING_TEXT } setting_type;
 
 typedef struct {
     const char *group;
@@ -22,7 +22,7 @@
     int64_t minimum;
     int64_t maximum;
     int64_t default_number;
-    const char *default_text;
+    const char *default_text; /**< Of a decimal too. */
     const char *meaning;
 } setting;
 
@@ -31,6 +31,11 @@
         group, key, SETTING_NUMBER, offsetof(hs_settings, field), unit, minimum, maximum, initial, \
             NULL, meaning                                                                          \
     }
+#define DECIMAL(group, key, field, unit, minimum, maximum, initial, meaning)                       \
+    {                                                                                              \
+        group, key, SETTING_DECIMAL, offsetof(hs_settings, field), unit, minimum, maximum, 0,      \
+            initial, meaning                                                                       \
+    }
 #define TEXT(group, key, field, unit, initial, meaning)                                            \
     { group, key, SETTING_TEXT, offsetof(hs_settings, field), unit, 0, 0, 0, initial, meaning }
 
@@ -49,6 +54,8 @@
            "Longest wait for open requests on a planned stop."),
     NUMBER("daemon", "drain_notice_ms", drain_notice_ms, "ms", 0, HOUR_MS, 200,
            "Time a stopping daemon says not ready but still takes requests."),
+    TEXT("daemon", "surface", surface, "openai|fleet", "openai",
+         "Which callers are served: the OpenAI forms, or the fleet surface of [fleet]."),
     NUMBER("caller", "enabled", caller_enabled, "0|1", 0, 1, 1, "Whether callers are listened to."),
     NUMBER("caller", "port", caller_port, "port", 1, PORT_MAX, 8080,
            "Port of the callers' listener."),
@@ -129,6 +136,35 @@
            "Failures in a row after which an engine is avoided."),
     NUMBER("routing", "ejection_ms", ejection_ms, "ms", 100, HOUR_MS, 5000,
            "First time an engine is avoided; doubles with each further ejection."),
+    TEXT("fleet", "front", fleet_front, "IPv4:port", "", "Callers' listener. Required there."),
+    TEXT("fleet", "ready", fleet_ready, "IPv4:port", "", "Readiness listener. Empty: none."),
+    TEXT("fleet", "directory", fleet_directory, "IPv4:port", "",
+         "Listener that tells callers which daemons to use. Empty: none."),
+    TEXT("fleet", "control", fleet_control, "IPv4:port", "",
+         "Datagrams between daemons. Required there."),
+    TEXT("fleet", "metrics", fleet_metrics, "IPv4:port", "", "Metrics listener. Empty: none."),
+    TEXT("fleet", "seeds", fleet_seeds, "IPv4:port,...", "",
+         "Control addresses of daemons to ask first; they may be stale."),
+    TEXT("fleet", "store", fleet_store, "IPv4:port", "", "The log store. Required there."),
+    NUMBER("fleet", "parts", fleet_parts, "count", 1, 4096, 12, "Partitions of a topic."),
+    NUMBER("fleet", "record_bytes", fleet_record_bytes, "bytes", 4096, GIB, 262144,
+           "Largest record the store takes."),
+    NUMBER("fleet", "call_bytes", fleet_call_bytes, "bytes", 8192, GIB, 2097152,
+           "Largest append the store takes."),
+    NUMBER("fleet", "group_ttl_least_ms", fleet_group_ttl_least_ms, "ms", 1, HOUR_MS, 1000,
+           "Shortest time after which the store drops a silent group member."),
+    NUMBER("fleet", "drain_ms", fleet_drain_ms, "ms", 10, HOUR_MS, 2000,
+           "Time within which a leaving engine must get no new work."),
+    NUMBER("fleet", "config_apply_ms", fleet_config_apply_ms, "ms", 10, HOUR_MS, 2000,
+           "Time within which a configuration must be in force."),
+    NUMBER("fleet", "contact_ms", fleet_contact_ms, "ms", 10, HOUR_MS, 3000,
+           "Time without a disruption after which a daemon counts as in touch."),
+    DECIMAL("fleet", "grace_s", fleet_grace_s, "s", 0, 3600, "8",
+            "Time from SIGTERM until the platform kills the process."),
+    DECIMAL("fleet", "status_s", fleet_status_s, "s", 1, 31536000, "120",
+            "Time after its submission for which a job can be read."),
+    DECIMAL("fleet", "resolve_ttl_most_s", fleet_resolve_ttl_most_s, "s", 0, 3600, "5",
+            "Longest time for which callers keep a resolve answer."),
 };
 
 static char **text_field(hs_settings *settings, const setting *entry) {
@@ -139,12 +175,18 @@
     return (int64_t *)(void *)((char *)settings + entry->position);
 }
 
+static double *decimal_field(hs_settings *settings, const setting *entry) {
+    return (double *)(void *)((char *)settings + entry->position);
+}
+
 hs_settings *hs_settings_new(void) {
     hs_settings *settings = g_new0(hs_settings, 1);
     for (size_t index = 0; index < G_N_ELEMENTS(setting_table); index++) {
         const setting *entry = &setting_table[index];
         if (entry->type == SETTING_TEXT)
             *text_field(settings, entry) = g_strdup(entry->default_text);
+        else if (entry->type == SETTING_DECIMAL)
+            *decimal_field(settings, entry) = g_ascii_strtod(entry->default_text, NULL);
         else
             *number_field(settings, entry) = entry->default_number;
     }
@@ -169,6 +211,21 @@
     return NULL;
 }
 
+static int set_decimal(hs_settings *settings, const setting *entry, const char *place,
+                       const char *value, hs_error *error) {
+    char *end = NULL;
+    double number = g_ascii_strtod(value, &end);
+    if (end == value || *end != '\0' || !(number >= (double)entry->minimum) ||
+        !(number <= (double)entry->maximum))
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
+                            "%s: key %s.%s: \"%s\" is not a number from %" G_GINT64_FORMAT
+                            " to %" G_GINT64_FORMAT " (%s)",
+                            place, entry->group, entry->key, value, entry->minimum,
+                            entry->maximum, entry->unit);
+    *decimal_field(settings, entry) = number;
+    return 0;
+}
+
 /** Set one value; @p place names where it stands, for the error. */
 static int set_value(hs_settings *settings, const char *place, const char *group, const char *key,
                      const char *value, hs_error *error) {
@@ -181,6 +238,10 @@
         *text_field(settings, entry) = g_strdup(value);
         return 0;
     }
+    if (*value == '\0') /* A template's gap without a value: the default holds. */
+        return 0;
+    if (entry->type == SETTING_DECIMAL)
+        return set_decimal(settings, entry, place, value, error);
     gint64 number = 0;
     if (!g_ascii_string_to_signed(value, 10, entry->minimum, entry->maximum, &number, NULL))
         return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
@@ -267,6 +328,39 @@
     return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s", message);
 }
 
+static bool is_endpoint(const char *text) {
+    const char *colon = strchr(text, ':');
+    struct in_addr address;
+    g_autofree char *host = colon != NULL ? g_strndup(text, (gsize)(colon - text)) : NULL;
+    guint64 port = 0;
+    return host != NULL && inet_pton(AF_INET, host, &address) == 1 &&
+           g_ascii_string_to_unsigned(colon + 1, 10, 1, PORT_MAX, &port, NULL);
+}
+
+/** One address of [fleet]. */
+typedef struct {
+    const char *key;
+    const char *value;
+    bool required;
+} endpoint_rule;
+
+static int check_fleet(const hs_settings *settings, hs_error *error) {
+    const endpoint_rule rules[] = {{"front", settings->fleet_front, true},
+                                   {"control", settings->fleet_control, true},
+                                   {"store", settings->fleet_store, true},
+                                   {"ready", settings->fleet_ready, false},
+                                   {"directory", settings->fleet_directory, false},
+                                   {"metrics", settings->fleet_metrics, false}};
+    for (size_t index = 0; index < G_N_ELEMENTS(rules); index++) {
+        const endpoint_rule *rule = &rules[index];
+        if ((rule->required || *rule->value != '\0') && !is_endpoint(rule->value))
+            return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
+                                "key fleet.%s: \"%s\" is not IPv4:port (1 to 65535)", rule->key,
+                                rule->value);
+    }
+    return 0;
+}
+
 int hs_settings_check(const hs_settings *settings, hs_error *error) {
     struct in_addr address;
     if (*settings->daemon_id == '\0')
@@ -282,6 +376,10 @@
         return invalid(error, "keys caller.port and admin.port: must differ");
     if (settings->probe_timeout_ms >= settings->probe_interval_ms)
         return invalid(error, "key peer.probe_timeout_ms: must be below peer.probe_interval_ms");
+    if (strcmp(settings->surface, "fleet") == 0)
+        return check_fleet(settings, error);
+    if (strcmp(settings->surface, "openai") != 0)
+        return invalid(error, "key daemon.surface: must be openai or fleet");
     return 0;
 }
 
@@ -300,6 +398,11 @@
         if (entry->type == SETTING_TEXT)
             fprintf(output, "| `%s` | `%s` | %s | | %s |\n", entry->key, entry->default_text,
                     entry->unit, entry->meaning);
+        else if (entry->type == SETTING_DECIMAL)
+            fprintf(output,
+                    "| `%s` | %s | %s | %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT " | %s |\n",
+                    entry->key, entry->default_text, entry->unit, entry->minimum, entry->maximum,
+                    entry->meaning);
         else
             fprintf(output,
                     "| `%s` | %" G_GINT64_FORMAT " | %s | %" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
--- /dev/null
+++ b/src/directory/daemon_directory.c
@@ -0,0 +1,332 @@
+/** @file daemon_directory.c  Members, their registry in the store, and resolving; see
+ * daemon_directory.h. */
+#include "directory/daemon_directory.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/caller_codec.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define TICK_MS 60
+#define SHARES_INTERVAL_MS 240
+#define REGISTRY_INTERVAL_MS 4000
+#define REGISTRY_CALL_MS 1000
+#define SETTLE_MS 1500    /* A daemon that knows only itself may not say so earlier. */
+#define ZONE_LEAST 2      /* Fewer daemons of the asker's zone: others are named too. */
+#define SUSPECT_PROBES 2
+#define FORGET_MS 30000
+
+struct hs_daemon_directory {
+    hs_daemon_directory_settings settings;
+    hs_peer_socket *socket;
+    hs_membership_service *membership;
+    uint64_t started_ms;
+    uint64_t next_shares_ms;
+    GMutex lock;
+    GCond stop_asked;
+    bool stopping;
+    gint leaving;
+    GThread *ticker;
+    GThread *registrar;
+};
+
+static void take_shares(hs_daemon_directory *directory, const Hs__PeerMessage *message) {
+    const Hs__EngineShares *told = message->engine_shares;
+    g_autoptr(GArray) shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
+    for (size_t index = 0; index < told->n_shares; index++) {
+        const Hs__EngineShare *one = told->shares[index];
+        hs_engine_share share = {.engine_hash = one->engine_hash,
+                                 .online = one->online,
+                                 .batch = one->batch,
+                                 .queued_tokens = one->queued_tokens,
+                                 .suspected = one->suspected};
+        g_array_append_val(shares, share);
+    }
+    hs_fleet_engines_put_peer(directory->settings.engines, message->sender_id, shares,
+                              hs_clock_monotonic_ms());
+}
+
+static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
+                           void *user_data) {
+    hs_daemon_directory *directory = user_data;
+    if (hs_membership_service_handle(directory->membership, message, from))
+        return;
+    if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_SHARES)
+        take_shares(directory, message);
+}
+
+static uint32_t address_number(const char *address) {
+    struct in_addr number = {0};
+    inet_pton(AF_INET, address, &number);
+    return ntohl(number.s_addr);
+}
+
+hs_daemon_directory *hs_daemon_directory_new(const hs_daemon_directory_settings *settings,
+                                             hs_error *error) {
+    hs_peer_socket *socket = hs_peer_socket_new(settings->address, settings->peer_port, error);
+    if (socket == NULL)
+        return NULL;
+    hs_daemon_directory *directory = g_new0(hs_daemon_directory, 1);
+    directory->settings = *settings;
+    directory->socket = socket;
+    g_mutex_init(&directory->lock);
+    g_cond_init(&directory->stop_asked);
+    hs_member self = {.id = (char *)settings->id,
+                      .zone = (char *)settings->zone,
+                      .incarnation = hs_clock_wall_ms(),
+                      .address = address_number(settings->address),
+                      .peer_port = settings->peer_port,
+                      .admin_port = settings->front_port};
+    uint32_t probe_ms = settings->probe_interval_ms;
+    hs_membership_service_settings service_settings = {
+        .probe_interval_ms = probe_ms,
+        .membership = {.probe_timeout_ms = probe_ms / 2,
+                       .suspect_ms = probe_ms * SUSPECT_PROBES,
+                       .forget_ms = FORGET_MS}};
+    directory->membership = hs_membership_service_new(&self, &service_settings, socket);
+    return directory;
+}
+
+static void propose(hs_daemon_directory *directory, const char *name, const char *address) {
+    g_auto(GStrv) parts = g_strsplit(address, ":", 2);
+    struct in_addr number;
+    if (g_strv_length(parts) != 2 || inet_pton(AF_INET, parts[0], &number) != 1)
+        return;
+    uint32_t host = ntohl(number.s_addr);
+    uint16_t port = (uint16_t)g_ascii_strtoull(parts[1], NULL, 10);
+    if (host == address_number(directory->settings.address) &&
+        port == directory->settings.peer_port)
+        return;
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership_list(membership, members);
+    bool known = false;
+    for (guint index = 0; index < members->len && !known; index++) {
+        const hs_member *member = members->pdata[index];
+        known = member->address == host && member->peer_port == port &&
+                (member->state != HS_MEMBER_DEAD || strcmp(member->id, name) == 0);
+    }
+    if (!known)
+        hs_membership_propose(membership, name, host, port, hs_clock_monotonic_ms());
+    hs_membership_service_unlock(directory->membership);
+}
+
+static void propose_seeds(hs_daemon_directory *directory) {
+    g_auto(GStrv) seeds = g_strsplit(directory->settings.seeds, ",", -1);
+    for (int index = 0; seeds[index] != NULL; index++) {
+        const char *seed = g_strstrip(seeds[index]);
+        g_autofree char *name = g_strdup_printf("seed-%s", seed);
+        propose(directory, name, seed);
+    }
+}
+
+/** Write this daemon's record, or drop it when it leaves. */
+static bool write_record(hs_daemon_directory *directory, bool leaves) {
+    g_autofree char *value = g_strdup_printf("%s:%u", directory->settings.address,
+                                             directory->settings.peer_port);
+    GByteArray *records = g_byte_array_new();
+    hs_platform_frame_keyed(records, directory->settings.id, value, leaves ? 0 : strlen(value));
+    hs_store_call call = hs_platform_append(HS_TOPIC_MEMBERS, 0, records);
+    GByteArray *answer = g_byte_array_new();
+    hs_store_outcome outcome =
+        hs_store_client_send(directory->settings.store, &call,
+                             hs_clock_monotonic_ms() + REGISTRY_CALL_MS, NULL, answer);
+    g_byte_array_free(records, TRUE);
+    g_byte_array_free(answer, TRUE);
+    return outcome == HS_STORE_DONE;
+}
+
+static void read_registry(hs_daemon_directory *directory) {
+    GByteArray *answer = g_byte_array_new();
+    g_autofree char *after = NULL;
+    bool has_more = true;
+    while (has_more) {
+        hs_store_call call = hs_platform_newest(HS_TOPIC_MEMBERS, after);
+        hs_deadline deadline = hs_clock_monotonic_ms() + REGISTRY_CALL_MS;
+        uint64_t end = 0;
+        GArray *entries = hs_newest_entries_new();
+        bool read = hs_store_client_send(directory->settings.store, &call, deadline, NULL,
+                                         answer) == HS_STORE_DONE &&
+                    hs_platform_read_newest(answer, entries, &has_more, &end);
+        for (guint index = 0; read && index < entries->len; index++) {
+            const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
+            g_autofree char *address =
+                g_strndup((const char *)entry->value, entry->value_length);
+            propose(directory, entry->key, address);
+            g_free(after);
+            after = g_strdup(entry->key);
+        }
+        has_more = read && has_more && entries->len > 0;
+        g_array_free(entries, TRUE);
+    }
+    g_byte_array_free(answer, TRUE);
+}
+
+static bool wait_ms(hs_daemon_directory *directory, uint32_t milliseconds) {
+    gint64 until = g_get_monotonic_time() + (gint64)milliseconds * G_TIME_SPAN_MILLISECOND;
+    g_mutex_lock(&directory->lock);
+    while (!directory->stopping &&
+           g_cond_wait_until(&directory->stop_asked, &directory->lock, until))
+        continue;
+    bool goes_on = !directory->stopping;
+    g_mutex_unlock(&directory->lock);
+    return goes_on;
+}
+
+static gpointer run_registrar(gpointer data) {
+    hs_daemon_directory *directory = data;
+    bool written = false;
+    do {
+        if (g_atomic_int_get(&directory->leaving) != 0)
+            continue;
+        if (!written)
+            written = write_record(directory, false);
+        read_registry(directory);
+    } while (wait_ms(directory, REGISTRY_INTERVAL_MS));
+    return NULL;
+}
+
+/** Live members as addresses and ports for datagrams, without this daemon. */
+static GArray *live_peers(hs_daemon_directory *directory) {
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member == hs_membership_self(membership) || member->state != HS_MEMBER_ALIVE)
+            continue;
+        struct sockaddr_in peer = {.sin_addr.s_addr = member->address,
+                                   .sin_port = member->peer_port};
+        g_array_append_val(peers, peer);
+    }
+    hs_membership_service_unlock(directory->membership);
+    return peers;
+}
+
+static void send_shares(hs_daemon_directory *directory) {
+    g_autoptr(GArray) shares = hs_fleet_engines_own_shares(directory->settings.engines);
+    g_autoptr(GArray) peers = live_peers(directory);
+    g_autofree Hs__EngineShare *told = g_new(Hs__EngineShare, shares->len + 1);
+    g_autofree Hs__EngineShare **list = g_new(Hs__EngineShare *, shares->len + 1);
+    for (guint index = 0; index < shares->len; index++) {
+        const hs_engine_share *share = &g_array_index(shares, hs_engine_share, index);
+        hs__engine_share__init(&told[index]);
+        told[index].engine_hash = share->engine_hash;
+        told[index].online = share->online;
+        told[index].batch = share->batch;
+        told[index].queued_tokens = share->queued_tokens;
+        told[index].suspected = share->suspected;
+        list[index] = &told[index];
+    }
+    Hs__EngineShares body = HS__ENGINE_SHARES__INIT;
+    body.n_shares = shares->len;
+    body.shares = list;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    hs_membership_service_sign(directory->membership, &message);
+    message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_SHARES;
+    message.engine_shares = &body;
+    for (guint index = 0; index < peers->len; index++) {
+        const struct sockaddr_in *peer = &g_array_index(peers, struct sockaddr_in, index);
+        hs_peer_socket_send(directory->socket, peer->sin_addr.s_addr, peer->sin_port, &message);
+    }
+}
+
+static gpointer run_ticker(gpointer data) {
+    hs_daemon_directory *directory = data;
+    propose_seeds(directory);
+    while (wait_ms(directory, TICK_MS)) {
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        hs_membership_service_tick(directory->membership, now_ms);
+        if (now_ms >= directory->next_shares_ms) {
+            directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
+            send_shares(directory);
+        }
+    }
+    return NULL;
+}
+
+void hs_daemon_directory_start(hs_daemon_directory *directory) {
+    directory->started_ms = hs_clock_monotonic_ms();
+    hs_peer_socket_start(directory->socket, handle_message, directory);
+    directory->ticker = g_thread_new("directory", run_ticker, directory);
+    directory->registrar = g_thread_new("registrar", run_registrar, directory);
+}
+
+void hs_daemon_directory_leave(hs_daemon_directory *directory) {
+    g_atomic_int_set(&directory->leaving, 1);
+    hs_membership_service_leave(directory->membership);
+    write_record(directory, true);
+}
+
+void hs_daemon_directory_free(hs_daemon_directory *directory) {
+    if (directory == NULL)
+        return;
+    g_mutex_lock(&directory->lock);
+    directory->stopping = true;
+    g_cond_broadcast(&directory->stop_asked);
+    g_mutex_unlock(&directory->lock);
+    if (directory->ticker != NULL) {
+        g_thread_join(directory->ticker);
+        g_thread_join(directory->registrar);
+        hs_peer_socket_stop(directory->socket);
+    }
+    hs_membership_service_free(directory->membership);
+    hs_peer_socket_free(directory->socket);
+    g_cond_clear(&directory->stop_asked);
+    g_mutex_clear(&directory->lock);
+    g_free(directory);
+}
+
+static void add_address(GPtrArray *addresses, const hs_member *member) {
+    struct in_addr number = {.s_addr = htonl(member->address)};
+    if (addresses->len < HS_RESOLVE_ADDRESSES_MAX)
+        g_ptr_array_add(addresses,
+                        g_strdup_printf("%s:%u", inet_ntoa(number), member->admin_port));
+}
+
+/** Live members of @p zone, or of all others where @p inside is false. */
+static void add_zone(const hs_membership *membership, GPtrArray *addresses, const char *zone,
+                     bool inside, bool without_self) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        bool is_self = member == hs_membership_self(membership);
+        bool matches = (zone != NULL && strcmp(member->zone, zone) == 0) == inside;
+        bool usable = is_self ? !without_self : member->state == HS_MEMBER_ALIVE;
+        if (matches && usable)
+            add_address(addresses, member);
+    }
+}
+
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone) {
+    GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
+    bool leaving = g_atomic_int_get(&directory->leaving) != 0;
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    bool knows_others = hs_membership_live_count(membership) > 1;
+    add_zone(membership, addresses, zone, true, leaving);
+    if (addresses->len < ZONE_LEAST)
+        add_zone(membership, addresses, zone, false, leaving);
+    hs_membership_service_unlock(directory->membership);
+    bool settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
+    if (addresses->len == 0 || (!knows_others && !settled)) {
+        g_ptr_array_free(addresses, TRUE);
+        return NULL;
+    }
+    g_ptr_array_add(addresses, NULL);
+    return (char **)g_ptr_array_free(addresses, FALSE);
+}
+
+uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory) {
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    uint32_t count = hs_membership_live_count(membership);
+    hs_membership_service_unlock(directory->membership);
+    return MAX(count, 1);
+}
+
+uint32_t hs_daemon_directory_ttl_s(const hs_daemon_directory *directory) {
+    return directory->settings.resolve_ttl_s;
+}
--- /dev/null
+++ b/src/directory/daemon_directory.h
@@ -0,0 +1,53 @@
+/**
+ * @file daemon_directory.h
+ * Which daemons callers should use, and how daemons find each other.
+ *
+ * Liveness comes from the product's own probes (src/membership). The store holds one keyed record
+ * a daemon, written once, so that a daemon whose seeds are all down still finds others.
+ */
+#ifndef HS_DIRECTORY_DAEMON_DIRECTORY_H
+#define HS_DIRECTORY_DAEMON_DIRECTORY_H
+
+#include "fleet/fleet_engines.h"
+#include "membership/membership_service.h"
+#include "store/store_client.h"
+
+typedef struct hs_daemon_directory hs_daemon_directory;
+
+/** Who this daemon is and whom it may ask first. All borrowed for its life. */
+typedef struct {
+    const char *id;
+    const char *zone;
+    const char *address;  /**< IPv4 number of all listeners. */
+    uint16_t front_port;
+    uint16_t peer_port;   /**< UDP. */
+    const char *seeds;    /**< "IPv4:port,..." */
+    uint32_t probe_interval_ms;
+    uint32_t resolve_ttl_s;
+    hs_store_client *store;
+    hs_fleet_engines *engines; /**< Loads of other daemons go here. */
+} hs_daemon_directory_settings;
+
+/** Bind the peers' socket; NULL with @p error. */
+hs_daemon_directory *hs_daemon_directory_new(const hs_daemon_directory_settings *settings,
+                                             hs_error *error);
+
+/** Start its threads. */
+void hs_daemon_directory_start(hs_daemon_directory *directory);
+
+/** Say to peers and the store that this daemon leaves; it stays in no answer from now on. */
+void hs_daemon_directory_leave(hs_daemon_directory *directory);
+
+/** Stop the threads (the store client was abandoned before) and free. NULL is allowed. */
+void hs_daemon_directory_free(hs_daemon_directory *directory);
+
+/** Daemons a caller of @p zone should use: "IPv4:port" texts, NULL-terminated; NULL: not known. */
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone);
+
+/** Live daemons, this one included; at least 1. */
+uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory);
+
+/** Time in s for which an answer holds. */
+uint32_t hs_daemon_directory_ttl_s(const hs_daemon_directory *directory);
+
+#endif
--- /dev/null
+++ b/src/fleet/config_source.c
@@ -0,0 +1,198 @@
+/** @file config_source.c  Following the operator's topic; see config_source.h. */
+#include "fleet/config_source.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/config_codec.h"
+
+#include <string.h>
+
+#define READ_MAX_KB 1024
+#define ANSWER_SLACK_MS 600
+#define RETRY_MS 100
+
+struct hs_config_source {
+    hs_store_client *store;
+    uint32_t poll_ms;
+    GMutex lock;
+    hs_fleet_config *config;
+    uint64_t heard_ms;
+    bool store_lost;
+    gint stopping;
+    GThread *thread;
+};
+
+hs_config_source *hs_config_source_new(hs_store_client *store, uint32_t apply_ms) {
+    hs_config_source *source = g_new0(hs_config_source, 1);
+    source->store = store;
+    /* A poll whose connection has gone silent must be noticed well before a version is due. */
+    source->poll_ms = apply_ms / 2;
+    g_mutex_init(&source->lock);
+    return source;
+}
+
+hs_fleet_config *hs_config_source_get(hs_config_source *source) {
+    g_mutex_lock(&source->lock);
+    hs_fleet_config *config =
+        source->config != NULL ? hs_fleet_config_ref(source->config) : NULL;
+    g_mutex_unlock(&source->lock);
+    return config;
+}
+
+bool hs_config_source_offer(hs_config_source *source, hs_fleet_config *config) {
+    g_mutex_lock(&source->lock);
+    bool newer = source->config == NULL || config->version > source->config->version;
+    hs_fleet_config *dropped = newer ? source->config : config;
+    uint64_t before = source->config != NULL ? source->config->version : 0;
+    if (newer)
+        source->config = config;
+    g_mutex_unlock(&source->lock);
+    if (newer)
+        hs_log_info("config_applied",
+                    "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+                    " offset=%" G_GUINT64_FORMAT " routes=%u services=%u",
+                    (guint64)config->version, (guint64)before, (guint64)config->offset,
+                    config->routes->len, config->services->len);
+    hs_fleet_config_unref(dropped);
+    return newer;
+}
+
+uint64_t hs_config_source_heard_ms(hs_config_source *source) {
+    g_mutex_lock(&source->lock);
+    uint64_t heard_ms = source->heard_ms;
+    g_mutex_unlock(&source->lock);
+    return heard_ms;
+}
+
+static void take_value(hs_config_source *source, const uint8_t *value, size_t length,
+                       uint64_t offset) {
+    hs_error error = {0};
+    if (length == 0)
+        return;
+    hs_fleet_config *config = hs_platform_read_config(value, length, &error);
+    if (config == NULL) {
+        hs_log_warning("config_unreadable", "offset=%" G_GUINT64_FORMAT " cause=\"%s\"",
+                       (guint64)offset, error.message);
+        return;
+    }
+    config->offset = offset;
+    hs_config_source_offer(source, config);
+}
+
+static void note_outcome(hs_config_source *source, hs_store_outcome outcome) {
+    bool heard = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+    g_mutex_lock(&source->lock);
+    bool changed = source->store_lost == heard;
+    uint64_t silent_ms = source->heard_ms != 0 ? hs_clock_monotonic_ms() - source->heard_ms : 0;
+    source->store_lost = !heard;
+    if (heard)
+        source->heard_ms = hs_clock_monotonic_ms();
+    g_mutex_unlock(&source->lock);
+    if (changed)
+        hs_log_warning(heard ? "store_regained" : "store_lost",
+                       "duty=config outcome=%s silent_ms=%" G_GUINT64_FORMAT,
+                       hs_store_outcome_name(outcome), (guint64)silent_ms);
+}
+
+/** Read the newest version; @p next is where to follow on. */
+static hs_store_outcome read_newest(hs_config_source *source, GByteArray *answer, uint64_t *next) {
+    hs_store_call call = hs_platform_newest(HS_TOPIC_CONFIG, NULL);
+    hs_deadline deadline = hs_clock_monotonic_ms() + source->poll_ms + ANSWER_SLACK_MS;
+    hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
+    if (outcome != HS_STORE_DONE)
+        return outcome;
+    GArray *entries = hs_newest_entries_new();
+    bool has_more = false;
+    if (!hs_platform_read_newest(answer, entries, &has_more, next))
+        outcome = HS_STORE_UNKNOWN;
+    for (guint index = 0; index < entries->len; index++) {
+        const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
+        if (hs_platform_is_config_key(entry->key, strlen(entry->key)))
+            take_value(source, entry->value, entry->value_length, entry->offset);
+    }
+    g_array_free(entries, TRUE);
+    return outcome;
+}
+
+/** Wait for records from @p next on. */
+static hs_store_outcome follow(hs_config_source *source, GByteArray *answer, uint64_t *next) {
+    hs_store_call call =
+        hs_platform_read(HS_TOPIC_CONFIG, 0, *next, READ_MAX_KB, source->poll_ms);
+    hs_deadline deadline = hs_clock_monotonic_ms() + source->poll_ms + ANSWER_SLACK_MS;
+    hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
+    size_t position = 0;
+    hs_store_record record;
+    while (outcome == HS_STORE_DONE &&
+           hs_platform_next_record(answer, true, &position, &record)) {
+        if (hs_platform_is_config_key(record.key, record.key_length))
+            take_value(source, record.value, record.value_length, *next);
+        (*next)++;
+    }
+    return outcome;
+}
+
+static gpointer run_source(gpointer data) {
+    hs_config_source *source = data;
+    GByteArray *answer = g_byte_array_new();
+    uint64_t next = 0;
+    bool positioned = false;
+    while (!g_atomic_int_get(&source->stopping)) {
+        hs_store_outcome outcome = positioned ? follow(source, answer, &next)
+                                              : read_newest(source, answer, &next);
+        note_outcome(source, outcome);
+        if (outcome == HS_STORE_DONE)
+            positioned = true;
+        else if (outcome == HS_STORE_GONE)
+            positioned = false;
+        else
+            hs_clock_sleep_ms(RETRY_MS);
+    }
+    g_byte_array_free(answer, TRUE);
+    return NULL;
+}
+
+void hs_config_source_start(hs_config_source *source) {
+    source->thread = g_thread_new("config-source", run_source, source);
+}
+
+void hs_config_source_free(hs_config_source *source) {
+    if (source == NULL)
+        return;
+    g_atomic_int_set(&source->stopping, 1);
+    if (source->thread != NULL)
+        g_thread_join(source->thread);
+    hs_fleet_config_unref(source->config);
+    g_mutex_clear(&source->lock);
+    g_free(source);
+}
+
+static bool is_host(const char *host, const char *wanted) {
+    size_t length = strcspn(host, ":");
+    return strlen(wanted) == length && g_ascii_strncasecmp(host, wanted, length) == 0;
+}
+
+const hs_fleet_route *hs_fleet_config_find_route(const hs_fleet_config *config, const char *host,
+                                                 const char *target) {
+    const hs_fleet_route *found = NULL;
+    size_t found_length = 0;
+    for (guint index = 0; index < config->routes->len; index++) {
+        const hs_fleet_route *route = config->routes->pdata[index];
+        size_t length = strlen(route->path_prefix);
+        if ((found == NULL || length > found_length) && is_host(host, route->host) &&
+            strncmp(target, route->path_prefix, length) == 0) {
+            found = route;
+            found_length = length;
+        }
+    }
+    return found;
+}
+
+const hs_fleet_service *hs_fleet_config_find_service(const hs_fleet_config *config,
+                                                     const char *name) {
+    for (guint index = 0; index < config->services->len; index++) {
+        const hs_fleet_service *service = config->services->pdata[index];
+        if (strcmp(service->name, name) == 0)
+            return service;
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/fleet/engine_attempt.c
@@ -0,0 +1,119 @@
+/** @file engine_attempt.c  One exchange with an engine; see engine_attempt.h. */
+#include "fleet/engine_attempt.h"
+
+#include "base/clock.h"
+
+#include <string.h>
+
+#define STRAY_ANSWERS_MAX 2
+#define STRAY_ANSWER_BYTES (4U * 1024 * 1024)
+#define STATUS_SUCCESS_FIRST 200
+#define STATUS_SUCCESS_LAST 299
+
+static uint64_t left_ms(hs_deadline deadline) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    return deadline > now_ms ? deadline - now_ms : 0;
+}
+
+static hs_step send_request(const hs_attempt_order *order, hs_attempt *attempt) {
+    hs_engine_request request = order->request;
+    request.engine_id = attempt->engine_id;
+    request.timeout_ms = left_ms(order->wait.deadline);
+    if (request.timeout_ms == 0)
+        return HS_STEP_DEADLINE;
+    GString *head = hs_platform_write_engine_head(&request);
+    hs_step step = hs_client_connection_send(attempt->connection, head, order->body,
+                                             request.body_length,
+                                             strcmp(request.method, "HEAD") == 0, &order->wait);
+    g_string_free(head, TRUE);
+    return step;
+}
+
+/** Whether the answer belongs to our request: its id says so, or it is a refusal without one. */
+static bool is_ours(const hs_attempt_order *order, const hs_attempt *attempt) {
+    const char *echoed = attempt->answer.request_id;
+    bool succeeded =
+        attempt->status >= STATUS_SUCCESS_FIRST && attempt->status <= STATUS_SUCCESS_LAST;
+    if (echoed == NULL)
+        return !succeeded;
+    return order->request.request_id == NULL || strcmp(echoed, order->request.request_id) == 0;
+}
+
+/** Read the head; answers to other requests that come in its place are passed over. */
+static hs_step read_head(const hs_attempt_order *order, hs_attempt *attempt) {
+    hs_wait wait = order->wait;
+    if (order->silence_ms > 0)
+        wait.deadline = MIN(wait.deadline, hs_clock_monotonic_ms() + order->silence_ms);
+    for (int strays = 0; strays <= STRAY_ANSWERS_MAX; strays++) {
+        hs_step step = hs_client_connection_read_head(attempt->connection, &wait);
+        if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
+            return step;
+        attempt->status = hs_client_connection_status(attempt->connection);
+        hs_platform_read_engine_answer(attempt->status,
+                                       hs_client_connection_fields(attempt->connection),
+                                       &attempt->answer);
+        if (is_ours(order, attempt))
+            return step;
+        step = hs_client_connection_read_all(attempt->connection, STRAY_ANSWER_BYTES, &wait);
+        if (step != HS_STEP_COMPLETE)
+            return step;
+        if (!hs_client_connection_skip_answer(attempt->connection))
+            return HS_STEP_CUT;
+    }
+    return HS_STEP_INVALID;
+}
+
+static hs_run_state run_after(const hs_attempt *attempt, bool has_head) {
+    if (has_head)
+        return attempt->answer.not_executed ? HS_RUN_DID_NOT : HS_RUN_DID;
+    bool sent = attempt->connection != NULL &&
+                hs_client_connection_sent_any(attempt->connection);
+    return sent ? HS_RUN_MAY_HAVE : HS_RUN_DID_NOT;
+}
+
+bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_order *order,
+                      hs_attempt *attempt) {
+    memset(attempt, 0, sizeof *attempt);
+    attempt->step = HS_STEP_CUT;
+    attempt->lease = hs_fleet_engines_take(engines, &order->query);
+    if (attempt->lease == NULL)
+        return false;
+    g_strlcpy(attempt->engine_id, hs_engine_lease_id(attempt->lease), sizeof attempt->engine_id);
+    attempt->connection =
+        hs_engine_lease_connect(attempt->lease, &order->wait, order->fresh, &attempt->step);
+    if (attempt->connection == NULL)
+        return false;
+    attempt->step = send_request(order, attempt);
+    if (attempt->step == HS_STEP_PROGRESS)
+        attempt->step = read_head(order, attempt);
+    bool has_head = attempt->step == HS_STEP_PROGRESS || attempt->step == HS_STEP_COMPLETE;
+    attempt->run = run_after(attempt, has_head);
+    if (has_head) {
+        hs_engine_lease_heard(attempt->lease);
+        hs_engine_lease_note_load(attempt->lease, &attempt->answer.load);
+    }
+    return has_head;
+}
+
+void hs_attempt_finish(hs_attempt *attempt, hs_attempt_end end) {
+    if (attempt->lease == NULL)
+        return;
+    hs_engine_lease_release(attempt->lease, attempt->connection, end);
+    attempt->lease = NULL;
+    attempt->connection = NULL;
+}
+
+hs_attempt_end hs_attempt_failure(const hs_attempt *attempt) {
+    if (attempt->step == HS_STEP_CALLER_GONE)
+        return HS_ATTEMPT_DROPPED;
+    if (attempt->connection == NULL)
+        return HS_ATTEMPT_UNREACHABLE;
+    return attempt->step == HS_STEP_DEADLINE ? HS_ATTEMPT_SILENT : HS_ATTEMPT_BROKEN;
+}
+
+const char *hs_run_state_name(hs_run_state run) {
+    static const char *const names[] = {[HS_RUN_DID_NOT] = "did_not",
+                                        [HS_RUN_MAY_HAVE] = "may_have",
+                                        [HS_RUN_DID] = "did"};
+    return names[run];
+}
--- /dev/null
+++ b/src/fleet/engine_choice.c
@@ -0,0 +1,62 @@
+/** @file engine_choice.c  Cost of an engine and the choice; see engine_choice.h. */
+#include "fleet/engine_choice.h"
+
+#include <math.h>
+
+#define SUSPECT_COST_MS 60000.0
+/** Share of a run's time that one more run beside it costs: spreads equal engines. */
+#define BESIDE_SHARE 0.02
+#define OTHER_ZONE_MS 1.0
+#define WARMUP_SHARE 0.1
+/** Memory above which runs begin to be preempted. */
+#define MEMORY_HIGH 0.9
+
+double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed) {
+    double slots = candidate->slots > 0 ? candidate->slots : 1;
+    double cost = (candidate->queued_tokens + candidate->uncached_tokens) /
+                  fmax(speed->tokens_per_ms, 1e-3);
+    cost += candidate->running / slots * speed->run_ms * BESIDE_SHARE;
+    if (candidate->running + 1 > slots)
+        cost += (candidate->running + 1 - slots) / slots * speed->run_ms;
+    if (candidate->memory_share > MEMORY_HIGH)
+        cost += (candidate->memory_share - MEMORY_HIGH) * speed->run_ms;
+    if (!candidate->same_zone)
+        cost += OTHER_ZONE_MS;
+    if (candidate->suspected)
+        cost += SUSPECT_COST_MS;
+    return cost + candidate->warmup_ms * WARMUP_SHARE;
+}
+
+int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
+                          const hs_engine_speed *speed) {
+    int best = HS_ENGINE_NONE;
+    double best_cost = 0;
+    for (size_t step = 0; step < count; step++) {
+        size_t index = (first + step) % count;
+        double cost = hs_engine_choice_cost(&candidates[index], speed);
+        if (best == HS_ENGINE_NONE || cost < best_cost) {
+            best = (int)index;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
+                                double reserve_share, const hs_engine_speed *speed) {
+    int best = HS_ENGINE_NONE;
+    double best_cost = 0;
+    for (size_t step = 0; step < count; step++) {
+        size_t index = (first + step) % count;
+        const hs_engine_candidate *candidate = &candidates[index];
+        double reserve = fmax(1.0, ceil(candidate->slots * reserve_share));
+        if (candidate->suspected || candidate->running + 1 + reserve > candidate->slots)
+            continue;
+        double cost = hs_engine_choice_cost(candidate, speed);
+        if (best == HS_ENGINE_NONE || cost < best_cost) {
+            best = (int)index;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/fleet/engine_lease.c
@@ -0,0 +1,205 @@
+/** @file engine_lease.c  One request's hold on an engine, and kept connections; see
+ * fleet_engines.h. */
+#include "fleet/fleet_engine.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <math.h>
+
+#define IDLE_PER_ENGINE_MAX 16
+#define IDLE_UNTOLD_MS 4000   /* Kept this long where the engine names no time. */
+#define KEEP_ALIVE_SHARE 0.7  /* Of the engine's own time, so that no close crosses a request. */
+#define SUSPECT_FIRST_MS 400
+#define SUSPECT_MOST_MS 5000
+#define FULL_MS 40
+#define SPEED_WEIGHT 0.1
+#define RATE_SAMPLE_LEAST_TOKENS 1000
+#define CONNECT_LIMIT_MS 600
+
+const char *hs_engine_lease_id(const hs_engine_lease *lease) {
+    return lease->engine->entry.id;
+}
+
+bool hs_engine_lease_is_listed(const hs_engine_lease *lease) {
+    g_mutex_lock(&lease->engines->lock);
+    bool listed = lease->engine->listed && !lease->engine->entry.draining;
+    g_mutex_unlock(&lease->engines->lock);
+    return listed;
+}
+
+static bool is_fresh(const hs_idle_connection *idle, uint64_t now_ms) {
+    uint64_t told = hs_client_connection_keep_alive_ms(idle->connection);
+    uint64_t limit = told > 0 ? (uint64_t)((double)told * KEEP_ALIVE_SHARE) : IDLE_UNTOLD_MS;
+    return now_ms < idle->idle_since_ms + limit &&
+           hs_client_connection_is_quiet(idle->connection);
+}
+
+static hs_client_connection *take_idle(hs_engine_lease *lease) {
+    hs_client_connection *connection = NULL;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&lease->engines->lock);
+    GQueue *queue = &lease->engine->idle;
+    while (connection == NULL && !g_queue_is_empty(queue)) {
+        hs_idle_connection *idle = g_queue_pop_tail(queue);
+        if (is_fresh(idle, now_ms))
+            connection = idle->connection;
+        else
+            hs_client_connection_close(idle->connection);
+        g_free(idle);
+    }
+    g_mutex_unlock(&lease->engines->lock);
+    return connection;
+}
+
+hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
+                                              bool fresh, hs_step *step) {
+    hs_client_connection *connection = fresh ? NULL : take_idle(lease);
+    *step = HS_STEP_PROGRESS;
+    if (connection != NULL)
+        return connection;
+    hs_wait connecting = *wait;
+    connecting.deadline = MIN(wait->deadline, hs_clock_monotonic_ms() + CONNECT_LIMIT_MS);
+    g_mutex_lock(&lease->engines->lock);
+    lease->engines->connects++;
+    uint32_t address = lease->engine->entry.address;
+    uint16_t port = lease->engine->entry.port;
+    g_mutex_unlock(&lease->engines->lock);
+    return hs_client_connection_open(address, port, &connecting, step);
+}
+
+void hs_engine_lease_heard(hs_engine_lease *lease) {
+    g_mutex_lock(&lease->engines->lock);
+    lease->engine->heard_ms = hs_clock_monotonic_ms();
+    g_mutex_unlock(&lease->engines->lock);
+}
+
+static void blend(double *value, double sample) {
+    *value += (sample - *value) * SPEED_WEIGHT;
+}
+
+/** The caller holds the lock. */
+static void count_read(hs_engine_lease *lease) {
+    lease->engine->queued_tokens -= MIN(lease->engine->queued_tokens, lease->unread_tokens);
+    lease->unread_tokens = 0;
+}
+
+void hs_engine_lease_first_token(hs_engine_lease *lease) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&lease->engines->lock);
+    lease->engine->heard_ms = now_ms;
+    if (lease->was_alone && lease->unread_tokens >= RATE_SAMPLE_LEAST_TOKENS) {
+        double took_ms = fmax((double)(now_ms - lease->taken_ms), 1.0);
+        blend(&hs_fleet_engines_speed(lease->engines, lease->engine->entry.service)->tokens_per_ms,
+              lease->unread_tokens / took_ms);
+    }
+    count_read(lease);
+    g_mutex_unlock(&lease->engines->lock);
+}
+
+void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load) {
+    if (!load->present)
+        return;
+    g_mutex_lock(&lease->engines->lock);
+    lease->engine->load = *load;
+    lease->engine->load_ms = hs_clock_monotonic_ms();
+    lease->engine->load_own = (double)lease->engine->online + lease->engine->batch;
+    g_mutex_unlock(&lease->engines->lock);
+}
+
+static void suspect(hs_fleet_engine *engine, uint64_t now_ms, const char *cause) {
+    bool is_new = now_ms >= engine->suspect_until_ms;
+    uint32_t doublings = MIN(engine->failures, 8);
+    uint64_t time_ms = MIN((uint64_t)SUSPECT_FIRST_MS << doublings, SUSPECT_MOST_MS);
+    engine->failures++;
+    engine->suspect_until_ms = now_ms + time_ms;
+    if (is_new)
+        hs_log_warning("engine_suspected", "engine=%s cause=%s failures=%u for_ms=%u",
+                       engine->entry.id, cause, engine->failures, (unsigned)time_ms);
+}
+
+/** What an attempt's end says of the engine. The caller holds the lock. */
+static void judge(hs_engine_lease *lease, hs_attempt_end end, uint64_t now_ms) {
+    hs_fleet_engine *engine = lease->engine;
+    switch (end) {
+    case HS_ATTEMPT_SERVED:
+        engine->failures = 0;
+        engine->suspect_until_ms = 0;
+        blend(&hs_fleet_engines_speed(lease->engines, engine->entry.service)->run_ms,
+              (double)(now_ms - lease->taken_ms));
+        break;
+    case HS_ATTEMPT_REFUSED:
+        engine->full_until_ms = now_ms + FULL_MS;
+        break;
+    case HS_ATTEMPT_WRONG_ENGINE:
+        engine->misplaced = true;
+        break;
+    case HS_ATTEMPT_UNREACHABLE:
+        suspect(engine, now_ms, "unreachable");
+        break;
+    case HS_ATTEMPT_SILENT:
+        suspect(engine, now_ms, "silent");
+        break;
+    case HS_ATTEMPT_BROKEN:
+        engine->failures++;
+        break;
+    case HS_ATTEMPT_DROPPED:
+        break;
+    }
+}
+
+static bool keep(hs_engine_lease *lease, hs_client_connection *connection, uint64_t now_ms) {
+    hs_fleet_engine *engine = lease->engine;
+    if (connection == NULL || !hs_client_connection_is_reusable(connection) ||
+        !engine->listed || engine->entry.draining ||
+        g_queue_get_length(&engine->idle) >= IDLE_PER_ENGINE_MAX)
+        return false;
+    hs_idle_connection *idle = g_new(hs_idle_connection, 1);
+    *idle = (hs_idle_connection){.connection = connection, .idle_since_ms = now_ms};
+    g_queue_push_tail(&engine->idle, idle);
+    return true;
+}
+
+void hs_engine_lease_release(hs_engine_lease *lease, hs_client_connection *connection,
+                             hs_attempt_end end) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_fleet_engine *engine = lease->engine;
+    g_mutex_lock(&lease->engines->lock);
+    count_read(lease);
+    engine->memory_tokens_used -= MIN(engine->memory_tokens_used, lease->memory_tokens);
+    if (lease->work == HS_WORK_ONLINE)
+        engine->online--;
+    else
+        engine->batch--;
+    judge(lease, end, now_ms);
+    bool kept = keep(lease, connection, now_ms);
+    hs_fleet_engine_unref(engine);
+    g_mutex_unlock(&lease->engines->lock);
+    if (!kept)
+        hs_client_connection_close(connection);
+    g_free(lease);
+}
+
+static void prune_engine(hs_fleet_engine *engine, uint64_t now_ms) {
+    guint count = g_queue_get_length(&engine->idle);
+    for (guint index = 0; index < count; index++) {
+        hs_idle_connection *idle = g_queue_pop_head(&engine->idle);
+        if (is_fresh(idle, now_ms)) {
+            g_queue_push_tail(&engine->idle, idle);
+            continue;
+        }
+        hs_client_connection_close(idle->connection);
+        g_free(idle);
+    }
+}
+
+void hs_fleet_engines_prune(hs_fleet_engines *engines) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        prune_engine(value, now_ms);
+    g_mutex_unlock(&engines->lock);
+}
--- /dev/null
+++ b/src/fleet/engine_source.c
@@ -0,0 +1,186 @@
+/** @file engine_source.c  Reading the engines' topic; see engine_source.h. */
+#include "fleet/engine_source.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "platform/config_codec.h"
+
+#include <string.h>
+
+#define READ_MAX_KB 1024
+/** Reads within the time that a leaving engine may still get work. */
+#define READS_PER_DRAIN 5
+#define ANSWER_LIMIT_MS 1200
+
+struct hs_engine_source {
+    hs_store_client *store;
+    hs_fleet_engines *engines;
+    uint32_t interval_ms;
+    GMutex lock;
+    GCond stop_asked;
+    uint64_t heard_ms;
+    bool store_lost;
+    bool stopping;
+    GThread *thread;
+};
+
+hs_engine_source *hs_engine_source_new(hs_store_client *store, hs_fleet_engines *engines,
+                                       uint32_t drain_ms) {
+    hs_engine_source *source = g_new0(hs_engine_source, 1);
+    source->store = store;
+    source->engines = engines;
+    source->interval_ms = MAX(drain_ms / READS_PER_DRAIN, 1);
+    g_mutex_init(&source->lock);
+    g_cond_init(&source->stop_asked);
+    return source;
+}
+
+static void take_entry(hs_engine_source *source, const char *id, const uint8_t *value,
+                       size_t length) {
+    if (length == 0) {
+        hs_fleet_engines_drop(source->engines, id);
+        return;
+    }
+    hs_engine_entry entry = {0};
+    hs_error error = {0};
+    if (hs_platform_read_engine(id, value, length, &entry, &error) != 0) {
+        hs_log_warning("engine_unreadable", "engine=%s cause=\"%s\"", id, error.message);
+        return;
+    }
+    hs_fleet_engines_put(source->engines, &entry, hs_clock_monotonic_ms());
+}
+
+/** One page of newest entries; @p after: the last key of the page before, replaced. */
+static hs_store_outcome read_page(hs_engine_source *source, GByteArray *answer,
+                                  GHashTable *listed, char **after, bool *has_more,
+                                  uint64_t *end) {
+    hs_store_call call = hs_platform_newest(HS_TOPIC_ENGINES, *after);
+    hs_deadline deadline = hs_clock_monotonic_ms() + ANSWER_LIMIT_MS;
+    hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
+    if (outcome != HS_STORE_DONE)
+        return outcome;
+    GArray *entries = hs_newest_entries_new();
+    if (!hs_platform_read_newest(answer, entries, has_more, end))
+        outcome = HS_STORE_UNKNOWN;
+    for (guint index = 0; index < entries->len; index++) {
+        const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
+        g_free(*after);
+        *after = g_strdup(entry->key);
+        if (entry->value_length == 0)
+            continue;
+        g_hash_table_add(listed, g_strdup(entry->key));
+        take_entry(source, entry->key, entry->value, entry->value_length);
+    }
+    if (entries->len == 0)
+        *has_more = false;
+    g_array_free(entries, TRUE);
+    return outcome;
+}
+
+/** Read all entries. The pages are no snapshot: follow from the first page's end. */
+static hs_store_outcome read_newest(hs_engine_source *source, GByteArray *answer,
+                                    uint64_t *next) {
+    GHashTable *listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_autofree char *after = NULL;
+    bool has_more = true;
+    bool is_first = true;
+    hs_store_outcome outcome = HS_STORE_DONE;
+    while (has_more && outcome == HS_STORE_DONE) {
+        uint64_t end = 0;
+        outcome = read_page(source, answer, listed, &after, &has_more, &end);
+        if (is_first)
+            *next = end;
+        is_first = false;
+    }
+    if (outcome == HS_STORE_DONE)
+        hs_fleet_engines_keep_only(source->engines, listed);
+    g_hash_table_destroy(listed);
+    return outcome;
+}
+
+static hs_store_outcome follow(hs_engine_source *source, GByteArray *answer, uint64_t *next) {
+    hs_store_call call = hs_platform_read(HS_TOPIC_ENGINES, 0, *next, READ_MAX_KB, 0);
+    hs_deadline deadline = hs_clock_monotonic_ms() + ANSWER_LIMIT_MS;
+    hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
+    size_t position = 0;
+    hs_store_record record;
+    while (outcome == HS_STORE_DONE &&
+           hs_platform_next_record(answer, true, &position, &record)) {
+        g_autofree char *id = g_strndup(record.key, record.key_length);
+        take_entry(source, id, record.value, record.value_length);
+        (*next)++;
+    }
+    return outcome;
+}
+
+static void note_outcome(hs_engine_source *source, hs_store_outcome outcome) {
+    bool heard = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&source->lock);
+    bool changed = source->store_lost == heard;
+    uint64_t silent_ms = source->heard_ms != 0 ? now_ms - source->heard_ms : 0;
+    source->store_lost = !heard;
+    if (heard)
+        source->heard_ms = now_ms;
+    g_mutex_unlock(&source->lock);
+    if (changed)
+        hs_log_warning(heard ? "store_regained" : "store_lost",
+                       "duty=engines outcome=%s silent_ms=%" G_GUINT64_FORMAT,
+                       hs_store_outcome_name(outcome), (guint64)silent_ms);
+}
+
+/** Wait for the next read; false when the duty is to end. */
+static bool pause_between(hs_engine_source *source) {
+    gint64 until = g_get_monotonic_time() + (gint64)source->interval_ms * G_TIME_SPAN_MILLISECOND;
+    g_mutex_lock(&source->lock);
+    while (!source->stopping &&
+           g_cond_wait_until(&source->stop_asked, &source->lock, until))
+        continue;
+    bool goes_on = !source->stopping;
+    g_mutex_unlock(&source->lock);
+    return goes_on;
+}
+
+static gpointer run_source(gpointer data) {
+    hs_engine_source *source = data;
+    GByteArray *answer = g_byte_array_new();
+    uint64_t next = 0;
+    bool positioned = false;
+    do {
+        hs_store_outcome outcome = positioned ? follow(source, answer, &next)
+                                              : read_newest(source, answer, &next);
+        note_outcome(source, outcome);
+        if (outcome == HS_STORE_DONE)
+            positioned = true;
+        else if (outcome == HS_STORE_GONE)
+            positioned = false;
+        hs_fleet_engines_prune(source->engines);
+    } while (pause_between(source));
+    g_byte_array_free(answer, TRUE);
+    return NULL;
+}
+
+void hs_engine_source_start(hs_engine_source *source) {
+    source->thread = g_thread_new("engine-source", run_source, source);
+}
+
+void hs_engine_source_free(hs_engine_source *source) {
+    if (source == NULL)
+        return;
+    g_mutex_lock(&source->lock);
+    source->stopping = true;
+    g_cond_signal(&source->stop_asked);
+    g_mutex_unlock(&source->lock);
+    if (source->thread != NULL)
+        g_thread_join(source->thread);
+    g_cond_clear(&source->stop_asked);
+    g_mutex_clear(&source->lock);
+    g_free(source);
+}
+
+uint64_t hs_engine_source_heard_ms(hs_engine_source *source) {
+    g_mutex_lock(&source->lock);
+    uint64_t heard_ms = source->heard_ms;
+    g_mutex_unlock(&source->lock);
+    return heard_ms;
+}
--- /dev/null
+++ b/src/fleet/fleet_engine.h
@@ -0,0 +1,70 @@
+/** @file fleet_engine.h  One engine's state inside the table; for fleet_engines*.c only. */
+#ifndef HS_FLEET_FLEET_ENGINE_H
+#define HS_FLEET_FLEET_ENGINE_H
+
+#include "fleet/engine_choice.h"
+#include "fleet/fleet_engines.h"
+#include "fleet/prefix_index.h"
+
+typedef struct {
+    hs_engine_entry entry;
+    uint64_t hash;
+    gint references; /**< The table's and one a lease. */
+    bool listed;
+    bool misplaced; /**< Another engine answered at its address. */
+    uint64_t listed_ms;
+    uint32_t online;
+    uint32_t batch;
+    uint64_t queued_tokens;
+    uint64_t memory_tokens_used;
+    uint32_t silent_limit_ms;
+    uint64_t heard_ms;      /**< Last byte, or when the first request after an idle time went. */
+    uint64_t suspect_until_ms;
+    uint64_t full_until_ms;
+    uint32_t failures;
+    hs_engine_load load;
+    uint64_t load_ms;
+    double load_own; /**< Own requests there when the load was told. */
+    double peers_online;
+    double peers_batch;
+    double peers_queued;
+    uint32_t peers_suspecting;
+    hs_prefix_index *prefixes;
+    GQueue idle; /**< of idle_connection*; the latest used last. */
+} hs_fleet_engine;
+
+struct hs_fleet_engines {
+    GMutex lock;
+    GHashTable *by_id; /**< id -> hs_fleet_engine* */
+    GHashTable *peers; /**< peer -> peer_load* */
+    char *zone;
+    GHashTable *speeds; /**< service -> hs_engine_speed* */
+    uint64_t turn;
+    uint64_t connects;
+};
+
+struct hs_engine_lease {
+    hs_fleet_engines *engines;
+    hs_fleet_engine *engine;
+    hs_work_class work;
+    uint64_t taken_ms;
+    uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
+    uint32_t memory_tokens;
+    bool was_alone; /**< No prompt was being read there when it was taken. */
+};
+
+/** An idle kept connection. */
+typedef struct {
+    hs_client_connection *connection;
+    uint64_t idle_since_ms;
+} hs_idle_connection;
+
+/** The caller holds the lock. */
+void hs_fleet_engine_unref(hs_fleet_engine *engine);
+bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms);
+hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
+                                              const hs_fleet_engine *engine,
+                                              const hs_engine_query *query, uint64_t now_ms);
+hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_engines.h
@@ -0,0 +1,114 @@
+/**
+ * @file fleet_engines.h
+ * The engines this daemon knows: what the store says of them, what this daemon has there, what it
+ * has seen of them, and kept connections. Requests take an engine as a lease and give it back.
+ */
+#ifndef HS_FLEET_FLEET_ENGINES_H
+#define HS_FLEET_FLEET_ENGINES_H
+
+#include "heathsail/fleet.h"
+#include "http/client_connection.h"
+
+#include <glib.h>
+
+typedef struct hs_fleet_engines hs_fleet_engines;
+typedef struct hs_engine_lease hs_engine_lease;
+
+/** Whose work it is: online requests go first. */
+typedef enum { HS_WORK_ONLINE, HS_WORK_BATCH } hs_work_class;
+
+/** How an attempt on an engine ended, as far as the engine's health goes. */
+typedef enum {
+    HS_ATTEMPT_SERVED,
+    HS_ATTEMPT_REFUSED,      /**< Full: it promised that it did not run the request. */
+    HS_ATTEMPT_WRONG_ENGINE, /**< Another engine has the address. */
+    HS_ATTEMPT_UNREACHABLE,  /**< No connection. */
+    HS_ATTEMPT_BROKEN,       /**< Cut, or bytes that are no answer. */
+    HS_ATTEMPT_SILENT,       /**< No byte for too long. */
+    HS_ATTEMPT_DROPPED,      /**< Given up on this side; says nothing of the engine. */
+} hs_attempt_end;
+
+/** What an engine is wanted for. All borrowed. */
+typedef struct {
+    const char *service;
+    const hs_request_size *size;
+    hs_work_class work;
+    double reserve_share;      /**< Batch: share of slots that stays free for online requests. */
+    const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
+    uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
+} hs_engine_query;
+
+/** One engine's load as a daemon tells it to others. */
+typedef struct {
+    uint64_t engine_hash;
+    uint32_t online;
+    uint32_t batch;
+    uint32_t queued_tokens;
+    bool suspected;
+} hs_engine_share;
+
+/** @p zone: of this daemon. */
+hs_fleet_engines *hs_fleet_engines_new(const char *zone);
+void hs_fleet_engines_free(hs_fleet_engines *engines);
+
+/** Take an entry from the store; the entry's strings become the table's. */
+void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
+
+/** The store lists the engine no longer. */
+void hs_fleet_engines_drop(hs_fleet_engines *engines, const char *id);
+
+/** Drop all engines whose ids are not keys of @p listed. */
+void hs_fleet_engines_keep_only(hs_fleet_engines *engines, GHashTable *listed);
+
+/** Choose an engine and count the request there; NULL when none fits. */
+hs_engine_lease *hs_fleet_engines_take(hs_fleet_engines *engines, const hs_engine_query *query);
+
+/** The engine's id; valid as long as the lease. */
+const char *hs_engine_lease_id(const hs_engine_lease *lease);
+
+/** Whether the engine was already known to be leaving when asked. */
+bool hs_engine_lease_is_listed(const hs_engine_lease *lease);
+
+/** A kept connection, or a new one; NULL with @p step when there is none. */
+hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
+                                              bool fresh, hs_step *step);
+
+/** Bytes came from the engine. */
+void hs_engine_lease_heard(hs_engine_lease *lease);
+
+/** The engine has read the prompt: its first token came. */
+void hs_engine_lease_first_token(hs_engine_lease *lease);
+
+/** Load that came with an answer. */
+void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load);
+
+/** Give the engine back; a reusable @p connection (may be NULL) is kept, others are closed. */
+void hs_engine_lease_release(hs_engine_lease *lease, hs_client_connection *connection,
+                             hs_attempt_end end);
+
+/** Engines of a service that may be sent to, and requests of this daemon on them. */
+typedef struct {
+    uint32_t ready;
+    uint32_t slots;
+    double running; /**< Believed, of all daemons. */
+} hs_service_room;
+
+hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
+
+/** This daemon's own load on all engines: of hs_engine_share. */
+GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines);
+
+/** Another daemon's load, in place of what it told before. */
+void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer,
+                               const GArray *shares, uint64_t now_ms);
+
+/** Close connections that engines have closed or are about to. */
+void hs_fleet_engines_prune(hs_fleet_engines *engines);
+
+/** Text for operators, one line an engine. Free with g_free. */
+char *hs_fleet_engines_describe(hs_fleet_engines *engines);
+
+/** New connections opened so far. */
+uint64_t hs_fleet_engines_connects(hs_fleet_engines *engines);
+
+#endif
--- /dev/null
+++ b/src/http/client_connection.c
@@ -0,0 +1,372 @@
+/** @file client_connection.c  One connection of our own; see client_connection.h. */
+#include "http/client_connection.h"
+
+#include "base/clock.h"
+#include "http/http_fields.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#define READ_SIZE 16384
+#define ABANDON_CHECK_MS 250
+#define FIRST_FINAL_STATUS 200
+
+struct hs_client_connection {
+    int descriptor;
+    http_parser parser;
+    GArray *fields; /**< of hs_http_field */
+    GString *field_name;
+    GString *field_value;
+    bool in_value;
+    bool head_complete;
+    bool message_complete;
+    bool is_head_method;
+    GByteArray *surplus; /**< Bytes that came after the whole answer. */
+    bool unfinished_send;
+    bool failed;
+    size_t sent_bytes;
+    uint32_t use_count;
+    GByteArray *body;
+};
+
+static void flush_field(hs_client_connection *connection) {
+    if (!connection->in_value)
+        return;
+    hs_http_fields_add(connection->fields, connection->field_name->str,
+                       connection->field_value->str);
+    g_string_truncate(connection->field_name, 0);
+    g_string_truncate(connection->field_value, 0);
+    connection->in_value = false;
+}
+
+static int on_header_field(http_parser *parser, const char *at, size_t length) {
+    hs_client_connection *connection = parser->data;
+    flush_field(connection);
+    if (!connection->head_complete) /* Trailers are not passed on. */
+        g_string_append_len(connection->field_name, at, (gssize)length);
+    return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *at, size_t length) {
+    hs_client_connection *connection = parser->data;
+    if (connection->head_complete)
+        return 0;
+    connection->in_value = true;
+    g_string_append_len(connection->field_value, at, (gssize)length);
+    return 0;
+}
+
+static int on_headers_complete(http_parser *parser) {
+    hs_client_connection *connection = parser->data;
+    flush_field(connection);
+    connection->head_complete = parser->status_code >= FIRST_FINAL_STATUS;
+    return connection->is_head_method ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t length) {
+    hs_client_connection *connection = parser->data;
+    g_byte_array_append(connection->body, (const guint8 *)at, (guint)length);
+    return 0;
+}
+
+static int on_message_complete(http_parser *parser) {
+    hs_client_connection *connection = parser->data;
+    if (!connection->head_complete) { /* An interim answer; the final one follows. */
+        g_array_set_size(connection->fields, 0);
+        return 0;
+    }
+    connection->message_complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_callbacks = {
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static void begin_answer(hs_client_connection *connection, bool is_head_method) {
+    http_parser_init(&connection->parser, HTTP_RESPONSE);
+    connection->parser.data = connection;
+    g_array_set_size(connection->fields, 0);
+    g_string_truncate(connection->field_name, 0);
+    g_string_truncate(connection->field_value, 0);
+    g_byte_array_set_size(connection->body, 0);
+    connection->in_value = false;
+    connection->head_complete = false;
+    connection->message_complete = false;
+    connection->is_head_method = is_head_method;
+}
+
+/** Feed bytes to the parser; false when they are no answer. */
+static bool feed(hs_client_connection *connection, const char *bytes, size_t length) {
+    size_t taken = 0;
+    if (!connection->message_complete)
+        taken = http_parser_execute(&connection->parser, &parser_callbacks, bytes, length);
+    if (connection->message_complete) {
+        g_byte_array_append(connection->surplus, (const guint8 *)bytes + taken,
+                            (guint)(length - taken));
+        return true;
+    }
+    return HTTP_PARSER_ERRNO(&connection->parser) == HPE_OK;
+}
+
+static hs_step fail(hs_client_connection *connection, hs_step step) {
+    connection->failed = true;
+    return step;
+}
+
+static bool is_abandoned(const hs_wait *wait) {
+    return wait->abandoned != NULL && g_atomic_int_get(wait->abandoned) != 0;
+}
+
+/** Wait for @p events on the socket; HS_STEP_PROGRESS with @p ready when some came. */
+static hs_step wait_for(int descriptor, short events, const hs_wait *wait, short *ready) {
+    while (true) {
+        if (is_abandoned(wait))
+            return HS_STEP_CALLER_GONE;
+        uint64_t now = hs_clock_monotonic_ms();
+        if (now >= wait->deadline)
+            return HS_STEP_DEADLINE;
+        uint64_t left = MIN(wait->deadline - now, (uint64_t)G_MAXINT / 2);
+        if (wait->abandoned != NULL)
+            left = MIN(left, ABANDON_CHECK_MS);
+        struct pollfd polled[2] = {{.fd = descriptor, .events = events},
+                                   {.fd = wait->watched, .events = POLLRDHUP}};
+        int count = poll(polled, wait->watched >= 0 ? 2 : 1, (int)left);
+        if (count < 0 && errno != EINTR)
+            return HS_STEP_CUT;
+        if (wait->watched >= 0 && polled[1].revents != 0)
+            return HS_STEP_CALLER_GONE;
+        *ready = polled[0].revents;
+        if (count > 0 && *ready != 0)
+            return HS_STEP_PROGRESS;
+    }
+}
+
+static int connect_socket(uint32_t address, uint16_t port, const hs_wait *wait, hs_step *step) {
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    *step = HS_STEP_CUT;
+    if (descriptor < 0)
+        return -1;
+    int enabled = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    struct sockaddr_in to = {
+        .sin_family = AF_INET, .sin_port = htons(port), .sin_addr.s_addr = htonl(address)};
+    if (connect(descriptor, (struct sockaddr *)&to, sizeof to) != 0 && errno != EINPROGRESS) {
+        close(descriptor);
+        return -1;
+    }
+    short ready = 0;
+    *step = wait_for(descriptor, POLLOUT, wait, &ready);
+    int failure = 0;
+    socklen_t length = sizeof failure;
+    if (*step == HS_STEP_PROGRESS &&
+        (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) != 0 || failure != 0))
+        *step = HS_STEP_CUT;
+    if (*step == HS_STEP_PROGRESS)
+        return descriptor;
+    close(descriptor);
+    return -1;
+}
+
+hs_client_connection *hs_client_connection_open(uint32_t address, uint16_t port,
+                                                const hs_wait *wait, hs_step *step) {
+    int descriptor = connect_socket(address, port, wait, step);
+    if (descriptor < 0)
+        return NULL;
+    hs_client_connection *connection = g_new0(hs_client_connection, 1);
+    connection->descriptor = descriptor;
+    connection->fields = hs_http_fields_new();
+    connection->field_name = g_string_new(NULL);
+    connection->field_value = g_string_new(NULL);
+    connection->body = g_byte_array_new();
+    connection->surplus = g_byte_array_new();
+    return connection;
+}
+
+void hs_client_connection_close(hs_client_connection *connection) {
+    if (connection == NULL)
+        return;
+    close(connection->descriptor);
+    hs_http_fields_free(connection->fields);
+    g_string_free(connection->field_name, TRUE);
+    g_string_free(connection->field_value, TRUE);
+    g_byte_array_free(connection->body, TRUE);
+    g_byte_array_free(connection->surplus, TRUE);
+    g_free(connection);
+}
+
+void hs_client_connection_abort(hs_client_connection *connection) {
+    if (connection == NULL)
+        return;
+    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(connection->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    hs_client_connection_close(connection);
+}
+
+/** Take what the socket holds into the parser. */
+static hs_step receive_some(hs_client_connection *connection) {
+    char buffer[READ_SIZE];
+    ssize_t length = recv(connection->descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
+    if (length < 0 && (errno == EAGAIN || errno == EINTR))
+        return HS_STEP_PROGRESS;
+    if (length < 0)
+        return fail(connection, HS_STEP_CUT);
+    if (length == 0) {
+        /* An answer without a length ends with its connection. */
+        http_parser_execute(&connection->parser, &parser_callbacks, NULL, 0);
+        connection->failed = true;
+        return connection->message_complete ? HS_STEP_COMPLETE : HS_STEP_CUT;
+    }
+    if (!feed(connection, buffer, (size_t)length))
+        return fail(connection, HS_STEP_INVALID);
+    return connection->message_complete ? HS_STEP_COMPLETE : HS_STEP_PROGRESS;
+}
+
+static hs_step fill(hs_client_connection *connection, const hs_wait *wait) {
+    short ready = 0;
+    hs_step step = wait_for(connection->descriptor, POLLIN, wait, &ready);
+    if (step != HS_STEP_PROGRESS)
+        return fail(connection, step);
+    return receive_some(connection);
+}
+
+/** Write what is left of the request; the bytes written, or -1. */
+static ssize_t write_some(hs_client_connection *connection, const GString *head, const void *body,
+                          size_t body_length) {
+    size_t sent = connection->sent_bytes;
+    size_t head_sent = MIN(sent, head->len);
+    size_t body_sent = sent - head_sent;
+    struct iovec parts[2] = {
+        {.iov_base = head->str + head_sent, .iov_len = head->len - head_sent},
+        {.iov_base = (char *)body + body_sent, .iov_len = body_length - body_sent}};
+    struct msghdr message = {.msg_iov = parts, .msg_iovlen = 2};
+    return sendmsg(connection->descriptor, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+hs_step hs_client_connection_send(hs_client_connection *connection, const GString *head,
+                                  const void *body, size_t body_length, bool is_head_method,
+                                  const hs_wait *wait) {
+    begin_answer(connection, is_head_method);
+    connection->sent_bytes = 0;
+    connection->use_count++;
+    size_t total = head->len + body_length;
+    while (connection->sent_bytes < total) {
+        ssize_t written = write_some(connection, head, body, body_length);
+        if (written > 0) {
+            connection->sent_bytes += (size_t)written;
+            continue;
+        }
+        if (written < 0 && errno != EAGAIN && errno != EINTR)
+            return fail(connection, HS_STEP_CUT);
+        short ready = 0;
+        hs_step step = wait_for(connection->descriptor, POLLIN | POLLOUT, wait, &ready);
+        if (step == HS_STEP_PROGRESS && (ready & POLLIN) != 0)
+            step = receive_some(connection);
+        if (step == HS_STEP_COMPLETE) { /* Answered before the body was in. */
+            connection->unfinished_send = true;
+            return HS_STEP_PROGRESS;
+        }
+        if (step != HS_STEP_PROGRESS)
+            return fail(connection, step);
+    }
+    return HS_STEP_PROGRESS;
+}
+
+bool hs_client_connection_sent_any(const hs_client_connection *connection) {
+    return connection->sent_bytes > 0;
+}
+
+hs_step hs_client_connection_read_head(hs_client_connection *connection, const hs_wait *wait) {
+    hs_step step = HS_STEP_PROGRESS;
+    while (!connection->head_complete && step == HS_STEP_PROGRESS)
+        step = fill(connection, wait);
+    if (connection->head_complete && step == HS_STEP_CUT) /* The body's reader sees the cut. */
+        step = HS_STEP_PROGRESS;
+    return connection->message_complete ? HS_STEP_COMPLETE : step;
+}
+
+hs_step hs_client_connection_read_body(hs_client_connection *connection, const hs_wait *wait) {
+    while (connection->body->len == 0 && !connection->message_complete) {
+        if (connection->failed)
+            return HS_STEP_CUT;
+        hs_step step = fill(connection, wait);
+        if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
+            return connection->body->len > 0 ? HS_STEP_PROGRESS : step;
+    }
+    return connection->message_complete ? HS_STEP_COMPLETE : HS_STEP_PROGRESS;
+}
+
+hs_step hs_client_connection_read_all(hs_client_connection *connection, size_t limit,
+                                      const hs_wait *wait) {
+    while (!connection->message_complete) {
+        if (connection->failed)
+            return HS_STEP_CUT;
+        if (connection->body->len > limit)
+            return HS_STEP_INVALID;
+        hs_step step = fill(connection, wait);
+        if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
+            return step;
+    }
+    return HS_STEP_COMPLETE;
+}
+
+bool hs_client_connection_skip_answer(hs_client_connection *connection) {
+    if (!connection->message_complete || connection->failed ||
+        http_should_keep_alive(&connection->parser) == 0)
+        return false;
+    GByteArray *rest = connection->surplus;
+    connection->surplus = g_byte_array_new();
+    begin_answer(connection, connection->is_head_method);
+    bool well_formed = rest->len == 0 || feed(connection, (const char *)rest->data, rest->len);
+    g_byte_array_free(rest, TRUE);
+    return well_formed;
+}
+
+uint32_t hs_client_connection_status(const hs_client_connection *connection) {
+    return connection->parser.status_code;
+}
+
+const GArray *hs_client_connection_fields(const hs_client_connection *connection) {
+    return connection->fields;
+}
+
+GByteArray *hs_client_connection_body(hs_client_connection *connection) {
+    return connection->body;
+}
+
+bool hs_client_connection_is_reusable(const hs_client_connection *connection) {
+    return connection->message_complete && !connection->failed && connection->surplus->len == 0 &&
+           !connection->unfinished_send && http_should_keep_alive(&connection->parser) != 0;
+}
+
+bool hs_client_connection_is_quiet(const hs_client_connection *connection) {
+    struct pollfd polled = {.fd = connection->descriptor, .events = POLLIN | POLLRDHUP};
+    return poll(&polled, 1, 0) == 0;
+}
+
+uint64_t hs_client_connection_keep_alive_ms(const hs_client_connection *connection) {
+    const char *value = hs_http_fields_find(connection->fields, "Keep-Alive");
+    if (value == NULL)
+        return 0;
+    const char *timeout = strstr(value, "timeout=");
+    const char *digits = timeout != NULL ? timeout + strlen("timeout=") : value;
+    return g_ascii_strtoull(digits, NULL, 10) * 1000;
+}
+
+uint32_t hs_client_connection_use_count(const hs_client_connection *connection) {
+    return connection->use_count;
+}
--- /dev/null
+++ b/src/http/listener.c
@@ -0,0 +1,211 @@
+/** @file listener.c  Listener on libmicrohttpd; see listener.h. */
+#include "http/listener.h"
+
+#include "base/clock.h"
+#include "http/http_fields.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CONNECTION_MEMORY (48 * 1024)
+#define THREAD_STACK_BYTES (256 * 1024)
+#define LISTEN_BACKLOG 1024
+#define STREAM_BLOCK 16384
+#define FIRST_IDLE_TIMEOUT_S 60
+
+struct hs_listener {
+    struct MHD_Daemon *daemon;
+    hs_inbound_handler handler;
+    void *user_data;
+    size_t max_body_bytes;
+    gint idle_timeout_s;
+    gint closes_after_answers;
+    gint open_requests;
+};
+
+/** Called with the raw target before the head is read; its result is the request's state. */
+static void *begin_request(void *data, const char *target, struct MHD_Connection *connection) {
+    hs_inbound *inbound = g_new0(hs_inbound, 1);
+    inbound->listener = data;
+    inbound->connection = connection;
+    inbound->target = g_strdup(target);
+    inbound->fields = hs_http_fields_new();
+    inbound->body = g_byte_array_new();
+    inbound->descriptor = -1;
+    g_atomic_int_inc(&inbound->listener->open_requests);
+    return inbound;
+}
+
+static void end_request(void *data, struct MHD_Connection *connection, void **state,
+                        enum MHD_RequestTerminationCode reason) {
+    (void)data;
+    (void)connection;
+    (void)reason;
+    hs_inbound *inbound = *state;
+    *state = NULL;
+    if (inbound == NULL)
+        return;
+    g_atomic_int_add(&inbound->listener->open_requests, -1);
+    g_free(inbound->method);
+    g_free(inbound->target);
+    hs_http_fields_free(inbound->fields);
+    g_byte_array_free(inbound->body, TRUE);
+    g_free(inbound);
+}
+
+static enum MHD_Result take_field(void *data, enum MHD_ValueKind kind, const char *name,
+                                  const char *value) {
+    (void)kind;
+    hs_http_fields_add(data, name, value != NULL ? value : "");
+    return MHD_YES;
+}
+
+static void take_head(hs_inbound *inbound, const char *method) {
+    inbound->method = g_strdup(method);
+    inbound->received_ms = hs_clock_monotonic_ms();
+    MHD_get_connection_values(inbound->connection, MHD_HEADER_KIND, take_field, inbound->fields);
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(inbound->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != NULL)
+        inbound->descriptor = info->connect_fd;
+    unsigned int idle_s = (unsigned int)g_atomic_int_get(&inbound->listener->idle_timeout_s);
+    MHD_set_connection_option(inbound->connection, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
+}
+
+static void take_body(hs_inbound *inbound, const char *bytes, size_t length) {
+    size_t limit = inbound->listener->max_body_bytes;
+    if (limit > 0 && inbound->body->len + length > limit)
+        inbound->is_too_large = true;
+    else
+        g_byte_array_append(inbound->body, (const guint8 *)bytes, (guint)length);
+}
+
+static enum MHD_Result handle_step(void *data, struct MHD_Connection *connection, const char *url,
+                                   const char *method, const char *version,
+                                   const char *upload_data, size_t *upload_size, void **state) {
+    (void)url;
+    (void)version;
+    (void)connection;
+    hs_listener *listener = data;
+    hs_inbound *inbound = *state;
+    if (inbound->method == NULL) {
+        take_head(inbound, method);
+        return MHD_YES;
+    }
+    if (*upload_size > 0) {
+        take_body(inbound, upload_data, *upload_size);
+        *upload_size = 0;
+        return MHD_YES;
+    }
+    listener->handler(inbound, listener->user_data);
+    return inbound->answered ? MHD_YES : MHD_NO;
+}
+
+hs_listener *hs_listener_start(const char *address, uint16_t port, size_t max_body_bytes,
+                               hs_inbound_handler handler, void *user_data, hs_error *error) {
+    struct sockaddr_in local = {.sin_family = AF_INET, .sin_port = htons(port)};
+    if (inet_pton(AF_INET, address, &local.sin_addr) != 1) {
+        hs_error_set(error, HS_LAYER_HTTP, HS_INVALID, "not an IPv4 number: %s", address);
+        return NULL;
+    }
+    hs_listener *listener = g_new0(hs_listener, 1);
+    listener->handler = handler;
+    listener->user_data = user_data;
+    listener->max_body_bytes = max_body_bytes;
+    listener->idle_timeout_s = FIRST_IDLE_TIMEOUT_S;
+    listener->daemon = MHD_start_daemon(
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
+            MHD_USE_ITC,
+        port, NULL, NULL, handle_step, listener, MHD_OPTION_SOCK_ADDR, &local,
+        MHD_OPTION_URI_LOG_CALLBACK, begin_request, listener, MHD_OPTION_NOTIFY_COMPLETED,
+        end_request, listener, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        (unsigned int)LISTEN_BACKLOG, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned int)FIRST_IDLE_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_END);
+    if (listener->daemon == NULL) {
+        hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on %s:%u", address,
+                     port);
+        g_free(listener);
+        return NULL;
+    }
+    return listener;
+}
+
+void hs_listener_set_idle_timeout(hs_listener *listener, uint32_t seconds) {
+    g_atomic_int_set(&listener->idle_timeout_s, (gint)seconds);
+}
+
+void hs_listener_close_after_answers(hs_listener *listener) {
+    g_atomic_int_set(&listener->closes_after_answers, 1);
+}
+
+uint32_t hs_listener_open_requests(hs_listener *listener) {
+    return (uint32_t)g_atomic_int_get(&listener->open_requests);
+}
+
+void hs_listener_stop(hs_listener *listener) {
+    if (listener == NULL)
+        return;
+    MHD_stop_daemon(listener->daemon);
+    g_free(listener);
+}
+
+static void queue(hs_inbound *inbound, uint32_t status, const GArray *fields,
+                  struct MHD_Response *response) {
+    for (guint index = 0; fields != NULL && index < fields->len; index++) {
+        const hs_http_field *field = &g_array_index(fields, hs_http_field, index);
+        MHD_add_response_header(response, field->name, field->value);
+    }
+    if (g_atomic_int_get(&inbound->listener->closes_after_answers) != 0)
+        MHD_add_response_header(response, "Connection", "close");
+    MHD_queue_response(inbound->connection, status, response);
+    MHD_destroy_response(response);
+    inbound->answered = true;
+}
+
+void hs_inbound_reply(hs_inbound *inbound, uint32_t status, const GArray *fields, const void *body,
+                      size_t body_length) {
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        body_length, (void *)body, MHD_RESPMEM_MUST_COPY);
+    queue(inbound, status, fields, response);
+}
+
+/** A stream's reader and what frees its state. */
+typedef struct {
+    hs_body_reader reader;
+    void *reader_data;
+    GDestroyNotify release;
+} stream_state;
+
+static ssize_t read_stream(void *data, uint64_t position, char *buffer, size_t size) {
+    (void)position;
+    stream_state *stream = data;
+    ssize_t result = stream->reader(stream->reader_data, buffer, size);
+    if (result == HS_READER_END)
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    if (result == HS_READER_ABORT)
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    return result;
+}
+
+static void free_stream(void *data) {
+    stream_state *stream = data;
+    stream->release(stream->reader_data);
+    g_free(stream);
+}
+
+void hs_inbound_reply_stream(hs_inbound *inbound, uint32_t status, const GArray *fields,
+                             hs_body_reader reader, void *reader_data, GDestroyNotify release) {
+    stream_state *stream = g_new(stream_state, 1);
+    *stream = (stream_state){.reader = reader, .reader_data = reader_data, .release = release};
+    struct MHD_Response *response = MHD_create_response_from_callback(
+        MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, stream, free_stream);
+    queue(inbound, status, fields, response);
+}
+
+void hs_inbound_drop(hs_inbound *inbound) {
+    inbound->answered = false;
+}
--- /dev/null
+++ b/src/http/listener.h
@@ -0,0 +1,70 @@
+/**
+ * @file listener.h
+ * An HTTP/1.1 listener on libmicrohttpd, the engine below ulfius, one thread a connection.
+ *
+ * ulfius itself decodes paths, keeps one of two equal headers and hides the connection; requests
+ * that are passed on need the raw target, every field and the caller's socket to watch.
+ */
+#ifndef HS_HTTP_LISTENER_H
+#define HS_HTTP_LISTENER_H
+
+#include "heathsail/error.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct hs_listener hs_listener;
+
+/** One request as it came; owned by the listener, valid until the answer has ended. */
+typedef struct {
+    char *method;
+    char *target;     /**< Path and query, undecoded. */
+    GArray *fields;   /**< of hs_http_field, in their order. */
+    GByteArray *body; /**< Whole. */
+    int descriptor;   /**< The caller's socket, to be watched only. */
+    bool is_too_large;
+    bool answered;
+    uint64_t received_ms; /**< Monotonic time at which its head was read. */
+    void *connection;     /**< The library's connection. */
+    hs_listener *listener;
+} hs_inbound;
+
+/** Handle a whole request: exactly one of the reply functions must be called. */
+typedef void (*hs_inbound_handler)(hs_inbound *inbound, void *user_data);
+
+/** What a stream's reader returns besides a count of bytes. */
+#define HS_READER_END (-1)
+#define HS_READER_ABORT (-2)
+
+/** Fill @p buffer; blocks until bytes are there. Bytes, HS_READER_END or HS_READER_ABORT. */
+typedef ssize_t (*hs_body_reader)(void *reader_data, char *buffer, size_t size);
+
+/** Listen on an IPv4 number and port; bodies above @p max_body_bytes are marked too large. */
+hs_listener *hs_listener_start(const char *address, uint16_t port, size_t max_body_bytes,
+                               hs_inbound_handler handler, void *user_data, hs_error *error);
+
+/** Idle time in seconds after which connections are closed; for connections from now on. */
+void hs_listener_set_idle_timeout(hs_listener *listener, uint32_t seconds);
+
+/** From now on every answer closes its connection. */
+void hs_listener_close_after_answers(hs_listener *listener);
+
+/** Requests now being handled or answered. */
+uint32_t hs_listener_open_requests(hs_listener *listener);
+
+/** Stop, cut what is left, free. NULL is allowed. */
+void hs_listener_stop(hs_listener *listener);
+
+/** Answer with a whole body. @p fields: of hs_http_field, may be NULL. */
+void hs_inbound_reply(hs_inbound *inbound, uint32_t status, const GArray *fields, const void *body,
+                      size_t body_length);
+
+/** Answer with a body that comes from @p reader; @p release frees @p reader_data at the end. */
+void hs_inbound_reply_stream(hs_inbound *inbound, uint32_t status, const GArray *fields,
+                             hs_body_reader reader, void *reader_data, GDestroyNotify release);
+
+/** Close the connection without an answer. */
+void hs_inbound_drop(hs_inbound *inbound);
+
+#endif
--- /dev/null
+++ b/src/jobs/item_run.c
@@ -0,0 +1,192 @@
+/** @file item_run.c  See item_run.h. */
+#include "jobs/item_run.h"
+
+#include "base/clock.h"
+#include "http/http_fields.h"
+#include "platform/caller_codec.h"
+
+#include <string.h>
+
+#define CONTENT_LIMIT_MS 2000
+#define HEAD_SILENCE_MS 5000
+#define EVENT_SILENCE_MS 2500
+#define ANSWER_LIMIT_BYTES (4U * 1024 * 1024)
+#define STATUS_OK 200
+#define STATUS_IMPOSSIBLE 422
+
+static void free_text(gpointer data) {
+    g_string_free(data, TRUE);
+}
+
+hs_item_run *hs_item_run_new(const hs_job *job, uint32_t index) {
+    const hs_job_item *item = &g_array_index(job->items, hs_job_item, index);
+    hs_item_run *run = g_new0(hs_item_run, 1);
+    run->job_id = g_strdup(job->id);
+    run->host = g_strdup(job->host);
+    run->item_id = g_strdup(item->id);
+    run->index = index;
+    run->content_offset = item->content_offset;
+    run->content_bytes = item->content_bytes;
+    run->texts = g_ptr_array_new_with_free_func(free_text);
+    return run;
+}
+
+void hs_item_run_free(hs_item_run *run) {
+    if (run == NULL)
+        return;
+    g_free(run->job_id);
+    g_free(run->host);
+    g_free(run->item_id);
+    if (run->content != NULL)
+        hs__job_item_content__free_unpacked(run->content, NULL);
+    g_ptr_array_free(run->texts, TRUE);
+    g_free(run);
+}
+
+GString *hs_item_run_text(const hs_item_run *run) {
+    GString *text = g_string_new(NULL);
+    for (guint index = 0; index < run->texts->len; index++) {
+        const GString *piece = run->texts->pdata[index];
+        if (index > 0)
+            g_string_append_c(text, '\n');
+        g_string_append_len(text, piece->str, (gssize)piece->len);
+    }
+    return text;
+}
+
+static GArray *fields_of(const Hs__JobItemContent *content) {
+    GArray *fields = hs_http_fields_new();
+    for (size_t index = 0; index < content->n_headers; index++)
+        hs_http_fields_add(fields, content->headers[index]->name, content->headers[index]->value);
+    return fields;
+}
+
+/** Read the stream to its end, its break or the caller's word. */
+static hs_item_try read_stream(hs_item_run *run, hs_attempt *attempt) {
+    GByteArray *body = hs_client_connection_body(attempt->connection);
+    bool is_first = true;
+    while (true) {
+        hs_wait wait = {.deadline = hs_clock_monotonic_ms() + EVENT_SILENCE_MS,
+                        .watched = HS_WATCH_NOTHING,
+                        .abandoned = &run->abandoned};
+        attempt->step = hs_client_connection_read_body(attempt->connection, &wait);
+        if (body->len > 0 && is_first)
+            hs_engine_lease_first_token(attempt->lease);
+        else if (body->len > 0)
+            hs_engine_lease_heard(attempt->lease);
+        is_first = false;
+        if (!hs_event_stream_take(&run->events, body, NULL, run->texts))
+            return HS_ITEM_TRY_BROKEN;
+        if (attempt->step == HS_STEP_COMPLETE)
+            return body->len == 0 ? HS_ITEM_TRY_DONE : HS_ITEM_TRY_BROKEN;
+        if (attempt->step == HS_STEP_CALLER_GONE || g_atomic_int_get(&run->abandoned) != 0)
+            return HS_ITEM_TRY_ABANDONED;
+        if (attempt->step != HS_STEP_PROGRESS)
+            return HS_ITEM_TRY_BROKEN;
+    }
+}
+
+static hs_item_try judge_answer(hs_item_run *run, hs_attempt *attempt) {
+    if (attempt->answer.not_executed)
+        return HS_ITEM_TRY_REFUSED;
+    if (attempt->status == STATUS_OK)
+        return attempt->answer.has_signature ? read_stream(run, attempt) : HS_ITEM_TRY_BROKEN;
+    return attempt->status == STATUS_IMPOSSIBLE ? HS_ITEM_TRY_IMPOSSIBLE : HS_ITEM_TRY_FAILED;
+}
+
+static hs_attempt_end engine_end(const hs_attempt *attempt, hs_item_try end) {
+    switch (end) {
+    case HS_ITEM_TRY_DONE:
+        return HS_ATTEMPT_SERVED;
+    case HS_ITEM_TRY_REFUSED:
+        return attempt->answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
+    case HS_ITEM_TRY_BROKEN:
+        return hs_attempt_failure(attempt);
+    default:
+        return HS_ATTEMPT_DROPPED;
+    }
+}
+
+/** Send and read; an answer other than a stream is read to its end, so that the connection stays. */
+static hs_item_try run_once(hs_item_run *run, hs_fleet_engines *engines,
+                            const hs_attempt_order *order) {
+    hs_attempt attempt;
+    bool has_head = hs_attempt_start(engines, order, &attempt);
+    g_strlcpy(run->engine_id, attempt.engine_id, sizeof run->engine_id);
+    if (attempt.lease == NULL)
+        return HS_ITEM_TRY_NO_ROOM;
+    hs_item_try end = HS_ITEM_TRY_BROKEN;
+    if (has_head)
+        end = judge_answer(run, &attempt);
+    else if (attempt.step == HS_STEP_CALLER_GONE)
+        end = HS_ITEM_TRY_ABANDONED;
+    bool is_plain = has_head && (end == HS_ITEM_TRY_REFUSED || end == HS_ITEM_TRY_FAILED ||
+                                 end == HS_ITEM_TRY_IMPOSSIBLE);
+    if (is_plain) {
+        hs_step step =
+            hs_client_connection_read_all(attempt.connection, ANSWER_LIMIT_BYTES, &order->wait);
+        if (step != HS_STEP_COMPLETE && end != HS_ITEM_TRY_REFUSED)
+            end = HS_ITEM_TRY_BROKEN;
+    }
+    hs_attempt_finish(&attempt, engine_end(&attempt, end));
+    return end;
+}
+
+hs_item_try hs_item_run_try(hs_item_run *run, hs_job_partition *partition,
+                            hs_fleet_engines *engines, const hs_fleet_config *config,
+                            double reserve_share) {
+    hs_store_outcome outcome = HS_STORE_DONE;
+    if (run->content == NULL)
+        run->content = hs_job_partition_read_content(
+            partition, run->content_offset, run->content_bytes,
+            hs_clock_monotonic_ms() + CONTENT_LIMIT_MS, &outcome);
+    if (run->content == NULL)
+        return HS_ITEM_TRY_NO_CONTENT;
+    const hs_fleet_route *route =
+        hs_fleet_config_find_route(config, run->host, run->content->path);
+    if (route == NULL)
+        return HS_ITEM_TRY_NO_ROUTE;
+    GArray *fields = fields_of(run->content);
+    hs_caller_terms terms;
+    hs_platform_read_terms(fields, &terms);
+    const char *name = g_array_index(route->shares, hs_route_share, 0).service;
+    const hs_fleet_service *service = hs_fleet_config_find_service(config, name);
+    hs_attempt_order order = {
+        .query = {.service = name,
+                  .size = terms.size.prompt_tokens > 0 ? &terms.size : NULL,
+                  .work = HS_WORK_BATCH,
+                  .reserve_share = reserve_share,
+                  .memory_tokens = service != NULL ? service->memory_tokens : 0},
+        .request = {.method = "POST",
+                    .target = run->content->path,
+                    .fields = fields,
+                    .host = run->host,
+                    .request_id = run->item_id,
+                    .body_length = run->content->body.len,
+                    .resumes = run->events.has_last_id,
+                    .last_event = run->events.last_id},
+        .body = run->content->body.data,
+        .wait = {.deadline = run->give_up_ms,
+                 .watched = HS_WATCH_NOTHING,
+                 .abandoned = &run->abandoned},
+        .silence_ms = HEAD_SILENCE_MS,
+    };
+    hs_item_try end = run_once(run, engines, &order);
+    hs_http_fields_free(fields);
+    return end;
+}
+
+const char *hs_item_try_name(hs_item_try end) {
+    static const char *const names[] = {
+        [HS_ITEM_TRY_DONE] = "done",
+        [HS_ITEM_TRY_NO_ROOM] = "no_room",
+        [HS_ITEM_TRY_REFUSED] = "refused",
+        [HS_ITEM_TRY_BROKEN] = "broken",
+        [HS_ITEM_TRY_FAILED] = "failed",
+        [HS_ITEM_TRY_IMPOSSIBLE] = "impossible",
+        [HS_ITEM_TRY_NO_CONTENT] = "no_content",
+        [HS_ITEM_TRY_NO_ROUTE] = "no_route",
+        [HS_ITEM_TRY_ABANDONED] = "abandoned",
+    };
+    return names[end];
+}
--- /dev/null
+++ b/src/jobs/job_partition.c
@@ -0,0 +1,356 @@
+/** @file job_partition.c  A partition's replica and its appends; see job_partition.h. */
+#include "jobs/job_partition.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <string.h>
+
+#define READ_MAX_KB 1024
+#define READ_LIMIT_MS 1500
+#define ANSWER_SLACK_MS 700
+#define RECORD_OVERHEAD_BYTES 512
+#define BYTES_PER_KB 1024
+/** Contents are older than their manifest, which may still be on its way for so long. */
+#define TRIM_AGE_MS 30000
+#define FAILED_READ_PAUSE_MS 60
+
+struct hs_job_partition {
+    hs_job_store_settings settings;
+    uint32_t part;
+    GMutex lock;
+    GCond moved;        /**< The fold moved on, or a read ended. */
+    bool reading;       /**< A thread is reading from the log. */
+    bool following;     /**< A thread has a read held at the store. */
+    uint64_t reads_begun;
+    uint64_t last_good; /**< Number of the latest read that reached the end. */
+    uint64_t trimmed_to;
+    uint64_t trim_candidate;    /**< First content needed when it was noted. */
+    uint64_t trim_noted_ms;     /**< 0: none noted. */
+    hs_job_state *state;
+};
+
+hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t part) {
+    hs_job_partition *partition = g_new0(hs_job_partition, 1);
+    partition->settings = *settings;
+    partition->part = part;
+    g_mutex_init(&partition->lock);
+    g_cond_init(&partition->moved);
+    partition->state = hs_job_state_new();
+    return partition;
+}
+
+void hs_job_partition_free(hs_job_partition *partition) {
+    if (partition == NULL)
+        return;
+    hs_job_state_free(partition->state);
+    g_mutex_clear(&partition->lock);
+    g_cond_clear(&partition->moved);
+    g_free(partition);
+}
+
+uint32_t hs_job_partition_of(const char *job_id, uint32_t part_count) {
+    return (uint32_t)(hs_hash_bytes(job_id, strlen(job_id)) % part_count);
+}
+
+uint32_t hs_job_partition_number(const hs_job_partition *partition) {
+    return partition->part;
+}
+
+hs_job_state *hs_job_partition_lock(hs_job_partition *partition) {
+    g_mutex_lock(&partition->lock);
+    return partition->state;
+}
+
+void hs_job_partition_unlock(hs_job_partition *partition) {
+    g_mutex_unlock(&partition->lock);
+}
+
+/** Apply what a read brought. The caller holds the lock. True when the log's end is reached. */
+static bool apply_answer(hs_job_partition *partition, const GByteArray *answer) {
+    uint64_t end = 0;
+    uint64_t first = 0;
+    if (!hs_platform_read_bounds(answer, &end, &first))
+        return false;
+    size_t position = 0;
+    hs_store_record record;
+    while (hs_platform_next_record(answer, false, &position, &record)) {
+        uint64_t offset = hs_job_state_next(partition->state);
+        if (!hs_job_state_apply(partition->state, offset, record.value, record.value_length))
+            hs_log_warning("job_record_unreadable", "part=%u offset=%" G_GUINT64_FORMAT,
+                           partition->part, (guint64)offset);
+    }
+    return hs_job_state_next(partition->state) >= end;
+}
+
+/** One read from the log's present place on; the caller is the one reader. */
+static bool read_once(hs_job_partition *partition, uint32_t wait_ms, hs_deadline deadline,
+                      gint *abandoned, bool *reached_end) {
+    g_mutex_lock(&partition->lock);
+    uint64_t from = hs_job_state_next(partition->state);
+    g_mutex_unlock(&partition->lock);
+    hs_store_call call =
+        hs_platform_read(HS_TOPIC_JOBS, partition->part, from, READ_MAX_KB, wait_ms);
+    GByteArray *answer = g_byte_array_new();
+    hs_store_outcome outcome =
+        hs_store_client_send(partition->settings.store, &call, deadline, abandoned, answer);
+    g_mutex_lock(&partition->lock);
+    uint64_t first = 0;
+    *reached_end = false;
+    if (outcome == HS_STORE_DONE)
+        *reached_end = apply_answer(partition, answer);
+    else if (outcome == HS_STORE_GONE && hs_platform_read_first_kept(answer, &first))
+        hs_job_state_skip_to(partition->state, first);
+    g_mutex_unlock(&partition->lock);
+    g_byte_array_free(answer, TRUE);
+    return outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+}
+
+static void end_reading(hs_job_partition *partition) {
+    partition->reading = false;
+    g_cond_broadcast(&partition->moved);
+}
+
+bool hs_job_partition_catch_up(hs_job_partition *partition, hs_deadline deadline) {
+    gint64 until = (gint64)deadline * G_TIME_SPAN_MILLISECOND;
+    g_mutex_lock(&partition->lock);
+    uint64_t wanted = partition->reads_begun + 1; /* A read that begins after this call. */
+    while (partition->last_good < wanted) {
+        if (partition->reading) {
+            if (!g_cond_wait_until(&partition->moved, &partition->lock, until))
+                break;
+            continue;
+        }
+        if (hs_clock_monotonic_ms() >= deadline)
+            break;
+        partition->reading = true;
+        uint64_t number = ++partition->reads_begun;
+        g_mutex_unlock(&partition->lock);
+        bool reached = false;
+        hs_deadline limit = MIN(deadline, hs_clock_monotonic_ms() + READ_LIMIT_MS);
+        bool read = read_once(partition, 0, limit, NULL, &reached);
+        g_mutex_lock(&partition->lock);
+        if (reached)
+            partition->last_good = number;
+        end_reading(partition);
+        if (!read)
+            break;
+    }
+    bool caught_up = partition->last_good >= wanted;
+    g_mutex_unlock(&partition->lock);
+    return caught_up;
+}
+
+/** Hold a read at the store from @p from on; takes no turn, so that short reads go on beside it. */
+static bool follow(hs_job_partition *partition, uint64_t from, uint32_t wait_ms) {
+    hs_deadline deadline = hs_clock_monotonic_ms() + wait_ms + ANSWER_SLACK_MS;
+    hs_store_call call =
+        hs_platform_read(HS_TOPIC_JOBS, partition->part, from, READ_MAX_KB, wait_ms);
+    GByteArray *answer = g_byte_array_new();
+    hs_store_outcome outcome =
+        hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    g_mutex_lock(&partition->lock);
+    uint64_t first = 0;
+    while (partition->reading)
+        g_cond_wait(&partition->moved, &partition->lock);
+    if (outcome == HS_STORE_DONE && hs_job_state_next(partition->state) == from)
+        apply_answer(partition, answer);
+    else if (outcome == HS_STORE_GONE && hs_platform_read_first_kept(answer, &first))
+        hs_job_state_skip_to(partition->state, first);
+    g_mutex_unlock(&partition->lock);
+    g_byte_array_free(answer, TRUE);
+    return outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+}
+
+void hs_job_partition_hold(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
+    gint64 until_us = (gint64)until * G_TIME_SPAN_MILLISECOND;
+    g_mutex_lock(&partition->lock);
+    while (hs_job_state_next(partition->state) <= offset) {
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        if (now_ms >= until)
+            break;
+        if (partition->following) {
+            if (!g_cond_wait_until(&partition->moved, &partition->lock, until_us))
+                break;
+            continue;
+        }
+        partition->following = true;
+        uint64_t from = hs_job_state_next(partition->state);
+        g_mutex_unlock(&partition->lock);
+        if (!follow(partition, from, (uint32_t)(until - now_ms)))
+            hs_clock_sleep_ms(FAILED_READ_PAUSE_MS);
+        g_mutex_lock(&partition->lock);
+        partition->following = false;
+        g_cond_broadcast(&partition->moved);
+    }
+    g_mutex_unlock(&partition->lock);
+}
+
+static void frame(GByteArray *records, const Hs__JobRecord *record) {
+    size_t length = hs__job_record__get_packed_size(record);
+    g_autofree uint8_t *bytes = g_malloc(length);
+    hs__job_record__pack(record, bytes);
+    hs_platform_frame_record(records, bytes, length);
+}
+
+static hs_store_outcome append_records(hs_job_partition *partition, hs_topic topic,
+                                       const GByteArray *records, hs_deadline deadline,
+                                       uint64_t *offset) {
+    hs_store_call call = hs_platform_append(topic, partition->part, records);
+    GByteArray *answer = g_byte_array_new();
+    hs_store_outcome outcome =
+        hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    if (outcome == HS_STORE_DONE && !hs_platform_read_appended(answer, offset))
+        outcome = HS_STORE_UNKNOWN;
+    g_byte_array_free(answer, TRUE);
+    return outcome;
+}
+
+hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
+                                         hs_deadline deadline) {
+    GByteArray *records = g_byte_array_new();
+    uint64_t offset = 0;
+    frame(records, record);
+    hs_store_outcome outcome = HS_STORE_INVALID;
+    if (records->len <= partition->settings.record_bytes)
+        outcome = append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
+    g_byte_array_free(records, TRUE);
+    return outcome;
+}
+
+hs_store_outcome hs_job_partition_append_result(hs_job_partition *partition, const char *job_id,
+                                                uint32_t item, hs_item_outcome outcome,
+                                                const GString *text, hs_deadline deadline) {
+    size_t piece = partition->settings.record_bytes - RECORD_OVERHEAD_BYTES;
+    uint32_t parts = (uint32_t)MAX((text->len + piece - 1) / piece, 1);
+    GByteArray *records = g_byte_array_new();
+    for (uint32_t part = 0; part < parts; part++) {
+        size_t start = (size_t)part * piece;
+        Hs__JobResult result = HS__JOB_RESULT__INIT;
+        result.job_id = (char *)job_id;
+        result.item = item;
+        result.state = outcome == HS_ITEM_COMPLETED ? HS__JOB_ITEM_STATE__JOB_ITEM_COMPLETED
+                                                    : HS__JOB_ITEM_STATE__JOB_ITEM_DEAD;
+        result.part = part;
+        result.parts = parts;
+        result.text.data = (uint8_t *)text->str + start;
+        result.text.len = MIN(piece, text->len - start);
+        Hs__JobRecord record = HS__JOB_RECORD__INIT;
+        record.kind_case = HS__JOB_RECORD__KIND_RESULT;
+        record.result = &result;
+        frame(records, &record);
+    }
+    uint64_t offset = 0;
+    hs_store_outcome done =
+        append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
+    g_byte_array_free(records, TRUE);
+    return done;
+}
+
+/** Frame a content over as many records as it needs; how many those are. */
+static uint32_t frame_content(const hs_job_partition *partition, GByteArray *records,
+                              const GByteArray *content) {
+    uint32_t count = 0;
+    for (guint start = 0; start < content->len; start += partition->settings.record_bytes) {
+        guint length = MIN(partition->settings.record_bytes, content->len - start);
+        hs_platform_frame_record(records, content->data + start, length);
+        count++;
+    }
+    return count;
+}
+
+hs_store_outcome hs_job_partition_append_contents(hs_job_partition *partition,
+                                                  const GPtrArray *contents, GArray *offsets,
+                                                  hs_deadline deadline) {
+    hs_store_outcome outcome = HS_STORE_DONE;
+    guint next = 0;
+    while (next < contents->len && outcome == HS_STORE_DONE) {
+        GByteArray *records = g_byte_array_new();
+        uint64_t relative = 0;
+        guint first = next;
+        while (next < contents->len) {
+            const GByteArray *content = contents->pdata[next];
+            size_t frames = content->len / partition->settings.record_bytes + 1;
+            size_t needed = content->len + frames * HS_STORE_FRAME_BYTES;
+            if (next > first && records->len + needed > partition->settings.call_bytes)
+                break;
+            g_array_append_val(offsets, relative);
+            relative += frame_content(partition, records, content);
+            next++;
+        }
+        uint64_t base = 0;
+        outcome = append_records(partition, HS_TOPIC_BODIES, records, deadline, &base);
+        for (guint index = first; index < next; index++)
+            g_array_index(offsets, uint64_t, index) += base;
+        g_byte_array_free(records, TRUE);
+    }
+    return outcome;
+}
+
+Hs__JobItemContent *hs_job_partition_read_content(hs_job_partition *partition, uint64_t offset,
+                                                  uint32_t bytes, hs_deadline deadline,
+                                                  hs_store_outcome *outcome) {
+    GByteArray *content = g_byte_array_new();
+    GByteArray *answer = g_byte_array_new();
+    *outcome = HS_STORE_DONE;
+    while (content->len < bytes && *outcome == HS_STORE_DONE) {
+        uint32_t max_kb = (bytes - content->len) / BYTES_PER_KB + 1;
+        hs_store_call call = hs_platform_read(HS_TOPIC_BODIES, partition->part, offset,
+                                              MIN(max_kb, READ_MAX_KB), 0);
+        *outcome =
+            hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+        size_t position = 0;
+        hs_store_record record;
+        guint before = content->len;
+        while (*outcome == HS_STORE_DONE && content->len < bytes &&
+               hs_platform_next_record(answer, false, &position, &record)) {
+            g_byte_array_append(content, record.value, (guint)record.value_length);
+            offset++;
+        }
+        if (*outcome == HS_STORE_DONE && content->len == before)
+            *outcome = HS_STORE_INVALID;
+    }
+    Hs__JobItemContent *result = NULL;
+    if (*outcome == HS_STORE_DONE)
+        result = hs__job_item_content__unpack(NULL, content->len, content->data);
+    if (*outcome == HS_STORE_DONE && result == NULL)
+        *outcome = HS_STORE_INVALID;
+    g_byte_array_free(content, TRUE);
+    g_byte_array_free(answer, TRUE);
+    return result;
+}
+
+/**
+ * Offset before which contents may go: what was needed first some time ago. The caller holds the
+ * lock. 0: nothing to do.
+ */
+static uint64_t trim_target(hs_job_partition *partition, uint64_t now_ms) {
+    uint64_t target = 0;
+    bool is_due = partition->trim_noted_ms != 0 && now_ms > partition->trim_noted_ms + TRIM_AGE_MS;
+    if (is_due && partition->trim_candidate > partition->trimmed_to)
+        target = partition->trim_candidate;
+    uint64_t first = hs_job_state_first_needed_content(partition->state);
+    if (first != UINT64_MAX && (is_due || partition->trim_noted_ms == 0)) {
+        partition->trim_candidate = first;
+        partition->trim_noted_ms = now_ms;
+    }
+    return target;
+}
+
+void hs_job_partition_trim(hs_job_partition *partition, hs_deadline deadline) {
+    uint64_t wall_ms = hs_clock_wall_ms();
+    g_mutex_lock(&partition->lock);
+    if (wall_ms > partition->settings.status_ms)
+        hs_job_state_forget(partition->state, wall_ms - partition->settings.status_ms);
+    uint64_t target = trim_target(partition, hs_clock_monotonic_ms());
+    g_mutex_unlock(&partition->lock);
+    if (target == 0)
+        return;
+    hs_store_call call = hs_platform_trim(HS_TOPIC_BODIES, partition->part, target);
+    GByteArray *answer = g_byte_array_new();
+    if (hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer) ==
+        HS_STORE_DONE)
+        partition->trimmed_to = target;
+    g_byte_array_free(answer, TRUE);
+}
--- /dev/null
+++ b/src/jobs/job_partition.h
@@ -0,0 +1,68 @@
+/**
+ * @file job_partition.h
+ * One partition of batch jobs as this daemon sees it: the fold, caught up from the log when asked,
+ * and appends to it. Shared by callers' threads and the owner's duty.
+ */
+#ifndef HS_JOBS_JOB_PARTITION_H
+#define HS_JOBS_JOB_PARTITION_H
+
+#include "jobs/job_state.h"
+#include "store/store_client.h"
+
+typedef struct hs_job_partition hs_job_partition;
+
+/** What the log store allows; all borrowed. */
+typedef struct {
+    hs_store_client *store;
+    uint32_t part_count;
+    uint32_t record_bytes;
+    uint32_t call_bytes;
+    uint64_t status_ms; /**< Time after the submission for which ended jobs can be read. */
+} hs_job_store_settings;
+
+hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t part);
+void hs_job_partition_free(hs_job_partition *partition);
+
+/** Number of the partition of a job. */
+uint32_t hs_job_partition_of(const char *job_id, uint32_t part_count);
+
+/**
+ * Bring the fold up to the log's end as of this call. True when that worked before @p deadline.
+ */
+bool hs_job_partition_catch_up(hs_job_partition *partition, hs_deadline deadline);
+
+/** Lock and borrow the fold; unlock when done. */
+hs_job_state *hs_job_partition_lock(hs_job_partition *partition);
+void hs_job_partition_unlock(hs_job_partition *partition);
+
+/**
+ * Wait until the fold moves beyond @p offset, at most until @p until. All who wait share one read
+ * that the store holds.
+ */
+void hs_job_partition_hold(hs_job_partition *partition, uint64_t offset, hs_deadline until);
+
+/** One try to append a record; HS_STORE_UNKNOWN: it may be there, now or later. */
+hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
+                                         hs_deadline deadline);
+
+/** One try to append a result, spread over records where it is long. */
+hs_store_outcome hs_job_partition_append_result(hs_job_partition *partition, const char *job_id,
+                                                uint32_t item, hs_item_outcome outcome,
+                                                const GString *text, hs_deadline deadline);
+
+/** Append contents (already packed, of GByteArray*) to the bodies; offsets go to @p offsets. */
+hs_store_outcome hs_job_partition_append_contents(hs_job_partition *partition,
+                                                  const GPtrArray *contents, GArray *offsets,
+                                                  hs_deadline deadline);
+
+/** Read an item's content; NULL with the outcome. Free with hs__job_item_content__free_unpacked. */
+Hs__JobItemContent *hs_job_partition_read_content(hs_job_partition *partition, uint64_t offset,
+                                                  uint32_t bytes, hs_deadline deadline,
+                                                  hs_store_outcome *outcome);
+
+/** Drop contents that no open job needs any more, and forget jobs whose status time is over. */
+void hs_job_partition_trim(hs_job_partition *partition, hs_deadline deadline);
+
+uint32_t hs_job_partition_number(const hs_job_partition *partition);
+
+#endif
--- /dev/null
+++ b/src/jobs/job_service.c
@@ -0,0 +1,348 @@
+/** @file job_service.c  See job_service.h. */
+#include "jobs/job_service.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/http_fields.h"
+#include "platform/job_codec.h"
+
+#include <string.h>
+
+#define CALL_LIMIT_MS 3000
+#define ONE_TRY_MS 1200
+#define RETRY_PAUSE_MS 40
+#define RETRY_AFTER_TEXT "0.3"
+#define PAGE_BYTES (1000U * 1000)
+#define PAGE_ITEM_OVERHEAD 256
+#define WAIT_MOST_MS 5000
+
+struct hs_job_service {
+    hs_job_store_settings settings;
+    GPtrArray *partitions; /**< of hs_job_partition* */
+};
+
+static void free_partition(gpointer data) {
+    hs_job_partition_free(data);
+}
+
+hs_job_service *hs_job_service_new(const hs_job_store_settings *settings) {
+    hs_job_service *service = g_new0(hs_job_service, 1);
+    service->settings = *settings;
+    service->partitions = g_ptr_array_new_with_free_func(free_partition);
+    for (uint32_t part = 0; part < settings->part_count; part++)
+        g_ptr_array_add(service->partitions, hs_job_partition_new(settings, part));
+    return service;
+}
+
+void hs_job_service_free(hs_job_service *service) {
+    if (service == NULL)
+        return;
+    g_ptr_array_free(service->partitions, TRUE);
+    g_free(service);
+}
+
+hs_job_partition *hs_job_service_partition(hs_job_service *service, uint32_t part) {
+    return service->partitions->pdata[part];
+}
+
+static hs_job_partition *partition_of(hs_job_service *service, const char *job_id) {
+    return hs_job_service_partition(
+        service, hs_job_partition_of(job_id, service->settings.part_count));
+}
+
+static void reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+                  size_t length) {
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, "Content-Type", type);
+    if (status == 503)
+        hs_http_fields_add(fields, "Retry-After", RETRY_AFTER_TEXT);
+    hs_inbound_reply(inbound, status, fields, body, length);
+    hs_http_fields_free(fields);
+}
+
+static void reply_text(hs_inbound *inbound, uint32_t status, const char *text) {
+    reply(inbound, status, "text/plain", text, strlen(text));
+}
+
+static hs_deadline call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms) {
+    uint64_t limit_ms = CALL_LIMIT_MS;
+    if (terms->timeout_ms > 0)
+        limit_ms = MIN(limit_ms, terms->timeout_ms);
+    return inbound->received_ms + limit_ms;
+}
+
+static hs_deadline one_try(hs_deadline deadline) {
+    return MIN(deadline, hs_clock_monotonic_ms() + ONE_TRY_MS);
+}
+
+static bool is_known(hs_job_partition *partition, const char *job_id) {
+    hs_job_state *state = hs_job_partition_lock(partition);
+    bool known = hs_job_state_find(state, job_id) != NULL;
+    hs_job_partition_unlock(partition);
+    return known;
+}
+
+/** Pack the items' contents as they go to the bodies: of GByteArray*. */
+static GPtrArray *pack_contents(const GArray *items) {
+    GPtrArray *contents = g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
+    for (guint index = 0; index < items->len; index++) {
+        const hs_submitted_item *item = &g_array_index(items, hs_submitted_item, index);
+        guint count = item->fields->len;
+        g_autofree Hs__JobHeader *headers = g_new(Hs__JobHeader, count + 1);
+        g_autofree Hs__JobHeader **list = g_new(Hs__JobHeader *, count + 1);
+        for (guint at = 0; at < count; at++) {
+            const hs_http_field *field = &g_array_index(item->fields, hs_http_field, at);
+            hs__job_header__init(&headers[at]);
+            headers[at].name = field->name;
+            headers[at].value = field->value;
+            list[at] = &headers[at];
+        }
+        Hs__JobItemContent content = HS__JOB_ITEM_CONTENT__INIT;
+        content.path = item->path;
+        content.n_headers = count;
+        content.headers = list;
+        content.body.data = item->body;
+        content.body.len = item->body_length;
+        size_t length = hs__job_item_content__get_packed_size(&content);
+        GByteArray *packed = g_byte_array_sized_new((guint)length);
+        g_byte_array_set_size(packed, (guint)length);
+        hs__job_item_content__pack(&content, packed->data);
+        g_ptr_array_add(contents, packed);
+    }
+    return contents;
+}
+
+/** A submission on its way into the log. */
+typedef struct {
+    hs_job_partition *partition;
+    hs_inbound *inbound;
+    const hs_caller_terms *terms;
+    const hs_fleet_route *route;
+    const GArray *items;
+    hs_deadline deadline;
+} submission;
+
+static hs_store_outcome append_manifest(const submission *job, const GPtrArray *contents,
+                                        const GArray *offsets) {
+    g_autofree Hs__JobItem *items = g_new(Hs__JobItem, job->items->len);
+    g_autofree Hs__JobItem **list = g_new(Hs__JobItem *, job->items->len);
+    for (guint index = 0; index < job->items->len; index++) {
+        const hs_submitted_item *item = &g_array_index(job->items, hs_submitted_item, index);
+        hs__job_item__init(&items[index]);
+        items[index].id = item->id;
+        items[index].tokens = item->tokens;
+        items[index].content_offset = g_array_index(offsets, uint64_t, index);
+        items[index].content_bytes = ((GByteArray *)contents->pdata[index])->len;
+        list[index] = &items[index];
+    }
+    Hs__JobManifest manifest = HS__JOB_MANIFEST__INIT;
+    manifest.job_id = (char *)job->terms->request_id;
+    manifest.host = (char *)job->terms->host;
+    manifest.target = job->inbound->target;
+    manifest.submitted_ms = hs_clock_wall_ms();
+    manifest.due_ms = job->route->completion_target_ms;
+    manifest.retention_ms = job->route->retention_ms;
+    manifest.n_items = job->items->len;
+    manifest.items = list;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
+    record.manifest = &manifest;
+    return hs_job_partition_append(job->partition, &record, one_try(job->deadline));
+}
+
+/** Contents first: without a manifest they bind nobody. */
+static hs_store_outcome store_contents(const submission *job, const GPtrArray *contents,
+                                       GArray *offsets) {
+    hs_store_outcome outcome = HS_STORE_REFUSED;
+    hs_deadline refuse_at =
+        MIN(job->deadline, job->inbound->received_ms + job->route->target_latency_ms);
+    do {
+        g_array_set_size(offsets, 0);
+        outcome = hs_job_partition_append_contents(job->partition, contents, offsets,
+                                                   one_try(job->deadline));
+        if (outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN)
+            break;
+        hs_clock_sleep_ms(RETRY_PAUSE_MS);
+    } while (hs_clock_monotonic_ms() < refuse_at);
+    return outcome;
+}
+
+/** Store the job; the status to answer with. */
+static uint32_t store_job(const submission *job) {
+    GPtrArray *contents = pack_contents(job->items);
+    GArray *offsets = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    hs_store_outcome outcome = store_contents(job, contents, offsets);
+    uint32_t status = outcome == HS_STORE_INVALID ? 413 : 503;
+    if (outcome == HS_STORE_DONE) {
+        /* Once the manifest may be in the log, no refusal may be promised any more. */
+        bool may_be_taken = false;
+        hs_deadline refuse_at =
+            MIN(job->deadline, job->inbound->received_ms + job->route->target_latency_ms);
+        while (true) {
+            outcome = append_manifest(job, contents, offsets);
+            may_be_taken = may_be_taken || outcome == HS_STORE_UNKNOWN;
+            hs_deadline limit = may_be_taken ? job->deadline : refuse_at;
+            if ((outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN) ||
+                hs_clock_monotonic_ms() >= limit)
+                break;
+            hs_clock_sleep_ms(RETRY_PAUSE_MS);
+        }
+        if (outcome == HS_STORE_DONE)
+            status = 202;
+        else if (may_be_taken)
+            status = 504;
+        else if (outcome == HS_STORE_INVALID)
+            status = 413;
+    }
+    hs_log_info("job_stored", "job=%s part=%u items=%u outcome=%s status=%u took_ms=%u",
+                job->terms->request_id, hs_job_partition_number(job->partition),
+                job->items->len, hs_store_outcome_name(outcome), status,
+                (unsigned)(hs_clock_monotonic_ms() - job->inbound->received_ms));
+    g_ptr_array_free(contents, TRUE);
+    g_array_free(offsets, TRUE);
+    return status;
+}
+
+void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
+                           const hs_caller_terms *terms, const hs_fleet_route *route) {
+    hs_error error = {0};
+    if (terms->request_id == NULL || *terms->request_id == '\0') {
+        reply_text(inbound, 400, "a job needs an id\n");
+        return;
+    }
+    GArray *items = hs_platform_read_submission(inbound->body->data, inbound->body->len, &error);
+    if (items == NULL) {
+        reply_text(inbound, 400, error.message);
+        return;
+    }
+    submission job = {.partition = partition_of(service, terms->request_id),
+                      .inbound = inbound,
+                      .terms = terms,
+                      .route = route,
+                      .items = items,
+                      .deadline = call_deadline(inbound, terms)};
+    uint32_t status = 0;
+    if (is_known(job.partition, terms->request_id))
+        status = 202;
+    else
+        status = store_job(&job);
+    g_array_free(items, TRUE);
+    reply_text(inbound, status, status == 202 ? "" : "the job was not taken by this answer\n");
+}
+
+/** Answer 404 where the log was read to its end, else 503. */
+static void reply_unknown(hs_inbound *inbound, bool caught_up) {
+    reply_text(inbound, caught_up ? 404 : 503,
+               caught_up ? "no such job\n" : "the log cannot be read now\n");
+}
+
+/** A page of results from @p position on; NULL when the job is unknown. */
+static char *write_page(hs_job_state *state, const char *job_id, uint64_t position,
+                        bool *has_news) {
+    const hs_job *job = hs_job_state_find(state, job_id);
+    if (job == NULL)
+        return NULL;
+    g_autofree hs_result_view *views = g_new0(hs_result_view, job->results->len + 1);
+    size_t count = 0;
+    size_t bytes = 0;
+    for (uint64_t index = position; index < job->results->len; index++) {
+        const hs_job_result *result = job->results->pdata[index];
+        bytes += result->length + PAGE_ITEM_OVERHEAD;
+        if (count > 0 && bytes > PAGE_BYTES)
+            break;
+        views[count++] =
+            (hs_result_view){.item_id = g_array_index(job->items, hs_job_item, result->item).id,
+                             .completed = result->outcome == HS_ITEM_COMPLETED,
+                             .text = result->text,
+                             .length = result->length};
+    }
+    *has_news = count > 0 || !hs_job_is_open(job);
+    return hs_platform_write_results(job->items->len, position + count, views, count);
+}
+
+void hs_job_service_read(hs_job_service *service, hs_inbound *inbound,
+                         const hs_caller_terms *terms, const char *job_id) {
+    hs_job_partition *partition = partition_of(service, job_id);
+    uint64_t position = hs_platform_read_position(inbound->target);
+    hs_deadline hold_until = inbound->received_ms + MIN(terms->wait_ms, WAIT_MOST_MS);
+    bool caught_up = hs_job_partition_catch_up(partition, one_try(call_deadline(inbound, terms)));
+    while (true) {
+        bool has_news = false;
+        hs_job_state *state = hs_job_partition_lock(partition);
+        uint64_t next = hs_job_state_next(state);
+        g_autofree char *page = write_page(state, job_id, position, &has_news);
+        hs_job_partition_unlock(partition);
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        bool holds = page != NULL && !has_news && now_ms < hold_until;
+        if (!holds) {
+            /* What a fold that lags shows is still true, but a place read before may lie beyond. */
+            if (page == NULL || (!caught_up && !has_news))
+                reply_unknown(inbound, caught_up);
+            else
+                reply(inbound, 200, "application/json", page, strlen(page));
+            return;
+        }
+        hs_job_partition_hold(partition, next, hold_until);
+    }
+}
+
+void hs_job_service_read_item(hs_job_service *service, hs_inbound *inbound,
+                              const hs_caller_terms *terms, const char *job_id) {
+    hs_job_partition *partition = partition_of(service, job_id);
+    hs_deadline deadline = call_deadline(inbound, terms);
+    g_autofree char *item_id = hs_platform_read_item_id(inbound->target);
+    bool caught_up = hs_job_partition_catch_up(partition, one_try(deadline));
+    hs_job_state *state = hs_job_partition_lock(partition);
+    const hs_job *job = hs_job_state_find(state, job_id);
+    int index = job != NULL && item_id != NULL ? hs_job_find_item(job, item_id) : -1;
+    hs_job_item item = {0};
+    if (index >= 0)
+        item = g_array_index(job->items, hs_job_item, index);
+    bool known = job != NULL;
+    hs_job_partition_unlock(partition);
+    if (!known || !caught_up) {
+        reply_unknown(inbound, caught_up);
+        return;
+    }
+    if (index < 0 || item.listed) {
+        reply_text(inbound, 404, "no such open item\n");
+        return;
+    }
+    hs_store_outcome outcome = HS_STORE_UNKNOWN;
+    Hs__JobItemContent *content = hs_job_partition_read_content(
+        partition, item.content_offset, item.content_bytes, deadline, &outcome);
+    if (content == NULL) {
+        reply_unknown(inbound, false);
+        return;
+    }
+    reply(inbound, 200, "application/octet-stream", content->body.data, content->body.len);
+    hs__job_item_content__free_unpacked(content, NULL);
+}
+
+void hs_job_service_end(hs_job_service *service, hs_inbound *inbound,
+                        const hs_caller_terms *terms, const char *job_id) {
+    hs_job_partition *partition = partition_of(service, job_id);
+    hs_deadline deadline = call_deadline(inbound, terms);
+    bool caught_up = hs_job_partition_catch_up(partition, one_try(deadline));
+    if (!is_known(partition, job_id)) {
+        reply_unknown(inbound, caught_up);
+        return;
+    }
+    Hs__JobEnd end = HS__JOB_END__INIT;
+    end.job_id = (char *)job_id;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_END;
+    record.end = &end;
+    hs_store_outcome outcome = hs_job_partition_append(partition, &record, one_try(deadline));
+    while (outcome != HS_STORE_DONE && outcome != HS_STORE_INVALID &&
+           hs_clock_monotonic_ms() < deadline) {
+        hs_clock_sleep_ms(RETRY_PAUSE_MS);
+        outcome = hs_job_partition_append(partition, &record, one_try(deadline));
+    }
+    hs_log_info("job_end_asked", "job=%s part=%u outcome=%s", job_id,
+                hs_job_partition_number(partition), hs_store_outcome_name(outcome));
+    if (outcome == HS_STORE_DONE)
+        reply_text(inbound, 200, "");
+    else
+        reply_text(inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503, "the end was not stored\n");
+}
--- /dev/null
+++ b/src/jobs/job_state.c
@@ -0,0 +1,218 @@
+/** @file job_state.c  The fold of a partition; see job_state.h. */
+#include "jobs/job_state.h"
+
+#include <string.h>
+
+/** A result spread over records that is not whole yet. */
+typedef struct {
+    char *job_id;
+    uint32_t item;
+    uint32_t next_part;
+    uint64_t next_offset;
+    GByteArray *text;
+} partial_result;
+
+struct hs_job_state {
+    GHashTable *jobs; /**< id -> hs_job* */
+    uint64_t next;
+    partial_result partial;
+};
+
+static void free_result(gpointer data) {
+    hs_job_result *result = data;
+    g_free(result->text);
+    g_free(result);
+}
+
+static void clear_item(gpointer data) {
+    g_free(((hs_job_item *)data)->id);
+}
+
+static void free_job(gpointer data) {
+    hs_job *job = data;
+    g_free(job->id);
+    g_free(job->host);
+    g_free(job->target);
+    g_array_free(job->items, TRUE);
+    g_hash_table_destroy(job->item_by_id);
+    g_ptr_array_free(job->results, TRUE);
+    g_free(job);
+}
+
+hs_job_state *hs_job_state_new(void) {
+    hs_job_state *state = g_new0(hs_job_state, 1);
+    state->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+    state->partial.text = g_byte_array_new();
+    return state;
+}
+
+void hs_job_state_free(hs_job_state *state) {
+    if (state == NULL)
+        return;
+    g_hash_table_destroy(state->jobs);
+    g_free(state->partial.job_id);
+    g_byte_array_free(state->partial.text, TRUE);
+    g_free(state);
+}
+
+uint64_t hs_job_state_next(const hs_job_state *state) {
+    return state->next;
+}
+
+void hs_job_state_skip_to(hs_job_state *state, uint64_t offset) {
+    state->next = MAX(state->next, offset);
+}
+
+static void apply_manifest(hs_job_state *state, uint64_t offset, const Hs__JobManifest *manifest) {
+    if (g_hash_table_contains(state->jobs, manifest->job_id))
+        return;
+    hs_job *job = g_new0(hs_job, 1);
+    job->id = g_strdup(manifest->job_id);
+    job->host = g_strdup(manifest->host);
+    job->target = g_strdup(manifest->target);
+    job->submitted_ms = manifest->submitted_ms;
+    job->due_ms = manifest->due_ms;
+    job->retention_ms = manifest->retention_ms;
+    job->manifest_offset = offset;
+    job->items = g_array_new(FALSE, FALSE, sizeof(hs_job_item));
+    g_array_set_clear_func(job->items, clear_item);
+    job->item_by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    job->results = g_ptr_array_new_with_free_func(free_result);
+    for (size_t index = 0; index < manifest->n_items; index++) {
+        const Hs__JobItem *told = manifest->items[index];
+        hs_job_item item = {.id = g_strdup(told->id),
+                            .tokens = told->tokens,
+                            .content_offset = told->content_offset,
+                            .content_bytes = told->content_bytes};
+        g_array_append_val(job->items, item);
+        g_hash_table_insert(job->item_by_id, g_strdup(told->id), GSIZE_TO_POINTER(index + 1));
+    }
+    g_hash_table_insert(state->jobs, job->id, job);
+}
+
+static void list_result(hs_job *job, uint32_t item, hs_item_outcome outcome, const void *text,
+                        size_t length) {
+    hs_job_item *entry = &g_array_index(job->items, hs_job_item, item);
+    if (entry->listed)
+        return;
+    entry->listed = true;
+    hs_job_result *result = g_new0(hs_job_result, 1);
+    result->item = item;
+    result->outcome = outcome;
+    result->text = g_memdup2(text, length);
+    result->length = length;
+    g_ptr_array_add(job->results, result);
+}
+
+static void forget_partial(hs_job_state *state) {
+    g_clear_pointer(&state->partial.job_id, g_free);
+    g_byte_array_set_size(state->partial.text, 0);
+}
+
+/** Parts of one result follow each other at once, since an append is taken whole or not at all. */
+static bool follows(const partial_result *partial, uint64_t offset, const Hs__JobResult *result) {
+    return partial->job_id != NULL && partial->next_offset == offset &&
+           partial->next_part == result->part && partial->item == result->item &&
+           strcmp(partial->job_id, result->job_id) == 0;
+}
+
+static void apply_result(hs_job_state *state, uint64_t offset, const Hs__JobResult *result) {
+    hs_job *job = g_hash_table_lookup(state->jobs, result->job_id);
+    if (job == NULL || result->item >= job->items->len)
+        return;
+    hs_item_outcome outcome = result->state == HS__JOB_ITEM_STATE__JOB_ITEM_COMPLETED
+                                  ? HS_ITEM_COMPLETED
+                                  : HS_ITEM_DEAD;
+    if (result->parts <= 1) {
+        list_result(job, result->item, outcome, result->text.data, result->text.len);
+        return;
+    }
+    partial_result *partial = &state->partial;
+    bool goes_on = result->part > 0 && follows(partial, offset, result);
+    if (!goes_on)
+        forget_partial(state);
+    if (!goes_on && result->part > 0)
+        return;
+    if (partial->job_id == NULL)
+        partial->job_id = g_strdup(result->job_id);
+    partial->item = result->item;
+    partial->next_part = result->part + 1;
+    partial->next_offset = offset + 1;
+    g_byte_array_append(partial->text, result->text.data, (guint)result->text.len);
+    if (partial->next_part < result->parts)
+        return;
+    list_result(job, result->item, outcome, partial->text->data, partial->text->len);
+    forget_partial(state);
+}
+
+bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes,
+                        size_t length) {
+    state->next = offset + 1;
+    Hs__JobRecord *record = hs__job_record__unpack(NULL, length, bytes);
+    if (record == NULL)
+        return false;
+    bool known = true;
+    switch (record->kind_case) {
+    case HS__JOB_RECORD__KIND_MANIFEST:
+        apply_manifest(state, offset, record->manifest);
+        break;
+    case HS__JOB_RECORD__KIND_RESULT:
+        apply_result(state, offset, record->result);
+        break;
+    case HS__JOB_RECORD__KIND_END: {
+        hs_job *job = g_hash_table_lookup(state->jobs, record->end->job_id);
+        if (job != NULL)
+            job->ended = true;
+        break;
+    }
+    default:
+        known = false;
+    }
+    hs__job_record__free_unpacked(record, NULL);
+    return known;
+}
+
+hs_job *hs_job_state_find(const hs_job_state *state, const char *job_id) {
+    return g_hash_table_lookup(state->jobs, job_id);
+}
+
+GPtrArray *hs_job_state_list(const hs_job_state *state) {
+    GPtrArray *jobs = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, state->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        g_ptr_array_add(jobs, value);
+    return jobs;
+}
+
+int hs_job_find_item(const hs_job *job, const char *item_id) {
+    return (int)GPOINTER_TO_SIZE(g_hash_table_lookup(job->item_by_id, item_id)) - 1;
+}
+
+bool hs_job_is_open(const hs_job *job) {
+    return !job->ended && job->results->len < job->items->len;
+}
+
+static gboolean is_over(gpointer key, gpointer value, gpointer before_ms) {
+    (void)key;
+    const hs_job *job = value;
+    return !hs_job_is_open(job) && job->submitted_ms < *(const uint64_t *)before_ms;
+}
+
+void hs_job_state_forget(hs_job_state *state, uint64_t before_ms) {
+    g_hash_table_foreach_remove(state->jobs, is_over, &before_ms);
+}
+
+uint64_t hs_job_state_first_needed_content(const hs_job_state *state) {
+    uint64_t first = UINT64_MAX;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, state->jobs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_job *job = value;
+        if (hs_job_is_open(job) && job->items->len > 0)
+            first = MIN(first, g_array_index(job->items, hs_job_item, 0).content_offset);
+    }
+    return first;
+}
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,7 +12,7 @@
 #include "node/metrics.h"
 #include "node/trace_log.h"
 #include "placement/demand.h"
-#include "platform/appender.h"
+#include "store/appender.h"
 #include "routing/engine_table.h"
 #include "routing/retry_budget.h"
 #include "routing/tenant_limits.h"
--- /dev/null
+++ b/src/online/end_reason.c
@@ -0,0 +1,86 @@
+/** @file end_reason.c  Why requests end, with their statuses and counters; see online_request.h. */
+#include "online/online_request.h"
+
+#include "http/http_fields.h"
+
+#include <string.h>
+
+typedef struct {
+    const char *name;
+    uint32_t status;
+    const char *text;
+} reason_entry;
+
+static const reason_entry reasons[HS_END_REASON_COUNT] = {
+    [HS_END_SERVED] = {"served", 200, ""},
+    [HS_END_ENGINE_STATUS] = {"engine_status", 0, ""},
+    [HS_END_NO_CONFIG] = {"no_config", 503, "no configuration is known yet\n"},
+    [HS_END_NO_ROUTE] = {"no_route", 404, "no route matches\n"},
+    [HS_END_TOO_LARGE] = {"too_large", 413, "the body is over the limit\n"},
+    [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
+    [HS_END_FULL] = {"full", 503, "all engines are full; not run\n"},
+    [HS_END_UNREACHABLE] = {"unreachable", 503, "no engine can be reached; not run\n"},
+    [HS_END_BROKEN] = {"broken", 502, "the engine's answer broke; it may have run\n"},
+    [HS_END_LATE] = {"late", 504, "the deadline passed; it may have run\n"},
+    [HS_END_LATE_NOT_RUN] = {"late_not_run", 503, "the deadline passed; not run\n"},
+    [HS_END_CALLER_GONE] = {"caller_gone", 0, ""},
+    [HS_END_STREAM_BROKEN] = {"stream_broken", 0, ""},
+    [HS_END_STREAM_LATE] = {"stream_late", 0, ""},
+};
+
+const char *hs_end_reason_name(hs_end_reason reason) {
+    return reasons[reason].name;
+}
+
+uint32_t hs_end_reason_status(hs_end_reason reason) {
+    return reasons[reason].status;
+}
+
+static size_t bucket_of(uint64_t milliseconds, size_t count) {
+    size_t bucket = 0;
+    while (bucket + 1 < count && milliseconds > (1ULL << bucket))
+        bucket++;
+    return bucket;
+}
+
+void hs_online_count(hs_online *online, hs_end_reason reason, uint64_t first_byte_ms) {
+    g_mutex_lock(&online->counters.lock);
+    online->counters.ended[reason]++;
+    if (first_byte_ms > 0)
+        online->counters.first_byte_buckets[bucket_of(
+            first_byte_ms, G_N_ELEMENTS(online->counters.first_byte_buckets))]++;
+    g_mutex_unlock(&online->counters.lock);
+}
+
+void hs_online_refuse(hs_online *online, hs_inbound *inbound, hs_end_reason reason,
+                      uint64_t retry_after_ms) {
+    const reason_entry *entry = &reasons[reason];
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, "Content-Type", "text/plain");
+    if (entry->status == 503) {
+        g_autofree char *seconds = g_strdup_printf("%.3f", (double)retry_after_ms / 1000.0);
+        hs_http_fields_add(fields, "Retry-After", seconds);
+    }
+    hs_inbound_reply(inbound, entry->status, fields, entry->text, strlen(entry->text));
+    hs_http_fields_free(fields);
+    hs_online_count(online, reason, 0);
+}
+
+const char *hs_online_pick_share(hs_online *online, const hs_fleet_route *route) {
+    /* Steps of the golden ratio fill the unit interval evenly, so that a few requests already
+     * come close to the weights. */
+    static const double golden = 0.6180339887498949;
+    double turn = (double)(guint)g_atomic_int_add(&online->split_turn, 1) * golden;
+    double total = 0;
+    for (guint index = 0; index < route->shares->len; index++)
+        total += g_array_index(route->shares, hs_route_share, index).weight;
+    double point = (turn - (double)(uint64_t)turn) * total;
+    const hs_route_share *share = &g_array_index(route->shares, hs_route_share, 0);
+    for (guint index = 0; index < route->shares->len; index++) {
+        share = &g_array_index(route->shares, hs_route_share, index);
+        if (point < share->weight)
+            break;
+        point -= share->weight;
+    }
+    return share->service;
+}
--- a/src/placement/controller.c
+++ b/src/placement/controller.c
@@ -7,7 +7,7 @@
 #include "config/config_object.h"
 #include "engine/engine_client.h"
 #include "placement/plan.h"
-#include "platform/weight_store.h"
+#include "store/weight_store.h"
 
 #include <string.h>
 
--- a/src/platform/appender.c
+++ b/src/store/appender.c
@@ -1,5 +1,5 @@
 /** @file appender.c  Group commit; see appender.h. */
-#include "platform/appender.h"
+#include "store/appender.h"
 
 #include "base/clock.h"
 #include "base/log.h"
--- a/src/platform/appender.h
+++ b/src/store/appender.h
@@ -9,7 +9,7 @@
 #ifndef HS_PLATFORM_APPENDER_H
 #define HS_PLATFORM_APPENDER_H
 
-#include "platform/log_client.h"
+#include "store/log_client.h"
 
 typedef struct hs_appender hs_appender;
 
--- a/src/platform/log_client.c
+++ b/src/store/log_client.c
@@ -1,5 +1,5 @@
 /** @file log_client.c  The log's wire form; see log_client.h. */
-#include "platform/log_client.h"
+#include "store/log_client.h"
 
 #include "base/http_exchange.h"
 
--- a/src/platform/machine_list.c
+++ b/src/store/machine_list.c
@@ -1,5 +1,5 @@
 /** @file machine_list.c  Reading the machine list; see machine_list.h. */
-#include "platform/machine_list.h"
+#include "store/machine_list.h"
 
 #include "base/http_exchange.h"
 
--- /dev/null
+++ b/src/store/store_client.c
@@ -0,0 +1,196 @@
+/** @file store_client.c  Exchanges with the log store; see store_client.h. */
+#include "store/store_client.h"
+
+#include "base/clock.h"
+#include "http/client_connection.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define IDLE_CONNECTIONS_MAX 6
+#define CONNECT_LIMIT_MS 800
+#define ANSWER_LIMIT_BYTES (32U * 1024 * 1024)
+
+struct hs_store_client {
+    uint32_t address;
+    uint16_t port;
+    char host[32];
+    GMutex lock;
+    GQueue idle; /**< of hs_client_connection*; the latest used last. */
+    hs_store_counters counters;
+    gint abandoned;
+};
+
+hs_store_client *hs_store_client_new(uint32_t address, uint16_t port) {
+    hs_store_client *client = g_new0(hs_store_client, 1);
+    client->address = address;
+    client->port = port;
+    struct in_addr number = {.s_addr = htonl(address)};
+    g_snprintf(client->host, sizeof client->host, "%s:%u", inet_ntoa(number), port);
+    g_mutex_init(&client->lock);
+    g_queue_init(&client->idle);
+    return client;
+}
+
+static void close_connection(gpointer data) {
+    hs_client_connection_close(data);
+}
+
+void hs_store_client_free(hs_store_client *client) {
+    if (client == NULL)
+        return;
+    g_queue_clear_full(&client->idle, close_connection);
+    g_mutex_clear(&client->lock);
+    g_free(client);
+}
+
+static hs_client_connection *take_idle(hs_store_client *client) {
+    hs_client_connection *connection = NULL;
+    g_mutex_lock(&client->lock);
+    while (connection == NULL && !g_queue_is_empty(&client->idle)) {
+        connection = g_queue_pop_tail(&client->idle);
+        if (!hs_client_connection_is_quiet(connection)) {
+            hs_client_connection_close(connection);
+            connection = NULL;
+        }
+    }
+    g_mutex_unlock(&client->lock);
+    return connection;
+}
+
+static void give_back(hs_store_client *client, hs_client_connection *connection) {
+    g_mutex_lock(&client->lock);
+    bool keeps = hs_client_connection_is_reusable(connection) &&
+                 g_queue_get_length(&client->idle) < IDLE_CONNECTIONS_MAX;
+    if (keeps)
+        g_queue_push_tail(&client->idle, connection);
+    g_mutex_unlock(&client->lock);
+    if (!keeps)
+        hs_client_connection_close(connection);
+}
+
+static hs_store_outcome outcome_of(uint32_t status) {
+    switch (status) {
+    case 200:
+        return HS_STORE_DONE;
+    case 409:
+    case 412:
+        return HS_STORE_CONFLICT;
+    case 410:
+        return HS_STORE_GONE;
+    case 429:
+    case 503:
+        return HS_STORE_REFUSED;
+    case 507:
+        return HS_STORE_FULL;
+    default:
+        return status >= 400 && status < 500 ? HS_STORE_INVALID : HS_STORE_UNKNOWN;
+    }
+}
+
+static GString *write_head(const hs_store_client *client, const hs_store_call *call) {
+    GString *head = g_string_new(NULL);
+    g_string_append_printf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method, call->target,
+                           client->host);
+    if (call->body != NULL) {
+        bool is_json = call->body->len > 0 && call->body->data[0] == '{';
+        g_string_append_printf(head, "Content-Type: %s\r\nContent-Length: %u\r\n",
+                               is_json ? "application/json" : "application/octet-stream",
+                               call->body->len);
+    }
+    g_string_append(head, "\r\n");
+    return head;
+}
+
+/** One try on @p connection, which is closed or given back. */
+static hs_store_outcome exchange(hs_store_client *client, hs_client_connection *connection,
+                                 const hs_store_call *call, const hs_wait *wait,
+                                 GByteArray *answer) {
+    GString *head = write_head(client, call);
+    const void *body = call->body != NULL ? call->body->data : NULL;
+    size_t body_length = call->body != NULL ? call->body->len : 0;
+    hs_step step =
+        hs_client_connection_send(connection, head, body, body_length, false, wait);
+    size_t sent = head->len + body_length;
+    g_string_free(head, TRUE);
+    if (step == HS_STEP_PROGRESS)
+        step = hs_client_connection_read_head(connection, wait);
+    if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
+        step = hs_client_connection_read_all(connection, ANSWER_LIMIT_BYTES, wait);
+    hs_store_outcome outcome = HS_STORE_UNKNOWN;
+    if (step == HS_STEP_COMPLETE) {
+        const GByteArray *received = hs_client_connection_body(connection);
+        outcome = outcome_of(hs_client_connection_status(connection));
+        g_byte_array_append(answer, received->data, received->len);
+    } else if (!hs_client_connection_sent_any(connection)) {
+        outcome = HS_STORE_REFUSED;
+    }
+    g_mutex_lock(&client->lock);
+    client->counters.calls++;
+    client->counters.bytes_sent += sent;
+    client->counters.bytes_received += answer->len;
+    g_mutex_unlock(&client->lock);
+    if (step == HS_STEP_COMPLETE)
+        give_back(client, connection);
+    else
+        hs_client_connection_close(connection);
+    return outcome;
+}
+
+static hs_client_connection *connect_store(hs_store_client *client, const hs_wait *wait) {
+    hs_wait connecting = *wait;
+    connecting.deadline = MIN(wait->deadline, hs_clock_monotonic_ms() + CONNECT_LIMIT_MS);
+    hs_step step = HS_STEP_CUT;
+    return hs_client_connection_open(client->address, client->port, &connecting, &step);
+}
+
+hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
+                                      hs_deadline deadline, gint *abandoned, GByteArray *answer) {
+    hs_wait wait = {.deadline = deadline,
+                    .watched = HS_WATCH_NOTHING,
+                    .abandoned = abandoned != NULL ? abandoned : &client->abandoned};
+    bool is_read = strcmp(call->method, "GET") == 0;
+    g_byte_array_set_size(answer, 0);
+    hs_client_connection *connection = take_idle(client);
+    bool was_kept = connection != NULL;
+    if (connection == NULL)
+        connection = connect_store(client, &wait);
+    hs_store_outcome outcome = HS_STORE_REFUSED;
+    if (connection != NULL)
+        outcome = exchange(client, connection, call, &wait, answer);
+    bool in_time = hs_clock_monotonic_ms() < deadline;
+    if (was_kept && in_time &&
+        (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN) && answer->len == 0 &&
+        (is_read || outcome == HS_STORE_REFUSED)) {
+        connection = connect_store(client, &wait); /* The kept connection may just have ended. */
+        if (connection != NULL)
+            outcome = exchange(client, connection, call, &wait, answer);
+    }
+    g_mutex_lock(&client->lock);
+    client->counters.refused += outcome == HS_STORE_REFUSED;
+    client->counters.unknown += outcome == HS_STORE_UNKNOWN;
+    g_mutex_unlock(&client->lock);
+    hs_store_call_clear(call);
+    return outcome;
+}
+
+void hs_store_client_abandon(hs_store_client *client) {
+    g_atomic_int_set(&client->abandoned, 1);
+}
+
+hs_store_counters hs_store_client_counters(hs_store_client *client) {
+    g_mutex_lock(&client->lock);
+    hs_store_counters counters = client->counters;
+    g_mutex_unlock(&client->lock);
+    return counters;
+}
+
+const char *hs_store_outcome_name(hs_store_outcome outcome) {
+    static const char *const names[] = {
+        [HS_STORE_DONE] = "done",         [HS_STORE_REFUSED] = "refused",
+        [HS_STORE_FULL] = "full",         [HS_STORE_CONFLICT] = "conflict",
+        [HS_STORE_GONE] = "gone",         [HS_STORE_INVALID] = "invalid",
+        [HS_STORE_UNKNOWN] = "unknown",
+    };
+    return names[outcome];
+}
--- a/src/platform/weight_store.c
+++ b/src/store/weight_store.c
@@ -1,5 +1,5 @@
 /** @file weight_store.c  See weight_store.h. */
-#include "platform/weight_store.h"
+#include "store/weight_store.h"
 
 #include "base/http_exchange.h"
 
--- /dev/null
+++ b/src/surface/fleet_metrics.c
@@ -0,0 +1,61 @@
+/**
+ * @file fleet_metrics.c  See fleet_metrics.h. No Prometheus client for C is packaged; the text
+ * form is a few lines.
+ */
+#include "surface/fleet_metrics.h"
+
+#include "base/clock.h"
+
+static void write_online(GString *text, hs_online *online) {
+    hs_online_counters *counters = &online->counters;
+    g_mutex_lock(&counters->lock);
+    for (int reason = 0; reason < HS_END_REASON_COUNT; reason++)
+        g_string_append_printf(text, "heathsail_requests_ended{reason=\"%s\"} %" G_GUINT64_FORMAT
+                                     "\n",
+                               hs_end_reason_name(reason), (guint64)counters->ended[reason]);
+    uint64_t total = 0;
+    for (guint bucket = 0; bucket < G_N_ELEMENTS(counters->first_byte_buckets); bucket++) {
+        total += counters->first_byte_buckets[bucket];
+        g_string_append_printf(text,
+                               "heathsail_first_byte_ms_bucket{le=\"%u\"} %" G_GUINT64_FORMAT
+                               "\n",
+                               1U << bucket, (guint64)total);
+    }
+    g_string_append_printf(text, "heathsail_streams_resumed %" G_GUINT64_FORMAT "\n",
+                           (guint64)counters->resumed);
+    g_mutex_unlock(&counters->lock);
+}
+
+static void write_config(GString *text, hs_config_source *source) {
+    hs_fleet_config *config = hs_config_source_get(source);
+    uint64_t heard_ms = hs_config_source_heard_ms(source);
+    uint64_t age_ms = heard_ms > 0 ? hs_clock_monotonic_ms() - heard_ms : 0;
+    g_string_append_printf(text,
+                           "heathsail_config_version %" G_GUINT64_FORMAT
+                           "\nheathsail_config_heard_age_ms %" G_GUINT64_FORMAT "\n",
+                           config != NULL ? (guint64)config->version : 0, (guint64)age_ms);
+    hs_fleet_config_unref(config);
+}
+
+char *hs_fleet_metrics_write(hs_online *online, hs_store_client *store,
+                             hs_daemon_directory *members, uint32_t open_requests) {
+    GString *text = g_string_new(NULL);
+    write_online(text, online);
+    write_config(text, online->config);
+    hs_store_counters calls = hs_store_client_counters(store);
+    g_string_append_printf(text,
+                           "heathsail_open_requests %u\nheathsail_members_live %u\n"
+                           "heathsail_store_calls %" G_GUINT64_FORMAT
+                           "\nheathsail_store_refused %" G_GUINT64_FORMAT
+                           "\nheathsail_store_unknown %" G_GUINT64_FORMAT
+                           "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
+                           "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
+                           "\nheathsail_engine_connects %" G_GUINT64_FORMAT "\n",
+                           open_requests, hs_daemon_directory_live_count(members),
+                           (guint64)calls.calls, (guint64)calls.refused, (guint64)calls.unknown,
+                           (guint64)calls.bytes_sent, (guint64)calls.bytes_received,
+                           (guint64)hs_fleet_engines_connects(online->engines));
+    g_autofree char *engines = hs_fleet_engines_describe(online->engines);
+    g_string_append(text, engines);
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/src/surface/fleet_surface.c
@@ -0,0 +1,176 @@
+/** @file fleet_surface.c  Listeners and the sorting of calls; see fleet_surface.h. */
+#include "surface/fleet_surface.h"
+
+#include "base/clock.h"
+#include "http/http_fields.h"
+#include "surface/fleet_metrics.h"
+
+#include <string.h>
+
+#define BODY_LIMIT_BYTES (64U * 1024 * 1024)
+#define SMALL_BODY_BYTES 65536
+#define RETRY_AFTER_MS 200
+#define IDLE_SLACK_S 5
+
+struct hs_fleet_surface {
+    hs_fleet_surface_settings settings;
+    gint leaving;
+    hs_listener *front;
+    hs_listener *ready;
+    hs_listener *directory;
+    hs_listener *metrics;
+};
+
+static void reply_status(hs_inbound *inbound, uint32_t status) {
+    hs_inbound_reply(inbound, status, NULL, "", 0);
+}
+
+/** Apply the operator's limits to connections from now on. */
+static void apply_limits(hs_fleet_surface *surface, const hs_fleet_config *config) {
+    uint32_t idle_s = (uint32_t)(config->limits.idle_timeout_ms / 1000) + IDLE_SLACK_S;
+    hs_listener_set_idle_timeout(surface->front, idle_s);
+}
+
+static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
+                         const hs_caller_terms *terms, hs_fleet_config *config) {
+    hs_online *online = surface->settings.online;
+    const hs_fleet_route *route =
+        hs_fleet_config_find_route(config, terms->host, inbound->target);
+    if (route == NULL) {
+        hs_online_refuse(online, inbound, HS_END_NO_ROUTE, 0);
+    } else if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
+        hs_online_refuse(online, inbound, HS_END_TOO_LARGE, 0);
+    } else if (route->kind == HS_ROUTE_BATCH) {
+        hs_job_service_submit(surface->settings.jobs, inbound, terms, route);
+    } else {
+        hs_online_serve(online, inbound, terms, hs_fleet_config_ref(config), route);
+    }
+}
+
+static void serve_front(hs_inbound *inbound, void *user_data) {
+    hs_fleet_surface *surface = user_data;
+    hs_caller_terms terms;
+    hs_platform_read_terms(inbound->fields, &terms);
+    g_autofree char *job_id = NULL;
+    hs_call_kind kind = hs_platform_sort_call(inbound->method, inbound->target, &job_id);
+    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
+    if (config == NULL) {
+        hs_online_refuse(surface->settings.online, inbound, HS_END_NO_CONFIG, RETRY_AFTER_MS);
+        return;
+    }
+    apply_limits(surface, config);
+    switch (kind) {
+    case HS_CALL_REQUEST:
+        serve_routed(surface, inbound, &terms, config);
+        break;
+    case HS_CALL_JOB_READ:
+        hs_job_service_read(surface->settings.jobs, inbound, &terms, job_id);
+        break;
+    case HS_CALL_JOB_END:
+        hs_job_service_end(surface->settings.jobs, inbound, &terms, job_id);
+        break;
+    case HS_CALL_ITEM_READ:
+        hs_job_service_read_item(surface->settings.jobs, inbound, &terms, job_id);
+        break;
+    }
+    hs_fleet_config_unref(config);
+}
+
+static bool is_ready(hs_fleet_surface *surface) {
+    if (g_atomic_int_get(&surface->leaving) != 0)
+        return false;
+    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
+    bool known = config != NULL;
+    hs_fleet_config_unref(config);
+    return known;
+}
+
+static void serve_ready(hs_inbound *inbound, void *user_data) {
+    if (hs_platform_is_ready(inbound->target))
+        reply_status(inbound, is_ready(user_data) ? 200 : 503);
+    else
+        reply_status(inbound, 404);
+}
+
+static void serve_directory(hs_inbound *inbound, void *user_data) {
+    hs_fleet_surface *surface = user_data;
+    g_autofree char *zone = NULL;
+    if (!hs_platform_is_resolve(inbound->target, &zone)) {
+        reply_status(inbound, 404);
+        return;
+    }
+    hs_daemon_directory *members = surface->settings.members;
+    g_auto(GStrv) addresses = hs_daemon_directory_resolve(members, zone);
+    if (addresses == NULL) {
+        reply_status(inbound, 503);
+        return;
+    }
+    g_autofree char *body = hs_platform_write_resolve((const char *const *)addresses,
+                                                      hs_daemon_directory_ttl_s(members));
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, "Content-Type", "application/json");
+    hs_inbound_reply(inbound, 200, fields, body, strlen(body));
+    hs_http_fields_free(fields);
+}
+
+static void serve_metrics(hs_inbound *inbound, void *user_data) {
+    hs_fleet_surface *surface = user_data;
+    g_autofree char *text = hs_fleet_metrics_write(
+        surface->settings.online, surface->settings.store, surface->settings.members,
+        hs_fleet_surface_open_requests(surface));
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, "Content-Type", "text/plain; version=0.0.4");
+    hs_inbound_reply(inbound, 200, fields, text, strlen(text));
+    hs_http_fields_free(fields);
+}
+
+/** Open a listener at "IPv4:port"; an empty address opens none. False with @p error. */
+static bool open_listener(hs_listener **listener, const char *address, size_t max_body,
+                          hs_inbound_handler handler, hs_fleet_surface *surface,
+                          hs_error *error) {
+    if (*address == '\0')
+        return true;
+    g_auto(GStrv) parts = g_strsplit(address, ":", 2);
+    uint16_t port = parts[1] != NULL ? (uint16_t)g_ascii_strtoull(parts[1], NULL, 10) : 0;
+    *listener = hs_listener_start(parts[0], port, max_body, handler, surface, error);
+    return *listener != NULL;
+}
+
+hs_fleet_surface *hs_fleet_surface_start(const hs_fleet_surface_settings *settings,
+                                         hs_error *error) {
+    hs_fleet_surface *surface = g_new0(hs_fleet_surface, 1);
+    surface->settings = *settings;
+    bool opened =
+        open_listener(&surface->front, settings->front, BODY_LIMIT_BYTES, serve_front, surface,
+                      error) &&
+        open_listener(&surface->ready, settings->ready, SMALL_BODY_BYTES, serve_ready, surface,
+                      error) &&
+        open_listener(&surface->directory, settings->directory, SMALL_BODY_BYTES,
+                      serve_directory, surface, error) &&
+        open_listener(&surface->metrics, settings->metrics, SMALL_BODY_BYTES, serve_metrics,
+                      surface, error);
+    if (opened)
+        return surface;
+    hs_fleet_surface_stop(surface);
+    return NULL;
+}
+
+void hs_fleet_surface_leave(hs_fleet_surface *surface) {
+    g_atomic_int_set(&surface->leaving, 1);
+    if (surface->front != NULL)
+        hs_listener_close_after_answers(surface->front);
+}
+
+uint32_t hs_fleet_surface_open_requests(hs_fleet_surface *surface) {
+    return surface->front != NULL ? hs_listener_open_requests(surface->front) : 0;
+}
+
+void hs_fleet_surface_stop(hs_fleet_surface *surface) {
+    if (surface == NULL)
+        return;
+    hs_listener_stop(surface->front);
+    hs_listener_stop(surface->ready);
+    hs_listener_stop(surface->directory);
+    hs_listener_stop(surface->metrics);
+    g_free(surface);
+}
--- a/tests/check_layers.sh
+++ b/tests/check_layers.sh
@@ -3,7 +3,7 @@
 # Prints each breach; fails when there is one.
 set -eu
 cd "$(dirname "$0")/.."
-layers="base http platform engine config peer membership routing batch scheduling placement node commands queries daemon"
+layers="base http store engine config peer membership routing batch scheduling placement node commands queries daemon"
 rank() {
     position=0
     for layer in $layers; do
--- a/tools/hollow/hollow.h
+++ b/tools/hollow/hollow.h
@@ -14,7 +14,7 @@
 #include "config/config_store.h"
 #include "heathsail/settings.h"
 #include "membership/membership_service.h"
-#include "platform/appender.h"
+#include "store/appender.h"
 #include "routing/engine_table.h"
 #include "scheduling/scheduler.h"
 
