A read for new bytes waits for new bytes

Cause: hs_client_connection_read_body returned at once while the caller had left a partial event in the buffer, so that each stream spun between events. Change: news is counted in bytes received since the last return.

--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -36,6 +36,8 @@
     size_t sent_bytes;
     uint32_t use_count;
     GByteArray *body;
+    uint64_t body_received; /**< Bytes of body so far. */
+    uint64_t body_reported; /**< As of the last return of read_body. */
 };
 
 static void flush_field(hs_client_connection *connection) {
@@ -75,6 +77,7 @@
 static int on_body(http_parser *parser, const char *at, size_t length) {
     hs_client_connection *connection = parser->data;
     g_byte_array_append(connection->body, (const guint8 *)at, (guint)length);
+    connection->body_received += length;
     return 0;
 }
 
@@ -104,6 +107,8 @@
     g_string_truncate(connection->field_name, 0);
     g_string_truncate(connection->field_value, 0);
     g_byte_array_set_size(connection->body, 0);
+    connection->body_received = 0;
+    connection->body_reported = 0;
     connection->in_value = false;
     connection->head_complete = false;
     connection->message_complete = false;
@@ -299,15 +304,21 @@
     return connection->message_complete ? HS_STEP_COMPLETE : step;
 }
 
+/** Whether body bytes came since read_body last returned; the caller may have left older ones. */
+static bool has_news(const hs_client_connection *connection) {
+    return connection->body_received > connection->body_reported;
+}
+
 hs_step hs_client_connection_read_body(hs_client_connection *connection, const hs_wait *wait) {
-    while (connection->body->len == 0 && !connection->message_complete) {
-        if (connection->failed)
-            return HS_STEP_CUT;
-        hs_step step = fill(connection, wait);
-        if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
-            return connection->body->len > 0 ? HS_STEP_PROGRESS : step;
-    }
-    return connection->message_complete ? HS_STEP_COMPLETE : HS_STEP_PROGRESS;
+    hs_step step = HS_STEP_PROGRESS;
+    while (!has_news(connection) && !connection->message_complete && step == HS_STEP_PROGRESS)
+        step = connection->failed ? HS_STEP_CUT : fill(connection, wait);
+    if (connection->message_complete)
+        step = HS_STEP_COMPLETE;
+    else if (has_news(connection))
+        step = HS_STEP_PROGRESS;
+    connection->body_reported = connection->body_received;
+    return step;
 }
 
 hs_step hs_client_connection_read_all(hs_client_connection *connection, size_t limit,
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -61,7 +61,7 @@
 /** Read until the head of the answer is known: HS_STEP_PROGRESS or HS_STEP_COMPLETE. */
 hs_step hs_client_connection_read_head(hs_client_connection *connection, const hs_wait *wait);
 
-/** Read until body bytes are there (see body) or the answer ended. */
+/** Read until more body bytes are there (see body) than at its last return, or the answer ended. */
 hs_step hs_client_connection_read_body(hs_client_connection *connection, const hs_wait *wait);
 
 /** Read the rest of the answer, at most @p limit bytes of body. */
