--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "daemon/settings.h"
 #include "fleet/engine_source.h"
 #include "jobs/job_owner.h"
 #include "surface/fleet_surface.h"
@@ -23,7 +24,8 @@
 #define ANSWER_HELD_FACTOR 3
 
 struct hs_fleet_daemon {
-    const hs_settings *settings;
+    const hs_settings *settings; /**< Those of the start. */
+    hs_settings *reloaded;       /**< NULL: never reloaded. Owned. */
     hs_store_client *store;
     hs_config_source *config;
     hs_fleet_engines *engines;
@@ -60,20 +62,23 @@
     return hs_daemon_directory_live_count(daemon->directory);
 }
 
+static uint32_t resolve_ttl_s(const hs_settings *settings) {
+    return (uint32_t)fmin(RESOLVE_TTL_S, settings->fleet_resolve_ttl_most_s);
+}
+
 static bool make_directory(hs_fleet_daemon *daemon, hs_error *error) {
     const hs_settings *settings = daemon->settings;
     endpoint control = endpoint_of(settings->fleet_control);
-    hs_daemon_directory_settings directory = {
-        .id = settings->daemon_id,
-        .zone = settings->zone,
-        .address = settings->address,
-        .front_port = endpoint_of(settings->fleet_front).port,
-        .peer_port = control.port,
-        .seeds = settings->fleet_seeds,
-        .probe_interval_ms = PROBE_INTERVAL_MS,
-        .resolve_ttl_s = (uint32_t)fmin(RESOLVE_TTL_S, settings->fleet_resolve_ttl_most_s),
-        .store = daemon->store,
-        .engines = daemon->engines};
+    hs_daemon_directory_settings directory = {.id = settings->daemon_id,
+                                              .zone = settings->zone,
+                                              .address = settings->address,
+                                              .front_port = endpoint_of(settings->fleet_front).port,
+                                              .peer_port = control.port,
+                                              .seeds = settings->fleet_seeds,
+                                              .probe_interval_ms = PROBE_INTERVAL_MS,
+                                              .resolve_ttl_s = resolve_ttl_s(settings),
+                                              .store = daemon->store,
+                                              .engines = daemon->engines};
     daemon->directory = hs_daemon_directory_new(&directory, error);
     return daemon->directory != NULL;
 }
@@ -86,16 +91,16 @@
                                    .call_bytes = (uint32_t)settings->fleet_call_bytes,
                                    .status_ms = (uint64_t)(settings->fleet_status_s * MS_PER_S)};
     daemon->jobs = hs_job_service_new(&store);
-    hs_job_owner_settings owner = {
-        .member = settings->daemon_id,
-        .part_count = store.part_count,
-        .group_ttl_ms = (uint32_t)settings->fleet_group_ttl_least_ms * GROUP_TTL_FACTOR,
-        .store = daemon->store,
-        .jobs = daemon->jobs,
-        .config = daemon->config,
-        .engines = daemon->engines,
-        .live_daemons = live_daemons,
-        .user_data = daemon};
+    hs_job_owner_settings owner = {.member = settings->daemon_id,
+                                   .part_count = store.part_count,
+                                   .group_ttl_ms = (uint32_t)settings->fleet_group_ttl_least_ms *
+                                                   GROUP_TTL_FACTOR,
+                                   .store = daemon->store,
+                                   .jobs = daemon->jobs,
+                                   .config = daemon->config,
+                                   .engines = daemon->engines,
+                                   .live_daemons = live_daemons,
+                                   .user_data = daemon};
     daemon->owner = hs_job_owner_new(&owner);
 }
 
@@ -124,6 +129,7 @@
     hs_job_service_free(daemon->jobs);
     hs_fleet_engines_free(daemon->engines);
     hs_store_client_free(daemon->store);
+    hs_settings_free(daemon->reloaded);
     g_free(daemon);
 }
 
@@ -132,11 +138,10 @@
     daemon->settings = settings;
     endpoint store = endpoint_of(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
-    daemon->config =
-        hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
+    daemon->config = hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
     daemon->engines = hs_fleet_engines_new(settings->zone);
-    daemon->engine_source = hs_engine_source_new(daemon->store, daemon->engines,
-                                                 (uint32_t)settings->fleet_drain_ms);
+    daemon->engine_source =
+        hs_engine_source_new(daemon->store, daemon->engines, (uint32_t)settings->fleet_drain_ms);
     if (!make_directory(daemon, error)) {
         free_daemon(daemon);
         return NULL;
@@ -156,17 +161,39 @@
     return daemon;
 }
 
+static const hs_settings *current(const hs_fleet_daemon *daemon) {
+    return daemon->reloaded != NULL ? daemon->reloaded : daemon->settings;
+}
+
+/** Whether a listener or the store moved, which takes a restart. */
+static bool needs_restart(const hs_settings *before, const hs_settings *now) {
+    return strcmp(before->fleet_front, now->fleet_front) != 0 ||
+           strcmp(before->fleet_control, now->fleet_control) != 0 ||
+           strcmp(before->fleet_store, now->fleet_store) != 0 ||
+           strcmp(before->daemon_id, now->daemon_id) != 0 ||
+           before->fleet_parts != now->fleet_parts;
+}
+
+void hs_fleet_daemon_reload(hs_fleet_daemon *daemon, hs_settings *settings, const char *cause) {
+    hs_log_info("settings_reloaded", "cause=%s seeds=%s grace_s=%.1f needs_restart=%d", cause,
+                settings->fleet_seeds, settings->fleet_grace_s,
+                needs_restart(daemon->settings, settings));
+    hs_daemon_directory_update(daemon->directory, settings->fleet_seeds, resolve_ttl_s(settings));
+    hs_settings_free(daemon->reloaded);
+    daemon->reloaded = settings;
+}
+
 /** Whether callers may still hold an answer that names this daemon. */
 static bool may_be_named(const hs_fleet_daemon *daemon, uint64_t stopped_ms) {
-    uint64_t held_ms = (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) *
-                       ANSWER_HELD_FACTOR * (uint64_t)MS_PER_S;
+    uint64_t held_ms = (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) * ANSWER_HELD_FACTOR *
+                       (uint64_t)MS_PER_S;
     return hs_clock_monotonic_ms() < stopped_ms + held_ms;
 }
 
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon) {
     uint64_t stopped_ms = hs_clock_monotonic_ms();
     uint64_t limit_ms =
-        stopped_ms + (uint64_t)(daemon->settings->fleet_grace_s * MS_PER_S * GRACE_SHARE);
+        stopped_ms + (uint64_t)(current(daemon)->fleet_grace_s * MS_PER_S * GRACE_SHARE);
     hs_log_info("daemon_stopping", "open_requests=%u running_items=%u",
                 hs_fleet_surface_open_requests(daemon->surface),
                 hs_job_owner_running(daemon->owner));
--- a/src/daemon/fleet_daemon.h
+++ b/src/daemon/fleet_daemon.h
@@ -13,6 +13,12 @@
 /** Start all duties; NULL with @p error. @p settings is borrowed for the daemon's life. */
 hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error);
 
+/**
+ * Take changed settings: seeds, the resolve time, the grace time. Others need a restart, which the
+ * log says. Takes ownership of @p settings.
+ */
+void hs_fleet_daemon_reload(hs_fleet_daemon *daemon, hs_settings *settings, const char *cause);
+
 /** Leave, finish what is open within the grace time, free. */
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon);
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -9,6 +9,7 @@
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <ulfius.h>
 
 const char *argp_program_version = "heathsaild 0.1.0";
@@ -16,11 +17,13 @@
 #define EXIT_BAD_SETTINGS 2
 /** Names the settings file where the command line names none. */
 #define SETTINGS_VARIABLE "HEATHSAIL_CONFIG"
+/** A file that changed without a signal is noticed within this time. */
+#define SETTINGS_CHECK_S 2
 
 typedef struct {
     hs_settings *settings;
     bool check_only;
-    bool has_file; /**< A settings file was named on the command line. */
+    const char *path; /**< Settings file; NULL: none. */
     hs_error error;
 } command_line;
 
@@ -38,7 +41,7 @@
     command_line *line = state->input;
     switch (key) {
     case 'c':
-        line->has_file = true;
+        line->path = argument;
         if (line->error.code == 0)
             hs_settings_load(line->settings, argument, &line->error);
         return 0;
@@ -70,35 +73,95 @@
         fprintf(stderr, "heathsaild: %s\n", error.message);
         return EXIT_FAILURE;
     }
-    int received = 0;
-    sigwait(stop_signals, &received);
+    int received = SIGHUP; /* The OpenAI surface has nothing to reload. */
+    while (received == SIGHUP)
+        sigwait(stop_signals, &received);
     int result = hs_daemon_stop(daemon);
     return result == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
-static int serve_fleet(const hs_settings *settings, const sigset_t *stop_signals) {
+/** Identity of a settings file's content, to notice a change that no signal told. */
+typedef struct {
+    off_t size;
+    struct timespec changed;
+} file_mark;
+
+static file_mark mark_file(const char *path) {
+    struct stat status;
+    file_mark mark = {0};
+    if (path != NULL && stat(path, &status) == 0) {
+        mark.size = status.st_size;
+        mark.changed = status.st_mtim;
+    }
+    return mark;
+}
+
+static bool same_mark(const file_mark *one, const file_mark *other) {
+    return one->size == other->size && one->changed.tv_sec == other->changed.tv_sec &&
+           one->changed.tv_nsec == other->changed.tv_nsec;
+}
+
+/** Read the settings anew; a broken file is logged and the old ones stay. */
+static void reload(hs_fleet_daemon *daemon, const char *path, const char *cause) {
     hs_error error = {0};
+    hs_settings *settings = hs_settings_new();
+    int result = path != NULL ? hs_settings_load(settings, path, &error) : 0;
+    if (result == 0)
+        result = hs_settings_check(settings, &error);
+    if (path == NULL || result != 0) {
+        hs_log_warning("reload_refused", "cause=%s reason=\"%s\"", cause,
+                       path == NULL ? "no settings file" : error.message);
+        hs_settings_free(settings);
+        return;
+    }
+    hs_log_set_level(log_level_of(settings->log_level));
+    hs_fleet_daemon_reload(daemon, settings, cause);
+}
+
+/** Wait for the signal to stop; reload in between. */
+static void wait_for_stop(hs_fleet_daemon *daemon, const char *path, const sigset_t *signals) {
+    static const struct timespec check_interval = {.tv_sec = SETTINGS_CHECK_S};
+    file_mark seen = mark_file(path);
+    while (true) {
+        int received = sigtimedwait(signals, NULL, &check_interval);
+        if (received == SIGTERM || received == SIGINT)
+            return;
+        file_mark now = mark_file(path);
+        bool changed = !same_mark(&seen, &now);
+        seen = now;
+        if (received == SIGHUP)
+            reload(daemon, path, "signal");
+        else if (changed)
+            reload(daemon, path, "file");
+    }
+}
+
+static int serve_fleet(const hs_settings *settings, const char *path, const sigset_t *signals) {
+    hs_error error = {0};
+    hs_log_start_writer();
     hs_fleet_daemon *daemon = hs_fleet_daemon_start(settings, &error);
     if (daemon == NULL) {
         fprintf(stderr, "heathsaild: %s\n", error.message);
+        hs_log_flush();
         return EXIT_FAILURE;
     }
-    int received = 0;
-    sigwait(stop_signals, &received);
+    wait_for_stop(daemon, path, signals);
     hs_fleet_daemon_stop(daemon);
+    hs_log_flush();
     return EXIT_SUCCESS;
 }
 
-static int serve(const hs_settings *settings) {
+static int serve(const hs_settings *settings, const char *path) {
     sigset_t stop_signals;
     sigemptyset(&stop_signals);
     sigaddset(&stop_signals, SIGINT);
     sigaddset(&stop_signals, SIGTERM);
+    sigaddset(&stop_signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
     signal(SIGPIPE, SIG_IGN);
     hs_log_open(settings->daemon_id, log_level_of(settings->log_level));
     ulfius_global_init();
-    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(settings, &stop_signals)
+    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(settings, path, &stop_signals)
                                                    : serve_openai(settings, &stop_signals);
 }
 
@@ -110,9 +173,11 @@
         NULL,        NULL,
         NULL};
     argp_parse(&parser, argument_count, arguments, 0, NULL, &line);
-    const char *named = getenv(SETTINGS_VARIABLE);
-    if (line.error.code == 0 && !line.has_file && named != NULL)
-        hs_settings_load(line.settings, named, &line.error);
+    if (line.path == NULL && line.error.code == 0) {
+        line.path = getenv(SETTINGS_VARIABLE);
+        if (line.path != NULL)
+            hs_settings_load(line.settings, line.path, &line.error);
+    }
     if (line.error.code == 0)
         hs_settings_check(line.settings, &line.error);
     if (line.error.code != 0) {
@@ -123,7 +188,7 @@
         printf("settings are valid\n");
         return EXIT_SUCCESS;
     }
-    int result = serve(line.settings);
+    int result = serve(line.settings, line.path);
     hs_settings_free(line.settings);
     return result;
 }
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -220,8 +220,8 @@
         return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
                             "%s: key %s.%s: \"%s\" is not a number from %" G_GINT64_FORMAT
                             " to %" G_GINT64_FORMAT " (%s)",
-                            place, entry->group, entry->key, value, entry->minimum,
-                            entry->maximum, entry->unit);
+                            place, entry->group, entry->key, value, entry->minimum, entry->maximum,
+                            entry->unit);
     *decimal_field(settings, entry) = number;
     return 0;
 }
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -13,8 +13,8 @@
 #define SHARES_INTERVAL_MS 240
 #define REGISTRY_INTERVAL_MS 4000
 #define REGISTRY_CALL_MS 1000
-#define SETTLE_MS 1500    /* A daemon that knows only itself may not say so earlier. */
-#define ZONE_LEAST 2      /* Fewer daemons of the asker's zone: others are named too. */
+#define SETTLE_MS 1500 /* A daemon that knows only itself may not say so earlier. */
+#define ZONE_LEAST 2   /* Fewer daemons of the asker's zone: others are named too. */
 #define SUSPECT_PROBES 2
 #define FORGET_MS 30000
 
@@ -22,6 +22,8 @@
     hs_daemon_directory_settings settings;
     hs_peer_socket *socket;
     hs_membership_service *membership;
+    char *seeds; /**< Guarded by the lock. */
+    gint resolve_ttl_s;
     uint64_t started_ms;
     uint64_t next_shares_ms;
     GMutex lock;
@@ -73,6 +75,8 @@
     directory->socket = socket;
     g_mutex_init(&directory->lock);
     g_cond_init(&directory->stop_asked);
+    directory->seeds = g_strdup(settings->seeds);
+    directory->resolve_ttl_s = (gint)settings->resolve_ttl_s;
     hs_member self = {.id = (char *)settings->id,
                       .zone = (char *)settings->zone,
                       .incarnation = hs_clock_wall_ms(),
@@ -114,7 +118,9 @@
 }
 
 static void propose_seeds(hs_daemon_directory *directory) {
-    g_auto(GStrv) seeds = g_strsplit(directory->settings.seeds, ",", -1);
+    g_mutex_lock(&directory->lock);
+    g_auto(GStrv) seeds = g_strsplit(directory->seeds, ",", -1);
+    g_mutex_unlock(&directory->lock);
     for (int index = 0; seeds[index] != NULL; index++) {
         const char *seed = g_strstrip(seeds[index]);
         g_autofree char *name = g_strdup_printf("seed-%s", seed);
@@ -122,17 +128,26 @@
     }
 }
 
+void hs_daemon_directory_update(hs_daemon_directory *directory, const char *seeds,
+                                uint32_t resolve_ttl_s) {
+    g_mutex_lock(&directory->lock);
+    g_free(directory->seeds);
+    directory->seeds = g_strdup(seeds);
+    g_mutex_unlock(&directory->lock);
+    g_atomic_int_set(&directory->resolve_ttl_s, (gint)resolve_ttl_s);
+    propose_seeds(directory);
+}
+
 /** Write this daemon's record, or drop it when it leaves. */
 static bool write_record(hs_daemon_directory *directory, bool leaves) {
-    g_autofree char *value = g_strdup_printf("%s:%u", directory->settings.address,
-                                             directory->settings.peer_port);
+    g_autofree char *value =
+        g_strdup_printf("%s:%u", directory->settings.address, directory->settings.peer_port);
     GByteArray *records = g_byte_array_new();
     hs_platform_frame_keyed(records, directory->settings.id, value, leaves ? 0 : strlen(value));
     hs_store_call call = hs_platform_append(HS_TOPIC_MEMBERS, 0, records);
     GByteArray *answer = g_byte_array_new();
-    hs_store_outcome outcome =
-        hs_store_client_send(directory->settings.store, &call,
-                             hs_clock_monotonic_ms() + REGISTRY_CALL_MS, NULL, answer);
+    hs_store_outcome outcome = hs_store_client_send(
+        directory->settings.store, &call, hs_clock_monotonic_ms() + REGISTRY_CALL_MS, NULL, answer);
     g_byte_array_free(records, TRUE);
     g_byte_array_free(answer, TRUE);
     return outcome == HS_STORE_DONE;
@@ -152,8 +167,7 @@
                     hs_platform_read_newest(answer, entries, &has_more, &end);
         for (guint index = 0; read && index < entries->len; index++) {
             const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
-            g_autofree char *address =
-                g_strndup((const char *)entry->value, entry->value_length);
+            g_autofree char *address = g_strndup((const char *)entry->value, entry->value_length);
             propose(directory, entry->key, address);
             g_free(after);
             after = g_strdup(entry->key);
@@ -275,6 +289,7 @@
     }
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
+    g_free(directory->seeds);
     g_cond_clear(&directory->stop_asked);
     g_mutex_clear(&directory->lock);
     g_free(directory);
@@ -283,8 +298,7 @@
 static void add_address(GPtrArray *addresses, const hs_member *member) {
     struct in_addr number = {.s_addr = htonl(member->address)};
     if (addresses->len < HS_RESOLVE_ADDRESSES_MAX)
-        g_ptr_array_add(addresses,
-                        g_strdup_printf("%s:%u", inet_ntoa(number), member->admin_port));
+        g_ptr_array_add(addresses, g_strdup_printf("%s:%u", inet_ntoa(number), member->admin_port));
 }
 
 /** Live members of @p zone, or of all others where @p inside is false. */
@@ -328,5 +342,5 @@
 }
 
 uint32_t hs_daemon_directory_ttl_s(const hs_daemon_directory *directory) {
-    return directory->settings.resolve_ttl_s;
+    return (uint32_t)g_atomic_int_get(&directory->resolve_ttl_s);
 }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -18,10 +18,10 @@
 typedef struct {
     const char *id;
     const char *zone;
-    const char *address;  /**< IPv4 number of all listeners. */
+    const char *address; /**< IPv4 number of all listeners. */
     uint16_t front_port;
-    uint16_t peer_port;   /**< UDP. */
-    const char *seeds;    /**< "IPv4:port,..." */
+    uint16_t peer_port; /**< UDP. */
+    const char *seeds;  /**< "IPv4:port,..." */
     uint32_t probe_interval_ms;
     uint32_t resolve_ttl_s;
     hs_store_client *store;
@@ -32,6 +32,10 @@
 hs_daemon_directory *hs_daemon_directory_new(const hs_daemon_directory_settings *settings,
                                              hs_error *error);
 
+/** Take changed seeds and time of answers. */
+void hs_daemon_directory_update(hs_daemon_directory *directory, const char *seeds,
+                                uint32_t resolve_ttl_s);
+
 /** Start its threads. */
 void hs_daemon_directory_start(hs_daemon_directory *directory);
 
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -33,8 +33,7 @@
 
 hs_fleet_config *hs_config_source_get(hs_config_source *source) {
     g_mutex_lock(&source->lock);
-    hs_fleet_config *config =
-        source->config != NULL ? hs_fleet_config_ref(source->config) : NULL;
+    hs_fleet_config *config = source->config != NULL ? hs_fleet_config_ref(source->config) : NULL;
     g_mutex_unlock(&source->lock);
     return config;
 }
@@ -116,14 +115,12 @@
 
 /** Wait for records from @p next on. */
 static hs_store_outcome follow(hs_config_source *source, GByteArray *answer, uint64_t *next) {
-    hs_store_call call =
-        hs_platform_read(HS_TOPIC_CONFIG, 0, *next, READ_MAX_KB, source->poll_ms);
+    hs_store_call call = hs_platform_read(HS_TOPIC_CONFIG, 0, *next, READ_MAX_KB, source->poll_ms);
     hs_deadline deadline = hs_clock_monotonic_ms() + source->poll_ms + ANSWER_SLACK_MS;
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
     size_t position = 0;
     hs_store_record record;
-    while (outcome == HS_STORE_DONE &&
-           hs_platform_next_record(answer, true, &position, &record)) {
+    while (outcome == HS_STORE_DONE && hs_platform_next_record(answer, true, &position, &record)) {
         if (hs_platform_is_config_key(record.key, record.key_length))
             take_value(source, record.value, record.value_length, *next);
         (*next)++;
@@ -137,8 +134,8 @@
     uint64_t next = 0;
     bool positioned = false;
     while (!g_atomic_int_get(&source->stopping)) {
-        hs_store_outcome outcome = positioned ? follow(source, answer, &next)
-                                              : read_newest(source, answer, &next);
+        hs_store_outcome outcome =
+            positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
         note_outcome(source, outcome);
         if (outcome == HS_STORE_DONE)
             positioned = true;
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -22,9 +22,9 @@
     if (request.timeout_ms == 0)
         return HS_STEP_DEADLINE;
     GString *head = hs_platform_write_engine_head(&request);
-    hs_step step = hs_client_connection_send(attempt->connection, head, order->body,
-                                             request.body_length,
-                                             strcmp(request.method, "HEAD") == 0, &order->wait);
+    hs_step step =
+        hs_client_connection_send(attempt->connection, head, order->body, request.body_length,
+                                  strcmp(request.method, "HEAD") == 0, &order->wait);
     g_string_free(head, TRUE);
     return step;
 }
@@ -49,9 +49,8 @@
         if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
             return step;
         attempt->status = hs_client_connection_status(attempt->connection);
-        hs_platform_read_engine_answer(attempt->status,
-                                       hs_client_connection_fields(attempt->connection),
-                                       &attempt->answer);
+        hs_platform_read_engine_answer(
+            attempt->status, hs_client_connection_fields(attempt->connection), &attempt->answer);
         if (is_ours(order, attempt))
             return step;
         step = hs_client_connection_read_all(attempt->connection, STRAY_ANSWER_BYTES, &wait);
@@ -66,8 +65,7 @@
 static hs_run_state run_after(const hs_attempt *attempt, bool has_head) {
     if (has_head)
         return attempt->answer.not_executed ? HS_RUN_DID_NOT : HS_RUN_DID;
-    bool sent = attempt->connection != NULL &&
-                hs_client_connection_sent_any(attempt->connection);
+    bool sent = attempt->connection != NULL && hs_client_connection_sent_any(attempt->connection);
     return sent ? HS_RUN_MAY_HAVE : HS_RUN_DID_NOT;
 }
 
@@ -112,8 +110,7 @@
 }
 
 const char *hs_run_state_name(hs_run_state run) {
-    static const char *const names[] = {[HS_RUN_DID_NOT] = "did_not",
-                                        [HS_RUN_MAY_HAVE] = "may_have",
-                                        [HS_RUN_DID] = "did"};
+    static const char *const names[] = {
+        [HS_RUN_DID_NOT] = "did_not", [HS_RUN_MAY_HAVE] = "may_have", [HS_RUN_DID] = "did"};
     return names[run];
 }
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -13,8 +13,8 @@
 
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed) {
     double slots = candidate->slots > 0 ? candidate->slots : 1;
-    double cost = (candidate->queued_tokens + candidate->uncached_tokens) /
-                  fmax(speed->tokens_per_ms, 1e-3);
+    double cost =
+        (candidate->queued_tokens + candidate->uncached_tokens) / fmax(speed->tokens_per_ms, 1e-3);
     cost += candidate->running / slots * speed->run_ms * BESIDE_SHARE;
     if (candidate->running + 1 > slots)
         cost += (candidate->running + 1 - slots) / slots * speed->run_ms;
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -8,8 +8,8 @@
 #include <math.h>
 
 #define IDLE_PER_ENGINE_MAX 16
-#define IDLE_UNTOLD_MS 4000   /* Kept this long where the engine names no time. */
-#define KEEP_ALIVE_SHARE 0.7  /* Of the engine's own time, so that no close crosses a request. */
+#define IDLE_UNTOLD_MS 4000  /* Kept this long where the engine names no time. */
+#define KEEP_ALIVE_SHARE 0.7 /* Of the engine's own time, so that no close crosses a request. */
 #define SUSPECT_FIRST_MS 400
 #define SUSPECT_MOST_MS 5000
 #define FULL_MS 40
@@ -31,8 +31,7 @@
 static bool is_fresh(const hs_idle_connection *idle, uint64_t now_ms) {
     uint64_t told = hs_client_connection_keep_alive_ms(idle->connection);
     uint64_t limit = told > 0 ? (uint64_t)((double)told * KEEP_ALIVE_SHARE) : IDLE_UNTOLD_MS;
-    return now_ms < idle->idle_since_ms + limit &&
-           hs_client_connection_is_quiet(idle->connection);
+    return now_ms < idle->idle_since_ms + limit && hs_client_connection_is_quiet(idle->connection);
 }
 
 static hs_client_connection *take_idle(hs_engine_lease *lease) {
@@ -150,9 +149,8 @@
 
 static bool keep(hs_engine_lease *lease, hs_client_connection *connection, uint64_t now_ms) {
     hs_fleet_engine *engine = lease->engine;
-    if (connection == NULL || !hs_client_connection_is_reusable(connection) ||
-        !engine->listed || engine->entry.draining ||
-        g_queue_get_length(&engine->idle) >= IDLE_PER_ENGINE_MAX)
+    if (connection == NULL || !hs_client_connection_is_reusable(connection) || !engine->listed ||
+        engine->entry.draining || g_queue_get_length(&engine->idle) >= IDLE_PER_ENGINE_MAX)
         return false;
     hs_idle_connection *idle = g_new(hs_idle_connection, 1);
     *idle = (hs_idle_connection){.connection = connection, .idle_since_ms = now_ms};
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -51,9 +51,8 @@
 }
 
 /** One page of newest entries; @p after: the last key of the page before, replaced. */
-static hs_store_outcome read_page(hs_engine_source *source, GByteArray *answer,
-                                  GHashTable *listed, char **after, bool *has_more,
-                                  uint64_t *end) {
+static hs_store_outcome read_page(hs_engine_source *source, GByteArray *answer, GHashTable *listed,
+                                  char **after, bool *has_more, uint64_t *end) {
     hs_store_call call = hs_platform_newest(HS_TOPIC_ENGINES, *after);
     hs_deadline deadline = hs_clock_monotonic_ms() + ANSWER_LIMIT_MS;
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
@@ -78,8 +77,7 @@
 }
 
 /** Read all entries. The pages are no snapshot: follow from the first page's end. */
-static hs_store_outcome read_newest(hs_engine_source *source, GByteArray *answer,
-                                    uint64_t *next) {
+static hs_store_outcome read_newest(hs_engine_source *source, GByteArray *answer, uint64_t *next) {
     GHashTable *listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_autofree char *after = NULL;
     bool has_more = true;
@@ -104,8 +102,7 @@
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
     size_t position = 0;
     hs_store_record record;
-    while (outcome == HS_STORE_DONE &&
-           hs_platform_next_record(answer, true, &position, &record)) {
+    while (outcome == HS_STORE_DONE && hs_platform_next_record(answer, true, &position, &record)) {
         g_autofree char *id = g_strndup(record.key, record.key_length);
         take_entry(source, id, record.value, record.value_length);
         (*next)++;
@@ -133,8 +130,7 @@
 static bool pause_between(hs_engine_source *source) {
     gint64 until = g_get_monotonic_time() + (gint64)source->interval_ms * G_TIME_SPAN_MILLISECOND;
     g_mutex_lock(&source->lock);
-    while (!source->stopping &&
-           g_cond_wait_until(&source->stop_asked, &source->lock, until))
+    while (!source->stopping && g_cond_wait_until(&source->stop_asked, &source->lock, until))
         continue;
     bool goes_on = !source->stopping;
     g_mutex_unlock(&source->lock);
@@ -147,8 +143,8 @@
     uint64_t next = 0;
     bool positioned = false;
     do {
-        hs_store_outcome outcome = positioned ? follow(source, answer, &next)
-                                              : read_newest(source, answer, &next);
+        hs_store_outcome outcome =
+            positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
         note_outcome(source, outcome);
         if (outcome == HS_STORE_DONE)
             positioned = true;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -18,7 +18,7 @@
     uint64_t queued_tokens;
     uint64_t memory_tokens_used;
     uint32_t silent_limit_ms;
-    uint64_t heard_ms;      /**< Last byte, or when the first request after an idle time went. */
+    uint64_t heard_ms; /**< Last byte, or when the first request after an idle time went. */
     uint64_t suspect_until_ms;
     uint64_t full_until_ms;
     uint32_t failures;
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -1,4 +1,5 @@
-/** @file fleet_engines.c  The table of engines: entries, beliefs, the choice; see fleet_engines.h. */
+/** @file fleet_engines.c  The table of engines: entries, beliefs, the choice; see fleet_engines.h.
+ */
 #include "fleet/fleet_engine.h"
 
 #include "base/clock.h"
@@ -72,9 +73,8 @@
 }
 
 static void log_entry(const char *event, const hs_engine_entry *entry) {
-    hs_log_info(event, "engine=%s service=%s zone=%s state=%s slots=%u", entry->id,
-                entry->service, entry->zone, entry->draining ? "draining" : "ready",
-                entry->slots);
+    hs_log_info(event, "engine=%s service=%s zone=%s state=%s slots=%u", entry->id, entry->service,
+                entry->zone, entry->draining ? "draining" : "ready", entry->slots);
 }
 
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms) {
@@ -184,8 +184,7 @@
             query->size->prompt_tokens > cached ? query->size->prompt_tokens - cached : 0;
     }
     if (query->memory_tokens > 0)
-        candidate.memory_share =
-            (double)engine->memory_tokens_used / (double)query->memory_tokens;
+        candidate.memory_share = (double)engine->memory_tokens_used / (double)query->memory_tokens;
     return candidate;
 }
 
@@ -270,8 +269,7 @@
     g_autoptr(GPtrArray) found = collect(engines, query);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
-        candidates[index] =
-            hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
+        candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
     credit_home(found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
@@ -386,14 +384,14 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        g_string_append_printf(
-            text, "heathsail_engine_in_flight{engine=\"%s\",work=\"online\"} %u\n"
-                  "heathsail_engine_in_flight{engine=\"%s\",work=\"batch\"} %u\n"
-                  "heathsail_engine_believed_running{engine=\"%s\"} %.1f\n"
-                  "heathsail_engine_suspected{engine=\"%s\"} %d\n",
-            engine->entry.id, engine->online, engine->entry.id, engine->batch, engine->entry.id,
-            running_now(engine, now_ms), engine->entry.id,
-            hs_fleet_engine_is_suspected(engine, now_ms));
+        g_string_append_printf(text,
+                               "heathsail_engine_in_flight{engine=\"%s\",work=\"online\"} %u\n"
+                               "heathsail_engine_in_flight{engine=\"%s\",work=\"batch\"} %u\n"
+                               "heathsail_engine_believed_running{engine=\"%s\"} %.1f\n"
+                               "heathsail_engine_suspected{engine=\"%s\"} %d\n",
+                               engine->entry.id, engine->online, engine->entry.id, engine->batch,
+                               engine->entry.id, running_now(engine, now_ms), engine->entry.id,
+                               hs_fleet_engine_is_suspected(engine, now_ms));
     }
     g_mutex_unlock(&engines->lock);
     return g_string_free(text, FALSE);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -99,8 +99,8 @@
 GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines);
 
 /** Another daemon's load, in place of what it told before. */
-void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer,
-                               const GArray *shares, uint64_t now_ms);
+void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
+                               uint64_t now_ms);
 
 /** Close connections that engines have closed or are about to. */
 void hs_fleet_engines_prune(hs_fleet_engines *engines);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -33,7 +33,7 @@
 /** What a step may wait for. */
 typedef struct {
     hs_deadline deadline;
-    int watched; /**< A descriptor whose end interrupts, or HS_WATCH_NOTHING. */
+    int watched;     /**< A descriptor whose end interrupts, or HS_WATCH_NOTHING. */
     gint *abandoned; /**< Set by another thread to interrupt within some 250 ms; may be NULL. */
 } hs_wait;
 
--- a/src/http/http_fields.c
+++ b/src/http/http_fields.c
@@ -3,9 +3,16 @@
 
 #include <string.h>
 
-static const char *const hop_by_hop_names[] = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-    "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"};
+static const char *const hop_by_hop_names[] = {"Connection",
+                                               "Keep-Alive",
+                                               "Proxy-Connection",
+                                               "Proxy-Authenticate",
+                                               "Proxy-Authorization",
+                                               "TE",
+                                               "Trailer",
+                                               "Transfer-Encoding",
+                                               "Upgrade",
+                                               "Expect"};
 
 static void clear_field(gpointer data) {
     hs_http_field *field = data;
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -83,8 +83,8 @@
 }
 
 static enum MHD_Result handle_step(void *data, struct MHD_Connection *connection, const char *url,
-                                   const char *method, const char *version,
-                                   const char *upload_data, size_t *upload_size, void **state) {
+                                   const char *method, const char *version, const char *upload_data,
+                                   size_t *upload_size, void **state) {
     (void)url;
     (void)version;
     (void)connection;
@@ -123,11 +123,9 @@
         end_request, listener, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
         (unsigned int)LISTEN_BACKLOG, MHD_OPTION_CONNECTION_TIMEOUT,
-        (unsigned int)FIRST_IDLE_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_END);
+        (unsigned int)FIRST_IDLE_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (listener->daemon == NULL) {
-        hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on %s:%u", address,
-                     port);
+        hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on %s:%u", address, port);
         g_free(listener);
         return NULL;
     }
@@ -168,8 +166,8 @@
 
 void hs_inbound_reply(hs_inbound *inbound, uint32_t status, const GArray *fields, const void *body,
                       size_t body_length) {
-    struct MHD_Response *response = MHD_create_response_from_buffer(
-        body_length, (void *)body, MHD_RESPMEM_MUST_COPY);
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(body_length, (void *)body, MHD_RESPMEM_MUST_COPY);
     queue(inbound, status, fields, response);
 }
 
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -107,7 +107,8 @@
     }
 }
 
-/** Send and read; an answer other than a stream is read to its end, so that the connection stays. */
+/** Send and read; an answer other than a stream is read to its end, so that the connection stays.
+ */
 static hs_item_try run_once(hs_item_run *run, hs_fleet_engines *engines,
                             const hs_attempt_order *order) {
     hs_attempt attempt;
@@ -137,13 +138,12 @@
                             double reserve_share) {
     hs_store_outcome outcome = HS_STORE_DONE;
     if (run->content == NULL)
-        run->content = hs_job_partition_read_content(
-            partition, run->content_offset, run->content_bytes,
-            hs_clock_monotonic_ms() + CONTENT_LIMIT_MS, &outcome);
+        run->content =
+            hs_job_partition_read_content(partition, run->content_offset, run->content_bytes,
+                                          hs_clock_monotonic_ms() + CONTENT_LIMIT_MS, &outcome);
     if (run->content == NULL)
         return HS_ITEM_TRY_NO_CONTENT;
-    const hs_fleet_route *route =
-        hs_fleet_config_find_route(config, run->host, run->content->path);
+    const hs_fleet_route *route = hs_fleet_config_find_route(config, run->host, run->content->path);
     if (route == NULL)
         return HS_ITEM_TRY_NO_ROUTE;
     GArray *fields = fields_of(run->content);
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -13,11 +13,11 @@
 
 /** How a try ended. */
 typedef enum {
-    HS_ITEM_TRY_DONE,      /**< The whole output is there. */
-    HS_ITEM_TRY_NO_ROOM,   /**< No engine has room now. */
-    HS_ITEM_TRY_REFUSED,   /**< An engine refused; it did not run. */
-    HS_ITEM_TRY_BROKEN,    /**< The run broke; it can go on elsewhere. */
-    HS_ITEM_TRY_FAILED,    /**< The engine answered that it failed. */
+    HS_ITEM_TRY_DONE,       /**< The whole output is there. */
+    HS_ITEM_TRY_NO_ROOM,    /**< No engine has room now. */
+    HS_ITEM_TRY_REFUSED,    /**< An engine refused; it did not run. */
+    HS_ITEM_TRY_BROKEN,     /**< The run broke; it can go on elsewhere. */
+    HS_ITEM_TRY_FAILED,     /**< The engine answered that it failed. */
     HS_ITEM_TRY_IMPOSSIBLE, /**< The engine answered that it can never be done. */
     HS_ITEM_TRY_NO_CONTENT, /**< The content could not be read now. */
     HS_ITEM_TRY_NO_ROUTE,   /**< No route allows it now. */
@@ -34,8 +34,8 @@
     uint32_t content_bytes;
     Hs__JobItemContent *content; /**< NULL until read. */
     hs_event_stream events;
-    GPtrArray *texts; /**< of GString*, one an event. */
-    gint abandoned;   /**< Set to interrupt a try. */
+    GPtrArray *texts;    /**< of GString*, one an event. */
+    gint abandoned;      /**< Set to interrupt a try. */
     uint64_t give_up_ms; /**< Monotonic time after which an engine need not go on. */
     char engine_id[64];  /**< Of the latest try. */
 } hs_item_run;
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -16,7 +16,8 @@
 #define RETRY_MOST_MS 1000
 #define APPEND_LIMIT_MS 1500
 #define WORKERS_MAX 256
-/** Share of slots that stays free for online requests: while there is time, and when it is short. */
+/** Share of slots that stays free for online requests: while there is time, and when it is short.
+ */
 #define RESERVE_CALM 0.30
 #define RESERVE_URGENT 0.05
 #define DEFAULT_MAX_ATTEMPTS 3
@@ -184,9 +185,8 @@
         hs_platform_join(owner->settings.member, owner->settings.group_ttl_ms, owner->generation);
     GByteArray *answer = g_byte_array_new();
     GArray *parts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    hs_store_outcome outcome =
-        hs_store_client_send(owner->settings.store, &call,
-                             hs_clock_monotonic_ms() + JOIN_LIMIT_MS, NULL, answer);
+    hs_store_outcome outcome = hs_store_client_send(
+        owner->settings.store, &call, hs_clock_monotonic_ms() + JOIN_LIMIT_MS, NULL, answer);
     if (outcome == HS_STORE_DONE && hs_platform_read_joined(answer, &owner->generation, parts))
         set_owned(owner, parts);
     g_array_free(parts, TRUE);
@@ -237,8 +237,8 @@
 
 /** List the item; true when nothing more is to be done for it. */
 static bool conclude(const item_order *order, hs_item_outcome outcome) {
-    GString *text = outcome == HS_ITEM_COMPLETED ? hs_item_run_text(order->item->run)
-                                                 : g_string_new(NULL);
+    GString *text =
+        outcome == HS_ITEM_COMPLETED ? hs_item_run_text(order->item->run) : g_string_new(NULL);
     hs_store_outcome stored = store_result(order->home, order->item, outcome, text);
     hs_log_info("item_listed", "job=%s item=%s outcome=%s engine=%s tries=%u stored=%s bytes=%zu",
                 order->item->run->job_id, order->item->run->item_id,
@@ -344,10 +344,9 @@
             .submitted_ms = job->submitted_ms,
             .max_attempts = route != NULL ? route->max_attempts : DEFAULT_MAX_ATTEMPTS,
             .gives_up = over,
-            .service = route != NULL
-                           ? g_intern_string(
-                                 g_array_index(route->shares, hs_route_share, 0).service)
-                           : NULL};
+            .service = route != NULL ? g_intern_string(
+                                           g_array_index(route->shares, hs_route_share, 0).service)
+                                     : NULL};
         if (route != NULL || over)
             g_array_append_val(ready, entry);
     }
@@ -390,8 +389,7 @@
     uint64_t wall_ms = hs_clock_wall_ms();
     if (ready->due_ms <= ready->submitted_ms || wall_ms >= ready->due_ms)
         return RESERVE_URGENT;
-    double left = (double)(ready->due_ms - wall_ms) /
-                  (double)(ready->due_ms - ready->submitted_ms);
+    double left = (double)(ready->due_ms - wall_ms) / (double)(ready->due_ms - ready->submitted_ms);
     return RESERVE_URGENT + (RESERVE_CALM - RESERVE_URGENT) * MIN(left, 1.0);
 }
 
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -20,14 +20,14 @@
     hs_job_store_settings settings;
     uint32_t part;
     GMutex lock;
-    GCond moved;        /**< The fold moved on, or a read ended. */
-    bool reading;       /**< A thread is reading from the log. */
-    bool following;     /**< A thread has a read held at the store. */
+    GCond moved;    /**< The fold moved on, or a read ended. */
+    bool reading;   /**< A thread is reading from the log. */
+    bool following; /**< A thread has a read held at the store. */
     uint64_t reads_begun;
     uint64_t last_good; /**< Number of the latest read that reached the end. */
     uint64_t trimmed_to;
-    uint64_t trim_candidate;    /**< First content needed when it was noted. */
-    uint64_t trim_noted_ms;     /**< 0: none noted. */
+    uint64_t trim_candidate; /**< First content needed when it was noted. */
+    uint64_t trim_noted_ms;  /**< 0: none noted. */
     hs_job_state *state;
 };
 
@@ -242,8 +242,7 @@
         frame(records, &record);
     }
     uint64_t offset = 0;
-    hs_store_outcome done =
-        append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
+    hs_store_outcome done = append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
     g_byte_array_free(records, TRUE);
     return done;
 }
@@ -296,10 +295,9 @@
     *outcome = HS_STORE_DONE;
     while (content->len < bytes && *outcome == HS_STORE_DONE) {
         uint32_t max_kb = (bytes - content->len) / BYTES_PER_KB + 1;
-        hs_store_call call = hs_platform_read(HS_TOPIC_BODIES, partition->part, offset,
-                                              MIN(max_kb, READ_MAX_KB), 0);
-        *outcome =
-            hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+        hs_store_call call =
+            hs_platform_read(HS_TOPIC_BODIES, partition->part, offset, MIN(max_kb, READ_MAX_KB), 0);
+        *outcome = hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
         size_t position = 0;
         hs_store_record record;
         guint before = content->len;
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -46,8 +46,8 @@
 }
 
 static hs_job_partition *partition_of(hs_job_service *service, const char *job_id) {
-    return hs_job_service_partition(
-        service, hs_job_partition_of(job_id, service->settings.part_count));
+    return hs_job_service_partition(service,
+                                    hs_job_partition_of(job_id, service->settings.part_count));
 }
 
 static void reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
@@ -195,8 +195,8 @@
             status = 413;
     }
     hs_log_info("job_stored", "job=%s part=%u items=%u outcome=%s status=%u took_ms=%u",
-                job->terms->request_id, hs_job_partition_number(job->partition),
-                job->items->len, hs_store_outcome_name(outcome), status,
+                job->terms->request_id, hs_job_partition_number(job->partition), job->items->len,
+                hs_store_outcome_name(outcome), status,
                 (unsigned)(hs_clock_monotonic_ms() - job->inbound->received_ms));
     g_ptr_array_free(contents, TRUE);
     g_array_free(offsets, TRUE);
@@ -260,8 +260,8 @@
     return hs_platform_write_results(job->items->len, position + count, views, count);
 }
 
-void hs_job_service_read(hs_job_service *service, hs_inbound *inbound,
-                         const hs_caller_terms *terms, const char *job_id) {
+void hs_job_service_read(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+                         const char *job_id) {
     hs_job_partition *partition = partition_of(service, job_id);
     uint64_t position = hs_platform_read_position(inbound->target);
     hs_deadline hold_until = inbound->received_ms + MIN(terms->wait_ms, WAIT_MOST_MS);
@@ -319,8 +319,8 @@
     hs__job_item_content__free_unpacked(content, NULL);
 }
 
-void hs_job_service_end(hs_job_service *service, hs_inbound *inbound,
-                        const hs_caller_terms *terms, const char *job_id) {
+void hs_job_service_end(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+                        const char *job_id) {
     hs_job_partition *partition = partition_of(service, job_id);
     hs_deadline deadline = call_deadline(inbound, terms);
     bool caught_up = hs_job_partition_catch_up(partition, one_try(deadline));
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -23,11 +23,11 @@
 
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
                            const hs_caller_terms *terms, const hs_fleet_route *route);
-void hs_job_service_read(hs_job_service *service, hs_inbound *inbound,
-                         const hs_caller_terms *terms, const char *job_id);
+void hs_job_service_read(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+                         const char *job_id);
 void hs_job_service_read_item(hs_job_service *service, hs_inbound *inbound,
                               const hs_caller_terms *terms, const char *job_id);
-void hs_job_service_end(hs_job_service *service, hs_inbound *inbound,
-                        const hs_caller_terms *terms, const char *job_id);
+void hs_job_service_end(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+                        const char *job_id);
 
 #endif
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -120,9 +120,8 @@
     hs_job *job = g_hash_table_lookup(state->jobs, result->job_id);
     if (job == NULL || result->item >= job->items->len)
         return;
-    hs_item_outcome outcome = result->state == HS__JOB_ITEM_STATE__JOB_ITEM_COMPLETED
-                                  ? HS_ITEM_COMPLETED
-                                  : HS_ITEM_DEAD;
+    hs_item_outcome outcome =
+        result->state == HS__JOB_ITEM_STATE__JOB_ITEM_COMPLETED ? HS_ITEM_COMPLETED : HS_ITEM_DEAD;
     if (result->parts <= 1) {
         list_result(job, result->item, outcome, result->text.data, result->text.len);
         return;
@@ -145,8 +144,7 @@
     forget_partial(state);
 }
 
-bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes,
-                        size_t length) {
+bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes, size_t length) {
     state->next = offset + 1;
     Hs__JobRecord *record = hs__job_record__unpack(NULL, length, bytes);
     if (record == NULL)
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -42,9 +42,9 @@
     char *host;
     char *target; /**< Path and query it was submitted under. */
     uint64_t submitted_ms;
-    uint64_t due_ms;       /**< After the submission. */
-    uint64_t retention_ms; /**< After the submission. */
-    GArray *items;         /**< of hs_job_item */
+    uint64_t due_ms;        /**< After the submission. */
+    uint64_t retention_ms;  /**< After the submission. */
+    GArray *items;          /**< of hs_job_item */
     GHashTable *item_by_id; /**< id -> index + 1 */
     GPtrArray *results;     /**< of hs_job_result*, by position. */
     bool ended;
@@ -57,8 +57,7 @@
 void hs_job_state_free(hs_job_state *state);
 
 /** Apply the record at @p offset. False: the record is malformed and changes nothing. */
-bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes,
-                        size_t length);
+bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes, size_t length);
 
 /** Offset of the next record to apply. */
 uint64_t hs_job_state_next(const hs_job_state *state);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,11 +12,11 @@
 #include "node/metrics.h"
 #include "node/trace_log.h"
 #include "placement/demand.h"
-#include "store/appender.h"
 #include "routing/engine_table.h"
 #include "routing/retry_budget.h"
 #include "routing/tenant_limits.h"
 #include "scheduling/scheduler.h"
+#include "store/appender.h"
 
 /**
  * STARTING -> READY when configuration is known; READY -> STARTING after a sleep;
--- a/src/online/event_stream.h
+++ b/src/online/event_stream.h
@@ -15,9 +15,9 @@
 /** Zero-initialise, then set last_id where the stream goes on after an event. */
 typedef struct {
     bool has_last_id;
-    uint64_t last_id;    /**< Id of the last whole event taken. */
-    bool expects_next;   /**< The next event must follow last_id at once. */
-    bool out_of_order;   /**< An event came that does not follow the one before. */
+    uint64_t last_id;  /**< Id of the last whole event taken. */
+    bool expects_next; /**< The next event must follow last_id at once. */
+    bool out_of_order; /**< An event came that does not follow the one before. */
     uint64_t event_count;
 } hs_event_stream;
 
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -133,8 +133,7 @@
 typedef enum { NEXT_TRY, NEXT_END } next_move;
 
 /** After an attempt without a usable answer. @p reason is set for NEXT_END. */
-static next_move after_failure(online_request *request, hs_attempt_end end,
-                               hs_end_reason *reason) {
+static next_move after_failure(online_request *request, hs_attempt_end end, hs_end_reason *reason) {
     hs_attempt *attempt = &request->attempt;
     bool caller_gone = attempt->step == HS_STEP_CALLER_GONE;
     log_attempt(request, end);
@@ -191,8 +190,8 @@
         if (has_head) {
             hs_client_connection_read_all(request->attempt.connection, ANSWER_LIMIT_BYTES,
                                           &order.wait);
-            end = request->attempt.answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE
-                                                       : HS_ATTEMPT_REFUSED;
+            end =
+                request->attempt.answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
         }
         move = after_failure(request, end, reason);
     }
@@ -213,8 +212,7 @@
 static void note_first_byte(online_request *request) {
     if (request->first_byte_ms != 0)
         return;
-    request->first_byte_ms =
-        MAX(hs_clock_monotonic_ms() - request->inbound->received_ms, 1);
+    request->first_byte_ms = MAX(hs_clock_monotonic_ms() - request->inbound->received_ms, 1);
     hs_engine_lease_first_token(request->attempt.lease);
 }
 
@@ -252,8 +250,7 @@
 static bool serve_whole(online_request *request) {
     hs_wait wait = {.deadline = request->deadline, .watched = request->inbound->descriptor};
     hs_attempt *attempt = &request->attempt;
-    attempt->step =
-        hs_client_connection_read_all(attempt->connection, ANSWER_LIMIT_BYTES, &wait);
+    attempt->step = hs_client_connection_read_all(attempt->connection, ANSWER_LIMIT_BYTES, &wait);
     if (attempt->step == HS_STEP_COMPLETE) {
         note_first_byte(request);
         bool again = attempt->status >= 500 && may_repeat(request) &&
@@ -289,8 +286,7 @@
         return false;
     }
     hs_log_info("stream_resumed", "request=%s engine=%s after_event=%" G_GUINT64_FORMAT,
-                request->request_id, request->attempt.engine_id,
-                (guint64)request->events.last_id);
+                request->request_id, request->attempt.engine_id, (guint64)request->events.last_id);
     g_mutex_lock(&request->online->counters.lock);
     request->online->counters.resumed++;
     g_mutex_unlock(&request->online->counters.lock);
@@ -303,8 +299,8 @@
     hs_wait wait = {.deadline = request->deadline, .watched = request->inbound->descriptor};
     uint64_t now_ms = hs_clock_monotonic_ms();
     if (request->route->resumable && request->runs + 1 < request->route->max_attempts)
-        wait.deadline = MIN(wait.deadline, now_ms + MAX(SILENCE_LEAST_MS,
-                                                        2 * request->route->gap_target_ms));
+        wait.deadline =
+            MIN(wait.deadline, now_ms + MAX(SILENCE_LEAST_MS, 2 * request->route->gap_target_ms));
     if (!is_success(attempt->status))
         attempt->step = HS_STEP_INVALID;
     else
@@ -341,8 +337,7 @@
     while (request->ready->len == 0 && !request->stream_ended)
         pump_stream(request);
     if (request->ready->len == 0) {
-        bool whole = request->attempt.lease == NULL &&
-                     request->attempt.step == HS_STEP_COMPLETE;
+        bool whole = request->attempt.lease == NULL && request->attempt.step == HS_STEP_COMPLETE;
         return whole ? HS_READER_END : HS_READER_ABORT;
     }
     size_t length = MIN(size, request->ready->len);
@@ -354,9 +349,9 @@
 static bool is_event_stream(const online_request *request) {
     const GArray *fields = hs_client_connection_fields(request->attempt.connection);
     const char *type = hs_http_fields_find(fields, "Content-Type");
-    return request->route->kind == HS_ROUTE_STREAMING &&
-           request->attempt.status == STATUS_OK && request->attempt.answer.has_signature &&
-           type != NULL && g_ascii_strncasecmp(type, "text/event-stream", 17) == 0;
+    return request->route->kind == HS_ROUTE_STREAMING && request->attempt.status == STATUS_OK &&
+           request->attempt.answer.has_signature && type != NULL &&
+           g_ascii_strncasecmp(type, "text/event-stream", 17) == 0;
 }
 
 /** Pass the stream on; the request then lives until the answer's end. */
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -15,20 +15,20 @@
 
 /** Why a request ended; each has one status and one text, see the table in end_reason.c. */
 typedef enum {
-    HS_END_SERVED,         /**< The engine's whole answer was passed on. */
-    HS_END_ENGINE_STATUS,  /**< The engine's own failure was passed on. */
-    HS_END_NO_CONFIG,      /**< No configuration is known yet. */
-    HS_END_NO_ROUTE,       /**< No route matches. */
-    HS_END_TOO_LARGE,      /**< The body is over the limit. */
-    HS_END_NO_ENGINE,      /**< The service has no engine that may be sent to. */
-    HS_END_FULL,           /**< Every engine refused. */
-    HS_END_UNREACHABLE,    /**< No engine could be connected to. */
-    HS_END_BROKEN,         /**< An engine's answer broke; it may have run. */
-    HS_END_LATE,           /**< The deadline passed; it may have run. */
-    HS_END_LATE_NOT_RUN,   /**< The deadline passed before it ran. */
-    HS_END_CALLER_GONE,    /**< The caller left. */
-    HS_END_STREAM_BROKEN,  /**< The stream broke after it had begun, and could not go on. */
-    HS_END_STREAM_LATE,    /**< The deadline passed within the stream. */
+    HS_END_SERVED,        /**< The engine's whole answer was passed on. */
+    HS_END_ENGINE_STATUS, /**< The engine's own failure was passed on. */
+    HS_END_NO_CONFIG,     /**< No configuration is known yet. */
+    HS_END_NO_ROUTE,      /**< No route matches. */
+    HS_END_TOO_LARGE,     /**< The body is over the limit. */
+    HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
+    HS_END_FULL,          /**< Every engine refused. */
+    HS_END_UNREACHABLE,   /**< No engine could be connected to. */
+    HS_END_BROKEN,        /**< An engine's answer broke; it may have run. */
+    HS_END_LATE,          /**< The deadline passed; it may have run. */
+    HS_END_LATE_NOT_RUN,  /**< The deadline passed before it ran. */
+    HS_END_CALLER_GONE,   /**< The caller left. */
+    HS_END_STREAM_BROKEN, /**< The stream broke after it had begun, and could not go on. */
+    HS_END_STREAM_LATE,   /**< The deadline passed within the stream. */
     HS_END_REASON_COUNT,
 } hs_end_reason;
 
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -109,8 +109,7 @@
     GString *head = write_head(client, call);
     const void *body = call->body != NULL ? call->body->data : NULL;
     size_t body_length = call->body != NULL ? call->body->len : 0;
-    hs_step step =
-        hs_client_connection_send(connection, head, body, body_length, false, wait);
+    hs_step step = hs_client_connection_send(connection, head, body, body_length, false, wait);
     size_t sent = head->len + body_length;
     g_string_free(head, TRUE);
     if (step == HS_STEP_PROGRESS)
@@ -159,9 +158,8 @@
     if (connection != NULL)
         outcome = exchange(client, connection, call, &wait, answer);
     bool in_time = hs_clock_monotonic_ms() < deadline;
-    if (was_kept && in_time &&
-        (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN) && answer->len == 0 &&
-        (is_read || outcome == HS_STORE_REFUSED)) {
+    if (was_kept && in_time && (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN) &&
+        answer->len == 0 && (is_read || outcome == HS_STORE_REFUSED)) {
         connection = connect_store(client, &wait); /* The kept connection may just have ended. */
         if (connection != NULL)
             outcome = exchange(client, connection, call, &wait, answer);
@@ -187,9 +185,9 @@
 
 const char *hs_store_outcome_name(hs_store_outcome outcome) {
     static const char *const names[] = {
-        [HS_STORE_DONE] = "done",         [HS_STORE_REFUSED] = "refused",
-        [HS_STORE_FULL] = "full",         [HS_STORE_CONFLICT] = "conflict",
-        [HS_STORE_GONE] = "gone",         [HS_STORE_INVALID] = "invalid",
+        [HS_STORE_DONE] = "done",       [HS_STORE_REFUSED] = "refused",
+        [HS_STORE_FULL] = "full",       [HS_STORE_CONFLICT] = "conflict",
+        [HS_STORE_GONE] = "gone",       [HS_STORE_INVALID] = "invalid",
         [HS_STORE_UNKNOWN] = "unknown",
     };
     return names[outcome];
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -17,8 +17,8 @@
 /** What is known of a call's effect. */
 typedef enum {
     HS_STORE_DONE,
-    HS_STORE_REFUSED, /**< Nothing was done; later it may be. */
-    HS_STORE_FULL,    /**< Nothing was done: no room. */
+    HS_STORE_REFUSED,  /**< Nothing was done; later it may be. */
+    HS_STORE_FULL,     /**< Nothing was done: no room. */
     HS_STORE_CONFLICT, /**< Nothing was done: a condition did not hold. */
     HS_STORE_GONE,     /**< The records asked for were removed. */
     HS_STORE_INVALID,  /**< Nothing was done: the call was wrong. */
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -10,15 +10,14 @@
     hs_online_counters *counters = &online->counters;
     g_mutex_lock(&counters->lock);
     for (int reason = 0; reason < HS_END_REASON_COUNT; reason++)
-        g_string_append_printf(text, "heathsail_requests_ended{reason=\"%s\"} %" G_GUINT64_FORMAT
-                                     "\n",
+        g_string_append_printf(text,
+                               "heathsail_requests_ended{reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
                                hs_end_reason_name(reason), (guint64)counters->ended[reason]);
     uint64_t total = 0;
     for (guint bucket = 0; bucket < G_N_ELEMENTS(counters->first_byte_buckets); bucket++) {
         total += counters->first_byte_buckets[bucket];
         g_string_append_printf(text,
-                               "heathsail_first_byte_ms_bucket{le=\"%u\"} %" G_GUINT64_FORMAT
-                               "\n",
+                               "heathsail_first_byte_ms_bucket{le=\"%u\"} %" G_GUINT64_FORMAT "\n",
                                1U << bucket, (guint64)total);
     }
     g_string_append_printf(text, "heathsail_streams_resumed %" G_GUINT64_FORMAT "\n",
@@ -43,18 +42,17 @@
     write_online(text, online);
     write_config(text, online->config);
     hs_store_counters calls = hs_store_client_counters(store);
-    g_string_append_printf(text,
-                           "heathsail_open_requests %u\nheathsail_members_live %u\n"
-                           "heathsail_store_calls %" G_GUINT64_FORMAT
-                           "\nheathsail_store_refused %" G_GUINT64_FORMAT
-                           "\nheathsail_store_unknown %" G_GUINT64_FORMAT
-                           "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
-                           "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
-                           "\nheathsail_engine_connects %" G_GUINT64_FORMAT "\n",
-                           open_requests, hs_daemon_directory_live_count(members),
-                           (guint64)calls.calls, (guint64)calls.refused, (guint64)calls.unknown,
-                           (guint64)calls.bytes_sent, (guint64)calls.bytes_received,
-                           (guint64)hs_fleet_engines_connects(online->engines));
+    g_string_append_printf(
+        text,
+        "heathsail_open_requests %u\nheathsail_members_live %u\n"
+        "heathsail_store_calls %" G_GUINT64_FORMAT "\nheathsail_store_refused %" G_GUINT64_FORMAT
+        "\nheathsail_store_unknown %" G_GUINT64_FORMAT
+        "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
+        "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
+        "\nheathsail_engine_connects %" G_GUINT64_FORMAT "\n",
+        open_requests, hs_daemon_directory_live_count(members), (guint64)calls.calls,
+        (guint64)calls.refused, (guint64)calls.unknown, (guint64)calls.bytes_sent,
+        (guint64)calls.bytes_received, (guint64)hs_fleet_engines_connects(online->engines));
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
     return g_string_free(text, FALSE);
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -34,8 +34,7 @@
 static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
                          const hs_caller_terms *terms, hs_fleet_config *config) {
     hs_online *online = surface->settings.online;
-    const hs_fleet_route *route =
-        hs_fleet_config_find_route(config, terms->host, inbound->target);
+    const hs_fleet_route *route = hs_fleet_config_find_route(config, terms->host, inbound->target);
     if (route == NULL) {
         hs_online_refuse(online, inbound, HS_END_NO_ROUTE, 0);
     } else if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
@@ -115,9 +114,9 @@
 
 static void serve_metrics(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
-    g_autofree char *text = hs_fleet_metrics_write(
-        surface->settings.online, surface->settings.store, surface->settings.members,
-        hs_fleet_surface_open_requests(surface));
+    g_autofree char *text =
+        hs_fleet_metrics_write(surface->settings.online, surface->settings.store,
+                               surface->settings.members, hs_fleet_surface_open_requests(surface));
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", "text/plain; version=0.0.4");
     hs_inbound_reply(inbound, 200, fields, text, strlen(text));
@@ -126,8 +125,7 @@
 
 /** Open a listener at "IPv4:port"; an empty address opens none. False with @p error. */
 static bool open_listener(hs_listener **listener, const char *address, size_t max_body,
-                          hs_inbound_handler handler, hs_fleet_surface *surface,
-                          hs_error *error) {
+                          hs_inbound_handler handler, hs_fleet_surface *surface, hs_error *error) {
     if (*address == '\0')
         return true;
     g_auto(GStrv) parts = g_strsplit(address, ":", 2);
@@ -140,15 +138,14 @@
                                          hs_error *error) {
     hs_fleet_surface *surface = g_new0(hs_fleet_surface, 1);
     surface->settings = *settings;
-    bool opened =
-        open_listener(&surface->front, settings->front, BODY_LIMIT_BYTES, serve_front, surface,
-                      error) &&
-        open_listener(&surface->ready, settings->ready, SMALL_BODY_BYTES, serve_ready, surface,
-                      error) &&
-        open_listener(&surface->directory, settings->directory, SMALL_BODY_BYTES,
-                      serve_directory, surface, error) &&
-        open_listener(&surface->metrics, settings->metrics, SMALL_BODY_BYTES, serve_metrics,
-                      surface, error);
+    bool opened = open_listener(&surface->front, settings->front, BODY_LIMIT_BYTES, serve_front,
+                                surface, error) &&
+                  open_listener(&surface->ready, settings->ready, SMALL_BODY_BYTES, serve_ready,
+                                surface, error) &&
+                  open_listener(&surface->directory, settings->directory, SMALL_BODY_BYTES,
+                                serve_directory, surface, error) &&
+                  open_listener(&surface->metrics, settings->metrics, SMALL_BODY_BYTES,
+                                serve_metrics, surface, error);
     if (opened)
         return surface;
     hs_fleet_surface_stop(surface);
--- a/tests/check_layers.sh
+++ b/tests/check_layers.sh
@@ -3,7 +3,7 @@
 # Prints each breach; fails when there is one.
 set -eu
 cd "$(dirname "$0")/.."
-layers="base http store engine config peer membership routing batch scheduling placement node commands queries daemon"
+layers="base http store engine fleet online config peer membership directory jobs surface routing batch scheduling placement node commands queries daemon"
 rank() {
     position=0
     for layer in $layers; do
@@ -17,7 +17,7 @@
     own=$(rank "$(echo "$file" | cut -d/ -f2)")
     for included in $(sed -n 's/^#include "\([a-z_]*\)\/.*/\1/p' "$file" | sort -u); do
         case "$included" in
-        heathsail | gen) continue ;;
+        heathsail | gen | platform) continue ;;
         standin | tools | tests) ;;
         *) [ "$(rank "$included")" -le "$own" ] && continue ;;
         esac
--- a/tools/hollow/hollow.h
+++ b/tools/hollow/hollow.h
@@ -14,9 +14,9 @@
 #include "config/config_store.h"
 #include "heathsail/settings.h"
 #include "membership/membership_service.h"
-#include "store/appender.h"
 #include "routing/engine_table.h"
 #include "scheduling/scheduler.h"
+#include "store/appender.h"
 
 typedef struct {
     int daemons;
