Batch leaves room for the peak of online requests

Change: slots for batch are what the online peak of late (fading in 12 s) leaves, less so the nearer the item is due. Reserve shares as constants are gone.

--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -43,14 +43,15 @@
 }
 
 int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                double reserve_share, const hs_engine_speed *speed) {
+                                double batch_share, const hs_engine_speed *speed) {
     int best = HS_ENGINE_NONE;
     double best_cost = 0;
     for (size_t step = 0; step < count; step++) {
         size_t index = (first + step) % count;
         const hs_engine_candidate *candidate = &candidates[index];
-        double reserve = fmax(1.0, ceil(candidate->slots * reserve_share));
-        if (candidate->suspected || candidate->running + 1 + reserve > candidate->slots)
+        double most = fmax(floor(candidate->slots * batch_share), 1.0);
+        if (candidate->suspected || candidate->batch + 1 > most ||
+            candidate->running + 2 > candidate->slots)
             continue;
         double cost = hs_engine_choice_cost(candidate, speed);
         if (best == HS_ENGINE_NONE || cost < best_cost) {
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -17,6 +17,7 @@
 typedef struct {
     uint32_t slots;
     double running;         /**< Requests there of all daemons, batch included. */
+    double batch;           /**< Batch items there of all daemons. */
     double queued_tokens;   /**< Prompt tokens there not read yet. */
     double uncached_tokens; /**< Of this prompt. */
     double memory_share;    /**< Of its memory taken; 0 where unknown. */
@@ -40,8 +41,11 @@
 int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
                           const hs_engine_speed *speed);
 
-/** As above for batch items: only engines with @p reserve slots left free after it. */
+/**
+ * As above for batch items: only engines with a free slot beside it where batch items take no more
+ * than @p batch_share of the slots.
+ */
 int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                double reserve_share, const hs_engine_speed *speed);
+                                double batch_share, const hs_engine_speed *speed);
 
 #endif
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -39,6 +39,7 @@
     GHashTable *peers; /**< peer -> peer_load* */
     char *zone;
     GHashTable *speeds; /**< service -> hs_engine_speed* */
+    GHashTable *peaks;  /**< service -> online_peak* */
     uint64_t turn;
     uint64_t connects;
 };
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -19,6 +19,8 @@
 /** Silence on an engine with requests of ours, in mean run times, before it is suspected. */
 #define SILENT_RUNS 3.0
 #define SILENT_LEAST_MS 700
+/** A peak of online requests fades to half in this time. */
+#define PEAK_HALF_MS 12000.0
 
 typedef struct {
     uint64_t told_ms;
@@ -50,12 +52,19 @@
     hs_fleet_engine_unref(data);
 }
 
+/** Online requests on a service at their highest of late. */
+typedef struct {
+    double requests;
+    uint64_t noted_ms;
+} online_peak;
+
 hs_fleet_engines *hs_fleet_engines_new(const char *zone) {
     hs_fleet_engines *engines = g_new0(hs_fleet_engines, 1);
     g_mutex_init(&engines->lock);
     engines->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, release_listed);
     engines->peers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->peaks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -67,6 +76,7 @@
     g_hash_table_destroy(engines->by_id);
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
+    g_hash_table_destroy(engines->peaks);
     g_mutex_clear(&engines->lock);
     g_free(engines->zone);
     g_free(engines);
@@ -172,6 +182,7 @@
     hs_engine_candidate candidate = {
         .slots = engine->entry.slots,
         .running = running_now(engine, now_ms),
+        .batch = engine->batch + engine->peers_batch,
         .queued_tokens = (double)engine->queued_tokens + engine->peers_queued,
         .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
         .same_zone = strcmp(engine->entry.zone, engines->zone) == 0,
@@ -276,7 +287,7 @@
     int picked = query->work == HS_WORK_ONLINE
                      ? hs_engine_choice_pick(candidates, found->len, first, speed)
                      : hs_engine_choice_pick_spare(candidates, found->len, first,
-                                                   query->reserve_share, speed);
+                                                   query->batch_share, speed);
     if (picked != HS_ENGINE_NONE)
         lease = lease_engine(engines, found->pdata[picked], query,
                              candidates[picked].uncached_tokens, now_ms);
@@ -284,6 +295,20 @@
     return lease;
 }
 
+/** The peak after a look at @p online requests now. The caller holds the lock. */
+static double note_peak(hs_fleet_engines *engines, const char *service, double online,
+                        uint64_t now_ms) {
+    online_peak *peak = g_hash_table_lookup(engines->peaks, service);
+    if (peak == NULL) {
+        peak = g_new0(online_peak, 1);
+        g_hash_table_insert(engines->peaks, g_strdup(service), peak);
+    }
+    double age_ms = (double)(now_ms - peak->noted_ms);
+    peak->requests = fmax(online, peak->requests * exp2(-age_ms / PEAK_HALF_MS));
+    peak->noted_ms = now_ms;
+    return peak->requests;
+}
+
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_engine_query query = {.service = service};
@@ -292,10 +317,15 @@
     g_autoptr(GPtrArray) found = collect(engines, &query);
     for (guint index = 0; index < found->len; index++) {
         const hs_fleet_engine *engine = found->pdata[index];
-        room.ready += !hs_fleet_engine_is_suspected(engine, now_ms);
+        if (hs_fleet_engine_is_suspected(engine, now_ms))
+            continue;
+        double batch = engine->batch + engine->peers_batch;
+        room.ready++;
         room.slots += engine->entry.slots;
-        room.running += running_now(engine, now_ms);
+        room.batch += batch;
+        room.online += fmax(running_now(engine, now_ms) - batch, 0);
     }
+    room.online_peak = note_peak(engines, service, room.online, now_ms);
     g_mutex_unlock(&engines->lock);
     return room;
 }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -33,7 +33,7 @@
     const char *service;
     const hs_request_size *size;
     hs_work_class work;
-    double reserve_share;      /**< Batch: share of slots that stays free for online requests. */
+    double batch_share;        /**< Batch: most of an engine's slots that batch items may take. */
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
 } hs_engine_query;
@@ -90,7 +90,9 @@
 typedef struct {
     uint32_t ready;
     uint32_t slots;
-    double running; /**< Believed, of all daemons. */
+    double online;      /**< Believed running, of all daemons. */
+    double batch;       /**< Believed running, of all daemons. */
+    double online_peak; /**< Highest of late; fades, so that a rush that comes again finds room. */
 } hs_service_room;
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -135,7 +135,7 @@
 
 hs_item_try hs_item_run_try(hs_item_run *run, hs_job_partition *partition,
                             hs_fleet_engines *engines, const hs_fleet_config *config,
-                            double reserve_share) {
+                            double batch_share) {
     hs_store_outcome outcome = HS_STORE_DONE;
     if (run->content == NULL)
         run->content =
@@ -155,7 +155,7 @@
         .query = {.service = name,
                   .size = terms.size.prompt_tokens > 0 ? &terms.size : NULL,
                   .work = HS_WORK_BATCH,
-                  .reserve_share = reserve_share,
+                  .batch_share = batch_share,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0},
         .request = {.method = "POST",
                     .target = run->content->path,
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -49,7 +49,7 @@
 /** Try once; blocks as long as the engine streams. */
 hs_item_try hs_item_run_try(hs_item_run *run, hs_job_partition *partition,
                             hs_fleet_engines *engines, const hs_fleet_config *config,
-                            double reserve_share);
+                            double batch_share);
 
 const char *hs_item_try_name(hs_item_try end);
 
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -16,10 +16,12 @@
 #define RETRY_MOST_MS 1000
 #define APPEND_LIMIT_MS 1500
 #define WORKERS_MAX 256
-/** Share of slots that stays free for online requests: while there is time, and when it is short.
- */
-#define RESERVE_CALM 0.30
-#define RESERVE_URGENT 0.05
+/** Room kept for online requests, in times of their peak of late: with time left, and without. */
+#define PEAK_ROOM_CALM 1.25
+#define PEAK_ROOM_URGENT 0.9
+/** Share of slots that batch items may take at most, and at least. */
+#define BATCH_SHARE_MOST 0.85
+#define BATCH_SHARE_LEAST 0.1
 #define DEFAULT_MAX_ATTEMPTS 3
 #define GIVE_UP_SLACK_MS 2000
 #define DEFAULT_RETENTION_MS 60000
@@ -66,7 +68,7 @@
 typedef struct {
     owned_partition *home;
     owned_item *item;
-    double reserve_share;
+    double batch_share;
     uint32_t max_attempts;
     bool gives_up; /**< Its time is over: list it as dead. */
 } item_order;
@@ -275,7 +277,7 @@
         listed = conclude(order, HS_ITEM_DEAD);
     } else if (config != NULL) {
         end = hs_item_run_try(item->run, order->home->partition, owner->settings.engines, config,
-                              order->reserve_share);
+                              order->batch_share);
         listed = settle_try(order, end);
     }
     hs_fleet_config_unref(config);
@@ -384,30 +386,43 @@
     return 0;
 }
 
-/** The less of its time is left, the less room it leaves to online requests. */
-static double reserve_for(const ready_item *ready) {
+/** Share of its time that a job still has, 0 to 1. */
+static double time_left(const ready_item *ready) {
     uint64_t wall_ms = hs_clock_wall_ms();
     if (ready->due_ms <= ready->submitted_ms || wall_ms >= ready->due_ms)
-        return RESERVE_URGENT;
-    double left = (double)(ready->due_ms - wall_ms) / (double)(ready->due_ms - ready->submitted_ms);
-    return RESERVE_URGENT + (RESERVE_CALM - RESERVE_URGENT) * MIN(left, 1.0);
+        return 0;
+    double left = (double)(ready->due_ms - wall_ms) /
+                  (double)(ready->due_ms - ready->submitted_ms);
+    return MIN(left, 1.0);
+}
+
+/**
+ * Share of slots that batch items may take: what online requests at their peak leave. The less
+ * time the item has, the less room is kept.
+ */
+static double batch_share(const hs_service_room *room, const ready_item *ready) {
+    double times =
+        PEAK_ROOM_URGENT + (PEAK_ROOM_CALM - PEAK_ROOM_URGENT) * time_left(ready);
+    double free_slots = room->slots - times * room->online_peak;
+    double share = room->slots > 0 ? free_slots / room->slots : 0;
+    return CLAMP(share, BATCH_SHARE_LEAST, BATCH_SHARE_MOST);
 }
 
 /** This daemon's share of the room there is, so that all daemons together do not overfill it. */
-static uint32_t room_for(hs_job_owner *owner, const char *service, double reserve) {
-    hs_service_room room = hs_fleet_engines_room(owner->settings.engines, service);
-    double spare = room.slots * (1.0 - reserve) - room.running;
+static uint32_t room_for(hs_job_owner *owner, const hs_service_room *room, double share) {
+    double spare = MIN(room->slots * share - room->batch,
+                       room->slots * BATCH_SHARE_MOST - room->batch - room->online);
     uint32_t daemons = owner->settings.live_daemons(owner->settings.user_data);
     if (spare <= 0)
         return 0;
     return MAX((uint32_t)(spare / daemons), 1);
 }
 
-static void start_item(hs_job_owner *owner, const ready_item *ready, double reserve) {
+static void start_item(hs_job_owner *owner, const ready_item *ready, double share) {
     item_order *order = g_new0(item_order, 1);
     order->home = ready->home;
     order->item = ready->item;
-    order->reserve_share = reserve;
+    order->batch_share = share;
     order->max_attempts = ready->max_attempts;
     order->gives_up = ready->gives_up;
     ready->item->stage = ITEM_RUNNING;
@@ -429,10 +444,14 @@
     uint32_t started = 0;
     for (guint index = 0; index < ready->len && owner->running < WORKERS_MAX; index++) {
         const ready_item *entry = &g_array_index(ready, ready_item, index);
-        double reserve = reserve_for(entry);
-        if (!entry->gives_up && started >= room_for(owner, entry->service, reserve))
-            break;
-        start_item(owner, entry, reserve);
+        double share = 0;
+        if (!entry->gives_up) {
+            hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
+            share = batch_share(&room, entry);
+            if (started >= room_for(owner, &room, share))
+                break;
+        }
+        start_item(owner, entry, share);
         started++;
     }
 }
