Batch items step aside where all daemons' requests need more slots than an engine has

Cause: batch items that fill slots in a quiet moment hold them for seconds when online requests come in a step; these then wait in the engine's queue, which knows no priorities. Change: each daemon asks the newest of its own items on an engine to step aside by its share of the excess, then leaves that engine alone until all know of it; items go on later after their last event. Room kept is 0.9 (urgent 0.4) of the peak, at most 0.6 (0.9) of the slots.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -169,6 +169,7 @@
         engine->online--;
     else
         engine->batch--;
+    g_ptr_array_remove(engine->batch_leases, lease);
     judge(lease, end, now_ms);
     bool kept = keep(lease, connection, now_ms);
     hs_fleet_engine_unref(engine);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -21,6 +21,7 @@
     uint64_t heard_ms; /**< Last byte, or when the first request after an idle time went. */
     uint64_t suspect_until_ms;
     uint64_t full_until_ms;
+    uint64_t no_yield_until_ms; /**< Until all daemons know of the items that stepped aside. */
     uint32_t failures;
     hs_engine_load load;
     uint64_t load_ms;
@@ -30,6 +31,7 @@
     double peers_queued;
     uint32_t peers_suspecting;
     hs_prefix_index *prefixes;
+    GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
     GQueue idle; /**< of idle_connection*; the latest used last. */
 } hs_fleet_engine;
 
@@ -51,6 +53,7 @@
     uint64_t taken_ms;
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
     uint32_t memory_tokens;
+    gint *yield;    /**< See hs_engine_query; NULL: none. */
     bool was_alone; /**< No prompt was being read there when it was taken. */
 };
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -19,6 +19,8 @@
 /** Silence on an engine with requests of ours, in mean run times, before it is suspected. */
 #define SILENT_RUNS 3.0
 #define SILENT_LEAST_MS 700
+/** Time until what stepped aside on an engine is known to all daemons. */
+#define YIELD_SETTLE_MS 450
 /** A peak of online requests fades to half in this time. */
 #define PEAK_HALF_MS 12000.0
 
@@ -44,6 +46,7 @@
         return;
     g_queue_clear_full(&engine->idle, free_idle);
     hs_prefix_index_free(engine->prefixes);
+    g_ptr_array_free(engine->batch_leases, TRUE);
     hs_engine_entry_clear(&engine->entry);
     g_free(engine);
 }
@@ -95,6 +98,7 @@
         engine->references = 1;
         engine->hash = hs_hash_bytes(entry->id, strlen(entry->id));
         engine->prefixes = hs_prefix_index_new(UNKNOWN_CACHE_TOKENS);
+        engine->batch_leases = g_ptr_array_new();
         g_queue_init(&engine->idle);
         g_hash_table_insert(engines->by_id, g_strdup(entry->id), engine);
         log_entry("engine_listed", entry);
@@ -266,10 +270,13 @@
     engine->references++;
     engine->queued_tokens += lease->unread_tokens;
     engine->memory_tokens_used += lease->memory_tokens;
-    if (query->work == HS_WORK_ONLINE)
+    if (query->work == HS_WORK_ONLINE) {
         engine->online++;
-    else
+    } else {
         engine->batch++;
+        lease->yield = query->yield;
+        g_ptr_array_add(engine->batch_leases, lease);
+    }
     return lease;
 }
 
@@ -330,6 +337,39 @@
     return room;
 }
 
+/** Ask the newest batch items on @p engine to step aside; they lose the least. */
+static uint32_t yield_on(hs_fleet_engine *engine, uint32_t wanted) {
+    uint32_t asked = 0;
+    for (guint index = engine->batch_leases->len; index > 0 && asked < wanted; index--) {
+        const hs_engine_lease *lease = engine->batch_leases->pdata[index - 1];
+        if (lease->yield != NULL &&
+            g_atomic_int_compare_and_exchange(lease->yield, 0, HS_YIELD_ASKED))
+            asked++;
+    }
+    return asked;
+}
+
+uint32_t hs_fleet_engines_yield(hs_fleet_engines *engines) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint32_t asked = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        double batch = engine->batch + engine->peers_batch;
+        double excess = running_now(engine, now_ms) - engine->entry.slots;
+        if (engine->batch == 0 || excess <= 0 || now_ms < engine->no_yield_until_ms ||
+            engine->online + engine->peers_online <= 0)
+            continue;
+        asked += yield_on(engine, (uint32_t)ceil(fmin(excess, batch) * engine->batch / batch));
+        engine->no_yield_until_ms = now_ms + YIELD_SETTLE_MS;
+    }
+    g_mutex_unlock(&engines->lock);
+    return asked;
+}
+
 GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines) {
     GArray *shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
     uint64_t now_ms = hs_clock_monotonic_ms();
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -28,6 +28,9 @@
     HS_ATTEMPT_DROPPED,      /**< Given up on this side; says nothing of the engine. */
 } hs_attempt_end;
 
+/** Value of a batch item's flag that asks it to step aside and go on later. */
+#define HS_YIELD_ASKED 2
+
 /** What an engine is wanted for. All borrowed. */
 typedef struct {
     const char *service;
@@ -35,6 +38,7 @@
     hs_work_class work;
     double batch_share;        /**< Batch: most of an engine's slots that batch items may take. */
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
+    gint *yield;               /**< Batch: set to HS_YIELD_ASKED when the item is to step aside. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
 } hs_engine_query;
 
@@ -97,6 +101,13 @@
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
+/**
+ * Ask batch items of this daemon to step aside where all daemons' requests together need more
+ * slots than the engine has. Each daemon does its part by its share of the engine's batch items.
+ * Returns how many were asked.
+ */
+uint32_t hs_fleet_engines_yield(hs_fleet_engines *engines);
+
 /** This daemon's own load on all engines: of hs_engine_share. */
 GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines);
 
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -61,6 +61,13 @@
     return fields;
 }
 
+/** Why a try was interrupted; a request to step aside is taken back with it. */
+static hs_item_try interruption(hs_item_run *run) {
+    return g_atomic_int_compare_and_exchange(&run->abandoned, HS_YIELD_ASKED, 0)
+               ? HS_ITEM_TRY_YIELDED
+               : HS_ITEM_TRY_ABANDONED;
+}
+
 /** Read the stream to its end, its break or the caller's word. */
 static hs_item_try read_stream(hs_item_run *run, hs_attempt *attempt) {
     GByteArray *body = hs_client_connection_body(attempt->connection);
@@ -80,7 +87,7 @@
         if (attempt->step == HS_STEP_COMPLETE)
             return body->len == 0 ? HS_ITEM_TRY_DONE : HS_ITEM_TRY_BROKEN;
         if (attempt->step == HS_STEP_CALLER_GONE || g_atomic_int_get(&run->abandoned) != 0)
-            return HS_ITEM_TRY_ABANDONED;
+            return interruption(run);
         if (attempt->step != HS_STEP_PROGRESS)
             return HS_ITEM_TRY_BROKEN;
     }
@@ -120,7 +127,7 @@
     if (has_head)
         end = judge_answer(run, &attempt);
     else if (attempt.step == HS_STEP_CALLER_GONE)
-        end = HS_ITEM_TRY_ABANDONED;
+        end = interruption(run);
     bool is_plain = has_head && (end == HS_ITEM_TRY_REFUSED || end == HS_ITEM_TRY_FAILED ||
                                  end == HS_ITEM_TRY_IMPOSSIBLE);
     if (is_plain) {
@@ -156,6 +163,7 @@
                   .size = terms.size.prompt_tokens > 0 ? &terms.size : NULL,
                   .work = HS_WORK_BATCH,
                   .batch_share = batch_share,
+                  .yield = &run->abandoned,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0},
         .request = {.method = "POST",
                     .target = run->content->path,
@@ -186,6 +194,7 @@
         [HS_ITEM_TRY_IMPOSSIBLE] = "impossible",
         [HS_ITEM_TRY_NO_CONTENT] = "no_content",
         [HS_ITEM_TRY_NO_ROUTE] = "no_route",
+        [HS_ITEM_TRY_YIELDED] = "yielded",
         [HS_ITEM_TRY_ABANDONED] = "abandoned",
     };
     return names[end];
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -14,13 +14,15 @@
 #define TRIM_INTERVAL_MS 10000
 #define RETRY_LEAST_MS 50
 #define RETRY_MOST_MS 1000
+#define YIELD_PAUSE_MS 400
 #define APPEND_LIMIT_MS 1500
 #define WORKERS_MAX 256
 /** Room kept for online requests, in times of their peak of late: with time left, and without. */
-#define PEAK_ROOM_CALM 1.25
-#define PEAK_ROOM_URGENT 0.9
-/** Share of slots that batch items may take at most, and at least. */
-#define BATCH_SHARE_MOST 0.85
+#define PEAK_ROOM_CALM 0.9
+#define PEAK_ROOM_URGENT 0.4
+/** Share of slots that batch items may take at most, with time left and without, and at least. */
+#define BATCH_SHARE_CALM 0.6
+#define BATCH_SHARE_MOST 0.9
 #define BATCH_SHARE_LEAST 0.1
 #define DEFAULT_MAX_ATTEMPTS 3
 #define GIVE_UP_SLACK_MS 2000
@@ -284,7 +286,11 @@
     g_mutex_lock(&owner->lock);
     item->stage = listed ? ITEM_STORED : ITEM_WAITING;
     item->tries += end != HS_ITEM_TRY_NO_ROOM;
-    uint64_t pause_ms = end == HS_ITEM_TRY_NO_ROOM ? PASS_MS : backoff_ms(item->failures);
+    uint64_t pause_ms = backoff_ms(item->failures);
+    if (end == HS_ITEM_TRY_NO_ROOM)
+        pause_ms = PASS_MS;
+    else if (end == HS_ITEM_TRY_YIELDED)
+        pause_ms = YIELD_PAUSE_MS;
     item->next_try_ms = hs_clock_monotonic_ms() + pause_ms;
     owner->running--;
     if (!order->home->owned || end == HS_ITEM_TRY_ABANDONED) {
@@ -401,11 +407,12 @@
  * time the item has, the less room is kept.
  */
 static double batch_share(const hs_service_room *room, const ready_item *ready) {
-    double times =
-        PEAK_ROOM_URGENT + (PEAK_ROOM_CALM - PEAK_ROOM_URGENT) * time_left(ready);
+    double left = time_left(ready);
+    double times = PEAK_ROOM_URGENT + (PEAK_ROOM_CALM - PEAK_ROOM_URGENT) * left;
+    double most = BATCH_SHARE_MOST + (BATCH_SHARE_CALM - BATCH_SHARE_MOST) * left;
     double free_slots = room->slots - times * room->online_peak;
     double share = room->slots > 0 ? free_slots / room->slots : 0;
-    return CLAMP(share, BATCH_SHARE_LEAST, BATCH_SHARE_MOST);
+    return CLAMP(share, BATCH_SHARE_LEAST, most);
 }
 
 /** This daemon's share of the room there is, so that all daemons together do not overfill it. */
@@ -463,6 +470,8 @@
         hs_fleet_config *config = hs_config_source_get(owner->settings.config);
         if (config != NULL)
             start_items(owner, config);
+        if (owner->running > 0)
+            hs_fleet_engines_yield(owner->settings.engines);
         hs_fleet_config_unref(config);
         gint64 until = g_get_monotonic_time() + PASS_MS * G_TIME_SPAN_MILLISECOND;
         g_cond_wait_until(&owner->changed, &owner->lock, until);
