Stops: requests are taken for half the grace at most, batch items are handed over, joins only when ready

Change: the time of resolve answers derives from the grace (three times it is at most half); then the listener takes no new connections, idle ones end, open requests go on to the grace's end. Running items stop at once and their text so far is a progress record with which the next owner goes on. A daemon joins its peers and says ready only when it could serve. Submissions are tried for half the time left.

--- a/gen/job.pb-c.c
+++ b/gen/job.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &hs__job_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__job_progress__init
+                     (Hs__JobProgress         *message)
+{
+  static const Hs__JobProgress init_value = HS__JOB_PROGRESS__INIT;
+  *message = init_value;
+}
+size_t hs__job_progress__get_packed_size
+                     (const Hs__JobProgress *message)
+{
+  assert(message->base.descriptor == &hs__job_progress__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__job_progress__pack
+                     (const Hs__JobProgress *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__job_progress__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__job_progress__pack_to_buffer
+                     (const Hs__JobProgress *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__job_progress__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__JobProgress *
+       hs__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__JobProgress *)
+     protobuf_c_message_unpack (&hs__job_progress__descriptor,
+                                allocator, len, data);
+}
+void   hs__job_progress__free_unpacked
+                     (Hs__JobProgress *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__job_progress__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__job_record__init
                      (Hs__JobRecord         *message)
 {
@@ -771,7 +816,84 @@
   (ProtobufCMessageInit) hs__job_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__job_record__field_descriptors[3] =
+static const ProtobufCFieldDescriptor hs__job_progress__field_descriptors[4] =
+{
+  {
+    "job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobProgress, job_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "item",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobProgress, item),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_event",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobProgress, last_event),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobProgress, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__job_progress__field_indices_by_name[] = {
+  1,   /* field[1] = item */
+  0,   /* field[0] = job_id */
+  2,   /* field[2] = last_event */
+  3,   /* field[3] = text */
+};
+static const ProtobufCIntRange hs__job_progress__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor hs__job_progress__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.JobProgress",
+  "JobProgress",
+  "Hs__JobProgress",
+  "hs",
+  sizeof(Hs__JobProgress),
+  4,
+  hs__job_progress__field_descriptors,
+  hs__job_progress__field_indices_by_name,
+  1,  hs__job_progress__number_ranges,
+  (ProtobufCMessageInit) hs__job_progress__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__job_record__field_descriptors[4] =
 {
   {
     "manifest",
@@ -809,16 +931,29 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "progress",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__JobRecord, kind_case),
+    offsetof(Hs__JobRecord, progress),
+    &hs__job_progress__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__job_record__field_indices_by_name[] = {
   2,   /* field[2] = end */
   0,   /* field[0] = manifest */
+  3,   /* field[3] = progress */
   1,   /* field[1] = result */
 };
 static const ProtobufCIntRange hs__job_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor hs__job_record__descriptor =
 {
@@ -828,7 +963,7 @@
   "Hs__JobRecord",
   "hs",
   sizeof(Hs__JobRecord),
-  3,
+  4,
   hs__job_record__field_descriptors,
   hs__job_record__field_indices_by_name,
   1,  hs__job_record__number_ranges,
--- a/gen/job.pb-c.h
+++ b/gen/job.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Hs__JobManifest Hs__JobManifest;
 typedef struct Hs__JobResult Hs__JobResult;
 typedef struct Hs__JobEnd Hs__JobEnd;
+typedef struct Hs__JobProgress Hs__JobProgress;
 typedef struct Hs__JobRecord Hs__JobRecord;
 
 
@@ -141,11 +142,29 @@
     , (char *)protobuf_c_empty_string }
 
 
+/*
+ * An owner gives an unfinished item up: what its run has made so far. Whoever goes on with it asks
+ * for what follows the last event. A later event of an item replaces an earlier one.
+ */
+struct  Hs__JobProgress
+{
+  ProtobufCMessage base;
+  char *job_id;
+  uint32_t item;
+  uint64_t last_event;
+  ProtobufCBinaryData text;
+};
+#define HS__JOB_PROGRESS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__job_progress__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL} }
+
+
 typedef enum {
   HS__JOB_RECORD__KIND__NOT_SET = 0,
   HS__JOB_RECORD__KIND_MANIFEST = 1,
   HS__JOB_RECORD__KIND_RESULT = 2,
-  HS__JOB_RECORD__KIND_END = 3
+  HS__JOB_RECORD__KIND_END = 3,
+  HS__JOB_RECORD__KIND_PROGRESS = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__JOB_RECORD__KIND__CASE)
 } Hs__JobRecord__KindCase;
 
@@ -157,6 +176,7 @@
     Hs__JobManifest *manifest;
     Hs__JobResult *result;
     Hs__JobEnd *end;
+    Hs__JobProgress *progress;
   };
 };
 #define HS__JOB_RECORD__INIT \
@@ -278,6 +298,25 @@
 void   hs__job_end__free_unpacked
                      (Hs__JobEnd *message,
                       ProtobufCAllocator *allocator);
+/* Hs__JobProgress methods */
+void   hs__job_progress__init
+                     (Hs__JobProgress         *message);
+size_t hs__job_progress__get_packed_size
+                     (const Hs__JobProgress   *message);
+size_t hs__job_progress__pack
+                     (const Hs__JobProgress   *message,
+                      uint8_t             *out);
+size_t hs__job_progress__pack_to_buffer
+                     (const Hs__JobProgress   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__JobProgress *
+       hs__job_progress__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__job_progress__free_unpacked
+                     (Hs__JobProgress *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__JobRecord methods */
 void   hs__job_record__init
                      (Hs__JobRecord         *message);
@@ -317,6 +356,9 @@
 typedef void (*Hs__JobEnd_Closure)
                  (const Hs__JobEnd *message,
                   void *closure_data);
+typedef void (*Hs__JobProgress_Closure)
+                 (const Hs__JobProgress *message,
+                  void *closure_data);
 typedef void (*Hs__JobRecord_Closure)
                  (const Hs__JobRecord *message,
                   void *closure_data);
@@ -333,6 +375,7 @@
 extern const ProtobufCMessageDescriptor hs__job_manifest__descriptor;
 extern const ProtobufCMessageDescriptor hs__job_result__descriptor;
 extern const ProtobufCMessageDescriptor hs__job_end__descriptor;
+extern const ProtobufCMessageDescriptor hs__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor hs__job_record__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -16,12 +16,14 @@
 #define PROBE_INTERVAL_MS 300
 /** The group drops a silent daemon after so many of its shortest times. */
 #define GROUP_TTL_FACTOR 3
-#define RESOLVE_TTL_S 1
-/** Share of the grace time used for open requests; the rest is for the end itself. */
-#define GRACE_SHARE 0.8
-#define DRAIN_POLL_MS 50
+/** Share of the grace time in which new requests are still taken; the rest is for open ones. */
+#define TAKING_SHARE 0.5
+/** Kept back from the grace time for the end itself. */
+#define END_MS 500
+#define HANDOVER_LIMIT_MS 1500
 /** Callers keep a resolve answer for up to three times what it says. */
 #define ANSWER_HELD_FACTOR 3
+#define DRAIN_POLL_MS 50
 
 struct hs_fleet_daemon {
     const hs_settings *settings; /**< Those of the start. */
@@ -62,8 +64,22 @@
     return hs_daemon_directory_live_count(daemon->directory);
 }
 
+/**
+ * How long callers may keep an answer: short enough that none names a stopping daemon any more when
+ * it takes no new requests.
+ */
 static uint32_t resolve_ttl_s(const hs_settings *settings) {
-    return (uint32_t)fmin(RESOLVE_TTL_S, settings->fleet_resolve_ttl_most_s);
+    double longest = settings->fleet_grace_s * TAKING_SHARE / ANSWER_HELD_FACTOR;
+    return (uint32_t)fmax(fmin(longest, settings->fleet_resolve_ttl_most_s), 1);
+}
+
+/** Whether requests could be served: a configuration and the engines are known. */
+static bool may_serve(void *user_data) {
+    hs_fleet_daemon *daemon = user_data;
+    hs_fleet_config *config = hs_config_source_get(daemon->config);
+    bool known = config != NULL && hs_engine_source_heard_ms(daemon->engine_source) != 0;
+    hs_fleet_config_unref(config);
+    return known;
 }
 
 static bool make_directory(hs_fleet_daemon *daemon, hs_error *error) {
@@ -78,7 +94,9 @@
                                               .probe_interval_ms = PROBE_INTERVAL_MS,
                                               .resolve_ttl_s = resolve_ttl_s(settings),
                                               .store = daemon->store,
-                                              .engines = daemon->engines};
+                                              .engines = daemon->engines,
+        .may_join = may_serve,
+        .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
     return daemon->directory != NULL;
 }
@@ -115,7 +133,9 @@
                                          .online = &daemon->online,
                                          .jobs = daemon->jobs,
                                          .members = daemon->directory,
-                                         .store = daemon->store};
+                                         .store = daemon->store,
+                                         .may_serve = may_serve,
+                                         .user_data = daemon};
     daemon->surface = hs_fleet_surface_start(&surface, error);
     return daemon->surface != NULL;
 }
@@ -183,29 +203,44 @@
     daemon->reloaded = settings;
 }
 
-/** Whether callers may still hold an answer that names this daemon. */
-static bool may_be_named(const hs_fleet_daemon *daemon, uint64_t stopped_ms) {
-    uint64_t held_ms = (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) * ANSWER_HELD_FACTOR *
-                       (uint64_t)MS_PER_S;
-    return hs_clock_monotonic_ms() < stopped_ms + held_ms;
+/** Time in ms from the stop for which callers may still hold an answer that names this daemon. */
+static uint64_t named_ms(const hs_fleet_daemon *daemon) {
+    return (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) * ANSWER_HELD_FACTOR *
+           (uint64_t)MS_PER_S;
+}
+
+/** Hand the batch items over at once; others can go on with them. */
+static void hand_over_jobs(hs_fleet_daemon *daemon) {
+    uint64_t limit_ms = hs_clock_monotonic_ms() + HANDOVER_LIMIT_MS;
+    hs_job_owner_drain(daemon->owner);
+    while (hs_job_owner_running(daemon->owner) > 0 && hs_clock_monotonic_ms() < limit_ms)
+        hs_clock_sleep_ms(DRAIN_POLL_MS);
+    hs_job_owner_leave(daemon->owner);
+}
+
+/** Take requests as long as callers may know no better, then finish what is open. */
+static void finish_requests(hs_fleet_daemon *daemon, uint64_t stopped_ms) {
+    uint64_t grace_ms = (uint64_t)(current(daemon)->fleet_grace_s * MS_PER_S);
+    uint64_t taking_ms = MIN(named_ms(daemon), (uint64_t)((double)grace_ms * TAKING_SHARE));
+    uint64_t limit_ms = stopped_ms + (grace_ms > END_MS ? grace_ms - END_MS : 0);
+    while (hs_clock_monotonic_ms() < stopped_ms + taking_ms)
+        hs_clock_sleep_ms(DRAIN_POLL_MS);
+    do {
+        hs_fleet_surface_quiesce(daemon->surface);
+        hs_clock_sleep_ms(DRAIN_POLL_MS);
+    } while (hs_fleet_surface_open_requests(daemon->surface) > 0 &&
+             hs_clock_monotonic_ms() < limit_ms);
 }
 
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon) {
     uint64_t stopped_ms = hs_clock_monotonic_ms();
-    uint64_t limit_ms =
-        stopped_ms + (uint64_t)(current(daemon)->fleet_grace_s * MS_PER_S * GRACE_SHARE);
     hs_log_info("daemon_stopping", "open_requests=%u running_items=%u",
                 hs_fleet_surface_open_requests(daemon->surface),
                 hs_job_owner_running(daemon->owner));
-    hs_job_owner_drain(daemon->owner);
     hs_fleet_surface_leave(daemon->surface);
     hs_daemon_directory_leave(daemon->directory);
-    while (hs_clock_monotonic_ms() < limit_ms &&
-           (may_be_named(daemon, stopped_ms) ||
-            hs_fleet_surface_open_requests(daemon->surface) > 0 ||
-            hs_job_owner_running(daemon->owner) > 0))
-        hs_clock_sleep_ms(DRAIN_POLL_MS);
-    hs_job_owner_leave(daemon->owner);
+    hand_over_jobs(daemon);
+    finish_requests(daemon, stopped_ms);
     hs_log_info("daemon_stopped", "open_requests=%u took_ms=%u",
                 hs_fleet_surface_open_requests(daemon->surface),
                 (unsigned)(hs_clock_monotonic_ms() - stopped_ms));
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -13,6 +13,7 @@
 #define SHARES_INTERVAL_MS 240
 #define REGISTRY_INTERVAL_MS 4000
 #define REGISTRY_CALL_MS 1000
+#define JOIN_CHECK_MS 200
 #define SETTLE_MS 1500 /* A daemon that knows only itself may not say so earlier. */
 #define ZONE_LEAST 2   /* Fewer daemons of the asker's zone: others are named too. */
 #define SUSPECT_PROBES 2
@@ -30,6 +31,7 @@
     GCond stop_asked;
     bool stopping;
     gint leaving;
+    gint joined; /**< It could serve once, and peers know of it. */
     GThread *ticker;
     GThread *registrar;
 };
@@ -193,12 +195,14 @@
     hs_daemon_directory *directory = data;
     bool written = false;
     do {
-        if (g_atomic_int_get(&directory->leaving) != 0)
+        if (g_atomic_int_get(&directory->leaving) != 0 ||
+            g_atomic_int_get(&directory->joined) == 0)
             continue;
         if (!written)
             written = write_record(directory, false);
         read_registry(directory);
-    } while (wait_ms(directory, REGISTRY_INTERVAL_MS));
+    } while (wait_ms(directory, g_atomic_int_get(&directory->joined) != 0 ? REGISTRY_INTERVAL_MS
+                                                                          : JOIN_CHECK_MS));
     return NULL;
 }
 
@@ -250,6 +254,12 @@
 
 static gpointer run_ticker(gpointer data) {
     hs_daemon_directory *directory = data;
+    while (!directory->settings.may_join(directory->settings.user_data))
+        if (!wait_ms(directory, TICK_MS))
+            return NULL;
+    hs_peer_socket_start(directory->socket, handle_message, directory);
+    directory->started_ms = hs_clock_monotonic_ms();
+    g_atomic_int_set(&directory->joined, 1);
     propose_seeds(directory);
     while (wait_ms(directory, TICK_MS)) {
         uint64_t now_ms = hs_clock_monotonic_ms();
@@ -263,8 +273,6 @@
 }
 
 void hs_daemon_directory_start(hs_daemon_directory *directory) {
-    directory->started_ms = hs_clock_monotonic_ms();
-    hs_peer_socket_start(directory->socket, handle_message, directory);
     directory->ticker = g_thread_new("directory", run_ticker, directory);
     directory->registrar = g_thread_new("registrar", run_registrar, directory);
 }
@@ -285,7 +293,8 @@
     if (directory->ticker != NULL) {
         g_thread_join(directory->ticker);
         g_thread_join(directory->registrar);
-        hs_peer_socket_stop(directory->socket);
+        if (g_atomic_int_get(&directory->joined) != 0)
+            hs_peer_socket_stop(directory->socket);
     }
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
@@ -318,6 +327,10 @@
 
 char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone) {
     GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
+    if (g_atomic_int_get(&directory->joined) == 0) {
+        g_ptr_array_free(addresses, TRUE);
+        return NULL;
+    }
     bool leaving = g_atomic_int_get(&directory->leaving) != 0;
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     bool knows_others = hs_membership_live_count(membership) > 1;
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define CONNECTION_MEMORY (48 * 1024)
@@ -23,8 +24,50 @@
     gint idle_timeout_s;
     gint closes_after_answers;
     gint open_requests;
+    int quiesced_socket; /**< Former listening socket; -1: still listening. */
+    GMutex lock;
+    GHashTable *connections; /**< of caller_connection*, as a set. */
 };
 
+/** One connection as the listener keeps it. */
+typedef struct {
+    int descriptor;
+    bool busy;        /**< A request was begun on it and is not answered to its end. */
+    bool half_closed; /**< Reading was ended on this side. */
+} caller_connection;
+
+static caller_connection *connection_of(struct MHD_Connection *connection) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info != NULL ? info->socket_context : NULL;
+}
+
+static void note_connection(void *data, struct MHD_Connection *connection, void **state,
+                            enum MHD_ConnectionNotificationCode code) {
+    hs_listener *listener = data;
+    g_mutex_lock(&listener->lock);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const union MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        caller_connection *caller = g_new0(caller_connection, 1);
+        caller->descriptor = info != NULL ? info->connect_fd : -1;
+        *state = caller;
+        g_hash_table_add(listener->connections, caller);
+    } else {
+        g_hash_table_remove(listener->connections, *state);
+        *state = NULL;
+    }
+    g_mutex_unlock(&listener->lock);
+}
+
+static void set_busy(hs_listener *listener, struct MHD_Connection *connection, bool busy) {
+    g_mutex_lock(&listener->lock);
+    caller_connection *caller = connection_of(connection);
+    if (caller != NULL)
+        caller->busy = busy;
+    g_mutex_unlock(&listener->lock);
+}
+
 /** Called with the raw target before the head is read; its result is the request's state. */
 static void *begin_request(void *data, const char *target, struct MHD_Connection *connection) {
     hs_inbound *inbound = g_new0(hs_inbound, 1);
@@ -35,18 +78,19 @@
     inbound->body = g_byte_array_new();
     inbound->descriptor = -1;
     g_atomic_int_inc(&inbound->listener->open_requests);
+    set_busy(inbound->listener, connection, true);
     return inbound;
 }
 
 static void end_request(void *data, struct MHD_Connection *connection, void **state,
                         enum MHD_RequestTerminationCode reason) {
     (void)data;
-    (void)connection;
     (void)reason;
     hs_inbound *inbound = *state;
     *state = NULL;
     if (inbound == NULL)
         return;
+    set_busy(inbound->listener, connection, false);
     g_atomic_int_add(&inbound->listener->open_requests, -1);
     g_free(inbound->method);
     g_free(inbound->target);
@@ -66,10 +110,11 @@
     inbound->method = g_strdup(method);
     inbound->received_ms = hs_clock_monotonic_ms();
     MHD_get_connection_values(inbound->connection, MHD_HEADER_KIND, take_field, inbound->fields);
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(inbound->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    if (info != NULL)
-        inbound->descriptor = info->connect_fd;
+    g_mutex_lock(&inbound->listener->lock);
+    const caller_connection *caller = connection_of(inbound->connection);
+    if (caller != NULL && !caller->half_closed)
+        inbound->descriptor = caller->descriptor;
+    g_mutex_unlock(&inbound->listener->lock);
     unsigned int idle_s = (unsigned int)g_atomic_int_get(&inbound->listener->idle_timeout_s);
     MHD_set_connection_option(inbound->connection, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
@@ -103,6 +148,12 @@
     return inbound->answered ? MHD_YES : MHD_NO;
 }
 
+static void free_listener(hs_listener *listener) {
+    g_hash_table_destroy(listener->connections);
+    g_mutex_clear(&listener->lock);
+    g_free(listener);
+}
+
 hs_listener *hs_listener_start(const char *address, uint16_t port, size_t max_body_bytes,
                                hs_inbound_handler handler, void *user_data, hs_error *error) {
     struct sockaddr_in local = {.sin_family = AF_INET, .sin_port = htons(port)};
@@ -115,12 +166,15 @@
     listener->user_data = user_data;
     listener->max_body_bytes = max_body_bytes;
     listener->idle_timeout_s = FIRST_IDLE_TIMEOUT_S;
+    listener->quiesced_socket = -1;
+    g_mutex_init(&listener->lock);
+    listener->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
     listener->daemon = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
             MHD_USE_ITC,
         port, NULL, NULL, handle_step, listener, MHD_OPTION_SOCK_ADDR, &local,
         MHD_OPTION_URI_LOG_CALLBACK, begin_request, listener, MHD_OPTION_NOTIFY_COMPLETED,
-        end_request, listener, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+        end_request, listener, MHD_OPTION_NOTIFY_CONNECTION, note_connection, listener, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
         (unsigned int)LISTEN_BACKLOG, MHD_OPTION_CONNECTION_TIMEOUT,
         (unsigned int)FIRST_IDLE_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
@@ -140,6 +194,26 @@
     g_atomic_int_set(&listener->closes_after_answers, 1);
 }
 
+void hs_listener_quiesce(hs_listener *listener) {
+    if (listener->quiesced_socket < 0) {
+        listener->quiesced_socket = MHD_quiesce_daemon(listener->daemon);
+        if (listener->quiesced_socket >= 0)
+            shutdown(listener->quiesced_socket, SHUT_RDWR);
+    }
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    g_mutex_lock(&listener->lock);
+    g_hash_table_iter_init(&iterator, listener->connections);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        caller_connection *caller = key;
+        if (caller->busy || caller->half_closed)
+            continue;
+        caller->half_closed = true;
+        shutdown(caller->descriptor, SHUT_RD);
+    }
+    g_mutex_unlock(&listener->lock);
+}
+
 uint32_t hs_listener_open_requests(hs_listener *listener) {
     return (uint32_t)g_atomic_int_get(&listener->open_requests);
 }
@@ -148,7 +222,9 @@
     if (listener == NULL)
         return;
     MHD_stop_daemon(listener->daemon);
-    g_free(listener);
+    if (listener->quiesced_socket >= 0)
+        close(listener->quiesced_socket);
+    free_listener(listener);
 }
 
 static void queue(hs_inbound *inbound, uint32_t status, const GArray *fields,
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -50,6 +50,12 @@
 /** From now on every answer closes its connection. */
 void hs_listener_close_after_answers(hs_listener *listener);
 
+/**
+ * Take no new connections and let idle ones end. A request that has already arrived on one is
+ * still served. Ends of callers' connections are no longer noticed on those.
+ */
+void hs_listener_quiesce(hs_listener *listener);
+
 /** Requests now being handled or answered. */
 uint32_t hs_listener_open_requests(hs_listener *listener);
 
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -15,6 +15,7 @@
 #define RETRY_LEAST_MS 50
 #define RETRY_MOST_MS 1000
 #define YIELD_PAUSE_MS 400
+#define TAKEOVER_PAUSE_MS 250
 #define APPEND_LIMIT_MS 1500
 #define WORKERS_MAX 256
 /** Room kept for online requests, in times of their peak of late: with time left, and without. */
@@ -47,6 +48,7 @@
     hs_job_partition *partition;
     GHashTable *items; /**< "job/index" -> owned_item* */
     bool owned;        /**< Dealt to this daemon now. */
+    uint64_t start_ms; /**< No item starts before: the owner before may still hand over. */
     bool tail_stopped;
     GThread *tail;
 } owned_partition;
@@ -72,7 +74,8 @@
     owned_item *item;
     double batch_share;
     uint32_t max_attempts;
-    bool gives_up; /**< Its time is over: list it as dead. */
+    bool gives_up;   /**< Its time is over: list it as dead. */
+    bool hands_over; /**< Only store what there is of it, for the next owner. */
 } item_order;
 
 static void free_item(gpointer data) {
@@ -134,21 +137,37 @@
     return NULL;
 }
 
-/** Interrupt all runs of a partition. The caller holds the lock. */
+/**
+ * Interrupt all runs of a partition; what they made is stored for the next owner. The caller holds
+ * the lock.
+ */
 static void abandon_runs(owned_partition *home) {
+    hs_job_owner *owner = home->owner;
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, home->items);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         owned_item *item = value;
         g_atomic_int_set(&item->run->abandoned, 1);
-        if (item->stage != ITEM_RUNNING)
+        if (item->stage == ITEM_RUNNING)
+            continue;
+        if (item->stage == ITEM_STORED || item->run->events.event_count == 0) {
             g_hash_table_iter_remove(&iterator);
+            continue;
+        }
+        item_order *order = g_new0(item_order, 1);
+        order->home = home;
+        order->item = item;
+        order->hands_over = true;
+        item->stage = ITEM_RUNNING;
+        owner->running++;
+        g_thread_pool_push(owner->workers, order, NULL);
     }
 }
 
 /** The caller holds the lock. */
 static void take_partition(owned_partition *home) {
+    home->start_ms = hs_clock_monotonic_ms() + TAKEOVER_PAUSE_MS;
     if (home->tail != NULL) {
         if (!home->tail_stopped) { /* Its thread still ends; it simply goes on. */
             home->owned = true;
@@ -268,6 +287,29 @@
     return false;
 }
 
+/** Store what there is of an unfinished item, so that the next owner goes on with it. */
+static void hand_over(const item_order *order) {
+    const hs_item_run *run = order->item->run;
+    if (run->events.event_count == 0)
+        return;
+    GString *text = hs_item_run_text(run);
+    hs_store_outcome stored = hs_job_partition_append_progress(
+        order->home->partition, run->job_id, run->index, run->events.last_id, text,
+        hs_clock_monotonic_ms() + APPEND_LIMIT_MS);
+    hs_log_info("item_handed_over", "job=%s item=%s last_event=%" G_GUINT64_FORMAT " stored=%s",
+                run->job_id, run->item_id, (guint64)run->events.last_id,
+                hs_store_outcome_name(stored));
+    g_string_free(text, TRUE);
+}
+
+/** Whether an interrupted item goes to another owner. */
+static bool changes_owner(hs_job_owner *owner, const owned_partition *home) {
+    g_mutex_lock(&owner->lock);
+    bool changes = !home->owned || owner->draining;
+    g_mutex_unlock(&owner->lock);
+    return changes;
+}
+
 static void run_worker(gpointer data, gpointer user_data) {
     hs_job_owner *owner = user_data;
     item_order *order = data;
@@ -275,7 +317,9 @@
     hs_fleet_config *config = hs_config_source_get(owner->settings.config);
     bool listed = false;
     hs_item_try end = HS_ITEM_TRY_NO_ROUTE;
-    if (order->gives_up) {
+    if (order->hands_over) {
+        end = HS_ITEM_TRY_ABANDONED;
+    } else if (order->gives_up) {
         listed = conclude(order, HS_ITEM_DEAD);
     } else if (config != NULL) {
         end = hs_item_run_try(item->run, order->home->partition, owner->settings.engines, config,
@@ -283,6 +327,8 @@
         listed = settle_try(order, end);
     }
     hs_fleet_config_unref(config);
+    if (!listed && end != HS_ITEM_TRY_DONE && changes_owner(owner, order->home))
+        hand_over(order);
     g_mutex_lock(&owner->lock);
     item->stage = listed ? ITEM_STORED : ITEM_WAITING;
     item->tries += end != HS_ITEM_TRY_NO_ROOM;
@@ -442,7 +488,7 @@
     g_autoptr(GArray) ready = g_array_new(FALSE, FALSE, sizeof(ready_item));
     for (guint part = 0; part < owner->partitions->len; part++) {
         owned_partition *home = owner->partitions->pdata[part];
-        if (home->owned)
+        if (home->owned && hs_clock_monotonic_ms() >= home->start_ms)
             collect(home, config, ready);
     }
     if (ready->len == 0 || owner->draining)
@@ -490,6 +536,8 @@
 void hs_job_owner_drain(hs_job_owner *owner) {
     g_mutex_lock(&owner->lock);
     owner->draining = true;
+    for (guint part = 0; part < owner->partitions->len; part++)
+        abandon_runs(owner->partitions->pdata[part]);
     g_mutex_unlock(&owner->lock);
 }
 
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -31,7 +31,7 @@
 hs_job_owner *hs_job_owner_new(const hs_job_owner_settings *settings);
 void hs_job_owner_start(hs_job_owner *owner);
 
-/** Start no more items; those that run go on. */
+/** Start no more items; those that run stop and are handed over to the next owner. */
 void hs_job_owner_drain(hs_job_owner *owner);
 
 /** Items now running. */
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -247,6 +247,21 @@
     return done;
 }
 
+hs_store_outcome hs_job_partition_append_progress(hs_job_partition *partition, const char *job_id,
+                                                  uint32_t item, uint64_t last_event,
+                                                  const GString *text, hs_deadline deadline) {
+    Hs__JobProgress progress = HS__JOB_PROGRESS__INIT;
+    progress.job_id = (char *)job_id;
+    progress.item = item;
+    progress.last_event = last_event;
+    progress.text.data = (uint8_t *)text->str;
+    progress.text.len = text->len;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_PROGRESS;
+    record.progress = &progress;
+    return hs_job_partition_append(partition, &record, deadline);
+}
+
 /** Frame a content over as many records as it needs; how many those are. */
 static uint32_t frame_content(const hs_job_partition *partition, GByteArray *records,
                               const GByteArray *content) {
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -50,6 +50,11 @@
                                                 uint32_t item, hs_item_outcome outcome,
                                                 const GString *text, hs_deadline deadline);
 
+/** One try to append what a run has made so far; too long a text is not kept. */
+hs_store_outcome hs_job_partition_append_progress(hs_job_partition *partition, const char *job_id,
+                                                  uint32_t item, uint64_t last_event,
+                                                  const GString *text, hs_deadline deadline);
+
 /** Append contents (already packed, of GByteArray*) to the bodies; offsets go to @p offsets. */
 hs_store_outcome hs_job_partition_append_contents(hs_job_partition *partition,
                                                   const GPtrArray *contents, GArray *offsets,
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -8,7 +8,7 @@
 
 #include <string.h>
 
-#define CALL_LIMIT_MS 3000
+#define CALL_LIMIT_MS 4000
 #define ONE_TRY_MS 1200
 #define RETRY_PAUSE_MS 40
 #define RETRY_AFTER_TEXT "0.3"
@@ -119,6 +119,7 @@
     const hs_caller_terms *terms;
     const hs_fleet_route *route;
     const GArray *items;
+    hs_deadline refuse_at; /**< Until then the store is tried; later another daemon may be. */
     hs_deadline deadline;
 } submission;
 
@@ -154,8 +155,6 @@
 static hs_store_outcome store_contents(const submission *job, const GPtrArray *contents,
                                        GArray *offsets) {
     hs_store_outcome outcome = HS_STORE_REFUSED;
-    hs_deadline refuse_at =
-        MIN(job->deadline, job->inbound->received_ms + job->route->target_latency_ms);
     do {
         g_array_set_size(offsets, 0);
         outcome = hs_job_partition_append_contents(job->partition, contents, offsets,
@@ -163,7 +162,7 @@
         if (outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN)
             break;
         hs_clock_sleep_ms(RETRY_PAUSE_MS);
-    } while (hs_clock_monotonic_ms() < refuse_at);
+    } while (hs_clock_monotonic_ms() < job->refuse_at);
     return outcome;
 }
 
@@ -176,12 +175,10 @@
     if (outcome == HS_STORE_DONE) {
         /* Once the manifest may be in the log, no refusal may be promised any more. */
         bool may_be_taken = false;
-        hs_deadline refuse_at =
-            MIN(job->deadline, job->inbound->received_ms + job->route->target_latency_ms);
         while (true) {
             outcome = append_manifest(job, contents, offsets);
             may_be_taken = may_be_taken || outcome == HS_STORE_UNKNOWN;
-            hs_deadline limit = may_be_taken ? job->deadline : refuse_at;
+            hs_deadline limit = may_be_taken ? job->deadline : job->refuse_at;
             if ((outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN) ||
                 hs_clock_monotonic_ms() >= limit)
                 break;
@@ -221,6 +218,7 @@
                       .route = route,
                       .items = items,
                       .deadline = call_deadline(inbound, terms)};
+    job.refuse_at = inbound->received_ms + (job.deadline - inbound->received_ms) / 2;
     uint32_t status = 0;
     if (is_known(job.partition, terms->request_id))
         status = 202;
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -25,7 +25,9 @@
 }
 
 static void clear_item(gpointer data) {
-    g_free(((hs_job_item *)data)->id);
+    hs_job_item *item = data;
+    g_free(item->id);
+    g_free(item->progress);
 }
 
 static void free_job(gpointer data) {
@@ -96,6 +98,7 @@
     if (entry->listed)
         return;
     entry->listed = true;
+    g_clear_pointer(&entry->progress, g_free);
     hs_job_result *result = g_new0(hs_job_result, 1);
     result->item = item;
     result->outcome = outcome;
@@ -144,6 +147,19 @@
     forget_partial(state);
 }
 
+static void apply_progress(hs_job_state *state, const Hs__JobProgress *progress) {
+    hs_job *job = g_hash_table_lookup(state->jobs, progress->job_id);
+    if (job == NULL || progress->item >= job->items->len)
+        return;
+    hs_job_item *item = &g_array_index(job->items, hs_job_item, progress->item);
+    if (item->listed || (item->progress != NULL && item->progress_event >= progress->last_event))
+        return;
+    g_free(item->progress);
+    item->progress = g_memdup2(progress->text.data, progress->text.len);
+    item->progress_length = progress->text.len;
+    item->progress_event = progress->last_event;
+}
+
 bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes, size_t length) {
     state->next = offset + 1;
     Hs__JobRecord *record = hs__job_record__unpack(NULL, length, bytes);
@@ -163,6 +179,9 @@
             job->ended = true;
         break;
     }
+    case HS__JOB_RECORD__KIND_PROGRESS:
+        apply_progress(state, record->progress);
+        break;
     default:
         known = false;
     }
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -76,12 +76,8 @@
 }
 
 static bool is_ready(hs_fleet_surface *surface) {
-    if (g_atomic_int_get(&surface->leaving) != 0)
-        return false;
-    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
-    bool known = config != NULL;
-    hs_fleet_config_unref(config);
-    return known;
+    return g_atomic_int_get(&surface->leaving) == 0 &&
+           surface->settings.may_serve(surface->settings.user_data);
 }
 
 static void serve_ready(hs_inbound *inbound, void *user_data) {
@@ -158,6 +154,11 @@
         hs_listener_close_after_answers(surface->front);
 }
 
+void hs_fleet_surface_quiesce(hs_fleet_surface *surface) {
+    if (surface->front != NULL)
+        hs_listener_quiesce(surface->front);
+}
+
 uint32_t hs_fleet_surface_open_requests(hs_fleet_surface *surface) {
     return surface->front != NULL ? hs_listener_open_requests(surface->front) : 0;
 }
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -23,6 +23,8 @@
     hs_job_service *jobs;
     hs_daemon_directory *members;
     hs_store_client *store;
+    bool (*may_serve)(void *user_data); /**< Whether requests could be served. */
+    void *user_data;
 } hs_fleet_surface_settings;
 
 typedef struct hs_fleet_surface hs_fleet_surface;
@@ -34,6 +36,9 @@
 /** From now on not ready; answers close their connections; requests are still served. */
 void hs_fleet_surface_leave(hs_fleet_surface *surface);
 
+/** Take no new connections of callers and let idle ones end. May be called again and again. */
+void hs_fleet_surface_quiesce(hs_fleet_surface *surface);
+
 /** Requests of callers now open. */
 uint32_t hs_fleet_surface_open_requests(hs_fleet_surface *surface);
 
