--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -28,9 +28,10 @@
     run->content_offset = item->content_offset;
     run->content_bytes = item->content_bytes;
     run->texts = g_ptr_array_new_with_free_func(free_text);
-    if (item->progress != NULL) {
+    if (item->progress_event > 0) {
         g_ptr_array_add(run->texts,
-                        g_string_new_len(item->progress, (gssize)item->progress_length));
+                        g_string_new_len(item->progress != NULL ? item->progress : "",
+                                         (gssize)item->progress_length));
         run->events = (hs_event_stream){
             .has_last_id = true, .last_id = item->progress_event, .expects_next = true};
     }
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -152,7 +152,7 @@
     if (job == NULL || progress->item >= job->items->len)
         return;
     hs_job_item *item = &g_array_index(job->items, hs_job_item, progress->item);
-    if (item->listed || (item->progress != NULL && item->progress_event >= progress->last_event))
+    if (item->listed || item->progress_event >= progress->last_event)
         return;
     g_free(item->progress);
     item->progress = g_memdup2(progress->text.data, progress->text.len);
--- /dev/null
+++ b/standin/log_store/log_store.c
@@ -0,0 +1,424 @@
+/** @file log_store.c  Stand-in for the platform's log store; see log_store.h. */
+#include "standin/log_store/log_store.h"
+
+#include "base/clock.h"
+#include "http/http_fields.h"
+#include "http/listener.h"
+#include "platform/caller_codec.h"
+#include "platform/names.h"
+
+#include <jansson.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define PARTS 12
+#define SILENCE_MS 20000
+#define HOLD_STEP_MS 5
+#define BODY_LIMIT (16U * 1024 * 1024)
+#define FIRST_PORT 21000
+#define PORT_TRIES 2000
+
+/** One partition of a topic. */
+typedef struct {
+    GPtrArray *records; /**< of GBytes*; the first has offset @c first. */
+    uint64_t first;
+} partition;
+
+/** Newest record of a key. */
+typedef struct {
+    GBytes *value;
+    uint64_t offset;
+} newest;
+
+typedef struct {
+    partition parts[PARTS];
+    GHashTable *keys; /**< key -> newest*; keyed topics alone. */
+} topic;
+
+typedef struct {
+    char *name;
+    uint64_t silent_after_ms;
+} member;
+
+struct log_store {
+    hs_listener *listener;
+    uint16_t port;
+    GMutex lock;
+    GHashTable *topics;  /**< name -> topic* */
+    GPtrArray *members;  /**< of member*, of the one group that is used. */
+    uint64_t generation;
+    uint32_t turn; /**< Shifts the dealing. */
+    log_store_mode mode;
+    char *mode_prefix;
+    uint32_t mode_count;
+    gint delay_ms;
+    GHashTable *calls; /**< target's path -> count */
+};
+
+static void free_topic(gpointer data) {
+    topic *freed = data;
+    for (int part = 0; part < PARTS; part++)
+        g_ptr_array_free(freed->parts[part].records, TRUE);
+    g_hash_table_destroy(freed->keys);
+    g_free(freed);
+}
+
+static void free_newest(gpointer data) {
+    newest *freed = data;
+    g_bytes_unref(freed->value);
+    g_free(freed);
+}
+
+static void free_member(gpointer data) {
+    member *freed = data;
+    g_free(freed->name);
+    g_free(freed);
+}
+
+static topic *topic_of(log_store *store, const char *name) {
+    topic *found = g_hash_table_lookup(store->topics, name);
+    if (found != NULL)
+        return found;
+    found = g_new0(topic, 1);
+    for (int part = 0; part < PARTS; part++)
+        found->parts[part].records =
+            g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+    found->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_newest);
+    g_hash_table_insert(store->topics, g_strdup(name), found);
+    return found;
+}
+
+static bool is_keyed(const char *name) {
+    return g_str_has_prefix(name, "keyed.");
+}
+
+static void append(topic *to, uint32_t part, bool keyed, const guint8 *bytes, size_t length) {
+    partition *log = &to->parts[part];
+    uint64_t offset = log->first + log->records->len;
+    g_ptr_array_add(log->records, g_bytes_new(bytes, length));
+    if (!keyed)
+        return;
+    char *key = g_strndup((const char *)bytes + 1, bytes[0]);
+    size_t value_length = length - 1 - bytes[0];
+    if (value_length == 0) {
+        g_hash_table_remove(to->keys, key);
+        g_free(key);
+        return;
+    }
+    newest *entry = g_new0(newest, 1);
+    entry->value = g_bytes_new(bytes + 1 + bytes[0], value_length);
+    entry->offset = offset;
+    g_hash_table_insert(to->keys, key, entry);
+}
+
+static void reply_json(hs_inbound *inbound, uint32_t status, json_t *body) {
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, "Content-Type", "application/json");
+    char *text = json_dumps(body, JSON_COMPACT);
+    hs_inbound_reply(inbound, status, fields, text, strlen(text));
+    free(text);
+    json_decref(body);
+    hs_http_fields_free(fields);
+}
+
+static uint64_t number_in(const char *target, const char *name, uint64_t fallback) {
+    g_autofree char *value = hs_platform_query_value(target, name);
+    return value != NULL ? g_ascii_strtoull(value, NULL, 10) : fallback;
+}
+
+static void serve_append(log_store *store, hs_inbound *inbound) {
+    g_autofree char *name = hs_platform_query_value(inbound->target, "topic");
+    uint32_t part = (uint32_t)number_in(inbound->target, "part", 0) % PARTS;
+    topic *to = topic_of(store, name);
+    uint64_t offset = to->parts[part].first + to->parts[part].records->len;
+    size_t at = 0;
+    while (at + sizeof(guint32) <= inbound->body->len) {
+        guint32 wire = 0;
+        memcpy(&wire, inbound->body->data + at, sizeof wire);
+        at += sizeof wire;
+        append(to, part, is_keyed(name), inbound->body->data + at, g_ntohl(wire));
+        at += g_ntohl(wire);
+    }
+    uint64_t end = to->parts[part].first + to->parts[part].records->len;
+    reply_json(inbound, 200,
+               json_pack("{s:I, s:I}", "offset", (json_int_t)offset, "end", (json_int_t)end));
+}
+
+static void add_number(GByteArray *answer, uint64_t value) {
+    uint64_t wire = GUINT64_TO_BE(value);
+    g_byte_array_append(answer, (const guint8 *)&wire, sizeof wire);
+}
+
+static void reply_records(hs_inbound *inbound, const partition *log, uint64_t from,
+                          uint64_t max_bytes) {
+    GByteArray *answer = g_byte_array_new();
+    uint64_t end = log->first + log->records->len;
+    add_number(answer, end);
+    add_number(answer, log->first);
+    for (uint64_t offset = from; offset < end; offset++) {
+        gsize length = 0;
+        const guint8 *bytes = g_bytes_get_data(log->records->pdata[offset - log->first], &length);
+        if (offset > from && answer->len + length > max_bytes)
+            break;
+        guint32 wire = g_htonl((guint32)length);
+        g_byte_array_append(answer, (const guint8 *)&wire, sizeof wire);
+        g_byte_array_append(answer, bytes, (guint)length);
+    }
+    hs_inbound_reply(inbound, 200, NULL, answer->data, answer->len);
+    g_byte_array_free(answer, TRUE);
+}
+
+/** Holds the lock on entry and exit; gives it up while it waits for records. */
+static void serve_read(log_store *store, hs_inbound *inbound) {
+    g_autofree char *name = hs_platform_query_value(inbound->target, "topic");
+    uint32_t part = (uint32_t)number_in(inbound->target, "part", 0) % PARTS;
+    uint64_t from = number_in(inbound->target, "from", 0);
+    uint64_t max_bytes = number_in(inbound->target, "max_kb", 1024) * 1024;
+    uint64_t until = hs_clock_monotonic_ms() + number_in(inbound->target, "wait-ms", 0);
+    const partition *log = &topic_of(store, name)->parts[part];
+    while (from >= log->first + log->records->len && hs_clock_monotonic_ms() < until) {
+        g_mutex_unlock(&store->lock);
+        hs_clock_sleep_ms(HOLD_STEP_MS);
+        g_mutex_lock(&store->lock);
+    }
+    if (from < log->first)
+        reply_json(inbound, 410, json_pack("{s:I}", "first", (json_int_t)log->first));
+    else
+        reply_records(inbound, log, from, max_bytes);
+}
+
+static void serve_newest(log_store *store, hs_inbound *inbound) {
+    g_autofree char *name = hs_platform_query_value(inbound->target, "topic");
+    topic *from = topic_of(store, name);
+    json_t *list = json_array();
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, from->keys);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        const newest *entry = value;
+        gsize length = 0;
+        const guchar *bytes = g_bytes_get_data(entry->value, &length);
+        g_autofree char *encoded = g_base64_encode(bytes, length);
+        json_array_append_new(list, json_pack("{s:s, s:s, s:I}", "key", key, "value", encoded,
+                                              "offset", (json_int_t)entry->offset));
+    }
+    uint64_t end = from->parts[0].first + from->parts[0].records->len;
+    reply_json(inbound, 200,
+               json_pack("{s:o, s:b, s:I}", "requests", list, "has-more", 0, "end",
+                         (json_int_t)end));
+}
+
+static void drop_silent_members(log_store *store, uint64_t now_ms) {
+    for (guint index = store->members->len; index > 0; index--) {
+        const member *one = store->members->pdata[index - 1];
+        if (one->silent_after_ms >= now_ms)
+            continue;
+        g_ptr_array_remove_index(store->members, index - 1);
+        store->generation++;
+    }
+}
+
+static guint place_of(const log_store *store, const char *name) {
+    for (guint index = 0; index < store->members->len; index++)
+        if (strcmp(((member *)store->members->pdata[index])->name, name) == 0)
+            return index;
+    return store->members->len;
+}
+
+static void serve_join(log_store *store, hs_inbound *inbound) {
+    json_t *body = json_loadb((const char *)inbound->body->data, inbound->body->len, 0, NULL);
+    const char *name = json_string_value(json_object_get(body, "member"));
+    const char *joined = json_string_value(json_array_get(json_object_get(body, "topics"), 0));
+    uint64_t ttl_ms = (uint64_t)json_integer_value(json_object_get(body, "ttl-ms"));
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    drop_silent_members(store, now_ms);
+    guint place = place_of(store, name);
+    if (place == store->members->len) {
+        member *added = g_new0(member, 1);
+        added->name = g_strdup(name);
+        g_ptr_array_add(store->members, added);
+        store->generation++;
+    }
+    ((member *)store->members->pdata[place])->silent_after_ms = now_ms + ttl_ms;
+    json_t *rows = json_array();
+    for (guint part = 0; part < PARTS; part++)
+        if ((part + store->turn) % store->members->len == place)
+            json_array_append_new(rows, json_pack("[s, i, i]", joined, (int)part, 0));
+    reply_json(inbound, 200, json_pack("{s:I, s:I, s:o}", "generation",
+                                       (json_int_t)store->generation, "ttl-ms",
+                                       (json_int_t)ttl_ms, "parts", rows));
+    json_decref(body);
+}
+
+static void serve_leave(log_store *store, hs_inbound *inbound) {
+    json_t *body = json_loadb((const char *)inbound->body->data, inbound->body->len, 0, NULL);
+    guint place = place_of(store, json_string_value(json_object_get(body, "member")));
+    if (place < store->members->len) {
+        g_ptr_array_remove_index(store->members, place);
+        store->generation++;
+    }
+    json_decref(body);
+    reply_json(inbound, 200, json_object());
+}
+
+static void serve_trim(log_store *store, hs_inbound *inbound) {
+    g_autofree char *name = hs_platform_query_value(inbound->target, "topic");
+    uint32_t part = (uint32_t)number_in(inbound->target, "part", 0) % PARTS;
+    uint64_t before = number_in(inbound->target, "before", 0);
+    partition *log = &topic_of(store, name)->parts[part];
+    while (log->first < before && log->records->len > 0) {
+        g_ptr_array_remove_index(log->records, 0);
+        log->first++;
+    }
+    reply_json(inbound, 200, json_object());
+}
+
+static bool begins(const hs_inbound *inbound, const char *call) {
+    return g_str_has_prefix(inbound->target, call);
+}
+
+static void serve_call(log_store *store, hs_inbound *inbound) {
+    if (begins(inbound, CALL_APPEND))
+        serve_append(store, inbound);
+    else if (begins(inbound, CALL_READ))
+        serve_read(store, inbound);
+    else if (begins(inbound, CALL_NEWEST))
+        serve_newest(store, inbound);
+    else if (begins(inbound, CALL_JOIN))
+        serve_join(store, inbound);
+    else if (begins(inbound, CALL_LEAVE))
+        serve_leave(store, inbound);
+    else if (begins(inbound, CALL_TRIM))
+        serve_trim(store, inbound);
+    else
+        reply_json(inbound, 404, json_object());
+}
+
+/** The fault for this call, counted down. The caller holds the lock. */
+static log_store_mode mode_for(log_store *store, const hs_inbound *inbound) {
+    if (store->mode_count == 0 ||
+        (store->mode_prefix != NULL && !begins(inbound, store->mode_prefix)))
+        return LOG_STORE_SOUND;
+    store->mode_count--;
+    return store->mode;
+}
+
+static void count_call(log_store *store, const hs_inbound *inbound) {
+    char *path = g_strndup(inbound->target, strcspn(inbound->target, "?"));
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(store->calls, path));
+    g_hash_table_insert(store->calls, path, GUINT_TO_POINTER(count + 1));
+}
+
+/** End the caller's connection so that no answer reaches it. */
+static void lose_answer(hs_inbound *inbound) {
+    shutdown(inbound->descriptor, SHUT_RDWR);
+}
+
+static void serve(hs_inbound *inbound, void *user_data) {
+    log_store *store = user_data;
+    hs_clock_sleep_ms((uint64_t)g_atomic_int_get(&store->delay_ms));
+    g_mutex_lock(&store->lock);
+    count_call(store, inbound);
+    log_store_mode mode = mode_for(store, inbound);
+    if (mode == LOG_STORE_SOUND || mode == LOG_STORE_LOSES_ANSWER)
+        serve_call(store, inbound);
+    g_mutex_unlock(&store->lock);
+    if (mode == LOG_STORE_REFUSES || mode == LOG_STORE_THROTTLES)
+        reply_json(inbound, mode == LOG_STORE_REFUSES ? 503 : 429, json_object());
+    if (mode == LOG_STORE_SILENT) {
+        hs_clock_sleep_ms(SILENCE_MS);
+        hs_inbound_drop(inbound);
+    }
+    if (mode == LOG_STORE_LOSES_ANSWER || mode == LOG_STORE_DROPS)
+        lose_answer(inbound);
+}
+
+log_store *log_store_start(uint16_t port) {
+    log_store *store = g_new0(log_store, 1);
+    g_mutex_init(&store->lock);
+    store->topics = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_topic);
+    store->members = g_ptr_array_new_with_free_func(free_member);
+    store->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (int attempt = 0; store->listener == NULL && attempt < PORT_TRIES; attempt++) {
+        store->port = port != 0 ? port
+                                : (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
+        store->listener =
+            hs_listener_start("127.0.0.1", store->port, BODY_LIMIT, serve, store, NULL);
+        if (port != 0)
+            break;
+    }
+    return store;
+}
+
+void log_store_stop(log_store *store) {
+    hs_listener_stop(store->listener);
+    g_hash_table_destroy(store->topics);
+    g_hash_table_destroy(store->calls);
+    g_ptr_array_free(store->members, TRUE);
+    g_free(store->mode_prefix);
+    g_mutex_clear(&store->lock);
+    g_free(store);
+}
+
+uint16_t log_store_port(const log_store *store) {
+    return store->port;
+}
+
+void log_store_set_mode(log_store *store, log_store_mode mode, const char *prefix,
+                        uint32_t count) {
+    g_mutex_lock(&store->lock);
+    store->mode = mode;
+    store->mode_count = mode == LOG_STORE_SOUND ? 0 : count;
+    g_free(store->mode_prefix);
+    store->mode_prefix = g_strdup(prefix);
+    g_mutex_unlock(&store->lock);
+}
+
+void log_store_set_delay(log_store *store, uint32_t delay_ms) {
+    g_atomic_int_set(&store->delay_ms, (gint)delay_ms);
+}
+
+void log_store_put(log_store *store, const char *name, const char *key, const char *value) {
+    GByteArray *record = g_byte_array_new();
+    guint8 key_length = (guint8)strlen(key);
+    g_byte_array_append(record, &key_length, 1);
+    g_byte_array_append(record, (const guint8 *)key, key_length);
+    g_byte_array_append(record, (const guint8 *)value, (guint)strlen(value));
+    g_mutex_lock(&store->lock);
+    append(topic_of(store, name), 0, true, record->data, record->len);
+    g_mutex_unlock(&store->lock);
+    g_byte_array_free(record, TRUE);
+}
+
+void log_store_forget(log_store *store, const char *name) {
+    g_mutex_lock(&store->lock);
+    topic *forgotten = topic_of(store, name);
+    for (int part = 0; part < PARTS; part++) {
+        partition *log = &forgotten->parts[part];
+        log->first += log->records->len;
+        g_ptr_array_set_size(log->records, 0);
+    }
+    g_mutex_unlock(&store->lock);
+}
+
+void log_store_rebalance(log_store *store) {
+    g_mutex_lock(&store->lock);
+    store->turn++;
+    store->generation++;
+    g_mutex_unlock(&store->lock);
+}
+
+uint32_t log_store_calls(log_store *store, const char *prefix) {
+    uint32_t total = 0;
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_mutex_lock(&store->lock);
+    g_hash_table_iter_init(&iterator, store->calls);
+    while (g_hash_table_iter_next(&iterator, &key, &value))
+        if (g_str_has_prefix(key, prefix))
+            total += GPOINTER_TO_UINT(value);
+    g_mutex_unlock(&store->lock);
+    return total;
+}
--- /dev/null
+++ b/standin/token_engine/token_engine.c
@@ -0,0 +1,173 @@
+/** @file token_engine.c  Stand-in for a model engine; see token_engine.h. */
+#include "standin/token_engine/token_engine.h"
+
+#include "base/clock.h"
+#include "http/http_fields.h"
+#include "http/listener.h"
+#include "platform/names.h"
+
+#include <string.h>
+
+#define BODY_LIMIT (16U * 1024 * 1024)
+#define FIRST_PORT 23500
+#define PORT_TRIES 2000
+#define EVENT_TEXT_SIZE 128
+
+struct token_engine {
+    token_engine_settings settings;
+    char *id;
+    char *service;
+    hs_listener *listener;
+    uint16_t port;
+    gint mode;
+    GMutex lock;
+    GHashTable *runs; /**< request id -> count */
+    uint32_t total;
+    uint32_t sequence;
+};
+
+/** One stream under way. */
+typedef struct {
+    token_engine *engine;
+    uint32_t next;
+    uint32_t last;
+    uint32_t break_at; /**< 0: never. */
+} stream;
+
+static ssize_t write_event(void *data, char *buffer, size_t size) {
+    stream *events = data;
+    if (events->break_at != 0 && events->next > events->break_at) {
+        memcpy(buffer, "id: 9", 5); /* Within an event. */
+        events->break_at = 0;
+        events->last = 0;
+        return 5;
+    }
+    if (events->last == 0)
+        return HS_READER_ABORT;
+    if (events->next > events->last)
+        return HS_READER_END;
+    hs_clock_sleep_ms(events->engine->settings.event_ms);
+    int length = g_snprintf(buffer, size, "id: %u\ndata: token %u\n\n", events->next, events->next);
+    events->next++;
+    return length;
+}
+
+static void add_head(const token_engine *engine, GArray *fields, const char *request_id) {
+    hs_http_fields_add(fields, HEADER_REQUEST_ID, request_id);
+    hs_http_fields_add(fields, HEADER_SIGNATURE, "sig.1");
+    hs_http_fields_add(fields, HEADER_SERVER_LOAD, "1,0,8");
+    hs_http_fields_add(fields, "X-Engine", engine->id);
+    hs_http_fields_add(fields, "X-Twice", "one");
+    hs_http_fields_add(fields, "X-Twice", "two");
+}
+
+static void refuse(hs_inbound *inbound, uint32_t status, const char *request_id, bool executed) {
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, HEADER_REQUEST_ID, request_id);
+    if (executed)
+        hs_http_fields_add(fields, HEADER_SIGNATURE, "sig.f");
+    else
+        hs_http_fields_add(fields, HEADER_NOT_EXECUTED, "1");
+    hs_inbound_reply(inbound, status, fields, "no", 2);
+    hs_http_fields_free(fields);
+}
+
+static void note_run(token_engine *engine, const char *request_id) {
+    g_mutex_lock(&engine->lock);
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(engine->runs, request_id));
+    g_hash_table_insert(engine->runs, g_strdup(request_id), GUINT_TO_POINTER(count + 1));
+    engine->total++;
+    g_mutex_unlock(&engine->lock);
+}
+
+static void serve_stream(token_engine *engine, hs_inbound *inbound, GArray *fields, bool breaks) {
+    const char *after = hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID);
+    stream *events = g_new0(stream, 1);
+    events->engine = engine;
+    events->next = after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
+    events->last = engine->settings.events;
+    events->break_at = breaks ? events->next + engine->settings.break_after - 1 : 0;
+    hs_http_fields_add(fields, "Content-Type", "text/event-stream");
+    hs_inbound_reply_stream(inbound, 200, fields, write_event, events, g_free);
+}
+
+static void serve(hs_inbound *inbound, void *user_data) {
+    token_engine *engine = user_data;
+    const char *id = hs_http_fields_find(inbound->fields, HEADER_REQUEST_ID);
+    const char *wanted = hs_http_fields_find(inbound->fields, HEADER_TARGET_INSTANCE);
+    token_engine_mode mode = (token_engine_mode)g_atomic_int_get(&engine->mode);
+    if (id == NULL) {
+        refuse(inbound, 400, "-", false);
+    } else if (wanted != NULL && strcmp(wanted, engine->id) != 0) {
+        refuse(inbound, 421, id, false);
+    } else if (mode == TOKEN_ENGINE_FULL) {
+        refuse(inbound, 503, id, false);
+    } else {
+        note_run(engine, id);
+        if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
+            refuse(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
+            return;
+        }
+        GArray *fields = hs_http_fields_new();
+        add_head(engine, fields, id);
+        if (strstr(inbound->target, "plain") != NULL)
+            hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
+        else
+            serve_stream(engine, inbound, fields, mode == TOKEN_ENGINE_BREAKS);
+        hs_http_fields_free(fields);
+    }
+}
+
+token_engine *token_engine_start(const token_engine_settings *settings) {
+    token_engine *engine = g_new0(token_engine, 1);
+    engine->settings = *settings;
+    engine->id = g_strdup(settings->id);
+    engine->service = g_strdup(settings->service);
+    g_mutex_init(&engine->lock);
+    engine->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (int attempt = 0; engine->listener == NULL && attempt < PORT_TRIES; attempt++) {
+        engine->port = (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
+        engine->listener =
+            hs_listener_start("127.0.0.1", engine->port, BODY_LIMIT, serve, engine, NULL);
+    }
+    return engine;
+}
+
+void token_engine_stop(token_engine *engine) {
+    hs_listener_stop(engine->listener);
+    g_hash_table_destroy(engine->runs);
+    g_mutex_clear(&engine->lock);
+    g_free(engine->id);
+    g_free(engine->service);
+    g_free(engine);
+}
+
+void token_engine_set_mode(token_engine *engine, token_engine_mode mode) {
+    g_atomic_int_set(&engine->mode, (gint)mode);
+}
+
+void token_engine_announce(token_engine *engine, log_store *store, bool draining) {
+    g_autofree char *entry = g_strdup_printf(
+        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+        "\"slots\":8,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
+        engine->service, engine->port, draining ? "draining" : "ready", ++engine->sequence);
+    log_store_put(store, TOPIC_ENGINES, engine->id, entry);
+}
+
+uint32_t token_engine_runs(token_engine *engine, const char *request_id) {
+    g_mutex_lock(&engine->lock);
+    uint32_t runs = GPOINTER_TO_UINT(g_hash_table_lookup(engine->runs, request_id));
+    g_mutex_unlock(&engine->lock);
+    return runs;
+}
+
+uint32_t token_engine_total(token_engine *engine) {
+    g_mutex_lock(&engine->lock);
+    uint32_t total = engine->total;
+    g_mutex_unlock(&engine->lock);
+    return total;
+}
+
+uint32_t token_engine_open(token_engine *engine) {
+    return hs_listener_open_requests(engine->listener);
+}
--- /dev/null
+++ b/standin/token_engine/token_engine.h
@@ -0,0 +1,50 @@
+/**
+ * @file token_engine.h
+ * Stand-in for a model engine of the fleet surface: streams of numbered events, resumption after
+ * an event, refusals, and switches for its faults. It counts what it ran, by request id.
+ */
+#ifndef STANDIN_TOKEN_ENGINE_TOKEN_ENGINE_H
+#define STANDIN_TOKEN_ENGINE_TOKEN_ENGINE_H
+
+#include "standin/log_store/log_store.h"
+
+#include <stdint.h>
+
+typedef struct token_engine token_engine;
+
+/** What the engine does with requests. */
+typedef enum {
+    TOKEN_ENGINE_SOUND,
+    TOKEN_ENGINE_FULL,       /**< 503, not executed. */
+    TOKEN_ENGINE_FAILS,      /**< 500. */
+    TOKEN_ENGINE_IMPOSSIBLE, /**< 422. */
+    TOKEN_ENGINE_BREAKS,     /**< Ends the connection after some events. */
+} token_engine_mode;
+
+/** What one engine does. */
+typedef struct {
+    const char *id;
+    const char *service;
+    uint32_t events;    /**< Of each stream. */
+    uint32_t event_ms;  /**< Between events. */
+    uint32_t break_after; /**< TOKEN_ENGINE_BREAKS: events before the end. */
+} token_engine_settings;
+
+token_engine *token_engine_start(const token_engine_settings *settings);
+void token_engine_stop(token_engine *engine);
+
+void token_engine_set_mode(token_engine *engine, token_engine_mode mode);
+
+/** Write the engine's entry into the store. */
+void token_engine_announce(token_engine *engine, log_store *store, bool draining);
+
+/** How often a request was begun. */
+uint32_t token_engine_runs(token_engine *engine, const char *request_id);
+
+/** Requests begun in all. */
+uint32_t token_engine_total(token_engine *engine);
+
+/** Requests now being answered. */
+uint32_t token_engine_open(token_engine *engine);
+
+#endif
--- /dev/null
+++ b/tests/support/scripted_peer.c
@@ -0,0 +1,145 @@
+/** @file scripted_peer.c  See scripted_peer.h. */
+#include "tests/support/scripted_peer.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BUFFER_SIZE 65536
+#define POLL_MS 20
+
+struct scripted_peer {
+    int listener;
+    uint16_t port;
+    GMutex lock;
+    peer_script script;
+    gint requests;
+    gint stopping;
+    gint open;
+    GThread *thread;
+};
+
+/** One accepted connection. */
+typedef struct {
+    scripted_peer *peer;
+    int descriptor;
+} accepted;
+
+static bool wait_for_events(scripted_peer *peer, int descriptor, short events) {
+    while (g_atomic_int_get(&peer->stopping) == 0) {
+        struct pollfd polled = {.fd = descriptor, .events = events};
+        if (poll(&polled, 1, POLL_MS) > 0)
+            return true;
+    }
+    return false;
+}
+
+static bool wait_readable(scripted_peer *peer, int descriptor) {
+    return wait_for_events(peer, descriptor, POLLIN);
+}
+
+/** Read a head (or @p limit bytes); false when the other side ended. */
+static bool read_request(scripted_peer *peer, int descriptor, size_t limit) {
+    char buffer[BUFFER_SIZE];
+    size_t length = 0;
+    while (length < sizeof buffer - 1 && wait_readable(peer, descriptor)) {
+        ssize_t got = recv(descriptor, buffer + length, sizeof buffer - 1 - length, 0);
+        if (got <= 0)
+            return false;
+        length += (size_t)got;
+        buffer[length] = '\0';
+        if (limit > 0 ? length >= limit : strstr(buffer, "\r\n\r\n") != NULL) {
+            g_atomic_int_inc(&peer->requests);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void reset_on_close(int descriptor) {
+    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+static gpointer serve(gpointer data) {
+    accepted *connection = data;
+    scripted_peer *peer = connection->peer;
+    bool goes_on = true;
+    while (goes_on) {
+        g_mutex_lock(&peer->lock);
+        peer_script script = peer->script;
+        g_mutex_unlock(&peer->lock);
+        goes_on = read_request(peer, connection->descriptor, script.read_limit);
+        if (!goes_on)
+            break;
+        if (script.length > 0)
+            send(connection->descriptor, script.bytes, script.length, MSG_NOSIGNAL);
+        goes_on = script.ending == PEER_KEEPS_OPEN;
+        if (script.ending == PEER_GOES_SILENT)
+            wait_for_events(peer, connection->descriptor, POLLRDHUP);
+        if (script.ending == PEER_RESETS)
+            reset_on_close(connection->descriptor);
+    }
+    close(connection->descriptor);
+    g_atomic_int_add(&peer->open, -1);
+    g_free(connection);
+    return NULL;
+}
+
+static gpointer accept_all(gpointer data) {
+    scripted_peer *peer = data;
+    while (wait_readable(peer, peer->listener)) {
+        int descriptor = accept(peer->listener, NULL, NULL);
+        if (descriptor < 0)
+            continue;
+        accepted *connection = g_new0(accepted, 1);
+        connection->peer = peer;
+        connection->descriptor = descriptor;
+        g_atomic_int_inc(&peer->open);
+        g_thread_unref(g_thread_new("peer", serve, connection));
+    }
+    return NULL;
+}
+
+scripted_peer *scripted_peer_start(void) {
+    scripted_peer *peer = g_new0(scripted_peer, 1);
+    struct sockaddr_in local = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof local;
+    g_mutex_init(&peer->lock);
+    peer->listener = socket(AF_INET, SOCK_STREAM, 0);
+    if (bind(peer->listener, (struct sockaddr *)&local, sizeof local) != 0 ||
+        listen(peer->listener, 64) != 0 ||
+        getsockname(peer->listener, (struct sockaddr *)&local, &length) != 0)
+        g_error("no port for a scripted peer");
+    peer->port = ntohs(local.sin_port);
+    peer->thread = g_thread_new("peer-accept", accept_all, peer);
+    return peer;
+}
+
+void scripted_peer_stop(scripted_peer *peer) {
+    g_atomic_int_set(&peer->stopping, 1);
+    g_thread_join(peer->thread);
+    while (g_atomic_int_get(&peer->open) > 0)
+        g_usleep(1000);
+    close(peer->listener);
+    g_mutex_clear(&peer->lock);
+    g_free(peer);
+}
+
+uint16_t scripted_peer_port(const scripted_peer *peer) {
+    return peer->port;
+}
+
+void scripted_peer_set(scripted_peer *peer, const peer_script *script) {
+    g_mutex_lock(&peer->lock);
+    peer->script = *script;
+    g_mutex_unlock(&peer->lock);
+}
+
+uint32_t scripted_peer_requests(scripted_peer *peer) {
+    return (uint32_t)g_atomic_int_get(&peer->requests);
+}
--- /dev/null
+++ b/tests/unit/test_attempt.c
@@ -0,0 +1,281 @@
+/**
+ * @file test_attempt.c
+ * The promise of a status: what is known of a run after every cut of an exchange, byte by byte.
+ */
+#include "base/clock.h"
+#include "fleet/engine_attempt.h"
+#include "http/http_fields.h"
+#include "tests/support/scripted_peer.h"
+#include "tests/unit/unit_tests.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define ANSWER_HEAD                                                                                \
+    "HTTP/1.1 200 OK\r\nHeathsail-Request-Id: r1\r\nHeathsail-Response-Signature: s\r\n"
+#define WHOLE_ANSWER ANSWER_HEAD "Content-Length: 4\r\n\r\nbody"
+#define REFUSAL "HTTP/1.1 503 Full\r\nHeathsail-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+#define STRAY                                                                                      \
+    "HTTP/1.1 200 OK\r\nHeathsail-Request-Id: r0\r\nHeathsail-Response-Signature: s\r\n"           \
+    "Content-Length: 3\r\n\r\nold"
+#define BODY_LIMIT 65536
+#define DEADLINE_MS 400
+
+/** One engine in a table, behind a scripted peer, and an order for it. */
+typedef struct {
+    scripted_peer *peer;
+    hs_fleet_engines *engines;
+    GArray *fields;
+    hs_attempt_order order;
+} bench;
+
+static void open_bench(bench *opened) {
+    memset(opened, 0, sizeof *opened);
+    opened->peer = scripted_peer_start();
+    opened->engines = hs_fleet_engines_new("z");
+    opened->fields = hs_http_fields_new();
+    hs_http_fields_add(opened->fields, "Heathsail-Request-Id", "r1");
+    hs_engine_entry entry = {.id = g_strdup("e1"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = INADDR_LOOPBACK,
+                             .port = scripted_peer_port(opened->peer),
+                             .slots = 4};
+    hs_fleet_engines_put(opened->engines, &entry, hs_clock_monotonic_ms());
+    opened->order.query = (hs_engine_query){.service = "svc"};
+    opened->order.request = (hs_engine_request){.method = "POST",
+                                                .target = "/a/b",
+                                                .fields = opened->fields,
+                                                .request_id = "r1",
+                                                .body_length = 5};
+    opened->order.body = "hello";
+    opened->order.wait.watched = HS_WATCH_NOTHING;
+}
+
+static void close_bench(bench *opened) {
+    hs_fleet_engines_free(opened->engines);
+    hs_http_fields_free(opened->fields);
+    scripted_peer_stop(opened->peer);
+}
+
+static bool start(bench *opened, const char *bytes, size_t length, peer_ending ending,
+                  hs_attempt *attempt) {
+    scripted_peer_set(opened->peer, &(peer_script){.bytes = bytes, .length = length,
+                                                   .ending = ending});
+    opened->order.wait.deadline = hs_clock_monotonic_ms() + DEADLINE_MS;
+    return hs_attempt_start(opened->engines, &opened->order, attempt);
+}
+
+/** Every length of answer up to the end of its head says "may have run", never a promise. */
+static void a_cut_head_may_have_run(void) {
+    bench opened;
+    open_bench(&opened);
+    size_t head_length = (size_t)(strstr(WHOLE_ANSWER, "\r\n\r\n") - WHOLE_ANSWER) + 4;
+    for (size_t length = 0; length < head_length; length++) {
+        hs_attempt attempt;
+        bool has_head = start(&opened, WHOLE_ANSWER, length,
+                              length % 2 == 0 ? PEER_CLOSES : PEER_RESETS, &attempt);
+        CU_ASSERT_FALSE(has_head);
+        CU_ASSERT_EQUAL(attempt.run, HS_RUN_MAY_HAVE);
+        hs_attempt_finish(&attempt, hs_attempt_failure(&attempt));
+    }
+    close_bench(&opened);
+}
+
+/** Every length of a refusal up to the end of its head is no promise either. */
+static void a_cut_refusal_is_no_promise(void) {
+    bench opened;
+    open_bench(&opened);
+    size_t head_length = (size_t)(strstr(REFUSAL, "\r\n\r\n") - REFUSAL) + 4;
+    for (size_t length = 0; length < head_length; length++) {
+        hs_attempt attempt;
+        CU_ASSERT_FALSE(start(&opened, REFUSAL, length, PEER_CLOSES, &attempt));
+        CU_ASSERT_EQUAL(attempt.run, HS_RUN_MAY_HAVE);
+        hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
+    }
+    hs_attempt whole;
+    CU_ASSERT_TRUE(start(&opened, REFUSAL, strlen(REFUSAL), PEER_CLOSES, &whole));
+    CU_ASSERT_EQUAL(whole.run, HS_RUN_DID_NOT);
+    hs_attempt_finish(&whole, HS_ATTEMPT_REFUSED);
+    close_bench(&opened);
+}
+
+/** A body cut at any byte is not whole, whatever ends the connection. */
+static void a_cut_body_is_not_whole(void) {
+    bench opened;
+    open_bench(&opened);
+    size_t head_length = (size_t)(strstr(WHOLE_ANSWER, "\r\n\r\n") - WHOLE_ANSWER) + 4;
+    for (size_t length = head_length; length <= strlen(WHOLE_ANSWER); length++) {
+        hs_attempt attempt;
+        bool has_head = start(&opened, WHOLE_ANSWER, length, PEER_CLOSES, &attempt);
+        CU_ASSERT_TRUE(has_head);
+        hs_step step = hs_client_connection_read_all(attempt.connection, BODY_LIMIT,
+                                                     &opened.order.wait);
+        CU_ASSERT_EQUAL(step == HS_STEP_COMPLETE, length == strlen(WHOLE_ANSWER));
+        CU_ASSERT_EQUAL(attempt.run, HS_RUN_DID);
+        hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
+    }
+    close_bench(&opened);
+}
+
+static void an_answer_without_length_ends_by_close_only(void) {
+    static const char answer[] = ANSWER_HEAD "\r\nbody";
+    bench opened;
+    open_bench(&opened);
+    for (int reset = 0; reset <= 1; reset++) {
+        hs_attempt attempt;
+        CU_ASSERT_TRUE(start(&opened, answer, strlen(answer),
+                             reset ? PEER_GOES_SILENT : PEER_CLOSES, &attempt));
+        hs_step step = hs_client_connection_read_all(attempt.connection, BODY_LIMIT,
+                                                     &opened.order.wait);
+        CU_ASSERT_EQUAL(step, reset ? HS_STEP_DEADLINE : HS_STEP_COMPLETE);
+        CU_ASSERT_FALSE(hs_client_connection_is_reusable(attempt.connection));
+        hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
+    }
+    close_bench(&opened);
+}
+
+static void silence_ends_at_the_deadline(void) {
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    uint64_t began = hs_clock_monotonic_ms();
+    CU_ASSERT_FALSE(start(&opened, "", 0, PEER_GOES_SILENT, &attempt));
+    uint64_t took = hs_clock_monotonic_ms() - began;
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_MAY_HAVE);
+    CU_ASSERT_EQUAL(attempt.step, HS_STEP_DEADLINE);
+    CU_ASSERT(took >= DEADLINE_MS - 5 && took < DEADLINE_MS + 200);
+    CU_ASSERT_EQUAL(hs_attempt_failure(&attempt), HS_ATTEMPT_SILENT);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SILENT);
+    close_bench(&opened);
+}
+
+static void a_refused_connection_did_not_run(void) {
+    bench opened;
+    open_bench(&opened);
+    hs_engine_entry entry = {.id = g_strdup("e1"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = INADDR_LOOPBACK,
+                             .port = 1,
+                             .slots = 4};
+    hs_fleet_engines_put(opened.engines, &entry, hs_clock_monotonic_ms());
+    hs_attempt attempt;
+    CU_ASSERT_FALSE(start(&opened, "", 0, PEER_CLOSES, &attempt));
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_DID_NOT);
+    CU_ASSERT_EQUAL(hs_attempt_failure(&attempt), HS_ATTEMPT_UNREACHABLE);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_UNREACHABLE);
+    close_bench(&opened);
+}
+
+static void a_stray_answer_is_passed_over(void) {
+    static const char both[] = STRAY WHOLE_ANSWER;
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(start(&opened, both, strlen(both), PEER_CLOSES, &attempt));
+    CU_ASSERT_STRING_EQUAL(attempt.answer.request_id, "r1");
+    CU_ASSERT_EQUAL(hs_client_connection_read_all(attempt.connection, BODY_LIMIT,
+                                                  &opened.order.wait),
+                    HS_STEP_COMPLETE);
+    const GByteArray *body = hs_client_connection_body(attempt.connection);
+    CU_ASSERT(body->len == 4 && memcmp(body->data, "body", 4) == 0);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+    close_bench(&opened);
+}
+
+static void only_a_stray_answer_may_have_run(void) {
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_FALSE(start(&opened, STRAY, strlen(STRAY), PEER_CLOSES, &attempt));
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_MAY_HAVE);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_BROKEN);
+    close_bench(&opened);
+}
+
+static void bytes_that_are_no_answer_may_have_run(void) {
+    static const char garbage[] = "\x16\x03 not http at all\r\n\r\n";
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_FALSE(start(&opened, garbage, strlen(garbage), PEER_CLOSES, &attempt));
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_MAY_HAVE);
+    CU_ASSERT_EQUAL(attempt.step, HS_STEP_INVALID);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_BROKEN);
+    close_bench(&opened);
+}
+
+static void a_surplus_after_the_answer_ends_the_connection(void) {
+    static const char surplus[] = WHOLE_ANSWER "HTTP/1.1 200 OK\r\n";
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(start(&opened, surplus, strlen(surplus), PEER_KEEPS_OPEN, &attempt));
+    hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
+    CU_ASSERT_FALSE(hs_client_connection_is_reusable(attempt.connection));
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+    close_bench(&opened);
+}
+
+static void a_good_connection_is_used_again(void) {
+    bench opened;
+    open_bench(&opened);
+    for (int round = 0; round < 3; round++) {
+        hs_attempt attempt;
+        CU_ASSERT_TRUE(start(&opened, WHOLE_ANSWER, strlen(WHOLE_ANSWER), PEER_KEEPS_OPEN,
+                             &attempt));
+        hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
+        hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+    }
+    CU_ASSERT_EQUAL(hs_fleet_engines_connects(opened.engines), 1);
+    CU_ASSERT_EQUAL(scripted_peer_requests(opened.peer), 3);
+    close_bench(&opened);
+}
+
+static void an_early_answer_ends_the_sending(void) {
+    bench opened;
+    open_bench(&opened);
+    size_t large = 8U * 1024 * 1024;
+    g_autofree char *body = g_malloc0(large);
+    opened.order.body = body;
+    opened.order.request.body_length = large;
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(start(&opened, REFUSAL, strlen(REFUSAL), PEER_GOES_SILENT, &attempt));
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_DID_NOT);
+    CU_ASSERT_FALSE(hs_client_connection_is_reusable(attempt.connection));
+    hs_attempt_finish(&attempt, HS_ATTEMPT_REFUSED);
+    close_bench(&opened);
+}
+
+/** A reader that left part of the body in place waits for more instead of spinning. */
+static void reading_waits_for_new_bytes(void) {
+    static const char answer[] = ANSWER_HEAD "Content-Length: 100\r\n\r\npart";
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(start(&opened, answer, strlen(answer), PEER_GOES_SILENT, &attempt));
+    CU_ASSERT_EQUAL(hs_client_connection_read_body(attempt.connection, &opened.order.wait),
+                    HS_STEP_PROGRESS);
+    CU_ASSERT_EQUAL(hs_client_connection_read_body(attempt.connection, &opened.order.wait),
+                    HS_STEP_DEADLINE);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SILENT);
+    close_bench(&opened);
+}
+
+const test_case attempt_tests[] = {
+    {"a_cut_head_may_have_run", a_cut_head_may_have_run},
+    {"a_cut_refusal_is_no_promise", a_cut_refusal_is_no_promise},
+    {"a_cut_body_is_not_whole", a_cut_body_is_not_whole},
+    {"an_answer_without_length_ends_by_close_only", an_answer_without_length_ends_by_close_only},
+    {"silence_ends_at_the_deadline", silence_ends_at_the_deadline},
+    {"a_refused_connection_did_not_run", a_refused_connection_did_not_run},
+    {"a_stray_answer_is_passed_over", a_stray_answer_is_passed_over},
+    {"only_a_stray_answer_may_have_run", only_a_stray_answer_may_have_run},
+    {"bytes_that_are_no_answer_may_have_run", bytes_that_are_no_answer_may_have_run},
+    {"a_surplus_after_the_answer_ends_the_connection",
+     a_surplus_after_the_answer_ends_the_connection},
+    {"a_good_connection_is_used_again", a_good_connection_is_used_again},
+    {"an_early_answer_ends_the_sending", an_early_answer_ends_the_sending},
+    {"reading_waits_for_new_bytes", reading_waits_for_new_bytes},
+    {NULL, NULL}};
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -16,4 +16,8 @@
 extern const test_case ring_tests[];
 extern const test_case placement_tests[];
 
+extern const test_case fleet_tests[];
+extern const test_case attempt_tests[];
+extern const test_case job_tests[];
+
 #endif
