System tests of the fleet surface; a resumable stream tries engines again that broke before

Cause: found by the new test with two engines that both break: after one break each, both stood on the request's list of engines not to be tried, and the stream ended although attempts and time were left. Change: a request that has run and may run again clears that list and goes on until its deadline; one that has not run is still refused within a quarter of its target.

--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -10,6 +10,9 @@
 
 #define ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
 #define FULL_PAUSE_MS 15
+#define RESUME_PAUSE_MS 50
+/** A refusal comes within this part of the time in which an answer is wanted. */
+#define REFUSAL_PARTS 4
 #define RETRY_AFTER_MS 150
 #define SILENCE_LEAST_MS 1000
 #define SILENCE_TARGETS 3
@@ -156,17 +159,24 @@
                                                                                : NEXT_END;
 }
 
-/** No engine is left to try: wait a little for one, or refuse. */
+/**
+ * No engine is left to try: wait a little for one, or end. A request that has run somewhere and may
+ * run again is worth more patience than one that can be refused.
+ */
 static next_move after_no_engine(online_request *request, hs_end_reason *reason) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    uint64_t refuse_ms = request->inbound->received_ms + request->route->target_latency_ms / 4;
-    bool may_wait = now_ms + FULL_PAUSE_MS < MIN(refuse_ms, request->deadline);
-    if (may_wait && request->excluded->len > 0) {
-        hs_clock_sleep_ms(FULL_PAUSE_MS);
+    bool has_run = request->run != HS_RUN_DID_NOT;
+    uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : FULL_PAUSE_MS;
+    uint64_t until_ms = request->deadline;
+    if (!has_run)
+        until_ms = MIN(until_ms, request->inbound->received_ms +
+                                     request->route->target_latency_ms / REFUSAL_PARTS);
+    bool may_wait = hs_clock_monotonic_ms() + pause_ms < until_ms;
+    if (may_wait && request->excluded->len > 0 && (!has_run || may_repeat(request))) {
+        hs_clock_sleep_ms(pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
         return NEXT_TRY;
     }
-    if (request->run != HS_RUN_DID_NOT)
+    if (has_run)
         *reason = HS_END_BROKEN;
     else
         *reason = request->excluded->len > 0 ? HS_END_FULL : HS_END_NO_ENGINE;
--- /dev/null
+++ b/tests/system/fleet_bench.c
@@ -0,0 +1,257 @@
+/** @file fleet_bench.c  See fleet_bench.h. */
+#include "tests/system/fleet_bench.h"
+
+#include "base/clock.h"
+#include "http/client_connection.h"
+#include "http/http_fields.h"
+#include "platform/names.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define FRONT_PORT 25100
+#define READY_PORT 25110
+#define DIRECTORY_PORT 25120
+#define CONTROL_PORT 25130
+#define METRICS_PORT 25140
+#define CALL_LIMIT_MS 12000
+#define BODY_LIMIT (16U * 1024 * 1024)
+#define READY_LIMIT_MS 8000
+#define SETTINGS_MAX 40
+
+fleet_bench bench;
+
+uint16_t bench_front_port(int index) {
+    return (uint16_t)(FRONT_PORT + index);
+}
+
+uint16_t bench_ready_port(int index) {
+    return (uint16_t)(READY_PORT + index);
+}
+
+uint16_t bench_directory_port(int index) {
+    return (uint16_t)(DIRECTORY_PORT + index);
+}
+
+uint16_t bench_metrics_port(int index) {
+    return (uint16_t)(METRICS_PORT + index);
+}
+
+static void add_setting(GPtrArray *arguments, char *setting) {
+    g_ptr_array_add(arguments, g_strdup("--set"));
+    g_ptr_array_add(arguments, setting);
+}
+
+static GPtrArray *daemon_arguments(int index) {
+    GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
+    g_ptr_array_add(arguments, g_strdup_printf("%s/heathsaild", g_getenv("HS_TEST_PROGRAMS")));
+    add_setting(arguments, g_strdup("daemon.surface=fleet"));
+    add_setting(arguments, g_strdup_printf("daemon.id=front-%d", index));
+    add_setting(arguments, g_strdup("daemon.zone=zone-a"));
+    add_setting(arguments, g_strdup_printf("fleet.front=127.0.0.1:%u", FRONT_PORT + index));
+    add_setting(arguments, g_strdup_printf("fleet.ready=127.0.0.1:%u", READY_PORT + index));
+    add_setting(arguments, g_strdup_printf("fleet.directory=127.0.0.1:%u", DIRECTORY_PORT + index));
+    add_setting(arguments, g_strdup_printf("fleet.control=127.0.0.1:%u", CONTROL_PORT + index));
+    add_setting(arguments, g_strdup_printf("fleet.metrics=127.0.0.1:%u", METRICS_PORT + index));
+    add_setting(arguments, g_strdup_printf("fleet.seeds=127.0.0.1:%u", CONTROL_PORT));
+    add_setting(arguments,
+                g_strdup_printf("fleet.store=127.0.0.1:%u", log_store_port(bench.store)));
+    add_setting(arguments, g_strdup("fleet.grace_s=6"));
+    g_ptr_array_add(arguments, NULL);
+    return arguments;
+}
+
+bool bench_start_daemon(int index, bool silent_reader) {
+    GPtrArray *arguments = daemon_arguments(index);
+    int output[2] = {-1, -1};
+    if (silent_reader && pipe(output) != 0)
+        return false;
+    pid_t pid = fork();
+    if (pid == 0) {
+        if (silent_reader)
+            dup2(output[1], STDOUT_FILENO);
+        execv(arguments->pdata[0], (char **)arguments->pdata);
+        _exit(EXIT_FAILURE);
+    }
+    if (silent_reader)
+        close(output[1]); /* The reading end stays open, unread, until the test program ends. */
+    g_ptr_array_free(arguments, TRUE);
+    bench.pids[index] = pid;
+    return pid > 0;
+}
+
+int bench_signal(int index, int signal_number) {
+    pid_t pid = bench.pids[index];
+    if (pid == 0 || kill(pid, signal_number) != 0)
+        return -1;
+    if (signal_number != SIGKILL && signal_number != SIGTERM)
+        return 0;
+    int status = 0;
+    bench.pids[index] = 0;
+    if (waitpid(pid, &status, 0) != pid || !WIFEXITED(status))
+        return -1;
+    return WEXITSTATUS(status);
+}
+
+void bench_answer_clear(bench_answer *answer) {
+    g_free(answer->body);
+    hs_http_fields_free(answer->fields);
+    memset(answer, 0, sizeof *answer);
+}
+
+static GString *write_head(const bench_call *call) {
+    GString *head = g_string_new(NULL);
+    g_string_append_printf(head, "%s %s HTTP/1.1\r\nHost: " BENCH_HOST "\r\n", call->method,
+                           call->target);
+    if (call->request_id != NULL)
+        g_string_append_printf(head, HEADER_REQUEST_ID ": %s\r\n", call->request_id);
+    if (call->timeout_ms > 0)
+        g_string_append_printf(head, HEADER_TIMEOUT_MS ": %u\r\n", call->timeout_ms);
+    if (call->wait_ms > 0)
+        g_string_append_printf(head, HEADER_WAIT_MS ": %u\r\n", call->wait_ms);
+    if (call->body != NULL)
+        g_string_append_printf(head, "Content-Length: %zu\r\n", strlen(call->body));
+    g_string_append(head, "\r\n");
+    return head;
+}
+
+static GArray *copy_fields(const GArray *fields) {
+    GArray *copy = hs_http_fields_new();
+    for (guint index = 0; index < fields->len; index++) {
+        const hs_http_field *field = &g_array_index(fields, hs_http_field, index);
+        hs_http_fields_add(copy, field->name, field->value);
+    }
+    return copy;
+}
+
+bench_answer bench_send(const bench_call *call) {
+    bench_answer answer = {0};
+    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + CALL_LIMIT_MS,
+                    .watched = HS_WATCH_NOTHING};
+    uint16_t port = call->port != 0 ? call->port : bench_front_port(call->daemon);
+    hs_step step = HS_STEP_CUT;
+    hs_client_connection *connection =
+        hs_client_connection_open(INADDR_LOOPBACK, port, &wait, &step);
+    if (connection == NULL)
+        return answer;
+    GString *head = write_head(call);
+    step = hs_client_connection_send(connection, head, call->body,
+                                     call->body != NULL ? strlen(call->body) : 0, false, &wait);
+    g_string_free(head, TRUE);
+    if (step == HS_STEP_PROGRESS)
+        step = hs_client_connection_read_head(connection, &wait);
+    if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE) {
+        answer.whole =
+            hs_client_connection_read_all(connection, BODY_LIMIT, &wait) == HS_STEP_COMPLETE;
+        const GByteArray *body = hs_client_connection_body(connection);
+        answer.status = hs_client_connection_status(connection);
+        answer.body = g_strndup((const char *)body->data, body->len);
+        answer.fields = copy_fields(hs_client_connection_fields(connection));
+    }
+    hs_client_connection_close(connection);
+    return answer;
+}
+
+bool bench_wait_ready(int index) {
+    uint64_t limit_ms = hs_clock_monotonic_ms() + READY_LIMIT_MS;
+    bool ready = false;
+    while (!ready && hs_clock_monotonic_ms() < limit_ms) {
+        bench_answer answer = bench_send(
+            &(bench_call){.method = "GET", .target = PATH_READY, .port = bench_ready_port(index)});
+        ready = answer.status == 200;
+        bench_answer_clear(&answer);
+        if (!ready)
+            hs_clock_sleep_ms(20);
+    }
+    return ready;
+}
+
+void bench_configure(int version) {
+    g_autofree char *text = g_strdup_printf(
+        "{\"version\":%d,\"routes\":["
+        "{\"name\":\"once\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/once/\","
+        "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
+        "\"max-attempts\":1,\"resumable\":false},"
+        "{\"name\":\"again\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/again/\","
+        "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
+        "\"max-attempts\":4,\"resumable\":true},"
+        "{\"name\":\"plain\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/\","
+        "\"kind\":\"idempotent\",\"timeout-ms\":4000,\"target-latency-ms\":300,"
+        "\"service\":\"llm\",\"max-attempts\":2},"
+        "{\"name\":\"jobs\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/jobs/\","
+        "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
+        "\"completion-target-ms\":20000,\"service\":\"llm\",\"max-attempts\":2,"
+        "\"retention-s\":60}],"
+        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":100}],"
+        "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
+        "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
+        version);
+    log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
+}
+
+static token_engine *start_engine(int index) {
+    static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
+    return token_engine_start(&(token_engine_settings){.id = ids[index],
+                                                       .service = "llm",
+                                                       .events = 12,
+                                                       .event_ms = 15,
+                                                       .break_after = 5});
+}
+
+int begin_bench(void) {
+    bench.store = log_store_start(0);
+    bench_configure(1);
+    for (int index = 0; index < BENCH_ENGINES; index++) {
+        bench.engines[index] = start_engine(index);
+        token_engine_announce(bench.engines[index], bench.store, false);
+    }
+    bool started = true;
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        started = bench_start_daemon(index, false) && started;
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        started = bench_wait_ready(index) && started;
+    return started ? 0 : -1;
+}
+
+int end_bench(void) {
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        bench_signal(index, SIGKILL);
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        token_engine_stop(bench.engines[index]);
+    log_store_stop(bench.store);
+    return 0;
+}
+
+char *bench_job(const char *id, int count) {
+    GString *body = g_string_new("{\"requests\":[");
+    for (int item = 0; item < count; item++)
+        g_string_append_printf(body,
+                               "%s{\"id\":\"%s-%d\",\"path\":\"/jobs/run\",\"headers\":{},"
+                               "\"body\":\"aGVsbG8=\",\"tokens\":10}",
+                               item > 0 ? "," : "", id, item);
+    g_string_append(body, "]}");
+    return g_string_free(body, FALSE);
+}
+
+char *bench_wait_job(int daemon, const char *id, int count, unsigned timeout_ms) {
+    uint64_t limit_ms = hs_clock_monotonic_ms() + timeout_ms;
+    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s?after=0", id);
+    char *page = NULL;
+    while (page == NULL && hs_clock_monotonic_ms() < limit_ms) {
+        bench_answer answer =
+            bench_send(&(bench_call){.daemon = daemon, .method = "GET", .target = target});
+        json_t *root = answer.status == 200 ? json_loads(answer.body, 0, NULL) : NULL;
+        if ((int)json_array_size(json_object_get(root, "results")) == count)
+            page = g_strdup(answer.body);
+        json_decref(root);
+        bench_answer_clear(&answer);
+        if (page == NULL)
+            hs_clock_sleep_ms(30);
+    }
+    return page;
+}
--- /dev/null
+++ b/tests/system/fleet_bench.h
@@ -0,0 +1,75 @@
+/** @file fleet_bench.h  Three daemons of the fleet surface over stand-ins in the test's process. */
+#ifndef TESTS_SYSTEM_FLEET_BENCH_H
+#define TESTS_SYSTEM_FLEET_BENCH_H
+
+#include "standin/token_engine/token_engine.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <sys/types.h>
+
+#define BENCH_DAEMONS 3
+#define BENCH_ENGINES 2
+#define BENCH_HOST "a.example"
+
+/** The running bench of a suite. */
+typedef struct {
+    log_store *store;
+    token_engine *engines[BENCH_ENGINES];
+    pid_t pids[BENCH_DAEMONS]; /**< 0: not running. */
+} fleet_bench;
+
+extern fleet_bench bench;
+
+/** For suites' begin and end. */
+int begin_bench(void);
+int end_bench(void);
+
+/** Start a daemon; @p silent_reader: its standard output is a pipe that nobody reads. */
+bool bench_start_daemon(int index, bool silent_reader);
+
+/** Wait until a daemon says ready. */
+bool bench_wait_ready(int index);
+
+/** Send a signal; for those that end it, wait. The exit status, or -1. */
+int bench_signal(int index, int signal_number);
+
+/** Write a configuration of the given version. */
+void bench_configure(int version);
+
+/** What a daemon answered; free with bench_answer_clear. */
+typedef struct {
+    uint32_t status; /**< 0: none. */
+    bool whole;
+    char *body;
+    GArray *fields;
+} bench_answer;
+
+/** One call, on a connection of its own. */
+typedef struct {
+    int daemon;
+    const char *method;
+    const char *target;
+    const char *request_id; /**< NULL: none. */
+    const char *body;       /**< NULL: none. */
+    uint32_t timeout_ms;    /**< Told to the daemon; 0: not told. */
+    uint32_t wait_ms;       /**< How long the daemon may hold it; 0: not told. */
+    uint16_t port;          /**< 0: the front's. */
+} bench_call;
+
+bench_answer bench_send(const bench_call *call);
+void bench_answer_clear(bench_answer *answer);
+
+/** Ports of a daemon's listeners. */
+uint16_t bench_front_port(int index);
+uint16_t bench_ready_port(int index);
+uint16_t bench_directory_port(int index);
+uint16_t bench_metrics_port(int index);
+
+/** Body of a submission of @p count items "ID-n". Free with g_free. */
+char *bench_job(const char *id, int count);
+
+/** Read a job through a daemon until @p count results are listed; the last page, or NULL. */
+char *bench_wait_job(int daemon, const char *id, int count, unsigned timeout_ms);
+
+#endif
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -1,4 +1,5 @@
 /** @file main.c  Runs the system tests over a fleet of real processes. */
+#include "tests/system/fleet_bench.h"
 #include "tests/system/system_tests.h"
 
 #include <ulfius.h>
@@ -11,6 +12,7 @@
         {"configuration", configuration_tests, begin_fleet, end_fleet},
         {"leaving", leaving_tests, begin_fleet, end_fleet},
         {"placement", placement_system_tests, begin_fleet, end_fleet},
+        {"fleet_surface", fleet_system_tests, begin_bench, end_bench},
     };
     ulfius_global_init();
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -36,5 +36,6 @@
 extern const test_case configuration_tests[];
 extern const test_case leaving_tests[];
 extern const test_case placement_system_tests[];
+extern const test_case fleet_system_tests[];
 
 #endif
--- /dev/null
+++ b/tests/system/test_fleet.c
@@ -0,0 +1,390 @@
+/** @file test_fleet.c  The fleet surface over real daemons: promises, streams, jobs, stops. */
+#include "base/clock.h"
+#include "http/http_fields.h"
+#include "platform/names.h"
+#include "tests/system/fleet_bench.h"
+#include "tests/system/system_tests.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <string.h>
+
+#define EVENTS 12
+#define JOB_LIMIT_MS 15000
+
+static bench_answer post(int daemon, const char *target, const char *id) {
+    return bench_send(&(bench_call){
+        .daemon = daemon, .method = "POST", .target = target, .request_id = id, .body = "hello"});
+}
+
+static uint32_t runs_of(const char *id) {
+    uint32_t runs = 0;
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        runs += token_engine_runs(bench.engines[index], id);
+    return runs;
+}
+
+static void set_engines(token_engine_mode mode) {
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        token_engine_set_mode(bench.engines[index], mode);
+}
+
+/** Every event from 1 to EVENTS once, in order. */
+static void check_events(const char *body) {
+    GString *wanted = g_string_new(NULL);
+    for (int event = 1; event <= EVENTS; event++)
+        g_string_append_printf(wanted, "id: %d\ndata: token %d\n\n", event, event);
+    CU_ASSERT_STRING_EQUAL(body, wanted->str);
+    g_string_free(wanted, TRUE);
+}
+
+static void whole_answers_are_passed_on(void) {
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        bench_answer answer = post(daemon, "/plain/%2F?a=%20b", "whole");
+        CU_ASSERT_EQUAL(answer.status, 200);
+        CU_ASSERT_STRING_EQUAL(answer.body, "/plain/%2F?a=%20b");
+        CU_ASSERT_STRING_EQUAL(hs_http_fields_find(answer.fields, HEADER_SIGNATURE), "sig.1");
+        int twice = 0;
+        for (guint index = 0; index < answer.fields->len; index++)
+            twice += strcmp(g_array_index(answer.fields, hs_http_field, index).name, "X-Twice") == 0;
+        CU_ASSERT_EQUAL(twice, 2);
+        bench_answer_clear(&answer);
+    }
+}
+
+static void streams_are_whole_on_every_daemon(void) {
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        bench_answer answer = post(daemon, "/once/s", "stream");
+        CU_ASSERT_EQUAL(answer.status, 200);
+        CU_ASSERT_TRUE(answer.whole);
+        check_events(answer.body);
+        bench_answer_clear(&answer);
+    }
+}
+
+static void unknown_routes_and_large_bodies_are_refused(void) {
+    bench_answer answer = post(0, "/nowhere/x", "nowhere");
+    CU_ASSERT_EQUAL(answer.status, 404);
+    bench_answer_clear(&answer);
+    g_autofree char *large = g_strnfill(100001, 'x');
+    answer = bench_send(&(bench_call){
+        .method = "POST", .target = "/plain/x", .request_id = "large", .body = large});
+    CU_ASSERT_EQUAL(answer.status, 413);
+    bench_answer_clear(&answer);
+    CU_ASSERT_EQUAL(runs_of("nowhere") + runs_of("large"), 0);
+}
+
+static void a_refusal_did_not_run_and_says_when_to_come_back(void) {
+    set_engines(TOKEN_ENGINE_FULL);
+    bench_answer answer = post(1, "/once/s", "full");
+    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_EQUAL(answer.status, 503);
+    CU_ASSERT_PTR_NOT_NULL(hs_http_fields_find(answer.fields, "Retry-After"));
+    CU_ASSERT_PTR_NULL(hs_http_fields_find(answer.fields, HEADER_SIGNATURE));
+    CU_ASSERT_EQUAL(runs_of("full"), 0);
+    bench_answer_clear(&answer);
+}
+
+static void a_stream_that_breaks_runs_once_and_looks_broken(void) {
+    set_engines(TOKEN_ENGINE_BREAKS);
+    bench_answer answer = post(0, "/once/s", "broken");
+    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_FALSE(answer.whole);
+    CU_ASSERT_EQUAL(runs_of("broken"), 1);
+    bench_answer_clear(&answer);
+}
+
+static void a_resumable_stream_goes_on_elsewhere(void) {
+    set_engines(TOKEN_ENGINE_BREAKS);
+    bench_answer answer = post(2, "/again/s", "resumed");
+    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_TRUE(answer.whole);
+    check_events(answer.body);
+    CU_ASSERT(runs_of("resumed") >= 2);
+    bench_answer_clear(&answer);
+}
+
+static void an_engines_failure_is_passed_on(void) {
+    set_engines(TOKEN_ENGINE_FAILS);
+    bench_answer answer = post(0, "/once/s", "fails");
+    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_EQUAL(answer.status, 500);
+    CU_ASSERT_STRING_EQUAL(hs_http_fields_find(answer.fields, HEADER_SIGNATURE), "sig.f");
+    CU_ASSERT_EQUAL(runs_of("fails"), 1);
+    bench_answer_clear(&answer);
+}
+
+static void a_deadline_ends_a_stream_in_time(void) {
+    uint64_t began = hs_clock_monotonic_ms();
+    bench_answer answer = bench_send(&(bench_call){.method = "POST",
+                                                   .target = "/once/s",
+                                                   .request_id = "deadline",
+                                                   .body = "x",
+                                                   .timeout_ms = 60});
+    CU_ASSERT_FALSE(answer.whole);
+    CU_ASSERT(hs_clock_monotonic_ms() - began < 500);
+    bench_answer_clear(&answer);
+}
+
+static uint32_t submit(int daemon, const char *id, int count) {
+    g_autofree char *body = bench_job(id, count);
+    bench_answer answer = bench_send(&(bench_call){
+        .daemon = daemon, .method = "POST", .target = "/jobs/x", .request_id = id, .body = body});
+    uint32_t status = answer.status;
+    bench_answer_clear(&answer);
+    return status;
+}
+
+/** All items once and completed with the whole output. */
+static void check_results(const char *page, int count) {
+    json_t *root = json_loads(page, 0, NULL);
+    const json_t *results = json_object_get(root, "results");
+    g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+    GString *wanted = g_string_new("token 1");
+    for (int event = 2; event <= EVENTS; event++)
+        g_string_append_printf(wanted, "\ntoken %d", event);
+    size_t index = 0;
+    const json_t *result = NULL;
+    json_array_foreach(results, index, result) {
+        const char *message = json_string_value(json_object_get(result, "message"));
+        g_hash_table_add(seen, (gpointer)json_string_value(json_object_get(result, "id")));
+        CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(result, "state")), "completed");
+        CU_ASSERT_STRING_EQUAL(message, wanted->str);
+    }
+    CU_ASSERT_EQUAL(g_hash_table_size(seen), (guint)count);
+    g_string_free(wanted, TRUE);
+    json_decref(root);
+}
+
+static void a_job_is_taken_once_and_the_same_everywhere(void) {
+    CU_ASSERT_EQUAL(submit(0, "job1", 20), 202);
+    CU_ASSERT_EQUAL(submit(1, "job1", 20), 202);
+    CU_ASSERT_EQUAL(submit(0, "job1", 20), 202);
+    g_autofree char *first = bench_wait_job(2, "job1", 20, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(first);
+    check_results(first, 20);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        g_autofree char *page = bench_wait_job(daemon, "job1", 20, JOB_LIMIT_MS);
+        CU_ASSERT_STRING_EQUAL(page, first);
+    }
+    for (int item = 0; item < 20; item++) {
+        g_autofree char *id = g_strdup_printf("job1-%d", item);
+        CU_ASSERT_EQUAL(runs_of(id), 1);
+    }
+    bench_answer gone = bench_send(
+        &(bench_call){.method = "GET", .target = PATH_ITEMS "job1?id=job1-3"});
+    CU_ASSERT_EQUAL(gone.status, 404);
+    bench_answer_clear(&gone);
+    bench_answer unknown = bench_send(&(bench_call){.method = "GET", .target = PATH_JOBS "none"});
+    CU_ASSERT_EQUAL(unknown.status, 404);
+    bench_answer_clear(&unknown);
+}
+
+static void open_items_give_their_bodies_and_ends_stop_them(void) {
+    set_engines(TOKEN_ENGINE_FULL);
+    CU_ASSERT_EQUAL(submit(1, "job2", 3), 202);
+    bench_answer body = bench_send(
+        &(bench_call){.daemon = 2, .method = "GET", .target = PATH_ITEMS "job2?id=job2-1"});
+    CU_ASSERT_EQUAL(body.status, 200);
+    CU_ASSERT_STRING_EQUAL(body.body, "hello");
+    bench_answer_clear(&body);
+    for (int again = 0; again < 2; again++) {
+        bench_answer ended = bench_send(
+            &(bench_call){.daemon = again, .method = "DELETE", .target = PATH_JOBS "job2"});
+        CU_ASSERT_EQUAL(ended.status, 200);
+        bench_answer_clear(&ended);
+    }
+    hs_clock_sleep_ms(300);
+    set_engines(TOKEN_ENGINE_SOUND);
+    hs_clock_sleep_ms(600);
+    CU_ASSERT_EQUAL(runs_of("job2-0") + runs_of("job2-1") + runs_of("job2-2"), 0);
+}
+
+static void what_cannot_be_done_is_given_up(void) {
+    set_engines(TOKEN_ENGINE_IMPOSSIBLE);
+    CU_ASSERT_EQUAL(submit(0, "job3", 2), 202);
+    g_autofree char *page = bench_wait_job(1, "job3", 2, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(page);
+    CU_ASSERT_PTR_NOT_NULL(strstr(page, "dead_letter"));
+    CU_ASSERT_EQUAL(runs_of("job3-0"), 1);
+    set_engines(TOKEN_ENGINE_FAILS);
+    CU_ASSERT_EQUAL(submit(0, "job4", 1), 202);
+    g_autofree char *failed = bench_wait_job(1, "job4", 1, JOB_LIMIT_MS);
+    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_PTR_NOT_NULL(failed);
+    CU_ASSERT_EQUAL(runs_of("job4-0"), 2); /* max-attempts of the route. */
+}
+
+static void broken_items_go_on_after_their_last_event(void) {
+    set_engines(TOKEN_ENGINE_BREAKS);
+    CU_ASSERT_EQUAL(submit(2, "job5", 4), 202);
+    g_autofree char *page = bench_wait_job(0, "job5", 4, JOB_LIMIT_MS);
+    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(page);
+    check_results(page, 4);
+}
+
+static void a_store_that_refuses_takes_no_job_but_serves_online(void) {
+    log_store_set_mode(bench.store, LOG_STORE_REFUSES, CALL_APPEND, G_MAXUINT32);
+    g_autofree char *body = bench_job("job6", 2);
+    bench_answer refused = bench_send(&(bench_call){.method = "POST",
+                                                    .target = "/jobs/x",
+                                                    .request_id = "job6",
+                                                    .body = body,
+                                                    .timeout_ms = 800});
+    bench_answer online = post(0, "/once/s", "meanwhile");
+    log_store_set_mode(bench.store, LOG_STORE_SOUND, NULL, 0);
+    CU_ASSERT_EQUAL(refused.status, 503);
+    CU_ASSERT_PTR_NOT_NULL(hs_http_fields_find(refused.fields, "Retry-After"));
+    CU_ASSERT_EQUAL(online.status, 200);
+    bench_answer unknown = bench_send(&(bench_call){.method = "GET", .target = PATH_JOBS "job6"});
+    CU_ASSERT_EQUAL(unknown.status, 404);
+    bench_answer_clear(&unknown);
+    bench_answer_clear(&refused);
+    bench_answer_clear(&online);
+}
+
+static void a_lost_answer_of_the_store_is_no_refusal(void) {
+    log_store_set_mode(bench.store, LOG_STORE_LOSES_ANSWER, CALL_APPEND, 3);
+    uint32_t status = submit(1, "job7", 2);
+    log_store_set_mode(bench.store, LOG_STORE_SOUND, NULL, 0);
+    CU_ASSERT(status == 202 || status == 504);
+    g_autofree char *page = bench_wait_job(0, "job7", 2, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(page);
+    check_results(page, 2);
+}
+
+static void a_read_is_no_404_while_the_store_is_away(void) {
+    log_store_set_mode(bench.store, LOG_STORE_REFUSES, CALL_READ, G_MAXUINT32);
+    bench_answer answer = bench_send(&(bench_call){.method = "GET", .target = PATH_JOBS "job9"});
+    log_store_set_mode(bench.store, LOG_STORE_SOUND, NULL, 0);
+    CU_ASSERT_EQUAL(answer.status, 503);
+    bench_answer_clear(&answer);
+}
+
+static void a_leaving_engine_gets_nothing_new(void) {
+    token_engine_announce(bench.engines[0], bench.store, true);
+    hs_clock_sleep_ms(1000);
+    uint32_t before = token_engine_total(bench.engines[0]);
+    for (int request = 0; request < 9; request++) {
+        bench_answer answer = post(request % BENCH_DAEMONS, "/plain/x", "leaving");
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+    }
+    CU_ASSERT_EQUAL(token_engine_total(bench.engines[0]), before);
+    token_engine_announce(bench.engines[0], bench.store, false);
+    hs_clock_sleep_ms(600);
+}
+
+static void a_new_configuration_is_in_force_everywhere(void) {
+    bench_configure(2);
+    hs_clock_sleep_ms(300);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        bench_answer metrics = bench_send(&(bench_call){
+            .method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
+        CU_ASSERT_PTR_NOT_NULL(strstr(metrics.body, "heathsail_config_version 2\n"));
+        bench_answer_clear(&metrics);
+    }
+}
+
+static gpointer run_stream(gpointer data) {
+    bench_answer *answer = data;
+    *answer = post(1, "/once/s", "while-stopping");
+    return NULL;
+}
+
+static bool is_named(int asked, int wanted) {
+    g_autofree char *address = g_strdup_printf("127.0.0.1:%u", bench_front_port(wanted));
+    bench_answer answer =
+        bench_send(&(bench_call){.method = "GET",
+                                 .target = PATH_RESOLVE "?name=a&zone=zone-a",
+                                 .port = bench_directory_port(asked)});
+    bool named = answer.status == 200 && strstr(answer.body, address) != NULL;
+    bench_answer_clear(&answer);
+    return named;
+}
+
+static void a_stop_cuts_nothing_and_is_told(void) {
+    CU_ASSERT_TRUE(is_named(0, 1));
+    CU_ASSERT_EQUAL(submit(1, "job8", 12), 202);
+    bench_answer answer = {0};
+    GThread *caller = g_thread_new("caller", run_stream, &answer);
+    hs_clock_sleep_ms(60);
+    CU_ASSERT_EQUAL(kill(bench.pids[1], SIGTERM), 0);
+    hs_clock_sleep_ms(500);
+    CU_ASSERT_FALSE(is_named(0, 1));
+    CU_ASSERT_EQUAL(bench_signal(1, SIGTERM), 0);
+    g_thread_join(caller);
+    CU_ASSERT_TRUE(answer.whole);
+    check_events(answer.body != NULL ? answer.body : "");
+    bench_answer_clear(&answer);
+    g_autofree char *page = bench_wait_job(0, "job8", 12, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(page);
+    check_results(page, 12);
+    CU_ASSERT_TRUE(bench_start_daemon(1, false));
+    CU_ASSERT_TRUE(bench_wait_ready(1));
+}
+
+static void jobs_survive_the_loss_of_all_daemons(void) {
+    CU_ASSERT_EQUAL(submit(0, "job10", 20), 202);
+    hs_clock_sleep_ms(250);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        bench_signal(daemon, SIGKILL);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_wait_ready(daemon));
+    g_autofree char *page = bench_wait_job(2, "job10", 20, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(page);
+    check_results(page, 20);
+    g_autofree char *older = bench_wait_job(1, "job1", 20, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(older);
+}
+
+static void a_hangup_reloads_and_serves_on(void) {
+    CU_ASSERT_EQUAL(bench_signal(0, SIGHUP), 0);
+    hs_clock_sleep_ms(100);
+    bench_answer answer = post(0, "/once/s", "hangup");
+    CU_ASSERT_EQUAL(answer.status, 200);
+    bench_answer_clear(&answer);
+}
+
+/** Log lines fill the pipe long before the last request; none waits for its reader. */
+static void a_stopped_log_reader_holds_nobody_up(void) {
+    bench_signal(2, SIGKILL);
+    CU_ASSERT_TRUE(bench_start_daemon(2, true));
+    CU_ASSERT_TRUE(bench_wait_ready(2));
+    for (int request = 0; request < 600; request++) {
+        bench_answer answer = post(2, "/plain/log", "log");
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+    }
+}
+
+const test_case fleet_system_tests[] = {
+    {"whole_answers_are_passed_on", whole_answers_are_passed_on},
+    {"streams_are_whole_on_every_daemon", streams_are_whole_on_every_daemon},
+    {"unknown_routes_and_large_bodies_are_refused", unknown_routes_and_large_bodies_are_refused},
+    {"a_refusal_did_not_run_and_says_when_to_come_back",
+     a_refusal_did_not_run_and_says_when_to_come_back},
+    {"a_stream_that_breaks_runs_once_and_looks_broken",
+     a_stream_that_breaks_runs_once_and_looks_broken},
+    {"a_resumable_stream_goes_on_elsewhere", a_resumable_stream_goes_on_elsewhere},
+    {"an_engines_failure_is_passed_on", an_engines_failure_is_passed_on},
+    {"a_deadline_ends_a_stream_in_time", a_deadline_ends_a_stream_in_time},
+    {"a_job_is_taken_once_and_the_same_everywhere", a_job_is_taken_once_and_the_same_everywhere},
+    {"open_items_give_their_bodies_and_ends_stop_them",
+     open_items_give_their_bodies_and_ends_stop_them},
+    {"what_cannot_be_done_is_given_up", what_cannot_be_done_is_given_up},
+    {"broken_items_go_on_after_their_last_event", broken_items_go_on_after_their_last_event},
+    {"a_store_that_refuses_takes_no_job_but_serves_online",
+     a_store_that_refuses_takes_no_job_but_serves_online},
+    {"a_lost_answer_of_the_store_is_no_refusal", a_lost_answer_of_the_store_is_no_refusal},
+    {"a_read_is_no_404_while_the_store_is_away", a_read_is_no_404_while_the_store_is_away},
+    {"a_leaving_engine_gets_nothing_new", a_leaving_engine_gets_nothing_new},
+    {"a_new_configuration_is_in_force_everywhere", a_new_configuration_is_in_force_everywhere},
+    {"a_stop_cuts_nothing_and_is_told", a_stop_cuts_nothing_and_is_told},
+    {"jobs_survive_the_loss_of_all_daemons", jobs_survive_the_loss_of_all_daemons},
+    {"a_hangup_reloads_and_serves_on", a_hangup_reloads_and_serves_on},
+    {"a_stopped_log_reader_holds_nobody_up", a_stopped_log_reader_holds_nobody_up},
+    {NULL, NULL}};
