Failure rates in the choice of engine; short patience with lost answers of the store; manifests read back

Change: each daemon keeps the share of its requests of late that failed at an engine, tells it to others, and the choice counts a failure about as dear as a late answer. Patience with a write is six times what small writes took of late; a manifest without an answer is read back at once.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) hs__demand_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_share__field_descriptors[5] =
+static const ProtobufCFieldDescriptor hs__engine_share__field_descriptors[6] =
 {
   {
     "engine_hash",
@@ -2285,10 +2285,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failure_permille",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, failure_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_share__field_indices_by_name[] = {
   2,   /* field[2] = batch */
   0,   /* field[0] = engine_hash */
+  5,   /* field[5] = failure_permille */
   1,   /* field[1] = online */
   3,   /* field[3] = queued_tokens */
   4,   /* field[4] = suspected */
@@ -2296,7 +2309,7 @@
 static const ProtobufCIntRange hs__engine_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor hs__engine_share__descriptor =
 {
@@ -2306,7 +2319,7 @@
   "Hs__EngineShare",
   "hs",
   sizeof(Hs__EngineShare),
-  5,
+  6,
   hs__engine_share__field_descriptors,
   hs__engine_share__field_indices_by_name,
   1,  hs__engine_share__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -324,10 +324,14 @@
   uint32_t batch;
   uint32_t queued_tokens;
   protobuf_c_boolean suspected;
+  /*
+   * Share of requests of late that failed there.
+   */
+  uint32_t failure_permille;
 };
 #define HS__ENGINE_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_share__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -95,8 +95,8 @@
                                               .resolve_ttl_s = resolve_ttl_s(settings),
                                               .store = daemon->store,
                                               .engines = daemon->engines,
-        .may_join = may_serve,
-        .user_data = daemon};
+                                              .may_join = may_serve,
+                                              .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
     return daemon->directory != NULL;
 }
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -45,6 +45,7 @@
                                  .online = one->online,
                                  .batch = one->batch,
                                  .queued_tokens = one->queued_tokens,
+                                 .failure_permille = one->failure_permille,
                                  .suspected = one->suspected};
         g_array_append_val(shares, share);
     }
@@ -195,8 +196,7 @@
     hs_daemon_directory *directory = data;
     bool written = false;
     do {
-        if (g_atomic_int_get(&directory->leaving) != 0 ||
-            g_atomic_int_get(&directory->joined) == 0)
+        if (g_atomic_int_get(&directory->leaving) != 0 || g_atomic_int_get(&directory->joined) == 0)
             continue;
         if (!written)
             written = write_record(directory, false);
@@ -236,6 +236,7 @@
         told[index].online = share->online;
         told[index].batch = share->batch;
         told[index].queued_tokens = share->queued_tokens;
+        told[index].failure_permille = share->failure_permille;
         told[index].suspected = share->suspected;
         list[index] = &told[index];
     }
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -8,6 +8,8 @@
 #define BESIDE_SHARE 0.02
 #define OTHER_ZONE_MS 1.0
 #define WARMUP_SHARE 0.1
+/** What a failure costs, in runs: about as much as an answer that comes too late. */
+#define FAILURE_RUNS 0.6
 /** Memory above which runs begin to be preempted. */
 #define MEMORY_HIGH 0.9
 
@@ -20,6 +22,7 @@
         cost += (candidate->running + 1 - slots) / slots * speed->run_ms;
     if (candidate->memory_share > MEMORY_HIGH)
         cost += (candidate->memory_share - MEMORY_HIGH) * speed->run_ms;
+    cost += candidate->failure_rate * speed->run_ms * FAILURE_RUNS;
     if (!candidate->same_zone)
         cost += OTHER_ZONE_MS;
     if (candidate->suspected)
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -4,7 +4,8 @@
  *
  * Time = prompt tokens to read there (those queued before it and its own that are not cached)
  * over the reading rate + the wait for a slot where all are taken + a little for each run beside
- * it, so that equal engines share. Suspected engines are taken only when no other is left.
+ * it, so that equal engines share + what a failed request costs, by how often they fail. Suspected
+ * engines are taken only when no other is left.
  */
 #ifndef HS_FLEET_ENGINE_CHOICE_H
 #define HS_FLEET_ENGINE_CHOICE_H
@@ -22,6 +23,7 @@
     double uncached_tokens; /**< Of this prompt. */
     double memory_share;    /**< Of its memory taken; 0 where unknown. */
     double warmup_ms;       /**< How long it is slow from its start. */
+    double failure_rate;    /**< Share of requests of late that failed there, 0 to 1. */
     bool suspected;
     bool same_zone;
 } hs_engine_candidate;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -23,6 +23,9 @@
     uint64_t full_until_ms;
     uint64_t no_yield_until_ms; /**< Until all daemons know of the items that stepped aside. */
     uint32_t failures;
+    double failure_rate; /**< Of this daemon's requests of late, as of failure_ms. */
+    uint64_t failure_ms;
+    double peers_failure; /**< Highest that others told. */
     hs_engine_load load;
     uint64_t load_ms;
     double load_own; /**< Own requests there when the load was told. */
@@ -32,7 +35,7 @@
     uint32_t peers_suspecting;
     hs_prefix_index *prefixes;
     GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
-    GQueue idle; /**< of idle_connection*; the latest used last. */
+    GQueue idle;             /**< of idle_connection*; the latest used last. */
 } hs_fleet_engine;
 
 struct hs_fleet_engines {
@@ -65,6 +68,7 @@
 
 /** The caller holds the lock. */
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
+double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms);
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
                                               const hs_fleet_engine *engine,
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -19,6 +19,10 @@
 /** Silence on an engine with requests of ours, in mean run times, before it is suspected. */
 #define SILENT_RUNS 3.0
 #define SILENT_LEAST_MS 700
+/** Failures fade to half in this time, so that an engine is tried again. */
+#define FAILURE_HALF_MS 3000.0
+#define PEER_FAILURE_WEIGHT 0.7
+#define PERMILLE 1000.0
 /** Time until what stepped aside on an engine is known to all daemons. */
 #define YIELD_SETTLE_MS 450
 /** A peak of online requests fades to half in this time. */
@@ -158,6 +162,12 @@
            now_ms > engine->heard_ms + engine->silent_limit_ms;
 }
 
+double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms) {
+    double age_ms = (double)(now_ms - engine->failure_ms);
+    double own = engine->failure_rate * exp2(-age_ms / FAILURE_HALF_MS);
+    return fmax(own, engine->peers_failure * PEER_FAILURE_WEIGHT);
+}
+
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms) {
     return now_ms < engine->suspect_until_ms || is_silent(engine, now_ms) ||
            engine->peers_suspecting > 0;
@@ -189,6 +199,7 @@
         .batch = engine->batch + engine->peers_batch,
         .queued_tokens = (double)engine->queued_tokens + engine->peers_queued,
         .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
+        .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
         .same_zone = strcmp(engine->entry.zone, engines->zone) == 0,
     };
     if (engine->entry.warmup_left_ms > since_listed)
@@ -291,10 +302,10 @@
     credit_home(found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
-    int picked = query->work == HS_WORK_ONLINE
-                     ? hs_engine_choice_pick(candidates, found->len, first, speed)
-                     : hs_engine_choice_pick_spare(candidates, found->len, first,
-                                                   query->batch_share, speed);
+    int picked =
+        query->work == HS_WORK_ONLINE
+            ? hs_engine_choice_pick(candidates, found->len, first, speed)
+            : hs_engine_choice_pick_spare(candidates, found->len, first, query->batch_share, speed);
     if (picked != HS_ENGINE_NONE)
         lease = lease_engine(engines, found->pdata[picked], query,
                              candidates[picked].uncached_tokens, now_ms);
@@ -370,6 +381,11 @@
     return asked;
 }
 
+static uint32_t own_failure_permille(const hs_fleet_engine *engine, uint64_t now_ms) {
+    double age_ms = (double)(now_ms - engine->failure_ms);
+    return (uint32_t)(engine->failure_rate * exp2(-age_ms / FAILURE_HALF_MS) * PERMILLE);
+}
+
 GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines) {
     GArray *shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -384,8 +400,9 @@
                                  .online = engine->online,
                                  .batch = engine->batch,
                                  .queued_tokens = (uint32_t)engine->queued_tokens,
+                                 .failure_permille = own_failure_permille(engine, now_ms),
                                  .suspected = suspected};
-        if (share.online + share.batch > 0 || suspected)
+        if (share.online + share.batch > 0 || suspected || share.failure_permille > 0)
             g_array_append_val(shares, share);
     }
     g_mutex_unlock(&engines->lock);
@@ -413,6 +430,7 @@
         engine->peers_batch = 0;
         engine->peers_queued = 0;
         engine->peers_suspecting = 0;
+        engine->peers_failure = 0;
     }
     g_hash_table_iter_init(&iterator, engines->peers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
@@ -430,6 +448,7 @@
             engine->peers_batch += share->batch;
             engine->peers_queued += share->queued_tokens;
             engine->peers_suspecting += share->suspected;
+            engine->peers_failure = fmax(engine->peers_failure, share->failure_permille / PERMILLE);
         }
     }
 }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -20,6 +20,7 @@
 /** How an attempt on an engine ended, as far as the engine's health goes. */
 typedef enum {
     HS_ATTEMPT_SERVED,
+    HS_ATTEMPT_FAILED,       /**< A whole answer that says the engine failed. */
     HS_ATTEMPT_REFUSED,      /**< Full: it promised that it did not run the request. */
     HS_ATTEMPT_WRONG_ENGINE, /**< Another engine has the address. */
     HS_ATTEMPT_UNREACHABLE,  /**< No connection. */
@@ -48,6 +49,7 @@
     uint32_t online;
     uint32_t batch;
     uint32_t queued_tokens;
+    uint32_t failure_permille; /**< Share of requests of late that failed there. */
     bool suspected;
 } hs_engine_share;
 
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -174,10 +174,11 @@
             MHD_USE_ITC,
         port, NULL, NULL, handle_step, listener, MHD_OPTION_SOCK_ADDR, &local,
         MHD_OPTION_URI_LOG_CALLBACK, begin_request, listener, MHD_OPTION_NOTIFY_COMPLETED,
-        end_request, listener, MHD_OPTION_NOTIFY_CONNECTION, note_connection, listener, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-        (unsigned int)LISTEN_BACKLOG, MHD_OPTION_CONNECTION_TIMEOUT,
-        (unsigned int)FIRST_IDLE_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        end_request, listener, MHD_OPTION_NOTIFY_CONNECTION, note_connection, listener,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
+        (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)LISTEN_BACKLOG,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)FIRST_IDLE_TIMEOUT_S,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (listener->daemon == NULL) {
         hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on %s:%u", address, port);
         g_free(listener);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -29,9 +29,8 @@
     run->content_bytes = item->content_bytes;
     run->texts = g_ptr_array_new_with_free_func(free_text);
     if (item->progress_event > 0) {
-        g_ptr_array_add(run->texts,
-                        g_string_new_len(item->progress != NULL ? item->progress : "",
-                                         (gssize)item->progress_length));
+        g_ptr_array_add(run->texts, g_string_new_len(item->progress != NULL ? item->progress : "",
+                                                     (gssize)item->progress_length));
         run->events = (hs_event_stream){
             .has_last_id = true, .last_id = item->progress_event, .expects_next = true};
     }
@@ -116,6 +115,8 @@
         return attempt->answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
     case HS_ITEM_TRY_BROKEN:
         return hs_attempt_failure(attempt);
+    case HS_ITEM_TRY_FAILED:
+        return HS_ATTEMPT_FAILED;
     default:
         return HS_ATTEMPT_DROPPED;
     }
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -239,10 +239,11 @@
                                      hs_item_outcome outcome, const GString *text) {
     hs_job_owner *owner = home->owner;
     hs_store_outcome stored = HS_STORE_REFUSED;
+    uint32_t attempt = 0;
     while (stored != HS_STORE_DONE && stored != HS_STORE_INVALID) {
-        stored = hs_job_partition_append_result(home->partition, item->run->job_id,
-                                                item->run->index, outcome, text,
-                                                hs_clock_monotonic_ms() + APPEND_LIMIT_MS);
+        stored = hs_job_partition_append_result(
+            home->partition, item->run->job_id, item->run->index, outcome, text,
+            hs_job_partition_patience(home->partition, attempt++, text->len));
         g_mutex_lock(&owner->lock);
         bool goes_on = home->owned && !owner->stopping;
         g_mutex_unlock(&owner->lock);
@@ -443,8 +444,7 @@
     uint64_t wall_ms = hs_clock_wall_ms();
     if (ready->due_ms <= ready->submitted_ms || wall_ms >= ready->due_ms)
         return 0;
-    double left = (double)(ready->due_ms - wall_ms) /
-                  (double)(ready->due_ms - ready->submitted_ms);
+    double left = (double)(ready->due_ms - wall_ms) / (double)(ready->due_ms - ready->submitted_ms);
     return MIN(left, 1.0);
 }
 
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -54,6 +54,12 @@
     return (uint32_t)(hs_hash_bytes(job_id, strlen(job_id)) % part_count);
 }
 
+hs_deadline hs_job_partition_patience(const hs_job_partition *partition, uint32_t attempt,
+                                      size_t bytes) {
+    return hs_clock_monotonic_ms() +
+           hs_store_client_patience_ms(partition->settings.store, attempt, bytes);
+}
+
 uint32_t hs_job_partition_number(const hs_job_partition *partition) {
     return partition->part;
 }
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -124,7 +124,7 @@
 } submission;
 
 static hs_store_outcome append_manifest(const submission *job, const GPtrArray *contents,
-                                        const GArray *offsets) {
+                                        const GArray *offsets, uint32_t attempt) {
     g_autofree Hs__JobItem *items = g_new(Hs__JobItem, job->items->len);
     g_autofree Hs__JobItem **list = g_new(Hs__JobItem *, job->items->len);
     for (guint index = 0; index < job->items->len; index++) {
@@ -148,17 +148,22 @@
     Hs__JobRecord record = HS__JOB_RECORD__INIT;
     record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
     record.manifest = &manifest;
-    return hs_job_partition_append(job->partition, &record, one_try(job->deadline));
+    return hs_job_partition_append(
+        job->partition, &record,
+        MIN(job->deadline, hs_job_partition_patience(job->partition, attempt, 0)));
 }
 
 /** Contents first: without a manifest they bind nobody. */
 static hs_store_outcome store_contents(const submission *job, const GPtrArray *contents,
                                        GArray *offsets) {
     hs_store_outcome outcome = HS_STORE_REFUSED;
+    uint32_t attempt = 0;
     do {
         g_array_set_size(offsets, 0);
-        outcome = hs_job_partition_append_contents(job->partition, contents, offsets,
-                                                   one_try(job->deadline));
+        outcome = hs_job_partition_append_contents(
+            job->partition, contents, offsets,
+            MIN(job->deadline,
+                hs_job_partition_patience(job->partition, attempt++, job->inbound->body->len)));
         if (outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN)
             break;
         hs_clock_sleep_ms(RETRY_PAUSE_MS);
@@ -166,6 +171,12 @@
     return outcome;
 }
 
+/** Read back whether a manifest whose append got no answer is in the log. */
+static bool is_stored(const submission *job) {
+    return hs_job_partition_catch_up(job->partition, one_try(job->deadline)) &&
+           is_known(job->partition, job->terms->request_id);
+}
+
 /** Store the job; the status to answer with. */
 static uint32_t store_job(const submission *job) {
     GPtrArray *contents = pack_contents(job->items);
@@ -175,9 +186,12 @@
     if (outcome == HS_STORE_DONE) {
         /* Once the manifest may be in the log, no refusal may be promised any more. */
         bool may_be_taken = false;
+        uint32_t attempt = 0;
         while (true) {
-            outcome = append_manifest(job, contents, offsets);
+            outcome = append_manifest(job, contents, offsets, attempt++);
             may_be_taken = may_be_taken || outcome == HS_STORE_UNKNOWN;
+            if (outcome == HS_STORE_UNKNOWN && is_stored(job))
+                outcome = HS_STORE_DONE;
             hs_deadline limit = may_be_taken ? job->deadline : job->refuse_at;
             if ((outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN) ||
                 hs_clock_monotonic_ms() >= limit)
@@ -331,11 +345,14 @@
     Hs__JobRecord record = HS__JOB_RECORD__INIT;
     record.kind_case = HS__JOB_RECORD__KIND_END;
     record.end = &end;
-    hs_store_outcome outcome = hs_job_partition_append(partition, &record, one_try(deadline));
+    uint32_t attempt = 0;
+    hs_store_outcome outcome = hs_job_partition_append(
+        partition, &record, MIN(deadline, hs_job_partition_patience(partition, attempt++, 0)));
     while (outcome != HS_STORE_DONE && outcome != HS_STORE_INVALID &&
            hs_clock_monotonic_ms() < deadline) {
         hs_clock_sleep_ms(RETRY_PAUSE_MS);
-        outcome = hs_job_partition_append(partition, &record, one_try(deadline));
+        outcome = hs_job_partition_append(
+            partition, &record, MIN(deadline, hs_job_partition_patience(partition, attempt++, 0)));
     }
     hs_log_info("job_end_asked", "job=%s part=%u outcome=%s", job_id,
                 hs_job_partition_number(partition), hs_store_outcome_name(outcome));
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -34,7 +34,7 @@
     uint64_t content_offset;
     uint32_t content_bytes;
     bool listed;
-    char *progress;          /**< What an owner before made of it; NULL: no text. */
+    char *progress; /**< What an owner before made of it; NULL: no text. */
     size_t progress_length;
     uint64_t progress_event; /**< Last event in it; 0: it was not begun. */
 } hs_job_item;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -17,6 +17,7 @@
 #define SILENCE_LEAST_MS 1000
 #define SILENCE_TARGETS 3
 #define STATUS_OK 200
+#define STATUS_FAILURE 500
 
 /** One request from its taking to its answer's end. */
 typedef struct {
@@ -183,6 +184,10 @@
     return NEXT_END;
 }
 
+static uint64_t waited_ms(const online_request *request) {
+    return hs_clock_monotonic_ms() - request->inbound->received_ms;
+}
+
 /** Try engines until one answers with a head; false with @p reason when none will. */
 static bool find_answer(online_request *request, hs_end_reason *reason) {
     next_move move = NEXT_TRY;
@@ -197,6 +202,8 @@
         if (has_head && !request->attempt.answer.not_executed)
             return true;
         hs_attempt_end end = hs_attempt_failure(&request->attempt);
+        if (end == HS_ATTEMPT_DROPPED && waited_ms(request) >= SILENCE_LEAST_MS)
+            end = HS_ATTEMPT_SILENT; /* The caller left since nothing came. */
         if (has_head) {
             hs_client_connection_read_all(request->attempt.connection, ANSWER_LIMIT_BYTES,
                                           &order.wait);
@@ -250,8 +257,9 @@
     hs_inbound_reply(request->inbound, attempt->status, fields, body->data, body->len);
     hs_http_fields_free(fields);
     hs_end_reason reason = succeeded ? HS_END_SERVED : HS_END_ENGINE_STATUS;
+    bool failed = attempt->status >= STATUS_FAILURE;
     request->run = HS_RUN_DID;
-    hs_attempt_finish(attempt, HS_ATTEMPT_SERVED);
+    hs_attempt_finish(attempt, failed ? HS_ATTEMPT_FAILED : HS_ATTEMPT_SERVED);
     note_end(request, reason);
     hs_online_count(request->online, reason, request->first_byte_ms);
 }
@@ -263,7 +271,7 @@
     attempt->step = hs_client_connection_read_all(attempt->connection, ANSWER_LIMIT_BYTES, &wait);
     if (attempt->step == HS_STEP_COMPLETE) {
         note_first_byte(request);
-        bool again = attempt->status >= 500 && may_repeat(request) &&
+        bool again = attempt->status >= STATUS_FAILURE && may_repeat(request) &&
                      request->runs + 1 < request->route->max_attempts;
         if (!again) {
             pass_whole_answer(request);
@@ -271,7 +279,9 @@
         }
     }
     hs_end_reason reason = HS_END_BROKEN;
-    if (after_failure(request, hs_attempt_failure(attempt), &reason) == NEXT_TRY)
+    hs_attempt_end end =
+        attempt->step == HS_STEP_COMPLETE ? HS_ATTEMPT_FAILED : hs_attempt_failure(attempt);
+    if (after_failure(request, end, &reason) == NEXT_TRY)
         return false;
     end_own(request, reason);
     return true;
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -9,6 +9,11 @@
 
 #define IDLE_CONNECTIONS_MAX 6
 #define CONNECT_LIMIT_MS 800
+#define PATIENCE_MEANS 6.0
+#define PATIENCE_LEAST_MS 60
+#define PATIENCE_MOST_MS 2000
+#define PATIENCE_BYTES_PER_MS 10000
+#define WRITE_WEIGHT 0.2
 #define ANSWER_LIMIT_BYTES (32U * 1024 * 1024)
 
 struct hs_store_client {
@@ -18,6 +23,7 @@
     GMutex lock;
     GQueue idle; /**< of hs_client_connection*; the latest used last. */
     hs_store_counters counters;
+    double write_ms; /**< Mean time of answers to small writes of late. */
     gint abandoned;
 };
 
@@ -143,6 +149,14 @@
     return hs_client_connection_open(client->address, client->port, &connecting, &step);
 }
 
+static void note_write(hs_store_client *client, const hs_store_call *call, uint64_t took_ms) {
+    if (call->body == NULL || call->body->len > PATIENCE_BYTES_PER_MS)
+        return;
+    g_mutex_lock(&client->lock);
+    client->write_ms += ((double)took_ms - client->write_ms) * WRITE_WEIGHT;
+    g_mutex_unlock(&client->lock);
+}
+
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
                                       hs_deadline deadline, gint *abandoned, GByteArray *answer) {
     hs_wait wait = {.deadline = deadline,
@@ -155,8 +169,11 @@
     if (connection == NULL)
         connection = connect_store(client, &wait);
     hs_store_outcome outcome = HS_STORE_REFUSED;
+    uint64_t began_ms = hs_clock_monotonic_ms();
     if (connection != NULL)
         outcome = exchange(client, connection, call, &wait, answer);
+    if (outcome == HS_STORE_DONE && !is_read)
+        note_write(client, call, hs_clock_monotonic_ms() - began_ms);
     bool in_time = hs_clock_monotonic_ms() < deadline;
     if (was_kept && in_time && (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN) &&
         answer->len == 0 && (is_read || outcome == HS_STORE_REFUSED)) {
@@ -172,6 +189,15 @@
     return outcome;
 }
 
+uint64_t hs_store_client_patience_ms(hs_store_client *client, uint32_t attempt, size_t bytes) {
+    g_mutex_lock(&client->lock);
+    double mean_ms = client->write_ms;
+    g_mutex_unlock(&client->lock);
+    uint64_t first_ms = MAX((uint64_t)(mean_ms * PATIENCE_MEANS), PATIENCE_LEAST_MS) +
+                        bytes / PATIENCE_BYTES_PER_MS;
+    return MIN(first_ms << MIN(attempt, 8), PATIENCE_MOST_MS);
+}
+
 void hs_store_client_abandon(hs_store_client *client) {
     g_atomic_int_set(&client->abandoned, 1);
 }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -49,6 +49,12 @@
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
                                       hs_deadline deadline, gint *abandoned, GByteArray *answer);
 
+/**
+ * Time in ms to wait for the answer of the @p attempt-th try (from 0) of a write of @p bytes: a few
+ * times what answers to writes took of late, since a lost answer never comes, and longer each time.
+ */
+uint64_t hs_store_client_patience_ms(hs_store_client *client, uint32_t attempt, size_t bytes);
+
 /** Interrupt all calls, now and from now on; for the daemon's stop. */
 void hs_store_client_abandon(hs_store_client *client);
 
--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -44,8 +44,8 @@
     hs_listener *listener;
     uint16_t port;
     GMutex lock;
-    GHashTable *topics;  /**< name -> topic* */
-    GPtrArray *members;  /**< of member*, of the one group that is used. */
+    GHashTable *topics; /**< name -> topic* */
+    GPtrArray *members; /**< of member*, of the one group that is used. */
     uint64_t generation;
     uint32_t turn; /**< Shifts the dealing. */
     log_store_mode mode;
@@ -81,8 +81,7 @@
         return found;
     found = g_new0(topic, 1);
     for (int part = 0; part < PARTS; part++)
-        found->parts[part].records =
-            g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+        found->parts[part].records = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
     found->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_newest);
     g_hash_table_insert(store->topics, g_strdup(name), found);
     return found;
@@ -204,9 +203,9 @@
                                               "offset", (json_int_t)entry->offset));
     }
     uint64_t end = from->parts[0].first + from->parts[0].records->len;
-    reply_json(inbound, 200,
-               json_pack("{s:o, s:b, s:I}", "requests", list, "has-more", 0, "end",
-                         (json_int_t)end));
+    reply_json(
+        inbound, 200,
+        json_pack("{s:o, s:b, s:I}", "requests", list, "has-more", 0, "end", (json_int_t)end));
 }
 
 static void drop_silent_members(log_store *store, uint64_t now_ms) {
@@ -245,9 +244,9 @@
     for (guint part = 0; part < PARTS; part++)
         if ((part + store->turn) % store->members->len == place)
             json_array_append_new(rows, json_pack("[s, i, i]", joined, (int)part, 0));
-    reply_json(inbound, 200, json_pack("{s:I, s:I, s:o}", "generation",
-                                       (json_int_t)store->generation, "ttl-ms",
-                                       (json_int_t)ttl_ms, "parts", rows));
+    reply_json(inbound, 200,
+               json_pack("{s:I, s:I, s:o}", "generation", (json_int_t)store->generation, "ttl-ms",
+                         (json_int_t)ttl_ms, "parts", rows));
     json_decref(body);
 }
 
@@ -341,8 +340,7 @@
     store->members = g_ptr_array_new_with_free_func(free_member);
     store->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (int attempt = 0; store->listener == NULL && attempt < PORT_TRIES; attempt++) {
-        store->port = port != 0 ? port
-                                : (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
+        store->port = port != 0 ? port : (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
         store->listener =
             hs_listener_start("127.0.0.1", store->port, BODY_LIMIT, serve, store, NULL);
         if (port != 0)
@@ -365,8 +363,7 @@
     return store->port;
 }
 
-void log_store_set_mode(log_store *store, log_store_mode mode, const char *prefix,
-                        uint32_t count) {
+void log_store_set_mode(log_store *store, log_store_mode mode, const char *prefix, uint32_t count) {
     g_mutex_lock(&store->lock);
     store->mode = mode;
     store->mode_count = mode == LOG_STORE_SOUND ? 0 : count;
--- a/standin/log_store/log_store.h
+++ b/standin/log_store/log_store.h
@@ -29,8 +29,7 @@
 uint16_t log_store_port(const log_store *store);
 
 /** Faults for calls whose target begins with @p prefix (NULL: all), for the next @p count calls. */
-void log_store_set_mode(log_store *store, log_store_mode mode, const char *prefix,
-                        uint32_t count);
+void log_store_set_mode(log_store *store, log_store_mode mode, const char *prefix, uint32_t count);
 
 /** Answer each call this much later. */
 void log_store_set_delay(log_store *store, uint32_t delay_ms);
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -25,8 +25,8 @@
 typedef struct {
     const char *id;
     const char *service;
-    uint32_t events;    /**< Of each stream. */
-    uint32_t event_ms;  /**< Between events. */
+    uint32_t events;      /**< Of each stream. */
+    uint32_t event_ms;    /**< Between events. */
     uint32_t break_after; /**< TOKEN_ENGINE_BREAKS: events before the end. */
 } token_engine_settings;
 
--- a/tests/system/fleet_bench.c
+++ b/tests/system/fleet_bench.c
@@ -196,11 +196,8 @@
 
 static token_engine *start_engine(int index) {
     static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
-    return token_engine_start(&(token_engine_settings){.id = ids[index],
-                                                       .service = "llm",
-                                                       .events = 12,
-                                                       .event_ms = 15,
-                                                       .break_after = 5});
+    return token_engine_start(&(token_engine_settings){
+        .id = ids[index], .service = "llm", .events = 12, .event_ms = 15, .break_after = 5});
 }
 
 int begin_bench(void) {
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -46,7 +46,8 @@
         CU_ASSERT_STRING_EQUAL(hs_http_fields_find(answer.fields, HEADER_SIGNATURE), "sig.1");
         int twice = 0;
         for (guint index = 0; index < answer.fields->len; index++)
-            twice += strcmp(g_array_index(answer.fields, hs_http_field, index).name, "X-Twice") == 0;
+            twice +=
+                strcmp(g_array_index(answer.fields, hs_http_field, index).name, "X-Twice") == 0;
         CU_ASSERT_EQUAL(twice, 2);
         bench_answer_clear(&answer);
     }
@@ -171,8 +172,8 @@
         g_autofree char *id = g_strdup_printf("job1-%d", item);
         CU_ASSERT_EQUAL(runs_of(id), 1);
     }
-    bench_answer gone = bench_send(
-        &(bench_call){.method = "GET", .target = PATH_ITEMS "job1?id=job1-3"});
+    bench_answer gone =
+        bench_send(&(bench_call){.method = "GET", .target = PATH_ITEMS "job1?id=job1-3"});
     CU_ASSERT_EQUAL(gone.status, 404);
     bench_answer_clear(&gone);
     bench_answer unknown = bench_send(&(bench_call){.method = "GET", .target = PATH_JOBS "none"});
@@ -295,10 +296,9 @@
 
 static bool is_named(int asked, int wanted) {
     g_autofree char *address = g_strdup_printf("127.0.0.1:%u", bench_front_port(wanted));
-    bench_answer answer =
-        bench_send(&(bench_call){.method = "GET",
-                                 .target = PATH_RESOLVE "?name=a&zone=zone-a",
-                                 .port = bench_directory_port(asked)});
+    bench_answer answer = bench_send(&(bench_call){.method = "GET",
+                                                   .target = PATH_RESOLVE "?name=a&zone=zone-a",
+                                                   .port = bench_directory_port(asked)});
     bool named = answer.status == 200 && strstr(answer.body, address) != NULL;
     bench_answer_clear(&answer);
     return named;
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -60,8 +60,8 @@
 
 static bool start(bench *opened, const char *bytes, size_t length, peer_ending ending,
                   hs_attempt *attempt) {
-    scripted_peer_set(opened->peer, &(peer_script){.bytes = bytes, .length = length,
-                                                   .ending = ending});
+    scripted_peer_set(opened->peer,
+                      &(peer_script){.bytes = bytes, .length = length, .ending = ending});
     opened->order.wait.deadline = hs_clock_monotonic_ms() + DEADLINE_MS;
     return hs_attempt_start(opened->engines, &opened->order, attempt);
 }
@@ -109,8 +109,8 @@
         hs_attempt attempt;
         bool has_head = start(&opened, WHOLE_ANSWER, length, PEER_CLOSES, &attempt);
         CU_ASSERT_TRUE(has_head);
-        hs_step step = hs_client_connection_read_all(attempt.connection, BODY_LIMIT,
-                                                     &opened.order.wait);
+        hs_step step =
+            hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
         CU_ASSERT_EQUAL(step == HS_STEP_COMPLETE, length == strlen(WHOLE_ANSWER));
         CU_ASSERT_EQUAL(attempt.run, HS_RUN_DID);
         hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
@@ -126,8 +126,8 @@
         hs_attempt attempt;
         CU_ASSERT_TRUE(start(&opened, answer, strlen(answer),
                              reset ? PEER_GOES_SILENT : PEER_CLOSES, &attempt));
-        hs_step step = hs_client_connection_read_all(attempt.connection, BODY_LIMIT,
-                                                     &opened.order.wait);
+        hs_step step =
+            hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
         CU_ASSERT_EQUAL(step, reset ? HS_STEP_DEADLINE : HS_STEP_COMPLETE);
         CU_ASSERT_FALSE(hs_client_connection_is_reusable(attempt.connection));
         hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
@@ -175,9 +175,9 @@
     hs_attempt attempt;
     CU_ASSERT_TRUE(start(&opened, both, strlen(both), PEER_CLOSES, &attempt));
     CU_ASSERT_STRING_EQUAL(attempt.answer.request_id, "r1");
-    CU_ASSERT_EQUAL(hs_client_connection_read_all(attempt.connection, BODY_LIMIT,
-                                                  &opened.order.wait),
-                    HS_STEP_COMPLETE);
+    CU_ASSERT_EQUAL(
+        hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait),
+        HS_STEP_COMPLETE);
     const GByteArray *body = hs_client_connection_body(attempt.connection);
     CU_ASSERT(body->len == 4 && memcmp(body->data, "body", 4) == 0);
     hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
@@ -223,8 +223,8 @@
     open_bench(&opened);
     for (int round = 0; round < 3; round++) {
         hs_attempt attempt;
-        CU_ASSERT_TRUE(start(&opened, WHOLE_ANSWER, strlen(WHOLE_ANSWER), PEER_KEEPS_OPEN,
-                             &attempt));
+        CU_ASSERT_TRUE(
+            start(&opened, WHOLE_ANSWER, strlen(WHOLE_ANSWER), PEER_KEEPS_OPEN, &attempt));
         hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
         hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
     }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -23,7 +23,8 @@
 
 /** Fed byte by byte, a stream gives the same whole events, and nothing of a cut one. */
 static void events_are_whole_at_every_cut(void) {
-    static const char text[] = "id: 1\ndata: a\n\nheathsail: 2\nid: 2\ndata: b\ndata: c\n\nid: 3\nda";
+    static const char text[] =
+        "id: 1\ndata: a\n\nheathsail: 2\nid: 2\ndata: b\ndata: c\n\nid: 3\nda";
     hs_event_stream stream = {0};
     GByteArray *input = g_byte_array_new();
     GByteArray *events = g_byte_array_new();
@@ -278,7 +279,10 @@
 
 static void broken_submissions_are_refused(void) {
     static const char *const broken[] = {
-        "", "[]", "{\"requests\":[]}", "{\"requests\":[{}]}",
+        "",
+        "[]",
+        "{\"requests\":[]}",
+        "{\"requests\":[{}]}",
         "{\"requests\":[{\"id\":\"a\",\"path\":\"/p\",\"body\":\"!!\"}]}",
         "{\"requests\":[{\"id\":\"a\",\"path\":\"p\",\"body\":\"\"}]}",
         "{\"requests\":[{\"id\":\"a\",\"path\":\"/p\",\"body\":\"\"},"
@@ -331,10 +335,8 @@
     gint flags[4] = {0};
     hs_engine_lease *leases[4];
     for (int index = 0; index < 4; index++) {
-        hs_engine_query query = {.service = "svc",
-                                 .work = HS_WORK_BATCH,
-                                 .batch_share = 1.0,
-                                 .yield = &flags[index]};
+        hs_engine_query query = {
+            .service = "svc", .work = HS_WORK_BATCH, .batch_share = 1.0, .yield = &flags[index]};
         leases[index] = hs_fleet_engines_take(engines, &query);
         CU_ASSERT_PTR_NOT_NULL_FATAL(leases[index]);
     }
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -94,7 +94,8 @@
     hs_job_state *state = hs_job_state_new();
     add_manifest(state, "h");
     add_result(state, &(result_part){0, 0, 2, "one "});
-    add_result(state, &(result_part){1, 0, 1, "between"}); /* Another record: parts do not follow. */
+    add_result(state,
+               &(result_part){1, 0, 1, "between"}); /* Another record: parts do not follow. */
     add_result(state, &(result_part){0, 1, 2, "two"});
     CU_ASSERT_EQUAL(((hs_job *)hs_job_state_find(state, "job"))->results->len, 1);
     add_result(state, &(result_part){0, 0, 2, "one "});
@@ -263,9 +264,8 @@
         g_ptr_array_add(contents, packed);
     }
     hs_deadline deadline = hs_clock_monotonic_ms() + 2000;
-    CU_ASSERT_EQUAL(
-        hs_job_partition_append_contents(opened.partition, contents, offsets, deadline),
-        HS_STORE_DONE);
+    CU_ASSERT_EQUAL(hs_job_partition_append_contents(opened.partition, contents, offsets, deadline),
+                    HS_STORE_DONE);
     for (uint32_t index = 0; index < 8; index++) {
         hs_store_outcome outcome = HS_STORE_UNKNOWN;
         const GByteArray *packed = contents->pdata[index];
