Owner of jobs and table of engines split into modules of one job; peers' words expire

Change: room for batch is a pure module with its test; worker, scheduler, group and beliefs stand apart; sums are made on demand, at most every 50 ms, over a hash of engines. The believed cache of an engine has the size that the configuration tells.

--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,7 @@
 ## lint        clang-format and clang-tidy, both without a finding
 lint:
 	@./tests/check_layers.sh
+	@./tests/check_platform_names.sh
 	@clang-format --dry-run -Werror $(CHECKED)
 	@printf '%s\n' $(filter %.c,$(CHECKED)) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet --warnings-as-errors="*" "$$@" -- -std=gnu11 $(CPPFLAGS) 2>/dev/null' lint
 
--- /dev/null
+++ b/src/fleet/engine_beliefs.c
@@ -0,0 +1,96 @@
+/** @file engine_beliefs.c  What is believed of one engine; see fleet_engine.h. */
+#include "fleet/fleet_engine.h"
+
+#include "base/clock.h"
+
+#include <math.h>
+#include <string.h>
+
+/** A load told with an answer counts for this long, fading. */
+#define LOAD_VALID_MS 1000.0
+/** Failures fade to half in this time, so that an engine is tried again. */
+#define FAILURE_HALF_MS 3000.0
+#define PEER_FAILURE_WEIGHT 0.7
+
+bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return engine->online + engine->batch > 0 &&
+           now_ms > engine->heard_ms + engine->silent_limit_ms;
+}
+
+double hs_fleet_engine_own_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms) {
+    double age_ms = (double)(now_ms - engine->failure_ms);
+    return engine->failure_rate * exp2(-age_ms / FAILURE_HALF_MS);
+}
+
+double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return fmax(hs_fleet_engine_own_failure_rate(engine, now_ms),
+                engine->peers_failure * PEER_FAILURE_WEIGHT);
+}
+
+bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return now_ms < engine->suspect_until_ms || hs_fleet_engine_is_silent(engine, now_ms) ||
+           engine->peers_suspecting > 0;
+}
+
+/** Requests there of all daemons: own, told by peers, or seen in an answer's load. */
+double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms) {
+    double own = (double)engine->online + engine->batch;
+    double others = engine->peers_online + engine->peers_batch;
+    double age_ms = (double)(now_ms - engine->load_ms);
+    if (engine->load.present && age_ms < LOAD_VALID_MS) {
+        double told = (double)engine->load.running + engine->load.waiting - engine->load_own;
+        double fresh = 1.0 - age_ms / LOAD_VALID_MS;
+        others = fmax(others, others * (1.0 - fresh) + fmax(told, 0.0) * fresh);
+    }
+    double running = own + others;
+    if (now_ms < engine->full_until_ms)
+        running = fmax(running, engine->entry.slots);
+    return running;
+}
+
+hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
+                                              const hs_fleet_engine *engine,
+                                              const hs_engine_query *query, uint64_t now_ms) {
+    uint64_t since_listed = now_ms - engine->listed_ms;
+    hs_engine_candidate candidate = {
+        .slots = engine->entry.slots,
+        .running = hs_fleet_engine_running(engine, now_ms),
+        .batch = engine->batch + engine->peers_batch,
+        .queued_tokens = (double)engine->queued_tokens + engine->peers_queued,
+        .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
+        .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
+        .same_zone = strcmp(engine->entry.zone, engines->zone) == 0,
+    };
+    if (engine->entry.warmup_left_ms > since_listed)
+        candidate.warmup_ms = (double)(engine->entry.warmup_left_ms - since_listed);
+    if (query->size != NULL) {
+        uint32_t cached = hs_prefix_index_match(engine->prefixes, query->size);
+        candidate.uncached_tokens =
+            query->size->prompt_tokens > cached ? query->size->prompt_tokens - cached : 0;
+    }
+    if (query->memory_tokens > 0)
+        candidate.memory_share = (double)engine->memory_tokens_used / (double)query->memory_tokens;
+    return candidate;
+}
+
+char *hs_fleet_engines_describe(hs_fleet_engines *engines) {
+    GString *text = g_string_new(NULL);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        g_string_append_printf(text,
+                               "heathsail_engine_in_flight{engine=\"%s\",work=\"online\"} %u\n"
+                               "heathsail_engine_in_flight{engine=\"%s\",work=\"batch\"} %u\n"
+                               "heathsail_engine_believed_running{engine=\"%s\"} %.1f\n"
+                               "heathsail_engine_suspected{engine=\"%s\"} %d\n",
+                               engine->entry.id, engine->online, engine->entry.id, engine->batch,
+                               engine->entry.id, hs_fleet_engine_running(engine, now_ms),
+                               engine->entry.id, hs_fleet_engine_is_suspected(engine, now_ms));
+    }
+    g_mutex_unlock(&engines->lock);
+    return g_string_free(text, FALSE);
+}
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -121,9 +121,7 @@
 
 /** Count a request's end into the engine's share of failures. */
 static void note_failure(hs_fleet_engine *engine, bool failed, uint64_t now_ms) {
-    double before = hs_fleet_engine_failure_rate(engine, now_ms);
-    if (engine->peers_failure > 0) /* Others' word stays theirs. */
-        before = MIN(before, engine->failure_rate);
+    double before = hs_fleet_engine_own_failure_rate(engine, now_ms);
     engine->failure_rate = before + ((failed ? 1.0 : 0.0) - before) * FAILURE_WEIGHT;
     engine->failure_ms = now_ms;
 }
@@ -215,6 +213,7 @@
     GHashTableIter iterator;
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
+    hs_fleet_engines_sum_peers(engines, now_ms);
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
         prune_engine(value, now_ms);
--- /dev/null
+++ b/src/fleet/engine_peers.c
@@ -0,0 +1,190 @@
+/**
+ * @file engine_peers.c  Loads that daemons tell each other, and what follows from them: room for
+ * batch items and which of them step aside; see fleet_engines.h.
+ */
+#include "fleet/fleet_engine.h"
+
+#include "base/clock.h"
+
+#include <math.h>
+
+/** What other daemons told counts for this long. */
+#define PEER_VALID_MS 2000
+/** Sums over daemons are made anew at most this often. */
+#define SUM_INTERVAL_MS 50
+/** Time until what stepped aside on an engine is known to all daemons. */
+#define YIELD_SETTLE_MS 450
+/** A peak of online requests fades to half in this time. */
+#define PEAK_HALF_MS 12000.0
+#define PERMILLE 1000.0
+
+typedef struct {
+    uint64_t told_ms;
+    GArray *shares; /**< of hs_engine_share */
+} peer_load;
+
+void hs_fleet_engines_free_peer(gpointer data) {
+    peer_load *peer = data;
+    g_array_free(peer->shares, TRUE);
+    g_free(peer);
+}
+
+/** Online requests on a service at their highest of late. */
+typedef struct {
+    double requests;
+    uint64_t noted_ms;
+} online_peak;
+
+/** The peak after a look at @p online requests now. The caller holds the lock. */
+static double note_peak(hs_fleet_engines *engines, const char *service, double online,
+                        uint64_t now_ms) {
+    online_peak *peak = g_hash_table_lookup(engines->peaks, service);
+    if (peak == NULL) {
+        peak = g_new0(online_peak, 1);
+        g_hash_table_insert(engines->peaks, g_strdup(service), peak);
+    }
+    double age_ms = (double)(now_ms - peak->noted_ms);
+    peak->requests = fmax(online, peak->requests * exp2(-age_ms / PEAK_HALF_MS));
+    peak->noted_ms = now_ms;
+    return peak->requests;
+}
+
+hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_engine_query query = {.service = service};
+    hs_service_room room = {0};
+    g_mutex_lock(&engines->lock);
+    hs_fleet_engines_sum_peers(engines, now_ms);
+    g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, &query);
+    for (guint index = 0; index < found->len; index++) {
+        const hs_fleet_engine *engine = found->pdata[index];
+        if (hs_fleet_engine_is_suspected(engine, now_ms))
+            continue;
+        double batch = engine->batch + engine->peers_batch;
+        room.ready++;
+        room.slots += engine->entry.slots;
+        room.batch += batch;
+        room.online += fmax(hs_fleet_engine_running(engine, now_ms) - batch, 0);
+    }
+    room.online_peak = note_peak(engines, service, room.online, now_ms);
+    g_mutex_unlock(&engines->lock);
+    return room;
+}
+
+/** Ask the newest batch items on @p engine to step aside; they lose the least. */
+static uint32_t yield_on(hs_fleet_engine *engine, uint32_t wanted) {
+    uint32_t asked = 0;
+    for (guint index = engine->batch_leases->len; index > 0 && asked < wanted; index--) {
+        const hs_engine_lease *lease = engine->batch_leases->pdata[index - 1];
+        if (lease->yield != NULL &&
+            g_atomic_int_compare_and_exchange(lease->yield, 0, HS_YIELD_ASKED))
+            asked++;
+    }
+    return asked;
+}
+
+uint32_t hs_fleet_engines_yield(hs_fleet_engines *engines) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint32_t asked = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    hs_fleet_engines_sum_peers(engines, now_ms);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        double batch = engine->batch + engine->peers_batch;
+        double excess = hs_fleet_engine_running(engine, now_ms) - engine->entry.slots;
+        if (engine->batch == 0 || excess <= 0 || now_ms < engine->no_yield_until_ms ||
+            engine->online + engine->peers_online <= 0)
+            continue;
+        asked += yield_on(engine, (uint32_t)ceil(fmin(excess, batch) * engine->batch / batch));
+        engine->no_yield_until_ms = now_ms + YIELD_SETTLE_MS;
+    }
+    g_mutex_unlock(&engines->lock);
+    return asked;
+}
+
+GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines) {
+    GArray *shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        bool suspected =
+            now_ms < engine->suspect_until_ms || hs_fleet_engine_is_silent(engine, now_ms);
+        hs_engine_share share = {
+            .engine_hash = engine->hash,
+            .online = engine->online,
+            .batch = engine->batch,
+            .queued_tokens = (uint32_t)engine->queued_tokens,
+            .failure_permille =
+                (uint32_t)(hs_fleet_engine_own_failure_rate(engine, now_ms) * PERMILLE),
+            .suspected = suspected};
+        if (share.online + share.batch > 0 || suspected || share.failure_permille > 0)
+            g_array_append_val(shares, share);
+    }
+    g_mutex_unlock(&engines->lock);
+    return shares;
+}
+
+static void clear_sums(hs_fleet_engines *engines, GHashTable *by_hash) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        engine->peers_online = 0;
+        engine->peers_batch = 0;
+        engine->peers_queued = 0;
+        engine->peers_suspecting = 0;
+        engine->peers_failure = 0;
+        g_hash_table_insert(by_hash, &engine->hash, engine);
+    }
+}
+
+static void add_shares(const peer_load *peer, GHashTable *by_hash) {
+    for (guint index = 0; index < peer->shares->len; index++) {
+        const hs_engine_share *share = &g_array_index(peer->shares, hs_engine_share, index);
+        hs_fleet_engine *engine = g_hash_table_lookup(by_hash, &share->engine_hash);
+        if (engine == NULL)
+            continue;
+        engine->peers_online += share->online;
+        engine->peers_batch += share->batch;
+        engine->peers_queued += share->queued_tokens;
+        engine->peers_suspecting += share->suspected;
+        engine->peers_failure = fmax(engine->peers_failure, share->failure_permille / PERMILLE);
+    }
+}
+
+void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms) {
+    if (now_ms < engines->summed_ms + SUM_INTERVAL_MS)
+        return;
+    engines->summed_ms = now_ms;
+    g_autoptr(GHashTable) by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    clear_sums(engines, by_hash);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->peers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const peer_load *peer = value;
+        if (now_ms > peer->told_ms + PEER_VALID_MS)
+            g_hash_table_iter_remove(&iterator);
+        else
+            add_shares(peer, by_hash);
+    }
+}
+
+void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
+                               uint64_t now_ms) {
+    peer_load *load = g_new0(peer_load, 1);
+    load->told_ms = now_ms;
+    load->shares = g_array_copy((GArray *)shares);
+    g_mutex_lock(&engines->lock);
+    g_hash_table_replace(engines->peers, g_strdup(peer), load);
+    engines->summed_ms = 0;
+    g_mutex_unlock(&engines->lock);
+}
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -45,6 +45,7 @@
     char *zone;
     GHashTable *speeds; /**< service -> hs_engine_speed* */
     GHashTable *peaks;  /**< service -> online_peak* */
+    uint64_t summed_ms; /**< When peers' words were summed last; 0: they changed. */
     uint64_t turn;
     uint64_t connects;
 };
@@ -68,11 +69,17 @@
 
 /** The caller holds the lock. */
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
+bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
+double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms);
+double hs_fleet_engine_own_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms);
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
                                               const hs_fleet_engine *engine,
                                               const hs_engine_query *query, uint64_t now_ms);
+GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query);
+void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms);
+void hs_fleet_engines_free_peer(gpointer data);
 hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service);
 
 #endif
--- a/src/fleet/prefix_index.c
+++ b/src/fleet/prefix_index.c
@@ -21,6 +21,10 @@
     return index;
 }
 
+void hs_prefix_index_set_capacity(hs_prefix_index *index, uint64_t capacity) {
+    index->capacity = capacity;
+}
+
 void hs_prefix_index_free(hs_prefix_index *index) {
     if (index == NULL)
         return;
--- a/src/fleet/prefix_index.h
+++ b/src/fleet/prefix_index.h
@@ -15,6 +15,9 @@
 /** @p capacity: tokens that the engine is believed to keep. */
 hs_prefix_index *hs_prefix_index_new(uint64_t capacity);
 
+/** Change what the engine is believed to keep. */
+void hs_prefix_index_set_capacity(hs_prefix_index *index, uint64_t capacity);
+
 void hs_prefix_index_free(hs_prefix_index *index);
 
 /** Tokens of the prompt's beginning that are believed cached. */
--- /dev/null
+++ b/src/jobs/job_owner_state.h
@@ -0,0 +1,71 @@
+/** @file job_owner_state.h  State that the owner's duties share; for src/jobs/job_*.c only. */
+#ifndef HS_JOBS_JOB_OWNER_STATE_H
+#define HS_JOBS_JOB_OWNER_STATE_H
+
+#include "jobs/item_run.h"
+#include "jobs/job_owner.h"
+
+/** The scheduler looks for items to start at least so often, in ms. */
+#define HS_JOB_PASS_MS 100
+/** Pause before an item is tried again: doubles with its failures up to the most. */
+#define HS_JOB_RETRY_LEAST_MS 50
+#define HS_JOB_RETRY_MOST_MS 1000
+/** Most items that one daemon runs. */
+#define HS_JOB_WORKERS_MAX 256
+
+/** Where an item stands with its owner. */
+typedef enum { HS_ITEM_WAITING, HS_ITEM_RUNNING, HS_ITEM_STORED } hs_item_stage;
+
+/** An item's volatile part. */
+typedef struct {
+    hs_item_run *run;
+    hs_item_stage stage;
+    uint32_t failures;
+    uint32_t tries;
+    uint64_t next_try_ms;
+    uint64_t seen_ms;
+} hs_owned_item;
+
+/** One owned partition. */
+typedef struct {
+    hs_job_owner *owner;
+    hs_job_partition *partition;
+    GHashTable *items; /**< "job/index" -> hs_owned_item* */
+    bool owned;        /**< Dealt to this daemon now. */
+    uint64_t start_ms; /**< No item starts before: the owner before may still hand over. */
+    bool tail_stopped;
+    GThread *tail;
+} hs_owned_partition_state;
+
+struct hs_job_owner {
+    hs_job_owner_settings settings;
+    GMutex lock;
+    GCond changed;
+    GPtrArray *partitions; /**< of hs_owned_partition_state*, one for each partition there is. */
+    uint64_t generation;
+    bool stopping;
+    bool draining;
+    uint32_t running;
+    uint32_t tails;
+    GThreadPool *workers;
+    GThread *group;
+    GThread *scheduler;
+};
+
+/** What a worker gets: all it needs besides the owner's lock. */
+typedef struct {
+    hs_owned_partition_state *home;
+    hs_owned_item *item;
+    double batch_share;
+    uint32_t max_attempts;
+    bool gives_up;   /**< Its time is over: list it as dead. */
+    bool hands_over; /**< Only store what there is of it, for the next owner. */
+} hs_item_order;
+
+/** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
+void hs_job_worker_run(gpointer data, gpointer user_data);
+
+/** The scheduler's duty, until the owner stops. @p data: owner. */
+gpointer hs_job_scheduler_run(gpointer data);
+
+#endif
--- /dev/null
+++ b/src/jobs/job_worker.c
@@ -0,0 +1,122 @@
+/** @file job_worker.c  One item's try, its result, and its handing over; see job_owner.h. */
+#include "jobs/job_owner_state.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#define APPEND_LIMIT_MS 1500
+#define YIELD_PAUSE_MS 400
+
+static hs_store_outcome store_result(hs_owned_partition_state *home, const hs_owned_item *item,
+                                     hs_item_outcome outcome, const GString *text) {
+    hs_job_owner *owner = home->owner;
+    hs_store_outcome stored = HS_STORE_REFUSED;
+    uint32_t attempt = 0;
+    while (stored != HS_STORE_DONE && stored != HS_STORE_INVALID) {
+        stored = hs_job_partition_append_result(
+            home->partition, item->run->job_id, item->run->index, outcome, text,
+            hs_job_partition_patience(home->partition, attempt++, text->len));
+        g_mutex_lock(&owner->lock);
+        bool goes_on = home->owned && !owner->stopping;
+        g_mutex_unlock(&owner->lock);
+        if (!goes_on)
+            break;
+        if (stored != HS_STORE_DONE)
+            hs_clock_sleep_ms(HS_JOB_RETRY_LEAST_MS);
+    }
+    return stored;
+}
+
+static uint64_t backoff_ms(uint32_t tries) {
+    return MIN((uint64_t)HS_JOB_RETRY_LEAST_MS << MIN(tries, 8), HS_JOB_RETRY_MOST_MS);
+}
+
+/** List the item; true when nothing more is to be done for it. */
+static bool conclude(const hs_item_order *order, hs_item_outcome outcome) {
+    GString *text =
+        outcome == HS_ITEM_COMPLETED ? hs_item_run_text(order->item->run) : g_string_new(NULL);
+    hs_store_outcome stored = store_result(order->home, order->item, outcome, text);
+    hs_log_info("item_listed", "job=%s item=%s outcome=%s engine=%s tries=%u stored=%s bytes=%zu",
+                order->item->run->job_id, order->item->run->item_id,
+                outcome == HS_ITEM_COMPLETED ? "completed" : "dead",
+                *order->item->run->engine_id != '\0' ? order->item->run->engine_id : "-",
+                order->item->tries, hs_store_outcome_name(stored), text->len);
+    g_string_free(text, TRUE);
+    return stored == HS_STORE_DONE;
+}
+
+/** What a try means for the item. True: it is listed. */
+static bool settle_try(const hs_item_order *order, hs_item_try end) {
+    hs_owned_item *item = order->item;
+    if (end != HS_ITEM_TRY_NO_ROOM && end != HS_ITEM_TRY_DONE)
+        hs_log_info("item_try_ended", "job=%s item=%s engine=%s end=%s tries=%u events=%u",
+                    item->run->job_id, item->run->item_id, item->run->engine_id,
+                    hs_item_try_name(end), item->tries, (unsigned)item->run->events.event_count);
+    item->failures += end == HS_ITEM_TRY_FAILED;
+    if (end == HS_ITEM_TRY_DONE)
+        return conclude(order, HS_ITEM_COMPLETED);
+    if (end == HS_ITEM_TRY_IMPOSSIBLE || item->failures >= order->max_attempts)
+        return conclude(order, HS_ITEM_DEAD);
+    return false;
+}
+
+/** Store what there is of an unfinished item, so that the next owner goes on with it. */
+static void hand_over(const hs_item_order *order) {
+    const hs_item_run *run = order->item->run;
+    if (run->events.event_count == 0)
+        return;
+    GString *text = hs_item_run_text(run);
+    hs_store_outcome stored = hs_job_partition_append_progress(
+        order->home->partition, run->job_id, run->index, run->events.last_id, text,
+        hs_clock_monotonic_ms() + APPEND_LIMIT_MS);
+    hs_log_info("item_handed_over", "job=%s item=%s last_event=%" G_GUINT64_FORMAT " stored=%s",
+                run->job_id, run->item_id, (guint64)run->events.last_id,
+                hs_store_outcome_name(stored));
+    g_string_free(text, TRUE);
+}
+
+/** Whether an interrupted item goes to another owner. */
+static bool changes_owner(hs_job_owner *owner, const hs_owned_partition_state *home) {
+    g_mutex_lock(&owner->lock);
+    bool changes = !home->owned || owner->draining;
+    g_mutex_unlock(&owner->lock);
+    return changes;
+}
+
+void hs_job_worker_run(gpointer data, gpointer user_data) {
+    hs_job_owner *owner = user_data;
+    hs_item_order *order = data;
+    hs_owned_item *item = order->item;
+    hs_fleet_config *config = hs_config_source_get(owner->settings.config);
+    bool listed = false;
+    hs_item_try end = HS_ITEM_TRY_NO_ROUTE;
+    if (order->hands_over) {
+        end = HS_ITEM_TRY_ABANDONED;
+    } else if (order->gives_up) {
+        listed = conclude(order, HS_ITEM_DEAD);
+    } else if (config != NULL) {
+        end = hs_item_run_try(item->run, order->home->partition, owner->settings.engines, config,
+                              order->batch_share);
+        listed = settle_try(order, end);
+    }
+    hs_fleet_config_unref(config);
+    if (!listed && end != HS_ITEM_TRY_DONE && changes_owner(owner, order->home))
+        hand_over(order);
+    g_mutex_lock(&owner->lock);
+    item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
+    item->tries += end != HS_ITEM_TRY_NO_ROOM;
+    uint64_t pause_ms = backoff_ms(item->failures);
+    if (end == HS_ITEM_TRY_NO_ROOM)
+        pause_ms = HS_JOB_PASS_MS;
+    else if (end == HS_ITEM_TRY_YIELDED)
+        pause_ms = YIELD_PAUSE_MS;
+    item->next_try_ms = hs_clock_monotonic_ms() + pause_ms;
+    owner->running--;
+    if (!order->home->owned || end == HS_ITEM_TRY_ABANDONED) {
+        g_autofree char *key = g_strdup_printf("%s/%u", item->run->job_id, item->run->index);
+        g_hash_table_remove(order->home->items, key);
+    }
+    g_cond_broadcast(&owner->changed);
+    g_mutex_unlock(&owner->lock);
+    g_free(order);
+}
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1,5 +1,6 @@
 /** @file test_fleet.c  Streams, fields, choice of engine, believed caches, codecs of the fleet. */
 #include "base/clock.h"
+#include "base/hash.h"
 #include "fleet/config_source.h"
 #include "fleet/engine_choice.h"
 #include "fleet/fleet_engines.h"
@@ -357,6 +358,64 @@
     hs_fleet_engines_free(engines);
 }
 
+static GArray *one_share(const char *engine, hs_engine_share share) {
+    GArray *shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
+    share.engine_hash = hs_hash_bytes(engine, strlen(engine));
+    g_array_append_val(shares, share);
+    return shares;
+}
+
+static const char *taken_engine(hs_fleet_engines *engines) {
+    hs_engine_query query = {.service = "svc"};
+    static char id[16];
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    g_strlcpy(id, hs_engine_lease_id(lease), sizeof id);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    return id;
+}
+
+/** What others tell counts as long as it is fresh, and no longer. */
+static void peers_words_count_while_fresh(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    entry = entry_of("e2", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    static const hs_engine_share words[] = {
+        {.online = 9}, {.suspected = true}, {.failure_permille = 400}};
+    for (size_t index = 0; index < G_N_ELEMENTS(words); index++) {
+        GArray *shares = one_share("e1", words[index]);
+        hs_fleet_engines_put_peer(engines, "other", shares, hs_clock_monotonic_ms());
+        for (int turn = 0; turn < 4; turn++)
+            CU_ASSERT_STRING_EQUAL(taken_engine(engines), "e2");
+        g_array_free(shares, TRUE);
+    }
+    GArray *old = one_share("e1", (hs_engine_share){.online = 9});
+    hs_fleet_engines_put_peer(engines, "other", old, hs_clock_monotonic_ms() - 60000);
+    int first = 0;
+    for (int turn = 0; turn < 4; turn++)
+        first += strcmp(taken_engine(engines), "e1") == 0;
+    CU_ASSERT_EQUAL(first, 2);
+    g_array_free(old, TRUE);
+    hs_fleet_engines_free(engines);
+}
+
+static void an_engine_that_fails_is_passed_over_for_a_while(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_FAILED);
+    entry = entry_of("e2", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    for (int turn = 0; turn < 4; turn++)
+        CU_ASSERT_STRING_EQUAL(taken_engine(engines), "e2");
+    hs_fleet_engines_drop(engines, "e2");
+    CU_ASSERT_STRING_EQUAL(taken_engine(engines), "e1"); /* Better than none. */
+    hs_fleet_engines_free(engines);
+}
+
 const test_case fleet_tests[] = {
     {"events_are_whole_at_every_cut", events_are_whole_at_every_cut},
     {"a_resumed_stream_neither_repeats_nor_skips", a_resumed_stream_neither_repeats_nor_skips},
@@ -375,4 +434,7 @@
     {"broken_submissions_are_refused", broken_submissions_are_refused},
     {"leaving_engines_get_nothing_new", leaving_engines_get_nothing_new},
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
+    {"peers_words_count_while_fresh", peers_words_count_while_fresh},
+    {"an_engine_that_fails_is_passed_over_for_a_while",
+     an_engine_that_fails_is_passed_over_for_a_while},
     {NULL, NULL}};
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -1,6 +1,7 @@
 /** @file test_jobs.c  The fold of batch jobs, and a partition over the stand-in store. */
 #include "base/clock.h"
 #include "jobs/job_partition.h"
+#include "jobs/job_room.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
@@ -316,7 +317,26 @@
     close_shop(&opened);
 }
 
+static void batch_takes_what_the_peak_leaves(void) {
+    hs_service_room room = {.slots = 100, .online = 10, .batch = 5, .online_peak = 60};
+    double calm = hs_job_batch_share(&room, 1.0);
+    double urgent = hs_job_batch_share(&room, 0.0);
+    CU_ASSERT(calm > 0.4 && calm < 0.5);
+    CU_ASSERT(urgent > 0.7 && urgent < 0.8);
+    room.online_peak = 500; /* Never nothing at all: jobs must end too. */
+    CU_ASSERT(hs_job_batch_share(&room, 1.0) > 0.05);
+    room.online_peak = 0; /* And never all: the next rush is not announced. */
+    CU_ASSERT(hs_job_batch_share(&room, 1.0) < 0.7);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 0.45, 10), 4);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 0.05, 10), 0);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 0.07, 10), 1);
+    CU_ASSERT_EQUAL(hs_job_time_left(1000, 3000, 2000), 0.5);
+    CU_ASSERT_EQUAL(hs_job_time_left(1000, 3000, 500), 1.0); /* The clock was set back. */
+    CU_ASSERT_EQUAL(hs_job_time_left(1000, 1000, 500), 0.0);
+}
+
 const test_case job_tests[] = {
+    {"batch_takes_what_the_peak_leaves", batch_takes_what_the_peak_leaves},
     {"repeated_records_change_nothing", repeated_records_change_nothing},
     {"long_results_count_only_whole", long_results_count_only_whole},
     {"ends_and_needs", ends_and_needs},
