Failures of an engine are counted over all daemons against what ended there

Change: daemons tell counts of ended and failed requests, which fade; the rate is their quotient over a prior of eight good ends.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -2223,7 +2223,7 @@
   (ProtobufCMessageInit) hs__demand_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_share__field_descriptors[6] =
+static const ProtobufCFieldDescriptor hs__engine_share__field_descriptors[7] =
 {
   {
     "engine_hash",
@@ -2286,12 +2286,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "failure_permille",
+    "ended_permille",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Hs__EngineShare, failure_permille),
+    offsetof(Hs__EngineShare, ended_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShare, failed_permille),
     NULL,
     NULL,
     0,             /* flags */
@@ -2300,8 +2312,9 @@
 };
 static const unsigned hs__engine_share__field_indices_by_name[] = {
   2,   /* field[2] = batch */
+  5,   /* field[5] = ended_permille */
   0,   /* field[0] = engine_hash */
-  5,   /* field[5] = failure_permille */
+  6,   /* field[6] = failed_permille */
   1,   /* field[1] = online */
   3,   /* field[3] = queued_tokens */
   4,   /* field[4] = suspected */
@@ -2309,7 +2322,7 @@
 static const ProtobufCIntRange hs__engine_share__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor hs__engine_share__descriptor =
 {
@@ -2319,7 +2332,7 @@
   "Hs__EngineShare",
   "hs",
   sizeof(Hs__EngineShare),
-  6,
+  7,
   hs__engine_share__field_descriptors,
   hs__engine_share__field_indices_by_name,
   1,  hs__engine_share__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -325,13 +325,14 @@
   uint32_t queued_tokens;
   protobuf_c_boolean suspected;
   /*
-   * Share of requests of late that failed there.
+   * Requests of late that ended there and that failed of them, in thousandths; both fade.
    */
-  uint32_t failure_permille;
+  uint32_t ended_permille;
+  uint32_t failed_permille;
 };
 #define HS__ENGINE_SHARE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_share__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -45,7 +45,8 @@
                                  .online = one->online,
                                  .batch = one->batch,
                                  .queued_tokens = one->queued_tokens,
-                                 .failure_permille = one->failure_permille,
+                                 .ended_permille = one->ended_permille,
+                                 .failed_permille = one->failed_permille,
                                  .suspected = one->suspected};
         g_array_append_val(shares, share);
     }
@@ -236,7 +237,8 @@
         told[index].online = share->online;
         told[index].batch = share->batch;
         told[index].queued_tokens = share->queued_tokens;
-        told[index].failure_permille = share->failure_permille;
+        told[index].ended_permille = share->ended_permille;
+        told[index].failed_permille = share->failed_permille;
         told[index].suspected = share->suspected;
         list[index] = &told[index];
     }
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -10,21 +10,23 @@
 #define LOAD_VALID_MS 1000.0
 /** Failures fade to half in this time, so that an engine is tried again. */
 #define FAILURE_HALF_MS 3000.0
-#define PEER_FAILURE_WEIGHT 0.7
+/** Ends without a failure that each engine is given at first, so that one failure says little. */
+#define FAILURE_PRIOR 8.0
 
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms) {
     return engine->online + engine->batch > 0 &&
            now_ms > engine->heard_ms + engine->silent_limit_ms;
 }
 
-double hs_fleet_engine_own_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms) {
-    double age_ms = (double)(now_ms - engine->failure_ms);
-    return engine->failure_rate * exp2(-age_ms / FAILURE_HALF_MS);
+double hs_fleet_engine_faded(const hs_fleet_engine *engine, double count, uint64_t now_ms) {
+    double age_ms = (double)(now_ms - engine->ended_ms);
+    return count * exp2(-age_ms / FAILURE_HALF_MS);
 }
 
 double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms) {
-    return fmax(hs_fleet_engine_own_failure_rate(engine, now_ms),
-                engine->peers_failure * PEER_FAILURE_WEIGHT);
+    double failed = hs_fleet_engine_faded(engine, engine->failed, now_ms) + engine->peers_failed;
+    double ended = hs_fleet_engine_faded(engine, engine->ended, now_ms) + engine->peers_ended;
+    return failed / (ended + FAILURE_PRIOR);
 }
 
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms) {
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -13,7 +13,6 @@
 #define SUSPECT_FIRST_MS 400
 #define SUSPECT_MOST_MS 5000
 #define FULL_MS 40
-#define FAILURE_WEIGHT 0.2
 #define BROKEN_IN_A_ROW 3
 #define SPEED_WEIGHT 0.1
 #define RATE_SAMPLE_LEAST_TOKENS 1000
@@ -119,11 +118,11 @@
                        engine->entry.id, cause, engine->failures, (unsigned)time_ms);
 }
 
-/** Count a request's end into the engine's share of failures. */
-static void note_failure(hs_fleet_engine *engine, bool failed, uint64_t now_ms) {
-    double before = hs_fleet_engine_own_failure_rate(engine, now_ms);
-    engine->failure_rate = before + ((failed ? 1.0 : 0.0) - before) * FAILURE_WEIGHT;
-    engine->failure_ms = now_ms;
+/** Count a request's end and, where it failed, its failure. */
+static void note_end(hs_fleet_engine *engine, bool failed, uint64_t now_ms) {
+    engine->ended = hs_fleet_engine_faded(engine, engine->ended, now_ms) + 1;
+    engine->failed = hs_fleet_engine_faded(engine, engine->failed, now_ms) + (failed ? 1 : 0);
+    engine->ended_ms = now_ms;
 }
 
 /** What an attempt's end says of the engine. The caller holds the lock. */
@@ -133,12 +132,12 @@
     case HS_ATTEMPT_SERVED:
         engine->failures = 0;
         engine->suspect_until_ms = 0;
-        note_failure(engine, false, now_ms);
+        note_end(engine, false, now_ms);
         blend(&hs_fleet_engines_speed(lease->engines, engine->entry.service)->run_ms,
               (double)(now_ms - lease->taken_ms));
         break;
     case HS_ATTEMPT_FAILED:
-        note_failure(engine, true, now_ms);
+        note_end(engine, true, now_ms);
         break;
     case HS_ATTEMPT_REFUSED:
         engine->full_until_ms = now_ms + FULL_MS;
@@ -150,11 +149,11 @@
         suspect(engine, now_ms, "unreachable");
         break;
     case HS_ATTEMPT_SILENT:
-        note_failure(engine, true, now_ms);
+        note_end(engine, true, now_ms);
         suspect(engine, now_ms, "silent");
         break;
     case HS_ATTEMPT_BROKEN:
-        note_failure(engine, true, now_ms);
+        note_end(engine, true, now_ms);
         if (++engine->failures >= BROKEN_IN_A_ROW)
             suspect(engine, now_ms, "broken");
         break;
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -105,6 +105,10 @@
     return asked;
 }
 
+static uint32_t permille(const hs_fleet_engine *engine, double count, uint64_t now_ms) {
+    return (uint32_t)(hs_fleet_engine_faded(engine, count, now_ms) * PERMILLE);
+}
+
 GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines) {
     GArray *shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -121,10 +125,10 @@
             .online = engine->online,
             .batch = engine->batch,
             .queued_tokens = (uint32_t)engine->queued_tokens,
-            .failure_permille =
-                (uint32_t)(hs_fleet_engine_own_failure_rate(engine, now_ms) * PERMILLE),
+            .ended_permille = permille(engine, engine->ended, now_ms),
+                                 .failed_permille = permille(engine, engine->failed, now_ms),
             .suspected = suspected};
-        if (share.online + share.batch > 0 || suspected || share.failure_permille > 0)
+        if (share.online + share.batch > 0 || suspected || share.failed_permille > 0)
             g_array_append_val(shares, share);
     }
     g_mutex_unlock(&engines->lock);
@@ -141,7 +145,8 @@
         engine->peers_batch = 0;
         engine->peers_queued = 0;
         engine->peers_suspecting = 0;
-        engine->peers_failure = 0;
+        engine->peers_ended = 0;
+        engine->peers_failed = 0;
         g_hash_table_insert(by_hash, &engine->hash, engine);
     }
 }
@@ -156,7 +161,8 @@
         engine->peers_batch += share->batch;
         engine->peers_queued += share->queued_tokens;
         engine->peers_suspecting += share->suspected;
-        engine->peers_failure = fmax(engine->peers_failure, share->failure_permille / PERMILLE);
+        engine->peers_ended += share->ended_permille / PERMILLE;
+        engine->peers_failed += share->failed_permille / PERMILLE;
     }
 }
 
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -23,9 +23,11 @@
     uint64_t full_until_ms;
     uint64_t no_yield_until_ms; /**< Until all daemons know of the items that stepped aside. */
     uint32_t failures;
-    double failure_rate; /**< Of this daemon's requests of late, as of failure_ms. */
-    uint64_t failure_ms;
-    double peers_failure; /**< Highest that others told. */
+    double ended;           /**< Requests of this daemon that ended there, fading, as of ended_ms. */
+    double failed;          /**< Those of them that failed. */
+    uint64_t ended_ms;
+    double peers_ended;
+    double peers_failed;
     hs_engine_load load;
     uint64_t load_ms;
     double load_own; /**< Own requests there when the load was told. */
@@ -71,7 +73,7 @@
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms);
-double hs_fleet_engine_own_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
+double hs_fleet_engine_faded(const hs_fleet_engine *engine, double count, uint64_t now_ms);
 double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms);
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -49,7 +49,8 @@
     uint32_t online;
     uint32_t batch;
     uint32_t queued_tokens;
-    uint32_t failure_permille; /**< Share of requests of late that failed there. */
+    uint32_t ended_permille;  /**< Requests of late that ended there, in thousandths; fades. */
+    uint32_t failed_permille; /**< Those of them that failed. */
     bool suspected;
 } hs_engine_share;
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -382,7 +382,7 @@
     entry = entry_of("e2", 4);
     hs_fleet_engines_put(engines, &entry, 1);
     static const hs_engine_share words[] = {
-        {.online = 9}, {.suspected = true}, {.failure_permille = 400}};
+        {.online = 9}, {.suspected = true}, {.ended_permille = 9000, .failed_permille = 4000}};
     for (size_t index = 0; index < G_N_ELEMENTS(words); index++) {
         GArray *shares = one_share("e1", words[index]);
         hs_fleet_engines_put_peer(engines, "other", shares, hs_clock_monotonic_ms());
