Shares between daemons bounded at size; resolve answers name daemons by chance

Cause: each daemon told all others four times a second, which at 300 daemons is 1,200 datagrams a second each way; the first 64 members in table order were named to all callers. Change: a round goes to 16 peers, the next round to the next; what unheard daemons have is taken as the mean of the heard. Answers name 64 by chance. The engines' topic is read three times in drain-ms, not five. Answers hold for half the grace: a look-up at a dead daemon costs its caller a second.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -21,8 +21,6 @@
 /** Kept back from the grace time for the end itself. */
 #define END_MS 500
 #define HANDOVER_LIMIT_MS 1500
-/** Callers keep a resolve answer for up to three times what it says. */
-#define ANSWER_HELD_FACTOR 3
 #define DRAIN_POLL_MS 50
 
 struct hs_fleet_daemon {
@@ -65,11 +63,12 @@
 }
 
 /**
- * How long callers may keep an answer: short enough that none names a stopping daemon any more when
- * it takes no new requests.
+ * How long callers may keep an answer. Each look-up may meet daemons that have died, a second each,
+ * so it is long; but short enough that no answer that is kept as told names a stopping daemon any
+ * more when that takes no new requests.
  */
 static uint32_t resolve_ttl_s(const hs_settings *settings) {
-    double longest = settings->fleet_grace_s * TAKING_SHARE / ANSWER_HELD_FACTOR;
+    double longest = settings->fleet_grace_s * TAKING_SHARE;
     return (uint32_t)fmax(fmin(longest, settings->fleet_resolve_ttl_most_s), 1);
 }
 
@@ -205,8 +204,7 @@
 
 /** Time in ms from the stop for which callers may still hold an answer that names this daemon. */
 static uint64_t named_ms(const hs_fleet_daemon *daemon) {
-    return (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) * ANSWER_HELD_FACTOR *
-           (uint64_t)MS_PER_S;
+    return (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) * (uint64_t)MS_PER_S;
 }
 
 /** Hand the batch items over at once; others can go on with them. */
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -11,6 +11,8 @@
 
 #define TICK_MS 60
 #define SHARES_INTERVAL_MS 240
+/** Peers told in one round: with more, each round goes to the next ones, and sums are scaled up. */
+#define SHARES_PEERS_MAX 16
 #define REGISTRY_INTERVAL_MS 4000
 #define REGISTRY_CALL_MS 1000
 #define JOIN_CHECK_MS 200
@@ -27,6 +29,7 @@
     gint resolve_ttl_s;
     uint64_t started_ms;
     uint64_t next_shares_ms;
+    guint next_peer; /**< Where the next round of shares begins. */
     GMutex lock;
     GCond stop_asked;
     bool stopping;
@@ -249,7 +252,9 @@
     hs_membership_service_sign(directory->membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_SHARES;
     message.engine_shares = &body;
-    for (guint index = 0; index < peers->len; index++) {
+    hs_fleet_engines_set_peers(directory->settings.engines, peers->len);
+    for (guint count = 0; count < MIN(peers->len, SHARES_PEERS_MAX); count++) {
+        guint index = directory->next_peer++ % peers->len;
         const struct sockaddr_in *peer = &g_array_index(peers, struct sockaddr_in, index);
         hs_peer_socket_send(directory->socket, peer->sin_addr.s_addr, peer->sin_port, &message);
     }
@@ -309,8 +314,20 @@
 
 static void add_address(GPtrArray *addresses, const hs_member *member) {
     struct in_addr number = {.s_addr = htonl(member->address)};
-    if (addresses->len < HS_RESOLVE_ADDRESSES_MAX)
-        g_ptr_array_add(addresses, g_strdup_printf("%s:%u", inet_ntoa(number), member->admin_port));
+    g_ptr_array_add(addresses, g_strdup_printf("%s:%u", inet_ntoa(number), member->admin_port));
+}
+
+/** Keep as many as an answer may name, chosen by chance, so that all daemons get callers. */
+static void keep_some(GPtrArray *addresses) {
+    if (addresses->len <= HS_RESOLVE_ADDRESSES_MAX)
+        return;
+    for (guint index = 0; index < HS_RESOLVE_ADDRESSES_MAX; index++) {
+        guint other = (guint)g_random_int_range((gint32)index, (gint32)addresses->len);
+        gpointer chosen = addresses->pdata[other];
+        addresses->pdata[other] = addresses->pdata[index];
+        addresses->pdata[index] = chosen;
+    }
+    g_ptr_array_set_size(addresses, HS_RESOLVE_ADDRESSES_MAX);
 }
 
 /** Live members of @p zone, or of all others where @p inside is false. */
@@ -346,6 +363,7 @@
         g_ptr_array_free(addresses, TRUE);
         return NULL;
     }
+    keep_some(addresses);
     g_ptr_array_add(addresses, NULL);
     return (char **)g_ptr_array_free(addresses, FALSE);
 }
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -120,14 +120,13 @@
         const hs_fleet_engine *engine = value;
         bool suspected =
             now_ms < engine->suspect_until_ms || hs_fleet_engine_is_silent(engine, now_ms);
-        hs_engine_share share = {
-            .engine_hash = engine->hash,
-            .online = engine->online,
-            .batch = engine->batch,
-            .queued_tokens = (uint32_t)engine->queued_tokens,
-            .ended_permille = permille(engine, engine->ended, now_ms),
+        hs_engine_share share = {.engine_hash = engine->hash,
+                                 .online = engine->online,
+                                 .batch = engine->batch,
+                                 .queued_tokens = (uint32_t)engine->queued_tokens,
+                                 .ended_permille = permille(engine, engine->ended, now_ms),
                                  .failed_permille = permille(engine, engine->failed, now_ms),
-            .suspected = suspected};
+                                 .suspected = suspected};
         if (share.online + share.batch > 0 || suspected || share.failed_permille > 0)
             g_array_append_val(shares, share);
     }
@@ -151,18 +150,19 @@
     }
 }
 
-static void add_shares(const peer_load *peer, GHashTable *by_hash) {
+/** Add one daemon's word, counted @p weight times. */
+static void add_shares(const peer_load *peer, double weight, GHashTable *by_hash) {
     for (guint index = 0; index < peer->shares->len; index++) {
         const hs_engine_share *share = &g_array_index(peer->shares, hs_engine_share, index);
         hs_fleet_engine *engine = g_hash_table_lookup(by_hash, &share->engine_hash);
         if (engine == NULL)
             continue;
-        engine->peers_online += share->online;
-        engine->peers_batch += share->batch;
-        engine->peers_queued += share->queued_tokens;
+        engine->peers_online += share->online * weight;
+        engine->peers_batch += share->batch * weight;
+        engine->peers_queued += share->queued_tokens * weight;
         engine->peers_suspecting += share->suspected;
-        engine->peers_ended += share->ended_permille / PERMILLE;
-        engine->peers_failed += share->failed_permille / PERMILLE;
+        engine->peers_ended += share->ended_permille / PERMILLE * weight;
+        engine->peers_failed += share->failed_permille / PERMILLE * weight;
     }
 }
 
@@ -175,13 +175,20 @@
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->peers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const peer_load *peer = value;
-        if (now_ms > peer->told_ms + PEER_VALID_MS)
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        if (now_ms > ((peer_load *)value)->told_ms + PEER_VALID_MS)
             g_hash_table_iter_remove(&iterator);
-        else
-            add_shares(peer, by_hash);
-    }
+    uint32_t heard = g_hash_table_size(engines->peers);
+    double weight = heard > 0 ? fmax(1.0, (double)engines->peer_count / heard) : 1.0;
+    g_hash_table_iter_init(&iterator, engines->peers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        add_shares(value, weight, by_hash);
+}
+
+void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers) {
+    g_mutex_lock(&engines->lock);
+    engines->peer_count = peers;
+    g_mutex_unlock(&engines->lock);
 }
 
 void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -9,7 +9,7 @@
 
 #define READ_MAX_KB 1024
 /** Reads within the time that a leaving engine may still get work. */
-#define READS_PER_DRAIN 5
+#define READS_PER_DRAIN 3
 #define ANSWER_LIMIT_MS 1200
 
 struct hs_engine_source {
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -23,8 +23,8 @@
     uint64_t full_until_ms;
     uint64_t no_yield_until_ms; /**< Until all daemons know of the items that stepped aside. */
     uint32_t failures;
-    double ended;           /**< Requests of this daemon that ended there, fading, as of ended_ms. */
-    double failed;          /**< Those of them that failed. */
+    double ended;  /**< Requests of this daemon that ended there, fading, as of ended_ms. */
+    double failed; /**< Those of them that failed. */
     uint64_t ended_ms;
     double peers_ended;
     double peers_failed;
@@ -45,9 +45,10 @@
     GHashTable *by_id; /**< id -> hs_fleet_engine* */
     GHashTable *peers; /**< peer -> peer_load* */
     char *zone;
-    GHashTable *speeds; /**< service -> hs_engine_speed* */
-    GHashTable *peaks;  /**< service -> online_peak* */
-    uint64_t summed_ms; /**< When peers' words were summed last; 0: they changed. */
+    GHashTable *speeds;  /**< service -> hs_engine_speed* */
+    GHashTable *peaks;   /**< service -> online_peak* */
+    uint32_t peer_count; /**< Other daemons there are. */
+    uint64_t summed_ms;  /**< When peers' words were summed last; 0: they changed. */
     uint64_t turn;
     uint64_t connects;
 };
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -118,6 +118,9 @@
 void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
                                uint64_t now_ms);
 
+/** How many other daemons there are; of those that told nothing lately the mean is assumed. */
+void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers);
+
 /** Close connections that engines have closed or are about to. */
 void hs_fleet_engines_prune(hs_fleet_engines *engines);
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -400,6 +400,21 @@
     hs_fleet_engines_free(engines);
 }
 
+/** With more daemons than are told in a round, those that were not heard count as the others. */
+static void unheard_peers_count_as_the_heard(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    GArray *shares = one_share("e1", (hs_engine_share){.online = 2});
+    hs_fleet_engines_set_peers(engines, 30);
+    hs_fleet_engines_put_peer(engines, "one", shares, hs_clock_monotonic_ms());
+    hs_fleet_engines_put_peer(engines, "two", shares, hs_clock_monotonic_ms());
+    hs_service_room room = hs_fleet_engines_room(engines, "svc");
+    CU_ASSERT_EQUAL(room.online, 60);
+    g_array_free(shares, TRUE);
+    hs_fleet_engines_free(engines);
+}
+
 static void an_engine_that_fails_is_passed_over_for_a_while(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
     hs_engine_entry entry = entry_of("e1", 4);
@@ -435,6 +450,7 @@
     {"leaving_engines_get_nothing_new", leaving_engines_get_nothing_new},
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
     {"peers_words_count_while_fresh", peers_words_count_while_fresh},
+    {"unheard_peers_count_as_the_heard", unheard_peers_count_as_the_heard},
     {"an_engine_that_fails_is_passed_over_for_a_while",
      an_engine_that_fails_is_passed_over_for_a_while},
     {NULL, NULL}};
