A short time-out of caller or route makes no engine suspected; logs say why an engine was chosen

A request's line carries what decided the choice (engines, believed running, uncached tokens, failure rate, suspicion, age of the store's word); steps and ends are named. Test: a_short_timeout_makes_no_engine_suspected, failed before, passes after.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -77,6 +77,7 @@
     if (attempt->lease == NULL)
         return false;
     g_strlcpy(attempt->engine_id, hs_engine_lease_id(attempt->lease), sizeof attempt->engine_id);
+    attempt->reasons = hs_engine_lease_reasons(attempt->lease);
     attempt->connection =
         hs_engine_lease_connect(attempt->lease, &order->wait, order->fresh, &attempt->step);
     if (attempt->connection == NULL)
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -37,7 +37,8 @@
     hs_step step; /**< PROGRESS or COMPLETE: the head is there. */
     uint32_t status;
     hs_engine_answer answer;
-    char engine_id[64]; /**< For logs, also after the end. */
+    char engine_id[64];        /**< For logs, also after the end. */
+    hs_engine_reasons reasons; /**< Why that engine; likewise. */
 } hs_attempt;
 
 /** Choose, connect, send, read the head. True when there is a head. */
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -22,6 +22,20 @@
     return lease->engine->entry.id;
 }
 
+hs_engine_reasons hs_engine_lease_reasons(const hs_engine_lease *lease) {
+    return lease->reasons;
+}
+
+const char *hs_attempt_end_name(hs_attempt_end end) {
+    static const char *const names[] = {
+        [HS_ATTEMPT_SERVED] = "served",           [HS_ATTEMPT_FAILED] = "failed",
+        [HS_ATTEMPT_REFUSED] = "refused",         [HS_ATTEMPT_WRONG_ENGINE] = "wrong_engine",
+        [HS_ATTEMPT_UNREACHABLE] = "unreachable", [HS_ATTEMPT_BROKEN] = "broken",
+        [HS_ATTEMPT_SILENT] = "silent",           [HS_ATTEMPT_DROPPED] = "dropped",
+    };
+    return names[end];
+}
+
 bool hs_engine_lease_is_listed(const hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
     bool listed = lease->engine->listed && !lease->engine->entry.draining;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -60,7 +60,8 @@
     uint64_t taken_ms;
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
     uint32_t memory_tokens;
-    gint *yield;    /**< See hs_engine_query; NULL: none. */
+    gint *yield; /**< See hs_engine_query; NULL: none. */
+    hs_engine_reasons reasons;
     bool was_alone; /**< No prompt was being read there when it was taken. */
 };
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -225,9 +225,18 @@
         query->work == HS_WORK_ONLINE
             ? hs_engine_choice_pick(candidates, found->len, first, speed)
             : hs_engine_choice_pick_spare(candidates, found->len, first, query->batch_share, speed);
-    if (picked != HS_ENGINE_NONE)
-        lease = lease_engine(engines, found->pdata[picked], query,
-                             candidates[picked].uncached_tokens, now_ms);
+    if (picked != HS_ENGINE_NONE) {
+        const hs_engine_candidate *chosen = &candidates[picked];
+        hs_fleet_engine *engine = found->pdata[picked];
+        lease = lease_engine(engines, engine, query, chosen->uncached_tokens, now_ms);
+        lease->reasons = (hs_engine_reasons){.candidates = found->len,
+                                             .slots = chosen->slots,
+                                             .running = chosen->running,
+                                             .uncached_tokens = chosen->uncached_tokens,
+                                             .failure_rate = chosen->failure_rate,
+                                             .suspected = chosen->suspected,
+                                             .listed_age_ms = now_ms - engine->listed_ms};
+    }
     g_mutex_unlock(&engines->lock);
     return lease;
 }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -32,6 +32,20 @@
 /** Value of a batch item's flag that asks it to step aside and go on later. */
 #define HS_YIELD_ASKED 2
 
+/** Name of an attempt's end, for logs. */
+const char *hs_attempt_end_name(hs_attempt_end end);
+
+/** What decided the choice of an engine, for logs. */
+typedef struct {
+    uint32_t candidates; /**< Engines there were to choose from. */
+    uint32_t slots;
+    double running;         /**< Believed there, of all daemons. */
+    double uncached_tokens; /**< Of the prompt. */
+    double failure_rate;    /**< Of late. */
+    bool suspected;
+    uint64_t listed_age_ms; /**< Since the store's last word on the engine. */
+} hs_engine_reasons;
+
 /** What an engine is wanted for. All borrowed. */
 typedef struct {
     const char *service;
@@ -73,6 +87,9 @@
 /** The engine's id; valid as long as the lease. */
 const char *hs_engine_lease_id(const hs_engine_lease *lease);
 
+/** Why the engine was chosen. */
+hs_engine_reasons hs_engine_lease_reasons(const hs_engine_lease *lease);
+
 /** Whether the engine was already known to be leaving when asked. */
 bool hs_engine_lease_is_listed(const hs_engine_lease *lease);
 
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -40,6 +40,15 @@
     uint64_t body_reported; /**< As of the last return of read_body. */
 };
 
+const char *hs_step_name(hs_step step) {
+    static const char *const names[] = {
+        [HS_STEP_PROGRESS] = "progress", [HS_STEP_COMPLETE] = "complete",
+        [HS_STEP_CUT] = "cut",           [HS_STEP_INVALID] = "invalid",
+        [HS_STEP_DEADLINE] = "deadline", [HS_STEP_CALLER_GONE] = "caller_gone",
+    };
+    return names[step];
+}
+
 static void flush_field(hs_client_connection *connection) {
     if (!connection->in_value)
         return;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -30,6 +30,9 @@
     HS_STEP_CALLER_GONE, /**< The watched descriptor closed. */
 } hs_step;
 
+/** Name of a step's end, for logs. */
+const char *hs_step_name(hs_step step);
+
 /** What a step may wait for. */
 typedef struct {
     hs_deadline deadline;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -48,19 +48,24 @@
 }
 
 static void log_end(online_request *request, hs_end_reason reason) {
-    hs_log_info("request_ended",
-                "request=%s route=%s service=%s config=%" G_GUINT64_FORMAT
-                " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
-                " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
-                " left_ms=%" G_GINT64_FORMAT,
-                request->request_id, request->route->name, request->service,
-                (guint64)request->config->version,
-                *request->attempt.engine_id != '\0' ? request->attempt.engine_id : "-",
-                hs_end_reason_name(reason), hs_run_state_name(request->run), request->sends,
-                request->runs, (guint64)request->events.event_count,
-                (guint64)request->first_byte_ms,
-                (guint64)(hs_clock_monotonic_ms() - request->inbound->received_ms),
-                (gint64)request->deadline - (gint64)hs_clock_monotonic_ms());
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    const hs_attempt *attempt = &request->attempt;
+    hs_log_info(
+        "request_ended",
+        "request=%s route=%s service=%s config=%" G_GUINT64_FORMAT
+        " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
+        " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
+        " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u"
+        " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT,
+        request->request_id, request->route->name, request->service,
+        (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
+        hs_end_reason_name(reason), hs_run_state_name(request->run), request->sends, request->runs,
+        (guint64)request->events.event_count, (guint64)request->first_byte_ms,
+        (guint64)(now_ms - request->inbound->received_ms),
+        (gint64)request->deadline - (gint64)now_ms, attempt->reasons.candidates,
+        attempt->reasons.running, attempt->reasons.slots, attempt->reasons.uncached_tokens,
+        attempt->reasons.failure_rate, attempt->reasons.suspected,
+        (guint64)attempt->reasons.listed_age_ms);
 }
 
 /** Note the end once: log and counters. */
@@ -126,11 +131,31 @@
     g_ptr_array_add(request->excluded, g_strdup(request->attempt.engine_id));
 }
 
+static uint64_t waited_ms(const online_request *request) {
+    return hs_clock_monotonic_ms() - request->inbound->received_ms;
+}
+
+/**
+ * How a failed attempt reflects on its engine: it is silent only where the wait was long, whoever
+ * ended it; a short time-out of the caller or the route says nothing.
+ */
+static hs_attempt_end judge_failure(const online_request *request) {
+    hs_attempt_end end = hs_attempt_failure(&request->attempt);
+    bool waited_long = waited_ms(request) >= SILENCE_LEAST_MS;
+    if (end == HS_ATTEMPT_SILENT || end == HS_ATTEMPT_DROPPED)
+        return waited_long ? HS_ATTEMPT_SILENT : HS_ATTEMPT_DROPPED;
+    return end;
+}
+
 static void log_attempt(const online_request *request, hs_attempt_end end) {
-    hs_log_info("attempt_failed", "request=%s engine=%s send=%u step=%d status=%u run=%s end=%d",
-                request->request_id, request->attempt.engine_id, request->sends,
-                (int)request->attempt.step, request->attempt.status,
-                hs_run_state_name(request->attempt.run), (int)end);
+    const hs_attempt *attempt = &request->attempt;
+    hs_log_info(
+        "attempt_failed",
+        "request=%s engine=%s send=%u step=%s status=%u run=%s end=%s believed_running=%.1f "
+        "failure_rate=%.3f suspected=%d",
+        request->request_id, attempt->engine_id, request->sends, hs_step_name(attempt->step),
+        attempt->status, hs_run_state_name(attempt->run), hs_attempt_end_name(end),
+        attempt->reasons.running, attempt->reasons.failure_rate, attempt->reasons.suspected);
 }
 
 /** What to do after a failed attempt. */
@@ -184,10 +209,6 @@
     return NEXT_END;
 }
 
-static uint64_t waited_ms(const online_request *request) {
-    return hs_clock_monotonic_ms() - request->inbound->received_ms;
-}
-
 /** Try engines until one answers with a head; false with @p reason when none will. */
 static bool find_answer(online_request *request, hs_end_reason *reason) {
     next_move move = NEXT_TRY;
@@ -201,9 +222,7 @@
         request->sends++;
         if (has_head && !request->attempt.answer.not_executed)
             return true;
-        hs_attempt_end end = hs_attempt_failure(&request->attempt);
-        if (end == HS_ATTEMPT_DROPPED && waited_ms(request) >= SILENCE_LEAST_MS)
-            end = HS_ATTEMPT_SILENT; /* The caller left since nothing came. */
+        hs_attempt_end end = judge_failure(request);
         if (has_head) {
             hs_client_connection_read_all(request->attempt.connection, ANSWER_LIMIT_BYTES,
                                           &order.wait);
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -11,7 +11,7 @@
 #define BODY_LIMIT (16U * 1024 * 1024)
 #define FIRST_PORT 23500
 #define PORT_TRIES 2000
-#define EVENT_TEXT_SIZE 128
+#define SLOW_MS 150
 
 struct token_engine {
     token_engine_settings settings;
@@ -104,6 +104,8 @@
         refuse(inbound, 503, id, false);
     } else {
         note_run(engine, id);
+        if (mode == TOKEN_ENGINE_SLOW)
+            hs_clock_sleep_ms(SLOW_MS);
         if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
             refuse(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
             return;
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -18,6 +18,7 @@
     TOKEN_ENGINE_FULL,       /**< 503, not executed. */
     TOKEN_ENGINE_FAILS,      /**< 500. */
     TOKEN_ENGINE_IMPOSSIBLE, /**< 422. */
+    TOKEN_ENGINE_SLOW,       /**< Waits before it answers at all. */
     TOKEN_ENGINE_BREAKS,     /**< Ends the connection after some events. */
 } token_engine_mode;
 
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -127,6 +127,29 @@
     bench_answer_clear(&answer);
 }
 
+/** A caller's short time-out says nothing of the engine. */
+static void a_short_timeout_makes_no_engine_suspected(void) {
+    set_engines(TOKEN_ENGINE_SLOW);
+    for (int request = 0; request < 6; request++) {
+        bench_answer answer = bench_send(&(bench_call){.method = "POST",
+                                                       .target = "/once/s",
+                                                       .request_id = "short",
+                                                       .body = "x",
+                                                       .timeout_ms = 40});
+        CU_ASSERT_EQUAL(answer.status, 504);
+        bench_answer_clear(&answer);
+    }
+    set_engines(TOKEN_ENGINE_SOUND);
+    bench_answer metrics = bench_send(
+        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(0)});
+    for (int index = 0; index < BENCH_ENGINES; index++) {
+        g_autofree char *line =
+            g_strdup_printf("heathsail_engine_suspected{engine=\"engine-%d\"} 0\n", index);
+        CU_ASSERT_PTR_NOT_NULL(strstr(metrics.body, line));
+    }
+    bench_answer_clear(&metrics);
+}
+
 static uint32_t submit(int daemon, const char *id, int count) {
     g_autofree char *body = bench_job(id, count);
     bench_answer answer = bench_send(&(bench_call){
@@ -372,6 +395,7 @@
     {"a_resumable_stream_goes_on_elsewhere", a_resumable_stream_goes_on_elsewhere},
     {"an_engines_failure_is_passed_on", an_engines_failure_is_passed_on},
     {"a_deadline_ends_a_stream_in_time", a_deadline_ends_a_stream_in_time},
+    {"a_short_timeout_makes_no_engine_suspected", a_short_timeout_makes_no_engine_suspected},
     {"a_job_is_taken_once_and_the_same_everywhere", a_job_is_taken_once_and_the_same_everywhere},
     {"open_items_give_their_bodies_and_ends_stop_them",
      open_items_give_their_bodies_and_ends_stop_them},
