Engines outlast a store that was away

Ruled out: engines that had crashed (they listed themselves again a beat later). Change: after a gap of more than a beat in the store's word, engines that it no longer lists are doubted and dropped only after two beats without a new entry. A request for one that is really gone meets a refused connection or 421, neither of which runs it. Test: engines_outlast_a_store_that_was_away.

--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -84,6 +84,7 @@
     int64_t fleet_drain_ms;
     int64_t fleet_config_apply_ms;
     int64_t fleet_contact_ms;
+    int64_t fleet_heartbeat_ms;
     double fleet_grace_s;
     double fleet_status_s;
     double fleet_resolve_ttl_most_s;
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -160,7 +160,8 @@
     daemon->config = hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
     daemon->engines = hs_fleet_engines_new(settings->zone);
     daemon->engine_source =
-        hs_engine_source_new(daemon->store, daemon->engines, (uint32_t)settings->fleet_drain_ms);
+        hs_engine_source_new(daemon->store, daemon->engines, (uint32_t)settings->fleet_drain_ms,
+                             (uint32_t)settings->fleet_heartbeat_ms);
     if (!make_directory(daemon, error)) {
         free_daemon(daemon);
         return NULL;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -159,6 +159,8 @@
            "Time within which a configuration must be in force."),
     NUMBER("fleet", "contact_ms", fleet_contact_ms, "ms", 10, HOUR_MS, 3000,
            "Time without a disruption after which a daemon counts as in touch."),
+    NUMBER("fleet", "heartbeat_ms", fleet_heartbeat_ms, "ms", 10, HOUR_MS, 1200,
+           "Time between two beats by which an engine keeps itself listed."),
     DECIMAL("fleet", "grace_s", fleet_grace_s, "s", 0, 3600, "8",
             "Time from SIGTERM until the platform kills the process."),
     DECIMAL("fleet", "status_s", fleet_status_s, "s", 1, 31536000, "120",
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -227,6 +227,7 @@
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
+    hs_fleet_engines_drop_doubted(engines, now_ms);
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
         prune_engine(value, now_ms);
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -11,11 +11,14 @@
 /** Reads within the time that a leaving engine may still get work. */
 #define READS_PER_DRAIN 3
 #define ANSWER_LIMIT_MS 1200
+#define BEATS_TO_RETURN 2
 
 struct hs_engine_source {
     hs_store_client *store;
     hs_fleet_engines *engines;
     uint32_t interval_ms;
+    uint32_t heartbeat_ms;
+    uint64_t trust_from_ms; /**< Before, the store's word that an engine is gone is doubted. */
     GMutex lock;
     GCond stop_asked;
     uint64_t heard_ms;
@@ -25,22 +28,32 @@
 };
 
 hs_engine_source *hs_engine_source_new(hs_store_client *store, hs_fleet_engines *engines,
-                                       uint32_t drain_ms) {
+                                       uint32_t drain_ms, uint32_t heartbeat_ms) {
     hs_engine_source *source = g_new0(hs_engine_source, 1);
     source->store = store;
     source->engines = engines;
+    source->heartbeat_ms = heartbeat_ms;
     source->interval_ms = MAX(drain_ms / READS_PER_DRAIN, 1);
     g_mutex_init(&source->lock);
     g_cond_init(&source->stop_asked);
     return source;
 }
 
+/** After an answer came: entries may have run out while none did. */
+static void note_gap(hs_engine_source *source) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (source->heard_ms != 0 && now_ms > source->heard_ms + source->heartbeat_ms)
+        source->trust_from_ms = now_ms + (uint64_t)source->heartbeat_ms * BEATS_TO_RETURN;
+}
+
 static void take_entry(hs_engine_source *source, const char *id, const uint8_t *value,
                        size_t length) {
-    if (length == 0) {
+    if (length == 0 && hs_clock_monotonic_ms() < source->trust_from_ms)
+        hs_fleet_engines_doubt(source->engines, id, source->trust_from_ms);
+    else if (length == 0)
         hs_fleet_engines_drop(source->engines, id);
+    if (length == 0)
         return;
-    }
     hs_engine_entry entry = {0};
     hs_error error = {0};
     if (hs_platform_read_engine(id, value, length, &entry, &error) != 0) {
@@ -58,6 +71,7 @@
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
     if (outcome != HS_STORE_DONE)
         return outcome;
+    note_gap(source);
     GArray *entries = hs_newest_entries_new();
     if (!hs_platform_read_newest(answer, entries, has_more, end))
         outcome = HS_STORE_UNKNOWN;
@@ -91,7 +105,7 @@
         is_first = false;
     }
     if (outcome == HS_STORE_DONE)
-        hs_fleet_engines_keep_only(source->engines, listed);
+        hs_fleet_engines_keep_only(source->engines, listed, source->trust_from_ms);
     g_hash_table_destroy(listed);
     return outcome;
 }
@@ -102,6 +116,8 @@
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
     size_t position = 0;
     hs_store_record record;
+    if (outcome == HS_STORE_DONE)
+        note_gap(source);
     while (outcome == HS_STORE_DONE && hs_platform_next_record(answer, true, &position, &record)) {
         g_autofree char *id = g_strndup(record.key, record.key_length);
         take_entry(source, id, record.value, record.value_length);
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -14,9 +14,13 @@
 
 typedef struct hs_engine_source hs_engine_source;
 
-/** Both are borrowed. @p drain_ms: see above. */
+/**
+ * Both are borrowed. @p drain_ms: see above. @p heartbeat_ms: time between an engine's beats.
+ * Entries may run out while the store is away, since engines cannot beat; those that are gone just
+ * after are kept for two beats, in which sound engines list themselves again.
+ */
 hs_engine_source *hs_engine_source_new(hs_store_client *store, hs_fleet_engines *engines,
-                                       uint32_t drain_ms);
+                                       uint32_t drain_ms, uint32_t heartbeat_ms);
 
 /** Start the duty thread. */
 void hs_engine_source_start(hs_engine_source *source);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -11,7 +11,8 @@
     uint64_t hash;
     gint references; /**< The table's and one a lease. */
     bool listed;
-    bool misplaced; /**< Another engine answered at its address. */
+    uint64_t doubted_until_ms; /**< Dropped then unless it is listed again; 0: not doubted. */
+    bool misplaced;            /**< Another engine answered at its address. */
     uint64_t listed_ms;
     uint32_t online;
     uint32_t batch;
@@ -83,6 +84,7 @@
                                               const hs_engine_query *query, uint64_t now_ms);
 GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query);
 void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms);
+void hs_fleet_engines_drop_doubted(hs_fleet_engines *engines, uint64_t now_ms);
 void hs_fleet_engines_free_peer(gpointer data);
 hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service);
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -89,6 +89,7 @@
     hs_engine_entry_clear(&engine->entry);
     engine->entry = *entry;
     engine->listed = true;
+    engine->doubted_until_ms = 0;
     engine->listed_ms = now_ms;
     g_mutex_unlock(&engines->lock);
     memset(entry, 0, sizeof *entry);
@@ -113,12 +114,46 @@
     g_mutex_unlock(&engines->lock);
 }
 
-void hs_fleet_engines_keep_only(hs_fleet_engines *engines, GHashTable *listed) {
+static void doubt(hs_fleet_engine *engine, uint64_t until_ms) {
+    if (engine->doubted_until_ms != 0)
+        return;
+    engine->doubted_until_ms = until_ms;
+    log_entry("engine_doubted", &engine->entry);
+}
+
+void hs_fleet_engines_doubt(hs_fleet_engines *engines, const char *id, uint64_t until_ms) {
     g_mutex_lock(&engines->lock);
-    g_hash_table_foreach_remove(engines->by_id, unlist, listed);
+    hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, id);
+    if (engine != NULL)
+        doubt(engine, until_ms);
     g_mutex_unlock(&engines->lock);
 }
 
+void hs_fleet_engines_keep_only(hs_fleet_engines *engines, GHashTable *listed, uint64_t until_ms) {
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    if (until_ms <= hs_clock_monotonic_ms())
+        g_hash_table_foreach_remove(engines->by_id, unlist, listed);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, &key, &value))
+        if (!g_hash_table_contains(listed, key))
+            doubt(value, until_ms);
+    g_mutex_unlock(&engines->lock);
+}
+
+static gboolean unlist_if_due(gpointer key, gpointer value, gpointer now_ms) {
+    hs_fleet_engine *engine = value;
+    if (engine->doubted_until_ms == 0 || engine->doubted_until_ms > *(const uint64_t *)now_ms)
+        return FALSE;
+    return unlist(key, value, NULL);
+}
+
+void hs_fleet_engines_drop_doubted(hs_fleet_engines *engines, uint64_t now_ms) {
+    g_hash_table_foreach_remove(engines->by_id, unlist_if_due, &now_ms);
+}
+
 hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service) {
     hs_engine_speed *speed = g_hash_table_lookup(engines->speeds, service);
     if (speed != NULL)
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -78,8 +78,14 @@
 /** The store lists the engine no longer. */
 void hs_fleet_engines_drop(hs_fleet_engines *engines, const char *id);
 
-/** Drop all engines whose ids are not keys of @p listed. */
-void hs_fleet_engines_keep_only(hs_fleet_engines *engines, GHashTable *listed);
+/**
+ * Drop all engines whose ids are not keys of @p listed; at once, or, where @p until_ms is in the
+ * future, unless they are listed again by then.
+ */
+void hs_fleet_engines_keep_only(hs_fleet_engines *engines, GHashTable *listed, uint64_t until_ms);
+
+/** The store lists the engine no longer, but may be wrong: drop it unless it is listed again. */
+void hs_fleet_engines_doubt(hs_fleet_engines *engines, const char *id, uint64_t until_ms);
 
 /** Choose an engine and count the request there; NULL when none fits. */
 hs_engine_lease *hs_fleet_engines_take(hs_fleet_engines *engines, const hs_engine_query *query);
--- a/tests/system/fleet_bench.c
+++ b/tests/system/fleet_bench.c
@@ -62,6 +62,7 @@
     add_setting(arguments,
                 g_strdup_printf("fleet.store=127.0.0.1:%u", log_store_port(bench.store)));
     add_setting(arguments, g_strdup("fleet.grace_s=6"));
+    add_setting(arguments, g_strdup("fleet.heartbeat_ms=500"));
     g_ptr_array_add(arguments, NULL);
     return arguments;
 }
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -300,6 +300,32 @@
     hs_clock_sleep_ms(600);
 }
 
+/** Entries that ran out while the store was away say nothing of the engines. */
+static void engines_outlast_a_store_that_was_away(void) {
+    log_store_set_mode(bench.store, LOG_STORE_DROPS, CALL_READ, G_MAXUINT32);
+    hs_clock_sleep_ms(1500);
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        log_store_put(bench.store, TOPIC_ENGINES, index == 0 ? "engine-0" : "engine-1", "");
+    log_store_set_mode(bench.store, LOG_STORE_SOUND, NULL, 0);
+    hs_clock_sleep_ms(800);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        bench_answer answer = post(daemon, "/plain/x", "outlasts");
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+    }
+    token_engine_announce(bench.engines[0], bench.store, false);
+    hs_clock_sleep_ms(2200); /* Two beats and a read later: one came back, one is gone. */
+    uint32_t before = token_engine_total(bench.engines[1]);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        bench_answer answer = post(daemon, "/plain/x", "came-back");
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+    }
+    CU_ASSERT_EQUAL(token_engine_total(bench.engines[1]), before);
+    token_engine_announce(bench.engines[1], bench.store, false);
+    hs_clock_sleep_ms(900);
+}
+
 static void a_new_configuration_is_in_force_everywhere(void) {
     bench_configure(2);
     hs_clock_sleep_ms(300);
@@ -406,6 +432,7 @@
     {"a_lost_answer_of_the_store_is_no_refusal", a_lost_answer_of_the_store_is_no_refusal},
     {"a_read_is_no_404_while_the_store_is_away", a_read_is_no_404_while_the_store_is_away},
     {"a_leaving_engine_gets_nothing_new", a_leaving_engine_gets_nothing_new},
+    {"engines_outlast_a_store_that_was_away", engines_outlast_a_store_that_was_away},
     {"a_new_configuration_is_in_force_everywhere", a_new_configuration_is_in_force_everywhere},
     {"a_stop_cuts_nothing_and_is_told", a_stop_cuts_nothing_and_is_told},
     {"jobs_survive_the_loss_of_all_daemons", jobs_survive_the_loss_of_all_daemons},
