A started daemon gives a request a moment to learn configuration and engines; every refusal is logged

Change: up to 250 ms wait for the first configuration; a service without engines is refused within a quarter of the target, as a full one is; request_refused lines; contents are tried until refuse time.

--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -162,7 +162,7 @@
         g_array_set_size(offsets, 0);
         outcome = hs_job_partition_append_contents(
             job->partition, contents, offsets,
-            MIN(job->deadline,
+            MIN(job->refuse_at,
                 hs_job_partition_patience(job->partition, attempt++, job->inbound->body->len)));
         if (outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN)
             break;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -197,7 +197,7 @@
         until_ms = MIN(until_ms, request->inbound->received_ms +
                                      request->route->target_latency_ms / REFUSAL_PARTS);
     bool may_wait = hs_clock_monotonic_ms() + pause_ms < until_ms;
-    if (may_wait && request->excluded->len > 0 && (!has_run || may_repeat(request))) {
+    if (may_wait && (!has_run || may_repeat(request))) {
         hs_clock_sleep_ms(pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
         return NEXT_TRY;
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -2,6 +2,7 @@
 #include "surface/fleet_surface.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "http/http_fields.h"
 #include "surface/fleet_metrics.h"
 
@@ -10,6 +11,8 @@
 #define BODY_LIMIT_BYTES (64U * 1024 * 1024)
 #define SMALL_BODY_BYTES 65536
 #define RETRY_AFTER_MS 200
+#define CONFIG_WAIT_MS 250
+#define CONFIG_POLL_MS 10
 #define IDLE_SLACK_S 5
 
 struct hs_fleet_surface {
@@ -31,14 +34,34 @@
     hs_listener_set_idle_timeout(surface->front, idle_s);
 }
 
+/** The configuration; a daemon that has just started is given a moment to learn it. */
+static hs_fleet_config *wait_for_config(hs_fleet_surface *surface) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + CONFIG_WAIT_MS;
+    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
+    while (config == NULL && hs_clock_monotonic_ms() < until_ms) {
+        hs_clock_sleep_ms(CONFIG_POLL_MS);
+        config = hs_config_source_get(surface->settings.online->config);
+    }
+    return config;
+}
+
+/** Refuse before a route took the request. */
+static void refuse(hs_fleet_surface *surface, hs_inbound *inbound, const hs_caller_terms *terms,
+                   hs_end_reason reason) {
+    hs_log_info("request_refused", "request=%s reason=%s method=%s target_bytes=%zu",
+                terms->request_id != NULL ? terms->request_id : "-", hs_end_reason_name(reason),
+                inbound->method, strlen(inbound->target));
+    hs_online_refuse(surface->settings.online, inbound, reason, RETRY_AFTER_MS);
+}
+
 static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
                          const hs_caller_terms *terms, hs_fleet_config *config) {
     hs_online *online = surface->settings.online;
     const hs_fleet_route *route = hs_fleet_config_find_route(config, terms->host, inbound->target);
     if (route == NULL) {
-        hs_online_refuse(online, inbound, HS_END_NO_ROUTE, 0);
+        refuse(surface, inbound, terms, HS_END_NO_ROUTE);
     } else if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
-        hs_online_refuse(online, inbound, HS_END_TOO_LARGE, 0);
+        refuse(surface, inbound, terms, HS_END_TOO_LARGE);
     } else if (route->kind == HS_ROUTE_BATCH) {
         hs_job_service_submit(surface->settings.jobs, inbound, terms, route);
     } else {
@@ -52,9 +75,9 @@
     hs_platform_read_terms(inbound->fields, &terms);
     g_autofree char *job_id = NULL;
     hs_call_kind kind = hs_platform_sort_call(inbound->method, inbound->target, &job_id);
-    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
+    hs_fleet_config *config = wait_for_config(surface);
     if (config == NULL) {
-        hs_online_refuse(surface->settings.online, inbound, HS_END_NO_CONFIG, RETRY_AFTER_MS);
+        refuse(surface, inbound, &terms, HS_END_NO_CONFIG);
         return;
     }
     apply_limits(surface, config);
