--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PRODUCT_LIB = $(BUILD)/libheathsail.a
 STANDIN_LIB = $(BUILD)/libstandin.a
 TOOL_LIB = $(BUILD)/libtools.a
-PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-hollow
+PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-hollow heathsail-surface-demo
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
 
 PHONY_CHECKS = sanitize-address sanitize-thread
@@ -53,6 +53,7 @@
 $(eval $(call link_program,heathsail-fleet,tools/fleet/main.o))
 $(eval $(call link_program,heathsail-load,tools/load/main.o))
 $(eval $(call link_program,heathsail-hollow,tools/hollow/main.o))
+$(eval $(call link_program,heathsail-surface-demo,tools/surface/main.o))
 
 $(BUILD)/unit-tests: $(call objects,$(UNIT_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
 	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
@@ -65,10 +66,11 @@
 deps:
 	@./tools/install-packages.sh
 
-## demo        install, build, start a small fleet, send three requests, stop
+## demo        install, build, start a small fleet, send three requests on each surface, stop
 demo: deps
 	@$(MAKE) --no-print-directory -j8 all
 	@$(BUILD)/heathsail-fleet --programs $(BUILD) --demo
+	@$(BUILD)/heathsail-surface-demo --programs $(BUILD)
 
 ## fleet       a small fleet in the foreground until SIGINT or SIGTERM
 fleet: deps
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -1,6 +1,6 @@
 /** @file main.c  Runs the system tests over a fleet of real processes. */
-#include "tests/system/fleet_bench.h"
 #include "tests/system/system_tests.h"
+#include "tools/surface/fleet_bench.h"
 
 #include <ulfius.h>
 
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -2,8 +2,8 @@
 #include "base/clock.h"
 #include "http/http_fields.h"
 #include "platform/names.h"
-#include "tests/system/fleet_bench.h"
 #include "tests/system/system_tests.h"
+#include "tools/surface/fleet_bench.h"
 
 #include <jansson.h>
 #include <signal.h>
--- a/tests/system/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -1,5 +1,5 @@
 /** @file fleet_bench.c  See fleet_bench.h. */
-#include "tests/system/fleet_bench.h"
+#include "tools/surface/fleet_bench.h"
 
 #include "base/clock.h"
 #include "http/client_connection.h"
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <jansson.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -74,6 +75,8 @@
         return false;
     pid_t pid = fork();
     if (pid == 0) {
+        if (g_getenv("HS_BENCH_QUIET") != NULL && freopen("/dev/null", "w", stdout) == NULL)
+            _exit(EXIT_FAILURE);
         if (silent_reader)
             dup2(output[1], STDOUT_FILENO);
         execv(arguments->pdata[0], (char **)arguments->pdata);
--- a/tests/system/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -1,6 +1,7 @@
-/** @file fleet_bench.h  Three daemons of the fleet surface over stand-ins in the test's process. */
-#ifndef TESTS_SYSTEM_FLEET_BENCH_H
-#define TESTS_SYSTEM_FLEET_BENCH_H
+/** @file fleet_bench.h  Three daemons of the fleet surface over stand-ins in the own process, for
+ * tests and the demo. */
+#ifndef TOOLS_SURFACE_FLEET_BENCH_H
+#define TOOLS_SURFACE_FLEET_BENCH_H
 
 #include "standin/token_engine/token_engine.h"
 
