--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -18,6 +18,8 @@
 #define GROUP_TTL_FACTOR 3
 /** Share of the grace time in which new requests are still taken; the rest is for open ones. */
 #define TAKING_SHARE 0.5
+/** Share of the grace time for which callers keep a resolve answer. */
+#define ANSWER_SHARE 0.25
 /** Kept back from the grace time for the end itself. */
 #define END_MS 500
 #define HANDOVER_LIMIT_MS 1500
@@ -63,12 +65,12 @@
 }
 
 /**
- * How long callers may keep an answer. Each look-up may meet daemons that have died, a second each,
- * so it is long; but short enough that no answer that is kept as told names a stopping daemon any
- * more when that takes no new requests.
+ * How long callers may keep an answer. Long, since each look-up may meet daemons that have died, a
+ * second each; short, since a daemon that froze keeps getting those who know no better. Twice of it
+ * is within the time in which a stopping daemon still takes requests.
  */
 static uint32_t resolve_ttl_s(const hs_settings *settings) {
-    double longest = settings->fleet_grace_s * TAKING_SHARE;
+    double longest = settings->fleet_grace_s * ANSWER_SHARE;
     return (uint32_t)fmax(fmin(longest, settings->fleet_resolve_ttl_most_s), 1);
 }
 
