--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -36,13 +36,6 @@
     return names[end];
 }
 
-bool hs_engine_lease_is_listed(const hs_engine_lease *lease) {
-    g_mutex_lock(&lease->engines->lock);
-    bool listed = lease->engine->listed && !lease->engine->entry.draining;
-    g_mutex_unlock(&lease->engines->lock);
-    return listed;
-}
-
 static bool is_fresh(const hs_idle_connection *idle, uint64_t now_ms) {
     uint64_t told = hs_client_connection_keep_alive_ms(idle->connection);
     uint64_t limit = told > 0 ? (uint64_t)((double)told * KEEP_ALIVE_SHARE) : IDLE_UNTOLD_MS;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -96,9 +96,6 @@
 /** Why the engine was chosen. */
 hs_engine_reasons hs_engine_lease_reasons(const hs_engine_lease *lease);
 
-/** Whether the engine was already known to be leaving when asked. */
-bool hs_engine_lease_is_listed(const hs_engine_lease *lease);
-
 /** A kept connection, or a new one; NULL with @p step when there is none. */
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
                                               bool fresh, hs_step *step);
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -34,7 +34,6 @@
     bool unfinished_send;
     bool failed;
     size_t sent_bytes;
-    uint32_t use_count;
     GByteArray *body;
     uint64_t body_received; /**< Bytes of body so far. */
     uint64_t body_reported; /**< As of the last return of read_body. */
@@ -223,14 +222,6 @@
     g_free(connection);
 }
 
-void hs_client_connection_abort(hs_client_connection *connection) {
-    if (connection == NULL)
-        return;
-    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
-    setsockopt(connection->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
-    hs_client_connection_close(connection);
-}
-
 /** Take what the socket holds into the parser. */
 static hs_step receive_some(hs_client_connection *connection) {
     char buffer[READ_SIZE];
@@ -276,7 +267,6 @@
                                   const hs_wait *wait) {
     begin_answer(connection, is_head_method);
     connection->sent_bytes = 0;
-    connection->use_count++;
     size_t total = head->len + body_length;
     while (connection->sent_bytes < total) {
         ssize_t written = write_some(connection, head, body, body_length);
@@ -386,7 +376,3 @@
     const char *digits = timeout != NULL ? timeout + strlen("timeout=") : value;
     return g_ascii_strtoull(digits, NULL, 10) * 1000;
 }
-
-uint32_t hs_client_connection_use_count(const hs_client_connection *connection) {
-    return connection->use_count;
-}
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -47,9 +47,6 @@
 /** Close and free. NULL is allowed. */
 void hs_client_connection_close(hs_client_connection *connection);
 
-/** Close so that the peer sees a reset at once, also with bytes unread. NULL is allowed. */
-void hs_client_connection_abort(hs_client_connection *connection);
-
 /**
  * Send a request's head and body. Stops early when the answer is already whole.
  * HS_STEP_PROGRESS: all sent, or answered before that.
@@ -95,7 +92,4 @@
 /** Time in ms that the peer keeps an idle connection open; 0: it did not say. */
 uint64_t hs_client_connection_keep_alive_ms(const hs_client_connection *connection);
 
-/** Requests sent on it so far. */
-uint32_t hs_client_connection_use_count(const hs_client_connection *connection);
-
 #endif
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -10,9 +10,6 @@
 #include "jobs/job_service.h"
 #include "online/online_request.h"
 
-/** STARTING -> READY once a configuration is known; any -> LEAVING by a signal, for good. */
-typedef enum { HS_SURFACE_STARTING, HS_SURFACE_READY, HS_SURFACE_LEAVING } hs_surface_state;
-
 /** All borrowed. Empty addresses: no such listener. */
 typedef struct {
     const char *front; /**< "IPv4:port" */
