Engines' connection limits are shared out between daemons

Cause: max-connections of a service was read and not used. A daemon opened as many connections to an engine as it had requests there and kept up to 16 idle ones; at 300 daemons idle connections alone can reach an engine's limit, which then resets new ones, and resets look like a broken engine. Ruled out: a lease for each connection from the store (a call a connection); counting peers' connections by the load datagrams (idle ones are not told, and the word is 240 ms old). Change: the limit over the number of daemons known is a daemon's share of each engine: it takes no engine beyond it (at least one request, so that all can serve) and keeps an idle connection only within it. The metric heathsail_engine_connections tells the count. Tests: fleet.a_daemon_keeps_to_its_share_of_connections and attempt.no_idle_connection_is_kept_beyond_the_share; both failed without the change and pass with it.

--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -83,13 +83,16 @@
     g_mutex_lock(&engines->lock);
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const hs_fleet_engine *engine = value;
+        hs_fleet_engine *engine = value;
         g_string_append_printf(text,
                                "heathsail_engine_in_flight{engine=\"%s\",work=\"online\"} %u\n"
                                "heathsail_engine_in_flight{engine=\"%s\",work=\"batch\"} %u\n"
+                               "heathsail_engine_connections{engine=\"%s\"} %u\n"
                                "heathsail_engine_believed_running{engine=\"%s\"} %.1f\n"
                                "heathsail_engine_suspected{engine=\"%s\"} %d\n",
                                engine->entry.id, engine->online, engine->entry.id, engine->batch,
+                               engine->entry.id,
+                               engine->online + engine->batch + g_queue_get_length(&engine->idle),
                                engine->entry.id, hs_fleet_engine_running(engine, now_ms),
                                engine->entry.id, hs_fleet_engine_is_suspected(engine, now_ms));
     }
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -171,8 +171,11 @@
 
 static bool keep(hs_engine_lease *lease, hs_client_connection *connection, uint64_t now_ms) {
     hs_fleet_engine *engine = lease->engine;
+    guint idle_count = g_queue_get_length(&engine->idle);
+    double all = (double)engine->online + engine->batch + idle_count + 1;
     if (connection == NULL || !hs_client_connection_is_reusable(connection) || !engine->listed ||
-        engine->entry.draining || g_queue_get_length(&engine->idle) >= IDLE_PER_ENGINE_MAX)
+        engine->entry.draining || idle_count >= IDLE_PER_ENGINE_MAX ||
+        all > lease->connection_share)
         return false;
     hs_idle_connection *idle = g_new(hs_idle_connection, 1);
     *idle = (hs_idle_connection){.connection = connection, .idle_since_ms = now_ms};
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -61,7 +61,8 @@
     uint64_t taken_ms;
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
     uint32_t memory_tokens;
-    gint *yield; /**< See hs_engine_query; NULL: none. */
+    double connection_share; /**< See hs_fleet_engines_connection_share. */
+    gint *yield;             /**< See hs_engine_query; NULL: none. */
     hs_engine_reasons reasons;
     bool was_alone; /**< No prompt was being read there when it was taken. */
 };
@@ -82,6 +83,11 @@
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
                                               const hs_fleet_engine *engine,
                                               const hs_engine_query *query, uint64_t now_ms);
+/**
+ * Connections to one engine that are this daemon's, of the @p max_connections of all daemons. Under
+ * one: fewer than there are daemons. Infinite where the limit is not known.
+ */
+double hs_fleet_engines_connection_share(const hs_fleet_engines *engines, uint32_t max_connections);
 GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query);
 void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms);
 void hs_fleet_engines_drop_doubted(hs_fleet_engines *engines, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -172,16 +172,25 @@
     return false;
 }
 
+double hs_fleet_engines_connection_share(const hs_fleet_engines *engines,
+                                         uint32_t max_connections) {
+    if (max_connections == 0)
+        return INFINITY;
+    return max_connections / (engines->peer_count + 1.0);
+}
+
 /** Engines of the query's service that may be sent to: of hs_fleet_engine*. */
 GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query) {
     GPtrArray *found = g_ptr_array_new();
+    double most = fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         hs_fleet_engine *engine = value;
         if (strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
-            !engine->misplaced && !is_excluded(query, engine->entry.id))
+            !engine->misplaced && engine->online + engine->batch + 1.0 <= most &&
+            !is_excluded(query, engine->entry.id))
             g_ptr_array_add(found, engine);
     }
     return found;
@@ -220,6 +229,7 @@
     lease->work = query->work;
     lease->taken_ms = now_ms;
     lease->was_alone = engine->queued_tokens == 0;
+    lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
     if (query->size != NULL) {
         lease->unread_tokens = (uint32_t)uncached;
         lease->memory_tokens = query->size->prompt_tokens + query->size->output_tokens;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -55,6 +55,7 @@
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
     gint *yield;               /**< Batch: set to HS_YIELD_ASKED when the item is to step aside. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
+    uint32_t max_connections;  /**< To one engine from all daemons; 0: unknown. */
 } hs_engine_query;
 
 /** One engine's load as a daemon tells it to others. */
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -29,6 +29,7 @@
     hs_caller_terms terms;
     char *request_id;
     uint64_t memory_tokens;
+    uint32_t max_connections;
     hs_deadline deadline;
     uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
     hs_run_state run;
@@ -108,7 +109,8 @@
                   .size = request->terms.size.prompt_tokens > 0 ? &request->terms.size : NULL,
                   .work = HS_WORK_ONLINE,
                   .excluded = request->excluded,
-                  .memory_tokens = request->memory_tokens},
+                  .memory_tokens = request->memory_tokens,
+                  .max_connections = request->max_connections},
         .request = {.method = inbound->method,
                     .target = inbound->target,
                     .fields = inbound->fields,
@@ -414,6 +416,7 @@
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
     const hs_fleet_service *service = hs_fleet_config_find_service(config, request->service);
     request->memory_tokens = service != NULL ? service->memory_tokens : 0;
+    request->max_connections = service != NULL ? service->max_connections : 0;
     uint64_t limit_ms = route->timeout_ms;
     if (terms->timeout_ms > 0)
         limit_ms = MIN(limit_ms, terms->timeout_ms);
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -82,6 +82,27 @@
     close_bench(&opened);
 }
 
+/** Idle connections count towards the daemon's share: beyond it none is kept. */
+static void no_idle_connection_is_kept_beyond_the_share(void) {
+    static const uint32_t peers[] = {0, 3};
+    for (size_t index = 0; index < G_N_ELEMENTS(peers); index++) {
+        bench opened;
+        open_bench(&opened);
+        hs_fleet_engines_set_peers(opened.engines, peers[index]);
+        opened.order.query.max_connections = 2;
+        hs_attempt attempt;
+        CU_ASSERT_TRUE(
+            start(&opened, WHOLE_ANSWER, strlen(WHOLE_ANSWER), PEER_KEEPS_OPEN, &attempt));
+        hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
+        hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+        g_autofree char *told = hs_fleet_engines_describe(opened.engines);
+        const char *wanted = peers[index] == 0 ? "heathsail_engine_connections{engine=\"e1\"} 1\n"
+                                               : "heathsail_engine_connections{engine=\"e1\"} 0\n";
+        CU_ASSERT_PTR_NOT_NULL(strstr(told, wanted));
+        close_bench(&opened);
+    }
+}
+
 /** Every length of a refusal up to the end of its head is no promise either. */
 static void a_cut_refusal_is_no_promise(void) {
     bench opened;
@@ -265,6 +286,7 @@
 
 const test_case attempt_tests[] = {
     {"a_cut_head_may_have_run", a_cut_head_may_have_run},
+    {"no_idle_connection_is_kept_beyond_the_share", no_idle_connection_is_kept_beyond_the_share},
     {"a_cut_refusal_is_no_promise", a_cut_refusal_is_no_promise},
     {"a_cut_body_is_not_whole", a_cut_body_is_not_whole},
     {"an_answer_without_length_ends_by_close_only", an_answer_without_length_ends_by_close_only},
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -417,6 +417,33 @@
     hs_fleet_engines_free(engines);
 }
 
+/** An engine's connections are shared out between the daemons; a full share is no reason to fail.
+ */
+static void a_daemon_keeps_to_its_share_of_connections(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 40);
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_fleet_engines_set_peers(engines, 9);
+    hs_engine_query query = {.service = "svc", .max_connections = 40};
+    hs_engine_lease *leases[4];
+    for (size_t index = 0; index < G_N_ELEMENTS(leases); index++) {
+        leases[index] = hs_fleet_engines_take(engines, &query);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(leases[index]);
+    }
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_take(engines, &query));
+    hs_engine_lease_release(leases[0], NULL, HS_ATTEMPT_SERVED);
+    leases[0] = hs_fleet_engines_take(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL(leases[0]);
+    hs_fleet_engines_set_peers(engines, 99); /* Less than one each: one, so that all can serve. */
+    for (size_t index = 0; index < G_N_ELEMENTS(leases); index++)
+        hs_engine_lease_release(leases[index], NULL, HS_ATTEMPT_SERVED);
+    leases[0] = hs_fleet_engines_take(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(leases[0]);
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_take(engines, &query));
+    hs_engine_lease_release(leases[0], NULL, HS_ATTEMPT_SERVED);
+    hs_fleet_engines_free(engines);
+}
+
 static void an_engine_that_fails_is_passed_over_for_a_while(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
     hs_engine_entry entry = entry_of("e1", 4);
@@ -453,6 +480,7 @@
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
     {"peers_words_count_while_fresh", peers_words_count_while_fresh},
     {"unheard_peers_count_as_the_heard", unheard_peers_count_as_the_heard},
+    {"a_daemon_keeps_to_its_share_of_connections", a_daemon_keeps_to_its_share_of_connections},
     {"an_engine_that_fails_is_passed_over_for_a_while",
      an_engine_that_fails_is_passed_over_for_a_while},
     {NULL, NULL}};
