One endpoint parser, one store contact, one pause; edges of the fleet surface tested, three faults mended

The new edge tests found three faults of the fleet surface: a stream cut under HTTP/1.0 ended in an orderly close, so that it looked whole; values of the command line were lost at a reload; a taken metrics port ended the daemon. Settings told with a fraction ("2000.0") were refused. Ruled out: refusing streams to HTTP/1.0 callers (they can be served); SO_LINGER before the close (the HTTP library ends its sending side first: the test still saw an orderly close); a free port for metrics (operators would not find it). Change: base/endpoint, store/store_contact, base/stop_wait; a cut HTTP/1.0 stream is reset by dissolving the association; the command line's values are set again at each reload, reloads are counted in the metrics; without its metrics port the daemon serves and logs metrics_unavailable; whole numbers are rounded from fractions.

--- /dev/null
+++ b/src/base/stop_wait.c
@@ -0,0 +1,30 @@
+/** @file stop_wait.c  See stop_wait.h. */
+#include "base/stop_wait.h"
+
+void hs_stop_wait_init(hs_stop_wait *wait) {
+    g_mutex_init(&wait->lock);
+    g_cond_init(&wait->asked);
+    wait->stopping = false;
+}
+
+void hs_stop_wait_clear(hs_stop_wait *wait) {
+    g_cond_clear(&wait->asked);
+    g_mutex_clear(&wait->lock);
+}
+
+void hs_stop_wait_ask(hs_stop_wait *wait) {
+    g_mutex_lock(&wait->lock);
+    wait->stopping = true;
+    g_cond_broadcast(&wait->asked);
+    g_mutex_unlock(&wait->lock);
+}
+
+bool hs_stop_wait_pause(hs_stop_wait *wait, uint64_t time_ms) {
+    gint64 until = g_get_monotonic_time() + (gint64)time_ms * G_TIME_SPAN_MILLISECOND;
+    g_mutex_lock(&wait->lock);
+    while (!wait->stopping && g_cond_wait_until(&wait->asked, &wait->lock, until))
+        continue;
+    bool goes_on = !wait->stopping;
+    g_mutex_unlock(&wait->lock);
+    return goes_on;
+}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -5,6 +5,7 @@
 #include "daemon/daemon.h"
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/log.h"
 #include "commands/command_routes.h"
 #include "commands/online_request.h"
@@ -14,8 +15,6 @@
 #include "queries/query_routes.h"
 #include "scheduling/report_reader.h"
 
-#include <arpa/inet.h>
-
 #define APPENDER_CAPACITY 8192
 #define TRACE_CAPACITY 4096
 #define STOP_POLL_MS 10
@@ -64,12 +63,10 @@
 
 static void make_membership(hs_node *node) {
     const hs_settings *settings = node->settings;
-    struct in_addr address;
-    inet_pton(AF_INET, settings->address, &address);
     hs_member self = {.id = settings->daemon_id,
                       .zone = settings->zone,
                       .incarnation = hs_clock_wall_ms(),
-                      .address = ntohl(address.s_addr),
+                      .address = hs_endpoint_address(settings->address),
                       .peer_port = (uint16_t)settings->peer_port,
                       .admin_port = (uint16_t)settings->admin_port};
     hs_membership_service_settings service_settings = {
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -2,13 +2,13 @@
 #include "daemon/fleet_daemon.h"
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/log.h"
 #include "daemon/settings.h"
 #include "fleet/engine_source.h"
 #include "jobs/job_owner.h"
 #include "surface/fleet_surface.h"
 
-#include <arpa/inet.h>
 #include <math.h>
 #include <string.h>
 
@@ -37,26 +37,14 @@
     hs_job_owner *owner;
     hs_online online;
     hs_fleet_surface *surface;
+    hs_reload_counts reloads;
 };
 
-/** An IPv4 endpoint; the settings were checked before. */
-typedef struct {
-    char host[INET_ADDRSTRLEN];
-    uint32_t address;
-    uint16_t port;
-} endpoint;
-
-static endpoint endpoint_of(const char *text) {
-    endpoint result = {0};
-    const char *colon = strchr(text, ':');
-    if (colon == NULL)
-        return result;
-    g_strlcpy(result.host, text, MIN(sizeof result.host, (gsize)(colon - text) + 1));
-    struct in_addr number = {0};
-    inet_pton(AF_INET, result.host, &number);
-    result.address = ntohl(number.s_addr);
-    result.port = (uint16_t)g_ascii_strtoull(colon + 1, NULL, 10);
-    return result;
+/** The settings were checked before. */
+static hs_endpoint endpoint_of(const char *text) {
+    hs_endpoint endpoint;
+    hs_endpoint_parse(text, &endpoint);
+    return endpoint;
 }
 
 static uint32_t live_daemons(void *user_data) {
@@ -85,7 +73,7 @@
 
 static bool make_directory(hs_fleet_daemon *daemon, hs_error *error) {
     const hs_settings *settings = daemon->settings;
-    endpoint control = endpoint_of(settings->fleet_control);
+    hs_endpoint control = endpoint_of(settings->fleet_control);
     hs_daemon_directory_settings directory = {.id = settings->daemon_id,
                                               .zone = settings->zone,
                                               .address = settings->address,
@@ -135,6 +123,7 @@
                                          .jobs = daemon->jobs,
                                          .members = daemon->directory,
                                          .store = daemon->store,
+                                         .reloads = &daemon->reloads,
                                          .may_serve = may_serve,
                                          .user_data = daemon};
     daemon->surface = hs_fleet_surface_start(&surface, error);
@@ -157,7 +146,7 @@
 hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error) {
     hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
     daemon->settings = settings;
-    endpoint store = endpoint_of(settings->fleet_store);
+    hs_endpoint store = endpoint_of(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
     daemon->engines = hs_fleet_engines_new(settings->zone);
@@ -203,6 +192,12 @@
     hs_daemon_directory_update(daemon->directory, settings->fleet_seeds, resolve_ttl_s(settings));
     hs_settings_free(daemon->reloaded);
     daemon->reloaded = settings;
+    g_atomic_int_inc(&daemon->reloads.taken);
+}
+
+void hs_fleet_daemon_refuse_reload(hs_fleet_daemon *daemon, const char *cause, const char *reason) {
+    hs_log_warning("reload_refused", "cause=%s reason=\"%s\"", cause, reason);
+    g_atomic_int_inc(&daemon->reloads.refused);
 }
 
 /** Time in ms from the stop for which callers may still hold an answer that names this daemon. */
--- a/src/daemon/fleet_daemon.h
+++ b/src/daemon/fleet_daemon.h
@@ -19,6 +19,9 @@
  */
 void hs_fleet_daemon_reload(hs_fleet_daemon *daemon, hs_settings *settings, const char *cause);
 
+/** Note that changed settings were not taken; those before them stay. */
+void hs_fleet_daemon_refuse_reload(hs_fleet_daemon *daemon, const char *cause, const char *reason);
+
 /** Leave, finish what is open within the grace time, free. */
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon);
 
--- a/src/daemon/listing.c
+++ b/src/daemon/listing.c
@@ -2,12 +2,12 @@
 #include "daemon/listing.h"
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/log.h"
 #include "daemon/config_sync.h"
 #include "daemon/peer_engines.h"
 #include "store/machine_list.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define TICK_MS 50
@@ -63,16 +63,13 @@
 static void propose_seeds(hs_node *node) {
     g_auto(GStrv) seeds = g_strsplit(node->settings->peer_seeds, ",", -1);
     for (int index = 0; seeds[index] != NULL; index++) {
-        g_auto(GStrv) parts = g_strsplit(g_strstrip(seeds[index]), ":", 2);
-        struct in_addr address;
-        if (g_strv_length(parts) != 2 || inet_pton(AF_INET, parts[0], &address) != 1)
+        hs_endpoint seed;
+        if (!hs_endpoint_parse(g_strstrip(seeds[index]), &seed))
             continue;
         /* Its real name comes with its first answer; until then it goes by its address. */
-        g_autofree char *name = g_strdup_printf("seed-%s:%s", parts[0], parts[1]);
+        g_autofree char *name = g_strdup_printf("seed-%s:%u", seed.host, seed.port);
         hs_membership *membership = hs_membership_service_lock(node->membership);
-        hs_membership_propose(membership, name, ntohl(address.s_addr),
-                              (uint16_t)g_ascii_strtoull(parts[1], NULL, 10),
-                              hs_clock_monotonic_ms());
+        hs_membership_propose(membership, name, seed.address, seed.port, hs_clock_monotonic_ms());
         hs_membership_service_unlock(node->membership);
     }
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -23,8 +23,8 @@
 typedef struct {
     hs_settings *settings;
     bool check_only;
-    const char *path; /**< Settings file; NULL: none. */
-    hs_error error;
+    const char *path;     /**< Settings file; NULL: none. */
+    GPtrArray *overrides; /**< of const char*: --set, in their order. */
 } command_line;
 
 enum { OPTION_REFERENCE = 256 };
@@ -42,12 +42,9 @@
     switch (key) {
     case 'c':
         line->path = argument;
-        if (line->error.code == 0)
-            hs_settings_load(line->settings, argument, &line->error);
         return 0;
     case 's':
-        if (line->error.code == 0)
-            hs_settings_override(line->settings, argument, &line->error);
+        g_ptr_array_add(line->overrides, argument);
         return 0;
     case 't':
         line->check_only = true;
@@ -101,16 +98,24 @@
            one->changed.tv_nsec == other->changed.tv_nsec;
 }
 
+/** The file's settings, then those of the command line; checked. 0, or the error's code. */
+static int read_settings(const command_line *line, hs_settings *settings, hs_error *error) {
+    int result = line->path != NULL ? hs_settings_load(settings, line->path, error) : 0;
+    for (guint index = 0; result == 0 && index < line->overrides->len; index++)
+        result = hs_settings_override(settings, line->overrides->pdata[index], error);
+    return result == 0 ? hs_settings_check(settings, error) : result;
+}
+
 /** Read the settings anew; a broken file is logged and the old ones stay. */
-static void reload(hs_fleet_daemon *daemon, const char *path, const char *cause) {
+static void reload(hs_fleet_daemon *daemon, const command_line *line, const char *cause) {
     hs_error error = {0};
+    if (line->path == NULL) {
+        hs_fleet_daemon_refuse_reload(daemon, cause, "no settings file");
+        return;
+    }
     hs_settings *settings = hs_settings_new();
-    int result = path != NULL ? hs_settings_load(settings, path, &error) : 0;
-    if (result == 0)
-        result = hs_settings_check(settings, &error);
-    if (path == NULL || result != 0) {
-        hs_log_warning("reload_refused", "cause=%s reason=\"%s\"", cause,
-                       path == NULL ? "no settings file" : error.message);
+    if (read_settings(line, settings, &error) != 0) {
+        hs_fleet_daemon_refuse_reload(daemon, cause, error.message);
         hs_settings_free(settings);
         return;
     }
@@ -119,39 +124,41 @@
 }
 
 /** Wait for the signal to stop; reload in between. */
-static void wait_for_stop(hs_fleet_daemon *daemon, const char *path, const sigset_t *signals) {
+static void wait_for_stop(hs_fleet_daemon *daemon, const command_line *line,
+                          const sigset_t *signals) {
     static const struct timespec check_interval = {.tv_sec = SETTINGS_CHECK_S};
-    file_mark seen = mark_file(path);
+    file_mark seen = mark_file(line->path);
     while (true) {
         int received = sigtimedwait(signals, NULL, &check_interval);
         if (received == SIGTERM || received == SIGINT)
             return;
-        file_mark now = mark_file(path);
+        file_mark now = mark_file(line->path);
         bool changed = !same_mark(&seen, &now);
         seen = now;
         if (received == SIGHUP)
-            reload(daemon, path, "signal");
+            reload(daemon, line, "signal");
         else if (changed)
-            reload(daemon, path, "file");
+            reload(daemon, line, "file");
     }
 }
 
-static int serve_fleet(const hs_settings *settings, const char *path, const sigset_t *signals) {
+static int serve_fleet(const command_line *line, const sigset_t *signals) {
     hs_error error = {0};
     hs_log_start_writer();
-    hs_fleet_daemon *daemon = hs_fleet_daemon_start(settings, &error);
+    hs_fleet_daemon *daemon = hs_fleet_daemon_start(line->settings, &error);
     if (daemon == NULL) {
         fprintf(stderr, "heathsaild: %s\n", error.message);
         hs_log_flush();
         return EXIT_FAILURE;
     }
-    wait_for_stop(daemon, path, signals);
+    wait_for_stop(daemon, line, signals);
     hs_fleet_daemon_stop(daemon);
     hs_log_flush();
     return EXIT_SUCCESS;
 }
 
-static int serve(const hs_settings *settings, const char *path) {
+static int serve(const command_line *line) {
+    const hs_settings *settings = line->settings;
     sigset_t stop_signals;
     sigemptyset(&stop_signals);
     sigaddset(&stop_signals, SIGINT);
@@ -161,34 +168,31 @@
     signal(SIGPIPE, SIG_IGN);
     hs_log_open(settings->daemon_id, log_level_of(settings->log_level));
     ulfius_global_init();
-    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(settings, path, &stop_signals)
+    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(line, &stop_signals)
                                                    : serve_openai(settings, &stop_signals);
 }
 
 int main(int argument_count, char **arguments) {
-    command_line line = {.settings = hs_settings_new()};
+    command_line line = {.settings = hs_settings_new(), .overrides = g_ptr_array_new()};
     struct argp parser = {
         option_list, parse_option,
         NULL,        "The heathsail daemon: online and batch inference on one fleet.",
         NULL,        NULL,
         NULL};
     argp_parse(&parser, argument_count, arguments, 0, NULL, &line);
-    if (line.path == NULL && line.error.code == 0) {
+    if (line.path == NULL)
         line.path = getenv(SETTINGS_VARIABLE);
-        if (line.path != NULL)
-            hs_settings_load(line.settings, line.path, &line.error);
-    }
-    if (line.error.code == 0)
-        hs_settings_check(line.settings, &line.error);
-    if (line.error.code != 0) {
-        fprintf(stderr, "heathsaild: %s\n", line.error.message);
+    hs_error error = {0};
+    if (read_settings(&line, line.settings, &error) != 0) {
+        fprintf(stderr, "heathsaild: %s\n", error.message);
         return EXIT_BAD_SETTINGS;
     }
     if (line.check_only) {
         printf("settings are valid\n");
         return EXIT_SUCCESS;
     }
-    int result = serve(line.settings, line.path);
+    int result = serve(&line);
+    g_ptr_array_free(line.overrides, TRUE);
     hs_settings_free(line.settings);
     return result;
 }
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -5,8 +5,10 @@
  */
 #include "daemon/settings.h"
 
-#include <arpa/inet.h>
+#include "base/endpoint.h"
+
 #include <glib.h>
+#include <math.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <string.h>
@@ -228,6 +230,22 @@
     return 0;
 }
 
+/** A whole number; a platform may tell one with a fraction, which is rounded. */
+static int set_number(hs_settings *settings, const setting *entry, const char *place,
+                      const char *value, hs_error *error) {
+    char *end = NULL;
+    double number = round(g_ascii_strtod(value, &end));
+    if (end == value || *end != '\0' || !(number >= (double)entry->minimum) ||
+        !(number <= (double)entry->maximum))
+        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
+                            "%s: key %s.%s: \"%s\" is not a whole number from %" G_GINT64_FORMAT
+                            " to %" G_GINT64_FORMAT " (%s)",
+                            place, entry->group, entry->key, value, entry->minimum, entry->maximum,
+                            entry->unit);
+    *number_field(settings, entry) = (int64_t)number;
+    return 0;
+}
+
 /** Set one value; @p place names where it stands, for the error. */
 static int set_value(hs_settings *settings, const char *place, const char *group, const char *key,
                      const char *value, hs_error *error) {
@@ -244,14 +262,7 @@
         return 0;
     if (entry->type == SETTING_DECIMAL)
         return set_decimal(settings, entry, place, value, error);
-    gint64 number = 0;
-    if (!g_ascii_string_to_signed(value, 10, entry->minimum, entry->maximum, &number, NULL))
-        return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
-                            "%s: key %s.%s: \"%s\" is not a whole number from %" G_GINT64_FORMAT
-                            " to %" G_GINT64_FORMAT " (%s)",
-                            place, group, key, value, entry->minimum, entry->maximum, entry->unit);
-    *number_field(settings, entry) = number;
-    return 0;
+    return set_number(settings, entry, place, value, error);
 }
 
 /** Line of @p key in @p group in the file's text, counted from 1; 0 when not found. */
@@ -330,15 +341,6 @@
     return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID, "%s", message);
 }
 
-static bool is_endpoint(const char *text) {
-    const char *colon = strchr(text, ':');
-    struct in_addr address;
-    g_autofree char *host = colon != NULL ? g_strndup(text, (gsize)(colon - text)) : NULL;
-    guint64 port = 0;
-    return host != NULL && inet_pton(AF_INET, host, &address) == 1 &&
-           g_ascii_string_to_unsigned(colon + 1, 10, 1, PORT_MAX, &port, NULL);
-}
-
 /** One address of [fleet]. */
 typedef struct {
     const char *key;
@@ -355,7 +357,8 @@
                                    {"metrics", settings->fleet_metrics, false}};
     for (size_t index = 0; index < G_N_ELEMENTS(rules); index++) {
         const endpoint_rule *rule = &rules[index];
-        if ((rule->required || *rule->value != '\0') && !is_endpoint(rule->value))
+        hs_endpoint parsed;
+        if ((rule->required || *rule->value != '\0') && !hs_endpoint_parse(rule->value, &parsed))
             return hs_error_set(error, HS_LAYER_SETTINGS, HS_INVALID,
                                 "key fleet.%s: \"%s\" is not IPv4:port (1 to 65535)", rule->key,
                                 rule->value);
@@ -364,10 +367,9 @@
 }
 
 int hs_settings_check(const hs_settings *settings, hs_error *error) {
-    struct in_addr address;
     if (*settings->daemon_id == '\0')
         return invalid(error, "key daemon.id: must be given");
-    if (inet_pton(AF_INET, settings->address, &address) != 1)
+    if (hs_endpoint_address(settings->address) == 0)
         return invalid(error, "key daemon.address: not an IPv4 number");
     if (!g_str_has_prefix(settings->platform_url, "http://"))
         return invalid(error, "key platform.url: must start with http://");
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -3,10 +3,11 @@
 #include "directory/daemon_directory.h"
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/log.h"
+#include "base/stop_wait.h"
 #include "platform/caller_codec.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define TICK_MS 60
@@ -31,8 +32,7 @@
     uint64_t next_shares_ms;
     guint next_peer; /**< Where the next round of shares begins. */
     GMutex lock;
-    GCond stop_asked;
-    bool stopping;
+    hs_stop_wait pause;
     gint leaving;
     gint joined; /**< It could serve once, and peers know of it. */
     GThread *ticker;
@@ -66,12 +66,6 @@
         take_shares(directory, message);
 }
 
-static uint32_t address_number(const char *address) {
-    struct in_addr number = {0};
-    inet_pton(AF_INET, address, &number);
-    return ntohl(number.s_addr);
-}
-
 hs_daemon_directory *hs_daemon_directory_new(const hs_daemon_directory_settings *settings,
                                              hs_error *error) {
     hs_peer_socket *socket = hs_peer_socket_new(settings->address, settings->peer_port, error);
@@ -81,13 +75,13 @@
     directory->settings = *settings;
     directory->socket = socket;
     g_mutex_init(&directory->lock);
-    g_cond_init(&directory->stop_asked);
+    hs_stop_wait_init(&directory->pause);
     directory->seeds = g_strdup(settings->seeds);
     directory->resolve_ttl_s = (gint)settings->resolve_ttl_s;
     hs_member self = {.id = (char *)settings->id,
                       .zone = (char *)settings->zone,
                       .incarnation = hs_clock_wall_ms(),
-                      .address = address_number(settings->address),
+                      .address = hs_endpoint_address(settings->address),
                       .peer_port = settings->peer_port,
                       .admin_port = settings->front_port};
     uint32_t probe_ms = settings->probe_interval_ms;
@@ -101,14 +95,10 @@
 }
 
 static void propose(hs_daemon_directory *directory, const char *name, const char *address) {
-    g_auto(GStrv) parts = g_strsplit(address, ":", 2);
-    struct in_addr number;
-    if (g_strv_length(parts) != 2 || inet_pton(AF_INET, parts[0], &number) != 1)
-        return;
-    uint32_t host = ntohl(number.s_addr);
-    uint16_t port = (uint16_t)g_ascii_strtoull(parts[1], NULL, 10);
-    if (host == address_number(directory->settings.address) &&
-        port == directory->settings.peer_port)
+    hs_endpoint peer;
+    if (!hs_endpoint_parse(address, &peer) ||
+        (peer.address == hs_endpoint_address(directory->settings.address) &&
+         peer.port == directory->settings.peer_port))
         return;
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     g_autoptr(GPtrArray) members = g_ptr_array_new();
@@ -116,11 +106,11 @@
     bool known = false;
     for (guint index = 0; index < members->len && !known; index++) {
         const hs_member *member = members->pdata[index];
-        known = member->address == host && member->peer_port == port &&
+        known = member->address == peer.address && member->peer_port == peer.port &&
                 (member->state != HS_MEMBER_DEAD || strcmp(member->id, name) == 0);
     }
     if (!known)
-        hs_membership_propose(membership, name, host, port, hs_clock_monotonic_ms());
+        hs_membership_propose(membership, name, peer.address, peer.port, hs_clock_monotonic_ms());
     hs_membership_service_unlock(directory->membership);
 }
 
@@ -185,17 +175,6 @@
     g_byte_array_free(answer, TRUE);
 }
 
-static bool wait_ms(hs_daemon_directory *directory, uint32_t milliseconds) {
-    gint64 until = g_get_monotonic_time() + (gint64)milliseconds * G_TIME_SPAN_MILLISECOND;
-    g_mutex_lock(&directory->lock);
-    while (!directory->stopping &&
-           g_cond_wait_until(&directory->stop_asked, &directory->lock, until))
-        continue;
-    bool goes_on = !directory->stopping;
-    g_mutex_unlock(&directory->lock);
-    return goes_on;
-}
-
 static gpointer run_registrar(gpointer data) {
     hs_daemon_directory *directory = data;
     bool written = false;
@@ -205,8 +184,9 @@
         if (!written)
             written = write_record(directory, false);
         read_registry(directory);
-    } while (wait_ms(directory, g_atomic_int_get(&directory->joined) != 0 ? REGISTRY_INTERVAL_MS
-                                                                          : JOIN_CHECK_MS));
+    } while (hs_stop_wait_pause(&directory->pause, g_atomic_int_get(&directory->joined) != 0
+                                                       ? REGISTRY_INTERVAL_MS
+                                                       : JOIN_CHECK_MS));
     return NULL;
 }
 
@@ -263,13 +243,13 @@
 static gpointer run_ticker(gpointer data) {
     hs_daemon_directory *directory = data;
     while (!directory->settings.may_join(directory->settings.user_data))
-        if (!wait_ms(directory, TICK_MS))
+        if (!hs_stop_wait_pause(&directory->pause, TICK_MS))
             return NULL;
     hs_peer_socket_start(directory->socket, handle_message, directory);
     directory->started_ms = hs_clock_monotonic_ms();
     g_atomic_int_set(&directory->joined, 1);
     propose_seeds(directory);
-    while (wait_ms(directory, TICK_MS)) {
+    while (hs_stop_wait_pause(&directory->pause, TICK_MS)) {
         uint64_t now_ms = hs_clock_monotonic_ms();
         hs_membership_service_tick(directory->membership, now_ms);
         if (now_ms >= directory->next_shares_ms) {
@@ -294,10 +274,7 @@
 void hs_daemon_directory_free(hs_daemon_directory *directory) {
     if (directory == NULL)
         return;
-    g_mutex_lock(&directory->lock);
-    directory->stopping = true;
-    g_cond_broadcast(&directory->stop_asked);
-    g_mutex_unlock(&directory->lock);
+    hs_stop_wait_ask(&directory->pause);
     if (directory->ticker != NULL) {
         g_thread_join(directory->ticker);
         g_thread_join(directory->registrar);
@@ -307,7 +284,7 @@
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
     g_free(directory->seeds);
-    g_cond_clear(&directory->stop_asked);
+    hs_stop_wait_clear(&directory->pause);
     g_mutex_clear(&directory->lock);
     g_free(directory);
 }
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -1,9 +1,9 @@
 /** @file engine_client.c  The engines' wire forms; see engine_client.h. */
 #include "engine/engine_client.h"
 
+#include "base/endpoint.h"
 #include "base/http_exchange.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
 #include <string.h>
@@ -206,12 +206,13 @@
 }
 
 static bool parse_engine_address(const char *engine_url, struct sockaddr_in *address) {
-    g_auto(GStrv) parts = g_strsplit(engine_url + strlen("http://"), ":", 2);
-    if (g_strv_length(parts) != 2)
+    hs_endpoint endpoint;
+    if (!hs_endpoint_parse(engine_url + strlen("http://"), &endpoint))
         return false;
     address->sin_family = AF_INET;
-    address->sin_port = htons((uint16_t)g_ascii_strtoull(parts[1], NULL, 10));
-    return inet_pton(AF_INET, parts[0], &address->sin_addr) == 1;
+    address->sin_port = htons(endpoint.port);
+    address->sin_addr.s_addr = htonl(endpoint.address);
+    return true;
 }
 
 bool hs_engine_is_reachable(const char *engine_url, uint32_t timeout_ms) {
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "platform/config_codec.h"
+#include "store/store_contact.h"
 
 #include <string.h>
 
@@ -16,8 +17,7 @@
     uint32_t poll_ms;
     GMutex lock;
     hs_fleet_config *config;
-    uint64_t heard_ms;
-    bool store_lost;
+    hs_store_contact contact;
     gint stopping;
     GThread *thread;
 };
@@ -28,6 +28,7 @@
     /* A poll whose connection has gone silent must be noticed well before a version is due. */
     source->poll_ms = apply_ms / 2;
     g_mutex_init(&source->lock);
+    hs_store_contact_init(&source->contact, "config");
     return source;
 }
 
@@ -57,10 +58,7 @@
 }
 
 uint64_t hs_config_source_heard_ms(hs_config_source *source) {
-    g_mutex_lock(&source->lock);
-    uint64_t heard_ms = source->heard_ms;
-    g_mutex_unlock(&source->lock);
-    return heard_ms;
+    return hs_store_contact_heard_ms(&source->contact);
 }
 
 static void take_value(hs_config_source *source, const uint8_t *value, size_t length,
@@ -78,21 +76,6 @@
     hs_config_source_offer(source, config);
 }
 
-static void note_outcome(hs_config_source *source, hs_store_outcome outcome) {
-    bool heard = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
-    g_mutex_lock(&source->lock);
-    bool changed = source->store_lost == heard;
-    uint64_t silent_ms = source->heard_ms != 0 ? hs_clock_monotonic_ms() - source->heard_ms : 0;
-    source->store_lost = !heard;
-    if (heard)
-        source->heard_ms = hs_clock_monotonic_ms();
-    g_mutex_unlock(&source->lock);
-    if (changed)
-        hs_log_warning(heard ? "store_regained" : "store_lost",
-                       "duty=config outcome=%s silent_ms=%" G_GUINT64_FORMAT,
-                       hs_store_outcome_name(outcome), (guint64)silent_ms);
-}
-
 /** Read the newest version; @p next is where to follow on. */
 static hs_store_outcome read_newest(hs_config_source *source, GByteArray *answer, uint64_t *next) {
     hs_store_call call = hs_platform_newest(HS_TOPIC_CONFIG, NULL);
@@ -136,7 +119,7 @@
     while (!g_atomic_int_get(&source->stopping)) {
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
-        note_outcome(source, outcome);
+        hs_store_contact_note(&source->contact, outcome);
         if (outcome == HS_STORE_DONE)
             positioned = true;
         else if (outcome == HS_STORE_GONE)
@@ -159,6 +142,7 @@
     if (source->thread != NULL)
         g_thread_join(source->thread);
     hs_fleet_config_unref(source->config);
+    hs_store_contact_clear(&source->contact);
     g_mutex_clear(&source->lock);
     g_free(source);
 }
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -3,7 +3,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/stop_wait.h"
 #include "platform/config_codec.h"
+#include "store/store_contact.h"
 
 #include <string.h>
 
@@ -19,11 +21,8 @@
     uint32_t interval_ms;
     uint32_t heartbeat_ms;
     uint64_t trust_from_ms; /**< Before, the store's word that an engine is gone is doubted. */
-    GMutex lock;
-    GCond stop_asked;
-    uint64_t heard_ms;
-    bool store_lost;
-    bool stopping;
+    hs_store_contact contact;
+    hs_stop_wait pause;
     GThread *thread;
 };
 
@@ -34,15 +33,16 @@
     source->engines = engines;
     source->heartbeat_ms = heartbeat_ms;
     source->interval_ms = MAX(drain_ms / READS_PER_DRAIN, 1);
-    g_mutex_init(&source->lock);
-    g_cond_init(&source->stop_asked);
+    hs_store_contact_init(&source->contact, "engines");
+    hs_stop_wait_init(&source->pause);
     return source;
 }
 
 /** After an answer came: entries may have run out while none did. */
 static void note_gap(hs_engine_source *source) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    if (source->heard_ms != 0 && now_ms > source->heard_ms + source->heartbeat_ms)
+    uint64_t heard_ms = hs_store_contact_heard_ms(&source->contact);
+    if (heard_ms != 0 && now_ms > heard_ms + source->heartbeat_ms)
         source->trust_from_ms = now_ms + (uint64_t)source->heartbeat_ms * BEATS_TO_RETURN;
 }
 
@@ -126,33 +126,6 @@
     return outcome;
 }
 
-static void note_outcome(hs_engine_source *source, hs_store_outcome outcome) {
-    bool heard = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    g_mutex_lock(&source->lock);
-    bool changed = source->store_lost == heard;
-    uint64_t silent_ms = source->heard_ms != 0 ? now_ms - source->heard_ms : 0;
-    source->store_lost = !heard;
-    if (heard)
-        source->heard_ms = now_ms;
-    g_mutex_unlock(&source->lock);
-    if (changed)
-        hs_log_warning(heard ? "store_regained" : "store_lost",
-                       "duty=engines outcome=%s silent_ms=%" G_GUINT64_FORMAT,
-                       hs_store_outcome_name(outcome), (guint64)silent_ms);
-}
-
-/** Wait for the next read; false when the duty is to end. */
-static bool pause_between(hs_engine_source *source) {
-    gint64 until = g_get_monotonic_time() + (gint64)source->interval_ms * G_TIME_SPAN_MILLISECOND;
-    g_mutex_lock(&source->lock);
-    while (!source->stopping && g_cond_wait_until(&source->stop_asked, &source->lock, until))
-        continue;
-    bool goes_on = !source->stopping;
-    g_mutex_unlock(&source->lock);
-    return goes_on;
-}
-
 static gpointer run_source(gpointer data) {
     hs_engine_source *source = data;
     GByteArray *answer = g_byte_array_new();
@@ -161,13 +134,13 @@
     do {
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
-        note_outcome(source, outcome);
+        hs_store_contact_note(&source->contact, outcome);
         if (outcome == HS_STORE_DONE)
             positioned = true;
         else if (outcome == HS_STORE_GONE)
             positioned = false;
         hs_fleet_engines_prune(source->engines);
-    } while (pause_between(source));
+    } while (hs_stop_wait_pause(&source->pause, source->interval_ms));
     g_byte_array_free(answer, TRUE);
     return NULL;
 }
@@ -179,20 +152,14 @@
 void hs_engine_source_free(hs_engine_source *source) {
     if (source == NULL)
         return;
-    g_mutex_lock(&source->lock);
-    source->stopping = true;
-    g_cond_signal(&source->stop_asked);
-    g_mutex_unlock(&source->lock);
+    hs_stop_wait_ask(&source->pause);
     if (source->thread != NULL)
         g_thread_join(source->thread);
-    g_cond_clear(&source->stop_asked);
-    g_mutex_clear(&source->lock);
+    hs_stop_wait_clear(&source->pause);
+    hs_store_contact_clear(&source->contact);
     g_free(source);
 }
 
 uint64_t hs_engine_source_heard_ms(hs_engine_source *source) {
-    g_mutex_lock(&source->lock);
-    uint64_t heard_ms = source->heard_ms;
-    g_mutex_unlock(&source->lock);
-    return heard_ms;
+    return hs_store_contact_heard_ms(&source->contact);
 }
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -106,7 +106,8 @@
     return MHD_YES;
 }
 
-static void take_head(hs_inbound *inbound, const char *method) {
+static void take_head(hs_inbound *inbound, const char *method, const char *version) {
+    inbound->lacks_chunks = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
     inbound->method = g_strdup(method);
     inbound->received_ms = hs_clock_monotonic_ms();
     MHD_get_connection_values(inbound->connection, MHD_HEADER_KIND, take_field, inbound->fields);
@@ -131,12 +132,11 @@
                                    const char *method, const char *version, const char *upload_data,
                                    size_t *upload_size, void **state) {
     (void)url;
-    (void)version;
     (void)connection;
     hs_listener *listener = data;
     hs_inbound *inbound = *state;
     if (inbound->method == NULL) {
-        take_head(inbound, method);
+        take_head(inbound, method, version);
         return MHD_YES;
     }
     if (*upload_size > 0) {
@@ -253,14 +253,27 @@
     hs_body_reader reader;
     void *reader_data;
     GDestroyNotify release;
+    int reset_descriptor; /**< Socket to reset where the stream is cut; -1: a close is enough. */
 } stream_state;
 
+/**
+ * Reset a connection, so that what was sent does not look whole. The library would end its sending
+ * side in order before it closes; dissolving the association (AF_UNSPEC) resets at once.
+ */
+static void reset_connection(int descriptor) {
+    const struct sockaddr nowhere = {.sa_family = AF_UNSPEC};
+    if (connect(descriptor, &nowhere, sizeof nowhere) != 0)
+        shutdown(descriptor, SHUT_RDWR);
+}
+
 static ssize_t read_stream(void *data, uint64_t position, char *buffer, size_t size) {
     (void)position;
     stream_state *stream = data;
     ssize_t result = stream->reader(stream->reader_data, buffer, size);
     if (result == HS_READER_END)
         return MHD_CONTENT_READER_END_OF_STREAM;
+    if (result == HS_READER_ABORT && stream->reset_descriptor >= 0)
+        reset_connection(stream->reset_descriptor);
     if (result == HS_READER_ABORT)
         return MHD_CONTENT_READER_END_WITH_ERROR;
     return result;
@@ -275,7 +288,10 @@
 void hs_inbound_reply_stream(hs_inbound *inbound, uint32_t status, const GArray *fields,
                              hs_body_reader reader, void *reader_data, GDestroyNotify release) {
     stream_state *stream = g_new(stream_state, 1);
-    *stream = (stream_state){.reader = reader, .reader_data = reader_data, .release = release};
+    *stream = (stream_state){.reader = reader,
+                             .reader_data = reader_data,
+                             .release = release,
+                             .reset_descriptor = inbound->lacks_chunks ? inbound->descriptor : -1};
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, stream, free_stream);
     queue(inbound, status, fields, response);
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -24,6 +24,7 @@
     GByteArray *body; /**< Whole. */
     int descriptor;   /**< The caller's socket, to be watched only. */
     bool is_too_large;
+    bool lacks_chunks; /**< HTTP/1.0: a body of unknown length ends with the connection. */
     bool answered;
     uint64_t received_ms; /**< Monotonic time at which its head was read. */
     void *connection;     /**< The library's connection. */
--- a/src/store/machine_list.c
+++ b/src/store/machine_list.c
@@ -1,9 +1,9 @@
 /** @file machine_list.c  Reading the machine list; see machine_list.h. */
 #include "store/machine_list.h"
 
+#include "base/endpoint.h"
 #include "base/http_exchange.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 #define HTTP_OK 200
@@ -24,11 +24,8 @@
 }
 
 static uint32_t address_of(const json_t *entry) {
-    struct in_addr address = {0};
     const char *text = json_string_value(json_object_get(entry, "address"));
-    if (text == NULL || inet_pton(AF_INET, text, &address) != 1)
-        return 0;
-    return ntohl(address.s_addr);
+    return text != NULL ? hs_endpoint_address(text) : 0;
 }
 
 static hs_machine *parse_machine(const json_t *entry) {
--- /dev/null
+++ b/src/store/store_contact.c
@@ -0,0 +1,37 @@
+/** @file store_contact.c  See store_contact.h. */
+#include "store/store_contact.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+void hs_store_contact_init(hs_store_contact *contact, const char *duty) {
+    *contact = (hs_store_contact){.duty = duty};
+    g_mutex_init(&contact->lock);
+}
+
+void hs_store_contact_clear(hs_store_contact *contact) {
+    g_mutex_clear(&contact->lock);
+}
+
+void hs_store_contact_note(hs_store_contact *contact, hs_store_outcome outcome) {
+    bool heard = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&contact->lock);
+    bool changed = contact->lost == heard;
+    uint64_t silent_ms = contact->heard_ms != 0 ? now_ms - contact->heard_ms : 0;
+    contact->lost = !heard;
+    if (heard)
+        contact->heard_ms = now_ms;
+    g_mutex_unlock(&contact->lock);
+    if (changed)
+        hs_log_warning(heard ? "store_regained" : "store_lost",
+                       "duty=%s outcome=%s silent_ms=%" G_GUINT64_FORMAT, contact->duty,
+                       hs_store_outcome_name(outcome), (guint64)silent_ms);
+}
+
+uint64_t hs_store_contact_heard_ms(hs_store_contact *contact) {
+    g_mutex_lock(&contact->lock);
+    uint64_t heard_ms = contact->heard_ms;
+    g_mutex_unlock(&contact->lock);
+    return heard_ms;
+}
--- /dev/null
+++ b/src/store/store_contact.h
@@ -0,0 +1,31 @@
+/**
+ * @file store_contact.h
+ * When a duty last heard from the store. A loss and a return are logged once each, so that an
+ * operator sees from one line how old the duty's knowledge was.
+ */
+#ifndef HS_STORE_STORE_CONTACT_H
+#define HS_STORE_STORE_CONTACT_H
+
+#include "store/store_client.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+/** One duty's contact. */
+typedef struct {
+    const char *duty; /**< Name for logs; a literal. */
+    GMutex lock;
+    uint64_t heard_ms; /**< Monotonic; 0: never. */
+    bool lost;
+} hs_store_contact;
+
+void hs_store_contact_init(hs_store_contact *contact, const char *duty);
+void hs_store_contact_clear(hs_store_contact *contact);
+
+/** Note how a call ended. */
+void hs_store_contact_note(hs_store_contact *contact, hs_store_outcome outcome);
+
+/** When the store was heard last; 0: never. */
+uint64_t hs_store_contact_heard_ms(hs_store_contact *contact);
+
+#endif
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -36,23 +36,29 @@
     hs_fleet_config_unref(config);
 }
 
-char *hs_fleet_metrics_write(hs_online *online, hs_store_client *store,
-                             hs_daemon_directory *members, uint32_t open_requests) {
+char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
+    hs_online *online = sources->online;
     write_online(text, online);
     write_config(text, online->config);
-    hs_store_counters calls = hs_store_client_counters(store);
-    g_string_append_printf(
-        text,
-        "heathsail_open_requests %u\nheathsail_members_live %u\n"
-        "heathsail_store_calls %" G_GUINT64_FORMAT "\nheathsail_store_refused %" G_GUINT64_FORMAT
-        "\nheathsail_store_unknown %" G_GUINT64_FORMAT
-        "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
-        "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
-        "\nheathsail_engine_connects %" G_GUINT64_FORMAT "\n",
-        open_requests, hs_daemon_directory_live_count(members), (guint64)calls.calls,
-        (guint64)calls.refused, (guint64)calls.unknown, (guint64)calls.bytes_sent,
-        (guint64)calls.bytes_received, (guint64)hs_fleet_engines_connects(online->engines));
+    g_string_append_printf(text,
+                           "heathsail_settings_reloads_total %d\n"
+                           "heathsail_settings_refused_total %d\n",
+                           g_atomic_int_get(&sources->reloads->taken),
+                           g_atomic_int_get(&sources->reloads->refused));
+    hs_store_counters calls = hs_store_client_counters(sources->store);
+    g_string_append_printf(text,
+                           "heathsail_open_requests %u\nheathsail_members_live %u\n"
+                           "heathsail_store_calls %" G_GUINT64_FORMAT
+                           "\nheathsail_store_refused %" G_GUINT64_FORMAT
+                           "\nheathsail_store_unknown %" G_GUINT64_FORMAT
+                           "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
+                           "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
+                           "\nheathsail_engine_connects %" G_GUINT64_FORMAT "\n",
+                           sources->open_requests, hs_daemon_directory_live_count(sources->members),
+                           (guint64)calls.calls, (guint64)calls.refused, (guint64)calls.unknown,
+                           (guint64)calls.bytes_sent, (guint64)calls.bytes_received,
+                           (guint64)hs_fleet_engines_connects(online->engines));
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
     return g_string_free(text, FALSE);
--- a/src/surface/fleet_metrics.h
+++ b/src/surface/fleet_metrics.h
@@ -5,8 +5,22 @@
 #include "directory/daemon_directory.h"
 #include "online/online_request.h"
 
+/** How often the settings were read anew; atomic. */
+typedef struct {
+    gint taken;
+    gint refused; /**< Broken, or no file: the ones before stayed. */
+} hs_reload_counts;
+
+/** Where the figures come from. All borrowed. */
+typedef struct {
+    hs_online *online;
+    hs_store_client *store;
+    hs_daemon_directory *members;
+    hs_reload_counts *reloads;
+    uint32_t open_requests;
+} hs_fleet_metrics_sources;
+
 /** All metrics as text. Free with g_free. */
-char *hs_fleet_metrics_write(hs_online *online, hs_store_client *store,
-                             hs_daemon_directory *members, uint32_t open_requests);
+char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources);
 
 #endif
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -2,6 +2,7 @@
 #include "surface/fleet_surface.h"
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/log.h"
 #include "http/http_fields.h"
 #include "surface/fleet_metrics.h"
@@ -133,9 +134,12 @@
 
 static void serve_metrics(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
-    g_autofree char *text =
-        hs_fleet_metrics_write(surface->settings.online, surface->settings.store,
-                               surface->settings.members, hs_fleet_surface_open_requests(surface));
+    hs_fleet_metrics_sources sources = {.online = surface->settings.online,
+                                        .store = surface->settings.store,
+                                        .members = surface->settings.members,
+                                        .reloads = surface->settings.reloads,
+                                        .open_requests = hs_fleet_surface_open_requests(surface)};
+    g_autofree char *text = hs_fleet_metrics_write(&sources);
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", "text/plain; version=0.0.4");
     hs_inbound_reply(inbound, 200, fields, text, strlen(text));
@@ -147,12 +151,20 @@
                           hs_inbound_handler handler, hs_fleet_surface *surface, hs_error *error) {
     if (*address == '\0')
         return true;
-    g_auto(GStrv) parts = g_strsplit(address, ":", 2);
-    uint16_t port = parts[1] != NULL ? (uint16_t)g_ascii_strtoull(parts[1], NULL, 10) : 0;
-    *listener = hs_listener_start(parts[0], port, max_body, handler, surface, error);
+    hs_endpoint endpoint;
+    hs_endpoint_parse(address, &endpoint);
+    *listener = hs_listener_start(endpoint.host, endpoint.port, max_body, handler, surface, error);
     return *listener != NULL;
 }
 
+/** A daemon without figures is worth more than none: a taken port is logged only. */
+static void open_metrics(hs_fleet_surface *surface) {
+    hs_error error = {0};
+    if (!open_listener(&surface->metrics, surface->settings.metrics, SMALL_BODY_BYTES,
+                       serve_metrics, surface, &error))
+        hs_log_warning("metrics_unavailable", "reason=\"%s\"", error.message);
+}
+
 hs_fleet_surface *hs_fleet_surface_start(const hs_fleet_surface_settings *settings,
                                          hs_error *error) {
     hs_fleet_surface *surface = g_new0(hs_fleet_surface, 1);
@@ -162,13 +174,13 @@
                   open_listener(&surface->ready, settings->ready, SMALL_BODY_BYTES, serve_ready,
                                 surface, error) &&
                   open_listener(&surface->directory, settings->directory, SMALL_BODY_BYTES,
-                                serve_directory, surface, error) &&
-                  open_listener(&surface->metrics, settings->metrics, SMALL_BODY_BYTES,
-                                serve_metrics, surface, error);
-    if (opened)
-        return surface;
-    hs_fleet_surface_stop(surface);
-    return NULL;
+                                serve_directory, surface, error);
+    if (!opened) {
+        hs_fleet_surface_stop(surface);
+        return NULL;
+    }
+    open_metrics(surface);
+    return surface;
 }
 
 void hs_fleet_surface_leave(hs_fleet_surface *surface) {
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -9,6 +9,7 @@
 #include "directory/daemon_directory.h"
 #include "jobs/job_service.h"
 #include "online/online_request.h"
+#include "surface/fleet_metrics.h"
 
 /** All borrowed. Empty addresses: no such listener. */
 typedef struct {
@@ -20,6 +21,7 @@
     hs_job_service *jobs;
     hs_daemon_directory *members;
     hs_store_client *store;
+    hs_reload_counts *reloads;
     bool (*may_serve)(void *user_data); /**< Whether requests could be served. */
     void *user_data;
 } hs_fleet_surface_settings;
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -80,13 +80,15 @@
     g_mutex_unlock(&engine->lock);
 }
 
-static void serve_stream(token_engine *engine, hs_inbound *inbound, GArray *fields, bool breaks) {
+static void serve_stream(token_engine *engine, hs_inbound *inbound, GArray *fields,
+                         token_engine_mode mode) {
     const char *after = hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID);
     stream *events = g_new0(stream, 1);
     events->engine = engine;
     events->next = after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
-    events->last = engine->settings.events;
-    events->break_at = breaks ? events->next + engine->settings.break_after - 1 : 0;
+    events->last = mode == TOKEN_ENGINE_ENDLESS ? UINT32_MAX - 1 : engine->settings.events;
+    events->break_at =
+        mode == TOKEN_ENGINE_BREAKS ? events->next + engine->settings.break_after - 1 : 0;
     hs_http_fields_add(fields, "Content-Type", "text/event-stream");
     hs_inbound_reply_stream(inbound, 200, fields, write_event, events, g_free);
 }
@@ -104,7 +106,7 @@
         refuse(inbound, 503, id, false);
     } else {
         note_run(engine, id);
-        if (mode == TOKEN_ENGINE_SLOW)
+        if (mode == TOKEN_ENGINE_SLOW || mode == TOKEN_ENGINE_ENDLESS)
             hs_clock_sleep_ms(SLOW_MS);
         if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
             refuse(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
@@ -115,7 +117,7 @@
         if (strstr(inbound->target, "plain") != NULL)
             hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
         else
-            serve_stream(engine, inbound, fields, mode == TOKEN_ENGINE_BREAKS);
+            serve_stream(engine, inbound, fields, mode);
         hs_http_fields_free(fields);
     }
 }
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -20,6 +20,7 @@
     TOKEN_ENGINE_IMPOSSIBLE, /**< 422. */
     TOKEN_ENGINE_SLOW,       /**< Waits before it answers at all. */
     TOKEN_ENGINE_BREAKS,     /**< Ends the connection after some events. */
+    TOKEN_ENGINE_ENDLESS,    /**< Waits before a stream that does not end by itself. */
 } token_engine_mode;
 
 /** What one engine does. */
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -1,4 +1,5 @@
 /** @file test_settings.c  Settings: defaults, refusals by file, line and key, overrides. */
+#include "base/endpoint.h"
 #include "daemon/settings.h"
 #include "tests/unit/unit_tests.h"
 
@@ -50,6 +51,32 @@
     refuses("[caller]\nport=80x\n", "caller.port");
 }
 
+/** A platform may tell a whole number with a fraction. */
+static void rounds_a_fraction(void) {
+    hs_settings *settings = hs_settings_new();
+    hs_error error = {0};
+    CU_ASSERT_EQUAL(
+        load_text("[fleet]\ndrain_ms=1999.6\nparts=12.0\ncontact_ms=\n", settings, &error), 0);
+    CU_ASSERT_EQUAL(settings->fleet_drain_ms, 2000);
+    CU_ASSERT_EQUAL(settings->fleet_parts, 12);
+    CU_ASSERT_EQUAL(settings->fleet_contact_ms, 3000);
+    hs_settings_free(settings);
+}
+
+static void endpoints_are_an_ipv4_number_and_a_port(void) {
+    static const char *const broken[] = {"",           "10.0.0.1",      "10.0.0.1:", "10.0.0.1:0",
+                                         "10.0.0:80",  "10.0.0.1:-1",   "host:80",   ":80",
+                                         "10.0.0.1:x", "10.0.0.1:99999"};
+    hs_endpoint endpoint;
+    for (size_t index = 0; index < G_N_ELEMENTS(broken); index++)
+        CU_ASSERT_FALSE(hs_endpoint_parse(broken[index], &endpoint));
+    CU_ASSERT_FALSE(hs_endpoint_parse(NULL, &endpoint));
+    CU_ASSERT_TRUE(hs_endpoint_parse("10.1.2.3:8146", &endpoint));
+    CU_ASSERT_STRING_EQUAL(endpoint.host, "10.1.2.3");
+    CU_ASSERT_EQUAL(endpoint.address, 0x0a010203);
+    CU_ASSERT_EQUAL(endpoint.port, 8146);
+}
+
 static void overrides_a_value(void) {
     hs_settings *settings = hs_settings_new();
     hs_error error = {0};
@@ -79,6 +106,8 @@
     {"refuses_unknown_key_with_its_line", refuses_unknown_key_with_its_line},
     {"refuses_unknown_group", refuses_unknown_group},
     {"refuses_bad_number_with_range", refuses_bad_number_with_range},
+    {"rounds_a_fraction", rounds_a_fraction},
+    {"endpoints_are_an_ipv4_number_and_a_port", endpoints_are_an_ipv4_number_and_a_port},
     {"overrides_a_value", overrides_a_value},
     {"checks_what_concerns_several_keys", checks_what_concerns_several_keys},
     {NULL, NULL}};
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -48,9 +48,13 @@
     g_ptr_array_add(arguments, setting);
 }
 
-static GPtrArray *daemon_arguments(int index) {
+static GPtrArray *daemon_arguments(int index, const char *settings_path) {
     GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(arguments, g_strdup_printf("%s/heathsaild", g_getenv("HS_TEST_PROGRAMS")));
+    if (settings_path != NULL) {
+        g_ptr_array_add(arguments, g_strdup("--settings"));
+        g_ptr_array_add(arguments, g_strdup(settings_path));
+    }
     add_setting(arguments, g_strdup("daemon.surface=fleet"));
     add_setting(arguments, g_strdup_printf("daemon.id=front-%d", index));
     add_setting(arguments, g_strdup("daemon.zone=zone-a"));
@@ -68,8 +72,8 @@
     return arguments;
 }
 
-bool bench_start_daemon(int index, bool silent_reader) {
-    GPtrArray *arguments = daemon_arguments(index);
+static bool start_daemon(int index, bool silent_reader, const char *settings_path) {
+    GPtrArray *arguments = daemon_arguments(index, settings_path);
     int output[2] = {-1, -1};
     if (silent_reader && pipe(output) != 0)
         return false;
@@ -89,6 +93,14 @@
     return pid > 0;
 }
 
+bool bench_start_daemon(int index, bool silent_reader) {
+    return start_daemon(index, silent_reader, NULL);
+}
+
+bool bench_start_daemon_with(int index, const char *settings_path) {
+    return start_daemon(index, false, settings_path);
+}
+
 int bench_signal(int index, int signal_number) {
     pid_t pid = bench.pids[index];
     if (pid == 0 || kill(pid, signal_number) != 0)
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -29,6 +29,9 @@
 /** Start a daemon; @p silent_reader: its standard output is a pipe that nobody reads. */
 bool bench_start_daemon(int index, bool silent_reader);
 
+/** Start a daemon with a settings file as well; the bench's own values override it. */
+bool bench_start_daemon_with(int index, const char *settings_path);
+
 /** Wait until a daemon says ready. */
 bool bench_wait_ready(int index);
 
