--- /dev/null
+++ b/src/base/interrupt.c
@@ -0,0 +1,85 @@
+/** @file interrupt.c  See interrupt.h. */
+#include "base/interrupt.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#define NO_DESCRIPTOR (-1)
+
+void hs_interrupt_init(hs_interrupt *interrupt) {
+    g_mutex_init(&interrupt->lock);
+    interrupt->cause = HS_INTERRUPT_NONE;
+    interrupt->descriptor = NO_DESCRIPTOR;
+}
+
+void hs_interrupt_clear(hs_interrupt *interrupt) {
+    hs_interrupt_release(interrupt);
+    g_mutex_clear(&interrupt->lock);
+}
+
+/** Make the descriptor readable exactly while a cause stands. The caller holds the lock. */
+static void show_cause(hs_interrupt *interrupt, bool stands) {
+    if (interrupt->descriptor == NO_DESCRIPTOR)
+        return;
+    eventfd_t count = 0;
+    if (stands)
+        eventfd_write(interrupt->descriptor, 1);
+    else
+        eventfd_read(interrupt->descriptor, &count);
+}
+
+bool hs_interrupt_raise(hs_interrupt *interrupt, hs_interrupt_cause cause) {
+    g_mutex_lock(&interrupt->lock);
+    bool is_more = cause > interrupt->cause;
+    if (is_more && interrupt->cause == HS_INTERRUPT_NONE)
+        show_cause(interrupt, true);
+    if (is_more)
+        interrupt->cause = cause;
+    g_mutex_unlock(&interrupt->lock);
+    return is_more;
+}
+
+bool hs_interrupt_withdraw(hs_interrupt *interrupt, hs_interrupt_cause cause) {
+    g_mutex_lock(&interrupt->lock);
+    bool stands = interrupt->cause == cause && cause != HS_INTERRUPT_NONE;
+    if (stands) {
+        show_cause(interrupt, false);
+        interrupt->cause = HS_INTERRUPT_NONE;
+    }
+    g_mutex_unlock(&interrupt->lock);
+    return stands;
+}
+
+hs_interrupt_cause hs_interrupt_get(hs_interrupt *interrupt) {
+    g_mutex_lock(&interrupt->lock);
+    hs_interrupt_cause cause = interrupt->cause;
+    g_mutex_unlock(&interrupt->lock);
+    return cause;
+}
+
+int hs_interrupt_descriptor(hs_interrupt *interrupt) {
+    g_mutex_lock(&interrupt->lock);
+    if (interrupt->descriptor == NO_DESCRIPTOR) {
+        interrupt->descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+        if (interrupt->cause != HS_INTERRUPT_NONE)
+            show_cause(interrupt, true);
+    }
+    int descriptor = interrupt->descriptor;
+    g_mutex_unlock(&interrupt->lock);
+    return descriptor;
+}
+
+void hs_interrupt_release(hs_interrupt *interrupt) {
+    g_mutex_lock(&interrupt->lock);
+    if (interrupt->descriptor != NO_DESCRIPTOR)
+        close(interrupt->descriptor);
+    interrupt->descriptor = NO_DESCRIPTOR;
+    g_mutex_unlock(&interrupt->lock);
+}
+
+bool hs_interrupt_pause(hs_interrupt *interrupt, uint64_t time_ms) {
+    struct pollfd polled = {.fd = hs_interrupt_descriptor(interrupt), .events = POLLIN};
+    poll(&polled, 1, (int)time_ms);
+    return hs_interrupt_get(interrupt) != HS_INTERRUPT_NONE;
+}
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -76,8 +76,7 @@
     uint32_t asked = 0;
     for (guint index = engine->batch_leases->len; index > 0 && asked < wanted; index--) {
         const hs_engine_lease *lease = engine->batch_leases->pdata[index - 1];
-        if (lease->yield != NULL &&
-            g_atomic_int_compare_and_exchange(lease->yield, 0, HS_YIELD_ASKED))
+        if (lease->yield != NULL && hs_interrupt_raise(lease->yield, HS_INTERRUPT_YIELD))
             asked++;
     }
     return asked;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -62,7 +62,7 @@
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
     uint32_t memory_tokens;
     double connection_share; /**< See hs_fleet_engines_connection_share. */
-    gint *yield;             /**< See hs_engine_query; NULL: none. */
+    hs_interrupt *yield;     /**< See hs_engine_query; NULL: none. */
     hs_engine_reasons reasons;
     bool was_alone; /**< No prompt was being read there when it was taken. */
 };
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -29,9 +29,6 @@
     HS_ATTEMPT_DROPPED,      /**< Given up on this side; says nothing of the engine. */
 } hs_attempt_end;
 
-/** Value of a batch item's flag that asks it to step aside and go on later. */
-#define HS_YIELD_ASKED 2
-
 /** Name of an attempt's end, for logs. */
 const char *hs_attempt_end_name(hs_attempt_end end);
 
@@ -53,7 +50,7 @@
     hs_work_class work;
     double batch_share;        /**< Batch: most of an engine's slots that batch items may take. */
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
-    gint *yield;               /**< Batch: set to HS_YIELD_ASKED when the item is to step aside. */
+    hs_interrupt *yield;       /**< Batch: raised when the item is to step aside. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
     uint32_t max_connections;  /**< To one engine from all daemons; 0: unknown. */
 } hs_engine_query;
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -17,7 +17,8 @@
 #include <unistd.h>
 
 #define READ_SIZE 16384
-#define ABANDON_CHECK_MS 250
+/** Where an interrupt has no descriptor, it is looked at this often. */
+#define INTERRUPT_CHECK_MS 250
 #define FIRST_FINAL_STATUS 200
 
 struct hs_client_connection {
@@ -141,29 +142,36 @@
     return step;
 }
 
-static bool is_abandoned(const hs_wait *wait) {
-    return wait->abandoned != NULL && g_atomic_int_get(wait->abandoned) != 0;
+/** How long one poll may last. */
+static int poll_limit(const hs_wait *wait, uint64_t now_ms, int interrupt_descriptor) {
+    uint64_t left = MIN(wait->deadline - now_ms, (uint64_t)G_MAXINT / 2);
+    if (wait->interrupt != NULL && interrupt_descriptor < 0)
+        left = MIN(left, INTERRUPT_CHECK_MS);
+    return (int)left;
 }
 
 /** Wait for @p events on the socket; HS_STEP_PROGRESS with @p ready when some came. */
 static hs_step wait_for(int descriptor, short events, const hs_wait *wait, short *ready) {
+    enum { OWN, WATCHED, INTERRUPT, POLLED };
+    int interrupt_descriptor =
+        wait->interrupt != NULL ? hs_interrupt_descriptor(wait->interrupt) : -1;
     while (true) {
-        if (is_abandoned(wait))
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        if (wait->interrupt != NULL && hs_interrupt_get(wait->interrupt) != HS_INTERRUPT_NONE)
             return HS_STEP_CALLER_GONE;
-        uint64_t now = hs_clock_monotonic_ms();
-        if (now >= wait->deadline)
+        if (now_ms >= wait->deadline)
             return HS_STEP_DEADLINE;
-        uint64_t left = MIN(wait->deadline - now, (uint64_t)G_MAXINT / 2);
-        if (wait->abandoned != NULL)
-            left = MIN(left, ABANDON_CHECK_MS);
-        struct pollfd polled[2] = {{.fd = descriptor, .events = events},
-                                   {.fd = wait->watched, .events = POLLRDHUP}};
-        int count = poll(polled, wait->watched >= 0 ? 2 : 1, (int)left);
+        struct pollfd polled[POLLED] = {
+            [OWN] = {.fd = descriptor, .events = events},
+            [WATCHED] = {.fd = wait->watched, .events = POLLRDHUP},
+            [INTERRUPT] = {.fd = interrupt_descriptor, .events = POLLIN},
+        };
+        int count = poll(polled, POLLED, poll_limit(wait, now_ms, interrupt_descriptor));
         if (count < 0 && errno != EINTR)
             return HS_STEP_CUT;
-        if (wait->watched >= 0 && polled[1].revents != 0)
+        if (polled[WATCHED].revents != 0)
             return HS_STEP_CALLER_GONE;
-        *ready = polled[0].revents;
+        *ready = polled[OWN].revents;
         if (count > 0 && *ready != 0)
             return HS_STEP_PROGRESS;
     }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -12,6 +12,8 @@
 
 #include "heathsail/fleet.h"
 
+#include "base/interrupt.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -27,7 +29,7 @@
     HS_STEP_CUT,         /**< The connection failed or ended too early. */
     HS_STEP_INVALID,     /**< Bytes that are no answer. */
     HS_STEP_DEADLINE,    /**< The deadline passed. */
-    HS_STEP_CALLER_GONE, /**< The watched descriptor closed. */
+    HS_STEP_CALLER_GONE, /**< The watched descriptor closed, or the interrupt was raised. */
 } hs_step;
 
 /** Name of a step's end, for logs. */
@@ -36,8 +38,8 @@
 /** What a step may wait for. */
 typedef struct {
     hs_deadline deadline;
-    int watched;     /**< A descriptor whose end interrupts, or HS_WATCH_NOTHING. */
-    gint *abandoned; /**< Set by another thread to interrupt within some 250 ms; may be NULL. */
+    int watched;             /**< A descriptor whose end interrupts, or HS_WATCH_NOTHING. */
+    hs_interrupt *interrupt; /**< Raised by another thread to end the wait; may be NULL. */
 } hs_wait;
 
 /** Connect to an IPv4 address; NULL when that failed, with the reason in @p step. */
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -28,6 +28,7 @@
     run->content_offset = item->content_offset;
     run->content_bytes = item->content_bytes;
     run->texts = g_ptr_array_new_with_free_func(free_text);
+    hs_interrupt_init(&run->interrupt);
     if (item->progress_event > 0) {
         g_ptr_array_add(run->texts, g_string_new_len(item->progress != NULL ? item->progress : "",
                                                      (gssize)item->progress_length));
@@ -46,6 +47,7 @@
     if (run->content != NULL)
         hs__job_item_content__free_unpacked(run->content, NULL);
     g_ptr_array_free(run->texts, TRUE);
+    hs_interrupt_clear(&run->interrupt);
     g_free(run);
 }
 
@@ -69,9 +71,8 @@
 
 /** Why a try was interrupted; a request to step aside is taken back with it. */
 static hs_item_try interruption(hs_item_run *run) {
-    return g_atomic_int_compare_and_exchange(&run->abandoned, HS_YIELD_ASKED, 0)
-               ? HS_ITEM_TRY_YIELDED
-               : HS_ITEM_TRY_ABANDONED;
+    return hs_interrupt_withdraw(&run->interrupt, HS_INTERRUPT_YIELD) ? HS_ITEM_TRY_YIELDED
+                                                                      : HS_ITEM_TRY_ABANDONED;
 }
 
 /** Read the stream to its end, its break or the caller's word. */
@@ -81,7 +82,7 @@
     while (true) {
         hs_wait wait = {.deadline = hs_clock_monotonic_ms() + EVENT_SILENCE_MS,
                         .watched = HS_WATCH_NOTHING,
-                        .abandoned = &run->abandoned};
+                        .interrupt = &run->interrupt};
         attempt->step = hs_client_connection_read_body(attempt->connection, &wait);
         if (body->len > 0 && is_first)
             hs_engine_lease_first_token(attempt->lease);
@@ -92,7 +93,8 @@
             return HS_ITEM_TRY_BROKEN;
         if (attempt->step == HS_STEP_COMPLETE)
             return body->len == 0 ? HS_ITEM_TRY_DONE : HS_ITEM_TRY_BROKEN;
-        if (attempt->step == HS_STEP_CALLER_GONE || g_atomic_int_get(&run->abandoned) != 0)
+        if (attempt->step == HS_STEP_CALLER_GONE ||
+            hs_interrupt_get(&run->interrupt) != HS_INTERRUPT_NONE)
             return interruption(run);
         if (attempt->step != HS_STEP_PROGRESS)
             return HS_ITEM_TRY_BROKEN;
@@ -171,7 +173,7 @@
                   .size = terms.size.prompt_tokens > 0 ? &terms.size : NULL,
                   .work = HS_WORK_BATCH,
                   .batch_share = batch_share,
-                  .yield = &run->abandoned,
+                  .yield = &run->interrupt,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0},
         .request = {.method = "POST",
@@ -185,10 +187,11 @@
         .body = run->content->body.data,
         .wait = {.deadline = run->give_up_ms,
                  .watched = HS_WATCH_NOTHING,
-                 .abandoned = &run->abandoned},
+                 .interrupt = &run->interrupt},
         .silence_ms = HEAD_SILENCE_MS,
     };
     hs_item_try end = run_once(run, engines, &order);
+    hs_interrupt_release(&run->interrupt);
     hs_http_fields_free(fields);
     return end;
 }
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -35,10 +35,10 @@
     uint32_t content_bytes;
     Hs__JobItemContent *content; /**< NULL until read. */
     hs_event_stream events;
-    GPtrArray *texts;    /**< of GString*, one an event. */
-    gint abandoned;      /**< Set to interrupt a try. */
-    uint64_t give_up_ms; /**< Monotonic time after which an engine need not go on. */
-    char engine_id[64];  /**< Of the latest try. */
+    GPtrArray *texts;       /**< of GString*, one an event. */
+    hs_interrupt interrupt; /**< Raised to end a try. */
+    uint64_t give_up_ms;    /**< Monotonic time after which an engine need not go on. */
+    char engine_id[64];     /**< Of the latest try. */
 } hs_item_run;
 
 hs_item_run *hs_item_run_new(const hs_job *job, uint32_t index);
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -79,7 +79,7 @@
     g_hash_table_iter_init(&iterator, home->items);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         hs_owned_item *item = value;
-        g_atomic_int_set(&item->run->abandoned, 1);
+        hs_interrupt_raise(&item->run->interrupt, HS_INTERRUPT_STOP);
         if (item->stage == HS_ITEM_RUNNING)
             continue;
         if (item->stage == HS_ITEM_STORED || item->run->events.event_count == 0) {
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -93,7 +93,7 @@
 
 /** One read from the log's present place on; the caller is the one reader. */
 static bool read_once(hs_job_partition *partition, uint32_t wait_ms, hs_deadline deadline,
-                      gint *abandoned, bool *reached_end) {
+                      hs_interrupt *interrupt, bool *reached_end) {
     g_mutex_lock(&partition->lock);
     uint64_t from = hs_job_state_next(partition->state);
     g_mutex_unlock(&partition->lock);
@@ -101,7 +101,7 @@
         hs_platform_read(HS_TOPIC_JOBS, partition->part, from, READ_MAX_KB, wait_ms);
     GByteArray *answer = g_byte_array_new();
     hs_store_outcome outcome =
-        hs_store_client_send(partition->settings.store, &call, deadline, abandoned, answer);
+        hs_store_client_send(partition->settings.store, &call, deadline, interrupt, answer);
     g_mutex_lock(&partition->lock);
     uint64_t first = 0;
     *reached_end = false;
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -77,7 +77,7 @@
                 g_array_index(job->items, hs_job_item, item->run->index).listed;
     if (!over)
         return FALSE;
-    g_atomic_int_set(&item->run->abandoned, 1);
+    hs_interrupt_raise(&item->run->interrupt, HS_INTERRUPT_STOP);
     return item->stage != HS_ITEM_RUNNING;
 }
 
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -24,11 +24,12 @@
     GQueue idle; /**< of hs_client_connection*; the latest used last. */
     hs_store_counters counters;
     double write_ms; /**< Mean time of answers to small writes of late. */
-    gint abandoned;
+    hs_interrupt abandoned;
 };
 
 hs_store_client *hs_store_client_new(uint32_t address, uint16_t port) {
     hs_store_client *client = g_new0(hs_store_client, 1);
+    hs_interrupt_init(&client->abandoned);
     client->address = address;
     client->port = port;
     struct in_addr number = {.s_addr = htonl(address)};
@@ -47,6 +48,7 @@
         return;
     g_queue_clear_full(&client->idle, close_connection);
     g_mutex_clear(&client->lock);
+    hs_interrupt_clear(&client->abandoned);
     g_free(client);
 }
 
@@ -158,10 +160,11 @@
 }
 
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
-                                      hs_deadline deadline, gint *abandoned, GByteArray *answer) {
+                                      hs_deadline deadline, hs_interrupt *interrupt,
+                                      GByteArray *answer) {
     hs_wait wait = {.deadline = deadline,
                     .watched = HS_WATCH_NOTHING,
-                    .abandoned = abandoned != NULL ? abandoned : &client->abandoned};
+                    .interrupt = interrupt != NULL ? interrupt : &client->abandoned};
     bool is_read = strcmp(call->method, "GET") == 0;
     g_byte_array_set_size(answer, 0);
     hs_client_connection *connection = take_idle(client);
@@ -199,7 +202,7 @@
 }
 
 void hs_store_client_abandon(hs_store_client *client) {
-    g_atomic_int_set(&client->abandoned, 1);
+    hs_interrupt_raise(&client->abandoned, HS_INTERRUPT_STOP);
 }
 
 hs_store_counters hs_store_client_counters(hs_store_client *client) {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -8,6 +8,7 @@
 #ifndef HS_STORE_STORE_CLIENT_H
 #define HS_STORE_STORE_CLIENT_H
 
+#include "base/interrupt.h"
 #include "heathsail/fleet.h"
 #include "platform/store_codec.h"
 
@@ -44,10 +45,11 @@
 
 /**
  * Send @p call, free its parts and put the answer's body into @p answer (emptied first).
- * @p abandoned: see hs_wait; may be NULL.
+ * @p interrupt: see hs_wait; may be NULL.
  */
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
-                                      hs_deadline deadline, gint *abandoned, GByteArray *answer);
+                                      hs_deadline deadline, hs_interrupt *interrupt,
+                                      GByteArray *answer);
 
 /**
  * Time in ms to wait for the answer of the @p attempt-th try (from 0) of a write of @p bytes: a few
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -335,9 +335,10 @@
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
     hs_engine_entry entry = entry_of("e1", 6);
     hs_fleet_engines_put(engines, &entry, 1);
-    gint flags[4] = {0};
+    hs_interrupt flags[4];
     hs_engine_lease *leases[4];
     for (int index = 0; index < 4; index++) {
+        hs_interrupt_init(&flags[index]);
         hs_engine_query query = {
             .service = "svc", .work = HS_WORK_BATCH, .batch_share = 1.0, .yield = &flags[index]};
         leases[index] = hs_fleet_engines_take(engines, &query);
@@ -351,11 +352,13 @@
     g_array_index(own, hs_engine_share, 0) = told;
     hs_fleet_engines_put_peer(engines, "other", own, hs_clock_monotonic_ms());
     CU_ASSERT_EQUAL(hs_fleet_engines_yield(engines), 2);
-    CU_ASSERT_EQUAL(flags[0], 0);
-    CU_ASSERT_EQUAL(flags[3], HS_YIELD_ASKED);
+    CU_ASSERT_EQUAL(hs_interrupt_get(&flags[0]), HS_INTERRUPT_NONE);
+    CU_ASSERT_EQUAL(hs_interrupt_get(&flags[3]), HS_INTERRUPT_YIELD);
     CU_ASSERT_EQUAL(hs_fleet_engines_yield(engines), 0); /* Until all know of it. */
     for (int index = 0; index < 4; index++)
         hs_engine_lease_release(leases[index], NULL, HS_ATTEMPT_DROPPED);
+    for (int index = 0; index < 4; index++)
+        hs_interrupt_clear(&flags[index]);
     g_array_free(own, TRUE);
     hs_fleet_engines_free(engines);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -14,6 +14,7 @@
 extern const test_case input_tests[];
 extern const test_case engine_tests[];
 extern const test_case ring_tests[];
+extern const test_case interrupt_tests[];
 extern const test_case placement_tests[];
 
 extern const test_case fleet_tests[];
