--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-hollow heathsail-surface-demo
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
 
-PHONY_CHECKS = sanitize-address sanitize-thread
+PHONY_CHECKS = sanitize-address sanitize-thread fuzz
 .PHONY: $(PHONY_CHECKS) all deps help test unit system demo fleet bench matrix check-spec lint format generate clean
 all: $(BINARIES)
 
@@ -131,3 +131,20 @@
 ## mutants     take one mechanism out at a time; each must be found by a failing test
 mutants: deps
 	@./tests/mutants/run.sh
+
+FUZZ_TARGETS = $(patsubst tests/fuzz/%.c,%,$(wildcard tests/fuzz/*.c))
+FUZZ_BUILD = $(BUILD)/fuzz
+FUZZ_FLAGS = -fsanitize=address,undefined -fno-sanitize-recover=all
+# In CI a fixed seed and number of runs, so that the verdict is the same each time. For longer with
+# a fresh seed: make fuzz FUZZ_LIMIT="-max_total_time=300 -seed=0"
+FUZZ_LIMIT ?= -runs=60000 -seed=7
+$(FUZZ_BUILD)/fuzz-%: $(FUZZ_BUILD)/obj/tests/fuzz/%.o $(FUZZ_BUILD)/libheathsail.a
+	@clang $(CFLAGS) $(FUZZ_FLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
+fuzz-programs: $(addprefix $(FUZZ_BUILD)/fuzz-,$(FUZZ_TARGETS))
+.PHONY: fuzz-programs
+.SECONDARY:
+
+## fuzz        libFuzzer over the parsers of what callers, engines, the store and operators send
+fuzz:
+	@$(MAKE) --no-print-directory -j8 CC=clang FUZZ_BUILD=$(BUILD)/fuzz BUILD=$(BUILD)/fuzz EXTRA_CFLAGS="$(FUZZ_FLAGS) -fsanitize=fuzzer-no-link" fuzz-programs
+	@./tests/fuzz/run.sh $(FUZZ_BUILD) "$(FUZZ_LIMIT)" $(FUZZ_TARGETS)
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -206,8 +206,10 @@
 hs_client_connection *hs_client_connection_open(uint32_t address, uint16_t port,
                                                 const hs_wait *wait, hs_step *step) {
     int descriptor = connect_socket(address, port, wait, step);
-    if (descriptor < 0)
-        return NULL;
+    return descriptor >= 0 ? hs_client_connection_adopt(descriptor) : NULL;
+}
+
+hs_client_connection *hs_client_connection_adopt(int descriptor) {
     hs_client_connection *connection = g_new0(hs_client_connection, 1);
     connection->descriptor = descriptor;
     connection->fields = hs_http_fields_new();
@@ -263,10 +265,11 @@
     size_t sent = connection->sent_bytes;
     size_t head_sent = MIN(sent, head->len);
     size_t body_sent = sent - head_sent;
-    struct iovec parts[2] = {
-        {.iov_base = head->str + head_sent, .iov_len = head->len - head_sent},
-        {.iov_base = (char *)body + body_sent, .iov_len = body_length - body_sent}};
-    struct msghdr message = {.msg_iov = parts, .msg_iovlen = 2};
+    struct iovec parts[2] = {{.iov_base = head->str + head_sent, .iov_len = head->len - head_sent}};
+    if (body_length > 0)
+        parts[1] = (struct iovec){.iov_base = (char *)body + body_sent,
+                                  .iov_len = body_length - body_sent};
+    struct msghdr message = {.msg_iov = parts, .msg_iovlen = body_length > 0 ? 2 : 1};
     return sendmsg(connection->descriptor, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -42,6 +42,9 @@
     hs_interrupt *interrupt; /**< Raised by another thread to end the wait; may be NULL. */
 } hs_wait;
 
+/** A connection on a connected stream socket, which becomes the connection's. */
+hs_client_connection *hs_client_connection_adopt(int descriptor);
+
 /** Connect to an IPv4 address; NULL when that failed, with the reason in @p step. */
 hs_client_connection *hs_client_connection_open(uint32_t address, uint16_t port,
                                                 const hs_wait *wait, hs_step *step);
--- /dev/null
+++ b/tests/fuzz/config.c
@@ -0,0 +1,34 @@
+/** @file config.c  Fuzz target: the operator's configuration and engines' entries. */
+#include "fleet/config_source.h"
+#include "platform/config_codec.h"
+#include "tests/fuzz/fuzz.h"
+
+static void read_config(const uint8_t *data, size_t size) {
+    hs_error error = {0};
+    hs_fleet_config *config = hs_platform_read_config(data, size, &error);
+    if (config == NULL) {
+        FUZZ_CHECK(error.code != 0);
+        return;
+    }
+    for (guint index = 0; index < config->routes->len; index++) {
+        const hs_fleet_route *route = config->routes->pdata[index];
+        FUZZ_CHECK(route->shares->len > 0);
+        const hs_fleet_route *found =
+            hs_fleet_config_find_route(config, route->host, route->path_prefix);
+        FUZZ_CHECK(found == NULL || g_str_has_prefix(route->path_prefix, found->path_prefix));
+        for (guint share = 0; share < route->shares->len; share++)
+            hs_fleet_config_find_service(
+                config, g_array_index(route->shares, hs_route_share, share).service);
+    }
+    hs_fleet_config_unref(config);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
+    hs_error error = {0};
+    hs_engine_entry entry = {0};
+    read_config(data, size);
+    if (hs_platform_read_engine("e", data, size, &entry, &error) == 0)
+        FUZZ_CHECK(entry.port != 0 && entry.service != NULL && entry.zone != NULL);
+    hs_engine_entry_clear(&entry);
+    return 0;
+}
