A stopping daemon hands items over as long as its grace time allows, and waits for a store that is away

Ruled out: handing over to a peer by datagram (a result is not durable there, and who goes on is the store's word). Change: the hand-over runs beside the finishing of requests; while the store gives no answer the items run on, up to half the grace time; results and progress are tried until three quarters of it; an owner that lost a partition stores what it has for 1.5 s. Test: a_stop_while_the_store_is_away_loses_no_work (failed before: the item was run again from its start).

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -22,7 +22,8 @@
 #define ANSWER_SHARE 0.25
 /** Kept back from the grace time for the end itself. */
 #define END_MS 500
-#define HANDOVER_LIMIT_MS 1500
+/** Share of the grace time within which batch items are handed over. */
+#define HANDOVER_SHARE 0.75
 #define DRAIN_POLL_MS 50
 
 struct hs_fleet_daemon {
@@ -205,20 +206,35 @@
     return (uint64_t)hs_daemon_directory_ttl_s(daemon->directory) * (uint64_t)MS_PER_S;
 }
 
-/** Hand the batch items over at once; others can go on with them. */
-static void hand_over_jobs(hs_fleet_daemon *daemon) {
-    uint64_t limit_ms = hs_clock_monotonic_ms() + HANDOVER_LIMIT_MS;
-    hs_job_owner_drain(daemon->owner);
-    while (hs_job_owner_running(daemon->owner) > 0 && hs_clock_monotonic_ms() < limit_ms)
+static uint64_t grace_ms(const hs_fleet_daemon *daemon) {
+    return (uint64_t)(current(daemon)->fleet_grace_s * MS_PER_S);
+}
+
+/**
+ * Hand the batch items over at once; others can go on with them. While the store is away nobody
+ * could: the items run on until it is back or the time for it is up.
+ */
+static gpointer hand_over_jobs(gpointer data) {
+    hs_fleet_daemon *daemon = data;
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    hs_deadline deadline = began_ms + (uint64_t)((double)grace_ms(daemon) * HANDOVER_SHARE);
+    while (hs_engine_source_is_cut_off(daemon->engine_source) &&
+           hs_clock_monotonic_ms() < began_ms + grace_ms(daemon) / 2)
+        hs_clock_sleep_ms(DRAIN_POLL_MS);
+    hs_job_owner_drain(daemon->owner, deadline);
+    while (hs_job_owner_running(daemon->owner) > 0 && hs_clock_monotonic_ms() < deadline)
         hs_clock_sleep_ms(DRAIN_POLL_MS);
+    hs_log_info("items_handed_over", "left=%u took_ms=%u", hs_job_owner_running(daemon->owner),
+                (unsigned)(hs_clock_monotonic_ms() - began_ms));
     hs_job_owner_leave(daemon->owner);
+    return NULL;
 }
 
 /** Take requests as long as callers may know no better, then finish what is open. */
 static void finish_requests(hs_fleet_daemon *daemon, uint64_t stopped_ms) {
-    uint64_t grace_ms = (uint64_t)(current(daemon)->fleet_grace_s * MS_PER_S);
-    uint64_t taking_ms = MIN(named_ms(daemon), (uint64_t)((double)grace_ms * TAKING_SHARE));
-    uint64_t limit_ms = stopped_ms + (grace_ms > END_MS ? grace_ms - END_MS : 0);
+    uint64_t time_ms = grace_ms(daemon);
+    uint64_t taking_ms = MIN(named_ms(daemon), (uint64_t)((double)time_ms * TAKING_SHARE));
+    uint64_t limit_ms = stopped_ms + (time_ms > END_MS ? time_ms - END_MS : 0);
     while (hs_clock_monotonic_ms() < stopped_ms + taking_ms)
         hs_clock_sleep_ms(DRAIN_POLL_MS);
     do {
@@ -235,8 +251,9 @@
                 hs_job_owner_running(daemon->owner));
     hs_fleet_surface_leave(daemon->surface);
     hs_daemon_directory_leave(daemon->directory);
-    hand_over_jobs(daemon);
+    GThread *handover = g_thread_new("handover", hand_over_jobs, daemon);
     finish_requests(daemon, stopped_ms);
+    g_thread_join(handover);
     hs_log_info("daemon_stopped", "open_requests=%u took_ms=%u",
                 hs_fleet_surface_open_requests(daemon->surface),
                 (unsigned)(hs_clock_monotonic_ms() - stopped_ms));
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -163,3 +163,7 @@
 uint64_t hs_engine_source_heard_ms(hs_engine_source *source) {
     return hs_store_contact_heard_ms(&source->contact);
 }
+
+bool hs_engine_source_is_cut_off(hs_engine_source *source) {
+    return hs_store_contact_is_lost(&source->contact);
+}
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -25,6 +25,9 @@
 /** Start the duty thread. */
 void hs_engine_source_start(hs_engine_source *source);
 
+/** Whether the store gave no answer to the last read. */
+bool hs_engine_source_is_cut_off(hs_engine_source *source);
+
 /** Join the thread (the store client was abandoned before) and free. NULL is allowed. */
 void hs_engine_source_free(hs_engine_source *source);
 
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -127,6 +127,7 @@
             take_partition(home);
         } else {
             home->owned = false;
+            home->handover_deadline = hs_clock_monotonic_ms() + HS_JOB_HANDOVER_MS;
             abandon_runs(home);
         }
     }
@@ -169,9 +170,10 @@
     owner->scheduler = g_thread_new("job-scheduler", hs_job_scheduler_run, owner);
 }
 
-void hs_job_owner_drain(hs_job_owner *owner) {
+void hs_job_owner_drain(hs_job_owner *owner, hs_deadline deadline) {
     g_mutex_lock(&owner->lock);
     owner->draining = true;
+    owner->handover_deadline = deadline;
     for (guint part = 0; part < owner->partitions->len; part++)
         abandon_runs(owner->partitions->pdata[part]);
     g_mutex_unlock(&owner->lock);
@@ -187,6 +189,8 @@
 void hs_job_owner_leave(hs_job_owner *owner) {
     g_mutex_lock(&owner->lock);
     owner->stopping = true;
+    owner->draining = true;
+    owner->handover_deadline = hs_clock_monotonic_ms();
     for (guint part = 0; part < owner->partitions->len; part++) {
         hs_owned_partition_state *home = owner->partitions->pdata[part];
         home->owned = false;
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -31,13 +31,16 @@
 hs_job_owner *hs_job_owner_new(const hs_job_owner_settings *settings);
 void hs_job_owner_start(hs_job_owner *owner);
 
-/** Start no more items; those that run stop and are handed over to the next owner. */
-void hs_job_owner_drain(hs_job_owner *owner);
+/**
+ * Start no more items; those that run stop and are handed over to the next owner. Where the store
+ * does not take that, it is tried until @p deadline.
+ */
+void hs_job_owner_drain(hs_job_owner *owner, hs_deadline deadline);
 
 /** Items now running. */
 uint32_t hs_job_owner_running(hs_job_owner *owner);
 
-/** Leave the group and drop what runs. */
+/** Leave the group and drop what runs and what was not handed over. */
 void hs_job_owner_leave(hs_job_owner *owner);
 
 /** Join the threads (leave came before) and free. NULL is allowed. */
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -10,6 +10,8 @@
 /** Pause before an item is tried again: doubles with its failures up to the most. */
 #define HS_JOB_RETRY_LEAST_MS 50
 #define HS_JOB_RETRY_MOST_MS 1000
+/** How long an owner that lost a partition tries to store what it made there. */
+#define HS_JOB_HANDOVER_MS 1500
 /** Most items that one daemon runs. */
 #define HS_JOB_WORKERS_MAX 256
 
@@ -33,6 +35,7 @@
     GHashTable *items; /**< "job/index" -> hs_owned_item* */
     bool owned;        /**< Dealt to this daemon now. */
     uint64_t start_ms; /**< No item starts before: the owner before may still hand over. */
+    hs_deadline handover_deadline; /**< Until when a former owner still stores what it has. */
     bool tail_stopped;
     GThread *tail;
 } hs_owned_partition_state;
@@ -45,6 +48,7 @@
     uint64_t generation;
     bool stopping;
     bool draining;
+    hs_deadline handover_deadline; /**< The same for all partitions, while draining. */
     uint32_t running;
     uint32_t tails;
     GThreadPool *workers;
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -4,26 +4,42 @@
 #include "base/clock.h"
 #include "base/log.h"
 
-#define APPEND_LIMIT_MS 1500
 #define YIELD_PAUSE_MS 400
 
+/**
+ * Until when what was made of a partition's items may be stored: without limit by its owner, for a
+ * while by one that lost it or stops. Records are idempotent, so that a late one does no harm.
+ */
+static hs_deadline store_limit(hs_owned_partition_state *home) {
+    hs_job_owner *owner = home->owner;
+    hs_deadline limit = UINT64_MAX;
+    g_mutex_lock(&owner->lock);
+    if (owner->draining)
+        limit = owner->handover_deadline;
+    else if (!home->owned)
+        limit = home->handover_deadline;
+    g_mutex_unlock(&owner->lock);
+    return limit;
+}
+
+/** Whether a call that ended with @p stored is worth another try now; waits a little before. */
+static bool may_store_again(hs_owned_partition_state *home, hs_store_outcome stored) {
+    if (stored == HS_STORE_DONE || stored == HS_STORE_INVALID ||
+        hs_clock_monotonic_ms() >= store_limit(home))
+        return false;
+    hs_clock_sleep_ms(HS_JOB_RETRY_LEAST_MS);
+    return true;
+}
+
 static hs_store_outcome store_result(hs_owned_partition_state *home, const hs_owned_item *item,
                                      hs_item_outcome outcome, const GString *text) {
-    hs_job_owner *owner = home->owner;
     hs_store_outcome stored = HS_STORE_REFUSED;
     uint32_t attempt = 0;
-    while (stored != HS_STORE_DONE && stored != HS_STORE_INVALID) {
+    do {
         stored = hs_job_partition_append_result(
             home->partition, item->run->job_id, item->run->index, outcome, text,
             hs_job_partition_patience(home->partition, attempt++, text->len, UINT64_MAX));
-        g_mutex_lock(&owner->lock);
-        bool goes_on = home->owned && !owner->stopping;
-        g_mutex_unlock(&owner->lock);
-        if (!goes_on)
-            break;
-        if (stored != HS_STORE_DONE)
-            hs_clock_sleep_ms(HS_JOB_RETRY_LEAST_MS);
-    }
+    } while (may_store_again(home, stored));
     return stored;
 }
 
@@ -66,9 +82,13 @@
     if (run->events.event_count == 0)
         return;
     GString *text = hs_item_run_text(run);
-    hs_store_outcome stored = hs_job_partition_append_progress(
-        order->home->partition, run->job_id, run->index, run->events.last_id, text,
-        hs_clock_monotonic_ms() + APPEND_LIMIT_MS);
+    hs_store_outcome stored = HS_STORE_REFUSED;
+    uint32_t attempt = 0;
+    do {
+        stored = hs_job_partition_append_progress(
+            order->home->partition, run->job_id, run->index, run->events.last_id, text,
+            hs_job_partition_patience(order->home->partition, attempt++, text->len, UINT64_MAX));
+    } while (may_store_again(order->home, stored));
     hs_log_info("item_handed_over", "job=%s item=%s last_event=%" G_GUINT64_FORMAT " stored=%s",
                 run->job_id, run->item_id, (guint64)run->events.last_id,
                 hs_store_outcome_name(stored));
--- a/src/store/store_contact.c
+++ b/src/store/store_contact.c
@@ -35,3 +35,10 @@
     g_mutex_unlock(&contact->lock);
     return heard_ms;
 }
+
+bool hs_store_contact_is_lost(hs_store_contact *contact) {
+    g_mutex_lock(&contact->lock);
+    bool lost = contact->lost;
+    g_mutex_unlock(&contact->lock);
+    return lost;
+}
--- a/src/store/store_contact.h
+++ b/src/store/store_contact.h
@@ -28,4 +28,7 @@
 /** When the store was heard last; 0: never. */
 uint64_t hs_store_contact_heard_ms(hs_store_contact *contact);
 
+/** Whether the last call got no answer that says it was done. */
+bool hs_store_contact_is_lost(hs_store_contact *contact);
+
 #endif
--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -44,8 +44,9 @@
     hs_listener *listener;
     uint16_t port;
     GMutex lock;
-    GHashTable *topics; /**< name -> topic* */
-    GPtrArray *members; /**< of member*, of the one group that is used. */
+    GHashTable *topics;   /**< name -> topic* */
+    GPtrArray *members;   /**< of member*, of the one group that is used. */
+    char *holders[PARTS]; /**< Name of the member that holds the partition; NULL: none. */
     uint64_t generation;
     uint32_t turn; /**< Shifts the dealing. */
     log_store_mode mode;
@@ -209,13 +210,33 @@
         json_pack("{s:o, s:b, s:I}", "requests", list, "has-more", 0, "end", (json_int_t)end));
 }
 
+/** Which member a partition is dealt to; there is at least one. */
+static const char *wanted_holder(const log_store *store, guint part) {
+    const member *one = store->members->pdata[(part + store->turn) % store->members->len];
+    return one->name;
+}
+
+/** The member lets go of all partitions, or of those that are to go to others. */
+static void release(log_store *store, const char *name, bool all) {
+    for (guint part = 0; part < PARTS; part++) {
+        if (store->holders[part] == NULL || strcmp(store->holders[part], name) != 0)
+            continue;
+        if (all || strcmp(wanted_holder(store, part), name) != 0)
+            g_clear_pointer(&store->holders[part], g_free);
+    }
+}
+
+static void remove_member(log_store *store, guint place) {
+    release(store, ((member *)store->members->pdata[place])->name, true);
+    g_ptr_array_remove_index(store->members, place);
+    store->generation++;
+}
+
 static void drop_silent_members(log_store *store, uint64_t now_ms) {
     for (guint index = store->members->len; index > 0; index--) {
         const member *one = store->members->pdata[index - 1];
-        if (one->silent_after_ms >= now_ms)
-            continue;
-        g_ptr_array_remove_index(store->members, index - 1);
-        store->generation++;
+        if (one->silent_after_ms < now_ms)
+            remove_member(store, index - 1);
     }
 }
 
@@ -226,13 +247,20 @@
     return store->members->len;
 }
 
+/**
+ * A partition goes to another member only once the one that held it has shown that it knows: by a
+ * join with the generation in which it was no longer dealt to it.
+ */
 static void serve_join(log_store *store, hs_inbound *inbound) {
     json_t *body = json_loadb((const char *)inbound->body->data, inbound->body->len, 0, NULL);
     const char *name = json_string_value(json_object_get(body, "member"));
     const char *joined = json_string_value(json_array_get(json_object_get(body, "topics"), 0));
     uint64_t ttl_ms = (uint64_t)json_integer_value(json_object_get(body, "ttl-ms"));
+    uint64_t heard = (uint64_t)json_integer_value(json_object_get(body, "generation"));
     uint64_t now_ms = hs_clock_monotonic_ms();
     drop_silent_members(store, now_ms);
+    if (heard >= store->generation && store->members->len > 0)
+        release(store, name, false);
     guint place = place_of(store, name);
     if (place == store->members->len) {
         member *added = g_new0(member, 1);
@@ -242,9 +270,14 @@
     }
     ((member *)store->members->pdata[place])->silent_after_ms = now_ms + ttl_ms;
     json_t *rows = json_array();
-    for (guint part = 0; part < PARTS; part++)
-        if ((part + store->turn) % store->members->len == place)
-            json_array_append_new(rows, json_pack("[s, i, i]", joined, (int)part, 0));
+    for (guint part = 0; part < PARTS; part++) {
+        if (strcmp(wanted_holder(store, part), name) != 0 ||
+            (store->holders[part] != NULL && strcmp(store->holders[part], name) != 0))
+            continue;
+        g_free(store->holders[part]);
+        store->holders[part] = g_strdup(name);
+        json_array_append_new(rows, json_pack("[s, i, i]", joined, (int)part, 0));
+    }
     reply_json(inbound, 200,
                json_pack("{s:I, s:I, s:o}", "generation", (json_int_t)store->generation, "ttl-ms",
                          (json_int_t)ttl_ms, "parts", rows));
@@ -254,10 +287,8 @@
 static void serve_leave(log_store *store, hs_inbound *inbound) {
     json_t *body = json_loadb((const char *)inbound->body->data, inbound->body->len, 0, NULL);
     guint place = place_of(store, json_string_value(json_object_get(body, "member")));
-    if (place < store->members->len) {
-        g_ptr_array_remove_index(store->members, place);
-        store->generation++;
-    }
+    if (place < store->members->len)
+        remove_member(store, place);
     json_decref(body);
     reply_json(inbound, 200, json_object());
 }
@@ -363,6 +394,8 @@
     g_hash_table_destroy(store->topics);
     g_hash_table_destroy(store->calls);
     g_ptr_array_free(store->members, TRUE);
+    for (guint part = 0; part < PARTS; part++)
+        g_free(store->holders[part]);
     g_free(store->mode_prefix);
     g_mutex_clear(&store->lock);
     g_free(store);
@@ -412,6 +445,8 @@
     g_mutex_lock(&store->lock);
     store->turn++;
     store->generation++;
+    for (guint part = 0; part < PARTS; part++)
+        g_clear_pointer(&store->holders[part], g_free);
     g_mutex_unlock(&store->lock);
 }
 
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -21,7 +21,8 @@
     uint16_t port;
     gint mode;
     GMutex lock;
-    GHashTable *runs; /**< request id -> count */
+    GHashTable *runs;    /**< request id -> count */
+    GHashTable *resumes; /**< request id -> count of those that went on after an event */
     uint32_t total;
     uint32_t sequence;
 };
@@ -72,10 +73,17 @@
     hs_http_fields_free(fields);
 }
 
-static void note_run(token_engine *engine, const char *request_id) {
+/** The caller holds the lock. */
+static void count_one(GHashTable *counts, const char *request_id) {
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, request_id));
+    g_hash_table_insert(counts, g_strdup(request_id), GUINT_TO_POINTER(count + 1));
+}
+
+static void note_run(token_engine *engine, const char *request_id, bool resumes) {
     g_mutex_lock(&engine->lock);
-    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(engine->runs, request_id));
-    g_hash_table_insert(engine->runs, g_strdup(request_id), GUINT_TO_POINTER(count + 1));
+    count_one(engine->runs, request_id);
+    if (resumes)
+        count_one(engine->resumes, request_id);
     engine->total++;
     g_mutex_unlock(&engine->lock);
 }
@@ -105,7 +113,7 @@
     } else if (mode == TOKEN_ENGINE_FULL) {
         refuse(inbound, 503, id, false);
     } else {
-        note_run(engine, id);
+        note_run(engine, id, hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID) != NULL);
         if (mode == TOKEN_ENGINE_SLOW || mode == TOKEN_ENGINE_ENDLESS)
             hs_clock_sleep_ms(SLOW_MS);
         if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
@@ -129,6 +137,7 @@
     engine->service = g_strdup(settings->service);
     g_mutex_init(&engine->lock);
     engine->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    engine->resumes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (int attempt = 0; engine->listener == NULL && attempt < PORT_TRIES; attempt++) {
         engine->port = (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
         engine->listener =
@@ -140,6 +149,7 @@
 void token_engine_stop(token_engine *engine) {
     hs_listener_stop(engine->listener);
     g_hash_table_destroy(engine->runs);
+    g_hash_table_destroy(engine->resumes);
     g_mutex_clear(&engine->lock);
     g_free(engine->id);
     g_free(engine->service);
@@ -158,11 +168,19 @@
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
 }
 
-uint32_t token_engine_runs(token_engine *engine, const char *request_id) {
+static uint32_t count_of(token_engine *engine, GHashTable *counts, const char *request_id) {
     g_mutex_lock(&engine->lock);
-    uint32_t runs = GPOINTER_TO_UINT(g_hash_table_lookup(engine->runs, request_id));
+    uint32_t count = GPOINTER_TO_UINT(g_hash_table_lookup(counts, request_id));
     g_mutex_unlock(&engine->lock);
-    return runs;
+    return count;
+}
+
+uint32_t token_engine_runs(token_engine *engine, const char *request_id) {
+    return count_of(engine, engine->runs, request_id);
+}
+
+uint32_t token_engine_resumes(token_engine *engine, const char *request_id) {
+    return count_of(engine, engine->resumes, request_id);
 }
 
 uint32_t token_engine_total(token_engine *engine) {
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -43,6 +43,9 @@
 /** How often a request was begun. */
 uint32_t token_engine_runs(token_engine *engine, const char *request_id);
 
+/** How often it was begun after an event it had before. */
+uint32_t token_engine_resumes(token_engine *engine, const char *request_id);
+
 /** Requests begun in all. */
 uint32_t token_engine_total(token_engine *engine);
 
--- a/tests/system/test_fleet_edges.c
+++ b/tests/system/test_fleet_edges.c
@@ -111,6 +111,48 @@
 }
 
 /** Whether the daemon answers look-ups, once it answers them, with this time to keep them. */
+static uint32_t sum_over_engines(uint32_t (*count)(token_engine *engine, const char *id),
+                                 const char *id) {
+    uint32_t sum = 0;
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        sum += count(bench.engines[index], id);
+    return sum;
+}
+
+/** All daemons stop while the store takes nothing; it is back within their grace time. */
+static void a_stop_while_the_store_is_away_loses_no_work(void) {
+    hs_clock_sleep_ms(2500); /* Until the partitions are dealt to all. */
+    set_engines(TOKEN_ENGINE_ENDLESS);
+    g_autofree char *body = bench_job("away", 1);
+    bench_answer taken = bench_send(
+        &(bench_call){.method = "POST", .target = "/jobs/x", .request_id = "away", .body = body});
+    CU_ASSERT_EQUAL(taken.status, 202);
+    bench_answer_clear(&taken);
+    uint64_t limit = hs_clock_monotonic_ms() + LIMIT_MS;
+    while (sum_over_engines(token_engine_runs, "away-0") == 0 && hs_clock_monotonic_ms() < limit)
+        hs_clock_sleep_ms(20);
+    hs_clock_sleep_ms(300);
+    log_store_set_mode(bench.store, LOG_STORE_REFUSES, NULL, G_MAXUINT32);
+    hs_clock_sleep_ms(800);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        CU_ASSERT_EQUAL(kill(bench.pids[daemon], SIGTERM), 0);
+    hs_clock_sleep_ms(2200);
+    log_store_set_mode(bench.store, LOG_STORE_SOUND, NULL, 0);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        CU_ASSERT_EQUAL(bench_signal(daemon, SIGTERM), 0);
+    CU_ASSERT_EQUAL(sum_over_engines(token_engine_runs, "away-0"), 1);
+    set_engines(TOKEN_ENGINE_SOUND);
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_wait_ready(daemon));
+    g_autofree char *page = bench_wait_job(0, "away", 1, 5 * LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(page);
+    uint32_t runs = sum_over_engines(token_engine_runs, "away-0");
+    CU_ASSERT(runs >= 2);
+    CU_ASSERT_EQUAL(sum_over_engines(token_engine_resumes, "away-0"), runs - 1);
+}
+
 static bool tells_ttl(int daemon, int ttl_s) {
     g_autofree char *wanted = g_strdup_printf(ANSWER_TTL "%d", ttl_s);
     uint64_t limit = hs_clock_monotonic_ms() + LIMIT_MS;
@@ -174,6 +216,7 @@
     {"old_callers_are_served_without_chunks", old_callers_are_served_without_chunks},
     {"a_cut_stream_looks_cut_to_old_callers", a_cut_stream_looks_cut_to_old_callers},
     {"engines_are_free_once_a_caller_left", engines_are_free_once_a_caller_left},
+    {"a_stop_while_the_store_is_away_loses_no_work", a_stop_while_the_store_is_away_loses_no_work},
     {"a_changed_settings_file_is_noticed", a_changed_settings_file_is_noticed},
     {"a_taken_metrics_port_stops_nobody", a_taken_metrics_port_stops_nobody},
     {NULL, NULL}};
