The fleet surface's batch protocol is model-checked, with five broken variants that are found

Change: spec/jobs.pml: one partition's log as its fold, appends that are done and told, done and not told, refused, or done later; a taker with two tries, two daemons that both think they own the partition, one kill, checkpoints that follow an event, a reader. Holds: nothing runs after a refusal that promises it, results are whole and stay, no accepted job is unknown; every accepted job ends. Found wrong without: treating a lost answer as unknown, remembering the first try, the from_event check, first-result-counts, catching up before a read.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Model check of the core protocol and of variants with one rule removed, which must be found wrong.
+# Model check of the batch protocols and of variants with one rule removed, which must be found wrong.
 # Prints one line a run: name, verdict, states, seconds. Fails when a verdict is not the expected one.
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
@@ -7,11 +7,11 @@
 out=$(cd "${1:-$here/out}" && pwd)
 failed=0
 
-# run NAME PROPERTY EXPECTED MACRO
+# run NAME PROPERTY EXPECTED MACRO: of the model named by $model
 run() {
     directory="$out/$1"
     rm -rf "$directory" && mkdir -p "$directory" && cd "$directory"
-    spin -a ${4:+-D$4} "$here/core.pml" >spin.txt 2>&1
+    spin -a ${4:+-D$4} "$here/$model" >spin.txt 2>&1
     cc -O2 -DNFAIR=4 -DMEMLIM=2048 -o pan pan.c 2>cc.txt
     started=$(date +%s.%N)
     ./pan -a -f -m100000 -N "$2" >pan.txt 2>&1 || true
@@ -27,10 +27,19 @@
     echo "$1 property=$2 verdict=$verdict expected=$3 states=${states:-0} seconds=$seconds $mark"
 }
 
+model=core.pml
 run core-safety always_safe holds ""
 run core-liveness every_item_completes holds ""
 run no-epoch-check always_safe wrong NO_EPOCH_CHECK
 run no-intent-readback always_safe wrong NO_INTENT_READBACK
 run no-duplicate-drop always_safe wrong NO_DUPLICATE_DROP
 run cancel-ignored always_safe wrong CANCEL_IGNORED
+model=jobs.pml
+run jobs-safety always_safe holds ""
+run jobs-liveness job_ends holds ""
+run unknown-is-refused always_safe wrong UNKNOWN_IS_REFUSED
+run forgets-first-try always_safe wrong FORGETS_FIRST_TRY
+run no-from-check always_safe wrong NO_FROM_CHECK
+run later-result-counts always_safe wrong LATER_RESULT_COUNTS
+run no-catch-up always_safe wrong NO_CATCH_UP
 exit $failed
