--- /dev/null
+++ b/src/online/online_attempts.c
@@ -0,0 +1,153 @@
+/**
+ * @file online_attempts.c
+ * The engines a request is tried at: orders, what a failure means, when to stop; see
+ * online_request.h.
+ */
+#include "online/online_request_state.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/http_fields.h"
+
+#define ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
+#define FULL_PAUSE_MS 15
+#define RESUME_PAUSE_MS 50
+/** A refusal comes within this part of the time in which an answer is wanted. */
+#define REFUSAL_PARTS 4
+#define SILENCE_TARGETS 3
+
+bool hs_online_may_repeat(const hs_online_request *request) {
+    return request->route->kind == HS_ROUTE_IDEMPOTENT ||
+           (request->route->kind == HS_ROUTE_STREAMING && request->route->resumable);
+}
+
+static hs_attempt_order make_order(const hs_online_request *request) {
+    const hs_inbound *inbound = request->inbound;
+    hs_attempt_order order = {
+        .query = {.service = request->service,
+                  .size = request->terms.size.prompt_tokens > 0 ? &request->terms.size : NULL,
+                  .work = HS_WORK_ONLINE,
+                  .excluded = request->excluded,
+                  .memory_tokens = request->memory_tokens,
+                  .max_connections = request->max_connections},
+        .request = {.method = inbound->method,
+                    .target = inbound->target,
+                    .fields = inbound->fields,
+                    .request_id = request->terms.request_id,
+                    .body_length = inbound->body->len},
+        .body = inbound->body->data,
+        .wait = {.deadline = request->deadline, .watched = inbound->descriptor},
+    };
+    if (request->events.has_last_id) {
+        order.request.resumes = true;
+        order.request.last_event = request->events.last_id;
+    }
+    if (hs_online_may_repeat(request) && request->runs + 1 < request->route->max_attempts)
+        order.silence_ms =
+            MAX(HS_ONLINE_SILENCE_LEAST_MS, SILENCE_TARGETS * request->route->target_latency_ms);
+    return order;
+}
+
+static void exclude(hs_online_request *request) {
+    g_ptr_array_add(request->excluded, g_strdup(request->attempt.engine_id));
+}
+
+static uint64_t waited_ms(const hs_online_request *request) {
+    return hs_clock_monotonic_ms() - request->inbound->received_ms;
+}
+
+/**
+ * How a failed attempt reflects on its engine: it is silent only where the wait was long, whoever
+ * ended it; a short time-out of the caller or the route says nothing.
+ */
+static hs_attempt_end judge_failure(const hs_online_request *request) {
+    hs_attempt_end end = hs_attempt_failure(&request->attempt);
+    bool waited_long = waited_ms(request) >= HS_ONLINE_SILENCE_LEAST_MS;
+    if (end == HS_ATTEMPT_SILENT || end == HS_ATTEMPT_DROPPED)
+        return waited_long ? HS_ATTEMPT_SILENT : HS_ATTEMPT_DROPPED;
+    return end;
+}
+
+static void log_attempt(const hs_online_request *request, hs_attempt_end end) {
+    const hs_attempt *attempt = &request->attempt;
+    hs_log_info(
+        "attempt_failed",
+        "request=%s engine=%s send=%u step=%s status=%u run=%s end=%s believed_running=%.1f "
+        "failure_rate=%.3f suspected=%d",
+        request->request_id, attempt->engine_id, request->sends, hs_step_name(attempt->step),
+        attempt->status, hs_run_state_name(attempt->run), hs_attempt_end_name(end),
+        attempt->reasons.running, attempt->reasons.failure_rate, attempt->reasons.suspected);
+}
+
+hs_next_move hs_online_after_failure(hs_online_request *request, hs_attempt_end end,
+                                     hs_end_reason *reason) {
+    hs_attempt *attempt = &request->attempt;
+    bool caller_gone = attempt->step == HS_STEP_CALLER_GONE;
+    log_attempt(request, end);
+    request->run = MAX(request->run, attempt->run);
+    request->runs += attempt->run != HS_RUN_DID_NOT;
+    exclude(request);
+    hs_attempt_finish(attempt, end);
+    if (caller_gone) {
+        *reason = HS_END_CALLER_GONE;
+        return HS_NEXT_END;
+    }
+    if (hs_clock_monotonic_ms() >= request->deadline) {
+        *reason = request->run == HS_RUN_DID_NOT ? HS_END_LATE_NOT_RUN : HS_END_LATE;
+        return HS_NEXT_END;
+    }
+    if (attempt->run == HS_RUN_DID_NOT)
+        return HS_NEXT_TRY;
+    *reason = HS_END_BROKEN;
+    return hs_online_may_repeat(request) && request->runs < request->route->max_attempts
+               ? HS_NEXT_TRY
+               : HS_NEXT_END;
+}
+
+/**
+ * No engine is left to try: wait a little for one, or end. A request that has run somewhere and may
+ * run again is worth more patience than one that can be refused.
+ */
+static hs_next_move after_no_engine(hs_online_request *request, hs_end_reason *reason) {
+    bool has_run = request->run != HS_RUN_DID_NOT;
+    uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : FULL_PAUSE_MS;
+    uint64_t until_ms = request->deadline;
+    if (!has_run)
+        until_ms = MIN(until_ms, request->inbound->received_ms +
+                                     request->route->target_latency_ms / REFUSAL_PARTS);
+    bool may_wait = hs_clock_monotonic_ms() + pause_ms < until_ms;
+    if (may_wait && (!has_run || hs_online_may_repeat(request))) {
+        hs_clock_sleep_ms(pause_ms);
+        g_ptr_array_set_size(request->excluded, 0);
+        return HS_NEXT_TRY;
+    }
+    if (has_run)
+        *reason = HS_END_BROKEN;
+    else
+        *reason = request->excluded->len > 0 ? HS_END_FULL : HS_END_NO_ENGINE;
+    return HS_NEXT_END;
+}
+
+bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason) {
+    hs_next_move move = HS_NEXT_TRY;
+    while (move == HS_NEXT_TRY) {
+        hs_attempt_order order = make_order(request);
+        bool has_head = hs_attempt_start(request->online->engines, &order, &request->attempt);
+        if (request->attempt.lease == NULL) {
+            move = after_no_engine(request, reason);
+            continue;
+        }
+        request->sends++;
+        if (has_head && !request->attempt.answer.not_executed)
+            return true;
+        hs_attempt_end end = judge_failure(request);
+        if (has_head) {
+            hs_client_connection_read_all(request->attempt.connection, ANSWER_LIMIT_BYTES,
+                                          &order.wait);
+            end =
+                request->attempt.answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
+        }
+        move = hs_online_after_failure(request, end, reason);
+    }
+    return false;
+}
--- /dev/null
+++ b/src/online/online_request_state.h
@@ -0,0 +1,68 @@
+/** @file online_request_state.h  State of one online request; for src/online/online_*.c only. */
+#ifndef HS_ONLINE_ONLINE_REQUEST_STATE_H
+#define HS_ONLINE_ONLINE_REQUEST_STATE_H
+
+#include "online/event_stream.h"
+#include "online/online_request.h"
+
+/** Silence of an engine for less than this says nothing of it. */
+#define HS_ONLINE_SILENCE_LEAST_MS 1000
+
+/** One request from its taking to its answer's end. */
+typedef struct {
+    hs_online *online;
+    hs_inbound *inbound;
+    hs_fleet_config *config;
+    const hs_fleet_route *route;
+    const char *service;
+    hs_caller_terms terms;
+    char *request_id;
+    uint64_t memory_tokens;
+    uint32_t max_connections;
+    hs_deadline deadline;
+    uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
+    hs_run_state run;
+    uint32_t runs; /**< Engines at which it may have run. */
+    uint32_t sends;
+    GPtrArray *excluded; /**< of char*: engines that refused or failed. */
+    hs_attempt attempt;
+    hs_event_stream events;
+    GByteArray *ready; /**< Bytes for the caller not yet handed on. */
+    bool stream_ended;
+    bool counted;
+} hs_online_request;
+
+/** What to do after a failed attempt. */
+typedef enum { HS_NEXT_TRY, HS_NEXT_END } hs_next_move;
+
+/** Whether the request may run more than once. */
+bool hs_online_may_repeat(const hs_online_request *request);
+
+/** After an attempt without a usable answer. @p reason is set for HS_NEXT_END. */
+hs_next_move hs_online_after_failure(hs_online_request *request, hs_attempt_end end,
+                                     hs_end_reason *reason);
+
+/** Try engines until one answers with a head; false with @p reason when none will. */
+bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
+
+/** Fields of an engine's answer that callers get. Free with hs_http_fields_free. */
+GArray *hs_online_passed_fields(const GArray *fields);
+
+/** A first byte of a body came. */
+void hs_online_note_first_byte(hs_online_request *request);
+
+bool hs_online_is_success(uint32_t status);
+
+/** Whether the answer at hand is a stream that is passed on event by event. */
+bool hs_online_is_stream(const hs_online_request *request);
+
+/** Pass the stream on; the request then lives until the answer's end. */
+void hs_online_serve_stream(hs_online_request *request);
+
+/** Note the end once, in the log. */
+void hs_online_request_end(hs_online_request *request, hs_end_reason reason);
+
+/** A GDestroyNotify for a request. */
+void hs_online_request_free(gpointer data);
+
+#endif
