A fault soak of our own: make soak

Change: tests/soak: three daemons behind loopback proxies (tests/support/fault_proxy), signals, store and engine stand-ins with their faults; the promises are checked from what callers and engines saw.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-hollow heathsail-surface-demo
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
 
-PHONY_CHECKS = sanitize-address sanitize-thread fuzz
+PHONY_CHECKS = sanitize-address sanitize-thread fuzz soak
 .PHONY: $(PHONY_CHECKS) all deps help test unit system demo fleet bench matrix check-spec lint format generate clean
 all: $(BINARIES)
 
@@ -59,6 +59,8 @@
 	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 $(BUILD)/system-tests: $(call objects,$(SYSTEM_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
 	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+$(BUILD)/heathsail-soak: $(call objects,$(wildcard tests/soak/*.c) $(SUPPORT_SOURCES)) $(LIBS)
+	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 $(BUILD)/fault-matrix: $(call objects,$(MATRIX_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
 	@$(CC) $(ALL_CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
@@ -148,3 +150,9 @@
 fuzz:
 	@$(MAKE) --no-print-directory -j8 CC=clang FUZZ_BUILD=$(BUILD)/fuzz BUILD=$(BUILD)/fuzz EXTRA_CFLAGS="$(FUZZ_FLAGS) -fsanitize=fuzzer-no-link" fuzz-programs
 	@./tests/fuzz/run.sh $(FUZZ_BUILD) "$(FUZZ_LIMIT)" $(FUZZ_TARGETS)
+
+## soak        random faults against real daemons: make soak MINUTES=3 SEED=17 (a fresh seed without)
+MINUTES ?= 3
+soak: deps
+	@$(MAKE) --no-print-directory -j8 all $(BUILD)/heathsail-soak
+	@$(BUILD)/heathsail-soak --programs $(BUILD) --seconds $$(($(MINUTES) * 60)) $(if $(SEED),--seed $(SEED))
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -19,6 +19,7 @@
     char *service;
     hs_listener *listener;
     uint16_t port;
+    uint16_t shown_port;
     gint mode;
     GMutex lock;
     GHashTable *runs;    /**< request id -> count */
@@ -143,6 +144,7 @@
         engine->listener =
             hs_listener_start("127.0.0.1", engine->port, BODY_LIMIT, serve, engine, NULL);
     }
+    engine->shown_port = engine->port;
     return engine;
 }
 
@@ -160,11 +162,19 @@
     g_atomic_int_set(&engine->mode, (gint)mode);
 }
 
+uint16_t token_engine_port(const token_engine *engine) {
+    return engine->port;
+}
+
+void token_engine_show_port(token_engine *engine, uint16_t port) {
+    engine->shown_port = port;
+}
+
 void token_engine_announce(token_engine *engine, log_store *store, bool draining) {
     g_autofree char *entry = g_strdup_printf(
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
         "\"slots\":8,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
-        engine->service, engine->port, draining ? "draining" : "ready", ++engine->sequence);
+        engine->service, engine->shown_port, draining ? "draining" : "ready", ++engine->sequence);
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
 }
 
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -37,6 +37,10 @@
 
 void token_engine_set_mode(token_engine *engine, token_engine_mode mode);
 
+/** Port of its listener, and the port that its entry tells, for an engine behind a proxy. */
+uint16_t token_engine_port(const token_engine *engine);
+void token_engine_show_port(token_engine *engine, uint16_t port);
+
 /** Write the engine's entry into the store. */
 void token_engine_announce(token_engine *engine, log_store *store, bool draining);
 
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,44 @@
+/**
+ * @file soak.h
+ * The soak's parts: callers that remember what they saw, faults from outside, and the check of the
+ * promises. Stand-ins run in this process, daemons are real programs.
+ */
+#ifndef TESTS_SOAK_SOAK_H
+#define TESTS_SOAK_SOAK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** What callers saw; shared by all of them. */
+typedef struct {
+    GMutex lock;
+    GHashTable *once;      /**< Ids of requests that may run once, as a set. */
+    GHashTable *refused;   /**< Ids of requests and items that were refused, as a set. */
+    GHashTable *jobs;      /**< Accepted jobs: id -> count of items. */
+    GHashTable *results;   /**< id of a job -> GPtrArray of char*: results as first read. */
+    GPtrArray *violations; /**< of char* */
+    uint32_t sent, served, refusals, cut, jobs_sent, reads;
+    gint stopping;
+} soak_record;
+
+extern soak_record record;
+
+/** Note a broken promise. */
+void soak_violation(const char *format, ...) G_GNUC_PRINTF(1, 2);
+
+/** Callers' duties; @p data: a seed as a pointer's number. They end when record.stopping is set. */
+gpointer soak_run_online(gpointer data);
+gpointer soak_run_jobs(gpointer data);
+
+/** Read all results of a job at a daemon and compare with what was read before; how many. */
+uint32_t soak_read_job(int daemon, const char *job);
+
+/** Proxies before the store and the engines; for bench_prepare's result. */
+void soak_start_proxies(void);
+void soak_stop_proxies(void);
+
+/** One fault, its time, and its end. Prints what it does. */
+void soak_run_fault(GRand *chance);
+
+#endif
--- /dev/null
+++ b/tests/support/fault_proxy.h
@@ -0,0 +1,32 @@
+/**
+ * @file fault_proxy.h
+ * A TCP proxy on loopback that harms what passes through it: a link between two processes that is
+ * slow, reset, silent, or cut one way.
+ */
+#ifndef TESTS_SUPPORT_FAULT_PROXY_H
+#define TESTS_SUPPORT_FAULT_PROXY_H
+
+#include <stdint.h>
+
+typedef struct fault_proxy fault_proxy;
+
+typedef enum {
+    PROXY_PASSES,
+    PROXY_DELAYS,       /**< Every piece of bytes waits. */
+    PROXY_RESETS,       /**< Open connections are reset, new ones too. */
+    PROXY_IS_SILENT,    /**< Bytes of both ways are held back until it heals. */
+    PROXY_HOLDS_ANSWERS /**< Bytes from the target alone are held back: a one-way cut. */
+} proxy_mode;
+
+/** Listen on a port of loopback that the system chooses, for a target port there. */
+fault_proxy *fault_proxy_start(uint16_t target_port);
+
+/** End all connections and free. */
+void fault_proxy_stop(fault_proxy *proxy);
+
+uint16_t fault_proxy_port(const fault_proxy *proxy);
+
+/** For all connections from now on, also open ones. */
+void fault_proxy_set(fault_proxy *proxy, proxy_mode mode);
+
+#endif
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -64,8 +64,9 @@
     add_setting(arguments, g_strdup_printf("fleet.control=127.0.0.1:%u", CONTROL_PORT + index));
     add_setting(arguments, g_strdup_printf("fleet.metrics=127.0.0.1:%u", METRICS_PORT + index));
     add_setting(arguments, g_strdup_printf("fleet.seeds=127.0.0.1:%u", CONTROL_PORT));
-    add_setting(arguments,
-                g_strdup_printf("fleet.store=127.0.0.1:%u", log_store_port(bench.store)));
+    add_setting(arguments, g_strdup_printf("fleet.store=127.0.0.1:%u",
+                                           bench.store_port != 0 ? bench.store_port
+                                                                 : log_store_port(bench.store)));
     add_setting(arguments, g_strdup("fleet.grace_s=6"));
     add_setting(arguments, g_strdup("fleet.heartbeat_ms=500"));
     g_ptr_array_add(arguments, NULL);
@@ -166,7 +167,7 @@
             hs_client_connection_read_all(connection, BODY_LIMIT, &wait) == HS_STEP_COMPLETE;
         const GByteArray *body = hs_client_connection_body(connection);
         answer.status = hs_client_connection_status(connection);
-        answer.body = g_strndup((const char *)body->data, body->len);
+        answer.body = body->len > 0 ? g_strndup((const char *)body->data, body->len) : g_strdup("");
         answer.fields = copy_fields(hs_client_connection_fields(connection));
     }
     hs_client_connection_close(connection);
@@ -216,13 +217,22 @@
         .id = ids[index], .service = "llm", .events = 12, .event_ms = 15, .break_after = 5});
 }
 
-int begin_bench(void) {
+void bench_prepare(void) {
+    bench.store_port = 0;
     bench.store = log_store_start(0);
     bench_configure(1);
-    for (int index = 0; index < BENCH_ENGINES; index++) {
+    for (int index = 0; index < BENCH_ENGINES; index++)
         bench.engines[index] = start_engine(index);
+}
+
+int begin_bench(void) {
+    bench_prepare();
+    return bench_start();
+}
+
+int bench_start(void) {
+    for (int index = 0; index < BENCH_ENGINES; index++)
         token_engine_announce(bench.engines[index], bench.store, false);
-    }
     bool started = true;
     for (int index = 0; index < BENCH_DAEMONS; index++)
         started = bench_start_daemon(index, false) && started;
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -18,11 +18,18 @@
     log_store *store;
     token_engine *engines[BENCH_ENGINES];
     pid_t pids[BENCH_DAEMONS]; /**< 0: not running. */
+    uint16_t store_port;       /**< Where daemons look for the store; 0: at the store itself. */
 } fleet_bench;
 
 extern fleet_bench bench;
 
-/** For suites' begin and end. */
+/** Start the store with a configuration, and the engines, which are not announced yet. */
+void bench_prepare(void);
+
+/** Announce the engines and start the daemons. 0, or -1 when one does not become ready. */
+int bench_start(void);
+
+/** For suites' begin and end: both of the above, and the end of all. */
 int begin_bench(void);
 int end_bench(void);
 
