Soak: its daemons keep jobs for an hour

Cause: a run of 150 s reported 1,243 violations, all accepted jobs or results unknown; every job named was sent before the 70th second (numbers up to 226 of about 500 a caller) and was asked for when it was over 120 s old, the daemons' default status time, after which results need not be told. Ruled out: jobs lost by faults: none of the jobs sent after that time is named. Change: the bench tool's daemons have fleet.status_s=3600.

--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -69,6 +69,8 @@
                                                                  : log_store_port(bench.store)));
     add_setting(arguments, g_strdup("fleet.grace_s=6"));
     add_setting(arguments, g_strdup("fleet.heartbeat_ms=500"));
+    add_setting(arguments,
+                g_strdup("fleet.status_s=3600")); /* No job of a long run is forgotten. */
     g_ptr_array_add(arguments, NULL);
     return arguments;
 }
