--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -9,7 +9,6 @@
 #include "base/log.h"
 #include "http/http_fields.h"
 
-#define ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
 #define FULL_PAUSE_MS 15
 #define RESUME_PAUSE_MS 50
 /** A refusal comes within this part of the time in which an answer is wanted. */
@@ -142,7 +141,7 @@
             return true;
         hs_attempt_end end = judge_failure(request);
         if (has_head) {
-            hs_client_connection_read_all(request->attempt.connection, ANSWER_LIMIT_BYTES,
+            hs_client_connection_read_all(request->attempt.connection, HS_ONLINE_ANSWER_LIMIT_BYTES,
                                           &order.wait);
             end =
                 request->attempt.answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -7,7 +7,6 @@
 
 #include <string.h>
 
-#define ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
 #define RETRY_AFTER_MS 150
 #define STATUS_FAILURE 500
 
@@ -117,7 +116,8 @@
 static bool serve_whole(hs_online_request *request) {
     hs_wait wait = {.deadline = request->deadline, .watched = request->inbound->descriptor};
     hs_attempt *attempt = &request->attempt;
-    attempt->step = hs_client_connection_read_all(attempt->connection, ANSWER_LIMIT_BYTES, &wait);
+    attempt->step =
+        hs_client_connection_read_all(attempt->connection, HS_ONLINE_ANSWER_LIMIT_BYTES, &wait);
     if (attempt->step == HS_STEP_COMPLETE) {
         hs_online_note_first_byte(request);
         bool again = attempt->status >= STATUS_FAILURE && hs_online_may_repeat(request) &&
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -5,6 +5,9 @@
 #include "online/event_stream.h"
 #include "online/online_request.h"
 
+/** A whole answer above this is not read to its end. */
+#define HS_ONLINE_ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
+
 /** Silence of an engine for less than this says nothing of it. */
 #define HS_ONLINE_SILENCE_LEAST_MS 1000
 
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -9,7 +9,6 @@
 #include <jansson.h>
 #include <string.h>
 
-#define EVENTS 12
 #define ITEMS_MOST 6
 #define TIMEOUT_MS 3000
 #define PAUSE_MOST_MS 60
@@ -40,14 +39,11 @@
 
 /** A whole stream has every event once, in order; a cut one begins so. */
 static void check_stream(const char *id, const bench_answer *answer) {
-    GString *wanted = g_string_new(NULL);
-    for (int event = 1; event <= EVENTS; event++)
-        g_string_append_printf(wanted, "id: %d\ndata: token %d\n\n", event, event);
-    bool right = answer->whole ? strcmp(answer->body, wanted->str) == 0
-                               : g_str_has_prefix(wanted->str, answer->body);
+    g_autofree char *wanted = bench_stream_text();
+    bool right =
+        answer->whole ? strcmp(answer->body, wanted) == 0 : g_str_has_prefix(wanted, answer->body);
     if (!right)
         soak_violation("stream of %s is wrong: whole=%d \"%s\"", id, answer->whole, answer->body);
-    g_string_free(wanted, TRUE);
 }
 
 static void check_answer(const char *id, const char *target, const bench_answer *answer) {
@@ -104,14 +100,11 @@
     g_mutex_unlock(&record.lock);
     if (!same)
         soak_violation("job %s: position %u is %s now", job, position, text);
-    GString *wanted = g_string_new("token 1");
-    for (int event = 2; event <= EVENTS; event++)
-        g_string_append_printf(wanted, "\ntoken %d", event);
+    g_autofree char *wanted = bench_item_text();
     const char *state = json_string_value(json_object_get(result, "state"));
     const char *message = json_string_value(json_object_get(result, "message"));
-    if (g_strcmp0(state, "completed") == 0 && g_strcmp0(message, wanted->str) != 0)
+    if (g_strcmp0(state, "completed") == 0 && g_strcmp0(message, wanted) != 0)
         soak_violation("job %s: position %u is completed with \"%s\"", job, position, message);
-    g_string_free(wanted, TRUE);
     free(text);
 }
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -112,16 +112,14 @@
         if (which == index || which == BENCH_ENGINES)
             token_engine_set_mode(bench.engines[index], modes[mode]);
     hold(chance);
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        token_engine_set_mode(bench.engines[index], TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
 }
 
 /** Links break while engines have requests whose answers have not begun. */
 static void cut_slow_engines(GRand *chance) {
     int times = g_rand_int_range(chance, 1, CUTS_MOST + 1);
     printf("fault cut_slow_engines times=%d\n", times);
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        token_engine_set_mode(bench.engines[index], TOKEN_ENGINE_SLOW);
+    bench_set_engines(TOKEN_ENGINE_SLOW);
     for (int step = 0; step < times; step++) {
         fault_proxy *proxy = engine_proxies[step % BENCH_ENGINES];
         hs_clock_sleep_ms((uint64_t)g_rand_int_range(chance, 1, CUT_PAUSE_MOST_MS));
@@ -129,8 +127,7 @@
         hs_clock_sleep_ms(CUT_MS);
         fault_proxy_set(proxy, PROXY_PASSES);
     }
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        token_engine_set_mode(bench.engines[index], TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
 }
 
 static void drain_engine(GRand *chance) {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -59,24 +59,17 @@
     record.violations = g_ptr_array_new_with_free_func(g_free);
 }
 
-static uint32_t runs_of(const char *id) {
-    uint32_t runs = 0;
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        runs += token_engine_runs(bench.engines[index], id);
-    return runs;
-}
-
 /** Requests that may run once did; what was refused never ran. */
 static void check_runs(void) {
     GHashTableIter iterator;
     gpointer id = NULL;
     g_hash_table_iter_init(&iterator, record.once);
     while (g_hash_table_iter_next(&iterator, &id, NULL))
-        if (runs_of(id) > 1)
-            soak_violation("%s ran %u times", (char *)id, runs_of(id));
+        if (bench_runs(id) > 1)
+            soak_violation("%s ran %u times", (char *)id, bench_runs(id));
     g_hash_table_iter_init(&iterator, record.refused);
     while (g_hash_table_iter_next(&iterator, &id, NULL))
-        if (runs_of(id) > 0)
+        if (bench_runs(id) > 0)
             soak_violation("%s was refused and ran", (char *)id);
 }
 
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -9,7 +9,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define EVENTS 12
 #define JOB_LIMIT_MS 15000
 
 static bench_answer post(int daemon, const char *target, const char *id) {
@@ -17,25 +16,10 @@
         .daemon = daemon, .method = "POST", .target = target, .request_id = id, .body = "hello"});
 }
 
-static uint32_t runs_of(const char *id) {
-    uint32_t runs = 0;
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        runs += token_engine_runs(bench.engines[index], id);
-    return runs;
-}
-
-static void set_engines(token_engine_mode mode) {
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        token_engine_set_mode(bench.engines[index], mode);
-}
-
-/** Every event from 1 to EVENTS once, in order. */
+/** Every event once, in order. */
 static void check_events(const char *body) {
-    GString *wanted = g_string_new(NULL);
-    for (int event = 1; event <= EVENTS; event++)
-        g_string_append_printf(wanted, "id: %d\ndata: token %d\n\n", event, event);
-    CU_ASSERT_STRING_EQUAL(body, wanted->str);
-    g_string_free(wanted, TRUE);
+    g_autofree char *wanted = bench_stream_text();
+    CU_ASSERT_STRING_EQUAL(body, wanted);
 }
 
 static void whole_answers_are_passed_on(void) {
@@ -72,46 +56,46 @@
         .method = "POST", .target = "/plain/x", .request_id = "large", .body = large});
     CU_ASSERT_EQUAL(answer.status, 413);
     bench_answer_clear(&answer);
-    CU_ASSERT_EQUAL(runs_of("nowhere") + runs_of("large"), 0);
+    CU_ASSERT_EQUAL(bench_runs("nowhere") + bench_runs("large"), 0);
 }
 
 static void a_refusal_did_not_run_and_says_when_to_come_back(void) {
-    set_engines(TOKEN_ENGINE_FULL);
+    bench_set_engines(TOKEN_ENGINE_FULL);
     bench_answer answer = post(1, "/once/s", "full");
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_EQUAL(answer.status, 503);
     CU_ASSERT_PTR_NOT_NULL(hs_http_fields_find(answer.fields, "Retry-After"));
     CU_ASSERT_PTR_NULL(hs_http_fields_find(answer.fields, HEADER_SIGNATURE));
-    CU_ASSERT_EQUAL(runs_of("full"), 0);
+    CU_ASSERT_EQUAL(bench_runs("full"), 0);
     bench_answer_clear(&answer);
 }
 
 static void a_stream_that_breaks_runs_once_and_looks_broken(void) {
-    set_engines(TOKEN_ENGINE_BREAKS);
+    bench_set_engines(TOKEN_ENGINE_BREAKS);
     bench_answer answer = post(0, "/once/s", "broken");
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_FALSE(answer.whole);
-    CU_ASSERT_EQUAL(runs_of("broken"), 1);
+    CU_ASSERT_EQUAL(bench_runs("broken"), 1);
     bench_answer_clear(&answer);
 }
 
 static void a_resumable_stream_goes_on_elsewhere(void) {
-    set_engines(TOKEN_ENGINE_BREAKS);
+    bench_set_engines(TOKEN_ENGINE_BREAKS);
     bench_answer answer = post(2, "/again/s", "resumed");
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_TRUE(answer.whole);
     check_events(answer.body);
-    CU_ASSERT(runs_of("resumed") >= 2);
+    CU_ASSERT(bench_runs("resumed") >= 2);
     bench_answer_clear(&answer);
 }
 
 static void an_engines_failure_is_passed_on(void) {
-    set_engines(TOKEN_ENGINE_FAILS);
+    bench_set_engines(TOKEN_ENGINE_FAILS);
     bench_answer answer = post(0, "/once/s", "fails");
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_EQUAL(answer.status, 500);
     CU_ASSERT_STRING_EQUAL(hs_http_fields_find(answer.fields, HEADER_SIGNATURE), "sig.f");
-    CU_ASSERT_EQUAL(runs_of("fails"), 1);
+    CU_ASSERT_EQUAL(bench_runs("fails"), 1);
     bench_answer_clear(&answer);
 }
 
@@ -129,7 +113,7 @@
 
 /** A caller's short time-out says nothing of the engine. */
 static void a_short_timeout_makes_no_engine_suspected(void) {
-    set_engines(TOKEN_ENGINE_SLOW);
+    bench_set_engines(TOKEN_ENGINE_SLOW);
     for (int request = 0; request < 6; request++) {
         bench_answer answer = bench_send(&(bench_call){.method = "POST",
                                                        .target = "/once/s",
@@ -139,7 +123,7 @@
         CU_ASSERT_EQUAL(answer.status, 504);
         bench_answer_clear(&answer);
     }
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     bench_answer metrics = bench_send(
         &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(0)});
     for (int index = 0; index < BENCH_ENGINES; index++) {
@@ -164,19 +148,16 @@
     json_t *root = json_loads(page, 0, NULL);
     const json_t *results = json_object_get(root, "results");
     g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
-    GString *wanted = g_string_new("token 1");
-    for (int event = 2; event <= EVENTS; event++)
-        g_string_append_printf(wanted, "\ntoken %d", event);
+    g_autofree char *wanted = bench_item_text();
     size_t index = 0;
     const json_t *result = NULL;
     json_array_foreach(results, index, result) {
         const char *message = json_string_value(json_object_get(result, "message"));
         g_hash_table_add(seen, (gpointer)json_string_value(json_object_get(result, "id")));
         CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(result, "state")), "completed");
-        CU_ASSERT_STRING_EQUAL(message, wanted->str);
+        CU_ASSERT_STRING_EQUAL(message, wanted);
     }
     CU_ASSERT_EQUAL(g_hash_table_size(seen), (guint)count);
-    g_string_free(wanted, TRUE);
     json_decref(root);
 }
 
@@ -195,7 +176,7 @@
     }
     for (int item = 0; item < 20; item++) {
         g_autofree char *id = g_strdup_printf("job1-%d", item);
-        CU_ASSERT_EQUAL(runs_of(id), 1);
+        CU_ASSERT_EQUAL(bench_runs(id), 1);
     }
     bench_answer gone =
         bench_send(&(bench_call){.method = "GET", .target = PATH_ITEMS "job1?id=job1-3"});
@@ -207,7 +188,7 @@
 }
 
 static void open_items_give_their_bodies_and_ends_stop_them(void) {
-    set_engines(TOKEN_ENGINE_FULL);
+    bench_set_engines(TOKEN_ENGINE_FULL);
     CU_ASSERT_EQUAL(submit(1, "job2", 3), 202);
     bench_answer body = bench_send(
         &(bench_call){.daemon = 2, .method = "GET", .target = PATH_ITEMS "job2?id=job2-1"});
@@ -221,33 +202,33 @@
         bench_answer_clear(&ended);
     }
     hs_clock_sleep_ms(300);
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     hs_clock_sleep_ms(600);
-    CU_ASSERT_EQUAL(runs_of("job2-0") + runs_of("job2-1") + runs_of("job2-2"), 0);
+    CU_ASSERT_EQUAL(bench_runs("job2-0") + bench_runs("job2-1") + bench_runs("job2-2"), 0);
 }
 
 static void what_cannot_be_done_is_given_up(void) {
-    set_engines(TOKEN_ENGINE_IMPOSSIBLE);
+    bench_set_engines(TOKEN_ENGINE_IMPOSSIBLE);
     CU_ASSERT_EQUAL(submit(0, "job3", 2), 202);
     g_autofree char *page = bench_wait_job(1, "job3", 2, JOB_LIMIT_MS);
     CU_ASSERT_PTR_NOT_NULL(page);
     if (page == NULL)
         return;
     CU_ASSERT_PTR_NOT_NULL(strstr(page, "dead_letter"));
-    CU_ASSERT_EQUAL(runs_of("job3-0"), 1);
-    set_engines(TOKEN_ENGINE_FAILS);
+    CU_ASSERT_EQUAL(bench_runs("job3-0"), 1);
+    bench_set_engines(TOKEN_ENGINE_FAILS);
     CU_ASSERT_EQUAL(submit(0, "job4", 1), 202);
     g_autofree char *failed = bench_wait_job(1, "job4", 1, JOB_LIMIT_MS);
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_PTR_NOT_NULL(failed);
-    CU_ASSERT_EQUAL(runs_of("job4-0"), 2); /* max-attempts of the route. */
+    CU_ASSERT_EQUAL(bench_runs("job4-0"), 2); /* max-attempts of the route. */
 }
 
 static void broken_items_go_on_after_their_last_event(void) {
-    set_engines(TOKEN_ENGINE_BREAKS);
+    bench_set_engines(TOKEN_ENGINE_BREAKS);
     CU_ASSERT_EQUAL(submit(2, "job5", 4), 202);
     g_autofree char *page = bench_wait_job(0, "job5", 4, JOB_LIMIT_MS);
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_PTR_NOT_NULL(page);
     if (page == NULL)
         return;
--- a/tests/system/test_fleet_edges.c
+++ b/tests/system/test_fleet_edges.c
@@ -25,11 +25,6 @@
                            target, version, id, more);
 }
 
-static void set_engines(token_engine_mode mode) {
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        token_engine_set_mode(bench.engines[index], mode);
-}
-
 static uint32_t open_runs(void) {
     uint32_t open = 0;
     for (int index = 0; index < BENCH_ENGINES; index++)
@@ -72,14 +67,14 @@
 
 /** Without chunks a close would make a cut stream look whole: the connection is reset. */
 static void a_cut_stream_looks_cut_to_old_callers(void) {
-    set_engines(TOKEN_ENGINE_BREAKS);
+    bench_set_engines(TOKEN_ENGINE_BREAKS);
     raw_caller *caller = raw_caller_open(bench_front_port(1));
     CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
     g_autofree char *head = head_of("/once/cut", "1.0", "cut-old", "");
     raw_caller_send(caller, head);
     raw_caller_send(caller, "hello");
     CU_ASSERT_EQUAL(raw_caller_read_to_end(caller, LIMIT_MS), RAW_RESET);
-    set_engines(TOKEN_ENGINE_SOUND);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     raw_caller_close(caller);
 }
 
@@ -94,7 +89,7 @@
  */
 static void engines_are_free_once_a_caller_left(void) {
     static const char *const seen[] = {"", "id: 2\n"};
-    set_engines(TOKEN_ENGINE_ENDLESS);
+    bench_set_engines(TOKEN_ENGINE_ENDLESS);
     for (size_t index = 0; index < G_N_ELEMENTS(seen); index++) {
         raw_caller *caller = raw_caller_open(bench_front_port(2));
         CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
@@ -107,44 +102,36 @@
         raw_caller_close(caller);
         CU_ASSERT_TRUE(runs_end_within(500));
     }
-    set_engines(TOKEN_ENGINE_SOUND);
-}
-
-static uint32_t sum_over_engines(uint32_t (*count)(token_engine *engine, const char *id),
-                                 const char *id) {
-    uint32_t sum = 0;
-    for (int index = 0; index < BENCH_ENGINES; index++)
-        sum += count(bench.engines[index], id);
-    return sum;
+    bench_set_engines(TOKEN_ENGINE_SOUND);
 }
 
 /** Submit a job of one item and wait until its item runs. */
 static void begin_item(const char *job, const char *item) {
     hs_clock_sleep_ms(2500); /* Until the partitions are dealt to all. */
-    set_engines(TOKEN_ENGINE_ENDLESS);
+    bench_set_engines(TOKEN_ENGINE_ENDLESS);
     g_autofree char *body = bench_job(job, 1);
     bench_answer taken = bench_send(
         &(bench_call){.method = "POST", .target = "/jobs/x", .request_id = job, .body = body});
     CU_ASSERT_EQUAL(taken.status, 202);
     bench_answer_clear(&taken);
     uint64_t limit = hs_clock_monotonic_ms() + LIMIT_MS;
-    while (sum_over_engines(token_engine_runs, item) == 0 && hs_clock_monotonic_ms() < limit)
+    while (bench_runs(item) == 0 && hs_clock_monotonic_ms() < limit)
         hs_clock_sleep_ms(20);
 }
 
 /** Start all daemons; the item then goes on after an event, however often it is begun. */
 static void check_item_goes_on(const char *job, const char *item) {
-    CU_ASSERT_EQUAL(sum_over_engines(token_engine_runs, item), 1);
-    set_engines(TOKEN_ENGINE_SOUND);
+    CU_ASSERT_EQUAL(bench_runs(item), 1);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
     for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
         CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
     for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++)
         CU_ASSERT_TRUE(bench_wait_ready(daemon));
     g_autofree char *page = bench_wait_job(0, job, 1, 5 * LIMIT_MS);
     CU_ASSERT_PTR_NOT_NULL(page);
-    uint32_t runs = sum_over_engines(token_engine_runs, item);
+    uint32_t runs = bench_runs(item);
     CU_ASSERT(runs >= 2);
-    CU_ASSERT_EQUAL(sum_over_engines(token_engine_resumes, item), runs - 1);
+    CU_ASSERT_EQUAL(bench_resumes(item), runs - 1);
 }
 
 /** All daemons stop while the store takes nothing; it is back within their grace time. */
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -117,6 +117,39 @@
     return WEXITSTATUS(status);
 }
 
+void bench_set_engines(token_engine_mode mode) {
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        token_engine_set_mode(bench.engines[index], mode);
+}
+
+uint32_t bench_runs(const char *request_id) {
+    uint32_t runs = 0;
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        runs += token_engine_runs(bench.engines[index], request_id);
+    return runs;
+}
+
+uint32_t bench_resumes(const char *request_id) {
+    uint32_t resumes = 0;
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        resumes += token_engine_resumes(bench.engines[index], request_id);
+    return resumes;
+}
+
+char *bench_stream_text(void) {
+    GString *text = g_string_new(NULL);
+    for (int event = 1; event <= BENCH_EVENTS; event++)
+        g_string_append_printf(text, "id: %d\ndata: token %d\n\n", event, event);
+    return g_string_free(text, FALSE);
+}
+
+char *bench_item_text(void) {
+    GString *text = g_string_new("token 1");
+    for (int event = 2; event <= BENCH_EVENTS; event++)
+        g_string_append_printf(text, "\ntoken %d", event);
+    return g_string_free(text, FALSE);
+}
+
 void bench_answer_clear(bench_answer *answer) {
     g_free(answer->body);
     hs_http_fields_free(answer->fields);
@@ -215,8 +248,11 @@
 
 static token_engine *start_engine(int index) {
     static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
-    return token_engine_start(&(token_engine_settings){
-        .id = ids[index], .service = "llm", .events = 12, .event_ms = 15, .break_after = 5});
+    return token_engine_start(&(token_engine_settings){.id = ids[index],
+                                                       .service = "llm",
+                                                       .events = BENCH_EVENTS,
+                                                       .event_ms = 15,
+                                                       .break_after = 5});
 }
 
 void bench_prepare(void) {
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -12,6 +12,8 @@
 #define BENCH_DAEMONS 3
 #define BENCH_ENGINES 2
 #define BENCH_HOST "a.example"
+/** Events of an engine's stream. */
+#define BENCH_EVENTS 12
 
 /** The running bench of a suite. */
 typedef struct {
@@ -39,6 +41,17 @@
 /** Start a daemon with a settings file as well; the bench's own values override it. */
 bool bench_start_daemon_with(int index, const char *settings_path);
 
+/** Set what all engines do. */
+void bench_set_engines(token_engine_mode mode);
+
+/** How often a request was begun, at all engines together; and how often after an event. */
+uint32_t bench_runs(const char *request_id);
+uint32_t bench_resumes(const char *request_id);
+
+/** A whole stream as callers get it, and a whole item's text. Free with g_free. */
+char *bench_stream_text(void);
+char *bench_item_text(void);
+
 /** Wait until a daemon says ready. */
 bool bench_wait_ready(int index);
 
