Batch jobs are admitted within their route's limit, by reservations in the store's order

Ruled out: shares of the limit leased to daemons (a share that lies idle refuses what fits; needs a holder while daemons die); sums told between daemons (nothing bounds two that decide at once, nor a daemon cut off). Change: each submission appends a reservation to one log; it fits when unfinished tokens of all partitions, what was reserved before it and its own are within the limit; refused ones are released and get 429 with Retry-After at once. Partitions are read only when the last sum leaves the question open. spec/quota.pml: holds, three broken variants found.

--- a/gen/job.pb-c.c
+++ b/gen/job.pb-c.c
@@ -367,6 +367,141 @@
   assert(message->base.descriptor == &hs__job_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__quota_reservation__init
+                     (Hs__QuotaReservation         *message)
+{
+  static const Hs__QuotaReservation init_value = HS__QUOTA_RESERVATION__INIT;
+  *message = init_value;
+}
+size_t hs__quota_reservation__get_packed_size
+                     (const Hs__QuotaReservation *message)
+{
+  assert(message->base.descriptor == &hs__quota_reservation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__quota_reservation__pack
+                     (const Hs__QuotaReservation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__quota_reservation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__quota_reservation__pack_to_buffer
+                     (const Hs__QuotaReservation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__quota_reservation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__QuotaReservation *
+       hs__quota_reservation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__QuotaReservation *)
+     protobuf_c_message_unpack (&hs__quota_reservation__descriptor,
+                                allocator, len, data);
+}
+void   hs__quota_reservation__free_unpacked
+                     (Hs__QuotaReservation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__quota_reservation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__quota_release__init
+                     (Hs__QuotaRelease         *message)
+{
+  static const Hs__QuotaRelease init_value = HS__QUOTA_RELEASE__INIT;
+  *message = init_value;
+}
+size_t hs__quota_release__get_packed_size
+                     (const Hs__QuotaRelease *message)
+{
+  assert(message->base.descriptor == &hs__quota_release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__quota_release__pack
+                     (const Hs__QuotaRelease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__quota_release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__quota_release__pack_to_buffer
+                     (const Hs__QuotaRelease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__quota_release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__QuotaRelease *
+       hs__quota_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__QuotaRelease *)
+     protobuf_c_message_unpack (&hs__quota_release__descriptor,
+                                allocator, len, data);
+}
+void   hs__quota_release__free_unpacked
+                     (Hs__QuotaRelease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__quota_release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__quota_record__init
+                     (Hs__QuotaRecord         *message)
+{
+  static const Hs__QuotaRecord init_value = HS__QUOTA_RECORD__INIT;
+  *message = init_value;
+}
+size_t hs__quota_record__get_packed_size
+                     (const Hs__QuotaRecord *message)
+{
+  assert(message->base.descriptor == &hs__quota_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__quota_record__pack
+                     (const Hs__QuotaRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__quota_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__quota_record__pack_to_buffer
+                     (const Hs__QuotaRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__quota_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__QuotaRecord *
+       hs__quota_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__QuotaRecord *)
+     protobuf_c_message_unpack (&hs__quota_record__descriptor,
+                                allocator, len, data);
+}
+void   hs__quota_record__free_unpacked
+                     (Hs__QuotaRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__quota_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor hs__job_header__field_descriptors[2] =
 {
   {
@@ -983,6 +1118,185 @@
   (ProtobufCMessageInit) hs__job_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor hs__quota_reservation__field_descriptors[5] =
+{
+  {
+    "job_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__QuotaReservation, job_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submission",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__QuotaReservation, submission),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__QuotaReservation, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__QuotaReservation, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "partition",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__QuotaReservation, partition),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__quota_reservation__field_indices_by_name[] = {
+  0,   /* field[0] = job_id */
+  4,   /* field[4] = partition */
+  2,   /* field[2] = route */
+  1,   /* field[1] = submission */
+  3,   /* field[3] = tokens */
+};
+static const ProtobufCIntRange hs__quota_reservation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor hs__quota_reservation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.QuotaReservation",
+  "QuotaReservation",
+  "Hs__QuotaReservation",
+  "hs",
+  sizeof(Hs__QuotaReservation),
+  5,
+  hs__quota_reservation__field_descriptors,
+  hs__quota_reservation__field_indices_by_name,
+  1,  hs__quota_reservation__number_ranges,
+  (ProtobufCMessageInit) hs__quota_reservation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__quota_release__field_descriptors[1] =
+{
+  {
+    "submission",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__QuotaRelease, submission),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__quota_release__field_indices_by_name[] = {
+  0,   /* field[0] = submission */
+};
+static const ProtobufCIntRange hs__quota_release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor hs__quota_release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.QuotaRelease",
+  "QuotaRelease",
+  "Hs__QuotaRelease",
+  "hs",
+  sizeof(Hs__QuotaRelease),
+  1,
+  hs__quota_release__field_descriptors,
+  hs__quota_release__field_indices_by_name,
+  1,  hs__quota_release__number_ranges,
+  (ProtobufCMessageInit) hs__quota_release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__quota_record__field_descriptors[2] =
+{
+  {
+    "reservation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__QuotaRecord, kind_case),
+    offsetof(Hs__QuotaRecord, reservation),
+    &hs__quota_reservation__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "release",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__QuotaRecord, kind_case),
+    offsetof(Hs__QuotaRecord, release),
+    &hs__quota_release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__quota_record__field_indices_by_name[] = {
+  1,   /* field[1] = release */
+  0,   /* field[0] = reservation */
+};
+static const ProtobufCIntRange hs__quota_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__quota_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.QuotaRecord",
+  "QuotaRecord",
+  "Hs__QuotaRecord",
+  "hs",
+  sizeof(Hs__QuotaRecord),
+  2,
+  hs__quota_record__field_descriptors,
+  hs__quota_record__field_indices_by_name,
+  1,  hs__quota_record__number_ranges,
+  (ProtobufCMessageInit) hs__quota_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue hs__job_item_state__enum_values_by_number[2] =
 {
   { "JOB_ITEM_COMPLETED", "HS__JOB_ITEM_STATE__JOB_ITEM_COMPLETED", 0 },
--- a/gen/job.pb-c.h
+++ b/gen/job.pb-c.h
@@ -23,6 +23,9 @@
 typedef struct Hs__JobEnd Hs__JobEnd;
 typedef struct Hs__JobProgress Hs__JobProgress;
 typedef struct Hs__JobRecord Hs__JobRecord;
+typedef struct Hs__QuotaReservation Hs__QuotaReservation;
+typedef struct Hs__QuotaRelease Hs__QuotaRelease;
+typedef struct Hs__QuotaRecord Hs__QuotaRecord;
 
 
 /* --- enums --- */
@@ -189,6 +192,61 @@
     , HS__JOB_RECORD__KIND__NOT_SET, {0} }
 
 
+/*
+ * A job that is about to be stored under a route with a limit. The order of these records decides
+ * which jobs fit: a submission counts all that stand before its own.
+ */
+struct  Hs__QuotaReservation
+{
+  ProtobufCMessage base;
+  char *job_id;
+  /*
+   * One try of one daemon to store the job; random.
+   */
+  uint64_t submission;
+  char *route;
+  uint64_t tokens;
+  uint32_t partition;
+};
+#define HS__QUOTA_RESERVATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__quota_reservation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * The submission was refused; its reservations count no longer, whenever they arrive.
+ */
+struct  Hs__QuotaRelease
+{
+  ProtobufCMessage base;
+  uint64_t submission;
+};
+#define HS__QUOTA_RELEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__quota_release__descriptor) \
+    , 0 }
+
+
+typedef enum {
+  HS__QUOTA_RECORD__KIND__NOT_SET = 0,
+  HS__QUOTA_RECORD__KIND_RESERVATION = 1,
+  HS__QUOTA_RECORD__KIND_RELEASE = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__QUOTA_RECORD__KIND__CASE)
+} Hs__QuotaRecord__KindCase;
+
+struct  Hs__QuotaRecord
+{
+  ProtobufCMessage base;
+  Hs__QuotaRecord__KindCase kind_case;
+  union {
+    Hs__QuotaReservation *reservation;
+    Hs__QuotaRelease *release;
+  };
+};
+#define HS__QUOTA_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__quota_record__descriptor) \
+    , HS__QUOTA_RECORD__KIND__NOT_SET, {0} }
+
+
 /* Hs__JobHeader methods */
 void   hs__job_header__init
                      (Hs__JobHeader         *message);
@@ -341,6 +399,63 @@
 void   hs__job_record__free_unpacked
                      (Hs__JobRecord *message,
                       ProtobufCAllocator *allocator);
+/* Hs__QuotaReservation methods */
+void   hs__quota_reservation__init
+                     (Hs__QuotaReservation         *message);
+size_t hs__quota_reservation__get_packed_size
+                     (const Hs__QuotaReservation   *message);
+size_t hs__quota_reservation__pack
+                     (const Hs__QuotaReservation   *message,
+                      uint8_t             *out);
+size_t hs__quota_reservation__pack_to_buffer
+                     (const Hs__QuotaReservation   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__QuotaReservation *
+       hs__quota_reservation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__quota_reservation__free_unpacked
+                     (Hs__QuotaReservation *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__QuotaRelease methods */
+void   hs__quota_release__init
+                     (Hs__QuotaRelease         *message);
+size_t hs__quota_release__get_packed_size
+                     (const Hs__QuotaRelease   *message);
+size_t hs__quota_release__pack
+                     (const Hs__QuotaRelease   *message,
+                      uint8_t             *out);
+size_t hs__quota_release__pack_to_buffer
+                     (const Hs__QuotaRelease   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__QuotaRelease *
+       hs__quota_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__quota_release__free_unpacked
+                     (Hs__QuotaRelease *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__QuotaRecord methods */
+void   hs__quota_record__init
+                     (Hs__QuotaRecord         *message);
+size_t hs__quota_record__get_packed_size
+                     (const Hs__QuotaRecord   *message);
+size_t hs__quota_record__pack
+                     (const Hs__QuotaRecord   *message,
+                      uint8_t             *out);
+size_t hs__quota_record__pack_to_buffer
+                     (const Hs__QuotaRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__QuotaRecord *
+       hs__quota_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__quota_record__free_unpacked
+                     (Hs__QuotaRecord *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Hs__JobHeader_Closure)
@@ -367,6 +482,15 @@
 typedef void (*Hs__JobRecord_Closure)
                  (const Hs__JobRecord *message,
                   void *closure_data);
+typedef void (*Hs__QuotaReservation_Closure)
+                 (const Hs__QuotaReservation *message,
+                  void *closure_data);
+typedef void (*Hs__QuotaRelease_Closure)
+                 (const Hs__QuotaRelease *message,
+                  void *closure_data);
+typedef void (*Hs__QuotaRecord_Closure)
+                 (const Hs__QuotaRecord *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -382,6 +506,9 @@
 extern const ProtobufCMessageDescriptor hs__job_end__descriptor;
 extern const ProtobufCMessageDescriptor hs__job_progress__descriptor;
 extern const ProtobufCMessageDescriptor hs__job_record__descriptor;
+extern const ProtobufCMessageDescriptor hs__quota_reservation__descriptor;
+extern const ProtobufCMessageDescriptor hs__quota_release__descriptor;
+extern const ProtobufCMessageDescriptor hs__quota_record__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -39,6 +39,7 @@
     uint32_t gap_target_ms;        /**< 0: none. */
     uint32_t completion_target_ms; /**< Batch: when results are due after the submission. */
     uint64_t retention_ms;         /**< Batch: when items may be given up after the submission. */
+    uint64_t waiting_tokens_most;  /**< Batch: tokens of unfinished items at a time; 0: no limit. */
 } hs_fleet_route;
 
 /** A group of interchangeable engines. */
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -42,4 +42,9 @@
 run no-from-check always_safe wrong NO_FROM_CHECK
 run later-result-counts always_safe wrong LATER_RESULT_COUNTS
 run no-catch-up always_safe wrong NO_CATCH_UP
+model=quota.pml
+run quota-safety limit_holds holds ""
+run no-reservations limit_holds wrong NO_RESERVATIONS
+run releases-unknown limit_holds wrong RELEASES_UNKNOWN
+run drops-early limit_holds wrong DROPS_EARLY
 exit $failed
--- /dev/null
+++ b/src/jobs/job_quota.h
@@ -0,0 +1,71 @@
+/**
+ * @file job_quota.h
+ * Keeps the tokens of a route's unfinished items within the operator's limit, over all daemons.
+ *
+ * Before a job is stored, its daemon appends a reservation to one log that all daemons share. The
+ * order of that log decides: a job fits when what is unfinished in all partitions, what was
+ * reserved before it and its own tokens are within the limit. Each daemon decides its own jobs
+ * alone; since each counts all that stand before, no two can both take the last room. A refused
+ * job releases its reservation; one whose daemon died is forgotten when its job can no longer come.
+ *
+ * Partitions are read only when the sum could be over the limit: finished items only lower it.
+ */
+#ifndef HS_JOBS_JOB_QUOTA_H
+#define HS_JOBS_JOB_QUOTA_H
+
+#include "fleet/config_source.h"
+#include "jobs/job_partition.h"
+
+/** Whether a job may be stored. */
+typedef enum {
+    HS_QUOTA_FITS,
+    HS_QUOTA_FULL,    /**< It does not fit now. */
+    HS_QUOTA_UNKNOWN, /**< The store did not tell; nothing may be promised but a refusal. */
+} hs_quota_verdict;
+
+/** A job that asks for room. All borrowed. */
+typedef struct {
+    const char *job_id;
+    uint32_t partition;
+    uint64_t tokens;
+    const hs_fleet_config *config;
+    const hs_fleet_route *route;
+    hs_deadline deadline;
+} hs_quota_claim;
+
+/** What decided, for logs. */
+typedef struct {
+    uint64_t submission; /**< Names the reservation; see hs_job_quota_release. */
+    uint64_t offset;     /**< Its place in the log. */
+    uint64_t unfinished; /**< Tokens in the partitions when they were read last. */
+    uint64_t reserved;   /**< Tokens reserved before, by jobs not in a partition then. */
+    uint64_t read_age_ms;
+    bool own_partition_read; /**< The partition was read to its end for this decision. */
+} hs_quota_account;
+
+/** Counters for metrics. */
+typedef struct {
+    uint64_t fitted;
+    uint64_t refused;
+    uint64_t unknown;
+    uint64_t refreshes;
+} hs_quota_counters;
+
+typedef struct hs_job_quota hs_job_quota;
+
+/** Both are borrowed. @p partitions: of hs_job_partition*. */
+hs_job_quota *hs_job_quota_new(hs_store_client *store, const GPtrArray *partitions);
+void hs_job_quota_free(hs_job_quota *quota);
+
+/** Reserve room for a job and decide. A route without a limit has room for all. */
+hs_quota_verdict hs_job_quota_claim(hs_job_quota *quota, const hs_quota_claim *claim,
+                                    hs_quota_account *account);
+
+/** The submission was refused: its room is free again. Returns at once; 0 is no submission. */
+void hs_job_quota_release(hs_job_quota *quota, uint64_t submission);
+
+hs_quota_counters hs_job_quota_counters(hs_job_quota *quota);
+
+const char *hs_quota_verdict_name(hs_quota_verdict verdict);
+
+#endif
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -12,6 +12,8 @@
 #define ONE_TRY_MS 1200
 #define RETRY_PAUSE_MS 40
 #define RETRY_AFTER_TEXT "0.3"
+/** Where a route is full, room comes as items end, a few a second. */
+#define FULL_RETRY_AFTER_TEXT "1"
 #define PAGE_BYTES (1000U * 1000)
 #define PAGE_ITEM_OVERHEAD 256
 #define WAIT_MOST_MS 5000
@@ -19,6 +21,7 @@
 struct hs_job_service {
     hs_job_store_settings settings;
     GPtrArray *partitions; /**< of hs_job_partition* */
+    hs_job_quota *quota;
 };
 
 static void free_partition(gpointer data) {
@@ -31,16 +34,22 @@
     service->partitions = g_ptr_array_new_with_free_func(free_partition);
     for (uint32_t part = 0; part < settings->part_count; part++)
         g_ptr_array_add(service->partitions, hs_job_partition_new(settings, part));
+    service->quota = hs_job_quota_new(settings->store, service->partitions);
     return service;
 }
 
 void hs_job_service_free(hs_job_service *service) {
     if (service == NULL)
         return;
+    hs_job_quota_free(service->quota);
     g_ptr_array_free(service->partitions, TRUE);
     g_free(service);
 }
 
+hs_quota_counters hs_job_service_quota_counters(hs_job_service *service) {
+    return hs_job_quota_counters(service->quota);
+}
+
 hs_job_partition *hs_job_service_partition(hs_job_service *service, uint32_t part) {
     return service->partitions->pdata[part];
 }
@@ -54,8 +63,9 @@
                   size_t length) {
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", type);
-    if (status == 503)
-        hs_http_fields_add(fields, "Retry-After", RETRY_AFTER_TEXT);
+    if (status == 503 || status == 429)
+        hs_http_fields_add(fields, "Retry-After",
+                           status == 429 ? FULL_RETRY_AFTER_TEXT : RETRY_AFTER_TEXT);
     hs_inbound_reply(inbound, status, fields, body, length);
     hs_http_fields_free(fields);
 }
@@ -214,8 +224,45 @@
     return status;
 }
 
+static uint64_t tokens_of(const GArray *items) {
+    uint64_t tokens = 0;
+    for (guint index = 0; index < items->len; index++)
+        tokens += g_array_index(items, hs_submitted_item, index).tokens;
+    return tokens;
+}
+
+/**
+ * Status for a job that the route's limit holds back. A job that was taken before is never refused,
+ * and 429 is only said where its partition shows that it was not.
+ */
+static uint32_t held_back(const submission *job, hs_quota_verdict verdict,
+                          const hs_quota_account *account) {
+    if (is_known(job->partition, job->terms->request_id))
+        return 202;
+    return verdict == HS_QUOTA_FULL && account->own_partition_read ? 429 : 503;
+}
+
+/** Admit the job and store it; answers it. */
+static void take_job(hs_job_service *service, const submission *job,
+                     const hs_fleet_config *config) {
+    hs_quota_claim claim = {.job_id = job->terms->request_id,
+                            .partition = hs_job_partition_number(job->partition),
+                            .tokens = tokens_of(job->items),
+                            .config = config,
+                            .route = job->route,
+                            .deadline = job->refuse_at};
+    hs_quota_account account;
+    hs_quota_verdict verdict = hs_job_quota_claim(service->quota, &claim, &account);
+    uint32_t status = verdict == HS_QUOTA_FITS ? store_job(job) : held_back(job, verdict, &account);
+    reply_text(job->inbound, status, status == 202 ? "" : "the job was not taken by this answer\n");
+    bool may_be_taken = status == 202 || status == 504;
+    if (!may_be_taken)
+        hs_job_quota_release(service->quota, account.submission);
+}
+
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
-                           const hs_caller_terms *terms, const hs_fleet_route *route) {
+                           const hs_caller_terms *terms, const hs_fleet_config *config,
+                           const hs_fleet_route *route) {
     hs_error error = {0};
     if (terms->request_id == NULL || *terms->request_id == '\0') {
         reply_text(inbound, 400, "a job needs an id\n");
@@ -233,13 +280,11 @@
                       .items = items,
                       .deadline = call_deadline(inbound, terms)};
     job.refuse_at = inbound->received_ms + (job.deadline - inbound->received_ms) / 2;
-    uint32_t status = 0;
     if (is_known(job.partition, terms->request_id))
-        status = 202;
+        reply_text(inbound, 202, "");
     else
-        status = store_job(&job);
+        take_job(service, &job, config);
     g_array_free(items, TRUE);
-    reply_text(inbound, status, status == 202 ? "" : "the job was not taken by this answer\n");
 }
 
 /** Answer 404 where the log was read to its end, else 503. */
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -10,6 +10,7 @@
 
 #include "http/listener.h"
 #include "jobs/job_partition.h"
+#include "jobs/job_quota.h"
 #include "platform/caller_codec.h"
 
 typedef struct hs_job_service hs_job_service;
@@ -21,8 +22,13 @@
 /** Partition by number; borrowed. */
 hs_job_partition *hs_job_service_partition(hs_job_service *service, uint32_t part);
 
+/** How routes were kept within their limits so far. */
+hs_quota_counters hs_job_service_quota_counters(hs_job_service *service);
+
+/** @p route is one of @p config. */
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
-                           const hs_caller_terms *terms, const hs_fleet_route *route);
+                           const hs_caller_terms *terms, const hs_fleet_config *config,
+                           const hs_fleet_route *route);
 void hs_job_service_read(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
                          const char *job_id);
 void hs_job_service_read_item(hs_job_service *service, hs_inbound *inbound,
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -36,11 +36,23 @@
     hs_fleet_config_unref(config);
 }
 
+static void write_admission(GString *text, hs_job_service *jobs) {
+    hs_quota_counters counters = hs_job_service_quota_counters(jobs);
+    g_string_append_printf(text,
+                           "heathsail_job_admissions{verdict=\"fits\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_admissions{verdict=\"full\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_admissions{verdict=\"unknown\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_admission_sums %" G_GUINT64_FORMAT "\n",
+                           (guint64)counters.fitted, (guint64)counters.refused,
+                           (guint64)counters.unknown, (guint64)counters.refreshes);
+}
+
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
     hs_online *online = sources->online;
     write_online(text, online);
     write_config(text, online->config);
+    write_admission(text, sources->jobs);
     g_string_append_printf(text,
                            "heathsail_settings_reloads_total %d\n"
                            "heathsail_settings_refused_total %d\n",
--- a/src/surface/fleet_metrics.h
+++ b/src/surface/fleet_metrics.h
@@ -3,6 +3,7 @@
 #define HS_SURFACE_FLEET_METRICS_H
 
 #include "directory/daemon_directory.h"
+#include "jobs/job_service.h"
 #include "online/online_request.h"
 
 /** How often the settings were read anew; atomic. */
@@ -14,6 +15,7 @@
 /** Where the figures come from. All borrowed. */
 typedef struct {
     hs_online *online;
+    hs_job_service *jobs;
     hs_store_client *store;
     hs_daemon_directory *members;
     hs_reload_counts *reloads;
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -64,7 +64,7 @@
     } else if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
         refuse(surface, inbound, terms, HS_END_TOO_LARGE);
     } else if (route->kind == HS_ROUTE_BATCH) {
-        hs_job_service_submit(surface->settings.jobs, inbound, terms, route);
+        hs_job_service_submit(surface->settings.jobs, inbound, terms, config, route);
     } else {
         hs_online_serve(online, inbound, terms, hs_fleet_config_ref(config), route);
     }
@@ -135,6 +135,7 @@
 static void serve_metrics(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
     hs_fleet_metrics_sources sources = {.online = surface->settings.online,
+                                        .jobs = surface->settings.jobs,
                                         .store = surface->settings.store,
                                         .members = surface->settings.members,
                                         .reloads = surface->settings.reloads,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -18,6 +18,7 @@
         {"fleet", fleet_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
+        {"quota", quota_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -20,5 +20,6 @@
 extern const test_case fleet_tests[];
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
+extern const test_case quota_tests[];
 
 #endif
