--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -817,6 +817,231 @@
   assert(message->base.descriptor == &hs__engine_shares__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__engine_use__init
+                     (Hs__EngineUse         *message)
+{
+  static const Hs__EngineUse init_value = HS__ENGINE_USE__INIT;
+  *message = init_value;
+}
+size_t hs__engine_use__get_packed_size
+                     (const Hs__EngineUse *message)
+{
+  assert(message->base.descriptor == &hs__engine_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__engine_use__pack
+                     (const Hs__EngineUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__engine_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__engine_use__pack_to_buffer
+                     (const Hs__EngineUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__engine_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EngineUse *
+       hs__engine_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EngineUse *)
+     protobuf_c_message_unpack (&hs__engine_use__descriptor,
+                                allocator, len, data);
+}
+void   hs__engine_use__free_unpacked
+                     (Hs__EngineUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__engine_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__engine_uses__init
+                     (Hs__EngineUses         *message)
+{
+  static const Hs__EngineUses init_value = HS__ENGINE_USES__INIT;
+  *message = init_value;
+}
+size_t hs__engine_uses__get_packed_size
+                     (const Hs__EngineUses *message)
+{
+  assert(message->base.descriptor == &hs__engine_uses__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__engine_uses__pack
+                     (const Hs__EngineUses *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__engine_uses__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__engine_uses__pack_to_buffer
+                     (const Hs__EngineUses *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__engine_uses__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EngineUses *
+       hs__engine_uses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EngineUses *)
+     protobuf_c_message_unpack (&hs__engine_uses__descriptor,
+                                allocator, len, data);
+}
+void   hs__engine_uses__free_unpacked
+                     (Hs__EngineUses *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__engine_uses__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__engine_total__init
+                     (Hs__EngineTotal         *message)
+{
+  static const Hs__EngineTotal init_value = HS__ENGINE_TOTAL__INIT;
+  *message = init_value;
+}
+size_t hs__engine_total__get_packed_size
+                     (const Hs__EngineTotal *message)
+{
+  assert(message->base.descriptor == &hs__engine_total__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__engine_total__pack
+                     (const Hs__EngineTotal *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__engine_total__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__engine_total__pack_to_buffer
+                     (const Hs__EngineTotal *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__engine_total__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EngineTotal *
+       hs__engine_total__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EngineTotal *)
+     protobuf_c_message_unpack (&hs__engine_total__descriptor,
+                                allocator, len, data);
+}
+void   hs__engine_total__free_unpacked
+                     (Hs__EngineTotal *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__engine_total__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__engine_totals__init
+                     (Hs__EngineTotals         *message)
+{
+  static const Hs__EngineTotals init_value = HS__ENGINE_TOTALS__INIT;
+  *message = init_value;
+}
+size_t hs__engine_totals__get_packed_size
+                     (const Hs__EngineTotals *message)
+{
+  assert(message->base.descriptor == &hs__engine_totals__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__engine_totals__pack
+                     (const Hs__EngineTotals *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__engine_totals__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__engine_totals__pack_to_buffer
+                     (const Hs__EngineTotals *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__engine_totals__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EngineTotals *
+       hs__engine_totals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EngineTotals *)
+     protobuf_c_message_unpack (&hs__engine_totals__descriptor,
+                                allocator, len, data);
+}
+void   hs__engine_totals__free_unpacked
+                     (Hs__EngineTotals *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__engine_totals__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__step_aside__init
+                     (Hs__StepAside         *message)
+{
+  static const Hs__StepAside init_value = HS__STEP_ASIDE__INIT;
+  *message = init_value;
+}
+size_t hs__step_aside__get_packed_size
+                     (const Hs__StepAside *message)
+{
+  assert(message->base.descriptor == &hs__step_aside__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__step_aside__pack
+                     (const Hs__StepAside *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__step_aside__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__step_aside__pack_to_buffer
+                     (const Hs__StepAside *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__step_aside__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__StepAside *
+       hs__step_aside__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__StepAside *)
+     protobuf_c_message_unpack (&hs__step_aside__descriptor,
+                                allocator, len, data);
+}
+void   hs__step_aside__free_unpacked
+                     (Hs__StepAside *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__step_aside__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -2377,7 +2602,301 @@
   (ProtobufCMessageInit) hs__engine_shares__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[15] =
+static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[4] =
+{
+  {
+    "engine_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, engine_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "online",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, online),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__engine_use__field_indices_by_name[] = {
+  3,   /* field[3] = batch */
+  0,   /* field[0] = engine_hash */
+  2,   /* field[2] = online */
+  1,   /* field[1] = slots */
+};
+static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor hs__engine_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EngineUse",
+  "EngineUse",
+  "Hs__EngineUse",
+  "hs",
+  sizeof(Hs__EngineUse),
+  4,
+  hs__engine_use__field_descriptors,
+  hs__engine_use__field_indices_by_name,
+  1,  hs__engine_use__number_ranges,
+  (ProtobufCMessageInit) hs__engine_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__engine_uses__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUses, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wants_totals",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUses, wants_totals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "uses",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__EngineUses, n_uses),
+    offsetof(Hs__EngineUses, uses),
+    &hs__engine_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__engine_uses__field_indices_by_name[] = {
+  0,   /* field[0] = sequence */
+  2,   /* field[2] = uses */
+  1,   /* field[1] = wants_totals */
+};
+static const ProtobufCIntRange hs__engine_uses__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor hs__engine_uses__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EngineUses",
+  "EngineUses",
+  "Hs__EngineUses",
+  "hs",
+  sizeof(Hs__EngineUses),
+  3,
+  hs__engine_uses__field_descriptors,
+  hs__engine_uses__field_indices_by_name,
+  1,  hs__engine_uses__number_ranges,
+  (ProtobufCMessageInit) hs__engine_uses__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[3] =
+{
+  {
+    "engine_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, engine_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "online",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, online),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__engine_total__field_indices_by_name[] = {
+  2,   /* field[2] = batch */
+  0,   /* field[0] = engine_hash */
+  1,   /* field[1] = online */
+};
+static const ProtobufCIntRange hs__engine_total__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor hs__engine_total__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EngineTotal",
+  "EngineTotal",
+  "Hs__EngineTotal",
+  "hs",
+  sizeof(Hs__EngineTotal),
+  3,
+  hs__engine_total__field_descriptors,
+  hs__engine_total__field_indices_by_name,
+  1,  hs__engine_total__number_ranges,
+  (ProtobufCMessageInit) hs__engine_total__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__engine_totals__field_descriptors[1] =
+{
+  {
+    "totals",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__EngineTotals, n_totals),
+    offsetof(Hs__EngineTotals, totals),
+    &hs__engine_total__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__engine_totals__field_indices_by_name[] = {
+  0,   /* field[0] = totals */
+};
+static const ProtobufCIntRange hs__engine_totals__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor hs__engine_totals__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EngineTotals",
+  "EngineTotals",
+  "Hs__EngineTotals",
+  "hs",
+  sizeof(Hs__EngineTotals),
+  1,
+  hs__engine_totals__field_descriptors,
+  hs__engine_totals__field_indices_by_name,
+  1,  hs__engine_totals__number_ranges,
+  (ProtobufCMessageInit) hs__engine_totals__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__step_aside__field_descriptors[2] =
+{
+  {
+    "engine_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__StepAside, engine_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__StepAside, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__step_aside__field_indices_by_name[] = {
+  1,   /* field[1] = count */
+  0,   /* field[0] = engine_hash */
+};
+static const ProtobufCIntRange hs__step_aside__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__step_aside__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.StepAside",
+  "StepAside",
+  "Hs__StepAside",
+  "hs",
+  sizeof(Hs__StepAside),
+  2,
+  hs__step_aside__field_descriptors,
+  hs__step_aside__field_indices_by_name,
+  1,  hs__step_aside__number_ranges,
+  (ProtobufCMessageInit) hs__step_aside__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[18] =
 {
   {
     "sender_id",
@@ -2559,11 +3078,49 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "engine_uses",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, engine_uses),
+    &hs__engine_uses__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engine_totals",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, engine_totals),
+    &hs__engine_totals__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step_aside",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, step_aside),
+    &hs__step_aside__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   13,   /* field[13] = demand_report */
   5,   /* field[5] = engine_load */
   14,   /* field[14] = engine_shares */
+  16,   /* field[16] = engine_totals */
+  15,   /* field[15] = engine_uses */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
   9,   /* field[9] = grant_revoke */
@@ -2576,11 +3133,12 @@
   6,   /* field[6] = pull_request */
   0,   /* field[0] = sender_id */
   1,   /* field[1] = sender_incarnation */
+  17,   /* field[17] = step_aside */
 };
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -2590,7 +3148,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  15,
+  18,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -33,6 +33,11 @@
 typedef struct Hs__DemandReport Hs__DemandReport;
 typedef struct Hs__EngineShare Hs__EngineShare;
 typedef struct Hs__EngineShares Hs__EngineShares;
+typedef struct Hs__EngineUse Hs__EngineUse;
+typedef struct Hs__EngineUses Hs__EngineUses;
+typedef struct Hs__EngineTotal Hs__EngineTotal;
+typedef struct Hs__EngineTotals Hs__EngineTotals;
+typedef struct Hs__StepAside Hs__StepAside;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -349,6 +354,78 @@
     , 0,NULL }
 
 
+/*
+ * What the sender has on an engine now; told to the engine's arbiter at each change.
+ */
+struct  Hs__EngineUse
+{
+  ProtobufCMessage base;
+  uint64_t engine_hash;
+  uint32_t slots;
+  uint32_t online;
+  uint32_t batch;
+};
+#define HS__ENGINE_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Hs__EngineUses
+{
+  ProtobufCMessage base;
+  /*
+   * Grows with each message of one life of the sender.
+   */
+  uint64_t sequence;
+  protobuf_c_boolean wants_totals;
+  size_t n_uses;
+  Hs__EngineUse **uses;
+};
+#define HS__ENGINE_USES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__engine_uses__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * What all daemons have on an engine, as its arbiter was told.
+ */
+struct  Hs__EngineTotal
+{
+  ProtobufCMessage base;
+  uint64_t engine_hash;
+  uint32_t online;
+  uint32_t batch;
+};
+#define HS__ENGINE_TOTAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__engine_total__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Hs__EngineTotals
+{
+  ProtobufCMessage base;
+  size_t n_totals;
+  Hs__EngineTotal **totals;
+};
+#define HS__ENGINE_TOTALS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__engine_totals__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * The engine's slots are needed: so many of the receiver's batch items there leave now.
+ */
+struct  Hs__StepAside
+{
+  ProtobufCMessage base;
+  uint64_t engine_hash;
+  uint32_t count;
+};
+#define HS__STEP_ASIDE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__step_aside__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -363,7 +440,10 @@
   HS__PEER_MESSAGE__KIND_LIMIT_ASK = 12,
   HS__PEER_MESSAGE__KIND_LIMIT_GRANT = 13,
   HS__PEER_MESSAGE__KIND_DEMAND_REPORT = 14,
-  HS__PEER_MESSAGE__KIND_ENGINE_SHARES = 15
+  HS__PEER_MESSAGE__KIND_ENGINE_SHARES = 15,
+  HS__PEER_MESSAGE__KIND_ENGINE_USES = 16,
+  HS__PEER_MESSAGE__KIND_ENGINE_TOTALS = 17,
+  HS__PEER_MESSAGE__KIND_STEP_ASIDE = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -387,6 +467,9 @@
     Hs__LimitGrant *limit_grant;
     Hs__DemandReport *demand_report;
     Hs__EngineShares *engine_shares;
+    Hs__EngineUses *engine_uses;
+    Hs__EngineTotals *engine_totals;
+    Hs__StepAside *step_aside;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -769,6 +852,101 @@
 void   hs__engine_shares__free_unpacked
                      (Hs__EngineShares *message,
                       ProtobufCAllocator *allocator);
+/* Hs__EngineUse methods */
+void   hs__engine_use__init
+                     (Hs__EngineUse         *message);
+size_t hs__engine_use__get_packed_size
+                     (const Hs__EngineUse   *message);
+size_t hs__engine_use__pack
+                     (const Hs__EngineUse   *message,
+                      uint8_t             *out);
+size_t hs__engine_use__pack_to_buffer
+                     (const Hs__EngineUse   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EngineUse *
+       hs__engine_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__engine_use__free_unpacked
+                     (Hs__EngineUse *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__EngineUses methods */
+void   hs__engine_uses__init
+                     (Hs__EngineUses         *message);
+size_t hs__engine_uses__get_packed_size
+                     (const Hs__EngineUses   *message);
+size_t hs__engine_uses__pack
+                     (const Hs__EngineUses   *message,
+                      uint8_t             *out);
+size_t hs__engine_uses__pack_to_buffer
+                     (const Hs__EngineUses   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EngineUses *
+       hs__engine_uses__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__engine_uses__free_unpacked
+                     (Hs__EngineUses *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__EngineTotal methods */
+void   hs__engine_total__init
+                     (Hs__EngineTotal         *message);
+size_t hs__engine_total__get_packed_size
+                     (const Hs__EngineTotal   *message);
+size_t hs__engine_total__pack
+                     (const Hs__EngineTotal   *message,
+                      uint8_t             *out);
+size_t hs__engine_total__pack_to_buffer
+                     (const Hs__EngineTotal   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EngineTotal *
+       hs__engine_total__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__engine_total__free_unpacked
+                     (Hs__EngineTotal *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__EngineTotals methods */
+void   hs__engine_totals__init
+                     (Hs__EngineTotals         *message);
+size_t hs__engine_totals__get_packed_size
+                     (const Hs__EngineTotals   *message);
+size_t hs__engine_totals__pack
+                     (const Hs__EngineTotals   *message,
+                      uint8_t             *out);
+size_t hs__engine_totals__pack_to_buffer
+                     (const Hs__EngineTotals   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EngineTotals *
+       hs__engine_totals__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__engine_totals__free_unpacked
+                     (Hs__EngineTotals *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__StepAside methods */
+void   hs__step_aside__init
+                     (Hs__StepAside         *message);
+size_t hs__step_aside__get_packed_size
+                     (const Hs__StepAside   *message);
+size_t hs__step_aside__pack
+                     (const Hs__StepAside   *message,
+                      uint8_t             *out);
+size_t hs__step_aside__pack_to_buffer
+                     (const Hs__StepAside   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__StepAside *
+       hs__step_aside__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__step_aside__free_unpacked
+                     (Hs__StepAside *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -882,6 +1060,21 @@
 typedef void (*Hs__EngineShares_Closure)
                  (const Hs__EngineShares *message,
                   void *closure_data);
+typedef void (*Hs__EngineUse_Closure)
+                 (const Hs__EngineUse *message,
+                  void *closure_data);
+typedef void (*Hs__EngineUses_Closure)
+                 (const Hs__EngineUses *message,
+                  void *closure_data);
+typedef void (*Hs__EngineTotal_Closure)
+                 (const Hs__EngineTotal *message,
+                  void *closure_data);
+typedef void (*Hs__EngineTotals_Closure)
+                 (const Hs__EngineTotals *message,
+                  void *closure_data);
+typedef void (*Hs__StepAside_Closure)
+                 (const Hs__StepAside *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -916,6 +1109,11 @@
 extern const ProtobufCMessageDescriptor hs__demand_report__descriptor;
 extern const ProtobufCMessageDescriptor hs__engine_share__descriptor;
 extern const ProtobufCMessageDescriptor hs__engine_shares__descriptor;
+extern const ProtobufCMessageDescriptor hs__engine_use__descriptor;
+extern const ProtobufCMessageDescriptor hs__engine_uses__descriptor;
+extern const ProtobufCMessageDescriptor hs__engine_total__descriptor;
+extern const ProtobufCMessageDescriptor hs__engine_totals__descriptor;
+extern const ProtobufCMessageDescriptor hs__step_aside__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -6,6 +6,7 @@
 #include "base/endpoint.h"
 #include "base/log.h"
 #include "base/stop_wait.h"
+#include "directory/slot_arbiter.h"
 #include "platform/caller_codec.h"
 
 #include <string.h>
@@ -26,6 +27,7 @@
     hs_daemon_directory_settings settings;
     hs_peer_socket *socket;
     hs_membership_service *membership;
+    hs_slot_arbiter *slots;
     char *seeds; /**< Guarded by the lock. */
     gint resolve_ttl_s;
     uint64_t started_ms;
@@ -60,7 +62,8 @@
 static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
                            void *user_data) {
     hs_daemon_directory *directory = user_data;
-    if (hs_membership_service_handle(directory->membership, message, from))
+    if (hs_membership_service_handle(directory->membership, message, from) ||
+        hs_slot_arbiter_handle(directory->slots, message, from))
         return;
     if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_SHARES)
         take_shares(directory, message);
@@ -91,6 +94,7 @@
                        .suspect_ms = probe_ms * SUSPECT_PROBES,
                        .forget_ms = FORGET_MS}};
     directory->membership = hs_membership_service_new(&self, &service_settings, socket);
+    directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership, socket);
     return directory;
 }
 
@@ -255,6 +259,7 @@
         if (now_ms >= directory->next_shares_ms) {
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
             send_shares(directory);
+            hs_slot_arbiter_refresh(directory->slots);
         }
     }
     return NULL;
@@ -281,6 +286,7 @@
         if (g_atomic_int_get(&directory->joined) != 0)
             hs_peer_socket_stop(directory->socket);
     }
+    hs_slot_arbiter_free(directory->slots);
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
     g_free(directory->seeds);
--- /dev/null
+++ b/src/directory/slot_arbiter.c
@@ -0,0 +1,247 @@
+/** @file slot_arbiter.c  Messages about engines' slots; see slot_arbiter.h. */
+#include "directory/slot_arbiter.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "fleet/slot_ledger.h"
+
+#include <string.h>
+
+struct hs_slot_arbiter {
+    hs_fleet_engines *engines;
+    hs_membership_service *membership;
+    hs_peer_socket *socket;
+    GMutex lock; /**< Guards the ledger. */
+    hs_slot_ledger *ledger;
+};
+
+/** A daemon that messages go to. */
+typedef struct {
+    char id[64];
+    uint32_t address;
+    uint16_t port;
+    bool is_self;
+} peer;
+
+/** The arbiter of an engine: first by rendezvous among live daemons. */
+static peer arbiter_of(hs_slot_arbiter *arbiter, uint64_t engine_hash) {
+    g_autofree char *key = g_strdup_printf("engine-%" G_GINT64_MODIFIER "x", engine_hash);
+    peer found = {0};
+    const hs_membership *membership = hs_membership_service_lock(arbiter->membership);
+    const hs_member *member = hs_membership_rank_first(membership, key, NULL);
+    if (member != NULL) {
+        found = (peer){.address = member->address,
+                       .port = member->peer_port,
+                       .is_self = member == hs_membership_self(membership)};
+        g_strlcpy(found.id, member->id, sizeof found.id);
+    }
+    hs_membership_service_unlock(arbiter->membership);
+    return found;
+}
+
+static void send_to(hs_slot_arbiter *arbiter, const peer *to, Hs__PeerMessage *message) {
+    hs_membership_service_sign(arbiter->membership, message);
+    hs_peer_socket_send(arbiter->socket, to->address, to->port, message);
+}
+
+/** Pass on who must leave an engine; this daemon's own items are told at once. */
+static void pass_on(hs_slot_arbiter *arbiter, uint64_t engine_hash, const GArray *asks) {
+    for (guint index = 0; index < asks->len; index++) {
+        const hs_slot_ask *ask = &g_array_index(asks, hs_slot_ask, index);
+        hs_log_debug("step_aside_asked", "engine_hash=%" G_GINT64_MODIFIER "x daemon=%s count=%u",
+                     engine_hash, ask->daemon, ask->count);
+        peer to = {0};
+        g_strlcpy(to.id, ask->daemon, sizeof to.id);
+        if (!hs_membership_service_address(arbiter->membership, ask->daemon, &to.address, &to.port))
+            continue;
+        Hs__StepAside body = HS__STEP_ASIDE__INIT;
+        body.engine_hash = engine_hash;
+        body.count = ask->count;
+        Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+        message.kind_case = HS__PEER_MESSAGE__KIND_STEP_ASIDE;
+        message.step_aside = &body;
+        hs_membership_service_sign(arbiter->membership, &message);
+        if (strcmp(message.sender_id, ask->daemon) == 0)
+            hs_fleet_engines_step_aside(arbiter->engines, engine_hash, ask->count);
+        else
+            hs_peer_socket_send(arbiter->socket, to.address, to.port, &message);
+    }
+}
+
+/** Note one daemon's use of an engine and act on it. */
+static hs_slot_totals take_use(hs_slot_arbiter *arbiter, const hs_slot_use *use) {
+    g_autoptr(GArray) asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
+    g_mutex_lock(&arbiter->lock);
+    hs_slot_totals totals =
+        hs_slot_ledger_take(arbiter->ledger, use, hs_clock_monotonic_ms(), asks);
+    g_mutex_unlock(&arbiter->lock);
+    pass_on(arbiter, use->engine_hash, asks);
+    return totals;
+}
+
+static hs_slot_use use_from(const Hs__PeerMessage *message, const Hs__EngineUse *told) {
+    return (hs_slot_use){.engine_hash = told->engine_hash,
+                         .daemon = message->sender_id,
+                         .incarnation = message->sender_incarnation,
+                         .sequence = message->engine_uses->sequence,
+                         .slots = told->slots,
+                         .online = told->online,
+                         .batch = told->batch};
+}
+
+static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
+                      const struct sockaddr_in *from) {
+    const Hs__EngineUses *uses = message->engine_uses;
+    g_autofree Hs__EngineTotal *totals = g_new(Hs__EngineTotal, uses->n_uses + 1);
+    g_autofree Hs__EngineTotal **list = g_new(Hs__EngineTotal *, uses->n_uses + 1);
+    for (size_t index = 0; index < uses->n_uses; index++) {
+        hs_slot_use use = use_from(message, uses->uses[index]);
+        hs_slot_totals sum = take_use(arbiter, &use);
+        hs__engine_total__init(&totals[index]);
+        totals[index].engine_hash = use.engine_hash;
+        totals[index].online = sum.online;
+        totals[index].batch = sum.batch;
+        list[index] = &totals[index];
+    }
+    if (!uses->wants_totals)
+        return;
+    Hs__EngineTotals body = HS__ENGINE_TOTALS__INIT;
+    body.n_totals = uses->n_uses;
+    body.totals = list;
+    Hs__PeerMessage answer = HS__PEER_MESSAGE__INIT;
+    answer.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_TOTALS;
+    answer.engine_totals = &body;
+    peer to = {.address = g_ntohl(from->sin_addr.s_addr), .port = g_ntohs(from->sin_port)};
+    send_to(arbiter, &to, &answer);
+}
+
+static void take_totals(hs_slot_arbiter *arbiter, const Hs__EngineTotals *told) {
+    for (size_t index = 0; index < told->n_totals; index++)
+        hs_fleet_engines_put_total(arbiter->engines, told->totals[index]->engine_hash,
+                                   told->totals[index]->online, told->totals[index]->batch);
+}
+
+bool hs_slot_arbiter_handle(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
+                            const struct sockaddr_in *from) {
+    switch (message->kind_case) {
+    case HS__PEER_MESSAGE__KIND_ENGINE_USES:
+        take_uses(arbiter, message, from);
+        return true;
+    case HS__PEER_MESSAGE__KIND_ENGINE_TOTALS:
+        take_totals(arbiter, message->engine_totals);
+        return true;
+    case HS__PEER_MESSAGE__KIND_STEP_ASIDE:
+        hs_fleet_engines_step_aside(arbiter->engines, message->step_aside->engine_hash,
+                                    message->step_aside->count);
+        return true;
+    default:
+        return false;
+    }
+}
+
+/** This daemon's own use of an engine that it arbitrates itself. */
+static void take_own(hs_slot_arbiter *arbiter, const peer *self, const hs_engine_use *own) {
+    hs_slot_use use = {.engine_hash = own->engine_hash,
+                       .daemon = self->id,
+                       .incarnation = hs_membership_service_incarnation(arbiter->membership),
+                       .sequence = own->sequence,
+                       .slots = own->slots,
+                       .online = own->online,
+                       .batch = own->batch};
+    hs_slot_totals totals = take_use(arbiter, &use);
+    hs_fleet_engines_put_total(arbiter->engines, own->engine_hash, totals.online, totals.batch);
+}
+
+/** Send @p uses, all of engines that @p to arbitrates. */
+static void send_uses(hs_slot_arbiter *arbiter, const peer *to, const hs_engine_use *uses,
+                      size_t count, bool wants_totals) {
+    g_autofree Hs__EngineUse *told = g_new(Hs__EngineUse, count);
+    g_autofree Hs__EngineUse **list = g_new(Hs__EngineUse *, count);
+    for (size_t index = 0; index < count; index++) {
+        hs__engine_use__init(&told[index]);
+        told[index].engine_hash = uses[index].engine_hash;
+        told[index].slots = uses[index].slots;
+        told[index].online = uses[index].online;
+        told[index].batch = uses[index].batch;
+        list[index] = &told[index];
+    }
+    Hs__EngineUses body = HS__ENGINE_USES__INIT;
+    body.sequence = uses[count - 1].sequence;
+    body.wants_totals = wants_totals;
+    body.n_uses = count;
+    body.uses = list;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_USES;
+    message.engine_uses = &body;
+    send_to(arbiter, to, &message);
+}
+
+/** What this daemon has on an engine changed: the table of engines calls this. */
+static void tell(const hs_engine_use *use, bool started, void *user_data) {
+    hs_slot_arbiter *arbiter = user_data;
+    peer to = arbiter_of(arbiter, use->engine_hash);
+    if (to.is_self)
+        take_own(arbiter, &to, use);
+    else if (to.port != 0)
+        send_uses(arbiter, &to, use, 1, started);
+}
+
+/** A use and where it is told. */
+typedef struct {
+    peer to;
+    hs_engine_use use;
+} addressed_use;
+
+static gint by_receiver(gconstpointer first, gconstpointer second) {
+    return strcmp(((const addressed_use *)first)->to.id, ((const addressed_use *)second)->to.id);
+}
+
+void hs_slot_arbiter_refresh(hs_slot_arbiter *arbiter) {
+    g_autoptr(GArray) uses = hs_fleet_engines_own_uses(arbiter->engines);
+    g_autoptr(GArray) addressed = g_array_new(FALSE, FALSE, sizeof(addressed_use));
+    for (guint index = 0; index < uses->len; index++) {
+        addressed_use entry = {.use = g_array_index(uses, hs_engine_use, index)};
+        entry.to = arbiter_of(arbiter, entry.use.engine_hash);
+        g_array_append_val(addressed, entry);
+    }
+    g_array_sort(addressed, by_receiver);
+    g_autoptr(GArray) group = g_array_new(FALSE, FALSE, sizeof(hs_engine_use));
+    for (guint index = 0; index < addressed->len; index++) {
+        const addressed_use *entry = &g_array_index(addressed, addressed_use, index);
+        bool is_last = index + 1 == addressed->len ||
+                       by_receiver(entry, &g_array_index(addressed, addressed_use, index + 1)) != 0;
+        if (entry->to.is_self) {
+            take_own(arbiter, &entry->to, &entry->use);
+            continue;
+        }
+        g_array_append_val(group, entry->use);
+        if (is_last && entry->to.port != 0)
+            send_uses(arbiter, &entry->to, (const hs_engine_use *)group->data, group->len, true);
+        if (is_last)
+            g_array_set_size(group, 0);
+    }
+    g_mutex_lock(&arbiter->lock);
+    hs_slot_ledger_expire(arbiter->ledger, hs_clock_monotonic_ms());
+    g_mutex_unlock(&arbiter->lock);
+}
+
+hs_slot_arbiter *hs_slot_arbiter_new(hs_fleet_engines *engines, hs_membership_service *membership,
+                                     hs_peer_socket *socket) {
+    hs_slot_arbiter *arbiter = g_new0(hs_slot_arbiter, 1);
+    arbiter->engines = engines;
+    arbiter->membership = membership;
+    arbiter->socket = socket;
+    arbiter->ledger = hs_slot_ledger_new();
+    g_mutex_init(&arbiter->lock);
+    hs_fleet_engines_set_teller(engines, tell, arbiter);
+    return arbiter;
+}
+
+void hs_slot_arbiter_free(hs_slot_arbiter *arbiter) {
+    if (arbiter == NULL)
+        return;
+    hs_fleet_engines_set_teller(arbiter->engines, NULL, NULL);
+    hs_slot_ledger_free(arbiter->ledger);
+    g_mutex_clear(&arbiter->lock);
+    g_free(arbiter);
+}
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -8,6 +8,8 @@
 
 /** A load told with an answer counts for this long, fading. */
 #define LOAD_VALID_MS 1000.0
+/** An arbiter's word on an engine counts for this long; daemons tell each other as often. */
+#define TOTAL_VALID_MS 250
 /** Failures fade to half in this time, so that an engine is tried again. */
 #define FAILURE_HALF_MS 3000.0
 /** Ends without a failure that each engine is given at first, so that one failure says little. */
@@ -34,10 +36,24 @@
            engine->peers_suspecting > 0;
 }
 
+/** The arbiter's word is fresher than what daemons tell each other at intervals, for a while. */
+static bool is_told(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return engine->told_ms != 0 && now_ms < engine->told_ms + TOTAL_VALID_MS;
+}
+
+double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return is_told(engine, now_ms) ? engine->told_online : engine->peers_online;
+}
+
+double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return is_told(engine, now_ms) ? engine->told_batch : engine->peers_batch;
+}
+
 /** Requests there of all daemons: own, told by peers, or seen in an answer's load. */
 double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms) {
     double own = (double)engine->online + engine->batch;
-    double others = engine->peers_online + engine->peers_batch;
+    double others = hs_fleet_engine_others_online(engine, now_ms) +
+                    hs_fleet_engine_others_batch(engine, now_ms);
     double age_ms = (double)(now_ms - engine->load_ms);
     if (engine->load.present && age_ms < LOAD_VALID_MS) {
         double told = (double)engine->load.running + engine->load.waiting - engine->load_own;
@@ -57,7 +73,7 @@
     hs_engine_candidate candidate = {
         .slots = engine->entry.slots,
         .running = hs_fleet_engine_running(engine, now_ms),
-        .batch = engine->batch + engine->peers_batch,
+        .batch = engine->batch + hs_fleet_engine_others_batch(engine, now_ms),
         .queued_tokens = (double)engine->queued_tokens + engine->peers_queued,
         .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
         .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -7,6 +7,8 @@
 /** Share of a run's time that one more run beside it costs: spreads equal engines. */
 #define BESIDE_SHARE 0.02
 #define OTHER_ZONE_MS 1.0
+/** Until a batch item has left its slot, and what its prompt costs when it is read again. */
+#define STEP_ASIDE_MS 15.0
 #define WARMUP_SHARE 0.1
 /** What a failure costs, in runs: about as much as an answer that comes too late. */
 #define FAILURE_RUNS 0.6
@@ -18,8 +20,9 @@
     double cost =
         (candidate->queued_tokens + candidate->uncached_tokens) / fmax(speed->tokens_per_ms, 1e-3);
     cost += candidate->running / slots * speed->run_ms * BESIDE_SHARE;
-    if (candidate->running + 1 > slots)
-        cost += (candidate->running + 1 - slots) / slots * speed->run_ms;
+    double over = fmax(candidate->running + 1 - slots, 0);
+    double aside = fmin(over, candidate->batch);
+    cost += aside * STEP_ASIDE_MS + (over - aside) / slots * speed->run_ms;
     if (candidate->memory_share > MEMORY_HIGH)
         cost += (candidate->memory_share - MEMORY_HIGH) * speed->run_ms;
     cost += candidate->failure_rate * speed->run_ms * FAILURE_RUNS;
@@ -46,15 +49,13 @@
 }
 
 int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                double batch_share, const hs_engine_speed *speed) {
+                                const hs_engine_speed *speed) {
     int best = HS_ENGINE_NONE;
     double best_cost = 0;
     for (size_t step = 0; step < count; step++) {
         size_t index = (first + step) % count;
         const hs_engine_candidate *candidate = &candidates[index];
-        double most = fmax(floor(candidate->slots * batch_share), 1.0);
-        if (candidate->suspected || candidate->batch + 1 > most ||
-            candidate->running + 2 > candidate->slots)
+        if (candidate->suspected || candidate->running + 1 > candidate->slots)
             continue;
         double cost = hs_engine_choice_cost(candidate, speed);
         if (best == HS_ENGINE_NONE || cost < best_cost) {
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -43,11 +43,8 @@
 int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
                           const hs_engine_speed *speed);
 
-/**
- * As above for batch items: only engines with a free slot beside it where batch items take no more
- * than @p batch_share of the slots.
- */
+/** As above for batch items: only engines that are not suspected and have a free slot. */
 int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                double batch_share, const hs_engine_speed *speed);
+                                const hs_engine_speed *speed);
 
 #endif
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -197,10 +197,13 @@
     g_ptr_array_remove(engine->batch_leases, lease);
     judge(lease, end, now_ms);
     bool kept = keep(lease, connection, now_ms);
+    engine->left_ms = now_ms;
+    hs_engine_use use = hs_fleet_engine_use(lease->engines, engine);
     hs_fleet_engine_unref(engine);
     g_mutex_unlock(&lease->engines->lock);
     if (!kept)
         hs_client_connection_close(connection);
+    hs_fleet_engines_tell(lease->engines, &use, false);
     g_free(lease);
 }
 
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -12,10 +12,13 @@
 #define PEER_VALID_MS 2000
 /** Sums over daemons are made anew at most this often. */
 #define SUM_INTERVAL_MS 50
+/**
+ * An engine's arbiter asks items aside within a few ms; where more than its slots are believed
+ * taken for longer than this, the arbiter is silent and daemons act by what they told each other.
+ */
+#define EXCESS_LEAST_MS 300
 /** Time until what stepped aside on an engine is known to all daemons. */
 #define YIELD_SETTLE_MS 450
-/** A peak of online requests fades to half in this time. */
-#define PEAK_HALF_MS 12000.0
 #define PERMILLE 1000.0
 
 typedef struct {
@@ -29,26 +32,6 @@
     g_free(peer);
 }
 
-/** Online requests on a service at their highest of late. */
-typedef struct {
-    double requests;
-    uint64_t noted_ms;
-} online_peak;
-
-/** The peak after a look at @p online requests now. The caller holds the lock. */
-static double note_peak(hs_fleet_engines *engines, const char *service, double online,
-                        uint64_t now_ms) {
-    online_peak *peak = g_hash_table_lookup(engines->peaks, service);
-    if (peak == NULL) {
-        peak = g_new0(online_peak, 1);
-        g_hash_table_insert(engines->peaks, g_strdup(service), peak);
-    }
-    double age_ms = (double)(now_ms - peak->noted_ms);
-    peak->requests = fmax(online, peak->requests * exp2(-age_ms / PEAK_HALF_MS));
-    peak->noted_ms = now_ms;
-    return peak->requests;
-}
-
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_engine_query query = {.service = service};
@@ -60,26 +43,23 @@
         const hs_fleet_engine *engine = found->pdata[index];
         if (hs_fleet_engine_is_suspected(engine, now_ms))
             continue;
-        double batch = engine->batch + engine->peers_batch;
+        double batch = engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
         room.ready++;
         room.slots += engine->entry.slots;
         room.batch += batch;
         room.online += fmax(hs_fleet_engine_running(engine, now_ms) - batch, 0);
     }
-    room.online_peak = note_peak(engines, service, room.online, now_ms);
     g_mutex_unlock(&engines->lock);
     return room;
 }
 
-/** Ask the newest batch items on @p engine to step aside; they lose the least. */
-static uint32_t yield_on(hs_fleet_engine *engine, uint32_t wanted) {
-    uint32_t asked = 0;
-    for (guint index = engine->batch_leases->len; index > 0 && asked < wanted; index--) {
-        const hs_engine_lease *lease = engine->batch_leases->pdata[index - 1];
-        if (lease->yield != NULL && hs_interrupt_raise(lease->yield, HS_INTERRUPT_YIELD))
-            asked++;
-    }
-    return asked;
+/** Whether more than an engine's slots were believed taken for a while; notes since when. */
+static bool is_in_excess(hs_fleet_engine *engine, double excess, uint64_t now_ms) {
+    if (excess <= 0)
+        engine->excess_since_ms = 0;
+    else if (engine->excess_since_ms == 0)
+        engine->excess_since_ms = now_ms;
+    return excess > 0 && now_ms >= engine->excess_since_ms + EXCESS_LEAST_MS;
 }
 
 uint32_t hs_fleet_engines_yield(hs_fleet_engines *engines) {
@@ -92,12 +72,14 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         hs_fleet_engine *engine = value;
-        double batch = engine->batch + engine->peers_batch;
+        double batch = engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
         double excess = hs_fleet_engine_running(engine, now_ms) - engine->entry.slots;
-        if (engine->batch == 0 || excess <= 0 || now_ms < engine->no_yield_until_ms ||
-            engine->online + engine->peers_online <= 0)
+        bool waits = is_in_excess(engine, excess, now_ms);
+        if (engine->batch == 0 || !waits || now_ms < engine->no_yield_until_ms ||
+            engine->online + hs_fleet_engine_others_online(engine, now_ms) <= 0)
             continue;
-        asked += yield_on(engine, (uint32_t)ceil(fmin(excess, batch) * engine->batch / batch));
+        asked += hs_fleet_engine_yield(engine,
+                                       (uint32_t)ceil(fmin(excess, batch) * engine->batch / batch));
         engine->no_yield_until_ms = now_ms + YIELD_SETTLE_MS;
     }
     g_mutex_unlock(&engines->lock);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -36,6 +36,11 @@
     double peers_batch;
     double peers_queued;
     uint32_t peers_suspecting;
+    double told_online; /**< Of other daemons, as the engine's arbiter told at told_ms. */
+    double told_batch;
+    uint64_t told_ms;
+    uint64_t left_ms;         /**< When the last request of this daemon ended there; 0: never. */
+    uint64_t excess_since_ms; /**< More than its slots are believed taken since; 0: not. */
     hs_prefix_index *prefixes;
     GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
     GQueue idle;             /**< of idle_connection*; the latest used last. */
@@ -47,11 +52,13 @@
     GHashTable *peers; /**< peer -> peer_load* */
     char *zone;
     GHashTable *speeds;  /**< service -> hs_engine_speed* */
-    GHashTable *peaks;   /**< service -> online_peak* */
     uint32_t peer_count; /**< Other daemons there are. */
     uint64_t summed_ms;  /**< When peers' words were summed last; 0: they changed. */
     uint64_t turn;
     uint64_t connects;
+    uint64_t use_sequence;
+    hs_engine_use_teller teller; /**< NULL: nobody is told. */
+    void *teller_data;
 };
 
 struct hs_engine_lease {
@@ -76,6 +83,15 @@
 /** The caller holds the lock. */
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
+/** What other daemons have there. */
+double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms);
+double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms);
+/** This daemon's use of the engine now. */
+hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
+/** Ask the newest batch items there to step aside, which lose the least; how many were asked. */
+uint32_t hs_fleet_engine_yield(hs_fleet_engine *engine, uint32_t wanted);
+/** Tell a use; without the lock. */
+void hs_fleet_engines_tell(hs_fleet_engines *engines, const hs_engine_use *use, bool started);
 double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_faded(const hs_fleet_engine *engine, double count, uint64_t now_ms);
 double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -44,7 +44,6 @@
     engines->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    engines->peaks = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -56,7 +55,6 @@
     g_hash_table_destroy(engines->by_id);
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
-    g_hash_table_destroy(engines->peaks);
     g_mutex_clear(&engines->lock);
     g_free(engines->zone);
     g_free(engines);
@@ -257,6 +255,7 @@
 hs_engine_lease *hs_fleet_engines_take(hs_fleet_engines *engines, const hs_engine_query *query) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_engine_lease *lease = NULL;
+    hs_engine_use use = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, query);
@@ -266,10 +265,9 @@
     credit_home(found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
-    int picked =
-        query->work == HS_WORK_ONLINE
-            ? hs_engine_choice_pick(candidates, found->len, first, speed)
-            : hs_engine_choice_pick_spare(candidates, found->len, first, query->batch_share, speed);
+    int picked = query->work == HS_WORK_ONLINE
+                     ? hs_engine_choice_pick(candidates, found->len, first, speed)
+                     : hs_engine_choice_pick_spare(candidates, found->len, first, speed);
     if (picked != HS_ENGINE_NONE) {
         const hs_engine_candidate *chosen = &candidates[picked];
         hs_fleet_engine *engine = found->pdata[picked];
@@ -281,8 +279,11 @@
                                              .failure_rate = chosen->failure_rate,
                                              .suspected = chosen->suspected,
                                              .listed_age_ms = now_ms - engine->listed_ms};
+        use = hs_fleet_engine_use(engines, engine);
     }
     g_mutex_unlock(&engines->lock);
+    if (lease != NULL)
+        hs_fleet_engines_tell(engines, &use, true);
     return lease;
 }
 
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -48,7 +48,6 @@
     const char *service;
     const hs_request_size *size;
     hs_work_class work;
-    double batch_share;        /**< Batch: most of an engine's slots that batch items may take. */
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
     hs_interrupt *yield;       /**< Batch: raised when the item is to step aside. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
@@ -66,6 +65,18 @@
     bool suspected;
 } hs_engine_share;
 
+/** What this daemon has on one engine, at one moment. */
+typedef struct {
+    uint64_t engine_hash;
+    uint64_t sequence; /**< Grows with the moments. */
+    uint32_t slots;    /**< The engine's. */
+    uint32_t online;
+    uint32_t batch;
+} hs_engine_use;
+
+/** Called without a lock when a use changed; @p started: by a request that begins. */
+typedef void (*hs_engine_use_teller)(const hs_engine_use *use, bool started, void *user_data);
+
 /** @p zone: of this daemon. */
 hs_fleet_engines *hs_fleet_engines_new(const char *zone);
 void hs_fleet_engines_free(hs_fleet_engines *engines);
@@ -115,9 +126,8 @@
 typedef struct {
     uint32_t ready;
     uint32_t slots;
-    double online;      /**< Believed running, of all daemons. */
-    double batch;       /**< Believed running, of all daemons. */
-    double online_peak; /**< Highest of late; fades, so that a rush that comes again finds room. */
+    double online; /**< Believed running, of all daemons. */
+    double batch;  /**< Believed running, of all daemons. */
 } hs_service_room;
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
@@ -136,6 +146,21 @@
 void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
                                uint64_t now_ms);
 
+/** Whom changes of uses are told; NULL: nobody. Before the first request, or after the last. */
+void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
+                                 void *user_data);
+
+/** What this daemon has on all engines: of hs_engine_use. Engines that it left lately are in it. */
+GArray *hs_fleet_engines_own_uses(hs_fleet_engines *engines);
+
+/** What all daemons, this one included, have on an engine, as its arbiter tells. */
+void hs_fleet_engines_put_total(hs_fleet_engines *engines, uint64_t engine_hash, uint32_t online,
+                                uint32_t batch);
+
+/** Ask the newest batch items of this daemon on an engine to leave it; how many were asked. */
+uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
+                                     uint32_t count);
+
 /** How many other daemons there are; of those that told nothing lately the mean is assumed. */
 void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers);
 
--- /dev/null
+++ b/src/fleet/slot_ledger.c
@@ -0,0 +1,179 @@
+/** @file slot_ledger.c  Uses of engines by daemon, and who steps aside; see slot_ledger.h. */
+#include "fleet/slot_ledger.h"
+
+#include <stdbool.h>
+
+/** A daemon's word counts for this long; it is repeated several times meanwhile. */
+#define USE_VALID_MS 2000
+/** Items that were asked to leave count as gone for this long, unless the daemon says so before. */
+#define LEAVING_VALID_MS 60
+
+/** One daemon's last word on an engine. */
+typedef struct {
+    char *daemon;
+    uint64_t incarnation;
+    uint64_t sequence;
+    uint32_t online;
+    uint32_t batch;
+    uint32_t leaving; /**< Of the batch items: asked to leave, not yet said to be gone. */
+    uint64_t leaving_until_ms;
+    uint64_t told_ms;
+} daemon_use;
+
+/** One engine's uses. */
+typedef struct {
+    uint64_t hash;
+    GPtrArray *uses; /**< of daemon_use* */
+} engine_uses;
+
+struct hs_slot_ledger {
+    GHashTable *engines; /**< hash -> engine_uses* */
+};
+
+static void free_use(gpointer data) {
+    daemon_use *use = data;
+    g_free(use->daemon);
+    g_free(use);
+}
+
+static void free_engine(gpointer data) {
+    engine_uses *engine = data;
+    g_ptr_array_free(engine->uses, TRUE);
+    g_free(engine);
+}
+
+hs_slot_ledger *hs_slot_ledger_new(void) {
+    hs_slot_ledger *ledger = g_new0(hs_slot_ledger, 1);
+    ledger->engines = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_engine);
+    return ledger;
+}
+
+void hs_slot_ledger_free(hs_slot_ledger *ledger) {
+    if (ledger == NULL)
+        return;
+    g_hash_table_destroy(ledger->engines);
+    g_free(ledger);
+}
+
+static engine_uses *engine_of(hs_slot_ledger *ledger, uint64_t hash) {
+    engine_uses *engine = g_hash_table_lookup(ledger->engines, &hash);
+    if (engine != NULL)
+        return engine;
+    engine = g_new0(engine_uses, 1);
+    engine->hash = hash;
+    engine->uses = g_ptr_array_new_with_free_func(free_use);
+    g_hash_table_insert(ledger->engines, &engine->hash, engine);
+    return engine;
+}
+
+static daemon_use *use_of(engine_uses *engine, const char *daemon) {
+    for (guint index = 0; index < engine->uses->len; index++) {
+        daemon_use *use = engine->uses->pdata[index];
+        if (g_str_equal(use->daemon, daemon))
+            return use;
+    }
+    daemon_use *use = g_new0(daemon_use, 1);
+    use->daemon = g_strdup(daemon);
+    g_ptr_array_add(engine->uses, use);
+    return use;
+}
+
+/** Batch items that stay. */
+static uint32_t staying(const daemon_use *use, uint64_t now_ms) {
+    uint32_t leaving = now_ms < use->leaving_until_ms ? MIN(use->leaving, use->batch) : 0;
+    return use->batch - leaving;
+}
+
+static void expire_uses(engine_uses *engine, uint64_t now_ms) {
+    for (guint index = engine->uses->len; index > 0; index--) {
+        const daemon_use *use = engine->uses->pdata[index - 1];
+        if (now_ms > use->told_ms + USE_VALID_MS)
+            g_ptr_array_remove_index_fast(engine->uses, index - 1);
+    }
+}
+
+/** Take the word; whether the daemon started batch items by it. */
+static bool note(daemon_use *use, const hs_slot_use *told, uint64_t now_ms) {
+    bool started = told->batch > use->batch;
+    uint32_t left = use->batch > told->batch ? use->batch - told->batch : 0;
+    use->leaving -= MIN(use->leaving, left);
+    use->incarnation = told->incarnation;
+    use->sequence = told->sequence;
+    use->online = told->online;
+    use->batch = told->batch;
+    use->told_ms = now_ms;
+    return started;
+}
+
+static bool is_old(const daemon_use *use, const hs_slot_use *told) {
+    if (use->incarnation != told->incarnation)
+        return told->incarnation < use->incarnation;
+    return told->sequence <= use->sequence;
+}
+
+static hs_slot_totals sum(const engine_uses *engine, uint64_t now_ms) {
+    hs_slot_totals totals = {0};
+    for (guint index = 0; index < engine->uses->len; index++) {
+        const daemon_use *use = engine->uses->pdata[index];
+        totals.online += use->online;
+        totals.batch += staying(use, now_ms);
+    }
+    return totals;
+}
+
+static daemon_use *with_most_batch(const engine_uses *engine, uint64_t now_ms) {
+    daemon_use *most = NULL;
+    for (guint index = 0; index < engine->uses->len; index++) {
+        daemon_use *use = engine->uses->pdata[index];
+        if (most == NULL || staying(use, now_ms) > staying(most, now_ms))
+            most = use;
+    }
+    return most;
+}
+
+/** Ask one item of @p use to leave. */
+static void ask_one(daemon_use *use, uint64_t now_ms, GArray *asks) {
+    if (now_ms >= use->leaving_until_ms)
+        use->leaving = 0;
+    use->leaving++;
+    use->leaving_until_ms = now_ms + LEAVING_VALID_MS;
+    for (guint index = 0; index < asks->len; index++) {
+        hs_slot_ask *ask = &g_array_index(asks, hs_slot_ask, index);
+        if (g_str_equal(ask->daemon, use->daemon)) {
+            ask->count++;
+            return;
+        }
+    }
+    hs_slot_ask ask = {.count = 1};
+    g_strlcpy(ask.daemon, use->daemon, sizeof ask.daemon);
+    g_array_append_val(asks, ask);
+}
+
+hs_slot_totals hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_use *told, uint64_t now_ms,
+                                   GArray *asks) {
+    engine_uses *engine = engine_of(ledger, told->engine_hash);
+    expire_uses(engine, now_ms);
+    daemon_use *sender = use_of(engine, told->daemon);
+    bool is_news = !is_old(sender, told);
+    bool started = is_news && note(sender, told, now_ms);
+    hs_slot_totals totals = sum(engine, now_ms);
+    while (totals.online + totals.batch > told->slots && totals.batch > 0) {
+        daemon_use *leaves =
+            started && staying(sender, now_ms) > 0 ? sender : with_most_batch(engine, now_ms);
+        ask_one(leaves, now_ms, asks);
+        totals.batch--;
+    }
+    return totals;
+}
+
+void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        engine_uses *engine = value;
+        expire_uses(engine, now_ms);
+        if (engine->uses->len == 0)
+            g_hash_table_iter_remove(&iterator);
+    }
+}
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -194,7 +194,6 @@
         .query = {.service = name,
                   .size = caller.size.prompt_tokens > 0 ? &caller.size : NULL,
                   .work = HS_WORK_BATCH,
-                  .batch_share = terms->batch_share,
                   .yield = &run->interrupt,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0},
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -61,7 +61,6 @@
     hs_job_partition *partition;
     hs_fleet_engines *engines;
     const hs_fleet_config *config;
-    double batch_share;
     void (*checkpoint)(hs_item_run *run, void *user_data); /**< Called as events come. */
     void *user_data;
 } hs_item_try_terms;
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -64,7 +64,6 @@
 typedef struct {
     hs_owned_partition_state *home;
     hs_owned_item *item;
-    double batch_share;
     uint32_t max_attempts;
     bool gives_up;   /**< Its time is over: list it as dead. */
     bool hands_over; /**< Only store what there is of it, for the next owner. */
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -99,19 +99,14 @@
     return 0;
 }
 
-static double time_left(const ready_item *ready) {
-    return hs_job_time_left(ready->submitted_ms, ready->due_ms, hs_clock_wall_ms());
-}
-
 static uint32_t live_daemons(hs_job_owner *owner) {
     return owner->settings.live_daemons(owner->settings.user_data);
 }
 
-static void start_item(hs_job_owner *owner, const ready_item *ready, double share) {
+static void start_item(hs_job_owner *owner, const ready_item *ready) {
     hs_item_order *order = g_new0(hs_item_order, 1);
     order->home = ready->home;
     order->item = ready->item;
-    order->batch_share = share;
     order->max_attempts = ready->max_attempts;
     order->gives_up = ready->gives_up;
     ready->item->stage = HS_ITEM_RUNNING;
@@ -133,14 +128,12 @@
     uint32_t started = 0;
     for (guint index = 0; index < ready->len && owner->running < HS_JOB_WORKERS_MAX; index++) {
         const ready_item *entry = &g_array_index(ready, ready_item, index);
-        double share = 0;
         if (!entry->gives_up) {
             hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
-            share = hs_job_batch_share(&room, time_left(entry));
-            if (started >= hs_job_room(&room, share, live_daemons(owner)))
+            if (started >= hs_job_room(&room, live_daemons(owner)))
                 break;
         }
-        start_item(owner, entry, share);
+        start_item(owner, entry);
         started++;
     }
 }
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 
-#define YIELD_PAUSE_MS 400
+#define YIELD_PAUSE_MS 100
 
 /**
  * Until when what was made of a partition's items may be stored: without limit by its owner, for a
@@ -123,7 +123,6 @@
         hs_item_try_terms terms = {.partition = order->home->partition,
                                    .engines = owner->settings.engines,
                                    .config = config,
-                                   .batch_share = order->batch_share,
                                    .checkpoint = hs_job_checkpoint_take,
                                    .user_data = order};
         end = hs_item_run_try(item->run, &terms);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -19,6 +19,7 @@
         {"attempt", attempt_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
         {"quota", quota_tests, NULL, NULL},
+        {"slots", slot_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -90,15 +90,32 @@
     CU_ASSERT_EQUAL(hs_engine_choice_pick(list, 0, 0, &speed), HS_ENGINE_NONE);
 }
 
-static void batch_keeps_to_its_share(void) {
+/** Batch items take free slots only, of engines that nobody suspects. */
+static void batch_takes_free_slots_only(void) {
     hs_engine_speed speed = {.tokens_per_ms = 50, .run_ms = 1000};
-    hs_engine_candidate one = {.slots = 10, .running = 3, .batch = 3};
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, 0.5, &speed), 0);
-    one.batch = 5;
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, 0.5, &speed), HS_ENGINE_NONE);
-    one.batch = 0;
-    one.running = 9; /* Online requests fill it. */
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, 0.5, &speed), HS_ENGINE_NONE);
+    hs_engine_candidate one = {.slots = 10, .running = 9, .batch = 3};
+    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, &speed), 0);
+    one.running = 10;
+    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, &speed), HS_ENGINE_NONE);
+    one.running = 9.5; /* Words of unheard daemons are scaled: not a whole slot. */
+    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, &speed), HS_ENGINE_NONE);
+    one.running = 2;
+    one.suspected = true;
+    CU_ASSERT_EQUAL(hs_engine_choice_pick_spare(&one, 1, 0, &speed), HS_ENGINE_NONE);
+}
+
+/** For online requests a slot that a batch item holds is nearly free; one of a request is not. */
+static void online_requests_count_on_batch_stepping_aside(void) {
+    hs_engine_speed speed = {.tokens_per_ms = 50, .run_ms = 1000};
+    hs_engine_candidate list[3] = {{.slots = 8, .running = 8, .batch = 8},
+                                   {.slots = 8, .running = 8, .batch = 0},
+                                   {.slots = 8, .running = 7, .batch = 0}};
+    CU_ASSERT_EQUAL(hs_engine_choice_pick(list, 2, 0, &speed), 0);
+    CU_ASSERT_EQUAL(hs_engine_choice_pick(list, 3, 0, &speed), 2);
+    list[0].running = 12; /* More wait there than items can leave. */
+    list[0].batch = 1;
+    list[1].running = 9;
+    CU_ASSERT_EQUAL(hs_engine_choice_pick(list, 2, 0, &speed), 1);
 }
 
 static void believed_caches_give_way_by_age(void) {
@@ -330,6 +347,9 @@
     hs_fleet_engines_free(engines);
 }
 
+/** Above the time after which an engine's arbiter counts as silent. */
+#define ARBITER_SILENT_MS 350
+
 /** Both daemons' items and requests fill the engine: this daemon gives up its part, once. */
 static void batch_items_step_aside_by_share(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
@@ -339,8 +359,7 @@
     hs_engine_lease *leases[4];
     for (int index = 0; index < 4; index++) {
         hs_interrupt_init(&flags[index]);
-        hs_engine_query query = {
-            .service = "svc", .work = HS_WORK_BATCH, .batch_share = 1.0, .yield = &flags[index]};
+        hs_engine_query query = {.service = "svc", .work = HS_WORK_BATCH, .yield = &flags[index]};
         leases[index] = hs_fleet_engines_take(engines, &query);
         CU_ASSERT_PTR_NOT_NULL_FATAL(leases[index]);
     }
@@ -351,6 +370,10 @@
     told.online = 4; /* Four online requests of another daemon: two too many. */
     g_array_index(own, hs_engine_share, 0) = told;
     hs_fleet_engines_put_peer(engines, "other", own, hs_clock_monotonic_ms());
+    /* The engine's arbiter is given a moment to do it; it stays silent here. */
+    CU_ASSERT_EQUAL(hs_fleet_engines_yield(engines), 0);
+    hs_clock_sleep_ms(ARBITER_SILENT_MS);
+    hs_fleet_engines_put_peer(engines, "other", own, hs_clock_monotonic_ms());
     CU_ASSERT_EQUAL(hs_fleet_engines_yield(engines), 2);
     CU_ASSERT_EQUAL(hs_interrupt_get(&flags[0]), HS_INTERRUPT_NONE);
     CU_ASSERT_EQUAL(hs_interrupt_get(&flags[3]), HS_INTERRUPT_YIELD);
@@ -468,7 +491,9 @@
     {"a_resumed_stream_neither_repeats_nor_skips", a_resumed_stream_neither_repeats_nor_skips},
     {"fields_that_come_twice_are_kept", fields_that_come_twice_are_kept},
     {"the_choice_weighs_reading_and_waiting", the_choice_weighs_reading_and_waiting},
-    {"batch_keeps_to_its_share", batch_keeps_to_its_share},
+    {"batch_takes_free_slots_only", batch_takes_free_slots_only},
+    {"online_requests_count_on_batch_stepping_aside",
+     online_requests_count_on_batch_stepping_aside},
     {"believed_caches_give_way_by_age", believed_caches_give_way_by_age},
     {"routes_go_by_host_and_longest_prefix", routes_go_by_host_and_longest_prefix},
     {"a_broken_configuration_is_refused", a_broken_configuration_is_refused},
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -366,26 +366,21 @@
     close_shop(&opened);
 }
 
-static void batch_takes_what_the_peak_leaves(void) {
-    hs_service_room room = {.slots = 100, .online = 10, .batch = 5, .online_peak = 60};
-    double calm = hs_job_batch_share(&room, 1.0);
-    double urgent = hs_job_batch_share(&room, 0.0);
-    CU_ASSERT(calm > 0.4 && calm < 0.5);
-    CU_ASSERT(urgent > 0.7 && urgent < 0.8);
-    room.online_peak = 500; /* Never nothing at all: jobs must end too. */
-    CU_ASSERT(hs_job_batch_share(&room, 1.0) > 0.05);
-    room.online_peak = 0; /* And never all: the next rush is not announced. */
-    CU_ASSERT(hs_job_batch_share(&room, 1.0) < 0.7);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 0.45, 10), 4);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 0.05, 10), 0);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 0.07, 10), 1);
-    CU_ASSERT_EQUAL(hs_job_time_left(1000, 3000, 2000), 0.5);
-    CU_ASSERT_EQUAL(hs_job_time_left(1000, 3000, 500), 1.0); /* The clock was set back. */
-    CU_ASSERT_EQUAL(hs_job_time_left(1000, 1000, 500), 0.0);
+/** Daemons together start no more than there are free slots, but for one each. */
+static void items_start_where_slots_are_free(void) {
+    hs_service_room room = {.slots = 100, .online = 10, .batch = 50};
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 4);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 1), 40);
+    room.batch = 89;
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 1);
+    room.batch = 89.5; /* Not a whole slot. */
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 0);
+    room.batch = 200;
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 0);
 }
 
 const test_case job_tests[] = {
-    {"batch_takes_what_the_peak_leaves", batch_takes_what_the_peak_leaves},
+    {"items_start_where_slots_are_free", items_start_where_slots_are_free},
     {"repeated_records_change_nothing", repeated_records_change_nothing},
     {"long_results_count_only_whole", long_results_count_only_whole},
     {"ends_and_needs", ends_and_needs},
