--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -2564,7 +2564,7 @@
   (ProtobufCMessageInit) hs__engine_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_shares__field_descriptors[1] =
+static const ProtobufCFieldDescriptor hs__engine_shares__field_descriptors[2] =
 {
   {
     "shares",
@@ -2578,14 +2578,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "batch_work_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShares, batch_work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_shares__field_indices_by_name[] = {
+  1,   /* field[1] = batch_work_ms */
   0,   /* field[0] = shares */
 };
 static const ProtobufCIntRange hs__engine_shares__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor hs__engine_shares__descriptor =
 {
@@ -2595,14 +2608,14 @@
   "Hs__EngineShares",
   "hs",
   sizeof(Hs__EngineShares),
-  1,
+  2,
   hs__engine_shares__field_descriptors,
   hs__engine_shares__field_indices_by_name,
   1,  hs__engine_shares__number_ranges,
   (ProtobufCMessageInit) hs__engine_shares__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[4] =
+static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[5] =
 {
   {
     "engine_hash",
@@ -2652,17 +2665,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slack_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, slack_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_use__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   0,   /* field[0] = engine_hash */
   2,   /* field[2] = online */
+  4,   /* field[4] = slack_ms */
   1,   /* field[1] = slots */
 };
 static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor hs__engine_use__descriptor =
 {
@@ -2672,7 +2698,7 @@
   "Hs__EngineUse",
   "hs",
   sizeof(Hs__EngineUse),
-  4,
+  5,
   hs__engine_use__field_descriptors,
   hs__engine_use__field_indices_by_name,
   1,  hs__engine_use__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -348,10 +348,14 @@
   ProtobufCMessage base;
   size_t n_shares;
   Hs__EngineShare **shares;
+  /*
+   * Work of its batch items that are to end in time, in ms of a slot.
+   */
+  uint64_t batch_work_ms;
 };
 #define HS__ENGINE_SHARES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_shares__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 /*
@@ -364,10 +368,14 @@
   uint32_t slots;
   uint32_t online;
   uint32_t batch;
+  /*
+   * Of the batch item there that can wait longest.
+   */
+  int32_t slack_ms;
 };
 #define HS__ENGINE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Hs__EngineUses
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -57,6 +57,8 @@
     }
     hs_fleet_engines_put_peer(directory->settings.engines, message->sender_id, shares,
                               hs_clock_monotonic_ms());
+    hs_fleet_engines_put_peer_work(directory->settings.engines, message->sender_id,
+                                   told->batch_work_ms);
 }
 
 static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
@@ -232,6 +234,7 @@
     Hs__EngineShares body = HS__ENGINE_SHARES__INIT;
     body.n_shares = shares->len;
     body.shares = list;
+    body.batch_work_ms = hs_fleet_engines_batch_work(directory->settings.engines);
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     hs_membership_service_sign(directory->membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_SHARES;
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -86,7 +86,8 @@
                          .sequence = message->engine_uses->sequence,
                          .slots = told->slots,
                          .online = told->online,
-                         .batch = told->batch};
+                         .batch = told->batch,
+                         .slack_ms = told->slack_ms};
 }
 
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -147,7 +148,8 @@
                        .sequence = own->sequence,
                        .slots = own->slots,
                        .online = own->online,
-                       .batch = own->batch};
+                       .batch = own->batch,
+                       .slack_ms = own->slack_ms};
     hs_slot_totals totals = take_use(arbiter, &use);
     hs_fleet_engines_put_total(arbiter->engines, own->engine_hash, totals.online, totals.batch);
 }
@@ -163,6 +165,7 @@
         told[index].slots = uses[index].slots;
         told[index].online = uses[index].online;
         told[index].batch = uses[index].batch;
+        told[index].slack_ms = uses[index].slack_ms;
         list[index] = &told[index];
     }
     Hs__EngineUses body = HS__ENGINE_USES__INIT;
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+/** Several times what a datagram to an arbiter and back takes. */
+#define CONFIRM_LIMIT_MS 30
 #define STRAY_ANSWERS_MAX 2
 #define STRAY_ANSWER_BYTES (4U * 1024 * 1024)
 #define STATUS_SUCCESS_FIRST 200
@@ -78,6 +80,10 @@
         return false;
     g_strlcpy(attempt->engine_id, hs_engine_lease_id(attempt->lease), sizeof attempt->engine_id);
     attempt->reasons = hs_engine_lease_reasons(attempt->lease);
+    if (order->query.yield != NULL && !hs_engine_lease_confirm(attempt->lease, CONFIRM_LIMIT_MS)) {
+        attempt->step = HS_STEP_CALLER_GONE;
+        return false;
+    }
     attempt->connection =
         hs_engine_lease_connect(attempt->lease, &order->wait, order->fresh, &attempt->step);
     if (attempt->connection == NULL)
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -23,6 +23,7 @@
 
 typedef struct {
     uint64_t told_ms;
+    uint64_t batch_work_ms;
     GArray *shares; /**< of hs_engine_share */
 } peer_load;
 
@@ -182,3 +183,39 @@
     engines->summed_ms = 0;
     g_mutex_unlock(&engines->lock);
 }
+
+void hs_fleet_engines_set_batch_work(hs_fleet_engines *engines, uint64_t work_ms) {
+    g_mutex_lock(&engines->lock);
+    engines->batch_work_ms = work_ms;
+    g_mutex_unlock(&engines->lock);
+}
+
+uint64_t hs_fleet_engines_batch_work(hs_fleet_engines *engines) {
+    g_mutex_lock(&engines->lock);
+    uint64_t work_ms = engines->batch_work_ms;
+    g_mutex_unlock(&engines->lock);
+    return work_ms;
+}
+
+void hs_fleet_engines_put_peer_work(hs_fleet_engines *engines, const char *peer, uint64_t work_ms) {
+    g_mutex_lock(&engines->lock);
+    peer_load *load = g_hash_table_lookup(engines->peers, peer);
+    if (load != NULL)
+        load->batch_work_ms = work_ms;
+    g_mutex_unlock(&engines->lock);
+}
+
+double hs_fleet_engines_peers_batch_work(hs_fleet_engines *engines) {
+    double work_ms = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    hs_fleet_engines_sum_peers(engines, hs_clock_monotonic_ms());
+    g_hash_table_iter_init(&iterator, engines->peers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        work_ms += (double)((const peer_load *)value)->batch_work_ms;
+    uint32_t heard = g_hash_table_size(engines->peers);
+    double weight = heard > 0 ? fmax(1.0, (double)engines->peer_count / heard) : 1.0;
+    g_mutex_unlock(&engines->lock);
+    return work_ms * weight;
+}
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -9,12 +9,20 @@
 /** An engine stays among the uses for this long after its last request, so that lost words mend. */
 #define LEFT_LATELY_MS 1500
 
+static int32_t most_slack(const hs_fleet_engine *engine) {
+    int32_t most = G_MININT32;
+    for (guint index = 0; index < engine->batch_leases->len; index++)
+        most = MAX(most, ((hs_engine_lease *)engine->batch_leases->pdata[index])->slack_ms);
+    return most;
+}
+
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine) {
     return (hs_engine_use){.engine_hash = engine->hash,
                            .sequence = ++engines->use_sequence,
                            .slots = engine->entry.slots,
                            .online = engine->online,
-                           .batch = engine->batch};
+                           .batch = engine->batch,
+                           .slack_ms = most_slack(engine)};
 }
 
 void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
@@ -69,16 +77,31 @@
         engine->told_online = online > engine->online ? online - engine->online : 0;
         engine->told_batch = batch > engine->batch ? batch - engine->batch : 0;
         engine->told_ms = hs_clock_monotonic_ms();
+        engine->told_count++;
+        g_cond_broadcast(&engines->totals_told);
     }
     g_mutex_unlock(&engines->lock);
 }
 
+/** The item that can wait longest and was not asked yet; of equal ones the newest. NULL: none. */
+static hs_engine_lease *next_to_yield(const hs_fleet_engine *engine) {
+    hs_engine_lease *next = NULL;
+    for (guint index = 0; index < engine->batch_leases->len; index++) {
+        hs_engine_lease *lease = engine->batch_leases->pdata[index];
+        if (lease->yield != NULL && hs_interrupt_get(lease->yield) == HS_INTERRUPT_NONE &&
+            (next == NULL || lease->slack_ms >= next->slack_ms))
+            next = lease;
+    }
+    return next;
+}
+
 uint32_t hs_fleet_engine_yield(hs_fleet_engine *engine, uint32_t wanted) {
     uint32_t asked = 0;
-    for (guint index = engine->batch_leases->len; index > 0 && asked < wanted; index--) {
-        const hs_engine_lease *lease = engine->batch_leases->pdata[index - 1];
-        if (lease->yield != NULL && hs_interrupt_raise(lease->yield, HS_INTERRUPT_YIELD))
-            asked++;
+    while (asked < wanted) {
+        hs_engine_lease *lease = next_to_yield(engine);
+        if (lease == NULL || !hs_interrupt_raise(lease->yield, HS_INTERRUPT_YIELD))
+            break;
+        asked++;
     }
     return asked;
 }
@@ -88,6 +111,19 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = find_by_hash(engines, engine_hash);
     uint32_t asked = engine != NULL ? hs_fleet_engine_yield(engine, count) : 0;
+    g_cond_broadcast(&engines->totals_told);
     g_mutex_unlock(&engines->lock);
     return asked;
 }
+
+bool hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms) {
+    hs_fleet_engines *engines = lease->engines;
+    gint64 until = g_get_monotonic_time() + (gint64)limit_ms * G_TIME_SPAN_MILLISECOND;
+    g_mutex_lock(&engines->lock);
+    bool is_waiting = engines->teller != NULL;
+    while (is_waiting && lease->engine->told_count == lease->told_before &&
+           hs_interrupt_get(lease->yield) == HS_INTERRUPT_NONE)
+        is_waiting = g_cond_wait_until(&engines->totals_told, &engines->lock, until);
+    g_mutex_unlock(&engines->lock);
+    return hs_interrupt_get(lease->yield) == HS_INTERRUPT_NONE;
+}
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -39,6 +39,7 @@
     double told_online; /**< Of other daemons, as the engine's arbiter told at told_ms. */
     double told_batch;
     uint64_t told_ms;
+    uint32_t told_count;      /**< How often; wraps. */
     uint64_t left_ms;         /**< When the last request of this daemon ended there; 0: never. */
     uint64_t excess_since_ms; /**< More than its slots are believed taken since; 0: not. */
     hs_prefix_index *prefixes;
@@ -57,6 +58,8 @@
     uint64_t turn;
     uint64_t connects;
     uint64_t use_sequence;
+    uint64_t batch_work_ms;      /**< Own; see hs_fleet_engines_set_batch_work. */
+    GCond totals_told;           /**< An arbiter told what all daemons have on an engine. */
     hs_engine_use_teller teller; /**< NULL: nobody is told. */
     void *teller_data;
 };
@@ -70,6 +73,8 @@
     uint32_t memory_tokens;
     double connection_share; /**< See hs_fleet_engines_connection_share. */
     hs_interrupt *yield;     /**< See hs_engine_query; NULL: none. */
+    int32_t slack_ms;        /**< Likewise; does not shrink while the item runs. */
+    uint32_t told_before;    /**< The engine's told_count when it was taken. */
     hs_engine_reasons reasons;
     bool was_alone; /**< No prompt was being read there when it was taken. */
 };
@@ -88,7 +93,7 @@
 double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms);
 /** This daemon's use of the engine now. */
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
-/** Ask the newest batch items there to step aside, which lose the least; how many were asked. */
+/** Ask the batch items there that can wait longest to step aside; how many were asked. */
 uint32_t hs_fleet_engine_yield(hs_fleet_engine *engine, uint32_t wanted);
 /** Tell a use; without the lock. */
 void hs_fleet_engines_tell(hs_fleet_engines *engines, const hs_engine_use *use, bool started);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -40,6 +40,7 @@
 hs_fleet_engines *hs_fleet_engines_new(const char *zone) {
     hs_fleet_engines *engines = g_new0(hs_fleet_engines, 1);
     g_mutex_init(&engines->lock);
+    g_cond_init(&engines->totals_told);
     engines->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, release_listed);
     engines->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
@@ -56,6 +57,7 @@
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_mutex_clear(&engines->lock);
+    g_cond_clear(&engines->totals_told);
     g_free(engines->zone);
     g_free(engines);
 }
@@ -247,6 +249,8 @@
     } else {
         engine->batch++;
         lease->yield = query->yield;
+        lease->slack_ms = query->slack_ms;
+        lease->told_before = engine->told_count;
         g_ptr_array_add(engine->batch_leases, lease);
     }
     return lease;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -50,6 +50,7 @@
     hs_work_class work;
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
     hs_interrupt *yield;       /**< Batch: raised when the item is to step aside. */
+    int32_t slack_ms;          /**< Batch: how long it could still wait and end in time. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
     uint32_t max_connections;  /**< To one engine from all daemons; 0: unknown. */
 } hs_engine_query;
@@ -72,6 +73,7 @@
     uint32_t slots;    /**< The engine's. */
     uint32_t online;
     uint32_t batch;
+    int32_t slack_ms; /**< Most of its batch items there; see hs_engine_query. */
 } hs_engine_use;
 
 /** Called without a lock when a use changed; @p started: by a request that begins. */
@@ -105,6 +107,12 @@
 /** Why the engine was chosen. */
 hs_engine_reasons hs_engine_lease_reasons(const hs_engine_lease *lease);
 
+/**
+ * Batch: wait until the engine's arbiter has heard of the lease; false when it is to step aside,
+ * and nothing should be sent. An arbiter that is silent for @p limit_ms lets it go on.
+ */
+bool hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
+
 /** A kept connection, or a new one; NULL with @p step when there is none. */
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
                                               bool fresh, hs_step *step);
@@ -146,6 +154,14 @@
 void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
                                uint64_t now_ms);
 
+/** Work of a daemon's batch items that are to end in time, in ms of a slot: own, and told. */
+void hs_fleet_engines_set_batch_work(hs_fleet_engines *engines, uint64_t work_ms);
+uint64_t hs_fleet_engines_batch_work(hs_fleet_engines *engines);
+void hs_fleet_engines_put_peer_work(hs_fleet_engines *engines, const char *peer, uint64_t work_ms);
+
+/** The same of all other daemons together. */
+double hs_fleet_engines_peers_batch_work(hs_fleet_engines *engines);
+
 /** Whom changes of uses are told; NULL: nobody. Before the first request, or after the last. */
 void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
                                  void *user_data);
@@ -157,7 +173,7 @@
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, uint64_t engine_hash, uint32_t online,
                                 uint32_t batch);
 
-/** Ask the newest batch items of this daemon on an engine to leave it; how many were asked. */
+/** Ask the batch items of this daemon on an engine that can wait longest to leave it; how many. */
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
                                      uint32_t count);
 
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -8,6 +8,12 @@
 /** Items that were asked to leave count as gone for this long, unless the daemon says so before. */
 #define LEAVING_VALID_MS 60
 
+/**
+ * An item that was just started stays only where another can wait this much longer: a cut costs the
+ * reading of the prompt and of what was made.
+ */
+#define STARTED_FIRST_MS 1500
+
 /** One daemon's last word on an engine. */
 typedef struct {
     char *daemon;
@@ -15,6 +21,7 @@
     uint64_t sequence;
     uint32_t online;
     uint32_t batch;
+    int32_t slack_ms;
     uint32_t leaving; /**< Of the batch items: asked to leave, not yet said to be gone. */
     uint64_t leaving_until_ms;
     uint64_t told_ms;
@@ -101,6 +108,7 @@
     use->sequence = told->sequence;
     use->online = told->online;
     use->batch = told->batch;
+    use->slack_ms = told->slack_ms;
     use->told_ms = now_ms;
     return started;
 }
@@ -121,14 +129,22 @@
     return totals;
 }
 
-static daemon_use *with_most_batch(const engine_uses *engine, uint64_t now_ms) {
-    daemon_use *most = NULL;
+/** How readily a daemon's item leaves; @p started: the daemon has just started one there. */
+static int64_t readiness(const daemon_use *use, bool started) {
+    return (int64_t)use->slack_ms + (started ? STARTED_FIRST_MS : 0);
+}
+
+/** The daemon whose item leaves next; NULL: none has an item that stays. */
+static daemon_use *next_to_leave(const engine_uses *engine, const daemon_use *starter,
+                                 uint64_t now_ms) {
+    daemon_use *next = NULL;
     for (guint index = 0; index < engine->uses->len; index++) {
         daemon_use *use = engine->uses->pdata[index];
-        if (most == NULL || staying(use, now_ms) > staying(most, now_ms))
-            most = use;
+        if (staying(use, now_ms) > 0 &&
+            (next == NULL || readiness(use, use == starter) > readiness(next, next == starter)))
+            next = use;
     }
-    return most;
+    return next;
 }
 
 /** Ask one item of @p use to leave. */
@@ -158,9 +174,7 @@
     bool started = is_news && note(sender, told, now_ms);
     hs_slot_totals totals = sum(engine, now_ms);
     while (totals.online + totals.batch > told->slots && totals.batch > 0) {
-        daemon_use *leaves =
-            started && staying(sender, now_ms) > 0 ? sender : with_most_batch(engine, now_ms);
-        ask_one(leaves, now_ms, asks);
+        ask_one(next_to_leave(engine, started ? sender : NULL, now_ms), now_ms, asks);
         totals.batch--;
     }
     return totals;
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -25,6 +25,7 @@
     run->host = g_strdup(job->host);
     run->item_id = g_strdup(item->id);
     run->index = index;
+    run->tokens = item->tokens;
     run->content_offset = item->content_offset;
     run->content_bytes = item->content_bytes;
     run->texts = g_ptr_array_new_with_free_func(free_text);
@@ -99,6 +100,9 @@
                                hs_attempt *attempt) {
     GByteArray *body = hs_client_connection_body(attempt->connection);
     bool is_first = true;
+    uint64_t events_before = run->events.event_count;
+    uint64_t first_ms = 0;
+    run->try_events = 0;
     while (true) {
         hs_wait wait = {.deadline = hs_clock_monotonic_ms() + EVENT_SILENCE_MS,
                         .watched = HS_WATCH_NOTHING,
@@ -111,6 +115,10 @@
         is_first = false;
         if (!hs_event_stream_take(&run->events, body, NULL, run->texts))
             return HS_ITEM_TRY_BROKEN;
+        if (first_ms == 0)
+            first_ms = hs_clock_monotonic_ms();
+        run->try_events = run->events.event_count - events_before;
+        run->try_ms = hs_clock_monotonic_ms() - first_ms;
         if (attempt->step == HS_STEP_COMPLETE)
             return body->len == 0 ? HS_ITEM_TRY_DONE : HS_ITEM_TRY_BROKEN;
         if (attempt->step == HS_STEP_CALLER_GONE ||
@@ -195,6 +203,7 @@
                   .size = caller.size.prompt_tokens > 0 ? &caller.size : NULL,
                   .work = HS_WORK_BATCH,
                   .yield = &run->interrupt,
+                  .slack_ms = terms->slack_ms,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0},
         .request = {.method = "POST",
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -31,6 +31,7 @@
     char *host;
     char *item_id;
     uint32_t index;
+    uint32_t tokens; /**< Its size: the prompt and the most it may make. */
     uint64_t content_offset;
     uint32_t content_bytes;
     Hs__JobItemContent *content; /**< NULL until read. */
@@ -42,6 +43,8 @@
     uint64_t next_checkpoint_ms;
     uint64_t give_up_ms; /**< Monotonic time after which an engine need not go on. */
     char engine_id[64];  /**< Of the latest try. */
+    uint64_t try_events; /**< Taken in the latest try, */
+    uint64_t try_ms;     /**< in so long, from the first one. */
 } hs_item_run;
 
 hs_item_run *hs_item_run_new(const hs_job *job, uint32_t index);
@@ -61,6 +64,7 @@
     hs_job_partition *partition;
     hs_fleet_engines *engines;
     const hs_fleet_config *config;
+    int32_t slack_ms;                                      /**< See hs_engine_query. */
     void (*checkpoint)(hs_item_run *run, void *user_data); /**< Called as events come. */
     void *user_data;
 } hs_item_try_terms;
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -2,6 +2,7 @@
 #ifndef HS_JOBS_JOB_OWNER_STATE_H
 #define HS_JOBS_JOB_OWNER_STATE_H
 
+#include "jobs/item_estimate.h"
 #include "jobs/item_run.h"
 #include "jobs/job_owner.h"
 
@@ -26,6 +27,8 @@
     uint32_t tries;
     uint64_t next_try_ms;
     uint64_t seen_ms;
+    uint64_t started_ms;   /**< Of the latest try, */
+    uint64_t remaining_ms; /**< which was expected to need so long. */
 } hs_owned_item;
 
 /** One owned partition. */
@@ -54,6 +57,8 @@
     bool draining;
     hs_deadline handover_deadline; /**< The same for all partitions, while draining. */
     uint32_t running;
+    hs_item_pace pace;
+    double online_mean; /**< Online requests beside the items, of late; see job_plan.c. */
     uint32_t tails;
     GThreadPool *workers;
     GThread *group;
@@ -65,8 +70,9 @@
     hs_owned_partition_state *home;
     hs_owned_item *item;
     uint32_t max_attempts;
-    bool gives_up;   /**< Its time is over: list it as dead. */
-    bool hands_over; /**< Only store what there is of it, for the next owner. */
+    int32_t slack_ms; /**< See hs_engine_query. */
+    bool gives_up;    /**< Its time is over: list it as dead. */
+    bool hands_over;  /**< Only store what there is of it, for the next owner. */
 } hs_item_order;
 
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -1,26 +1,23 @@
 /**
- * @file job_scheduler.c  Which items start now, and how much of the engines they may take; see
- * job_owner.h.
+ * @file job_scheduler.c  Which items start now; see job_owner.h.
+ *
+ * Each pass collects the open items of the owned partitions, has job_plan.c order them, and starts
+ * the first ones while engines have free slots.
  */
 #include "jobs/job_owner_state.h"
 
 #include "base/clock.h"
+#include "base/log.h"
+#include "jobs/job_plan.h"
 #include "jobs/job_room.h"
 
 #define DEFAULT_MAX_ATTEMPTS 3
 #define GIVE_UP_SLACK_MS 2000
 #define DEFAULT_RETENTION_MS 60000
 
-/** An item that may start now. */
-typedef struct {
-    hs_owned_partition_state *home;
-    hs_owned_item *item;
-    uint64_t due_ms; /**< Wall clock. */
-    uint64_t submitted_ms;
-    uint32_t max_attempts;
-    bool gives_up;
-    const char *service; /**< Interned. */
-} ready_item;
+static uint64_t retention_of(const hs_job *job) {
+    return job->retention_ms > 0 ? job->retention_ms : DEFAULT_RETENTION_MS;
+}
 
 static hs_owned_item *item_for(hs_owned_partition_state *home, const hs_job *job, uint32_t index) {
     char *key = g_strdup_printf("%s/%u", job->id, index);
@@ -36,34 +33,48 @@
     return item;
 }
 
+/** What is left to run of an item: of a running one what was expected at its start, less its time.
+ */
+static uint64_t remaining_ms(const hs_owned_partition_state *home, const hs_owned_item *item,
+                             uint64_t now_ms) {
+    if (item->stage == HS_ITEM_WAITING)
+        return hs_item_pace_remaining_ms(&home->owner->pace, item->run->tokens,
+                                         item->run->events.last_id);
+    uint64_t ran_ms = now_ms - item->started_ms;
+    return item->remaining_ms > ran_ms ? item->remaining_ms - ran_ms : 0;
+}
+
+/** Both clocks must agree that an item's time is over: the wall clock may jump. */
+static bool is_time_over(const hs_job *job, const hs_owned_item *item, uint64_t wall_ms,
+                         uint64_t now_ms) {
+    return wall_ms > job->submitted_ms + retention_of(job) + GIVE_UP_SLACK_MS &&
+           now_ms > item->seen_ms + GIVE_UP_SLACK_MS;
+}
+
 static void add_job(hs_owned_partition_state *home, const hs_job *job,
-                    const hs_fleet_config *config, GArray *ready) {
+                    const hs_fleet_config *config, GArray *open) {
     const hs_fleet_route *route = hs_fleet_config_find_route(config, job->host, job->target);
     uint64_t now_ms = hs_clock_monotonic_ms();
-    uint64_t retention_ms = job->retention_ms > 0 ? job->retention_ms : DEFAULT_RETENTION_MS;
     uint64_t wall_ms = hs_clock_wall_ms();
     for (uint32_t index = 0; index < job->items->len; index++) {
         if (g_array_index(job->items, hs_job_item, index).listed)
             continue;
         hs_owned_item *item = item_for(home, job, index);
-        item->run->give_up_ms = item->seen_ms + retention_ms;
-        if (item->stage != HS_ITEM_WAITING || item->next_try_ms > now_ms)
-            continue;
-        /* Both clocks must agree that its time is over: the wall clock may jump. */
-        bool over = wall_ms > job->submitted_ms + retention_ms + GIVE_UP_SLACK_MS &&
-                    now_ms > item->seen_ms + GIVE_UP_SLACK_MS;
-        ready_item entry = {
+        item->run->give_up_ms = item->seen_ms + retention_of(job);
+        bool is_waiting = item->stage == HS_ITEM_WAITING;
+        hs_open_item entry = {
             .home = home,
             .item = item,
-            .due_ms = job->submitted_ms + job->due_ms,
-            .submitted_ms = job->submitted_ms,
+            .left_ms = (int64_t)(job->submitted_ms + job->due_ms) - (int64_t)wall_ms,
+            .remaining_ms = remaining_ms(home, item, now_ms),
+            .may_start = is_waiting && item->next_try_ms <= now_ms,
+            .gives_up = is_waiting && is_time_over(job, item, wall_ms, now_ms),
             .max_attempts = route != NULL ? route->max_attempts : DEFAULT_MAX_ATTEMPTS,
-            .gives_up = over,
             .service = route != NULL ? g_intern_string(
                                            g_array_index(route->shares, hs_route_share, 0).service)
                                      : NULL};
-        if (route != NULL || over)
-            g_array_append_val(ready, entry);
+        if (item->stage != HS_ITEM_STORED && (route != NULL || entry.gives_up))
+            g_array_append_val(open, entry);
     }
 }
 
@@ -81,57 +92,64 @@
     return item->stage != HS_ITEM_RUNNING;
 }
 
-static void collect(hs_owned_partition_state *home, const hs_fleet_config *config, GArray *ready) {
+static void collect(hs_owned_partition_state *home, const hs_fleet_config *config, GArray *open) {
     hs_job_state *state = hs_job_partition_lock(home->partition);
     g_autoptr(GPtrArray) jobs = hs_job_state_list(state);
     g_hash_table_foreach_remove(home->items, drop_if_over, state);
     for (guint index = 0; index < jobs->len; index++)
         if (hs_job_is_open(jobs->pdata[index]))
-            add_job(home, jobs->pdata[index], config, ready);
+            add_job(home, jobs->pdata[index], config, open);
     hs_job_partition_unlock(home->partition);
 }
 
-static gint by_due_time(gconstpointer first, gconstpointer second) {
-    const ready_item *one = first;
-    const ready_item *other = second;
-    if (one->due_ms != other->due_ms)
-        return one->due_ms < other->due_ms ? -1 : 1;
-    return 0;
+/** Why this one, now. */
+static void log_start(const hs_open_item *open, const hs_service_room *room, guint count) {
+    const hs_item_run *run = open->item->run;
+    hs_log_info("item_started",
+                "job=%s item=%s tries=%u last_event=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+                " remaining_ms=%" G_GUINT64_FORMAT
+                " slack_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f",
+                run->job_id, run->item_id, open->item->tries, (guint64)run->events.last_id,
+                (gint64)open->left_ms, (guint64)open->remaining_ms, open->slack_ms, count,
+                room->slots, room->online, room->batch);
 }
 
-static uint32_t live_daemons(hs_job_owner *owner) {
-    return owner->settings.live_daemons(owner->settings.user_data);
-}
-
-static void start_item(hs_job_owner *owner, const ready_item *ready) {
+static void start_item(hs_job_owner *owner, const hs_open_item *open) {
     hs_item_order *order = g_new0(hs_item_order, 1);
-    order->home = ready->home;
-    order->item = ready->item;
-    order->max_attempts = ready->max_attempts;
-    order->gives_up = ready->gives_up;
-    ready->item->stage = HS_ITEM_RUNNING;
+    order->home = open->home;
+    order->item = open->item;
+    order->max_attempts = open->max_attempts;
+    order->slack_ms = open->slack_ms;
+    order->gives_up = open->gives_up;
+    open->item->stage = HS_ITEM_RUNNING;
+    open->item->started_ms = hs_clock_monotonic_ms();
+    open->item->remaining_ms = open->remaining_ms;
     owner->running++;
     g_thread_pool_push(owner->workers, order, NULL);
 }
 
 /** One pass over all owned partitions. The caller holds the lock. */
 static void start_items(hs_job_owner *owner, const hs_fleet_config *config) {
-    g_autoptr(GArray) ready = g_array_new(FALSE, FALSE, sizeof(ready_item));
+    g_autoptr(GArray) open = g_array_new(FALSE, FALSE, sizeof(hs_open_item));
     for (guint part = 0; part < owner->partitions->len; part++) {
         hs_owned_partition_state *home = owner->partitions->pdata[part];
         if (home->owned && hs_clock_monotonic_ms() >= home->start_ms)
-            collect(home, config, ready);
+            collect(home, config, open);
     }
-    if (ready->len == 0 || owner->draining)
-        return;
-    g_array_sort(ready, by_due_time);
+    hs_job_plan_make(owner, open);
     uint32_t started = 0;
-    for (guint index = 0; index < ready->len && owner->running < HS_JOB_WORKERS_MAX; index++) {
-        const ready_item *entry = &g_array_index(ready, ready_item, index);
+    uint32_t daemons = owner->settings.live_daemons(owner->settings.user_data);
+    for (guint index = 0; index < open->len && !owner->draining; index++) {
+        const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
+        if (!entry->may_start && !entry->gives_up)
+            continue;
+        if (owner->running >= HS_JOB_WORKERS_MAX)
+            break;
         if (!entry->gives_up) {
             hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
-            if (started >= hs_job_room(&room, live_daemons(owner)))
+            if (started >= hs_job_room(&room, daemons))
                 break;
+            log_start(entry, &room, open->len);
         }
         start_item(owner, entry);
         started++;
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -123,6 +123,7 @@
         hs_item_try_terms terms = {.partition = order->home->partition,
                                    .engines = owner->settings.engines,
                                    .config = config,
+                                   .slack_ms = order->slack_ms,
                                    .checkpoint = hs_job_checkpoint_take,
                                    .user_data = order};
         end = hs_item_run_try(item->run, &terms);
@@ -132,6 +133,9 @@
     if (!listed && end != HS_ITEM_TRY_DONE && changes_owner(owner, order->home))
         hand_over(order);
     g_mutex_lock(&owner->lock);
+    if (end == HS_ITEM_TRY_DONE)
+        hs_item_pace_note(&owner->pace, item->run->tokens, item->run->events.last_id,
+                          item->run->try_events, item->run->try_ms);
     item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
     item->tries += end != HS_ITEM_TRY_NO_ROOM;
     uint64_t pause_ms = backoff_ms(item->failures);
