Online requests hear an engine's arbiter before they are sent; batch items ranked so that begun ones end

Under a heap of jobs all items due together ran by turns, and few ended. Ruled out: prompts' homes (the engines of late requests differ); suspicion (none was suspected). Change: a request tells the arbiter first and looks at another engine, three at most, where requests of all daemons fill the slots; batch items rank by time left plus time needed, running ones fall in rank.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -2666,12 +2666,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slack_ms",
+    "rank_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_SINT32,
     0,   /* quantifier_offset */
-    offsetof(Hs__EngineUse, slack_ms),
+    offsetof(Hs__EngineUse, rank_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -2682,7 +2682,7 @@
   3,   /* field[3] = batch */
   0,   /* field[0] = engine_hash */
   2,   /* field[2] = online */
-  4,   /* field[4] = slack_ms */
+  4,   /* field[4] = rank_ms */
   1,   /* field[1] = slots */
 };
 static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -369,9 +369,9 @@
   uint32_t online;
   uint32_t batch;
   /*
-   * Of the batch item there that can wait longest.
+   * Of the batch item there of the highest rank.
    */
-  int32_t slack_ms;
+  int32_t rank_ms;
 };
 #define HS__ENGINE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -87,7 +87,7 @@
                          .slots = told->slots,
                          .online = told->online,
                          .batch = told->batch,
-                         .slack_ms = told->slack_ms};
+                         .rank_ms = told->rank_ms};
 }
 
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -149,7 +149,7 @@
                        .slots = own->slots,
                        .online = own->online,
                        .batch = own->batch,
-                       .slack_ms = own->slack_ms};
+                       .rank_ms = own->rank_ms};
     hs_slot_totals totals = take_use(arbiter, &use);
     hs_fleet_engines_put_total(arbiter->engines, own->engine_hash, totals.online, totals.batch);
 }
@@ -165,7 +165,7 @@
         told[index].slots = uses[index].slots;
         told[index].online = uses[index].online;
         told[index].batch = uses[index].batch;
-        told[index].slack_ms = uses[index].slack_ms;
+        told[index].rank_ms = uses[index].rank_ms;
         list[index] = &told[index];
     }
     Hs__EngineUses body = HS__ENGINE_USES__INIT;
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -6,7 +6,10 @@
 #include <string.h>
 
 /** Several times what a datagram to an arbiter and back takes. */
-#define CONFIRM_LIMIT_MS 30
+#define BATCH_CONFIRM_LIMIT_MS 30
+#define ONLINE_CONFIRM_LIMIT_MS 10
+/** Engines that a request asks for at most before it is sent. */
+#define LOOKS_MOST 3
 #define STRAY_ANSWERS_MAX 2
 #define STRAY_ANSWER_BYTES (4U * 1024 * 1024)
 #define STATUS_SUCCESS_FIRST 200
@@ -71,19 +74,50 @@
     return sent ? HS_RUN_MAY_HAVE : HS_RUN_DID_NOT;
 }
 
-bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_order *order,
-                      hs_attempt *attempt) {
-    memset(attempt, 0, sizeof *attempt);
-    attempt->step = HS_STEP_CUT;
+/** Take the engine that seems best, and note why. */
+static bool take_engine(hs_fleet_engines *engines, const hs_attempt_order *order,
+                        hs_attempt *attempt) {
     attempt->lease = hs_fleet_engines_take(engines, &order->query);
     if (attempt->lease == NULL)
         return false;
     g_strlcpy(attempt->engine_id, hs_engine_lease_id(attempt->lease), sizeof attempt->engine_id);
     attempt->reasons = hs_engine_lease_reasons(attempt->lease);
-    if (order->query.yield != NULL && !hs_engine_lease_confirm(attempt->lease, CONFIRM_LIMIT_MS)) {
-        attempt->step = HS_STEP_CALLER_GONE;
-        return false;
+    return true;
+}
+
+/**
+ * Take an engine and hear its arbiter. What is believed of engines is some hundred ms old: where
+ * the arbiter says that the request would wait there, the next one is looked at, a few times; the
+ * arbiter's words are then part of the belief. A batch item is not sent where it would have to step
+ * aside.
+ */
+static bool find_engine(hs_fleet_engines *engines, const hs_attempt_order *order,
+                        hs_attempt *attempt) {
+    char refused_by[sizeof attempt->engine_id] = "";
+    for (uint32_t look = 0; take_engine(engines, order, attempt); look++) {
+        bool is_batch = order->query.work == HS_WORK_BATCH;
+        hs_lease_word word = hs_engine_lease_confirm(
+            attempt->lease, is_batch ? BATCH_CONFIRM_LIMIT_MS : ONLINE_CONFIRM_LIMIT_MS);
+        if (word != HS_LEASE_CROWDED)
+            return true;
+        if (is_batch) {
+            attempt->step = HS_STEP_CALLER_GONE;
+            return false;
+        }
+        if (look + 1 == LOOKS_MOST || strcmp(refused_by, attempt->engine_id) == 0)
+            return true;
+        g_strlcpy(refused_by, attempt->engine_id, sizeof refused_by);
+        hs_engine_lease_release(attempt->lease, NULL, HS_ATTEMPT_DROPPED);
     }
+    return false;
+}
+
+bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_order *order,
+                      hs_attempt *attempt) {
+    memset(attempt, 0, sizeof *attempt);
+    attempt->step = HS_STEP_CUT;
+    if (!find_engine(engines, order, attempt))
+        return false;
     attempt->connection =
         hs_engine_lease_connect(attempt->lease, &order->wait, order->fresh, &attempt->step);
     if (attempt->connection == NULL)
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -9,11 +9,18 @@
 /** An engine stays among the uses for this long after its last request, so that lost words mend. */
 #define LEFT_LATELY_MS 1500
 
-static int32_t most_slack(const hs_fleet_engine *engine) {
-    int32_t most = G_MININT32;
+/** An item's rank falls while it runs: both the time it has and the time it needs become less. */
+static int32_t rank_now(const hs_engine_lease *lease, uint64_t now_ms) {
+    int64_t rank_ms = lease->rank_ms - 2 * (int64_t)(now_ms - lease->taken_ms);
+    return (int32_t)MAX(rank_ms, 0);
+}
+
+static int32_t highest_rank(const hs_fleet_engine *engine) {
+    int32_t highest = 0;
+    uint64_t now_ms = hs_clock_monotonic_ms();
     for (guint index = 0; index < engine->batch_leases->len; index++)
-        most = MAX(most, ((hs_engine_lease *)engine->batch_leases->pdata[index])->slack_ms);
-    return most;
+        highest = MAX(highest, rank_now(engine->batch_leases->pdata[index], now_ms));
+    return highest;
 }
 
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine) {
@@ -22,7 +29,7 @@
                            .slots = engine->entry.slots,
                            .online = engine->online,
                            .batch = engine->batch,
-                           .slack_ms = most_slack(engine)};
+                           .rank_ms = highest_rank(engine)};
 }
 
 void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
@@ -83,13 +90,14 @@
     g_mutex_unlock(&engines->lock);
 }
 
-/** The item that can wait longest and was not asked yet; of equal ones the newest. NULL: none. */
+/** The item of the highest rank that was not asked yet; of equal ones the newest. NULL: none. */
 static hs_engine_lease *next_to_yield(const hs_fleet_engine *engine) {
     hs_engine_lease *next = NULL;
+    uint64_t now_ms = hs_clock_monotonic_ms();
     for (guint index = 0; index < engine->batch_leases->len; index++) {
         hs_engine_lease *lease = engine->batch_leases->pdata[index];
         if (lease->yield != NULL && hs_interrupt_get(lease->yield) == HS_INTERRUPT_NONE &&
-            (next == NULL || lease->slack_ms >= next->slack_ms))
+            (next == NULL || rank_now(lease, now_ms) >= rank_now(next, now_ms)))
             next = lease;
     }
     return next;
@@ -116,14 +124,31 @@
     return asked;
 }
 
-bool hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms) {
+static bool is_asked_aside(const hs_engine_lease *lease) {
+    return lease->yield != NULL && hs_interrupt_get(lease->yield) != HS_INTERRUPT_NONE;
+}
+
+/** Wait until the arbiter has told of the lease, or asked its item aside. */
+static bool wait_for_word(hs_engine_lease *lease, uint32_t limit_ms) {
     hs_fleet_engines *engines = lease->engines;
     gint64 until = g_get_monotonic_time() + (gint64)limit_ms * G_TIME_SPAN_MILLISECOND;
-    g_mutex_lock(&engines->lock);
     bool is_waiting = engines->teller != NULL;
-    while (is_waiting && lease->engine->told_count == lease->told_before &&
-           hs_interrupt_get(lease->yield) == HS_INTERRUPT_NONE)
+    while (is_waiting && lease->engine->told_count == lease->told_before && !is_asked_aside(lease))
         is_waiting = g_cond_wait_until(&engines->totals_told, &engines->lock, until);
-    g_mutex_unlock(&engines->lock);
-    return hs_interrupt_get(lease->yield) == HS_INTERRUPT_NONE;
+    return is_waiting;
+}
+
+hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms) {
+    hs_lease_word word = HS_LEASE_UNHEARD;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&lease->engines->lock);
+    const hs_fleet_engine *engine = lease->engine;
+    if (wait_for_word(lease, limit_ms))
+        word = HS_LEASE_FITS;
+    double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
+    if (is_asked_aside(lease) ||
+        (word == HS_LEASE_FITS && lease->work == HS_WORK_ONLINE && online > engine->entry.slots))
+        word = HS_LEASE_CROWDED;
+    g_mutex_unlock(&lease->engines->lock);
+    return word;
 }
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -73,7 +73,7 @@
     uint32_t memory_tokens;
     double connection_share; /**< See hs_fleet_engines_connection_share. */
     hs_interrupt *yield;     /**< See hs_engine_query; NULL: none. */
-    int32_t slack_ms;        /**< Likewise; does not shrink while the item runs. */
+    int32_t rank_ms;         /**< Likewise, when it was taken. */
     uint32_t told_before;    /**< The engine's told_count when it was taken. */
     hs_engine_reasons reasons;
     bool was_alone; /**< No prompt was being read there when it was taken. */
@@ -93,7 +93,7 @@
 double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms);
 /** This daemon's use of the engine now. */
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
-/** Ask the batch items there that can wait longest to step aside; how many were asked. */
+/** Ask the batch items there of the highest rank to step aside; how many were asked. */
 uint32_t hs_fleet_engine_yield(hs_fleet_engine *engine, uint32_t wanted);
 /** Tell a use; without the lock. */
 void hs_fleet_engines_tell(hs_fleet_engines *engines, const hs_engine_use *use, bool started);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -227,6 +227,7 @@
     lease->engines = engines;
     lease->engine = engine;
     lease->work = query->work;
+    lease->told_before = engine->told_count;
     lease->taken_ms = now_ms;
     lease->was_alone = engine->queued_tokens == 0;
     lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
@@ -249,8 +250,7 @@
     } else {
         engine->batch++;
         lease->yield = query->yield;
-        lease->slack_ms = query->slack_ms;
-        lease->told_before = engine->told_count;
+        lease->rank_ms = query->rank_ms;
         g_ptr_array_add(engine->batch_leases, lease);
     }
     return lease;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -50,7 +50,7 @@
     hs_work_class work;
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
     hs_interrupt *yield;       /**< Batch: raised when the item is to step aside. */
-    int32_t slack_ms;          /**< Batch: how long it could still wait and end in time. */
+    int32_t rank_ms;           /**< Batch: of two items the one with the higher rank steps aside. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
     uint32_t max_connections;  /**< To one engine from all daemons; 0: unknown. */
 } hs_engine_query;
@@ -73,7 +73,7 @@
     uint32_t slots;    /**< The engine's. */
     uint32_t online;
     uint32_t batch;
-    int32_t slack_ms; /**< Most of its batch items there; see hs_engine_query. */
+    int32_t rank_ms; /**< Highest of its batch items there; see hs_engine_query. */
 } hs_engine_use;
 
 /** Called without a lock when a use changed; @p started: by a request that begins. */
@@ -107,11 +107,16 @@
 /** Why the engine was chosen. */
 hs_engine_reasons hs_engine_lease_reasons(const hs_engine_lease *lease);
 
-/**
- * Batch: wait until the engine's arbiter has heard of the lease; false when it is to step aside,
- * and nothing should be sent. An arbiter that is silent for @p limit_ms lets it go on.
- */
-bool hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
+/** What an engine's arbiter says of a lease. */
+typedef enum {
+    HS_LEASE_FITS,    /**< There is a slot, or a batch item leaves one. */
+    HS_LEASE_CROWDED, /**< A batch item is to step aside; an online request would wait for others.
+                       */
+    HS_LEASE_UNHEARD, /**< The arbiter said nothing in time. */
+} hs_lease_word;
+
+/** Wait until the engine's arbiter has heard of the lease, before anything is sent. */
+hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
 
 /** A kept connection, or a new one; NULL with @p step when there is none. */
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
@@ -173,7 +178,7 @@
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, uint64_t engine_hash, uint32_t online,
                                 uint32_t batch);
 
-/** Ask the batch items of this daemon on an engine that can wait longest to leave it; how many. */
+/** Ask the batch items of this daemon on an engine of the highest rank to leave it; how many. */
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
                                      uint32_t count);
 
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -21,7 +21,7 @@
     uint64_t sequence;
     uint32_t online;
     uint32_t batch;
-    int32_t slack_ms;
+    int32_t rank_ms;
     uint32_t leaving; /**< Of the batch items: asked to leave, not yet said to be gone. */
     uint64_t leaving_until_ms;
     uint64_t told_ms;
@@ -108,7 +108,7 @@
     use->sequence = told->sequence;
     use->online = told->online;
     use->batch = told->batch;
-    use->slack_ms = told->slack_ms;
+    use->rank_ms = told->rank_ms;
     use->told_ms = now_ms;
     return started;
 }
@@ -131,7 +131,7 @@
 
 /** How readily a daemon's item leaves; @p started: the daemon has just started one there. */
 static int64_t readiness(const daemon_use *use, bool started) {
-    return (int64_t)use->slack_ms + (started ? STARTED_FIRST_MS : 0);
+    return (int64_t)use->rank_ms + (started ? STARTED_FIRST_MS : 0);
 }
 
 /** The daemon whose item leaves next; NULL: none has an item that stays. */
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -4,7 +4,7 @@
  *
  * Each engine has one arbiter among the daemons. Every daemon tells it what it has there, as
  * counts and not as changes, so that a lost message is mended by the next. When the counts exceed
- * the engine's slots, batch items leave: those that can wait longest first, and one that was just
+ * the engine's slots, batch items leave: those of the highest rank first, and one that was just
  * started before one that was begun earlier and can wait only a little longer. The daemons together
  * are over an engine's slots for as long as one message there and one back take, however many they
  * are.
@@ -24,7 +24,7 @@
     uint32_t slots; /**< The engine's. */
     uint32_t online;
     uint32_t batch;
-    int32_t slack_ms; /**< Of its batch item there that can wait longest; see hs_engine_query. */
+    int32_t rank_ms; /**< Of its batch item there of the highest rank; see hs_engine_query. */
 } hs_slot_use;
 
 /** Batch items of a daemon that must leave an engine. */
--- a/src/jobs/item_estimate.c
+++ b/src/jobs/item_estimate.c
@@ -6,9 +6,6 @@
 #define WEIGHT 0.1
 /** Share of its expected events that an item is always taken to have before it. */
 #define LEAST_SHARE 0.05
-/** An estimate may be wrong by this share of the rest: a little late is not given up. */
-#define DOUBT_SHARE 0.25
-#define SLACK_MOST_MS 100000000.0
 
 static void blend(double *value, double sample) {
     *value += (sample - *value) * (*value > 0 ? WEIGHT : 1.0);
@@ -27,10 +24,3 @@
     double rest = fmax(expected - (double)events, expected * LEAST_SHARE);
     return (uint64_t)(rest * pace->ms_per_event);
 }
-
-int32_t hs_item_slack_ms(int64_t left_ms, uint64_t remaining_ms) {
-    double slack = (double)left_ms - (double)remaining_ms;
-    if (slack < -DOUBT_SHARE * (double)remaining_ms)
-        return HS_SLACK_LATE;
-    return (int32_t)fmin(slack, SLACK_MOST_MS);
-}
--- a/src/jobs/item_estimate.h
+++ b/src/jobs/item_estimate.h
@@ -21,12 +21,4 @@
 /** Expected ms that an item of @p tokens with @p events made so far still runs; 0: not known. */
 uint64_t hs_item_pace_remaining_ms(const hs_item_pace *pace, uint32_t tokens, uint64_t events);
 
-/**
- * How long an item that is due in @p left_ms could still wait. One that cannot end in time any more
- * has HS_SLACK_LATE: it can wait for all others.
- */
-int32_t hs_item_slack_ms(int64_t left_ms, uint64_t remaining_ms);
-
-#define HS_SLACK_LATE 1000000000
-
 #endif
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -203,7 +203,7 @@
                   .size = caller.size.prompt_tokens > 0 ? &caller.size : NULL,
                   .work = HS_WORK_BATCH,
                   .yield = &run->interrupt,
-                  .slack_ms = terms->slack_ms,
+                  .rank_ms = terms->rank_ms,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0},
         .request = {.method = "POST",
--- a/src/jobs/job_plan.c
+++ b/src/jobs/job_plan.c
@@ -18,21 +18,24 @@
     return 0;
 }
 
-/** Those that are to end in time before the others; of these the shortest first. */
-static gint by_plan(gconstpointer first, gconstpointer second) {
+static gint by_rank(gconstpointer first, gconstpointer second) {
     const hs_open_item *one = first;
     const hs_open_item *other = second;
-    bool one_late = one->slack_ms == HS_SLACK_LATE;
-    bool other_late = other->slack_ms == HS_SLACK_LATE;
-    if (one_late != other_late)
-        return one_late ? 1 : -1;
-    if (!one_late)
-        return by_due_time(first, second);
-    if (one->remaining_ms != other->remaining_ms)
-        return one->remaining_ms < other->remaining_ms ? -1 : 1;
+    if (one->rank_ms != other->rank_ms)
+        return one->rank_ms < other->rank_ms ? -1 : 1;
     return 0;
 }
 
+/**
+ * The lower, the sooner an item starts and the longer it stays. Of items that are due together the
+ * one that needs least goes first: work spread over all of them ends none in time.
+ */
+static int32_t rank_of(const hs_open_item *open, bool is_left_out) {
+    int64_t rank_ms = is_left_out ? HS_RANK_LEFT_OUT : open->left_ms;
+    rank_ms += (int64_t)open->remaining_ms;
+    return (int32_t)CLAMP(rank_ms, 0, G_MAXINT32);
+}
+
 /**
  * Slots for this daemon's items: what online requests leave, by its part of all daemons' work that
  * is to end in time.
@@ -70,9 +73,7 @@
     hs_fleet_engines_set_batch_work(owner->settings.engines, work_ms);
     for (guint index = 0; index < open->len; index++) {
         hs_open_item *entry = &g_array_index(open, hs_open_item, index);
-        entry->slack_ms = items[index].is_left_out
-                              ? HS_SLACK_LATE
-                              : hs_item_slack_ms(entry->left_ms, entry->remaining_ms);
+        entry->rank_ms = rank_of(entry, items[index].is_left_out);
     }
-    g_array_sort(open, by_plan);
+    g_array_sort(open, by_rank);
 }
--- a/src/jobs/job_plan.h
+++ b/src/jobs/job_plan.h
@@ -8,6 +8,9 @@
 
 #include "jobs/job_owner_state.h"
 
+/** Ranks of items that are not meant to end in time begin here. */
+#define HS_RANK_LEFT_OUT 1000000000
+
 /** An item without a result, and what decides its place. */
 typedef struct {
     hs_owned_partition_state *home;
@@ -15,7 +18,7 @@
     const char *service; /**< Interned; NULL: no route any more. */
     int64_t left_ms;     /**< Until it is due. */
     uint64_t remaining_ms;
-    int32_t slack_ms; /**< Set by the plan; see hs_engine_query. */
+    int32_t rank_ms; /**< Set by the plan; see hs_engine_query. */
     uint32_t max_attempts;
     bool may_start; /**< It waits, and its pause is over. */
     bool gives_up;  /**< Its time is over: list it as dead. */
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -108,9 +108,9 @@
     hs_log_info("item_started",
                 "job=%s item=%s tries=%u last_event=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                 " remaining_ms=%" G_GUINT64_FORMAT
-                " slack_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f",
+                " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f",
                 run->job_id, run->item_id, open->item->tries, (guint64)run->events.last_id,
-                (gint64)open->left_ms, (guint64)open->remaining_ms, open->slack_ms, count,
+                (gint64)open->left_ms, (guint64)open->remaining_ms, open->rank_ms, count,
                 room->slots, room->online, room->batch);
 }
 
@@ -119,7 +119,7 @@
     order->home = open->home;
     order->item = open->item;
     order->max_attempts = open->max_attempts;
-    order->slack_ms = open->slack_ms;
+    order->rank_ms = open->rank_ms;
     order->gives_up = open->gives_up;
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -123,7 +123,7 @@
         hs_item_try_terms terms = {.partition = order->home->partition,
                                    .engines = owner->settings.engines,
                                    .config = config,
-                                   .slack_ms = order->slack_ms,
+                                   .rank_ms = order->rank_ms,
                                    .checkpoint = hs_job_checkpoint_take,
                                    .user_data = order};
         end = hs_item_run_try(item->run, &terms);
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -11,7 +11,7 @@
 #define SLOTS 8
 
 /** Daemon "b" has the items that can wait longest. */
-static int32_t slack_of(const char *daemon) {
+static int32_t rank_of(const char *daemon) {
     return strcmp(daemon, "b") == 0 ? 9000 : 5000;
 }
 
@@ -26,7 +26,7 @@
                        .slots = SLOTS,
                        .online = online,
                        .batch = batch,
-                       .slack_ms = slack_of(daemon)};
+                       .rank_ms = rank_of(daemon)};
     g_array_set_size(asks, 0);
     return hs_slot_ledger_take(ledger, &use, now_ms, asks);
 }
