Jobs are admitted by the reservations alone while the log of them is complete

Change: while no reservation was lost to this daemon, those in the log are an upper bound of what waits; partitions are read only when that bound leaves the question open.

--- a/src/jobs/job_quota.c
+++ b/src/jobs/job_quota.c
@@ -220,12 +220,17 @@
     g_mutex_unlock(&quota->lock);
 }
 
-/** Whether each partition was read to its end at least once; else its jobs are not in the sum. */
-static bool knows_all(const hs_job_quota *quota) {
+/**
+ * Whether nothing that counts is missing: each partition was read to its end at least once for a sum
+ * under this configuration; or there was no sum yet, and all reservations ever made are in the fold.
+ */
+static bool counts_all(const hs_job_quota *quota, const hs_quota_claim *claim) {
+    if (quota->summed_ms == 0)
+        return !hs_quota_fold_has_gap(quota->fold);
     for (guint part = 0; part < quota->partitions->len; part++)
         if (quota->read_ms[part] == 0)
             return false;
-    return true;
+    return quota->summed_version == claim->config->version;
 }
 
 /** Decide by the sum at hand. */
@@ -237,11 +242,10 @@
     account->reserved =
         hs_quota_fold_reserved(quota->fold, claim->route->name, claim->job_id, account->offset);
     account->read_age_ms = hs_clock_monotonic_ms() - quota->summed_ms;
-    bool is_summed = quota->summed_ms != 0 && quota->summed_version == claim->config->version &&
-                     knows_all(quota);
+    bool is_complete = counts_all(quota, claim);
     uint64_t all = account->unfinished + account->reserved + claim->tokens;
     g_mutex_unlock(&quota->lock);
-    if (!is_summed)
+    if (!is_complete)
         return HS_QUOTA_UNKNOWN;
     return all <= claim->route->waiting_tokens_most ? HS_QUOTA_FITS : HS_QUOTA_FULL;
 }
--- a/src/jobs/quota_fold.c
+++ b/src/jobs/quota_fold.c
@@ -13,6 +13,7 @@
     GHashTable *released;    /**< Set of submissions. */
     GQueue released_order;   /**< Keys of the set, the oldest first. */
     uint64_t next;
+    bool has_gap;
 };
 
 static void free_reservation(gpointer data) {
@@ -91,9 +92,14 @@
 }
 
 void hs_quota_fold_skip_to(hs_quota_fold *fold, uint64_t offset) {
+    fold->has_gap = fold->has_gap || offset > fold->next;
     fold->next = MAX(fold->next, offset);
 }
 
+bool hs_quota_fold_has_gap(const hs_quota_fold *fold) {
+    return fold->has_gap;
+}
+
 void hs_quota_fold_settle(hs_quota_fold *fold, hs_quota_is_settled is_settled, void *user_data) {
     for (guint index = fold->reservations->len; index > 0; index--)
         if (is_settled(fold->reservations->pdata[index - 1], user_data))
--- a/src/jobs/quota_fold.h
+++ b/src/jobs/quota_fold.h
@@ -39,6 +39,9 @@
 /** Records before @p offset are gone: go on there. */
 void hs_quota_fold_skip_to(hs_quota_fold *fold, uint64_t offset);
 
+/** Whether records were gone before they could be applied. */
+bool hs_quota_fold_has_gap(const hs_quota_fold *fold);
+
 /** Tells whether a reservation counts no longer. */
 typedef bool (*hs_quota_is_settled)(const hs_quota_reservation *reservation, void *user_data);
 
