--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -214,7 +214,80 @@
     hs_fleet_engines_free(engines);
 }
 
+/** An arbiter in the same thread: tells totals at each begin, or is silent. */
+typedef struct {
+    hs_fleet_engines *engines;
+    bool is_silent;
+    uint32_t online; /**< Of all daemons, as it tells. */
+} test_arbiter;
+
+static void arbitrate(const hs_engine_use *use, bool started, void *user_data) {
+    const test_arbiter *arbiter = user_data;
+    if (started && !arbiter->is_silent)
+        hs_fleet_engines_put_total(arbiter->engines, use->engine_hash, arbiter->online, 0);
+}
+
+static hs_lease_word word_of(hs_fleet_engines *engines) {
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    hs_lease_word word = hs_engine_lease_confirm(lease, 20);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    return word;
+}
+
+/** A request hears whether online requests of all daemons fill the slots; silence lets it go on. */
+static void a_request_hears_the_arbiter_first(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = {.id = g_strdup("e1"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = 1,
+                             .port = 1,
+                             .slots = SLOTS};
+    hs_fleet_engines_put(engines, &entry, 1);
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_UNHEARD); /* Nobody to tell. */
+    test_arbiter arbiter = {.engines = engines, .online = SLOTS};
+    hs_fleet_engines_set_teller(engines, arbitrate, &arbiter);
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_FITS);
+    arbiter.online = SLOTS + 1;
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_CROWDED);
+    arbiter.is_silent = true;
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_UNHEARD);
+    CU_ASSERT(hs_clock_monotonic_ms() - began_ms >= 18);
+    hs_fleet_engines_set_teller(engines, NULL, NULL);
+    hs_fleet_engines_free(engines);
+}
+
+/** An item that is asked aside before it was sent is told so at once. */
+static void an_item_hears_that_it_is_one_too_many(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = {.id = g_strdup("e1"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = 1,
+                             .port = 1,
+                             .slots = SLOTS};
+    hs_fleet_engines_put(engines, &entry, 1);
+    test_arbiter silent = {.engines = engines, .is_silent = true};
+    hs_fleet_engines_set_teller(engines, arbitrate, &silent);
+    hs_interrupt flag;
+    hs_interrupt_init(&flag);
+    hs_engine_query query = {.service = "svc", .work = HS_WORK_BATCH, .yield = &flag};
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    CU_ASSERT_EQUAL(hs_fleet_engines_step_aside(engines, hs_hash_bytes("e1", 2), 1), 1);
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(hs_engine_lease_confirm(lease, 2000), HS_LEASE_CROWDED);
+    CU_ASSERT(hs_clock_monotonic_ms() - began_ms < 1000);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_set_teller(engines, NULL, NULL);
+    hs_interrupt_clear(&flag);
+    hs_fleet_engines_free(engines);
+}
+
 const test_case slot_tests[] = {
+    {"a_request_hears_the_arbiter_first", a_request_hears_the_arbiter_first},
+    {"an_item_hears_that_it_is_one_too_many", an_item_hears_that_it_is_one_too_many},
     {"an_online_request_moves_one_item", an_online_request_moves_one_item},
     {"an_item_too_many_goes_back", an_item_too_many_goes_back},
     {"words_may_be_lost_or_old", words_may_be_lost_or_old},
