A daemon starts items on its part of the free slots among a third of all daemons

Hypothesis: free slots are filled too slowly, a ninth of them a pass and daemon, since not all daemons have items at one time.

--- a/src/jobs/job_room.c
+++ b/src/jobs/job_room.c
@@ -1,9 +1,16 @@
 /** @file job_room.c  See job_room.h. */
 #include "jobs/job_room.h"
 
+/**
+ * Not all daemons have items to start at one time. What they start too much together, engines'
+ * arbiters send back before it reaches an engine.
+ */
+#define STARTERS_SHARE (1.0 / 3.0)
+
 uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons) {
     double spare = room->slots - room->batch - room->online;
     if (spare < 1)
         return 0;
-    return MAX((uint32_t)(spare / MAX(daemons, 1)), 1);
+    double starters = MAX(daemons * STARTERS_SHARE, 1.0);
+    return MAX((uint32_t)(spare / starters), 1);
 }
--- a/src/jobs/job_room.h
+++ b/src/jobs/job_room.h
@@ -9,8 +9,8 @@
 #include "fleet/fleet_engines.h"
 
 /**
- * Items that this daemon, one of @p daemons, may start now, so that all together do not overfill;
- * at least one where a slot is free.
+ * Items that this daemon, one of @p daemons, may start now: its part of the free slots among those
+ * daemons that have items to start; at least one where a slot is free.
  */
 uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons);
 
