--- a/src/jobs/job_quota.c
+++ b/src/jobs/job_quota.c
@@ -104,7 +104,8 @@
         /* Another thread may have read the same records. */
         if (offset == hs_quota_fold_next(quota->fold) &&
             !hs_quota_fold_apply(quota->fold, offset, record.value, record.value_length, now_ms))
-            hs_log_warning("quota_record_unreadable", "offset=%" G_GUINT64_FORMAT, (guint64)offset);
+            hs_log_warning("admission_record_unreadable", "offset=%" G_GUINT64_FORMAT,
+                           (guint64)offset);
         offset++;
     }
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -23,7 +23,8 @@
 void hs_membership_service_stop(hs_membership_service *service);
 void hs_membership_service_free(hs_membership_service *service);
 
-/** One round of the ticker, for drivers that bring their own thread (directory/daemon_directory.c). */
+/** One round of the ticker, for drivers that bring their own thread (directory/daemon_directory.c).
+ */
 void hs_membership_service_tick(hs_membership_service *service, uint64_t now_ms);
 
 /** True when the message was a probe or an answer to one, and was handled. */
