--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -120,6 +120,13 @@
     return hs_job_quota_claim(daemon->quota, &asked, account);
 }
 
+/** Append a record to the partition of @p job. */
+static void append_record(test_daemon *daemon, const char *job, const Hs__JobRecord *record) {
+    hs_job_partition *partition = daemon->partitions->pdata[hs_job_partition_of(job, PARTS)];
+    CU_ASSERT_EQUAL(hs_job_partition_append(partition, record, hs_clock_monotonic_ms() + 1000),
+                    HS_STORE_DONE);
+}
+
 static void store_job(test_daemon *daemon, const char *job) {
     Hs__JobItem item = HS__JOB_ITEM__INIT;
     Hs__JobItem *items[] = {&item};
@@ -135,9 +142,7 @@
     Hs__JobRecord record = HS__JOB_RECORD__INIT;
     record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
     record.manifest = &manifest;
-    hs_job_partition *partition = daemon->partitions->pdata[hs_job_partition_of(job, PARTS)];
-    CU_ASSERT_EQUAL(hs_job_partition_append(partition, &record, hs_clock_monotonic_ms() + 1000),
-                    HS_STORE_DONE);
+    append_record(daemon, job, &record);
 }
 
 static void end_job(test_daemon *daemon, const char *job) {
@@ -146,9 +151,7 @@
     Hs__JobRecord record = HS__JOB_RECORD__INIT;
     record.kind_case = HS__JOB_RECORD__KIND_END;
     record.end = &end;
-    hs_job_partition *partition = daemon->partitions->pdata[hs_job_partition_of(job, PARTS)];
-    CU_ASSERT_EQUAL(hs_job_partition_append(partition, &record, hs_clock_monotonic_ms() + 1000),
-                    HS_STORE_DONE);
+    append_record(daemon, job, &record);
 }
 
 /** As the owner of all partitions: read them and tell what is open. */
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -155,6 +155,19 @@
     hs_slot_ledger_free(ledger);
 }
 
+/** A table with the engine "e1" of the service "svc". Free with hs_fleet_engines_free. */
+static hs_fleet_engines *table_of_one_engine(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = {.id = g_strdup("e1"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = 1,
+                             .port = 1,
+                             .slots = SLOTS};
+    hs_fleet_engines_put(engines, &entry, 1);
+    return engines;
+}
+
 /** Told uses, as the table of engines hands them to the arbiter. */
 typedef struct {
     hs_engine_use last;
@@ -172,14 +185,7 @@
 
 /** Each begin and end of a request is told; a word to step aside reaches the newest item. */
 static void uses_are_told_at_each_change(void) {
-    hs_fleet_engines *engines = hs_fleet_engines_new("z");
-    hs_engine_entry entry = {.id = g_strdup("e1"),
-                             .service = g_strdup("svc"),
-                             .zone = g_strdup("z"),
-                             .address = 1,
-                             .port = 1,
-                             .slots = SLOTS};
-    hs_fleet_engines_put(engines, &entry, 1);
+    hs_fleet_engines *engines = table_of_one_engine();
     told_uses told = {0};
     hs_fleet_engines_set_teller(engines, note_use, &told);
     hs_interrupt flags[2];
@@ -237,14 +243,7 @@
 
 /** A request hears whether online requests of all daemons fill the slots; silence lets it go on. */
 static void a_request_hears_the_arbiter_first(void) {
-    hs_fleet_engines *engines = hs_fleet_engines_new("z");
-    hs_engine_entry entry = {.id = g_strdup("e1"),
-                             .service = g_strdup("svc"),
-                             .zone = g_strdup("z"),
-                             .address = 1,
-                             .port = 1,
-                             .slots = SLOTS};
-    hs_fleet_engines_put(engines, &entry, 1);
+    hs_fleet_engines *engines = table_of_one_engine();
     CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_UNHEARD); /* Nobody to tell. */
     test_arbiter arbiter = {.engines = engines, .online = SLOTS};
     hs_fleet_engines_set_teller(engines, arbitrate, &arbiter);
@@ -261,14 +260,7 @@
 
 /** An item that is asked aside before it was sent is told so at once. */
 static void an_item_hears_that_it_is_one_too_many(void) {
-    hs_fleet_engines *engines = hs_fleet_engines_new("z");
-    hs_engine_entry entry = {.id = g_strdup("e1"),
-                             .service = g_strdup("svc"),
-                             .zone = g_strdup("z"),
-                             .address = 1,
-                             .port = 1,
-                             .slots = SLOTS};
-    hs_fleet_engines_put(engines, &entry, 1);
+    hs_fleet_engines *engines = table_of_one_engine();
     test_arbiter silent = {.engines = engines, .is_silent = true};
     hs_fleet_engines_set_teller(engines, arbitrate, &silent);
     hs_interrupt flag;
