Calls about jobs are answered by their partition's owner; items wait until its log was read

Cause: every daemon that was asked about a job read the job's partition from its beginning, and items of a partition started 250 ms after it was dealt, whether or not its log had been read to the end. Ruled out by reading: records lost by trims (only bodies are trimmed, 30 s after they were needed first). Change: owners tell their partitions with their membership account; a daemon answers from a fold that is known to be at most 900 ms old, else passes the call on to the owner (HTTP at the control address), else reads the log as before. Pages of the log are 256 KB, so that what a read brought stays. Tests: jobs.items_wait_until_the_log_was_read_to_its_end (failed before), fleet_surface.calls_about_a_job_are_answered_ by_its_owner.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -98,7 +98,7 @@
                                    .record_bytes = (uint32_t)settings->fleet_record_bytes,
                                    .call_bytes = (uint32_t)settings->fleet_call_bytes,
                                    .status_ms = (uint64_t)(settings->fleet_status_s * MS_PER_S)};
-    daemon->jobs = hs_job_service_new(&store);
+    daemon->jobs = hs_job_service_new(&store, daemon->directory);
     hs_job_owner_settings owner = {.member = settings->daemon_id,
                                    .part_count = store.part_count,
                                    .group_ttl_ms = (uint32_t)settings->fleet_group_ttl_least_ms *
@@ -107,6 +107,7 @@
                                    .jobs = daemon->jobs,
                                    .config = daemon->config,
                                    .engines = daemon->engines,
+                                   .daemons = daemon->directory,
                                    .live_daemons = live_daemons,
                                    .user_data = daemon};
     daemon->owner = hs_job_owner_new(&owner);
@@ -120,6 +121,7 @@
                                          .ready = daemon->settings->fleet_ready,
                                          .directory = daemon->settings->fleet_directory,
                                          .metrics = daemon->settings->fleet_metrics,
+                                         .control = daemon->settings->fleet_control,
                                          .online = &daemon->online,
                                          .jobs = daemon->jobs,
                                          .members = daemon->directory,
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -354,6 +354,33 @@
     return (char **)g_ptr_array_free(addresses, FALSE);
 }
 
+void hs_daemon_directory_tell_owned(hs_daemon_directory *directory, const GArray *parts,
+                                    uint64_t generation) {
+    g_autoptr(GArray) owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
+    g_autoptr(GPtrArray) no_engines = g_ptr_array_new();
+    for (guint index = 0; index < parts->len; index++) {
+        hs_owned_partition partition = {.partition = g_array_index(parts, uint32_t, index),
+                                        .epoch = (uint32_t)generation};
+        g_array_append_val(owned, partition);
+    }
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_update_self(membership, 0, owned, no_engines);
+    hs_membership_service_unlock(directory->membership);
+}
+
+bool hs_daemon_directory_owner(hs_daemon_directory *directory, uint32_t part,
+                               hs_daemon_address *owner) {
+    uint32_t epoch = 0;
+    const hs_membership *membership = hs_membership_service_lock(directory->membership);
+    const hs_member *member = hs_membership_owner(membership, part, &epoch);
+    bool is_other = member != NULL && member != hs_membership_self(membership) &&
+                    member->state == HS_MEMBER_ALIVE;
+    if (is_other)
+        *owner = (hs_daemon_address){.address = member->address, .port = member->peer_port};
+    hs_membership_service_unlock(directory->membership);
+    return is_other;
+}
+
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory) {
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     uint32_t count = hs_membership_live_count(membership);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -20,7 +20,7 @@
     const char *zone;
     const char *address; /**< IPv4 number of all listeners. */
     uint16_t front_port;
-    uint16_t peer_port; /**< UDP. */
+    uint16_t peer_port; /**< Of other daemons, UDP and TCP. */
     const char *seeds;  /**< "IPv4:port,..." */
     uint32_t probe_interval_ms;
     uint32_t resolve_ttl_s;
@@ -50,6 +50,23 @@
 /** Daemons a caller of @p zone should use: "IPv4:port" texts, NULL-terminated; NULL: not known. */
 char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone);
 
+/** Where a daemon hears others: TCP and UDP at one port. */
+typedef struct {
+    uint32_t address; /**< IPv4 number in host order. */
+    uint16_t port;
+} hs_daemon_address;
+
+/**
+ * Tell the other daemons which partitions of jobs this one owns. @p parts: of uint32_t. @p
+ * generation: of the deal; of two daemons that claim a partition the later deal counts.
+ */
+void hs_daemon_directory_tell_owned(hs_daemon_directory *directory, const GArray *parts,
+                                    uint64_t generation);
+
+/** The other daemon that owns a partition; false: none is known to live, or it is this one. */
+bool hs_daemon_directory_owner(hs_daemon_directory *directory, uint32_t part,
+                               hs_daemon_address *owner);
+
 /** Live daemons, this one included; at least 1. */
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory);
 
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -7,7 +7,12 @@
 
 #define JOIN_PER_TTL 3
 #define JOIN_LIMIT_MS 900
-#define TAIL_HOLD_MS 1000
+/** Each read held at the store: an owner's fold is known to be no older than this and a moment. */
+#define TAIL_HOLD_MS 500
+/** One try to read a partition's log to its end after it was dealt, and the pause after a failure.
+ */
+#define CATCH_UP_LIMIT_MS 3000
+#define CATCH_UP_PAUSE_MS 60
 #define TRIM_INTERVAL_MS 10000
 #define TRIM_LIMIT_MS 1500
 #define LEVEL_LIMIT_MS 400
@@ -66,11 +71,15 @@
     uint32_t taken_count = 0;
     g_mutex_lock(&owner->lock);
     while (home->owned && !owner->stopping) {
+        uint64_t taken_ms = home->taken_ms;
         g_mutex_unlock(&owner->lock);
         uint64_t next = hs_job_state_next(hs_job_partition_lock(home->partition));
         hs_job_partition_unlock(home->partition);
         uint64_t now_ms = hs_clock_monotonic_ms();
-        hs_job_partition_hold(home->partition, next, now_ms + TAIL_HOLD_MS);
+        if (hs_job_partition_is_current(home->partition, taken_ms))
+            hs_job_partition_hold(home->partition, next, now_ms + TAIL_HOLD_MS);
+        else if (!hs_job_partition_catch_up(home->partition, now_ms + CATCH_UP_LIMIT_MS))
+            hs_clock_sleep_ms(CATCH_UP_PAUSE_MS);
         tell_level(home, &told);
         if (now_ms >= next_trim_ms) {
             hs_job_partition_trim(home->partition, now_ms + TRIM_LIMIT_MS);
@@ -119,7 +128,8 @@
 
 /** The caller holds the lock. */
 static void take_partition(hs_owned_partition_state *home) {
-    home->start_ms = hs_clock_monotonic_ms() + TAKEOVER_PAUSE_MS;
+    home->taken_ms = hs_clock_monotonic_ms();
+    home->start_ms = home->taken_ms + TAKEOVER_PAUSE_MS;
     home->taken_count++;
     if (home->tail != NULL) {
         if (!home->tail_stopped) { /* Its thread still ends; it simply goes on. */
@@ -135,6 +145,7 @@
 }
 
 static void set_owned(hs_job_owner *owner, const GArray *parts) {
+    bool has_changed = false;
     g_mutex_lock(&owner->lock);
     for (guint part = 0; part < owner->partitions->len; part++) {
         hs_owned_partition_state *home = owner->partitions->pdata[part];
@@ -143,6 +154,7 @@
             dealt = g_array_index(parts, uint32_t, index) == part;
         if (dealt == home->owned)
             continue;
+        has_changed = true;
         hs_log_info(dealt ? "partition_taken" : "partition_given_up",
                     "part=%u generation=%" G_GUINT64_FORMAT, part, (guint64)owner->generation);
         if (dealt) {
@@ -155,6 +167,8 @@
     }
     g_cond_broadcast(&owner->changed);
     g_mutex_unlock(&owner->lock);
+    if (has_changed && owner->settings.daemons != NULL)
+        hs_daemon_directory_tell_owned(owner->settings.daemons, parts, owner->generation);
 }
 
 static hs_store_outcome join_group(hs_job_owner *owner) {
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -22,6 +22,7 @@
     hs_job_service *jobs;
     hs_config_source *config;
     hs_fleet_engines *engines;
+    hs_daemon_directory *daemons; /**< Is told what this daemon owns; NULL: nobody is. */
     uint32_t (*live_daemons)(void *user_data); /**< How many daemons share the engines. */
     void *user_data;
 } hs_job_owner_settings;
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -37,6 +37,7 @@
     hs_job_partition *partition;
     GHashTable *items; /**< "job/index" -> hs_owned_item* */
     bool owned;        /**< Dealt to this daemon now. */
+    uint64_t taken_ms; /**< When it was dealt to this daemon. */
     uint64_t start_ms; /**< No item starts before: the owner before may still hand over. */
     hs_deadline handover_deadline; /**< Until when a former owner still stores what it has. */
     GMutex pending_lock;
@@ -76,6 +77,12 @@
     bool hands_over; /**< Only store what there is of it, for the next owner. */
 } hs_item_order;
 
+/**
+ * Whether items of a partition may start. Not before the fold holds the log as it was when the
+ * partition was dealt: until then items that are listed, and jobs that are over, look open.
+ */
+bool hs_job_owner_may_run(const hs_owned_partition_state *home, uint64_t now_ms);
+
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
 void hs_job_worker_run(gpointer data, gpointer user_data);
 
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -7,7 +7,13 @@
 
 #include <string.h>
 
-#define READ_MAX_KB 1024
+/**
+ * One page of the log: 70 ms on a link of 30 Mbit/s that carries nothing else, so that a read ends
+ * before its limit and what it brought stays, however long the log is.
+ */
+#define READ_MAX_KB 256
+/** One read of an item's content: a whole call of the store. */
+#define CONTENT_MAX_KB 1024
 #define READ_LIMIT_MS 1500
 #define ANSWER_SLACK_MS 700
 #define BYTES_PER_KB 1024
@@ -119,11 +125,14 @@
         uint64_t number = ++partition->reads_begun;
         g_mutex_unlock(&partition->lock);
         bool reached = false;
-        hs_deadline limit = MIN(deadline, hs_clock_monotonic_ms() + READ_LIMIT_MS);
+        uint64_t began_ms = hs_clock_monotonic_ms();
+        hs_deadline limit = MIN(deadline, began_ms + READ_LIMIT_MS);
         bool read = read_once(partition, 0, limit, NULL, &reached);
         g_mutex_lock(&partition->lock);
-        if (reached)
+        if (reached) {
             partition->last_good = number;
+            partition->current_ms = MAX(partition->current_ms, began_ms);
+        }
         end_reading(partition);
         if (!read)
             break;
@@ -135,7 +144,8 @@
 
 /** Hold a read at the store from @p from on; takes no turn, so that short reads go on beside it. */
 static bool follow(hs_job_partition *partition, uint64_t from, uint32_t wait_ms) {
-    hs_deadline deadline = hs_clock_monotonic_ms() + wait_ms + ANSWER_SLACK_MS;
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    hs_deadline deadline = began_ms + wait_ms + ANSWER_SLACK_MS;
     hs_store_call call =
         hs_platform_read(HS_TOPIC_JOBS, partition->part, from, READ_MAX_KB, wait_ms);
     GByteArray *answer = g_byte_array_new();
@@ -145,15 +155,27 @@
     uint64_t first = 0;
     while (partition->reading)
         g_cond_wait(&partition->moved, &partition->lock);
-    if (outcome == HS_STORE_DONE && hs_job_state_next(partition->state) == from)
-        apply_answer(partition, answer);
-    else if (outcome == HS_STORE_GONE && hs_platform_read_first_kept(answer, &first))
+    if (outcome == HS_STORE_DONE && hs_job_state_next(partition->state) == from &&
+        apply_answer(partition, answer)) {
+        /* Without news the store held the read to its end; news may have been there at once. */
+        bool has_news = hs_job_state_next(partition->state) != from;
+        uint64_t held_ms = has_news ? began_ms : began_ms + wait_ms;
+        partition->current_ms = MAX(partition->current_ms, MIN(held_ms, hs_clock_monotonic_ms()));
+    }
+    if (outcome == HS_STORE_GONE && hs_platform_read_first_kept(answer, &first))
         hs_job_state_skip_to(partition->state, first);
     g_mutex_unlock(&partition->lock);
     g_byte_array_free(answer, TRUE);
     return outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
 }
 
+bool hs_job_partition_is_current(hs_job_partition *partition, uint64_t since_ms) {
+    g_mutex_lock(&partition->lock);
+    bool is_current = partition->current_ms != 0 && partition->current_ms >= since_ms;
+    g_mutex_unlock(&partition->lock);
+    return is_current;
+}
+
 void hs_job_partition_hold(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
     gint64 until_us = (gint64)until * G_TIME_SPAN_MILLISECOND;
     g_mutex_lock(&partition->lock);
@@ -186,8 +208,8 @@
     *outcome = HS_STORE_DONE;
     while (content->len < bytes && *outcome == HS_STORE_DONE) {
         uint32_t max_kb = (bytes - content->len) / BYTES_PER_KB + 1;
-        hs_store_call call =
-            hs_platform_read(HS_TOPIC_BODIES, partition->part, offset, MIN(max_kb, READ_MAX_KB), 0);
+        hs_store_call call = hs_platform_read(HS_TOPIC_BODIES, partition->part, offset,
+                                              MIN(max_kb, CONTENT_MAX_KB), 0);
         *outcome = hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
         size_t position = 0;
         hs_store_record record;
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -31,6 +31,12 @@
  */
 bool hs_job_partition_catch_up(hs_job_partition *partition, hs_deadline deadline);
 
+/**
+ * Whether the fold is known to hold all that the log held at @p since_ms (monotonic). A daemon that
+ * was frozen or is cut off from the store finds its fold out of date by this.
+ */
+bool hs_job_partition_is_current(hs_job_partition *partition, uint64_t since_ms);
+
 /** Lock and borrow the fold; unlock when done. */
 hs_job_state *hs_job_partition_lock(hs_job_partition *partition);
 void hs_job_partition_unlock(hs_job_partition *partition);
--- a/src/jobs/job_partition_state.h
+++ b/src/jobs/job_partition_state.h
@@ -12,7 +12,8 @@
     bool reading;   /**< A thread is reading from the log. */
     bool following; /**< A thread has a read held at the store. */
     uint64_t reads_begun;
-    uint64_t last_good; /**< Number of the latest read that reached the end. */
+    uint64_t last_good;  /**< Number of the latest read that reached the end. */
+    uint64_t current_ms; /**< The fold held all that the log held at this moment; 0: never. */
     uint64_t trimmed_to;
     uint64_t trim_candidate; /**< First content needed when it was noted. */
     uint64_t trim_noted_ms;  /**< 0: none noted. */
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -128,12 +128,17 @@
     g_thread_pool_push(owner->workers, order, NULL);
 }
 
+bool hs_job_owner_may_run(const hs_owned_partition_state *home, uint64_t now_ms) {
+    return home->owned && now_ms >= home->start_ms &&
+           hs_job_partition_is_current(home->partition, home->taken_ms);
+}
+
 /** One pass over all owned partitions. The caller holds the lock. */
 static void start_items(hs_job_owner *owner, const hs_fleet_config *config) {
     g_autoptr(GArray) open = g_array_new(FALSE, FALSE, sizeof(hs_open_item));
     for (guint part = 0; part < owner->partitions->len; part++) {
         hs_owned_partition_state *home = owner->partitions->pdata[part];
-        if (home->owned && hs_clock_monotonic_ms() >= home->start_ms)
+        if (hs_job_owner_may_run(home, hs_clock_monotonic_ms()))
             collect(home, config, open);
     }
     hs_job_plan_make(owner, open);
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -1,5 +1,5 @@
 /** @file job_service.c  See job_service.h. */
-#include "jobs/job_service.h"
+#include "jobs/job_service_state.h"
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -8,28 +8,23 @@
 
 #include <string.h>
 
+/** Longest that a call is worked on; callers without a time-out of their own give up after it. */
 #define CALL_LIMIT_MS 4000
+/** One try to read a partition's log: callers try another daemon after about two seconds. */
 #define ONE_TRY_MS 1200
 #define RETRY_PAUSE_MS 40
 #define RETRY_AFTER_TEXT "0.3"
 /** Where a route is full, room comes as items end, a few a second. */
 #define FULL_RETRY_AFTER_TEXT "1"
-#define PAGE_BYTES (1000U * 1000)
-#define PAGE_ITEM_OVERHEAD 256
-#define WAIT_MOST_MS 5000
-
-struct hs_job_service {
-    hs_job_store_settings settings;
-    GPtrArray *partitions; /**< of hs_job_partition* */
-    hs_job_quota *quota;
-};
 
 static void free_partition(gpointer data) {
     hs_job_partition_free(data);
 }
 
-hs_job_service *hs_job_service_new(const hs_job_store_settings *settings) {
+hs_job_service *hs_job_service_new(const hs_job_store_settings *settings,
+                                   hs_daemon_directory *daemons) {
     hs_job_service *service = g_new0(hs_job_service, 1);
+    service->daemons = daemons;
     service->settings = *settings;
     service->partitions = g_ptr_array_new_with_free_func(free_partition);
     for (uint32_t part = 0; part < settings->part_count; part++)
@@ -58,12 +53,12 @@
     return service->partitions->pdata[part];
 }
 
-static hs_job_partition *partition_of(hs_job_service *service, const char *job_id) {
+hs_job_partition *hs_job_service_partition_of(hs_job_service *service, const char *job_id) {
     return hs_job_service_partition(service,
                                     hs_job_partition_of(job_id, service->settings.part_count));
 }
 
-static void reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
                   size_t length) {
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", type);
@@ -74,22 +69,22 @@
     hs_http_fields_free(fields);
 }
 
-static void reply_text(hs_inbound *inbound, uint32_t status, const char *text) {
-    reply(inbound, status, "text/plain", text, strlen(text));
+void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text) {
+    hs_job_reply(inbound, status, "text/plain", text, strlen(text));
 }
 
-static hs_deadline call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms) {
+hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms) {
     uint64_t limit_ms = CALL_LIMIT_MS;
     if (terms->timeout_ms > 0)
         limit_ms = MIN(limit_ms, terms->timeout_ms);
     return inbound->received_ms + limit_ms;
 }
 
-static hs_deadline one_try(hs_deadline deadline) {
+hs_deadline hs_job_one_try(hs_deadline deadline) {
     return MIN(deadline, hs_clock_monotonic_ms() + ONE_TRY_MS);
 }
 
-static bool is_known(hs_job_partition *partition, const char *job_id) {
+bool hs_job_is_known(hs_job_partition *partition, const char *job_id) {
     hs_job_state *state = hs_job_partition_lock(partition);
     bool known = hs_job_state_find(state, job_id) != NULL;
     hs_job_partition_unlock(partition);
@@ -187,8 +182,8 @@
 
 /** Read back whether a manifest whose append got no answer is in the log. */
 static bool is_stored(const submission *job) {
-    return hs_job_partition_catch_up(job->partition, one_try(job->deadline)) &&
-           is_known(job->partition, job->terms->request_id);
+    return hs_job_partition_catch_up(job->partition, hs_job_one_try(job->deadline)) &&
+           hs_job_is_known(job->partition, job->terms->request_id);
 }
 
 /** Store the job; the status to answer with. */
@@ -241,8 +236,8 @@
  */
 static uint32_t held_back(const submission *job, hs_quota_verdict verdict) {
     bool is_read = verdict == HS_QUOTA_FULL &&
-                   hs_job_partition_catch_up(job->partition, one_try(job->refuse_at));
-    if (is_known(job->partition, job->terms->request_id))
+                   hs_job_partition_catch_up(job->partition, hs_job_one_try(job->refuse_at));
+    if (hs_job_is_known(job->partition, job->terms->request_id))
         return 202;
     return is_read ? 429 : 503;
 }
@@ -259,7 +254,8 @@
     hs_quota_account account;
     hs_quota_verdict verdict = hs_job_quota_claim(service->quota, &claim, &account);
     uint32_t status = verdict == HS_QUOTA_FITS ? store_job(job) : held_back(job, verdict);
-    reply_text(job->inbound, status, status == 202 ? "" : "the job was not taken by this answer\n");
+    hs_job_reply_text(job->inbound, status,
+                      status == 202 ? "" : "the job was not taken by this answer\n");
     bool may_be_taken = status == 202 || status == 504;
     if (!may_be_taken)
         hs_job_quota_release(service->quota, account.submission);
@@ -270,126 +266,30 @@
                            const hs_fleet_route *route) {
     hs_error error = {0};
     if (terms->request_id == NULL || *terms->request_id == '\0') {
-        reply_text(inbound, 400, "a job needs an id\n");
+        hs_job_reply_text(inbound, 400, "a job needs an id\n");
         return;
     }
     GArray *items = hs_platform_read_submission(inbound->body->data, inbound->body->len, &error);
     if (items == NULL) {
-        reply_text(inbound, 400, error.message);
+        hs_job_reply_text(inbound, 400, error.message);
         return;
     }
-    submission job = {.partition = partition_of(service, terms->request_id),
+    submission job = {.partition = hs_job_service_partition_of(service, terms->request_id),
                       .inbound = inbound,
                       .terms = terms,
                       .route = route,
                       .items = items,
-                      .deadline = call_deadline(inbound, terms)};
+                      .deadline = hs_job_call_deadline(inbound, terms)};
     job.refuse_at = inbound->received_ms + (job.deadline - inbound->received_ms) / 2;
-    if (is_known(job.partition, terms->request_id))
-        reply_text(inbound, 202, "");
+    if (hs_job_is_known(job.partition, terms->request_id))
+        hs_job_reply_text(inbound, 202, "");
     else
         take_job(service, &job, config);
     g_array_free(items, TRUE);
 }
 
-/** Answer 404 where the log was read to its end, else 503. */
-static void reply_unknown(hs_inbound *inbound, bool caught_up) {
-    reply_text(inbound, caught_up ? 404 : 503,
-               caught_up ? "no such job\n" : "the log cannot be read now\n");
-}
-
-/** A page of results from @p position on; NULL when the job is unknown. */
-static char *write_page(hs_job_state *state, const char *job_id, uint64_t position,
-                        bool *has_news) {
-    const hs_job *job = hs_job_state_find(state, job_id);
-    if (job == NULL)
-        return NULL;
-    g_autofree hs_result_view *views = g_new0(hs_result_view, job->results->len + 1);
-    size_t count = 0;
-    size_t bytes = 0;
-    for (uint64_t index = position; index < job->results->len; index++) {
-        const hs_job_result *result = job->results->pdata[index];
-        bytes += result->length + PAGE_ITEM_OVERHEAD;
-        if (count > 0 && bytes > PAGE_BYTES)
-            break;
-        views[count++] =
-            (hs_result_view){.item_id = g_array_index(job->items, hs_job_item, result->item).id,
-                             .completed = result->outcome == HS_ITEM_COMPLETED,
-                             .text = result->text,
-                             .length = result->length};
-    }
-    *has_news = count > 0 || !hs_job_is_open(job);
-    return hs_platform_write_results(job->items->len, position + count, views, count);
-}
-
-void hs_job_service_read(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
-                         const char *job_id) {
-    hs_job_partition *partition = partition_of(service, job_id);
-    uint64_t position = hs_platform_read_position(inbound->target);
-    hs_deadline hold_until = inbound->received_ms + MIN(terms->wait_ms, WAIT_MOST_MS);
-    bool caught_up = hs_job_partition_catch_up(partition, one_try(call_deadline(inbound, terms)));
-    while (true) {
-        bool has_news = false;
-        hs_job_state *state = hs_job_partition_lock(partition);
-        uint64_t next = hs_job_state_next(state);
-        g_autofree char *page = write_page(state, job_id, position, &has_news);
-        hs_job_partition_unlock(partition);
-        uint64_t now_ms = hs_clock_monotonic_ms();
-        bool holds = page != NULL && !has_news && now_ms < hold_until;
-        if (!holds) {
-            /* What a fold that lags shows is still true, but a place read before may lie beyond. */
-            if (page == NULL || (!caught_up && !has_news))
-                reply_unknown(inbound, caught_up);
-            else
-                reply(inbound, 200, "application/json", page, strlen(page));
-            return;
-        }
-        hs_job_partition_hold(partition, next, hold_until);
-    }
-}
-
-void hs_job_service_read_item(hs_job_service *service, hs_inbound *inbound,
-                              const hs_caller_terms *terms, const char *job_id) {
-    hs_job_partition *partition = partition_of(service, job_id);
-    hs_deadline deadline = call_deadline(inbound, terms);
-    g_autofree char *item_id = hs_platform_read_item_id(inbound->target);
-    bool caught_up = hs_job_partition_catch_up(partition, one_try(deadline));
-    hs_job_state *state = hs_job_partition_lock(partition);
-    const hs_job *job = hs_job_state_find(state, job_id);
-    int index = job != NULL && item_id != NULL ? hs_job_find_item(job, item_id) : -1;
-    hs_job_item item = {0};
-    if (index >= 0)
-        item = g_array_index(job->items, hs_job_item, index);
-    bool known = job != NULL;
-    hs_job_partition_unlock(partition);
-    if (!known || !caught_up) {
-        reply_unknown(inbound, caught_up);
-        return;
-    }
-    if (index < 0 || item.listed) {
-        reply_text(inbound, 404, "no such open item\n");
-        return;
-    }
-    hs_store_outcome outcome = HS_STORE_UNKNOWN;
-    Hs__JobItemContent *content = hs_job_partition_read_content(
-        partition, item.content_offset, item.content_bytes, deadline, &outcome);
-    if (content == NULL) {
-        reply_unknown(inbound, false);
-        return;
-    }
-    reply(inbound, 200, "application/octet-stream", content->body.data, content->body.len);
-    hs__job_item_content__free_unpacked(content, NULL);
-}
-
-void hs_job_service_end(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
-                        const char *job_id) {
-    hs_job_partition *partition = partition_of(service, job_id);
-    hs_deadline deadline = call_deadline(inbound, terms);
-    bool caught_up = hs_job_partition_catch_up(partition, one_try(deadline));
-    if (!is_known(partition, job_id)) {
-        reply_unknown(inbound, caught_up);
-        return;
-    }
+void hs_job_service_append_end(hs_job_partition *partition, hs_inbound *inbound, const char *job_id,
+                               hs_deadline deadline) {
     Hs__JobEnd end = HS__JOB_END__INIT;
     end.job_id = (char *)job_id;
     Hs__JobRecord record = HS__JOB_RECORD__INIT;
@@ -407,7 +307,8 @@
     hs_log_info("job_end_asked", "job=%s part=%u outcome=%s", job_id,
                 hs_job_partition_number(partition), hs_store_outcome_name(outcome));
     if (outcome == HS_STORE_DONE)
-        reply_text(inbound, 200, "");
+        hs_job_reply_text(inbound, 200, "");
     else
-        reply_text(inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503, "the end was not stored\n");
+        hs_job_reply_text(inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503,
+                          "the end was not stored\n");
 }
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -2,12 +2,14 @@
  * @file job_service.h
  * Callers' calls about batch jobs, at any daemon: submit, read results, read an item, end.
  *
- * Durable truth is the log. A submission is answered 202 only when its manifest is in it; a read
- * first catches up with the log's end; "not known" is said only after that worked.
+ * Durable truth is the log. A submission is answered 202 only when its manifest is in it. Other
+ * calls are answered by whoever has a recent fold, this daemon or the partition's owner, or after
+ * a read of the log; "not known" is said only after the log was read to its end.
  */
 #ifndef HS_JOBS_JOB_SERVICE_H
 #define HS_JOBS_JOB_SERVICE_H
 
+#include "directory/daemon_directory.h"
 #include "http/listener.h"
 #include "jobs/job_partition.h"
 #include "jobs/job_quota.h"
@@ -15,8 +17,9 @@
 
 typedef struct hs_job_service hs_job_service;
 
-/** Settings are copied. */
-hs_job_service *hs_job_service_new(const hs_job_store_settings *settings);
+/** Settings are copied. @p daemons: who owns which partition; borrowed; NULL: nobody is asked. */
+hs_job_service *hs_job_service_new(const hs_job_store_settings *settings,
+                                   hs_daemon_directory *daemons);
 void hs_job_service_free(hs_job_service *service);
 
 /** Partition by number; borrowed. */
@@ -32,11 +35,23 @@
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
                            const hs_caller_terms *terms, const hs_fleet_config *config,
                            const hs_fleet_route *route);
-void hs_job_service_read(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
-                         const char *job_id);
-void hs_job_service_read_item(hs_job_service *service, hs_inbound *inbound,
-                              const hs_caller_terms *terms, const char *job_id);
-void hs_job_service_end(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
-                        const char *job_id);
+/** A caller's call about a submitted job, at any daemon. @p kind: a read, an item or an end. */
+void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+                         hs_call_kind kind, const char *job_id);
+
+/** The same call passed on by another daemon; 503 where this daemon's fold is not recent. */
+void hs_job_service_call_of_peer(hs_job_service *service, hs_inbound *inbound,
+                                 const hs_caller_terms *terms, hs_call_kind kind,
+                                 const char *job_id);
+
+/** How calls about submitted jobs were answered so far. */
+typedef struct {
+    gint from_own_fold;
+    gint by_owner; /**< Passed on to the partition's owner. */
+    gint from_log; /**< After a look at the partition's log. */
+    gint refused;
+} hs_job_read_counters;
+
+hs_job_read_counters hs_job_service_read_counters(hs_job_service *service);
 
 #endif
--- /dev/null
+++ b/src/jobs/job_service_state.h
@@ -0,0 +1,36 @@
+/** @file job_service_state.h  What commands and queries of batch jobs share; for src/jobs/ only. */
+#ifndef HS_JOBS_JOB_SERVICE_STATE_H
+#define HS_JOBS_JOB_SERVICE_STATE_H
+
+#include "jobs/job_service.h"
+
+struct hs_job_service {
+    hs_job_store_settings settings;
+    GPtrArray *partitions; /**< of hs_job_partition* */
+    hs_job_quota *quota;
+    hs_daemon_directory *daemons; /**< Tells who owns a partition; NULL: nobody is asked. */
+    hs_job_read_counters reads;   /**< Atomic. */
+};
+
+/** The partition of a job; borrowed. */
+hs_job_partition *hs_job_service_partition_of(hs_job_service *service, const char *job_id);
+
+/** Answer, with Retry-After where the status promises that nothing ran. */
+void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+                  size_t length);
+void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text);
+
+/** When a call must be answered. */
+hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms);
+
+/** Limit of one try of something that may be tried again elsewhere. */
+hs_deadline hs_job_one_try(hs_deadline deadline);
+
+/** Whether the fold, as it is, shows the job. */
+bool hs_job_is_known(hs_job_partition *partition, const char *job_id);
+
+/** Append the end of a known job until @p deadline, and answer. */
+void hs_job_service_append_end(hs_job_partition *partition, hs_inbound *inbound, const char *job_id,
+                               hs_deadline deadline);
+
+#endif
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -49,12 +49,24 @@
                            (guint64)counters.levels);
 }
 
+static void write_job_reads(GString *text, hs_job_service *jobs) {
+    hs_job_read_counters counters = hs_job_service_read_counters(jobs);
+    g_string_append_printf(text,
+                           "heathsail_job_calls{by=\"own_fold\"} %d\n"
+                           "heathsail_job_calls{by=\"owner\"} %d\n"
+                           "heathsail_job_calls{by=\"log\"} %d\n"
+                           "heathsail_job_calls{by=\"nobody\"} %d\n",
+                           counters.from_own_fold, counters.by_owner, counters.from_log,
+                           counters.refused);
+}
+
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
     hs_online *online = sources->online;
     write_online(text, online);
     write_config(text, online->config);
     write_admission(text, sources->jobs);
+    write_job_reads(text, sources->jobs);
     g_string_append_printf(text,
                            "heathsail_settings_reloads_total %d\n"
                            "heathsail_settings_refused_total %d\n",
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -23,6 +23,7 @@
     hs_listener *ready;
     hs_listener *directory;
     hs_listener *metrics;
+    hs_listener *peers; /**< Other daemons' calls about jobs. */
 };
 
 static void reply_status(hs_inbound *inbound, uint32_t status) {
@@ -87,18 +88,27 @@
         serve_routed(surface, inbound, &terms, config);
         break;
     case HS_CALL_JOB_READ:
-        hs_job_service_read(surface->settings.jobs, inbound, &terms, job_id);
-        break;
     case HS_CALL_JOB_END:
-        hs_job_service_end(surface->settings.jobs, inbound, &terms, job_id);
-        break;
     case HS_CALL_ITEM_READ:
-        hs_job_service_read_item(surface->settings.jobs, inbound, &terms, job_id);
+        hs_job_service_call(surface->settings.jobs, inbound, &terms, kind, job_id);
         break;
     }
     hs_fleet_config_unref(config);
 }
 
+/** A call about a job that another daemon passes on to its owner. */
+static void serve_peer(hs_inbound *inbound, void *user_data) {
+    hs_fleet_surface *surface = user_data;
+    hs_caller_terms terms;
+    hs_platform_read_terms(inbound->fields, &terms);
+    g_autofree char *job_id = NULL;
+    hs_call_kind kind = hs_platform_sort_call(inbound->method, inbound->target, &job_id);
+    if (kind == HS_CALL_REQUEST)
+        reply_status(inbound, 404);
+    else
+        hs_job_service_call_of_peer(surface->settings.jobs, inbound, &terms, kind, job_id);
+}
+
 static bool is_ready(hs_fleet_surface *surface) {
     return g_atomic_int_get(&surface->leaving) == 0 &&
            surface->settings.may_serve(surface->settings.user_data);
@@ -158,9 +168,15 @@
     return *listener != NULL;
 }
 
-/** A daemon without figures is worth more than none: a taken port is logged only. */
-static void open_metrics(hs_fleet_surface *surface) {
+/**
+ * A daemon without figures, or one that others cannot ask about jobs, is worth more than none: a
+ * taken port is logged only.
+ */
+static void open_optional(hs_fleet_surface *surface) {
     hs_error error = {0};
+    if (!open_listener(&surface->peers, surface->settings.control, SMALL_BODY_BYTES, serve_peer,
+                       surface, &error))
+        hs_log_warning("peers_cannot_ask", "reason=\"%s\"", error.message);
     if (!open_listener(&surface->metrics, surface->settings.metrics, SMALL_BODY_BYTES,
                        serve_metrics, surface, &error))
         hs_log_warning("metrics_unavailable", "reason=\"%s\"", error.message);
@@ -180,7 +196,7 @@
         hs_fleet_surface_stop(surface);
         return NULL;
     }
-    open_metrics(surface);
+    open_optional(surface);
     return surface;
 }
 
@@ -206,5 +222,6 @@
     hs_listener_stop(surface->ready);
     hs_listener_stop(surface->directory);
     hs_listener_stop(surface->metrics);
+    hs_listener_stop(surface->peers);
     g_free(surface);
 }
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -17,6 +17,7 @@
     const char *ready;
     const char *directory;
     const char *metrics;
+    const char *control; /**< For other daemons. */
     hs_online *online;
     hs_job_service *jobs;
     hs_daemon_directory *members;
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -187,6 +187,35 @@
     bench_answer_clear(&unknown);
 }
 
+/** One metric of a daemon; -1: it is not told. */
+static int read_metric(int daemon, const char *name) {
+    bench_answer metrics = bench_send(
+        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
+    const char *line = strstr(metrics.body, name);
+    int value = line != NULL ? (int)g_ascii_strtoll(line + strlen(name), NULL, 10) : -1;
+    bench_answer_clear(&metrics);
+    return value;
+}
+
+/** Of all daemons one owns the job's partition; the others ask it instead of the log. */
+static void calls_about_a_job_are_answered_by_its_owner(void) {
+    CU_ASSERT_EQUAL(submit(0, "job11", 2), 202);
+    g_autofree char *first = bench_wait_job(0, "job11", 2, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(first);
+    int by_owner = 0;
+    int from_log = 0;
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        by_owner -= read_metric(daemon, "heathsail_job_calls{by=\"owner\"} ");
+        from_log -= read_metric(daemon, "heathsail_job_calls{by=\"log\"} ");
+        g_autofree char *page = bench_wait_job(daemon, "job11", 2, JOB_LIMIT_MS);
+        CU_ASSERT_EQUAL(g_strcmp0(page, first), 0);
+        by_owner += read_metric(daemon, "heathsail_job_calls{by=\"owner\"} ");
+        from_log += read_metric(daemon, "heathsail_job_calls{by=\"log\"} ");
+    }
+    CU_ASSERT_EQUAL(by_owner, BENCH_DAEMONS - 1);
+    CU_ASSERT_EQUAL(from_log, 0);
+}
+
 static void open_items_give_their_bodies_and_ends_stop_them(void) {
     bench_set_engines(TOKEN_ENGINE_FULL);
     CU_ASSERT_EQUAL(submit(1, "job2", 3), 202);
@@ -416,6 +445,7 @@
     {"a_deadline_ends_a_stream_in_time", a_deadline_ends_a_stream_in_time},
     {"a_short_timeout_makes_no_engine_suspected", a_short_timeout_makes_no_engine_suspected},
     {"a_job_is_taken_once_and_the_same_everywhere", a_job_is_taken_once_and_the_same_everywhere},
+    {"calls_about_a_job_are_answered_by_its_owner", calls_about_a_job_are_answered_by_its_owner},
     {"open_items_give_their_bodies_and_ends_stop_them",
      open_items_give_their_bodies_and_ends_stop_them},
     {"what_cannot_be_done_is_given_up", what_cannot_be_done_is_given_up},
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -2,6 +2,7 @@
 #include "base/clock.h"
 #include "jobs/item_choice.h"
 #include "jobs/item_estimate.h"
+#include "jobs/job_owner_state.h"
 #include "jobs/job_partition.h"
 #include "jobs/job_room.h"
 #include "standin/log_store/log_store.h"
@@ -389,6 +390,31 @@
     close_shop(&opened);
 }
 
+/** A fold that shows a part of the log only: what it shows as open may be over. */
+static void items_wait_until_the_log_was_read_to_its_end(void) {
+    shop opened;
+    open_shop(&opened);
+    append_manifest(&opened);
+    GString *text = g_string_new(NULL);
+    while (text->len < 300 * 1024) /* More than one page of the log. */
+        g_string_append_c(text, 'x');
+    for (uint32_t item = 0; item < 2; item++)
+        hs_job_partition_append_result(opened.partition, "job", item, HS_ITEM_COMPLETED, text,
+                                       hs_clock_monotonic_ms() + 2000);
+    g_string_free(text, TRUE);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_owned_partition_state home = {
+        .partition = opened.partition, .owned = true, .taken_ms = now_ms, .start_ms = now_ms};
+    hs_job_partition_hold(opened.partition, 0, now_ms + 500);
+    CU_ASSERT_TRUE(is_known(&opened));
+    CU_ASSERT_FALSE(hs_job_owner_may_run(&home, hs_clock_monotonic_ms()));
+    CU_ASSERT_TRUE(catch_up(&opened));
+    CU_ASSERT_TRUE(hs_job_owner_may_run(&home, hs_clock_monotonic_ms()));
+    home.taken_ms = hs_clock_monotonic_ms() + 1; /* Dealt again: another owner ran in between. */
+    CU_ASSERT_FALSE(hs_job_owner_may_run(&home, hs_clock_monotonic_ms()));
+    close_shop(&opened);
+}
+
 /** A daemon starts its part of the free slots among a third of all daemons, whole slots only. */
 static void items_start_where_slots_are_free(void) {
     hs_service_room room = {.slots = 100, .online = 10, .batch = 50};
@@ -484,5 +510,6 @@
     {"a_trim_drops_records", a_trim_drops_records},
     {"contents_come_back_byte_for_byte", contents_come_back_byte_for_byte},
     {"long_results_survive_the_log", long_results_survive_the_log},
+    {"items_wait_until_the_log_was_read_to_its_end", items_wait_until_the_log_was_read_to_its_end},
     {"a_held_read_ends_with_news", a_held_read_ends_with_news},
     {NULL, NULL}};
