--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -11,10 +11,16 @@
 
 #include <string.h>
 
-#define TICK_MS 60
+/** Probes, time-outs of probes (150 ms) and shares are looked at this often. */
+#define TICK_MS 80
 #define SHARES_INTERVAL_MS 240
-/** Peers told in one round: with more, each round goes to the next ones, and sums are scaled up. */
+/**
+ * Peers told in one round; with more, each round goes to the next ones, and sums are scaled up.
+ * With more than a few dozen daemons a round of few peers is enough: engines' arbiters tell totals.
+ */
 #define SHARES_PEERS_MAX 16
+#define SHARES_PEERS_LARGE 4
+#define LARGE_FLEET 48
 #define REGISTRY_INTERVAL_MS 4000
 #define REGISTRY_CALL_MS 1000
 #define JOIN_CHECK_MS 200
@@ -240,7 +246,8 @@
     message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_SHARES;
     message.engine_shares = &body;
     hs_fleet_engines_set_peers(directory->settings.engines, peers->len);
-    for (guint count = 0; count < MIN(peers->len, SHARES_PEERS_MAX); count++) {
+    guint most = peers->len > LARGE_FLEET ? SHARES_PEERS_LARGE : SHARES_PEERS_MAX;
+    for (guint count = 0; count < MIN(peers->len, most); count++) {
         guint index = directory->next_peer++ % peers->len;
         const struct sockaddr_in *peer = &g_array_index(peers, struct sockaddr_in, index);
         hs_peer_socket_send(directory->socket, peer->sin_addr.s_addr, peer->sin_port, &message);
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -8,6 +8,8 @@
 
 /** The scheduler looks for items to start at least so often, in ms. */
 #define HS_JOB_PASS_MS 100
+/** The same for a daemon that owns no partition; it is woken when it is dealt one. */
+#define HS_JOB_IDLE_PASS_MS 1000
 /** Pause before an item is tried again: doubles with its failures up to the most. */
 #define HS_JOB_RETRY_LEAST_MS 50
 #define HS_JOB_RETRY_MOST_MS 1000
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -161,6 +161,11 @@
     }
 }
 
+/** Until the next pass: a daemon without partitions has nothing to look at. */
+static uint64_t pause_ms(const hs_job_owner *owner) {
+    return owner->tails > 0 || owner->running > 0 ? HS_JOB_PASS_MS : HS_JOB_IDLE_PASS_MS;
+}
+
 gpointer hs_job_scheduler_run(gpointer data) {
     hs_job_owner *owner = data;
     g_mutex_lock(&owner->lock);
@@ -171,7 +176,7 @@
         if (owner->running > 0)
             hs_fleet_engines_yield(owner->settings.engines);
         hs_fleet_config_unref(config);
-        gint64 until = g_get_monotonic_time() + HS_JOB_PASS_MS * G_TIME_SPAN_MILLISECOND;
+        gint64 until = g_get_monotonic_time() + (gint64)pause_ms(owner) * G_TIME_SPAN_MILLISECOND;
         g_cond_wait_until(&owner->changed, &owner->lock, until);
     }
     g_mutex_unlock(&owner->lock);
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -7,11 +7,21 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+/** Accounts in one datagram: some 1,000 bytes. */
 #define GOSSIP_LIMIT 12
+/**
+ * Most accounts that go with one probe or acknowledgement, in further datagrams, while so much is
+ * news: when hundreds of daemons die or start together, their accounts would else wait in line for
+ * seconds, and callers be sent to the dead meanwhile.
+ */
+#define GOSSIP_BURST 60
 #define TICK_MS 20
 #define RELAYS_KEPT 256
 #define LEAVE_MESSAGES 32
-#define JOINING_MS 10000       /* A new daemon asks for all accounts with each probe. */
+/** A new daemon asks for all accounts with each probe at first, then less often. */
+#define JOINING_MS 1500
+#define SETTLING_MS 10000
+#define SETTLING_EVERY_MS 2000
 #define COMPARE_EVERY_MS 60000 /* Later now and then, so that nothing stays unheard for good. */
 
 /** An indirect probe that we run for somebody else. */
@@ -136,7 +146,7 @@
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     gossip taken = {.records = g_ptr_array_new_with_free_func(free_record)};
     g_mutex_lock(&service->lock);
-    hs_membership_gossip(service->membership, receiver_id, GOSSIP_LIMIT, members);
+    hs_membership_gossip(service->membership, receiver_id, GOSSIP_BURST, members);
     for (guint index = 0; index < members->len; index++)
         g_ptr_array_add(taken.records, describe_member(members->pdata[index]));
     g_mutex_unlock(&service->lock);
@@ -194,19 +204,44 @@
     send_signed(service, to, message);
 }
 
+/** Send accounts, a datagram's worth at a time. */
+static void send_accounts(hs_membership_service *service, uint32_t address, uint16_t port,
+                          Hs__MemberRecord **records, size_t count) {
+    for (size_t first = 0; first < count; first += GOSSIP_LIMIT) {
+        Hs__MemberList list = HS__MEMBER_LIST__INIT;
+        list.n_records = MIN(GOSSIP_LIMIT, count - first);
+        list.records = records + first;
+        Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+        hs_membership_service_sign(service, &message);
+        message.kind_case = HS__PEER_MESSAGE__KIND_MEMBER_LIST;
+        message.member_list = &list;
+        hs_peer_socket_send(service->socket, address, port, &message);
+    }
+}
+
+/** What of @p taken did not fit into the message that went before. */
+static void send_rest(hs_membership_service *service, uint32_t address, uint16_t port,
+                      const gossip *taken) {
+    if (taken->records->len > GOSSIP_LIMIT)
+        send_accounts(service, address, port,
+                      (Hs__MemberRecord **)taken->records->pdata + GOSSIP_LIMIT,
+                      taken->records->len - GOSSIP_LIMIT);
+}
+
 static void send_probe(hs_membership_service *service, const hs_probe_order *order, bool want_all) {
     gossip taken = take_gossip(service, order->receiver_id);
     Hs__Probe probe = HS__PROBE__INIT;
     probe.sequence = order->sequence;
     probe.target_id = (char *)order->target_id;
     probe.want_all = want_all;
-    probe.n_gossip = taken.records->len;
+    probe.n_gossip = MIN(taken.records->len, GOSSIP_LIMIT);
     probe.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     hs_membership_service_sign(service, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_PROBE;
     message.probe = &probe;
     hs_peer_socket_send(service->socket, order->address, order->port, &message);
+    send_rest(service, order->address, order->port, &taken);
     g_ptr_array_free(taken.records, TRUE);
 }
 
@@ -223,13 +258,14 @@
     Hs__ProbeAck ack = HS__PROBE_ACK__INIT;
     ack.sequence = sequence;
     ack.subject_id = (char *)subject_id;
-    ack.n_gossip = taken.records->len;
+    ack.n_gossip = MIN(taken.records->len, GOSSIP_LIMIT);
     ack.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     hs_membership_service_sign(service, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_PROBE_ACK;
     message.probe_ack = &ack;
     hs_peer_socket_send(service->socket, receiver->address, receiver->port, &message);
+    send_rest(service, receiver->address, receiver->port, &taken);
     g_ptr_array_free(taken.records, TRUE);
 }
 
@@ -295,7 +331,7 @@
     g_mutex_unlock(&service->lock);
 }
 
-/** Send every account, a datagram's worth at a time. */
+/** Send every account. */
 static void send_all(hs_membership_service *service, const ack_receiver *receiver) {
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     g_autoptr(GPtrArray) records = g_ptr_array_new_with_free_func(free_record);
@@ -305,16 +341,8 @@
         if (((hs_member *)members->pdata[index])->state != HS_MEMBER_PROPOSED)
             g_ptr_array_add(records, describe_member(members->pdata[index]));
     g_mutex_unlock(&service->lock);
-    for (guint first = 0; first < records->len; first += GOSSIP_LIMIT) {
-        Hs__MemberList list = HS__MEMBER_LIST__INIT;
-        list.n_records = MIN(GOSSIP_LIMIT, records->len - first);
-        list.records = (Hs__MemberRecord **)records->pdata + first;
-        Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-        hs_membership_service_sign(service, &message);
-        message.kind_case = HS__PEER_MESSAGE__KIND_MEMBER_LIST;
-        message.member_list = &list;
-        hs_peer_socket_send(service->socket, receiver->address, receiver->port, &message);
-    }
+    send_accounts(service, receiver->address, receiver->port, (Hs__MemberRecord **)records->pdata,
+                  records->len);
 }
 
 bool hs_membership_service_handle(hs_membership_service *service, const Hs__PeerMessage *message,
@@ -353,7 +381,8 @@
         return true;
     if (now_ms < service->next_compare_ms)
         return false;
-    service->next_compare_ms = now_ms + COMPARE_EVERY_MS;
+    bool settles = now_ms < service->started_ms + SETTLING_MS;
+    service->next_compare_ms = now_ms + (settles ? SETTLING_EVERY_MS : COMPARE_EVERY_MS);
     return true;
 }
 
--- a/src/peer/peer_socket.c
+++ b/src/peer/peer_socket.c
@@ -8,7 +8,8 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#define RECEIVE_WAIT_US (100 * 1000)
+/** A stop is noticed after this time where no datagram comes. */
+#define RECEIVE_WAIT_US (400 * 1000)
 
 struct hs_peer_socket {
     int descriptor;
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -1,8 +1,12 @@
 /** @file test_membership.c  The membership state machine, driven without a network. */
-#include "membership/membership.h"
+#include "membership/membership_service.h"
 #include "tests/unit/unit_tests.h"
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 static const hs_membership_settings settings = {
     .probe_timeout_ms = 10, .suspect_ms = 100, .forget_ms = 1000};
@@ -189,7 +193,69 @@
     hs_membership_free(membership);
 }
 
+/** A UDP socket on loopback at a port of the system's choosing, whose reads end after a moment. */
+static int open_receiver(struct sockaddr_in *address) {
+    int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    struct timeval wait = {.tv_usec = 200 * 1000};
+    *address =
+        (struct sockaddr_in){.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof *address;
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+    bind(descriptor, (struct sockaddr *)address, length);
+    getsockname(descriptor, (struct sockaddr *)address, &length);
+    return descriptor;
+}
+
+/** Accounts of dead members in all datagrams that come. */
+static size_t count_dead(int descriptor) {
+    uint8_t buffer[4096];
+    ssize_t length = 0;
+    size_t dead = 0;
+    while ((length = recv(descriptor, buffer, sizeof buffer, 0)) > 0) {
+        Hs__PeerMessage *message = hs__peer_message__unpack(NULL, (size_t)length, buffer);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(message);
+        bool is_probe = message->kind_case == HS__PEER_MESSAGE__KIND_PROBE;
+        size_t count = is_probe ? message->probe->n_gossip : message->member_list->n_records;
+        Hs__MemberRecord **records =
+            is_probe ? message->probe->gossip : message->member_list->records;
+        for (size_t index = 0; index < count; index++)
+            dead += records[index]->state == HS__MEMBER_STATE__MEMBER_DEAD;
+        hs__peer_message__free_unpacked(message, NULL);
+    }
+    return dead;
+}
+
+/** Many that die together are told at once, not a dozen a probe; at rest a probe tells nothing. */
+static void many_deaths_go_with_one_probe(void) {
+    struct sockaddr_in address;
+    int descriptor = open_receiver(&address);
+    hs_peer_socket *socket = hs_peer_socket_new("127.0.0.1", 0, NULL);
+    hs_member self = {.id = (char *)"self", .zone = (char *)"z", .incarnation = 5};
+    hs_membership_service_settings service_settings = {.probe_interval_ms = 10,
+                                                       .membership = settings};
+    hs_membership_service *service = hs_membership_service_new(&self, &service_settings, socket);
+    hs_membership *membership = hs_membership_service_lock(service);
+    for (int index = 0; index < 50; index++) {
+        g_autofree char *id = g_strdup_printf("dead-%d", index);
+        learn(membership, id, 1, 1, HS__MEMBER_STATE__MEMBER_ALIVE, 1);
+        learn(membership, id, 1, 1, HS__MEMBER_STATE__MEMBER_DEAD, 1);
+    }
+    hs_membership_propose(membership, "b", INADDR_LOOPBACK, ntohs(address.sin_port), 1);
+    hs_membership_service_unlock(service);
+    hs_membership_service_tick(service, 1000);
+    CU_ASSERT_EQUAL(count_dead(descriptor), 50);
+    for (uint64_t round = 1; round < 60; round++)
+        hs_membership_service_tick(service, 1000 + round * 15);
+    count_dead(descriptor);
+    hs_membership_service_tick(service, 2000);
+    CU_ASSERT_EQUAL(count_dead(descriptor), 0);
+    hs_membership_service_free(service);
+    hs_peer_socket_free(socket);
+    close(descriptor);
+}
+
 const test_case membership_tests[] = {
+    {"many_deaths_go_with_one_probe", many_deaths_go_with_one_probe},
     {"list_only_proposes", list_only_proposes},
     {"leaving_is_final_within_an_incarnation", leaving_is_final_within_an_incarnation},
     {"members_own_word_overtakes_suspicion", members_own_word_overtakes_suspicion},
