A partition's thread that is not to be had is asked for again; the process lives on

Cause: g_thread_new ends the process where the machine has no more threads (GLib's rule), and a daemon starts threads on demand at two places: for a partition that is dealt to it, and at its stop. Ruled out: pools (GLib queues their work when no thread is to be had) and callers' threads (libmicrohttpd closes the connection unread). Change: hs_thread_try logs and returns none; the partition is taken with the group's next answer, the hand-over at a stop runs on the stopping thread. Test: threads.a_thread_that_is_not_to_be_had_ends_nothing, which fails with g_thread_new. Not proved: that a daemon at that limit serves well; threads a connection and an item stay.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/log.h"
+#include "base/thread.h"
 #include "daemon/settings.h"
 #include "fleet/engine_source.h"
 #include "jobs/job_owner.h"
@@ -253,9 +254,12 @@
                 hs_job_owner_running(daemon->owner));
     hs_fleet_surface_leave(daemon->surface);
     hs_daemon_directory_leave(daemon->directory);
-    GThread *handover = g_thread_new("handover", hand_over_jobs, daemon);
+    GThread *handover = hs_thread_try("handover", hand_over_jobs, daemon);
     finish_requests(daemon, stopped_ms);
-    g_thread_join(handover);
+    if (handover != NULL)
+        g_thread_join(handover);
+    else
+        hand_over_jobs(daemon);
     hs_log_info("daemon_stopped", "open_requests=%u took_ms=%u",
                 hs_fleet_surface_open_requests(daemon->surface),
                 (unsigned)(hs_clock_monotonic_ms() - stopped_ms));
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/thread.h"
 #include "jobs/job_owner_state.h"
 
 #define JOIN_PER_TTL 3
@@ -126,26 +127,32 @@
     }
 }
 
-/** The caller holds the lock. */
-static void take_partition(hs_owned_partition_state *home) {
+/**
+ * The caller holds the lock. False: there is no thread for it now; the group's next answer deals it
+ * again.
+ */
+static bool take_partition(hs_owned_partition_state *home) {
     home->taken_ms = hs_clock_monotonic_ms();
     home->start_ms = home->taken_ms + TAKEOVER_PAUSE_MS;
     home->taken_count++;
     if (home->tail != NULL) {
         if (!home->tail_stopped) { /* Its thread still ends; it simply goes on. */
             home->owned = true;
-            return;
+            return true;
         }
         g_thread_join(home->tail);
     }
     home->owned = true;
     home->tail_stopped = false;
-    home->owner->tails++;
-    home->tail = g_thread_new("job-tail", run_tail, home);
+    home->tail = hs_thread_try("job-tail", run_tail, home);
+    home->owned = home->tail != NULL;
+    home->owner->tails += home->owned;
+    return home->owned;
 }
 
 static void set_owned(hs_job_owner *owner, const GArray *parts) {
     bool has_changed = false;
+    bool all_taken = true;
     g_mutex_lock(&owner->lock);
     for (guint part = 0; part < owner->partitions->len; part++) {
         hs_owned_partition_state *home = owner->partitions->pdata[part];
@@ -158,7 +165,7 @@
         hs_log_info(dealt ? "partition_taken" : "partition_given_up",
                     "part=%u generation=%" G_GUINT64_FORMAT, part, (guint64)owner->generation);
         if (dealt) {
-            take_partition(home);
+            all_taken = take_partition(home) && all_taken;
         } else {
             home->owned = false;
             home->handover_deadline = hs_clock_monotonic_ms() + HS_JOB_HANDOVER_MS;
@@ -167,7 +174,7 @@
     }
     g_cond_broadcast(&owner->changed);
     g_mutex_unlock(&owner->lock);
-    if (has_changed && owner->settings.daemons != NULL)
+    if (has_changed && all_taken && owner->settings.daemons != NULL)
         hs_daemon_directory_tell_owned(owner->settings.daemons, parts, owner->generation);
 }
 
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -15,6 +15,7 @@
 extern const test_case engine_tests[];
 extern const test_case ring_tests[];
 extern const test_case interrupt_tests[];
+extern const test_case thread_tests[];
 extern const test_case placement_tests[];
 
 extern const test_case fleet_tests[];
