--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -47,6 +47,14 @@
     GThread *registrar;
 };
 
+static bool owns_partitions(hs_daemon_directory *directory, const char *id) {
+    const hs_membership *membership = hs_membership_service_lock(directory->membership);
+    const hs_member *member = hs_membership_find(membership, id);
+    bool owns = member != NULL && member->owned->len > 0;
+    hs_membership_service_unlock(directory->membership);
+    return owns;
+}
+
 static void take_shares(hs_daemon_directory *directory, const Hs__PeerMessage *message) {
     const Hs__EngineShares *told = message->engine_shares;
     g_autoptr(GArray) shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
@@ -61,10 +69,11 @@
                                  .suspected = one->suspected};
         g_array_append_val(shares, share);
     }
-    hs_fleet_engines_put_peer(directory->settings.engines, message->sender_id, shares,
+    hs_peer_word word = {.shares = shares,
+                         .batch_work_ms = told->batch_work_ms,
+                         .runs_batch = owns_partitions(directory, message->sender_id)};
+    hs_fleet_engines_put_peer(directory->settings.engines, message->sender_id, &word,
                               hs_clock_monotonic_ms());
-    hs_fleet_engines_put_peer_work(directory->settings.engines, message->sender_id,
-                                   told->batch_work_ms);
 }
 
 static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
@@ -202,27 +211,60 @@
     return NULL;
 }
 
-/** Live members as addresses and ports for datagrams, without this daemon. */
-static GArray *live_peers(hs_daemon_directory *directory) {
-    GArray *peers = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+/** Another live daemon. */
+typedef struct {
+    hs_daemon_address address;
+    bool owns_partitions;
+} live_peer;
+
+/** Live members without this daemon: of live_peer. @p self_owns: whether this one owns partitions.
+ */
+static GArray *live_peers(hs_daemon_directory *directory, bool *self_owns) {
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(live_peer));
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     hs_membership *membership = hs_membership_service_lock(directory->membership);
+    *self_owns = hs_membership_self(membership)->owned->len > 0;
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         if (member == hs_membership_self(membership) || member->state != HS_MEMBER_ALIVE)
             continue;
-        struct sockaddr_in peer = {.sin_addr.s_addr = member->address,
-                                   .sin_port = member->peer_port};
+        live_peer peer = {.address = {.address = member->address, .port = member->peer_port},
+                          .owns_partitions = member->owned->len > 0};
         g_array_append_val(peers, peer);
     }
     hs_membership_service_unlock(directory->membership);
     return peers;
 }
 
+static uint32_t count_owners(const GArray *peers) {
+    uint32_t owners = 0;
+    for (guint index = 0; index < peers->len; index++)
+        owners += g_array_index(peers, live_peer, index).owns_partitions;
+    return owners;
+}
+
+/**
+ * Send to the next few peers, and, where this daemon runs batch items, to all others that do: they
+ * share the slots that online requests leave.
+ */
+static void send_in_turn(hs_daemon_directory *directory, const GArray *peers, bool self_owns,
+                         const Hs__PeerMessage *message) {
+    guint most = peers->len > LARGE_FLEET ? SHARES_PEERS_LARGE : SHARES_PEERS_MAX;
+    guint first = directory->next_peer;
+    directory->next_peer += MIN(peers->len, most);
+    for (guint count = 0; count < peers->len; count++) {
+        const live_peer *peer = &g_array_index(peers, live_peer, (first + count) % peers->len);
+        if (count < most || (self_owns && peer->owns_partitions))
+            hs_peer_socket_send(directory->socket, peer->address.address, peer->address.port,
+                                message);
+    }
+}
+
 static void send_shares(hs_daemon_directory *directory) {
     g_autoptr(GArray) shares = hs_fleet_engines_own_shares(directory->settings.engines);
-    g_autoptr(GArray) peers = live_peers(directory);
+    bool self_owns = false;
+    g_autoptr(GArray) peers = live_peers(directory, &self_owns);
     g_autofree Hs__EngineShare *told = g_new(Hs__EngineShare, shares->len + 1);
     g_autofree Hs__EngineShare **list = g_new(Hs__EngineShare *, shares->len + 1);
     for (guint index = 0; index < shares->len; index++) {
@@ -245,13 +287,8 @@
     hs_membership_service_sign(directory->membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_SHARES;
     message.engine_shares = &body;
-    hs_fleet_engines_set_peers(directory->settings.engines, peers->len);
-    guint most = peers->len > LARGE_FLEET ? SHARES_PEERS_LARGE : SHARES_PEERS_MAX;
-    for (guint count = 0; count < MIN(peers->len, most); count++) {
-        guint index = directory->next_peer++ % peers->len;
-        const struct sockaddr_in *peer = &g_array_index(peers, struct sockaddr_in, index);
-        hs_peer_socket_send(directory->socket, peer->sin_addr.s_addr, peer->sin_port, &message);
-    }
+    hs_fleet_engines_set_peers(directory->settings.engines, peers->len, count_owners(peers));
+    send_in_turn(directory, peers, self_owns, &message);
 }
 
 static gpointer run_ticker(gpointer data) {
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -24,9 +24,24 @@
 typedef struct {
     uint64_t told_ms;
     uint64_t batch_work_ms;
-    GArray *shares; /**< of hs_engine_share */
+    bool runs_batch; /**< It owns partitions of jobs; only such daemons have batch items. */
+    GArray *shares;  /**< of hs_engine_share */
 } peer_load;
 
+/** What heard daemons have on all engines of one service. */
+typedef struct {
+    double online;
+    double batch;
+    double queued;
+    uint32_t engines;
+} service_sum;
+
+/** For each daemon that was heard so many were not: any daemon, and those that run batch items. */
+typedef struct {
+    double any;
+    double batch;
+} unheard_ratios;
+
 void hs_fleet_engines_free_peer(gpointer data) {
     peer_load *peer = data;
     g_array_free(peer->shares, TRUE);
@@ -44,11 +59,12 @@
         const hs_fleet_engine *engine = found->pdata[index];
         if (hs_fleet_engine_is_suspected(engine, now_ms))
             continue;
-        double batch = engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
+        /* Sums of what daemons tell. An answer's load counts batch items too, and the higher of two
+         * guesses at each of hundreds of engines would add up to far more than there is. */
         room.ready++;
         room.slots += engine->entry.slots;
-        room.batch += batch;
-        room.online += fmax(hs_fleet_engine_running(engine, now_ms) - batch, 0);
+        room.batch += engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
+        room.online += engine->online + hs_fleet_engine_others_online(engine, now_ms);
     }
     g_mutex_unlock(&engines->lock);
     return room;
@@ -132,52 +148,114 @@
     }
 }
 
-/** Add one daemon's word, counted @p weight times. */
-static void add_shares(const peer_load *peer, double weight, GHashTable *by_hash) {
+static void add_shares(const peer_load *peer, GHashTable *by_hash) {
     for (guint index = 0; index < peer->shares->len; index++) {
         const hs_engine_share *share = &g_array_index(peer->shares, hs_engine_share, index);
         hs_fleet_engine *engine = g_hash_table_lookup(by_hash, &share->engine_hash);
         if (engine == NULL)
             continue;
-        engine->peers_online += share->online * weight;
-        engine->peers_batch += share->batch * weight;
-        engine->peers_queued += share->queued_tokens * weight;
+        engine->peers_online += share->online;
+        engine->peers_batch += share->batch;
+        engine->peers_queued += share->queued_tokens;
         engine->peers_suspecting += share->suspected;
-        engine->peers_ended += share->ended_permille / PERMILLE * weight;
-        engine->peers_failed += share->failed_permille / PERMILLE * weight;
+        engine->peers_ended += share->ended_permille / PERMILLE;
+        engine->peers_failed += share->failed_permille / PERMILLE;
     }
 }
 
+/** Sums by service: name -> service_sum*. Free with g_hash_table_destroy. */
+static GHashTable *sum_services(hs_fleet_engines *engines) {
+    GHashTable *sums = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        service_sum *sum = g_hash_table_lookup(sums, engine->entry.service);
+        if (sum == NULL) {
+            sum = g_new0(service_sum, 1);
+            g_hash_table_insert(sums, engine->entry.service, sum);
+        }
+        sum->online += engine->peers_online;
+        sum->batch += engine->peers_batch;
+        sum->queued += engine->peers_queued;
+        sum->engines++;
+    }
+    return sums;
+}
+
+/**
+ * Daemons that were not heard lately have as much as the others, spread evenly over a service's
+ * engines: to scale up each engine's own word would make one heard request look like many.
+ */
+static void add_unheard(hs_fleet_engines *engines, const unheard_ratios *unheard) {
+    g_autoptr(GHashTable) sums = sum_services(engines);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        const service_sum *sum = g_hash_table_lookup(sums, engine->entry.service);
+        engine->peers_online += sum->online * unheard->any / sum->engines;
+        engine->peers_batch += sum->batch * unheard->batch / sum->engines;
+        engine->peers_queued += sum->queued * unheard->any / sum->engines;
+    }
+}
+
+static double ratio_of(uint32_t all, uint32_t heard) {
+    return heard > 0 && all > heard ? (double)(all - heard) / heard : 0;
+}
+
+/** How many daemons were not heard; drops words that are too old. */
+static unheard_ratios count_unheard(hs_fleet_engines *engines, uint64_t now_ms) {
+    uint32_t heard = 0;
+    uint32_t heard_batch = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->peers);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const peer_load *peer = value;
+        if (now_ms > peer->told_ms + PEER_VALID_MS) {
+            g_hash_table_iter_remove(&iterator);
+            continue;
+        }
+        heard++;
+        heard_batch += peer->runs_batch;
+    }
+    return (unheard_ratios){.any = ratio_of(engines->peer_count, heard),
+                            .batch = ratio_of(engines->batch_peer_count, heard_batch)};
+}
+
 void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms) {
     if (now_ms < engines->summed_ms + SUM_INTERVAL_MS)
         return;
     engines->summed_ms = now_ms;
     g_autoptr(GHashTable) by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     clear_sums(engines, by_hash);
+    unheard_ratios unheard = count_unheard(engines, now_ms);
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->peers);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
-        if (now_ms > ((peer_load *)value)->told_ms + PEER_VALID_MS)
-            g_hash_table_iter_remove(&iterator);
-    uint32_t heard = g_hash_table_size(engines->peers);
-    double weight = heard > 0 ? fmax(1.0, (double)engines->peer_count / heard) : 1.0;
-    g_hash_table_iter_init(&iterator, engines->peers);
-    while (g_hash_table_iter_next(&iterator, NULL, &value))
-        add_shares(value, weight, by_hash);
+        add_shares(value, by_hash);
+    if (unheard.any > 0 || unheard.batch > 0)
+        add_unheard(engines, &unheard);
 }
 
-void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers) {
+void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers, uint32_t batch_peers) {
     g_mutex_lock(&engines->lock);
     engines->peer_count = peers;
+    engines->batch_peer_count = batch_peers;
     g_mutex_unlock(&engines->lock);
 }
 
-void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
-                               uint64_t now_ms) {
+void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer,
+                               const hs_peer_word *word, uint64_t now_ms) {
     peer_load *load = g_new0(peer_load, 1);
     load->told_ms = now_ms;
-    load->shares = g_array_copy((GArray *)shares);
+    load->batch_work_ms = word->batch_work_ms;
+    load->runs_batch = word->runs_batch;
+    load->shares = g_array_copy((GArray *)word->shares);
     g_mutex_lock(&engines->lock);
     g_hash_table_replace(engines->peers, g_strdup(peer), load);
     engines->summed_ms = 0;
@@ -197,14 +275,6 @@
     return work_ms;
 }
 
-void hs_fleet_engines_put_peer_work(hs_fleet_engines *engines, const char *peer, uint64_t work_ms) {
-    g_mutex_lock(&engines->lock);
-    peer_load *load = g_hash_table_lookup(engines->peers, peer);
-    if (load != NULL)
-        load->batch_work_ms = work_ms;
-    g_mutex_unlock(&engines->lock);
-}
-
 double hs_fleet_engines_peers_batch_work(hs_fleet_engines *engines) {
     double work_ms = 0;
     GHashTableIter iterator;
@@ -214,8 +284,7 @@
     g_hash_table_iter_init(&iterator, engines->peers);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
         work_ms += (double)((const peer_load *)value)->batch_work_ms;
-    uint32_t heard = g_hash_table_size(engines->peers);
-    double weight = heard > 0 ? fmax(1.0, (double)engines->peer_count / heard) : 1.0;
+    double unheard = count_unheard(engines, hs_clock_monotonic_ms()).batch;
     g_mutex_unlock(&engines->lock);
-    return work_ms * weight;
+    return work_ms * (1 + unheard);
 }
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -52,9 +52,10 @@
     GHashTable *by_id; /**< id -> hs_fleet_engine* */
     GHashTable *peers; /**< peer -> peer_load* */
     char *zone;
-    GHashTable *speeds;  /**< service -> hs_engine_speed* */
-    uint32_t peer_count; /**< Other daemons there are. */
-    uint64_t summed_ms;  /**< When peers' words were summed last; 0: they changed. */
+    GHashTable *speeds;        /**< service -> hs_engine_speed* */
+    uint32_t peer_count;       /**< Other daemons there are. */
+    uint32_t batch_peer_count; /**< Those of them that run batch items. */
+    uint64_t summed_ms;        /**< When peers' words were summed last; 0: they changed. */
     uint64_t turn;
     uint64_t connects;
     uint64_t use_sequence;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -155,14 +155,20 @@
 /** This daemon's own load on all engines: of hs_engine_share. */
 GArray *hs_fleet_engines_own_shares(hs_fleet_engines *engines);
 
-/** Another daemon's load, in place of what it told before. */
-void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer, const GArray *shares,
-                               uint64_t now_ms);
+/** What another daemon tells of itself. */
+typedef struct {
+    const GArray *shares;   /**< Its load: of hs_engine_share; borrowed. */
+    uint64_t batch_work_ms; /**< See hs_fleet_engines_set_batch_work. */
+    bool runs_batch;        /**< It owns partitions of jobs. */
+} hs_peer_word;
+
+/** Take another daemon's word, in place of what it told before. */
+void hs_fleet_engines_put_peer(hs_fleet_engines *engines, const char *peer,
+                               const hs_peer_word *word, uint64_t now_ms);
 
 /** Work of a daemon's batch items that are to end in time, in ms of a slot: own, and told. */
 void hs_fleet_engines_set_batch_work(hs_fleet_engines *engines, uint64_t work_ms);
 uint64_t hs_fleet_engines_batch_work(hs_fleet_engines *engines);
-void hs_fleet_engines_put_peer_work(hs_fleet_engines *engines, const char *peer, uint64_t work_ms);
 
 /** The same of all other daemons together. */
 double hs_fleet_engines_peers_batch_work(hs_fleet_engines *engines);
@@ -182,8 +188,11 @@
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
                                      uint32_t count);
 
-/** How many other daemons there are; of those that told nothing lately the mean is assumed. */
-void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers);
+/**
+ * How many other daemons there are, and how many of them run batch items; of those that told
+ * nothing lately the mean is assumed.
+ */
+void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers, uint32_t batch_peers);
 
 /** Close connections that engines have closed or are about to. */
 void hs_fleet_engines_prune(hs_fleet_engines *engines);
--- a/src/jobs/job_room.c
+++ b/src/jobs/job_room.c
@@ -7,10 +7,10 @@
  */
 #define STARTERS_SHARE (1.0 / 3.0)
 
-uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons) {
+uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons, uint32_t partitions) {
     double spare = room->slots - room->batch - room->online;
     if (spare < 1)
         return 0;
-    double starters = MAX(daemons * STARTERS_SHARE, 1.0);
+    double starters = MAX(MIN(daemons * STARTERS_SHARE, (double)partitions), 1.0);
     return MAX((uint32_t)(spare / starters), 1);
 }
--- a/src/jobs/job_room.h
+++ b/src/jobs/job_room.h
@@ -10,8 +10,9 @@
 
 /**
  * Items that this daemon, one of @p daemons, may start now: its part of the free slots among those
- * daemons that have items to start; at least one where a slot is free.
+ * daemons that have items to start, which are no more than there are @p partitions; at least one
+ * where a slot is free.
  */
-uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons);
+uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons, uint32_t partitions);
 
 #endif
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -152,7 +152,7 @@
             break;
         if (!entry->gives_up) {
             hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
-            if (started >= hs_job_room(&room, daemons))
+            if (started >= hs_job_room(&room, daemons, owner->partitions->len))
                 break;
             log_start(entry, &room, open->len);
         }
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -88,7 +88,7 @@
     for (size_t index = 0; index < G_N_ELEMENTS(peers); index++) {
         bench opened;
         open_bench(&opened);
-        hs_fleet_engines_set_peers(opened.engines, peers[index]);
+        hs_fleet_engines_set_peers(opened.engines, peers[index], 0);
         opened.order.query.max_connections = 2;
         hs_attempt attempt;
         CU_ASSERT_TRUE(
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -369,11 +369,13 @@
     told.batch = 0;
     told.online = 4; /* Four online requests of another daemon: two too many. */
     g_array_index(own, hs_engine_share, 0) = told;
-    hs_fleet_engines_put_peer(engines, "other", own, hs_clock_monotonic_ms());
+    hs_fleet_engines_put_peer(engines, "other", &(hs_peer_word){.shares = own},
+                              hs_clock_monotonic_ms());
     /* The engine's arbiter is given a moment to do it; it stays silent here. */
     CU_ASSERT_EQUAL(hs_fleet_engines_yield(engines), 0);
     hs_clock_sleep_ms(ARBITER_SILENT_MS);
-    hs_fleet_engines_put_peer(engines, "other", own, hs_clock_monotonic_ms());
+    hs_fleet_engines_put_peer(engines, "other", &(hs_peer_word){.shares = own},
+                              hs_clock_monotonic_ms());
     CU_ASSERT_EQUAL(hs_fleet_engines_yield(engines), 2);
     CU_ASSERT_EQUAL(hs_interrupt_get(&flags[0]), HS_INTERRUPT_NONE);
     CU_ASSERT_EQUAL(hs_interrupt_get(&flags[3]), HS_INTERRUPT_YIELD);
@@ -413,13 +415,15 @@
         {.online = 9}, {.suspected = true}, {.ended_permille = 9000, .failed_permille = 4000}};
     for (size_t index = 0; index < G_N_ELEMENTS(words); index++) {
         GArray *shares = one_share("e1", words[index]);
-        hs_fleet_engines_put_peer(engines, "other", shares, hs_clock_monotonic_ms());
+        hs_fleet_engines_put_peer(engines, "other", &(hs_peer_word){.shares = shares},
+                                  hs_clock_monotonic_ms());
         for (int turn = 0; turn < 4; turn++)
             CU_ASSERT_STRING_EQUAL(taken_engine(engines), "e2");
         g_array_free(shares, TRUE);
     }
     GArray *old = one_share("e1", (hs_engine_share){.online = 9});
-    hs_fleet_engines_put_peer(engines, "other", old, hs_clock_monotonic_ms() - 60000);
+    hs_fleet_engines_put_peer(engines, "other", &(hs_peer_word){.shares = old},
+                              hs_clock_monotonic_ms() - 60000);
     int first = 0;
     for (int turn = 0; turn < 4; turn++)
         first += strcmp(taken_engine(engines), "e1") == 0;
@@ -434,22 +438,65 @@
     hs_engine_entry entry = entry_of("e1", 4);
     hs_fleet_engines_put(engines, &entry, 1);
     GArray *shares = one_share("e1", (hs_engine_share){.online = 2});
-    hs_fleet_engines_set_peers(engines, 30);
-    hs_fleet_engines_put_peer(engines, "one", shares, hs_clock_monotonic_ms());
-    hs_fleet_engines_put_peer(engines, "two", shares, hs_clock_monotonic_ms());
+    hs_fleet_engines_set_peers(engines, 30, 0);
+    hs_fleet_engines_put_peer(engines, "one", &(hs_peer_word){.shares = shares},
+                              hs_clock_monotonic_ms());
+    hs_fleet_engines_put_peer(engines, "two", &(hs_peer_word){.shares = shares},
+                              hs_clock_monotonic_ms());
     hs_service_room room = hs_fleet_engines_room(engines, "svc");
     CU_ASSERT_EQUAL(room.online, 60);
     g_array_free(shares, TRUE);
     hs_fleet_engines_free(engines);
 }
 
+/**
+ * Of hundreds of daemons few run batch items. What they were heard to have counts as it is, at the
+ * engine where it is; nothing is made up for daemons that have none.
+ */
+static void batch_is_scaled_by_those_who_run_it(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 8);
+    hs_fleet_engines_put(engines, &entry, 1);
+    entry = entry_of("e2", 8);
+    hs_fleet_engines_put(engines, &entry, 1);
+    GArray *shares = one_share("e1", (hs_engine_share){.batch = 3});
+    hs_peer_word word = {.shares = shares, .runs_batch = true, .batch_work_ms = 500};
+    hs_fleet_engines_set_peers(engines, 300, 1);
+    hs_fleet_engines_put_peer(engines, "owner", &word, hs_clock_monotonic_ms());
+    GArray *nothing = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
+    hs_fleet_engines_put_peer(engines, "other", &(hs_peer_word){.shares = nothing},
+                              hs_clock_monotonic_ms());
+    CU_ASSERT_EQUAL(hs_fleet_engines_room(engines, "svc").batch, 3);
+    CU_ASSERT_EQUAL(hs_fleet_engines_peers_batch_work(engines), 500);
+    hs_fleet_engines_set_peers(engines, 300, 4); /* Three more that were not heard. */
+    hs_fleet_engines_put_peer(engines, "owner", &word, hs_clock_monotonic_ms());
+    CU_ASSERT_EQUAL(hs_fleet_engines_room(engines, "svc").batch, 12);
+    CU_ASSERT_EQUAL(hs_fleet_engines_peers_batch_work(engines), 2000);
+    g_array_free(shares, TRUE);
+    g_array_free(nothing, TRUE);
+    hs_fleet_engines_free(engines);
+}
+
+/** A load told with an answer counts batch items too: it is no sign of online requests. */
+static void loads_of_answers_take_no_room_from_batch(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 8);
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    hs_engine_lease_note_load(lease, &(hs_engine_load){.present = true, .running = 7, .slots = 8});
+    CU_ASSERT_EQUAL(hs_fleet_engines_room(engines, "svc").online, 1);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_free(engines);
+}
+
 /** An engine's connections are shared out between the daemons; a full share is no reason to fail.
  */
 static void a_daemon_keeps_to_its_share_of_connections(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
     hs_engine_entry entry = entry_of("e1", 40);
     hs_fleet_engines_put(engines, &entry, 1);
-    hs_fleet_engines_set_peers(engines, 9);
+    hs_fleet_engines_set_peers(engines, 9, 0);
     hs_engine_query query = {.service = "svc", .max_connections = 40};
     hs_engine_lease *leases[4];
     for (size_t index = 0; index < G_N_ELEMENTS(leases); index++) {
@@ -460,7 +507,8 @@
     hs_engine_lease_release(leases[0], NULL, HS_ATTEMPT_SERVED);
     leases[0] = hs_fleet_engines_take(engines, &query);
     CU_ASSERT_PTR_NOT_NULL(leases[0]);
-    hs_fleet_engines_set_peers(engines, 99); /* Less than one each: one, so that all can serve. */
+    hs_fleet_engines_set_peers(engines, 99,
+                               0); /* Less than one each: one, so that all can serve. */
     for (size_t index = 0; index < G_N_ELEMENTS(leases); index++)
         hs_engine_lease_release(leases[index], NULL, HS_ATTEMPT_SERVED);
     leases[0] = hs_fleet_engines_take(engines, &query);
@@ -508,6 +556,8 @@
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
     {"peers_words_count_while_fresh", peers_words_count_while_fresh},
     {"unheard_peers_count_as_the_heard", unheard_peers_count_as_the_heard},
+    {"batch_is_scaled_by_those_who_run_it", batch_is_scaled_by_those_who_run_it},
+    {"loads_of_answers_take_no_room_from_batch", loads_of_answers_take_no_room_from_batch},
     {"a_daemon_keeps_to_its_share_of_connections", a_daemon_keeps_to_its_share_of_connections},
     {"an_engine_that_fails_is_passed_over_for_a_while",
      an_engine_that_fails_is_passed_over_for_a_while},
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -418,15 +418,17 @@
 /** A daemon starts its part of the free slots among a third of all daemons, whole slots only. */
 static void items_start_where_slots_are_free(void) {
     hs_service_room room = {.slots = 100, .online = 10, .batch = 50};
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 12);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 60), 2);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 1), 40);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 12);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 60, 24), 2);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 1, 24), 40);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 300, 24), 1); /* 24 owners, not a hundred starters. */
+    CU_ASSERT_EQUAL(hs_job_room(&room, 300, 10), 4);
     room.batch = 89;
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 1);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 1);
     room.batch = 89.5; /* Not a whole slot. */
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 0);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 0);
     room.batch = 200;
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10), 0);
+    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 0);
 }
 
 /** What fits is taken whole; what cannot end in time anyway is left out first. */
