--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -2615,7 +2615,7 @@
   (ProtobufCMessageInit) hs__engine_shares__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[5] =
+static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[7] =
 {
   {
     "engine_hash",
@@ -2677,18 +2677,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, served),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_use__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   0,   /* field[0] = engine_hash */
+  6,   /* field[6] = failed */
   2,   /* field[2] = online */
   4,   /* field[4] = rank_ms */
+  5,   /* field[5] = served */
   1,   /* field[1] = slots */
 };
 static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor hs__engine_use__descriptor =
 {
@@ -2698,7 +2724,7 @@
   "Hs__EngineUse",
   "hs",
   sizeof(Hs__EngineUse),
-  5,
+  7,
   hs__engine_use__field_descriptors,
   hs__engine_use__field_indices_by_name,
   1,  hs__engine_use__number_ranges,
@@ -2769,7 +2795,7 @@
   (ProtobufCMessageInit) hs__engine_uses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[3] =
+static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[4] =
 {
   {
     "engine_hash",
@@ -2807,16 +2833,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_failing",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, is_failing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_total__field_indices_by_name[] = {
   2,   /* field[2] = batch */
   0,   /* field[0] = engine_hash */
+  3,   /* field[3] = is_failing */
   1,   /* field[1] = online */
 };
 static const ProtobufCIntRange hs__engine_total__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor hs__engine_total__descriptor =
 {
@@ -2826,7 +2865,7 @@
   "Hs__EngineTotal",
   "hs",
   sizeof(Hs__EngineTotal),
-  3,
+  4,
   hs__engine_total__field_descriptors,
   hs__engine_total__field_indices_by_name,
   1,  hs__engine_total__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -372,10 +372,18 @@
    * Of the batch item there of the highest rank.
    */
   int32_t rank_ms;
+  /*
+   * Requests of the sender's life that ended well there; wraps.
+   */
+  uint32_t served;
+  /*
+   * The same that failed.
+   */
+  uint32_t failed;
 };
 #define HS__ENGINE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Hs__EngineUses
@@ -403,10 +411,14 @@
   uint64_t engine_hash;
   uint32_t online;
   uint32_t batch;
+  /*
+   * By what all daemons told; the receiver's request should go elsewhere.
+   */
+  protobuf_c_boolean is_failing;
 };
 #define HS__ENGINE_TOTAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_total__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Hs__EngineTotals
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -87,7 +87,9 @@
                          .slots = told->slots,
                          .online = told->online,
                          .batch = told->batch,
-                         .rank_ms = told->rank_ms};
+                         .rank_ms = told->rank_ms,
+                         .served = told->served,
+                         .failed = told->failed};
 }
 
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -102,6 +104,7 @@
         totals[index].engine_hash = use.engine_hash;
         totals[index].online = sum.online;
         totals[index].batch = sum.batch;
+        totals[index].is_failing = sum.is_failing;
         list[index] = &totals[index];
     }
     if (!uses->wants_totals)
@@ -117,9 +120,14 @@
 }
 
 static void take_totals(hs_slot_arbiter *arbiter, const Hs__EngineTotals *told) {
-    for (size_t index = 0; index < told->n_totals; index++)
-        hs_fleet_engines_put_total(arbiter->engines, told->totals[index]->engine_hash,
-                                   told->totals[index]->online, told->totals[index]->batch);
+    for (size_t index = 0; index < told->n_totals; index++) {
+        const Hs__EngineTotal *one = told->totals[index];
+        hs_engine_total total = {.engine_hash = one->engine_hash,
+                                 .online = one->online,
+                                 .batch = one->batch,
+                                 .is_failing = one->is_failing};
+        hs_fleet_engines_put_total(arbiter->engines, &total);
+    }
 }
 
 bool hs_slot_arbiter_handle(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -149,9 +157,15 @@
                        .slots = own->slots,
                        .online = own->online,
                        .batch = own->batch,
-                       .rank_ms = own->rank_ms};
+                       .rank_ms = own->rank_ms,
+                       .served = own->served,
+                       .failed = own->failed};
     hs_slot_totals totals = take_use(arbiter, &use);
-    hs_fleet_engines_put_total(arbiter->engines, own->engine_hash, totals.online, totals.batch);
+    hs_engine_total total = {.engine_hash = own->engine_hash,
+                             .online = totals.online,
+                             .batch = totals.batch,
+                             .is_failing = totals.is_failing};
+    hs_fleet_engines_put_total(arbiter->engines, &total);
 }
 
 /** Send @p uses, all of engines that @p to arbitrates. */
@@ -166,6 +180,8 @@
         told[index].online = uses[index].online;
         told[index].batch = uses[index].batch;
         told[index].rank_ms = uses[index].rank_ms;
+        told[index].served = uses[index].served;
+        told[index].failed = uses[index].failed;
         list[index] = &told[index];
     }
     Hs__EngineUses body = HS__ENGINE_USES__INIT;
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -87,9 +87,9 @@
 
 /**
  * Take an engine and hear its arbiter. What is believed of engines is some hundred ms old: where
- * the arbiter says that the request would wait there, the next one is looked at, a few times; the
- * arbiter's words are then part of the belief. A batch item is not sent where it would have to step
- * aside.
+ * the arbiter says that the request would wait there, or that the engine fails, the next one is
+ * looked at, a few times; the arbiter's words are then part of the belief. A batch item is not sent
+ * where it would have to step aside, nor to an engine that fails.
  */
 static bool find_engine(hs_fleet_engines *engines, const hs_attempt_order *order,
                         hs_attempt *attempt) {
@@ -98,16 +98,20 @@
         bool is_batch = order->query.work == HS_WORK_BATCH;
         hs_lease_word word = hs_engine_lease_confirm(
             attempt->lease, is_batch ? BATCH_CONFIRM_LIMIT_MS : ONLINE_CONFIRM_LIMIT_MS);
-        if (word != HS_LEASE_CROWDED)
+        if (word != HS_LEASE_CROWDED && word != HS_LEASE_FAILING)
             return true;
-        if (is_batch) {
+        if (is_batch && word == HS_LEASE_CROWDED) {
             attempt->step = HS_STEP_CALLER_GONE;
             return false;
         }
-        if (look + 1 == LOOKS_MOST || strcmp(refused_by, attempt->engine_id) == 0)
+        bool is_last_look = look + 1 == LOOKS_MOST || strcmp(refused_by, attempt->engine_id) == 0;
+        if (is_last_look && !is_batch)
             return true;
         g_strlcpy(refused_by, attempt->engine_id, sizeof refused_by);
         hs_engine_lease_release(attempt->lease, NULL, HS_ATTEMPT_DROPPED);
+        attempt->lease = NULL;
+        if (is_last_look)
+            break;
     }
     return false;
 }
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -10,6 +10,8 @@
 #define LOAD_VALID_MS 1000.0
 /** An arbiter's word on an engine counts for this long; daemons tell each other as often. */
 #define TOTAL_VALID_MS 250
+/** An arbiter's word that an engine fails counts for this long; then it is asked again. */
+#define FAILING_VALID_MS 1000
 /** Failures fade to half in this time, so that an engine is tried again. */
 #define FAILURE_HALF_MS 3000.0
 /** Ends without a failure that each engine is given at first, so that one failure says little. */
@@ -33,7 +35,8 @@
 
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms) {
     return now_ms < engine->suspect_until_ms || hs_fleet_engine_is_silent(engine, now_ms) ||
-           engine->peers_suspecting > 0;
+           engine->peers_suspecting > 0 ||
+           (engine->told_failing_ms != 0 && now_ms < engine->told_failing_ms + FAILING_VALID_MS);
 }
 
 /** The arbiter's word is fresher than what daemons tell each other at intervals, for a while. */
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -137,6 +137,7 @@
     hs_fleet_engine *engine = lease->engine;
     switch (end) {
     case HS_ATTEMPT_SERVED:
+        engine->served_count++;
         engine->failures = 0;
         engine->suspect_until_ms = 0;
         note_end(engine, false, now_ms);
@@ -144,6 +145,7 @@
               (double)(now_ms - lease->taken_ms));
         break;
     case HS_ATTEMPT_FAILED:
+        engine->failed_count++;
         note_end(engine, true, now_ms);
         break;
     case HS_ATTEMPT_REFUSED:
@@ -153,13 +155,16 @@
         engine->misplaced = true;
         break;
     case HS_ATTEMPT_UNREACHABLE:
+        engine->failed_count++;
         suspect(engine, now_ms, "unreachable");
         break;
     case HS_ATTEMPT_SILENT:
+        engine->failed_count++;
         note_end(engine, true, now_ms);
         suspect(engine, now_ms, "silent");
         break;
     case HS_ATTEMPT_BROKEN:
+        engine->failed_count++;
         note_end(engine, true, now_ms);
         if (++engine->failures >= BROKEN_IN_A_ROW)
             suspect(engine, now_ms, "broken");
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -29,7 +29,9 @@
                            .slots = engine->entry.slots,
                            .online = engine->online,
                            .batch = engine->batch,
-                           .rank_ms = highest_rank(engine)};
+                           .rank_ms = highest_rank(engine),
+                           .served = engine->served_count,
+                           .failed = engine->failed_count};
 }
 
 void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
@@ -76,14 +78,14 @@
     return NULL;
 }
 
-void hs_fleet_engines_put_total(hs_fleet_engines *engines, uint64_t engine_hash, uint32_t online,
-                                uint32_t batch) {
+void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total) {
     g_mutex_lock(&engines->lock);
-    hs_fleet_engine *engine = find_by_hash(engines, engine_hash);
+    hs_fleet_engine *engine = find_by_hash(engines, total->engine_hash);
     if (engine != NULL) {
-        engine->told_online = online > engine->online ? online - engine->online : 0;
-        engine->told_batch = batch > engine->batch ? batch - engine->batch : 0;
+        engine->told_online = total->online > engine->online ? total->online - engine->online : 0;
+        engine->told_batch = total->batch > engine->batch ? total->batch - engine->batch : 0;
         engine->told_ms = hs_clock_monotonic_ms();
+        engine->told_failing_ms = total->is_failing ? engine->told_ms : 0;
         engine->told_count++;
         g_cond_broadcast(&engines->totals_told);
     }
@@ -146,8 +148,10 @@
     if (wait_for_word(lease, limit_ms))
         word = HS_LEASE_FITS;
     double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
-    if (is_asked_aside(lease) ||
-        (word == HS_LEASE_FITS && lease->work == HS_WORK_ONLINE && online > engine->entry.slots))
+    if (word == HS_LEASE_FITS && engine->told_failing_ms != 0)
+        word = HS_LEASE_FAILING;
+    else if (is_asked_aside(lease) || (word == HS_LEASE_FITS && lease->work == HS_WORK_ONLINE &&
+                                       online > engine->entry.slots))
         word = HS_LEASE_CROWDED;
     g_mutex_unlock(&lease->engines->lock);
     return word;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -74,6 +74,8 @@
     uint32_t online;
     uint32_t batch;
     int32_t rank_ms; /**< Highest of its batch items there; see hs_engine_query. */
+    uint32_t served; /**< Requests that ended well there so far; wraps. */
+    uint32_t failed; /**< The same that failed. */
 } hs_engine_use;
 
 /** Called without a lock when a use changed; @p started: by a request that begins. */
@@ -112,6 +114,7 @@
     HS_LEASE_FITS,    /**< There is a slot, or a batch item leaves one. */
     HS_LEASE_CROWDED, /**< A batch item is to step aside; an online request would wait for others.
                        */
+    HS_LEASE_FAILING, /**< Requests of all daemons fail there of late. */
     HS_LEASE_UNHEARD, /**< The arbiter said nothing in time. */
 } hs_lease_word;
 
@@ -180,9 +183,16 @@
 /** What this daemon has on all engines: of hs_engine_use. Engines that it left lately are in it. */
 GArray *hs_fleet_engines_own_uses(hs_fleet_engines *engines);
 
-/** What all daemons, this one included, have on an engine, as its arbiter tells. */
-void hs_fleet_engines_put_total(hs_fleet_engines *engines, uint64_t engine_hash, uint32_t online,
-                                uint32_t batch);
+/** An arbiter's word on an engine. */
+typedef struct {
+    uint64_t engine_hash;
+    uint32_t online; /**< Requests of all daemons, this one included. */
+    uint32_t batch;
+    bool is_failing; /**< Requests of all daemons fail there of late. */
+} hs_engine_total;
+
+/** Take an arbiter's word. */
+void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total);
 
 /** Ask the batch items of this daemon on an engine of the highest rank to leave it; how many. */
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -1,13 +1,20 @@
 /** @file slot_ledger.c  Uses of engines by daemon, and who steps aside; see slot_ledger.h. */
 #include "fleet/slot_ledger.h"
 
+#include "base/hash.h"
+#include "base/log.h"
+#include "fleet/engine_health.h"
+
 #include <stdbool.h>
+#include <string.h>
 
 /** A daemon's word counts for this long; it is repeated several times meanwhile. */
 #define USE_VALID_MS 2000
 /** Items that were asked to leave count as gone for this long, unless the daemon says so before. */
 #define LEAVING_VALID_MS 60
 
+/** An engine that nobody uses any more stays known as failing for this long after its time down. */
+#define HEALTH_KEPT_MS 10000
 /**
  * An item that was just started stays only where another can wait this much longer: a cut costs the
  * reading of the prompt and of what was made.
@@ -24,13 +31,16 @@
     int32_t rank_ms;
     uint32_t leaving; /**< Of the batch items: asked to leave, not yet said to be gone. */
     uint64_t leaving_until_ms;
-    uint64_t told_ms;
+    uint32_t served; /**< As told last. */
+    uint32_t failed;
+    uint64_t told_ms; /**< 0: it has told nothing yet. */
 } daemon_use;
 
 /** One engine's uses. */
 typedef struct {
     uint64_t hash;
     GPtrArray *uses; /**< of daemon_use* */
+    hs_engine_health health;
 } engine_uses;
 
 struct hs_slot_ledger {
@@ -99,9 +109,36 @@
     }
 }
 
-/** Take the word; whether the daemon started batch items by it. */
-static bool note(daemon_use *use, const hs_slot_use *told, uint64_t now_ms) {
-    bool started = told->batch > use->batch;
+/** What a daemon started by a word. */
+typedef struct {
+    bool any;
+    bool batch;
+} started_work;
+
+/**
+ * Take how a daemon's requests ended since its last word. Its first word, or its first after a
+ * restart or a long silence, only says where its counts stand.
+ */
+static void note_ends(engine_uses *engine, const daemon_use *use, const hs_slot_use *told,
+                      uint64_t now_ms) {
+    if (use->told_ms == 0 || use->incarnation != told->incarnation)
+        return;
+    hs_health_state before = engine->health.state;
+    hs_engine_health_note(&engine->health, hs_hash_bytes(use->daemon, strlen(use->daemon)),
+                          told->served - use->served, told->failed - use->failed, now_ms);
+    if (engine->health.state != before)
+        hs_log_info("engine_health",
+                    "engine_hash=%" G_GINT64_MODIFIER "x state=%s before=%s failure_rate=%.2f "
+                    "daemon=%s downs=%u",
+                    engine->hash, hs_health_state_name(engine->health.state),
+                    hs_health_state_name(before), engine->health.failure_rate, use->daemon,
+                    engine->health.downs);
+}
+
+/** Take the word. */
+static started_work note(daemon_use *use, const hs_slot_use *told, uint64_t now_ms) {
+    started_work started = {.any = told->online + told->batch > use->online + use->batch,
+                            .batch = told->batch > use->batch};
     uint32_t left = use->batch > told->batch ? use->batch - told->batch : 0;
     use->leaving -= MIN(use->leaving, left);
     use->incarnation = told->incarnation;
@@ -109,6 +146,8 @@
     use->online = told->online;
     use->batch = told->batch;
     use->rank_ms = told->rank_ms;
+    use->served = told->served;
+    use->failed = told->failed;
     use->told_ms = now_ms;
     return started;
 }
@@ -170,11 +209,15 @@
     engine_uses *engine = engine_of(ledger, told->engine_hash);
     expire_uses(engine, now_ms);
     daemon_use *sender = use_of(engine, told->daemon);
-    bool is_news = !is_old(sender, told);
-    bool started = is_news && note(sender, told, now_ms);
+    started_work started = {0};
+    if (!is_old(sender, told)) {
+        note_ends(engine, sender, told, now_ms);
+        started = note(sender, told, now_ms);
+    }
     hs_slot_totals totals = sum(engine, now_ms);
+    totals.is_failing = !hs_engine_health_admit(&engine->health, started.any, now_ms);
     while (totals.online + totals.batch > told->slots && totals.batch > 0) {
-        ask_one(next_to_leave(engine, started ? sender : NULL, now_ms), now_ms, asks);
+        ask_one(next_to_leave(engine, started.batch ? sender : NULL, now_ms), now_ms, asks);
         totals.batch--;
     }
     return totals;
@@ -187,7 +230,9 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         engine_uses *engine = value;
         expire_uses(engine, now_ms);
-        if (engine->uses->len == 0)
+        bool is_over = engine->health.state == HS_HEALTH_SOUND ||
+                       now_ms > engine->health.down_until_ms + HEALTH_KEPT_MS;
+        if (engine->uses->len == 0 && is_over)
             g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -7,12 +7,14 @@
  * the engine's slots, batch items leave: those of the highest rank first, and one that was just
  * started before one that was begun earlier and can wait only a little longer. The daemons together
  * are over an engine's slots for as long as one message there and one back take, however many they
- * are.
+ * are. With its counts each daemon tells how its requests there ended, so that the arbiter knows an
+ * engine that fails before most daemons have met it.
  */
 #ifndef HS_FLEET_SLOT_LEDGER_H
 #define HS_FLEET_SLOT_LEDGER_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /** What one daemon has on one engine. */
@@ -25,6 +27,8 @@
     uint32_t online;
     uint32_t batch;
     int32_t rank_ms; /**< Of its batch item there of the highest rank; see hs_engine_query. */
+    uint32_t served; /**< Requests of its life that ended well there; wraps. */
+    uint32_t failed; /**< The same that failed. */
 } hs_slot_use;
 
 /** Batch items of a daemon that must leave an engine. */
@@ -36,7 +40,8 @@
 /** All daemons' requests on one engine. */
 typedef struct {
     uint32_t online;
-    uint32_t batch; /**< Without those that were asked to leave. */
+    uint32_t batch;  /**< Without those that were asked to leave. */
+    bool is_failing; /**< The daemon's request should go elsewhere; see engine_health.h. */
 } hs_slot_totals;
 
 typedef struct hs_slot_ledger hs_slot_ledger;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -12,6 +12,7 @@
         {"placement", placement_tests, NULL, NULL},   {"fleet", fleet_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},       {"jobs", job_tests, NULL, NULL},
         {"quota", quota_tests, NULL, NULL},           {"slots", slot_tests, NULL, NULL},
+        {"health", health_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -204,7 +204,8 @@
     CU_ASSERT_EQUAL(hs_interrupt_get(&flags[0]), HS_INTERRUPT_NONE);
     CU_ASSERT_EQUAL(hs_interrupt_get(&flags[1]), HS_INTERRUPT_YIELD);
     CU_ASSERT_EQUAL(hs_fleet_engines_step_aside(engines, 12345, 1), 0);
-    hs_fleet_engines_put_total(engines, hash, 6, 2); /* Six online requests of others. */
+    hs_engine_total total = {.engine_hash = hash, .online = 6, .batch = 2};
+    hs_fleet_engines_put_total(engines, &total); /* Six online requests of others. */
     hs_engine_query one_more = {.service = "svc", .work = HS_WORK_BATCH};
     CU_ASSERT_PTR_NULL(hs_fleet_engines_take(engines, &one_more));
     for (int index = 0; index < 2; index++)
@@ -225,12 +226,16 @@
     hs_fleet_engines *engines;
     bool is_silent;
     uint32_t online; /**< Of all daemons, as it tells. */
+    bool says_failing;
 } test_arbiter;
 
 static void arbitrate(const hs_engine_use *use, bool started, void *user_data) {
     const test_arbiter *arbiter = user_data;
+    hs_engine_total total = {.engine_hash = use->engine_hash,
+                             .online = arbiter->online,
+                             .is_failing = arbiter->says_failing};
     if (started && !arbiter->is_silent)
-        hs_fleet_engines_put_total(arbiter->engines, use->engine_hash, arbiter->online, 0);
+        hs_fleet_engines_put_total(arbiter->engines, &total);
 }
 
 static hs_lease_word word_of(hs_fleet_engines *engines) {
@@ -250,6 +255,10 @@
     CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_FITS);
     arbiter.online = SLOTS + 1;
     CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_CROWDED);
+    arbiter.says_failing = true;
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_FAILING);
+    hs_engine_query item = {.service = "svc", .work = HS_WORK_BATCH};
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_take(engines, &item)); /* Suspected for a while. */
     arbiter.is_silent = true;
     uint64_t began_ms = hs_clock_monotonic_ms();
     CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_UNHEARD);
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -23,5 +23,6 @@
 extern const test_case job_tests[];
 extern const test_case quota_tests[];
 extern const test_case slot_tests[];
+extern const test_case health_tests[];
 
 #endif
