Test of short time-outs starts from trusted engines

a_short_timeout_makes_no_engine_suspected failed once (fleet_surface, beside load). Cause, read from the order of tests: the tests before it make both engines fail; since an arbiter takes an engine down for a second and more (before: at most 0.4 s by each daemon), that suspicion may still stand when this test begins. The test now serves requests until no engine is suspected, at most 12 s, and checks that it came to this; what it checks of short time-outs is unchanged.

--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 #define JOB_LIMIT_MS 15000
+/** An engine that failed is tried again after one to eight seconds. */
+#define TRUST_LIMIT_MS 12000
 
 static bench_answer post(int daemon, const char *target, const char *id) {
     return bench_send(&(bench_call){
@@ -111,8 +113,33 @@
     bench_answer_clear(&answer);
 }
 
+/** Whether a daemon trusts all engines. */
+static bool all_are_trusted(int daemon) {
+    bench_answer metrics = bench_send(
+        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
+    bool trusted = true;
+    for (int index = 0; index < BENCH_ENGINES; index++) {
+        g_autofree char *line =
+            g_strdup_printf("heathsail_engine_suspected{engine=\"engine-%d\"} 0\n", index);
+        trusted = trusted && strstr(metrics.body, line) != NULL;
+    }
+    bench_answer_clear(&metrics);
+    return trusted;
+}
+
+/** Serve requests until what engines failed in tests before is forgotten. */
+static void regain_trust(int daemon) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + TRUST_LIMIT_MS;
+    while (!all_are_trusted(daemon) && hs_clock_monotonic_ms() < until_ms) {
+        bench_answer answer = post(daemon, "/once/s", "trust");
+        bench_answer_clear(&answer);
+    }
+    CU_ASSERT_TRUE(all_are_trusted(daemon));
+}
+
 /** A caller's short time-out says nothing of the engine. */
 static void a_short_timeout_makes_no_engine_suspected(void) {
+    regain_trust(0);
     bench_set_engines(TOKEN_ENGINE_SLOW);
     for (int request = 0; request < 6; request++) {
         bench_answer answer = bench_send(&(bench_call){.method = "POST",
@@ -124,14 +151,7 @@
         bench_answer_clear(&answer);
     }
     bench_set_engines(TOKEN_ENGINE_SOUND);
-    bench_answer metrics = bench_send(
-        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(0)});
-    for (int index = 0; index < BENCH_ENGINES; index++) {
-        g_autofree char *line =
-            g_strdup_printf("heathsail_engine_suspected{engine=\"engine-%d\"} 0\n", index);
-        CU_ASSERT_PTR_NOT_NULL(strstr(metrics.body, line));
-    }
-    bench_answer_clear(&metrics);
+    CU_ASSERT_TRUE(all_are_trusted(0));
 }
 
 static uint32_t submit(int daemon, const char *id, int count) {
