A failed read of the engines' log is tried again soon

Ruled out: reading more often at all times (calls are priced, 295 daemons make 220 a second already). Change: 100 ms after a failure, doubled up to the interval. Test: engine_source.a_failed_read_of_the_engines_is_tried_again_soon (fails without).

--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -14,6 +14,11 @@
 #define READS_PER_DRAIN 3
 #define ANSWER_LIMIT_MS 1200
 #define BEATS_TO_RETURN 2
+/**
+ * Pause before a read that failed is tried again, doubled up to the interval: one lost read must
+ * not take half of the time within which a leaving engine is to be known.
+ */
+#define RETRY_FIRST_MS 100
 
 struct hs_engine_source {
     hs_store_client *store;
@@ -126,11 +131,19 @@
     return outcome;
 }
 
+/** Time until the next read, by how many failed in a row. */
+static uint64_t pause_ms(const hs_engine_source *source, uint32_t failures) {
+    if (failures == 0)
+        return source->interval_ms;
+    return MIN((uint64_t)RETRY_FIRST_MS << MIN(failures - 1, 8), source->interval_ms);
+}
+
 static gpointer run_source(gpointer data) {
     hs_engine_source *source = data;
     GByteArray *answer = g_byte_array_new();
     uint64_t next = 0;
     bool positioned = false;
+    uint32_t failures = 0;
     do {
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
@@ -139,8 +152,9 @@
             positioned = true;
         else if (outcome == HS_STORE_GONE)
             positioned = false;
+        failures = outcome == HS_STORE_DONE ? 0 : failures + 1;
         hs_fleet_engines_prune(source->engines);
-    } while (hs_stop_wait_pause(&source->pause, source->interval_ms));
+    } while (hs_stop_wait_pause(&source->pause, pause_ms(source, failures)));
     g_byte_array_free(answer, TRUE);
     return NULL;
 }
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -3,16 +3,26 @@
 
 int main(int argument_count, char **arguments) {
     static const test_suite suites[] = {
-        {"settings", settings_tests, NULL, NULL},     {"config", config_tests, NULL, NULL},
-        {"partition", partition_tests, NULL, NULL},   {"grants", grant_tests, NULL, NULL},
-        {"membership", membership_tests, NULL, NULL}, {"routing", routing_tests, NULL, NULL},
-        {"scheduling", scheduling_tests, NULL, NULL}, {"input", input_tests, NULL, NULL},
-        {"engine", engine_tests, NULL, NULL},         {"ring", ring_tests, NULL, NULL},
-        {"interrupt", interrupt_tests, NULL, NULL},   {"threads", thread_tests, NULL, NULL},
-        {"placement", placement_tests, NULL, NULL},   {"fleet", fleet_tests, NULL, NULL},
-        {"attempt", attempt_tests, NULL, NULL},       {"jobs", job_tests, NULL, NULL},
-        {"quota", quota_tests, NULL, NULL},           {"slots", slot_tests, NULL, NULL},
+        {"settings", settings_tests, NULL, NULL},
+        {"config", config_tests, NULL, NULL},
+        {"partition", partition_tests, NULL, NULL},
+        {"grants", grant_tests, NULL, NULL},
+        {"membership", membership_tests, NULL, NULL},
+        {"routing", routing_tests, NULL, NULL},
+        {"scheduling", scheduling_tests, NULL, NULL},
+        {"input", input_tests, NULL, NULL},
+        {"engine", engine_tests, NULL, NULL},
+        {"ring", ring_tests, NULL, NULL},
+        {"interrupt", interrupt_tests, NULL, NULL},
+        {"threads", thread_tests, NULL, NULL},
+        {"placement", placement_tests, NULL, NULL},
+        {"fleet", fleet_tests, NULL, NULL},
+        {"attempt", attempt_tests, NULL, NULL},
+        {"jobs", job_tests, NULL, NULL},
+        {"quota", quota_tests, NULL, NULL},
+        {"slots", slot_tests, NULL, NULL},
         {"health", health_tests, NULL, NULL},
+        {"engine_source", engine_source_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- /dev/null
+++ b/tests/unit/test_engine_source.c
@@ -0,0 +1,42 @@
+/** @file test_engine_source.c  Reading the engines' topic from the stand-in store. */
+#include "base/clock.h"
+#include "fleet/engine_source.h"
+#include "standin/log_store/log_store.h"
+#include "tests/unit/unit_tests.h"
+
+#include <netinet/in.h>
+
+#define SOURCE_INTERVAL_MS 1000
+
+/** Time in ms until the store has got @p wanted reads of the engines' log; 0: too long. */
+static uint64_t wait_for_reads(log_store *store, uint32_t wanted) {
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    while (log_store_calls(store, "/log-read") < wanted) {
+        if (hs_clock_monotonic_ms() > began_ms + 4ULL * SOURCE_INTERVAL_MS)
+            return 0;
+        hs_clock_sleep_ms(5);
+    }
+    return hs_clock_monotonic_ms() - began_ms;
+}
+
+/** A lost read is made up for at once: a leaving engine must be known in time. */
+static void a_failed_read_of_the_engines_is_tried_again_soon(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_source *source = hs_engine_source_new(client, engines, 3 * SOURCE_INTERVAL_MS, 60000);
+    hs_engine_source_start(source);
+    CU_ASSERT(wait_for_reads(store, 1) > 0);
+    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-read", 1);
+    uint32_t before = log_store_calls(store, "/log-read");
+    CU_ASSERT(wait_for_reads(store, before + 1) > 0); /* It fails, */
+    CU_ASSERT(wait_for_reads(store, before + 2) < SOURCE_INTERVAL_MS / 2);
+    hs_engine_source_free(source);
+    hs_fleet_engines_free(engines);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
+const test_case engine_source_tests[] = {{"a_failed_read_of_the_engines_is_tried_again_soon",
+                                          a_failed_read_of_the_engines_is_tried_again_soon},
+                                         {NULL, NULL}};
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -24,5 +24,6 @@
 extern const test_case quota_tests[];
 extern const test_case slot_tests[];
 extern const test_case health_tests[];
+extern const test_case engine_source_tests[];
 
 #endif
