--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -80,6 +80,7 @@
         .queued_tokens = (double)engine->queued_tokens + engine->peers_queued,
         .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
         .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
+        .is_connected = !g_queue_is_empty((GQueue *)&engine->idle),
         .same_zone = strcmp(engine->entry.zone, engines->zone) == 0,
     };
     if (engine->entry.warmup_left_ms > since_listed)
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -6,7 +6,10 @@
 #define SUSPECT_COST_MS 60000.0
 /** Share of a run's time that one more run beside it costs: spreads equal engines. */
 #define BESIDE_SHARE 0.02
-#define OTHER_ZONE_MS 1.0
+/** A way to another zone and back. */
+#define OTHER_ZONE_MS 2.0
+/** A way there and back, and what an engine needs to accept a connection. */
+#define NEW_CONNECTION_MS 2.5
 /** Until a batch item has left its slot, and what its prompt costs when it is read again. */
 #define STEP_ASIDE_MS 15.0
 #define WARMUP_SHARE 0.1
@@ -28,6 +31,8 @@
     cost += candidate->failure_rate * speed->run_ms * FAILURE_RUNS;
     if (!candidate->same_zone)
         cost += OTHER_ZONE_MS;
+    if (!candidate->is_connected)
+        cost += NEW_CONNECTION_MS;
     if (candidate->suspected)
         cost += SUSPECT_COST_MS;
     return cost + candidate->warmup_ms * WARMUP_SHARE;
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -26,6 +26,7 @@
     double failure_rate;    /**< Share of requests of late that failed there, 0 to 1. */
     bool suspected;
     bool same_zone;
+    bool is_connected; /**< A kept connection is there. */
 } hs_engine_candidate;
 
 /** Speeds of a service's engines, as observed. */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -404,6 +404,19 @@
     return id;
 }
 
+/** Of engines that are alike, the one that a connection is open to; a slot is worth more than it.
+ */
+static void a_kept_connection_decides_between_equals(void) {
+    hs_engine_speed speed = {.tokens_per_ms = 40, .run_ms = 300};
+    hs_engine_candidate candidates[] = {{.slots = 4, .same_zone = true},
+                                        {.slots = 4, .same_zone = true, .is_connected = true},
+                                        {.slots = 4, .is_connected = true}};
+    for (size_t first = 0; first < 3; first++)
+        CU_ASSERT_EQUAL(hs_engine_choice_pick(candidates, 3, first, &speed), 1);
+    candidates[1].running = 4;
+    CU_ASSERT_NOT_EQUAL(hs_engine_choice_pick(candidates, 3, 0, &speed), 1);
+}
+
 /** What others tell counts as long as it is fresh, and no longer. */
 static void peers_words_count_while_fresh(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
@@ -555,6 +568,7 @@
     {"leaving_engines_get_nothing_new", leaving_engines_get_nothing_new},
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
     {"peers_words_count_while_fresh", peers_words_count_while_fresh},
+    {"a_kept_connection_decides_between_equals", a_kept_connection_decides_between_equals},
     {"unheard_peers_count_as_the_heard", unheard_peers_count_as_the_heard},
     {"batch_is_scaled_by_those_who_run_it", batch_is_scaled_by_those_who_run_it},
     {"loads_of_answers_take_no_room_from_batch", loads_of_answers_take_no_room_from_batch},
