A pause between reads of the engines is no absence of the store

Cause: a daemon that hears the store again after more than one heartbeat (1.2 s) doubts for two heartbeats that an engine is gone, since entries lapse while the store is away. Change: the store was away only where reads failed in between, for two heartbeats, as long as an entry may need to lapse. Test: engine_source.an_engine_that_left_is_out_with_the_next_read (failed before).

--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -14,6 +14,8 @@
 #define READS_PER_DRAIN 3
 #define ANSWER_LIMIT_MS 1200
 #define BEATS_TO_RETURN 2
+/** An entry runs out after three beats of silence, and its last beat may be one beat old. */
+#define BEATS_TO_LAPSE 2
 /**
  * Pause before a read that failed is tried again, doubled up to the interval: one lost read must
  * not take half of the time within which a leaving engine is to be known.
@@ -26,6 +28,7 @@
     uint32_t interval_ms;
     uint32_t heartbeat_ms;
     uint64_t trust_from_ms; /**< Before, the store's word that an engine is gone is doubted. */
+    uint32_t failures;      /**< Reads that failed since the last good one. */
     hs_store_contact contact;
     hs_stop_wait pause;
     GThread *thread;
@@ -43,11 +46,15 @@
     return source;
 }
 
-/** After an answer came: entries may have run out while none did. */
+/**
+ * After an answer came: entries may have run out while the store was away, that is, while reads
+ * failed. A pause between two good reads is no absence, however long it is.
+ */
 static void note_gap(hs_engine_source *source) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     uint64_t heard_ms = hs_store_contact_heard_ms(&source->contact);
-    if (heard_ms != 0 && now_ms > heard_ms + source->heartbeat_ms)
+    uint64_t lapse_ms = (uint64_t)source->heartbeat_ms * BEATS_TO_LAPSE;
+    if (heard_ms != 0 && source->failures > 0 && now_ms > heard_ms + lapse_ms)
         source->trust_from_ms = now_ms + (uint64_t)source->heartbeat_ms * BEATS_TO_RETURN;
 }
 
@@ -131,11 +138,11 @@
     return outcome;
 }
 
-/** Time until the next read, by how many failed in a row. */
-static uint64_t pause_ms(const hs_engine_source *source, uint32_t failures) {
-    if (failures == 0)
+/** Time until the next read. */
+static uint64_t pause_ms(const hs_engine_source *source) {
+    if (source->failures == 0)
         return source->interval_ms;
-    return MIN((uint64_t)RETRY_FIRST_MS << MIN(failures - 1, 8), source->interval_ms);
+    return MIN((uint64_t)RETRY_FIRST_MS << MIN(source->failures - 1, 8), source->interval_ms);
 }
 
 static gpointer run_source(gpointer data) {
@@ -143,7 +150,6 @@
     GByteArray *answer = g_byte_array_new();
     uint64_t next = 0;
     bool positioned = false;
-    uint32_t failures = 0;
     do {
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
@@ -152,9 +158,9 @@
             positioned = true;
         else if (outcome == HS_STORE_GONE)
             positioned = false;
-        failures = outcome == HS_STORE_DONE ? 0 : failures + 1;
+        source->failures = outcome == HS_STORE_DONE ? 0 : source->failures + 1;
         hs_fleet_engines_prune(source->engines);
-    } while (hs_stop_wait_pause(&source->pause, pause_ms(source, failures)));
+    } while (hs_stop_wait_pause(&source->pause, pause_ms(source)));
     g_byte_array_free(answer, TRUE);
     return NULL;
 }
--- a/tests/unit/test_engine_source.c
+++ b/tests/unit/test_engine_source.c
@@ -1,6 +1,7 @@
 /** @file test_engine_source.c  Reading the engines' topic from the stand-in store. */
 #include "base/clock.h"
 #include "fleet/engine_source.h"
+#include "platform/names.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
@@ -37,6 +38,44 @@
     log_store_stop(store);
 }
 
+#define BEAT_MS 280
+#define SHORT_INTERVAL_MS 300
+
+static bool is_listed(hs_fleet_engines *engines) {
+    return hs_fleet_engines_room(engines, "svc").ready > 0;
+}
+
+/** Time in ms until the engine is listed, or not; at most two seconds. */
+static uint64_t wait_for_engine(hs_fleet_engines *engines, bool listed) {
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    while (is_listed(engines) != listed && hs_clock_monotonic_ms() < began_ms + 2000)
+        hs_clock_sleep_ms(5);
+    return hs_clock_monotonic_ms() - began_ms;
+}
+
+/** Reads that are further apart than beats are no absence of the store: who left is out at once. */
+static void an_engine_that_left_is_out_with_the_next_read(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_source *source =
+        hs_engine_source_new(client, engines, 3 * SHORT_INTERVAL_MS, BEAT_MS);
+    log_store_put(store, TOPIC_ENGINES, "e1",
+                  "{\"service\":\"svc\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":4,"
+                  "\"state\":\"ready\",\"sequence\":1}");
+    hs_engine_source_start(source);
+    CU_ASSERT(wait_for_engine(engines, true) < 2000);
+    hs_clock_sleep_ms(2ULL * SHORT_INTERVAL_MS);
+    log_store_put(store, TOPIC_ENGINES, "e1", "");
+    CU_ASSERT(wait_for_engine(engines, false) < SHORT_INTERVAL_MS + BEAT_MS / 2);
+    hs_engine_source_free(source);
+    hs_fleet_engines_free(engines);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
 const test_case engine_source_tests[] = {{"a_failed_read_of_the_engines_is_tried_again_soon",
                                           a_failed_read_of_the_engines_is_tried_again_soon},
+                                         {"an_engine_that_left_is_out_with_the_next_read",
+                                          an_engine_that_left_is_out_with_the_next_read},
                                          {NULL, NULL}};
