--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -2615,7 +2615,7 @@
   (ProtobufCMessageInit) hs__engine_shares__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[7] =
+static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[8] =
 {
   {
     "engine_hash",
@@ -2701,12 +2701,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queued_tokens",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, queued_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_use__field_indices_by_name[] = {
   3,   /* field[3] = batch */
   0,   /* field[0] = engine_hash */
   6,   /* field[6] = failed */
   2,   /* field[2] = online */
+  7,   /* field[7] = queued_tokens */
   4,   /* field[4] = rank_ms */
   5,   /* field[5] = served */
   1,   /* field[1] = slots */
@@ -2714,7 +2727,7 @@
 static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor hs__engine_use__descriptor =
 {
@@ -2724,7 +2737,7 @@
   "Hs__EngineUse",
   "hs",
   sizeof(Hs__EngineUse),
-  7,
+  8,
   hs__engine_use__field_descriptors,
   hs__engine_use__field_indices_by_name,
   1,  hs__engine_use__number_ranges,
@@ -2795,7 +2808,7 @@
   (ProtobufCMessageInit) hs__engine_uses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[4] =
+static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[5] =
 {
   {
     "engine_hash",
@@ -2845,17 +2858,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queued_tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, queued_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_total__field_indices_by_name[] = {
   2,   /* field[2] = batch */
   0,   /* field[0] = engine_hash */
   3,   /* field[3] = is_failing */
   1,   /* field[1] = online */
+  4,   /* field[4] = queued_tokens */
 };
 static const ProtobufCIntRange hs__engine_total__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor hs__engine_total__descriptor =
 {
@@ -2865,7 +2891,7 @@
   "Hs__EngineTotal",
   "hs",
   sizeof(Hs__EngineTotal),
-  4,
+  5,
   hs__engine_total__field_descriptors,
   hs__engine_total__field_indices_by_name,
   1,  hs__engine_total__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -380,10 +380,14 @@
    * The same that failed.
    */
   uint32_t failed;
+  /*
+   * Of the sender's prompts there that are not read yet.
+   */
+  uint32_t queued_tokens;
 };
 #define HS__ENGINE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Hs__EngineUses
@@ -415,10 +419,11 @@
    * By what all daemons told; the receiver's request should go elsewhere.
    */
   protobuf_c_boolean is_failing;
+  uint32_t queued_tokens;
 };
 #define HS__ENGINE_TOTAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_total__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Hs__EngineTotals
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -89,7 +89,8 @@
                          .batch = told->batch,
                          .rank_ms = told->rank_ms,
                          .served = told->served,
-                         .failed = told->failed};
+                         .failed = told->failed,
+                         .queued_tokens = told->queued_tokens};
 }
 
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -104,6 +105,7 @@
         totals[index].engine_hash = use.engine_hash;
         totals[index].online = sum.online;
         totals[index].batch = sum.batch;
+        totals[index].queued_tokens = sum.queued_tokens;
         totals[index].is_failing = sum.is_failing;
         list[index] = &totals[index];
     }
@@ -125,6 +127,7 @@
         hs_engine_total total = {.engine_hash = one->engine_hash,
                                  .online = one->online,
                                  .batch = one->batch,
+                                 .queued_tokens = one->queued_tokens,
                                  .is_failing = one->is_failing};
         hs_fleet_engines_put_total(arbiter->engines, &total);
     }
@@ -159,11 +162,13 @@
                        .batch = own->batch,
                        .rank_ms = own->rank_ms,
                        .served = own->served,
-                       .failed = own->failed};
+                       .failed = own->failed,
+                       .queued_tokens = own->queued_tokens};
     hs_slot_totals totals = take_use(arbiter, &use);
     hs_engine_total total = {.engine_hash = own->engine_hash,
                              .online = totals.online,
                              .batch = totals.batch,
+                             .queued_tokens = totals.queued_tokens,
                              .is_failing = totals.is_failing};
     hs_fleet_engines_put_total(arbiter->engines, &total);
 }
@@ -182,6 +187,7 @@
         told[index].rank_ms = uses[index].rank_ms;
         told[index].served = uses[index].served;
         told[index].failed = uses[index].failed;
+        told[index].queued_tokens = uses[index].queued_tokens;
         list[index] = &told[index];
     }
     Hs__EngineUses body = HS__ENGINE_USES__INIT;
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -52,6 +52,10 @@
     return is_told(engine, now_ms) ? engine->told_batch : engine->peers_batch;
 }
 
+double hs_fleet_engine_others_queued(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return is_told(engine, now_ms) ? engine->told_queued : engine->peers_queued;
+}
+
 /** Requests there of all daemons: own, told by peers, or seen in an answer's load. */
 double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms) {
     double own = (double)engine->online + engine->batch;
@@ -77,7 +81,8 @@
         .slots = engine->entry.slots,
         .running = hs_fleet_engine_running(engine, now_ms),
         .batch = engine->batch + hs_fleet_engine_others_batch(engine, now_ms),
-        .queued_tokens = (double)engine->queued_tokens + engine->peers_queued,
+        .queued_tokens =
+            (double)engine->queued_tokens + hs_fleet_engine_others_queued(engine, now_ms),
         .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
         .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
         .is_connected = !g_queue_is_empty((GQueue *)&engine->idle),
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -16,6 +16,8 @@
 #define BROKEN_IN_A_ROW 3
 #define SPEED_WEIGHT 0.1
 #define RATE_SAMPLE_LEAST_TOKENS 1000
+/** The arbiter hears at once that a prompt of this length is read; of others with the next word. */
+#define TELL_READ_LEAST_TOKENS 2000
 #define CONNECT_LIMIT_MS 600
 
 const char *hs_engine_lease_id(const hs_engine_lease *lease) {
@@ -100,8 +102,12 @@
         blend(&hs_fleet_engines_speed(lease->engines, lease->engine->entry.service)->tokens_per_ms,
               lease->unread_tokens / took_ms);
     }
+    bool is_news = lease->unread_tokens >= TELL_READ_LEAST_TOKENS;
     count_read(lease);
+    hs_engine_use use = hs_fleet_engine_use(lease->engines, lease->engine);
     g_mutex_unlock(&lease->engines->lock);
+    if (is_news)
+        hs_fleet_engines_tell(lease->engines, &use, false);
 }
 
 void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load) {
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -6,6 +6,13 @@
 
 #include "base/clock.h"
 
+#include <math.h>
+
+/**
+ * Others' prompts that take longer than this to be read are a reason to look at another engine:
+ * some fifth of the time in which first tokens are wanted.
+ */
+#define QUEUE_LOOK_MS 80.0
 /** An engine stays among the uses for this long after its last request, so that lost words mend. */
 #define LEFT_LATELY_MS 1500
 
@@ -31,7 +38,8 @@
                            .batch = engine->batch,
                            .rank_ms = highest_rank(engine),
                            .served = engine->served_count,
-                           .failed = engine->failed_count};
+                           .failed = engine->failed_count,
+                           .queued_tokens = (uint32_t)engine->queued_tokens};
 }
 
 void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
@@ -84,6 +92,7 @@
     if (engine != NULL) {
         engine->told_online = total->online > engine->online ? total->online - engine->online : 0;
         engine->told_batch = total->batch > engine->batch ? total->batch - engine->batch : 0;
+        engine->told_queued = fmax((double)total->queued_tokens - (double)engine->queued_tokens, 0);
         engine->told_ms = hs_clock_monotonic_ms();
         engine->told_failing_ms = total->is_failing ? engine->told_ms : 0;
         engine->told_count++;
@@ -140,6 +149,16 @@
     return is_waiting;
 }
 
+/** Whether an online request would wait for a slot, or for others' prompts to be read. */
+static bool would_wait(const hs_engine_lease *lease, uint64_t now_ms) {
+    const hs_fleet_engine *engine = lease->engine;
+    double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
+    const hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, engine->entry.service);
+    double queued = hs_fleet_engine_others_queued(engine, now_ms) + (double)engine->queued_tokens -
+                    lease->unread_tokens;
+    return online > engine->entry.slots || queued > speed->tokens_per_ms * QUEUE_LOOK_MS;
+}
+
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms) {
     hs_lease_word word = HS_LEASE_UNHEARD;
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -147,11 +166,10 @@
     const hs_fleet_engine *engine = lease->engine;
     if (wait_for_word(lease, limit_ms))
         word = HS_LEASE_FITS;
-    double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
     if (word == HS_LEASE_FITS && engine->told_failing_ms != 0)
         word = HS_LEASE_FAILING;
-    else if (is_asked_aside(lease) || (word == HS_LEASE_FITS && lease->work == HS_WORK_ONLINE &&
-                                       online > engine->entry.slots))
+    else if (is_asked_aside(lease) ||
+             (word == HS_LEASE_FITS && lease->work == HS_WORK_ONLINE && would_wait(lease, now_ms)))
         word = HS_LEASE_CROWDED;
     g_mutex_unlock(&lease->engines->lock);
     return word;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -38,6 +38,7 @@
     uint32_t peers_suspecting;
     double told_online; /**< Of other daemons, as the engine's arbiter told at told_ms. */
     double told_batch;
+    double told_queued;
     uint64_t told_ms;
     uint32_t told_count; /**< How often; wraps. */
     uint64_t
@@ -96,6 +97,7 @@
 /** What other daemons have there. */
 double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms);
+double hs_fleet_engine_others_queued(const hs_fleet_engine *engine, uint64_t now_ms);
 /** This daemon's use of the engine now. */
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
 /** Ask the batch items there of the highest rank to step aside; how many were asked. */
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -73,9 +73,10 @@
     uint32_t slots;    /**< The engine's. */
     uint32_t online;
     uint32_t batch;
-    int32_t rank_ms; /**< Highest of its batch items there; see hs_engine_query. */
-    uint32_t served; /**< Requests that ended well there so far; wraps. */
-    uint32_t failed; /**< The same that failed. */
+    int32_t rank_ms;        /**< Highest of its batch items there; see hs_engine_query. */
+    uint32_t served;        /**< Requests that ended well there so far; wraps. */
+    uint32_t failed;        /**< The same that failed. */
+    uint32_t queued_tokens; /**< Of prompts there that are not read yet. */
 } hs_engine_use;
 
 /** Called without a lock when a use changed; @p started: by a request that begins. */
@@ -111,9 +112,9 @@
 
 /** What an engine's arbiter says of a lease. */
 typedef enum {
-    HS_LEASE_FITS,    /**< There is a slot, or a batch item leaves one. */
-    HS_LEASE_CROWDED, /**< A batch item is to step aside; an online request would wait for others.
-                       */
+    HS_LEASE_FITS, /**< There is a slot, or a batch item leaves one. */
+    /** A batch item is to step aside; an online request would wait for others' slots or prompts. */
+    HS_LEASE_CROWDED,
     HS_LEASE_FAILING, /**< Requests of all daemons fail there of late. */
     HS_LEASE_UNHEARD, /**< The arbiter said nothing in time. */
 } hs_lease_word;
@@ -188,7 +189,8 @@
     uint64_t engine_hash;
     uint32_t online; /**< Requests of all daemons, this one included. */
     uint32_t batch;
-    bool is_failing; /**< Requests of all daemons fail there of late. */
+    uint32_t queued_tokens; /**< Of prompts that are not read yet. */
+    bool is_failing;        /**< Requests of all daemons fail there of late. */
 } hs_engine_total;
 
 /** Take an arbiter's word. */
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -33,6 +33,7 @@
     uint64_t leaving_until_ms;
     uint32_t served; /**< As told last. */
     uint32_t failed;
+    uint32_t queued_tokens;
     uint64_t told_ms; /**< 0: it has told nothing yet. */
 } daemon_use;
 
@@ -148,6 +149,7 @@
     use->rank_ms = told->rank_ms;
     use->served = told->served;
     use->failed = told->failed;
+    use->queued_tokens = told->queued_tokens;
     use->told_ms = now_ms;
     return started;
 }
@@ -164,6 +166,7 @@
         const daemon_use *use = engine->uses->pdata[index];
         totals.online += use->online;
         totals.batch += staying(use, now_ms);
+        totals.queued_tokens += use->queued_tokens;
     }
     return totals;
 }
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -29,6 +29,7 @@
     int32_t rank_ms; /**< Of its batch item there of the highest rank; see hs_engine_query. */
     uint32_t served; /**< Requests of its life that ended well there; wraps. */
     uint32_t failed; /**< The same that failed. */
+    uint32_t queued_tokens; /**< Of its prompts there that are not read yet. */
 } hs_slot_use;
 
 /** Batch items of a daemon that must leave an engine. */
@@ -40,8 +41,9 @@
 /** All daemons' requests on one engine. */
 typedef struct {
     uint32_t online;
-    uint32_t batch;  /**< Without those that were asked to leave. */
-    bool is_failing; /**< The daemon's request should go elsewhere; see engine_health.h. */
+    uint32_t batch;         /**< Without those that were asked to leave. */
+    uint32_t queued_tokens; /**< Of prompts that are not read yet. */
+    bool is_failing;        /**< The daemon's request should go elsewhere; see engine_health.h. */
 } hs_slot_totals;
 
 typedef struct hs_slot_ledger hs_slot_ledger;
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -226,6 +226,7 @@
     hs_fleet_engines *engines;
     bool is_silent;
     uint32_t online; /**< Of all daemons, as it tells. */
+    uint32_t queued_tokens;
     bool says_failing;
 } test_arbiter;
 
@@ -233,6 +234,7 @@
     const test_arbiter *arbiter = user_data;
     hs_engine_total total = {.engine_hash = use->engine_hash,
                              .online = arbiter->online,
+                             .queued_tokens = arbiter->queued_tokens,
                              .is_failing = arbiter->says_failing};
     if (started && !arbiter->is_silent)
         hs_fleet_engines_put_total(arbiter->engines, &total);
@@ -253,6 +255,10 @@
     test_arbiter arbiter = {.engines = engines, .online = SLOTS};
     hs_fleet_engines_set_teller(engines, arbitrate, &arbiter);
     CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_FITS);
+    arbiter.queued_tokens = 100000; /* Long prompts of others, not read yet. */
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_CROWDED);
+    arbiter.queued_tokens = 100;
+    CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_FITS);
     arbiter.online = SLOTS + 1;
     CU_ASSERT_EQUAL(word_of(engines), HS_LEASE_CROWDED);
     arbiter.says_failing = true;
