A daemon that the store turns away passes submissions on

Ruled out: waiting longer at the same daemon (the store serves others meanwhile). Change: where three calls to the store failed in a row, a submission goes to the partition's owner, or owners of the next partitions, over their address for daemons; owners hold their partitions by the store's word. One that got a job and did not answer may have taken it: 504, never 503. An asked daemon that cannot reach the store either says 503 at once. job_submission.c and job_peer.c come out of job_service.c and job_calls.c.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -8,15 +8,13 @@
  * only where the owner is unknown or unsure does this daemon read the partition's log itself. With
  * hundreds of daemons the log would else be read by each of them from its beginning.
  */
+#include "jobs/job_peer.h"
 #include "jobs/job_service_state.h"
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "http/client_connection.h"
-#include "http/http_fields.h"
 #include "platform/job_codec.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
 /** Most text in one page of results, in bytes; callers take a megabyte at most. */
@@ -29,12 +27,8 @@
  * they were told a second ago at every daemon.
  */
 #define FOLD_AGE_MOST_MS 900
-/** An owner that takes longer than this to accept a connection is asked no further, in ms. */
-#define OWNER_CONNECT_MS 250
 /** What an owner may need beyond the time for which it holds the answer, in ms. */
 #define OWNER_ANSWER_MS 400
-/** Largest answer of an owner, in bytes: a page, escaped. */
-#define OWNER_ANSWER_BYTES (16U * 1024 * 1024)
 
 /** How well a fold is known to show what is in the log. */
 typedef enum {
@@ -170,33 +164,6 @@
     return hs_job_partition_is_current(partition, now_ms - MIN(now_ms, FOLD_AGE_MOST_MS));
 }
 
-/** The call as it came, for the owner. Free with g_string_free. */
-static GString *write_head(const hs_inbound *inbound) {
-    GString *head = g_string_new(NULL);
-    g_string_append_printf(head, "%s %s HTTP/1.1\r\n", inbound->method, inbound->target);
-    for (guint index = 0; index < inbound->fields->len; index++) {
-        const hs_http_field *field = &g_array_index(inbound->fields, hs_http_field, index);
-        if (!hs_http_fields_is_hop_by_hop(inbound->fields, field->name) &&
-            g_ascii_strcasecmp(field->name, "Content-Length") != 0)
-            g_string_append_printf(head, "%s: %s\r\n", field->name, field->value);
-    }
-    g_string_append(head, "\r\n");
-    return head;
-}
-
-/** Send the call on @p connection; the owner's status, or 0 where no whole answer came. */
-static uint32_t ask_owner(const job_call *call, hs_client_connection *connection,
-                          const hs_wait *wait) {
-    GString *head = write_head(call->inbound);
-    hs_step step = hs_client_connection_send(connection, head, NULL, 0, false, wait);
-    g_string_free(head, TRUE);
-    if (step == HS_STEP_PROGRESS)
-        step = hs_client_connection_read_head(connection, wait);
-    if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
-        step = hs_client_connection_read_all(connection, OWNER_ANSWER_BYTES, wait);
-    return step == HS_STEP_COMPLETE ? hs_client_connection_status(connection) : 0;
-}
-
 /**
  * Pass the call on to the partition's owner and its answer back. False: no owner is known, or it
  * did not answer or was not sure; nothing was answered.
@@ -207,27 +174,17 @@
     uint32_t part = hs_job_partition_number(call->partition);
     if (daemons == NULL || !hs_daemon_directory_owner(daemons, part, &owner))
         return false;
-    uint64_t now_ms = hs_clock_monotonic_ms();
     uint64_t limit_ms = MIN(call->terms->wait_ms, (uint64_t)WAIT_MOST_MS) + OWNER_ANSWER_MS;
-    hs_wait wait = {.deadline = MIN(call->deadline, now_ms + OWNER_CONNECT_MS),
-                    .watched = call->inbound->descriptor};
-    hs_step step = HS_STEP_CUT;
-    hs_client_connection *connection =
-        hs_client_connection_open(owner.address, owner.port, &wait, &step);
-    if (connection == NULL)
+    hs_peer_answer told;
+    if (hs_job_peer_ask(&owner, call->inbound,
+                        MIN(call->deadline, hs_clock_monotonic_ms() + limit_ms),
+                        &told) != HS_PEER_ANSWERED)
         return false;
-    wait.deadline = MIN(call->deadline, now_ms + limit_ms);
-    uint32_t status = ask_owner(call, connection, &wait);
-    bool is_answer = status == 200 || status == 404;
-    if (is_answer) {
-        const GByteArray *body = hs_client_connection_body(connection);
-        const char *type =
-            hs_http_fields_find(hs_client_connection_fields(connection), "Content-Type");
-        hs_job_reply(call->inbound, status, type != NULL ? type : "text/plain", body->data,
-                     body->len);
-    }
-    hs_client_connection_close(connection);
-    return is_answer;
+    bool is_sure = told.status == 200 || told.status == 404;
+    if (is_sure)
+        hs_job_reply(call->inbound, told.status, told.type, told.body->data, told.body->len);
+    hs_peer_answer_clear(&told);
+    return is_sure;
 }
 
 static job_call make_call(hs_job_service *service, hs_inbound *inbound,
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -35,6 +35,11 @@
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
                            const hs_caller_terms *terms, const hs_fleet_config *config,
                            const hs_fleet_route *route);
+/** A submission that another daemon, which cannot reach the store, passes on. */
+void hs_job_service_submit_of_peer(hs_job_service *service, hs_inbound *inbound,
+                                   const hs_caller_terms *terms, const hs_fleet_config *config,
+                                   const hs_fleet_route *route);
+
 /** A caller's call about a submitted job, at any daemon. @p kind: a read, an item or an end. */
 void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
                          hs_call_kind kind, const char *job_id);
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -14,6 +14,8 @@
 #define PATIENCE_MOST_MS 2000
 #define PATIENCE_BYTES_PER_MS 10000
 #define WRITE_WEIGHT 0.2
+/** Calls in a row that fail now and then though the store can be reached: answers are lost. */
+#define FAILING_CALLS 3
 #define ANSWER_LIMIT_BYTES (32U * 1024 * 1024)
 
 struct hs_store_client {
@@ -23,6 +25,7 @@
     GMutex lock;
     GQueue idle; /**< of hs_client_connection*; the latest used last. */
     hs_store_counters counters;
+    uint32_t failed_in_a_row;
     double write_ms; /**< Mean time of answers to small writes of late. */
     hs_interrupt abandoned;
 };
@@ -185,6 +188,8 @@
             outcome = exchange(client, connection, call, &wait, answer);
     }
     g_mutex_lock(&client->lock);
+    bool has_failed = outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN;
+    client->failed_in_a_row = has_failed ? client->failed_in_a_row + 1 : 0;
     client->counters.refused += outcome == HS_STORE_REFUSED;
     client->counters.unknown += outcome == HS_STORE_UNKNOWN;
     g_mutex_unlock(&client->lock);
@@ -201,6 +206,13 @@
     return MIN(first_ms << MIN(attempt, 8), PATIENCE_MOST_MS);
 }
 
+bool hs_store_client_is_failing(hs_store_client *client) {
+    g_mutex_lock(&client->lock);
+    bool is_failing = client->failed_in_a_row >= FAILING_CALLS;
+    g_mutex_unlock(&client->lock);
+    return is_failing;
+}
+
 void hs_store_client_abandon(hs_store_client *client) {
     hs_interrupt_raise(&client->abandoned, HS_INTERRUPT_STOP);
 }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -57,6 +57,9 @@
  */
 uint64_t hs_store_client_patience_ms(hs_store_client *client, uint32_t attempt, size_t bytes);
 
+/** Whether calls failed of late, several in a row: the store is away, or turns this daemon away. */
+bool hs_store_client_is_failing(hs_store_client *client);
+
 /** Interrupt all calls, now and from now on; for the daemon's stop. */
 void hs_store_client_abandon(hs_store_client *client);
 
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -96,6 +96,19 @@
     hs_fleet_config_unref(config);
 }
 
+/** A submission of another daemon; anything else is a mistake. */
+static void serve_passed_on(hs_fleet_surface *surface, hs_inbound *inbound,
+                            const hs_caller_terms *terms) {
+    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
+    const hs_fleet_route *route =
+        config != NULL ? hs_fleet_config_find_route(config, terms->host, inbound->target) : NULL;
+    if (route != NULL && route->kind == HS_ROUTE_BATCH)
+        hs_job_service_submit_of_peer(surface->settings.jobs, inbound, terms, config, route);
+    else
+        reply_status(inbound, 503);
+    hs_fleet_config_unref(config);
+}
+
 /** A call about a job that another daemon passes on to its owner. */
 static void serve_peer(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
@@ -104,7 +117,7 @@
     g_autofree char *job_id = NULL;
     hs_call_kind kind = hs_platform_sort_call(inbound->method, inbound->target, &job_id);
     if (kind == HS_CALL_REQUEST)
-        reply_status(inbound, 404);
+        serve_passed_on(surface, inbound, &terms);
     else
         hs_job_service_call_of_peer(surface->settings.jobs, inbound, &terms, kind, job_id);
 }
@@ -174,7 +187,7 @@
  */
 static void open_optional(hs_fleet_surface *surface) {
     hs_error error = {0};
-    if (!open_listener(&surface->peers, surface->settings.control, SMALL_BODY_BYTES, serve_peer,
+    if (!open_listener(&surface->peers, surface->settings.control, BODY_LIMIT_BYTES, serve_peer,
                        surface, &error))
         hs_log_warning("peers_cannot_ask", "reason=\"%s\"", error.message);
     if (!open_listener(&surface->metrics, surface->settings.metrics, SMALL_BODY_BYTES,
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -2,6 +2,7 @@
 #include "base/clock.h"
 #include "http/http_fields.h"
 #include "platform/names.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/system/system_tests.h"
 #include "tools/surface/fleet_bench.h"
 
@@ -10,6 +11,8 @@
 #include <string.h>
 
 #define JOB_LIMIT_MS 15000
+/** Longer than the store's group and the daemons' probes need to know of a daemon. */
+#define CUT_KNOWN_MS 4500
 /** An engine that failed is tried again after one to eight seconds. */
 #define TRUST_LIMIT_MS 12000
 
@@ -304,6 +307,34 @@
     bench_answer_clear(&online);
 }
 
+/** Start a daemon anew, with the store at @p store_port (0: directly). */
+static void restart_daemon(int daemon, uint16_t store_port) {
+    bench_signal(daemon, SIGKILL);
+    bench.store_port = store_port;
+    CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
+    bench.store_port = 0;
+    CU_ASSERT_TRUE(bench_wait_ready(daemon));
+}
+
+/** A daemon that the store turns away has others take a job, and says so at once. */
+static void a_daemon_cut_from_the_store_passes_jobs_on(void) {
+    fault_proxy *proxy = fault_proxy_start(log_store_port(bench.store));
+    restart_daemon(0, fault_proxy_port(proxy));
+    hs_clock_sleep_ms(CUT_KNOWN_MS); /* It joins the others. */
+    fault_proxy_set(proxy, PROXY_RESETS);
+    hs_clock_sleep_ms(CUT_KNOWN_MS); /* What it owned is dealt to others. */
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(submit(0, "job12", 3), 202);
+    CU_ASSERT(hs_clock_monotonic_ms() - began_ms < 500);
+    g_autofree char *page = bench_wait_job(1, "job12", 3, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(page);
+    if (page != NULL)
+        check_results(page, 3);
+    fault_proxy_set(proxy, PROXY_PASSES);
+    restart_daemon(0, 0);
+    fault_proxy_stop(proxy);
+}
+
 static void a_lost_answer_of_the_store_is_no_refusal(void) {
     log_store_set_mode(bench.store, LOG_STORE_LOSES_ANSWER, CALL_APPEND, 3);
     uint32_t status = submit(1, "job7", 2);
@@ -470,6 +501,7 @@
      open_items_give_their_bodies_and_ends_stop_them},
     {"what_cannot_be_done_is_given_up", what_cannot_be_done_is_given_up},
     {"broken_items_go_on_after_their_last_event", broken_items_go_on_after_their_last_event},
+    {"a_daemon_cut_from_the_store_passes_jobs_on", a_daemon_cut_from_the_store_passes_jobs_on},
     {"a_store_that_refuses_takes_no_job_but_serves_online",
      a_store_that_refuses_takes_no_job_but_serves_online},
     {"a_lost_answer_of_the_store_is_no_refusal", a_lost_answer_of_the_store_is_no_refusal},
