--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -269,16 +269,25 @@
     g_ptr_array_free(taken.records, TRUE);
 }
 
+/** One line a message: hundreds of members join within a second of a start of all. */
+static void log_changes(Hs__MemberRecord *const *changed, guint count) {
+    g_autoptr(GString) members = g_string_new(NULL);
+    for (guint index = 0; index < count; index++)
+        g_string_append_printf(members, "%s%s:%d", index > 0 ? "," : "", changed[index]->id,
+                               (int)changed[index]->state);
+    hs_log_info("membership_change", "count=%u members=%s", count, members->str);
+}
+
 static void learn_all(hs_membership_service *service, Hs__MemberRecord **records, size_t count) {
     uint64_t now_ms = hs_clock_monotonic_ms();
+    g_autoptr(GPtrArray) changed = g_ptr_array_new();
     g_mutex_lock(&service->lock);
-    for (size_t index = 0; index < count; index++) {
-        if (!hs_membership_learn(service->membership, records[index], now_ms))
-            continue;
-        hs_log_info("membership_change", "member=%s state=%d incarnation=%" G_GUINT64_FORMAT,
-                    records[index]->id, (int)records[index]->state, records[index]->incarnation);
-    }
+    for (size_t index = 0; index < count; index++)
+        if (hs_membership_learn(service->membership, records[index], now_ms))
+            g_ptr_array_add(changed, records[index]);
     g_mutex_unlock(&service->lock);
+    if (changed->len > 0)
+        log_changes((Hs__MemberRecord *const *)changed->pdata, changed->len);
 }
 
 /** Probe @p target_id for the sender and remember whom to tell. */
