Texts of two owners of one item are not mixed

A daemon that was cut from the store and the new owner of its partition ran the same items for 2.8 s. Progress records say after which event their text follows; where both owners stood at the same event by chance, the fold continued the text of one with the text of the other, whose run had not been asked to go on there. Ruled out: lost or doubled events within one owner's text (each is a chain of its own). Change: progress names its writer, and the event its first run was asked to go on after; a text is continued by its writer, or by one that was asked to go on at its end. Test: jobs.texts_of_two_owners_are_not_mixed (failed before). spec/jobs.pml has no chance of equal events between two owners: not extended.

--- a/gen/job.pb-c.c
+++ b/gen/job.pb-c.c
@@ -1041,7 +1041,7 @@
   (ProtobufCMessageInit) hs__job_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__job_progress__field_descriptors[5] =
+static const ProtobufCFieldDescriptor hs__job_progress__field_descriptors[7] =
 {
   {
     "job_id",
@@ -1103,18 +1103,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "writer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobProgress, writer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_event",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobProgress, base_event),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__job_progress__field_indices_by_name[] = {
+  6,   /* field[6] = base_event */
   4,   /* field[4] = from_event */
   1,   /* field[1] = item */
   0,   /* field[0] = job_id */
   2,   /* field[2] = last_event */
   3,   /* field[3] = text */
+  5,   /* field[5] = writer */
 };
 static const ProtobufCIntRange hs__job_progress__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor hs__job_progress__descriptor =
 {
@@ -1124,7 +1150,7 @@
   "Hs__JobProgress",
   "hs",
   sizeof(Hs__JobProgress),
-  5,
+  7,
   hs__job_progress__field_descriptors,
   hs__job_progress__field_indices_by_name,
   1,  hs__job_progress__number_ranges,
--- a/gen/job.pb-c.h
+++ b/gen/job.pb-c.h
@@ -163,10 +163,21 @@
    * The text follows this event, and counts only where the fold stands
    */
   uint64_t from_event;
+  /*
+   * there; 0: it is all there is.
+   */
+  /*
+   * Which owner's runs made the text, by chance.
+   */
+  uint64_t writer;
+  /*
+   * The writer's first run was asked to go on after this event; 0: it began.
+   */
+  uint64_t base_event;
 };
 #define HS__JOB_PROGRESS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__job_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 typedef enum {
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -30,11 +30,13 @@
     run->content_bytes = item->content_bytes;
     run->texts = g_ptr_array_new_with_free_func(free_text);
     hs_interrupt_init(&run->interrupt);
+    run->writer = ((uint64_t)g_random_int() << 32) | g_random_int();
     if (item->progress_event > 0) {
         g_ptr_array_add(run->texts, g_string_new_len(item->progress != NULL ? item->progress : "",
                                                      (gssize)item->progress_length));
         run->events = (hs_event_stream){
             .has_last_id = true, .last_id = item->progress_event, .expects_next = true};
+        run->base_event = item->progress_event;
         run->stored_event = item->progress_event;
         run->stored_texts = 1;
     }
@@ -76,7 +78,9 @@
                             .item = run->index,
                             .from_event = follows ? known_event : 0,
                             .last_event = run->events.last_id,
-                            .text = join_texts(run, follows ? run->stored_texts : 0)};
+                            .text = join_texts(run, follows ? run->stored_texts : 0),
+                            .writer = run->writer,
+                            .base_event = run->base_event};
     run->stored_event = run->events.last_id;
     run->stored_texts = run->texts->len;
     return made;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -38,6 +38,8 @@
     hs_event_stream events;
     GPtrArray *texts;       /**< of GString*, one an event. */
     hs_interrupt interrupt; /**< Raised to end a try. */
+    uint64_t writer;        /**< By chance; see hs_job_progress. */
+    uint64_t base_event;    /**< Last event of what an owner before had made; 0: nothing. */
     uint64_t stored_event;  /**< Last event of what was given to be stored; 0: nothing. */
     guint stored_texts;     /**< Pieces of texts that hold it. */
     uint64_t next_checkpoint_ms;
--- a/src/jobs/job_checkpoint.c
+++ b/src/jobs/job_checkpoint.c
@@ -15,13 +15,17 @@
 /** The item's stream is not read meanwhile. */
 #define FLUSH_LIMIT_MS 300
 
-/** The last event of an item that the store is known to have; 0: none. */
+/** The last event of a run's text that the store is known to have; 0: none. */
 static uint64_t known_event(const hs_owned_partition_state *home, const hs_item_run *run) {
     uint64_t known = 0;
     const hs_job_state *state = hs_job_partition_lock(home->partition);
     const hs_job *job = hs_job_state_find(state, run->job_id);
-    if (job != NULL && run->index < job->items->len)
-        known = g_array_index(job->items, hs_job_item, run->index).progress_event;
+    if (job != NULL && run->index < job->items->len) {
+        const hs_job_item *item = &g_array_index(job->items, hs_job_item, run->index);
+        bool is_own =
+            item->progress_writer == run->writer || item->progress_event == run->base_event;
+        known = is_own ? item->progress_event : 0;
+    }
     hs_job_partition_unlock(home->partition);
     return known;
 }
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -63,6 +63,8 @@
     uint64_t from_event; /**< The text follows this event; 0: it is all there is. */
     uint64_t last_event;
     const GString *text;
+    uint64_t writer;     /**< Tells this owner's runs of the item from another owner's. */
+    uint64_t base_event; /**< The first of them was asked to go on after this event; 0: it began. */
 } hs_job_progress;
 
 /** Add a progress record to @p records; false when its text is too long to be kept. */
--- a/src/jobs/job_partition_append.c
+++ b/src/jobs/job_partition_append.c
@@ -75,6 +75,8 @@
     progress.item = made->item;
     progress.from_event = made->from_event;
     progress.last_event = made->last_event;
+    progress.writer = made->writer;
+    progress.base_event = made->base_event;
     progress.text.data = (uint8_t *)made->text->str;
     progress.text.len = made->text->len;
     Hs__JobRecord record = HS__JOB_RECORD__INIT;
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -152,6 +152,18 @@
     item->progress = g_memdup2(progress->text.data, progress->text.len);
     item->progress_length = progress->text.len;
     item->progress_event = progress->last_event;
+    item->progress_writer = progress->writer;
+}
+
+/**
+ * Whether a text continues what is there. Two owners may run an item at one time, and stand at the
+ * same event by chance; but a text may only be continued by runs that made it, or that were asked
+ * to go on after its last event.
+ */
+static bool continues(const hs_job_item *item, const Hs__JobProgress *progress) {
+    return progress->from_event == item->progress_event &&
+           (progress->writer == item->progress_writer ||
+            progress->base_event == progress->from_event);
 }
 
 /** Add a text that follows what is there; events' texts are separated by line feeds. */
@@ -163,6 +175,7 @@
         memcpy(item->progress + item->progress_length + 1, progress->text.data, progress->text.len);
     item->progress_length = length;
     item->progress_event = progress->last_event;
+    item->progress_writer = progress->writer;
 }
 
 static void apply_progress(hs_job_state *state, const Hs__JobProgress *progress) {
@@ -174,7 +187,7 @@
         return;
     if (progress->from_event == 0)
         replace_progress(item, progress);
-    else if (progress->from_event == item->progress_event)
+    else if (continues(item, progress))
         extend_progress(item, progress);
 }
 
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -36,7 +36,8 @@
     bool listed;
     char *progress; /**< What an owner before made of it; NULL: no text. */
     size_t progress_length;
-    uint64_t progress_event; /**< Last event in it; 0: it was not begun. */
+    uint64_t progress_event;  /**< Last event in it; 0: it was not begun. */
+    uint64_t progress_writer; /**< Whose runs made its end. */
 } hs_job_item;
 
 /** One job. */
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -163,6 +163,58 @@
     hs_job_state_free(state);
 }
 
+/** One record of an owner's progress. */
+typedef struct {
+    uint64_t writer;
+    uint64_t base;
+    uint64_t from;
+    uint64_t last;
+    const char *text;
+} progress_step;
+
+static void add_progress(hs_job_state *state, const progress_step *step) {
+    Hs__JobProgress progress = HS__JOB_PROGRESS__INIT;
+    progress.job_id = "job";
+    progress.writer = step->writer;
+    progress.base_event = step->base;
+    progress.from_event = step->from;
+    progress.last_event = step->last;
+    progress.text.data = (uint8_t *)step->text;
+    progress.text.len = strlen(step->text);
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_PROGRESS;
+    record.progress = &progress;
+    apply(state, &record);
+}
+
+static bool has_progress(const hs_job_state *state, const char *wanted) {
+    const hs_job *job = hs_job_state_find(state, "job");
+    const hs_job_item *item = &g_array_index(job->items, hs_job_item, 0);
+    return item->progress_length == strlen(wanted) &&
+           memcmp(item->progress, wanted, strlen(wanted)) == 0;
+}
+
+/**
+ * Two owners run an item at one time and come to stand at the same event: the text of one is not
+ * continued by the other's runs, unless they were asked to go on there.
+ */
+static void texts_of_two_owners_are_not_mixed(void) {
+    hs_job_state *state = hs_job_state_new();
+    add_manifest(state, "h");
+    add_progress(state, &(progress_step){1, 0, 0, 5, "one to five"});
+    add_progress(state, &(progress_step){2, 0, 0, 10, "other to ten"});
+    add_progress(state, &(progress_step){1, 0, 5, 10, "one to ten"}); /* Too late. */
+    add_progress(state, &(progress_step){1, 0, 10, 15, "one to fifteen"});
+    CU_ASSERT_TRUE(has_progress(state, "other to ten"));
+    add_progress(state, &(progress_step){3, 10, 10, 12, "asked"});
+    CU_ASSERT_TRUE(has_progress(state, "other to ten\nasked"));
+    add_progress(state, &(progress_step){2, 0, 10, 20, "other to twenty"});
+    CU_ASSERT_TRUE(has_progress(state, "other to ten\nasked"));
+    add_progress(state, &(progress_step){2, 0, 0, 20, "other to twenty"});
+    CU_ASSERT_TRUE(has_progress(state, "other to twenty"));
+    hs_job_state_free(state);
+}
+
 static void the_furthest_progress_counts(void) {
     hs_job_state *state = hs_job_state_new();
     add_manifest(state, "h");
@@ -503,6 +555,7 @@
     {"ends_and_needs", ends_and_needs},
     {"progress_is_put_together", progress_is_put_together},
     {"the_furthest_progress_counts", the_furthest_progress_counts},
+    {"texts_of_two_owners_are_not_mixed", texts_of_two_owners_are_not_mixed},
     {"unreadable_records_are_passed_over", unreadable_records_are_passed_over},
     {"outcomes_tell_what_is_known", outcomes_tell_what_is_known},
     {"patience_grows_up_to_the_limit", patience_grows_up_to_the_limit},
