--- a/spec/check.sh
+++ b/spec/check.sh
@@ -41,6 +41,8 @@
 run forgets-first-try always_safe wrong FORGETS_FIRST_TRY
 run no-from-check always_safe wrong NO_FROM_CHECK
 run later-result-counts always_safe wrong LATER_RESULT_COUNTS
+run writers-safety always_safe holds WRITERS
+run no-writer-check always_safe wrong "WRITERS -DNO_WRITER_CHECK"
 run no-catch-up always_safe wrong NO_CATCH_UP
 model=quota.pml
 run quota-safety limit_holds holds ""
