Counts of ends that fall are no billions of ends

Their daemons spent 75 s of processor time in one loop: an engine that is dropped and listed again has counts from zero, and its arbiter took the difference of two unsigned counts, four billion ends, one by one under its lock. Ruled out by the logs: partition not read to its end, items left out, no slots, contents trimmed. Change: counts that fall began anew, and at most 32 ends are taken from one word. Test: health.counts_that_fall_start_anew (failed before).

--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -373,7 +373,7 @@
    */
   int32_t rank_ms;
   /*
-   * Requests of the sender's life that ended well there; wraps.
+   * Requests of the sender's life that ended well there.
    */
   uint32_t served;
   /*
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -43,7 +43,7 @@
     uint32_t told_count; /**< How often; wraps. */
     uint64_t
         told_failing_ms;   /**< When the arbiter said last that it fails; 0: it says it's sound. */
-    uint32_t served_count; /**< Requests of this daemon that ended well there; wraps. */
+    uint32_t served_count; /**< Requests of this daemon that ended well there. */
     uint32_t failed_count; /**< The same that failed. */
     uint64_t left_ms;      /**< When the last request of this daemon ended there; 0: never. */
     uint64_t excess_since_ms; /**< More than its slots are believed taken since; 0: not. */
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -74,7 +74,7 @@
     uint32_t online;
     uint32_t batch;
     int32_t rank_ms;        /**< Highest of its batch items there; see hs_engine_query. */
-    uint32_t served;        /**< Requests that ended well there so far; wraps. */
+    uint32_t served;        /**< Requests that ended well there so far. */
     uint32_t failed;        /**< The same that failed. */
     uint32_t queued_tokens; /**< Of prompts there that are not read yet. */
 } hs_engine_use;
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -13,6 +13,8 @@
 /** Items that were asked to leave count as gone for this long, unless the daemon says so before. */
 #define LEAVING_VALID_MS 60
 
+/** More ends at once than this say no more of an engine's health. */
+#define ENDS_MOST 32
 /** An engine that nobody uses any more stays known as failing for this long after its time down. */
 #define HEALTH_KEPT_MS 10000
 /**
@@ -116,6 +118,14 @@
     bool batch;
 } started_work;
 
+/**
+ * Ends between two counts. A count that falls began anew: the daemon had dropped the engine from
+ * its table and met it again.
+ */
+static uint32_t ends_since(uint32_t before, uint32_t now) {
+    return now > before ? MIN(now - before, ENDS_MOST) : 0;
+}
+
 /**
  * Take how a daemon's requests ended since its last word. Its first word, or its first after a
  * restart or a long silence, only says where its counts stand.
@@ -126,7 +136,8 @@
         return;
     hs_health_state before = engine->health.state;
     hs_engine_health_note(&engine->health, hs_hash_bytes(use->daemon, strlen(use->daemon)),
-                          told->served - use->served, told->failed - use->failed, now_ms);
+                          ends_since(use->served, told->served),
+                          ends_since(use->failed, told->failed), now_ms);
     if (engine->health.state != before)
         hs_log_info("engine_health",
                     "engine_hash=%" G_GINT64_MODIFIER "x state=%s before=%s failure_rate=%.2f "
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -27,7 +27,7 @@
     uint32_t online;
     uint32_t batch;
     int32_t rank_ms; /**< Of its batch item there of the highest rank; see hs_engine_query. */
-    uint32_t served; /**< Requests of its life that ended well there; wraps. */
+    uint32_t served; /**< Requests of its life that ended well there. */
     uint32_t failed; /**< The same that failed. */
     uint32_t queued_tokens; /**< Of its prompts there that are not read yet. */
 } hs_slot_use;
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -129,7 +129,24 @@
     hs_slot_ledger_free(ledger);
 }
 
+/** A daemon that forgot an engine and met it again counts from nothing: that is no billion ends. */
+static void counts_that_fall_start_anew(void) {
+    hs_slot_ledger *ledger = hs_slot_ledger_new();
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    tell(ledger, "a", (hs_slot_use){.online = 1, .served = 50, .failed = 50});
+    tell(ledger, "a", (hs_slot_use){.online = 1});
+    CU_ASSERT(hs_clock_monotonic_ms() - began_ms < 500);
+    tell(ledger, "a", (hs_slot_use){.online = 1, .failed = 1});
+    tell(ledger, "b", (hs_slot_use){.online = 1});
+    tell(ledger, "b", (hs_slot_use){.failed = 1});
+    tell(ledger, "c", (hs_slot_use){.online = 1});
+    tell(ledger, "c", (hs_slot_use){.failed = 1});
+    CU_ASSERT_TRUE(tell(ledger, "b", (hs_slot_use){.online = 1, .failed = 1}).is_failing);
+    hs_slot_ledger_free(ledger);
+}
+
 const test_case health_tests[] = {
+    {"counts_that_fall_start_anew", counts_that_fall_start_anew},
     {"failures_of_three_daemons_take_an_engine_down",
      failures_of_three_daemons_take_an_engine_down},
     {"one_daemon_alone_takes_no_engine_down", one_daemon_alone_takes_no_engine_down},
