--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -17,6 +17,7 @@
         {"threads", thread_tests, NULL, NULL},
         {"placement", placement_tests, NULL, NULL},
         {"fleet", fleet_tests, NULL, NULL},
+        {"engines", engines_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
         {"quota", quota_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -19,6 +19,7 @@
 extern const test_case placement_tests[];
 
 extern const test_case fleet_tests[];
+extern const test_case engines_tests[];
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
 extern const test_case quota_tests[];
