--- /dev/null
+++ b/tests/system/fleet_calls.c
@@ -0,0 +1,37 @@
+/** @file fleet_calls.c  See fleet_calls.h. */
+#include "tests/system/fleet_calls.h"
+
+#include <CUnit/CUnit.h>
+#include <jansson.h>
+#include <string.h>
+
+bench_answer post_request(int daemon, const char *target, const char *id) {
+    return bench_send(&(bench_call){
+        .daemon = daemon, .method = "POST", .target = target, .request_id = id, .body = "hello"});
+}
+
+uint32_t submit_job(int daemon, const char *id, int count) {
+    g_autofree char *body = bench_job(id, count);
+    bench_answer answer = bench_send(&(bench_call){
+        .daemon = daemon, .method = "POST", .target = "/jobs/x", .request_id = id, .body = body});
+    uint32_t status = answer.status;
+    bench_answer_clear(&answer);
+    return status;
+}
+
+void check_job_results(const char *page, int count) {
+    json_t *root = json_loads(page, 0, NULL);
+    const json_t *results = json_object_get(root, "results");
+    g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+    g_autofree char *wanted = bench_item_text();
+    size_t index = 0;
+    const json_t *result = NULL;
+    json_array_foreach(results, index, result) {
+        const char *message = json_string_value(json_object_get(result, "message"));
+        g_hash_table_add(seen, (gpointer)json_string_value(json_object_get(result, "id")));
+        CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(result, "state")), "completed");
+        CU_ASSERT_STRING_EQUAL(message, wanted);
+    }
+    CU_ASSERT_EQUAL(g_hash_table_size(seen), (guint)count);
+    json_decref(root);
+}
--- /dev/null
+++ b/tests/system/fleet_calls.h
@@ -0,0 +1,19 @@
+/** @file fleet_calls.h  Calls to the fleet surface that several suites make. */
+#ifndef TESTS_SYSTEM_FLEET_CALLS_H
+#define TESTS_SYSTEM_FLEET_CALLS_H
+
+#include "tools/surface/fleet_bench.h"
+
+/** Longest that a small job may need in ms, changes of its owner included. */
+#define JOB_LIMIT_MS 15000
+
+/** A small request. Free the answer with bench_answer_clear. */
+bench_answer post_request(int daemon, const char *target, const char *id);
+
+/** Submit a job of @p count items; the status. */
+uint32_t submit_job(int daemon, const char *id, int count);
+
+/** Check a page of results: all items once and completed with the whole output. */
+void check_job_results(const char *page, int count);
+
+#endif
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -13,6 +13,7 @@
         {"leaving", leaving_tests, begin_fleet, end_fleet},
         {"placement", placement_system_tests, begin_fleet, end_fleet},
         {"fleet_surface", fleet_system_tests, begin_bench, end_bench},
+        {"fleet_jobs", fleet_job_system_tests, begin_bench, end_bench},
         {"fleet_edges", fleet_edge_system_tests, begin_bench, end_bench},
     };
     ulfius_global_init();
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -20,6 +20,7 @@
         {"engines", engines_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
+        {"item_plan", item_plan_tests, NULL, NULL},
         {"quota", quota_tests, NULL, NULL},
         {"slots", slot_tests, NULL, NULL},
         {"health", health_tests, NULL, NULL},
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -1,10 +1,7 @@
 /** @file test_jobs.c  The fold of batch jobs, and a partition over the stand-in store. */
 #include "base/clock.h"
-#include "jobs/item_choice.h"
-#include "jobs/item_estimate.h"
 #include "jobs/job_owner_state.h"
 #include "jobs/job_partition.h"
-#include "jobs/job_room.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
@@ -131,40 +128,9 @@
     hs_job_state_free(state);
 }
 
-/** Progress that follows an event counts where the fold stands at that event, and once. */
-static void progress_is_put_together(void) {
-    static const struct {
-        uint64_t from;
-        uint64_t last;
-        const char *text;
-    } steps[] = {{0, 3, "a\nb\nc"}, {3, 5, "d\ne"}, {3, 5, "d\ne"}, {4, 6, "x\ny"},
-                 {3, 9, "no"},      {5, 6, ""},     {0, 5, "old"},  {6, 7, "g"}};
-    hs_job_state *state = hs_job_state_new();
-    add_manifest(state, "h");
-    for (size_t index = 0; index < G_N_ELEMENTS(steps); index++) {
-        Hs__JobProgress progress = HS__JOB_PROGRESS__INIT;
-        progress.job_id = "job";
-        progress.item = 2;
-        progress.from_event = steps[index].from;
-        progress.last_event = steps[index].last;
-        progress.text.data = (uint8_t *)steps[index].text;
-        progress.text.len = strlen(steps[index].text);
-        Hs__JobRecord record = HS__JOB_RECORD__INIT;
-        record.kind_case = HS__JOB_RECORD__KIND_PROGRESS;
-        record.progress = &progress;
-        apply(state, &record);
-    }
-    const hs_job *job = hs_job_state_find(state, "job");
-    const hs_job_item *item = &g_array_index(job->items, hs_job_item, 2);
-    static const char wanted[] = "a\nb\nc\nd\ne\n\ng";
-    CU_ASSERT_EQUAL(item->progress_event, 7);
-    CU_ASSERT_EQUAL(item->progress_length, strlen(wanted));
-    CU_ASSERT(memcmp(item->progress, wanted, strlen(wanted)) == 0);
-    hs_job_state_free(state);
-}
-
 /** One record of an owner's progress. */
 typedef struct {
+    uint32_t item;
     uint64_t writer;
     uint64_t base;
     uint64_t from;
@@ -175,6 +141,7 @@
 static void add_progress(hs_job_state *state, const progress_step *step) {
     Hs__JobProgress progress = HS__JOB_PROGRESS__INIT;
     progress.job_id = "job";
+    progress.item = step->item;
     progress.writer = step->writer;
     progress.base_event = step->base;
     progress.from_event = step->from;
@@ -187,6 +154,25 @@
     apply(state, &record);
 }
 
+/** Progress that follows an event counts where the fold stands at that event, and once. */
+static void progress_is_put_together(void) {
+    static const progress_step steps[] = {{2, 0, 0, 0, 3, "a\nb\nc"}, {2, 0, 0, 3, 5, "d\ne"},
+                                          {2, 0, 0, 3, 5, "d\ne"},    {2, 0, 0, 4, 6, "x\ny"},
+                                          {2, 0, 0, 3, 9, "no"},      {2, 0, 0, 5, 6, ""},
+                                          {2, 0, 0, 0, 5, "old"},     {2, 0, 0, 6, 7, "g"}};
+    hs_job_state *state = hs_job_state_new();
+    add_manifest(state, "h");
+    for (size_t index = 0; index < G_N_ELEMENTS(steps); index++)
+        add_progress(state, &steps[index]);
+    const hs_job *job = hs_job_state_find(state, "job");
+    const hs_job_item *item = &g_array_index(job->items, hs_job_item, 2);
+    static const char wanted[] = "a\nb\nc\nd\ne\n\ng";
+    CU_ASSERT_EQUAL(item->progress_event, 7);
+    CU_ASSERT_EQUAL(item->progress_length, strlen(wanted));
+    CU_ASSERT(memcmp(item->progress, wanted, strlen(wanted)) == 0);
+    hs_job_state_free(state);
+}
+
 static bool has_progress(const hs_job_state *state, const char *wanted) {
     const hs_job *job = hs_job_state_find(state, "job");
     const hs_job_item *item = &g_array_index(job->items, hs_job_item, 0);
@@ -201,16 +187,16 @@
 static void texts_of_two_owners_are_not_mixed(void) {
     hs_job_state *state = hs_job_state_new();
     add_manifest(state, "h");
-    add_progress(state, &(progress_step){1, 0, 0, 5, "one to five"});
-    add_progress(state, &(progress_step){2, 0, 0, 10, "other to ten"});
-    add_progress(state, &(progress_step){1, 0, 5, 10, "one to ten"}); /* Too late. */
-    add_progress(state, &(progress_step){1, 0, 10, 15, "one to fifteen"});
+    add_progress(state, &(progress_step){0, 1, 0, 0, 5, "one to five"});
+    add_progress(state, &(progress_step){0, 2, 0, 0, 10, "other to ten"});
+    add_progress(state, &(progress_step){0, 1, 0, 5, 10, "one to ten"}); /* Too late. */
+    add_progress(state, &(progress_step){0, 1, 0, 10, 15, "one to fifteen"});
     CU_ASSERT_TRUE(has_progress(state, "other to ten"));
-    add_progress(state, &(progress_step){3, 10, 10, 12, "asked"});
+    add_progress(state, &(progress_step){0, 3, 10, 10, 12, "asked"});
     CU_ASSERT_TRUE(has_progress(state, "other to ten\nasked"));
-    add_progress(state, &(progress_step){2, 0, 10, 20, "other to twenty"});
+    add_progress(state, &(progress_step){0, 2, 0, 10, 20, "other to twenty"});
     CU_ASSERT_TRUE(has_progress(state, "other to ten\nasked"));
-    add_progress(state, &(progress_step){2, 0, 0, 20, "other to twenty"});
+    add_progress(state, &(progress_step){0, 2, 0, 0, 20, "other to twenty"});
     CU_ASSERT_TRUE(has_progress(state, "other to twenty"));
     hs_job_state_free(state);
 }
@@ -219,16 +205,8 @@
     hs_job_state *state = hs_job_state_new();
     add_manifest(state, "h");
     static const uint64_t events[] = {4, 9, 6};
-    for (size_t index = 0; index < G_N_ELEMENTS(events); index++) {
-        Hs__JobProgress progress = HS__JOB_PROGRESS__INIT;
-        progress.job_id = "job";
-        progress.item = 1;
-        progress.last_event = events[index];
-        Hs__JobRecord record = HS__JOB_RECORD__INIT;
-        record.kind_case = HS__JOB_RECORD__KIND_PROGRESS;
-        record.progress = &progress;
-        apply(state, &record);
-    }
+    for (size_t index = 0; index < G_N_ELEMENTS(events); index++)
+        add_progress(state, &(progress_step){.item = 1, .last = events[index], .text = ""});
     const hs_job *job = hs_job_state_find(state, "job");
     CU_ASSERT_EQUAL(g_array_index(job->items, hs_job_item, 1).progress_event, 9);
     hs_job_state_free(state);
@@ -467,89 +445,7 @@
     close_shop(&opened);
 }
 
-/** A daemon starts its part of the free slots among a third of all daemons, whole slots only. */
-static void items_start_where_slots_are_free(void) {
-    hs_service_room room = {.slots = 100, .online = 10, .batch = 50};
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 12);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 60, 24), 2);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 1, 24), 40);
-    CU_ASSERT_EQUAL(hs_job_room(&room, 300, 24), 1); /* 24 owners, not a hundred starters. */
-    CU_ASSERT_EQUAL(hs_job_room(&room, 300, 10), 4);
-    room.batch = 89;
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 1);
-    room.batch = 89.5; /* Not a whole slot. */
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 0);
-    room.batch = 200;
-    CU_ASSERT_EQUAL(hs_job_room(&room, 10, 24), 0);
-}
-
-/** What fits is taken whole; what cannot end in time anyway is left out first. */
-static void all_items_are_chosen_where_all_fit(void) {
-    hs_choice_item items[] = {{.left_ms = 5000, .remaining_ms = 4000},
-                              {.left_ms = 8000, .remaining_ms = 4000},
-                              {.left_ms = 9000, .remaining_ms = 9500}};
-    CU_ASSERT_EQUAL(hs_item_choice_make(items, 3, 1.0), 8000);
-    CU_ASSERT_FALSE(items[0].is_left_out);
-    CU_ASSERT_FALSE(items[1].is_left_out);
-    CU_ASSERT_TRUE(items[2].is_left_out);
-    CU_ASSERT_EQUAL(hs_item_choice_make(items, 0, 1.0), 0);
-}
-
-/** Under overload the longest is left out, so that the most items end in time. */
-static void the_longest_item_is_left_out_under_overload(void) {
-    hs_choice_item items[] = {{.left_ms = 10000, .remaining_ms = 9000},
-                              {.left_ms = 10000, .remaining_ms = 4000},
-                              {.left_ms = 11000, .remaining_ms = 5000}};
-    CU_ASSERT_EQUAL(hs_item_choice_make(items, 3, 1.0), 9000);
-    CU_ASSERT_TRUE(items[0].is_left_out);
-    CU_ASSERT_FALSE(items[1].is_left_out);
-    CU_ASSERT_FALSE(items[2].is_left_out);
-    CU_ASSERT_EQUAL(hs_item_choice_make(items, 3, 2.0), 18000); /* Two slots have room for all. */
-    CU_ASSERT_FALSE(items[0].is_left_out);
-}
-
-/** On any queue no chosen item would end late one after the other at the slots' common speed. */
-static void chosen_items_end_in_time_on_any_queue(void) {
-    GRand *chance = g_rand_new_with_seed(5);
-    for (int queue = 0; queue < 300; queue++) {
-        hs_choice_item items[40];
-        int64_t left_ms = 0;
-        for (int index = 0; index < 40; index++) {
-            left_ms += g_rand_int_range(chance, 0, 900);
-            items[index] = (hs_choice_item){
-                .left_ms = left_ms, .remaining_ms = (uint64_t)g_rand_int_range(chance, 100, 9000)};
-        }
-        double slots = g_rand_double_range(chance, 1, 9);
-        uint64_t told_ms = hs_item_choice_make(items, 40, slots);
-        uint64_t work_ms = 0;
-        for (int index = 0; index < 40; index++) {
-            work_ms += items[index].is_left_out ? 0 : items[index].remaining_ms;
-            CU_ASSERT(items[index].is_left_out ||
-                      (double)work_ms / slots <= (double)items[index].left_ms + 1);
-        }
-        CU_ASSERT_EQUAL(work_ms, told_ms);
-    }
-    g_rand_free(chance);
-}
-
-/** Nothing is expected before an item has ended; then time follows size and what is made. */
-static void estimates_follow_what_was_observed(void) {
-    hs_item_pace pace = {0};
-    CU_ASSERT_EQUAL(hs_item_pace_remaining_ms(&pace, 1000, 0), 0);
-    hs_item_pace_note(&pace, 1000, 200, 200, 4000); /* 0.2 events a token, 20 ms an event. */
-    CU_ASSERT_EQUAL(hs_item_pace_remaining_ms(&pace, 1000, 0), 4000);
-    CU_ASSERT_EQUAL(hs_item_pace_remaining_ms(&pace, 2000, 100), 6000);
-    CU_ASSERT_EQUAL(hs_item_pace_remaining_ms(&pace, 1000, 500), 200); /* Longer than expected. */
-    hs_item_pace_note(&pace, 0, 0, 0, 0);
-    CU_ASSERT_EQUAL(hs_item_pace_remaining_ms(&pace, 1000, 0), 4000);
-}
-
 const test_case job_tests[] = {
-    {"all_items_are_chosen_where_all_fit", all_items_are_chosen_where_all_fit},
-    {"the_longest_item_is_left_out_under_overload", the_longest_item_is_left_out_under_overload},
-    {"chosen_items_end_in_time_on_any_queue", chosen_items_end_in_time_on_any_queue},
-    {"estimates_follow_what_was_observed", estimates_follow_what_was_observed},
-    {"items_start_where_slots_are_free", items_start_where_slots_are_free},
     {"repeated_records_change_nothing", repeated_records_change_nothing},
     {"long_results_count_only_whole", long_results_count_only_whole},
     {"ends_and_needs", ends_and_needs},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -22,6 +22,7 @@
 extern const test_case engines_tests[];
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
+extern const test_case item_plan_tests[];
 extern const test_case quota_tests[];
 extern const test_case slot_tests[];
 extern const test_case health_tests[];
