An engine's use and an arbiter's word are one type each

Ruled out: one struct for the wire too, which is generated. Change: hs_slot_word is a daemon's name, its incarnation and its use; the ledger keeps the use as told; it answers with hs_engine_total. Behaviour and assertions as before.

--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -68,29 +68,29 @@
     }
 }
 
-/** Note one daemon's use of an engine and act on it. */
-static hs_slot_totals take_use(hs_slot_arbiter *arbiter, const hs_slot_use *use) {
+/** Note what one daemon has on an engine and act on it. */
+static hs_engine_total take_word(hs_slot_arbiter *arbiter, const hs_slot_word *word) {
     g_autoptr(GArray) asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
     g_mutex_lock(&arbiter->lock);
-    hs_slot_totals totals =
-        hs_slot_ledger_take(arbiter->ledger, use, hs_clock_monotonic_ms(), asks);
+    hs_engine_total total =
+        hs_slot_ledger_take(arbiter->ledger, word, hs_clock_monotonic_ms(), asks);
     g_mutex_unlock(&arbiter->lock);
-    pass_on(arbiter, use->engine_hash, asks);
-    return totals;
+    pass_on(arbiter, word->use.engine_hash, asks);
+    return total;
 }
 
-static hs_slot_use use_from(const Hs__PeerMessage *message, const Hs__EngineUse *told) {
-    return (hs_slot_use){.engine_hash = told->engine_hash,
-                         .daemon = message->sender_id,
-                         .incarnation = message->sender_incarnation,
-                         .sequence = message->engine_uses->sequence,
-                         .slots = told->slots,
-                         .online = told->online,
-                         .batch = told->batch,
-                         .rank_ms = told->rank_ms,
-                         .served = told->served,
-                         .failed = told->failed,
-                         .queued_tokens = told->queued_tokens};
+static hs_slot_word word_from(const Hs__PeerMessage *message, const Hs__EngineUse *told) {
+    return (hs_slot_word){.daemon = message->sender_id,
+                          .incarnation = message->sender_incarnation,
+                          .use = {.engine_hash = told->engine_hash,
+                                  .sequence = message->engine_uses->sequence,
+                                  .slots = told->slots,
+                                  .online = told->online,
+                                  .batch = told->batch,
+                                  .rank_ms = told->rank_ms,
+                                  .served = told->served,
+                                  .failed = told->failed,
+                                  .queued_tokens = told->queued_tokens}};
 }
 
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -99,10 +99,10 @@
     g_autofree Hs__EngineTotal *totals = g_new(Hs__EngineTotal, uses->n_uses + 1);
     g_autofree Hs__EngineTotal **list = g_new(Hs__EngineTotal *, uses->n_uses + 1);
     for (size_t index = 0; index < uses->n_uses; index++) {
-        hs_slot_use use = use_from(message, uses->uses[index]);
-        hs_slot_totals sum = take_use(arbiter, &use);
+        hs_slot_word word = word_from(message, uses->uses[index]);
+        hs_engine_total sum = take_word(arbiter, &word);
         hs__engine_total__init(&totals[index]);
-        totals[index].engine_hash = use.engine_hash;
+        totals[index].engine_hash = sum.engine_hash;
         totals[index].online = sum.online;
         totals[index].batch = sum.batch;
         totals[index].queued_tokens = sum.queued_tokens;
@@ -153,23 +153,10 @@
 
 /** This daemon's own use of an engine that it arbitrates itself. */
 static void take_own(hs_slot_arbiter *arbiter, const peer *self, const hs_engine_use *own) {
-    hs_slot_use use = {.engine_hash = own->engine_hash,
-                       .daemon = self->id,
-                       .incarnation = hs_membership_service_incarnation(arbiter->membership),
-                       .sequence = own->sequence,
-                       .slots = own->slots,
-                       .online = own->online,
-                       .batch = own->batch,
-                       .rank_ms = own->rank_ms,
-                       .served = own->served,
-                       .failed = own->failed,
-                       .queued_tokens = own->queued_tokens};
-    hs_slot_totals totals = take_use(arbiter, &use);
-    hs_engine_total total = {.engine_hash = own->engine_hash,
-                             .online = totals.online,
-                             .batch = totals.batch,
-                             .queued_tokens = totals.queued_tokens,
-                             .is_failing = totals.is_failing};
+    hs_slot_word word = {.daemon = self->id,
+                         .incarnation = hs_membership_service_incarnation(arbiter->membership),
+                         .use = *own};
+    hs_engine_total total = take_word(arbiter, &word);
     hs_fleet_engines_put_total(arbiter->engines, &total);
 }
 
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -190,7 +190,7 @@
     uint32_t online; /**< Requests of all daemons, this one included. */
     uint32_t batch;
     uint32_t queued_tokens; /**< Of prompts that are not read yet. */
-    bool is_failing;        /**< Requests of all daemons fail there of late. */
+    bool is_failing;        /**< The receiver's request should go elsewhere; see engine_health.h. */
 } hs_engine_total;
 
 /** Take an arbiter's word. */
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -5,7 +5,6 @@
 #include "base/log.h"
 #include "fleet/engine_health.h"
 
-#include <stdbool.h>
 #include <string.h>
 
 /** A daemon's word counts for this long; it is repeated several times meanwhile. */
@@ -27,15 +26,9 @@
 typedef struct {
     char *daemon;
     uint64_t incarnation;
-    uint64_t sequence;
-    uint32_t online;
-    uint32_t batch;
-    int32_t rank_ms;
+    hs_engine_use told;
     uint32_t leaving; /**< Of the batch items: asked to leave, not yet said to be gone. */
     uint64_t leaving_until_ms;
-    uint32_t served; /**< As told last. */
-    uint32_t failed;
-    uint32_t queued_tokens;
     uint64_t told_ms; /**< 0: it has told nothing yet. */
 } daemon_use;
 
@@ -100,8 +93,8 @@
 
 /** Batch items that stay. */
 static uint32_t staying(const daemon_use *use, uint64_t now_ms) {
-    uint32_t leaving = now_ms < use->leaving_until_ms ? MIN(use->leaving, use->batch) : 0;
-    return use->batch - leaving;
+    uint32_t leaving = now_ms < use->leaving_until_ms ? MIN(use->leaving, use->told.batch) : 0;
+    return use->told.batch - leaving;
 }
 
 static void expire_uses(engine_uses *engine, uint64_t now_ms) {
@@ -130,14 +123,14 @@
  * Take how a daemon's requests ended since its last word. Its first word, or its first after a
  * restart or a long silence, only says where its counts stand.
  */
-static void note_ends(engine_uses *engine, const daemon_use *use, const hs_slot_use *told,
+static void note_ends(engine_uses *engine, const daemon_use *use, const hs_slot_word *word,
                       uint64_t now_ms) {
-    if (use->told_ms == 0 || use->incarnation != told->incarnation)
+    if (use->told_ms == 0 || use->incarnation != word->incarnation)
         return;
     hs_health_state before = engine->health.state;
     hs_engine_health_note(&engine->health, hs_hash_bytes(use->daemon, strlen(use->daemon)),
-                          ends_since(use->served, told->served),
-                          ends_since(use->failed, told->failed), now_ms);
+                          ends_since(use->told.served, word->use.served),
+                          ends_since(use->told.failed, word->use.failed), now_ms);
     if (engine->health.state != before)
         hs_log_info("engine_health",
                     "engine_hash=%" G_GINT64_MODIFIER "x state=%s before=%s failure_rate=%.2f "
@@ -148,43 +141,39 @@
 }
 
 /** Take the word. */
-static started_work note(daemon_use *use, const hs_slot_use *told, uint64_t now_ms) {
-    started_work started = {.any = told->online + told->batch > use->online + use->batch,
-                            .batch = told->batch > use->batch};
-    uint32_t left = use->batch > told->batch ? use->batch - told->batch : 0;
+static started_work note(daemon_use *use, const hs_slot_word *word, uint64_t now_ms) {
+    const hs_engine_use *before = &use->told;
+    const hs_engine_use *now = &word->use;
+    started_work started = {.any = now->online + now->batch > before->online + before->batch,
+                            .batch = now->batch > before->batch};
+    uint32_t left = before->batch > now->batch ? before->batch - now->batch : 0;
     use->leaving -= MIN(use->leaving, left);
-    use->incarnation = told->incarnation;
-    use->sequence = told->sequence;
-    use->online = told->online;
-    use->batch = told->batch;
-    use->rank_ms = told->rank_ms;
-    use->served = told->served;
-    use->failed = told->failed;
-    use->queued_tokens = told->queued_tokens;
+    use->incarnation = word->incarnation;
+    use->told = word->use;
     use->told_ms = now_ms;
     return started;
 }
 
-static bool is_old(const daemon_use *use, const hs_slot_use *told) {
-    if (use->incarnation != told->incarnation)
-        return told->incarnation < use->incarnation;
-    return told->sequence <= use->sequence;
+static bool is_old(const daemon_use *use, const hs_slot_word *word) {
+    if (use->incarnation != word->incarnation)
+        return word->incarnation < use->incarnation;
+    return word->use.sequence <= use->told.sequence;
 }
 
-static hs_slot_totals sum(const engine_uses *engine, uint64_t now_ms) {
-    hs_slot_totals totals = {0};
+static hs_engine_total sum(const engine_uses *engine, uint64_t now_ms) {
+    hs_engine_total total = {.engine_hash = engine->hash};
     for (guint index = 0; index < engine->uses->len; index++) {
         const daemon_use *use = engine->uses->pdata[index];
-        totals.online += use->online;
-        totals.batch += staying(use, now_ms);
-        totals.queued_tokens += use->queued_tokens;
+        total.online += use->told.online;
+        total.batch += staying(use, now_ms);
+        total.queued_tokens += use->told.queued_tokens;
     }
-    return totals;
+    return total;
 }
 
 /** How readily a daemon's item leaves; @p started: the daemon has just started one there. */
 static int64_t readiness(const daemon_use *use, bool started) {
-    return (int64_t)use->rank_ms + (started ? STARTED_FIRST_MS : 0);
+    return (int64_t)use->told.rank_ms + (started ? STARTED_FIRST_MS : 0);
 }
 
 /** The daemon whose item leaves next; NULL: none has an item that stays. */
@@ -218,23 +207,23 @@
     g_array_append_val(asks, ask);
 }
 
-hs_slot_totals hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_use *told, uint64_t now_ms,
-                                   GArray *asks) {
-    engine_uses *engine = engine_of(ledger, told->engine_hash);
+hs_engine_total hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_word *word,
+                                    uint64_t now_ms, GArray *asks) {
+    engine_uses *engine = engine_of(ledger, word->use.engine_hash);
     expire_uses(engine, now_ms);
-    daemon_use *sender = use_of(engine, told->daemon);
+    daemon_use *sender = use_of(engine, word->daemon);
     started_work started = {0};
-    if (!is_old(sender, told)) {
-        note_ends(engine, sender, told, now_ms);
-        started = note(sender, told, now_ms);
+    if (!is_old(sender, word)) {
+        note_ends(engine, sender, word, now_ms);
+        started = note(sender, word, now_ms);
     }
-    hs_slot_totals totals = sum(engine, now_ms);
-    totals.is_failing = !hs_engine_health_admit(&engine->health, started.any, now_ms);
-    while (totals.online + totals.batch > told->slots && totals.batch > 0) {
+    hs_engine_total total = sum(engine, now_ms);
+    total.is_failing = !hs_engine_health_admit(&engine->health, started.any, now_ms);
+    while (total.online + total.batch > word->use.slots && total.batch > 0) {
         ask_one(next_to_leave(engine, started.batch ? sender : NULL, now_ms), now_ms, asks);
-        totals.batch--;
+        total.batch--;
     }
-    return totals;
+    return total;
 }
 
 void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms) {
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -13,24 +13,17 @@
 #ifndef HS_FLEET_SLOT_LEDGER_H
 #define HS_FLEET_SLOT_LEDGER_H
 
+#include "fleet/fleet_engines.h"
+
 #include <glib.h>
-#include <stdbool.h>
 #include <stdint.h>
 
-/** What one daemon has on one engine. */
+/** What one daemon says that it has on an engine. */
 typedef struct {
-    uint64_t engine_hash;
     const char *daemon;
-    uint64_t incarnation; /**< With the sequence: orders the words of a daemon. */
-    uint64_t sequence;
-    uint32_t slots; /**< The engine's. */
-    uint32_t online;
-    uint32_t batch;
-    int32_t rank_ms; /**< Of its batch item there of the highest rank; see hs_engine_query. */
-    uint32_t served; /**< Requests of its life that ended well there. */
-    uint32_t failed; /**< The same that failed. */
-    uint32_t queued_tokens; /**< Of its prompts there that are not read yet. */
-} hs_slot_use;
+    uint64_t incarnation; /**< With the use's sequence: orders the words of a daemon. */
+    hs_engine_use use;
+} hs_slot_word;
 
 /** Batch items of a daemon that must leave an engine. */
 typedef struct {
@@ -38,14 +31,6 @@
     uint32_t count;
 } hs_slot_ask;
 
-/** All daemons' requests on one engine. */
-typedef struct {
-    uint32_t online;
-    uint32_t batch;         /**< Without those that were asked to leave. */
-    uint32_t queued_tokens; /**< Of prompts that are not read yet. */
-    bool is_failing;        /**< The daemon's request should go elsewhere; see engine_health.h. */
-} hs_slot_totals;
-
 typedef struct hs_slot_ledger hs_slot_ledger;
 
 hs_slot_ledger *hs_slot_ledger_new(void);
@@ -53,10 +38,11 @@
 
 /**
  * Take a daemon's word; older words than the last are passed over. Who must leave is appended to
- * @p asks (of hs_slot_ask) and counts as gone from then on.
+ * @p asks (of hs_slot_ask) and counts as gone from then on, also in the answer: what all daemons
+ * have on the engine.
  */
-hs_slot_totals hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_use *use, uint64_t now_ms,
-                                   GArray *asks);
+hs_engine_total hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_word *word,
+                                    uint64_t now_ms, GArray *asks);
 
 /** Drop the words of daemons that were not heard for long. */
 void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms);
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -101,16 +101,20 @@
     g_rand_free(chance);
 }
 
-/** A daemon's word to the arbiter's ledger. */
-static hs_slot_totals tell(hs_slot_ledger *ledger, const char *daemon, hs_slot_use use) {
+/** A daemon's word to the arbiter's ledger, in its @p life. */
+static hs_engine_total tell_in_life(hs_slot_ledger *ledger, const char *daemon, uint64_t life,
+                                    hs_engine_use use) {
     static uint64_t sequence = 0;
     g_autoptr(GArray) asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
     use.engine_hash = 5;
-    use.daemon = daemon;
-    use.incarnation += 1;
     use.sequence = ++sequence;
     use.slots = 8;
-    return hs_slot_ledger_take(ledger, &use, 100, asks);
+    hs_slot_word word = {.daemon = daemon, .incarnation = life, .use = use};
+    return hs_slot_ledger_take(ledger, &word, 100, asks);
+}
+
+static hs_engine_total tell(hs_slot_ledger *ledger, const char *daemon, hs_engine_use use) {
+    return tell_in_life(ledger, daemon, 1, use);
 }
 
 /** Ends are told as counts: a lost word is mended, a restart does not count what was before. */
@@ -119,13 +123,13 @@
     static const char *const daemons[] = {"a", "b", "c"};
     for (int index = 0; index < 3; index++)
         CU_ASSERT_FALSE(
-            tell(ledger, daemons[index], (hs_slot_use){.online = 1, .failed = 50}).is_failing);
-    tell(ledger, "a", (hs_slot_use){.failed = 51});
-    tell(ledger, "a", (hs_slot_use){.failed = 1, .incarnation = 7}); /* It restarted. */
-    tell(ledger, "b", (hs_slot_use){.failed = 51});
-    CU_ASSERT_FALSE(tell(ledger, "b", (hs_slot_use){.online = 1, .failed = 51}).is_failing);
-    tell(ledger, "c", (hs_slot_use){.failed = 51});
-    CU_ASSERT_TRUE(tell(ledger, "b", (hs_slot_use){.online = 2, .failed = 51}).is_failing);
+            tell(ledger, daemons[index], (hs_engine_use){.online = 1, .failed = 50}).is_failing);
+    tell(ledger, "a", (hs_engine_use){.failed = 51});
+    tell_in_life(ledger, "a", 8, (hs_engine_use){.failed = 1}); /* It restarted. */
+    tell(ledger, "b", (hs_engine_use){.failed = 51});
+    CU_ASSERT_FALSE(tell(ledger, "b", (hs_engine_use){.online = 1, .failed = 51}).is_failing);
+    tell(ledger, "c", (hs_engine_use){.failed = 51});
+    CU_ASSERT_TRUE(tell(ledger, "b", (hs_engine_use){.online = 2, .failed = 51}).is_failing);
     hs_slot_ledger_free(ledger);
 }
 
@@ -133,15 +137,15 @@
 static void counts_that_fall_start_anew(void) {
     hs_slot_ledger *ledger = hs_slot_ledger_new();
     uint64_t began_ms = hs_clock_monotonic_ms();
-    tell(ledger, "a", (hs_slot_use){.online = 1, .served = 50, .failed = 50});
-    tell(ledger, "a", (hs_slot_use){.online = 1});
+    tell(ledger, "a", (hs_engine_use){.online = 1, .served = 50, .failed = 50});
+    tell(ledger, "a", (hs_engine_use){.online = 1});
     CU_ASSERT(hs_clock_monotonic_ms() - began_ms < 500);
-    tell(ledger, "a", (hs_slot_use){.online = 1, .failed = 1});
-    tell(ledger, "b", (hs_slot_use){.online = 1});
-    tell(ledger, "b", (hs_slot_use){.failed = 1});
-    tell(ledger, "c", (hs_slot_use){.online = 1});
-    tell(ledger, "c", (hs_slot_use){.failed = 1});
-    CU_ASSERT_TRUE(tell(ledger, "b", (hs_slot_use){.online = 1, .failed = 1}).is_failing);
+    tell(ledger, "a", (hs_engine_use){.online = 1, .failed = 1});
+    tell(ledger, "b", (hs_engine_use){.online = 1});
+    tell(ledger, "b", (hs_engine_use){.failed = 1});
+    tell(ledger, "c", (hs_engine_use){.online = 1});
+    tell(ledger, "c", (hs_engine_use){.failed = 1});
+    CU_ASSERT_TRUE(tell(ledger, "b", (hs_engine_use){.online = 1, .failed = 1}).is_failing);
     hs_slot_ledger_free(ledger);
 }
 
--- a/tests/unit/test_slots.c
+++ b/tests/unit/test_slots.c
@@ -16,19 +16,19 @@
 }
 
 /** A word of a daemon, with the next sequence. */
-static hs_slot_totals tell(hs_slot_ledger *ledger, const char *daemon, uint32_t online,
-                           uint32_t batch, uint64_t now_ms, GArray *asks) {
+static hs_engine_total tell(hs_slot_ledger *ledger, const char *daemon, uint32_t online,
+                            uint32_t batch, uint64_t now_ms, GArray *asks) {
     static uint64_t sequence = 0;
-    hs_slot_use use = {.engine_hash = ENGINE,
-                       .daemon = daemon,
-                       .incarnation = 1,
-                       .sequence = ++sequence,
-                       .slots = SLOTS,
-                       .online = online,
-                       .batch = batch,
-                       .rank_ms = rank_of(daemon)};
+    hs_slot_word word = {.daemon = daemon,
+                         .incarnation = 1,
+                         .use = {.engine_hash = ENGINE,
+                                 .sequence = ++sequence,
+                                 .slots = SLOTS,
+                                 .online = online,
+                                 .batch = batch,
+                                 .rank_ms = rank_of(daemon)}};
     g_array_set_size(asks, 0);
-    return hs_slot_ledger_take(ledger, &use, now_ms, asks);
+    return hs_slot_ledger_take(ledger, &word, now_ms, asks);
 }
 
 static uint32_t asked_of(const GArray *asks, const char *daemon) {
@@ -45,7 +45,7 @@
     tell(ledger, "a", 0, 3, 1, asks);
     tell(ledger, "b", 0, 5, 1, asks);
     CU_ASSERT_EQUAL(asks->len, 0);
-    hs_slot_totals totals = tell(ledger, "c", 1, 0, 2, asks);
+    hs_engine_total totals = tell(ledger, "c", 1, 0, 2, asks);
     CU_ASSERT_EQUAL(asks->len, 1);
     CU_ASSERT_EQUAL(asked_of(asks, "b"), 1);
     CU_ASSERT_EQUAL(totals.online, 1);
@@ -89,7 +89,8 @@
     hs_slot_ledger *ledger = hs_slot_ledger_new();
     GArray *asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
     tell(ledger, "a", 4, 4, 1, asks);
-    hs_slot_use old = {.engine_hash = ENGINE, .daemon = "a", .incarnation = 1, .slots = SLOTS};
+    hs_slot_word old = {
+        .daemon = "a", .incarnation = 1, .use = {.engine_hash = ENGINE, .slots = SLOTS}};
     CU_ASSERT_EQUAL(hs_slot_ledger_take(ledger, &old, 2, asks).online, 4);
     old.incarnation = 2; /* Another life of the daemon: it has nothing there. */
     CU_ASSERT_EQUAL(hs_slot_ledger_take(ledger, &old, 3, asks).online, 0);
@@ -98,7 +99,7 @@
     CU_ASSERT_EQUAL(asked_of(asks, "b"), 1);
     tell(ledger, "c", 1, 0, 500, asks); /* It never left: the message was lost. */
     CU_ASSERT_EQUAL(asked_of(asks, "b"), 1);
-    hs_slot_totals totals = tell(ledger, "c", 1, 0, 5000, asks);
+    hs_engine_total totals = tell(ledger, "c", 1, 0, 5000, asks);
     CU_ASSERT_EQUAL(totals.batch, 0);
     hs_slot_ledger_expire(ledger, 60000);
     g_array_free(asks, TRUE);
@@ -133,7 +134,7 @@
             online[daemon]++;
         else
             batch[daemon]++;
-        hs_slot_totals totals =
+        hs_engine_total totals =
             tell(ledger, names[daemon], online[daemon], batch[daemon], (uint64_t)step, asks);
         exceeded += totals.online + totals.batch > SLOTS && totals.batch > 0;
         for (int other = 0; other < DAEMONS && asks->len > 0; other++) {
