Engines are found by a kept table of hashes; one retry pause for the jobs' calls to the store

Cause: an arbiter's word walked the whole table of engines, and the sum of what daemons tell made a table by hash anew each time.

Change: by_hash is kept until the set of engines changes, and hs_fleet_engines_find is the one look-up; an engine's ends are counted in one place; HS_JOB_RETRY_PAUSE_MS is defined once; the number of partitions can be asked for. No policy changes.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -104,7 +104,9 @@
     }
     bool is_news = lease->unread_tokens >= TELL_READ_LEAST_TOKENS;
     count_read(lease);
-    hs_engine_use use = hs_fleet_engine_use(lease->engines, lease->engine);
+    hs_engine_use use = {0};
+    if (is_news)
+        use = hs_fleet_engine_use(lease->engines, lease->engine);
     g_mutex_unlock(&lease->engines->lock);
     if (is_news)
         hs_fleet_engines_tell(lease->engines, &use, false);
@@ -138,12 +140,19 @@
     engine->ended_ms = now_ms;
 }
 
+/** Ends that are told to the engine's arbiter as failures. */
+static bool has_failed(hs_attempt_end end) {
+    return end == HS_ATTEMPT_FAILED || end == HS_ATTEMPT_UNREACHABLE || end == HS_ATTEMPT_SILENT ||
+           end == HS_ATTEMPT_BROKEN;
+}
+
 /** What an attempt's end says of the engine. The caller holds the lock. */
 static void judge(hs_engine_lease *lease, hs_attempt_end end, uint64_t now_ms) {
     hs_fleet_engine *engine = lease->engine;
+    engine->served_count += end == HS_ATTEMPT_SERVED;
+    engine->failed_count += has_failed(end);
     switch (end) {
     case HS_ATTEMPT_SERVED:
-        engine->served_count++;
         engine->failures = 0;
         engine->suspect_until_ms = 0;
         note_end(engine, false, now_ms);
@@ -151,7 +160,6 @@
               (double)(now_ms - lease->taken_ms));
         break;
     case HS_ATTEMPT_FAILED:
-        engine->failed_count++;
         note_end(engine, true, now_ms);
         break;
     case HS_ATTEMPT_REFUSED:
@@ -161,16 +169,13 @@
         engine->misplaced = true;
         break;
     case HS_ATTEMPT_UNREACHABLE:
-        engine->failed_count++;
         suspect(engine, now_ms, "unreachable");
         break;
     case HS_ATTEMPT_SILENT:
-        engine->failed_count++;
         note_end(engine, true, now_ms);
         suspect(engine, now_ms, "silent");
         break;
     case HS_ATTEMPT_BROKEN:
-        engine->failed_count++;
         note_end(engine, true, now_ms);
         if (++engine->failures >= BROKEN_IN_A_ROW)
             suspect(engine, now_ms, "broken");
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -132,7 +132,7 @@
     return shares;
 }
 
-static void clear_sums(hs_fleet_engines *engines, GHashTable *by_hash) {
+static void clear_sums(hs_fleet_engines *engines) {
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->by_id);
@@ -144,14 +144,13 @@
         engine->peers_suspecting = 0;
         engine->peers_ended = 0;
         engine->peers_failed = 0;
-        g_hash_table_insert(by_hash, &engine->hash, engine);
     }
 }
 
-static void add_shares(const peer_load *peer, GHashTable *by_hash) {
+static void add_shares(hs_fleet_engines *engines, const peer_load *peer) {
     for (guint index = 0; index < peer->shares->len; index++) {
         const hs_engine_share *share = &g_array_index(peer->shares, hs_engine_share, index);
-        hs_fleet_engine *engine = g_hash_table_lookup(by_hash, &share->engine_hash);
+        hs_fleet_engine *engine = hs_fleet_engines_find(engines, share->engine_hash);
         if (engine == NULL)
             continue;
         engine->peers_online += share->online;
@@ -230,14 +229,13 @@
     if (now_ms < engines->summed_ms + SUM_INTERVAL_MS)
         return;
     engines->summed_ms = now_ms;
-    g_autoptr(GHashTable) by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
-    clear_sums(engines, by_hash);
+    clear_sums(engines);
     unheard_ratios unheard = count_unheard(engines, now_ms);
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->peers);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
-        add_shares(value, by_hash);
+        add_shares(engines, value);
     if (unheard.any > 0 || unheard.batch > 0)
         add_unheard(engines, &unheard);
 }
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -75,20 +75,9 @@
     return uses;
 }
 
-/** NULL when it is not known here. The caller holds the lock. */
-static hs_fleet_engine *find_by_hash(hs_fleet_engines *engines, uint64_t engine_hash) {
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, engines->by_id);
-    while (g_hash_table_iter_next(&iterator, NULL, &value))
-        if (((hs_fleet_engine *)value)->hash == engine_hash)
-            return value;
-    return NULL;
-}
-
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total) {
     g_mutex_lock(&engines->lock);
-    hs_fleet_engine *engine = find_by_hash(engines, total->engine_hash);
+    hs_fleet_engine *engine = hs_fleet_engines_find(engines, total->engine_hash);
     if (engine != NULL) {
         engine->told_online = total->online > engine->online ? total->online - engine->online : 0;
         engine->told_batch = total->batch > engine->batch ? total->batch - engine->batch : 0;
@@ -128,7 +117,7 @@
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
                                      uint32_t count) {
     g_mutex_lock(&engines->lock);
-    hs_fleet_engine *engine = find_by_hash(engines, engine_hash);
+    hs_fleet_engine *engine = hs_fleet_engines_find(engines, engine_hash);
     uint32_t asked = engine != NULL ? hs_fleet_engine_yield(engine, count) : 0;
     g_cond_broadcast(&engines->totals_told);
     g_mutex_unlock(&engines->lock);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -54,8 +54,9 @@
 
 struct hs_fleet_engines {
     GMutex lock;
-    GHashTable *by_id; /**< id -> hs_fleet_engine* */
-    GHashTable *peers; /**< peer -> peer_load* */
+    GHashTable *by_id;   /**< id -> hs_fleet_engine* */
+    GHashTable *by_hash; /**< hash -> hs_fleet_engine*, of by_id; NULL: to be made anew. */
+    GHashTable *peers;   /**< peer -> peer_load* */
     char *zone;
     GHashTable *speeds;        /**< service -> hs_engine_speed* */
     uint32_t peer_count;       /**< Other daemons there are. */
@@ -116,6 +117,8 @@
  * one: fewer than there are daemons. Infinite where the limit is not known.
  */
 double hs_fleet_engines_connection_share(const hs_fleet_engines *engines, uint32_t max_connections);
+/** Engine by the hash of its id; NULL when it is not known here. */
+hs_fleet_engine *hs_fleet_engines_find(hs_fleet_engines *engines, uint64_t engine_hash);
 GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query);
 void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms);
 void hs_fleet_engines_drop_doubted(hs_fleet_engines *engines, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -50,9 +50,29 @@
     return engines;
 }
 
+/** The set of engines changes: by_hash must not outlive one of them. The caller holds the lock. */
+static void forget_hashes(hs_fleet_engines *engines) {
+    if (engines->by_hash != NULL)
+        g_hash_table_destroy(engines->by_hash);
+    engines->by_hash = NULL;
+}
+
+hs_fleet_engine *hs_fleet_engines_find(hs_fleet_engines *engines, uint64_t engine_hash) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    if (engines->by_hash == NULL) {
+        engines->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+        g_hash_table_iter_init(&iterator, engines->by_id);
+        while (g_hash_table_iter_next(&iterator, NULL, &value))
+            g_hash_table_insert(engines->by_hash, &((hs_fleet_engine *)value)->hash, value);
+    }
+    return g_hash_table_lookup(engines->by_hash, &engine_hash);
+}
+
 void hs_fleet_engines_free(hs_fleet_engines *engines) {
     if (engines == NULL)
         return;
+    forget_hashes(engines);
     g_hash_table_destroy(engines->by_id);
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
@@ -77,6 +97,7 @@
         engine->prefixes = hs_prefix_index_new(UNKNOWN_CACHE_TOKENS);
         engine->batch_leases = g_ptr_array_new();
         g_queue_init(&engine->idle);
+        forget_hashes(engines);
         g_hash_table_insert(engines->by_id, g_strdup(entry->id), engine);
         log_entry("engine_listed", entry);
     } else if (engine->entry.draining != entry->draining) {
@@ -109,6 +130,7 @@
     hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, id);
     if (engine != NULL) {
         unlist(engine->entry.id, engine, NULL);
+        forget_hashes(engines);
         g_hash_table_remove(engines->by_id, id);
     }
     g_mutex_unlock(&engines->lock);
@@ -134,8 +156,9 @@
     gpointer key = NULL;
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
-    if (until_ms <= hs_clock_monotonic_ms())
-        g_hash_table_foreach_remove(engines->by_id, unlist, listed);
+    if (until_ms <= hs_clock_monotonic_ms() &&
+        g_hash_table_foreach_remove(engines->by_id, unlist, listed) > 0)
+        forget_hashes(engines);
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, &key, &value))
         if (!g_hash_table_contains(listed, key))
@@ -151,7 +174,8 @@
 }
 
 void hs_fleet_engines_drop_doubted(hs_fleet_engines *engines, uint64_t now_ms) {
-    g_hash_table_foreach_remove(engines->by_id, unlist_if_due, &now_ms);
+    if (g_hash_table_foreach_remove(engines->by_id, unlist_if_due, &now_ms) > 0)
+        forget_hashes(engines);
 }
 
 hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service) {
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -143,7 +143,6 @@
         }
         g_thread_join(home->tail);
     }
-    home->owned = true;
     home->tail_stopped = false;
     home->tail = hs_thread_try("job-tail", run_tail, home);
     home->owned = home->tail != NULL;
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -4,7 +4,6 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "http/http_fields.h"
-#include "platform/job_codec.h"
 
 #include <string.h>
 
@@ -12,7 +11,6 @@
 #define CALL_LIMIT_MS 4000
 /** One try to read a partition's log: callers try another daemon after about two seconds. */
 #define ONE_TRY_MS 1200
-#define RETRY_PAUSE_MS 40
 #define RETRY_AFTER_TEXT "0.3"
 /** Where a route is full, room comes as items end, a few a second. */
 #define FULL_RETRY_AFTER_TEXT "1"
@@ -53,6 +51,10 @@
     return service->partitions->pdata[part];
 }
 
+uint32_t hs_job_service_part_count(const hs_job_service *service) {
+    return service->partitions->len;
+}
+
 hs_job_partition *hs_job_service_partition_of(hs_job_service *service, const char *job_id) {
     return hs_job_service_partition(service,
                                     hs_job_partition_of(job_id, service->settings.part_count));
@@ -99,14 +101,14 @@
     record.kind_case = HS__JOB_RECORD__KIND_END;
     record.end = &end;
     uint32_t attempt = 0;
-    hs_store_outcome outcome = hs_job_partition_append(
-        partition, &record, hs_job_partition_patience(partition, attempt++, 0, deadline));
-    while (outcome != HS_STORE_DONE && outcome != HS_STORE_INVALID &&
-           hs_clock_monotonic_ms() < deadline) {
-        hs_clock_sleep_ms(RETRY_PAUSE_MS);
+    hs_store_outcome outcome = HS_STORE_REFUSED;
+    do {
+        if (attempt > 0)
+            hs_clock_sleep_ms(HS_JOB_RETRY_PAUSE_MS);
         outcome = hs_job_partition_append(
             partition, &record, hs_job_partition_patience(partition, attempt++, 0, deadline));
-    }
+    } while (outcome != HS_STORE_DONE && outcome != HS_STORE_INVALID &&
+             hs_clock_monotonic_ms() < deadline);
     hs_log_info("job_end_asked", "job=%s part=%u outcome=%s", job_id,
                 hs_job_partition_number(partition), hs_store_outcome_name(outcome));
     if (outcome == HS_STORE_DONE)
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -25,6 +25,9 @@
 /** Partition by number; borrowed. */
 hs_job_partition *hs_job_service_partition(hs_job_service *service, uint32_t part);
 
+/** How many partitions there are. */
+uint32_t hs_job_service_part_count(const hs_job_service *service);
+
 /** What keeps routes within their limits; borrowed. */
 hs_job_quota *hs_job_service_quota(hs_job_service *service);
 
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -4,6 +4,9 @@
 
 #include "jobs/job_service.h"
 
+/** Pause in ms before a call to the store is tried again: ten times what an answer takes. */
+#define HS_JOB_RETRY_PAUSE_MS 40
+
 struct hs_job_service {
     hs_job_store_settings settings;
     GPtrArray *partitions; /**< of hs_job_partition* */
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -12,7 +12,6 @@
 
 #include <string.h>
 
-#define RETRY_PAUSE_MS 40
 /** Daemons that are asked at most to take a job in this one's place. */
 #define PEERS_ASKED_MOST 3
 /** Until it is given up that one that was asked answers; the caller then asks elsewhere, in ms. */
@@ -103,7 +102,7 @@
                                       job->refuse_at));
         if (outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN)
             break;
-        hs_clock_sleep_ms(RETRY_PAUSE_MS);
+        hs_clock_sleep_ms(HS_JOB_RETRY_PAUSE_MS);
     } while (hs_clock_monotonic_ms() < job->refuse_at);
     return outcome;
 }
@@ -133,7 +132,7 @@
             if ((outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN) ||
                 hs_clock_monotonic_ms() >= limit)
                 break;
-            hs_clock_sleep_ms(RETRY_PAUSE_MS);
+            hs_clock_sleep_ms(HS_JOB_RETRY_PAUSE_MS);
         }
         if (outcome == HS_STORE_DONE)
             status = 202;
