Test of calls about jobs waits until the deal of partitions is known everywhere

Its log shows the third daemon's join of the group in the middle of the test: front-0 answered from its own fold until 559 ms, was dealt other partitions, so that it and front-1 looked into the log at 590 and 592 ms, and front-1 took partition 11 (generation 3) at 978 ms. Between two deals a partition has no owner, and calls about its jobs are then answered from the log, as designed. The test counted on a deal that was settled.

Ruled out: a fault of the product (each call was answered, none from an old fold); order of the tests (the test as first of its suite passed).

Change: heathsail_job_partitions_owned and _located tell what a daemon owns and of how many partitions it knows the live owner. The test first waits, with a limit of its own, until all three daemons own a third and know all owners, and fails if that doesn't come; then the same assertions as before hold.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -428,6 +428,20 @@
     return is_other;
 }
 
+hs_owner_counts hs_daemon_directory_count_owners(hs_daemon_directory *directory,
+                                                 uint32_t part_count) {
+    hs_owner_counts counts = {0};
+    const hs_membership *membership = hs_membership_service_lock(directory->membership);
+    for (uint32_t part = 0; part < part_count; part++) {
+        uint32_t epoch = 0;
+        const hs_member *member = hs_membership_owner(membership, part, &epoch);
+        counts.own += member != NULL && member == hs_membership_self(membership);
+        counts.located += member != NULL && member->state == HS_MEMBER_ALIVE;
+    }
+    hs_membership_service_unlock(directory->membership);
+    return counts;
+}
+
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory) {
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     uint32_t count = hs_membership_live_count(membership);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -67,6 +67,16 @@
 bool hs_daemon_directory_owner(hs_daemon_directory *directory, uint32_t part,
                                hs_daemon_address *owner);
 
+/** Who owns the partitions of jobs, as far as this daemon knows. */
+typedef struct {
+    uint32_t own;     /**< Owned by this daemon. */
+    uint32_t located; /**< With a live owner, this daemon included. */
+} hs_owner_counts;
+
+/** Count the owners of the partitions from 0 to @p part_count. */
+hs_owner_counts hs_daemon_directory_count_owners(hs_daemon_directory *directory,
+                                                 uint32_t part_count);
+
 /** Live daemons, this one included; at least 1. */
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory);
 
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -60,6 +60,15 @@
                            counters.refused);
 }
 
+static void write_partitions(GString *text, const hs_fleet_metrics_sources *sources) {
+    hs_owner_counts counts = hs_daemon_directory_count_owners(
+        sources->members, hs_job_service_part_count(sources->jobs));
+    g_string_append_printf(text,
+                           "heathsail_job_partitions_owned %u\n"
+                           "heathsail_job_partitions_located %u\n",
+                           counts.own, counts.located);
+}
+
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
     hs_online *online = sources->online;
@@ -67,6 +76,7 @@
     write_config(text, online->config);
     write_admission(text, sources->jobs);
     write_job_reads(text, sources->jobs);
+    write_partitions(text, sources);
     g_string_append_printf(text,
                            "heathsail_settings_reloads_total %d\n"
                            "heathsail_settings_refused_total %d\n",
--- a/tests/system/test_fleet_jobs.c
+++ b/tests/system/test_fleet_jobs.c
@@ -11,6 +11,10 @@
 
 /** Longer than the store's group and the daemons' probes need to know of a daemon. */
 #define CUT_KNOWN_MS 4500
+/** Longest in ms that a deal of the partitions takes: some joins of the group, each third of its
+ * TTL. */
+#define DEAL_LIMIT_MS 10000
+#define DEAL_POLL_MS 50
 
 static void a_job_is_taken_once_and_the_same_everywhere(void) {
     CU_ASSERT_EQUAL(submit_job(0, "job1", 20), 202);
@@ -48,8 +52,33 @@
     return value;
 }
 
+/** Whether a daemon owns its even share of the partitions and knows the owners of all others. */
+static bool knows_all_owners(int daemon) {
+    int share = BENCH_PARTITIONS / BENCH_DAEMONS;
+    return read_metric(daemon, "heathsail_job_partitions_owned ") == share &&
+           read_metric(daemon, "heathsail_job_partitions_located ") == BENCH_PARTITIONS;
+}
+
+/**
+ * Wait until the store has dealt the partitions to all daemons and each knows it. Between two deals
+ * a partition has no owner for a moment, and calls about its jobs are answered from the log.
+ */
+static bool wait_for_owners(void) {
+    uint64_t limit_ms = hs_clock_monotonic_ms() + DEAL_LIMIT_MS;
+    bool is_known = false;
+    while (!is_known && hs_clock_monotonic_ms() < limit_ms) {
+        is_known = true;
+        for (int daemon = 0; daemon < BENCH_DAEMONS && is_known; daemon++)
+            is_known = knows_all_owners(daemon);
+        if (!is_known)
+            hs_clock_sleep_ms(DEAL_POLL_MS);
+    }
+    return is_known;
+}
+
 /** Of all daemons one owns the job's partition; the others ask it instead of the log. */
 static void calls_about_a_job_are_answered_by_its_owner(void) {
+    CU_ASSERT_TRUE(wait_for_owners());
     CU_ASSERT_EQUAL(submit_job(0, "job11", 2), 202);
     g_autofree char *first = bench_wait_job(0, "job11", 2, JOB_LIMIT_MS);
     CU_ASSERT_PTR_NOT_NULL(first);
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -11,6 +11,8 @@
 
 #define BENCH_DAEMONS 3
 #define BENCH_ENGINES 2
+/** Partitions of the jobs' topics, the default of the setting. */
+#define BENCH_PARTITIONS 12
 #define BENCH_HOST "a.example"
 /** Events of an engine's stream. */
 #define BENCH_EVENTS 12
