Daemons that compare accounts are told only what they lack

Change: a probe that compares carries a hash of each account its sender holds; the answer has the accounts that are not among them, marked as an answer, which is not passed on. member_record.c is split off.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1409,7 +1409,7 @@
   (ProtobufCMessageInit) hs__member_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__probe__field_descriptors[4] =
+static const ProtobufCFieldDescriptor hs__probe__field_descriptors[5] =
 {
   {
     "sequence",
@@ -1459,9 +1459,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Hs__Probe, n_known),
+    offsetof(Hs__Probe, known),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__probe__field_indices_by_name[] = {
   2,   /* field[2] = gossip */
+  4,   /* field[4] = known */
   0,   /* field[0] = sequence */
   1,   /* field[1] = target_id */
   3,   /* field[3] = want_all */
@@ -1469,7 +1482,7 @@
 static const ProtobufCIntRange hs__probe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor hs__probe__descriptor =
 {
@@ -1479,14 +1492,14 @@
   "Hs__Probe",
   "hs",
   sizeof(Hs__Probe),
-  4,
+  5,
   hs__probe__field_descriptors,
   hs__probe__field_indices_by_name,
   1,  hs__probe__number_ranges,
   (ProtobufCMessageInit) hs__probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__member_list__field_descriptors[1] =
+static const ProtobufCFieldDescriptor hs__member_list__field_descriptors[2] =
 {
   {
     "records",
@@ -1500,14 +1513,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_answer",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberList, is_answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__member_list__field_indices_by_name[] = {
+  1,   /* field[1] = is_answer */
   0,   /* field[0] = records */
 };
 static const ProtobufCIntRange hs__member_list__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor hs__member_list__descriptor =
 {
@@ -1517,7 +1543,7 @@
   "Hs__MemberList",
   "hs",
   sizeof(Hs__MemberList),
-  1,
+  2,
   hs__member_list__field_descriptors,
   hs__member_list__field_indices_by_name,
   1,  hs__member_list__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -106,13 +106,18 @@
   size_t n_gossip;
   Hs__MemberRecord **gossip;
   /*
-   * The sender is new, or compares notes: answer with every account there is.
+   * The sender is new, or compares: answer with the accounts that are not among known.
    */
   protobuf_c_boolean want_all;
+  /*
+   * Hash of each account that the sender holds, as it holds it.
+   */
+  size_t n_known;
+  uint32_t *known;
 };
 #define HS__PROBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__probe__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -123,10 +128,14 @@
   ProtobufCMessage base;
   size_t n_records;
   Hs__MemberRecord **records;
+  /*
+   * Sent because the receiver asked for what it lacked; not to be passed on as news.
+   */
+  protobuf_c_boolean is_answer;
 };
 #define HS__MEMBER_LIST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__member_list__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Hs__ProbeAck
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define INDIRECT_PROBES 2
+/** An account that needs no passing on: more than any number of times an account rides. */
+#define SENT_ENOUGH 1000000U
 #define GOSSIP_FACTOR 3 /* An account rides GOSSIP_FACTOR * log2(size) times before it rests. */
 
 static void free_member(gpointer data) {
@@ -237,6 +239,11 @@
 
 bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
                          uint64_t now_ms) {
+    return hs_membership_learn_from(membership, record, HS_ACCOUNT_NEWS, now_ms);
+}
+
+bool hs_membership_learn_from(hs_membership *membership, const Hs__MemberRecord *record,
+                              hs_account_source source, uint64_t now_ms) {
     if (strcmp(record->id, membership->self->id) == 0)
         return refute(membership, record);
     hs_member *member = g_hash_table_lookup(membership->members, record->id);
@@ -259,6 +266,8 @@
     set_state(membership, member, state_of_record(record), now_ms);
     if (!is_news)
         member->sent_count = sent_count;
+    else if (source == HS_ACCOUNT_ANSWER)
+        member->sent_count = SENT_ENOUGH;
     return was_live != hs_member_is_live(member);
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -94,6 +94,27 @@
 bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
                          uint64_t now_ms);
 
+/** How an account came. */
+typedef enum {
+    HS_ACCOUNT_NEWS,   /**< Told unasked; it is passed on for a while. */
+    HS_ACCOUNT_ANSWER, /**< Asked for; it is no news to others, so that it is not passed on. */
+} hs_account_source;
+
+/** As hs_membership_learn, which takes accounts for news. */
+bool hs_membership_learn_from(hs_membership *membership, const Hs__MemberRecord *record,
+                              hs_account_source source, uint64_t now_ms);
+
+/**
+ * Hashes of all accounts as they are held here: of uint32_t, appended to @p known. Another daemon
+ * tells by them what this one lacks (hs_membership_missing), so that a comparison costs four bytes
+ * an account where nothing differs.
+ */
+void hs_membership_known(const hs_membership *membership, GArray *known);
+
+/** Members whose account here is not among @p known. @p members: borrowed, appended. */
+void hs_membership_missing(const hs_membership *membership, const uint32_t *known, size_t count,
+                           GPtrArray *members);
+
 /** Once an interval: the next probe; also ages suspects. @p orders: of hs_probe_order, appended. */
 bool hs_membership_probe_next(hs_membership *membership, uint64_t now_ms, GArray *orders);
 
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "membership/member_record.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -82,73 +83,18 @@
     g_mutex_unlock(&service->lock);
 }
 
-/** Gossip as messages; arrays and records are owned by the caller's arena (free_gossip). */
+/** Accounts that go with a message. */
 typedef struct {
-    GPtrArray *records; /**< of Hs__MemberRecord* */
+    GPtrArray *records; /**< of Hs__MemberRecord*, owned. */
 } gossip;
 
-static void free_record(gpointer data) {
-    Hs__MemberRecord *record = data;
-    for (size_t index = 0; index < record->n_owned; index++)
-        g_free(record->owned[index]);
-    g_free(record->owned);
-    for (size_t index = 0; index < record->n_leaving_engines; index++)
-        g_free(record->leaving_engines[index]);
-    g_free(record->leaving_engines);
-    g_free(record->id);
-    g_free(record->zone);
-    g_free(record);
-}
-
-static Hs__MemberState wire_state(hs_member_state state) {
-    switch (state) {
-    case HS_MEMBER_SUSPECT:
-        return HS__MEMBER_STATE__MEMBER_SUSPECT;
-    case HS_MEMBER_LEAVING:
-        return HS__MEMBER_STATE__MEMBER_LEAVING;
-    case HS_MEMBER_DEAD:
-        return HS__MEMBER_STATE__MEMBER_DEAD;
-    default:
-        return HS__MEMBER_STATE__MEMBER_ALIVE;
-    }
-}
-
-static Hs__MemberRecord *describe_member(const hs_member *member) {
-    Hs__MemberRecord *record = g_new(Hs__MemberRecord, 1);
-    hs__member_record__init(record);
-    record->id = g_strdup(member->id);
-    record->zone = g_strdup(member->zone);
-    record->incarnation = member->incarnation;
-    record->version = member->version;
-    record->state = wire_state(member->state);
-    record->address = member->address;
-    record->peer_port = member->peer_port;
-    record->admin_port = member->admin_port;
-    record->config_offset = member->config_offset;
-    record->n_leaving_engines = member->leaving_engines->len;
-    record->leaving_engines = g_new0(char *, member->leaving_engines->len);
-    for (guint index = 0; index < member->leaving_engines->len; index++)
-        record->leaving_engines[index] = g_strdup(member->leaving_engines->pdata[index]);
-    record->n_owned = member->owned->len;
-    record->owned = g_new0(Hs__OwnedPartition *, member->owned->len);
-    for (guint index = 0; index < member->owned->len; index++) {
-        const hs_owned_partition *owned = &g_array_index(member->owned, hs_owned_partition, index);
-        record->owned[index] = g_new(Hs__OwnedPartition, 1);
-        hs__owned_partition__init(record->owned[index]);
-        record->owned[index]->partition = owned->partition;
-        record->owned[index]->epoch = owned->epoch;
-        record->owned[index]->has_ready_items = owned->has_ready_items;
-    }
-    return record;
-}
-
 static gossip take_gossip(hs_membership_service *service, const char *receiver_id) {
     g_autoptr(GPtrArray) members = g_ptr_array_new();
-    gossip taken = {.records = g_ptr_array_new_with_free_func(free_record)};
+    gossip taken = {.records = g_ptr_array_new_with_free_func(hs_member_record_free)};
     g_mutex_lock(&service->lock);
     hs_membership_gossip(service->membership, receiver_id, GOSSIP_BURST, members);
     for (guint index = 0; index < members->len; index++)
-        g_ptr_array_add(taken.records, describe_member(members->pdata[index]));
+        g_ptr_array_add(taken.records, hs_member_record_new(members->pdata[index]));
     g_mutex_unlock(&service->lock);
     return taken;
 }
@@ -206,11 +152,12 @@
 
 /** Send accounts, a datagram's worth at a time. */
 static void send_accounts(hs_membership_service *service, uint32_t address, uint16_t port,
-                          Hs__MemberRecord **records, size_t count) {
+                          Hs__MemberRecord **records, size_t count, bool is_answer) {
     for (size_t first = 0; first < count; first += GOSSIP_LIMIT) {
         Hs__MemberList list = HS__MEMBER_LIST__INIT;
         list.n_records = MIN(GOSSIP_LIMIT, count - first);
         list.records = records + first;
+        list.is_answer = is_answer;
         Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
         hs_membership_service_sign(service, &message);
         message.kind_case = HS__PEER_MESSAGE__KIND_MEMBER_LIST;
@@ -225,15 +172,27 @@
     if (taken->records->len > GOSSIP_LIMIT)
         send_accounts(service, address, port,
                       (Hs__MemberRecord **)taken->records->pdata + GOSSIP_LIMIT,
-                      taken->records->len - GOSSIP_LIMIT);
+                      taken->records->len - GOSSIP_LIMIT, false);
+}
+
+/** Hashes of the accounts held here: of uint32_t. Free with g_array_unref. */
+static GArray *take_known(hs_membership_service *service) {
+    GArray *known = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    g_mutex_lock(&service->lock);
+    hs_membership_known(service->membership, known);
+    g_mutex_unlock(&service->lock);
+    return known;
 }
 
 static void send_probe(hs_membership_service *service, const hs_probe_order *order, bool want_all) {
     gossip taken = take_gossip(service, order->receiver_id);
+    g_autoptr(GArray) known = want_all ? take_known(service) : NULL;
     Hs__Probe probe = HS__PROBE__INIT;
     probe.sequence = order->sequence;
     probe.target_id = (char *)order->target_id;
     probe.want_all = want_all;
+    probe.n_known = known != NULL ? known->len : 0;
+    probe.known = known != NULL ? (uint32_t *)(void *)known->data : NULL;
     probe.n_gossip = MIN(taken.records->len, GOSSIP_LIMIT);
     probe.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
@@ -278,12 +237,13 @@
     hs_log_info("membership_change", "count=%u members=%s", count, members->str);
 }
 
-static void learn_all(hs_membership_service *service, Hs__MemberRecord **records, size_t count) {
+static void learn_all(hs_membership_service *service, Hs__MemberRecord **records, size_t count,
+                      hs_account_source source) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_autoptr(GPtrArray) changed = g_ptr_array_new();
     g_mutex_lock(&service->lock);
     for (size_t index = 0; index < count; index++)
-        if (hs_membership_learn(service->membership, records[index], now_ms))
+        if (hs_membership_learn_from(service->membership, records[index], source, now_ms))
             g_ptr_array_add(changed, records[index]);
     g_mutex_unlock(&service->lock);
     if (changed->len > 0)
@@ -340,18 +300,18 @@
     g_mutex_unlock(&service->lock);
 }
 
-/** Send every account. */
-static void send_all(hs_membership_service *service, const ack_receiver *receiver) {
+/** Answer a probe that asked for the accounts its sender lacks. */
+static void send_missing(hs_membership_service *service, const ack_receiver *receiver,
+                         const Hs__Probe *probe) {
     g_autoptr(GPtrArray) members = g_ptr_array_new();
-    g_autoptr(GPtrArray) records = g_ptr_array_new_with_free_func(free_record);
+    g_autoptr(GPtrArray) records = g_ptr_array_new_with_free_func(hs_member_record_free);
     g_mutex_lock(&service->lock);
-    hs_membership_list(service->membership, members);
+    hs_membership_missing(service->membership, probe->known, probe->n_known, members);
     for (guint index = 0; index < members->len; index++)
-        if (((hs_member *)members->pdata[index])->state != HS_MEMBER_PROPOSED)
-            g_ptr_array_add(records, describe_member(members->pdata[index]));
+        g_ptr_array_add(records, hs_member_record_new(members->pdata[index]));
     g_mutex_unlock(&service->lock);
     send_accounts(service, receiver->address, receiver->port, (Hs__MemberRecord **)records->pdata,
-                  records->len);
+                  records->len, true);
 }
 
 bool hs_membership_service_handle(hs_membership_service *service, const Hs__PeerMessage *message,
@@ -361,21 +321,24 @@
         ack_receiver sender = {.id = message->sender_id,
                                .address = ntohl(from->sin_addr.s_addr),
                                .port = ntohs(from->sin_port)};
-        learn_all(service, probe->gossip, probe->n_gossip);
+        learn_all(service, probe->gossip, probe->n_gossip, HS_ACCOUNT_NEWS);
         if (*probe->target_id != '\0')
             relay_probe(service, probe, from);
         else
             send_ack(service, &sender, probe->sequence, service->self_id);
         if (probe->want_all)
-            send_all(service, &sender);
+            send_missing(service, &sender, probe);
         return true;
     }
     if (message->kind_case == HS__PEER_MESSAGE__KIND_MEMBER_LIST) {
-        learn_all(service, message->member_list->records, message->member_list->n_records);
+        const Hs__MemberList *list = message->member_list;
+        learn_all(service, list->records, list->n_records,
+                  list->is_answer ? HS_ACCOUNT_ANSWER : HS_ACCOUNT_NEWS);
         return true;
     }
     if (message->kind_case == HS__PEER_MESSAGE__KIND_PROBE_ACK) {
-        learn_all(service, message->probe_ack->gossip, message->probe_ack->n_gossip);
+        learn_all(service, message->probe_ack->gossip, message->probe_ack->n_gossip,
+                  HS_ACCOUNT_NEWS);
         handle_ack(service, message->probe_ack);
         return true;
     }
