While the store is away, appends wait for it and jobs are not sent about in vain

Change: a store client that saw three failures in a row lets one append out each 250 ms as a trial and holds the others until a call is answered, at most for their own time; they end as refused, which is true, as they were not sent. The configuration's reads back off to 400 ms, reads of partitions to 150 ms. Before a job is passed on, the owner is asked whether it reaches the store (GET /store between daemons).

Jobs sent while the store refuses all stay late: nothing else could keep them.

--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -10,7 +10,12 @@
 
 #define READ_MAX_KB 1024
 #define ANSWER_SLACK_MS 600
-#define RETRY_MS 100
+/**
+ * Pause before a read that failed is tried again, doubled up to the most: hundreds of daemons that
+ * find the store away must not press it, and its return is to be seen well before a version is due.
+ */
+#define RETRY_FIRST_MS 100
+#define RETRY_MOST_MS 400
 
 struct hs_config_source {
     hs_store_client *store;
@@ -116,16 +121,18 @@
     GByteArray *answer = g_byte_array_new();
     uint64_t next = 0;
     bool positioned = false;
+    uint64_t retry_ms = RETRY_FIRST_MS;
     while (!g_atomic_int_get(&source->stopping)) {
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
         hs_store_contact_note(&source->contact, outcome);
-        if (outcome == HS_STORE_DONE)
-            positioned = true;
-        else if (outcome == HS_STORE_GONE)
-            positioned = false;
-        else
-            hs_clock_sleep_ms(RETRY_MS);
+        if (outcome == HS_STORE_DONE || outcome == HS_STORE_GONE) {
+            positioned = outcome == HS_STORE_DONE;
+            retry_ms = RETRY_FIRST_MS;
+        } else {
+            hs_clock_sleep_ms(retry_ms);
+            retry_ms = MIN(retry_ms * 2, RETRY_MOST_MS);
+        }
     }
     g_byte_array_free(answer, TRUE);
     return NULL;
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -19,7 +19,9 @@
 #define BYTES_PER_KB 1024
 /** Contents are older than their manifest, which may still be on its way for so long. */
 #define TRIM_AGE_MS 30000
-#define FAILED_READ_PAUSE_MS 60
+/** Before a read that failed is tried again, in ms: the store is seen to be back soon, and not
+ * pressed. */
+#define FAILED_READ_PAUSE_MS 150
 
 hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t part) {
     hs_job_partition *partition = g_new0(hs_job_partition, 1);
--- a/src/jobs/job_peer.c
+++ b/src/jobs/job_peer.c
@@ -27,12 +27,12 @@
     return head;
 }
 
-static bool exchange(hs_client_connection *connection, const hs_inbound *inbound,
+/** Send a call, with @p body where it is not NULL, and read the whole answer. */
+static bool exchange(hs_client_connection *connection, GString *head, const GByteArray *body,
                      const hs_wait *wait) {
-    GString *head = write_head(inbound);
-    hs_step step = hs_client_connection_send(connection, head, inbound->body->data,
-                                             inbound->body->len, false, wait);
-    g_string_free(head, TRUE);
+    const void *bytes = body != NULL ? body->data : NULL;
+    size_t length = body != NULL ? body->len : 0;
+    hs_step step = hs_client_connection_send(connection, head, bytes, length, false, wait);
     if (step == HS_STEP_PROGRESS)
         step = hs_client_connection_read_head(connection, wait);
     if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
@@ -60,14 +60,31 @@
         return HS_PEER_NOT_ASKED;
     wait.deadline = deadline;
     hs_peer_outcome outcome = HS_PEER_ANSWERED;
-    if (exchange(connection, inbound, &wait))
+    GString *head = write_head(inbound);
+    if (exchange(connection, head, inbound->body, &wait))
         take_answer(connection, answer);
     else
         outcome = hs_client_connection_sent_any(connection) ? HS_PEER_SILENT : HS_PEER_NOT_ASKED;
+    g_string_free(head, TRUE);
     hs_client_connection_close(connection);
     return outcome;
 }
 
+bool hs_job_peer_reaches_store(const hs_daemon_address *peer, hs_deadline deadline) {
+    hs_wait wait = {.deadline = deadline, .watched = HS_WATCH_NOTHING};
+    hs_step step = HS_STEP_CUT;
+    hs_client_connection *connection =
+        hs_client_connection_open(peer->address, peer->port, &wait, &step);
+    if (connection == NULL)
+        return false;
+    GString *head = g_string_new("GET " HS_PEER_STORE_TARGET " HTTP/1.1\r\nHost: peer\r\n\r\n");
+    bool reaches =
+        exchange(connection, head, NULL, &wait) && hs_client_connection_status(connection) == 200;
+    g_string_free(head, TRUE);
+    hs_client_connection_close(connection);
+    return reaches;
+}
+
 void hs_peer_answer_clear(hs_peer_answer *answer) {
     g_free(answer->type);
     g_byte_array_unref(answer->body);
--- a/src/jobs/job_peer.h
+++ b/src/jobs/job_peer.h
@@ -29,6 +29,15 @@
 hs_peer_outcome hs_job_peer_ask(const hs_daemon_address *peer, const hs_inbound *inbound,
                                 hs_deadline deadline, hs_peer_answer *answer);
 
+/** Target of the question whether a daemon reaches the store; 200: it does, 503: it does not. */
+#define HS_PEER_STORE_TARGET "/store"
+
+/**
+ * Ask a daemon whether it reaches the store. False too where it does not answer before @p deadline.
+ * A submission may hold a megabyte: it goes only to daemons that can store it.
+ */
+bool hs_job_peer_reaches_store(const hs_daemon_address *peer, hs_deadline deadline);
+
 void hs_peer_answer_clear(hs_peer_answer *answer);
 
 #endif
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -14,6 +14,8 @@
 
 /** Daemons that are asked at most to take a job in this one's place. */
 #define PEERS_ASKED_MOST 3
+/** Longest in ms that a daemon may take to say whether it reaches the store: some ways to it. */
+#define REACHES_STORE_MS 100
 /** Until it is given up that one that was asked answers; the caller then asks elsewhere, in ms. */
 #define PEER_LIMIT_MS 1500
 
@@ -209,7 +211,8 @@
         uint32_t other = (part + tried) % service->settings.part_count;
         hs_daemon_address owner;
         hs_peer_answer told;
-        if (!hs_daemon_directory_owner(service->daemons, other, &owner))
+        if (!hs_daemon_directory_owner(service->daemons, other, &owner) ||
+            !hs_job_peer_reaches_store(&owner, hs_clock_monotonic_ms() + REACHES_STORE_MS))
             continue;
         hs_deadline limit = MIN(job->deadline, hs_clock_monotonic_ms() + PEER_LIMIT_MS);
         hs_peer_outcome outcome = hs_job_peer_ask(&owner, job->inbound, limit, &told);
@@ -225,6 +228,8 @@
         if (is_settled)
             return true;
     }
+    hs_log_info("job_kept_here", "job=%s part=%u reason=no_owner_reaches_the_store",
+                job->terms->request_id, part);
     return false;
 }
 
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -16,6 +16,12 @@
 #define WRITE_WEIGHT 0.2
 /** So many failures in a row are more than the answers that a store in use loses now and then. */
 #define FAILING_CALLS 3
+/**
+ * While calls fail one append goes out each so many ms, to see whether appends are taken again;
+ * the others wait. Callers of jobs notice a quarter of a second more or less little, and hundreds
+ * of daemons stay far below the store's rates.
+ */
+#define TRIAL_INTERVAL_MS 250
 #define ANSWER_LIMIT_BYTES (32U * 1024 * 1024)
 
 struct hs_store_client {
@@ -26,6 +32,9 @@
     GQueue idle; /**< of hs_client_connection*; the latest used last. */
     hs_store_counters counters;
     uint32_t failed_in_a_row;
+    GCond recovered; /**< A call was answered after several failed, or the client is abandoned. */
+    uint64_t next_trial_ms; /**< While calls fail: when the next append may go out. */
+    bool is_abandoned;
     double write_ms; /**< Mean time of answers to small writes of late. */
     hs_interrupt abandoned;
 };
@@ -38,6 +47,7 @@
     struct in_addr number = {.s_addr = htonl(address)};
     g_snprintf(client->host, sizeof client->host, "%s:%u", inet_ntoa(number), port);
     g_mutex_init(&client->lock);
+    g_cond_init(&client->recovered);
     g_queue_init(&client->idle);
     return client;
 }
@@ -50,6 +60,7 @@
     if (client == NULL)
         return;
     g_queue_clear_full(&client->idle, close_connection);
+    g_cond_clear(&client->recovered);
     g_mutex_clear(&client->lock);
     hs_interrupt_clear(&client->abandoned);
     g_free(client);
@@ -162,6 +173,39 @@
     g_mutex_unlock(&client->lock);
 }
 
+/**
+ * Whether an append may go out now. Where calls fail, only a trial may; the others wait here, until
+ * calls are answered again or for a trial's interval at most. They are not sent even then: most of
+ * their time is over, and their senders try again.
+ */
+static bool may_append(hs_store_client *client, hs_deadline deadline) {
+    g_mutex_lock(&client->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    bool is_failing = client->failed_in_a_row >= FAILING_CALLS;
+    bool is_trial = is_failing && now_ms >= client->next_trial_ms;
+    if (is_trial)
+        client->next_trial_ms = now_ms + TRIAL_INTERVAL_MS;
+    gint64 until_us = (gint64)MIN(deadline, now_ms + TRIAL_INTERVAL_MS) * G_TIME_SPAN_MILLISECOND;
+    bool has_time = true;
+    while (is_failing && !is_trial && has_time && !client->is_abandoned &&
+           client->failed_in_a_row >= FAILING_CALLS)
+        has_time = g_cond_wait_until(&client->recovered, &client->lock, until_us);
+    g_mutex_unlock(&client->lock);
+    return !is_failing || is_trial;
+}
+
+/** Note how a call ended; those that wait for the store are woken when one was answered. */
+static void note_outcome(hs_store_client *client, hs_store_outcome outcome) {
+    bool has_failed = outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN;
+    g_mutex_lock(&client->lock);
+    if (!has_failed && client->failed_in_a_row >= FAILING_CALLS)
+        g_cond_broadcast(&client->recovered);
+    client->failed_in_a_row = has_failed ? client->failed_in_a_row + 1 : 0;
+    client->counters.refused += outcome == HS_STORE_REFUSED;
+    client->counters.unknown += outcome == HS_STORE_UNKNOWN;
+    g_mutex_unlock(&client->lock);
+}
+
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
                                       hs_deadline deadline, hs_interrupt *interrupt,
                                       GByteArray *answer) {
@@ -170,6 +214,10 @@
                     .interrupt = interrupt != NULL ? interrupt : &client->abandoned};
     bool is_read = strcmp(call->method, "GET") == 0;
     g_byte_array_set_size(answer, 0);
+    if (call->appends && !may_append(client, deadline)) {
+        hs_store_call_clear(call);
+        return HS_STORE_REFUSED;
+    }
     hs_client_connection *connection = take_idle(client);
     bool was_kept = connection != NULL;
     if (connection == NULL)
@@ -187,12 +235,7 @@
         if (connection != NULL)
             outcome = exchange(client, connection, call, &wait, answer);
     }
-    g_mutex_lock(&client->lock);
-    bool has_failed = outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN;
-    client->failed_in_a_row = has_failed ? client->failed_in_a_row + 1 : 0;
-    client->counters.refused += outcome == HS_STORE_REFUSED;
-    client->counters.unknown += outcome == HS_STORE_UNKNOWN;
-    g_mutex_unlock(&client->lock);
+    note_outcome(client, outcome);
     hs_store_call_clear(call);
     return outcome;
 }
@@ -215,6 +258,10 @@
 
 void hs_store_client_abandon(hs_store_client *client) {
     hs_interrupt_raise(&client->abandoned, HS_INTERRUPT_STOP);
+    g_mutex_lock(&client->lock);
+    client->is_abandoned = true;
+    g_cond_broadcast(&client->recovered);
+    g_mutex_unlock(&client->lock);
 }
 
 hs_store_counters hs_store_client_counters(hs_store_client *client) {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -44,7 +44,9 @@
 void hs_store_client_free(hs_store_client *client);
 
 /**
- * Send @p call, free its parts and put the answer's body into @p answer (emptied first).
+ * Send @p call, free its parts and put the answer's body into @p answer (emptied first). While the
+ * store is away (hs_store_client_is_failing) an append may be held back for a moment and end as
+ * HS_STORE_REFUSED without being sent.
  * @p interrupt: see hs_wait; may be NULL.
  */
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -5,6 +5,7 @@
 #include "base/endpoint.h"
 #include "base/log.h"
 #include "http/http_fields.h"
+#include "jobs/job_peer.h"
 #include "surface/fleet_metrics.h"
 
 #include <string.h>
@@ -109,9 +110,14 @@
     hs_fleet_config_unref(config);
 }
 
-/** A call about a job that another daemon passes on to its owner. */
+/** A call about a job that another daemon passes on to its owner, or whether the store is reached.
+ */
 static void serve_peer(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
+    if (strcmp(inbound->target, HS_PEER_STORE_TARGET) == 0) {
+        reply_status(inbound, hs_store_client_is_failing(surface->settings.store) ? 503 : 200);
+        return;
+    }
     hs_caller_terms terms;
     hs_platform_read_terms(inbound->fields, &terms);
     g_autofree char *job_id = NULL;
--- /dev/null
+++ b/tests/unit/test_store_client.c
@@ -0,0 +1,87 @@
+/** @file test_store_client.c  Calls to the stand-in store while it is away. */
+#include "base/clock.h"
+#include "standin/log_store/log_store.h"
+#include "store/store_client.h"
+#include "tests/unit/unit_tests.h"
+
+#include <netinet/in.h>
+
+#define TRY_MS 60
+#define AWAY_MS 1000
+/** The failures that show that the store is away, and a trial each quarter of a second. */
+#define APPENDS_MOST 8
+/** More calls than a test makes. */
+#define ALWAYS 1000000
+
+static hs_store_outcome append_once(hs_store_client *client) {
+    GByteArray *records = g_byte_array_new();
+    GByteArray *answer = g_byte_array_new();
+    hs_platform_frame_record(records, "text", 4);
+    hs_store_call call = hs_platform_append(HS_TOPIC_JOBS, 0, records);
+    hs_store_outcome outcome =
+        hs_store_client_send(client, &call, hs_clock_monotonic_ms() + TRY_MS, NULL, answer);
+    g_byte_array_free(answer, TRUE);
+    g_byte_array_free(records, TRUE);
+    return outcome;
+}
+
+static hs_store_outcome read_once(hs_store_client *client) {
+    GByteArray *answer = g_byte_array_new();
+    hs_store_call call = hs_platform_read(HS_TOPIC_JOBS, 0, 0, 1, 0);
+    hs_store_outcome outcome =
+        hs_store_client_send(client, &call, hs_clock_monotonic_ms() + AWAY_MS, NULL, answer);
+    g_byte_array_free(answer, TRUE);
+    return outcome;
+}
+
+/** Try for @p time_ms without a pause; whether one append was done. */
+static bool press(hs_store_client *client, uint64_t time_ms) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + time_ms;
+    bool done = false;
+    while (!done && hs_clock_monotonic_ms() < until_ms)
+        done = append_once(client) == HS_STORE_DONE;
+    return done;
+}
+
+static void appends_are_held_back_while_the_store_is_away(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
+    CU_ASSERT_FALSE(press(client, AWAY_MS));
+    CU_ASSERT_TRUE(log_store_calls(store, "/log-append") <= APPENDS_MOST);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
+static void one_answer_lets_all_appends_pass(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
+    press(client, AWAY_MS / 4);
+    CU_ASSERT_TRUE(hs_store_client_is_failing(client));
+    log_store_set_mode(store, LOG_STORE_SOUND, "", 0);
+    CU_ASSERT_EQUAL(read_once(client), HS_STORE_DONE);
+    CU_ASSERT_EQUAL(append_once(client), HS_STORE_DONE);
+    CU_ASSERT_EQUAL(append_once(client), HS_STORE_DONE);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
+/** Where nothing but appends is called, one of them shows that the store is back. */
+static void a_trial_finds_the_store_again(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
+    press(client, AWAY_MS / 4);
+    log_store_set_mode(store, LOG_STORE_SOUND, "", 0);
+    CU_ASSERT_TRUE(press(client, AWAY_MS));
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
+const test_case store_client_tests[] = {
+    {"appends_are_held_back_while_the_store_is_away",
+     appends_are_held_back_while_the_store_is_away},
+    {"one_answer_lets_all_appends_pass", one_answer_lets_all_appends_pass},
+    {"a_trial_finds_the_store_again", a_trial_finds_the_store_again},
+    {NULL, NULL}};
