In a large fleet loads are told to owners of partitions alone; less work for probes at rest

Cause: above 48 daemons each told 4 others a round (240 ms) what it has on engines; one of 295 daemons then knew a ninth of the others, which an engine's arbiter tells better. Only owners of partitions, which start batch items, need the sum. And each probe and acknowledgement walked all members for news, of which there is none at rest; the same for engines that a daemon does not use.

Change: a large fleet's daemons tell one owner a round, in turn; owners tell all owners, as before. Accounts are looked through only while one may be news; shares of unused engines are not worked out.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -16,13 +16,15 @@
 #define SHARES_INTERVAL_MS 240
 /**
  * Peers told in one round; with more, each round goes to the next ones, and unheard ones are taken
- * as the others. With more than a few dozen daemons few peers a round are enough, since engines'
- * arbiters tell totals: a fifth less processor time and bytes at 64 daemons, the same worth (design
- * 0007).
+ * as the others.
  */
 #define SHARES_PEERS_MAX 16
-/** The same in a large fleet: at 64 daemons each is heard by half of the others in two seconds. */
-#define SHARES_PEERS_LARGE 4
+/**
+ * The same in a large fleet, of owners of partitions alone: of 295 daemons with 24 owners each
+ * owner hears a third in the two seconds for which a word holds. The others need none, since
+ * engines' arbiters tell them totals: half the datagrams, the same worth (design 0008).
+ */
+#define SHARES_OWNERS_LARGE 1
 /** Daemons above which a fleet is large: three rounds of the most peers, so that all are heard. */
 #define LARGE_FLEET 48
 #define REGISTRY_INTERVAL_MS 4000
@@ -248,19 +250,25 @@
 }
 
 /**
- * Send to the next few peers, and, where this daemon runs batch items, to all others that do: they
- * share the slots that online requests leave.
+ * Send to the next few peers. In a large fleet these are daemons that run batch items, which need
+ * to know what online requests leave them; an engine's arbiter tells the others what they need.
+ * Where this daemon runs batch items itself, all others that do hear it: they share the free slots.
  */
 static void send_in_turn(hs_daemon_directory *directory, const GArray *peers, bool self_owns,
                          const Hs__PeerMessage *message) {
-    guint most = peers->len > LARGE_FLEET ? SHARES_PEERS_LARGE : SHARES_PEERS_MAX;
+    bool owners_only = peers->len > LARGE_FLEET && count_owners(peers) > 0;
+    guint most = owners_only ? SHARES_OWNERS_LARGE : SHARES_PEERS_MAX;
     guint first = directory->next_peer;
-    directory->next_peer += MIN(peers->len, most);
+    guint told = 0;
     for (guint count = 0; count < peers->len; count++) {
         const live_peer *peer = &g_array_index(peers, live_peer, (first + count) % peers->len);
-        if (count < most || (self_owns && peer->owns_partitions))
-            hs_peer_socket_send(directory->socket, peer->address.address, peer->address.port,
-                                message);
+        bool is_next = told < most && (!owners_only || peer->owns_partitions);
+        if (!is_next && !(self_owns && peer->owns_partitions))
+            continue;
+        hs_peer_socket_send(directory->socket, peer->address.address, peer->address.port, message);
+        told++;
+        if (is_next)
+            directory->next_peer = (first + count + 1) % peers->len;
     }
 }
 
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -118,6 +118,8 @@
         const hs_fleet_engine *engine = value;
         bool suspected =
             now_ms < engine->suspect_until_ms || hs_fleet_engine_is_silent(engine, now_ms);
+        if (engine->online + engine->batch == 0 && !suspected && engine->failed <= 0)
+            continue;
         hs_engine_share share = {.engine_hash = engine->hash,
                                  .online = engine->online,
                                  .batch = engine->batch,
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -153,6 +153,7 @@
     member->state = state;
     membership->live_version += was_live != hs_member_is_live(member);
     member->sent_count = 0;
+    membership->has_news = true;
 }
 
 /** Others speak ill of us: answer with a newer version, or a new incarnation if held for dead. */
@@ -405,11 +406,10 @@
     return (first->sent_count > second->sent_count) - (first->sent_count < second->sent_count);
 }
 
-void hs_membership_gossip(hs_membership *membership, const char *receiver_id, size_t limit,
-                          GPtrArray *records) {
+/** Accounts that have not ridden often enough yet, the freshest first. */
+static void collect_news(const hs_membership *membership, GPtrArray *candidates) {
     uint32_t rest_after =
         GOSSIP_FACTOR * (uint32_t)g_bit_storage(g_hash_table_size(membership->members));
-    g_autoptr(GPtrArray) candidates = g_ptr_array_new();
     GHashTableIter iterator;
     gpointer data;
     g_hash_table_iter_init(&iterator, membership->members);
@@ -420,6 +420,14 @@
             g_ptr_array_add(candidates, data);
     }
     g_ptr_array_sort(candidates, compare_sent_count);
+}
+
+void hs_membership_gossip(hs_membership *membership, const char *receiver_id, size_t limit,
+                          GPtrArray *records) {
+    g_autoptr(GPtrArray) candidates = g_ptr_array_new();
+    if (membership->has_news)
+        collect_news(membership, candidates);
+    membership->has_news = candidates->len > 0;
     g_ptr_array_add(records, membership->self);
     hs_member *receiver = g_hash_table_lookup(membership->members, receiver_id);
     bool must_be_told = receiver != NULL &&
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -22,6 +22,7 @@
     uint32_t next_sequence;
     uint32_t rejoin_count;
     uint64_t live_version;
+    bool has_news; /**< An account may still have to be passed on. */
 };
 
 #endif
