An owner that the store turns away appends through another daemon and gives up what was dealt anew

Ruled out: answers lost by engines as the main part (15 items by share and time); restarts from the beginning by the same daemon (none).

Change: (1) an owner that hears of a later deal by the members' accounts gives the partition up (partition_superseded). (2) While a daemon's calls to the store fail, appends to the jobs' partitions go to an owner that says it reaches the store, six asked at most, none for half a second after a vain search (append_relayed). Records are idempotent and the log's order decides, so that who appends does not matter; no answer counts as unknown. New metrics: items running.

Tests that failed first: an_owner_cut_from_the_store_stops_what_another_was_dealt, an_owner_cut_from_the_store_lists_its_results (an item ran twice without the relay).

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -125,6 +125,7 @@
                                          .control = daemon->settings->fleet_control,
                                          .online = &daemon->online,
                                          .jobs = daemon->jobs,
+                                         .owner = daemon->owner,
                                          .members = daemon->directory,
                                          .store = daemon->store,
                                          .reloads = &daemon->reloads,
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -150,6 +150,42 @@
     return home->owned;
 }
 
+/** Run nothing more of a partition; what was made may be stored for a while. The caller holds the
+ * lock. */
+static void give_up_partition(hs_owned_partition_state *home) {
+    home->owned = false;
+    home->handover_deadline = hs_clock_monotonic_ms() + HS_JOB_HANDOVER_MS;
+    abandon_runs(home);
+}
+
+/** Tell the other daemons what is owned now. The caller holds the lock. */
+static void tell_owned(hs_job_owner *owner) {
+    g_autoptr(GArray) parts = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    for (uint32_t part = 0; part < owner->partitions->len; part++)
+        if (((hs_owned_partition_state *)owner->partitions->pdata[part])->owned)
+            g_array_append_val(parts, part);
+    if (owner->settings.daemons != NULL)
+        hs_daemon_directory_tell_owned(owner->settings.daemons, parts, owner->generation);
+}
+
+void hs_job_owner_give_up_superseded(hs_job_owner *owner) {
+    bool has_changed = false;
+    for (uint32_t part = 0; part < owner->partitions->len; part++) {
+        hs_owned_partition_state *home = owner->partitions->pdata[part];
+        hs_daemon_address other;
+        if (!home->owned || owner->settings.daemons == NULL ||
+            !hs_daemon_directory_owner(owner->settings.daemons, part, &other))
+            continue;
+        hs_log_info("partition_superseded",
+                    "part=%u generation=%" G_GUINT64_FORMAT " reason=later_deal_heard", part,
+                    (guint64)owner->generation);
+        give_up_partition(home);
+        has_changed = true;
+    }
+    if (has_changed)
+        tell_owned(owner);
+}
+
 static void set_owned(hs_job_owner *owner, const GArray *parts) {
     bool has_changed = false;
     bool all_taken = true;
@@ -167,15 +203,13 @@
         if (dealt) {
             all_taken = take_partition(home) && all_taken;
         } else {
-            home->owned = false;
-            home->handover_deadline = hs_clock_monotonic_ms() + HS_JOB_HANDOVER_MS;
-            abandon_runs(home);
+            give_up_partition(home);
         }
     }
+    if (has_changed && all_taken)
+        tell_owned(owner);
     g_cond_broadcast(&owner->changed);
     g_mutex_unlock(&owner->lock);
-    if (has_changed && all_taken && owner->settings.daemons != NULL)
-        hs_daemon_directory_tell_owned(owner->settings.daemons, parts, owner->generation);
 }
 
 static hs_store_outcome join_group(hs_job_owner *owner) {
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -85,6 +85,13 @@
  */
 bool hs_job_owner_may_run(const hs_owned_partition_state *home, uint64_t now_ms);
 
+/**
+ * Give up partitions that another daemon says it was dealt later. The store's own word on it does
+ * not reach a daemon that it turns away, and both would run the same items in whole. The caller
+ * holds the lock.
+ */
+void hs_job_owner_give_up_superseded(hs_job_owner *owner);
+
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
 void hs_job_worker_run(gpointer data, gpointer user_data);
 
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -6,6 +6,7 @@
 #ifndef HS_JOBS_JOB_PARTITION_H
 #define HS_JOBS_JOB_PARTITION_H
 
+#include "jobs/job_relay.h"
 #include "jobs/job_state.h"
 #include "store/store_client.h"
 
@@ -17,7 +18,8 @@
     uint32_t part_count;
     uint32_t record_bytes;
     uint32_t call_bytes;
-    uint64_t status_ms; /**< Time after the submission for which ended jobs can be read. */
+    hs_job_relay *relay; /**< Who appends while the store turns this daemon away; NULL: nobody. */
+    uint64_t status_ms;  /**< Time after the submission for which ended jobs can be read. */
 } hs_job_store_settings;
 
 hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t part);
--- a/src/jobs/job_partition_append.c
+++ b/src/jobs/job_partition_append.c
@@ -16,10 +16,15 @@
 static hs_store_outcome append_records(hs_job_partition *partition, hs_topic topic,
                                        const GByteArray *records, hs_deadline deadline,
                                        uint64_t *offset) {
+    hs_store_outcome outcome = HS_STORE_REFUSED;
+    if (partition->settings.relay != NULL)
+        outcome = hs_job_relay_append(partition->settings.relay, topic, partition->part, records,
+                                      deadline, offset);
+    if (outcome != HS_STORE_REFUSED)
+        return outcome;
     hs_store_call call = hs_platform_append(topic, partition->part, records);
     GByteArray *answer = g_byte_array_new();
-    hs_store_outcome outcome =
-        hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    outcome = hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
     if (outcome == HS_STORE_DONE && !hs_platform_read_appended(answer, offset))
         outcome = HS_STORE_UNKNOWN;
     g_byte_array_free(answer, TRUE);
--- a/src/jobs/job_peer.c
+++ b/src/jobs/job_peer.c
@@ -49,39 +49,54 @@
     g_byte_array_append(answer->body, body->data, body->len);
 }
 
-hs_peer_outcome hs_job_peer_ask(const hs_daemon_address *peer, const hs_inbound *inbound,
-                                hs_deadline deadline, hs_peer_answer *answer) {
+/**
+ * One call on a connection of its own. @p watched: a descriptor whose end ends the call, or
+ * HS_WATCH_NOTHING. Frees @p head.
+ */
+static hs_peer_outcome call_peer(const hs_daemon_address *peer, GString *head,
+                                 const GByteArray *body, int watched, hs_deadline deadline,
+                                 hs_peer_answer *answer) {
     hs_wait wait = {.deadline = MIN(deadline, hs_clock_monotonic_ms() + CONNECT_LIMIT_MS),
-                    .watched = inbound->descriptor};
+                    .watched = watched};
     hs_step step = HS_STEP_CUT;
+    hs_peer_outcome outcome = HS_PEER_NOT_ASKED;
     hs_client_connection *connection =
         hs_client_connection_open(peer->address, peer->port, &wait, &step);
-    if (connection == NULL)
-        return HS_PEER_NOT_ASKED;
     wait.deadline = deadline;
-    hs_peer_outcome outcome = HS_PEER_ANSWERED;
-    GString *head = write_head(inbound);
-    if (exchange(connection, head, inbound->body, &wait))
+    if (connection != NULL && exchange(connection, head, body, &wait)) {
         take_answer(connection, answer);
-    else
-        outcome = hs_client_connection_sent_any(connection) ? HS_PEER_SILENT : HS_PEER_NOT_ASKED;
+        outcome = HS_PEER_ANSWERED;
+    } else if (connection != NULL && hs_client_connection_sent_any(connection)) {
+        outcome = HS_PEER_SILENT;
+    }
+    if (connection != NULL)
+        hs_client_connection_close(connection);
     g_string_free(head, TRUE);
-    hs_client_connection_close(connection);
     return outcome;
 }
 
+hs_peer_outcome hs_job_peer_ask(const hs_daemon_address *peer, const hs_inbound *inbound,
+                                hs_deadline deadline, hs_peer_answer *answer) {
+    return call_peer(peer, write_head(inbound), inbound->body, inbound->descriptor, deadline,
+                     answer);
+}
+
+hs_peer_outcome hs_job_peer_post(const hs_daemon_address *peer, const char *target,
+                                 const GByteArray *body, hs_deadline deadline,
+                                 hs_peer_answer *answer) {
+    GString *head = g_string_new(NULL);
+    g_string_printf(head, "POST %s HTTP/1.1\r\nHost: peer\r\nContent-Length: %u\r\n\r\n", target,
+                    body->len);
+    return call_peer(peer, head, body, HS_WATCH_NOTHING, deadline, answer);
+}
+
 bool hs_job_peer_reaches_store(const hs_daemon_address *peer, hs_deadline deadline) {
-    hs_wait wait = {.deadline = deadline, .watched = HS_WATCH_NOTHING};
-    hs_step step = HS_STEP_CUT;
-    hs_client_connection *connection =
-        hs_client_connection_open(peer->address, peer->port, &wait, &step);
-    if (connection == NULL)
-        return false;
     GString *head = g_string_new("GET " HS_PEER_STORE_TARGET " HTTP/1.1\r\nHost: peer\r\n\r\n");
-    bool reaches =
-        exchange(connection, head, NULL, &wait) && hs_client_connection_status(connection) == 200;
-    g_string_free(head, TRUE);
-    hs_client_connection_close(connection);
+    hs_peer_answer answer;
+    if (call_peer(peer, head, NULL, HS_WATCH_NOTHING, deadline, &answer) != HS_PEER_ANSWERED)
+        return false;
+    bool reaches = answer.status == 200;
+    hs_peer_answer_clear(&answer);
     return reaches;
 }
 
--- a/src/jobs/job_peer.h
+++ b/src/jobs/job_peer.h
@@ -38,6 +38,11 @@
  */
 bool hs_job_peer_reaches_store(const hs_daemon_address *peer, hs_deadline deadline);
 
+/** Send a call of this project's own with a body; @p target with its query. Else as above. */
+hs_peer_outcome hs_job_peer_post(const hs_daemon_address *peer, const char *target,
+                                 const GByteArray *body, hs_deadline deadline,
+                                 hs_peer_answer *answer);
+
 void hs_peer_answer_clear(hs_peer_answer *answer);
 
 #endif
--- /dev/null
+++ b/src/jobs/job_relay.c
@@ -0,0 +1,160 @@
+/** @file job_relay.c  See job_relay.h. */
+#include "jobs/job_relay.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/http_fields.h"
+#include "jobs/job_peer.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** Owners asked at most for one append: where a third of the daemons is turned away, six in a row
+ * are so one time in 700. */
+#define ASKED_MOST 6
+/** Longest in ms that a daemon may take to say whether it reaches the store: some ways to it. */
+#define REACHES_STORE_MS 100
+/** At least so long in ms for the way to the other daemon and its append. */
+#define RELAY_LEAST_MS 300
+/** What the other daemon may take for the append itself, in ms. */
+#define APPEND_LIMIT_MS 250
+/** After nobody was found who reaches the store: nobody is asked for so long, in ms. */
+#define SEARCH_PAUSE_MS 500
+#define TARGET_FORMAT "/append?topic=%u&part=%u"
+
+struct hs_job_relay {
+    hs_daemon_directory *daemons;
+    hs_store_client *store;
+    uint32_t part_count;
+    GMutex lock;
+    uint64_t next_search_ms;
+};
+
+hs_job_relay *hs_job_relay_new(hs_daemon_directory *daemons, hs_store_client *store,
+                               uint32_t part_count) {
+    hs_job_relay *relay = g_new0(hs_job_relay, 1);
+    relay->daemons = daemons;
+    relay->store = store;
+    relay->part_count = part_count;
+    g_mutex_init(&relay->lock);
+    return relay;
+}
+
+void hs_job_relay_free(hs_job_relay *relay) {
+    if (relay == NULL)
+        return;
+    g_mutex_clear(&relay->lock);
+    g_free(relay);
+}
+
+static bool may_search(hs_job_relay *relay) {
+    g_mutex_lock(&relay->lock);
+    bool may = hs_clock_monotonic_ms() >= relay->next_search_ms;
+    g_mutex_unlock(&relay->lock);
+    return may;
+}
+
+static void note_search(hs_job_relay *relay, bool is_found) {
+    g_mutex_lock(&relay->lock);
+    relay->next_search_ms = is_found ? 0 : hs_clock_monotonic_ms() + SEARCH_PAUSE_MS;
+    g_mutex_unlock(&relay->lock);
+}
+
+/** The partition's owner, or those of the next partitions, whoever reaches the store. */
+static bool find_peer(hs_job_relay *relay, uint32_t part, hs_daemon_address *peer) {
+    bool is_found = false;
+    for (uint32_t tried = 0; tried < ASKED_MOST && !is_found; tried++) {
+        uint32_t other = (part + tried) % relay->part_count;
+        is_found = hs_daemon_directory_owner(relay->daemons, other, peer) &&
+                   hs_job_peer_reaches_store(peer, hs_clock_monotonic_ms() + REACHES_STORE_MS);
+    }
+    note_search(relay, is_found);
+    return is_found;
+}
+
+/** What the other daemon's answer says of the append. */
+static hs_store_outcome read_answer(const hs_peer_answer *answer, uint64_t *offset) {
+    g_autofree char *text = g_strndup((const char *)answer->body->data, answer->body->len);
+    switch (answer->status) {
+    case 200:
+        return g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, (guint64 *)offset, NULL)
+                   ? HS_STORE_DONE
+                   : HS_STORE_UNKNOWN;
+    case 503:
+        return HS_STORE_REFUSED;
+    case 507:
+        return HS_STORE_FULL;
+    case 400:
+        return HS_STORE_INVALID;
+    default:
+        return HS_STORE_UNKNOWN;
+    }
+}
+
+hs_store_outcome hs_job_relay_append(hs_job_relay *relay, hs_topic topic, uint32_t part,
+                                     const GByteArray *records, hs_deadline deadline,
+                                     uint64_t *offset) {
+    hs_daemon_address peer;
+    if (relay->daemons == NULL || !hs_store_client_is_failing(relay->store) || !may_search(relay) ||
+        !find_peer(relay, part, &peer))
+        return HS_STORE_REFUSED;
+    g_autofree char *target = g_strdup_printf(TARGET_FORMAT, (unsigned)topic, part);
+    hs_deadline limit = MAX(deadline, hs_clock_monotonic_ms() + RELAY_LEAST_MS);
+    hs_peer_answer answer;
+    hs_peer_outcome asked = hs_job_peer_post(&peer, target, records, limit, &answer);
+    hs_store_outcome outcome = asked == HS_PEER_SILENT ? HS_STORE_UNKNOWN : HS_STORE_REFUSED;
+    if (asked == HS_PEER_ANSWERED) {
+        outcome = read_answer(&answer, offset);
+        hs_peer_answer_clear(&answer);
+    }
+    hs_log_info("append_relayed", "topic=%u part=%u bytes=%u outcome=%s", (unsigned)topic, part,
+                records->len, hs_store_outcome_name(outcome));
+    return outcome;
+}
+
+/** Topic and partition of a call; false: it is none, or names no partition of jobs. */
+static bool read_target(const char *target, hs_topic *topic, uint32_t *part) {
+    unsigned number = 0;
+    bool is_read = sscanf(target, TARGET_FORMAT, &number, part) == 2;
+    *topic = (hs_topic)number;
+    return is_read && (*topic == HS_TOPIC_JOBS || *topic == HS_TOPIC_BODIES);
+}
+
+bool hs_job_relay_is_call(const char *target) {
+    return g_str_has_prefix(target, "/append?");
+}
+
+static uint32_t status_of(hs_store_outcome outcome) {
+    switch (outcome) {
+    case HS_STORE_DONE:
+        return 200;
+    case HS_STORE_REFUSED:
+        return 503;
+    case HS_STORE_FULL:
+        return 507;
+    case HS_STORE_INVALID:
+        return 400;
+    default:
+        return 504;
+    }
+}
+
+void hs_job_relay_serve(hs_store_client *store, hs_inbound *inbound) {
+    hs_topic topic = HS_TOPIC_JOBS;
+    uint32_t part = 0;
+    uint64_t offset = 0;
+    hs_store_outcome outcome = HS_STORE_INVALID;
+    if (read_target(inbound->target, &topic, &part)) {
+        hs_store_call call = hs_platform_append(topic, part, inbound->body);
+        GByteArray *answer = g_byte_array_new();
+        outcome = hs_store_client_send(store, &call, hs_clock_monotonic_ms() + APPEND_LIMIT_MS,
+                                       NULL, answer);
+        if (outcome == HS_STORE_DONE && !hs_platform_read_appended(answer, &offset))
+            outcome = HS_STORE_UNKNOWN;
+        g_byte_array_free(answer, TRUE);
+    }
+    g_autofree char *text = g_strdup_printf("%" G_GUINT64_FORMAT, (guint64)offset);
+    GArray *fields = hs_http_fields_new();
+    hs_inbound_reply(inbound, status_of(outcome), fields, text, strlen(text));
+    hs_http_fields_free(fields);
+}
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -171,6 +171,7 @@
     g_mutex_lock(&owner->lock);
     while (!owner->stopping) {
         hs_fleet_config *config = hs_config_source_get(owner->settings.config);
+        hs_job_owner_give_up_superseded(owner);
         if (config != NULL)
             start_items(owner, config);
         if (owner->running > 0)
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -24,9 +24,10 @@
     hs_job_service *service = g_new0(hs_job_service, 1);
     service->daemons = daemons;
     service->settings = *settings;
+    service->settings.relay = hs_job_relay_new(daemons, settings->store, settings->part_count);
     service->partitions = g_ptr_array_new_with_free_func(free_partition);
     for (uint32_t part = 0; part < settings->part_count; part++)
-        g_ptr_array_add(service->partitions, hs_job_partition_new(settings, part));
+        g_ptr_array_add(service->partitions, hs_job_partition_new(&service->settings, part));
     service->quota = hs_job_quota_new(settings->store);
     return service;
 }
@@ -36,6 +37,7 @@
         return;
     hs_job_quota_free(service->quota);
     g_ptr_array_free(service->partitions, TRUE);
+    hs_job_relay_free(service->settings.relay);
     g_free(service);
 }
 
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -65,8 +65,9 @@
         sources->members, hs_job_service_part_count(sources->jobs));
     g_string_append_printf(text,
                            "heathsail_job_partitions_owned %u\n"
-                           "heathsail_job_partitions_located %u\n",
-                           counts.own, counts.located);
+                           "heathsail_job_partitions_located %u\n"
+                           "heathsail_job_items_running %u\n",
+                           counts.own, counts.located, hs_job_owner_running(sources->owner));
 }
 
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
--- a/src/surface/fleet_metrics.h
+++ b/src/surface/fleet_metrics.h
@@ -3,6 +3,7 @@
 #define HS_SURFACE_FLEET_METRICS_H
 
 #include "directory/daemon_directory.h"
+#include "jobs/job_owner.h"
 #include "jobs/job_service.h"
 #include "online/online_request.h"
 
@@ -16,6 +17,7 @@
 typedef struct {
     hs_online *online;
     hs_job_service *jobs;
+    hs_job_owner *owner;
     hs_store_client *store;
     hs_daemon_directory *members;
     hs_reload_counts *reloads;
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -110,14 +110,17 @@
     hs_fleet_config_unref(config);
 }
 
-/** A call about a job that another daemon passes on to its owner, or whether the store is reached.
- */
+/** What another daemon asks: of the store, an append, or a caller's call about a job passed on. */
 static void serve_peer(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
     if (strcmp(inbound->target, HS_PEER_STORE_TARGET) == 0) {
         reply_status(inbound, hs_store_client_is_failing(surface->settings.store) ? 503 : 200);
         return;
     }
+    if (hs_job_relay_is_call(inbound->target)) {
+        hs_job_relay_serve(surface->settings.store, inbound);
+        return;
+    }
     hs_caller_terms terms;
     hs_platform_read_terms(inbound->fields, &terms);
     g_autofree char *job_id = NULL;
@@ -165,6 +168,7 @@
     hs_fleet_surface *surface = user_data;
     hs_fleet_metrics_sources sources = {.online = surface->settings.online,
                                         .jobs = surface->settings.jobs,
+                                        .owner = surface->settings.owner,
                                         .store = surface->settings.store,
                                         .members = surface->settings.members,
                                         .reloads = surface->settings.reloads,
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -20,6 +20,7 @@
     const char *control; /**< For other daemons. */
     hs_online *online;
     hs_job_service *jobs;
+    hs_job_owner *owner; /**< For its metrics. */
     hs_daemon_directory *members;
     hs_store_client *store;
     hs_reload_counts *reloads;
--- a/tests/system/test_fleet_jobs.c
+++ b/tests/system/test_fleet_jobs.c
@@ -15,6 +15,9 @@
  * TTL. */
 #define DEAL_LIMIT_MS 10000
 #define DEAL_POLL_MS 50
+/** Within this time in ms an owner starts an item of a job that was just taken. */
+#define RUN_START_MS 500
+#define RUNNING_METRIC "heathsail_job_items_running "
 
 static void a_job_is_taken_once_and_the_same_everywhere(void) {
     CU_ASSERT_EQUAL(submit_job(0, "job1", 20), 202);
@@ -52,6 +55,19 @@
     return value;
 }
 
+/** Wait until a metric has a value (or more, where @p wanted is over 0). */
+static bool wait_for_metric(int daemon, const char *name, int wanted, uint64_t limit_ms) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + limit_ms;
+    bool is_there = false;
+    while (!is_there && hs_clock_monotonic_ms() < until_ms) {
+        int value = read_metric(daemon, name);
+        is_there = wanted > 0 ? value >= wanted : value == 0;
+        if (!is_there)
+            hs_clock_sleep_ms(DEAL_POLL_MS);
+    }
+    return is_there;
+}
+
 /** Whether a daemon owns its even share of the partitions and knows the owners of all others. */
 static bool knows_all_owners(int daemon) {
     int share = BENCH_PARTITIONS / BENCH_DAEMONS;
@@ -192,6 +208,54 @@
     fault_proxy_stop(proxy);
 }
 
+/** Jobs PREFIX-0 and on until @p daemon runs an item of one; how many; 0: it never does. */
+static int submit_until_it_runs(int daemon, const char *prefix) {
+    for (int index = 0; index < 2 * BENCH_PARTITIONS; index++) {
+        g_autofree char *id = g_strdup_printf("%s-%d", prefix, index);
+        CU_ASSERT_EQUAL(submit_job(1, id, 1), 202);
+        if (wait_for_metric(daemon, RUNNING_METRIC, 1, RUN_START_MS))
+            return index + 1;
+    }
+    return 0;
+}
+
+/** Else the new owner and the old one both run the same items in whole. */
+static void an_owner_cut_from_the_store_stops_what_another_was_dealt(void) {
+    fault_proxy *proxy = fault_proxy_start(log_store_port(bench.store));
+    restart_daemon(0, fault_proxy_port(proxy));
+    CU_ASSERT_TRUE(wait_for_owners());
+    bench_set_engines(TOKEN_ENGINE_ENDLESS);
+    CU_ASSERT_TRUE(submit_until_it_runs(0, "job13") > 0);
+    fault_proxy_set(proxy, PROXY_RESETS);
+    CU_ASSERT_TRUE(wait_for_metric(0, RUNNING_METRIC, 0, DEAL_LIMIT_MS));
+    bench_set_engines(TOKEN_ENGINE_SOUND);
+    fault_proxy_set(proxy, PROXY_PASSES);
+    restart_daemon(0, 0);
+    fault_proxy_stop(proxy);
+}
+
+/** Results of an owner that the store turns away are listed by others, and no item runs again. */
+static void an_owner_cut_from_the_store_lists_its_results(void) {
+    fault_proxy *proxy = fault_proxy_start(log_store_port(bench.store));
+    restart_daemon(0, fault_proxy_port(proxy));
+    CU_ASSERT_TRUE(wait_for_owners());
+    bench_set_engines(TOKEN_ENGINE_SLOW);
+    int count = submit_until_it_runs(0, "job14");
+    fault_proxy_set(proxy, PROXY_RESETS);
+    CU_ASSERT_TRUE(count > 0);
+    for (int index = 0; index < count; index++) {
+        g_autofree char *id = g_strdup_printf("job14-%d", index);
+        g_autofree char *item = g_strdup_printf("%s-0", id);
+        g_autofree char *page = bench_wait_job(1, id, 1, JOB_LIMIT_MS);
+        CU_ASSERT_PTR_NOT_NULL(page);
+        CU_ASSERT_EQUAL(bench_runs(item), 1);
+    }
+    bench_set_engines(TOKEN_ENGINE_SOUND);
+    fault_proxy_set(proxy, PROXY_PASSES);
+    restart_daemon(0, 0);
+    fault_proxy_stop(proxy);
+}
+
 static void a_lost_answer_of_the_store_is_no_refusal(void) {
     log_store_set_mode(bench.store, LOG_STORE_LOSES_ANSWER, CALL_APPEND, 3);
     uint32_t status = submit_job(1, "job7", 2);
@@ -240,6 +304,10 @@
     {"a_store_that_refuses_takes_no_job_but_serves_online",
      a_store_that_refuses_takes_no_job_but_serves_online},
     {"a_daemon_cut_from_the_store_passes_jobs_on", a_daemon_cut_from_the_store_passes_jobs_on},
+    {"an_owner_cut_from_the_store_stops_what_another_was_dealt",
+     an_owner_cut_from_the_store_stops_what_another_was_dealt},
+    {"an_owner_cut_from_the_store_lists_its_results",
+     an_owner_cut_from_the_store_lists_its_results},
     {"a_lost_answer_of_the_store_is_no_refusal", a_lost_answer_of_the_store_is_no_refusal},
     {"a_read_is_no_404_while_the_store_is_away", a_read_is_no_404_while_the_store_is_away},
     {"jobs_survive_the_loss_of_all_daemons", jobs_survive_the_loss_of_all_daemons},
