--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -9,7 +9,10 @@
 #include "tests/unit/unit_tests.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define ANSWER_HEAD                                                                                \
     "HTTP/1.1 200 OK\r\nHeathsail-Request-Id: r1\r\nHeathsail-Response-Signature: s\r\n"
@@ -20,6 +23,10 @@
     "Content-Length: 3\r\n\r\nold"
 #define BODY_LIMIT 65536
 #define DEADLINE_MS 400
+/** Connections that fill the queue of a listener that accepts none. */
+#define FILLERS 4
+/** The users' shortest objective for a first event on large sites, in ms. */
+#define OBJECTIVE_MS 500
 
 /** One engine in a table, behind a scripted peer, and an order for it. */
 typedef struct {
@@ -66,6 +73,48 @@
     return hs_attempt_start(opened->engines, &opened->order, attempt);
 }
 
+/** A port on which nobody accepts: opening packets are dropped, as by an engine that went dark. */
+static uint16_t open_deaf_port(int descriptors[FILLERS + 1]) {
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof address;
+    descriptors[0] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    CU_ASSERT_EQUAL(bind(descriptors[0], (struct sockaddr *)&address, length), 0);
+    CU_ASSERT_EQUAL(listen(descriptors[0], 0), 0);
+    CU_ASSERT_EQUAL(getsockname(descriptors[0], (struct sockaddr *)&address, &length), 0);
+    for (int index = 1; index <= FILLERS; index++) {
+        descriptors[index] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        if (connect(descriptors[index], (struct sockaddr *)&address, length) != 0)
+            CU_ASSERT_EQUAL(errno, EINPROGRESS);
+    }
+    return ntohs(address.sin_port);
+}
+
+/** Its request has not run, and another engine can still answer within the objective. */
+static void a_dark_engine_is_left_within_the_objective(void) {
+    bench opened;
+    int descriptors[FILLERS + 1];
+    open_bench(&opened);
+    hs_engine_entry dark = {.id = g_strdup("dark"),
+                            .service = g_strdup("far"),
+                            .zone = g_strdup("z"),
+                            .address = INADDR_LOOPBACK,
+                            .port = open_deaf_port(descriptors),
+                            .slots = 4};
+    hs_fleet_engines_put(opened.engines, &dark, hs_clock_monotonic_ms());
+    opened.order.query.service = "far";
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    opened.order.wait.deadline = began_ms + 10 * DEADLINE_MS;
+    hs_attempt attempt;
+    CU_ASSERT_FALSE(hs_attempt_start(opened.engines, &opened.order, &attempt));
+    CU_ASSERT_TRUE(hs_clock_monotonic_ms() - began_ms < OBJECTIVE_MS);
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_DID_NOT);
+    CU_ASSERT_EQUAL(hs_attempt_failure(&attempt), HS_ATTEMPT_UNREACHABLE);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_UNREACHABLE);
+    for (int index = 0; index <= FILLERS; index++)
+        close(descriptors[index]);
+    close_bench(&opened);
+}
+
 /** Every length of answer up to the end of its head says "may have run", never a promise. */
 static void a_cut_head_may_have_run(void) {
     bench opened;
@@ -285,6 +334,7 @@
 }
 
 const test_case attempt_tests[] = {
+    {"a_dark_engine_is_left_within_the_objective", a_dark_engine_is_left_within_the_objective},
     {"a_cut_head_may_have_run", a_cut_head_may_have_run},
     {"no_idle_connection_is_kept_beyond_the_share", no_idle_connection_is_kept_beyond_the_share},
     {"a_cut_refusal_is_no_promise", a_cut_refusal_is_no_promise},
