--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -18,8 +18,10 @@
 #define RATE_SAMPLE_LEAST_TOKENS 1000
 /** The arbiter hears at once that a prompt of this length is read; of others with the next word. */
 #define TELL_READ_LEAST_TOKENS 2000
-/** Of a connection to an engine, in ms: a hundred times the way. One that is dark must be left in
- * time for another to answer within the shortest objective. */
+/**
+ * Longest wait for a connection to an engine, in ms: a hundred times the way. An engine that went
+ * dark must be left in time for another to answer within the shortest objective, half a second.
+ */
 #define CONNECT_LIMIT_MS 300
 
 const char *hs_engine_lease_id(const hs_engine_lease *lease) {
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -150,8 +150,10 @@
     return home->owned;
 }
 
-/** Run nothing more of a partition; what was made may be stored for a while. The caller holds the
- * lock. */
+/**
+ * Run nothing more of a partition; what was made may be stored for a while. The caller holds the
+ * lock.
+ */
 static void give_up_partition(hs_owned_partition_state *home) {
     home->owned = false;
     home->handover_deadline = hs_clock_monotonic_ms() + HS_JOB_HANDOVER_MS;
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -19,8 +19,10 @@
 #define BYTES_PER_KB 1024
 /** Contents are older than their manifest, which may still be on its way for so long. */
 #define TRIM_AGE_MS 30000
-/** Before a read that failed is tried again, in ms: the store is seen to be back soon, and not
- * pressed. */
+/**
+ * Pause in ms before a read that failed is tried again: some ten times what an answer takes, so
+ * that the store is not pressed and its return is still noticed soon.
+ */
 #define FAILED_READ_PAUSE_MS 150
 
 hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t part) {
--- a/src/jobs/job_relay.c
+++ b/src/jobs/job_relay.c
@@ -9,8 +9,10 @@
 #include <stdio.h>
 #include <string.h>
 
-/** Owners asked at most for one append: where a third of the daemons is turned away, six in a row
- * are so one time in 700. */
+/**
+ * Owners asked at most for one append: where the store turns a third of the daemons away, six in a
+ * row are among them one time in 700.
+ */
 #define ASKED_MOST 6
 /** Longest in ms that a daemon may take to say whether it reaches the store: some ways to it. */
 #define REACHES_STORE_MS 100
@@ -20,6 +22,7 @@
 #define APPEND_LIMIT_MS 250
 /** After nobody was found who reaches the store: nobody is asked for so long, in ms. */
 #define SEARCH_PAUSE_MS 500
+/** A call for an append, between daemons: number of the topic, and the partition. */
 #define TARGET_FORMAT "/append?topic=%u&part=%u"
 
 struct hs_job_relay {
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -17,9 +17,9 @@
 /** So many failures in a row are more than the answers that a store in use loses now and then. */
 #define FAILING_CALLS 3
 /**
- * While calls fail one append goes out each so many ms, to see whether appends are taken again;
- * the others wait. Callers of jobs notice a quarter of a second more or less little, and hundreds
- * of daemons stay far below the store's rates.
+ * Interval of trials in ms: while calls fail, appends are held back as by a circuit breaker, and
+ * one goes out each so often to see whether they are taken again. A quarter of a second is little
+ * for callers of jobs, and hundreds of daemons together stay far below the store's rates.
  */
 #define TRIAL_INTERVAL_MS 250
 #define ANSWER_LIMIT_BYTES (32U * 1024 * 1024)
