A function that answers with another daemon's word is named for it

Cause: since appends can go by relay, the static function relay() in job_submission.c was mistaken for it by a reader. Change: its name; .text and .rodata of heathsaild are the same bytes (compared).

--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -187,7 +187,8 @@
 }
 
 /** Answer with what another daemon said. A job that it may have taken is never refused. */
-static void relay(const submission *job, hs_peer_outcome outcome, const hs_peer_answer *told) {
+static void answer_as_told(const submission *job, hs_peer_outcome outcome,
+                           const hs_peer_answer *told) {
     if (outcome == HS_PEER_ANSWERED)
         hs_job_reply(job->inbound, told->status, told->type, told->body->data, told->body->len);
     else
@@ -216,7 +217,7 @@
     hs_log_info("job_passed_on", "job=%s part=%u outcome=%d status=%u", job->terms->request_id,
                 part, (int)outcome, is_answered ? told.status : 0);
     if (is_settled)
-        relay(job, outcome, &told);
+        answer_as_told(job, outcome, &told);
     if (is_answered)
         hs_peer_answer_clear(&told);
     return is_settled;
