Each event of a stand-in engine names its run; test programs lease their ports

Cause: two gaps of sight. (2) The system tests, the soak and the matrix started daemons on fixed ports, and stand-ins took random ones from a range that reached into them; listeners share ports silently. Change: an event's data names engine and run; engines remember what each run was asked for; tools/surface/event_trace traces texts and streams to their runs and every joint to a run that was asked to go on there, in the system tests and in the soak. standin/port_lease gives each test program blocks of ports of its own, held by an exclusive socket. The tests that compared whole texts now trace each event instead: order, number, run, request and joint; stricter than before. No product code is changed.

--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -6,6 +6,7 @@
 #include "http/listener.h"
 #include "platform/caller_codec.h"
 #include "platform/names.h"
+#include "standin/port_lease/port_lease.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -15,8 +16,6 @@
 #define SILENCE_MS 20000
 #define HOLD_STEP_MS 5
 #define BODY_LIMIT (16U * 1024 * 1024)
-#define FIRST_PORT 21000
-#define PORT_TRIES 2000
 
 /** One partition of a topic. */
 typedef struct {
@@ -387,13 +386,8 @@
     store->topics = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_topic);
     store->members = g_ptr_array_new_with_free_func(free_member);
     store->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    for (int attempt = 0; store->listener == NULL && attempt < PORT_TRIES; attempt++) {
-        store->port = port != 0 ? port : (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
-        store->listener =
-            hs_listener_start("127.0.0.1", store->port, BODY_LIMIT, serve, store, NULL);
-        if (port != 0)
-            break;
-    }
+    store->port = port != 0 ? port : port_lease_take(1);
+    store->listener = hs_listener_start("127.0.0.1", store->port, BODY_LIMIT, serve, store, NULL);
     return store;
 }
 
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -5,12 +5,12 @@
 #include "http/http_fields.h"
 #include "http/listener.h"
 #include "platform/names.h"
+#include "standin/port_lease/port_lease.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define BODY_LIMIT (16U * 1024 * 1024)
-#define FIRST_PORT 23500
-#define PORT_TRIES 2000
 #define SLOW_MS 150
 
 struct token_engine {
@@ -24,6 +24,7 @@
     GMutex lock;
     GHashTable *runs;    /**< request id -> count */
     GHashTable *resumes; /**< request id -> count of those that went on after an event */
+    GArray *run_log;     /**< of token_engine_run, by number. */
     uint32_t total;
     uint32_t sequence;
 };
@@ -31,6 +32,7 @@
 /** One stream under way. */
 typedef struct {
     token_engine *engine;
+    uint32_t run; /**< Its number in the engine's log. */
     uint32_t next;
     uint32_t last;
     uint32_t break_at; /**< 0: never. */
@@ -49,11 +51,22 @@
     if (events->next > events->last)
         return HS_READER_END;
     hs_clock_sleep_ms(events->engine->settings.event_ms);
-    int length = g_snprintf(buffer, size, "id: %u\ndata: token %u\n\n", events->next, events->next);
+    g_autofree char *event =
+        token_engine_write_event(events->next, events->engine->id, events->run);
+    int length = g_snprintf(buffer, size, "id: %u\ndata: %s\n\n", events->next, event);
     events->next++;
     return length;
 }
 
+char *token_engine_write_event(uint32_t event, const char *engine_id, uint32_t run) {
+    return g_strdup_printf("token %u of %s/%u", event, engine_id, run);
+}
+
+bool token_engine_read_event(const char *data, uint32_t *event, char *engine_id, uint32_t *run) {
+    /* The width is TOKEN_ENGINE_ID_BYTES less the NUL. */
+    return sscanf(data, "token %u of %63[^/]/%u", event, engine_id, run) == 3;
+}
+
 static void add_head(const token_engine *engine, GArray *fields, const char *request_id) {
     hs_http_fields_add(fields, HEADER_REQUEST_ID, request_id);
     hs_http_fields_add(fields, HEADER_SIGNATURE, "sig.1");
@@ -80,20 +93,29 @@
     g_hash_table_insert(counts, g_strdup(request_id), GUINT_TO_POINTER(count + 1));
 }
 
-static void note_run(token_engine *engine, const char *request_id, bool resumes) {
+/** Remember a run that was asked to go on after @p after (NULL: to begin); its number. */
+static uint32_t note_run(token_engine *engine, const char *request_id, const char *after) {
+    token_engine_run run = {.resumes = after != NULL};
+    g_strlcpy(run.request_id, request_id, sizeof run.request_id);
+    if (run.resumes)
+        run.asked_after = g_ascii_strtoull(after, NULL, 10);
     g_mutex_lock(&engine->lock);
     count_one(engine->runs, request_id);
-    if (resumes)
+    if (run.resumes)
         count_one(engine->resumes, request_id);
+    uint32_t number = engine->run_log->len;
+    g_array_append_val(engine->run_log, run);
     engine->total++;
     g_mutex_unlock(&engine->lock);
+    return number;
 }
 
 static void serve_stream(token_engine *engine, hs_inbound *inbound, GArray *fields,
-                         token_engine_mode mode) {
+                         token_engine_mode mode, uint32_t run) {
     const char *after = hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID);
     stream *events = g_new0(stream, 1);
     events->engine = engine;
+    events->run = run;
     events->next = after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
     events->last = mode == TOKEN_ENGINE_ENDLESS ? UINT32_MAX - 1 : engine->settings.events;
     events->break_at =
@@ -114,7 +136,8 @@
     } else if (mode == TOKEN_ENGINE_FULL) {
         refuse(inbound, 503, id, false);
     } else {
-        note_run(engine, id, hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID) != NULL);
+        uint32_t run =
+            note_run(engine, id, hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID));
         if (mode == TOKEN_ENGINE_SLOW || mode == TOKEN_ENGINE_ENDLESS)
             hs_clock_sleep_ms(SLOW_MS);
         if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
@@ -126,7 +149,7 @@
         if (strstr(inbound->target, "plain") != NULL)
             hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
         else
-            serve_stream(engine, inbound, fields, mode);
+            serve_stream(engine, inbound, fields, mode, run);
         hs_http_fields_free(fields);
     }
 }
@@ -139,11 +162,10 @@
     g_mutex_init(&engine->lock);
     engine->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->resumes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    for (int attempt = 0; engine->listener == NULL && attempt < PORT_TRIES; attempt++) {
-        engine->port = (uint16_t)(FIRST_PORT + g_random_int_range(0, PORT_TRIES));
-        engine->listener =
-            hs_listener_start("127.0.0.1", engine->port, BODY_LIMIT, serve, engine, NULL);
-    }
+    engine->run_log = g_array_new(FALSE, FALSE, sizeof(token_engine_run));
+    engine->port = port_lease_take(1);
+    engine->listener =
+        hs_listener_start("127.0.0.1", engine->port, BODY_LIMIT, serve, engine, NULL);
     engine->shown_port = engine->port;
     return engine;
 }
@@ -152,6 +174,7 @@
     hs_listener_stop(engine->listener);
     g_hash_table_destroy(engine->runs);
     g_hash_table_destroy(engine->resumes);
+    g_array_free(engine->run_log, TRUE);
     g_mutex_clear(&engine->lock);
     g_free(engine->id);
     g_free(engine->service);
@@ -193,6 +216,19 @@
     return count_of(engine, engine->resumes, request_id);
 }
 
+const char *token_engine_id(const token_engine *engine) {
+    return engine->id;
+}
+
+bool token_engine_find_run(token_engine *engine, uint32_t number, token_engine_run *run) {
+    g_mutex_lock(&engine->lock);
+    bool is_known = number < engine->run_log->len;
+    if (is_known)
+        *run = g_array_index(engine->run_log, token_engine_run, number);
+    g_mutex_unlock(&engine->lock);
+    return is_known;
+}
+
 uint32_t token_engine_total(token_engine *engine) {
     g_mutex_lock(&engine->lock);
     uint32_t total = engine->total;
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -1,13 +1,16 @@
 /**
  * @file token_engine.h
  * Stand-in for a model engine of the fleet surface: streams of numbered events, resumption after
- * an event, refusals, and switches for its faults. It counts what it ran, by request id.
+ * an event, refusals, and switches for its faults. It counts what it ran, by request id, and
+ * remembers each run: every event names the run that made it, so that a text can be traced to the
+ * runs that it was put together from.
  */
 #ifndef STANDIN_TOKEN_ENGINE_TOKEN_ENGINE_H
 #define STANDIN_TOKEN_ENGINE_TOKEN_ENGINE_H
 
 #include "standin/log_store/log_store.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct token_engine token_engine;
@@ -44,6 +47,30 @@
 /** Write the engine's entry into the store. */
 void token_engine_announce(token_engine *engine, log_store *store, bool draining);
 
+/** Longest id of a request that is remembered with its run, with the closing NUL. */
+#define TOKEN_ENGINE_ID_BYTES 64
+
+/** One run of a request, as its engine was asked for it. */
+typedef struct {
+    char request_id[TOKEN_ENGINE_ID_BYTES];
+    bool resumes;         /**< It was asked to go on, */
+    uint64_t asked_after; /**< after this event. */
+} token_engine_run;
+
+/**
+ * Data of an event: its number, the engine and the run that made it. Free with g_free.
+ * token_engine_read_event takes it apart again.
+ */
+char *token_engine_write_event(uint32_t event, const char *engine_id, uint32_t run);
+
+/** What the data of an event says; @p engine_id: TOKEN_ENGINE_ID_BYTES. False: it is none. */
+bool token_engine_read_event(const char *data, uint32_t *event, char *engine_id, uint32_t *run);
+
+/** The run of a number that an event named. False: this engine made no such run. */
+bool token_engine_find_run(token_engine *engine, uint32_t number, token_engine_run *run);
+
+const char *token_engine_id(const token_engine *engine);
+
 /** How often a request was begun. */
 uint32_t token_engine_runs(token_engine *engine, const char *request_id);
 
--- a/tests/matrix/main.c
+++ b/tests/matrix/main.c
@@ -52,9 +52,6 @@
     {"publish-before", FAULT_ANSWER_LOST, FAULT_KILL},
 };
 
-static const fleet_ports matrix_ports = {
-    .platform = 19070, .caller = 19080, .admin = 19100, .peer = 19120, .engine = 19200};
-
 static const char *const matrix_settings[] = {"daemon.log_level=debug",
                                               "peer.probe_interval_ms=60",
                                               "peer.probe_timeout_ms=30",
@@ -183,7 +180,7 @@
     ulfius_global_init();
     g_autofree char *log_directory = g_dir_make_tmp("heathsail-matrix-XXXXXX", NULL);
     fleet_options options = {.programs = g_getenv("HS_TEST_PROGRAMS"),
-                             .ports = matrix_ports,
+                             .ports = fleet_leased_ports(),
                              .daemon_count = 3,
                              .drafting_engines = 3,
                              .order_engines = 0,
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "http/http_fields.h"
 #include "platform/names.h"
+#include "tools/surface/event_trace.h"
 #include "tools/surface/fleet_bench.h"
 
 #include <jansson.h>
@@ -39,11 +40,14 @@
 
 /** A whole stream has every event once, in order; a cut one begins so. */
 static void check_stream(const char *id, const bench_answer *answer) {
-    g_autofree char *wanted = bench_stream_text();
-    bool right =
-        answer->whole ? strcmp(answer->body, wanted) == 0 : g_str_has_prefix(wanted, answer->body);
-    if (!right)
-        soak_violation("stream of %s is wrong: whole=%d \"%s\"", id, answer->whole, answer->body);
+    event_trace trace = event_trace_stream(id, answer->body, answer->whole);
+    if (trace.fault != NULL)
+        soak_violation("stream of %s: %s; whole=%d \"%s\"", id, trace.fault, answer->whole,
+                       answer->body);
+    g_free(trace.fault);
+    g_mutex_lock(&record.lock);
+    record.stream_joints += trace.joints;
+    g_mutex_unlock(&record.lock);
 }
 
 static void check_answer(const char *id, const char *target, const bench_answer *answer) {
@@ -88,6 +92,21 @@
     return NULL;
 }
 
+/** A text is whole, and put together from runs that were asked to go on where they do. */
+static void check_text(const char *job, guint position, const json_t *result) {
+    const char *item = json_string_value(json_object_get(result, "id"));
+    const char *message = json_string_value(json_object_get(result, "message"));
+    event_trace trace = event_trace_text(item, message, true);
+    if (trace.fault != NULL)
+        soak_violation("job %s: position %u, item %s: %s; \"%s\"", job, position, item, trace.fault,
+                       message);
+    g_free(trace.fault);
+    g_mutex_lock(&record.lock);
+    record.text_joints += trace.joints;
+    record.texts++;
+    g_mutex_unlock(&record.lock);
+}
+
 /** A result keeps its place, and a completed one has the whole text. */
 static void check_result(const char *job, guint position, const json_t *result) {
     char *text = json_dumps(result, JSON_COMPACT | JSON_SORT_KEYS);
@@ -100,11 +119,9 @@
     g_mutex_unlock(&record.lock);
     if (!same)
         soak_violation("job %s: position %u is %s now", job, position, text);
-    g_autofree char *wanted = bench_item_text();
     const char *state = json_string_value(json_object_get(result, "state"));
-    const char *message = json_string_value(json_object_get(result, "message"));
-    if (g_strcmp0(state, "completed") == 0 && g_strcmp0(message, wanted) != 0)
-        soak_violation("job %s: position %u is completed with \"%s\"", job, position, message);
+    if (is_new && g_strcmp0(state, "completed") == 0)
+        check_text(job, position, result);
     free(text);
 }
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -135,9 +135,9 @@
     end_bench();
     soak_stop_proxies();
     printf("seed %u: %u requests (%u served, %u refused, %u cut), %u jobs sent, %u accepted, %u "
-           "reads, "
-           "%u violations\n",
+           "reads, %u texts with %u joints, %u joints in streams, %u violations\n",
            line.seed, record.sent, record.served, record.refusals, record.cut, record.jobs_sent,
-           g_hash_table_size(record.jobs), record.reads, record.violations->len);
+           g_hash_table_size(record.jobs), record.reads, record.texts, record.text_joints,
+           record.stream_joints, record.violations->len);
     return record.violations->len == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,6 +19,9 @@
     GHashTable *results;   /**< id of a job -> GPtrArray of char*: results as first read. */
     GPtrArray *violations; /**< of char* */
     uint32_t sent, served, refusals, cut, jobs_sent, reads;
+    uint32_t texts;         /**< Results that were traced to their runs. */
+    uint32_t text_joints;   /**< Places in them at which another run goes on, */
+    uint32_t stream_joints; /**< and in streams. */
     gint stopping;
 } soak_record;
 
--- a/tests/system/fleet_calls.c
+++ b/tests/system/fleet_calls.c
@@ -3,6 +3,7 @@
 
 #include <CUnit/CUnit.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <string.h>
 
 bench_answer post_request(int daemon, const char *target, const char *id) {
@@ -19,18 +20,26 @@
     return status;
 }
 
+void check_trace(event_trace *trace) {
+    CU_ASSERT_PTR_NULL(trace->fault);
+    if (trace->fault != NULL)
+        fprintf(stderr, "trace: %s\n", trace->fault);
+    g_clear_pointer(&trace->fault, g_free);
+}
+
 void check_job_results(const char *page, int count) {
     json_t *root = json_loads(page, 0, NULL);
     const json_t *results = json_object_get(root, "results");
     g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
-    g_autofree char *wanted = bench_item_text();
     size_t index = 0;
     const json_t *result = NULL;
     json_array_foreach(results, index, result) {
         const char *message = json_string_value(json_object_get(result, "message"));
-        g_hash_table_add(seen, (gpointer)json_string_value(json_object_get(result, "id")));
+        const char *item = json_string_value(json_object_get(result, "id"));
+        g_hash_table_add(seen, (gpointer)item);
         CU_ASSERT_STRING_EQUAL(json_string_value(json_object_get(result, "state")), "completed");
-        CU_ASSERT_STRING_EQUAL(message, wanted);
+        event_trace trace = event_trace_text(item, message, true);
+        check_trace(&trace);
     }
     CU_ASSERT_EQUAL(g_hash_table_size(seen), (guint)count);
     json_decref(root);
--- a/tests/system/fleet_calls.h
+++ b/tests/system/fleet_calls.h
@@ -2,6 +2,7 @@
 #ifndef TESTS_SYSTEM_FLEET_CALLS_H
 #define TESTS_SYSTEM_FLEET_CALLS_H
 
+#include "tools/surface/event_trace.h"
 #include "tools/surface/fleet_bench.h"
 
 /** Longest that a small job may need in ms, changes of its owner included. */
@@ -13,7 +14,13 @@
 /** Submit a job of @p count items; the status. */
 uint32_t submit_job(int daemon, const char *id, int count);
 
-/** Check a page of results: all items once and completed with the whole output. */
+/** Check that a trace found no fault, and free it. */
+void check_trace(event_trace *trace);
+
+/**
+ * Check a page of results: all items once, completed, and each text
+ * put together from runs that were asked to go on where they do.
+ */
 void check_job_results(const char *page, int count);
 
 #endif
--- a/tests/system/support.c
+++ b/tests/system/support.c
@@ -8,45 +8,46 @@
 
 fleet test_fleet;
 
-static const fleet_ports test_ports = {
-    .platform = 18070, .caller = 18080, .admin = 18100, .peer = 18120, .engine = 18200};
+static const char *const test_settings[] = {
+    "daemon.log_level=debug",       "peer.probe_interval_ms=100",
+    "peer.probe_timeout_ms=50",     "peer.suspect_ms=400",
+    "platform.timeout_s=2",         "platform.machine_list_interval_ms=100",
+    "batch.grant_lease_ms=1500",    "scheduling.run_once_recovery_ms=2000",
+    "caller.max_body_bytes=20000",  "caller.max_file_bytes=60000000",
+    "caller.max_header_bytes=4096", "caller.max_tokens=2000",
+    "batch.max_line_bytes=4000",    "batch.snapshot_records=64",
+    "batch.partitions=8",           "batch.claim_settle_ms=100",
+    "batch.handover_ms=200",        "placement.interval_ms=200",
 
-static const char *const test_settings[] = {"daemon.log_level=debug",
-                                            "peer.probe_interval_ms=100",
-                                            "peer.probe_timeout_ms=50",
-                                            "peer.suspect_ms=400",
-                                            "platform.timeout_s=2",
-                                            "platform.machine_list_interval_ms=100",
-                                            "batch.grant_lease_ms=1500",
-                                            "scheduling.run_once_recovery_ms=2000",
-                                            "caller.max_body_bytes=20000",
-                                            "caller.max_file_bytes=60000000",
-                                            "caller.max_header_bytes=4096",
-                                            "caller.max_tokens=2000",
-                                            "batch.max_line_bytes=4000",
-                                            "batch.snapshot_records=64",
-                                            "batch.partitions=8",
-                                            "batch.claim_settle_ms=100",
-                                            "batch.handover_ms=200",
-                                            "placement.interval_ms=200",
+    "scheduling.item_timeout_s=3",  NULL};
 
-                                            "scheduling.item_timeout_s=3",
-
-                                            "peer.seeds=127.0.0.1:18120,127.0.0.1:18121",
-                                            NULL};
+/** Settings of the tests, and the first two daemons as seeds. Free the array alone. */
+static const char **make_settings(const fleet_ports *ports) {
+    static char seeds[64];
+    g_snprintf(seeds, sizeof seeds, "peer.seeds=127.0.0.1:%d,127.0.0.1:%d", ports->peer,
+               ports->peer + 1);
+    const char **settings = g_new0(const char *, G_N_ELEMENTS(test_settings) + 1);
+    memcpy(settings, test_settings, sizeof test_settings - sizeof *test_settings);
+    settings[G_N_ELEMENTS(test_settings) - 1] = seeds;
+    return settings;
+}
 
 int begin_fleet(void) {
     static char log_directory[] = "/tmp/heathsail-test-XXXXXX";
     if (strstr(log_directory, "XXXXXX") != NULL && g_mkdtemp(log_directory) == NULL)
         return -1;
+    fleet_ports ports = fleet_leased_ports();
+    static const char **settings;
+    if (settings == NULL)
+        settings = make_settings(&ports);
     fleet_options options = {.programs = g_getenv("HS_TEST_PROGRAMS"),
-                             .ports = test_ports,
+                             .ports = ports,
                              .daemon_count = 3,
                              .drafting_engines = 3,
                              .order_engines = 1,
                              .list_lag_ms = 50,
                              .log_directory = log_directory,
-                             .daemon_settings = test_settings};
+                             .daemon_settings = settings};
     if (fleet_start(&test_fleet, &options))
         return 0;
     fleet_stop(&test_fleet);
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -13,10 +13,10 @@
 /** An engine that failed is tried again after one to eight seconds. */
 #define TRUST_LIMIT_MS 12000
 
-/** Every event once, in order. */
-static void check_events(const char *body) {
-    g_autofree char *wanted = bench_stream_text();
-    CU_ASSERT_STRING_EQUAL(body, wanted);
+/** Every event once, in order, from runs that were asked to go on where they do. */
+static void check_events(const char *request_id, const char *body) {
+    event_trace trace = event_trace_stream(request_id, body, true);
+    check_trace(&trace);
 }
 
 static void whole_answers_are_passed_on(void) {
@@ -39,7 +39,7 @@
         bench_answer answer = post_request(daemon, "/once/s", "stream");
         CU_ASSERT_EQUAL(answer.status, 200);
         CU_ASSERT_TRUE(answer.whole);
-        check_events(answer.body);
+        check_events("stream", answer.body);
         bench_answer_clear(&answer);
     }
 }
@@ -81,7 +81,7 @@
     bench_answer answer = post_request(2, "/again/s", "resumed");
     bench_set_engines(TOKEN_ENGINE_SOUND);
     CU_ASSERT_TRUE(answer.whole);
-    check_events(answer.body);
+    check_events("resumed", answer.body);
     CU_ASSERT(bench_runs("resumed") >= 2);
     bench_answer_clear(&answer);
 }
@@ -228,7 +228,7 @@
     CU_ASSERT_EQUAL(bench_signal(1, SIGTERM), 0);
     g_thread_join(caller);
     CU_ASSERT_TRUE(answer.whole);
-    check_events(answer.body != NULL ? answer.body : "");
+    check_events("while-stopping", answer.body != NULL ? answer.body : "");
     bench_answer_clear(&answer);
     g_autofree char *page = bench_wait_job(0, "job8", 12, JOB_LIMIT_MS);
     CU_ASSERT_PTR_NOT_NULL(page);
--- a/tests/system/test_fleet_edges.c
+++ b/tests/system/test_fleet_edges.c
@@ -50,7 +50,8 @@
 /** HTTP/1.0: no chunks; the answer ends with its length or the connection. */
 static void old_callers_are_served_without_chunks(void) {
     static const char *const targets[] = {"/plain/old", "/once/old"};
-    static const char *const ends[] = {"/plain/old", "id: 12\ndata: token 12\n\n"};
+    static const char *const last_parts[] = {"/plain/old", "id: 12\ndata: token 12 of engine-"};
+    static const char *const ends[] = {"/plain/old", "\n\n"};
     for (size_t index = 0; index < G_N_ELEMENTS(targets); index++) {
         raw_caller *caller = raw_caller_open(bench_front_port(1));
         CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
@@ -60,6 +61,7 @@
         CU_ASSERT_EQUAL(raw_caller_read_to_end(caller, LIMIT_MS), RAW_CLOSED);
         CU_ASSERT_PTR_NOT_NULL(strstr(raw_caller_text(caller), " 200 OK\r\n"));
         CU_ASSERT_PTR_NULL(strstr(raw_caller_text(caller), "chunked"));
+        CU_ASSERT_PTR_NOT_NULL(strstr(raw_caller_text(caller), last_parts[index]));
         CU_ASSERT_TRUE(g_str_has_suffix(raw_caller_text(caller), ends[index]));
         raw_caller_close(caller);
     }
--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -2,6 +2,7 @@
 #include "tools/fleet/fleet.h"
 
 #include "base/clock.h"
+#include "standin/port_lease/port_lease.h"
 #include "tools/fleet/client.h"
 
 #include <errno.h>
@@ -24,6 +25,19 @@
 const fleet_ports fleet_default_ports = {
     .platform = 8070, .caller = 8080, .admin = 8090, .peer = 8100, .engine = 8200};
 
+fleet_ports fleet_leased_ports(void) {
+    static fleet_ports ports;
+    if (ports.platform == 0) {
+        int first = port_lease_take(1 + 4 * FLEET_LEASED_MAX);
+        ports = (fleet_ports){.platform = first,
+                              .caller = first + 1,
+                              .admin = first + 1 + FLEET_LEASED_MAX,
+                              .peer = first + 1 + 2 * FLEET_LEASED_MAX,
+                              .engine = first + 1 + 3 * FLEET_LEASED_MAX};
+    }
+    return ports;
+}
+
 static const char *const zone_names[] = {"brandon", "moosejaw", "yorkton"};
 
 static const char *zone_of(int index) {
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -13,6 +13,8 @@
 
 #define FLEET_MAX_DAEMONS 16
 #define FLEET_MAX_ENGINES 32
+/** Daemons, and engines, that leased ports are enough for. */
+#define FLEET_LEASED_MAX 8
 
 /** Ports of a fleet; the n-th daemon or engine has the port plus n. */
 typedef struct {
@@ -36,6 +38,12 @@
 
 extern const fleet_ports fleet_default_ports;
 
+/**
+ * Ports that no other test program uses, the same at each call, for a fleet of at most
+ * FLEET_LEASED_MAX daemons and as many engines.
+ */
+fleet_ports fleet_leased_ports(void);
+
 typedef struct {
     fleet_options options;
     pid_t platform_pid;
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -5,6 +5,7 @@
 #include "http/client_connection.h"
 #include "http/http_fields.h"
 #include "platform/names.h"
+#include "standin/port_lease/port_lease.h"
 
 #include <arpa/inet.h>
 #include <jansson.h>
@@ -15,11 +16,16 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define FRONT_PORT 25100
-#define READY_PORT 25110
-#define DIRECTORY_PORT 25120
-#define CONTROL_PORT 25130
-#define METRICS_PORT 25140
+/** What a daemon listens for; each has as many ports as there are daemons. */
+typedef enum {
+    PORT_FRONT,
+    PORT_READY,
+    PORT_DIRECTORY,
+    PORT_CONTROL,
+    PORT_METRICS,
+    PORT_KINDS,
+} port_kind;
+
 #define CALL_LIMIT_MS 12000
 #define BODY_LIMIT (16U * 1024 * 1024)
 #define READY_LIMIT_MS 8000
@@ -27,20 +33,28 @@
 
 fleet_bench bench;
 
+/** The same port for a daemon each time that it is started. */
+static uint16_t port_of(port_kind kind, int index) {
+    static uint16_t first;
+    if (first == 0)
+        first = port_lease_take(PORT_KINDS * BENCH_DAEMONS);
+    return (uint16_t)(first + (int)kind * BENCH_DAEMONS + index);
+}
+
 uint16_t bench_front_port(int index) {
-    return (uint16_t)(FRONT_PORT + index);
+    return port_of(PORT_FRONT, index);
 }
 
 uint16_t bench_ready_port(int index) {
-    return (uint16_t)(READY_PORT + index);
+    return port_of(PORT_READY, index);
 }
 
 uint16_t bench_directory_port(int index) {
-    return (uint16_t)(DIRECTORY_PORT + index);
+    return port_of(PORT_DIRECTORY, index);
 }
 
 uint16_t bench_metrics_port(int index) {
-    return (uint16_t)(METRICS_PORT + index);
+    return port_of(PORT_METRICS, index);
 }
 
 static void add_setting(GPtrArray *arguments, char *setting) {
@@ -48,6 +62,10 @@
     g_ptr_array_add(arguments, setting);
 }
 
+static void add_address(GPtrArray *arguments, const char *name, uint16_t port) {
+    add_setting(arguments, g_strdup_printf("fleet.%s=127.0.0.1:%u", name, port));
+}
+
 static GPtrArray *daemon_arguments(int index, const char *settings_path) {
     GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(arguments, g_strdup_printf("%s/heathsaild", g_getenv("HS_TEST_PROGRAMS")));
@@ -58,15 +76,14 @@
     add_setting(arguments, g_strdup("daemon.surface=fleet"));
     add_setting(arguments, g_strdup_printf("daemon.id=front-%d", index));
     add_setting(arguments, g_strdup("daemon.zone=zone-a"));
-    add_setting(arguments, g_strdup_printf("fleet.front=127.0.0.1:%u", FRONT_PORT + index));
-    add_setting(arguments, g_strdup_printf("fleet.ready=127.0.0.1:%u", READY_PORT + index));
-    add_setting(arguments, g_strdup_printf("fleet.directory=127.0.0.1:%u", DIRECTORY_PORT + index));
-    add_setting(arguments, g_strdup_printf("fleet.control=127.0.0.1:%u", CONTROL_PORT + index));
-    add_setting(arguments, g_strdup_printf("fleet.metrics=127.0.0.1:%u", METRICS_PORT + index));
-    add_setting(arguments, g_strdup_printf("fleet.seeds=127.0.0.1:%u", CONTROL_PORT));
-    add_setting(arguments, g_strdup_printf("fleet.store=127.0.0.1:%u",
-                                           bench.store_port != 0 ? bench.store_port
-                                                                 : log_store_port(bench.store)));
+    add_address(arguments, "front", port_of(PORT_FRONT, index));
+    add_address(arguments, "ready", port_of(PORT_READY, index));
+    add_address(arguments, "directory", port_of(PORT_DIRECTORY, index));
+    add_address(arguments, "control", port_of(PORT_CONTROL, index));
+    add_address(arguments, "metrics", port_of(PORT_METRICS, index));
+    add_address(arguments, "seeds", port_of(PORT_CONTROL, 0));
+    add_address(arguments, "store",
+                bench.store_port != 0 ? bench.store_port : log_store_port(bench.store));
     add_setting(arguments, g_strdup("fleet.grace_s=6"));
     add_setting(arguments, g_strdup("fleet.heartbeat_ms=500"));
     add_setting(arguments,
@@ -136,20 +153,6 @@
     return resumes;
 }
 
-char *bench_stream_text(void) {
-    GString *text = g_string_new(NULL);
-    for (int event = 1; event <= BENCH_EVENTS; event++)
-        g_string_append_printf(text, "id: %d\ndata: token %d\n\n", event, event);
-    return g_string_free(text, FALSE);
-}
-
-char *bench_item_text(void) {
-    GString *text = g_string_new("token 1");
-    for (int event = 2; event <= BENCH_EVENTS; event++)
-        g_string_append_printf(text, "\ntoken %d", event);
-    return g_string_free(text, FALSE);
-}
-
 void bench_answer_clear(bench_answer *answer) {
     g_free(answer->body);
     hs_http_fields_free(answer->fields);
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -50,10 +50,6 @@
 uint32_t bench_runs(const char *request_id);
 uint32_t bench_resumes(const char *request_id);
 
-/** A whole stream as callers get it, and a whole item's text. Free with g_free. */
-char *bench_stream_text(void);
-char *bench_item_text(void);
-
 /** Wait until a daemon says ready. */
 bool bench_wait_ready(int index);
 
