--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -15,6 +15,7 @@
         {"fleet_surface", fleet_system_tests, begin_bench, end_bench},
         {"fleet_jobs", fleet_job_system_tests, begin_bench, end_bench},
         {"fleet_edges", fleet_edge_system_tests, begin_bench, end_bench},
+        {"fleet_runs", fleet_run_system_tests, begin_fleet_runs, end_fleet_runs},
     };
     ulfius_global_init();
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -39,5 +39,10 @@
 extern const test_case fleet_system_tests[];
 extern const test_case fleet_job_system_tests[];
 extern const test_case fleet_edge_system_tests[];
+extern const test_case fleet_run_system_tests[];
+
+/** The bench with an engine that sends surplus answers. For the suite's begin and end. */
+int begin_fleet_runs(void);
+int end_fleet_runs(void);
 
 #endif
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -303,6 +303,29 @@
     close_bench(&opened);
 }
 
+/**
+ * A surplus copy of a refusal can come in the place of the answer to the next try of the same
+ * request, and carries its id: the request would be told as never run while the engine runs it.
+ */
+static void a_try_uses_no_connection_of_an_earlier_try(void) {
+    bench opened;
+    open_bench(&opened);
+    for (int round = 0; round < 2; round++) {
+        hs_attempt attempt;
+        CU_ASSERT_TRUE(start(&opened, REFUSAL, strlen(REFUSAL), PEER_KEEPS_OPEN, &attempt));
+        hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
+        CU_ASSERT_TRUE(hs_client_connection_is_reusable(attempt.connection));
+        hs_attempt_finish(&attempt, HS_ATTEMPT_REFUSED);
+    }
+    CU_ASSERT_EQUAL(hs_fleet_engines_connects(opened.engines), 2);
+    opened.order.request.request_id = "r2"; /* Another request may use what is kept. */
+    hs_attempt other;
+    CU_ASSERT_TRUE(start(&opened, REFUSAL, strlen(REFUSAL), PEER_KEEPS_OPEN, &other));
+    hs_attempt_finish(&other, HS_ATTEMPT_REFUSED);
+    CU_ASSERT_EQUAL(hs_fleet_engines_connects(opened.engines), 2);
+    close_bench(&opened);
+}
+
 static void an_early_answer_ends_the_sending(void) {
     bench opened;
     open_bench(&opened);
@@ -348,6 +371,7 @@
     {"a_surplus_after_the_answer_ends_the_connection",
      a_surplus_after_the_answer_ends_the_connection},
     {"a_good_connection_is_used_again", a_good_connection_is_used_again},
+    {"a_try_uses_no_connection_of_an_earlier_try", a_try_uses_no_connection_of_an_earlier_try},
     {"an_early_answer_ends_the_sending", an_early_answer_ends_the_sending},
     {"reading_waits_for_new_bytes", reading_waits_for_new_bytes},
     {NULL, NULL}};
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -56,6 +56,43 @@
     g_byte_array_free(events, TRUE);
 }
 
+/** Take one piece of a run from @p stream; whether its order held, and how many events came. */
+static bool take_piece(hs_event_stream *stream, const char *piece, guint *taken) {
+    GByteArray *input = g_byte_array_new();
+    GPtrArray *texts = g_ptr_array_new();
+    add(input, piece);
+    bool in_order = hs_event_stream_take(stream, input, NULL, texts);
+    *taken = texts->len;
+    for (guint index = 0; index < texts->len; index++)
+        g_string_free(texts->pdata[index], TRUE);
+    g_ptr_array_free(texts, TRUE);
+    g_byte_array_free(input, TRUE);
+    return in_order;
+}
+
+/** A run joins only right after the event that it was asked to go on after. */
+static void a_run_that_begins_elsewhere_does_not_join(void) {
+    static const struct {
+        bool resumes;
+        uint64_t last_id;
+        const char *piece;
+        bool joins;
+    } runs[] = {{true, 4, "id: 5\ndata: e\n\n", true},
+                {true, 4, "id: 4\ndata: d\n\nid: 5\ndata: e\n\n", false},
+                {true, 4, "id: 1\ndata: a\n\n", false},
+                {true, 4, "id: 6\ndata: f\n\n", false},
+                {false, 0, "id: 1\ndata: a\n\n", true},
+                {false, 0, "id: 2\ndata: b\n\n", false}};
+    for (size_t index = 0; index < G_N_ELEMENTS(runs); index++) {
+        hs_event_stream stream = {.has_last_id = runs[index].resumes,
+                                  .last_id = runs[index].last_id,
+                                  .expects_next = runs[index].resumes};
+        guint taken = 0;
+        CU_ASSERT_EQUAL(take_piece(&stream, runs[index].piece, &taken), runs[index].joins);
+        CU_ASSERT_EQUAL(taken, runs[index].joins ? 1 : 0);
+    }
+}
+
 static void fields_that_come_twice_are_kept(void) {
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "X-A", "1");
@@ -261,6 +298,7 @@
 const test_case fleet_tests[] = {
     {"events_are_whole_at_every_cut", events_are_whole_at_every_cut},
     {"a_resumed_stream_neither_repeats_nor_skips", a_resumed_stream_neither_repeats_nor_skips},
+    {"a_run_that_begins_elsewhere_does_not_join", a_run_that_begins_elsewhere_does_not_join},
     {"fields_that_come_twice_are_kept", fields_that_come_twice_are_kept},
     {"routes_go_by_host_and_longest_prefix", routes_go_by_host_and_longest_prefix},
     {"a_broken_configuration_is_refused", a_broken_configuration_is_refused},
