A run joins a text only right after the event it was asked to go on after; no connection is used for two tries of one request

Ruled out: that engines number otherwise. Change: hs_event_stream checks the first event of each run; a misplaced run is broken, logged and counted. Kept connections remember the requests that were tried on them and did not end there. The mark of an order that broke is taken back with the next run: before, one such event made all later runs of the request fail.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -2,6 +2,7 @@
 #include "fleet/engine_attempt.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #include <string.h>
 
@@ -125,8 +126,8 @@
     attempt->step = HS_STEP_CUT;
     if (!find_engine(engines, order, attempt))
         return false;
-    attempt->connection =
-        hs_engine_lease_connect(attempt->lease, &order->wait, order->fresh, &attempt->step);
+    attempt->connection = hs_engine_lease_connect(attempt->lease, order->request.request_id,
+                                                  &order->wait, &attempt->step);
     if (attempt->connection == NULL)
         return false;
     attempt->step = send_request(order, attempt);
@@ -149,6 +150,15 @@
     attempt->connection = NULL;
 }
 
+void hs_attempt_note_misplaced(const hs_attempt *attempt, const char *request_id,
+                               uint64_t last_event, uint64_t event) {
+    hs_engine_lease_note_misplaced(attempt->lease);
+    hs_log_warning("run_misplaced",
+                   "request=%s engine=%s last_event=%" G_GUINT64_FORMAT " event=%" G_GUINT64_FORMAT
+                   " outcome=not_taken",
+                   request_id, attempt->engine_id, (guint64)last_event, (guint64)event);
+}
+
 hs_attempt_end hs_attempt_failure(const hs_attempt *attempt) {
     if (attempt->step == HS_STEP_CALLER_GONE)
         return HS_ATTEMPT_DROPPED;
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -26,7 +26,6 @@
     const void *body;
     hs_wait wait;
     uint32_t silence_ms; /**< Longest wait for the head; 0: up to the deadline. */
-    bool fresh;          /**< Do not use a kept connection. */
 } hs_attempt_order;
 
 /** An attempt whose head was read, or that failed before. */
@@ -48,6 +47,13 @@
 /** End the attempt: the engine is given back and the connection kept or closed. */
 void hs_attempt_finish(hs_attempt *attempt, hs_attempt_end end);
 
+/**
+ * An answer's stream does not follow the event @p last_event (0: none) that the request has: its
+ * next event is @p event. Logged and counted; what came before stays.
+ */
+void hs_attempt_note_misplaced(const hs_attempt *attempt, const char *request_id,
+                               uint64_t last_event, uint64_t event);
+
 /** How a failed start reflects on the engine. */
 hs_attempt_end hs_attempt_failure(const hs_attempt *attempt);
 
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -3,9 +3,11 @@
 #include "fleet/fleet_engine.h"
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 
 #include <math.h>
+#include <string.h>
 
 #define IDLE_PER_ENGINE_MAX 16
 #define IDLE_UNTOLD_MS 4000  /* Kept this long where the engine names no time. */
@@ -48,26 +50,49 @@
     return now_ms < idle->idle_since_ms + limit && hs_client_connection_is_quiet(idle->connection);
 }
 
+static bool was_tried(const hs_tried_requests *tried, uint64_t request_hash) {
+    bool is_found = false;
+    for (uint32_t index = 0; index < tried->count && !is_found; index++)
+        is_found = tried->hashes[index] == request_hash;
+    return is_found;
+}
+
+/**
+ * The connection used last that can be used now. Those that ended are closed; one on which the
+ * request was tried stays for others.
+ */
 static hs_client_connection *take_idle(hs_engine_lease *lease) {
     hs_client_connection *connection = NULL;
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
     GQueue *queue = &lease->engine->idle;
-    while (connection == NULL && !g_queue_is_empty(queue)) {
-        hs_idle_connection *idle = g_queue_pop_tail(queue);
-        if (is_fresh(idle, now_ms))
+    GList *link = queue->tail;
+    while (connection == NULL && link != NULL) {
+        GList *before = link->prev;
+        hs_idle_connection *idle = link->data;
+        bool is_usable = is_fresh(idle, now_ms);
+        if (is_usable && was_tried(&idle->tried, lease->request_hash)) {
+            link = before;
+            continue;
+        }
+        if (is_usable) {
             connection = idle->connection;
-        else
+            lease->tried = idle->tried;
+        } else {
             hs_client_connection_close(idle->connection);
+        }
         g_free(idle);
+        g_queue_delete_link(queue, link);
+        link = before;
     }
     g_mutex_unlock(&lease->engines->lock);
     return connection;
 }
 
-hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
-                                              bool fresh, hs_step *step) {
-    hs_client_connection *connection = fresh ? NULL : take_idle(lease);
+hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const char *request_id,
+                                              const hs_wait *wait, hs_step *step) {
+    lease->request_hash = request_id != NULL ? hs_hash_bytes(request_id, strlen(request_id)) : 0;
+    hs_client_connection *connection = take_idle(lease);
     *step = HS_STEP_PROGRESS;
     if (connection != NULL)
         return connection;
@@ -137,6 +162,12 @@
                        engine->entry.id, cause, engine->failures, (unsigned)time_ms);
 }
 
+void hs_engine_lease_note_misplaced(hs_engine_lease *lease) {
+    g_mutex_lock(&lease->engines->lock);
+    lease->engines->misplaced++;
+    g_mutex_unlock(&lease->engines->lock);
+}
+
 /** Count a request's end and, where it failed, its failure. */
 static void note_end(hs_fleet_engine *engine, bool failed, uint64_t now_ms) {
     engine->ended = hs_fleet_engine_faded(engine, engine->ended, now_ms) + 1;
@@ -189,6 +220,16 @@
     }
 }
 
+/** A request that did not end here may be tried again: remember it. False: there is no room. */
+static bool note_tried(hs_engine_lease *lease, hs_attempt_end end) {
+    if (end == HS_ATTEMPT_SERVED || lease->request_hash == 0)
+        return true;
+    if (lease->tried.count == HS_TRIED_MOST)
+        return false;
+    lease->tried.hashes[lease->tried.count++] = lease->request_hash;
+    return true;
+}
+
 static bool keep(hs_engine_lease *lease, hs_client_connection *connection, uint64_t now_ms) {
     hs_fleet_engine *engine = lease->engine;
     guint idle_count = g_queue_get_length(&engine->idle);
@@ -198,7 +239,8 @@
         all > lease->connection_share)
         return false;
     hs_idle_connection *idle = g_new(hs_idle_connection, 1);
-    *idle = (hs_idle_connection){.connection = connection, .idle_since_ms = now_ms};
+    *idle = (hs_idle_connection){
+        .connection = connection, .idle_since_ms = now_ms, .tried = lease->tried};
     g_queue_push_tail(&engine->idle, idle);
     return true;
 }
@@ -216,7 +258,7 @@
         engine->batch--;
     g_ptr_array_remove(engine->batch_leases, lease);
     judge(lease, end, now_ms);
-    bool kept = keep(lease, connection, now_ms);
+    bool kept = note_tried(lease, end) && keep(lease, connection, now_ms);
     engine->left_ms = now_ms;
     hs_engine_use use = hs_fleet_engine_use(lease->engines, engine);
     hs_fleet_engine_unref(engine);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -64,6 +64,7 @@
     uint64_t summed_ms;        /**< When peers' words were summed last; 0: they changed. */
     uint64_t turn;
     uint64_t connects;
+    uint64_t misplaced; /**< See hs_fleet_engines_misplaced. */
     uint64_t use_sequence;
     uint64_t batch_work_ms;      /**< Own; see hs_fleet_engines_set_batch_work. */
     GCond totals_told;           /**< An arbiter told what all daemons have on an engine. */
@@ -71,6 +72,21 @@
     void *teller_data;
 };
 
+/**
+ * Requests remembered with a connection, at most; then it is closed. Refusals come in bursts of a
+ * few; a connection that would hold more is not worth the look through them.
+ */
+#define HS_TRIED_MOST 8
+
+/**
+ * Requests that were tried on a connection and did not end there, by the hashes of their ids: each
+ * may be tried again, and not on the same connection.
+ */
+typedef struct {
+    uint64_t hashes[HS_TRIED_MOST];
+    uint32_t count;
+} hs_tried_requests;
+
 struct hs_engine_lease {
     hs_fleet_engines *engines;
     hs_fleet_engine *engine;
@@ -83,13 +99,16 @@
     int32_t rank_ms;         /**< Likewise, when it was taken. */
     uint32_t told_before;    /**< The engine's told_count when it was taken. */
     hs_engine_reasons reasons;
-    bool was_alone; /**< No prompt was being read there when it was taken. */
+    bool was_alone;          /**< No prompt was being read there when it was taken. */
+    uint64_t request_hash;   /**< Of the request's id; 0: it has none. */
+    hs_tried_requests tried; /**< On the connection in use. */
 };
 
 /** An idle kept connection. */
 typedef struct {
     hs_client_connection *connection;
     uint64_t idle_since_ms;
+    hs_tried_requests tried;
 } hs_idle_connection;
 
 /** The caller holds the lock. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -315,6 +315,13 @@
     return lease;
 }
 
+uint64_t hs_fleet_engines_misplaced(hs_fleet_engines *engines) {
+    g_mutex_lock(&engines->lock);
+    uint64_t misplaced = engines->misplaced;
+    g_mutex_unlock(&engines->lock);
+    return misplaced;
+}
+
 uint64_t hs_fleet_engines_connects(hs_fleet_engines *engines) {
     g_mutex_lock(&engines->lock);
     uint64_t connects = engines->connects;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -122,9 +122,16 @@
 /** Wait until the engine's arbiter has heard of the lease, before anything is sent. */
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
 
-/** A kept connection, or a new one; NULL with @p step when there is none. */
-hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const hs_wait *wait,
-                                              bool fresh, hs_step *step);
+/**
+ * A kept connection, or a new one; NULL with @p step when there is none. No kept connection on
+ * which the request @p request_id (may be NULL) was tried before: a surplus answer to that try
+ * would be taken for the answer to this one, since both carry the request's id.
+ */
+hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const char *request_id,
+                                              const hs_wait *wait, hs_step *step);
+
+/** The engine's answer did not go on where the request asked it to. */
+void hs_engine_lease_note_misplaced(hs_engine_lease *lease);
 
 /** Bytes came from the engine. */
 void hs_engine_lease_heard(hs_engine_lease *lease);
@@ -215,4 +222,7 @@
 /** New connections opened so far. */
 uint64_t hs_fleet_engines_connects(hs_fleet_engines *engines);
 
+/** Answers so far that did not go on where their request asked to. */
+uint64_t hs_fleet_engines_misplaced(hs_fleet_engines *engines);
+
 #endif
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -2,6 +2,7 @@
 #include "jobs/item_run.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "http/http_fields.h"
 #include "platform/caller_codec.h"
 
@@ -34,8 +35,7 @@
     if (item->progress_event > 0) {
         g_ptr_array_add(run->texts, g_string_new_len(item->progress != NULL ? item->progress : "",
                                                      (gssize)item->progress_length));
-        run->events = (hs_event_stream){
-            .has_last_id = true, .last_id = item->progress_event, .expects_next = true};
+        run->events = (hs_event_stream){.has_last_id = true, .last_id = item->progress_event};
         run->base_event = item->progress_event;
         run->stored_event = item->progress_event;
         run->stored_texts = 1;
@@ -107,6 +107,12 @@
     uint64_t events_before = run->events.event_count;
     uint64_t first_ms = 0;
     run->try_events = 0;
+    hs_event_stream_begin_run(&run->events);
+    hs_log_info("item_run_began",
+                "job=%s item=%s engine=%s asked_after=%" G_GUINT64_FORMAT
+                " base_event=%" G_GUINT64_FORMAT " writer=%016" G_GINT64_MODIFIER "x",
+                run->job_id, run->item_id, attempt->engine_id, (guint64)run->events.last_id,
+                (guint64)run->base_event, (guint64)run->writer);
     while (true) {
         hs_wait wait = {.deadline = hs_clock_monotonic_ms() + EVENT_SILENCE_MS,
                         .watched = HS_WATCH_NOTHING,
@@ -117,8 +123,11 @@
         else if (body->len > 0)
             hs_engine_lease_heard(attempt->lease);
         is_first = false;
-        if (!hs_event_stream_take(&run->events, body, NULL, run->texts))
+        if (!hs_event_stream_take(&run->events, body, NULL, run->texts)) {
+            hs_attempt_note_misplaced(attempt, run->item_id, run->events.last_id,
+                                      run->events.refused_id);
             return HS_ITEM_TRY_BROKEN;
+        }
         if (first_ms == 0)
             first_ms = hs_clock_monotonic_ms();
         run->try_events = run->events.event_count - events_before;
--- a/src/online/event_stream.c
+++ b/src/online/event_stream.c
@@ -63,20 +63,25 @@
 
 /** Whether the event is to be passed on; notes a break of the order. */
 static bool accept_event(hs_event_stream *stream, const event_fields *event) {
-    if (!event->has_id)
-        return true;
-    if (stream->has_last_id && event->id <= stream->last_id)
-        return false;
-    if (stream->expects_next && stream->has_last_id && event->id != stream->last_id + 1) {
+    bool is_comment = !event->has_id && !event->has_data;
+    if (is_comment || (!event->has_id && !stream->has_last_id))
+        return true; /* A stream without ids has no place to check. */
+    uint64_t next_id = stream->has_last_id ? stream->last_id + 1 : HS_EVENT_ID_FIRST;
+    if (event->id != next_id) {
         stream->out_of_order = true;
+        stream->refused_id = event->id;
         return false;
     }
     stream->has_last_id = true;
     stream->last_id = event->id;
-    stream->expects_next = true;
     return true;
 }
 
+void hs_event_stream_begin_run(hs_event_stream *stream) {
+    stream->out_of_order = false;
+    stream->refused_id = 0;
+}
+
 bool hs_event_stream_take(hs_event_stream *stream, GByteArray *input, GByteArray *events,
                           GPtrArray *texts) {
     size_t taken = 0;
--- a/src/online/event_stream.h
+++ b/src/online/event_stream.h
@@ -12,19 +12,33 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Zero-initialise, then set last_id where the stream goes on after an event. */
+/** Id of the first event that an engine makes of a request. */
+#define HS_EVENT_ID_FIRST 1
+
+/**
+ * What several runs of one request made, put together. Zero-initialise, then set last_id where it
+ * goes on after an event.
+ *
+ * Each run goes on right after the event that it was asked to go on after; a run that begins
+ * anywhere else is not taken, also where it begins earlier and what is known could be skipped. All
+ * tries of a request carry one id, so that the place at which an answer begins is what tells the
+ * answer to this try from one to an earlier try.
+ */
 typedef struct {
     bool has_last_id;
-    uint64_t last_id;  /**< Id of the last whole event taken. */
-    bool expects_next; /**< The next event must follow last_id at once. */
-    bool out_of_order; /**< An event came that does not follow the one before. */
+    uint64_t last_id;    /**< Id of the last whole event taken. */
+    bool out_of_order;   /**< An event of this run does not follow the one before; none is taken. */
+    uint64_t refused_id; /**< Id of that event. */
     uint64_t event_count;
 } hs_event_stream;
 
+/** Another run of the request goes on after last_id; what the run before broke is forgotten. */
+void hs_event_stream_begin_run(hs_event_stream *stream);
+
 /**
  * Move whole events from @p input to @p events (bytes as they came) and, if not NULL, the data of
- * each to @p texts (of GString*, one an event). Events at or before last_id are skipped. The rest
- * stays in @p input. False when the order broke; what was in order is moved all the same.
+ * each to @p texts (of GString*, one an event). The rest stays in @p input. False when the order
+ * broke; what was in order is moved all the same.
  */
 bool hs_event_stream_take(hs_event_stream *stream, GByteArray *input, GByteArray *events,
                           GPtrArray *texts);
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -159,7 +159,6 @@
     if (terms->has_last_event) {
         request->events.has_last_id = true;
         request->events.last_id = terms->last_event;
-        request->events.expects_next = true;
     }
     return request;
 }
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -36,6 +36,7 @@
     g_mutex_lock(&request->online->counters.lock);
     request->online->counters.resumed++;
     g_mutex_unlock(&request->online->counters.lock);
+    hs_event_stream_begin_run(&request->events);
     return true;
 }
 
@@ -56,8 +57,11 @@
         hs_online_note_first_byte(request);
         hs_engine_lease_heard(attempt->lease);
     }
-    if (!hs_event_stream_take(&request->events, body, request->ready, NULL))
+    if (!hs_event_stream_take(&request->events, body, request->ready, NULL)) {
+        hs_attempt_note_misplaced(attempt, request->request_id, request->events.last_id,
+                                  request->events.refused_id);
         attempt->step = HS_STEP_INVALID;
+    }
     if (attempt->step == HS_STEP_PROGRESS)
         return true;
     if (attempt->step == HS_STEP_COMPLETE && body->len == 0) {
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -91,11 +91,13 @@
                            "\nheathsail_store_unknown %" G_GUINT64_FORMAT
                            "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
                            "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
-                           "\nheathsail_engine_connects %" G_GUINT64_FORMAT "\n",
+                           "\nheathsail_engine_connects %" G_GUINT64_FORMAT
+                           "\nheathsail_runs_misplaced %" G_GUINT64_FORMAT "\n",
                            sources->open_requests, hs_daemon_directory_live_count(sources->members),
                            (guint64)calls.calls, (guint64)calls.refused, (guint64)calls.unknown,
                            (guint64)calls.bytes_sent, (guint64)calls.bytes_received,
-                           (guint64)hs_fleet_engines_connects(online->engines));
+                           (guint64)hs_fleet_engines_connects(online->engines),
+                           (guint64)hs_fleet_engines_misplaced(online->engines));
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
     return g_string_free(text, FALSE);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -43,15 +43,26 @@
 }
 
 static void a_resumed_stream_neither_repeats_nor_skips(void) {
-    hs_event_stream stream = {.has_last_id = true, .last_id = 4, .expects_next = true};
+    hs_event_stream stream = {.has_last_id = true, .last_id = 4};
     GByteArray *input = g_byte_array_new();
     GByteArray *events = g_byte_array_new();
-    add(input, "id: 4\ndata: d\n\nid: 5\ndata: e\n\n");
+    add(input, "id: 5\ndata: e\n\n");
     CU_ASSERT_TRUE(hs_event_stream_take(&stream, input, events, NULL));
     CU_ASSERT_EQUAL(events->len, strlen("id: 5\ndata: e\n\n"));
-    add(input, "id: 7\ndata: g\n\n");
-    CU_ASSERT_FALSE(hs_event_stream_take(&stream, input, events, NULL));
-    CU_ASSERT_EQUAL(events->len, strlen("id: 5\ndata: e\n\n"));
+    static const char *const breaks[] = {"id: 7\ndata: g\n\n", "id: 5\ndata: e\n\n",
+                                         "data: of no place\n\n"};
+    for (size_t index = 0; index < G_N_ELEMENTS(breaks); index++) {
+        g_byte_array_set_size(input, 0); /* Another run, on another connection. */
+        hs_event_stream_begin_run(&stream);
+        add(input, breaks[index]);
+        CU_ASSERT_FALSE(hs_event_stream_take(&stream, input, events, NULL));
+        CU_ASSERT_EQUAL(events->len, strlen("id: 5\ndata: e\n\n"));
+    }
+    g_byte_array_set_size(input, 0);
+    hs_event_stream_begin_run(&stream); /* What a run before broke is forgotten. */
+    add(input, ": still there\n\nid: 6\ndata: f\n\n");
+    CU_ASSERT_TRUE(hs_event_stream_take(&stream, input, events, NULL));
+    CU_ASSERT_EQUAL(stream.last_id, 6);
     g_byte_array_free(input, TRUE);
     g_byte_array_free(events, TRUE);
 }
@@ -73,20 +84,19 @@
 /** A run joins only right after the event that it was asked to go on after. */
 static void a_run_that_begins_elsewhere_does_not_join(void) {
     static const struct {
-        bool resumes;
         uint64_t last_id;
         const char *piece;
+        bool resumes;
         bool joins;
-    } runs[] = {{true, 4, "id: 5\ndata: e\n\n", true},
-                {true, 4, "id: 4\ndata: d\n\nid: 5\ndata: e\n\n", false},
-                {true, 4, "id: 1\ndata: a\n\n", false},
-                {true, 4, "id: 6\ndata: f\n\n", false},
-                {false, 0, "id: 1\ndata: a\n\n", true},
-                {false, 0, "id: 2\ndata: b\n\n", false}};
+    } runs[] = {{4, "id: 5\ndata: e\n\n", true, true},
+                {4, "id: 4\ndata: d\n\nid: 5\ndata: e\n\n", true, false},
+                {4, "id: 1\ndata: a\n\n", true, false},
+                {4, "id: 6\ndata: f\n\n", true, false},
+                {0, "id: 1\ndata: a\n\n", false, true},
+                {0, "id: 2\ndata: b\n\n", false, false}};
     for (size_t index = 0; index < G_N_ELEMENTS(runs); index++) {
         hs_event_stream stream = {.has_last_id = runs[index].resumes,
-                                  .last_id = runs[index].last_id,
-                                  .expects_next = runs[index].resumes};
+                                  .last_id = runs[index].last_id};
         guint taken = 0;
         CU_ASSERT_EQUAL(take_piece(&stream, runs[index].piece, &taken), runs[index].joins);
         CU_ASSERT_EQUAL(taken, runs[index].joins ? 1 : 0);
