Membership takes accounts by one function; constants say what they bound; tests of the store's client share their setting

Change: one hs_membership_learn that is told how the account came; the dead function goes; comments with unit, source, or that a figure was chosen and not measured. No behaviour changes.

--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -8,13 +8,16 @@
 
 #include <string.h>
 
+/** Largest answer of one read: a configuration is a few tens of kB. */
 #define READ_MAX_KB 1024
+/** What a held read may take beyond the time for which it is held, in ms. Chosen, not measured. */
 #define ANSWER_SLACK_MS 600
 /**
- * Pause before a read that failed is tried again, doubled up to the most: hundreds of daemons that
- * find the store away must not press it, and its return is to be seen well before a version is due.
+ * Pause in ms before a read that failed is tried again: hundreds of daemons that find the store away
+ * must not press it.
  */
 #define RETRY_FIRST_MS 100
+/** The pause doubles up to this, a fifth of the shortest time in which a version is due (2 s). */
 #define RETRY_MOST_MS 400
 
 struct hs_config_source {
--- a/src/jobs/quota_fold.c
+++ b/src/jobs/quota_fold.c
@@ -205,7 +205,3 @@
     }
     return sum;
 }
-
-uint32_t hs_quota_fold_count(const hs_quota_fold *fold) {
-    return fold->reservations->len;
-}
--- a/src/jobs/quota_fold.h
+++ b/src/jobs/quota_fold.h
@@ -51,7 +51,4 @@
 uint64_t hs_quota_fold_reserved(const hs_quota_fold *fold, const char *route, const char *job_id,
                                 uint64_t offset);
 
-/** Reservations that count, for logs. */
-uint32_t hs_quota_fold_count(const hs_quota_fold *fold);
-
 #endif
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -239,12 +239,7 @@
 }
 
 bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
-                         uint64_t now_ms) {
-    return hs_membership_learn_from(membership, record, HS_ACCOUNT_NEWS, now_ms);
-}
-
-bool hs_membership_learn_from(hs_membership *membership, const Hs__MemberRecord *record,
-                              hs_account_source source, uint64_t now_ms) {
+                         hs_account_source source, uint64_t now_ms) {
     if (strcmp(record->id, membership->self->id) == 0)
         return refute(membership, record);
     hs_member *member = g_hash_table_lookup(membership->members, record->id);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -90,19 +90,15 @@
 void hs_membership_propose(hs_membership *membership, const char *id, uint32_t address,
                            uint16_t peer_port, uint64_t now_ms);
 
-/** Take an account heard from a peer. True when the set of live members changed by it. */
-bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
-                         uint64_t now_ms);
-
 /** How an account came. */
 typedef enum {
     HS_ACCOUNT_NEWS,   /**< Told unasked; it is passed on for a while. */
     HS_ACCOUNT_ANSWER, /**< Asked for; it is no news to others, so that it is not passed on. */
 } hs_account_source;
 
-/** As hs_membership_learn, which takes accounts for news. */
-bool hs_membership_learn_from(hs_membership *membership, const Hs__MemberRecord *record,
-                              hs_account_source source, uint64_t now_ms);
+/** Take an account heard from a peer. True when the set of live members changed by it. */
+bool hs_membership_learn(hs_membership *membership, const Hs__MemberRecord *record,
+                         hs_account_source source, uint64_t now_ms);
 
 /**
  * Hashes of all accounts as they are held here: of uint32_t, appended to @p known. Another daemon
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -16,14 +16,21 @@
  * seconds, and callers be sent to the dead meanwhile.
  */
 #define GOSSIP_BURST 60
+/** Between looks at what is due, in ms: a fifth of the shortest probe interval in use (100 ms). */
 #define TICK_MS 20
+/** Indirect probes that are remembered: far more than are under way at once at 360 daemons. */
 #define RELAYS_KEPT 256
+/** Members told directly that we leave; the others hear it from them. Chosen, not measured. */
 #define LEAVE_MESSAGES 32
-/** A new daemon asks for all accounts with each probe at first, then less often. */
+/**
+ * A new daemon asks for all accounts with each probe at first, for about as long as all daemons of
+ * a fleet need to start (in ms), then each SETTLING_EVERY_MS until accounts of a start together
+ * have gone round, then now and then, so that nothing stays unheard for good. Chosen, not measured.
+ */
 #define JOINING_MS 1500
 #define SETTLING_MS 10000
 #define SETTLING_EVERY_MS 2000
-#define COMPARE_EVERY_MS 60000 /* Later now and then, so that nothing stays unheard for good. */
+#define COMPARE_EVERY_MS 60000
 
 /** An indirect probe that we run for somebody else. */
 typedef struct {
@@ -243,7 +250,7 @@
     g_autoptr(GPtrArray) changed = g_ptr_array_new();
     g_mutex_lock(&service->lock);
     for (size_t index = 0; index < count; index++)
-        if (hs_membership_learn_from(service->membership, records[index], source, now_ms))
+        if (hs_membership_learn(service->membership, records[index], source, now_ms))
             g_ptr_array_add(changed, records[index]);
     g_mutex_unlock(&service->lock);
     if (changed->len > 0)
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -26,7 +26,7 @@
     record.address = 1;
     record.peer_port = 1;
     record.zone = (char *)"z";
-    return hs_membership_learn(membership, &record, now_ms);
+    return hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, now_ms);
 }
 
 static hs_member_state state_of(const hs_membership *membership, const char *id) {
@@ -140,17 +140,17 @@
     record.incarnation = 1;
     record.version = 1;
     record.zone = (char *)"z";
-    hs_membership_learn(membership, &record, 0);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 0);
     for (int message = 0; message < 100; message++)
         gossip_names(membership, "c", "b");
     record.version = 2;
     record.config_offset = 7;
-    hs_membership_learn(membership, &record, 1);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 1);
     CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->config_offset, 7);
     CU_ASSERT_FALSE(gossip_names(membership, "c", "b"));
     record.version = 3;
     record.state = HS__MEMBER_STATE__MEMBER_LEAVING;
-    hs_membership_learn(membership, &record, 2);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 2);
     CU_ASSERT_TRUE(gossip_names(membership, "c", "b"));
     hs_membership_free(membership);
 }
@@ -161,11 +161,11 @@
     record.id = (char *)"far";
     record.incarnation = 1;
     record.zone = (char *)"y";
-    hs_membership_learn(membership, &record, 0);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 0);
     CU_ASSERT_STRING_EQUAL(hs_membership_rank_first(membership, "engine-1", "y")->id, "far");
     CU_ASSERT_STRING_EQUAL(hs_membership_rank_first(membership, "engine-1", "z")->id, "self");
     record.state = HS__MEMBER_STATE__MEMBER_DEAD;
-    hs_membership_learn(membership, &record, 1);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 1);
     CU_ASSERT_STRING_EQUAL(hs_membership_rank_first(membership, "engine-1", "y")->id, "self");
     hs_membership_free(membership);
 }
@@ -184,10 +184,10 @@
     record.zone = (char *)"z";
     record.n_owned = 1;
     record.owned = list;
-    hs_membership_learn(membership, &record, 0);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 0);
     record.id = (char *)"c";
     owned.epoch = 5;
-    hs_membership_learn(membership, &record, 0);
+    hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 0);
     CU_ASSERT_STRING_EQUAL(hs_membership_owner(membership, 3, &epoch)->id, "c");
     CU_ASSERT_EQUAL(epoch, 5);
     hs_membership_free(membership);
--- a/tests/unit/test_membership_compare.c
+++ b/tests/unit/test_membership_compare.c
@@ -56,7 +56,7 @@
                  uint64_t now_ms) {
     for (guint index = 0; index < members->len; index++) {
         Hs__MemberRecord *record = hs_member_record_new(members->pdata[index]);
-        hs_membership_learn_from(to, record, source, now_ms);
+        hs_membership_learn(to, record, source, now_ms);
         hs_member_record_free(record);
     }
     all->told += members->len;
--- a/tests/unit/test_store_client.c
+++ b/tests/unit/test_store_client.c
@@ -43,40 +43,49 @@
     return done;
 }
 
+/** A store that takes no appends, and a client of it. */
+typedef struct {
+    log_store *store;
+    hs_store_client *client;
+} away_store;
+
+static away_store open_away(void) {
+    away_store opened = {.store = log_store_start(0)};
+    opened.client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(opened.store));
+    log_store_set_mode(opened.store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
+    return opened;
+}
+
+static void close_away(const away_store *opened) {
+    hs_store_client_free(opened->client);
+    log_store_stop(opened->store);
+}
+
 static void appends_are_held_back_while_the_store_is_away(void) {
-    log_store *store = log_store_start(0);
-    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
-    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
-    CU_ASSERT_FALSE(press(client, AWAY_MS));
-    CU_ASSERT_TRUE(log_store_calls(store, "/log-append") <= APPENDS_MOST);
-    hs_store_client_free(client);
-    log_store_stop(store);
+    away_store opened = open_away();
+    CU_ASSERT_FALSE(press(opened.client, AWAY_MS));
+    CU_ASSERT_TRUE(log_store_calls(opened.store, "/log-append") <= APPENDS_MOST);
+    close_away(&opened);
 }
 
 static void one_answer_lets_all_appends_pass(void) {
-    log_store *store = log_store_start(0);
-    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
-    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
-    press(client, AWAY_MS / 4);
-    CU_ASSERT_TRUE(hs_store_client_is_failing(client));
-    log_store_set_mode(store, LOG_STORE_SOUND, "", 0);
-    CU_ASSERT_EQUAL(read_once(client), HS_STORE_DONE);
-    CU_ASSERT_EQUAL(append_once(client), HS_STORE_DONE);
-    CU_ASSERT_EQUAL(append_once(client), HS_STORE_DONE);
-    hs_store_client_free(client);
-    log_store_stop(store);
+    away_store opened = open_away();
+    press(opened.client, AWAY_MS / 4);
+    CU_ASSERT_TRUE(hs_store_client_is_failing(opened.client));
+    log_store_set_mode(opened.store, LOG_STORE_SOUND, "", 0);
+    CU_ASSERT_EQUAL(read_once(opened.client), HS_STORE_DONE);
+    CU_ASSERT_EQUAL(append_once(opened.client), HS_STORE_DONE);
+    CU_ASSERT_EQUAL(append_once(opened.client), HS_STORE_DONE);
+    close_away(&opened);
 }
 
 /** Where nothing but appends is called, one of them shows that the store is back. */
 static void a_trial_finds_the_store_again(void) {
-    log_store *store = log_store_start(0);
-    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
-    log_store_set_mode(store, LOG_STORE_REFUSES, "/log-append", ALWAYS);
-    press(client, AWAY_MS / 4);
-    log_store_set_mode(store, LOG_STORE_SOUND, "", 0);
-    CU_ASSERT_TRUE(press(client, AWAY_MS));
-    hs_store_client_free(client);
-    log_store_stop(store);
+    away_store opened = open_away();
+    press(opened.client, AWAY_MS / 4);
+    log_store_set_mode(opened.store, LOG_STORE_SOUND, "", 0);
+    CU_ASSERT_TRUE(press(opened.client, AWAY_MS));
+    close_away(&opened);
 }
 
 const test_case store_client_tests[] = {
