Tests of callers that leave at random moments, at both surfaces

Cause: no test said how long engines work on, or what reaches them, after a caller has closed its connection.

--- a/standin/engine/engine.c
+++ b/standin/engine/engine.c
@@ -33,6 +33,12 @@
         request->ended_us = g_get_monotonic_time();
 }
 
+/** The caller holds the lock. */
+static void cancel_now(engine *self, engine_request *request) {
+    engine_model_cancel(self->model, &request->sequence);
+    request->ended_us = g_get_monotonic_time();
+}
+
 static void sample_load(engine *self) {
     gint64 now = g_get_monotonic_time();
     GArray *samples = self->load_samples;
@@ -349,6 +355,7 @@
         return;
     }
     if (request->sequence.state == ENGINE_SEQUENCE_CANCELLED) {
+        request->ended_us = 0;
         engine_model_submit(self->model, &request->sequence);
         g_cond_broadcast(&self->progressed);
     }
@@ -359,7 +366,7 @@
                            struct _u_response *response) {
     (void)wire;
     if (!has_ended(request))
-        engine_model_cancel(self->model, &request->sequence);
+        cancel_now(self, request);
     g_cond_broadcast(&self->progressed);
     hs_http_reply_json(response, 200,
                        json_pack("{s:i}", "tokens", (int)request->sequence.produced));
@@ -379,7 +386,7 @@
             json_is_string(id) ? g_hash_table_lookup(self->requests, json_string_value(id)) : NULL;
         if (request == NULL || has_ended(request))
             continue;
-        engine_model_cancel(self->model, &request->sequence);
+        cancel_now(self, request);
         cancelled++;
     }
     g_cond_broadcast(&self->progressed);
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -7,6 +7,7 @@
 #include "platform/names.h"
 #include "standin/port_lease/port_lease.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -25,6 +26,7 @@
     GHashTable *runs;    /**< request id -> count */
     GHashTable *resumes; /**< request id -> count of those that went on after an event */
     GArray *run_log;     /**< of token_engine_run, by number. */
+    GArray *call_log;    /**< of token_engine_call, by number. */
     uint32_t total;
     uint32_t sequence;
 };
@@ -32,12 +34,50 @@
 /** One stream under way. */
 typedef struct {
     token_engine *engine;
-    uint32_t run; /**< Its number in the engine's log. */
+    uint32_t run;  /**< Its number in the engine's log. */
+    uint32_t call; /**< Likewise. */
+    int descriptor;
     uint32_t next;
     uint32_t last;
     uint32_t break_at; /**< 0: never. */
 } stream;
 
+/** Work for a time, or until the connection closes; false when it did. */
+static bool work(int descriptor, uint32_t milliseconds) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + milliseconds;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    struct pollfd polled = {.fd = descriptor, .events = POLLRDHUP};
+    while (now_ms < until_ms) {
+        if (poll(&polled, 1, (int)(until_ms - now_ms)) > 0)
+            return false;
+        now_ms = hs_clock_monotonic_ms();
+    }
+    return true;
+}
+
+/** Note a call that came; its number. */
+static uint32_t begin_call(token_engine *engine, const char *request_id) {
+    token_engine_call call = {.begun_ms = hs_clock_monotonic_ms()};
+    g_strlcpy(call.request_id, request_id, sizeof call.request_id);
+    g_mutex_lock(&engine->lock);
+    uint32_t number = engine->call_log->len;
+    g_array_append_val(engine->call_log, call);
+    g_mutex_unlock(&engine->lock);
+    return number;
+}
+
+static void end_call(token_engine *engine, uint32_t number) {
+    g_mutex_lock(&engine->lock);
+    g_array_index(engine->call_log, token_engine_call, number).ended_ms = hs_clock_monotonic_ms();
+    g_mutex_unlock(&engine->lock);
+}
+
+static void end_stream(void *data) {
+    stream *events = data;
+    end_call(events->engine, events->call);
+    g_free(events);
+}
+
 static ssize_t write_event(void *data, char *buffer, size_t size) {
     stream *events = data;
     if (events->break_at != 0 && events->next > events->break_at) {
@@ -50,7 +90,8 @@
         return HS_READER_ABORT;
     if (events->next > events->last)
         return HS_READER_END;
-    hs_clock_sleep_ms(events->engine->settings.event_ms);
+    if (!work(events->descriptor, events->engine->settings.event_ms))
+        return HS_READER_ABORT;
     g_autofree char *event =
         token_engine_write_event(events->next, events->engine->id, events->run);
     int length = g_snprintf(buffer, size, "id: %u\ndata: %s\n\n", events->next, event);
@@ -111,47 +152,65 @@
 }
 
 static void serve_stream(token_engine *engine, hs_inbound *inbound, GArray *fields,
-                         token_engine_mode mode, uint32_t run) {
+                         token_engine_mode mode, const stream *begun) {
     const char *after = hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID);
-    stream *events = g_new0(stream, 1);
-    events->engine = engine;
-    events->run = run;
+    stream *events = g_new(stream, 1);
+    *events = *begun;
     events->next = after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
     events->last = mode == TOKEN_ENGINE_ENDLESS ? UINT32_MAX - 1 : engine->settings.events;
     events->break_at =
         mode == TOKEN_ENGINE_BREAKS ? events->next + engine->settings.break_after - 1 : 0;
     hs_http_fields_add(fields, "Content-Type", "text/event-stream");
-    hs_inbound_reply_stream(inbound, 200, fields, write_event, events, g_free);
+    hs_inbound_reply_stream(inbound, 200, fields, write_event, events, end_stream);
+}
+
+/** Run a request. True: its stream goes on and ends the call itself. */
+static bool run_request(token_engine *engine, hs_inbound *inbound, const char *id, uint32_t call) {
+    token_engine_mode mode = (token_engine_mode)g_atomic_int_get(&engine->mode);
+    stream begun = {.engine = engine, .call = call, .descriptor = inbound->descriptor};
+    begun.run = note_run(engine, id, hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID));
+    uint32_t before_ms = 0;
+    if (mode == TOKEN_ENGINE_SLOW || mode == TOKEN_ENGINE_ENDLESS)
+        before_ms = SLOW_MS;
+    else if (mode == TOKEN_ENGINE_SILENT)
+        before_ms = G_MAXINT / 2;
+    if (!work(inbound->descriptor, before_ms)) {
+        hs_inbound_drop(inbound);
+        return false;
+    }
+    if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
+        refuse(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
+        return false;
+    }
+    GArray *fields = hs_http_fields_new();
+    add_head(engine, fields, id);
+    bool is_plain = strstr(inbound->target, "plain") != NULL;
+    if (is_plain)
+        hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
+    else
+        serve_stream(engine, inbound, fields, mode, &begun);
+    hs_http_fields_free(fields);
+    return !is_plain;
 }
 
 static void serve(hs_inbound *inbound, void *user_data) {
     token_engine *engine = user_data;
     const char *id = hs_http_fields_find(inbound->fields, HEADER_REQUEST_ID);
     const char *wanted = hs_http_fields_find(inbound->fields, HEADER_TARGET_INSTANCE);
-    token_engine_mode mode = (token_engine_mode)g_atomic_int_get(&engine->mode);
     if (id == NULL) {
         refuse(inbound, 400, "-", false);
-    } else if (wanted != NULL && strcmp(wanted, engine->id) != 0) {
+        return;
+    }
+    uint32_t call = begin_call(engine, id);
+    bool goes_on = false;
+    if (wanted != NULL && strcmp(wanted, engine->id) != 0)
         refuse(inbound, 421, id, false);
-    } else if (mode == TOKEN_ENGINE_FULL) {
+    else if (g_atomic_int_get(&engine->mode) == TOKEN_ENGINE_FULL)
         refuse(inbound, 503, id, false);
-    } else {
-        uint32_t run =
-            note_run(engine, id, hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID));
-        if (mode == TOKEN_ENGINE_SLOW || mode == TOKEN_ENGINE_ENDLESS)
-            hs_clock_sleep_ms(SLOW_MS);
-        if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
-            refuse(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
-            return;
-        }
-        GArray *fields = hs_http_fields_new();
-        add_head(engine, fields, id);
-        if (strstr(inbound->target, "plain") != NULL)
-            hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
-        else
-            serve_stream(engine, inbound, fields, mode, run);
-        hs_http_fields_free(fields);
-    }
+    else
+        goes_on = run_request(engine, inbound, id, call);
+    if (!goes_on)
+        end_call(engine, call);
 }
 
 token_engine *token_engine_start(const token_engine_settings *settings) {
@@ -163,6 +222,7 @@
     engine->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->resumes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     engine->run_log = g_array_new(FALSE, FALSE, sizeof(token_engine_run));
+    engine->call_log = g_array_new(FALSE, FALSE, sizeof(token_engine_call));
     engine->port = port_lease_take(1);
     engine->listener =
         hs_listener_start("127.0.0.1", engine->port, BODY_LIMIT, serve, engine, NULL);
@@ -175,6 +235,7 @@
     g_hash_table_destroy(engine->runs);
     g_hash_table_destroy(engine->resumes);
     g_array_free(engine->run_log, TRUE);
+    g_array_free(engine->call_log, TRUE);
     g_mutex_clear(&engine->lock);
     g_free(engine->id);
     g_free(engine->service);
@@ -229,6 +290,15 @@
     return is_known;
 }
 
+bool token_engine_find_call(token_engine *engine, uint32_t number, token_engine_call *call) {
+    g_mutex_lock(&engine->lock);
+    bool is_known = number < engine->call_log->len;
+    if (is_known)
+        *call = g_array_index(engine->call_log, token_engine_call, number);
+    g_mutex_unlock(&engine->lock);
+    return is_known;
+}
+
 uint32_t token_engine_total(token_engine *engine) {
     g_mutex_lock(&engine->lock);
     uint32_t total = engine->total;
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -24,6 +24,7 @@
     TOKEN_ENGINE_SLOW,       /**< Waits before it answers at all. */
     TOKEN_ENGINE_BREAKS,     /**< Ends the connection after some events. */
     TOKEN_ENGINE_ENDLESS,    /**< Waits before a stream that does not end by itself. */
+    TOKEN_ENGINE_SILENT,     /**< Takes requests and answers none. */
 } token_engine_mode;
 
 /** What one engine does. */
@@ -69,6 +70,16 @@
 /** The run of a number that an event named. False: this engine made no such run. */
 bool token_engine_find_run(token_engine *engine, uint32_t number, token_engine_run *run);
 
+/** One request as it came to an engine, run or refused. Times in ms of the monotonic clock. */
+typedef struct {
+    char request_id[TOKEN_ENGINE_ID_BYTES];
+    uint64_t begun_ms;
+    uint64_t ended_ms; /**< 0: the engine still works on it. */
+} token_engine_call;
+
+/** The call of a number, counted from 0 in the order in which they came. False: there is none. */
+bool token_engine_find_call(token_engine *engine, uint32_t number, token_engine_call *call);
+
 const char *token_engine_id(const token_engine *engine);
 
 /** How often a request was begun. */
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -44,5 +44,10 @@
 /** The bench with an engine that sends surplus answers. For the suite's begin and end. */
 int begin_fleet_runs(void);
 int end_fleet_runs(void);
+extern const test_case online_caller_tests[];
+
+/** Suites with a beginning of their own. */
+int begin_patient_bench(void);
+extern const test_case fleet_caller_system_tests[];
 
 #endif
--- /dev/null
+++ b/tests/system/test_online_callers.c
@@ -0,0 +1,126 @@
+/** @file test_online_callers.c  The OpenAI surface with callers that leave. */
+#include "base/clock.h"
+#include "tests/system/leaving_callers.h"
+#include "tests/system/system_tests.h"
+
+#include <signal.h>
+#include <string.h>
+
+#define CALLERS 200
+#define SEED 20261203
+#define STAY_MOST_MS 800
+#define ARRIVE_MOST_MS 2000
+/** Between two changes of what engines do, and how long they are watched after all have left. */
+#define CHANGE_MS 150
+#define WATCH_MS 3000
+#define US_PER_MS 1000
+#define DAEMONS 3
+#define UNREAD_CALLERS 40
+#define FROZEN_MS 900
+
+static char *request_bytes(const char *id, bool streams, bool sends_half) {
+    g_autofree char *body = g_strdup_printf("{\"model\":\"drafting-7b\",\"max_tokens\":1500,"
+                                            "\"stream\":%s,\"prompt\":\"%s\"}",
+                                            streams ? "true" : "false", id);
+    size_t length = strlen(body);
+    if (sends_half)
+        body[length / 2] = '\0';
+    return g_strdup_printf("POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Type: "
+                           "application/json\r\nAuthorization: Bearer " TEST_TENANT
+                           "\r\nContent-Length: %zu\r\n\r\n%s",
+                           length, body);
+}
+
+static void make_callers(leaving_caller *callers) {
+    GRand *random = g_rand_new_with_seed(SEED);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (guint index = 0; index < CALLERS; index++) {
+        leaving_caller *caller = &callers[index];
+        bool leaves_at_once = index % 7 == 0;
+        g_snprintf(caller->id, sizeof caller->id, "leaver-%u", index);
+        caller->port = (uint16_t)(test_fleet.options.ports.caller + (int)(index % DAEMONS));
+        caller->bytes = request_bytes(caller->id, index % 2 == 0, index % 11 == 0);
+        caller->arrives_ms = now_ms + (uint64_t)g_rand_int_range(random, 0, ARRIVE_MOST_MS);
+        caller->stays_ms =
+            leaves_at_once ? 0 : (uint32_t)g_rand_int_range(random, 0, STAY_MOST_MS);
+    }
+    g_rand_free(random);
+}
+
+static void set_engine(int index, const char *faults) {
+    fleet_set_faults(test_fleet.engine_urls[index], faults);
+}
+
+static gpointer change_engines(gpointer data) {
+    static const char *const faults[] = {
+        "{\"refuse\":false,\"slow_step_ms\":40}", "{\"refuse\":true}",
+        "{\"refuse\":false,\"cut_count\":5,\"cut_after_tokens\":2,\"slow_step_ms\":0}",
+        "{\"refuse\":false,\"slow_step_ms\":300}"};
+    gint *stopping = data;
+    for (guint turn = 0; g_atomic_int_get(stopping) == 0; turn++) {
+        for (int index = 0; index < test_fleet.engine_count; index++)
+            set_engine(index, faults[(turn + (guint)index) % G_N_ELEMENTS(faults)]);
+        hs_clock_sleep_ms(CHANGE_MS);
+    }
+    for (int index = 0; index < test_fleet.engine_count; index++)
+        set_engine(index, "{\"refuse\":false,\"cut_count\":0,\"slow_step_ms\":0}");
+    return NULL;
+}
+
+static uint64_t field_ms(const json_t *record, const char *name) {
+    return (uint64_t)json_integer_value(json_object_get(record, name)) / US_PER_MS;
+}
+
+static void check_engines(const leaving_caller *callers, guint count, const char *title) {
+    leaving_figures figures = leaving_figures_new(callers, count);
+    json_t *records = fleet_engine_records(&test_fleet);
+    size_t index;
+    json_t *record;
+    json_array_foreach(records, index, record)
+        leaving_figures_add(&figures, json_string_value(json_object_get(record, "prompt")),
+                            field_ms(record, "received_us"), field_ms(record, "ended_us"));
+    json_decref(records);
+    leaving_figures_check(&figures, title);
+}
+
+static void free_bytes(leaving_caller *callers, guint count) {
+    for (guint index = 0; index < count; index++)
+        g_free(callers[index].bytes);
+}
+
+/** Plain or streamed, before the first token or after it: who has left is left alone. */
+static void online_engines_are_left_alone_once_callers_left(void) {
+    leaving_caller callers[CALLERS] = {0};
+    gint stopping = 0;
+    make_callers(callers);
+    GThread *changes = g_thread_new("changes", change_engines, &stopping);
+    leaving_callers_run(callers, CALLERS);
+    hs_clock_sleep_ms(WATCH_MS);
+    g_atomic_int_set(&stopping, 1);
+    g_thread_join(changes);
+    check_engines(callers, CALLERS, "openai, callers that leave");
+    free_bytes(callers, CALLERS);
+}
+
+/** Requests that lie unread while their callers leave are not sent to engines at all. */
+static void online_requests_left_unread_are_not_sent(void) {
+    leaving_caller callers[UNREAD_CALLERS] = {0};
+    for (guint index = 0; index < UNREAD_CALLERS; index++) {
+        g_snprintf(callers[index].id, sizeof callers[index].id, "unread-%u", index);
+        callers[index].port = (uint16_t)test_fleet.options.ports.caller;
+        callers[index].bytes = request_bytes(callers[index].id, index % 2 == 0, false);
+    }
+    CU_ASSERT_EQUAL(kill(test_fleet.daemon_pids[0], SIGSTOP), 0);
+    leaving_callers_run(callers, UNREAD_CALLERS);
+    hs_clock_sleep_ms(FROZEN_MS);
+    CU_ASSERT_EQUAL(kill(test_fleet.daemon_pids[0], SIGCONT), 0);
+    hs_clock_sleep_ms(FROZEN_MS);
+    check_engines(callers, UNREAD_CALLERS, "openai, requests left unread");
+    free_bytes(callers, UNREAD_CALLERS);
+}
+
+const test_case online_caller_tests[] = {
+    {"online_engines_are_left_alone_once_callers_left",
+     online_engines_are_left_alone_once_callers_left},
+    {"online_requests_left_unread_are_not_sent", online_requests_left_unread_are_not_sent},
+    {NULL, NULL}};
