A request ends with its caller: looked at before each send, and while an answer is awaited

Cause: the OpenAI surface waited for tokens up to the deadline without a look at the caller's socket, which ulfius hides; a plain answer's caller was never missed, a stream's only at the second write after its close. Both surfaces sent requests whose callers had left before they were read, the fleet surface on kept connections only (a new one is watched while it is made); its sleep between tries did not look either. Change: base/peer_watch looks at a socket. The OpenAI listener notes the socket of the connection that a thread serves; waits for tokens look every 100 ms; before admission and after the key is taken the caller is looked at once more. The fleet surface looks before each try, and its pause between tries ends with the caller. A caller that ends only its sending side has left: until a write the two cannot be told apart, and PROTOCOL names no caller that does so. Not noticed: callers on connections that were idle when a stop began.

--- a/src/commands/complete.c
+++ b/src/commands/complete.c
@@ -5,6 +5,7 @@
  */
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/log.h"
 #include "commands/command_routes.h"
 #include "commands/completion_check.h"
 #include "commands/online_key.h"
@@ -279,7 +280,12 @@
     if (!hs_node_takes_requests(node))
         return hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
                                      RETRY_AFTER_S);
-    hs_online_request fields = {0};
+    if (hs_http_caller_has_left()) {
+        hs_log_info("caller_gone", "path=%s run=did_not", request->url_path);
+        hs_metrics_add(&node->metrics, HS_COUNT_ONLINE_REFUSED, 1);
+        return hs_refuse_unavailable(response, "caller_gone", "the caller has left", RETRY_AFTER_S);
+    }
+    hs_online_request fields = {.caller_descriptor = hs_http_caller_descriptor()};
     if (!read_request(node, request, chat, &fields, response) || !admit(node, &fields, response)) {
         hs_metrics_add(&node->metrics, HS_COUNT_ONLINE_INVALID, 1);
         free_fields(&fields);
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/fault_point.h"
 #include "base/log.h"
+#include "base/peer_watch.h"
 #include "commands/completion_check.h"
 #include "commands/online_key.h"
 #include "engine/cancel_queue.h"
@@ -19,6 +20,11 @@
 #define MAX_TRIED 16
 #define EXCHANGE_SLACK_S 2
 #define US_PER_MS 1000
+/**
+ * Between two looks whether a caller is still there, in ms: a fifth of the time within which its
+ * engine is to be free, so that the cancel has the rest.
+ */
+#define CALLER_CHECK_MS 100
 #define MS_PER_S 1000.0
 
 static void clear_request(gpointer data) {
@@ -55,12 +61,21 @@
 
 /* ---- The connection's side ---------------------------------------------------------------- */
 
+/** Wait for a change; false once the deadline has passed or the caller has left. */
+static bool wait_for_change(hs_online_request *request) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (now_ms >= request->deadline_ms || hs_peer_has_left(request->caller_descriptor))
+        return false;
+    uint64_t until_ms = MIN(request->deadline_ms, now_ms + CALLER_CHECK_MS);
+    g_cond_wait_until(&request->changed, &request->lock, (gint64)until_ms * US_PER_MS);
+    return true;
+}
+
 json_t *hs_online_request_next(hs_online_request *request, hs_online_state *state) {
     g_mutex_lock(&request->lock);
-    while (g_queue_is_empty(&request->events) && request->state == HS_ONLINE_RUNNING)
-        if (!g_cond_wait_until(&request->changed, &request->lock,
-                               (gint64)request->deadline_ms * US_PER_MS))
-            break;
+    bool may_wait = true;
+    while (may_wait && g_queue_is_empty(&request->events) && request->state == HS_ONLINE_RUNNING)
+        may_wait = wait_for_change(request);
     json_t *event = g_queue_pop_head(&request->events);
     *state = request->state;
     g_cond_broadcast(&request->changed);
@@ -313,6 +328,17 @@
     return false;
 }
 
+/** Whether someone still waits for the answer, before it is asked for; ends the request when not.
+ */
+static bool is_wanted(hs_online_request *request) {
+    g_mutex_lock(&request->lock);
+    bool wanted = !request->abandoned;
+    g_mutex_unlock(&request->lock);
+    if (!wanted)
+        end_without_engine(request, "nobody waits for the answer");
+    return wanted;
+}
+
 /**
  * One attempt at the chosen engine. True when another may follow. @p lacked_model: the engine is
  * well but does not hold the model, so that asking another costs the fleet nothing.
@@ -322,7 +348,7 @@
     hs_run_result result = {.end = HS_RUN_REFUSED};
     bool reachable =
         !request->run_once || hs_engine_is_reachable(choice->url, REACHABLE_TIMEOUT_MS);
-    bool sent = reachable && obtain_key(request, choice);
+    bool sent = reachable && obtain_key(request, choice) && is_wanted(request);
     if (sent)
         result = run_attempt(request, choice);
     hs_attempt_verdict verdict = reachable ? HS_ATTEMPT_GOOD : HS_ATTEMPT_FAILED;
--- a/src/commands/online_request.h
+++ b/src/commands/online_request.h
@@ -32,7 +32,8 @@
     bool chat;
     bool stream; /**< Tokens are passed on as they come, so that no other attempt may start. */
     bool run_once;
-    char *key_hash; /**< Of a run-once request with an idempotency key; NULL: none. */
+    char *key_hash;        /**< Of a run-once request with an idempotency key; NULL: none. */
+    int caller_descriptor; /**< The caller's socket, to be watched only; -1: none. */
     uint64_t prefix_hash;
     uint64_t deadline_ms; /**< Of the monotonic clock. */
     uint64_t started_ms;
@@ -57,9 +58,9 @@
 void hs_online_request_release(hs_online_request *request);
 
 /**
- * Wait for the next token event until the deadline.
- * @return the event (owned), or NULL when the request has ended or the deadline passed;
- *         @p state tells which (RUNNING: the deadline).
+ * Wait for the next token event until the deadline, or until the caller has left.
+ * @return the event (owned), or NULL when the request has ended, the deadline passed or the caller
+ *         has left; @p state tells which (RUNNING: one of the latter two).
  */
 json_t *hs_online_request_next(hs_online_request *request, hs_online_state *state);
 
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -1,6 +1,7 @@
 /** @file http_server.c  Listener over ulfius; see http_server.h. */
 #include "http/http_server.h"
 
+#include "base/peer_watch.h"
 #include "http/error_body.h"
 
 #include <arpa/inet.h>
@@ -22,6 +23,25 @@
     int quiesced_socket;
 };
 
+/** The socket of the connection that a thread serves: each connection has a thread of its own. */
+static _Thread_local int thread_descriptor = -1;
+
+/** Called as a request begins, in its connection's thread. */
+static void *begin_request(void *data, const char *target, struct MHD_Connection *connection) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    thread_descriptor = info != NULL ? info->connect_fd : -1;
+    return ulfius_uri_logger(data, target);
+}
+
+int hs_http_caller_descriptor(void) {
+    return thread_descriptor;
+}
+
+bool hs_http_caller_has_left(void) {
+    return hs_peer_has_left(thread_descriptor);
+}
+
 static int reply_not_found(const struct _u_request *request, struct _u_response *response,
                            void *user_data) {
     (void)request;
@@ -102,7 +122,14 @@
 }
 
 int hs_http_server_start(hs_http_server *server, hs_error *error) {
-    if (ulfius_start_framework(&server->instance) != U_OK)
+    struct MHD_OptionItem options[] = {
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
+        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)begin_request, NULL},
+        {MHD_OPTION_SOCK_ADDR, 0, &server->address},
+        {MHD_OPTION_END, 0, NULL}};
+    unsigned int flags =
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
+    if (ulfius_start_framework_with_mhd_options(&server->instance, flags, options) != U_OK)
         return hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on port %u",
                             ntohs(server->address.sin_port));
     server->started = true;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -45,6 +45,15 @@
 /** The request's parameter of the path or query, or NULL. Borrowed from the request. */
 const char *hs_http_parameter(const struct _u_request *request, const char *name);
 
+/**
+ * Whether the caller whose request the calling thread handles has left; see base/peer_watch.h.
+ * Only in a handler and in what it calls.
+ */
+bool hs_http_caller_has_left(void);
+
+/** The socket of that caller, to be watched only; -1: none. */
+int hs_http_caller_descriptor(void);
+
 /** A whole number of the query, or @p fallback where it is missing or malformed. */
 uint64_t hs_http_parameter_number(const struct _u_request *request, const char *name,
                                   uint64_t fallback);
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -22,7 +22,7 @@
     char *target;     /**< Path and query, undecoded. */
     GArray *fields;   /**< of hs_http_field, in their order. */
     GByteArray *body; /**< Whole. */
-    int descriptor;   /**< The caller's socket, to be watched only. */
+    int descriptor;   /**< The caller's socket, to be watched only (base/peer_watch.h); -1: none. */
     bool is_too_large;
     bool lacks_chunks; /**< HTTP/1.0: a body of unknown length ends with the connection. */
     bool answered;
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/peer_watch.h"
 #include "http/http_fields.h"
 
 #define FULL_PAUSE_MS 15
@@ -116,7 +117,7 @@
                                      request->route->target_latency_ms / REFUSAL_PARTS);
     bool may_wait = hs_clock_monotonic_ms() + pause_ms < until_ms;
     if (may_wait && (!has_run || hs_online_may_repeat(request))) {
-        hs_clock_sleep_ms(pause_ms);
+        hs_peer_leaves_within(request->inbound->descriptor, (uint32_t)pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
         return HS_NEXT_TRY;
     }
@@ -130,6 +131,10 @@
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason) {
     hs_next_move move = HS_NEXT_TRY;
     while (move == HS_NEXT_TRY) {
+        if (hs_peer_has_left(request->inbound->descriptor)) {
+            *reason = HS_END_CALLER_GONE;
+            return false;
+        }
         hs_attempt_order order = make_order(request);
         bool has_head = hs_attempt_start(request->online->engines, &order, &request->attempt);
         if (request->attempt.lease == NULL) {
--- a/standin/engine/engine_control.c
+++ b/standin/engine/engine_control.c
@@ -130,14 +130,13 @@
     g_mutex_lock(&self->lock);
     for (guint index = 0; index < self->request_list->len; index++) {
         const engine_request *request = self->request_list->pdata[index];
-        json_array_append_new(list, json_pack("{s:s,s:s,s:i,s:i,s:i,s:s,s:I,s:I}", "request_id",
-                                              request->request_id, "prompt", request->prompt,
-                                              "priority", request->sequence.priority, "tokens",
-                                              (int)request->sequence.produced, "starts",
-                                              (int)request->start_count, "state",
-                                              state_names[request->sequence.state], "received_us",
-                                              (json_int_t)request->received_us, "ended_us",
-                                              (json_int_t)request->ended_us));
+        json_array_append_new(
+            list,
+            json_pack("{s:s,s:s,s:i,s:i,s:i,s:s,s:I,s:I}", "request_id", request->request_id,
+                      "prompt", request->prompt, "priority", request->sequence.priority, "tokens",
+                      (int)request->sequence.produced, "starts", (int)request->start_count, "state",
+                      state_names[request->sequence.state], "received_us",
+                      (json_int_t)request->received_us, "ended_us", (json_int_t)request->ended_us));
     }
     json_t *body = json_pack("{s:s,s:i,s:i,s:I,s:o}", "engine", self->id, "refusals",
                              (int)self->refusals, "leaving_refusals", (int)self->leaving_refusals,
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -2,12 +2,12 @@
 #include "standin/token_engine/token_engine.h"
 
 #include "base/clock.h"
+#include "base/peer_watch.h"
 #include "http/http_fields.h"
 #include "http/listener.h"
 #include "platform/names.h"
 #include "standin/port_lease/port_lease.h"
 
-#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -42,19 +42,6 @@
     uint32_t break_at; /**< 0: never. */
 } stream;
 
-/** Work for a time, or until the connection closes; false when it did. */
-static bool work(int descriptor, uint32_t milliseconds) {
-    uint64_t until_ms = hs_clock_monotonic_ms() + milliseconds;
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    struct pollfd polled = {.fd = descriptor, .events = POLLRDHUP};
-    while (now_ms < until_ms) {
-        if (poll(&polled, 1, (int)(until_ms - now_ms)) > 0)
-            return false;
-        now_ms = hs_clock_monotonic_ms();
-    }
-    return true;
-}
-
 /** Note a call that came; its number. */
 static uint32_t begin_call(token_engine *engine, const char *request_id) {
     token_engine_call call = {.begun_ms = hs_clock_monotonic_ms()};
@@ -90,7 +77,7 @@
         return HS_READER_ABORT;
     if (events->next > events->last)
         return HS_READER_END;
-    if (!work(events->descriptor, events->engine->settings.event_ms))
+    if (hs_peer_leaves_within(events->descriptor, events->engine->settings.event_ms))
         return HS_READER_ABORT;
     g_autofree char *event =
         token_engine_write_event(events->next, events->engine->id, events->run);
@@ -174,7 +161,7 @@
         before_ms = SLOW_MS;
     else if (mode == TOKEN_ENGINE_SILENT)
         before_ms = G_MAXINT / 2;
-    if (!work(inbound->descriptor, before_ms)) {
+    if (hs_peer_leaves_within(inbound->descriptor, before_ms)) {
         hs_inbound_drop(inbound);
         return false;
     }
--- a/tests/system/test_fleet_callers.c
+++ b/tests/system/test_fleet_callers.c
@@ -65,8 +65,7 @@
         caller->port = bench_front_port((int)(index % BENCH_DAEMONS));
         caller->bytes = request_bytes(target, caller->id, sends_half ? "he" : "hello");
         caller->arrives_ms = now_ms + (uint64_t)g_rand_int_range(random, 0, ARRIVE_MOST_MS);
-        caller->stays_ms =
-            leaves_at_once ? 0 : (uint32_t)g_rand_int_range(random, 0, STAY_MOST_MS);
+        caller->stays_ms = leaves_at_once ? 0 : (uint32_t)g_rand_int_range(random, 0, STAY_MOST_MS);
     }
     g_rand_free(random);
 }
--- a/tests/system/test_online_callers.c
+++ b/tests/system/test_online_callers.c
@@ -41,8 +41,7 @@
         caller->port = (uint16_t)(test_fleet.options.ports.caller + (int)(index % DAEMONS));
         caller->bytes = request_bytes(caller->id, index % 2 == 0, index % 11 == 0);
         caller->arrives_ms = now_ms + (uint64_t)g_rand_int_range(random, 0, ARRIVE_MOST_MS);
-        caller->stays_ms =
-            leaves_at_once ? 0 : (uint32_t)g_rand_int_range(random, 0, STAY_MOST_MS);
+        caller->stays_ms = leaves_at_once ? 0 : (uint32_t)g_rand_int_range(random, 0, STAY_MOST_MS);
     }
     g_rand_free(random);
 }
