--- a/src/base/peer_watch.h
+++ b/src/base/peer_watch.h
@@ -3,8 +3,8 @@
  * Whether the other end of a connection has left.
  *
  * A peer that closed its connection and one that ended only its sending side look the same until
- * something is written to it. Both count as having left: nobody is there to be waited for, and
- * callers of the documented interfaces do not end one side alone.
+ * something is written to it. Both count as having left: to look away from an end costs an engine's
+ * work each time, and the documented interfaces name no caller that ends one side alone.
  */
 #ifndef HS_BASE_PEER_WATCH_H
 #define HS_BASE_PEER_WATCH_H
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -92,8 +93,21 @@
     return arguments;
 }
 
-static bool start_daemon(int index, bool silent_reader, const char *settings_path) {
-    GPtrArray *arguments = daemon_arguments(index, settings_path);
+/** How a daemon is started, beside what all are given. */
+typedef struct {
+    bool silent_reader;
+    const char *settings_path; /**< NULL: none. */
+    unsigned descriptors;      /**< Most that it may have open; 0: as this process. */
+} daemon_start;
+
+static bool confine(unsigned descriptors) {
+    struct rlimit limit = {.rlim_cur = descriptors, .rlim_max = descriptors};
+    return descriptors == 0 || setrlimit(RLIMIT_NOFILE, &limit) == 0;
+}
+
+static bool start_daemon(int index, const daemon_start *how) {
+    GPtrArray *arguments = daemon_arguments(index, how->settings_path);
+    bool silent_reader = how->silent_reader;
     int output[2] = {-1, -1};
     if (silent_reader && pipe(output) != 0)
         return false;
@@ -103,6 +117,8 @@
             _exit(EXIT_FAILURE);
         if (silent_reader)
             dup2(output[1], STDOUT_FILENO);
+        if (!confine(how->descriptors))
+            _exit(EXIT_FAILURE);
         execv(arguments->pdata[0], (char **)arguments->pdata);
         _exit(EXIT_FAILURE);
     }
@@ -114,11 +130,15 @@
 }
 
 bool bench_start_daemon(int index, bool silent_reader) {
-    return start_daemon(index, silent_reader, NULL);
+    return start_daemon(index, &(daemon_start){.silent_reader = silent_reader});
 }
 
 bool bench_start_daemon_with(int index, const char *settings_path) {
-    return start_daemon(index, false, settings_path);
+    return start_daemon(index, &(daemon_start){.settings_path = settings_path});
+}
+
+bool bench_start_daemon_confined(int index, unsigned descriptors) {
+    return start_daemon(index, &(daemon_start){.descriptors = descriptors});
 }
 
 int bench_signal(int index, int signal_number) {
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -43,6 +43,9 @@
 /** Start a daemon with a settings file as well; the bench's own values override it. */
 bool bench_start_daemon_with(int index, const char *settings_path);
 
+/** Start a daemon that may have at most @p descriptors open, as a limit that it cannot raise. */
+bool bench_start_daemon_confined(int index, unsigned descriptors);
+
 /** Set what all engines do. */
 void bench_set_engines(token_engine_mode mode);
 
