Ready says whether the front takes connections, and descriptors do not run out

Cause: ready asked whether a configuration and engines were known, nothing else. The library takes about 1,000 connections a listener and none beyond; without descriptors its accept fails at once, again and again, in the ready listener too. Ruled out: a count of accepts (it stands still also where nobody comes); the library's own limit alone (with it 500 idle callers keep everybody out until they time out, and ready would only be honest about it). Change: descriptors are shared out at the start (surface/connection_plan): the front, other daemons, other listeners; a quarter is kept for engines and the store; the soft limit is raised to the hard one. Listeners near their limit end their longest idle connections (http/caller_connections, out of listener.c). The daemon is its own caller (http/listener_probe, surface/front_watch): each sixth of contact_ms it connects to its front, which answers that socket itself; ready says 503 while it is not answered within half of contact_ms. Not tested: a machine without threads; a probe then ends in a close, which counts as not taken. Beyond the limit the library closes new connections without an answer; ready says 503 meanwhile.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -2,6 +2,7 @@
 #include "daemon/fleet_daemon.h"
 
 #include "base/clock.h"
+#include "base/descriptor_limit.h"
 #include "base/endpoint.h"
 #include "base/log.h"
 #include "base/thread.h"
@@ -123,6 +124,8 @@
                                          .directory = daemon->settings->fleet_directory,
                                          .metrics = daemon->settings->fleet_metrics,
                                          .control = daemon->settings->fleet_control,
+                                         .descriptors = hs_descriptor_limit_raise(),
+                                         .contact_ms = (uint32_t)daemon->settings->fleet_contact_ms,
                                          .online = &daemon->online,
                                          .jobs = daemon->jobs,
                                          .owner = daemon->owner,
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -2,6 +2,7 @@
 #include "http/listener.h"
 
 #include "base/clock.h"
+#include "http/caller_connections.h"
 #include "http/http_fields.h"
 
 #include <arpa/inet.h>
@@ -25,18 +26,12 @@
     gint closes_after_answers;
     gint open_requests;
     int quiesced_socket; /**< Former listening socket; -1: still listening. */
+    hs_caller_connections *connections;
     GMutex lock;
-    GHashTable *connections; /**< of caller_connection*, as a set. */
+    struct sockaddr_in own_caller; /**< Of a probe under way; port 0: none. Under the lock. */
 };
 
-/** One connection as the listener keeps it. */
-typedef struct {
-    int descriptor;
-    bool busy;        /**< A request was begun on it and is not answered to its end. */
-    bool half_closed; /**< Reading was ended on this side. */
-} caller_connection;
-
-static caller_connection *connection_of(struct MHD_Connection *connection) {
+static hs_caller_connection *connection_of(struct MHD_Connection *connection) {
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
     return info != NULL ? info->socket_context : NULL;
@@ -45,27 +40,19 @@
 static void note_connection(void *data, struct MHD_Connection *connection, void **state,
                             enum MHD_ConnectionNotificationCode code) {
     hs_listener *listener = data;
-    g_mutex_lock(&listener->lock);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         const union MHD_ConnectionInfo *info =
             MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        caller_connection *caller = g_new0(caller_connection, 1);
-        caller->descriptor = info != NULL ? info->connect_fd : -1;
-        *state = caller;
-        g_hash_table_add(listener->connections, caller);
+        *state =
+            hs_caller_connections_add(listener->connections, info != NULL ? info->connect_fd : -1);
     } else {
-        g_hash_table_remove(listener->connections, *state);
+        hs_caller_connections_remove(listener->connections, *state);
         *state = NULL;
     }
-    g_mutex_unlock(&listener->lock);
 }
 
 static void set_busy(hs_listener *listener, struct MHD_Connection *connection, bool busy) {
-    g_mutex_lock(&listener->lock);
-    caller_connection *caller = connection_of(connection);
-    if (caller != NULL)
-        caller->busy = busy;
-    g_mutex_unlock(&listener->lock);
+    hs_caller_connections_set_busy(listener->connections, connection_of(connection), busy);
 }
 
 /** Called with the raw target before the head is read; its result is the request's state. */
@@ -111,11 +98,8 @@
     inbound->method = g_strdup(method);
     inbound->received_ms = hs_clock_monotonic_ms();
     MHD_get_connection_values(inbound->connection, MHD_HEADER_KIND, take_field, inbound->fields);
-    g_mutex_lock(&inbound->listener->lock);
-    const caller_connection *caller = connection_of(inbound->connection);
-    if (caller != NULL && !caller->half_closed)
-        inbound->descriptor = caller->descriptor;
-    g_mutex_unlock(&inbound->listener->lock);
+    inbound->descriptor = hs_caller_connections_watched(inbound->listener->connections,
+                                                        connection_of(inbound->connection));
     unsigned int idle_s = (unsigned int)g_atomic_int_get(&inbound->listener->idle_timeout_s);
     MHD_set_connection_option(inbound->connection, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
@@ -128,6 +112,21 @@
         g_byte_array_append(inbound->body, (const guint8 *)bytes, (guint)length);
 }
 
+/** Whether the request comes from the listener's own process; see hs_listener_expect_own. */
+static bool is_own(const hs_inbound *inbound) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(inbound->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == NULL || info->client_addr->sa_family != AF_INET)
+        return false;
+    const struct sockaddr_in *caller = (const struct sockaddr_in *)(const void *)info->client_addr;
+    g_mutex_lock(&inbound->listener->lock);
+    const struct sockaddr_in *own = &inbound->listener->own_caller;
+    bool same = own->sin_port != 0 && own->sin_port == caller->sin_port &&
+                own->sin_addr.s_addr == caller->sin_addr.s_addr;
+    g_mutex_unlock(&inbound->listener->lock);
+    return same;
+}
+
 static enum MHD_Result handle_step(void *data, struct MHD_Connection *connection, const char *url,
                                    const char *method, const char *version, const char *upload_data,
                                    size_t *upload_size, void **state) {
@@ -144,17 +143,20 @@
         *upload_size = 0;
         return MHD_YES;
     }
-    listener->handler(inbound, listener->user_data);
+    if (is_own(inbound))
+        hs_inbound_reply(inbound, HS_OWN_STATUS, NULL, "", 0);
+    else
+        listener->handler(inbound, listener->user_data);
     return inbound->answered ? MHD_YES : MHD_NO;
 }
 
 static void free_listener(hs_listener *listener) {
-    g_hash_table_destroy(listener->connections);
+    hs_caller_connections_free(listener->connections);
     g_mutex_clear(&listener->lock);
     g_free(listener);
 }
 
-hs_listener *hs_listener_start(const char *address, uint16_t port, size_t max_body_bytes,
+hs_listener *hs_listener_start(const char *address, uint16_t port, const hs_listener_limits *limits,
                                hs_inbound_handler handler, void *user_data, hs_error *error) {
     struct sockaddr_in local = {.sin_family = AF_INET, .sin_port = htons(port)};
     if (inet_pton(AF_INET, address, &local.sin_addr) != 1) {
@@ -164,11 +166,14 @@
     hs_listener *listener = g_new0(hs_listener, 1);
     listener->handler = handler;
     listener->user_data = user_data;
-    listener->max_body_bytes = max_body_bytes;
+    listener->max_body_bytes = limits->max_body_bytes;
     listener->idle_timeout_s = FIRST_IDLE_TIMEOUT_S;
     listener->quiesced_socket = -1;
     g_mutex_init(&listener->lock);
-    listener->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+    listener->connections = hs_caller_connections_new(limits->connections_most);
+    struct MHD_OptionItem limit[] = {
+        {MHD_OPTION_CONNECTION_LIMIT, (intptr_t)limits->connections_most, NULL},
+        {MHD_OPTION_END, 0, NULL}};
     listener->daemon = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL |
             MHD_USE_ITC,
@@ -178,10 +183,11 @@
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
         (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)LISTEN_BACKLOG,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)FIRST_IDLE_TIMEOUT_S,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_ARRAY,
+        limits->connections_most > 0 ? limit : limit + 1, MHD_OPTION_END);
     if (listener->daemon == NULL) {
         hs_error_set(error, HS_LAYER_HTTP, HS_UNAVAILABLE, "cannot listen on %s:%u", address, port);
-        g_free(listener);
+        free_listener(listener);
         return NULL;
     }
     return listener;
@@ -201,17 +207,21 @@
         if (listener->quiesced_socket >= 0)
             shutdown(listener->quiesced_socket, SHUT_RDWR);
     }
-    GHashTableIter iterator;
-    gpointer key = NULL;
+    hs_caller_connections_end_idle(listener->connections);
+}
+
+uint32_t hs_listener_make_room(hs_listener *listener) {
+    return hs_caller_connections_make_room(listener->connections);
+}
+
+uint32_t hs_listener_connections(hs_listener *listener) {
+    return hs_caller_connections_count(listener->connections);
+}
+
+void hs_listener_expect_own(hs_listener *listener, const struct sockaddr_in *caller) {
+    static const struct sockaddr_in nobody;
     g_mutex_lock(&listener->lock);
-    g_hash_table_iter_init(&iterator, listener->connections);
-    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        caller_connection *caller = key;
-        if (caller->busy || caller->half_closed)
-            continue;
-        caller->half_closed = true;
-        shutdown(caller->descriptor, SHUT_RD);
-    }
+    listener->own_caller = caller != NULL ? *caller : nobody;
     g_mutex_unlock(&listener->lock);
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -11,6 +11,7 @@
 #include "heathsail/error.h"
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -41,8 +42,14 @@
 /** Fill @p buffer; blocks until bytes are there. Bytes, HS_READER_END or HS_READER_ABORT. */
 typedef ssize_t (*hs_body_reader)(void *reader_data, char *buffer, size_t size);
 
-/** Listen on an IPv4 number and port; bodies above @p max_body_bytes are marked too large. */
-hs_listener *hs_listener_start(const char *address, uint16_t port, size_t max_body_bytes,
+/** What a listener takes. */
+typedef struct {
+    size_t max_body_bytes;     /**< Larger bodies are marked too large; 0: no limit. */
+    uint32_t connections_most; /**< Open at one time; 0: the library's own limit, about 1,000. */
+} hs_listener_limits;
+
+/** Listen on an IPv4 number and port. NULL with @p error (may be NULL). */
+hs_listener *hs_listener_start(const char *address, uint16_t port, const hs_listener_limits *limits,
                                hs_inbound_handler handler, void *user_data, hs_error *error);
 
 /** Idle time in seconds after which connections are closed; for connections from now on. */
@@ -57,6 +64,24 @@
  */
 void hs_listener_quiesce(hs_listener *listener);
 
+/**
+ * Where few more connections fit, end the longest idle ones, so that callers with requests get in;
+ * how many were ended. A request that has already arrived on one is still served.
+ */
+uint32_t hs_listener_make_room(hs_listener *listener);
+
+/** Connections now open. */
+uint32_t hs_listener_connections(hs_listener *listener);
+
+/** Status of the answer to a request of the own process. */
+#define HS_OWN_STATUS 204
+
+/**
+ * Answer requests from this address with HS_OWN_STATUS, without the handler: they only ask whether
+ * the listener takes connections (see listener_probe.h). NULL: no longer.
+ */
+void hs_listener_expect_own(hs_listener *listener, const struct sockaddr_in *caller);
+
 /** Requests now being handled or answered. */
 uint32_t hs_listener_open_requests(hs_listener *listener);
 
--- /dev/null
+++ b/src/http/listener_probe.c
@@ -0,0 +1,69 @@
+/** @file listener_probe.c  See listener_probe.h. */
+#include "http/listener_probe.h"
+
+#include "base/clock.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER_BYTES_MOST 1024
+#define PROBE_HEAD "GET / HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n\r\n"
+
+/** Wait until a connect under way has ended; false when it failed or the time is up. */
+static bool is_connected(int descriptor, hs_deadline deadline) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    struct pollfd polled = {.fd = descriptor, .events = POLLOUT};
+    int failure = 0;
+    socklen_t length = sizeof failure;
+    return now_ms < deadline && poll(&polled, 1, (int)(deadline - now_ms)) == 1 &&
+           getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) == 0 && failure == 0;
+}
+
+/** A connected socket and its own address; -1 with @p step. */
+static int connect_probe(const struct sockaddr_in *to, hs_deadline deadline,
+                         struct sockaddr_in *own, hs_step *step) {
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    *step = HS_STEP_CUT;
+    if (descriptor < 0)
+        return -1;
+    socklen_t length = sizeof *own;
+    bool begun =
+        connect(descriptor, (const struct sockaddr *)to, sizeof *to) == 0 || errno == EINPROGRESS;
+    if (begun && is_connected(descriptor, deadline) &&
+        getsockname(descriptor, (struct sockaddr *)own, &length) == 0)
+        return descriptor;
+    *step = hs_clock_monotonic_ms() >= deadline ? HS_STEP_DEADLINE : HS_STEP_CUT;
+    close(descriptor);
+    return -1;
+}
+
+static hs_step ask(hs_client_connection *connection, hs_deadline deadline) {
+    hs_wait wait = {.deadline = deadline, .watched = HS_WATCH_NOTHING};
+    GString *head = g_string_new(PROBE_HEAD);
+    hs_step step = hs_client_connection_send(connection, head, NULL, 0, false, &wait);
+    g_string_free(head, TRUE);
+    if (step == HS_STEP_PROGRESS)
+        step = hs_client_connection_read_all(connection, ANSWER_BYTES_MOST, &wait);
+    if (step == HS_STEP_COMPLETE && hs_client_connection_status(connection) != HS_OWN_STATUS)
+        step = HS_STEP_INVALID;
+    return step;
+}
+
+hs_step hs_listener_probe(hs_listener *listener, uint32_t address, uint16_t port,
+                          hs_deadline deadline) {
+    struct sockaddr_in to = {
+        .sin_family = AF_INET, .sin_port = htons(port), .sin_addr.s_addr = htonl(address)};
+    struct sockaddr_in own = {0};
+    hs_step step = HS_STEP_CUT;
+    int descriptor = connect_probe(&to, deadline, &own, &step);
+    if (descriptor < 0)
+        return step;
+    hs_listener_expect_own(listener, &own);
+    hs_client_connection *connection = hs_client_connection_adopt(descriptor);
+    step = ask(connection, deadline);
+    hs_client_connection_close(connection);
+    hs_listener_expect_own(listener, NULL);
+    return step;
+}
--- /dev/null
+++ b/src/surface/connection_plan.c
@@ -0,0 +1,31 @@
+/** @file connection_plan.c  See connection_plan.h. */
+#include "surface/connection_plan.h"
+
+#include <glib.h>
+
+/** Kept for what is no listener's: one in four, for kept connections to engines, the store, logs.
+ */
+#define KEPT_PARTS 4
+#define PEERS_PARTS 8
+#define PEERS_LEAST 16
+#define PEERS_MOST 1024
+#define OTHER_PARTS 32
+#define OTHER_LEAST 8
+#define OTHER_MOST 128
+#define OTHER_LISTENERS 3
+/** A front connection and the one to its engine. */
+#define PER_REQUEST 2
+#define FRONT_LEAST 8
+/** Each has a thread: with some 60 kB a connection, a hundred and twenty megabytes. */
+#define FRONT_MOST 2048
+
+hs_connection_plan hs_connection_plan_make(uint32_t descriptors) {
+    hs_connection_plan plan = {
+        .peers = CLAMP(descriptors / PEERS_PARTS, PEERS_LEAST, PEERS_MOST),
+        .other = CLAMP(descriptors / OTHER_PARTS, OTHER_LEAST, OTHER_MOST),
+    };
+    uint32_t taken = descriptors / KEPT_PARTS + plan.peers + OTHER_LISTENERS * plan.other;
+    uint32_t left = descriptors > taken ? descriptors - taken : 0;
+    plan.front = CLAMP(left / PER_REQUEST, FRONT_LEAST, FRONT_MOST);
+    return plan;
+}
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -6,7 +6,9 @@
 #include "base/log.h"
 #include "http/http_fields.h"
 #include "jobs/job_peer.h"
+#include "surface/connection_plan.h"
 #include "surface/fleet_metrics.h"
+#include "surface/front_watch.h"
 
 #include <string.h>
 
@@ -25,6 +27,7 @@
     hs_listener *directory;
     hs_listener *metrics;
     hs_listener *peers; /**< Other daemons' calls about jobs. */
+    hs_front_watch *watch;
 };
 
 static void reply_status(hs_inbound *inbound, uint32_t status) {
@@ -131,8 +134,14 @@
         hs_job_service_call_of_peer(surface->settings.jobs, inbound, &terms, kind, job_id);
 }
 
+/** Whether the front takes connections; without a front there is nothing to take. */
+static bool takes_connections(const hs_fleet_surface *surface) {
+    return surface->front == NULL ||
+           (surface->watch != NULL && hs_front_watch_is_taking(surface->watch));
+}
+
 static bool is_ready(hs_fleet_surface *surface) {
-    return g_atomic_int_get(&surface->leaving) == 0 &&
+    return g_atomic_int_get(&surface->leaving) == 0 && takes_connections(surface) &&
            surface->settings.may_serve(surface->settings.user_data);
 }
 
@@ -181,13 +190,14 @@
 }
 
 /** Open a listener at "IPv4:port"; an empty address opens none. False with @p error. */
-static bool open_listener(hs_listener **listener, const char *address, size_t max_body,
-                          hs_inbound_handler handler, hs_fleet_surface *surface, hs_error *error) {
+static bool open_listener(hs_listener **listener, const char *address,
+                          const hs_listener_limits *limits, hs_inbound_handler handler,
+                          hs_fleet_surface *surface, hs_error *error) {
     if (*address == '\0')
         return true;
     hs_endpoint endpoint;
     hs_endpoint_parse(address, &endpoint);
-    *listener = hs_listener_start(endpoint.host, endpoint.port, max_body, handler, surface, error);
+    *listener = hs_listener_start(endpoint.host, endpoint.port, limits, handler, surface, error);
     return *listener != NULL;
 }
 
@@ -195,36 +205,55 @@
  * A daemon without figures, or one that others cannot ask about jobs, is worth more than none: a
  * taken port is logged only.
  */
-static void open_optional(hs_fleet_surface *surface) {
+static void open_optional(hs_fleet_surface *surface, const hs_connection_plan *plan) {
     hs_error error = {0};
-    if (!open_listener(&surface->peers, surface->settings.control, BODY_LIMIT_BYTES, serve_peer,
-                       surface, &error))
+    hs_listener_limits peers = {BODY_LIMIT_BYTES, plan->peers};
+    hs_listener_limits metrics = {SMALL_BODY_BYTES, plan->other};
+    if (!open_listener(&surface->peers, surface->settings.control, &peers, serve_peer, surface,
+                       &error))
         hs_log_warning("peers_cannot_ask", "reason=\"%s\"", error.message);
-    if (!open_listener(&surface->metrics, surface->settings.metrics, SMALL_BODY_BYTES,
-                       serve_metrics, surface, &error))
+    if (!open_listener(&surface->metrics, surface->settings.metrics, &metrics, serve_metrics,
+                       surface, &error))
         hs_log_warning("metrics_unavailable", "reason=\"%s\"", error.message);
 }
 
+static void watch_front(hs_fleet_surface *surface) {
+    hs_front_watch_settings watch = {.listeners = {surface->front, surface->ready,
+                                                   surface->directory, surface->metrics,
+                                                   surface->peers},
+                                     .contact_ms = surface->settings.contact_ms};
+    hs_endpoint_parse(surface->settings.front, &watch.front);
+    surface->watch = hs_front_watch_start(&watch);
+}
+
 hs_fleet_surface *hs_fleet_surface_start(const hs_fleet_surface_settings *settings,
                                          hs_error *error) {
+    hs_connection_plan plan = hs_connection_plan_make(settings->descriptors);
+    hs_listener_limits front = {BODY_LIMIT_BYTES, plan.front};
+    hs_listener_limits other = {SMALL_BODY_BYTES, plan.other};
     hs_fleet_surface *surface = g_new0(hs_fleet_surface, 1);
     surface->settings = *settings;
-    bool opened = open_listener(&surface->front, settings->front, BODY_LIMIT_BYTES, serve_front,
-                                surface, error) &&
-                  open_listener(&surface->ready, settings->ready, SMALL_BODY_BYTES, serve_ready,
-                                surface, error) &&
-                  open_listener(&surface->directory, settings->directory, SMALL_BODY_BYTES,
-                                serve_directory, surface, error);
+    bool opened =
+        open_listener(&surface->front, settings->front, &front, serve_front, surface, error) &&
+        open_listener(&surface->ready, settings->ready, &other, serve_ready, surface, error) &&
+        open_listener(&surface->directory, settings->directory, &other, serve_directory, surface,
+                      error);
     if (!opened) {
         hs_fleet_surface_stop(surface);
         return NULL;
     }
-    open_optional(surface);
+    open_optional(surface, &plan);
+    if (surface->front != NULL)
+        watch_front(surface);
+    hs_log_info("connections_planned", "descriptors=%u front=%u peers=%u other=%u",
+                settings->descriptors, plan.front, plan.peers, plan.other);
     return surface;
 }
 
 void hs_fleet_surface_leave(hs_fleet_surface *surface) {
     g_atomic_int_set(&surface->leaving, 1);
+    if (surface->watch != NULL)
+        hs_front_watch_leave(surface->watch);
     if (surface->front != NULL)
         hs_listener_close_after_answers(surface->front);
 }
@@ -241,6 +270,7 @@
 void hs_fleet_surface_stop(hs_fleet_surface *surface) {
     if (surface == NULL)
         return;
+    hs_front_watch_stop(surface->watch);
     hs_listener_stop(surface->front);
     hs_listener_stop(surface->ready);
     hs_listener_stop(surface->directory);
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -17,7 +17,9 @@
     const char *ready;
     const char *directory;
     const char *metrics;
-    const char *control; /**< For other daemons. */
+    const char *control;  /**< For other daemons. */
+    uint32_t descriptors; /**< That the process may have open. */
+    uint32_t contact_ms;  /**< Time within which a ready daemon takes a connection. */
     hs_online *online;
     hs_job_service *jobs;
     hs_job_owner *owner; /**< For its metrics. */
--- /dev/null
+++ b/src/surface/front_watch.c
@@ -0,0 +1,112 @@
+/** @file front_watch.c  See front_watch.h. */
+#include "surface/front_watch.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "http/listener_probe.h"
+
+#include <netinet/in.h>
+
+/**
+ * Pause between two tries, and the longest try, as parts of the time within which connections are
+ * to be taken: two in a row fail, and the word is changed, within two thirds of it.
+ */
+#define PAUSE_PARTS 6
+#define TRY_PARTS 2
+/** Between two looks for room, in ms: a tenth of the shortest time in which a queue is noticed. */
+#define ROOM_PAUSE_MS 200
+#define US_PER_MS 1000
+
+struct hs_front_watch {
+    hs_front_watch_settings settings;
+    gint is_taking;
+    gint leaving;
+    GMutex lock;
+    GCond changed;
+    bool stopping;
+    GThread *tries;
+    GThread *room;
+};
+
+/** Sleep; false once the watch is to stop. */
+static bool pause_for(hs_front_watch *watch, uint32_t milliseconds) {
+    gint64 until_us = g_get_monotonic_time() + (gint64)milliseconds * US_PER_MS;
+    g_mutex_lock(&watch->lock);
+    while (!watch->stopping && g_cond_wait_until(&watch->changed, &watch->lock, until_us))
+        continue;
+    bool goes_on = !watch->stopping;
+    g_mutex_unlock(&watch->lock);
+    return goes_on;
+}
+
+static void try_once(hs_front_watch *watch) {
+    const hs_front_watch_settings *settings = &watch->settings;
+    uint32_t address =
+        settings->front.address != INADDR_ANY ? settings->front.address : INADDR_LOOPBACK;
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    hs_step step = hs_listener_probe(settings->listeners[0], address, settings->front.port,
+                                     began_ms + settings->contact_ms / TRY_PARTS);
+    bool took = step == HS_STEP_COMPLETE;
+    bool took_before = g_atomic_int_exchange(&watch->is_taking, took) != 0;
+    if (took == took_before || g_atomic_int_get(&watch->leaving) != 0)
+        return;
+    hs_log_warning(took ? "front_takes" : "front_takes_none",
+                   "step=%s took_ms=%" G_GUINT64_FORMAT " connections=%u", hs_step_name(step),
+                   (guint64)(hs_clock_monotonic_ms() - began_ms),
+                   hs_listener_connections(settings->listeners[0]));
+}
+
+static gpointer try_front(gpointer data) {
+    hs_front_watch *watch = data;
+    do {
+        if (g_atomic_int_get(&watch->leaving) == 0)
+            try_once(watch);
+    } while (pause_for(watch, watch->settings.contact_ms / PAUSE_PARTS));
+    return NULL;
+}
+
+static gpointer make_room(gpointer data) {
+    hs_front_watch *watch = data;
+    while (pause_for(watch, ROOM_PAUSE_MS)) {
+        for (int index = 0; index < HS_WATCHED_LISTENERS_MOST; index++) {
+            hs_listener *listener = watch->settings.listeners[index];
+            uint32_t ended = listener != NULL ? hs_listener_make_room(listener) : 0;
+            if (ended > 0)
+                hs_log_warning("idle_connections_ended", "listener=%d ended=%u open=%u", index,
+                               ended, hs_listener_connections(listener));
+        }
+    }
+    return NULL;
+}
+
+hs_front_watch *hs_front_watch_start(const hs_front_watch_settings *settings) {
+    hs_front_watch *watch = g_new0(hs_front_watch, 1);
+    watch->settings = *settings;
+    g_mutex_init(&watch->lock);
+    g_cond_init(&watch->changed);
+    watch->tries = g_thread_new("front-watch", try_front, watch);
+    watch->room = g_thread_new("front-room", make_room, watch);
+    return watch;
+}
+
+bool hs_front_watch_is_taking(hs_front_watch *watch) {
+    return g_atomic_int_get(&watch->is_taking) != 0;
+}
+
+void hs_front_watch_leave(hs_front_watch *watch) {
+    g_atomic_int_set(&watch->leaving, 1);
+}
+
+void hs_front_watch_stop(hs_front_watch *watch) {
+    if (watch == NULL)
+        return;
+    g_mutex_lock(&watch->lock);
+    watch->stopping = true;
+    g_cond_broadcast(&watch->changed);
+    g_mutex_unlock(&watch->lock);
+    g_thread_join(watch->tries);
+    g_thread_join(watch->room);
+    g_cond_clear(&watch->changed);
+    g_mutex_clear(&watch->lock);
+    g_free(watch);
+}
--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -387,7 +387,9 @@
     store->members = g_ptr_array_new_with_free_func(free_member);
     store->calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     store->port = port != 0 ? port : port_lease_take(1);
-    store->listener = hs_listener_start("127.0.0.1", store->port, BODY_LIMIT, serve, store, NULL);
+    store->listener =
+        hs_listener_start("127.0.0.1", store->port,
+                          &(hs_listener_limits){.max_body_bytes = BODY_LIMIT}, serve, store, NULL);
     return store;
 }
 
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -212,7 +212,8 @@
     engine->call_log = g_array_new(FALSE, FALSE, sizeof(token_engine_call));
     engine->port = port_lease_take(1);
     engine->listener =
-        hs_listener_start("127.0.0.1", engine->port, BODY_LIMIT, serve, engine, NULL);
+        hs_listener_start("127.0.0.1", engine->port,
+                          &(hs_listener_limits){.max_body_bytes = BODY_LIMIT}, serve, engine, NULL);
     engine->shown_port = engine->port;
     return engine;
 }
--- a/tests/system/test_fleet_taking.c
+++ b/tests/system/test_fleet_taking.c
@@ -146,24 +146,31 @@
     check_recovers(0);
 }
 
-static void few_descriptors_are_told(void) {
+static void few_descriptors_and_waiting_callers_are_told(void) {
     static crowd crowd;
     restart(1, FEW_DESCRIPTORS);
-    open_crowd(&crowd, 1, OPEN_CALLERS, NULL);
-    check_word(1, "300 descriptors, 500 idle callers");
-    close_crowd(&crowd);
-    check_recovers(1);
     bench_set_engines(TOKEN_ENGINE_SILENT);
     open_crowd(&crowd, 1, OPEN_CALLERS, silent_request);
     check_word(1, "300 descriptors, 500 callers wait on engines");
+    CU_ASSERT_EQUAL(ask_ready(1), 503);
     close_crowd(&crowd);
     bench_set_engines(TOKEN_ENGINE_SOUND);
     check_recovers(1);
 }
 
+static void few_descriptors_and_idle_callers_are_told(void) {
+    static crowd crowd;
+    restart(2, FEW_DESCRIPTORS);
+    open_crowd(&crowd, 2, OPEN_CALLERS, NULL);
+    check_word(2, "300 descriptors, 500 idle callers");
+    close_crowd(&crowd);
+    check_recovers(2);
+}
+
 const test_case fleet_taking_system_tests[] = {
+    {"few_descriptors_and_waiting_callers_are_told", few_descriptors_and_waiting_callers_are_told},
+    {"few_descriptors_and_idle_callers_are_told", few_descriptors_and_idle_callers_are_told},
     {"many_idle_callers_keep_nobody_out", many_idle_callers_keep_nobody_out},
     {"callers_that_wait_on_engines_keep_nobody_out", callers_that_wait_on_engines_keep_nobody_out},
     {"a_full_queue_is_taken_or_told", a_full_queue_is_taken_or_told},
-    {"few_descriptors_are_told", few_descriptors_are_told},
     {NULL, NULL}};
--- /dev/null
+++ b/tests/unit/test_connections.c
@@ -0,0 +1,63 @@
+/** @file test_connections.c  Shares of descriptors, and room among a listener's connections. */
+#include "base/clock.h"
+#include "http/caller_connections.h"
+#include "surface/connection_plan.h"
+#include "tests/unit/unit_tests.h"
+
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define MOST 8
+/** Longer than a connection must be idle to be ended, in ms. */
+#define IDLE_MS 520
+
+/** Callers with a request each, other daemons and the other listeners fit, with some kept back. */
+static void planned_connections_fit_the_descriptors(void) {
+    static const uint32_t limits[] = {256, 300, 1024, 4096, 20000, 1048576};
+    for (size_t index = 0; index < G_N_ELEMENTS(limits); index++) {
+        hs_connection_plan plan = hs_connection_plan_make(limits[index]);
+        uint32_t used = 2 * plan.front + plan.peers + 3 * plan.other;
+        CU_ASSERT(used <= limits[index] - limits[index] / 4);
+        CU_ASSERT(plan.front >= 8 && plan.peers >= 8 && plan.other >= 8);
+    }
+}
+
+static bool is_ended(int descriptor) {
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
+/** The longest idle are ended, never one with a request, and none while there is room. */
+static void room_is_made_of_the_longest_idle(void) {
+    int sockets[MOST][2];
+    hs_caller_connection *all[MOST];
+    hs_caller_connections *connections = hs_caller_connections_new(MOST);
+    for (int index = 0; index < MOST; index++) {
+        CU_ASSERT_EQUAL(socketpair(AF_UNIX, SOCK_STREAM, 0, sockets[index]), 0);
+        if (index == MOST - 1)
+            CU_ASSERT_EQUAL(hs_caller_connections_make_room(connections), 0);
+        all[index] = hs_caller_connections_add(connections, sockets[index][0]);
+        hs_clock_sleep_ms(2);
+    }
+    CU_ASSERT_EQUAL(hs_caller_connections_make_room(connections), 0); /* None is idle for long. */
+    hs_clock_sleep_ms(IDLE_MS);
+    hs_caller_connections_set_busy(connections, all[0], true);
+    CU_ASSERT_EQUAL(hs_caller_connections_make_room(connections), 2);
+    for (int index = 0; index < MOST; index++) {
+        bool ended = index == 1 || index == 2;
+        CU_ASSERT_EQUAL(is_ended(sockets[index][0]), ended);
+        CU_ASSERT_EQUAL(hs_caller_connections_watched(connections, all[index]),
+                        ended ? -1 : sockets[index][0]);
+        hs_caller_connections_remove(connections, all[index]);
+        close(sockets[index][0]);
+        close(sockets[index][1]);
+    }
+    CU_ASSERT_EQUAL(hs_caller_connections_count(connections), 0);
+    hs_caller_connections_free(connections);
+}
+
+const test_case connection_tests[] = {
+    {"planned_connections_fit_the_descriptors", planned_connections_fit_the_descriptors},
+    {"room_is_made_of_the_longest_idle", room_is_made_of_the_longest_idle},
+    {NULL, NULL}};
