--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -16,6 +16,7 @@
         {"fleet_jobs", fleet_job_system_tests, begin_bench, end_bench},
         {"fleet_edges", fleet_edge_system_tests, begin_bench, end_bench},
         {"fleet_runs", fleet_run_system_tests, begin_fleet_runs, end_fleet_runs},
+        {"online_taking", online_taking_tests, begin_fleet, end_fleet},
         {"fleet_taking", fleet_taking_system_tests, begin_bench, end_bench},
         {"online_callers", online_caller_tests, begin_fleet, end_fleet},
         {"fleet_callers", fleet_caller_system_tests, begin_patient_bench, end_bench},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -45,6 +45,7 @@
 int begin_fleet_runs(void);
 int end_fleet_runs(void);
 extern const test_case online_caller_tests[];
+extern const test_case online_taking_tests[];
 extern const test_case fleet_taking_system_tests[];
 
 /** Suites with a beginning of their own. */
--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -52,6 +52,14 @@
     return g_environ_unsetenv(variables, "HS_FAULT");
 }
 
+/** Have a shell lower the limit of descriptors before it becomes the program. */
+static void confine(GPtrArray *arguments, unsigned descriptors) {
+    g_ptr_array_insert(arguments, 0, g_strdup("sh"));
+    g_ptr_array_insert(arguments, 0, g_strdup_printf("ulimit -n %u && exec \"$@\"", descriptors));
+    g_ptr_array_insert(arguments, 0, g_strdup("-c"));
+    g_ptr_array_insert(arguments, 0, g_strdup("/bin/sh"));
+}
+
 /** Start a program; its standard error is appended to @p name.log in the log directory. */
 static pid_t spawn(const fleet *self, const char *program, const char *name, GPtrArray *arguments,
                    const char *fault) {
@@ -65,10 +73,13 @@
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
     }
     g_ptr_array_insert(arguments, 0, g_strdup(path));
+    if (self->daemon_descriptors != 0 && strcmp(program, "heathsaild") == 0)
+        confine(arguments, self->daemon_descriptors);
     g_ptr_array_add(arguments, NULL);
     char **variables = environment_with(fault);
     pid_t pid = 0;
-    int result = posix_spawn(&pid, path, &actions, NULL, (char **)arguments->pdata, variables);
+    int result = posix_spawn(&pid, arguments->pdata[0], &actions, NULL, (char **)arguments->pdata,
+                             variables);
     g_strfreev(variables);
     posix_spawn_file_actions_destroy(&actions);
     if (result == 0)
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -54,6 +54,8 @@
     char admin_urls[FLEET_MAX_DAEMONS][64];
     char engine_urls[FLEET_MAX_ENGINES][64];
     int engine_count;
+    /** Most descriptors that daemons started from now on may have open; 0: as this process. */
+    unsigned daemon_descriptors;
 } fleet;
 
 /** Start all, publish the default configuration, wait until every daemon is ready. */
