The OpenAI surface: ready says whether callers' connections are taken

Cause: as on the fleet surface: /readyz looked at the daemon's state alone, and without descriptors both listeners fell silent and spun. Change: the plan of connections, the probe and the watch of the front move to http/ and serve both surfaces; listeners over ulfius keep their connections, have a limit and make room. The probe asks /healthz there, which every listener answers. /readyz says takes_connections. The word outlives the watch's threads until the listeners that ask it are freed.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -5,11 +5,13 @@
 #include "daemon/daemon.h"
 
 #include "base/clock.h"
+#include "base/descriptor_limit.h"
 #include "base/endpoint.h"
 #include "base/log.h"
 #include "commands/command_routes.h"
 #include "commands/online_request.h"
 #include "daemon/listing.h"
+#include "http/connection_plan.h"
 #include "node/limit_exchange.h"
 #include "placement/controller.h"
 #include "queries/query_routes.h"
@@ -20,6 +22,8 @@
 #define STOP_POLL_MS 10
 #define MULTIPART_OVERHEAD_BYTES 65536
 #define FORGET_MS 60000
+/** Time in ms within which a ready daemon takes a connection, as on the fleet surface. */
+#define CONTACT_MS 3000
 
 struct hs_daemon {
     hs_node node;
@@ -130,11 +134,26 @@
     node->scheduler = hs_scheduler_new(&scheduler);
 }
 
+static void watch_callers(hs_daemon *daemon) {
+    const hs_settings *settings = daemon->node.settings;
+    hs_front_watch_settings watch = {
+        .probe = {.address = hs_endpoint_address(settings->address),
+                  .port = (uint16_t)settings->caller_port,
+                  .target = "/healthz"},
+        .connections = {hs_http_server_connections(daemon->caller_server),
+                        hs_http_server_connections(daemon->admin_server)},
+        .contact_ms = CONTACT_MS};
+    daemon->node.front_watch = hs_front_watch_start(&watch);
+}
+
 static int start_listeners(hs_daemon *daemon, hs_error *error) {
     hs_node *node = &daemon->node;
     const hs_settings *settings = node->settings;
+    hs_connection_plan plan = hs_connection_plan_make(hs_descriptor_limit_raise());
+    hs_log_info("connections_planned", "callers=%u admin=%u", plan.front, plan.peers);
     daemon->admin_server = hs_http_server_new(settings->address, (uint16_t)settings->admin_port,
                                               (size_t)settings->max_body_bytes);
+    hs_http_server_limit_connections(daemon->admin_server, plan.peers);
     hs_command_routes_admin(node, daemon->admin_server);
     hs_query_routes_admin(node, daemon->admin_server);
     int result = hs_http_server_start(daemon->admin_server, error);
@@ -144,9 +163,13 @@
         hs_http_server_new(settings->address, (uint16_t)settings->caller_port,
                            (size_t)settings->max_file_bytes + MULTIPART_OVERHEAD_BYTES);
     hs_http_server_limit_headers(daemon->caller_server, (size_t)settings->max_header_bytes);
+    hs_http_server_limit_connections(daemon->caller_server, plan.front);
     hs_command_routes_caller(node, daemon->caller_server);
     hs_query_routes_caller(node, daemon->caller_server);
-    return hs_http_server_start(daemon->caller_server, error);
+    result = hs_http_server_start(daemon->caller_server, error);
+    if (result == 0)
+        watch_callers(daemon);
+    return result;
 }
 
 static void start_placement(hs_daemon *daemon) {
@@ -240,11 +263,16 @@
     g_atomic_int_set(&node->state, HS_NODE_STOPPING);
     bool calls_done = wait_for_zero(&node->call_count, deadline_ms);
     bool items_done = wait_for_items(node->scheduler, deadline_ms);
+    if (node->front_watch != NULL)
+        hs_front_watch_leave(node->front_watch);
     if (daemon->caller_server != NULL)
         hs_http_server_quiesce(daemon->caller_server);
     calls_done = wait_for_zero(&node->call_count, deadline_ms) && calls_done;
+    hs_front_watch_stop(node->front_watch);
     hs_http_server_free(daemon->caller_server);
     hs_http_server_free(daemon->admin_server);
+    hs_front_watch_free(node->front_watch);
+    node->front_watch = NULL;
     stop_threads(daemon);
     hs_log_info("stopped", "calls_done=%d items_done=%d", calls_done, items_done);
     return calls_done && items_done ? 0 : 1;
--- a/src/surface/connection_plan.c
+++ b/src/http/connection_plan.c
@@ -1,5 +1,5 @@
 /** @file connection_plan.c  See connection_plan.h. */
-#include "surface/connection_plan.h"
+#include "http/connection_plan.h"
 
 #include <glib.h>
 
--- a/src/surface/connection_plan.h
+++ b/src/http/connection_plan.h
@@ -3,8 +3,8 @@
  * How many connections each listener may have, so that descriptors never run out: without one, no
  * listener could even say so. A pure function.
  */
-#ifndef HS_SURFACE_CONNECTION_PLAN_H
-#define HS_SURFACE_CONNECTION_PLAN_H
+#ifndef HS_HTTP_CONNECTION_PLAN_H
+#define HS_HTTP_CONNECTION_PLAN_H
 
 #include <stdint.h>
 
--- a/src/http/listener_probe.c
+++ b/src/http/connection_probe.c
@@ -1,5 +1,5 @@
-/** @file listener_probe.c  See listener_probe.h. */
-#include "http/listener_probe.h"
+/** @file connection_probe.c  See connection_probe.h. */
+#include "http/connection_probe.h"
 
 #include "base/clock.h"
 
@@ -9,7 +9,6 @@
 #include <unistd.h>
 
 #define ANSWER_BYTES_MOST 1024
-#define PROBE_HEAD "GET / HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n\r\n"
 
 /** Wait until a connect under way has ended; false when it failed or the time is up. */
 static bool is_connected(int descriptor, hs_deadline deadline) {
@@ -39,31 +38,34 @@
     return -1;
 }
 
-static hs_step ask(hs_client_connection *connection, hs_deadline deadline) {
+static hs_step ask(const hs_connection_probe *probe, hs_client_connection *connection,
+                   hs_deadline deadline) {
     hs_wait wait = {.deadline = deadline, .watched = HS_WATCH_NOTHING};
-    GString *head = g_string_new(PROBE_HEAD);
+    GString *head = g_string_new(NULL);
+    g_string_printf(head, "GET %s HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n\r\n",
+                    probe->target);
     hs_step step = hs_client_connection_send(connection, head, NULL, 0, false, &wait);
     g_string_free(head, TRUE);
     if (step == HS_STEP_PROGRESS)
         step = hs_client_connection_read_all(connection, ANSWER_BYTES_MOST, &wait);
-    if (step == HS_STEP_COMPLETE && hs_client_connection_status(connection) != HS_OWN_STATUS)
-        step = HS_STEP_INVALID;
     return step;
 }
 
-hs_step hs_listener_probe(hs_listener *listener, uint32_t address, uint16_t port,
-                          hs_deadline deadline) {
-    struct sockaddr_in to = {
-        .sin_family = AF_INET, .sin_port = htons(port), .sin_addr.s_addr = htonl(address)};
+hs_step hs_connection_probe_run(const hs_connection_probe *probe, hs_deadline deadline) {
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons(probe->port),
+                             .sin_addr.s_addr = htonl(probe->address)};
     struct sockaddr_in own = {0};
     hs_step step = HS_STEP_CUT;
     int descriptor = connect_probe(&to, deadline, &own, &step);
     if (descriptor < 0)
         return step;
-    hs_listener_expect_own(listener, &own);
+    if (probe->listener != NULL)
+        hs_listener_expect_own(probe->listener, &own);
     hs_client_connection *connection = hs_client_connection_adopt(descriptor);
-    step = ask(connection, deadline);
+    step = ask(probe, connection, deadline);
     hs_client_connection_close(connection);
-    hs_listener_expect_own(listener, NULL);
+    if (probe->listener != NULL)
+        hs_listener_expect_own(probe->listener, NULL);
     return step;
 }
--- a/src/surface/front_watch.c
+++ b/src/http/front_watch.c
@@ -1,9 +1,8 @@
 /** @file front_watch.c  See front_watch.h. */
-#include "surface/front_watch.h"
+#include "http/front_watch.h"
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "http/listener_probe.h"
 
 #include <netinet/in.h>
 
@@ -41,11 +40,9 @@
 
 static void try_once(hs_front_watch *watch) {
     const hs_front_watch_settings *settings = &watch->settings;
-    uint32_t address =
-        settings->front.address != INADDR_ANY ? settings->front.address : INADDR_LOOPBACK;
     uint64_t began_ms = hs_clock_monotonic_ms();
-    hs_step step = hs_listener_probe(settings->listeners[0], address, settings->front.port,
-                                     began_ms + settings->contact_ms / TRY_PARTS);
+    hs_step step =
+        hs_connection_probe_run(&settings->probe, began_ms + settings->contact_ms / TRY_PARTS);
     bool took = step == HS_STEP_COMPLETE;
     bool took_before = g_atomic_int_exchange(&watch->is_taking, took) != 0;
     if (took == took_before || g_atomic_int_get(&watch->leaving) != 0)
@@ -53,7 +50,7 @@
     hs_log_warning(took ? "front_takes" : "front_takes_none",
                    "step=%s took_ms=%" G_GUINT64_FORMAT " connections=%u", hs_step_name(step),
                    (guint64)(hs_clock_monotonic_ms() - began_ms),
-                   hs_listener_connections(settings->listeners[0]));
+                   hs_caller_connections_count(settings->connections[0]));
 }
 
 static gpointer try_front(gpointer data) {
@@ -69,11 +66,11 @@
     hs_front_watch *watch = data;
     while (pause_for(watch, ROOM_PAUSE_MS)) {
         for (int index = 0; index < HS_WATCHED_LISTENERS_MOST; index++) {
-            hs_listener *listener = watch->settings.listeners[index];
-            uint32_t ended = listener != NULL ? hs_listener_make_room(listener) : 0;
+            hs_caller_connections *connections = watch->settings.connections[index];
+            uint32_t ended = connections != NULL ? hs_caller_connections_make_room(connections) : 0;
             if (ended > 0)
                 hs_log_warning("idle_connections_ended", "listener=%d ended=%u open=%u", index,
-                               ended, hs_listener_connections(listener));
+                               ended, hs_caller_connections_count(connections));
         }
     }
     return NULL;
@@ -82,6 +79,8 @@
 hs_front_watch *hs_front_watch_start(const hs_front_watch_settings *settings) {
     hs_front_watch *watch = g_new0(hs_front_watch, 1);
     watch->settings = *settings;
+    if (settings->probe.address == INADDR_ANY)
+        watch->settings.probe.address = INADDR_LOOPBACK;
     g_mutex_init(&watch->lock);
     g_cond_init(&watch->changed);
     watch->tries = g_thread_new("front-watch", try_front, watch);
@@ -106,6 +105,11 @@
     g_mutex_unlock(&watch->lock);
     g_thread_join(watch->tries);
     g_thread_join(watch->room);
+}
+
+void hs_front_watch_free(hs_front_watch *watch) {
+    if (watch == NULL)
+        return;
     g_cond_clear(&watch->changed);
     g_mutex_clear(&watch->lock);
     g_free(watch);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -21,17 +21,47 @@
     size_t max_header_bytes;
     bool started;
     int quiesced_socket;
+    uint32_t connections_most;
+    hs_caller_connections *connections; /**< NULL before start. */
 };
 
 /** The socket of the connection that a thread serves: each connection has a thread of its own. */
 static _Thread_local int thread_descriptor = -1;
 
+static void note_connection(void *data, struct MHD_Connection *connection, void **state,
+                            enum MHD_ConnectionNotificationCode code) {
+    hs_http_server *server = data;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const union MHD_ConnectionInfo *info =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        *state =
+            hs_caller_connections_add(server->connections, info != NULL ? info->connect_fd : -1);
+    } else {
+        hs_caller_connections_remove(server->connections, *state);
+        *state = NULL;
+    }
+}
+
+static hs_caller_connection *connection_of(struct MHD_Connection *connection) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return info != NULL ? info->socket_context : NULL;
+}
+
 /** Called as a request begins, in its connection's thread. */
 static void *begin_request(void *data, const char *target, struct MHD_Connection *connection) {
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    thread_descriptor = info != NULL ? info->connect_fd : -1;
-    return ulfius_uri_logger(data, target);
+    hs_http_server *server = data;
+    hs_caller_connection *caller = connection_of(connection);
+    hs_caller_connections_set_busy(server->connections, caller, true);
+    thread_descriptor = hs_caller_connections_watched(server->connections, caller);
+    return ulfius_uri_logger(NULL, target);
+}
+
+static void end_request(void *data, struct MHD_Connection *connection, void **state,
+                        enum MHD_RequestTerminationCode reason) {
+    hs_http_server *server = data;
+    hs_caller_connections_set_busy(server->connections, connection_of(connection), false);
+    mhd_request_completed(NULL, connection, state, reason);
 }
 
 int hs_http_caller_descriptor(void) {
@@ -123,10 +153,16 @@
 
 int hs_http_server_start(hs_http_server *server, hs_error *error) {
     struct MHD_OptionItem options[] = {
-        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL},
-        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)begin_request, NULL},
+        {MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)end_request, server},
+        {MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)begin_request, server},
+        {MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)note_connection, server},
         {MHD_OPTION_SOCK_ADDR, 0, &server->address},
+        {MHD_OPTION_END, 0, NULL},
         {MHD_OPTION_END, 0, NULL}};
+    if (server->connections_most > 0)
+        options[G_N_ELEMENTS(options) - 2] = (struct MHD_OptionItem){
+            MHD_OPTION_CONNECTION_LIMIT, (intptr_t)server->connections_most, NULL};
+    server->connections = hs_caller_connections_new(server->connections_most);
     unsigned int flags =
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL;
     if (ulfius_start_framework_with_mhd_options(&server->instance, flags, options) != U_OK)
@@ -136,6 +172,14 @@
     return 0;
 }
 
+void hs_http_server_limit_connections(hs_http_server *server, uint32_t most) {
+    server->connections_most = most;
+}
+
+hs_caller_connections *hs_http_server_connections(hs_http_server *server) {
+    return server->connections;
+}
+
 void hs_http_server_quiesce(hs_http_server *server) {
     if (server->started && server->quiesced_socket < 0)
         server->quiesced_socket = MHD_quiesce_daemon(server->instance.mhd_daemon);
@@ -149,6 +193,8 @@
     if (server->quiesced_socket >= 0)
         close(server->quiesced_socket);
     ulfius_clean_instance(&server->instance);
+    if (server->connections != NULL)
+        hs_caller_connections_free(server->connections);
     g_free(server);
 }
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -7,6 +7,8 @@
 
 #include "heathsail/error.h"
 
+#include "http/caller_connections.h"
+
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -30,6 +32,12 @@
 /** Requests whose head is larger than @p max_header_bytes are answered 431. Before routes. */
 void hs_http_server_limit_headers(hs_http_server *server, size_t max_header_bytes);
 
+/** Connections open at one time; 0 (also without a call): the library's own limit. Before start. */
+void hs_http_server_limit_connections(hs_http_server *server, uint32_t most);
+
+/** Its open connections. Borrowed; after start. */
+hs_caller_connections *hs_http_server_connections(hs_http_server *server);
+
 /** Open the port and serve. */
 int hs_http_server_start(hs_http_server *server, hs_error *error);
 
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -2,7 +2,6 @@
 #include "http/listener.h"
 
 #include "base/clock.h"
-#include "http/caller_connections.h"
 #include "http/http_fields.h"
 
 #include <arpa/inet.h>
@@ -210,12 +209,8 @@
     hs_caller_connections_end_idle(listener->connections);
 }
 
-uint32_t hs_listener_make_room(hs_listener *listener) {
-    return hs_caller_connections_make_room(listener->connections);
-}
-
-uint32_t hs_listener_connections(hs_listener *listener) {
-    return hs_caller_connections_count(listener->connections);
+hs_caller_connections *hs_listener_connections(hs_listener *listener) {
+    return listener->connections;
 }
 
 void hs_listener_expect_own(hs_listener *listener, const struct sockaddr_in *caller) {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -10,6 +10,8 @@
 
 #include "heathsail/error.h"
 
+#include "http/caller_connections.h"
+
 #include <glib.h>
 #include <netinet/in.h>
 #include <stdbool.h>
@@ -64,21 +66,15 @@
  */
 void hs_listener_quiesce(hs_listener *listener);
 
-/**
- * Where few more connections fit, end the longest idle ones, so that callers with requests get in;
- * how many were ended. A request that has already arrived on one is still served.
- */
-uint32_t hs_listener_make_room(hs_listener *listener);
-
-/** Connections now open. */
-uint32_t hs_listener_connections(hs_listener *listener);
+/** Its open connections. Borrowed. */
+hs_caller_connections *hs_listener_connections(hs_listener *listener);
 
 /** Status of the answer to a request of the own process. */
 #define HS_OWN_STATUS 204
 
 /**
  * Answer requests from this address with HS_OWN_STATUS, without the handler: they only ask whether
- * the listener takes connections (see listener_probe.h). NULL: no longer.
+ * the listener takes connections (see connection_probe.h). NULL: no longer.
  */
 void hs_listener_expect_own(hs_listener *listener, const struct sockaddr_in *caller);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,10 @@
     return (hs_node_state)g_atomic_int_get(&node->state);
 }
 
+bool hs_node_takes_connections(const hs_node *node) {
+    return node->front_watch == NULL || hs_front_watch_is_taking(node->front_watch);
+}
+
 bool hs_node_takes_requests(hs_node *node) {
     hs_node_state state = hs_node_state_of(node);
     return state == HS_NODE_READY || state == HS_NODE_DRAINING;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,6 +8,7 @@
 #include "batch/coordinator.h"
 #include "config/config_store.h"
 #include "heathsail/settings.h"
+#include "http/front_watch.h"
 #include "membership/membership_service.h"
 #include "node/metrics.h"
 #include "node/trace_log.h"
@@ -50,9 +51,10 @@
     hs_trace_log *traces;
     GThreadPool *online_workers; /**< Runs online attempts; see commands/online_request.c. */
     gint notice_sequence;
-    gint online_count; /**< Online requests now open. */
-    gint call_count;   /**< Callers' handlers now running. */
-    gint state;        /**< hs_node_state */
+    gint online_count;           /**< Online requests now open. */
+    gint call_count;             /**< Callers' handlers now running. */
+    gint state;                  /**< hs_node_state */
+    hs_front_watch *front_watch; /**< NULL: callers are not served here. */
 } hs_node;
 
 hs_node_state hs_node_state_of(hs_node *node);
@@ -60,6 +62,9 @@
 /** Whether new requests are taken. */
 bool hs_node_takes_requests(hs_node *node);
 
+/** Whether callers' connections are taken; true where they are not served here. */
+bool hs_node_takes_connections(const hs_node *node);
+
 const char *hs_node_state_name(hs_node_state state);
 
 /** Live daemons, self included. */
--- a/src/queries/status_queries.c
+++ b/src/queries/status_queries.c
@@ -38,8 +38,11 @@
     (void)request;
     hs_node *node = user_data;
     hs_node_state state = hs_node_state_of(node);
-    return hs_http_reply_json(response, state == HS_NODE_READY ? 200 : HTTP_UNAVAILABLE,
-                              json_pack("{s:s,s:b}", "status", hs_node_state_name(state),
+    bool takes_connections = hs_node_takes_connections(node);
+    bool is_ready = state == HS_NODE_READY && takes_connections;
+    return hs_http_reply_json(response, is_ready ? 200 : HTTP_UNAVAILABLE,
+                              json_pack("{s:s,s:b,s:b}", "status", hs_node_state_name(state),
+                                        "takes_connections", takes_connections,
                                         "configuration_confirmed",
                                         hs_config_store_is_confirmed(node->config)));
 }
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -4,11 +4,11 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/log.h"
+#include "http/connection_plan.h"
+#include "http/front_watch.h"
 #include "http/http_fields.h"
 #include "jobs/job_peer.h"
-#include "surface/connection_plan.h"
 #include "surface/fleet_metrics.h"
-#include "surface/front_watch.h"
 
 #include <string.h>
 
@@ -218,11 +218,18 @@
 }
 
 static void watch_front(hs_fleet_surface *surface) {
-    hs_front_watch_settings watch = {.listeners = {surface->front, surface->ready,
-                                                   surface->directory, surface->metrics,
-                                                   surface->peers},
+    hs_listener *const listeners[HS_WATCHED_LISTENERS_MOST] = {
+        surface->front, surface->ready, surface->directory, surface->metrics, surface->peers};
+    hs_endpoint front;
+    hs_endpoint_parse(surface->settings.front, &front);
+    hs_front_watch_settings watch = {.probe = {.address = front.address,
+                                               .port = front.port,
+                                               .target = "/",
+                                               .listener = surface->front},
                                      .contact_ms = surface->settings.contact_ms};
-    hs_endpoint_parse(surface->settings.front, &watch.front);
+    for (int index = 0; index < HS_WATCHED_LISTENERS_MOST; index++)
+        if (listeners[index] != NULL)
+            watch.connections[index] = hs_listener_connections(listeners[index]);
     surface->watch = hs_front_watch_start(&watch);
 }
 
@@ -276,5 +283,6 @@
     hs_listener_stop(surface->directory);
     hs_listener_stop(surface->metrics);
     hs_listener_stop(surface->peers);
+    hs_front_watch_free(surface->watch);
     g_free(surface);
 }
--- a/tests/unit/test_connections.c
+++ b/tests/unit/test_connections.c
@@ -1,7 +1,7 @@
 /** @file test_connections.c  Shares of descriptors, and room among a listener's connections. */
 #include "base/clock.h"
 #include "http/caller_connections.h"
-#include "surface/connection_plan.h"
+#include "http/connection_plan.h"
 #include "tests/unit/unit_tests.h"
 
 #include <glib.h>
