--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -371,6 +371,8 @@
     bool free_attempt = true;
     while (number <= node->settings->max_attempts && tried.query.tried_count < MAX_TRIED) {
         hs_engine_choice choice;
+        if (!is_wanted(request))
+            return;
         if (is_over(request)) {
             end_without_engine(request, "the deadline has passed");
             return;
--- a/src/http/front_watch.c
+++ b/src/http/front_watch.c
@@ -38,6 +38,17 @@
     return goes_on;
 }
 
+/** One line for each change of the word. */
+static void log_word(const hs_front_watch *watch, hs_step step, uint64_t took_ms) {
+    uint32_t open = hs_caller_connections_count(watch->settings.connections[0]);
+    if (step == HS_STEP_COMPLETE)
+        hs_log_info("front_takes", "took_ms=%" G_GUINT64_FORMAT " connections=%u", (guint64)took_ms,
+                    open);
+    else
+        hs_log_warning("front_takes_none", "step=%s took_ms=%" G_GUINT64_FORMAT " connections=%u",
+                       hs_step_name(step), (guint64)took_ms, open);
+}
+
 static void try_once(hs_front_watch *watch) {
     const hs_front_watch_settings *settings = &watch->settings;
     uint64_t began_ms = hs_clock_monotonic_ms();
@@ -45,12 +56,8 @@
         hs_connection_probe_run(&settings->probe, began_ms + settings->contact_ms / TRY_PARTS);
     bool took = step == HS_STEP_COMPLETE;
     bool took_before = g_atomic_int_exchange(&watch->is_taking, took) != 0;
-    if (took == took_before || g_atomic_int_get(&watch->leaving) != 0)
-        return;
-    hs_log_warning(took ? "front_takes" : "front_takes_none",
-                   "step=%s took_ms=%" G_GUINT64_FORMAT " connections=%u", hs_step_name(step),
-                   (guint64)(hs_clock_monotonic_ms() - began_ms),
-                   hs_caller_connections_count(settings->connections[0]));
+    if (took != took_before && g_atomic_int_get(&watch->leaving) == 0)
+        log_word(watch, step, hs_clock_monotonic_ms() - began_ms);
 }
 
 static gpointer try_front(gpointer data) {
