--- a/tests/support/raw_caller.c
+++ b/tests/support/raw_caller.c
@@ -46,6 +46,10 @@
     return send(caller->descriptor, text, length, MSG_NOSIGNAL) == (ssize_t)length;
 }
 
+void raw_caller_end_sending(raw_caller *caller) {
+    shutdown(caller->descriptor, SHUT_WR);
+}
+
 /** Read what is there or comes before @p limit; false when nothing did. */
 static bool read_some(raw_caller *caller, uint64_t limit) {
     uint64_t now_ms = hs_clock_monotonic_ms();
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -22,6 +22,9 @@
 
 bool raw_caller_send(raw_caller *caller, const char *text);
 
+/** End the sending side alone; reading goes on. */
+void raw_caller_end_sending(raw_caller *caller);
+
 /** Read until @p wanted stands in what came, or the connection ends, or the time is up. */
 bool raw_caller_read_until(raw_caller *caller, const char *wanted, unsigned limit_ms);
 
--- a/tests/system/test_fleet_callers.c
+++ b/tests/system/test_fleet_callers.c
@@ -1,6 +1,7 @@
 /** @file test_fleet_callers.c  The fleet surface with callers that leave. */
 #include "base/clock.h"
 #include "platform/names.h"
+#include "tests/support/raw_caller.h"
 #include "tests/system/leaving_callers.h"
 #include "tests/system/system_tests.h"
 #include "tools/surface/fleet_bench.h"
@@ -159,6 +160,21 @@
     g_thread_join(refuses);
 }
 
+/** One that ends its sending side alone cannot be told from one that closed: it has left. */
+static void a_caller_that_ends_its_sending_has_left(void) {
+    g_autofree char *bytes = request_bytes("/once/x", "half", "hello");
+    bench_set_engines(TOKEN_ENGINE_ENDLESS);
+    raw_caller *caller = raw_caller_open(bench_front_port(1));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
+    raw_caller_send(caller, bytes);
+    CU_ASSERT_TRUE(raw_caller_read_until(caller, "id: 2\n", STAY_MOST_MS));
+    raw_caller_end_sending(caller);
+    CU_ASSERT_NOT_EQUAL(raw_caller_read_to_end(caller, LEAVING_LIMIT_MS), RAW_OPEN);
+    CU_ASSERT_EQUAL(token_engine_open(bench.engines[0]) + token_engine_open(bench.engines[1]), 0);
+    raw_caller_close(caller);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
+}
+
 /** Begin kept connections to the engines, on which a request leaves at once. */
 static void keep_connections(int daemon) {
     for (int request = 0; request < 8; request++) {
@@ -195,5 +211,6 @@
     {"engines_are_left_alone_once_callers_left", engines_are_left_alone_once_callers_left},
     {"a_wait_for_an_engine_ends_with_its_caller", a_wait_for_an_engine_ends_with_its_caller},
     {"a_wait_for_a_retry_ends_with_its_caller", a_wait_for_a_retry_ends_with_its_caller},
+    {"a_caller_that_ends_its_sending_has_left", a_caller_that_ends_its_sending_has_left},
     {"requests_left_unread_are_not_sent", requests_left_unread_are_not_sent},
     {NULL, NULL}};
