The bench's number of daemons, pace of items and store's port of each daemon can be chosen

Cause: the soak needs texts that last for several checkpoints of progress (one each 1.5 s), and one daemon cut off from the store beside others that reach it. Items were 12 events x 15 ms, all daemons had one way to the store. Daemons' logs can be kept in a directory.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -12,6 +12,7 @@
 
 #define BODY_LIMIT (16U * 1024 * 1024)
 #define SLOW_MS 150
+#define DEFAULT_SLOTS 8U
 
 struct token_engine {
     token_engine_settings settings;
@@ -36,6 +37,7 @@
     uint32_t next;
     uint32_t last;
     uint32_t break_at; /**< 0: never. */
+    uint32_t event_ms; /**< Between events. */
 } stream;
 
 static ssize_t write_event(void *data, char *buffer, size_t size) {
@@ -50,7 +52,7 @@
         return HS_READER_ABORT;
     if (events->next > events->last)
         return HS_READER_END;
-    hs_clock_sleep_ms(events->engine->settings.event_ms);
+    hs_clock_sleep_ms(events->event_ms);
     g_autofree char *event =
         token_engine_write_event(events->next, events->engine->id, events->run);
     int length = g_snprintf(buffer, size, "id: %u\ndata: %s\n\n", events->next, event);
@@ -95,7 +97,7 @@
 
 /** Remember a run that was asked to go on after @p after (NULL: to begin); its number. */
 static uint32_t note_run(token_engine *engine, const char *request_id, const char *after) {
-    token_engine_run run = {.resumes = after != NULL};
+    token_engine_run run = {.resumes = after != NULL, .begun_ms = hs_clock_wall_ms()};
     g_strlcpy(run.request_id, request_id, sizeof run.request_id);
     if (run.resumes)
         run.asked_after = g_ascii_strtoull(after, NULL, 10);
@@ -110,18 +112,38 @@
     return number;
 }
 
+static const token_engine_pace *pace_of(const token_engine *engine, const char *path) {
+    const char *prefix = engine->settings.item_prefix;
+    return prefix != NULL && g_str_has_prefix(path, prefix) ? &engine->settings.item_pace
+                                                            : &engine->settings.pace;
+}
+
+static void note_end(token_engine *engine, uint32_t run) {
+    g_mutex_lock(&engine->lock);
+    g_array_index(engine->run_log, token_engine_run, run).ended_ms = hs_clock_wall_ms();
+    g_mutex_unlock(&engine->lock);
+}
+
+static void end_stream(void *data) {
+    stream *events = data;
+    note_end(events->engine, events->run);
+    g_free(events);
+}
+
 static void serve_stream(token_engine *engine, hs_inbound *inbound, GArray *fields,
                          token_engine_mode mode, uint32_t run) {
     const char *after = hs_http_fields_find(inbound->fields, HEADER_LAST_EVENT_ID);
+    const token_engine_pace *pace = pace_of(engine, inbound->target);
     stream *events = g_new0(stream, 1);
     events->engine = engine;
+    events->event_ms = pace->event_ms;
     events->run = run;
     events->next = after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
-    events->last = mode == TOKEN_ENGINE_ENDLESS ? UINT32_MAX - 1 : engine->settings.events;
+    events->last = mode == TOKEN_ENGINE_ENDLESS ? UINT32_MAX - 1 : pace->events;
     events->break_at =
         mode == TOKEN_ENGINE_BREAKS ? events->next + engine->settings.break_after - 1 : 0;
     hs_http_fields_add(fields, "Content-Type", "text/event-stream");
-    hs_inbound_reply_stream(inbound, 200, fields, write_event, events, g_free);
+    hs_inbound_reply_stream(inbound, 200, fields, write_event, events, end_stream);
 }
 
 static void serve(hs_inbound *inbound, void *user_data) {
@@ -142,14 +164,17 @@
             hs_clock_sleep_ms(SLOW_MS);
         if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_IMPOSSIBLE) {
             refuse(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
+            note_end(engine, run);
             return;
         }
         GArray *fields = hs_http_fields_new();
         add_head(engine, fields, id);
-        if (strstr(inbound->target, "plain") != NULL)
+        if (strstr(inbound->target, "plain") != NULL) {
             hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
-        else
+            note_end(engine, run);
+        } else {
             serve_stream(engine, inbound, fields, mode, run);
+        }
         hs_http_fields_free(fields);
     }
 }
@@ -196,8 +221,10 @@
 void token_engine_announce(token_engine *engine, log_store *store, bool draining) {
     g_autofree char *entry = g_strdup_printf(
         "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
-        "\"slots\":8,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
-        engine->service, engine->shown_port, draining ? "draining" : "ready", ++engine->sequence);
+        "\"slots\":%u,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
+        engine->service, engine->shown_port,
+        engine->settings.slots != 0 ? engine->settings.slots : DEFAULT_SLOTS,
+        draining ? "draining" : "ready", ++engine->sequence);
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
 }
 
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -26,13 +26,21 @@
     TOKEN_ENGINE_ENDLESS,    /**< Waits before a stream that does not end by itself. */
 } token_engine_mode;
 
+/** The streams that an engine makes. */
+typedef struct {
+    uint32_t events;   /**< Of each stream. */
+    uint32_t event_ms; /**< Between events. */
+} token_engine_pace;
+
 /** What one engine does. */
 typedef struct {
     const char *id;
     const char *service;
-    uint32_t events;      /**< Of each stream. */
-    uint32_t event_ms;    /**< Between events. */
-    uint32_t break_after; /**< TOKEN_ENGINE_BREAKS: events before the end. */
+    token_engine_pace pace;
+    const char *item_prefix;     /**< Paths of batch items begin so; NULL: all have the one pace. */
+    token_engine_pace item_pace; /**< Of streams for these. */
+    uint32_t break_after;        /**< TOKEN_ENGINE_BREAKS: events before the end. */
+    uint32_t slots;              /**< That its entry tells; 0: the default of 8. */
 } token_engine_settings;
 
 token_engine *token_engine_start(const token_engine_settings *settings);
@@ -55,6 +63,8 @@
     char request_id[TOKEN_ENGINE_ID_BYTES];
     bool resumes;         /**< It was asked to go on, */
     uint64_t asked_after; /**< after this event. */
+    uint64_t begun_ms;    /**< Wall time at which it was asked for, */
+    uint64_t ended_ms;    /**< and at which its answer ended; 0: it has not. */
 } token_engine_run;
 
 /**
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -29,16 +29,26 @@
 #define CALL_LIMIT_MS 12000
 #define BODY_LIMIT (16U * 1024 * 1024)
 #define READY_LIMIT_MS 8000
-#define SETTINGS_MAX 40
+#define DEFAULT_RETENTION_S 60U
+/** Between events in ms. */
+#define EVENT_MS 15
 
 fleet_bench bench;
 
+int bench_daemons(void) {
+    return bench.settings.daemons > 0 ? bench.settings.daemons : BENCH_DAEMONS;
+}
+
+uint32_t bench_item_events(void) {
+    return bench.settings.item_pace.events > 0 ? bench.settings.item_pace.events : BENCH_EVENTS;
+}
+
 /** The same port for a daemon each time that it is started. */
 static uint16_t port_of(port_kind kind, int index) {
-    static uint16_t first;
-    if (first == 0)
-        first = port_lease_take(PORT_KINDS * BENCH_DAEMONS);
-    return (uint16_t)(first + (int)kind * BENCH_DAEMONS + index);
+    static uint16_t first[BENCH_DAEMONS_MOST];
+    if (first[index] == 0)
+        first[index] = port_lease_take(PORT_KINDS);
+    return (uint16_t)(first[index] + (int)kind);
 }
 
 uint16_t bench_front_port(int index) {
@@ -66,6 +76,12 @@
     add_setting(arguments, g_strdup_printf("fleet.%s=127.0.0.1:%u", name, port));
 }
 
+static uint16_t store_port_of(int index) {
+    if (bench.store_ports[index] != 0)
+        return bench.store_ports[index];
+    return bench.store_port != 0 ? bench.store_port : log_store_port(bench.store);
+}
+
 static GPtrArray *daemon_arguments(int index, const char *settings_path) {
     GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(arguments, g_strdup_printf("%s/heathsaild", g_getenv("HS_TEST_PROGRAMS")));
@@ -82,8 +98,7 @@
     add_address(arguments, "control", port_of(PORT_CONTROL, index));
     add_address(arguments, "metrics", port_of(PORT_METRICS, index));
     add_address(arguments, "seeds", port_of(PORT_CONTROL, 0));
-    add_address(arguments, "store",
-                bench.store_port != 0 ? bench.store_port : log_store_port(bench.store));
+    add_address(arguments, "store", store_port_of(index));
     add_setting(arguments, g_strdup("fleet.grace_s=6"));
     add_setting(arguments, g_strdup("fleet.heartbeat_ms=500"));
     add_setting(arguments,
@@ -92,14 +107,22 @@
     return arguments;
 }
 
+/** Where the output of a daemon goes; NULL: to ours. Free with g_free. */
+static char *output_path(int index) {
+    if (bench.settings.log_directory != NULL)
+        return g_strdup_printf("%s/daemon-%d.log", bench.settings.log_directory, index);
+    return g_getenv("HS_BENCH_QUIET") != NULL ? g_strdup("/dev/null") : NULL;
+}
+
 static bool start_daemon(int index, bool silent_reader, const char *settings_path) {
     GPtrArray *arguments = daemon_arguments(index, settings_path);
+    g_autofree char *path = output_path(index);
     int output[2] = {-1, -1};
     if (silent_reader && pipe(output) != 0)
         return false;
     pid_t pid = fork();
     if (pid == 0) {
-        if (g_getenv("HS_BENCH_QUIET") != NULL && freopen("/dev/null", "w", stdout) == NULL)
+        if (path != NULL && freopen(path, "a", stdout) == NULL)
             _exit(EXIT_FAILURE);
         if (silent_reader)
             dup2(output[1], STDOUT_FILENO);
@@ -227,6 +250,8 @@
 }
 
 void bench_configure(int version) {
+    uint32_t retention_s =
+        bench.settings.retention_s > 0 ? bench.settings.retention_s : DEFAULT_RETENTION_S;
     g_autofree char *text = g_strdup_printf(
         "{\"version\":%d,\"routes\":["
         "{\"name\":\"once\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/once/\","
@@ -241,21 +266,26 @@
         "{\"name\":\"jobs\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/jobs/\","
         "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
         "\"completion-target-ms\":20000,\"service\":\"llm\",\"max-attempts\":2,"
-        "\"retention-s\":60}],"
+        "\"retention-s\":%u}],"
         "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":100}],"
         "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version);
+        version, retention_s);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
 static token_engine *start_engine(int index) {
     static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
-    return token_engine_start(&(token_engine_settings){.id = ids[index],
-                                                       .service = "llm",
-                                                       .events = BENCH_EVENTS,
-                                                       .event_ms = 15,
-                                                       .break_after = 5});
+    static const token_engine_pace pace = {.events = BENCH_EVENTS, .event_ms = EVENT_MS};
+    bool has_pace = bench.settings.item_pace.events > 0;
+    return token_engine_start(
+        &(token_engine_settings){.id = ids[index],
+                                 .service = "llm",
+                                 .pace = pace,
+                                 .item_prefix = "/jobs/",
+                                 .item_pace = has_pace ? bench.settings.item_pace : pace,
+                                 .break_after = 5,
+                                 .slots = bench.settings.slots});
 }
 
 void bench_prepare(void) {
@@ -275,15 +305,15 @@
     for (int index = 0; index < BENCH_ENGINES; index++)
         token_engine_announce(bench.engines[index], bench.store, false);
     bool started = true;
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         started = bench_start_daemon(index, false) && started;
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         started = bench_wait_ready(index) && started;
     return started ? 0 : -1;
 }
 
 int end_bench(void) {
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         bench_signal(index, SIGKILL);
     for (int index = 0; index < BENCH_ENGINES; index++)
         token_engine_stop(bench.engines[index]);
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -9,24 +9,41 @@
 #include <stdbool.h>
 #include <sys/types.h>
 
+/** Daemons where the settings name no number; and the most of them. */
 #define BENCH_DAEMONS 3
+#define BENCH_DAEMONS_MOST 400
 #define BENCH_ENGINES 2
 /** Partitions of the jobs' topics, the default of the setting. */
 #define BENCH_PARTITIONS 12
 #define BENCH_HOST "a.example"
-/** Events of an engine's stream. */
+/** Events of an engine's stream, and of an item's text where the settings name no number. */
 #define BENCH_EVENTS 12
 
+/** What may be chosen before bench_prepare; a field of 0 has the value of the system tests. */
+typedef struct {
+    int daemons;
+    token_engine_pace item_pace; /**< Of the streams that items' texts are made of. */
+    uint32_t slots;              /**< Of each engine. */
+    uint32_t retention_s;        /**< Time for which items are tried. */
+    const char *log_directory;   /**< Daemons write to "daemon-N.log" there; NULL: to our output. */
+} bench_settings;
+
 /** The running bench of a suite. */
 typedef struct {
+    bench_settings settings;
     log_store *store;
     token_engine *engines[BENCH_ENGINES];
-    pid_t pids[BENCH_DAEMONS]; /**< 0: not running. */
-    uint16_t store_port;       /**< Where daemons look for the store; 0: at the store itself. */
+    pid_t pids[BENCH_DAEMONS_MOST]; /**< 0: not running. */
+    uint16_t store_port; /**< Where daemons look for the store; 0: at the store itself. */
+    uint16_t store_ports[BENCH_DAEMONS_MOST]; /**< The same for one daemon; 0: as all. */
 } fleet_bench;
 
 extern fleet_bench bench;
 
+/** How many daemons there are, and events in an item's text. */
+int bench_daemons(void);
+uint32_t bench_item_events(void);
+
 /** Start the store with a configuration, and the engines, which are not announced yet. */
 void bench_prepare(void);
 
