The soak sees texts put together from stored progress, by two owners at once

Cause: no text of the soak lasted until its progress was stored, so that no joint of a stored text was ever traced; one proxy before the store cut off all daemons or none; faults came one by one. Change: texts of 5 to 8 s; a proxy before the store for each daemon; one to three causes of faults at a time, which take what they harm; a daemon that does not hear that partitions were dealt anew, and owners killed one after the other; store calls done late; pauses longer than the group's limit; each fault printed with its wall time.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -8,21 +8,31 @@
 #include "tools/surface/fleet_bench.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <string.h>
 
 #define ITEMS_MOST 6
 #define TIMEOUT_MS 3000
 #define PAUSE_MOST_MS 60
-#define JOB_PAUSE_MS 250
+#define JOB_PAUSE_MS 500
+#define MS_PER_S 1000.0
 
 soak_record record;
 
+void soak_say(const char *format, ...) {
+    va_list arguments;
+    va_start(arguments, format);
+    g_autofree char *text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    printf("%.3f %s\n", (double)hs_clock_wall_ms() / MS_PER_S, text);
+}
+
 void soak_violation(const char *format, ...) {
     va_list arguments;
     va_start(arguments, format);
     char *text = g_strdup_vprintf(format, arguments);
     va_end(arguments);
-    printf("VIOLATION %s\n", text);
+    soak_say("VIOLATION %s", text);
     g_mutex_lock(&record.lock);
     g_ptr_array_add(record.violations, text);
     g_mutex_unlock(&record.lock);
@@ -42,8 +52,7 @@
 static void check_stream(const char *id, const bench_answer *answer) {
     event_trace trace = event_trace_stream(id, answer->body, answer->whole);
     if (trace.fault != NULL)
-        soak_violation("stream of %s: %s; whole=%d \"%s\"", id, trace.fault, answer->whole,
-                       answer->body);
+        soak_violation("stream of %s: %s; whole=%d", id, trace.fault, answer->whole);
     g_free(trace.fault);
     g_mutex_lock(&record.lock);
     record.stream_joints += trace.joints;
@@ -78,7 +87,7 @@
         if (g_str_has_prefix(target, "/once/"))
             remember(record.once, id);
         bench_answer answer =
-            bench_send(&(bench_call){.daemon = g_rand_int_range(chance, 0, BENCH_DAEMONS),
+            bench_send(&(bench_call){.daemon = g_rand_int_range(chance, 0, bench_daemons()),
                                      .method = "POST",
                                      .target = target,
                                      .request_id = id,
@@ -98,8 +107,7 @@
     const char *message = json_string_value(json_object_get(result, "message"));
     event_trace trace = event_trace_text(item, message, true);
     if (trace.fault != NULL)
-        soak_violation("job %s: position %u, item %s: %s; \"%s\"", job, position, item, trace.fault,
-                       message);
+        soak_violation("job %s: position %u, item %s: %s", job, position, item, trace.fault);
     g_free(trace.fault);
     g_mutex_lock(&record.lock);
     record.text_joints += trace.joints;
@@ -176,12 +184,12 @@
     while (g_atomic_int_get(&record.stopping) == 0) {
         char *job = g_strdup_printf("j%u-%u", GPOINTER_TO_UINT(data), number++);
         int items = g_rand_int_range(chance, 1, ITEMS_MOST + 1);
-        if (submit(g_rand_int_range(chance, 0, BENCH_DAEMONS), job, items))
+        if (submit(g_rand_int_range(chance, 0, bench_daemons()), job, items))
             g_ptr_array_add(accepted, job);
         else
             g_free(job);
         if (accepted->len > 0)
-            soak_read_job(g_rand_int_range(chance, 0, BENCH_DAEMONS),
+            soak_read_job(g_rand_int_range(chance, 0, bench_daemons()),
                           accepted->pdata[g_rand_int_range(chance, 0, (gint32)accepted->len)]);
         hs_clock_sleep_ms(JOB_PAUSE_MS);
     }
--- /dev/null
+++ b/tests/soak/process_faults.c
@@ -0,0 +1,69 @@
+/** @file process_faults.c  Kills, stops and pauses of daemons; see faults.h. */
+#include "tests/soak/faults.h"
+
+#include "base/clock.h"
+#include "tests/soak/soak.h"
+#include "tools/surface/fleet_bench.h"
+
+#include <signal.h>
+
+#define ROUNDS_MOST 3
+#define DOWN_LEAST_MS 100
+#define DOWN_MOST_MS 2500
+#define BETWEEN_KILLS_MOST_MS 2500
+/** Longer than the time after which the store's group drops a silent member, 3 s, half of the time.
+ */
+#define PAUSE_LEAST_MS 500
+#define PAUSE_MOST_MS 6000
+/** Daemons' fleet.grace_s, and a moment to be collected. */
+#define GRACE_LIMIT_MS 6500
+
+static void restart(int daemon) {
+    if (!bench_start_daemon(daemon, false))
+        soak_violation("daemon %d can't be started", daemon);
+}
+
+void soak_kill_daemon(const fault_lane *lane, int daemon) {
+    if (!soak_take(FAULT_PROCESS, daemon))
+        return;
+    soak_say("fault kill daemon=%d", daemon);
+    bench_signal(daemon, SIGKILL);
+    soak_hold(lane, DOWN_LEAST_MS, DOWN_MOST_MS);
+    restart(daemon);
+    soak_give_back(FAULT_PROCESS, daemon);
+}
+
+void soak_kill_daemons(const fault_lane *lane) {
+    int rounds = g_rand_int_range(lane->chance, 1, ROUNDS_MOST + 1);
+    for (int round = 0; round < rounds; round++) {
+        soak_kill_daemon(lane, soak_any_daemon(lane));
+        soak_hold(lane, 0, BETWEEN_KILLS_MOST_MS);
+    }
+}
+
+void soak_stop_daemon(const fault_lane *lane) {
+    int daemon = soak_any_daemon(lane);
+    if (!soak_take(FAULT_PROCESS, daemon))
+        return;
+    soak_say("fault stop daemon=%d", daemon);
+    uint64_t begun_ms = hs_clock_monotonic_ms();
+    int status = bench_signal(daemon, SIGTERM);
+    uint64_t took_ms = hs_clock_monotonic_ms() - begun_ms;
+    if (status != 0 || took_ms > GRACE_LIMIT_MS)
+        soak_violation("daemon %d ended with %d after %u ms", daemon, status, (unsigned)took_ms);
+    soak_hold(lane, 0, DOWN_LEAST_MS);
+    restart(daemon);
+    soak_give_back(FAULT_PROCESS, daemon);
+}
+
+void soak_pause_daemon(const fault_lane *lane) {
+    int daemon = soak_any_daemon(lane);
+    if (!soak_take(FAULT_PROCESS, daemon))
+        return;
+    soak_say("fault pause daemon=%d", daemon);
+    bench_signal(daemon, SIGSTOP);
+    soak_hold(lane, PAUSE_LEAST_MS, PAUSE_MOST_MS);
+    bench_signal(daemon, SIGCONT);
+    soak_say("fault pause ended daemon=%d", daemon);
+    soak_give_back(FAULT_PROCESS, daemon);
+}
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,7 @@
     uint32_t texts;         /**< Results that were traced to their runs. */
     uint32_t text_joints;   /**< Places in them at which another run goes on, */
     uint32_t stream_joints; /**< and in streams. */
+    gint faults;
     gint stopping;
 } soak_record;
 
@@ -30,6 +31,9 @@
 /** Note a broken promise. */
 void soak_violation(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
+/** Print one line with the wall time before it, as the daemons' logs have it. */
+void soak_say(const char *format, ...) G_GNUC_PRINTF(1, 2);
+
 /** Callers' duties; @p data: a seed as a pointer's number. They end when record.stopping is set. */
 gpointer soak_run_online(gpointer data);
 gpointer soak_run_jobs(gpointer data);
@@ -37,11 +41,12 @@
 /** Read all results of a job at a daemon and compare with what was read before; how many. */
 uint32_t soak_read_job(int daemon, const char *job);
 
-/** Proxies before the store and the engines; for bench_prepare's result. */
+/** Proxies before the store, one for each daemon, and before the engines; after bench_prepare. */
 void soak_start_proxies(void);
 void soak_stop_proxies(void);
 
-/** One fault, its time, and its end. Prints what it does. */
-void soak_run_fault(GRand *chance);
+/** One fault after another until @p until_ms (monotonic); @p chance decides. For several threads.
+ */
+void soak_run_faults(GRand *chance, uint64_t until_ms);
 
 #endif
