The bench keeps connections, leaves in mid-stream, and has long online streams

Cause: the soak's callers opened a connection for each call and never left, so that kept connections at a stopping daemon and runs of callers that left were seen by no test over minutes. Change: a call may name a connection to keep, a time after which it leaves, and a last event. The stand-in engines make long streams for a list of path prefixes instead of the items' one. The system tests' calls are as before.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -113,9 +113,11 @@
 }
 
 static const token_engine_pace *pace_of(const token_engine *engine, const char *path) {
-    const char *prefix = engine->settings.item_prefix;
-    return prefix != NULL && g_str_has_prefix(path, prefix) ? &engine->settings.item_pace
-                                                            : &engine->settings.pace;
+    const char *const *prefix = engine->settings.long_paths;
+    for (; prefix != NULL && *prefix != NULL; prefix++)
+        if (g_str_has_prefix(path, *prefix))
+            return &engine->settings.long_pace;
+    return &engine->settings.pace;
 }
 
 static void note_end(token_engine *engine, uint32_t run) {
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -37,10 +37,10 @@
     const char *id;
     const char *service;
     token_engine_pace pace;
-    const char *item_prefix;     /**< Paths of batch items begin so; NULL: all have the one pace. */
-    token_engine_pace item_pace; /**< Of streams for these. */
-    uint32_t break_after;        /**< TOKEN_ENGINE_BREAKS: events before the end. */
-    uint32_t slots;              /**< That its entry tells; 0: the default of 8. */
+    const char *const *long_paths; /**< Prefixes, the last NULL; NULL: all have the one pace. */
+    token_engine_pace long_pace;   /**< Of streams for paths that begin so. */
+    uint32_t break_after;          /**< TOKEN_ENGINE_BREAKS: events before the end. */
+    uint32_t slots;                /**< That its entry tells; 0: the default of 8. */
 } token_engine_settings;
 
 token_engine *token_engine_start(const token_engine_settings *settings);
@@ -76,7 +76,7 @@
 /** What the data of an event says; @p engine_id: TOKEN_ENGINE_ID_BYTES. False: it is none. */
 bool token_engine_read_event(const char *data, uint32_t *event, char *engine_id, uint32_t *run);
 
-/** The run of a number that an event named. False: this engine made no such run. */
+/** The run of a number, counted from 0, as events name it. False: this engine made no such run. */
 bool token_engine_find_run(token_engine *engine, uint32_t number, token_engine_run *run);
 
 const char *token_engine_id(const token_engine *engine);
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -192,6 +192,8 @@
         g_string_append_printf(head, HEADER_TIMEOUT_MS ": %u\r\n", call->timeout_ms);
     if (call->wait_ms > 0)
         g_string_append_printf(head, HEADER_WAIT_MS ": %u\r\n", call->wait_ms);
+    if (call->last_event > 0)
+        g_string_append_printf(head, HEADER_LAST_EVENT_ID ": %u\r\n", call->last_event);
     if (call->body != NULL)
         g_string_append_printf(head, "Content-Length: %zu\r\n", strlen(call->body));
     g_string_append(head, "\r\n");
@@ -207,16 +209,30 @@
     return copy;
 }
 
+/** The connection that is kept for the call, or a new one; NULL: there is none to be had. */
+static hs_client_connection *connect_for(const bench_call *call, const hs_wait *wait) {
+    hs_step step = HS_STEP_CUT;
+    if (call->kept != NULL && *call->kept != NULL)
+        return g_steal_pointer(call->kept);
+    uint16_t port = call->port != 0 ? call->port : bench_front_port(call->daemon);
+    return hs_client_connection_open(INADDR_LOOPBACK, port, wait, &step);
+}
+
+static void end_call(const bench_call *call, hs_client_connection *connection) {
+    if (call->kept != NULL && hs_client_connection_is_reusable(connection))
+        *call->kept = connection;
+    else
+        hs_client_connection_close(connection);
+}
+
 bench_answer bench_send(const bench_call *call) {
     bench_answer answer = {0};
-    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + CALL_LIMIT_MS,
-                    .watched = HS_WATCH_NOTHING};
-    uint16_t port = call->port != 0 ? call->port : bench_front_port(call->daemon);
-    hs_step step = HS_STEP_CUT;
-    hs_client_connection *connection =
-        hs_client_connection_open(INADDR_LOOPBACK, port, &wait, &step);
+    uint32_t limit_ms = call->leave_after_ms > 0 ? call->leave_after_ms : CALL_LIMIT_MS;
+    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + limit_ms, .watched = HS_WATCH_NOTHING};
+    hs_client_connection *connection = connect_for(call, &wait);
     if (connection == NULL)
         return answer;
+    hs_step step = HS_STEP_CUT;
     GString *head = write_head(call);
     step = hs_client_connection_send(connection, head, call->body,
                                      call->body != NULL ? strlen(call->body) : 0, false, &wait);
@@ -224,14 +240,15 @@
     if (step == HS_STEP_PROGRESS)
         step = hs_client_connection_read_head(connection, &wait);
     if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE) {
-        answer.whole =
-            hs_client_connection_read_all(connection, BODY_LIMIT, &wait) == HS_STEP_COMPLETE;
+        step = hs_client_connection_read_all(connection, BODY_LIMIT, &wait);
+        answer.whole = step == HS_STEP_COMPLETE;
         const GByteArray *body = hs_client_connection_body(connection);
         answer.status = hs_client_connection_status(connection);
         answer.body = body->len > 0 ? g_strndup((const char *)body->data, body->len) : g_strdup("");
         answer.fields = copy_fields(hs_client_connection_fields(connection));
     }
-    hs_client_connection_close(connection);
+    answer.left = step == HS_STEP_DEADLINE;
+    end_call(call, connection);
     return answer;
 }
 
@@ -276,14 +293,15 @@
 
 static token_engine *start_engine(int index) {
     static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
+    static const char *const long_paths[] = {"/jobs/", "/once/long", "/again/long", NULL};
     static const token_engine_pace pace = {.events = BENCH_EVENTS, .event_ms = EVENT_MS};
     bool has_pace = bench.settings.item_pace.events > 0;
     return token_engine_start(
         &(token_engine_settings){.id = ids[index],
                                  .service = "llm",
                                  .pace = pace,
-                                 .item_prefix = "/jobs/",
-                                 .item_pace = has_pace ? bench.settings.item_pace : pace,
+                                 .long_paths = long_paths,
+                                 .long_pace = has_pace ? bench.settings.item_pace : pace,
                                  .break_after = 5,
                                  .slots = bench.settings.slots});
 }
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -3,6 +3,7 @@
 #ifndef TOOLS_SURFACE_FLEET_BENCH_H
 #define TOOLS_SURFACE_FLEET_BENCH_H
 
+#include "http/client_connection.h"
 #include "standin/token_engine/token_engine.h"
 
 #include <glib.h>
@@ -80,20 +81,25 @@
 typedef struct {
     uint32_t status; /**< 0: none. */
     bool whole;
+    bool left; /**< We left before it was whole. */
     char *body;
     GArray *fields;
 } bench_answer;
 
-/** One call, on a connection of its own. */
+/** One call, on a connection of its own where none is kept. */
 typedef struct {
     int daemon;
     const char *method;
     const char *target;
-    const char *request_id; /**< NULL: none. */
-    const char *body;       /**< NULL: none. */
-    uint32_t timeout_ms;    /**< Told to the daemon; 0: not told. */
-    uint32_t wait_ms;       /**< How long the daemon may hold it; 0: not told. */
-    uint16_t port;          /**< 0: the front's. */
+    const char *request_id;      /**< NULL: none. */
+    const char *body;            /**< NULL: none. */
+    uint32_t timeout_ms;         /**< Told to the daemon; 0: not told. */
+    uint32_t wait_ms;            /**< How long the daemon may hold it; 0: not told. */
+    uint16_t port;               /**< 0: the front's. */
+    uint32_t last_event;         /**< Told as the last event that we have; 0: none is told. */
+    uint32_t leave_after_ms;     /**< When we leave, whatever came; 0: after some seconds. */
+    hs_client_connection **kept; /**< Used where it is not NULL, and kept for the next call where
+                                    that is possible; NULL: closed after the call. */
 } bench_call;
 
 bench_answer bench_send(const bench_call *call);
