--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -10,6 +10,7 @@
 #include "tools/surface/fleet_bench.h"
 
 #include <argp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -31,6 +32,8 @@
 #define DAEMON_BYTES (64ULL * 1024 * 1024)
 #define DAEMONS_BY_MEMORY_MOST 300
 #define PROGRESS_INTERVAL_MS 1000
+/** Exit status of a program that a signal ended, as shells have it, less the signal. */
+#define SIGNAL_EXIT 128
 
 /**
  * Texts of 5 to 8 s, of which progress is stored some times, each 1.5 s. Where events are slow, two
@@ -188,6 +191,14 @@
     print_verdict(line);
 }
 
+/** End the daemons with us, which are no longer cared for. */
+static void end_at_signal(int signal_number) {
+    for (int daemon = 0; daemon < BENCH_DAEMONS_MOST; daemon++)
+        if (bench.pids[daemon] > 0)
+            kill(bench.pids[daemon], SIGKILL);
+    _exit(SIGNAL_EXIT + signal_number);
+}
+
 int main(int argument_count, char **arguments) {
     command_line line = {.programs = "build",
                          .seconds = 180,
@@ -207,6 +218,9 @@
     setvbuf(stdout, NULL, _IOLBF, 0); /* Nothing is left in it for children. */
     if (line.tests_self)
         return soak_test_self() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+    signal(SIGINT, end_at_signal);
+    signal(SIGTERM, end_at_signal);
+    signal(SIGHUP, end_at_signal);
     soak_open_record();
     run_soak(&line);
     bool is_kept = record.violations->len == 0;
