--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -27,13 +27,21 @@
     TOKEN_ENGINE_SILENT,     /**< Takes requests and answers none. */
 } token_engine_mode;
 
+/** The streams that an engine makes. */
+typedef struct {
+    uint32_t events;   /**< Of each stream. */
+    uint32_t event_ms; /**< Between events. */
+} token_engine_pace;
+
 /** What one engine does. */
 typedef struct {
     const char *id;
     const char *service;
-    uint32_t events;      /**< Of each stream. */
-    uint32_t event_ms;    /**< Between events. */
-    uint32_t break_after; /**< TOKEN_ENGINE_BREAKS: events before the end. */
+    token_engine_pace pace;
+    const char *const *long_paths; /**< Prefixes, the last NULL; NULL: all have the one pace. */
+    token_engine_pace long_pace;   /**< Of streams for paths that begin so. */
+    uint32_t break_after;          /**< TOKEN_ENGINE_BREAKS: events before the end. */
+    uint32_t slots;                /**< That its entry tells; 0: the default of 8. */
 } token_engine_settings;
 
 token_engine *token_engine_start(const token_engine_settings *settings);
@@ -56,6 +64,8 @@
     char request_id[TOKEN_ENGINE_ID_BYTES];
     bool resumes;         /**< It was asked to go on, */
     uint64_t asked_after; /**< after this event. */
+    uint64_t begun_ms;    /**< Wall time at which it was asked for, */
+    uint64_t ended_ms;    /**< and at which its answer ended; 0: it has not. */
 } token_engine_run;
 
 /**
@@ -67,7 +77,7 @@
 /** What the data of an event says; @p engine_id: TOKEN_ENGINE_ID_BYTES. False: it is none. */
 bool token_engine_read_event(const char *data, uint32_t *event, char *engine_id, uint32_t *run);
 
-/** The run of a number that an event named. False: this engine made no such run. */
+/** The run of a number, counted from 0, as events name it. False: this engine made no such run. */
 bool token_engine_find_run(token_engine *engine, uint32_t number, token_engine_run *run);
 
 /** One request as it came to an engine, run or refused. Times in ms of the monotonic clock. */
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -30,16 +30,26 @@
 #define CALL_LIMIT_MS 12000
 #define BODY_LIMIT (16U * 1024 * 1024)
 #define READY_LIMIT_MS 8000
-#define SETTINGS_MAX 40
+#define DEFAULT_RETENTION_S 60U
+/** Between events in ms. */
+#define EVENT_MS 15
 
 fleet_bench bench;
 
+int bench_daemons(void) {
+    return bench.settings.daemons > 0 ? bench.settings.daemons : BENCH_DAEMONS;
+}
+
+uint32_t bench_item_events(void) {
+    return bench.settings.item_pace.events > 0 ? bench.settings.item_pace.events : BENCH_EVENTS;
+}
+
 /** The same port for a daemon each time that it is started. */
 static uint16_t port_of(port_kind kind, int index) {
-    static uint16_t first;
-    if (first == 0)
-        first = port_lease_take(PORT_KINDS * BENCH_DAEMONS);
-    return (uint16_t)(first + (int)kind * BENCH_DAEMONS + index);
+    static uint16_t first[BENCH_DAEMONS_MOST];
+    if (first[index] == 0)
+        first[index] = port_lease_take(PORT_KINDS);
+    return (uint16_t)(first[index] + (int)kind);
 }
 
 uint16_t bench_front_port(int index) {
@@ -67,6 +77,12 @@
     add_setting(arguments, g_strdup_printf("fleet.%s=127.0.0.1:%u", name, port));
 }
 
+static uint16_t store_port_of(int index) {
+    if (bench.store_ports[index] != 0)
+        return bench.store_ports[index];
+    return bench.store_port != 0 ? bench.store_port : log_store_port(bench.store);
+}
+
 static GPtrArray *daemon_arguments(int index, const char *settings_path) {
     GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(arguments, g_strdup_printf("%s/heathsaild", g_getenv("HS_TEST_PROGRAMS")));
@@ -83,8 +99,7 @@
     add_address(arguments, "control", port_of(PORT_CONTROL, index));
     add_address(arguments, "metrics", port_of(PORT_METRICS, index));
     add_address(arguments, "seeds", port_of(PORT_CONTROL, 0));
-    add_address(arguments, "store",
-                bench.store_port != 0 ? bench.store_port : log_store_port(bench.store));
+    add_address(arguments, "store", store_port_of(index));
     add_setting(arguments, g_strdup("fleet.grace_s=6"));
     add_setting(arguments, g_strdup("fleet.heartbeat_ms=500"));
     add_setting(arguments,
@@ -105,15 +120,23 @@
     return descriptors == 0 || setrlimit(RLIMIT_NOFILE, &limit) == 0;
 }
 
+/** Where the output of a daemon goes; NULL: to ours. Free with g_free. */
+static char *output_path(int index) {
+    if (bench.settings.log_directory != NULL)
+        return g_strdup_printf("%s/daemon-%d.log", bench.settings.log_directory, index);
+    return g_getenv("HS_BENCH_QUIET") != NULL ? g_strdup("/dev/null") : NULL;
+}
+
 static bool start_daemon(int index, const daemon_start *how) {
     GPtrArray *arguments = daemon_arguments(index, how->settings_path);
+    g_autofree char *path = output_path(index);
     bool silent_reader = how->silent_reader;
     int output[2] = {-1, -1};
     if (silent_reader && pipe(output) != 0)
         return false;
     pid_t pid = fork();
     if (pid == 0) {
-        if (g_getenv("HS_BENCH_QUIET") != NULL && freopen("/dev/null", "w", stdout) == NULL)
+        if (path != NULL && freopen(path, "a", stdout) == NULL)
             _exit(EXIT_FAILURE);
         if (silent_reader)
             dup2(output[1], STDOUT_FILENO);
@@ -189,6 +212,8 @@
         g_string_append_printf(head, HEADER_TIMEOUT_MS ": %u\r\n", call->timeout_ms);
     if (call->wait_ms > 0)
         g_string_append_printf(head, HEADER_WAIT_MS ": %u\r\n", call->wait_ms);
+    if (call->last_event > 0)
+        g_string_append_printf(head, HEADER_LAST_EVENT_ID ": %u\r\n", call->last_event);
     if (call->body != NULL)
         g_string_append_printf(head, "Content-Length: %zu\r\n", strlen(call->body));
     g_string_append(head, "\r\n");
@@ -204,16 +229,30 @@
     return copy;
 }
 
+/** The connection that is kept for the call, or a new one; NULL: there is none to be had. */
+static hs_client_connection *connect_for(const bench_call *call, const hs_wait *wait) {
+    hs_step step = HS_STEP_CUT;
+    if (call->kept != NULL && *call->kept != NULL)
+        return g_steal_pointer(call->kept);
+    uint16_t port = call->port != 0 ? call->port : bench_front_port(call->daemon);
+    return hs_client_connection_open(INADDR_LOOPBACK, port, wait, &step);
+}
+
+static void end_call(const bench_call *call, hs_client_connection *connection) {
+    if (call->kept != NULL && hs_client_connection_is_reusable(connection))
+        *call->kept = connection;
+    else
+        hs_client_connection_close(connection);
+}
+
 bench_answer bench_send(const bench_call *call) {
     bench_answer answer = {0};
-    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + CALL_LIMIT_MS,
-                    .watched = HS_WATCH_NOTHING};
-    uint16_t port = call->port != 0 ? call->port : bench_front_port(call->daemon);
-    hs_step step = HS_STEP_CUT;
-    hs_client_connection *connection =
-        hs_client_connection_open(INADDR_LOOPBACK, port, &wait, &step);
+    uint32_t limit_ms = call->leave_after_ms > 0 ? call->leave_after_ms : CALL_LIMIT_MS;
+    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + limit_ms, .watched = HS_WATCH_NOTHING};
+    hs_client_connection *connection = connect_for(call, &wait);
     if (connection == NULL)
         return answer;
+    hs_step step = HS_STEP_CUT;
     GString *head = write_head(call);
     step = hs_client_connection_send(connection, head, call->body,
                                      call->body != NULL ? strlen(call->body) : 0, false, &wait);
@@ -221,14 +260,15 @@
     if (step == HS_STEP_PROGRESS)
         step = hs_client_connection_read_head(connection, &wait);
     if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE) {
-        answer.whole =
-            hs_client_connection_read_all(connection, BODY_LIMIT, &wait) == HS_STEP_COMPLETE;
+        step = hs_client_connection_read_all(connection, BODY_LIMIT, &wait);
+        answer.whole = step == HS_STEP_COMPLETE;
         const GByteArray *body = hs_client_connection_body(connection);
         answer.status = hs_client_connection_status(connection);
         answer.body = body->len > 0 ? g_strndup((const char *)body->data, body->len) : g_strdup("");
         answer.fields = copy_fields(hs_client_connection_fields(connection));
     }
-    hs_client_connection_close(connection);
+    answer.left = step == HS_STEP_DEADLINE;
+    end_call(call, connection);
     return answer;
 }
 
@@ -247,6 +287,8 @@
 }
 
 void bench_configure(int version) {
+    uint32_t retention_s =
+        bench.settings.retention_s > 0 ? bench.settings.retention_s : DEFAULT_RETENTION_S;
     g_autofree char *text = g_strdup_printf(
         "{\"version\":%d,\"routes\":["
         "{\"name\":\"once\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/once/\","
@@ -261,21 +303,27 @@
         "{\"name\":\"jobs\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/jobs/\","
         "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
         "\"completion-target-ms\":20000,\"service\":\"llm\",\"max-attempts\":2,"
-        "\"retention-s\":60}],"
+        "\"retention-s\":%u}],"
         "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":100}],"
         "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version);
+        version, retention_s);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
 static token_engine *start_engine(int index) {
     static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
-    return token_engine_start(&(token_engine_settings){.id = ids[index],
-                                                       .service = "llm",
-                                                       .events = BENCH_EVENTS,
-                                                       .event_ms = 15,
-                                                       .break_after = 5});
+    static const char *const long_paths[] = {"/jobs/", "/once/long", "/again/long", NULL};
+    static const token_engine_pace pace = {.events = BENCH_EVENTS, .event_ms = EVENT_MS};
+    bool has_pace = bench.settings.item_pace.events > 0;
+    return token_engine_start(
+        &(token_engine_settings){.id = ids[index],
+                                 .service = "llm",
+                                 .pace = pace,
+                                 .long_paths = long_paths,
+                                 .long_pace = has_pace ? bench.settings.item_pace : pace,
+                                 .break_after = 5,
+                                 .slots = bench.settings.slots});
 }
 
 void bench_prepare(void) {
@@ -295,15 +343,15 @@
     for (int index = 0; index < BENCH_ENGINES; index++)
         token_engine_announce(bench.engines[index], bench.store, false);
     bool started = true;
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         started = bench_start_daemon(index, false) && started;
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         started = bench_wait_ready(index) && started;
     return started ? 0 : -1;
 }
 
 int end_bench(void) {
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         bench_signal(index, SIGKILL);
     for (int index = 0; index < BENCH_ENGINES; index++)
         token_engine_stop(bench.engines[index]);
