A request that no engine took is held by its expected wait, not by a window

Cause: while all engines refused, a request was held for a quarter of its target and then refused with a fixed Retry-After of 150 ms, whatever was known of the service; a caller that has one more try lost its request to an absence of two seconds, and one of a service without engines was held for nothing. Ruled out: a longer window (it knows as little).

Change: what is known of the service (places, what runs and waits there, mean run, engines that are suspected and until when, how long none has been there) decides: held while the expected wait ends before the deadline, refused at once when it does not; Retry-After is that wait, spread over callers up to twice it. Nothing is refused while half of the places are free and nothing waits. A service without engines refuses at once.

Tests: unit tests of the choice; two of real processes, which fail on the base (refused after 75 ms; held for 75 ms).

--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -33,6 +33,8 @@
 typedef struct {
     double tokens_per_ms; /**< Prompt reading rate. */
     double run_ms;        /**< Mean time of a whole run. */
+    double online_run_ms; /**< The same of online requests alone; 0: none ended yet. */
+    double first_byte_ms; /**< Shortest time to a first byte of late; 0: none came yet. */
 } hs_engine_speed;
 
 #define HS_ENGINE_NONE (-1)
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -17,6 +17,9 @@
 #define FULL_MS 40
 #define BROKEN_IN_A_ROW 3
 #define SPEED_WEIGHT 0.1
+/** The shortest time to a first byte grows by this with each one, so that old ones are forgotten.
+ */
+#define SHORTEST_GROWTH 1.01
 #define RATE_SAMPLE_LEAST_TOKENS 1000
 /** The arbiter hears at once that a prompt of this length is read; of others with the next word. */
 #define TELL_READ_LEAST_TOKENS 2000
@@ -116,6 +119,12 @@
     *value += (sample - *value) * SPEED_WEIGHT;
 }
 
+/** A time to a first byte was seen. */
+static void note_first_byte(hs_engine_speed *speed, double took_ms) {
+    double shortest_ms = speed->first_byte_ms * SHORTEST_GROWTH;
+    speed->first_byte_ms = speed->first_byte_ms > 0 ? fmin(shortest_ms, took_ms) : took_ms;
+}
+
 /** The caller holds the lock. */
 static void count_read(hs_engine_lease *lease) {
     lease->engine->queued_tokens -= MIN(lease->engine->queued_tokens, lease->unread_tokens);
@@ -126,6 +135,9 @@
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
     lease->engine->heard_ms = now_ms;
+    if (lease->work == HS_WORK_ONLINE)
+        note_first_byte(hs_fleet_engines_speed(lease->engines, lease->engine->entry.service),
+                        (double)(now_ms - lease->taken_ms));
     if (lease->was_alone && lease->unread_tokens >= RATE_SAMPLE_LEAST_TOKENS) {
         double took_ms = fmax((double)(now_ms - lease->taken_ms), 1.0);
         blend(&hs_fleet_engines_speed(lease->engines, lease->engine->entry.service)->tokens_per_ms,
@@ -181,6 +193,17 @@
            end == HS_ATTEMPT_BROKEN;
 }
 
+/** A run ended well. The caller holds the lock. */
+static void note_run(const hs_engine_lease *lease, double took_ms) {
+    hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, lease->engine->entry.service);
+    blend(&speed->run_ms, took_ms);
+    if (lease->work != HS_WORK_ONLINE)
+        return;
+    if (speed->online_run_ms == 0)
+        speed->online_run_ms = took_ms;
+    blend(&speed->online_run_ms, took_ms);
+}
+
 /** What an attempt's end says of the engine. The caller holds the lock. */
 static void judge(hs_engine_lease *lease, hs_attempt_end end, uint64_t now_ms) {
     hs_fleet_engine *engine = lease->engine;
@@ -191,8 +214,7 @@
         engine->failures = 0;
         engine->suspect_until_ms = 0;
         note_end(engine, false, now_ms);
-        blend(&hs_fleet_engines_speed(lease->engines, engine->entry.service)->run_ms,
-              (double)(now_ms - lease->taken_ms));
+        note_run(lease, (double)(now_ms - lease->taken_ms));
         break;
     case HS_ATTEMPT_FAILED:
         note_end(engine, true, now_ms);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -59,6 +59,8 @@
     GHashTable *peers;   /**< peer -> peer_load* */
     char *zone;
     GHashTable *speeds;        /**< service -> hs_engine_speed* */
+    GHashTable *absences;      /**< service -> hs_engine_absence* */
+    bool is_list_known;        /**< The store's list was read to its end. */
     uint32_t peer_count;       /**< Other daemons there are. */
     uint32_t batch_peer_count; /**< Those of them that run batch items. */
     uint64_t summed_ms;        /**< When peers' words were summed last; 0: they changed. */
@@ -112,7 +114,16 @@
     hs_carried_requests carried;
 } hs_idle_connection;
 
+/** Times in which a service had no engine, as requests met them. */
+typedef struct {
+    uint64_t since_ms; /**< 0: it has engines. */
+    uint64_t last_ms;  /**< How long the one before was; 0: none was seen. */
+} hs_engine_absence;
+
 /** The caller holds the lock. */
+/** Note whether a service has an engine now. */
+hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
+                                                 bool is_present, uint64_t now_ms);
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
 /** What other daemons have there. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -45,6 +45,7 @@
     engines->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -76,6 +77,7 @@
     g_hash_table_destroy(engines->by_id);
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
+    g_hash_table_destroy(engines->absences);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->totals_told);
     g_free(engines->zone);
@@ -156,6 +158,7 @@
     gpointer key = NULL;
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
+    engines->is_list_known = true;
     if (until_ms <= hs_clock_monotonic_ms() &&
         g_hash_table_foreach_remove(engines->by_id, unlist, listed) > 0)
         forget_hashes(engines);
@@ -308,6 +311,7 @@
                                              .suspected = chosen->suspected,
                                              .listed_age_ms = now_ms - engine->listed_ms};
         use = hs_fleet_engine_use(engines, engine);
+        hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
     g_mutex_unlock(&engines->lock);
     if (lease != NULL)
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -154,6 +154,24 @@
     double batch;  /**< Believed running, of all daemons. */
 } hs_service_room;
 
+/** What is known of a service when no engine took a request. */
+typedef struct {
+    bool is_known;      /**< The store's list was read to its end since the start. */
+    uint32_t engines;   /**< That may be sent to by the store's word. */
+    uint32_t sound;     /**< Of them, that nobody suspects. */
+    uint32_t slots;     /**< Of the sound ones. */
+    double running;     /**< Believed there, of all daemons; batch items count, they hold places. */
+    double waiting;     /**< Online requests of them beyond their engine's slots. */
+    double run_ms;      /**< Mean time of an online run of late. */
+    uint64_t need_ms;   /**< Shortest time to a first byte of late; 0: not known. */
+    uint64_t return_ms; /**< Until the first suspected engine is tried again. */
+    uint64_t absent_ms; /**< How long there has been no engine; 0: there is one. */
+    uint64_t last_absence_ms; /**< How long the last such time was; 0: none was seen. */
+    uint64_t listed_age_ms;   /**< Since the store's last word on any of its engines. */
+} hs_service_outlook;
+
+hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
+
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
 /**
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -10,10 +10,7 @@
 #include "base/peer_watch.h"
 #include "http/http_fields.h"
 
-#define FULL_PAUSE_MS 15
 #define RESUME_PAUSE_MS 50
-/** A refusal comes within this part of the time in which an answer is wanted. */
-#define REFUSAL_PARTS 4
 #define SILENCE_TARGETS 3
 
 bool hs_online_may_repeat(const hs_online_request *request) {
@@ -104,27 +101,21 @@
                : HS_NEXT_END;
 }
 
-/**
- * No engine is left to try: wait a little for one, or end. A request that has run somewhere and may
- * run again is worth more patience than one that can be refused.
- */
+/** No engine is left to try: wait for one as long as one is expected in time, or end. */
 static hs_next_move after_no_engine(hs_online_request *request, hs_end_reason *reason) {
     bool has_run = request->run != HS_RUN_DID_NOT;
-    uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : FULL_PAUSE_MS;
-    uint64_t until_ms = request->deadline;
-    if (!has_run)
-        until_ms = MIN(until_ms, request->inbound->received_ms +
-                                     request->route->target_latency_ms / REFUSAL_PARTS);
-    bool may_wait = hs_clock_monotonic_ms() + pause_ms < until_ms;
-    if (may_wait && (!has_run || hs_online_may_repeat(request))) {
-        hs_peer_leaves_within(request->inbound->descriptor, (uint32_t)pause_ms);
+    hs_refusal_choice choice = hs_online_choose_refusal(request);
+    if (choice.verdict == HS_REFUSAL_HOLD && (!has_run || hs_online_may_repeat(request))) {
+        uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : choice.pause_ms;
+        if (hs_peer_leaves_within(request->inbound->descriptor, (uint32_t)pause_ms)) {
+            *reason = HS_END_CALLER_GONE;
+            return HS_NEXT_END;
+        }
         g_ptr_array_set_size(request->excluded, 0);
         return HS_NEXT_TRY;
     }
-    if (has_run)
-        *reason = HS_END_BROKEN;
-    else
-        *reason = request->excluded->len > 0 ? HS_END_FULL : HS_END_NO_ENGINE;
+    request->retry_after_ms = choice.expected_ms;
+    *reason = has_run ? HS_END_BROKEN : hs_online_refusal_reason(choice.verdict);
     return HS_NEXT_END;
 }
 
--- /dev/null
+++ b/src/online/online_refusal.c
@@ -0,0 +1,52 @@
+/** @file online_refusal.c  How a request that no engine took ends; see online_request_state.h. */
+#include "online/online_request_state.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+static void log_refusal(const hs_online_request *request, const hs_refusal_view *view,
+                        const hs_refusal_choice *choice) {
+    const hs_service_outlook *service = &view->service;
+    hs_log_info("request_not_held",
+                "request=%s service=%s verdict=%s expected_ms=%" G_GUINT64_FORMAT
+                " left_ms=%" G_GUINT64_FORMAT " waited_ms=%" G_GUINT64_FORMAT
+                " has_run=%d list_known=%d engines=%u sound=%u slots=%u running=%.1f waiting=%.1f"
+                " run_ms=%.0f need_ms=%" G_GUINT64_FORMAT " return_ms=%" G_GUINT64_FORMAT
+                " absent_ms=%" G_GUINT64_FORMAT " last_absence_ms=%" G_GUINT64_FORMAT
+                " listed_age_ms=%" G_GUINT64_FORMAT,
+                request->request_id, request->service, hs_refusal_verdict_name(choice->verdict),
+                (guint64)choice->expected_ms, (guint64)view->left_ms, (guint64)view->waited_ms,
+                view->has_run, service->is_known, service->engines, service->sound, service->slots,
+                service->running, service->waiting, service->run_ms, (guint64)service->need_ms,
+                (guint64)service->return_ms, (guint64)service->absent_ms,
+                (guint64)service->last_absence_ms, (guint64)service->listed_age_ms);
+}
+
+hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_refusal_view view = {
+        .service = hs_fleet_engines_outlook(request->online->engines, request->service),
+        .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
+        .waited_ms = now_ms - request->inbound->received_ms,
+        .has_run = request->run != HS_RUN_DID_NOT,
+    };
+    hs_refusal_choice choice = hs_refusal_choose(&view);
+    if (choice.verdict != HS_REFUSAL_HOLD)
+        log_refusal(request, &view, &choice);
+    return choice;
+}
+
+hs_end_reason hs_online_refusal_reason(hs_refusal_verdict verdict) {
+    switch (verdict) {
+    case HS_REFUSAL_NO_ENGINE:
+        return HS_END_NO_ENGINE;
+    case HS_REFUSAL_SUSPECTED:
+        return HS_END_UNREACHABLE;
+    case HS_REFUSAL_OVER:
+        return HS_END_LATE_NOT_RUN;
+    case HS_REFUSAL_HOLD:
+    case HS_REFUSAL_QUEUE:
+        break;
+    }
+    return HS_END_FULL;
+}
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -2,12 +2,13 @@
 #include "online/online_request_state.h"
 
 #include "base/clock.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "http/http_fields.h"
+#include "online/retry_after.h"
 
 #include <string.h>
 
-#define RETRY_AFTER_MS 150
 #define STATUS_FAILURE 500
 
 static void log_end(hs_online_request *request, hs_end_reason reason) {
@@ -59,7 +60,9 @@
         hs_online_count(request->online, reason, 0);
         hs_inbound_drop(request->inbound);
     } else {
-        hs_online_refuse(request->online, request->inbound, reason, RETRY_AFTER_MS);
+        uint64_t caller = hs_hash_bytes(request->request_id, strlen(request->request_id));
+        hs_online_refuse(request->online, request->inbound, reason,
+                         hs_retry_after_spread_ms(request->retry_after_ms, caller));
     }
 }
 
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -4,6 +4,7 @@
 
 #include "online/event_stream.h"
 #include "online/online_request.h"
+#include "online/refusal_choice.h"
 
 /** A whole answer above this is not read to its end. */
 #define HS_ONLINE_ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
@@ -30,7 +31,8 @@
     GPtrArray *excluded; /**< of char*: engines that refused or failed. */
     hs_attempt attempt;
     hs_event_stream events;
-    GByteArray *ready; /**< Bytes for the caller not yet handed on. */
+    GByteArray *ready;       /**< Bytes for the caller not yet handed on. */
+    uint64_t retry_after_ms; /**< Expected time in ms until an engine can take it; 0: not known. */
     bool stream_ended;
     bool counted;
 } hs_online_request;
@@ -48,6 +50,12 @@
 /** Try engines until one answers with a head; false with @p reason when none will. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
+/** Whether a request that no engine took is held; logged when it is not. */
+hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request);
+
+/** The end that a verdict other than HS_REFUSAL_HOLD means. */
+hs_end_reason hs_online_refusal_reason(hs_refusal_verdict verdict);
+
 /** Fields of an engine's answer that callers get. Free with hs_http_fields_free. */
 GArray *hs_online_passed_fields(const GArray *fields);
 
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -12,6 +12,8 @@
 
 /** An engine that failed is tried again after one to eight seconds. */
 #define TRUST_LIMIT_MS 12000
+/** Until every daemon has read what the store lists. */
+#define LIST_READ_MS 1500
 
 /** Every event once, in order, from runs that were asked to go on where they do. */
 static void check_events(const char *request_id, const char *body) {
@@ -67,6 +69,51 @@
     bench_answer_clear(&answer);
 }
 
+static gpointer heal_engines(gpointer data) {
+    hs_clock_sleep_ms(*(const uint64_t *)data);
+    bench_set_engines(TOKEN_ENGINE_SOUND);
+    return NULL;
+}
+
+/** Engines that turn all away for three times the target, while their places are free. */
+static void engines_with_free_places_are_waited_for(void) {
+    uint64_t away_ms = 900;
+    bench_set_engines(TOKEN_ENGINE_FULL);
+    GThread *healer = g_thread_new("healer", heal_engines, &away_ms);
+    bench_answer answer = post_request(1, "/once/s", "waited-for");
+    g_thread_join(healer);
+    CU_ASSERT_EQUAL(answer.status, 200);
+    CU_ASSERT_EQUAL(bench_runs("waited-for"), 1);
+    bench_answer_clear(&answer);
+}
+
+static double retry_after_of(const bench_answer *answer) {
+    const char *text = hs_http_fields_find(answer->fields, "Retry-After");
+    return text != NULL ? g_ascii_strtod(text, NULL) : -1;
+}
+
+/** Without an engine a request is refused at once, and told the longer the longer none is there. */
+static void a_service_without_engines_refuses_at_once(void) {
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        token_engine_announce(bench.engines[index], bench.store, true);
+    hs_clock_sleep_ms(LIST_READ_MS);
+    double told_s[2];
+    for (int call = 0; call < 2; call++) {
+        uint64_t began_ms = hs_clock_monotonic_ms();
+        bench_answer answer = post_request(0, "/plain/x", "nobody");
+        CU_ASSERT(hs_clock_monotonic_ms() - began_ms < 60);
+        CU_ASSERT_EQUAL(answer.status, 503);
+        told_s[call] = retry_after_of(&answer);
+        bench_answer_clear(&answer);
+        hs_clock_sleep_ms(400);
+    }
+    CU_ASSERT(told_s[0] > 0 && told_s[0] < 0.1);
+    CU_ASSERT(told_s[1] >= 0.4 && told_s[1] < 1.0);
+    for (int index = 0; index < BENCH_ENGINES; index++)
+        token_engine_announce(bench.engines[index], bench.store, false);
+    hs_clock_sleep_ms(LIST_READ_MS);
+}
+
 static void a_stream_that_breaks_runs_once_and_looks_broken(void) {
     bench_set_engines(TOKEN_ENGINE_BREAKS);
     bench_answer answer = post_request(0, "/once/s", "broken");
@@ -265,6 +312,8 @@
     {"unknown_routes_and_large_bodies_are_refused", unknown_routes_and_large_bodies_are_refused},
     {"a_refusal_did_not_run_and_says_when_to_come_back",
      a_refusal_did_not_run_and_says_when_to_come_back},
+    {"engines_with_free_places_are_waited_for", engines_with_free_places_are_waited_for},
+    {"a_service_without_engines_refuses_at_once", a_service_without_engines_refuses_at_once},
     {"a_stream_that_breaks_runs_once_and_looks_broken",
      a_stream_that_breaks_runs_once_and_looks_broken},
     {"a_resumable_stream_goes_on_elsewhere", a_resumable_stream_goes_on_elsewhere},
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -28,6 +28,7 @@
         {"health", health_tests, NULL, NULL},
         {"connections", connection_tests, NULL, NULL},
         {"engine_source", engine_source_tests, NULL, NULL},
+        {"refusal_choice", refusal_choice_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- /dev/null
+++ b/tests/unit/test_refusal.c
@@ -0,0 +1,194 @@
+/** @file test_refusal.c  Held or refused, when to come back, and what is known of a service. */
+#include "base/clock.h"
+#include "base/hash.h"
+#include "online/refusal_choice.h"
+#include "online/retry_after.h"
+#include "tests/unit/unit_tests.h"
+
+#include <string.h>
+
+/** A service whose ten places are taken and where two wait: a place frees each 100 ms. */
+static hs_refusal_view full_view(void) {
+    return (hs_refusal_view){.service = {.is_known = true,
+                                         .engines = 2,
+                                         .sound = 2,
+                                         .slots = 10,
+                                         .running = 12,
+                                         .waiting = 2,
+                                         .run_ms = 1000,
+                                         .need_ms = 30},
+                             .left_ms = 5000};
+}
+
+static hs_refusal_verdict verdict_of(const hs_refusal_view *view) {
+    return hs_refusal_choose(view).verdict;
+}
+
+/** The limit is the deadline against the expected wait and what an engine needs, to the ms. */
+static void a_request_is_held_while_its_wait_ends_in_time(void) {
+    hs_refusal_view view = full_view();
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    CU_ASSERT_EQUAL(hs_refusal_choose(&view).expected_ms, 300);
+    view.left_ms = 330;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view.left_ms = 329;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_QUEUE);
+    view.left_ms = 5000;
+    view.service.waiting = 100;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_QUEUE);
+    CU_ASSERT_EQUAL(hs_refusal_choose(&view).expected_ms, 10100);
+}
+
+/** How long it has waited so far changes nothing: there is no window of its own. */
+static void time_waited_alone_refuses_nothing(void) {
+    hs_refusal_view view = full_view();
+    for (view.waited_ms = 0; view.waited_ms < 4000; view.waited_ms += 100)
+        CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+}
+
+static void a_service_without_engines_refuses_at_once(void) {
+    hs_refusal_view view = full_view();
+    view.service.engines = view.service.sound = view.service.slots = 0;
+    view.service.absent_ms = 400;
+    view.service.last_absence_ms = 1000;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_NO_ENGINE);
+    CU_ASSERT_EQUAL(hs_refusal_choose(&view).expected_ms, 600);
+    view.service.absent_ms = 1500;
+    CU_ASSERT_EQUAL(hs_refusal_choose(&view).expected_ms, 1500);
+}
+
+/** A daemon that has not read the list knows of no engine, which does not say that there is none.
+ */
+static void an_unread_list_is_no_sign_that_engines_lack(void) {
+    hs_refusal_view view = full_view();
+    view.service = (hs_service_outlook){.run_ms = 300};
+    view.left_ms = 2000;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view.waited_ms = 2001;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_NO_ENGINE);
+}
+
+static void failing_engines_are_waited_for_until_they_are_tried_again(void) {
+    hs_refusal_view view = full_view();
+    view.service.sound = 0;
+    view.service.return_ms = 1600;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view.left_ms = 1500;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_SUSPECTED);
+    CU_ASSERT_EQUAL(hs_refusal_choose(&view).expected_ms, 1600);
+}
+
+/** Over all states with half of the places free and nothing waiting, none is refused in time. */
+static void nothing_is_refused_while_half_of_the_places_are_free(void) {
+    for (uint32_t slots = 1; slots <= 40; slots++)
+        for (uint32_t running = 0; 2 * running < slots; running++)
+            for (uint64_t left_ms = 16; left_ms < 4000; left_ms += 97) {
+                hs_refusal_view view = full_view();
+                view.service.slots = slots;
+                view.service.running = running;
+                view.service.waiting = 0;
+                view.left_ms = left_ms;
+                view.service.run_ms = 60000;
+                hs_refusal_verdict verdict = verdict_of(&view);
+                CU_ASSERT(verdict == HS_REFUSAL_HOLD || verdict == HS_REFUSAL_OVER);
+            }
+}
+
+/** What may have run is never given a refusal's verdict while there is time. */
+static void what_may_have_run_goes_on_to_its_deadline(void) {
+    hs_refusal_view view = full_view();
+    view.has_run = true;
+    view.service.waiting = 1000;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view.service = (hs_service_outlook){.is_known = true};
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view.left_ms = 3;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_OVER);
+}
+
+static void drain_is_what_was_seen_to_drain(void) {
+    CU_ASSERT_EQUAL(hs_retry_after_drain_ms(500, 1000, 2000, 7), 1000);
+    CU_ASSERT_EQUAL(hs_retry_after_drain_ms(500, 0, 2000, 7), 7);
+    CU_ASSERT_EQUAL(hs_retry_after_drain_ms(500, 10, 0, 7), 7);
+    CU_ASSERT_EQUAL(hs_retry_after_absence_ms(0, 0), 0);
+}
+
+/** Callers that were refused together come back over as long a time as they were told to wait. */
+static void callers_do_not_return_together(void) {
+    enum { CALLERS = 1000, PARTS = 10, EXPECTED_MS = 500 };
+    int parts[PARTS] = {0};
+    for (int caller = 0; caller < CALLERS; caller++) {
+        g_autofree char *id = g_strdup_printf("request-%d", caller);
+        uint64_t after_ms = hs_retry_after_spread_ms(EXPECTED_MS, hs_hash_bytes(id, strlen(id)));
+        CU_ASSERT(after_ms >= EXPECTED_MS && after_ms < 2 * EXPECTED_MS);
+        parts[(after_ms - EXPECTED_MS) * PARTS / EXPECTED_MS]++;
+    }
+    for (int part = 0; part < PARTS; part++)
+        CU_ASSERT(parts[part] > CALLERS / PARTS / 2 && parts[part] < CALLERS / PARTS * 2);
+    CU_ASSERT(hs_retry_after_spread_ms(0, 12345) >= HS_RETRY_AFTER_LEAST_MS);
+}
+
+static void put_engine(hs_fleet_engines *engines, const char *id, bool draining) {
+    hs_engine_entry entry = {.id = g_strdup(id),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = 1,
+                             .port = 1,
+                             .slots = 4,
+                             .draining = draining};
+    hs_fleet_engines_put(engines, &entry, hs_clock_monotonic_ms());
+}
+
+static void read_list(hs_fleet_engines *engines) {
+    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+    hs_fleet_engines_keep_only(engines, listed, hs_clock_monotonic_ms() + 60000);
+    g_hash_table_destroy(listed);
+}
+
+static void an_outlook_counts_engines_places_and_absences(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    CU_ASSERT_FALSE(hs_fleet_engines_outlook(engines, "svc").is_known);
+    read_list(engines);
+    hs_clock_sleep_ms(30);
+    hs_service_outlook none = hs_fleet_engines_outlook(engines, "svc");
+    CU_ASSERT_TRUE(none.is_known);
+    CU_ASSERT_EQUAL(none.engines, 0);
+    CU_ASSERT(none.absent_ms >= 30 && none.last_absence_ms == 0);
+    put_engine(engines, "e1", false);
+    put_engine(engines, "e2", true);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *leases[6];
+    for (size_t index = 0; index < G_N_ELEMENTS(leases); index++)
+        leases[index] = hs_fleet_engines_take(engines, &query);
+    hs_service_outlook there = hs_fleet_engines_outlook(engines, "svc");
+    CU_ASSERT_EQUAL(there.engines, 1);
+    CU_ASSERT_EQUAL(there.slots, 4);
+    CU_ASSERT_EQUAL(there.running, 6);
+    CU_ASSERT_EQUAL(there.waiting, 2);
+    CU_ASSERT_EQUAL(there.absent_ms, 0);
+    CU_ASSERT(there.last_absence_ms >= 30);
+    for (size_t index = 1; index < G_N_ELEMENTS(leases); index++)
+        hs_engine_lease_release(leases[index], NULL, HS_ATTEMPT_DROPPED);
+    hs_engine_lease_release(leases[0], NULL, HS_ATTEMPT_UNREACHABLE);
+    hs_service_outlook failing = hs_fleet_engines_outlook(engines, "svc");
+    CU_ASSERT_EQUAL(failing.sound, 0);
+    CU_ASSERT(failing.return_ms > 0);
+    hs_fleet_engines_free(engines);
+}
+
+const test_case refusal_choice_tests[] = {
+    {"a_request_is_held_while_its_wait_ends_in_time",
+     a_request_is_held_while_its_wait_ends_in_time},
+    {"time_waited_alone_refuses_nothing", time_waited_alone_refuses_nothing},
+    {"a_service_without_engines_refuses_at_once", a_service_without_engines_refuses_at_once},
+    {"an_unread_list_is_no_sign_that_engines_lack", an_unread_list_is_no_sign_that_engines_lack},
+    {"failing_engines_are_waited_for_until_they_are_tried_again",
+     failing_engines_are_waited_for_until_they_are_tried_again},
+    {"nothing_is_refused_while_half_of_the_places_are_free",
+     nothing_is_refused_while_half_of_the_places_are_free},
+    {"what_may_have_run_goes_on_to_its_deadline", what_may_have_run_goes_on_to_its_deadline},
+    {"drain_is_what_was_seen_to_drain", drain_is_what_was_seen_to_drain},
+    {"callers_do_not_return_together", callers_do_not_return_together},
+    {"an_outlook_counts_engines_places_and_absences",
+     an_outlook_counts_engines_places_and_absences},
+    {NULL, NULL}};
