A request whose queue or need is longer than its deadline is not sent

Cause: a request went into an engine's queue also where the wait there, or what the quickest answer of late needed, was longer than the time it had left; it ended at its deadline, unserved, and held a place in the queue.

Change: after the arbiter's word, the expected wait (requests beyond the slots by the mean online run, others' prompts by the reading rate) and the shortest time to a first byte of late are held against the time left. Beyond it the request ends as full at once, and Retry-After is the wait. Batch items leave their slots and count for nothing; what may have run is not refused.

Tests: the pure functions; an attempt that must reach no engine.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -120,11 +120,23 @@
     return false;
 }
 
+/** The engine is the best that was found: where it cannot serve in time, none can. */
+static bool is_worth_sending(const hs_attempt_order *order, hs_attempt *attempt) {
+    if (!order->may_be_refused)
+        return true;
+    attempt->prospect = hs_engine_lease_prospect(attempt->lease, left_ms(order->wait.deadline));
+    if (!attempt->prospect.is_hopeless)
+        return true;
+    hs_engine_lease_release(attempt->lease, NULL, HS_ATTEMPT_DROPPED);
+    attempt->lease = NULL;
+    return false;
+}
+
 bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_order *order,
                       hs_attempt *attempt) {
     memset(attempt, 0, sizeof *attempt);
     attempt->step = HS_STEP_CUT;
-    if (!find_engine(engines, order, attempt))
+    if (!find_engine(engines, order, attempt) || !is_worth_sending(order, attempt))
         return false;
     attempt->connection = hs_engine_lease_connect(attempt->lease, order->request.request_id,
                                                   &order->wait, &attempt->step);
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -26,6 +26,7 @@
     const void *body;
     hs_wait wait;
     uint32_t silence_ms; /**< Longest wait for the head; 0: up to the deadline. */
+    bool may_be_refused; /**< Do not send it where it is known not to be servable. */
 } hs_attempt_order;
 
 /** An attempt whose head was read, or that failed before. */
@@ -36,8 +37,9 @@
     hs_step step; /**< PROGRESS or COMPLETE: the head is there. */
     uint32_t status;
     hs_engine_answer answer;
-    char engine_id[64];        /**< For logs, also after the end. */
-    hs_engine_reasons reasons; /**< Why that engine; likewise. */
+    char engine_id[64];         /**< For logs, also after the end. */
+    hs_engine_reasons reasons;  /**< Why that engine; likewise. */
+    hs_lease_prospect prospect; /**< is_hopeless: why it was not sent there, without a lease. */
 } hs_attempt;
 
 /** Choose, connect, send, read the head. True when there is a head. */
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -38,6 +38,17 @@
     return cost + candidate->warmup_ms * WARMUP_SHARE;
 }
 
+double hs_engine_choice_wait_ms(double online, uint32_t slots, double queued_tokens,
+                                const hs_engine_speed *speed) {
+    double run_ms = speed->online_run_ms > 0 ? speed->online_run_ms : speed->run_ms;
+    double over = fmax(online - slots, 0);
+    return over / fmax(slots, 1) * run_ms + queued_tokens / fmax(speed->tokens_per_ms, 1e-3);
+}
+
+bool hs_engine_choice_is_hopeless(double wait_ms, const hs_engine_speed *speed, uint64_t left_ms) {
+    return wait_ms + speed->first_byte_ms > (double)left_ms;
+}
+
 int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
                           const hs_engine_speed *speed) {
     int best = HS_ENGINE_NONE;
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -42,6 +42,20 @@
 /** Expected ms until the first token. */
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed);
 
+/**
+ * Expected ms until an engine begins with an online request, where @p online of them, this one
+ * included, share its slots (batch items leave theirs) and @p queued_tokens of prompts are to be
+ * read before its own.
+ */
+double hs_engine_choice_wait_ms(double online, uint32_t slots, double queued_tokens,
+                                const hs_engine_speed *speed);
+
+/**
+ * Whether a request is known not to be servable: its wait and the shortest time to a first byte of
+ * late end after its deadline, @p left_ms from now.
+ */
+bool hs_engine_choice_is_hopeless(double wait_ms, const hs_engine_speed *speed, uint64_t left_ms);
+
 /** Index of the candidate with the lowest cost; @p first breaks ties by a turn. */
 int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
                           const hs_engine_speed *speed);
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -148,6 +148,24 @@
     return online > engine->entry.slots || queued > speed->tokens_per_ms * QUEUE_LOOK_MS;
 }
 
+hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, uint64_t left_ms) {
+    hs_lease_prospect prospect = {0};
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&lease->engines->lock);
+    const hs_fleet_engine *engine = lease->engine;
+    const hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, engine->entry.service);
+    prospect.online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
+    prospect.queued_tokens = hs_fleet_engine_others_queued(engine, now_ms) +
+                             (double)engine->queued_tokens - lease->unread_tokens;
+    prospect.slots = engine->entry.slots;
+    prospect.need_ms = speed->first_byte_ms;
+    prospect.wait_ms = hs_engine_choice_wait_ms(prospect.online, prospect.slots,
+                                                fmax(prospect.queued_tokens, 0), speed);
+    prospect.is_hopeless = hs_engine_choice_is_hopeless(prospect.wait_ms, speed, left_ms);
+    g_mutex_unlock(&lease->engines->lock);
+    return prospect;
+}
+
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms) {
     hs_lease_word word = HS_LEASE_UNHEARD;
     uint64_t now_ms = hs_clock_monotonic_ms();
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -119,6 +119,19 @@
     HS_LEASE_UNHEARD, /**< The arbiter said nothing in time. */
 } hs_lease_word;
 
+/** What an online request that holds a lease can expect of its engine. */
+typedef struct {
+    bool is_hopeless; /**< Its wait and the least that any engine needs end after its deadline. */
+    double wait_ms;   /**< Expected until the engine begins with it. */
+    double need_ms;   /**< Shortest time to a first byte of late; 0: not known. */
+    double online;    /**< Requests there of all daemons, this one included. */
+    double queued_tokens; /**< Of others' prompts there that are not read yet. */
+    uint32_t slots;
+} hs_lease_prospect;
+
+/** The prospect of a request whose deadline is @p left_ms from now; after the arbiter's word. */
+hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, uint64_t left_ms);
+
 /** Wait until the engine's arbiter has heard of the lease, before anything is sent. */
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
 
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -34,6 +34,7 @@
                     .body_length = inbound->body->len},
         .body = inbound->body->data,
         .wait = {.deadline = request->deadline, .watched = inbound->descriptor},
+        .may_be_refused = request->run == HS_RUN_DID_NOT,
     };
     if (request->events.has_last_id) {
         order.request.resumes = true;
@@ -128,6 +129,10 @@
         }
         hs_attempt_order order = make_order(request);
         bool has_head = hs_attempt_start(request->online->engines, &order, &request->attempt);
+        if (request->attempt.prospect.is_hopeless) {
+            hs_online_note_hopeless(request, reason);
+            return false;
+        }
         if (request->attempt.lease == NULL) {
             move = after_no_engine(request, reason);
             continue;
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -36,6 +36,22 @@
     return choice;
 }
 
+void hs_online_note_hopeless(hs_online_request *request, hs_end_reason *reason) {
+    const hs_attempt *attempt = &request->attempt;
+    const hs_lease_prospect *prospect = &attempt->prospect;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    request->retry_after_ms = (uint64_t)prospect->wait_ms;
+    *reason = HS_END_FULL;
+    hs_log_info(
+        "request_not_sent",
+        "request=%s service=%s engine=%s wait_ms=%.0f need_ms=%.0f left_ms=%" G_GINT64_FORMAT
+        " online=%.1f slots=%u queued_tokens=%.0f sends=%u listed_age_ms=%" G_GUINT64_FORMAT,
+        request->request_id, request->service, attempt->engine_id, prospect->wait_ms,
+        prospect->need_ms, (gint64)request->deadline - (gint64)now_ms, prospect->online,
+        prospect->slots, prospect->queued_tokens, request->sends,
+        (guint64)attempt->reasons.listed_age_ms);
+}
+
 hs_end_reason hs_online_refusal_reason(hs_refusal_verdict verdict) {
     switch (verdict) {
     case HS_REFUSAL_NO_ENGINE:
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -53,6 +53,9 @@
 /** Whether a request that no engine took is held; logged when it is not. */
 hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request);
 
+/** The attempt at hand was not sent since no engine can serve in time: note why, and the end. */
+void hs_online_note_hopeless(hs_online_request *request, hs_end_reason *reason);
+
 /** The end that a verdict other than HS_REFUSAL_HOLD means. */
 hs_end_reason hs_online_refusal_reason(hs_refusal_verdict verdict);
 
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -369,7 +369,33 @@
     close_bench(&opened);
 }
 
+/** What no engine has done in less than 60 ms is not sent with 20 ms left, unless it ran before. */
+static void a_hopeless_request_reaches_no_engine(void) {
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(start(&opened, WHOLE_ANSWER, strlen(WHOLE_ANSWER), PEER_KEEPS_OPEN, &attempt));
+    hs_clock_sleep_ms(60);
+    hs_engine_lease_first_token(attempt.lease);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+    uint32_t before = scripted_peer_requests(opened.peer);
+    opened.order.may_be_refused = true;
+    opened.order.wait.deadline = hs_clock_monotonic_ms() + 20;
+    CU_ASSERT_FALSE(hs_attempt_start(opened.engines, &opened.order, &attempt));
+    CU_ASSERT_PTR_NULL(attempt.lease);
+    CU_ASSERT_TRUE(attempt.prospect.is_hopeless);
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_DID_NOT);
+    CU_ASSERT_EQUAL(scripted_peer_requests(opened.peer), before);
+    CU_ASSERT_EQUAL(hs_fleet_engines_room(opened.engines, "svc").online, 0);
+    opened.order.may_be_refused = false;
+    opened.order.wait.deadline = hs_clock_monotonic_ms() + DEADLINE_MS;
+    CU_ASSERT_TRUE(hs_attempt_start(opened.engines, &opened.order, &attempt));
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+    close_bench(&opened);
+}
+
 const test_case attempt_tests[] = {
+    {"a_hopeless_request_reaches_no_engine", a_hopeless_request_reaches_no_engine},
     {"a_dark_engine_is_left_within_the_objective", a_dark_engine_is_left_within_the_objective},
     {"a_cut_head_may_have_run", a_cut_head_may_have_run},
     {"no_idle_connection_is_kept_beyond_the_share", no_idle_connection_is_kept_beyond_the_share},
--- a/tests/unit/test_engines.c
+++ b/tests/unit/test_engines.c
@@ -53,6 +53,23 @@
     CU_ASSERT_EQUAL(hs_engine_choice_pick(list, 2, 0, &speed), 1);
 }
 
+/** The wait counts what is beyond the slots, by the mean online run; items that leave do not. */
+static void a_queue_longer_than_the_deadline_is_known(void) {
+    hs_engine_speed speed = {
+        .tokens_per_ms = 50, .run_ms = 4000, .online_run_ms = 1000, .first_byte_ms = 20};
+    CU_ASSERT_EQUAL(hs_engine_choice_wait_ms(8, 8, 0, &speed), 0);
+    CU_ASSERT_EQUAL(hs_engine_choice_wait_ms(24, 8, 0, &speed), 2000);
+    CU_ASSERT_EQUAL(hs_engine_choice_wait_ms(4, 8, 5000, &speed), 100);
+    CU_ASSERT_FALSE(hs_engine_choice_is_hopeless(2000, &speed, 2020));
+    CU_ASSERT_TRUE(hs_engine_choice_is_hopeless(2000, &speed, 2019));
+    CU_ASSERT_TRUE(hs_engine_choice_is_hopeless(0, &speed, 19));
+    CU_ASSERT_FALSE(hs_engine_choice_is_hopeless(0, &speed, 20));
+    speed.first_byte_ms = 0; /* Nothing was served yet: nothing is known. */
+    CU_ASSERT_FALSE(hs_engine_choice_is_hopeless(0, &speed, 0));
+    speed.online_run_ms = 0;
+    CU_ASSERT_EQUAL(hs_engine_choice_wait_ms(16, 8, 0, &speed), 4000);
+}
+
 static void believed_caches_give_way_by_age(void) {
     hs_prefix_index *index = hs_prefix_index_new(1500);
     hs_request_size first = {.part_count = 2, .parts = {{1, 1000}, {9, 50}}};
@@ -297,6 +314,7 @@
     {"batch_takes_free_slots_only", batch_takes_free_slots_only},
     {"online_requests_count_on_batch_stepping_aside",
      online_requests_count_on_batch_stepping_aside},
+    {"a_queue_longer_than_the_deadline_is_known", a_queue_longer_than_the_deadline_is_known},
     {"believed_caches_give_way_by_age", believed_caches_give_way_by_age},
     {"leaving_engines_get_nothing_new", leaving_engines_get_nothing_new},
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
