A request that cannot begin within its objective takes free places only

Cause: under overload all requests stood in the engines' queues, so that those that could still be in time waited behind those that could not, and most answers were late. Ruled out: holding late ones at the daemon until a place is free (they were held to their deadline unserved).

Change: a request goes to an engine that begins with it within what is left of its route's target, or to a free place; a queue beyond that refuses it at once. Where engines fail or are away it is held as before.

Tests: the pure functions, the table of engines, the refusal choice.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -124,8 +124,9 @@
 static bool is_worth_sending(const hs_attempt_order *order, hs_attempt *attempt) {
     if (!order->may_be_refused)
         return true;
-    attempt->prospect = hs_engine_lease_prospect(attempt->lease, left_ms(order->wait.deadline));
-    if (!attempt->prospect.is_hopeless)
+    attempt->prospect =
+        hs_engine_lease_prospect(attempt->lease, &order->query, left_ms(order->wait.deadline));
+    if (!attempt->prospect.is_hopeless && attempt->prospect.is_quick)
         return true;
     hs_engine_lease_release(attempt->lease, NULL, HS_ATTEMPT_DROPPED);
     attempt->lease = NULL;
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -45,6 +45,10 @@
     return over / fmax(slots, 1) * run_ms + queued_tokens / fmax(speed->tokens_per_ms, 1e-3);
 }
 
+bool hs_engine_choice_is_quick(double wait_ms, const hs_engine_speed *speed, uint64_t most_ms) {
+    return wait_ms == 0 || wait_ms + speed->first_byte_ms <= (double)most_ms;
+}
+
 bool hs_engine_choice_is_hopeless(double wait_ms, const hs_engine_speed *speed, uint64_t left_ms) {
     return wait_ms + speed->first_byte_ms > (double)left_ms;
 }
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -148,7 +148,8 @@
     return online > engine->entry.slots || queued > speed->tokens_per_ms * QUEUE_LOOK_MS;
 }
 
-hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, uint64_t left_ms) {
+hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, const hs_engine_query *query,
+                                           uint64_t left_ms) {
     hs_lease_prospect prospect = {0};
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
@@ -161,6 +162,8 @@
     prospect.need_ms = speed->first_byte_ms;
     prospect.wait_ms = hs_engine_choice_wait_ms(prospect.online, prospect.slots,
                                                 fmax(prospect.queued_tokens, 0), speed);
+    prospect.is_quick = !query->has_wait_limit ||
+                        hs_engine_choice_is_quick(prospect.wait_ms, speed, query->wait_most_ms);
     prospect.is_hopeless = hs_engine_choice_is_hopeless(prospect.wait_ms, speed, left_ms);
     g_mutex_unlock(&lease->engines->lock);
     return prospect;
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -247,6 +247,24 @@
     candidates[home].uncached_tokens = fmin(candidates[home].uncached_tokens, fmax(rest, 0.0));
 }
 
+/** Drop engines at which the request would wait longer than it may. */
+static void keep_quick(GPtrArray *found, const hs_engine_query *query,
+                       hs_engine_candidate *candidates, const hs_engine_speed *speed) {
+    guint kept = 0;
+    for (guint index = 0; index < found->len; index++) {
+        const hs_engine_candidate *candidate = &candidates[index];
+        double online = fmax(candidate->running - candidate->batch, 0) + 1;
+        double wait_ms =
+            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, speed);
+        if (query->has_wait_limit &&
+            !hs_engine_choice_is_quick(wait_ms, speed, query->wait_most_ms))
+            continue;
+        found->pdata[kept] = found->pdata[index];
+        candidates[kept++] = *candidate;
+    }
+    g_ptr_array_set_size(found, (gint)kept);
+}
+
 static hs_engine_lease *lease_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
                                      const hs_engine_query *query, double uncached,
                                      uint64_t now_ms) {
@@ -295,6 +313,7 @@
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
     credit_home(found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
+    keep_quick(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
     int picked = query->work == HS_WORK_ONLINE
                      ? hs_engine_choice_pick(candidates, found->len, first, speed)
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -53,6 +53,8 @@
     int32_t rank_ms;           /**< Batch: of two items the one with the higher rank steps aside. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
     uint32_t max_connections;  /**< To one engine from all daemons; 0: unknown. */
+    bool has_wait_limit;       /**< Online: engines only that begin with it in wait_most_ms. */
+    uint64_t wait_most_ms;     /**< See hs_engine_choice_is_quick. */
 } hs_engine_query;
 
 /** One engine's load as a daemon tells it to others. */
@@ -121,6 +123,7 @@
 
 /** What an online request that holds a lease can expect of its engine. */
 typedef struct {
+    bool is_quick;    /**< See hs_engine_query; true where it has no limit. */
     bool is_hopeless; /**< Its wait and the least that any engine needs end after its deadline. */
     double wait_ms;   /**< Expected until the engine begins with it. */
     double need_ms;   /**< Shortest time to a first byte of late; 0: not known. */
@@ -130,7 +133,8 @@
 } hs_lease_prospect;
 
 /** The prospect of a request whose deadline is @p left_ms from now; after the arbiter's word. */
-hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, uint64_t left_ms);
+hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, const hs_engine_query *query,
+                                           uint64_t left_ms);
 
 /** Wait until the engine's arbiter has heard of the lease, before anything is sent. */
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -18,6 +18,15 @@
            (request->route->kind == HS_ROUTE_STREAMING && request->route->resumable);
 }
 
+static uint64_t waited_ms(const hs_online_request *request) {
+    return hs_clock_monotonic_ms() - request->inbound->received_ms;
+}
+
+uint64_t hs_online_begin_ms(const hs_online_request *request) {
+    uint64_t target_ms = request->route->target_latency_ms;
+    return target_ms - MIN(target_ms, waited_ms(request));
+}
+
 static hs_attempt_order make_order(const hs_online_request *request) {
     const hs_inbound *inbound = request->inbound;
     hs_attempt_order order = {
@@ -36,6 +45,8 @@
         .wait = {.deadline = request->deadline, .watched = inbound->descriptor},
         .may_be_refused = request->run == HS_RUN_DID_NOT,
     };
+    order.query.has_wait_limit = request->run == HS_RUN_DID_NOT;
+    order.query.wait_most_ms = hs_online_begin_ms(request);
     if (request->events.has_last_id) {
         order.request.resumes = true;
         order.request.last_event = request->events.last_id;
@@ -50,10 +61,6 @@
     g_ptr_array_add(request->excluded, g_strdup(request->attempt.engine_id));
 }
 
-static uint64_t waited_ms(const hs_online_request *request) {
-    return hs_clock_monotonic_ms() - request->inbound->received_ms;
-}
-
 /**
  * How a failed attempt reflects on its engine: it is silent only where the wait was long, whoever
  * ended it; a short time-out of the caller or the route says nothing.
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -27,6 +27,7 @@
     hs_refusal_view view = {
         .service = hs_fleet_engines_outlook(request->online->engines, request->service),
         .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
+        .begin_ms = hs_online_begin_ms(request),
         .waited_ms = now_ms - request->inbound->received_ms,
         .has_run = request->run != HS_RUN_DID_NOT,
     };
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -50,6 +50,9 @@
 /** Try engines until one answers with a head; false with @p reason when none will. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
+/** Time in ms in which an engine must begin for an answer within the route's target. */
+uint64_t hs_online_begin_ms(const hs_online_request *request);
+
 /** Whether a request that no engine took is held; logged when it is not. */
 hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request);
 
--- a/src/online/refusal_choice.c
+++ b/src/online/refusal_choice.c
@@ -51,6 +51,8 @@
         return true;
     if (service->sound > 0 && has_room(service))
         return false;
+    if (service->sound > 0 && choice->expected_ms > view->begin_ms)
+        return true;
     return choice->expected_ms + service->need_ms > view->left_ms;
 }
 
--- a/tests/unit/test_engines.c
+++ b/tests/unit/test_engines.c
@@ -93,6 +93,32 @@
                              .slots = slots};
 }
 
+/** Past its objective a request takes a free place and no place in a queue, whoever leaves it. */
+static void late_requests_take_free_places_only(void) {
+    hs_engine_speed speed = {.tokens_per_ms = 50, .run_ms = 1000, .first_byte_ms = 20};
+    CU_ASSERT_TRUE(hs_engine_choice_is_quick(0, &speed, 0));
+    CU_ASSERT_FALSE(hs_engine_choice_is_quick(1, &speed, 0));
+    CU_ASSERT_TRUE(hs_engine_choice_is_quick(280, &speed, 300));
+    CU_ASSERT_FALSE(hs_engine_choice_is_quick(281, &speed, 300));
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_engine_query late = {.service = "svc", .has_wait_limit = true};
+    hs_engine_lease *leases[4];
+    for (size_t index = 0; index < G_N_ELEMENTS(leases); index++) {
+        leases[index] = hs_fleet_engines_take(engines, &late);
+        CU_ASSERT_PTR_NOT_NULL_FATAL(leases[index]);
+    }
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_take(engines, &late));
+    hs_engine_query in_time = {.service = "svc", .has_wait_limit = true, .wait_most_ms = 400};
+    hs_engine_lease *queued = hs_fleet_engines_take(engines, &in_time);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(queued); /* One beyond four places: 75 ms of a run of 300. */
+    hs_engine_lease_release(queued, NULL, HS_ATTEMPT_DROPPED);
+    for (size_t index = 0; index < G_N_ELEMENTS(leases); index++)
+        hs_engine_lease_release(leases[index], NULL, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_free(engines);
+}
+
 static void leaving_engines_get_nothing_new(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
     hs_engine_entry entry = entry_of("e1", 4);
@@ -315,6 +341,7 @@
     {"online_requests_count_on_batch_stepping_aside",
      online_requests_count_on_batch_stepping_aside},
     {"a_queue_longer_than_the_deadline_is_known", a_queue_longer_than_the_deadline_is_known},
+    {"late_requests_take_free_places_only", late_requests_take_free_places_only},
     {"believed_caches_give_way_by_age", believed_caches_give_way_by_age},
     {"leaving_engines_get_nothing_new", leaving_engines_get_nothing_new},
     {"batch_items_step_aside_by_share", batch_items_step_aside_by_share},
--- a/tests/unit/test_refusal.c
+++ b/tests/unit/test_refusal.c
@@ -17,7 +17,8 @@
                                          .waiting = 2,
                                          .run_ms = 1000,
                                          .need_ms = 30},
-                             .left_ms = 5000};
+                             .left_ms = 5000,
+                             .begin_ms = 5000};
 }
 
 static hs_refusal_verdict verdict_of(const hs_refusal_view *view) {
@@ -39,6 +40,22 @@
     CU_ASSERT_EQUAL(hs_refusal_choose(&view).expected_ms, 10100);
 }
 
+/** A queue that ends after the objective is not waited for; one that ends before it is. */
+static void a_queue_beyond_the_objective_refuses_at_once(void) {
+    hs_refusal_view view = full_view();
+    view.begin_ms = 300;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view.begin_ms = 299;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_QUEUE);
+    view.has_run = true;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+    view = full_view();
+    view.begin_ms = 0; /* Engines that failed are no queue: a late answer is worth the wait. */
+    view.service.sound = 0;
+    view.service.return_ms = 1600;
+    CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+}
+
 /** How long it has waited so far changes nothing: there is no window of its own. */
 static void time_waited_alone_refuses_nothing(void) {
     hs_refusal_view view = full_view();
@@ -179,6 +196,7 @@
 const test_case refusal_choice_tests[] = {
     {"a_request_is_held_while_its_wait_ends_in_time",
      a_request_is_held_while_its_wait_ends_in_time},
+    {"a_queue_beyond_the_objective_refuses_at_once", a_queue_beyond_the_objective_refuses_at_once},
     {"time_waited_alone_refuses_nothing", time_waited_alone_refuses_nothing},
     {"a_service_without_engines_refuses_at_once", a_service_without_engines_refuses_at_once},
     {"an_unread_list_is_no_sign_that_engines_lack", an_unread_list_is_no_sign_that_engines_lack},
