Refused jobs are told when there is room, by what was finished of late

Cause: 429 told 1 s and 503 told 0.3 s, whatever was known, and all callers the same.

Change: a route over its limit tells when the excess will have been finished at the rate that levels showed of late (fading over 8 s; 0.7 s, the time between two levels, while nothing was seen). A call that could not reach the log tells as long again as it was tried. Both are spread over callers.

Tests: the fold's drain.

--- a/src/jobs/job_quota.c
+++ b/src/jobs/job_quota.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "gen/job.pb-c.h"
 #include "jobs/quota_fold.h"
+#include "online/retry_after.h"
 
 #include <string.h>
 
@@ -154,8 +155,12 @@
     g_mutex_lock(&quota->lock);
     account->unfinished = hs_quota_fold_unfinished(quota->fold, route);
     account->reserved = hs_quota_fold_reserved(quota->fold, route, claim->job_id, account->offset);
+    account->drain = hs_quota_fold_drain(quota->fold, route, hs_clock_monotonic_ms());
     g_mutex_unlock(&quota->lock);
     uint64_t all = account->unfinished + account->reserved + claim->tokens;
+    uint64_t excess = all - MIN(all, claim->route->waiting_tokens_most);
+    account->room_ms = hs_retry_after_drain_ms(excess, account->drain.tokens,
+                                               account->drain.observed_ms, LEVEL_INTERVAL_MS);
     return all <= claim->route->waiting_tokens_most ? HS_QUOTA_FITS : HS_QUOTA_FULL;
 }
 
@@ -169,14 +174,17 @@
 
 static void log_verdict(const hs_quota_claim *claim, const hs_quota_account *account,
                         hs_quota_verdict verdict) {
-    hs_log_info("job_admission",
-                "job=%s route=%s config=%" G_GUINT64_FORMAT " verdict=%s tokens=%" G_GUINT64_FORMAT
-                " unfinished=%" G_GUINT64_FORMAT " reserved=%" G_GUINT64_FORMAT
-                " limit=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT,
-                claim->job_id, claim->route->name, (guint64)claim->config->version,
-                hs_quota_verdict_name(verdict), (guint64)claim->tokens,
-                (guint64)account->unfinished, (guint64)account->reserved,
-                (guint64)claim->route->waiting_tokens_most, (guint64)account->offset);
+    hs_log_info(
+        "job_admission",
+        "job=%s route=%s config=%" G_GUINT64_FORMAT " verdict=%s tokens=%" G_GUINT64_FORMAT
+        " unfinished=%" G_GUINT64_FORMAT " reserved=%" G_GUINT64_FORMAT " limit=%" G_GUINT64_FORMAT
+        " offset=%" G_GUINT64_FORMAT " drained=%" G_GUINT64_FORMAT
+        " drained_in_ms=%" G_GUINT64_FORMAT " room_ms=%" G_GUINT64_FORMAT,
+        claim->job_id, claim->route->name, (guint64)claim->config->version,
+        hs_quota_verdict_name(verdict), (guint64)claim->tokens, (guint64)account->unfinished,
+        (guint64)account->reserved, (guint64)claim->route->waiting_tokens_most,
+        (guint64)account->offset, (guint64)account->drain.tokens,
+        (guint64)account->drain.observed_ms, (guint64)account->room_ms);
 }
 
 hs_quota_verdict hs_job_quota_claim(hs_job_quota *quota, const hs_quota_claim *claim,
--- a/src/jobs/job_quota.h
+++ b/src/jobs/job_quota.h
@@ -14,6 +14,7 @@
 
 #include "fleet/config_source.h"
 #include "jobs/job_partition.h"
+#include "jobs/quota_fold.h"
 
 /** Whether a job may be stored. */
 typedef enum {
@@ -34,10 +35,12 @@
 
 /** What decided, for logs. */
 typedef struct {
-    uint64_t submission; /**< Names the reservation; see hs_job_quota_release. */
-    uint64_t offset;     /**< Its place in the log. */
-    uint64_t unfinished; /**< Tokens that owners told last. */
-    uint64_t reserved;   /**< Tokens reserved before by jobs that no owner told yet. */
+    uint64_t submission;  /**< Names the reservation; see hs_job_quota_release. */
+    uint64_t offset;      /**< Its place in the log. */
+    uint64_t unfinished;  /**< Tokens that owners told last. */
+    uint64_t reserved;    /**< Tokens reserved before by jobs that no owner told yet. */
+    uint64_t room_ms;     /**< HS_QUOTA_FULL: expected time in ms until there is room. */
+    hs_quota_drain drain; /**< By which. */
 } hs_quota_account;
 
 /** Counters for metrics. */
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "http/http_fields.h"
+#include "online/retry_after.h"
 
 #include <string.h>
 
@@ -11,9 +12,6 @@
 #define CALL_LIMIT_MS 4000
 /** One try to read a partition's log: callers try another daemon after about two seconds. */
 #define ONE_TRY_MS 1200
-#define RETRY_AFTER_TEXT "0.3"
-/** Where a route is full, room comes as items end, a few a second. */
-#define FULL_RETRY_AFTER_TEXT "1"
 
 static void free_partition(gpointer data) {
     hs_job_partition_free(data);
@@ -62,21 +60,34 @@
                                     hs_job_partition_of(job_id, service->settings.part_count));
 }
 
-void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
-                  size_t length) {
+static void reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+                  size_t length, uint64_t retry_after_ms) {
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", type);
-    if (status == 503 || status == 429)
-        hs_http_fields_add(fields, "Retry-After",
-                           status == 429 ? FULL_RETRY_AFTER_TEXT : RETRY_AFTER_TEXT);
+    if (status == 503 || status == 429) {
+        uint64_t told_ms = hs_retry_after_spread_ms(retry_after_ms, g_random_int());
+        g_autofree char *seconds = g_strdup_printf("%.3f", (double)told_ms / 1000.0);
+        hs_http_fields_add(fields, "Retry-After", seconds);
+    }
     hs_inbound_reply(inbound, status, fields, body, length);
     hs_http_fields_free(fields);
 }
 
+void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+                  size_t length) {
+    uint64_t tried_ms = hs_clock_monotonic_ms() - inbound->received_ms;
+    reply(inbound, status, type, body, length, hs_retry_after_absence_ms(tried_ms, 0));
+}
+
 void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text) {
     hs_job_reply(inbound, status, "text/plain", text, strlen(text));
 }
 
+void hs_job_refuse(hs_inbound *inbound, uint32_t status, const char *text,
+                   uint64_t retry_after_ms) {
+    reply(inbound, status, "text/plain", text, strlen(text), retry_after_ms);
+}
+
 hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms) {
     uint64_t limit_ms = CALL_LIMIT_MS;
     if (terms->timeout_ms > 0)
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -18,11 +18,17 @@
 /** The partition of a job; borrowed. */
 hs_job_partition *hs_job_service_partition_of(hs_job_service *service, const char *job_id);
 
-/** Answer, with Retry-After where the status promises that nothing ran. */
+/**
+ * Answer, with Retry-After where the status promises that nothing ran: what this call could not
+ * reach is expected to be away for as long again as it was tried.
+ */
 void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
                   size_t length);
 void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text);
 
+/** Refuse with 429 or 503, to come back @p retry_after_ms later at the earliest. */
+void hs_job_refuse(hs_inbound *inbound, uint32_t status, const char *text, uint64_t retry_after_ms);
+
 /** When a call must be answered. */
 hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms);
 
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -179,8 +179,11 @@
     hs_quota_account account;
     hs_quota_verdict verdict = hs_job_quota_claim(service->quota, &claim, &account);
     uint32_t status = verdict == HS_QUOTA_FITS ? store_job(job) : held_back(job, verdict);
-    hs_job_reply_text(job->inbound, status,
-                      status == 202 ? "" : "the job was not taken by this answer\n");
+    const char *text = status == 202 ? "" : "the job was not taken by this answer\n";
+    if (status == 429)
+        hs_job_refuse(job->inbound, status, text, account.room_ms);
+    else
+        hs_job_reply_text(job->inbound, status, text);
     bool may_be_taken = status == 202 || status == 504;
     if (!may_be_taken)
         hs_job_quota_release(service->quota, account.submission);
--- a/src/jobs/quota_fold.c
+++ b/src/jobs/quota_fold.c
@@ -3,6 +3,7 @@
 
 #include "gen/job.pb-c.h"
 
+#include <math.h>
 #include <string.h>
 
 /** Releases are remembered, since a reservation whose answer was lost may come after its own. */
@@ -14,16 +15,28 @@
  */
 #define NEVER_STORED_MS 12000
 
+/** What was finished fades with this time, several times that between two levels of a partition. */
+#define DRAIN_FADE_MS 8000.0
+
+/** What levels showed to be finished on a route. */
+typedef struct {
+    double tokens; /**< Faded, as of at_ms. */
+    uint64_t first_ms;
+    uint64_t at_ms;
+} route_drain;
+
 /** What a partition's owner told last. */
 typedef struct {
     uint32_t partition;
     uint64_t fold_offset;
+    uint64_t read_ms;   /**< When the level told last was read. */
     GHashTable *tokens; /**< route -> uint64_t* */
 } partition_level;
 
 struct hs_quota_fold {
     GHashTable *levels;      /**< partition -> partition_level* */
     GPtrArray *reservations; /**< of hs_quota_reservation*, by offset. */
+    GHashTable *drains;      /**< route -> route_drain* */
     GHashTable *released;    /**< Set of submissions. */
     GQueue released_order;   /**< Keys of the set, the oldest first. */
     uint64_t next;
@@ -47,6 +60,7 @@
     fold->reservations = g_ptr_array_new_with_free_func(free_reservation);
     fold->levels = g_hash_table_new_full(NULL, NULL, NULL, free_level);
     fold->released = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    fold->drains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_queue_init(&fold->released_order);
     return fold;
 }
@@ -57,6 +71,7 @@
     g_queue_clear(&fold->released_order);
     g_hash_table_destroy(fold->released);
     g_hash_table_destroy(fold->levels);
+    g_hash_table_destroy(fold->drains);
     g_ptr_array_free(fold->reservations, TRUE);
     g_free(fold);
 }
@@ -135,18 +150,61 @@
             level->now_ms > reservation->seen_ms + NEVER_STORED_MS);
 }
 
+static double faded(const route_drain *drain, uint64_t now_ms) {
+    return drain->tokens * exp(-(double)(now_ms - MIN(drain->at_ms, now_ms)) / DRAIN_FADE_MS);
+}
+
+static route_drain *drain_of(hs_quota_fold *fold, const char *route, uint64_t since_ms) {
+    route_drain *drain = g_hash_table_lookup(fold->drains, route);
+    if (drain != NULL)
+        return drain;
+    drain = g_new0(route_drain, 1);
+    drain->first_ms = since_ms;
+    g_hash_table_insert(fold->drains, g_strdup(route), drain);
+    return drain;
+}
+
+/** What @p before had and the level has no longer. */
+static void note_drains(hs_quota_fold *fold, GHashTable *before, const partition_level *level,
+                        uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer route = NULL;
+    gpointer had = NULL;
+    g_hash_table_iter_init(&iterator, before);
+    while (g_hash_table_iter_next(&iterator, &route, &had)) {
+        const uint64_t *has = g_hash_table_lookup(level->tokens, route);
+        uint64_t left = has != NULL ? *has : 0;
+        uint64_t was = *(const uint64_t *)had;
+        route_drain *drain = drain_of(fold, route, level->read_ms);
+        drain->tokens = faded(drain, now_ms) + (double)(was - MIN(was, left));
+        drain->at_ms = now_ms;
+    }
+}
+
+hs_quota_drain hs_quota_fold_drain(const hs_quota_fold *fold, const char *route, uint64_t now_ms) {
+    const route_drain *drain = g_hash_table_lookup(fold->drains, route);
+    if (drain == NULL)
+        return (hs_quota_drain){0};
+    double observed_ms = fmin((double)(now_ms - MIN(drain->first_ms, now_ms)), DRAIN_FADE_MS);
+    return (hs_quota_drain){.tokens = (uint64_t)faded(drain, now_ms),
+                            .observed_ms = (uint64_t)observed_ms};
+}
+
 static void apply_level(hs_quota_fold *fold, const Hs__QuotaLevel *told, uint64_t now_ms) {
     partition_level *level = level_of(fold, told->partition);
     if (told->fold_offset < level->fold_offset)
         return; /* Of an owner that was paused or cut off. */
     level->fold_offset = told->fold_offset;
-    g_hash_table_remove_all(level->tokens);
+    g_autoptr(GHashTable) before = level->tokens;
+    level->tokens = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     g_autoptr(GHashTable) jobs = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t index = 0; index < told->n_jobs; index++) {
         const Hs__QuotaJob *job = told->jobs[index];
         *tokens_of(level, job->route) += job->tokens;
         g_hash_table_add(jobs, job->job_id);
     }
+    note_drains(fold, before, level, now_ms);
+    level->read_ms = now_ms;
     read_level read = {.told = told, .jobs = jobs, .now_ms = now_ms};
     settle(fold, is_settled_by, &read);
 }
--- a/src/jobs/quota_fold.h
+++ b/src/jobs/quota_fold.h
@@ -51,4 +51,16 @@
 uint64_t hs_quota_fold_reserved(const hs_quota_fold *fold, const char *route, const char *job_id,
                                 uint64_t offset);
 
+/** Tokens that were finished of late. */
+typedef struct {
+    uint64_t tokens;
+    uint64_t observed_ms; /**< In how long; 0: nothing was seen. */
+} hs_quota_drain;
+
+/**
+ * What levels showed to be finished on @p route; older ends fade. A level that grew shows nothing,
+ * so it is rather less than what was finished.
+ */
+hs_quota_drain hs_quota_fold_drain(const hs_quota_fold *fold, const char *route, uint64_t now_ms);
+
 #endif
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -311,6 +311,21 @@
     CU_ASSERT_TRUE(hs_quota_fold_apply(fold, hs_quota_fold_next(fold), bytes, length, now_ms));
 }
 
+/** What levels no longer have was finished; it fades, and a level that grew shows nothing. */
+static void what_was_finished_of_late_is_known(void) {
+    hs_quota_fold *fold = hs_quota_fold_new();
+    CU_ASSERT_EQUAL(hs_quota_fold_drain(fold, "r", 5).observed_ms, 0);
+    apply_level(fold, 1, "a", 1000);
+    apply_level(fold, 2, NULL, 2000);
+    apply_level(fold, 3, "b", 2500);
+    hs_quota_drain drain = hs_quota_fold_drain(fold, "r", 2500);
+    CU_ASSERT(drain.tokens >= 60 && drain.tokens <= 70);
+    CU_ASSERT_EQUAL(drain.observed_ms, 1500);
+    CU_ASSERT_EQUAL(hs_quota_fold_drain(fold, "r", 62500).tokens, 0);
+    CU_ASSERT_EQUAL(hs_quota_fold_drain(fold, "other", 2500).tokens, 0);
+    hs_quota_fold_free(fold);
+}
+
 /** A level settles its jobs' reservations; a stale one counts for nothing; the dead are forgotten.
  */
 static void levels_take_the_place_of_reservations(void) {
@@ -339,6 +354,7 @@
     {"daemons_together_keep_the_limit", daemons_together_keep_the_limit},
     {"a_lowered_limit_holds_until_jobs_end", a_lowered_limit_holds_until_jobs_end},
     {"an_unread_store_gives_no_verdict", an_unread_store_gives_no_verdict},
+    {"what_was_finished_of_late_is_known", what_was_finished_of_late_is_known},
     {"levels_take_the_place_of_reservations", levels_take_the_place_of_reservations},
     {NULL, NULL},
 };
