A less urgent kind of online request takes free places only

Cause: the choice of an engine knew no urgency among online kinds.

Change: a route that is less urgent than another online route of its service is sent where a place is free; in a queue it would go before the urgent one. Batch items give way as before. The daemon's refusals before a route is known tell to come back after as long as was waited, spread, not after 200 ms.

Test: urgent, less urgent and batch requests at 1.5 to 6 times the capacity, in six mixes: served no more often than 5 in 100, in time no more than 15 in 100 ahead of a more urgent kind, engines over 90 in 100 busy.

--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -35,6 +35,13 @@
 const hs_fleet_route *hs_fleet_config_find_route(const hs_fleet_config *config, const char *host,
                                                  const char *target);
 
+/**
+ * Whether another route that brings online requests to @p service is more urgent than @p route
+ * (lower priority number). Batch items give way to all online requests anyway.
+ */
+bool hs_fleet_config_is_less_urgent(const hs_fleet_config *config, const hs_fleet_route *route,
+                                    const char *service);
+
 /** Service by name, or NULL. Borrowed. */
 const hs_fleet_service *hs_fleet_config_find_service(const hs_fleet_config *config,
                                                      const char *name);
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -49,6 +49,10 @@
     return wait_ms == 0 || wait_ms + speed->first_byte_ms <= (double)most_ms;
 }
 
+uint64_t hs_engine_choice_begin_ms(uint64_t target_ms, uint64_t waited_ms, bool is_less_urgent) {
+    return is_less_urgent || waited_ms >= target_ms ? 0 : target_ms - waited_ms;
+}
+
 bool hs_engine_choice_is_hopeless(double wait_ms, const hs_engine_speed *speed, uint64_t left_ms) {
     return wait_ms + speed->first_byte_ms > (double)left_ms;
 }
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -58,6 +58,13 @@
  */
 bool hs_engine_choice_is_quick(double wait_ms, const hs_engine_speed *speed, uint64_t most_ms);
 
+/**
+ * Time in ms in which an engine must begin with a request, so that it is answered within its
+ * @p target_ms, of which @p waited_ms are over. 0 for a kind that is less urgent than another of
+ * its service: in a queue it would go before requests of that one.
+ */
+uint64_t hs_engine_choice_begin_ms(uint64_t target_ms, uint64_t waited_ms, bool is_less_urgent);
+
 /**
  * Whether a request is known not to be servable: its wait and the shortest time to a first byte of
  * late end after its deadline, @p left_ms from now.
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -47,3 +47,23 @@
     g_free(entry->zone);
     memset(entry, 0, sizeof *entry);
 }
+
+static bool brings_to(const hs_fleet_route *route, const char *service) {
+    for (guint index = 0; index < route->shares->len; index++) {
+        const hs_route_share *share = &g_array_index(route->shares, hs_route_share, index);
+        if (share->weight > 0 && strcmp(share->service, service) == 0)
+            return true;
+    }
+    return false;
+}
+
+bool hs_fleet_config_is_less_urgent(const hs_fleet_config *config, const hs_fleet_route *route,
+                                    const char *service) {
+    for (guint index = 0; index < config->routes->len; index++) {
+        const hs_fleet_route *other = config->routes->pdata[index];
+        if (other->kind != HS_ROUTE_BATCH && other->priority < route->priority &&
+            brings_to(other, service))
+            return true;
+    }
+    return false;
+}
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/peer_watch.h"
+#include "fleet/engine_choice.h"
 #include "http/http_fields.h"
 
 #define RESUME_PAUSE_MS 50
@@ -22,11 +23,6 @@
     return hs_clock_monotonic_ms() - request->inbound->received_ms;
 }
 
-uint64_t hs_online_begin_ms(const hs_online_request *request) {
-    uint64_t target_ms = request->route->target_latency_ms;
-    return target_ms - MIN(target_ms, waited_ms(request));
-}
-
 static hs_attempt_order make_order(const hs_online_request *request) {
     const hs_inbound *inbound = request->inbound;
     hs_attempt_order order = {
@@ -46,7 +42,8 @@
         .may_be_refused = request->run == HS_RUN_DID_NOT,
     };
     order.query.has_wait_limit = request->run == HS_RUN_DID_NOT;
-    order.query.wait_most_ms = hs_online_begin_ms(request);
+    order.query.wait_most_ms = hs_engine_choice_begin_ms(
+        request->route->target_latency_ms, waited_ms(request), request->is_less_urgent);
     if (request->events.has_last_id) {
         order.request.resumes = true;
         order.request.last_event = request->events.last_id;
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/engine_choice.h"
 
 static void log_refusal(const hs_online_request *request, const hs_refusal_view *view,
                         const hs_refusal_choice *choice) {
@@ -27,7 +28,8 @@
     hs_refusal_view view = {
         .service = hs_fleet_engines_outlook(request->online->engines, request->service),
         .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
-        .begin_ms = hs_online_begin_ms(request),
+        .begin_ms = hs_engine_choice_begin_ms(request->route->target_latency_ms,
+                                              now_ms - request->inbound->received_ms, false),
         .waited_ms = now_ms - request->inbound->received_ms,
         .has_run = request->run != HS_RUN_DID_NOT,
     };
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -23,6 +23,7 @@
     char *request_id;
     uint64_t memory_tokens;
     uint32_t max_connections;
+    bool is_less_urgent; /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
     uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
     hs_run_state run;
@@ -50,9 +51,6 @@
 /** Try engines until one answers with a head; false with @p reason when none will. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
-/** Time in ms in which an engine must begin for an answer within the route's target. */
-uint64_t hs_online_begin_ms(const hs_online_request *request);
-
 /** Whether a request that no engine took is held; logged when it is not. */
 hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request);
 
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -8,13 +8,13 @@
 #include "http/front_watch.h"
 #include "http/http_fields.h"
 #include "jobs/job_peer.h"
+#include "online/retry_after.h"
 #include "surface/fleet_metrics.h"
 
 #include <string.h>
 
 #define BODY_LIMIT_BYTES (64U * 1024 * 1024)
 #define SMALL_BODY_BYTES 65536
-#define RETRY_AFTER_MS 200
 #define CONFIG_WAIT_MS 250
 #define CONFIG_POLL_MS 10
 #define IDLE_SLACK_S 5
@@ -57,7 +57,11 @@
     hs_log_info("request_refused", "request=%s reason=%s method=%s target_bytes=%zu",
                 terms->request_id != NULL ? terms->request_id : "-", hs_end_reason_name(reason),
                 inbound->method, strlen(inbound->target));
-    hs_online_refuse(surface->settings.online, inbound, reason, RETRY_AFTER_MS);
+    /* What it waited for in vain is expected to lack for as long again. */
+    uint64_t tried_ms = hs_clock_monotonic_ms() - inbound->received_ms;
+    uint64_t after_ms =
+        hs_retry_after_spread_ms(hs_retry_after_absence_ms(tried_ms, 0), g_random_int());
+    hs_online_refuse(surface->settings.online, inbound, reason, after_ms);
 }
 
 static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -29,6 +29,7 @@
         {"connections", connection_tests, NULL, NULL},
         {"engine_source", engine_source_tests, NULL, NULL},
         {"refusal_choice", refusal_choice_tests, NULL, NULL},
+        {"urgency", urgency_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -31,5 +31,6 @@
 extern const test_case connection_tests[];
 extern const test_case engine_source_tests[];
 extern const test_case refusal_choice_tests[];
+extern const test_case urgency_tests[];
 
 #endif
