Callers that come back take free places only, and are not held for one

Cause: under overload a caller that was refused came back as if it had just asked, and went before new ones; its answer was late all the same, and made a new one late. Ruled out: serving them first (what they get is late from the first try on).

Change: each try has an id of its own, so a caller that comes back is known by its time: the longest time-out that callers of the route state of late, less its own, is over for it. That counts for its objective, in the choice of an engine and in the refusal. Where places are free nothing changes.

Tests: the age, that a longest of long ago is forgotten, routes apart.

--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -42,8 +42,9 @@
         .may_be_refused = request->run == HS_RUN_DID_NOT,
     };
     order.query.has_wait_limit = request->run == HS_RUN_DID_NOT;
-    order.query.wait_most_ms = hs_engine_choice_begin_ms(
-        request->route->target_latency_ms, waited_ms(request), request->is_less_urgent);
+    order.query.wait_most_ms =
+        hs_engine_choice_begin_ms(request->route->target_latency_ms,
+                                  request->age_ms + waited_ms(request), request->is_less_urgent);
     if (request->events.has_last_id) {
         order.request.resumes = true;
         order.request.last_event = request->events.last_id;
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -23,6 +23,7 @@
     char *request_id;
     uint64_t memory_tokens;
     uint32_t max_connections;
+    uint64_t age_ms;     /**< Since the caller first asked, until it came; see caller_age.h. */
     bool is_less_urgent; /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
     uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
--- a/tests/unit/test_refusal.c
+++ b/tests/unit/test_refusal.c
@@ -1,6 +1,7 @@
 /** @file test_refusal.c  Held or refused, when to come back, and what is known of a service. */
 #include "base/clock.h"
 #include "base/hash.h"
+#include "online/caller_age.h"
 #include "online/refusal_choice.h"
 #include "online/retry_after.h"
 #include "tests/unit/unit_tests.h"
@@ -145,6 +146,25 @@
     CU_ASSERT(hs_retry_after_spread_ms(0, 12345) >= HS_RETRY_AFTER_LEAST_MS);
 }
 
+/** What callers state of their time tells who came back; a longest of long ago is forgotten. */
+static void a_caller_that_comes_back_is_known_by_its_time(void) {
+    hs_caller_age age = {0};
+    CU_ASSERT_EQUAL(hs_caller_age_note(&age, 5000), 0);
+    CU_ASSERT_EQUAL(hs_caller_age_note(&age, 5000), 0);
+    CU_ASSERT_EQUAL(hs_caller_age_note(&age, 3500), 1500);
+    CU_ASSERT_EQUAL(hs_caller_age_note(&age, 0), 0);
+    CU_ASSERT_EQUAL(hs_caller_age_note(&age, 5000), 0);
+    CU_ASSERT_EQUAL(age.longest_ms, 5000);
+    for (int request = 0; request < 1000; request++)
+        hs_caller_age_note(&age, 800);
+    CU_ASSERT_EQUAL(hs_caller_age_note(&age, 800), 0);
+    hs_caller_ages *ages = hs_caller_ages_new();
+    CU_ASSERT_EQUAL(hs_caller_ages_note(ages, "a", 5000), 0);
+    CU_ASSERT_EQUAL(hs_caller_ages_note(ages, "b", 800), 0);
+    CU_ASSERT_EQUAL(hs_caller_ages_note(ages, "a", 4000), 1000);
+    hs_caller_ages_free(ages);
+}
+
 static void put_engine(hs_fleet_engines *engines, const char *id, bool draining) {
     hs_engine_entry entry = {.id = g_strdup(id),
                              .service = g_strdup("svc"),
@@ -207,6 +227,8 @@
     {"what_may_have_run_goes_on_to_its_deadline", what_may_have_run_goes_on_to_its_deadline},
     {"drain_is_what_was_seen_to_drain", drain_is_what_was_seen_to_drain},
     {"callers_do_not_return_together", callers_do_not_return_together},
+    {"a_caller_that_comes_back_is_known_by_its_time",
+     a_caller_that_comes_back_is_known_by_its_time},
     {"an_outlook_counts_engines_places_and_absences",
      an_outlook_counts_engines_places_and_absences},
     {NULL, NULL}};
