Requests are held or refused by how held ones drain

Ruled out: a limit of time.

Change: each daemon counts what it holds of a service and how many of them got places (fading over 5 s). The expected wait of one more is the number held by that rate, where none got a place less than one in the time seen; it is refused when that, or the engines' own wait, ends after its deadline. In a lasting overload the rate is near nothing and new ones are refused at once; in a short one they are held. Retry-After is that wait.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -119,6 +119,7 @@
     daemon->online.config = daemon->config;
     daemon->online.engines = daemon->engines;
     daemon->online.ages = hs_caller_ages_new();
+    daemon->online.held = hs_held_requests_new();
     g_mutex_init(&daemon->online.counters.lock);
     hs_fleet_surface_settings surface = {.front = daemon->settings->fleet_front,
                                          .ready = daemon->settings->fleet_ready,
@@ -147,6 +148,7 @@
     hs_daemon_directory_free(daemon->directory);
     hs_job_service_free(daemon->jobs);
     hs_caller_ages_free(daemon->online.ages);
+    hs_held_requests_free(daemon->online.held);
     hs_fleet_engines_free(daemon->engines);
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -143,8 +143,10 @@
             continue;
         }
         request->sends++;
-        if (has_head && !request->attempt.answer.not_executed)
+        if (has_head && !request->attempt.answer.not_executed) {
+            hs_online_set_held(request, false, true);
             return true;
+        }
         hs_attempt_end end = judge_failure(request);
         if (has_head) {
             hs_client_connection_read_all(request->attempt.connection, HS_ONLINE_ANSWER_LIMIT_BYTES,
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -3,7 +3,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "fleet/engine_choice.h"
 
 static void log_refusal(const hs_online_request *request, const hs_refusal_view *view,
                         const hs_refusal_choice *choice) {
@@ -11,31 +10,42 @@
     hs_log_info("request_not_held",
                 "request=%s service=%s verdict=%s expected_ms=%" G_GUINT64_FORMAT
                 " left_ms=%" G_GUINT64_FORMAT " waited_ms=%" G_GUINT64_FORMAT
-                " age_ms=%" G_GUINT64_FORMAT
+                " age_ms=%" G_GUINT64_FORMAT " drain_ms=%" G_GUINT64_FORMAT
                 " has_run=%d list_known=%d engines=%u sound=%u slots=%u running=%.1f waiting=%.1f"
                 " run_ms=%.0f need_ms=%" G_GUINT64_FORMAT " return_ms=%" G_GUINT64_FORMAT
                 " absent_ms=%" G_GUINT64_FORMAT " last_absence_ms=%" G_GUINT64_FORMAT
                 " listed_age_ms=%" G_GUINT64_FORMAT,
                 request->request_id, request->service, hs_refusal_verdict_name(choice->verdict),
                 (guint64)choice->expected_ms, (guint64)view->left_ms, (guint64)view->waited_ms,
-                (guint64)request->age_ms, view->has_run, service->is_known, service->engines,
-                service->sound, service->slots, service->running, service->waiting, service->run_ms,
-                (guint64)service->need_ms, (guint64)service->return_ms, (guint64)service->absent_ms,
+                (guint64)request->age_ms, (guint64)view->drain_ms, view->has_run, service->is_known,
+                service->engines, service->sound, service->slots, service->running,
+                service->waiting, service->run_ms, (guint64)service->need_ms,
+                (guint64)service->return_ms, (guint64)service->absent_ms,
                 (guint64)service->last_absence_ms, (guint64)service->listed_age_ms);
 }
 
-hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request) {
+void hs_online_set_held(hs_online_request *request, bool is_held, bool is_placed) {
+    if (request->is_held == is_held)
+        return;
+    request->is_held = is_held;
+    if (is_held)
+        hs_held_requests_enter(request->online->held, request->service);
+    else
+        hs_held_requests_leave(request->online->held, request->service, is_placed);
+}
+
+hs_refusal_choice hs_online_choose_refusal(hs_online_request *request) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_refusal_view view = {
         .service = hs_fleet_engines_outlook(request->online->engines, request->service),
         .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
-        .begin_ms = hs_engine_choice_begin_ms(
-            request->route->target_latency_ms,
-            request->age_ms + now_ms - request->inbound->received_ms, false),
+        .drain_ms = hs_held_requests_expected_ms(request->online->held, request->service),
         .waited_ms = now_ms - request->inbound->received_ms,
         .has_run = request->run != HS_RUN_DID_NOT,
     };
     hs_refusal_choice choice = hs_refusal_choose(&view);
+    if (choice.verdict == HS_REFUSAL_HOLD)
+        hs_online_set_held(request, true, false);
     if (choice.verdict != HS_REFUSAL_HOLD)
         log_refusal(request, &view, &choice);
     return choice;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -36,6 +36,7 @@
     if (request->counted)
         return;
     request->counted = true;
+    hs_online_set_held(request, false, false);
     log_end(request, reason);
 }
 
@@ -154,8 +155,7 @@
     request->memory_tokens = service != NULL ? service->memory_tokens : 0;
     request->max_connections = service != NULL ? service->max_connections : 0;
     request->is_less_urgent = hs_fleet_config_is_less_urgent(config, route, request->service);
-    if (online->ages != NULL)
-        request->age_ms = hs_caller_ages_note(online->ages, route->name, terms->timeout_ms);
+    request->age_ms = hs_caller_ages_note(online->ages, route->name, terms->timeout_ms);
     uint64_t limit_ms = route->timeout_ms;
     if (terms->timeout_ms > 0)
         limit_ms = MIN(limit_ms, terms->timeout_ms);
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -12,6 +12,7 @@
 #include "fleet/engine_attempt.h"
 #include "http/listener.h"
 #include "online/caller_age.h"
+#include "online/held_requests.h"
 #include "platform/caller_codec.h"
 
 /** Why a request ended; each has one status and one text, see the table in end_reason.c. */
@@ -53,8 +54,9 @@
     hs_config_source *config;
     hs_fleet_engines *engines;
     hs_online_counters counters;
-    hs_caller_ages *ages; /**< NULL: callers' ages are not asked for. */
-    gint split_turn;      /**< Spreads requests over the shares of a split route. */
+    hs_caller_ages *ages;
+    hs_held_requests *held;
+    gint split_turn; /**< Spreads requests over the shares of a split route. */
 } hs_online;
 
 /** Serve a request on @p route of @p config; takes the reference of @p config. */
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -24,6 +24,7 @@
     uint64_t memory_tokens;
     uint32_t max_connections;
     uint64_t age_ms;     /**< Since the caller first asked, until it came; see caller_age.h. */
+    bool is_held;        /**< It counts in its service's hold queue. */
     bool is_less_urgent; /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
     uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
@@ -52,8 +53,11 @@
 /** Try engines until one answers with a head; false with @p reason when none will. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
+/** The request is held from now on, or no longer; @p is_placed: since an engine took it. */
+void hs_online_set_held(hs_online_request *request, bool is_held, bool is_placed);
+
 /** Whether a request that no engine took is held; logged when it is not. */
-hs_refusal_choice hs_online_choose_refusal(const hs_online_request *request);
+hs_refusal_choice hs_online_choose_refusal(hs_online_request *request);
 
 /** The attempt at hand was not sent since no engine can serve in time: note why, and the end. */
 void hs_online_note_hopeless(hs_online_request *request, hs_end_reason *reason);
--- a/src/online/refusal_choice.c
+++ b/src/online/refusal_choice.c
@@ -39,7 +39,7 @@
         choice.verdict = HS_REFUSAL_SUSPECTED;
         choice.expected_ms = service->return_ms;
     } else {
-        choice.expected_ms = (uint64_t)place_wait_ms(service);
+        choice.expected_ms = MAX((uint64_t)place_wait_ms(service), view->drain_ms);
     }
     return choice;
 }
@@ -51,8 +51,6 @@
         return true;
     if (service->sound > 0 && has_room(service))
         return false;
-    if (service->sound > 0 && choice->expected_ms > view->begin_ms)
-        return true;
     return choice->expected_ms + service->need_ms > view->left_ms;
 }
 
--- a/src/online/refusal_choice.h
+++ b/src/online/refusal_choice.h
@@ -14,7 +14,7 @@
 typedef struct {
     hs_service_outlook service;
     uint64_t left_ms;   /**< Until the request's deadline. */
-    uint64_t begin_ms;  /**< Until an engine must begin with it; past that it is late. */
+    uint64_t drain_ms;  /**< Expected until those held and this one have places; 0: not known. */
     uint64_t waited_ms; /**< Since it came. */
     bool has_run;       /**< It may have run: it can be repeated, or it would have ended. */
 } hs_refusal_view;
