--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -12,6 +12,11 @@
 #define CALL_LIMIT_MS 4000
 /** One try to read a partition's log: callers try another daemon after about two seconds. */
 #define ONE_TRY_MS 1200
+/**
+ * Longest time that a call without the log is told to stay away, in ms, before it is spread:
+ * another daemon may reach the log now, and results that are read late count for little.
+ */
+#define AWAY_MOST_MS 200
 
 static void free_partition(gpointer data) {
     hs_job_partition_free(data);
@@ -76,7 +81,8 @@
 void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
                   size_t length) {
     uint64_t tried_ms = hs_clock_monotonic_ms() - inbound->received_ms;
-    reply(inbound, status, type, body, length, hs_retry_after_absence_ms(tried_ms, 0));
+    uint64_t away_ms = MIN(hs_retry_after_absence_ms(tried_ms, 0), AWAY_MOST_MS);
+    reply(inbound, status, type, body, length, away_ms);
 }
 
 void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text) {
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -20,7 +20,7 @@
 
 /**
  * Answer, with Retry-After where the status promises that nothing ran: what this call could not
- * reach is expected to be away for as long again as it was tried.
+ * reach is expected to be away for as long again as it was tried, and another daemon may reach it.
  */
 void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
                   size_t length);
