A late request may wait at an engine as long as the pause between two tries

Cause: what is past its objective took free places only, and looks for them every 15 to 50 ms; on a service with runs of 60 ms places stood idle between two looks.

Change: it is sent also where a place is expected to free within 50 ms, the longest pause.

Test: the bound to the ms, in place of the one without a pause.

--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -3,6 +3,8 @@
 
 #include <math.h>
 
+/** Pause between two tries of a held request, in ms: in it a place would stay idle. */
+#define HELD_PAUSE_MS 50.0
 #define SUSPECT_COST_MS 60000.0
 /** Share of a run's time that one more run beside it costs: spreads equal engines. */
 #define BESIDE_SHARE 0.02
@@ -46,7 +48,7 @@
 }
 
 bool hs_engine_choice_is_quick(double wait_ms, const hs_engine_speed *speed, uint64_t most_ms) {
-    return wait_ms == 0 || wait_ms + speed->first_byte_ms <= (double)most_ms;
+    return wait_ms <= HELD_PAUSE_MS || wait_ms + speed->first_byte_ms <= (double)most_ms;
 }
 
 uint64_t hs_engine_choice_begin_ms(uint64_t target_ms, uint64_t waited_ms, bool is_less_urgent) {
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -52,9 +52,10 @@
 
 /**
  * Whether an engine begins early enough with an online request that should be begun within
- * @p most_ms: its wait and the shortest time to a first byte of late fit in, or a place is free.
- * Past its objective a request takes free places only: in a queue it would make those behind it
- * late that can still be in time.
+ * @p most_ms: its wait and the shortest time to a first byte of late fit in, or a place is free
+ * within the pause between two tries of a held request, and would stay idle for its rest. Past its
+ * objective a request waits no longer there: it would make those behind it late that can still be
+ * in time.
  */
 bool hs_engine_choice_is_quick(double wait_ms, const hs_engine_speed *speed, uint64_t most_ms);
 
