--- a/src/online/hold_queue.c
+++ b/src/online/hold_queue.c
@@ -4,7 +4,7 @@
 #include <math.h>
 
 /**
- * Places that held requests got count for this long, fading. As long as callers wait at most, so
+ * Places that held requests got count for this long, fading. Some seconds, as callers wait, so
  * that where none got a place in it, nobody is held in vain.
  */
 #define OBSERVED_MOST_MS 5000.0
