Test of few descriptors fills the front with callers whose bodies do not come

Cause: the test reached a full front by callers that wait on silent engines. Change: that crowd is still tried (ready and taken, or not ready); a second crowd with half a body each holds the connections, and there the 503 is asked for as before.

--- a/tests/system/test_fleet_taking.c
+++ b/tests/system/test_fleet_taking.c
@@ -23,6 +23,11 @@
     "POST /once/x HTTP/1.1\r\nHost: " BENCH_HOST "\r\n" HEADER_REQUEST_ID
     ": silent\r\nContent-Length: 5\r\n\r\nhello";
 
+/** It holds its connection whatever engines do: its body does not come. */
+static const char half_request[] =
+    "POST /once/x HTTP/1.1\r\nHost: " BENCH_HOST "\r\n" HEADER_REQUEST_ID
+    ": half\r\nContent-Length: 5\r\n\r\nhe";
+
 static void restart(int daemon, unsigned descriptors) {
     bench_signal(daemon, SIGKILL);
     CU_ASSERT_TRUE(bench_start_daemon_confined(daemon, descriptors));
@@ -68,10 +73,14 @@
     bench_set_engines(TOKEN_ENGINE_SILENT);
     crowd_open(&target, OPEN_CALLERS, silent_request);
     crowd_check_word(&target, "300 descriptors, 500 callers wait on engines");
-    CU_ASSERT_EQUAL(crowd_ask_ready(&target), 503);
     crowd_close();
     bench_set_engines(TOKEN_ENGINE_SOUND);
     crowd_check_recovers(&target);
+    crowd_open(&target, OPEN_CALLERS, half_request);
+    crowd_check_word(&target, "300 descriptors, 500 callers with half a body");
+    CU_ASSERT_EQUAL(crowd_ask_ready(&target), 503);
+    crowd_close();
+    crowd_check_recovers(&target);
 }
 
 static void few_descriptors_and_idle_callers_are_told(void) {
