--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -85,6 +85,13 @@
     int64_t fleet_config_apply_ms;
     int64_t fleet_contact_ms;
     int64_t fleet_heartbeat_ms;
+    int64_t fleet_caller_silence_ms;
+    int64_t fleet_daemon_silence_ms;
+    int64_t fleet_engine_silence_ms;
+    int64_t fleet_store_silence_ms;
+    int64_t fleet_repeat_unacknowledged_ms;
+    int64_t fleet_once_unacknowledged_ms;
+    int64_t fleet_once_idle_ms;
     double fleet_grace_s;
     double fleet_status_s;
     double fleet_resolve_ttl_most_s;
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -8,6 +8,7 @@
 #include "base/thread.h"
 #include "daemon/settings.h"
 #include "fleet/engine_source.h"
+#include "http/connection_guard.h"
 #include "jobs/job_owner.h"
 #include "surface/fleet_surface.h"
 
@@ -151,9 +152,22 @@
     g_free(daemon);
 }
 
+static void bound_connections(const hs_settings *settings) {
+    hs_connection_bounds bounds = {
+        .kernel_ms = {[HS_CONNECTION_CALLER] = (uint32_t)settings->fleet_caller_silence_ms,
+                      [HS_CONNECTION_DAEMON] = (uint32_t)settings->fleet_daemon_silence_ms,
+                      [HS_CONNECTION_ENGINE] = (uint32_t)settings->fleet_engine_silence_ms,
+                      [HS_CONNECTION_STORE] = (uint32_t)settings->fleet_store_silence_ms},
+        .repeat_unacknowledged_ms = (uint32_t)settings->fleet_repeat_unacknowledged_ms,
+        .once_unacknowledged_ms = (uint32_t)settings->fleet_once_unacknowledged_ms,
+        .once_idle_ms = (uint32_t)settings->fleet_once_idle_ms};
+    hs_connection_bounds_set(&bounds);
+}
+
 hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error) {
     hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
     daemon->settings = settings;
+    bound_connections(settings);
     hs_endpoint store = endpoint_of(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -163,6 +163,27 @@
            "Time without a disruption after which a daemon counts as in touch."),
     NUMBER("fleet", "heartbeat_ms", fleet_heartbeat_ms, "ms", 10, HOUR_MS, 1200,
            "Time between two beats by which an engine keeps itself listed."),
+    NUMBER("fleet", "caller_silence_ms", fleet_caller_silence_ms, "ms", 0, HOUR_MS, 6000,
+           "A caller's kernel gives no sign for so long: its connection ends (TCP_USER_TIMEOUT, "
+           "keep-alive). Several lost packets in a row, and a reader that pauses, stay. 0: never."),
+    NUMBER("fleet", "daemon_silence_ms", fleet_daemon_silence_ms, "ms", 0, HOUR_MS, 3000,
+           "The same between daemons; their calls have time-outs of their own of up to 1.5 s."),
+    NUMBER("fleet", "engine_silence_ms", fleet_engine_silence_ms, "ms", 0, HOUR_MS, 3000,
+           "The same to engines: longer than four retransmissions in a row, as a request that may "
+           "run once is broken off by it."),
+    NUMBER("fleet", "store_silence_ms", fleet_store_silence_ms, "ms", 0, HOUR_MS, 1500,
+           "The same to the store: below fleet.config_apply_ms, within which held reads must "
+           "bring a configuration."),
+    NUMBER(
+        "fleet", "repeat_unacknowledged_ms", fleet_repeat_unacknowledged_ms, "ms", 0, HOUR_MS, 150,
+        "What may be repeated leaves a kept connection on which none of it was acknowledged for "
+        "so long: below half of the shortest target, so that a second try is in time. 0: never."),
+    NUMBER("fleet", "once_unacknowledged_ms", fleet_once_unacknowledged_ms, "ms", 0, HOUR_MS, 800,
+           "The same for what may run once, which ends by it: longer than two retransmissions, so "
+           "that a lost packet ends nothing. 0: never."),
+    NUMBER("fleet", "once_idle_ms", fleet_once_idle_ms, "ms", 0, HOUR_MS, 1000,
+           "Idle time after which a kept connection gets no request that may run once: longer than "
+           "pauses between requests to a busy engine, so that new connections stay few. 0: any."),
     DECIMAL("fleet", "grace_s", fleet_grace_s, "s", 0, 3600, "8",
             "Time from SIGTERM until the platform kills the process."),
     DECIMAL("fleet", "status_s", fleet_status_s, "s", 1, 31536000, "120",
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -13,8 +13,8 @@
 /** What a held read may take beyond the time for which it is held, in ms. Chosen, not measured. */
 #define ANSWER_SLACK_MS 600
 /**
- * Pause in ms before a read that failed is tried again: hundreds of daemons that find the store away
- * must not press it.
+ * Pause in ms before a read that failed is tried again: hundreds of daemons that find the store
+ * away must not press it.
  */
 #define RETRY_FIRST_MS 100
 /** The pause doubles up to this, a fifth of the shortest time in which a version is due (2 s). */
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -48,13 +48,41 @@
     return order->request.request_id == NULL || strcmp(echoed, order->request.request_id) == 0;
 }
 
+/** Wait for a sign that the request arrived, where it went out on a kept connection. */
+static hs_step await_sign(const hs_attempt_order *order, hs_attempt *attempt) {
+    if (!hs_client_connection_is_kept(attempt->connection))
+        return HS_STEP_PROGRESS;
+    hs_connection_bounds bounds = hs_connection_bounds_get();
+    uint32_t limit_ms =
+        order->may_repeat ? bounds.repeat_unacknowledged_ms : bounds.once_unacknowledged_ms;
+    return hs_client_connection_await_sign(attempt->connection, limit_ms, &order->wait);
+}
+
+/** Longest wait for the head before a kept connection counts as lost; 0: none. */
+static uint32_t kept_limit_ms(const hs_attempt_order *order, const hs_attempt *attempt) {
+    if (order->kept_silence_ms == 0 || !hs_client_connection_is_kept(attempt->connection))
+        return 0;
+    uint32_t usual_ms = hs_engine_lease_head_limit_ms(attempt->lease);
+    uint32_t limit_ms = MAX(order->kept_silence_ms, usual_ms);
+    bool ends_sooner = order->silence_ms == 0 || limit_ms < order->silence_ms;
+    return usual_ms > 0 && ends_sooner ? limit_ms : 0;
+}
+
 /** Read the head; answers to other requests that come in its place are passed over. */
 static hs_step read_head(const hs_attempt_order *order, hs_attempt *attempt) {
     hs_wait wait = order->wait;
-    if (order->silence_ms > 0)
-        wait.deadline = MIN(wait.deadline, hs_clock_monotonic_ms() + order->silence_ms);
+    uint32_t kept_ms = kept_limit_ms(order, attempt);
+    uint32_t silence_ms = kept_ms > 0 ? kept_ms : order->silence_ms;
+    hs_step sign = await_sign(order, attempt);
+    if (sign != HS_STEP_PROGRESS)
+        return sign;
+    if (silence_ms > 0)
+        wait.deadline = MIN(wait.deadline, attempt->sent_ms + silence_ms);
     for (int strays = 0; strays <= STRAY_ANSWERS_MAX; strays++) {
         hs_step step = hs_client_connection_read_head(attempt->connection, &wait);
+        if (step == HS_STEP_DEADLINE && kept_ms > 0 &&
+            hs_clock_monotonic_ms() < order->wait.deadline)
+            return hs_client_connection_lose(attempt->connection, "timeout");
         if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
             return step;
         attempt->status = hs_client_connection_status(attempt->connection);
@@ -120,22 +148,33 @@
     return false;
 }
 
+/** Longest idle time of a connection that the request may go out on. */
+static uint32_t idle_most_ms(const hs_attempt_order *order) {
+    uint32_t once_idle_ms = hs_connection_bounds_get().once_idle_ms;
+    if (order->fresh)
+        return 0;
+    return order->may_repeat || once_idle_ms == 0 ? UINT32_MAX : once_idle_ms;
+}
+
 bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_order *order,
                       hs_attempt *attempt) {
     memset(attempt, 0, sizeof *attempt);
     attempt->step = HS_STEP_CUT;
     if (!find_engine(engines, order, attempt))
         return false;
-    attempt->connection = hs_engine_lease_connect(attempt->lease, order->request.request_id,
-                                                  &order->wait, &attempt->step);
+    attempt->connection =
+        hs_engine_lease_connect(attempt->lease, order->request.request_id, &order->wait,
+                                idle_most_ms(order), &attempt->step);
     if (attempt->connection == NULL)
         return false;
     attempt->step = send_request(order, attempt);
+    attempt->sent_ms = hs_clock_monotonic_ms();
     if (attempt->step == HS_STEP_PROGRESS)
         attempt->step = read_head(order, attempt);
     bool has_head = attempt->step == HS_STEP_PROGRESS || attempt->step == HS_STEP_COMPLETE;
     attempt->run = run_after(attempt, has_head);
     if (has_head) {
+        hs_engine_lease_head_came(attempt->lease);
         hs_engine_lease_heard(attempt->lease);
         hs_engine_lease_note_load(attempt->lease, &attempt->answer.load);
     }
@@ -145,6 +184,8 @@
 void hs_attempt_finish(hs_attempt *attempt, hs_attempt_end end) {
     if (attempt->lease == NULL)
         return;
+    if (attempt->step == HS_STEP_LOST) /* Idle ones to the engine are as old. */
+        hs_engine_lease_drop_idle(attempt->lease);
     hs_engine_lease_release(attempt->lease, attempt->connection, end);
     attempt->lease = NULL;
     attempt->connection = NULL;
@@ -160,7 +201,7 @@
 }
 
 hs_attempt_end hs_attempt_failure(const hs_attempt *attempt) {
-    if (attempt->step == HS_STEP_CALLER_GONE)
+    if (attempt->step == HS_STEP_CALLER_GONE || attempt->step == HS_STEP_LOST)
         return HS_ATTEMPT_DROPPED;
     if (attempt->connection == NULL)
         return HS_ATTEMPT_UNREACHABLE;
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -26,6 +26,11 @@
     const void *body;
     hs_wait wait;
     uint32_t silence_ms; /**< Longest wait for the head; 0: up to the deadline. */
+    bool fresh;          /**< Do not use a kept connection: one was lost. */
+    bool may_repeat;     /**< The request may run again. */
+    /** Repeatable: longest wait for the head on a kept connection, unless heads there usually take
+     * longer; 0: no such limit. */
+    uint32_t kept_silence_ms;
 } hs_attempt_order;
 
 /** An attempt whose head was read, or that failed before. */
@@ -33,7 +38,8 @@
     hs_engine_lease *lease; /**< NULL: no engine fitted. */
     hs_client_connection *connection;
     hs_run_state run;
-    hs_step step; /**< PROGRESS or COMPLETE: the head is there. */
+    hs_step step;     /**< PROGRESS or COMPLETE: the head is there. */
+    uint64_t sent_ms; /**< Monotonic time at which the request was sent. */
     uint32_t status;
     hs_engine_answer answer;
     char engine_id[64];        /**< For logs, also after the end. */
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -33,6 +33,9 @@
 typedef struct {
     double tokens_per_ms; /**< Prompt reading rate. */
     double run_ms;        /**< Mean time of a whole run. */
+    double head_ms;       /**< Mean time until the head of an answer. */
+    double head_deviation_ms;
+    uint32_t heads; /**< Heads that the two are of; wraps. */
 } hs_engine_speed;
 
 #define HS_ENGINE_NONE (-1)
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -25,6 +25,14 @@
  * dark must be left in time for another to answer within the shortest objective, half a second.
  */
 #define CONNECT_LIMIT_MS 300
+/** Answers' heads after which their usual time is known. */
+#define HEADS_KNOWN 10
+/** Mean deviations above the mean that a head may take, as in TCP's retransmission time-out. */
+#define HEAD_DEVIATIONS 4
+/** An engine may read a prompt so many times slower than usual before its answer counts as late. */
+#define HEAD_READINGS 2
+/** Above it in ms an estimate is of no use: other time-outs end sooner. */
+#define HEAD_LIMIT_MOST_MS 60000
 
 const char *hs_engine_lease_id(const hs_engine_lease *lease) {
     return lease->engine->entry.id;
@@ -44,6 +52,10 @@
     return names[end];
 }
 
+static void blend(double *value, double sample) {
+    *value += (sample - *value) * SPEED_WEIGHT;
+}
+
 static bool is_fresh(const hs_idle_connection *idle, uint64_t now_ms) {
     uint64_t told = hs_client_connection_keep_alive_ms(idle->connection);
     uint64_t limit = told > 0 ? (uint64_t)((double)told * KEEP_ALIVE_SHARE) : IDLE_UNTOLD_MS;
@@ -59,9 +71,9 @@
 
 /**
  * The connection used last that can be used now. Those that ended are closed; one on which the
- * request was tried stays for others.
+ * request was tried stays for others, as do those that were idle for @p idle_most_ms and longer.
  */
-static hs_client_connection *take_idle(hs_engine_lease *lease) {
+static hs_client_connection *take_idle(hs_engine_lease *lease, uint32_t idle_most_ms) {
     hs_client_connection *connection = NULL;
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
@@ -71,7 +83,8 @@
         GList *before = link->prev;
         hs_idle_connection *idle = link->data;
         bool is_usable = is_fresh(idle, now_ms);
-        if (is_usable && was_tried(&idle->tried, lease->request_hash)) {
+        bool is_tested = now_ms - idle->idle_since_ms < idle_most_ms;
+        if (is_usable && (!is_tested || was_tried(&idle->tried, lease->request_hash))) {
             link = before;
             continue;
         }
@@ -90,9 +103,10 @@
 }
 
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const char *request_id,
-                                              const hs_wait *wait, hs_step *step) {
+                                              const hs_wait *wait, uint32_t idle_most_ms,
+                                              hs_step *step) {
     lease->request_hash = request_id != NULL ? hs_hash_bytes(request_id, strlen(request_id)) : 0;
-    hs_client_connection *connection = take_idle(lease);
+    hs_client_connection *connection = take_idle(lease, idle_most_ms);
     *step = HS_STEP_PROGRESS;
     if (connection != NULL)
         return connection;
@@ -103,17 +117,52 @@
     uint32_t address = lease->engine->entry.address;
     uint16_t port = lease->engine->entry.port;
     g_mutex_unlock(&lease->engines->lock);
-    return hs_client_connection_open(address, port, &connecting, step);
+    connection = hs_client_connection_open(address, port, &connecting, step);
+    if (connection != NULL)
+        hs_client_connection_guard(connection, HS_CONNECTION_ENGINE);
+    return connection;
 }
 
-void hs_engine_lease_heard(hs_engine_lease *lease) {
+void hs_engine_lease_drop_idle(hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
-    lease->engine->heard_ms = hs_clock_monotonic_ms();
+    GQueue *queue = &lease->engine->idle;
+    while (!g_queue_is_empty(queue)) {
+        hs_idle_connection *idle = g_queue_pop_tail(queue);
+        hs_client_connection_close(idle->connection);
+        g_free(idle);
+    }
     g_mutex_unlock(&lease->engines->lock);
 }
 
-static void blend(double *value, double sample) {
-    *value += (sample - *value) * SPEED_WEIGHT;
+uint32_t hs_engine_lease_head_limit_ms(hs_engine_lease *lease) {
+    g_mutex_lock(&lease->engines->lock);
+    const hs_engine_speed *speed =
+        hs_fleet_engines_speed(lease->engines, lease->engine->entry.service);
+    bool is_known = speed->heads >= HEADS_KNOWN && lease->reasons.running < lease->reasons.slots;
+    double limit_ms = speed->head_ms + HEAD_DEVIATIONS * speed->head_deviation_ms;
+    if (speed->tokens_per_ms > 0)
+        limit_ms += HEAD_READINGS * lease->reasons.uncached_tokens / speed->tokens_per_ms;
+    g_mutex_unlock(&lease->engines->lock);
+    return is_known ? (uint32_t)fmax(fmin(limit_ms, HEAD_LIMIT_MOST_MS), 1) : 0;
+}
+
+void hs_engine_lease_head_came(hs_engine_lease *lease) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&lease->engines->lock);
+    hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, lease->engine->entry.service);
+    double took_ms = (double)(now_ms - lease->taken_ms);
+    if (speed->heads == 0)
+        speed->head_ms = took_ms;
+    blend(&speed->head_deviation_ms, fabs(took_ms - speed->head_ms));
+    blend(&speed->head_ms, took_ms);
+    speed->heads++;
+    g_mutex_unlock(&lease->engines->lock);
+}
+
+void hs_engine_lease_heard(hs_engine_lease *lease) {
+    g_mutex_lock(&lease->engines->lock);
+    lease->engine->heard_ms = hs_clock_monotonic_ms();
+    g_mutex_unlock(&lease->engines->lock);
 }
 
 /** The caller holds the lock. */
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -123,16 +123,30 @@
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
 
 /**
- * A kept connection, or a new one; NULL with @p step when there is none. No kept connection on
+ * A kept connection that was idle for less than @p idle_most_ms (0: none), or a new one; NULL with
+ * @p step when there is none. No kept connection on
  * which the request @p request_id (may be NULL) was tried before: a surplus answer to that try
  * would be taken for the answer to this one, since both carry the request's id.
  */
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const char *request_id,
-                                              const hs_wait *wait, hs_step *step);
+                                              const hs_wait *wait, uint32_t idle_most_ms,
+                                              hs_step *step);
 
 /** The engine's answer did not go on where the request asked it to. */
 void hs_engine_lease_note_misplaced(hs_engine_lease *lease);
 
+/** Close all idle connections to the engine: one to it was lost, and they are as old. */
+void hs_engine_lease_drop_idle(hs_engine_lease *lease);
+
+/**
+ * Time in ms above the usual for the head of an answer there, to this prompt; 0: not known, or all
+ * slots are taken, so that the answer may wait.
+ */
+uint32_t hs_engine_lease_head_limit_ms(hs_engine_lease *lease);
+
+/** The head of an answer came. */
+void hs_engine_lease_head_came(hs_engine_lease *lease);
+
 /** Bytes came from the engine. */
 void hs_engine_lease_heard(hs_engine_lease *lease);
 
--- a/src/http/caller_connections.c
+++ b/src/http/caller_connections.c
@@ -17,10 +17,13 @@
     bool busy;       /**< A request was begun on it and is not answered to its end. */
     bool half_ended; /**< Receiving was ended on this side. */
     uint64_t idle_since_ms;
+    hs_connection_kind kind;
+    uint64_t opened_ms;
 };
 
 struct hs_caller_connections {
     uint32_t most;
+    gint kind; /**< hs_connection_kind of those who call. */
     GMutex lock;
     GHashTable *all; /**< of hs_caller_connection*, as a set. */
 };
@@ -39,19 +42,34 @@
     g_free(connections);
 }
 
+void hs_caller_connections_set_kind(hs_caller_connections *connections, hs_connection_kind kind) {
+    g_atomic_int_set(&connections->kind, (gint)kind);
+}
+
 hs_caller_connection *hs_caller_connections_add(hs_caller_connections *connections,
                                                 int descriptor) {
     hs_caller_connection *connection = g_new0(hs_caller_connection, 1);
     connection->descriptor = descriptor;
-    connection->idle_since_ms = hs_clock_monotonic_ms();
+    connection->opened_ms = hs_clock_monotonic_ms();
+    connection->idle_since_ms = connection->opened_ms;
+    connection->kind = (hs_connection_kind)g_atomic_int_get(&connections->kind);
+    hs_connection_guard(descriptor, connection->kind);
     g_mutex_lock(&connections->lock);
     g_hash_table_add(connections->all, connection);
     g_mutex_unlock(&connections->lock);
     return connection;
 }
 
+/** Where the kernel gave a connection up for its silence, say so; the library does not tell. */
+static void note_silence(const hs_caller_connection *connection) {
+    if (hs_connection_has_timed_out(connection->descriptor))
+        hs_connection_note_loss(connection->kind, hs_clock_monotonic_ms() - connection->opened_ms,
+                                "kernel");
+}
+
 void hs_caller_connections_remove(hs_caller_connections *connections,
                                   hs_caller_connection *connection) {
+    note_silence(connection);
     g_mutex_lock(&connections->lock);
     g_hash_table_remove(connections->all, connection);
     g_mutex_unlock(&connections->lock);
--- a/src/http/caller_connections.h
+++ b/src/http/caller_connections.h
@@ -8,6 +8,8 @@
 #ifndef HS_HTTP_CALLER_CONNECTIONS_H
 #define HS_HTTP_CALLER_CONNECTIONS_H
 
+#include "http/connection_guard.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -18,6 +20,9 @@
 hs_caller_connections *hs_caller_connections_new(uint32_t most);
 void hs_caller_connections_free(hs_caller_connections *connections);
 
+/** Who calls, callers where it is not set; for connections from now on. */
+void hs_caller_connections_set_kind(hs_caller_connections *connections, hs_connection_kind kind);
+
 /** A connection was accepted; the result belongs to the table until its removal. */
 hs_caller_connection *hs_caller_connections_add(hs_caller_connections *connections, int descriptor);
 void hs_caller_connections_remove(hs_caller_connections *connections,
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -2,6 +2,7 @@
 #include "http/client_connection.h"
 
 #include "base/clock.h"
+#include "http/connection_guard.h"
 #include "http/http_fields.h"
 
 #include <arpa/inet.h>
@@ -38,6 +39,10 @@
     GByteArray *body;
     uint64_t body_received; /**< Bytes of body so far. */
     uint64_t body_reported; /**< As of the last return of read_body. */
+    bool is_guarded;
+    hs_connection_kind kind; /**< Where it is guarded. */
+    uint64_t opened_ms;
+    uint32_t requests; /**< Begun on it so far. */
 };
 
 const char *hs_step_name(hs_step step) {
@@ -45,6 +50,7 @@
         [HS_STEP_PROGRESS] = "progress", [HS_STEP_COMPLETE] = "complete",
         [HS_STEP_CUT] = "cut",           [HS_STEP_INVALID] = "invalid",
         [HS_STEP_DEADLINE] = "deadline", [HS_STEP_CALLER_GONE] = "caller_gone",
+        [HS_STEP_LOST] = "lost",
     };
     return names[step];
 }
@@ -142,6 +148,13 @@
     return step;
 }
 
+/** A call of the kernel on the connection failed with @p cause. */
+static hs_step fail_with(hs_client_connection *connection, int cause) {
+    if (cause == ETIMEDOUT)
+        return hs_client_connection_lose(connection, "kernel");
+    return fail(connection, HS_STEP_CUT);
+}
+
 /** How long one poll may last. */
 static int poll_limit(const hs_wait *wait, uint64_t now_ms, int interrupt_descriptor) {
     uint64_t left = MIN(wait->deadline - now_ms, (uint64_t)G_MAXINT / 2);
@@ -212,6 +225,7 @@
 hs_client_connection *hs_client_connection_adopt(int descriptor) {
     hs_client_connection *connection = g_new0(hs_client_connection, 1);
     connection->descriptor = descriptor;
+    connection->opened_ms = hs_clock_monotonic_ms();
     connection->fields = hs_http_fields_new();
     connection->field_name = g_string_new(NULL);
     connection->field_value = g_string_new(NULL);
@@ -220,6 +234,31 @@
     return connection;
 }
 
+void hs_client_connection_guard(hs_client_connection *connection, hs_connection_kind kind) {
+    connection->is_guarded = true;
+    connection->kind = kind;
+    hs_connection_guard(connection->descriptor, kind);
+}
+
+/** What the kernel still holds of the request is dropped at the close, so that it never arrives. */
+static void reset_at_close(int descriptor) {
+    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+hs_step hs_client_connection_lose(hs_client_connection *connection, const char *noticed_by) {
+    connection->failed = true;
+    reset_at_close(connection->descriptor);
+    if (connection->is_guarded)
+        hs_connection_note_loss(connection->kind, hs_clock_monotonic_ms() - connection->opened_ms,
+                                noticed_by);
+    return HS_STEP_LOST;
+}
+
+bool hs_client_connection_is_kept(const hs_client_connection *connection) {
+    return connection->requests > 1;
+}
+
 void hs_client_connection_close(hs_client_connection *connection) {
     if (connection == NULL)
         return;
@@ -239,7 +278,7 @@
     if (length < 0 && (errno == EAGAIN || errno == EINTR))
         return HS_STEP_PROGRESS;
     if (length < 0)
-        return fail(connection, HS_STEP_CUT);
+        return fail_with(connection, errno);
     if (length == 0) {
         /* An answer without a length ends with its connection. */
         http_parser_execute(&connection->parser, &parser_callbacks, NULL, 0);
@@ -277,6 +316,7 @@
                                   const void *body, size_t body_length, bool is_head_method,
                                   const hs_wait *wait) {
     begin_answer(connection, is_head_method);
+    connection->requests++;
     connection->sent_bytes = 0;
     size_t total = head->len + body_length;
     while (connection->sent_bytes < total) {
@@ -286,7 +326,7 @@
             continue;
         }
         if (written < 0 && errno != EAGAIN && errno != EINTR)
-            return fail(connection, HS_STEP_CUT);
+            return fail_with(connection, errno);
         short ready = 0;
         hs_step step = wait_for(connection->descriptor, POLLIN | POLLOUT, wait, &ready);
         if (step == HS_STEP_PROGRESS && (ready & POLLIN) != 0)
@@ -301,6 +341,24 @@
     return HS_STEP_PROGRESS;
 }
 
+hs_step hs_client_connection_await_sign(hs_client_connection *connection, uint32_t limit_ms,
+                                        const hs_wait *wait) {
+    hs_wait patience = *wait;
+    patience.deadline = MIN(wait->deadline, hs_clock_monotonic_ms() + limit_ms);
+    if (connection->message_complete || limit_ms == 0)
+        return HS_STEP_PROGRESS;
+    short ready = 0;
+    hs_step step = wait_for(connection->descriptor, POLLIN, &patience, &ready);
+    if (step == HS_STEP_PROGRESS)
+        return step;
+    if (step != HS_STEP_DEADLINE)
+        return fail(connection, step);
+    /* The last byte may have gone a moment after the wait began. */
+    if (hs_connection_is_unacknowledged(connection->descriptor, limit_ms / 2))
+        return hs_client_connection_lose(connection, "unacknowledged");
+    return HS_STEP_PROGRESS;
+}
+
 bool hs_client_connection_sent_any(const hs_client_connection *connection) {
     return connection->sent_bytes > 0;
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -13,6 +13,7 @@
 #include "heathsail/fleet.h"
 
 #include "base/interrupt.h"
+#include "http/connection_guard.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -30,6 +31,7 @@
     HS_STEP_INVALID,     /**< Bytes that are no answer. */
     HS_STEP_DEADLINE,    /**< The deadline passed. */
     HS_STEP_CALLER_GONE, /**< The watched descriptor closed, or the interrupt was raised. */
+    HS_STEP_LOST, /**< The connection went silent; it says nothing of who is at its other end. */
 } hs_step;
 
 /** Name of a step's end, for logs. */
@@ -49,6 +51,18 @@
 hs_client_connection *hs_client_connection_open(uint32_t address, uint16_t port,
                                                 const hs_wait *wait, hs_step *step);
 
+/** Let the kernel end it where it goes silent, and count it as of @p kind then. */
+void hs_client_connection_guard(hs_client_connection *connection, hs_connection_kind kind);
+
+/**
+ * Give a connection up that went silent, log and count it; nothing of its request that was not
+ * received yet will be. @p noticed_by: see hs_connection_note_loss. HS_STEP_LOST.
+ */
+hs_step hs_client_connection_lose(hs_client_connection *connection, const char *noticed_by);
+
+/** Whether a request was begun on it before the one now under way. */
+bool hs_client_connection_is_kept(const hs_client_connection *connection);
+
 /** Close and free. NULL is allowed. */
 void hs_client_connection_close(hs_client_connection *connection);
 
@@ -60,6 +74,14 @@
                                   const void *body, size_t body_length, bool is_head_method,
                                   const hs_wait *wait);
 
+/**
+ * After a request was sent: wait up to @p limit_ms for first bytes of the answer. HS_STEP_LOST when
+ * none came and the other side's kernel did not acknowledge the request either; HS_STEP_PROGRESS
+ * when the answer is to be waited for. 0: no wait.
+ */
+hs_step hs_client_connection_await_sign(hs_client_connection *connection, uint32_t limit_ms,
+                                        const hs_wait *wait);
+
 /** Whether any byte of the request now under way was handed to the kernel. */
 bool hs_client_connection_sent_any(const hs_client_connection *connection);
 
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -192,6 +192,10 @@
     return listener;
 }
 
+void hs_listener_set_kind(hs_listener *listener, hs_connection_kind kind) {
+    hs_caller_connections_set_kind(listener->connections, kind);
+}
+
 void hs_listener_set_idle_timeout(hs_listener *listener, uint32_t seconds) {
     g_atomic_int_set(&listener->idle_timeout_s, (gint)seconds);
 }
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -9,6 +9,7 @@
 #define HS_HTTP_LISTENER_H
 
 #include "heathsail/error.h"
+#include "http/connection_guard.h"
 
 #include "http/caller_connections.h"
 
@@ -54,6 +55,9 @@
 hs_listener *hs_listener_start(const char *address, uint16_t port, const hs_listener_limits *limits,
                                hs_inbound_handler handler, void *user_data, hs_error *error);
 
+/** Who calls here, callers where it is not set; for connections from now on. */
+void hs_listener_set_kind(hs_listener *listener, hs_connection_kind kind);
+
 /** Idle time in seconds after which connections are closed; for connections from now on. */
 void hs_listener_set_idle_timeout(hs_listener *listener, uint32_t seconds);
 
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -232,6 +232,7 @@
                  .watched = HS_WATCH_NOTHING,
                  .interrupt = &run->interrupt},
         .silence_ms = HEAD_SILENCE_MS,
+        .may_repeat = true,
     };
     hs_item_try end = run_once(run, terms, &order);
     hs_interrupt_release(&run->interrupt);
--- a/src/jobs/job_peer.c
+++ b/src/jobs/job_peer.c
@@ -37,6 +37,8 @@
         step = hs_client_connection_read_head(connection, wait);
     if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
         step = hs_client_connection_read_all(connection, ANSWER_LIMIT_BYTES, wait);
+    if (step == HS_STEP_DEADLINE)
+        hs_client_connection_lose(connection, "timeout");
     return step == HS_STEP_COMPLETE;
 }
 
@@ -63,6 +65,8 @@
     hs_client_connection *connection =
         hs_client_connection_open(peer->address, peer->port, &wait, &step);
     wait.deadline = deadline;
+    if (connection != NULL)
+        hs_client_connection_guard(connection, HS_CONNECTION_DAEMON);
     if (connection != NULL && exchange(connection, head, body, &wait)) {
         take_answer(connection, answer);
         outcome = HS_PEER_ANSWERED;
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -15,6 +15,11 @@
 /** A refusal comes within this part of the time in which an answer is wanted. */
 #define REFUSAL_PARTS 4
 #define SILENCE_TARGETS 3
+/**
+ * What may be repeated leaves a kept connection without an answer after this part of the target:
+ * the other part is for the second try.
+ */
+#define KEPT_SILENCE_PARTS 2
 
 bool hs_online_may_repeat(const hs_online_request *request) {
     return request->route->kind == HS_ROUTE_IDEMPOTENT ||
@@ -42,9 +47,14 @@
         order.request.resumes = true;
         order.request.last_event = request->events.last_id;
     }
-    if (hs_online_may_repeat(request) && request->runs + 1 < request->route->max_attempts)
+    order.fresh = request->lost_connection;
+    order.may_repeat =
+        hs_online_may_repeat(request) && request->runs + 1 < request->route->max_attempts;
+    if (order.may_repeat) {
         order.silence_ms =
             MAX(HS_ONLINE_SILENCE_LEAST_MS, SILENCE_TARGETS * request->route->target_latency_ms);
+        order.kept_silence_ms = request->route->target_latency_ms / KEPT_SILENCE_PARTS;
+    }
     return order;
 }
 
@@ -62,6 +72,8 @@
  */
 static hs_attempt_end judge_failure(const hs_online_request *request) {
     hs_attempt_end end = hs_attempt_failure(&request->attempt);
+    if (request->attempt.step == HS_STEP_LOST)
+        return HS_ATTEMPT_DROPPED;
     bool waited_long = waited_ms(request) >= HS_ONLINE_SILENCE_LEAST_MS;
     if (end == HS_ATTEMPT_SILENT || end == HS_ATTEMPT_DROPPED)
         return waited_long ? HS_ATTEMPT_SILENT : HS_ATTEMPT_DROPPED;
@@ -86,7 +98,10 @@
     log_attempt(request, end);
     request->run = MAX(request->run, attempt->run);
     request->runs += attempt->run != HS_RUN_DID_NOT;
-    exclude(request);
+    if (attempt->step == HS_STEP_LOST) /* Its engine may be sound, and have read the prompt. */
+        request->lost_connection = true;
+    else
+        exclude(request);
     hs_attempt_finish(attempt, end);
     if (caller_gone) {
         *reason = HS_END_CALLER_GONE;
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -27,7 +27,8 @@
     hs_run_state run;
     uint32_t runs; /**< Engines at which it may have run. */
     uint32_t sends;
-    GPtrArray *excluded; /**< of char*: engines that refused or failed. */
+    bool lost_connection; /**< A connection went silent: the next try takes a new one. */
+    GPtrArray *excluded;  /**< of char*: engines that refused or failed. */
     hs_attempt attempt;
     hs_event_stream events;
     GByteArray *ready; /**< Bytes for the caller not yet handed on. */
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define IDLE_CONNECTIONS_MAX 6
+/** Of the time of a read, one part is for the first try on a kept connection. */
+#define KEPT_READ_PARTS 2
 #define CONNECT_LIMIT_MS 800
 #define PATIENCE_MEANS 6.0
 #define PATIENCE_LEAST_MS 60
@@ -91,6 +93,24 @@
         hs_client_connection_close(connection);
 }
 
+/** Close all idle connections: one was lost, and they are as old. */
+static void drop_idle(hs_store_client *client) {
+    g_mutex_lock(&client->lock);
+    while (!g_queue_is_empty(&client->idle))
+        hs_client_connection_close(g_queue_pop_tail(&client->idle));
+    g_mutex_unlock(&client->lock);
+}
+
+static bool is_read(const hs_store_call *call) {
+    return strcmp(call->method, "GET") == 0;
+}
+
+/** How long a call may stay unacknowledged on a kept connection. */
+static uint32_t unacknowledged_ms(const hs_store_call *call) {
+    hs_connection_bounds bounds = hs_connection_bounds_get();
+    return is_read(call) ? bounds.repeat_unacknowledged_ms : bounds.once_unacknowledged_ms;
+}
+
 static hs_store_outcome outcome_of(uint32_t status) {
     switch (status) {
     case 200:
@@ -124,10 +144,40 @@
     return head;
 }
 
+/**
+ * Until when the head of an answer is waited for. A read on a kept connection that the store does
+ * not hold leaves time for a second try; one that it holds has no more than its own bound.
+ */
+static hs_deadline head_deadline(const hs_client_connection *connection, const hs_store_call *call,
+                                 hs_deadline deadline) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    bool has_second = hs_client_connection_is_kept(connection) && is_read(call) && !call->holds;
+    return has_second && deadline > now_ms ? now_ms + (deadline - now_ms) / KEPT_READ_PARTS
+                                           : deadline;
+}
+
+/** Read the whole answer to a call that was sent. */
+static hs_step read_answer(hs_client_connection *connection, const hs_store_call *call,
+                           const hs_wait *wait) {
+    bool is_kept = hs_client_connection_is_kept(connection);
+    hs_step step = HS_STEP_PROGRESS;
+    hs_wait first = *wait;
+    first.deadline = head_deadline(connection, call, wait->deadline);
+    if (is_kept)
+        step = hs_client_connection_await_sign(connection, unacknowledged_ms(call), wait);
+    if (step == HS_STEP_PROGRESS)
+        step = hs_client_connection_read_head(connection, &first);
+    if (step == HS_STEP_DEADLINE && is_kept)
+        step = hs_client_connection_lose(connection, "timeout");
+    if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
+        step = hs_client_connection_read_all(connection, ANSWER_LIMIT_BYTES, wait);
+    return step;
+}
+
 /** One try on @p connection, which is closed or given back. */
 static hs_store_outcome exchange(hs_store_client *client, hs_client_connection *connection,
-                                 const hs_store_call *call, const hs_wait *wait,
-                                 GByteArray *answer) {
+                                 const hs_store_call *call, const hs_wait *wait, GByteArray *answer,
+                                 bool *was_lost) {
     GString *head = write_head(client, call);
     const void *body = call->body != NULL ? call->body->data : NULL;
     size_t body_length = call->body != NULL ? call->body->len : 0;
@@ -135,9 +185,8 @@
     size_t sent = head->len + body_length;
     g_string_free(head, TRUE);
     if (step == HS_STEP_PROGRESS)
-        step = hs_client_connection_read_head(connection, wait);
-    if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
-        step = hs_client_connection_read_all(connection, ANSWER_LIMIT_BYTES, wait);
+        step = read_answer(connection, call, wait);
+    *was_lost = step == HS_STEP_LOST;
     hs_store_outcome outcome = HS_STORE_UNKNOWN;
     if (step == HS_STEP_COMPLETE) {
         const GByteArray *received = hs_client_connection_body(connection);
@@ -151,6 +200,8 @@
     client->counters.bytes_sent += sent;
     client->counters.bytes_received += answer->len;
     g_mutex_unlock(&client->lock);
+    if (*was_lost)
+        drop_idle(client);
     if (step == HS_STEP_COMPLETE)
         give_back(client, connection);
     else
@@ -162,7 +213,11 @@
     hs_wait connecting = *wait;
     connecting.deadline = MIN(wait->deadline, hs_clock_monotonic_ms() + CONNECT_LIMIT_MS);
     hs_step step = HS_STEP_CUT;
-    return hs_client_connection_open(client->address, client->port, &connecting, &step);
+    hs_client_connection *connection =
+        hs_client_connection_open(client->address, client->port, &connecting, &step);
+    if (connection != NULL)
+        hs_client_connection_guard(connection, HS_CONNECTION_STORE);
+    return connection;
 }
 
 static void note_write(hs_store_client *client, const hs_store_call *call, uint64_t took_ms) {
@@ -212,7 +267,6 @@
     hs_wait wait = {.deadline = deadline,
                     .watched = HS_WATCH_NOTHING,
                     .interrupt = interrupt != NULL ? interrupt : &client->abandoned};
-    bool is_read = strcmp(call->method, "GET") == 0;
     g_byte_array_set_size(answer, 0);
     if (call->appends && !may_append(client, deadline)) {
         hs_store_call_clear(call);
@@ -220,22 +274,25 @@
     }
     hs_client_connection *connection = take_idle(client);
     bool was_kept = connection != NULL;
+    bool was_lost = false;
     if (connection == NULL)
         connection = connect_store(client, &wait);
     hs_store_outcome outcome = HS_STORE_REFUSED;
     uint64_t began_ms = hs_clock_monotonic_ms();
     if (connection != NULL)
-        outcome = exchange(client, connection, call, &wait, answer);
-    if (outcome == HS_STORE_DONE && !is_read)
+        outcome = exchange(client, connection, call, &wait, answer, &was_lost);
+    if (outcome == HS_STORE_DONE && !is_read(call))
         note_write(client, call, hs_clock_monotonic_ms() - began_ms);
     bool in_time = hs_clock_monotonic_ms() < deadline;
     if (was_kept && in_time && (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN) &&
-        answer->len == 0 && (is_read || outcome == HS_STORE_REFUSED)) {
+        answer->len == 0 && (is_read(call) || outcome == HS_STORE_REFUSED)) {
         connection = connect_store(client, &wait); /* The kept connection may just have ended. */
+        was_lost = false;
         if (connection != NULL)
-            outcome = exchange(client, connection, call, &wait, answer);
+            outcome = exchange(client, connection, call, &wait, answer, &was_lost);
     }
-    note_outcome(client, outcome);
+    if (!was_lost) /* A silent connection says nothing of the store. */
+        note_outcome(client, outcome);
     hs_store_call_clear(call);
     return outcome;
 }
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -5,6 +5,7 @@
 #include "surface/fleet_metrics.h"
 
 #include "base/clock.h"
+#include "http/connection_guard.h"
 
 static void write_online(GString *text, hs_online *online) {
     hs_online_counters *counters = &online->counters;
@@ -70,6 +71,14 @@
                            counts.own, counts.located, hs_job_owner_running(sources->owner));
 }
 
+static void write_losses(GString *text) {
+    for (int kind = 0; kind < HS_CONNECTION_KINDS; kind++)
+        g_string_append_printf(text,
+                               "heathsail_connections_lost{kind=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                               hs_connection_kind_name((hs_connection_kind)kind),
+                               (guint64)hs_connection_losses((hs_connection_kind)kind));
+}
+
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
     hs_online *online = sources->online;
@@ -78,6 +87,7 @@
     write_admission(text, sources->jobs);
     write_job_reads(text, sources->jobs);
     write_partitions(text, sources);
+    write_losses(text);
     g_string_append_printf(text,
                            "heathsail_settings_reloads_total %d\n"
                            "heathsail_settings_refused_total %d\n",
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -212,6 +212,8 @@
     if (!open_listener(&surface->peers, surface->settings.control, &peers, serve_peer, surface,
                        &error))
         hs_log_warning("peers_cannot_ask", "reason=\"%s\"", error.message);
+    else if (surface->peers != NULL)
+        hs_listener_set_kind(surface->peers, HS_CONNECTION_DAEMON);
     if (!open_listener(&surface->metrics, surface->settings.metrics, &metrics, serve_metrics,
                        surface, &error))
         hs_log_warning("metrics_unavailable", "reason=\"%s\"", error.message);
--- a/tests/support/fault_proxy.c
+++ b/tests/support/fault_proxy.c
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <stdbool.h>
 #include <sys/socket.h>
@@ -13,6 +14,8 @@
 
 #define PIECE_BYTES 16384
 #define LOOK_MS 10
+/** Looks after which each connection has noticed that it is silenced. */
+#define SILENCE_LOOKS 3
 #define DELAY_MS 60
 #define BACKLOG 256
 
@@ -23,12 +26,16 @@
     gint mode;
     gint stopping;
     gint connections;
+    gint accepted;       /**< Connections so far. */
+    gint silenced_until; /**< Those of a lower number pass nothing, */
+    gint dropped_until;  /**< and of those the kernel drops all packets. */
     GThread *acceptor;
 };
 
 /** Both ends of one connection. */
 typedef struct {
     fault_proxy *proxy;
+    gint number;
     int caller;
     int target;
 } link_ends;
@@ -74,17 +81,37 @@
     return send_all(to, piece, length);
 }
 
+static bool is_silenced(const link_ends *ends) {
+    return ends->number < g_atomic_int_get(&ends->proxy->silenced_until);
+}
+
+/** The kernel drops all that comes for the socket, unacknowledged, so that it seems far away. */
+static void drop_packets(int descriptor) {
+    struct sock_filter nothing = BPF_STMT(BPF_RET | BPF_K, 0);
+    struct sock_fprog program = {.len = 1, .filter = &nothing};
+    if (setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) != 0)
+        g_error("no filter for a socket");
+}
+
 /** Move bytes until one side ends; false when the connection is to be reset. */
 static bool run_link(const link_ends *ends) {
+    bool drops = false;
     while (g_atomic_int_get(&ends->proxy->stopping) == 0) {
         proxy_mode mode = mode_of(ends->proxy);
-        bool to_target = mode != PROXY_IS_SILENT;
+        bool to_target = mode != PROXY_IS_SILENT && !is_silenced(ends);
         bool to_caller = to_target && mode != PROXY_HOLDS_ANSWERS;
         if (mode == PROXY_RESETS)
             return false;
+        if (!drops && ends->number < g_atomic_int_get(&ends->proxy->dropped_until)) {
+            drop_packets(ends->caller);
+            drop_packets(ends->target);
+            drops = true;
+        }
         struct pollfd polled[2] = {{.fd = to_target ? ends->caller : -1, .events = POLLIN},
                                    {.fd = to_caller ? ends->target : -1, .events = POLLIN}};
         poll(polled, 2, LOOK_MS);
+        if (is_silenced(ends))
+            continue;
         if (polled[0].revents != 0 && !pass_piece(ends->proxy, ends->caller, ends->target))
             return true;
         if (polled[1].revents != 0 && !pass_piece(ends->proxy, ends->target, ends->caller))
@@ -120,7 +147,10 @@
         if (caller < 0)
             continue;
         link_ends *ends = g_new0(link_ends, 1);
-        *ends = (link_ends){.proxy = proxy, .caller = caller, .target = -1};
+        *ends = (link_ends){.proxy = proxy,
+                            .number = g_atomic_int_add(&proxy->accepted, 1),
+                            .caller = caller,
+                            .target = -1};
         g_atomic_int_inc(&proxy->connections);
         g_thread_unref(g_thread_new("link", serve_link, ends));
     }
@@ -158,3 +188,11 @@
 void fault_proxy_set(fault_proxy *proxy, proxy_mode mode) {
     g_atomic_int_set(&proxy->mode, (gint)mode);
 }
+
+void fault_proxy_silence_open(fault_proxy *proxy, proxy_silence silence) {
+    gint accepted = g_atomic_int_get(&proxy->accepted);
+    g_atomic_int_set(&proxy->silenced_until, accepted);
+    if (silence == PROXY_DROPS_ALL_PACKETS)
+        g_atomic_int_set(&proxy->dropped_until, accepted);
+    hs_clock_sleep_ms(SILENCE_LOOKS * LOOK_MS);
+}
--- a/tests/support/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -1,7 +1,7 @@
 /**
  * @file fault_proxy.h
  * A TCP proxy on loopback that harms what passes through it: a link between two processes that is
- * slow, reset, silent, or cut one way.
+ * slow, reset, silent, or cut one way. Open connections may go silent for good while new ones work.
  */
 #ifndef TESTS_SUPPORT_FAULT_PROXY_H
 #define TESTS_SUPPORT_FAULT_PROXY_H
@@ -29,4 +29,16 @@
 /** For all connections from now on, also open ones. */
 void fault_proxy_set(fault_proxy *proxy, proxy_mode mode);
 
+/** How far a silence reaches. */
+typedef enum {
+    PROXY_ACKNOWLEDGES,     /**< The kernel still takes what comes: only its reader is silent. */
+    PROXY_DROPS_ALL_PACKETS /**< The kernel is silent too. */
+} proxy_silence;
+
+/**
+ * Connections that are open now pass nothing any more, and no end; later ones are not touched. As
+ * soon as it returns.
+ */
+void fault_proxy_silence_open(fault_proxy *proxy, proxy_silence silence);
+
 #endif
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -52,4 +52,10 @@
 int begin_patient_bench(void);
 extern const test_case fleet_caller_system_tests[];
 
+extern const test_case fleet_silence_system_tests[];
+
+/** The bench with proxies before its engines and its store. */
+int begin_silence(void);
+int end_silence(void);
+
 #endif
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -21,6 +21,7 @@
         {"fleet", fleet_tests, NULL, NULL},
         {"engines", engines_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},
+        {"connection_guard", connection_guard_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
         {"item_plan", item_plan_tests, NULL, NULL},
         {"quota", quota_tests, NULL, NULL},
--- /dev/null
+++ b/tests/unit/test_connection_guard.c
@@ -0,0 +1,216 @@
+/**
+ * @file test_connection_guard.c
+ * What the kernel is told of connections that may go silent, and what it tells: the options read
+ * back, and connections whose packets are dropped.
+ */
+#include "base/clock.h"
+#include "http/client_connection.h"
+#include "http/listener.h"
+#include "jobs/job_peer.h"
+#include "tests/support/fault_proxy.h"
+#include "tests/support/raw_caller.h"
+#include "tests/support/scripted_peer.h"
+#include "tests/unit/unit_tests.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+/** Two seconds of the kernel's probes, in ms. */
+#define LONG_BOUND_MS 6000
+/** The least that keep-alive can do: it counts seconds. */
+#define KERNEL_BOUND_MS 900
+/** Its probe's interval, and some, in ms. */
+#define NOTICED_MS 3500
+#define LIMIT_MS 10000
+#define SIGN_MS 120
+
+static void set_bounds(uint32_t kernel_ms) {
+    hs_connection_bounds bounds = {0};
+    for (int kind = 0; kind < HS_CONNECTION_KINDS; kind++)
+        bounds.kernel_ms[kind] = kernel_ms;
+    hs_connection_bounds_set(&bounds);
+}
+
+static int option_of(int descriptor, int level, int name) {
+    int value = -1;
+    socklen_t length = sizeof value;
+    CU_ASSERT_EQUAL(getsockopt(descriptor, level, name, &value, &length), 0);
+    return value;
+}
+
+static void check_options(int descriptor) {
+    CU_ASSERT_EQUAL(option_of(descriptor, SOL_SOCKET, SO_KEEPALIVE), 1);
+    CU_ASSERT_EQUAL(option_of(descriptor, IPPROTO_TCP, TCP_KEEPIDLE), 2);
+    CU_ASSERT_EQUAL(option_of(descriptor, IPPROTO_TCP, TCP_KEEPINTVL), 2);
+    CU_ASSERT_EQUAL(option_of(descriptor, IPPROTO_TCP, TCP_KEEPCNT), 3);
+    CU_ASSERT_EQUAL(option_of(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT), LONG_BOUND_MS);
+}
+
+static void a_guarded_socket_has_its_options(void) {
+    for (int kind = 0; kind < HS_CONNECTION_KINDS; kind++) {
+        int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        set_bounds(0);
+        hs_connection_guard(descriptor, (hs_connection_kind)kind);
+        CU_ASSERT_EQUAL(option_of(descriptor, SOL_SOCKET, SO_KEEPALIVE), 0);
+        CU_ASSERT_EQUAL(option_of(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT), 0);
+        set_bounds(LONG_BOUND_MS);
+        hs_connection_guard(descriptor, (hs_connection_kind)kind);
+        check_options(descriptor);
+        close(descriptor);
+    }
+    set_bounds(0);
+}
+
+static void answer_and_check(hs_inbound *inbound, void *user_data) {
+    (void)user_data;
+    check_options(inbound->descriptor);
+    hs_inbound_reply(inbound, 200, NULL, "ok", 2);
+}
+
+static void an_accepted_socket_has_its_options(void) {
+    set_bounds(LONG_BOUND_MS);
+    scripted_peer *free_port = scripted_peer_start();
+    uint16_t port = scripted_peer_port(free_port);
+    scripted_peer_stop(free_port);
+    hs_listener_limits limits = {.max_body_bytes = LIMIT_MS};
+    hs_listener *listener =
+        hs_listener_start("127.0.0.1", port, &limits, answer_and_check, NULL, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(listener);
+    raw_caller *caller = raw_caller_open(port);
+    raw_caller_send(caller, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CU_ASSERT_TRUE(raw_caller_read_until(caller, "ok", LIMIT_MS));
+    raw_caller_close(caller);
+    hs_listener_stop(listener);
+    set_bounds(0);
+}
+
+/** A connection over a proxy to a peer that answers each request. */
+typedef struct {
+    scripted_peer *peer;
+    fault_proxy *proxy;
+    hs_client_connection *connection;
+    hs_wait wait;
+    GString *head;
+} tested_link;
+
+static void open_link(tested_link *opened) {
+    opened->peer = scripted_peer_start();
+    scripted_peer_set(
+        opened->peer,
+        &(peer_script){.bytes = ANSWER, .length = strlen(ANSWER), .ending = PEER_KEEPS_OPEN});
+    opened->proxy = fault_proxy_start(scripted_peer_port(opened->peer));
+    opened->wait =
+        (hs_wait){.deadline = hs_clock_monotonic_ms() + LIMIT_MS, .watched = HS_WATCH_NOTHING};
+    opened->head = g_string_new("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    hs_step step = HS_STEP_CUT;
+    opened->connection = hs_client_connection_open(INADDR_LOOPBACK, fault_proxy_port(opened->proxy),
+                                                   &opened->wait, &step);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(opened->connection);
+    hs_client_connection_guard(opened->connection, HS_CONNECTION_ENGINE);
+}
+
+static hs_step send_once(tested_link *opened) {
+    return hs_client_connection_send(opened->connection, opened->head, NULL, 0, false,
+                                     &opened->wait);
+}
+
+/** One whole exchange; then the connection goes silent. */
+static void use_and_silence(tested_link *opened, proxy_silence silence) {
+    CU_ASSERT_EQUAL(send_once(opened), HS_STEP_PROGRESS);
+    CU_ASSERT_FALSE(hs_client_connection_is_kept(opened->connection));
+    CU_ASSERT_EQUAL(hs_client_connection_read_all(opened->connection, LIMIT_MS, &opened->wait),
+                    HS_STEP_COMPLETE);
+    fault_proxy_silence_open(opened->proxy, silence);
+}
+
+static void close_link(tested_link *opened) {
+    hs_client_connection_close(opened->connection);
+    fault_proxy_stop(opened->proxy);
+    scripted_peer_stop(opened->peer);
+    g_string_free(opened->head, TRUE);
+    set_bounds(0);
+}
+
+/** The kernel ends a connection on which a request stays unacknowledged; it is counted once. */
+static void the_kernel_ends_an_unacknowledged_exchange(void) {
+    tested_link opened;
+    set_bounds(KERNEL_BOUND_MS);
+    open_link(&opened);
+    use_and_silence(&opened, PROXY_DROPS_ALL_PACKETS);
+    uint64_t before = hs_connection_losses(HS_CONNECTION_ENGINE);
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(send_once(&opened), HS_STEP_PROGRESS);
+    CU_ASSERT_TRUE(hs_client_connection_is_kept(opened.connection));
+    CU_ASSERT_EQUAL(hs_client_connection_read_head(opened.connection, &opened.wait), HS_STEP_LOST);
+    CU_ASSERT(hs_clock_monotonic_ms() - began_ms < NOTICED_MS);
+    CU_ASSERT_EQUAL(hs_connection_losses(HS_CONNECTION_ENGINE), before + 1);
+    CU_ASSERT_FALSE(hs_client_connection_is_reusable(opened.connection));
+    close_link(&opened);
+}
+
+/** Keep-alive ends an idle one, so that it is not used again. */
+static void the_kernel_ends_an_idle_connection(void) {
+    tested_link opened;
+    set_bounds(KERNEL_BOUND_MS);
+    open_link(&opened);
+    use_and_silence(&opened, PROXY_DROPS_ALL_PACKETS);
+    uint64_t until_ms = hs_clock_monotonic_ms() + NOTICED_MS;
+    CU_ASSERT_TRUE(hs_client_connection_is_quiet(opened.connection));
+    while (hs_client_connection_is_quiet(opened.connection) && hs_clock_monotonic_ms() < until_ms)
+        hs_clock_sleep_ms(SIGN_MS);
+    CU_ASSERT_FALSE(hs_client_connection_is_quiet(opened.connection));
+    close_link(&opened);
+}
+
+/** No acknowledgement is a sign within a short time; a peer that only waits is not lost. */
+static void an_unacknowledged_request_is_noticed_soon(void) {
+    static const proxy_silence silences[] = {PROXY_ACKNOWLEDGES, PROXY_DROPS_ALL_PACKETS};
+    static const hs_step steps[] = {HS_STEP_PROGRESS, HS_STEP_LOST};
+    for (size_t index = 0; index < G_N_ELEMENTS(silences); index++) {
+        tested_link opened;
+        open_link(&opened);
+        use_and_silence(&opened, silences[index]);
+        uint64_t began_ms = hs_clock_monotonic_ms();
+        CU_ASSERT_EQUAL(send_once(&opened), HS_STEP_PROGRESS);
+        CU_ASSERT_EQUAL(hs_client_connection_await_sign(opened.connection, SIGN_MS, &opened.wait),
+                        steps[index]);
+        CU_ASSERT(hs_clock_monotonic_ms() - began_ms < SIGN_MS + SIGN_MS);
+        close_link(&opened);
+    }
+}
+
+/** A call to another daemon ends at its own bound; the next one has a new connection. */
+static void a_call_to_a_daemon_ends_at_its_bound(void) {
+    scripted_peer *peer = scripted_peer_start();
+    scripted_peer_set(peer, &(peer_script){.bytes = "", .ending = PEER_GOES_SILENT});
+    hs_daemon_address address = {.address = INADDR_LOOPBACK, .port = scripted_peer_port(peer)};
+    GByteArray *body = g_byte_array_new();
+    hs_peer_answer answer;
+    uint64_t before = hs_connection_losses(HS_CONNECTION_DAEMON);
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(hs_job_peer_post(&address, "/x", body, began_ms + SIGN_MS, &answer),
+                    HS_PEER_SILENT);
+    CU_ASSERT(hs_clock_monotonic_ms() - began_ms < SIGN_MS + SIGN_MS);
+    CU_ASSERT_EQUAL(hs_connection_losses(HS_CONNECTION_DAEMON), before + 1);
+    scripted_peer_set(
+        peer, &(peer_script){.bytes = ANSWER, .length = strlen(ANSWER), .ending = PEER_CLOSES});
+    CU_ASSERT_EQUAL(
+        hs_job_peer_post(&address, "/x", body, hs_clock_monotonic_ms() + LIMIT_MS, &answer),
+        HS_PEER_ANSWERED);
+    hs_peer_answer_clear(&answer);
+    g_byte_array_free(body, TRUE);
+    scripted_peer_stop(peer);
+}
+
+const test_case connection_guard_tests[] = {
+    {"a_guarded_socket_has_its_options", a_guarded_socket_has_its_options},
+    {"an_accepted_socket_has_its_options", an_accepted_socket_has_its_options},
+    {"the_kernel_ends_an_unacknowledged_exchange", the_kernel_ends_an_unacknowledged_exchange},
+    {"the_kernel_ends_an_idle_connection", the_kernel_ends_an_idle_connection},
+    {"an_unacknowledged_request_is_noticed_soon", an_unacknowledged_request_is_noticed_soon},
+    {"a_call_to_a_daemon_ends_at_its_bound", a_call_to_a_daemon_ends_at_its_bound},
+    {NULL, NULL}};
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -30,5 +30,6 @@
 extern const test_case health_tests[];
 extern const test_case connection_tests[];
 extern const test_case engine_source_tests[];
+extern const test_case connection_guard_tests[];
 
 #endif
