--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -27,6 +27,11 @@
     hs_wait wait;
     uint32_t silence_ms; /**< Longest wait for the head; 0: up to the deadline. */
     bool may_be_refused; /**< Do not send it where it is known not to be servable. */
+    bool fresh;          /**< Do not use a kept connection: one was lost. */
+    bool may_repeat;     /**< The request may run again. */
+    /** Repeatable: longest wait for the head on a kept connection, unless heads there usually take
+     * longer; 0: no such limit. */
+    uint32_t kept_silence_ms;
 } hs_attempt_order;
 
 /** An attempt whose head was read, or that failed before. */
@@ -34,7 +39,8 @@
     hs_engine_lease *lease; /**< NULL: no engine fitted. */
     hs_client_connection *connection;
     hs_run_state run;
-    hs_step step; /**< PROGRESS or COMPLETE: the head is there. */
+    hs_step step;     /**< PROGRESS or COMPLETE: the head is there. */
+    uint64_t sent_ms; /**< Monotonic time at which the request was sent. */
     uint32_t status;
     hs_engine_answer answer;
     char engine_id[64];         /**< For logs, also after the end. */
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -35,6 +35,9 @@
     double run_ms;        /**< Mean time of a whole run. */
     double online_run_ms; /**< The same of online requests alone; 0: none ended yet. */
     double first_byte_ms; /**< Shortest time to a first byte of late; 0: none came yet. */
+    double head_ms;       /**< Mean time until the head of an answer. */
+    double head_deviation_ms;
+    uint32_t heads; /**< Heads that the two are of; wraps. */
 } hs_engine_speed;
 
 #define HS_ENGINE_NONE (-1)
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -140,16 +140,30 @@
 hs_lease_word hs_engine_lease_confirm(hs_engine_lease *lease, uint32_t limit_ms);
 
 /**
- * A kept connection, or a new one; NULL with @p step when there is none. No kept connection that
- * carried the request @p request_id (may be NULL) before: a surplus answer to that try would be
- * taken for the answer to this one, since both carry the request's id.
+ * A kept connection that was idle for less than @p idle_most_ms (0: none), or a new one; NULL with
+ * @p step when there is none. No kept connection that carried the request @p request_id (may be
+ * NULL) before: a surplus answer to that try would be taken for the answer to this one, since both
+ * carry the request's id.
  */
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const char *request_id,
-                                              const hs_wait *wait, hs_step *step);
+                                              const hs_wait *wait, uint32_t idle_most_ms,
+                                              hs_step *step);
 
 /** The engine's answer did not go on where the request asked it to. */
 void hs_engine_lease_note_misplaced(hs_engine_lease *lease);
 
+/** Close all idle connections to the engine: one to it was lost, and they are as old. */
+void hs_engine_lease_drop_idle(hs_engine_lease *lease);
+
+/**
+ * Time in ms above the usual for the head of an answer there, to this prompt; 0: not known, or
+ * more than half of the slots are taken, so that the answer may wait.
+ */
+uint32_t hs_engine_lease_head_limit_ms(hs_engine_lease *lease);
+
+/** The head of an answer came. */
+void hs_engine_lease_head_came(hs_engine_lease *lease);
+
 /** Bytes came from the engine. */
 void hs_engine_lease_heard(hs_engine_lease *lease);
 
