--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -25,6 +25,7 @@
     int daemons;
     token_engine_pace item_pace; /**< Of the streams that items' texts are made of. */
     uint32_t slots;              /**< Of each engine. */
+    uint32_t connections;        /**< Most to an engine, of all daemons together. */
     uint32_t retention_s;        /**< Time for which items are tried. */
     const char *log_directory;   /**< Daemons write to "daemon-N.log" there; NULL: to our output. */
 } bench_settings;
