--- a/tests/system/test_fleet_taking.c
+++ b/tests/system/test_fleet_taking.c
@@ -24,9 +24,8 @@
     ": silent\r\nContent-Length: 5\r\n\r\nhello";
 
 /** It holds its connection whatever engines do: its body does not come. */
-static const char half_request[] =
-    "POST /once/x HTTP/1.1\r\nHost: " BENCH_HOST "\r\n" HEADER_REQUEST_ID
-    ": half\r\nContent-Length: 5\r\n\r\nhe";
+static const char half_request[] = "POST /once/x HTTP/1.1\r\nHost: " BENCH_HOST
+                                   "\r\n" HEADER_REQUEST_ID ": half\r\nContent-Length: 5\r\n\r\nhe";
 
 static void restart(int daemon, unsigned descriptors) {
     bench_signal(daemon, SIGKILL);
