--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -79,12 +79,12 @@
 
 static void run_series(const fault_lane *lane) {
     static void (*const faults[])(const fault_lane *) = {
-        soak_kill_daemons,     soak_kill_daemons,     soak_stop_daemon,      soak_stop_daemon,
-        soak_pause_daemon,     soak_harm_store_link,  soak_harm_store_link,  soak_deal_while_cut,
-        soak_deal_while_cut,   soak_chase_owners,     soak_chase_owners,     soak_chase_owners,
-        soak_chase_owners,     soak_harm_engine_link, soak_cut_engine_links, soak_harm_store,
-        soak_delay_store,      soak_surprise_store,   soak_harm_engine,      soak_drain_engine,
-        soak_cut_slow_engines, soak_change_config,    soak_reload_daemon,
+        soak_kill_daemons,   soak_kill_daemons,     soak_stop_daemon,     soak_stop_daemon,
+        soak_pause_daemon,   soak_harm_store_link,  soak_harm_store_link, soak_deal_while_cut,
+        soak_deal_while_cut, soak_chase_owners,     soak_chase_owners,    soak_chase_owners,
+        soak_chase_owners,   soak_harm_engine_link, soak_silence_links,   soak_cut_engine_links,
+        soak_harm_store,     soak_delay_store,      soak_surprise_store,  soak_harm_engine,
+        soak_drain_engine,   soak_cut_slow_engines, soak_change_config,   soak_reload_daemon,
     };
     while (hs_clock_monotonic_ms() < lane->until_ms) {
         g_atomic_int_inc(&record.faults);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -51,6 +51,7 @@
 void soak_deal_while_cut(const fault_lane *lane);
 void soak_chase_owners(const fault_lane *lane);
 void soak_harm_engine_link(const fault_lane *lane);
+void soak_silence_links(const fault_lane *lane);
 void soak_cut_engine_links(const fault_lane *lane);
 
 /** Faults of the store and the engines. */
--- a/tests/soak/link_faults.c
+++ b/tests/soak/link_faults.c
@@ -113,6 +113,23 @@
     }
 }
 
+/** What is open at the moment goes silent for good; new connections work. */
+void soak_silence_links(const fault_lane *lane) {
+    int which = g_rand_int_range(lane->chance, 0, bench_daemons() + BENCH_ENGINES);
+    bool is_store = which < bench_daemons();
+    proxy_silence silence =
+        g_rand_boolean(lane->chance) ? PROXY_ACKNOWLEDGES : PROXY_DROPS_ALL_PACKETS;
+    fault_target target = is_store ? FAULT_STORE_LINK : FAULT_ENGINE_LINK;
+    int index = is_store ? which : which - bench_daemons();
+    if (!soak_take(target, index))
+        return;
+    soak_say("fault silence open links of=%s%d silence=%d", is_store ? "daemon" : "engine", index,
+             silence);
+    fault_proxy_silence_open(is_store ? store_proxies[index] : engine_proxies[index], silence);
+    soak_hold(lane, LINK_LEAST_MS, LINK_MOST_MS / 2);
+    soak_give_back(target, index);
+}
+
 void soak_harm_engine_link(const fault_lane *lane) {
     int which = g_rand_int_range(lane->chance, 0, BENCH_ENGINES);
     proxy_mode mode = any_mode(lane);
