--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -207,6 +207,7 @@
 void hs_attempt_note_misplaced(const hs_attempt *attempt, const char *request_id,
                                uint64_t last_event, uint64_t event) {
     hs_engine_lease_note_misplaced(attempt->lease);
+    hs_client_connection_give_up(attempt->connection);
     hs_log_warning("run_misplaced",
                    "request=%s engine=%s last_event=%" G_GUINT64_FORMAT " event=%" G_GUINT64_FORMAT
                    " outcome=not_taken",
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -57,7 +57,8 @@
 
 /**
  * An answer's stream does not follow the event @p last_event (0: none) that the request has: its
- * next event is @p event. Logged and counted; what came before stays.
+ * next event is @p event. Logged and counted; what came before stays, and the
+ * connection, on which the right answer may still be due, is not used again.
  */
 void hs_attempt_note_misplaced(const hs_attempt *attempt, const char *request_id,
                                uint64_t last_event, uint64_t event);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -74,7 +74,8 @@
 
 /**
  * The connection used last that can be used now. Those that ended are closed; one that carried the
- * request before stays for others, as do those that were idle for @p idle_most_ms and longer.
+ * request before stays for others, as do those that were idle for @p idle_most_ms and longer. They
+ * are looked at when others need one, and by hs_fleet_engines_prune.
  */
 static hs_client_connection *take_idle(hs_engine_lease *lease, uint32_t idle_most_ms) {
     hs_client_connection *connection = NULL;
@@ -85,13 +86,12 @@
     while (connection == NULL && link != NULL) {
         GList *before = link->prev;
         hs_idle_connection *idle = link->data;
-        bool is_usable = is_fresh(idle, now_ms);
-        bool is_tested = now_ms - idle->idle_since_ms < idle_most_ms;
-        if (is_usable && (!is_tested || has_carried(&idle->carried, lease->request_hash))) {
+        bool is_recent = now_ms - idle->idle_since_ms < idle_most_ms;
+        if (!is_recent || has_carried(&idle->carried, lease->request_hash)) {
             link = before;
             continue;
         }
-        if (is_usable) {
+        if (is_fresh(idle, now_ms)) {
             connection = idle->connection;
             lease->carried = idle->carried;
         } else {
@@ -296,19 +296,35 @@
 static bool note_carried(hs_engine_lease *lease) {
     if (lease->request_hash == 0)
         return true;
-    if (lease->carried.count == HS_CARRIED_MOST)
-        return false;
     lease->carried.hashes[lease->carried.count++] = lease->request_hash;
-    return true;
+    return lease->carried.count < HS_CARRIED_MOST;
+}
+
+/** Connections to the engine that are this daemon's, with one more idle one. */
+static double with_one_more(const hs_fleet_engine *engine) {
+    return (double)engine->online + engine->batch + engine->idle.length + 1;
+}
+
+/**
+ * Room for one more idle connection: the one unused for longest goes. It has carried most of the
+ * requests that come back, so that the newest is worth more: ten items that one engine refused
+ * forty times needed 256 connections while the oldest stayed, and 40 at least.
+ */
+static bool make_room(hs_engine_lease *lease) {
+    hs_fleet_engine *engine = lease->engine;
+    while (!g_queue_is_empty(&engine->idle) && (engine->idle.length >= IDLE_PER_ENGINE_MAX ||
+                                                with_one_more(engine) > lease->connection_share)) {
+        hs_idle_connection *oldest = g_queue_pop_head(&engine->idle);
+        hs_client_connection_close(oldest->connection);
+        g_free(oldest);
+    }
+    return with_one_more(engine) <= lease->connection_share;
 }
 
 static bool keep(hs_engine_lease *lease, hs_client_connection *connection, uint64_t now_ms) {
     hs_fleet_engine *engine = lease->engine;
-    guint idle_count = g_queue_get_length(&engine->idle);
-    double all = (double)engine->online + engine->batch + idle_count + 1;
     if (connection == NULL || !hs_client_connection_is_reusable(connection) || !engine->listed ||
-        engine->entry.draining || idle_count >= IDLE_PER_ENGINE_MAX ||
-        all > lease->connection_share)
+        engine->entry.draining || !make_room(lease))
         return false;
     hs_idle_connection *idle = g_new(hs_idle_connection, 1);
     *idle = (hs_idle_connection){
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -427,6 +427,10 @@
     return connection->body;
 }
 
+void hs_client_connection_give_up(hs_client_connection *connection) {
+    connection->failed = true;
+}
+
 bool hs_client_connection_is_reusable(const hs_client_connection *connection) {
     return connection->message_complete && !connection->failed && connection->surplus->len == 0 &&
            !connection->unfinished_send && http_should_keep_alive(&connection->parser) != 0;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -110,6 +110,9 @@
 /** Body bytes not yet taken; the caller empties it with g_byte_array_set_size. Borrowed. */
 GByteArray *hs_client_connection_body(hs_client_connection *connection);
 
+/** Another answer is still due on it, whose place is not known: it is not to be used again. */
+void hs_client_connection_give_up(hs_client_connection *connection);
+
 /** Whether another request may follow: the answer was whole and nothing came after it. */
 bool hs_client_connection_is_reusable(const hs_client_connection *connection);
 
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -196,6 +196,10 @@
 
 hs_item_try hs_item_run_try(hs_item_run *run, const hs_item_try_terms *terms) {
     const hs_fleet_config *config = terms->config;
+    if (!hs_event_stream_can_go_on(&run->events)) { /* Its text begins anew. */
+        g_ptr_array_set_size(run->texts, 0);
+        run->events = (hs_event_stream){0};
+    }
     hs_store_outcome outcome = HS_STORE_DONE;
     if (run->content == NULL)
         run->content =
--- a/src/online/event_stream.c
+++ b/src/online/event_stream.c
@@ -66,8 +66,7 @@
     bool is_comment = !event->has_id && !event->has_data;
     if (is_comment || (!event->has_id && !stream->has_last_id))
         return true; /* A stream without ids has no place to check. */
-    uint64_t next_id = stream->has_last_id ? stream->last_id + 1 : HS_EVENT_ID_FIRST;
-    if (event->id != next_id) {
+    if (stream->has_last_id && event->id != stream->last_id + 1) {
         stream->out_of_order = true;
         stream->refused_id = event->id;
         return false;
@@ -77,6 +76,10 @@
     return true;
 }
 
+bool hs_event_stream_can_go_on(const hs_event_stream *stream) {
+    return stream->has_last_id || stream->event_count == 0;
+}
+
 void hs_event_stream_begin_run(hs_event_stream *stream) {
     stream->out_of_order = false;
     stream->refused_id = 0;
--- a/src/online/event_stream.h
+++ b/src/online/event_stream.h
@@ -12,26 +12,32 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Id of the first event that an engine makes of a request. */
-#define HS_EVENT_ID_FIRST 1
-
 /**
  * What several runs of one request made, put together. Zero-initialise, then set last_id where it
  * goes on after an event.
  *
  * Each run goes on right after the event that it was asked to go on after; a run that begins
  * anywhere else is not taken, also where it begins earlier and what is known could be skipped. All
- * tries of a request carry one id, so that the place at which an answer begins is what tells the
- * answer to this try from one to an earlier try.
+ * tries of a request carry one id: beside the rule that no connection carries a request twice
+ * (hs_engine_lease_connect), the place at which an answer begins tells the answer to this try from
+ * one to an earlier try. Where nothing was taken yet, there is nothing to join, and a stream may
+ * begin with any id.
  */
 typedef struct {
     bool has_last_id;
-    uint64_t last_id;    /**< Id of the last whole event taken. */
-    bool out_of_order;   /**< An event of this run does not follow the one before; none is taken. */
+    uint64_t last_id; /**< Id of the last whole event taken. */
+    bool
+        out_of_order; /**< An event of this run does not follow the one before; no more is taken. */
     uint64_t refused_id; /**< Id of that event. */
     uint64_t event_count;
 } hs_event_stream;
 
+/**
+ * Whether another run can go on after what was taken. Not where events came without ids: the run
+ * would begin anew, and what it repeats could not be told.
+ */
+bool hs_event_stream_can_go_on(const hs_event_stream *stream);
+
 /** Another run of the request goes on after last_id; what the run before broke is forgotten. */
 void hs_event_stream_begin_run(hs_event_stream *stream);
 
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -25,6 +25,7 @@
     TOKEN_ENGINE_BREAKS,     /**< Ends the connection after some events. */
     TOKEN_ENGINE_ENDLESS,    /**< Waits before a stream that does not end by itself. */
     TOKEN_ENGINE_SILENT,     /**< Takes requests and answers none. */
+    TOKEN_ENGINE_OVERLOOKS,  /**< Begins each stream anew, whatever it was asked. */
 } token_engine_mode;
 
 /** The streams that an engine makes. */
--- a/tests/system/test_fleet_runs.c
+++ b/tests/system/test_fleet_runs.c
@@ -2,15 +2,15 @@
  * @file test_fleet_runs.c
  * Which engine's run made which event of an item's text, over real daemons.
  *
- * What users saw: a batch item's text that was whole, with every event once and in order, but put
- * together wrongly: after event n it went on with a run that had been asked to go on after another
- * event. What the two runs make need not be one text.
+ * What users can see: a batch item's text that is whole, with every event once and in order, but
+ * put together wrongly: after event n it goes on with a run that had been asked to go on after
+ * another event. What the two runs make need not be one text.
  *
- * The order of events: an engine refuses an item, and the daemon keeps the connection. It tries the
- * item there again; the engine begins to run it, but first sends the refusal once more, a surplus
- * answer. The daemon takes that for the answer, tries another engine, has some events from there
- * and comes back on the kept connection. In the place of the answer to this third try comes the
- * answer to the second, which was asked to begin anew.
+ * One order of events that leads there: an engine refuses an item, and the daemon keeps the
+ * connection. It tries the item there again; the engine begins to run it, but first sends the
+ * refusal once more, a surplus answer. The daemon takes that for the answer, tries another engine,
+ * has some events from there and comes back on the kept connection. In the place of the answer to
+ * this third try comes the answer to the second, which was asked to begin anew.
  *
  * The cause: all tries of an item carry one request id, and by that alone an answer was told from
  * others; and events that the text already had were skipped, so that the wrong run joined unseen.
@@ -128,7 +128,47 @@
     json_decref(root);
 }
 
+/** Set what the engines do once a request has been begun @p runs times. */
+static void after_runs(const char *request_id, uint32_t runs, token_engine_mode mode) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + TRY_LIMIT_MS;
+    while (bench_runs(request_id) < runs && hs_clock_monotonic_ms() < until_ms)
+        hs_clock_sleep_ms(POLL_MS);
+    CU_ASSERT(bench_runs(request_id) >= runs);
+    bench_set_engines(mode);
+}
+
+static uint64_t count_misplaced(void) {
+    static const char name[] = "\nheathsail_runs_misplaced ";
+    uint64_t misplaced = 0;
+    for (int daemon = 0; daemon < BENCH_DAEMONS; daemon++) {
+        bench_answer metrics = bench_send(&(bench_call){
+            .method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
+        const char *line = strstr(metrics.body, name);
+        if (line != NULL)
+            misplaced += g_ascii_strtoull(line + strlen(name), NULL, 10);
+        bench_answer_clear(&metrics);
+    }
+    return misplaced;
+}
+
+/** An engine passes over what it was asked, once: nothing of that run is taken, the next one is. */
+static void a_run_that_begins_anew_is_not_taken_and_the_next_one_is(void) {
+    offer_engines(true);
+    uint64_t before = count_misplaced();
+    bench_set_engines(TOKEN_ENGINE_BREAKS);
+    CU_ASSERT_EQUAL(submit_job(1, "anew", 1), 202);
+    after_runs("anew-0", 1, TOKEN_ENGINE_OVERLOOKS);
+    after_runs("anew-0", 2, TOKEN_ENGINE_SOUND);
+    g_autofree char *page = bench_wait_job(0, "anew", 1, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(page);
+    if (page != NULL)
+        check_job_results(page, 1);
+    CU_ASSERT_EQUAL(count_misplaced(), before + 1);
+}
+
 const test_case fleet_run_system_tests[] = {
     {"an_answer_to_an_earlier_try_is_not_taken_for_this_one",
      an_answer_to_an_earlier_try_is_not_taken_for_this_one},
+    {"a_run_that_begins_anew_is_not_taken_and_the_next_one_is",
+     a_run_that_begins_anew_is_not_taken_and_the_next_one_is},
     {NULL, NULL}};
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -310,7 +310,8 @@
 
 /**
  * A surplus copy of a refusal can come in the place of the answer to the next try of the same
- * request, and carries its id: the request would be told as never run while the engine runs it.
+ * request, and nothing tells it from that: the request would be told as never run while the engine
+ * runs it.
  */
 static void a_try_uses_no_connection_of_an_earlier_try(void) {
     bench opened;
@@ -339,6 +340,41 @@
     close_bench(&opened);
 }
 
+/** The right answer is still due on it. */
+static void a_connection_with_a_misplaced_run_is_not_kept(void) {
+    static const char misplaced[] = ANSWER_HEAD "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n";
+    bench opened;
+    open_bench(&opened);
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(start(&opened, misplaced, strlen(misplaced), PEER_KEEPS_OPEN, &attempt));
+    hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
+    hs_attempt_note_misplaced(&attempt, "r1", 5, 1);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_BROKEN);
+    CU_ASSERT_EQUAL(hs_fleet_engines_misplaced(opened.engines), 1);
+    opened.order.request.request_id = "r2";
+    CU_ASSERT_TRUE(start(&opened, REFUSAL, strlen(REFUSAL), PEER_KEEPS_OPEN, &attempt));
+    hs_attempt_finish(&attempt, HS_ATTEMPT_REFUSED);
+    CU_ASSERT_EQUAL(hs_fleet_engines_connects(opened.engines), 2);
+    close_bench(&opened);
+}
+
+/** 256 connections while the oldest idle ones were kept; each carries a request once: 40 at least.
+ */
+static void items_that_are_refused_again_share_connections(void) {
+    bench opened;
+    open_bench(&opened);
+    for (int turn = 0; turn < 40 * 10; turn++) {
+        g_autofree char *id = g_strdup_printf("item-%d", turn % 10);
+        opened.order.request.request_id = id;
+        hs_attempt attempt;
+        CU_ASSERT_TRUE(start(&opened, REFUSAL, strlen(REFUSAL), PEER_KEEPS_OPEN, &attempt));
+        hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
+        hs_attempt_finish(&attempt, HS_ATTEMPT_REFUSED);
+    }
+    CU_ASSERT(hs_fleet_engines_connects(opened.engines) <= 60);
+    close_bench(&opened);
+}
+
 static void an_early_answer_ends_the_sending(void) {
     bench opened;
     open_bench(&opened);
@@ -411,6 +447,10 @@
      a_surplus_after_the_answer_ends_the_connection},
     {"a_good_connection_is_used_again", a_good_connection_is_used_again},
     {"a_try_uses_no_connection_of_an_earlier_try", a_try_uses_no_connection_of_an_earlier_try},
+    {"a_connection_with_a_misplaced_run_is_not_kept",
+     a_connection_with_a_misplaced_run_is_not_kept},
+    {"items_that_are_refused_again_share_connections",
+     items_that_are_refused_again_share_connections},
     {"an_early_answer_ends_the_sending", an_early_answer_ends_the_sending},
     {"reading_waits_for_new_bytes", reading_waits_for_new_bytes},
     {NULL, NULL}};
