--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -120,8 +120,8 @@
     uint64_t last_ms;  /**< How long the one before was; 0: none was seen. */
 } hs_engine_absence;
 
-/** The caller holds the lock. */
-/** Note whether a service has an engine now. */
+/** Note whether a service has an engine now. The caller holds the lock, as for all below but tell.
+ */
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
                                                  bool is_present, uint64_t now_ms);
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -142,8 +142,8 @@
 /**
  * A kept connection that was idle for less than @p idle_most_ms (0: none), or a new one; NULL with
  * @p step when there is none. No kept connection that carried the request @p request_id (may be
- * NULL) before: a surplus answer to that try would be taken for the answer to this one, since both
- * carry the request's id.
+ * NULL) before: a surplus answer to the earlier try would be taken for the answer to this one,
+ * since both carry the request's id.
  */
 hs_client_connection *hs_engine_lease_connect(hs_engine_lease *lease, const char *request_id,
                                               const hs_wait *wait, uint32_t idle_most_ms,
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -157,8 +157,8 @@
 
 /**
  * Whether a text continues what is there. Two owners may run an item at one time, and stand at the
- * same event by chance; but a text may only be continued by runs that made it, or that were asked
- * to go on after its last event.
+ * same event by chance; but a text may only be continued by the writer that made its end, or by one
+ * that was asked to go on after it.
  */
 static bool continues(const hs_job_item *item, const Hs__JobProgress *progress) {
     return progress->from_event == item->progress_event &&
