--- a/src/http/connection_plan.c
+++ b/src/http/connection_plan.c
@@ -6,15 +6,20 @@
 /** Kept for what is no listener's: one in four, for kept connections to engines, the store, logs.
  */
 #define KEPT_PARTS 4
+/** Connections of other daemons: one in eight, a call each; at most some from each of 360 daemons.
+ */
 #define PEERS_PARTS 8
 #define PEERS_LEAST 16
 #define PEERS_MOST 1024
+/** Each of the others: one in 32; a question each of the platform's and of callers that resolve. */
 #define OTHER_PARTS 32
 #define OTHER_LEAST 8
 #define OTHER_MOST 128
+/** Readiness, resolving, metrics. */
 #define OTHER_LISTENERS 3
 /** A front connection and the one to its engine. */
 #define PER_REQUEST 2
+/** Callers at least, whatever the limit: fewer would serve nobody. Chosen, not measured. */
 #define FRONT_LEAST 8
 /** Each has a thread: with some 60 kB a connection, a hundred and twenty megabytes. */
 #define FRONT_MOST 2048
--- a/src/http/connection_probe.c
+++ b/src/http/connection_probe.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/** Bytes of an answer's body at most: the paths that are asked answer a few words. */
 #define ANSWER_BYTES_MOST 1024
 
 /** Wait until a connect under way has ended; false when it failed or the time is up. */
--- a/src/http/front_watch.h
+++ b/src/http/front_watch.h
@@ -9,6 +9,7 @@
 #include "http/caller_connections.h"
 #include "http/connection_probe.h"
 
+/** Listeners of one daemon: callers, readiness, resolving, metrics, other daemons. */
 #define HS_WATCHED_LISTENERS_MOST 5
 
 typedef struct hs_front_watch hs_front_watch;
