The scripted peer answers with the script as it is when a request comes; a test's answers outlive it

Ruled out: the product; both ends are the test's. Change: the script is read once the request has come; the three answers are constants.

--- a/tests/support/scripted_peer.c
+++ b/tests/support/scripted_peer.c
@@ -65,17 +65,22 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
+static peer_script script_of(scripted_peer *peer) {
+    g_mutex_lock(&peer->lock);
+    peer_script script = peer->script;
+    g_mutex_unlock(&peer->lock);
+    return script;
+}
+
 static gpointer serve(gpointer data) {
     accepted *connection = data;
     scripted_peer *peer = connection->peer;
     bool goes_on = true;
     while (goes_on) {
-        g_mutex_lock(&peer->lock);
-        peer_script script = peer->script;
-        g_mutex_unlock(&peer->lock);
-        goes_on = read_request(peer, connection->descriptor, script.read_limit);
+        goes_on = read_request(peer, connection->descriptor, script_of(peer).read_limit);
         if (!goes_on)
             break;
+        peer_script script = script_of(peer); /* As it is when the request has come. */
         if (script.length > 0)
             send(connection->descriptor, script.bytes, script.length, MSG_NOSIGNAL);
         goes_on = script.ending == PEER_KEEPS_OPEN;
--- a/tests/support/scripted_peer.h
+++ b/tests/support/scripted_peer.h
@@ -31,7 +31,7 @@
 void scripted_peer_stop(scripted_peer *peer);
 uint16_t scripted_peer_port(const scripted_peer *peer);
 
-/** For connections from now on; the bytes are borrowed. */
+/** For requests from now on, also on open connections; the bytes are borrowed. */
 void scripted_peer_set(scripted_peer *peer, const peer_script *script);
 
 /** Requests whose head was read so far. */
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -16,6 +16,9 @@
 
 #define ANSWER_HEAD                                                                                \
     "HTTP/1.1 200 OK\r\nHeathsail-Request-Id: r1\r\nHeathsail-Response-Signature: s\r\n"
+#define WHOLE_ANSWER_TO(id)                                                                        \
+    "HTTP/1.1 200 OK\r\nHeathsail-Request-Id: " id                                                 \
+    "\r\nHeathsail-Response-Signature: s\r\nContent-Length: 4\r\n\r\nbody"
 #define WHOLE_ANSWER ANSWER_HEAD "Content-Length: 4\r\n\r\nbody"
 #define REFUSAL "HTTP/1.1 503 Full\r\nHeathsail-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
 #define STRAY                                                                                      \
@@ -291,13 +294,15 @@
 static void a_good_connection_is_used_again(void) {
     bench opened;
     open_bench(&opened);
-    for (int round = 1; round <= 3; round++) {
-        g_autofree char *id = g_strdup_printf("r%d", round);
-        g_autofree char *answer = g_strdup_printf(
-            "HTTP/1.1 200 OK\r\nHeathsail-Request-Id: %s\r\nHeathsail-Response-Signature: s\r\n"
-            "Content-Length: 4\r\n\r\nbody",
-            id);
-        opened.order.request.request_id = id;
+    static const struct {
+        const char *request_id;
+        const char *answer;
+    } rounds[] = {{"r1", WHOLE_ANSWER_TO("r1")},
+                  {"r2", WHOLE_ANSWER_TO("r2")},
+                  {"r3", WHOLE_ANSWER_TO("r3")}};
+    for (size_t index = 0; index < G_N_ELEMENTS(rounds); index++) {
+        const char *answer = rounds[index].answer;
+        opened.order.request.request_id = rounds[index].request_id;
         hs_attempt attempt;
         CU_ASSERT_TRUE(start(&opened, answer, strlen(answer), PEER_KEEPS_OPEN, &attempt));
         hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &opened.order.wait);
