Idle connections are freed by one function; one pause of held requests, one mean of online runs; words of constants

Four places closed and freed an idle connection by hand beside fleet_engines.c's own function; the longest pause of a held request stood twice, in the choice of an engine and in the choice of a refusal, and has to be one figure; the mean online run was chosen in two places. front_watch.c said that two tries in a row fail before the word changes: one does, within the same bound. Change: hs_idle_connection_free, HS_HELD_PAUSE_MOST_MS and hs_engine_speed_online_run_ms serve all of them; the comment says what is done; constants of connections have their units. No behaviour changes.

--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -3,8 +3,6 @@
 
 #include <math.h>
 
-/** Pause between two tries of a held request, in ms: in it a place would stay idle. */
-#define HELD_PAUSE_MS 50.0
 #define SUSPECT_COST_MS 60000.0
 /** Share of a run's time that one more run beside it costs: spreads equal engines. */
 #define BESIDE_SHARE 0.02
@@ -40,15 +38,19 @@
     return cost + candidate->warmup_ms * WARMUP_SHARE;
 }
 
+double hs_engine_speed_online_run_ms(const hs_engine_speed *speed) {
+    return speed->online_run_ms > 0 ? speed->online_run_ms : speed->run_ms;
+}
+
 double hs_engine_choice_wait_ms(double online, uint32_t slots, double queued_tokens,
                                 const hs_engine_speed *speed) {
-    double run_ms = speed->online_run_ms > 0 ? speed->online_run_ms : speed->run_ms;
     double over = fmax(online - slots, 0);
-    return over / fmax(slots, 1) * run_ms + queued_tokens / fmax(speed->tokens_per_ms, 1e-3);
+    return over / fmax(slots, 1) * hs_engine_speed_online_run_ms(speed) +
+           queued_tokens / fmax(speed->tokens_per_ms, 1e-3);
 }
 
 bool hs_engine_choice_is_quick(double wait_ms, const hs_engine_speed *speed, uint64_t most_ms) {
-    return wait_ms <= HELD_PAUSE_MS || wait_ms + speed->first_byte_ms <= (double)most_ms;
+    return wait_ms <= HS_HELD_PAUSE_MOST_MS || wait_ms + speed->first_byte_ms <= (double)most_ms;
 }
 
 uint64_t hs_engine_choice_begin_ms(uint64_t target_ms, uint64_t waited_ms, bool is_less_urgent) {
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -42,6 +42,15 @@
 
 #define HS_ENGINE_NONE (-1)
 
+/**
+ * Longest pause between two tries of a held request, in ms: a place that frees early is found well
+ * within an objective of 300 ms, and stays idle no longer.
+ */
+#define HS_HELD_PAUSE_MOST_MS 50
+
+/** Mean time in ms of an online run; of all runs, where no online one ended yet. */
+double hs_engine_speed_online_run_ms(const hs_engine_speed *speed);
+
 /** Expected ms until the first token. */
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed);
 
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -94,10 +94,10 @@
         if (is_fresh(idle, now_ms)) {
             connection = idle->connection;
             lease->carried = idle->carried;
+            g_free(idle);
         } else {
-            hs_client_connection_close(idle->connection);
+            hs_idle_connection_free(idle);
         }
-        g_free(idle);
         g_queue_delete_link(queue, link);
         link = before;
     }
@@ -128,12 +128,7 @@
 
 void hs_engine_lease_drop_idle(hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
-    GQueue *queue = &lease->engine->idle;
-    while (!g_queue_is_empty(queue)) {
-        hs_idle_connection *idle = g_queue_pop_tail(queue);
-        hs_client_connection_close(idle->connection);
-        g_free(idle);
-    }
+    g_queue_clear_full(&lease->engine->idle, hs_idle_connection_free);
     g_mutex_unlock(&lease->engines->lock);
 }
 
@@ -313,11 +308,8 @@
 static bool make_room(hs_engine_lease *lease) {
     hs_fleet_engine *engine = lease->engine;
     while (!g_queue_is_empty(&engine->idle) && (engine->idle.length >= IDLE_PER_ENGINE_MAX ||
-                                                with_one_more(engine) > lease->connection_share)) {
-        hs_idle_connection *oldest = g_queue_pop_head(&engine->idle);
-        hs_client_connection_close(oldest->connection);
-        g_free(oldest);
-    }
+                                                with_one_more(engine) > lease->connection_share))
+        hs_idle_connection_free(g_queue_pop_head(&engine->idle));
     return with_one_more(engine) <= lease->connection_share;
 }
 
@@ -365,8 +357,7 @@
             g_queue_push_tail(&engine->idle, idle);
             continue;
         }
-        hs_client_connection_close(idle->connection);
-        g_free(idle);
+        hs_idle_connection_free(idle);
     }
 }
 
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -114,6 +114,9 @@
     hs_carried_requests carried;
 } hs_idle_connection;
 
+/** Close it and free it: a GDestroyNotify. */
+void hs_idle_connection_free(gpointer data);
+
 /** Times in which a service had no engine, as requests met them. */
 typedef struct {
     uint64_t since_ms; /**< 0: it has engines. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -17,7 +17,7 @@
 #define SILENT_RUNS 3.0
 #define SILENT_LEAST_MS 700
 
-static void free_idle(gpointer data) {
+void hs_idle_connection_free(gpointer data) {
     hs_idle_connection *idle = data;
     hs_client_connection_close(idle->connection);
     g_free(idle);
@@ -26,7 +26,7 @@
 void hs_fleet_engine_unref(hs_fleet_engine *engine) {
     if (--engine->references > 0)
         return;
-    g_queue_clear_full(&engine->idle, free_idle);
+    g_queue_clear_full(&engine->idle, hs_idle_connection_free);
     hs_prefix_index_free(engine->prefixes);
     g_ptr_array_free(engine->batch_leases, TRUE);
     hs_engine_entry_clear(&engine->entry);
@@ -106,7 +106,7 @@
         log_entry("engine_changed", entry);
     }
     if (engine->entry.address != entry->address || engine->entry.port != entry->port) {
-        g_queue_clear_full(&engine->idle, free_idle);
+        g_queue_clear_full(&engine->idle, hs_idle_connection_free);
         engine->misplaced = false;
     }
     hs_engine_entry_clear(&engine->entry);
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -64,7 +64,7 @@
             add_engine(&outlook, engine, now_ms);
     }
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, service);
-    outlook.run_ms = speed->online_run_ms > 0 ? speed->online_run_ms : speed->run_ms;
+    outlook.run_ms = hs_engine_speed_online_run_ms(speed);
     outlook.need_ms = (uint64_t)speed->first_byte_ms;
     hs_engine_absence absence =
         hs_fleet_engines_note_presence(engines, service, outlook.engines > 0, now_ms);
--- a/src/http/caller_connections.c
+++ b/src/http/caller_connections.c
@@ -6,8 +6,10 @@
 #include <glib.h>
 #include <sys/socket.h>
 
-/** Room is made from this share of the limit on, down to the second one. */
+/** Room is made from this share of the limit on: an eighth is left for what comes meanwhile. */
 #define FULL_SHARE 0.875
+/** Down to this share of it, so that room is not made for each caller anew. Chosen, not measured.
+ */
 #define ROOM_SHARE 0.75
 /** A connection idle for less, in ms, may only wait for its first request's way. */
 #define IDLE_LEAST_MS 500
--- a/src/http/connection_plan.c
+++ b/src/http/connection_plan.c
@@ -9,12 +9,14 @@
 /** Connections of other daemons: one in eight, a call each; at most some from each of 360 daemons.
  */
 #define PEERS_PARTS 8
+/** Their bounds, in connections: a small fleet's calls, and some three from each of 360 daemons. */
 #define PEERS_LEAST 16
-#define PEERS_MOST 1024
+#define PEERS_MOST 1024 /* Connections. */
 /** Each of the others: one in 32; a question each of the platform's and of callers that resolve. */
 #define OTHER_PARTS 32
+/** Their bounds, in connections. Chosen, not measured. */
 #define OTHER_LEAST 8
-#define OTHER_MOST 128
+#define OTHER_MOST 128 /* Connections. */
 /** Readiness, resolving, metrics. */
 #define OTHER_LISTENERS 3
 /** A front connection and the one to its engine. */
--- a/src/http/front_watch.c
+++ b/src/http/front_watch.c
@@ -7,10 +7,11 @@
 #include <netinet/in.h>
 
 /**
- * Pause between two tries, and the longest try, as parts of the time within which connections are
- * to be taken: two in a row fail, and the word is changed, within two thirds of it.
+ * Pause between two tries, as a part of the time within which connections are to be taken: with the
+ * longest try, the word is changed within two thirds of that time after the front stopped taking.
  */
 #define PAUSE_PARTS 6
+/** The longest try, as a part of the same time. */
 #define TRY_PARTS 2
 /** Between two looks for room, in ms: a tenth of the shortest time in which a queue is noticed. */
 #define ROOM_PAUSE_MS 200
--- a/src/online/refusal_choice.c
+++ b/src/online/refusal_choice.c
@@ -1,14 +1,13 @@
 /** @file refusal_choice.c  Held or refused; see refusal_choice.h. */
 #include "online/refusal_choice.h"
 
+#include "fleet/engine_choice.h"
 #include "online/retry_after.h"
 
 #include <math.h>
 
 /** Shortest pause between two tries in ms: a try asks each engine of the service once. */
 #define PAUSE_LEAST_MS 15
-/** Longest, so that a place that frees early is found well within an objective of 300 ms. */
-#define PAUSE_MOST_MS 50
 /** A wait is looked at this often before it is expected to end. */
 #define PAUSE_PARTS 4
 /** The longer a request has waited in vain, the less often engines are asked: by this part of it.
@@ -58,7 +57,7 @@
     hs_refusal_choice choice = expect(view);
     double pause_ms = fmax((double)choice.expected_ms / PAUSE_PARTS,
                            (double)view->waited_ms / PAUSE_WAITED_PARTS);
-    choice.pause_ms = (uint64_t)fmin(fmax(pause_ms, PAUSE_LEAST_MS), PAUSE_MOST_MS);
+    choice.pause_ms = (uint64_t)fmin(fmax(pause_ms, PAUSE_LEAST_MS), HS_HELD_PAUSE_MOST_MS);
     if (choice.pause_ms >= view->left_ms)
         choice.verdict = HS_REFUSAL_OVER;
     else if (view->has_run || !is_hopeless(view, &choice))
