--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/request_content.h"
 #include "http/http_fields.h"
 #include "online/retry_after.h"
 
@@ -16,12 +17,13 @@
     const hs_attempt *attempt = &request->attempt;
     hs_log_info(
         "request_ended",
-        "request=%s route=%s service=%s config=%" G_GUINT64_FORMAT
+        "request=%s content=%016" G_GINT64_MODIFIER
+        "x route=%s service=%s config=%" G_GUINT64_FORMAT
         " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
         " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
         " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u"
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT,
-        request->request_id, request->route->name, request->service,
+        request->request_id, (guint64)request->content, request->route->name, request->service,
         (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
         hs_end_reason_name(reason), hs_run_state_name(request->run), request->sends, request->runs,
         (guint64)request->events.event_count, (guint64)request->first_byte_ms,
@@ -151,6 +153,12 @@
     request->service = hs_online_pick_share(online, route);
     request->terms = *terms;
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
+    request->content =
+        hs_request_content_hash(&(hs_request_content){.method = inbound->method,
+                                                      .host = terms->host,
+                                                      .target = inbound->target,
+                                                      .body = inbound->body->data,
+                                                      .body_length = inbound->body->len});
     const hs_fleet_service *service = hs_fleet_config_find_service(config, request->service);
     request->memory_tokens = service != NULL ? service->memory_tokens : 0;
     request->max_connections = service != NULL ? service->max_connections : 0;
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -21,6 +21,7 @@
     const char *service;
     hs_caller_terms terms;
     char *request_id;
+    uint64_t content; /**< See hs_request_content_hash. */
     uint64_t memory_tokens;
     uint32_t max_connections;
     uint64_t age_ms;     /**< Since the caller first asked, until it came; see caller_age.h. */
