--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -23,6 +23,8 @@
     uint16_t port;
     uint16_t shown_port;
     gint mode;
+    gint is_crashing; /**< Answers end without their ends. */
+    gint wants_crash;
     GMutex lock;
     GHashTable *runs;    /**< request id -> count */
     GHashTable *resumes; /**< request id -> count of those that went on after an event */
@@ -42,8 +44,12 @@
     uint32_t last;
     uint32_t break_at; /**< 0: never. */
     uint32_t event_ms; /**< Between events. */
+    bool is_fatal;
 } stream;
 
+/** Longest in ms that an answer under way needs to see that its engine crashes. */
+#define CRASH_POLL_MS 5
+
 /** Note a call that came; its number. */
 static uint32_t begin_call(token_engine *engine, const char *request_id) {
     token_engine_call call = {.begun_ms = hs_clock_monotonic_ms()};
@@ -61,6 +67,18 @@
     g_mutex_unlock(&engine->lock);
 }
 
+/** Wait so long; true at once when the caller leaves or the engine crashes. */
+static bool waits_until_gone(token_engine *engine, int descriptor, uint32_t wait_ms) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + wait_ms;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    while (g_atomic_int_get(&engine->is_crashing) == 0 && now_ms < until_ms) {
+        if (hs_peer_leaves_within(descriptor, (uint32_t)MIN(until_ms - now_ms, CRASH_POLL_MS)))
+            return true;
+        now_ms = hs_clock_monotonic_ms();
+    }
+    return g_atomic_int_get(&engine->is_crashing) != 0;
+}
+
 static ssize_t write_event(void *data, char *buffer, size_t size) {
     stream *events = data;
     if (events->break_at != 0 && events->next > events->break_at) {
@@ -73,8 +91,15 @@
         return HS_READER_ABORT;
     if (events->next > events->last)
         return HS_READER_END;
-    if (hs_peer_leaves_within(events->descriptor, events->event_ms))
+    if (waits_until_gone(events->engine, events->descriptor, events->event_ms))
+        return HS_READER_ABORT;
+    if (events->is_fatal) {
+        waits_until_gone(events->engine, events->descriptor,
+                         events->engine->settings.fatal_after_ms);
+        g_atomic_int_set(&events->engine->wants_crash, 1);
+        waits_until_gone(events->engine, events->descriptor, G_MAXINT / 2);
         return HS_READER_ABORT;
+    }
     g_autofree char *event =
         token_engine_write_event(events->next, events->engine->id, events->run);
     int length = g_snprintf(buffer, size, "id: %u\ndata: %s\n\n", events->next, event);
@@ -182,7 +207,16 @@
         before_ms = SLOW_MS;
     else if (mode == TOKEN_ENGINE_SILENT)
         before_ms = G_MAXINT / 2;
-    if (hs_peer_leaves_within(inbound->descriptor, before_ms)) {
+    const char *fatal = engine->settings.fatal;
+    begun.is_fatal = fatal != NULL && inbound->body->len >= strlen(fatal) &&
+                     memcmp(inbound->body->data, fatal, strlen(fatal)) == 0;
+    bool is_plain = strstr(inbound->target, "plain") != NULL;
+    if (begun.is_fatal && is_plain) {
+        waits_until_gone(engine, inbound->descriptor, engine->settings.fatal_after_ms);
+        g_atomic_int_set(&engine->wants_crash, 1);
+        before_ms = G_MAXINT / 2;
+    }
+    if (waits_until_gone(engine, inbound->descriptor, before_ms)) {
         hs_inbound_drop(inbound);
         note_end(engine, begun.run);
         return false;
@@ -194,7 +228,6 @@
     }
     GArray *fields = hs_http_fields_new();
     add_head(engine, fields, id);
-    bool is_plain = strstr(inbound->target, "plain") != NULL;
     if (is_plain) {
         hs_inbound_reply(inbound, 200, fields, inbound->target, strlen(inbound->target));
         note_end(engine, begun.run);
@@ -225,6 +258,33 @@
         end_call(engine, call);
 }
 
+static void listen_for_requests(token_engine *engine) {
+    hs_error error = {0};
+    engine->listener = hs_listener_start("127.0.0.1", engine->port,
+                                         &(hs_listener_limits){.max_body_bytes = BODY_LIMIT}, serve,
+                                         engine, &error);
+    if (engine->listener == NULL)
+        g_error("stand-in engine %s cannot listen: %s", engine->id, error.message);
+}
+
+void token_engine_crash(token_engine *engine) {
+    g_atomic_int_set(&engine->is_crashing, 1);
+    hs_listener_stop(engine->listener);
+    engine->listener = NULL;
+    g_atomic_int_set(&engine->wants_crash, 0);
+}
+
+void token_engine_restart(token_engine *engine, const char *id) {
+    g_free(engine->id);
+    engine->id = g_strdup(id);
+    g_atomic_int_set(&engine->is_crashing, 0);
+    listen_for_requests(engine);
+}
+
+bool token_engine_wants_crash(token_engine *engine) {
+    return g_atomic_int_get(&engine->wants_crash) != 0;
+}
+
 token_engine *token_engine_start(const token_engine_settings *settings) {
     token_engine *engine = g_new0(token_engine, 1);
     engine->settings = *settings;
@@ -236,9 +296,7 @@
     engine->run_log = g_array_new(FALSE, FALSE, sizeof(token_engine_run));
     engine->call_log = g_array_new(FALSE, FALSE, sizeof(token_engine_call));
     engine->port = port_lease_take(1);
-    engine->listener =
-        hs_listener_start("127.0.0.1", engine->port,
-                          &(hs_listener_limits){.max_body_bytes = BODY_LIMIT}, serve, engine, NULL);
+    listen_for_requests(engine);
     engine->shown_port = engine->port;
     return engine;
 }
@@ -322,5 +380,5 @@
 }
 
 uint32_t token_engine_open(token_engine *engine) {
-    return hs_listener_open_requests(engine->listener);
+    return engine->listener != NULL ? hs_listener_open_requests(engine->listener) : 0;
 }
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -43,6 +43,9 @@
     token_engine_pace long_pace;   /**< Of streams for paths that begin so. */
     uint32_t break_after;          /**< TOKEN_ENGINE_BREAKS: events before the end. */
     uint32_t slots;                /**< That its entry tells; 0: the default of 8. */
+    const char *fatal;             /**< Begun with a body that begins so, it asks for its own crash
+                                        after fatal_after_ms; NULL: no such body. */
+    uint32_t fatal_after_ms;
 } token_engine_settings;
 
 token_engine *token_engine_start(const token_engine_settings *settings);
@@ -50,6 +53,16 @@
 
 void token_engine_set_mode(token_engine *engine, token_engine_mode mode);
 
+/**
+ * A crash, by a thread other than its own: all its connections end at once, and new ones are
+ * refused. Its entry stays in the store. It stays down until it is restarted under another id.
+ */
+void token_engine_crash(token_engine *engine);
+void token_engine_restart(token_engine *engine, const char *id);
+
+/** It ran what it cannot run, and is to be crashed. */
+bool token_engine_wants_crash(token_engine *engine);
+
 /** Port of its listener, and the port that its entry tells, for an engine behind a proxy. */
 uint16_t token_engine_port(const token_engine *engine);
 void token_engine_show_port(token_engine *engine, uint16_t port);
--- /dev/null
+++ b/tests/support/crash_fleet.c
@@ -0,0 +1,163 @@
+/** @file crash_fleet.c  See crash_fleet.h. */
+#include "tests/support/crash_fleet.h"
+
+#include "base/clock.h"
+#include "platform/names.h"
+
+#include <string.h>
+
+/** An engine ends so long after it began what it cannot run, in ms: within its first tokens. */
+#define FATAL_AFTER_MS 40
+/** The store drops the entry of an engine that says nothing more so long after its end, in ms. */
+#define LAPSE_MS 1200
+/** A crashed engine is back after so many ms. */
+#define RETURN_MS 1500
+/** Between looks at the engines, in ms. */
+#define LOOK_MS 3
+#define UP_LIMIT_MS 6000
+/** Of each engine's streams. */
+#define EVENTS 6
+#define EVENT_MS 10
+
+/** One engine's place; a new incarnation has a new id. */
+typedef struct {
+    token_engine *engine;
+    char *id;
+    uint32_t incarnation;
+    uint64_t crashed_ms; /**< Monotonic; 0: it is up. */
+    bool is_listed;
+    bool is_told; /**< To crash. */
+} place;
+
+struct crash_fleet {
+    log_store *store;
+    place places[CRASH_FLEET_ENGINES];
+    GMutex lock;
+    uint32_t crashes;
+    gint stopping;
+    GThread *supervisor;
+};
+
+static char *id_of(int index, uint32_t incarnation) {
+    return g_strdup_printf("unit-%d-%u", index, incarnation);
+}
+
+static void crash(crash_fleet *fleet, place *one) {
+    token_engine_crash(one->engine);
+    one->is_told = false;
+    one->crashed_ms = hs_clock_monotonic_ms();
+    fleet->crashes++;
+}
+
+static void bring_back(crash_fleet *fleet, int index) {
+    place *one = &fleet->places[index];
+    g_free(one->id);
+    one->id = id_of(index, ++one->incarnation);
+    token_engine_restart(one->engine, one->id);
+    token_engine_announce(one->engine, fleet->store, false);
+    one->is_listed = true;
+    one->crashed_ms = 0;
+}
+
+static void look_at(crash_fleet *fleet, int index) {
+    place *one = &fleet->places[index];
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (one->crashed_ms == 0) {
+        if (one->is_told || token_engine_wants_crash(one->engine))
+            crash(fleet, one);
+        return;
+    }
+    if (one->is_listed && now_ms >= one->crashed_ms + LAPSE_MS) {
+        log_store_put(fleet->store, TOPIC_ENGINES, one->id, "");
+        one->is_listed = false;
+    }
+    if (now_ms >= one->crashed_ms + RETURN_MS)
+        bring_back(fleet, index);
+}
+
+static gpointer supervise(gpointer data) {
+    crash_fleet *fleet = data;
+    while (g_atomic_int_get(&fleet->stopping) == 0) {
+        g_mutex_lock(&fleet->lock);
+        for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+            look_at(fleet, index);
+        g_mutex_unlock(&fleet->lock);
+        hs_clock_sleep_ms(LOOK_MS);
+    }
+    return NULL;
+}
+
+crash_fleet *crash_fleet_start(log_store *store, const char *service) {
+    crash_fleet *fleet = g_new0(crash_fleet, 1);
+    fleet->store = store;
+    g_mutex_init(&fleet->lock);
+    for (int index = 0; index < CRASH_FLEET_ENGINES; index++) {
+        place *one = &fleet->places[index];
+        one->id = id_of(index, 0);
+        one->engine = token_engine_start(
+            &(token_engine_settings){.id = one->id,
+                                     .service = service,
+                                     .pace = {.events = EVENTS, .event_ms = EVENT_MS},
+                                     .fatal = CRASH_FLEET_FATAL,
+                                     .fatal_after_ms = FATAL_AFTER_MS});
+        token_engine_announce(one->engine, store, false);
+        one->is_listed = true;
+    }
+    fleet->supervisor = g_thread_new("crash-fleet", supervise, fleet);
+    return fleet;
+}
+
+void crash_fleet_stop(crash_fleet *fleet) {
+    g_atomic_int_set(&fleet->stopping, 1);
+    g_thread_join(fleet->supervisor);
+    for (int index = 0; index < CRASH_FLEET_ENGINES; index++) {
+        token_engine_stop(fleet->places[index].engine);
+        g_free(fleet->places[index].id);
+    }
+    g_mutex_clear(&fleet->lock);
+    g_free(fleet);
+}
+
+void crash_fleet_crash(crash_fleet *fleet, int engine) {
+    g_mutex_lock(&fleet->lock);
+    fleet->places[engine].is_told = true;
+    g_mutex_unlock(&fleet->lock);
+}
+
+uint32_t crash_fleet_crashes(crash_fleet *fleet) {
+    g_mutex_lock(&fleet->lock);
+    uint32_t crashes = fleet->crashes;
+    g_mutex_unlock(&fleet->lock);
+    return crashes;
+}
+
+static bool is_up(crash_fleet *fleet) {
+    bool is_up = true;
+    g_mutex_lock(&fleet->lock);
+    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+        is_up = is_up && fleet->places[index].crashed_ms == 0 && !fleet->places[index].is_told;
+    g_mutex_unlock(&fleet->lock);
+    return is_up;
+}
+
+bool crash_fleet_wait_up(crash_fleet *fleet) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + UP_LIMIT_MS;
+    while (!is_up(fleet) && hs_clock_monotonic_ms() < until_ms)
+        hs_clock_sleep_ms(LOOK_MS);
+    return is_up(fleet);
+}
+
+static uint32_t begun_at(token_engine *engine, const char *prefix, uint64_t since_ms) {
+    uint32_t begun = 0;
+    token_engine_run run;
+    for (uint32_t number = 0; token_engine_find_run(engine, number, &run); number++)
+        begun += run.begun_ms >= since_ms && g_str_has_prefix(run.request_id, prefix);
+    return begun;
+}
+
+uint32_t crash_fleet_begun(crash_fleet *fleet, const char *prefix, uint64_t since_ms) {
+    uint32_t begun = 0;
+    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+        begun += begun_at(fleet->places[index].engine, prefix, since_ms);
+    return begun;
+}
--- /dev/null
+++ b/tests/support/crash_fleet.h
@@ -0,0 +1,35 @@
+/**
+ * @file crash_fleet.h
+ * Engines that crash and come back: each that began a body which begins with CRASH_FLEET_FATAL ends
+ * a moment later, and so does one that is told to. Its entry lapses, and it returns under a new id.
+ */
+#ifndef TESTS_SUPPORT_CRASH_FLEET_H
+#define TESTS_SUPPORT_CRASH_FLEET_H
+
+#include "standin/token_engine/token_engine.h"
+
+/** Engines of the fleet: enough that some are up while others return. */
+#define CRASH_FLEET_ENGINES 6
+/** Bodies that begin so end the engine that begins them. */
+#define CRASH_FLEET_FATAL "fatal"
+
+typedef struct crash_fleet crash_fleet;
+
+/** Start the engines and announce them in @p store (borrowed), for @p service. */
+crash_fleet *crash_fleet_start(log_store *store, const char *service);
+void crash_fleet_stop(crash_fleet *fleet);
+
+/** Have an engine crash by itself, whatever it runs. */
+void crash_fleet_crash(crash_fleet *fleet, int engine);
+
+/** Crashes so far. */
+uint32_t crash_fleet_crashes(crash_fleet *fleet);
+
+/** Wait until all engines are up and announced; false after some seconds. */
+bool crash_fleet_wait_up(crash_fleet *fleet);
+
+/** How often requests whose ids begin with @p prefix were begun, from @p since_ms (wall time) on.
+ */
+uint32_t crash_fleet_begun(crash_fleet *fleet, const char *prefix, uint64_t since_ms);
+
+#endif
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -52,6 +52,12 @@
 int begin_patient_bench(void);
 extern const test_case fleet_caller_system_tests[];
 
+extern const test_case fleet_crash_system_tests[];
+
+/** The bench with engines that crash instead of its own. For the suite's begin and end. */
+int begin_crashes(void);
+int end_crashes(void);
+
 extern const test_case fleet_silence_system_tests[];
 
 /** The bench with proxies before its engines and its store. */
