--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1042,6 +1042,141 @@
   assert(message->base.descriptor == &hs__step_aside__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__crashed_engine__init
+                     (Hs__CrashedEngine         *message)
+{
+  static const Hs__CrashedEngine init_value = HS__CRASHED_ENGINE__INIT;
+  *message = init_value;
+}
+size_t hs__crashed_engine__get_packed_size
+                     (const Hs__CrashedEngine *message)
+{
+  assert(message->base.descriptor == &hs__crashed_engine__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__crashed_engine__pack
+                     (const Hs__CrashedEngine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__crashed_engine__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__crashed_engine__pack_to_buffer
+                     (const Hs__CrashedEngine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__crashed_engine__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__CrashedEngine *
+       hs__crashed_engine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__CrashedEngine *)
+     protobuf_c_message_unpack (&hs__crashed_engine__descriptor,
+                                allocator, len, data);
+}
+void   hs__crashed_engine__free_unpacked
+                     (Hs__CrashedEngine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__crashed_engine__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__crash_evidence__init
+                     (Hs__CrashEvidence         *message)
+{
+  static const Hs__CrashEvidence init_value = HS__CRASH_EVIDENCE__INIT;
+  *message = init_value;
+}
+size_t hs__crash_evidence__get_packed_size
+                     (const Hs__CrashEvidence *message)
+{
+  assert(message->base.descriptor == &hs__crash_evidence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__crash_evidence__pack
+                     (const Hs__CrashEvidence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__crash_evidence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__crash_evidence__pack_to_buffer
+                     (const Hs__CrashEvidence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__crash_evidence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__CrashEvidence *
+       hs__crash_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__CrashEvidence *)
+     protobuf_c_message_unpack (&hs__crash_evidence__descriptor,
+                                allocator, len, data);
+}
+void   hs__crash_evidence__free_unpacked
+                     (Hs__CrashEvidence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__crash_evidence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__crash_report__init
+                     (Hs__CrashReport         *message)
+{
+  static const Hs__CrashReport init_value = HS__CRASH_REPORT__INIT;
+  *message = init_value;
+}
+size_t hs__crash_report__get_packed_size
+                     (const Hs__CrashReport *message)
+{
+  assert(message->base.descriptor == &hs__crash_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__crash_report__pack
+                     (const Hs__CrashReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__crash_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__crash_report__pack_to_buffer
+                     (const Hs__CrashReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__crash_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__CrashReport *
+       hs__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__CrashReport *)
+     protobuf_c_message_unpack (&hs__crash_report__descriptor,
+                                allocator, len, data);
+}
+void   hs__crash_report__free_unpacked
+                     (Hs__CrashReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__crash_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -2590,7 +2725,7 @@
   (ProtobufCMessageInit) hs__engine_share__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_shares__field_descriptors[2] =
+static const ProtobufCFieldDescriptor hs__engine_shares__field_descriptors[3] =
 {
   {
     "shares",
@@ -2616,15 +2751,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_digest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineShares, crash_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_shares__field_indices_by_name[] = {
   1,   /* field[1] = batch_work_ms */
+  2,   /* field[2] = crash_digest */
   0,   /* field[0] = shares */
 };
 static const ProtobufCIntRange hs__engine_shares__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor hs__engine_shares__descriptor =
 {
@@ -2634,7 +2782,7 @@
   "Hs__EngineShares",
   "hs",
   sizeof(Hs__EngineShares),
-  2,
+  3,
   hs__engine_shares__field_descriptors,
   hs__engine_shares__field_indices_by_name,
   1,  hs__engine_shares__number_ranges,
@@ -3013,7 +3161,173 @@
   (ProtobufCMessageInit) hs__step_aside__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[18] =
+static const ProtobufCFieldDescriptor hs__crashed_engine__field_descriptors[2] =
+{
+  {
+    "engine_hash",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__CrashedEngine, engine_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__CrashedEngine, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__crashed_engine__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = engine_hash */
+};
+static const ProtobufCIntRange hs__crashed_engine__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__crashed_engine__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.CrashedEngine",
+  "CrashedEngine",
+  "Hs__CrashedEngine",
+  "hs",
+  sizeof(Hs__CrashedEngine),
+  2,
+  hs__crashed_engine__field_descriptors,
+  hs__crashed_engine__field_indices_by_name,
+  1,  hs__crashed_engine__number_ranges,
+  (ProtobufCMessageInit) hs__crashed_engine__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__crash_evidence__field_descriptors[4] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__CrashEvidence, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "engines",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__CrashEvidence, n_engines),
+    offsetof(Hs__CrashEvidence, engines),
+    &hs__crashed_engine__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_acquitted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__CrashEvidence, is_acquitted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acquitted_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__CrashEvidence, acquitted_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__crash_evidence__field_indices_by_name[] = {
+  3,   /* field[3] = acquitted_age_ms */
+  0,   /* field[0] = content */
+  1,   /* field[1] = engines */
+  2,   /* field[2] = is_acquitted */
+};
+static const ProtobufCIntRange hs__crash_evidence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor hs__crash_evidence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.CrashEvidence",
+  "CrashEvidence",
+  "Hs__CrashEvidence",
+  "hs",
+  sizeof(Hs__CrashEvidence),
+  4,
+  hs__crash_evidence__field_descriptors,
+  hs__crash_evidence__field_indices_by_name,
+  1,  hs__crash_evidence__number_ranges,
+  (ProtobufCMessageInit) hs__crash_evidence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__crash_report__field_descriptors[1] =
+{
+  {
+    "evidence",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__CrashReport, n_evidence),
+    offsetof(Hs__CrashReport, evidence),
+    &hs__crash_evidence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__crash_report__field_indices_by_name[] = {
+  0,   /* field[0] = evidence */
+};
+static const ProtobufCIntRange hs__crash_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor hs__crash_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.CrashReport",
+  "CrashReport",
+  "Hs__CrashReport",
+  "hs",
+  sizeof(Hs__CrashReport),
+  1,
+  hs__crash_report__field_descriptors,
+  hs__crash_report__field_indices_by_name,
+  1,  hs__crash_report__number_ranges,
+  (ProtobufCMessageInit) hs__crash_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[19] =
 {
   {
     "sender_id",
@@ -3231,8 +3545,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash_report",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, crash_report),
+    &hs__crash_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
+  18,   /* field[18] = crash_report */
   13,   /* field[13] = demand_report */
   5,   /* field[5] = engine_load */
   14,   /* field[14] = engine_shares */
@@ -3255,7 +3582,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -3265,7 +3592,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  18,
+  19,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -38,6 +38,9 @@
 typedef struct Hs__EngineTotal Hs__EngineTotal;
 typedef struct Hs__EngineTotals Hs__EngineTotals;
 typedef struct Hs__StepAside Hs__StepAside;
+typedef struct Hs__CrashedEngine Hs__CrashedEngine;
+typedef struct Hs__CrashEvidence Hs__CrashEvidence;
+typedef struct Hs__CrashReport Hs__CrashReport;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -361,10 +364,14 @@
    * Work of its batch items that are to end in time, in ms of a slot.
    */
   uint64_t batch_work_ms;
+  /*
+   * Of what the sender knows of requests that crash engines; equal where the receiver knows the same.
+   */
+  uint64_t crash_digest;
 };
 #define HS__ENGINE_SHARES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_shares__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0 }
 
 
 /*
@@ -460,6 +467,57 @@
     , 0, 0 }
 
 
+/*
+ * An engine that crashed while it ran a content.
+ */
+struct  Hs__CrashedEngine
+{
+  ProtobufCMessage base;
+  uint64_t engine_hash;
+  /*
+   * Since the run was cut.
+   */
+  uint64_t age_ms;
+};
+#define HS__CRASHED_ENGINE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__crashed_engine__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * What the sender knows of one content of requests that was lost with engines.
+ */
+struct  Hs__CrashEvidence
+{
+  ProtobufCMessage base;
+  uint64_t content;
+  size_t n_engines;
+  Hs__CrashedEngine **engines;
+  protobuf_c_boolean is_acquitted;
+  /*
+   * Since an engine last survived it.
+   */
+  uint64_t acquitted_age_ms;
+};
+#define HS__CRASH_EVIDENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__crash_evidence__descriptor) \
+    , 0, 0,NULL, 0, 0 }
+
+
+/*
+ * News, or all that the receiver may lack.
+ */
+struct  Hs__CrashReport
+{
+  ProtobufCMessage base;
+  size_t n_evidence;
+  Hs__CrashEvidence **evidence;
+};
+#define HS__CRASH_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__crash_report__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -477,7 +535,8 @@
   HS__PEER_MESSAGE__KIND_ENGINE_SHARES = 15,
   HS__PEER_MESSAGE__KIND_ENGINE_USES = 16,
   HS__PEER_MESSAGE__KIND_ENGINE_TOTALS = 17,
-  HS__PEER_MESSAGE__KIND_STEP_ASIDE = 18
+  HS__PEER_MESSAGE__KIND_STEP_ASIDE = 18,
+  HS__PEER_MESSAGE__KIND_CRASH_REPORT = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -504,6 +563,7 @@
     Hs__EngineUses *engine_uses;
     Hs__EngineTotals *engine_totals;
     Hs__StepAside *step_aside;
+    Hs__CrashReport *crash_report;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -981,6 +1041,63 @@
 void   hs__step_aside__free_unpacked
                      (Hs__StepAside *message,
                       ProtobufCAllocator *allocator);
+/* Hs__CrashedEngine methods */
+void   hs__crashed_engine__init
+                     (Hs__CrashedEngine         *message);
+size_t hs__crashed_engine__get_packed_size
+                     (const Hs__CrashedEngine   *message);
+size_t hs__crashed_engine__pack
+                     (const Hs__CrashedEngine   *message,
+                      uint8_t             *out);
+size_t hs__crashed_engine__pack_to_buffer
+                     (const Hs__CrashedEngine   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__CrashedEngine *
+       hs__crashed_engine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__crashed_engine__free_unpacked
+                     (Hs__CrashedEngine *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__CrashEvidence methods */
+void   hs__crash_evidence__init
+                     (Hs__CrashEvidence         *message);
+size_t hs__crash_evidence__get_packed_size
+                     (const Hs__CrashEvidence   *message);
+size_t hs__crash_evidence__pack
+                     (const Hs__CrashEvidence   *message,
+                      uint8_t             *out);
+size_t hs__crash_evidence__pack_to_buffer
+                     (const Hs__CrashEvidence   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__CrashEvidence *
+       hs__crash_evidence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__crash_evidence__free_unpacked
+                     (Hs__CrashEvidence *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__CrashReport methods */
+void   hs__crash_report__init
+                     (Hs__CrashReport         *message);
+size_t hs__crash_report__get_packed_size
+                     (const Hs__CrashReport   *message);
+size_t hs__crash_report__pack
+                     (const Hs__CrashReport   *message,
+                      uint8_t             *out);
+size_t hs__crash_report__pack_to_buffer
+                     (const Hs__CrashReport   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__CrashReport *
+       hs__crash_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__crash_report__free_unpacked
+                     (Hs__CrashReport *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -1109,6 +1226,15 @@
 typedef void (*Hs__StepAside_Closure)
                  (const Hs__StepAside *message,
                   void *closure_data);
+typedef void (*Hs__CrashedEngine_Closure)
+                 (const Hs__CrashedEngine *message,
+                  void *closure_data);
+typedef void (*Hs__CrashEvidence_Closure)
+                 (const Hs__CrashEvidence *message,
+                  void *closure_data);
+typedef void (*Hs__CrashReport_Closure)
+                 (const Hs__CrashReport *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -1148,6 +1274,9 @@
 extern const ProtobufCMessageDescriptor hs__engine_total__descriptor;
 extern const ProtobufCMessageDescriptor hs__engine_totals__descriptor;
 extern const ProtobufCMessageDescriptor hs__step_aside__descriptor;
+extern const ProtobufCMessageDescriptor hs__crashed_engine__descriptor;
+extern const ProtobufCMessageDescriptor hs__crash_evidence__descriptor;
+extern const ProtobufCMessageDescriptor hs__crash_report__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -35,6 +35,7 @@
     hs_store_client *store;
     hs_config_source *config;
     hs_fleet_engines *engines;
+    hs_crash_watch *crash_watch;
     hs_engine_source *engine_source;
     hs_daemon_directory *directory;
     hs_job_service *jobs;
@@ -88,6 +89,7 @@
                                               .resolve_ttl_s = resolve_ttl_s(settings),
                                               .store = daemon->store,
                                               .engines = daemon->engines,
+                                              .crash_watch = daemon->crash_watch,
                                               .may_join = may_serve,
                                               .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
@@ -151,6 +153,7 @@
     hs_caller_ages_free(daemon->online.ages);
     hs_held_requests_free(daemon->online.held);
     hs_fleet_engines_free(daemon->engines);
+    hs_crash_watch_free(daemon->crash_watch);
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
     g_free(daemon);
@@ -176,6 +179,8 @@
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
     daemon->engines = hs_fleet_engines_new(settings->zone);
+    daemon->crash_watch = hs_crash_watch_new();
+    hs_fleet_engines_set_crash_watch(daemon->engines, daemon->crash_watch);
     daemon->engine_source =
         hs_engine_source_new(daemon->store, daemon->engines, (uint32_t)settings->fleet_drain_ms,
                              (uint32_t)settings->fleet_heartbeat_ms);
--- /dev/null
+++ b/src/directory/crash_exchange.c
@@ -0,0 +1,187 @@
+/** @file crash_exchange.c  See crash_exchange.h. */
+#include "directory/crash_exchange.h"
+
+#include "base/clock.h"
+#include "directory/daemon_directory.h"
+
+#include <arpa/inet.h>
+
+/**
+ * Daemons that news is sent to. In a fleet of no more all hear it at once; in a larger one who
+ * hears it tells it on to as many by chance: after two rounds 256 of 360, the rest by digests.
+ */
+#define TOLD_MOST 16
+/** Evidence in one answer or report: some 200 bytes each, so that a datagram holds it. */
+#define EVIDENCE_MOST 64
+/** Answers to digests in one ANSWERS_INTERVAL_MS: each may have 13 kB, and while news goes round
+ * many digests differ. */
+#define ANSWERS_MOST 4
+#define ANSWERS_INTERVAL_MS 240
+/** Between judgements without news, in ms: holds end and are forgotten by time alone. */
+#define REFRESH_MS 1000
+
+struct hs_crash_exchange {
+    hs_crash_watch *watch;
+    hs_membership_service *membership;
+    hs_peer_socket *socket;
+    GMutex lock; /**< Guards the answers. */
+    uint32_t answers;
+    uint64_t answers_from_ms;
+    uint64_t next_refresh_ms; /**< Of the ticker's thread alone. */
+};
+
+/** A report on its way out. Engines are of one block, so that it is freed at once. */
+typedef struct {
+    Hs__PeerMessage message;
+    Hs__CrashReport report;
+    Hs__CrashEvidence evidence[EVIDENCE_MOST];
+    Hs__CrashEvidence *evidence_list[EVIDENCE_MOST];
+    Hs__CrashedEngine engines[EVIDENCE_MOST][HS_CRASH_ENGINES_MOST];
+    Hs__CrashedEngine *engine_lists[EVIDENCE_MOST][HS_CRASH_ENGINES_MOST];
+} outgoing;
+
+hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership,
+                                         hs_peer_socket *socket) {
+    hs_crash_exchange *exchange = g_new0(hs_crash_exchange, 1);
+    exchange->watch = watch;
+    exchange->membership = membership;
+    exchange->socket = socket;
+    g_mutex_init(&exchange->lock);
+    return exchange;
+}
+
+void hs_crash_exchange_free(hs_crash_exchange *exchange) {
+    if (exchange == NULL)
+        return;
+    g_mutex_clear(&exchange->lock);
+    g_free(exchange);
+}
+
+static uint64_t age_ms(uint64_t then_ms, uint64_t now_ms) {
+    return now_ms > then_ms ? now_ms - then_ms : 0;
+}
+
+static uint64_t time_of(uint64_t age, uint64_t now_ms) {
+    return now_ms > age ? now_ms - age : 0;
+}
+
+static void write_evidence(outgoing *out, size_t place, const hs_crash_evidence *known,
+                           uint64_t now_ms) {
+    Hs__CrashEvidence *told = &out->evidence[place];
+    hs__crash_evidence__init(told);
+    told->content = known->content;
+    told->is_acquitted = known->is_acquitted;
+    told->acquitted_age_ms = age_ms(known->acquitted_ms, now_ms);
+    told->n_engines = known->engine_count;
+    told->engines = out->engine_lists[place];
+    for (uint32_t index = 0; index < known->engine_count; index++) {
+        Hs__CrashedEngine *engine = &out->engines[place][index];
+        hs__crashed_engine__init(engine);
+        engine->engine_hash = known->engines[index].engine;
+        engine->age_ms = age_ms(known->engines[index].lost_ms, now_ms);
+        out->engine_lists[place][index] = engine;
+    }
+    out->evidence_list[place] = told;
+}
+
+/** A report of up to EVIDENCE_MOST of @p evidence, from @p first on. Free with g_free. */
+static outgoing *write_report(hs_crash_exchange *exchange, const GArray *evidence, guint first) {
+    outgoing *out = g_new(outgoing, 1);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs__peer_message__init(&out->message);
+    hs__crash_report__init(&out->report);
+    for (guint index = first; index < MIN(evidence->len, first + EVIDENCE_MOST); index++)
+        write_evidence(out, out->report.n_evidence++,
+                       &g_array_index(evidence, hs_crash_evidence, index), now_ms);
+    out->report.evidence = out->evidence_list;
+    out->message.kind_case = HS__PEER_MESSAGE__KIND_CRASH_REPORT;
+    out->message.crash_report = &out->report;
+    hs_membership_service_sign(exchange->membership, &out->message);
+    return out;
+}
+
+static void take_evidence(hs_crash_exchange *exchange, const Hs__CrashEvidence *told,
+                          const hs_crash_teller *teller) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_crash_evidence evidence = {.content = told->content,
+                                  .is_acquitted = told->is_acquitted,
+                                  .acquitted_ms = time_of(told->acquitted_age_ms, now_ms)};
+    for (size_t index = 0; index < MIN(told->n_engines, (size_t)HS_CRASH_ENGINES_MOST); index++)
+        evidence.engines[evidence.engine_count++] =
+            (hs_crash_engine){.engine = told->engines[index]->engine_hash,
+                              .lost_ms = time_of(told->engines[index]->age_ms, now_ms)};
+    hs_crash_watch_learn(exchange->watch, &evidence, teller);
+}
+
+bool hs_crash_exchange_handle(hs_crash_exchange *exchange, const Hs__PeerMessage *message) {
+    if (message->kind_case != HS__PEER_MESSAGE__KIND_CRASH_REPORT)
+        return false;
+    const Hs__CrashReport *report = message->crash_report;
+    hs_membership *membership = hs_membership_service_lock(exchange->membership);
+    bool is_large = hs_membership_live_count(membership) > TOLD_MOST + 1;
+    hs_membership_service_unlock(exchange->membership);
+    hs_crash_teller teller = {.daemon = message->sender_id, .is_passed_on = is_large};
+    for (size_t index = 0; index < report->n_evidence; index++)
+        take_evidence(exchange, report->evidence[index], &teller);
+    return true;
+}
+
+/** Whether one more answer may be sent now. */
+static bool may_answer(hs_crash_exchange *exchange) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&exchange->lock);
+    if (now_ms >= exchange->answers_from_ms + ANSWERS_INTERVAL_MS) {
+        exchange->answers_from_ms = now_ms;
+        exchange->answers = 0;
+    }
+    bool may = exchange->answers < ANSWERS_MOST;
+    exchange->answers += may;
+    g_mutex_unlock(&exchange->lock);
+    return may;
+}
+
+void hs_crash_exchange_compare(hs_crash_exchange *exchange, uint64_t digest,
+                               const struct sockaddr_in *from) {
+    if (digest == hs_crash_watch_digest(exchange->watch) || !may_answer(exchange))
+        return;
+    g_autoptr(GArray) known = hs_crash_watch_list(exchange->watch, EVIDENCE_MOST);
+    if (known->len == 0)
+        return;
+    g_autofree outgoing *out = write_report(exchange, known, 0);
+    hs_peer_socket_send(exchange->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port),
+                        &out->message);
+}
+
+/** Send to some live daemons by chance; to all where there are no more than that. */
+static void send_to_some(hs_crash_exchange *exchange, const Hs__PeerMessage *message) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    g_autoptr(GArray) addresses = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
+    hs_membership *membership = hs_membership_service_lock(exchange->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        hs_daemon_address address = {.address = member->address, .port = member->peer_port};
+        if (member != hs_membership_self(membership) && member->state == HS_MEMBER_ALIVE)
+            g_array_append_val(addresses, address);
+    }
+    hs_membership_service_unlock(exchange->membership);
+    for (guint told = 0; told < MIN(addresses->len, TOLD_MOST); told++) {
+        hs_daemon_address *list = (hs_daemon_address *)(void *)addresses->data;
+        guint other = (guint)g_random_int_range((gint32)told, (gint32)addresses->len);
+        hs_daemon_address chosen = list[other];
+        list[other] = list[told];
+        hs_peer_socket_send(exchange->socket, chosen.address, chosen.port, message);
+    }
+}
+
+void hs_crash_exchange_tick(hs_crash_exchange *exchange, uint64_t now_ms) {
+    g_autoptr(GArray) news = hs_crash_watch_take_news(exchange->watch);
+    for (guint first = 0; first < news->len; first += EVIDENCE_MOST) {
+        g_autofree outgoing *out = write_report(exchange, news, first);
+        send_to_some(exchange, &out->message);
+    }
+    if (now_ms < exchange->next_refresh_ms)
+        return;
+    exchange->next_refresh_ms = now_ms + REFRESH_MS;
+    hs_crash_watch_refresh(exchange->watch);
+}
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -6,6 +6,7 @@
 #include "base/endpoint.h"
 #include "base/log.h"
 #include "base/stop_wait.h"
+#include "directory/crash_exchange.h"
 #include "directory/slot_arbiter.h"
 #include "platform/caller_codec.h"
 
@@ -40,6 +41,7 @@
     hs_peer_socket *socket;
     hs_membership_service *membership;
     hs_slot_arbiter *slots;
+    hs_crash_exchange *crashes;
     char *seeds; /**< Guarded by the lock. */
     gint resolve_ttl_s;
     uint64_t started_ms;
@@ -61,8 +63,10 @@
     return owns;
 }
 
-static void take_shares(hs_daemon_directory *directory, const Hs__PeerMessage *message) {
+static void take_shares(hs_daemon_directory *directory, const Hs__PeerMessage *message,
+                        const struct sockaddr_in *from) {
     const Hs__EngineShares *told = message->engine_shares;
+    hs_crash_exchange_compare(directory->crashes, told->crash_digest, from);
     g_autoptr(GArray) shares = g_array_new(FALSE, FALSE, sizeof(hs_engine_share));
     for (size_t index = 0; index < told->n_shares; index++) {
         const Hs__EngineShare *one = told->shares[index];
@@ -86,10 +90,11 @@
                            void *user_data) {
     hs_daemon_directory *directory = user_data;
     if (hs_membership_service_handle(directory->membership, message, from) ||
-        hs_slot_arbiter_handle(directory->slots, message, from))
+        hs_slot_arbiter_handle(directory->slots, message, from) ||
+        hs_crash_exchange_handle(directory->crashes, message))
         return;
     if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_SHARES)
-        take_shares(directory, message);
+        take_shares(directory, message, from);
 }
 
 hs_daemon_directory *hs_daemon_directory_new(const hs_daemon_directory_settings *settings,
@@ -118,6 +123,8 @@
                        .forget_ms = FORGET_MS}};
     directory->membership = hs_membership_service_new(&self, &service_settings, socket);
     directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership, socket);
+    directory->crashes =
+        hs_crash_exchange_new(settings->crash_watch, directory->membership, socket);
     return directory;
 }
 
@@ -293,6 +300,7 @@
     Hs__EngineShares body = HS__ENGINE_SHARES__INIT;
     body.n_shares = shares->len;
     body.shares = list;
+    body.crash_digest = hs_crash_watch_digest(directory->settings.crash_watch);
     body.batch_work_ms = hs_fleet_engines_batch_work(directory->settings.engines);
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     hs_membership_service_sign(directory->membership, &message);
@@ -314,6 +322,7 @@
     while (hs_stop_wait_pause(&directory->pause, TICK_MS)) {
         uint64_t now_ms = hs_clock_monotonic_ms();
         hs_membership_service_tick(directory->membership, now_ms);
+        hs_crash_exchange_tick(directory->crashes, now_ms);
         if (now_ms >= directory->next_shares_ms) {
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
             send_shares(directory);
@@ -345,6 +354,7 @@
             hs_peer_socket_stop(directory->socket);
     }
     hs_slot_arbiter_free(directory->slots);
+    hs_crash_exchange_free(directory->crashes);
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
     g_free(directory->seeds);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -26,6 +26,7 @@
     uint32_t resolve_ttl_s;
     hs_store_client *store;
     hs_fleet_engines *engines;         /**< Loads of other daemons go here. */
+    hs_crash_watch *crash_watch;       /**< What they know of crashes goes here. */
     bool (*may_join)(void *user_data); /**< Whether this daemon could serve; it joins then. */
     void *user_data;
 } hs_daemon_directory_settings;
--- /dev/null
+++ b/src/fleet/crash_ledger.c
@@ -0,0 +1,300 @@
+/** @file crash_ledger.c  See crash_ledger.h. */
+#include "fleet/crash_ledger.h"
+
+#include "base/hash.h"
+
+#include <string.h>
+
+/**
+ * A run that was survived speaks for its content for so long, in ms: longer than callers take to
+ * ask again for what is asked often, and short where engines change so that it crashes them.
+ */
+#define ACQUITTED_FOR_MS 30000
+/** A hold's first time in ms, doubled with each engine that is lost after it: a request that comes
+ * all the time then costs an engine each two minutes at first, and one an hour in the end. */
+#define HOLD_FIRST_MS 120000
+#define HOLD_MOST_MS 3600000
+/** Losses are remembered for so long after the last one or the end of the hold, in ms: as long as a
+ * caller that asks again now and then may pause. */
+#define REMEMBER_MS 600000
+/** A content that was lost with so many engines more explains the losses of another. */
+#define EXPLAINS_MORE 2
+/** Runs survived of late that are remembered, one a place: 64 kB. Of two contents in one place the
+ * later counts. */
+#define SURVIVORS 4096
+
+/** One content. */
+typedef struct {
+    hs_crash_evidence evidence;
+    hs_crash_hold hold; /**< Of the last judgement. */
+    uint64_t last_ms;   /**< Of the last loss. */
+} entry;
+
+typedef struct {
+    uint64_t content;
+    uint64_t survived_ms; /**< 0: the place is free. */
+} survivor;
+
+struct hs_crash_ledger {
+    GHashTable *by_content; /**< content -> entry* */
+    survivor survivors[SURVIVORS];
+};
+
+hs_crash_ledger *hs_crash_ledger_new(void) {
+    hs_crash_ledger *ledger = g_new0(hs_crash_ledger, 1);
+    ledger->by_content = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return ledger;
+}
+
+void hs_crash_ledger_free(hs_crash_ledger *ledger) {
+    g_hash_table_destroy(ledger->by_content);
+    g_free(ledger);
+}
+
+static entry *find(const hs_crash_ledger *ledger, uint64_t content) {
+    return g_hash_table_lookup(ledger->by_content, &content);
+}
+
+static survivor *place_of(hs_crash_ledger *ledger, uint64_t content) {
+    return &ledger->survivors[content % SURVIVORS];
+}
+
+/** Whether a loss is not counted, since an engine survived the content shortly before or later. */
+static bool is_void(const entry *one, uint64_t lost_ms) {
+    return one->evidence.is_acquitted && lost_ms <= one->evidence.acquitted_ms + ACQUITTED_FOR_MS;
+}
+
+/** Engines that count. */
+static uint32_t lost_with(const entry *one) {
+    return one->evidence.engine_count;
+}
+
+static void drop_void(entry *one) {
+    uint32_t kept = 0;
+    for (uint32_t index = 0; index < one->evidence.engine_count; index++)
+        if (!is_void(one, one->evidence.engines[index].lost_ms))
+            one->evidence.engines[kept++] = one->evidence.engines[index];
+    one->evidence.engine_count = kept;
+}
+
+static uint64_t remembered_until(const entry *one) {
+    uint64_t until_ms = MAX(one->last_ms, one->hold.until_ms);
+    if (one->evidence.is_acquitted)
+        until_ms = MAX(until_ms, one->evidence.acquitted_ms);
+    return until_ms + REMEMBER_MS;
+}
+
+/** Make room for one more: the content that was lost least often goes, of several the oldest. */
+static void make_room(hs_crash_ledger *ledger) {
+    if (g_hash_table_size(ledger->by_content) < HS_CRASH_CONTENTS_MOST)
+        return;
+    const entry *least = NULL;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const entry *one = value;
+        if (least == NULL || lost_with(one) < lost_with(least) ||
+            (lost_with(one) == lost_with(least) && one->last_ms < least->last_ms))
+            least = one;
+    }
+    g_hash_table_remove(ledger->by_content, &least->evidence.content);
+}
+
+static entry *entry_of(hs_crash_ledger *ledger, uint64_t content) {
+    entry *one = find(ledger, content);
+    if (one != NULL)
+        return one;
+    make_room(ledger);
+    one = g_new0(entry, 1);
+    one->evidence.content = content;
+    one->hold.content = content;
+    const survivor *place = place_of(ledger, content);
+    if (place->survived_ms != 0 && place->content == content) {
+        one->evidence.is_acquitted = true;
+        one->evidence.acquitted_ms = place->survived_ms;
+    }
+    g_hash_table_insert(ledger->by_content, &one->evidence.content, one);
+    return one;
+}
+
+static bool has_engine(const entry *one, uint64_t engine) {
+    bool is_found = false;
+    for (uint32_t index = 0; index < one->evidence.engine_count && !is_found; index++)
+        is_found = one->evidence.engines[index].engine == engine;
+    return is_found;
+}
+
+/** Add a loss; of too many the oldest goes. */
+static void add_engine(entry *one, const hs_crash_loss *loss) {
+    hs_crash_evidence *evidence = &one->evidence;
+    uint32_t place = evidence->engine_count;
+    if (place == HS_CRASH_ENGINES_MOST) {
+        place = 0;
+        for (uint32_t index = 1; index < HS_CRASH_ENGINES_MOST; index++)
+            if (evidence->engines[index].lost_ms < evidence->engines[place].lost_ms)
+                place = index;
+    } else {
+        evidence->engine_count++;
+    }
+    evidence->engines[place] = (hs_crash_engine){.engine = loss->engine, .lost_ms = loss->lost_ms};
+    one->last_ms = MAX(one->last_ms, loss->lost_ms);
+}
+
+hs_loss_meaning hs_crash_ledger_lose(hs_crash_ledger *ledger, const hs_crash_loss *loss,
+                                     uint64_t now_ms) {
+    if (now_ms > loss->lost_ms + REMEMBER_MS + HOLD_MOST_MS)
+        return HS_LOSS_KNOWN;
+    entry *one = entry_of(ledger, loss->content);
+    if (is_void(one, loss->lost_ms)) {
+        one->last_ms = MAX(one->last_ms, loss->lost_ms);
+        return HS_LOSS_ACQUITTED;
+    }
+    if (has_engine(one, loss->engine))
+        return HS_LOSS_KNOWN;
+    add_engine(one, loss);
+    return HS_LOSS_NEWS;
+}
+
+bool hs_crash_ledger_acquit(hs_crash_ledger *ledger, uint64_t content, uint64_t survived_ms) {
+    survivor *place = place_of(ledger, content);
+    if (place->content != content || place->survived_ms < survived_ms)
+        *place = (survivor){.content = content, .survived_ms = MAX(survived_ms, 1)};
+    entry *one = find(ledger, content);
+    if (one == NULL)
+        return false;
+    hs_crash_evidence *evidence = &one->evidence;
+    if (evidence->is_acquitted && survived_ms <= evidence->acquitted_ms)
+        return false;
+    uint32_t before = evidence->engine_count;
+    evidence->is_acquitted = true;
+    evidence->acquitted_ms = survived_ms;
+    drop_void(one);
+    return evidence->engine_count < before;
+}
+
+/** Engine -> the most engines that one content lost there was lost with. */
+static GHashTable *most_by_engine(const hs_crash_ledger *ledger) {
+    GHashTable *most = g_hash_table_new(g_int64_hash, g_int64_equal);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        entry *one = value;
+        for (uint32_t index = 0; index < one->evidence.engine_count; index++) {
+            uint64_t *engine = &one->evidence.engines[index].engine;
+            guint known = GPOINTER_TO_UINT(g_hash_table_lookup(most, engine));
+            g_hash_table_insert(most, engine, GUINT_TO_POINTER(MAX(known, lost_with(one))));
+        }
+    }
+    return most;
+}
+
+static uint64_t hold_ms(uint32_t engines) {
+    uint32_t doublings = MIN(engines - HS_CRASHES_TO_HOLD, 8U);
+    return MIN((uint64_t)HOLD_FIRST_MS << doublings, HOLD_MOST_MS);
+}
+
+static hs_crash_hold judge(const entry *one, GHashTable *most, uint64_t now_ms) {
+    hs_crash_hold hold = {.content = one->evidence.content, .engines = lost_with(one)};
+    for (uint32_t index = 0; index < one->evidence.engine_count; index++) {
+        gpointer other = g_hash_table_lookup(most, &one->evidence.engines[index].engine);
+        hold.explained += GPOINTER_TO_UINT(other) >= lost_with(one) + EXPLAINS_MORE;
+    }
+    uint32_t blamed = hold.engines - hold.explained;
+    if (blamed >= HS_CRASHES_TO_HOLD)
+        hold.until_ms = one->last_ms + hold_ms(blamed);
+    hold.is_held = hold.until_ms > now_ms;
+    return hold;
+}
+
+uint32_t hs_crash_ledger_judge(hs_crash_ledger *ledger, uint64_t now_ms, GArray *changes) {
+    uint32_t held = 0;
+    g_autoptr(GHashTable) most = most_by_engine(ledger);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        entry *one = value;
+        bool was_held = one->hold.is_held;
+        one->hold = judge(one, most, now_ms);
+        if (one->hold.is_held != was_held)
+            g_array_append_val(changes, one->hold);
+        held += one->hold.is_held;
+    }
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        if (now_ms > remembered_until(value))
+            g_hash_table_iter_remove(&iterator);
+    return held;
+}
+
+bool hs_crash_ledger_is_held(const hs_crash_ledger *ledger, uint64_t content, uint64_t now_ms,
+                             hs_crash_hold *hold) {
+    const entry *one = find(ledger, content);
+    if (one == NULL || !one->hold.is_held || one->hold.until_ms <= now_ms)
+        return false;
+    *hold = one->hold;
+    return true;
+}
+
+void hs_crash_ledger_holds(const hs_crash_ledger *ledger, uint64_t now_ms, GArray *holds) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    hs_crash_hold hold;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const entry *one = value;
+        if (hs_crash_ledger_is_held(ledger, one->evidence.content, now_ms, &hold))
+            g_array_append_val(holds, hold);
+    }
+}
+
+bool hs_crash_ledger_knows_crash(const hs_crash_ledger *ledger, uint64_t engine) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_known = false;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (!is_known && g_hash_table_iter_next(&iterator, NULL, &value))
+        is_known = has_engine(value, engine);
+    return is_known;
+}
+
+uint64_t hs_crash_ledger_digest(const hs_crash_ledger *ledger) {
+    uint64_t digest = 0;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_crash_evidence *evidence = &((const entry *)value)->evidence;
+        for (uint32_t index = 0; evidence->engine_count > 1 && index < evidence->engine_count;
+             index++) {
+            uint64_t pair[2] = {evidence->content, evidence->engines[index].engine};
+            digest += hs_hash_bytes(pair, sizeof pair); /* A sum: their order does not matter. */
+        }
+    }
+    return digest;
+}
+
+void hs_crash_ledger_list(const hs_crash_ledger *ledger, uint32_t least, GArray *evidence) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const entry *one = value;
+        if (lost_with(one) >= least)
+            g_array_append_val(evidence, one->evidence);
+    }
+}
+
+bool hs_crash_ledger_find(const hs_crash_ledger *ledger, uint64_t content,
+                          hs_crash_evidence *evidence) {
+    const entry *one = find(ledger, content);
+    if (one != NULL)
+        *evidence = one->evidence;
+    return one != NULL;
+}
+
+uint32_t hs_crash_ledger_size(const hs_crash_ledger *ledger) {
+    return g_hash_table_size(ledger->by_content);
+}
--- /dev/null
+++ b/src/fleet/crash_watch.c
@@ -0,0 +1,346 @@
+/** @file crash_watch.c  See crash_watch.h. */
+#include "fleet/crash_watch.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/ring.h"
+#include "base/thread.h"
+#include "http/client_connection.h"
+
+/** Cut runs that wait to be looked into: all that a few engines ran; beyond, they say nothing. */
+#define WAITING_MOST 1024
+/** The looking thread's wait for the next one, in ms; a stop takes no longer. */
+#define TAKE_MS 100
+/** The same while an engine is watched: a crash is known to all so much later at most. */
+#define WATCHING_TAKE_MS 10
+/** Longest wait for an engine to take or refuse a connection, in ms: a hundred times the way. */
+#define PROBE_LIMIT_MS 300
+/**
+ * An engine that keeps a new connection for so long, in ms, is there. A crash ends its connections
+ * one after the other and its listener at some moment between: stand-ins that crashed still took a
+ * connection right after the first cut, 228 times of 228, and ended it within 11 ms, 34 of 34.
+ */
+#define SURVIVES_AFTER_MS 300
+/** Engines that are watched at one time; what is cut at more of them says nothing. */
+#define LOOKS_MOST 64
+/** Contents that are named in the metrics, at most. */
+#define DESCRIBED_MOST 16
+
+/** An engine at which runs were cut, and that is being looked into. */
+typedef struct {
+    hs_cut_run first;
+    GArray *runs;                     /**< of hs_cut_run: all of that engine, the first included. */
+    hs_client_connection *connection; /**< Open as long as it is not known whether it is there. */
+    uint64_t opened_ms;
+} engine_look;
+
+struct hs_crash_watch {
+    GMutex lock; /**< Of all below but the ring and the thread. */
+    hs_crash_ledger *ledger;
+    GArray *news_contents; /**< of uint64_t, each once. */
+    uint32_t held;         /**< Contents held back at the last judgement. */
+    uint64_t crashes;      /**< Engines that this daemon found crashed. */
+    uint64_t cut;          /**< Runs that were cut. */
+    uint64_t lost;         /**< Those of them whose engine crashed. */
+    uint64_t unlooked;     /**< Those that there was no room for. */
+    hs_ring *waiting;      /**< of hs_cut_run* */
+    gint stopping;
+    GThread *thread;
+    uint64_t last_gone; /**< Engine that was found crashed last; of the thread alone. */
+};
+
+/** The caller holds the lock, as for all below that take no lock themselves. */
+static void note_news(hs_crash_watch *watch, uint64_t content) {
+    for (guint index = 0; index < watch->news_contents->len; index++)
+        if (g_array_index(watch->news_contents, uint64_t, index) == content)
+            return;
+    g_array_append_val(watch->news_contents, content);
+}
+
+static void log_change(const hs_crash_hold *hold, uint64_t now_ms) {
+    if (hold->is_held)
+        hs_log_warning("content_held_back",
+                       "content=%016" G_GINT64_MODIFIER
+                       "x engines=%u explained=%u for_ms=%" G_GUINT64_FORMAT,
+                       (guint64)hold->content, hold->engines, hold->explained,
+                       (guint64)(hold->until_ms - now_ms));
+    else
+        hs_log_info("content_released",
+                    "content=%016" G_GINT64_MODIFIER "x engines=%u explained=%u cause=%s",
+                    (guint64)hold->content, hold->engines, hold->explained,
+                    hold->until_ms == 0 ? "not_to_blame" : "time");
+}
+
+static void judge(hs_crash_watch *watch) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(hs_crash_hold));
+    watch->held = hs_crash_ledger_judge(watch->ledger, now_ms, changes);
+    for (guint index = 0; index < changes->len; index++)
+        log_change(&g_array_index(changes, hs_crash_hold, index), now_ms);
+}
+
+static void note_lost(hs_crash_watch *watch, const hs_cut_run *run) {
+    hs_crash_loss loss = {.content = run->content, .engine = run->engine, .lost_ms = run->cut_ms};
+    g_mutex_lock(&watch->lock);
+    watch->lost++;
+    hs_loss_meaning meaning = hs_crash_ledger_lose(watch->ledger, &loss, hs_clock_monotonic_ms());
+    hs_crash_evidence evidence = {0};
+    hs_crash_ledger_find(watch->ledger, run->content, &evidence);
+    if (meaning != HS_LOSS_KNOWN)
+        note_news(watch, run->content);
+    if (meaning == HS_LOSS_NEWS)
+        judge(watch);
+    g_mutex_unlock(&watch->lock);
+    hs_log_info("run_lost_with_engine",
+                "content=%016" G_GINT64_MODIFIER "x engine=%s engines=%u acquitted=%d",
+                (guint64)run->content, run->engine_id, evidence.engine_count,
+                meaning == HS_LOSS_ACQUITTED);
+}
+
+/** Connect to the engine; NULL: it refuses (@p is_gone) or does not answer. */
+static hs_client_connection *probe(const hs_cut_run *run, bool *is_gone) {
+    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + PROBE_LIMIT_MS,
+                    .watched = HS_WATCH_NOTHING};
+    hs_step step = HS_STEP_PROGRESS;
+    hs_client_connection *connection =
+        hs_client_connection_open(run->address, run->port, &wait, &step);
+    *is_gone = connection == NULL && step == HS_STEP_CUT;
+    return connection;
+}
+
+static engine_look *find_look(const GPtrArray *looks, uint64_t engine) {
+    for (guint index = 0; index < looks->len; index++)
+        if (((const engine_look *)looks->pdata[index])->first.engine == engine)
+            return looks->pdata[index];
+    return NULL;
+}
+
+static void free_look(gpointer data) {
+    engine_look *look = data;
+    hs_client_connection_close(look->connection);
+    g_array_free(look->runs, TRUE);
+    g_free(look);
+}
+
+/** What became of the engine is known. */
+static void conclude(hs_crash_watch *watch, const engine_look *look, bool is_gone) {
+    hs_log_info(is_gone ? "engine_crashed" : "engine_survives",
+                "engine=%s runs_cut=%u cut_ago_ms=%" G_GUINT64_FORMAT, look->first.engine_id,
+                look->runs->len, (guint64)(hs_clock_monotonic_ms() - look->first.cut_ms));
+    g_mutex_lock(&watch->lock);
+    watch->crashes += is_gone;
+    g_mutex_unlock(&watch->lock);
+    for (guint index = 0; is_gone && index < look->runs->len; index++)
+        note_lost(watch, &g_array_index(look->runs, hs_cut_run, index));
+}
+
+/** Go on looking; true when what became of the engine is known. */
+static bool go_on(hs_crash_watch *watch, engine_look *look) {
+    bool is_gone = false;
+    bool is_open = hs_client_connection_is_quiet(look->connection);
+    if (is_open && hs_clock_monotonic_ms() < look->opened_ms + SURVIVES_AFTER_MS)
+        return false;
+    if (!is_open)
+        hs_client_connection_close(probe(&look->first, &is_gone));
+    conclude(watch, look, is_gone);
+    return true;
+}
+
+/** Look into a cut run: with those of the same engine, or by a new connection. */
+static void look_into(hs_crash_watch *watch, GPtrArray *looks, const hs_cut_run *run) {
+    engine_look *look = find_look(looks, run->engine);
+    if (look != NULL) {
+        g_array_append_val(look->runs, *run);
+        return;
+    }
+    bool is_gone = watch->last_gone == run->engine;
+    look = g_new0(engine_look, 1);
+    look->first = *run;
+    look->runs = g_array_new(FALSE, FALSE, sizeof(hs_cut_run));
+    g_array_append_val(look->runs, *run);
+    look->opened_ms = hs_clock_monotonic_ms();
+    if (!is_gone && looks->len < LOOKS_MOST)
+        look->connection = probe(run, &is_gone);
+    if (look->connection != NULL) {
+        g_ptr_array_add(looks, look);
+        return;
+    }
+    if (is_gone)
+        watch->last_gone = run->engine;
+    conclude(watch, look, is_gone);
+    free_look(look);
+}
+
+static gpointer look_into_cuts(gpointer data) {
+    hs_crash_watch *watch = data;
+    g_autoptr(GPtrArray) looks = g_ptr_array_new_with_free_func(free_look);
+    while (g_atomic_int_get(&watch->stopping) == 0) {
+        g_autofree hs_cut_run *run =
+            hs_ring_take(watch->waiting, looks->len > 0 ? WATCHING_TAKE_MS : TAKE_MS);
+        if (run != NULL)
+            look_into(watch, looks, run);
+        for (guint index = looks->len; index > 0; index--)
+            if (go_on(watch, looks->pdata[index - 1]))
+                g_ptr_array_remove_index_fast(looks, index - 1);
+    }
+    return NULL;
+}
+
+hs_crash_watch *hs_crash_watch_new(void) {
+    hs_crash_watch *watch = g_new0(hs_crash_watch, 1);
+    g_mutex_init(&watch->lock);
+    watch->ledger = hs_crash_ledger_new();
+    watch->news_contents = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    watch->waiting = hs_ring_new(WAITING_MOST);
+    watch->thread = hs_thread_try("crash-watch", look_into_cuts, watch);
+    return watch;
+}
+
+void hs_crash_watch_free(hs_crash_watch *watch) {
+    if (watch == NULL)
+        return;
+    g_atomic_int_set(&watch->stopping, 1);
+    if (watch->thread != NULL)
+        g_thread_join(watch->thread);
+    for (void *run = hs_ring_take(watch->waiting, 0); run != NULL;
+         run = hs_ring_take(watch->waiting, 0))
+        g_free(run);
+    hs_ring_free(watch->waiting);
+    g_array_free(watch->news_contents, TRUE);
+    hs_crash_ledger_free(watch->ledger);
+    g_mutex_clear(&watch->lock);
+    g_free(watch);
+}
+
+void hs_crash_watch_note_cut(hs_crash_watch *watch, const hs_cut_run *run) {
+    hs_cut_run *kept = g_new(hs_cut_run, 1);
+    *kept = *run;
+    bool is_put = hs_ring_put(watch->waiting, kept);
+    g_mutex_lock(&watch->lock);
+    watch->cut++;
+    watch->unlooked += !is_put;
+    g_mutex_unlock(&watch->lock);
+    if (!is_put)
+        g_free(kept);
+}
+
+void hs_crash_watch_note_survived(hs_crash_watch *watch, uint64_t content) {
+    g_mutex_lock(&watch->lock);
+    if (hs_crash_ledger_acquit(watch->ledger, content, hs_clock_monotonic_ms())) {
+        note_news(watch, content);
+        judge(watch);
+    }
+    g_mutex_unlock(&watch->lock);
+}
+
+bool hs_crash_watch_is_held(hs_crash_watch *watch, uint64_t content, hs_crash_hold *hold) {
+    g_mutex_lock(&watch->lock);
+    bool is_held = watch->held > 0 &&
+                   hs_crash_ledger_is_held(watch->ledger, content, hs_clock_monotonic_ms(), hold);
+    g_mutex_unlock(&watch->lock);
+    return is_held;
+}
+
+/** Whether what was told lacks an acquittal that is known here. */
+static bool lacks_acquittal(hs_crash_watch *watch, const hs_crash_evidence *told) {
+    hs_crash_evidence own;
+    return hs_crash_ledger_find(watch->ledger, told->content, &own) && own.is_acquitted &&
+           !told->is_acquitted && told->engine_count > 0;
+}
+
+void hs_crash_watch_learn(hs_crash_watch *watch, const hs_crash_evidence *evidence,
+                          const hs_crash_teller *teller) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    bool is_news = false;
+    g_mutex_lock(&watch->lock);
+    for (uint32_t index = 0; index < evidence->engine_count; index++) {
+        hs_crash_loss loss = {.content = evidence->content,
+                              .engine = evidence->engines[index].engine,
+                              .lost_ms = evidence->engines[index].lost_ms};
+        is_news |= hs_crash_ledger_lose(watch->ledger, &loss, now_ms) == HS_LOSS_NEWS;
+    }
+    if (evidence->is_acquitted)
+        is_news |= hs_crash_ledger_acquit(watch->ledger, evidence->content, evidence->acquitted_ms);
+    if ((is_news && teller->is_passed_on) || lacks_acquittal(watch, evidence))
+        note_news(watch, evidence->content);
+    if (is_news) {
+        hs_log_info("crash_evidence_told",
+                    "content=%016" G_GINT64_MODIFIER "x engines=%u acquitted=%d told_by=%s",
+                    (guint64)evidence->content, evidence->engine_count, evidence->is_acquitted,
+                    teller->daemon);
+        judge(watch);
+    }
+    g_mutex_unlock(&watch->lock);
+}
+
+GArray *hs_crash_watch_take_news(hs_crash_watch *watch) {
+    GArray *news = g_array_new(FALSE, FALSE, sizeof(hs_crash_evidence));
+    hs_crash_evidence evidence;
+    g_mutex_lock(&watch->lock);
+    for (guint index = 0; index < watch->news_contents->len; index++)
+        if (hs_crash_ledger_find(watch->ledger,
+                                 g_array_index(watch->news_contents, uint64_t, index), &evidence))
+            g_array_append_val(news, evidence);
+    g_array_set_size(watch->news_contents, 0);
+    g_mutex_unlock(&watch->lock);
+    return news;
+}
+
+static gint by_engines(gconstpointer left, gconstpointer right) {
+    const hs_crash_evidence *first = left;
+    const hs_crash_evidence *second = right;
+    return (gint)second->engine_count - (gint)first->engine_count;
+}
+
+GArray *hs_crash_watch_list(hs_crash_watch *watch, guint most) {
+    GArray *evidence = g_array_new(FALSE, FALSE, sizeof(hs_crash_evidence));
+    g_mutex_lock(&watch->lock);
+    hs_crash_ledger_list(watch->ledger, 2, evidence);
+    g_mutex_unlock(&watch->lock);
+    g_array_sort(evidence, by_engines);
+    if (evidence->len > most)
+        g_array_set_size(evidence, most);
+    return evidence;
+}
+
+uint64_t hs_crash_watch_digest(hs_crash_watch *watch) {
+    g_mutex_lock(&watch->lock);
+    uint64_t digest = hs_crash_ledger_digest(watch->ledger);
+    g_mutex_unlock(&watch->lock);
+    return digest;
+}
+
+void hs_crash_watch_refresh(hs_crash_watch *watch) {
+    g_mutex_lock(&watch->lock);
+    if (hs_crash_ledger_size(watch->ledger) > 0)
+        judge(watch);
+    g_mutex_unlock(&watch->lock);
+}
+
+char *hs_crash_watch_describe(hs_crash_watch *watch) {
+    GString *text = g_string_new(NULL);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_autoptr(GArray) holds = g_array_new(FALSE, FALSE, sizeof(hs_crash_hold));
+    g_mutex_lock(&watch->lock);
+    hs_crash_ledger_holds(watch->ledger, now_ms, holds);
+    g_string_append_printf(
+        text,
+        "heathsail_engine_crashes %" G_GUINT64_FORMAT "\nheathsail_runs_cut %" G_GUINT64_FORMAT
+        "\nheathsail_runs_lost_with_engine %" G_GUINT64_FORMAT
+        "\nheathsail_runs_cut_unlooked %" G_GUINT64_FORMAT
+        "\nheathsail_contents_remembered %u\nheathsail_contents_held_back %u\n",
+        (guint64)watch->crashes, (guint64)watch->cut, (guint64)watch->lost,
+        (guint64)watch->unlooked, hs_crash_ledger_size(watch->ledger), holds->len);
+    g_mutex_unlock(&watch->lock);
+    for (guint index = 0; index < MIN(holds->len, DESCRIBED_MOST); index++) {
+        const hs_crash_hold *hold = &g_array_index(holds, hs_crash_hold, index);
+        g_string_append_printf(text,
+                               "heathsail_content_held_back_ms{content=\"%016" G_GINT64_MODIFIER
+                               "x\"} %" G_GUINT64_FORMAT
+                               "\nheathsail_content_engines_lost{content=\"%016" G_GINT64_MODIFIER
+                               "x\"} %u\n",
+                               (guint64)hold->content, (guint64)(hold->until_ms - now_ms),
+                               (guint64)hold->content, hold->engines);
+    }
+    return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/src/fleet/crash_watch.h
@@ -0,0 +1,69 @@
+/**
+ * @file crash_watch.h
+ * Finds out which requests crash engines, and holds them back; see crash_ledger.h for the
+ * judgement.
+ *
+ * Attempts tell it how runs ended. Where a run was cut, a thread of its own asks whether the engine
+ * is still there: a connection that is refused tells a crash from a cut answer within a
+ * millisecond, some two seconds before the store's entry runs out. What is news is handed to the
+ * exchange between daemons (directory/crash_exchange.h).
+ */
+#ifndef HS_FLEET_CRASH_WATCH_H
+#define HS_FLEET_CRASH_WATCH_H
+
+#include "fleet/crash_ledger.h"
+
+typedef struct hs_crash_watch hs_crash_watch;
+
+/** Start its thread. */
+hs_crash_watch *hs_crash_watch_new(void);
+
+/** Stop its thread and free. NULL is allowed. */
+void hs_crash_watch_free(hs_crash_watch *watch);
+
+/** A run that was cut at an engine which, as far as is known, was not leaving. */
+typedef struct {
+    uint64_t content;
+    uint64_t engine; /**< Hash of its id. */
+    char engine_id[64];
+    uint32_t address; /**< IPv4 number in host order. */
+    uint16_t port;
+    uint64_t cut_ms;
+} hs_cut_run;
+
+/** A run was cut; never waits. */
+void hs_crash_watch_note_cut(hs_crash_watch *watch, const hs_cut_run *run);
+
+/** A run of the content ended with a whole answer: its engine survived it. */
+void hs_crash_watch_note_survived(hs_crash_watch *watch, uint64_t content);
+
+/** Whether requests of this content are to be sent to no engine now. */
+bool hs_crash_watch_is_held(hs_crash_watch *watch, uint64_t content, hs_crash_hold *hold);
+
+/** Who told of evidence. */
+typedef struct {
+    const char *daemon;
+    bool is_passed_on; /**< Others may not have heard it: it is news to be told on. */
+} hs_crash_teller;
+
+/** Evidence that another daemon told. */
+void hs_crash_watch_learn(hs_crash_watch *watch, const hs_crash_evidence *evidence,
+                          const hs_crash_teller *teller);
+
+/** Evidence that is news since the last call: of hs_crash_evidence. Free with g_array_free. */
+GArray *hs_crash_watch_take_news(hs_crash_watch *watch);
+
+/** Evidence on contents that were lost more than once: the @p most that were lost most. Likewise.
+ */
+GArray *hs_crash_watch_list(hs_crash_watch *watch, guint most);
+
+/** What daemons compare; see hs_crash_ledger_digest. */
+uint64_t hs_crash_watch_digest(hs_crash_watch *watch);
+
+/** Judge anew, since time goes by; at intervals. */
+void hs_crash_watch_refresh(hs_crash_watch *watch);
+
+/** Metrics as text. Free with g_free. */
+char *hs_crash_watch_describe(hs_crash_watch *watch);
+
+#endif
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -174,6 +174,7 @@
 bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_order *order,
                       hs_attempt *attempt) {
     memset(attempt, 0, sizeof *attempt);
+    attempt->content = order->content;
     attempt->step = HS_STEP_CUT;
     if (!find_engine(engines, order, attempt) || !is_worth_sending(order, attempt))
         return false;
@@ -201,6 +202,8 @@
         return;
     if (attempt->step == HS_STEP_LOST) /* Idle ones to the engine are as old. */
         hs_engine_lease_drop_idle(attempt->lease);
+    if (attempt->run != HS_RUN_DID_NOT)
+        hs_engine_lease_note_run_end(attempt->lease, attempt->content, end);
     hs_engine_lease_release(attempt->lease, attempt->connection, end);
     attempt->lease = NULL;
     attempt->connection = NULL;
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -22,6 +22,7 @@
 /** What to send where. All borrowed. */
 typedef struct {
     hs_engine_query query;
+    uint64_t content;          /**< See hs_request_content_hash. */
     hs_engine_request request; /**< engine_id and timeout_ms are filled in here. */
     const void *body;
     hs_wait wait;
@@ -38,6 +39,7 @@
 typedef struct {
     hs_engine_lease *lease; /**< NULL: no engine fitted. */
     hs_client_connection *connection;
+    uint64_t content; /**< As ordered. */
     hs_run_state run;
     hs_step step;     /**< PROGRESS or COMPLETE: the head is there. */
     uint64_t sent_ms; /**< Monotonic time at which the request was sent. */
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -325,6 +325,35 @@
     return true;
 }
 
+/** An engine that leaves ends its last runs with it, which is no crash. */
+static bool is_leaving(const hs_fleet_engine *engine) {
+    return engine->entry.draining || !engine->listed;
+}
+
+static void note_cut(hs_engine_lease *lease, uint64_t content) {
+    const hs_fleet_engine *engine = lease->engine;
+    hs_cut_run run = {.content = content, .cut_ms = hs_clock_monotonic_ms()};
+    g_mutex_lock(&lease->engines->lock);
+    bool is_expected = is_leaving(engine);
+    run.engine = engine->hash;
+    run.address = engine->entry.address;
+    run.port = engine->entry.port;
+    g_strlcpy(run.engine_id, engine->entry.id, sizeof run.engine_id);
+    g_mutex_unlock(&lease->engines->lock);
+    if (!is_expected)
+        hs_crash_watch_note_cut(lease->engines->crash_watch, &run);
+}
+
+void hs_engine_lease_note_run_end(hs_engine_lease *lease, uint64_t content, hs_attempt_end end) {
+    hs_crash_watch *watch = lease->engines->crash_watch;
+    if (watch == NULL)
+        return;
+    if (end == HS_ATTEMPT_SERVED || end == HS_ATTEMPT_FAILED)
+        hs_crash_watch_note_survived(watch, content);
+    else if (end == HS_ATTEMPT_BROKEN)
+        note_cut(lease, content);
+}
+
 void hs_engine_lease_release(hs_engine_lease *lease, hs_client_connection *connection,
                              hs_attempt_end end) {
     uint64_t now_ms = hs_clock_monotonic_ms();
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -72,6 +72,7 @@
     GCond totals_told;           /**< An arbiter told what all daemons have on an engine. */
     hs_engine_use_teller teller; /**< NULL: nobody is told. */
     void *teller_data;
+    hs_crash_watch *crash_watch; /**< NULL: none. */
 };
 
 /**
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -51,6 +51,14 @@
     return engines;
 }
 
+void hs_fleet_engines_set_crash_watch(hs_fleet_engines *engines, hs_crash_watch *watch) {
+    engines->crash_watch = watch;
+}
+
+hs_crash_watch *hs_fleet_engines_crash_watch(hs_fleet_engines *engines) {
+    return engines->crash_watch;
+}
+
 /** The set of engines changes: by_hash must not outlive one of them. The caller holds the lock. */
 static void forget_hashes(hs_fleet_engines *engines) {
     if (engines->by_hash != NULL)
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -6,6 +6,7 @@
 #ifndef HS_FLEET_FLEET_ENGINES_H
 #define HS_FLEET_FLEET_ENGINES_H
 
+#include "fleet/crash_watch.h"
 #include "heathsail/fleet.h"
 #include "http/client_connection.h"
 
@@ -88,6 +89,10 @@
 hs_fleet_engines *hs_fleet_engines_new(const char *zone);
 void hs_fleet_engines_free(hs_fleet_engines *engines);
 
+/** Whom ends of runs are told; NULL: nobody. Borrowed; before the first request. */
+void hs_fleet_engines_set_crash_watch(hs_fleet_engines *engines, hs_crash_watch *watch);
+hs_crash_watch *hs_fleet_engines_crash_watch(hs_fleet_engines *engines);
+
 /** Take an entry from the store; the entry's strings become the table's. */
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
 
@@ -175,6 +180,12 @@
 /** Load that came with an answer. */
 void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load);
 
+/**
+ * A run of the content at the lease's engine ended so. A whole answer shows that the engine
+ * survived it; a run that was cut is looked into, unless the engine was leaving anyway.
+ */
+void hs_engine_lease_note_run_end(hs_engine_lease *lease, uint64_t content, hs_attempt_end end);
+
 /** Give the engine back; a reusable @p connection (may be NULL) is kept, others are closed. */
 void hs_engine_lease_release(hs_engine_lease *lease, hs_client_connection *connection,
                              hs_attempt_end end);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/request_content.h"
 #include "http/http_fields.h"
 #include "platform/caller_codec.h"
 
@@ -12,6 +13,7 @@
 #define HEAD_SILENCE_MS 5000
 #define EVENT_SILENCE_MS 2500
 #define ANSWER_LIMIT_BYTES (4U * 1024 * 1024)
+#define ITEM_METHOD "POST"
 #define STATUS_OK 200
 #define STATUS_IMPOSSIBLE 422
 
@@ -194,6 +196,25 @@
     return end;
 }
 
+static uint64_t content_of(const hs_item_run *run) {
+    return hs_request_content_hash(&(hs_request_content){.method = ITEM_METHOD,
+                                                         .host = run->host,
+                                                         .target = run->content->path,
+                                                         .body = run->content->body.data,
+                                                         .body_length = run->content->body.len});
+}
+
+static bool is_held_back(const hs_item_run *run, hs_fleet_engines *engines, uint64_t content) {
+    hs_crash_watch *watch = hs_fleet_engines_crash_watch(engines);
+    hs_crash_hold hold;
+    if (watch == NULL || !hs_crash_watch_is_held(watch, content, &hold))
+        return false;
+    hs_log_info("item_held_back",
+                "job=%s item=%s content=%016" G_GINT64_MODIFIER "x engines_lost=%u explained=%u",
+                run->job_id, run->item_id, (guint64)content, hold.engines, hold.explained);
+    return true;
+}
+
 hs_item_try hs_item_run_try(hs_item_run *run, const hs_item_try_terms *terms) {
     const hs_fleet_config *config = terms->config;
     if (!hs_event_stream_can_go_on(&run->events)) { /* Its text begins anew. */
@@ -210,6 +231,9 @@
     const hs_fleet_route *route = hs_fleet_config_find_route(config, run->host, run->content->path);
     if (route == NULL)
         return HS_ITEM_TRY_NO_ROUTE;
+    uint64_t content = content_of(run);
+    if (is_held_back(run, terms->engines, content))
+        return HS_ITEM_TRY_HELD_BACK;
     GArray *fields = fields_of(run->content);
     hs_caller_terms caller;
     hs_platform_read_terms(fields, &caller);
@@ -223,7 +247,8 @@
                   .rank_ms = terms->rank_ms,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0},
-        .request = {.method = "POST",
+        .content = content,
+        .request = {.method = ITEM_METHOD,
                     .target = run->content->path,
                     .fields = fields,
                     .host = run->host,
@@ -253,6 +278,7 @@
         [HS_ITEM_TRY_FAILED] = "failed",
         [HS_ITEM_TRY_IMPOSSIBLE] = "impossible",
         [HS_ITEM_TRY_NO_CONTENT] = "no_content",
+        [HS_ITEM_TRY_HELD_BACK] = "held_back",
         [HS_ITEM_TRY_NO_ROUTE] = "no_route",
         [HS_ITEM_TRY_YIELDED] = "yielded",
         [HS_ITEM_TRY_ABANDONED] = "abandoned",
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -20,6 +20,7 @@
     HS_ITEM_TRY_FAILED,     /**< The engine answered that it failed. */
     HS_ITEM_TRY_IMPOSSIBLE, /**< The engine answered that it can never be done. */
     HS_ITEM_TRY_NO_CONTENT, /**< The content could not be read now. */
+    HS_ITEM_TRY_HELD_BACK,  /**< Engines crash under it: it is to be sent to none for a while. */
     HS_ITEM_TRY_NO_ROUTE,   /**< No route allows it now. */
     HS_ITEM_TRY_YIELDED,    /**< It stepped aside for online requests. */
     HS_ITEM_TRY_ABANDONED,
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -5,6 +5,8 @@
 #include "base/log.h"
 
 #define YIELD_PAUSE_MS 100
+/** An item that is held back is looked at again so often, in ms: it may be found not to blame. */
+#define HELD_BACK_PAUSE_MS 2000
 
 /**
  * Until when what was made of a partition's items may be stored: without limit by its owner, for a
@@ -64,7 +66,7 @@
 /** What a try means for the item. True: it is listed. */
 static bool settle_try(const hs_item_order *order, hs_item_try end) {
     hs_owned_item *item = order->item;
-    if (end != HS_ITEM_TRY_NO_ROOM && end != HS_ITEM_TRY_DONE)
+    if (end != HS_ITEM_TRY_NO_ROOM && end != HS_ITEM_TRY_DONE && end != HS_ITEM_TRY_HELD_BACK)
         hs_log_info("item_try_ended", "job=%s item=%s engine=%s end=%s tries=%u events=%u",
                     item->run->job_id, item->run->item_id, item->run->engine_id,
                     hs_item_try_name(end), item->tries, (unsigned)item->run->events.event_count);
@@ -137,12 +139,14 @@
         hs_item_pace_note(&owner->pace, item->run->tokens, item->run->events.last_id,
                           item->run->try_events, item->run->try_ms);
     item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
-    item->tries += end != HS_ITEM_TRY_NO_ROOM;
+    item->tries += end != HS_ITEM_TRY_NO_ROOM && end != HS_ITEM_TRY_HELD_BACK;
     uint64_t pause_ms = backoff_ms(item->failures);
     if (end == HS_ITEM_TRY_NO_ROOM)
         pause_ms = HS_JOB_PASS_MS;
     else if (end == HS_ITEM_TRY_YIELDED)
         pause_ms = YIELD_PAUSE_MS;
+    else if (end == HS_ITEM_TRY_HELD_BACK)
+        pause_ms = HELD_BACK_PAUSE_MS;
     item->next_try_ms = hs_clock_monotonic_ms() + pause_ms;
     owner->running--;
     if (!order->home->owned || end == HS_ITEM_TRY_ABANDONED) {
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -20,6 +20,7 @@
     [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
     [HS_END_FULL] = {"full", 503, "all engines are full; not run\n"},
     [HS_END_UNREACHABLE] = {"unreachable", 503, "no engine can be reached; not run\n"},
+    [HS_END_HELD_BACK] = {"held_back", 503, "requests like this crashed engines; not run\n"},
     [HS_END_BROKEN] = {"broken", 502, "the engine's answer broke; it may have run\n"},
     [HS_END_LATE] = {"late", 504, "the deadline passed; it may have run\n"},
     [HS_END_LATE_NOT_RUN] = {"late_not_run", 503, "the deadline passed; not run\n"},
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -37,6 +37,7 @@
                   .excluded = request->excluded,
                   .memory_tokens = request->memory_tokens,
                   .max_connections = request->max_connections},
+        .content = request->content,
         .request = {.method = inbound->method,
                     .target = inbound->target,
                     .fields = inbound->fields,
@@ -142,9 +143,28 @@
     return HS_NEXT_END;
 }
 
+/** Whether the request's content is held back, since engines crash under it: noted with the end. */
+static bool is_held_back(hs_online_request *request, hs_end_reason *reason) {
+    hs_crash_watch *watch = hs_fleet_engines_crash_watch(request->online->engines);
+    hs_crash_hold hold;
+    if (watch == NULL || !hs_crash_watch_is_held(watch, request->content, &hold))
+        return false;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    request->retry_after_ms = hold.until_ms > now_ms ? hold.until_ms - now_ms : 0;
+    *reason = request->run == HS_RUN_DID_NOT ? HS_END_HELD_BACK : HS_END_BROKEN;
+    hs_log_info("request_held_back",
+                "request=%s content=%016" G_GINT64_MODIFIER
+                "x engines_lost=%u explained=%u hold_left_ms=%" G_GUINT64_FORMAT " run=%s sends=%u",
+                request->request_id, (guint64)request->content, hold.engines, hold.explained,
+                (guint64)request->retry_after_ms, hs_run_state_name(request->run), request->sends);
+    return true;
+}
+
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason) {
     hs_next_move move = HS_NEXT_TRY;
     while (move == HS_NEXT_TRY) {
+        if (is_held_back(request, reason))
+            return false;
         if (hs_peer_has_left(request->inbound->descriptor)) {
             *reason = HS_END_CALLER_GONE;
             return false;
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -25,6 +25,7 @@
     HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
     HS_END_FULL,          /**< Every engine refused. */
     HS_END_UNREACHABLE,   /**< No engine could be connected to. */
+    HS_END_HELD_BACK,     /**< Engines crashed under requests of its content. */
     HS_END_BROKEN,        /**< An engine's answer broke; it may have run. */
     HS_END_LATE,          /**< The deadline passed; it may have run. */
     HS_END_LATE_NOT_RUN,  /**< The deadline passed before it ran. */
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -110,5 +110,8 @@
                            (guint64)hs_fleet_engines_misplaced(online->engines));
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
+    g_autofree char *crashes =
+        hs_crash_watch_describe(hs_fleet_engines_crash_watch(online->engines));
+    g_string_append(text, crashes);
     return g_string_free(text, FALSE);
 }
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -27,6 +27,7 @@
         {"quota", quota_tests, NULL, NULL},
         {"slots", slot_tests, NULL, NULL},
         {"health", health_tests, NULL, NULL},
+        {"crashes", crash_tests, NULL, NULL},
         {"connections", connection_tests, NULL, NULL},
         {"engine_source", engine_source_tests, NULL, NULL},
         {"refusal_choice", refusal_choice_tests, NULL, NULL},
--- /dev/null
+++ b/tests/unit/test_crashes.c
@@ -0,0 +1,258 @@
+/**
+ * @file test_crashes.c
+ * Which requests are held back after engines crashed: the judgement and its bounds.
+ */
+#include "fleet/crash_ledger.h"
+#include "fleet/request_content.h"
+#include "tests/unit/unit_tests.h"
+
+#include <string.h>
+
+#define SECOND_MS 1000
+/** Longer in ms than a survived run speaks for its content. */
+#define ACQUITTAL_OVER_MS 31000
+/** Longer in ms than the first hold, and than what is remembered after it. */
+#define HOLD_OVER_MS 121000
+#define FORGOTTEN_MS 1800000
+/** Seeds of the random histories. */
+#define HISTORIES 50
+#define CULPRIT 7
+#define POPULAR 8
+
+/** A ledger and its time. */
+typedef struct {
+    hs_crash_ledger *ledger;
+    uint64_t now_ms;
+    uint64_t engine; /**< The last one that crashed. */
+} history;
+
+static history begin(void) {
+    return (history){.ledger = hs_crash_ledger_new(), .now_ms = 1000 * SECOND_MS};
+}
+
+static hs_loss_meaning lose(history *past, uint64_t content, uint64_t engine) {
+    hs_crash_loss loss = {.content = content, .engine = engine, .lost_ms = past->now_ms};
+    return hs_crash_ledger_lose(past->ledger, &loss, past->now_ms);
+}
+
+static uint32_t judge(history *past) {
+    g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(hs_crash_hold));
+    return hs_crash_ledger_judge(past->ledger, past->now_ms, changes);
+}
+
+static bool is_held(history *past, uint64_t content) {
+    hs_crash_hold hold;
+    judge(past);
+    return hs_crash_ledger_is_held(past->ledger, content, past->now_ms, &hold);
+}
+
+static void end(history *past) {
+    hs_crash_ledger_free(past->ledger);
+}
+
+static void the_third_engine_holds_a_content_back(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 3; engine++) {
+        CU_ASSERT_FALSE(is_held(&past, CULPRIT));
+        CU_ASSERT_EQUAL(lose(&past, CULPRIT, engine), HS_LOSS_NEWS);
+        CU_ASSERT_EQUAL(lose(&past, CULPRIT, engine), HS_LOSS_KNOWN);
+    }
+    CU_ASSERT_TRUE(is_held(&past, CULPRIT));
+    CU_ASSERT_FALSE(is_held(&past, POPULAR));
+    end(&past);
+}
+
+/** After its time it may be sent once more; an engine that is lost to it doubles the time. */
+static void a_hold_ends_and_is_longer_the_next_time(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 3; engine++)
+        lose(&past, CULPRIT, engine);
+    past.now_ms += HOLD_OVER_MS;
+    CU_ASSERT_FALSE(is_held(&past, CULPRIT));
+    lose(&past, CULPRIT, 4);
+    CU_ASSERT_TRUE(is_held(&past, CULPRIT));
+    past.now_ms += HOLD_OVER_MS;
+    CU_ASSERT_TRUE(is_held(&past, CULPRIT));
+    past.now_ms += HOLD_OVER_MS;
+    CU_ASSERT_FALSE(is_held(&past, CULPRIT));
+    end(&past);
+}
+
+static void what_is_old_is_forgotten(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 3; engine++)
+        lose(&past, CULPRIT, engine);
+    lose(&past, POPULAR, 1);
+    judge(&past);
+    CU_ASSERT_EQUAL(hs_crash_ledger_size(past.ledger), 2);
+    past.now_ms += FORGOTTEN_MS;
+    judge(&past);
+    CU_ASSERT_EQUAL(hs_crash_ledger_size(past.ledger), 0);
+    end(&past);
+}
+
+/** What is asked all the time runs at each engine that crashes, and is survived by all others. */
+static void what_was_survived_is_not_held_back(void) {
+    history past = begin();
+    hs_crash_ledger_acquit(past.ledger, POPULAR, past.now_ms);
+    for (uint64_t engine = 1; engine <= 20; engine++) {
+        past.now_ms += SECOND_MS;
+        CU_ASSERT_EQUAL(lose(&past, POPULAR, engine), HS_LOSS_ACQUITTED);
+    }
+    CU_ASSERT_FALSE(is_held(&past, POPULAR));
+    past.now_ms += ACQUITTAL_OVER_MS;
+    for (uint64_t engine = 31; engine <= 33; engine++)
+        CU_ASSERT_EQUAL(lose(&past, POPULAR, engine), HS_LOSS_NEWS);
+    CU_ASSERT_TRUE(is_held(&past, POPULAR));
+    end(&past);
+}
+
+/** A run that was under way when its content was held back ends well: it is released at once. */
+static void a_survived_run_releases_its_content(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 3; engine++)
+        lose(&past, POPULAR, engine);
+    CU_ASSERT_TRUE(is_held(&past, POPULAR));
+    past.now_ms += SECOND_MS;
+    CU_ASSERT_TRUE(hs_crash_ledger_acquit(past.ledger, POPULAR, past.now_ms));
+    CU_ASSERT_FALSE(is_held(&past, POPULAR));
+    CU_ASSERT_FALSE(hs_crash_ledger_acquit(past.ledger, POPULAR, past.now_ms));
+    end(&past);
+}
+
+/** What ran beside the cause at three engines is released as the cause is lost with more. */
+static void what_ran_beside_the_cause_is_not_to_blame(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 3; engine++) {
+        lose(&past, CULPRIT, engine);
+        lose(&past, POPULAR, engine);
+    }
+    lose(&past, CULPRIT, 4);
+    CU_ASSERT_TRUE(is_held(&past, POPULAR));
+    lose(&past, CULPRIT, 5);
+    CU_ASSERT_FALSE(is_held(&past, POPULAR));
+    CU_ASSERT_TRUE(is_held(&past, CULPRIT));
+    end(&past);
+}
+
+/** Of two causes that ran together the one lost with more engines does not hide the other. */
+static void two_causes_at_a_time_are_both_held_back(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 5; engine++)
+        lose(&past, CULPRIT, engine);
+    for (uint64_t engine = 3; engine <= 5; engine++)
+        lose(&past, POPULAR, engine);
+    CU_ASSERT_FALSE(is_held(&past, POPULAR));
+    lose(&past, POPULAR, 6);
+    CU_ASSERT_TRUE(is_held(&past, POPULAR));
+    CU_ASSERT_TRUE(is_held(&past, CULPRIT));
+    end(&past);
+}
+
+/** However much is lost, the ledger is bounded, and what was lost often stays. */
+static void the_ledger_is_bounded(void) {
+    history past = begin();
+    for (uint64_t engine = 1; engine <= 40; engine++)
+        lose(&past, CULPRIT, engine);
+    for (uint64_t content = 100; content < 100 + 10 * HS_CRASH_CONTENTS_MOST; content++) {
+        past.now_ms++;
+        lose(&past, content, content % 50);
+    }
+    CU_ASSERT(hs_crash_ledger_size(past.ledger) <= HS_CRASH_CONTENTS_MOST);
+    CU_ASSERT_TRUE(is_held(&past, CULPRIT));
+    hs_crash_evidence evidence;
+    CU_ASSERT_TRUE(hs_crash_ledger_find(past.ledger, CULPRIT, &evidence));
+    CU_ASSERT_EQUAL(evidence.engine_count, HS_CRASH_ENGINES_MOST);
+    end(&past);
+}
+
+/** Tell all that one ledger knows to another. */
+static void tell(const history *from, history *to) {
+    g_autoptr(GArray) known = g_array_new(FALSE, FALSE, sizeof(hs_crash_evidence));
+    hs_crash_ledger_list(from->ledger, 1, known);
+    for (guint index = 0; index < known->len; index++) {
+        const hs_crash_evidence *evidence = &g_array_index(known, hs_crash_evidence, index);
+        for (uint32_t one = 0; one < evidence->engine_count; one++) {
+            hs_crash_loss loss = {.content = evidence->content,
+                                  .engine = evidence->engines[one].engine,
+                                  .lost_ms = evidence->engines[one].lost_ms};
+            hs_crash_ledger_lose(to->ledger, &loss, to->now_ms);
+        }
+        if (evidence->is_acquitted)
+            hs_crash_ledger_acquit(to->ledger, evidence->content, evidence->acquitted_ms);
+    }
+}
+
+/** Random losses seen by two daemons, told in any order and more than once: both judge alike. */
+static void daemons_that_know_the_same_judge_alike(void) {
+    for (guint32 seed = 1; seed <= HISTORIES; seed++) {
+        g_autoptr(GRand) chance = g_rand_new_with_seed(seed);
+        history first = begin();
+        history second = begin();
+        for (int step = 0; step < 40; step++) {
+            history *seen_by = g_rand_boolean(chance) ? &first : &second;
+            first.now_ms += 100;
+            second.now_ms = first.now_ms;
+            lose(seen_by, (uint64_t)g_rand_int_range(chance, 1, 6),
+                 (uint64_t)g_rand_int_range(chance, 1, 9));
+            if (g_rand_int_range(chance, 0, 5) == 0)
+                tell(&first, &second);
+        }
+        tell(&second, &first);
+        tell(&first, &second);
+        CU_ASSERT_EQUAL(hs_crash_ledger_digest(first.ledger),
+                        hs_crash_ledger_digest(second.ledger));
+        for (uint64_t content = 1; content < 6; content++)
+            CU_ASSERT_EQUAL(is_held(&first, content), is_held(&second, content));
+        end(&first);
+        end(&second);
+    }
+}
+
+/** Engines that crash by themselves beside requests that are new each time hold nothing back. */
+static void crashes_without_a_cause_hold_nothing_back(void) {
+    history past = begin();
+    uint64_t content = 100;
+    for (uint64_t engine = 1; engine <= 200; engine++) {
+        past.now_ms += SECOND_MS;
+        for (int run = 0; run < 10; run++)
+            lose(&past, content++, engine);
+        CU_ASSERT_EQUAL(judge(&past), 0);
+    }
+    end(&past);
+}
+
+static uint64_t content_of(const char *method, const char *host, const char *target,
+                           const char *body) {
+    return hs_request_content_hash(&(hs_request_content){.method = method,
+                                                         .host = host,
+                                                         .target = target,
+                                                         .body = body,
+                                                         .body_length = strlen(body)});
+}
+
+static void each_part_of_a_request_counts_in_its_content(void) {
+    uint64_t content = content_of("POST", "a", "/x", "body");
+    CU_ASSERT_EQUAL(content, content_of("POST", "a", "/x", "body"));
+    CU_ASSERT_NOT_EQUAL(content, content_of("PUT", "a", "/x", "body"));
+    CU_ASSERT_NOT_EQUAL(content, content_of("POST", "b", "/x", "body"));
+    CU_ASSERT_NOT_EQUAL(content, content_of("POST", "a", "/y", "body"));
+    CU_ASSERT_NOT_EQUAL(content, content_of("POST", "a", "/x", "other"));
+    CU_ASSERT_NOT_EQUAL(content, content_of("POST", "a", "/x", ""));
+    CU_ASSERT_NOT_EQUAL(content, content_of("POST", NULL, "/x", "body"));
+}
+
+const test_case crash_tests[] = {
+    {"the_third_engine_holds_a_content_back", the_third_engine_holds_a_content_back},
+    {"a_hold_ends_and_is_longer_the_next_time", a_hold_ends_and_is_longer_the_next_time},
+    {"what_is_old_is_forgotten", what_is_old_is_forgotten},
+    {"what_was_survived_is_not_held_back", what_was_survived_is_not_held_back},
+    {"a_survived_run_releases_its_content", a_survived_run_releases_its_content},
+    {"what_ran_beside_the_cause_is_not_to_blame", what_ran_beside_the_cause_is_not_to_blame},
+    {"two_causes_at_a_time_are_both_held_back", two_causes_at_a_time_are_both_held_back},
+    {"the_ledger_is_bounded", the_ledger_is_bounded},
+    {"daemons_that_know_the_same_judge_alike", daemons_that_know_the_same_judge_alike},
+    {"crashes_without_a_cause_hold_nothing_back", crashes_without_a_cause_hold_nothing_back},
+    {"each_part_of_a_request_counts_in_its_content", each_part_of_a_request_counts_in_its_content},
+    {NULL, NULL},
+};
