What is held back is kept in the store: a kill of all daemons forgets none of it

Cause: what daemons know of requests that crash engines lived in their memory alone; after all of them were killed together each such request cost three engines anew, by daemons long in touch. Change: one keyed record a content, written within half a second by the live daemon that ranks first for it, dropped by it as the hold ends, read once by a daemon as it starts. Evidence as a message has one codec for both ways.

--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -2,6 +2,7 @@
 #include "directory/crash_exchange.h"
 
 #include "base/clock.h"
+#include "directory/crash_codec.h"
 #include "directory/daemon_directory.h"
 
 #include <arpa/inet.h>
@@ -30,14 +31,12 @@
     uint64_t next_refresh_ms; /**< Of the ticker's thread alone. */
 };
 
-/** A report on its way out. Engines are of one block, so that it is freed at once. */
+/** A report on its way out, of one block, so that it is freed at once. */
 typedef struct {
     Hs__PeerMessage message;
     Hs__CrashReport report;
-    Hs__CrashEvidence evidence[EVIDENCE_MOST];
+    hs_crash_message evidence[EVIDENCE_MOST];
     Hs__CrashEvidence *evidence_list[EVIDENCE_MOST];
-    Hs__CrashedEngine engines[EVIDENCE_MOST][HS_CRASH_ENGINES_MOST];
-    Hs__CrashedEngine *engine_lists[EVIDENCE_MOST][HS_CRASH_ENGINES_MOST];
 } outgoing;
 
 hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership,
@@ -57,42 +56,17 @@
     g_free(exchange);
 }
 
-static uint64_t age_ms(uint64_t then_ms, uint64_t now_ms) {
-    return now_ms > then_ms ? now_ms - then_ms : 0;
-}
-
-static uint64_t time_of(uint64_t age, uint64_t now_ms) {
-    return now_ms > age ? now_ms - age : 0;
-}
-
-static void write_evidence(outgoing *out, size_t place, const hs_crash_evidence *known,
-                           uint64_t now_ms) {
-    Hs__CrashEvidence *told = &out->evidence[place];
-    hs__crash_evidence__init(told);
-    told->content = known->content;
-    told->is_acquitted = known->is_acquitted;
-    told->acquitted_age_ms = age_ms(known->acquitted_ms, now_ms);
-    told->n_engines = known->engine_count;
-    told->engines = out->engine_lists[place];
-    for (uint32_t index = 0; index < known->engine_count; index++) {
-        Hs__CrashedEngine *engine = &out->engines[place][index];
-        hs__crashed_engine__init(engine);
-        engine->engine_hash = known->engines[index].engine;
-        engine->age_ms = age_ms(known->engines[index].lost_ms, now_ms);
-        out->engine_lists[place][index] = engine;
-    }
-    out->evidence_list[place] = told;
-}
-
 /** A report of up to EVIDENCE_MOST of @p evidence, from @p first on. Free with g_free. */
 static outgoing *write_report(hs_crash_exchange *exchange, const GArray *evidence, guint first) {
     outgoing *out = g_new(outgoing, 1);
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs__peer_message__init(&out->message);
     hs__crash_report__init(&out->report);
-    for (guint index = first; index < MIN(evidence->len, first + EVIDENCE_MOST); index++)
-        write_evidence(out, out->report.n_evidence++,
-                       &g_array_index(evidence, hs_crash_evidence, index), now_ms);
+    for (guint index = first; index < MIN(evidence->len, first + EVIDENCE_MOST); index++) {
+        hs_crash_message *one = &out->evidence[index - first];
+        hs_crash_codec_write(&g_array_index(evidence, hs_crash_evidence, index), now_ms, one);
+        out->evidence_list[out->report.n_evidence++] = &one->message;
+    }
     out->report.evidence = out->evidence_list;
     out->message.kind_case = HS__PEER_MESSAGE__KIND_CRASH_REPORT;
     out->message.crash_report = &out->report;
@@ -100,19 +74,6 @@
     return out;
 }
 
-static void take_evidence(hs_crash_exchange *exchange, const Hs__CrashEvidence *told,
-                          const hs_crash_teller *teller) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_crash_evidence evidence = {.content = told->content,
-                                  .is_acquitted = told->is_acquitted,
-                                  .acquitted_ms = time_of(told->acquitted_age_ms, now_ms)};
-    for (size_t index = 0; index < MIN(told->n_engines, (size_t)HS_CRASH_ENGINES_MOST); index++)
-        evidence.engines[evidence.engine_count++] =
-            (hs_crash_engine){.engine = told->engines[index]->engine_hash,
-                              .lost_ms = time_of(told->engines[index]->age_ms, now_ms)};
-    hs_crash_watch_learn(exchange->watch, &evidence, teller);
-}
-
 bool hs_crash_exchange_handle(hs_crash_exchange *exchange, const Hs__PeerMessage *message) {
     if (message->kind_case != HS__PEER_MESSAGE__KIND_CRASH_REPORT)
         return false;
@@ -121,8 +82,11 @@
     bool is_large = hs_membership_live_count(membership) > TOLD_MOST + 1;
     hs_membership_service_unlock(exchange->membership);
     hs_crash_teller teller = {.daemon = message->sender_id, .is_passed_on = is_large};
-    for (size_t index = 0; index < report->n_evidence; index++)
-        take_evidence(exchange, report->evidence[index], &teller);
+    for (size_t index = 0; index < report->n_evidence; index++) {
+        hs_crash_evidence evidence =
+            hs_crash_codec_read(report->evidence[index], hs_clock_monotonic_ms());
+        hs_crash_watch_learn(exchange->watch, &evidence, &teller);
+    }
     return true;
 }
 
--- /dev/null
+++ b/src/directory/crash_store.c
@@ -0,0 +1,168 @@
+/** @file crash_store.c  See crash_store.h. */
+#include "directory/crash_store.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "directory/crash_codec.h"
+
+/** Longest wait for the store's answer, in ms: as for the daemons' own records. */
+#define CALL_LIMIT_MS 1000
+/** "%016x" of a content and the NUL. */
+#define KEY_BYTES 17
+
+struct hs_crash_store {
+    hs_crash_watch *watch;
+    hs_membership_service *membership;
+    hs_store_client *store;
+    bool is_read;
+    GHashTable *followed; /**< uint64_t* content -> whether it was written, as a pointer. */
+};
+
+hs_crash_store *hs_crash_store_new(hs_crash_watch *watch, hs_membership_service *membership,
+                                   hs_store_client *store) {
+    hs_crash_store *records = g_new0(hs_crash_store, 1);
+    records->watch = watch;
+    records->membership = membership;
+    records->store = store;
+    records->followed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    return records;
+}
+
+void hs_crash_store_free(hs_crash_store *records) {
+    if (records == NULL)
+        return;
+    g_hash_table_destroy(records->followed);
+    g_free(records);
+}
+
+static void follow(hs_crash_store *records, uint64_t content, bool is_written) {
+    uint64_t *key = g_new(uint64_t, 1);
+    *key = content;
+    g_hash_table_insert(records->followed, key, GINT_TO_POINTER(is_written));
+}
+
+static void take_record(hs_crash_store *records, const hs_newest_entry *entry) {
+    Hs__CrashEvidence *message =
+        hs__crash_evidence__unpack(NULL, entry->value_length, entry->value);
+    if (message == NULL) {
+        hs_log_warning("crash_record_unreadable", "key=%s bytes=%zu", entry->key,
+                       entry->value_length);
+        return;
+    }
+    hs_crash_evidence evidence = hs_crash_codec_read(message, hs_clock_monotonic_ms());
+    hs__crash_evidence__free_unpacked(message, NULL);
+    follow(records, evidence.content, true);
+    hs_crash_watch_learn(records->watch, &evidence, &(hs_crash_teller){.daemon = "store"});
+}
+
+/** One page of records after the key @p after, which is replaced by the last one read. */
+static bool read_page(hs_crash_store *records, char **after, bool *has_more) {
+    hs_store_call call = hs_platform_newest(HS_TOPIC_CRASHES, *after);
+    hs_deadline deadline = hs_clock_monotonic_ms() + CALL_LIMIT_MS;
+    GByteArray *answer = g_byte_array_new();
+    GArray *entries = hs_newest_entries_new();
+    uint64_t end = 0;
+    bool is_read =
+        hs_store_client_send(records->store, &call, deadline, NULL, answer) == HS_STORE_DONE &&
+        hs_platform_read_newest(answer, entries, has_more, &end);
+    for (guint index = 0; is_read && index < entries->len; index++) {
+        const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
+        if (entry->value_length > 0)
+            take_record(records, entry);
+        g_free(*after);
+        *after = g_strdup(entry->key);
+    }
+    if (entries->len == 0)
+        *has_more = false;
+    g_array_free(entries, TRUE);
+    g_byte_array_free(answer, TRUE);
+    return is_read;
+}
+
+void hs_crash_store_read(hs_crash_store *records) {
+    if (records->is_read)
+        return;
+    g_autofree char *after = NULL;
+    bool has_more = true;
+    bool is_read = true;
+    while (has_more && is_read)
+        is_read = read_page(records, &after, &has_more);
+    records->is_read = is_read;
+    if (is_read)
+        hs_log_info("crash_records_read", "contents=%u", g_hash_table_size(records->followed));
+}
+
+/** Whether this daemon writes the content's record. */
+static bool is_writer(hs_crash_store *records, const char *key) {
+    const hs_membership *membership = hs_membership_service_lock(records->membership);
+    bool is_self =
+        hs_membership_rank_first(membership, key, NULL) == hs_membership_self(membership);
+    hs_membership_service_unlock(records->membership);
+    return is_self;
+}
+
+/** Write a content's record, or drop it where @p evidence is NULL. */
+static bool write_record(hs_crash_store *records, const char *key,
+                         const hs_crash_evidence *evidence) {
+    g_autofree uint8_t *value = NULL;
+    size_t length = 0;
+    if (evidence != NULL) {
+        hs_crash_message out;
+        hs_crash_codec_write(evidence, hs_clock_monotonic_ms(), &out);
+        value = g_malloc(hs__crash_evidence__get_packed_size(&out.message));
+        length = hs__crash_evidence__pack(&out.message, value);
+    }
+    GByteArray *framed = g_byte_array_new();
+    hs_platform_frame_keyed(framed, key, value, length);
+    hs_store_call call = hs_platform_append(HS_TOPIC_CRASHES, 0, framed);
+    GByteArray *answer = g_byte_array_new();
+    hs_store_outcome outcome = hs_store_client_send(
+        records->store, &call, hs_clock_monotonic_ms() + CALL_LIMIT_MS, NULL, answer);
+    g_byte_array_free(framed, TRUE);
+    g_byte_array_free(answer, TRUE);
+    hs_log_info("crash_record_written", "content=%s dropped=%d outcome=%s", key, evidence == NULL,
+                hs_store_outcome_name(outcome));
+    return outcome == HS_STORE_DONE;
+}
+
+static const hs_crash_evidence *find_held(const GArray *held, uint64_t content) {
+    for (guint index = 0; index < held->len; index++)
+        if (g_array_index(held, hs_crash_evidence, index).content == content)
+            return &g_array_index(held, hs_crash_evidence, index);
+    return NULL;
+}
+
+/** Bring one record up to date; what failed is tried in the next round. True: done with it. */
+static bool update_record(hs_crash_store *records, uint64_t content, const GArray *held,
+                          bool *is_written) {
+    char key[KEY_BYTES];
+    g_snprintf(key, sizeof key, "%016" G_GINT64_MODIFIER "x", (guint64)content);
+    const hs_crash_evidence *evidence = find_held(held, content);
+    bool is_due = (evidence != NULL) != *is_written || evidence == NULL;
+    if (is_due && is_writer(records, key) && write_record(records, key, evidence))
+        *is_written = evidence != NULL;
+    else if (is_due && is_writer(records, key))
+        return false;
+    return evidence == NULL;
+}
+
+void hs_crash_store_update(hs_crash_store *records) {
+    g_autoptr(GArray) held = hs_crash_watch_held(records->watch);
+    for (guint index = 0; index < held->len; index++) {
+        uint64_t content = g_array_index(held, hs_crash_evidence, index).content;
+        if (!g_hash_table_contains(records->followed, &content))
+            follow(records, content, false);
+    }
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, records->followed);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        bool is_written = GPOINTER_TO_INT(value) != 0;
+        bool is_done = update_record(records, *(const uint64_t *)key, held, &is_written);
+        if (is_done)
+            g_hash_table_iter_remove(&iterator);
+        else
+            g_hash_table_iter_replace(&iterator, GINT_TO_POINTER(is_written));
+    }
+}
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/stop_wait.h"
 #include "directory/crash_exchange.h"
+#include "directory/crash_store.h"
 #include "directory/slot_arbiter.h"
 #include "platform/caller_codec.h"
 
@@ -31,6 +32,8 @@
 #define REGISTRY_INTERVAL_MS 4000
 #define REGISTRY_CALL_MS 1000
 #define JOIN_CHECK_MS 200
+/** What is held back is in the store so soon, in ms; no call where nothing changed. */
+#define RECORDS_INTERVAL_MS 500
 #define SETTLE_MS 1500 /* A daemon that knows only itself may not say so earlier. */
 #define ZONE_LEAST 2   /* Fewer daemons of the asker's zone: others are named too. */
 #define SUSPECT_PROBES 2
@@ -42,6 +45,7 @@
     hs_membership_service *membership;
     hs_slot_arbiter *slots;
     hs_crash_exchange *crashes;
+    hs_crash_store *crash_records;
     char *seeds; /**< Guarded by the lock. */
     gint resolve_ttl_s;
     uint64_t started_ms;
@@ -125,6 +129,8 @@
     directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership, socket);
     directory->crashes =
         hs_crash_exchange_new(settings->crash_watch, directory->membership, socket);
+    directory->crash_records =
+        hs_crash_store_new(settings->crash_watch, directory->membership, settings->store);
     return directory;
 }
 
@@ -212,14 +218,20 @@
 static gpointer run_registrar(gpointer data) {
     hs_daemon_directory *directory = data;
     bool written = false;
+    uint64_t next_ms = 0;
     do {
+        hs_crash_store_read(directory->crash_records);
         if (g_atomic_int_get(&directory->leaving) != 0 || g_atomic_int_get(&directory->joined) == 0)
             continue;
+        hs_crash_store_update(directory->crash_records);
+        if (hs_clock_monotonic_ms() < next_ms)
+            continue;
         if (!written)
             written = write_record(directory, false);
         read_registry(directory);
+        next_ms = hs_clock_monotonic_ms() + REGISTRY_INTERVAL_MS;
     } while (hs_stop_wait_pause(&directory->pause, g_atomic_int_get(&directory->joined) != 0
-                                                       ? REGISTRY_INTERVAL_MS
+                                                       ? RECORDS_INTERVAL_MS
                                                        : JOIN_CHECK_MS));
     return NULL;
 }
@@ -355,6 +367,7 @@
     }
     hs_slot_arbiter_free(directory->slots);
     hs_crash_exchange_free(directory->crashes);
+    hs_crash_store_free(directory->crash_records);
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
     g_free(directory->seeds);
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -303,6 +303,20 @@
     return evidence;
 }
 
+GArray *hs_crash_watch_held(hs_crash_watch *watch) {
+    GArray *evidence = g_array_new(FALSE, FALSE, sizeof(hs_crash_evidence));
+    g_autoptr(GArray) holds = g_array_new(FALSE, FALSE, sizeof(hs_crash_hold));
+    hs_crash_evidence one;
+    g_mutex_lock(&watch->lock);
+    hs_crash_ledger_holds(watch->ledger, hs_clock_monotonic_ms(), holds);
+    for (guint index = 0; index < holds->len; index++)
+        if (hs_crash_ledger_find(watch->ledger, g_array_index(holds, hs_crash_hold, index).content,
+                                 &one))
+            g_array_append_val(evidence, one);
+    g_mutex_unlock(&watch->lock);
+    return evidence;
+}
+
 uint64_t hs_crash_watch_digest(hs_crash_watch *watch) {
     g_mutex_lock(&watch->lock);
     uint64_t digest = hs_crash_ledger_digest(watch->ledger);
--- a/src/fleet/crash_watch.h
+++ b/src/fleet/crash_watch.h
@@ -57,6 +57,9 @@
  */
 GArray *hs_crash_watch_list(hs_crash_watch *watch, guint most);
 
+/** Evidence on contents that are held back now. Likewise. */
+GArray *hs_crash_watch_held(hs_crash_watch *watch);
+
 /** What daemons compare; see hs_crash_ledger_digest. */
 uint64_t hs_crash_watch_digest(hs_crash_watch *watch);
 
--- a/tests/system/test_fleet_crashes.c
+++ b/tests/system/test_fleet_crashes.c
@@ -38,6 +38,8 @@
 #define CRASHES_MOST 6
 /** What a daemon that was started, or that missed a message, may need to learn it, in ms. */
 #define LEARN_MS 1500
+/** What is held back may need so long to be in the store, in ms. */
+#define STORED_MS 1500
 /** Between two arrivals of a request, in ms: more often than engines return. */
 #define ARRIVAL_MS 100
 /** How long a request keeps coming: until all is known, and as long again. */
@@ -281,6 +283,20 @@
     CU_ASSERT_EQUAL(crash_fleet_crashes(engines), crashes);
 }
 
+/** All daemons at once: what they held back is in the store, and nothing is lost to it again. */
+static void daemons_that_were_all_killed_hold_it_back_again(void) {
+    CU_ASSERT_TRUE(is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
+    hs_clock_sleep_ms(STORED_MS);
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        bench_signal(index, SIGKILL);
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        bench_start_daemon(index, false);
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        CU_ASSERT_TRUE(bench_wait_ready(index));
+    for (int index = 0; index < BENCH_DAEMONS; index++)
+        CU_ASSERT(learn_ms(index, "/once/x", "fatal-stream") <= LEARN_MS);
+}
+
 /** Operators see how many requests are held back, of how many contents, and what they cost. */
 static void operators_see_what_is_held_back(void) {
     int held = metric_of(0, "heathsail_requests_ended{reason=\"held_back\"} ");
@@ -353,6 +369,8 @@
      a_daemon_that_starts_learns_what_is_held_back},
     {"a_daemon_that_missed_the_news_learns_it", a_daemon_that_missed_the_news_learns_it},
     {"operators_see_what_is_held_back", operators_see_what_is_held_back},
+    {"daemons_that_were_all_killed_hold_it_back_again",
+     daemons_that_were_all_killed_hold_it_back_again},
     {"engines_that_crash_by_themselves_hold_nothing_back",
      engines_that_crash_by_themselves_hold_nothing_back},
     {"an_item_that_crashes_engines_is_held_back", an_item_that_crashes_engines_is_held_back},
