--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -127,6 +127,8 @@
     hs_log_info(is_gone ? "engine_crashed" : "engine_survives",
                 "engine=%s runs_cut=%u cut_ago_ms=%" G_GUINT64_FORMAT, look->first.engine_id,
                 look->runs->len, (guint64)(hs_clock_monotonic_ms() - look->first.cut_ms));
+    if (is_gone)
+        watch->last_gone = look->first.engine;
     g_mutex_lock(&watch->lock);
     watch->crashes += is_gone;
     g_mutex_unlock(&watch->lock);
@@ -153,20 +155,22 @@
         g_array_append_val(look->runs, *run);
         return;
     }
-    bool is_gone = watch->last_gone == run->engine;
+    if (watch->last_gone == run->engine) {
+        note_lost(watch, run);
+        return;
+    }
+    bool is_gone = false;
     look = g_new0(engine_look, 1);
     look->first = *run;
     look->runs = g_array_new(FALSE, FALSE, sizeof(hs_cut_run));
     g_array_append_val(look->runs, *run);
     look->opened_ms = hs_clock_monotonic_ms();
-    if (!is_gone && looks->len < LOOKS_MOST)
+    if (looks->len < LOOKS_MOST)
         look->connection = probe(run, &is_gone);
     if (look->connection != NULL) {
         g_ptr_array_add(looks, look);
         return;
     }
-    if (is_gone)
-        watch->last_gone = run->engine;
     conclude(watch, look, is_gone);
     free_look(look);
 }
