Time that others rely on goes on while the machine is suspended

Cause: all times came from CLOCK_MONOTONIC, which stands still while a machine is suspended: ages, leases, deadlines and memories seemed younger by that time. Ruled out: the wall clock (it jumps); two clocks through all files (406 uses: ages are compared with each other, so that they need one clock). No other file reads a clock or times a wait; the layers' script checks it.

--- a/src/base/peer_watch.c
+++ b/src/base/peer_watch.c
@@ -18,7 +18,7 @@
     uint64_t until_ms = hs_clock_monotonic_ms() + milliseconds;
     uint64_t now_ms = hs_clock_monotonic_ms();
     while (now_ms < until_ms) { /* A signal may end a wait early. */
-        if (leaves_within(descriptor, (int)(until_ms - now_ms)))
+        if (leaves_within(descriptor, (int)MIN(until_ms - now_ms, HS_CLOCK_WAKE_MS)))
             return true;
         now_ms = hs_clock_monotonic_ms();
     }
--- a/src/base/ring.c
+++ b/src/base/ring.c
@@ -5,6 +5,8 @@
  */
 #include "base/ring.h"
 
+#include "base/clock.h"
+
 #include <ck_ring.h>
 #include <glib.h>
 
@@ -56,10 +58,10 @@
         return entry;
     if (wait_ms == 0)
         return NULL;
-    gint64 until = g_get_monotonic_time() + (gint64)wait_ms * G_TIME_SPAN_MILLISECOND;
+    hs_pause pause = hs_clock_pause_begin(wait_ms);
     g_mutex_lock(&ring->sleep_lock);
     while (!ck_ring_dequeue_mpmc(&ring->indexes, ring->slots, &entry))
-        if (!g_cond_wait_until(&ring->entry_added, &ring->sleep_lock, until))
+        if (!hs_clock_pause_wait(&pause, &ring->entry_added, &ring->sleep_lock))
             break;
     g_mutex_unlock(&ring->sleep_lock);
     return entry;
--- a/src/base/stop_wait.c
+++ b/src/base/stop_wait.c
@@ -1,6 +1,8 @@
 /** @file stop_wait.c  See stop_wait.h. */
 #include "base/stop_wait.h"
 
+#include "base/clock.h"
+
 void hs_stop_wait_init(hs_stop_wait *wait) {
     g_mutex_init(&wait->lock);
     g_cond_init(&wait->asked);
@@ -20,9 +22,9 @@
 }
 
 bool hs_stop_wait_pause(hs_stop_wait *wait, uint64_t time_ms) {
-    gint64 until = g_get_monotonic_time() + (gint64)time_ms * G_TIME_SPAN_MILLISECOND;
+    hs_pause pause = hs_clock_pause_begin(time_ms);
     g_mutex_lock(&wait->lock);
-    while (!wait->stopping && g_cond_wait_until(&wait->asked, &wait->lock, until))
+    while (!wait->stopping && hs_clock_pause_wait(&pause, &wait->asked, &wait->lock))
         continue;
     bool goes_on = !wait->stopping;
     g_mutex_unlock(&wait->lock);
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -19,7 +19,6 @@
 #define REACHABLE_TIMEOUT_MS 500
 #define MAX_TRIED 16
 #define EXCHANGE_SLACK_S 2
-#define US_PER_MS 1000
 /**
  * Between two looks whether a caller is still there, in ms: a fifth of the time within which its
  * engine is to be free, so that the cancel has the rest.
@@ -67,7 +66,7 @@
     if (now_ms >= request->deadline_ms || hs_peer_has_left(request->caller_descriptor))
         return false;
     uint64_t until_ms = MIN(request->deadline_ms, now_ms + CALLER_CHECK_MS);
-    g_cond_wait_until(&request->changed, &request->lock, (gint64)until_ms * US_PER_MS);
+    hs_clock_wait_until(until_ms, &request->changed, &request->lock);
     return true;
 }
 
--- a/src/config/config_store.c
+++ b/src/config/config_store.c
@@ -9,7 +9,6 @@
 #define READ_WAIT_MS 10000
 #define READ_MAX_BYTES (4U << 20)
 #define RETRY_MS 100
-#define US_PER_MS 1000
 
 /** What is known of a watched change. */
 typedef struct {
@@ -218,7 +217,7 @@
     g_mutex_lock(&store->lock);
     watched_change *watched = g_hash_table_lookup(store->watched, change_id);
     while (!watched->known)
-        if (!g_cond_wait_until(&store->changed, &store->lock, (gint64)deadline_ms * US_PER_MS))
+        if (!hs_clock_wait_until(deadline_ms, &store->changed, &store->lock))
             break;
     bool known = watched->known;
     *verdict = watched->verdict;
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -131,10 +131,10 @@
 /** Wait until the arbiter has told of the lease, or asked its item aside. */
 static bool wait_for_word(hs_engine_lease *lease, uint32_t limit_ms) {
     hs_fleet_engines *engines = lease->engines;
-    gint64 until = g_get_monotonic_time() + (gint64)limit_ms * G_TIME_SPAN_MILLISECOND;
+    hs_pause pause = hs_clock_pause_begin(limit_ms);
     bool is_waiting = engines->teller != NULL;
     while (is_waiting && lease->engine->told_count == lease->told_before && !is_asked_aside(lease))
-        is_waiting = g_cond_wait_until(&engines->totals_told, &engines->lock, until);
+        is_waiting = hs_clock_pause_wait(&pause, &engines->totals_told, &engines->lock);
     return is_waiting;
 }
 
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -157,7 +157,7 @@
 
 /** How long one poll may last. */
 static int poll_limit(const hs_wait *wait, uint64_t now_ms, int interrupt_descriptor) {
-    uint64_t left = MIN(wait->deadline - now_ms, (uint64_t)G_MAXINT / 2);
+    uint64_t left = MIN(wait->deadline - now_ms, HS_CLOCK_WAKE_MS);
     if (wait->interrupt != NULL && interrupt_descriptor < 0)
         left = MIN(left, INTERRUPT_CHECK_MS);
     return (int)left;
--- a/src/http/front_watch.c
+++ b/src/http/front_watch.c
@@ -15,7 +15,6 @@
 #define TRY_PARTS 2
 /** Between two looks for room, in ms: a tenth of the shortest time in which a queue is noticed. */
 #define ROOM_PAUSE_MS 200
-#define US_PER_MS 1000
 
 struct hs_front_watch {
     hs_front_watch_settings settings;
@@ -30,9 +29,9 @@
 
 /** Sleep; false once the watch is to stop. */
 static bool pause_for(hs_front_watch *watch, uint32_t milliseconds) {
-    gint64 until_us = g_get_monotonic_time() + (gint64)milliseconds * US_PER_MS;
+    hs_pause pause = hs_clock_pause_begin(milliseconds);
     g_mutex_lock(&watch->lock);
-    while (!watch->stopping && g_cond_wait_until(&watch->changed, &watch->lock, until_us))
+    while (!watch->stopping && hs_clock_pause_wait(&pause, &watch->changed, &watch->lock))
         continue;
     bool goes_on = !watch->stopping;
     g_mutex_unlock(&watch->lock);
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -235,9 +235,9 @@
     while (!owner->stopping) {
         g_mutex_unlock(&owner->lock);
         join_group(owner);
-        gint64 until = g_get_monotonic_time() + (gint64)interval_ms * G_TIME_SPAN_MILLISECOND;
+        hs_pause pause = hs_clock_pause_begin(interval_ms);
         g_mutex_lock(&owner->lock);
-        while (!owner->stopping && g_cond_wait_until(&owner->changed, &owner->lock, until))
+        while (!owner->stopping && hs_clock_pause_wait(&pause, &owner->changed, &owner->lock))
             continue;
     }
     g_mutex_unlock(&owner->lock);
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -114,12 +114,11 @@
 }
 
 bool hs_job_partition_catch_up(hs_job_partition *partition, hs_deadline deadline) {
-    gint64 until = (gint64)deadline * G_TIME_SPAN_MILLISECOND;
     g_mutex_lock(&partition->lock);
     uint64_t wanted = partition->reads_begun + 1; /* A read that begins after this call. */
     while (partition->last_good < wanted) {
         if (partition->reading) {
-            if (!g_cond_wait_until(&partition->moved, &partition->lock, until))
+            if (!hs_clock_wait_until(deadline, &partition->moved, &partition->lock))
                 break;
             continue;
         }
@@ -181,14 +180,13 @@
 }
 
 void hs_job_partition_hold(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
-    gint64 until_us = (gint64)until * G_TIME_SPAN_MILLISECOND;
     g_mutex_lock(&partition->lock);
     while (hs_job_state_next(partition->state) <= offset) {
         uint64_t now_ms = hs_clock_monotonic_ms();
         if (now_ms >= until)
             break;
         if (partition->following) {
-            if (!g_cond_wait_until(&partition->moved, &partition->lock, until_us))
+            if (!hs_clock_wait_until(until, &partition->moved, &partition->lock))
                 break;
             continue;
         }
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -177,8 +177,8 @@
         if (owner->running > 0)
             hs_fleet_engines_yield(owner->settings.engines);
         hs_fleet_config_unref(config);
-        gint64 until = g_get_monotonic_time() + (gint64)pause_ms(owner) * G_TIME_SPAN_MILLISECOND;
-        g_cond_wait_until(&owner->changed, &owner->lock, until);
+        hs_pause pause = hs_clock_pause_begin(pause_ms(owner));
+        hs_clock_pause_wait(&pause, &owner->changed, &owner->lock);
     }
     g_mutex_unlock(&owner->lock);
     return NULL;
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -240,11 +240,11 @@
     bool is_trial = is_failing && now_ms >= client->next_trial_ms;
     if (is_trial)
         client->next_trial_ms = now_ms + TRIAL_INTERVAL_MS;
-    gint64 until_us = (gint64)MIN(deadline, now_ms + TRIAL_INTERVAL_MS) * G_TIME_SPAN_MILLISECOND;
+    hs_deadline until = MIN(deadline, now_ms + TRIAL_INTERVAL_MS);
     bool has_time = true;
     while (is_failing && !is_trial && has_time && !client->is_abandoned &&
            client->failed_in_a_row >= FAILING_CALLS)
-        has_time = g_cond_wait_until(&client->recovered, &client->lock, until_us);
+        has_time = hs_clock_wait_until(until, &client->recovered, &client->lock);
     g_mutex_unlock(&client->lock);
     return !is_failing || is_trial;
 }
--- a/tests/check_layers.sh
+++ b/tests/check_layers.sh
@@ -25,4 +25,10 @@
         breaches=$((breaches + 1))
     done
 done
+# Clocks are read, and waits timed, in base/clock.c alone: it says which time counts suspensions.
+for found in $(grep -lE 'g_get_monotonic_time|g_get_real_time|clock_gettime|g_cond_wait_until' src/*/*.c platform/*.c); do
+    [ "$found" = src/base/clock.c ] && continue
+    echo "$found reads a clock"
+    breaches=$((breaches + 1))
+done
 [ "$breaches" -eq 0 ]
