A daemon that stood still is ready only once it has read the store again

Cause: a daemon that was stopped or suspended for seconds said at its wake that it was ready, and went by a configuration and engines as old as its sleep. Ruled out: when an answer was received as a sign (it may have been on its way as the sleep began): what counts is when the call was sent. Change: a gap of a second between two rounds of the ticker is noticed, logged and counted; ready waits for reads sent after it.

--- /dev/null
+++ b/src/base/wake_watch.c
@@ -0,0 +1,65 @@
+/** @file wake_watch.c  See wake_watch.h. */
+#include "base/wake_watch.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+void hs_wake_watch_init(hs_wake_watch *watch) {
+    g_mutex_init(&watch->lock);
+}
+
+void hs_wake_watch_clear(hs_wake_watch *watch) {
+    g_mutex_clear(&watch->lock);
+}
+
+static guint bucket_of(uint64_t still_ms) {
+    guint bucket = 0;
+    while (bucket + 1 < HS_WAKE_BUCKETS &&
+           still_ms >= ((uint64_t)HS_STOOD_STILL_LEAST_MS << (bucket + 1)))
+        bucket++;
+    return bucket;
+}
+
+void hs_wake_watch_look(hs_wake_watch *watch) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t suspended_ms = hs_clock_suspended_ms();
+    g_mutex_lock(&watch->lock);
+    uint64_t still_ms = watch->looked_ms != 0 ? now_ms - watch->looked_ms : 0;
+    uint64_t asleep_ms = suspended_ms - MIN(watch->suspended_ms, suspended_ms);
+    bool stood_still = still_ms >= HS_STOOD_STILL_LEAST_MS;
+    watch->looked_ms = now_ms;
+    watch->suspended_ms = suspended_ms;
+    if (stood_still) {
+        watch->woke_ms = now_ms;
+        watch->counts[bucket_of(still_ms)]++;
+    }
+    g_mutex_unlock(&watch->lock);
+    if (stood_still)
+        hs_log_warning("daemon_stood_still",
+                       "for_ms=%" G_GUINT64_FORMAT " machine_suspended_ms=%" G_GUINT64_FORMAT,
+                       (guint64)still_ms, (guint64)asleep_ms);
+}
+
+uint64_t hs_wake_watch_woke_ms(hs_wake_watch *watch) {
+    g_mutex_lock(&watch->lock);
+    uint64_t woke_ms = watch->woke_ms;
+    g_mutex_unlock(&watch->lock);
+    return woke_ms;
+}
+
+char *hs_wake_watch_describe(hs_wake_watch *watch) {
+    GString *text = g_string_new(NULL);
+    uint64_t total = 0;
+    g_mutex_lock(&watch->lock);
+    for (guint bucket = 0; bucket < HS_WAKE_BUCKETS; bucket++) {
+        total += watch->counts[bucket];
+        if (bucket + 1 < HS_WAKE_BUCKETS)
+            g_string_append_printf(
+                text, "heathsail_stood_still_ms_bucket{le=\"%u\"} %" G_GUINT64_FORMAT "\n",
+                (guint)HS_STOOD_STILL_LEAST_MS << (bucket + 1), (guint64)total);
+    }
+    g_mutex_unlock(&watch->lock);
+    g_string_append_printf(text, "heathsail_stood_still_ms_count %" G_GUINT64_FORMAT "\n",
+                           (guint64)total);
+    return g_string_free(text, FALSE);
+}
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -43,6 +43,7 @@
     hs_online online;
     hs_fleet_surface *surface;
     hs_reload_counts reloads;
+    hs_wake_watch wakes;
 };
 
 /** The settings were checked before. */
@@ -67,13 +68,23 @@
     return (uint32_t)fmax(fmin(longest, settings->fleet_resolve_ttl_most_s), 1);
 }
 
+/**
+ * Whether the store was read since this process last stood still: what it knew may be older than a
+ * change that has long been in force everywhere else.
+ */
+static bool is_awake(hs_fleet_daemon *daemon) {
+    uint64_t woke_ms = hs_wake_watch_woke_ms(&daemon->wakes);
+    return hs_config_source_as_of_ms(daemon->config) >= woke_ms &&
+           hs_engine_source_as_of_ms(daemon->engine_source) >= woke_ms;
+}
+
 /** Whether requests could be served: a configuration and the engines are known. */
 static bool may_serve(void *user_data) {
     hs_fleet_daemon *daemon = user_data;
     hs_fleet_config *config = hs_config_source_get(daemon->config);
     bool known = config != NULL && hs_engine_source_heard_ms(daemon->engine_source) != 0;
     hs_fleet_config_unref(config);
-    return known;
+    return known && is_awake(daemon);
 }
 
 static bool make_directory(hs_fleet_daemon *daemon, hs_error *error) {
@@ -89,6 +100,7 @@
                                               .resolve_ttl_s = resolve_ttl_s(settings),
                                               .store = daemon->store,
                                               .engines = daemon->engines,
+                                              .wakes = &daemon->wakes,
                                               .crash_watch = daemon->crash_watch,
                                               .may_join = may_serve,
                                               .user_data = daemon};
@@ -137,6 +149,7 @@
                                          .members = daemon->directory,
                                          .store = daemon->store,
                                          .reloads = &daemon->reloads,
+                                         .wakes = &daemon->wakes,
                                          .may_serve = may_serve,
                                          .user_data = daemon};
     daemon->surface = hs_fleet_surface_start(&surface, error);
@@ -156,6 +169,7 @@
     hs_crash_watch_free(daemon->crash_watch);
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
+    hs_wake_watch_clear(&daemon->wakes);
     g_free(daemon);
 }
 
@@ -174,6 +188,7 @@
 hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error) {
     hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
     daemon->settings = settings;
+    hs_wake_watch_init(&daemon->wakes);
     bound_connections(settings);
     hs_endpoint store = endpoint_of(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -324,15 +324,19 @@
 
 static gpointer run_ticker(gpointer data) {
     hs_daemon_directory *directory = data;
-    while (!directory->settings.may_join(directory->settings.user_data))
+    hs_wake_watch_look(directory->settings.wakes);
+    while (!directory->settings.may_join(directory->settings.user_data)) {
         if (!hs_stop_wait_pause(&directory->pause, TICK_MS))
             return NULL;
+        hs_wake_watch_look(directory->settings.wakes);
+    }
     hs_peer_socket_start(directory->socket, handle_message, directory);
     directory->started_ms = hs_clock_monotonic_ms();
     g_atomic_int_set(&directory->joined, 1);
     propose_seeds(directory);
     while (hs_stop_wait_pause(&directory->pause, TICK_MS)) {
         uint64_t now_ms = hs_clock_monotonic_ms();
+        hs_wake_watch_look(directory->settings.wakes);
         hs_membership_service_tick(directory->membership, now_ms);
         hs_crash_exchange_tick(directory->crashes, now_ms);
         if (now_ms >= directory->next_shares_ms) {
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -8,6 +8,7 @@
 #ifndef HS_DIRECTORY_DAEMON_DIRECTORY_H
 #define HS_DIRECTORY_DAEMON_DIRECTORY_H
 
+#include "base/wake_watch.h"
 #include "fleet/fleet_engines.h"
 #include "membership/membership_service.h"
 #include "store/store_client.h"
@@ -26,6 +27,7 @@
     uint32_t resolve_ttl_s;
     hs_store_client *store;
     hs_fleet_engines *engines;         /**< Loads of other daemons go here. */
+    hs_wake_watch *wakes;              /**< Looks with each round of the ticker. */
     hs_crash_watch *crash_watch;       /**< What they know of crashes goes here. */
     bool (*may_join)(void *user_data); /**< Whether this daemon could serve; it joins then. */
     void *user_data;
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -69,6 +69,10 @@
     return hs_store_contact_heard_ms(&source->contact);
 }
 
+uint64_t hs_config_source_as_of_ms(hs_config_source *source) {
+    return hs_store_contact_as_of_ms(&source->contact);
+}
+
 static void take_value(hs_config_source *source, const uint8_t *value, size_t length,
                        uint64_t offset) {
     hs_error error = {0};
@@ -126,6 +130,7 @@
     bool positioned = false;
     uint64_t retry_ms = RETRY_FIRST_MS;
     while (!g_atomic_int_get(&source->stopping)) {
+        hs_store_contact_ask(&source->contact);
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
         hs_store_contact_note(&source->contact, outcome);
--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -31,6 +31,9 @@
 /** Monotonic time of the last word from the store; 0: none yet. */
 uint64_t hs_config_source_heard_ms(hs_config_source *source);
 
+/** The configuration is what the store had at this time or later; monotonic, 0: not known. */
+uint64_t hs_config_source_as_of_ms(hs_config_source *source);
+
 /** Route of @p host (a port after it does not count) and @p target, or NULL. Borrowed. */
 const hs_fleet_route *hs_fleet_config_find_route(const hs_fleet_config *config, const char *host,
                                                  const char *target);
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -151,6 +151,7 @@
     uint64_t next = 0;
     bool positioned = false;
     do {
+        hs_store_contact_ask(&source->contact);
         hs_store_outcome outcome =
             positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
         hs_store_contact_note(&source->contact, outcome);
@@ -184,6 +185,10 @@
     return hs_store_contact_heard_ms(&source->contact);
 }
 
+uint64_t hs_engine_source_as_of_ms(hs_engine_source *source) {
+    return hs_store_contact_as_of_ms(&source->contact);
+}
+
 bool hs_engine_source_is_cut_off(hs_engine_source *source) {
     return hs_store_contact_is_lost(&source->contact);
 }
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -34,4 +34,7 @@
 /** Monotonic time of the last word from the store; 0: none yet. */
 uint64_t hs_engine_source_heard_ms(hs_engine_source *source);
 
+/** The engines are what the store had at this time or later; monotonic, 0: not known. */
+uint64_t hs_engine_source_as_of_ms(hs_engine_source *source);
+
 #endif
--- a/src/store/store_contact.c
+++ b/src/store/store_contact.c
@@ -13,6 +13,12 @@
     g_mutex_clear(&contact->lock);
 }
 
+void hs_store_contact_ask(hs_store_contact *contact) {
+    g_mutex_lock(&contact->lock);
+    contact->asked_ms = hs_clock_monotonic_ms();
+    g_mutex_unlock(&contact->lock);
+}
+
 void hs_store_contact_note(hs_store_contact *contact, hs_store_outcome outcome) {
     bool heard = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -20,8 +26,10 @@
     bool changed = contact->lost == heard;
     uint64_t silent_ms = contact->heard_ms != 0 ? now_ms - contact->heard_ms : 0;
     contact->lost = !heard;
-    if (heard)
+    if (heard) {
         contact->heard_ms = now_ms;
+        contact->as_of_ms = contact->asked_ms;
+    }
     g_mutex_unlock(&contact->lock);
     if (changed)
         hs_log_warning(heard ? "store_regained" : "store_lost",
@@ -36,6 +44,13 @@
     return heard_ms;
 }
 
+uint64_t hs_store_contact_as_of_ms(hs_store_contact *contact) {
+    g_mutex_lock(&contact->lock);
+    uint64_t as_of_ms = contact->as_of_ms;
+    g_mutex_unlock(&contact->lock);
+    return as_of_ms;
+}
+
 bool hs_store_contact_is_lost(hs_store_contact *contact) {
     g_mutex_lock(&contact->lock);
     bool lost = contact->lost;
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -113,5 +113,7 @@
     g_autofree char *crashes =
         hs_crash_watch_describe(hs_fleet_engines_crash_watch(online->engines));
     g_string_append(text, crashes);
+    g_autofree char *wakes = hs_wake_watch_describe(sources->wakes);
+    g_string_append(text, wakes);
     return g_string_free(text, FALSE);
 }
--- a/src/surface/fleet_metrics.h
+++ b/src/surface/fleet_metrics.h
@@ -21,6 +21,7 @@
     hs_store_client *store;
     hs_daemon_directory *members;
     hs_reload_counts *reloads;
+    hs_wake_watch *wakes;
     uint32_t open_requests;
 } hs_fleet_metrics_sources;
 
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -185,6 +185,7 @@
                                         .store = surface->settings.store,
                                         .members = surface->settings.members,
                                         .reloads = surface->settings.reloads,
+                                        .wakes = surface->settings.wakes,
                                         .open_requests = hs_fleet_surface_open_requests(surface)};
     g_autofree char *text = hs_fleet_metrics_write(&sources);
     GArray *fields = hs_http_fields_new();
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -26,6 +26,7 @@
     hs_daemon_directory *members;
     hs_store_client *store;
     hs_reload_counts *reloads;
+    hs_wake_watch *wakes;
     bool (*may_serve)(void *user_data); /**< Whether requests could be served. */
     void *user_data;
 } hs_fleet_surface_settings;
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -52,6 +52,8 @@
 int begin_patient_bench(void);
 extern const test_case fleet_caller_system_tests[];
 
+extern const test_case fleet_waking_system_tests[];
+
 extern const test_case fleet_crash_system_tests[];
 
 /** The bench with engines that crash instead of its own. For the suite's begin and end. */
