The soak sends requests that crash their engines, beside others

Cause: it knew neither such a request nor an engine that comes back under another id, so that holds were never met together with kills, pauses, a store that is away and partitions dealt anew.

--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -39,6 +39,18 @@
 /** Remember that nothing of @p id may run from now on: acknowledged, or its caller has left. */
 void soak_note_end(const char *id);
 
+/** Only what crashes engines may be held back. */
+void soak_check_hold(const char *id, bool is_fatal, bool is_held);
+
+/**
+ * What crashes engines is sent to none once it is known, at @p known_ms (wall time; 0: it is not).
+ * @p begun_ms: when engines began it, of uint64_t. Judged only where no fault was near.
+ */
+void soak_check_sends(const char *content, uint64_t known_ms, const GArray *begun_ms);
+
+/** The same for all contents that crashed engines. */
+void soak_check_crashes(void);
+
 /** Nothing ran on after its end. */
 void soak_check_ends(void);
 
--- a/tests/soak/end_checks.c
+++ b/tests/soak/end_checks.c
@@ -68,4 +68,5 @@
     check_jobs();
     soak_check_runs();
     soak_check_ends();
+    soak_check_crashes();
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -20,7 +20,8 @@
 #define ONLINE_CALLERS 4
 #define LEAVERS 2
 #define JOB_CALLERS 2
-#define CALLERS (ONLINE_CALLERS + LEAVERS + JOB_CALLERS)
+#define CRASHERS 2
+#define CALLERS (ONLINE_CALLERS + LEAVERS + JOB_CALLERS + CRASHERS)
 /** Causes of faults, so many of them at one time. */
 #define FAULT_LANES_MOST 3
 /** For the items that run at one time, about 70, with two owners now and then. */
@@ -149,7 +150,9 @@
 static GThreadFunc duty_of(unsigned index) {
     if (index < ONLINE_CALLERS)
         return soak_run_online;
-    return index < ONLINE_CALLERS + LEAVERS ? soak_run_leavers : soak_run_jobs;
+    if (index < ONLINE_CALLERS + LEAVERS)
+        return soak_run_leavers;
+    return index < ONLINE_CALLERS + LEAVERS + JOB_CALLERS ? soak_run_jobs : soak_run_crashers;
 }
 
 static void run_callers(const command_line *line) {
@@ -167,11 +170,13 @@
 static void print_verdict(const command_line *line) {
     printf("verdict seed=%u requests=%u served=%u refused=%u cut=%u on_kept_connections=%u jobs=%u "
            "accepted=%u reads=%u texts=%u text_joints=%u stream_joints=%u ends=%u ends_judged=%u "
-           "late_near_faults=%u faults=%d violations=%u\n",
+           "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
+           "beside_served=%u faults=%d violations=%u\n",
            line->seed, record.sent, record.served, record.refusals, record.cut, record.kept,
            record.jobs_sent, g_hash_table_size(record.jobs), record.reads, record.texts,
            record.text_joints, record.stream_joints, record.ends, record.ends_judged,
-           record.late_runs, record.faults, record.violations->len);
+           record.late_runs, record.crashes, record.fatal_sent, record.fatal_held,
+           record.beside_sent, record.beside_served, record.faults, record.violations->len);
 }
 
 static void run_soak(const command_line *line) {
@@ -187,10 +192,14 @@
     printf("seed %u, %u s, %d daemons\n", line->seed, line->seconds, bench_daemons());
     bench_prepare();
     soak_start_proxies();
+    soak_start_crashes();
     if (bench_start() != 0)
         soak_violation("the fleet did not start");
     run_callers(line);
     soak_check_end();
+    for (int daemon = 0; daemon < bench_daemons(); daemon++)
+        bench_signal(daemon, SIGKILL);
+    soak_stop_crashes();
     end_bench();
     soak_stop_proxies();
     print_verdict(line);
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -23,6 +23,8 @@
     record.ended = new_set();
     record.results =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    record.fatal = new_set();
+    record.began_ms = hs_clock_monotonic_ms();
     record.violations = g_ptr_array_new_with_free_func(g_free);
     record.config_version = 1;
 }
@@ -33,6 +35,7 @@
     g_hash_table_destroy(record.jobs);
     g_hash_table_destroy(record.ended);
     g_hash_table_destroy(record.results);
+    g_hash_table_destroy(record.fatal);
     g_ptr_array_free(record.violations, TRUE);
     g_mutex_clear(&record.lock);
 }
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -18,6 +18,9 @@
 /** Longer than a run may go on after its end. */
 #define LATE_MS 700
 
+/** Longer in ms than daemons need to know what crashes engines. */
+#define LONG_KNOWN_MS 4000
+
 /** One check: what is done, with or without the fault, and the words that must be found. */
 typedef struct {
     const char *name;
@@ -209,6 +212,19 @@
     soak_check_ends();
 }
 
+static void plant_wrong_hold(bool with_fault) {
+    soak_check_hold("held", !with_fault, true);
+}
+
+/** Four sends 4 s after it was known; without the fault as early as that. */
+static void plant_late_sends(bool with_fault) {
+    g_autoptr(GArray) begun_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    uint64_t now_ms = hs_clock_wall_ms();
+    for (int send = 0; send < 4; send++)
+        g_array_append_val(begun_ms, now_ms);
+    soak_check_sends("fatal", with_fault ? now_ms - LONG_KNOWN_MS : now_ms, begun_ms);
+}
+
 static const planted_fault planted_faults[] = {
     {"wrong joint", plant_wrong_joint, "was asked to go on after"},
     {"missing event", plant_missing_event, "follows event"},
@@ -228,6 +244,8 @@
     {"slow stop", plant_slow_stop, "after 7000 ms"},
     {"daemon that is not ready", plant_daemon_that_is_not_ready, "is not ready"},
     {"run after its end", plant_run_after_end, "after its end"},
+    {"hold of what did nothing", plant_wrong_hold, "held back though"},
+    {"sends of what crashes engines", plant_late_sends, "sent 4 times"},
     {"run near a fault of the soak", plant_own_fault, "after its end"},
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,7 @@
     GHashTable *jobs;      /**< Accepted jobs: id -> count of items. */
     GHashTable *ended;     /**< Jobs whose end was asked for, as a set; maybe it was stored. */
     GHashTable *results;   /**< id of a job -> GPtrArray of char*: results as first read. */
+    GHashTable *fatal;     /**< Contents that crash engines, as a set. */
     GPtrArray *violations; /**< of char* */
     uint32_t sent, served, refusals, cut, kept, jobs_sent, reads;
     uint32_t texts;         /**< Results that were traced to their runs. */
@@ -26,6 +27,10 @@
     uint32_t ends;          /**< Ends that were acknowledged, and callers that left, */
     uint32_t ends_judged;   /**< and those of them that no fault was near to. */
     uint32_t late_runs; /**< Runs that went on too long after an end that a fault was near to. */
+    uint32_t fatal_sent, fatal_held;     /**< Requests that crash engines. */
+    uint32_t beside_sent, beside_served; /**< Others at the same engines. */
+    uint32_t crashes;
+    uint64_t began_ms; /**< Monotonic. */
     gint faults;
     int config_version; /**< The last that was written. */
     bool is_quiet;      /**< Say nothing: a violation is planted. */
@@ -51,6 +56,11 @@
 gpointer soak_run_online(gpointer data);
 gpointer soak_run_jobs(gpointer data);
 gpointer soak_run_leavers(gpointer data);
+gpointer soak_run_crashers(gpointer data);
+
+/** Engines that crash, for callers whose requests do that; after bench_prepare. */
+void soak_start_crashes(void);
+void soak_stop_crashes(void);
 
 /** Read all results of a job at a daemon and compare with what was read before; how many. */
 uint32_t soak_read_job(int daemon, const char *job);
--- a/tests/support/crash_fleet.c
+++ b/tests/support/crash_fleet.c
@@ -29,8 +29,15 @@
     bool is_told; /**< To crash. */
 } place;
 
+/** A request that was under way as its engine ended. */
+typedef struct {
+    char request_id[TOKEN_ENGINE_ID_BYTES];
+    uint64_t ended_ms; /**< Wall time: one engine's end. */
+} loss;
+
 struct crash_fleet {
     log_store *store;
+    GArray *losses; /**< of loss, in their order. */
     place places[CRASH_FLEET_ENGINES];
     GMutex lock;
     uint32_t crashes;
@@ -42,7 +49,20 @@
     return g_strdup_printf("unit-%d-%u", index, incarnation);
 }
 
+/** Note what is under way at the engine, which ends now. */
+static void note_losses(crash_fleet *fleet, const place *one) {
+    loss lost = {.ended_ms = hs_clock_wall_ms()};
+    token_engine_run run;
+    for (uint32_t number = 0; token_engine_find_run(one->engine, number, &run); number++) {
+        if (run.ended_ms != 0)
+            continue;
+        g_strlcpy(lost.request_id, run.request_id, sizeof lost.request_id);
+        g_array_append_val(fleet->losses, lost);
+    }
+}
+
 static void crash(crash_fleet *fleet, place *one) {
+    note_losses(fleet, one);
     token_engine_crash(one->engine);
     one->is_told = false;
     one->crashed_ms = hs_clock_monotonic_ms();
@@ -90,6 +110,7 @@
 crash_fleet *crash_fleet_start(log_store *store, const char *service) {
     crash_fleet *fleet = g_new0(crash_fleet, 1);
     fleet->store = store;
+    fleet->losses = g_array_new(FALSE, FALSE, sizeof(loss));
     g_mutex_init(&fleet->lock);
     for (int index = 0; index < CRASH_FLEET_ENGINES; index++) {
         place *one = &fleet->places[index];
@@ -114,6 +135,7 @@
         token_engine_stop(fleet->places[index].engine);
         g_free(fleet->places[index].id);
     }
+    g_array_free(fleet->losses, TRUE);
     g_mutex_clear(&fleet->lock);
     g_free(fleet);
 }
@@ -147,6 +169,32 @@
     return is_up(fleet);
 }
 
+uint64_t crash_fleet_end_ms(crash_fleet *fleet, const char *prefix, uint32_t number) {
+    uint32_t ends = 0;
+    uint64_t last_ms = 0;
+    g_mutex_lock(&fleet->lock);
+    for (guint index = 0; index < fleet->losses->len && ends < number; index++) {
+        const loss *lost = &g_array_index(fleet->losses, loss, index);
+        if (!g_str_has_prefix(lost->request_id, prefix) || lost->ended_ms == last_ms)
+            continue;
+        last_ms = lost->ended_ms;
+        ends++;
+    }
+    g_mutex_unlock(&fleet->lock);
+    return ends == number ? last_ms : 0;
+}
+
+GArray *crash_fleet_begun_ms(crash_fleet *fleet, const char *prefix) {
+    GArray *begun = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    token_engine_run run;
+    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+        for (uint32_t number = 0; token_engine_find_run(fleet->places[index].engine, number, &run);
+             number++)
+            if (g_str_has_prefix(run.request_id, prefix))
+                g_array_append_val(begun, run.begun_ms);
+    return begun;
+}
+
 static uint32_t begun_at(token_engine *engine, const char *prefix, uint64_t since_ms) {
     uint32_t begun = 0;
     token_engine_run run;
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -28,6 +28,15 @@
 /** Wait until all engines are up and announced; false after some seconds. */
 bool crash_fleet_wait_up(crash_fleet *fleet);
 
+/**
+ * When the engine ended that was the @p number th (from 1) to end under a request whose id begins
+ * with @p prefix, wall time in ms; 0: not so many did.
+ */
+uint64_t crash_fleet_end_ms(crash_fleet *fleet, const char *prefix, uint32_t number);
+
+/** When such requests were begun, wall times in ms: of uint64_t. Free with g_array_free. */
+GArray *crash_fleet_begun_ms(crash_fleet *fleet, const char *prefix);
+
 /** How often requests whose ids begin with @p prefix were begun, from @p since_ms (wall time) on.
  */
 uint32_t crash_fleet_begun(crash_fleet *fleet, const char *prefix, uint64_t since_ms);
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -303,14 +303,21 @@
         "{\"name\":\"plain\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/\","
         "\"kind\":\"idempotent\",\"timeout-ms\":4000,\"target-latency-ms\":300,"
         "\"service\":\"llm\",\"max-attempts\":2},"
+        "{\"name\":\"frail-once\",\"host\":\"" BENCH_HOST
+        "\",\"path-prefix\":\"/frail/once/\",\"kind\":\"streaming\",\"timeout-ms\":4000,"
+        "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":1},"
+        "{\"name\":\"frail-plain\",\"host\":\"" BENCH_HOST
+        "\",\"path-prefix\":\"/frail/plain/\",\"kind\":\"idempotent\",\"timeout-ms\":4000,"
+        "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":2},"
         "{\"name\":\"jobs\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/jobs/\","
         "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
         "\"completion-target-ms\":20000,\"service\":\"llm\",\"max-attempts\":2,"
         "\"retention-s\":%u}],"
-        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":%u}],"
+        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":%u},"
+        "{\"name\":\"frail\",\"health-check\":\"/h\",\"max-connections\":%u}],"
         "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, retention_s, connections);
+        version, retention_s, connections, connections);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
