Contents are judged where one of them may be held back, not at each loss

Cause: each loss that was told, most of them of what ran beside, judged the whole ledger anew; in a fleet of 295 daemons each hears each loss. Change: judged at once from the third engine on, the rest each second.

--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -79,6 +79,18 @@
         log_change(&g_array_index(changes, hs_crash_hold, index), now_ms);
 }
 
+/**
+ * Judge where the content may be held back by now; all others' holds are looked at again each
+ * second. To judge a full ledger of 1,024 contents takes 0.25 ms, and most losses are of what ran
+ * beside.
+ */
+static void judge_if_due(hs_crash_watch *watch, uint64_t content) {
+    hs_crash_evidence evidence;
+    if (hs_crash_ledger_find(watch->ledger, content, &evidence) &&
+        (evidence.engine_count >= HS_CRASHES_TO_HOLD || evidence.is_acquitted))
+        judge(watch);
+}
+
 static void note_lost(hs_crash_watch *watch, const hs_cut_run *run) {
     hs_crash_loss loss = {.content = run->content, .engine = run->engine, .lost_ms = run->cut_ms};
     g_mutex_lock(&watch->lock);
@@ -89,7 +101,7 @@
     if (meaning != HS_LOSS_KNOWN)
         note_news(watch, run->content);
     if (meaning == HS_LOSS_NEWS)
-        judge(watch);
+        judge_if_due(watch, run->content);
     g_mutex_unlock(&watch->lock);
     hs_log_info("run_lost_with_engine",
                 "content=%016" G_GINT64_MODIFIER "x engine=%s engines=%u acquitted=%d",
@@ -272,7 +284,7 @@
                     "content=%016" G_GINT64_MODIFIER "x engines=%u acquitted=%d told_by=%s",
                     (guint64)evidence->content, evidence->engine_count, evidence->is_acquitted,
                     teller->daemon);
-        judge(watch);
+        judge_if_due(watch, evidence->content);
     }
     g_mutex_unlock(&watch->lock);
 }
