--- a/src/directory/crash_store.c
+++ b/src/directory/crash_store.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "directory/crash_codec.h"
+#include "store/keyed_topic.h"
 
 /** Longest wait for the store's answer, in ms: as for the daemons' own records. */
 #define CALL_LIMIT_MS 1000
@@ -41,7 +42,10 @@
     g_hash_table_insert(records->followed, key, GINT_TO_POINTER(is_written));
 }
 
-static void take_record(hs_crash_store *records, const hs_newest_entry *entry) {
+static void take_record(const hs_newest_entry *entry, void *user_data) {
+    hs_crash_store *records = user_data;
+    if (entry->value_length == 0)
+        return;
     Hs__CrashEvidence *message =
         hs__crash_evidence__unpack(NULL, entry->value_length, entry->value);
     if (message == NULL) {
@@ -55,40 +59,12 @@
     hs_crash_watch_learn(records->watch, &evidence, &(hs_crash_teller){.daemon = "store"});
 }
 
-/** One page of records after the key @p after, which is replaced by the last one read. */
-static bool read_page(hs_crash_store *records, char **after, bool *has_more) {
-    hs_store_call call = hs_platform_newest(HS_TOPIC_CRASHES, *after);
-    hs_deadline deadline = hs_clock_monotonic_ms() + CALL_LIMIT_MS;
-    GByteArray *answer = g_byte_array_new();
-    GArray *entries = hs_newest_entries_new();
-    uint64_t end = 0;
-    bool is_read =
-        hs_store_client_send(records->store, &call, deadline, NULL, answer) == HS_STORE_DONE &&
-        hs_platform_read_newest(answer, entries, has_more, &end);
-    for (guint index = 0; is_read && index < entries->len; index++) {
-        const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
-        if (entry->value_length > 0)
-            take_record(records, entry);
-        g_free(*after);
-        *after = g_strdup(entry->key);
-    }
-    if (entries->len == 0)
-        *has_more = false;
-    g_array_free(entries, TRUE);
-    g_byte_array_free(answer, TRUE);
-    return is_read;
-}
-
 void hs_crash_store_read(hs_crash_store *records) {
     if (records->is_read)
         return;
-    g_autofree char *after = NULL;
-    bool has_more = true;
-    bool is_read = true;
-    while (has_more && is_read)
-        is_read = read_page(records, &after, &has_more);
-    records->is_read = is_read;
-    if (is_read)
+    records->is_read =
+        hs_keyed_topic_read(records->store, HS_TOPIC_CRASHES, CALL_LIMIT_MS, take_record, records);
+    if (records->is_read)
         hs_log_info("crash_records_read", "contents=%u", g_hash_table_size(records->followed));
 }
 
@@ -112,14 +88,8 @@
         value = g_malloc(hs__crash_evidence__get_packed_size(&out.message));
         length = hs__crash_evidence__pack(&out.message, value);
     }
-    GByteArray *framed = g_byte_array_new();
-    hs_platform_frame_keyed(framed, key, value, length);
-    hs_store_call call = hs_platform_append(HS_TOPIC_CRASHES, 0, framed);
-    GByteArray *answer = g_byte_array_new();
-    hs_store_outcome outcome = hs_store_client_send(
-        records->store, &call, hs_clock_monotonic_ms() + CALL_LIMIT_MS, NULL, answer);
-    g_byte_array_free(framed, TRUE);
-    g_byte_array_free(answer, TRUE);
+    hs_store_outcome outcome =
+        hs_keyed_topic_write(records->store, HS_TOPIC_CRASHES, key, value, length, CALL_LIMIT_MS);
     hs_log_info("crash_record_written", "content=%s dropped=%d outcome=%s", key, evidence == NULL,
                 hs_store_outcome_name(outcome));
     return outcome == HS_STORE_DONE;
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -10,6 +10,7 @@
 #include "directory/crash_store.h"
 #include "directory/slot_arbiter.h"
 #include "platform/caller_codec.h"
+#include "store/keyed_topic.h"
 
 #include <string.h>
 
@@ -179,40 +180,14 @@
 static bool write_record(hs_daemon_directory *directory, bool leaves) {
     g_autofree char *value =
         g_strdup_printf("%s:%u", directory->settings.address, directory->settings.peer_port);
-    GByteArray *records = g_byte_array_new();
-    hs_platform_frame_keyed(records, directory->settings.id, value, leaves ? 0 : strlen(value));
-    hs_store_call call = hs_platform_append(HS_TOPIC_MEMBERS, 0, records);
-    GByteArray *answer = g_byte_array_new();
-    hs_store_outcome outcome = hs_store_client_send(
-        directory->settings.store, &call, hs_clock_monotonic_ms() + REGISTRY_CALL_MS, NULL, answer);
-    g_byte_array_free(records, TRUE);
-    g_byte_array_free(answer, TRUE);
-    return outcome == HS_STORE_DONE;
+    return hs_keyed_topic_write(directory->settings.store, HS_TOPIC_MEMBERS, directory->settings.id,
+                                value, leaves ? 0 : strlen(value),
+                                REGISTRY_CALL_MS) == HS_STORE_DONE;
 }
 
-static void read_registry(hs_daemon_directory *directory) {
-    GByteArray *answer = g_byte_array_new();
-    g_autofree char *after = NULL;
-    bool has_more = true;
-    while (has_more) {
-        hs_store_call call = hs_platform_newest(HS_TOPIC_MEMBERS, after);
-        hs_deadline deadline = hs_clock_monotonic_ms() + REGISTRY_CALL_MS;
-        uint64_t end = 0;
-        GArray *entries = hs_newest_entries_new();
-        bool read = hs_store_client_send(directory->settings.store, &call, deadline, NULL,
-                                         answer) == HS_STORE_DONE &&
-                    hs_platform_read_newest(answer, entries, &has_more, &end);
-        for (guint index = 0; read && index < entries->len; index++) {
-            const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
-            g_autofree char *address = g_strndup((const char *)entry->value, entry->value_length);
-            propose(directory, entry->key, address);
-            g_free(after);
-            after = g_strdup(entry->key);
-        }
-        has_more = read && has_more && entries->len > 0;
-        g_array_free(entries, TRUE);
-    }
-    g_byte_array_free(answer, TRUE);
+static void propose_entry(const hs_newest_entry *entry, void *user_data) {
+    g_autofree char *address = g_strndup((const char *)entry->value, entry->value_length);
+    propose(user_data, entry->key, address);
 }
 
 static gpointer run_registrar(gpointer data) {
@@ -228,7 +203,8 @@
             continue;
         if (!written)
             written = write_record(directory, false);
-        read_registry(directory);
+        hs_keyed_topic_read(directory->settings.store, HS_TOPIC_MEMBERS, REGISTRY_CALL_MS,
+                            propose_entry, directory);
         next_ms = hs_clock_monotonic_ms() + REGISTRY_INTERVAL_MS;
     } while (hs_stop_wait_pause(&directory->pause, g_atomic_int_get(&directory->joined) != 0
                                                        ? RECORDS_INTERVAL_MS
--- a/tests/system/fleet_calls.c
+++ b/tests/system/fleet_calls.c
@@ -11,6 +11,20 @@
         .daemon = daemon, .method = "POST", .target = target, .request_id = id, .body = "hello"});
 }
 
+char *metrics_of(int daemon) {
+    bench_answer answer = bench_send(
+        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
+    char *text = g_strdup(answer.body != NULL ? answer.body : "");
+    bench_answer_clear(&answer);
+    return text;
+}
+
+int metric_of(int daemon, const char *name) {
+    g_autofree char *text = metrics_of(daemon);
+    const char *line = strstr(text, name);
+    return line != NULL ? (int)g_ascii_strtoll(line + strlen(name), NULL, 10) : -1;
+}
+
 uint32_t submit_job(int daemon, const char *id, int count) {
     g_autofree char *body = bench_job(id, count);
     bench_answer answer = bench_send(&(bench_call){
--- a/tests/system/fleet_calls.h
+++ b/tests/system/fleet_calls.h
@@ -11,6 +11,12 @@
 /** A small request. Free the answer with bench_answer_clear. */
 bench_answer post_request(int daemon, const char *target, const char *id);
 
+/** A daemon's metrics as text. Free with g_free. */
+char *metrics_of(int daemon);
+
+/** One metric of a daemon, by its line up to the figure; -1: it is not told. */
+int metric_of(int daemon, const char *name);
+
 /** Submit a job of @p count items; the status. */
 uint32_t submit_job(int daemon, const char *id, int count);
 
--- a/tests/system/test_fleet_crashes.c
+++ b/tests/system/test_fleet_crashes.c
@@ -90,21 +90,6 @@
     return is_refused;
 }
 
-static char *metrics_of(int daemon) {
-    bench_answer answer = bench_send(
-        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
-    char *text = g_strdup(answer.body != NULL ? answer.body : "");
-    bench_answer_clear(&answer);
-    return text;
-}
-
-/** One metric of a daemon; -1: it is not told. */
-static int metric_of(int daemon, const char *name) {
-    g_autofree char *text = metrics_of(daemon);
-    const char *line = strstr(text, name);
-    return line != NULL ? (int)g_ascii_strtoll(line + strlen(name), NULL, 10) : -1;
-}
-
 /** Callers whose requests run beside others. */
 typedef struct {
     gint stopping;
--- a/tests/system/test_fleet_silence.c
+++ b/tests/system/test_fleet_silence.c
@@ -68,21 +68,6 @@
     return end_bench();
 }
 
-static char *metrics_of(int daemon) {
-    bench_answer answer = bench_send(
-        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
-    char *text = g_strdup(answer.body != NULL ? answer.body : "");
-    bench_answer_clear(&answer);
-    return text;
-}
-
-/** One metric of a daemon; -1: it is not told. */
-static int metric_of(int daemon, const char *name) {
-    g_autofree char *text = metrics_of(daemon);
-    const char *line = strstr(text, name);
-    return line != NULL ? (int)g_ascii_strtoll(line + strlen(name), NULL, 10) : -1;
-}
-
 static bool suspects_an_engine(int daemon) {
     g_autofree char *text = metrics_of(daemon);
     return strstr(text, "heathsail_engine_suspected{engine=\"engine-0\"} 1") != NULL ||
--- a/tests/system/test_fleet_waking.c
+++ b/tests/system/test_fleet_waking.c
@@ -19,6 +19,7 @@
 /** Longer in ms than the answers that were on their way as it stood still need to be read. */
 #define AWAY_MS 1500
 #define POLL_MS 100
+#define WAKES "heathsail_stood_still_ms_count "
 /** The sleeping daemon. */
 #define SLEEPER 2
 
@@ -30,15 +31,6 @@
     return status;
 }
 
-static bool tells_wakes(int daemon, int wakes) {
-    g_autofree char *wanted = g_strdup_printf("heathsail_stood_still_ms_count %d\n", wakes);
-    bench_answer answer = bench_send(
-        &(bench_call){.method = "GET", .target = "/metrics", .port = bench_metrics_port(daemon)});
-    bool is_told = answer.body != NULL && strstr(answer.body, wanted) != NULL;
-    bench_answer_clear(&answer);
-    return is_told;
-}
-
 static void stand_still(int daemon) {
     bench_signal(daemon, SIGSTOP);
     hs_clock_sleep_ms(STILL_MS);
@@ -49,7 +41,7 @@
 /** The store is away as it wakes: not ready until it was read again; the others stay ready. */
 static void a_daemon_that_wakes_is_ready_once_it_read_the_store(void) {
     CU_ASSERT_EQUAL(ready_status(SLEEPER), 200);
-    CU_ASSERT_TRUE(tells_wakes(SLEEPER, 0));
+    CU_ASSERT_EQUAL(metric_of(SLEEPER, WAKES), 0);
     log_store_set_mode(bench.store, LOG_STORE_REFUSES, NULL, G_MAXUINT32);
     stand_still(SLEEPER);
     uint64_t until_ms = hs_clock_monotonic_ms() + AWAY_MS;
@@ -58,10 +50,10 @@
         CU_ASSERT_EQUAL(ready_status(0), 200);
         hs_clock_sleep_ms(POLL_MS);
     } while (hs_clock_monotonic_ms() < until_ms);
-    CU_ASSERT_TRUE(tells_wakes(SLEEPER, 1));
+    CU_ASSERT_EQUAL(metric_of(SLEEPER, WAKES), 1);
     log_store_set_mode(bench.store, LOG_STORE_SOUND, NULL, 0);
     CU_ASSERT_TRUE(bench_wait_ready(SLEEPER));
-    CU_ASSERT_TRUE(tells_wakes(0, 0));
+    CU_ASSERT_EQUAL(metric_of(0, WAKES), 0);
 }
 
 /** With the store at hand it is ready again by itself, and serves. */
@@ -72,7 +64,7 @@
     CU_ASSERT_EQUAL(answer.status, 200);
     CU_ASSERT_TRUE(answer.whole);
     bench_answer_clear(&answer);
-    CU_ASSERT_TRUE(tells_wakes(SLEEPER, 2));
+    CU_ASSERT_EQUAL(metric_of(SLEEPER, WAKES), 2);
 }
 
 const test_case fleet_waking_system_tests[] = {
