Crashes are told from cut answers by a module of its own

Change: crash_probe has the thread and its connections, crash_watch the ledger, its lock, news and metrics.

--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -9,7 +9,8 @@
 
 /**
  * Daemons that news is sent to. In a fleet of no more all hear it at once; in a larger one who
- * hears it tells it on to as many by chance: after two rounds 256 of 360, the rest by digests.
+ * hears it tells it on to as many by chance: two rounds reach half of 360, three nearly all, by
+ * the arithmetic of chance; digests reach the rest.
  */
 #define TOLD_MOST 16
 /** Evidence in one answer or report: some 200 bytes each, so that a datagram holds it. */
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -3,50 +3,19 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "base/ring.h"
-#include "base/thread.h"
-#include "http/client_connection.h"
 
-/** Cut runs that wait to be looked into: all that a few engines ran; beyond, they say nothing. */
-#define WAITING_MOST 1024
-/** The looking thread's wait for the next one, in ms; a stop takes no longer. */
-#define TAKE_MS 100
-/** The same while an engine is watched: a crash is known to all so much later at most. */
-#define WATCHING_TAKE_MS 10
-/** Longest wait for an engine to take or refuse a connection, in ms: a hundred times the way. */
-#define PROBE_LIMIT_MS 300
-/**
- * An engine that keeps a new connection for so long, in ms, is there. A crash ends its connections
- * one after the other and its listener at some moment between: stand-ins that crashed still took a
- * connection right after the first cut, 228 times of 228, and ended it within 11 ms, 34 of 34.
- */
-#define SURVIVES_AFTER_MS 300
-/** Engines that are watched at one time; what is cut at more of them says nothing. */
-#define LOOKS_MOST 64
 /** Contents that are named in the metrics, at most. */
 #define DESCRIBED_MOST 16
 
-/** An engine at which runs were cut, and that is being looked into. */
-typedef struct {
-    hs_cut_run first;
-    GArray *runs;                     /**< of hs_cut_run: all of that engine, the first included. */
-    hs_client_connection *connection; /**< Open as long as it is not known whether it is there. */
-    uint64_t opened_ms;
-} engine_look;
-
 struct hs_crash_watch {
-    GMutex lock; /**< Of all below but the ring and the thread. */
+    GMutex lock; /**< Of all below but the probe. */
     hs_crash_ledger *ledger;
     GArray *news_contents; /**< of uint64_t, each once. */
     uint32_t held;         /**< Contents held back at the last judgement. */
-    uint64_t crashes;      /**< Engines that this daemon found crashed. */
     uint64_t cut;          /**< Runs that were cut. */
     uint64_t lost;         /**< Those of them whose engine crashed. */
     uint64_t unlooked;     /**< Those that there was no room for. */
-    hs_ring *waiting;      /**< of hs_cut_run* */
-    gint stopping;
-    GThread *thread;
-    uint64_t last_gone; /**< Engine that was found crashed last; of the thread alone. */
+    hs_crash_probe *probe;
 };
 
 /** The caller holds the lock, as for all below that take no lock themselves. */
@@ -91,6 +60,7 @@
         judge(watch);
 }
 
+/** A run was lost with its engine. */
 static void note_lost(hs_crash_watch *watch, const hs_cut_run *run) {
     hs_crash_loss loss = {.content = run->content, .engine = run->engine, .lost_ms = run->cut_ms};
     g_mutex_lock(&watch->lock);
@@ -109,97 +79,11 @@
                 meaning == HS_LOSS_ACQUITTED);
 }
 
-/** Connect to the engine; NULL: it refuses (@p is_gone) or does not answer. */
-static hs_client_connection *probe(const hs_cut_run *run, bool *is_gone) {
-    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + PROBE_LIMIT_MS,
-                    .watched = HS_WATCH_NOTHING};
-    hs_step step = HS_STEP_PROGRESS;
-    hs_client_connection *connection =
-        hs_client_connection_open(run->address, run->port, &wait, &step);
-    *is_gone = connection == NULL && step == HS_STEP_CUT;
-    return connection;
-}
-
-static engine_look *find_look(const GPtrArray *looks, uint64_t engine) {
-    for (guint index = 0; index < looks->len; index++)
-        if (((const engine_look *)looks->pdata[index])->first.engine == engine)
-            return looks->pdata[index];
-    return NULL;
-}
-
-static void free_look(gpointer data) {
-    engine_look *look = data;
-    hs_client_connection_close(look->connection);
-    g_array_free(look->runs, TRUE);
-    g_free(look);
-}
-
-/** What became of the engine is known. */
-static void conclude(hs_crash_watch *watch, const engine_look *look, bool is_gone) {
-    hs_log_info(is_gone ? "engine_crashed" : "engine_survives",
-                "engine=%s runs_cut=%u cut_ago_ms=%" G_GUINT64_FORMAT, look->first.engine_id,
-                look->runs->len, (guint64)(hs_clock_monotonic_ms() - look->first.cut_ms));
-    if (is_gone)
-        watch->last_gone = look->first.engine;
-    g_mutex_lock(&watch->lock);
-    watch->crashes += is_gone;
-    g_mutex_unlock(&watch->lock);
-    for (guint index = 0; is_gone && index < look->runs->len; index++)
-        note_lost(watch, &g_array_index(look->runs, hs_cut_run, index));
-}
-
-/** Go on looking; true when what became of the engine is known. */
-static bool go_on(hs_crash_watch *watch, engine_look *look) {
-    bool is_gone = false;
-    bool is_open = hs_client_connection_is_quiet(look->connection);
-    if (is_open && hs_clock_monotonic_ms() < look->opened_ms + SURVIVES_AFTER_MS)
-        return false;
-    if (!is_open)
-        hs_client_connection_close(probe(&look->first, &is_gone));
-    conclude(watch, look, is_gone);
-    return true;
-}
-
-/** Look into a cut run: with those of the same engine, or by a new connection. */
-static void look_into(hs_crash_watch *watch, GPtrArray *looks, const hs_cut_run *run) {
-    engine_look *look = find_look(looks, run->engine);
-    if (look != NULL) {
-        g_array_append_val(look->runs, *run);
-        return;
-    }
-    if (watch->last_gone == run->engine) {
-        note_lost(watch, run);
-        return;
-    }
-    bool is_gone = false;
-    look = g_new0(engine_look, 1);
-    look->first = *run;
-    look->runs = g_array_new(FALSE, FALSE, sizeof(hs_cut_run));
-    g_array_append_val(look->runs, *run);
-    look->opened_ms = hs_clock_monotonic_ms();
-    if (looks->len < LOOKS_MOST)
-        look->connection = probe(run, &is_gone);
-    if (look->connection != NULL) {
-        g_ptr_array_add(looks, look);
-        return;
-    }
-    conclude(watch, look, is_gone);
-    free_look(look);
-}
-
-static gpointer look_into_cuts(gpointer data) {
-    hs_crash_watch *watch = data;
-    g_autoptr(GPtrArray) looks = g_ptr_array_new_with_free_func(free_look);
-    while (g_atomic_int_get(&watch->stopping) == 0) {
-        g_autofree hs_cut_run *run =
-            hs_ring_take(watch->waiting, looks->len > 0 ? WATCHING_TAKE_MS : TAKE_MS);
-        if (run != NULL)
-            look_into(watch, looks, run);
-        for (guint index = looks->len; index > 0; index--)
-            if (go_on(watch, looks->pdata[index - 1]))
-                g_ptr_array_remove_index_fast(looks, index - 1);
-    }
-    return NULL;
+/** What became of an engine at which runs were cut. */
+static void take_end(const GArray *runs, bool is_gone, void *user_data) {
+    hs_crash_watch *watch = user_data;
+    for (guint index = 0; is_gone && index < runs->len; index++)
+        note_lost(watch, &g_array_index(runs, hs_cut_run, index));
 }
 
 hs_crash_watch *hs_crash_watch_new(void) {
@@ -207,21 +91,14 @@
     g_mutex_init(&watch->lock);
     watch->ledger = hs_crash_ledger_new();
     watch->news_contents = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    watch->waiting = hs_ring_new(WAITING_MOST);
-    watch->thread = hs_thread_try("crash-watch", look_into_cuts, watch);
+    watch->probe = hs_crash_probe_start(take_end, watch);
     return watch;
 }
 
 void hs_crash_watch_free(hs_crash_watch *watch) {
     if (watch == NULL)
         return;
-    g_atomic_int_set(&watch->stopping, 1);
-    if (watch->thread != NULL)
-        g_thread_join(watch->thread);
-    for (void *run = hs_ring_take(watch->waiting, 0); run != NULL;
-         run = hs_ring_take(watch->waiting, 0))
-        g_free(run);
-    hs_ring_free(watch->waiting);
+    hs_crash_probe_stop(watch->probe);
     g_array_free(watch->news_contents, TRUE);
     hs_crash_ledger_free(watch->ledger);
     g_mutex_clear(&watch->lock);
@@ -229,15 +106,11 @@
 }
 
 void hs_crash_watch_note_cut(hs_crash_watch *watch, const hs_cut_run *run) {
-    hs_cut_run *kept = g_new(hs_cut_run, 1);
-    *kept = *run;
-    bool is_put = hs_ring_put(watch->waiting, kept);
+    bool is_taken = hs_crash_probe_put(watch->probe, run);
     g_mutex_lock(&watch->lock);
     watch->cut++;
-    watch->unlooked += !is_put;
+    watch->unlooked += !is_taken;
     g_mutex_unlock(&watch->lock);
-    if (!is_put)
-        g_free(kept);
 }
 
 void hs_crash_watch_note_survived(hs_crash_watch *watch, uint64_t content) {
@@ -353,14 +226,14 @@
     g_autoptr(GArray) holds = g_array_new(FALSE, FALSE, sizeof(hs_crash_hold));
     g_mutex_lock(&watch->lock);
     hs_crash_ledger_holds(watch->ledger, now_ms, holds);
-    g_string_append_printf(
-        text,
-        "heathsail_engine_crashes %" G_GUINT64_FORMAT "\nheathsail_runs_cut %" G_GUINT64_FORMAT
-        "\nheathsail_runs_lost_with_engine %" G_GUINT64_FORMAT
-        "\nheathsail_runs_cut_unlooked %" G_GUINT64_FORMAT
-        "\nheathsail_contents_remembered %u\nheathsail_contents_held_back %u\n",
-        (guint64)watch->crashes, (guint64)watch->cut, (guint64)watch->lost,
-        (guint64)watch->unlooked, hs_crash_ledger_size(watch->ledger), holds->len);
+    g_string_append_printf(text,
+                           "heathsail_engine_crashes %u\nheathsail_runs_cut %" G_GUINT64_FORMAT
+                           "\nheathsail_runs_lost_with_engine %" G_GUINT64_FORMAT
+                           "\nheathsail_runs_cut_unlooked %" G_GUINT64_FORMAT
+                           "\nheathsail_contents_remembered %u\nheathsail_contents_held_back %u\n",
+                           hs_crash_probe_crashes(watch->probe), (guint64)watch->cut,
+                           (guint64)watch->lost, (guint64)watch->unlooked,
+                           hs_crash_ledger_size(watch->ledger), holds->len);
     g_mutex_unlock(&watch->lock);
     for (guint index = 0; index < MIN(holds->len, DESCRIBED_MOST); index++) {
         const hs_crash_hold *hold = &g_array_index(holds, hs_crash_hold, index);
--- a/src/fleet/crash_watch.h
+++ b/src/fleet/crash_watch.h
@@ -3,34 +3,23 @@
  * Finds out which requests crash engines, and holds them back; see crash_ledger.h for the
  * judgement.
  *
- * Attempts tell it how runs ended. Where a run was cut, a thread of its own asks whether the engine
- * is still there: a connection that is refused tells a crash from a cut answer within a
- * millisecond, some two seconds before the store's entry runs out. What is news is handed to the
- * exchange between daemons (directory/crash_exchange.h).
+ * Attempts tell it how runs ended; where one was cut, crash_probe.h finds out whether the engine
+ * crashed. What is news is handed to the exchange between daemons (directory/crash_exchange.h).
  */
 #ifndef HS_FLEET_CRASH_WATCH_H
 #define HS_FLEET_CRASH_WATCH_H
 
 #include "fleet/crash_ledger.h"
+#include "fleet/crash_probe.h"
 
 typedef struct hs_crash_watch hs_crash_watch;
 
-/** Start its thread. */
+/** Start its probe. */
 hs_crash_watch *hs_crash_watch_new(void);
 
-/** Stop its thread and free. NULL is allowed. */
+/** Stop its probe and free. NULL is allowed. */
 void hs_crash_watch_free(hs_crash_watch *watch);
 
-/** A run that was cut at an engine which, as far as is known, was not leaving. */
-typedef struct {
-    uint64_t content;
-    uint64_t engine; /**< Hash of its id. */
-    char engine_id[64];
-    uint32_t address; /**< IPv4 number in host order. */
-    uint16_t port;
-    uint64_t cut_ms;
-} hs_cut_run;
-
 /** A run was cut; never waits. */
 void hs_crash_watch_note_cut(hs_crash_watch *watch, const hs_cut_run *run);
 
