A loss beside a content that was found to blame before counts half

Cause: an engine's crash has one cause, but each content that was lost with it was counted in full; what came three times, each time as another cause ended the engine, was held back. Ruled out: to count such a loss not at all (two causes that run together would hide each other: the second is found by one loss of its own now); a higher limit (each cause would cost an engine more). Change: suspects are judged in the order in which they came to be suspected; the engines of what is to blame speak half against what comes later. A hold needs the weight of three losses, one of them beside another cause at most.

--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -3,7 +3,7 @@
 
 #include "base/hash.h"
 
-#include <string.h>
+#include <stdlib.h>
 
 /**
  * A run that was survived speaks for its content for so long, in ms: longer than callers take to
@@ -19,6 +19,18 @@
 #define REMEMBER_MS 600000
 /** A content that was lost with so many engines more explains the losses of another. */
 #define EXPLAINS_MORE 2
+/**
+ * How much one loss speaks against its content: in full; or half where another content, which was
+ * found to blame before, was lost with the same engine. Two causes that run together are then both
+ * found, the second by a loss or two of its own; what runs beside three causes is not.
+ */
+#define WEIGHT_WHOLE 2U
+#define WEIGHT_BESIDE 1U
+/** HS_CRASHES_TO_HOLD losses, one of them beside another cause. */
+#define WEIGHT_TO_HOLD (HS_CRASHES_TO_HOLD * WEIGHT_WHOLE - WEIGHT_BESIDE)
+/** Contents that came to be suspected within so many ms were lost with one engine: neither was
+ * found out before the other. Its runs are cut within some ms of each other. */
+#define ONE_MOMENT_MS 500
 /** Runs survived of late that are remembered, one a place: 64 kB. Of two contents in one place the
  * later counts. */
 #define SURVIVORS 4096
@@ -190,42 +202,124 @@
     return most;
 }
 
-static uint64_t hold_ms(uint32_t engines) {
-    uint32_t doublings = MIN(engines - HS_CRASHES_TO_HOLD, 8U);
+static uint64_t hold_ms(uint32_t weight) {
+    uint32_t doublings = MIN((weight - WEIGHT_TO_HOLD) / WEIGHT_WHOLE, 8U);
     return MIN((uint64_t)HOLD_FIRST_MS << doublings, HOLD_MOST_MS);
 }
 
-static hs_crash_hold judge(const entry *one, GHashTable *most, uint64_t now_ms) {
-    hs_crash_hold hold = {.content = one->evidence.content, .engines = lost_with(one)};
-    for (uint32_t index = 0; index < one->evidence.engine_count; index++) {
-        gpointer other = g_hash_table_lookup(most, &one->evidence.engines[index].engine);
-        hold.explained += GPOINTER_TO_UINT(other) >= lost_with(one) + EXPLAINS_MORE;
+static gint by_time(gconstpointer left, gconstpointer right) {
+    const uint64_t first = *(const uint64_t *)left;
+    const uint64_t second = *(const uint64_t *)right;
+    return (first > second) - (first < second);
+}
+
+/** When the content was lost with so many engines that it may be to blame. */
+static uint64_t suspect_since_ms(const entry *one) {
+    uint64_t times[HS_CRASH_ENGINES_MOST];
+    for (uint32_t index = 0; index < lost_with(one); index++)
+        times[index] = one->evidence.engines[index].lost_ms;
+    qsort(times, lost_with(one), sizeof *times, by_time);
+    return times[HS_CRASHES_TO_HOLD - 1];
+}
+
+/** A content that was lost with enough engines to be to blame. */
+typedef struct {
+    entry *one;
+    uint64_t since_ms; /**< See suspect_since_ms. */
+} suspect;
+
+/** In the order in which they came to be suspected; of those at one time any, but always the same.
+ */
+static gint by_suspicion(gconstpointer left, gconstpointer right) {
+    const suspect *first = left;
+    const suspect *second = right;
+    if (first->since_ms != second->since_ms)
+        return by_time(&first->since_ms, &second->since_ms);
+    return by_time(&first->one->evidence.content, &second->one->evidence.content);
+}
+
+/** What is known of the engines that crashed. */
+typedef struct {
+    GHashTable *most; /**< Engine -> the most engines that one content lost there was lost with. */
+    GHashTable *blamed; /**< Engine -> the suspect that was found to blame first: suspect*. */
+} engine_causes;
+
+/** How much a loss speaks against its content. */
+static uint32_t weight_of(const engine_causes *causes, const suspect *of, const uint64_t *engine) {
+    guint most = GPOINTER_TO_UINT(g_hash_table_lookup(causes->most, engine));
+    const suspect *other = g_hash_table_lookup(causes->blamed, engine);
+    if (most >= lost_with(of->one) + EXPLAINS_MORE)
+        return 0;
+    bool was_known = other != NULL && other->since_ms + ONE_MOMENT_MS < of->since_ms;
+    return was_known ? WEIGHT_BESIDE : WEIGHT_WHOLE;
+}
+
+/** Judge one content; where it is to blame, so are its engines' other losses less from now on. */
+static hs_crash_hold judge(const engine_causes *causes, suspect *of, uint64_t now_ms) {
+    hs_crash_evidence *evidence = &of->one->evidence;
+    hs_crash_hold hold = {.content = evidence->content, .engines = evidence->engine_count};
+    uint32_t sum = 0;
+    for (uint32_t index = 0; index < evidence->engine_count; index++) {
+        uint32_t weight = weight_of(causes, of, &evidence->engines[index].engine);
+        hold.explained += weight < WEIGHT_WHOLE;
+        sum += weight;
     }
-    uint32_t blamed = hold.engines - hold.explained;
-    if (blamed >= HS_CRASHES_TO_HOLD)
-        hold.until_ms = one->last_ms + hold_ms(blamed);
+    if (sum < WEIGHT_TO_HOLD)
+        return hold;
+    hold.until_ms = of->one->last_ms + hold_ms(sum);
     hold.is_held = hold.until_ms > now_ms;
+    for (uint32_t index = 0; index < evidence->engine_count; index++)
+        if (!g_hash_table_contains(causes->blamed, &evidence->engines[index].engine))
+            g_hash_table_insert(causes->blamed, &evidence->engines[index].engine, of);
     return hold;
 }
 
-uint32_t hs_crash_ledger_judge(hs_crash_ledger *ledger, uint64_t now_ms, GArray *changes) {
-    uint32_t held = 0;
-    g_autoptr(GHashTable) most = most_by_engine(ledger);
+/** All that may be to blame, in their order: of suspect. The holds of the others end. */
+static GArray *find_suspects(hs_crash_ledger *ledger, GArray *changes) {
+    GArray *suspects = g_array_new(FALSE, FALSE, sizeof(suspect));
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, ledger->by_content);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         entry *one = value;
+        if (lost_with(one) >= HS_CRASHES_TO_HOLD) {
+            suspect found = {.one = one, .since_ms = suspect_since_ms(one)};
+            g_array_append_val(suspects, found);
+            continue;
+        }
         bool was_held = one->hold.is_held;
-        one->hold = judge(one, most, now_ms);
-        if (one->hold.is_held != was_held)
+        one->hold = (hs_crash_hold){.content = one->evidence.content, .engines = lost_with(one)};
+        if (was_held)
             g_array_append_val(changes, one->hold);
-        held += one->hold.is_held;
     }
+    g_array_sort(suspects, by_suspicion);
+    return suspects;
+}
+
+static void forget_old(hs_crash_ledger *ledger, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
     g_hash_table_iter_init(&iterator, ledger->by_content);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
         if (now_ms > remembered_until(value))
             g_hash_table_iter_remove(&iterator);
+}
+
+uint32_t hs_crash_ledger_judge(hs_crash_ledger *ledger, uint64_t now_ms, GArray *changes) {
+    uint32_t held = 0;
+    g_autoptr(GArray) suspects = find_suspects(ledger, changes);
+    g_autoptr(GHashTable) most = most_by_engine(ledger);
+    g_autoptr(GHashTable) blamed = g_hash_table_new(g_int64_hash, g_int64_equal);
+    engine_causes causes = {.most = most, .blamed = blamed};
+    for (guint index = 0; index < suspects->len; index++) {
+        suspect *of = &g_array_index(suspects, suspect, index);
+        bool was_held = of->one->hold.is_held;
+        of->one->hold = judge(&causes, of, now_ms);
+        if (of->one->hold.is_held != was_held)
+            g_array_append_val(changes, of->one->hold);
+        held += of->one->hold.is_held;
+    }
+    forget_old(ledger, now_ms);
     return held;
 }
 
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -11,7 +11,8 @@
  * - A run that an engine survived acquits its content: no pair counts from before, nor from shortly
  *   after, since what is asked all the time runs at most engines that crash.
  * - A pair is explained, and not counted, where another content was lost with the same engine and
- *   with clearly more engines in all: what merely ran beside the cause is lost with fewer.
+ *   with clearly more engines in all: what merely ran beside the cause is lost with fewer. It
+ * counts half where another content lost there had been found to blame before.
  *
  * Pairs and acquittals only add up, in any order and however often they are told, so that daemons
  * which know the same pairs judge alike. All is bounded, and forgotten some time after the last
@@ -63,7 +64,7 @@
     bool is_held;
     uint64_t until_ms;
     uint32_t engines;   /**< It was lost with. */
-    uint32_t explained; /**< Of them, by another content. */
+    uint32_t explained; /**< Of them, by another content, in whole or half. */
 } hs_crash_hold;
 
 /** What a loss that was told means. */
