A record of a held content is brought up to date in plain steps; words of the ledger's page

Cause: last read of the diff: update_record said when it was due in one line with two meanings. Change: the same decisions, one a line; comments.

--- a/src/directory/crash_store.c
+++ b/src/directory/crash_store.c
@@ -102,18 +102,22 @@
     return NULL;
 }
 
-/** Bring one record up to date; what failed is tried in the next round. True: done with it. */
+/** Bring one record up to date; what failed is tried in the next round. True: it need not be
+ * followed any more. */
 static bool update_record(hs_crash_store *records, uint64_t content, const GArray *held,
                           bool *is_written) {
     char key[KEY_BYTES];
     g_snprintf(key, sizeof key, "%016" G_GINT64_MODIFIER "x", (guint64)content);
     const hs_crash_evidence *evidence = find_held(held, content);
-    bool is_due = (evidence != NULL) != *is_written || evidence == NULL;
-    if (is_due && is_writer(records, key) && write_record(records, key, evidence))
-        *is_written = evidence != NULL;
-    else if (is_due && is_writer(records, key))
+    bool is_held = evidence != NULL;
+    if (is_held && *is_written)
         return false;
-    return evidence == NULL;
+    if (!is_writer(records, key))
+        return !is_held;
+    if (!write_record(records, key, evidence))
+        return false;
+    *is_written = is_held;
+    return !is_held;
 }
 
 void hs_crash_store_update(hs_crash_store *records) {
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -6,13 +6,13 @@
  * none. So each loss is kept as a pair (content of the request, engine), and contents are judged
  * by them:
  *
- * - A content that was lost with HS_CRASHES_TO_HOLD engines, one after the other, is held back:
- * sent to no engine for a while. The time grows with each engine that is lost to it after that.
+ * - A content that was lost with HS_CRASHES_TO_HOLD engines in a row is held back: it is sent to
+ *   no engine for a while, longer with each engine that is lost to it after that.
  * - A run that an engine survived acquits its content: no pair counts from before, nor from shortly
  *   after, since what is asked all the time runs at most engines that crash.
  * - A pair is explained, and not counted, where another content was lost with the same engine and
- *   with clearly more engines in all: what merely ran beside the cause is lost with fewer. It
- * counts half where another content lost there had been found to blame before.
+ *   with clearly more engines in all: what merely ran beside the cause is lost with fewer.
+ * - A pair counts half where another content lost there had been found to blame before.
  *
  * Pairs and acquittals only add up, in any order and however often they are told, so that daemons
  * which know the same pairs judge alike. All is bounded, and forgotten some time after the last
@@ -26,9 +26,8 @@
 #include <stdint.h>
 
 /**
- * Engines that a content is lost with before it is held back. Three losses in a row are chance for
- * one in a thousand of what runs beside crashes of a tenth of all engines; two for one in a
- * hundred.
+ * Engines that a content is lost with before it is held back. Where a tenth of all runs are lost,
+ * three in a row are chance for one in a thousand, two for one in a hundred.
  */
 #define HS_CRASHES_TO_HOLD 3
 /** Contents that are remembered: some 300 kB. Beyond, those lost least often and longest ago go. */
