--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -21,6 +21,8 @@
         {"online_callers", online_caller_tests, begin_fleet, end_fleet},
         {"fleet_callers", fleet_caller_system_tests, begin_patient_bench, end_bench},
         {"fleet_crashes", fleet_crash_system_tests, begin_crashes, end_crashes},
+        {"fleet_crashes_large", fleet_crash_large_system_tests, begin_crashes_large,
+         end_crashes_large},
         {"fleet_waking", fleet_waking_system_tests, begin_bench, end_bench},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
     };
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -60,6 +60,12 @@
 int begin_crashes(void);
 int end_crashes(void);
 
+extern const test_case fleet_crash_large_system_tests[];
+
+/** The same with many daemons. */
+int begin_crashes_large(void);
+int end_crashes_large(void);
+
 extern const test_case fleet_silence_system_tests[];
 
 /** The bench with proxies before its engines and its store. */
--- a/tests/system/test_fleet_crashes.c
+++ b/tests/system/test_fleet_crashes.c
@@ -51,6 +51,8 @@
 #define OWN_CRASHES 9
 #define OWN_CRASH_PAUSE_MS 400
 #define POLL_MS 20
+/** Daemons of which none tells all others by itself. */
+#define LARGE_FLEET 24
 
 static const char held_text[] = "crashed engines";
 
@@ -67,7 +69,7 @@
 }
 
 int end_crashes(void) {
-    for (int index = 0; index < BENCH_DAEMONS; index++)
+    for (int index = 0; index < bench_daemons(); index++)
         bench_signal(index, SIGKILL);
     crash_fleet_stop(engines);
     return end_bench();
@@ -344,6 +346,41 @@
     CU_ASSERT(metric_of(0, "heathsail_contents_held_back ") >= 1);
 }
 
+int begin_crashes_large(void) {
+    bench.settings = (bench_settings){.daemons = LARGE_FLEET};
+    return begin_crashes();
+}
+
+int end_crashes_large(void) {
+    int ended = end_crashes();
+    bench.settings = (bench_settings){0};
+    return ended;
+}
+
+/** So many daemons that each hears of a loss by others, and each saw one loss at most. */
+static void a_large_fleet_learns_what_is_held_back(void) {
+    static const char body[] = "fatal-large";
+    uint32_t before = crash_fleet_crashes(engines);
+    for (int daemon = 0; crash_fleet_crashes(engines) < before + CRASHES_KNOWN; daemon++) {
+        bench_answer answer = send_body(daemon % LARGE_FLEET, "/once/x", body, body);
+        bench_answer_clear(&answer);
+        hs_clock_sleep_ms(ARRIVAL_MS);
+        if (daemon >= LARGE_FLEET)
+            break;
+    }
+    hs_clock_sleep_ms(KNOWN_WITHIN_MS);
+    uint32_t known = crash_fleet_crashes(engines);
+    for (int daemon = 0; daemon < LARGE_FLEET; daemon++)
+        CU_ASSERT_TRUE(is_refused(daemon, "/once/x", body, body));
+    CU_ASSERT(known - before <= CRASHES_MOST);
+    CU_ASSERT_EQUAL(crash_fleet_crashes(engines), known);
+}
+
+const test_case fleet_crash_large_system_tests[] = {
+    {"a_large_fleet_learns_what_is_held_back", a_large_fleet_learns_what_is_held_back},
+    {NULL, NULL},
+};
+
 const test_case fleet_crash_system_tests[] = {
     {"a_stream_that_crashes_engines_is_held_back", a_stream_that_crashes_engines_is_held_back},
     {"a_resumable_stream_that_crashes_engines_is_held_back",
