The soak allows for an engine of its own that is late with events by itself

The trace: their daemon gave both tries up 5 ms after the end and closed the connections; the stand-in engine, whose thread had got no processor for a second, noticed then. Ruled out: the product (its log has both lines within 5 ms); a fault near it. Change: each run of a stand-in engine knows by how much its own events were late; the check adds that to the time within which an engine notices.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -44,6 +44,7 @@
     uint32_t last;
     uint32_t break_at; /**< 0: never. */
     uint32_t event_ms; /**< Between events. */
+    uint64_t told_ms;  /**< When the last event was made; monotonic. */
     bool is_fatal;
 } stream;
 
@@ -81,6 +82,19 @@
     return g_atomic_int_get(&engine->is_crashing) != 0;
 }
 
+/** A thread of the engine's that gets no processor is late, and notices a caller that left as late.
+ */
+static void note_lateness(stream *events) {
+    token_engine *engine = events->engine;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t due_ms = events->told_ms + events->event_ms;
+    g_mutex_lock(&engine->lock);
+    token_engine_run *run = &g_array_index(engine->run_log, token_engine_run, events->run);
+    run->late_ms = MAX(run->late_ms, now_ms > due_ms ? now_ms - due_ms : 0);
+    g_mutex_unlock(&engine->lock);
+    events->told_ms = now_ms;
+}
+
 static ssize_t write_event(void *data, char *buffer, size_t size) {
     stream *events = data;
     if (events->break_at != 0 && events->next > events->break_at) {
@@ -93,7 +107,9 @@
         return HS_READER_ABORT;
     if (events->next > events->last)
         return HS_READER_END;
-    if (waits_until_gone(events->engine, events->descriptor, events->event_ms))
+    bool is_gone = waits_until_gone(events->engine, events->descriptor, events->event_ms);
+    note_lateness(events);
+    if (is_gone)
         return HS_READER_ABORT;
     if (events->is_fatal) {
         waits_until_gone(events->engine, events->descriptor,
@@ -191,6 +207,7 @@
     stream *events = g_new(stream, 1);
     *events = *begun;
     events->event_ms = pace->event_ms;
+    events->told_ms = hs_clock_monotonic_ms();
     events->next = after != NULL ? (uint32_t)g_ascii_strtoull(after, NULL, 10) + 1 : 1;
     events->last = mode == TOKEN_ENGINE_ENDLESS ? UINT32_MAX - 1 : pace->events;
     events->break_at =
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -80,6 +80,7 @@
     uint64_t asked_after; /**< after this event. */
     uint64_t begun_ms;    /**< Wall time at which it was asked for, */
     uint64_t ended_ms;    /**< and at which its answer ended; 0: it has not. */
+    uint64_t late_ms;     /**< Most by which the engine itself was late with an event of it. */
 } token_engine_run;
 
 /**
--- a/tests/soak/run_checks.c
+++ b/tests/soak/run_checks.c
@@ -51,7 +51,10 @@
     if (end_ms == NULL)
         return;
     uint64_t until_ms = run->ended_ms != 0 ? run->ended_ms : hs_clock_wall_ms();
-    if (MAX(until_ms, run->begun_ms) <= latest_ms(*end_ms))
+    /* An engine that is late by itself notices the end of a connection as late: its threads share
+     * the machine with all others (in a soak beside compilers a daemon had closed after 5 ms, and
+     * its engine noticed after 1,139). */
+    if (MAX(until_ms, run->begun_ms) <= latest_ms(*end_ms) + run->late_ms)
         return;
     if (is_judged(*end_ms))
         soak_violation("%s ran at %s until %d ms after its end (begun %d ms after it)",
