A function without a caller goes; two constants say their unit and source

Cause: last read of the change: hs_crash_ledger_knows_crash was left by the first form of the probe; HOLD_MOST_MS and ANSWERS_INTERVAL_MS had no line of their own. Ruled out: a change of behaviour (nothing called it; the rest is comments).

--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -18,6 +18,7 @@
 /** Answers to digests in one ANSWERS_INTERVAL_MS: each may have 13 kB, and while news goes round
  * many digests differ. */
 #define ANSWERS_MOST 4
+/** In ms: as often as daemons tell their loads, with which the digests come. */
 #define ANSWERS_INTERVAL_MS 240
 /** Between judgements without news, in ms: holds end and are forgotten by time alone. */
 #define REFRESH_MS 1000
--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -13,6 +13,7 @@
 /** A hold's first time in ms, doubled with each engine that is lost after it: a request that comes
  * all the time then costs an engine each two minutes at first, and one an hour in the end. */
 #define HOLD_FIRST_MS 120000
+/** The longest hold in ms: one engine an hour. Chosen, not measured. */
 #define HOLD_MOST_MS 3600000
 /** Losses are remembered for so long after the last one or the end of the hold, in ms: as long as a
  * caller that asks again now and then may pause. */
@@ -344,16 +345,6 @@
     }
 }
 
-bool hs_crash_ledger_knows_crash(const hs_crash_ledger *ledger, uint64_t engine) {
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    bool is_known = false;
-    g_hash_table_iter_init(&iterator, ledger->by_content);
-    while (!is_known && g_hash_table_iter_next(&iterator, NULL, &value))
-        is_known = has_engine(value, engine);
-    return is_known;
-}
-
 uint64_t hs_crash_ledger_digest(const hs_crash_ledger *ledger) {
     uint64_t digest = 0;
     GHashTableIter iterator;
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -98,9 +98,6 @@
 /** All contents that are held back: of hs_crash_hold. */
 void hs_crash_ledger_holds(const hs_crash_ledger *ledger, uint64_t now_ms, GArray *holds);
 
-/** Whether an engine is known to have crashed. */
-bool hs_crash_ledger_knows_crash(const hs_crash_ledger *ledger, uint64_t engine);
-
 /**
  * What daemons compare: equal where the same losses are known of each content that was lost more
  * than once. Single losses are left out: most are of what ran beside.
