--- a/gen/job.pb-c.c
+++ b/gen/job.pb-c.c
@@ -784,7 +784,7 @@
   (ProtobufCMessageInit) hs__job_item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__job_manifest__field_descriptors[7] =
+static const ProtobufCFieldDescriptor hs__job_manifest__field_descriptors[8] =
 {
   {
     "job_id",
@@ -870,6 +870,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__JobManifest, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__job_manifest__field_indices_by_name[] = {
   4,   /* field[4] = due_ms */
@@ -879,11 +891,12 @@
   5,   /* field[5] = retention_ms */
   3,   /* field[3] = submitted_ms */
   2,   /* field[2] = target */
+  7,   /* field[7] = tenant */
 };
 static const ProtobufCIntRange hs__job_manifest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor hs__job_manifest__descriptor =
 {
@@ -893,7 +906,7 @@
   "Hs__JobManifest",
   "hs",
   sizeof(Hs__JobManifest),
-  7,
+  8,
   hs__job_manifest__field_descriptors,
   hs__job_manifest__field_indices_by_name,
   1,  hs__job_manifest__number_ranges,
--- a/gen/job.pb-c.h
+++ b/gen/job.pb-c.h
@@ -109,10 +109,14 @@
   uint64_t retention_ms;
   size_t n_items;
   Hs__JobItem **items;
+  /*
+   * Whose job it is, also after its key was taken away; empty: nobody's.
+   */
+  char *tenant;
 };
 #define HS__JOB_MANIFEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__job_manifest__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -39,7 +39,9 @@
     uint32_t gap_target_ms;        /**< 0: none. */
     uint32_t completion_target_ms; /**< Batch: when results are due after the submission. */
     uint64_t retention_ms;         /**< Batch: when items may be given up after the submission. */
-    uint64_t waiting_tokens_most;  /**< Batch: tokens of unfinished items at a time; 0: no limit. */
+    uint64_t waiting_tokens_most;  /**< Batch: tokens of a tenant's unfinished items at a time, of
+                                        all callers where there are no tenants; 0: no limit. */
+    bool is_public;                /**< Callers need no key. */
 } hs_fleet_route;
 
 /** A group of interchangeable engines. */
@@ -51,6 +53,16 @@
     bool has_moves;           /**< A run's memory can be moved to another engine. */
 } hs_fleet_service;
 
+/** A customer whose callers prove by a key that they are its. */
+typedef struct {
+    char *name;
+    GPtrArray *keys; /**< of char*; none: nobody can call as this tenant. */
+    bool has_priority;
+    uint32_t priority; /**< With has_priority, in place of a route's; 0 is the highest rank. */
+    double rate_per_s; /**< Online requests a second over all daemons; 0: no limit. */
+    double burst;      /**< Requests above the rate at one time. */
+} hs_fleet_tenant;
+
 /** What callers may send. */
 typedef struct {
     uint64_t max_header_bytes;
@@ -66,6 +78,13 @@
     uint64_t offset;     /**< Its record's place in the store. */
     GPtrArray *routes;   /**< of hs_fleet_route* */
     GPtrArray *services; /**< of hs_fleet_service* */
+    bool needs_keys;     /**< It names tenants: what is not public takes one of their keys. */
+    GPtrArray *tenants;  /**< of hs_fleet_tenant* */
+    GHashTable
+        *tenant_by_key;       /**< key -> hs_fleet_tenant*, borrowed; see tenants/tenant_index.h. */
+    uint32_t tenants_highest; /**< Highest rank (lowest number) that a tenant has by itself;
+                                   UINT32_MAX: none has one. */
+    bool has_unranked_callers; /**< Some callers' requests have their route's rank. */
     hs_fleet_limits limits;
 } hs_fleet_config;
 
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "platform/config_codec.h"
 #include "store/store_contact.h"
+#include "tenants/tenant_index.h"
 
 #include <string.h>
 
@@ -58,9 +59,10 @@
     if (newer)
         hs_log_info("config_applied",
                     "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
-                    " offset=%" G_GUINT64_FORMAT " routes=%u services=%u",
+                    " offset=%" G_GUINT64_FORMAT " routes=%u services=%u tenants=%u keys=%u",
                     (guint64)config->version, (guint64)before, (guint64)config->offset,
-                    config->routes->len, config->services->len);
+                    config->routes->len, config->services->len, config->tenants->len,
+                    g_hash_table_size(config->tenant_by_key));
     hs_fleet_config_unref(dropped);
     return newer;
 }
@@ -73,6 +75,21 @@
     return hs_store_contact_as_of_ms(&source->contact);
 }
 
+/** Faults are the operator's to see: what is faulty opens nothing, the rest of the version holds.
+ */
+static void index_tenants(hs_fleet_config *config) {
+    hs_tenant_faults faults = hs_tenant_index_make(config);
+    if (faults.unusable_tenants + faults.repeated_names + faults.unusable_keys +
+            faults.disputed_keys ==
+        0)
+        return;
+    hs_log_warning("tenants_faulty",
+                   "version=%" G_GUINT64_FORMAT " tenants=%u unusable_tenants=%u repeated_names=%u"
+                   " unusable_keys=%u disputed_keys=%u",
+                   (guint64)config->version, config->tenants->len, faults.unusable_tenants,
+                   faults.repeated_names, faults.unusable_keys, faults.disputed_keys);
+}
+
 static void take_value(hs_config_source *source, const uint8_t *value, size_t length,
                        uint64_t offset) {
     hs_error error = {0};
@@ -85,6 +102,7 @@
         return;
     }
     config->offset = offset;
+    index_tenants(config);
     hs_config_source_offer(source, config);
 }
 
--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -39,10 +39,11 @@
                                                  const char *target);
 
 /**
- * Whether another route that brings online requests to @p service is more urgent than @p route
- * (lower priority number). Batch items give way to all online requests anyway.
+ * Whether other online requests to @p service are more urgent than those of @p rank (lower number;
+ * see hs_tenant_rank): of another route, or of another tenant. Batch items give way to all online
+ * requests anyway.
  */
-bool hs_fleet_config_is_less_urgent(const hs_fleet_config *config, const hs_fleet_route *route,
+bool hs_fleet_config_is_less_urgent(const hs_fleet_config *config, uint32_t rank,
                                     const char *service);
 
 /** Service by name, or NULL. Borrowed. */
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -20,11 +20,22 @@
     g_free(service);
 }
 
+static void free_tenant(gpointer data) {
+    hs_fleet_tenant *tenant = data;
+    g_free(tenant->name);
+    g_ptr_array_free(tenant->keys, TRUE);
+    g_free(tenant);
+}
+
 hs_fleet_config *hs_fleet_config_new(void) {
     hs_fleet_config *config = g_new0(hs_fleet_config, 1);
     config->references = 1;
     config->routes = g_ptr_array_new_with_free_func(free_route);
     config->services = g_ptr_array_new_with_free_func(free_service);
+    config->tenants = g_ptr_array_new_with_free_func(free_tenant);
+    config->tenants_highest = UINT32_MAX;
+    config->has_unranked_callers = true;
+    config->tenant_by_key = g_hash_table_new(g_str_hash, g_str_equal);
     return config;
 }
 
@@ -36,6 +47,8 @@
 void hs_fleet_config_unref(hs_fleet_config *config) {
     if (config == NULL || !g_atomic_int_dec_and_test(&config->references))
         return;
+    g_hash_table_destroy(config->tenant_by_key);
+    g_ptr_array_free(config->tenants, TRUE);
     g_ptr_array_free(config->routes, TRUE);
     g_ptr_array_free(config->services, TRUE);
     g_free(config);
@@ -57,12 +70,18 @@
     return false;
 }
 
-bool hs_fleet_config_is_less_urgent(const hs_fleet_config *config, const hs_fleet_route *route,
+/** Highest rank that an online request on @p route may have. */
+static uint32_t highest_rank(const hs_fleet_config *config, const hs_fleet_route *route) {
+    uint32_t own = config->has_unranked_callers ? route->priority : UINT32_MAX;
+    return MIN(own, config->tenants_highest);
+}
+
+bool hs_fleet_config_is_less_urgent(const hs_fleet_config *config, uint32_t rank,
                                     const char *service) {
     for (guint index = 0; index < config->routes->len; index++) {
-        const hs_fleet_route *other = config->routes->pdata[index];
-        if (other->kind != HS_ROUTE_BATCH && other->priority < route->priority &&
-            brings_to(other, service))
+        const hs_fleet_route *route = config->routes->pdata[index];
+        if (route->kind != HS_ROUTE_BATCH && brings_to(route, service) &&
+            highest_rank(config, route) < rank)
             return true;
     }
     return false;
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -26,6 +26,7 @@
     hs_item_run *run = g_new0(hs_item_run, 1);
     run->job_id = g_strdup(job->id);
     run->host = g_strdup(job->host);
+    run->tenant = *job->tenant != '\0' ? g_strdup(job->tenant) : NULL;
     run->item_id = g_strdup(item->id);
     run->index = index;
     run->tokens = item->tokens;
@@ -50,6 +51,7 @@
         return;
     g_free(run->job_id);
     g_free(run->host);
+    g_free(run->tenant);
     g_free(run->item_id);
     if (run->content != NULL)
         hs__job_item_content__free_unpacked(run->content, NULL);
@@ -253,6 +255,7 @@
                     .fields = fields,
                     .host = run->host,
                     .request_id = run->item_id,
+                    .tenant = run->tenant,
                     .body_length = run->content->body.len,
                     .resumes = run->events.has_last_id,
                     .last_event = run->events.last_id},
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -30,6 +30,7 @@
 typedef struct {
     char *job_id;
     char *host;
+    char *tenant; /**< Whose job it is of; NULL: nobody's. */
     char *item_id;
     uint32_t index;
     uint32_t tokens; /**< Its size: the prompt and the most it may make. */
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -47,6 +47,7 @@
     hs_job_partition *partition;
     hs_inbound *inbound;
     const hs_caller_terms *terms;
+    const char *tenant;
     hs_call_kind kind;
     const char *job_id;
     hs_deadline deadline;
@@ -70,8 +71,13 @@
                 is_answered, (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms));
 }
 
-static result_page write_page(hs_job_state *state, const char *job_id, uint64_t position) {
-    const hs_job *job = hs_job_state_find(state, job_id);
+/** The call's job where its caller may know of it, else NULL. The caller has locked the fold. */
+static const hs_job *find_job(const job_call *call, const hs_job_state *state) {
+    const hs_job *job = hs_job_state_find(state, call->job_id);
+    return job != NULL && hs_job_is_visible(job, call->tenant) ? job : NULL;
+}
+
+static result_page write_page(const hs_job *job, uint64_t position) {
     if (job == NULL)
         return (result_page){0};
     g_autofree hs_result_view *views = g_new0(hs_result_view, job->results->len + 1);
@@ -102,7 +108,7 @@
     while (true) {
         hs_job_state *state = hs_job_partition_lock(call->partition);
         uint64_t next = hs_job_state_next(state);
-        result_page page = write_page(state, call->job_id, position);
+        result_page page = write_page(find_job(call, state), position);
         hs_job_partition_unlock(call->partition);
         g_autofree char *text = page.text;
         if (text == NULL || (page.is_beyond && fold != FOLD_COMPLETE) ||
@@ -120,7 +126,7 @@
 static bool answer_item(const job_call *call) {
     g_autofree char *item_id = hs_platform_read_item_id(call->inbound->target);
     hs_job_state *state = hs_job_partition_lock(call->partition);
-    const hs_job *job = hs_job_state_find(state, call->job_id);
+    const hs_job *job = find_job(call, state);
     int index = job != NULL && item_id != NULL ? hs_job_find_item(job, item_id) : -1;
     hs_job_item item = {0};
     if (index >= 0)
@@ -148,7 +154,7 @@
 
 /** Answer from this daemon's fold. False: it may lack what was asked for; nothing was answered. */
 static bool answer(const job_call *call, fold_state fold) {
-    bool is_known = hs_job_is_known(call->partition, call->job_id);
+    bool is_known = hs_job_see(call->partition, call->job_id, call->tenant) == HS_JOB_SEEN;
     if (!is_known && fold != FOLD_COMPLETE)
         return false;
     if (!is_known) {
@@ -180,7 +186,7 @@
         return false;
     uint64_t limit_ms = MIN(call->terms->wait_ms, (uint64_t)WAIT_MOST_MS) + OWNER_ANSWER_MS;
     hs_peer_answer told;
-    if (hs_job_peer_ask(&owner, call->inbound,
+    if (hs_job_peer_ask(&owner, call->inbound, call->tenant,
                         MIN(call->deadline, hs_clock_monotonic_ms() + limit_ms),
                         &told) != HS_PEER_ANSWERED)
         return false;
@@ -191,20 +197,21 @@
     return is_sure;
 }
 
-static job_call make_call(hs_job_service *service, hs_inbound *inbound,
-                          const hs_caller_terms *terms, hs_call_kind kind, const char *job_id) {
+static job_call make_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
+                          hs_call_kind kind, const char *job_id) {
     return (job_call){.service = service,
                       .partition = hs_job_service_partition_of(service, job_id),
                       .inbound = inbound,
-                      .terms = terms,
+                      .terms = caller->terms,
+                      .tenant = caller->tenant,
                       .kind = kind,
                       .job_id = job_id,
-                      .deadline = hs_job_call_deadline(inbound, terms)};
+                      .deadline = hs_job_call_deadline(inbound, caller->terms)};
 }
 
-void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                          hs_call_kind kind, const char *job_id) {
-    job_call call = make_call(service, inbound, terms, kind, job_id);
+    job_call call = make_call(service, inbound, caller, kind, job_id);
     if (is_fresh(call.partition) && answer(&call, FOLD_FRESH)) {
         g_atomic_int_inc(&service->reads.from_own_fold);
         log_call(&call, "own_fold", true);
@@ -224,9 +231,9 @@
 }
 
 void hs_job_service_call_of_peer(hs_job_service *service, hs_inbound *inbound,
-                                 const hs_caller_terms *terms, hs_call_kind kind,
+                                 const hs_job_caller *caller, hs_call_kind kind,
                                  const char *job_id) {
-    job_call call = make_call(service, inbound, terms, kind, job_id);
+    job_call call = make_call(service, inbound, caller, kind, job_id);
     if (!answer(&call, is_fresh(call.partition) ? FOLD_FRESH : FOLD_LAGS))
         hs_job_reply_text(inbound, 503, "this daemon's view of the job is not recent\n");
 }
--- a/src/jobs/job_peer.c
+++ b/src/jobs/job_peer.c
@@ -4,19 +4,22 @@
 #include "base/clock.h"
 #include "http/client_connection.h"
 #include "http/http_fields.h"
+#include "platform/caller_codec.h"
 
 /** A daemon that takes longer than this to accept a connection is asked no further, in ms. */
 #define CONNECT_LIMIT_MS 250
 /** Largest answer, in bytes: a page of results, escaped. */
 #define ANSWER_LIMIT_BYTES (16U * 1024 * 1024)
 
-/** The head as it came, for the other daemon. Free with g_string_free. */
-static GString *write_head(const hs_inbound *inbound) {
+/** The head as it came, for the other daemon, which believes whose call it is. Free with
+ * g_string_free. */
+static GString *write_head(const hs_inbound *inbound, const char *tenant) {
+    GArray *fields = hs_platform_name_tenant(inbound->fields, tenant);
     GString *head = g_string_new(NULL);
     g_string_append_printf(head, "%s %s HTTP/1.1\r\n", inbound->method, inbound->target);
-    for (guint index = 0; index < inbound->fields->len; index++) {
-        const hs_http_field *field = &g_array_index(inbound->fields, hs_http_field, index);
-        if (!hs_http_fields_is_hop_by_hop(inbound->fields, field->name) &&
+    for (guint index = 0; index < fields->len; index++) {
+        const hs_http_field *field = &g_array_index(fields, hs_http_field, index);
+        if (!hs_http_fields_is_hop_by_hop(fields, field->name) &&
             g_ascii_strcasecmp(field->name, "Content-Length") != 0 &&
             g_ascii_strcasecmp(field->name, "Expect") != 0)
             g_string_append_printf(head, "%s: %s\r\n", field->name, field->value);
@@ -24,6 +27,7 @@
     if (inbound->body->len > 0)
         g_string_append_printf(head, "Content-Length: %u\r\n", inbound->body->len);
     g_string_append(head, "\r\n");
+    hs_http_fields_free(fields);
     return head;
 }
 
@@ -80,9 +84,9 @@
 }
 
 hs_peer_outcome hs_job_peer_ask(const hs_daemon_address *peer, const hs_inbound *inbound,
-                                hs_deadline deadline, hs_peer_answer *answer) {
-    return call_peer(peer, write_head(inbound), inbound->body, inbound->descriptor, deadline,
-                     answer);
+                                const char *tenant, hs_deadline deadline, hs_peer_answer *answer) {
+    return call_peer(peer, write_head(inbound, tenant), inbound->body, inbound->descriptor,
+                     deadline, answer);
 }
 
 hs_peer_outcome hs_job_peer_post(const hs_daemon_address *peer, const char *target,
--- a/src/jobs/job_peer.h
+++ b/src/jobs/job_peer.h
@@ -24,10 +24,11 @@
 
 /**
  * Pass a call on as it came and wait for the answer until @p deadline, or until the caller is gone.
+ * @p tenant: whose call it is, as this daemon found by its key; "": nobody's.
  * HS_PEER_ANSWERED fills @p answer; clear it with hs_peer_answer_clear.
  */
 hs_peer_outcome hs_job_peer_ask(const hs_daemon_address *peer, const hs_inbound *inbound,
-                                hs_deadline deadline, hs_peer_answer *answer);
+                                const char *tenant, hs_deadline deadline, hs_peer_answer *answer);
 
 /** Target of the question whether a daemon reaches the store; 200: it does, 503: it does not. */
 #define HS_PEER_STORE_TARGET "/store"
--- a/src/jobs/job_quota.c
+++ b/src/jobs/job_quota.c
@@ -82,11 +82,17 @@
     return false;
 }
 
+/** Name under which a tenant's jobs on a route are summed. Free with g_free. */
+static char *account_name(const char *route, const char *tenant) {
+    return *tenant != '\0' ? g_strdup_printf("%s\n%s", route, tenant) : g_strdup(route);
+}
+
 static bool reserve(hs_job_quota *quota, const hs_quota_claim *claim, hs_quota_account *account) {
     Hs__QuotaReservation reservation = HS__QUOTA_RESERVATION__INIT;
+    g_autofree char *name = account_name(claim->route->name, claim->tenant);
     reservation.job_id = (char *)claim->job_id;
     reservation.submission = account->submission;
-    reservation.route = claim->route->name;
+    reservation.route = name;
     reservation.tokens = claim->tokens;
     reservation.partition = claim->partition;
     Hs__QuotaRecord record = HS__QUOTA_RECORD__INIT;
@@ -151,7 +157,7 @@
 /** Decide by the log up to the claim's own reservation. */
 static hs_quota_verdict decide(hs_job_quota *quota, const hs_quota_claim *claim,
                                hs_quota_account *account) {
-    const char *route = claim->route->name;
+    g_autofree char *route = account_name(claim->route->name, claim->tenant);
     g_mutex_lock(&quota->lock);
     account->unfinished = hs_quota_fold_unfinished(quota->fold, route);
     account->reserved = hs_quota_fold_reserved(quota->fold, route, claim->job_id, account->offset);
@@ -174,17 +180,18 @@
 
 static void log_verdict(const hs_quota_claim *claim, const hs_quota_account *account,
                         hs_quota_verdict verdict) {
-    hs_log_info(
-        "job_admission",
-        "job=%s route=%s config=%" G_GUINT64_FORMAT " verdict=%s tokens=%" G_GUINT64_FORMAT
-        " unfinished=%" G_GUINT64_FORMAT " reserved=%" G_GUINT64_FORMAT " limit=%" G_GUINT64_FORMAT
-        " offset=%" G_GUINT64_FORMAT " drained=%" G_GUINT64_FORMAT
-        " drained_in_ms=%" G_GUINT64_FORMAT " room_ms=%" G_GUINT64_FORMAT,
-        claim->job_id, claim->route->name, (guint64)claim->config->version,
-        hs_quota_verdict_name(verdict), (guint64)claim->tokens, (guint64)account->unfinished,
-        (guint64)account->reserved, (guint64)claim->route->waiting_tokens_most,
-        (guint64)account->offset, (guint64)account->drain.tokens,
-        (guint64)account->drain.observed_ms, (guint64)account->room_ms);
+    hs_log_info("job_admission",
+                "job=%s route=%s tenant=%s config=%" G_GUINT64_FORMAT
+                " verdict=%s tokens=%" G_GUINT64_FORMAT " unfinished=%" G_GUINT64_FORMAT
+                " reserved=%" G_GUINT64_FORMAT " limit=%" G_GUINT64_FORMAT
+                " offset=%" G_GUINT64_FORMAT " drained=%" G_GUINT64_FORMAT
+                " drained_in_ms=%" G_GUINT64_FORMAT " room_ms=%" G_GUINT64_FORMAT,
+                claim->job_id, claim->route->name, claim->tenant, (guint64)claim->config->version,
+                hs_quota_verdict_name(verdict), (guint64)claim->tokens,
+                (guint64)account->unfinished, (guint64)account->reserved,
+                (guint64)claim->route->waiting_tokens_most, (guint64)account->offset,
+                (guint64)account->drain.tokens, (guint64)account->drain.observed_ms,
+                (guint64)account->room_ms);
 }
 
 hs_quota_verdict hs_job_quota_claim(hs_job_quota *quota, const hs_quota_claim *claim,
@@ -231,7 +238,7 @@
     Hs__QuotaJob *entry = g_new(Hs__QuotaJob, 1);
     hs__quota_job__init(entry);
     entry->job_id = g_strdup(job->id);
-    entry->route = g_strdup(route->name);
+    entry->route = account_name(route->name, job->tenant);
     entry->tokens = unfinished_tokens(job);
     return entry;
 }
--- a/src/jobs/job_quota.h
+++ b/src/jobs/job_quota.h
@@ -1,6 +1,7 @@
 /**
  * @file job_quota.h
- * Keeps the tokens of a route's unfinished items within the operator's limit, over all daemons.
+ * Keeps the tokens of a route's unfinished items within the operator's limit, over all daemons: of
+ * each tenant, or of all callers where there are no tenants.
  *
  * Before a job is stored, its daemon appends a reservation to one log that all daemons share. The
  * order of that log decides: a job fits when what owners of partitions told to be unfinished, what
@@ -30,6 +31,7 @@
     uint64_t tokens;
     const hs_fleet_config *config;
     const hs_fleet_route *route;
+    const char *tenant; /**< The limit is each tenant's; "": of all callers together. */
     hs_deadline deadline;
 } hs_quota_claim;
 
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -105,11 +105,14 @@
     return MIN(deadline, hs_clock_monotonic_ms() + ONE_TRY_MS);
 }
 
-bool hs_job_is_known(hs_job_partition *partition, const char *job_id) {
+hs_job_sight hs_job_see(hs_job_partition *partition, const char *job_id, const char *tenant) {
     hs_job_state *state = hs_job_partition_lock(partition);
-    bool known = hs_job_state_find(state, job_id) != NULL;
+    const hs_job *job = hs_job_state_find(state, job_id);
+    hs_job_sight sight = HS_JOB_NOT_SEEN;
+    if (job != NULL)
+        sight = hs_job_is_visible(job, tenant) ? HS_JOB_SEEN : HS_JOB_OF_ANOTHER;
     hs_job_partition_unlock(partition);
-    return known;
+    return sight;
 }
 
 void hs_job_service_append_end(hs_job_partition *partition, hs_inbound *inbound, const char *job_id,
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -34,22 +34,28 @@
 /** How routes were kept within their limits so far. */
 hs_quota_counters hs_job_service_quota_counters(hs_job_service *service);
 
+/** Who calls. All borrowed. */
+typedef struct {
+    const hs_caller_terms *terms;
+    const char *tenant; /**< Whose call it is; "": nobody's. A job is its tenant's alone. */
+} hs_job_caller;
+
 /** @p route is one of @p config. */
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
-                           const hs_caller_terms *terms, const hs_fleet_config *config,
+                           const hs_job_caller *caller, const hs_fleet_config *config,
                            const hs_fleet_route *route);
 /** A submission that another daemon, which cannot reach the store, passes on. */
 void hs_job_service_submit_of_peer(hs_job_service *service, hs_inbound *inbound,
-                                   const hs_caller_terms *terms, const hs_fleet_config *config,
+                                   const hs_job_caller *caller, const hs_fleet_config *config,
                                    const hs_fleet_route *route);
 
 /** A caller's call about a submitted job, at any daemon. @p kind: a read, an item or an end. */
-void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                          hs_call_kind kind, const char *job_id);
 
 /** The same call passed on by another daemon; 503 where this daemon's fold is not recent. */
 void hs_job_service_call_of_peer(hs_job_service *service, hs_inbound *inbound,
-                                 const hs_caller_terms *terms, hs_call_kind kind,
+                                 const hs_job_caller *caller, hs_call_kind kind,
                                  const char *job_id);
 
 /** How calls about submitted jobs were answered so far. */
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -35,8 +35,14 @@
 /** Limit of one try of something that may be tried again elsewhere. */
 hs_deadline hs_job_one_try(hs_deadline deadline);
 
-/** Whether the fold, as it is, shows the job. */
-bool hs_job_is_known(hs_job_partition *partition, const char *job_id);
+/** What the fold, as it is, shows of a job to a tenant's caller. */
+typedef enum {
+    HS_JOB_NOT_SEEN,
+    HS_JOB_SEEN,
+    HS_JOB_OF_ANOTHER, /**< Another tenant has a job of this id: as if it were not there. */
+} hs_job_sight;
+
+hs_job_sight hs_job_see(hs_job_partition *partition, const char *job_id, const char *tenant);
 
 /** Append the end of a known job until @p deadline, and answer. */
 void hs_job_service_append_end(hs_job_partition *partition, hs_inbound *inbound, const char *job_id,
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -35,6 +35,7 @@
     g_free(job->id);
     g_free(job->host);
     g_free(job->target);
+    g_free(job->tenant);
     g_array_free(job->items, TRUE);
     g_hash_table_destroy(job->item_by_id);
     g_ptr_array_free(job->results, TRUE);
@@ -72,6 +73,7 @@
     job->id = g_strdup(manifest->job_id);
     job->host = g_strdup(manifest->host);
     job->target = g_strdup(manifest->target);
+    job->tenant = g_strdup(manifest->tenant);
     job->submitted_ms = manifest->submitted_ms;
     job->due_ms = manifest->due_ms;
     job->retention_ms = manifest->retention_ms;
@@ -224,6 +226,10 @@
     return g_hash_table_lookup(state->jobs, job_id);
 }
 
+bool hs_job_is_visible(const hs_job *job, const char *tenant) {
+    return *job->tenant == '\0' || strcmp(job->tenant, tenant) == 0;
+}
+
 GPtrArray *hs_job_state_list(const hs_job_state *state) {
     GPtrArray *jobs = g_ptr_array_new();
     GHashTableIter iterator;
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -45,6 +45,7 @@
     char *id;
     char *host;
     char *target; /**< Path and query it was submitted under. */
+    char *tenant; /**< Whose it is; "": nobody's. */
     uint64_t submitted_ms;
     uint64_t due_ms;        /**< After the submission. */
     uint64_t retention_ms;  /**< After the submission. */
@@ -72,6 +73,10 @@
 /** Borrowed; NULL when unknown. */
 hs_job *hs_job_state_find(const hs_job_state *state, const char *job_id);
 
+/** Whether a caller of @p tenant ("": nobody's) may know of the job; one of nobody's is anyone's.
+ */
+bool hs_job_is_visible(const hs_job *job, const char *tenant);
+
 /** All jobs: of hs_job*, borrowed, in no order. Free the array. */
 GPtrArray *hs_job_state_list(const hs_job_state *state);
 
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -50,6 +50,7 @@
     hs_job_partition *partition;
     hs_inbound *inbound;
     const hs_caller_terms *terms;
+    const char *tenant; /**< Whose job it will be. */
     const hs_fleet_route *route;
     const GArray *items;
     hs_deadline refuse_at; /**< Until then the store is tried; later another daemon may be. */
@@ -74,6 +75,7 @@
     manifest.job_id = (char *)job->terms->request_id;
     manifest.host = (char *)job->terms->host;
     manifest.target = job->inbound->target;
+    manifest.tenant = (char *)job->tenant;
     manifest.submitted_ms = hs_clock_wall_ms();
     manifest.due_ms = job->route->completion_target_ms;
     manifest.retention_ms = job->route->retention_ms;
@@ -87,6 +89,10 @@
         hs_job_partition_patience(job->partition, attempt, 0, job->deadline));
 }
 
+static hs_job_sight see(const submission *job) {
+    return hs_job_see(job->partition, job->terms->request_id, job->tenant);
+}
+
 /** Contents first: without a manifest they bind nobody. */
 static hs_store_outcome store_contents(const submission *job, const GPtrArray *contents,
                                        GArray *offsets) {
@@ -108,7 +114,7 @@
 /** Read back whether a manifest whose append got no answer is in the log. */
 static bool is_stored(const submission *job) {
     return hs_job_partition_catch_up(job->partition, hs_job_one_try(job->deadline)) &&
-           hs_job_is_known(job->partition, job->terms->request_id);
+           see(job) == HS_JOB_SEEN;
 }
 
 /** Store the job; the status to answer with. */
@@ -162,7 +168,7 @@
 static uint32_t held_back(const submission *job, hs_quota_verdict verdict) {
     bool is_read = verdict == HS_QUOTA_FULL &&
                    hs_job_partition_catch_up(job->partition, hs_job_one_try(job->refuse_at));
-    if (hs_job_is_known(job->partition, job->terms->request_id))
+    if (see(job) == HS_JOB_SEEN)
         return 202;
     return is_read ? 429 : 503;
 }
@@ -175,6 +181,7 @@
                             .tokens = tokens_of(job->items),
                             .config = config,
                             .route = job->route,
+                            .tenant = job->tenant,
                             .deadline = job->refuse_at};
     hs_quota_account account;
     hs_quota_verdict verdict = hs_job_quota_claim(service->quota, &claim, &account);
@@ -214,7 +221,7 @@
     }
     hs_deadline limit = MIN(job->deadline, hs_clock_monotonic_ms() + PEER_LIMIT_MS);
     hs_peer_answer told;
-    hs_peer_outcome outcome = hs_job_peer_ask(&peer, job->inbound, limit, &told);
+    hs_peer_outcome outcome = hs_job_peer_ask(&peer, job->inbound, job->tenant, limit, &told);
     bool is_answered = outcome == HS_PEER_ANSWERED;
     bool is_settled = outcome != HS_PEER_NOT_ASKED && !(is_answered && told.status == 503);
     hs_log_info("job_passed_on", "job=%s part=%u outcome=%d status=%u", job->terms->request_id,
@@ -227,9 +234,10 @@
 }
 
 /** Take a submission that came from a caller, or from another daemon (@p is_passed_on). */
-static void submit(hs_job_service *service, hs_inbound *inbound, const hs_caller_terms *terms,
+static void submit(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                    const hs_fleet_config *config, const hs_fleet_route *route, bool is_passed_on) {
     hs_error error = {0};
+    const hs_caller_terms *terms = caller->terms;
     if (terms->request_id == NULL || *terms->request_id == '\0') {
         hs_job_reply_text(inbound, 400, "a job needs an id\n");
         return;
@@ -242,29 +250,33 @@
     submission job = {.partition = hs_job_service_partition_of(service, terms->request_id),
                       .inbound = inbound,
                       .terms = terms,
+                      .tenant = caller->tenant,
                       .route = route,
                       .items = items,
                       .is_passed_on = is_passed_on,
                       .deadline = hs_job_call_deadline(inbound, terms)};
     job.refuse_at = inbound->received_ms + (job.deadline - inbound->received_ms) / 2;
-    if (hs_job_is_known(job.partition, terms->request_id))
+    hs_job_sight sight = see(&job);
+    if (sight == HS_JOB_SEEN)
         hs_job_reply_text(inbound, 202, "");
+    else if (sight == HS_JOB_OF_ANOTHER)
+        hs_job_reply_text(inbound, 409, "the id is taken\n");
     else if (!pass_on(service, &job))
         take_job(service, &job, config);
     g_array_free(items, TRUE);
 }
 
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
-                           const hs_caller_terms *terms, const hs_fleet_config *config,
+                           const hs_job_caller *caller, const hs_fleet_config *config,
                            const hs_fleet_route *route) {
-    submit(service, inbound, terms, config, route, false);
+    submit(service, inbound, caller, config, route, false);
 }
 
 void hs_job_service_submit_of_peer(hs_job_service *service, hs_inbound *inbound,
-                                   const hs_caller_terms *terms, const hs_fleet_config *config,
+                                   const hs_job_caller *caller, const hs_fleet_config *config,
                                    const hs_fleet_route *route) {
     if (hs_store_client_is_failing(service->settings.store))
         hs_job_reply_text(inbound, 503, "the store is out of reach here too\n");
     else
-        submit(service, inbound, terms, config, route, true);
+        submit(service, inbound, caller, config, route, true);
 }
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -16,6 +16,10 @@
     [HS_END_ENGINE_STATUS] = {"engine_status", 0, ""},
     [HS_END_NO_CONFIG] = {"no_config", 503, "no configuration is known yet\n"},
     [HS_END_NO_ROUTE] = {"no_route", 404, "no route matches\n"},
+    [HS_END_KEY_MISSING] = {"key_missing", 401, "a key is needed\n"},
+    [HS_END_KEY_UNKNOWN] = {"key_unknown", 401, "the key is not known\n"},
+    [HS_END_KEY_MALFORMED] = {"key_malformed", 400, "one key is needed, of visible characters\n"},
+    [HS_END_OVER_LIMIT] = {"over_limit", 429, "beyond the tenant's limit; not run\n"},
     [HS_END_TOO_LARGE] = {"too_large", 413, "the body is over the limit\n"},
     [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
     [HS_END_FULL] = {"full", 503, "all engines are full; not run\n"},
@@ -58,7 +62,7 @@
     const reason_entry *entry = &reasons[reason];
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", "text/plain");
-    if (entry->status == 503) {
+    if (entry->status == 503 || entry->status == 429) {
         g_autofree char *seconds = g_strdup_printf("%.3f", (double)retry_after_ms / 1000.0);
         hs_http_fields_add(fields, "Retry-After", seconds);
     }
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -10,6 +10,7 @@
 #include "base/peer_watch.h"
 #include "fleet/engine_choice.h"
 #include "http/http_fields.h"
+#include "tenants/tenant_index.h"
 
 #define RESUME_PAUSE_MS 50
 #define SILENCE_TARGETS 3
@@ -42,6 +43,7 @@
                     .target = inbound->target,
                     .fields = inbound->fields,
                     .request_id = request->terms.request_id,
+                    .tenant = request->tenant,
                     .body_length = inbound->body->len},
         .body = inbound->body->data,
         .wait = {.deadline = request->deadline, .watched = inbound->descriptor},
@@ -160,10 +162,45 @@
     return true;
 }
 
+/**
+ * Whether the caller's key still opens the route by the version now in force: what is sent after a
+ * key was taken away, or given to another tenant, goes by that. Noted with the end where it does
+ * not.
+ */
+static bool is_still_allowed(hs_online_request *request, hs_end_reason *reason) {
+    hs_fleet_config *config = hs_config_source_get(request->online->config);
+    if (config == NULL || config->version == request->checked_version) {
+        hs_fleet_config_unref(config);
+        return true;
+    }
+    const hs_fleet_tenant *tenant = NULL;
+    hs_access access =
+        hs_tenant_access_decide(config,
+                                &(hs_access_request){.key = request->terms.api_key,
+                                                     .has_many_keys = request->terms.has_many_keys,
+                                                     .is_public = request->route->is_public},
+                                &tenant);
+    if (access == HS_ACCESS_GRANTED) {
+        request->checked_version = config->version;
+        g_free(request->tenant);
+        request->tenant = tenant != NULL ? g_strdup(tenant->name) : NULL;
+    } else {
+        *reason = request->run == HS_RUN_DID_NOT ? HS_END_KEY_UNKNOWN : HS_END_BROKEN;
+        hs_log_info("request_no_longer_allowed",
+                    "request=%s tenant=%s version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+                    " run=%s sends=%u",
+                    request->request_id, request->tenant != NULL ? request->tenant : "-",
+                    (guint64)config->version, (guint64)request->checked_version,
+                    hs_run_state_name(request->run), request->sends);
+    }
+    hs_fleet_config_unref(config);
+    return access == HS_ACCESS_GRANTED;
+}
+
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason) {
     hs_next_move move = HS_NEXT_TRY;
     while (move == HS_NEXT_TRY) {
-        if (is_held_back(request, reason))
+        if (!is_still_allowed(request, reason) || is_held_back(request, reason))
             return false;
         if (hs_peer_has_left(request->inbound->descriptor)) {
             *reason = HS_END_CALLER_GONE;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -7,6 +7,7 @@
 #include "fleet/request_content.h"
 #include "http/http_fields.h"
 #include "online/retry_after.h"
+#include "tenants/tenant_index.h"
 
 #include <string.h>
 
@@ -18,12 +19,13 @@
     hs_log_info(
         "request_ended",
         "request=%s content=%016" G_GINT64_MODIFIER
-        "x route=%s service=%s config=%" G_GUINT64_FORMAT
+        "x route=%s tenant=%s service=%s config=%" G_GUINT64_FORMAT
         " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
         " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
         " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u"
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT,
-        request->request_id, (guint64)request->content, request->route->name, request->service,
+        request->request_id, (guint64)request->content, request->route->name,
+        request->tenant != NULL ? request->tenant : "-", request->service,
         (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
         hs_end_reason_name(reason), hs_run_state_name(request->run), request->sends, request->runs,
         (guint64)request->events.event_count, (guint64)request->first_byte_ms,
@@ -53,6 +55,7 @@
     g_ptr_array_free(request->excluded, TRUE);
     g_byte_array_free(request->ready, TRUE);
     g_free(request->request_id);
+    g_free(request->tenant);
     g_free(request);
 }
 
@@ -143,14 +146,18 @@
 }
 
 static hs_online_request *take_request(hs_online *online, hs_inbound *inbound,
-                                       const hs_caller_terms *terms, hs_fleet_config *config,
-                                       const hs_fleet_route *route) {
+                                       const hs_caller_terms *terms,
+                                       const hs_online_access *access) {
+    hs_fleet_config *config = access->config;
+    const hs_fleet_route *route = access->route;
     hs_online_request *request = g_new0(hs_online_request, 1);
     request->online = online;
     request->inbound = inbound;
     request->config = config;
     request->route = route;
     request->service = hs_online_pick_share(online, route);
+    request->tenant = access->tenant != NULL ? g_strdup(access->tenant->name) : NULL;
+    request->checked_version = config->version;
     request->terms = *terms;
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
     request->content =
@@ -162,7 +169,8 @@
     const hs_fleet_service *service = hs_fleet_config_find_service(config, request->service);
     request->memory_tokens = service != NULL ? service->memory_tokens : 0;
     request->max_connections = service != NULL ? service->max_connections : 0;
-    request->is_less_urgent = hs_fleet_config_is_less_urgent(config, route, request->service);
+    request->is_less_urgent = hs_fleet_config_is_less_urgent(
+        config, hs_tenant_rank(route, access->tenant), request->service);
     request->age_ms = hs_caller_ages_note(online->ages, route->name, terms->timeout_ms);
     uint64_t limit_ms = route->timeout_ms;
     if (terms->timeout_ms > 0)
@@ -178,8 +186,8 @@
 }
 
 void hs_online_serve(hs_online *online, hs_inbound *inbound, const hs_caller_terms *terms,
-                     hs_fleet_config *config, const hs_fleet_route *route) {
-    hs_online_request *request = take_request(online, inbound, terms, config, route);
+                     const hs_online_access *access) {
+    hs_online_request *request = take_request(online, inbound, terms, access);
     hs_end_reason reason = HS_END_BROKEN;
     bool ended = false;
     while (!ended) {
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -21,6 +21,10 @@
     HS_END_ENGINE_STATUS, /**< The engine's own failure was passed on. */
     HS_END_NO_CONFIG,     /**< No configuration is known yet. */
     HS_END_NO_ROUTE,      /**< No route matches. */
+    HS_END_KEY_MISSING,   /**< The route takes a key, and none was given. */
+    HS_END_KEY_UNKNOWN,   /**< No tenant has the key. */
+    HS_END_KEY_MALFORMED, /**< More than one key, or one that cannot be a key. */
+    HS_END_OVER_LIMIT,    /**< Beyond its tenant's limit. */
     HS_END_TOO_LARGE,     /**< The body is over the limit. */
     HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
     HS_END_FULL,          /**< Every engine refused. */
@@ -60,9 +64,16 @@
     gint split_turn; /**< Spreads requests over the shares of a split route. */
 } hs_online;
 
-/** Serve a request on @p route of @p config; takes the reference of @p config. */
+/** Where a request goes and whose it is. Borrowed from @c config but for that reference. */
+typedef struct {
+    hs_fleet_config *config;
+    const hs_fleet_route *route;
+    const hs_fleet_tenant *tenant; /**< NULL: nobody's. */
+} hs_online_access;
+
+/** Serve a request to which access was granted; takes the reference of its configuration. */
 void hs_online_serve(hs_online *online, hs_inbound *inbound, const hs_caller_terms *terms,
-                     hs_fleet_config *config, const hs_fleet_route *route);
+                     const hs_online_access *access);
 
 /** Answer with our own status for @p reason, and count it. */
 void hs_online_refuse(hs_online *online, hs_inbound *inbound, hs_end_reason reason,
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -19,6 +19,8 @@
     hs_fleet_config *config;
     const hs_fleet_route *route;
     const char *service;
+    char *tenant;             /**< Whose it is; NULL: nobody's. */
+    uint64_t checked_version; /**< Of the configuration by which its key was looked at last. */
     hs_caller_terms terms;
     char *request_id;
     uint64_t content; /**< See hs_request_content_hash. */
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -10,6 +10,7 @@
 #include "jobs/job_peer.h"
 #include "online/retry_after.h"
 #include "surface/fleet_metrics.h"
+#include "tenants/tenant_index.h"
 
 #include <string.h>
 
@@ -67,21 +68,63 @@
     hs_online_refuse(surface->settings.online, inbound, reason, after_ms);
 }
 
+static const hs_end_reason access_reasons[] = {[HS_ACCESS_KEY_MISSING] = HS_END_KEY_MISSING,
+                                               [HS_ACCESS_KEY_UNKNOWN] = HS_END_KEY_UNKNOWN,
+                                               [HS_ACCESS_KEY_MALFORMED] = HS_END_KEY_MALFORMED};
+
+/** Whether the caller may have what it asks for; refused where it may not. */
+static bool has_access(hs_fleet_surface *surface, hs_inbound *inbound, const hs_caller_terms *terms,
+                       const hs_fleet_config *config, bool is_public,
+                       const hs_fleet_tenant **tenant) {
+    hs_access access = hs_tenant_access_decide(
+        config,
+        &(hs_access_request){
+            .key = terms->api_key, .has_many_keys = terms->has_many_keys, .is_public = is_public},
+        tenant);
+    if (access != HS_ACCESS_GRANTED)
+        refuse(surface, inbound, terms, access_reasons[access]);
+    return access == HS_ACCESS_GRANTED;
+}
+
+static const char *name_of(const hs_fleet_tenant *tenant) {
+    return tenant != NULL ? tenant->name : "";
+}
+
 static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
                          const hs_caller_terms *terms, hs_fleet_config *config) {
     hs_online *online = surface->settings.online;
     const hs_fleet_route *route = hs_fleet_config_find_route(config, terms->host, inbound->target);
+    const hs_fleet_tenant *tenant = NULL;
     if (route == NULL) {
         refuse(surface, inbound, terms, HS_END_NO_ROUTE);
-    } else if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
+        return;
+    }
+    if (!has_access(surface, inbound, terms, config, route->is_public, &tenant))
+        return;
+    if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
         refuse(surface, inbound, terms, HS_END_TOO_LARGE);
     } else if (route->kind == HS_ROUTE_BATCH) {
-        hs_job_service_submit(surface->settings.jobs, inbound, terms, config, route);
+        hs_job_caller caller = {.terms = terms, .tenant = name_of(tenant)};
+        hs_job_service_submit(surface->settings.jobs, inbound, &caller, config, route);
     } else {
-        hs_online_serve(online, inbound, terms, hs_fleet_config_ref(config), route);
+        hs_online_access access = {
+            .config = hs_fleet_config_ref(config), .route = route, .tenant = tenant};
+        hs_online_serve(online, inbound, terms, &access);
     }
 }
 
+/** A call about a job that was submitted before. */
+static void serve_job_call(hs_fleet_surface *surface, hs_inbound *inbound,
+                           const hs_caller_terms *terms, const hs_fleet_config *config,
+                           hs_call_kind kind, const char *job_id) {
+    const hs_fleet_tenant *tenant = NULL;
+    bool is_public = terms->api_key == NULL && hs_tenant_has_public_jobs(config);
+    if (!has_access(surface, inbound, terms, config, is_public, &tenant))
+        return;
+    hs_job_caller caller = {.terms = terms, .tenant = name_of(tenant)};
+    hs_job_service_call(surface->settings.jobs, inbound, &caller, kind, job_id);
+}
+
 static void serve_front(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
     hs_caller_terms terms;
@@ -101,7 +144,7 @@
     case HS_CALL_JOB_READ:
     case HS_CALL_JOB_END:
     case HS_CALL_ITEM_READ:
-        hs_job_service_call(surface->settings.jobs, inbound, &terms, kind, job_id);
+        serve_job_call(surface, inbound, &terms, config, kind, job_id);
         break;
     }
     hs_fleet_config_unref(config);
@@ -113,8 +156,9 @@
     hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
     const hs_fleet_route *route =
         config != NULL ? hs_fleet_config_find_route(config, terms->host, inbound->target) : NULL;
+    hs_job_caller caller = {.terms = terms, .tenant = terms->told_tenant};
     if (route != NULL && route->kind == HS_ROUTE_BATCH)
-        hs_job_service_submit_of_peer(surface->settings.jobs, inbound, terms, config, route);
+        hs_job_service_submit_of_peer(surface->settings.jobs, inbound, &caller, config, route);
     else
         reply_status(inbound, 503);
     hs_fleet_config_unref(config);
@@ -135,10 +179,11 @@
     hs_platform_read_terms(inbound->fields, &terms);
     g_autofree char *job_id = NULL;
     hs_call_kind kind = hs_platform_sort_call(inbound->method, inbound->target, &job_id);
+    hs_job_caller caller = {.terms = &terms, .tenant = terms.told_tenant};
     if (kind == HS_CALL_REQUEST)
         serve_passed_on(surface, inbound, &terms);
     else
-        hs_job_service_call_of_peer(surface->settings.jobs, inbound, &terms, kind, job_id);
+        hs_job_service_call_of_peer(surface->settings.jobs, inbound, &caller, kind, job_id);
 }
 
 /** Whether the front takes connections; without a front there is nothing to take. */
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -51,10 +51,24 @@
 /** Longest in ms that an answer under way needs to see that its engine crashes. */
 #define CRASH_POLL_MS 5
 
+/** Note whose a call is told to be, by all fields that say so. */
+static void note_tenant(const GArray *fields, token_engine_call *call) {
+    for (guint index = 0; index < fields->len; index++) {
+        const hs_http_field *field = &g_array_index(fields, hs_http_field, index);
+        if (g_ascii_strcasecmp(field->name, HEADER_TENANT) != 0)
+            continue;
+        if (*call->tenant != '\0')
+            g_strlcat(call->tenant, ",", sizeof call->tenant);
+        g_strlcat(call->tenant, field->value, sizeof call->tenant);
+    }
+}
+
 /** Note a call that came; its number. */
-static uint32_t begin_call(token_engine *engine, const char *request_id) {
+static uint32_t begin_call(token_engine *engine, const char *request_id, const GArray *fields) {
     token_engine_call call = {.begun_ms = hs_clock_monotonic_ms()};
     g_strlcpy(call.request_id, request_id, sizeof call.request_id);
+    note_tenant(fields, &call);
+    call.has_key = hs_http_fields_find(fields, HEADER_API_KEY) != NULL;
     g_mutex_lock(&engine->lock);
     uint32_t number = engine->call_log->len;
     g_array_append_val(engine->call_log, call);
@@ -265,7 +279,7 @@
         refuse(inbound, 400, "-", false);
         return;
     }
-    uint32_t call = begin_call(engine, id);
+    uint32_t call = begin_call(engine, id, inbound->fields);
     bool goes_on = false;
     if (wanted != NULL && strcmp(wanted, engine->id) != 0)
         refuse(inbound, 421, id, false);
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -98,6 +98,9 @@
 /** One request as it came to an engine, run or refused. Times in ms of the monotonic clock. */
 typedef struct {
     char request_id[TOKEN_ENGINE_ID_BYTES];
+    char
+        tenant[TOKEN_ENGINE_ID_BYTES]; /**< Whose it was told to be; several with commas between. */
+    bool has_key;                      /**< It carried a caller's key. */
     uint64_t begun_ms;
     uint64_t ended_ms; /**< 0: the engine still works on it. */
 } token_engine_call;
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -23,6 +23,7 @@
         {"fleet_crashes", fleet_crash_system_tests, begin_crashes, end_crashes},
         {"fleet_crashes_large", fleet_crash_large_system_tests, begin_crashes_large,
          end_crashes_large},
+        {"fleet_tenants", fleet_tenant_system_tests, begin_tenants, end_tenants},
         {"fleet_waking", fleet_waking_system_tests, begin_bench, end_bench},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
     };
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -54,6 +54,12 @@
 
 extern const test_case fleet_waking_system_tests[];
 
+extern const test_case fleet_tenant_system_tests[];
+
+/** The bench with tenants, and daemons that write logs to files. For the suite's begin and end. */
+int begin_tenants(void);
+int end_tenants(void);
+
 extern const test_case fleet_crash_system_tests[];
 
 /** The bench with engines that crash instead of its own. For the suite's begin and end. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -32,6 +32,7 @@
         {"engine_source", engine_source_tests, NULL, NULL},
         {"refusal_choice", refusal_choice_tests, NULL, NULL},
         {"urgency", urgency_tests, NULL, NULL},
+        {"tenants", tenant_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -116,6 +116,7 @@
                             .tokens = JOB_TOKENS,
                             .config = config,
                             .route = config->routes->pdata[0],
+                            .tenant = "",
                             .deadline = hs_clock_monotonic_ms() + 3000};
     return hs_job_quota_claim(daemon->quota, &asked, account);
 }
--- a/tests/unit/test_urgency.c
+++ b/tests/unit/test_urgency.c
@@ -177,10 +177,11 @@
         return;
     static const bool is_less[] = {false, true, false};
     static const char *const services[] = {"one", "one", "two"};
-    for (guint index = 0; index < G_N_ELEMENTS(is_less); index++)
-        CU_ASSERT_EQUAL(
-            hs_fleet_config_is_less_urgent(config, config->routes->pdata[index], services[index]),
-            is_less[index]);
+    for (guint index = 0; index < G_N_ELEMENTS(is_less); index++) {
+        const hs_fleet_route *route = config->routes->pdata[index];
+        CU_ASSERT_EQUAL(hs_fleet_config_is_less_urgent(config, route->priority, services[index]),
+                        is_less[index]);
+    }
     hs_fleet_config_unref(config);
     CU_ASSERT_EQUAL(hs_engine_choice_begin_ms(300, 100, false), 200);
     CU_ASSERT_EQUAL(hs_engine_choice_begin_ms(300, 400, false), 0);
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -209,6 +209,8 @@
                            call->target);
     if (call->request_id != NULL)
         g_string_append_printf(head, HEADER_REQUEST_ID ": %s\r\n", call->request_id);
+    for (int index = 0; call->fields != NULL && call->fields[index] != NULL; index++)
+        g_string_append_printf(head, "%s\r\n", call->fields[index]);
     if (call->timeout_ms > 0)
         g_string_append_printf(head, HEADER_TIMEOUT_MS ": %u\r\n", call->timeout_ms);
     if (call->wait_ms > 0)
@@ -288,6 +290,12 @@
 }
 
 void bench_configure(int version) {
+    bench_configure_tenants(version, NULL);
+}
+
+void bench_configure_tenants(int version, const char *tenants) {
+    g_autofree char *told =
+        tenants != NULL ? g_strdup_printf("\"tenants\":%s,", tenants) : g_strdup("");
     uint32_t connections =
         bench.settings.connections > 0 ? bench.settings.connections : DEFAULT_CONNECTIONS;
     uint32_t retention_s =
@@ -303,6 +311,9 @@
         "{\"name\":\"plain\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/\","
         "\"kind\":\"idempotent\",\"timeout-ms\":4000,\"target-latency-ms\":300,"
         "\"service\":\"llm\",\"max-attempts\":2},"
+        "{\"name\":\"open\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/open/\","
+        "\"kind\":\"idempotent\",\"timeout-ms\":4000,\"target-latency-ms\":300,"
+        "\"service\":\"llm\",\"max-attempts\":2,\"public\":true},"
         "{\"name\":\"frail-once\",\"host\":\"" BENCH_HOST
         "\",\"path-prefix\":\"/frail/once/\",\"kind\":\"streaming\",\"timeout-ms\":4000,"
         "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":1},"
@@ -315,9 +326,9 @@
         "\"retention-s\":%u}],"
         "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":%u},"
         "{\"name\":\"frail\",\"health-check\":\"/h\",\"max-connections\":%u}],"
-        "\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
+        "%s\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, retention_s, connections, connections);
+        version, retention_s, connections, connections, told);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -81,6 +81,12 @@
 /** Write a configuration of the given version. */
 void bench_configure(int version);
 
+/**
+ * The same with tenants, a JSON list; NULL: no tenants. What is under /plain/open/ is public then,
+ * all else takes a key.
+ */
+void bench_configure_tenants(int version, const char *tenants);
+
 /** What a daemon answered; free with bench_answer_clear. */
 typedef struct {
     uint32_t status; /**< 0: none. */
@@ -97,6 +103,7 @@
     const char *target;
     const char *request_id;      /**< NULL: none. */
     const char *body;            /**< NULL: none. */
+    const char *const *fields;   /**< Further fields, "Name: value", the last NULL; NULL: none. */
     uint32_t timeout_ms;         /**< Told to the daemon; 0: not told. */
     uint32_t wait_ms;            /**< How long the daemon may hold it; 0: not told. */
     uint16_t port;               /**< 0: the front's. */
