--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PRODUCT_LIB = $(BUILD)/libheathsail.a
 STANDIN_LIB = $(BUILD)/libstandin.a
 TOOL_LIB = $(BUILD)/libtools.a
-PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-surface-demo
+PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-limits heathsail-surface-demo
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
 
 PHONY_CHECKS = sanitize-address sanitize-thread fuzz soak soak-check
@@ -52,6 +52,7 @@
 $(eval $(call link_program,heathsail-engine,standin/engine/main.o))
 $(eval $(call link_program,heathsail-fleet,tools/fleet/main.o))
 $(eval $(call link_program,heathsail-load,tools/load/main.o))
+$(eval $(call link_program,heathsail-limits,tools/limits/main.o))
 $(eval $(call link_program,heathsail-surface-demo,tools/surface/main.o))
 
 $(BUILD)/unit-tests: $(call objects,$(UNIT_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
--- a/gen/job.pb-c.h
+++ b/gen/job.pb-c.h
@@ -221,6 +221,9 @@
    * One try of one daemon to store the job; random.
    */
   uint64_t submission;
+  /*
+   * Its name and, where it has one, a line feed and its tenant's.
+   */
   char *route;
   uint64_t tokens;
   uint32_t partition;
@@ -250,6 +253,9 @@
 {
   ProtobufCMessage base;
   char *job_id;
+  /*
+   * As in a reservation.
+   */
   char *route;
   uint64_t tokens;
 };
--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1177,6 +1177,96 @@
   assert(message->base.descriptor == &hs__crash_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__tenant_ask__init
+                     (Hs__TenantAsk         *message)
+{
+  static const Hs__TenantAsk init_value = HS__TENANT_ASK__INIT;
+  *message = init_value;
+}
+size_t hs__tenant_ask__get_packed_size
+                     (const Hs__TenantAsk *message)
+{
+  assert(message->base.descriptor == &hs__tenant_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__tenant_ask__pack
+                     (const Hs__TenantAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__tenant_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__tenant_ask__pack_to_buffer
+                     (const Hs__TenantAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__tenant_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__TenantAsk *
+       hs__tenant_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__TenantAsk *)
+     protobuf_c_message_unpack (&hs__tenant_ask__descriptor,
+                                allocator, len, data);
+}
+void   hs__tenant_ask__free_unpacked
+                     (Hs__TenantAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__tenant_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__tenant_verdict__init
+                     (Hs__TenantVerdict         *message)
+{
+  static const Hs__TenantVerdict init_value = HS__TENANT_VERDICT__INIT;
+  *message = init_value;
+}
+size_t hs__tenant_verdict__get_packed_size
+                     (const Hs__TenantVerdict *message)
+{
+  assert(message->base.descriptor == &hs__tenant_verdict__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__tenant_verdict__pack
+                     (const Hs__TenantVerdict *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__tenant_verdict__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__tenant_verdict__pack_to_buffer
+                     (const Hs__TenantVerdict *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__tenant_verdict__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__TenantVerdict *
+       hs__tenant_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__TenantVerdict *)
+     protobuf_c_message_unpack (&hs__tenant_verdict__descriptor,
+                                allocator, len, data);
+}
+void   hs__tenant_verdict__free_unpacked
+                     (Hs__TenantVerdict *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__tenant_verdict__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -3327,7 +3417,161 @@
   (ProtobufCMessageInit) hs__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[19] =
+static const ProtobufCFieldDescriptor hs__tenant_ask__field_descriptors[5] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantAsk, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenant",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantAsk, tenant),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantAsk, rate_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantAsk, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantAsk, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__tenant_ask__field_indices_by_name[] = {
+  3,   /* field[3] = capacity */
+  4,   /* field[4] = config_version */
+  2,   /* field[2] = rate_per_s */
+  0,   /* field[0] = sequence */
+  1,   /* field[1] = tenant */
+};
+static const ProtobufCIntRange hs__tenant_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor hs__tenant_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.TenantAsk",
+  "TenantAsk",
+  "Hs__TenantAsk",
+  "hs",
+  sizeof(Hs__TenantAsk),
+  5,
+  hs__tenant_ask__field_descriptors,
+  hs__tenant_ask__field_indices_by_name,
+  1,  hs__tenant_ask__number_ranges,
+  (ProtobufCMessageInit) hs__tenant_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__tenant_verdict__field_descriptors[3] =
+{
+  {
+    "sequence",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantVerdict, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantVerdict, passes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "return_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantVerdict, return_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__tenant_verdict__field_indices_by_name[] = {
+  1,   /* field[1] = passes */
+  2,   /* field[2] = return_ms */
+  0,   /* field[0] = sequence */
+};
+static const ProtobufCIntRange hs__tenant_verdict__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor hs__tenant_verdict__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.TenantVerdict",
+  "TenantVerdict",
+  "Hs__TenantVerdict",
+  "hs",
+  sizeof(Hs__TenantVerdict),
+  3,
+  hs__tenant_verdict__field_descriptors,
+  hs__tenant_verdict__field_indices_by_name,
+  1,  hs__tenant_verdict__number_ranges,
+  (ProtobufCMessageInit) hs__tenant_verdict__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[21] =
 {
   {
     "sender_id",
@@ -3557,6 +3801,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tenant_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, tenant_ask),
+    &hs__tenant_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tenant_verdict",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, tenant_verdict),
+    &hs__tenant_verdict__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   18,   /* field[18] = crash_report */
@@ -3578,11 +3846,13 @@
   0,   /* field[0] = sender_id */
   1,   /* field[1] = sender_incarnation */
   17,   /* field[17] = step_aside */
+  19,   /* field[19] = tenant_ask */
+  20,   /* field[20] = tenant_verdict */
 };
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -3592,7 +3862,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  19,
+  21,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -41,6 +41,8 @@
 typedef struct Hs__CrashedEngine Hs__CrashedEngine;
 typedef struct Hs__CrashEvidence Hs__CrashEvidence;
 typedef struct Hs__CrashReport Hs__CrashReport;
+typedef struct Hs__TenantAsk Hs__TenantAsk;
+typedef struct Hs__TenantVerdict Hs__TenantVerdict;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -518,6 +520,50 @@
     , 0,NULL }
 
 
+/*
+ * A request of a limited tenant asks the tenant's home whether it may pass.
+ */
+struct  Hs__TenantAsk
+{
+  ProtobufCMessage base;
+  /*
+   * Of the sender's life; the verdict names it.
+   */
+  uint64_t sequence;
+  char *tenant;
+  /*
+   * The tenant's limit, for all daemons together,
+   */
+  double rate_per_s;
+  /*
+   * and what may pass above the rate at one time,
+   */
+  double capacity;
+  /*
+   * by this version; of two the newer one counts.
+   */
+  uint64_t config_version;
+};
+#define HS__TENANT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__tenant_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Hs__TenantVerdict
+{
+  ProtobufCMessage base;
+  uint64_t sequence;
+  protobuf_c_boolean passes;
+  /*
+   * Where it does not: when its caller should return.
+   */
+  uint32_t return_ms;
+};
+#define HS__TENANT_VERDICT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__tenant_verdict__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -536,7 +582,9 @@
   HS__PEER_MESSAGE__KIND_ENGINE_USES = 16,
   HS__PEER_MESSAGE__KIND_ENGINE_TOTALS = 17,
   HS__PEER_MESSAGE__KIND_STEP_ASIDE = 18,
-  HS__PEER_MESSAGE__KIND_CRASH_REPORT = 19
+  HS__PEER_MESSAGE__KIND_CRASH_REPORT = 19,
+  HS__PEER_MESSAGE__KIND_TENANT_ASK = 20,
+  HS__PEER_MESSAGE__KIND_TENANT_VERDICT = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -564,6 +612,8 @@
     Hs__EngineTotals *engine_totals;
     Hs__StepAside *step_aside;
     Hs__CrashReport *crash_report;
+    Hs__TenantAsk *tenant_ask;
+    Hs__TenantVerdict *tenant_verdict;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -1098,6 +1148,44 @@
 void   hs__crash_report__free_unpacked
                      (Hs__CrashReport *message,
                       ProtobufCAllocator *allocator);
+/* Hs__TenantAsk methods */
+void   hs__tenant_ask__init
+                     (Hs__TenantAsk         *message);
+size_t hs__tenant_ask__get_packed_size
+                     (const Hs__TenantAsk   *message);
+size_t hs__tenant_ask__pack
+                     (const Hs__TenantAsk   *message,
+                      uint8_t             *out);
+size_t hs__tenant_ask__pack_to_buffer
+                     (const Hs__TenantAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__TenantAsk *
+       hs__tenant_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__tenant_ask__free_unpacked
+                     (Hs__TenantAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__TenantVerdict methods */
+void   hs__tenant_verdict__init
+                     (Hs__TenantVerdict         *message);
+size_t hs__tenant_verdict__get_packed_size
+                     (const Hs__TenantVerdict   *message);
+size_t hs__tenant_verdict__pack
+                     (const Hs__TenantVerdict   *message,
+                      uint8_t             *out);
+size_t hs__tenant_verdict__pack_to_buffer
+                     (const Hs__TenantVerdict   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__TenantVerdict *
+       hs__tenant_verdict__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__tenant_verdict__free_unpacked
+                     (Hs__TenantVerdict *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -1235,6 +1323,12 @@
 typedef void (*Hs__CrashReport_Closure)
                  (const Hs__CrashReport *message,
                   void *closure_data);
+typedef void (*Hs__TenantAsk_Closure)
+                 (const Hs__TenantAsk *message,
+                  void *closure_data);
+typedef void (*Hs__TenantVerdict_Closure)
+                 (const Hs__TenantVerdict *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -1277,6 +1371,8 @@
 extern const ProtobufCMessageDescriptor hs__crashed_engine__descriptor;
 extern const ProtobufCMessageDescriptor hs__crash_evidence__descriptor;
 extern const ProtobufCMessageDescriptor hs__crash_report__descriptor;
+extern const ProtobufCMessageDescriptor hs__tenant_ask__descriptor;
+extern const ProtobufCMessageDescriptor hs__tenant_verdict__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -92,6 +92,9 @@
     int64_t fleet_repeat_unacknowledged_ms;
     int64_t fleet_once_unacknowledged_ms;
     int64_t fleet_once_idle_ms;
+    double fleet_limit_slack;
+    int64_t fleet_strict_revoke;
+    int64_t fleet_revoke_ms;
     double fleet_grace_s;
     double fleet_status_s;
     double fleet_resolve_ttl_most_s;
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -28,6 +28,8 @@
 /** Share of the grace time within which batch items are handed over. */
 #define HANDOVER_SHARE 0.75
 #define DRAIN_POLL_MS 50
+/** Of the slack beyond a tenant's limit that is let pass above its burst; see settings.c. */
+#define TOLERATED_SHARE 0.5
 
 struct hs_fleet_daemon {
     const hs_settings *settings; /**< Those of the start. */
@@ -102,6 +104,8 @@
                                               .engines = daemon->engines,
                                               .wakes = &daemon->wakes,
                                               .crash_watch = daemon->crash_watch,
+                                              .limit_tolerance =
+                                                  settings->fleet_limit_slack * TOLERATED_SHARE,
                                               .may_join = may_serve,
                                               .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
@@ -133,6 +137,9 @@
 static bool make_surface(hs_fleet_daemon *daemon, hs_error *error) {
     daemon->online.config = daemon->config;
     daemon->online.engines = daemon->engines;
+    daemon->online.keys_hold_ms = daemon->settings->fleet_strict_revoke != 0
+                                      ? (uint64_t)daemon->settings->fleet_revoke_ms
+                                      : 0;
     daemon->online.ages = hs_caller_ages_new();
     daemon->online.held = hs_held_requests_new();
     g_mutex_init(&daemon->online.counters.lock);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -184,6 +184,16 @@
     NUMBER("fleet", "once_idle_ms", fleet_once_idle_ms, "ms", 0, HOUR_MS, 2000,
            "Idle time after which a kept connection gets no request that may run once: half of the "
            "time for which one is kept, as a new connection is work for the engine too. 0: any."),
+    DECIMAL(
+        "fleet", "limit_slack", fleet_limit_slack, "requests", 0, 1000000, "0",
+        "Requests that the operator bears beyond a tenant's limit. Half of them are let pass at "
+        "one time above its burst; the other half is for daemons that are lost or cut off."),
+    NUMBER("fleet", "strict_revoke", fleet_strict_revoke, "0 or 1", 0, 1, 0,
+           "1: while the store does not tell which keys are in force, none opens anything after "
+           "fleet.revoke_ms, and streams of a key that was taken away end. 0: the last keys known "
+           "hold, and streams go on."),
+    NUMBER("fleet", "revoke_ms", fleet_revoke_ms, "ms", 10, HOUR_MS, 5000,
+           "With fleet.strict_revoke: longest time for which keys hold without the store's word."),
     DECIMAL("fleet", "grace_s", fleet_grace_s, "s", 0, 3600, "8",
             "Time from SIGTERM until the platform kills the process."),
     DECIMAL("fleet", "status_s", fleet_status_s, "s", 1, 31536000, "120",
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -9,6 +9,7 @@
 #include "directory/crash_exchange.h"
 #include "directory/crash_store.h"
 #include "directory/slot_arbiter.h"
+#include "directory/tenant_limiter.h"
 #include "platform/caller_codec.h"
 #include "store/keyed_topic.h"
 
@@ -46,6 +47,7 @@
     hs_membership_service *membership;
     hs_slot_arbiter *slots;
     hs_crash_exchange *crashes;
+    hs_tenant_limiter *limiter;
     hs_crash_store *crash_records;
     char *seeds; /**< Guarded by the lock. */
     gint resolve_ttl_s;
@@ -96,6 +98,7 @@
     hs_daemon_directory *directory = user_data;
     if (hs_membership_service_handle(directory->membership, message, from) ||
         hs_slot_arbiter_handle(directory->slots, message, from) ||
+        hs_tenant_limiter_handle(directory->limiter, message, from) ||
         hs_crash_exchange_handle(directory->crashes, message))
         return;
     if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_SHARES)
@@ -128,6 +131,8 @@
                        .forget_ms = FORGET_MS}};
     directory->membership = hs_membership_service_new(&self, &service_settings, socket);
     directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership, socket);
+    directory->limiter =
+        hs_tenant_limiter_new(directory->membership, socket, settings->limit_tolerance);
     directory->crashes =
         hs_crash_exchange_new(settings->crash_watch, directory->membership, socket);
     directory->crash_records =
@@ -203,8 +208,9 @@
             continue;
         if (!written)
             written = write_record(directory, false);
-        hs_keyed_topic_read(directory->settings.store, HS_TOPIC_MEMBERS, REGISTRY_CALL_MS,
-                            propose_entry, directory);
+        if (hs_keyed_topic_read(directory->settings.store, HS_TOPIC_MEMBERS, REGISTRY_CALL_MS,
+                                propose_entry, directory))
+            hs_tenant_limiter_note_known(directory->limiter);
         next_ms = hs_clock_monotonic_ms() + REGISTRY_INTERVAL_MS;
     } while (hs_stop_wait_pause(&directory->pause, g_atomic_int_get(&directory->joined) != 0
                                                        ? RECORDS_INTERVAL_MS
@@ -315,6 +321,7 @@
         hs_wake_watch_look(directory->settings.wakes);
         hs_membership_service_tick(directory->membership, now_ms);
         hs_crash_exchange_tick(directory->crashes, now_ms);
+        hs_tenant_limiter_tick(directory->limiter);
         if (now_ms >= directory->next_shares_ms) {
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
             send_shares(directory);
@@ -347,6 +354,7 @@
     }
     hs_slot_arbiter_free(directory->slots);
     hs_crash_exchange_free(directory->crashes);
+    hs_tenant_limiter_free(directory->limiter);
     hs_crash_store_free(directory->crash_records);
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
@@ -453,6 +461,10 @@
     return counts;
 }
 
+hs_tenant_limiter *hs_daemon_directory_limiter(hs_daemon_directory *directory) {
+    return directory->limiter;
+}
+
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory) {
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     uint32_t count = hs_membership_live_count(membership);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -9,6 +9,7 @@
 #define HS_DIRECTORY_DAEMON_DIRECTORY_H
 
 #include "base/wake_watch.h"
+#include "directory/tenant_limiter.h"
 #include "fleet/fleet_engines.h"
 #include "membership/membership_service.h"
 #include "store/store_client.h"
@@ -29,6 +30,7 @@
     hs_fleet_engines *engines;         /**< Loads of other daemons go here. */
     hs_wake_watch *wakes;              /**< Looks with each round of the ticker. */
     hs_crash_watch *crash_watch;       /**< What they know of crashes goes here. */
+    double limit_tolerance;            /**< See hs_tenant_limiter_new. */
     bool (*may_join)(void *user_data); /**< Whether this daemon could serve; it joins then. */
     void *user_data;
 } hs_daemon_directory_settings;
@@ -83,6 +85,9 @@
 /** Live daemons, this one included; at least 1. */
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory);
 
+/** What keeps tenants within their limits; borrowed. */
+hs_tenant_limiter *hs_daemon_directory_limiter(hs_daemon_directory *directory);
+
 /** Time in s for which an answer holds. */
 uint32_t hs_daemon_directory_ttl_s(const hs_daemon_directory *directory);
 
--- /dev/null
+++ b/src/directory/tenant_limiter.c
@@ -0,0 +1,338 @@
+/** @file tenant_limiter.c  See tenant_limiter.h. */
+#include "directory/tenant_limiter.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+/**
+ * Wait in ms for a home's word before it is asked once more: some twenty times what a datagram
+ * takes there and back, as a home that has used up its share of a processor answers a tenth of a
+ * second late.
+ */
+#define ANSWER_MS 60
+/** Datagrams are lost now and then: the second of two lost in a row is one in ten thousand. */
+#define TRIES 2
+/** A home that was silent for both tries is not waited for again for so long, in ms: half of the
+ * time in which its end is noticed. */
+#define SILENT_FOR_MS 300
+/** Rounds of the ticker come each 80 ms: without one for so long the process stood still. */
+#define STOOD_STILL_MS 1000
+/** Buckets are looked through for full ones this often, in ms. */
+#define EXPIRE_MS 2000
+/**
+ * Daemons that were proposed and have not answered yet count for so long after the start, in ms:
+ * until then others are found one after the other, and each would take the few it knows for all.
+ */
+#define SETTLING_MS 10000
+/** Taken for the number of daemons until the store or others told of them: as many as the largest
+ * deployment of some tens of engines has. */
+#define ASSUMED_DAEMONS 64
+
+struct hs_tenant_limiter {
+    hs_membership_service *membership;
+    hs_peer_socket *socket;
+    double tolerance;
+    uint64_t started_ms;
+    gint knows_others; /**< The store's list of daemons was read. */
+    GMutex lock;       /**< Guards what follows. */
+    GCond answered;
+    hs_limit_book *book;
+    GHashTable *waiting; /**< sequence -> hs_limit_verdict*, of asks that wait; of their threads. */
+    GHashTable *told;    /**< Sequences of them that were answered. */
+    uint64_t sequence;
+    uint64_t view; /**< Hash of the daemons that were reached at the last look. */
+    uint64_t ticked_ms;
+    uint64_t expired_ms;
+    char silent_home[64];
+    uint64_t silent_until_ms;
+    hs_tenant_limiter_counters counters;
+};
+
+/** The home of a tenant, and this daemon's place. */
+typedef struct {
+    char id[64];
+    uint32_t address;
+    uint16_t port;
+    hs_limit_reach reach; /**< Of this daemon. */
+    uint64_t view;
+} home_view;
+
+hs_tenant_limiter *hs_tenant_limiter_new(hs_membership_service *membership, hs_peer_socket *socket,
+                                         double tolerance) {
+    hs_tenant_limiter *limiter = g_new0(hs_tenant_limiter, 1);
+    limiter->membership = membership;
+    limiter->socket = socket;
+    limiter->tolerance = tolerance;
+    limiter->started_ms = hs_clock_monotonic_ms();
+    limiter->ticked_ms = limiter->started_ms;
+    limiter->book = hs_limit_book_new(limiter->started_ms);
+    limiter->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
+    limiter->told = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g_mutex_init(&limiter->lock);
+    g_cond_init(&limiter->answered);
+    return limiter;
+}
+
+void hs_tenant_limiter_free(hs_tenant_limiter *limiter) {
+    if (limiter == NULL)
+        return;
+    hs_limit_book_free(limiter->book);
+    g_hash_table_destroy(limiter->waiting);
+    g_hash_table_destroy(limiter->told);
+    g_mutex_clear(&limiter->lock);
+    g_cond_clear(&limiter->answered);
+    g_free(limiter);
+}
+
+/** Whether a member that does not answer may live all the same, and let requests pass. */
+static bool may_live(const hs_member *member, bool is_settling) {
+    if (member->state == HS_MEMBER_PROPOSED)
+        return is_settling;
+    return member->state != HS_MEMBER_LEAVING;
+}
+
+/** Look at the members for @p tenant. */
+static home_view look(hs_tenant_limiter *limiter, const char *tenant) {
+    home_view view = {0};
+    uint64_t best = 0;
+    bool is_settling = hs_clock_monotonic_ms() < limiter->started_ms + SETTLING_MS;
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    const hs_membership *membership = hs_membership_service_lock(limiter->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        bool is_self = member == hs_membership_self(membership);
+        view.reach.known += is_self || may_live(member, is_settling);
+        if (!is_self && member->state != HS_MEMBER_ALIVE)
+            continue;
+        view.reach.reached++;
+        view.view += hs_hash_bytes(member->id, strlen(member->id)) ^ member->incarnation;
+        uint64_t rank = hs_hash_pair(tenant, member->id);
+        if (rank < best)
+            continue;
+        best = rank;
+        view.reach.is_home = is_self;
+        view.address = member->address;
+        view.port = member->peer_port;
+        g_strlcpy(view.id, member->id, sizeof view.id);
+    }
+    hs_membership_service_unlock(limiter->membership);
+    if (is_settling && g_atomic_int_get(&limiter->knows_others) == 0)
+        view.reach.known = MAX(view.reach.known, ASSUMED_DAEMONS);
+    return view;
+}
+
+static bool is_home(const char *tenant, void *user_data) {
+    return look(user_data, tenant).reach.is_home;
+}
+
+static bool is_nobodys(const char *tenant, void *user_data) {
+    (void)tenant;
+    (void)user_data;
+    return false;
+}
+
+/**
+ * Before each decision: forget what may no longer be true. A process that stood still does not know
+ * what other homes let pass meanwhile. The caller holds the lock.
+ */
+static void forget_stale(hs_tenant_limiter *limiter, uint64_t view, uint64_t now_ms) {
+    if (now_ms > limiter->ticked_ms + STOOD_STILL_MS) {
+        limiter->ticked_ms = now_ms;
+        hs_limit_book_note_change(limiter->book, is_nobodys, NULL, now_ms);
+    } else if (view != limiter->view) {
+        hs_limit_book_note_change(limiter->book, is_home, limiter, now_ms);
+    }
+    limiter->view = view;
+}
+
+/** Decide here, as the home or by this daemon's part. */
+static hs_limit_verdict decide(hs_tenant_limiter *limiter, const hs_limit_question *question,
+                               uint64_t view) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&limiter->lock);
+    forget_stale(limiter, view, now_ms);
+    hs_limit_verdict verdict = hs_limit_book_ask(limiter->book, question, now_ms);
+    g_mutex_unlock(&limiter->lock);
+    return verdict;
+}
+
+static void send_ask(hs_tenant_limiter *limiter, const home_view *home,
+                     const hs_limit_question *question, uint64_t sequence) {
+    Hs__TenantAsk ask = HS__TENANT_ASK__INIT;
+    ask.sequence = sequence;
+    ask.tenant = (char *)question->tenant;
+    ask.rate_per_s = question->limit.rate_per_s;
+    ask.capacity = question->limit.capacity;
+    ask.config_version = question->version;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_ASK;
+    message.tenant_ask = &ask;
+    hs_membership_service_sign(limiter->membership, &message);
+    hs_peer_socket_send(limiter->socket, home->address, home->port, &message);
+}
+
+/** Wait for the answer to an ask; false: none came in time. */
+static bool await_answer(hs_tenant_limiter *limiter, uint64_t sequence) {
+    hs_pause pause = hs_clock_pause_begin(ANSWER_MS);
+    bool is_waiting = true;
+    g_mutex_lock(&limiter->lock);
+    bool is_told = g_hash_table_contains(limiter->told, &sequence);
+    while (is_waiting && !is_told) {
+        is_waiting = hs_clock_pause_wait(&pause, &limiter->answered, &limiter->lock);
+        is_told = g_hash_table_contains(limiter->told, &sequence);
+    }
+    g_mutex_unlock(&limiter->lock);
+    return is_told;
+}
+
+static bool is_silent(hs_tenant_limiter *limiter, const char *home) {
+    g_mutex_lock(&limiter->lock);
+    bool silent = hs_clock_monotonic_ms() < limiter->silent_until_ms &&
+                  strcmp(limiter->silent_home, home) == 0;
+    g_mutex_unlock(&limiter->lock);
+    return silent;
+}
+
+static void note_silence(hs_tenant_limiter *limiter, const char *home) {
+    g_mutex_lock(&limiter->lock);
+    limiter->silent_until_ms = hs_clock_monotonic_ms() + SILENT_FOR_MS;
+    g_strlcpy(limiter->silent_home, home, sizeof limiter->silent_home);
+    g_mutex_unlock(&limiter->lock);
+}
+
+/** Ask the home; false: it did not answer. */
+static bool ask_home(hs_tenant_limiter *limiter, const home_view *home,
+                     const hs_limit_question *question, hs_limit_verdict *verdict) {
+    if (is_silent(limiter, home->id))
+        return false;
+    g_mutex_lock(&limiter->lock);
+    uint64_t sequence = ++limiter->sequence;
+    g_hash_table_insert(limiter->waiting, &sequence, verdict);
+    g_mutex_unlock(&limiter->lock);
+    bool is_told = false;
+    for (int attempt = 0; attempt < TRIES && !is_told; attempt++) {
+        send_ask(limiter, home, question, sequence);
+        is_told = await_answer(limiter, sequence);
+    }
+    g_mutex_lock(&limiter->lock);
+    g_hash_table_remove(limiter->waiting, &sequence);
+    g_hash_table_remove(limiter->told, &sequence);
+    g_mutex_unlock(&limiter->lock);
+    if (!is_told)
+        note_silence(limiter, home->id);
+    return is_told;
+}
+
+static void count(hs_tenant_limiter *limiter, bool passes, hs_limit_decider decider) {
+    g_mutex_lock(&limiter->lock);
+    limiter->counters.passed += passes;
+    limiter->counters.refused += !passes;
+    limiter->counters.by_part += decider == HS_LIMIT_BY_PART;
+    g_mutex_unlock(&limiter->lock);
+}
+
+hs_limit_verdict hs_tenant_limiter_ask(hs_tenant_limiter *limiter, const hs_limited_tenant *tenant,
+                                       hs_limit_decider *decider) {
+    home_view home = look(limiter, tenant->name);
+    hs_limit_question question = {
+        .tenant = tenant->name,
+        .limit = {.rate_per_s = tenant->rate_per_s, .capacity = tenant->burst + limiter->tolerance},
+        .version = tenant->version,
+        .reach = home.reach};
+    hs_limit_verdict verdict = {0};
+    if (home.reach.is_home) {
+        *decider = HS_LIMIT_BY_SELF;
+        verdict = decide(limiter, &question, home.view);
+    } else if (ask_home(limiter, &home, &question, &verdict)) {
+        *decider = HS_LIMIT_BY_HOME;
+    } else {
+        *decider = HS_LIMIT_BY_PART;
+        verdict = decide(limiter, &question, home.view);
+    }
+    count(limiter, verdict.passes, *decider);
+    return verdict;
+}
+
+static void answer_ask(hs_tenant_limiter *limiter, const Hs__TenantAsk *ask,
+                       const struct sockaddr_in *from) {
+    home_view own = look(limiter, ask->tenant);
+    hs_limit_question question = {
+        .tenant = ask->tenant,
+        .limit = {.rate_per_s = ask->rate_per_s, .capacity = ask->capacity},
+        .version = ask->config_version,
+        .reach = own.reach};
+    hs_limit_verdict verdict = decide(limiter, &question, own.view);
+    Hs__TenantVerdict body = HS__TENANT_VERDICT__INIT;
+    body.sequence = ask->sequence;
+    body.passes = verdict.passes;
+    body.return_ms = (uint32_t)verdict.return_ms;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_VERDICT;
+    message.tenant_verdict = &body;
+    hs_membership_service_sign(limiter->membership, &message);
+    hs_peer_socket_send(limiter->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port),
+                        &message);
+}
+
+static void take_verdict(hs_tenant_limiter *limiter, const Hs__TenantVerdict *told) {
+    gpointer key = NULL;
+    gpointer waits = NULL;
+    g_mutex_lock(&limiter->lock);
+    if (g_hash_table_lookup_extended(limiter->waiting, &told->sequence, &key, &waits)) {
+        *(hs_limit_verdict *)waits =
+            (hs_limit_verdict){.passes = told->passes, .return_ms = told->return_ms};
+        g_hash_table_add(limiter->told, key);
+        g_cond_broadcast(&limiter->answered);
+    }
+    g_mutex_unlock(&limiter->lock);
+}
+
+bool hs_tenant_limiter_handle(hs_tenant_limiter *limiter, const Hs__PeerMessage *message,
+                              const struct sockaddr_in *from) {
+    switch (message->kind_case) {
+    case HS__PEER_MESSAGE__KIND_TENANT_ASK:
+        answer_ask(limiter, message->tenant_ask, from);
+        return true;
+    case HS__PEER_MESSAGE__KIND_TENANT_VERDICT:
+        take_verdict(limiter, message->tenant_verdict);
+        return true;
+    default:
+        return false;
+    }
+}
+
+void hs_tenant_limiter_note_known(hs_tenant_limiter *limiter) {
+    g_atomic_int_set(&limiter->knows_others, 1);
+}
+
+void hs_tenant_limiter_tick(hs_tenant_limiter *limiter) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t view = look(limiter, "").view;
+    g_mutex_lock(&limiter->lock);
+    forget_stale(limiter, view, now_ms);
+    limiter->ticked_ms = now_ms;
+    if (now_ms >= limiter->expired_ms + EXPIRE_MS) {
+        limiter->expired_ms = now_ms;
+        hs_limit_book_expire(limiter->book, now_ms);
+    }
+    g_mutex_unlock(&limiter->lock);
+}
+
+hs_tenant_limiter_counters hs_tenant_limiter_count(hs_tenant_limiter *limiter) {
+    g_mutex_lock(&limiter->lock);
+    hs_tenant_limiter_counters counters = limiter->counters;
+    counters.tenants = hs_limit_book_size(limiter->book);
+    g_mutex_unlock(&limiter->lock);
+    return counters;
+}
+
+const char *hs_limit_decider_name(hs_limit_decider decider) {
+    static const char *const names[] = {
+        [HS_LIMIT_BY_SELF] = "self", [HS_LIMIT_BY_HOME] = "home", [HS_LIMIT_BY_PART] = "own_part"};
+    return names[decider];
+}
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -162,12 +162,7 @@
     return true;
 }
 
-/**
- * Whether the caller's key still opens the route by the version now in force: what is sent after a
- * key was taken away, or given to another tenant, goes by that. Noted with the end where it does
- * not.
- */
-static bool is_still_allowed(hs_online_request *request, hs_end_reason *reason) {
+bool hs_online_is_still_allowed(hs_online_request *request, hs_end_reason *reason) {
     hs_fleet_config *config = hs_config_source_get(request->online->config);
     if (config == NULL || config->version == request->checked_version) {
         hs_fleet_config_unref(config);
@@ -200,7 +195,7 @@
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason) {
     hs_next_move move = HS_NEXT_TRY;
     while (move == HS_NEXT_TRY) {
-        if (!is_still_allowed(request, reason) || is_held_back(request, reason))
+        if (!hs_online_is_still_allowed(request, reason) || is_held_back(request, reason))
             return false;
         if (hs_peer_has_left(request->inbound->descriptor)) {
             *reason = HS_END_CALLER_GONE;
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -24,6 +24,7 @@
     HS_END_KEY_MISSING,   /**< The route takes a key, and none was given. */
     HS_END_KEY_UNKNOWN,   /**< No tenant has the key. */
     HS_END_KEY_MALFORMED, /**< More than one key, or one that cannot be a key. */
+    HS_END_KEYS_UNSURE,   /**< Which keys are in force has not been heard for too long. */
     HS_END_OVER_LIMIT,    /**< Beyond its tenant's limit. */
     HS_END_TOO_LARGE,     /**< The body is over the limit. */
     HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
@@ -61,7 +62,9 @@
     hs_online_counters counters;
     hs_caller_ages *ages;
     hs_held_requests *held;
-    gint split_turn; /**< Spreads requests over the shares of a split route. */
+    uint64_t keys_hold_ms; /**< How long keys hold without the store's word; 0: for good. Where they
+                                do not, streams of a key that was taken away end. */
+    gint split_turn;       /**< Spreads requests over the shares of a split route. */
 } hs_online;
 
 /** Where a request goes and whose it is. Borrowed from @c config but for that reference. */
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -54,6 +54,13 @@
 hs_next_move hs_online_after_failure(hs_online_request *request, hs_attempt_end end,
                                      hs_end_reason *reason);
 
+/**
+ * Whether the caller's key still opens the route by the version now in force: what is sent after a
+ * key was taken away, or given to another tenant, goes by that. Noted with the end where it does
+ * not.
+ */
+bool hs_online_is_still_allowed(hs_online_request *request, hs_end_reason *reason);
+
 /** Try engines until one answers with a head; false with @p reason when none will. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -41,6 +41,13 @@
     return true;
 }
 
+/** Whether the stream must end since its key was taken away. It may run once: nothing is promised.
+ */
+static bool is_revoked(hs_online_request *request) {
+    hs_end_reason reason = HS_END_STREAM_BROKEN;
+    return request->online->keys_hold_ms > 0 && !hs_online_is_still_allowed(request, &reason);
+}
+
 /** One step of the engine's stream: its whole events go into ready. False: the stream is over. */
 static bool pump_stream(hs_online_request *request) {
     hs_attempt *attempt = &request->attempt;
@@ -63,6 +70,11 @@
                                   request->events.refused_id);
         attempt->step = HS_STEP_INVALID;
     }
+    if (attempt->step == HS_STEP_PROGRESS && is_revoked(request)) {
+        attempt->step = HS_STEP_CUT;
+        finish_stream(request, HS_ATTEMPT_DROPPED, HS_END_STREAM_BROKEN);
+        return false;
+    }
     if (attempt->step == HS_STEP_PROGRESS)
         return true;
     if (attempt->step == HS_STEP_COMPLETE && body->len == 0) {
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -50,6 +50,18 @@
                            (guint64)counters.levels);
 }
 
+static void write_limits(GString *text, hs_daemon_directory *members) {
+    hs_tenant_limiter_counters counters =
+        hs_tenant_limiter_count(hs_daemon_directory_limiter(members));
+    g_string_append_printf(text,
+                           "heathsail_tenant_asks{verdict=\"passed\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_tenant_asks{verdict=\"refused\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_tenant_asks_without_home %" G_GUINT64_FORMAT "\n"
+                           "heathsail_tenant_buckets %" G_GUINT64_FORMAT "\n",
+                           (guint64)counters.passed, (guint64)counters.refused,
+                           (guint64)counters.by_part, (guint64)counters.tenants);
+}
+
 static void write_job_reads(GString *text, hs_job_service *jobs) {
     hs_job_read_counters counters = hs_job_service_read_counters(jobs);
     g_string_append_printf(text,
@@ -85,6 +97,7 @@
     write_online(text, online);
     write_config(text, online->config);
     write_admission(text, sources->jobs);
+    write_limits(text, sources->members);
     write_job_reads(text, sources->jobs);
     write_partitions(text, sources);
     write_losses(text);
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -72,6 +72,12 @@
                                                [HS_ACCESS_KEY_UNKNOWN] = HS_END_KEY_UNKNOWN,
                                                [HS_ACCESS_KEY_MALFORMED] = HS_END_KEY_MALFORMED};
 
+/** Whether this daemon's word on keys still holds; see hs_online. */
+static bool knows_keys(hs_online *online) {
+    uint64_t as_of_ms = hs_config_source_as_of_ms(online->config);
+    return online->keys_hold_ms == 0 || hs_clock_monotonic_ms() <= as_of_ms + online->keys_hold_ms;
+}
+
 /** Whether the caller may have what it asks for; refused where it may not. */
 static bool has_access(hs_fleet_surface *surface, hs_inbound *inbound, const hs_caller_terms *terms,
                        const hs_fleet_config *config, bool is_public,
@@ -81,9 +87,41 @@
         &(hs_access_request){
             .key = terms->api_key, .has_many_keys = terms->has_many_keys, .is_public = is_public},
         tenant);
+    bool is_sure = *tenant == NULL || knows_keys(surface->settings.online);
     if (access != HS_ACCESS_GRANTED)
         refuse(surface, inbound, terms, access_reasons[access]);
-    return access == HS_ACCESS_GRANTED;
+    else if (!is_sure)
+        refuse(surface, inbound, terms, HS_END_KEYS_UNSURE);
+    return access == HS_ACCESS_GRANTED && is_sure;
+}
+
+/**
+ * Whether the tenant is within its limit; refused at once where it is not, with the time at which
+ * there is room for this caller.
+ */
+static bool is_within_limit(hs_fleet_surface *surface, hs_inbound *inbound,
+                            const hs_caller_terms *terms, const hs_fleet_config *config,
+                            const hs_fleet_tenant *tenant) {
+    if (tenant == NULL || tenant->rate_per_s <= 0)
+        return true;
+    hs_limited_tenant limited = {.name = tenant->name,
+                                 .rate_per_s = tenant->rate_per_s,
+                                 .burst = tenant->burst,
+                                 .version = config->version};
+    hs_limit_decider decider = HS_LIMIT_BY_SELF;
+    hs_limit_verdict verdict = hs_tenant_limiter_ask(
+        hs_daemon_directory_limiter(surface->settings.members), &limited, &decider);
+    if (verdict.passes)
+        return true;
+    hs_log_info("request_over_limit",
+                "request=%s tenant=%s rate_per_s=%.1f burst=%.1f version=%" G_GUINT64_FORMAT
+                " decided_by=%s return_ms=%" G_GUINT64_FORMAT " waited_ms=%" G_GUINT64_FORMAT,
+                terms->request_id != NULL ? terms->request_id : "-", tenant->name,
+                tenant->rate_per_s, tenant->burst, (guint64)config->version,
+                hs_limit_decider_name(decider), (guint64)verdict.return_ms,
+                (guint64)(hs_clock_monotonic_ms() - inbound->received_ms));
+    hs_online_refuse(surface->settings.online, inbound, HS_END_OVER_LIMIT, verdict.return_ms);
+    return false;
 }
 
 static const char *name_of(const hs_fleet_tenant *tenant) {
@@ -106,7 +144,7 @@
     } else if (route->kind == HS_ROUTE_BATCH) {
         hs_job_caller caller = {.terms = terms, .tenant = name_of(tenant)};
         hs_job_service_submit(surface->settings.jobs, inbound, &caller, config, route);
-    } else {
+    } else if (is_within_limit(surface, inbound, terms, config, tenant)) {
         hs_online_access access = {
             .config = hs_fleet_config_ref(config), .route = route, .tenant = tenant};
         hs_online_serve(online, inbound, terms, &access);
--- a/tests/system/test_fleet_tenants.c
+++ b/tests/system/test_fleet_tenants.c
@@ -28,6 +28,13 @@
     "[{\"name\":\"alpha\",\"api-keys\":[\"alphasecretkey2\"]},"                                    \
     "{\"name\":\"beta\",\"api-keys\":[\"betasecretkey1\",\"alphasecretkey1\"]}]"
 
+/** Alpha's limit, a second and at one time, far below what the tests send. */
+#define LIMIT_RATE 10
+#define LIMIT_BURST 5
+#define LIMITED                                                                                    \
+    "[{\"name\":\"alpha\",\"api-keys\":[\"alphasecretkey1\"],\"rate-per-s\":10,\"burst\":5},"      \
+    "{\"name\":\"beta\",\"api-keys\":[\"betasecretkey1\"]}]"
+
 static char log_directory[] = "/tmp/heathsail-tenants-XXXXXX";
 static int version = 100;
 
@@ -246,8 +253,71 @@
     configure(BOTH);
 }
 
+/** Send requests as alpha at all daemons in turn, one each @p pause_ms; how many were served. */
+static int press(const char *prefix, int count, unsigned pause_ms, int *refused) {
+    int served = 0;
+    for (int index = 0; index < count; index++) {
+        g_autofree char *id = g_strdup_printf("%s-%d", prefix, index);
+        static const char *const alpha[] = {ALPHA_KEY, NULL};
+        uint32_t status = status_with(index % bench_daemons(), "POST", "/plain/x", id, alpha);
+        served += status == 200;
+        *refused += status == 429;
+        hs_clock_sleep_ms(pause_ms);
+    }
+    return served;
+}
+
+/** What all daemons together let pass, before and after the tenant's home is killed. */
+static void a_limit_holds_over_all_daemons(void) {
+    configure(LIMITED);
+    hs_clock_sleep_ms(1000); /* The bucket is full. */
+    uint64_t began_ms = hs_clock_monotonic_ms();
+    int refused = 0;
+    int served = press("limit", 150, 5, &refused);
+    double allowed = LIMIT_BURST + LIMIT_RATE * (double)(hs_clock_monotonic_ms() - began_ms) / 1000;
+    CU_ASSERT_EQUAL(served + refused, 150);
+    CU_ASSERT(served <= (int)allowed + 1);
+    CU_ASSERT(served >= (int)(allowed * 0.7));
+    /* Whichever is the home: each is killed once, and requests go on at the others. */
+    for (int daemon = 0; daemon < bench_daemons(); daemon++) {
+        bench_signal(daemon, SIGKILL);
+        served += press(daemon == 0   ? "killed-0"
+                        : daemon == 1 ? "killed-1"
+                                      : "killed-2",
+                        90, 5, &refused);
+        bench_start_daemon(daemon, false);
+        CU_ASSERT_TRUE(bench_wait_ready(daemon));
+    }
+    allowed = LIMIT_BURST + LIMIT_RATE * (double)(hs_clock_monotonic_ms() - began_ms) / 1000;
+    CU_ASSERT(served <= (int)allowed + 1);
+    configure(BOTH);
+}
+
+/** A caller that comes back at the time it was told finds room; one that does not is refused. */
+static void a_refused_caller_is_told_when_there_is_room(void) {
+    configure(LIMITED);
+    int refused = 0;
+    press("drain", 60, 0, &refused);
+    CU_ASSERT(refused > 0);
+    static const char *const alpha[] = {ALPHA_KEY, NULL};
+    bench_answer answer = call_with(0, "POST", "/plain/x", "told-when", alpha);
+    CU_ASSERT_EQUAL(answer.status, 429);
+    const char *after =
+        answer.fields != NULL ? hs_http_fields_find(answer.fields, "Retry-After") : NULL;
+    CU_ASSERT_PTR_NOT_NULL_FATAL(after);
+    double seconds = g_ascii_strtod(after, NULL);
+    CU_ASSERT(seconds > 0 && seconds <= 5);
+    bench_answer_clear(&answer);
+    hs_clock_sleep_ms((uint64_t)(seconds * 1000) + 20);
+    CU_ASSERT_EQUAL(post_with("/plain/x", "returned", ALPHA_KEY), 200);
+    CU_ASSERT_EQUAL(post_with("/plain/x", "of-beta", BETA_KEY), 200);
+    CU_ASSERT(metric_of(0, "heathsail_requests_ended{reason=\"over_limit\"}") > 0);
+    configure(BOTH);
+}
+
 /** Keys are credentials: they stand in no line of a log, whatever became of the request. */
 static void no_key_is_logged(void) {
+    CU_ASSERT_EQUAL(post_with("/plain/x", "unknown", "X-Api-Key: unknownsecretkey"), 401);
     for (int daemon = 0; daemon < bench_daemons(); daemon++) {
         g_autofree char *path = g_strdup_printf("%s/daemon-%d.log", log_directory, daemon);
         g_autofree char *text = NULL;
@@ -266,5 +336,7 @@
      a_jobs_tenant_outlives_its_key_and_its_daemons},
     {"a_key_that_was_taken_away_opens_nothing", a_key_that_was_taken_away_opens_nothing},
     {"a_held_request_goes_by_the_version_in_force", a_held_request_goes_by_the_version_in_force},
+    {"a_limit_holds_over_all_daemons", a_limit_holds_over_all_daemons},
+    {"a_refused_caller_is_told_when_there_is_room", a_refused_caller_is_told_when_there_is_room},
     {"no_key_is_logged", no_key_is_logged},
     {NULL, NULL}};
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -33,6 +33,7 @@
         {"refusal_choice", refusal_choice_tests, NULL, NULL},
         {"urgency", urgency_tests, NULL, NULL},
         {"tenants", tenant_tests, NULL, NULL},
+        {"limits", limit_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
