Engines are known by id and start; entries of other writers name no engine

Cause: losses, health, arbiters' counts, words of other daemons and cached prompts went by an engine's id alone, and an entry without a service, zone, slots or state was filled in with defaults, one that turned unreadable left the engine as it was.

Change: an engine's identity is the hash of its id and start, wherever daemons speak of it; another start under an id replaces the engine, what is under way at the old one keeps it. An engine that started again without having said that it leaves had crashed: runs cut there are lost with it, also where it was back before it could be asked. One typed reader takes an entry whole or not at all, with a reason (log line a change, heathsail_engine_entries_rejected); what was known under its id gets nothing new. Fuzz target extended (tenants' index, entries). A test's own entry lacked fields that each engine's has (version, warm-up); it has them now.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -3507,7 +3507,7 @@
   (ProtobufCMessageInit) hs__tenant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__tenant_verdict__field_descriptors[3] =
+static const ProtobufCFieldDescriptor hs__tenant_verdict__field_descriptors[4] =
 {
   {
     "sequence",
@@ -3545,8 +3545,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantVerdict, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__tenant_verdict__field_indices_by_name[] = {
+  3,   /* field[3] = part */
   1,   /* field[1] = passes */
   2,   /* field[2] = return_ms */
   0,   /* field[0] = sequence */
@@ -3554,7 +3567,7 @@
 static const ProtobufCIntRange hs__tenant_verdict__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor hs__tenant_verdict__descriptor =
 {
@@ -3564,7 +3577,7 @@
   "Hs__TenantVerdict",
   "hs",
   sizeof(Hs__TenantVerdict),
-  3,
+  4,
   hs__tenant_verdict__field_descriptors,
   hs__tenant_verdict__field_indices_by_name,
   1,  hs__tenant_verdict__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -558,10 +558,14 @@
    * Where it does not: when its caller should return.
    */
   uint32_t return_ms;
+  /*
+   * Of the limit, which the home lets pass.
+   */
+  double part;
 };
 #define HS__TENANT_VERDICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__tenant_verdict__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -107,6 +107,8 @@
     uint32_t slots;
     bool draining;
     uint32_t warmup_left_ms;
+    uint64_t born_ms; /**< Wall time of its start, by which two starts under one id differ; 0: not
+                           told, and each start has an id of its own. */
 } hs_engine_entry;
 
 /** Free the strings of @p entry. */
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -154,6 +154,7 @@
                                          .jobs = daemon->jobs,
                                          .owner = daemon->owner,
                                          .members = daemon->directory,
+                                         .engine_source = daemon->engine_source,
                                          .store = daemon->store,
                                          .reloads = &daemon->reloads,
                                          .wakes = &daemon->wakes,
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -40,6 +40,8 @@
 #define ZONE_LEAST 2   /* Fewer daemons of the asker's zone: others are named too. */
 #define SUSPECT_PROBES 2
 #define FORGET_MS 30000
+/** Begins the id under which a seed is proposed until it tells its own. */
+#define SEED_PREFIX "seed-"
 
 struct hs_daemon_directory {
     hs_daemon_directory_settings settings;
@@ -160,13 +162,17 @@
     hs_membership_service_unlock(directory->membership);
 }
 
+bool hs_daemon_is_seed(const char *id) {
+    return g_str_has_prefix(id, SEED_PREFIX);
+}
+
 static void propose_seeds(hs_daemon_directory *directory) {
     g_mutex_lock(&directory->lock);
     g_auto(GStrv) seeds = g_strsplit(directory->seeds, ",", -1);
     g_mutex_unlock(&directory->lock);
     for (int index = 0; seeds[index] != NULL; index++) {
         const char *seed = g_strstrip(seeds[index]);
-        g_autofree char *name = g_strdup_printf("seed-%s", seed);
+        g_autofree char *name = g_strdup_printf(SEED_PREFIX "%s", seed);
         propose(directory, name, seed);
     }
 }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -85,6 +85,9 @@
 /** Live daemons, this one included; at least 1. */
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory);
 
+/** Whether a member's id stands for the address of a seed that has not answered yet. */
+bool hs_daemon_is_seed(const char *id);
+
 /** What keeps tenants within their limits; borrowed. */
 hs_tenant_limiter *hs_daemon_directory_limiter(hs_daemon_directory *directory);
 
--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "directory/daemon_directory.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -28,6 +29,12 @@
  * until then others are found one after the other, and each would take the few it knows for all.
  */
 #define SETTLING_MS 10000
+/**
+ * So long after the start, in ms, one that the store lists is taken to live before it answered:
+ * daemons that start together know the same home at once. Without it a limited tenant is refused
+ * nearly all for a second after all daemons were lost.
+ */
+#define LISTED_LIVE_MS 3000
 /** Taken for the number of daemons until the store or others told of them: as many as the largest
  * deployment of some tens of engines has. */
 #define ASSUMED_DAEMONS 64
@@ -88,29 +95,44 @@
     g_free(limiter);
 }
 
+/** What is counted of members, by how long ago this daemon started. */
+typedef struct {
+    bool counts_proposed;
+    bool trusts_list;
+} look_terms;
+
 /** Whether a member that does not answer may live all the same, and let requests pass. */
-static bool may_live(const hs_member *member, bool is_settling) {
+static bool may_live(const hs_member *member, const look_terms *terms) {
     if (member->state == HS_MEMBER_PROPOSED)
-        return is_settling;
+        return terms->counts_proposed && !hs_daemon_is_seed(member->id);
     return member->state != HS_MEMBER_LEAVING;
 }
 
+/** Whether a member is taken to answer. */
+static bool is_reached(const hs_member *member, const look_terms *terms) {
+    bool is_listed = member->state == HS_MEMBER_PROPOSED && !hs_daemon_is_seed(member->id);
+    return member->state == HS_MEMBER_ALIVE || (terms->trusts_list && is_listed);
+}
+
 /** Look at the members for @p tenant. */
 static home_view look(hs_tenant_limiter *limiter, const char *tenant) {
     home_view view = {0};
     uint64_t best = 0;
-    bool is_settling = hs_clock_monotonic_ms() < limiter->started_ms + SETTLING_MS;
+    uint64_t age_ms = hs_clock_monotonic_ms() - limiter->started_ms;
+    bool knows_list = g_atomic_int_get(&limiter->knows_others) != 0;
+    look_terms terms = {.counts_proposed = age_ms < SETTLING_MS,
+                        .trusts_list = knows_list && age_ms < LISTED_LIVE_MS};
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     const hs_membership *membership = hs_membership_service_lock(limiter->membership);
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         bool is_self = member == hs_membership_self(membership);
-        view.reach.known += is_self || may_live(member, is_settling);
-        if (!is_self && member->state != HS_MEMBER_ALIVE)
+        view.reach.known += is_self || may_live(member, &terms);
+        if (!is_self && !is_reached(member, &terms))
             continue;
         view.reach.reached++;
-        view.view += hs_hash_bytes(member->id, strlen(member->id)) ^ member->incarnation;
+        view.view += hs_hash_bytes(member->id, strlen(member->id));
         uint64_t rank = hs_hash_pair(tenant, member->id);
         if (rank < best)
             continue;
@@ -121,7 +143,7 @@
         g_strlcpy(view.id, member->id, sizeof view.id);
     }
     hs_membership_service_unlock(limiter->membership);
-    if (is_settling && g_atomic_int_get(&limiter->knows_others) == 0)
+    if (terms.counts_proposed && !knows_list)
         view.reach.known = MAX(view.reach.known, ASSUMED_DAEMONS);
     return view;
 }
@@ -271,6 +293,7 @@
     body.sequence = ask->sequence;
     body.passes = verdict.passes;
     body.return_ms = (uint32_t)verdict.return_ms;
+    body.part = verdict.part;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_VERDICT;
     message.tenant_verdict = &body;
@@ -284,8 +307,8 @@
     gpointer waits = NULL;
     g_mutex_lock(&limiter->lock);
     if (g_hash_table_lookup_extended(limiter->waiting, &told->sequence, &key, &waits)) {
-        *(hs_limit_verdict *)waits =
-            (hs_limit_verdict){.passes = told->passes, .return_ms = told->return_ms};
+        *(hs_limit_verdict *)waits = (hs_limit_verdict){
+            .passes = told->passes, .return_ms = told->return_ms, .part = told->part};
         g_hash_table_add(limiter->told, key);
         g_cond_broadcast(&limiter->answered);
     }
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -15,9 +15,25 @@
     uint64_t cut;          /**< Runs that were cut. */
     uint64_t lost;         /**< Those of them whose engine crashed. */
     uint64_t unlooked;     /**< Those that there was no room for. */
+    GArray *survived;      /**< of hs_cut_run: engines answered after these were cut, of late. */
+    GArray *restarted;     /**< of restart: engines that are known to have crashed, of late. */
     hs_crash_probe *probe;
 };
 
+/**
+ * An engine's entry tells its new start within a beat (1.2 s) and a round of reading the store
+ * (1 s): for twice as long, in ms, an engine that answered may turn out to have been a later start.
+ */
+#define RESTART_KNOWN_MS 4500
+/** Runs and engines that are remembered for it, at most: all that some engines ran. */
+#define REMEMBERED_MOST 512
+
+/** An engine that started again. */
+typedef struct {
+    uint64_t engine;
+    uint64_t known_ms;
+} restart;
+
 /** The caller holds the lock, as for all below that take no lock themselves. */
 static void note_news(hs_crash_watch *watch, uint64_t content) {
     for (guint index = 0; index < watch->news_contents->len; index++)
@@ -79,10 +95,69 @@
                 meaning == HS_LOSS_ACQUITTED);
 }
 
+/** Whether the engine is known to have started again. The caller holds the lock. */
+static bool has_restarted(const hs_crash_watch *watch, uint64_t engine) {
+    for (guint index = 0; index < watch->restarted->len; index++)
+        if (g_array_index(watch->restarted, restart, index).engine == engine)
+            return true;
+    return false;
+}
+
+/** Keep a run whose engine answered: it may be a later start that did. Oldest ones go. */
+static void remember_survived(hs_crash_watch *watch, const hs_cut_run *run) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GArray *survived = watch->survived;
+    guint old = 0;
+    while (old < survived->len &&
+           g_array_index(survived, hs_cut_run, old).cut_ms + RESTART_KNOWN_MS < now_ms)
+        old++;
+    if (old == 0 && survived->len == REMEMBERED_MOST)
+        old = 1;
+    if (old > 0)
+        g_array_remove_range(survived, 0, old);
+    g_array_append_val(survived, *run);
+}
+
 /** What became of an engine at which runs were cut. */
 static void take_end(const GArray *runs, bool is_gone, void *user_data) {
     hs_crash_watch *watch = user_data;
-    for (guint index = 0; is_gone && index < runs->len; index++)
+    for (guint index = 0; index < runs->len; index++) {
+        const hs_cut_run *run = &g_array_index(runs, hs_cut_run, index);
+        g_mutex_lock(&watch->lock);
+        bool is_lost = is_gone || has_restarted(watch, run->engine);
+        if (!is_lost)
+            remember_survived(watch, run);
+        g_mutex_unlock(&watch->lock);
+        if (is_lost)
+            note_lost(watch, run);
+    }
+}
+
+/** Take the runs that were cut at an engine out of those that are remembered: of hs_cut_run. */
+static GArray *take_survived(hs_crash_watch *watch, uint64_t engine) {
+    GArray *taken = g_array_new(FALSE, FALSE, sizeof(hs_cut_run));
+    for (guint index = watch->survived->len; index > 0; index--) {
+        hs_cut_run run = g_array_index(watch->survived, hs_cut_run, index - 1);
+        if (run.engine != engine)
+            continue;
+        g_array_append_val(taken, run);
+        g_array_remove_index(watch->survived, index - 1);
+    }
+    return taken;
+}
+
+void hs_crash_watch_note_restarted(hs_crash_watch *watch, uint64_t engine) {
+    restart known = {.engine = engine, .known_ms = hs_clock_monotonic_ms()};
+    g_mutex_lock(&watch->lock);
+    GArray *restarted = watch->restarted;
+    while (restarted->len > 0 &&
+           (restarted->len == REMEMBERED_MOST ||
+            g_array_index(restarted, restart, 0).known_ms + RESTART_KNOWN_MS < known.known_ms))
+        g_array_remove_index(restarted, 0);
+    g_array_append_val(restarted, known);
+    g_autoptr(GArray) runs = take_survived(watch, engine);
+    g_mutex_unlock(&watch->lock);
+    for (guint index = 0; index < runs->len; index++)
         note_lost(watch, &g_array_index(runs, hs_cut_run, index));
 }
 
@@ -91,6 +166,8 @@
     g_mutex_init(&watch->lock);
     watch->ledger = hs_crash_ledger_new();
     watch->news_contents = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    watch->survived = g_array_new(FALSE, FALSE, sizeof(hs_cut_run));
+    watch->restarted = g_array_new(FALSE, FALSE, sizeof(restart));
     watch->probe = hs_crash_probe_start(take_end, watch);
     return watch;
 }
@@ -100,6 +177,8 @@
         return;
     hs_crash_probe_stop(watch->probe);
     g_array_free(watch->news_contents, TRUE);
+    g_array_free(watch->survived, TRUE);
+    g_array_free(watch->restarted, TRUE);
     hs_crash_ledger_free(watch->ledger);
     g_mutex_clear(&watch->lock);
     g_free(watch);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -327,7 +327,7 @@
 
 /** An engine that leaves ends its last runs with it, which is no crash. */
 static bool is_leaving(const hs_fleet_engine *engine) {
-    return engine->entry.draining || !engine->listed;
+    return engine->entry.draining || (!engine->listed && !engine->is_reborn);
 }
 
 static void note_cut(hs_engine_lease *lease, uint64_t content) {
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -4,7 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/stop_wait.h"
-#include "platform/config_codec.h"
+#include "platform/entry_codec.h"
 #include "store/store_contact.h"
 
 #include <string.h>
@@ -27,6 +27,9 @@
  */
 #define RETRY_FIRST_MS 100
 
+/** Keys with a faulty entry that are remembered: beyond, each reading of one is logged. */
+#define FAULTY_MOST 1024
+
 struct hs_engine_source {
     hs_store_client *store;
     hs_fleet_engines *engines;
@@ -37,6 +40,9 @@
     hs_store_contact contact;
     hs_stop_wait pause;
     GThread *thread;
+    GHashTable
+        *faulty; /**< id -> hs_entry_fault of its entry, so that each change is logged once. */
+    gint rejected[HS_ENTRY_FAULT_COUNT]; /**< Entries that named no engine, by reason. */
 };
 
 hs_engine_source *hs_engine_source_new(hs_store_client *store, hs_fleet_engines *engines,
@@ -48,6 +54,7 @@
     source->interval_ms = MAX(drain_ms / READS_PER_DRAIN, 1);
     hs_store_contact_init(&source->contact, "engines");
     hs_stop_wait_init(&source->pause);
+    source->faulty = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return source;
 }
 
@@ -63,21 +70,41 @@
         source->trust_from_ms = now_ms + RETURN_MS;
 }
 
-static void take_entry(hs_engine_source *source, const char *id, const uint8_t *value,
+/**
+ * Note what came of an entry: a line where it changed. An engine whose entry was written over by
+ * another writer is used again with its own next beat.
+ */
+static void note_fault(hs_engine_source *source, const char *id, hs_entry_fault fault) {
+    gpointer before = g_hash_table_lookup(source->faulty, id);
+    if (fault == HS_ENTRY_SOUND) {
+        g_hash_table_remove(source->faulty, id);
+        return;
+    }
+    g_atomic_int_inc(&source->rejected[fault]);
+    if (before == GINT_TO_POINTER(fault))
+        return;
+    hs_log_warning("engine_entry_rejected", "engine=%s reason=%s", id, hs_entry_fault_name(fault));
+    if (g_hash_table_size(source->faulty) < FAULTY_MOST)
+        g_hash_table_insert(source->faulty, g_strdup(id), GINT_TO_POINTER(fault));
+}
+
+/** False: the entry names no engine. */
+static bool take_entry(hs_engine_source *source, const char *id, const uint8_t *value,
                        size_t length) {
     if (length == 0 && hs_clock_monotonic_ms() < source->trust_from_ms)
         hs_fleet_engines_doubt(source->engines, id, source->trust_from_ms);
     else if (length == 0)
         hs_fleet_engines_drop(source->engines, id);
     if (length == 0)
-        return;
+        return false;
     hs_engine_entry entry = {0};
-    hs_error error = {0};
-    if (hs_platform_read_engine(id, value, length, &entry, &error) != 0) {
-        hs_log_warning("engine_unreadable", "engine=%s cause=\"%s\"", id, error.message);
-        return;
-    }
-    hs_fleet_engines_put(source->engines, &entry, hs_clock_monotonic_ms());
+    hs_entry_fault fault = hs_platform_read_engine(id, value, length, &entry);
+    note_fault(source, id, fault);
+    if (fault == HS_ENTRY_SOUND)
+        hs_fleet_engines_put(source->engines, &entry, hs_clock_monotonic_ms());
+    else
+        hs_fleet_engines_drop(source->engines, id);
+    return fault == HS_ENTRY_SOUND;
 }
 
 /** One page of newest entries; @p after: the last key of the page before, replaced. */
@@ -98,8 +125,8 @@
         *after = g_strdup(entry->key);
         if (entry->value_length == 0)
             continue;
-        g_hash_table_add(listed, g_strdup(entry->key));
-        take_entry(source, entry->key, entry->value, entry->value_length);
+        if (take_entry(source, entry->key, entry->value, entry->value_length))
+            g_hash_table_add(listed, g_strdup(entry->key));
     }
     if (entries->len == 0)
         *has_more = false;
@@ -183,6 +210,7 @@
         g_thread_join(source->thread);
     hs_stop_wait_clear(&source->pause);
     hs_store_contact_clear(&source->contact);
+    g_hash_table_destroy(source->faulty);
     g_free(source);
 }
 
@@ -197,3 +225,7 @@
 bool hs_engine_source_is_cut_off(hs_engine_source *source) {
     return hs_store_contact_is_lost(&source->contact);
 }
+
+uint32_t hs_engine_source_rejected(hs_engine_source *source, hs_entry_fault fault) {
+    return (uint32_t)g_atomic_int_get(&source->rejected[fault]);
+}
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -10,6 +10,7 @@
 #define HS_FLEET_ENGINE_SOURCE_H
 
 #include "fleet/fleet_engines.h"
+#include "platform/entry_codec.h"
 #include "store/store_client.h"
 
 typedef struct hs_engine_source hs_engine_source;
@@ -25,6 +26,9 @@
 /** Start the duty thread. */
 void hs_engine_source_start(hs_engine_source *source);
 
+/** Entries so far that named no engine for a reason; those of others hold. */
+uint32_t hs_engine_source_rejected(hs_engine_source *source, hs_entry_fault fault);
+
 /** Whether the store gave no answer to the last read. */
 bool hs_engine_source_is_cut_off(hs_engine_source *source);
 
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -11,6 +11,7 @@
     uint64_t hash;
     gint references; /**< The table's and one a lease. */
     bool listed;
+    bool is_reborn;            /**< It has ended: another start has its id now. */
     uint64_t doubted_until_ms; /**< Dropped then unless it is listed again; 0: not doubted. */
     bool misplaced;            /**< Another engine answered at its address. */
     uint64_t listed_ms;
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -97,26 +97,68 @@
                 entry->zone, entry->draining ? "draining" : "ready", entry->slots);
 }
 
+/**
+ * What tells an engine's start from all others. Two starts under one id have nothing in common:
+ * what is believed, counted and told of the one says nothing of the other.
+ */
+static uint64_t identity_of(const hs_engine_entry *entry) {
+    uint64_t id = hs_hash_bytes(entry->id, strlen(entry->id));
+    uint64_t start[2] = {id, entry->born_ms};
+    return entry->born_ms == 0 ? id : hs_hash_bytes(start, sizeof start);
+}
+
+static hs_fleet_engine *add_engine(hs_fleet_engines *engines, const hs_engine_entry *entry) {
+    hs_fleet_engine *engine = g_new0(hs_fleet_engine, 1);
+    engine->references = 1;
+    engine->hash = identity_of(entry);
+    engine->prefixes = hs_prefix_index_new(UNKNOWN_CACHE_TOKENS);
+    engine->batch_leases = g_ptr_array_new();
+    g_queue_init(&engine->idle);
+    forget_hashes(engines);
+    g_hash_table_insert(engines->by_id, g_strdup(entry->id), engine);
+    log_entry("engine_listed", entry);
+    return engine;
+}
+
+/** The engine ended, and another start has its id: whoever still has a request there keeps it. */
+static void end_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
+                       const hs_engine_entry *entry) {
+    hs_log_info("engine_reborn",
+                "engine=%s born_ms=%" G_GUINT64_FORMAT " before_ms=%" G_GUINT64_FORMAT
+                " online=%u batch=%u",
+                entry->id, (guint64)entry->born_ms, (guint64)engine->entry.born_ms, engine->online,
+                engine->batch);
+    engine->listed = false;
+    engine->is_reborn = true;
+    g_queue_clear_full(&engine->idle, hs_idle_connection_free);
+    forget_hashes(engines);
+    g_hash_table_remove(engines->by_id, entry->id);
+}
+
+/** Whether an entry is of another start than the engine that is known under its id. */
+static bool is_another_start(const hs_fleet_engine *engine, const hs_engine_entry *entry) {
+    return entry->born_ms != 0 && entry->born_ms != engine->entry.born_ms;
+}
+
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms) {
+    uint64_t ended = 0;
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, entry->id);
-    if (engine == NULL) {
-        engine = g_new0(hs_fleet_engine, 1);
-        engine->references = 1;
-        engine->hash = hs_hash_bytes(entry->id, strlen(entry->id));
-        engine->prefixes = hs_prefix_index_new(UNKNOWN_CACHE_TOKENS);
-        engine->batch_leases = g_ptr_array_new();
-        g_queue_init(&engine->idle);
-        forget_hashes(engines);
-        g_hash_table_insert(engines->by_id, g_strdup(entry->id), engine);
-        log_entry("engine_listed", entry);
-    } else if (engine->entry.draining != entry->draining) {
-        log_entry("engine_changed", entry);
+    if (engine != NULL && is_another_start(engine, entry)) {
+        ended = engine->entry.draining ? 0 : engine->hash;
+        end_engine(engines, engine, entry);
+        engine = NULL;
     }
+    if (engine == NULL)
+        engine = add_engine(engines, entry);
+    else if (engine->entry.draining != entry->draining)
+        log_entry("engine_changed", entry);
     if (engine->entry.address != entry->address || engine->entry.port != entry->port) {
         g_queue_clear_full(&engine->idle, hs_idle_connection_free);
         engine->misplaced = false;
     }
+    if (entry->born_ms == 0)
+        entry->born_ms = engine->entry.born_ms;
     hs_engine_entry_clear(&engine->entry);
     engine->entry = *entry;
     engine->listed = true;
@@ -124,6 +166,8 @@
     engine->listed_ms = now_ms;
     g_mutex_unlock(&engines->lock);
     memset(entry, 0, sizeof *entry);
+    if (ended != 0 && engines->crash_watch != NULL)
+        hs_crash_watch_note_restarted(engines->crash_watch, ended);
 }
 
 static gboolean unlist(gpointer key, gpointer value, gpointer listed) {
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -50,6 +50,13 @@
                            (guint64)counters.levels);
 }
 
+static void write_entries(GString *text, hs_engine_source *source) {
+    for (int fault = HS_ENTRY_SOUND + 1; fault < HS_ENTRY_FAULT_COUNT; fault++)
+        g_string_append_printf(text, "heathsail_engine_entries_rejected{reason=\"%s\"} %u\n",
+                               hs_entry_fault_name((hs_entry_fault)fault),
+                               hs_engine_source_rejected(source, (hs_entry_fault)fault));
+}
+
 static void write_limits(GString *text, hs_daemon_directory *members) {
     hs_tenant_limiter_counters counters =
         hs_tenant_limiter_count(hs_daemon_directory_limiter(members));
@@ -98,6 +105,7 @@
     write_config(text, online->config);
     write_admission(text, sources->jobs);
     write_limits(text, sources->members);
+    write_entries(text, sources->engine_source);
     write_job_reads(text, sources->jobs);
     write_partitions(text, sources);
     write_losses(text);
--- a/src/surface/fleet_metrics.h
+++ b/src/surface/fleet_metrics.h
@@ -3,6 +3,7 @@
 #define HS_SURFACE_FLEET_METRICS_H
 
 #include "directory/daemon_directory.h"
+#include "fleet/engine_source.h"
 #include "jobs/job_owner.h"
 #include "jobs/job_service.h"
 #include "online/online_request.h"
@@ -20,6 +21,7 @@
     hs_job_owner *owner;
     hs_store_client *store;
     hs_daemon_directory *members;
+    hs_engine_source *engine_source;
     hs_reload_counts *reloads;
     hs_wake_watch *wakes;
     uint32_t open_requests;
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -24,6 +24,7 @@
     hs_job_service *jobs;
     hs_job_owner *owner; /**< For its metrics. */
     hs_daemon_directory *members;
+    hs_engine_source *engine_source; /**< For its metrics. */
     hs_store_client *store;
     hs_reload_counts *reloads;
     hs_wake_watch *wakes;
--- a/src/tenants/limit_book.c
+++ b/src/tenants/limit_book.c
@@ -64,7 +64,8 @@
                                    uint64_t now_ms) {
     tenant_entry *entry = entry_of(book, question, now_ms);
     hs_rate_limit limit = part_of_limit(&entry->limit, entry->part);
-    hs_limit_verdict verdict = {.passes = hs_rate_bucket_take(&entry->bucket, &limit, now_ms)};
+    hs_limit_verdict verdict = {.part = entry->part,
+                                .passes = hs_rate_bucket_take(&entry->bucket, &limit, now_ms)};
     if (!verdict.passes)
         verdict.return_ms = hs_rate_bucket_promise(&entry->bucket, &limit, now_ms);
     return verdict;
--- a/src/tenants/limit_book.h
+++ b/src/tenants/limit_book.h
@@ -41,6 +41,7 @@
 typedef struct {
     bool passes;
     uint64_t return_ms; /**< Where it does not: when its caller should return, from now. */
+    double part;        /**< Of the limit, which is let pass by who decided. */
 } hs_limit_verdict;
 
 /** @p now_ms: this daemon cannot have been a home before. */
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -32,6 +32,7 @@
     GArray *call_log;    /**< of token_engine_call, by number. */
     uint32_t total;
     uint32_t sequence;
+    uint64_t born_ms; /**< Wall time of its start. */
 };
 
 /** One stream under way. */
@@ -310,6 +311,8 @@
 void token_engine_restart(token_engine *engine, const char *id) {
     g_free(engine->id);
     engine->id = g_strdup(id);
+    engine->sequence = 0;
+    engine->born_ms = hs_clock_wall_ms();
     g_atomic_int_set(&engine->is_crashing, 0);
     listen_for_requests(engine);
 }
@@ -329,6 +332,7 @@
     engine->run_log = g_array_new(FALSE, FALSE, sizeof(token_engine_run));
     engine->call_log = g_array_new(FALSE, FALSE, sizeof(token_engine_call));
     engine->port = port_lease_take(1);
+    engine->born_ms = hs_clock_wall_ms();
     listen_for_requests(engine);
     engine->shown_port = engine->port;
     return engine;
@@ -359,10 +363,14 @@
 }
 
 void token_engine_announce(token_engine *engine, log_store *store, bool draining) {
+    g_autofree char *start =
+        engine->settings.tells_start
+            ? g_strdup_printf("\"born\":%" G_GUINT64_FORMAT ",", (guint64)engine->born_ms)
+            : g_strdup("");
     g_autofree char *entry = g_strdup_printf(
-        "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+        "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
         "\"slots\":%u,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
-        engine->service, engine->shown_port,
+        start, engine->service, engine->shown_port,
         engine->settings.slots != 0 ? engine->settings.slots : DEFAULT_SLOTS,
         draining ? "draining" : "ready", ++engine->sequence);
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -42,6 +42,7 @@
     const char *const *long_paths; /**< Prefixes, the last NULL; NULL: all have the one pace. */
     token_engine_pace long_pace;   /**< Of streams for paths that begin so. */
     uint32_t break_after;          /**< TOKEN_ENGINE_BREAKS: events before the end. */
+    bool tells_start;              /**< Its entry tells when it started. */
     uint32_t slots;                /**< That its entry tells; 0: the default of 8. */
     const char *fatal;             /**< Begun with a body that begins so, it asks for its own crash
                                         after fatal_after_ms; NULL: no such body. */
--- a/tests/fuzz/config.c
+++ b/tests/fuzz/config.c
@@ -1,8 +1,12 @@
 /** @file config.c  Fuzz target: the operator's configuration and engines' entries. */
 #include "fleet/config_source.h"
 #include "platform/config_codec.h"
+#include "platform/entry_codec.h"
+#include "tenants/tenant_index.h"
 #include "tests/fuzz/fuzz.h"
 
+#include <string.h>
+
 static void read_config(const uint8_t *data, size_t size) {
     hs_error error = {0};
     hs_fleet_config *config = hs_platform_read_config(data, size, &error);
@@ -10,6 +14,15 @@
         FUZZ_CHECK(error.code != 0);
         return;
     }
+    hs_tenant_index_make(config);
+    for (guint index = 0; index < config->tenants->len; index++) {
+        const hs_fleet_tenant *tenant = config->tenants->pdata[index];
+        FUZZ_CHECK(tenant->rate_per_s >= 0 && tenant->burst >= 0);
+        for (guint key = 0; key < tenant->keys->len; key++) {
+            const hs_fleet_tenant *holder = hs_tenant_index_find(config, tenant->keys->pdata[key]);
+            FUZZ_CHECK(holder == NULL || strcmp(holder->name, tenant->name) == 0);
+        }
+    }
     for (guint index = 0; index < config->routes->len; index++) {
         const hs_fleet_route *route = config->routes->pdata[index];
         FUZZ_CHECK(route->shares->len > 0);
@@ -24,11 +37,13 @@
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
-    hs_error error = {0};
     hs_engine_entry entry = {0};
     read_config(data, size);
-    if (hs_platform_read_engine("e", data, size, &entry, &error) == 0)
-        FUZZ_CHECK(entry.port != 0 && entry.service != NULL && entry.zone != NULL);
+    if (hs_platform_read_engine("e", data, size, &entry) == HS_ENTRY_SOUND)
+        FUZZ_CHECK(entry.port != 0 && *entry.service != '\0' && *entry.zone != '\0' &&
+                   entry.slots > 0);
+    else
+        FUZZ_CHECK(entry.id == NULL);
     hs_engine_entry_clear(&entry);
     return 0;
 }
--- a/tests/soak/crash_callers.c
+++ b/tests/soak/crash_callers.c
@@ -24,10 +24,16 @@
 /** Sends that are allowed after that. */
 #define LATE_SENDS_MOST 3
 
+/** Engines that start again under their ids are back after one of these times, in ms. */
+static const uint32_t RETURNS_MS[] = {60, 300, 1500, 4000};
+
 static crash_fleet *frail;
 
-void soak_start_crashes(void) {
-    frail = crash_fleet_start(bench.store, "frail");
+void soak_start_crashes(unsigned seed) {
+    crash_fleet_settings settings = {0};
+    settings.keeps_ids = seed % 2 == 1;
+    settings.return_ms = settings.keeps_ids ? RETURNS_MS[seed / 2 % G_N_ELEMENTS(RETURNS_MS)] : 0;
+    frail = crash_fleet_start(bench.store, "frail", &settings);
 }
 
 void soak_stop_crashes(void) {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -192,7 +192,7 @@
     printf("seed %u, %u s, %d daemons\n", line->seed, line->seconds, bench_daemons());
     bench_prepare();
     soak_start_proxies();
-    soak_start_crashes();
+    soak_start_crashes(line->seed);
     if (bench_start() != 0)
         soak_violation("the fleet did not start");
     run_callers(line);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -59,7 +59,7 @@
 gpointer soak_run_crashers(gpointer data);
 
 /** Engines that crash, for callers whose requests do that; after bench_prepare. */
-void soak_start_crashes(void);
+void soak_start_crashes(unsigned seed);
 void soak_stop_crashes(void);
 
 /** Read all results of a job at a daemon and compare with what was read before; how many. */
--- a/tests/support/crash_fleet.c
+++ b/tests/support/crash_fleet.c
@@ -36,6 +36,7 @@
 } loss;
 
 struct crash_fleet {
+    crash_fleet_settings settings;
     log_store *store;
     GArray *losses; /**< of loss, in their order. */
     place places[CRASH_FLEET_ENGINES];
@@ -71,8 +72,9 @@
 
 static void bring_back(crash_fleet *fleet, int index) {
     place *one = &fleet->places[index];
+    one->incarnation += fleet->settings.keeps_ids ? 0 : 1;
     g_free(one->id);
-    one->id = id_of(index, ++one->incarnation);
+    one->id = id_of(index, one->incarnation);
     token_engine_restart(one->engine, one->id);
     token_engine_announce(one->engine, fleet->store, false);
     one->is_listed = true;
@@ -87,11 +89,12 @@
             crash(fleet, one);
         return;
     }
-    if (one->is_listed && now_ms >= one->crashed_ms + LAPSE_MS) {
+    bool lapses = !fleet->settings.keeps_ids;
+    if (lapses && one->is_listed && now_ms >= one->crashed_ms + LAPSE_MS) {
         log_store_put(fleet->store, TOPIC_ENGINES, one->id, "");
         one->is_listed = false;
     }
-    if (now_ms >= one->crashed_ms + RETURN_MS)
+    if (now_ms >= one->crashed_ms + fleet->settings.return_ms)
         bring_back(fleet, index);
 }
 
@@ -99,7 +102,7 @@
     crash_fleet *fleet = data;
     while (g_atomic_int_get(&fleet->stopping) == 0) {
         g_mutex_lock(&fleet->lock);
-        for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+        for (int index = 0; index < fleet->settings.engines; index++)
             look_at(fleet, index);
         g_mutex_unlock(&fleet->lock);
         hs_clock_sleep_ms(LOOK_MS);
@@ -107,18 +110,25 @@
     return NULL;
 }
 
-crash_fleet *crash_fleet_start(log_store *store, const char *service) {
+crash_fleet *crash_fleet_start(log_store *store, const char *service,
+                               const crash_fleet_settings *settings) {
     crash_fleet *fleet = g_new0(crash_fleet, 1);
+    fleet->settings = *settings;
+    if (fleet->settings.engines == 0)
+        fleet->settings.engines = CRASH_FLEET_ENGINES;
+    if (fleet->settings.return_ms == 0)
+        fleet->settings.return_ms = RETURN_MS;
     fleet->store = store;
     fleet->losses = g_array_new(FALSE, FALSE, sizeof(loss));
     g_mutex_init(&fleet->lock);
-    for (int index = 0; index < CRASH_FLEET_ENGINES; index++) {
+    for (int index = 0; index < fleet->settings.engines; index++) {
         place *one = &fleet->places[index];
         one->id = id_of(index, 0);
         one->engine = token_engine_start(
             &(token_engine_settings){.id = one->id,
                                      .service = service,
                                      .pace = {.events = EVENTS, .event_ms = EVENT_MS},
+                                     .tells_start = fleet->settings.keeps_ids,
                                      .fatal = CRASH_FLEET_FATAL,
                                      .fatal_after_ms = FATAL_AFTER_MS});
         token_engine_announce(one->engine, store, false);
@@ -131,7 +141,7 @@
 void crash_fleet_stop(crash_fleet *fleet) {
     g_atomic_int_set(&fleet->stopping, 1);
     g_thread_join(fleet->supervisor);
-    for (int index = 0; index < CRASH_FLEET_ENGINES; index++) {
+    for (int index = 0; index < fleet->settings.engines; index++) {
         token_engine_stop(fleet->places[index].engine);
         g_free(fleet->places[index].id);
     }
@@ -156,7 +166,7 @@
 static bool is_up(crash_fleet *fleet) {
     bool is_up = true;
     g_mutex_lock(&fleet->lock);
-    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+    for (int index = 0; index < fleet->settings.engines; index++)
         is_up = is_up && fleet->places[index].crashed_ms == 0 && !fleet->places[index].is_told;
     g_mutex_unlock(&fleet->lock);
     return is_up;
@@ -187,7 +197,7 @@
 GArray *crash_fleet_begun_ms(crash_fleet *fleet, const char *prefix) {
     GArray *begun = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     token_engine_run run;
-    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+    for (int index = 0; index < fleet->settings.engines; index++)
         for (uint32_t number = 0; token_engine_find_run(fleet->places[index].engine, number, &run);
              number++)
             if (g_str_has_prefix(run.request_id, prefix))
@@ -205,7 +215,7 @@
 
 uint32_t crash_fleet_begun(crash_fleet *fleet, const char *prefix, uint64_t since_ms) {
     uint32_t begun = 0;
-    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+    for (int index = 0; index < fleet->settings.engines; index++)
         begun += begun_at(fleet->places[index].engine, prefix, since_ms);
     return begun;
 }
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -15,8 +15,16 @@
 
 typedef struct crash_fleet crash_fleet;
 
+/** What may be chosen; a field of 0 has the value that is told with it. */
+typedef struct {
+    int engines;        /**< CRASH_FLEET_ENGINES, which is also the most. */
+    uint32_t return_ms; /**< A crashed engine is back after so long; 1,500. */
+    bool keeps_ids;     /**< It is back under its id, and tells when it started. */
+} crash_fleet_settings;
+
 /** Start the engines and announce them in @p store (borrowed), for @p service. */
-crash_fleet *crash_fleet_start(log_store *store, const char *service);
+crash_fleet *crash_fleet_start(log_store *store, const char *service,
+                               const crash_fleet_settings *settings);
 void crash_fleet_stop(crash_fleet *fleet);
 
 /** Have an engine crash by itself, whatever it runs. */
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -66,6 +66,14 @@
 int begin_crashes(void);
 int end_crashes(void);
 
+extern const test_case fleet_crash_reborn_system_tests[];
+
+/** The same with engines that start again under their ids. */
+int begin_crashes_reborn(void);
+int end_crashes_reborn(void);
+
+extern const test_case fleet_entry_system_tests[];
+
 extern const test_case fleet_crash_large_system_tests[];
 
 /** The same with many daemons. */
--- a/tests/system/test_fleet_crashes.c
+++ b/tests/system/test_fleet_crashes.c
@@ -51,16 +51,20 @@
 #define OWN_CRASHES 9
 #define OWN_CRASH_PAUSE_MS 400
 #define POLL_MS 20
+/** Engines that return at once are back after so many ms: while a daemon still asks whether they
+ * are there. */
+#define RETURN_AT_ONCE_MS 60
 /** Daemons of which none tells all others by itself. */
 #define LARGE_FLEET 24
 
 static const char held_text[] = "crashed engines";
 
 static crash_fleet *engines;
+static crash_fleet_settings crash_settings;
 
 int begin_crashes(void) {
     bench_prepare();
-    engines = crash_fleet_start(bench.store, "llm");
+    engines = crash_fleet_start(bench.store, "llm", &crash_settings);
     int started = bench_start();
     for (int index = 0; index < BENCH_ENGINES; index++)
         log_store_put(bench.store, TOPIC_ENGINES, token_engine_id(bench.engines[index]), "");
@@ -346,6 +350,18 @@
     CU_ASSERT(metric_of(0, "heathsail_contents_held_back ") >= 1);
 }
 
+/** Engines that are back under their ids before their ends are known. */
+int begin_crashes_reborn(void) {
+    crash_settings = (crash_fleet_settings){.return_ms = RETURN_AT_ONCE_MS, .keeps_ids = true};
+    return begin_crashes();
+}
+
+int end_crashes_reborn(void) {
+    int ended = end_crashes();
+    crash_settings = (crash_fleet_settings){0};
+    return ended;
+}
+
 int begin_crashes_large(void) {
     bench.settings = (bench_settings){.daemons = LARGE_FLEET};
     return begin_crashes();
@@ -376,6 +392,16 @@
     CU_ASSERT_EQUAL(crash_fleet_crashes(engines), known);
 }
 
+const test_case fleet_crash_reborn_system_tests[] = {
+    {"a_stream_that_crashes_engines_is_held_back", a_stream_that_crashes_engines_is_held_back},
+    {"a_plain_request_that_crashes_engines_is_held_back",
+     a_plain_request_that_crashes_engines_is_held_back},
+    {"an_item_that_crashes_engines_is_held_back", an_item_that_crashes_engines_is_held_back},
+    {"engines_that_crash_by_themselves_hold_nothing_back",
+     engines_that_crash_by_themselves_hold_nothing_back},
+    {NULL, NULL},
+};
+
 const test_case fleet_crash_large_system_tests[] = {
     {"a_large_fleet_learns_what_is_held_back", a_large_fleet_learns_what_is_held_back},
     {NULL, NULL},
--- /dev/null
+++ b/tests/system/test_fleet_entries.c
@@ -0,0 +1,139 @@
+/** @file test_fleet_entries.c  Entries of other writers among the engines', over real daemons. */
+#include "base/clock.h"
+#include "http/listener.h"
+#include "platform/names.h"
+#include "standin/port_lease/port_lease.h"
+#include "tests/system/fleet_calls.h"
+#include "tests/system/system_tests.h"
+
+#include <CUnit/CUnit.h>
+#include <signal.h>
+#include <string.h>
+
+/** Longer in ms than an entry needs to reach all daemons. */
+#define KNOWN_MS 2000
+#define REQUESTS 60
+
+/** What other writers left; %u is the port of a listener that must see nothing. */
+static const char *const strays[] = {
+    "{\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":8,"
+    "\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":7,\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":"
+    "8,"
+    "\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"version\":\"v1\",\"slots\":8,"
+    "\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":[\"zone-a\"],\"version\":\"v1\","
+    "\"slots\":8,\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"slots\":8,"
+    "\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":\"8\",\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":-3,\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"state\":\"sleeping\",\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"state\":true,\"warmup-left-ms\":0,\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"state\":\"ready\",\"sequence\":1}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"state\":\"ready\",\"warmup-left-ms\":0}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1,\"born\":\"today\"}",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+    "\"slots\":8,\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1,\"born\":17.5}",
+    "[{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\"}]",
+    "{\"service\":\"llm\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\"",
+};
+
+static gint connections;
+
+static void count_connection(hs_inbound *inbound, void *user_data) {
+    (void)user_data;
+    g_atomic_int_inc(&connections);
+    hs_inbound_reply(inbound, 200, NULL, "", 0);
+}
+
+static void send_requests(const char *prefix) {
+    for (int index = 0; index < REQUESTS; index++) {
+        g_autofree char *id = g_strdup_printf("%s-%d", prefix, index);
+        bench_answer answer = post_request(index % bench_daemons(), "/plain/x", id);
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+    }
+}
+
+static char *stray_id(size_t index) {
+    return g_strdup_printf("stray-%zu", index);
+}
+
+/** They get no request, and the engines beside them serve on. */
+static void entries_of_other_writers_name_no_engine(void) {
+    uint16_t port = port_lease_take(1);
+    hs_error error = {0};
+    hs_listener *listener = hs_listener_start("127.0.0.1", port, &(hs_listener_limits){0},
+                                              count_connection, NULL, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(listener);
+    for (size_t index = 0; index < G_N_ELEMENTS(strays); index++) {
+        g_autofree char *id = stray_id(index);
+        g_autofree char *number = g_strdup_printf("%u", port);
+        g_auto(GStrv) parts = g_strsplit(strays[index], "%u", 2);
+        g_autofree char *entry = g_strjoinv(number, parts);
+        log_store_put(bench.store, TOPIC_ENGINES, id, entry);
+    }
+    log_store_put(bench.store, TOPIC_ENGINES, "stray\tid",
+                  "{\"service\":\"llm\",\"address\":\"127.0.0.1:9\",\"zone\":\"zone-a\","
+                  "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"warmup-left-ms\":0,"
+                  "\"sequence\":1}");
+    hs_clock_sleep_ms(KNOWN_MS);
+    send_requests("beside");
+    CU_ASSERT_EQUAL(g_atomic_int_get(&connections), 0);
+    CU_ASSERT(metric_of(0, "heathsail_engine_entries_rejected{reason=\"bad_number\"} ") >= 6);
+    CU_ASSERT(metric_of(0, "heathsail_engine_entries_rejected{reason=\"bad_text\"} ") >= 5);
+    CU_ASSERT(metric_of(0, "heathsail_engine_entries_rejected{reason=\"bad_state\"} ") >= 3);
+    CU_ASSERT(metric_of(0, "heathsail_engine_entries_rejected{reason=\"unreadable\"} ") >= 2);
+    CU_ASSERT(metric_of(0, "heathsail_engine_entries_rejected{reason=\"bad_id\"} ") >= 1);
+    for (size_t index = 0; index < G_N_ELEMENTS(strays); index++) {
+        g_autofree char *id = stray_id(index);
+        log_store_put(bench.store, TOPIC_ENGINES, id, "");
+    }
+    hs_listener_stop(listener);
+}
+
+/** A daemon that starts reads past them, and knows the engines after them. */
+static void a_daemon_that_starts_reads_past_them(void) {
+    log_store_put(bench.store, TOPIC_ENGINES, "a-stray", "\xff\xfe no text");
+    bench_signal(1, SIGKILL);
+    bench_start_daemon(1, false);
+    CU_ASSERT_TRUE(bench_wait_ready(1));
+    send_requests("after-start");
+    log_store_put(bench.store, TOPIC_ENGINES, "a-stray", "");
+}
+
+/** An engine whose entry was written over gets nothing new until its next beat. */
+static void an_engine_whose_entry_was_written_over_is_back_with_its_beat(void) {
+    const char *id = token_engine_id(bench.engines[0]);
+    log_store_put(bench.store, TOPIC_ENGINES, id, "{\"service\":\"llm\"}");
+    hs_clock_sleep_ms(KNOWN_MS);
+    uint32_t before = token_engine_total(bench.engines[0]);
+    send_requests("written-over");
+    CU_ASSERT_EQUAL(token_engine_total(bench.engines[0]), before);
+    token_engine_announce(bench.engines[0], bench.store, false);
+    token_engine_announce(bench.engines[1], bench.store, true); /* All must go to the other. */
+    hs_clock_sleep_ms(KNOWN_MS);
+    send_requests("back");
+    CU_ASSERT_EQUAL(token_engine_total(bench.engines[0]), before + REQUESTS);
+    token_engine_announce(bench.engines[1], bench.store, false);
+}
+
+const test_case fleet_entry_system_tests[] = {
+    {"entries_of_other_writers_name_no_engine", entries_of_other_writers_name_no_engine},
+    {"a_daemon_that_starts_reads_past_them", a_daemon_that_starts_reads_past_them},
+    {"an_engine_whose_entry_was_written_over_is_back_with_its_beat",
+     an_engine_whose_entry_was_written_over_is_back_with_its_beat},
+    {NULL, NULL}};
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -34,6 +34,7 @@
         {"urgency", urgency_tests, NULL, NULL},
         {"tenants", tenant_tests, NULL, NULL},
         {"limits", limit_tests, NULL, NULL},
+        {"entries", entry_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/test_engine_source.c
+++ b/tests/unit/test_engine_source.c
@@ -64,7 +64,7 @@
         hs_engine_source_new(client, engines, 3 * SHORT_INTERVAL_MS, BEAT_MS);
     log_store_put(store, TOPIC_ENGINES, "e1",
                   "{\"service\":\"svc\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":4,"
-                  "\"state\":\"ready\",\"sequence\":1}");
+                  "\"version\":\"v1\",\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}");
     hs_engine_source_start(source);
     CU_ASSERT(wait_for_engine(engines, true) < 2000);
     hs_clock_sleep_ms(2ULL * SHORT_INTERVAL_MS);
