Limits in a model; what a daemon saves up of its part does not outlive a silence

spec/limits.pml: cuts, deaths, starts, sleeps, each noticed at any later time; what passed is at most burst, rate a tick, and what passes while a change is not noticed. Its first run found a fault of the product: a daemon that asked a home in vain kept its own part's bucket, which came full while the home answered, so that each of 60 daemons could let one more pass with the home's next silence.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -45,6 +45,13 @@
     run run-remembers promises_kept wrong RUN_REMEMBERS
     run latest-id-only promises_kept wrong LATEST_ID_ONLY
     run neither-rule joints_right wrong "NO_JOINT_CHECK -DCONNECTION_AGAIN -DHEADERS_ARRIVE -DCOPIES_ONLY -DRESTARTS_MOST=0"
+    model=limits.pml
+    run limits within_limit holds ""
+    run new-home-full within_limit wrong NEW_HOME_FULL
+    run whole-limit within_limit wrong WHOLE_LIMIT
+    run sleeper-keeps within_limit wrong SLEEPER_KEEPS
+    run moved-keeps within_limit wrong MOVED_KEEPS
+    run part-keeps within_limit wrong PART_KEEPS
     model=arbiters.pml
     run arbiters-losses within_slots_at_last holds CHANGES_MOST=0
     run arbiters-counts ledger_true_at_last holds CHANGES_MOST=0
--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -244,6 +244,8 @@
     g_mutex_lock(&limiter->lock);
     g_hash_table_remove(limiter->waiting, &sequence);
     g_hash_table_remove(limiter->told, &sequence);
+    if (is_told)
+        hs_limit_book_forget(limiter->book, question->tenant);
     g_mutex_unlock(&limiter->lock);
     if (!is_told)
         note_silence(limiter, home->id);
--- a/src/tenants/limit_book.c
+++ b/src/tenants/limit_book.c
@@ -3,8 +3,12 @@
 
 #include <glib.h>
 
+/** Longest pause in ms between two questions to a daemon that is not the home, in one such time. */
+#define SILENCE_GAP_MS 1000
+
 typedef struct {
     hs_rate_bucket bucket;
+    uint64_t asked_ms;   /**< Last. */
     hs_rate_limit limit; /**< By the newest version heard. */
     uint64_t version;
     double part; /**< Of the limit that was let pass here last. */
@@ -44,6 +48,8 @@
                               uint64_t now_ms) {
     double part = part_of(&question->reach);
     tenant_entry *entry = g_hash_table_lookup(book->tenants, question->tenant);
+    if (entry != NULL && !question->reach.is_home && now_ms > entry->asked_ms + SILENCE_GAP_MS)
+        entry->bucket = (hs_rate_bucket){.at_ms = now_ms};
     if (entry == NULL) {
         entry = g_new0(tenant_entry, 1);
         hs_rate_limit limit = part_of_limit(&question->limit, part);
@@ -57,6 +63,7 @@
         entry->limit = question->limit;
     }
     entry->part = part;
+    entry->asked_ms = now_ms;
     return entry;
 }
 
@@ -91,6 +98,10 @@
     g_hash_table_foreach_remove(book->tenants, has_moved, &question);
 }
 
+void hs_limit_book_forget(hs_limit_book *book, const char *tenant) {
+    g_hash_table_remove(book->tenants, tenant);
+}
+
 static gboolean says_nothing(gpointer tenant, gpointer value, gpointer now_ms) {
     (void)tenant;
     const tenant_entry *entry = value;
--- a/src/tenants/limit_book.h
+++ b/src/tenants/limit_book.h
@@ -11,6 +11,7 @@
  *   home before let pass is not known, so a tenant's new home begins empty.
  * - A daemon that is asked though another is the home, as far as it knows, lets pass one daemon's
  *   part alone: whoever asks it may know better, or be the only one that does not reach the home.
+ *   It saves nothing up between such times.
  * The price is that a tenant which is at its limit may be refused some for a second after its home
  * changed (figures: docs/design/0011-tenants.md).
  */
@@ -62,6 +63,12 @@
 /** Forget tenants whose buckets are full: they cost memory and say nothing. */
 void hs_limit_book_expire(hs_limit_book *book, uint64_t now_ms);
 
+/**
+ * The tenant's home answered, which is not this daemon: what was saved up here while it did not is
+ * not to be let pass when it is silent the next time.
+ */
+void hs_limit_book_forget(hs_limit_book *book, const char *tenant);
+
 /** Tenants that it knows of. */
 size_t hs_limit_book_size(const hs_limit_book *book);
 
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -73,6 +73,19 @@
     hs_limit_book_free(one);
 }
 
+/** What a daemon saved up of its part while the home was silent does not outlive that. */
+static void a_part_is_not_saved_up(void) {
+    static const hs_limit_reach in_vain = {.is_home = false, .reached = 4, .known = 4};
+    hs_limit_book *book = hs_limit_book_new(0);
+    CU_ASSERT_FALSE(ask(book, "a", in_vain, 60000).passes);
+    CU_ASSERT_TRUE(ask(book, "a", in_vain, 60500).passes);  /* 2.5 a second, one at a time. */
+    CU_ASSERT_FALSE(ask(book, "a", in_vain, 69000).passes); /* Another time of silence. */
+    CU_ASSERT_TRUE(ask(book, "a", in_vain, 69500).passes);
+    hs_limit_book_forget(book, "a"); /* The home answered. */
+    CU_ASSERT_FALSE(ask(book, "a", in_vain, 69900).passes);
+    hs_limit_book_free(book);
+}
+
 static void the_newest_version_counts(void) {
     hs_limit_book *book = hs_limit_book_new(0);
     hs_limit_question question = {.tenant = "a",
@@ -196,6 +209,7 @@
     {"a_new_home_begins_empty", a_new_home_begins_empty},
     {"a_home_that_moved_is_forgotten", a_home_that_moved_is_forgotten},
     {"who_is_cut_off_has_a_part", who_is_cut_off_has_a_part},
+    {"a_part_is_not_saved_up", a_part_is_not_saved_up},
     {"the_newest_version_counts", the_newest_version_counts},
     {"small_limits_are_kept", small_limits_are_kept},
     {"returns_are_spread", returns_are_spread},
