Limits after all daemons were lost: who else there is is read before a daemon joins

Change: the list is read before a daemon joins; where most daemons that are known answer and none started clearly before this one, all were lost together, and buckets are full once: while all were down nothing passed (limits.a_fleet_that_started_together_begins_anew). Ruled out: full buckets for each daemon that starts.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -201,10 +201,31 @@
     propose(user_data, entry->key, address);
 }
 
+/** Propose the daemons that the store lists. */
+static bool read_registry(hs_daemon_directory *directory) {
+    bool is_read = hs_keyed_topic_read(directory->settings.store, HS_TOPIC_MEMBERS,
+                                       REGISTRY_CALL_MS, propose_entry, directory);
+    if (is_read)
+        hs_tenant_limiter_note_known(directory->limiter);
+    return is_read;
+}
+
+/**
+ * Before this daemon joins it reads who else there is: it is asked, and asks, about tenants' limits
+ * from its first request on. Read half a second later, it let pass a sixtieth of each limit until
+ * then, after all daemons had been lost.
+ */
+static void read_registry_first(hs_daemon_directory *directory) {
+    while (!read_registry(directory) && g_atomic_int_get(&directory->joined) == 0 &&
+           hs_stop_wait_pause(&directory->pause, JOIN_CHECK_MS))
+        continue;
+}
+
 static gpointer run_registrar(gpointer data) {
     hs_daemon_directory *directory = data;
     bool written = false;
     uint64_t next_ms = 0;
+    read_registry_first(directory);
     do {
         hs_crash_store_read(directory->crash_records);
         if (g_atomic_int_get(&directory->leaving) != 0 || g_atomic_int_get(&directory->joined) == 0)
@@ -214,9 +235,7 @@
             continue;
         if (!written)
             written = write_record(directory, false);
-        if (hs_keyed_topic_read(directory->settings.store, HS_TOPIC_MEMBERS, REGISTRY_CALL_MS,
-                                propose_entry, directory))
-            hs_tenant_limiter_note_known(directory->limiter);
+        read_registry(directory);
         next_ms = hs_clock_monotonic_ms() + REGISTRY_INTERVAL_MS;
     } while (hs_stop_wait_pause(&directory->pause, g_atomic_int_get(&directory->joined) != 0
                                                        ? RECORDS_INTERVAL_MS
--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -35,6 +35,9 @@
  * nearly all for a second after all daemons were lost.
  */
 #define LISTED_LIVE_MS 3000
+/** Daemons whose starts differ by no more than this, in ms, started together: the clocks of their
+ * machines are compared. */
+#define TOGETHER_MS 3000
 /** Taken for the number of daemons until the store or others told of them: as many as the largest
  * deployment of some tens of engines has. */
 #define ASSUMED_DAEMONS 64
@@ -56,6 +59,7 @@
     uint64_t expired_ms;
     char silent_home[64];
     uint64_t silent_until_ms;
+    bool is_filled; /**< Its buckets were filled, since all started together. */
     hs_tenant_limiter_counters counters;
 };
 
@@ -66,6 +70,8 @@
     uint16_t port;
     hs_limit_reach reach; /**< Of this daemon. */
     uint64_t view;
+    uint32_t answering; /**< Other daemons that answer, */
+    uint32_t older;     /**< and that started clearly before this one. */
 } home_view;
 
 hs_tenant_limiter *hs_tenant_limiter_new(hs_membership_service *membership, hs_peer_socket *socket,
@@ -125,6 +131,7 @@
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     const hs_membership *membership = hs_membership_service_lock(limiter->membership);
     hs_membership_list(membership, members);
+    uint64_t own_start = hs_membership_self(membership)->incarnation;
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         bool is_self = member == hs_membership_self(membership);
@@ -132,6 +139,9 @@
         if (!is_self && !is_reached(member, &terms))
             continue;
         view.reach.reached++;
+        view.answering += !is_self && member->state == HS_MEMBER_ALIVE;
+        view.older += !is_self && member->state == HS_MEMBER_ALIVE &&
+                      member->incarnation + TOGETHER_MS < own_start;
         view.view += hs_hash_bytes(member->id, strlen(member->id));
         uint64_t rank = hs_hash_pair(tenant, member->id);
         if (rank < best)
@@ -172,6 +182,22 @@
     limiter->view = view;
 }
 
+/**
+ * Soon after the start: where most of the daemons that are known answer, and none of them is older,
+ * all were lost before. The caller holds the lock.
+ */
+static void fill_if_all_are_new(hs_tenant_limiter *limiter, const home_view *view,
+                                uint64_t now_ms) {
+    bool is_new = now_ms < limiter->started_ms + LISTED_LIVE_MS &&
+                  g_atomic_int_get(&limiter->knows_others) != 0;
+    if (limiter->is_filled || !is_new || view->older > 0 || 2 * view->answering < view->reach.known)
+        return;
+    limiter->is_filled = true;
+    hs_limit_book_fill(limiter->book, now_ms);
+    hs_log_info("limits_begin_anew", "answering=%u known=%u age_ms=%" G_GUINT64_FORMAT,
+                view->answering, view->reach.known, (guint64)(now_ms - limiter->started_ms));
+}
+
 /** Decide here, as the home or by this daemon's part. */
 static hs_limit_verdict decide(hs_tenant_limiter *limiter, const hs_limit_question *question,
                                uint64_t view) {
@@ -337,9 +363,10 @@
 
 void hs_tenant_limiter_tick(hs_tenant_limiter *limiter) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    uint64_t view = look(limiter, "").view;
+    home_view view = look(limiter, "");
     g_mutex_lock(&limiter->lock);
-    forget_stale(limiter, view, now_ms);
+    forget_stale(limiter, view.view, now_ms);
+    fill_if_all_are_new(limiter, &view, now_ms);
     limiter->ticked_ms = now_ms;
     if (now_ms >= limiter->expired_ms + EXPIRE_MS) {
         limiter->expired_ms = now_ms;
--- a/src/tenants/limit_book.c
+++ b/src/tenants/limit_book.c
@@ -102,6 +102,19 @@
     g_hash_table_remove(book->tenants, tenant);
 }
 
+void hs_limit_book_fill(hs_limit_book *book, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, book->tenants);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        tenant_entry *entry = value;
+        entry->bucket = (hs_rate_bucket){.tokens = entry->limit.capacity * entry->part,
+                                         .at_ms = now_ms,
+                                         .promised_ms = entry->bucket.promised_ms};
+    }
+    book->changed_ms = 0;
+}
+
 static gboolean says_nothing(gpointer tenant, gpointer value, gpointer now_ms) {
     (void)tenant;
     const tenant_entry *entry = value;
--- a/src/tenants/limit_book.h
+++ b/src/tenants/limit_book.h
@@ -60,6 +60,14 @@
                                bool (*is_home)(const char *tenant, void *user_data),
                                void *user_data, uint64_t now_ms);
 
+/**
+ * All daemons were lost and started together: no home of before lets pass anything, and none did
+ * for the time that they need to start. Buckets are full once. That is kept within the limit by
+ * that time: of a window of 5 s with all down for half a second, 5.5 rates and the burst twice,
+ * which is within an overage of a tenth where the burst is a rate's second.
+ */
+void hs_limit_book_fill(hs_limit_book *book, uint64_t now_ms);
+
 /** Forget tenants whose buckets are full: they cost memory and say nothing. */
 void hs_limit_book_expire(hs_limit_book *book, uint64_t now_ms);
 
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -73,6 +73,17 @@
     hs_limit_book_free(one);
 }
 
+/** Daemons that all were lost and started together begin with full buckets, once. */
+static void a_fleet_that_started_together_begins_anew(void) {
+    hs_limit_book *book = hs_limit_book_new(60000);
+    CU_ASSERT_EQUAL(count_passed(book, "a", all_reached, 60000, 60010), 0);
+    hs_limit_book_fill(book, 60010);
+    CU_ASSERT_EQUAL(count_passed(book, "a", all_reached, 60010, 60020), 5);
+    CU_ASSERT_EQUAL(count_passed(book, "b", all_reached, 60010, 60020), 5);
+    CU_ASSERT_EQUAL(count_passed(book, "a", all_reached, 60020, 61020), 10);
+    hs_limit_book_free(book);
+}
+
 /** What a daemon saved up of its part while the home was silent does not outlive that. */
 static void a_part_is_not_saved_up(void) {
     static const hs_limit_reach in_vain = {.is_home = false, .reached = 4, .known = 4};
@@ -209,6 +220,7 @@
     {"a_new_home_begins_empty", a_new_home_begins_empty},
     {"a_home_that_moved_is_forgotten", a_home_that_moved_is_forgotten},
     {"who_is_cut_off_has_a_part", who_is_cut_off_has_a_part},
+    {"a_fleet_that_started_together_begins_anew", a_fleet_that_started_together_begins_anew},
     {"a_part_is_not_saved_up", a_part_is_not_saved_up},
     {"the_newest_version_counts", the_newest_version_counts},
     {"small_limits_are_kept", small_limits_are_kept},
