Keys that hold strictly are looked at more often than they lapse

Found by a test of strict_revoke: with revoke_ms below the time of a held read of the configuration (half of config_apply_ms) a daemon in touch was unsure of its keys most of the time, and refused. Change: where keys hold strictly the read is held a quarter of revoke_ms at most. Tests: keys_hold_for_a_while_without_the_store (fails before: 503 after the store was back), streams_of_a_key_that_was_taken_away (both values). No change where strict_revoke is off.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -193,6 +193,17 @@
     hs_connection_bounds_set(&bounds);
 }
 
+/**
+ * Time within which a version must be in force, in ms: where keys hold strictly, also well within
+ * the time for which they do, so that a held read of the configuration does not outlast it.
+ */
+static uint32_t config_due_ms(const hs_settings *settings) {
+    int64_t due_ms = settings->fleet_config_apply_ms;
+    if (settings->fleet_strict_revoke != 0)
+        due_ms = MAX(MIN(due_ms, settings->fleet_revoke_ms / 2), 1);
+    return (uint32_t)due_ms;
+}
+
 hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error) {
     hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
     daemon->settings = settings;
@@ -200,7 +211,7 @@
     bound_connections(settings);
     hs_endpoint store = endpoint_of(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
-    daemon->config = hs_config_source_new(daemon->store, (uint32_t)settings->fleet_config_apply_ms);
+    daemon->config = hs_config_source_new(daemon->store, config_due_ms(settings));
     daemon->engines = hs_fleet_engines_new(settings->zone);
     daemon->crash_watch = hs_crash_watch_new();
     hs_fleet_engines_set_crash_watch(daemon->engines, daemon->crash_watch);
--- a/tests/system/test_fleet_tenants.c
+++ b/tests/system/test_fleet_tenants.c
@@ -1,6 +1,7 @@
 /** @file test_fleet_tenants.c  Tenants and their keys over real daemons. */
 #include "base/clock.h"
 #include "http/http_fields.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/system_tests.h"
 
@@ -12,6 +13,9 @@
 /** A version is in force everywhere within this time in ms. */
 #define APPLIED_MS 700
 #define LONG_KEY_BYTES (64 * 1024)
+/** A strict daemon's keys hold for 900 ms; its last word from the store may be a second old. */
+#define STRICT_UNSURE_MS 2500
+#define STREAM_MS 3000
 /** Until partitions are dealt to all daemons, in ms. */
 #define DEALT_MS 2500
 
@@ -253,6 +257,74 @@
     configure(BOTH);
 }
 
+/** Start a daemon anew that holds by keys strictly, with its store behind a proxy. */
+static fault_proxy *start_strict_daemon(int daemon) {
+    g_autofree char *path = g_strdup_printf("%s/strict.conf", log_directory);
+    CU_ASSERT_TRUE(
+        g_file_set_contents(path, "[fleet]\nstrict_revoke = 1\nrevoke_ms = 900\n", -1, NULL));
+    fault_proxy *proxy = fault_proxy_start(log_store_port(bench.store));
+    bench_signal(daemon, SIGKILL);
+    bench.store_ports[daemon] = fault_proxy_port(proxy);
+    CU_ASSERT_TRUE(bench_start_daemon_with(daemon, path));
+    CU_ASSERT_TRUE(bench_wait_ready(daemon));
+    return proxy;
+}
+
+static void end_strict_daemon(int daemon, fault_proxy *proxy) {
+    bench_signal(daemon, SIGKILL);
+    bench.store_ports[daemon] = 0;
+    fault_proxy_stop(proxy);
+    CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
+    CU_ASSERT_TRUE(bench_wait_ready(daemon));
+}
+
+static uint32_t post_at(int daemon, const char *target, const char *id, const char *key) {
+    const char *const fields[] = {key, NULL};
+    return status_with(daemon, "POST", target, id, fields);
+}
+
+/**
+ * A daemon that is cut off from the store says yes by the last keys it knew; one that holds by keys
+ * strictly says it does not know, after the time for which they hold, and serves what is public.
+ */
+static void keys_hold_for_a_while_without_the_store(void) {
+    fault_proxy *proxy = start_strict_daemon(2);
+    CU_ASSERT_EQUAL(post_at(2, "/plain/x", "strict", ALPHA_KEY), 200);
+    fault_proxy_set(proxy, PROXY_RESETS);
+    CU_ASSERT_EQUAL(post_at(2, "/plain/x", "just-cut", ALPHA_KEY), 200);
+    hs_clock_sleep_ms(STRICT_UNSURE_MS);
+    CU_ASSERT_EQUAL(post_at(2, "/plain/x", "long-cut", ALPHA_KEY), 503);
+    CU_ASSERT_EQUAL(post_at(2, "/plain/open/x", "long-cut-open", NULL), 200);
+    fault_proxy_set(proxy, PROXY_PASSES);
+    hs_clock_sleep_ms(STRICT_UNSURE_MS);
+    CU_ASSERT_EQUAL(post_at(2, "/plain/x", "healed", ALPHA_KEY), 200);
+    end_strict_daemon(2, proxy);
+}
+
+/** A stream of a key that is taken away ends where keys hold strictly, and goes on elsewhere. */
+static void streams_of_a_key_that_was_taken_away(void) {
+    fault_proxy *proxy = start_strict_daemon(2);
+    bench_set_engines(TOKEN_ENGINE_ENDLESS);
+    static const char *const alpha[] = {ALPHA_KEY, NULL};
+    for (int daemon = 1; daemon <= 2; daemon++) {
+        GThread *operator= g_thread_new("operator", take_key_away, NULL);
+        bench_answer answer = bench_send(&(bench_call){.daemon = daemon,
+                                                       .method = "POST",
+                                                       .target = "/once/x",
+                                                       .request_id = "under-way",
+                                                       .body = "hello",
+                                                       .fields = alpha,
+                                                       .leave_after_ms = STREAM_MS});
+        g_thread_join(operator);
+        CU_ASSERT_FALSE(answer.whole);
+        CU_ASSERT_EQUAL(answer.left, daemon == 1);
+        bench_answer_clear(&answer);
+        configure(BOTH);
+    }
+    bench_set_engines(TOKEN_ENGINE_SOUND);
+    end_strict_daemon(2, proxy);
+}
+
 /** Send requests as alpha at all daemons in turn, one each @p pause_ms; how many were served. */
 static int press(const char *prefix, int count, unsigned pause_ms, int *refused) {
     int served = 0;
@@ -336,6 +408,8 @@
      a_jobs_tenant_outlives_its_key_and_its_daemons},
     {"a_key_that_was_taken_away_opens_nothing", a_key_that_was_taken_away_opens_nothing},
     {"a_held_request_goes_by_the_version_in_force", a_held_request_goes_by_the_version_in_force},
+    {"keys_hold_for_a_while_without_the_store", keys_hold_for_a_while_without_the_store},
+    {"streams_of_a_key_that_was_taken_away", streams_of_a_key_that_was_taken_away},
     {"a_limit_holds_over_all_daemons", a_limit_holds_over_all_daemons},
     {"a_refused_caller_is_told_when_there_is_room", a_refused_caller_is_told_when_there_is_room},
     {"no_key_is_logged", no_key_is_logged},
