Tests side by side, each line as it ends

Cause: make test printed nothing for minutes and ran its suites one after the other. Change: four lanes (unit, OpenAI surface, fleet surface, crashes), then the fleet of 24 daemons alone; lines are printed as they end, and what daemons wrote is kept in the build's test-output.log. Suites lease their ports already. Not measured on an idle machine, and not ten times in a row.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,18 +1,45 @@
 #!/bin/sh
-# Runs the test programs, prints their lines, closes with "N passed, N failed".
+# Runs the test programs, prints each test's line as it ends, closes with "N passed, N failed".
 # Tests named in KNOWN-RED.txt are run and printed, but do not count as failed.
+#
+# Suites share nothing but the machine (ports are leased), so some run side by side: the unit tests, the
+# OpenAI surface, the fleet surface, and what crashes engines. The fleet of 24 daemons runs alone, as its
+# test bounds how soon all of them know. What the daemons of all suites wrote is in test-output.log of the
+# build's folder: a failed test is traced from it.
 build=${1:-build}
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
+system="$build/fault/system-tests"
+alone="fleet_crashes_large"
+# A program that died prints no line for the test it died in.
 run() {
-    "$@" >>"$log" 2>/dev/null
+    "$@" 2>/dev/null
     status=$?
-    # A program that died prints no line for the test it died in.
-    [ "$status" -le 1 ] || echo "not ok $(basename "$1").died_with_status_$status" >>"$log"
+    [ "$status" -le 1 ] || echo "not ok $(basename "$1").died_with_status_$status"
 }
-run "$build/unit-tests"
-HS_TEST_PROGRAMS="$build/fault" run "$build/fault/system-tests"
-cat "$log"
+# The suites that match a pattern; each suite is in one lane, a new one in that of the fleet surface.
+lane() {
+    for suite in $("$system" --list); do
+        case "$suite" in
+        "$alone") found=alone ;;
+        fleet_crashes* | fleet_silence | fleet_waking) found=crashes ;;
+        fleet_*) found=fleet ;;
+        *) found=openai ;;
+        esac
+        [ "$found" = "$1" ] && printf '%s ' "$suite"
+    done
+}
+export HS_TEST_PROGRAMS="$build/fault"
+{
+    run "$build/unit-tests" &
+    for name in openai fleet crashes; do
+        # shellcheck disable=SC2046
+        run "$system" $(lane "$name") &
+    done
+    wait
+    # shellcheck disable=SC2046
+    run "$system" $(lane alone)
+} | tee "$build/test-output.log" | grep --line-buffered -E '^(ok|not ok|    tests)' | tee "$log"
 known=0
 if [ -f KNOWN-RED.txt ]; then
     echo "known red:" && cat KNOWN-RED.txt
--- a/tests/support/runner.h
+++ b/tests/support/runner.h
@@ -17,7 +17,10 @@
     CU_CleanupFunc end;      /**< May be NULL. */
 } test_suite;
 
-/** Run all suites, or those whose name the first argument is. @return an exit status. */
+/**
+ * Run all suites, or those that the arguments name; "--list" alone prints their names.
+ * @return an exit status.
+ */
 int run_suites(const test_suite *suites, size_t count, int argument_count, char **arguments);
 
 #endif
