--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -8,9 +8,9 @@
 #include "base/stop_wait.h"
 #include "directory/crash_exchange.h"
 #include "directory/crash_store.h"
+#include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
-#include "platform/caller_codec.h"
 #include "store/keyed_topic.h"
 
 #include <string.h>
@@ -37,7 +37,6 @@
 /** What is held back is in the store so soon, in ms; no call where nothing changed. */
 #define RECORDS_INTERVAL_MS 500
 #define SETTLE_MS 1500 /* A daemon that knows only itself may not say so earlier. */
-#define ZONE_LEAST 2   /* Fewer daemons of the asker's zone: others are named too. */
 #define SUSPECT_PROBES 2
 #define FORGET_MS 30000
 /** Begins the id under which a seed is proposed until it tells its own. */
@@ -389,60 +388,18 @@
     g_free(directory);
 }
 
-static void add_address(GPtrArray *addresses, const hs_member *member) {
-    struct in_addr number = {.s_addr = htonl(member->address)};
-    g_ptr_array_add(addresses, g_strdup_printf("%s:%u", inet_ntoa(number), member->admin_port));
-}
-
-/** Keep as many as an answer may name, chosen by chance, so that all daemons get callers. */
-static void keep_some(GPtrArray *addresses) {
-    if (addresses->len <= HS_RESOLVE_ADDRESSES_MAX)
-        return;
-    for (guint index = 0; index < HS_RESOLVE_ADDRESSES_MAX; index++) {
-        guint other = (guint)g_random_int_range((gint32)index, (gint32)addresses->len);
-        gpointer chosen = addresses->pdata[other];
-        addresses->pdata[other] = addresses->pdata[index];
-        addresses->pdata[index] = chosen;
-    }
-    g_ptr_array_set_size(addresses, HS_RESOLVE_ADDRESSES_MAX);
-}
-
-/** Live members of @p zone, or of all others where @p inside is false. */
-static void add_zone(const hs_membership *membership, GPtrArray *addresses, const char *zone,
-                     bool inside, bool without_self) {
-    g_autoptr(GPtrArray) members = g_ptr_array_new();
-    hs_membership_list(membership, members);
-    for (guint index = 0; index < members->len; index++) {
-        const hs_member *member = members->pdata[index];
-        bool is_self = member == hs_membership_self(membership);
-        bool matches = (zone != NULL && strcmp(member->zone, zone) == 0) == inside;
-        bool usable = is_self ? !without_self : member->state == HS_MEMBER_ALIVE;
-        if (matches && usable)
-            add_address(addresses, member);
-    }
-}
-
 char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone) {
-    GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
-    if (g_atomic_int_get(&directory->joined) == 0) {
-        g_ptr_array_free(addresses, TRUE);
+    if (g_atomic_int_get(&directory->joined) == 0)
         return NULL;
-    }
-    bool leaving = g_atomic_int_get(&directory->leaving) != 0;
+    bool is_settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     bool knows_others = hs_membership_live_count(membership) > 1;
-    add_zone(membership, addresses, zone, true, leaving);
-    if (addresses->len < ZONE_LEAST)
-        add_zone(membership, addresses, zone, false, leaving);
+    char **addresses = NULL;
+    if (knows_others || is_settled)
+        addresses =
+            hs_resolve_addresses(membership, zone, g_atomic_int_get(&directory->leaving) != 0);
     hs_membership_service_unlock(directory->membership);
-    bool settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
-    if (addresses->len == 0 || (!knows_others && !settled)) {
-        g_ptr_array_free(addresses, TRUE);
-        return NULL;
-    }
-    keep_some(addresses);
-    g_ptr_array_add(addresses, NULL);
-    return (char **)g_ptr_array_free(addresses, FALSE);
+    return addresses;
 }
 
 void hs_daemon_directory_tell_owned(hs_daemon_directory *directory, const GArray *parts,
--- a/tests/system/test_fleet_crashes.c
+++ b/tests/system/test_fleet_crashes.c
@@ -20,7 +20,7 @@
 #include "base/clock.h"
 #include "http/http_fields.h"
 #include "platform/names.h"
-#include "tests/support/crash_fleet.h"
+#include "tests/system/crash_calls.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/system_tests.h"
 
@@ -30,18 +30,12 @@
 
 /** Longer in ms than a change of an engine's entry needs to reach all daemons. */
 #define ENGINES_KNOWN_MS 2000
-/** A request that ended so many engines is held back, */
-#define CRASHES_KNOWN 3
-/** within this time in ms after the last of them, at all daemons. */
-#define KNOWN_WITHIN_MS 3000
 /** So many more engines may be lost to it until all daemons know. */
 #define CRASHES_MOST 6
 /** What a daemon that was started, or that missed a message, may need to learn it, in ms. */
 #define LEARN_MS 1500
 /** What is held back may need so long to be in the store, in ms. */
 #define STORED_MS 1500
-/** Between two arrivals of a request, in ms: more often than engines return. */
-#define ARRIVAL_MS 100
 /** How long a request keeps coming: until all is known, and as long again. */
 #define ARRIVALS_MS 9000
 /** Callers of other requests, one thread each, and their pause in ms. */
@@ -54,16 +48,6 @@
 /** Engines that return at once are back after so many ms: while a daemon still asks whether they
  * are there. */
 #define RETURN_AT_ONCE_MS 60
-/** Callers of one body that runs beside a crashing one, and their pause, in ms. */
-#define INNOCENT_CALLERS 6
-#define INNOCENT_PAUSE_MS 50
-/** For so long the crashing one keeps coming, in ms; */
-#define BESIDE_MS 14000
-/** within so long the other is served again. */
-#define SERVED_AGAIN_MS 5000
-/** A content may be sent so often after all know that it ended three engines: to find out which of
- * several is to blame. */
-#define LATE_SENDS_MOST 3
 /** Daemons of which none tells all others by itself. */
 #define LARGE_FLEET 24
 
@@ -71,7 +55,15 @@
 
 static crash_fleet *engines;
 static crash_fleet_settings crash_settings;
-static int few_causes = 1;
+
+crash_fleet *crash_engines(void) {
+    return engines;
+}
+
+int begin_crashes_with(const crash_fleet_settings *settings) {
+    crash_settings = *settings;
+    return begin_crashes();
+}
 
 int begin_crashes(void) {
     bench_prepare();
@@ -90,7 +82,7 @@
     return end_bench();
 }
 
-static bench_answer send_body(int daemon, const char *target, const char *id, const char *body) {
+bench_answer crash_send(int daemon, const char *target, const char *id, const char *body) {
     return bench_send(&(bench_call){
         .daemon = daemon, .method = "POST", .target = target, .request_id = id, .body = body});
 }
@@ -100,8 +92,8 @@
 }
 
 /** Send once, and say whether it was held back. */
-static bool is_refused(int daemon, const char *target, const char *id, const char *body) {
-    bench_answer answer = send_body(daemon, target, id, body);
+bool crash_is_refused(int daemon, const char *target, const char *id, const char *body) {
+    bench_answer answer = crash_send(daemon, target, id, body);
     bool is_refused = is_held_back(&answer);
     bench_answer_clear(&answer);
     return is_refused;
@@ -129,7 +121,7 @@
     g_autofree char *fresh = g_strdup_printf("new-%d", number);
     const char *body = number % 2 == 0 ? "asked by many" : fresh;
     bench_answer answer =
-        send_body(number % BENCH_DAEMONS, targets[number % G_N_ELEMENTS(targets)], id, body);
+        crash_send(number % BENCH_DAEMONS, targets[number % G_N_ELEMENTS(targets)], id, body);
     g_mutex_lock(&group->lock);
     bool is_served = answer.status == 200 && answer.whole;
     group->served += is_served;
@@ -193,7 +185,7 @@
             known_wall_ms = hs_clock_wall_ms() + KNOWN_WITHIN_MS;
         if (known_wall_ms != 0 && hs_clock_wall_ms() < known_wall_ms)
             broken_then = broken_so_far(&group);
-        bench_answer answer = send_body(daemon++ % BENCH_DAEMONS, target, body, body);
+        bench_answer answer = crash_send(daemon++ % BENCH_DAEMONS, target, body, body);
         bench_answer_clear(&answer);
         hs_clock_sleep_ms(ARRIVAL_MS);
     }
@@ -202,7 +194,7 @@
                      .late = crash_fleet_begun(engines, body, known_wall_ms),
                      .broken_end = group.broken - broken_then};
     for (int index = 0; index < BENCH_DAEMONS; index++) {
-        bench_answer answer = send_body(index, target, body, body);
+        bench_answer answer = crash_send(index, target, body, body);
         const char *after =
             answer.fields != NULL ? hs_http_fields_find(answer.fields, "Retry-After") : NULL;
         seen.last_held += is_held_back(&answer);
@@ -252,14 +244,14 @@
         hs_clock_sleep_ms(POLL_MS);
     uint64_t took_ms = hs_clock_monotonic_ms() - began_ms;
     uint32_t crashes = crash_fleet_crashes(engines);
-    CU_ASSERT_TRUE(is_refused(daemon, target, body, body));
+    CU_ASSERT_TRUE(crash_is_refused(daemon, target, body, body));
     CU_ASSERT_EQUAL(crash_fleet_crashes(engines), crashes);
     return took_ms;
 }
 
 /** A daemon that was just started knows at once what the others know. */
 static void a_daemon_that_starts_learns_what_is_held_back(void) {
-    CU_ASSERT_TRUE(is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
+    CU_ASSERT_TRUE(crash_is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
     bench_signal(2, SIGKILL);
     bench_start_daemon(2, false);
     CU_ASSERT_TRUE(bench_wait_ready(2));
@@ -273,7 +265,7 @@
     int before = metric_of(1, "heathsail_contents_held_back ");
     bench_signal(1, SIGSTOP);
     uint64_t until_ms = hs_clock_monotonic_ms() + ARRIVALS_MS;
-    while (!is_refused(0, "/once/x", body, body) && hs_clock_monotonic_ms() < until_ms)
+    while (!crash_is_refused(0, "/once/x", body, body) && hs_clock_monotonic_ms() < until_ms)
         hs_clock_sleep_ms(ARRIVAL_MS);
     bench_signal(1, SIGCONT);
     uint64_t began_ms = hs_clock_monotonic_ms();
@@ -281,13 +273,13 @@
            hs_clock_monotonic_ms() < began_ms + LEARN_MS)
         hs_clock_sleep_ms(POLL_MS);
     uint32_t crashes = crash_fleet_crashes(engines);
-    CU_ASSERT_TRUE(is_refused(1, "/once/x", body, body));
+    CU_ASSERT_TRUE(crash_is_refused(1, "/once/x", body, body));
     CU_ASSERT_EQUAL(crash_fleet_crashes(engines), crashes);
 }
 
 /** All daemons at once: what they held back is in the store, and nothing is lost to it again. */
 static void daemons_that_were_all_killed_hold_it_back_again(void) {
-    CU_ASSERT_TRUE(is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
+    CU_ASSERT_TRUE(crash_is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
     hs_clock_sleep_ms(STORED_MS);
     for (int index = 0; index < BENCH_DAEMONS; index++)
         bench_signal(index, SIGKILL);
@@ -305,7 +297,7 @@
     CU_ASSERT(held > 0);
     CU_ASSERT(metric_of(0, "heathsail_contents_held_back ") >= 1);
     CU_ASSERT(metric_of(0, "heathsail_engine_crashes ") >= CRASHES_KNOWN);
-    CU_ASSERT_TRUE(is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
+    CU_ASSERT_TRUE(crash_is_refused(0, "/once/x", "fatal-stream", "fatal-stream"));
     CU_ASSERT_EQUAL(metric_of(0, "heathsail_requests_ended{reason=\"held_back\"} "), held + 1);
 }
 
@@ -347,7 +339,7 @@
     CU_ASSERT_TRUE(crash_fleet_wait_up(engines));
     uint32_t before = crash_fleet_crashes(engines);
     g_autofree char *body = job_with_a_fatal_item(id, 4);
-    bench_answer answer = send_body(0, "/jobs/x", id, body);
+    bench_answer answer = crash_send(0, "/jobs/x", id, body);
     CU_ASSERT_EQUAL(answer.status, 202);
     bench_answer_clear(&answer);
     g_autofree char *page = bench_wait_job(0, id, 3, JOB_LIMIT_MS);
@@ -361,112 +353,10 @@
     CU_ASSERT(metric_of(0, "heathsail_contents_held_back ") >= 1);
 }
 
-/** A body that is asked all the time, beside a crashing one. */
-typedef struct {
-    gint stopping;
-    gint numbers;
-    uint32_t served;
-    uint64_t last_served_ms; /**< Monotonic. */
-    uint64_t longest_gap_ms; /**< Between two that were served. */
-} innocent;
-
-static void note_served(innocent *body) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    body->longest_gap_ms = MAX(body->longest_gap_ms, now_ms - body->last_served_ms);
-    body->last_served_ms = now_ms;
-    body->served++;
-}
-
-/** One of some callers that ask it in turn, each at all daemons. */
-typedef struct {
-    innocent *body;
-    GMutex *lock;
-} innocent_caller;
-
-static gpointer ask_innocent(gpointer data) {
-    innocent_caller *caller = data;
-    innocent *body = caller->body;
-    while (g_atomic_int_get(&body->stopping) == 0) {
-        gint number = g_atomic_int_add(&body->numbers, 1);
-        g_autofree char *id = g_strdup_printf("innocent-%d", number);
-        bench_answer answer = send_body(number % BENCH_DAEMONS, "/once/x", id, "innocent");
-        g_mutex_lock(caller->lock);
-        if (answer.status == 200 && answer.whole)
-            note_served(body);
-        g_mutex_unlock(caller->lock);
-        bench_answer_clear(&answer);
-        hs_clock_sleep_ms(INNOCENT_PAUSE_MS);
-    }
-    return NULL;
-}
-
-/**
- * Few engines, so that what is asked all the time runs at each engine that crashes: by the losses
- * alone it is as much to blame as the cause. Only a run of its own tells.
- */
-static void what_ran_beside_is_served_again_soon(void) {
-    static const char *const fatal[] = {"fatal-beside-a", "fatal-beside-b"};
-    GMutex lock;
-    g_mutex_init(&lock);
-    innocent body = {.last_served_ms = hs_clock_monotonic_ms()};
-    innocent_caller caller = {.body = &body, .lock = &lock};
-    GThread *threads[INNOCENT_CALLERS];
-    CU_ASSERT_TRUE(crash_fleet_wait_up(engines));
-    uint32_t before = crash_fleet_crashes(engines);
-    for (int index = 0; index < INNOCENT_CALLERS; index++)
-        threads[index] = g_thread_new("innocent", ask_innocent, &caller);
-    uint64_t began_ms = hs_clock_monotonic_ms();
-    for (int arrival = 0; hs_clock_monotonic_ms() < began_ms + BESIDE_MS; arrival++) {
-        const char *content = fatal[arrival % few_causes];
-        bench_answer answer = send_body(arrival % BENCH_DAEMONS, "/plain/x", content, content);
-        bench_answer_clear(&answer);
-        hs_clock_sleep_ms(ARRIVAL_MS);
-    }
-    g_atomic_int_set(&body.stopping, 1);
-    for (int index = 0; index < INNOCENT_CALLERS; index++)
-        g_thread_join(threads[index]);
-    uint64_t end_gap_ms = hs_clock_monotonic_ms() - body.last_served_ms;
-    uint32_t lost = crash_fleet_crashes(engines) - before;
-    fprintf(stderr, "beside %d causes: %u served, longest gap %u ms, at the end %u ms, %u lost\n",
-            few_causes, body.served, (unsigned)body.longest_gap_ms, (unsigned)end_gap_ms, lost);
-    CU_ASSERT(body.longest_gap_ms <= SERVED_AGAIN_MS);
-    CU_ASSERT(end_gap_ms <= SERVED_AGAIN_MS);
-    for (int index = 0; index < few_causes; index++) {
-        uint64_t known_ms = crash_fleet_end_ms(engines, fatal[index], CRASHES_KNOWN);
-        CU_ASSERT(known_ms > 0);
-        CU_ASSERT(crash_fleet_begun(engines, fatal[index], known_ms + KNOWN_WITHIN_MS) <=
-                  LATE_SENDS_MOST);
-        CU_ASSERT_TRUE(is_refused(0, "/plain/x", fatal[index], fatal[index]));
-    }
-    g_mutex_clear(&lock);
-}
-
-/** A fleet of few engines that are back soon, with streams that last longer than it takes. */
-static int begin_few(int count, uint32_t return_ms, int causes) {
-    few_causes = causes;
-    crash_settings = (crash_fleet_settings){.engines = count,
-                                            .return_ms = return_ms,
-                                            .pace = {.events = 40, .event_ms = 15},
-                                            .keeps_ids = true};
-    return begin_crashes();
-}
-
-int begin_crashes_few(void) {
-    return begin_few(3, 400, 1);
-}
-
-int begin_crashes_two(void) {
-    return begin_few(2, 300, 1);
-}
-
-int begin_crashes_two_causes(void) {
-    return begin_few(6, 900, 2);
-}
-
 /** Engines that are back under their ids before their ends are known. */
 int begin_crashes_reborn(void) {
-    crash_settings = (crash_fleet_settings){.return_ms = RETURN_AT_ONCE_MS, .keeps_ids = true};
-    return begin_crashes();
+    return begin_crashes_with(
+        &(crash_fleet_settings){.return_ms = RETURN_AT_ONCE_MS, .keeps_ids = true});
 }
 
 int end_crashes_reborn(void) {
@@ -491,7 +381,7 @@
     static const char body[] = "fatal-large";
     uint32_t before = crash_fleet_crashes(engines);
     for (int daemon = 0; crash_fleet_crashes(engines) < before + CRASHES_KNOWN; daemon++) {
-        bench_answer answer = send_body(daemon % LARGE_FLEET, "/once/x", body, body);
+        bench_answer answer = crash_send(daemon % LARGE_FLEET, "/once/x", body, body);
         bench_answer_clear(&answer);
         hs_clock_sleep_ms(ARRIVAL_MS);
         if (daemon >= LARGE_FLEET)
@@ -500,7 +390,7 @@
     hs_clock_sleep_ms(KNOWN_WITHIN_MS);
     uint32_t known = crash_fleet_crashes(engines);
     for (int daemon = 0; daemon < LARGE_FLEET; daemon++)
-        CU_ASSERT_TRUE(is_refused(daemon, "/once/x", body, body));
+        CU_ASSERT_TRUE(crash_is_refused(daemon, "/once/x", body, body));
     CU_ASSERT(known - before <= CRASHES_MOST);
     CU_ASSERT_EQUAL(crash_fleet_crashes(engines), known);
 }
@@ -515,11 +405,6 @@
     {NULL, NULL},
 };
 
-const test_case fleet_crash_few_system_tests[] = {
-    {"what_ran_beside_is_served_again_soon", what_ran_beside_is_served_again_soon},
-    {NULL, NULL},
-};
-
 const test_case fleet_crash_large_system_tests[] = {
     {"a_large_fleet_learns_what_is_held_back", a_large_fleet_learns_what_is_held_back},
     {NULL, NULL},
