Datagrams are signed and sent in one place, and questions to peers wait alike

Trials and limits each had the same wait (60 ms) and number of sends (2) under names of their own, and the limiter a constant for a process that stood still beside wake_watch's. Ruled out: to take the limiter's own look for such a process away; it must be noticed before the ticker's next round. Change: hs_membership_service_send and _reply are public, and these call them; their contexts and constructors no longer carry the socket. The wait is peer_questions' own. Behaviour is the same: a report to several daemons is now signed once for each (a lock), as all other messages are.

--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -292,11 +292,9 @@
     revoke.n_grants = refs->len;
     revoke.grants = (Hs__GrantRef **)refs->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(coordinator->context.membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_REVOKE;
     message.grant_revoke = &revoke;
-    hs_peer_socket_send(coordinator->context.socket, ntohl(to->sin_addr.s_addr),
-                        ntohs(to->sin_port), &message);
+    hs_membership_service_reply(coordinator->context.membership, to, &message);
 }
 
 /** Renew what stands; answer with what does not, if we own the partition and so can tell. */
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -19,7 +19,6 @@
 typedef struct {
     const hs_settings *settings;
     hs_membership_service *membership;
-    hs_peer_socket *socket;
     hs_replica_set *replicas;
     hs_appender *appender;
     hs_item_runner *runner;
--- a/src/batch/partition_owner.c
+++ b/src/batch/partition_owner.c
@@ -261,12 +261,10 @@
     reply.n_grants = count;
     reply.grants = pointers;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(owner->context->membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_REPLY;
     message.grant_reply = &reply;
     HS_FAULT_POINT("grant");
-    hs_peer_socket_send(owner->context->socket, ntohl(to->sin_addr.s_addr), ntohs(to->sin_port),
-                        &message);
+    hs_membership_service_reply(owner->context->membership, to, &message);
 }
 
 void hs_partition_owner_pull(hs_partition_owner *owner, const Hs__PeerMessage *message,
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -122,7 +122,6 @@
                          .item_timeout_s = (uint32_t)node->settings->item_timeout_s};
     hs_coordinator_context coordinator = {.settings = node->settings,
                                           .membership = node->membership,
-                                          .socket = node->socket,
                                           .replicas = node->replicas,
                                           .appender = node->appender,
                                           .runner = &node->runner,
@@ -132,7 +131,6 @@
     node->coordinator = hs_coordinator_new(&coordinator);
     hs_scheduler_context scheduler = {.settings = node->settings,
                                       .membership = node->membership,
-                                      .socket = node->socket,
                                       .engines = node->engines,
                                       .config = node->config,
                                       .runner = &node->runner};
--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -6,8 +6,6 @@
 #include "directory/daemon_directory.h"
 #include "directory/peer_questions.h"
 
-#include <arpa/inet.h>
-
 /**
  * Daemons that news is sent to. In a fleet of no more all hear it at once; in a larger one who
  * hears it tells it on to as many by chance: two rounds reach half of 360, three nearly all, by
@@ -24,16 +22,10 @@
 /** Between judgements without news, in ms: holds end and are forgotten by time alone. */
 #define REFRESH_MS 1000
 
-/** Wait in ms for the word on a trial, and how often it is asked for: a refusal may wait so long.
- */
-#define TRIAL_ANSWER_MS 60
-#define TRIAL_TRIES 2
-
 struct hs_crash_exchange {
     hs_peer_questions *trials; /**< Answers: bool. */
     hs_crash_watch *watch;
     hs_membership_service *membership;
-    hs_peer_socket *socket;
     GMutex lock; /**< Guards the answers. */
     uint32_t answers;
     uint64_t answers_from_ms;
@@ -63,9 +55,8 @@
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TRIAL_ASK;
     message.trial_ask = &ask;
-    hs_membership_service_sign(question->exchange->membership, &message);
-    hs_peer_socket_send(question->exchange->socket, question->to.address, question->to.port,
-                        &message);
+    hs_membership_service_send(question->exchange->membership, question->to.address,
+                               question->to.port, &message);
 }
 
 /** The daemon that decides on trials of what was lost with @p engine; true: this one. */
@@ -87,10 +78,7 @@
     if (find_decider(exchange, engine, &question.to))
         return hs_crash_watch_grant_trial(exchange->watch, content);
     bool may_run = false;
-    hs_question_patience patience = {.answer_ms = TRIAL_ANSWER_MS, .tries = TRIAL_TRIES};
-    return hs_peer_questions_ask(exchange->trials, &patience, send_trial_ask, &question,
-                                 &may_run) &&
-           may_run;
+    return hs_peer_questions_ask(exchange->trials, send_trial_ask, &question, &may_run) && may_run;
 }
 
 static void answer_trial_ask(hs_crash_exchange *exchange, const Hs__TrialAsk *ask,
@@ -101,19 +89,15 @@
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TRIAL_VERDICT;
     message.trial_verdict = &verdict;
-    hs_membership_service_sign(exchange->membership, &message);
-    hs_peer_socket_send(exchange->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port),
-                        &message);
+    hs_membership_service_reply(exchange->membership, from, &message);
 }
 
-hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership,
-                                         hs_peer_socket *socket) {
+hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership) {
     hs_crash_exchange *exchange = g_new0(hs_crash_exchange, 1);
     exchange->trials = hs_peer_questions_new(sizeof(bool));
     hs_crash_watch_set_trial_asker(watch, ask_trial, exchange);
     exchange->watch = watch;
     exchange->membership = membership;
-    exchange->socket = socket;
     g_mutex_init(&exchange->lock);
     return exchange;
 }
@@ -128,7 +112,7 @@
 }
 
 /** A report of up to EVIDENCE_MOST of @p evidence, from @p first on. Free with g_free. */
-static outgoing *write_report(hs_crash_exchange *exchange, const GArray *evidence, guint first) {
+static outgoing *write_report(const GArray *evidence, guint first) {
     outgoing *out = g_new(outgoing, 1);
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs__peer_message__init(&out->message);
@@ -141,7 +125,6 @@
     out->report.evidence = out->evidence_list;
     out->message.kind_case = HS__PEER_MESSAGE__KIND_CRASH_REPORT;
     out->message.crash_report = &out->report;
-    hs_membership_service_sign(exchange->membership, &out->message);
     return out;
 }
 
@@ -198,13 +181,12 @@
     g_autoptr(GArray) known = hs_crash_watch_list(exchange->watch, EVIDENCE_MOST);
     if (known->len == 0)
         return;
-    g_autofree outgoing *out = write_report(exchange, known, 0);
-    hs_peer_socket_send(exchange->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port),
-                        &out->message);
+    g_autofree outgoing *out = write_report(known, 0);
+    hs_membership_service_reply(exchange->membership, from, &out->message);
 }
 
 /** Send to some live daemons by chance; to all where there are no more than that. */
-static void send_to_some(hs_crash_exchange *exchange, const Hs__PeerMessage *message) {
+static void send_to_some(hs_crash_exchange *exchange, Hs__PeerMessage *message) {
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     g_autoptr(GArray) addresses = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
     hs_membership *membership = hs_membership_service_lock(exchange->membership);
@@ -221,14 +203,14 @@
         guint other = (guint)g_random_int_range((gint32)told, (gint32)addresses->len);
         hs_daemon_address chosen = list[other];
         list[other] = list[told];
-        hs_peer_socket_send(exchange->socket, chosen.address, chosen.port, message);
+        hs_membership_service_send(exchange->membership, chosen.address, chosen.port, message);
     }
 }
 
 void hs_crash_exchange_tick(hs_crash_exchange *exchange, uint64_t now_ms) {
     g_autoptr(GArray) news = hs_crash_watch_take_news(exchange->watch);
     for (guint first = 0; first < news->len; first += EVIDENCE_MOST) {
-        g_autofree outgoing *out = write_report(exchange, news, first);
+        g_autofree outgoing *out = write_report(news, first);
         send_to_some(exchange, &out->message);
     }
     if (now_ms < exchange->next_refresh_ms)
--- a/src/directory/crash_exchange.h
+++ b/src/directory/crash_exchange.h
@@ -15,8 +15,7 @@
 typedef struct hs_crash_exchange hs_crash_exchange;
 
 /** All are borrowed. */
-hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership,
-                                         hs_peer_socket *socket);
+hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership);
 void hs_crash_exchange_free(hs_crash_exchange *exchange);
 
 /** True when the message was about crashes or trials, and was handled. */
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -131,11 +131,9 @@
                        .suspect_ms = probe_ms * SUSPECT_PROBES,
                        .forget_ms = FORGET_MS}};
     directory->membership = hs_membership_service_new(&self, &service_settings, socket);
-    directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership, socket);
-    directory->limiter =
-        hs_tenant_limiter_new(directory->membership, socket, settings->limit_tolerance);
-    directory->crashes =
-        hs_crash_exchange_new(settings->crash_watch, directory->membership, socket);
+    directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership);
+    directory->limiter = hs_tenant_limiter_new(directory->membership, settings->limit_tolerance);
+    directory->crashes = hs_crash_exchange_new(settings->crash_watch, directory->membership);
     directory->crash_records =
         hs_crash_store_new(settings->crash_watch, directory->membership, settings->store);
     return directory;
--- a/src/directory/peer_questions.c
+++ b/src/directory/peer_questions.c
@@ -6,6 +6,16 @@
 #include <glib.h>
 #include <string.h>
 
+/**
+ * Wait in ms for an answer before it is asked for once more: some twenty times what a datagram
+ * takes there and back, as a daemon that has used up its share of a processor answers a tenth of a
+ * second late.
+ */
+#define ANSWER_MS 60
+/** Sends of a question. Datagrams are lost now and then: the second of two lost in a row is one in
+ * ten thousand. */
+#define TRIES 2
+
 /** A question that waits; on its asker's stack. */
 typedef struct {
     uint64_t sequence;
@@ -40,9 +50,8 @@
 }
 
 /** Wait for the answer after one send. */
-static bool await_answer(hs_peer_questions *questions, const waiting_question *question,
-                         uint32_t answer_ms) {
-    hs_pause pause = hs_clock_pause_begin(answer_ms);
+static bool await_answer(hs_peer_questions *questions, const waiting_question *question) {
+    hs_pause pause = hs_clock_pause_begin(ANSWER_MS);
     bool is_waiting = true;
     g_mutex_lock(&questions->lock);
     while (is_waiting && !question->is_answered)
@@ -52,17 +61,17 @@
     return is_answered;
 }
 
-bool hs_peer_questions_ask(hs_peer_questions *questions, const hs_question_patience *patience,
-                           hs_question_sender send, void *user_data, void *answer) {
+bool hs_peer_questions_ask(hs_peer_questions *questions, hs_question_sender send, void *user_data,
+                           void *answer) {
     waiting_question question = {.answer = answer};
     g_mutex_lock(&questions->lock);
     question.sequence = ++questions->sequence;
     g_hash_table_insert(questions->waiting, &question.sequence, &question);
     g_mutex_unlock(&questions->lock);
     bool is_answered = false;
-    for (int attempt = 0; attempt < patience->tries && !is_answered; attempt++) {
+    for (int attempt = 0; attempt < TRIES && !is_answered; attempt++) {
         send(question.sequence, user_data);
-        is_answered = await_answer(questions, &question, patience->answer_ms);
+        is_answered = await_answer(questions, &question);
     }
     g_mutex_lock(&questions->lock);
     g_hash_table_remove(questions->waiting, &question.sequence);
--- a/src/directory/peer_questions.h
+++ b/src/directory/peer_questions.h
@@ -19,15 +19,12 @@
  */
 typedef void (*hs_question_sender)(uint64_t sequence, void *user_data);
 
-/** How long a question waits for its answer. */
-typedef struct {
-    uint32_t answer_ms; /**< After each send. */
-    int tries;          /**< Sends at most. */
-} hs_question_patience;
-
-/** Ask and wait; false: no answer came. @p answer is filled where one did. */
-bool hs_peer_questions_ask(hs_peer_questions *questions, const hs_question_patience *patience,
-                           hs_question_sender send, void *user_data, void *answer);
+/**
+ * Ask and wait, while a request of a caller does; false: no answer came, after 120 ms. @p answer is
+ * filled where one did.
+ */
+bool hs_peer_questions_ask(hs_peer_questions *questions, hs_question_sender send, void *user_data,
+                           void *answer);
 
 /** The answer to a question came; one that nobody waits for any more is dropped. */
 void hs_peer_questions_answer(hs_peer_questions *questions, uint64_t sequence, const void *answer);
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -10,7 +10,6 @@
 struct hs_slot_arbiter {
     hs_fleet_engines *engines;
     hs_membership_service *membership;
-    hs_peer_socket *socket;
     GMutex lock; /**< Guards the ledger. */
     hs_slot_ledger *ledger;
 };
@@ -40,8 +39,14 @@
 }
 
 static void send_to(hs_slot_arbiter *arbiter, const peer *to, Hs__PeerMessage *message) {
-    hs_membership_service_sign(arbiter->membership, message);
-    hs_peer_socket_send(arbiter->socket, to->address, to->port, message);
+    hs_membership_service_send(arbiter->membership, to->address, to->port, message);
+}
+
+static bool is_self(hs_slot_arbiter *arbiter, const char *daemon) {
+    const hs_membership *membership = hs_membership_service_lock(arbiter->membership);
+    bool is_own_id = strcmp(hs_membership_self(membership)->id, daemon) == 0;
+    hs_membership_service_unlock(arbiter->membership);
+    return is_own_id;
 }
 
 /** Pass on who must leave an engine; this daemon's own items are told at once. */
@@ -60,11 +65,10 @@
         Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
         message.kind_case = HS__PEER_MESSAGE__KIND_STEP_ASIDE;
         message.step_aside = &body;
-        hs_membership_service_sign(arbiter->membership, &message);
-        if (strcmp(message.sender_id, ask->daemon) == 0)
+        if (is_self(arbiter, ask->daemon))
             hs_fleet_engines_step_aside(arbiter->engines, engine_hash, ask->count);
         else
-            hs_peer_socket_send(arbiter->socket, to.address, to.port, &message);
+            send_to(arbiter, &to, &message);
     }
 }
 
@@ -237,12 +241,10 @@
     g_mutex_unlock(&arbiter->lock);
 }
 
-hs_slot_arbiter *hs_slot_arbiter_new(hs_fleet_engines *engines, hs_membership_service *membership,
-                                     hs_peer_socket *socket) {
+hs_slot_arbiter *hs_slot_arbiter_new(hs_fleet_engines *engines, hs_membership_service *membership) {
     hs_slot_arbiter *arbiter = g_new0(hs_slot_arbiter, 1);
     arbiter->engines = engines;
     arbiter->membership = membership;
-    arbiter->socket = socket;
     arbiter->ledger = hs_slot_ledger_new();
     g_mutex_init(&arbiter->lock);
     hs_fleet_engines_set_teller(engines, tell, arbiter);
--- a/src/directory/slot_arbiter.h
+++ b/src/directory/slot_arbiter.h
@@ -17,8 +17,7 @@
 typedef struct hs_slot_arbiter hs_slot_arbiter;
 
 /** All are borrowed. */
-hs_slot_arbiter *hs_slot_arbiter_new(hs_fleet_engines *engines, hs_membership_service *membership,
-                                     hs_peer_socket *socket);
+hs_slot_arbiter *hs_slot_arbiter_new(hs_fleet_engines *engines, hs_membership_service *membership);
 void hs_slot_arbiter_free(hs_slot_arbiter *arbiter);
 
 /** True when the message was about slots, and was handled. */
--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -4,25 +4,15 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "base/wake_watch.h"
 #include "directory/daemon_directory.h"
 #include "directory/peer_questions.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 
-/**
- * Wait in ms for a home's word before it is asked once more: some twenty times what a datagram
- * takes there and back, as a home that has used up its share of a processor answers a tenth of a
- * second late.
- */
-#define ANSWER_MS 60
-/** Datagrams are lost now and then: the second of two lost in a row is one in ten thousand. */
-#define TRIES 2
-/** A home that was silent for both tries is not waited for again for so long, in ms: half of the
+/** A home that was silent for all tries is not waited for again for so long, in ms: half of the
  * time in which its end is noticed. */
 #define SILENT_FOR_MS 300
-/** Rounds of the ticker come each 80 ms: without one for so long the process stood still. */
-#define STOOD_STILL_MS 1000
 /** Buckets are looked through for full ones this often, in ms. */
 #define EXPIRE_MS 2000
 /**
@@ -45,7 +35,6 @@
 
 struct hs_tenant_limiter {
     hs_membership_service *membership;
-    hs_peer_socket *socket;
     double tolerance;
     uint64_t started_ms;
     hs_peer_questions *questions; /**< Answers: hs_limit_verdict. */
@@ -72,11 +61,9 @@
     uint32_t older;     /**< and that started clearly before this one. */
 } home_view;
 
-hs_tenant_limiter *hs_tenant_limiter_new(hs_membership_service *membership, hs_peer_socket *socket,
-                                         double tolerance) {
+hs_tenant_limiter *hs_tenant_limiter_new(hs_membership_service *membership, double tolerance) {
     hs_tenant_limiter *limiter = g_new0(hs_tenant_limiter, 1);
     limiter->membership = membership;
-    limiter->socket = socket;
     limiter->tolerance = tolerance;
     limiter->started_ms = hs_clock_monotonic_ms();
     limiter->ticked_ms = limiter->started_ms;
@@ -167,7 +154,7 @@
  * what other homes let pass meanwhile. The caller holds the lock.
  */
 static void forget_stale(hs_tenant_limiter *limiter, uint64_t view, uint64_t now_ms) {
-    if (now_ms > limiter->ticked_ms + STOOD_STILL_MS) {
+    if (now_ms > limiter->ticked_ms + HS_STOOD_STILL_LEAST_MS) {
         limiter->ticked_ms = now_ms;
         hs_limit_book_note_change(limiter->book, is_nobodys, NULL, now_ms);
     } else if (view != limiter->view) {
@@ -222,8 +209,8 @@
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_ASK;
     message.tenant_ask = &ask;
-    hs_membership_service_sign(asked->limiter->membership, &message);
-    hs_peer_socket_send(asked->limiter->socket, asked->home->address, asked->home->port, &message);
+    hs_membership_service_send(asked->limiter->membership, asked->home->address, asked->home->port,
+                               &message);
 }
 
 static bool is_silent(hs_tenant_limiter *limiter, const char *home) {
@@ -251,11 +238,10 @@
 /** Ask the home; false: it did not answer. */
 static bool ask_home(hs_tenant_limiter *limiter, const home_view *home,
                      const hs_limit_question *question, hs_limit_verdict *verdict) {
-    static const hs_question_patience patience = {.answer_ms = ANSWER_MS, .tries = TRIES};
     home_question asked = {.limiter = limiter, .home = home, .question = question};
     if (is_silent(limiter, home->id))
         return false;
-    bool is_told = hs_peer_questions_ask(limiter->questions, &patience, send_ask, &asked, verdict);
+    bool is_told = hs_peer_questions_ask(limiter->questions, send_ask, &asked, verdict);
     if (is_told)
         forget(limiter, question->tenant);
     else
@@ -310,9 +296,7 @@
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_VERDICT;
     message.tenant_verdict = &body;
-    hs_membership_service_sign(limiter->membership, &message);
-    hs_peer_socket_send(limiter->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port),
-                        &message);
+    hs_membership_service_reply(limiter->membership, from, &message);
 }
 
 static void take_verdict(hs_tenant_limiter *limiter, const Hs__TenantVerdict *told) {
--- a/src/directory/tenant_limiter.h
+++ b/src/directory/tenant_limiter.h
@@ -17,8 +17,7 @@
 typedef struct hs_tenant_limiter hs_tenant_limiter;
 
 /** @p tolerance: requests above its burst that a tenant may send at one time. Others borrowed. */
-hs_tenant_limiter *hs_tenant_limiter_new(hs_membership_service *membership, hs_peer_socket *socket,
-                                         double tolerance);
+hs_tenant_limiter *hs_tenant_limiter_new(hs_membership_service *membership, double tolerance);
 void hs_tenant_limiter_free(hs_tenant_limiter *limiter);
 
 /** A tenant's limit by a version of the configuration. Borrowed. */
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -132,12 +132,17 @@
     return (member_address){.address = member->address, .port = member->peer_port};
 }
 
-static void send_signed(hs_membership_service *service, member_address to,
-                        Hs__PeerMessage *message) {
-    if (to.port == 0)
+void hs_membership_service_send(hs_membership_service *service, uint32_t address, uint16_t port,
+                                Hs__PeerMessage *message) {
+    if (port == 0)
         return;
     hs_membership_service_sign(service, message);
-    hs_peer_socket_send(service->socket, to.address, to.port, message);
+    hs_peer_socket_send(service->socket, address, port, message);
+}
+
+void hs_membership_service_reply(hs_membership_service *service, const struct sockaddr_in *to,
+                                 Hs__PeerMessage *message) {
+    hs_membership_service_send(service, ntohl(to->sin_addr.s_addr), ntohs(to->sin_port), message);
 }
 
 void hs_membership_service_send_to_owner(hs_membership_service *service, uint32_t partition,
@@ -146,7 +151,7 @@
     g_mutex_lock(&service->lock);
     member_address to = address_of(hs_membership_owner(service->membership, partition, &epoch));
     g_mutex_unlock(&service->lock);
-    send_signed(service, to, message);
+    hs_membership_service_send(service, to.address, to.port, message);
 }
 
 void hs_membership_service_send_to_first(hs_membership_service *service, const char *key,
@@ -154,7 +159,7 @@
     g_mutex_lock(&service->lock);
     member_address to = address_of(hs_membership_rank_first(service->membership, key, NULL));
     g_mutex_unlock(&service->lock);
-    send_signed(service, to, message);
+    hs_membership_service_send(service, to.address, to.port, message);
 }
 
 /** Send accounts, a datagram's worth at a time. */
@@ -166,10 +171,9 @@
         list.records = records + first;
         list.is_answer = is_answer;
         Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-        hs_membership_service_sign(service, &message);
         message.kind_case = HS__PEER_MESSAGE__KIND_MEMBER_LIST;
         message.member_list = &list;
-        hs_peer_socket_send(service->socket, address, port, &message);
+        hs_membership_service_send(service, address, port, &message);
     }
 }
 
@@ -203,10 +207,9 @@
     probe.n_gossip = MIN(taken.records->len, GOSSIP_LIMIT);
     probe.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(service, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_PROBE;
     message.probe = &probe;
-    hs_peer_socket_send(service->socket, order->address, order->port, &message);
+    hs_membership_service_send(service, order->address, order->port, &message);
     send_rest(service, order->address, order->port, &taken);
     g_ptr_array_free(taken.records, TRUE);
 }
@@ -227,10 +230,9 @@
     ack.n_gossip = MIN(taken.records->len, GOSSIP_LIMIT);
     ack.gossip = (Hs__MemberRecord **)taken.records->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(service, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_PROBE_ACK;
     message.probe_ack = &ack;
-    hs_peer_socket_send(service->socket, receiver->address, receiver->port, &message);
+    hs_membership_service_send(service, receiver->address, receiver->port, &message);
     send_rest(service, receiver->address, receiver->port, &taken);
     g_ptr_array_free(taken.records, TRUE);
 }
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -44,6 +44,14 @@
 /** Fill sender id and incarnation. The id is borrowed from the service. */
 void hs_membership_service_sign(hs_membership_service *service, Hs__PeerMessage *message);
 
+/** Sign @p message and send it to the peer port @p port of @p address; port 0: nowhere. */
+void hs_membership_service_send(hs_membership_service *service, uint32_t address, uint16_t port,
+                                Hs__PeerMessage *message);
+
+/** Sign @p message and send it to where another one came from. */
+void hs_membership_service_reply(hs_membership_service *service, const struct sockaddr_in *to,
+                                 Hs__PeerMessage *message);
+
 /** Sign @p message and send it to the partition's owner; dropped when no owner is known. */
 void hs_membership_service_send_to_owner(hs_membership_service *service, uint32_t partition,
                                          Hs__PeerMessage *message);
--- a/src/node/limit_exchange.c
+++ b/src/node/limit_exchange.c
@@ -76,10 +76,9 @@
     grant.tenant = body->tenant;
     grant.allowance = allowance;
     Hs__PeerMessage answer = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(node->membership, &answer);
     answer.kind_case = HS__PEER_MESSAGE__KIND_LIMIT_GRANT;
     answer.limit_grant = &grant;
-    hs_peer_socket_send(node->socket, ntohl(from->sin_addr.s_addr), ntohs(from->sin_port), &answer);
+    hs_membership_service_reply(node->membership, from, &answer);
 }
 
 bool hs_limit_exchange_handle(hs_limit_exchange *exchange, const Hs__PeerMessage *message,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -43,9 +43,7 @@
     notice.in_flight = in_flight;
     notice.sequence = (uint64_t)g_atomic_int_add(&node->notice_sequence, 1) + 1;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(node->membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_ONLINE_NOTICE;
     message.online_notice = &notice;
-    if (port != 0)
-        hs_peer_socket_send(node->socket, address, port, &message);
+    hs_membership_service_send(node->membership, address, port, &message);
 }
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -53,11 +53,9 @@
     load.batch_in_flight = slot->running->len;
     load.leaving = slot->leaving;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
-    hs_membership_service_sign(scheduler->context.membership, &message);
     message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_LOAD;
     message.engine_load = &load;
-    hs_peer_socket_send(scheduler->context.socket, ntohl(to->sin_addr.s_addr), ntohs(to->sin_port),
-                        &message);
+    hs_membership_service_reply(scheduler->context.membership, to, &message);
 }
 
 static void take_notice(hs_scheduler *scheduler, const scheduler_event *event, uint64_t now_ms) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -24,7 +24,6 @@
 typedef struct {
     const hs_settings *settings;
     hs_membership_service *membership;
-    hs_peer_socket *socket;
     hs_engine_table *engines;
     hs_config_store *config;
     hs_item_runner *runner;
