The time of the loss that makes a content suspect, and visible texts, are decided once

Cause: the trials sorted a copy of the evidence to find the third loss, which the ledger finds as well; keys of tenants, ids of engines' entries and the OpenAI surface's tenants were each looked through for visible characters by a loop of their own. Ruled out: one limit of length for the three; ids of entries have none of their own, tenants of the OpenAI surface 128, keys 4,096, and each keeps its own. Change: hs_crash_evidence_suspect_since_ms serves both; late losses are counted without an order, since none of the first three is later than the third. hs_text_is_visible in base/ replaces the three loops. The log's budget counts seconds with GLib's constant; the pause between trials says its unit and that it was chosen.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -20,7 +20,6 @@
 #include <unistd.h>
 
 #define RING_LINES 2048
-#define MS_PER_S 1000U
 #define LINES_PER_S 500
 #define BATCH_PAUSE_MS 60
 #define TAKE_WAIT_MS 500
@@ -54,7 +53,7 @@
 
 /** Whether the line is over this second's budget. Approximate between threads. */
 static bool is_over_budget(GLogLevelFlags level) {
-    gint64 second = (gint64)(hs_clock_monotonic_ms() / MS_PER_S);
+    gint64 second = (gint64)hs_clock_monotonic_us() / G_USEC_PER_SEC;
     if (second != budget_second) {
         budget_second = second;
         g_atomic_int_set(&lines_this_second, 0);
--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -214,19 +214,20 @@
     return (first > second) - (first < second);
 }
 
-/** When the content was lost with so many engines that it may be to blame. */
-static uint64_t suspect_since_ms(const entry *one) {
+uint64_t hs_crash_evidence_suspect_since_ms(const hs_crash_evidence *evidence) {
     uint64_t times[HS_CRASH_ENGINES_MOST];
-    for (uint32_t index = 0; index < lost_with(one); index++)
-        times[index] = one->evidence.engines[index].lost_ms;
-    qsort(times, lost_with(one), sizeof *times, by_time);
+    if (evidence->engine_count < HS_CRASHES_TO_HOLD)
+        return 0;
+    for (uint32_t index = 0; index < evidence->engine_count; index++)
+        times[index] = evidence->engines[index].lost_ms;
+    qsort(times, evidence->engine_count, sizeof *times, by_time);
     return times[HS_CRASHES_TO_HOLD - 1];
 }
 
 /** A content that was lost with enough engines to be to blame. */
 typedef struct {
     entry *one;
-    uint64_t since_ms; /**< See suspect_since_ms. */
+    uint64_t since_ms; /**< See hs_crash_evidence_suspect_since_ms. */
 } suspect;
 
 /** In the order in which they came to be suspected; of those at one time any, but always the same.
@@ -284,7 +285,8 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         entry *one = value;
         if (lost_with(one) >= HS_CRASHES_TO_HOLD) {
-            suspect found = {.one = one, .since_ms = suspect_since_ms(one)};
+            suspect found = {.one = one,
+                             .since_ms = hs_crash_evidence_suspect_since_ms(&one->evidence)};
             g_array_append_val(suspects, found);
             continue;
         }
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -57,6 +57,10 @@
     hs_crash_engine engines[HS_CRASH_ENGINES_MOST];
 } hs_crash_evidence;
 
+/** When a content was lost with so many engines that it may be to blame: with its
+ * HS_CRASHES_TO_HOLDth; 0: it was not. */
+uint64_t hs_crash_evidence_suspect_since_ms(const hs_crash_evidence *evidence);
+
 /** How long a content is held back, and why. */
 typedef struct {
     uint64_t content;
--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -1,11 +1,10 @@
 /** @file crash_trials.c  See crash_trials.h. */
 #include "fleet/crash_trials.h"
 
-#include <stdlib.h>
-
-/** Between a content's last loss, or its last trial, and the next trial, in ms: first so long that
- * all daemons know of the loss and its engines are back, then some times as long. */
+/** Between a content's last loss and its first trial, in ms: so long that all daemons know of the
+ * loss and its engines are back. */
 #define FIRST_PAUSE_MS 300
+/** The same between two trials: some times as long. In ms; chosen, not measured. */
 #define NEXT_PAUSE_MS 2000
 /** A trial runs without another one for so long, in ms: some times what a run lasts. */
 #define ALONE_MS 800
@@ -61,21 +60,13 @@
     return &g_array_index(trials->known, trial, trials->known->len - 1);
 }
 
-static gint by_time(gconstpointer left, gconstpointer right) {
-    const hs_crash_engine *first = left;
-    const hs_crash_engine *second = right;
-    return (first->lost_ms > second->lost_ms) - (first->lost_ms < second->lost_ms);
-}
-
 bool hs_crash_trials_may_follow(const hs_crash_evidence *evidence) {
     if (evidence->engine_count < HS_CRASHES_TO_HOLD)
         return true;
-    hs_crash_evidence sorted = *evidence;
-    qsort(sorted.engines, sorted.engine_count, sizeof *sorted.engines, by_time);
-    uint64_t known_ms = sorted.engines[HS_CRASHES_TO_HOLD - 1].lost_ms + KNOWN_AFTER_MS;
+    uint64_t known_ms = hs_crash_evidence_suspect_since_ms(evidence) + KNOWN_AFTER_MS;
     uint32_t late = 0;
-    for (uint32_t index = HS_CRASHES_TO_HOLD; index < sorted.engine_count; index++)
-        late += sorted.engines[index].lost_ms > known_ms;
+    for (uint32_t index = 0; index < evidence->engine_count; index++)
+        late += evidence->engines[index].lost_ms > known_ms;
     return late <= LATE_LOSSES_MOST;
 }
 
--- a/src/http/auth.c
+++ b/src/http/auth.c
@@ -1,6 +1,8 @@
 /** @file auth.c  See auth.h. */
 #include "http/auth.h"
 
+#include "base/visible_text.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -12,11 +14,5 @@
     if (header == NULL || g_ascii_strncasecmp(header, BEARER_PREFIX, strlen(BEARER_PREFIX)) != 0)
         return NULL;
     const char *tenant = header + strlen(BEARER_PREFIX);
-    size_t length = strlen(tenant);
-    if (length == 0 || length > MAX_TENANT_LENGTH)
-        return NULL;
-    for (size_t index = 0; index < length; index++)
-        if (!g_ascii_isgraph(tenant[index]))
-            return NULL;
-    return tenant;
+    return hs_text_is_visible(tenant, MAX_TENANT_LENGTH) ? tenant : NULL;
 }
--- a/src/tenants/tenant_index.c
+++ b/src/tenants/tenant_index.c
@@ -2,11 +2,12 @@
 #include "tenants/tenant_index.h"
 
 #include "base/hash.h"
+#include "base/visible_text.h"
 
 #include <string.h>
 
-/** Longest key in bytes that is looked up: some hundred times what operators hand out. */
-#define KEY_BYTES_MOST 4096
+/** Longest key, and longest name, in bytes: some hundred times what operators hand out. */
+#define TEXT_BYTES_MOST 4096
 
 /** The hash is not an attacker's to guess from times: it tells nothing of how much of a key fits.
  */
@@ -14,21 +15,13 @@
     return (guint)hs_hash_bytes(key, strlen(key));
 }
 
-/** Whether @p text may stand as a header's value: visible ASCII alone. */
-static bool is_visible(const char *text) {
-    size_t length = 0;
-    while (g_ascii_isgraph(text[length]))
-        length++;
-    return length > 0 && length <= KEY_BYTES_MOST && text[length] == '\0';
-}
-
 /** Add the keys of @p tenant to the index as @p owner's. */
 static void add_keys(hs_fleet_config *config, GHashTable *disputed, const hs_fleet_tenant *tenant,
                      hs_fleet_tenant *owner, hs_tenant_faults *faults) {
     for (guint index = 0; index < tenant->keys->len; index++) {
         char *key = tenant->keys->pdata[index];
         const hs_fleet_tenant *holder = g_hash_table_lookup(config->tenant_by_key, key);
-        if (!is_visible(key)) {
+        if (!hs_text_is_visible(key, TEXT_BYTES_MOST)) {
             faults->unusable_keys++;
         } else if (holder != NULL && holder != owner) {
             g_hash_table_add(disputed, key);
@@ -75,7 +68,7 @@
     config->tenant_by_key = g_hash_table_new(hash_key, g_str_equal);
     for (guint index = 0; index < config->tenants->len; index++) {
         hs_fleet_tenant *tenant = config->tenants->pdata[index];
-        if (!is_visible(tenant->name)) {
+        if (!hs_text_is_visible(tenant->name, TEXT_BYTES_MOST)) {
             faults.unusable_tenants++;
             continue;
         }
@@ -110,7 +103,7 @@
     hs_access access = HS_ACCESS_GRANTED;
     if (request->key == NULL)
         access = HS_ACCESS_KEY_MISSING;
-    else if (request->has_many_keys || !is_visible(request->key))
+    else if (request->has_many_keys || !hs_text_is_visible(request->key, TEXT_BYTES_MOST))
         access = HS_ACCESS_KEY_MALFORMED;
     else if ((*tenant = hs_tenant_index_find(config, request->key)) == NULL)
         access = HS_ACCESS_KEY_UNKNOWN;
