--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1556,7 +1556,7 @@
   (ProtobufCMessageInit) hs__owned_partition__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[16] =
 {
   {
     "id",
@@ -1690,24 +1690,89 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cores_permille",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, cores_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "memory_mb",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, memory_mb),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "descriptors",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, descriptors),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_kbps",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, link_kbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "taken_percent",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, taken_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__member_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
   6,   /* field[6] = admin_port */
   8,   /* field[8] = config_offset */
+  11,   /* field[11] = cores_permille */
+  13,   /* field[13] = descriptors */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
   10,   /* field[10] = leaving_engines */
+  14,   /* field[14] = link_kbps */
+  12,   /* field[12] = memory_mb */
   9,   /* field[9] = owned */
   5,   /* field[5] = peer_port */
   3,   /* field[3] = state */
+  15,   /* field[15] = taken_percent */
   2,   /* field[2] = version */
   7,   /* field[7] = zone */
 };
 static const ProtobufCIntRange hs__member_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor hs__member_record__descriptor =
 {
@@ -1717,7 +1782,7 @@
   "Hs__MemberRecord",
   "hs",
   sizeof(Hs__MemberRecord),
-  11,
+  16,
   hs__member_record__field_descriptors,
   hs__member_record__field_indices_by_name,
   1,  hs__member_record__number_ranges,
@@ -2969,7 +3034,7 @@
   (ProtobufCMessageInit) hs__engine_shares__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[8] =
+static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[12] =
 {
   {
     "engine_hash",
@@ -3067,6 +3132,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_events",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, run_events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, run_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowdown_percent",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, slowdown_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowdown_age_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, slowdown_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_use__field_indices_by_name[] = {
   3,   /* field[3] = batch */
@@ -3075,13 +3188,17 @@
   2,   /* field[2] = online */
   7,   /* field[7] = queued_tokens */
   4,   /* field[4] = rank_ms */
+  8,   /* field[8] = run_events */
+  9,   /* field[9] = run_ms */
   5,   /* field[5] = served */
   1,   /* field[1] = slots */
+  11,   /* field[11] = slowdown_age_ms */
+  10,   /* field[10] = slowdown_percent */
 };
 static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor hs__engine_use__descriptor =
 {
@@ -3091,7 +3208,7 @@
   "Hs__EngineUse",
   "hs",
   sizeof(Hs__EngineUse),
-  8,
+  12,
   hs__engine_use__field_descriptors,
   hs__engine_use__field_indices_by_name,
   1,  hs__engine_use__number_ranges,
@@ -3162,7 +3279,7 @@
   (ProtobufCMessageInit) hs__engine_uses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[5] =
+static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[9] =
 {
   {
     "engine_hash",
@@ -3224,18 +3341,70 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "event_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, event_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowdown_percent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, slowdown_percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slowdown_age_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, slowdown_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_total__field_indices_by_name[] = {
+  8,   /* field[8] = age_ms */
   2,   /* field[2] = batch */
   0,   /* field[0] = engine_hash */
+  5,   /* field[5] = event_us */
   3,   /* field[3] = is_failing */
   1,   /* field[1] = online */
   4,   /* field[4] = queued_tokens */
+  7,   /* field[7] = slowdown_age_ms */
+  6,   /* field[6] = slowdown_percent */
 };
 static const ProtobufCIntRange hs__engine_total__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor hs__engine_total__descriptor =
 {
@@ -3245,14 +3414,14 @@
   "Hs__EngineTotal",
   "hs",
   sizeof(Hs__EngineTotal),
-  5,
+  9,
   hs__engine_total__field_descriptors,
   hs__engine_total__field_indices_by_name,
   1,  hs__engine_total__number_ranges,
   (ProtobufCMessageInit) hs__engine_total__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_totals__field_descriptors[1] =
+static const ProtobufCFieldDescriptor hs__engine_totals__field_descriptors[2] =
 {
   {
     "totals",
@@ -3266,14 +3435,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "passed_on",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__EngineTotals, n_passed_on),
+    offsetof(Hs__EngineTotals, passed_on),
+    &hs__engine_total__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_totals__field_indices_by_name[] = {
+  1,   /* field[1] = passed_on */
   0,   /* field[0] = totals */
 };
 static const ProtobufCIntRange hs__engine_totals__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor hs__engine_totals__descriptor =
 {
@@ -3283,7 +3465,7 @@
   "Hs__EngineTotals",
   "hs",
   sizeof(Hs__EngineTotals),
-  1,
+  2,
   hs__engine_totals__field_descriptors,
   hs__engine_totals__field_indices_by_name,
   1,  hs__engine_totals__number_ranges,
@@ -3520,7 +3702,7 @@
   (ProtobufCMessageInit) hs__crash_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__tenant_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor hs__tenant_ask__field_descriptors[6] =
 {
   {
     "sequence",
@@ -3582,6 +3764,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantAsk, used_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__tenant_ask__field_indices_by_name[] = {
   3,   /* field[3] = capacity */
@@ -3589,11 +3783,12 @@
   2,   /* field[2] = rate_per_s */
   0,   /* field[0] = sequence */
   1,   /* field[1] = tenant */
+  5,   /* field[5] = used_ms */
 };
 static const ProtobufCIntRange hs__tenant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor hs__tenant_ask__descriptor =
 {
@@ -3603,14 +3798,14 @@
   "Hs__TenantAsk",
   "hs",
   sizeof(Hs__TenantAsk),
-  5,
+  6,
   hs__tenant_ask__field_descriptors,
   hs__tenant_ask__field_indices_by_name,
   1,  hs__tenant_ask__number_ranges,
   (ProtobufCMessageInit) hs__tenant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__tenant_verdict__field_descriptors[4] =
+static const ProtobufCFieldDescriptor hs__tenant_verdict__field_descriptors[5] =
 {
   {
     "sequence",
@@ -3660,17 +3855,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "used_slots_permille",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TenantVerdict, used_slots_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__tenant_verdict__field_indices_by_name[] = {
   3,   /* field[3] = part */
   1,   /* field[1] = passes */
   2,   /* field[2] = return_ms */
   0,   /* field[0] = sequence */
+  4,   /* field[4] = used_slots_permille */
 };
 static const ProtobufCIntRange hs__tenant_verdict__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor hs__tenant_verdict__descriptor =
 {
@@ -3680,7 +3888,7 @@
   "Hs__TenantVerdict",
   "hs",
   sizeof(Hs__TenantVerdict),
-  4,
+  5,
   hs__tenant_verdict__field_descriptors,
   hs__tenant_verdict__field_indices_by_name,
   1,  hs__tenant_verdict__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -96,10 +96,21 @@
    */
   size_t n_leaving_engines;
   char **leaving_engines;
+  /*
+   * What the member's machine bears; 0: not told, as by older builds.
+   */
+  uint32_t cores_permille;
+  uint32_t memory_mb;
+  uint32_t descriptors;
+  uint32_t link_kbps;
+  /*
+   * Of what it is shortest of, of late.
+   */
+  uint32_t taken_percent;
 };
 #define HS__MEMBER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__member_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Hs__Probe
@@ -404,10 +415,26 @@
    * Of the sender's prompts there that are not read yet.
    */
   uint32_t queued_tokens;
+  /*
+   * What the sender's runs there made in its life, as counts, so that the next word mends a lost one.
+   */
+  /*
+   * Events after the first of each run,
+   */
+  uint64_t run_events;
+  /*
+   * and the time they took.
+   */
+  uint64_t run_ms;
+  /*
+   * The engine's own latest word on how long work takes there, 100: as usual. 0: it told none.
+   */
+  uint32_t slowdown_percent;
+  uint32_t slowdown_age_ms;
 };
 #define HS__ENGINE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Hs__EngineUses
@@ -440,10 +467,23 @@
    */
   protobuf_c_boolean is_failing;
   uint32_t queued_tokens;
+  /*
+   * Time that an event takes there, by what all daemons told; 0: not known.
+   */
+  uint32_t event_us;
+  /*
+   * The engine's own latest word on how long work takes there, 100: as usual. 0: it told none.
+   */
+  uint32_t slowdown_percent;
+  uint32_t slowdown_age_ms;
+  /*
+   * Of a word that is passed on: since the arbiter said it.
+   */
+  uint32_t age_ms;
 };
 #define HS__ENGINE_TOTAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_total__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Hs__EngineTotals
@@ -451,10 +491,15 @@
   ProtobufCMessage base;
   size_t n_totals;
   Hs__EngineTotal **totals;
+  /*
+   * Words on other engines that the sender has; the receiver may know fresher ones.
+   */
+  size_t n_passed_on;
+  Hs__EngineTotal **passed_on;
 };
 #define HS__ENGINE_TOTALS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_totals__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
@@ -549,10 +594,14 @@
    * by this version; of two the newer one counts.
    */
   uint64_t config_version;
+  /*
+   * Time in ms of engines' slots that the sender's requests of the tenant took in the sender's life.
+   */
+  uint64_t used_ms;
 };
 #define HS__TENANT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__tenant_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Hs__TenantVerdict
@@ -568,10 +617,14 @@
    * Of the limit, which the home lets pass.
    */
   double part;
+  /*
+   * Engines' slots that the tenant's requests hold of late, in thousandths; 0: not known.
+   */
+  uint32_t used_slots_permille;
 };
 #define HS__TENANT_VERDICT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__tenant_verdict__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -136,6 +136,8 @@
     uint32_t running;
     uint32_t waiting;
     uint32_t slots;
+    uint32_t slowdown_percent; /**< How long work takes there at present, 100: as usual; 0: not
+                                    told. */
 } hs_engine_load;
 
 /** Time from the monotonic clock, in ms, after which nobody waits any more. */
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -94,7 +94,36 @@
                                   .rank_ms = told->rank_ms,
                                   .served = told->served,
                                   .failed = told->failed,
-                                  .queued_tokens = told->queued_tokens}};
+                                  .queued_tokens = told->queued_tokens,
+                                  .run_events = told->run_events,
+                                  .run_ms = told->run_ms,
+                                  .slowdown_percent = told->slowdown_percent,
+                                  .slowdown_age_ms = told->slowdown_age_ms}};
+}
+
+static void write_total(const hs_engine_total *total, Hs__EngineTotal *told) {
+    hs__engine_total__init(told);
+    told->engine_hash = total->engine_hash;
+    told->online = total->online;
+    told->batch = total->batch;
+    told->queued_tokens = total->queued_tokens;
+    told->is_failing = total->is_failing;
+    told->event_us = total->event_us;
+    told->slowdown_percent = total->slowdown_percent;
+    told->slowdown_age_ms = total->slowdown_age_ms;
+    told->age_ms = total->age_ms;
+}
+
+static hs_engine_total read_total(const Hs__EngineTotal *told) {
+    return (hs_engine_total){.engine_hash = told->engine_hash,
+                             .online = told->online,
+                             .batch = told->batch,
+                             .queued_tokens = told->queued_tokens,
+                             .is_failing = told->is_failing,
+                             .event_us = told->event_us,
+                             .slowdown_percent = told->slowdown_percent,
+                             .slowdown_age_ms = told->slowdown_age_ms,
+                             .age_ms = told->age_ms};
 }
 
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
@@ -105,12 +134,7 @@
     for (size_t index = 0; index < uses->n_uses; index++) {
         hs_slot_word word = word_from(message, uses->uses[index]);
         hs_engine_total sum = take_word(arbiter, &word);
-        hs__engine_total__init(&totals[index]);
-        totals[index].engine_hash = sum.engine_hash;
-        totals[index].online = sum.online;
-        totals[index].batch = sum.batch;
-        totals[index].queued_tokens = sum.queued_tokens;
-        totals[index].is_failing = sum.is_failing;
+        write_total(&sum, &totals[index]);
         list[index] = &totals[index];
     }
     if (!uses->wants_totals)
@@ -127,12 +151,7 @@
 
 static void take_totals(hs_slot_arbiter *arbiter, const Hs__EngineTotals *told) {
     for (size_t index = 0; index < told->n_totals; index++) {
-        const Hs__EngineTotal *one = told->totals[index];
-        hs_engine_total total = {.engine_hash = one->engine_hash,
-                                 .online = one->online,
-                                 .batch = one->batch,
-                                 .queued_tokens = one->queued_tokens,
-                                 .is_failing = one->is_failing};
+        hs_engine_total total = read_total(told->totals[index]);
         hs_fleet_engines_put_total(arbiter->engines, &total);
     }
 }
@@ -179,6 +198,10 @@
         told[index].served = uses[index].served;
         told[index].failed = uses[index].failed;
         told[index].queued_tokens = uses[index].queued_tokens;
+        told[index].run_events = uses[index].run_events;
+        told[index].run_ms = uses[index].run_ms;
+        told[index].slowdown_percent = uses[index].slowdown_percent;
+        told[index].slowdown_age_ms = uses[index].slowdown_age_ms;
         list[index] = &told[index];
     }
     Hs__EngineUses body = HS__ENGINE_USES__INIT;
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -27,6 +27,7 @@
     bool suspected;
     bool same_zone;
     bool is_connected; /**< A kept connection is there. */
+    double pace;       /**< See hs_engine_pace_factor; 0: not known, taken as 1. */
 } hs_engine_candidate;
 
 /** Speeds of a service's engines, as observed. */
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -3,6 +3,7 @@
 #define HS_FLEET_FLEET_ENGINE_H
 
 #include "fleet/engine_choice.h"
+#include "fleet/engine_pace.h"
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
 
@@ -48,6 +49,7 @@
     uint32_t failed_count; /**< The same that failed. */
     uint64_t left_ms;      /**< When the last request of this daemon ended there; 0: never. */
     uint64_t excess_since_ms; /**< More than its slots are believed taken since; 0: not. */
+    hs_engine_pace pace;
     hs_prefix_index *prefixes;
     GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
     GQueue idle;             /**< of idle_connection*; the latest used last. */
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -7,6 +7,7 @@
 #define HS_FLEET_FLEET_ENGINES_H
 
 #include "fleet/crash_watch.h"
+#include "fleet/service_pressure.h"
 #include "heathsail/fleet.h"
 #include "http/client_connection.h"
 
@@ -76,10 +77,14 @@
     uint32_t slots;    /**< The engine's. */
     uint32_t online;
     uint32_t batch;
-    int32_t rank_ms;        /**< Highest of its batch items there; see hs_engine_query. */
-    uint32_t served;        /**< Requests that ended well there so far. */
-    uint32_t failed;        /**< The same that failed. */
-    uint32_t queued_tokens; /**< Of prompts there that are not read yet. */
+    int32_t rank_ms;           /**< Highest of its batch items there; see hs_engine_query. */
+    uint32_t served;           /**< Requests that ended well there so far. */
+    uint32_t failed;           /**< The same that failed. */
+    uint32_t queued_tokens;    /**< Of prompts there that are not read yet. */
+    uint64_t run_events;       /**< That its runs there made so far, after the first of each, */
+    uint64_t run_ms;           /**< and the time they took. */
+    uint32_t slowdown_percent; /**< See hs_engine_load; the engine's latest word. 0: none. */
+    uint32_t slowdown_age_ms;
 } hs_engine_use;
 
 /** Called without a lock when a use changed; @p started: by a request that begins. */
@@ -218,6 +223,7 @@
     uint64_t absent_ms; /**< How long there has been no engine; 0: there is one. */
     uint64_t last_absence_ms; /**< How long the last such time was; 0: none was seen. */
     uint64_t listed_age_ms;   /**< Since the store's last word on any of its engines. */
+    hs_service_pressure pressure;
 } hs_service_outlook;
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
@@ -266,6 +272,10 @@
     uint32_t batch;
     uint32_t queued_tokens; /**< Of prompts that are not read yet. */
     bool is_failing;        /**< The receiver's request should go elsewhere; see engine_health.h. */
+    uint32_t event_us; /**< Time that an event takes there, by all daemons' runs; 0: unknown. */
+    uint32_t slowdown_percent; /**< See hs_engine_load; the engine's latest word. 0: none. */
+    uint32_t slowdown_age_ms;
+    uint32_t age_ms; /**< Since the arbiter said it; above 0 where another daemon passed it on. */
 } hs_engine_total;
 
 /** Take an arbiter's word. */
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -38,6 +38,15 @@
     bool has_ready_items;
 } hs_owned_partition;
 
+/** What a member's machine bears, as it tells; 0: not told. */
+typedef struct {
+    uint32_t cores_permille; /**< Of one core. */
+    uint32_t memory_mb;
+    uint32_t descriptors;
+    uint32_t link_kbps;
+    uint32_t taken_percent; /**< Of what it is shortest of, of late. */
+} hs_member_size;
+
 typedef struct {
     char *id;
     char *zone;
@@ -50,6 +59,7 @@
     uint64_t config_offset;
     GArray *owned;              /**< of hs_owned_partition */
     GPtrArray *leaving_engines; /**< of char*: engines it knows at first hand to leave */
+    hs_member_size size;
     uint64_t state_since_ms;
     uint32_t sent_count; /**< Times this account rode on a message. */
 } hs_member;
--- /dev/null
+++ b/src/online/fair_claim.h
@@ -0,0 +1,27 @@
+/**
+ * @file fair_claim.h
+ * Whose request goes first, and whose is refused first, while a service is short of places. Pure.
+ *
+ * Max-min fair by what is used, not by requests: a claim whose group (a tenant; without tenants a
+ * route and its callers' zone) holds little of the engines' slots of late goes before one whose
+ * group holds much.
+ */
+#ifndef HS_ONLINE_FAIR_CLAIM_H
+#define HS_ONLINE_FAIR_CLAIM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** One request that wants a place. */
+typedef struct {
+    double used_slots;   /**< Slots that its group holds of late, over all daemons; 0: not known. */
+    uint32_t rank;       /**< Of its kind; 0 is the most urgent. */
+    bool is_in_time;     /**< It can still be answered within its objective. */
+    uint64_t arrived_ms; /**< When it came. */
+    uint64_t deadline_ms;
+} hs_fair_claim;
+
+/** Below 0: @p one goes first; above 0: @p other. */
+int hs_fair_claim_compare(const hs_fair_claim *one, const hs_fair_claim *other);
+
+#endif
