--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -93,6 +93,11 @@
     int64_t fleet_once_unacknowledged_ms;
     int64_t fleet_once_idle_ms;
     double fleet_limit_slack;
+    double fleet_cores;
+    double fleet_cpu_share;
+    int64_t fleet_memory_mb;
+    int64_t fleet_descriptors;
+    double fleet_link_mbps;
     int64_t fleet_strict_revoke;
     int64_t fleet_revoke_ms;
     double fleet_grace_s;
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -17,6 +17,8 @@
 #include <string.h>
 
 #define MS_PER_S 1000.0
+#define PERMILLE 1000.0
+#define KBITS_PER_MBIT 1000.0
 #define PROBE_INTERVAL_MS 300
 /** The group drops a silent daemon after so many of its shortest times. */
 #define GROUP_TTL_FACTOR 3
@@ -90,6 +92,16 @@
     return known && is_awake(daemon);
 }
 
+/** What the machine bears by the settings, where they tell it. */
+static hs_member_size size_of(const hs_settings *settings) {
+    return (hs_member_size){
+        .cores_permille =
+            (uint32_t)lround(settings->fleet_cores * settings->fleet_cpu_share * PERMILLE),
+        .memory_mb = (uint32_t)settings->fleet_memory_mb,
+        .descriptors = (uint32_t)settings->fleet_descriptors,
+        .link_kbps = (uint32_t)lround(settings->fleet_link_mbps * KBITS_PER_MBIT)};
+}
+
 static bool make_directory(hs_fleet_daemon *daemon, hs_error *error) {
     const hs_settings *settings = daemon->settings;
     hs_endpoint control = endpoint_of(settings->fleet_control);
@@ -107,6 +119,7 @@
                                               .crash_watch = daemon->crash_watch,
                                               .limit_tolerance =
                                                   settings->fleet_limit_slack * TOLERATED_SHARE,
+                                              .size = size_of(settings),
                                               .may_join = may_serve,
                                               .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -188,6 +188,17 @@
         "fleet", "limit_slack", fleet_limit_slack, "requests", 0, 1000000, "0",
         "Requests that the operator bears beyond a tenant's limit. Half of them are let pass at "
         "one time above its burst; the other half is for daemons that are lost or cut off."),
+    DECIMAL("fleet", "cores", fleet_cores, "cores", 0, 4096, "0",
+            "Processors of the machine. 0: not told; see fleet.link_mbps."),
+    DECIMAL("fleet", "cpu_share", fleet_cpu_share, "share", 0, 1, "1",
+            "Part of them that this daemon gets."),
+    NUMBER("fleet", "memory_mb", fleet_memory_mb, "MB", 0, 16777216, 0,
+           "Memory that the machine gives this daemon. 0: not told."),
+    NUMBER("fleet", "descriptors", fleet_descriptors, "count", 0, 100000000, 0,
+           "Descriptors that this daemon may have. 0: not told."),
+    DECIMAL("fleet", "link_mbps", fleet_link_mbps, "Mbit/s", 0, 4000000, "0",
+            "The machine's link. 0: not told. Where daemons tell these four, callers are told to "
+            "use them by what their machines bear."),
     NUMBER("fleet", "strict_revoke", fleet_strict_revoke, "0 or 1", 0, 1, 0,
            "1: while the store does not tell which keys are in force, none opens anything after "
            "fleet.revoke_ms, and streams of a key that was taken away end. 0: the last keys known "
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -8,6 +8,7 @@
 #include "base/stop_wait.h"
 #include "directory/crash_exchange.h"
 #include "directory/crash_store.h"
+#include "directory/machine_load.h"
 #include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
@@ -54,7 +55,9 @@
     gint resolve_ttl_s;
     uint64_t started_ms;
     uint64_t next_shares_ms;
-    guint next_peer; /**< Where the next round of shares begins. */
+    guint next_peer;      /**< Where the next round of shares begins. */
+    hs_machine_load load; /**< Of the ticker's thread. */
+    gint taken_percent;   /**< As it was told last. */
     GMutex lock;
     hs_stop_wait pause;
     gint leaving;
@@ -123,7 +126,8 @@
                       .incarnation = hs_clock_wall_ms(),
                       .address = hs_endpoint_address(settings->address),
                       .peer_port = settings->peer_port,
-                      .admin_port = settings->front_port};
+                      .admin_port = settings->front_port,
+                      .size = settings->size};
     uint32_t probe_ms = settings->probe_interval_ms;
     hs_membership_service_settings service_settings = {
         .probe_interval_ms = probe_ms,
@@ -326,6 +330,28 @@
     send_in_turn(directory, peers, self_owns, &message);
 }
 
+/** Pause between two rounds, and note how late it ended; false when the duty is to end. */
+static bool pause_round(hs_daemon_directory *directory) {
+    uint64_t due_ms = hs_clock_monotonic_ms() + TICK_MS;
+    bool goes_on = hs_stop_wait_pause(&directory->pause, TICK_MS);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_machine_load_note(&directory->load, now_ms > due_ms ? (double)(now_ms - due_ms) : 0);
+    return goes_on;
+}
+
+/** Tell the others where much more, or less, of this machine is taken than they know. */
+static void tell_taken(hs_daemon_directory *directory, uint64_t now_ms) {
+    uint32_t taken = hs_machine_load_taken_percent(&directory->load, now_ms);
+    if ((gint)taken == g_atomic_int_get(&directory->taken_percent))
+        return;
+    hs_log_info("machine_load", "taken_percent=%u before=%d late_ms=%.1f", taken,
+                g_atomic_int_get(&directory->taken_percent), directory->load.late_ms);
+    g_atomic_int_set(&directory->taken_percent, (gint)taken);
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_tell_taken(membership, taken);
+    hs_membership_service_unlock(directory->membership);
+}
+
 static gpointer run_ticker(gpointer data) {
     hs_daemon_directory *directory = data;
     hs_wake_watch_look(directory->settings.wakes);
@@ -338,8 +364,9 @@
     directory->started_ms = hs_clock_monotonic_ms();
     g_atomic_int_set(&directory->joined, 1);
     propose_seeds(directory);
-    while (hs_stop_wait_pause(&directory->pause, TICK_MS)) {
+    while (pause_round(directory)) {
         uint64_t now_ms = hs_clock_monotonic_ms();
+        tell_taken(directory, now_ms);
         hs_wake_watch_look(directory->settings.wakes);
         hs_membership_service_tick(directory->membership, now_ms);
         hs_crash_exchange_tick(directory->crashes, now_ms);
@@ -386,16 +413,22 @@
     g_free(directory);
 }
 
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone) {
+uint32_t hs_daemon_directory_taken_percent(hs_daemon_directory *directory) {
+    return (uint32_t)g_atomic_int_get(&directory->taken_percent);
+}
+
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
+                                   uint32_t caller) {
     if (g_atomic_int_get(&directory->joined) == 0)
         return NULL;
     bool is_settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     bool knows_others = hs_membership_live_count(membership) > 1;
     char **addresses = NULL;
+    hs_resolve_query query = {
+        .zone = zone, .caller = caller, .without_self = g_atomic_int_get(&directory->leaving) != 0};
     if (knows_others || is_settled)
-        addresses =
-            hs_resolve_addresses(membership, zone, g_atomic_int_get(&directory->leaving) != 0);
+        addresses = hs_resolve_addresses(membership, &query);
     hs_membership_service_unlock(directory->membership);
     return addresses;
 }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -31,6 +31,7 @@
     hs_wake_watch *wakes;              /**< Looks with each round of the ticker. */
     hs_crash_watch *crash_watch;       /**< What they know of crashes goes here. */
     double limit_tolerance;            /**< See hs_tenant_limiter_new. */
+    hs_member_size size;               /**< Of its machine. */
     bool (*may_join)(void *user_data); /**< Whether this daemon could serve; it joins then. */
     void *user_data;
 } hs_daemon_directory_settings;
@@ -52,8 +53,15 @@
 /** Stop the threads (the store client was abandoned before) and free. NULL is allowed. */
 void hs_daemon_directory_free(hs_daemon_directory *directory);
 
-/** Daemons a caller of @p zone should use: "IPv4:port" texts, NULL-terminated; NULL: not known. */
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone);
+/**
+ * Daemons that a caller should use, at the IPv4 number @p caller (host order) in @p zone (NULL: not
+ * told): "IPv4:port" texts, NULL-terminated; NULL: not known.
+ */
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
+                                   uint32_t caller);
+
+/** Of the processor of this daemon's machine, in percent, as it tells the others. */
+uint32_t hs_daemon_directory_taken_percent(hs_daemon_directory *directory);
 
 /** Where a daemon hears others: TCP and UDP at one port. */
 typedef struct {
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -92,10 +92,21 @@
     return MHD_YES;
 }
 
+/** The caller's end of its connection; NULL: not known. */
+static const struct sockaddr_in *caller_of(const hs_inbound *inbound) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(inbound->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == NULL || info->client_addr->sa_family != AF_INET)
+        return NULL;
+    return (const struct sockaddr_in *)(const void *)info->client_addr;
+}
+
 static void take_head(hs_inbound *inbound, const char *method, const char *version) {
     inbound->lacks_chunks = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
     inbound->method = g_strdup(method);
     inbound->received_ms = hs_clock_monotonic_ms();
+    const struct sockaddr_in *caller = caller_of(inbound);
+    inbound->caller_address = caller != NULL ? ntohl(caller->sin_addr.s_addr) : 0;
     MHD_get_connection_values(inbound->connection, MHD_HEADER_KIND, take_field, inbound->fields);
     inbound->descriptor = hs_caller_connections_watched(inbound->listener->connections,
                                                         connection_of(inbound->connection));
@@ -113,11 +124,9 @@
 
 /** Whether the request comes from the listener's own process; see hs_listener_expect_own. */
 static bool is_own(const hs_inbound *inbound) {
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(inbound->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-    if (info == NULL || info->client_addr->sa_family != AF_INET)
+    const struct sockaddr_in *caller = caller_of(inbound);
+    if (caller == NULL)
         return false;
-    const struct sockaddr_in *caller = (const struct sockaddr_in *)(const void *)info->client_addr;
     g_mutex_lock(&inbound->listener->lock);
     const struct sockaddr_in *own = &inbound->listener->own_caller;
     bool same = own->sin_port != 0 && own->sin_port == caller->sin_port &&
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -23,10 +23,11 @@
 /** One request as it came; owned by the listener, valid until the answer has ended. */
 typedef struct {
     char *method;
-    char *target;     /**< Path and query, undecoded. */
-    GArray *fields;   /**< of hs_http_field, in their order. */
-    GByteArray *body; /**< Whole. */
-    int descriptor;   /**< The caller's socket, to be watched only (base/peer_watch.h); -1: none. */
+    char *target;            /**< Path and query, undecoded. */
+    GArray *fields;          /**< of hs_http_field, in their order. */
+    GByteArray *body;        /**< Whole. */
+    uint32_t caller_address; /**< IPv4 number in host order; 0: not known. */
+    int descriptor; /**< The caller's socket, to be watched only (base/peer_watch.h); -1: none. */
     bool is_too_large;
     bool lacks_chunks; /**< HTTP/1.0: a body of unknown length ends with the connection. */
     bool answered;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -50,6 +50,7 @@
     own->address = self->address;
     own->peer_port = self->peer_port;
     own->admin_port = self->admin_port;
+    own->size = self->size;
     membership->self = own;
     return membership;
 }
@@ -115,6 +116,13 @@
     raise_own_version(membership);
 }
 
+void hs_membership_tell_taken(hs_membership *membership, uint32_t taken_percent) {
+    if (membership->self->size.taken_percent == taken_percent)
+        return;
+    membership->self->size.taken_percent = taken_percent;
+    raise_own_version(membership);
+}
+
 void hs_membership_leave(hs_membership *membership) {
     membership->self->state = HS_MEMBER_LEAVING;
     membership->live_version++;
@@ -197,6 +205,8 @@
 }
 
 static bool same_owned_as_record(const hs_member *member, const Hs__MemberRecord *record) {
+    if (member->size.taken_percent != record->taken_percent)
+        return false;
     if (member->owned->len != record->n_owned ||
         member->leaving_engines->len != record->n_leaving_engines)
         return false;
@@ -213,6 +223,26 @@
     return true;
 }
 
+static bool is_size_told(const hs_member_size *size) {
+    return size->cores_permille > 0 || size->memory_mb > 0;
+}
+
+static hs_member_size size_of_record(const Hs__MemberRecord *record) {
+    return (hs_member_size){.cores_permille = record->cores_permille,
+                            .memory_mb = record->memory_mb,
+                            .descriptors = record->descriptors,
+                            .link_kbps = record->link_kbps,
+                            .taken_percent = record->taken_percent};
+}
+
+/** An older build passes an account on without the size: it is kept, or taken from an account that
+ * says nothing else new. */
+static void copy_size(hs_member *member, const Hs__MemberRecord *record) {
+    hs_member_size size = size_of_record(record);
+    if (is_size_told(&size))
+        member->size = size;
+}
+
 static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
     member->incarnation = record->incarnation;
     member->version = record->version;
@@ -226,6 +256,7 @@
         member->zone = g_strdup(record->zone);
     }
     member->config_offset = record->config_offset;
+    copy_size(member, record);
     g_array_set_size(member->owned, 0);
     for (size_t index = 0; index < record->n_owned; index++) {
         hs_owned_partition owned = {.partition = record->owned[index]->partition,
@@ -249,8 +280,13 @@
         member = add_member(membership, record->id);
         member->state = HS_MEMBER_PROPOSED;
     }
-    if (!overtakes(member, record))
+    if (!overtakes(member, record)) {
+        bool is_same =
+            record->incarnation == member->incarnation && record->version == member->version;
+        if (is_same && !is_size_told(&member->size))
+            copy_size(member, record);
         return false;
+    }
     bool was_live = hs_member_is_live(member);
     uint32_t sent_count = member->sent_count;
     /* A new configuration offset alone is not passed on: each member says its own with every
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -89,6 +89,9 @@
 /** Our own account. Borrowed. */
 const hs_member *hs_membership_self(const hs_membership *membership);
 
+/** Tell how much of what this member's machine is shortest of is taken, in percent. */
+void hs_membership_tell_taken(hs_membership *membership, uint32_t taken_percent);
+
 /** Change what we say of ourselves; raises our version when something changed. */
 void hs_membership_update_self(hs_membership *membership, uint64_t config_offset,
                                const GArray *owned, const GPtrArray *leaving_engines);
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -250,7 +250,7 @@
         return;
     }
     hs_daemon_directory *members = surface->settings.members;
-    g_auto(GStrv) addresses = hs_daemon_directory_resolve(members, zone);
+    g_auto(GStrv) addresses = hs_daemon_directory_resolve(members, zone, inbound->caller_address);
     if (addresses == NULL) {
         reply_status(inbound, 503);
         return;
--- /dev/null
+++ b/tests/unit/test_callers.c
@@ -0,0 +1,230 @@
+/**
+ * @file test_callers.c
+ * Callers spread over machines of unequal size: 360 daemons of three sizes, 3,000 callers that each
+ * keep to the daemons they are named.
+ */
+#include "base/hash.h"
+#include "directory/caller_choice.h"
+#include "directory/machine_load.h"
+#include "directory/resolve_addresses.h"
+#include "tests/unit/unit_tests.h"
+
+#include <math.h>
+#include <string.h>
+
+#define DAEMONS 360
+#define CALLERS 3000
+#define NAMED_MOST 64
+#define ZONE "zone-a"
+
+static const hs_member_size sizes[] = {
+    {.cores_permille = 500, .memory_mb = 512, .descriptors = 8200, .link_kbps = 600000},
+    {.cores_permille = 300, .memory_mb = 400, .descriptors = 10250, .link_kbps = 75000},
+    {.cores_permille = 90, .memory_mb = 120, .descriptors = 3075, .link_kbps = 22000},
+};
+
+typedef struct {
+    hs_member_size size;
+    bool is_lost;
+    double callers; /**< Requests of all callers that it gets, one a caller. */
+} machine;
+
+static void make_machines(machine *machines) {
+    memset(machines, 0, sizeof(machine) * DAEMONS);
+    for (int index = 0; index < DAEMONS; index++)
+        machines[index].size = sizes[index % 3];
+}
+
+/** Each caller spreads over the daemons that it is named. */
+static void spread(machine *machines, uint32_t *named_least) {
+    hs_caller_choice choices[DAEMONS];
+    *named_least = UINT32_MAX;
+    for (int index = 0; index < DAEMONS; index++)
+        machines[index].callers = 0;
+    for (uint64_t caller = 1; caller <= CALLERS; caller++) {
+        size_t count = 0;
+        uint32_t named = 0;
+        for (int index = 0; index < DAEMONS; index++)
+            if (!machines[index].is_lost)
+                choices[count++] = (hs_caller_choice){
+                    .daemon = (uint64_t)index + 1,
+                    .capacity = hs_caller_capacity(&machines[index].size),
+                };
+        hs_caller_choice_make(choices, count, caller, NAMED_MOST);
+        for (size_t place = 0; place < count; place++)
+            named += choices[place].is_chosen;
+        for (size_t place = 0; place < count; place++)
+            if (choices[place].is_chosen)
+                machines[choices[place].daemon - 1].callers += 1.0 / named;
+        *named_least = MIN(*named_least, named);
+    }
+}
+
+/** The most callers for what a machine bears, beside the mean of all. */
+static double worst_share(const machine *machines) {
+    double callers = 0;
+    double capacity = 0;
+    double worst = 0;
+    for (int index = 0; index < DAEMONS; index++)
+        if (!machines[index].is_lost) {
+            callers += machines[index].callers;
+            capacity += hs_caller_capacity(&machines[index].size);
+        }
+    for (int index = 0; index < DAEMONS; index++)
+        if (!machines[index].is_lost)
+            worst = fmax(worst, machines[index].callers /
+                                    hs_caller_capacity(&machines[index].size) * capacity / callers);
+    return worst;
+}
+
+static void machines_get_callers_by_what_they_bear(void) {
+    machine machines[DAEMONS];
+    uint32_t named = 0;
+    make_machines(machines);
+    spread(machines, &named);
+    CU_ASSERT_TRUE(worst_share(machines) <= 1.3);
+    CU_ASSERT_TRUE(named >= 4);
+    for (int index = 0; index < DAEMONS; index += 2)
+        machines[index].is_lost = true;
+    spread(machines, &named);
+    CU_ASSERT_TRUE(worst_share(machines) <= 1.3);
+}
+
+static void slow_machines_get_fewer(void) {
+    machine machines[DAEMONS];
+    uint32_t named = 0;
+    make_machines(machines);
+    spread(machines, &named);
+    double before = machines[0].callers;
+    for (int index = 0; index < 20; index++)
+        machines[index * 3].size.taken_percent = 75;
+    spread(machines, &named);
+    CU_ASSERT_TRUE(machines[0].callers < before / 2);
+    CU_ASSERT_TRUE(machines[0].callers > 0);
+    CU_ASSERT_TRUE(worst_share(machines) <= 1.3);
+}
+
+static void a_caller_keeps_its_daemons(void) {
+    hs_caller_choice before[DAEMONS];
+    hs_caller_choice after[DAEMONS];
+    for (int index = 0; index < DAEMONS; index++)
+        before[index] = (hs_caller_choice){.daemon = (uint64_t)index + 1,
+                                           .capacity = hs_caller_capacity(&sizes[index % 3])};
+    memcpy(after, before, sizeof before);
+    after[1].capacity /= 4;
+    hs_caller_choice_make(before, DAEMONS, 7, NAMED_MOST);
+    hs_caller_choice_make(after, DAEMONS, 7, NAMED_MOST);
+    int changed = 0;
+    for (int index = 0; index < DAEMONS; index++)
+        changed += before[index].is_chosen != after[index].is_chosen;
+    CU_ASSERT_TRUE(changed <= 2);
+}
+
+/** Fewer than four are all named; sizes that nobody told decide nothing. */
+static void few_or_unknown_machines_are_all_named(void) {
+    hs_caller_choice choices[8];
+    for (int index = 0; index < 8; index++)
+        choices[index] = (hs_caller_choice){.daemon = (uint64_t)index + 1};
+    CU_ASSERT_TRUE(hs_caller_choice_is_even(choices, 8));
+    hs_caller_choice_make(choices, 8, 3, NAMED_MOST);
+    for (int index = 0; index < 8; index++)
+        CU_ASSERT_TRUE(choices[index].is_chosen);
+    choices[0].capacity = 1000;
+    choices[1].capacity = 1;
+    choices[2].capacity = 1;
+    CU_ASSERT_FALSE(hs_caller_choice_is_even(choices, 3));
+    hs_caller_choice_make(choices, 3, 3, NAMED_MOST);
+    for (int index = 0; index < 3; index++)
+        CU_ASSERT_TRUE(choices[index].is_chosen);
+    CU_ASSERT_EQUAL(hs_caller_capacity(&(hs_member_size){0}), 0);
+}
+
+static Hs__MemberRecord account(const char *id, uint32_t version, const hs_member_size *size) {
+    Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
+    record.id = (char *)id;
+    record.zone = (char *)ZONE;
+    record.incarnation = 1;
+    record.version = version;
+    record.address = 0x0a000000 + version;
+    record.peer_port = 1;
+    record.admin_port = 2;
+    if (size != NULL) {
+        record.cores_permille = size->cores_permille;
+        record.memory_mb = size->memory_mb;
+        record.taken_percent = size->taken_percent;
+    }
+    return record;
+}
+
+/** An older build passes accounts on without sizes: what is known stays, and is filled in later. */
+static void a_size_outlives_an_older_teller(void) {
+    static const hs_membership_settings settings = {.forget_ms = 1000};
+    hs_member self = {.id = (char *)"self", .zone = (char *)ZONE, .size = sizes[0]};
+    hs_membership *membership = hs_membership_new(&self, &settings, 1);
+    Hs__MemberRecord without = account("b", 3, NULL);
+    Hs__MemberRecord with = account("b", 3, &sizes[2]);
+    hs_membership_learn(membership, &without, HS_ACCOUNT_NEWS, 1);
+    CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->size.cores_permille, 0);
+    hs_membership_learn(membership, &with, HS_ACCOUNT_NEWS, 2);
+    CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->size.cores_permille, 90);
+    without.version = 4;
+    hs_membership_learn(membership, &without, HS_ACCOUNT_NEWS, 3);
+    CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->size.cores_permille, 90);
+    CU_ASSERT_EQUAL(hs_membership_self(membership)->size.cores_permille, 500);
+    hs_membership_free(membership);
+}
+
+/** Machines that are alike are named as ever: all of the zone, and many by chance. */
+static void like_machines_are_named_by_chance(void) {
+    static const hs_membership_settings settings = {.forget_ms = 1000};
+    hs_member self = {.id = (char *)"self", .zone = (char *)ZONE, .size = sizes[0]};
+    hs_membership *membership = hs_membership_new(&self, &settings, 1);
+    for (uint32_t index = 0; index < 90; index++) {
+        g_autofree char *id = g_strdup_printf("daemon-%u", index);
+        Hs__MemberRecord record = account(id, index + 1, &sizes[0]);
+        hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 1);
+    }
+    hs_resolve_query query = {.zone = ZONE, .caller = 1, .without_self = true};
+    g_auto(GStrv) one = hs_resolve_addresses(membership, &query);
+    g_auto(GStrv) other = hs_resolve_addresses(membership, &query);
+    CU_ASSERT_EQUAL(g_strv_length(one), NAMED_MOST);
+    CU_ASSERT_EQUAL(g_strv_length(other), NAMED_MOST);
+    guint same = 0;
+    for (guint index = 0; index < NAMED_MOST; index++)
+        same += g_strv_contains((const char *const *)one, other[index]);
+    CU_ASSERT_TRUE(same < NAMED_MOST);
+    hs_membership_free(membership);
+}
+
+static void a_pressed_machine_says_so_and_takes_it_back(void) {
+    hs_machine_load load = {0};
+    uint64_t now_ms = 1000;
+    uint32_t changes = 0;
+    uint32_t before = 0;
+    for (int round = 0; round < 750; round++, now_ms += 80) {
+        bool is_slow = round >= 100 && round < 400;
+        hs_machine_load_note(&load, is_slow ? 30.0 + round % 5 : round % 3);
+        uint32_t taken = hs_machine_load_taken_percent(&load, now_ms);
+        changes += taken != before;
+        before = taken;
+        if (round == 90)
+            CU_ASSERT_EQUAL(taken, 0);
+        if (round == 200)
+            CU_ASSERT_TRUE(taken >= 50);
+    }
+    CU_ASSERT_EQUAL(before, 0);
+    CU_ASSERT_TRUE(changes <= 6);
+    hs_machine_load_note(&load, 3000);
+    CU_ASSERT_TRUE(load.late_ms < 5);
+}
+
+const test_case caller_tests[] = {
+    {"machines_get_callers_by_what_they_bear", machines_get_callers_by_what_they_bear},
+    {"slow_machines_get_fewer", slow_machines_get_fewer},
+    {"a_caller_keeps_its_daemons", a_caller_keeps_its_daemons},
+    {"few_or_unknown_machines_are_all_named", few_or_unknown_machines_are_all_named},
+    {"a_size_outlives_an_older_teller", a_size_outlives_an_older_teller},
+    {"like_machines_are_named_by_chance", like_machines_are_named_by_chance},
+    {"a_pressed_machine_says_so_and_takes_it_back", a_pressed_machine_says_so_and_takes_it_back},
+    {NULL, NULL},
+};
