--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -138,8 +138,17 @@
     uint32_t slots;
     uint32_t slowdown_percent; /**< How long work takes there at present, 100: as usual; 0: not
                                     told. */
+    bool is_slowdown_rejected; /**< It told what no engine can mean: slowdown_percent is 0. */
 } hs_engine_load;
 
+/**
+ * Bounds in percent of what an engine can mean by its slowdown. A machine that was shared and is
+ * not any more gains a few times; at a hundredth of its pace every request there is late, which
+ * failures tell anyway.
+ */
+#define HS_SLOWDOWN_LEAST_PERCENT 10
+#define HS_SLOWDOWN_MOST_PERCENT 10000
+
 /** Time from the monotonic clock, in ms, after which nobody waits any more. */
 typedef uint64_t hs_deadline;
 
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -121,6 +121,8 @@
                                engine->entry.id, hs_fleet_engine_running(engine, now_ms),
                                engine->entry.id, hs_fleet_engine_is_suspected(engine, now_ms));
     }
+    g_string_append_printf(text, "heathsail_engine_slowdowns_rejected %" G_GUINT64_FORMAT "\n",
+                           (guint64)engines->slowdowns_rejected);
     g_mutex_unlock(&engines->lock);
     return g_string_free(text, FALSE);
 }
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -203,6 +203,7 @@
     if (!load->present)
         return;
     g_mutex_lock(&lease->engines->lock);
+    lease->engines->slowdowns_rejected += load->is_slowdown_rejected;
     lease->engine->load = *load;
     lease->engine->load_ms = hs_clock_monotonic_ms();
     lease->engine->load_own = (double)lease->engine->online + lease->engine->batch;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -69,7 +69,8 @@
     uint64_t summed_ms;        /**< When peers' words were summed last; 0: they changed. */
     uint64_t turn;
     uint64_t connects;
-    uint64_t misplaced; /**< See hs_fleet_engines_misplaced. */
+    uint64_t misplaced;          /**< See hs_fleet_engines_misplaced. */
+    uint64_t slowdowns_rejected; /**< Words on their own pace that no engine can mean. */
     uint64_t use_sequence;
     uint64_t batch_work_ms;      /**< Own; see hs_fleet_engines_set_batch_work. */
     GCond totals_told;           /**< An arbiter told what all daemons have on an engine. */
--- a/tests/fuzz/engine_answer.c
+++ b/tests/fuzz/engine_answer.c
@@ -16,6 +16,14 @@
 #define WAIT_MS 1000
 #define INPUT_MOST 60000
 
+/** A load that is present or not, and a slowdown that an engine can mean or none. */
+static void check_load(const hs_engine_load *load) {
+    FUZZ_CHECK(load->slowdown_percent == 0 ||
+               (load->present && load->slowdown_percent >= HS_SLOWDOWN_LEAST_PERCENT &&
+                load->slowdown_percent <= HS_SLOWDOWN_MOST_PERCENT));
+    FUZZ_CHECK(!load->is_slowdown_rejected || (load->present && load->slowdown_percent == 0));
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
     int sockets[2];
     if (size > INPUT_MOST || socketpair(AF_UNIX, SOCK_STREAM, 0, sockets) != 0)
@@ -31,6 +39,7 @@
         hs_engine_answer answer;
         hs_platform_read_engine_answer(hs_client_connection_status(connection),
                                        hs_client_connection_fields(connection), &answer);
+        check_load(&answer.load);
         step = hs_client_connection_read_all(connection, BODY_LIMIT, &wait);
     }
     FUZZ_CHECK(step != HS_STEP_PROGRESS);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -319,7 +319,38 @@
     g_array_free(items, TRUE);
 }
 
+static hs_engine_load load_of(const char *text) {
+    GArray *fields = hs_http_fields_new();
+    hs_http_fields_add(fields, "Heathsail-Server-Load", text);
+    hs_engine_answer answer;
+    hs_platform_read_engine_answer(200, fields, &answer);
+    hs_http_fields_free(fields);
+    return answer.load;
+}
+
+/** A load's fourth figure counts where an engine can mean it; the other three always do. */
+static void a_load_tells_how_long_work_takes(void) {
+    hs_engine_load three = load_of("3,1,8");
+    CU_ASSERT(three.present && three.running == 3 && three.waiting == 1 && three.slots == 8);
+    CU_ASSERT(three.slowdown_percent == 0 && !three.is_slowdown_rejected);
+    CU_ASSERT_EQUAL(load_of("3,1,8,250").slowdown_percent, 250);
+    CU_ASSERT_EQUAL(load_of("3, 1, 8, 60").slowdown_percent, 60);
+    CU_ASSERT_EQUAL(load_of("3,1,8,10").slowdown_percent, HS_SLOWDOWN_LEAST_PERCENT);
+    CU_ASSERT_EQUAL(load_of("3,1,8,10000").slowdown_percent, HS_SLOWDOWN_MOST_PERCENT);
+    static const char *const junk[] = {"3,1,8,",    "3,1,8,0",     "3,1,8,-250",
+                                       "3,1,8,9",   "3,1,8,10001", "3,1,8,18446744073709551716",
+                                       "3,1,8,1e3", "3,1,8,250%",  "3,1,8,nan"};
+    for (size_t index = 0; index < G_N_ELEMENTS(junk); index++) {
+        hs_engine_load load = load_of(junk[index]);
+        CU_ASSERT(load.present && load.running == 3 && load.waiting == 1 && load.slots == 8);
+        CU_ASSERT(load.slowdown_percent == 0 && load.is_slowdown_rejected);
+    }
+    CU_ASSERT_FALSE(load_of("3,1").present);
+    CU_ASSERT_FALSE(load_of("250").present);
+}
+
 const test_case fleet_tests[] = {
+    {"a_load_tells_how_long_work_takes", a_load_tells_how_long_work_takes},
     {"events_are_whole_at_every_cut", events_are_whole_at_every_cut},
     {"a_resumed_stream_neither_repeats_nor_skips", a_resumed_stream_neither_repeats_nor_skips},
     {"a_run_that_begins_elsewhere_does_not_join", a_run_that_begins_elsewhere_does_not_join},
