--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -73,6 +73,18 @@
     return running;
 }
 
+double hs_fleet_engine_pace(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                            uint64_t now_ms) {
+    const hs_engine_speed *speed = g_hash_table_lookup(engines->speeds, engine->entry.service);
+    return hs_engine_pace_factor(&engine->pace, speed != NULL ? speed->event_ms : 0, now_ms);
+}
+
+hs_engine_speed hs_fleet_engine_speed(hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                                      uint64_t now_ms) {
+    const hs_engine_speed *speed = hs_fleet_engines_speed(engines, engine->entry.service);
+    return hs_engine_speed_at(speed, hs_fleet_engine_pace(engines, engine, now_ms));
+}
+
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
                                               const hs_fleet_engine *engine,
                                               const hs_engine_query *query, uint64_t now_ms) {
@@ -87,6 +99,7 @@
         .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
         .is_connected = !g_queue_is_empty((GQueue *)&engine->idle),
         .same_zone = strcmp(engine->entry.zone, engines->zone) == 0,
+        .pace = hs_fleet_engine_pace(engines, engine, now_ms),
     };
     if (engine->entry.warmup_left_ms > since_listed)
         candidate.warmup_ms = (double)(engine->entry.warmup_left_ms - since_listed);
@@ -114,12 +127,14 @@
                                "heathsail_engine_in_flight{engine=\"%s\",work=\"batch\"} %u\n"
                                "heathsail_engine_connections{engine=\"%s\"} %u\n"
                                "heathsail_engine_believed_running{engine=\"%s\"} %.1f\n"
-                               "heathsail_engine_suspected{engine=\"%s\"} %d\n",
+                               "heathsail_engine_suspected{engine=\"%s\"} %d\n"
+                               "heathsail_engine_pace{engine=\"%s\"} %.2f\n",
                                engine->entry.id, engine->online, engine->entry.id, engine->batch,
                                engine->entry.id,
                                engine->online + engine->batch + g_queue_get_length(&engine->idle),
                                engine->entry.id, hs_fleet_engine_running(engine, now_ms),
-                               engine->entry.id, hs_fleet_engine_is_suspected(engine, now_ms));
+                               engine->entry.id, hs_fleet_engine_is_suspected(engine, now_ms),
+                               engine->entry.id, hs_fleet_engine_pace(engines, engine, now_ms));
     }
     g_string_append_printf(text, "heathsail_engine_slowdowns_rejected %" G_GUINT64_FORMAT "\n",
                            (guint64)engines->slowdowns_rejected);
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -18,16 +18,29 @@
 /** Memory above which runs begin to be preempted. */
 #define MEMORY_HIGH 0.9
 
+hs_engine_speed hs_engine_speed_at(const hs_engine_speed *service, double pace) {
+    hs_engine_speed speed = *service;
+    if (pace <= 0)
+        return speed;
+    speed.tokens_per_ms /= pace;
+    speed.run_ms *= pace;
+    speed.online_run_ms *= pace;
+    speed.first_byte_ms *= pace;
+    speed.event_ms *= pace;
+    return speed;
+}
+
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed) {
+    hs_engine_speed at = hs_engine_speed_at(speed, candidate->pace);
     double slots = candidate->slots > 0 ? candidate->slots : 1;
-    double cost =
-        (candidate->queued_tokens + candidate->uncached_tokens) / fmax(speed->tokens_per_ms, 1e-3);
-    cost += candidate->running / slots * speed->run_ms * BESIDE_SHARE;
+    double cost = candidate->queued_tokens / fmax(at.tokens_per_ms, 1e-3) +
+                  candidate->uncached_tokens / fmax(speed->tokens_per_ms, 1e-3);
+    cost += candidate->running / slots * at.run_ms * BESIDE_SHARE;
     double over = fmax(candidate->running + 1 - slots, 0);
     double aside = fmin(over, candidate->batch);
-    cost += aside * STEP_ASIDE_MS + (over - aside) / slots * speed->run_ms;
+    cost += aside * STEP_ASIDE_MS + (over - aside) / slots * at.run_ms;
     if (candidate->memory_share > MEMORY_HIGH)
-        cost += (candidate->memory_share - MEMORY_HIGH) * speed->run_ms;
+        cost += (candidate->memory_share - MEMORY_HIGH) * at.run_ms;
     cost += candidate->failure_rate * speed->run_ms * FAILURE_RUNS;
     if (!candidate->same_zone)
         cost += OTHER_ZONE_MS;
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -6,6 +6,11 @@
  * over the reading rate + the wait for a slot where all are taken + a little for each run beside
  * it, so that equal engines share + what a failed request costs, by how often they fail. Suspected
  * engines are taken only when no other is left.
+ *
+ * The engine's own pace multiplies what grows with the work there: the reading before its own, the
+ * wait, the runs beside it. It does not multiply what an idle engine needs too. That difference
+ * would not shrink as requests come, so that all daemons whose words are old would fill the same
+ * fast engines.
  */
 #ifndef HS_FLEET_ENGINE_CHOICE_H
 #define HS_FLEET_ENGINE_CHOICE_H
@@ -38,7 +43,8 @@
     double first_byte_ms; /**< Shortest time to a first byte of late; 0: none came yet. */
     double head_ms;       /**< Mean time until the head of an answer. */
     double head_deviation_ms;
-    uint32_t heads; /**< Heads that the two are of; wraps. */
+    uint32_t heads;  /**< Heads that the two are of; wraps. */
+    double event_ms; /**< Mean time of an event after the first of a run; 0: none came yet. */
 } hs_engine_speed;
 
 #define HS_ENGINE_NONE (-1)
@@ -52,13 +58,19 @@
 /** Mean time in ms of an online run; of all runs, where no online one ended yet. */
 double hs_engine_speed_online_run_ms(const hs_engine_speed *speed);
 
-/** Expected ms until the first token. */
+/**
+ * Speeds of one engine of @p pace (see hs_engine_pace_factor; 0: not known) of a service. Every
+ * decision about an engine asks these; at a pace of 1 they are the service's.
+ */
+hs_engine_speed hs_engine_speed_at(const hs_engine_speed *service, double pace);
+
+/** Expected ms until the first token; @p speed: of the service. */
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed);
 
 /**
  * Expected ms until an engine begins with an online request, where @p online of them, this one
  * included, share its slots (batch items leave theirs) and @p queued_tokens of prompts are to be
- * read before its own.
+ * read before its own. @p speed: at that engine, as for the two below.
  */
 double hs_engine_choice_wait_ms(double online, uint32_t slots, double queued_tokens,
                                 const hs_engine_speed *speed);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -34,6 +34,8 @@
 #define HEAD_DEVIATIONS 4
 /** An engine may read a prompt so many times slower than usual before its answer counts as late. */
 #define HEAD_READINGS 2
+/** Times the service's mean that an event of a run counts as, at most. */
+#define EVENT_TIMES_MOST 4
 /** Above it in ms an estimate is of no use: other time-outs end sooner. */
 #define HEAD_LIMIT_MOST_MS 60000
 
@@ -138,9 +140,11 @@
         hs_fleet_engines_speed(lease->engines, lease->engine->entry.service);
     bool is_known =
         speed->heads >= HEADS_KNOWN && 2 * lease->reasons.running <= lease->reasons.slots;
+    double pace = hs_fleet_engine_pace(lease->engines, lease->engine, hs_clock_monotonic_ms());
     double limit_ms = speed->head_ms + HEAD_DEVIATIONS * speed->head_deviation_ms;
     if (speed->tokens_per_ms > 0)
         limit_ms += HEAD_READINGS * (double)prompt_tokens / speed->tokens_per_ms;
+    limit_ms *= fmax(pace, 1); /* A slow engine is not silent. */
     g_mutex_unlock(&lease->engines->lock);
     return is_known ? (uint32_t)fmax(fmin(limit_ms, HEAD_LIMIT_MOST_MS), 1) : 0;
 }
@@ -199,6 +203,37 @@
         hs_fleet_engines_tell(lease->engines, &use, false);
 }
 
+void hs_engine_lease_note_events(hs_engine_lease *lease, uint64_t events) {
+    if (events == 0 || (lease->first_event_ms != 0 && events <= lease->last_events))
+        return;
+    lease->last_event_ms = hs_clock_monotonic_ms();
+    lease->last_events = events;
+    if (lease->first_event_ms != 0)
+        return;
+    lease->first_event_ms = lease->last_event_ms;
+    lease->first_events = events;
+}
+
+/**
+ * The run is over: what its events took says how fast the engine is. A caller that reads slowly
+ * holds a stream up, which must not make the engine slow. The caller holds the lock.
+ */
+static void count_events(const hs_engine_lease *lease, uint64_t now_ms) {
+    uint64_t events = lease->last_events - lease->first_events;
+    if (events == 0)
+        return;
+    hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, lease->engine->entry.service);
+    double took_ms = (double)(lease->last_event_ms - lease->first_event_ms);
+    if (speed->event_ms > 0)
+        took_ms = fmin(took_ms, EVENT_TIMES_MOST * speed->event_ms * (double)events);
+    else
+        speed->event_ms = took_ms / (double)events;
+    blend(&speed->event_ms, took_ms / (double)events);
+    lease->engine->run_events += events;
+    lease->engine->run_ms += (uint64_t)took_ms;
+    hs_engine_pace_note_events(&lease->engine->pace, events, (uint64_t)took_ms, now_ms);
+}
+
 void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load) {
     if (!load->present)
         return;
@@ -207,6 +242,8 @@
     lease->engine->load = *load;
     lease->engine->load_ms = hs_clock_monotonic_ms();
     lease->engine->load_own = (double)lease->engine->online + lease->engine->batch;
+    hs_engine_pace_note_word(&lease->engine->pace, load->slowdown_percent, 0,
+                             lease->engine->load_ms);
     g_mutex_unlock(&lease->engines->lock);
 }
 
@@ -364,6 +401,7 @@
     hs_fleet_engine *engine = lease->engine;
     g_mutex_lock(&lease->engines->lock);
     count_read(lease);
+    count_events(lease, now_ms);
     engine->memory_tokens_used -= MIN(engine->memory_tokens_used, lease->memory_tokens);
     if (lease->work == HS_WORK_ONLINE)
         engine->online--;
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -30,6 +30,14 @@
     return highest;
 }
 
+/** Age in ms of the engine's latest word of its own pace; 0: it told none. */
+static uint32_t slowdown_age_ms(const hs_fleet_engine *engine) {
+    const hs_engine_pace *pace = &engine->pace;
+    if (pace->slowdown_percent == 0)
+        return 0;
+    return (uint32_t)MIN(hs_clock_monotonic_ms() - pace->told_ms, UINT32_MAX);
+}
+
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine) {
     return (hs_engine_use){.engine_hash = engine->hash,
                            .sequence = ++engines->use_sequence,
@@ -39,7 +47,11 @@
                            .rank_ms = highest_rank(engine),
                            .served = engine->served_count,
                            .failed = engine->failed_count,
-                           .queued_tokens = (uint32_t)engine->queued_tokens};
+                           .queued_tokens = (uint32_t)engine->queued_tokens,
+                           .run_events = engine->run_events,
+                           .run_ms = engine->run_ms,
+                           .slowdown_percent = engine->pace.slowdown_percent,
+                           .slowdown_age_ms = slowdown_age_ms(engine)};
 }
 
 void hs_fleet_engines_set_teller(hs_fleet_engines *engines, hs_engine_use_teller teller,
@@ -75,6 +87,13 @@
     return uses;
 }
 
+/** Take what the arbiter says of the engine's pace; its own word is as old as it says. */
+static void put_pace(hs_fleet_engine *engine, const hs_engine_total *total, uint64_t now_ms) {
+    hs_engine_pace_put_event_us(&engine->pace, total->event_us, now_ms);
+    hs_engine_pace_note_word(&engine->pace, total->slowdown_percent,
+                             (uint64_t)total->slowdown_age_ms + total->age_ms, now_ms);
+}
+
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total) {
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = hs_fleet_engines_find(engines, total->engine_hash);
@@ -85,6 +104,7 @@
         engine->told_ms = hs_clock_monotonic_ms();
         engine->told_failing_ms = total->is_failing ? engine->told_ms : 0;
         engine->told_count++;
+        put_pace(engine, total, engine->told_ms);
         g_cond_broadcast(&engines->totals_told);
     }
     g_mutex_unlock(&engines->lock);
@@ -142,10 +162,10 @@
 static bool would_wait(const hs_engine_lease *lease, uint64_t now_ms) {
     const hs_fleet_engine *engine = lease->engine;
     double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
-    const hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, engine->entry.service);
+    hs_engine_speed speed = hs_fleet_engine_speed(lease->engines, engine, now_ms);
     double queued = hs_fleet_engine_others_queued(engine, now_ms) + (double)engine->queued_tokens -
                     lease->unread_tokens;
-    return online > engine->entry.slots || queued > speed->tokens_per_ms * QUEUE_LOOK_MS;
+    return online > engine->entry.slots || queued > speed.tokens_per_ms * QUEUE_LOOK_MS;
 }
 
 hs_lease_prospect hs_engine_lease_prospect(hs_engine_lease *lease, const hs_engine_query *query,
@@ -154,17 +174,18 @@
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
     const hs_fleet_engine *engine = lease->engine;
-    const hs_engine_speed *speed = hs_fleet_engines_speed(lease->engines, engine->entry.service);
+    hs_engine_speed speed = hs_fleet_engine_speed(lease->engines, engine, now_ms);
+    prospect.pace = hs_fleet_engine_pace(lease->engines, engine, now_ms);
     prospect.online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
     prospect.queued_tokens = hs_fleet_engine_others_queued(engine, now_ms) +
                              (double)engine->queued_tokens - lease->unread_tokens;
     prospect.slots = engine->entry.slots;
-    prospect.need_ms = speed->first_byte_ms;
+    prospect.need_ms = speed.first_byte_ms;
     prospect.wait_ms = hs_engine_choice_wait_ms(prospect.online, prospect.slots,
-                                                fmax(prospect.queued_tokens, 0), speed);
+                                                fmax(prospect.queued_tokens, 0), &speed);
     prospect.is_quick = !query->has_wait_limit ||
-                        hs_engine_choice_is_quick(prospect.wait_ms, speed, query->wait_most_ms);
-    prospect.is_hopeless = hs_engine_choice_is_hopeless(prospect.wait_ms, speed, left_ms);
+                        hs_engine_choice_is_quick(prospect.wait_ms, &speed, query->wait_most_ms);
+    prospect.is_hopeless = hs_engine_choice_is_hopeless(prospect.wait_ms, &speed, left_ms);
     g_mutex_unlock(&lease->engines->lock);
     return prospect;
 }
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -47,6 +47,8 @@
         told_failing_ms;   /**< When the arbiter said last that it fails; 0: it says it's sound. */
     uint32_t served_count; /**< Requests of this daemon that ended well there. */
     uint32_t failed_count; /**< The same that failed. */
+    uint64_t run_events;   /**< Events of its runs there, after the first of each, */
+    uint64_t run_ms;       /**< and the time they took. */
     uint64_t left_ms;      /**< When the last request of this daemon ended there; 0: never. */
     uint64_t excess_since_ms; /**< More than its slots are believed taken since; 0: not. */
     hs_engine_pace pace;
@@ -100,7 +102,11 @@
     hs_fleet_engine *engine;
     hs_work_class work;
     uint64_t taken_ms;
-    uint64_t first_ms;      /**< When its first event came; 0: none has. */
+    uint64_t first_ms;       /**< When its first event came; 0: none has. */
+    uint64_t first_events;   /**< Events of its stream when the first of the run had come, */
+    uint64_t last_events;    /**< and as of last_event_ms. */
+    uint64_t first_event_ms; /**< 0: no event of the run has come. */
+    uint64_t last_event_ms;
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
     uint32_t memory_tokens;
     double connection_share; /**< See hs_fleet_engines_connection_share. */
@@ -149,6 +155,12 @@
 double hs_fleet_engine_faded(const hs_fleet_engine *engine, double count, uint64_t now_ms);
 double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms);
+/** See hs_engine_pace_factor; by the service's mean time of an event. */
+double hs_fleet_engine_pace(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                            uint64_t now_ms);
+/** Speeds at the engine: the service's at the engine's pace. */
+hs_engine_speed hs_fleet_engine_speed(hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                                      uint64_t now_ms);
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
                                               const hs_fleet_engine *engine,
                                               const hs_engine_query *query, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -324,10 +324,10 @@
     for (guint index = 0; index < found->len; index++) {
         const hs_engine_candidate *candidate = &candidates[index];
         double online = fmax(candidate->running - candidate->batch, 0) + 1;
+        hs_engine_speed at = hs_engine_speed_at(speed, candidate->pace);
         double wait_ms =
-            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, speed);
-        if (query->has_wait_limit &&
-            !hs_engine_choice_is_quick(wait_ms, speed, query->wait_most_ms))
+            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, &at);
+        if (query->has_wait_limit && !hs_engine_choice_is_quick(wait_ms, &at, query->wait_most_ms))
             continue;
         found->pdata[kept] = found->pdata[index];
         candidates[kept++] = *candidate;
@@ -356,7 +356,8 @@
     if (engine->online + engine->batch == 0)
         engine->heard_ms = now_ms;
     double run_ms = hs_fleet_engines_speed(engines, query->service)->run_ms;
-    engine->silent_limit_ms = (uint32_t)fmax(SILENT_LEAST_MS, run_ms * SILENT_RUNS);
+    double pace = hs_fleet_engine_pace(engines, engine, now_ms);
+    engine->silent_limit_ms = (uint32_t)fmax(SILENT_LEAST_MS, run_ms * SILENT_RUNS * fmax(pace, 1));
     engine->references++;
     engine->queued_tokens += lease->unread_tokens;
     engine->memory_tokens_used += lease->memory_tokens;
@@ -397,6 +398,7 @@
                                              .running = chosen->running,
                                              .uncached_tokens = chosen->uncached_tokens,
                                              .failure_rate = chosen->failure_rate,
+                                             .pace = chosen->pace,
                                              .suspected = chosen->suspected,
                                              .listed_age_ms = now_ms - engine->listed_ms};
         use = hs_fleet_engine_use(engines, engine);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -41,6 +41,7 @@
     double running;         /**< Believed there, of all daemons. */
     double uncached_tokens; /**< Of the prompt. */
     double failure_rate;    /**< Of late. */
+    double pace;            /**< See hs_engine_pace_factor. */
     bool suspected;
     uint64_t listed_age_ms; /**< Since the store's last word on the engine. */
 } hs_engine_reasons;
@@ -146,6 +147,7 @@
     double online;    /**< Requests there of all daemons, this one included. */
     double queued_tokens; /**< Of others' prompts there that are not read yet. */
     uint32_t slots;
+    double pace; /**< Of the engine; the times are at it. */
 } hs_lease_prospect;
 
 /** The prospect of a request whose deadline is @p left_ms from now; after the arbiter's word. */
@@ -188,6 +190,9 @@
 /** The engine has read the prompt: its first token came. */
 void hs_engine_lease_first_token(hs_engine_lease *lease);
 
+/** The lease's run has made @p events by now, those of earlier runs not counted. */
+void hs_engine_lease_note_events(hs_engine_lease *lease, uint64_t events);
+
 /** Load that came with an answer. */
 void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load);
 
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -4,6 +4,7 @@
 #include "base/hash.h"
 #include "base/log.h"
 #include "fleet/engine_health.h"
+#include "fleet/engine_pace.h"
 
 #include <string.h>
 
@@ -16,6 +17,10 @@
 #define ENDS_MOST 32
 /** An engine that nobody uses any more stays known as failing for this long after its time down. */
 #define HEALTH_KEPT_MS 10000
+/** The same of its pace, since its last run. */
+#define PACE_KEPT_MS 40000
+/** More time than this of an event is no pace: no caller waits for such a stream. */
+#define EVENT_MOST_MS 10000
 /**
  * An item that was just started stays only where another can wait this much longer: a cut costs the
  * reading of the prompt and of what was made.
@@ -37,6 +42,7 @@
     uint64_t hash;
     GPtrArray *uses; /**< of daemon_use* */
     hs_engine_health health;
+    hs_engine_pace pace;
 } engine_uses;
 
 struct hs_slot_ledger {
@@ -140,6 +146,32 @@
                     engine->health.downs);
 }
 
+/**
+ * Take what a daemon's runs there made since its last word, and what the engine said of itself.
+ * Counts that fall began anew; those of a daemon's first word only say where they stand.
+ */
+static void note_pace(engine_uses *engine, const daemon_use *use, const hs_slot_word *word,
+                      uint64_t now_ms) {
+    hs_engine_pace_note_word(&engine->pace, word->use.slowdown_percent, word->use.slowdown_age_ms,
+                             now_ms);
+    if (use->told_ms == 0 || use->incarnation != word->incarnation ||
+        word->use.run_events <= use->told.run_events || word->use.run_ms < use->told.run_ms)
+        return;
+    uint64_t events = word->use.run_events - use->told.run_events;
+    uint64_t took_ms = word->use.run_ms - use->told.run_ms;
+    if (took_ms / events < EVENT_MOST_MS)
+        hs_engine_pace_note_events(&engine->pace, events, took_ms, now_ms);
+}
+
+/** What the engine's pace is by all daemons' words. */
+static void add_pace(const engine_uses *engine, uint64_t now_ms, hs_engine_total *total) {
+    total->event_us = hs_engine_pace_event_us(&engine->pace, now_ms);
+    if (engine->pace.slowdown_percent == 0)
+        return;
+    total->slowdown_percent = engine->pace.slowdown_percent;
+    total->slowdown_age_ms = (uint32_t)MIN(now_ms - engine->pace.told_ms, UINT32_MAX);
+}
+
 /** Take the word. */
 static started_work note(daemon_use *use, const hs_slot_word *word, uint64_t now_ms) {
     const hs_engine_use *before = &use->told;
@@ -215,9 +247,11 @@
     started_work started = {0};
     if (!is_old(sender, word)) {
         note_ends(engine, sender, word, now_ms);
+        note_pace(engine, sender, word, now_ms);
         started = note(sender, word, now_ms);
     }
     hs_engine_total total = sum(engine, now_ms);
+    add_pace(engine, now_ms, &total);
     total.is_failing = !hs_engine_health_admit(&engine->health, started.any, now_ms);
     while (total.online + total.batch > word->use.slots && total.batch > 0) {
         ask_one(next_to_leave(engine, started.batch ? sender : NULL, now_ms), now_ms, asks);
@@ -235,7 +269,8 @@
         expire_uses(engine, now_ms);
         bool is_over = engine->health.state == HS_HEALTH_SOUND ||
                        now_ms > engine->health.down_until_ms + HEALTH_KEPT_MS;
-        if (engine->uses->len == 0 && is_over)
+        bool has_pace = engine->pace.events > 0 && now_ms < engine->pace.seen_ms + PACE_KEPT_MS;
+        if (engine->uses->len == 0 && is_over && !has_pace)
             g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -7,8 +7,8 @@
  * the engine's slots, batch items leave: those of the highest rank first, and one that was just
  * started before one that was begun earlier and can wait only a little longer. The daemons together
  * are over an engine's slots for as long as one message there and one back take, however many they
- * are. With its counts each daemon tells how its requests there ended, so that the arbiter knows an
- * engine that fails before most daemons have met it.
+ * are. With its counts each daemon tells how its requests there ended and how long their events
+ * took, so that the arbiter knows an engine that fails or is slow before most daemons have met it.
  */
 #ifndef HS_FLEET_SLOT_LEDGER_H
 #define HS_FLEET_SLOT_LEDGER_H
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -132,6 +132,7 @@
                                       run->events.refused_id);
             return HS_ITEM_TRY_BROKEN;
         }
+        hs_engine_lease_note_events(attempt->lease, run->events.run_events);
         if (first_ms == 0)
             first_ms = hs_clock_monotonic_ms();
         run->try_events = run->events.event_count - events_before;
--- a/src/online/event_stream.c
+++ b/src/online/event_stream.c
@@ -83,6 +83,7 @@
 void hs_event_stream_begin_run(hs_event_stream *stream) {
     stream->out_of_order = false;
     stream->refused_id = 0;
+    stream->run_events = 0;
 }
 
 bool hs_event_stream_take(hs_event_stream *stream, GByteArray *input, GByteArray *events,
@@ -98,6 +99,7 @@
         bool accepted = accept_event(stream, &event);
         if (accepted) {
             stream->event_count++;
+            stream->run_events += event.has_id || event.has_data;
             if (events != NULL)
                 g_byte_array_append(events, start, (guint)length);
         }
--- a/src/online/event_stream.h
+++ b/src/online/event_stream.h
@@ -30,6 +30,7 @@
         out_of_order; /**< An event of this run does not follow the one before; no more is taken. */
     uint64_t refused_id; /**< Id of that event. */
     uint64_t event_count;
+    uint64_t run_events; /**< Of this run, those with data or an id. */
 } hs_event_stream;
 
 /**
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -60,10 +60,11 @@
     hs_log_info(
         "request_not_sent",
         "request=%s service=%s engine=%s wait_ms=%.0f need_ms=%.0f left_ms=%" G_GINT64_FORMAT
-        " online=%.1f slots=%u queued_tokens=%.0f sends=%u listed_age_ms=%" G_GUINT64_FORMAT,
+        " online=%.1f slots=%u queued_tokens=%.0f pace=%.2f sends=%u "
+        "listed_age_ms=%" G_GUINT64_FORMAT,
         request->request_id, request->service, attempt->engine_id, prospect->wait_ms,
         prospect->need_ms, (gint64)request->deadline - (gint64)now_ms, prospect->online,
-        prospect->slots, prospect->queued_tokens, request->sends,
+        prospect->slots, prospect->queued_tokens, prospect->pace, request->sends,
         (guint64)attempt->reasons.listed_age_ms);
 }
 
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -22,7 +22,7 @@
         "x route=%s tenant=%s service=%s config=%" G_GUINT64_FORMAT
         " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
         " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
-        " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u"
+        " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u pace=%.2f"
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT,
         request->request_id, (guint64)request->content, request->route->name,
         request->tenant != NULL ? request->tenant : "-", request->service,
@@ -31,8 +31,8 @@
         (guint64)request->events.event_count, (guint64)request->first_byte_ms,
         (guint64)(now_ms - request->inbound->received_ms),
         (gint64)request->deadline - (gint64)now_ms, attempt->reasons.candidates,
-        attempt->reasons.running, attempt->reasons.slots, attempt->reasons.uncached_tokens,
-        attempt->reasons.failure_rate, attempt->reasons.suspected,
+        attempt->reasons.running, attempt->reasons.slots, attempt->reasons.pace,
+        attempt->reasons.uncached_tokens, attempt->reasons.failure_rate, attempt->reasons.suspected,
         (guint64)attempt->reasons.listed_age_ms);
 }
 
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -70,6 +70,7 @@
                                   request->events.refused_id);
         attempt->step = HS_STEP_INVALID;
     }
+    hs_engine_lease_note_events(attempt->lease, request->events.run_events);
     if (attempt->step == HS_STEP_PROGRESS && is_revoked(request)) {
         attempt->step = HS_STEP_CUT;
         finish_stream(request, HS_ATTEMPT_DROPPED, HS_END_STREAM_BROKEN);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -20,6 +20,8 @@
         {"placement", placement_tests, NULL, NULL},
         {"fleet", fleet_tests, NULL, NULL},
         {"engines", engines_tests, NULL, NULL},
+        {"pace", pace_tests, NULL, NULL},
+        {"pace_play", pace_play_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},
         {"connection_guard", connection_guard_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -22,6 +22,8 @@
 
 extern const test_case fleet_tests[];
 extern const test_case engines_tests[];
+extern const test_case pace_tests[];
+extern const test_case pace_play_tests[];
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
 extern const test_case item_plan_tests[];
