--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -254,6 +254,35 @@
     hs_fleet_engines_free(engines);
 }
 
+/** An engine that says that it is slow has longer for a head; a fast one no less than the mean. */
+static void a_slow_engine_is_not_called_silent(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = {.id = g_strdup("e"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = 1,
+                             .port = 1,
+                             .slots = 4};
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    g_usleep(20000);
+    for (int heads = 0; heads < 10; heads++)
+        hs_engine_lease_head_came(lease);
+    uint32_t usual_ms = hs_engine_lease_head_limit_ms(lease, 4000);
+    CU_ASSERT_FATAL(usual_ms > 0);
+    uint64_t hash = hs_hash_bytes("e", 1);
+    hs_fleet_engines_put_total(engines,
+                               &(hs_engine_total){.engine_hash = hash, .slowdown_percent = 250});
+    CU_ASSERT(hs_engine_lease_head_limit_ms(lease, 4000) > 2 * usual_ms - 2);
+    g_usleep(2000);
+    hs_fleet_engines_put_total(engines,
+                               &(hs_engine_total){.engine_hash = hash, .slowdown_percent = 50});
+    CU_ASSERT_EQUAL(hs_engine_lease_head_limit_ms(lease, 4000), usual_ms);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_free(engines);
+}
+
 const test_case pace_tests[] = {
     {"first_runs_tell_a_slow_engine", first_runs_tell_a_slow_engine},
     {"all_daemons_know_more_than_one", all_daemons_know_more_than_one},
@@ -265,4 +294,5 @@
     {"an_arbiter_counts_the_runs_of_all", an_arbiter_counts_the_runs_of_all},
     {"a_told_slowdown_decides_elsewhere", a_told_slowdown_decides_elsewhere},
     {"a_run_tells_its_events", a_run_tells_its_events},
+    {"a_slow_engine_is_not_called_silent", a_slow_engine_is_not_called_silent},
     {NULL, NULL}};
