--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -15,8 +15,6 @@
 #define WARMUP_SHARE 0.1
 /** What a failure costs, in runs: about as much as an answer that comes too late. */
 #define FAILURE_RUNS 0.6
-/** Paces from this on to 1 count as the mean. */
-#define MEAN_FROM 0.99
 /** Memory above which runs begin to be preempted. */
 #define MEMORY_HIGH 0.9
 
@@ -91,21 +89,14 @@
     return best;
 }
 
-/** Whether a batch item may go there. */
-static bool is_spare(const hs_engine_candidate *candidate) {
-    return !candidate->suspected && candidate->running + 1 <= candidate->slots;
-}
-
-/** The cheapest with a free slot whose pace is above @p above and no more than @p most. */
-static int pick_spare_between(const hs_engine_candidate *candidates, size_t count, size_t first,
-                              const hs_engine_speed *speed, double above, double most) {
+int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
+                                const hs_engine_speed *speed) {
     int best = HS_ENGINE_NONE;
     double best_cost = 0;
     for (size_t step = 0; step < count; step++) {
         size_t index = (first + step) % count;
         const hs_engine_candidate *candidate = &candidates[index];
-        double pace = candidate->pace > 0 ? candidate->pace : 1;
-        if (!is_spare(candidate) || pace <= above || pace > most)
+        if (candidate->suspected || candidate->running + 1 > candidate->slots)
             continue;
         double cost = hs_engine_choice_cost(candidate, speed);
         if (best == HS_ENGINE_NONE || cost < best_cost) {
@@ -115,20 +106,3 @@
     }
     return best;
 }
-
-int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                const hs_engine_speed *speed) {
-    return pick_spare_between(candidates, count, first, speed, 0, INFINITY);
-}
-
-int hs_engine_choice_pick_patient(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                  const hs_engine_speed *speed, double most_pace) {
-    int picked = HS_ENGINE_NONE;
-    if (most_pace > 1)
-        picked = pick_spare_between(candidates, count, first, speed, 1, most_pace);
-    if (picked == HS_ENGINE_NONE && most_pace > 1)
-        picked = pick_spare_between(candidates, count, first, speed, MEAN_FROM, 1);
-    if (picked == HS_ENGINE_NONE)
-        picked = hs_engine_choice_pick_spare(candidates, count, first, speed);
-    return picked;
-}
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -101,15 +101,6 @@
 int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
                           const hs_engine_speed *speed);
 
-/**
- * As above for a batch item that an engine of @p most_pace still ends in time: of the engines that
- * have a free slot those that are slower than the mean, else those at the mean, so that the fast
- * ones stay for online requests. Within each the lowest cost, which spreads the items. 0: the item
- * has no time to spare.
- */
-int hs_engine_choice_pick_patient(const hs_engine_candidate *candidates, size_t count, size_t first,
-                                  const hs_engine_speed *speed, double most_pace);
-
 /** As above for batch items: only engines that are not suspected and have a free slot. */
 int hs_engine_choice_pick_spare(const hs_engine_candidate *candidates, size_t count, size_t first,
                                 const hs_engine_speed *speed);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -386,10 +386,9 @@
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     keep_quick(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
-    int picked =
-        query->work == HS_WORK_ONLINE
-            ? hs_engine_choice_pick(candidates, found->len, first, speed)
-            : hs_engine_choice_pick_patient(candidates, found->len, first, speed, query->most_pace);
+    int picked = query->work == HS_WORK_ONLINE
+                     ? hs_engine_choice_pick(candidates, found->len, first, speed)
+                     : hs_engine_choice_pick_spare(candidates, found->len, first, speed);
     if (picked != HS_ENGINE_NONE) {
         const hs_engine_candidate *chosen = &candidates[picked];
         hs_fleet_engine *engine = found->pdata[picked];
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -54,7 +54,6 @@
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
     hs_interrupt *yield;       /**< Batch: raised when the item is to step aside. */
     int32_t rank_ms;           /**< Batch: of two items the one with the higher rank steps aside. */
-    double most_pace;          /**< Batch: see hs_engine_choice_pick_patient. */
     uint64_t memory_tokens;    /**< An engine's memory by the configuration; 0: unknown. */
     uint32_t max_connections;  /**< To one engine from all daemons; 0: unknown. */
     bool has_wait_limit;       /**< Online: engines only that begin with it in wait_most_ms. */
--- a/src/jobs/item_estimate.c
+++ b/src/jobs/item_estimate.c
@@ -7,8 +7,6 @@
 #define WEIGHT 0.1
 /** Share of its expected events that an item is always taken to have before it. */
 #define LEAST_SHARE 0.05
-/** An item that steps aside once still ends in time: twice the time it needs. */
-#define TIMES_NEEDED 2.0
 
 static void blend(double *value, double sample) {
     *value += (sample - *value) * (*value > 0 ? WEIGHT : 1.0);
@@ -27,10 +25,3 @@
     double rest = fmax(expected - (double)events, expected * LEAST_SHARE);
     return (uint64_t)(rest * pace->ms_per_event);
 }
-
-double hs_item_most_pace(int64_t left_ms, uint64_t remaining_ms) {
-    if (remaining_ms == 0)
-        return 0;
-    double most = (double)left_ms / (TIMES_NEEDED * (double)remaining_ms);
-    return most > 1 ? most : 0;
-}
--- a/src/jobs/item_estimate.h
+++ b/src/jobs/item_estimate.h
@@ -21,11 +21,4 @@
 /** Expected ms that an item of @p tokens with @p events made so far still runs; 0: not known. */
 uint64_t hs_item_pace_remaining_ms(const hs_item_pace *pace, uint32_t tokens, uint64_t events);
 
-/**
- * Pace (see hs_engine_pace_factor) of the slowest engine at which an item that needs
- * @p remaining_ms at the mean one still ends well before it is due, @p left_ms from now; 0: not
- * known, or it is short of time.
- */
-double hs_item_most_pace(int64_t left_ms, uint64_t remaining_ms);
-
 #endif
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -262,7 +262,6 @@
                   .work = HS_WORK_BATCH,
                   .yield = run->is_on_trial ? NULL : &run->interrupt, /* It has one run. */
                   .rank_ms = terms->rank_ms,
-                  .most_pace = terms->most_pace,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0},
         .content = content,
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -70,7 +70,6 @@
     hs_fleet_engines *engines;
     const hs_fleet_config *config;
     int32_t rank_ms;                                       /**< See hs_engine_query. */
-    double most_pace;                                      /**< Likewise. */
     void (*checkpoint)(hs_item_run *run, void *user_data); /**< Called as events come. */
     void *user_data;
 } hs_item_try_terms;
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -74,10 +74,9 @@
     hs_owned_partition_state *home;
     hs_owned_item *item;
     uint32_t max_attempts;
-    int32_t rank_ms;  /**< See hs_engine_query. */
-    double most_pace; /**< Likewise. */
-    bool gives_up;    /**< Its time is over: list it as dead. */
-    bool hands_over;  /**< Only store what there is of it, for the next owner. */
+    int32_t rank_ms; /**< See hs_engine_query. */
+    bool gives_up;   /**< Its time is over: list it as dead. */
+    bool hands_over; /**< Only store what there is of it, for the next owner. */
 } hs_item_order;
 
 /**
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -120,7 +120,6 @@
     order->item = open->item;
     order->max_attempts = open->max_attempts;
     order->rank_ms = open->rank_ms;
-    order->most_pace = hs_item_most_pace(open->left_ms, open->remaining_ms);
     order->gives_up = open->gives_up;
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -127,7 +127,6 @@
                                    .engines = owner->settings.engines,
                                    .config = config,
                                    .rank_ms = order->rank_ms,
-                                   .most_pace = order->most_pace,
                                    .checkpoint = hs_job_checkpoint_take,
                                    .user_data = order};
         end = hs_item_run_try(item->run, &terms);
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -4,7 +4,6 @@
 #include "fleet/engine_choice.h"
 #include "fleet/engine_pace.h"
 #include "fleet/slot_ledger.h"
-#include "jobs/item_estimate.h"
 #include "tests/unit/unit_tests.h"
 
 #include <math.h>
@@ -124,31 +123,6 @@
     CU_ASSERT_FALSE(hs_engine_choice_is_hopeless(100, &speed, 139));
 }
 
-/** Items that can wait fill slow engines, as far as they end in time there; others as before. */
-static void items_with_time_leave_fast_engines_free(void) {
-    hs_engine_speed speed = {.tokens_per_ms = 50, .run_ms = 1000};
-    hs_engine_candidate list[4] = {{.slots = 8, .running = 0, .pace = 0.6},
-                                   {.slots = 8, .running = 2, .pace = 1},
-                                   {.slots = 8, .running = 4, .pace = 1.6},
-                                   {.slots = 8, .running = 3, .pace = 4}};
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_patient(list, 4, 0, &speed, 2), 2);
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_patient(list, 4, 0, &speed, 1.5), 1);
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_patient(list, 4, 0, &speed, 0), 0);
-    list[2].running = 8; /* Full, and too slow the other: the mean one. */
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_patient(list, 4, 0, &speed, 2), 1);
-    list[1].suspected = true; /* Never idle room while an item waits. */
-    CU_ASSERT_EQUAL(hs_engine_choice_pick_patient(list, 4, 0, &speed, 2), 0);
-    for (int index = 0; index < 4; index++) /* Alike: the choice without a pace. */
-        list[index].pace = index % 2;
-    for (size_t first = 0; first < 4; first++)
-        CU_ASSERT_EQUAL(hs_engine_choice_pick_patient(list, 4, first, &speed, 2),
-                        hs_engine_choice_pick_spare(list, 4, first, &speed));
-    CU_ASSERT_EQUAL(hs_item_most_pace(18000, 3000), 3);
-    CU_ASSERT_EQUAL(hs_item_most_pace(6000, 3000), 0);
-    CU_ASSERT_EQUAL(hs_item_most_pace(-5, 3000), 0);
-    CU_ASSERT_EQUAL(hs_item_most_pace(18000, 0), 0);
-}
-
 /** A word of a daemon with what its runs made there so far. */
 static hs_engine_total tell(hs_slot_ledger *ledger, const char *daemon, uint64_t incarnation,
                             uint64_t events, uint64_t took_ms, uint64_t now_ms) {
@@ -293,7 +267,6 @@
     {"words_that_say_nothing_are_passed_over", words_that_say_nothing_are_passed_over},
     {"a_constant_word_says_nothing", a_constant_word_says_nothing},
     {"no_pace_changes_no_cost", no_pace_changes_no_cost},
-    {"items_with_time_leave_fast_engines_free", items_with_time_leave_fast_engines_free},
     {"an_arbiter_counts_the_runs_of_all", an_arbiter_counts_the_runs_of_all},
     {"a_told_slowdown_decides_elsewhere", a_told_slowdown_decides_elsewhere},
     {"a_run_tells_its_events", a_run_tells_its_events},
