--- /dev/null
+++ b/src/base/memory_budget.c
@@ -0,0 +1,90 @@
+/** @file memory_budget.c  See memory_budget.h. */
+#include "base/memory_budget.h"
+
+#include <glib.h>
+
+/** Of the process; under the lock. */
+static struct {
+    GMutex lock;
+    uint64_t budget;
+    uint64_t in_all;
+    uint64_t charged[HS_MEMORY_KINDS];
+} memory;
+
+const char *hs_memory_kind_name(hs_memory_kind kind) {
+    static const char *const names[] = {[HS_MEMORY_BODIES] = "bodies",
+                                        [HS_MEMORY_ANSWERS] = "answers",
+                                        [HS_MEMORY_REPLIES] = "replies",
+                                        [HS_MEMORY_STREAMS] = "streams"};
+    return names[kind];
+}
+
+void hs_memory_budget_set(uint64_t budget) {
+    g_mutex_lock(&memory.lock);
+    memory.budget = budget;
+    g_mutex_unlock(&memory.lock);
+}
+
+uint64_t hs_memory_budget_get(void) {
+    g_mutex_lock(&memory.lock);
+    uint64_t budget = memory.budget;
+    g_mutex_unlock(&memory.lock);
+    return budget;
+}
+
+/** The caller holds the lock. */
+static void add(hs_memory_kind kind, uint64_t bytes) {
+    memory.charged[kind] += bytes;
+    memory.in_all += bytes;
+}
+
+bool hs_memory_try_charge(hs_memory_kind kind, uint64_t bytes, hs_memory_claim claim) {
+    g_mutex_lock(&memory.lock);
+    bool may_take = hs_memory_may_take(memory.budget, memory.in_all, bytes, claim);
+    if (may_take)
+        add(kind, bytes);
+    g_mutex_unlock(&memory.lock);
+    return may_take;
+}
+
+void hs_memory_charge(hs_memory_kind kind, uint64_t bytes) {
+    g_mutex_lock(&memory.lock);
+    add(kind, bytes);
+    g_mutex_unlock(&memory.lock);
+}
+
+void hs_memory_release(hs_memory_kind kind, uint64_t bytes) {
+    g_mutex_lock(&memory.lock);
+    g_assert(memory.charged[kind] >= bytes);
+    memory.charged[kind] -= bytes;
+    memory.in_all -= bytes;
+    g_mutex_unlock(&memory.lock);
+}
+
+uint64_t hs_memory_charged(hs_memory_kind kind) {
+    g_mutex_lock(&memory.lock);
+    uint64_t charged = memory.charged[kind];
+    g_mutex_unlock(&memory.lock);
+    return charged;
+}
+
+uint64_t hs_memory_charged_in_all(void) {
+    g_mutex_lock(&memory.lock);
+    uint64_t charged = memory.in_all;
+    g_mutex_unlock(&memory.lock);
+    return charged;
+}
+
+hs_memory_mark hs_memory_mark_now(void) {
+    g_mutex_lock(&memory.lock);
+    hs_memory_mark mark = hs_memory_mark_at(memory.budget, memory.in_all);
+    g_mutex_unlock(&memory.lock);
+    return mark;
+}
+
+uint32_t hs_memory_taken_percent(void) {
+    g_mutex_lock(&memory.lock);
+    uint32_t percent = hs_memory_taken_percent_at(memory.budget, memory.in_all);
+    g_mutex_unlock(&memory.lock);
+    return percent;
+}
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/log.h"
+#include "base/memory_budget.h"
 #include "base/stop_wait.h"
 #include "directory/crash_exchange.h"
 #include "directory/crash_store.h"
@@ -341,11 +342,13 @@
 
 /** Tell the others where much more, or less, of this machine is taken than they know. */
 static void tell_taken(hs_daemon_directory *directory, uint64_t now_ms) {
+    directory->load.memory_percent = hs_memory_taken_percent();
     uint32_t taken = hs_machine_load_taken_percent(&directory->load, now_ms);
     if ((gint)taken == g_atomic_int_get(&directory->taken_percent))
         return;
-    hs_log_info("machine_load", "taken_percent=%u before=%d late_ms=%.1f", taken,
-                g_atomic_int_get(&directory->taken_percent), directory->load.late_ms);
+    hs_log_info("machine_load", "taken_percent=%u before=%d late_ms=%.1f memory_percent=%u", taken,
+                g_atomic_int_get(&directory->taken_percent), directory->load.late_ms,
+                directory->load.memory_percent);
     g_atomic_int_set(&directory->taken_percent, (gint)taken);
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     hs_membership_tell_taken(membership, taken);
--- a/src/directory/machine_load.c
+++ b/src/directory/machine_load.c
@@ -27,7 +27,7 @@
 
 uint32_t hs_machine_load_taken_percent(hs_machine_load *load, uint64_t now_ms) {
     double late_ms = fmax(load->late_ms - LATE_USUAL_MS, 0);
-    double taken = 100 * late_ms / (late_ms + LATE_HALF_MS);
+    double taken = fmax(100 * late_ms / (late_ms + LATE_HALF_MS), load->memory_percent);
     double away = fabs(taken - load->told_percent);
     bool is_due = load->told_ms == 0 || now_ms >= load->told_ms + STEP_LEAST_MS;
     if (!is_due || away < STEP_PERCENT / 2.0 + STEP_MARGIN_PERCENT)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -39,6 +39,7 @@
         {"limits", limit_tests, NULL, NULL},
         {"entries", entry_tests, NULL, NULL},
         {"callers", caller_tests, NULL, NULL},
+        {"memory", memory_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -41,5 +41,6 @@
 extern const test_case entry_tests[];
 extern const test_case connection_guard_tests[];
 extern const test_case caller_tests[];
+extern const test_case memory_tests[];
 
 #endif
