--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -6,6 +6,7 @@
 #include "base/descriptor_limit.h"
 #include "base/endpoint.h"
 #include "base/log.h"
+#include "base/memory_budget.h"
 #include "base/thread.h"
 #include "daemon/settings.h"
 #include "fleet/engine_source.h"
@@ -156,6 +157,9 @@
                                       : 0;
     daemon->online.ages = hs_caller_ages_new();
     daemon->online.held = hs_held_requests_new();
+    hs_memory_budget_set(hs_memory_budget_of_machine((uint32_t)daemon->settings->fleet_memory_mb));
+    if (hs_memory_budget_get() > 0)
+        daemon->online.read_ahead = hs_read_ahead_new();
     g_mutex_init(&daemon->online.counters.lock);
     hs_fleet_surface_settings surface = {.front = daemon->settings->fleet_front,
                                          .ready = daemon->settings->fleet_ready,
@@ -187,6 +191,7 @@
     hs_job_service_free(daemon->jobs);
     hs_caller_ages_free(daemon->online.ages);
     hs_held_requests_free(daemon->online.held);
+    hs_read_ahead_free(daemon->online.read_ahead);
     hs_fleet_engines_free(daemon->engines);
     hs_crash_watch_free(daemon->crash_watch);
     hs_store_client_free(daemon->store);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -357,6 +357,7 @@
     if (connection == NULL || !hs_client_connection_is_reusable(connection) || !engine->listed ||
         engine->entry.draining || !make_room(lease))
         return false;
+    hs_client_connection_drop_body(connection);
     hs_idle_connection *idle = g_new(hs_idle_connection, 1);
     *idle = (hs_idle_connection){
         .connection = connection, .idle_since_ms = now_ms, .carried = lease->carried};
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -2,6 +2,7 @@
 #include "http/client_connection.h"
 
 #include "base/clock.h"
+#include "base/memory_budget.h"
 #include "http/connection_guard.h"
 #include "http/http_fields.h"
 
@@ -21,6 +22,8 @@
 /** Where an interrupt has no descriptor, it is looked at this often. */
 #define INTERRUPT_CHECK_MS 250
 #define FIRST_FINAL_STATUS 200
+/** An idle connection keeps room for a body of this size, in bytes. */
+#define KEPT_BODY_BYTES 16384
 
 struct hs_client_connection {
     int descriptor;
@@ -39,6 +42,7 @@
     GByteArray *body;
     uint64_t body_received; /**< Bytes of body so far. */
     uint64_t body_reported; /**< As of the last return of read_body. */
+    uint64_t charged;       /**< To the memory budget, for a body that is read whole. */
     bool is_guarded;
     hs_connection_kind kind; /**< Where it is guarded. */
     uint64_t opened_ms;
@@ -115,13 +119,37 @@
     .on_message_complete = on_message_complete,
 };
 
+static void release_body(hs_client_connection *connection) {
+    hs_memory_release(HS_MEMORY_ANSWERS, connection->charged);
+    connection->charged = 0;
+}
+
+/** A body that is kept whole has grown; it cannot be refused, since its request has run. */
+static void charge_body(hs_client_connection *connection) {
+    uint64_t held = hs_memory_block_bytes(connection->body->len);
+    if (held <= connection->charged)
+        return;
+    hs_memory_charge(HS_MEMORY_ANSWERS, held - connection->charged);
+    connection->charged = held;
+}
+
+void hs_client_connection_drop_body(hs_client_connection *connection) {
+    bool is_large = connection->body->len > KEPT_BODY_BYTES;
+    release_body(connection);
+    g_byte_array_set_size(connection->body, 0);
+    if (!is_large)
+        return;
+    g_byte_array_free(connection->body, TRUE);
+    connection->body = g_byte_array_new();
+}
+
 static void begin_answer(hs_client_connection *connection, bool is_head_method) {
     http_parser_init(&connection->parser, HTTP_RESPONSE);
     connection->parser.data = connection;
     g_array_set_size(connection->fields, 0);
     g_string_truncate(connection->field_name, 0);
     g_string_truncate(connection->field_value, 0);
-    g_byte_array_set_size(connection->body, 0);
+    hs_client_connection_drop_body(connection);
     connection->body_received = 0;
     connection->body_reported = 0;
     connection->in_value = false;
@@ -263,6 +291,7 @@
     if (connection == NULL)
         return;
     close(connection->descriptor);
+    release_body(connection);
     hs_http_fields_free(connection->fields);
     g_string_free(connection->field_name, TRUE);
     g_string_free(connection->field_value, TRUE);
@@ -389,6 +418,16 @@
     return step;
 }
 
+hs_step hs_client_connection_take_ready(hs_client_connection *connection) {
+    hs_step step = HS_STEP_PROGRESS;
+    if (connection->failed)
+        step = HS_STEP_CUT;
+    else if (!connection->message_complete)
+        step = receive_some(connection);
+    connection->body_reported = connection->body_received;
+    return connection->message_complete ? HS_STEP_COMPLETE : step;
+}
+
 hs_step hs_client_connection_read_all(hs_client_connection *connection, size_t limit,
                                       const hs_wait *wait) {
     while (!connection->message_complete) {
@@ -397,6 +436,7 @@
         if (connection->body->len > limit)
             return HS_STEP_INVALID;
         hs_step step = fill(connection, wait);
+        charge_body(connection);
         if (step != HS_STEP_PROGRESS && step != HS_STEP_COMPLETE)
             return step;
     }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -91,6 +91,12 @@
 /** Read until more body bytes are there (see body) than at its last return, or the answer ended. */
 hs_step hs_client_connection_read_body(hs_client_connection *connection, const hs_wait *wait);
 
+/**
+ * Take what the socket holds of the answer's body, without a wait: HS_STEP_PROGRESS, also where
+ * there is nothing.
+ */
+hs_step hs_client_connection_take_ready(hs_client_connection *connection);
+
 /** Read the rest of the answer, at most @p limit bytes of body. */
 hs_step hs_client_connection_read_all(hs_client_connection *connection, size_t limit,
                                       const hs_wait *wait);
@@ -110,6 +116,9 @@
 /** Body bytes not yet taken; the caller empties it with g_byte_array_set_size. Borrowed. */
 GByteArray *hs_client_connection_body(hs_client_connection *connection);
 
+/** Forget the body of an answer that was passed on, and give back what it was charged. */
+void hs_client_connection_drop_body(hs_client_connection *connection);
+
 /** Another answer is still due on it, whose place is not known: it is not to be used again. */
 void hs_client_connection_give_up(hs_client_connection *connection);
 
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -2,6 +2,7 @@
 #include "http/listener.h"
 
 #include "base/clock.h"
+#include "base/memory_budget.h"
 #include "http/http_fields.h"
 
 #include <arpa/inet.h>
@@ -15,6 +16,8 @@
 #define LISTEN_BACKLOG 1024
 #define STREAM_BLOCK 16384
 #define FIRST_IDLE_TIMEOUT_S 60
+/** Kept by the kernel for a caller that does not read, in bytes; the kernel doubles it. */
+#define KERNEL_SEND_BYTES (32 * 1024)
 
 struct hs_listener {
     struct MHD_Daemon *daemon;
@@ -36,14 +39,22 @@
     return info != NULL ? info->socket_context : NULL;
 }
 
+/** What the kernel keeps for a caller takes the machine's memory too. */
+static void bound_kernel(int descriptor) {
+    int bytes = KERNEL_SEND_BYTES;
+    if (hs_memory_budget_get() > 0 && descriptor >= 0)
+        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+}
+
 static void note_connection(void *data, struct MHD_Connection *connection, void **state,
                             enum MHD_ConnectionNotificationCode code) {
     hs_listener *listener = data;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         const union MHD_ConnectionInfo *info =
             MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        *state =
-            hs_caller_connections_add(listener->connections, info != NULL ? info->connect_fd : -1);
+        int descriptor = info != NULL ? info->connect_fd : -1;
+        bound_kernel(descriptor);
+        *state = hs_caller_connections_add(listener->connections, descriptor);
     } else {
         hs_caller_connections_remove(listener->connections, *state);
         *state = NULL;
@@ -68,6 +79,14 @@
     return inbound;
 }
 
+/** Give back what is kept of a body. */
+static void drop_body(hs_inbound *inbound) {
+    g_byte_array_free(inbound->body, TRUE);
+    inbound->body = g_byte_array_new();
+    hs_memory_release(HS_MEMORY_BODIES, inbound->charged);
+    inbound->charged = 0;
+}
+
 static void end_request(void *data, struct MHD_Connection *connection, void **state,
                         enum MHD_RequestTerminationCode reason) {
     (void)data;
@@ -81,6 +100,7 @@
     g_free(inbound->method);
     g_free(inbound->target);
     hs_http_fields_free(inbound->fields);
+    hs_memory_release(HS_MEMORY_BODIES, inbound->charged);
     g_byte_array_free(inbound->body, TRUE);
     g_free(inbound);
 }
@@ -114,12 +134,29 @@
     MHD_set_connection_option(inbound->connection, MHD_CONNECTION_OPTION_TIMEOUT, idle_s);
 }
 
+/** Room for @p length more bytes of a body. */
+static bool charge_body(hs_inbound *inbound, size_t length) {
+    uint64_t held = hs_memory_block_bytes(inbound->body->len + length);
+    if (held <= inbound->charged)
+        return true;
+    if (!hs_memory_try_charge(HS_MEMORY_BODIES, held - inbound->charged, HS_MEMORY_OF_NEW_WORK))
+        return false;
+    inbound->charged = held;
+    return true;
+}
+
 static void take_body(hs_inbound *inbound, const char *bytes, size_t length) {
     size_t limit = inbound->listener->max_body_bytes;
+    if (inbound->lacks_memory)
+        return;
     if (limit > 0 && inbound->body->len + length > limit)
         inbound->is_too_large = true;
-    else
+    else if (charge_body(inbound, length))
         g_byte_array_append(inbound->body, (const guint8 *)bytes, (guint)length);
+    else {
+        drop_body(inbound);
+        inbound->lacks_memory = true;
+    }
 }
 
 /** Whether the request comes from the listener's own process; see hs_listener_expect_own. */
@@ -259,10 +296,27 @@
     inbound->answered = true;
 }
 
+/** A whole answer until its caller has it. */
+typedef struct {
+    size_t length;
+    char bytes[];
+} kept_reply;
+
+static void release_reply(void *data) {
+    kept_reply *kept = data;
+    hs_memory_release(HS_MEMORY_REPLIES, kept->length);
+    g_free(kept);
+}
+
 void hs_inbound_reply(hs_inbound *inbound, uint32_t status, const GArray *fields, const void *body,
                       size_t body_length) {
-    struct MHD_Response *response =
-        MHD_create_response_from_buffer(body_length, (void *)body, MHD_RESPMEM_MUST_COPY);
+    kept_reply *kept = g_malloc(sizeof(kept_reply) + body_length);
+    kept->length = body_length;
+    if (body_length > 0)
+        memcpy(kept->bytes, body, body_length);
+    hs_memory_charge(HS_MEMORY_REPLIES, body_length);
+    struct MHD_Response *response = MHD_create_response_from_buffer_with_free_callback_cls(
+        body_length, kept->bytes, release_reply, kept);
     queue(inbound, status, fields, response);
 }
 
@@ -284,6 +338,13 @@
         shutdown(descriptor, SHUT_RDWR);
 }
 
+bool hs_inbound_cut(const hs_inbound *inbound) {
+    if (inbound->descriptor < 0)
+        return false;
+    reset_connection(inbound->descriptor);
+    return true;
+}
+
 static ssize_t read_stream(void *data, uint64_t position, char *buffer, size_t size) {
     (void)position;
     stream_state *stream = data;
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -29,6 +29,8 @@
     uint32_t caller_address; /**< IPv4 number in host order; 0: not known. */
     int descriptor; /**< The caller's socket, to be watched only (base/peer_watch.h); -1: none. */
     bool is_too_large;
+    bool lacks_memory; /**< No memory for its body: what came of it was given back. */
+    uint64_t charged;  /**< To the memory budget, for its body. */
     bool lacks_chunks; /**< HTTP/1.0: a body of unknown length ends with the connection. */
     bool answered;
     uint64_t received_ms; /**< Monotonic time at which its head was read. */
@@ -97,6 +99,12 @@
 void hs_inbound_reply_stream(hs_inbound *inbound, uint32_t status, const GArray *fields,
                              hs_body_reader reader, void *reader_data, GDestroyNotify release);
 
+/**
+ * Reset the caller's connection while its answer is sent, from any thread: the answer's state is
+ * then released by the library. False where its socket is not known.
+ */
+bool hs_inbound_cut(const hs_inbound *inbound);
+
 /** Close the connection without an answer. */
 void hs_inbound_drop(hs_inbound *inbound);
 
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -22,6 +22,7 @@
     [HS_END_KEYS_UNSURE] = {"keys_unsure", 503, "the keys in force are not known; not run\n"},
     [HS_END_OVER_LIMIT] = {"over_limit", 429, "beyond the tenant's limit; not run\n"},
     [HS_END_TOO_LARGE] = {"too_large", 413, "the body is over the limit\n"},
+    [HS_END_NO_MEMORY] = {"short_of_memory", 503, "short of memory; not run\n"},
     [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
     [HS_END_FULL] = {"full", 503, "all engines are full; not run\n"},
     [HS_END_UNREACHABLE] = {"unreachable", 503, "no engine can be reached; not run\n"},
@@ -32,6 +33,7 @@
     [HS_END_CALLER_GONE] = {"caller_gone", 0, ""},
     [HS_END_STREAM_BROKEN] = {"stream_broken", 0, ""},
     [HS_END_STREAM_LATE] = {"stream_late", 0, ""},
+    [HS_END_READER_SLOW] = {"reader_slow", 0, ""},
 };
 
 const char *hs_end_reason_name(hs_end_reason reason) {
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -46,6 +46,7 @@
 
 void hs_online_request_free(gpointer data) {
     hs_online_request *request = data;
+    hs_online_stream_release(request);
     if (!request->counted) { /* The library dropped the answer: the caller's connection ended. */
         hs_online_request_end(request, HS_END_CALLER_GONE);
         hs_online_count(request->online, HS_END_CALLER_GONE, request->first_byte_ms);
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -13,6 +13,7 @@
 #include "http/listener.h"
 #include "online/caller_age.h"
 #include "online/held_requests.h"
+#include "online/read_ahead.h"
 #include "platform/caller_codec.h"
 
 /** Why a request ended; each has one status and one text, see the table in end_reason.c. */
@@ -27,6 +28,7 @@
     HS_END_KEYS_UNSURE,   /**< Which keys are in force has not been heard for too long. */
     HS_END_OVER_LIMIT,    /**< Beyond its tenant's limit. */
     HS_END_TOO_LARGE,     /**< The body is over the limit. */
+    HS_END_NO_MEMORY,     /**< This daemon keeps too much for others. */
     HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
     HS_END_FULL,          /**< Every engine refused. */
     HS_END_UNREACHABLE,   /**< No engine could be connected to. */
@@ -37,6 +39,7 @@
     HS_END_CALLER_GONE,   /**< The caller left. */
     HS_END_STREAM_BROKEN, /**< The stream broke after it had begun, and could not go on. */
     HS_END_STREAM_LATE,   /**< The deadline passed within the stream. */
+    HS_END_READER_SLOW,   /**< Memory was critical, and its caller read slowest. */
     HS_END_REASON_COUNT,
 } hs_end_reason;
 
@@ -62,6 +65,7 @@
     hs_online_counters counters;
     hs_caller_ages *ages;
     hs_held_requests *held;
+    hs_read_ahead *read_ahead; /**< NULL: no memory budget, nothing is read ahead. */
     uint64_t keys_hold_ms; /**< How long keys hold without the store's word; 0: for good. Where they
                                 do not, streams of a key that was taken away end. */
     gint split_turn;       /**< Spreads requests over the shares of a split route. */
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -4,6 +4,7 @@
 
 #include "online/event_stream.h"
 #include "online/online_request.h"
+#include "online/read_ahead.h"
 #include "online/refusal_choice.h"
 
 /** A whole answer above this is not read to its end. */
@@ -42,6 +43,7 @@
     GByteArray *ready;       /**< Bytes for the caller not yet handed on. */
     uint64_t retry_after_ms; /**< Expected time in ms until an engine can take it; 0: not known. */
     bool stream_ended;
+    hs_stream_hold hold; /**< Of a stream that may be read ahead. */
     bool counted;
 } hs_online_request;
 
@@ -91,6 +93,21 @@
 /** Pass the stream on; the request then lives until the answer's end. */
 void hs_online_serve_stream(hs_online_request *request);
 
+/**
+ * Read a stream on whose caller takes no bytes, without a wait, as far as the memory for it goes.
+ * Its lock is held.
+ */
+void hs_online_stream_read_on(hs_online_request *request);
+
+/**
+ * End a stream whose reader is slowest while memory is critical: its caller's connection is reset.
+ * False where that cannot be. Its lock is held.
+ */
+bool hs_online_stream_drop(hs_online_request *request);
+
+/** A stream ends: it is read ahead no more, and what it held is given back. */
+void hs_online_stream_release(hs_online_request *request);
+
 /** Note the end once, in the log. */
 void hs_online_request_end(hs_online_request *request, hs_end_reason reason);
 
--- /dev/null
+++ b/src/online/read_ahead.c
@@ -0,0 +1,147 @@
+/** @file read_ahead.c  See read_ahead.h. */
+#include "online/read_ahead.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/memory_budget.h"
+#include "base/stop_wait.h"
+#include "base/thread.h"
+#include "online/online_request_state.h"
+
+/** Between two looks at all streams; engines bear an unread answer for seconds. */
+#define LOOK_MS 250
+/** A caller that took nothing for this long holds its stream up. */
+#define HELD_UP_MS 200
+
+struct hs_read_ahead {
+    GMutex lock;
+    GPtrArray *requests; /**< of hs_online_request *, borrowed. */
+    hs_read_ahead_counters counters;
+    hs_stop_wait pause;
+    GThread *thread;
+};
+
+/** Whether the caller of a stream, whose lock is held, takes no bytes. */
+static bool is_held_up(const hs_online_request *request, uint64_t now_ms) {
+    const hs_stream_hold *hold = &request->hold;
+    return hold->handed_ms != 0 && now_ms >= hold->handed_ms + HELD_UP_MS;
+}
+
+/** Keep the connection of a caller that takes nothing, as long as its kernel gives signs. */
+static void bear(hs_online_request *request, uint64_t now_ms) {
+    int descriptor = request->inbound->descriptor;
+    if (descriptor >= 0)
+        hs_connection_bear(descriptor, HS_CONNECTION_CALLER, now_ms - request->hold.began_ms);
+}
+
+/** Read all streams on that are held up. The caller holds the lock. */
+static void read_on(hs_read_ahead *ahead, uint64_t now_ms) {
+    for (guint index = 0; index < ahead->requests->len; index++) {
+        hs_online_request *request = ahead->requests->pdata[index];
+        if (!g_mutex_trylock(&request->hold.lock))
+            continue;
+        bool is_first = request->hold.charged == 0;
+        if (is_held_up(request, now_ms)) {
+            bear(request, now_ms);
+            hs_online_stream_read_on(request);
+        }
+        ahead->counters.read_ahead += is_first && request->hold.charged > 0;
+        g_mutex_unlock(&request->hold.lock);
+    }
+}
+
+/** The streams that are held up, as readers; those at work hold nothing. The lock is held. */
+static GArray *list_readers(const hs_read_ahead *ahead, uint64_t now_ms) {
+    GArray *readers = g_array_new(FALSE, TRUE, sizeof(hs_memory_reader));
+    g_array_set_size(readers, ahead->requests->len);
+    for (guint index = 0; index < ahead->requests->len; index++) {
+        hs_online_request *request = ahead->requests->pdata[index];
+        if (!g_mutex_trylock(&request->hold.lock))
+            continue;
+        const hs_stream_hold *hold = &request->hold;
+        if (is_held_up(request, now_ms))
+            g_array_index(readers, hs_memory_reader, index) =
+                (hs_memory_reader){.held_bytes = hold->charged,
+                                   .taken_bytes = hold->handed_bytes,
+                                   .open_ms = now_ms - hold->began_ms};
+        g_mutex_unlock(&request->hold.lock);
+    }
+    return readers;
+}
+
+/** Drop streams, the slowest reader's first, until memory is not critical. The lock is held. */
+static void drop_slowest(hs_read_ahead *ahead, uint64_t now_ms) {
+    GArray *readers = list_readers(ahead, now_ms);
+    hs_memory_reader *first = &g_array_index(readers, hs_memory_reader, 0);
+    while (hs_memory_mark_now() == HS_MEMORY_CRITICAL) {
+        size_t slowest = hs_memory_slowest_reader(first, readers->len);
+        if (slowest == readers->len)
+            break;
+        hs_online_request *request = ahead->requests->pdata[slowest];
+        first[slowest].held_bytes = 0;
+        if (!g_mutex_trylock(&request->hold.lock)) /* It reads again. */
+            continue;
+        ahead->counters.dropped += hs_online_stream_drop(request);
+        g_mutex_unlock(&request->hold.lock);
+    }
+    g_array_free(readers, TRUE);
+}
+
+static gpointer run(gpointer data) {
+    hs_read_ahead *ahead = data;
+    while (hs_stop_wait_pause(&ahead->pause, LOOK_MS)) {
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        g_mutex_lock(&ahead->lock);
+        read_on(ahead, now_ms);
+        if (hs_memory_mark_now() == HS_MEMORY_CRITICAL)
+            drop_slowest(ahead, now_ms);
+        g_mutex_unlock(&ahead->lock);
+    }
+    return NULL;
+}
+
+hs_read_ahead *hs_read_ahead_new(void) {
+    hs_read_ahead *ahead = g_new0(hs_read_ahead, 1);
+    g_mutex_init(&ahead->lock);
+    hs_stop_wait_init(&ahead->pause);
+    ahead->requests = g_ptr_array_new();
+    ahead->thread = hs_thread_try("read_ahead", run, ahead);
+    if (ahead->thread != NULL)
+        return ahead;
+    hs_read_ahead_free(ahead);
+    return NULL;
+}
+
+void hs_read_ahead_free(hs_read_ahead *ahead) {
+    if (ahead == NULL)
+        return;
+    hs_stop_wait_ask(&ahead->pause);
+    if (ahead->thread != NULL)
+        g_thread_join(ahead->thread);
+    hs_stop_wait_clear(&ahead->pause);
+    g_ptr_array_free(ahead->requests, TRUE);
+    g_mutex_clear(&ahead->lock);
+    g_free(ahead);
+}
+
+void hs_read_ahead_add(hs_read_ahead *ahead, gpointer request) {
+    g_mutex_lock(&ahead->lock);
+    g_ptr_array_add(ahead->requests, request);
+    g_mutex_unlock(&ahead->lock);
+}
+
+void hs_read_ahead_remove(hs_read_ahead *ahead, gpointer request) {
+    g_mutex_lock(&ahead->lock);
+    g_ptr_array_remove_fast(ahead->requests, request);
+    g_mutex_unlock(&ahead->lock);
+}
+
+hs_read_ahead_counters hs_read_ahead_count(hs_read_ahead *ahead) {
+    hs_read_ahead_counters counters = {0};
+    if (ahead == NULL)
+        return counters;
+    g_mutex_lock(&ahead->lock);
+    counters = ahead->counters;
+    g_mutex_unlock(&ahead->lock);
+    return counters;
+}
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -6,6 +6,7 @@
 
 #include "base/build_info.h"
 #include "base/clock.h"
+#include "base/memory_budget.h"
 #include "http/connection_guard.h"
 
 static void write_online(GString *text, hs_online *online) {
@@ -99,6 +100,21 @@
                                (guint64)hs_connection_losses((hs_connection_kind)kind));
 }
 
+static void write_memory(GString *text, hs_read_ahead *ahead) {
+    for (int kind = 0; kind < HS_MEMORY_KINDS; kind++)
+        g_string_append_printf(
+            text, "heathsail_memory_charged_bytes{kind=\"%s\"} %" G_GUINT64_FORMAT "\n",
+            hs_memory_kind_name((hs_memory_kind)kind),
+            (guint64)hs_memory_charged((hs_memory_kind)kind));
+    hs_read_ahead_counters counters = hs_read_ahead_count(ahead);
+    g_string_append_printf(text,
+                           "heathsail_memory_budget_bytes %" G_GUINT64_FORMAT "\n"
+                           "heathsail_streams_read_ahead %" G_GUINT64_FORMAT "\n"
+                           "heathsail_streams_dropped %" G_GUINT64_FORMAT "\n",
+                           (guint64)hs_memory_budget_get(), (guint64)counters.read_ahead,
+                           (guint64)counters.dropped);
+}
+
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
     hs_online *online = sources->online;
@@ -111,6 +127,7 @@
     write_job_reads(text, sources->jobs);
     write_partitions(text, sources);
     write_losses(text);
+    write_memory(text, online->read_ahead);
     g_string_append_printf(text,
                            "heathsail_settings_reloads_total %d\n"
                            "heathsail_settings_refused_total %d\n",
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/log.h"
+#include "base/memory_budget.h"
 #include "http/connection_plan.h"
 #include "http/front_watch.h"
 #include "http/http_fields.h"
@@ -128,6 +129,11 @@
     return tenant != NULL ? tenant->name : "";
 }
 
+/** Whether a request is refused for memory: for its own, or for what is kept for others. */
+static bool is_short_of_memory(const hs_inbound *inbound) {
+    return inbound->lacks_memory || hs_memory_mark_now() != HS_MEMORY_AMPLE;
+}
+
 static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
                          const hs_caller_terms *terms, hs_fleet_config *config) {
     hs_online *online = surface->settings.online;
@@ -141,6 +147,8 @@
         return;
     if (inbound->is_too_large || inbound->body->len > config->limits.max_body_bytes) {
         refuse(surface, inbound, terms, HS_END_TOO_LARGE);
+    } else if (is_short_of_memory(inbound)) {
+        refuse(surface, inbound, terms, HS_END_NO_MEMORY);
     } else if (route->kind == HS_ROUTE_BATCH) {
         hs_job_caller caller = {.terms = terms, .tenant = name_of(tenant)};
         hs_job_service_submit(surface->settings.jobs, inbound, &caller, config, route);
@@ -205,6 +213,10 @@
 /** What another daemon asks: of the store, an append, or a caller's call about a job passed on. */
 static void serve_peer(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
+    if (inbound->lacks_memory) {
+        reply_status(inbound, 503);
+        return;
+    }
     if (strcmp(inbound->target, HS_PEER_STORE_TARGET) == 0) {
         reply_status(inbound, hs_store_client_is_failing(surface->settings.store) ? 503 : 200);
         return;
--- /dev/null
+++ b/tests/support/impatient_engine.c
@@ -0,0 +1,182 @@
+/** @file impatient_engine.c  See impatient_engine.h. One thread a connection, one request each. */
+#include "tests/support/impatient_engine.h"
+
+#include "platform/names.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define REQUEST_BYTES 65536
+#define ID_BYTES 64
+#define POLL_MS 20
+#define BACKLOG 1024
+#define KERNEL_SEND_BYTES 8192
+#define SLOTS 1000
+
+struct impatient_engine {
+    impatient_engine_settings settings;
+    int listener;
+    uint16_t port;
+    gint stopping;
+    gint open;
+    gint begun;
+    gint whole;
+    gint cut;
+    GThread *thread;
+};
+
+/** One accepted connection. */
+typedef struct {
+    impatient_engine *engine;
+    int descriptor;
+} accepted;
+
+static bool is_stopping(impatient_engine *engine) {
+    return g_atomic_int_get(&engine->stopping) != 0;
+}
+
+/** Read a head and the start of a body; the request's id goes into @p id. */
+static bool read_request(const accepted *from, char *id) {
+    char bytes[REQUEST_BYTES] = "";
+    size_t length = 0;
+    while (strstr(bytes, "\r\n\r\n") == NULL) {
+        struct pollfd polled = {.fd = from->descriptor, .events = POLLIN};
+        if (is_stopping(from->engine) || length >= sizeof bytes - 1)
+            return false;
+        if (poll(&polled, 1, POLL_MS) <= 0)
+            continue;
+        ssize_t got = recv(from->descriptor, bytes + length, sizeof bytes - 1 - length, 0);
+        if (got <= 0)
+            return false;
+        length += (size_t)got;
+        bytes[length] = '\0';
+    }
+    const char *field = strstr(bytes, HEADER_REQUEST_ID ": ");
+    g_strlcpy(id, field != NULL ? field + strlen(HEADER_REQUEST_ID ": ") : "-", ID_BYTES);
+    id[strcspn(id, "\r")] = '\0';
+    return true;
+}
+
+/** Send all of it; false when the other side ended, or read nothing for too long. */
+static bool send_all(const accepted *to, const GString *text) {
+    size_t sent = 0;
+    uint32_t unread_ms = 0;
+    while (sent < text->len && !is_stopping(to->engine)) {
+        ssize_t written =
+            send(to->descriptor, text->str + sent, text->len - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (written > 0) {
+            sent += (size_t)written;
+            unread_ms = 0;
+            continue;
+        }
+        struct pollfd polled = {.fd = to->descriptor, .events = POLLOUT};
+        int ready = poll(&polled, 1, POLL_MS);
+        if (ready > 0 && (polled.revents & (POLLERR | POLLHUP)) != 0)
+            return false;
+        unread_ms += ready == 0 ? POLL_MS : 0;
+        if (unread_ms >= to->engine->settings.patience_ms) {
+            g_atomic_int_inc(&to->engine->cut);
+            return false;
+        }
+    }
+    return sent == text->len;
+}
+
+static bool send_stream(const accepted *to, const char *id) {
+    const impatient_engine_settings *settings = &to->engine->settings;
+    g_autofree char *data = g_strnfill(settings->event_bytes, 'x');
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "HTTP/1.1 200 OK\r\n" HEADER_REQUEST_ID ": %s\r\n" HEADER_SIGNATURE
+                    ": sig\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+                    id);
+    bool goes_on = send_all(to, text);
+    for (uint32_t event = 1; goes_on && event <= settings->events; event++) {
+        g_string_printf(text, "id: %u\ndata: %s\n\n", event, data);
+        goes_on = send_all(to, text);
+    }
+    g_string_free(text, TRUE);
+    return goes_on;
+}
+
+static gpointer serve(gpointer data) {
+    accepted *from = data;
+    impatient_engine *engine = from->engine;
+    char id[ID_BYTES];
+    if (read_request(from, id)) {
+        g_atomic_int_inc(&engine->begun);
+        if (send_stream(from, id))
+            g_atomic_int_inc(&engine->whole);
+    }
+    close(from->descriptor);
+    g_free(from);
+    g_atomic_int_add(&engine->open, -1);
+    return NULL;
+}
+
+static gpointer accept_all(gpointer data) {
+    impatient_engine *engine = data;
+    int bytes = KERNEL_SEND_BYTES;
+    while (!is_stopping(engine)) {
+        struct pollfd polled = {.fd = engine->listener, .events = POLLIN};
+        if (poll(&polled, 1, POLL_MS) <= 0)
+            continue;
+        int descriptor = accept(engine->listener, NULL, NULL);
+        if (descriptor < 0)
+            continue;
+        setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+        accepted *from = g_new(accepted, 1);
+        *from = (accepted){.engine = engine, .descriptor = descriptor};
+        g_atomic_int_inc(&engine->open);
+        g_thread_unref(g_thread_new("impatient", serve, from));
+    }
+    return NULL;
+}
+
+impatient_engine *impatient_engine_start(const impatient_engine_settings *settings) {
+    impatient_engine *engine = g_new0(impatient_engine, 1);
+    engine->settings = *settings;
+    engine->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    struct sockaddr_in local = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof local;
+    bind(engine->listener, (struct sockaddr *)&local, sizeof local);
+    listen(engine->listener, BACKLOG);
+    getsockname(engine->listener, (struct sockaddr *)&local, &length);
+    engine->port = ntohs(local.sin_port);
+    engine->thread = g_thread_new("impatient engine", accept_all, engine);
+    return engine;
+}
+
+void impatient_engine_stop(impatient_engine *engine) {
+    g_atomic_int_set(&engine->stopping, 1);
+    g_thread_join(engine->thread);
+    while (g_atomic_int_get(&engine->open) > 0)
+        g_usleep(POLL_MS * 1000);
+    close(engine->listener);
+    g_free(engine);
+}
+
+void impatient_engine_announce(impatient_engine *engine, log_store *store) {
+    g_autofree char *entry =
+        g_strdup_printf("{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\","
+                        "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\",\"warmup-left-ms\":0,"
+                        "\"sequence\":1}",
+                        engine->settings.service, engine->port, SLOTS);
+    log_store_put(store, TOPIC_ENGINES, engine->settings.id, entry);
+}
+
+uint32_t impatient_engine_begun(impatient_engine *engine) {
+    return (uint32_t)g_atomic_int_get(&engine->begun);
+}
+
+uint32_t impatient_engine_whole(impatient_engine *engine) {
+    return (uint32_t)g_atomic_int_get(&engine->whole);
+}
+
+uint32_t impatient_engine_cut(impatient_engine *engine) {
+    return (uint32_t)g_atomic_int_get(&engine->cut);
+}
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -35,6 +35,7 @@
         {"fleet_tenants", fleet_tenant_system_tests, begin_tenants, end_tenants},
         {"fleet_waking", fleet_waking_system_tests, begin_bench, end_bench},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
+        {"fleet_memory", fleet_memory_system_tests, begin_memory, end_memory},
     };
     ulfius_global_init();
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -103,4 +103,10 @@
 int begin_silence(void);
 int end_silence(void);
 
+extern const test_case fleet_memory_system_tests[];
+
+/** The bench with daemons that are told their memory, and an engine that cuts unread answers. */
+int begin_memory(void);
+int end_memory(void);
+
 #endif
