--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -158,9 +158,19 @@
     g_mutex_unlock(&lease->engines->lock);
 }
 
+/** A trial is over: the next request may try the engine. The caller holds the lock. */
+static void end_trial(hs_engine_lease *lease) {
+    if (lease->is_trial)
+        lease->engine->is_tried = false;
+    lease->is_trial = false;
+}
+
 void hs_engine_lease_heard(hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
     lease->engine->heard_ms = hs_clock_monotonic_ms();
+    if (lease->is_trial)
+        lease->engine->suspect_until_ms = 0;
+    end_trial(lease);
     g_mutex_unlock(&lease->engines->lock);
 }
 
@@ -369,6 +379,7 @@
     else
         engine->batch--;
     g_ptr_array_remove(engine->batch_leases, lease);
+    end_trial(lease);
     judge(lease, end, now_ms);
     bool kept = note_carried(lease) && keep(lease, connection, now_ms);
     engine->left_ms = now_ms;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -23,6 +23,7 @@
     uint32_t silent_limit_ms;
     uint64_t heard_ms; /**< Last byte, or when the first request after an idle time went. */
     uint64_t suspect_until_ms;
+    bool is_tried; /**< Suspected till then, and one request has gone to see whether it is sound. */
     uint64_t full_until_ms;
     uint64_t no_yield_until_ms; /**< Until all daemons know of the items that stepped aside. */
     uint32_t failures;
@@ -107,8 +108,9 @@
     int32_t rank_ms;         /**< Likewise, when it was taken. */
     uint32_t told_before;    /**< The engine's told_count when it was taken. */
     hs_engine_reasons reasons;
-    bool was_alone;              /**< No prompt was being read there when it was taken. */
-    uint64_t request_hash;       /**< Of the request's id; 0: it has none. */
+    bool is_trial;         /**< It is the one that sees whether a suspected engine is sound. */
+    bool was_alone;        /**< No prompt was being read there when it was taken. */
+    uint64_t request_hash; /**< Of the request's id; 0: it has none. */
     hs_carried_requests carried; /**< By the connection in use, before this request. */
 };
 
@@ -148,6 +150,11 @@
 double hs_fleet_engine_faded(const hs_fleet_engine *engine, double count, uint64_t now_ms);
 double hs_fleet_engine_failure_rate(const hs_fleet_engine *engine, uint64_t now_ms);
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms);
+/**
+ * Whether the next request there sees whether the engine is sound: it is suspected by no more than
+ * other daemons' word, whose way there may be the bad one, or the time of its suspicion is over.
+ */
+bool hs_fleet_engine_is_to_be_tried(const hs_fleet_engine *engine, uint64_t now_ms);
 hs_engine_candidate hs_fleet_engine_candidate(const hs_fleet_engines *engines,
                                               const hs_fleet_engine *engine,
                                               const hs_engine_query *query, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -335,6 +335,38 @@
     g_ptr_array_set_size(found, (gint)kept);
 }
 
+/** Whether the service has an engine that nobody suspects, however crowded, tried or not. */
+static bool has_sound(const hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_found = false;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+                   !engine->misplaced && !is_doubt_over(engine, now_ms) &&
+                   !hs_fleet_engine_is_suspected(engine, now_ms);
+    }
+    return is_found;
+}
+
+/**
+ * Drop suspected engines, but for those whose turn to be tried has come. A request that found the
+ * sound ones crowded can wait for one, and loses more by what each dead engine costs it.
+ */
+static void drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
+                           const hs_engine_query *query, uint64_t now_ms) {
+    bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
+    if (!can_wait || !has_sound(engines, query->service, now_ms))
+        return;
+    for (guint index = found->len; index > 0; index--) {
+        const hs_fleet_engine *engine = found->pdata[index - 1];
+        if (hs_fleet_engine_is_suspected(engine, now_ms) &&
+            !hs_fleet_engine_is_to_be_tried(engine, now_ms))
+            g_ptr_array_remove_index(found, index - 1);
+    }
+}
+
 static hs_engine_lease *lease_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
                                      const hs_engine_query *query, double uncached,
                                      uint64_t now_ms) {
@@ -345,6 +377,8 @@
     lease->told_before = engine->told_count;
     lease->taken_ms = now_ms;
     lease->was_alone = engine->queued_tokens == 0;
+    lease->is_trial = hs_fleet_engine_is_to_be_tried(engine, now_ms);
+    engine->is_tried |= lease->is_trial;
     lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
     if (query->size != NULL) {
         lease->unread_tokens = (uint32_t)uncached;
@@ -378,6 +412,7 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, query);
+    drop_suspected(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -28,6 +28,7 @@
 extern const test_case quota_tests[];
 extern const test_case slot_tests[];
 extern const test_case health_tests[];
+extern const test_case suspicion_tests[];
 extern const test_case crash_tests[];
 extern const test_case record_tests[];
 extern const test_case connection_tests[];
