--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -11,6 +11,7 @@
 #include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
+#include "fleet/engine_words.h"
 #include "store/keyed_topic.h"
 
 #include <string.h>
@@ -30,7 +31,7 @@
  */
 #define SHARES_OWNERS_LARGE 1
 /** Daemons above which a fleet is large: three rounds of the most peers, so that all are heard. */
-#define LARGE_FLEET 48
+#define LARGE_FLEET HS_ENGINE_WORDS_LARGE_FLEET
 #define REGISTRY_INTERVAL_MS 4000
 #define REGISTRY_CALL_MS 1000
 #define JOIN_CHECK_MS 200
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -3,10 +3,16 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/engine_words.h"
 #include "fleet/slot_ledger.h"
 
 #include <string.h>
 
+/** Words in one answer, its own among them, of some 36 bytes each: it fits an Ethernet frame. */
+#define ANSWER_WORDS_MOST 32
+/** A word's tag and length in the message. */
+#define WORD_HEAD_BYTES 2
+
 struct hs_slot_arbiter {
     hs_fleet_engines *engines;
     hs_membership_service *membership;
@@ -126,6 +132,58 @@
                              .age_ms = told->age_ms};
 }
 
+/** What this daemon knows as an arbiter is what it believes as a sender. */
+static void believe_own_words(hs_slot_arbiter *arbiter) {
+    g_autoptr(GArray) own = g_array_new(FALSE, FALSE, sizeof(hs_engine_total));
+    g_mutex_lock(&arbiter->lock);
+    hs_slot_ledger_list(arbiter->ledger, hs_clock_monotonic_ms(), own);
+    g_mutex_unlock(&arbiter->lock);
+    for (guint index = 0; index < own->len; index++)
+        hs_fleet_engines_put_passed_on(arbiter->engines,
+                                       &g_array_index(own, hs_engine_total, index));
+}
+
+static bool is_answered(const Hs__EngineTotals *body, uint64_t engine_hash) {
+    for (size_t index = 0; index < body->n_totals; index++)
+        if (body->totals[index]->engine_hash == engine_hash)
+            return true;
+    return false;
+}
+
+/** Words in the form that engine_words.h picks from; the index takes the place of the hash. */
+static GArray *words_to_pick(const GArray *known, const Hs__EngineTotals *body) {
+    GArray *words = g_array_new(FALSE, FALSE, sizeof(hs_engine_word));
+    for (guint index = 0; index < known->len; index++) {
+        const hs_engine_total *total = &g_array_index(known, hs_engine_total, index);
+        hs_engine_word word = {.engine_hash = index, .age_ms = total->age_ms};
+        if (!is_answered(body, total->engine_hash))
+            g_array_append_val(words, word);
+    }
+    return words;
+}
+
+/** Add the freshest words to an answer of which they leave room in the datagram; free with g_free.
+ */
+static Hs__EngineTotal *add_words(hs_slot_arbiter *arbiter, Hs__EngineTotals *body) {
+    believe_own_words(arbiter);
+    g_autoptr(GArray) known = hs_fleet_engines_words(arbiter->engines);
+    g_autoptr(GArray) words = words_to_pick(known, body);
+    size_t room = body->n_totals < ANSWER_WORDS_MOST ? ANSWER_WORDS_MOST - body->n_totals : 0;
+    size_t count = hs_engine_words_pick((hs_engine_word *)words->data, words->len);
+    size_t bytes = 0;
+    body->n_passed_on = MIN(count, room);
+    Hs__EngineTotal *told = g_new(Hs__EngineTotal, body->n_passed_on + 1);
+    body->passed_on = g_new(Hs__EngineTotal *, body->n_passed_on + 1);
+    for (size_t index = 0; index < body->n_passed_on; index++) {
+        const hs_engine_word *word = &g_array_index(words, hs_engine_word, index);
+        write_total(&g_array_index(known, hs_engine_total, word->engine_hash), &told[index]);
+        body->passed_on[index] = &told[index];
+        bytes += hs__engine_total__get_packed_size(&told[index]) + WORD_HEAD_BYTES;
+    }
+    hs_fleet_engines_note_passed_on(arbiter->engines, body->n_passed_on, bytes);
+    return told;
+}
+
 static void take_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
                       const struct sockaddr_in *from) {
     const Hs__EngineUses *uses = message->engine_uses;
@@ -142,6 +200,10 @@
     Hs__EngineTotals body = HS__ENGINE_TOTALS__INIT;
     body.n_totals = uses->n_uses;
     body.totals = list;
+    g_autofree Hs__EngineTotal *passed_on = NULL;
+    if (hs_fleet_engines_passes_words(arbiter->engines))
+        passed_on = add_words(arbiter, &body);
+    g_autofree Hs__EngineTotal **passed_on_list = body.passed_on;
     Hs__PeerMessage answer = HS__PEER_MESSAGE__INIT;
     answer.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_TOTALS;
     answer.engine_totals = &body;
@@ -154,6 +216,10 @@
         hs_engine_total total = read_total(told->totals[index]);
         hs_fleet_engines_put_total(arbiter->engines, &total);
     }
+    for (size_t index = 0; index < told->n_passed_on; index++) {
+        hs_engine_total total = read_total(told->passed_on[index]);
+        hs_fleet_engines_put_passed_on(arbiter->engines, &total);
+    }
 }
 
 bool hs_slot_arbiter_handle(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -2,14 +2,15 @@
 #include "fleet/fleet_engine.h"
 
 #include "base/clock.h"
+#include "fleet/engine_words.h"
 
 #include <math.h>
 #include <string.h>
 
 /** A load told with an answer counts for this long, fading. */
 #define LOAD_VALID_MS 1000.0
-/** An arbiter's word on an engine counts for this long; daemons tell each other as often. */
-#define TOTAL_VALID_MS 250
+/** Fresh words on engines of a service from which on their mean says something of the others. */
+#define MEAN_WORDS_LEAST 3
 /** An arbiter's word that an engine fails counts for this long; then it is asked again. */
 #define FAILING_VALID_MS 1000
 /** Failures fade to half in this time, so that an engine is tried again. */
@@ -48,21 +49,91 @@
     return has_reason && !engine->is_tried && !is_shunned(engine, now_ms);
 }
 
-/** The arbiter's word is fresher than what daemons tell each other at intervals, for a while. */
-static bool is_told(const hs_fleet_engine *engine, uint64_t now_ms) {
-    return engine->told_ms != 0 && now_ms < engine->told_ms + TOTAL_VALID_MS;
+uint64_t hs_fleet_engine_word_age_ms(const hs_fleet_engine *engine, uint64_t now_ms) {
+    uint64_t age_ms = now_ms > engine->told_ms ? now_ms - engine->told_ms : 0;
+    return engine->told_ms == 0 || age_ms >= HS_ENGINE_WORD_VALID_MS ? UINT64_MAX : age_ms;
+}
+
+/**
+ * The arbiter's word is fresher than what daemons tell each other at intervals, for a while. Where
+ * they tell each other nothing the mean of the service's words takes its place, little by little.
+ */
+static double believed(const hs_fleet_engine *engine, double told, double mean, double peers,
+                       uint64_t now_ms) {
+    uint64_t age_ms = hs_fleet_engine_word_age_ms(engine, now_ms);
+    if (age_ms < HS_ENGINE_WORD_FRESH_MS)
+        return told;
+    if (!engine->has_mean)
+        return peers;
+    double weight = hs_engine_word_weight(age_ms);
+    return told * weight + mean * (1 - weight);
 }
 
 double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms) {
-    return is_told(engine, now_ms) ? engine->told_online : engine->peers_online;
+    return believed(engine, engine->told_online, engine->mean_online, engine->peers_online, now_ms);
 }
 
 double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms) {
-    return is_told(engine, now_ms) ? engine->told_batch : engine->peers_batch;
+    return believed(engine, engine->told_batch, engine->mean_batch, engine->peers_batch, now_ms);
 }
 
 double hs_fleet_engine_others_queued(const hs_fleet_engine *engine, uint64_t now_ms) {
-    return is_told(engine, now_ms) ? engine->told_queued : engine->peers_queued;
+    return believed(engine, engine->told_queued, engine->mean_queued, engine->peers_queued, now_ms);
+}
+
+/** Sums over the fresh words on the engines of one service that nobody suspects. */
+typedef struct {
+    double online;
+    double batch;
+    double queued;
+    double slots;
+    uint32_t words;
+} word_sum;
+
+/** Sums by service: name -> word_sum*. Free with g_hash_table_destroy. */
+static GHashTable *sum_words(hs_fleet_engines *engines, uint64_t now_ms) {
+    GHashTable *sums = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        if (hs_fleet_engine_word_age_ms(engine, now_ms) >= HS_ENGINE_WORD_FRESH_MS ||
+            hs_fleet_engine_is_suspected(engine, now_ms))
+            continue;
+        word_sum *sum = g_hash_table_lookup(sums, engine->entry.service);
+        if (sum == NULL) {
+            sum = g_new0(word_sum, 1);
+            g_hash_table_insert(sums, engine->entry.service, sum);
+        }
+        sum->online += engine->told_online;
+        sum->batch += engine->told_batch;
+        sum->queued += engine->told_queued;
+        sum->slots += engine->entry.slots;
+        sum->words++;
+    }
+    return sums;
+}
+
+void hs_fleet_engines_mean_words(hs_fleet_engines *engines, uint64_t now_ms) {
+    bool is_needed = engines->passed_on_ms != 0 &&
+                     now_ms < engines->passed_on_ms + HS_ENGINE_WORD_VALID_MS &&
+                     g_hash_table_size(engines->peers) == 0;
+    g_autoptr(GHashTable) sums = sum_words(engines, now_ms);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        const word_sum *sum = g_hash_table_lookup(sums, engine->entry.service);
+        engine->has_mean = is_needed && sum != NULL && sum->words >= MEAN_WORDS_LEAST;
+        if (!engine->has_mean)
+            continue;
+        double part = engine->entry.slots / fmax(sum->slots, 1);
+        engine->mean_online = sum->online * part;
+        engine->mean_batch = sum->batch * part;
+        engine->mean_queued = sum->queued * part;
+    }
 }
 
 /** Requests there of all daemons: own, told by peers, or seen in an answer's load. */
@@ -130,6 +201,15 @@
                                engine->entry.id, hs_fleet_engine_running(engine, now_ms),
                                engine->entry.id, hs_fleet_engine_is_suspected(engine, now_ms));
     }
+    const hs_words_counters *words = &engines->words;
+    g_string_append_printf(text,
+                           "heathsail_engine_words{kind=\"answered\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_engine_words{kind=\"taken\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_engine_words{kind=\"stale\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_engine_words{kind=\"passed_on\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_engine_words_sent_bytes %" G_GUINT64_FORMAT "\n",
+                           (guint64)words->answered, (guint64)words->taken, (guint64)words->stale,
+                           (guint64)words->passed_on, (guint64)words->passed_on_bytes);
     g_mutex_unlock(&engines->lock);
     return g_string_free(text, FALSE);
 }
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -240,6 +240,7 @@
         add_shares(engines, value);
     if (unheard.any > 0 || unheard.batch > 0)
         add_unheard(engines, &unheard);
+    hs_fleet_engines_mean_words(engines, now_ms);
 }
 
 void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers, uint32_t batch_peers) {
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -5,6 +5,7 @@
 #include "fleet/fleet_engine.h"
 
 #include "base/clock.h"
+#include "fleet/engine_words.h"
 
 #include <math.h>
 
@@ -75,21 +76,87 @@
     return uses;
 }
 
+/** Own online requests there of those now there that a word said at @p said_ms can count. */
+static uint32_t online_before(const hs_fleet_engine *engine, uint64_t said_ms) {
+    uint32_t later = 0;
+    for (uint32_t index = 0; index < HS_STARTS_KEPT; index++)
+        later += engine->starts_ms[index] > said_ms;
+    return engine->online - MIN(later, engine->online);
+}
+
+/** What others have there is what all have less what this daemon had (@p own_online). */
+static void take_word(hs_fleet_engine *engine, const hs_engine_total *total, uint64_t said_ms,
+                      uint32_t own_online) {
+    engine->told_online = total->online > own_online ? total->online - own_online : 0;
+    engine->told_batch = total->batch > engine->batch ? total->batch - engine->batch : 0;
+    engine->told_queued = fmax((double)total->queued_tokens - (double)engine->queued_tokens, 0);
+    engine->told_ms = said_ms;
+    engine->told_total = *total;
+    engine->told_failing_ms = total->is_failing ? said_ms : 0;
+}
+
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total) {
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = hs_fleet_engines_find(engines, total->engine_hash);
     if (engine != NULL) {
-        engine->told_online = total->online > engine->online ? total->online - engine->online : 0;
-        engine->told_batch = total->batch > engine->batch ? total->batch - engine->batch : 0;
-        engine->told_queued = fmax((double)total->queued_tokens - (double)engine->queued_tokens, 0);
-        engine->told_ms = hs_clock_monotonic_ms();
-        engine->told_failing_ms = total->is_failing ? engine->told_ms : 0;
+        take_word(engine, total, hs_clock_monotonic_ms(), engine->online);
         engine->told_count++;
+        engines->words.answered++;
         g_cond_broadcast(&engines->totals_told);
     }
     g_mutex_unlock(&engines->lock);
 }
 
+void hs_fleet_engines_put_passed_on(hs_fleet_engines *engines, const hs_engine_total *total) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t said_ms = now_ms - MIN(now_ms, total->age_ms);
+    g_mutex_lock(&engines->lock);
+    hs_fleet_engine *engine = hs_fleet_engines_find(engines, total->engine_hash);
+    bool is_fresher = engine != NULL && said_ms > engine->told_ms;
+    if (is_fresher) {
+        take_word(engine, total, said_ms, online_before(engine, said_ms));
+        engines->words.taken++;
+        engines->passed_on_ms = now_ms;
+    } else if (engine != NULL) {
+        engines->words.stale++;
+    }
+    g_mutex_unlock(&engines->lock);
+}
+
+bool hs_fleet_engines_passes_words(hs_fleet_engines *engines) {
+    g_mutex_lock(&engines->lock);
+    bool is_large = engines->peer_count > HS_ENGINE_WORDS_LARGE_FLEET;
+    g_mutex_unlock(&engines->lock);
+    return is_large;
+}
+
+GArray *hs_fleet_engines_words(hs_fleet_engines *engines) {
+    GArray *words = g_array_new(FALSE, FALSE, sizeof(hs_engine_total));
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        uint64_t age_ms = hs_fleet_engine_word_age_ms(engine, now_ms);
+        if (age_ms == UINT64_MAX)
+            continue;
+        hs_engine_total word = engine->told_total;
+        word.age_ms = (uint32_t)age_ms;
+        g_array_append_val(words, word);
+    }
+    g_mutex_unlock(&engines->lock);
+    return words;
+}
+
+void hs_fleet_engines_note_passed_on(hs_fleet_engines *engines, size_t words, size_t bytes) {
+    g_mutex_lock(&engines->lock);
+    engines->words.passed_on += words;
+    engines->words.passed_on_bytes += bytes;
+    g_mutex_unlock(&engines->lock);
+}
+
 /** The item of the highest rank that was not asked yet; of equal ones the newest. NULL: none. */
 static hs_engine_lease *next_to_yield(const hs_fleet_engine *engine) {
     hs_engine_lease *next = NULL;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -7,6 +7,9 @@
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
 
+/** Own starts that are kept to know which of them a word on an engine counts. */
+#define HS_STARTS_KEPT 8
+
 typedef struct {
     hs_engine_entry entry;
     uint64_t hash;
@@ -43,7 +46,14 @@
     double told_batch;
     double told_queued;
     uint64_t told_ms;
-    uint32_t told_count; /**< How often; wraps. */
+    uint32_t told_count;        /**< How often it answered this daemon; wraps. */
+    hs_engine_total told_total; /**< The word itself. */
+    bool has_mean;      /**< Of the service's fresh words; it stands in for a word that is old. */
+    double mean_online; /**< Of other daemons. */
+    double mean_batch;
+    double mean_queued;
+    uint64_t starts_ms[HS_STARTS_KEPT]; /**< Of own online requests: the last ones, in a ring. */
+    uint32_t start_count;               /**< Wraps. */
     uint64_t
         told_failing_ms;   /**< When the arbiter said last that it fails; 0: it says it's sound. */
     uint32_t served_count; /**< Requests of this daemon that ended well there. */
@@ -56,6 +66,15 @@
     GQueue idle;             /**< of idle_connection*; the latest used last. */
 } hs_fleet_engine;
 
+/** Words of arbiters so far. */
+typedef struct {
+    uint64_t answered;  /**< Heard from arbiters themselves. */
+    uint64_t taken;     /**< Passed on by others or known as the arbiter, and news. */
+    uint64_t stale;     /**< The same, and no news. */
+    uint64_t passed_on; /**< To others. */
+    uint64_t passed_on_bytes;
+} hs_words_counters;
+
 struct hs_fleet_engines {
     GMutex lock;
     GHashTable *by_id;   /**< id -> hs_fleet_engine* */
@@ -72,6 +91,8 @@
     uint64_t connects;
     uint64_t misplaced; /**< See hs_fleet_engines_misplaced. */
     uint64_t use_sequence;
+    uint64_t passed_on_ms;       /**< When a passed-on word was taken last; 0: never. */
+    hs_words_counters words;     /**< See hs_fleet_engines_describe. */
     uint64_t batch_work_ms;      /**< Own; see hs_fleet_engines_set_batch_work. */
     GCond totals_told;           /**< An arbiter told what all daemons have on an engine. */
     hs_engine_use_teller teller; /**< NULL: nobody is told. */
@@ -140,6 +161,10 @@
 double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_others_queued(const hs_fleet_engine *engine, uint64_t now_ms);
+/** Age in ms of the arbiter's word on the engine; UINT64_MAX: there is none that is valid. */
+uint64_t hs_fleet_engine_word_age_ms(const hs_fleet_engine *engine, uint64_t now_ms);
+/** Make the means anew that stand in for old words. */
+void hs_fleet_engines_mean_words(hs_fleet_engines *engines, uint64_t now_ms);
 /** This daemon's use of the engine now. */
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
 /** Ask the batch items there of the highest rank to step aside; how many were asked. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -396,6 +396,7 @@
     engine->memory_tokens_used += lease->memory_tokens;
     if (query->work == HS_WORK_ONLINE) {
         engine->online++;
+        engine->starts_ms[engine->start_count++ % HS_STARTS_KEPT] = now_ms;
     } else {
         engine->batch++;
         lease->yield = query->yield;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -278,9 +278,24 @@
     uint32_t age_ms; /**< Since the arbiter said it; above 0 where another daemon passed it on. */
 } hs_engine_total;
 
-/** Take an arbiter's word. */
+/** Take an arbiter's answer to this daemon: what waits for its word goes on. */
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total);
 
+/**
+ * Take a word that was passed on, or that this daemon as the arbiter knows itself. It counts where
+ * it is fresher than what is known, and answers nobody's question.
+ */
+void hs_fleet_engines_put_passed_on(hs_fleet_engines *engines, const hs_engine_total *total);
+
+/** Whether the fleet is so large that words are passed on; see engine_words.h. */
+bool hs_fleet_engines_passes_words(hs_fleet_engines *engines);
+
+/** Words of arbiters that are still valid, each with its age: of hs_engine_total. */
+GArray *hs_fleet_engines_words(hs_fleet_engines *engines);
+
+/** Count words that were passed on with an answer, and their bytes. */
+void hs_fleet_engines_note_passed_on(hs_fleet_engines *engines, size_t words, size_t bytes);
+
 /** Ask the batch items of this daemon on an engine of the highest rank to leave it; how many. */
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
                                      uint32_t count);
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -16,6 +16,8 @@
 #define ENDS_MOST 32
 /** An engine that nobody uses any more stays known as failing for this long after its time down. */
 #define HEALTH_KEPT_MS 10000
+/** And as idle for this long after its last use: an engine of which nothing is told isn't idle. */
+#define IDLE_KEPT_MS 10000
 /**
  * An item that was just started stays only where another can wait this much longer: a cut costs the
  * reading of the prompt and of what was made.
@@ -37,6 +39,7 @@
     uint64_t hash;
     GPtrArray *uses; /**< of daemon_use* */
     hs_engine_health health;
+    uint64_t told_ms; /**< When a daemon told of it last. */
 } engine_uses;
 
 struct hs_slot_ledger {
@@ -211,6 +214,7 @@
                                     uint64_t now_ms, GArray *asks) {
     engine_uses *engine = engine_of(ledger, word->use.engine_hash);
     expire_uses(engine, now_ms);
+    engine->told_ms = now_ms;
     daemon_use *sender = use_of(engine, word->daemon);
     started_work started = {0};
     if (!is_old(sender, word)) {
@@ -226,6 +230,18 @@
     return total;
 }
 
+void hs_slot_ledger_list(const hs_slot_ledger *ledger, uint64_t now_ms, GArray *totals) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const engine_uses *engine = value;
+        hs_engine_total total = sum(engine, now_ms);
+        total.is_failing = hs_engine_health_is_shunned(&engine->health, now_ms);
+        g_array_append_val(totals, total);
+    }
+}
+
 void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -235,7 +251,7 @@
         expire_uses(engine, now_ms);
         bool is_over = engine->health.state == HS_HEALTH_SOUND ||
                        now_ms > engine->health.down_until_ms + HEALTH_KEPT_MS;
-        if (engine->uses->len == 0 && is_over)
+        if (engine->uses->len == 0 && is_over && now_ms > engine->told_ms + IDLE_KEPT_MS)
             g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -44,6 +44,9 @@
 hs_engine_total hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_word *word,
                                     uint64_t now_ms, GArray *asks);
 
+/** Append to @p totals (of hs_engine_total) what all daemons have on each engine now. */
+void hs_slot_ledger_list(const hs_slot_ledger *ledger, uint64_t now_ms, GArray *totals);
+
 /** Drop the words of daemons that were not heard for long. */
 void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms);
 
