--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -119,6 +119,11 @@
     return true;
 }
 
+/** Arbiters' words say that all engines are full: to look at more of them only costs time. */
+static bool is_none_free(const hs_engine_reasons *reasons) {
+    return reasons->word_age_ms > 0 && !reasons->is_any_free;
+}
+
 /**
  * Take an engine and hear its arbiter. What is believed of engines is some hundred ms old: where
  * the arbiter says that the request would wait there, or that the engine fails, the next one is
@@ -138,7 +143,8 @@
             attempt->step = HS_STEP_CALLER_GONE;
             return false;
         }
-        bool is_last_look = look + 1 == LOOKS_MOST || strcmp(refused_by, attempt->engine_id) == 0;
+        bool is_last_look = look + 1 == LOOKS_MOST || strcmp(refused_by, attempt->engine_id) == 0 ||
+                            (word == HS_LEASE_CROWDED && is_none_free(&attempt->reasons));
         if (is_last_look && !is_batch)
             return true;
         g_strlcpy(refused_by, attempt->engine_id, sizeof refused_by);
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -115,10 +115,13 @@
     return sums;
 }
 
+bool hs_fleet_engines_hear_words(const hs_fleet_engines *engines, uint64_t now_ms) {
+    return engines->passed_on_ms != 0 && now_ms < engines->passed_on_ms + HS_ENGINE_WORD_VALID_MS;
+}
+
 void hs_fleet_engines_mean_words(hs_fleet_engines *engines, uint64_t now_ms) {
-    bool is_needed = engines->passed_on_ms != 0 &&
-                     now_ms < engines->passed_on_ms + HS_ENGINE_WORD_VALID_MS &&
-                     g_hash_table_size(engines->peers) == 0;
+    bool is_needed =
+        hs_fleet_engines_hear_words(engines, now_ms) && g_hash_table_size(engines->peers) == 0;
     g_autoptr(GHashTable) sums = sum_words(engines, now_ms);
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -170,6 +173,9 @@
     };
     if (engine->entry.warmup_left_ms > since_listed)
         candidate.warmup_ms = (double)(engine->entry.warmup_left_ms - since_listed);
+    if (hs_fleet_engines_hear_words(engines, now_ms))
+        candidate.word_age_ms =
+            (double)MIN(hs_fleet_engine_word_age_ms(engine, now_ms), HS_ENGINE_WORD_VALID_MS);
     if (query->size != NULL) {
         uint32_t cached = hs_prefix_index_match(engine->prefixes, query->size);
         candidate.uncached_tokens =
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -26,8 +26,9 @@
     double failure_rate;    /**< Share of requests of late that failed there, 0 to 1. */
     bool suspected;
     bool same_zone;
-    bool is_connected; /**< A kept connection is there. */
-    double pace;       /**< See hs_engine_pace_factor; 0: not known, taken as 1. */
+    bool is_connected;  /**< A kept connection is there. */
+    double pace;        /**< See hs_engine_pace_factor; 0: not known, taken as 1. */
+    double word_age_ms; /**< Of what is believed to run there; 0: as good as exact. */
 } hs_engine_candidate;
 
 /** Speeds of a service's engines, as observed. */
--- /dev/null
+++ b/src/fleet/engine_spread.c
@@ -0,0 +1,141 @@
+/** @file engine_spread.c  See engine_spread.h. */
+#include "fleet/engine_spread.h"
+
+#include <glib.h>
+#include <math.h>
+
+/** Requests shared out one by one at most; more of them would change the parts little. */
+#define STEPS_MOST 512
+
+/**
+ * So many times faster than runs end differences between engines go: by the ends, and by all
+ * others' choices, which fill the emptier ones.
+ */
+#define EVENING_OUT 2
+
+/** An engine as it is expected to be now. */
+typedef struct {
+    hs_engine_candidate now;
+    double deviation; /**< Of the requests there. */
+    double cost_ms;   /**< Mean over what may be there. */
+    double taken;     /**< Of the requests that others send meanwhile. */
+} spread_part;
+
+/** What all candidates together have. */
+typedef struct {
+    double running; /**< A slot. */
+    double rate;    /**< Requests a ms that end, and so about as many that come. */
+} spread_mean;
+
+static spread_mean mean_of(const hs_engine_candidate *candidates, size_t count,
+                           const hs_engine_speed *speed) {
+    double running = 0;
+    double busy = 0;
+    double slots = 0;
+    for (size_t index = 0; index < count; index++) {
+        if (candidates[index].suspected)
+            continue;
+        running += candidates[index].running;
+        busy += fmin(candidates[index].running, candidates[index].slots);
+        slots += candidates[index].slots;
+    }
+    return (spread_mean){.running = running / fmax(slots, 1),
+                         .rate = busy / fmax(speed->run_ms, 1)};
+}
+
+static double cost_with(const hs_engine_candidate *candidate, double more,
+                        const hs_engine_speed *speed) {
+    hs_engine_candidate changed = *candidate;
+    changed.running = fmax(candidate->running + more, 0);
+    return hs_engine_choice_cost(&changed, speed);
+}
+
+static void set_cost(spread_part *part, const hs_engine_speed *speed) {
+    part->cost_ms = cost_with(&part->now, 0, speed);
+    if (part->deviation > 0)
+        part->cost_ms = part->cost_ms / 2 + (cost_with(&part->now, -part->deviation, speed) +
+                                             cost_with(&part->now, part->deviation, speed)) /
+                                                4;
+}
+
+/**
+ * Carry a word on to now: by its age a part of what ran has ended, and others came as to the mean
+ * engine, both by chance.
+ */
+static spread_part carry_on(const hs_engine_candidate *candidate, const spread_mean *mean,
+                            const hs_engine_speed *speed) {
+    spread_part part = {.now = *candidate};
+    double usual = mean->running * candidate->slots;
+    double gone = fmin(EVENING_OUT * candidate->word_age_ms / fmax(speed->run_ms, 1), 1);
+    part.now.running += (usual - candidate->running) * gone;
+    part.deviation = sqrt((candidate->running + usual) * gone);
+    set_cost(&part, speed);
+    return part;
+}
+
+/** The cheapest, of equal ones the next from @p first on. */
+static spread_part *cheapest(spread_part *parts, size_t count, size_t first) {
+    spread_part *best = &parts[first];
+    double lowest_ms = best->cost_ms;
+    for (size_t step = 1, index = first + 1; step < count; step++, index++) {
+        if (index == count)
+            index = 0;
+        if (parts[index].cost_ms >= lowest_ms)
+            continue;
+        best = &parts[index];
+        lowest_ms = best->cost_ms;
+    }
+    return best;
+}
+
+/**
+ * Share out the requests that come within the age of the words on the engines that take them, each
+ * to the engine that is the best with those before it; how many.
+ */
+static double share_out(spread_part *parts, size_t count, const spread_mean *mean, size_t first,
+                        const hs_engine_speed *speed) {
+    double shared = 0;
+    double ages_ms = 0;
+    do {
+        spread_part *part = cheapest(parts, count, first++ % count);
+        shared++;
+        ages_ms += part->now.word_age_ms;
+        part->taken++;
+        part->now.running++;
+        set_cost(part, speed);
+    } while (shared < mean->rate * ages_ms / shared && shared < STEPS_MOST);
+    return shared;
+}
+
+/** The engine at which @p left of all that was shared out is reached. */
+static int part_at(const spread_part *parts, size_t count, double left) {
+    int last = HS_ENGINE_NONE;
+    for (size_t index = 0; index < count; index++) {
+        if (parts[index].taken <= 0)
+            continue;
+        last = (int)index;
+        left -= parts[index].taken;
+        if (left < 0)
+            break;
+    }
+    return last;
+}
+
+static bool are_exact(const hs_engine_candidate *candidates, size_t count) {
+    bool is_exact = true;
+    for (size_t index = 0; index < count; index++)
+        is_exact = is_exact && candidates[index].word_age_ms <= 0;
+    return is_exact;
+}
+
+int hs_engine_spread_pick(const hs_engine_candidate *candidates, size_t count,
+                          const hs_engine_turn *turn, const hs_engine_speed *speed) {
+    if (are_exact(candidates, count))
+        return hs_engine_choice_pick(candidates, count, turn->first, speed);
+    spread_mean mean = mean_of(candidates, count, speed);
+    g_autofree spread_part *parts = g_new(spread_part, count);
+    for (size_t index = 0; index < count; index++)
+        parts[index] = carry_on(&candidates[index], &mean, speed);
+    double shared = share_out(parts, count, &mean, turn->first, speed);
+    return part_at(parts, count, shared * turn->draw);
+}
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -163,6 +163,8 @@
 double hs_fleet_engine_others_queued(const hs_fleet_engine *engine, uint64_t now_ms);
 /** Age in ms of the arbiter's word on the engine; UINT64_MAX: there is none that is valid. */
 uint64_t hs_fleet_engine_word_age_ms(const hs_fleet_engine *engine, uint64_t now_ms);
+/** Whether words passed on by others decide what is believed. */
+bool hs_fleet_engines_hear_words(const hs_fleet_engines *engines, uint64_t now_ms);
 /** Make the means anew that stand in for old words. */
 void hs_fleet_engines_mean_words(hs_fleet_engines *engines, uint64_t now_ms);
 /** This daemon's use of the engine now. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/engine_spread.h"
 
 #include <math.h>
 #include <string.h>
@@ -406,6 +407,15 @@
     return lease;
 }
 
+static bool is_any_free(const hs_engine_candidate *candidates, size_t count) {
+    bool is_free = false;
+    for (size_t index = 0; index < count; index++)
+        is_free = is_free || (!candidates[index].suspected &&
+                              candidates[index].running - candidates[index].batch + 1 <=
+                                  candidates[index].slots);
+    return is_free;
+}
+
 hs_engine_lease *hs_fleet_engines_take(hs_fleet_engines *engines, const hs_engine_query *query) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_engine_lease *lease = NULL;
@@ -421,8 +431,9 @@
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     keep_quick(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
+    hs_engine_turn turn = {.draw = g_random_double(), .first = first};
     int picked = query->work == HS_WORK_ONLINE
-                     ? hs_engine_choice_pick(candidates, found->len, first, speed)
+                     ? hs_engine_spread_pick(candidates, found->len, &turn, speed)
                      : hs_engine_choice_pick_spare(candidates, found->len, first, speed);
     if (picked != HS_ENGINE_NONE) {
         const hs_engine_candidate *chosen = &candidates[picked];
@@ -434,7 +445,9 @@
                                              .uncached_tokens = chosen->uncached_tokens,
                                              .failure_rate = chosen->failure_rate,
                                              .suspected = chosen->suspected,
-                                             .listed_age_ms = now_ms - engine->listed_ms};
+                                             .listed_age_ms = now_ms - engine->listed_ms,
+                                             .word_age_ms = chosen->word_age_ms,
+                                             .is_any_free = is_any_free(candidates, found->len)};
         use = hs_fleet_engine_use(engines, engine);
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -43,6 +43,8 @@
     double failure_rate;    /**< Of late. */
     bool suspected;
     uint64_t listed_age_ms; /**< Since the store's last word on the engine. */
+    double word_age_ms;     /**< Of the arbiter's word that decided; 0: none was passed on. */
+    bool is_any_free;       /**< One of them at least was believed to have a free slot. */
 } hs_engine_reasons;
 
 /** What an engine is wanted for. All borrowed. */
--- /dev/null
+++ b/tests/unit/test_spread.c
@@ -0,0 +1,234 @@
+/**
+ * @file test_spread.c
+ * 90 daemons that choose among 60 engines by words of 0 to 600 ms of age: waits and the fullest
+ * engine, beside three looks by chance and exact knowledge.
+ */
+#include "fleet/engine_spread.h"
+#include "tests/unit/unit_tests.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#define ENGINES 60
+#define SLOTS 8
+#define DAEMONS 90
+#define RUN_MS 700
+#define WORD_AGE_MOST_MS 600
+#define LOOKS 3
+#define DAY_MS 24000
+/** The beginning is not counted: all engines are empty then. */
+#define BEGUN_MS 4000
+/** A square of load: so long high, and so long in all. */
+#define HIGH_MS 2400
+#define SQUARE_MS 5800
+
+typedef enum { BY_CHANCE, BY_WORDS, BY_CHEAPEST_WORD, EXACTLY } policy;
+
+typedef struct {
+    double use;     /**< Of all slots, in the mean or at the height of squares. */
+    double low_use; /**< Between squares. */
+    policy by;
+} load;
+
+typedef struct {
+    double wait_p99_ms;
+    double late_share; /**< Waits above 100 ms. */
+    double fullest;    /**< Of means over a run's length, the fullest engine beside the mean. */
+    double looks;      /**< Arbiters asked a request. */
+} outcome;
+
+typedef struct {
+    double ends_ms[SLOTS];                 /**< When each slot is free. */
+    GArray *open;                          /**< of double: ends of all that runs or waits there. */
+    uint16_t counts[WORD_AGE_MOST_MS + 1]; /**< What was there, by ms, in a ring. */
+} engine;
+
+static engine fleet[ENGINES];
+static const hs_engine_speed speed = {.tokens_per_ms = 40, .run_ms = RUN_MS};
+
+static uint32_t count_at(const engine *one, int now_ms, int age_ms) {
+    return one->counts[MAX(now_ms - age_ms, 0) % (WORD_AGE_MOST_MS + 1)];
+}
+
+static void end_runs(engine *one, int now_ms) {
+    for (guint index = one->open->len; index > 0; index--)
+        if (g_array_index(one->open, double, index - 1) <= now_ms)
+            g_array_remove_index_fast(one->open, index - 1);
+    one->counts[now_ms % (WORD_AGE_MOST_MS + 1)] = (uint16_t)one->open->len;
+}
+
+/** The wait of a request there, in ms. */
+static double begin_run(engine *one, int now_ms, double run_ms) {
+    int slot = 0;
+    for (int index = 1; index < SLOTS; index++)
+        if (one->ends_ms[index] < one->ends_ms[slot])
+            slot = index;
+    double begin_ms = fmax(one->ends_ms[slot], now_ms);
+    one->ends_ms[slot] = begin_ms + run_ms;
+    g_array_append_val(one->open, one->ends_ms[slot]);
+    one->counts[now_ms % (WORD_AGE_MOST_MS + 1)] = (uint16_t)one->open->len;
+    return begin_ms - now_ms;
+}
+
+/** What one daemon believes: each engine by a word of its own age. */
+static void fill_view(hs_engine_candidate *view, policy by, int now_ms, GRand *chance) {
+    for (int index = 0; index < ENGINES; index++) {
+        int age_ms = by == EXACTLY ? 0 : g_rand_int_range(chance, 0, WORD_AGE_MOST_MS + 1);
+        view[index] = (hs_engine_candidate){
+            .slots = SLOTS, .same_zone = true, .is_connected = true, .pace = 1};
+        if (by != BY_CHANCE)
+            view[index].running = count_at(&fleet[index], now_ms, age_ms);
+        if (by == BY_WORDS)
+            view[index].word_age_ms = age_ms;
+    }
+}
+
+static int choose(const hs_engine_candidate *view, GRand *chance) {
+    hs_engine_turn turn = {.draw = g_rand_double(chance),
+                           .first = (size_t)g_rand_int_range(chance, 0, ENGINES)};
+    return hs_engine_spread_pick(view, ENGINES, &turn, &speed);
+}
+
+static int count_free(const hs_engine_candidate *view) {
+    int free = 0;
+    for (int index = 0; index < ENGINES; index++)
+        free += view[index].running + 1 <= SLOTS;
+    return free;
+}
+
+/** Choose as find_engine does: where the arbiter says that it's full, the next one is looked at. */
+static engine *find(policy by, int now_ms, GRand *chance, uint32_t *looks) {
+    hs_engine_candidate view[ENGINES];
+    fill_view(view, by, now_ms, chance);
+    int chosen = choose(view, chance);
+    for (int look = 1; look < LOOKS && fleet[chosen].open->len >= SLOTS; look++) {
+        (*looks)++;
+        view[chosen].running = fleet[chosen].open->len;
+        view[chosen].word_age_ms = 0;
+        if (count_free(view) == 0)
+            break;
+        chosen = choose(view, chance);
+    }
+    (*looks)++;
+    return &fleet[chosen];
+}
+
+static double use_at(const load *asked, int now_ms) {
+    return now_ms % SQUARE_MS < HIGH_MS ? asked->use : asked->low_use;
+}
+
+/** Whether a run's length up to now was wholly at the height of the load. */
+static bool is_high(const load *asked, int now_ms) {
+    return use_at(asked, now_ms) == asked->use && use_at(asked, now_ms - RUN_MS) == asked->use;
+}
+
+/** Adds what each engine has; at the end of a run's length the fullest beside the mean, else 0. */
+static double fullest(double *sums, const load *asked, int now_ms) {
+    double most = 0;
+    double all = 0;
+    for (int index = 0; index < ENGINES; index++)
+        sums[index] += fleet[index].open->len;
+    if (now_ms % RUN_MS != 0)
+        return 0;
+    for (int index = 0; index < ENGINES; index++) {
+        most = fmax(most, sums[index]);
+        all += sums[index];
+        sums[index] = 0;
+    }
+    return now_ms > RUN_MS && is_high(asked, now_ms) ? most * ENGINES / all : 0;
+}
+
+static int by_value(gconstpointer first, gconstpointer second) {
+    double difference = *(const double *)first - *(const double *)second;
+    return (difference > 0) - (difference < 0);
+}
+
+static double percentile(GArray *values, double share) {
+    g_array_sort(values, by_value);
+    return g_array_index(values, double, (guint)(share * (values->len - 1)));
+}
+
+static outcome play(const load *asked) {
+    g_autoptr(GRand) chance = g_rand_new_with_seed(7);
+    g_autoptr(GArray) waits = g_array_new(FALSE, FALSE, sizeof(double));
+    g_autoptr(GArray) fills = g_array_new(FALSE, FALSE, sizeof(double));
+    uint32_t looks = 0;
+    uint32_t requests = 0;
+    uint32_t late = 0;
+    double due = 0;
+    double sums[ENGINES] = {0};
+    memset(fleet, 0, sizeof fleet);
+    for (int index = 0; index < ENGINES; index++)
+        fleet[index].open = g_array_new(FALSE, FALSE, sizeof(double));
+    for (int now_ms = 0; now_ms < DAY_MS; now_ms++) {
+        for (int index = 0; index < ENGINES; index++)
+            end_runs(&fleet[index], now_ms);
+        double rate = use_at(asked, now_ms) * ENGINES * SLOTS / RUN_MS;
+        for (due += -rate * log(1 - g_rand_double(chance)); due >= 1; due--) {
+            double wait_ms = begin_run(find(asked->by, now_ms, chance, &looks), now_ms,
+                                       RUN_MS * (0.5 + g_rand_double(chance)));
+            requests++;
+            if (now_ms < BEGUN_MS)
+                continue;
+            g_array_append_val(waits, wait_ms);
+            late += wait_ms > 100;
+        }
+        double fill = fullest(sums, asked, now_ms);
+        if (now_ms >= BEGUN_MS && fill > 0)
+            g_array_append_val(fills, fill);
+    }
+    for (int index = 0; index < ENGINES; index++)
+        g_array_free(fleet[index].open, TRUE);
+    return (outcome){.wait_p99_ms = percentile(waits, 0.99),
+                     .late_share = (double)late / waits->len,
+                     .fullest = percentile(fills, 1),
+                     .looks = (double)looks / requests};
+}
+
+/** Steady load and squares; the bounds hold for what is asked of an engine in a run's length. */
+static void words_spread_requests_over_engines(void) {
+    static const load loads[] = {{.use = 0.85, .low_use = 0.85},
+                                 {.use = 0.90, .low_use = 0.90},
+                                 {.use = 0.95, .low_use = 0.95},
+                                 {.use = 0.95, .low_use = 0.20}};
+    for (size_t index = 0; index < G_N_ELEMENTS(loads); index++) {
+        outcome by[EXACTLY + 1];
+        for (policy one = BY_CHANCE; one <= EXACTLY; one++) {
+            load asked = loads[index];
+            asked.by = one;
+            by[one] = play(&asked);
+            g_debug("use %.2f %.2f by %d: p99 %.0f ms late %.4f fullest %.2f looks %.2f", asked.use,
+                    asked.low_use, one, by[one].wait_p99_ms, by[one].late_share, by[one].fullest,
+                    by[one].looks);
+        }
+        CU_ASSERT(by[BY_WORDS].wait_p99_ms < by[BY_CHANCE].wait_p99_ms);
+        CU_ASSERT(by[BY_WORDS].fullest <= 1.5);
+        CU_ASSERT(by[BY_WORDS].fullest <= by[BY_CHANCE].fullest);
+        CU_ASSERT(by[BY_WORDS].looks <= by[BY_CHANCE].looks);
+        CU_ASSERT(by[BY_WORDS].wait_p99_ms < by[BY_CHEAPEST_WORD].wait_p99_ms);
+        CU_ASSERT(by[EXACTLY].wait_p99_ms <= by[BY_WORDS].wait_p99_ms);
+    }
+}
+
+/** By exact beliefs the choice is the one that knows no words. */
+static void exact_beliefs_choose_as_ever(void) {
+    g_autoptr(GRand) chance = g_rand_new_with_seed(5);
+    for (int trial = 0; trial < 200; trial++) {
+        hs_engine_candidate view[ENGINES];
+        for (int index = 0; index < ENGINES; index++)
+            view[index] = (hs_engine_candidate){.slots = SLOTS,
+                                                .running = g_rand_int_range(chance, 0, 16),
+                                                .same_zone = index % 2,
+                                                .is_connected = index % 3 == 0};
+        hs_engine_turn turn = {.draw = g_rand_double(chance), .first = (size_t)trial};
+        CU_ASSERT_EQUAL(hs_engine_spread_pick(view, ENGINES, &turn, &speed),
+                        hs_engine_choice_pick(view, ENGINES, turn.first, &speed));
+    }
+    CU_ASSERT_EQUAL(hs_engine_spread_pick(NULL, 0, &(hs_engine_turn){0}, &speed), HS_ENGINE_NONE);
+}
+
+const test_case spread_tests[] = {
+    {"words_spread_requests_over_engines", words_spread_requests_over_engines},
+    {"exact_beliefs_choose_as_ever", exact_beliefs_choose_as_ever},
+    {NULL, NULL}};
