--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -162,9 +162,13 @@
     return words;
 }
 
-/** Add the freshest words to an answer of which they leave room in the datagram; free with g_free.
+/**
+ * In a large fleet add the freshest words to an answer, as far as its datagram has room; the words,
+ * NULL where there are none. Free them and the list with g_free.
  */
 static Hs__EngineTotal *add_words(hs_slot_arbiter *arbiter, Hs__EngineTotals *body) {
+    if (!hs_fleet_engines_passes_words(arbiter->engines))
+        return NULL;
     believe_own_words(arbiter);
     g_autoptr(GArray) known = hs_fleet_engines_words(arbiter->engines);
     g_autoptr(GArray) words = words_to_pick(known, body);
@@ -200,9 +204,7 @@
     Hs__EngineTotals body = HS__ENGINE_TOTALS__INIT;
     body.n_totals = uses->n_uses;
     body.totals = list;
-    g_autofree Hs__EngineTotal *passed_on = NULL;
-    if (hs_fleet_engines_passes_words(arbiter->engines))
-        passed_on = add_words(arbiter, &body);
+    g_autofree Hs__EngineTotal *passed_on = add_words(arbiter, &body);
     g_autofree Hs__EngineTotal **passed_on_list = body.passed_on;
     Hs__PeerMessage answer = HS__PEER_MESSAGE__INIT;
     answer.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_TOTALS;
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -165,7 +165,10 @@
         for (int index = 0; index < ENGINES; index++)
             end_runs(&fleet[index], now_ms);
         double rate = use_at(asked, now_ms) * ENGINES * SLOTS / RUN_MS;
-        for (due += -rate * log(1 - g_rand_double(chance)); due >= 1; due--) {
+        due += -rate * log(1 - g_rand_double(chance));
+        int arriving = (int)due;
+        due -= arriving;
+        for (; arriving > 0; arriving--) {
             double wait_ms = begin_run(find(asked->by, now_ms, chance, &looks), now_ms,
                                        RUN_MS * (0.5 + g_rand_double(chance)));
             requests++;
