--- a/src/fleet/engine_spread.c
+++ b/src/fleet/engine_spread.c
@@ -27,20 +27,25 @@
     double rate;    /**< Requests a ms that end, and so about as many that come. */
 } spread_mean;
 
+/** Mean time in ms of a run there. */
+static double run_ms_at(const hs_engine_candidate *candidate, const hs_engine_speed *speed) {
+    return fmax(hs_engine_speed_at(speed, candidate->pace).run_ms, 1);
+}
+
 static spread_mean mean_of(const hs_engine_candidate *candidates, size_t count,
                            const hs_engine_speed *speed) {
     double running = 0;
-    double busy = 0;
     double slots = 0;
+    double rate = 0;
     for (size_t index = 0; index < count; index++) {
         if (candidates[index].suspected)
             continue;
         running += candidates[index].running;
-        busy += fmin(candidates[index].running, candidates[index].slots);
+        rate += fmin(candidates[index].running, candidates[index].slots) /
+                run_ms_at(&candidates[index], speed);
         slots += candidates[index].slots;
     }
-    return (spread_mean){.running = running / fmax(slots, 1),
-                         .rate = busy / fmax(speed->run_ms, 1)};
+    return (spread_mean){.running = running / fmax(slots, 1), .rate = rate};
 }
 
 static double cost_with(const hs_engine_candidate *candidate, double more,
@@ -66,7 +71,7 @@
                             const hs_engine_speed *speed) {
     spread_part part = {.now = *candidate};
     double usual = mean->running * candidate->slots;
-    double gone = fmin(EVENING_OUT * candidate->word_age_ms / fmax(speed->run_ms, 1), 1);
+    double gone = fmin(EVENING_OUT * candidate->word_age_ms / run_ms_at(candidate, speed), 1);
     part.now.running += (usual - candidate->running) * gone;
     part.deviation = sqrt((candidate->running + usual) * gone);
     set_cost(&part, speed);
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -22,6 +22,8 @@
 
 extern const test_case fleet_tests[];
 extern const test_case engines_tests[];
+extern const test_case pace_tests[];
+extern const test_case pace_play_tests[];
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
 extern const test_case item_plan_tests[];
@@ -41,5 +43,6 @@
 extern const test_case limit_tests[];
 extern const test_case entry_tests[];
 extern const test_case connection_guard_tests[];
+extern const test_case caller_tests[];
 
 #endif
