--- a/src/fleet/engine_spread.c
+++ b/src/fleet/engine_spread.c
@@ -19,6 +19,7 @@
     double deviation; /**< Of the requests there. */
     double cost_ms;   /**< Mean over what may be there. */
     double taken;     /**< Of the requests that others send meanwhile. */
+    bool is_kept;     /**< A connection is kept, and there is room for sure. */
 } spread_part;
 
 /** What all candidates together have. */
@@ -74,6 +75,8 @@
     double gone = fmin(EVENING_OUT * candidate->word_age_ms / run_ms_at(candidate, speed), 1);
     part.now.running += (usual - candidate->running) * gone;
     part.deviation = sqrt((candidate->running + usual) * gone);
+    part.is_kept =
+        candidate->is_connected && part.now.running + 2 * part.deviation + 1 <= candidate->slots;
     set_cost(&part, speed);
     return part;
 }
@@ -95,10 +98,10 @@
 
 /**
  * Share out the requests that come within the age of the words on the engines that take them, each
- * to the engine that is the best with those before it; how many.
+ * to the engine that is the best with those before it.
  */
-static double share_out(spread_part *parts, size_t count, const spread_mean *mean, size_t first,
-                        const hs_engine_speed *speed) {
+static void share_out(spread_part *parts, size_t count, const spread_mean *mean, size_t first,
+                      const hs_engine_speed *speed) {
     double shared = 0;
     double ages_ms = 0;
     do {
@@ -109,7 +112,23 @@
         part->now.running++;
         set_cost(part, speed);
     } while (shared < mean->rate * ages_ms / shared && shared < STEPS_MOST);
-    return shared;
+}
+
+/**
+ * Of engines that are as good the request goes to one to which a connection is kept, and which has
+ * room whatever came there meanwhile; where there is none, to any. How much is left of the parts.
+ */
+static double prefer_kept(spread_part *parts, size_t count) {
+    double kept = 0;
+    double all = 0;
+    for (size_t index = 0; index < count; index++) {
+        all += parts[index].taken;
+        kept += parts[index].is_kept ? parts[index].taken : 0;
+    }
+    for (size_t index = 0; index < count && kept > 0; index++)
+        if (!parts[index].is_kept)
+            parts[index].taken = 0;
+    return kept > 0 ? kept : all;
 }
 
 /** The engine at which @p left of all that was shared out is reached. */
@@ -141,6 +160,7 @@
     g_autofree spread_part *parts = g_new(spread_part, count);
     for (size_t index = 0; index < count; index++)
         parts[index] = carry_on(&candidates[index], &mean, speed);
-    double shared = share_out(parts, count, &mean, turn->first, speed);
-    return part_at(parts, count, shared * turn->draw);
+    share_out(parts, count, &mean, turn->first, speed);
+    double left = prefer_kept(parts, count);
+    return part_at(parts, count, left * turn->draw);
 }
