--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -1,8 +1,4 @@
-/**
- * @file test_spread.c
- * 90 daemons that choose among 60 engines by words of 0 to 600 ms of age: waits and the fullest
- * engine, beside three looks by chance and exact knowledge.
- */
+/** @file test_spread.c  90 daemons choose among 60 engines by words of 0 to 600 ms of age. */
 #include "fleet/engine_spread.h"
 #include "tests/unit/unit_tests.h"
 
@@ -16,6 +12,7 @@
 #define RUN_MS 700
 #define WORD_AGE_MOST_MS 600
 #define LOOKS 3
+#define DAYS 2
 #define DAY_MS 24000
 /** The beginning is not counted: all engines are empty then. */
 #define BEGUN_MS 4000
@@ -158,7 +155,6 @@
     g_autoptr(GArray) fills = g_array_new(FALSE, FALSE, sizeof(double));
     outcome day = {0};
     uint32_t requests = 0;
-    uint32_t late = 0;
     double due = 0;
     double sums[ENGINES] = {0};
     memset(fleet, 0, sizeof fleet);
@@ -178,7 +174,7 @@
             if (now_ms < BEGUN_MS)
                 continue;
             g_array_append_val(waits, wait_ms);
-            late += wait_ms > 100;
+            day.late_share += wait_ms > 100;
         }
         double fill = fullest(sums, asked, now_ms);
         if (now_ms >= BEGUN_MS && fill > 0)
@@ -187,7 +183,7 @@
     for (int index = 0; index < ENGINES; index++)
         g_array_free(fleet[index].open, TRUE);
     day.wait_p99_ms = percentile(waits, 0.99);
-    day.late_share = (double)late / waits->len;
+    day.late_share /= waits->len;
     day.fullest = percentile(fills, 1);
     day.looks /= requests;
     day.connected /= requests;
@@ -196,17 +192,16 @@
 
 /** The mean over some days. */
 static outcome play_days(load asked, policy by) {
-    static const guint32 seeds[] = {7, 11};
-    const double days = G_N_ELEMENTS(seeds);
+    static const guint32 seeds[DAYS] = {7, 11};
     outcome mean = {0};
     asked.by = by;
-    for (size_t index = 0; index < G_N_ELEMENTS(seeds); index++) {
+    for (size_t index = 0; index < DAYS; index++) {
         outcome day = play(&asked, seeds[index]);
-        mean.wait_p99_ms += day.wait_p99_ms / days;
-        mean.late_share += day.late_share / days;
-        mean.fullest += day.fullest / days;
-        mean.looks += day.looks / days;
-        mean.connected += day.connected / days;
+        mean.wait_p99_ms += day.wait_p99_ms / (double)DAYS;
+        mean.late_share += day.late_share / (double)DAYS;
+        mean.fullest += day.fullest / (double)DAYS;
+        mean.looks += day.looks / (double)DAYS;
+        mean.connected += day.connected / (double)DAYS;
     }
     g_debug("use %.2f %.2f by %d: p99 %.0f ms late %.4f fullest %.2f looks %.2f kept %.2f",
             asked.use, asked.low_use, by, mean.wait_p99_ms, mean.late_share, mean.fullest,
