--- a/src/jobs/demand_forecast.h
+++ b/src/jobs/demand_forecast.h
@@ -1,13 +1,17 @@
 /**
  * @file demand_forecast.h
- * How many slots of a service online requests will want within the next run of an item. Pure.
+ * How many slots of a service online requests will want soon. Pure.
  *
- * Nothing is assumed of the form of the demand. Where the forecast was wrong of late it says what
- * is there now, so that a wrong one costs no more than one trough.
+ * Load it answers: online demand that comes in waves, beside items that start in
+ * every slot that is free between two of them. No form is assumed: a level that was held before,
+ * was left and came back is expected again until the longest time between two such times is over.
+ * When it does not come by then, and where nothing ever came back, what is held now is expected: a
+ * wrong forecast costs one trough.
  */
 #ifndef HS_JOBS_DEMAND_FORECAST_H
 #define HS_JOBS_DEMAND_FORECAST_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Steps of 100 ms that are remembered: some tens of seconds. */
@@ -17,16 +21,30 @@
 typedef struct {
     float online[HS_DEMAND_STEPS]; /**< Highest in each step, in slots; a ring. */
     uint64_t step;                 /**< The latest one, counted from the clock's begin; 0: none. */
+    uint64_t first_step;           /**< The first one that was ever noted. */
 } hs_demand_forecast;
 
-/** Online requests hold @p online slots of the service at @p now_ms. */
+/** What the past says; read once a pass, then asked for each item. */
+typedef struct {
+    double now;               /**< Slots held in the latest step. */
+    double mean;              /**< Of all that is remembered. */
+    double level;             /**< Slots held at the upper end of what was seen. */
+    uint64_t below_ms;        /**< For so long less than that was held; 0: it is held now. */
+    uint64_t shortest_gap_ms; /**< Times between two at the upper level; both 0: none was seen. */
+    uint64_t longest_gap_ms;
+    bool has_failed; /**< It should have come back by now, and did not. */
+} hs_demand_outlook;
+
+/** Online requests hold @p online slots of the service at @p now_ms. Steps left out held as much
+ * as the last one noted. */
 void hs_demand_forecast_note(hs_demand_forecast *forecast, double online, uint64_t now_ms);
 
+hs_demand_outlook hs_demand_forecast_read(const hs_demand_forecast *forecast);
+
 /**
  * Slots that online requests are expected to want at one time within the next @p ahead_ms, at least
  * what they hold now.
  */
-double hs_demand_forecast_expect(const hs_demand_forecast *forecast, uint64_t ahead_ms,
-                                 uint64_t now_ms);
+double hs_demand_outlook_expect(const hs_demand_outlook *outlook, uint64_t ahead_ms);
 
 #endif
--- a/src/jobs/item_choice.c
+++ b/src/jobs/item_choice.c
@@ -4,6 +4,9 @@
 #include <glib.h>
 #include <math.h>
 
+/** Share of its time within which an item is meant to end: the rest is for what no estimate saw. */
+#define TIME_USED 0.9
+
 /** Bigger ones first, in a heap of indices. */
 typedef struct {
     const hs_choice_item *items;
@@ -72,3 +75,17 @@
     g_array_free(taken.heap, TRUE);
     return work_ms;
 }
+
+size_t hs_item_choice_count_pressing(const hs_choice_item *items, size_t count, double slots) {
+    double speed = fmax(slots, 1.0);
+    double work_ms = 0;
+    size_t pressing = 0;
+    for (size_t index = 0; index < count; index++) {
+        double begins_ms = work_ms / speed;
+        work_ms += (double)items[index].remaining_ms;
+        if (begins_ms + (double)items[index].remaining_ms >
+            (double)items[index].left_ms * TIME_USED)
+            pressing = index + 1;
+    }
+    return pressing;
+}
--- a/src/jobs/item_choice.h
+++ b/src/jobs/item_choice.h
@@ -27,4 +27,10 @@
  */
 uint64_t hs_item_choice_make(hs_choice_item *items, size_t count, double slots);
 
+/**
+ * How many of @p items, in the order in which they are to run, may not wait for more room: with
+ * @p slots alone the last of them would end late, or with little time to spare.
+ */
+size_t hs_item_choice_count_pressing(const hs_choice_item *items, size_t count, double slots);
+
 #endif
--- a/src/jobs/job_room.c
+++ b/src/jobs/job_room.c
@@ -14,3 +14,10 @@
     double starters = MAX(MIN(daemons * STARTERS_SHARE, (double)partitions), 1.0);
     return MAX((uint32_t)(spare / starters), 1);
 }
+
+uint32_t hs_job_room_left(const hs_service_room *room, double expected_online, uint32_t daemons,
+                          uint32_t partitions) {
+    hs_service_room expected = *room;
+    expected.online = MAX(room->online, expected_online);
+    return hs_job_room(&expected, daemons, partitions);
+}
--- a/src/jobs/job_room.h
+++ b/src/jobs/job_room.h
@@ -8,6 +8,12 @@
 
 #include "fleet/fleet_engines.h"
 
+/**
+ * An item that would be cut sooner than this after its start is not worth one: it would take a
+ * connection and the reading of its prompt, and give both back.
+ */
+#define HS_ITEM_PIECE_MS 1000
+
 /**
  * Items that this daemon, one of @p daemons, may start now: its part of the free slots among those
  * daemons that have items to start, which are no more than there are @p partitions; at least one
@@ -15,4 +21,11 @@
  */
 uint32_t hs_job_room(const hs_service_room *room, uint32_t daemons, uint32_t partitions);
 
+/**
+ * The same where online requests are expected to hold @p expected_online slots soon, which may be
+ * more than they hold now. Items that are pressing start by hs_job_room all the same.
+ */
+uint32_t hs_job_room_left(const hs_service_room *room, double expected_online, uint32_t daemons,
+                          uint32_t partitions);
+
 #endif
