--- a/src/jobs/item_choice.c
+++ b/src/jobs/item_choice.c
@@ -1,79 +1,74 @@
 /** @file item_choice.c  See item_choice.h. */
 #include "jobs/item_choice.h"
 
-#include <glib.h>
+#include "jobs/tenant_deal.h"
+
 #include <math.h>
+#include <stdlib.h>
 
 /** Share of its time within which an item is meant to end: the rest is for what no estimate saw. */
 #define TIME_USED 0.9
 
-/** Bigger ones first, in a heap of indices. */
-typedef struct {
-    const hs_choice_item *items;
-    GArray *heap; /**< of size_t */
-} work_heap;
-
-static uint64_t work_at(const work_heap *queue, guint place) {
-    return queue->items[g_array_index(queue->heap, size_t, place)].remaining_ms;
+/** The rule of Moore and Hodgson as it stands: all items are of one claimant. */
+static bool is_over_at_once(const hs_tenant_deal *taken, const hs_choice_item *item, double speed) {
+    return (double)hs_tenant_deal_work_ms(taken) / speed > (double)item->left_ms;
 }
 
-static void swap(work_heap *queue, guint one, guint other) {
-    size_t *indices = (size_t *)queue->heap->data;
-    size_t kept = indices[one];
-    indices[one] = indices[other];
-    indices[other] = kept;
+/**
+ * The same where claimants share the slots: the item that starts last still runs alone, so that
+ * somebody's heap may not fill the time to the last moment.
+ */
+static bool is_over_shared(const hs_tenant_deal *taken, const hs_choice_item *item, double speed) {
+    double needs_ms = (double)item->remaining_ms;
+    double before_ms = (double)hs_tenant_deal_work_ms(taken) - needs_ms;
+    return before_ms / speed + needs_ms > (double)item->left_ms;
 }
 
-static void push(work_heap *queue, size_t index) {
-    g_array_append_val(queue->heap, index);
-    guint place = queue->heap->len - 1;
-    while (place > 0 && work_at(queue, place) > work_at(queue, (place - 1) / 2)) {
-        swap(queue, place, (place - 1) / 2);
-        place = (place - 1) / 2;
+/** All are of one claimant. Returns the work taken. */
+static uint64_t choose_at_once(hs_choice_item *items, size_t count, double speed) {
+    hs_tenant_deal *taken = hs_tenant_deal_new();
+    for (size_t index = 0; index < count; index++) {
+        if (items[index].is_left_out)
+            continue;
+        hs_tenant_deal_take(taken, 0, index, items[index].remaining_ms);
+        if (is_over_at_once(taken, &items[index], speed))
+            items[hs_tenant_deal_leave_out(taken)].is_left_out = true;
     }
+    uint64_t work_ms = hs_tenant_deal_work_ms(taken);
+    hs_tenant_deal_free(taken);
+    return work_ms;
 }
 
-static guint bigger_child(const work_heap *queue, guint place) {
-    guint child = 2 * place + 1;
-    if (child + 1 < queue->heap->len && work_at(queue, child + 1) > work_at(queue, child))
-        child++;
-    return child;
-}
-
-static size_t pop(work_heap *queue) {
-    size_t biggest = g_array_index(queue->heap, size_t, 0);
-    swap(queue, 0, queue->heap->len - 1);
-    g_array_set_size(queue->heap, queue->heap->len - 1);
-    guint place = 0;
-    while (2 * place + 1 < queue->heap->len) {
-        guint child = bigger_child(queue, place);
-        if (work_at(queue, child) <= work_at(queue, place))
-            break;
-        swap(queue, place, child);
-        place = child;
+/** They are of several claimants. Returns the work taken. */
+static uint64_t choose_shared(hs_choice_item *items, size_t count, double speed) {
+    hs_tenant_deal *taken = hs_tenant_deal_new();
+    bool is_dealt = false;
+    for (size_t index = 0; index < count; index++) {
+        hs_choice_item *item = &items[index];
+        if (item->is_left_out)
+            continue;
+        hs_tenant_deal_take(taken, item->claimant, index, item->remaining_ms);
+        while (!item->is_left_out && is_over_shared(taken, item, speed)) {
+            items[hs_tenant_deal_leave_out(taken)].is_left_out = true;
+            is_dealt = true;
+        }
     }
-    return biggest;
+    for (size_t index = 0; index < count; index++)
+        items[index].is_dealt = is_dealt;
+    uint64_t work_ms = hs_tenant_deal_work_ms(taken);
+    hs_tenant_deal_free(taken);
+    return work_ms;
 }
 
 uint64_t hs_item_choice_make(hs_choice_item *items, size_t count, double slots) {
-    work_heap taken = {.items = items, .heap = g_array_new(FALSE, FALSE, sizeof(size_t))};
     double speed = fmax(slots, 1.0);
-    uint64_t work_ms = 0;
+    bool is_shared = false;
     for (size_t index = 0; index < count; index++) {
-        hs_choice_item *item = &items[index];
-        item->is_left_out = item->left_ms < (int64_t)item->remaining_ms;
-        if (item->is_left_out)
-            continue;
-        push(&taken, index);
-        work_ms += item->remaining_ms;
-        if ((double)work_ms / speed <= (double)item->left_ms)
-            continue;
-        size_t biggest = pop(&taken);
-        items[biggest].is_left_out = true;
-        work_ms -= items[biggest].remaining_ms;
+        items[index].is_dealt = false;
+        items[index].is_left_out = items[index].left_ms < (int64_t)items[index].remaining_ms;
+        is_shared = is_shared || items[index].claimant != items[0].claimant;
     }
-    g_array_free(taken.heap, TRUE);
-    return work_ms;
+    return is_shared ? choose_shared(items, count, speed) : choose_at_once(items, count, speed);
 }
 
 size_t hs_item_choice_count_pressing(const hs_choice_item *items, size_t count, double slots) {
--- a/src/jobs/item_choice.h
+++ b/src/jobs/item_choice.h
@@ -4,8 +4,9 @@
  * least number of late jobs, with several servers taken as one that is as fast as all. Pure.
  *
  * Items are taken in the order in which they are due. Whenever the work taken so far would end
- * after the item at hand is due, the item that needs most of it is left out. What is left out runs
- * in what the others leave, and is considered anew each time.
+ * after the item at hand is due, one is left out: of the claimant that has most of it taken the
+ * item that needs most. What is left out runs in what the others leave, and is considered anew each
+ * time.
  */
 #ifndef HS_JOBS_ITEM_CHOICE_H
 #define HS_JOBS_ITEM_CHOICE_H
@@ -18,6 +19,8 @@
 typedef struct {
     int64_t left_ms;       /**< Until it is due. */
     uint64_t remaining_ms; /**< It still needs a slot for so long. */
+    uint32_t claimant;     /**< Whose it is, a small number: see tenant_deal.h. */
+    bool is_dealt;         /**< Set by the choice: claimants share, and not all of it fits. */
     bool is_left_out;      /**< Set by the choice. */
 } hs_choice_item;
 
--- a/src/jobs/job_plan.c
+++ b/src/jobs/job_plan.c
@@ -1,8 +1,6 @@
 /** @file job_plan.c  See job_plan.h. */
 #include "jobs/job_plan.h"
 
-#include "jobs/item_choice.h"
-
 #include <math.h>
 
 /** Weight of the latest pass in the mean of online requests: a mean over some five seconds. */
@@ -26,13 +24,12 @@
     return 0;
 }
 
-/**
- * The lower, the sooner an item starts and the longer it stays. Of items that are due together the
- * one that needs least goes first: work spread over all of them ends none in time.
- */
-static int32_t rank_of(const hs_open_item *open, bool is_left_out) {
-    int64_t rank_ms = is_left_out ? HS_RANK_LEFT_OUT : open->left_ms;
-    rank_ms += (int64_t)open->remaining_ms;
+int32_t hs_job_plan_rank(const hs_choice_item *item) {
+    int64_t rank_ms = item->left_ms + (int64_t)item->remaining_ms;
+    if (item->is_left_out)
+        rank_ms = HS_RANK_LEFT_OUT + (int64_t)item->remaining_ms;
+    else if (item->is_dealt)
+        rank_ms = item->left_ms - (int64_t)item->remaining_ms;
     return (int32_t)CLAMP(rank_ms, 0, G_MAXINT32);
 }
 
@@ -56,6 +53,38 @@
     return work_ms;
 }
 
+/** What jobs of no tenant go by: one claimant together, which ends most items in time. */
+#define NOBODY ""
+
+/** Numbers for whose items these are: their tenants. */
+static void number_claimants(const GArray *open, hs_choice_item *items) {
+    g_autoptr(GHashTable) numbers = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint index = 0; index < open->len; index++) {
+        const hs_item_run *run = g_array_index(open, hs_open_item, index).item->run;
+        const char *claimant = run->tenant != NULL ? run->tenant : NOBODY;
+        gpointer number = GUINT_TO_POINTER(g_hash_table_size(numbers));
+        if (!g_hash_table_lookup_extended(numbers, claimant, NULL, &number))
+            g_hash_table_insert(numbers, (gpointer)claimant, number);
+        items[index].claimant = GPOINTER_TO_UINT(number);
+    }
+}
+
+/** Mark those that may not wait for more room; left-out ones can. @p open is in order of rank. */
+static void mark_pressing(GArray *open, double slots) {
+    g_autofree hs_choice_item *items = g_new0(hs_choice_item, open->len + 1);
+    size_t chosen = 0;
+    for (; chosen < open->len; chosen++) {
+        const hs_open_item *entry = &g_array_index(open, hs_open_item, chosen);
+        if (entry->rank_ms >= HS_RANK_LEFT_OUT)
+            break;
+        items[chosen] =
+            (hs_choice_item){.left_ms = entry->left_ms, .remaining_ms = entry->remaining_ms};
+    }
+    size_t pressing = hs_item_choice_count_pressing(items, chosen, slots);
+    for (size_t index = 0; index < pressing; index++)
+        g_array_index(open, hs_open_item, index).is_pressing = true;
+}
+
 void hs_job_plan_make(hs_job_owner *owner, GArray *open) {
     g_array_sort(open, by_due_time);
     g_autofree hs_choice_item *items = g_new0(hs_choice_item, open->len + 1);
@@ -64,16 +93,19 @@
         items[index].left_ms = entry->left_ms;
         items[index].remaining_ms = entry->remaining_ms;
     }
+    number_claimants(open, items);
     uint64_t work_ms = 0;
+    double slots = 0;
     if (open->len > 0) {
         const char *service = g_array_index(open, hs_open_item, 0).service;
-        double slots = own_slots(owner, service, sum_work(items, open->len));
+        slots = own_slots(owner, service, sum_work(items, open->len));
         work_ms = hs_item_choice_make(items, open->len, slots);
     }
     hs_fleet_engines_set_batch_work(owner->settings.engines, work_ms);
     for (guint index = 0; index < open->len; index++) {
         hs_open_item *entry = &g_array_index(open, hs_open_item, index);
-        entry->rank_ms = rank_of(entry, items[index].is_left_out);
+        entry->rank_ms = hs_job_plan_rank(&items[index]);
     }
     g_array_sort(open, by_rank);
+    mark_pressing(open, slots);
 }
--- a/src/jobs/job_plan.h
+++ b/src/jobs/job_plan.h
@@ -6,6 +6,7 @@
 #ifndef HS_JOBS_JOB_PLAN_H
 #define HS_JOBS_JOB_PLAN_H
 
+#include "jobs/item_choice.h"
 #include "jobs/job_owner_state.h"
 
 /** Ranks of items that are not meant to end in time begin here. */
@@ -18,12 +19,20 @@
     const char *service; /**< Interned; NULL: no route any more. */
     int64_t left_ms;     /**< Until it is due. */
     uint64_t remaining_ms;
-    int32_t rank_ms; /**< Set by the plan; see hs_engine_query. */
+    int32_t rank_ms;  /**< Set by the plan; see hs_engine_query. */
+    bool is_pressing; /**< Set by the plan: it may not wait for more room. */
     uint32_t max_attempts;
     bool may_start; /**< It waits, and its pause is over. */
     bool gives_up;  /**< Its time is over: list it as dead. */
 } hs_open_item;
 
+/**
+ * The lower, the sooner an item starts and the longer it stays. Of items that are due together the
+ * one that needs least goes first: work spread over all of them ends none in time. Where claimants
+ * share too little room, the one that must start first goes first, so that each has its part.
+ */
+int32_t hs_job_plan_rank(const hs_choice_item *item);
+
 /** Order @p open (of hs_open_item) and set slack. The caller holds the owner's lock. */
 void hs_job_plan_make(hs_job_owner *owner, GArray *open);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -24,6 +24,7 @@
         {"connection_guard", connection_guard_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
         {"item_plan", item_plan_tests, NULL, NULL},
+        {"deal", deal_tests, NULL, NULL},
         {"forecast", forecast_tests, NULL, NULL},
         {"quota", quota_tests, NULL, NULL},
         {"slots", slot_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -25,6 +25,7 @@
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
 extern const test_case item_plan_tests[];
+extern const test_case deal_tests[];
 extern const test_case forecast_tests[];
 extern const test_case quota_tests[];
 extern const test_case slot_tests[];
