--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -179,6 +179,7 @@
     hs_attempt attempt;
     bool has_head = hs_attempt_start(terms->engines, order, &attempt);
     g_strlcpy(run->engine_id, attempt.engine_id, sizeof run->engine_id);
+    run->was_sent = attempt.connection != NULL;
     if (attempt.lease == NULL)
         return HS_ITEM_TRY_NO_ROOM;
     hs_item_try end = HS_ITEM_TRY_BROKEN;
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -47,7 +47,8 @@
     uint64_t next_checkpoint_ms;
     uint64_t give_up_ms; /**< Monotonic time after which an engine need not go on. */
     bool is_on_trial;    /**< Held back, it may be sent once, and has not been yet. */
-    char engine_id[64];  /**< Of the latest try. */
+    char engine_id[64];  /**< Of the latest try, */
+    bool was_sent;       /**< which went out to it, or may have. */
     uint64_t try_events; /**< Taken in the latest try, */
     uint64_t try_ms;     /**< in so long, from the first one. */
 } hs_item_run;
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -50,6 +50,7 @@
         g_mutex_init(&home->pending_lock);
         g_ptr_array_add(owner->partitions, home);
     }
+    owner->services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     owner->workers = g_thread_pool_new(hs_job_worker_run, owner, HS_JOB_WORKERS_MAX, FALSE, NULL);
     return owner;
 }
@@ -299,6 +300,7 @@
             g_thread_join(home->tail);
     }
     g_ptr_array_free(owner->partitions, TRUE);
+    g_hash_table_destroy(owner->services);
     g_cond_clear(&owner->changed);
     g_mutex_clear(&owner->lock);
     g_free(owner);
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -2,9 +2,11 @@
 #ifndef HS_JOBS_JOB_OWNER_STATE_H
 #define HS_JOBS_JOB_OWNER_STATE_H
 
+#include "jobs/demand_forecast.h"
 #include "jobs/item_estimate.h"
 #include "jobs/item_run.h"
 #include "jobs/job_owner.h"
+#include "jobs/start_pace.h"
 
 /** The scheduler looks for items to start at least so often, in ms. */
 #define HS_JOB_PASS_MS 100
@@ -51,6 +53,15 @@
     GThread *tail;
 } hs_owned_partition_state;
 
+/** What decides how many items of one service start. */
+typedef struct {
+    hs_demand_forecast demand;
+    hs_demand_outlook outlook; /**< As of the latest pass. */
+    double expected_online;    /**< Slots that online requests are expected to hold soon. */
+    hs_start_pace pace;
+    uint64_t failed_logged_ms; /**< When it was last said that the forecast failed. */
+} hs_service_starts;
+
 struct hs_job_owner {
     hs_job_owner_settings settings;
     GMutex lock;
@@ -62,7 +73,10 @@
     hs_deadline handover_deadline; /**< The same for all partitions, while draining. */
     uint32_t running;
     hs_item_pace pace;
-    double online_mean; /**< Online requests beside the items, of late; see job_plan.c. */
+    double online_mean;     /**< Online requests beside the items, of late; see job_plan.c. */
+    GHashTable *services;   /**< Service (interned) -> hs_service_starts*; see job_scheduler.c. */
+    uint64_t sent_back;     /**< Starts that no engine's arbiter had room for. */
+    uint64_t stepped_aside; /**< Runs that were cut for online requests. */
     uint32_t tails;
     GThreadPool *workers;
     GThread *group;
@@ -74,9 +88,10 @@
     hs_owned_partition_state *home;
     hs_owned_item *item;
     uint32_t max_attempts;
-    int32_t rank_ms; /**< See hs_engine_query. */
-    bool gives_up;   /**< Its time is over: list it as dead. */
-    bool hands_over; /**< Only store what there is of it, for the next owner. */
+    int32_t rank_ms;     /**< See hs_engine_query. */
+    const char *service; /**< Interned; NULL: no route any more. */
+    bool gives_up;       /**< Its time is over: list it as dead. */
+    bool hands_over;     /**< Only store what there is of it, for the next owner. */
 } hs_item_order;
 
 /**
@@ -92,6 +107,9 @@
  */
 void hs_job_owner_give_up_superseded(hs_job_owner *owner);
 
+/** A try of an item of @p service came to nothing before it was sent. The caller holds the lock. */
+void hs_job_scheduler_note_sent_back(hs_job_owner *owner, const char *service);
+
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
 void hs_job_worker_run(gpointer data, gpointer user_data);
 
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -14,6 +14,7 @@
 #define DEFAULT_MAX_ATTEMPTS 3
 #define GIVE_UP_SLACK_MS 2000
 #define DEFAULT_RETENTION_MS 60000
+#define FAILED_LOG_INTERVAL_MS 1000
 
 static uint64_t retention_of(const hs_job *job) {
     return job->retention_ms > 0 ? job->retention_ms : DEFAULT_RETENTION_MS;
@@ -102,16 +103,63 @@
     hs_job_partition_unlock(home->partition);
 }
 
+/** What decides how many items of a service start; made at its first item. */
+static hs_service_starts *starts_of(hs_job_owner *owner, const char *service) {
+    hs_service_starts *starts = g_hash_table_lookup(owner->services, service);
+    if (starts == NULL) {
+        starts = g_new0(hs_service_starts, 1);
+        g_hash_table_insert(owner->services, (gpointer)service, starts);
+    }
+    return starts;
+}
+
+void hs_job_scheduler_note_sent_back(hs_job_owner *owner, const char *service) {
+    owner->sent_back++;
+    if (service != NULL)
+        hs_start_pace_note_sent_back(&starts_of(owner, service)->pace);
+}
+
+static void log_failed_forecast(hs_service_starts *starts, const char *service, uint64_t now_ms) {
+    if (!starts->outlook.has_failed || now_ms < starts->failed_logged_ms + FAILED_LOG_INTERVAL_MS)
+        return;
+    starts->failed_logged_ms = now_ms;
+    hs_log_info("demand_forecast_failed",
+                "service=%s online=%.1f expected=%.1f away_ms=%" G_GUINT64_FORMAT
+                " longest_ms=%" G_GUINT64_FORMAT " outcome=what_is_held_now",
+                service, starts->outlook.now, starts->outlook.level,
+                (guint64)starts->outlook.below_ms, (guint64)starts->outlook.longest_gap_ms);
+}
+
+/** Take what online requests hold now, of each service that had items here. */
+static void note_demand(hs_job_owner *owner) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GHashTableIter iterator;
+    gpointer service = NULL;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, owner->services);
+    while (g_hash_table_iter_next(&iterator, &service, &value)) {
+        hs_service_starts *starts = value;
+        hs_service_room room = hs_fleet_engines_room(owner->settings.engines, service);
+        hs_demand_forecast_note(&starts->demand, room.online, now_ms);
+        starts->outlook = hs_demand_forecast_read(&starts->demand);
+        starts->expected_online = hs_demand_outlook_expect(&starts->outlook, HS_ITEM_PIECE_MS);
+        log_failed_forecast(starts, service, now_ms);
+    }
+}
+
 /** Why this one, now. */
-static void log_start(const hs_open_item *open, const hs_service_room *room, guint count) {
+static void log_start(const hs_open_item *open, const hs_service_room *room,
+                      const hs_service_starts *starts, guint count) {
     const hs_item_run *run = open->item->run;
     hs_log_info("item_started",
                 "job=%s item=%s tries=%u last_event=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                 " remaining_ms=%" G_GUINT64_FORMAT
-                " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f",
+                " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f"
+                " expected_online=%.1f pressing=%d tried_share=%.2f",
                 run->job_id, run->item_id, open->item->tries, (guint64)run->events.last_id,
                 (gint64)open->left_ms, (guint64)open->remaining_ms, open->rank_ms, count,
-                room->slots, room->online, room->batch);
+                room->slots, room->online, room->batch, starts->expected_online, open->is_pressing,
+                1 - starts->pace.held_back);
 }
 
 static void start_item(hs_job_owner *owner, const hs_open_item *open) {
@@ -120,6 +168,7 @@
     order->item = open->item;
     order->max_attempts = open->max_attempts;
     order->rank_ms = open->rank_ms;
+    order->service = open->service;
     order->gives_up = open->gives_up;
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
@@ -136,10 +185,33 @@
 /** What one pass started of each service's items. */
 typedef struct {
     GHashTable *started; /**< Service (interned) -> items. */
+    GHashTable *allowed; /**< Service (interned) -> items that may start; see start_pace.h. */
     GHashTable *full;    /**< Services that have no room left. */
     uint32_t daemons;    /**< Live ones. */
 } pass_starts;
 
+/** How many items of the service may start in this pass, by what became of those before. */
+static uint32_t allowed_of(hs_job_owner *owner, const char *service, const hs_service_room *room,
+                           const pass_starts *starts) {
+    gpointer allowed = NULL;
+    if (!g_hash_table_lookup_extended(starts->allowed, service, NULL, &allowed)) {
+        uint32_t most = hs_job_room(room, starts->daemons, owner->partitions->len);
+        double spare = room->slots - room->online - room->batch;
+        allowed =
+            GUINT_TO_POINTER(hs_start_pace_begin(&starts_of(owner, service)->pace, most, spare));
+        g_hash_table_insert(starts->allowed, (gpointer)service, allowed);
+    }
+    return GPOINTER_TO_UINT(allowed);
+}
+
+/** How many items may start with this one: fewer before a wave, unless it is pressing. */
+static uint32_t most_of(hs_job_owner *owner, const hs_open_item *entry, const hs_service_room *room,
+                        const pass_starts *starts) {
+    uint32_t allowed = allowed_of(owner, entry->service, room, starts);
+    double expected = entry->is_pressing ? 0 : starts_of(owner, entry->service)->expected_online;
+    return MIN(allowed, hs_job_room_left(room, expected, starts->daemons, owner->partitions->len));
+}
+
 /** Whether an item may start now, and count it where it may. */
 static bool take_room(hs_job_owner *owner, const hs_open_item *entry, pass_starts *starts,
                       guint open_count) {
@@ -148,12 +220,13 @@
         return false;
     hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
     guint started = GPOINTER_TO_UINT(g_hash_table_lookup(starts->started, service));
-    if (started >= hs_job_room(&room, starts->daemons, owner->partitions->len)) {
+    if (started >= most_of(owner, entry, &room, starts)) {
         g_hash_table_add(starts->full, service);
         return false;
     }
     g_hash_table_insert(starts->started, service, GUINT_TO_POINTER(started + 1));
-    log_start(entry, &room, open_count);
+    hs_start_pace_note_started(&starts_of(owner, entry->service)->pace, 1);
+    log_start(entry, &room, starts_of(owner, entry->service), open_count);
     return true;
 }
 
@@ -169,10 +242,13 @@
         if (hs_job_owner_may_run(home, hs_clock_monotonic_ms()))
             collect(home, config, open);
     }
+    note_demand(owner);
     hs_job_plan_make(owner, open);
     g_autoptr(GHashTable) started = g_hash_table_new(g_direct_hash, g_direct_equal);
+    g_autoptr(GHashTable) allowed = g_hash_table_new(g_direct_hash, g_direct_equal);
     g_autoptr(GHashTable) full = g_hash_table_new(g_direct_hash, g_direct_equal);
     pass_starts starts = {.started = started,
+                          .allowed = allowed,
                           .full = full,
                           .daemons = owner->settings.live_daemons(owner->settings.user_data)};
     for (guint index = 0; index < open->len && !owner->draining; index++) {
--- /dev/null
+++ b/src/jobs/start_pace.c
@@ -0,0 +1,52 @@
+/** @file start_pace.c  See start_pace.h. */
+#include "jobs/start_pace.h"
+
+#include <glib.h>
+#include <math.h>
+
+/** One start of five passes is the least for a room of one: half a second. */
+#define TRIED_LEAST 0.2
+/** Share of the room that is always tried: three good passes from it to all. */
+#define TRIED_SHARE_LEAST (1.0 / 64)
+/** Room that is there is to be used again sooner than it was given up. */
+#define GROWTH 4.0
+/** So many times the room that was believed at the last failure is news. */
+#define MORE_ROOM 1.5
+
+void hs_start_pace_note_sent_back(hs_start_pace *pace) {
+    pace->sent_back++;
+}
+
+void hs_start_pace_note_started(hs_start_pace *pace, uint32_t count) {
+    pace->started += count;
+}
+
+/** Judge the starts since the last pass. */
+static void judge(hs_start_pace *pace, double spare) {
+    double tried = 1 - pace->held_back;
+    uint32_t went_out = pace->started - MIN(pace->sent_back, pace->started);
+    if (pace->sent_back > went_out) {
+        tried = fmax(tried / 2, TRIED_SHARE_LEAST);
+        pace->spare = spare;
+    } else if (went_out > 0) {
+        tried = tried * GROWTH;
+    }
+    pace->held_back = 1 - fmin(tried, 1);
+    pace->started = 0;
+    pace->sent_back = 0;
+}
+
+uint32_t hs_start_pace_begin(hs_start_pace *pace, uint32_t room, double spare) {
+    judge(pace, spare);
+    if (pace->held_back > 0 && spare > pace->spare * MORE_ROOM + 1)
+        pace->held_back = 0;
+    if (pace->held_back <= 0 || room == 0) {
+        pace->owed = 0;
+        return room;
+    }
+    double tried = fmax(room * (1 - pace->held_back), TRIED_LEAST);
+    pace->owed = fmin(pace->owed, 1) + tried;
+    uint32_t allowed = MIN((uint32_t)pace->owed, room);
+    pace->owed -= allowed;
+    return allowed;
+}
--- a/tests/unit/test_item_plan.c
+++ b/tests/unit/test_item_plan.c
@@ -2,6 +2,7 @@
 #include "jobs/item_choice.h"
 #include "jobs/item_estimate.h"
 #include "jobs/job_room.h"
+#include "jobs/start_pace.h"
 #include "tests/unit/unit_tests.h"
 
 /** A daemon starts its part of the free slots among a third of all daemons, whole slots only. */
@@ -81,10 +82,52 @@
     CU_ASSERT_EQUAL(hs_item_pace_remaining_ms(&pace, 1000, 0), 4000);
 }
 
+/** A pass in which all @p count starts, if any, come to nothing or go out. */
+static uint32_t pass(hs_start_pace *pace, uint32_t room, double spare, bool goes_out) {
+    uint32_t count = hs_start_pace_begin(pace, room, spare);
+    hs_start_pace_note_started(pace, count);
+    for (uint32_t index = 0; index < count && !goes_out; index++)
+        hs_start_pace_note_sent_back(pace);
+    return count;
+}
+
+/** Where nothing is sent back all of the room is tried, as ever. */
+static void all_room_is_tried_where_starts_go_out(void) {
+    hs_start_pace pace = {0};
+    for (uint32_t room = 0; room < 50; room++)
+        CU_ASSERT_EQUAL(pass(&pace, room, room * 3.0, true), room);
+}
+
+/** Room that was taken meanwhile: a tenth of the tries of before, and all again within a second. */
+static void starts_that_are_sent_back_become_fewer(void) {
+    hs_start_pace pace = {0};
+    uint32_t tries = 0;
+    for (int turn = 0; turn < 24; turn++)
+        tries += pass(&pace, 10, 90, false);
+    CU_ASSERT_TRUE(tries <= 24); /* Of 240. */
+    CU_ASSERT_TRUE(tries >= 4);  /* Beliefs may be wrong for long: it goes on trying. */
+    uint32_t turns = 0;
+    while (pass(&pace, 10, 90, true) < 10)
+        turns++;
+    CU_ASSERT_TRUE(turns <= 10);
+}
+
+/** A trough begins: words tell of much more room, and it is tried at once. */
+static void more_room_is_tried_at_once(void) {
+    hs_start_pace pace = {0};
+    for (int turn = 0; turn < 24; turn++)
+        pass(&pace, 2, 20, false);
+    CU_ASSERT_EQUAL(pass(&pace, 30, 300, true), 30);
+    CU_ASSERT_EQUAL(pass(&pace, 30, 300, true), 30);
+}
+
 const test_case item_plan_tests[] = {
     {"items_start_where_slots_are_free", items_start_where_slots_are_free},
     {"all_items_are_chosen_where_all_fit", all_items_are_chosen_where_all_fit},
     {"the_longest_item_is_left_out_under_overload", the_longest_item_is_left_out_under_overload},
     {"chosen_items_end_in_time_on_any_queue", chosen_items_end_in_time_on_any_queue},
     {"estimates_follow_what_was_observed", estimates_follow_what_was_observed},
+    {"all_room_is_tried_where_starts_go_out", all_room_is_tried_where_starts_go_out},
+    {"starts_that_are_sent_back_become_fewer", starts_that_are_sent_back_become_fewer},
+    {"more_room_is_tried_at_once", more_room_is_tried_at_once},
     {NULL, NULL}};
