--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -41,6 +41,9 @@
 /** Items now running. */
 uint32_t hs_job_owner_running(hs_job_owner *owner);
 
+/** Metrics of the forecast and of starts, one a line, are appended to @p text. */
+void hs_job_owner_write_metrics(hs_job_owner *owner, GString *text);
+
 /** Leave the group and drop what runs and what was not handed over. */
 void hs_job_owner_leave(hs_job_owner *owner);
 
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -119,6 +119,29 @@
         hs_start_pace_note_sent_back(&starts_of(owner, service)->pace);
 }
 
+void hs_job_owner_write_metrics(hs_job_owner *owner, GString *text) {
+    GHashTableIter iterator;
+    gpointer service = NULL;
+    gpointer value = NULL;
+    g_mutex_lock(&owner->lock);
+    g_string_append_printf(text,
+                           "heathsail_job_item_cuts{cause=\"online\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_item_cuts{cause=\"not_sent\"} %" G_GUINT64_FORMAT "\n",
+                           (guint64)owner->stepped_aside, (guint64)owner->sent_back);
+    g_hash_table_iter_init(&iterator, owner->services);
+    while (g_hash_table_iter_next(&iterator, &service, &value)) {
+        const hs_service_starts *starts = value;
+        g_string_append_printf(text,
+                               "heathsail_demand_forecast_slots{service=\"%s\"} %.1f\n"
+                               "heathsail_demand_came_slots{service=\"%s\"} %.1f\n"
+                               "heathsail_job_starts_tried_share{service=\"%s\"} %.2f\n",
+                               (const char *)service, starts->expected_online,
+                               (const char *)service, starts->outlook.now, (const char *)service,
+                               1 - starts->pace.held_back);
+    }
+    g_mutex_unlock(&owner->lock);
+}
+
 static void log_failed_forecast(hs_service_starts *starts, const char *service, uint64_t now_ms) {
     if (!starts->outlook.has_failed || now_ms < starts->failed_logged_ms + FAILED_LOG_INTERVAL_MS)
         return;
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -89,6 +89,7 @@
                            "heathsail_job_partitions_located %u\n"
                            "heathsail_job_items_running %u\n",
                            counts.own, counts.located, hs_job_owner_running(sources->owner));
+    hs_job_owner_write_metrics(sources->owner, text);
 }
 
 static void write_losses(GString *text) {
