--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -32,7 +32,10 @@
     uint64_t next_try_ms;
     uint64_t seen_ms;
     uint64_t started_ms;   /**< Of the latest try, */
-    uint64_t remaining_ms; /**< which was expected to need so long. */
+    uint64_t remaining_ms; /**< which was expected to need so long, */
+    bool was_pressing;     /**< and could not wait. */
+    bool is_sent_noted;    /**< What became of it was noted; see job_scheduler.c. */
+    bool is_piece_noted;
 } hs_owned_item;
 
 /** One owned partition. */
@@ -58,7 +61,8 @@
     hs_demand_forecast demand;
     hs_demand_outlook outlook; /**< As of the latest pass. */
     double expected_online;    /**< Slots that online requests are expected to hold soon. */
-    hs_start_pace pace;
+    hs_start_pace sends;       /**< Of all starts: do they reach an engine. */
+    hs_start_pace pieces;      /**< Of those that are not pressing: are they worth it. */
     uint64_t failed_logged_ms; /**< When it was last said that the forecast failed. */
 } hs_service_starts;
 
@@ -73,10 +77,11 @@
     hs_deadline handover_deadline; /**< The same for all partitions, while draining. */
     uint32_t running;
     hs_item_pace pace;
-    double online_mean;     /**< Online requests beside the items, of late; see job_plan.c. */
-    GHashTable *services;   /**< Service (interned) -> hs_service_starts*; see job_scheduler.c. */
-    uint64_t sent_back;     /**< Starts that no engine's arbiter had room for. */
-    uint64_t stepped_aside; /**< Runs that were cut for online requests. */
+    double online_mean;   /**< Online requests beside the items, of late; see job_plan.c. */
+    GHashTable *services; /**< Service (interned) -> hs_service_starts*; see job_scheduler.c. */
+    uint64_t sent_back;   /**< Starts that no engine's arbiter had room for. */
+    uint64_t cut_soon;    /**< Runs that were cut for others before they were worth it. */
+    uint64_t cut_later;   /**< Runs that were cut for others after that. */
     uint32_t tails;
     GThreadPool *workers;
     GThread *group;
@@ -107,8 +112,8 @@
  */
 void hs_job_owner_give_up_superseded(hs_job_owner *owner);
 
-/** A try of an item of @p service came to nothing before it was sent. The caller holds the lock. */
-void hs_job_scheduler_note_sent_back(hs_job_owner *owner, const char *service);
+/** A try ended by @p end: note what it says of starts. The caller holds the lock. */
+void hs_job_scheduler_note_end(hs_job_owner *owner, const hs_item_order *order, hs_item_try end);
 
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
 void hs_job_worker_run(gpointer data, gpointer user_data);
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -113,10 +113,53 @@
     return starts;
 }
 
-void hs_job_scheduler_note_sent_back(hs_job_owner *owner, const char *service) {
-    owner->sent_back++;
-    if (service != NULL)
-        hs_start_pace_note_sent_back(&starts_of(owner, service)->pace);
+/** A start was seen to reach an engine, or not to. */
+static void note_send(hs_service_starts *starts, hs_owned_item *item, bool did_well) {
+    if (item->is_sent_noted)
+        return;
+    item->is_sent_noted = true;
+    hs_start_pace_note(&starts->sends, did_well);
+}
+
+/** A start was seen to be worth it, or not. */
+static void note_piece(hs_service_starts *starts, hs_owned_item *item, bool did_well) {
+    if (item->is_piece_noted || item->was_pressing)
+        return;
+    item->is_piece_noted = true;
+    hs_start_pace_note(&starts->pieces, did_well);
+}
+
+void hs_job_scheduler_note_end(hs_job_owner *owner, const hs_item_order *order, hs_item_try end) {
+    hs_owned_item *item = order->item;
+    uint64_t ran_ms = hs_clock_monotonic_ms() - item->started_ms;
+    bool is_cut = end == HS_ITEM_TRY_YIELDED && item->run->was_sent;
+    bool is_sent_back = end == HS_ITEM_TRY_NO_ROOM || (end == HS_ITEM_TRY_YIELDED && !is_cut);
+    owner->sent_back += is_sent_back;
+    owner->cut_soon += is_cut && ran_ms < HS_ITEM_PIECE_MS;
+    owner->cut_later += is_cut && ran_ms >= HS_ITEM_PIECE_MS;
+    if (order->service == NULL)
+        return;
+    hs_service_starts *starts = starts_of(owner, order->service);
+    if (is_sent_back)
+        note_send(starts, item, false);
+    else if (is_cut && ran_ms < HS_ITEM_PIECE_MS)
+        note_piece(starts, item, false);
+}
+
+/** What runs for a while was sent, and was worth it. */
+static void note_running(hs_job_owner *owner, const GArray *open) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (guint index = 0; index < open->len; index++) {
+        const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
+        if (entry->item->stage != HS_ITEM_RUNNING || entry->service == NULL)
+            continue;
+        hs_service_starts *starts = starts_of(owner, entry->service);
+        uint64_t ran_ms = now_ms - entry->item->started_ms;
+        if (ran_ms >= HS_JOB_PASS_MS)
+            note_send(starts, entry->item, true);
+        if (ran_ms >= HS_ITEM_PIECE_MS)
+            note_piece(starts, entry->item, true);
+    }
 }
 
 void hs_job_owner_write_metrics(hs_job_owner *owner, GString *text) {
@@ -125,9 +168,11 @@
     gpointer value = NULL;
     g_mutex_lock(&owner->lock);
     g_string_append_printf(text,
-                           "heathsail_job_item_cuts{cause=\"online\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_item_cuts{cause=\"soon\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_item_cuts{cause=\"later\"} %" G_GUINT64_FORMAT "\n"
                            "heathsail_job_item_cuts{cause=\"not_sent\"} %" G_GUINT64_FORMAT "\n",
-                           (guint64)owner->stepped_aside, (guint64)owner->sent_back);
+                           (guint64)owner->cut_soon, (guint64)owner->cut_later,
+                           (guint64)owner->sent_back);
     g_hash_table_iter_init(&iterator, owner->services);
     while (g_hash_table_iter_next(&iterator, &service, &value)) {
         const hs_service_starts *starts = value;
@@ -137,7 +182,7 @@
                                "heathsail_job_starts_tried_share{service=\"%s\"} %.2f\n",
                                (const char *)service, starts->expected_online,
                                (const char *)service, starts->outlook.now, (const char *)service,
-                               1 - starts->pace.held_back);
+                               1 - starts->pieces.held_back);
     }
     g_mutex_unlock(&owner->lock);
 }
@@ -178,11 +223,11 @@
                 "job=%s item=%s tries=%u last_event=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                 " remaining_ms=%" G_GUINT64_FORMAT
                 " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f"
-                " expected_online=%.1f pressing=%d tried_share=%.2f",
+                " expected_online=%.1f pressing=%d sends_share=%.2f pieces_share=%.2f",
                 run->job_id, run->item_id, open->item->tries, (guint64)run->events.last_id,
                 (gint64)open->left_ms, (guint64)open->remaining_ms, open->rank_ms, count,
                 room->slots, room->online, room->batch, starts->expected_online, open->is_pressing,
-                1 - starts->pace.held_back);
+                1 - starts->sends.held_back, 1 - starts->pieces.held_back);
 }
 
 static void start_item(hs_job_owner *owner, const hs_open_item *open) {
@@ -196,6 +241,9 @@
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
     open->item->remaining_ms = open->remaining_ms;
+    open->item->was_pressing = open->is_pressing;
+    open->item->is_sent_noted = false;
+    open->item->is_piece_noted = false;
     owner->running++;
     g_thread_pool_push(owner->workers, order, NULL);
 }
@@ -205,50 +253,57 @@
            hs_job_partition_is_current(home->partition, home->taken_ms);
 }
 
-/** What one pass started of each service's items. */
+/** Items of one service in one pass. */
 typedef struct {
-    GHashTable *started; /**< Service (interned) -> items. */
-    GHashTable *allowed; /**< Service (interned) -> items that may start; see start_pace.h. */
-    GHashTable *full;    /**< Services that have no room left. */
-    uint32_t daemons;    /**< Live ones. */
+    uint32_t started;
+    uint32_t most;         /**< That may start. */
+    uint32_t most_waiting; /**< The same of items that are not pressing. */
+    bool is_full;          /**< It has no room left. */
+} pass_count;
+
+/** What one pass started. */
+typedef struct {
+    GHashTable *counts; /**< Service (interned) -> pass_count*. */
+    uint32_t daemons;   /**< Live ones. */
 } pass_starts;
 
-/** How many items of the service may start in this pass, by what became of those before. */
-static uint32_t allowed_of(hs_job_owner *owner, const char *service, const hs_service_room *room,
-                           const pass_starts *starts) {
-    gpointer allowed = NULL;
-    if (!g_hash_table_lookup_extended(starts->allowed, service, NULL, &allowed)) {
-        uint32_t most = hs_job_room(room, starts->daemons, owner->partitions->len);
-        double spare = room->slots - room->online - room->batch;
-        allowed =
-            GUINT_TO_POINTER(hs_start_pace_begin(&starts_of(owner, service)->pace, most, spare));
-        g_hash_table_insert(starts->allowed, (gpointer)service, allowed);
-    }
-    return GPOINTER_TO_UINT(allowed);
+static pass_count *count_of(hs_job_owner *owner, const char *service, const hs_service_room *room,
+                            const pass_starts *pass) {
+    pass_count *count = g_hash_table_lookup(pass->counts, service);
+    if (count != NULL)
+        return count;
+    hs_service_starts *starts = starts_of(owner, service);
+    uint32_t all = hs_job_room(room, pass->daemons, owner->partitions->len);
+    double spare = room->slots - room->online - room->batch;
+    count = g_new0(pass_count, 1);
+    count->most = hs_start_pace_begin(&starts->sends, all, spare);
+    count->most_waiting = hs_start_pace_begin(&starts->pieces, all, spare);
+    g_hash_table_insert(pass->counts, (gpointer)service, count);
+    return count;
 }
 
-/** How many items may start with this one: fewer before a wave, unless it is pressing. */
+/** How many items may start with this one: fewer before a wave or in it, unless it is pressing. */
 static uint32_t most_of(hs_job_owner *owner, const hs_open_item *entry, const hs_service_room *room,
-                        const pass_starts *starts) {
-    uint32_t allowed = allowed_of(owner, entry->service, room, starts);
+                        const pass_starts *pass) {
+    const pass_count *count = count_of(owner, entry->service, room, pass);
     double expected = entry->is_pressing ? 0 : starts_of(owner, entry->service)->expected_online;
-    return MIN(allowed, hs_job_room_left(room, expected, starts->daemons, owner->partitions->len));
+    uint32_t left = hs_job_room_left(room, expected, pass->daemons, owner->partitions->len);
+    uint32_t most = MIN(count->most, left);
+    return entry->is_pressing ? most : MIN(most, count->most_waiting);
 }
 
 /** Whether an item may start now, and count it where it may. */
-static bool take_room(hs_job_owner *owner, const hs_open_item *entry, pass_starts *starts,
+static bool take_room(hs_job_owner *owner, const hs_open_item *entry, pass_starts *pass,
                       guint open_count) {
-    gpointer service = (gpointer)entry->service;
-    if (g_hash_table_contains(starts->full, service))
-        return false;
     hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
-    guint started = GPOINTER_TO_UINT(g_hash_table_lookup(starts->started, service));
-    if (started >= most_of(owner, entry, &room, starts)) {
-        g_hash_table_add(starts->full, service);
+    pass_count *count = count_of(owner, entry->service, &room, pass);
+    if (count->is_full)
+        return false;
+    if (count->started >= most_of(owner, entry, &room, pass)) {
+        count->is_full = true;
         return false;
     }
-    g_hash_table_insert(starts->started, service, GUINT_TO_POINTER(started + 1));
-    hs_start_pace_note_started(&starts_of(owner, entry->service)->pace, 1);
+    count->started++;
     log_start(entry, &room, starts_of(owner, entry->service), open_count);
     return true;
 }
@@ -266,21 +321,19 @@
             collect(home, config, open);
     }
     note_demand(owner);
+    note_running(owner, open);
     hs_job_plan_make(owner, open);
-    g_autoptr(GHashTable) started = g_hash_table_new(g_direct_hash, g_direct_equal);
-    g_autoptr(GHashTable) allowed = g_hash_table_new(g_direct_hash, g_direct_equal);
-    g_autoptr(GHashTable) full = g_hash_table_new(g_direct_hash, g_direct_equal);
-    pass_starts starts = {.started = started,
-                          .allowed = allowed,
-                          .full = full,
-                          .daemons = owner->settings.live_daemons(owner->settings.user_data)};
+    g_autoptr(GHashTable) counts =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    pass_starts pass = {.counts = counts,
+                        .daemons = owner->settings.live_daemons(owner->settings.user_data)};
     for (guint index = 0; index < open->len && !owner->draining; index++) {
         const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
         if (!entry->may_start && !entry->gives_up)
             continue;
         if (owner->running >= HS_JOB_WORKERS_MAX)
             break;
-        if (entry->gives_up || take_room(owner, entry, &starts, open->len))
+        if (entry->gives_up || take_room(owner, entry, &pass, open->len))
             start_item(owner, entry);
     }
 }
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -139,11 +139,7 @@
     if (end == HS_ITEM_TRY_DONE)
         hs_item_pace_note(&owner->pace, item->run->tokens, item->run->events.last_id,
                           item->run->try_events, item->run->try_ms);
-    bool is_sent_back =
-        end == HS_ITEM_TRY_NO_ROOM || (end == HS_ITEM_TRY_YIELDED && !item->run->was_sent);
-    if (is_sent_back)
-        hs_job_scheduler_note_sent_back(owner, order->service);
-    owner->stepped_aside += end == HS_ITEM_TRY_YIELDED && item->run->was_sent;
+    hs_job_scheduler_note_end(owner, order, end);
     item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
     item->tries += end != HS_ITEM_TRY_NO_ROOM && end != HS_ITEM_TRY_HELD_BACK;
     uint64_t pause_ms = backoff_ms(item->failures);
--- a/src/jobs/start_pace.c
+++ b/src/jobs/start_pace.c
@@ -13,27 +13,23 @@
 /** So many times the room that was believed at the last failure is news. */
 #define MORE_ROOM 1.5
 
-void hs_start_pace_note_sent_back(hs_start_pace *pace) {
-    pace->sent_back++;
+void hs_start_pace_note(hs_start_pace *pace, bool did_well) {
+    pace->good += did_well;
+    pace->bad += !did_well;
 }
 
-void hs_start_pace_note_started(hs_start_pace *pace, uint32_t count) {
-    pace->started += count;
-}
-
-/** Judge the starts since the last pass. */
+/** Judge what was seen since the last pass. */
 static void judge(hs_start_pace *pace, double spare) {
     double tried = 1 - pace->held_back;
-    uint32_t went_out = pace->started - MIN(pace->sent_back, pace->started);
-    if (pace->sent_back > went_out) {
+    if (pace->bad > pace->good) {
         tried = fmax(tried / 2, TRIED_SHARE_LEAST);
         pace->spare = spare;
-    } else if (went_out > 0) {
+    } else if (pace->good > 0) {
         tried = tried * GROWTH;
     }
     pace->held_back = 1 - fmin(tried, 1);
-    pace->started = 0;
-    pace->sent_back = 0;
+    pace->good = 0;
+    pace->bad = 0;
 }
 
 uint32_t hs_start_pace_begin(hs_start_pace *pace, uint32_t room, double spare) {
--- a/tests/unit/test_item_plan.c
+++ b/tests/unit/test_item_plan.c
@@ -85,9 +85,8 @@
 /** A pass in which all @p count starts, if any, come to nothing or go out. */
 static uint32_t pass(hs_start_pace *pace, uint32_t room, double spare, bool goes_out) {
     uint32_t count = hs_start_pace_begin(pace, room, spare);
-    hs_start_pace_note_started(pace, count);
-    for (uint32_t index = 0; index < count && !goes_out; index++)
-        hs_start_pace_note_sent_back(pace);
+    for (uint32_t index = 0; index < count; index++)
+        hs_start_pace_note(pace, goes_out);
     return count;
 }
 
