--- a/tests/unit/test_deal.c
+++ b/tests/unit/test_deal.c
@@ -95,7 +95,7 @@
                             int64_t now_ms) {
     hs_choice_item choice[ITEMS_MOST];
     uint32_t running = 0;
-    qsort(open, count, sizeof *open, by_due_time);
+    qsort(open, count, sizeof(void *), by_due_time);
     for (size_t index = 0; index < count; index++) {
         choice[index] = (hs_choice_item){.left_ms = open[index]->due_ms - now_ms,
                                          .remaining_ms = (uint64_t)open[index]->needs_ms,
@@ -105,7 +105,7 @@
     hs_item_choice_make(choice, count, terms->slots);
     for (size_t index = 0; index < count; index++)
         open[index]->rank = hs_job_plan_rank(&choice[index]);
-    qsort(open, count, sizeof *open, by_rank);
+    qsort(open, count, sizeof(void *), by_rank);
     for (size_t index = 0; index < count && running < terms->slots; index++) {
         running += !open[index]->is_running;
         open[index]->is_running = true;
--- a/tests/unit/test_forecast.c
+++ b/tests/unit/test_forecast.c
@@ -38,8 +38,8 @@
     const char *name;
     demand_form demand;
     bool (*is_wave_begin)(uint64_t now_ms);
-    uint32_t slots;
     double items_a_s;
+    uint32_t slots;
     bool has_heap; /**< Six times as many items for 3 s. */
 } play_terms;
 
@@ -120,6 +120,8 @@
         if (item->is_running && (next == NULL || rank_of(item, 0) > rank_of(next, 0)))
             next = item;
     }
+    if (next == NULL)
+        return;
     next->is_running = false;
     next->needs_ms += READ_AGAIN_MS;
     next->may_start_ms = now_ms + STEP_ASIDE_PAUSE_MS;
@@ -204,7 +206,7 @@
     for (size_t index = 0; index < state->item_count; index++)
         if (!state->items[index].has_ended)
             open[count++] = &state->items[index];
-    qsort(open, count, sizeof *open, by_rank);
+    qsort(open, count, sizeof(void *), by_rank);
     for (size_t index = 0; index < count; index++)
         choice[index] = (hs_choice_item){.left_ms = (int64_t)open[index]->due_ms - (int64_t)now_ms,
                                          .remaining_ms = (uint64_t)fmax(open[index]->needs_ms, 0)};
@@ -260,13 +262,13 @@
 }
 
 static const play_terms plays[] = {
-    {"squares", squares, squares_begin, 480, 28, false},
-    {"squares, a heap", squares, squares_begin, 480, 28, true},
-    {"squares, a fifth lost", squares, squares_begin, 384, 28, false},
-    {"ended squares", ended_squares, squares_begin, 480, 28, false},
-    {"ramps", ramps, ramps_rise, 480, 28, false},
-    {"single spikes", spike, spike_begins, 480, 28, false},
-    {"constant", constant, always, 480, 28, false},
+    {"squares", squares, squares_begin, 28, 480, false},
+    {"squares, a heap", squares, squares_begin, 28, 480, true},
+    {"squares, a fifth lost", squares, squares_begin, 28, 384, false},
+    {"ended squares", ended_squares, squares_begin, 28, 480, false},
+    {"ramps", ramps, ramps_rise, 28, 480, false},
+    {"single spikes", spike, spike_begins, 28, 480, false},
+    {"constant", constant, always, 28, 480, false},
 };
 
 static play_outcome outcomes[G_N_ELEMENTS(plays)][POLICIES];
