--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -32,8 +32,7 @@
     uint64_t next_try_ms;
     uint64_t seen_ms;
     uint64_t started_ms;   /**< Of the latest try, */
-    uint64_t remaining_ms; /**< which was expected to need so long, */
-    bool was_pressing;     /**< and could not wait. */
+    uint64_t remaining_ms; /**< which was expected to need so long. */
     bool is_sent_noted;    /**< What became of it was noted; see job_scheduler.c. */
     bool is_piece_noted;
 } hs_owned_item;
@@ -62,7 +61,7 @@
     hs_demand_outlook outlook; /**< As of the latest pass. */
     double expected_online;    /**< Slots that online requests are expected to hold soon. */
     hs_start_pace sends;       /**< Of all starts: do they reach an engine. */
-    hs_start_pace pieces;      /**< Of those that are not pressing: are they worth it. */
+    hs_start_pace pieces;      /**< Of those that are not pressing: do they run for long. */
     uint64_t failed_logged_ms; /**< When it was last said that the forecast failed. */
 } hs_service_starts;
 
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -121,12 +121,11 @@
     hs_start_pace_note(&starts->sends, did_well);
 }
 
-/** A start was seen to be worth it, or not. */
-static void note_piece(hs_service_starts *starts, hs_owned_item *item, bool did_well) {
-    if (item->is_piece_noted || item->was_pressing)
-        return;
+/** A start was seen to be worth it. */
+static void note_piece(hs_service_starts *starts, hs_owned_item *item) {
+    if (!item->is_piece_noted)
+        hs_start_pace_note(&starts->pieces, true);
     item->is_piece_noted = true;
-    hs_start_pace_note(&starts->pieces, did_well);
 }
 
 void hs_job_scheduler_note_end(hs_job_owner *owner, const hs_item_order *order, hs_item_try end) {
@@ -142,8 +141,8 @@
     hs_service_starts *starts = starts_of(owner, order->service);
     if (is_sent_back)
         note_send(starts, item, false);
-    else if (is_cut && ran_ms < HS_ITEM_PIECE_MS)
-        note_piece(starts, item, false);
+    if (is_cut) /* However long it ran: engines fill up, and the next start would be cut sooner. */
+        hs_start_pace_note(&starts->pieces, false);
 }
 
 /** What runs for a while was sent, and was worth it. */
@@ -158,7 +157,7 @@
         if (ran_ms >= HS_JOB_PASS_MS)
             note_send(starts, entry->item, true);
         if (ran_ms >= HS_ITEM_PIECE_MS)
-            note_piece(starts, entry->item, true);
+            note_piece(starts, entry->item);
     }
 }
 
@@ -241,7 +240,6 @@
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
     open->item->remaining_ms = open->remaining_ms;
-    open->item->was_pressing = open->is_pressing;
     open->item->is_sent_noted = false;
     open->item->is_piece_noted = false;
     owner->running++;
