--- a/src/jobs/job_plan.c
+++ b/src/jobs/job_plan.c
@@ -69,20 +69,27 @@
     }
 }
 
-/** Mark those that may not wait for more room; left-out ones can. @p open is in order of rank. */
-static void mark_pressing(GArray *open, double slots) {
+/** Whether some item would end late in @p slots. @p open is in order of rank. */
+static bool is_scarce(const GArray *open, double slots) {
     g_autofree hs_choice_item *items = g_new0(hs_choice_item, open->len + 1);
-    size_t chosen = 0;
-    for (; chosen < open->len; chosen++) {
-        const hs_open_item *entry = &g_array_index(open, hs_open_item, chosen);
+    for (guint index = 0; index < open->len; index++) {
+        const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
         if (entry->rank_ms >= HS_RANK_LEFT_OUT)
-            break;
-        items[chosen] =
+            return true;
+        items[index] =
             (hs_choice_item){.left_ms = entry->left_ms, .remaining_ms = entry->remaining_ms};
     }
-    size_t pressing = hs_item_choice_count_pressing(items, chosen, slots);
-    for (size_t index = 0; index < pressing; index++)
-        g_array_index(open, hs_open_item, index).is_pressing = true;
+    return hs_item_choice_count_pressing(items, open->len, slots) > 0;
+}
+
+/**
+ * Where one item cannot wait none does: what the others leave for later is taken from those that
+ * come next.
+ */
+static void mark_pressing(GArray *open, double slots) {
+    bool is_pressing = is_scarce(open, slots);
+    for (guint index = 0; index < open->len; index++)
+        g_array_index(open, hs_open_item, index).is_pressing = is_pressing;
 }
 
 void hs_job_plan_make(hs_job_owner *owner, GArray *open) {
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -283,11 +283,12 @@
 /** How many items may start with this one: fewer before a wave or in it, unless it is pressing. */
 static uint32_t most_of(hs_job_owner *owner, const hs_open_item *entry, const hs_service_room *room,
                         const pass_starts *pass) {
+    if (entry->is_pressing)
+        return hs_job_room(room, pass->daemons, owner->partitions->len);
     const pass_count *count = count_of(owner, entry->service, room, pass);
-    double expected = entry->is_pressing ? 0 : starts_of(owner, entry->service)->expected_online;
+    double expected = starts_of(owner, entry->service)->expected_online;
     uint32_t left = hs_job_room_left(room, expected, pass->daemons, owner->partitions->len);
-    uint32_t most = MIN(count->most, left);
-    return entry->is_pressing ? most : MIN(most, count->most_waiting);
+    return MIN(MIN(count->most, count->most_waiting), left);
 }
 
 /** Whether an item may start now, and count it where it may. */
