--- a/src/jobs/item_choice.c
+++ b/src/jobs/item_choice.c
@@ -71,16 +71,15 @@
     return is_shared ? choose_shared(items, count, speed) : choose_at_once(items, count, speed);
 }
 
-size_t hs_item_choice_count_pressing(const hs_choice_item *items, size_t count, double slots) {
+bool hs_item_choice_is_scarce(const hs_choice_item *items, size_t count, double slots) {
     double speed = fmax(slots, 1.0);
-    double work_ms = 0;
-    size_t pressing = 0;
+    double before_ms = 0;
     for (size_t index = 0; index < count; index++) {
-        double begins_ms = work_ms / speed;
-        work_ms += (double)items[index].remaining_ms;
-        if (begins_ms + (double)items[index].remaining_ms >
-            (double)items[index].left_ms * TIME_USED)
-            pressing = index + 1;
+        double needs_ms = (double)items[index].remaining_ms;
+        double left_ms = (double)items[index].left_ms * TIME_USED;
+        if (items[index].is_left_out || before_ms / speed + needs_ms > left_ms)
+            return true;
+        before_ms += needs_ms;
     }
-    return pressing;
+    return false;
 }
--- a/src/jobs/item_choice.h
+++ b/src/jobs/item_choice.h
@@ -31,9 +31,9 @@
 uint64_t hs_item_choice_make(hs_choice_item *items, size_t count, double slots);
 
 /**
- * How many of @p items, in the order in which they are to run, may not wait for more room: with
- * @p slots alone the last of them would end late, or with little time to spare.
+ * Whether @p items, in the order in which they are to run, leave no time to wait for more room: one
+ * was left out, or would end late in @p slots alone, or with little time to spare.
  */
-size_t hs_item_choice_count_pressing(const hs_choice_item *items, size_t count, double slots);
+bool hs_item_choice_is_scarce(const hs_choice_item *items, size_t count, double slots);
 
 #endif
--- a/src/jobs/job_plan.c
+++ b/src/jobs/job_plan.c
@@ -69,25 +69,19 @@
     }
 }
 
-/** Whether some item would end late in @p slots. @p open is in order of rank. */
-static bool is_scarce(const GArray *open, double slots) {
-    g_autofree hs_choice_item *items = g_new0(hs_choice_item, open->len + 1);
-    for (guint index = 0; index < open->len; index++) {
-        const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
-        if (entry->rank_ms >= HS_RANK_LEFT_OUT)
-            return true;
-        items[index] =
-            (hs_choice_item){.left_ms = entry->left_ms, .remaining_ms = entry->remaining_ms};
-    }
-    return hs_item_choice_count_pressing(items, open->len, slots) > 0;
-}
-
 /**
  * Where one item cannot wait none does: what the others leave for later is taken from those that
- * come next.
+ * come next. @p open is in order of rank.
  */
 static void mark_pressing(GArray *open, double slots) {
-    bool is_pressing = is_scarce(open, slots);
+    g_autofree hs_choice_item *items = g_new0(hs_choice_item, open->len + 1);
+    for (guint index = 0; index < open->len; index++) {
+        const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
+        items[index] = (hs_choice_item){.left_ms = entry->left_ms,
+                                        .remaining_ms = entry->remaining_ms,
+                                        .is_left_out = entry->rank_ms >= HS_RANK_LEFT_OUT};
+    }
+    bool is_pressing = hs_item_choice_is_scarce(items, open->len, slots);
     for (guint index = 0; index < open->len; index++)
         g_array_index(open, hs_open_item, index).is_pressing = is_pressing;
 }
