--- a/src/jobs/item_choice.c
+++ b/src/jobs/item_choice.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 
 /** Share of its time within which an item is meant to end: the rest is for what no estimate saw. */
-#define TIME_USED 0.9
+#define TIME_USED 0.7
 
 /** The rule of Moore and Hodgson as it stands: all items are of one claimant. */
 static bool is_over_at_once(const hs_tenant_deal *taken, const hs_choice_item *item, double speed) {
@@ -77,7 +77,7 @@
     for (size_t index = 0; index < count; index++) {
         double needs_ms = (double)items[index].remaining_ms;
         double left_ms = (double)items[index].left_ms * TIME_USED;
-        if (items[index].is_left_out || before_ms / speed + needs_ms > left_ms)
+        if (items[index].is_left_out || needs_ms <= 0 || before_ms / speed + needs_ms > left_ms)
             return true;
         before_ms += needs_ms;
     }
--- a/src/jobs/item_choice.h
+++ b/src/jobs/item_choice.h
@@ -32,7 +32,8 @@
 
 /**
  * Whether @p items, in the order in which they are to run, leave no time to wait for more room: one
- * was left out, or would end late in @p slots alone, or with little time to spare.
+ * was left out, needs nobody knows how long (0), or would end late in @p slots alone, or with
+ * little time to spare.
  */
 bool hs_item_choice_is_scarce(const hs_choice_item *items, size_t count, double slots);
 
--- a/src/jobs/job_plan.c
+++ b/src/jobs/job_plan.c
@@ -77,8 +77,10 @@
     g_autofree hs_choice_item *items = g_new0(hs_choice_item, open->len + 1);
     for (guint index = 0; index < open->len; index++) {
         const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
+        bool is_running = entry->item->stage == HS_ITEM_RUNNING; /* 0: it is about to end. */
+        uint64_t least_ms = is_running ? 1 : 0;
         items[index] = (hs_choice_item){.left_ms = entry->left_ms,
-                                        .remaining_ms = entry->remaining_ms,
+                                        .remaining_ms = MAX(entry->remaining_ms, least_ms),
                                         .is_left_out = entry->rank_ms >= HS_RANK_LEFT_OUT};
     }
     bool is_pressing = hs_item_choice_is_scarce(items, open->len, slots);
