--- a/tests/unit/test_deal.c
+++ b/tests/unit/test_deal.c
@@ -217,9 +217,22 @@
     g_rand_free(chance);
 }
 
+/** Without dealing the rank is time left and need; with it, the time until it must start. */
+static void ranks_change_only_where_room_is_dealt(void) {
+    hs_choice_item item = {.left_ms = 9000, .remaining_ms = 3000};
+    CU_ASSERT_EQUAL(hs_job_plan_rank(&item), 12000);
+    item.is_dealt = true;
+    CU_ASSERT_EQUAL(hs_job_plan_rank(&item), 6000);
+    item.is_left_out = true;
+    CU_ASSERT_EQUAL(hs_job_plan_rank(&item), HS_RANK_LEFT_OUT + 3000);
+    item = (hs_choice_item){.left_ms = -5000, .remaining_ms = 3000};
+    CU_ASSERT_EQUAL(hs_job_plan_rank(&item), 0);
+}
+
 const test_case deal_tests[] = {
     {"a_heap_delays_only_its_tenant", a_heap_delays_only_its_tenant},
     {"jobs_that_are_alike_lose_by_sharing", jobs_that_are_alike_lose_by_sharing},
     {"the_claimant_with_most_work_loses", the_claimant_with_most_work_loses},
+    {"ranks_change_only_where_room_is_dealt", ranks_change_only_where_room_is_dealt},
     {"claimants_change_nothing_where_all_fit", claimants_change_nothing_where_all_fit},
     {NULL, NULL}};
