--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -2,9 +2,11 @@
 #ifndef HS_JOBS_JOB_OWNER_STATE_H
 #define HS_JOBS_JOB_OWNER_STATE_H
 
+#include "jobs/demand_forecast.h"
 #include "jobs/item_estimate.h"
 #include "jobs/item_run.h"
 #include "jobs/job_owner.h"
+#include "jobs/start_pace.h"
 
 /** The scheduler looks for items to start at least so often, in ms. */
 #define HS_JOB_PASS_MS 100
@@ -31,6 +33,8 @@
     uint64_t seen_ms;
     uint64_t started_ms;   /**< Of the latest try, */
     uint64_t remaining_ms; /**< which was expected to need so long. */
+    bool is_sent_noted;    /**< What became of it was noted; see job_scheduler.c. */
+    bool is_piece_noted;
 } hs_owned_item;
 
 /** One owned partition. */
@@ -51,6 +55,16 @@
     GThread *tail;
 } hs_owned_partition_state;
 
+/** What decides how many items of one service start. */
+typedef struct {
+    hs_demand_forecast demand;
+    hs_demand_outlook outlook; /**< As of the latest pass. */
+    double expected_online;    /**< Slots that online requests are expected to hold soon. */
+    hs_start_pace sends;       /**< Of all starts: do they reach an engine. */
+    hs_start_pace pieces;      /**< Of those that are not pressing: do they run for long. */
+    uint64_t failed_logged_ms; /**< When it was last said that the forecast failed. */
+} hs_service_starts;
+
 struct hs_job_owner {
     hs_job_owner_settings settings;
     GMutex lock;
@@ -62,7 +76,11 @@
     hs_deadline handover_deadline; /**< The same for all partitions, while draining. */
     uint32_t running;
     hs_item_pace pace;
-    double online_mean; /**< Online requests beside the items, of late; see job_plan.c. */
+    double online_mean;   /**< Online requests beside the items, of late; see job_plan.c. */
+    GHashTable *services; /**< Service (interned) -> hs_service_starts*; see job_scheduler.c. */
+    uint64_t sent_back;   /**< Starts that no engine's arbiter had room for. */
+    uint64_t cut_soon;    /**< Runs that were cut for others before they were worth it. */
+    uint64_t cut_later;   /**< Runs that were cut for others after that. */
     uint32_t tails;
     GThreadPool *workers;
     GThread *group;
@@ -74,9 +92,10 @@
     hs_owned_partition_state *home;
     hs_owned_item *item;
     uint32_t max_attempts;
-    int32_t rank_ms; /**< See hs_engine_query. */
-    bool gives_up;   /**< Its time is over: list it as dead. */
-    bool hands_over; /**< Only store what there is of it, for the next owner. */
+    int32_t rank_ms;     /**< See hs_engine_query. */
+    const char *service; /**< Interned; NULL: no route any more. */
+    bool gives_up;       /**< Its time is over: list it as dead. */
+    bool hands_over;     /**< Only store what there is of it, for the next owner. */
 } hs_item_order;
 
 /**
@@ -92,6 +111,9 @@
  */
 void hs_job_owner_give_up_superseded(hs_job_owner *owner);
 
+/** A try ended by @p end: note what it says of starts. The caller holds the lock. */
+void hs_job_scheduler_note_end(hs_job_owner *owner, const hs_item_order *order, hs_item_try end);
+
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
 void hs_job_worker_run(gpointer data, gpointer user_data);
 
