--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -33,6 +33,7 @@
         {"health", health_tests, NULL, NULL},
         {"suspicion", suspicion_tests, NULL, NULL},
         {"words", word_tests, NULL, NULL},
+        {"words_travel", words_travel_tests, NULL, NULL},
         {"spread", spread_tests, NULL, NULL},
         {"crashes", crash_tests, NULL, NULL},
         {"records", record_tests, NULL, NULL},
--- /dev/null
+++ b/tests/unit/test_words_travel.c
@@ -0,0 +1,139 @@
+/** @file test_words_travel.c  An arbiter's answer, over a socket, from one daemon to another. */
+#include "base/clock.h"
+#include "base/endpoint.h"
+#include "base/hash.h"
+#include "directory/slot_arbiter.h"
+#include "fleet/engine_words.h"
+#include "fleet/fleet_engine.h"
+#include "tests/unit/unit_tests.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#define ENGINES 40
+#define LARGE 60
+#define SMALL 10
+/** What fits an Ethernet frame, with room for the sender's name. */
+#define DATAGRAM_MOST 1400
+
+/** A daemon that arbitrates all engines, since it knows no other. */
+typedef struct {
+    hs_peer_socket *socket;
+    hs_membership_service *membership;
+    hs_fleet_engines *engines;
+    hs_slot_arbiter *arbiter;
+} member;
+
+static member make_member(const char *id, uint32_t peers) {
+    hs_error error = {0};
+    hs_member self = {.id = (char *)id, .zone = (char *)"z", .incarnation = 1, .peer_port = 1};
+    hs_membership_service_settings settings = {.probe_interval_ms = 100};
+    member made = {.socket = hs_peer_socket_new("127.0.0.1", 0, &error)};
+    CU_ASSERT_PTR_NOT_NULL_FATAL(made.socket);
+    made.membership = hs_membership_service_new(&self, &settings, made.socket);
+    made.engines = hs_fleet_engines_new("z");
+    for (int index = 0; index < ENGINES; index++) {
+        hs_engine_entry entry = {.id = g_strdup_printf("e%d", index),
+                                 .service = g_strdup("svc"),
+                                 .zone = g_strdup("z"),
+                                 .slots = 8};
+        hs_fleet_engines_put(made.engines, &entry, 1);
+    }
+    hs_fleet_engines_set_peers(made.engines, peers, 0);
+    made.arbiter = hs_slot_arbiter_new(made.engines, made.membership);
+    return made;
+}
+
+static void free_member(member *made) {
+    hs_slot_arbiter_free(made->arbiter);
+    hs_fleet_engines_free(made->engines);
+    hs_membership_service_free(made->membership);
+    hs_peer_socket_free(made->socket);
+}
+
+static uint64_t hash_of(int index) {
+    g_autofree char *id = g_strdup_printf("e%d", index);
+    return hs_hash_bytes(id, strlen(id));
+}
+
+/** Daemon "other" tells that it has @p online on an engine. */
+static void tell(const member *arbiter, int index, uint32_t online, bool wants_totals,
+                 const struct sockaddr_in *from) {
+    static uint64_t sequence = 0;
+    Hs__EngineUse use = HS__ENGINE_USE__INIT;
+    use.engine_hash = hash_of(index);
+    use.slots = 8;
+    use.online = online;
+    Hs__EngineUse *list[] = {&use};
+    Hs__EngineUses uses = HS__ENGINE_USES__INIT;
+    uses.sequence = ++sequence;
+    uses.wants_totals = wants_totals;
+    uses.n_uses = 1;
+    uses.uses = list;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.sender_id = (char *)"other";
+    message.sender_incarnation = 1;
+    message.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_USES;
+    message.engine_uses = &uses;
+    hs_slot_arbiter_handle(arbiter->arbiter, &message, from);
+}
+
+/** Tell of all engines, ask about the first, and read the answer; its length in @p length. */
+static Hs__PeerMessage *ask(const member *arbiter, ssize_t *length) {
+    struct sockaddr_in own = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t own_length = sizeof own;
+    struct timeval patience = {.tv_sec = 2};
+    uint8_t buffer[4096];
+    int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
+    bind(descriptor, (struct sockaddr *)&own, own_length);
+    getsockname(descriptor, (struct sockaddr *)&own, &own_length);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    for (int index = ENGINES - 1; index >= 0; index--)
+        tell(arbiter, index, 5, index == 0, &own);
+    *length = recv(descriptor, buffer, sizeof buffer, 0);
+    close(descriptor);
+    CU_ASSERT_FATAL(*length > 0);
+    return hs__peer_message__unpack(NULL, (size_t)*length, buffer);
+}
+
+/** The answer carries the most words there may be, and whoever hears it believes them. */
+static void an_answer_carries_words_on_other_engines(void) {
+    member arbiter = make_member("a", LARGE);
+    member hearer = make_member("b", LARGE);
+    ssize_t length = 0;
+    Hs__PeerMessage *answer = ask(&arbiter, &length);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+    const Hs__EngineTotals *totals = answer->engine_totals;
+    CU_ASSERT_EQUAL(totals->n_totals, 1);
+    CU_ASSERT_EQUAL_FATAL(totals->n_passed_on, HS_ENGINE_WORDS_MOST);
+    CU_ASSERT(length < DATAGRAM_MOST);
+    hs_slot_arbiter_handle(hearer.arbiter, answer, NULL);
+    uint32_t believed = 0;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (int index = 0; index < ENGINES; index++) {
+        const hs_fleet_engine *engine = hs_fleet_engines_find(hearer.engines, hash_of(index));
+        believed += hs_fleet_engine_others_online(engine, now_ms) == 5;
+        CU_ASSERT_EQUAL(engine->told_count, index == 0); /* The others answer no question. */
+    }
+    CU_ASSERT_EQUAL(believed, HS_ENGINE_WORDS_MOST + 1);
+    hs__peer_message__free_unpacked(answer, NULL);
+    free_member(&hearer);
+    free_member(&arbiter);
+}
+
+/** In a small fleet, where daemons tell each other their loads, an answer is as it was. */
+static void a_small_fleet_passes_nothing_on(void) {
+    member arbiter = make_member("a", SMALL);
+    ssize_t length = 0;
+    Hs__PeerMessage *answer = ask(&arbiter, &length);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(answer);
+    CU_ASSERT_EQUAL(answer->engine_totals->n_passed_on, 0);
+    CU_ASSERT_EQUAL(arbiter.engines->words.taken, 0);
+    hs__peer_message__free_unpacked(answer, NULL);
+    free_member(&arbiter);
+}
+
+const test_case words_travel_tests[] = {
+    {"an_answer_carries_words_on_other_engines", an_answer_carries_words_on_other_engines},
+    {"a_small_fleet_passes_nothing_on", a_small_fleet_passes_nothing_on},
+    {NULL, NULL}};
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -34,6 +34,7 @@
 extern const test_case health_tests[];
 extern const test_case suspicion_tests[];
 extern const test_case word_tests[];
+extern const test_case words_travel_tests[];
 extern const test_case spread_tests[];
 extern const test_case crash_tests[];
 extern const test_case record_tests[];
