--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -33,7 +33,7 @@
     uint64_t seen_ms;
     uint64_t started_ms;   /**< Of the latest try, */
     uint64_t remaining_ms; /**< which was expected to need so long. */
-    bool is_sent_noted;    /**< What became of it was noted; see job_scheduler.c. */
+    bool is_sent_noted;    /**< What became of it was noted; see job_starts.c. */
     bool is_piece_noted;
 } hs_owned_item;
 
@@ -77,7 +77,7 @@
     uint32_t running;
     hs_item_pace pace;
     double online_mean;   /**< Online requests beside the items, of late; see job_plan.c. */
-    GHashTable *services; /**< Service (interned) -> hs_service_starts*; see job_scheduler.c. */
+    GHashTable *services; /**< Service (interned) -> hs_service_starts*; see job_starts.h. */
     uint64_t sent_back;   /**< Starts that no engine's arbiter had room for. */
     uint64_t cut_soon;    /**< Runs that were cut for others before they were worth it. */
     uint64_t cut_later;   /**< Runs that were cut for others after that. */
@@ -111,9 +111,6 @@
  */
 void hs_job_owner_give_up_superseded(hs_job_owner *owner);
 
-/** A try ended by @p end: note what it says of starts. The caller holds the lock. */
-void hs_job_scheduler_note_end(hs_job_owner *owner, const hs_item_order *order, hs_item_try end);
-
 /** Run one order; a thread pool's function. @p data: hs_item_order, owned. @p user_data: owner. */
 void hs_job_worker_run(gpointer data, gpointer user_data);
 
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "jobs/job_starts.h"
 
 #define YIELD_PAUSE_MS 100
 /** An item that is held back claims a trial so often, in ms: some times for each pause between
@@ -139,7 +140,7 @@
     if (end == HS_ITEM_TRY_DONE)
         hs_item_pace_note(&owner->pace, item->run->tokens, item->run->events.last_id,
                           item->run->try_events, item->run->try_ms);
-    hs_job_scheduler_note_end(owner, order, end);
+    hs_job_starts_note_end(owner, order, end);
     item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
     item->tries += end != HS_ITEM_TRY_NO_ROOM && end != HS_ITEM_TRY_HELD_BACK;
     uint64_t pause_ms = backoff_ms(item->failures);
