--- /dev/null
+++ b/src/online/admission.c
@@ -0,0 +1,48 @@
+/** @file admission.c  See admission.h. */
+#include "online/admission.h"
+
+#include <math.h>
+
+/**
+ * Share of the time left in which a place must be expected: runs differ, and what is believed is
+ * some hundred ms old.
+ */
+#define WAIT_SHARE 0.5
+
+/** Of the objective, less what the engine needs; 0: it is over. */
+static double spare_ms(const hs_admission_view *view) {
+    double over_ms = (double)view->age_ms + (double)view->waited_ms + (double)view->need_ms;
+    return fmax((double)view->target_ms - over_ms, 0);
+}
+
+hs_admission_choice hs_admission_choose(const hs_admission_view *view) {
+    const hs_service_pressure *pressure = &view->pressure;
+    double expected_ms = fmax(pressure->wait_ms, (double)view->head_waited_ms);
+    double spare = spare_ms(view);
+    hs_admission_choice choice = {
+        .verdict = HS_ADMISSION_OPEN,
+        .expected_ms = (uint64_t)ceil(expected_ms),
+        .hold_most_ms = (uint64_t)spare,
+        .begin_ms = (uint64_t)(spare * WAIT_SHARE) + view->need_ms,
+        .may_try = true,
+    };
+    if (!pressure->is_short || view->has_run || view->target_ms == 0)
+        return choice;
+    bool is_in_time = spare > 0 && expected_ms <= spare * WAIT_SHARE;
+    if (is_in_time)
+        choice.verdict = view->is_less_urgent ? HS_ADMISSION_STAND_BY : HS_ADMISSION_IN_TIME;
+    else
+        choice.verdict = view->age_ms > 0 ? HS_ADMISSION_STAND_BY : HS_ADMISSION_REFUSE;
+    choice.may_try = choice.verdict != HS_ADMISSION_STAND_BY && spare > 0;
+    return choice;
+}
+
+const char *hs_admission_verdict_name(hs_admission_verdict verdict) {
+    static const char *const names[] = {
+        [HS_ADMISSION_OPEN] = "open",
+        [HS_ADMISSION_IN_TIME] = "in_time",
+        [HS_ADMISSION_STAND_BY] = "stand_by",
+        [HS_ADMISSION_REFUSE] = "refuse",
+    };
+    return names[verdict];
+}
