--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -362,6 +362,7 @@
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_fleet_engine *engine = lease->engine;
     g_mutex_lock(&lease->engines->lock);
+    g_autofree char *service = g_strdup(engine->entry.service);
     count_read(lease);
     engine->memory_tokens_used -= MIN(engine->memory_tokens_used, lease->memory_tokens);
     if (lease->work == HS_WORK_ONLINE)
@@ -378,6 +379,8 @@
     if (!kept)
         hs_client_connection_close(connection);
     hs_fleet_engines_tell(lease->engines, &use, false);
+    if (end == HS_ATTEMPT_SERVED)
+        hs_fleet_engines_tell_place(lease->engines, service);
     g_free(lease);
 }
 
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -76,6 +76,7 @@
 }
 
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total) {
+    g_autofree char *freed = NULL; /* The service that has a place by this word. */
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = hs_fleet_engines_find(engines, total->engine_hash);
     if (engine != NULL) {
@@ -86,8 +87,12 @@
         engine->told_failing_ms = total->is_failing ? engine->told_ms : 0;
         engine->told_count++;
         g_cond_broadcast(&engines->totals_told);
+        if (total->online < engine->entry.slots && !total->is_failing)
+            freed = g_strdup(engine->entry.service);
     }
     g_mutex_unlock(&engines->lock);
+    if (freed != NULL)
+        hs_fleet_engines_tell_place(engines, freed);
 }
 
 /** The item of the highest rank that was not asked yet; of equal ones the newest. NULL: none. */
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -63,6 +63,7 @@
     char *zone;
     GHashTable *speeds;        /**< service -> hs_engine_speed* */
     GHashTable *absences;      /**< service -> hs_engine_absence* */
+    GHashTable *pressures;     /**< service -> hs_kept_pressure* */
     bool is_list_known;        /**< The store's list was read to its end. */
     uint32_t peer_count;       /**< Other daemons there are. */
     uint32_t batch_peer_count; /**< Those of them that run batch items. */
@@ -75,6 +76,8 @@
     GCond totals_told;           /**< An arbiter told what all daemons have on an engine. */
     hs_engine_use_teller teller; /**< NULL: nobody is told. */
     void *teller_data;
+    hs_engine_place_watch place_watch; /**< NULL: nobody is told. */
+    void *place_watch_data;
     hs_crash_watch *crash_watch; /**< NULL: none. */
 };
 
@@ -128,6 +131,13 @@
     uint64_t last_ms;  /**< How long the one before was; 0: none was seen. */
 } hs_engine_absence;
 
+/** A service's pressure, kept for all who ask within some ms. */
+typedef struct {
+    hs_service_pressure pressure;
+    hs_pressure_trend trend;
+    uint64_t made_ms;
+} hs_kept_pressure;
+
 /** Note whether a service has an engine now. The caller holds the lock, as for all below but tell.
  */
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
@@ -142,6 +152,8 @@
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
 /** Ask the batch items there of the highest rank to step aside; how many were asked. */
 uint32_t hs_fleet_engine_yield(hs_fleet_engine *engine, uint32_t wanted);
+/** Tell that a place may be free in a service; without the lock. */
+void hs_fleet_engines_tell_place(hs_fleet_engines *engines, const char *service);
 /** Tell a use; without the lock. */
 void hs_fleet_engines_tell(hs_fleet_engines *engines, const hs_engine_use *use, bool started);
 double hs_fleet_engine_running(const hs_fleet_engine *engine, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -46,6 +46,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -86,6 +87,7 @@
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
+    g_hash_table_destroy(engines->pressures);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->totals_told);
     g_free(engines->zone);
@@ -142,8 +144,10 @@
 
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms) {
     uint64_t ended = 0;
+    g_autofree char *service = g_strdup(entry->service);
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, entry->id);
+    bool is_new = engine == NULL;
     if (engine != NULL && is_another_start(engine, entry)) {
         ended = engine->entry.draining ? 0 : engine->hash;
         end_engine(engines, engine, entry);
@@ -166,6 +170,8 @@
     engine->listed_ms = now_ms;
     g_mutex_unlock(&engines->lock);
     memset(entry, 0, sizeof *entry);
+    if (is_new || ended != 0)
+        hs_fleet_engines_tell_place(engines, service);
     if (ended != 0 && engines->crash_watch != NULL)
         hs_crash_watch_note_crashed(engines->crash_watch, ended);
 }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -90,6 +90,9 @@
 /** Called without a lock when a use changed; @p started: by a request that begins. */
 typedef void (*hs_engine_use_teller)(const hs_engine_use *use, bool started, void *user_data);
 
+/** Called without a lock when an engine of the service may have a place that was not there. */
+typedef void (*hs_engine_place_watch)(const char *service, void *user_data);
+
 /** @p zone: of this daemon. */
 hs_fleet_engines *hs_fleet_engines_new(const char *zone);
 void hs_fleet_engines_free(hs_fleet_engines *engines);
@@ -228,6 +231,14 @@
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
 
+/** How hard a service is pressed by what was heard of late; the same for some ms for all who ask.
+ */
+hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service);
+
+/** Whom places are told; NULL: nobody. Before the first request, or after the last. */
+void hs_fleet_engines_set_place_watch(hs_fleet_engines *engines, hs_engine_place_watch watch,
+                                      void *user_data);
+
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
 /**
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -6,6 +6,9 @@
 #include <math.h>
 #include <string.h>
 
+/** A pressure is worked out at most this often, in ms: it changes little meanwhile. */
+#define PRESSURE_KEPT_MS 25
+
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
                                                  bool is_present, uint64_t now_ms) {
     hs_engine_absence *absence = g_hash_table_lookup(engines->absences, service);
@@ -37,6 +40,76 @@
     outlook->waiting += fmax(online - engine->entry.slots, 0);
 }
 
+/** What the engine's arbiter told last, with what this daemon has there now. */
+static hs_pressure_sample sample_of(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return (hs_pressure_sample){
+        .slots = engine->entry.slots,
+        .online = engine->online + engine->told_online,
+        .batch = engine->batch + engine->told_batch,
+        .pace = hs_engine_pace_factor(&engine->pace, 0, now_ms),
+        .age_ms = engine->told_ms != 0 ? now_ms - engine->told_ms : UINT64_MAX,
+    };
+}
+
+static bool is_sent_to(const hs_fleet_engine *engine, const char *service) {
+    return strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+           !engine->misplaced;
+}
+
+static hs_service_pressure make_pressure(hs_fleet_engines *engines, const char *service,
+                                         uint64_t now_ms) {
+    g_autoptr(GArray) samples = g_array_new(FALSE, FALSE, sizeof(hs_pressure_sample));
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        if (!is_sent_to(engine, service) || hs_fleet_engine_is_suspected(engine, now_ms))
+            continue;
+        hs_pressure_sample sample = sample_of(engine, now_ms);
+        g_array_append_val(samples, sample);
+    }
+    double run_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
+    return hs_service_pressure_make((const hs_pressure_sample *)(void *)samples->data, samples->len,
+                                    run_ms);
+}
+
+/** The caller holds the lock. */
+static hs_service_pressure pressure_of(hs_fleet_engines *engines, const char *service,
+                                       uint64_t now_ms) {
+    hs_kept_pressure *kept = g_hash_table_lookup(engines->pressures, service);
+    if (kept == NULL) {
+        kept = g_new0(hs_kept_pressure, 1);
+        g_hash_table_insert(engines->pressures, g_strdup(service), kept);
+    }
+    if (kept->made_ms == 0 || now_ms >= kept->made_ms + PRESSURE_KEPT_MS) {
+        kept->pressure = make_pressure(engines, service, now_ms);
+        hs_service_pressure_project(&kept->pressure, &kept->trend, now_ms);
+        kept->made_ms = now_ms;
+    }
+    return kept->pressure;
+}
+
+hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service) {
+    g_mutex_lock(&engines->lock);
+    hs_service_pressure pressure = pressure_of(engines, service, hs_clock_monotonic_ms());
+    g_mutex_unlock(&engines->lock);
+    return pressure;
+}
+
+void hs_fleet_engines_set_place_watch(hs_fleet_engines *engines, hs_engine_place_watch watch,
+                                      void *user_data) {
+    g_mutex_lock(&engines->lock);
+    engines->place_watch = watch;
+    engines->place_watch_data = user_data;
+    g_mutex_unlock(&engines->lock);
+}
+
+void hs_fleet_engines_tell_place(hs_fleet_engines *engines, const char *service) {
+    if (engines->place_watch != NULL)
+        engines->place_watch(service, engines->place_watch_data);
+}
+
 static void add_engine(hs_service_outlook *outlook, const hs_fleet_engine *engine,
                        uint64_t now_ms) {
     uint64_t back_ms = return_ms(engine, now_ms);
@@ -59,13 +132,13 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        if (strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
-            !engine->misplaced)
+        if (is_sent_to(engine, service))
             add_engine(&outlook, engine, now_ms);
     }
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, service);
     outlook.run_ms = hs_engine_speed_online_run_ms(speed);
     outlook.need_ms = (uint64_t)speed->first_byte_ms;
+    outlook.pressure = pressure_of(engines, service, now_ms);
     hs_engine_absence absence =
         hs_fleet_engines_note_presence(engines, service, outlook.engines > 0, now_ms);
     outlook.absent_ms = absence.since_ms != 0 ? now_ms - absence.since_ms : 0;
