--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -142,7 +142,6 @@
                                       ? (uint64_t)daemon->settings->fleet_revoke_ms
                                       : 0;
     daemon->online.ages = hs_caller_ages_new();
-    daemon->online.held = hs_held_requests_new();
     g_mutex_init(&daemon->online.counters.lock);
     hs_fleet_surface_settings surface = {.front = daemon->settings->fleet_front,
                                          .ready = daemon->settings->fleet_ready,
@@ -205,6 +204,11 @@
     return (uint32_t)due_ms;
 }
 
+/** A place may be free in the service: see hs_engine_place_watch. */
+static void wake_held(const char *service, void *user_data) {
+    hs_held_requests_wake(user_data, service);
+}
+
 hs_fleet_daemon *hs_fleet_daemon_start(const hs_settings *settings, hs_error *error) {
     hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
     daemon->settings = settings;
@@ -214,6 +218,8 @@
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, config_due_ms(settings));
     daemon->engines = hs_fleet_engines_new(settings->zone);
+    daemon->online.held = hs_held_requests_new();
+    hs_fleet_engines_set_place_watch(daemon->engines, wake_held, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
     hs_fleet_engines_set_crash_watch(daemon->engines, daemon->crash_watch);
     daemon->engine_source =
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -235,6 +235,12 @@
  */
 hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service);
 
+/** Pressures as they were worked out last, one service a line, for metrics. Free with g_free. */
+char *hs_fleet_engines_describe_pressures(hs_fleet_engines *engines);
+
+/** Shortest time to a first byte of a service of late, in ms; 0: not known. */
+uint64_t hs_fleet_engines_need_ms(hs_fleet_engines *engines, const char *service);
+
 /** Whom places are told; NULL: nobody. Before the first request, or after the last. */
 void hs_fleet_engines_set_place_watch(hs_fleet_engines *engines, hs_engine_place_watch watch,
                                       void *user_data);
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -97,6 +97,35 @@
     return pressure;
 }
 
+char *hs_fleet_engines_describe_pressures(hs_fleet_engines *engines) {
+    GString *text = g_string_new(NULL);
+    GHashTableIter iterator;
+    gpointer service = NULL;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->pressures);
+    while (g_hash_table_iter_next(&iterator, &service, &value)) {
+        const hs_service_pressure *pressure = &((const hs_kept_pressure *)value)->pressure;
+        const char *name = service;
+        g_string_append_printf(text,
+                               "heathsail_service_engines_heard{service=\"%s\"} %u\n"
+                               "heathsail_service_free_share{service=\"%s\"} %.3f\n"
+                               "heathsail_service_wait_ms{service=\"%s\"} %.0f\n"
+                               "heathsail_service_short{service=\"%s\"} %d\n",
+                               name, pressure->heard, name, pressure->free_share, name,
+                               pressure->wait_ms, name, pressure->is_short);
+    }
+    g_mutex_unlock(&engines->lock);
+    return g_string_free(text, FALSE);
+}
+
+uint64_t hs_fleet_engines_need_ms(hs_fleet_engines *engines, const char *service) {
+    g_mutex_lock(&engines->lock);
+    uint64_t need_ms = (uint64_t)hs_fleet_engines_speed(engines, service)->first_byte_ms;
+    g_mutex_unlock(&engines->lock);
+    return need_ms;
+}
+
 void hs_fleet_engines_set_place_watch(hs_fleet_engines *engines, hs_engine_place_watch watch,
                                       void *user_data) {
     g_mutex_lock(&engines->lock);
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -58,6 +58,12 @@
     g_mutex_unlock(&online->counters.lock);
 }
 
+void hs_online_count_refusal(hs_online *online, hs_refusal_verdict verdict) {
+    g_mutex_lock(&online->counters.lock);
+    online->counters.refused[verdict]++;
+    g_mutex_unlock(&online->counters.lock);
+}
+
 void hs_online_refuse(hs_online *online, hs_inbound *inbound, hs_end_reason reason,
                       uint64_t retry_after_ms) {
     const reason_entry *entry = &reasons[reason];
--- a/src/online/held_requests.c
+++ b/src/online/held_requests.c
@@ -6,15 +6,37 @@
 
 #include <glib.h>
 
+/** The held requests of one service. */
+typedef struct {
+    hs_hold_queue queue;
+    GPtrArray *requests; /**< of hs_held_request*; theirs who hold them. */
+} service_held;
+
+struct hs_held_request {
+    service_held *service;
+    hs_fair_claim claim;
+    GCond woken;
+    bool is_waiting;
+    bool is_woken;
+    uint64_t woken_ms; /**< When it was woken last; 0: never. */
+};
+
 struct hs_held_requests {
     GMutex lock;
-    GHashTable *by_service; /**< name -> hs_hold_queue* */
+    GHashTable *by_service; /**< name -> service_held* */
+    hs_held_counters counters;
 };
 
+static void free_service(gpointer data) {
+    service_held *service = data;
+    g_ptr_array_free(service->requests, TRUE);
+    g_free(service);
+}
+
 hs_held_requests *hs_held_requests_new(void) {
     hs_held_requests *held = g_new0(hs_held_requests, 1);
     g_mutex_init(&held->lock);
-    held->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    held->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_service);
     return held;
 }
 
@@ -26,32 +48,131 @@
     g_free(held);
 }
 
-/** The caller holds the lock. */
-static hs_hold_queue *queue_of(hs_held_requests *held, const char *service) {
-    hs_hold_queue *queue = g_hash_table_lookup(held->by_service, service);
-    if (queue != NULL)
-        return queue;
-    queue = g_new0(hs_hold_queue, 1);
-    g_hash_table_insert(held->by_service, g_strdup(service), queue);
-    return queue;
+/** The caller holds the lock, as for all below that have no lock of their own. */
+static service_held *service_of(hs_held_requests *held, const char *name) {
+    service_held *service = g_hash_table_lookup(held->by_service, name);
+    if (service != NULL)
+        return service;
+    service = g_new0(service_held, 1);
+    service->requests = g_ptr_array_new();
+    g_hash_table_insert(held->by_service, g_strdup(name), service);
+    return service;
 }
 
-void hs_held_requests_enter(hs_held_requests *held, const char *service) {
+hs_held_request *hs_held_requests_enter(hs_held_requests *held, const char *service,
+                                        const hs_fair_claim *claim) {
+    hs_held_request *request = g_new0(hs_held_request, 1);
+    g_cond_init(&request->woken);
+    request->claim = *claim;
     g_mutex_lock(&held->lock);
-    hs_hold_queue_enter(queue_of(held, service), hs_clock_monotonic_ms());
+    request->service = service_of(held, service);
+    hs_hold_queue_enter(&request->service->queue, hs_clock_monotonic_ms());
+    g_ptr_array_add(request->service->requests, request);
+    held->counters.held++;
     g_mutex_unlock(&held->lock);
+    return request;
+}
+
+/** What can be in time goes first; then as claims go. */
+static bool goes_before(const hs_fair_claim *one, const hs_fair_claim *other) {
+    if (one->is_in_time != other->is_in_time)
+        return one->is_in_time;
+    return hs_fair_claim_compare(one, other) < 0;
+}
+
+/** First in order that waits and was not woken just now; NULL: none. */
+static hs_held_request *first_waiting(const service_held *service, uint64_t now_ms) {
+    hs_held_request *first = NULL;
+    for (guint index = 0; index < service->requests->len; index++) {
+        hs_held_request *request = service->requests->pdata[index];
+        bool was_woken =
+            request->woken_ms != 0 && now_ms < request->woken_ms + HS_HELD_TRY_LEAST_MS;
+        if (!request->is_waiting || request->is_woken || was_woken)
+            continue;
+        if (first == NULL || goes_before(&request->claim, &first->claim))
+            first = request;
+    }
+    return first;
+}
+
+static bool wake_first(hs_held_requests *held, const service_held *service) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_held_request *first = first_waiting(service, now_ms);
+    if (first == NULL)
+        return false;
+    first->is_woken = true;
+    first->woken_ms = now_ms;
+    held->counters.woken++;
+    g_cond_signal(&first->woken);
+    return true;
+}
+
+void hs_held_requests_leave(hs_held_requests *held, hs_held_request *request, bool is_placed) {
+    g_mutex_lock(&held->lock);
+    service_held *service = request->service;
+    hs_hold_queue_leave(&service->queue, is_placed, hs_clock_monotonic_ms());
+    g_ptr_array_remove(service->requests, request);
+    held->counters.held--;
+    if (request->is_woken && !is_placed) /* It leaves the place for which it was woken. */
+        wake_first(held, service);
+    g_mutex_unlock(&held->lock);
+    g_cond_clear(&request->woken);
+    g_free(request);
+}
+
+bool hs_held_requests_wait(hs_held_requests *held, hs_held_request *request,
+                           const hs_fair_claim *claim, uint64_t most_ms) {
+    hs_pause pause = hs_clock_pause_begin(most_ms);
+    g_mutex_lock(&held->lock);
+    request->claim = *claim;
+    request->is_woken = false;
+    request->is_waiting = true;
+    bool is_over = false;
+    while (!request->is_woken && !is_over)
+        is_over = !hs_clock_pause_wait(&pause, &request->woken, &held->lock);
+    request->is_waiting = false;
+    bool is_woken = request->is_woken;
+    held->counters.timeouts += !is_woken;
+    g_mutex_unlock(&held->lock);
+    return is_woken;
+}
+
+bool hs_held_requests_wake(hs_held_requests *held, const char *service) {
+    g_mutex_lock(&held->lock);
+    const service_held *known = g_hash_table_lookup(held->by_service, service);
+    bool is_anybody = known != NULL && wake_first(held, known);
+    g_mutex_unlock(&held->lock);
+    return is_anybody;
+}
+
+/** When the first came of those that can be in time; 0: there is none. */
+static uint64_t head_arrived_ms(const service_held *service) {
+    uint64_t head_ms = 0;
+    for (guint index = 0; index < service->requests->len; index++) {
+        const hs_fair_claim *claim =
+            &((const hs_held_request *)service->requests->pdata[index])->claim;
+        if (claim->is_in_time && (head_ms == 0 || claim->arrived_ms < head_ms))
+            head_ms = claim->arrived_ms;
+    }
+    return head_ms;
 }
 
-void hs_held_requests_leave(hs_held_requests *held, const char *service, bool is_placed) {
+hs_held_view hs_held_requests_view(hs_held_requests *held, const char *service) {
+    hs_held_view view = {0};
     g_mutex_lock(&held->lock);
-    hs_hold_queue_leave(queue_of(held, service), is_placed, hs_clock_monotonic_ms());
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    const service_held *known = service_of(held, service);
+    uint64_t head_ms = head_arrived_ms(known);
+    view.held = known->requests->len;
+    view.expected_ms = hs_hold_queue_expected_ms(&known->queue, now_ms);
+    view.head_waited_ms = head_ms != 0 && now_ms > head_ms ? now_ms - head_ms : 0;
     g_mutex_unlock(&held->lock);
+    return view;
 }
 
-uint64_t hs_held_requests_expected_ms(hs_held_requests *held, const char *service) {
+hs_held_counters hs_held_requests_count(hs_held_requests *held) {
     g_mutex_lock(&held->lock);
-    uint64_t expected_ms =
-        hs_hold_queue_expected_ms(queue_of(held, service), hs_clock_monotonic_ms());
+    hs_held_counters counters = held->counters;
     g_mutex_unlock(&held->lock);
-    return expected_ms;
+    return counters;
 }
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -53,6 +53,8 @@
     order.query.wait_most_ms =
         hs_engine_choice_begin_ms(request->route->target_latency_ms,
                                   request->age_ms + waited_ms(request), request->is_less_urgent);
+    if (request->admission.verdict != HS_ADMISSION_OPEN)
+        order.query.wait_most_ms = MIN(order.query.wait_most_ms, request->admission.begin_ms);
     if (request->events.has_last_id) {
         order.request.resumes = true;
         order.request.last_event = request->events.last_id;
@@ -132,13 +134,12 @@
     bool has_run = request->run != HS_RUN_DID_NOT;
     hs_refusal_choice choice = hs_online_choose_refusal(request);
     if (choice.verdict == HS_REFUSAL_HOLD && (!has_run || hs_online_may_repeat(request))) {
+        hs_fair_claim claim = hs_online_claim(request);
         uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : choice.pause_ms;
-        if (hs_peer_leaves_within(request->inbound->descriptor, (uint32_t)pause_ms)) {
-            *reason = HS_END_CALLER_GONE;
-            return HS_NEXT_END;
-        }
+        request->woken +=
+            hs_held_requests_wait(request->online->held, request->held, &claim, pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
-        return HS_NEXT_TRY;
+        return HS_NEXT_TRY; /* A caller that left meanwhile is noticed before that. */
     }
     request->retry_after_ms = choice.expected_ms;
     *reason = has_run ? HS_END_BROKEN : hs_online_refusal_reason(choice.verdict);
@@ -209,6 +210,11 @@
             *reason = HS_END_CALLER_GONE;
             return false;
         }
+        hs_online_admit(request);
+        if (!request->admission.may_try) {
+            move = after_no_engine(request, reason);
+            continue;
+        }
         hs_attempt_order order = make_order(request);
         bool has_head = hs_attempt_start(request->online->engines, &order, &request->attempt);
         if (request->attempt.prospect.is_hopeless) {
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/engine_choice.h"
 
 static void log_refusal(const hs_online_request *request, const hs_refusal_view *view,
                         const hs_refusal_choice *choice) {
@@ -14,40 +15,101 @@
                 " has_run=%d list_known=%d engines=%u sound=%u slots=%u running=%.1f waiting=%.1f"
                 " run_ms=%.0f need_ms=%" G_GUINT64_FORMAT " return_ms=%" G_GUINT64_FORMAT
                 " absent_ms=%" G_GUINT64_FORMAT " last_absence_ms=%" G_GUINT64_FORMAT
-                " listed_age_ms=%" G_GUINT64_FORMAT,
+                " listed_age_ms=%" G_GUINT64_FORMAT
+                " admission=%s wait_ms=%.0f head_waited_ms=%" G_GUINT64_FORMAT
+                " heard=%u free_share=%.3f words_age_ms=%.0f tries=%u",
                 request->request_id, request->service, hs_refusal_verdict_name(choice->verdict),
                 (guint64)choice->expected_ms, (guint64)view->left_ms, (guint64)view->waited_ms,
                 (guint64)request->age_ms, (guint64)view->drain_ms, view->has_run, service->is_known,
                 service->engines, service->sound, service->slots, service->running,
                 service->waiting, service->run_ms, (guint64)service->need_ms,
                 (guint64)service->return_ms, (guint64)service->absent_ms,
-                (guint64)service->last_absence_ms, (guint64)service->listed_age_ms);
+                (guint64)service->last_absence_ms, (guint64)service->listed_age_ms,
+                hs_admission_verdict_name(request->admission.verdict),
+                request->admitted_by.pressure.wait_ms, (guint64)request->admitted_by.head_waited_ms,
+                request->admitted_by.pressure.heard, request->admitted_by.pressure.free_share,
+                request->admitted_by.pressure.age_ms, request->tries);
+}
+
+hs_fair_claim hs_online_claim(const hs_online_request *request) {
+    return (hs_fair_claim){
+        .rank = request->is_less_urgent,
+        .is_in_time = request->admission.verdict != HS_ADMISSION_STAND_BY &&
+                      request->admission.hold_most_ms > 0,
+        .arrived_ms = request->inbound->received_ms,
+        .deadline_ms = request->deadline,
+    };
 }
 
 void hs_online_set_held(hs_online_request *request, bool is_held, bool is_placed) {
-    if (request->is_held == is_held)
+    if ((request->held != NULL) == is_held)
         return;
-    request->is_held = is_held;
-    if (is_held)
-        hs_held_requests_enter(request->online->held, request->service);
-    else
-        hs_held_requests_leave(request->online->held, request->service, is_placed);
+    if (is_held) {
+        hs_fair_claim claim = hs_online_claim(request);
+        request->held_since_ms = hs_clock_monotonic_ms();
+        request->held = hs_held_requests_enter(request->online->held, request->service, &claim);
+    } else {
+        request->held_ms += hs_clock_monotonic_ms() - request->held_since_ms;
+        hs_held_requests_leave(request->online->held, request->held, is_placed);
+        request->held = NULL;
+    }
+}
+
+void hs_online_admit(hs_online_request *request) {
+    hs_online *online = request->online;
+    request->admitted_by = (hs_admission_view){
+        .pressure = hs_fleet_engines_pressure(online->engines, request->service),
+        .head_waited_ms = hs_held_requests_view(online->held, request->service).head_waited_ms,
+        .need_ms = hs_fleet_engines_need_ms(online->engines, request->service),
+        .target_ms = request->route->target_latency_ms,
+        .waited_ms = hs_clock_monotonic_ms() - request->inbound->received_ms,
+        .age_ms = request->age_ms,
+        .has_run = request->run != HS_RUN_DID_NOT,
+        .is_less_urgent = request->is_less_urgent,
+    };
+    request->admission = hs_admission_choose(&request->admitted_by);
+    request->tries += request->admission.may_try;
+}
+
+/** Without a word to wake it, a held request asks again after a pause that its wait is worth. */
+static uint64_t pause_ms(const hs_online_request *request, const hs_refusal_choice *choice) {
+    const hs_admission_choice *admission = &request->admission;
+    switch (admission->verdict) {
+    case HS_ADMISSION_IN_TIME:
+        return MIN(MAX(HS_HELD_PAUSE_MOST_MS, admission->expected_ms), admission->hold_most_ms);
+    case HS_ADMISSION_STAND_BY:
+        return HS_HELD_PAUSE_MOST_MS;
+    case HS_ADMISSION_OPEN:
+    case HS_ADMISSION_REFUSE:
+        break;
+    }
+    return choice->pause_ms;
 }
 
 hs_refusal_choice hs_online_choose_refusal(hs_online_request *request) {
     uint64_t now_ms = hs_clock_monotonic_ms();
+    bool stands_by = request->admission.verdict == HS_ADMISSION_STAND_BY;
+    hs_held_view held = hs_held_requests_view(request->online->held, request->service);
     hs_refusal_view view = {
         .service = hs_fleet_engines_outlook(request->online->engines, request->service),
         .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
-        .drain_ms = hs_held_requests_expected_ms(request->online->held, request->service),
+        /* What stands by gets no places in a shortage, which says nothing of its end. */
+        .drain_ms = stands_by ? 0 : held.expected_ms,
         .waited_ms = now_ms - request->inbound->received_ms,
         .has_run = request->run != HS_RUN_DID_NOT,
     };
     hs_refusal_choice choice = hs_refusal_choose(&view);
-    if (choice.verdict == HS_REFUSAL_HOLD)
+    if (choice.verdict == HS_REFUSAL_HOLD && request->admission.verdict == HS_ADMISSION_REFUSE) {
+        choice.verdict = HS_REFUSAL_SHORT;
+        choice.expected_ms = request->admission.expected_ms;
+    }
+    if (choice.verdict == HS_REFUSAL_HOLD) {
+        choice.pause_ms = pause_ms(request, &choice);
         hs_online_set_held(request, true, false);
-    if (choice.verdict != HS_REFUSAL_HOLD)
+    } else {
+        hs_online_count_refusal(request->online, choice.verdict);
         log_refusal(request, &view, &choice);
+    }
     return choice;
 }
 
@@ -77,6 +139,8 @@
         return HS_END_LATE_NOT_RUN;
     case HS_REFUSAL_HOLD:
     case HS_REFUSAL_QUEUE:
+    case HS_REFUSAL_SHORT:
+    case HS_REFUSAL_VERDICT_COUNT:
         break;
     }
     return HS_END_FULL;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -23,7 +23,9 @@
         " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
         " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
         " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u"
-        " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT,
+        " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT
+        " age_ms=%" G_GUINT64_FORMAT " held_ms=%" G_GUINT64_FORMAT
+        " woken=%u tries=%u admission=%s wait_ms=%.0f free_share=%.3f words_age_ms=%.0f",
         request->request_id, (guint64)request->content, request->route->name,
         request->tenant != NULL ? request->tenant : "-", request->service,
         (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
@@ -33,7 +35,11 @@
         (gint64)request->deadline - (gint64)now_ms, attempt->reasons.candidates,
         attempt->reasons.running, attempt->reasons.slots, attempt->reasons.uncached_tokens,
         attempt->reasons.failure_rate, attempt->reasons.suspected,
-        (guint64)attempt->reasons.listed_age_ms);
+        (guint64)attempt->reasons.listed_age_ms, (guint64)request->age_ms,
+        (guint64)request->held_ms, request->woken, request->tries,
+        hs_admission_verdict_name(request->admission.verdict),
+        request->admitted_by.pressure.wait_ms, request->admitted_by.pressure.free_share,
+        request->admitted_by.pressure.age_ms);
 }
 
 void hs_online_request_end(hs_online_request *request, hs_end_reason reason) {
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -13,6 +13,7 @@
 #include "http/listener.h"
 #include "online/caller_age.h"
 #include "online/held_requests.h"
+#include "online/refusal_choice.h"
 #include "platform/caller_codec.h"
 
 /** Why a request ended; each has one status and one text, see the table in end_reason.c. */
@@ -50,6 +51,7 @@
 typedef struct {
     GMutex lock;
     uint64_t ended[HS_END_REASON_COUNT];
+    uint64_t refused[HS_REFUSAL_VERDICT_COUNT]; /**< Requests that were not held, by verdict. */
     uint64_t attempts;
     uint64_t resumed;
     uint64_t first_byte_buckets[16]; /**< Powers of two from 1 ms; the last holds the rest. */
@@ -85,6 +87,9 @@
 /** Count an end and a time to the first byte (0: none). */
 void hs_online_count(hs_online *online, hs_end_reason reason, uint64_t first_byte_ms);
 
+/** Count a request that was not held, by why. */
+void hs_online_count_refusal(hs_online *online, hs_refusal_verdict verdict);
+
 /** Service that takes the next request of @p route, by the weights of its shares. Borrowed. */
 const char *hs_online_pick_share(hs_online *online, const hs_fleet_route *route);
 
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -2,6 +2,7 @@
 #ifndef HS_ONLINE_ONLINE_REQUEST_STATE_H
 #define HS_ONLINE_ONLINE_REQUEST_STATE_H
 
+#include "online/admission.h"
 #include "online/event_stream.h"
 #include "online/online_request.h"
 #include "online/refusal_choice.h"
@@ -26,10 +27,16 @@
     uint64_t content; /**< See hs_request_content_hash. */
     uint64_t memory_tokens;
     uint32_t max_connections;
-    uint64_t age_ms;     /**< Since the caller first asked, until it came; see caller_age.h. */
-    bool is_on_trial;    /**< Its content is held back, but it may be sent once. */
-    bool is_held;        /**< It counts in its service's hold queue. */
-    bool is_less_urgent; /**< See hs_fleet_config_is_less_urgent. */
+    uint64_t age_ms;        /**< Since the caller first asked, until it came; see caller_age.h. */
+    bool is_on_trial;       /**< Its content is held back, but it may be sent once. */
+    hs_held_request *held;  /**< While it is held; else NULL. */
+    uint64_t held_since_ms; /**< When it began to be held; 0: it never was. */
+    uint64_t held_ms;       /**< How long it was held; 0: it was not, or still is. */
+    uint32_t woken;         /**< How often a place woke it. */
+    uint32_t tries;         /**< How often engines were asked for a place. */
+    hs_admission_choice admission; /**< The latest, */
+    hs_admission_view admitted_by; /**< and what it was made from. */
+    bool is_less_urgent;           /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
     uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
     hs_run_state run;
@@ -71,6 +78,12 @@
 /** Whether a request that no engine took is held; logged when it is not. */
 hs_refusal_choice hs_online_choose_refusal(hs_online_request *request);
 
+/** Whether engines are asked for a place, and what follows where none has one; see admission.h. */
+void hs_online_admit(hs_online_request *request);
+
+/** The claim by which a request that waits for a place is put in order. */
+hs_fair_claim hs_online_claim(const hs_online_request *request);
+
 /** The attempt at hand was not sent since no engine can serve in time: note why, and the end. */
 void hs_online_note_hopeless(hs_online_request *request, hs_end_reason *reason);
 
--- a/src/online/refusal_choice.c
+++ b/src/online/refusal_choice.c
@@ -69,7 +69,7 @@
     static const char *const names[] = {
         [HS_REFUSAL_HOLD] = "hold",           [HS_REFUSAL_NO_ENGINE] = "no_engine",
         [HS_REFUSAL_SUSPECTED] = "suspected", [HS_REFUSAL_QUEUE] = "queue",
-        [HS_REFUSAL_OVER] = "over",
+        [HS_REFUSAL_OVER] = "over",           [HS_REFUSAL_SHORT] = "short",
     };
     return names[verdict];
 }
--- a/src/online/refusal_choice.h
+++ b/src/online/refusal_choice.h
@@ -25,6 +25,8 @@
     HS_REFUSAL_SUSPECTED, /**< All its engines failed, and none is expected back in time. */
     HS_REFUSAL_QUEUE,     /**< No place is expected to be free in time. */
     HS_REFUSAL_OVER,      /**< The deadline is too near for another try. */
+    HS_REFUSAL_SHORT,     /**< It would be late, where others can be in time; see admission.h. */
+    HS_REFUSAL_VERDICT_COUNT,
 } hs_refusal_verdict;
 
 typedef struct {
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -27,6 +27,24 @@
     g_mutex_unlock(&counters->lock);
 }
 
+static void write_holds(GString *text, hs_online *online) {
+    hs_held_counters held = hs_held_requests_count(online->held);
+    g_string_append_printf(text,
+                           "heathsail_requests_held %u\n"
+                           "heathsail_holds_woken_total %" G_GUINT64_FORMAT "\n"
+                           "heathsail_hold_pauses_ended_total %" G_GUINT64_FORMAT "\n",
+                           held.held, (guint64)held.woken, (guint64)held.timeouts);
+    g_mutex_lock(&online->counters.lock);
+    for (int verdict = HS_REFUSAL_HOLD + 1; verdict < HS_REFUSAL_VERDICT_COUNT; verdict++)
+        g_string_append_printf(
+            text, "heathsail_requests_not_held_total{verdict=\"%s\"} %" G_GUINT64_FORMAT "\n",
+            hs_refusal_verdict_name((hs_refusal_verdict)verdict),
+            (guint64)online->counters.refused[verdict]);
+    g_mutex_unlock(&online->counters.lock);
+    g_autofree char *pressures = hs_fleet_engines_describe_pressures(online->engines);
+    g_string_append(text, pressures);
+}
+
 static void write_config(GString *text, hs_config_source *source) {
     hs_fleet_config *config = hs_config_source_get(source);
     uint64_t heard_ms = hs_config_source_heard_ms(source);
@@ -104,6 +122,7 @@
     hs_online *online = sources->online;
     g_string_append_printf(text, "heathsail_build_info{commit=\"%s\"} 1\n", hs_build_commit());
     write_online(text, online);
+    write_holds(text, online);
     write_config(text, online->config);
     write_admission(text, sources->jobs);
     write_limits(text, sources->members);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -34,6 +34,7 @@
         {"refusal_choice", refusal_choice_tests, NULL, NULL},
         {"urgency", urgency_tests, NULL, NULL},
         {"admission", admission_tests, NULL, NULL},
+        {"holding", holding_tests, NULL, NULL},
         {"tenants", tenant_tests, NULL, NULL},
         {"limits", limit_tests, NULL, NULL},
         {"entries", entry_tests, NULL, NULL},
