--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -304,7 +304,10 @@
             if (!request->is_over && request->next_ms <= game->now_ms)
                 serve(game, request);
         }
-        for (due += demand_at(game->now_ms) * ENGINES * SLOTS / RUN_MS * STEP_MS; due >= 1; due--) {
+        due += demand_at(game->now_ms) * ENGINES * SLOTS / RUN_MS * STEP_MS;
+        int coming = (int)due;
+        due -= coming;
+        for (int index = 0; index < coming; index++) {
             play_request request = {.first_ms = game->now_ms,
                                     .came_ms = game->now_ms,
                                     .next_ms = game->now_ms,
--- a/tests/unit/test_refusal.c
+++ b/tests/unit/test_refusal.c
@@ -231,7 +231,60 @@
     hs_fleet_engines_free(engines);
 }
 
+static void count_place(const char *service, void *user_data) {
+    CU_ASSERT_STRING_EQUAL(service, "svc");
+    (*(uint32_t *)user_data)++;
+}
+
+static void tell_online(hs_fleet_engines *engines, const char *id, uint32_t online) {
+    hs_engine_total total = {.engine_hash = hs_hash_bytes(id, strlen(id)), .online = online};
+    hs_fleet_engines_put_total(engines, &total);
+}
+
+/** Arbiters' words make the pressure, for all who ask within some ms, and tell of free places. */
+static void words_of_arbiters_press_a_service(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    uint32_t places = 0;
+    hs_fleet_engines_set_place_watch(engines, count_place, &places);
+    put_engine(engines, "e1", false);
+    put_engine(engines, "e2", false);
+    CU_ASSERT_EQUAL(places, 2);
+    CU_ASSERT_FALSE(hs_fleet_engines_pressure(engines, "svc").is_short);
+    tell_online(engines, "e1", 4);
+    tell_online(engines, "e2", 5);
+    CU_ASSERT_EQUAL(places, 2);
+    hs_clock_sleep_ms(30);
+    hs_service_pressure pressure = hs_fleet_engines_pressure(engines, "svc");
+    CU_ASSERT_EQUAL(pressure.heard, 2);
+    CU_ASSERT_TRUE(pressure.is_short);
+    CU_ASSERT_DOUBLE_EQUAL(pressure.wait_ms, 2 * 300.0 / 8, 1e-9);
+    CU_ASSERT_TRUE(hs_fleet_engines_outlook(engines, "svc").pressure.is_short);
+    tell_online(engines, "e1", 3);
+    CU_ASSERT_EQUAL(places, 3);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease_release(hs_fleet_engines_take(engines, &query), NULL, HS_ATTEMPT_SERVED);
+    CU_ASSERT_EQUAL(places, 4);
+    hs_fleet_engines_free(engines);
+}
+
+/** Where no word was heard, or none is short, the earlier rule decides alone, and as it did. */
+static void pressure_is_no_input_of_the_earlier_rule(void) {
+    for (uint64_t left_ms = 0; left_ms < 6000; left_ms += 7) {
+        hs_refusal_view view = full_view();
+        view.left_ms = left_ms;
+        hs_refusal_choice before = hs_refusal_choose(&view);
+        view.service.pressure =
+            (hs_service_pressure){.engines = 2, .heard = 2, .is_short = true, .wait_ms = 9000};
+        hs_refusal_choice with = hs_refusal_choose(&view);
+        CU_ASSERT_EQUAL(with.verdict, before.verdict);
+        CU_ASSERT_EQUAL(with.expected_ms, before.expected_ms);
+        CU_ASSERT_EQUAL(with.pause_ms, before.pause_ms);
+    }
+}
+
 const test_case refusal_choice_tests[] = {
+    {"words_of_arbiters_press_a_service", words_of_arbiters_press_a_service},
+    {"pressure_is_no_input_of_the_earlier_rule", pressure_is_no_input_of_the_earlier_rule},
     {"a_request_is_held_while_its_wait_ends_in_time",
      a_request_is_held_while_its_wait_ends_in_time},
     {"held_requests_that_do_not_drain_refuse_others",
