--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -1,6 +1,9 @@
 /** @file admission.c  See admission.h. */
 #include "online/admission.h"
 
+#include "fleet/engine_choice.h"
+#include "online/retry_after.h"
+
 #include <math.h>
 
 /**
@@ -15,6 +18,21 @@
     return fmax((double)view->target_ms - over_ms, 0);
 }
 
+/**
+ * Places that words tell of may be gone, or at engines that are: what has waited here for longer
+ * than a pause between two tries has asked engines in vain.
+ */
+static bool is_short(const hs_admission_view *view) {
+    const hs_service_pressure *pressure = &view->pressure;
+    bool waits_in_vain = view->head_waited_ms > HS_HELD_PAUSE_MOST_MS;
+    return pressure->is_short || (pressure->slots > 0 && waits_in_vain);
+}
+
+/** Callers' time-outs differ by some ms; nobody is told to come back sooner than this. */
+static bool came_back(const hs_admission_view *view) {
+    return view->age_ms >= HS_RETRY_AFTER_LEAST_MS;
+}
+
 hs_admission_choice hs_admission_choose(const hs_admission_view *view) {
     const hs_service_pressure *pressure = &view->pressure;
     double expected_ms = fmax(pressure->wait_ms, (double)view->head_waited_ms);
@@ -26,13 +44,13 @@
         .begin_ms = (uint64_t)(spare * WAIT_SHARE) + view->need_ms,
         .may_try = true,
     };
-    if (!pressure->is_short || view->has_run || view->target_ms == 0)
+    if (!is_short(view) || view->has_run || view->target_ms == 0)
         return choice;
     bool is_in_time = spare > 0 && expected_ms <= spare * WAIT_SHARE;
     if (is_in_time)
         choice.verdict = view->is_less_urgent ? HS_ADMISSION_STAND_BY : HS_ADMISSION_IN_TIME;
     else
-        choice.verdict = view->age_ms > 0 ? HS_ADMISSION_STAND_BY : HS_ADMISSION_REFUSE;
+        choice.verdict = came_back(view) ? HS_ADMISSION_STAND_BY : HS_ADMISSION_REFUSE;
     choice.may_try = choice.verdict != HS_ADMISSION_STAND_BY && spare > 0;
     return choice;
 }
