--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -11,6 +11,8 @@
  * some hundred ms old.
  */
 #define WAIT_SHARE 0.5
+/** With so much of the slots free, engines that turn requests away can take them any moment. */
+#define ROOM_SHARE 0.5
 
 /** Of the objective, less what the engine needs; 0: it is over. */
 static double spare_ms(const hs_admission_view *view) {
@@ -25,7 +27,8 @@
 static bool is_short(const hs_admission_view *view) {
     const hs_service_pressure *pressure = &view->pressure;
     bool waits_in_vain = view->head_waited_ms > HS_HELD_PAUSE_MOST_MS;
-    return pressure->is_short || (pressure->slots > 0 && waits_in_vain);
+    bool has_room = pressure->slots <= 0 || pressure->free_share >= ROOM_SHARE;
+    return pressure->is_short || (waits_in_vain && !has_room);
 }
 
 /** Callers' time-outs differ by some ms; nobody is told to come back sooner than this. */
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -484,6 +484,11 @@
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_IN_TIME);
     view.head_waited_ms = 200;
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_REFUSE);
+    view.pressure = ten_engines(4, 100, 10);
+    for (view.waited_ms = 0; view.waited_ms < 4000; view.waited_ms += 50) {
+        view.head_waited_ms = view.waited_ms;
+        CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_OPEN);
+    }
     view.pressure = ten_engines(6, 100, 4);
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_OPEN);
 }
