--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -41,12 +41,13 @@
 }
 
 /** What the engine's arbiter told last, with what this daemon has there now. */
-static hs_pressure_sample sample_of(const hs_fleet_engine *engine, uint64_t now_ms) {
+static hs_pressure_sample sample_of(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                                    uint64_t now_ms) {
     return (hs_pressure_sample){
         .slots = engine->entry.slots,
         .online = engine->online + engine->told_online,
         .batch = engine->batch + engine->told_batch,
-        .pace = hs_engine_pace_factor(&engine->pace, 0, now_ms),
+        .pace = hs_fleet_engine_pace(engines, engine, now_ms),
         .age_ms = engine->told_ms != 0 ? now_ms - engine->told_ms : UINT64_MAX,
     };
 }
@@ -66,7 +67,7 @@
         const hs_fleet_engine *engine = value;
         if (!is_sent_to(engine, service) || hs_fleet_engine_is_suspected(engine, now_ms))
             continue;
-        hs_pressure_sample sample = sample_of(engine, now_ms);
+        hs_pressure_sample sample = sample_of(engines, engine, now_ms);
         g_array_append_val(samples, sample);
     }
     double run_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
