--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -36,6 +36,11 @@
     return view->age_ms >= HS_RETRY_AFTER_LEAST_MS;
 }
 
+/** What was late before it could be tried would be late when it comes back, too. */
+static bool stands_by(const hs_admission_view *view, double spare) {
+    return came_back(view) || (spare <= 0 && !view->was_held);
+}
+
 hs_admission_choice hs_admission_choose(const hs_admission_view *view) {
     const hs_service_pressure *pressure = &view->pressure;
     double expected_ms = fmax(pressure->wait_ms, (double)view->head_waited_ms);
@@ -53,7 +58,7 @@
     if (is_in_time)
         choice.verdict = view->is_less_urgent ? HS_ADMISSION_STAND_BY : HS_ADMISSION_IN_TIME;
     else
-        choice.verdict = came_back(view) ? HS_ADMISSION_STAND_BY : HS_ADMISSION_REFUSE;
+        choice.verdict = stands_by(view, spare) ? HS_ADMISSION_STAND_BY : HS_ADMISSION_REFUSE;
     choice.may_try = choice.verdict != HS_ADMISSION_STAND_BY && spare > 0;
     return choice;
 }
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -212,6 +212,7 @@
                              .need_ms = NEED_MS,
                              .target_ms = TARGET_MS,
                              .waited_ms = game->now_ms - request->came_ms,
+                             .was_held = request->is_held,
                              .age_ms = request->came_ms - request->first_ms});
 }
 
@@ -456,6 +457,7 @@
     CU_ASSERT_EQUAL(choice.expected_ms, 131);
     view = short_view(10);
     view.waited_ms = 260;
+    view.was_held = true;
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_REFUSE);
     CU_ASSERT_FALSE(hs_admission_choose(&view).may_try);
     view.waited_ms = 0;
@@ -466,6 +468,10 @@
     hs_admission_view view = short_view(200);
     for (view.age_ms = HS_RETRY_AFTER_LEAST_MS; view.age_ms < 4000; view.age_ms += 100)
         CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_STAND_BY);
+    view.age_ms = 0;
+    view.waited_ms = 260; /* Its time went before it could be tried: it is no better off later. */
+    CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_STAND_BY);
+    view.waited_ms = 0;
     view.age_ms = HS_RETRY_AFTER_LEAST_MS - 1; /* Time-outs that differ a little. */
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_REFUSE);
     view = short_view(10);
