--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -115,6 +115,7 @@
 }
 
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total) {
+    g_autofree char *freed = NULL; /* The service that has a place by this word. */
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = hs_fleet_engines_find(engines, total->engine_hash);
     if (engine != NULL) {
@@ -123,8 +124,12 @@
         engines->words.answered++;
         put_pace(engine, total, engine->told_ms);
         g_cond_broadcast(&engines->totals_told);
+        if (total->online < engine->entry.slots && !total->is_failing)
+            freed = g_strdup(engine->entry.service);
     }
     g_mutex_unlock(&engines->lock);
+    if (freed != NULL)
+        hs_fleet_engines_tell_place(engines, freed);
 }
 
 void hs_fleet_engines_put_passed_on(hs_fleet_engines *engines, const hs_engine_total *total) {
