--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -36,6 +36,7 @@
         {"tenants", tenant_tests, NULL, NULL},
         {"limits", limit_tests, NULL, NULL},
         {"entries", entry_tests, NULL, NULL},
+        {"shares", share_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -37,6 +37,7 @@
 extern const test_case tenant_tests[];
 extern const test_case limit_tests[];
 extern const test_case entry_tests[];
+extern const test_case share_tests[];
 extern const test_case connection_guard_tests[];
 
 #endif
