--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -143,6 +143,7 @@
                                       : 0;
     daemon->online.ages = hs_caller_ages_new();
     daemon->online.held = hs_held_requests_new();
+    daemon->online.levels = hs_fair_levels_new();
     g_mutex_init(&daemon->online.counters.lock);
     hs_fleet_surface_settings surface = {.front = daemon->settings->fleet_front,
                                          .ready = daemon->settings->fleet_ready,
@@ -174,6 +175,7 @@
     hs_job_service_free(daemon->jobs);
     hs_caller_ages_free(daemon->online.ages);
     hs_held_requests_free(daemon->online.held);
+    hs_fair_levels_free(daemon->online.levels);
     hs_fleet_engines_free(daemon->engines);
     hs_crash_watch_free(daemon->crash_watch);
     hs_store_client_free(daemon->store);
--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -7,6 +7,7 @@
 #include "base/wake_watch.h"
 #include "directory/daemon_directory.h"
 #include "directory/peer_questions.h"
+#include "tenants/tenant_use.h"
 
 #include <string.h>
 
@@ -32,6 +33,10 @@
 /** Taken for the number of daemons until the store or others told of them: as many as the largest
  * deployment of some tens of engines has. */
 #define ASSUMED_DAEMONS 64
+/** This daemon in its own account of use, where others stand by their ids. */
+#define SELF ""
+/** Tenants that metrics name. */
+#define SHARES_NAMED 10
 
 struct hs_tenant_limiter {
     hs_membership_service *membership;
@@ -41,7 +46,8 @@
     gint knows_others;            /**< The store's list of daemons was read. */
     GMutex lock;                  /**< Guards what follows. */
     hs_limit_book *book;
-    uint64_t view; /**< Hash of the daemons that were reached at the last look. */
+    hs_tenant_uses *uses; /**< What this daemon did, and others told it as the home. */
+    uint64_t view;        /**< Hash of the daemons that were reached at the last look. */
     uint64_t ticked_ms;
     uint64_t expired_ms;
     char silent_home[64];
@@ -68,6 +74,7 @@
     limiter->started_ms = hs_clock_monotonic_ms();
     limiter->ticked_ms = limiter->started_ms;
     limiter->book = hs_limit_book_new(limiter->started_ms);
+    limiter->uses = hs_tenant_uses_new();
     limiter->questions = hs_peer_questions_new(sizeof(hs_limit_verdict));
     g_mutex_init(&limiter->lock);
     return limiter;
@@ -77,6 +84,7 @@
     if (limiter == NULL)
         return;
     hs_limit_book_free(limiter->book);
+    hs_tenant_uses_free(limiter->uses);
     hs_peer_questions_free(limiter->questions);
     g_mutex_clear(&limiter->lock);
     g_free(limiter);
@@ -179,6 +187,23 @@
                 view->answering, view->reach.known, (guint64)(now_ms - limiter->started_ms));
 }
 
+/** Take a word on a tenant's use and answer what is known of all. */
+static double note_use(hs_tenant_limiter *limiter, const hs_tenant_use_word *word) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&limiter->lock);
+    hs_tenant_uses_note(limiter->uses, word, now_ms);
+    double slots = hs_tenant_uses_slots(limiter->uses, word->tenant, now_ms);
+    g_mutex_unlock(&limiter->lock);
+    return slots;
+}
+
+double hs_tenant_limiter_own_sight(hs_tenant_limiter *limiter, const char *tenant,
+                                   uint64_t used_ms) {
+    hs_tenant_use_word word = {
+        .tenant = tenant, .daemon = SELF, .used_ms = hs_tenant_use_write_count(used_ms)};
+    return note_use(limiter, &word);
+}
+
 /** Decide here, as the home or by this daemon's part. */
 static hs_limit_verdict decide(hs_tenant_limiter *limiter, const hs_limit_question *question,
                                uint64_t view) {
@@ -195,6 +220,7 @@
     hs_tenant_limiter *limiter;
     const home_view *home;
     const hs_limit_question *question;
+    uint64_t used_ms; /**< Of slots, by this daemon's requests. */
 } home_question;
 
 static void send_ask(uint64_t sequence, void *user_data) {
@@ -206,6 +232,7 @@
     ask.rate_per_s = question->limit.rate_per_s;
     ask.capacity = question->limit.capacity;
     ask.config_version = question->version;
+    ask.used_ms = hs_tenant_use_write_count(asked->used_ms);
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_ASK;
     message.tenant_ask = &ask;
@@ -237,8 +264,10 @@
 
 /** Ask the home; false: it did not answer. */
 static bool ask_home(hs_tenant_limiter *limiter, const home_view *home,
-                     const hs_limit_question *question, hs_limit_verdict *verdict) {
-    home_question asked = {.limiter = limiter, .home = home, .question = question};
+                     const hs_limit_question *question, uint64_t used_ms,
+                     hs_limit_verdict *verdict) {
+    home_question asked = {
+        .limiter = limiter, .home = home, .question = question, .used_ms = used_ms};
     if (is_silent(limiter, home->id))
         return false;
     bool is_told = hs_peer_questions_ask(limiter->questions, send_ask, &asked, verdict);
@@ -266,21 +295,29 @@
         .version = tenant->version,
         .reach = home.reach};
     hs_limit_verdict verdict = {0};
+    double own_slots = hs_tenant_limiter_own_sight(limiter, tenant->name, tenant->used_ms);
     if (home.reach.is_home) {
         *decider = HS_LIMIT_BY_SELF;
         verdict = decide(limiter, &question, home.view);
-    } else if (ask_home(limiter, &home, &question, &verdict)) {
+    } else if (ask_home(limiter, &home, &question, tenant->used_ms, &verdict)) {
         *decider = HS_LIMIT_BY_HOME;
     } else {
         *decider = HS_LIMIT_BY_PART;
         verdict = decide(limiter, &question, home.view);
     }
+    if (verdict.used_slots == 0)
+        verdict.used_slots = own_slots;
     count(limiter, verdict.passes, *decider);
     return verdict;
 }
 
-static void answer_ask(hs_tenant_limiter *limiter, const Hs__TenantAsk *ask,
+static void answer_ask(hs_tenant_limiter *limiter, const Hs__PeerMessage *asked,
                        const struct sockaddr_in *from) {
+    const Hs__TenantAsk *ask = asked->tenant_ask;
+    hs_tenant_use_word word = {.tenant = ask->tenant,
+                               .daemon = asked->sender_id,
+                               .incarnation = asked->sender_incarnation,
+                               .used_ms = ask->used_ms};
     home_view own = look(limiter, ask->tenant);
     hs_limit_question question = {
         .tenant = ask->tenant,
@@ -293,6 +330,7 @@
     body.passes = verdict.passes;
     body.return_ms = (uint32_t)verdict.return_ms;
     body.part = verdict.part;
+    body.used_slots_permille = hs_tenant_use_write_slots(note_use(limiter, &word));
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_TENANT_VERDICT;
     message.tenant_verdict = &body;
@@ -300,8 +338,10 @@
 }
 
 static void take_verdict(hs_tenant_limiter *limiter, const Hs__TenantVerdict *told) {
-    hs_limit_verdict verdict = {
-        .passes = told->passes, .return_ms = told->return_ms, .part = told->part};
+    hs_limit_verdict verdict = {.passes = told->passes,
+                                .return_ms = told->return_ms,
+                                .part = told->part,
+                                .used_slots = hs_tenant_use_read_slots(told->used_slots_permille)};
     hs_peer_questions_answer(limiter->questions, told->sequence, &verdict);
 }
 
@@ -309,7 +349,7 @@
                               const struct sockaddr_in *from) {
     switch (message->kind_case) {
     case HS__PEER_MESSAGE__KIND_TENANT_ASK:
-        answer_ask(limiter, message->tenant_ask, from);
+        answer_ask(limiter, message, from);
         return true;
     case HS__PEER_MESSAGE__KIND_TENANT_VERDICT:
         take_verdict(limiter, message->tenant_verdict);
@@ -333,6 +373,7 @@
     if (now_ms >= limiter->expired_ms + EXPIRE_MS) {
         limiter->expired_ms = now_ms;
         hs_limit_book_expire(limiter->book, now_ms);
+        hs_tenant_uses_expire(limiter->uses, now_ms);
     }
     g_mutex_unlock(&limiter->lock);
 }
@@ -345,6 +386,21 @@
     return counters;
 }
 
+char *hs_tenant_limiter_describe_shares(hs_tenant_limiter *limiter) {
+    hs_tenant_share shares[SHARES_NAMED];
+    double rest = 0;
+    GString *text = g_string_new(NULL);
+    g_mutex_lock(&limiter->lock);
+    size_t count =
+        hs_tenant_uses_top(limiter->uses, shares, SHARES_NAMED, &rest, hs_clock_monotonic_ms());
+    for (size_t index = 0; index < count; index++)
+        g_string_append_printf(text, "heathsail_tenant_used_slots{tenant=\"%s\"} %.2f\n",
+                               shares[index].tenant, shares[index].slots);
+    g_mutex_unlock(&limiter->lock);
+    g_string_append_printf(text, "heathsail_tenant_used_slots_others %.2f\n", rest);
+    return g_string_free(text, FALSE);
+}
+
 const char *hs_limit_decider_name(hs_limit_decider decider) {
     static const char *const names[] = {
         [HS_LIMIT_BY_SELF] = "self", [HS_LIMIT_BY_HOME] = "home", [HS_LIMIT_BY_PART] = "own_part"};
--- a/src/directory/tenant_limiter.h
+++ b/src/directory/tenant_limiter.h
@@ -26,6 +26,7 @@
     double rate_per_s;
     double burst;
     uint64_t version;
+    uint64_t used_ms; /**< By this daemon's requests; see hs_fleet_engines_tenant_used_ms. */
 } hs_limited_tenant;
 
 /** Who decided a request, for logs. */
@@ -41,6 +42,17 @@
 hs_limit_verdict hs_tenant_limiter_ask(hs_tenant_limiter *limiter, const hs_limited_tenant *tenant,
                                        hs_limit_decider *decider);
 
+/**
+ * Slots that a tenant asks for of late by this daemon's sight alone: of one without a limit, of
+ * which no home is asked. @p used_ms as in hs_limited_tenant.
+ */
+double hs_tenant_limiter_own_sight(hs_tenant_limiter *limiter, const char *tenant,
+                                   uint64_t used_ms);
+
+/** Tenants that ask for most, as far as they tell this daemon; see hs_tenant_uses_top. Free with
+ * g_free. */
+char *hs_tenant_limiter_describe_shares(hs_tenant_limiter *limiter);
+
 /** True when the message was about limits, and was handled. */
 bool hs_tenant_limiter_handle(hs_tenant_limiter *limiter, const Hs__PeerMessage *message,
                               const struct sockaddr_in *from);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -368,6 +368,8 @@
         engine->online--;
     else
         engine->batch--;
+    if (lease->tenant != NULL)
+        hs_tenant_runs_end(lease->engines->tenant_runs, lease->tenant, lease->taken_ms, now_ms);
     g_ptr_array_remove(engine->batch_leases, lease);
     judge(lease, end, now_ms);
     bool kept = note_carried(lease) && keep(lease, connection, now_ms);
@@ -378,6 +380,7 @@
     if (!kept)
         hs_client_connection_close(connection);
     hs_fleet_engines_tell(lease->engines, &use, false);
+    g_free(lease->tenant);
     g_free(lease);
 }
 
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -6,6 +6,7 @@
 #include "fleet/engine_pace.h"
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
+#include "tenants/tenant_runs.h"
 
 typedef struct {
     hs_engine_entry entry;
@@ -76,6 +77,7 @@
     hs_engine_use_teller teller; /**< NULL: nobody is told. */
     void *teller_data;
     hs_crash_watch *crash_watch; /**< NULL: none. */
+    hs_tenant_runs *tenant_runs;
 };
 
 /**
@@ -98,6 +100,7 @@
     hs_fleet_engines *engines;
     hs_fleet_engine *engine;
     hs_work_class work;
+    char *tenant; /**< Whose use of slots it counts as; NULL: nobody's. */
     uint64_t taken_ms;
     uint64_t first_ms;      /**< When its first event came; 0: none has. */
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -46,6 +46,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->tenant_runs = hs_tenant_runs_new();
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -86,6 +87,7 @@
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
+    hs_tenant_runs_free(engines->tenant_runs);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->totals_told);
     g_free(engines->zone);
@@ -362,6 +364,9 @@
     engine->memory_tokens_used += lease->memory_tokens;
     if (query->work == HS_WORK_ONLINE) {
         engine->online++;
+        lease->tenant = g_strdup(query->tenant);
+        if (lease->tenant != NULL)
+            hs_tenant_runs_begin(engines->tenant_runs, lease->tenant, now_ms);
     } else {
         engine->batch++;
         lease->yield = query->yield;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -48,6 +48,7 @@
 /** What an engine is wanted for. All borrowed. */
 typedef struct {
     const char *service;
+    const char *tenant; /**< Online: whose use of slots it counts as; NULL: nobody's. */
     const hs_request_size *size;
     hs_work_class work;
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
@@ -226,8 +227,21 @@
     hs_service_pressure pressure;
 } hs_service_outlook;
 
+/**
+ * Time in ms of slots that this daemon's online requests of the tenant have held, what runs now
+ * included; see tenants/tenant_runs.h.
+ */
+uint64_t hs_fleet_engines_tenant_used_ms(hs_fleet_engines *engines, const char *tenant);
+
+/** An online request of the tenant was refused for lack of room. */
+void hs_fleet_engines_note_tenant_refused(hs_fleet_engines *engines, const char *service,
+                                          const char *tenant);
+
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
 
+/** The same before a request was tried: it says nothing of absences, and notes none. */
+hs_service_outlook hs_fleet_engines_glance(hs_fleet_engines *engines, const char *service);
+
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
 /**
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -21,6 +21,8 @@
     [HS_END_KEY_MALFORMED] = {"key_malformed", 400, "one key is needed, of visible characters\n"},
     [HS_END_KEYS_UNSURE] = {"keys_unsure", 503, "the keys in force are not known; not run\n"},
     [HS_END_OVER_LIMIT] = {"over_limit", 429, "beyond the tenant's limit; not run\n"},
+    [HS_END_OVER_SHARE] = {"over_share", 503,
+                           "beyond the tenant's share of what is free; not run\n"},
     [HS_END_TOO_LARGE] = {"too_large", 413, "the body is over the limit\n"},
     [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
     [HS_END_FULL] = {"full", 503, "all engines are full; not run\n"},
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -33,6 +33,7 @@
     const hs_inbound *inbound = request->inbound;
     hs_attempt_order order = {
         .query = {.service = request->service,
+                  .tenant = request->tenant,
                   .size = request->terms.size.prompt_tokens > 0 ? &request->terms.size : NULL,
                   .work = HS_WORK_ONLINE,
                   .excluded = request->excluded,
@@ -202,6 +203,8 @@
 
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason) {
     hs_next_move move = HS_NEXT_TRY;
+    if (hs_online_is_over_share(request, reason))
+        return false;
     while (move == HS_NEXT_TRY) {
         if (!hs_online_is_still_allowed(request, reason) || is_held_back(request, reason))
             return false;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -36,10 +36,20 @@
         (guint64)attempt->reasons.listed_age_ms);
 }
 
+/** What its tenant asked for and did not get counts in its share. */
+static void note_lack_of_room(const hs_online_request *request, hs_end_reason reason) {
+    bool lacked_room =
+        reason == HS_END_FULL || reason == HS_END_OVER_SHARE || reason == HS_END_LATE_NOT_RUN;
+    if (request->tenant != NULL && lacked_room)
+        hs_fleet_engines_note_tenant_refused(request->online->engines, request->service,
+                                             request->tenant);
+}
+
 void hs_online_request_end(hs_online_request *request, hs_end_reason reason) {
     if (request->counted)
         return;
     request->counted = true;
+    note_lack_of_room(request, reason);
     hs_online_set_held(request, false, false);
     log_end(request, reason);
 }
@@ -157,6 +167,7 @@
     request->route = route;
     request->service = hs_online_pick_share(online, route);
     request->tenant = access->tenant != NULL ? g_strdup(access->tenant->name) : NULL;
+    request->used_slots = access->used_slots;
     request->checked_version = config->version;
     request->terms = *terms;
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
@@ -169,8 +180,9 @@
     const hs_fleet_service *service = hs_fleet_config_find_service(config, request->service);
     request->memory_tokens = service != NULL ? service->memory_tokens : 0;
     request->max_connections = service != NULL ? service->max_connections : 0;
-    request->is_less_urgent = hs_fleet_config_is_less_urgent(
-        config, hs_tenant_rank(route, access->tenant), request->service);
+    request->rank = hs_tenant_rank(route, access->tenant);
+    request->is_less_urgent =
+        hs_fleet_config_is_less_urgent(config, request->rank, request->service);
     request->age_ms = hs_caller_ages_note(online->ages, route->name, terms->timeout_ms);
     uint64_t limit_ms = route->timeout_ms;
     if (terms->timeout_ms > 0)
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -12,6 +12,7 @@
 #include "fleet/engine_attempt.h"
 #include "http/listener.h"
 #include "online/caller_age.h"
+#include "online/fair_levels.h"
 #include "online/held_requests.h"
 #include "platform/caller_codec.h"
 
@@ -26,6 +27,7 @@
     HS_END_KEY_MALFORMED, /**< More than one key, or one that cannot be a key. */
     HS_END_KEYS_UNSURE,   /**< Which keys are in force has not been heard for too long. */
     HS_END_OVER_LIMIT,    /**< Beyond its tenant's limit. */
+    HS_END_OVER_SHARE,    /**< Beyond its tenant's share of a service that is short of places. */
     HS_END_TOO_LARGE,     /**< The body is over the limit. */
     HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
     HS_END_FULL,          /**< Every engine refused. */
@@ -62,6 +64,7 @@
     hs_online_counters counters;
     hs_caller_ages *ages;
     hs_held_requests *held;
+    hs_fair_levels *levels;
     uint64_t keys_hold_ms; /**< How long keys hold without the store's word; 0: for good. Where they
                                 do not, streams of a key that was taken away end. */
     gint split_turn;       /**< Spreads requests over the shares of a split route. */
@@ -72,6 +75,7 @@
     hs_fleet_config *config;
     const hs_fleet_route *route;
     const hs_fleet_tenant *tenant; /**< NULL: nobody's. */
+    double used_slots; /**< Engines' slots that the tenant asks for of late; 0: not known. */
 } hs_online_access;
 
 /** Serve a request to which access was granted; takes the reference of its configuration. */
--- /dev/null
+++ b/src/online/online_share.c
@@ -0,0 +1,66 @@
+/** @file online_share.c  A request against its tenant's share; see online_request_state.h. */
+#include "online/online_request_state.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <string.h>
+
+/** Even over requests, the same each time that one is looked at: 0 to 1. */
+static double draw_of(const hs_online_request *request) {
+    uint64_t hash = hs_hash_bytes(request->request_id, strlen(request->request_id));
+    return (double)hash / (double)UINT64_MAX;
+}
+
+/** Whether there is anything to weigh: a tenant that holds something, and nothing sent yet. */
+static bool has_share(const hs_online_request *request) {
+    return request->tenant != NULL && request->used_slots > 0 && request->sends == 0 &&
+           !request->events.has_last_id;
+}
+
+static void log_over(const hs_online_request *request, const hs_fair_verdict *verdict,
+                     const hs_service_outlook *service) {
+    hs_log_info("request_over_share",
+                "request=%s tenant=%s service=%s used_slots=%.2f level_slots=%.2f slots=%u "
+                "engines=%u heard=%u free_share=%.3f wait_ms=%.0f return_ms=%" G_GUINT64_FORMAT
+                " age_ms=%" G_GUINT64_FORMAT " told_ago_ms=%" G_GUINT64_FORMAT
+                " listed_age_ms=%" G_GUINT64_FORMAT,
+                request->request_id, request->tenant, request->service, request->used_slots,
+                verdict->level_slots, service->slots, service->pressure.engines,
+                service->pressure.heard, service->pressure.free_share, service->pressure.wait_ms,
+                (guint64)verdict->return_ms, (guint64)request->age_ms,
+                (guint64)(hs_clock_monotonic_ms() - request->inbound->received_ms),
+                (guint64)service->listed_age_ms);
+}
+
+bool hs_online_is_over_share(hs_online_request *request, hs_end_reason *reason) {
+    if (!has_share(request))
+        return false;
+    hs_service_outlook service =
+        hs_fleet_engines_glance(request->online->engines, request->service);
+    hs_fair_request wanted = {.service = request->service,
+                              .used_slots = request->used_slots,
+                              .draw = draw_of(request),
+                              .returns = request->age_ms > 0};
+    hs_fair_verdict verdict =
+        hs_fair_levels_judge(request->online->levels, &wanted, &service.pressure, service.slots,
+                             hs_clock_monotonic_ms());
+    if (!verdict.is_over)
+        return false;
+    log_over(request, &verdict, &service);
+    request->retry_after_ms = verdict.return_ms;
+    *reason = HS_END_OVER_SHARE;
+    return true;
+}
+
+hs_fair_claim hs_online_claim(const hs_online_request *request) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t over_ms = request->age_ms + (now_ms - request->inbound->received_ms);
+    uint64_t target_ms = request->route->target_latency_ms;
+    return (hs_fair_claim){.used_slots = request->used_slots,
+                           .rank = request->rank,
+                           .is_in_time = target_ms == 0 || over_ms <= target_ms,
+                           .arrived_ms = request->inbound->received_ms,
+                           .deadline_ms = request->deadline};
+}
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -107,6 +107,11 @@
     write_config(text, online->config);
     write_admission(text, sources->jobs);
     write_limits(text, sources->members);
+    g_autofree char *shares =
+        hs_tenant_limiter_describe_shares(hs_daemon_directory_limiter(sources->members));
+    g_string_append(text, shares);
+    g_autofree char *levels = hs_fair_levels_describe(online->levels);
+    g_string_append(text, levels);
     write_entries(text, sources->engine_source);
     write_job_reads(text, sources->jobs);
     write_partitions(text, sources);
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -97,20 +97,29 @@
 
 /**
  * Whether the tenant is within its limit; refused at once where it is not, with the time at which
- * there is room for this caller.
+ * there is room for this caller. @p used_slots: that it asks for of late; 0: not known.
  */
 static bool is_within_limit(hs_fleet_surface *surface, hs_inbound *inbound,
                             const hs_caller_terms *terms, const hs_fleet_config *config,
-                            const hs_fleet_tenant *tenant) {
-    if (tenant == NULL || tenant->rate_per_s <= 0)
+                            const hs_fleet_tenant *tenant, double *used_slots) {
+    *used_slots = 0;
+    if (tenant == NULL)
         return true;
+    hs_tenant_limiter *limiter = hs_daemon_directory_limiter(surface->settings.members);
+    uint64_t used_ms =
+        hs_fleet_engines_tenant_used_ms(surface->settings.online->engines, tenant->name);
+    if (tenant->rate_per_s <= 0) {
+        *used_slots = hs_tenant_limiter_own_sight(limiter, tenant->name, used_ms);
+        return true;
+    }
     hs_limited_tenant limited = {.name = tenant->name,
                                  .rate_per_s = tenant->rate_per_s,
                                  .burst = tenant->burst,
-                                 .version = config->version};
+                                 .version = config->version,
+                                 .used_ms = used_ms};
     hs_limit_decider decider = HS_LIMIT_BY_SELF;
-    hs_limit_verdict verdict = hs_tenant_limiter_ask(
-        hs_daemon_directory_limiter(surface->settings.members), &limited, &decider);
+    hs_limit_verdict verdict = hs_tenant_limiter_ask(limiter, &limited, &decider);
+    *used_slots = verdict.used_slots;
     if (verdict.passes)
         return true;
     hs_log_info(
@@ -133,6 +142,7 @@
     hs_online *online = surface->settings.online;
     const hs_fleet_route *route = hs_fleet_config_find_route(config, terms->host, inbound->target);
     const hs_fleet_tenant *tenant = NULL;
+    double used_slots = 0;
     if (route == NULL) {
         refuse(surface, inbound, terms, HS_END_NO_ROUTE);
         return;
@@ -144,9 +154,11 @@
     } else if (route->kind == HS_ROUTE_BATCH) {
         hs_job_caller caller = {.terms = terms, .tenant = name_of(tenant)};
         hs_job_service_submit(surface->settings.jobs, inbound, &caller, config, route);
-    } else if (is_within_limit(surface, inbound, terms, config, tenant)) {
-        hs_online_access access = {
-            .config = hs_fleet_config_ref(config), .route = route, .tenant = tenant};
+    } else if (is_within_limit(surface, inbound, terms, config, tenant, &used_slots)) {
+        hs_online_access access = {.config = hs_fleet_config_ref(config),
+                                   .route = route,
+                                   .tenant = tenant,
+                                   .used_slots = used_slots};
         hs_online_serve(online, inbound, terms, &access);
     }
 }
--- a/src/tenants/tenant_use.c
+++ b/src/tenants/tenant_use.c
@@ -12,6 +12,7 @@
 #define FORGET_MS 60000
 /** Tenants beyond this are not counted. */
 #define TENANTS_MOST 16384
+#define PERMILLE 1000.0
 
 /** What a daemon told last. */
 typedef struct {
@@ -49,6 +50,18 @@
     g_free(uses);
 }
 
+uint64_t hs_tenant_use_write_count(uint64_t used_ms) {
+    return used_ms + 1;
+}
+
+uint32_t hs_tenant_use_write_slots(double slots) {
+    return (uint32_t)fmin(fmax(slots * PERMILLE, 1), UINT32_MAX);
+}
+
+double hs_tenant_use_read_slots(uint32_t permille) {
+    return (double)permille / PERMILLE;
+}
+
 static double faded_slots(const tenant_account *account, uint64_t now_ms) {
     double age_ms = now_ms > account->at_ms ? (double)(now_ms - account->at_ms) : 0;
     return account->slots * exp(-age_ms / HS_TENANT_USE_FADES_MS);
@@ -80,7 +93,7 @@
 }
 
 void hs_tenant_uses_note(hs_tenant_uses *uses, const hs_tenant_use_word *word, uint64_t now_ms) {
-    tenant_account *account = account_of(uses, word->tenant);
+    tenant_account *account = word->used_ms > 0 ? account_of(uses, word->tenant) : NULL;
     if (account == NULL)
         return;
     last_word *before = g_hash_table_lookup(account->words, word->daemon);
--- a/src/tenants/tenant_use.h
+++ b/src/tenants/tenant_use.h
@@ -23,9 +23,17 @@
     const char *tenant;
     const char *daemon;
     uint64_t incarnation; /**< Of the daemon's life. */
-    uint64_t used_ms;     /**< Of slots, in that life; see tenant_runs.h. */
+    uint64_t used_ms;     /**< Of slots, in that life; see tenant_runs.h. 0: it does not know. */
 } hs_tenant_use_word;
 
+/**
+ * How use goes into messages, in which 0 is an older build's, that knows of none: a daemon's count,
+ * and slots in thousandths, and back.
+ */
+uint64_t hs_tenant_use_write_count(uint64_t used_ms);
+uint32_t hs_tenant_use_write_slots(double slots);
+double hs_tenant_use_read_slots(uint32_t permille);
+
 /** A tenant and its use, for metrics. */
 typedef struct {
     const char *tenant; /**< Borrowed from the account. */
--- a/tests/unit/test_shares.c
+++ b/tests/unit/test_shares.c
@@ -5,6 +5,7 @@
  */
 #include "online/fair_claim.h"
 #include "online/fair_level.h"
+#include "online/fair_levels.h"
 #include "tenants/tenant_runs.h"
 #include "tenants/tenant_use.h"
 #include "tests/unit/unit_tests.h"
@@ -132,6 +133,21 @@
     hs_tenant_uses_free(uses);
 }
 
+/** In messages 0 is an older build's word: it says nothing, and an own 0 is told as more. */
+static void nothing_known_is_not_nothing_used(void) {
+    hs_tenant_uses *uses = hs_tenant_uses_new();
+    tell(uses, "older", 1, 0, 0);
+    CU_ASSERT_EQUAL(hs_tenant_uses_size(uses), 0);
+    tell(uses, "d", 1, hs_tenant_use_write_count(0), 0);
+    tell(uses, "d", 1, hs_tenant_use_write_count(HS_TENANT_USE_FADES_MS), 0);
+    CU_ASSERT_DOUBLE_EQUAL(hs_tenant_uses_slots(uses, "a", 0), 1, 0.001);
+    CU_ASSERT_EQUAL(hs_tenant_use_read_slots(0), 0);
+    CU_ASSERT_TRUE(hs_tenant_use_read_slots(hs_tenant_use_write_slots(0)) > 0);
+    CU_ASSERT_DOUBLE_EQUAL(hs_tenant_use_read_slots(hs_tenant_use_write_slots(12.5)), 12.5, 0.001);
+    CU_ASSERT_TRUE(hs_tenant_use_read_slots(hs_tenant_use_write_slots(1e12)) > 1e6);
+    hs_tenant_uses_free(uses);
+}
+
 /* ---- order and level ---- */
 
 static hs_fair_claim claim_of(uint32_t number) {
@@ -211,6 +227,26 @@
     CU_ASSERT_EQUAL(level.slots, 0);
 }
 
+/** A caller that returns is refused again only where its tenant asks for twice the level. */
+static void a_returning_caller_is_refused_less(void) {
+    hs_fair_levels *levels = hs_fair_levels_new();
+    hs_service_pressure shortage = {.is_short = true};
+    hs_fair_request first = {.service = "s", .used_slots = 60, .draw = 1};
+    hs_fair_request again = {.service = "s", .used_slots = 60, .draw = 1, .returns = true};
+    hs_fair_verdict verdict = hs_fair_levels_judge(levels, &first, &shortage, 80, 1000);
+    CU_ASSERT_DOUBLE_EQUAL(verdict.level_slots, 40, 0.001);
+    CU_ASSERT_TRUE(verdict.is_over && verdict.return_ms > 0);
+    CU_ASSERT_FALSE(hs_fair_levels_judge(levels, &again, &shortage, 80, 1000).is_over);
+    again.used_slots = 81;
+    CU_ASSERT_TRUE(hs_fair_levels_judge(levels, &again, &shortage, 80, 1000).is_over);
+    first.service = "another";
+    first.used_slots = 1;
+    CU_ASSERT_FALSE(hs_fair_levels_judge(levels, &first, &shortage, 80, 1000).is_over);
+    g_autofree char *text = hs_fair_levels_describe(levels);
+    CU_ASSERT_PTR_NOT_NULL(strstr(text, "heathsail_fair_level_slots{service=\"s\"} 40.00"));
+    hs_fair_levels_free(levels);
+}
+
 /* ---- the model ---- */
 
 #define TENANTS 79
@@ -647,10 +683,12 @@
     {"a_long_silence_is_bounded", a_long_silence_is_bounded},
     {"idle_tenants_are_forgotten", idle_tenants_are_forgotten},
     {"top_shares_and_the_rest", top_shares_and_the_rest},
+    {"nothing_known_is_not_nothing_used", nothing_known_is_not_nothing_used},
     {"claims_have_one_order", claims_have_one_order},
     {"less_used_goes_first_in_bands", less_used_goes_first_in_bands},
     {"nothing_is_over_while_nothing_is_short", nothing_is_over_while_nothing_is_short},
     {"a_level_follows_the_shortage", a_level_follows_the_shortage},
+    {"a_returning_caller_is_refused_less", a_returning_caller_is_refused_less},
     {"ways_to_share", ways_to_share},
     {"tenants_within_their_share_are_served", tenants_within_their_share_are_served},
     {"also_where_a_third_is_cut_off", also_where_a_third_is_cut_off},
