--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -227,6 +227,10 @@
     hs_service_pressure pressure;
 } hs_service_outlook;
 
+hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
+
+hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
+
 /**
  * Time in ms of slots that this daemon's online requests of the tenant have held, what runs now
  * included; see tenants/tenant_runs.h.
@@ -237,13 +241,6 @@
 void hs_fleet_engines_note_tenant_refused(hs_fleet_engines *engines, const char *service,
                                           const char *tenant);
 
-hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
-
-/** The same before a request was tried: it says nothing of absences, and notes none. */
-hs_service_outlook hs_fleet_engines_glance(hs_fleet_engines *engines, const char *service);
-
-hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
-
 /**
  * Ask batch items of this daemon to step aside where all daemons' requests together need more
  * slots than the engine has. Each daemon does its part by its share of the engine's batch items.
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -48,27 +48,12 @@
         add_sound(outlook, engine, now_ms);
 }
 
-uint64_t hs_fleet_engines_tenant_used_ms(hs_fleet_engines *engines, const char *tenant) {
-    g_mutex_lock(&engines->lock);
-    uint64_t used_ms =
-        hs_tenant_runs_used_ms(engines->tenant_runs, tenant, hs_clock_monotonic_ms());
-    g_mutex_unlock(&engines->lock);
-    return used_ms;
-}
-
-void hs_fleet_engines_note_tenant_refused(hs_fleet_engines *engines, const char *service,
-                                          const char *tenant) {
-    g_mutex_lock(&engines->lock);
-    double run_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
-    hs_tenant_runs_refuse(engines->tenant_runs, tenant, (uint64_t)run_ms);
-    g_mutex_unlock(&engines->lock);
-}
-
-/** All but absences. The caller holds the lock. */
-static hs_service_outlook look_at(hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
+hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
     hs_service_outlook outlook = {0};
     GHashTableIter iterator;
     gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     outlook.is_known = engines->is_list_known;
     g_hash_table_iter_init(&iterator, engines->by_id);
@@ -81,24 +66,26 @@
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, service);
     outlook.run_ms = hs_engine_speed_online_run_ms(speed);
     outlook.need_ms = (uint64_t)speed->first_byte_ms;
+    hs_engine_absence absence =
+        hs_fleet_engines_note_presence(engines, service, outlook.engines > 0, now_ms);
+    outlook.absent_ms = absence.since_ms != 0 ? now_ms - absence.since_ms : 0;
+    outlook.last_absence_ms = absence.last_ms;
+    g_mutex_unlock(&engines->lock);
     return outlook;
 }
 
-hs_service_outlook hs_fleet_engines_glance(hs_fleet_engines *engines, const char *service) {
+uint64_t hs_fleet_engines_tenant_used_ms(hs_fleet_engines *engines, const char *tenant) {
     g_mutex_lock(&engines->lock);
-    hs_service_outlook outlook = look_at(engines, service, hs_clock_monotonic_ms());
+    uint64_t used_ms =
+        hs_tenant_runs_used_ms(engines->tenant_runs, tenant, hs_clock_monotonic_ms());
     g_mutex_unlock(&engines->lock);
-    return outlook;
+    return used_ms;
 }
 
-hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
+void hs_fleet_engines_note_tenant_refused(hs_fleet_engines *engines, const char *service,
+                                          const char *tenant) {
     g_mutex_lock(&engines->lock);
-    hs_service_outlook outlook = look_at(engines, service, now_ms);
-    hs_engine_absence absence =
-        hs_fleet_engines_note_presence(engines, service, outlook.engines > 0, now_ms);
-    outlook.absent_ms = absence.since_ms != 0 ? now_ms - absence.since_ms : 0;
-    outlook.last_absence_ms = absence.last_ms;
+    double run_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
+    hs_tenant_runs_refuse(engines->tenant_runs, tenant, (uint64_t)run_ms);
     g_mutex_unlock(&engines->lock);
-    return outlook;
 }
--- a/src/online/fair_level.c
+++ b/src/online/fair_level.c
@@ -59,17 +59,22 @@
     level->is_settled = true;
 }
 
+/** Not a place is left over: a service that is short may have some. */
+static bool is_full(const hs_service_pressure *pressure) {
+    return pressure->is_short && pressure->wait_ms > 0;
+}
+
 void hs_fair_level_adapt(hs_fair_level *level, const hs_service_pressure *pressure, uint32_t slots,
                          uint64_t now_ms) {
     double passed_ms = now_ms > level->adapted_ms ? (double)(now_ms - level->adapted_ms) : 0;
     passed_ms = fmin(passed_ms, GAP_MOST_MS);
     level->adapted_ms = now_ms;
-    if (pressure->is_short)
+    if (is_full(pressure))
         lower(level, slots, passed_ms);
     else if (level->slots > 0)
         raise(level, pressure->free_share, slots, passed_ms);
     bool is_above_all = level->slots > ABOVE_ALL * highest_at(level, now_ms);
-    if (pressure->is_short || !is_above_all)
+    if (is_full(pressure) || !is_above_all)
         return;
     level->slots = 0;
     level->is_settled = false;
@@ -77,7 +82,7 @@
 
 bool hs_fair_level_is_over(const hs_fair_level *level, double used_slots, double draw,
                            const hs_service_pressure *pressure) {
-    bool has_room = !pressure->is_short && pressure->free_share >= FREE_SHARE_MOST;
+    bool has_room = !pressure->is_short || pressure->free_share >= FREE_SHARE_MOST;
     return level->slots > 0 && !has_room && draw * used_slots > level->slots;
 }
 
--- a/src/online/online_share.c
+++ b/src/online/online_share.c
@@ -38,7 +38,7 @@
     if (!has_share(request))
         return false;
     hs_service_outlook service =
-        hs_fleet_engines_glance(request->online->engines, request->service);
+        hs_fleet_engines_outlook(request->online->engines, request->service);
     hs_fair_request wanted = {.service = request->service,
                               .used_slots = request->used_slots,
                               .draw = draw_of(request),
