--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -3,7 +3,6 @@
 #define HS_ONLINE_ONLINE_REQUEST_STATE_H
 
 #include "online/event_stream.h"
-#include "online/fair_claim.h"
 #include "online/online_request.h"
 #include "online/refusal_choice.h"
 
@@ -31,7 +30,6 @@
     uint64_t age_ms;     /**< Since the caller first asked, until it came; see caller_age.h. */
     bool is_on_trial;    /**< Its content is held back, but it may be sent once. */
     bool is_held;        /**< It counts in its service's hold queue. */
-    uint32_t rank;       /**< See hs_tenant_rank. */
     bool is_less_urgent; /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
     uint64_t first_byte_ms; /**< Time from taking it to the first body byte; 0: none yet. */
@@ -78,9 +76,6 @@
  */
 bool hs_online_is_over_share(hs_online_request *request, hs_end_reason *reason);
 
-/** The claim by which a request that waits for a place is put in order. */
-hs_fair_claim hs_online_claim(const hs_online_request *request);
-
 /** The attempt at hand was not sent since no engine can serve in time: note why, and the end. */
 void hs_online_note_hopeless(hs_online_request *request, hs_end_reason *reason);
 
--- a/src/online/online_share.c
+++ b/src/online/online_share.c
@@ -53,14 +53,3 @@
     *reason = HS_END_OVER_SHARE;
     return true;
 }
-
-hs_fair_claim hs_online_claim(const hs_online_request *request) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    uint64_t over_ms = request->age_ms + (now_ms - request->inbound->received_ms);
-    uint64_t target_ms = request->route->target_latency_ms;
-    return (hs_fair_claim){.used_slots = request->used_slots,
-                           .rank = request->rank,
-                           .is_in_time = target_ms == 0 || over_ms <= target_ms,
-                           .arrived_ms = request->inbound->received_ms,
-                           .deadline_ms = request->deadline};
-}
