--- a/tests/unit/test_shares.c
+++ b/tests/unit/test_shares.c
@@ -280,6 +280,7 @@
     bool hot_at_one;    /* All requests of the first hot one come to one daemon. */
     bool in_squares;    /* The hot ones are so for 2.4 s in 5.8. */
     uint32_t cut_off;   /* Daemons that reach no home. */
+    bool is_alone;      /* One tenant asks for nearly all. */
     uint64_t killed_ms; /* All daemons are lost then, and begin anew. */
 } model_case;
 
@@ -340,6 +341,8 @@
     double total = 0;
     for (uint32_t tenant = 0; tenant < TENANTS; tenant++) {
         model->offered[tenant] = pow(tenant + 1, -1.2);
+        if (model->played->is_alone && tenant == 0)
+            model->offered[tenant] = 50;
         total += model->offered[tenant] * (is_chosen(model, tenant) ? 7 : 1);
     }
     for (uint32_t tenant = 0; tenant < TENANTS; tenant++)
@@ -617,7 +620,10 @@
     printf("    %-26s hot=%u%s%s%s cut_off=%u: within %.3f (least %.3f) jain %.3f least %.2f "
            "idle %.4f hottest %.1f slots\n",
            way_names[played->way], played->hot, played->hot_at_one ? " at one" : "",
-           played->in_squares ? " in squares" : "", played->killed_ms > 0 ? " all killed" : "",
+           played->in_squares ? " in squares" : "",
+           played->killed_ms > 0 ? " all killed"
+           : played->is_alone    ? " one alone"
+                                 : "",
            played->cut_off, mean.within, least_within, mean.jain, mean.least, mean.idle,
            mean.hottest_slots);
     return mean;
@@ -669,6 +675,13 @@
     meets_aims(&result, 0.98);
 }
 
+/** One tenant that asks for nearly all gets what the others leave. */
+static void one_alone_gets_what_is_left(void) {
+    model_case played = {.way = BY_LEVEL, .is_alone = true};
+    model_result result = play_all(&played);
+    meets_aims(&result, 0.98);
+}
+
 /** To send at all daemons gains nothing over sending at one, nor the other way. */
 static void to_spread_requests_gains_nothing(void) {
     model_case spread = {.way = BY_LEVEL, .hot = 2};
@@ -698,6 +711,7 @@
     {"also_where_a_third_is_cut_off", also_where_a_third_is_cut_off},
     {"squares_of_hot_tenants_are_borne", squares_of_hot_tenants_are_borne},
     {"it_is_found_again_after_all_were_lost", it_is_found_again_after_all_were_lost},
+    {"one_alone_gets_what_is_left", one_alone_gets_what_is_left},
     {"to_spread_requests_gains_nothing", to_spread_requests_gains_nothing},
     {NULL, NULL},
 };
