--- a/src/directory/tenant_limiter.h
+++ b/src/directory/tenant_limiter.h
@@ -26,7 +26,7 @@
     double rate_per_s;
     double burst;
     uint64_t version;
-    uint64_t used_ms; /**< By this daemon's requests; see hs_fleet_engines_tenant_used_ms. */
+    uint64_t used_ms; /**< By this daemon's requests; see hs_fleet_engines_tenant_asked_ms. */
 } hs_limited_tenant;
 
 /** Who decided a request, for logs. */
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -248,6 +248,8 @@
     if (speed->online_run_ms == 0)
         speed->online_run_ms = took_ms;
     blend(&speed->online_run_ms, took_ms);
+    if (lease->tenant != NULL)
+        hs_tenant_runs_note_run(lease->engines->tenant_runs, lease->tenant, took_ms);
 }
 
 /** What an attempt's end says of the engine. The caller holds the lock. */
@@ -368,8 +370,6 @@
         engine->online--;
     else
         engine->batch--;
-    if (lease->tenant != NULL)
-        hs_tenant_runs_end(lease->engines->tenant_runs, lease->tenant, lease->taken_ms, now_ms);
     g_ptr_array_remove(engine->batch_leases, lease);
     judge(lease, end, now_ms);
     bool kept = note_carried(lease) && keep(lease, connection, now_ms);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -100,7 +100,7 @@
     hs_fleet_engines *engines;
     hs_fleet_engine *engine;
     hs_work_class work;
-    char *tenant; /**< Whose use of slots it counts as; NULL: nobody's. */
+    char *tenant; /**< Whose runs it counts with; NULL: nobody's. */
     uint64_t taken_ms;
     uint64_t first_ms;      /**< When its first event came; 0: none has. */
     uint32_t unread_tokens; /**< Counted in the engine's queued tokens until the first token. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -365,8 +365,6 @@
     if (query->work == HS_WORK_ONLINE) {
         engine->online++;
         lease->tenant = g_strdup(query->tenant);
-        if (lease->tenant != NULL)
-            hs_tenant_runs_begin(engines->tenant_runs, lease->tenant, now_ms);
     } else {
         engine->batch++;
         lease->yield = query->yield;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -48,7 +48,7 @@
 /** What an engine is wanted for. All borrowed. */
 typedef struct {
     const char *service;
-    const char *tenant; /**< Online: whose use of slots it counts as; NULL: nobody's. */
+    const char *tenant; /**< Online: whose runs it counts with; NULL: nobody's. */
     const hs_request_size *size;
     hs_work_class work;
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
@@ -231,15 +231,12 @@
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
-/**
- * Time in ms of slots that this daemon's online requests of the tenant have held, what runs now
- * included; see tenants/tenant_runs.h.
- */
-uint64_t hs_fleet_engines_tenant_used_ms(hs_fleet_engines *engines, const char *tenant);
+/** An online request of the tenant came to this daemon; see tenants/tenant_runs.h. */
+void hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
+                                      const char *tenant);
 
-/** An online request of the tenant was refused for lack of room. */
-void hs_fleet_engines_note_tenant_refused(hs_fleet_engines *engines, const char *service,
-                                          const char *tenant);
+/** Time in ms of slots that this daemon's online requests of the tenant have asked for. */
+uint64_t hs_fleet_engines_tenant_asked_ms(hs_fleet_engines *engines, const char *tenant);
 
 /**
  * Ask batch items of this daemon to step aside where all daemons' requests together need more
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -74,18 +74,17 @@
     return outlook;
 }
 
-uint64_t hs_fleet_engines_tenant_used_ms(hs_fleet_engines *engines, const char *tenant) {
+void hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
+                                      const char *tenant) {
     g_mutex_lock(&engines->lock);
-    uint64_t used_ms =
-        hs_tenant_runs_used_ms(engines->tenant_runs, tenant, hs_clock_monotonic_ms());
+    double usual_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
+    hs_tenant_runs_note_ask(engines->tenant_runs, tenant, usual_ms);
     g_mutex_unlock(&engines->lock);
-    return used_ms;
 }
 
-void hs_fleet_engines_note_tenant_refused(hs_fleet_engines *engines, const char *service,
-                                          const char *tenant) {
+uint64_t hs_fleet_engines_tenant_asked_ms(hs_fleet_engines *engines, const char *tenant) {
     g_mutex_lock(&engines->lock);
-    double run_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
-    hs_tenant_runs_refuse(engines->tenant_runs, tenant, (uint64_t)run_ms);
+    uint64_t asked_ms = hs_tenant_runs_asked_ms(engines->tenant_runs, tenant);
     g_mutex_unlock(&engines->lock);
+    return asked_ms;
 }
--- a/src/online/fair_level.c
+++ b/src/online/fair_level.c
@@ -12,51 +12,29 @@
 #define MIDDLE_PARTS 8
 /** At most so many times. */
 #define PULL_MOST 2
-/** Halves in so many ms of shortage until places stand free for the first time, */
-#define HALVES_FIRST_MS 500
-/** and then in so many: a run's length passes until a change is felt. */
-#define HALVES_MS 3000
-/** Doubles in so many ms while FREE_SHARE stands free, faster where more does. */
-#define DOUBLES_MS 6000
-/** Part of the places that may stand free while requests are refused for their share. */
+/** Part of the places that is to stand free while requests are refused for their share: with fewer,
+ * chance alone makes those within their share wait. */
 #define FREE_SHARE 0.02
+/** Halves in so many ms where none stands free, and doubles where twice FREE_SHARE does: a run's
+ * length passes until a change is felt. */
+#define CHANGES_MS 6000
+/** Faster by each so many ms of expected wait, */
+#define WAIT_STEP_MS 10
+/** up to so many times. */
+#define FASTER_MOST 12
 /** Where so much stands free nobody is refused. */
-#define FREE_SHARE_MOST 0.06
+#define FREE_SHARE_MOST 0.1
+/** Doubles in so many ms while nobody is refused by it: the next shortage is like the last one. */
+#define FORGETS_MS 8000
 /** Requests of a daemon are farther apart than this now and then, in ms: what happened in between
  * is not known. */
 #define GAP_MOST_MS 300
-/** The most that a group was seen to ask for is forgotten, by e, in ms. */
-#define HIGHEST_FADES_MS 3000
-/** A level so many times the most that any group asks for refuses nobody. */
-#define ABOVE_ALL 1.5
 /** The lowest level in slots: to hold one place is nobody's offence. */
 #define LEVEL_LEAST 1
 
-static double highest_at(const hs_fair_level *level, uint64_t now_ms) {
-    double age_ms = now_ms > level->noted_ms ? (double)(now_ms - level->noted_ms) : 0;
-    return level->highest * exp(-age_ms / HIGHEST_FADES_MS);
-}
-
-void hs_fair_level_note(hs_fair_level *level, double used_slots, uint64_t now_ms) {
-    level->highest = fmax(highest_at(level, now_ms), used_slots);
-    level->noted_ms = now_ms;
-}
-
-/** The level is lowered by the pressure. */
-static void lower(hs_fair_level *level, double slots, double passed_ms) {
-    double halves_ms = level->is_settled ? HALVES_MS : HALVES_FIRST_MS;
-    double lowered =
-        level->slots == 0 ? slots / BEGIN_PARTS : level->slots * exp2(-passed_ms / halves_ms);
-    level->slots = fmax(lowered, LEVEL_LEAST);
-}
-
-/** Places stand free: it is raised, and given up where it is above all. */
-static void raise(hs_fair_level *level, double free_share, double slots, double passed_ms) {
-    double speed = fmin(free_share, FREE_SHARE_MOST) / FREE_SHARE;
-    double pull = sqrt(slots / MIDDLE_PARTS / level->slots);
-    pull = fmin(fmax(pull, 1.0 / PULL_MOST), PULL_MOST);
-    level->slots *= exp2(speed * pull * passed_ms / DOUBLES_MS);
-    level->is_settled = true;
+/** So much stands free that nobody is refused by the level. */
+static bool has_room(const hs_service_pressure *pressure) {
+    return !pressure->is_short || pressure->free_share >= FREE_SHARE_MOST;
 }
 
 /** Not a place is left over: a service that is short may have some. */
@@ -64,26 +42,38 @@
     return pressure->is_short && pressure->wait_ms > 0;
 }
 
+/** By how much it changes in a ms, as a power of two. */
+static double speed_of(const hs_fair_level *level, const hs_service_pressure *pressure,
+                       double slots) {
+    if (has_room(pressure))
+        return 1.0 / FORGETS_MS;
+    if (is_full(pressure))
+        return -fmin(fmax(pressure->wait_ms / WAIT_STEP_MS, 1), FASTER_MOST) / CHANGES_MS;
+    double speed = (pressure->free_share - FREE_SHARE) / FREE_SHARE / CHANGES_MS;
+    double pull = sqrt(slots / MIDDLE_PARTS / level->slots);
+    return speed > 0 ? speed * fmin(fmax(pull, 1.0 / PULL_MOST), PULL_MOST) : speed;
+}
+
 void hs_fair_level_adapt(hs_fair_level *level, const hs_service_pressure *pressure, uint32_t slots,
                          uint64_t now_ms) {
+    double begin = (double)slots / BEGIN_PARTS;
     double passed_ms = now_ms > level->adapted_ms ? (double)(now_ms - level->adapted_ms) : 0;
-    passed_ms = fmin(passed_ms, GAP_MOST_MS);
+    if (!has_room(pressure))
+        passed_ms = fmin(passed_ms, GAP_MOST_MS);
     level->adapted_ms = now_ms;
-    if (is_full(pressure))
-        lower(level, slots, passed_ms);
+    if (level->slots == 0 && is_full(pressure))
+        level->slots = begin;
+    else if (level->slots > 0)
+        level->slots *= exp2(speed_of(level, pressure, slots) * passed_ms);
+    if (!is_full(pressure) && level->slots >= begin)
+        level->slots = 0;
     else if (level->slots > 0)
-        raise(level, pressure->free_share, slots, passed_ms);
-    bool is_above_all = level->slots > ABOVE_ALL * highest_at(level, now_ms);
-    if (is_full(pressure) || !is_above_all)
-        return;
-    level->slots = 0;
-    level->is_settled = false;
+        level->slots = fmax(level->slots, LEVEL_LEAST);
 }
 
 bool hs_fair_level_is_over(const hs_fair_level *level, double used_slots, double draw,
                            const hs_service_pressure *pressure) {
-    bool has_room = !pressure->is_short || pressure->free_share >= FREE_SHARE_MOST;
-    return level->slots > 0 && !has_room && draw * used_slots > level->slots;
+    return level->slots > 0 && !has_room(pressure) && draw * used_slots > level->slots;
 }
 
 uint64_t hs_fair_level_return_ms(const hs_fair_level *level, double used_slots) {
--- a/src/online/fair_level.h
+++ b/src/online/fair_level.h
@@ -15,16 +15,10 @@
 
 /** Zero-initialise. */
 typedef struct {
-    double slots;   /**< 0: none is applied. */
-    double highest; /**< Most slots that a group was seen to hold of late, as of noted_ms. */
-    uint64_t noted_ms;
+    double slots;        /**< 0: none is applied. */
     uint64_t adapted_ms; /**< 0: never. */
-    bool is_settled;     /**< The shortage ended once since the level was applied. */
 } hs_fair_level;
 
-/** A request came of a group that holds @p used_slots of late. */
-void hs_fair_level_note(hs_fair_level *level, double used_slots, uint64_t now_ms);
-
 /** Follow the service's pressure at this moment; @p slots: of its sound engines. */
 void hs_fair_level_adapt(hs_fair_level *level, const hs_service_pressure *pressure, uint32_t slots,
                          uint64_t now_ms);
--- a/src/online/fair_levels.c
+++ b/src/online/fair_levels.c
@@ -41,7 +41,6 @@
                                      uint64_t now_ms) {
     g_mutex_lock(&levels->lock);
     hs_fair_level *level = level_of(levels, request->service);
-    hs_fair_level_note(level, request->used_slots, now_ms);
     hs_fair_level_adapt(level, pressure, slots, now_ms);
     hs_fair_verdict verdict = {
         .is_over = hs_fair_level_is_over(level, request->used_slots, request->draw, pressure),
--- a/src/online/fair_levels.h
+++ b/src/online/fair_levels.h
@@ -25,7 +25,7 @@
 } hs_fair_verdict;
 
 /**
- * Note the request, follow the pressure, and decide; @p slots: of the service's sound engines. One
+ * Follow the pressure, and decide; @p slots: of the service's sound engines. One
  * that returns is over its share only where its tenant asks for more than twice the level: to be
  * refused again costs its caller more than another's first refusal.
  */
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -36,20 +36,10 @@
         (guint64)attempt->reasons.listed_age_ms);
 }
 
-/** What its tenant asked for and did not get counts in its share. */
-static void note_lack_of_room(const hs_online_request *request, hs_end_reason reason) {
-    bool lacked_room =
-        reason == HS_END_FULL || reason == HS_END_OVER_SHARE || reason == HS_END_LATE_NOT_RUN;
-    if (request->tenant != NULL && lacked_room)
-        hs_fleet_engines_note_tenant_refused(request->online->engines, request->service,
-                                             request->tenant);
-}
-
 void hs_online_request_end(hs_online_request *request, hs_end_reason reason) {
     if (request->counted)
         return;
     request->counted = true;
-    note_lack_of_room(request, reason);
     hs_online_set_held(request, false, false);
     log_end(request, reason);
 }
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -107,7 +107,7 @@
         return true;
     hs_tenant_limiter *limiter = hs_daemon_directory_limiter(surface->settings.members);
     uint64_t used_ms =
-        hs_fleet_engines_tenant_used_ms(surface->settings.online->engines, tenant->name);
+        hs_fleet_engines_tenant_asked_ms(surface->settings.online->engines, tenant->name);
     if (tenant->rate_per_s <= 0) {
         *used_slots = hs_tenant_limiter_own_sight(limiter, tenant->name, used_ms);
         return true;
--- a/src/tenants/tenant_runs.c
+++ b/src/tenants/tenant_runs.c
@@ -4,10 +4,8 @@
 #include <glib.h>
 
 typedef struct {
-    uint64_t ended_ms;  /**< Of slots, by runs that ended or were refused. */
-    uint64_t running;   /**< Runs. */
-    uint64_t begins_ms; /**< Sum of their begins. */
-    double run_ms;      /**< Mean of late; 0: none has ended. */
+    double asked_ms; /**< Of slots, so far. */
+    double run_ms;   /**< Mean of late; 0: none has ended. */
 } tenant_count;
 
 /** Of a run in the mean. */
@@ -42,35 +40,22 @@
     return count;
 }
 
-void hs_tenant_runs_begin(hs_tenant_runs *runs, const char *tenant, uint64_t now_ms) {
-    tenant_count *count = count_of(runs, tenant);
-    if (count == NULL)
-        return;
-    count->running++;
-    count->begins_ms += now_ms;
-}
-
-void hs_tenant_runs_refuse(hs_tenant_runs *runs, const char *tenant, uint64_t run_ms) {
+void hs_tenant_runs_note_ask(hs_tenant_runs *runs, const char *tenant, double usual_ms) {
     tenant_count *count = count_of(runs, tenant);
     if (count != NULL)
-        count->ended_ms += count->run_ms > 0 ? (uint64_t)count->run_ms : run_ms;
+        count->asked_ms += count->run_ms > 0 ? count->run_ms : usual_ms;
 }
 
-void hs_tenant_runs_end(hs_tenant_runs *runs, const char *tenant, uint64_t begun_ms,
-                        uint64_t now_ms) {
-    tenant_count *count = g_hash_table_lookup(runs->tenants, tenant);
-    if (count == NULL || count->running == 0)
+void hs_tenant_runs_note_run(hs_tenant_runs *runs, const char *tenant, double run_ms) {
+    tenant_count *count = count_of(runs, tenant);
+    if (count == NULL)
         return;
-    count->running--;
-    count->begins_ms -= begun_ms;
-    uint64_t run_ms = now_ms > begun_ms ? now_ms - begun_ms : 0;
-    count->ended_ms += run_ms;
     if (count->run_ms == 0)
-        count->run_ms = (double)run_ms;
-    count->run_ms += ((double)run_ms - count->run_ms) * RUN_WEIGHT;
+        count->run_ms = run_ms;
+    count->run_ms += (run_ms - count->run_ms) * RUN_WEIGHT;
 }
 
-uint64_t hs_tenant_runs_used_ms(const hs_tenant_runs *runs, const char *tenant, uint64_t now_ms) {
+uint64_t hs_tenant_runs_asked_ms(const hs_tenant_runs *runs, const char *tenant) {
     const tenant_count *count = g_hash_table_lookup(runs->tenants, tenant);
-    return count != NULL ? count->ended_ms + count->running * now_ms - count->begins_ms : 0;
+    return count != NULL ? (uint64_t)count->asked_ms : 0;
 }
--- a/src/tenants/tenant_runs.h
+++ b/src/tenants/tenant_runs.h
@@ -1,9 +1,11 @@
 /**
  * @file tenant_runs.h
- * How long this daemon's requests of each tenant have held engines' slots, or would have. Pure.
+ * How much of engines' slots this daemon's requests of each tenant ask for: each counts, as it
+ * comes, with the time that the tenant's runs take of late. Pure.
  *
- * Refused ones count too: a tenant of which a part is let pass would else seem to use its share
- * alone, be let pass whole, and be refused whole again.
+ * What is refused counts too: a tenant of which a part is let pass would else seem to use its share
+ * alone, be let pass whole, and be refused whole again. And a run counts when it is asked for, not
+ * as it goes on: a run's length later is too late to find who asks for more than there is.
  */
 #ifndef HS_TENANTS_TENANT_RUNS_H
 #define HS_TENANTS_TENANT_RUNS_H
@@ -16,18 +18,13 @@
 hs_tenant_runs *hs_tenant_runs_new(void);
 void hs_tenant_runs_free(hs_tenant_runs *runs);
 
-/** A request of the tenant took a slot. */
-void hs_tenant_runs_begin(hs_tenant_runs *runs, const char *tenant, uint64_t now_ms);
+/** A request of the tenant came; @p usual_ms: a run's time where none of the tenant has ended. */
+void hs_tenant_runs_note_ask(hs_tenant_runs *runs, const char *tenant, double usual_ms);
 
-/** One that took its slot at @p begun_ms gave it back. */
-void hs_tenant_runs_end(hs_tenant_runs *runs, const char *tenant, uint64_t begun_ms,
-                        uint64_t now_ms);
+/** A run of the tenant ended well after so long. */
+void hs_tenant_runs_note_run(hs_tenant_runs *runs, const char *tenant, double run_ms);
 
-/** One that was refused for lack of room would have held its slot for @p run_ms: it counts as if.
- */
-void hs_tenant_runs_refuse(hs_tenant_runs *runs, const char *tenant, uint64_t run_ms);
-
-/** Time in ms of slots so far, what runs now included. Never falls while the tenant has runs. */
-uint64_t hs_tenant_runs_used_ms(const hs_tenant_runs *runs, const char *tenant, uint64_t now_ms);
+/** Time in ms of slots asked for so far; never falls. */
+uint64_t hs_tenant_runs_asked_ms(const hs_tenant_runs *runs, const char *tenant);
 
 #endif
--- a/src/tenants/tenant_use.c
+++ b/src/tenants/tenant_use.c
@@ -6,8 +6,10 @@
 #include <stdbool.h>
 
 /** Of what a word adds after a longer silence, the part of this time counts, in ms: the rest was
- * held too long ago. */
+ * asked for too long ago. */
 #define SILENCE_MOST_MS 5000
+/** The same in the account that fades fast. */
+#define SILENCE_MOST_FAST_MS 1000
 /** A daemon that told nothing for so long, in ms, is forgotten: its next word is a first one. */
 #define FORGET_MS 60000
 /** Tenants beyond this are not counted. */
@@ -23,7 +25,8 @@
 
 typedef struct {
     GHashTable *words; /**< daemon -> last_word* */
-    double slots;      /**< As of at_ms. */
+    double slots;      /**< As of at_ms, */
+    double fast_slots; /**< and by the account that fades fast. */
     uint64_t at_ms;
 } tenant_account;
 
@@ -62,9 +65,14 @@
     return (double)permille / PERMILLE;
 }
 
-static double faded_slots(const tenant_account *account, uint64_t now_ms) {
+static double faded(double slots, const tenant_account *account, double fades_ms, uint64_t now_ms) {
     double age_ms = now_ms > account->at_ms ? (double)(now_ms - account->at_ms) : 0;
-    return account->slots * exp(-age_ms / HS_TENANT_USE_FADES_MS);
+    return slots * exp(-age_ms / fades_ms);
+}
+
+static double slots_of(const tenant_account *account, uint64_t now_ms) {
+    return fmax(faded(account->slots, account, HS_TENANT_USE_FADES_MS, now_ms),
+                faded(account->fast_slots, account, HS_TENANT_USE_FADES_FAST_MS, now_ms));
 }
 
 static tenant_account *account_of(hs_tenant_uses *uses, const char *tenant) {
@@ -77,12 +85,13 @@
     return account;
 }
 
-/** Time in ms of slots that a word adds to the one before. */
-static double grown_ms(const last_word *before, const hs_tenant_use_word *word, uint64_t now_ms) {
+/** Time in ms of slots that a word adds to the one before, of a silence of @p most_ms at most. */
+static double grown_ms(const last_word *before, const hs_tenant_use_word *word, double most_ms,
+                       uint64_t now_ms) {
     if (before->incarnation != word->incarnation || word->used_ms <= before->used_ms)
         return 0;
     double silent_ms = now_ms > before->at_ms ? (double)(now_ms - before->at_ms) : 0;
-    double part = silent_ms > SILENCE_MOST_MS ? SILENCE_MOST_MS / silent_ms : 1;
+    double part = silent_ms > most_ms ? most_ms / silent_ms : 1;
     return (double)(word->used_ms - before->used_ms) * part;
 }
 
@@ -104,15 +113,18 @@
     }
     if (is_overtaken(before, word))
         return;
-    account->slots =
-        faded_slots(account, now_ms) + grown_ms(before, word, now_ms) / HS_TENANT_USE_FADES_MS;
+    account->slots = faded(account->slots, account, HS_TENANT_USE_FADES_MS, now_ms) +
+                     grown_ms(before, word, SILENCE_MOST_MS, now_ms) / HS_TENANT_USE_FADES_MS;
+    account->fast_slots =
+        faded(account->fast_slots, account, HS_TENANT_USE_FADES_FAST_MS, now_ms) +
+        grown_ms(before, word, SILENCE_MOST_FAST_MS, now_ms) / HS_TENANT_USE_FADES_FAST_MS;
     account->at_ms = now_ms;
     *before = (last_word){word->incarnation, word->used_ms, now_ms};
 }
 
 double hs_tenant_uses_slots(const hs_tenant_uses *uses, const char *tenant, uint64_t now_ms) {
     const tenant_account *account = g_hash_table_lookup(uses->tenants, tenant);
-    return account != NULL ? faded_slots(account, now_ms) : 0;
+    return account != NULL ? slots_of(account, now_ms) : 0;
 }
 
 static int compare_shares(gconstpointer one, gconstpointer other) {
@@ -129,7 +141,7 @@
     gpointer account = NULL;
     g_hash_table_iter_init(&iterator, uses->tenants);
     while (g_hash_table_iter_next(&iterator, &tenant, &account)) {
-        hs_tenant_share share = {.tenant = tenant, .slots = faded_slots(account, now_ms)};
+        hs_tenant_share share = {.tenant = tenant, .slots = slots_of(account, now_ms)};
         g_array_append_val(all, share);
     }
     g_array_sort(all, compare_shares);
--- a/src/tenants/tenant_use.h
+++ b/src/tenants/tenant_use.h
@@ -1,10 +1,10 @@
 /**
  * @file tenant_use.h
- * Engines' slots that tenants' requests hold of late, by what daemons tell of themselves. Pure.
+ * Engines' slots that tenants ask for of late, by what daemons tell of themselves. Pure.
  *
- * Each daemon tells how long its requests of a tenant have held slots in its life: a count that
- * grows, so that a word that was lost is made up for by the next one. What it grew by counts at
- * once and fades. A daemon's first word, and the first one of a new life, says where its count
+ * Each daemon tells how much of slots its requests of a tenant have asked for in its life: a count
+ * that grows, so that a word that was lost is made up for by the next one. What it grew by counts
+ * at once and fades. A daemon's first word, and the first one of a new life, says where its count
  * begins and adds nothing.
  */
 #ifndef HS_TENANTS_TENANT_USE_H
@@ -15,6 +15,9 @@
 
 /** Use fades by e in so many ms: long enough that each daemon of some tens tells within it. */
 #define HS_TENANT_USE_FADES_MS 1500
+/** A second account of it fades so fast, and the greater counts: a tenant that begins to ask for
+ * much is known as soon. */
+#define HS_TENANT_USE_FADES_FAST_MS 500
 
 typedef struct hs_tenant_uses hs_tenant_uses;
 
@@ -45,12 +48,12 @@
 
 void hs_tenant_uses_note(hs_tenant_uses *uses, const hs_tenant_use_word *word, uint64_t now_ms);
 
-/** Slots that the tenant holds of late; 0 where nothing is known of it. */
+/** Slots that the tenant asks for of late; 0 where nothing is known of it. */
 double hs_tenant_uses_slots(const hs_tenant_uses *uses, const char *tenant, uint64_t now_ms);
 
 /**
- * The tenants that hold most, the most first: at most @p most, into @p shares. Answers how many
- * there are; @p rest is what all others hold.
+ * The tenants that ask for most, the most first: at most @p most, into @p shares. Answers how many
+ * there are; @p rest is what all others ask for.
  */
 size_t hs_tenant_uses_top(const hs_tenant_uses *uses, hs_tenant_share *shares, size_t most,
                           double *rest, uint64_t now_ms);
