--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -595,8 +595,8 @@
    */
   uint64_t config_version;
   /*
-   * Time in ms of engines' slots that the sender's online requests of the tenant took in the sender's
-   * life, what was refused for lack of room as if it had run, and 1; 0: not known.
+   * Time in ms of engines' slots that the sender's online requests of the tenant asked for in the
+   * sender's life, and 1; 0: not known.
    */
   uint64_t used_ms;
 };
@@ -619,8 +619,7 @@
    */
   double part;
   /*
-   * Engines' slots that the tenant's requests take of late by these counts, in thousandths; 0: not
-   * known.
+   * Engines' slots that the tenant asks for of late by these counts, in thousandths; 0: not known.
    */
   uint32_t used_slots_permille;
 };
--- a/src/online/fair_claim.c
+++ b/src/online/fair_claim.c
@@ -3,16 +3,15 @@
 
 #include <math.h>
 
-/** Groups within this ratio of use are equal: a band's width. */
-#define BAND_RATIO 2
-/** Slots in the lowest band. */
-#define BAND_LEAST 1
+/** Above this nothing is told apart. */
+#define BANDS_MOST 64
 
-/** 0 for those that hold least. Order by the smallest difference would be order by its noise. */
+/** Bands of a factor two, from one slot on: order by the smallest difference would be order by its
+ * noise. */
 static int band_of(double used_slots) {
-    if (!(used_slots > BAND_LEAST))
+    if (!(used_slots > 1))
         return 0;
-    return 1 + (int)floor(fmin(log(used_slots / BAND_LEAST) / log(BAND_RATIO), INT16_MAX));
+    return 1 + (int)fmin(log2(used_slots), BANDS_MOST);
 }
 
 static int compare(uint64_t one, uint64_t other) {
--- a/src/online/fair_claim.h
+++ b/src/online/fair_claim.h
@@ -2,9 +2,9 @@
  * @file fair_claim.h
  * Whose request goes first, and whose is refused first, while a service is short of places. Pure.
  *
- * Max-min fair by what is used, not by requests: a claim whose group (a tenant; without tenants a
- * route and its callers' zone) holds little of the engines' slots of late goes before one whose
- * group holds much.
+ * Max-min fair by slots, not by requests: a claim whose group (a tenant) asks for little of the
+ * engines' slots of late goes before one whose group asks for much. In order: what can be in time;
+ * less asked for, in bands; the more urgent kind; less time left; age.
  */
 #ifndef HS_ONLINE_FAIR_CLAIM_H
 #define HS_ONLINE_FAIR_CLAIM_H
@@ -14,9 +14,10 @@
 
 /** One request that wants a place. */
 typedef struct {
-    double used_slots;   /**< Slots that its group holds of late, over all daemons; 0: not known. */
-    uint32_t rank;       /**< Of its kind; 0 is the most urgent. */
-    bool is_in_time;     /**< It can still be answered within its objective. */
+    double
+        used_slots;  /**< Slots that its group asks for of late, over all daemons; 0: not known. */
+    uint32_t rank;   /**< Of its kind; 0 is the most urgent. */
+    bool is_in_time; /**< It can still be answered within its objective. */
     uint64_t arrived_ms; /**< When it came. */
     uint64_t deadline_ms;
 } hs_fair_claim;
