--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -249,7 +249,8 @@
         speed->online_run_ms = took_ms;
     blend(&speed->online_run_ms, took_ms);
     if (lease->tenant != NULL)
-        hs_tenant_runs_note_run(lease->engines->tenant_runs, lease->tenant, took_ms);
+        hs_tenant_runs_note_run(lease->engines->tenant_runs, lease->tenant,
+                                lease->engine->entry.service, took_ms);
 }
 
 /** What an attempt's end says of the engine. The caller holds the lock. */
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -231,9 +231,9 @@
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
-/** An online request of the tenant came to this daemon; see tenants/tenant_runs.h. */
-void hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
-                                      const char *tenant);
+/** An online request of the tenant came to this daemon; see hs_tenant_runs_note_ask. */
+double hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
+                                        const char *tenant);
 
 /** Time in ms of slots that this daemon's online requests of the tenant have asked for. */
 uint64_t hs_fleet_engines_tenant_asked_ms(hs_fleet_engines *engines, const char *tenant);
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -74,12 +74,13 @@
     return outlook;
 }
 
-void hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
-                                      const char *tenant) {
+double hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
+                                        const char *tenant) {
     g_mutex_lock(&engines->lock);
     double usual_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
-    hs_tenant_runs_note_ask(engines->tenant_runs, tenant, usual_ms);
+    double part = hs_tenant_runs_note_ask(engines->tenant_runs, tenant, service, usual_ms);
     g_mutex_unlock(&engines->lock);
+    return part;
 }
 
 uint64_t hs_fleet_engines_tenant_asked_ms(hs_fleet_engines *engines, const char *tenant) {
--- a/src/online/online_share.c
+++ b/src/online/online_share.c
@@ -35,9 +35,9 @@
 }
 
 bool hs_online_is_over_share(hs_online_request *request, hs_end_reason *reason) {
-    if (request->tenant != NULL && request->sends == 0)
-        hs_fleet_engines_note_tenant_ask(request->online->engines, request->service,
-                                         request->tenant);
+    if (request->tenant != NULL && request->sends == 0) /* The home tells of all services. */
+        request->used_slots *= hs_fleet_engines_note_tenant_ask(request->online->engines,
+                                                                request->service, request->tenant);
     if (!has_share(request))
         return false;
     hs_service_outlook service =
--- a/src/tenants/tenant_runs.h
+++ b/src/tenants/tenant_runs.h
@@ -18,11 +18,16 @@
 hs_tenant_runs *hs_tenant_runs_new(void);
 void hs_tenant_runs_free(hs_tenant_runs *runs);
 
-/** A request of the tenant came; @p usual_ms: a run's time where none of the tenant has ended. */
-void hs_tenant_runs_note_ask(hs_tenant_runs *runs, const char *tenant, double usual_ms);
+/**
+ * A request of the tenant for the service came; @p usual_ms: a run's time there where none of the
+ * tenant has ended. Answers which part of what the tenant asks for here of late is of the service.
+ */
+double hs_tenant_runs_note_ask(hs_tenant_runs *runs, const char *tenant, const char *service,
+                               double usual_ms);
 
-/** A run of the tenant ended well after so long. */
-void hs_tenant_runs_note_run(hs_tenant_runs *runs, const char *tenant, double run_ms);
+/** A run of the tenant at the service ended well after so long. */
+void hs_tenant_runs_note_run(hs_tenant_runs *runs, const char *tenant, const char *service,
+                             double run_ms);
 
 /** Time in ms of slots asked for so far; never falls. */
 uint64_t hs_tenant_runs_asked_ms(const hs_tenant_runs *runs, const char *tenant);
--- a/tests/unit/test_shares.c
+++ b/tests/unit/test_shares.c
@@ -27,19 +27,34 @@
 static void runs_count_as_they_are_asked_for(void) {
     hs_tenant_runs *runs = hs_tenant_runs_new();
     CU_ASSERT_EQUAL(hs_tenant_runs_asked_ms(runs, "a"), 0);
-    hs_tenant_runs_note_ask(runs, "a", 300);
+    hs_tenant_runs_note_ask(runs, "a", "s", 300);
     CU_ASSERT_EQUAL(hs_tenant_runs_asked_ms(runs, "a"), 300);
-    hs_tenant_runs_note_run(runs, "a", 50); /* From now on as long as its own runs. */
-    hs_tenant_runs_note_ask(runs, "a", 300);
+    hs_tenant_runs_note_run(runs, "a", "s", 50); /* From now on as long as its own runs. */
+    hs_tenant_runs_note_ask(runs, "a", "s", 300);
     CU_ASSERT_EQUAL(hs_tenant_runs_asked_ms(runs, "a"), 350);
     for (int run = 0; run < 100; run++)
-        hs_tenant_runs_note_run(runs, "a", 150);
-    hs_tenant_runs_note_ask(runs, "a", 300);
+        hs_tenant_runs_note_run(runs, "a", "s", 150);
+    hs_tenant_runs_note_ask(runs, "a", "s", 300);
     CU_ASSERT_DOUBLE_EQUAL((double)hs_tenant_runs_asked_ms(runs, "a"), 500, 1);
     CU_ASSERT_EQUAL(hs_tenant_runs_asked_ms(runs, "b"), 0);
     hs_tenant_runs_free(runs);
 }
 
+/** Who asks for much at one service asks for little at another. */
+static void services_are_told_apart(void) {
+    hs_tenant_runs *runs = hs_tenant_runs_new();
+    CU_ASSERT_EQUAL(hs_tenant_runs_note_ask(runs, "a", "large", 400), 1);
+    for (int ask = 0; ask < 900; ask++)
+        hs_tenant_runs_note_ask(runs, "a", ask % 9 == 0 ? "small" : "large", 400);
+    CU_ASSERT_DOUBLE_EQUAL(hs_tenant_runs_note_ask(runs, "a", "small", 400), 1.0 / 9, 0.03);
+    CU_ASSERT_DOUBLE_EQUAL(hs_tenant_runs_note_ask(runs, "a", "large", 400), 8.0 / 9, 0.03);
+    for (int ask = 0; ask < 300; ask++) /* What was asked long ago is forgotten. */
+        hs_tenant_runs_note_ask(runs, "a", "small", 400);
+    CU_ASSERT_TRUE(hs_tenant_runs_note_ask(runs, "a", "small", 400) > 0.9);
+    CU_ASSERT_EQUAL(hs_tenant_runs_note_ask(runs, "b", "large", 0), 1);
+    hs_tenant_runs_free(runs);
+}
+
 /** Forty daemons that hold a slot each, each telling twice a second. */
 static void an_account_finds_the_slots_held(void) {
     hs_tenant_uses *uses = hs_tenant_uses_new();
@@ -397,7 +412,7 @@
         hs_fair_level *level = &model->levels[daemon];
         hs_service_pressure pressure = pressure_of(model, daemon);
         note_use(model, daemon, tenant);
-        hs_tenant_runs_note_ask(model->runs[daemon], tenant_names[tenant], RUN_MS);
+        hs_tenant_runs_note_ask(model->runs[daemon], tenant_names[tenant], "s", RUN_MS);
         claim.used_slots = use_told(model, daemon, tenant);
         hs_fair_level_adapt(level, &pressure, PLACES, model->now_ms);
         double draw = g_rand_double(model->random);
@@ -478,7 +493,7 @@
     GArray *ended = model->ending[model->now_ms / STEP_MS % G_N_ELEMENTS(model->ending)];
     for (guint index = 0; index < ended->len; index++) {
         const model_claim *claim = &g_array_index(ended, model_claim, index);
-        hs_tenant_runs_note_run(model->runs[claim->daemon], tenant_names[claim->tenant],
+        hs_tenant_runs_note_run(model->runs[claim->daemon], tenant_names[claim->tenant], "s",
                                 (double)(model->now_ms - claim->arrived_ms));
         if (claim->is_counted)
             model->served_slots[claim->tenant] += (double)(model->now_ms - claim->arrived_ms);
@@ -709,6 +724,7 @@
 
 const test_case share_tests[] = {
     {"runs_count_as_they_are_asked_for", runs_count_as_they_are_asked_for},
+    {"services_are_told_apart", services_are_told_apart},
     {"an_account_finds_the_slots_held", an_account_finds_the_slots_held},
     {"lost_and_repeated_words_mend", lost_and_repeated_words_mend},
     {"a_new_life_begins_anew", a_new_life_begins_anew},
