--- a/src/online/fair_claim.c
+++ b/src/online/fair_claim.c
@@ -21,9 +21,9 @@
 int hs_fair_claim_compare(const hs_fair_claim *one, const hs_fair_claim *other) {
     if (one->is_in_time != other->is_in_time)
         return one->is_in_time ? -1 : 1;
-    int order = band_of(one->used_slots) - band_of(other->used_slots);
+    int order = compare(one->rank, other->rank);
     if (order == 0)
-        order = compare(one->rank, other->rank);
+        order = band_of(one->used_slots) - band_of(other->used_slots);
     if (order == 0)
         order = compare(one->deadline_ms, other->deadline_ms);
     return order != 0 ? order : compare(one->arrived_ms, other->arrived_ms);
--- a/src/online/fair_claim.h
+++ b/src/online/fair_claim.h
@@ -4,7 +4,8 @@
  *
  * Max-min fair by slots, not by requests: a claim whose group (a tenant) asks for little of the
  * engines' slots of late goes before one whose group asks for much. In order: what can be in time;
- * less asked for, in bands; the more urgent kind; less time left; age.
+ * the more urgent kind, which is not to be served less than a less urgent one, whoever asks; less
+ * asked for, in bands; less time left; age.
  */
 #ifndef HS_ONLINE_FAIR_CLAIM_H
 #define HS_ONLINE_FAIR_CLAIM_H
