--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -296,6 +296,9 @@
     if (speed->online_run_ms == 0)
         speed->online_run_ms = took_ms;
     blend(&speed->online_run_ms, took_ms);
+    if (lease->tenant != NULL)
+        hs_tenant_runs_note_run(lease->engines->tenant_runs, lease->tenant,
+                                lease->engine->entry.service, took_ms);
 }
 
 /** What an attempt's end says of the engine. The caller holds the lock. */
@@ -431,6 +434,7 @@
     hs_fleet_engines_tell(lease->engines, &use, false);
     if (end == HS_ATTEMPT_SERVED)
         hs_fleet_engines_tell_place(lease->engines, service);
+    g_free(lease->tenant);
     g_free(lease);
 }
 
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -6,6 +6,7 @@
 #include "fleet/engine_pace.h"
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
+#include "tenants/tenant_runs.h"
 
 /** Own starts that are kept to know which of them a word on an engine counts. */
 #define HS_STARTS_KEPT 8
@@ -104,6 +105,7 @@
     hs_engine_place_watch place_watch; /**< NULL: nobody is told. */
     void *place_watch_data;
     hs_crash_watch *crash_watch; /**< NULL: none. */
+    hs_tenant_runs *tenant_runs;
 };
 
 /**
@@ -126,6 +128,7 @@
     hs_fleet_engines *engines;
     hs_fleet_engine *engine;
     hs_work_class work;
+    char *tenant; /**< Whose runs it counts with; NULL: nobody's. */
     uint64_t taken_ms;
     uint64_t first_ms;       /**< When its first event came; 0: none has. */
     uint64_t first_events;   /**< Events of its stream when the first of the run had come, */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -48,6 +48,7 @@
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->tenant_runs = hs_tenant_runs_new();
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -89,6 +90,7 @@
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
     g_hash_table_destroy(engines->pressures);
+    hs_tenant_runs_free(engines->tenant_runs);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->totals_told);
     g_free(engines->zone);
@@ -405,6 +407,7 @@
     if (query->work == HS_WORK_ONLINE) {
         engine->online++;
         engine->starts_ms[engine->start_count++ % HS_STARTS_KEPT] = now_ms;
+        lease->tenant = g_strdup(query->tenant);
     } else {
         engine->batch++;
         lease->yield = query->yield;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -51,6 +51,7 @@
 /** What an engine is wanted for. All borrowed. */
 typedef struct {
     const char *service;
+    const char *tenant; /**< Online: whose runs it counts with; NULL: nobody's. */
     const hs_request_size *size;
     hs_work_class work;
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
@@ -254,6 +255,13 @@
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
+/** An online request of the tenant came to this daemon; see hs_tenant_runs_note_ask. */
+double hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
+                                        const char *tenant);
+
+/** Time in ms of slots that this daemon's online requests of the tenant have asked for. */
+uint64_t hs_fleet_engines_tenant_asked_ms(hs_fleet_engines *engines, const char *tenant);
+
 /**
  * Ask batch items of this daemon to step aside where all daemons' requests together need more
  * slots than the engine has. Each daemon does its part by its share of the engine's batch items.
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -33,6 +33,7 @@
 
 hs_fair_claim hs_online_claim(const hs_online_request *request) {
     return (hs_fair_claim){
+        .used_slots = request->used_slots,
         .rank = request->is_less_urgent,
         .is_in_time = request->admission.verdict != HS_ADMISSION_STAND_BY &&
                       request->admission.hold_most_ms > 0,
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -163,6 +163,7 @@
     request->route = route;
     request->service = hs_online_pick_share(online, route);
     request->tenant = access->tenant != NULL ? g_strdup(access->tenant->name) : NULL;
+    request->used_slots = access->used_slots;
     request->checked_version = config->version;
     request->terms = *terms;
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -21,6 +21,7 @@
     const hs_fleet_route *route;
     const char *service;
     char *tenant;             /**< Whose it is; NULL: nobody's. */
+    double used_slots;        /**< Engines' slots that the tenant asks for of late; 0: not known. */
     uint64_t checked_version; /**< Of the configuration by which its key was looked at last. */
     hs_caller_terms terms;
     char *request_id;
@@ -84,6 +85,10 @@
 /** The claim by which a request that waits for a place is put in order. */
 hs_fair_claim hs_online_claim(const hs_online_request *request);
 
+/** Whether the request is over its tenant's share while the service is short; noted with the end.
+ */
+bool hs_online_is_over_share(hs_online_request *request, hs_end_reason *reason);
+
 /** The attempt at hand was not sent since no engine can serve in time: note why, and the end. */
 void hs_online_note_hopeless(hs_online_request *request, hs_end_reason *reason);
 
