--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -38,7 +38,7 @@
 
 /** What was late before it could be tried would be late when it comes back, too. */
 static bool stands_by(const hs_admission_view *view, double spare) {
-    return came_back(view) || (spare <= 0 && !view->was_held);
+    return came_back(view) || (spare <= 0 && !view->was_tried);
 }
 
 hs_admission_choice hs_admission_choose(const hs_admission_view *view) {
--- a/src/online/admission.h
+++ b/src/online/admission.h
@@ -20,7 +20,7 @@
     uint64_t target_ms;      /**< The route's objective; 0: none. */
     uint64_t waited_ms;      /**< Since it came. */
     uint64_t age_ms;         /**< Since its caller first asked, until it came. */
-    bool was_held;           /**< Engines were asked before, and none took it. */
+    bool was_tried;          /**< Engines were asked before, and none took it. */
     bool has_run;            /**< It may have run: it is repeated, or ends as broken. */
     bool is_less_urgent;     /**< See hs_fleet_config_is_less_urgent: it takes free places only. */
 } hs_admission_view;
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -64,7 +64,7 @@
         .target_ms = request->route->target_latency_ms,
         .waited_ms = hs_clock_monotonic_ms() - request->inbound->received_ms,
         .age_ms = request->age_ms,
-        .was_held = request->held_since_ms != 0,
+        .was_tried = request->tries > 0,
         .has_run = request->run != HS_RUN_DID_NOT,
         .is_less_urgent = request->is_less_urgent,
     };
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -206,14 +206,14 @@
 
 static hs_admission_choice admission_choice(play *game, const play_request *request) {
     uint64_t head_ms = game->head_ms[request->daemon];
-    return hs_admission_choose(
-        &(hs_admission_view){.pressure = pressure_of(game, request->daemon),
-                             .head_waited_ms = head_ms > 0 ? game->now_ms - head_ms : 0,
-                             .need_ms = NEED_MS,
-                             .target_ms = TARGET_MS,
-                             .waited_ms = game->now_ms - request->came_ms,
-                             .was_held = request->is_held,
-                             .age_ms = request->came_ms - request->first_ms});
+    return hs_admission_choose(&(hs_admission_view){
+        .pressure = pressure_of(game, request->daemon),
+        .head_waited_ms = head_ms > 0 ? game->now_ms - head_ms : 0,
+        .need_ms = NEED_MS,
+        .target_ms = TARGET_MS,
+        .waited_ms = game->now_ms - request->came_ms,
+        .was_tried = request->is_held, /* Nothing here comes late to its first try. */
+        .age_ms = request->came_ms - request->first_ms});
 }
 
 static void serve(play *game, play_request *request) {
@@ -457,7 +457,7 @@
     CU_ASSERT_EQUAL(choice.expected_ms, 131);
     view = short_view(10);
     view.waited_ms = 260;
-    view.was_held = true;
+    view.was_tried = true;
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_REFUSE);
     CU_ASSERT_FALSE(hs_admission_choose(&view).may_try);
     view.waited_ms = 0;
