--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/engine_spread.h"
 
 #include <math.h>
 #include <string.h>
@@ -341,6 +342,38 @@
     g_ptr_array_set_size(found, (gint)kept);
 }
 
+/** Whether the service has an engine that nobody suspects, however crowded, tried or not. */
+static bool has_sound(const hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_found = false;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+                   !engine->misplaced && !is_doubt_over(engine, now_ms) &&
+                   !hs_fleet_engine_is_suspected(engine, now_ms);
+    }
+    return is_found;
+}
+
+/**
+ * Drop suspected engines, but for those whose turn to be tried has come. A request that found the
+ * sound ones crowded can wait for one, and loses more by what each dead engine costs it.
+ */
+static void drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
+                           const hs_engine_query *query, uint64_t now_ms) {
+    bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
+    if (!can_wait || !has_sound(engines, query->service, now_ms))
+        return;
+    for (guint index = found->len; index > 0; index--) {
+        const hs_fleet_engine *engine = found->pdata[index - 1];
+        if (hs_fleet_engine_is_suspected(engine, now_ms) &&
+            !hs_fleet_engine_is_to_be_tried(engine, now_ms))
+            g_ptr_array_remove_index(found, index - 1);
+    }
+}
+
 static hs_engine_lease *lease_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
                                      const hs_engine_query *query, double uncached,
                                      uint64_t now_ms) {
@@ -351,6 +384,8 @@
     lease->told_before = engine->told_count;
     lease->taken_ms = now_ms;
     lease->was_alone = engine->queued_tokens == 0;
+    lease->is_trial = hs_fleet_engine_is_to_be_tried(engine, now_ms);
+    engine->is_tried |= lease->is_trial;
     lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
     if (query->size != NULL) {
         lease->unread_tokens = (uint32_t)uncached;
@@ -369,6 +404,7 @@
     engine->memory_tokens_used += lease->memory_tokens;
     if (query->work == HS_WORK_ONLINE) {
         engine->online++;
+        engine->starts_ms[engine->start_count++ % HS_STARTS_KEPT] = now_ms;
     } else {
         engine->batch++;
         lease->yield = query->yield;
@@ -378,6 +414,15 @@
     return lease;
 }
 
+static bool is_any_free(const hs_engine_candidate *candidates, size_t count) {
+    bool is_free = false;
+    for (size_t index = 0; index < count; index++)
+        is_free = is_free || (!candidates[index].suspected &&
+                              candidates[index].running - candidates[index].batch + 1 <=
+                                  candidates[index].slots);
+    return is_free;
+}
+
 hs_engine_lease *hs_fleet_engines_take(hs_fleet_engines *engines, const hs_engine_query *query) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_engine_lease *lease = NULL;
@@ -385,6 +430,7 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, query);
+    drop_suspected(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
@@ -392,8 +438,9 @@
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     keep_quick(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
+    hs_engine_turn turn = {.draw = g_random_double(), .first = first};
     int picked = query->work == HS_WORK_ONLINE
-                     ? hs_engine_choice_pick(candidates, found->len, first, speed)
+                     ? hs_engine_spread_pick(candidates, found->len, &turn, speed)
                      : hs_engine_choice_pick_spare(candidates, found->len, first, speed);
     if (picked != HS_ENGINE_NONE) {
         const hs_engine_candidate *chosen = &candidates[picked];
@@ -406,7 +453,9 @@
                                              .failure_rate = chosen->failure_rate,
                                              .pace = chosen->pace,
                                              .suspected = chosen->suspected,
-                                             .listed_age_ms = now_ms - engine->listed_ms};
+                                             .listed_age_ms = now_ms - engine->listed_ms,
+                                             .word_age_ms = chosen->word_age_ms,
+                                             .is_any_free = is_any_free(candidates, found->len)};
         use = hs_fleet_engine_use(engines, engine);
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -48,7 +48,7 @@
         .online = engine->online + engine->told_online,
         .batch = engine->batch + engine->told_batch,
         .pace = hs_fleet_engine_pace(engines, engine, now_ms),
-        .age_ms = engine->told_ms != 0 ? now_ms - engine->told_ms : UINT64_MAX,
+        .age_ms = hs_fleet_engine_word_age_ms(engine, now_ms),
     };
 }
 
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -24,7 +24,7 @@
         " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
         " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u pace=%.2f"
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT
-        " age_ms=%" G_GUINT64_FORMAT " held_ms=%" G_GUINT64_FORMAT
+        " word_age_ms=%.0f age_ms=%" G_GUINT64_FORMAT " held_ms=%" G_GUINT64_FORMAT
         " woken=%u tries=%u admission=%s wait_ms=%.0f free_share=%.3f words_age_ms=%.0f",
         request->request_id, (guint64)request->content, request->route->name,
         request->tenant != NULL ? request->tenant : "-", request->service,
@@ -35,8 +35,8 @@
         (gint64)request->deadline - (gint64)now_ms, attempt->reasons.candidates,
         attempt->reasons.running, attempt->reasons.slots, attempt->reasons.pace,
         attempt->reasons.uncached_tokens, attempt->reasons.failure_rate, attempt->reasons.suspected,
-        (guint64)attempt->reasons.listed_age_ms, (guint64)request->age_ms,
-        (guint64)request->held_ms, request->woken, request->tries,
+        (guint64)attempt->reasons.listed_age_ms, attempt->reasons.word_age_ms,
+        (guint64)request->age_ms, (guint64)request->held_ms, request->woken, request->tries,
         hs_admission_verdict_name(request->admission.verdict),
         request->admitted_by.pressure.wait_ms, request->admitted_by.pressure.free_share,
         request->admitted_by.pressure.age_ms);
