--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -133,6 +133,7 @@
 }
 
 void hs_fleet_engines_put_passed_on(hs_fleet_engines *engines, const hs_engine_total *total) {
+    g_autofree char *freed = NULL; /* The service that has a place by this word. */
     uint64_t now_ms = hs_clock_monotonic_ms();
     uint64_t said_ms = now_ms - MIN(now_ms, total->age_ms);
     g_mutex_lock(&engines->lock);
@@ -143,10 +144,14 @@
         put_pace(engine, total, now_ms);
         engines->words.taken++;
         engines->passed_on_ms = now_ms;
+        if (total->online < engine->entry.slots && !total->is_failing)
+            freed = g_strdup(engine->entry.service);
     } else if (engine != NULL) {
         engines->words.stale++;
     }
     g_mutex_unlock(&engines->lock);
+    if (freed != NULL)
+        hs_fleet_engines_tell_place(engines, freed);
 }
 
 bool hs_fleet_engines_passes_words(hs_fleet_engines *engines) {
