--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -162,9 +162,19 @@
     g_mutex_unlock(&lease->engines->lock);
 }
 
+/** A trial is over: the next request may try the engine. The caller holds the lock. */
+static void end_trial(hs_engine_lease *lease) {
+    if (lease->is_trial)
+        lease->engine->is_tried = false;
+    lease->is_trial = false;
+}
+
 void hs_engine_lease_heard(hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
     lease->engine->heard_ms = hs_clock_monotonic_ms();
+    if (lease->is_trial)
+        lease->engine->suspect_until_ms = 0;
+    end_trial(lease);
     g_mutex_unlock(&lease->engines->lock);
 }
 
@@ -286,6 +296,9 @@
     if (speed->online_run_ms == 0)
         speed->online_run_ms = took_ms;
     blend(&speed->online_run_ms, took_ms);
+    if (lease->tenant != NULL)
+        hs_tenant_runs_note_run(lease->engines->tenant_runs, lease->tenant,
+                                lease->engine->entry.service, took_ms);
 }
 
 /** What an attempt's end says of the engine. The caller holds the lock. */
@@ -401,6 +414,7 @@
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_fleet_engine *engine = lease->engine;
     g_mutex_lock(&lease->engines->lock);
+    g_autofree char *service = g_strdup(engine->entry.service);
     count_read(lease);
     count_events(lease, now_ms);
     engine->memory_tokens_used -= MIN(engine->memory_tokens_used, lease->memory_tokens);
@@ -409,6 +423,7 @@
     else
         engine->batch--;
     g_ptr_array_remove(engine->batch_leases, lease);
+    end_trial(lease);
     judge(lease, end, now_ms);
     bool kept = note_carried(lease) && keep(lease, connection, now_ms);
     engine->left_ms = now_ms;
@@ -418,6 +433,9 @@
     if (!kept)
         hs_client_connection_close(connection);
     hs_fleet_engines_tell(lease->engines, &use, false);
+    if (end == HS_ATTEMPT_SERVED)
+        hs_fleet_engines_tell_place(lease->engines, service);
+    g_free(lease->tenant);
     g_free(lease);
 }
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/engine_spread.h"
 
 #include <math.h>
 #include <string.h>
@@ -46,6 +47,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->tenant_runs = hs_tenant_runs_new();
     engines->zone = g_strdup(zone);
     engines->turn = hs_clock_monotonic_us();
     return engines;
@@ -86,6 +89,8 @@
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
+    g_hash_table_destroy(engines->pressures);
+    hs_tenant_runs_free(engines->tenant_runs);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->totals_told);
     g_free(engines->zone);
@@ -142,8 +147,10 @@
 
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms) {
     uint64_t ended = 0;
+    g_autofree char *service = g_strdup(entry->service);
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, entry->id);
+    bool is_new = engine == NULL;
     if (engine != NULL && is_another_start(engine, entry)) {
         ended = engine->entry.draining ? 0 : engine->hash;
         end_engine(engines, engine, entry);
@@ -166,6 +173,8 @@
     engine->listed_ms = now_ms;
     g_mutex_unlock(&engines->lock);
     memset(entry, 0, sizeof *entry);
+    if (is_new || ended != 0)
+        hs_fleet_engines_tell_place(engines, service);
     if (ended != 0 && engines->crash_watch != NULL)
         hs_crash_watch_note_crashed(engines->crash_watch, ended);
 }
@@ -335,6 +344,38 @@
     g_ptr_array_set_size(found, (gint)kept);
 }
 
+/** Whether the service has an engine that nobody suspects, however crowded, tried or not. */
+static bool has_sound(const hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_found = false;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+                   !engine->misplaced && !is_doubt_over(engine, now_ms) &&
+                   !hs_fleet_engine_is_suspected(engine, now_ms);
+    }
+    return is_found;
+}
+
+/**
+ * Drop suspected engines, but for those whose turn to be tried has come. A request that found the
+ * sound ones crowded can wait for one, and loses more by what each dead engine costs it.
+ */
+static void drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
+                           const hs_engine_query *query, uint64_t now_ms) {
+    bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
+    if (!can_wait || !has_sound(engines, query->service, now_ms))
+        return;
+    for (guint index = found->len; index > 0; index--) {
+        const hs_fleet_engine *engine = found->pdata[index - 1];
+        if (hs_fleet_engine_is_suspected(engine, now_ms) &&
+            !hs_fleet_engine_is_to_be_tried(engine, now_ms))
+            g_ptr_array_remove_index(found, index - 1);
+    }
+}
+
 static hs_engine_lease *lease_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
                                      const hs_engine_query *query, double uncached,
                                      uint64_t now_ms) {
@@ -345,6 +386,8 @@
     lease->told_before = engine->told_count;
     lease->taken_ms = now_ms;
     lease->was_alone = engine->queued_tokens == 0;
+    lease->is_trial = hs_fleet_engine_is_to_be_tried(engine, now_ms);
+    engine->is_tried |= lease->is_trial;
     lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
     if (query->size != NULL) {
         lease->unread_tokens = (uint32_t)uncached;
@@ -363,6 +406,8 @@
     engine->memory_tokens_used += lease->memory_tokens;
     if (query->work == HS_WORK_ONLINE) {
         engine->online++;
+        engine->starts_ms[engine->start_count++ % HS_STARTS_KEPT] = now_ms;
+        lease->tenant = g_strdup(query->tenant);
     } else {
         engine->batch++;
         lease->yield = query->yield;
@@ -372,6 +417,15 @@
     return lease;
 }
 
+static bool is_any_free(const hs_engine_candidate *candidates, size_t count) {
+    bool is_free = false;
+    for (size_t index = 0; index < count; index++)
+        is_free = is_free || (!candidates[index].suspected &&
+                              candidates[index].running - candidates[index].batch + 1 <=
+                                  candidates[index].slots);
+    return is_free;
+}
+
 hs_engine_lease *hs_fleet_engines_take(hs_fleet_engines *engines, const hs_engine_query *query) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_engine_lease *lease = NULL;
@@ -379,6 +433,7 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, query);
+    drop_suspected(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
@@ -386,8 +441,9 @@
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     keep_quick(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
+    hs_engine_turn turn = {.draw = g_random_double(), .first = first};
     int picked = query->work == HS_WORK_ONLINE
-                     ? hs_engine_choice_pick(candidates, found->len, first, speed)
+                     ? hs_engine_spread_pick(candidates, found->len, &turn, speed)
                      : hs_engine_choice_pick_spare(candidates, found->len, first, speed);
     if (picked != HS_ENGINE_NONE) {
         const hs_engine_candidate *chosen = &candidates[picked];
@@ -400,7 +456,9 @@
                                              .failure_rate = chosen->failure_rate,
                                              .pace = chosen->pace,
                                              .suspected = chosen->suspected,
-                                             .listed_age_ms = now_ms - engine->listed_ms};
+                                             .listed_age_ms = now_ms - engine->listed_ms,
+                                             .word_age_ms = chosen->word_age_ms,
+                                             .is_any_free = is_any_free(candidates, found->len)};
         use = hs_fleet_engine_use(engines, engine);
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -44,11 +44,14 @@
     double pace;            /**< See hs_engine_pace_factor. */
     bool suspected;
     uint64_t listed_age_ms; /**< Since the store's last word on the engine. */
+    double word_age_ms;     /**< Of the arbiter's word that decided; 0: none was passed on. */
+    bool is_any_free;       /**< One of them at least was believed to have a free slot. */
 } hs_engine_reasons;
 
 /** What an engine is wanted for. All borrowed. */
 typedef struct {
     const char *service;
+    const char *tenant; /**< Online: whose runs it counts with; NULL: nobody's. */
     const hs_request_size *size;
     hs_work_class work;
     const GPtrArray *excluded; /**< of const char*: engines tried before; may be NULL. */
@@ -91,6 +94,9 @@
 /** Called without a lock when a use changed; @p started: by a request that begins. */
 typedef void (*hs_engine_use_teller)(const hs_engine_use *use, bool started, void *user_data);
 
+/** Called without a lock when an engine of the service may have a place that was not there. */
+typedef void (*hs_engine_place_watch)(const char *service, void *user_data);
+
 /** @p zone: of this daemon. */
 hs_fleet_engines *hs_fleet_engines_new(const char *zone);
 void hs_fleet_engines_free(hs_fleet_engines *engines);
@@ -233,8 +239,29 @@
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
 
+/** How hard a service is pressed by what was heard of late; the same for some ms for all who ask.
+ */
+hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service);
+
+/** Pressures as they were worked out last, one service a line, for metrics. Free with g_free. */
+char *hs_fleet_engines_describe_pressures(hs_fleet_engines *engines);
+
+/** Shortest time to a first byte of a service of late, in ms; 0: not known. */
+uint64_t hs_fleet_engines_need_ms(hs_fleet_engines *engines, const char *service);
+
+/** Whom places are told; NULL: nobody. Before the first request, or after the last. */
+void hs_fleet_engines_set_place_watch(hs_fleet_engines *engines, hs_engine_place_watch watch,
+                                      void *user_data);
+
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
+/** An online request of the tenant came to this daemon; see hs_tenant_runs_note_ask. */
+double hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
+                                        const char *tenant);
+
+/** Time in ms of slots that this daemon's online requests of the tenant have asked for. */
+uint64_t hs_fleet_engines_tenant_asked_ms(hs_fleet_engines *engines, const char *tenant);
+
 /**
  * Ask batch items of this daemon to step aside where all daemons' requests together need more
  * slots than the engine has. Each daemon does its part by its share of the engine's batch items.
@@ -283,9 +310,24 @@
     uint32_t age_ms; /**< Since the arbiter said it; above 0 where another daemon passed it on. */
 } hs_engine_total;
 
-/** Take an arbiter's word. */
+/** Take an arbiter's answer to this daemon: what waits for its word goes on. */
 void hs_fleet_engines_put_total(hs_fleet_engines *engines, const hs_engine_total *total);
 
+/**
+ * Take a word that was passed on, or that this daemon as the arbiter knows itself. It counts where
+ * it is fresher than what is known, and answers nobody's question.
+ */
+void hs_fleet_engines_put_passed_on(hs_fleet_engines *engines, const hs_engine_total *total);
+
+/** Whether the fleet is so large that words are passed on; see engine_words.h. */
+bool hs_fleet_engines_passes_words(hs_fleet_engines *engines);
+
+/** Words of arbiters that are still valid, each with its age: of hs_engine_total. */
+GArray *hs_fleet_engines_words(hs_fleet_engines *engines);
+
+/** Count words that were passed on with an answer, and their bytes. */
+void hs_fleet_engines_note_passed_on(hs_fleet_engines *engines, size_t words, size_t bytes);
+
 /** Ask the batch items of this daemon on an engine of the highest rank to leave it; how many. */
 uint32_t hs_fleet_engines_step_aside(hs_fleet_engines *engines, uint64_t engine_hash,
                                      uint32_t count);
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -17,6 +17,8 @@
 #define ENDS_MOST 32
 /** An engine that nobody uses any more stays known as failing for this long after its time down. */
 #define HEALTH_KEPT_MS 10000
+/** And as idle for this long after its last use: an engine of which nothing is told isn't idle. */
+#define IDLE_KEPT_MS 10000
 /** The same of its pace, since its last run. */
 #define PACE_KEPT_MS 40000
 /** More time than this of an event is no pace: no caller waits for such a stream. */
@@ -43,6 +45,7 @@
     GPtrArray *uses; /**< of daemon_use* */
     hs_engine_health health;
     hs_engine_pace pace;
+    uint64_t told_ms; /**< When a daemon told of it last. */
 } engine_uses;
 
 struct hs_slot_ledger {
@@ -243,6 +246,7 @@
                                     uint64_t now_ms, GArray *asks) {
     engine_uses *engine = engine_of(ledger, word->use.engine_hash);
     expire_uses(engine, now_ms);
+    engine->told_ms = now_ms;
     daemon_use *sender = use_of(engine, word->daemon);
     started_work started = {0};
     if (!is_old(sender, word)) {
@@ -260,6 +264,19 @@
     return total;
 }
 
+void hs_slot_ledger_list(const hs_slot_ledger *ledger, uint64_t now_ms, GArray *totals) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const engine_uses *engine = value;
+        hs_engine_total total = sum(engine, now_ms);
+        add_pace(engine, now_ms, &total);
+        total.is_failing = hs_engine_health_is_shunned(&engine->health, now_ms);
+        g_array_append_val(totals, total);
+    }
+}
+
 void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -270,7 +287,8 @@
         bool is_over = engine->health.state == HS_HEALTH_SOUND ||
                        now_ms > engine->health.down_until_ms + HEALTH_KEPT_MS;
         bool has_pace = engine->pace.events > 0 && now_ms < engine->pace.seen_ms + PACE_KEPT_MS;
-        if (engine->uses->len == 0 && is_over && !has_pace)
+        bool is_idle = engine->uses->len == 0 && now_ms > engine->told_ms + IDLE_KEPT_MS;
+        if (is_idle && is_over && !has_pace)
             g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -10,6 +10,7 @@
 #include "base/log.h"
 #include "jobs/job_plan.h"
 #include "jobs/job_room.h"
+#include "jobs/job_starts.h"
 
 #define DEFAULT_MAX_ATTEMPTS 3
 #define GIVE_UP_SLACK_MS 2000
@@ -103,15 +104,18 @@
 }
 
 /** Why this one, now. */
-static void log_start(const hs_open_item *open, const hs_service_room *room, guint count) {
+static void log_start(const hs_open_item *open, const hs_service_room *room,
+                      const hs_service_starts *starts, guint count) {
     const hs_item_run *run = open->item->run;
     hs_log_info("item_started",
                 "job=%s item=%s tries=%u last_event=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                 " remaining_ms=%" G_GUINT64_FORMAT
-                " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f",
+                " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f"
+                " expected_online=%.1f pressing=%d sends_share=%.2f pieces_share=%.2f",
                 run->job_id, run->item_id, open->item->tries, (guint64)run->events.last_id,
                 (gint64)open->left_ms, (guint64)open->remaining_ms, open->rank_ms, count,
-                room->slots, room->online, room->batch);
+                room->slots, room->online, room->batch, starts->expected_online, open->is_pressing,
+                1 - starts->sends.held_back, 1 - starts->pieces.held_back);
 }
 
 static void start_item(hs_job_owner *owner, const hs_open_item *open) {
@@ -120,10 +124,13 @@
     order->item = open->item;
     order->max_attempts = open->max_attempts;
     order->rank_ms = open->rank_ms;
+    order->service = open->service;
     order->gives_up = open->gives_up;
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
     open->item->remaining_ms = open->remaining_ms;
+    open->item->is_sent_noted = false;
+    open->item->is_piece_noted = false;
     owner->running++;
     g_thread_pool_push(owner->workers, order, NULL);
 }
@@ -133,27 +140,59 @@
            hs_job_partition_is_current(home->partition, home->taken_ms);
 }
 
-/** What one pass started of each service's items. */
+/** Items of one service in one pass. */
 typedef struct {
-    GHashTable *started; /**< Service (interned) -> items. */
-    GHashTable *full;    /**< Services that have no room left. */
-    uint32_t daemons;    /**< Live ones. */
+    uint32_t started;
+    uint32_t most;         /**< That may start. */
+    uint32_t most_waiting; /**< The same of items that are not pressing. */
+    bool is_full;          /**< It has no room left. */
+} pass_count;
+
+/** What one pass started. */
+typedef struct {
+    GHashTable *counts; /**< Service (interned) -> pass_count*. */
+    uint32_t daemons;   /**< Live ones. */
 } pass_starts;
 
+static pass_count *count_of(hs_job_owner *owner, const char *service, const hs_service_room *room,
+                            const pass_starts *pass) {
+    pass_count *count = g_hash_table_lookup(pass->counts, service);
+    if (count != NULL)
+        return count;
+    hs_service_starts *starts = hs_job_starts_of(owner, service);
+    uint32_t all = hs_job_room(room, pass->daemons, owner->partitions->len);
+    double spare = room->slots - room->online - room->batch;
+    count = g_new0(pass_count, 1);
+    count->most = hs_start_pace_begin(&starts->sends, all, spare);
+    count->most_waiting = hs_start_pace_begin(&starts->pieces, all, spare);
+    g_hash_table_insert(pass->counts, (gpointer)service, count);
+    return count;
+}
+
+/** How many items may start with this one: fewer before a wave or in it, unless it is pressing. */
+static uint32_t most_of(hs_job_owner *owner, const hs_open_item *entry, const hs_service_room *room,
+                        const pass_starts *pass) {
+    if (entry->is_pressing)
+        return hs_job_room(room, pass->daemons, owner->partitions->len);
+    const pass_count *count = count_of(owner, entry->service, room, pass);
+    double expected = hs_job_starts_of(owner, entry->service)->expected_online;
+    uint32_t left = hs_job_room_left(room, expected, pass->daemons, owner->partitions->len);
+    return MIN(MIN(count->most, count->most_waiting), left);
+}
+
 /** Whether an item may start now, and count it where it may. */
-static bool take_room(hs_job_owner *owner, const hs_open_item *entry, pass_starts *starts,
+static bool take_room(hs_job_owner *owner, const hs_open_item *entry, pass_starts *pass,
                       guint open_count) {
-    gpointer service = (gpointer)entry->service;
-    if (g_hash_table_contains(starts->full, service))
-        return false;
     hs_service_room room = hs_fleet_engines_room(owner->settings.engines, entry->service);
-    guint started = GPOINTER_TO_UINT(g_hash_table_lookup(starts->started, service));
-    if (started >= hs_job_room(&room, starts->daemons, owner->partitions->len)) {
-        g_hash_table_add(starts->full, service);
+    pass_count *count = count_of(owner, entry->service, &room, pass);
+    if (count->is_full)
+        return false;
+    if (count->started >= most_of(owner, entry, &room, pass)) {
+        count->is_full = true;
         return false;
     }
-    g_hash_table_insert(starts->started, service, GUINT_TO_POINTER(started + 1));
-    log_start(entry, &room, open_count);
+    count->started++;
+    log_start(entry, &room, hs_job_starts_of(owner, entry->service), open_count);
     return true;
 }
 
@@ -169,19 +208,19 @@
         if (hs_job_owner_may_run(home, hs_clock_monotonic_ms()))
             collect(home, config, open);
     }
+    hs_job_starts_observe(owner, open);
     hs_job_plan_make(owner, open);
-    g_autoptr(GHashTable) started = g_hash_table_new(g_direct_hash, g_direct_equal);
-    g_autoptr(GHashTable) full = g_hash_table_new(g_direct_hash, g_direct_equal);
-    pass_starts starts = {.started = started,
-                          .full = full,
-                          .daemons = owner->settings.live_daemons(owner->settings.user_data)};
+    g_autoptr(GHashTable) counts =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    pass_starts pass = {.counts = counts,
+                        .daemons = owner->settings.live_daemons(owner->settings.user_data)};
     for (guint index = 0; index < open->len && !owner->draining; index++) {
         const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
         if (!entry->may_start && !entry->gives_up)
             continue;
         if (owner->running >= HS_JOB_WORKERS_MAX)
             break;
-        if (entry->gives_up || take_room(owner, entry, &starts, open->len))
+        if (entry->gives_up || take_room(owner, entry, &pass, open->len))
             start_item(owner, entry);
     }
 }
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -21,6 +21,8 @@
     [HS_END_KEY_MALFORMED] = {"key_malformed", 400, "one key is needed, of visible characters\n"},
     [HS_END_KEYS_UNSURE] = {"keys_unsure", 503, "the keys in force are not known; not run\n"},
     [HS_END_OVER_LIMIT] = {"over_limit", 429, "beyond the tenant's limit; not run\n"},
+    [HS_END_OVER_SHARE] = {"over_share", 503,
+                           "beyond the tenant's share of what is free; not run\n"},
     [HS_END_TOO_LARGE] = {"too_large", 413, "the body is over the limit\n"},
     [HS_END_NO_MEMORY] = {"short_of_memory", 503, "short of memory; not run\n"},
     [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
@@ -60,6 +62,12 @@
     g_mutex_unlock(&online->counters.lock);
 }
 
+void hs_online_count_refusal(hs_online *online, hs_refusal_verdict verdict) {
+    g_mutex_lock(&online->counters.lock);
+    online->counters.refused[verdict]++;
+    g_mutex_unlock(&online->counters.lock);
+}
+
 void hs_online_refuse(hs_online *online, hs_inbound *inbound, hs_end_reason reason,
                       uint64_t retry_after_ms) {
     const reason_entry *entry = &reasons[reason];
--- a/src/online/fair_claim.c
+++ b/src/online/fair_claim.c
@@ -1,8 +1,30 @@
 /** @file fair_claim.c  See fair_claim.h. */
 #include "online/fair_claim.h"
 
+#include <math.h>
+
+/** Above this nothing is told apart. */
+#define BANDS_MOST 64
+
+/** Bands of a factor two, from one slot on: order by the smallest difference would be order by its
+ * noise. */
+static int band_of(double used_slots) {
+    if (!(used_slots > 1))
+        return 0;
+    return 1 + (int)fmin(log2(used_slots), BANDS_MOST);
+}
+
+static int compare(uint64_t one, uint64_t other) {
+    return (one > other) - (one < other);
+}
+
 int hs_fair_claim_compare(const hs_fair_claim *one, const hs_fair_claim *other) {
-    if (one->arrived_ms != other->arrived_ms)
-        return one->arrived_ms < other->arrived_ms ? -1 : 1;
-    return 0;
+    if (one->is_in_time != other->is_in_time)
+        return one->is_in_time ? -1 : 1;
+    int order = compare(one->rank, other->rank);
+    if (order == 0)
+        order = band_of(one->used_slots) - band_of(other->used_slots);
+    if (order == 0)
+        order = compare(one->deadline_ms, other->deadline_ms);
+    return order != 0 ? order : compare(one->arrived_ms, other->arrived_ms);
 }
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -12,8 +12,10 @@
 #include "fleet/engine_attempt.h"
 #include "http/listener.h"
 #include "online/caller_age.h"
+#include "online/fair_levels.h"
 #include "online/held_requests.h"
 #include "online/read_ahead.h"
+#include "online/refusal_choice.h"
 #include "platform/caller_codec.h"
 
 /** Why a request ended; each has one status and one text, see the table in end_reason.c. */
@@ -27,6 +29,7 @@
     HS_END_KEY_MALFORMED, /**< More than one key, or one that cannot be a key. */
     HS_END_KEYS_UNSURE,   /**< Which keys are in force has not been heard for too long. */
     HS_END_OVER_LIMIT,    /**< Beyond its tenant's limit. */
+    HS_END_OVER_SHARE,    /**< Beyond its tenant's share of a service that is short of places. */
     HS_END_TOO_LARGE,     /**< The body is over the limit. */
     HS_END_NO_MEMORY,     /**< This daemon keeps too much for others. */
     HS_END_NO_ENGINE,     /**< The service has no engine that may be sent to. */
@@ -53,6 +56,7 @@
 typedef struct {
     GMutex lock;
     uint64_t ended[HS_END_REASON_COUNT];
+    uint64_t refused[HS_REFUSAL_VERDICT_COUNT]; /**< Requests that were not held, by verdict. */
     uint64_t attempts;
     uint64_t resumed;
     uint64_t first_byte_buckets[16]; /**< Powers of two from 1 ms; the last holds the rest. */
@@ -66,6 +70,7 @@
     hs_caller_ages *ages;
     hs_held_requests *held;
     hs_read_ahead *read_ahead; /**< NULL: no memory budget, nothing is read ahead. */
+    hs_fair_levels *levels;
     uint64_t keys_hold_ms; /**< How long keys hold without the store's word; 0: for good. Where they
                                 do not, streams of a key that was taken away end. */
     gint split_turn;       /**< Spreads requests over the shares of a split route. */
@@ -76,6 +81,7 @@
     hs_fleet_config *config;
     const hs_fleet_route *route;
     const hs_fleet_tenant *tenant; /**< NULL: nobody's. */
+    double used_slots; /**< Engines' slots that the tenant asks for of late; 0: not known. */
 } hs_online_access;
 
 /** Serve a request to which access was granted; takes the reference of its configuration. */
@@ -89,6 +95,9 @@
 /** Count an end and a time to the first byte (0: none). */
 void hs_online_count(hs_online *online, hs_end_reason reason, uint64_t first_byte_ms);
 
+/** Count a request that was not held, by why. */
+void hs_online_count_refusal(hs_online *online, hs_refusal_verdict verdict);
+
 /** Service that takes the next request of @p route, by the weights of its shares. Borrowed. */
 const char *hs_online_pick_share(hs_online *online, const hs_fleet_route *route);
 
