--- a/src/online/held_requests.c
+++ b/src/online/held_requests.c
@@ -2,6 +2,7 @@
 #include "online/held_requests.h"
 
 #include "base/clock.h"
+#include "base/peer_watch.h"
 #include "online/hold_queue.h"
 
 #include <glib.h>
@@ -73,13 +74,6 @@
     return request;
 }
 
-/** What can be in time goes first; then as claims go. */
-static bool goes_before(const hs_fair_claim *one, const hs_fair_claim *other) {
-    if (one->is_in_time != other->is_in_time)
-        return one->is_in_time;
-    return hs_fair_claim_compare(one, other) < 0;
-}
-
 /** First in order that waits and was not woken just now; NULL: none. */
 static hs_held_request *first_waiting(const service_held *service, uint64_t now_ms) {
     hs_held_request *first = NULL;
@@ -89,16 +83,17 @@
             request->woken_ms != 0 && now_ms < request->woken_ms + HS_HELD_TRY_LEAST_MS;
         if (!request->is_waiting || request->is_woken || was_woken)
             continue;
-        if (first == NULL || goes_before(&request->claim, &first->claim))
+        if (first == NULL || hs_fair_claim_compare(&request->claim, &first->claim) < 0)
             first = request;
     }
     return first;
 }
 
-static bool wake_first(hs_held_requests *held, const service_held *service) {
+/** @p is_for_in_time: the place is for one that can be in time, or for nobody. */
+static bool wake_first(hs_held_requests *held, const service_held *service, bool is_for_in_time) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_held_request *first = first_waiting(service, now_ms);
-    if (first == NULL)
+    if (first == NULL || (is_for_in_time && !first->claim.is_in_time))
         return false;
     first->is_woken = true;
     first->woken_ms = now_ms;
@@ -114,22 +109,43 @@
     g_ptr_array_remove(service->requests, request);
     held->counters.held--;
     if (request->is_woken && !is_placed) /* It leaves the place for which it was woken. */
-        wake_first(held, service);
+        wake_first(held, service, false);
     g_mutex_unlock(&held->lock);
     g_cond_clear(&request->woken);
     g_free(request);
 }
 
-bool hs_held_requests_wait(hs_held_requests *held, hs_held_request *request,
-                           const hs_fair_claim *claim, uint64_t most_ms) {
+/** Wait until it is woken, @p most_ms at most. */
+static void wait_for(hs_held_requests *held, hs_held_request *request, uint64_t most_ms) {
     hs_pause pause = hs_clock_pause_begin(most_ms);
+    bool is_over = false;
+    while (!request->is_woken && !is_over)
+        is_over = !hs_clock_pause_wait(&pause, &request->woken, &held->lock);
+}
+
+/** The lock is let go meanwhile. */
+static bool has_caller_left(hs_held_requests *held, int watched) {
+    g_mutex_unlock(&held->lock);
+    bool has_left = hs_peer_has_left(watched);
     g_mutex_lock(&held->lock);
+    return has_left;
+}
+
+bool hs_held_requests_wait(hs_held_requests *held, hs_held_request *request,
+                           const hs_fair_claim *claim, int watched, uint64_t most_ms) {
+    g_mutex_lock(&held->lock);
+    if (request->is_woken && !claim->is_in_time)
+        wake_first(held, request->service, true);
     request->claim = *claim;
     request->is_woken = false;
     request->is_waiting = true;
-    bool is_over = false;
-    while (!request->is_woken && !is_over)
-        is_over = !hs_clock_pause_wait(&pause, &request->woken, &held->lock);
+    bool has_left = false;
+    while (!request->is_woken && !has_left && most_ms > 0) {
+        uint64_t look_ms = MIN(most_ms, HS_HELD_LOOK_MS);
+        wait_for(held, request, look_ms);
+        most_ms -= look_ms;
+        has_left = !request->is_woken && has_caller_left(held, watched);
+    }
     request->is_waiting = false;
     bool is_woken = request->is_woken;
     held->counters.timeouts += !is_woken;
@@ -140,7 +156,7 @@
 bool hs_held_requests_wake(hs_held_requests *held, const char *service) {
     g_mutex_lock(&held->lock);
     const service_held *known = g_hash_table_lookup(held->by_service, service);
-    bool is_anybody = known != NULL && wake_first(held, known);
+    bool is_anybody = known != NULL && wake_first(held, known, false);
     g_mutex_unlock(&held->lock);
     return is_anybody;
 }
--- a/src/online/held_requests.h
+++ b/src/online/held_requests.h
@@ -43,9 +43,13 @@
 /** It is held no longer, and is freed; @p is_placed: since an engine took it. */
 void hs_held_requests_leave(hs_held_requests *held, hs_held_request *request, bool is_placed);
 
-/** Wait for a place, @p most_ms at most, by the request's claim now. True: it was woken. */
+/**
+ * Wait for a place, @p most_ms at most, by the request's claim now. True: it was woken. It ends
+ * within HS_HELD_LOOK_MS when the peer of @p watched leaves; -1: nobody is looked at. A request
+ * that was woken and waits again, no longer in time, passes its place to one that is.
+ */
 bool hs_held_requests_wait(hs_held_requests *held, hs_held_request *request,
-                           const hs_fair_claim *claim, uint64_t most_ms);
+                           const hs_fair_claim *claim, int watched, uint64_t most_ms);
 
 /**
  * A place of the service may be free: wake the first in order of those that wait. None is woken
@@ -60,4 +64,7 @@
 /** Least time in ms between two wakes of a request: a try asks up to three arbiters. */
 #define HS_HELD_TRY_LEAST_MS 15
 
+/** A held request's caller is looked at this often, in ms. */
+#define HS_HELD_LOOK_MS 50
+
 #endif
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -137,8 +137,8 @@
     if (choice.verdict == HS_REFUSAL_HOLD && (!has_run || hs_online_may_repeat(request))) {
         hs_fair_claim claim = hs_online_claim(request);
         uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : choice.pause_ms;
-        request->woken +=
-            hs_held_requests_wait(request->online->held, request->held, &claim, pause_ms);
+        request->woken += hs_held_requests_wait(request->online->held, request->held, &claim,
+                                                request->inbound->descriptor, pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
         return HS_NEXT_TRY; /* A caller that left meanwhile is noticed before that. */
     }
--- a/tests/unit/test_holding.c
+++ b/tests/unit/test_holding.c
@@ -7,6 +7,8 @@
 #include "tests/unit/unit_tests.h"
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define HELD 200
 /** Longer in ms than the test lasts: only a place ends a pause. */
@@ -30,7 +32,7 @@
     const waiter *self = data;
     waiting_room *room = self->room;
     hs_held_request *request = hs_held_requests_enter(room->held, "service", &self->claim);
-    bool is_woken = hs_held_requests_wait(room->held, request, &self->claim, PAUSE_MS);
+    bool is_woken = hs_held_requests_wait(room->held, request, &self->claim, -1, PAUSE_MS);
     hs_held_requests_leave(room->held, request, is_woken && !self->takes_nothing);
     g_mutex_lock(&room->lock);
     if (is_woken)
@@ -96,7 +98,7 @@
     hs_fair_claim claim = {.arrived_ms = 1, .is_in_time = true};
     hs_held_request *request = hs_held_requests_enter(self->held, "service", &claim);
     while (!g_atomic_int_get(&self->is_over)) {
-        hs_held_requests_wait(self->held, request, &claim, PAUSE_MS);
+        hs_held_requests_wait(self->held, request, &claim, -1, PAUSE_MS);
         g_atomic_int_inc(&self->tries);
     }
     hs_held_requests_leave(self->held, request, false);
@@ -148,7 +150,7 @@
     hs_held_request *one = hs_held_requests_enter(held, "service", &late);
     CU_ASSERT_EQUAL(hs_held_requests_view(held, "service").head_waited_ms, 0);
     hs_held_request *other = hs_held_requests_enter(held, "service", &in_time);
-    CU_ASSERT_FALSE(hs_held_requests_wait(held, other, &in_time, 5));
+    CU_ASSERT_FALSE(hs_held_requests_wait(held, other, &in_time, -1, 5));
     CU_ASSERT_EQUAL(hs_held_requests_count(held).timeouts, 1);
     uint64_t head_ms = hs_held_requests_view(held, "service").head_waited_ms;
     CU_ASSERT(head_ms >= 100 && head_ms < 4000);
@@ -158,9 +160,76 @@
     hs_held_requests_free(held);
 }
 
+typedef struct {
+    hs_held_requests *held;
+    int near;
+    uint64_t waited_ms;
+} watched_waiter;
+
+static gpointer wait_with_caller(gpointer data) {
+    watched_waiter *self = data;
+    hs_fair_claim claim = {.arrived_ms = 1, .is_in_time = true};
+    hs_held_request *request = hs_held_requests_enter(self->held, "service", &claim);
+    uint64_t begun_ms = hs_clock_monotonic_ms();
+    hs_held_requests_wait(self->held, request, &claim, self->near, 3000);
+    self->waited_ms = hs_clock_monotonic_ms() - begun_ms;
+    hs_held_requests_leave(self->held, request, false);
+    return NULL;
+}
+
+/** A caller that leaves ends a long pause; one that stays doesn't. */
+static void a_caller_that_leaves_ends_its_pause(void) {
+    int ends[2];
+    CU_ASSERT_EQUAL_FATAL(socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
+    watched_waiter self = {.held = hs_held_requests_new(), .near = ends[0]};
+    GThread *thread = g_thread_new("waiter", wait_with_caller, &self);
+    hs_clock_sleep_ms(200);
+    close(ends[1]);
+    g_thread_join(thread);
+    CU_ASSERT_TRUE(self.waited_ms >= 150);
+    CU_ASSERT_TRUE(self.waited_ms < 1000); /* 200, 50 to notice, and what the machine adds. */
+    close(ends[0]);
+    hs_held_requests_free(self.held);
+}
+
+static gpointer wait_and_wait_again_late(gpointer data) {
+    const waiter *self = data;
+    hs_fair_claim late = self->claim;
+    late.is_in_time = false;
+    hs_held_requests *held = self->room->held;
+    hs_held_request *request = hs_held_requests_enter(held, "service", &self->claim);
+    hs_held_requests_wait(held, request, &self->claim, -1, PAUSE_MS);
+    hs_held_requests_wait(held, request, &late, -1, 300);
+    hs_held_requests_leave(held, request, false);
+    return NULL;
+}
+
+/** A place that woke one that is no longer in time goes to one that is. */
+static void a_place_goes_on_to_one_in_time(void) {
+    waiting_room room = {.held = hs_held_requests_new()};
+    waiter late = {.room = &room, .claim = {.arrived_ms = 1, .is_in_time = true}};
+    waiter next = {.room = &room, .claim = {.arrived_ms = 2, .is_in_time = true}};
+    GThread *threads[] = {g_thread_new("late", wait_and_wait_again_late, &late),
+                          g_thread_new("next", wait_for_place, &next)};
+    while (hs_held_requests_view(room.held, "service").held < 2)
+        hs_clock_sleep_ms(1);
+    hs_clock_sleep_ms(20);
+    CU_ASSERT_TRUE(hs_held_requests_wake(room.held, "service"));
+    g_thread_join(threads[0]);
+    CU_ASSERT_EQUAL(hs_held_requests_count(room.held).woken, 2);
+    if (hs_held_requests_count(room.held).held > 0) /* Its thread is to end in any case. */
+        hs_held_requests_wake(room.held, "service");
+    g_thread_join(threads[1]);
+    CU_ASSERT_EQUAL(room.woken, 1);
+    CU_ASSERT_EQUAL(hs_held_requests_count(room.held).held, 0);
+    hs_held_requests_free(room.held);
+}
+
 const test_case holding_tests[] = {
     {"places_wake_held_requests_in_order", places_wake_held_requests_in_order},
     {"words_that_come_often_cost_few_tries", words_that_come_often_cost_few_tries},
     {"a_place_that_is_left_wakes_the_next", a_place_that_is_left_wakes_the_next},
     {"a_pause_ends_without_a_place", a_pause_ends_without_a_place},
+    {"a_caller_that_leaves_ends_its_pause", a_caller_that_leaves_ends_its_pause},
+    {"a_place_goes_on_to_one_in_time", a_place_goes_on_to_one_in_time},
     {NULL, NULL}};
