--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -43,7 +43,7 @@
 
 hs_admission_choice hs_admission_choose(const hs_admission_view *view) {
     const hs_service_pressure *pressure = &view->pressure;
-    double expected_ms = fmax(pressure->wait_ms, (double)view->head_waited_ms);
+    double expected_ms = fmax(pressure->wait_ms, (double)view->ahead_waited_ms);
     double spare = spare_ms(view);
     hs_admission_choice choice = {
         .verdict = HS_ADMISSION_OPEN,
--- a/src/online/admission.h
+++ b/src/online/admission.h
@@ -15,14 +15,15 @@
 /** What is known at the moment of the choice. */
 typedef struct {
     hs_service_pressure pressure;
-    uint64_t head_waited_ms; /**< How long the request held longest here has waited; 0: none is. */
-    uint64_t need_ms;        /**< Shortest time to a first byte of late; 0: not known. */
-    uint64_t target_ms;      /**< The route's objective; 0: none. */
-    uint64_t waited_ms;      /**< Since it came. */
-    uint64_t age_ms;         /**< Since its caller first asked, until it came. */
-    bool was_held;           /**< Engines were asked before, and none took it. */
-    bool has_run;            /**< It may have run: it is repeated, or ends as broken. */
-    bool is_less_urgent;     /**< See hs_fleet_config_is_less_urgent: it takes free places only. */
+    uint64_t head_waited_ms;  /**< How long the request held longest here has waited; 0: none is. */
+    uint64_t ahead_waited_ms; /**< The same of those that do not go after this one for certain. */
+    uint64_t need_ms;         /**< Shortest time to a first byte of late; 0: not known. */
+    uint64_t target_ms;       /**< The route's objective; 0: none. */
+    uint64_t waited_ms;       /**< Since it came. */
+    uint64_t age_ms;          /**< Since its caller first asked, until it came. */
+    bool was_held;            /**< Engines were asked before, and none took it. */
+    bool has_run;             /**< It may have run: it is repeated, or ends as broken. */
+    bool is_less_urgent;      /**< See hs_fleet_config_is_less_urgent: it takes free places only. */
 } hs_admission_view;
 
 typedef enum {
--- a/src/online/fair_claim.c
+++ b/src/online/fair_claim.c
@@ -28,3 +28,9 @@
         order = compare(one->deadline_ms, other->deadline_ms);
     return order != 0 ? order : compare(one->arrived_ms, other->arrived_ms);
 }
+
+bool hs_fair_claim_is_behind(const hs_fair_claim *other, const hs_fair_claim *claim) {
+    bool is_known = claim->used_slots > 0;
+    return is_known && other->rank >= claim->rank &&
+           band_of(other->used_slots) > band_of(claim->used_slots);
+}
--- a/src/online/fair_claim.h
+++ b/src/online/fair_claim.h
@@ -23,6 +23,12 @@
     uint64_t deadline_ms;
 } hs_fair_claim;
 
+/**
+ * Whether @p other, of those in time, goes after @p claim whoever comes first, and so does not
+ * lengthen its wait: its kind is no more urgent, and its group is known to ask for clearly more.
+ */
+bool hs_fair_claim_is_behind(const hs_fair_claim *other, const hs_fair_claim *claim);
+
 /** Below 0: @p one goes first; above 0: @p other. */
 int hs_fair_claim_compare(const hs_fair_claim *one, const hs_fair_claim *other);
 
--- a/src/online/held_requests.c
+++ b/src/online/held_requests.c
@@ -161,27 +161,33 @@
     return is_anybody;
 }
 
-/** When the first came of those that can be in time; 0: there is none. */
-static uint64_t head_arrived_ms(const service_held *service) {
+/**
+ * How long the first of those waits that can be in time and are not behind @p claim (NULL: nobody
+ * is); 0: there is none.
+ */
+static uint64_t head_waited_ms(const service_held *service, const hs_fair_claim *claim,
+                               uint64_t now_ms) {
     uint64_t head_ms = 0;
     for (guint index = 0; index < service->requests->len; index++) {
-        const hs_fair_claim *claim =
+        const hs_fair_claim *held =
             &((const hs_held_request *)service->requests->pdata[index])->claim;
-        if (claim->is_in_time && (head_ms == 0 || claim->arrived_ms < head_ms))
-            head_ms = claim->arrived_ms;
+        bool counts = held->is_in_time && (claim == NULL || !hs_fair_claim_is_behind(held, claim));
+        if (counts && (head_ms == 0 || held->arrived_ms < head_ms))
+            head_ms = held->arrived_ms;
     }
-    return head_ms;
+    return head_ms != 0 && now_ms > head_ms ? now_ms - head_ms : 0;
 }
 
-hs_held_view hs_held_requests_view(hs_held_requests *held, const char *service) {
+hs_held_view hs_held_requests_view(hs_held_requests *held, const char *service,
+                                   const hs_fair_claim *claim) {
     hs_held_view view = {0};
     g_mutex_lock(&held->lock);
     uint64_t now_ms = hs_clock_monotonic_ms();
     const service_held *known = service_of(held, service);
-    uint64_t head_ms = head_arrived_ms(known);
     view.held = known->requests->len;
     view.expected_ms = hs_hold_queue_expected_ms(&known->queue, now_ms);
-    view.head_waited_ms = head_ms != 0 && now_ms > head_ms ? now_ms - head_ms : 0;
+    view.head_waited_ms = head_waited_ms(known, NULL, now_ms);
+    view.ahead_waited_ms = head_waited_ms(known, claim, now_ms);
     g_mutex_unlock(&held->lock);
     return view;
 }
--- a/src/online/held_requests.h
+++ b/src/online/held_requests.h
@@ -22,8 +22,9 @@
 /** What is known of a service's held requests. */
 typedef struct {
     uint32_t held;
-    uint64_t expected_ms;    /**< See hs_hold_queue_expected_ms. */
-    uint64_t head_waited_ms; /**< Since the first of those came that can be in time; 0: none. */
+    uint64_t expected_ms;     /**< See hs_hold_queue_expected_ms. */
+    uint64_t head_waited_ms;  /**< Since the first of those came that can be in time; 0: none. */
+    uint64_t ahead_waited_ms; /**< The same of those that are not behind a claim. */
 } hs_held_view;
 
 /** Counts over all services, for metrics. */
@@ -57,7 +58,9 @@
  */
 bool hs_held_requests_wake(hs_held_requests *held, const char *service);
 
-hs_held_view hs_held_requests_view(hs_held_requests *held, const char *service);
+/** @p claim: see hs_fair_claim_is_behind; NULL: nobody is behind. */
+hs_held_view hs_held_requests_view(hs_held_requests *held, const char *service,
+                                   const hs_fair_claim *claim);
 
 hs_held_counters hs_held_requests_count(hs_held_requests *held);
 
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -17,6 +17,7 @@
                 " absent_ms=%" G_GUINT64_FORMAT " last_absence_ms=%" G_GUINT64_FORMAT
                 " listed_age_ms=%" G_GUINT64_FORMAT
                 " admission=%s wait_ms=%.0f head_waited_ms=%" G_GUINT64_FORMAT
+                " ahead_waited_ms=%" G_GUINT64_FORMAT " used_slots=%.1f"
                 " heard=%u free_share=%.3f words_age_ms=%.0f tries=%u",
                 request->request_id, request->service, hs_refusal_verdict_name(choice->verdict),
                 (guint64)choice->expected_ms, (guint64)view->left_ms, (guint64)view->waited_ms,
@@ -27,6 +28,7 @@
                 (guint64)service->last_absence_ms, (guint64)service->listed_age_ms,
                 hs_admission_verdict_name(request->admission.verdict),
                 request->admitted_by.pressure.wait_ms, (guint64)request->admitted_by.head_waited_ms,
+                (guint64)request->admitted_by.ahead_waited_ms, request->used_slots,
                 request->admitted_by.pressure.heard, request->admitted_by.pressure.free_share,
                 request->admitted_by.pressure.age_ms, request->tries);
 }
@@ -58,9 +60,12 @@
 
 void hs_online_admit(hs_online_request *request) {
     hs_online *online = request->online;
+    hs_fair_claim claim = hs_online_claim(request);
+    hs_held_view held = hs_held_requests_view(online->held, request->service, &claim);
     request->admitted_by = (hs_admission_view){
         .pressure = hs_fleet_engines_pressure(online->engines, request->service),
-        .head_waited_ms = hs_held_requests_view(online->held, request->service).head_waited_ms,
+        .head_waited_ms = held.head_waited_ms,
+        .ahead_waited_ms = held.ahead_waited_ms,
         .need_ms = hs_fleet_engines_need_ms(online->engines, request->service),
         .target_ms = request->route->target_latency_ms,
         .waited_ms = hs_clock_monotonic_ms() - request->inbound->received_ms,
@@ -91,7 +96,7 @@
 hs_refusal_choice hs_online_choose_refusal(hs_online_request *request) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     bool is_heard = request->admitted_by.pressure.slots > 0;
-    hs_held_view held = hs_held_requests_view(request->online->held, request->service);
+    hs_held_view held = hs_held_requests_view(request->online->held, request->service, NULL);
     hs_refusal_view view = {
         .service = hs_fleet_engines_outlook(request->online->engines, request->service),
         .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
