--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -152,11 +152,11 @@
 }
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
     hs_service_outlook outlook = {0};
     GHashTableIter iterator;
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms(); /* No word is younger, whose age would wrap. */
     hs_fleet_engines_sum_peers(engines, now_ms);
     outlook.is_known = engines->is_list_known;
     g_hash_table_iter_init(&iterator, engines->by_id);
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -517,6 +517,29 @@
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_STAND_BY);
 }
 
+/** What stands by takes places that are left and that nobody who can be in time waits for. */
+static void what_stands_by_is_not_held_beside_free_places(void) {
+    hs_admission_view late = short_view(0);
+    late.pressure = ten_engines(7.4, 100, 10); /* Six of 80 places are left. */
+    CU_ASSERT_TRUE(late.pressure.is_short);
+    late.age_ms = 400;
+    CU_ASSERT_EQUAL(hs_admission_choose(&late).verdict, HS_ADMISSION_STAND_BY);
+    late.waited_ms = 3000; /* It has stood by for long. */
+    CU_ASSERT_TRUE(hs_admission_choose(&late).may_try);
+    hs_admission_view less_urgent = late;
+    less_urgent.age_ms = less_urgent.waited_ms = 0;
+    less_urgent.is_less_urgent = true;
+    CU_ASSERT_EQUAL(hs_admission_choose(&less_urgent).verdict, HS_ADMISSION_STAND_BY);
+    CU_ASSERT_TRUE(hs_admission_choose(&less_urgent).may_try);
+    late.head_waited_ms = less_urgent.head_waited_ms = 1;
+    CU_ASSERT_FALSE(hs_admission_choose(&late).may_try);
+    CU_ASSERT_FALSE(hs_admission_choose(&less_urgent).may_try);
+    late.head_waited_ms = less_urgent.head_waited_ms = 0;
+    late.pressure = less_urgent.pressure = ten_engines(8, 100, 10);
+    CU_ASSERT_FALSE(hs_admission_choose(&late).may_try);
+    CU_ASSERT_FALSE(hs_admission_choose(&less_urgent).may_try);
+}
+
 /** Places that are told of and not found are none; where too little is heard, that says nothing. */
 static void what_waits_in_vain_makes_a_service_short(void) {
     hs_admission_view view = {.pressure = ten_engines(6, 100, 10), .need_ms = 40, .target_ms = 300};
@@ -556,6 +579,8 @@
     {"what_would_be_late_is_refused_at_once", what_would_be_late_is_refused_at_once},
     {"a_caller_that_came_back_is_not_sent_away_by_its_objective",
      a_caller_that_came_back_is_not_sent_away_by_its_objective},
+    {"what_stands_by_is_not_held_beside_free_places",
+     what_stands_by_is_not_held_beside_free_places},
     {"what_waits_in_vain_makes_a_service_short", what_waits_in_vain_makes_a_service_short},
     {"where_nothing_is_short_admission_is_open", where_nothing_is_short_admission_is_open},
     {"what_is_served_in_a_shortage_is_served_in_time",
