--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -14,6 +14,12 @@
 /** With so much of the slots free, engines that turn requests away can take them any moment. */
 #define ROOM_SHARE 0.5
 
+/**
+ * With so much of the slots free a place is left over: with fewer, words that are some 100 ms old
+ * name none that would still be there.
+ */
+#define LEFT_SHARE 0.05
+
 /** Of the objective, less what the engine needs; 0: it is over. */
 static double spare_ms(const hs_admission_view *view) {
     double over_ms = (double)view->age_ms + (double)view->waited_ms + (double)view->need_ms;
@@ -41,9 +47,14 @@
     return came_back(view) || (spare <= 0 && !view->was_tried);
 }
 
+/** Whether a place stands free that nothing in time waits for: it is not to stay so. */
+static bool is_place_left(const hs_admission_view *view) {
+    return view->head_waited_ms == 0 && view->pressure.free_share >= LEFT_SHARE;
+}
+
 hs_admission_choice hs_admission_choose(const hs_admission_view *view) {
     const hs_service_pressure *pressure = &view->pressure;
-    double expected_ms = fmax(pressure->wait_ms, (double)view->head_waited_ms);
+    double expected_ms = fmax(pressure->wait_ms, (double)view->ahead_waited_ms);
     double spare = spare_ms(view);
     hs_admission_choice choice = {
         .verdict = HS_ADMISSION_OPEN,
@@ -59,7 +70,7 @@
         choice.verdict = view->is_less_urgent ? HS_ADMISSION_STAND_BY : HS_ADMISSION_IN_TIME;
     else
         choice.verdict = stands_by(view, spare) ? HS_ADMISSION_STAND_BY : HS_ADMISSION_REFUSE;
-    choice.may_try = choice.verdict != HS_ADMISSION_STAND_BY && spare > 0;
+    choice.may_try = choice.verdict == HS_ADMISSION_STAND_BY ? is_place_left(view) : spare > 0;
     return choice;
 }
 
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -209,6 +209,7 @@
     return hs_admission_choose(&(hs_admission_view){
         .pressure = pressure_of(game, request->daemon),
         .head_waited_ms = head_ms > 0 ? game->now_ms - head_ms : 0,
+        .ahead_waited_ms = head_ms > 0 ? game->now_ms - head_ms : 0,
         .need_ms = NEED_MS,
         .target_ms = TARGET_MS,
         .waited_ms = game->now_ms - request->came_ms,
@@ -334,13 +335,16 @@
     return (double)game->in_time / (game->in_time + game->late_first);
 }
 
+static double idle_share(const play *game) {
+    return game->idle / fmax(game->wanted, 1);
+}
+
 static void report(const play *game, const char *rule) {
     printf("%-10s in time %.3f late %.3f (not refused before %.3f) refused %u again %u idle %.3f "
            "full %u seen %u ms\n",
            rule, (double)game->in_time / game->came, (double)game->late / game->came,
            (double)game->late_first / game->came, game->refused, game->refused_again,
-           game->idle / fmax(game->wanted, 1), (uint32_t)game->first_full_ms,
-           (uint32_t)game->first_seen_ms);
+           idle_share(game), (uint32_t)game->first_full_ms, (uint32_t)game->first_seen_ms);
 }
 
 /**
@@ -376,6 +380,36 @@
         play_all(seed, true);
 }
 
+static double of_all_served(const play *game) {
+    return (double)game->in_time / (game->in_time + game->late);
+}
+
+static void check_all_served(bool lasts) {
+    for (uint32_t seed = 7; seed < 10; seed++) {
+        g_autofree play *game = play_rule_of(BY_UNDER_WAY, seed, lasts);
+        CU_ASSERT(of_all_served(game) >= 0.95);
+    }
+}
+
+/** Of all that is served in squares of demand, also after a refusal, 0.95 is in time. */
+static void whatever_is_served_in_squares_is_in_time(void) {
+    check_all_served(false);
+}
+
+/** The same while the shortage lasts. */
+static void whatever_is_served_in_a_lasting_shortage_is_in_time(void) {
+    check_all_served(true);
+}
+
+/** Of the room 0.02 at most idles while one that can be in time waits. */
+static void hardly_any_room_idles_while_somebody_waits(void) {
+    for (uint32_t seed = 7; seed < 10; seed++)
+        for (int lasts = 0; lasts < 2; lasts++) {
+            g_autofree play *game = play_rule_of(BY_UNDER_WAY, seed, lasts == 1);
+            CU_ASSERT(idle_share(game) <= 0.02);
+        }
+}
+
 /** Ten engines of eight slots and runs of 800 ms: a place frees each 10 ms. */
 static hs_service_pressure ten_engines(double online, uint64_t age_ms, size_t heard) {
     hs_pressure_sample samples[10];
@@ -451,7 +485,9 @@
     CU_ASSERT_EQUAL(choice.verdict, HS_ADMISSION_IN_TIME);
     CU_ASSERT_EQUAL(choice.hold_most_ms, 260);
     CU_ASSERT_EQUAL(choice.begin_ms, 170);
-    view.head_waited_ms = 131;
+    view.head_waited_ms = 131; /* Of those that go after it. */
+    CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_IN_TIME);
+    view.ahead_waited_ms = 131;
     choice = hs_admission_choose(&view);
     CU_ASSERT_EQUAL(choice.verdict, HS_ADMISSION_REFUSE);
     CU_ASSERT_EQUAL(choice.expected_ms, 131);
@@ -481,6 +517,29 @@
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_STAND_BY);
 }
 
+/** What stands by takes places that are left and that nobody who can be in time waits for. */
+static void what_stands_by_is_not_held_beside_free_places(void) {
+    hs_admission_view late = short_view(0);
+    late.pressure = ten_engines(7.4, 100, 10); /* Six of 80 places are left. */
+    CU_ASSERT_TRUE(late.pressure.is_short);
+    late.age_ms = 400;
+    CU_ASSERT_EQUAL(hs_admission_choose(&late).verdict, HS_ADMISSION_STAND_BY);
+    late.waited_ms = 3000; /* It has stood by for long. */
+    CU_ASSERT_TRUE(hs_admission_choose(&late).may_try);
+    hs_admission_view less_urgent = late;
+    less_urgent.age_ms = less_urgent.waited_ms = 0;
+    less_urgent.is_less_urgent = true;
+    CU_ASSERT_EQUAL(hs_admission_choose(&less_urgent).verdict, HS_ADMISSION_STAND_BY);
+    CU_ASSERT_TRUE(hs_admission_choose(&less_urgent).may_try);
+    late.head_waited_ms = less_urgent.head_waited_ms = 1;
+    CU_ASSERT_FALSE(hs_admission_choose(&late).may_try);
+    CU_ASSERT_FALSE(hs_admission_choose(&less_urgent).may_try);
+    late.head_waited_ms = less_urgent.head_waited_ms = 0;
+    late.pressure = less_urgent.pressure = ten_engines(8, 100, 10);
+    CU_ASSERT_FALSE(hs_admission_choose(&late).may_try);
+    CU_ASSERT_FALSE(hs_admission_choose(&less_urgent).may_try);
+}
+
 /** Places that are told of and not found are none; where too little is heard, that says nothing. */
 static void what_waits_in_vain_makes_a_service_short(void) {
     hs_admission_view view = {.pressure = ten_engines(6, 100, 10), .need_ms = 40, .target_ms = 300};
@@ -488,11 +547,11 @@
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_OPEN);
     view.head_waited_ms = 51;
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_IN_TIME);
-    view.head_waited_ms = 200;
+    view.head_waited_ms = view.ahead_waited_ms = 200;
     CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_REFUSE);
     view.pressure = ten_engines(4, 100, 10);
     for (view.waited_ms = 0; view.waited_ms < 4000; view.waited_ms += 50) {
-        view.head_waited_ms = view.waited_ms;
+        view.head_waited_ms = view.ahead_waited_ms = view.waited_ms;
         CU_ASSERT_EQUAL(hs_admission_choose(&view).verdict, HS_ADMISSION_OPEN);
     }
     view.pressure = ten_engines(6, 100, 4);
@@ -520,9 +579,15 @@
     {"what_would_be_late_is_refused_at_once", what_would_be_late_is_refused_at_once},
     {"a_caller_that_came_back_is_not_sent_away_by_its_objective",
      a_caller_that_came_back_is_not_sent_away_by_its_objective},
+    {"what_stands_by_is_not_held_beside_free_places",
+     what_stands_by_is_not_held_beside_free_places},
     {"what_waits_in_vain_makes_a_service_short", what_waits_in_vain_makes_a_service_short},
     {"where_nothing_is_short_admission_is_open", where_nothing_is_short_admission_is_open},
     {"what_is_served_in_a_shortage_is_served_in_time",
      what_is_served_in_a_shortage_is_served_in_time},
     {"a_shortage_that_lasts_makes_no_one_else_late", a_shortage_that_lasts_makes_no_one_else_late},
+    {"whatever_is_served_in_squares_is_in_time", whatever_is_served_in_squares_is_in_time},
+    {"whatever_is_served_in_a_lasting_shortage_is_in_time",
+     whatever_is_served_in_a_lasting_shortage_is_in_time},
+    {"hardly_any_room_idles_while_somebody_waits", hardly_any_room_idles_while_somebody_waits},
     {NULL, NULL}};
