--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -242,6 +242,15 @@
     g_array_append_val(asks, ask);
 }
 
+/**
+ * What a daemon hears of an engine's health. Whoever starts nothing may hear that it fails only
+ * while nobody may go there: the word is believed for a while, and passed on.
+ */
+static bool is_failing_for(hs_engine_health *health, bool starts, uint64_t now_ms) {
+    bool is_admitted = hs_engine_health_admit(health, starts, now_ms);
+    return starts ? !is_admitted : hs_engine_health_is_shunned(health, now_ms);
+}
+
 hs_engine_total hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_word *word,
                                     uint64_t now_ms, GArray *asks) {
     engine_uses *engine = engine_of(ledger, word->use.engine_hash);
@@ -256,7 +265,7 @@
     }
     hs_engine_total total = sum(engine, now_ms);
     add_pace(engine, now_ms, &total);
-    total.is_failing = !hs_engine_health_admit(&engine->health, started.any, now_ms);
+    total.is_failing = is_failing_for(&engine->health, started.any, now_ms);
     while (total.online + total.batch > word->use.slots && total.batch > 0) {
         ask_one(next_to_leave(engine, started.batch ? sender : NULL, now_ms), now_ms, asks);
         total.batch--;
--- a/tests/unit/test_words.c
+++ b/tests/unit/test_words.c
@@ -124,11 +124,8 @@
     hs_fleet_engines_free(engines);
 }
 
-/** A failing word keeps away, and no longer than its arbiter means it. */
-static void a_failing_word_spreads_and_ends(void) {
-    hs_slot_ledger *ledger = hs_slot_ledger_new();
-    g_autoptr(GArray) asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
-    g_autoptr(GArray) words = g_array_new(FALSE, FALSE, sizeof(hs_engine_total));
+/** Three daemons' requests fail on engine 7 until 105. */
+static void take_down(hs_slot_ledger *ledger, GArray *asks) {
     static const char *const daemons[] = {"a", "b", "c"};
     for (uint64_t index = 0; index < 6; index++) { /* Each starts a request, and it fails. */
         hs_slot_word word = {.daemon = daemons[index / 2], .incarnation = 1};
@@ -137,6 +134,14 @@
         word.use.online = 1 - word.use.failed;
         hs_slot_ledger_take(ledger, &word, 100 + index, asks);
     }
+}
+
+/** A failing word keeps away, and no longer than its arbiter means it. */
+static void a_failing_word_spreads_and_ends(void) {
+    hs_slot_ledger *ledger = hs_slot_ledger_new();
+    g_autoptr(GArray) asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
+    g_autoptr(GArray) words = g_array_new(FALSE, FALSE, sizeof(hs_engine_total));
+    take_down(ledger, asks);
     hs_slot_ledger_list(ledger, 110, words);
     CU_ASSERT_EQUAL_FATAL(words->len, 1);
     CU_ASSERT_TRUE(g_array_index(words, hs_engine_total, 0).is_failing);
@@ -153,6 +158,30 @@
     hs_slot_ledger_free(ledger);
 }
 
+/**
+ * A stream that goes on there keeps its daemon's words coming. They must not say that the engine
+ * fails when the next request may go: that word travels, and nobody would go and see.
+ */
+static void a_word_without_a_start_ends_with_the_time_down(void) {
+    hs_slot_ledger *ledger = hs_slot_ledger_new();
+    g_autoptr(GArray) asks = g_array_new(FALSE, FALSE, sizeof(hs_slot_ask));
+    hs_slot_word stream = {.daemon = "d", .incarnation = 1};
+    stream.use = (hs_engine_use){.engine_hash = 7, .sequence = 1, .slots = 8, .batch = 1};
+    hs_slot_ledger_take(ledger, &stream, 99, asks);
+    take_down(ledger, asks);
+    stream.use.sequence = 7;
+    CU_ASSERT_TRUE(hs_slot_ledger_take(ledger, &stream, 110, asks).is_failing);
+    stream.use.sequence = 8;
+    CU_ASSERT_FALSE(hs_slot_ledger_take(ledger, &stream, 1200, asks).is_failing);
+    hs_slot_word trial = {.daemon = "a", .incarnation = 1};
+    trial.use =
+        (hs_engine_use){.engine_hash = 7, .sequence = 9, .slots = 8, .failed = 1, .online = 1};
+    CU_ASSERT_FALSE(hs_slot_ledger_take(ledger, &trial, 1201, asks).is_failing);
+    stream.use.sequence = 10;
+    CU_ASSERT_TRUE(hs_slot_ledger_take(ledger, &stream, 1202, asks).is_failing);
+    hs_slot_ledger_free(ledger);
+}
+
 const test_case word_tests[] = {
     {"the_freshest_words_are_passed_on", the_freshest_words_are_passed_on},
     {"a_word_fades", a_word_fades},
@@ -161,4 +190,6 @@
     {"the_mean_takes_the_place_of_old_words", the_mean_takes_the_place_of_old_words},
     {"without_words_passed_on_nothing_changes", without_words_passed_on_nothing_changes},
     {"a_failing_word_spreads_and_ends", a_failing_word_spreads_and_ends},
+    {"a_word_without_a_start_ends_with_the_time_down",
+     a_word_without_a_start_ends_with_the_time_down},
     {NULL, NULL}};
