--- a/src/directory/resolve_addresses.c
+++ b/src/directory/resolve_addresses.c
@@ -39,7 +39,7 @@
         choices[index].daemon = hs_hash_bytes(member->id, strlen(member->id));
         choices[index].capacity = hs_caller_capacity(&member->size);
     }
-    if (hs_caller_choice_is_even(choices, found->len))
+    if (caller == 0 || hs_caller_choice_is_even(choices, found->len))
         caller = g_random_int();
     hs_caller_choice_make(choices, found->len, caller, HS_RESOLVE_ADDRESSES_MAX);
     GPtrArray *addresses = g_ptr_array_new();
--- a/src/directory/resolve_addresses.h
+++ b/src/directory/resolve_addresses.h
@@ -1,7 +1,7 @@
 /**
  * @file resolve_addresses.h
  * Which daemons a caller is told to use, by what is known of the members. Pure, but for
- * chance where all machines are alike.
+ * chance where all machines are alike, or the caller isn't known.
  */
 #ifndef HS_DIRECTORY_RESOLVE_ADDRESSES_H
 #define HS_DIRECTORY_RESOLVE_ADDRESSES_H
@@ -10,8 +10,8 @@
 
 /** Who asks, and who answers. */
 typedef struct {
-    const char *zone;  /**< The caller's; NULL: not told. */
-    uint64_t caller;   /**< What tells one caller from another; see caller_choice.h. */
+    const char *zone; /**< The caller's; NULL: not told. */
+    uint64_t caller;  /**< What tells one caller from another; see caller_choice.h; 0: not known. */
     bool without_self; /**< This daemon leaves. */
 } hs_resolve_query;
 
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -283,7 +283,7 @@
     if (!overtakes(member, record)) {
         bool is_same =
             record->incarnation == member->incarnation && record->version == member->version;
-        if (is_same && !is_size_told(&member->size))
+        if (is_same)
             copy_size(member, record);
         return false;
     }
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -171,6 +171,32 @@
     hs_membership_learn(membership, &without, HS_ACCOUNT_NEWS, 3);
     CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->size.cores_permille, 90);
     CU_ASSERT_EQUAL(hs_membership_self(membership)->size.cores_permille, 500);
+    with.version = 4; /* The account that the older build passed on without what is taken. */
+    with.taken_percent = 75;
+    hs_membership_learn(membership, &with, HS_ACCOUNT_NEWS, 4);
+    CU_ASSERT_EQUAL(hs_membership_find(membership, "b")->size.taken_percent, 75);
+    hs_membership_free(membership);
+}
+
+/** Callers that cannot be told from each other are not all sent to the same daemons. */
+static void unknown_callers_are_named_daemons_by_chance(void) {
+    static const hs_membership_settings settings = {.forget_ms = 1000};
+    hs_member self = {.id = (char *)"self", .zone = (char *)ZONE, .size = sizes[0]};
+    hs_membership *membership = hs_membership_new(&self, &settings, 1);
+    for (uint32_t index = 0; index < 90; index++) {
+        g_autofree char *id = g_strdup_printf("daemon-%u", index);
+        Hs__MemberRecord record = account(id, index + 1, &sizes[index % 3]);
+        hs_membership_learn(membership, &record, HS_ACCOUNT_NEWS, 1);
+    }
+    hs_resolve_query query = {.zone = ZONE, .without_self = true};
+    g_auto(GStrv) one = hs_resolve_addresses(membership, &query);
+    g_auto(GStrv) other = hs_resolve_addresses(membership, &query);
+    bool is_same = g_strv_equal((const char *const *)one, (const char *const *)other);
+    CU_ASSERT_FALSE(is_same);
+    query.caller = 5;
+    g_auto(GStrv) known = hs_resolve_addresses(membership, &query);
+    g_auto(GStrv) again = hs_resolve_addresses(membership, &query);
+    CU_ASSERT_TRUE(g_strv_equal((const char *const *)known, (const char *const *)again));
     hs_membership_free(membership);
 }
 
@@ -224,6 +250,7 @@
     {"a_caller_keeps_its_daemons", a_caller_keeps_its_daemons},
     {"few_or_unknown_machines_are_all_named", few_or_unknown_machines_are_all_named},
     {"a_size_outlives_an_older_teller", a_size_outlives_an_older_teller},
+    {"unknown_callers_are_named_daemons_by_chance", unknown_callers_are_named_daemons_by_chance},
     {"like_machines_are_named_by_chance", like_machines_are_named_by_chance},
     {"a_pressed_machine_says_so_and_takes_it_back", a_pressed_machine_says_so_and_takes_it_back},
     {NULL, NULL},
