--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -31,12 +31,14 @@
     return highest;
 }
 
-/** Age in ms of the engine's latest word of its own pace; 0: it told none. */
+/**
+ * Age in ms of the engine's latest word of its own pace that came here; 0: none did. Words that the
+ * arbiter told aren't told to it again: with the time on each way they would grow younger.
+ */
 static uint32_t slowdown_age_ms(const hs_fleet_engine *engine) {
-    const hs_engine_pace *pace = &engine->pace;
-    if (pace->slowdown_percent == 0)
+    if (engine->load.slowdown_percent == 0)
         return 0;
-    return (uint32_t)MIN(hs_clock_monotonic_ms() - pace->told_ms, UINT32_MAX);
+    return (uint32_t)MIN(hs_clock_monotonic_ms() - engine->load_ms, UINT32_MAX);
 }
 
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine) {
@@ -51,7 +53,7 @@
                            .queued_tokens = (uint32_t)engine->queued_tokens,
                            .run_events = engine->run_events,
                            .run_ms = engine->run_ms,
-                           .slowdown_percent = engine->pace.slowdown_percent,
+                           .slowdown_percent = engine->load.slowdown_percent,
                            .slowdown_age_ms = slowdown_age_ms(engine)};
 }
 
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -231,6 +231,33 @@
     hs_fleet_engines_free(engines);
 }
 
+/** What an arbiter told goes not back to it: on each way the word would grow younger. */
+static void only_words_heard_from_the_engine_are_told(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = {.id = g_strdup("e"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .address = 1,
+                             .port = 1,
+                             .slots = 4};
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *lease = hs_fleet_engines_take(engines, &query);
+    hs_engine_total total = {.engine_hash = hs_hash_bytes("e", 1), .slowdown_percent = 250};
+    hs_fleet_engines_put_total(engines, &total);
+    g_autoptr(GArray) echoed = hs_fleet_engines_own_uses(engines);
+    CU_ASSERT_EQUAL_FATAL(echoed->len, 1);
+    CU_ASSERT_EQUAL(g_array_index(echoed, hs_engine_use, 0).slowdown_percent, 0);
+    CU_ASSERT_EQUAL(g_array_index(echoed, hs_engine_use, 0).slowdown_age_ms, 0);
+    hs_engine_load load = {.present = true, .slots = 4, .slowdown_percent = 180};
+    hs_engine_lease_note_load(lease, &load);
+    hs_fleet_engines_put_total(engines, &total);
+    g_autoptr(GArray) heard = hs_fleet_engines_own_uses(engines);
+    CU_ASSERT_EQUAL(g_array_index(heard, hs_engine_use, 0).slowdown_percent, 180);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_free(engines);
+}
+
 /** An engine that says that it is slow has longer for a head; a fast one no less than the mean. */
 static void a_slow_engine_is_not_called_silent(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
@@ -270,5 +297,6 @@
     {"an_arbiter_counts_the_runs_of_all", an_arbiter_counts_the_runs_of_all},
     {"a_told_slowdown_decides_elsewhere", a_told_slowdown_decides_elsewhere},
     {"a_run_tells_its_events", a_run_tells_its_events},
+    {"only_words_heard_from_the_engine_are_told", only_words_heard_from_the_engine_are_told},
     {"a_slow_engine_is_not_called_silent", a_slow_engine_is_not_called_silent},
     {NULL, NULL}};
