--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -5,6 +5,7 @@
 #include "fleet/fleet_engine.h"
 
 #include "base/clock.h"
+#include "fleet/engine_selection.h"
 
 #include <math.h>
 
@@ -54,7 +55,7 @@
     hs_service_room room = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
-    g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, &query);
+    g_autoptr(GPtrArray) found = hs_engine_selection_collect(engines, &query);
     for (guint index = 0; index < found->len; index++) {
         const hs_fleet_engine *engine = found->pdata[index];
         if (hs_fleet_engine_is_suspected(engine, now_ms))
--- /dev/null
+++ b/src/fleet/engine_selection.c
@@ -0,0 +1,97 @@
+/** @file engine_selection.c  See engine_selection.h. */
+#include "fleet/engine_selection.h"
+
+#include "base/clock.h"
+#include "base/hash.h"
+
+#include <math.h>
+#include <string.h>
+
+static bool is_excluded(const hs_engine_query *query, const char *id) {
+    for (guint index = 0; query->excluded != NULL && index < query->excluded->len; index++)
+        if (strcmp(query->excluded->pdata[index], id) == 0)
+            return true;
+    return false;
+}
+
+GPtrArray *hs_engine_selection_collect(hs_fleet_engines *engines, const hs_engine_query *query) {
+    GPtrArray *found = g_ptr_array_new();
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    double most = fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        hs_fleet_engine *engine = value;
+        if (strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
+            !engine->misplaced && !hs_fleet_engine_is_doubt_over(engine, now_ms) &&
+            engine->online + engine->batch + 1.0 <= most && !is_excluded(query, engine->entry.id))
+            g_ptr_array_add(found, engine);
+    }
+    return found;
+}
+
+/** Whether the service has an engine that nobody suspects, however crowded, tried or not. */
+static bool has_sound(const hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_found = false;
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+                   !engine->misplaced && !hs_fleet_engine_is_doubt_over(engine, now_ms) &&
+                   !hs_fleet_engine_is_suspected(engine, now_ms);
+    }
+    return is_found;
+}
+
+void hs_engine_selection_drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
+                                        const hs_engine_query *query, uint64_t now_ms) {
+    bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
+    if (!can_wait || !has_sound(engines, query->service, now_ms))
+        return;
+    for (guint index = found->len; index > 0; index--) {
+        const hs_fleet_engine *engine = found->pdata[index - 1];
+        if (hs_fleet_engine_is_suspected(engine, now_ms) &&
+            !hs_fleet_engine_is_to_be_tried(engine, now_ms))
+            g_ptr_array_remove_index(found, index - 1);
+    }
+}
+
+void hs_engine_selection_credit_home(const GPtrArray *found, const hs_engine_query *query,
+                                     hs_engine_candidate *candidates) {
+    uint64_t shared = query->size != NULL ? hs_prompt_shared_hash(query->size) : 0;
+    if (shared == 0)
+        return;
+    uint64_t best_rank = 0;
+    guint home = 0;
+    for (guint index = 0; index < found->len; index++) {
+        const hs_fleet_engine *engine = found->pdata[index];
+        uint64_t pair[2] = {shared, engine->hash};
+        uint64_t rank = hs_hash_bytes(pair, sizeof pair);
+        if (rank >= best_rank) {
+            best_rank = rank;
+            home = index;
+        }
+    }
+    double rest = (double)query->size->prompt_tokens - hs_prompt_shared_tokens(query->size);
+    candidates[home].uncached_tokens = fmin(candidates[home].uncached_tokens, fmax(rest, 0.0));
+}
+
+void hs_engine_selection_keep_quick(GPtrArray *found, const hs_engine_query *query,
+                                    hs_engine_candidate *candidates, const hs_engine_speed *speed) {
+    guint kept = 0;
+    for (guint index = 0; index < found->len; index++) {
+        const hs_engine_candidate *candidate = &candidates[index];
+        double online = fmax(candidate->running - candidate->batch, 0) + 1;
+        hs_engine_speed at = hs_engine_speed_at(speed, candidate->pace);
+        double wait_ms =
+            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, &at);
+        if (query->has_wait_limit && !hs_engine_choice_is_quick(wait_ms, &at, query->wait_most_ms))
+            continue;
+        found->pdata[kept] = found->pdata[index];
+        candidates[kept++] = *candidate;
+    }
+    g_ptr_array_set_size(found, (gint)kept);
+}
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -176,6 +176,9 @@
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
                                                  bool is_present, uint64_t now_ms);
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
+/** The store said that it is gone and was given the time to take that back: nothing goes there,
+ * also before it is dropped. */
+bool hs_fleet_engine_is_doubt_over(const hs_fleet_engine *engine, uint64_t now_ms);
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
 /** What other daemons have there. */
 double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms);
@@ -220,7 +223,6 @@
 double hs_fleet_engines_connection_share(const hs_fleet_engines *engines, uint32_t max_connections);
 /** Engine by the hash of its id; NULL when it is not known here. */
 hs_fleet_engine *hs_fleet_engines_find(hs_fleet_engines *engines, uint64_t engine_hash);
-GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query);
 void hs_fleet_engines_sum_peers(hs_fleet_engines *engines, uint64_t now_ms);
 void hs_fleet_engines_drop_doubted(hs_fleet_engines *engines, uint64_t now_ms);
 void hs_fleet_engines_free_peer(gpointer data);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/engine_selection.h"
 #include "fleet/engine_spread.h"
 
 #include <math.h>
@@ -242,14 +243,12 @@
     g_mutex_unlock(&engines->lock);
 }
 
-/** The store said that it is gone and was given the time to take that back: nothing goes there,
- * also before it is dropped. */
-static bool is_doubt_over(const hs_fleet_engine *engine, uint64_t now_ms) {
+bool hs_fleet_engine_is_doubt_over(const hs_fleet_engine *engine, uint64_t now_ms) {
     return engine->doubted_until_ms != 0 && engine->doubted_until_ms <= now_ms;
 }
 
 static gboolean unlist_if_due(gpointer key, gpointer value, gpointer now_ms) {
-    if (!is_doubt_over(value, *(const uint64_t *)now_ms))
+    if (!hs_fleet_engine_is_doubt_over(value, *(const uint64_t *)now_ms))
         return FALSE;
     return unlist(key, value, NULL);
 }
@@ -270,13 +269,6 @@
     return speed;
 }
 
-static bool is_excluded(const hs_engine_query *query, const char *id) {
-    for (guint index = 0; query->excluded != NULL && index < query->excluded->len; index++)
-        if (strcmp(query->excluded->pdata[index], id) == 0)
-            return true;
-    return false;
-}
-
 double hs_fleet_engines_connection_share(const hs_fleet_engines *engines,
                                          uint32_t max_connections) {
     if (max_connections == 0)
@@ -284,98 +276,6 @@
     return max_connections / (engines->peer_count + 1.0);
 }
 
-/** Engines of the query's service that may be sent to: of hs_fleet_engine*. */
-GPtrArray *hs_fleet_engines_collect(hs_fleet_engines *engines, const hs_engine_query *query) {
-    GPtrArray *found = g_ptr_array_new();
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    double most = fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, engines->by_id);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        hs_fleet_engine *engine = value;
-        if (strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
-            !engine->misplaced && !is_doubt_over(engine, now_ms) &&
-            engine->online + engine->batch + 1.0 <= most && !is_excluded(query, engine->entry.id))
-            g_ptr_array_add(found, engine);
-    }
-    return found;
-}
-
-/**
- * The shared beginning of a prompt has a home, the same at all daemons without a message: the
- * engine that ranks first by rendezvous. It is taken to have the beginning cached.
- */
-static void credit_home(const GPtrArray *found, const hs_engine_query *query,
-                        hs_engine_candidate *candidates) {
-    uint64_t shared = query->size != NULL ? hs_prompt_shared_hash(query->size) : 0;
-    if (shared == 0)
-        return;
-    uint64_t best_rank = 0;
-    guint home = 0;
-    for (guint index = 0; index < found->len; index++) {
-        const hs_fleet_engine *engine = found->pdata[index];
-        uint64_t pair[2] = {shared, engine->hash};
-        uint64_t rank = hs_hash_bytes(pair, sizeof pair);
-        if (rank >= best_rank) {
-            best_rank = rank;
-            home = index;
-        }
-    }
-    double rest = (double)query->size->prompt_tokens - hs_prompt_shared_tokens(query->size);
-    candidates[home].uncached_tokens = fmin(candidates[home].uncached_tokens, fmax(rest, 0.0));
-}
-
-/** Drop engines at which the request would wait longer than it may. */
-static void keep_quick(GPtrArray *found, const hs_engine_query *query,
-                       hs_engine_candidate *candidates, const hs_engine_speed *speed) {
-    guint kept = 0;
-    for (guint index = 0; index < found->len; index++) {
-        const hs_engine_candidate *candidate = &candidates[index];
-        double online = fmax(candidate->running - candidate->batch, 0) + 1;
-        hs_engine_speed at = hs_engine_speed_at(speed, candidate->pace);
-        double wait_ms =
-            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, &at);
-        if (query->has_wait_limit && !hs_engine_choice_is_quick(wait_ms, &at, query->wait_most_ms))
-            continue;
-        found->pdata[kept] = found->pdata[index];
-        candidates[kept++] = *candidate;
-    }
-    g_ptr_array_set_size(found, (gint)kept);
-}
-
-/** Whether the service has an engine that nobody suspects, however crowded, tried or not. */
-static bool has_sound(const hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
-    GHashTableIter iterator;
-    gpointer value = NULL;
-    bool is_found = false;
-    g_hash_table_iter_init(&iterator, engines->by_id);
-    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const hs_fleet_engine *engine = value;
-        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
-                   !engine->misplaced && !is_doubt_over(engine, now_ms) &&
-                   !hs_fleet_engine_is_suspected(engine, now_ms);
-    }
-    return is_found;
-}
-
-/**
- * Drop suspected engines, but for those whose turn to be tried has come. A request that found the
- * sound ones crowded can wait for one, and loses more by what each dead engine costs it.
- */
-static void drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
-                           const hs_engine_query *query, uint64_t now_ms) {
-    bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
-    if (!can_wait || !has_sound(engines, query->service, now_ms))
-        return;
-    for (guint index = found->len; index > 0; index--) {
-        const hs_fleet_engine *engine = found->pdata[index - 1];
-        if (hs_fleet_engine_is_suspected(engine, now_ms) &&
-            !hs_fleet_engine_is_to_be_tried(engine, now_ms))
-            g_ptr_array_remove_index(found, index - 1);
-    }
-}
-
 static hs_engine_lease *lease_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
                                      const hs_engine_query *query, double uncached,
                                      uint64_t now_ms) {
@@ -432,14 +332,14 @@
     hs_engine_use use = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
-    g_autoptr(GPtrArray) found = hs_fleet_engines_collect(engines, query);
-    drop_suspected(engines, found, query, now_ms);
+    g_autoptr(GPtrArray) found = hs_engine_selection_collect(engines, query);
+    hs_engine_selection_drop_suspected(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
-    credit_home(found, query, candidates);
+    hs_engine_selection_credit_home(found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
-    keep_quick(found, query, candidates, speed);
+    hs_engine_selection_keep_quick(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->turn++ % found->len : 0;
     hs_engine_turn turn = {.draw = g_random_double(), .first = first};
     int picked = query->work == HS_WORK_ONLINE
