--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -248,6 +248,109 @@
     CU_ASSERT_TRUE(load.late_ms < 5);
 }
 
+/** Fleet in which what callers bring decides what machines say, and the other way round. */
+#define LOOP_MACHINES 90
+#define LOOP_CALLERS 900
+#define LOOP_SLOW 10
+#define LOOP_TICK_MS 80
+#define LOOP_SETTLE_MS 20000
+#define LOOP_MS 80000
+/** For so long a caller keeps to what it was named. */
+#define LOOP_TTL_MS 5000
+/** Of all machines' capacity that callers take. */
+#define LOOP_USE 0.4
+
+typedef struct {
+    hs_member_size size;
+    hs_machine_load load;
+    double bears;
+    double callers;
+    int turns; /**< Times its load went the other way after the fleet has settled. */
+    int direction;
+} loop_machine;
+
+static void name_for(loop_machine *machines, bool (*named)[LOOP_MACHINES], uint64_t caller) {
+    hs_caller_choice choices[LOOP_MACHINES];
+    for (size_t index = 0; index < LOOP_MACHINES; index++)
+        choices[index] = (hs_caller_choice){.daemon = index + 1,
+                                            .capacity = hs_caller_capacity(&machines[index].size)};
+    hs_caller_choice_make(choices, LOOP_MACHINES, caller + 1, NAMED_MOST);
+    for (int index = 0; index < LOOP_MACHINES; index++)
+        named[caller][index] = choices[index].is_chosen;
+}
+
+static void count_callers(loop_machine *machines, bool (*named)[LOOP_MACHINES]) {
+    for (int index = 0; index < LOOP_MACHINES; index++)
+        machines[index].callers = 0;
+    for (int caller = 0; caller < LOOP_CALLERS; caller++) {
+        int count = 0;
+        for (int index = 0; index < LOOP_MACHINES; index++)
+            count += named[caller][index];
+        for (int index = 0; index < LOOP_MACHINES; index++)
+            if (named[caller][index])
+                machines[index].callers += 1.0 / count;
+    }
+}
+
+/** A machine that is taken to a share of what it bears lets threads wait the longer. */
+static void tell_load(loop_machine *machine, double all_bear, int now_ms) {
+    double use = machine->callers * LOOP_USE * all_bear / LOOP_CALLERS / machine->bears;
+    uint32_t before = machine->size.taken_percent;
+    hs_machine_load_note(&machine->load, fmin(12 * use / fmax(1 - use, 0.05), 200));
+    machine->size.taken_percent =
+        hs_machine_load_taken_percent(&machine->load, (uint64_t)now_ms + 1);
+    if (machine->size.taken_percent == before)
+        return;
+    int direction = machine->size.taken_percent > before ? 1 : -1;
+    if (now_ms > LOOP_SETTLE_MS)
+        machine->turns += machine->direction == -direction;
+    machine->direction = direction;
+}
+
+/** Machines that swing after the fleet has settled; some are @p slow_times slower than they say. */
+static int count_swinging(double slow_times) {
+    static bool named[LOOP_CALLERS][LOOP_MACHINES];
+    loop_machine machines[LOOP_MACHINES] = {0};
+    double all_bear = 0;
+    int swinging = 0;
+    for (int index = 0; index < LOOP_MACHINES; index++) {
+        machines[index].size = sizes[index % 3];
+        machines[index].bears = hs_caller_capacity(&sizes[index % 3]);
+        if (index < LOOP_SLOW)
+            machines[index].bears /= slow_times;
+        all_bear += machines[index].bears;
+    }
+    for (uint64_t caller = 0; caller < LOOP_CALLERS; caller++)
+        name_for(machines, named, caller);
+    for (int now_ms = 0; now_ms < LOOP_MS; now_ms += LOOP_TICK_MS) {
+        for (uint64_t caller = 0; caller < LOOP_CALLERS; caller++)
+            if ((now_ms + (int)caller * 7) % LOOP_TTL_MS < LOOP_TICK_MS)
+                name_for(machines, named, caller);
+        count_callers(machines, named);
+        for (int index = 0; index < LOOP_MACHINES; index++)
+            tell_load(&machines[index], all_bear, now_ms);
+    }
+    for (int index = 0; index < LOOP_MACHINES; index++) {
+        swinging += machines[index].turns > 0;
+        g_debug("machine %d taken %u turns %d callers %.1f", index,
+                machines[index].size.taken_percent, machines[index].turns, machines[index].callers);
+    }
+    return swinging;
+}
+
+/** Callers that leave a pressed machine don't swing back and forth. */
+static void callers_and_loads_settle(void) {
+    CU_ASSERT_EQUAL(count_swinging(1), 0);
+    CU_ASSERT_EQUAL(count_swinging(2), 0);
+    CU_ASSERT_EQUAL(count_swinging(6), 0);
+}
+
+/** The same where a slow machine bears some of its callers, but not all. */
+static void callers_of_half_slow_machines_settle(void) {
+    CU_ASSERT_EQUAL(count_swinging(3), 0);
+    CU_ASSERT_EQUAL(count_swinging(4), 0);
+}
+
 const test_case caller_tests[] = {
     {"machines_get_callers_by_what_they_bear", machines_get_callers_by_what_they_bear},
     {"slow_machines_get_fewer", slow_machines_get_fewer},
@@ -257,5 +360,7 @@
     {"unknown_callers_are_named_daemons_by_chance", unknown_callers_are_named_daemons_by_chance},
     {"like_machines_are_named_by_chance", like_machines_are_named_by_chance},
     {"a_pressed_machine_says_so_and_takes_it_back", a_pressed_machine_says_so_and_takes_it_back},
+    {"callers_and_loads_settle", callers_and_loads_settle},
+    {"callers_of_half_slow_machines_settle", callers_of_half_slow_machines_settle},
     {NULL, NULL},
 };
