--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -33,9 +33,9 @@
 /** Taken for the number of daemons until the store or others told of them: as many as the largest
  * deployment of some tens of engines has. */
 #define ASSUMED_DAEMONS 64
-/** This daemon in its own account of use, where others stand by their ids. */
+/** Name of this daemon in its account of use; the others have their ids. */
 #define SELF ""
-/** Tenants that metrics name. */
+/** Tenants that metrics name: those that ask for most. */
 #define SHARES_NAMED 10
 
 struct hs_tenant_limiter {
@@ -187,7 +187,7 @@
                 view->answering, view->reach.known, (guint64)(now_ms - limiter->started_ms));
 }
 
-/** Take a word on a tenant's use and answer what is known of all. */
+/** Note what a daemon told of a tenant's use; answers the slots of all daemons together. */
 static double note_use(hs_tenant_limiter *limiter, const hs_tenant_use_word *word) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&limiter->lock);
@@ -197,8 +197,8 @@
     return slots;
 }
 
-double hs_tenant_limiter_own_sight(hs_tenant_limiter *limiter, const char *tenant,
-                                   uint64_t used_ms) {
+double hs_tenant_limiter_note_own_use(hs_tenant_limiter *limiter, const char *tenant,
+                                      uint64_t used_ms) {
     hs_tenant_use_word word = {
         .tenant = tenant, .daemon = SELF, .used_ms = hs_tenant_use_write_count(used_ms)};
     return note_use(limiter, &word);
@@ -295,7 +295,7 @@
         .version = tenant->version,
         .reach = home.reach};
     hs_limit_verdict verdict = {0};
-    double own_slots = hs_tenant_limiter_own_sight(limiter, tenant->name, tenant->used_ms);
+    double own_slots = hs_tenant_limiter_note_own_use(limiter, tenant->name, tenant->used_ms);
     if (home.reach.is_home) {
         *decider = HS_LIMIT_BY_SELF;
         verdict = decide(limiter, &question, home.view);
--- a/src/directory/tenant_limiter.h
+++ b/src/directory/tenant_limiter.h
@@ -43,14 +43,15 @@
                                        hs_limit_decider *decider);
 
 /**
- * Slots that a tenant asks for of late by this daemon's sight alone: of one without a limit, of
- * which no home is asked. @p used_ms as in hs_limited_tenant.
+ * Note what this daemon's requests of a tenant asked for (@p used_ms as in hs_limited_tenant), and
+ * answer the slots that it asks for of late, as far as this daemon knows. For tenants without a
+ * limit, whose home is not asked.
  */
-double hs_tenant_limiter_own_sight(hs_tenant_limiter *limiter, const char *tenant,
-                                   uint64_t used_ms);
+double hs_tenant_limiter_note_own_use(hs_tenant_limiter *limiter, const char *tenant,
+                                      uint64_t used_ms);
 
-/** Tenants that ask for most, as far as they tell this daemon; see hs_tenant_uses_top. Free with
- * g_free. */
+/** Tenants that ask for most, as far as this daemon knows, as metrics; see hs_tenant_uses_top. Free
+ * with g_free. */
 char *hs_tenant_limiter_describe_shares(hs_tenant_limiter *limiter);
 
 /** True when the message was about limits, and was handled. */
--- a/src/fleet/engine_beliefs.c
+++ b/src/fleet/engine_beliefs.c
@@ -34,19 +34,19 @@
     return failed / (ended + FAILURE_PRIOR);
 }
 
-/** Suspected by what this daemon has seen, or by the word of the engine's arbiter. */
-static bool is_shunned(const hs_fleet_engine *engine, uint64_t now_ms) {
+/** Suspected now by what this daemon has seen, or by the word of the engine's arbiter. */
+static bool is_avoided(const hs_fleet_engine *engine, uint64_t now_ms) {
     return now_ms < engine->suspect_until_ms || hs_fleet_engine_is_silent(engine, now_ms) ||
            (engine->told_failing_ms != 0 && now_ms < engine->told_failing_ms + FAILING_VALID_MS);
 }
 
 bool hs_fleet_engine_is_suspected(const hs_fleet_engine *engine, uint64_t now_ms) {
-    return is_shunned(engine, now_ms) || engine->is_tried || engine->peers_suspecting > 0;
+    return is_avoided(engine, now_ms) || engine->is_on_trial || engine->peers_suspecting > 0;
 }
 
 bool hs_fleet_engine_is_to_be_tried(const hs_fleet_engine *engine, uint64_t now_ms) {
     bool has_reason = engine->suspect_until_ms != 0 || engine->peers_suspecting > 0;
-    return has_reason && !engine->is_tried && !is_shunned(engine, now_ms);
+    return has_reason && !engine->is_on_trial && !is_avoided(engine, now_ms);
 }
 
 uint64_t hs_fleet_engine_word_age_ms(const hs_fleet_engine *engine, uint64_t now_ms) {
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -31,16 +31,16 @@
 }
 
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed) {
-    hs_engine_speed at = hs_engine_speed_at(speed, candidate->pace);
+    hs_engine_speed own = hs_engine_speed_at(speed, candidate->pace);
     double slots = candidate->slots > 0 ? candidate->slots : 1;
-    double cost = candidate->queued_tokens / fmax(at.tokens_per_ms, 1e-3) +
+    double cost = candidate->queued_tokens / fmax(own.tokens_per_ms, 1e-3) +
                   candidate->uncached_tokens / fmax(speed->tokens_per_ms, 1e-3);
-    cost += candidate->running / slots * at.run_ms * BESIDE_SHARE;
+    cost += candidate->running / slots * own.run_ms * BESIDE_SHARE;
     double over = fmax(candidate->running + 1 - slots, 0);
     double aside = fmin(over, candidate->batch);
-    cost += aside * STEP_ASIDE_MS + (over - aside) / slots * at.run_ms;
+    cost += aside * STEP_ASIDE_MS + (over - aside) / slots * own.run_ms;
     if (candidate->memory_share > MEMORY_HIGH)
-        cost += (candidate->memory_share - MEMORY_HIGH) * at.run_ms;
+        cost += (candidate->memory_share - MEMORY_HIGH) * own.run_ms;
     cost += candidate->failure_rate * speed->run_ms * FAILURE_RUNS;
     if (!candidate->same_zone)
         cost += OTHER_ZONE_MS;
--- a/src/fleet/engine_health.c
+++ b/src/fleet/engine_health.c
@@ -81,7 +81,7 @@
     return true;
 }
 
-bool hs_engine_health_is_shunned(const hs_engine_health *health, uint64_t now_ms) {
+bool hs_engine_health_is_avoided(const hs_engine_health *health, uint64_t now_ms) {
     if (health->state == HS_HEALTH_DOWN)
         return now_ms < health->down_until_ms;
     return health->state == HS_HEALTH_TRIAL && now_ms < health->trial_until_ms;
--- a/src/fleet/engine_health.h
+++ b/src/fleet/engine_health.h
@@ -46,7 +46,7 @@
  * Whether others should be told to keep away: it is down, or its one request is on trial. False as
  * soon as the next may go, since whoever hears that it fails doesn't ask any more.
  */
-bool hs_engine_health_is_shunned(const hs_engine_health *health, uint64_t now_ms);
+bool hs_engine_health_is_avoided(const hs_engine_health *health, uint64_t now_ms);
 
 /** Name of a state, for logs. */
 const char *hs_health_state_name(hs_health_state state);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -34,7 +34,7 @@
 #define HEAD_DEVIATIONS 4
 /** An engine may read a prompt so many times slower than usual before its answer counts as late. */
 #define HEAD_READINGS 2
-/** Times the service's mean that an event of a run counts as, at most. */
+/** An event of a run counts as this many times the service's mean at most. */
 #define EVENT_TIMES_MOST 4
 /** Above it in ms an estimate is of no use: other time-outs end sooner. */
 #define HEAD_LIMIT_MOST_MS 60000
@@ -165,7 +165,7 @@
 /** A trial is over: the next request may try the engine. The caller holds the lock. */
 static void end_trial(hs_engine_lease *lease) {
     if (lease->is_trial)
-        lease->engine->is_tried = false;
+        lease->engine->is_on_trial = false;
     lease->is_trial = false;
 }
 
--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -85,10 +85,10 @@
     for (guint index = 0; index < found->len; index++) {
         const hs_engine_candidate *candidate = &candidates[index];
         double online = fmax(candidate->running - candidate->batch, 0) + 1;
-        hs_engine_speed at = hs_engine_speed_at(speed, candidate->pace);
+        hs_engine_speed own = hs_engine_speed_at(speed, candidate->pace);
         double wait_ms =
-            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, &at);
-        if (query->has_wait_limit && !hs_engine_choice_is_quick(wait_ms, &at, query->wait_most_ms))
+            hs_engine_choice_wait_ms(online, candidate->slots, candidate->queued_tokens, &own);
+        if (query->has_wait_limit && !hs_engine_choice_is_quick(wait_ms, &own, query->wait_most_ms))
             continue;
         found->pdata[kept] = found->pdata[index];
         candidates[kept++] = *candidate;
--- a/src/fleet/engine_spread.c
+++ b/src/fleet/engine_spread.c
@@ -4,22 +4,22 @@
 #include <glib.h>
 #include <math.h>
 
-/** Requests shared out one by one at most; more of them would change the parts little. */
+/** Most requests that one choice shares out; more of them would change the parts little. */
 #define STEPS_MOST 512
 
 /**
- * So many times faster than runs end differences between engines go: by the ends, and by all
- * others' choices, which fill the emptier ones.
+ * Differences between engines disappear so many times faster than runs end: runs end, and the other
+ * daemons' choices fill the emptier engines.
  */
-#define EVENING_OUT 2
+#define CONVERGENCE_FACTOR 2
 
 /** An engine as it is expected to be now. */
 typedef struct {
     hs_engine_candidate now;
-    double deviation; /**< Of the requests there. */
-    double cost_ms;   /**< Mean over what may be there. */
-    double taken;     /**< Of the requests that others send meanwhile. */
-    bool is_kept;     /**< A connection is kept, and there is room for sure. */
+    double deviation;  /**< Of the requests there. */
+    double cost_ms;    /**< Mean over what may be there. */
+    double taken;      /**< Of the requests that others send meanwhile. */
+    bool is_preferred; /**< A connection is kept, and there is room for sure. */
 } spread_part;
 
 /** What all candidates together have. */
@@ -65,17 +65,18 @@
 }
 
 /**
- * Carry a word on to now: by its age a part of what ran has ended, and others came as to the mean
+ * Project a word to now: by its age a part of what ran has ended, and others came as to the mean
  * engine, both by chance.
  */
-static spread_part carry_on(const hs_engine_candidate *candidate, const spread_mean *mean,
-                            const hs_engine_speed *speed) {
+static spread_part project_to_now(const hs_engine_candidate *candidate, const spread_mean *mean,
+                                  const hs_engine_speed *speed) {
     spread_part part = {.now = *candidate};
     double usual = mean->running * candidate->slots;
-    double gone = fmin(EVENING_OUT * candidate->word_age_ms / run_ms_at(candidate, speed), 1);
+    double gone =
+        fmin(CONVERGENCE_FACTOR * candidate->word_age_ms / run_ms_at(candidate, speed), 1);
     part.now.running += (usual - candidate->running) * gone;
     part.deviation = sqrt((candidate->running + usual) * gone);
-    part.is_kept =
+    part.is_preferred =
         candidate->is_connected && part.now.running + 2 * part.deviation + 1 <= candidate->slots;
     set_cost(&part, speed);
     return part;
@@ -115,23 +116,23 @@
 }
 
 /**
- * Of engines that are as good the request goes to one to which a connection is kept, and which has
- * room whatever came there meanwhile; where there is none, to any. How much is left of the parts.
+ * Of equally good engines, prefer those with a kept connection that have room whatever came there
+ * meanwhile; where there is none, any will do. Returns the sum of the parts that are left.
  */
-static double prefer_kept(spread_part *parts, size_t count) {
+static double prefer_connected(spread_part *parts, size_t count) {
     double kept = 0;
     double all = 0;
     for (size_t index = 0; index < count; index++) {
         all += parts[index].taken;
-        kept += parts[index].is_kept ? parts[index].taken : 0;
+        kept += parts[index].is_preferred ? parts[index].taken : 0;
     }
     for (size_t index = 0; index < count && kept > 0; index++)
-        if (!parts[index].is_kept)
+        if (!parts[index].is_preferred)
             parts[index].taken = 0;
     return kept > 0 ? kept : all;
 }
 
-/** The engine at which @p left of all that was shared out is reached. */
+/** The engine at which the sum of the parts, in their order, exceeds @p left. */
 static int part_at(const spread_part *parts, size_t count, double left) {
     int last = HS_ENGINE_NONE;
     for (size_t index = 0; index < count; index++) {
@@ -159,8 +160,8 @@
     spread_mean mean = mean_of(candidates, count, speed);
     g_autofree spread_part *parts = g_new(spread_part, count);
     for (size_t index = 0; index < count; index++)
-        parts[index] = carry_on(&candidates[index], &mean, speed);
+        parts[index] = project_to_now(&candidates[index], &mean, speed);
     share_out(parts, count, &mean, turn->first, speed);
-    double left = prefer_kept(parts, count);
+    double left = prefer_connected(parts, count);
     return part_at(parts, count, left * turn->draw);
 }
--- a/src/fleet/engine_spread.h
+++ b/src/fleet/engine_spread.h
@@ -3,7 +3,7 @@
  * Which engine takes a request where many daemons choose by the same words. Pure.
  *
  * A word shows the same best engine to all daemons that have it. Until the next word each of them
- * sends there, and what was the best becomes the worst. So each word is carried on to now: by its
+ * sends there, and what was the best becomes the worst. So each word is projected to now: by its
  * age the engine has come nearer to the mean, and what is there has become less certain, which
  * costs where it may be full. Then the requests that all daemons send within the age of the words
  * on the best engines are shared out on these, each to where the expected delay, with those before
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -27,7 +27,7 @@
     uint32_t silent_limit_ms;
     uint64_t heard_ms; /**< Last byte, or when the first request after an idle time went. */
     uint64_t suspect_until_ms;
-    bool is_tried; /**< Suspected till then, and one request has gone to see whether it is sound. */
+    bool is_on_trial; /**< Suspected, and one request has gone to find out whether it is sound. */
     uint64_t full_until_ms;
     uint64_t no_yield_until_ms; /**< Until all daemons know of the items that stepped aside. */
     uint32_t failures;
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -287,7 +287,7 @@
     lease->taken_ms = now_ms;
     lease->was_alone = engine->queued_tokens == 0;
     lease->is_trial = hs_fleet_engine_is_to_be_tried(engine, now_ms);
-    engine->is_tried |= lease->is_trial;
+    engine->is_on_trial |= lease->is_trial;
     lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
     if (query->size != NULL) {
         lease->unread_tokens = (uint32_t)uncached;
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -17,11 +17,12 @@
 #define ENDS_MOST 32
 /** An engine that nobody uses any more stays known as failing for this long after its time down. */
 #define HEALTH_KEPT_MS 10000
-/** And as idle for this long after its last use: an engine of which nothing is told isn't idle. */
+/** An engine is told as idle for this long after its last use, in ms; later nothing is told of it.
+ */
 #define IDLE_KEPT_MS 10000
-/** The same of its pace, since its last run. */
+/** Its pace is kept for this long after its last run, in ms. */
 #define PACE_KEPT_MS 40000
-/** More time than this of an event is no pace: no caller waits for such a stream. */
+/** Events that took longer than this, in ms, are ignored: no caller waits for such a stream. */
 #define EVENT_MOST_MS 10000
 /**
  * An item that was just started stays only where another can wait this much longer: a cut costs the
@@ -248,7 +249,7 @@
  */
 static bool is_failing_for(hs_engine_health *health, bool starts, uint64_t now_ms) {
     bool is_admitted = hs_engine_health_admit(health, starts, now_ms);
-    return starts ? !is_admitted : hs_engine_health_is_shunned(health, now_ms);
+    return starts ? !is_admitted : hs_engine_health_is_avoided(health, now_ms);
 }
 
 hs_engine_total hs_slot_ledger_take(hs_slot_ledger *ledger, const hs_slot_word *word,
@@ -281,7 +282,7 @@
         const engine_uses *engine = value;
         hs_engine_total total = sum(engine, now_ms);
         add_pace(engine, now_ms, &total);
-        total.is_failing = hs_engine_health_is_shunned(&engine->health, now_ms);
+        total.is_failing = hs_engine_health_is_avoided(&engine->health, now_ms);
         g_array_append_val(totals, total);
     }
 }
--- a/src/http/connection_guard.c
+++ b/src/http/connection_guard.c
@@ -13,9 +13,9 @@
 #define MS_PER_S 1000
 /** The kernel's number for it; <netinet/tcp.h>, which names it, clashes with <linux/tcp.h>. */
 #define TCP_STATE_CLOSED 7
-/** Ends a bound is moved on by, for who gave a sign within one: signs come with probes, whose
- * pauses grow up to what is left of it. */
-#define BORNE_BOUNDS 2
+/** Bounds by which the end of a stalled connection is moved on: probes, whose answers are the
+ * signs, come at pauses that grow up to what is left of the bound. */
+#define EXTENDED_BOUNDS 2
 /** Probes of an idle connection within its bound: one may be lost. */
 #define PROBES_PER_BOUND 3
 
@@ -78,13 +78,13 @@
            info.tcpi_last_ack_recv >= limit_ms;
 }
 
-void hs_connection_bear(int descriptor, hs_connection_kind kind, uint64_t open_ms) {
+void hs_connection_keep_stalled(int descriptor, hs_connection_kind kind, uint64_t open_ms) {
     struct tcp_info info;
     uint32_t bound_ms = hs_connection_bounds_get().kernel_ms[kind];
     if (bound_ms == 0 || !read_info(descriptor, &info) || info.tcpi_unacked > 0 ||
         info.tcpi_last_ack_recv >= bound_ms)
         return;
-    uint64_t end_ms = MIN(open_ms + (uint64_t)BORNE_BOUNDS * bound_ms, G_MAXINT);
+    uint64_t end_ms = MIN(open_ms + (uint64_t)EXTENDED_BOUNDS * bound_ms, G_MAXINT);
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)end_ms);
 }
 
--- a/src/http/connection_guard.h
+++ b/src/http/connection_guard.h
@@ -49,12 +49,13 @@
 bool hs_connection_is_unacknowledged(int descriptor, uint32_t limit_ms);
 
 /**
- * Keep a connection whose other side takes no bytes, but whose kernel gave a sign within its bound:
- * the kernel would end it by the time for which nothing is taken, whatever signs come. To be called
- * again and again. The kernel goes on counting that time when the other side takes bytes again, so
- * that the wider bound stays. @p open_ms: at least the time for which nothing may have been taken.
+ * Keep a stalled connection: its other side takes no bytes, but its kernel gave a sign within the
+ * bound. Without this the kernel ends it after the bound, whatever signs come. To be called
+ * repeatedly while it is stalled. The kernel goes on counting that time when the other side takes
+ * bytes again, so that the wider bound stays. @p open_ms: at least the time for which nothing may
+ * have been taken.
  */
-void hs_connection_bear(int descriptor, hs_connection_kind kind, uint64_t open_ms);
+void hs_connection_keep_stalled(int descriptor, hs_connection_kind kind, uint64_t open_ms);
 
 /** Whether the kernel gave the connection up after it sent again or probed in vain. */
 bool hs_connection_has_timed_out(int descriptor);
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -16,8 +16,8 @@
 #define LISTEN_BACKLOG 1024
 #define STREAM_BLOCK 16384
 #define FIRST_IDLE_TIMEOUT_S 60
-/** Kept by the kernel for a caller that does not read, in bytes; the kernel doubles it. */
-#define KERNEL_SEND_BYTES (32 * 1024)
+/** Send buffer of a caller's socket where memory is bounded, in bytes; the kernel doubles it. */
+#define SEND_BUFFER_BYTES (32 * 1024)
 
 struct hs_listener {
     struct MHD_Daemon *daemon;
@@ -39,9 +39,9 @@
     return info != NULL ? info->socket_context : NULL;
 }
 
-/** What the kernel keeps for a caller takes the machine's memory too. */
-static void bound_kernel(int descriptor) {
-    int bytes = KERNEL_SEND_BYTES;
+/** The kernel's send buffer of a caller takes the machine's memory too. */
+static void bound_send_buffer(int descriptor) {
+    int bytes = SEND_BUFFER_BYTES;
     if (hs_memory_budget_get() > 0 && descriptor >= 0)
         setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
 }
@@ -53,7 +53,7 @@
         const union MHD_ConnectionInfo *info =
             MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
         int descriptor = info != NULL ? info->connect_fd : -1;
-        bound_kernel(descriptor);
+        bound_send_buffer(descriptor);
         *state = hs_caller_connections_add(listener->connections, descriptor);
     } else {
         hs_caller_connections_remove(listener->connections, *state);
--- a/src/online/read_ahead.c
+++ b/src/online/read_ahead.c
@@ -8,9 +8,9 @@
 #include "base/thread.h"
 #include "online/online_request_state.h"
 
-/** Between two looks at all streams; engines bear an unread answer for seconds. */
+/** Time in ms between two looks at all streams; engines keep an unread answer for seconds. */
 #define LOOK_MS 250
-/** A caller that took nothing for this long holds its stream up. */
+/** A caller that took nothing for this long, in ms, holds its stream up. */
 #define HELD_UP_MS 200
 
 struct hs_read_ahead {
@@ -28,10 +28,11 @@
 }
 
 /** Keep the connection of a caller that takes nothing, as long as its kernel gives signs. */
-static void bear(hs_online_request *request, uint64_t now_ms) {
+static void keep_caller(hs_online_request *request, uint64_t now_ms) {
     int descriptor = request->inbound->descriptor;
     if (descriptor >= 0)
-        hs_connection_bear(descriptor, HS_CONNECTION_CALLER, now_ms - request->hold.began_ms);
+        hs_connection_keep_stalled(descriptor, HS_CONNECTION_CALLER,
+                                   now_ms - request->hold.began_ms);
 }
 
 /** Read all streams on that are held up. The caller holds the lock. */
@@ -42,7 +43,7 @@
             continue;
         bool is_first = request->hold.charged == 0;
         if (is_held_up(request, now_ms)) {
-            bear(request, now_ms);
+            keep_caller(request, now_ms);
             hs_online_stream_read_on(request);
         }
         ahead->counters.read_ahead += is_first && request->hold.charged > 0;
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -110,7 +110,7 @@
     uint64_t used_ms =
         hs_fleet_engines_tenant_asked_ms(surface->settings.online->engines, tenant->name);
     if (tenant->rate_per_s <= 0) {
-        *used_slots = hs_tenant_limiter_own_sight(limiter, tenant->name, used_ms);
+        *used_slots = hs_tenant_limiter_note_own_use(limiter, tenant->name, used_ms);
         return true;
     }
     hs_limited_tenant limited = {.name = tenant->name,
