--- a/src/base/memory_budget.c
+++ b/src/base/memory_budget.c
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-/** Of the process; under the lock. */
+/** The counters of the process, in bytes; under the lock. */
 static struct {
     GMutex lock;
     uint64_t budget;
--- a/src/base/memory_budget.h
+++ b/src/base/memory_budget.h
@@ -28,12 +28,13 @@
 void hs_memory_budget_set(uint64_t budget);
 uint64_t hs_memory_budget_get(void);
 
-/** Charge @p bytes where the claim has room for them; false, with nothing charged, elsewhere. */
+/** Charge @p bytes if the claim has room for them; false: it has none, and nothing is charged. */
 bool hs_memory_try_charge(hs_memory_kind kind, uint64_t bytes, hs_memory_claim claim);
 
-/** Charge what cannot be refused any more. */
+/** Charge what cannot be refused any more; the budget may be exceeded. */
 void hs_memory_charge(hs_memory_kind kind, uint64_t bytes);
 
+/** Give back what was charged. */
 void hs_memory_release(hs_memory_kind kind, uint64_t bytes);
 
 /** Bytes charged now. */
--- a/src/base/memory_mark.c
+++ b/src/base/memory_mark.c
@@ -1,14 +1,16 @@
 /** @file memory_mark.c  See memory_mark.h. */
 #include "base/memory_mark.h"
 
-/** A daemon without requests, in MB. */
+/** Memory of a daemon without requests, in MB. */
 #define PROGRAM_MB 24
 #define BYTES_PER_MB (1024ULL * 1024)
-/** Of the rest, one part in this many is for others: requests that nobody holds up take as much,
- * and freed memory does not all go back to the machine. */
+/** One part in this many of the rest is the budget: requests that nobody holds up take as much
+ * again, and freed memory does not all go back to the machine. */
 #define REST_PARTS 2
 /** A machine that is too small for its program still passes requests on, in bytes. */
 #define BUDGET_LEAST BYTES_PER_MB
+/** Parts of the budget in percent from which memory is short, and critical: between the two only
+ * new work is refused, which costs less than a stream that is lost. */
 #define SHORT_PERCENT 75
 #define CRITICAL_PERCENT 90
 
@@ -56,7 +58,7 @@
     return block;
 }
 
-/** Time in ms that a reader needs for what is held for it, as fast as it has been. */
+/** Time in ms that a reader needs for what is held for it, at its speed so far. */
 static double left_ms(const hs_memory_reader *reader) {
     double taken_a_ms = (double)(reader->taken_bytes + 1) / (double)(reader->open_ms + 1);
     return (double)reader->held_bytes / taken_a_ms;
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -194,8 +194,7 @@
             "Part of them that this daemon gets."),
     NUMBER("fleet", "memory_mb", fleet_memory_mb, "MB", 0, 16777216, 0,
            "Memory that the machine gives this daemon. Told, what is kept for callers and engines "
-           "that "
-           "read slowly is bounded, and their streams are read ahead. 0: not told, no bound."),
+           "that read slowly is bounded, and their streams are read ahead. 0: not told, no bound."),
     NUMBER("fleet", "descriptors", fleet_descriptors, "count", 0, 100000000, 0,
            "Descriptors that this daemon may have. 0: not told."),
     DECIMAL("fleet", "link_mbps", fleet_link_mbps, "Mbit/s", 0, 4000000, "0",
--- a/src/directory/caller_choice.c
+++ b/src/directory/caller_choice.c
@@ -14,13 +14,13 @@
 #define DAEMON_MEMORY_MB 24.0
 /** Connections of a request: its caller's and its engine's, and one of each that is kept. */
 #define REQUEST_DESCRIPTORS 4.0
-/** Both ways, to the caller and to the engine, in kbit. */
+/** Traffic of a request on its machine's link, to the caller and to the engine, in kbit. */
 #define REQUEST_KBITS 160.0
 /** Time for which a request is open, in s. */
 #define REQUEST_OPEN_S 1.0
-/** Of a pressed machine's capacity this share stays. */
+/** Share of its capacity that a machine counts with however much of it is taken. */
 #define SPARE_LEAST 0.2
-/** With fewer daemons named one that is lost would leave callers too few to go on with. */
+/** Least number of daemons named: with fewer, losing one would leave a caller too few. */
 #define CHOSEN_LEAST 4
 
 /** The lesser of two, where 0 stands for not told. */
@@ -41,7 +41,7 @@
     return capacity * fmax(spare, SPARE_LEAST);
 }
 
-/** Even in 0 to 1, the same for a pair each time; never 0. */
+/** Uniform over 0 to 1, never 0; the same for a pair each time. */
 static double chance_of(uint64_t daemon, uint64_t caller) {
     uint64_t pair[2] = {daemon, caller};
     return ((double)(hs_hash_bytes(pair, sizeof pair) >> 11) + 1) / 9007199254740993.0;
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -60,7 +60,7 @@
 char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
                                    uint32_t caller);
 
-/** Of the processor of this daemon's machine, in percent, as it tells the others. */
+/** Part of this daemon's machine that is taken, in percent, as it tells the others. */
 uint32_t hs_daemon_directory_taken_percent(hs_daemon_directory *directory);
 
 /** Where a daemon hears others: TCP and UDP at one port. */
--- a/src/directory/machine_load.c
+++ b/src/directory/machine_load.c
@@ -7,7 +7,7 @@
 #define LATE_WEIGHT 0.08
 /** Longer ones are stops of the whole process, in ms, and say nothing of its processor. */
 #define LATE_MOST_MS 500.0
-/** Timers end so late by themselves, in ms. */
+/** Pauses end so late on an idle machine too, in ms: a timer's own inexactness. */
 #define LATE_USUAL_MS 2.0
 /** Late by this much, in ms, a request is held up at each of its steps for a tenth of an objective
  * of half a second: half of the machine counts as taken. */
--- a/src/directory/machine_load.h
+++ b/src/directory/machine_load.h
@@ -13,10 +13,10 @@
 
 /** Zero-initialise. */
 typedef struct {
-    double late_ms;          /**< Mean of late, in ms. */
+    double late_ms;          /**< How late pauses end: mean of about the last second, in ms. */
     uint32_t memory_percent; /**< Taken of the memory for others; set by the owner. */
-    uint32_t told_percent;
-    uint64_t told_ms; /**< When told_percent changed last. */
+    uint32_t told_percent;   /**< As the other daemons were told last. */
+    uint64_t told_ms;        /**< When told_percent changed last. */
 } hs_machine_load;
 
 /** A pause ended @p late_ms after its time. */
--- a/src/fleet/engine_pace.c
+++ b/src/fleet/engine_pace.c
@@ -5,29 +5,32 @@
 
 #include <math.h>
 
-/** A machine keeps its pace for long; what an engine was like fades to half in this time. */
+/** Observed events fade to half in this time, in ms: a machine keeps its pace for longer. */
 #define EVENTS_HALF_MS 20000.0
 /** Events at the service's mean that each engine is given at first: those of a short answer. */
 #define EVENTS_PRIOR 20.0
-/** An arbiter's word on an engine's events counts for this long. */
+/** An arbiter's word on an engine's events counts for this long, in ms. */
 #define EVENT_TOLD_VALID_MS 20000
 /** Words as usual that each engine is given at first, and the most that its mean is of. */
 #define WORDS_PRIOR 8.0
 #define WORDS_MOST 50.0
-/** The same word told by two daemons: their ages are as exact as the way between them. */
+/** Equal words this close in time, in ms, are one word told by two daemons: an age lacks the time
+ * on the network. */
 #define SAME_WORD_MS 10
 /** Ratio of two words, or of event times, within which engines count as alike. */
 #define ALIKE_RATIO 1.25
 /** Of a word that is this close to the mean of its engine's words nothing is concluded. */
 #define WORD_NOISE 0.1
-/** Words further apart say nothing of how long one stays: there may have been others between. */
+/** Words further apart than this, in ms, don't tell how long one stays: others may have come
+ * between. */
 #define WATCHED_MOST_MS 1000.0
-/** An unusual word stays so long until it was seen how long such words do. */
+/** How long an unusual word is taken to stay, in ms: until it was observed, and at least. */
 #define STAY_PRIOR_MS 300.0
 #define STAY_LEAST_MS 50.0
 /** Share of what was seen of words' stay that is kept with each further one. */
 #define STAY_KEPT 0.95
-/** Above and below it figures are taken for wrong: such an engine is told by its failures. */
+/** Bounds of what is believed, and their inverses: figures beyond them are taken for wrong, and an
+ * engine that is so slow shows by its failures. */
 #define RELATIVE_MOST 4.0
 #define FACTOR_MOST 10.0
 
--- a/src/fleet/engine_pace.h
+++ b/src/fleet/engine_pace.h
@@ -4,9 +4,9 @@
  *
  * Two things are known: how long events took there in runs of all daemons, which says what its
  * machine is like, and the engine's own word of how long work takes at the moment, which changes
- * many times a second where other programs share the machine. An engine is at the service's mean
- * where neither says clearly otherwise, so that engines that are alike are chosen among as if
- * nothing were known.
+ * many times a second where other programs share the machine. An engine counts as the
+ * service's mean where neither says clearly otherwise, so that nothing changes in the choice among
+ * engines that are alike.
  */
 #ifndef HS_FLEET_ENGINE_PACE_H
 #define HS_FLEET_ENGINE_PACE_H
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -239,8 +239,7 @@
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
 
-/** How hard a service is pressed by what was heard of late; the same for some ms for all who ask.
- */
+/** Pressure of a service by what was heard of late; worked out anew after some ms only. */
 hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service);
 
 /** Pressures as they were worked out last, one service a line, for metrics. Free with g_free. */
@@ -249,13 +248,16 @@
 /** Shortest time to a first byte of a service of late, in ms; 0: not known. */
 uint64_t hs_fleet_engines_need_ms(hs_fleet_engines *engines, const char *service);
 
-/** Whom places are told; NULL: nobody. Before the first request, or after the last. */
+/** Who is told of places; NULL: nobody. To be set before the first request, or after the last. */
 void hs_fleet_engines_set_place_watch(hs_fleet_engines *engines, hs_engine_place_watch watch,
                                       void *user_data);
 
 hs_service_room hs_fleet_engines_room(hs_fleet_engines *engines, const char *service);
 
-/** An online request of the tenant came to this daemon; see hs_tenant_runs_note_ask. */
+/**
+ * An online request of the tenant came to this daemon. Answers the service's part of what the
+ * tenant asks for here of late; see hs_tenant_runs_note_ask.
+ */
 double hs_fleet_engines_note_tenant_ask(hs_fleet_engines *engines, const char *service,
                                         const char *tenant);
 
--- a/src/fleet/service_pressure.h
+++ b/src/fleet/service_pressure.h
@@ -1,6 +1,7 @@
 /**
  * @file service_pressure.h
- * How hard a service is pressed, by what is under way at its engines. Pure.
+ * How loaded a service is, and how long one more request would wait, by what runs and waits at its
+ * engines. Pure.
  *
  * A shortage shows first in what has begun and has not ended. The mean of runs that ended tells it
  * a run's length too late.
@@ -53,8 +54,8 @@
 } hs_pressure_trend;
 
 /**
- * Words tell what was: carry @p pressure on to now by the trend, which notes it. Load that grows
- * alone: to take a shortage for over before words say so costs those who are in time.
+ * Words tell the past: project @p pressure to now by the trend, and note it in the trend. Only
+ * growth is projected: to take a shortage for over before words say so costs those who are in time.
  */
 void hs_service_pressure_project(hs_service_pressure *pressure, hs_pressure_trend *trend,
                                  uint64_t now_ms);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -91,9 +91,7 @@
 /** Read until more body bytes are there (see body) than at its last return, or the answer ended. */
 hs_step hs_client_connection_read_body(hs_client_connection *connection, const hs_wait *wait);
 
-/**
- * Take what the socket holds of the answer's body, without a wait: HS_STEP_PROGRESS, also where
- * there is nothing.
+/** Take what the socket holds of the answer's body without waiting; HS_STEP_PROGRESS also for none.
  */
 hs_step hs_client_connection_take_ready(hs_client_connection *connection);
 
--- a/src/jobs/demand_forecast.c
+++ b/src/jobs/demand_forecast.c
@@ -5,14 +5,15 @@
 #include <math.h>
 #include <string.h>
 
+/** Length of a step of the past, in ms: a pass of the scheduler. */
 #define STEP_MS 100
-/** The upper level is held for a tenth of the time at least: a single spike makes no wave. */
+/** The upper level is this quantile, held for a tenth of the time: a single spike makes no wave. */
 #define LEVEL_QUANTILE 0.9
 /** Share of the upper level from which it counts as held. */
 #define HELD_SHARE 0.8
 /** Steps shorter than this below the upper level are chance, not a trough. */
 #define GAP_LEAST_STEPS 3
-/** The upper level may stay away so many times longer than it ever did. */
+/** The forecast has failed when the level stays away for this many times the longest gap. */
 #define GAP_LATE_SHARE 1.25
 
 static float *at(hs_demand_forecast *forecast, uint64_t step) {
--- a/src/jobs/demand_forecast.h
+++ b/src/jobs/demand_forecast.h
@@ -2,11 +2,10 @@
  * @file demand_forecast.h
  * How many slots of a service online requests will want soon. Pure.
  *
- * Load it answers: online demand that comes in waves, beside items that start in
- * every slot that is free between two of them. No form is assumed: a level that was held before,
- * was left and came back is expected again until the longest time between two such times is over.
- * When it does not come by then, and where nothing ever came back, what is held now is expected: a
- * wrong forecast costs one trough.
+ * For online demand that comes in waves, while items start in every slot that is free between two
+ * of them. No form is assumed: a level that was reached, left and reached again is expected from
+ * the shortest such gap on until the longest one is over. When it does not come by then, or never
+ * came back, what is held now is expected, so that a wrong forecast costs one trough.
  */
 #ifndef HS_JOBS_DEMAND_FORECAST_H
 #define HS_JOBS_DEMAND_FORECAST_H
@@ -29,8 +28,8 @@
     double now;               /**< Slots held in the latest step. */
     double mean;              /**< Of all that is remembered. */
     double level;             /**< Slots held at the upper end of what was seen. */
-    uint64_t below_ms;        /**< For so long less than that was held; 0: it is held now. */
-    uint64_t shortest_gap_ms; /**< Times between two at the upper level; both 0: none was seen. */
+    uint64_t below_ms;        /**< For how long less than that has been held; 0: it is held now. */
+    uint64_t shortest_gap_ms; /**< Between two times at the upper level; both 0: none was seen. */
     uint64_t longest_gap_ms;
     bool has_failed; /**< It should have come back by now, and did not. */
 } hs_demand_outlook;
--- a/src/jobs/job_plan.c
+++ b/src/jobs/job_plan.c
@@ -53,7 +53,7 @@
     return work_ms;
 }
 
-/** What jobs of no tenant go by: one claimant together, which ends most items in time. */
+/** The one claimant that all jobs without a tenant make: this ends most items in time. */
 #define NOBODY ""
 
 /** Numbers for whose items these are: their tenants. */
--- a/src/jobs/job_room.h
+++ b/src/jobs/job_room.h
@@ -9,8 +9,8 @@
 #include "fleet/fleet_engines.h"
 
 /**
- * An item that would be cut sooner than this after its start is not worth one: it would take a
- * connection and the reading of its prompt, and give both back.
+ * A run of an item (a piece of it, as it may be cut and go on later) is worth its start from this
+ * length on, in ms: a shorter one pays a connection and the reading of its prompt for little.
  */
 #define HS_ITEM_PIECE_MS 1000
 
--- a/src/jobs/job_starts.c
+++ b/src/jobs/job_starts.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "jobs/job_room.h"
 
+/** A forecast that failed is logged this often, in ms. */
 #define FAILED_LOG_INTERVAL_MS 1000
 
 hs_service_starts *hs_job_starts_of(hs_job_owner *owner, const char *service) {
--- a/src/jobs/start_pace.c
+++ b/src/jobs/start_pace.c
@@ -4,13 +4,13 @@
 #include <glib.h>
 #include <math.h>
 
-/** One start of five passes is the least for a room of one: half a second. */
+/** Least starts a pass: one in five passes, which take half a second. */
 #define TRIED_LEAST 0.2
 /** Share of the room that is always tried: three good passes from it to all. */
 #define TRIED_SHARE_LEAST (1.0 / 64)
-/** Room that is there is to be used again sooner than it was given up. */
+/** Factor by which more is tried when starts do well: faster up than down. */
 #define GROWTH 4.0
-/** So many times the room that was believed at the last failure is news. */
+/** Room this many times that of the last failure counts as new, and all of it is tried. */
 #define MORE_ROOM 1.5
 
 void hs_start_pace_note(hs_start_pace *pace, bool did_well) {
--- a/src/jobs/start_pace.h
+++ b/src/jobs/start_pace.h
@@ -2,12 +2,12 @@
  * @file start_pace.h
  * How many of the items for which a daemon believes to have room it starts in one pass. Pure.
  *
- * Load it answers: online demand that fills the engines. What is believed of them is some hundred
- * ms old, and room of all together is not room at each: engines' arbiters send back what starts, or
- * cut it soon, again in each pass of each owner. Where more starts come to nothing than do well,
- * the next pass tries half as much of the room, down to a start in several passes; where more do
- * well, four times as much. When clearly more room is believed than was at the last failure, all of
- * it is tried.
+ * For times when online demand fills the engines. What is believed of them is some hundred ms old,
+ * and room of all together is not room at each: engines' arbiters send back what starts, or cut it
+ * soon, again in each pass of each owner. Where more starts come to nothing than do well, the next
+ * pass tries half as much of the room, down to a start in several passes; where more do well, four
+ * times as much. When clearly more room is believed than was at the last failure, all of it is
+ * tried.
  */
 #ifndef HS_JOBS_START_PACE_H
 #define HS_JOBS_START_PACE_H
--- a/src/jobs/tenant_deal.h
+++ b/src/jobs/tenant_deal.h
@@ -2,10 +2,10 @@
  * @file tenant_deal.h
  * Whose item is left out when not all can end in time: max-min fair by slot time. Pure.
  *
- * Load it answers: one tenant submits a heap of jobs, several times all others' together. Each item
- * that does not fit costs the claimant that has most work taken its biggest one, so that whoever
- * has less than an equal part loses nothing, and the heap keeps all that the others leave. With one
- * claimant it is the rule of Moore and Hodgson as it stands; see item_choice.h.
+ * For the case that one tenant submits a heap of jobs, several times all others' together. Each
+ * item that does not fit costs the claimant that has most work taken its biggest one, so that
+ * whoever has less than an equal part loses nothing, and the heap keeps all that the others leave.
+ * With one claimant it is the rule of Moore and Hodgson as it stands; see item_choice.h.
  */
 #ifndef HS_JOBS_TENANT_DEAL_H
 #define HS_JOBS_TENANT_DEAL_H
@@ -13,7 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Items taken so far, by claimant: a tenant, or a job of nobody's. */
+/** Items taken so far, by claimant: a tenant, or all jobs without one. */
 typedef struct hs_tenant_deal hs_tenant_deal;
 
 hs_tenant_deal *hs_tenant_deal_new(void);
--- a/src/online/admission.c
+++ b/src/online/admission.c
@@ -11,16 +11,15 @@
  * some hundred ms old.
  */
 #define WAIT_SHARE 0.5
-/** With so much of the slots free, engines that turn requests away can take them any moment. */
+/** With this share of the slots free, engines that refuse requests now can take them any moment. */
 #define ROOM_SHARE 0.5
-
 /**
- * With so much of the slots free a place is left over: with fewer, words that are some 100 ms old
- * name none that would still be there.
+ * With this share of the slots free a place counts as left over: with fewer, a place that words of
+ * some 100 ms tell of would be gone.
  */
 #define LEFT_SHARE 0.05
 
-/** Of the objective, less what the engine needs; 0: it is over. */
+/** Time left of the objective, less what the engine needs; 0: it is over. */
 static double spare_ms(const hs_admission_view *view) {
     double over_ms = (double)view->age_ms + (double)view->waited_ms + (double)view->need_ms;
     return fmax((double)view->target_ms - over_ms, 0);
@@ -47,7 +46,7 @@
     return came_back(view) || (spare <= 0 && !view->was_tried);
 }
 
-/** Whether a place stands free that nothing in time waits for: it is not to stay so. */
+/** Whether a place is free that no request in time waits for, so that another may take it. */
 static bool is_place_left(const hs_admission_view *view) {
     return view->head_waited_ms == 0 && view->pressure.free_share >= LEFT_SHARE;
 }
--- a/src/online/fair_claim.c
+++ b/src/online/fair_claim.c
@@ -3,11 +3,10 @@
 
 #include <math.h>
 
-/** Above this nothing is told apart. */
+/** Doublings above one slot that bands tell apart; the last band holds all beyond. */
 #define BANDS_MOST 64
 
-/** Bands of a factor two, from one slot on: order by the smallest difference would be order by its
- * noise. */
+/** Bands of a factor two, from one slot on: small differences are noise. */
 static int band_of(double used_slots) {
     if (!(used_slots > 1))
         return 0;
--- a/src/online/fair_level.c
+++ b/src/online/fair_level.c
@@ -7,31 +7,31 @@
 #include <math.h>
 #include <string.h>
 
-/** Begins at this part of the service's places: where two groups want all, it is each one's. */
+/** The level begins at one part in this many of the places: the share of each of two groups. */
 #define BEGIN_PARTS 2
-/** A level below this part of the places is raised faster than it was lowered, one above it slower,
- * so that daemons whose levels differ come together. */
+/** A level below one part in this many of the places rises faster, one above it slower, so that the
+ * levels of daemons converge. */
 #define MIDDLE_PARTS 8
-/** At most so many times. */
+/** The most by which it rises faster or slower for that. */
 #define PULL_MOST 2
 /** Part of the places that is to stand free while requests are refused for their share: with fewer,
  * chance alone makes those within their share wait. */
 #define FREE_SHARE 0.02
-/** Halves in so many ms where none stands free, and doubles where twice FREE_SHARE does: a run's
- * length passes until a change is felt. */
+/** It halves in this time, in ms, where none stands free, and doubles where twice FREE_SHARE does:
+ * a change takes a run's length to show. */
 #define CHANGES_MS 6000
-/** Faster by each so many ms of expected wait, */
+/** It falls as many times faster as the expected wait has steps of this many ms, */
 #define WAIT_STEP_MS 10
-/** up to so many times. */
+/** up to this factor. */
 #define FASTER_MOST 12
-/** Where so much stands free nobody is refused. */
+/** Share of the places from which on nobody is refused. */
 #define FREE_SHARE_MOST 0.1
-/** Doubles in so many ms while nobody is refused by it: the next shortage is like the last one. */
+/** It doubles in this time, in ms, while nobody is refused: the next shortage is like the last. */
 #define FORGETS_MS 8000
-/** Requests of a daemon are farther apart than this now and then, in ms: what happened in between
- * is not known. */
+/** Of a longer time between two requests, in ms, only this much counts: what happened in between is
+ * not known. */
 #define GAP_MOST_MS 300
-/** The lowest level in slots: to hold one place is nobody's offence. */
+/** The lowest level in slots: every group may hold one. */
 #define LEVEL_LEAST 1
 
 /** So much stands free that nobody is refused by the level. */
@@ -39,12 +39,12 @@
     return !pressure->is_short || pressure->free_share >= FREE_SHARE_MOST;
 }
 
-/** Not a place is left over: a service that is short may have some. */
+/** No place is left; a service that is short may still have some. */
 static bool is_full(const hs_service_pressure *pressure) {
     return pressure->is_short && pressure->wait_ms > 0;
 }
 
-/** By how much it changes in a ms, as a power of two. */
+/** Exponent of two by which the level changes in a ms. */
 static double speed_of(const hs_fair_level *level, const hs_service_pressure *pressure,
                        double slots) {
     if (has_room(pressure))
--- a/src/online/online_share.c
+++ b/src/online/online_share.c
@@ -9,7 +9,7 @@
                               request->content + request->inbound->received_ms);
 }
 
-/** Whether there is anything to weigh: a tenant that holds something, and nothing sent yet. */
+/** Whether the share counts: its tenant asks for slots, and the request was not sent yet. */
 static bool has_share(const hs_online_request *request) {
     return request->tenant != NULL && request->used_slots > 0 && request->sends == 0 &&
            !request->events.has_last_id;
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -60,8 +60,8 @@
     return request->online->keys_hold_ms > 0 && !hs_online_is_still_allowed(request, &reason);
 }
 
-/** One step of the engine's stream: its whole events go into ready. False: the stream is over. */
-static bool pump_stream(hs_online_request *request) {
+/** Wait for one step of the engine's stream: its whole events go into ready. */
+static void take_step(hs_online_request *request) {
     hs_attempt *attempt = &request->attempt;
     hs_wait wait = {.deadline = request->deadline, .watched = request->inbound->descriptor};
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -86,6 +86,12 @@
         attempt->step = HS_STEP_INVALID;
     }
     hs_engine_lease_note_events(attempt->lease, request->events.run_events);
+}
+
+/** One step of the engine's stream, and what follows from it. False: the stream is over. */
+static bool pump_stream(hs_online_request *request) {
+    hs_attempt *attempt = &request->attempt;
+    take_step(request);
     if (attempt->step == HS_STEP_PROGRESS && is_revoked(request)) {
         attempt->step = HS_STEP_CUT;
         finish_stream(request, HS_ATTEMPT_DROPPED, HS_END_STREAM_BROKEN);
@@ -93,7 +99,8 @@
     }
     if (attempt->step == HS_STEP_PROGRESS)
         return true;
-    if (attempt->step == HS_STEP_COMPLETE && body->len == 0) {
+    bool is_whole = hs_client_connection_body(attempt->connection)->len == 0;
+    if (attempt->step == HS_STEP_COMPLETE && is_whole) {
         finish_stream(request, HS_ATTEMPT_SERVED, HS_END_SERVED);
         return false;
     }
@@ -217,7 +224,7 @@
         finish_stream(request, HS_ATTEMPT_DROPPED, HS_END_STREAM_BROKEN);
 }
 
-/** Reader of the caller's answer: blocks until there is something to pass on. */
+/** Pass bytes of the answer on to the caller: blocks until there are some, or it ended. */
 static ssize_t pass_events(hs_online_request *request, char *buffer, size_t size) {
     while (request->ready->len == 0 && !request->stream_ended)
         pump_stream(request);
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -134,6 +134,26 @@
                            (guint64)counters.dropped);
 }
 
+/** Open requests, the machine, and calls to the store and to engines. */
+static void write_calls(GString *text, const hs_fleet_metrics_sources *sources) {
+    hs_store_counters calls = hs_store_client_counters(sources->store);
+    g_string_append_printf(
+        text,
+        "heathsail_open_requests %u\nheathsail_members_live %u\n"
+        "heathsail_machine_taken_percent %u\n"
+        "heathsail_store_calls %" G_GUINT64_FORMAT "\nheathsail_store_refused %" G_GUINT64_FORMAT
+        "\nheathsail_store_unknown %" G_GUINT64_FORMAT
+        "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
+        "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
+        "\nheathsail_engine_connects %" G_GUINT64_FORMAT
+        "\nheathsail_runs_misplaced %" G_GUINT64_FORMAT "\n",
+        sources->open_requests, hs_daemon_directory_live_count(sources->members),
+        hs_daemon_directory_taken_percent(sources->members), (guint64)calls.calls,
+        (guint64)calls.refused, (guint64)calls.unknown, (guint64)calls.bytes_sent,
+        (guint64)calls.bytes_received, (guint64)hs_fleet_engines_connects(sources->online->engines),
+        (guint64)hs_fleet_engines_misplaced(sources->online->engines));
+}
+
 char *hs_fleet_metrics_write(const hs_fleet_metrics_sources *sources) {
     GString *text = g_string_new(NULL);
     hs_online *online = sources->online;
@@ -158,22 +178,7 @@
                            "heathsail_settings_refused_total %d\n",
                            g_atomic_int_get(&sources->reloads->taken),
                            g_atomic_int_get(&sources->reloads->refused));
-    hs_store_counters calls = hs_store_client_counters(sources->store);
-    g_string_append_printf(
-        text,
-        "heathsail_open_requests %u\nheathsail_members_live %u\n"
-        "heathsail_machine_taken_percent %u\n"
-        "heathsail_store_calls %" G_GUINT64_FORMAT "\nheathsail_store_refused %" G_GUINT64_FORMAT
-        "\nheathsail_store_unknown %" G_GUINT64_FORMAT
-        "\nheathsail_store_sent_bytes %" G_GUINT64_FORMAT
-        "\nheathsail_store_received_bytes %" G_GUINT64_FORMAT
-        "\nheathsail_engine_connects %" G_GUINT64_FORMAT
-        "\nheathsail_runs_misplaced %" G_GUINT64_FORMAT "\n",
-        sources->open_requests, hs_daemon_directory_live_count(sources->members),
-        hs_daemon_directory_taken_percent(sources->members), (guint64)calls.calls,
-        (guint64)calls.refused, (guint64)calls.unknown, (guint64)calls.bytes_sent,
-        (guint64)calls.bytes_received, (guint64)hs_fleet_engines_connects(online->engines),
-        (guint64)hs_fleet_engines_misplaced(online->engines));
+    write_calls(text, sources);
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
     g_autofree char *crashes =
--- a/src/tenants/limit_book.h
+++ b/src/tenants/limit_book.h
@@ -44,7 +44,7 @@
     uint64_t return_ms; /**< Where it does not: when its caller should return, from now. */
     double part;        /**< Of the limit, which is let pass by who decided. */
     double used_slots;  /**< Engines' slots that the tenant asks for of late, by who decided; the
-                           book  does not know it. 0: not known. */
+                           book does not know it. 0: not known. */
 } hs_limit_verdict;
 
 /** @p now_ms: this daemon cannot have been a home before. */
--- a/src/tenants/tenant_runs.c
+++ b/src/tenants/tenant_runs.c
@@ -15,9 +15,9 @@
     GHashTable *services; /**< name -> service_count* */
 } tenant_count;
 
-/** What was asked of late counts half once so many runs' time was asked for. */
+/** After this many runs' time was asked for, what was asked before counts half. */
 #define RECENT_RUNS 64
-/** Of a run in the mean. */
+/** Weight of the latest run in the mean. */
 #define RUN_WEIGHT 0.1
 /** Tenants beyond this are not counted. */
 #define TENANTS_MOST 16384
--- a/src/tenants/tenant_use.c
+++ b/src/tenants/tenant_use.c
@@ -5,8 +5,8 @@
 #include <math.h>
 #include <stdbool.h>
 
-/** Of what a word adds after a longer silence, the part of this time counts, in ms: the rest was
- * asked for too long ago. */
+/** Of a longer silence before a word only this time counts, in ms: the rest was asked for too long
+ * ago. */
 #define SILENCE_MOST_MS 5000
 /** The same in the account that fades fast. */
 #define SILENCE_MOST_FAST_MS 1000
--- a/src/tenants/tenant_use.h
+++ b/src/tenants/tenant_use.h
@@ -13,10 +13,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** Use fades by e in so many ms: long enough that each daemon of some tens tells within it. */
+/** Use fades by a factor of e in this time, in ms: long enough for some tens of daemons to tell. */
 #define HS_TENANT_USE_FADES_MS 1500
-/** A second account of it fades so fast, and the greater counts: a tenant that begins to ask for
- * much is known as soon. */
+/** The same of a second, faster account; the greater of the two counts, so that a tenant that
+ * begins to ask for much is known soon. */
 #define HS_TENANT_USE_FADES_FAST_MS 500
 
 typedef struct hs_tenant_uses hs_tenant_uses;
@@ -46,6 +46,7 @@
 hs_tenant_uses *hs_tenant_uses_new(void);
 void hs_tenant_uses_free(hs_tenant_uses *uses);
 
+/** Note what a daemon told. */
 void hs_tenant_uses_note(hs_tenant_uses *uses, const hs_tenant_use_word *word, uint64_t now_ms);
 
 /** Slots that the tenant asks for of late; 0 where nothing is known of it. */
