--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -204,13 +204,14 @@
     Hs__EngineTotals body = HS__ENGINE_TOTALS__INIT;
     body.n_totals = uses->n_uses;
     body.totals = list;
-    g_autofree Hs__EngineTotal *passed_on = add_words(arbiter, &body);
-    g_autofree Hs__EngineTotal **passed_on_list = body.passed_on;
+    Hs__EngineTotal *passed_on = add_words(arbiter, &body);
     Hs__PeerMessage answer = HS__PEER_MESSAGE__INIT;
     answer.kind_case = HS__PEER_MESSAGE__KIND_ENGINE_TOTALS;
     answer.engine_totals = &body;
     peer to = {.address = g_ntohl(from->sin_addr.s_addr), .port = g_ntohs(from->sin_port)};
     send_to(arbiter, &to, &answer);
+    g_free(body.passed_on);
+    g_free(passed_on);
 }
 
 static void take_totals(hs_slot_arbiter *arbiter, const Hs__EngineTotals *told) {
