Types for regions, evacuations and cold engines

Cause: the configuration's allowed-regions, warmup-s and warmup-per-s, the settings' zones, evacuate-ms and fault-tolerance.zones, the operator's evacuate/ZONE keys and Heathsail-Warmup-Ms are dropped at the boundary, so no part of the product can act on them.

Nothing acts on them yet; decisions are unchanged.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1357,6 +1357,96 @@
   assert(message->base.descriptor == &hs__trial_verdict__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__evacuated_zone__init
+                     (Hs__EvacuatedZone         *message)
+{
+  static const Hs__EvacuatedZone init_value = HS__EVACUATED_ZONE__INIT;
+  *message = init_value;
+}
+size_t hs__evacuated_zone__get_packed_size
+                     (const Hs__EvacuatedZone *message)
+{
+  assert(message->base.descriptor == &hs__evacuated_zone__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__evacuated_zone__pack
+                     (const Hs__EvacuatedZone *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__evacuated_zone__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__evacuated_zone__pack_to_buffer
+                     (const Hs__EvacuatedZone *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__evacuated_zone__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__EvacuatedZone *
+       hs__evacuated_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__EvacuatedZone *)
+     protobuf_c_message_unpack (&hs__evacuated_zone__descriptor,
+                                allocator, len, data);
+}
+void   hs__evacuated_zone__free_unpacked
+                     (Hs__EvacuatedZone *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__evacuated_zone__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   hs__evacuations__init
+                     (Hs__Evacuations         *message)
+{
+  static const Hs__Evacuations init_value = HS__EVACUATIONS__INIT;
+  *message = init_value;
+}
+size_t hs__evacuations__get_packed_size
+                     (const Hs__Evacuations *message)
+{
+  assert(message->base.descriptor == &hs__evacuations__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__evacuations__pack
+                     (const Hs__Evacuations *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__evacuations__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__evacuations__pack_to_buffer
+                     (const Hs__Evacuations *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__evacuations__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__Evacuations *
+       hs__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__Evacuations *)
+     protobuf_c_message_unpack (&hs__evacuations__descriptor,
+                                allocator, len, data);
+}
+void   hs__evacuations__free_unpacked
+                     (Hs__Evacuations *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__evacuations__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message)
 {
@@ -1556,7 +1646,7 @@
   (ProtobufCMessageInit) hs__owned_partition__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[16] =
+static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[17] =
 {
   {
     "id",
@@ -1750,6 +1840,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "region",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__member_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -1764,6 +1866,7 @@
   12,   /* field[12] = memory_mb */
   9,   /* field[9] = owned */
   5,   /* field[5] = peer_port */
+  16,   /* field[16] = region */
   3,   /* field[3] = state */
   15,   /* field[15] = taken_percent */
   2,   /* field[2] = version */
@@ -1772,7 +1875,7 @@
 static const ProtobufCIntRange hs__member_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor hs__member_record__descriptor =
 {
@@ -1782,7 +1885,7 @@
   "Hs__MemberRecord",
   "hs",
   sizeof(Hs__MemberRecord),
-  16,
+  17,
   hs__member_record__field_descriptors,
   hs__member_record__field_indices_by_name,
   1,  hs__member_record__number_ranges,
@@ -3034,7 +3137,7 @@
   (ProtobufCMessageInit) hs__engine_shares__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[12] =
+static const ProtobufCFieldDescriptor hs__engine_use__field_descriptors[13] =
 {
   {
     "engine_hash",
@@ -3180,6 +3283,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_permit",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineUse, wants_permit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_use__field_indices_by_name[] = {
   3,   /* field[3] = batch */
@@ -3194,11 +3309,12 @@
   1,   /* field[1] = slots */
   11,   /* field[11] = slowdown_age_ms */
   10,   /* field[10] = slowdown_percent */
+  12,   /* field[12] = wants_permit */
 };
 static const ProtobufCIntRange hs__engine_use__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor hs__engine_use__descriptor =
 {
@@ -3208,7 +3324,7 @@
   "Hs__EngineUse",
   "hs",
   sizeof(Hs__EngineUse),
-  12,
+  13,
   hs__engine_use__field_descriptors,
   hs__engine_use__field_indices_by_name,
   1,  hs__engine_use__number_ranges,
@@ -3279,7 +3395,7 @@
   (ProtobufCMessageInit) hs__engine_uses__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[9] =
+static const ProtobufCFieldDescriptor hs__engine_total__field_descriptors[12] =
 {
   {
     "engine_hash",
@@ -3389,6 +3505,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "permit",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, permit),
+    &hs__permit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_valid_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, permit_valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_retry_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EngineTotal, permit_retry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__engine_total__field_indices_by_name[] = {
   8,   /* field[8] = age_ms */
@@ -3397,6 +3549,9 @@
   5,   /* field[5] = event_us */
   3,   /* field[3] = is_failing */
   1,   /* field[1] = online */
+  9,   /* field[9] = permit */
+  11,   /* field[11] = permit_retry_ms */
+  10,   /* field[10] = permit_valid_ms */
   4,   /* field[4] = queued_tokens */
   7,   /* field[7] = slowdown_age_ms */
   6,   /* field[6] = slowdown_percent */
@@ -3404,7 +3559,7 @@
 static const ProtobufCIntRange hs__engine_total__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor hs__engine_total__descriptor =
 {
@@ -3414,7 +3569,7 @@
   "Hs__EngineTotal",
   "hs",
   sizeof(Hs__EngineTotal),
-  9,
+  12,
   hs__engine_total__field_descriptors,
   hs__engine_total__field_indices_by_name,
   1,  hs__engine_total__number_ranges,
@@ -4036,7 +4191,109 @@
   (ProtobufCMessageInit) hs__trial_verdict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[23] =
+static const ProtobufCFieldDescriptor hs__evacuated_zone__field_descriptors[2] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EvacuatedZone, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__EvacuatedZone, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__evacuated_zone__field_indices_by_name[] = {
+  1,   /* field[1] = offset */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange hs__evacuated_zone__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__evacuated_zone__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.EvacuatedZone",
+  "EvacuatedZone",
+  "Hs__EvacuatedZone",
+  "hs",
+  sizeof(Hs__EvacuatedZone),
+  2,
+  hs__evacuated_zone__field_descriptors,
+  hs__evacuated_zone__field_indices_by_name,
+  1,  hs__evacuated_zone__number_ranges,
+  (ProtobufCMessageInit) hs__evacuated_zone__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__evacuations__field_descriptors[2] =
+{
+  {
+    "as_of_offset",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__Evacuations, as_of_offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zones",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__Evacuations, n_zones),
+    offsetof(Hs__Evacuations, zones),
+    &hs__evacuated_zone__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__evacuations__field_indices_by_name[] = {
+  0,   /* field[0] = as_of_offset */
+  1,   /* field[1] = zones */
+};
+static const ProtobufCIntRange hs__evacuations__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__evacuations__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.Evacuations",
+  "Evacuations",
+  "Hs__Evacuations",
+  "hs",
+  sizeof(Hs__Evacuations),
+  2,
+  hs__evacuations__field_descriptors,
+  hs__evacuations__field_indices_by_name,
+  1,  hs__evacuations__number_ranges,
+  (ProtobufCMessageInit) hs__evacuations__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[24] =
 {
   {
     "sender_id",
@@ -4314,6 +4571,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, evacuations),
+    &hs__evacuations__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   18,   /* field[18] = crash_report */
@@ -4322,6 +4591,7 @@
   14,   /* field[14] = engine_shares */
   16,   /* field[16] = engine_totals */
   15,   /* field[15] = engine_uses */
+  23,   /* field[23] = evacuations */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
   9,   /* field[9] = grant_revoke */
@@ -4343,7 +4613,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -4353,7 +4623,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  23,
+  24,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
@@ -4546,3 +4816,33 @@
   hs__member_state__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue hs__permit__enum_values_by_number[3] =
+{
+  { "PERMIT_NONE", "HS__PERMIT__PERMIT_NONE", 0 },
+  { "PERMIT_GRANTED", "HS__PERMIT__PERMIT_GRANTED", 1 },
+  { "PERMIT_DENIED", "HS__PERMIT__PERMIT_DENIED", 2 },
+};
+static const ProtobufCIntRange hs__permit__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex hs__permit__enum_values_by_name[3] =
+{
+  { "PERMIT_DENIED", 2 },
+  { "PERMIT_GRANTED", 1 },
+  { "PERMIT_NONE", 0 },
+};
+const ProtobufCEnumDescriptor hs__permit__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "hs.Permit",
+  "Permit",
+  "Hs__Permit",
+  "hs",
+  3,
+  hs__permit__enum_values_by_number,
+  3,
+  hs__permit__enum_values_by_name,
+  1,
+  hs__permit__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -45,6 +45,8 @@
 typedef struct Hs__TenantVerdict Hs__TenantVerdict;
 typedef struct Hs__TrialAsk Hs__TrialAsk;
 typedef struct Hs__TrialVerdict Hs__TrialVerdict;
+typedef struct Hs__EvacuatedZone Hs__EvacuatedZone;
+typedef struct Hs__Evacuations Hs__Evacuations;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
 typedef struct Hs__ConfigObjectState Hs__ConfigObjectState;
 typedef struct Hs__ConfigState Hs__ConfigState;
@@ -62,6 +64,18 @@
   HS__MEMBER_STATE__MEMBER_DEAD = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__MEMBER_STATE)
 } Hs__MemberState;
+/*
+ * Whether a daemon may send one request to a cold engine.
+ */
+typedef enum _Hs__Permit {
+  /*
+   * Not asked, or the arbiter does not know permits.
+   */
+  HS__PERMIT__PERMIT_NONE = 0,
+  HS__PERMIT__PERMIT_GRANTED = 1,
+  HS__PERMIT__PERMIT_DENIED = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PERMIT)
+} Hs__Permit;
 
 /* --- messages --- */
 
@@ -147,10 +161,14 @@
    * Recent utilization of the most utilized resource: 0 to 100, in steps of 25; 0 also if unknown.
    */
   uint32_t taken_percent;
+  /*
+   * Region of the member's zone; empty: unknown, as in older builds.
+   */
+  char *region;
 };
 #define HS__MEMBER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__member_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -594,10 +612,14 @@
    * 0 if slowdown_percent is 0.
    */
   uint32_t slowdown_age_ms;
+  /*
+   * Asks for a permit to send one request to the engine, which is cold. Older builds never ask.
+   */
+  protobuf_c_boolean wants_permit;
 };
 #define HS__ENGINE_USE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_use__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -653,10 +675,22 @@
    * Time since the arbiter made the report; 0 if the arbiter sends it.
    */
   uint32_t age_ms;
+  /*
+   * Answer to wants_permit. An older arbiter sends PERMIT_NONE, which grants nothing.
+   */
+  Hs__Permit permit;
+  /*
+   * Granted: time within which the request must be sent.
+   */
+  uint32_t permit_valid_ms;
+  /*
+   * Denied: time until a permit may be available; 0: unknown.
+   */
+  uint32_t permit_retry_ms;
 };
 #define HS__ENGINE_TOTAL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__engine_total__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, HS__PERMIT__PERMIT_NONE, 0, 0 }
 
 
 /*
@@ -878,6 +912,42 @@
     , 0, 0, 0 }
 
 
+/*
+ * An evacuated zone: its engines get no more requests.
+ */
+struct  Hs__EvacuatedZone
+{
+  ProtobufCMessage base;
+  char *zone;
+  /*
+   * Offset of the operator's record in the store.
+   */
+  uint64_t offset;
+};
+#define HS__EVACUATED_ZONE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__evacuated_zone__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * All evacuated zones that the sender knows. A set with a higher offset replaces one with a lower
+ * offset; sets with the same offset are equal. Older builds ignore the message.
+ */
+struct  Hs__Evacuations
+{
+  ProtobufCMessage base;
+  /*
+   * Offset up to which the sender has read the operator's topic.
+   */
+  uint64_t as_of_offset;
+  size_t n_zones;
+  Hs__EvacuatedZone **zones;
+};
+#define HS__EVACUATIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__evacuations__descriptor) \
+    , 0, 0,NULL }
+
+
 typedef enum {
   HS__PEER_MESSAGE__KIND__NOT_SET = 0,
   HS__PEER_MESSAGE__KIND_PROBE = 3,
@@ -900,7 +970,8 @@
   HS__PEER_MESSAGE__KIND_TENANT_ASK = 20,
   HS__PEER_MESSAGE__KIND_TENANT_VERDICT = 21,
   HS__PEER_MESSAGE__KIND_TRIAL_ASK = 22,
-  HS__PEER_MESSAGE__KIND_TRIAL_VERDICT = 23
+  HS__PEER_MESSAGE__KIND_TRIAL_VERDICT = 23,
+  HS__PEER_MESSAGE__KIND_EVACUATIONS = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -938,6 +1009,7 @@
     Hs__TenantVerdict *tenant_verdict;
     Hs__TrialAsk *trial_ask;
     Hs__TrialVerdict *trial_verdict;
+    Hs__Evacuations *evacuations;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -1560,6 +1632,44 @@
 void   hs__trial_verdict__free_unpacked
                      (Hs__TrialVerdict *message,
                       ProtobufCAllocator *allocator);
+/* Hs__EvacuatedZone methods */
+void   hs__evacuated_zone__init
+                     (Hs__EvacuatedZone         *message);
+size_t hs__evacuated_zone__get_packed_size
+                     (const Hs__EvacuatedZone   *message);
+size_t hs__evacuated_zone__pack
+                     (const Hs__EvacuatedZone   *message,
+                      uint8_t             *out);
+size_t hs__evacuated_zone__pack_to_buffer
+                     (const Hs__EvacuatedZone   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__EvacuatedZone *
+       hs__evacuated_zone__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__evacuated_zone__free_unpacked
+                     (Hs__EvacuatedZone *message,
+                      ProtobufCAllocator *allocator);
+/* Hs__Evacuations methods */
+void   hs__evacuations__init
+                     (Hs__Evacuations         *message);
+size_t hs__evacuations__get_packed_size
+                     (const Hs__Evacuations   *message);
+size_t hs__evacuations__pack
+                     (const Hs__Evacuations   *message,
+                      uint8_t             *out);
+size_t hs__evacuations__pack_to_buffer
+                     (const Hs__Evacuations   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__Evacuations *
+       hs__evacuations__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__evacuations__free_unpacked
+                     (Hs__Evacuations *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__PeerMessage methods */
 void   hs__peer_message__init
                      (Hs__PeerMessage         *message);
@@ -1709,6 +1819,12 @@
 typedef void (*Hs__TrialVerdict_Closure)
                  (const Hs__TrialVerdict *message,
                   void *closure_data);
+typedef void (*Hs__EvacuatedZone_Closure)
+                 (const Hs__EvacuatedZone *message,
+                  void *closure_data);
+typedef void (*Hs__Evacuations_Closure)
+                 (const Hs__Evacuations *message,
+                  void *closure_data);
 typedef void (*Hs__PeerMessage_Closure)
                  (const Hs__PeerMessage *message,
                   void *closure_data);
@@ -1725,6 +1841,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCEnumDescriptor    hs__member_state__descriptor;
+extern const ProtobufCEnumDescriptor    hs__permit__descriptor;
 extern const ProtobufCMessageDescriptor hs__owned_partition__descriptor;
 extern const ProtobufCMessageDescriptor hs__member_record__descriptor;
 extern const ProtobufCMessageDescriptor hs__probe__descriptor;
@@ -1755,6 +1872,8 @@
 extern const ProtobufCMessageDescriptor hs__tenant_verdict__descriptor;
 extern const ProtobufCMessageDescriptor hs__trial_ask__descriptor;
 extern const ProtobufCMessageDescriptor hs__trial_verdict__descriptor;
+extern const ProtobufCMessageDescriptor hs__evacuated_zone__descriptor;
+extern const ProtobufCMessageDescriptor hs__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_object_state__descriptor;
 extern const ProtobufCMessageDescriptor hs__config_state__descriptor;
--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -43,6 +43,8 @@
     uint64_t max_queued_tokens;    /**< Batch: limit of the tokens in a tenant's unfinished items,
                                           or in all callers' if there are no tenants; 0: no limit. */
     bool is_public;                /**< Callers need no key. */
+    GPtrArray
+        *allowed_regions; /**< Of char*: where requests may be served and stored; NULL: all. */
 } hs_fleet_route;
 
 /** A group of interchangeable engines. */
@@ -52,6 +54,8 @@
     uint32_t max_connections; /**< Limit per engine over all daemons; 0: unknown. */
     uint64_t memory_tokens;  /**< Capacity of an engine's key-value cache; 0: not a model engine. */
     bool supports_migration; /**< The state of a run can be moved to another engine. */
+    uint32_t warmup_ms;      /**< Time for which a started engine is cold; 0: engines start warm. */
+    double warmup_per_s;     /**< Requests per second that a cold engine can handle; 0: no limit. */
 } hs_fleet_service;
 
 /** A customer. Callers authenticate as the tenant by one of the tenant's keys. */
@@ -62,6 +66,7 @@
     uint32_t priority; /**< If has_priority: replaces the route's; 0 is the highest rank. */
     double rate_per_s; /**< Limit of online requests over all daemons; 0: no limit. */
     double burst;      /**< Requests above the rate that are admitted at once. */
+    GPtrArray *allowed_regions; /**< As of a route; if both are limited, both apply. */
 } hs_fleet_tenant;
 
 /** Limits on requests and connections of callers. */
--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -78,6 +78,7 @@
     char *fleet_metrics;
     char *fleet_seeds;
     char *fleet_store;
+    char *fleet_zone_regions;
     int64_t fleet_parts;
     int64_t fleet_record_bytes;
     int64_t fleet_call_bytes;
@@ -101,6 +102,8 @@
     double fleet_link_mbps;
     int64_t fleet_strict_revoke;
     int64_t fleet_revoke_ms;
+    int64_t fleet_evacuate_ms;
+    int64_t fleet_tolerated_zones;
     double fleet_grace_s;
     double fleet_status_s;
     double fleet_resolve_ttl_most_s;
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -7,12 +7,18 @@
 
 #include <string.h>
 
+static void free_regions(GPtrArray *regions) {
+    if (regions != NULL)
+        g_ptr_array_free(regions, TRUE);
+}
+
 static void free_route(gpointer data) {
     hs_fleet_route *route = data;
     g_free(route->name);
     g_free(route->host);
     g_free(route->path_prefix);
     g_array_free(route->shares, TRUE);
+    free_regions(route->allowed_regions);
     g_free(route);
 }
 
@@ -27,6 +33,7 @@
     hs_fleet_tenant *tenant = data;
     g_free(tenant->name);
     g_ptr_array_free(tenant->keys, TRUE);
+    free_regions(tenant->allowed_regions);
     g_free(tenant);
 }
 
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -5,6 +5,7 @@
 #include "tests/support/runner.h"
 
 extern const test_case settings_tests[];
+extern const test_case topology_tests[];
 extern const test_case config_tests[];
 extern const test_case partition_tests[];
 extern const test_case grant_tests[];
