Load reports: list an engine only in a settled term, with the age of its uses

Cause: a daemon that was no longer an engine's arbiter kept the ledger of that engine for 10 to 40 s and listed it with age 0, as idle once the uses in it had expired. In fleets that relay reports this replaced the report of the present arbiter. A new arbiter listed the engine with the uses of the first daemons only.

Change: a report is as old as the oldest use in it is overdue. Answers of an arbiter whose sum may lack uses are marked by their age: they confirm the request and raise the estimate, and are not relayed. Where no reports are relayed, terms are not kept and every answer has age 0 as before.

Two tests of test_words and test_words_travel listed an engine within 10 ms of the first report; they now let the arbiter settle first, with the same checks.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -15,6 +15,7 @@
 #include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
+#include "fleet/arbiter_term.h"
 #include "fleet/engine_words.h"
 #include "store/keyed_topic.h"
 
@@ -23,7 +24,7 @@
 /** Interval of the ticker, which drives probes, their time-outs and announcements. */
 #define TICK_MS 80
 /** Interval of announcements of this daemon's load on engines. */
-#define SHARES_INTERVAL_MS 240
+#define SHARES_INTERVAL_MS HS_USE_REPORT_INTERVAL_MS
 /** Peers that one announcement is sent to. If there are more, each round goes to the next ones. */
 #define MAX_PEERS_PER_ROUND 16
 /**
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/arbiter_term.h"
 #include "fleet/engine_words.h"
 #include "fleet/slot_ledger.h"
 
@@ -81,13 +82,61 @@
     }
 }
 
-/** Stores a daemon's report of its use and sends the resulting preemption requests. */
+/**
+ * Notes that this daemon runs, so that it lists no engine after a suspension or an assumed death
+ * until all daemons can have reported again. Nothing is noted where no reports are relayed.
+ */
+static void note_round(hs_slot_arbiter *arbiter) {
+    if (!hs_fleet_engines_is_relaying_reports(arbiter->engines))
+        return;
+    uint64_t incarnation = hs_membership_service_incarnation(arbiter->membership);
+    g_mutex_lock(&arbiter->lock);
+    bool restarts =
+        hs_slot_ledger_note_round(arbiter->ledger, incarnation, hs_clock_monotonic_ms());
+    g_mutex_unlock(&arbiter->lock);
+    if (!restarts)
+        return;
+    hs_fleet_engines_hold_reports(arbiter->engines);
+    hs_log_info("arbiter_restarted", "incarnation=%" G_GUINT64_FORMAT " settle_ms=%d",
+                (guint64)incarnation, HS_ARBITER_SETTLE_MS);
+}
+
+/** Determines anew which engines of the ledger this daemon arbitrates. */
+static void update_terms(hs_slot_arbiter *arbiter) {
+    g_autoptr(GArray) hashes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    if (!hs_fleet_engines_is_relaying_reports(arbiter->engines))
+        return;
+    g_mutex_lock(&arbiter->lock);
+    hs_slot_ledger_list_engines(arbiter->ledger, hashes);
+    g_mutex_unlock(&arbiter->lock);
+    for (guint index = 0; index < hashes->len; index++) {
+        uint64_t hash = g_array_index(hashes, uint64_t, index);
+        bool is_arbitrated = find_arbiter(arbiter, hash).is_self;
+        g_mutex_lock(&arbiter->lock);
+        hs_slot_ledger_set_arbitrated(arbiter->ledger, hash, is_arbitrated,
+                                      hs_clock_monotonic_ms());
+        g_mutex_unlock(&arbiter->lock);
+    }
+}
+
+/**
+ * Stores a daemon's report of its use and sends the resulting preemption requests. Returns the load
+ * with the age of its uses, and with age 0 where no reports are relayed.
+ */
 static hs_engine_load_report put_report(hs_slot_arbiter *arbiter, const hs_use_report *report) {
     g_autoptr(GArray) requests = g_array_new(FALSE, FALSE, sizeof(hs_preemption_request));
+    bool is_relaying = hs_fleet_engines_is_relaying_reports(arbiter->engines);
+    bool is_arbitrated = is_relaying && find_arbiter(arbiter, report->use.engine_hash).is_self;
     g_mutex_lock(&arbiter->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (is_relaying)
+        hs_slot_ledger_set_arbitrated(arbiter->ledger, report->use.engine_hash, is_arbitrated,
+                                      now_ms);
     hs_engine_load_report load =
-        hs_slot_ledger_put_report(arbiter->ledger, report, hs_clock_monotonic_ms(), requests);
+        hs_slot_ledger_put_report(arbiter->ledger, report, now_ms, requests);
     g_mutex_unlock(&arbiter->lock);
+    if (!is_relaying)
+        load.age_ms = 0;
     send_preemptions(arbiter, report->use.engine_hash, requests);
     return load;
 }
@@ -196,6 +245,7 @@
 static void handle_uses(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
                         const struct sockaddr_in *from) {
     const Hs__EngineUses *uses = message->engine_uses;
+    note_round(arbiter);
     g_autofree Hs__EngineTotal *totals = g_new(Hs__EngineTotal, uses->n_uses + 1);
     g_autofree Hs__EngineTotal **list = g_new(Hs__EngineTotal *, uses->n_uses + 1);
     for (size_t index = 0; index < uses->n_uses; index++) {
@@ -312,6 +362,8 @@
 void hs_slot_arbiter_refresh(hs_slot_arbiter *arbiter) {
     g_autoptr(GArray) uses = hs_fleet_engines_own_uses(arbiter->engines);
     g_autoptr(GArray) addressed = g_array_new(FALSE, FALSE, sizeof(addressed_use));
+    note_round(arbiter);
+    update_terms(arbiter);
     for (guint index = 0; index < uses->len; index++) {
         addressed_use entry = {.use = g_array_index(uses, hs_engine_use, index)};
         entry.to = find_arbiter(arbiter, entry.use.engine_hash);
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -109,15 +109,52 @@
         fmax((double)report->queued_tokens - (double)engine->queued_tokens, 0);
     engine->reported_at_ms = reported_at_ms;
     engine->last_report = *report;
+    engine->is_report_partial = false;
     engine->reported_failing_at_ms = report->is_failing ? reported_at_ms : 0;
 }
 
-/** Applies the report's event time and slowdown, which is as old as the report and its own age. */
+/**
+ * Applies the report's event time and slowdown. @p transit_ms: time since the arbiter sent them,
+ * which adds to the slowdown's own age.
+ */
 static void apply_pace(hs_fleet_engine *engine, const hs_engine_load_report *report,
-                       uint64_t now_ms) {
+                       uint64_t transit_ms, uint64_t now_ms) {
     hs_engine_pace_set_reported_event_us(&engine->pace, report->event_us, now_ms);
     hs_engine_pace_note_slowdown(&engine->pace, report->slowdown_percent,
-                                 (uint64_t)report->slowdown_age_ms + report->age_ms, now_ms);
+                                 report->slowdown_age_ms + transit_ms, now_ms);
+}
+
+/** Stores a sum that may lack the uses of some daemons if it is above the present estimate. */
+static void apply_partial_report(hs_fleet_engine *engine, const hs_engine_load_report *report,
+                                 uint64_t now_ms) {
+    double known = (double)engine->online + engine->batch +
+                   hs_fleet_engine_others_online(engine, now_ms) +
+                   hs_fleet_engine_others_batch(engine, now_ms);
+    if ((double)report->online + report->batch <= known)
+        return;
+    apply_report(engine, report, now_ms, engine->online);
+    engine->is_report_partial = true;
+}
+
+/** Applies the load of an arbiter's response, as far as it is complete and new. */
+static void apply_response(hs_fleet_engine *engine, const hs_engine_load_report *report,
+                           uint64_t now_ms) {
+    uint64_t reported_at_ms = now_ms - MIN(now_ms, report->age_ms);
+    if (report->age_ms >= HS_ENGINE_REPORT_VALID_MS)
+        apply_partial_report(engine, report, now_ms);
+    else if (report->age_ms == 0 || reported_at_ms > engine->reported_at_ms)
+        apply_report(engine, report, reported_at_ms, engine->online);
+    engine->reported_failing_at_ms = report->is_failing ? now_ms : 0;
+}
+
+/** Whether an online request finds a free slot, by the report or, if it is partial, by estimate. */
+static bool has_free_slot(const hs_fleet_engine *engine, const hs_engine_load_report *report,
+                          uint64_t now_ms) {
+    if (report->is_failing)
+        return false;
+    if (report->age_ms < HS_ENGINE_REPORT_VALID_MS)
+        return report->online < engine->entry.slots;
+    return engine->online + hs_fleet_engine_others_online(engine, now_ms) < engine->entry.slots;
 }
 
 void hs_fleet_engines_put_report(hs_fleet_engines *engines, const hs_engine_load_report *report) {
@@ -125,12 +162,13 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engine *engine = hs_fleet_engines_find(engines, report->engine_hash);
     if (engine != NULL) {
-        apply_report(engine, report, hs_clock_monotonic_ms(), engine->online);
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        apply_response(engine, report, now_ms);
         engine->response_count++;
         engines->reports.received++;
-        apply_pace(engine, report, engine->reported_at_ms);
+        apply_pace(engine, report, 0, now_ms);
         g_cond_broadcast(&engines->reports_changed);
-        if (report->online < engine->entry.slots && !report->is_failing)
+        if (has_free_slot(engine, report, now_ms))
             free_service = g_strdup(engine->entry.service);
     }
     g_mutex_unlock(&engines->lock);
@@ -148,7 +186,7 @@
     bool is_newer = engine != NULL && reported_at_ms > engine->reported_at_ms;
     if (is_newer) {
         apply_report(engine, report, reported_at_ms, online_before(engine, reported_at_ms));
-        apply_pace(engine, report, now_ms);
+        apply_pace(engine, report, report->age_ms, now_ms);
         engines->reports.accepted++;
         engines->relayed_at_ms = now_ms;
         if (report->online < engine->entry.slots && !report->is_failing)
@@ -168,6 +206,16 @@
     return is_large;
 }
 
+void hs_fleet_engines_hold_reports(hs_fleet_engines *engines) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&engines->lock);
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        ((hs_fleet_engine *)value)->is_report_partial = true;
+    g_mutex_unlock(&engines->lock);
+}
+
 GArray *hs_fleet_engines_list_reports(hs_fleet_engines *engines) {
     GArray *reports = g_array_new(FALSE, FALSE, sizeof(hs_engine_load_report));
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -178,7 +226,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
         uint64_t age_ms = hs_fleet_engine_report_age_ms(engine, now_ms);
-        if (age_ms == UINT64_MAX)
+        if (age_ms == UINT64_MAX || engine->is_report_partial)
             continue;
         hs_engine_load_report report = engine->last_report;
         report.age_ms = (uint32_t)age_ms;
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -56,8 +56,9 @@
     uint64_t reported_at_ms;           /**< When the arbiter made the last report; 0: no report. */
     uint32_t response_count;           /**< Arbiter's responses to this daemon; wraps. */
     hs_engine_load_report last_report; /**< As received, own requests included. */
-    bool has_mean;                     /**< The mean loads below replace an outdated report. */
-    double mean_online;                /**< Mean load of other daemons by recent reports. */
+    bool is_report_partial; /**< The sum may lack uses of some daemons; it is not relayed. */
+    bool has_mean;          /**< The mean loads below replace an outdated report. */
+    double mean_online;     /**< Mean load of other daemons by recent reports. */
     double mean_batch;
     double mean_queued;
     uint64_t recent_starts_ms[HS_MAX_RECENT_STARTS]; /**< Ring: starts of online requests. */
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -342,10 +342,14 @@
     uint32_t event_us;         /**< Mean time of an event in all daemons' runs; 0: unknown. */
     uint32_t slowdown_percent; /**< The engine's last own figure, see hs_engine_load; 0: none. */
     uint32_t slowdown_age_ms;
-    uint32_t age_ms; /**< Since the arbiter made the report; above 0 only if it was relayed. */
+    uint32_t age_ms; /**< Of the uses in the report. */
 } hs_engine_load_report;
 
-/** Stores an arbiter's response to this daemon, and wakes hs_engine_lease_confirm. */
+/**
+ * Stores an arbiter's response to this daemon, and wakes hs_engine_lease_confirm. A response of age
+ * HS_ENGINE_REPORT_VALID_MS or more may lack the uses of some daemons: it only raises the estimated
+ * load, and is not relayed.
+ */
 void hs_fleet_engines_put_report(hs_fleet_engines *engines, const hs_engine_load_report *report);
 
 /**
@@ -358,6 +362,12 @@
 /** Whether the fleet is large enough for load reports to be relayed; see engine_words.h. */
 bool hs_fleet_engines_is_relaying_reports(hs_fleet_engines *engines);
 
+/**
+ * Excludes the reports at hand from those that are relayed, as they were made while this daemon was
+ * suspended or disconnected.
+ */
+void hs_fleet_engines_hold_reports(hs_fleet_engines *engines);
+
 /** Valid load reports with their ages: of hs_engine_load_report. Free with g_array_free. */
 GArray *hs_fleet_engines_list_reports(hs_fleet_engines *engines);
 
--- a/src/fleet/slot_ledger.c
+++ b/src/fleet/slot_ledger.c
@@ -3,13 +3,20 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/arbiter_term.h"
 #include "fleet/engine_health.h"
 #include "fleet/engine_pace.h"
+#include "fleet/engine_words.h"
 
 #include <string.h>
 
 /** Time after which a daemon's report expires; several reports are sent in this time. */
 #define REPORT_VALID_MS 2000
+/**
+ * Time for which a use is current: its daemon reports a change at once, and an unchanged use again
+ * at intervals, of which one report may be lost.
+ */
+#define USE_CURRENT_MS (2 * HS_USE_REPORT_INTERVAL_MS)
 /** Time for which an item to preempt is not counted, unless the daemon reports its end before. */
 #define PREEMPTION_VALID_MS 60
 
@@ -46,10 +53,12 @@
     hs_engine_health health;
     hs_engine_pace pace;
     uint64_t reported_at_ms; /**< Time of the latest report of any daemon. */
+    hs_arbiter_term term;
 } engine_uses;
 
 struct hs_slot_ledger {
     GHashTable *engines; /**< hash -> engine_uses* */
+    hs_arbiter_rounds rounds;
 };
 
 static void free_use(gpointer data) {
@@ -208,6 +217,28 @@
     return load;
 }
 
+static bool is_idle_use(const hs_engine_use *use) {
+    return use->online == 0 && use->batch == 0 && use->queued_tokens == 0;
+}
+
+/**
+ * Age of the sum of the uses: the time since its oldest use was current. HS_ENGINE_REPORT_VALID_MS,
+ * which is never valid, if the uses of some daemons may be missing. Idle uses, which daemons stop
+ * reporting, have no age.
+ */
+static uint32_t get_sum_age_ms(const hs_slot_ledger *ledger, const engine_uses *engine,
+                               uint64_t now_ms) {
+    if (!hs_arbiter_term_is_settled(&engine->term, &ledger->rounds, now_ms))
+        return HS_ENGINE_REPORT_VALID_MS;
+    uint64_t current_until_ms = now_ms;
+    for (guint index = 0; index < engine->uses->len; index++) {
+        const daemon_use *use = engine->uses->pdata[index];
+        if (!is_idle_use(&use->reported))
+            current_until_ms = MIN(current_until_ms, use->reported_at_ms + USE_CURRENT_MS);
+    }
+    return (uint32_t)MIN(now_ms - current_until_ms, HS_ENGINE_REPORT_VALID_MS);
+}
+
 /** Preemption rank of a daemon's items; @p started: the daemon has just started one. */
 static int64_t preemption_rank(const daemon_use *use, bool started) {
     return (int64_t)use->reported.rank_ms + (started ? STARTED_RANK_BONUS_MS : 0);
@@ -269,6 +300,7 @@
     hs_engine_load_report load = sum_uses(engine, now_ms);
     add_pace(engine, now_ms, &load);
     load.is_failing = is_failing_for(&engine->health, started.any, now_ms);
+    load.age_ms = get_sum_age_ms(ledger, engine, now_ms);
     while (load.online + load.batch > report->use.slots && load.batch > 0) {
         preempt_one(find_next_to_preempt(engine, started.batch ? sender : NULL, now_ms), now_ms,
                     requests);
@@ -283,13 +315,34 @@
     g_hash_table_iter_init(&iterator, ledger->engines);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const engine_uses *engine = value;
+        uint32_t age_ms = get_sum_age_ms(ledger, engine, now_ms);
+        if (age_ms >= HS_ENGINE_REPORT_VALID_MS)
+            continue;
         hs_engine_load_report load = sum_uses(engine, now_ms);
         add_pace(engine, now_ms, &load);
+        load.age_ms = age_ms;
         load.is_failing = hs_engine_health_is_avoided(&engine->health, now_ms);
         g_array_append_val(reports, load);
     }
 }
 
+bool hs_slot_ledger_note_round(hs_slot_ledger *ledger, uint64_t incarnation, uint64_t now_ms) {
+    return hs_arbiter_rounds_note(&ledger->rounds, incarnation, now_ms);
+}
+
+void hs_slot_ledger_set_arbitrated(hs_slot_ledger *ledger, uint64_t engine_hash, bool is_arbitrated,
+                                   uint64_t now_ms) {
+    hs_arbiter_term_set(&find_or_add_engine(ledger, engine_hash)->term, is_arbitrated, now_ms);
+}
+
+void hs_slot_ledger_list_engines(const hs_slot_ledger *ledger, GArray *hashes) {
+    GHashTableIter iterator;
+    gpointer hash = NULL;
+    g_hash_table_iter_init(&iterator, ledger->engines);
+    while (g_hash_table_iter_next(&iterator, &hash, NULL))
+        g_array_append_val(hashes, *(const uint64_t *)hash);
+}
+
 void hs_slot_ledger_expire(hs_slot_ledger *ledger, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
--- a/src/fleet/slot_ledger.h
+++ b/src/fleet/slot_ledger.h
@@ -42,12 +42,30 @@
 /**
  * Stores a daemon's report; a report that is not newer than the stored one is ignored. Appends the
  * items to preempt to @p requests (of hs_preemption_request). Returns the requests of all daemons
- * on the engine; items to preempt are no longer counted.
+ * on the engine; items to preempt are no longer counted. Their age_ms is that of the uses in the
+ * sum, or HS_ENGINE_REPORT_VALID_MS if the uses of some daemons may be missing; see arbiter_term.h.
  */
 hs_engine_load_report hs_slot_ledger_put_report(hs_slot_ledger *ledger, const hs_use_report *report,
                                                 uint64_t now_ms, GArray *requests);
 
-/** Appends the requests of all daemons on each engine to @p reports (of hs_engine_load_report). */
+/**
+ * Notes that this daemon runs; see hs_arbiter_rounds_note. Returns true if the sums of all engines
+ * are incomplete from now on, until the uses of all daemons can have arrived.
+ */
+bool hs_slot_ledger_note_round(hs_slot_ledger *ledger, uint64_t incarnation, uint64_t now_ms);
+
+/** Sets whether this daemon arbitrates the engine now. Adds an engine that is not known. */
+void hs_slot_ledger_set_arbitrated(hs_slot_ledger *ledger, uint64_t engine_hash, bool is_arbitrated,
+                                   uint64_t now_ms);
+
+/** Appends the engines of the ledger to @p hashes (of uint64_t). */
+void hs_slot_ledger_list_engines(const hs_slot_ledger *ledger, GArray *hashes);
+
+/**
+ * Appends the requests of all daemons on each engine that this daemon arbitrates to @p reports (of
+ * hs_engine_load_report), with the age of the uses in it. Engines are left out whose sum is too old
+ * or may lack the uses of some daemons.
+ */
 void hs_slot_ledger_list(const hs_slot_ledger *ledger, uint64_t now_ms, GArray *reports);
 
 /** Removes expired reports, and engines on which nothing was reported recently. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -34,6 +34,7 @@
         {"health", health_tests, NULL, NULL},
         {"suspicion", suspicion_tests, NULL, NULL},
         {"words", load_report_tests, NULL, NULL},
+        {"arbiter_terms", arbiter_term_tests, NULL, NULL},
         {"words_travel", relayed_report_tests, NULL, NULL},
         {"spread", spread_tests, NULL, NULL},
         {"crashes", crash_tests, NULL, NULL},
--- a/tests/unit/test_words.c
+++ b/tests/unit/test_words.c
@@ -1,6 +1,7 @@
 /** @file test_words.c  Load reports of engines' arbiters that daemons relay to each other. */
 #include "base/clock.h"
 #include "base/hash.h"
+#include "fleet/arbiter_term.h"
 #include "fleet/engine_words.h"
 #include "fleet/fleet_engine.h"
 #include "fleet/slot_ledger.h"
@@ -123,15 +124,24 @@
     hs_fleet_engines_free(engines);
 }
 
-/** Three daemons' requests fail on engine 7 from 101 to 105. */
-static void fail_engine(hs_slot_ledger *ledger, GArray *preemptions) {
+/** Runs rounds of the arbiter of engine 7 from 1 to @p now_ms. */
+static void arbitrate_until(hs_slot_ledger *ledger, uint64_t now_ms) {
+    for (uint64_t round_ms = 1; round_ms < now_ms; round_ms += HS_USE_REPORT_INTERVAL_MS) {
+        hs_slot_ledger_note_round(ledger, 1, round_ms);
+        hs_slot_ledger_set_arbitrated(ledger, 7, true, round_ms);
+    }
+    hs_slot_ledger_note_round(ledger, 1, now_ms);
+}
+
+/** Three daemons' requests fail on engine 7 within 5 ms from @p now_ms on. */
+static void fail_engine(hs_slot_ledger *ledger, uint64_t now_ms, GArray *preemptions) {
     static const char *const daemons[] = {"a", "b", "c"};
     for (uint64_t index = 0; index < 6; index++) { /* A start and a failure of each daemon. */
         hs_use_report update = {.daemon = daemons[index / 2], .incarnation = 1};
         update.use = (hs_engine_use){
             .engine_hash = 7, .sequence = index + 1, .slots = 8, .failed = index % 2};
         update.use.online = 1 - update.use.failed;
-        hs_slot_ledger_put_report(ledger, &update, 100 + index, preemptions);
+        hs_slot_ledger_put_report(ledger, &update, now_ms + index, preemptions);
     }
 }
 
@@ -141,19 +151,22 @@
     hs_slot_ledger *ledger = hs_slot_ledger_new();
     g_autoptr(GArray) preemptions = g_array_new(FALSE, FALSE, sizeof(hs_preemption_request));
     g_autoptr(GArray) reports = g_array_new(FALSE, FALSE, sizeof(hs_engine_load_report));
-    fail_engine(ledger, preemptions);
-    hs_slot_ledger_list(ledger, 110, reports);
+    arbitrate_until(ledger, 1000);
+    fail_engine(ledger, 1100, preemptions);
+    hs_slot_ledger_list(ledger, 1110, reports);
     CU_ASSERT_EQUAL_FATAL(reports->len, 1);
     CU_ASSERT_TRUE(g_array_index(reports, hs_engine_load_report, 0).is_failing);
     g_array_set_size(reports, 0);
-    hs_slot_ledger_list(ledger, 1200, reports); /* The down time is over: a probe may be sent. */
+    arbitrate_until(ledger, 2200);
+    hs_slot_ledger_list(ledger, 2200, reports); /* The down time is over: a probe may be sent. */
+    CU_ASSERT_EQUAL_FATAL(reports->len, 1);
     CU_ASSERT_FALSE(g_array_index(reports, hs_engine_load_report, 0).is_failing);
     hs_use_report probe = {.daemon = "a", .incarnation = 1};
     probe.use =
         (hs_engine_use){.engine_hash = 7, .sequence = 9, .slots = 8, .failed = 1, .online = 1};
-    CU_ASSERT_FALSE(hs_slot_ledger_put_report(ledger, &probe, 1201, preemptions).is_failing);
+    CU_ASSERT_FALSE(hs_slot_ledger_put_report(ledger, &probe, 2201, preemptions).is_failing);
     g_array_set_size(reports, 0);
-    hs_slot_ledger_list(ledger, 1202, reports);
+    hs_slot_ledger_list(ledger, 2202, reports);
     CU_ASSERT_TRUE(g_array_index(reports, hs_engine_load_report, 0).is_failing);
     hs_slot_ledger_free(ledger);
 }
@@ -168,7 +181,7 @@
     hs_use_report stream = {.daemon = "d", .incarnation = 1};
     stream.use = (hs_engine_use){.engine_hash = 7, .sequence = 1, .slots = 8, .batch = 1};
     hs_slot_ledger_put_report(ledger, &stream, 99, preemptions);
-    fail_engine(ledger, preemptions);
+    fail_engine(ledger, 100, preemptions);
     stream.use.sequence = 7;
     CU_ASSERT_TRUE(hs_slot_ledger_put_report(ledger, &stream, 110, preemptions).is_failing);
     stream.use.sequence = 8;
@@ -182,7 +195,31 @@
     hs_slot_ledger_free(ledger);
 }
 
+/**
+ * A sum that may lack the uses of some daemons confirms a request and raises the estimate, but it
+ * must not lower the estimate, nor be relayed as if it were complete.
+ */
+static void a_partial_response_is_a_lower_bound(void) {
+    hs_fleet_engines *engines = list_engines(1);
+    hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, "e0");
+    hs_engine_load_report partial = report_on("e0", 1, HS_ENGINE_REPORT_VALID_MS);
+    hs_engine_load_report complete = report_on("e0", 5, 20);
+    hs_fleet_engines_put_relayed_report(engines, &complete);
+    hs_fleet_engines_put_report(engines, &partial);
+    CU_ASSERT_EQUAL(engine->response_count, 1);
+    CU_ASSERT_EQUAL(others_on(engines, "e0"), 5);
+    g_autoptr(GArray) relayed = hs_fleet_engines_list_reports(engines);
+    CU_ASSERT_EQUAL(relayed->len, 1);
+    partial.online = 7;
+    hs_fleet_engines_put_report(engines, &partial);
+    CU_ASSERT_EQUAL(others_on(engines, "e0"), 7);
+    g_autoptr(GArray) held = hs_fleet_engines_list_reports(engines);
+    CU_ASSERT_EQUAL(held->len, 0);
+    hs_fleet_engines_free(engines);
+}
+
 const test_case load_report_tests[] = {
+    {"a_partial_response_is_a_lower_bound", a_partial_response_is_a_lower_bound},
     {"the_most_recent_reports_are_relayed", the_most_recent_reports_are_relayed},
     {"report_weight_decays_with_age", report_weight_decays_with_age},
     {"only_newer_reports_are_stored", only_newer_reports_are_stored},
--- a/tests/unit/test_words_travel.c
+++ b/tests/unit/test_words_travel.c
@@ -3,6 +3,7 @@
 #include "base/endpoint.h"
 #include "base/hash.h"
 #include "directory/slot_arbiter.h"
+#include "fleet/arbiter_term.h"
 #include "fleet/engine_words.h"
 #include "fleet/fleet_engine.h"
 #include "tests/unit/unit_tests.h"
@@ -78,6 +79,17 @@
     hs_slot_arbiter_handle(arbiter->arbiter, &message, from);
 }
 
+/** Reports uses of all engines in rounds until the arbiter can know the uses of all daemons. */
+static void settle(const member *arbiter) {
+    struct sockaddr_in nobody = {0};
+    for (int round = 0; round <= HS_ARBITER_SETTLE_MS / HS_USE_REPORT_INTERVAL_MS; round++) {
+        for (int index = 0; index < ENGINES; index++)
+            send_use(arbiter, index, 5, false, &nobody);
+        hs_slot_arbiter_refresh(arbiter->arbiter);
+        hs_clock_sleep_ms(HS_USE_REPORT_INTERVAL_MS);
+    }
+}
+
 /** Sends uses of all engines, requests a response on the first, and reads it. */
 static Hs__PeerMessage *request_response(const member *arbiter, ssize_t *length) {
     struct sockaddr_in own = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -101,6 +113,7 @@
     member arbiter = make_member("a", LARGE_FLEET);
     member receiver = make_member("b", LARGE_FLEET);
     ssize_t length = 0;
+    settle(&arbiter);
     Hs__PeerMessage *response = request_response(&arbiter, &length);
     CU_ASSERT_PTR_NOT_NULL_FATAL(response);
     if (response == NULL)
@@ -123,6 +136,24 @@
     free_member(&arbiter);
 }
 
+/**
+ * An arbiter that has just begun answers, but neither its answer nor its own reports may be taken
+ * for the uses of all daemons.
+ */
+static void a_new_arbiter_relays_no_reports(void) {
+    member arbiter = make_member("a", LARGE_FLEET);
+    ssize_t length = 0;
+    Hs__PeerMessage *response = request_response(&arbiter, &length);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(response);
+    if (response == NULL)
+        return;
+    CU_ASSERT_EQUAL(response->engine_totals->totals[0]->online, 5);
+    CU_ASSERT_EQUAL(response->engine_totals->totals[0]->age_ms, HS_ENGINE_REPORT_VALID_MS);
+    CU_ASSERT_EQUAL(response->engine_totals->n_passed_on, 0);
+    hs__peer_message__free_unpacked(response, NULL);
+    free_member(&arbiter);
+}
+
 /** In a small fleet daemons announce their loads to each other instead. */
 static void a_small_fleet_relays_no_reports(void) {
     member arbiter = make_member("a", SMALL_FLEET);
@@ -132,6 +163,7 @@
     if (response == NULL)
         return;
     CU_ASSERT_EQUAL(response->engine_totals->n_passed_on, 0);
+    CU_ASSERT_EQUAL(response->engine_totals->totals[0]->age_ms, 0);
     CU_ASSERT_EQUAL(arbiter.engines->reports.accepted, 0);
     hs__peer_message__free_unpacked(response, NULL);
     free_member(&arbiter);
@@ -139,5 +171,6 @@
 
 const test_case relayed_report_tests[] = {
     {"a_response_relays_reports_on_other_engines", a_response_relays_reports_on_other_engines},
+    {"a_new_arbiter_relays_no_reports", a_new_arbiter_relays_no_reports},
     {"a_small_fleet_relays_no_reports", a_small_fleet_relays_no_reports},
     {NULL, NULL}};
