Arbiters in the engine's region

With regions, the arbiter of an engine was any live daemon, so that two of three confirmations and load reports of a three-region deployment crossed regions.

Members announce their region (only with at least two regions in fleet.zone_regions), keep it through relays of older builds, and compare it in anti-entropy. The arbiter is the member that ranks first in the engine's region while every live member announces a region; otherwise the order over all members holds as before. Rejected entries of zone_regions are logged once.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "base/memory_budget.h"
 #include "base/thread.h"
+#include "base/topology.h"
 #include "daemon/settings.h"
 #include "fleet/engine_source.h"
 #include "http/connection_guard.h"
@@ -38,6 +39,7 @@
 struct hs_fleet_daemon {
     const hs_settings *settings; /**< Settings at the start. Borrowed. */
     hs_settings *reloaded;       /**< Settings of the last reload; NULL: none. Owned. */
+    hs_topology *topology;
     hs_store_client *store;
     hs_config_source *config;
     hs_fleet_engines *engines;
@@ -109,6 +111,7 @@
     hs_daemon_directory_settings directory = {
         .id = settings->daemon_id,
         .zone = settings->zone,
+        .topology = daemon->topology,
         .address = settings->address,
         .front_port = parse_endpoint(settings->fleet_front).port,
         .peer_port = control.port,
@@ -194,6 +197,7 @@
     hs_read_ahead_free(daemon->online.read_ahead);
     hs_fair_shares_free(daemon->online.fair_shares);
     hs_fleet_engines_free(daemon->engines);
+    hs_topology_free(daemon->topology);
     hs_crash_watch_free(daemon->crash_watch);
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
@@ -225,6 +229,18 @@
     return (uint32_t)apply_ms;
 }
 
+/** Creates the topology and logs what is wrong with it. */
+static hs_topology *make_topology(const hs_settings *settings) {
+    hs_topology *topology = hs_topology_new(settings->fleet_zone_regions);
+    uint32_t rejected = hs_topology_rejected_count(topology);
+    if (rejected > 0)
+        hs_log_warning("zone_regions_rejected", "entries=%u value=\"%s\"", rejected,
+                       settings->fleet_zone_regions);
+    if (hs_topology_has_regions(topology) && hs_topology_region(topology, settings->zone) == NULL)
+        hs_log_warning("own_region_unknown", "zone=%s", settings->zone);
+    return topology;
+}
+
 /** Wakes held requests when a slot of the service may be free; see hs_engine_slot_observer. */
 static void wake_held_requests(const char *service, void *user_data) {
     hs_held_requests_wake(user_data, service);
@@ -238,7 +254,9 @@
     hs_endpoint store = parse_endpoint(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, get_config_apply_ms(settings));
+    daemon->topology = make_topology(settings);
     daemon->engines = hs_fleet_engines_new(settings->zone);
+    hs_fleet_engines_set_topology(daemon->engines, daemon->topology);
     daemon->online.held = hs_held_requests_new();
     hs_fleet_engines_set_slot_observer(daemon->engines, wake_held_requests, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
@@ -275,6 +293,7 @@
            strcmp(before->fleet_control, now->fleet_control) != 0 ||
            strcmp(before->fleet_store, now->fleet_store) != 0 ||
            strcmp(before->daemon_id, now->daemon_id) != 0 ||
+           strcmp(before->fleet_zone_regions, now->fleet_zone_regions) != 0 ||
            before->fleet_parts != now->fleet_parts;
 }
 
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -112,6 +112,13 @@
         store_shares(directory, message, from);
 }
 
+/** Returns the region that this daemon announces; NULL: none, as with fewer than two regions. */
+static const char *own_region(const hs_daemon_directory_settings *settings) {
+    return hs_topology_has_regions(settings->topology)
+               ? hs_topology_region(settings->topology, settings->zone)
+               : NULL;
+}
+
 hs_daemon_directory *hs_daemon_directory_new(const hs_daemon_directory_settings *settings,
                                              hs_error *error) {
     hs_peer_socket *socket = hs_peer_socket_new(settings->address, settings->peer_port, error);
@@ -126,6 +133,7 @@
     directory->resolve_ttl_s = (gint)settings->resolve_ttl_s;
     hs_member self = {.id = (char *)settings->id,
                       .zone = (char *)settings->zone,
+                      .region = (char *)own_region(settings),
                       .incarnation = hs_clock_wall_ms(),
                       .address = hs_endpoint_parse_address(settings->address),
                       .peer_port = settings->peer_port,
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -10,6 +10,7 @@
 #define HS_DIRECTORY_DAEMON_DIRECTORY_H
 
 #include "base/stall_detector.h"
+#include "base/topology.h"
 #include "directory/tenant_limiter.h"
 #include "fleet/fleet_engines.h"
 #include "membership/membership_service.h"
@@ -21,7 +22,8 @@
 typedef struct {
     const char *id;
     const char *zone;
-    const char *address; /**< IPv4 address of all listeners. */
+    const hs_topology *topology; /**< Zones and regions of the deployment. */
+    const char *address;         /**< IPv4 address of all listeners. */
     uint16_t front_port;
     uint16_t peer_port; /**< For other daemons, UDP and TCP. */
     const char *seeds;  /**< "IPv4:port,..." */
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -28,12 +28,16 @@
     bool is_self;
 } peer;
 
-/** Finds the arbiter of an engine; the port is 0 if there is none. */
+/**
+ * Finds the arbiter of an engine; the port is 0 if there is none. While this daemon doesn't list
+ * the engine, the engine's region is unknown and the order over all members applies.
+ */
 static peer find_arbiter(hs_slot_arbiter *arbiter, uint64_t engine_hash) {
     g_autofree char *key = g_strdup_printf("engine-%" G_GINT64_MODIFIER "x", engine_hash);
+    const char *region = hs_fleet_engines_region(arbiter->engines, engine_hash);
     peer found = {0};
     const hs_membership *membership = hs_membership_service_lock(arbiter->membership);
-    const hs_member *member = hs_membership_rank_first(membership, key, NULL);
+    const hs_member *member = hs_membership_rank_in_region(membership, key, region);
     if (member != NULL) {
         found = (peer){.address = member->address,
                        .port = member->peer_port,
--- a/src/directory/slot_arbiter.h
+++ b/src/directory/slot_arbiter.h
@@ -4,7 +4,8 @@
  * and acts as the arbiter of some engines. Thread-safe.
  *
  * The arbiter of an engine is the live daemon that ranks first for the engine by rendezvous
- * hashing, without election or stored state. While daemons disagree on the arbiter, or the arbiter
+ * hashing, without election or stored state. With several regions it is a daemon of the engine's
+ * region (hs_membership_rank_in_region). While daemons disagree on the arbiter, or the arbiter
  * does not respond, the arbiter preempts no items; the loads that daemons exchange at intervals
  * (fleet/engine_peers.c) still lead to preemption, with more delay.
  */
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -91,6 +91,8 @@
     GHashTable *by_hash; /**< hash -> hs_fleet_engine*, of by_id; NULL: to be rebuilt. */
     GHashTable *peers;   /**< peer -> peer_load* */
     char *zone;
+    /** May be NULL. */
+    const hs_topology *topology;
     GHashTable *speeds;        /**< service -> hs_engine_speed* */
     GHashTable *absences;      /**< service -> hs_engine_absence* */
     GHashTable *pressures;     /**< service -> hs_cached_pressure* */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -81,6 +81,21 @@
     return g_hash_table_lookup(engines->by_hash, &engine_hash);
 }
 
+void hs_fleet_engines_set_topology(hs_fleet_engines *engines, const hs_topology *topology) {
+    engines->topology = topology;
+}
+
+const char *hs_fleet_engines_region(hs_fleet_engines *engines, uint64_t engine_hash) {
+    if (!hs_topology_has_regions(engines->topology))
+        return NULL;
+    g_mutex_lock(&engines->lock);
+    const hs_fleet_engine *engine = hs_fleet_engines_find(engines, engine_hash);
+    const char *region =
+        engine != NULL ? hs_topology_region(engines->topology, engine->entry.zone) : NULL;
+    g_mutex_unlock(&engines->lock);
+    return region;
+}
+
 void hs_fleet_engines_free(hs_fleet_engines *engines) {
     if (engines == NULL)
         return;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -10,6 +10,7 @@
 #ifndef HS_FLEET_FLEET_ENGINES_H
 #define HS_FLEET_FLEET_ENGINES_H
 
+#include "base/topology.h"
 #include "fleet/crash_watch.h"
 #include "fleet/service_pressure.h"
 #include "heathsail/fleet.h"
@@ -117,6 +118,18 @@
 void hs_fleet_engines_set_crash_watch(hs_fleet_engines *engines, hs_crash_watch *watch);
 hs_crash_watch *hs_fleet_engines_crash_watch(hs_fleet_engines *engines);
 
+/**
+ * Sets the zones and regions of the deployment; NULL: no regions. Borrowed. To be called before the
+ * first request.
+ */
+void hs_fleet_engines_set_topology(hs_fleet_engines *engines, const hs_topology *topology);
+
+/**
+ * Returns the region of an engine, or NULL if the engine or its region is unknown or the deployment
+ * has fewer than two regions. Owned by the topology.
+ */
+const char *hs_fleet_engines_region(hs_fleet_engines *engines, uint64_t engine_hash);
+
 /** Adds or updates an engine. Takes ownership of the strings of @p entry and clears it. */
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
 
--- a/src/membership/member_record.c
+++ b/src/membership/member_record.c
@@ -11,6 +11,7 @@
     g_free(record->leaving_engines);
     g_free(record->id);
     g_free(record->zone);
+    g_free(record->region);
     g_free(record);
 }
 
@@ -32,6 +33,7 @@
     hs__member_record__init(record);
     record->id = g_strdup(member->id);
     record->zone = g_strdup(member->zone);
+    record->region = g_strdup(member->region);
     record->incarnation = member->incarnation;
     record->version = member->version;
     record->state = wire_state(member->state);
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -14,6 +14,7 @@
     hs_member *member = data;
     g_free(member->id);
     g_free(member->zone);
+    g_free(member->region);
     g_array_free(member->owned, TRUE);
     g_ptr_array_free(member->leaving_engines, TRUE);
     g_free(member);
@@ -23,10 +24,19 @@
     g_free(((open_probe *)data)->member_id);
 }
 
+/** Replaces an owned text if it differs. */
+static void set_text(char **text, const char *value) {
+    if (strcmp(*text, value) == 0)
+        return;
+    g_free(*text);
+    *text = g_strdup(value);
+}
+
 static hs_member *add_member(hs_membership *membership, const char *id) {
     hs_member *member = g_new0(hs_member, 1);
     member->id = g_strdup(id);
     member->zone = g_strdup("");
+    member->region = g_strdup("");
     member->owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
     member->leaving_engines = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_insert(membership->members, member->id, member);
@@ -46,6 +56,8 @@
     hs_member *own = add_member(membership, self->id);
     g_free(own->zone);
     own->zone = g_strdup(self->zone);
+    if (self->region != NULL)
+        set_text(&own->region, self->region);
     own->state = HS_MEMBER_ALIVE;
     own->incarnation = self->incarnation;
     own->version = 1;
@@ -252,7 +264,17 @@
         member->size = size;
 }
 
+/**
+ * Copies the region if the record has one. A record without a region may have been relayed by an
+ * older build; within an incarnation the known region is retained, as it doesn't change.
+ */
+static void copy_region(hs_member *member, const Hs__MemberRecord *record) {
+    if (*record->region != '\0' || record->incarnation != member->incarnation)
+        set_text(&member->region, record->region);
+}
+
 static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
+    copy_region(member, record);
     member->incarnation = record->incarnation;
     member->version = record->version;
     if (record->address != 0) {
@@ -260,10 +282,7 @@
         member->peer_port = (uint16_t)record->peer_port;
         member->admin_port = (uint16_t)record->admin_port;
     }
-    if (strcmp(member->zone, record->zone) != 0) {
-        g_free(member->zone);
-        member->zone = g_strdup(record->zone);
-    }
+    set_text(&member->zone, record->zone);
     member->config_offset = record->config_offset;
     copy_size(member, record);
     g_array_set_size(member->owned, 0);
@@ -292,8 +311,10 @@
     if (!supersedes(member, record)) {
         bool is_same =
             record->incarnation == member->incarnation && record->version == member->version;
-        if (is_same)
+        if (is_same) {
             copy_size(member, record);
+            copy_region(member, record);
+        }
         return false;
     }
     bool was_live = hs_member_is_live(member);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -54,6 +54,7 @@
 typedef struct {
     char *id;
     char *zone;
+    char *region; /**< Region that the member announced; empty: none. */
     hs_member_state state;
     uint64_t incarnation;
     uint32_t version;
@@ -86,8 +87,8 @@
 } hs_probe_order;
 
 /**
- * Creates the state with a copy of @p self as its only member, in state ALIVE. Free with
- * hs_membership_free.
+ * Creates the state with a copy of @p self as its only member, in state ALIVE. The region of
+ * @p self may be NULL: it announces none. Free with hs_membership_free.
  */
 hs_membership *hs_membership_new(const hs_member *self, const hs_membership_settings *settings,
                                  uint32_t random_seed);
@@ -182,6 +183,15 @@
 const hs_member *hs_membership_rank_first(const hs_membership *membership, const char *key,
                                           const char *zone);
 
+/**
+ * Returns the member to use for @p key in @p region: among the live members of the region, the one
+ * with the highest rendezvous hash weight. If @p region is NULL, has no live member, or some live
+ * member announces no region, returns the same as hs_membership_rank_first for any zone. Members of
+ * older builds announce no region and use that order, so that all daemons agree.
+ */
+const hs_member *hs_membership_rank_in_region(const hs_membership *membership, const char *key,
+                                              const char *region);
+
 /**
  * Returns the live member that follows @p after in descending order of weights for @p key, or NULL
  * if none follows. @p after NULL: returns the first.
--- a/src/membership/membership_compare.c
+++ b/src/membership/membership_compare.c
@@ -6,13 +6,14 @@
 #include "membership/membership_state.h"
 
 /**
- * Hashes the member's id, incarnation, version and state. In case of a collision a changed record
- * is not sent by a comparison until its version rises.
+ * Hashes the member's id, incarnation, version, state and announced region, if any. A daemon that
+ * got the record from an older build lacks the region and is sent the record again. In case of a
+ * collision a changed record is not sent by a comparison until its version rises.
  */
 static uint32_t hash_record(const hs_member *member) {
-    g_autofree char *text =
-        g_strdup_printf("%" G_GUINT64_FORMAT ".%u.%d", (guint64)member->incarnation,
-                        member->version, (int)member->state);
+    g_autofree char *text = g_strdup_printf(
+        "%" G_GUINT64_FORMAT ".%u.%d%s%s", (guint64)member->incarnation, member->version,
+        (int)member->state, *member->region != '\0' ? "." : "", member->region);
     return (uint32_t)hs_hash_pair(member->id, text);
 }
 
--- a/src/membership/membership_query.c
+++ b/src/membership/membership_query.c
@@ -52,6 +52,48 @@
     return best;
 }
 
+/**
+ * Returns whether every live member announces a region and at least one of them announces
+ * @p region.
+ */
+static bool is_ranked_by_region(const hs_membership *membership, const char *region) {
+    bool has_member = false;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (!hs_member_is_live(member))
+            continue;
+        if (*member->region == '\0')
+            return false;
+        has_member = has_member || strcmp(member->region, region) == 0;
+    }
+    return has_member;
+}
+
+const hs_member *hs_membership_rank_in_region(const hs_membership *membership, const char *key,
+                                              const char *region) {
+    if (region == NULL || !is_ranked_by_region(membership, region))
+        return hs_membership_rank_first(membership, key, NULL);
+    const hs_member *best = NULL;
+    uint64_t best_weight = 0;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        if (!hs_member_is_live(member) || strcmp(member->region, region) != 0)
+            continue;
+        uint64_t weight = hs_hash_pair(key, member->id);
+        if (best != NULL && weight <= best_weight)
+            continue;
+        best = member;
+        best_weight = weight;
+    }
+    return best;
+}
+
 /** Orders members by descending weight, then by id. Returns less than 0 if @p one is first. */
 static int compare_rank(const char *key, const hs_member *one, const hs_member *other) {
     uint64_t weight = hs_hash_pair(key, one->id);
