Engine choice by region

Another region counted as another zone (2 ms) in an engine's cost, and each daemon expected the requests of the whole fleet at the engines that it preferred, so that requests spread over regions.

A candidate has a distance. The network delay to another region is a round trip of 24 ms, and another one for a new connection. A request leaves its region only if the shortest expected wait there exceeds the one elsewhere plus this delay; cached prompts, connections and concurrent runs don't move it. A shared prefix prefers an engine of the region. The wait limit of a request includes the delay.

Tests that left same_zone out of a candidate meant another zone, which is now named where a test compares costs (pace).

--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -30,20 +30,43 @@
     return speed;
 }
 
+bool hs_engine_choice_is_far(const hs_engine_candidate *candidate) {
+    return candidate->distance == HS_DISTANCE_OTHER_REGION;
+}
+
+double hs_engine_choice_network_ms(const hs_engine_candidate *candidate) {
+    if (!hs_engine_choice_is_far(candidate))
+        return candidate->distance == HS_DISTANCE_SAME_ZONE ? 0 : OTHER_ZONE_MS;
+    return candidate->is_connected ? HS_MIN_REGION_DELAY_MS : 2 * HS_MIN_REGION_DELAY_MS;
+}
+
+/** Returns the expected wait for a free slot. @p own: speeds at the engine's pace. */
+static double slot_wait_ms(const hs_engine_candidate *candidate, const hs_engine_speed *own) {
+    double slots = candidate->slots > 0 ? candidate->slots : 1;
+    double excess = fmax(candidate->running + 1 - slots, 0);
+    double preempted = fmin(excess, candidate->batch);
+    return preempted * PREEMPTION_COST_MS + (excess - preempted) / slots * own->run_ms;
+}
+
+double hs_engine_choice_queue_ms(const hs_engine_candidate *candidate,
+                                 const hs_engine_speed *speed) {
+    hs_engine_speed own = hs_engine_speed_at(speed, candidate->pace);
+    double wait_ms =
+        candidate->queued_tokens / fmax(own.tokens_per_ms, 1e-3) + slot_wait_ms(candidate, &own);
+    return candidate->suspected ? wait_ms + SUSPECTED_COST_MS : wait_ms;
+}
+
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed) {
     hs_engine_speed own = hs_engine_speed_at(speed, candidate->pace);
     double slots = candidate->slots > 0 ? candidate->slots : 1;
     double cost = candidate->queued_tokens / fmax(own.tokens_per_ms, 1e-3) +
                   candidate->uncached_tokens / fmax(speed->tokens_per_ms, 1e-3);
     cost += candidate->running / slots * own.run_ms * CONCURRENT_RUN_SHARE;
-    double excess = fmax(candidate->running + 1 - slots, 0);
-    double preempted = fmin(excess, candidate->batch);
-    cost += preempted * PREEMPTION_COST_MS + (excess - preempted) / slots * own.run_ms;
+    cost += slot_wait_ms(candidate, &own);
     if (candidate->memory_share > HIGH_MEMORY_SHARE)
         cost += (candidate->memory_share - HIGH_MEMORY_SHARE) * own.run_ms;
     cost += candidate->failure_rate * speed->run_ms * FAILURE_COST_RUNS;
-    if (!candidate->same_zone)
-        cost += OTHER_ZONE_MS;
+    cost += hs_engine_choice_network_ms(candidate);
     if (!candidate->is_connected)
         cost += NEW_CONNECTION_MS;
     if (candidate->suspected)
@@ -78,29 +101,44 @@
     return wait_ms + speed->first_byte_ms > (double)left_ms;
 }
 
-int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
-                          const hs_engine_speed *speed) {
-    int best = HS_ENGINE_NONE;
-    double best_cost = 0;
-    for (size_t step = 0; step < count; step++) {
-        size_t index = (first + step) % count;
-        double cost = hs_engine_choice_cost(&candidates[index], speed);
-        if (best == HS_ENGINE_NONE || cost < best_cost) {
-            best = (int)index;
-            best_cost = cost;
-        }
+typedef bool (*candidate_filter)(const hs_engine_candidate *candidate);
+
+static bool is_any(const hs_engine_candidate *candidate) {
+    (void)candidate;
+    return true;
+}
+
+static bool is_free_for_batch(const hs_engine_candidate *candidate) {
+    return !candidate->suspected && candidate->running + 1 <= candidate->slots;
+}
+
+/** Returns whether a wait in this daemon's region is no longer than one in another region. */
+static bool stays_in_region(const hs_engine_candidate *candidates, size_t count,
+                            const hs_engine_speed *speed, candidate_filter is_eligible) {
+    double near_ms = INFINITY;
+    double far_ms = INFINITY;
+    for (size_t index = 0; index < count; index++) {
+        const hs_engine_candidate *candidate = &candidates[index];
+        if (!is_eligible(candidate))
+            continue;
+        double wait_ms = hs_engine_choice_queue_ms(candidate, speed);
+        if (hs_engine_choice_is_far(candidate))
+            far_ms = fmin(far_ms, wait_ms + hs_engine_choice_network_ms(candidate));
+        else
+            near_ms = fmin(near_ms, wait_ms);
     }
-    return best;
+    return near_ms <= far_ms;
 }
 
-int hs_engine_choice_pick_for_batch(const hs_engine_candidate *candidates, size_t count,
-                                    size_t first, const hs_engine_speed *speed) {
+static int pick_cheapest(const hs_engine_candidate *candidates, size_t count, size_t first,
+                         const hs_engine_speed *speed, candidate_filter is_eligible) {
     int best = HS_ENGINE_NONE;
     double best_cost = 0;
+    bool stays = stays_in_region(candidates, count, speed, is_eligible);
     for (size_t step = 0; step < count; step++) {
         size_t index = (first + step) % count;
         const hs_engine_candidate *candidate = &candidates[index];
-        if (candidate->suspected || candidate->running + 1 > candidate->slots)
+        if (!is_eligible(candidate) || (stays && hs_engine_choice_is_far(candidate)))
             continue;
         double cost = hs_engine_choice_cost(candidate, speed);
         if (best == HS_ENGINE_NONE || cost < best_cost) {
@@ -110,3 +148,13 @@
     }
     return best;
 }
+
+int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
+                          const hs_engine_speed *speed) {
+    return pick_cheapest(candidates, count, first, speed, is_any);
+}
+
+int hs_engine_choice_pick_for_batch(const hs_engine_candidate *candidates, size_t count,
+                                    size_t first, const hs_engine_speed *speed) {
+    return pick_cheapest(candidates, count, first, speed, is_free_for_batch);
+}
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -4,8 +4,12 @@
  *
  * The cost of an engine is the time to read the prompt tokens queued there and the uncached tokens
  * of the request, the wait for a free slot, a small penalty per concurrent run that spreads
- * requests over equal engines, and the cost of a failure weighted by the failure rate. Suspected
- * engines are chosen only if no other engine is left.
+ * requests over equal engines, the network delay, and the cost of a failure weighted by the failure
+ * rate. Suspected engines are chosen only if no other engine is left.
+ *
+ * A request leaves its region only if the shortest expected wait in its region exceeds that of
+ * another region's engine by more than the network delay to it. Other terms, such as cached prompt
+ * tokens, never move a request to another region.
  *
  * The engine's pace scales only the terms that grow with the engine's load: the queued tokens, the
  * wait for a slot and the concurrent runs. The pace does not scale the terms that an idle engine
@@ -15,6 +19,8 @@
 #ifndef HS_FLEET_ENGINE_CHOICE_H
 #define HS_FLEET_ENGINE_CHOICE_H
 
+#include "base/topology.h"
+
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -30,7 +36,7 @@
     double warmup_ms;       /**< Remaining warm-up time after the engine's start. */
     double failure_rate;    /**< Share of recent requests that failed on the engine, 0 to 1. */
     bool suspected;
-    bool same_zone;
+    hs_distance distance;      /**< Between this daemon and the engine. */
     bool is_connected;         /**< This daemon has an idle connection to the engine. */
     double pace;               /**< See hs_engine_pace_factor; 0: unknown, counts as 1. */
     double load_report_age_ms; /**< Age of the engine's load report; 0: the load is exact. */
@@ -48,6 +54,12 @@
     double event_ms; /**< Mean interval between the events of a run; 0: unknown. */
 } hs_engine_speed;
 
+/**
+ * Network delay in ms to an engine of another region on an open connection: one round trip. One way
+ * takes 12 ms in the deployment with three regions.
+ */
+#define HS_MIN_REGION_DELAY_MS 24.0
+
 /** Result of a choice without a suitable candidate. */
 #define HS_ENGINE_NONE (-1)
 
@@ -66,6 +78,22 @@
  */
 hs_engine_speed hs_engine_speed_at(const hs_engine_speed *service, double pace);
 
+/**
+ * Returns the network delay in ms that the distance to the engine adds: round trips for the request
+ * and, to another region, for a new connection.
+ */
+double hs_engine_choice_network_ms(const hs_engine_candidate *candidate);
+
+/**
+ * Returns the part of the cost in ms that is a wait for other requests: for queued prompt tokens
+ * and for a free slot. @p speed: of the service.
+ */
+double hs_engine_choice_queue_ms(const hs_engine_candidate *candidate,
+                                 const hs_engine_speed *speed);
+
+/** Reports whether the engine is in another region than this daemon. */
+bool hs_engine_choice_is_far(const hs_engine_candidate *candidate);
+
 /** Returns the expected time in ms to the first token. @p speed: of the service. */
 double hs_engine_choice_cost(const hs_engine_candidate *candidate, const hs_engine_speed *speed);
 
@@ -106,8 +134,9 @@
                                          uint64_t left_ms);
 
 /**
- * Returns the index of the candidate with the lowest cost, or HS_ENGINE_NONE if @p count is 0. Of
- * candidates with equal cost, the next one from index @p first on wins.
+ * Returns the index of the candidate with the lowest cost, of this daemon's region unless the
+ * request leaves it, or HS_ENGINE_NONE if @p count is 0. Of candidates with equal cost, the next
+ * one from index @p first on wins.
  */
 int hs_engine_choice_pick(const hs_engine_candidate *candidates, size_t count, size_t first,
                           const hs_engine_speed *speed);
--- a/src/fleet/engine_estimates.c
+++ b/src/fleet/engine_estimates.c
@@ -190,7 +190,7 @@
         .suspected = hs_fleet_engine_is_suspected(engine, now_ms),
         .failure_rate = hs_fleet_engine_failure_rate(engine, now_ms),
         .is_connected = !g_queue_is_empty((GQueue *)&engine->idle),
-        .same_zone = strcmp(engine->entry.zone, engines->zone) == 0,
+        .distance = hs_topology_distance(engines->topology, engine->entry.zone, engines->zone),
         .pace = hs_fleet_engine_pace(engines, engine, now_ms),
     };
     if (engine->entry.warmup_left_ms > since_listed)
--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -62,6 +62,14 @@
     }
 }
 
+/** Whether a candidate is in this daemon's region. */
+static bool has_own_region(const hs_engine_candidate *candidates, size_t count) {
+    bool is_found = false;
+    for (size_t index = 0; index < count && !is_found; index++)
+        is_found = !hs_engine_choice_is_far(&candidates[index]);
+    return is_found;
+}
+
 void hs_engine_selection_credit_shared_prefix(const GPtrArray *found, const hs_engine_query *query,
                                               hs_engine_candidate *candidates) {
     uint64_t shared = query->size != NULL ? hs_prompt_shared_hash(query->size) : 0;
@@ -69,8 +77,11 @@
         return;
     uint64_t best_rank = 0;
     guint preferred = 0;
+    bool is_own_region = has_own_region(candidates, found->len);
     for (guint index = 0; index < found->len; index++) {
         const hs_fleet_engine *engine = found->pdata[index];
+        if (is_own_region && hs_engine_choice_is_far(&candidates[index]))
+            continue;
         uint64_t pair[2] = {shared, engine->hash};
         uint64_t rank = hs_hash_bytes(pair, sizeof pair);
         if (rank >= best_rank) {
@@ -93,6 +104,8 @@
         hs_engine_speed engine_speed = hs_engine_speed_at(speed, candidate->pace);
         double wait_ms = hs_engine_choice_wait_ms(online, candidate->slots,
                                                   candidate->queued_tokens, &engine_speed);
+        if (hs_engine_choice_is_far(candidate))
+            wait_ms += hs_engine_choice_network_ms(candidate);
         if (query->has_wait_limit &&
             !hs_engine_choice_can_start_in_time(wait_ms, &engine_speed, query->max_start_wait_ms))
             continue;
--- a/src/fleet/engine_selection.h
+++ b/src/fleet/engine_selection.h
@@ -24,12 +24,16 @@
 
 /**
  * Assumes that the shared prefix of the request's prompt is cached by the engine that ranks first
- * for it by rendezvous hashing, so that all daemons prefer the same engine without coordination.
+ * for it by rendezvous hashing, so that all daemons of a region prefer the same engine of their
+ * region without coordination. Without engines in the region, all engines are ranked.
  */
 void hs_engine_selection_credit_shared_prefix(const GPtrArray *found, const hs_engine_query *query,
                                               hs_engine_candidate *candidates);
 
-/** Removes engines, and their @p candidates, on which the wait would exceed the query's limit. */
+/**
+ * Removes engines, and their @p candidates, on which the wait would exceed the query's limit. The
+ * network delay to another region is part of the wait.
+ */
 void hs_engine_selection_keep_within_wait_limit(GPtrArray *found, const hs_engine_query *query,
                                                 hs_engine_candidate *candidates,
                                                 const hs_engine_speed *speed);
--- a/src/fleet/engine_spread.h
+++ b/src/fleet/engine_spread.h
@@ -10,6 +10,11 @@
  * one by one to the engine with the lowest cost, given those assigned before. The engine is drawn
  * at random, weighted by the requests assigned to it: the older the reports and the higher the
  * rate, the more engines share the requests.
+ *
+ * With engines in several regions, each region's requests are assigned on their own: the load of a
+ * region's engines approaches the mean of the region, and requests are assigned to other regions
+ * only as far as they leave theirs (see engine_choice.h). Otherwise each daemon would expect the
+ * requests of the whole fleet at its region's engines.
  */
 #ifndef HS_FLEET_ENGINE_SPREAD_H
 #define HS_FLEET_ENGINE_SPREAD_H
--- a/tests/unit/test_engines.c
+++ b/tests/unit/test_engines.c
@@ -221,9 +221,10 @@
 /** An idle connection decides between equal engines, but counts less than a free slot. */
 static void an_idle_connection_breaks_ties(void) {
     hs_engine_speed speed = {.tokens_per_ms = 40, .run_ms = 300};
-    hs_engine_candidate candidates[] = {{.slots = 4, .same_zone = true},
-                                        {.slots = 4, .same_zone = true, .is_connected = true},
-                                        {.slots = 4, .is_connected = true}};
+    hs_engine_candidate candidates[] = {
+        {.slots = 4},
+        {.slots = 4, .is_connected = true},
+        {.slots = 4, .distance = HS_DISTANCE_OTHER_ZONE, .is_connected = true}};
     for (size_t first = 0; first < 3; first++)
         CU_ASSERT_EQUAL(hs_engine_choice_pick(candidates, 3, first, &speed), 1);
     candidates[1].running = 4;
--- a/tests/unit/test_pace.c
+++ b/tests/unit/test_pace.c
@@ -102,7 +102,8 @@
                                      .batch = 1,
                                      .queued_tokens = 1000,
                                      .uncached_tokens = 500,
-                                     .failure_rate = 0.125};
+                                     .failure_rate = 0.125,
+                                     .distance = HS_DISTANCE_OTHER_ZONE};
     double unknown = hs_engine_choice_cost(&candidate, &speed);
     CU_ASSERT_EQUAL(unknown, 20 + 10 + 25 + 15 + 250 + 75 + 2 + 2.5);
     candidate.pace = 1;
--- a/tests/unit/test_spread.c
+++ b/tests/unit/test_spread.c
@@ -81,7 +81,6 @@
             chosen_by == BY_EXACT_LOAD ? 0 : g_rand_int_range(random, 0, MAX_REPORT_AGE_MS + 1);
         view[index] =
             (hs_engine_candidate){.slots = SLOTS,
-                                  .same_zone = true,
                                   .is_connected = chosen_by == AT_RANDOM ||
                                                   (daemon * 31 + (uint32_t)index * 17) % 10 == 0,
                                   .pace = 1};
@@ -309,7 +308,8 @@
         for (int index = 0; index < ENGINES; index++)
             view[index] = (hs_engine_candidate){.slots = SLOTS,
                                                 .running = g_rand_int_range(random, 0, 16),
-                                                .same_zone = index % 2,
+                                                .distance = index % 2 ? HS_DISTANCE_SAME_ZONE
+                                                                      : HS_DISTANCE_OTHER_ZONE,
                                                 .is_connected = index % 3 == 0};
         hs_engine_tie_break tie_break = {.draw = g_rand_double(random), .first = (size_t)trial};
         CU_ASSERT_EQUAL(hs_engine_spread_pick(view, ENGINES, &tie_break, &speed),
