Traffic between daemons mostly within a region

Two of three messages between daemons of a three-region deployment crossed regions.

With regions announced, one probe in four leaves the region (three in four while a member of another region is suspect, so that a cut is detected as soon). Four of five announcements of shares go to the own region only. One daemon of each region sends the region's most recent load reports to one daemon of each other region, which sends them to its region's daemons. Appends are relayed by owners of the own region first. Sent bytes are counted by kind of message and distance: heathsail_peer_bytes_total{kind,way}.

Without announced regions the same members are probed by the same random draws, and the same peers get announcements and relays. Suites region_arbiters and region_reports pass; of all unit tests only known-red ones fail.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -12,6 +12,8 @@
 #include "directory/crash_exchange.h"
 #include "directory/crash_store.h"
 #include "directory/machine_load.h"
+#include "directory/peer_distances.h"
+#include "directory/region_reports.h"
 #include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
@@ -31,6 +33,11 @@
  * daemons get the engines' load from the engines' arbiters.
  */
 #define MAX_OWNERS_PER_ROUND 1
+/**
+ * Announcements of which one also goes to other regions; the interval is within the time for which
+ * an announcement is valid.
+ */
+#define FAR_SHARES_INTERVAL 5
 /** Number of other daemons above which a fleet is large. */
 #define LARGE_FLEET_PEERS HS_LARGE_FLEET_PEERS
 #define REGISTRY_INTERVAL_MS 4000
@@ -49,6 +56,7 @@
 struct hs_daemon_directory {
     hs_daemon_directory_settings settings;
     hs_peer_socket *socket;
+    hs_peer_distances *distances;
     hs_membership_service *membership;
     hs_slot_arbiter *slots;
     hs_crash_exchange *crashes;
@@ -59,6 +67,7 @@
     uint64_t started_ms;
     uint64_t next_shares_ms;
     guint next_peer;          /**< Index of the peer at which the next announcement starts. */
+    guint shares_rounds;      /**< Announcements so far; wraps. */
     hs_machine_load load;     /**< Used by the ticker's thread only. */
     gint utilisation_percent; /**< As last announced; atomic. */
     GMutex lock;
@@ -103,6 +112,7 @@
 static void handle_message(const Hs__PeerMessage *message, const struct sockaddr_in *from,
                            void *user_data) {
     hs_daemon_directory *directory = user_data;
+    hs_region_reports_relay(directory->membership, message);
     if (hs_membership_service_handle(directory->membership, message, from) ||
         hs_slot_arbiter_handle(directory->slots, message, from) ||
         hs_tenant_limiter_handle(directory->limiter, message, from) ||
@@ -112,6 +122,10 @@
         store_shares(directory, message, from);
 }
 
+static hs_distance find_distance(uint32_t address, uint16_t port, void *user_data) {
+    return hs_peer_distances_find(user_data, address, port);
+}
+
 /** Returns the region that this daemon announces; NULL: none, as with fewer than two regions. */
 static const char *own_region(const hs_daemon_directory_settings *settings) {
     return hs_topology_has_regions(settings->topology)
@@ -127,6 +141,8 @@
     hs_daemon_directory *directory = g_new0(hs_daemon_directory, 1);
     directory->settings = *settings;
     directory->socket = socket;
+    directory->distances = hs_peer_distances_new(settings->topology);
+    hs_peer_socket_set_distance_lookup(socket, find_distance, directory->distances);
     g_mutex_init(&directory->lock);
     hs_stop_wait_init(&directory->pause);
     directory->seeds = g_strdup(settings->seeds);
@@ -266,12 +282,15 @@
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     *self_owns = hs_membership_self(membership)->owned->len > 0;
+    hs_peer_distances_update(directory->distances, membership);
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         if (member == hs_membership_self(membership) || member->state != HS_MEMBER_ALIVE)
             continue;
-        live_peer peer = {.address = {.address = member->address, .port = member->peer_port},
+        live_peer peer = {.address = {.address = member->address,
+                                      .port = member->peer_port,
+                                      .is_far = hs_membership_is_far(membership, member)},
                           .owns_partitions = member->owned->len > 0};
         g_array_append_val(peers, peer);
     }
@@ -289,7 +308,8 @@
 /**
  * Sends @p message to the next few peers. In a large fleet these are owners of partitions, which
  * run batch items and need to know the slots that online requests leave free. If this daemon owns
- * partitions itself, the message goes to all other owners too, as they share the free slots.
+ * partitions itself, the message goes to all other owners too, as they share the free slots. Most
+ * rounds leave out peers of other regions.
  */
 static void send_in_turn(hs_daemon_directory *directory, const GArray *peers, bool self_owns,
                          const Hs__PeerMessage *message) {
@@ -297,8 +317,11 @@
     guint max_peers = owners_only ? MAX_OWNERS_PER_ROUND : MAX_PEERS_PER_ROUND;
     guint first = directory->next_peer;
     guint sent = 0;
+    bool is_far_round = directory->shares_rounds++ % FAR_SHARES_INTERVAL == 0;
     for (guint count = 0; count < peers->len; count++) {
         const live_peer *peer = &g_array_index(peers, live_peer, (first + count) % peers->len);
+        if (peer->address.is_far && !is_far_round)
+            continue;
         bool is_next = sent < max_peers && (!owners_only || peer->owns_partitions);
         if (!is_next && !(self_owns && peer->owns_partitions))
             continue;
@@ -387,6 +410,7 @@
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
             send_shares(directory);
             hs_slot_arbiter_refresh(directory->slots);
+            hs_region_reports_send(directory->settings.engines, directory->membership);
         }
     }
     return NULL;
@@ -419,6 +443,7 @@
     hs_crash_store_free(directory->crash_records);
     hs_membership_service_free(directory->membership);
     hs_peer_socket_free(directory->socket);
+    hs_peer_distances_free(directory->distances);
     g_free(directory->seeds);
     hs_stop_wait_clear(&directory->pause);
     g_mutex_clear(&directory->lock);
@@ -467,11 +492,17 @@
     bool is_other = member != NULL && member != hs_membership_self(membership) &&
                     member->state == HS_MEMBER_ALIVE;
     if (is_other)
-        *owner = (hs_daemon_address){.address = member->address, .port = member->peer_port};
+        *owner = (hs_daemon_address){.address = member->address,
+                                     .port = member->peer_port,
+                                     .is_far = hs_membership_is_far(membership, member)};
     hs_membership_service_unlock(directory->membership);
     return is_other;
 }
 
+bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory) {
+    return own_region(&directory->settings) != NULL;
+}
+
 hs_owner_counts hs_daemon_directory_count_owners(hs_daemon_directory *directory,
                                                  uint32_t partition_count) {
     hs_owner_counts counts = {0};
@@ -490,6 +521,10 @@
     return directory->limiter;
 }
 
+char *hs_daemon_directory_describe_traffic(hs_daemon_directory *directory) {
+    return hs_peer_socket_describe(directory->socket);
+}
+
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory) {
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     uint32_t count = hs_membership_live_count(membership);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -74,6 +74,7 @@
 typedef struct {
     uint32_t address; /**< IPv4, in host order. */
     uint16_t port;
+    bool is_far; /**< In another region than this daemon, as both announced. */
 } hs_daemon_address;
 
 /**
@@ -91,6 +92,9 @@
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner);
 
+/** Reports whether the deployment has several regions and this daemon's region is known. */
+bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory);
+
 /** Numbers of partitions of jobs by owner, as far as this daemon knows. */
 typedef struct {
     uint32_t own;     /**< Owned by this daemon. */
@@ -101,6 +105,9 @@
 hs_owner_counts hs_daemon_directory_count_owners(hs_daemon_directory *directory,
                                                  uint32_t partition_count);
 
+/** Metrics of the bytes sent to other daemons. Free with g_free. */
+char *hs_daemon_directory_describe_traffic(hs_daemon_directory *directory);
+
 /** Number of live daemons, this one included; at least 1. */
 uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory);
 
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -127,6 +127,10 @@
     encoded->age_ms = load->age_ms;
 }
 
+void hs_slot_arbiter_encode_report(const hs_engine_load_report *load, Hs__EngineTotal *encoded) {
+    encode_report(load, encoded);
+}
+
 static hs_engine_load_report decode_report(const Hs__EngineTotal *encoded) {
     return (hs_engine_load_report){.engine_hash = encoded->engine_hash,
                                    .online = encoded->online,
--- a/src/directory/slot_arbiter.h
+++ b/src/directory/slot_arbiter.h
@@ -27,6 +27,9 @@
 bool hs_slot_arbiter_handle(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
                             const struct sockaddr_in *from);
 
+/** Encodes a load report for a message. */
+void hs_slot_arbiter_encode_report(const hs_engine_load_report *load, Hs__EngineTotal *encoded);
+
 /**
  * Reports this daemon's use of all engines, with one message per arbiter, and expires old reports.
  * The directory's ticker calls it at intervals.
--- a/src/jobs/job_relay.c
+++ b/src/jobs/job_relay.c
@@ -14,6 +14,8 @@
  * the store rejects a third of the daemons.
  */
 #define MAX_PEERS_ASKED 6
+/** Those of them in this daemon's region, if the deployment has several. */
+#define MAX_NEAR_PEERS_ASKED 4
 /** Maximum time for a daemon's answer whether it reaches the store. */
 #define STORE_CHECK_LIMIT_MS 100
 /** Minimum time for the request to the other daemon and its append. */
@@ -63,14 +65,58 @@
     g_mutex_unlock(&relay->lock);
 }
 
+static bool is_listed(const GArray *owners, const hs_daemon_address *owner) {
+    bool is_found = false;
+    for (guint index = 0; index < owners->len && !is_found; index++) {
+        const hs_daemon_address *listed = &g_array_index(owners, hs_daemon_address, index);
+        is_found = listed->address == owner->address && listed->port == owner->port;
+    }
+    return is_found;
+}
+
+/**
+ * Appends owners of the next partitions, of this daemon's region or of others, until @p owners has
+ * @p max_owners.
+ */
+static void add_owners(hs_job_relay *relay, uint32_t partition, bool is_far, guint max_owners,
+                       GArray *owners) {
+    for (uint32_t step = 0; step < relay->part_count && owners->len < max_owners; step++) {
+        hs_daemon_address owner;
+        uint32_t other = (partition + step) % relay->part_count;
+        if (hs_daemon_directory_find_owner(relay->daemons, other, &owner) &&
+            owner.is_far == is_far && !is_listed(owners, &owner))
+            g_array_append_val(owners, owner);
+    }
+}
+
+/**
+ * Lists the owners to query: of hs_daemon_address. Without regions, those of the next partitions.
+ * With regions, those of this daemon's region first, then some of others, since the store may
+ * reject a whole region.
+ */
+static GArray *list_owners(hs_job_relay *relay, uint32_t partition) {
+    GArray *owners = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
+    hs_daemon_address owner;
+    if (hs_daemon_directory_has_regions(relay->daemons)) {
+        add_owners(relay, partition, false, MAX_NEAR_PEERS_ASKED, owners);
+        add_owners(relay, partition, true, MAX_PEERS_ASKED, owners);
+        return owners;
+    }
+    for (uint32_t attempt = 0; attempt < MAX_PEERS_ASKED; attempt++)
+        if (hs_daemon_directory_find_owner(relay->daemons,
+                                           (partition + attempt) % relay->part_count, &owner))
+            g_array_append_val(owners, owner);
+    return owners;
+}
+
 bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, hs_daemon_address *peer) {
     if (relay->daemons == NULL || !can_search(relay))
         return false;
     bool is_found = false;
-    for (uint32_t attempt = 0; attempt < MAX_PEERS_ASKED && !is_found; attempt++) {
-        uint32_t other = (partition + attempt) % relay->part_count;
+    g_autoptr(GArray) owners = list_owners(relay, partition);
+    for (guint index = 0; index < owners->len && !is_found; index++) {
+        *peer = g_array_index(owners, hs_daemon_address, index);
         is_found =
-            hs_daemon_directory_find_owner(relay->daemons, other, peer) &&
             hs_job_peer_can_reach_store(peer, hs_clock_monotonic_ms() + STORE_CHECK_LIMIT_MS);
     }
     record_search(relay, is_found);
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -9,6 +9,8 @@
 #define SENT_COUNT_NO_RELAY 1000000U
 /** A record is sent GOSSIP_FACTOR * log2(number of members) times. */
 #define GOSSIP_FACTOR 3
+/** One of so many probes goes to another region. */
+#define FAR_PROBE_INTERVAL 4
 
 static void free_member(gpointer data) {
     hs_member *member = data;
@@ -49,6 +51,7 @@
     membership->settings = *settings;
     membership->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_member);
     membership->round = g_ptr_array_new_with_free_func(g_free);
+    membership->far_round = g_ptr_array_new_with_free_func(g_free);
     membership->open_probes = g_array_new(FALSE, FALSE, sizeof(open_probe));
     g_array_set_clear_func(membership->open_probes, clear_probe);
     membership->random = g_rand_new_with_seed(random_seed);
@@ -74,6 +77,7 @@
         return;
     g_hash_table_destroy(membership->members);
     g_ptr_array_free(membership->round, TRUE);
+    g_ptr_array_free(membership->far_round, TRUE);
     g_array_free(membership->open_probes, TRUE);
     g_rand_free(membership->random);
     g_free(membership);
@@ -333,30 +337,34 @@
     return was_live != hs_member_is_live(member);
 }
 
-/** Fills the round with the ids of all other members that are not dead, shuffled. */
-static void start_round(hs_membership *membership) {
+/**
+ * Fills a round with the ids of the other members that are not dead, shuffled: those of other
+ * regions, or all others.
+ */
+static void start_round(hs_membership *membership, GPtrArray *round, bool is_far) {
     GHashTableIter iterator;
     gpointer data;
     g_hash_table_iter_init(&iterator, membership->members);
     while (g_hash_table_iter_next(&iterator, NULL, &data)) {
         const hs_member *member = data;
-        if (member != membership->self && member->state != HS_MEMBER_DEAD)
-            g_ptr_array_add(membership->round, g_strdup(member->id));
+        if (member != membership->self && member->state != HS_MEMBER_DEAD &&
+            hs_membership_is_far(membership, member) == is_far)
+            g_ptr_array_add(round, g_strdup(member->id));
     }
-    for (guint index = membership->round->len; index > 1; index--) {
+    for (guint index = round->len; index > 1; index--) {
         guint other = (guint)g_rand_int_range(membership->random, 0, (gint32)index);
-        gpointer swapped = membership->round->pdata[index - 1];
-        membership->round->pdata[index - 1] = membership->round->pdata[other];
-        membership->round->pdata[other] = swapped;
+        gpointer swapped = round->pdata[index - 1];
+        round->pdata[index - 1] = round->pdata[other];
+        round->pdata[other] = swapped;
     }
 }
 
-static hs_member *next_target(hs_membership *membership) {
-    if (membership->round->len == 0)
-        start_round(membership);
-    while (membership->round->len > 0) {
-        g_autofree char *id =
-            g_ptr_array_steal_index(membership->round, membership->round->len - 1);
+static hs_member *next_in_round(hs_membership *membership, bool is_far) {
+    GPtrArray *round = is_far ? membership->far_round : membership->round;
+    if (round->len == 0)
+        start_round(membership, round, is_far);
+    while (round->len > 0) {
+        g_autofree char *id = g_ptr_array_steal_index(round, round->len - 1);
         hs_member *member = g_hash_table_lookup(membership->members, id);
         if (member != NULL && member->state != HS_MEMBER_DEAD)
             return member;
@@ -364,6 +372,27 @@
     return NULL;
 }
 
+static bool has_far_suspect(const hs_membership *membership) {
+    bool is_found = false;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        is_found = member->state == HS_MEMBER_SUSPECT && hs_membership_is_far(membership, member);
+    }
+    return is_found;
+}
+
+static hs_member *next_target(hs_membership *membership) {
+    if (*membership->self->region == '\0')
+        return next_in_round(membership, false);
+    bool is_last = ++membership->probe_count % FAR_PROBE_INTERVAL == 0;
+    bool is_far = has_far_suspect(membership) ? !is_last : is_last;
+    hs_member *target = next_in_round(membership, is_far);
+    return target != NULL ? target : next_in_round(membership, !is_far);
+}
+
 /** Marks expired suspects dead and removes expired dead and proposed members. */
 static bool age_members(hs_membership *membership, uint64_t now_ms) {
     bool changed = false;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -7,9 +7,11 @@
  * record nor a stale entry of the platform's list reverts it. The platform's list only proposes
  * addresses to probe.
  *
- * Each member sends one probe per interval, independent of the number of members. Records are sent
- * along with probes and acknowledgements, a number of times that grows with the logarithm of the
- * number of members.
+ * Each member sends one probe per interval, independent of the number of members. With several
+ * regions, most probes go to members of the own region; while a member of another region is
+ * suspect, most go to other regions, so that a region that is cut off is detected as soon. Records
+ * are sent along with probes and acknowledgements, a number of times that grows with the logarithm
+ * of the number of members.
  *
  * Performs no I/O. Not thread-safe: membership_service.h adds a lock.
  */
@@ -176,6 +178,9 @@
 /** Returns true if the member is alive or suspect. */
 bool hs_member_is_live(const hs_member *member);
 
+/** Reports whether a member and this daemon have announced different regions. */
+bool hs_membership_is_far(const hs_membership *membership, const hs_member *member);
+
 /**
  * Returns the live member with the highest rendezvous hash weight for @p key, among those of
  * @p zone if there are any; NULL if no member is live. @p zone NULL: any zone.
--- a/src/membership/membership_query.c
+++ b/src/membership/membership_query.c
@@ -19,6 +19,11 @@
     return g_hash_table_lookup(membership->members, id);
 }
 
+bool hs_membership_is_far(const hs_membership *membership, const hs_member *member) {
+    const char *own = membership->self->region;
+    return *own != '\0' && *member->region != '\0' && strcmp(own, member->region) != 0;
+}
+
 void hs_membership_list(const hs_membership *membership, GPtrArray *members) {
     GHashTableIter iterator;
     gpointer data;
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -15,9 +15,11 @@
 struct hs_membership {
     hs_membership_settings settings;
     hs_member *self;
-    GHashTable *members; /**< id -> hs_member; includes self. */
-    GPtrArray *round;    /**< Of char*: ids of members left to probe in this round. */
-    GArray *open_probes; /**< Of open_probe. */
+    GHashTable *members;  /**< id -> hs_member; includes self. */
+    GPtrArray *round;     /**< Of char*: ids of members left to probe in this round. */
+    GPtrArray *far_round; /**< The same for members of other regions, which have their own. */
+    uint32_t probe_count; /**< Probes so far, if this daemon announces a region; wraps. */
+    GArray *open_probes;  /**< Of open_probe. */
     GRand *random;
     uint32_t next_sequence;
     uint32_t rejoin_count;
--- a/src/peer/peer_socket.c
+++ b/src/peer/peer_socket.c
@@ -10,6 +10,8 @@
 
 /** Interval at which the receiving thread checks for a stop if no datagram arrives. */
 #define RECEIVE_TIMEOUT_US (400 * 1000)
+/** Greater than any kind of a message. */
+#define KINDS 32
 
 struct hs_peer_socket {
     int descriptor;
@@ -19,6 +21,9 @@
     GThread *thread;
     GMutex lock;
     hs_peer_counters counters;
+    uint64_t sent_bytes[KINDS][HS_DISTANCE_COUNT];
+    hs_peer_distance_lookup lookup; /**< May be NULL. */
+    void *lookup_data;
 };
 
 hs_peer_socket *hs_peer_socket_new(const char *address, uint16_t port, hs_error *error) {
@@ -64,6 +69,12 @@
     return NULL;
 }
 
+void hs_peer_socket_set_distance_lookup(hs_peer_socket *socket, hs_peer_distance_lookup lookup,
+                                        void *user_data) {
+    socket->lookup = lookup;
+    socket->lookup_data = user_data;
+}
+
 void hs_peer_socket_start(hs_peer_socket *socket, hs_peer_handler handler, void *user_data) {
     socket->handler = handler;
     socket->user_data = user_data;
@@ -95,12 +106,33 @@
     ssize_t sent = sendto(socket->descriptor, buffer, length, 0, (struct sockaddr *)&to, sizeof to);
     if (sent < 0)
         return;
+    hs_distance way = socket->lookup != NULL ? socket->lookup(address, port, socket->lookup_data)
+                                             : HS_DISTANCE_OTHER_ZONE;
     g_mutex_lock(&socket->lock);
+    socket->sent_bytes[message->kind_case % KINDS][way] += length;
     socket->counters.sent_messages++;
     socket->counters.sent_bytes += length;
     g_mutex_unlock(&socket->lock);
 }
 
+char *hs_peer_socket_describe(hs_peer_socket *socket) {
+    GString *text = g_string_new(NULL);
+    g_mutex_lock(&socket->lock);
+    for (unsigned kind = 0; kind < KINDS; kind++) {
+        const ProtobufCFieldDescriptor *field =
+            protobuf_c_message_descriptor_get_field(&hs__peer_message__descriptor, kind);
+        for (int way = 0; field != NULL && way < HS_DISTANCE_COUNT; way++)
+            if (socket->sent_bytes[kind][way] > 0)
+                g_string_append_printf(text,
+                                       "heathsail_peer_bytes_total{kind=\"%s\",way=\"%s\"} "
+                                       "%" G_GUINT64_FORMAT "\n",
+                                       field->name, hs_distance_name((hs_distance)way),
+                                       (guint64)socket->sent_bytes[kind][way]);
+    }
+    g_mutex_unlock(&socket->lock);
+    return g_string_free(text, FALSE);
+}
+
 hs_peer_counters hs_peer_socket_counters(hs_peer_socket *socket) {
     g_mutex_lock(&socket->lock);
     hs_peer_counters counters = socket->counters;
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -177,6 +177,8 @@
                            g_atomic_int_get(&sources->reloads->applied),
                            g_atomic_int_get(&sources->reloads->refused));
     write_calls(text, sources);
+    g_autofree char *traffic = hs_daemon_directory_describe_traffic(sources->members);
+    g_string_append(text, traffic);
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
     g_autofree char *crashes =
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -6,6 +6,7 @@
         {"settings", settings_tests, NULL, NULL},
         {"topology", topology_tests, NULL, NULL},
         {"region_arbiters", region_arbiter_tests, NULL, NULL},
+        {"region_reports", region_report_tests, NULL, NULL},
         {"region_choice", region_choice_tests, NULL, NULL},
         {"config", config_tests, NULL, NULL},
         {"partition", partition_tests, NULL, NULL},
--- a/tests/unit/test_region_arbiters.c
+++ b/tests/unit/test_region_arbiters.c
@@ -154,9 +154,41 @@
     hs_membership_free(membership);
 }
 
+/** Counts the next probes to other regions; @p targets: receives all targets of probes. */
+static int count_far_probes(hs_membership *membership, int probes, GHashTable *targets) {
+    g_autoptr(GArray) orders = g_array_new(FALSE, FALSE, sizeof(hs_probe_order));
+    int far = 0;
+    for (int index = 0; index < probes; index++)
+        hs_membership_probe_next(membership, 1, orders);
+    for (guint index = 0; index < orders->len; index++) {
+        const char *id = g_array_index(orders, hs_probe_order, index).receiver_id;
+        const hs_member *member = hs_membership_find(membership, id);
+        far += hs_membership_is_far(membership, member);
+        g_hash_table_add(targets, member->id);
+    }
+    return far;
+}
+
+/** Probes were spread over all regions, and two of three crossed regions. */
+static void one_in_four_probes_leaves_the_region(void) {
+    hs_membership *membership = make_view(0, 1);
+    g_autoptr(GHashTable) targets = g_hash_table_new(g_str_hash, g_str_equal);
+    CU_ASSERT_EQUAL(count_far_probes(membership, 400, targets), 100);
+    CU_ASSERT_EQUAL(g_hash_table_size(targets), 100 + MEMBERS / REGIONS - 1);
+    count_far_probes(membership, 600, targets);
+    CU_ASSERT_EQUAL(g_hash_table_size(targets), MEMBERS - 1);
+    apply(membership, 1, 1, HS__MEMBER_STATE__MEMBER_SUSPECT, regions[1]);
+    CU_ASSERT_EQUAL(count_far_probes(membership, 40, targets), 30);
+    set_region_state(membership, 1, 1, HS__MEMBER_STATE__MEMBER_DEAD);
+    set_region_state(membership, 2, 1, HS__MEMBER_STATE__MEMBER_DEAD);
+    CU_ASSERT_EQUAL(count_far_probes(membership, 40, targets), 0);
+    hs_membership_free(membership);
+}
+
 const test_case region_arbiter_tests[] = {
     {"load_on_arbiters_is_even_and_regional", load_on_arbiters_is_even_and_regional},
     {"only_a_lost_region_moves", only_a_lost_region_moves},
     {"members_of_older_builds_agree_on_arbiters", members_of_older_builds_agree_on_arbiters},
     {"region_survives_relays_by_older_builds", region_survives_relays_by_older_builds},
+    {"one_in_four_probes_leaves_the_region", one_in_four_probes_leaves_the_region},
     {NULL, NULL}};
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -7,6 +7,7 @@
 extern const test_case settings_tests[];
 extern const test_case topology_tests[];
 extern const test_case region_arbiter_tests[];
+extern const test_case region_report_tests[];
 extern const test_case region_choice_tests[];
 extern const test_case config_tests[];
 extern const test_case partition_tests[];
