Requests leave a full region by waits alone

The last step of the assignment compared costs that include the requests assigned before, of which the other regions' engines get more, as their reports are older: a region at 1.3 times the load of the others sent 0.1 % of its requests elsewhere and was late with 8 % of them.

The shortest waits alone decide now, and are computed once per sixteenth of the engines.

--- a/src/fleet/engine_spread.c
+++ b/src/fleet/engine_spread.c
@@ -13,6 +13,12 @@
  */
 #define CONVERGENCE_FACTOR 2
 
+/**
+ * Share of the engines that requests are assigned to between two computations of the shortest
+ * waits, which take time in proportion to the engines.
+ */
+#define WAIT_UPDATE_SHARE (1.0 / 16)
+
 /** Expected present state of an engine. */
 typedef struct {
     hs_engine_candidate candidate; /**< With the load projected to the present. */
@@ -108,7 +114,8 @@
 typedef struct {
     load_mean mean;
     size_t engines;
-    double assigned; /**< Requests assigned to them. */
+    double assigned;         /**< Requests assigned to them. */
+    double shortest_wait_ms; /**< See update_waits. */
 } engine_group;
 
 /** Engines among which the requests of this daemon's region are assigned. */
@@ -117,6 +124,7 @@
     size_t count;
     engine_group own;   /**< Of this daemon's region, or all without two groups. */
     engine_group other; /**< Of the other regions. */
+    double next_update; /**< Requests of this region before the waits are computed again. */
     const hs_engine_speed *speed;
 } spread;
 
@@ -186,17 +194,29 @@
             state->projections[index].assigned = 0;
 }
 
+/** Computes the shortest waits of both groups if enough requests were assigned meanwhile. */
+static void update_waits(spread *state) {
+    if (state->own.assigned < state->next_update)
+        return;
+    state->next_update = state->own.assigned + (double)state->count * WAIT_UPDATE_SHARE;
+    state->own.shortest_wait_ms = shortest_wait_ms(state, false);
+    state->other.shortest_wait_ms = shortest_wait_ms(state, true);
+}
+
 /** Returns the engine for the next request of this daemon's region. */
 static engine_projection *next_engine(spread *state, size_t first) {
     engine_projection *own = cheapest(state, first, false);
-    if (state->other.engines == 0 || wait_ms_at(state, own) <= HS_MIN_REGION_DELAY_MS)
+    if (state->other.engines == 0)
+        return own;
+    double own_ms = wait_ms_at(state, own);
+    if (own_ms <= HS_MIN_REGION_DELAY_MS)
         return own;
     if (state->other.assigned == 0)
         fill_other_regions(state, first);
-    if (shortest_wait_ms(state, false) <= shortest_wait_ms(state, true))
+    update_waits(state);
+    if (fmin(own_ms, state->own.shortest_wait_ms) <= state->other.shortest_wait_ms)
         return own;
-    engine_projection *other = cheapest(state, first, true);
-    return other->cost_ms < own->cost_ms ? other : own;
+    return cheapest(state, first, true);
 }
 
 /**
--- a/tests/unit/test_region_choice.c
+++ b/tests/unit/test_region_choice.c
@@ -63,8 +63,8 @@
     fill(engines, 10, 1, 0);
     CU_ASSERT_EQUAL(leaving_percent(engines), 100);
     CU_ASSERT(hs_engine_choice_pick_for_batch(engines, ENGINES, 0, &speed) >= OWN);
-    fill(engines, 10, 1, 100);
-    CU_ASSERT(leaving_percent(engines) > 0);
+    fill(engines, 9, 3, 150);
+    CU_ASSERT(leaving_percent(engines) > 20);
     for (int index = 0; index < OWN; index++)
         engines[index].suspected = true;
     CU_ASSERT_EQUAL(leaving_percent(engines), 100);
