--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -29,12 +29,16 @@
     bool is_self;
 } peer;
 
-/** Finds the arbiter of an engine; the port is 0 if there is none. */
+/**
+ * Finds the arbiter of an engine; the port is 0 if there is none. While this daemon doesn't list
+ * the engine, the engine's region is unknown and the order over all members applies.
+ */
 static peer find_arbiter(hs_slot_arbiter *arbiter, uint64_t engine_hash) {
     g_autofree char *key = g_strdup_printf("engine-%" G_GINT64_MODIFIER "x", engine_hash);
+    const char *region = hs_fleet_engines_region(arbiter->engines, engine_hash);
     peer found = {0};
     const hs_membership *membership = hs_membership_service_lock(arbiter->membership);
-    const hs_member *member = hs_membership_rank_first(membership, key, NULL);
+    const hs_member *member = hs_membership_rank_in_region(membership, key, region);
     if (member != NULL) {
         found = (peer){.address = member->address,
                        .port = member->peer_port,
@@ -172,6 +176,10 @@
     encoded->age_ms = load->age_ms;
 }
 
+void hs_slot_arbiter_encode_report(const hs_engine_load_report *load, Hs__EngineTotal *encoded) {
+    encode_report(load, encoded);
+}
+
 static hs_engine_load_report decode_report(const Hs__EngineTotal *encoded) {
     return (hs_engine_load_report){.engine_hash = encoded->engine_hash,
                                    .online = encoded->online,
--- a/src/directory/slot_arbiter.h
+++ b/src/directory/slot_arbiter.h
@@ -4,7 +4,8 @@
  * and acts as the arbiter of some engines. Thread-safe.
  *
  * The arbiter of an engine is the live daemon that ranks first for the engine by rendezvous
- * hashing, without election or stored state. While daemons disagree on the arbiter, or the arbiter
+ * hashing, without election or stored state. With several regions it is a daemon of the engine's
+ * region (hs_membership_rank_in_region). While daemons disagree on the arbiter, or the arbiter
  * does not respond, the arbiter preempts no items; the loads that daemons exchange at intervals
  * (fleet/engine_peers.c) still lead to preemption, with more delay.
  */
@@ -26,6 +27,9 @@
 bool hs_slot_arbiter_handle(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
                             const struct sockaddr_in *from);
 
+/** Encodes a load report for a message. */
+void hs_slot_arbiter_encode_report(const hs_engine_load_report *load, Hs__EngineTotal *encoded);
+
 /**
  * Reports this daemon's use of all engines, with one message per arbiter, and expires old reports.
  * The directory's ticker calls it at intervals.
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -9,11 +9,14 @@
 #define SENT_COUNT_NO_RELAY 1000000U
 /** A record is sent GOSSIP_FACTOR * log2(number of members) times. */
 #define GOSSIP_FACTOR 3
+/** One of so many probes goes to another region. */
+#define FAR_PROBE_INTERVAL 4
 
 static void free_member(gpointer data) {
     hs_member *member = data;
     g_free(member->id);
     g_free(member->zone);
+    g_free(member->region);
     g_array_free(member->owned, TRUE);
     g_ptr_array_free(member->leaving_engines, TRUE);
     g_free(member);
@@ -23,10 +26,19 @@
     g_free(((open_probe *)data)->member_id);
 }
 
+/** Replaces an owned text if it differs. */
+static void set_text(char **text, const char *value) {
+    if (strcmp(*text, value) == 0)
+        return;
+    g_free(*text);
+    *text = g_strdup(value);
+}
+
 static hs_member *add_member(hs_membership *membership, const char *id) {
     hs_member *member = g_new0(hs_member, 1);
     member->id = g_strdup(id);
     member->zone = g_strdup("");
+    member->region = g_strdup("");
     member->owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
     member->leaving_engines = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_insert(membership->members, member->id, member);
@@ -39,6 +51,7 @@
     membership->settings = *settings;
     membership->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_member);
     membership->round = g_ptr_array_new_with_free_func(g_free);
+    membership->far_round = g_ptr_array_new_with_free_func(g_free);
     membership->open_probes = g_array_new(FALSE, FALSE, sizeof(open_probe));
     g_array_set_clear_func(membership->open_probes, clear_probe);
     membership->random = g_rand_new_with_seed(random_seed);
@@ -46,6 +59,8 @@
     hs_member *own = add_member(membership, self->id);
     g_free(own->zone);
     own->zone = g_strdup(self->zone);
+    if (self->region != NULL)
+        set_text(&own->region, self->region);
     own->state = HS_MEMBER_ALIVE;
     own->incarnation = self->incarnation;
     own->version = 1;
@@ -62,6 +77,7 @@
         return;
     g_hash_table_destroy(membership->members);
     g_ptr_array_free(membership->round, TRUE);
+    g_ptr_array_free(membership->far_round, TRUE);
     g_array_free(membership->open_probes, TRUE);
     g_rand_free(membership->random);
     g_free(membership);
@@ -252,7 +268,17 @@
         member->size = size;
 }
 
+/**
+ * Copies the region if the record has one. A record without a region may have been relayed by an
+ * older build; within an incarnation the known region is retained, as it doesn't change.
+ */
+static void copy_region(hs_member *member, const Hs__MemberRecord *record) {
+    if (*record->region != '\0' || record->incarnation != member->incarnation)
+        set_text(&member->region, record->region);
+}
+
 static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
+    copy_region(member, record);
     member->incarnation = record->incarnation;
     member->version = record->version;
     if (record->address != 0) {
@@ -260,10 +286,7 @@
         member->peer_port = (uint16_t)record->peer_port;
         member->admin_port = (uint16_t)record->admin_port;
     }
-    if (strcmp(member->zone, record->zone) != 0) {
-        g_free(member->zone);
-        member->zone = g_strdup(record->zone);
-    }
+    set_text(&member->zone, record->zone);
     member->config_offset = record->config_offset;
     copy_size(member, record);
     g_array_set_size(member->owned, 0);
@@ -292,8 +315,10 @@
     if (!supersedes(member, record)) {
         bool is_same =
             record->incarnation == member->incarnation && record->version == member->version;
-        if (is_same)
+        if (is_same) {
             copy_size(member, record);
+            copy_region(member, record);
+        }
         return false;
     }
     bool was_live = hs_member_is_live(member);
@@ -312,30 +337,34 @@
     return was_live != hs_member_is_live(member);
 }
 
-/** Fills the round with the ids of all other members that are not dead, shuffled. */
-static void start_round(hs_membership *membership) {
+/**
+ * Fills a round with the ids of the other members that are not dead, shuffled: those of other
+ * regions, or all others.
+ */
+static void start_round(hs_membership *membership, GPtrArray *round, bool is_far) {
     GHashTableIter iterator;
     gpointer data;
     g_hash_table_iter_init(&iterator, membership->members);
     while (g_hash_table_iter_next(&iterator, NULL, &data)) {
         const hs_member *member = data;
-        if (member != membership->self && member->state != HS_MEMBER_DEAD)
-            g_ptr_array_add(membership->round, g_strdup(member->id));
+        if (member != membership->self && member->state != HS_MEMBER_DEAD &&
+            hs_membership_is_far(membership, member) == is_far)
+            g_ptr_array_add(round, g_strdup(member->id));
     }
-    for (guint index = membership->round->len; index > 1; index--) {
+    for (guint index = round->len; index > 1; index--) {
         guint other = (guint)g_rand_int_range(membership->random, 0, (gint32)index);
-        gpointer swapped = membership->round->pdata[index - 1];
-        membership->round->pdata[index - 1] = membership->round->pdata[other];
-        membership->round->pdata[other] = swapped;
+        gpointer swapped = round->pdata[index - 1];
+        round->pdata[index - 1] = round->pdata[other];
+        round->pdata[other] = swapped;
     }
 }
 
-static hs_member *next_target(hs_membership *membership) {
-    if (membership->round->len == 0)
-        start_round(membership);
-    while (membership->round->len > 0) {
-        g_autofree char *id =
-            g_ptr_array_steal_index(membership->round, membership->round->len - 1);
+static hs_member *next_in_round(hs_membership *membership, bool is_far) {
+    GPtrArray *round = is_far ? membership->far_round : membership->round;
+    if (round->len == 0)
+        start_round(membership, round, is_far);
+    while (round->len > 0) {
+        g_autofree char *id = g_ptr_array_steal_index(round, round->len - 1);
         hs_member *member = g_hash_table_lookup(membership->members, id);
         if (member != NULL && member->state != HS_MEMBER_DEAD)
             return member;
@@ -343,6 +372,27 @@
     return NULL;
 }
 
+static bool has_far_suspect(const hs_membership *membership) {
+    bool is_found = false;
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, membership->members);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_member *member = data;
+        is_found = member->state == HS_MEMBER_SUSPECT && hs_membership_is_far(membership, member);
+    }
+    return is_found;
+}
+
+static hs_member *next_target(hs_membership *membership) {
+    if (*membership->self->region == '\0')
+        return next_in_round(membership, false);
+    bool is_last = ++membership->probe_count % FAR_PROBE_INTERVAL == 0;
+    bool is_far = has_far_suspect(membership) ? !is_last : is_last;
+    hs_member *target = next_in_round(membership, is_far);
+    return target != NULL ? target : next_in_round(membership, !is_far);
+}
+
 /** Marks expired suspects dead and removes expired dead and proposed members. */
 static bool age_members(hs_membership *membership, uint64_t now_ms) {
     bool changed = false;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -7,9 +7,11 @@
  * record nor a stale entry of the platform's list reverts it. The platform's list only proposes
  * addresses to probe.
  *
- * Each member sends one probe per interval, independent of the number of members. Records are sent
- * along with probes and acknowledgements, a number of times that grows with the logarithm of the
- * number of members.
+ * Each member sends one probe per interval, independent of the number of members. With several
+ * regions, most probes go to members of the own region; while a member of another region is
+ * suspect, most go to other regions, so that a region that is cut off is detected as soon. Records
+ * are sent along with probes and acknowledgements, a number of times that grows with the logarithm
+ * of the number of members.
  *
  * Performs no I/O. Not thread-safe: membership_service.h adds a lock.
  */
@@ -54,6 +56,7 @@
 typedef struct {
     char *id;
     char *zone;
+    char *region; /**< Region that the member announced; empty: none. */
     hs_member_state state;
     uint64_t incarnation;
     uint32_t version;
@@ -86,8 +89,8 @@
 } hs_probe_order;
 
 /**
- * Creates the state with a copy of @p self as its only member, in state ALIVE. Free with
- * hs_membership_free.
+ * Creates the state with a copy of @p self as its only member, in state ALIVE. The region of
+ * @p self may be NULL: it announces none. Free with hs_membership_free.
  */
 hs_membership *hs_membership_new(const hs_member *self, const hs_membership_settings *settings,
                                  uint32_t random_seed);
@@ -175,6 +178,9 @@
 /** Returns true if the member is alive or suspect. */
 bool hs_member_is_live(const hs_member *member);
 
+/** Reports whether a member and this daemon have announced different regions. */
+bool hs_membership_is_far(const hs_membership *membership, const hs_member *member);
+
 /**
  * Returns the live member with the highest rendezvous hash weight for @p key, among those of
  * @p zone if there are any; NULL if no member is live. @p zone NULL: any zone.
@@ -182,6 +188,15 @@
 const hs_member *hs_membership_rank_first(const hs_membership *membership, const char *key,
                                           const char *zone);
 
+/**
+ * Returns the member to use for @p key in @p region: among the live members of the region, the one
+ * with the highest rendezvous hash weight. If @p region is NULL, has no live member, or some live
+ * member announces no region, returns the same as hs_membership_rank_first for any zone. Members of
+ * older builds announce no region and use that order, so that all daemons agree.
+ */
+const hs_member *hs_membership_rank_in_region(const hs_membership *membership, const char *key,
+                                              const char *region);
+
 /**
  * Returns the live member that follows @p after in descending order of weights for @p key, or NULL
  * if none follows. @p after NULL: returns the first.
