--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -50,6 +50,7 @@
         {"callers", caller_tests, NULL, NULL},
         {"memory", memory_tests, NULL, NULL},
         {"shares", share_tests, NULL, NULL},
+        {"evacuation", evacuation_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -52,5 +52,6 @@
 extern const test_case connection_guard_tests[];
 extern const test_case caller_tests[];
 extern const test_case memory_tests[];
+extern const test_case evacuation_tests[];
 
 #endif
