No new request to the engines of an evacuated zone

Cause: the operator's records under evacuate/ZONE were dropped.

Change: config_source applies them from the same reads as the configuration, before the configuration of the same answer, and reads all keys anew where the store has lost its history. Engine choice, free capacity for items, pressure, outlook and mean loads leave closed engines out; online requests take an evacuated engine only while no other one has a free slot, until half of evacuate_ms. The zone is checked again right before a request is sent. After a suspension a daemon sends nothing until it has read the store, where the limit of an evacuation may have passed meanwhile. A service whose engines are all evacuated refuses at once, reason zones_evacuated. Daemons that the store rejects learn of evacuations by datagrams (directory/evacuation_exchange). A run that is cut in an evacuated zone is no evidence of a crash. hs_fleet_engine_evacuated_until_ms is for the treatment as cold afterwards.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -9,6 +9,7 @@
 #include "base/memory_budget.h"
 #include "base/thread.h"
 #include "daemon/settings.h"
+#include "fleet/engine_evacuation.h"
 #include "fleet/engine_source.h"
 #include "http/connection_guard.h"
 #include "jobs/job_owner.h"
@@ -239,6 +240,8 @@
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, get_config_apply_ms(settings));
     daemon->engines = hs_fleet_engines_new(settings->zone);
+    hs_fleet_engines_set_evacuate_ms(daemon->engines, (uint32_t)settings->fleet_evacuate_ms);
+    hs_config_source_set_engines(daemon->config, daemon->engines);
     daemon->online.held = hs_held_requests_new();
     hs_fleet_engines_set_slot_observer(daemon->engines, wake_held_requests, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -11,6 +11,7 @@
 #include "base/stop_wait.h"
 #include "directory/crash_exchange.h"
 #include "directory/crash_store.h"
+#include "directory/evacuation_exchange.h"
 #include "directory/machine_load.h"
 #include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
@@ -52,6 +53,7 @@
     hs_membership_service *membership;
     hs_slot_arbiter *slots;
     hs_crash_exchange *crashes;
+    hs_evacuation_exchange *evacuations;
     hs_tenant_limiter *limiter;
     hs_crash_store *crash_records;
     char *seeds; /**< Guarded by lock. */
@@ -106,7 +108,8 @@
     if (hs_membership_service_handle(directory->membership, message, from) ||
         hs_slot_arbiter_handle(directory->slots, message, from) ||
         hs_tenant_limiter_handle(directory->limiter, message, from) ||
-        hs_crash_exchange_handle(directory->crashes, message, from))
+        hs_crash_exchange_handle(directory->crashes, message, from) ||
+        hs_evacuation_exchange_handle(directory->evacuations, message, from))
         return;
     if (message->kind_case == HS__PEER_MESSAGE__KIND_ENGINE_SHARES)
         store_shares(directory, message, from);
@@ -141,6 +144,7 @@
     directory->slots = hs_slot_arbiter_new(settings->engines, directory->membership);
     directory->limiter = hs_tenant_limiter_new(directory->membership, settings->limit_tolerance);
     directory->crashes = hs_crash_exchange_new(settings->crash_watch, directory->membership);
+    directory->evacuations = hs_evacuation_exchange_new(settings->engines, directory->membership);
     directory->crash_records =
         hs_crash_store_new(settings->crash_watch, directory->membership, settings->store);
     return directory;
@@ -374,6 +378,7 @@
         hs_stall_detector_check(directory->settings.stall_detector);
         hs_membership_service_tick(directory->membership, now_ms);
         hs_crash_exchange_tick(directory->crashes, now_ms);
+        hs_evacuation_exchange_tick(directory->evacuations, now_ms);
         hs_tenant_limiter_tick(directory->limiter);
         if (now_ms >= directory->next_shares_ms) {
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
@@ -407,6 +412,7 @@
     }
     hs_slot_arbiter_free(directory->slots);
     hs_crash_exchange_free(directory->crashes);
+    hs_evacuation_exchange_free(directory->evacuations);
     hs_tenant_limiter_free(directory->limiter);
     hs_crash_store_free(directory->crash_records);
     hs_membership_service_free(directory->membership);
--- /dev/null
+++ b/src/directory/evacuation_exchange.c
@@ -0,0 +1,149 @@
+/** @file evacuation_exchange.c  See evacuation_exchange.h. */
+#include "directory/evacuation_exchange.h"
+
+#include "base/log.h"
+#include "fleet/engine_evacuation.h"
+
+struct hs_evacuation_exchange {
+    hs_fleet_engines *engines;
+    hs_membership_service *membership;
+    gint rejected; /**< Invalid sets received; atomic. Only the first is logged. */
+};
+
+/** A message with all evacuated zones, in one block of memory that borrows from @c set. */
+typedef struct {
+    hs_evacuation_set set;
+    Hs__PeerMessage message;
+    Hs__Evacuations body;
+    Hs__EvacuatedZone zones[HS_MAX_EVACUATED_ZONES];
+    Hs__EvacuatedZone *zone_list[HS_MAX_EVACUATED_ZONES];
+} outgoing_set;
+
+hs_evacuation_exchange *hs_evacuation_exchange_new(hs_fleet_engines *engines,
+                                                   hs_membership_service *membership) {
+    hs_evacuation_exchange *exchange = g_new0(hs_evacuation_exchange, 1);
+    exchange->engines = engines;
+    exchange->membership = membership;
+    return exchange;
+}
+
+void hs_evacuation_exchange_free(hs_evacuation_exchange *exchange) {
+    g_free(exchange);
+}
+
+/**
+ * Creates the message with this daemon's set; free with free_outgoing. NULL if there are too many
+ * zones: a set without some of them would withdraw their evacuations.
+ */
+static outgoing_set *write_set(hs_evacuation_exchange *exchange) {
+    outgoing_set *out = g_new0(outgoing_set, 1);
+    hs_evacuation_set_init(&out->set, 0);
+    hs_fleet_engines_list_evacuations(exchange->engines, &out->set);
+    if (out->set.records->len > HS_MAX_EVACUATED_ZONES) {
+        hs_log_warning("evacuations_not_sent", "zones=%u limit=%d", out->set.records->len,
+                       HS_MAX_EVACUATED_ZONES);
+        hs_evacuation_set_clear(&out->set);
+        g_free(out);
+        return NULL;
+    }
+    hs__peer_message__init(&out->message);
+    hs__evacuations__init(&out->body);
+    out->body.as_of_offset = out->set.as_of_offset;
+    out->body.n_zones = out->set.records->len;
+    out->body.zones = out->zone_list;
+    for (guint index = 0; index < out->set.records->len; index++) {
+        const hs_evacuation_record *record =
+            &g_array_index(out->set.records, hs_evacuation_record, index);
+        hs__evacuated_zone__init(&out->zones[index]);
+        out->zones[index].zone = record->zone;
+        out->zones[index].offset = record->offset;
+        out->zone_list[index] = &out->zones[index];
+    }
+    out->message.kind_case = HS__PEER_MESSAGE__KIND_EVACUATIONS;
+    out->message.evacuations = &out->body;
+    return out;
+}
+
+static void free_outgoing(outgoing_set *out) {
+    hs_evacuation_set_clear(&out->set);
+    g_free(out);
+}
+
+static void read_set(const Hs__Evacuations *body, hs_evacuation_set *set) {
+    hs_evacuation_set_init(set, body->as_of_offset);
+    for (size_t index = 0; index < body->n_zones; index++)
+        hs_evacuation_set_add(set, body->zones[index]->zone, body->zones[index]->offset, true);
+}
+
+/** Counts an invalid set, which changes nothing. */
+static void reject(hs_evacuation_exchange *exchange, const char *sender, const char *fault) {
+    if (g_atomic_int_add(&exchange->rejected, 1) == 0)
+        hs_log_warning("evacuations_rejected", "daemon=%s cause=%s", sender, fault);
+}
+
+bool hs_evacuation_exchange_handle(hs_evacuation_exchange *exchange, const Hs__PeerMessage *message,
+                                   const struct sockaddr_in *from) {
+    if (message->kind_case != HS__PEER_MESSAGE__KIND_EVACUATIONS)
+        return false;
+    hs_evacuation_set set;
+    read_set(message->evacuations, &set);
+    const char *fault = hs_evacuation_set_fault(&set);
+    if (fault != NULL) {
+        reject(exchange, message->sender_id, fault);
+    } else if (hs_fleet_engines_has_newer_evacuations(exchange->engines, &set)) {
+        outgoing_set *out = write_set(exchange);
+        if (out != NULL) {
+            hs_membership_service_reply(exchange->membership, from, &out->message);
+            free_outgoing(out);
+        }
+    } else {
+        hs_fleet_engines_put_peer_evacuations(exchange->engines, message->sender_id, &set);
+    }
+    hs_evacuation_set_clear(&set);
+    return true;
+}
+
+/** Address of a member. */
+typedef struct {
+    uint32_t address;
+    uint16_t port;
+} member_address;
+
+/** Lists the other live members: of member_address. */
+static GArray *list_members(hs_evacuation_exchange *exchange) {
+    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(member_address));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(exchange->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        member_address address = {.address = member->address, .port = member->peer_port};
+        if (member != hs_membership_self(membership) && member->state == HS_MEMBER_ALIVE)
+            g_array_append_val(addresses, address);
+    }
+    hs_membership_service_unlock(exchange->membership);
+    return addresses;
+}
+
+static void send_to_random_members(hs_evacuation_exchange *exchange, Hs__PeerMessage *message,
+                                   uint32_t max_recipients) {
+    g_autoptr(GArray) addresses = list_members(exchange);
+    for (guint sent = 0; sent < MIN(addresses->len, max_recipients); sent++) {
+        guint other = (guint)g_random_int_range((gint32)sent, (gint32)addresses->len);
+        member_address chosen = g_array_index(addresses, member_address, other);
+        g_array_index(addresses, member_address, other) =
+            g_array_index(addresses, member_address, sent);
+        hs_membership_service_send(exchange->membership, chosen.address, chosen.port, message);
+    }
+}
+
+void hs_evacuation_exchange_tick(hs_evacuation_exchange *exchange, uint64_t now_ms) {
+    uint32_t max_recipients = hs_fleet_engines_tick_evacuations(exchange->engines, now_ms);
+    if (max_recipients == 0)
+        return;
+    outgoing_set *out = write_set(exchange);
+    if (out == NULL)
+        return;
+    send_to_random_members(exchange, &out->message, max_recipients);
+    free_outgoing(out);
+}
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "fleet/engine_evacuation.h"
 #include "platform/config_codec.h"
 #include "store/store_contact.h"
 #include "tenants/tenant_index.h"
@@ -25,6 +26,8 @@
     GMutex lock;
     hs_fleet_config *config;
     hs_store_contact contact;
+    hs_fleet_engines
+        *engines; /**< Gets the evacuations of the same topic; NULL: they are dropped. */
     gint is_stopping;
     GThread *thread;
 };
@@ -39,6 +42,10 @@
     return source;
 }
 
+void hs_config_source_set_engines(hs_config_source *source, hs_fleet_engines *engines) {
+    source->engines = engines;
+}
+
 hs_fleet_config *hs_config_source_get(hs_config_source *source) {
     g_mutex_lock(&source->lock);
     hs_fleet_config *config = source->config != NULL ? hs_fleet_config_ref(source->config) : NULL;
@@ -103,17 +110,55 @@
     hs_config_source_apply_if_newer(source, config);
 }
 
+/** Applies the evacuations among @p entries, all newest records of the topic. */
+static void apply_evacuations(hs_config_source *source, const GArray *entries, uint64_t end,
+                              uint64_t sent_ms) {
+    hs_evacuation_set set;
+    hs_evacuation_set_init(&set, end);
+    for (guint index = 0; index < entries->len; index++) {
+        const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
+        g_autofree char *zone = hs_platform_read_evacuated_zone(entry->key, strlen(entry->key));
+        if (zone != NULL)
+            hs_evacuation_set_add(&set, zone, entry->offset, entry->value_length > 0);
+    }
+    if (source->engines != NULL)
+        hs_fleet_engines_put_evacuations(source->engines, &set, sent_ms);
+    hs_evacuation_set_clear(&set);
+}
+
+/**
+ * Reads the newest records of all keys into @p entries; @p end is set to the end of the topic's log
+ * as of the first page, so that later records are read by following the log.
+ */
+static hs_store_outcome read_keys(hs_config_source *source, GByteArray *answer, GArray *entries,
+                                  uint64_t *end) {
+    hs_store_outcome outcome = HS_STORE_DONE;
+    bool has_more = true;
+    while (outcome == HS_STORE_DONE && has_more) {
+        guint known = entries->len;
+        uint64_t page_end = 0;
+        const char *after =
+            known > 0 ? g_array_index(entries, hs_newest_entry, known - 1).key : NULL;
+        hs_store_call call = hs_platform_build_newest_call(HS_TOPIC_CONFIG, after);
+        hs_deadline deadline = hs_clock_monotonic_ms() + source->poll_ms + LONG_POLL_MARGIN_MS;
+        outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
+        if (outcome == HS_STORE_DONE &&
+            !hs_platform_read_newest(answer, entries, &has_more, &page_end))
+            outcome = HS_STORE_UNKNOWN;
+        if (known == 0)
+            *end = page_end;
+        has_more = has_more && entries->len > known;
+    }
+    return outcome;
+}
+
 /** Reads the newest version; @p next is set to the end of the topic's log. */
-static hs_store_outcome read_newest(hs_config_source *source, GByteArray *answer, uint64_t *next) {
-    hs_store_call call = hs_platform_build_newest_call(HS_TOPIC_CONFIG, NULL);
-    hs_deadline deadline = hs_clock_monotonic_ms() + source->poll_ms + LONG_POLL_MARGIN_MS;
-    hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
-    if (outcome != HS_STORE_DONE)
-        return outcome;
+static hs_store_outcome read_newest(hs_config_source *source, GByteArray *answer, uint64_t *next,
+                                    uint64_t sent_ms) {
     GArray *entries = hs_newest_entries_new();
-    bool has_more = false;
-    if (!hs_platform_read_newest(answer, entries, &has_more, next))
-        outcome = HS_STORE_UNKNOWN;
+    hs_store_outcome outcome = read_keys(source, answer, entries, next);
+    if (outcome == HS_STORE_DONE) /* Without all keys, missing ones would count as removed. */
+        apply_evacuations(source, entries, *next, sent_ms);
     for (guint index = 0; index < entries->len; index++) {
         const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
         if (hs_platform_is_config_key(entry->key, strlen(entry->key)))
@@ -123,16 +168,33 @@
     return outcome;
 }
 
-/** Waits for records from the offset @p next on, and advances @p next. */
-static hs_store_outcome follow(hs_config_source *source, GByteArray *answer, uint64_t *next) {
+/** Applies a followed record as an evacuation, or as a record of another key. */
+static void apply_evacuation(hs_config_source *source, const hs_store_record *record,
+                             uint64_t offset) {
+    g_autofree char *zone = hs_platform_read_evacuated_zone(record->key, record->key_length);
+    if (source->engines != NULL)
+        hs_fleet_engines_put_evacuation_record(source->engines, zone, record->value_length > 0,
+                                               offset);
+}
+
+/**
+ * Waits up to @p wait_ms for records from the offset @p next on, and advances @p next.
+ */
+static hs_store_outcome follow(hs_config_source *source, GByteArray *answer, uint64_t *next,
+                               uint32_t wait_ms) {
     hs_store_call call =
-        hs_platform_build_read_call(HS_TOPIC_CONFIG, 0, *next, MAX_READ_KB, source->poll_ms);
-    hs_deadline deadline = hs_clock_monotonic_ms() + source->poll_ms + LONG_POLL_MARGIN_MS;
+        hs_platform_build_read_call(HS_TOPIC_CONFIG, 0, *next, MAX_READ_KB, wait_ms);
+    hs_deadline deadline = hs_clock_monotonic_ms() + wait_ms + LONG_POLL_MARGIN_MS;
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
     size_t position = 0;
     hs_store_record record;
+    uint64_t end = 0;
+    uint64_t first = 0;
+    if (outcome == HS_STORE_DONE && hs_platform_read_bounds(answer, &end, &first) && end < *next)
+        return HS_STORE_GONE; /* The store has lost its history, and begins anew. */
     while (outcome == HS_STORE_DONE &&
            hs_platform_read_next_record(answer, true, &position, &record)) {
+        apply_evacuation(source, &record, *next);
         if (hs_platform_is_config_key(record.key, record.key_length))
             apply_value(source, record.value, record.value_length, *next);
         (*next)++;
@@ -140,6 +202,20 @@
     return outcome;
 }
 
+/** Reads the topic once; @p is_positioned: @p next is known, so that the log can be followed. */
+static hs_store_outcome read_topic(hs_config_source *source, GByteArray *answer, uint64_t *next,
+                                   bool is_positioned) {
+    bool is_read_due =
+        source->engines != NULL && hs_fleet_engines_begin_evacuation_read(source->engines);
+    uint64_t sent_ms = hs_clock_monotonic_ms();
+    hs_store_outcome outcome = is_positioned
+                                   ? follow(source, answer, next, is_read_due ? 0 : source->poll_ms)
+                                   : read_newest(source, answer, next, sent_ms);
+    if (source->engines != NULL && outcome != HS_STORE_GONE)
+        hs_fleet_engines_end_evacuation_read(source->engines, sent_ms, outcome == HS_STORE_DONE);
+    return outcome;
+}
+
 static gpointer run_source(gpointer data) {
     hs_config_source *source = data;
     GByteArray *answer = g_byte_array_new();
@@ -148,8 +224,7 @@
     uint64_t retry_delay_ms = MIN_RETRY_DELAY_MS;
     while (!g_atomic_int_get(&source->is_stopping)) {
         hs_store_contact_note_call(&source->contact);
-        hs_store_outcome outcome =
-            is_positioned ? follow(source, answer, &next) : read_newest(source, answer, &next);
+        hs_store_outcome outcome = read_topic(source, answer, &next, is_positioned);
         hs_store_contact_note_outcome(&source->contact, outcome);
         if (outcome == HS_STORE_DONE || outcome == HS_STORE_GONE) {
             is_positioned = outcome == HS_STORE_DONE;
--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -9,6 +9,7 @@
 #ifndef HS_FLEET_CONFIG_SOURCE_H
 #define HS_FLEET_CONFIG_SOURCE_H
 
+#include "fleet/fleet_engines.h"
 #include "heathsail/fleet.h"
 #include "store/store_client.h"
 
@@ -20,6 +21,12 @@
  */
 hs_config_source *hs_config_source_new(hs_store_client *store, uint32_t apply_ms);
 
+/**
+ * Sets the engines that get the evacuations of zones, which the same topic has; NULL: none.
+ * Borrowed. To be called before the start.
+ */
+void hs_config_source_set_engines(hs_config_source *source, hs_fleet_engines *engines);
+
 /** Starts the thread. */
 void hs_config_source_start(hs_config_source *source);
 
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -177,6 +177,21 @@
     return false;
 }
 
+/**
+ * Releases the lease and returns false if the engine's zone was evacuated while the request waited
+ * for a confirmation or a connection.
+ */
+static bool keep_if_zone_is_open(hs_attempt *attempt) {
+    if (hs_engine_lease_may_send(attempt->lease))
+        return true;
+    hs_log_info("request_not_sent_to_zone", "engine=%s cause=evacuation", attempt->engine_id);
+    hs_engine_lease_release(attempt->lease, attempt->connection, HS_ATTEMPT_DROPPED);
+    attempt->lease = NULL;
+    attempt->connection = NULL;
+    attempt->step = HS_STEP_CUT;
+    return false;
+}
+
 /** Returns the longest idle time of a connection that may be reused for the request. */
 static uint32_t max_idle_ms(const hs_attempt_parameters *parameters) {
     uint32_t once_idle_ms = hs_connection_timeouts_get().once_idle_ms;
@@ -197,6 +212,8 @@
                                 max_idle_ms(parameters), &attempt->step);
     if (attempt->connection == NULL)
         return false;
+    if (!keep_if_zone_is_open(attempt))
+        return false;
     attempt->step = send_request(parameters, attempt);
     attempt->sent_ms = hs_clock_monotonic_ms();
     if (attempt->step == HS_STEP_PROGRESS)
--- a/src/fleet/engine_estimates.c
+++ b/src/fleet/engine_estimates.c
@@ -106,7 +106,8 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
         if (hs_fleet_engine_report_age_ms(engine, now_ms) >= HS_ENGINE_REPORT_RECENT_MS ||
-            hs_fleet_engine_is_suspected(engine, now_ms))
+            hs_fleet_engine_is_suspected(engine, now_ms) ||
+            hs_fleet_engine_zone_use(engines, engine, now_ms) != HS_ZONE_OPEN)
             continue;
         report_sum *sum = g_hash_table_lookup(sums, engine->entry.service);
         if (sum == NULL) {
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -384,6 +384,17 @@
     return true;
 }
 
+bool hs_engine_lease_may_send(hs_engine_lease *lease) {
+    const hs_fleet_engines *engines = lease->engines;
+    g_mutex_lock(&lease->engines->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_zone_use use = hs_fleet_engine_zone_use(engines, lease->engine, now_ms);
+    bool is_usable = use == HS_ZONE_OPEN || (use == HS_ZONE_LAST_RESORT && lease->is_last_resort);
+    bool may_send = is_usable && hs_evacuation_is_current(engines->evacuation, now_ms);
+    g_mutex_unlock(&lease->engines->lock);
+    return may_send;
+}
+
 /** Whether the engine is shutting down: a run that is cut then indicates no crash. */
 static bool is_leaving(const hs_fleet_engine *engine) {
     return engine->entry.draining || (!engine->listed && !engine->has_restarted);
@@ -395,7 +406,8 @@
     if (lease->first_token_ms != 0)
         run.ran_ms = (uint32_t)(run.cut_ms - lease->first_token_ms);
     g_mutex_lock(&lease->engines->lock);
-    bool is_expected = is_leaving(engine);
+    bool is_expected = is_leaving(engine) ||
+                       hs_fleet_engine_zone_use(lease->engines, engine, run.cut_ms) != HS_ZONE_OPEN;
     run.engine = engine->hash;
     run.address = engine->entry.address;
     run.port = engine->entry.port;
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -52,7 +52,7 @@
 
 hs_service_capacity hs_fleet_engines_capacity(hs_fleet_engines *engines, const char *service) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_engine_query query = {.service = service};
+    hs_engine_query query = {.service = service, .work = HS_WORK_BATCH};
     hs_service_capacity capacity = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
@@ -68,6 +68,7 @@
         capacity.batch += engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
         capacity.online += engine->online + hs_fleet_engine_others_online(engine, now_ms);
     }
+    capacity.online += hs_fleet_engines_evacuated_online(engines, service, now_ms);
     g_mutex_unlock(&engines->lock);
     return capacity;
 }
--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -14,6 +14,13 @@
     return false;
 }
 
+/** Whether the zones' evacuations leave the engine to requests of this class. */
+static bool is_zone_usable(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                           hs_work_class work, uint64_t now_ms) {
+    hs_zone_use use = hs_fleet_engine_zone_use(engines, engine, now_ms);
+    return use == HS_ZONE_OPEN || (use == HS_ZONE_LAST_RESORT && work == HS_WORK_ONLINE);
+}
+
 GPtrArray *hs_engine_selection_collect(hs_fleet_engines *engines, const hs_engine_query *query) {
     GPtrArray *found = g_ptr_array_new();
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -27,6 +34,7 @@
         if (strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
             !engine->has_address_mismatch && !hs_fleet_engine_is_removal_due(engine, now_ms) &&
             engine->online + engine->batch + 1.0 <= max_requests &&
+            is_zone_usable(engines, engine, query->work, now_ms) &&
             !is_excluded(query, engine->entry.id))
             g_ptr_array_add(found, engine);
     }
@@ -44,6 +52,7 @@
         is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
                    !engine->has_address_mismatch &&
                    !hs_fleet_engine_is_removal_due(engine, now_ms) &&
+                   is_zone_usable(engines, engine, HS_WORK_ONLINE, now_ms) &&
                    !hs_fleet_engine_is_suspected(engine, now_ms);
     }
     return is_found;
@@ -101,3 +110,32 @@
     }
     g_ptr_array_set_size(found, (gint)kept);
 }
+
+bool hs_engine_candidate_has_free_slot(const hs_engine_candidate *candidate) {
+    return !candidate->suspected && candidate->running - candidate->batch + 1 <= candidate->slots;
+}
+
+/** Whether an engine outside of the evacuated zones has a slot that is free or used by an item. */
+static bool has_free_slot_elsewhere(const hs_fleet_engines *engines, const GPtrArray *found,
+                                    const hs_engine_candidate *candidates, uint64_t now_ms) {
+    bool is_free = false;
+    for (guint index = 0; index < found->len && !is_free; index++)
+        is_free = hs_engine_candidate_has_free_slot(&candidates[index]) &&
+                  hs_fleet_engine_zone_use(engines, found->pdata[index], now_ms) == HS_ZONE_OPEN;
+    return is_free;
+}
+
+void hs_engine_selection_drop_evacuated(const hs_fleet_engines *engines, GPtrArray *found,
+                                        hs_engine_candidate *candidates, uint64_t now_ms) {
+    if (!hs_evacuation_has_zones(engines->evacuation) ||
+        !has_free_slot_elsewhere(engines, found, candidates, now_ms))
+        return;
+    guint kept = 0;
+    for (guint index = 0; index < found->len; index++) {
+        if (hs_fleet_engine_zone_use(engines, found->pdata[index], now_ms) != HS_ZONE_OPEN)
+            continue;
+        found->pdata[kept] = found->pdata[index];
+        candidates[kept++] = candidates[index];
+    }
+    g_ptr_array_set_size(found, (gint)kept);
+}
--- a/src/fleet/engine_selection.h
+++ b/src/fleet/engine_selection.h
@@ -29,6 +29,17 @@
 void hs_engine_selection_credit_shared_prefix(const GPtrArray *found, const hs_engine_query *query,
                                               hs_engine_candidate *candidates);
 
+/**
+ * Removes the engines of evacuated zones, and their @p candidates, if another engine has a slot
+ * that is free or used by a batch item.
+ */
+void hs_engine_selection_drop_evacuated(const hs_fleet_engines *engines, GPtrArray *found,
+                                        hs_engine_candidate *candidates, uint64_t now_ms);
+
+/** Whether an online request finds a slot: the engine isn't suspected, and has a slot that is free
+ * or used by a batch item. */
+bool hs_engine_candidate_has_free_slot(const hs_engine_candidate *candidate);
+
 /** Removes engines, and their @p candidates, on which the wait would exceed the query's limit. */
 void hs_engine_selection_keep_within_wait_limit(GPtrArray *found, const hs_engine_query *query,
                                                 hs_engine_candidate *candidates,
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -8,6 +8,7 @@
 
 #include "fleet/engine_choice.h"
 #include "fleet/engine_pace.h"
+#include "fleet/evacuation.h"
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
 #include "tenants/tenant_runs.h"
@@ -113,6 +114,7 @@
     void *slot_observer_data;
     hs_crash_watch *crash_watch; /**< May be NULL. */
     hs_tenant_runs *tenant_runs;
+    hs_evacuation *evacuation;
 };
 
 /** Requests that one connection carries before it is closed. */
@@ -147,6 +149,7 @@
     uint32_t responses_before;     /**< The engine's response_count at acquired_ms. */
     hs_engine_reasons reasons;
     bool is_probe;               /**< The request probes a suspected engine. */
+    bool is_last_resort;         /**< The engine's zone is evacuated, and no other one was free. */
     bool had_empty_queue;        /**< The engine was reading no own prompt at acquired_ms. */
     uint64_t request_hash;       /**< Hash of the request's id; 0: the request has none. */
     hs_carried_requests carried; /**< By the connection in use, before this request. */
@@ -196,6 +199,22 @@
 hs_engine_use hs_fleet_engine_use(hs_fleet_engines *engines, const hs_fleet_engine *engine);
 /** Preempts up to @p wanted batch items, highest rank first. Returns how many. */
 uint32_t hs_fleet_engine_preempt(hs_fleet_engine *engine, uint32_t wanted);
+/** What the engine may be used for, by the zone of its newest entry; see evacuation.h. */
+hs_zone_use hs_fleet_engine_zone_use(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                                     uint64_t now_ms);
+/**
+ * Returns the time up to which the engine's zone is known to have been evacuated: UINT64_MAX while
+ * it is evacuated, the time at which this daemon learned of the withdrawal after that, and 0 if it
+ * never was. The engine is to be treated as cold until a report newer than this time.
+ */
+uint64_t hs_fleet_engine_evacuated_until_ms(const hs_fleet_engines *engines,
+                                            const hs_fleet_engine *engine);
+/**
+ * Online requests of all daemons on the service's engines in evacuated zones. The requests that
+ * follow them will need the slots of other engines.
+ */
+double hs_fleet_engines_evacuated_online(const hs_fleet_engines *engines, const char *service,
+                                         uint64_t now_ms);
 /** Calls the slot observer. The caller doesn't hold the lock. */
 void hs_fleet_engines_notify_free_slot(hs_fleet_engines *engines, const char *service);
 /** Calls the use observer. The caller doesn't hold the lock. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -49,6 +49,7 @@
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->tenant_runs = hs_tenant_runs_new();
+    engines->evacuation = hs_evacuation_new(0);
     engines->zone = g_strdup(zone);
     engines->round_robin = hs_clock_monotonic_us();
     return engines;
@@ -91,6 +92,7 @@
     g_hash_table_destroy(engines->absences);
     g_hash_table_destroy(engines->pressures);
     hs_tenant_runs_free(engines->tenant_runs);
+    hs_evacuation_free(engines->evacuation);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->reports_changed);
     g_free(engines->zone);
@@ -145,6 +147,12 @@
     return entry->started_at_ms != 0 && entry->started_at_ms != engine->entry.started_at_ms;
 }
 
+/** Whether the loss of the engine is expected, and no evidence of a crash. */
+static bool is_loss_expected(const hs_fleet_engines *engines, const hs_fleet_engine *engine) {
+    return engine->entry.draining ||
+           hs_fleet_engine_zone_use(engines, engine, hs_clock_monotonic_ms()) != HS_ZONE_OPEN;
+}
+
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms) {
     uint64_t crashed = 0;
     g_autofree char *service = g_strdup(entry->service);
@@ -152,7 +160,7 @@
     hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, entry->id);
     bool is_new = engine == NULL;
     if (engine != NULL && is_another_start(engine, entry)) {
-        crashed = engine->entry.draining ? 0 : engine->hash;
+        crashed = is_loss_expected(engines, engine) ? 0 : engine->hash;
         retire_engine(engines, engine, entry);
         engine = NULL;
     }
@@ -192,7 +200,7 @@
     uint64_t crashed = 0;
     g_mutex_lock(&engines->lock);
     const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, id);
-    if (engine != NULL && !engine->entry.draining)
+    if (engine != NULL && !is_loss_expected(engines, engine))
         crashed = engine->hash;
     g_mutex_unlock(&engines->lock);
     hs_fleet_engines_drop(engines, id);
@@ -287,6 +295,7 @@
     lease->had_empty_queue = engine->queued_tokens == 0;
     lease->is_probe = hs_fleet_engine_is_probe_due(engine, now_ms);
     engine->is_probing |= lease->is_probe;
+    lease->is_last_resort = hs_fleet_engine_zone_use(engines, engine, now_ms) != HS_ZONE_OPEN;
     lease->connection_share = hs_fleet_engines_connection_share(engines, query->max_connections);
     if (query->size != NULL) {
         lease->unread_tokens = (uint32_t)uncached;
@@ -320,9 +329,7 @@
 static bool is_any_free(const hs_engine_candidate *candidates, size_t count) {
     bool is_free = false;
     for (size_t index = 0; index < count; index++)
-        is_free = is_free || (!candidates[index].suspected &&
-                              candidates[index].running - candidates[index].batch + 1 <=
-                                  candidates[index].slots);
+        is_free = is_free || hs_engine_candidate_has_free_slot(&candidates[index]);
     return is_free;
 }
 
@@ -333,10 +340,13 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     g_autoptr(GPtrArray) found = hs_engine_selection_collect(engines, query);
+    if (!hs_evacuation_is_current(engines->evacuation, now_ms))
+        g_ptr_array_set_size(found, 0);
     hs_engine_selection_drop_suspected(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
+    hs_engine_selection_drop_evacuated(engines, found, candidates, now_ms);
     hs_engine_selection_credit_shared_prefix(found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     hs_engine_selection_keep_within_wait_limit(found, query, candidates, speed);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -194,6 +194,13 @@
                                               const hs_wait *wait, uint32_t max_idle_ms,
                                               hs_step *step);
 
+/**
+ * Whether a request may be sent under the lease now. False if the engine's zone was evacuated after
+ * the lease was acquired, or closed to online requests meanwhile, or if the process was suspended
+ * and has not read the store since. To be called right before the request is sent.
+ */
+bool hs_engine_lease_may_send(hs_engine_lease *lease);
+
 /** Counts an answer that did not resume the run at the event that the request asked for. */
 void hs_engine_lease_note_resume_mismatch(hs_engine_lease *lease);
 
@@ -258,6 +265,10 @@
     uint64_t absent_ms;         /**< How long the service has had no engine; 0: it has one. */
     uint64_t last_absence_ms;   /**< Length of the previous time without an engine; 0: none. */
     uint64_t listed_age_ms;     /**< Since the store last listed any of the engines. */
+    uint32_t evacuated; /**< Engines that get no requests, since their zone is evacuated. They don't
+                           count as engines. */
+    uint64_t evacuated_ms;      /**< Since the last of these zones was evacuated. */
+    uint64_t evacuate_limit_ms; /**< See hs_evacuation_limit_ms; 0 if no engine is evacuated. */
     hs_service_pressure pressure;
 } hs_service_outlook;
 
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -66,7 +66,8 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        if (!is_eligible(engine, service) || hs_fleet_engine_is_suspected(engine, now_ms))
+        if (!is_eligible(engine, service) || hs_fleet_engine_is_suspected(engine, now_ms) ||
+            hs_fleet_engine_zone_use(engines, engine, now_ms) == HS_ZONE_CLOSED)
             continue;
         hs_pressure_sample sample = sample_of(engines, engine, now_ms);
         g_array_append_val(samples, sample);
@@ -152,6 +153,15 @@
         add_healthy(outlook, engine, now_ms);
 }
 
+/** Counts an engine that is closed to all requests, since its zone is evacuated. */
+static void add_evacuated(hs_service_outlook *outlook, const hs_fleet_engines *engines,
+                          const hs_fleet_engine *engine, uint64_t now_ms) {
+    uint64_t known_ms = hs_evacuation_known_ms(engines->evacuation, engine->entry.zone, now_ms);
+    bool is_first = outlook->evacuated++ == 0;
+    outlook->evacuated_ms = is_first ? known_ms : MIN(outlook->evacuated_ms, known_ms);
+    outlook->evacuate_limit_ms = hs_evacuation_limit_ms(engines->evacuation);
+}
+
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
     hs_service_outlook outlook = {0};
     GHashTableIter iterator;
@@ -163,7 +173,10 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        if (is_eligible(engine, service))
+        bool is_closed = hs_fleet_engine_zone_use(engines, engine, now_ms) == HS_ZONE_CLOSED;
+        if (is_eligible(engine, service) && is_closed)
+            add_evacuated(&outlook, engines, engine, now_ms);
+        else if (is_eligible(engine, service))
             add_engine(&outlook, engine, now_ms);
     }
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, service);
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -27,6 +27,8 @@
     [HS_END_TOO_LARGE] = {"too_large", 413, "the body is over the limit\n"},
     [HS_END_NO_MEMORY] = {"short_of_memory", 503, "short of memory; not run\n"},
     [HS_END_NO_ENGINE] = {"no_engine", 503, "the service has no engine; not run\n"},
+    [HS_END_EVACUATED] = {"zones_evacuated", 503,
+                          "all zones of the service's engines are evacuated; not run\n"},
     [HS_END_FULL] = {"full", 503, "all engines are full; not run\n"},
     [HS_END_UNREACHABLE] = {"unreachable", 503, "no engine can be reached; not run\n"},
     [HS_END_QUARANTINED] = {"held_back", 503, "requests like this crashed engines; not run\n"},
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -144,6 +144,8 @@
         return HS_END_NO_ENGINE;
     case HS_REFUSAL_SUSPECTED:
         return HS_END_UNREACHABLE;
+    case HS_REFUSAL_EVACUATED:
+        return HS_END_EVACUATED;
     case HS_REFUSAL_OVER:
         return HS_END_LATE_NOT_RUN;
     case HS_REFUSAL_HOLD:
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -33,6 +33,7 @@
     HS_END_TOO_LARGE,     /**< The request body is too large. */
     HS_END_NO_MEMORY,     /**< The daemon is short of memory. */
     HS_END_NO_ENGINE,     /**< The service has no usable engine. */
+    HS_END_EVACUATED,     /**< All engines of the service are in evacuated zones. */
     HS_END_FULL,          /**< All engines are full. */
     HS_END_UNREACHABLE,   /**< No connection to any engine succeeded. */
     HS_END_QUARANTINED,   /**< Requests of this content crashed engines. */
--- a/src/online/refusal_choice.c
+++ b/src/online/refusal_choice.c
@@ -23,12 +23,24 @@
     return (service->waiting + 1) * service->run_ms / fmax(service->slots, 1);
 }
 
+/**
+ * Returns the expected time until the first zone returns: as long again as its evacuation has
+ * lasted, but at least the time limit of evacuations, as none is withdrawn before it has taken
+ * effect.
+ */
+static uint64_t evacuation_wait_ms(const hs_service_outlook *service) {
+    return MAX(hs_retry_after_absence_ms(service->evacuated_ms, 0), service->evacuate_limit_ms);
+}
+
 static hs_refusal_choice estimate_wait(const hs_refusal_view *view) {
     const hs_service_outlook *service = &view->service;
     hs_refusal_choice choice = {.verdict = HS_REFUSAL_QUEUE};
     if (!service->is_known) {
         choice.verdict = HS_REFUSAL_NO_ENGINE;
         choice.expected_ms = hs_retry_after_absence_ms(view->waited_ms, 0);
+    } else if (service->engines == 0 && service->evacuated > 0) {
+        choice.verdict = HS_REFUSAL_EVACUATED;
+        choice.expected_ms = evacuation_wait_ms(service);
     } else if (service->engines == 0) {
         choice.verdict = HS_REFUSAL_NO_ENGINE;
         choice.expected_ms =
@@ -66,9 +78,13 @@
 
 const char *hs_refusal_verdict_name(hs_refusal_verdict verdict) {
     static const char *const names[] = {
-        [HS_REFUSAL_HOLD] = "hold",           [HS_REFUSAL_NO_ENGINE] = "no_engine",
-        [HS_REFUSAL_SUSPECTED] = "suspected", [HS_REFUSAL_QUEUE] = "queue",
-        [HS_REFUSAL_OVER] = "over",           [HS_REFUSAL_SHORT] = "short",
+        [HS_REFUSAL_HOLD] = "hold",
+        [HS_REFUSAL_NO_ENGINE] = "no_engine",
+        [HS_REFUSAL_SUSPECTED] = "suspected",
+        [HS_REFUSAL_QUEUE] = "queue",
+        [HS_REFUSAL_OVER] = "over",
+        [HS_REFUSAL_SHORT] = "short",
+        [HS_REFUSAL_EVACUATED] = "zones_evacuated",
     };
     return names[verdict];
 }
--- a/src/online/refusal_choice.h
+++ b/src/online/refusal_choice.h
@@ -25,6 +25,7 @@
     HS_REFUSAL_SUSPECTED, /**< All engines failed; none is expected back in time. */
     HS_REFUSAL_QUEUE,     /**< No slot is expected to become free in time. */
     HS_REFUSAL_OVER,      /**< The deadline is too close for another attempt. */
+    HS_REFUSAL_EVACUATED, /**< All engines of the service are in evacuated zones. */
     HS_REFUSAL_SHORT,     /**< The request would miss its objective; see admission.h. */
     HS_REFUSAL_VERDICT_COUNT,
 } hs_refusal_verdict;
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -4,6 +4,7 @@
 #include "base/build_info.h"
 #include "base/clock.h"
 #include "base/memory_budget.h"
+#include "fleet/engine_evacuation.h"
 #include "http/connection_guard.h"
 
 static void write_online(GString *text, hs_online *online) {
@@ -179,6 +180,8 @@
     write_calls(text, sources);
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
+    g_autofree char *evacuations = hs_fleet_engines_describe_evacuations(online->engines);
+    g_string_append(text, evacuations);
     g_autofree char *crashes =
         hs_crash_watch_describe(hs_fleet_engines_crash_watch(online->engines));
     g_string_append(text, crashes);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -51,6 +51,7 @@
         {"memory", memory_tests, NULL, NULL},
         {"shares", share_tests, NULL, NULL},
         {"evacuation", evacuation_tests, NULL, NULL},
+        {"zone_requests", zone_request_tests, NULL, NULL},
     };
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
 }
--- a/tests/unit/test_evacuation.c
+++ b/tests/unit/test_evacuation.c
@@ -149,6 +149,8 @@
 #define SENDS_PER_TICK 16 /* 200 a second. */
 #define MAX_DELAY_MS 300
 #define LOSS_PERCENT 30
+/** Time until all daemons know of an evacuation: the delay of the store, and a few rounds. */
+#define MAX_SPREAD_MS 800
 
 /** A third of the daemons has no store. Datagrams are lost, and arrive with the next tick. */
 typedef struct {
@@ -229,12 +231,17 @@
     run_fleet(&fleet, 1080, 2000);
     CU_ASSERT_EQUAL(fleet.datagrams, 0); /* Without an evacuation nothing is sent. */
     fleet.is_evacuated = true;
-    uint64_t now_ms = run_fleet(&fleet, 2000, 2000 + LIMIT_MS + 1000);
+    uint64_t now_ms = run_fleet(&fleet, 2000, 2000 + MAX_SPREAD_MS);
+    CU_ASSERT_EQUAL(count_with_use(&fleet, HS_ZONE_OPEN, now_ms), 0);
+    now_ms = run_fleet(&fleet, now_ms, 2000 + LIMIT_MS + 1000);
     CU_ASSERT(fleet.last_sent_ms > 2000 && fleet.last_sent_ms < 2000 + LIMIT_MS);
     CU_ASSERT_EQUAL(count_with_use(&fleet, HS_ZONE_CLOSED, now_ms), DAEMONS);
     uint32_t before = fleet.datagrams;
+    hs_evacuation_free(fleet.states[0]); /* A daemon without the store starts again. */
+    fleet.states[0] = make_state();
     now_ms = run_fleet(&fleet, now_ms, now_ms + 8000);
     CU_ASSERT((fleet.datagrams - before) / 8 <= 10 * DAEMONS);
+    CU_ASSERT_EQUAL(count_with_use(&fleet, HS_ZONE_CLOSED, now_ms), DAEMONS);
     fleet.is_evacuated = false;
     fleet.position++;
     fleet.written_ms = now_ms;
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -53,5 +53,6 @@
 extern const test_case caller_tests[];
 extern const test_case memory_tests[];
 extern const test_case evacuation_tests[];
+extern const test_case zone_request_tests[];
 
 #endif
