--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -194,8 +194,8 @@
     hs_held_requests_free(daemon->online.held);
     hs_read_ahead_free(daemon->online.read_ahead);
     hs_fair_shares_free(daemon->online.fair_shares);
-    hs_fleet_engines_free(daemon->engines);
     hs_crash_watch_free(daemon->crash_watch);
+    hs_fleet_engines_free(daemon->engines);
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
     hs_stall_detector_clear(&daemon->stall_detector);
@@ -246,6 +246,8 @@
     hs_fleet_engines_set_slot_observer(daemon->engines, wake_held_requests, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
     hs_fleet_engines_set_crash_watch(daemon->engines, daemon->crash_watch);
+    hs_crash_watch_set_engine_filter(daemon->crash_watch, hs_fleet_engines_may_check,
+                                     daemon->engines);
     daemon->engine_source =
         hs_engine_source_new(daemon->store, daemon->engines, (uint32_t)settings->fleet_drain_ms,
                              (uint32_t)settings->fleet_heartbeat_ms);
--- a/src/fleet/crash_probe.c
+++ b/src/fleet/crash_probe.c
@@ -39,6 +39,8 @@
 struct hs_crash_probe {
     hs_crash_probe_callback callback;
     void *user_data;
+    hs_crash_probe_filter filter; /**< NULL: all engines may be checked. */
+    void *filter_data;
     hs_ring *queue; /**< of hs_cut_run* */
     gint stopping;
     gint crash_count;
@@ -82,9 +84,24 @@
     probe->callback(check->runs, is_crashed, probe->user_data);
 }
 
+void hs_crash_probe_set_filter(hs_crash_probe *probe, hs_crash_probe_filter filter,
+                               void *user_data) {
+    probe->filter = filter;
+    probe->filter_data = user_data;
+}
+
+static bool may_check(const hs_crash_probe *probe, const hs_cut_run *run) {
+    bool may_check_engine = probe->filter == NULL || probe->filter(run->engine, probe->filter_data);
+    if (!may_check_engine)
+        hs_log_info("engine_check_ended", "engine=%s cause=evacuation", run->engine_id);
+    return may_check_engine;
+}
+
 /** Advances a check by one step. Returns true when the result is known. */
 static bool advance_check(hs_crash_probe *probe, engine_check *check) {
     bool is_crashed = false;
+    if (!may_check(probe, &check->first))
+        return true;
     bool is_open = hs_client_connection_is_idle_and_open(check->connection);
     if (is_open && hs_clock_monotonic_ms() < check->opened_ms + MIN_OPEN_MS)
         return false;
@@ -133,7 +150,7 @@
     while (g_atomic_int_get(&probe->stopping) == 0) {
         g_autofree hs_cut_run *run =
             hs_ring_take(probe->queue, checks->len > 0 ? ACTIVE_POLL_MS : IDLE_POLL_MS);
-        if (run != NULL)
+        if (run != NULL && may_check(probe, run))
             check_run(probe, checks, run);
         for (guint index = checks->len; index > 0; index--)
             if (advance_check(probe, checks->pdata[index - 1]))
--- a/src/fleet/crash_probe.h
+++ b/src/fleet/crash_probe.h
@@ -32,9 +32,20 @@
  */
 typedef void (*hs_crash_probe_callback)(const GArray *runs, bool is_crashed, void *user_data);
 
+/** Reports whether an engine (hash of its id) may be checked. Called on the probe's thread. */
+typedef bool (*hs_crash_probe_filter)(uint64_t engine, void *user_data);
+
 /** Starts the probe's thread. Without a thread (none could be started) no engine is checked. */
 hs_crash_probe *hs_crash_probe_start(hs_crash_probe_callback callback, void *user_data);
 
+/**
+ * Sets the filter of engines; NULL: all may be checked. A check of an engine that the filter
+ * excludes ends without a result. To be called before the first run is queued; @p user_data must
+ * outlive the probe.
+ */
+void hs_crash_probe_set_filter(hs_crash_probe *probe, hs_crash_probe_filter filter,
+                               void *user_data);
+
 /** Stops the thread and frees the probe. Runs still in the queue are dropped. */
 void hs_crash_probe_stop(hs_crash_probe *probe);
 
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -192,6 +192,11 @@
     g_free(watch);
 }
 
+void hs_crash_watch_set_engine_filter(hs_crash_watch *watch, hs_crash_probe_filter filter,
+                                      void *user_data) {
+    hs_crash_probe_set_filter(watch->probe, filter, user_data);
+}
+
 void hs_crash_watch_note_cut(hs_crash_watch *watch, const hs_cut_run *run) {
     bool is_queued = hs_crash_probe_submit(watch->probe, run);
     g_mutex_lock(&watch->lock);
--- a/src/fleet/crash_watch.h
+++ b/src/fleet/crash_watch.h
@@ -21,6 +21,10 @@
 /** Stops the probe and frees the watch. NULL is allowed. */
 void hs_crash_watch_free(hs_crash_watch *watch);
 
+/** See hs_crash_probe_set_filter; @p user_data must outlive the watch. */
+void hs_crash_watch_set_engine_filter(hs_crash_watch *watch, hs_crash_probe_filter filter,
+                                      void *user_data);
+
 /** Reports a run that was cut. Does not wait for the probe. */
 void hs_crash_watch_note_cut(hs_crash_watch *watch, const hs_cut_run *run);
 
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -178,13 +178,15 @@
 }
 
 /**
- * Releases the lease and returns false if the engine's zone was evacuated while the request waited
- * for a confirmation or a connection.
+ * Releases the lease and returns false if the engine's zone was evacuated, or the process was
+ * suspended, while the request waited for a confirmation or a connection.
  */
-static bool keep_if_zone_is_open(hs_attempt *attempt) {
+static bool keep_if_may_send(const hs_attempt_parameters *parameters, hs_attempt *attempt) {
     if (hs_engine_lease_may_send(attempt->lease))
         return true;
-    hs_log_info("request_not_sent_to_zone", "engine=%s cause=evacuation", attempt->engine_id);
+    const char *request_id = parameters->request.request_id;
+    hs_log_info("request_not_sent_to_zone", "request=%s engine=%s",
+                request_id != NULL ? request_id : "-", attempt->engine_id);
     hs_engine_lease_release(attempt->lease, attempt->connection, HS_ATTEMPT_DROPPED);
     attempt->lease = NULL;
     attempt->connection = NULL;
@@ -212,7 +214,7 @@
                                 max_idle_ms(parameters), &attempt->step);
     if (attempt->connection == NULL)
         return false;
-    if (!keep_if_zone_is_open(attempt))
+    if (!keep_if_may_send(parameters, attempt))
         return false;
     attempt->step = send_request(parameters, attempt);
     attempt->sent_ms = hs_clock_monotonic_ms();
--- a/src/fleet/engine_evacuation.c
+++ b/src/fleet/engine_evacuation.c
@@ -123,6 +123,17 @@
     return recipients;
 }
 
+bool hs_fleet_engines_may_check(uint64_t engine_hash, void *user_data) {
+    hs_fleet_engines *engines = user_data;
+    g_mutex_lock(&engines->lock);
+    const hs_fleet_engine *engine = hs_fleet_engines_find(engines, engine_hash);
+    bool may_check =
+        engine == NULL ||
+        hs_fleet_engine_zone_use(engines, engine, hs_clock_monotonic_ms()) == HS_ZONE_OPEN;
+    g_mutex_unlock(&engines->lock);
+    return may_check;
+}
+
 void hs_fleet_engines_list_evacuations(hs_fleet_engines *engines, hs_evacuation_set *set) {
     g_mutex_lock(&engines->lock);
     hs_evacuation_list(engines->evacuation, set);
--- a/src/fleet/engine_evacuation.h
+++ b/src/fleet/engine_evacuation.h
@@ -46,6 +46,12 @@
  */
 uint32_t hs_fleet_engines_tick_evacuations(hs_fleet_engines *engines, uint64_t now_ms);
 
+/**
+ * Returns whether an engine may be checked for a crash: not in an evacuated zone, which is about to
+ * lose its engines. An hs_crash_probe_filter with the table as its user data.
+ */
+bool hs_fleet_engines_may_check(uint64_t engine_hash, void *engines);
+
 /** Adds the evacuated zones to @p set, an initialised set, and sets its position. */
 void hs_fleet_engines_list_evacuations(hs_fleet_engines *engines, hs_evacuation_set *set);
 
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -39,6 +39,7 @@
         {"fleet_waking", fleet_waking_system_tests, bench_set_up, bench_tear_down},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
         {"fleet_memory", fleet_memory_system_tests, begin_memory, end_memory},
+        {"fleet_evacuation", fleet_evacuation_system_tests, bench_set_up, bench_tear_down},
     };
     ulfius_global_init();
     return run_suites(suites, sizeof suites / sizeof suites[0], argument_count, arguments);
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -83,6 +83,7 @@
 int begin_crashes_two_causes(void);
 
 extern const test_case fleet_entry_system_tests[];
+extern const test_case fleet_evacuation_system_tests[];
 
 /** As begin_crashes, with streams of two seconds. */
 extern const test_case fleet_item_loss_system_tests[];
--- a/tests/unit/test_zone_requests.c
+++ b/tests/unit/test_zone_requests.c
@@ -4,6 +4,7 @@
  * in the store, and the exchange between daemons.
  */
 #include "base/clock.h"
+#include "base/hash.h"
 #include "directory/evacuation_exchange.h"
 #include "fleet/config_source.h"
 #include "fleet/engine_attempt.h"
@@ -97,6 +98,8 @@
     put_engine(engines, "ea", "c", 9);
     CU_ASSERT_TRUE(takes(engines, HS_WORK_ONLINE, "ea", &lease));
     release(lease);
+    CU_ASSERT_FALSE(hs_fleet_engines_may_check(hs_hash_bytes("eb", 2), engines));
+    CU_ASSERT_TRUE(hs_fleet_engines_may_check(hs_hash_bytes("ea", 2), engines));
     g_mutex_lock(&engines->lock);
     const hs_fleet_engine *moved = g_hash_table_lookup(engines->by_id, "eb");
     CU_ASSERT_EQUAL(hs_fleet_engine_evacuated_until_ms(engines, moved), UINT64_MAX);
@@ -174,6 +177,32 @@
     scripted_peer_stop(peer);
 }
 
+static void count_result(const GArray *runs, bool is_crashed, void *user_data) {
+    (void)is_crashed;
+    g_atomic_int_add((gint *)user_data, (gint)runs->len);
+}
+
+static bool excludes_engine_1(uint64_t engine, void *user_data) {
+    (void)user_data;
+    return engine != 1;
+}
+
+/** Guards against connections that check an engine of an evacuated zone for a crash. */
+static void evacuated_engines_are_not_checked_for_a_crash(void) {
+    gint results = 0;
+    hs_cut_run run = {.engine = 1, .engine_id = "e1", .address = INADDR_LOOPBACK, .port = 9};
+    hs_crash_probe *probe = hs_crash_probe_start(count_result, &results);
+    hs_crash_probe_set_filter(probe, excludes_engine_1, NULL);
+    CU_ASSERT_TRUE(hs_crash_probe_submit(probe, &run));
+    run.engine = 2;
+    CU_ASSERT_TRUE(hs_crash_probe_submit(probe, &run));
+    uint64_t until_ms = hs_clock_monotonic_ms() + WAIT_MS;
+    while (g_atomic_int_get(&results) == 0 && hs_clock_monotonic_ms() < until_ms)
+        hs_clock_sleep_ms(5);
+    hs_crash_probe_stop(probe);
+    CU_ASSERT_EQUAL(g_atomic_int_get(&results), 1);
+}
+
 /** Returns whether the zone's metric gets the value within WAIT_MS. */
 static bool becomes(hs_fleet_engines *engines, const char *zone, int expected) {
     g_autofree char *line =
@@ -358,6 +387,8 @@
      a_suspended_daemon_sends_nothing_before_it_reads},
     {"a_request_that_waited_is_not_sent_to_the_zone",
      a_request_that_waited_is_not_sent_to_the_zone},
+    {"evacuated_engines_are_not_checked_for_a_crash",
+     evacuated_engines_are_not_checked_for_a_crash},
     {"the_operators_records_are_read", the_operators_records_are_read},
     {"an_older_set_is_answered_by_the_newer_one", an_older_set_is_answered_by_the_newer_one},
     {"an_evacuation_makes_hardly_any_request_late", an_evacuation_makes_hardly_any_request_late},
