Evacuations of a peer whose position lies beyond the store's log

Cause: with a wrong position from a peer a daemon would ignore the operator's records until the log reached that position.

Change: where the log ends before the known position, by a read that was sent after the peer's set had arrived, all keys are read anew and the store decides.

Result: zone_requests.the_operators_records_are_read fails without the check and passes with it. Thread sanitizer: suites zone_requests, evacuation and config without a report.

--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -177,21 +177,34 @@
                                                offset);
 }
 
+/**
+ * Returns whether the log ends before the position of this daemon, or of the known evacuations: the
+ * store has lost its history and begins anew, or a peer's position was wrong.
+ */
+static bool is_position_wrong(hs_config_source *source, const GByteArray *answer, uint64_t next,
+                              uint64_t sent_ms) {
+    uint64_t end = 0;
+    uint64_t first = 0;
+    if (!hs_platform_read_bounds(answer, &end, &first))
+        return false;
+    return end < next || (source->engines != NULL &&
+                          hs_fleet_engines_is_evacuation_beyond(source->engines, end, sent_ms));
+}
+
 /**
  * Waits up to @p wait_ms for records from the offset @p next on, and advances @p next.
  */
 static hs_store_outcome follow(hs_config_source *source, GByteArray *answer, uint64_t *next,
                                uint32_t wait_ms) {
+    uint64_t sent_ms = hs_clock_monotonic_ms();
     hs_store_call call =
         hs_platform_build_read_call(HS_TOPIC_CONFIG, 0, *next, MAX_READ_KB, wait_ms);
     hs_deadline deadline = hs_clock_monotonic_ms() + wait_ms + LONG_POLL_MARGIN_MS;
     hs_store_outcome outcome = hs_store_client_send(source->store, &call, deadline, NULL, answer);
     size_t position = 0;
     hs_store_record record;
-    uint64_t end = 0;
-    uint64_t first = 0;
-    if (outcome == HS_STORE_DONE && hs_platform_read_bounds(answer, &end, &first) && end < *next)
-        return HS_STORE_GONE; /* The store has lost its history, and begins anew. */
+    if (outcome == HS_STORE_DONE && is_position_wrong(source, answer, *next, sent_ms))
+        return HS_STORE_GONE;
     while (outcome == HS_STORE_DONE &&
            hs_platform_read_next_record(answer, true, &position, &record)) {
         apply_evacuation(source, &record, *next);
--- a/src/fleet/engine_evacuation.c
+++ b/src/fleet/engine_evacuation.c
@@ -88,6 +88,14 @@
     return is_due;
 }
 
+bool hs_fleet_engines_is_evacuation_beyond(hs_fleet_engines *engines, uint64_t end,
+                                           uint64_t sent_ms) {
+    g_mutex_lock(&engines->lock);
+    bool is_beyond = hs_evacuation_is_beyond(engines->evacuation, end, sent_ms);
+    g_mutex_unlock(&engines->lock);
+    return is_beyond;
+}
+
 void hs_fleet_engines_end_evacuation_read(hs_fleet_engines *engines, uint64_t sent_ms,
                                           bool is_answered) {
     g_mutex_lock(&engines->lock);
--- a/src/fleet/engine_evacuation.h
+++ b/src/fleet/engine_evacuation.h
@@ -36,6 +36,10 @@
  */
 bool hs_fleet_engines_begin_evacuation_read(hs_fleet_engines *engines);
 
+/** See hs_evacuation_is_beyond. */
+bool hs_fleet_engines_is_evacuation_beyond(hs_fleet_engines *engines, uint64_t end,
+                                           uint64_t sent_ms);
+
 /** Notes the end of that read, after its answer was applied; see hs_evacuation_note_read. */
 void hs_fleet_engines_end_evacuation_read(hs_fleet_engines *engines, uint64_t sent_ms,
                                           bool is_answered);
--- a/src/fleet/evacuation.c
+++ b/src/fleet/evacuation.c
@@ -304,6 +304,10 @@
         state->resumed_ms = 0;
 }
 
+bool hs_evacuation_is_beyond(const hs_evacuation *state, uint64_t end, uint64_t sent_ms) {
+    return state->as_of_offset > end && sent_ms > state->peer_ms;
+}
+
 bool hs_evacuation_is_current(const hs_evacuation *state, uint64_t now_ms) {
     return !hs_evacuation_is_read_due(state, now_ms) || now_ms < valid_until_ms(state);
 }
--- a/src/fleet/evacuation.h
+++ b/src/fleet/evacuation.h
@@ -140,6 +140,13 @@
  */
 bool hs_evacuation_is_current(const hs_evacuation *state, uint64_t now_ms);
 
+/**
+ * Returns whether the known position lies beyond the end of the topic's log, as read by a call that
+ * was sent at @p sent_ms, after the last set of a peer had arrived: that position is wrong, and all
+ * keys are to be read anew.
+ */
+bool hs_evacuation_is_beyond(const hs_evacuation *state, uint64_t end, uint64_t sent_ms);
+
 /** Returns whether the process was suspended since the last read of the store was sent. */
 bool hs_evacuation_is_read_due(const hs_evacuation *state, uint64_t now_ms);
 
--- a/tests/unit/test_zone_requests.c
+++ b/tests/unit/test_zone_requests.c
@@ -241,6 +241,14 @@
     CU_ASSERT_TRUE(becomes(engines, "d", 1));
     CU_ASSERT_TRUE(becomes(engines, "b", 0));
     CU_ASSERT_TRUE(becomes(engines, "c", 1));
+    hs_evacuation_set wrong; /* Of a peer, beyond the end of the log. */
+    hs_evacuation_set_init(&wrong, 100000);
+    hs_evacuation_set_add(&wrong, "w", 99999, true);
+    hs_fleet_engines_put_peer_evacuations(engines, "peer", &wrong);
+    hs_evacuation_set_clear(&wrong);
+    CU_ASSERT_TRUE(becomes(engines, "w", 1));
+    CU_ASSERT_TRUE(becomes(engines, "w", 0));
+    CU_ASSERT_TRUE(becomes(engines, "d", 1));
     uint16_t port = log_store_port(store);
     log_store_stop(store);
     store = log_store_start(port); /* Its offsets begin anew. */
