--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -56,5 +56,7 @@
 extern const test_case connection_guard_tests[];
 extern const test_case caller_tests[];
 extern const test_case memory_tests[];
+extern const test_case evacuation_tests[];
+extern const test_case zone_request_tests[];
 
 #endif
