Allowed regions: engines, refusals and addresses

Cause: requests of routes and tenants with allowed regions ran in any region. The lists were read from the configuration but not used.

Change: fleet/region_policy (pure) holds the lists of route and tenant. hs_engine_query carries the policy; selection, outlook, pressure and capacity count allowed engines only. Each attempt makes the policy anew from the newest configuration. Restricted requests are held, and share what is free, in groups of their own, so that they do not delay others. Two end reasons, no_allowed_region and no_engine_in_region (503), and region= in the end line. Address answers name daemons of the zone, the region, the allowed regions, and others only if none of these is live.

Where no list is configured and the zones lie in one region, the queries, log lines and answers are as before.

--- a/src/base/topology.c
+++ b/src/base/topology.c
@@ -82,6 +82,18 @@
     return is_other_region ? HS_DISTANCE_OTHER_REGION : HS_DISTANCE_OTHER_ZONE;
 }
 
+bool hs_topology_has_zone_in(const hs_topology *topology, const char *region) {
+    if (topology == NULL || *region == '\0')
+        return false;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_found = false;
+    g_hash_table_iter_init(&iterator, topology->region_by_zone);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value))
+        is_found = strcmp(value, region) == 0;
+    return is_found;
+}
+
 bool hs_topology_has_regions(const hs_topology *topology) {
     return topology != NULL && topology->has_regions;
 }
--- a/src/base/topology.h
+++ b/src/base/topology.h
@@ -42,6 +42,9 @@
 /** Reports whether the zones lie in at least two regions. @p topology may be NULL. */
 bool hs_topology_has_regions(const hs_topology *topology);
 
+/** Reports whether a zone of the topology lies in @p region. @p topology may be NULL. */
+bool hs_topology_has_zone_in(const hs_topology *topology, const char *region);
+
 /** Number of rejected entries and zones. */
 uint32_t hs_topology_rejected_count(const hs_topology *topology);
 
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -38,6 +38,7 @@
 struct hs_fleet_daemon {
     const hs_settings *settings; /**< Settings at the start. Borrowed. */
     hs_settings *reloaded;       /**< Settings of the last reload; NULL: none. Owned. */
+    hs_topology *topology;
     hs_store_client *store;
     hs_config_source *config;
     hs_fleet_engines *engines;
@@ -194,6 +195,7 @@
     hs_read_ahead_free(daemon->online.read_ahead);
     hs_fair_shares_free(daemon->online.fair_shares);
     hs_fleet_engines_free(daemon->engines);
+    hs_topology_free(daemon->topology);
     hs_crash_watch_free(daemon->crash_watch);
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
@@ -238,7 +240,9 @@
     hs_endpoint store = parse_endpoint(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, get_config_apply_ms(settings));
+    daemon->topology = hs_topology_new(settings->fleet_zone_regions);
     daemon->engines = hs_fleet_engines_new(settings->zone);
+    hs_fleet_engines_set_topology(daemon->engines, daemon->topology);
     daemon->online.held = hs_held_requests_new();
     hs_fleet_engines_set_slot_observer(daemon->engines, wake_held_requests, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -421,18 +421,18 @@
     return (uint32_t)g_atomic_int_get(&directory->utilisation_percent);
 }
 
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
-                                   uint32_t caller) {
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const hs_resolve_query *query) {
     if (g_atomic_int_get(&directory->joined) == 0)
         return NULL;
     bool is_settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     bool knows_others = hs_membership_live_count(membership) > 1;
     char **addresses = NULL;
-    hs_resolve_query query = {
-        .zone = zone, .caller = caller, .without_self = g_atomic_int_get(&directory->leaving) != 0};
+    hs_resolve_query completed = *query;
+    completed.without_self = g_atomic_int_get(&directory->leaving) != 0;
+    completed.topology = hs_fleet_engines_topology(directory->settings.engines);
     if (knows_others || is_settled)
-        addresses = hs_resolve_addresses(membership, &query);
+        addresses = hs_resolve_addresses(membership, &completed);
     hs_membership_service_unlock(directory->membership);
     return addresses;
 }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -10,6 +10,7 @@
 #define HS_DIRECTORY_DAEMON_DIRECTORY_H
 
 #include "base/stall_detector.h"
+#include "directory/resolve_addresses.h"
 #include "directory/tenant_limiter.h"
 #include "fleet/fleet_engines.h"
 #include "membership/membership_service.h"
@@ -59,11 +60,10 @@
 
 /**
  * Returns "IPv4:port" texts of the daemons that a caller should use, NULL-terminated; free with
- * g_strfreev. NULL: not known yet, or there are none. @p zone: the caller's; NULL: unknown.
- * @p caller: the caller's IPv4 address in host order; 0: unknown.
+ * g_strfreev. NULL: not known yet, or there are none. @p query: of the caller; its IPv4 address in
+ * host order identifies it. The directory sets the topology and whether to leave itself out.
  */
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
-                                   uint32_t caller);
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const hs_resolve_query *query);
 
 /** Utilisation of this daemon's machine in percent, as announced to the other daemons. */
 uint32_t hs_daemon_directory_utilisation_percent(hs_daemon_directory *directory);
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -184,6 +184,10 @@
     return strlen(expected) == length && g_ascii_strncasecmp(host, expected, length) == 0;
 }
 
+bool hs_fleet_route_has_host(const hs_fleet_route *route, const char *host) {
+    return is_host(host, route->host);
+}
+
 const hs_fleet_route *hs_fleet_config_find_route(const hs_fleet_config *config, const char *host,
                                                  const char *target) {
     const hs_fleet_route *found = NULL;
--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -54,6 +54,9 @@
 const hs_fleet_route *hs_fleet_config_find_route(const hs_fleet_config *config, const char *host,
                                                  const char *target);
 
+/** Whether the route is one of @p host (a port is ignored). */
+bool hs_fleet_route_has_host(const hs_fleet_route *route, const char *host);
+
 /**
  * Whether online requests of other routes or tenants to @p service may have a higher rank (lower
  * number; see hs_tenant_rank) than @p rank. Batch routes do not count.
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -51,8 +51,13 @@
 }
 
 hs_service_capacity hs_fleet_engines_capacity(hs_fleet_engines *engines, const char *service) {
+    return hs_fleet_engines_capacity_in(engines, service, &(hs_region_policy){0});
+}
+
+hs_service_capacity hs_fleet_engines_capacity_in(hs_fleet_engines *engines, const char *service,
+                                                 const hs_region_policy *regions) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_engine_query query = {.service = service};
+    hs_engine_query query = {.service = service, .regions = *regions};
     hs_service_capacity capacity = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -27,24 +27,28 @@
         if (strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
             !engine->has_address_mismatch && !hs_fleet_engine_is_removal_due(engine, now_ms) &&
             engine->online + engine->batch + 1.0 <= max_requests &&
-            !is_excluded(query, engine->entry.id))
+            !is_excluded(query, engine->entry.id) &&
+            hs_region_policy_allows_zone(&query->regions, engine->entry.zone))
             g_ptr_array_add(found, engine);
     }
     return found;
 }
 
-/** Whether the service has an engine that is not suspected, whether excluded or full or not. */
-static bool has_healthy(const hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
+/** Whether the query's service has an allowed engine that is not suspected, even if excluded or
+ * full. */
+static bool has_healthy(const hs_fleet_engines *engines, const hs_engine_query *query,
+                        uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
     bool is_found = false;
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+        is_found = strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
                    !engine->has_address_mismatch &&
                    !hs_fleet_engine_is_removal_due(engine, now_ms) &&
-                   !hs_fleet_engine_is_suspected(engine, now_ms);
+                   !hs_fleet_engine_is_suspected(engine, now_ms) &&
+                   hs_region_policy_allows_zone(&query->regions, engine->entry.zone);
     }
     return is_found;
 }
@@ -52,7 +56,7 @@
 void hs_engine_selection_drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
                                         const hs_engine_query *query, uint64_t now_ms) {
     bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
-    if (!can_wait || !has_healthy(engines, query->service, now_ms))
+    if (!can_wait || !has_healthy(engines, query, now_ms))
         return;
     for (guint index = found->len; index > 0; index--) {
         const hs_fleet_engine *engine = found->pdata[index - 1];
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -113,6 +113,8 @@
     void *slot_observer_data;
     hs_crash_watch *crash_watch; /**< May be NULL. */
     hs_tenant_runs *tenant_runs;
+    const hs_topology *topology;     /**< May be NULL. */
+    GHashTable *restricted_services; /**< See hs_region_policy_group -> hs_restricted_service*. */
 };
 
 /** Requests that one connection carries before it is closed. */
@@ -174,6 +176,12 @@
     uint64_t computed_ms;
 } hs_cached_pressure;
 
+/** A service as seen by requests that may use only its engines in some regions. */
+typedef struct {
+    hs_engine_absence absence;
+    hs_cached_pressure pressure;
+} hs_restricted_service;
+
 /** Records whether a service has an engine now, and returns its absence. */
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
                                                  bool is_present, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -49,6 +49,7 @@
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->tenant_runs = hs_tenant_runs_new();
+    engines->restricted_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->round_robin = hs_clock_monotonic_us();
     return engines;
@@ -62,6 +63,14 @@
     return engines->crash_watch;
 }
 
+void hs_fleet_engines_set_topology(hs_fleet_engines *engines, const hs_topology *topology) {
+    engines->topology = topology;
+}
+
+const hs_topology *hs_fleet_engines_topology(const hs_fleet_engines *engines) {
+    return engines->topology;
+}
+
 /** Drops by_hash, since the set of engines changes. The caller holds the lock. */
 static void clear_hash_index(hs_fleet_engines *engines) {
     if (engines->by_hash != NULL)
@@ -91,6 +100,7 @@
     g_hash_table_destroy(engines->absences);
     g_hash_table_destroy(engines->pressures);
     hs_tenant_runs_free(engines->tenant_runs);
+    g_hash_table_destroy(engines->restricted_services);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->reports_changed);
     g_free(engines->zone);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -11,6 +11,7 @@
 #define HS_FLEET_FLEET_ENGINES_H
 
 #include "fleet/crash_watch.h"
+#include "fleet/region_policy.h"
 #include "fleet/service_pressure.h"
 #include "heathsail/fleet.h"
 #include "http/client_connection.h"
@@ -65,6 +66,7 @@
     uint32_t max_connections;      /**< To one engine from all daemons; 0: unknown. */
     bool has_wait_limit; /**< Online: skip engines that can't start it in max_start_wait_ms. */
     uint64_t max_start_wait_ms; /**< See hs_engine_choice_can_start_in_time. */
+    hs_region_policy regions;   /**< Engines outside of the allowed regions are skipped. */
 } hs_engine_query;
 
 /** This daemon's share of one engine's load, as announced to other daemons. */
@@ -117,6 +119,13 @@
 void hs_fleet_engines_set_crash_watch(hs_fleet_engines *engines, hs_crash_watch *watch);
 hs_crash_watch *hs_fleet_engines_crash_watch(hs_fleet_engines *engines);
 
+/**
+ * Sets the topology, by which regions of engines are known; NULL: none. Borrowed. To be called
+ * before the first request.
+ */
+void hs_fleet_engines_set_topology(hs_fleet_engines *engines, const hs_topology *topology);
+const hs_topology *hs_fleet_engines_topology(const hs_fleet_engines *engines);
+
 /** Adds or updates an engine. Takes ownership of the strings of @p entry and clears it. */
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
 
@@ -263,9 +272,17 @@
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service);
 
+/** Like hs_fleet_engines_outlook, by the engines in allowed regions only. */
+hs_service_outlook hs_fleet_engines_outlook_in(hs_fleet_engines *engines, const char *service,
+                                               const hs_region_policy *regions);
+
 /** Pressure of a service by recent load reports; cached for some ms. */
 hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service);
 
+/** Like hs_fleet_engines_pressure, by the engines in allowed regions only. */
+hs_service_pressure hs_fleet_engines_pressure_in(hs_fleet_engines *engines, const char *service,
+                                                 const hs_region_policy *regions);
+
 /** Metrics of the cached pressures of all services. Free with g_free. */
 char *hs_fleet_engines_describe_pressures(hs_fleet_engines *engines);
 
@@ -281,6 +298,10 @@
 
 hs_service_capacity hs_fleet_engines_capacity(hs_fleet_engines *engines, const char *service);
 
+/** Like hs_fleet_engines_capacity, of the engines in allowed regions only. */
+hs_service_capacity hs_fleet_engines_capacity_in(hs_fleet_engines *engines, const char *service,
+                                                 const hs_region_policy *regions);
+
 /**
  * Counts an online request of the tenant that arrived at this daemon. Returns the service's share,
  * 0 to 1, of what the tenant requested recently; see hs_tenant_runs_note_request.
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -8,6 +8,17 @@
 
 /** Time for which a computed pressure is cached. */
 #define PRESSURE_CACHE_MS 25
+/** Maximum number of pairs of a service and its allowed regions that are remembered. */
+#define MAX_RESTRICTED_SERVICES 256
+
+static void update_absence(hs_engine_absence *absence, bool is_present, uint64_t now_ms) {
+    if (is_present && absence->since_ms != 0) {
+        absence->last_ms = now_ms - absence->since_ms;
+        absence->since_ms = 0;
+    } else if (!is_present && absence->since_ms == 0) {
+        absence->since_ms = now_ms;
+    }
+}
 
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
                                                  bool is_present, uint64_t now_ms) {
@@ -18,15 +29,29 @@
         absence = g_new0(hs_engine_absence, 1);
         g_hash_table_insert(engines->absences, g_strdup(service), absence);
     }
-    if (is_present && absence->since_ms != 0) {
-        absence->last_ms = now_ms - absence->since_ms;
-        absence->since_ms = 0;
-    } else if (!is_present && absence->since_ms == 0) {
-        absence->since_ms = now_ms;
-    }
+    update_absence(absence, is_present, now_ms);
     return *absence;
 }
 
+/** Returns the service as restricted to regions; NULL: the policy is not restricted. */
+static hs_restricted_service *restricted_service_of(hs_fleet_engines *engines, const char *service,
+                                                    const hs_region_policy *regions) {
+    if (!hs_region_policy_is_restricted(regions))
+        return NULL;
+    char *group = hs_region_policy_group(regions, service);
+    hs_restricted_service *known = g_hash_table_lookup(engines->restricted_services, group);
+    if (known != NULL) {
+        g_free(group);
+        return known;
+    }
+    /* Each configuration may name other regions, so that old groups have to be dropped. */
+    if (g_hash_table_size(engines->restricted_services) >= MAX_RESTRICTED_SERVICES)
+        g_hash_table_remove_all(engines->restricted_services);
+    known = g_new0(hs_restricted_service, 1);
+    g_hash_table_insert(engines->restricted_services, group, known);
+    return known;
+}
+
 /** Time in ms until the next probe of an engine that this daemon suspects; 0: not suspected. */
 static uint64_t next_probe_ms(const hs_fleet_engine *engine, uint64_t now_ms) {
     return engine->suspected_until_ms > now_ms ? engine->suspected_until_ms - now_ms : 0;
@@ -53,20 +78,22 @@
     };
 }
 
-static bool is_eligible(const hs_fleet_engine *engine, const char *service) {
+static bool is_eligible(const hs_fleet_engine *engine, const char *service,
+                        const hs_region_policy *regions) {
     return strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
-           !engine->has_address_mismatch;
+           !engine->has_address_mismatch &&
+           hs_region_policy_allows_zone(regions, engine->entry.zone);
 }
 
 static hs_service_pressure compute_pressure(hs_fleet_engines *engines, const char *service,
-                                            uint64_t now_ms) {
+                                            const hs_region_policy *regions, uint64_t now_ms) {
     g_autoptr(GArray) samples = g_array_new(FALSE, FALSE, sizeof(hs_pressure_sample));
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        if (!is_eligible(engine, service) || hs_fleet_engine_is_suspected(engine, now_ms))
+        if (!is_eligible(engine, service, regions) || hs_fleet_engine_is_suspected(engine, now_ms))
             continue;
         hs_pressure_sample sample = sample_of(engines, engine, now_ms);
         g_array_append_val(samples, sample);
@@ -76,16 +103,26 @@
                                     run_ms);
 }
 
-/** Returns the cached pressure, recomputed if outdated. The caller holds the lock. */
-static hs_service_pressure pressure_of(hs_fleet_engines *engines, const char *service,
-                                       uint64_t now_ms) {
+/** Returns the cached pressure of a service, added if missing. */
+static hs_cached_pressure *cached_pressure_of(hs_fleet_engines *engines, const char *service,
+                                              const hs_region_policy *regions) {
+    hs_restricted_service *restricted = restricted_service_of(engines, service, regions);
+    if (restricted != NULL)
+        return &restricted->pressure;
     hs_cached_pressure *cached = g_hash_table_lookup(engines->pressures, service);
     if (cached == NULL) {
         cached = g_new0(hs_cached_pressure, 1);
         g_hash_table_insert(engines->pressures, g_strdup(service), cached);
     }
+    return cached;
+}
+
+/** Returns the cached pressure, recomputed if outdated. The caller holds the lock. */
+static hs_service_pressure pressure_of(hs_fleet_engines *engines, const char *service,
+                                       const hs_region_policy *regions, uint64_t now_ms) {
+    hs_cached_pressure *cached = cached_pressure_of(engines, service, regions);
     if (cached->computed_ms == 0 || now_ms >= cached->computed_ms + PRESSURE_CACHE_MS) {
-        cached->pressure = compute_pressure(engines, service, now_ms);
+        cached->pressure = compute_pressure(engines, service, regions, now_ms);
         hs_service_pressure_project(&cached->pressure, &cached->trend, now_ms);
         cached->computed_ms = now_ms;
     }
@@ -93,8 +130,13 @@
 }
 
 hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service) {
+    return hs_fleet_engines_pressure_in(engines, service, &(hs_region_policy){0});
+}
+
+hs_service_pressure hs_fleet_engines_pressure_in(hs_fleet_engines *engines, const char *service,
+                                                 const hs_region_policy *regions) {
     g_mutex_lock(&engines->lock);
-    hs_service_pressure pressure = pressure_of(engines, service, hs_clock_monotonic_ms());
+    hs_service_pressure pressure = pressure_of(engines, service, regions, hs_clock_monotonic_ms());
     g_mutex_unlock(&engines->lock);
     return pressure;
 }
@@ -152,7 +194,23 @@
         add_healthy(outlook, engine, now_ms);
 }
 
+/** Records whether an allowed engine of the service is present, and returns the absence. */
+static hs_engine_absence note_presence_in(hs_fleet_engines *engines, const char *service,
+                                          const hs_region_policy *regions, bool is_present,
+                                          uint64_t now_ms) {
+    hs_restricted_service *restricted = restricted_service_of(engines, service, regions);
+    if (restricted == NULL)
+        return hs_fleet_engines_note_presence(engines, service, is_present, now_ms);
+    update_absence(&restricted->absence, is_present, now_ms);
+    return restricted->absence;
+}
+
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
+    return hs_fleet_engines_outlook_in(engines, service, &(hs_region_policy){0});
+}
+
+hs_service_outlook hs_fleet_engines_outlook_in(hs_fleet_engines *engines, const char *service,
+                                               const hs_region_policy *regions) {
     hs_service_outlook outlook = {0};
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -163,15 +221,15 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        if (is_eligible(engine, service))
+        if (is_eligible(engine, service, regions))
             add_engine(&outlook, engine, now_ms);
     }
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, service);
     outlook.run_ms = hs_engine_speed_online_run_ms(speed);
     outlook.min_first_byte_ms = (uint64_t)speed->first_byte_ms;
-    outlook.pressure = pressure_of(engines, service, now_ms);
+    outlook.pressure = pressure_of(engines, service, regions, now_ms);
     hs_engine_absence absence =
-        hs_fleet_engines_note_presence(engines, service, outlook.engines > 0, now_ms);
+        note_presence_in(engines, service, regions, outlook.engines > 0, now_ms);
     outlook.absent_ms = absence.since_ms != 0 ? now_ms - absence.since_ms : 0;
     outlook.last_absence_ms = absence.last_ms;
     g_mutex_unlock(&engines->lock);
--- a/src/online/held_requests.c
+++ b/src/online/held_requests.c
@@ -3,9 +3,11 @@
 
 #include "base/clock.h"
 #include "base/peer_watch.h"
+#include "fleet/region_policy.h"
 #include "online/hold_queue.h"
 
 #include <glib.h>
+#include <string.h>
 
 typedef struct {
     hs_hold_queue queue;
@@ -152,12 +154,35 @@
     return is_woken;
 }
 
+/** Whether the key is that of requests to @p service that are restricted to regions. */
+static bool is_restricted_group(const char *key, const char *service) {
+    size_t length = strlen(service);
+    return strncmp(key, service, length) == 0 && key[length] == HS_REGION_GROUP_SEPARATOR;
+}
+
+/**
+ * Wakes the first request of each group that is restricted to regions, since the slot's region is
+ * not known here. Of the requests woken, one gets the slot and the others are held again.
+ */
+static bool wake_restricted(hs_held_requests *held, const char *service) {
+    GHashTableIter iterator;
+    gpointer key = NULL;
+    gpointer value = NULL;
+    bool is_any_woken = false;
+    g_hash_table_iter_init(&iterator, held->by_service);
+    while (g_hash_table_iter_next(&iterator, &key, &value))
+        if (is_restricted_group(key, service) && wake_first(held, value, false))
+            is_any_woken = true;
+    return is_any_woken;
+}
+
 bool hs_held_requests_wake(hs_held_requests *held, const char *service) {
     g_mutex_lock(&held->lock);
     const service_held *known = g_hash_table_lookup(held->by_service, service);
     bool is_any_woken = known != NULL && wake_first(held, known, false);
+    bool is_restricted_woken = wake_restricted(held, service);
     g_mutex_unlock(&held->lock);
-    return is_any_woken;
+    return is_any_woken || is_restricted_woken;
 }
 
 /**
--- a/src/online/held_requests.h
+++ b/src/online/held_requests.h
@@ -1,7 +1,7 @@
 /**
  * @file held_requests.h
- * Requests that a daemon holds until an engine has a free slot, by service. A slot that becomes
- * free wakes the first request in the order of hs_queue_priority. Thread-safe.
+ * Requests that a daemon holds until an engine has a free slot, by service and allowed regions. A
+ * slot that becomes free wakes the first request in the order of hs_queue_priority. Thread-safe.
  *
  * A daemon does not learn of every free slot, and another daemon may use the slot first. Each held
  * request also tries again after a pause.
@@ -37,7 +37,10 @@
 hs_held_requests *hs_held_requests_new(void);
 void hs_held_requests_free(hs_held_requests *held);
 
-/** Adds a held request of the service. Free it with hs_held_requests_leave. */
+/**
+ * Adds a held request of the service, or of its group if it is restricted to regions; see
+ * hs_region_policy_group. Free it with hs_held_requests_leave.
+ */
 hs_held_request *hs_held_requests_enter(hs_held_requests *held, const char *service,
                                         const hs_queue_priority *priority);
 
@@ -57,7 +60,8 @@
                            const hs_queue_priority *priority, int watched, uint64_t max_wait_ms);
 
 /**
- * Wakes the first waiting request, since a slot of the service may be free. Skips requests that
+ * Wakes the first waiting request, and the first of each group that is restricted to regions, since
+ * a slot of the service may be free. Skips requests that
  * were woken less than HS_HELD_MIN_WAKE_INTERVAL_MS ago. Returns false if none was woken.
  */
 bool hs_held_requests_wake(hs_held_requests *held, const char *service);
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -38,7 +38,8 @@
                   .work = HS_WORK_ONLINE,
                   .excluded = request->excluded,
                   .memory_tokens = request->memory_tokens,
-                  .max_connections = request->max_connections},
+                  .max_connections = request->max_connections,
+                  .regions = request->regions},
         .content = request->content,
         .request = {.method = inbound->method,
                     .target = inbound->target,
@@ -145,7 +146,7 @@
         return HS_NEXT_RETRY; /* The retry loop checks first whether the caller has left. */
     }
     request->retry_after_ms = choice.expected_ms;
-    *reason = has_run ? HS_END_BROKEN : hs_online_refusal_reason(choice.verdict);
+    *reason = has_run ? HS_END_BROKEN : hs_online_refusal_reason(request, choice.verdict);
     return HS_NEXT_END;
 }
 
@@ -212,7 +213,8 @@
     if (hs_online_is_over_share(request, reason))
         return false;
     while (action == HS_NEXT_RETRY) {
-        if (!hs_online_is_still_authorized(request, reason) || is_quarantined(request, reason))
+        if (!hs_online_is_still_authorized(request, reason) ||
+            !hs_online_has_allowed_region(request, reason) || is_quarantined(request, reason))
             return false;
         if (hs_peer_has_disconnected(request->inbound->descriptor)) {
             *reason = HS_END_CALLER_GONE;
--- a/src/online/online_refusal.c
+++ b/src/online/online_refusal.c
@@ -50,7 +50,7 @@
     if (is_held) {
         hs_queue_priority priority = hs_online_queue_priority(request);
         request->held_since_ms = hs_clock_monotonic_ms();
-        request->held = hs_held_requests_enter(request->online->held, request->service, &priority);
+        request->held = hs_held_requests_enter(request->online->held, request->group, &priority);
     } else {
         request->held_ms += hs_clock_monotonic_ms() - request->held_since_ms;
         hs_held_requests_leave(request->online->held, request->held, is_placed);
@@ -61,9 +61,10 @@
 void hs_online_admit(hs_online_request *request) {
     hs_online *online = request->online;
     hs_queue_priority priority = hs_online_queue_priority(request);
-    hs_held_view held = hs_held_requests_view(online->held, request->service, &priority);
+    hs_held_view held = hs_held_requests_view(online->held, request->group, &priority);
     request->admitted_by = (hs_admission_view){
-        .pressure = hs_fleet_engines_pressure(online->engines, request->service),
+        .pressure =
+            hs_fleet_engines_pressure_in(online->engines, request->service, &request->regions),
         .head_waited_ms = held.head_waited_ms,
         .ahead_waited_ms = held.ahead_waited_ms,
         .min_first_byte_ms = hs_fleet_engines_min_first_byte_ms(online->engines, request->service),
@@ -96,9 +97,10 @@
 hs_refusal_choice hs_online_choose_refusal(hs_online_request *request) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     bool is_pressure_known = request->admitted_by.pressure.slots > 0;
-    hs_held_view held = hs_held_requests_view(request->online->held, request->service, NULL);
+    hs_held_view held = hs_held_requests_view(request->online->held, request->group, NULL);
     hs_refusal_view view = {
-        .service = hs_fleet_engines_outlook(request->online->engines, request->service),
+        .service = hs_fleet_engines_outlook_in(request->online->engines, request->service,
+                                               &request->regions),
         .left_ms = request->deadline > now_ms ? request->deadline - now_ms : 0,
         /* Engine load reports, if known, predict better than the few requests that drained here:
          * best-effort requests get no slots in a shortage, however soon the shortage ends. */
@@ -138,10 +140,12 @@
         (guint64)attempt->reasons.listed_age_ms);
 }
 
-hs_end_reason hs_online_refusal_reason(hs_refusal_verdict verdict) {
+hs_end_reason hs_online_refusal_reason(const hs_online_request *request,
+                                       hs_refusal_verdict verdict) {
     switch (verdict) {
     case HS_REFUSAL_NO_ENGINE:
-        return HS_END_NO_ENGINE;
+        return hs_region_policy_is_restricted(&request->regions) ? HS_END_NO_ENGINE_IN_REGION
+                                                                 : HS_END_NO_ENGINE;
     case HS_REFUSAL_SUSPECTED:
         return HS_END_UNREACHABLE;
     case HS_REFUSAL_OVER:
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -17,6 +17,7 @@
 static void log_end(hs_online_request *request, hs_end_reason reason) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     const hs_attempt *attempt = &request->attempt;
+    g_autofree char *regions = hs_online_describe_regions(request);
     hs_log_info(
         "request_ended",
         "request=%s content=%016" G_GINT64_MODIFIER
@@ -26,7 +27,7 @@
         " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u pace=%.2f"
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT
         " word_age_ms=%.0f age_ms=%" G_GUINT64_FORMAT " held_ms=%" G_GUINT64_FORMAT
-        " woken=%u tries=%u admission=%s wait_ms=%.0f free_share=%.3f words_age_ms=%.0f",
+        " woken=%u tries=%u admission=%s wait_ms=%.0f free_share=%.3f words_age_ms=%.0f%s",
         request->request_id, (guint64)request->content, request->route->name,
         request->tenant != NULL ? request->tenant : "-", request->service,
         (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
@@ -40,7 +41,7 @@
         (guint64)request->age_ms, (guint64)request->held_ms, request->woken, request->tries,
         hs_admission_verdict_name(request->admission.verdict),
         request->admitted_by.pressure.wait_ms, request->admitted_by.pressure.free_share,
-        request->admitted_by.pressure.age_ms);
+        request->admitted_by.pressure.age_ms, regions);
 }
 
 void hs_online_request_record_end(hs_online_request *request, hs_end_reason reason) {
@@ -59,7 +60,9 @@
         hs_online_count_end(request->online, HS_END_CALLER_GONE, request->first_byte_ms);
     }
     hs_attempt_finish(&request->attempt, HS_ATTEMPT_DROPPED);
+    hs_fleet_config_unref(request->regions_config);
     hs_fleet_config_unref(request->config);
+    g_free(request->group);
     g_ptr_array_free(request->excluded, TRUE);
     g_byte_array_free(request->ready, TRUE);
     g_free(request->request_id);
@@ -168,6 +171,7 @@
     request->used_slots = access->used_slots;
     request->checked_version = config->version;
     request->terms = *terms;
+    hs_online_update_regions(request);
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
     request->content =
         hs_request_content_hash(&(hs_request_content){.method = inbound->method,
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -33,6 +33,10 @@
     HS_END_TOO_LARGE,     /**< The request body is too large. */
     HS_END_NO_MEMORY,     /**< The daemon is short of memory. */
     HS_END_NO_ENGINE,     /**< The service has no usable engine. */
+    /** Route and tenant allow no region in common, or none that the settings name. */
+    HS_END_NO_ALLOWED_REGION,
+    /** The service has no usable engine in an allowed region. */
+    HS_END_NO_ENGINE_IN_REGION,
     HS_END_FULL,          /**< All engines are full. */
     HS_END_UNREACHABLE,   /**< No connection to any engine succeeded. */
     HS_END_QUARANTINED,   /**< Requests of this content crashed engines. */
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -23,6 +23,9 @@
     char *tenant;             /**< NULL: no tenant. */
     double used_slots;        /**< Engine slots recently requested by the tenant; 0: unknown. */
     uint64_t checked_version; /**< Configuration version of the latest key check. */
+    hs_fleet_config *regions_config; /**< Configuration that regions was made from. */
+    hs_region_policy regions;        /**< Regions where the next attempt may run. */
+    char *group;                     /**< See hs_region_policy_group. */
     hs_caller_terms terms;
     char *request_id;
     uint64_t content; /**< See hs_request_content_hash. */
@@ -70,6 +73,21 @@
  */
 bool hs_online_is_still_authorized(hs_online_request *request, hs_end_reason *reason);
 
+/**
+ * Makes the request's region policy from the configuration in force and the request's tenant. Keeps
+ * the route's regions if the configuration has no route for the request any more.
+ */
+void hs_online_update_regions(hs_online_request *request);
+
+/**
+ * Updates the region policy. If it allows no region, returns false with @p reason: HS_END_BROKEN if
+ * the request may have run.
+ */
+bool hs_online_has_allowed_region(hs_online_request *request, hs_end_reason *reason);
+
+/** Returns the end of a request's log line about its regions; "": not restricted. Free it. */
+char *hs_online_describe_regions(const hs_online_request *request);
+
 /** Tries engines until one sends a response head. Returns false and sets @p reason if none does. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
@@ -91,8 +109,9 @@
 /** Refuses an attempt that was not sent since no engine can serve it in time; sets @p reason. */
 void hs_online_refuse_unsent(hs_online_request *request, hs_end_reason *reason);
 
-/** Returns the end reason for a verdict other than HS_REFUSAL_HOLD. */
-hs_end_reason hs_online_refusal_reason(hs_refusal_verdict verdict);
+/** Returns the end reason of the request for a verdict other than HS_REFUSAL_HOLD. */
+hs_end_reason hs_online_refusal_reason(const hs_online_request *request,
+                                       hs_refusal_verdict verdict);
 
 /** Returns the engine's header fields to forward to the caller. Free with hs_http_fields_free. */
 GArray *hs_online_response_fields(const GArray *fields);
--- a/src/online/online_share.c
+++ b/src/online/online_share.c
@@ -37,8 +37,8 @@
     if (!is_share_applied(request))
         return false;
     hs_service_pressure pressure =
-        hs_fleet_engines_pressure(request->online->engines, request->service);
-    hs_fair_share_request share_request = {.service = request->service,
+        hs_fleet_engines_pressure_in(request->online->engines, request->service, &request->regions);
+    hs_fair_share_request share_request = {.service = request->group,
                                            .used_slots = request->used_slots,
                                            .sample = sample_of(request),
                                            .was_refused = request->age_ms > 0};
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -271,6 +271,28 @@
         reply_status(inbound, 404);
 }
 
+/** Resolves addresses for a caller. The regions allowed are those of the configuration in force. */
+static char **resolve_addresses(hs_fleet_surface *surface, const hs_inbound *inbound) {
+    hs_resolve_terms terms;
+    hs_platform_read_resolve(inbound->target, &terms);
+    hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
+    GPtrArray *regions = config != NULL && terms.host != NULL
+                             ? hs_region_policy_regions_of_host(config, terms.host)
+                             : NULL;
+    hs_resolve_query query = {.zone = terms.zone,
+                              .region = terms.region,
+                              .allowed_regions = regions,
+                              .caller = inbound->caller_address};
+    char **addresses = hs_daemon_directory_resolve(surface->settings.members, &query);
+    if (regions != NULL)
+        g_ptr_array_free(regions, TRUE);
+    hs_fleet_config_unref(config);
+    g_free(terms.host);
+    g_free(terms.zone);
+    g_free(terms.region);
+    return addresses;
+}
+
 static void serve_directory(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
     g_autofree char *zone = NULL;
@@ -279,7 +301,7 @@
         return;
     }
     hs_daemon_directory *members = surface->settings.members;
-    g_auto(GStrv) addresses = hs_daemon_directory_resolve(members, zone, inbound->caller_address);
+    g_auto(GStrv) addresses = resolve_addresses(surface, inbound);
     if (addresses == NULL) {
         reply_status(inbound, 503);
         return;
