Allowed regions: items start at allowed engines only

Cause: items of jobs whose route or tenant has allowed regions ran at any engine of their service.

Change: an attempt carries the regions of the item's route, its job's route and its tenant by the configuration in force. The scheduler counts capacity, throttles starts and plans deadlines for each group of items that may use the same engines, so that items which wait for their regions neither take slots from others nor make them urgent.

--- a/src/fleet/region_policy.c
+++ b/src/fleet/region_policy.c
@@ -14,6 +14,10 @@
     };
 }
 
+void hs_region_policy_add_job_route(hs_region_policy *policy, const hs_fleet_route *route) {
+    policy->regions_of_job = route != NULL ? route->allowed_regions : NULL;
+}
+
 /** Returns the first tenant of that name, whose limits apply; see tenants/tenant_index.h. */
 static const hs_fleet_tenant *find_tenant(const hs_fleet_config *config, const char *name) {
     for (guint index = 0; index < config->tenants->len; index++) {
@@ -32,7 +36,8 @@
 }
 
 bool hs_region_policy_is_restricted(const hs_region_policy *policy) {
-    return policy->regions_of_route != NULL || policy->regions_of_tenant != NULL;
+    return policy->regions_of_route != NULL || policy->regions_of_tenant != NULL ||
+           policy->regions_of_job != NULL;
 }
 
 static bool lists(const GPtrArray *regions, const char *region) {
@@ -48,7 +53,7 @@
     if (!hs_region_policy_is_restricted(policy))
         return true;
     return region != NULL && lists(policy->regions_of_route, region) &&
-           lists(policy->regions_of_tenant, region);
+           lists(policy->regions_of_tenant, region) && lists(policy->regions_of_job, region);
 }
 
 bool hs_region_policy_allows_zone(const hs_region_policy *policy, const char *zone) {
@@ -65,7 +70,9 @@
 
 /** Returns the list of which every allowed region is a member. The policy is restricted. */
 static const GPtrArray *candidates_of(const hs_region_policy *policy) {
-    return policy->regions_of_route != NULL ? policy->regions_of_route : policy->regions_of_tenant;
+    if (policy->regions_of_route != NULL)
+        return policy->regions_of_route;
+    return policy->regions_of_tenant != NULL ? policy->regions_of_tenant : policy->regions_of_job;
 }
 
 bool hs_region_policy_can_be_met(const hs_region_policy *policy) {
--- a/src/fleet/region_policy.h
+++ b/src/fleet/region_policy.h
@@ -20,8 +20,12 @@
     const hs_topology *topology;        /**< NULL: no region is known. */
     const GPtrArray *regions_of_route;  /**< Of char*; NULL: all regions. */
     const GPtrArray *regions_of_tenant; /**< Of char*; NULL: all regions. */
+    const GPtrArray *regions_of_job;    /**< Of char*; of the route of an item's job; NULL: all. */
 } hs_region_policy;
 
+/** Adds the regions of the route on which the item's job was submitted. @p route may be NULL. */
+void hs_region_policy_add_job_route(hs_region_policy *policy, const hs_fleet_route *route);
+
 /** Returns the policy of a request on @p route by @p tenant. All arguments may be NULL. */
 hs_region_policy hs_region_policy_make(const hs_topology *topology, const hs_fleet_route *route,
                                        const hs_fleet_tenant *tenant);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -26,6 +26,7 @@
     hs_item_run *run = g_new0(hs_item_run, 1);
     run->job_id = g_strdup(job->id);
     run->host = g_strdup(job->host);
+    run->job_target = g_strdup(job->target);
     run->tenant = *job->tenant != '\0' ? g_strdup(job->tenant) : NULL;
     run->item_id = g_strdup(item->id);
     run->index = index;
@@ -51,6 +52,7 @@
         return;
     g_free(run->job_id);
     g_free(run->host);
+    g_free(run->job_target);
     g_free(run->tenant);
     g_free(run->item_id);
     if (run->content != NULL)
@@ -237,6 +239,18 @@
     return true;
 }
 
+/** Returns the regions where the item may run: those of its route, of its job's and its tenant's.
+ */
+static hs_region_policy make_region_policy(const hs_item_run *run,
+                                           const hs_item_attempt_terms *terms,
+                                           const hs_fleet_route *route) {
+    hs_region_policy policy = hs_region_policy_for_tenant_name(
+        hs_fleet_engines_topology(terms->engines), terms->config, route, run->tenant);
+    hs_region_policy_add_job_route(
+        &policy, hs_fleet_config_find_route(terms->config, run->host, run->job_target));
+    return policy;
+}
+
 hs_item_attempt_end hs_item_run_attempt(hs_item_run *run, const hs_item_attempt_terms *terms) {
     const hs_fleet_config *config = terms->config;
     if (!hs_event_stream_can_resume(&run->events)) { /* The output restarts from the beginning. */
@@ -269,7 +283,8 @@
                   .preemption_flag = run->is_on_trial ? NULL : &run->interrupt,
                   .rank_ms = terms->rank_ms,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
-                  .max_connections = service != NULL ? service->max_connections : 0},
+                  .max_connections = service != NULL ? service->max_connections : 0,
+                  .regions = make_region_policy(run, terms, route)},
         .content = content,
         .request = {.method = ITEM_METHOD,
                     .target = run->content->path,
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -31,7 +31,8 @@
 typedef struct {
     char *job_id;
     char *host;
-    char *tenant; /**< Tenant of the job; NULL: none. */
+    char *job_target; /**< Target of the job's submission. */
+    char *tenant;     /**< Tenant of the job; NULL: none. */
     char *item_id;
     uint32_t index;
     uint32_t tokens; /**< Size: tokens of the prompt and the output limit. */
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -68,8 +68,17 @@
     hs_start_throttle start_throttle; /**< Limits all starts. */
     hs_start_throttle useful_run_throttle; /**< Limits starts of items that are not urgent. */
     uint64_t forecast_failure_logged_ms;
+    bool is_restricted;       /**< Of items restricted to regions. */
+    double mean_online_slots; /**< If is_restricted: as that of the owner. */
 } hs_service_starts;
 
+/** Open items that wait since no engine in their allowed regions is ready. */
+typedef struct {
+    uint32_t no_allowed_region;
+    uint32_t no_engine_in_region;
+    uint64_t logged_ms;
+} hs_region_waits;
+
 struct hs_job_owner {
     hs_job_owner_settings settings;
     GMutex lock;
@@ -81,9 +90,10 @@
     hs_deadline handover_deadline; /**< Of all partitions, while draining. */
     uint32_t running;
     hs_item_pace pace;
-    double mean_online_slots;   /**< Moving average; see job_plan.c. */
-    GHashTable *services;       /**< Service (interned) -> hs_service_starts*; see job_starts.h. */
-    uint64_t rejected_starts;   /**< Starts that were rejected because no engine had capacity. */
+    double mean_online_slots;     /**< Moving average; see job_plan.c. */
+    GHashTable *services;         /**< Group (interned) -> hs_service_starts*; see job_starts.h. */
+    hs_region_waits region_waits; /**< Of the latest pass. */
+    uint64_t rejected_starts;     /**< Starts that were rejected because no engine had capacity. */
     uint64_t early_preemptions; /**< Runs that were preempted before the minimum useful run time. */
     uint64_t late_preemptions;  /**< Runs that were preempted later. */
     uint32_t tail_count;
@@ -97,10 +107,10 @@
     hs_owned_job_partition *partition;
     hs_owned_item *item;
     uint32_t max_attempts;
-    int32_t rank_ms;     /**< See hs_engine_query. */
-    const char *service; /**< Interned; NULL: the configuration has no route for the item. */
-    bool is_expired;     /**< The item's time is over and its result is "dead". */
-    bool is_handover;    /**< Only the item's progress is stored, for the next owner. */
+    int32_t rank_ms;   /**< See hs_engine_query. */
+    const char *group; /**< See hs_open_item. */
+    bool is_expired;   /**< The item's time is over and its result is "dead". */
+    bool is_handover;  /**< Only the item's progress is stored, for the next owner. */
 } hs_item_task;
 
 /**
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "jobs/job_plan.h"
+#include "jobs/job_regions.h"
 #include "jobs/job_room.h"
 #include "jobs/job_starts.h"
 
@@ -53,6 +54,9 @@
 static void add_job(hs_owned_job_partition *owned, const hs_job *job, const hs_fleet_config *config,
                     GArray *open) {
     const hs_fleet_route *route = hs_fleet_config_find_route(config, job->host, job->target);
+    hs_region_policy regions = hs_region_policy_for_tenant_name(
+        hs_fleet_engines_topology(owned->owner->settings.engines), config, route, job->tenant);
+    const char *group = route != NULL ? hs_job_regions_group(&regions, route) : NULL;
     uint64_t now_ms = hs_clock_monotonic_ms();
     uint64_t wall_ms = hs_clock_wall_ms();
     for (uint32_t index = 0; index < job->items->len; index++) {
@@ -63,6 +67,8 @@
         bool is_waiting = item->stage == HS_ITEM_WAITING;
         hs_open_item entry = {
             .partition = owned,
+            .regions = regions,
+            .group = group,
             .item = item,
             .left_ms = (int64_t)(job->submitted_ms + job->due_ms) - (int64_t)wall_ms,
             .remaining_ms = get_remaining_ms(owned, item, now_ms),
@@ -124,7 +130,7 @@
     task->item = open->item;
     task->max_attempts = open->max_attempts;
     task->rank_ms = open->rank_ms;
-    task->service = open->service;
+    task->group = open->group;
     task->is_expired = open->is_expired;
     open->item->stage = HS_ITEM_RUNNING;
     open->item->started_ms = hs_clock_monotonic_ms();
@@ -140,7 +146,7 @@
            hs_job_partition_is_current(owned->partition, owned->acquired_ms);
 }
 
-/** Starts of one service's items in one pass. */
+/** Starts of one group's items in one pass. */
 typedef struct {
     uint32_t started;
     uint32_t max_starts;            /**< Maximum for all items. */
@@ -150,23 +156,23 @@
 
 /** Starts of one pass. */
 typedef struct {
-    GHashTable *counts; /**< Service (interned) -> pass_count*. */
+    GHashTable *counts; /**< Group (interned) -> pass_count*. */
     uint32_t daemons;   /**< Number of live daemons. */
 } pass_starts;
 
-static pass_count *get_pass_count(hs_job_owner *owner, const char *service,
+static pass_count *get_pass_count(hs_job_owner *owner, const char *group,
                                   const hs_service_capacity *capacity, const pass_starts *pass) {
-    pass_count *count = g_hash_table_lookup(pass->counts, service);
+    pass_count *count = g_hash_table_lookup(pass->counts, group);
     if (count != NULL)
         return count;
-    hs_service_starts *starts = hs_job_starts_for_service(owner, service);
+    hs_service_starts *starts = hs_job_starts_for_group(owner, group);
     uint32_t all = hs_job_capacity_now(capacity, pass->daemons, owner->partitions->len);
     double spare = capacity->slots - capacity->online - capacity->batch;
     count = g_new0(pass_count, 1);
     count->max_starts = hs_start_throttle_begin_pass(&starts->start_throttle, all, spare);
     count->max_non_urgent_starts =
         hs_start_throttle_begin_pass(&starts->useful_run_throttle, all, spare);
-    g_hash_table_insert(pass->counts, (gpointer)service, count);
+    g_hash_table_insert(pass->counts, (gpointer)group, count);
     return count;
 }
 
@@ -178,8 +184,8 @@
                                const hs_service_capacity *capacity, const pass_starts *pass) {
     if (entry->is_urgent)
         return hs_job_capacity_now(capacity, pass->daemons, owner->partitions->len);
-    const pass_count *count = get_pass_count(owner, entry->service, capacity, pass);
-    double expected = hs_job_starts_for_service(owner, entry->service)->expected_online;
+    const pass_count *count = get_pass_count(owner, entry->group, capacity, pass);
+    double expected = hs_job_starts_for_group(owner, entry->group)->expected_online;
     uint32_t left =
         hs_job_capacity_expected(capacity, expected, pass->daemons, owner->partitions->len);
     return MIN(MIN(count->max_starts, count->max_non_urgent_starts), left);
@@ -191,8 +197,8 @@
 static bool try_count_start(hs_job_owner *owner, const hs_open_item *entry, pass_starts *pass,
                             guint open_count) {
     hs_service_capacity capacity =
-        hs_fleet_engines_capacity(owner->settings.engines, entry->service);
-    pass_count *count = get_pass_count(owner, entry->service, &capacity, pass);
+        hs_fleet_engines_capacity_in(owner->settings.engines, entry->service, &entry->regions);
+    pass_count *count = get_pass_count(owner, entry->group, &capacity, pass);
     if (count->is_full)
         return false;
     if (count->started >= get_max_starts(owner, entry, &capacity, pass)) {
@@ -200,13 +206,14 @@
         return false;
     }
     count->started++;
-    log_start(entry, &capacity, hs_job_starts_for_service(owner, entry->service), open_count);
+    log_start(entry, &capacity, hs_job_starts_for_group(owner, entry->group), open_count);
     return true;
 }
 
 /**
- * Runs one pass over all owned partitions. A service without capacity delays only its own items;
- * items of other services and those whose time is over do not wait for it. The caller holds the
+ * Runs one pass over all owned partitions. A service without capacity, or without capacity in the
+ * regions to which items are restricted, delays only these items; others and those whose time is
+ * over do not wait for it. The caller holds the
  * lock.
  */
 static void start_items(hs_job_owner *owner, const hs_fleet_config *config) {
@@ -217,6 +224,7 @@
             collect_open_items(owned, config, open);
     }
     hs_job_starts_observe(owner, open);
+    hs_job_regions_observe(owner, open);
     hs_job_plan_make(owner, open);
     g_autoptr(GHashTable) counts =
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
--- a/tests/unit/test_regions.c
+++ b/tests/unit/test_regions.c
@@ -7,6 +7,8 @@
 #include "directory/resolve_addresses.h"
 #include "fleet/config_source.h"
 #include "heathsail/error.h"
+#include "jobs/job_regions.h"
+#include "jobs/job_starts.h"
 #include "online/online_request_state.h"
 #include "platform/config_codec.h"
 #include "tests/unit/unit_tests.h"
@@ -407,6 +409,117 @@
     hs_fleet_config_unref(config);
 }
 
+/** An owner with engines in akl only, for plans without threads or a store. */
+typedef struct {
+    hs_topology *topology;
+    hs_job_owner owner;
+    GArray *open;
+    hs_owned_item item;
+    hs_item_run run;
+} item_fixture;
+
+static void begin_items(item_fixture *fixture) {
+    *fixture = (item_fixture){.topology = hs_topology_new(ZONES)};
+    fixture->owner.settings.engines = hs_fleet_engines_new("akl-a");
+    fixture->owner.services = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    hs_fleet_engines_set_topology(fixture->owner.settings.engines, fixture->topology);
+    put_engine(fixture->owner.settings.engines, "near", "akl-a");
+    fixture->item.run = &fixture->run;
+    fixture->open = g_array_new(FALSE, TRUE, sizeof(hs_open_item));
+}
+
+static void end_items(item_fixture *fixture) {
+    hs_fleet_engines_free(fixture->owner.settings.engines);
+    g_hash_table_destroy(fixture->owner.services);
+    g_array_free(fixture->open, TRUE);
+    hs_topology_free(fixture->topology);
+}
+
+static void add_item(item_fixture *fixture, const GPtrArray *allowed, int64_t left_ms) {
+    hs_open_item entry = {.item = &fixture->item,
+                          .service = g_intern_string("svc"),
+                          .left_ms = left_ms,
+                          .remaining_ms = 100,
+                          .regions = {.topology = fixture->topology, .regions_of_route = allowed}};
+    g_autofree char *group = hs_region_policy_group(&entry.regions, entry.service);
+    entry.group = g_intern_string(group);
+    g_array_append_val(fixture->open, entry);
+}
+
+/**
+ * Guards against items without an engine in their regions that make all others urgent, take slots
+ * from them, or wait unreported.
+ */
+static void items_without_region_do_not_affect_others(void) {
+    item_fixture fixture;
+    g_autoptr(GPtrArray) far = make_list("wlg");
+    g_autoptr(GPtrArray) none = make_list("nowhere");
+    begin_items(&fixture);
+    add_item(&fixture, NULL, 60000);
+    hs_job_plan_make(&fixture.owner, fixture.open);
+    int32_t rank_alone_ms = g_array_index(fixture.open, hs_open_item, 0).rank_ms;
+    uint64_t work_ms = hs_fleet_engines_batch_work(fixture.owner.settings.engines);
+    for (int index = 0; index < 50; index++)
+        add_item(&fixture, index < 20 ? far : none, 50);
+    hs_job_starts_observe(&fixture.owner, fixture.open);
+    hs_job_regions_observe(&fixture.owner, fixture.open);
+    hs_job_plan_make(&fixture.owner, fixture.open);
+    CU_ASSERT_EQUAL(fixture.open->len, 51);
+    for (guint index = 0; index < fixture.open->len; index++) {
+        const hs_open_item *entry = &g_array_index(fixture.open, hs_open_item, index);
+        bool is_restricted = hs_region_policy_is_restricted(&entry->regions);
+        CU_ASSERT_EQUAL(entry->is_urgent, is_restricted);
+        if (!is_restricted)
+            CU_ASSERT_EQUAL(entry->rank_ms, rank_alone_ms);
+    }
+    CU_ASSERT_EQUAL(hs_fleet_engines_batch_work(fixture.owner.settings.engines), work_ms);
+    CU_ASSERT_EQUAL(fixture.owner.region_waits.no_engine_in_region, 20);
+    CU_ASSERT_EQUAL(fixture.owner.region_waits.no_allowed_region, 30);
+    end_items(&fixture);
+}
+
+/** Returns how the item's attempt ended by a configuration that allows @p allowed on its route. */
+static hs_item_attempt_end attempt_item(hs_item_run *run, hs_fleet_engines *engines,
+                                        const char *allowed) {
+    GRand *random = g_rand_new_with_seed(1);
+    hs_fleet_config *config = draw_config(random, 1);
+    hs_fleet_route *route = config->routes->pdata[0];
+    hs_route_share share = {.service = (char *)"svc", .weight = 1};
+    g_array_append_val(route->shares, share);
+    free_list(route->allowed_regions);
+    route->allowed_regions = make_list(allowed);
+    hs_item_attempt_terms terms = {.engines = engines, .config = config};
+    run->engine_id[0] = '\0';
+    hs_item_attempt_end end = hs_item_run_attempt(run, &terms);
+    hs_fleet_config_unref(config);
+    g_rand_free(random);
+    return end;
+}
+
+/** Guards against items that start outside of the regions of the configuration in force. */
+static void items_start_at_allowed_engines_only(void) {
+    item_fixture fixture;
+    begin_items(&fixture);
+    Hs__JobItemContent content = HS__JOB_ITEM_CONTENT__INIT;
+    content.path = (char *)"/items";
+    fixture.run = (hs_item_run){.job_id = (char *)"job",
+                                .host = (char *)"h",
+                                .job_target = (char *)"/jobs",
+                                .item_id = (char *)"item",
+                                .content = &content,
+                                .give_up_ms = hs_clock_monotonic_ms() + 5000,
+                                .texts = g_ptr_array_new()};
+    hs_interrupt_init(&fixture.run.interrupt);
+    hs_fleet_engines *engines = fixture.owner.settings.engines;
+    CU_ASSERT_EQUAL(attempt_item(&fixture.run, engines, "wlg"), HS_ITEM_ATTEMPT_NO_CAPACITY);
+    CU_ASSERT_STRING_EQUAL(fixture.run.engine_id, "");
+    CU_ASSERT_EQUAL(attempt_item(&fixture.run, engines, "akl"), HS_ITEM_ATTEMPT_BROKEN);
+    CU_ASSERT_STRING_EQUAL(fixture.run.engine_id, "near");
+    hs_interrupt_clear(&fixture.run.interrupt);
+    g_ptr_array_free(fixture.run.texts, TRUE);
+    end_items(&fixture);
+}
+
 const test_case region_tests[] = {
     {"both_restrictions_apply", both_restrictions_apply},
     {"every_hop_stays_in_allowed_regions", every_hop_stays_in_allowed_regions},
@@ -418,5 +531,7 @@
     {"addresses_are_of_the_zone_then_region_then_allowed",
      addresses_are_of_the_zone_then_region_then_allowed},
     {"regions_of_a_host_are_those_of_its_routes", regions_of_a_host_are_those_of_its_routes},
+    {"items_without_region_do_not_affect_others", items_without_region_do_not_affect_others},
+    {"items_start_at_allowed_engines_only", items_start_at_allowed_engines_only},
     {NULL, NULL},
 };
