Allowed regions: bodies and results stay in allowed regions

Cause: a daemon that cannot reach the store sent submissions, contents, results and checkpoints to daemons of any region, and reads of results were answered by owners of any region.

Change: submissions and contents go to daemons in an allowed region or in that of the daemon that took the call; results and handed-over progress of items to daemons in an allowed region; checkpoints that hold output of a restricted item to no other daemon. Reads are answered by the owner only if its region is allowed or the caller's, otherwise from the store. A daemon's region is that of its zone. A job that no region may run is refused with no_allowed_region unless it is in the log already.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -451,6 +451,14 @@
     hs_membership_service_unlock(directory->membership);
 }
 
+const hs_topology *hs_daemon_directory_topology(const hs_daemon_directory *directory) {
+    return hs_fleet_engines_topology(directory->settings.engines);
+}
+
+const char *hs_daemon_directory_own_region(const hs_daemon_directory *directory) {
+    return hs_topology_region(hs_daemon_directory_topology(directory), directory->settings.zone);
+}
+
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner) {
     uint32_t epoch = 0;
@@ -459,7 +467,10 @@
     bool is_other = member != NULL && member != hs_membership_self(membership) &&
                     member->state == HS_MEMBER_ALIVE;
     if (is_other)
-        *owner = (hs_daemon_address){.address = member->address, .port = member->peer_port};
+        *owner = (hs_daemon_address){
+            .address = member->address,
+            .port = member->peer_port,
+            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone)};
     hs_membership_service_unlock(directory->membership);
     return is_other;
 }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -72,6 +72,7 @@
 typedef struct {
     uint32_t address; /**< IPv4, in host order. */
     uint16_t port;
+    const char *region; /**< By the topology, from which it is borrowed; NULL: unknown. */
 } hs_daemon_address;
 
 /**
@@ -89,6 +90,12 @@
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner);
 
+/** The topology by which regions of daemons are known; may be NULL. */
+const hs_topology *hs_daemon_directory_topology(const hs_daemon_directory *directory);
+
+/** The region of this daemon's zone, borrowed from the topology; NULL: unknown. */
+const char *hs_daemon_directory_own_region(const hs_daemon_directory *directory);
+
 /** Numbers of partitions of jobs by owner, as far as this daemon knows. */
 typedef struct {
     uint32_t own;     /**< Owned by this daemon. */
--- a/src/fleet/region_policy.c
+++ b/src/fleet/region_policy.c
@@ -61,11 +61,32 @@
            hs_region_policy_allows_region(policy, hs_topology_region(policy->topology, zone));
 }
 
-bool hs_region_policy_allows_body(const hs_region_policy *policy, const char *daemon_region,
-                                  const char *caller_region) {
-    bool is_callers =
-        daemon_region != NULL && caller_region != NULL && strcmp(daemon_region, caller_region) == 0;
-    return is_callers || hs_region_policy_allows_region(policy, daemon_region);
+bool hs_body_regions_is_restricted(const hs_body_regions *regions) {
+    return regions != NULL &&
+           (regions->is_mixed || hs_region_policy_is_restricted(&regions->policy));
+}
+
+bool hs_body_regions_allow(const hs_body_regions *regions, const char *daemon_region) {
+    if (!hs_body_regions_is_restricted(regions))
+        return true;
+    bool is_callers = daemon_region != NULL && regions->caller_region != NULL &&
+                      strcmp(daemon_region, regions->caller_region) == 0;
+    return !regions->is_mixed &&
+           (is_callers || hs_region_policy_allows_region(&regions->policy, daemon_region));
+}
+
+bool hs_region_policy_allows_any_job(const hs_topology *topology, const hs_fleet_config *config,
+                                     const char *tenant, const char *daemon_region,
+                                     const char *caller_region) {
+    for (guint index = 0; index < config->routes->len; index++) {
+        const hs_fleet_route *route = config->routes->pdata[index];
+        hs_body_regions regions = {
+            .policy = hs_region_policy_for_tenant_name(topology, config, route, tenant),
+            .caller_region = caller_region};
+        if (route->kind == HS_ROUTE_BATCH && !hs_body_regions_allow(&regions, daemon_region))
+            return false;
+    }
+    return true;
 }
 
 /** Returns the list of which every allowed region is a member. The policy is restricted. */
--- a/src/fleet/region_policy.h
+++ b/src/fleet/region_policy.h
@@ -47,12 +47,30 @@
 /** Reports whether the policy allows the region of @p zone. @p zone may be NULL. */
 bool hs_region_policy_allows_zone(const hs_region_policy *policy, const char *zone);
 
+/** Where a body or a result may be sent. A zeroed struct allows all regions. */
+typedef struct {
+    hs_region_policy policy;
+    const char *caller_region; /**< Region of the daemon that took the call; NULL: unknown. */
+    bool is_mixed;             /**< Bodies of several policies, at least one of them restricted. */
+} hs_body_regions;
+
+/**
+ * Reports whether a daemon in @p daemon_region (NULL: unknown) may receive the body: its region
+ * must be allowed or the caller's own. Mixed bodies are sent to no daemon. @p regions may be NULL,
+ * which allows all.
+ */
+bool hs_body_regions_allow(const hs_body_regions *regions, const char *daemon_region);
+
+/** Reports whether any daemon is excluded. @p regions may be NULL. */
+bool hs_body_regions_is_restricted(const hs_body_regions *regions);
+
 /**
- * Reports whether a daemon in @p daemon_region may receive the body of a call that was accepted in
- * @p caller_region: its region must be allowed or the caller's own. NULL: unknown.
+ * Reports whether results of any job on a batch route of @p config may be sent to a daemon in
+ * @p daemon_region, for a job whose route is not known yet. @p tenant: name; NULL or "": none.
  */
-bool hs_region_policy_allows_body(const hs_region_policy *policy, const char *daemon_region,
-                                  const char *caller_region);
+bool hs_region_policy_allows_any_job(const hs_topology *topology, const hs_fleet_config *config,
+                                     const char *tenant, const char *daemon_region,
+                                     const char *caller_region);
 
 /**
  * Reports whether any zone of the deployment is allowed. If not, the route's and the tenant's
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -239,15 +239,15 @@
     return true;
 }
 
-/** Returns the regions where the item may run: those of its route, of its job's and its tenant's.
- */
-static hs_region_policy make_region_policy(const hs_item_run *run,
-                                           const hs_item_attempt_terms *terms,
-                                           const hs_fleet_route *route) {
-    hs_region_policy policy = hs_region_policy_for_tenant_name(
-        hs_fleet_engines_topology(terms->engines), terms->config, route, run->tenant);
-    hs_region_policy_add_job_route(
-        &policy, hs_fleet_config_find_route(terms->config, run->host, run->job_target));
+hs_region_policy hs_item_run_regions(const hs_item_run *run, const hs_topology *topology,
+                                     const hs_fleet_config *config) {
+    const hs_fleet_route *route =
+        run->content != NULL ? hs_fleet_config_find_route(config, run->host, run->content->path)
+                             : NULL;
+    hs_region_policy policy =
+        hs_region_policy_for_tenant_name(topology, config, route, run->tenant);
+    hs_region_policy_add_job_route(&policy,
+                                   hs_fleet_config_find_route(config, run->host, run->job_target));
     return policy;
 }
 
@@ -267,6 +267,9 @@
     const hs_fleet_route *route = hs_fleet_config_find_route(config, run->host, run->content->path);
     if (route == NULL)
         return HS_ITEM_ATTEMPT_NO_ROUTE;
+    hs_region_policy regions =
+        hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
+    run->is_restricted = hs_region_policy_is_restricted(&regions);
     uint64_t content = hash_content(run);
     if (is_quarantined(run, terms->engines, content))
         return HS_ITEM_ATTEMPT_QUARANTINED;
@@ -284,7 +287,7 @@
                   .rank_ms = terms->rank_ms,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
                   .max_connections = service != NULL ? service->max_connections : 0,
-                  .regions = make_region_policy(run, terms, route)},
+                  .regions = regions},
         .content = content,
         .request = {.method = ITEM_METHOD,
                     .target = run->content->path,
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -48,6 +48,7 @@
     guint stored_texts;     /**< Number of texts returned for storage. */
     uint64_t next_checkpoint_ms;
     uint64_t give_up_ms; /**< Monotonic time of the deadline of all attempts. */
+    bool is_restricted;  /**< The latest attempt was restricted to regions. */
     bool is_on_trial;   /**< A trial run of the quarantined content was granted and not used yet. */
     char engine_id[64]; /**< Engine of the latest attempt. */
     bool was_sent;      /**< The latest attempt may have reached that engine. */
@@ -68,6 +69,13 @@
  */
 hs_job_progress hs_item_run_progress(hs_item_run *run, uint64_t known_event);
 
+/**
+ * Returns the regions where the item may run by @p config, from which they are borrowed: those of
+ * the item's route (if its content is known), of its job's route and of its tenant.
+ */
+hs_region_policy hs_item_run_regions(const hs_item_run *run, const hs_topology *topology,
+                                     const hs_fleet_config *config);
+
 /** Parameters of an attempt; all borrowed. */
 typedef struct {
     hs_job_partition *partition;
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -5,7 +5,8 @@
  *
  * Any daemon may receive a request, but only the partition's owner keeps its fold at the end of the
  * log. A request is therefore answered from this daemon's fold if that is recent, otherwise
- * forwarded to the owner. Only if the owner is unknown or cannot answer does this daemon read the
+ * forwarded to the owner. Only if the owner is unknown, outside of the regions that the job allows,
+ * or cannot answer does this daemon read the
  * partition's log, so that a large fleet does not read each log in full on every daemon.
  */
 #include "jobs/job_peer.h"
@@ -48,6 +49,7 @@
     hs_inbound *inbound;
     const hs_caller_terms *terms;
     const char *tenant;
+    const hs_fleet_config *config; /**< See hs_job_caller. */
     hs_call_kind kind;
     const char *job_id;
     hs_deadline deadline;
@@ -178,6 +180,36 @@
     return hs_job_partition_is_current(partition, now_ms - MIN(now_ms, MAX_FOLD_AGE_MS));
 }
 
+/** Returns the route of the request's job, or NULL if this daemon does not know the job. */
+static const hs_fleet_route *find_route_of_job(const job_call *call) {
+    const hs_job_state *state = hs_job_partition_lock(call->partition);
+    const hs_job *job = find_job(call, state);
+    const hs_fleet_route *route =
+        job != NULL ? hs_fleet_config_find_route(call->config, job->host, job->target) : NULL;
+    hs_job_partition_unlock(call->partition);
+    return route;
+}
+
+/**
+ * Whether the owner may answer: a result that it returns passes through its region. If the job's
+ * route is not known here, the owner must be allowed for jobs of all routes.
+ */
+static bool may_owner_answer(const job_call *call, const hs_daemon_address *owner) {
+    hs_daemon_directory *daemons = call->service->daemons;
+    if (call->kind == HS_CALL_JOB_END || call->config == NULL)
+        return true;
+    const hs_topology *topology = hs_daemon_directory_topology(daemons);
+    const char *own_region = hs_daemon_directory_own_region(daemons);
+    const hs_fleet_route *route = find_route_of_job(call);
+    if (route == NULL)
+        return hs_region_policy_allows_any_job(topology, call->config, call->tenant, owner->region,
+                                               own_region);
+    hs_body_regions regions = {
+        .policy = hs_region_policy_for_tenant_name(topology, call->config, route, call->tenant),
+        .caller_region = own_region};
+    return hs_body_regions_allow(&regions, owner->region);
+}
+
 /**
  * Forwards the request to the partition's owner and replies with its answer. Returns false without
  * a reply if no owner is known or the owner gave no definite answer.
@@ -186,7 +218,8 @@
     hs_daemon_directory *daemons = call->service->daemons;
     hs_daemon_address owner;
     uint32_t number = hs_job_partition_number(call->partition);
-    if (daemons == NULL || !hs_daemon_directory_find_owner(daemons, number, &owner))
+    if (daemons == NULL || !hs_daemon_directory_find_owner(daemons, number, &owner) ||
+        !may_owner_answer(call, &owner))
         return false;
     uint64_t limit_ms =
         MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + OWNER_ANSWER_SLACK_MS;
@@ -210,6 +243,7 @@
                       .inbound = inbound,
                       .terms = caller->terms,
                       .tenant = caller->tenant,
+                      .config = caller->config,
                       .kind = kind,
                       .job_id = job_id,
                       .deadline = hs_job_call_deadline(inbound, caller->terms)};
--- a/src/jobs/job_checkpoint.c
+++ b/src/jobs/job_checkpoint.c
@@ -32,13 +32,18 @@
 
 /**
  * Returns the pending records if a flush is due, otherwise NULL. The caller holds the pending lock.
+ * If output of items restricted to regions is among them, no other daemon may append them: they are
+ * of several items, and a lost checkpoint costs time only.
  */
-static GByteArray *begin_flush(hs_owned_job_partition *owned, uint64_t now_ms) {
+static GByteArray *begin_flush(hs_owned_job_partition *owned, uint64_t now_ms,
+                               hs_body_regions *regions) {
     if (owned->is_flushing || owned->pending->len == 0 ||
         now_ms < owned->flushed_ms + FLUSH_INTERVAL_MS)
         return NULL;
     GByteArray *records = owned->pending;
+    regions->is_mixed = owned->is_pending_restricted;
     owned->pending = g_byte_array_new();
+    owned->is_pending_restricted = false;
     owned->is_flushing = true;
     return records;
 }
@@ -61,12 +66,14 @@
     hs_job_progress progress = hs_item_run_progress(run, get_stored_event(owned, run));
     g_mutex_lock(&owned->pending_lock);
     hs_job_partition_frame_progress(owned->partition, &progress, owned->pending);
-    GByteArray *records = begin_flush(owned, now_ms);
+    owned->is_pending_restricted |= run->is_restricted;
+    hs_body_regions regions = {0};
+    GByteArray *records = begin_flush(owned, now_ms, &regions);
     g_mutex_unlock(&owned->pending_lock);
     g_string_free((GString *)progress.text, TRUE);
     if (records == NULL)
         return;
-    hs_job_partition_append_framed(owned->partition, records, now_ms + FLUSH_LIMIT_MS);
+    hs_job_partition_append_framed(owned->partition, records, &regions, now_ms + FLUSH_LIMIT_MS);
     g_byte_array_free(records, TRUE);
     end_flush(owned);
 }
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -52,7 +52,8 @@
     uint64_t earliest_start_ms;    /**< Leaves the previous owner time to store progress. */
     hs_deadline handover_deadline; /**< A former owner stores nothing later. */
     GMutex pending_lock;
-    GByteArray *pending; /**< Framed progress records to be stored; see job_checkpoint.c. */
+    bool is_pending_restricted; /**< Pending records have output of items restricted to regions. */
+    GByteArray *pending;        /**< Framed progress records to be stored; see job_checkpoint.c. */
     uint64_t flushed_ms;
     bool is_flushing;
     bool is_tail_stopped;
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -54,10 +54,15 @@
 hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
                                          hs_deadline deadline);
 
-/** Makes one attempt to append a result, split into several records if necessary. */
+/**
+ * Makes one attempt to append a result, split into several records if necessary. @p regions: where
+ * the records may be sent to be appended by another daemon (NULL: anywhere), as for the other
+ * functions with this parameter.
+ */
 hs_store_outcome hs_job_partition_append_result(hs_job_partition *partition, const char *job_id,
                                                 uint32_t item, hs_item_outcome outcome,
-                                                const GString *text, hs_deadline deadline);
+                                                const GString *text, const hs_body_regions *regions,
+                                                hs_deadline deadline);
 
 /** Output of an item's run since an event; all borrowed. */
 typedef struct {
@@ -77,11 +82,14 @@
 
 /** Makes one attempt to append framed records, all or none. */
 hs_store_outcome hs_job_partition_append_framed(hs_job_partition *partition,
-                                                const GByteArray *records, hs_deadline deadline);
+                                                const GByteArray *records,
+                                                const hs_body_regions *regions,
+                                                hs_deadline deadline);
 
 /** Appends packed contents (of GByteArray*) to the bodies topic and their offsets to @p offsets. */
 hs_store_outcome hs_job_partition_append_contents(hs_job_partition *partition,
                                                   const GPtrArray *contents, GArray *offsets,
+                                                  const hs_body_regions *regions,
                                                   hs_deadline deadline);
 
 /**
--- a/src/jobs/job_partition_append.c
+++ b/src/jobs/job_partition_append.c
@@ -14,12 +14,12 @@
 }
 
 static hs_store_outcome append_records(hs_job_partition *partition, hs_topic topic,
-                                       const GByteArray *records, hs_deadline deadline,
-                                       uint64_t *offset) {
+                                       const GByteArray *records, const hs_body_regions *regions,
+                                       hs_deadline deadline, uint64_t *offset) {
     hs_store_outcome outcome = HS_STORE_REFUSED;
     if (partition->settings.relay != NULL)
         outcome = hs_job_relay_append(partition->settings.relay, topic, partition->number, records,
-                                      deadline, offset);
+                                      regions, deadline, offset);
     if (outcome != HS_STORE_REFUSED)
         return outcome;
     hs_store_call call = hs_platform_build_append_call(topic, partition->number, records);
@@ -38,14 +38,15 @@
     frame(records, record);
     hs_store_outcome outcome = HS_STORE_INVALID;
     if (records->len <= partition->settings.record_bytes)
-        outcome = append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
+        outcome = append_records(partition, HS_TOPIC_JOBS, records, NULL, deadline, &offset);
     g_byte_array_free(records, TRUE);
     return outcome;
 }
 
 hs_store_outcome hs_job_partition_append_result(hs_job_partition *partition, const char *job_id,
                                                 uint32_t item, hs_item_outcome outcome,
-                                                const GString *text, hs_deadline deadline) {
+                                                const GString *text, const hs_body_regions *regions,
+                                                hs_deadline deadline) {
     size_t piece = partition->settings.record_bytes - RECORD_OVERHEAD_BYTES;
     uint32_t parts = (uint32_t)MAX((text->len + piece - 1) / piece, 1);
     GByteArray *records = g_byte_array_new();
@@ -66,7 +67,8 @@
         frame(records, &record);
     }
     uint64_t offset = 0;
-    hs_store_outcome stored = append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
+    hs_store_outcome stored =
+        append_records(partition, HS_TOPIC_JOBS, records, regions, deadline, &offset);
     g_byte_array_free(records, TRUE);
     return stored;
 }
@@ -92,9 +94,11 @@
 }
 
 hs_store_outcome hs_job_partition_append_framed(hs_job_partition *partition,
-                                                const GByteArray *records, hs_deadline deadline) {
+                                                const GByteArray *records,
+                                                const hs_body_regions *regions,
+                                                hs_deadline deadline) {
     uint64_t offset = 0;
-    return append_records(partition, HS_TOPIC_JOBS, records, deadline, &offset);
+    return append_records(partition, HS_TOPIC_JOBS, records, regions, deadline, &offset);
 }
 
 /** Frames a content as one or more records and returns their number. */
@@ -111,6 +115,7 @@
 
 hs_store_outcome hs_job_partition_append_contents(hs_job_partition *partition,
                                                   const GPtrArray *contents, GArray *offsets,
+                                                  const hs_body_regions *regions,
                                                   hs_deadline deadline) {
     hs_store_outcome outcome = HS_STORE_DONE;
     guint next = 0;
@@ -129,7 +134,7 @@
             next++;
         }
         uint64_t base = 0;
-        outcome = append_records(partition, HS_TOPIC_BODIES, records, deadline, &base);
+        outcome = append_records(partition, HS_TOPIC_BODIES, records, regions, deadline, &base);
         for (guint index = first; index < next; index++)
             g_array_index(offsets, uint64_t, index) += base;
         g_byte_array_free(records, TRUE);
--- a/src/jobs/job_regions.c
+++ b/src/jobs/job_regions.c
@@ -51,6 +51,14 @@
     owner->region_waits = waits;
 }
 
+hs_body_regions hs_job_regions_of_run(const hs_job_owner *owner, const hs_item_run *run,
+                                      const hs_fleet_config *config) {
+    if (config == NULL)
+        return (hs_body_regions){.is_mixed = true};
+    const hs_topology *topology = hs_fleet_engines_topology(owner->settings.engines);
+    return (hs_body_regions){.policy = hs_item_run_regions(run, topology, config)};
+}
+
 void hs_job_regions_write_metrics(const hs_region_waits *waits, GString *text) {
     g_string_append_printf(text,
                            "heathsail_job_items_waiting{reason=\"no_allowed_region\"} %u\n"
--- a/src/jobs/job_regions.h
+++ b/src/jobs/job_regions.h
@@ -18,6 +18,13 @@
  */
 void hs_job_regions_observe(hs_job_owner *owner, const GArray *open);
 
+/**
+ * Returns where the output of an item may be sent, by @p config, from which it is borrowed; NULL:
+ * to no other daemon. The caller's region is not known to an owner.
+ */
+hs_body_regions hs_job_regions_of_run(const hs_job_owner *owner, const hs_item_run *run,
+                                      const hs_fleet_config *config);
+
 /** Appends the counts as metrics, one per line. */
 void hs_job_regions_write_metrics(const hs_region_waits *waits, GString *text);
 
--- a/src/jobs/job_relay.c
+++ b/src/jobs/job_relay.c
@@ -30,7 +30,7 @@
     hs_store_client *store;
     uint32_t part_count;
     GMutex lock;
-    uint64_t next_search_ms;
+    uint64_t next_search_ms[2]; /**< Of all daemons, and of those in some regions. */
 };
 
 hs_job_relay *hs_job_relay_new(hs_daemon_directory *daemons, hs_store_client *store,
@@ -50,30 +50,46 @@
     g_free(relay);
 }
 
-static bool can_search(hs_job_relay *relay) {
+static bool can_search(hs_job_relay *relay, bool is_restricted) {
     g_mutex_lock(&relay->lock);
-    bool is_due = hs_clock_monotonic_ms() >= relay->next_search_ms;
+    bool is_due = hs_clock_monotonic_ms() >= relay->next_search_ms[is_restricted];
     g_mutex_unlock(&relay->lock);
     return is_due;
 }
 
-static void record_search(hs_job_relay *relay, bool is_found) {
+static void record_search(hs_job_relay *relay, bool is_restricted, bool is_found) {
     g_mutex_lock(&relay->lock);
-    relay->next_search_ms = is_found ? 0 : hs_clock_monotonic_ms() + SEARCH_PAUSE_MS;
+    relay->next_search_ms[is_restricted] = is_found ? 0 : hs_clock_monotonic_ms() + SEARCH_PAUSE_MS;
     g_mutex_unlock(&relay->lock);
 }
 
-bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, hs_daemon_address *peer) {
-    if (relay->daemons == NULL || !can_search(relay))
+/** Finds the allowed owner of a partition; see hs_daemon_directory_find_owner. */
+static bool find_allowed_owner(hs_job_relay *relay, uint32_t partition,
+                               const hs_body_regions *regions, hs_daemon_address *peer) {
+    return hs_daemon_directory_find_owner(relay->daemons, partition, peer) &&
+           hs_body_regions_allow(regions, peer->region);
+}
+
+bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, const hs_body_regions *regions,
+                            hs_daemon_address *peer) {
+    bool is_restricted = hs_body_regions_is_restricted(regions);
+    bool is_mixed = is_restricted && regions->is_mixed;
+    if (relay->daemons == NULL || is_mixed || !can_search(relay, is_restricted))
         return false;
+    /* Owners outside of the allowed regions are passed over, so that more partitions are tried. */
+    uint32_t max_attempts = is_restricted ? relay->part_count : MAX_PEERS_ASKED;
+    uint32_t asked = 0;
     bool is_found = false;
-    for (uint32_t attempt = 0; attempt < MAX_PEERS_ASKED && !is_found; attempt++) {
+    for (uint32_t attempt = 0; attempt < max_attempts && asked < MAX_PEERS_ASKED && !is_found;
+         attempt++) {
         uint32_t other = (partition + attempt) % relay->part_count;
+        if (!find_allowed_owner(relay, other, regions, peer))
+            continue;
+        asked++;
         is_found =
-            hs_daemon_directory_find_owner(relay->daemons, other, peer) &&
             hs_job_peer_can_reach_store(peer, hs_clock_monotonic_ms() + STORE_CHECK_LIMIT_MS);
     }
-    record_search(relay, is_found);
+    record_search(relay, is_restricted, is_found);
     return is_found;
 }
 
@@ -97,11 +113,11 @@
 }
 
 hs_store_outcome hs_job_relay_append(hs_job_relay *relay, hs_topic topic, uint32_t partition,
-                                     const GByteArray *records, hs_deadline deadline,
-                                     uint64_t *offset) {
+                                     const GByteArray *records, const hs_body_regions *regions,
+                                     hs_deadline deadline, uint64_t *offset) {
     hs_daemon_address peer;
     if (!hs_store_client_is_failing(relay->store) ||
-        !hs_job_relay_find_peer(relay, partition, &peer))
+        !hs_job_relay_find_peer(relay, partition, regions, &peer))
         return HS_STORE_REFUSED;
     g_autofree char *target = g_strdup_printf(TARGET_FORMAT, (unsigned)topic, partition);
     hs_deadline limit = MAX(deadline, hs_clock_monotonic_ms() + MIN_RELAY_LIMIT_MS);
--- a/src/jobs/job_relay.h
+++ b/src/jobs/job_relay.h
@@ -24,19 +24,21 @@
 void hs_job_relay_free(hs_job_relay *relay);
 
 /**
- * Finds another daemon that reports to reach the store, starting with the owner of @p partition.
- * Returns false if none is found or a recent search found none.
+ * Finds another daemon that reports to reach the store, starting with the owner of @p partition,
+ * among those that @p regions allow. Returns false if none is found or a recent search found none.
  */
-bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, hs_daemon_address *peer);
+bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, const hs_body_regions *regions,
+                            hs_daemon_address *peer);
 
 /**
  * Appends framed @p records through another daemon if this daemon's calls to the store fail.
- * HS_STORE_REFUSED: nothing was appended, because the calls do not fail or no other daemon reaches
- * the store. Sets @p offset to that of the first record. May end slightly after @p deadline.
+ * HS_STORE_REFUSED: nothing was appended, because the calls do not fail or no other daemon that
+ * @p regions allow reaches the store. Sets @p offset to that of the first record. May end slightly
+ * after @p deadline.
  */
 hs_store_outcome hs_job_relay_append(hs_job_relay *relay, hs_topic topic, uint32_t partition,
-                                     const GByteArray *records, hs_deadline deadline,
-                                     uint64_t *offset);
+                                     const GByteArray *records, const hs_body_regions *regions,
+                                     hs_deadline deadline, uint64_t *offset);
 
 /** Returns whether a request's target is that of an append for another daemon. */
 bool hs_job_relay_is_append_call(const char *target);
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -41,9 +41,17 @@
 /** The identified caller of a request; all borrowed. */
 typedef struct {
     const hs_caller_terms *terms;
-    const char *tenant; /**< Tenant of the caller; "": none. */
+    const char *tenant;            /**< Tenant of the caller; "": none. */
+    const hs_fleet_config *config; /**< In force; NULL: the call is from another daemon. */
 } hs_job_caller;
 
+/**
+ * Whether the submitted job's id is in the log already, after a read of the log if this daemon does
+ * not know it. Such a submission must not be refused.
+ */
+bool hs_job_service_is_stored(hs_job_service *service, const hs_inbound *inbound,
+                              const hs_job_caller *caller);
+
 /** Stores the submitted job and replies. @p route belongs to @p config. */
 void hs_job_service_submit(hs_job_service *service, hs_inbound *inbound,
                            const hs_job_caller *caller, const hs_fleet_config *config,
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -56,7 +56,8 @@
     const GArray *items;
     hs_deadline refusal_deadline; /**< Until then a job not in the log is retried. */
     hs_deadline deadline;
-    bool is_forwarded; /**< Sent by another daemon, which cannot reach the store. */
+    bool is_forwarded;       /**< Sent by another daemon, which cannot reach the store. */
+    hs_body_regions regions; /**< Where the contents may be sent. */
 } submission;
 
 static hs_store_outcome append_manifest(const submission *job, const GPtrArray *contents,
@@ -102,7 +103,7 @@
     do {
         g_array_set_size(offsets, 0);
         outcome = hs_job_partition_append_contents(
-            job->partition, contents, offsets,
+            job->partition, contents, offsets, &job->regions,
             hs_job_partition_append_deadline(job->partition, attempt++, job->inbound->body->len,
                                              job->refusal_deadline));
         if (outcome != HS_STORE_REFUSED && outcome != HS_STORE_UNKNOWN)
@@ -217,9 +218,11 @@
         return false;
     uint32_t number = hs_job_partition_number(job->partition);
     hs_daemon_address peer;
-    if (!hs_job_relay_find_peer(service->settings.relay, number, &peer)) {
-        hs_log_info("job_kept_here", "job=%s part=%u reason=no_owner_reaches_the_store",
-                    job->terms->request_id, number);
+    if (!hs_job_relay_find_peer(service->settings.relay, number, &job->regions, &peer)) {
+        hs_log_info("job_kept_here", "job=%s part=%u reason=%s", job->terms->request_id, number,
+                    hs_body_regions_is_restricted(&job->regions)
+                        ? "no_allowed_owner_reaches_the_store"
+                        : "no_owner_reaches_the_store");
         return false;
     }
     hs_deadline limit = MIN(job->deadline, hs_clock_monotonic_ms() + FORWARD_LIMIT_MS);
@@ -236,6 +239,21 @@
     return is_settled;
 }
 
+/**
+ * Returns where the contents may be sent. This daemon's region counts as the caller's; a forwarded
+ * submission was sent here because this region is allowed or the caller's.
+ */
+static hs_body_regions make_body_regions(const hs_job_service *service, const hs_job_caller *caller,
+                                         const hs_fleet_config *config,
+                                         const hs_fleet_route *route) {
+    if (service->daemons == NULL)
+        return (hs_body_regions){0};
+    const hs_topology *topology = hs_daemon_directory_topology(service->daemons);
+    return (hs_body_regions){
+        .policy = hs_region_policy_for_tenant_name(topology, config, route, caller->tenant),
+        .caller_region = hs_daemon_directory_own_region(service->daemons)};
+}
+
 /** Handles a submission of a caller or, if @p is_forwarded, of another daemon. */
 static void submit(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                    const hs_fleet_config *config, const hs_fleet_route *route, bool is_forwarded) {
@@ -257,6 +275,7 @@
                       .route = route,
                       .items = items,
                       .is_forwarded = is_forwarded,
+                      .regions = make_body_regions(service, caller, config, route),
                       .deadline = hs_job_call_deadline(inbound, terms)};
     job.refusal_deadline = inbound->received_ms + (job.deadline - inbound->received_ms) / 2;
     hs_job_visibility visibility = check_visibility(&job);
@@ -275,6 +294,18 @@
     submit(service, inbound, caller, config, route, false);
 }
 
+bool hs_job_service_is_stored(hs_job_service *service, const hs_inbound *inbound,
+                              const hs_job_caller *caller) {
+    const hs_caller_terms *terms = caller->terms;
+    if (terms->request_id == NULL || *terms->request_id == '\0')
+        return false;
+    hs_job_partition *partition = hs_job_service_partition_for_job(service, terms->request_id);
+    if (hs_job_check_visibility(partition, terms->request_id, caller->tenant) == HS_JOB_UNKNOWN)
+        hs_job_partition_catch_up(partition,
+                                  hs_job_attempt_deadline(hs_job_call_deadline(inbound, terms)));
+    return hs_job_check_visibility(partition, terms->request_id, caller->tenant) != HS_JOB_UNKNOWN;
+}
+
 void hs_job_service_submit_from_peer(hs_job_service *service, hs_inbound *inbound,
                                      const hs_job_caller *caller, const hs_fleet_config *config,
                                      const hs_fleet_route *route) {
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "jobs/job_regions.h"
 #include "jobs/job_starts.h"
 
 #define PREEMPTED_PAUSE_MS 100
@@ -47,9 +48,12 @@
     hs_store_outcome stored = HS_STORE_REFUSED;
     uint32_t attempt = 0;
     do {
+        hs_fleet_config *config = hs_config_source_get(owned->owner->settings.config);
+        hs_body_regions regions = hs_job_regions_of_run(owned->owner, item->run, config);
         stored = hs_job_partition_append_result(
-            owned->partition, item->run->job_id, item->run->index, outcome, text,
+            owned->partition, item->run->job_id, item->run->index, outcome, text, &regions,
             hs_job_partition_append_deadline(owned->partition, attempt++, text->len, UINT64_MAX));
+        hs_fleet_config_unref(config);
     } while (wait_to_store_again(owned, stored));
     return stored;
 }
@@ -103,8 +107,12 @@
     do {
         hs_deadline deadline =
             hs_job_partition_append_deadline(partition, attempt++, records->len, UINT64_MAX);
+        hs_job_owner *owner = task->partition->owner;
+        hs_fleet_config *config = hs_config_source_get(owner->settings.config);
+        hs_body_regions regions = hs_job_regions_of_run(owner, run, config);
         if (is_framed)
-            stored = hs_job_partition_append_framed(partition, records, deadline);
+            stored = hs_job_partition_append_framed(partition, records, &regions, deadline);
+        hs_fleet_config_unref(config);
     } while (wait_to_store_again(task->partition, stored));
     hs_log_info("item_handed_over", "job=%s item=%s last_event=%" G_GUINT64_FORMAT " stored=%s",
                 run->job_id, run->item_id, (guint64)run->events.last_id,
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -145,6 +145,35 @@
     return inbound->lacks_memory || hs_memory_get_level() != HS_MEMORY_NORMAL;
 }
 
+/** Refuses a job that no region may run, with the time for which this has been so. */
+static void refuse_without_region(hs_fleet_surface *surface, hs_inbound *inbound,
+                                  const hs_caller_terms *terms, const hs_fleet_route *route,
+                                  const hs_region_policy *regions) {
+    hs_online *online = surface->settings.online;
+    const char *service = g_array_index(route->shares, hs_route_share, 0).service;
+    hs_service_outlook outlook = hs_fleet_engines_outlook_in(online->engines, service, regions);
+    uint64_t after_ms = hs_retry_after_spread_ms(
+        hs_retry_after_absence_ms(outlook.absent_ms, outlook.last_absence_ms), g_random_int());
+    hs_log_info("request_refused", "request=%s reason=%s method=%s target_bytes=%zu",
+                terms->request_id != NULL ? terms->request_id : "-",
+                hs_end_reason_name(HS_END_NO_ALLOWED_REGION), inbound->method,
+                strlen(inbound->target));
+    hs_online_refuse(online, inbound, HS_END_NO_ALLOWED_REGION, after_ms);
+}
+
+static void submit_job(hs_fleet_surface *surface, hs_inbound *inbound, const hs_caller_terms *terms,
+                       const hs_fleet_config *config, const hs_fleet_route *route,
+                       const hs_fleet_tenant *tenant) {
+    hs_job_caller caller = {.terms = terms, .tenant = get_tenant_name(tenant), .config = config};
+    hs_region_policy regions = hs_region_policy_make(
+        hs_fleet_engines_topology(surface->settings.online->engines), route, tenant);
+    if (!hs_region_policy_can_be_met(&regions) &&
+        !hs_job_service_is_stored(surface->settings.jobs, inbound, &caller))
+        refuse_without_region(surface, inbound, terms, route, &regions);
+    else
+        hs_job_service_submit(surface->settings.jobs, inbound, &caller, config, route);
+}
+
 static void serve_routed(hs_fleet_surface *surface, hs_inbound *inbound,
                          const hs_caller_terms *terms, hs_fleet_config *config) {
     hs_online *online = surface->settings.online;
@@ -162,8 +191,7 @@
     } else if (is_short_of_memory(inbound)) {
         refuse(surface, inbound, terms, HS_END_NO_MEMORY);
     } else if (route->kind == HS_ROUTE_BATCH) {
-        hs_job_caller caller = {.terms = terms, .tenant = get_tenant_name(tenant)};
-        hs_job_service_submit(surface->settings.jobs, inbound, &caller, config, route);
+        submit_job(surface, inbound, terms, config, route, tenant);
     } else if (is_within_limit(surface, inbound, terms, config, tenant, &used_slots)) {
         hs_online_access access = {.config = hs_fleet_config_ref(config),
                                    .route = route,
@@ -181,7 +209,7 @@
     bool is_public = terms->api_key == NULL && hs_tenant_has_public_jobs(config);
     if (!has_access(surface, inbound, terms, config, is_public, &tenant))
         return;
-    hs_job_caller caller = {.terms = terms, .tenant = get_tenant_name(tenant)};
+    hs_job_caller caller = {.terms = terms, .tenant = get_tenant_name(tenant), .config = config};
     hs_job_service_call(surface->settings.jobs, inbound, &caller, kind, job_id);
 }
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -374,7 +374,7 @@
     }
     hs_deadline deadline = hs_clock_monotonic_ms() + 2000;
     CU_ASSERT_EQUAL(
-        hs_job_partition_append_contents(fixture.partition, contents, offsets, deadline),
+        hs_job_partition_append_contents(fixture.partition, contents, offsets, NULL, deadline),
         HS_STORE_DONE);
     for (uint32_t index = 0; index < 8; index++) {
         hs_store_outcome outcome = HS_STORE_UNKNOWN;
@@ -400,7 +400,7 @@
     while (text->len < 20000)
         g_string_append_printf(text, "%zu ", text->len);
     hs_store_outcome outcome = hs_job_partition_append_result(
-        fixture.partition, "job", 1, HS_ITEM_COMPLETED, text, hs_clock_monotonic_ms() + 500);
+        fixture.partition, "job", 1, HS_ITEM_COMPLETED, text, NULL, hs_clock_monotonic_ms() + 500);
     CU_ASSERT_EQUAL(outcome, HS_STORE_DONE);
     CU_ASSERT_TRUE(catch_up(&fixture));
     const hs_job *job = hs_job_state_find(hs_job_partition_lock(fixture.partition), "job");
@@ -436,7 +436,7 @@
         g_string_append_c(text, 'x');
     for (uint32_t item = 0; item < 2; item++)
         hs_job_partition_append_result(fixture.partition, "job", item, HS_ITEM_COMPLETED, text,
-                                       hs_clock_monotonic_ms() + 2000);
+                                       NULL, hs_clock_monotonic_ms() + 2000);
     g_string_free(text, TRUE);
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_owned_job_partition owned = {.partition = fixture.partition,
--- a/tests/unit/test_regions.c
+++ b/tests/unit/test_regions.c
@@ -89,13 +89,14 @@
     };
     g_autoptr(GPtrArray) allowed = make_list("wlg");
     hs_region_policy policy = {.regions_of_route = allowed};
-    hs_region_policy all = {0};
     for (size_t index = 0; index < G_N_ELEMENTS(hops); index++) {
         CU_ASSERT_EQUAL(hs_region_policy_allows_region(&policy, hops[index].next),
                         hops[index].engine);
-        CU_ASSERT_EQUAL(hs_region_policy_allows_body(&policy, hops[index].next, hops[index].caller),
-                        hops[index].peer);
-        CU_ASSERT_TRUE(hs_region_policy_allows_body(&all, hops[index].next, hops[index].caller));
+        hs_body_regions body = {.policy = policy, .caller_region = hops[index].caller};
+        hs_body_regions mixed = {.caller_region = hops[index].caller, .is_mixed = true};
+        CU_ASSERT_EQUAL(hs_body_regions_allow(&body, hops[index].next), hops[index].peer);
+        CU_ASSERT_FALSE(hs_body_regions_allow(&mixed, hops[index].next));
+        CU_ASSERT_TRUE(hs_body_regions_allow(NULL, hops[index].next));
     }
 }
 
@@ -520,6 +521,30 @@
     end_items(&fixture);
 }
 
+/** Guards against an owner that returns results of a job whose route is not known yet. */
+static void results_of_unknown_jobs_stay_where_all_jobs_may_be(void) {
+    GRand *random = g_rand_new_with_seed(1);
+    hs_topology *topology = hs_topology_new(ZONES);
+    hs_fleet_config *config = draw_config(random, 1);
+    hs_fleet_route *route = config->routes->pdata[0];
+    hs_fleet_tenant *tenant = config->tenants->pdata[0];
+    free_list(route->allowed_regions);
+    free_list(tenant->allowed_regions);
+    route->allowed_regions = make_list("wlg,chc");
+    tenant->allowed_regions = make_list("wlg");
+    route->kind = HS_ROUTE_BATCH;
+    CU_ASSERT_TRUE(hs_region_policy_allows_any_job(topology, config, "", "chc", "akl"));
+    CU_ASSERT_TRUE(hs_region_policy_allows_any_job(topology, config, "", "akl", "akl"));
+    CU_ASSERT_FALSE(hs_region_policy_allows_any_job(topology, config, "", "akl", "wlg"));
+    CU_ASSERT_FALSE(hs_region_policy_allows_any_job(topology, config, "t", "chc", "akl"));
+    CU_ASSERT_FALSE(hs_region_policy_allows_any_job(topology, config, "", NULL, "akl"));
+    route->kind = HS_ROUTE_STREAMING;
+    CU_ASSERT_TRUE(hs_region_policy_allows_any_job(topology, config, "t", "akl", "wlg"));
+    hs_fleet_config_unref(config);
+    hs_topology_free(topology);
+    g_rand_free(random);
+}
+
 const test_case region_tests[] = {
     {"both_restrictions_apply", both_restrictions_apply},
     {"every_hop_stays_in_allowed_regions", every_hop_stays_in_allowed_regions},
@@ -533,5 +558,7 @@
     {"regions_of_a_host_are_those_of_its_routes", regions_of_a_host_are_those_of_its_routes},
     {"items_without_region_do_not_affect_others", items_without_region_do_not_affect_others},
     {"items_start_at_allowed_engines_only", items_start_at_allowed_engines_only},
+    {"results_of_unknown_jobs_stay_where_all_jobs_may_be",
+     results_of_unknown_jobs_stay_where_all_jobs_may_be},
     {NULL, NULL},
 };
