Allowed regions: system tests over three regions

Cause: the unit tests of allowed regions use no processes.

Change: suite fleet_regions runs a daemon in each of three regions and an engine in two of them. The bench takes zones of its daemons and engines, fleet.zone_regions, and members of two routes; without them it is as before.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -373,9 +373,10 @@
             ? g_strdup_printf("\"born\":%" G_GUINT64_FORMAT ",", (guint64)engine->started_at_ms)
             : g_strdup("");
     g_autofree char *entry = g_strdup_printf(
-        "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"zone-a\",\"version\":\"v1\","
+        "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
         "\"slots\":%u,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
         start, engine->service, engine->announced_port,
+        engine->settings.zone != NULL ? engine->settings.zone : "zone-a",
         engine->settings.slots != 0 ? engine->settings.slots : DEFAULT_SLOT_COUNT,
         draining ? "draining" : "ready", ++engine->entry_sequence);
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -45,6 +45,7 @@
     token_engine_pace long_pace;   /**< Used for @c long_paths, @c pace for other paths. */
     uint32_t break_after;          /**< TOKEN_ENGINE_BREAKS_STREAMS: events before the cut. */
     bool announces_start;          /**< The entry contains the start time. */
+    const char *zone;              /**< Zone in the entry; NULL: "zone-a". */
     uint32_t slots;                /**< Slots in the entry; 0: the default of 8. */
     const char *fatal;             /**< Prefix of bodies that request a crash of the engine after
                                         fatal_after_ms; NULL: none. */
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -59,6 +59,11 @@
 
 extern const test_case fleet_tenant_system_tests[];
 
+/** Start and stop the bench with a daemon in each of three regions, and engines in two of them. */
+int begin_fleet_regions(void);
+int end_fleet_regions(void);
+extern const test_case fleet_region_system_tests[];
+
 /** Start and stop the bench with tenants, and with daemons that log to files. */
 int begin_tenants(void);
 int end_tenants(void);
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -85,6 +85,10 @@
     return bench.store_port != 0 ? bench.store_port : log_store_port(bench.store);
 }
 
+static const char *get_zone(int index) {
+    return bench.settings.zones != NULL ? bench.settings.zones[index] : "zone-a";
+}
+
 static GPtrArray *daemon_arguments(int index, const char *settings_path) {
     GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
     g_ptr_array_add(arguments,
@@ -97,7 +101,10 @@
     }
     add_setting(arguments, g_strdup("daemon.surface=fleet"));
     add_setting(arguments, g_strdup_printf("daemon.id=front-%d", index));
-    add_setting(arguments, g_strdup("daemon.zone=zone-a"));
+    add_setting(arguments, g_strdup_printf("daemon.zone=%s", get_zone(index)));
+    if (bench.settings.zone_regions != NULL)
+        add_setting(arguments,
+                    g_strdup_printf("fleet.zone_regions=%s", bench.settings.zone_regions));
     add_address(arguments, "front", get_port(PORT_FRONT, index));
     add_address(arguments, "ready", get_port(PORT_READY, index));
     add_address(arguments, "directory", get_port(PORT_DIRECTORY, index));
@@ -309,6 +316,7 @@
 void bench_configure_tenants(int version, const char *tenants) {
     g_autofree char *tenants_member =
         tenants != NULL ? g_strdup_printf("\"tenants\":%s,", tenants) : g_strdup("");
+    const char *members = bench.settings.route_members != NULL ? bench.settings.route_members : "";
     uint32_t connections =
         bench.settings.connections > 0 ? bench.settings.connections : DEFAULT_CONNECTIONS;
     uint32_t retention_s =
@@ -321,7 +329,7 @@
         "{\"name\":\"again\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/again/\","
         "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
         "\"max-attempts\":4,\"resumable\":true},"
-        "{\"name\":\"plain\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/\","
+        "{%s\"name\":\"plain\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/\","
         "\"kind\":\"idempotent\",\"timeout-ms\":4000,\"target-latency-ms\":300,"
         "\"service\":\"llm\",\"max-attempts\":2},"
         "{\"name\":\"open\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/open/\","
@@ -333,7 +341,7 @@
         "{\"name\":\"frail-plain\",\"host\":\"" BENCH_HOST
         "\",\"path-prefix\":\"/frail/plain/\",\"kind\":\"idempotent\",\"timeout-ms\":4000,"
         "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":2},"
-        "{\"name\":\"jobs\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/jobs/\","
+        "{%s\"name\":\"jobs\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/jobs/\","
         "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
         "\"completion-target-ms\":20000,\"service\":\"llm\",\"max-attempts\":2,"
         "\"retention-s\":%u},"
@@ -346,8 +354,8 @@
         "{\"name\":\"far\",\"health-check\":\"/h\",\"max-connections\":%u}],"
         "%s\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, retention_s, FAR_JOBS_RETENTION_S, connections, connections, connections,
-        tenants_member);
+        version, members, members, retention_s, FAR_JOBS_RETENTION_S, connections, connections,
+        connections, tenants_member);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
@@ -363,6 +371,7 @@
                                  .long_paths = long_paths,
                                  .long_pace = has_pace ? bench.settings.item_pace : pace,
                                  .break_after = 5,
+                                 .zone = get_zone(index),
                                  .slots = bench.settings.slots});
 }
 
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -31,6 +31,10 @@
     uint32_t slots;              /**< Slots of each engine. */
     uint32_t connections;        /**< Maximum per engine, of all daemons together. */
     uint32_t retention_s;        /**< Retention of items. */
+    const char *const *zones;    /**< Of the daemons and engines by index; NULL: "zone-a". */
+    const char *zone_regions;    /**< Setting fleet.zone_regions; NULL: none. */
+    const char *route_members;   /**< JSON members of routes "plain" and "jobs", each followed by a
+                                      comma; NULL: none. Read by bench_configure. */
     const char *log_directory;   /**< For the daemons' output, "daemon-N.log"; NULL: inherited. */
 } bench_settings;
 
