Allowed regions: items run from daemons in allowed regions

Cause: the store assigns partitions to daemons of any region, so that owners outside of a job's allowed regions read the bodies of its items and sent them to engines.

Change: the owner runs restricted items only if its region is allowed. Otherwise the live daemon that ranks first for the partition among those in allowed regions follows the partition's log and runs them (jobs/region_runner, jobs/job_runners). No message is added: membership and the announced owners decide. If no daemon in the regions is live, the items wait and are counted. Without restricted batch routes or tenants nothing changes.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/memory_budget.h"
 #include "base/stop_wait.h"
@@ -459,6 +460,25 @@
     return hs_topology_region(hs_daemon_directory_topology(directory), directory->settings.zone);
 }
 
+GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory) {
+    GArray *regions = g_array_new(FALSE, FALSE, sizeof(hs_daemon_region));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        bool is_self = member == hs_membership_self(membership);
+        if (!is_self && (!hs_member_is_live(member) || hs_daemon_is_seed(member->id)))
+            continue;
+        hs_daemon_region daemon = {
+            .daemon = hs_hash_bytes(member->id, strlen(member->id)),
+            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone)};
+        g_array_append_val(regions, daemon);
+    }
+    hs_membership_service_unlock(directory->membership);
+    return regions;
+}
+
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner) {
     uint32_t epoch = 0;
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -96,6 +96,15 @@
 /** The region of this daemon's zone, borrowed from the topology; NULL: unknown. */
 const char *hs_daemon_directory_own_region(const hs_daemon_directory *directory);
 
+/** A live daemon and its region. */
+typedef struct {
+    uint64_t daemon;    /**< Hash of its id. */
+    const char *region; /**< Borrowed from the topology; NULL: unknown. */
+} hs_daemon_region;
+
+/** Lists the live daemons, this one included: of hs_daemon_region. Free with g_array_unref. */
+GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory);
+
 /** Numbers of partitions of jobs by owner, as far as this daemon knows. */
 typedef struct {
     uint32_t own;     /**< Owned by this daemon. */
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -257,6 +257,10 @@
         g_ptr_array_set_size(run->texts, 0);
         run->events = (hs_event_stream){0};
     }
+    hs_region_policy regions =
+        hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
+    if (!hs_region_policy_allows_region(&regions, terms->own_region))
+        return HS_ITEM_ATTEMPT_NO_CAPACITY; /* The content must not be read here. */
     hs_store_outcome outcome = HS_STORE_DONE;
     if (run->content == NULL)
         run->content = hs_job_partition_read_content(
@@ -267,8 +271,7 @@
     const hs_fleet_route *route = hs_fleet_config_find_route(config, run->host, run->content->path);
     if (route == NULL)
         return HS_ITEM_ATTEMPT_NO_ROUTE;
-    hs_region_policy regions =
-        hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
+    regions = hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
     run->is_restricted = hs_region_policy_is_restricted(&regions);
     uint64_t content = hash_content(run);
     if (is_quarantined(run, terms->engines, content))
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -81,6 +81,7 @@
     hs_job_partition *partition;
     hs_fleet_engines *engines;
     const hs_fleet_config *config;
+    const char *own_region;                                /**< Of this daemon; NULL: unknown. */
     int32_t rank_ms;                                       /**< See hs_engine_query. */
     void (*checkpoint)(hs_item_run *run, void *user_data); /**< Called after each read. */
     void *user_data;
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -78,7 +78,8 @@
     hs_quota_reported reported = {0};
     uint32_t acquisition_count = 0;
     g_mutex_lock(&owner->lock);
-    while (owned->is_owned && !owner->stopping) {
+    while (hs_job_owner_is_active(owned) && !owner->stopping) {
+        bool is_owned = owned->is_owned;
         uint64_t acquired_ms = owned->acquired_ms;
         g_mutex_unlock(&owner->lock);
         uint64_t next = hs_job_state_next_offset(hs_job_partition_lock(owned->partition));
@@ -88,8 +89,9 @@
             hs_job_partition_wait(owned->partition, next, now_ms + TAIL_WAIT_MS);
         else if (!hs_job_partition_catch_up(owned->partition, now_ms + CATCH_UP_LIMIT_MS))
             hs_clock_sleep_ms(CATCH_UP_PAUSE_MS);
-        report_level(owned, &reported);
-        if (now_ms >= next_trim_ms) {
+        if (is_owned)
+            report_level(owned, &reported);
+        if (is_owned && now_ms >= next_trim_ms) {
             hs_job_partition_trim(owned->partition, now_ms + TRIM_LIMIT_MS);
             next_trim_ms = now_ms + TRIM_INTERVAL_MS;
         }
@@ -136,37 +138,56 @@
 }
 
 /**
- * Starts to own a partition. Returns false if no thread can be created; the group's next answer
- * assigns the partition again. The caller holds the lock.
+ * Makes sure that the partition's log is followed from now on. Returns false if no thread can be
+ * created. The caller holds the lock.
  */
-static bool acquire_partition(hs_owned_job_partition *owned) {
+static bool begin_tail(hs_owned_job_partition *owned) {
     owned->acquired_ms = hs_clock_monotonic_ms();
     owned->earliest_start_ms = owned->acquired_ms + TAKEOVER_PAUSE_MS;
     owned->acquisition_count++;
     if (owned->tail != NULL) {
-        if (!owned->is_tail_stopped) { /* The previous thread has not ended yet and continues. */
-            owned->is_owned = true;
+        if (!owned->is_tail_stopped) /* The previous thread has not ended yet and continues. */
             return true;
-        }
         g_thread_join(owned->tail);
     }
     owned->is_tail_stopped = false;
     owned->tail = hs_thread_try_start("job-tail", run_tail, owned);
-    owned->is_owned = owned->tail != NULL;
-    owned->owner->tail_count += owned->is_owned;
+    owned->owner->tail_count += owned->tail != NULL;
+    return owned->tail != NULL;
+}
+
+/**
+ * Starts to own a partition. Returns false if no thread can be created; the group's next answer
+ * assigns the partition again. The caller holds the lock.
+ */
+static bool acquire_partition(hs_owned_job_partition *owned) {
+    owned->is_owned = begin_tail(owned);
+    owned->is_runner = false;
     return owned->is_owned;
 }
 
+bool hs_job_owner_is_active(const hs_owned_job_partition *owned) {
+    return owned->is_owned || owned->is_runner;
+}
+
 /**
  * Stops all runs of a partition; their progress may be stored until the handover deadline. The
  * caller holds the lock.
  */
 static void release_partition(hs_owned_job_partition *owned) {
     owned->is_owned = false;
+    owned->is_runner = false;
     owned->handover_deadline = hs_clock_monotonic_ms() + HS_JOB_HANDOVER_LIMIT_MS;
     abandon_runs(owned);
 }
 
+void hs_job_owner_set_runner(hs_owned_job_partition *owned, bool is_runner) {
+    if (is_runner)
+        owned->is_runner = begin_tail(owned);
+    else if (!owned->is_owned)
+        release_partition(owned);
+}
+
 /** Announces the owned partitions to the other daemons. The caller holds the lock. */
 static void announce_owned(hs_job_owner *owner) {
     g_autoptr(GArray) numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -281,6 +302,7 @@
     for (guint number = 0; number < owner->partitions->len; number++) {
         hs_owned_job_partition *owned = owner->partitions->pdata[number];
         owned->is_owned = false;
+        owned->is_runner = false;
         abandon_runs(owned);
     }
     g_cond_broadcast(&owner->changed);
@@ -308,6 +330,7 @@
     }
     g_ptr_array_free(owner->partitions, TRUE);
     g_hash_table_destroy(owner->services);
+    g_clear_pointer(&owner->runners, g_array_unref);
     g_cond_clear(&owner->changed);
     g_mutex_clear(&owner->lock);
     g_free(owner);
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -46,8 +46,10 @@
 typedef struct {
     hs_job_owner *owner;
     hs_job_partition *partition;
-    GHashTable *items;             /**< "job/index" -> hs_owned_item* */
-    bool is_owned;                 /**< The partition is assigned to this daemon. */
+    GHashTable *items; /**< "job/index" -> hs_owned_item* */
+    bool is_owned;     /**< The partition is assigned to this daemon. */
+    bool is_runner; /**< Not owned, but this daemon runs its restricted items; see job_runners.h. */
+    const char *owner_region;      /**< As of the last update of runners; NULL: unknown. */
     uint64_t acquired_ms;          /**< Monotonic time of the latest assignment. */
     uint64_t earliest_start_ms;    /**< Leaves the previous owner time to store progress. */
     hs_deadline handover_deadline; /**< A former owner stores nothing later. */
@@ -73,10 +75,11 @@
     double mean_online_slots; /**< If is_restricted: as that of the owner. */
 } hs_service_starts;
 
-/** Open items that wait since no engine in their allowed regions is ready. */
+/** Open items that wait since no engine or daemon in their allowed regions is ready. */
 typedef struct {
     uint32_t no_allowed_region;
     uint32_t no_engine_in_region;
+    uint32_t no_daemon_in_region;
     uint64_t logged_ms;
 } hs_region_waits;
 
@@ -93,6 +96,9 @@
     hs_item_pace pace;
     double mean_online_slots;     /**< Moving average; see job_plan.c. */
     GHashTable *services;         /**< Group (interned) -> hs_service_starts*; see job_starts.h. */
+    GArray *runners;              /**< Of hs_daemon_region; NULL: no items are restricted. */
+    uint64_t next_runners_ms;     /**< Of the next update of runners. */
+    uint32_t unrunnable_items;    /**< Of this pass: no live daemon may run them. */
     hs_region_waits region_waits; /**< Of the latest pass. */
     uint64_t rejected_starts;     /**< Starts that were rejected because no engine had capacity. */
     uint64_t early_preemptions; /**< Runs that were preempted before the minimum useful run time. */
@@ -121,6 +127,15 @@
  */
 bool hs_job_owner_may_run(const hs_owned_job_partition *owned, uint64_t now_ms);
 
+/** Whether this daemon owns the partition or runs its restricted items. Under the owner's lock. */
+bool hs_job_owner_is_active(const hs_owned_job_partition *owned);
+
+/**
+ * Starts or ends to run the restricted items of a partition that this daemon does not own. Runs are
+ * ended as if the partition were released. The caller holds the lock.
+ */
+void hs_job_owner_set_runner(hs_owned_job_partition *owned, bool is_runner);
+
 /**
  * Releases partitions for which another daemon announces a later assignment. A daemon that the
  * store rejects does not learn of that assignment from the store and would duplicate the new
--- a/src/jobs/job_regions.c
+++ b/src/jobs/job_regions.c
@@ -26,16 +26,18 @@
 }
 
 static void log_waits(hs_region_waits *waits, uint64_t now_ms) {
-    if (waits->no_allowed_region + waits->no_engine_in_region == 0 ||
+    if (waits->no_allowed_region + waits->no_engine_in_region + waits->no_daemon_in_region == 0 ||
         (waits->logged_ms != 0 && now_ms < waits->logged_ms + LOG_INTERVAL_MS))
         return;
     waits->logged_ms = now_ms;
-    hs_log_info("items_wait_for_region", "no_allowed_region=%u no_engine_in_region=%u",
-                waits->no_allowed_region, waits->no_engine_in_region);
+    hs_log_info("items_wait_for_region",
+                "no_allowed_region=%u no_engine_in_region=%u no_daemon_in_region=%u",
+                waits->no_allowed_region, waits->no_engine_in_region, waits->no_daemon_in_region);
 }
 
 void hs_job_regions_observe(hs_job_owner *owner, const GArray *open) {
-    hs_region_waits waits = {.logged_ms = owner->region_waits.logged_ms};
+    hs_region_waits waits = {.no_daemon_in_region = owner->unrunnable_items,
+                             .logged_ms = owner->region_waits.logged_ms};
     g_autoptr(GHashTable) ready = g_hash_table_new(g_direct_hash, g_direct_equal);
     for (guint index = 0; index < open->len; index++) {
         const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
@@ -62,6 +64,8 @@
 void hs_job_regions_write_metrics(const hs_region_waits *waits, GString *text) {
     g_string_append_printf(text,
                            "heathsail_job_items_waiting{reason=\"no_allowed_region\"} %u\n"
-                           "heathsail_job_items_waiting{reason=\"no_engine_in_region\"} %u\n",
-                           waits->no_allowed_region, waits->no_engine_in_region);
+                           "heathsail_job_items_waiting{reason=\"no_engine_in_region\"} %u\n"
+                           "heathsail_job_items_waiting{reason=\"no_daemon_in_region\"} %u\n",
+                           waits->no_allowed_region, waits->no_engine_in_region,
+                           waits->no_daemon_in_region);
 }
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -10,6 +10,7 @@
 #include "jobs/job_plan.h"
 #include "jobs/job_regions.h"
 #include "jobs/job_room.h"
+#include "jobs/job_runners.h"
 #include "jobs/job_starts.h"
 
 #define DEFAULT_MAX_ATTEMPTS 3
@@ -57,6 +58,10 @@
     hs_region_policy regions = hs_region_policy_for_tenant_name(
         hs_fleet_engines_topology(owned->owner->settings.engines), config, route, job->tenant);
     const char *group = route != NULL ? hs_job_regions_group(&regions, route) : NULL;
+    bool runs_here = hs_job_runners_is_here(owned, &regions);
+    if (!runs_here && !owned->is_owned)
+        return;
+    bool runs_nowhere = !runs_here && hs_job_runners_is_nowhere(owned->owner, &regions);
     uint64_t now_ms = hs_clock_monotonic_ms();
     uint64_t wall_ms = hs_clock_wall_ms();
     for (uint32_t index = 0; index < job->items->len; index++) {
@@ -72,13 +77,15 @@
             .item = item,
             .left_ms = (int64_t)(job->submitted_ms + job->due_ms) - (int64_t)wall_ms,
             .remaining_ms = get_remaining_ms(owned, item, now_ms),
-            .may_start = is_waiting && item->next_attempt_ms <= now_ms,
-            .is_expired = is_waiting && has_expired(job, item, wall_ms, now_ms),
+            .may_start = runs_here && is_waiting && item->next_attempt_ms <= now_ms,
+            .is_expired = owned->is_owned && is_waiting && has_expired(job, item, wall_ms, now_ms),
             .max_attempts = route != NULL ? route->max_attempts : DEFAULT_MAX_ATTEMPTS,
             .service = route != NULL ? g_intern_string(
                                            g_array_index(route->shares, hs_route_share, 0).service)
                                      : NULL};
-        if (item->stage != HS_ITEM_STORED && (route != NULL || entry.is_expired))
+        owned->owner->unrunnable_items += runs_nowhere && item->stage == HS_ITEM_WAITING;
+        bool is_listed = (route != NULL && runs_here) || entry.is_expired;
+        if (item->stage != HS_ITEM_STORED && is_listed)
             g_array_append_val(open, entry);
     }
 }
@@ -142,7 +149,7 @@
 }
 
 bool hs_job_owner_may_run(const hs_owned_job_partition *owned, uint64_t now_ms) {
-    return owned->is_owned && now_ms >= owned->earliest_start_ms &&
+    return hs_job_owner_is_active(owned) && now_ms >= owned->earliest_start_ms &&
            hs_job_partition_is_current(owned->partition, owned->acquired_ms);
 }
 
@@ -218,6 +225,7 @@
  */
 static void start_items(hs_job_owner *owner, const hs_fleet_config *config) {
     g_autoptr(GArray) open = g_array_new(FALSE, FALSE, sizeof(hs_open_item));
+    owner->unrunnable_items = 0;
     for (guint number = 0; number < owner->partitions->len; number++) {
         hs_owned_job_partition *owned = owner->partitions->pdata[number];
         if (hs_job_owner_may_run(owned, hs_clock_monotonic_ms()))
@@ -253,8 +261,10 @@
     while (!owner->stopping) {
         hs_fleet_config *config = hs_config_source_get(owner->settings.config);
         hs_job_owner_release_superseded(owner);
-        if (config != NULL)
+        if (config != NULL) {
+            hs_job_runners_update(owner, config);
             start_items(owner, config);
+        }
         if (owner->running > 0)
             hs_fleet_engines_preempt_excess(owner->settings.engines);
         hs_fleet_config_unref(config);
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -25,7 +25,7 @@
     g_mutex_lock(&owner->lock);
     if (owner->draining)
         limit = owner->handover_deadline;
-    else if (!owned->is_owned)
+    else if (!hs_job_owner_is_active(owned))
         limit = owned->handover_deadline;
     g_mutex_unlock(&owner->lock);
     return limit;
@@ -124,11 +124,16 @@
 /** Returns whether an interrupted item is handed over to another owner. */
 static bool is_owner_changing(hs_job_owner *owner, const hs_owned_job_partition *owned) {
     g_mutex_lock(&owner->lock);
-    bool is_changing = !owned->is_owned || owner->draining;
+    bool is_changing = !hs_job_owner_is_active(owned) || owner->draining;
     g_mutex_unlock(&owner->lock);
     return is_changing;
 }
 
+static const char *get_own_region(const hs_job_owner *owner) {
+    return owner->settings.daemons != NULL ? hs_daemon_directory_own_region(owner->settings.daemons)
+                                           : NULL;
+}
+
 void hs_job_worker_run(gpointer data, gpointer user_data) {
     hs_job_owner *owner = user_data;
     hs_item_task *task = data;
@@ -144,6 +149,7 @@
         hs_item_attempt_terms terms = {.partition = task->partition->partition,
                                        .engines = owner->settings.engines,
                                        .config = config,
+                                       .own_region = get_own_region(owner),
                                        .rank_ms = task->rank_ms,
                                        .checkpoint = hs_job_checkpoint_take,
                                        .user_data = task};
@@ -169,7 +175,7 @@
         pause_ms = QUARANTINED_PAUSE_MS;
     item->next_attempt_ms = hs_clock_monotonic_ms() + pause_ms;
     owner->running--;
-    if (!task->partition->is_owned || end == HS_ITEM_ATTEMPT_ABANDONED) {
+    if (!hs_job_owner_is_active(task->partition) || end == HS_ITEM_ATTEMPT_ABANDONED) {
         g_autofree char *key = g_strdup_printf("%s/%u", item->run->job_id, item->run->index);
         g_hash_table_remove(task->partition->items, key);
     }
--- a/tests/system/test_fleet_regions.c
+++ b/tests/system/test_fleet_regions.c
@@ -22,6 +22,9 @@
 #define FORWARDED_JOBS 24
 /** Time in ms within which a daemon has written its log lines. */
 #define LOG_MS 500
+/** Time in ms within which the partitions of a lost daemon have other owners. */
+#define OWNER_LOSS_MS 6000
+#define NO_DAEMON_METRIC "heathsail_job_items_waiting{reason=\"no_daemon_in_region\"} "
 #define NEAR_ENGINE 0
 #define FAR_ENGINE 1
 
@@ -157,6 +160,55 @@
     }
 }
 
+/**
+ * Each daemon owns some of the jobs' partitions. Guards against an owner outside of the regions
+ * that reads and runs the items, and against items that nobody runs.
+ */
+static void items_are_run_by_daemons_in_allowed_regions(void) {
+    configure(ALLOW("wlg"));
+    for (int job = 0; job < FORWARDED_JOBS; job++) {
+        g_autofree char *id = g_strdup_printf("job-inside-%d", job);
+        CU_ASSERT_EQUAL(submit_job(job % BENCH_DEFAULT_DAEMONS, id, 2), 202);
+    }
+    for (int job = 0; job < FORWARDED_JOBS; job++) {
+        g_autofree char *id = g_strdup_printf("job-inside-%d", job);
+        g_autofree char *page = bench_wait_job(0, id, 2, JOB_LIMIT_MS);
+        CU_ASSERT_PTR_NOT_NULL(page);
+        for (int item = 0; item < 2; item++) {
+            g_autofree char *item_id = g_strdup_printf("%s-%d", id, item);
+            CU_ASSERT_EQUAL(runs_at(FAR_ENGINE, item_id), 1);
+        }
+    }
+    hs_clock_sleep_ms(LOG_MS);
+    CU_ASSERT_TRUE(has_logged(1, "item_started", "job=job-inside-"));
+    CU_ASSERT_FALSE(has_logged(0, "item_started", "job=job-inside-"));
+    CU_ASSERT_FALSE(has_logged(2, "item_started", "job=job-inside-"));
+}
+
+/**
+ * Guards against items that stay with a lost daemon, or move out of their region when all of its
+ * daemons are lost.
+ */
+static void items_wait_for_a_daemon_in_their_region(void) {
+    configure(ALLOW("chc\",\"wlg"));
+    CU_ASSERT_EQUAL(bench_signal_daemon(1, SIGKILL), -1);
+    hs_clock_sleep_ms(APPLY_MS);
+    CU_ASSERT_EQUAL(submit_job(0, "job-chc", 4), 202);
+    g_autofree char *page = bench_wait_job(0, "job-chc", 4, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(page);
+    configure(ALLOW("wlg"));
+    CU_ASSERT_EQUAL(submit_job(0, "job-later", 4), 202);
+    hs_clock_sleep_ms(OWNER_LOSS_MS);
+    int waiting = get_daemon_metric(0, NO_DAEMON_METRIC) + get_daemon_metric(2, NO_DAEMON_METRIC);
+    CU_ASSERT_EQUAL(waiting, 4);
+    CU_ASSERT_TRUE(bench_start_daemon(1, false));
+    CU_ASSERT_TRUE(bench_wait_ready(1));
+    g_autofree char *later = bench_wait_job(0, "job-later", 4, JOB_LIMIT_MS);
+    CU_ASSERT_PTR_NOT_NULL(later);
+    CU_ASSERT_FALSE(has_logged(0, "item_started", "job=job-later"));
+    CU_ASSERT_FALSE(has_logged(2, "item_started", "job=job-later"));
+}
+
 /**
  * The store rejects the daemon in akl; daemons in wlg and chc reach it. Guards against a body that
  * is forwarded to a region that is neither allowed nor the caller's.
@@ -225,6 +277,8 @@
      requests_without_a_region_are_refused_at_once},
     {"a_lost_region_is_not_replaced_by_another", a_lost_region_is_not_replaced_by_another},
     {"items_wait_for_an_engine_in_their_region", items_wait_for_an_engine_in_their_region},
+    {"items_are_run_by_daemons_in_allowed_regions", items_are_run_by_daemons_in_allowed_regions},
+    {"items_wait_for_a_daemon_in_their_region", items_wait_for_a_daemon_in_their_region},
     {"addresses_follow_the_routes_of_the_host", addresses_follow_the_routes_of_the_host},
     {"bodies_are_forwarded_to_allowed_regions_only", bodies_are_forwarded_to_allowed_regions_only},
     {NULL, NULL},
--- a/tests/unit/test_regions.c
+++ b/tests/unit/test_regions.c
@@ -9,6 +9,7 @@
 #include "heathsail/error.h"
 #include "jobs/job_regions.h"
 #include "jobs/job_starts.h"
+#include "jobs/region_runner.h"
 #include "online/online_request_state.h"
 #include "platform/config_codec.h"
 #include "tests/unit/unit_tests.h"
@@ -489,7 +490,7 @@
     g_array_append_val(route->shares, share);
     free_list(route->allowed_regions);
     route->allowed_regions = make_list(allowed);
-    hs_item_attempt_terms terms = {.engines = engines, .config = config};
+    hs_item_attempt_terms terms = {.engines = engines, .config = config, .own_region = "akl"};
     run->engine_id[0] = '\0';
     hs_item_attempt_end end = hs_item_run_attempt(run, &terms);
     hs_fleet_config_unref(config);
@@ -545,6 +546,70 @@
     g_rand_free(random);
 }
 
+#define RUNNERS 74
+#define PARTITIONS 64
+
+/** Lists daemons with hashes from 1 on, spread over three regions; @p lost is left out. */
+static GArray *list_daemons(uint64_t lost) {
+    GArray *daemons = g_array_new(FALSE, FALSE, sizeof(hs_daemon_region));
+    for (uint64_t number = 1; number <= RUNNERS; number++) {
+        hs_daemon_region daemon = {.daemon = number, .region = regions[number % 3]};
+        if (number != lost)
+            g_array_append_val(daemons, daemon);
+    }
+    return daemons;
+}
+
+/**
+ * Guards against a runner outside of the regions, against partitions that move although their
+ * runner lives, and against one daemon that runs far more than its share.
+ */
+static void restricted_items_have_one_runner_in_their_regions(void) {
+    g_autoptr(GPtrArray) allowed = make_list("wlg");
+    g_autoptr(GPtrArray) none = make_list("nowhere");
+    hs_region_policy policy = {.regions_of_route = allowed};
+    hs_region_policy unmet = {.regions_of_route = none};
+    g_autoptr(GArray) all = list_daemons(0);
+    uint32_t partitions[RUNNERS + 1] = {0};
+    for (uint32_t number = 0; number < PARTITIONS; number++) {
+        uint64_t runner = hs_region_runner_choose(all, number, &policy);
+        CU_ASSERT_FATAL(runner > 0 && runner <= RUNNERS);
+        CU_ASSERT_STRING_EQUAL(regions[runner % 3], "wlg");
+        CU_ASSERT(++partitions[runner] <= PARTITIONS / 8);
+        CU_ASSERT_EQUAL(hs_region_runner_choose(all, number, &unmet), HS_NO_RUNNER);
+        for (uint64_t lost = 1; lost <= RUNNERS; lost++) {
+            g_autoptr(GArray) rest = list_daemons(lost);
+            uint64_t next = hs_region_runner_choose(rest, number, &policy);
+            CU_ASSERT_EQUAL(next == runner, lost != runner);
+        }
+    }
+}
+
+/** Guards against a policy of some tenant or route for which no daemon follows the partitions. */
+static void policies_of_all_batch_routes_and_tenants_are_listed(void) {
+    GRand *random = g_rand_new_with_seed(1);
+    hs_fleet_config *config = draw_config(random, 1);
+    hs_fleet_route *route = config->routes->pdata[0];
+    hs_fleet_tenant *tenant = config->tenants->pdata[0];
+    free_list(route->allowed_regions);
+    free_list(tenant->allowed_regions);
+    route->allowed_regions = NULL;
+    tenant->allowed_regions = make_list("wlg");
+    GArray *online = hs_region_runner_list_policies(NULL, config);
+    route->kind = HS_ROUTE_BATCH;
+    GArray *of_tenant = hs_region_runner_list_policies(NULL, config);
+    route->allowed_regions = make_list("akl,wlg");
+    GArray *of_both = hs_region_runner_list_policies(NULL, config);
+    CU_ASSERT_EQUAL(online->len, 0);
+    CU_ASSERT_EQUAL(of_tenant->len, 1);
+    CU_ASSERT_EQUAL(of_both->len, 2);
+    g_array_free(online, TRUE);
+    g_array_free(of_tenant, TRUE);
+    g_array_free(of_both, TRUE);
+    hs_fleet_config_unref(config);
+    g_rand_free(random);
+}
+
 const test_case region_tests[] = {
     {"both_restrictions_apply", both_restrictions_apply},
     {"every_hop_stays_in_allowed_regions", every_hop_stays_in_allowed_regions},
@@ -560,5 +625,9 @@
     {"items_start_at_allowed_engines_only", items_start_at_allowed_engines_only},
     {"results_of_unknown_jobs_stay_where_all_jobs_may_be",
      results_of_unknown_jobs_stay_where_all_jobs_may_be},
+    {"restricted_items_have_one_runner_in_their_regions",
+     restricted_items_have_one_runner_in_their_regions},
+    {"policies_of_all_batch_routes_and_tenants_are_listed",
+     policies_of_all_batch_routes_and_tenants_are_listed},
     {NULL, NULL},
 };
