--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -330,7 +330,8 @@
     }
     g_ptr_array_free(owner->partitions, TRUE);
     g_hash_table_destroy(owner->services);
-    g_clear_pointer(&owner->runners, g_array_unref);
+    if (owner->runners != NULL)
+        g_array_unref(owner->runners);
     g_cond_clear(&owner->changed);
     g_mutex_clear(&owner->lock);
     g_free(owner);
--- a/src/jobs/job_runners.c
+++ b/src/jobs/job_runners.c
@@ -68,9 +68,9 @@
     owner->next_runners_ms = now_ms + UPDATE_INTERVAL_MS;
     g_autoptr(GArray) policies =
         hs_region_runner_list_policies(hs_daemon_directory_topology(daemons), config);
-    g_clear_pointer(&owner->runners, g_array_unref);
-    if (policies->len > 0)
-        owner->runners = hs_daemon_directory_list_regions(daemons);
+    if (owner->runners != NULL)
+        g_array_unref(owner->runners);
+    owner->runners = policies->len > 0 ? hs_daemon_directory_list_regions(daemons) : NULL;
     for (guint number = 0; number < owner->partitions->len; number++) {
         hs_owned_job_partition *owned = owner->partitions->pdata[number];
         owned->owner_region = policies->len > 0 ? region_of_owner(owned) : NULL;
