--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/endpoint.h"
+#include "base/hash.h"
 #include "base/log.h"
 #include "base/memory_budget.h"
 #include "base/stop_wait.h"
@@ -461,18 +462,18 @@
     return (uint32_t)g_atomic_int_get(&directory->utilisation_percent);
 }
 
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
-                                   uint32_t caller) {
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const hs_resolve_query *query) {
     if (g_atomic_int_get(&directory->joined) == 0)
         return NULL;
     bool is_settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     bool knows_others = hs_membership_live_count(membership) > 1;
     char **addresses = NULL;
-    hs_resolve_query query = {
-        .zone = zone, .caller = caller, .without_self = g_atomic_int_get(&directory->leaving) != 0};
+    hs_resolve_query completed = *query;
+    completed.without_self = g_atomic_int_get(&directory->leaving) != 0;
+    completed.topology = hs_fleet_engines_topology(directory->settings.engines);
     if (knows_others || is_settled)
-        addresses = hs_resolve_addresses(membership, &query);
+        addresses = hs_resolve_addresses(membership, &completed);
     hs_membership_service_unlock(directory->membership);
     return addresses;
 }
@@ -491,6 +492,33 @@
     hs_membership_service_unlock(directory->membership);
 }
 
+const hs_topology *hs_daemon_directory_topology(const hs_daemon_directory *directory) {
+    return hs_fleet_engines_topology(directory->settings.engines);
+}
+
+const char *hs_daemon_directory_own_region(const hs_daemon_directory *directory) {
+    return hs_topology_region(hs_daemon_directory_topology(directory), directory->settings.zone);
+}
+
+GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory) {
+    GArray *regions = g_array_new(FALSE, FALSE, sizeof(hs_daemon_region));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        bool is_self = member == hs_membership_self(membership);
+        if (!is_self && (!hs_member_is_live(member) || hs_daemon_is_seed(member->id)))
+            continue;
+        hs_daemon_region daemon = {
+            .daemon = hs_hash_bytes(member->id, strlen(member->id)),
+            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone)};
+        g_array_append_val(regions, daemon);
+    }
+    hs_membership_service_unlock(directory->membership);
+    return regions;
+}
+
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner) {
     uint32_t epoch = 0;
@@ -499,9 +527,11 @@
     bool is_other = member != NULL && member != hs_membership_self(membership) &&
                     member->state == HS_MEMBER_ALIVE;
     if (is_other)
-        *owner = (hs_daemon_address){.address = member->address,
-                                     .port = member->peer_port,
-                                     .is_far = hs_membership_is_far(membership, member)};
+        *owner = (hs_daemon_address){
+            .address = member->address,
+            .port = member->peer_port,
+            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone),
+            .is_far = hs_membership_is_far(membership, member)};
     hs_membership_service_unlock(directory->membership);
     return is_other;
 }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -11,6 +11,7 @@
 
 #include "base/stall_detector.h"
 #include "base/topology.h"
+#include "directory/resolve_addresses.h"
 #include "directory/tenant_limiter.h"
 #include "fleet/fleet_engines.h"
 #include "membership/membership_service.h"
@@ -61,11 +62,10 @@
 
 /**
  * Returns "IPv4:port" texts of the daemons that a caller should use, NULL-terminated; free with
- * g_strfreev. NULL: not known yet, or there are none. @p zone: the caller's; NULL: unknown.
- * @p caller: the caller's IPv4 address in host order; 0: unknown.
+ * g_strfreev. NULL: not known yet, or there are none. @p query: of the caller; its IPv4 address in
+ * host order identifies it. The directory sets the topology and whether to leave itself out.
  */
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const char *zone,
-                                   uint32_t caller);
+char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const hs_resolve_query *query);
 
 /** Utilisation of this daemon's machine in percent, as announced to the other daemons. */
 uint32_t hs_daemon_directory_utilisation_percent(hs_daemon_directory *directory);
@@ -74,7 +74,8 @@
 typedef struct {
     uint32_t address; /**< IPv4, in host order. */
     uint16_t port;
-    bool is_far; /**< In another region than this daemon, as both announced. */
+    bool is_far;        /**< In another region than this daemon, as both announced. */
+    const char *region; /**< By the topology, from which it is borrowed; NULL: unknown. */
 } hs_daemon_address;
 
 /**
@@ -95,6 +96,21 @@
 /** Reports whether the deployment has several regions and this daemon's region is known. */
 bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory);
 
+/** The topology by which regions of daemons are known; may be NULL. */
+const hs_topology *hs_daemon_directory_topology(const hs_daemon_directory *directory);
+
+/** The region of this daemon's zone, borrowed from the topology; NULL: unknown. */
+const char *hs_daemon_directory_own_region(const hs_daemon_directory *directory);
+
+/** A live daemon and its region. */
+typedef struct {
+    uint64_t daemon;    /**< Hash of its id. */
+    const char *region; /**< Borrowed from the topology; NULL: unknown. */
+} hs_daemon_region;
+
+/** Lists the live daemons, this one included: of hs_daemon_region. Free with g_array_unref. */
+GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory);
+
 /** Numbers of partitions of jobs by owner, as far as this daemon knows. */
 typedef struct {
     uint32_t own;     /**< Owned by this daemon. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -50,6 +50,7 @@
     engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->tenant_runs = hs_tenant_runs_new();
     engines->evacuation = hs_evacuation_new(0);
+    engines->restricted_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->round_robin = hs_clock_monotonic_us();
     return engines;
@@ -63,6 +64,10 @@
     return engines->crash_watch;
 }
 
+const hs_topology *hs_fleet_engines_topology(const hs_fleet_engines *engines) {
+    return engines->topology;
+}
+
 /** Drops by_hash, since the set of engines changes. The caller holds the lock. */
 static void clear_hash_index(hs_fleet_engines *engines) {
     if (engines->by_hash != NULL)
@@ -108,6 +113,7 @@
     g_hash_table_destroy(engines->pressures);
     hs_tenant_runs_free(engines->tenant_runs);
     hs_evacuation_free(engines->evacuation);
+    g_hash_table_destroy(engines->restricted_services);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->reports_changed);
     g_free(engines->zone);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -26,6 +26,7 @@
     hs_item_run *run = g_new0(hs_item_run, 1);
     run->job_id = g_strdup(job->id);
     run->host = g_strdup(job->host);
+    run->job_target = g_strdup(job->target);
     run->tenant = *job->tenant != '\0' ? g_strdup(job->tenant) : NULL;
     run->item_id = g_strdup(item->id);
     run->index = index;
@@ -51,6 +52,7 @@
         return;
     g_free(run->job_id);
     g_free(run->host);
+    g_free(run->job_target);
     g_free(run->tenant);
     g_free(run->item_id);
     if (run->content != NULL)
@@ -237,12 +239,28 @@
     return true;
 }
 
+hs_region_policy hs_item_run_regions(const hs_item_run *run, const hs_topology *topology,
+                                     const hs_fleet_config *config) {
+    const hs_fleet_route *route =
+        run->content != NULL ? hs_fleet_config_find_route(config, run->host, run->content->path)
+                             : NULL;
+    hs_region_policy policy =
+        hs_region_policy_for_tenant_name(topology, config, route, run->tenant);
+    hs_region_policy_add_job_route(&policy,
+                                   hs_fleet_config_find_route(config, run->host, run->job_target));
+    return policy;
+}
+
 hs_item_attempt_end hs_item_run_attempt(hs_item_run *run, const hs_item_attempt_terms *terms) {
     const hs_fleet_config *config = terms->config;
     if (!hs_event_stream_can_resume(&run->events)) { /* The output restarts from the beginning. */
         g_ptr_array_set_size(run->texts, 0);
         run->events = (hs_event_stream){0};
     }
+    hs_region_policy regions =
+        hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
+    if (!hs_region_policy_allows_region(&regions, terms->own_region))
+        return HS_ITEM_ATTEMPT_NO_CAPACITY; /* The content must not be read here. */
     hs_store_outcome outcome = HS_STORE_DONE;
     if (run->content == NULL)
         run->content = hs_job_partition_read_content(
@@ -253,6 +271,8 @@
     const hs_fleet_route *route = hs_fleet_config_find_route(config, run->host, run->content->path);
     if (route == NULL)
         return HS_ITEM_ATTEMPT_NO_ROUTE;
+    regions = hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
+    run->is_restricted = hs_region_policy_is_restricted(&regions);
     uint64_t content = hash_content(run);
     if (is_quarantined(run, terms->engines, content))
         return HS_ITEM_ATTEMPT_QUARANTINED;
@@ -269,7 +289,8 @@
                   .preemption_flag = run->is_on_trial ? NULL : &run->interrupt,
                   .rank_ms = terms->rank_ms,
                   .memory_tokens = service != NULL ? service->memory_tokens : 0,
-                  .max_connections = service != NULL ? service->max_connections : 0},
+                  .max_connections = service != NULL ? service->max_connections : 0,
+                  .regions = regions},
         .content = content,
         .request = {.method = ITEM_METHOD,
                     .target = run->content->path,
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -31,7 +31,8 @@
 typedef struct {
     char *job_id;
     char *host;
-    char *tenant; /**< Tenant of the job; NULL: none. */
+    char *job_target; /**< Target of the job's submission. */
+    char *tenant;     /**< Tenant of the job; NULL: none. */
     char *item_id;
     uint32_t index;
     uint32_t tokens; /**< Size: tokens of the prompt and the output limit. */
@@ -47,6 +48,7 @@
     guint stored_texts;     /**< Number of texts returned for storage. */
     uint64_t next_checkpoint_ms;
     uint64_t give_up_ms; /**< Monotonic time of the deadline of all attempts. */
+    bool is_restricted;  /**< The latest attempt was restricted to regions. */
     bool is_on_trial;   /**< A trial run of the quarantined content was granted and not used yet. */
     char engine_id[64]; /**< Engine of the latest attempt. */
     bool was_sent;      /**< The latest attempt may have reached that engine. */
@@ -67,11 +69,19 @@
  */
 hs_job_progress hs_item_run_progress(hs_item_run *run, uint64_t known_event);
 
+/**
+ * Returns the regions where the item may run by @p config, from which they are borrowed: those of
+ * the item's route (if its content is known), of its job's route and of its tenant.
+ */
+hs_region_policy hs_item_run_regions(const hs_item_run *run, const hs_topology *topology,
+                                     const hs_fleet_config *config);
+
 /** Parameters of an attempt; all borrowed. */
 typedef struct {
     hs_job_partition *partition;
     hs_fleet_engines *engines;
     const hs_fleet_config *config;
+    const char *own_region;                                /**< Of this daemon; NULL: unknown. */
     int32_t rank_ms;                                       /**< See hs_engine_query. */
     void (*checkpoint)(hs_item_run *run, void *user_data); /**< Called after each read. */
     void *user_data;
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -46,13 +46,16 @@
 typedef struct {
     hs_job_owner *owner;
     hs_job_partition *partition;
-    GHashTable *items;             /**< "job/index" -> hs_owned_item* */
-    bool is_owned;                 /**< The partition is assigned to this daemon. */
+    GHashTable *items; /**< "job/index" -> hs_owned_item* */
+    bool is_owned;     /**< The partition is assigned to this daemon. */
+    bool is_runner; /**< Not owned, but this daemon runs its restricted items; see job_runners.h. */
+    const char *owner_region;      /**< As of the last update of runners; NULL: unknown. */
     uint64_t acquired_ms;          /**< Monotonic time of the latest assignment. */
     uint64_t earliest_start_ms;    /**< Leaves the previous owner time to store progress. */
     hs_deadline handover_deadline; /**< A former owner stores nothing later. */
     GMutex pending_lock;
-    GByteArray *pending; /**< Framed progress records to be stored; see job_checkpoint.c. */
+    bool is_pending_restricted; /**< Pending records have output of items restricted to regions. */
+    GByteArray *pending;        /**< Framed progress records to be stored; see job_checkpoint.c. */
     uint64_t flushed_ms;
     bool is_flushing;
     bool is_tail_stopped;
@@ -68,8 +71,18 @@
     hs_start_throttle start_throttle; /**< Limits all starts. */
     hs_start_throttle useful_run_throttle; /**< Limits starts of items that are not urgent. */
     uint64_t forecast_failure_logged_ms;
+    bool is_restricted;       /**< Of items restricted to regions. */
+    double mean_online_slots; /**< If is_restricted: as that of the owner. */
 } hs_service_starts;
 
+/** Open items that wait since no engine or daemon in their allowed regions is ready. */
+typedef struct {
+    uint32_t no_allowed_region;
+    uint32_t no_engine_in_region;
+    uint32_t no_daemon_in_region;
+    uint64_t logged_ms;
+} hs_region_waits;
+
 struct hs_job_owner {
     hs_job_owner_settings settings;
     GMutex lock;
@@ -81,9 +94,13 @@
     hs_deadline handover_deadline; /**< Of all partitions, while draining. */
     uint32_t running;
     hs_item_pace pace;
-    double mean_online_slots;   /**< Moving average; see job_plan.c. */
-    GHashTable *services;       /**< Service (interned) -> hs_service_starts*; see job_starts.h. */
-    uint64_t rejected_starts;   /**< Starts that were rejected because no engine had capacity. */
+    double mean_online_slots;     /**< Moving average; see job_plan.c. */
+    GHashTable *services;         /**< Group (interned) -> hs_service_starts*; see job_starts.h. */
+    GArray *runners;              /**< Of hs_daemon_region; NULL: no items are restricted. */
+    uint64_t next_runners_ms;     /**< Of the next update of runners. */
+    uint32_t unrunnable_items;    /**< Of this pass: no live daemon may run them. */
+    hs_region_waits region_waits; /**< Of the latest pass. */
+    uint64_t rejected_starts;     /**< Starts that were rejected because no engine had capacity. */
     uint64_t early_preemptions; /**< Runs that were preempted before the minimum useful run time. */
     uint64_t late_preemptions;  /**< Runs that were preempted later. */
     uint32_t tail_count;
@@ -97,10 +114,10 @@
     hs_owned_job_partition *partition;
     hs_owned_item *item;
     uint32_t max_attempts;
-    int32_t rank_ms;     /**< See hs_engine_query. */
-    const char *service; /**< Interned; NULL: the configuration has no route for the item. */
-    bool is_expired;     /**< The item's time is over and its result is "dead". */
-    bool is_handover;    /**< Only the item's progress is stored, for the next owner. */
+    int32_t rank_ms;   /**< See hs_engine_query. */
+    const char *group; /**< See hs_open_item. */
+    bool is_expired;   /**< The item's time is over and its result is "dead". */
+    bool is_handover;  /**< Only the item's progress is stored, for the next owner. */
 } hs_item_task;
 
 /**
@@ -110,6 +127,15 @@
  */
 bool hs_job_owner_may_run(const hs_owned_job_partition *owned, uint64_t now_ms);
 
+/** Whether this daemon owns the partition or runs its restricted items. Under the owner's lock. */
+bool hs_job_owner_is_active(const hs_owned_job_partition *owned);
+
+/**
+ * Starts or ends to run the restricted items of a partition that this daemon does not own. Runs are
+ * ended as if the partition were released. The caller holds the lock.
+ */
+void hs_job_owner_set_runner(hs_owned_job_partition *owned, bool is_runner);
+
 /**
  * Releases partitions for which another daemon announces a later assignment. A daemon that the
  * store rejects does not learn of that assignment from the store and would duplicate the new
--- a/src/jobs/job_relay.c
+++ b/src/jobs/job_relay.c
@@ -32,7 +32,7 @@
     hs_store_client *store;
     uint32_t part_count;
     GMutex lock;
-    uint64_t next_search_ms;
+    uint64_t next_search_ms[2]; /**< Of all daemons, and of those in some regions. */
 };
 
 hs_job_relay *hs_job_relay_new(hs_daemon_directory *daemons, hs_store_client *store,
@@ -52,16 +52,16 @@
     g_free(relay);
 }
 
-static bool can_search(hs_job_relay *relay) {
+static bool can_search(hs_job_relay *relay, bool is_restricted) {
     g_mutex_lock(&relay->lock);
-    bool is_due = hs_clock_monotonic_ms() >= relay->next_search_ms;
+    bool is_due = hs_clock_monotonic_ms() >= relay->next_search_ms[is_restricted];
     g_mutex_unlock(&relay->lock);
     return is_due;
 }
 
-static void record_search(hs_job_relay *relay, bool is_found) {
+static void record_search(hs_job_relay *relay, bool is_restricted, bool is_found) {
     g_mutex_lock(&relay->lock);
-    relay->next_search_ms = is_found ? 0 : hs_clock_monotonic_ms() + SEARCH_PAUSE_MS;
+    relay->next_search_ms[is_restricted] = is_found ? 0 : hs_clock_monotonic_ms() + SEARCH_PAUSE_MS;
     g_mutex_unlock(&relay->lock);
 }
 
@@ -79,12 +79,13 @@
  * @p max_owners.
  */
 static void add_owners(hs_job_relay *relay, uint32_t partition, bool is_far, guint max_owners,
-                       GArray *owners) {
+                       const hs_body_regions *regions, GArray *owners) {
     for (uint32_t step = 0; step < relay->part_count && owners->len < max_owners; step++) {
         hs_daemon_address owner;
         uint32_t other = (partition + step) % relay->part_count;
         if (hs_daemon_directory_find_owner(relay->daemons, other, &owner) &&
-            owner.is_far == is_far && !is_listed(owners, &owner))
+            owner.is_far == is_far && hs_body_regions_allow(regions, owner.region) &&
+            !is_listed(owners, &owner))
             g_array_append_val(owners, owner);
     }
 }
@@ -94,32 +95,40 @@
  * With regions, those of this daemon's region first, then some of others, since the store may
  * reject a whole region.
  */
-static GArray *list_owners(hs_job_relay *relay, uint32_t partition) {
+static GArray *list_owners(hs_job_relay *relay, uint32_t partition,
+                           const hs_body_regions *regions) {
     GArray *owners = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
     hs_daemon_address owner;
     if (hs_daemon_directory_has_regions(relay->daemons)) {
-        add_owners(relay, partition, false, MAX_NEAR_PEERS_ASKED, owners);
-        add_owners(relay, partition, true, MAX_PEERS_ASKED, owners);
+        add_owners(relay, partition, false, MAX_NEAR_PEERS_ASKED, regions, owners);
+        add_owners(relay, partition, true, MAX_PEERS_ASKED, regions, owners);
         return owners;
     }
-    for (uint32_t attempt = 0; attempt < MAX_PEERS_ASKED; attempt++)
+    /* Owners outside of the allowed regions are passed over, so that more partitions are tried. */
+    uint32_t max_attempts =
+        hs_body_regions_is_restricted(regions) ? relay->part_count : MAX_PEERS_ASKED;
+    for (uint32_t attempt = 0; attempt < max_attempts && owners->len < MAX_PEERS_ASKED; attempt++)
         if (hs_daemon_directory_find_owner(relay->daemons,
-                                           (partition + attempt) % relay->part_count, &owner))
+                                           (partition + attempt) % relay->part_count, &owner) &&
+            hs_body_regions_allow(regions, owner.region))
             g_array_append_val(owners, owner);
     return owners;
 }
 
-bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, hs_daemon_address *peer) {
-    if (relay->daemons == NULL || !can_search(relay))
+bool hs_job_relay_find_peer(hs_job_relay *relay, uint32_t partition, const hs_body_regions *regions,
+                            hs_daemon_address *peer) {
+    bool is_restricted = hs_body_regions_is_restricted(regions);
+    bool is_mixed = is_restricted && regions->is_mixed;
+    if (relay->daemons == NULL || is_mixed || !can_search(relay, is_restricted))
         return false;
     bool is_found = false;
-    g_autoptr(GArray) owners = list_owners(relay, partition);
+    g_autoptr(GArray) owners = list_owners(relay, partition, regions);
     for (guint index = 0; index < owners->len && !is_found; index++) {
         *peer = g_array_index(owners, hs_daemon_address, index);
         is_found =
             hs_job_peer_can_reach_store(peer, hs_clock_monotonic_ms() + STORE_CHECK_LIMIT_MS);
     }
-    record_search(relay, is_found);
+    record_search(relay, is_restricted, is_found);
     return is_found;
 }
 
@@ -143,11 +152,11 @@
 }
 
 hs_store_outcome hs_job_relay_append(hs_job_relay *relay, hs_topic topic, uint32_t partition,
-                                     const GByteArray *records, hs_deadline deadline,
-                                     uint64_t *offset) {
+                                     const GByteArray *records, const hs_body_regions *regions,
+                                     hs_deadline deadline, uint64_t *offset) {
     hs_daemon_address peer;
     if (!hs_store_client_is_failing(relay->store) ||
-        !hs_job_relay_find_peer(relay, partition, &peer))
+        !hs_job_relay_find_peer(relay, partition, regions, &peer))
         return HS_STORE_REFUSED;
     g_autofree char *target = g_strdup_printf(TARGET_FORMAT, (unsigned)topic, partition);
     hs_deadline limit = MAX(deadline, hs_clock_monotonic_ms() + MIN_RELAY_LIMIT_MS);
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "jobs/job_regions.h"
 #include "jobs/job_starts.h"
 
 #define PREEMPTED_PAUSE_MS 100
@@ -24,7 +25,7 @@
     g_mutex_lock(&owner->lock);
     if (owner->draining)
         limit = owner->handover_deadline;
-    else if (!owned->is_owned)
+    else if (!hs_job_owner_is_active(owned))
         limit = owned->handover_deadline;
     g_mutex_unlock(&owner->lock);
     return limit;
@@ -47,9 +48,12 @@
     hs_store_outcome stored = HS_STORE_REFUSED;
     uint32_t attempt = 0;
     do {
+        hs_fleet_config *config = hs_config_source_get(owned->owner->settings.config);
+        hs_body_regions regions = hs_job_regions_of_run(owned->owner, item->run, config);
         stored = hs_job_partition_append_result(
-            owned->partition, item->run->job_id, item->run->index, outcome, text,
+            owned->partition, item->run->job_id, item->run->index, outcome, text, &regions,
             hs_job_partition_append_deadline(owned->partition, attempt++, text->len, UINT64_MAX));
+        hs_fleet_config_unref(config);
     } while (wait_to_store_again(owned, stored));
     return stored;
 }
@@ -103,8 +107,12 @@
     do {
         hs_deadline deadline =
             hs_job_partition_append_deadline(partition, attempt++, records->len, UINT64_MAX);
+        hs_job_owner *owner = task->partition->owner;
+        hs_fleet_config *config = hs_config_source_get(owner->settings.config);
+        hs_body_regions regions = hs_job_regions_of_run(owner, run, config);
         if (is_framed)
-            stored = hs_job_partition_append_framed(partition, records, deadline);
+            stored = hs_job_partition_append_framed(partition, records, &regions, deadline);
+        hs_fleet_config_unref(config);
     } while (wait_to_store_again(task->partition, stored));
     hs_log_info("item_handed_over", "job=%s item=%s last_event=%" G_GUINT64_FORMAT " stored=%s",
                 run->job_id, run->item_id, (guint64)run->events.last_id,
@@ -116,11 +124,16 @@
 /** Returns whether an interrupted item is handed over to another owner. */
 static bool is_owner_changing(hs_job_owner *owner, const hs_owned_job_partition *owned) {
     g_mutex_lock(&owner->lock);
-    bool is_changing = !owned->is_owned || owner->draining;
+    bool is_changing = !hs_job_owner_is_active(owned) || owner->draining;
     g_mutex_unlock(&owner->lock);
     return is_changing;
 }
 
+static const char *get_own_region(const hs_job_owner *owner) {
+    return owner->settings.daemons != NULL ? hs_daemon_directory_own_region(owner->settings.daemons)
+                                           : NULL;
+}
+
 void hs_job_worker_run(gpointer data, gpointer user_data) {
     hs_job_owner *owner = user_data;
     hs_item_task *task = data;
@@ -136,6 +149,7 @@
         hs_item_attempt_terms terms = {.partition = task->partition->partition,
                                        .engines = owner->settings.engines,
                                        .config = config,
+                                       .own_region = get_own_region(owner),
                                        .rank_ms = task->rank_ms,
                                        .checkpoint = hs_job_checkpoint_take,
                                        .user_data = task};
@@ -161,7 +175,7 @@
         pause_ms = QUARANTINED_PAUSE_MS;
     item->next_attempt_ms = hs_clock_monotonic_ms() + pause_ms;
     owner->running--;
-    if (!task->partition->is_owned || end == HS_ITEM_ATTEMPT_ABANDONED) {
+    if (!hs_job_owner_is_active(task->partition) || end == HS_ITEM_ATTEMPT_ABANDONED) {
         g_autofree char *key = g_strdup_printf("%s/%u", item->run->job_id, item->run->index);
         g_hash_table_remove(task->partition->items, key);
     }
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -34,6 +34,10 @@
     HS_END_NO_MEMORY,     /**< The daemon is short of memory. */
     HS_END_NO_ENGINE,     /**< The service has no usable engine. */
     HS_END_EVACUATED,     /**< All engines of the service are in evacuated zones. */
+    /** Route and tenant allow no region in common, or none that the settings name. */
+    HS_END_NO_ALLOWED_REGION,
+    /** The service has no usable engine in an allowed region. */
+    HS_END_NO_ENGINE_IN_REGION,
     HS_END_FULL,          /**< All engines are full. */
     HS_END_UNREACHABLE,   /**< No connection to any engine succeeded. */
     HS_END_QUARANTINED,   /**< Requests of this content crashed engines. */
