--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -256,6 +256,7 @@
 void hs_fleet_engines_set_peers(hs_fleet_engines *engines, uint32_t peers, uint32_t batch_peers) {
     g_mutex_lock(&engines->lock);
     engines->peer_count = peers;
+    g_atomic_int_set(&engines->is_large_fleet, peers > HS_LARGE_FLEET_PEERS);
     engines->batch_peer_count = batch_peers;
     g_mutex_unlock(&engines->lock);
 }
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -200,10 +200,7 @@
 }
 
 bool hs_fleet_engines_is_relaying_reports(hs_fleet_engines *engines) {
-    g_mutex_lock(&engines->lock);
-    bool is_large = engines->peer_count > HS_LARGE_FLEET_PEERS;
-    g_mutex_unlock(&engines->lock);
-    return is_large;
+    return g_atomic_int_get(&engines->is_large_fleet) != 0;
 }
 
 void hs_fleet_engines_hold_reports(hs_fleet_engines *engines) {
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -99,6 +99,7 @@
     GHashTable *absences;      /**< service -> hs_engine_absence* */
     GHashTable *pressures;     /**< service -> hs_cached_pressure* */
     bool is_list_known;        /**< The store's list was read to its end. */
+    gint is_large_fleet;         /**< Load reports are relayed. Atomic: each report asks for it. */
     uint32_t peer_count;       /**< Other daemons in the fleet. */
     uint32_t batch_peer_count; /**< Other daemons that run batch items. */
     uint64_t summed_ms;        /**< When peers' loads were summed last; 0: they changed since. */
