Configuration and engines from another daemon while the store is silent

Cause: a daemon that started while the store did not answer it refused all requests with no_config, although other daemons had the configuration.

Change: after 300 ms without an answer it asks its seeds and the members it knows over their control address (GET /state), one at a time, with a limit for each. The answer has the configuration's record with its offset, the engines' entries and room for the evacuations, each with its age. The daemon becomes ready with them. Ages are never lowered, so that strict revocation holds; the store's first answer has priority, and the position from which its log is followed is not touched. A normal start makes no further call.

Measured: system suite fleet_peer_state (new): the restarted daemon is ready and serves, and follows its store once that answers. With the query disabled the same test fails: not ready, no answer. Unit suite peer_state (new) passes. System suites fleet_waking, fleet_entries, fleet_tenants and fleet_silence pass.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -9,6 +9,7 @@
 #include "base/memory_budget.h"
 #include "base/thread.h"
 #include "daemon/settings.h"
+#include "directory/peer_config.h"
 #include "fleet/engine_source.h"
 #include "http/connection_guard.h"
 #include "jobs/job_owner.h"
@@ -44,6 +45,7 @@
     hs_crash_watch *crash_watch;
     hs_engine_source *engine_source;
     hs_daemon_directory *directory;
+    hs_peer_config *peer_config;
     hs_job_service *jobs;
     hs_job_owner *owner;
     hs_online online;
@@ -88,7 +90,7 @@
 static bool can_serve(void *user_data) {
     hs_fleet_daemon *daemon = user_data;
     hs_fleet_config *config = hs_config_source_get(daemon->config);
-    bool known = config != NULL && hs_engine_source_last_received_ms(daemon->engine_source) != 0;
+    bool known = config != NULL && hs_engine_source_has_list(daemon->engine_source);
     hs_fleet_config_unref(config);
     return known && is_current_after_stall(daemon);
 }
@@ -127,6 +129,15 @@
     return daemon->directory != NULL;
 }
 
+/** The set of evacuated zones that daemons give to each other is to be added here. */
+static void make_peer_config(hs_fleet_daemon *daemon) {
+    hs_peer_config_settings settings = {.config = daemon->config,
+                                        .engine_source = daemon->engine_source,
+                                        .members = daemon->directory,
+                                        .evacuations = {0}};
+    daemon->peer_config = hs_peer_config_new(&settings);
+}
+
 static void make_jobs(hs_fleet_daemon *daemon) {
     const hs_settings *settings = daemon->settings;
     hs_job_store_settings store = {.store = daemon->store,
@@ -173,6 +184,7 @@
                                          .owner = daemon->owner,
                                          .members = daemon->directory,
                                          .engine_source = daemon->engine_source,
+                                         .peer_config = daemon->peer_config,
                                          .store = daemon->store,
                                          .reloads = &daemon->reloads,
                                          .stall_detector = &daemon->stall_detector,
@@ -184,6 +196,7 @@
 
 static void free_daemon(hs_fleet_daemon *daemon) {
     hs_fleet_surface_stop(daemon->surface);
+    hs_peer_config_free(daemon->peer_config);
     hs_job_owner_free(daemon->owner);
     hs_engine_source_free(daemon->engine_source);
     hs_config_source_free(daemon->config);
@@ -250,6 +263,7 @@
         free_daemon(daemon);
         return NULL;
     }
+    make_peer_config(daemon);
     make_jobs(daemon);
     if (!make_surface(daemon, error)) {
         free_daemon(daemon);
@@ -258,6 +272,7 @@
     hs_config_source_start(daemon->config);
     hs_engine_source_start(daemon->engine_source);
     hs_daemon_directory_start(daemon->directory);
+    hs_peer_config_start(daemon->peer_config);
     hs_job_owner_start(daemon->owner);
     hs_log_info("daemon_started", "build=%s surface=fleet zone=%s front=%s store=%s parts=%d",
                 hs_build_commit(), settings->zone, settings->fleet_front, settings->fleet_store,
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -182,6 +182,43 @@
     }
 }
 
+/** Appends an address to a list of hs_daemon_address, unless it is this daemon's or listed. */
+static void add_peer_address(hs_daemon_directory *directory, GArray *peers, uint32_t address,
+                             uint16_t port) {
+    bool is_listed =
+        port == 0 || (address == hs_endpoint_parse_address(directory->settings.address) &&
+                      port == directory->settings.peer_port);
+    for (guint index = 0; index < peers->len && !is_listed; index++) {
+        const hs_daemon_address *peer = &g_array_index(peers, hs_daemon_address, index);
+        is_listed = peer->address == address && peer->port == port;
+    }
+    hs_daemon_address added = {.address = address, .port = port};
+    if (!is_listed)
+        g_array_append_val(peers, added);
+}
+
+GArray *hs_daemon_directory_list_peers(hs_daemon_directory *directory) {
+    GArray *peers = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
+    g_mutex_lock(&directory->lock);
+    g_auto(GStrv) seeds = g_strsplit(directory->seeds, ",", -1);
+    g_mutex_unlock(&directory->lock);
+    for (int index = 0; seeds[index] != NULL; index++) {
+        hs_endpoint seed;
+        if (hs_endpoint_parse(g_strstrip(seeds[index]), &seed))
+            add_peer_address(directory, peers, seed.address, seed.port);
+    }
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member->state != HS_MEMBER_DEAD)
+            add_peer_address(directory, peers, member->address, member->peer_port);
+    }
+    hs_membership_service_unlock(directory->membership);
+    return peers;
+}
+
 void hs_daemon_directory_update(hs_daemon_directory *directory, const char *seeds,
                                 uint32_t resolve_ttl_s) {
     g_mutex_lock(&directory->lock);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -74,6 +74,12 @@
     uint16_t port;
 } hs_daemon_address;
 
+/**
+ * Returns the addresses (of hs_daemon_address) of the seeds and of the members that are not known
+ * to be dead, without this daemon. Free with g_array_free.
+ */
+GArray *hs_daemon_directory_list_peers(hs_daemon_directory *directory);
+
 /**
  * Announces to the other daemons which partitions of jobs this daemon owns. @p partitions: of
  * uint32_t. @p generation: of the assignment of partitions; if two daemons claim a partition, the
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -24,6 +24,8 @@
     uint32_t poll_ms;
     GMutex lock;
     hs_fleet_config *config;
+    GBytes *value;          /**< Value of the record of config; NULL: not known. */
+    uint64_t peer_as_of_ms; /**< As of when another daemon gave the configuration; 0: none did. */
     hs_store_contact contact;
     gint is_stopping;
     GThread *thread;
@@ -46,13 +48,23 @@
     return config;
 }
 
-bool hs_config_source_apply_if_newer(hs_config_source *source, hs_fleet_config *config) {
+/** Replaces the value of the current configuration's record. The caller holds the lock. */
+static void replace_value(hs_config_source *source, GBytes *value) {
+    if (source->value != NULL)
+        g_bytes_unref(source->value);
+    source->value = value != NULL ? g_bytes_ref(value) : NULL;
+}
+
+/** As hs_config_source_apply_if_newer, with the record's value; NULL: not known. */
+static bool apply_record(hs_config_source *source, hs_fleet_config *config, GBytes *value) {
     g_mutex_lock(&source->lock);
     bool is_newer = source->config == NULL || config->version > source->config->version;
     hs_fleet_config *released = is_newer ? source->config : config;
     uint64_t previous_version = source->config != NULL ? source->config->version : 0;
-    if (is_newer)
+    if (is_newer) {
         source->config = config;
+        replace_value(source, value);
+    }
     g_mutex_unlock(&source->lock);
     if (is_newer)
         hs_log_info("config_applied",
@@ -65,12 +77,27 @@
     return is_newer;
 }
 
+bool hs_config_source_apply_if_newer(hs_config_source *source, hs_fleet_config *config) {
+    return apply_record(source, config, NULL);
+}
+
 uint64_t hs_config_source_last_received_ms(hs_config_source *source) {
     return hs_store_contact_last_received_ms(&source->contact);
 }
 
 uint64_t hs_config_source_as_of_ms(hs_config_source *source) {
-    return hs_store_contact_as_of_ms(&source->contact);
+    g_mutex_lock(&source->lock);
+    uint64_t peer_as_of_ms = source->peer_as_of_ms;
+    g_mutex_unlock(&source->lock);
+    return MAX(hs_store_contact_as_of_ms(&source->contact), peer_as_of_ms);
+}
+
+GBytes *hs_config_source_get_value(hs_config_source *source, uint64_t *offset) {
+    g_mutex_lock(&source->lock);
+    GBytes *value = source->value != NULL ? g_bytes_ref(source->value) : NULL;
+    *offset = value != NULL ? source->config->offset : 0;
+    g_mutex_unlock(&source->lock);
+    return value;
 }
 
 /** Builds the tenant index, and logs the numbers of faulty tenants and keys. */
@@ -87,20 +114,35 @@
                    faults.duplicate_names, faults.unusable_keys, faults.disputed_keys);
 }
 
-static void apply_value(hs_config_source *source, const uint8_t *value, size_t length,
+/** Parses a configuration and applies it if it is newer. Returns whether it was applied. */
+static bool apply_value(hs_config_source *source, const uint8_t *value, size_t length,
                         uint64_t offset) {
     hs_error error = {0};
     if (length == 0)
-        return;
+        return false;
     hs_fleet_config *config = hs_platform_read_config(value, length, &error);
     if (config == NULL) {
         hs_log_warning("config_unreadable", "offset=%" G_GUINT64_FORMAT " cause=\"%s\"",
                        (guint64)offset, error.message);
-        return;
+        return false;
     }
     config->offset = offset;
     index_tenants(config);
-    hs_config_source_apply_if_newer(source, config);
+    g_autoptr(GBytes) record = g_bytes_new(value, length);
+    return apply_record(source, config, record);
+}
+
+bool hs_config_source_apply_from_peer(hs_config_source *source, GBytes *value, uint64_t offset,
+                                      uint64_t as_of_ms) {
+    gsize length = 0;
+    const uint8_t *bytes = g_bytes_get_data(value, &length);
+    if (hs_config_source_last_received_ms(source) != 0 ||
+        !apply_value(source, bytes, length, offset))
+        return false;
+    g_mutex_lock(&source->lock);
+    source->peer_as_of_ms = as_of_ms;
+    g_mutex_unlock(&source->lock);
+    return true;
 }
 
 /** Reads the newest version; @p next is set to the end of the topic's log. */
@@ -174,6 +216,7 @@
     if (source->thread != NULL)
         g_thread_join(source->thread);
     hs_fleet_config_unref(source->config);
+    replace_value(source, NULL);
     hs_store_contact_clear(&source->contact);
     g_mutex_clear(&source->lock);
     g_free(source);
--- a/src/fleet/config_source.h
+++ b/src/fleet/config_source.h
@@ -38,12 +38,28 @@
  */
 bool hs_config_source_apply_if_newer(hs_config_source *source, hs_fleet_config *config);
 
+/**
+ * Returns the value of the current configuration's record and sets @p offset to the record's
+ * offset. NULL: there is no configuration. Free with g_bytes_unref.
+ */
+GBytes *hs_config_source_get_value(hs_config_source *source, uint64_t *offset);
+
+/**
+ * Applies the record of a configuration that another daemon gave, as of @p as_of_ms (monotonic;
+ * 0: before this machine's start), if it is newer than the current one. Does nothing once the
+ * store has answered, and never changes the position from which the store is followed. Returns
+ * whether the configuration was applied.
+ */
+bool hs_config_source_apply_from_peer(hs_config_source *source, GBytes *value, uint64_t offset,
+                                      uint64_t as_of_ms);
+
 /** Returns the monotonic time of the last response from the store; 0: none yet. */
 uint64_t hs_config_source_last_received_ms(hs_config_source *source);
 
 /**
  * Returns the monotonic time at which the last answered read was sent: the configuration reflects
- * the store at that time or later. 0: no read was answered yet.
+ * the store at that time or later. Before the first answer, the time as of which another daemon
+ * gave the configuration. 0: unknown.
  */
 uint64_t hs_config_source_as_of_ms(hs_config_source *source);
 
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -10,6 +10,7 @@
 #define HS_FLEET_ENGINE_SOURCE_H
 
 #include "fleet/fleet_engines.h"
+#include "fleet/peer_state.h"
 #include "platform/entry_codec.h"
 #include "store/store_client.h"
 
@@ -42,12 +43,31 @@
  */
 void hs_engine_source_free(hs_engine_source *source);
 
+/** Whether the list of engines is known, from the store or from another daemon. */
+bool hs_engine_source_has_list(hs_engine_source *source);
+
+/**
+ * Returns the engines' entries with the ages of their reads; they are given to other daemons.
+ * Free with g_ptr_array_unref.
+ */
+GPtrArray *hs_engine_source_list_entries(hs_engine_source *source, uint64_t now_ms);
+
+/**
+ * Applies the entries (of hs_peer_entry*) that another daemon gave. Their ages, and @p age_ms of
+ * the whole list, count from @p asked_ms, when the daemon was asked. Does nothing once a list is
+ * known. The store's first list replaces these engines, or, after an outage in which entries may
+ * have expired, does so as after any such outage. Returns whether the entries were applied.
+ */
+bool hs_engine_source_apply_from_peer(hs_engine_source *source, const GPtrArray *entries,
+                                      uint64_t asked_ms, uint64_t age_ms);
+
 /** Returns the monotonic time of the last response from the store; 0: none yet. */
 uint64_t hs_engine_source_last_received_ms(hs_engine_source *source);
 
 /**
  * Returns the monotonic time at which the last answered read was sent: the table reflects the store
- * at that time or later. 0: no read was answered yet.
+ * at that time or later. Before the first answer, the time as of which another daemon gave the
+ * entries. 0: unknown.
  */
 uint64_t hs_engine_source_as_of_ms(hs_engine_source *source);
 
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -77,7 +77,7 @@
 static bool has_recent_keys(hs_online *online) {
     uint64_t as_of_ms = hs_config_source_as_of_ms(online->config);
     return online->max_key_age_ms == 0 ||
-           hs_clock_monotonic_ms() <= as_of_ms + online->max_key_age_ms;
+           (as_of_ms != 0 && hs_clock_monotonic_ms() <= as_of_ms + online->max_key_age_ms);
 }
 
 /** Returns whether the caller has access; if not, the request is refused. */
@@ -225,8 +225,8 @@
 }
 
 /**
- * Serves a call from another daemon: a check of the store's state, a relayed append, or a forwarded
- * call on a job.
+ * Serves a call from another daemon: a check of the store's state, a query for the state read from
+ * the store, a relayed append, or a forwarded call on a job.
  */
 static void serve_peer(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
@@ -238,6 +238,10 @@
         reply_status(inbound, hs_store_client_is_failing(surface->settings.store) ? 503 : 200);
         return;
     }
+    if (strcmp(inbound->target, HS_PEER_STATE_TARGET) == 0) {
+        hs_peer_config_serve(surface->settings.peer_config, inbound);
+        return;
+    }
     if (hs_job_relay_is_append_call(inbound->target)) {
         hs_job_relay_serve(surface->settings.store, inbound);
         return;
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -7,6 +7,7 @@
 #define HS_SURFACE_FLEET_SURFACE_H
 
 #include "directory/daemon_directory.h"
+#include "directory/peer_config.h"
 #include "jobs/job_service.h"
 #include "online/online_request.h"
 #include "surface/fleet_metrics.h"
@@ -28,6 +29,7 @@
     hs_job_owner *owner; /**< For metrics. */
     hs_daemon_directory *members;
     hs_engine_source *engine_source; /**< For metrics. */
+    hs_peer_config *peer_config;     /**< Answers daemons that start without the store. */
     hs_store_client *store;
     hs_reload_counts *reloads;
     hs_stall_detector *stall_detector;
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -36,6 +36,7 @@
         {"fleet_crashes_large", fleet_crash_large_system_tests, begin_crashes_large,
          end_crashes_large},
         {"fleet_tenants", fleet_tenant_system_tests, begin_tenants, end_tenants},
+        {"fleet_peer_state", fleet_peer_state_system_tests, bench_set_up, bench_tear_down},
         {"fleet_waking", fleet_waking_system_tests, bench_set_up, bench_tear_down},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
         {"fleet_memory", fleet_memory_system_tests, begin_memory, end_memory},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -57,6 +57,8 @@
 
 extern const test_case fleet_waking_system_tests[];
 
+extern const test_case fleet_peer_state_system_tests[];
+
 extern const test_case fleet_tenant_system_tests[];
 
 /** Start and stop the bench with tenants, and with daemons that log to files. */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -40,6 +40,7 @@
         {"crashes", crash_tests, NULL, NULL},
         {"records", record_tests, NULL, NULL},
         {"connections", connection_tests, NULL, NULL},
+        {"peer_state", peer_state_tests, NULL, NULL},
         {"engine_source", engine_source_tests, NULL, NULL},
         {"refusal_choice", refusal_choice_tests, NULL, NULL},
         {"urgency", urgency_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -36,6 +36,7 @@
 extern const test_case suspicion_tests[];
 extern const test_case load_report_tests[];
 extern const test_case arbiter_term_tests[];
+extern const test_case peer_state_tests[];
 extern const test_case relayed_report_tests[];
 extern const test_case spread_tests[];
 extern const test_case crash_tests[];
