Relayed reports: accept an empty list of candidates

Cause: an arbiter that has just begun may have no report to relay; the list of candidates is then NULL, which qsort must not get (undefined behaviour sanitizer, suite words_travel).

Change: hs_engine_reports_pick sorts only if there are candidates.

--- a/src/fleet/engine_words.c
+++ b/src/fleet/engine_words.c
@@ -11,7 +11,8 @@
 
 size_t hs_engine_reports_pick(hs_relay_candidate *candidates, size_t count) {
     size_t selected = 0;
-    qsort(candidates, count, sizeof *candidates, by_age);
+    if (count > 0) /* The array of no candidates may be NULL, which qsort doesn't accept. */
+        qsort(candidates, count, sizeof *candidates, by_age);
     while (selected < count && selected < HS_MAX_RELAYED_REPORTS &&
            candidates[selected].age_ms < HS_ENGINE_REPORT_VALID_MS)
         selected++;
--- a/src/fleet/engine_words.h
+++ b/src/fleet/engine_words.h
@@ -34,7 +34,8 @@
 
 /**
  * Sorts @p candidates by age, the most recent one first, and returns how many of the first ones are
- * to be relayed. Reports that are no longer valid are not relayed.
+ * to be relayed. Reports that are no longer valid are not relayed. @p candidates may be NULL if
+ * @p count is 0.
  */
 size_t hs_engine_reports_pick(hs_relay_candidate *candidates, size_t count);
 
