--- a/src/directory/evacuation_exchange.c
+++ b/src/directory/evacuation_exchange.c
@@ -35,10 +35,10 @@
  * Creates the message with this daemon's set; free with free_outgoing. NULL if there are too many
  * zones: a set without some of them would withdraw their evacuations.
  */
-static outgoing_set *write_set(hs_evacuation_exchange *exchange) {
+static outgoing_set *write_set(hs_fleet_engines *engines) {
     outgoing_set *out = g_new0(outgoing_set, 1);
     hs_evacuation_set_init(&out->set, 0);
-    hs_fleet_engines_list_evacuations(exchange->engines, &out->set);
+    hs_fleet_engines_list_evacuations(engines, &out->set);
     if (out->set.records->len > HS_MAX_EVACUATED_ZONES) {
         hs_log_warning("evacuations_not_sent", "zones=%u limit=%d", out->set.records->len,
                        HS_MAX_EVACUATED_ZONES);
@@ -91,7 +91,7 @@
     if (fault != NULL) {
         reject(exchange, message->sender_id, fault);
     } else if (hs_fleet_engines_has_newer_evacuations(exchange->engines, &set)) {
-        outgoing_set *out = write_set(exchange);
+        outgoing_set *out = write_set(exchange->engines);
         if (out != NULL) {
             hs_membership_service_reply(exchange->membership, from, &out->message);
             free_outgoing(out);
@@ -141,9 +141,43 @@
     uint32_t max_recipients = hs_fleet_engines_tick_evacuations(exchange->engines, now_ms);
     if (max_recipients == 0)
         return;
-    outgoing_set *out = write_set(exchange);
+    outgoing_set *out = write_set(exchange->engines);
     if (out == NULL)
         return;
     send_to_random_members(exchange, &out->message, max_recipients);
     free_outgoing(out);
 }
+
+GBytes *hs_evacuation_exchange_encode(hs_fleet_engines *engines) {
+    outgoing_set *out = write_set(engines);
+    if (out == NULL)
+        return NULL;
+    GBytes *encoded = NULL;
+    if (out->body.as_of_offset > 0) {
+        size_t length = hs__evacuations__get_packed_size(&out->body);
+        uint8_t *bytes = g_malloc(length);
+        hs__evacuations__pack(&out->body, bytes);
+        encoded = g_bytes_new_take(bytes, length);
+    }
+    free_outgoing(out);
+    return encoded;
+}
+
+void hs_evacuation_exchange_apply_encoded(hs_fleet_engines *engines, GBytes *encoded) {
+    size_t length = 0;
+    const uint8_t *bytes = g_bytes_get_data(encoded, &length);
+    Hs__Evacuations *body = hs__evacuations__unpack(NULL, length, bytes);
+    if (body == NULL) {
+        hs_log_warning("evacuations_rejected", "daemon=- cause=unreadable");
+        return;
+    }
+    hs_evacuation_set set;
+    read_set(body, &set);
+    const char *fault = hs_evacuation_set_fault(&set);
+    if (fault != NULL)
+        hs_log_warning("evacuations_rejected", "daemon=- cause=%s", fault);
+    else
+        hs_fleet_engines_put_peer_evacuations(engines, "-", &set);
+    hs_evacuation_set_clear(&set);
+    hs__evacuations__free_unpacked(body, NULL);
+}
--- a/src/directory/evacuation_exchange.h
+++ b/src/directory/evacuation_exchange.h
@@ -29,4 +29,13 @@
 /** Sends the evacuated zones if that is due. Only the ticker calls it, in each round. */
 void hs_evacuation_exchange_tick(hs_evacuation_exchange *exchange, uint64_t now_ms);
 
+/**
+ * Returns the set for a daemon that starts while the store does not answer, encoded as Evacuations;
+ * NULL if it is not known yet. Free with g_bytes_unref.
+ */
+GBytes *hs_evacuation_exchange_encode(hs_fleet_engines *engines);
+
+/** Applies a set that another daemon encoded. A malformed set is logged and changes nothing. */
+void hs_evacuation_exchange_apply_encoded(hs_fleet_engines *engines, GBytes *encoded);
+
 #endif
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -5,6 +5,8 @@
  */
 #include "fleet/fleet_engine.h"
 
+#include "fleet/engine_words.h"
+
 #include "base/clock.h"
 #include "fleet/engine_selection.h"
 
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -37,6 +37,7 @@
          end_crashes_large},
         {"fleet_tenants", fleet_tenant_system_tests, begin_tenants, end_tenants},
         {"fleet_regions", fleet_region_system_tests, begin_fleet_regions, end_fleet_regions},
+        {"fleet_peer_state", fleet_peer_state_system_tests, bench_set_up, bench_tear_down},
         {"fleet_waking", fleet_waking_system_tests, bench_set_up, bench_tear_down},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
         {"fleet_memory", fleet_memory_system_tests, begin_memory, end_memory},
