Avoid the engines of a zone that fails as a whole

Cause: a daemon avoided an engine only after its own failure there. On the loss of a zone with 30 engines each daemon lost up to 30 requests to it, each of which takes 300 ms, the whole latency objective, to find out.

Change: three engines of a zone that cannot be reached within 1.5 s, without an answer from any other engine of the zone, are an outage of the zone; one is enough if most of its daemons are suspected or dead while another zone's are not. The zone's engines are then suspected, for 500 ms to 4 s, until an engine answers or the daemons are back. Only with fleet.tolerated_zones > 0.

Result: unit suite zone_outage; of 400 requests that prefer the lost zone at most 3 go there, 1 if its daemons are known to be lost.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -121,6 +121,7 @@
         .crash_watch = daemon->crash_watch,
         .limit_tolerance = settings->fleet_limit_slack * LIMIT_TOLERANCE_SHARE,
         .size = read_machine_size(settings),
+        .observes_zones = settings->fleet_tolerated_zones > 0,
         .may_join = can_serve,
         .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
@@ -239,6 +240,8 @@
     daemon->store = hs_store_client_new(store.address, store.port);
     daemon->config = hs_config_source_new(daemon->store, get_config_apply_ms(settings));
     daemon->engines = hs_fleet_engines_new(settings->zone);
+    if (settings->fleet_tolerated_zones > 0)
+        hs_fleet_engines_observe_zones(daemon->engines);
     daemon->online.held = hs_held_requests_new();
     hs_fleet_engines_set_slot_observer(daemon->engines, wake_held_requests, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -15,6 +15,7 @@
 #include "directory/resolve_addresses.h"
 #include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
+#include "directory/zone_watch.h"
 #include "fleet/engine_words.h"
 #include "store/keyed_topic.h"
 
@@ -375,6 +376,8 @@
         hs_membership_service_tick(directory->membership, now_ms);
         hs_crash_exchange_tick(directory->crashes, now_ms);
         hs_tenant_limiter_tick(directory->limiter);
+        if (directory->settings.observes_zones)
+            hs_zone_watch_update(directory->settings.engines, directory->membership);
         if (now_ms >= directory->next_shares_ms) {
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
             send_shares(directory);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -33,6 +33,7 @@
     hs_crash_watch *crash_watch;       /**< Receives the crash evidence of other daemons. */
     double limit_tolerance;            /**< See hs_tenant_limiter_new. */
     hs_machine_size size;              /**< Of this daemon's machine. */
+    bool observes_zones; /**< The loss of a zone's daemons is evidence on its engines. */
     bool (*may_join)(void *user_data); /**< Reports whether this daemon is ready to join. */
     void *user_data;
 } hs_daemon_directory_settings;
--- a/src/fleet/engine_estimates.c
+++ b/src/fleet/engine_estimates.c
@@ -36,9 +36,14 @@
     return failed / (ended + FAILURE_PRIOR);
 }
 
+static bool is_in_zone_outage(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return engine->zone_outage != NULL && hs_zone_outage_is_out(engine->zone_outage, now_ms);
+}
+
 /** Whether this daemon's own observations or the arbiter's report advise against the engine. */
 static bool is_avoided(const hs_fleet_engine *engine, uint64_t now_ms) {
     return now_ms < engine->suspected_until_ms || hs_fleet_engine_is_silent(engine, now_ms) ||
+           is_in_zone_outage(engine, now_ms) ||
            (engine->reported_failing_at_ms != 0 &&
             now_ms < engine->reported_failing_at_ms + FAILING_VALID_MS);
 }
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -172,6 +172,7 @@
 void hs_engine_lease_note_received(hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
     lease->engine->last_received_ms = hs_clock_monotonic_ms();
+    hs_fleet_engine_note_zone_answer(lease->engine, lease->engine->last_received_ms);
     if (lease->is_probe)
         lease->engine->suspected_until_ms = 0;
     end_probe(lease);
@@ -193,6 +194,7 @@
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
     lease->engine->last_received_ms = now_ms;
+    hs_fleet_engine_note_zone_answer(lease->engine, now_ms);
     lease->first_token_ms = now_ms;
     if (lease->work == HS_WORK_ONLINE)
         note_first_byte(hs_fleet_engines_speed(lease->engines, lease->engine->entry.service),
@@ -326,10 +328,12 @@
         break;
     case HS_ATTEMPT_UNREACHABLE:
         mark_suspected(engine, now_ms, "unreachable");
+        hs_fleet_engine_note_zone_failure(engine, now_ms);
         break;
     case HS_ATTEMPT_SILENT:
         note_end(engine, true, now_ms);
         mark_suspected(engine, now_ms, "silent");
+        hs_fleet_engine_note_zone_failure(engine, now_ms);
         break;
     case HS_ATTEMPT_BROKEN:
         note_end(engine, true, now_ms);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -10,6 +10,7 @@
 #include "fleet/engine_pace.h"
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
+#include "fleet/zone_outage.h"
 #include "tenants/tenant_runs.h"
 
 /** Start times of own requests kept per engine, to determine which of them a load report includes.
@@ -69,6 +70,8 @@
     uint64_t run_events;      /**< Events of runs after the first of each run. */
     uint64_t run_ms;          /**< Time that run_events took. */
     uint64_t last_release_ms; /**< When the last request ended; 0: never. */
+    hs_zone_outage
+        *zone_outage;         /**< Of the engine's zone, owned by the table; NULL: not observed. */
     uint64_t excess_since_ms; /**< Since when requests exceed the slots; 0: they don't. */
     hs_engine_pace pace;
     hs_prefix_index *prefixes;
@@ -93,6 +96,7 @@
     char *zone;
     GHashTable *speeds;        /**< service -> hs_engine_speed* */
     GHashTable *absences;      /**< service -> hs_engine_absence* */
+    GHashTable *zone_outages;  /**< zone -> hs_zone_outage*; NULL: outages are not observed. */
     GHashTable *pressures;     /**< service -> hs_cached_pressure* */
     bool is_list_known;        /**< The store's list was read to its end. */
     uint32_t peer_count;       /**< Other daemons in the fleet. */
@@ -182,6 +186,12 @@
 bool hs_fleet_engine_is_removal_due(const hs_fleet_engine *engine, uint64_t now_ms);
 /** Whether the engine has requests and has sent no byte for longer than its silence limit. */
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
+/** Records an attempt's end as evidence on the engine's zone. */
+void hs_fleet_engine_note_zone_failure(hs_fleet_engine *engine, uint64_t now_ms);
+/** Records bytes from the engine as evidence that its zone is available. */
+void hs_fleet_engine_note_zone_answer(hs_fleet_engine *engine, uint64_t now_ms);
+/** Associates the engine with its zone, as named by its entry. */
+void hs_fleet_engine_set_zone_outage(hs_fleet_engines *engines, hs_fleet_engine *engine);
 /** Estimated load of other daemons on the engine. */
 double hs_fleet_engine_others_online(const hs_fleet_engine *engine, uint64_t now_ms);
 double hs_fleet_engine_others_batch(const hs_fleet_engine *engine, uint64_t now_ms);
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -89,6 +89,8 @@
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
+    if (engines->zone_outages != NULL)
+        g_hash_table_destroy(engines->zone_outages);
     g_hash_table_destroy(engines->pressures);
     hs_tenant_runs_free(engines->tenant_runs);
     g_mutex_clear(&engines->lock);
@@ -168,6 +170,7 @@
         entry->started_at_ms = engine->entry.started_at_ms;
     hs_engine_entry_clear(&engine->entry);
     engine->entry = *entry;
+    hs_fleet_engine_set_zone_outage(engines, engine);
     engine->listed = true;
     engine->removal_at_ms = 0;
     engine->listed_ms = now_ms;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -117,6 +117,19 @@
 void hs_fleet_engines_set_crash_watch(hs_fleet_engines *engines, hs_crash_watch *watch);
 hs_crash_watch *hs_fleet_engines_crash_watch(hs_fleet_engines *engines);
 
+/**
+ * Has the table avoid the engines of a zone that fails as a whole; see zone_outage.h. To be called
+ * before the first engine is added.
+ */
+void hs_fleet_engines_observe_zones(hs_fleet_engines *engines);
+
+/** Sets whether the daemons of @p zone are lost; see hs_zone_outage_is_member_loss. */
+void hs_fleet_engines_set_zone_member_loss(hs_fleet_engines *engines, const char *zone,
+                                           bool has_unavailable_members);
+
+/** Appends the metrics of zones to @p text, one per line. */
+void hs_fleet_engines_describe_zones(hs_fleet_engines *engines, GString *text);
+
 /** Adds or updates an engine. Takes ownership of the strings of @p entry and clears it. */
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
 
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -6,6 +6,7 @@
 
 extern const test_case settings_tests[];
 extern const test_case topology_tests[];
+extern const test_case zone_outage_tests[];
 extern const test_case config_tests[];
 extern const test_case partition_tests[];
 extern const test_case grant_tests[];
