--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -128,6 +128,7 @@
         .crash_watch = daemon->crash_watch,
         .limit_tolerance = settings->fleet_limit_slack * LIMIT_TOLERANCE_SHARE,
         .size = read_machine_size(settings),
+        .observes_zones = settings->fleet_tolerated_zones > 0,
         .may_join = can_serve,
         .user_data = daemon};
     daemon->directory = hs_daemon_directory_new(&directory, error);
@@ -286,6 +287,8 @@
     hs_fleet_engines_set_topology(daemon->engines, daemon->topology);
     hs_fleet_engines_set_evacuate_ms(daemon->engines, (uint32_t)settings->fleet_evacuate_ms);
     hs_config_source_set_engines(daemon->config, daemon->engines);
+    if (settings->fleet_tolerated_zones > 0)
+        hs_fleet_engines_observe_zones(daemon->engines);
     daemon->online.held = hs_held_requests_new();
     hs_fleet_engines_set_slot_observer(daemon->engines, wake_held_requests, daemon->online.held);
     daemon->crash_watch = hs_crash_watch_new();
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -10,6 +10,7 @@
 extern const test_case region_report_tests[];
 extern const test_case region_choice_tests[];
 extern const test_case region_tests[];
+extern const test_case zone_outage_tests[];
 extern const test_case config_tests[];
 extern const test_case partition_tests[];
 extern const test_case grant_tests[];
