--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -543,16 +543,19 @@
 GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory) {
     GArray *regions = g_array_new(FALSE, FALSE, sizeof(hs_daemon_region));
     g_autoptr(GPtrArray) members = g_ptr_array_new();
+    const hs_topology *topology = hs_daemon_directory_topology(directory);
+    bool has_regions = hs_topology_has_regions(topology);
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         bool is_self = member == hs_membership_self(membership);
-        if (!is_self && (!hs_member_is_live(member) || hs_daemon_is_seed(member->id)))
+        bool is_older_build = has_regions && *member->region == '\0';
+        if (!is_self &&
+            (!hs_member_is_live(member) || hs_daemon_is_seed(member->id) || is_older_build))
             continue;
-        hs_daemon_region daemon = {
-            .daemon = hs_hash_bytes(member->id, strlen(member->id)),
-            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone)};
+        hs_daemon_region daemon = {.daemon = hs_hash_bytes(member->id, strlen(member->id)),
+                                   .region = hs_topology_region(topology, member->zone)};
         g_array_append_val(regions, daemon);
     }
     hs_membership_service_unlock(directory->membership);
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -115,7 +115,11 @@
     const char *region; /**< Borrowed from the topology; NULL: unknown. */
 } hs_daemon_region;
 
-/** Lists the live daemons, this one included: of hs_daemon_region. Free with g_array_unref. */
+/**
+ * Lists the live daemons, this one included: of hs_daemon_region. Free with g_array_unref. With
+ * several regions, daemons that announce none are left out: they run an older build, which does not
+ * know allowed regions.
+ */
 GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory);
 
 /** Numbers of partitions of jobs by owner, as far as this daemon knows. */
--- a/tests/unit/test_topology.c
+++ b/tests/unit/test_topology.c
@@ -48,7 +48,8 @@
 static void configuration_has_regions_and_warmup(void) {
     static const char text[] =
         "{\"version\":3,\"routes\":[{\"name\":\"r\",\"allowed-regions\":[\"wlg\",7,\"akl\"]},"
-        "{\"name\":\"q\",\"allowed-regions\":[]}],\"services\":[{\"name\":\"s\",\"warmup-s\":2.5,"
+        "{\"name\":\"q\",\"allowed-regions\":[]},{\"name\":\"p\",\"allowed-regions\":\"wlg\"}],"
+        "\"services\":[{\"name\":\"s\",\"warmup-s\":2.5,"
         "\"warmup-per-s\":11},{\"name\":\"t\",\"warmup-s\":-1}],"
         "\"tenants\":[{\"name\":\"n\",\"allowed-regions\":[\"chc\"]}]}";
     hs_error error = {0};
@@ -63,6 +64,9 @@
     CU_ASSERT_EQUAL_FATAL(limited->allowed_regions->len, 2);
     CU_ASSERT_STRING_EQUAL(limited->allowed_regions->pdata[1], "akl");
     CU_ASSERT_PTR_NULL(open->allowed_regions);
+    const hs_fleet_route *malformed = config->routes->pdata[2];
+    CU_ASSERT_PTR_NOT_NULL_FATAL(malformed->allowed_regions);
+    CU_ASSERT_EQUAL(malformed->allowed_regions->len, 0);
     CU_ASSERT_EQUAL(tenant->allowed_regions->len, 1);
     CU_ASSERT_EQUAL(service->warmup_ms, 2500);
     CU_ASSERT_EQUAL(service->warmup_per_s, 11);
