Admission of requests to cold engines by permits of their arbiters

Cause: an engine that starts during traffic, or turns cold after an evacuation, looks idle to all daemons at once. Each of them sends it requests, and together they exceed warmup-per-s, above which the engine fails.

Change: a request to a cold engine needs a permit of the engine's arbiter. fleet/warmup_budget paces the permits, gives each side of a partition its share and lets new and suspended arbiters wait; fleet/warmup_state decides whether an engine is cold; fleet/engine_warmup keeps a daemon's permits; directory/warmup_arbiter grants them in the answers to reports of use. Nothing is sent without a permit, whatever the attempt's last check says. A cold engine counts as room by its rate. Without warmup-s and warmup-per-s no message and no choice changes. The directory's ticker reads the configuration, which is therefore freed after the directory.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -52,6 +52,13 @@
     run sleeper-keeps within_limit wrong SLEEPER_KEEPS
     run moved-keeps within_limit wrong MOVED_KEEPS
     run part-keeps within_limit wrong PART_KEEPS
+    model=warmup.pml
+    run warmup within_rate holds ""
+    run no-settle within_rate wrong NO_SETTLE
+    run sleeper-grants within_rate wrong SLEEPER_GRANTS
+    run whole-share within_rate wrong WHOLE_SHARE
+    run no-expiry within_rate wrong NO_EXPIRY
+    run unknown-sends within_rate wrong UNKNOWN_SENDS
     model=arbiters.pml
     run arbiters-losses within_slots_at_last holds CHANGES_MOST=0
     run arbiters-counts ledger_true_at_last holds CHANGES_MOST=0
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -117,6 +117,7 @@
         .resolve_ttl_s = resolve_ttl_s(settings),
         .store = daemon->store,
         .engines = daemon->engines,
+        .config = daemon->config,
         .stall_detector = &daemon->stall_detector,
         .crash_watch = daemon->crash_watch,
         .limit_tolerance = settings->fleet_limit_slack * LIMIT_TOLERANCE_SHARE,
@@ -186,8 +187,8 @@
     hs_fleet_surface_stop(daemon->surface);
     hs_job_owner_free(daemon->owner);
     hs_engine_source_free(daemon->engine_source);
+    hs_daemon_directory_free(daemon->directory); /* Its ticker reads the configuration. */
     hs_config_source_free(daemon->config);
-    hs_daemon_directory_free(daemon->directory);
     hs_job_service_free(daemon->jobs);
     hs_caller_ages_free(daemon->online.ages);
     hs_held_requests_free(daemon->online.held);
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -356,6 +356,16 @@
     hs_membership_service_unlock(directory->membership);
 }
 
+/** Applies the configuration's limits of cold engines, also of services without requests here. */
+static void update_warmup_limits(const hs_daemon_directory *directory) {
+    hs_fleet_config *config = directory->settings.config != NULL
+                                  ? hs_config_source_get(directory->settings.config)
+                                  : NULL;
+    if (config != NULL)
+        hs_fleet_engines_set_warmup_limits(directory->settings.engines, config->services);
+    hs_fleet_config_unref(config);
+}
+
 static gpointer run_ticker(gpointer data) {
     hs_daemon_directory *directory = data;
     hs_stall_detector_check(directory->settings.stall_detector);
@@ -378,6 +388,7 @@
         if (now_ms >= directory->next_shares_ms) {
             directory->next_shares_ms = now_ms + SHARES_INTERVAL_MS;
             send_shares(directory);
+            update_warmup_limits(directory);
             hs_slot_arbiter_refresh(directory->slots);
         }
     }
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -11,6 +11,7 @@
 
 #include "base/stall_detector.h"
 #include "directory/tenant_limiter.h"
+#include "fleet/config_source.h"
 #include "fleet/fleet_engines.h"
 #include "membership/membership_service.h"
 #include "store/store_client.h"
@@ -29,6 +30,7 @@
     uint32_t resolve_ttl_s;
     hs_store_client *store;
     hs_fleet_engines *engines;         /**< Receives the loads of other daemons. */
+    hs_config_source *config;          /**< Warm-up limits of the services; NULL: none. */
     hs_stall_detector *stall_detector; /**< Updated at each round of the ticker. */
     hs_crash_watch *crash_watch;       /**< Receives the crash evidence of other daemons. */
     double limit_tolerance;            /**< See hs_tenant_limiter_new. */
--- a/src/directory/slot_arbiter.c
+++ b/src/directory/slot_arbiter.c
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "directory/warmup_arbiter.h"
 #include "fleet/engine_words.h"
 #include "fleet/slot_ledger.h"
 
@@ -18,6 +19,7 @@
     hs_membership_service *membership;
     GMutex lock; /**< Guards the ledger. */
     hs_slot_ledger *ledger;
+    hs_warmup_arbiter *warmup;
 };
 
 /** Receiver of messages. */
@@ -28,9 +30,13 @@
     bool is_self;
 } peer;
 
+char *hs_slot_arbiter_key(uint64_t engine_hash) {
+    return g_strdup_printf("engine-%" G_GINT64_MODIFIER "x", engine_hash);
+}
+
 /** Finds the arbiter of an engine; the port is 0 if there is none. */
 static peer find_arbiter(hs_slot_arbiter *arbiter, uint64_t engine_hash) {
-    g_autofree char *key = g_strdup_printf("engine-%" G_GINT64_MODIFIER "x", engine_hash);
+    g_autofree char *key = hs_slot_arbiter_key(engine_hash);
     peer found = {0};
     const hs_membership *membership = hs_membership_service_lock(arbiter->membership);
     const hs_member *member = hs_membership_rank_first(membership, key, NULL);
@@ -89,6 +95,7 @@
         hs_slot_ledger_put_report(arbiter->ledger, report, hs_clock_monotonic_ms(), requests);
     g_mutex_unlock(&arbiter->lock);
     send_preemptions(arbiter, report->use.engine_hash, requests);
+    hs_warmup_arbiter_decide(arbiter->warmup, &report->use, &load);
     return load;
 }
 
@@ -107,7 +114,8 @@
                                    .run_events = use->run_events,
                                    .run_ms = use->run_ms,
                                    .slowdown_percent = use->slowdown_percent,
-                                   .slowdown_age_ms = use->slowdown_age_ms}};
+                                   .slowdown_age_ms = use->slowdown_age_ms,
+                                   .wants_permit = use->wants_permit}};
 }
 
 static void encode_report(const hs_engine_load_report *load, Hs__EngineTotal *encoded) {
@@ -121,6 +129,9 @@
     encoded->slowdown_percent = load->slowdown_percent;
     encoded->slowdown_age_ms = load->slowdown_age_ms;
     encoded->age_ms = load->age_ms;
+    encoded->permit = (Hs__Permit)load->permit;
+    encoded->permit_valid_ms = load->permit_valid_ms;
+    encoded->permit_retry_ms = load->permit_retry_ms;
 }
 
 static hs_engine_load_report decode_report(const Hs__EngineTotal *encoded) {
@@ -132,7 +143,10 @@
                                    .event_us = encoded->event_us,
                                    .slowdown_percent = encoded->slowdown_percent,
                                    .slowdown_age_ms = encoded->slowdown_age_ms,
-                                   .age_ms = encoded->age_ms};
+                                   .age_ms = encoded->age_ms,
+                                   .permit = (hs_permit)encoded->permit,
+                                   .permit_valid_ms = encoded->permit_valid_ms,
+                                   .permit_retry_ms = encoded->permit_retry_ms};
 }
 
 /** Copies this daemon's reports as an arbiter to its own table of engines. */
@@ -276,6 +290,7 @@
         encoded[index].run_ms = uses[index].run_ms;
         encoded[index].slowdown_percent = uses[index].slowdown_percent;
         encoded[index].slowdown_age_ms = uses[index].slowdown_age_ms;
+        encoded[index].wants_permit = uses[index].wants_permit;
         list[index] = &encoded[index];
     }
     Hs__EngineUses body = HS__ENGINE_USES__INIT;
@@ -310,6 +325,7 @@
 }
 
 void hs_slot_arbiter_refresh(hs_slot_arbiter *arbiter) {
+    hs_warmup_arbiter_tick(arbiter->warmup);
     g_autoptr(GArray) uses = hs_fleet_engines_own_uses(arbiter->engines);
     g_autoptr(GArray) addressed = g_array_new(FALSE, FALSE, sizeof(addressed_use));
     for (guint index = 0; index < uses->len; index++) {
@@ -338,11 +354,16 @@
     g_mutex_unlock(&arbiter->lock);
 }
 
+static bool is_own_engine(uint64_t engine_hash, void *user_data) {
+    return find_arbiter(user_data, engine_hash).is_self;
+}
+
 hs_slot_arbiter *hs_slot_arbiter_new(hs_fleet_engines *engines, hs_membership_service *membership) {
     hs_slot_arbiter *arbiter = g_new0(hs_slot_arbiter, 1);
     arbiter->engines = engines;
     arbiter->membership = membership;
     arbiter->ledger = hs_slot_ledger_new();
+    arbiter->warmup = hs_warmup_arbiter_new(engines, membership, is_own_engine, arbiter);
     g_mutex_init(&arbiter->lock);
     hs_fleet_engines_set_use_observer(engines, report_use, arbiter);
     return arbiter;
@@ -353,6 +374,7 @@
         return;
     hs_fleet_engines_set_use_observer(arbiter->engines, NULL, NULL);
     hs_slot_ledger_free(arbiter->ledger);
+    hs_warmup_arbiter_free(arbiter->warmup);
     g_mutex_clear(&arbiter->lock);
     g_free(arbiter);
 }
--- a/src/directory/slot_arbiter.h
+++ b/src/directory/slot_arbiter.h
@@ -22,6 +22,9 @@
 /** Frees the arbiter. NULL is allowed. */
 void hs_slot_arbiter_free(hs_slot_arbiter *arbiter);
 
+/** Key by which the members rank for an engine. Free with g_free. */
+char *hs_slot_arbiter_key(uint64_t engine_hash);
+
 /** Handles a message on engines' slots. Returns false for any other message. */
 bool hs_slot_arbiter_handle(hs_slot_arbiter *arbiter, const Hs__PeerMessage *message,
                             const struct sockaddr_in *from);
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -12,6 +12,10 @@
 #define ONLINE_CONFIRM_TIMEOUT_MS 10
 /** Engines checked with their arbiters before a request is sent. */
 #define MAX_ENGINE_CHECKS 3
+/** Cold engines whose arbiters are asked for a permit before a request is sent. */
+#define MAX_PERMIT_REQUESTS 2
+/** Cold engines, those included that turned cold unnoticed, after which a request is not sent. */
+#define MAX_DENIALS 4
 /** Responses to other requests that are skipped before the expected one. */
 #define MAX_STRAY_RESPONSES 2
 #define MAX_STRAY_RESPONSE_BYTES (4U * 1024 * 1024)
@@ -112,9 +116,9 @@
 }
 
 /** Takes a lease on the engine with the lowest estimated cost. */
-static bool acquire_engine(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
+static bool acquire_engine(hs_fleet_engines *engines, const hs_engine_query *query,
                            hs_attempt *attempt) {
-    attempt->lease = hs_fleet_engines_acquire(engines, &parameters->query);
+    attempt->lease = hs_fleet_engines_acquire(engines, query);
     if (attempt->lease == NULL)
         return false;
     g_strlcpy(attempt->engine_id, hs_engine_lease_id(attempt->lease), sizeof attempt->engine_id);
@@ -127,20 +131,35 @@
     return reasons->load_report_age_ms > 0 && !reasons->is_any_free;
 }
 
+/** Releases the lease of a request that was not sent. Takes ownership of @p connection. */
+static void drop_lease(hs_attempt *attempt, hs_client_connection *connection) {
+    hs_engine_lease_release(attempt->lease, connection, HS_ATTEMPT_DROPPED);
+    attempt->lease = NULL;
+}
+
 /**
  * Takes a lease on an engine and confirms it with the engine's arbiter, since local estimates may
  * be outdated. An engine reported as failing is rejected and another one is checked, as is, for an
  * online request, an overloaded one; after the last check an online request is sent regardless. A
- * batch item that the engine would preempt ends as interrupted. Returns false if the request is not
- * to be sent.
+ * batch item that the engine would preempt ends as interrupted. A cold engine without a permit is
+ * never used. Returns false if the request is not to be sent.
  */
 static bool select_engine(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
                           hs_attempt *attempt) {
     char rejected_engine_id[sizeof attempt->engine_id] = "";
-    for (uint32_t check = 0; acquire_engine(engines, parameters, attempt); check++) {
+    hs_engine_query query = parameters->query;
+    uint32_t denials = 0;
+    for (uint32_t check = 0; acquire_engine(engines, &query, attempt); check++) {
         bool is_batch = parameters->query.work == HS_WORK_BATCH;
         hs_lease_confirmation confirmation = hs_engine_lease_confirm(
             attempt->lease, is_batch ? BATCH_CONFIRM_TIMEOUT_MS : ONLINE_CONFIRM_TIMEOUT_MS);
+        if (confirmation == HS_LEASE_NOT_PERMITTED) {
+            query.excludes_cold = ++denials >= MAX_PERMIT_REQUESTS;
+            drop_lease(attempt, NULL);
+            if (denials == MAX_DENIALS)
+                break;
+            continue;
+        }
         if (confirmation != HS_LEASE_OVERLOADED && confirmation != HS_LEASE_ENGINE_FAILING)
             return true;
         if (is_batch && confirmation == HS_LEASE_OVERLOADED) {
@@ -148,13 +167,13 @@
             return false;
         }
         bool is_last_check =
-            check + 1 == MAX_ENGINE_CHECKS || strcmp(rejected_engine_id, attempt->engine_id) == 0 ||
+            check + 1 == MAX_ENGINE_CHECKS + denials ||
+            strcmp(rejected_engine_id, attempt->engine_id) == 0 ||
             (confirmation == HS_LEASE_OVERLOADED && has_no_free_slot(&attempt->reasons));
         if (is_last_check && !is_batch)
             return true;
         g_strlcpy(rejected_engine_id, attempt->engine_id, sizeof rejected_engine_id);
-        hs_engine_lease_release(attempt->lease, NULL, HS_ATTEMPT_DROPPED);
-        attempt->lease = NULL;
+        drop_lease(attempt, NULL);
         if (is_last_check)
             break;
     }
@@ -172,8 +191,7 @@
                                                        left_ms(parameters->wait.deadline));
     if (!attempt->lease_estimate.will_miss_deadline && attempt->lease_estimate.can_start_in_time)
         return true;
-    hs_engine_lease_release(attempt->lease, NULL, HS_ATTEMPT_DROPPED);
-    attempt->lease = NULL;
+    drop_lease(attempt, NULL);
     return false;
 }
 
@@ -197,6 +215,12 @@
                                 max_idle_ms(parameters), &attempt->step);
     if (attempt->connection == NULL)
         return false;
+    if (!hs_engine_lease_use_permit(attempt->lease)) {
+        drop_lease(attempt, attempt->connection);
+        attempt->connection = NULL;
+        attempt->step = HS_STEP_CUT;
+        return false;
+    }
     attempt->step = send_request(parameters, attempt);
     attempt->sent_ms = hs_clock_monotonic_ms();
     if (attempt->step == HS_STEP_PROGRESS)
@@ -207,6 +231,8 @@
         hs_engine_lease_note_head(attempt->lease);
         hs_engine_lease_note_received(attempt->lease);
         hs_engine_lease_note_load(attempt->lease, &attempt->answer.load);
+        if (attempt->answer.has_warmup)
+            hs_engine_lease_note_warmup(attempt->lease, attempt->answer.warmup_ms);
     }
     return has_head;
 }
--- a/src/fleet/engine_choice.c
+++ b/src/fleet/engine_choice.c
@@ -13,6 +13,11 @@
 /** Time until a preempted batch item leaves its slot, and the cost of reading its prompt again. */
 #define PREEMPTION_COST_MS 15.0
 #define WARMUP_SHARE 0.1
+/**
+ * Cost of a request for a permit, beside that of a full set of concurrent runs: warm engines with a
+ * free slot are preferred, and cold ones are used when the others have none.
+ */
+#define PERMIT_COST_MS 10.0
 /** Cost of a failure in run durations: about the cost of a late answer. */
 #define FAILURE_COST_RUNS 0.6
 /** Share of an engine's memory above which the engine starts to preempt runs. */
@@ -48,6 +53,8 @@
         cost += NEW_CONNECTION_MS;
     if (candidate->suspected)
         cost += SUSPECTED_COST_MS;
+    if (candidate->needs_permit)
+        cost += own.run_ms * CONCURRENT_RUN_SHARE + PERMIT_COST_MS;
     return cost + candidate->warmup_ms * WARMUP_SHARE;
 }
 
--- a/src/fleet/engine_choice.h
+++ b/src/fleet/engine_choice.h
@@ -27,7 +27,8 @@
     double queued_tokens;   /**< Prompt tokens on the engine that are not read yet. */
     double uncached_tokens; /**< Tokens of this request's prompt that the engine has not cached. */
     double memory_share;    /**< Share of the engine's memory in use, 0 to 1; 0: unknown. */
-    double warmup_ms;       /**< Remaining warm-up time after the engine's start. */
+    double warmup_ms;       /**< Remaining warm-up time after the engine's start; 0: as below. */
+    bool needs_permit;      /**< Cold, and its arbiter limits the requests per second. */
     double failure_rate;    /**< Share of recent requests that failed on the engine, 0 to 1. */
     bool suspected;
     bool same_zone;
--- a/src/fleet/engine_estimates.c
+++ b/src/fleet/engine_estimates.c
@@ -195,6 +195,7 @@
     };
     if (engine->entry.warmup_left_ms > since_listed)
         candidate.warmup_ms = (double)(engine->entry.warmup_left_ms - since_listed);
+    hs_engine_warmup_apply_cost(engines, engine, &candidate, now_ms);
     if (hs_fleet_engines_has_relayed_reports(engines, now_ms))
         candidate.load_report_age_ms =
             (double)MIN(hs_fleet_engine_report_age_ms(engine, now_ms), HS_ENGINE_REPORT_VALID_MS);
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -430,6 +430,7 @@
         engine->batch--;
     g_ptr_array_remove(engine->batch_leases, lease);
     end_probe(lease);
+    hs_engine_warmup_end(lease, now_ms);
     apply_attempt_end(lease, end, now_ms);
     bool is_kept = note_carried(lease) && keep_connection(lease, connection, now_ms);
     engine->last_release_ms = now_ms;
@@ -464,6 +465,7 @@
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
     hs_fleet_engines_remove_unlisted(engines, now_ms);
+    hs_engine_warmup_prune(engines, now_ms);
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
         prune_engine(value, now_ms);
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -64,9 +64,11 @@
         /* The load that came with an answer is not used: it includes batch items, and the larger of
          * two estimates on each of many engines adds up to an overestimate. */
         capacity.ready++;
-        capacity.slots += engine->entry.slots;
-        capacity.batch += engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
-        capacity.online += engine->online + hs_fleet_engine_others_online(engine, now_ms);
+        double batch = engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
+        double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
+        capacity.slots += hs_engine_warmup_room(engines, engine, batch + online, now_ms);
+        capacity.batch += batch;
+        capacity.online += online;
     }
     g_mutex_unlock(&engines->lock);
     return capacity;
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -109,6 +109,9 @@
         fmax((double)report->queued_tokens - (double)engine->queued_tokens, 0);
     engine->reported_at_ms = reported_at_ms;
     engine->last_report = *report;
+    engine->last_report.permit = HS_PERMIT_NONE; /* Not relayed. */
+    engine->last_report.permit_valid_ms = 0;
+    engine->last_report.permit_retry_ms = 0;
     engine->reported_failing_at_ms = report->is_failing ? reported_at_ms : 0;
 }
 
@@ -129,8 +132,11 @@
         engine->response_count++;
         engines->reports.received++;
         apply_pace(engine, report, engine->reported_at_ms);
+        bool has_permit =
+            hs_engine_warmup_note_verdict(engines, engine, report, engine->reported_at_ms);
+        bool is_cold = hs_engine_warmup_is_cold(engines, engine, engine->reported_at_ms);
         g_cond_broadcast(&engines->reports_changed);
-        if (report->online < engine->entry.slots && !report->is_failing)
+        if (report->online < engine->entry.slots && !report->is_failing && (has_permit || !is_cold))
             free_service = g_strdup(engine->entry.service);
     }
     g_mutex_unlock(&engines->lock);
@@ -151,7 +157,8 @@
         apply_pace(engine, report, now_ms);
         engines->reports.accepted++;
         engines->relayed_at_ms = now_ms;
-        if (report->online < engine->entry.slots && !report->is_failing)
+        if (report->online < engine->entry.slots && !report->is_failing &&
+            !hs_engine_warmup_is_cold(engines, engine, now_ms))
             free_service = g_strdup(engine->entry.service);
     } else if (engine != NULL) {
         engines->reports.stale++;
@@ -289,13 +296,17 @@
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
     const hs_fleet_engine *engine = lease->engine;
-    if (wait_for_report(lease, limit_ms))
+    hs_engine_warmup_wait(lease, limit_ms);
+    bool is_denied = lease->has_requested_permit && lease->permit_until_ms == 0;
+    if (!is_denied && wait_for_report(lease, limit_ms))
         confirmation = HS_LEASE_CONFIRMED;
     if (confirmation == HS_LEASE_CONFIRMED && engine->reported_failing_at_ms != 0)
         confirmation = HS_LEASE_ENGINE_FAILING;
     else if (is_preempted(lease) || (confirmation == HS_LEASE_CONFIRMED &&
                                      lease->work == HS_WORK_ONLINE && would_wait(lease, now_ms)))
         confirmation = HS_LEASE_OVERLOADED;
+    if (is_denied || !hs_engine_warmup_is_permitted(lease, hs_clock_monotonic_ms()))
+        confirmation = HS_LEASE_NOT_PERMITTED;
     g_mutex_unlock(&lease->engines->lock);
     return confirmation;
 }
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -16,6 +16,24 @@
  */
 #define HS_MAX_RECENT_STARTS 8
 
+/** Warm-up of an engine, and this daemon's permits for requests to it while it is cold. */
+typedef struct {
+    hs_warmup_state state;
+    uint64_t requested_ms;    /**< When the arbiter was asked for a permit; 0: no answer is due. */
+    uint64_t denied_until_ms; /**< The next request for a permit is made after this time. */
+    uint64_t permit_until_ms; /**< End of a granted permit that no lease has taken; 0: none. */
+    bool is_logged_cold;
+} hs_engine_warmup;
+
+/** Counters of permits for requests to cold engines. */
+typedef struct {
+    uint64_t granted;
+    uint64_t denied;
+    uint64_t unanswered;
+    uint64_t used;
+    uint64_t expired; /**< Granted, but not used in time. */
+} hs_permit_counters;
+
 /** One engine. Counts are of this daemon's requests unless a comment says otherwise. */
 typedef struct {
     hs_engine_entry entry;
@@ -71,6 +89,7 @@
     uint64_t last_release_ms; /**< When the last request ended; 0: never. */
     uint64_t excess_since_ms; /**< Since when requests exceed the slots; 0: they don't. */
     hs_engine_pace pace;
+    hs_engine_warmup warmup;
     hs_prefix_index *prefixes;
     GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
     GQueue idle;             /**< of hs_idle_connection*, the most recently used last. */
@@ -113,6 +132,8 @@
     void *slot_observer_data;
     hs_crash_watch *crash_watch; /**< May be NULL. */
     hs_tenant_runs *tenant_runs;
+    GHashTable *warmup_limits; /**< service -> hs_warmup_limit* */
+    hs_permit_counters permits;
 };
 
 /** Requests that one connection carries before it is closed. */
@@ -145,6 +166,8 @@
     hs_interrupt *preemption_flag; /**< See hs_engine_query; may be NULL. */
     int32_t rank_ms;               /**< See hs_engine_query; at acquired_ms. */
     uint32_t responses_before;     /**< The engine's response_count at acquired_ms. */
+    uint64_t permit_until_ms;      /**< End of the lease's permit; 0: none. */
+    bool has_requested_permit;     /**< At acquired_ms. */
     hs_engine_reasons reasons;
     bool is_probe;               /**< The request probes a suspected engine. */
     bool had_empty_queue;        /**< The engine was reading no own prompt at acquired_ms. */
@@ -233,6 +256,46 @@
 /** Removes the engines whose pending removal is due. */
 void hs_fleet_engines_remove_unlisted(hs_fleet_engines *engines, uint64_t now_ms);
 void hs_fleet_engines_free_peer(gpointer data);
+/** Limit of a service's cold engines; zeros: none. Borrowed. */
+const hs_warmup_limit *hs_engine_warmup_limit(const hs_fleet_engines *engines, const char *service);
+void hs_engine_warmup_set_limit(hs_fleet_engines *engines, const char *service,
+                                const hs_warmup_limit *limit);
+bool hs_engine_warmup_is_cold(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                              uint64_t now_ms);
+/** Logs that the engine turned cold or warm, once. */
+void hs_engine_warmup_log(const hs_fleet_engines *engines, hs_fleet_engine *engine,
+                          uint64_t now_ms);
+/** Applies the engine's entry, which was read at its listed_ms. */
+void hs_engine_warmup_note_entry(const hs_fleet_engines *engines, hs_fleet_engine *engine);
+/** Removes cold engines from @p found to which the query's request can't get a permit now. */
+void hs_engine_warmup_drop_unpermitted(hs_fleet_engines *engines, GPtrArray *found,
+                                       const hs_engine_query *query, uint64_t now_ms);
+/** For a new lease of a cold engine, takes a permit at hand or requests one with @p use. */
+void hs_engine_warmup_begin(hs_engine_lease *lease, hs_engine_use *use, uint64_t now_ms);
+/** Applies the arbiter's decision. Returns true if a permit is available now. */
+bool hs_engine_warmup_note_verdict(hs_fleet_engines *engines, hs_fleet_engine *engine,
+                                   const hs_engine_load_report *report, uint64_t now_ms);
+/** Waits for the decision that the lease requested, and takes the permit. */
+void hs_engine_warmup_wait(hs_engine_lease *lease, uint32_t limit_ms);
+/** Whether the lease's request may be sent: the engine is warm, or the permit is valid. */
+bool hs_engine_warmup_is_permitted(const hs_engine_lease *lease, uint64_t now_ms);
+/** Returns an unused permit of the lease to the engine. */
+void hs_engine_warmup_end(hs_engine_lease *lease, uint64_t now_ms);
+/** Slots of an engine; of a cold one those that its limit keeps in use. */
+uint32_t hs_engine_warmup_slots(hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                                uint64_t now_ms);
+/** The same, but at least the @p running requests, so that a cold engine takes no others' room. */
+uint32_t hs_engine_warmup_room(hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                               double running, uint64_t now_ms);
+/**
+ * Sets the cost of the warm-up for services with a limit of cold engines. The mean load of the
+ * service says nothing about a cold engine: without a recent report it counts as idle, and its
+ * arbiter decides.
+ */
+void hs_engine_warmup_apply_cost(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                                 hs_engine_candidate *candidate, uint64_t now_ms);
+/** Logs the engines that turned warm. */
+void hs_engine_warmup_prune(hs_fleet_engines *engines, uint64_t now_ms);
 /** Returns the speeds of a service, with initial values if none were observed. */
 hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service);
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -49,6 +49,7 @@
     engines->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->tenant_runs = hs_tenant_runs_new();
+    engines->warmup_limits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->round_robin = hs_clock_monotonic_us();
     return engines;
@@ -90,6 +91,7 @@
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
     g_hash_table_destroy(engines->pressures);
+    g_hash_table_destroy(engines->warmup_limits);
     hs_tenant_runs_free(engines->tenant_runs);
     g_mutex_clear(&engines->lock);
     g_cond_clear(&engines->reports_changed);
@@ -171,6 +173,7 @@
     engine->listed = true;
     engine->removal_at_ms = 0;
     engine->listed_ms = now_ms;
+    hs_engine_warmup_note_entry(engines, engine);
     g_mutex_unlock(&engines->lock);
     memset(entry, 0, sizeof *entry);
     if (is_new || crashed != 0)
@@ -332,8 +335,10 @@
     hs_engine_use use = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
+    hs_engine_warmup_set_limit(engines, query->service, &query->warmup);
     g_autoptr(GPtrArray) found = hs_engine_selection_collect(engines, query);
     hs_engine_selection_drop_suspected(engines, found, query, now_ms);
+    hs_engine_warmup_drop_unpermitted(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
@@ -360,6 +365,7 @@
                                              .load_report_age_ms = chosen->load_report_age_ms,
                                              .is_any_free = is_any_free(candidates, found->len)};
         use = hs_fleet_engine_use(engines, engine);
+        hs_engine_warmup_begin(lease, &use, now_ms);
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
     g_mutex_unlock(&engines->lock);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -12,6 +12,7 @@
 
 #include "fleet/crash_watch.h"
 #include "fleet/service_pressure.h"
+#include "fleet/warmup_state.h"
 #include "heathsail/fleet.h"
 #include "http/client_connection.h"
 
@@ -65,6 +66,8 @@
     uint32_t max_connections;      /**< To one engine from all daemons; 0: unknown. */
     bool has_wait_limit; /**< Online: skip engines that can't start it in max_start_wait_ms. */
     uint64_t max_start_wait_ms; /**< See hs_engine_choice_can_start_in_time. */
+    hs_warmup_limit warmup;     /**< Of the service, by the configuration. */
+    bool excludes_cold;         /**< Skip cold engines without a permit at hand. */
 } hs_engine_query;
 
 /** This daemon's share of one engine's load, as announced to other daemons. */
@@ -93,6 +96,7 @@
     uint64_t run_ms;           /**< Time that run_events took. */
     uint32_t slowdown_percent; /**< The engine's last own figure, see hs_engine_load; 0: none. */
     uint32_t slowdown_age_ms;
+    bool wants_permit; /**< Requests a permit for one request to the engine, which is cold. */
 } hs_engine_use;
 
 /**
@@ -157,6 +161,7 @@
     HS_LEASE_OVERLOADED,
     HS_LEASE_ENGINE_FAILING, /**< Recent requests of all daemons to the engine fail. */
     HS_LEASE_UNCONFIRMED,    /**< The arbiter did not respond in time. */
+    HS_LEASE_NOT_PERMITTED,  /**< The engine is cold, and there is no permit for the request. */
 } hs_lease_confirmation;
 
 /** Expected service of an online request by the engine of its lease, at the engine's pace. */
@@ -197,6 +202,15 @@
 /** Counts an answer that did not resume the run at the event that the request asked for. */
 void hs_engine_lease_note_resume_mismatch(hs_engine_lease *lease);
 
+/**
+ * Uses the lease's permit, if any, for the request that is sent now. Returns false if the engine is
+ * cold and the lease has no valid permit: the request must not be sent.
+ */
+bool hs_engine_lease_use_permit(hs_engine_lease *lease);
+
+/** Records the remaining warm-up time that came with an answer of the engine; 0: it is warm. */
+void hs_engine_lease_note_warmup(hs_engine_lease *lease, uint32_t warmup_ms);
+
 /** Closes all idle connections to the engine. */
 void hs_engine_lease_drop_idle(hs_engine_lease *lease);
 
@@ -332,6 +346,9 @@
  */
 GArray *hs_fleet_engines_own_uses(hs_fleet_engines *engines);
 
+/** Decision of an engine's arbiter on a request for a permit. */
+typedef enum { HS_PERMIT_NONE, HS_PERMIT_GRANTED, HS_PERMIT_DENIED } hs_permit;
+
 /** Load report of an engine's arbiter: the load of all daemons on the engine, and its health. */
 typedef struct {
     uint64_t engine_hash;
@@ -342,7 +359,10 @@
     uint32_t event_us;         /**< Mean time of an event in all daemons' runs; 0: unknown. */
     uint32_t slowdown_percent; /**< The engine's last own figure, see hs_engine_load; 0: none. */
     uint32_t slowdown_age_ms;
-    uint32_t age_ms; /**< Since the arbiter made the report; above 0 only if it was relayed. */
+    uint32_t age_ms;  /**< Since the arbiter made the report; above 0 only if it was relayed. */
+    hs_permit permit; /**< For the receiver alone, never relayed. */
+    uint32_t permit_valid_ms; /**< Granted: time from the request for it. */
+    uint32_t permit_retry_ms; /**< Denied: time until the next request; 0: it was not requested. */
 } hs_engine_load_report;
 
 /** Stores an arbiter's response to this daemon, and wakes hs_engine_lease_confirm. */
@@ -361,6 +381,26 @@
 /** Valid load reports with their ages: of hs_engine_load_report. Free with g_array_free. */
 GArray *hs_fleet_engines_list_reports(hs_fleet_engines *engines);
 
+/** Sets the warm-up limits of the services of a configuration: of hs_fleet_service*. */
+void hs_fleet_engines_set_warmup_limits(hs_fleet_engines *engines, const GPtrArray *services);
+
+/**
+ * Records that an evacuation of @p zone ended at @p now_ms: its engines are cold, at most for their
+ * service's warm-up time, until they report otherwise.
+ */
+void hs_fleet_engines_note_evacuated(hs_fleet_engines *engines, const char *zone, uint64_t now_ms);
+
+/** What an arbiter knows of an engine's warm-up. */
+typedef struct {
+    bool is_cold;
+    double per_s; /**< Limit of a cold engine; 0: none, or the engine is unknown. */
+} hs_engine_coldness;
+
+hs_engine_coldness hs_fleet_engines_coldness(hs_fleet_engines *engines, uint64_t engine_hash);
+
+/** Metrics of cold engines and permits. Free with g_free. */
+char *hs_fleet_engines_describe_warmup(hs_fleet_engines *engines);
+
 /** Counts reports that this daemon relayed, and their bytes. */
 void hs_fleet_engines_count_relayed_reports(hs_fleet_engines *engines, size_t reports,
                                             size_t bytes);
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -32,20 +32,20 @@
     return engine->suspected_until_ms > now_ms ? engine->suspected_until_ms - now_ms : 0;
 }
 
-static void add_healthy(hs_service_outlook *outlook, const hs_fleet_engine *engine,
-                        uint64_t now_ms) {
+static void add_healthy(hs_fleet_engines *engines, hs_service_outlook *outlook,
+                        const hs_fleet_engine *engine, uint64_t now_ms) {
     double online = engine->online + hs_fleet_engine_others_online(engine, now_ms);
     outlook->healthy++;
-    outlook->slots += engine->entry.slots;
+    outlook->slots += hs_engine_warmup_slots(engines, engine, now_ms);
     outlook->running += online + engine->batch + hs_fleet_engine_others_batch(engine, now_ms);
     outlook->waiting += fmax(online - engine->entry.slots, 0);
 }
 
 /** Load of other daemons by the arbiter's last report, plus this daemon's current load. */
-static hs_pressure_sample sample_of(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+static hs_pressure_sample sample_of(hs_fleet_engines *engines, const hs_fleet_engine *engine,
                                     uint64_t now_ms) {
     return (hs_pressure_sample){
-        .slots = engine->entry.slots,
+        .slots = hs_engine_warmup_slots(engines, engine, now_ms),
         .online = engine->online + engine->reported_online,
         .batch = engine->batch + engine->reported_batch,
         .pace = hs_fleet_engine_pace(engines, engine, now_ms),
@@ -69,6 +69,9 @@
         if (!is_eligible(engine, service) || hs_fleet_engine_is_suspected(engine, now_ms))
             continue;
         hs_pressure_sample sample = sample_of(engines, engine, now_ms);
+        if (sample.age_ms > HS_MAX_PRESSURE_REPORT_AGE_MS &&
+            hs_engine_warmup_is_cold(engines, engine, now_ms))
+            continue; /* It would count as the mean engine. */
         g_array_append_val(samples, sample);
     }
     double run_ms = hs_engine_speed_online_run_ms(hs_fleet_engines_speed(engines, service));
@@ -141,15 +144,15 @@
         engines->slot_observer(service, engines->slot_observer_data);
 }
 
-static void add_engine(hs_service_outlook *outlook, const hs_fleet_engine *engine,
-                       uint64_t now_ms) {
+static void add_engine(hs_fleet_engines *engines, hs_service_outlook *outlook,
+                       const hs_fleet_engine *engine, uint64_t now_ms) {
     uint64_t probe_ms = next_probe_ms(engine, now_ms);
     uint64_t age_ms = now_ms - engine->listed_ms;
     bool is_first = outlook->engines++ == 0;
     outlook->next_probe_in_ms = is_first ? probe_ms : MIN(outlook->next_probe_in_ms, probe_ms);
     outlook->listed_age_ms = is_first ? age_ms : MIN(outlook->listed_age_ms, age_ms);
     if (!hs_fleet_engine_is_suspected(engine, now_ms))
-        add_healthy(outlook, engine, now_ms);
+        add_healthy(engines, outlook, engine, now_ms);
 }
 
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
@@ -164,7 +167,7 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
         if (is_eligible(engine, service))
-            add_engine(&outlook, engine, now_ms);
+            add_engine(engines, &outlook, engine, now_ms);
     }
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, service);
     outlook.run_ms = hs_engine_speed_online_run_ms(speed);
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -178,6 +178,7 @@
     const hs_fleet_service *service = hs_fleet_config_find_service(config, request->service);
     request->memory_tokens = service != NULL ? service->memory_tokens : 0;
     request->max_connections = service != NULL ? service->max_connections : 0;
+    request->warmup = hs_warmup_limit_of(service);
     request->is_less_urgent = hs_fleet_config_is_less_urgent(
         config, hs_tenant_rank(route, access->tenant), request->service);
     request->age_ms = hs_caller_ages_note(online->ages, route->name, terms->timeout_ms);
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -28,6 +28,7 @@
     uint64_t content; /**< See hs_request_content_hash. */
     uint64_t memory_tokens;
     uint32_t max_connections;
+    hs_warmup_limit warmup; /**< Of the service. */
     uint64_t age_ms;  /**< Time since the caller's first attempt, on arrival; see caller_age.h. */
     bool is_on_trial; /**< The content is quarantined, but this request may run once. */
     hs_held_request *held;         /**< NULL: not held now. */
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -179,6 +179,8 @@
     write_calls(text, sources);
     g_autofree char *engines = hs_fleet_engines_describe(online->engines);
     g_string_append(text, engines);
+    g_autofree char *warmup = hs_fleet_engines_describe_warmup(online->engines);
+    g_string_append(text, warmup);
     g_autofree char *crashes =
         hs_crash_watch_describe(hs_fleet_engines_crash_watch(online->engines));
     g_string_append(text, crashes);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -5,6 +5,8 @@
     static const test_suite suites[] = {
         {"settings", settings_tests, NULL, NULL},
         {"topology", topology_tests, NULL, NULL},
+        {"warmup", warmup_tests, NULL, NULL},
+        {"warmup_play", warmup_play_tests, NULL, NULL},
         {"config", config_tests, NULL, NULL},
         {"partition", partition_tests, NULL, NULL},
         {"grants", grant_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -6,6 +6,8 @@
 
 extern const test_case settings_tests[];
 extern const test_case topology_tests[];
+extern const test_case warmup_tests[];
+extern const test_case warmup_play_tests[];
 extern const test_case config_tests[];
 extern const test_case partition_tests[];
 extern const test_case grant_tests[];
