--- a/src/fleet/engine_evacuation.c
+++ b/src/fleet/engine_evacuation.c
@@ -46,6 +46,17 @@
     g_mutex_unlock(&engines->lock);
 }
 
+/**
+ * Applies a change to the engines of its zone, which count as cold after the evacuation, and logs
+ * it. The caller holds the lock.
+ */
+static void apply_change(hs_fleet_engines *engines, const hs_evacuation_record *record,
+                         const char *source) {
+    log_change(engines, record, source);
+    if (!record->is_evacuated)
+        hs_engine_warmup_note_evacuated(engines, record->zone, hs_clock_monotonic_ms());
+}
+
 static void apply_set(hs_fleet_engines *engines, const hs_evacuation_set *set,
                       hs_evacuation_source source, uint64_t sent_ms, const char *name) {
     g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(hs_evacuation_record));
@@ -53,7 +64,7 @@
     hs_evacuation_apply_set(engines->evacuation, set, source, sent_ms, hs_clock_monotonic_ms(),
                             changes);
     for (guint index = 0; index < changes->len; index++)
-        log_change(engines, &g_array_index(changes, hs_evacuation_record, index), name);
+        apply_change(engines, &g_array_index(changes, hs_evacuation_record, index), name);
     g_mutex_unlock(&engines->lock);
 }
 
@@ -74,7 +85,7 @@
     g_mutex_lock(&engines->lock);
     if (hs_evacuation_apply_record(engines->evacuation, zone, is_evacuated, offset,
                                    hs_clock_monotonic_ms()))
-        log_change(engines, &record, "store");
+        apply_change(engines, &record, "store");
     g_mutex_unlock(&engines->lock);
 }
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -51,6 +51,7 @@
     engines->tenant_runs = hs_tenant_runs_new();
     engines->evacuation = hs_evacuation_new(0);
     engines->restricted_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engines->warmup_limits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engines->zone = g_strdup(zone);
     engines->round_robin = hs_clock_monotonic_us();
     return engines;
@@ -113,6 +114,7 @@
     if (engines->zone_outages != NULL)
         g_hash_table_destroy(engines->zone_outages);
     g_hash_table_destroy(engines->pressures);
+    g_hash_table_destroy(engines->warmup_limits);
     hs_tenant_runs_free(engines->tenant_runs);
     hs_evacuation_free(engines->evacuation);
     g_hash_table_destroy(engines->restricted_services);
@@ -203,6 +205,7 @@
     engine->listed = true;
     engine->removal_at_ms = 0;
     engine->listed_ms = now_ms;
+    hs_engine_warmup_note_entry(engines, engine);
     g_mutex_unlock(&engines->lock);
     memset(entry, 0, sizeof *entry);
     if (is_new || crashed != 0)
@@ -363,10 +366,12 @@
     hs_engine_use use = {0};
     g_mutex_lock(&engines->lock);
     hs_fleet_engines_sum_peers(engines, now_ms);
+    hs_engine_warmup_set_limit(engines, query->service, &query->warmup);
     g_autoptr(GPtrArray) found = hs_engine_selection_collect(engines, query);
     if (!hs_evacuation_is_current(engines->evacuation, now_ms))
         g_ptr_array_set_size(found, 0);
     hs_engine_selection_drop_suspected(engines, found, query, now_ms);
+    hs_engine_warmup_drop_unpermitted(engines, found, query, now_ms);
     g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
@@ -394,6 +399,7 @@
                                              .load_report_age_ms = chosen->load_report_age_ms,
                                              .is_any_free = is_any_free(candidates, found->len)};
         use = hs_fleet_engine_use(engines, engine);
+        hs_engine_warmup_begin(lease, &use, now_ms);
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
     g_mutex_unlock(&engines->lock);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -14,6 +14,7 @@
 #include "fleet/crash_watch.h"
 #include "fleet/region_policy.h"
 #include "fleet/service_pressure.h"
+#include "fleet/warmup_state.h"
 #include "heathsail/fleet.h"
 #include "http/client_connection.h"
 
@@ -68,6 +69,8 @@
     bool has_wait_limit; /**< Online: skip engines that can't start it in max_start_wait_ms. */
     uint64_t max_start_wait_ms; /**< See hs_engine_choice_can_start_in_time. */
     hs_region_policy regions;   /**< Engines outside of the allowed regions are skipped. */
+    hs_warmup_limit warmup;     /**< Of the service, by the configuration. */
+    bool excludes_cold;         /**< Skip cold engines without a permit at hand. */
 } hs_engine_query;
 
 /** This daemon's share of one engine's load, as announced to other daemons. */
@@ -96,6 +99,7 @@
     uint64_t run_ms;           /**< Time that run_events took. */
     uint32_t slowdown_percent; /**< The engine's last own figure, see hs_engine_load; 0: none. */
     uint32_t slowdown_age_ms;
+    bool wants_permit; /**< Requests a permit for one request to the engine, which is cold. */
 } hs_engine_use;
 
 /**
@@ -188,6 +192,7 @@
     HS_LEASE_OVERLOADED,
     HS_LEASE_ENGINE_FAILING, /**< Recent requests of all daemons to the engine fail. */
     HS_LEASE_UNCONFIRMED,    /**< The arbiter did not respond in time. */
+    HS_LEASE_NOT_PERMITTED,  /**< The engine is cold, and there is no permit for the request. */
 } hs_lease_confirmation;
 
 /** Expected service of an online request by the engine of its lease, at the engine's pace. */
@@ -235,6 +240,15 @@
 /** Counts an answer that did not resume the run at the event that the request asked for. */
 void hs_engine_lease_note_resume_mismatch(hs_engine_lease *lease);
 
+/**
+ * Uses the lease's permit, if any, for the request that is sent now. Returns false if the engine is
+ * cold and the lease has no valid permit: the request must not be sent.
+ */
+bool hs_engine_lease_use_permit(hs_engine_lease *lease);
+
+/** Records the remaining warm-up time that came with an answer of the engine; 0: it is warm. */
+void hs_engine_lease_note_warmup(hs_engine_lease *lease, uint32_t warmup_ms);
+
 /** Closes all idle connections to the engine. */
 void hs_engine_lease_drop_idle(hs_engine_lease *lease);
 
@@ -386,6 +400,9 @@
  */
 GArray *hs_fleet_engines_own_uses(hs_fleet_engines *engines);
 
+/** Decision of an engine's arbiter on a request for a permit. */
+typedef enum { HS_PERMIT_NONE, HS_PERMIT_GRANTED, HS_PERMIT_DENIED } hs_permit;
+
 /** Load report of an engine's arbiter: the load of all daemons on the engine, and its health. */
 typedef struct {
     uint64_t engine_hash;
@@ -396,7 +413,10 @@
     uint32_t event_us;         /**< Mean time of an event in all daemons' runs; 0: unknown. */
     uint32_t slowdown_percent; /**< The engine's last own figure, see hs_engine_load; 0: none. */
     uint32_t slowdown_age_ms;
-    uint32_t age_ms; /**< Of the uses in the report. */
+    uint32_t age_ms;          /**< Of the uses in the report. */
+    hs_permit permit;         /**< For the receiver alone, never relayed. */
+    uint32_t permit_valid_ms; /**< Granted: time from the request for it. */
+    uint32_t permit_retry_ms; /**< Denied: time until the next request; 0: it was not requested. */
 } hs_engine_load_report;
 
 /**
@@ -425,6 +445,20 @@
 /** Valid load reports with their ages: of hs_engine_load_report. Free with g_array_free. */
 GArray *hs_fleet_engines_list_reports(hs_fleet_engines *engines);
 
+/** Sets the warm-up limits of the services of a configuration: of hs_fleet_service*. */
+void hs_fleet_engines_set_warmup_limits(hs_fleet_engines *engines, const GPtrArray *services);
+
+/** What an arbiter knows of an engine's warm-up. */
+typedef struct {
+    bool is_cold;
+    double per_s; /**< Limit of a cold engine; 0: none, or the engine is unknown. */
+} hs_engine_coldness;
+
+hs_engine_coldness hs_fleet_engines_coldness(hs_fleet_engines *engines, uint64_t engine_hash);
+
+/** Metrics of cold engines and permits. Free with g_free. */
+char *hs_fleet_engines_describe_warmup(hs_fleet_engines *engines);
+
 /** Counts reports that this daemon relayed, and their bytes. */
 void hs_fleet_engines_count_relayed_reports(hs_fleet_engines *engines, size_t reports,
                                             size_t bytes);
--- a/src/surface/fleet_metrics.c
+++ b/src/surface/fleet_metrics.c
@@ -185,6 +185,8 @@
     g_autofree char *evacuations = hs_fleet_engines_describe_evacuations(online->engines);
     g_string_append(text, evacuations);
     hs_fleet_engines_describe_zones(online->engines, text);
+    g_autofree char *warmup = hs_fleet_engines_describe_warmup(online->engines);
+    g_string_append(text, warmup);
     g_autofree char *crashes =
         hs_crash_watch_describe(hs_fleet_engines_crash_watch(online->engines));
     g_string_append(text, crashes);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -10,6 +10,8 @@
         {"region_choice", region_choice_tests, NULL, NULL},
         {"regions", region_tests, NULL, NULL},
         {"zone_outage", zone_outage_tests, NULL, NULL},
+        {"warmup", warmup_tests, NULL, NULL},
+        {"warmup_play", warmup_play_tests, NULL, NULL},
         {"config", config_tests, NULL, NULL},
         {"partition", partition_tests, NULL, NULL},
         {"grants", grant_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -11,6 +11,8 @@
 extern const test_case region_choice_tests[];
 extern const test_case region_tests[];
 extern const test_case zone_outage_tests[];
+extern const test_case warmup_tests[];
+extern const test_case warmup_play_tests[];
 extern const test_case config_tests[];
 extern const test_case partition_tests[];
 extern const test_case grant_tests[];
