A granted permit wakes a held request only if no lease waits for it

Cause: the answer with a permit woke a held request although the lease that requested the permit took it. The woken request asked the arbiter again, was denied, and kept the daemon from asking until the retry time. A 421 of another engine also set the cold state of the engine that was meant.

Change: the lease that requested a permit marks the engine until its wait ends. The warm-up in a 421 is ignored.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -231,7 +231,7 @@
         hs_engine_lease_note_head(attempt->lease);
         hs_engine_lease_note_received(attempt->lease);
         hs_engine_lease_note_load(attempt->lease, &attempt->answer.load);
-        if (attempt->answer.has_warmup)
+        if (attempt->answer.has_warmup && !attempt->answer.wrong_engine)
             hs_engine_lease_note_warmup(attempt->lease, attempt->answer.warmup_ms);
     }
     return has_head;
--- a/src/fleet/engine_warmup.c
+++ b/src/fleet/engine_warmup.c
@@ -25,6 +25,8 @@
 
 const hs_warmup_limit *hs_engine_warmup_limit(const hs_fleet_engines *engines,
                                               const char *service) {
+    if (g_hash_table_size(engines->warmup_limits) == 0)
+        return &no_limit;
     const hs_warmup_limit *limit = g_hash_table_lookup(engines->warmup_limits, service);
     return limit != NULL ? limit : &no_limit;
 }
@@ -153,6 +155,7 @@
     if (lease->permit_until_ms != 0)
         return;
     lease->engine->warmup.requested_ms = now_ms;
+    lease->engine->warmup.is_awaited = true;
     lease->has_requested_permit = true;
     use->wants_permit = true;
 }
@@ -181,17 +184,20 @@
         return false;
     }
     warmup->permit_until_ms = valid_until_ms;
-    return true;
+    return !warmup->is_awaited;
 }
 
 void hs_engine_warmup_wait(hs_engine_lease *lease, uint32_t limit_ms) {
     hs_fleet_engines *engines = lease->engines;
-    const hs_engine_warmup *warmup = &lease->engine->warmup;
+    hs_engine_warmup *warmup = &lease->engine->warmup;
     hs_pause pause = hs_clock_pause_begin(limit_ms);
     bool is_waiting = lease->has_requested_permit && engines->use_observer != NULL;
     while (is_waiting && warmup->requested_ms == lease->acquired_ms)
         is_waiting = hs_clock_pause_wait(&pause, &engines->reports_changed, &engines->lock);
-    if (lease->has_requested_permit && lease->permit_until_ms == 0)
+    if (!lease->has_requested_permit)
+        return;
+    warmup->is_awaited = false;
+    if (lease->permit_until_ms == 0)
         take_permit(lease, hs_clock_monotonic_ms());
 }
 
@@ -220,6 +226,8 @@
     else if (lease->permit_until_ms != 0)
         lease->engines->permits.expired++;
     lease->permit_until_ms = 0;
+    if (lease->has_requested_permit)
+        warmup->is_awaited = false;
 }
 
 uint32_t hs_engine_warmup_slots(hs_fleet_engines *engines, const hs_fleet_engine *engine,
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -22,6 +22,7 @@
     uint64_t requested_ms;    /**< When the arbiter was asked for a permit; 0: no answer is due. */
     uint64_t denied_until_ms; /**< The next request for a permit is made after this time. */
     uint64_t permit_until_ms; /**< End of a granted permit that no lease has taken; 0: none. */
+    bool is_awaited;          /**< A lease waits for the verdict. */
     bool is_logged_cold;
 } hs_engine_warmup;
 
@@ -272,7 +273,7 @@
                                        const hs_engine_query *query, uint64_t now_ms);
 /** For a new lease of a cold engine, takes a permit at hand or requests one with @p use. */
 void hs_engine_warmup_begin(hs_engine_lease *lease, hs_engine_use *use, uint64_t now_ms);
-/** Applies the arbiter's decision. Returns true if a permit is available now. */
+/** Applies the arbiter's decision. Returns true if a permit is available that no lease awaits. */
 bool hs_engine_warmup_note_verdict(hs_fleet_engines *engines, hs_fleet_engine *engine,
                                    const hs_engine_load_report *report, uint64_t now_ms);
 /** Waits for the decision that the lease requested, and takes the permit. */
