Probes of other regions: speed up only if several members are suspect

A single suspect in another region made all daemons send three of four probes there; on a busy machine some member is suspect at all times.

More than one in 16 members of other regions has to be suspect now.

--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -11,6 +11,11 @@
 #define GOSSIP_FACTOR 3
 /** One of so many probes goes to another region. */
 #define FAR_PROBE_INTERVAL 4
+/**
+ * Suspects among so many members of other regions from which a region may be cut off. Single
+ * members are suspected at all times, as weak machines answer late.
+ */
+#define MEMBERS_PER_FAR_SUSPECT 16
 
 static void free_member(gpointer data) {
     hs_member *member = data;
@@ -372,23 +377,28 @@
     return NULL;
 }
 
-static bool has_far_suspect(const hs_membership *membership) {
-    bool is_found = false;
+/** Returns whether so many members of other regions are suspect that a region may be cut off. */
+static bool has_far_suspects(const hs_membership *membership) {
+    uint32_t members = 0;
+    uint32_t suspects = 0;
     GHashTableIter iterator;
     gpointer data;
     g_hash_table_iter_init(&iterator, membership->members);
-    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &data)) {
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
         const hs_member *member = data;
-        is_found = member->state == HS_MEMBER_SUSPECT && hs_membership_is_far(membership, member);
+        if (!hs_member_is_live(member) || !hs_membership_is_far(membership, member))
+            continue;
+        members++;
+        suspects += member->state == HS_MEMBER_SUSPECT;
     }
-    return is_found;
+    return suspects * MEMBERS_PER_FAR_SUSPECT > members;
 }
 
 static hs_member *next_target(hs_membership *membership) {
     if (*membership->self->region == '\0')
         return next_in_round(membership, false);
     bool is_last = ++membership->probe_count % FAR_PROBE_INTERVAL == 0;
-    bool is_far = has_far_suspect(membership) ? !is_last : is_last;
+    bool is_far = has_far_suspects(membership) ? !is_last : is_last;
     hs_member *target = next_in_round(membership, is_far);
     return target != NULL ? target : next_in_round(membership, !is_far);
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -8,7 +8,7 @@
  * addresses to probe.
  *
  * Each member sends one probe per interval, independent of the number of members. With several
- * regions, most probes go to members of the own region; while a member of another region is
+ * regions, most probes go to members of the own region; while several members of other regions are
  * suspect, most go to other regions, so that a region that is cut off is detected as soon. Records
  * are sent along with probes and acknowledgements, a number of times that grows with the logarithm
  * of the number of members.
--- a/tests/unit/test_region_arbiters.c
+++ b/tests/unit/test_region_arbiters.c
@@ -178,6 +178,8 @@
     count_far_probes(membership, 600, targets);
     CU_ASSERT_EQUAL(g_hash_table_size(targets), MEMBERS - 1);
     apply(membership, 1, 1, HS__MEMBER_STATE__MEMBER_SUSPECT, regions[1]);
+    CU_ASSERT_EQUAL(count_far_probes(membership, 40, targets), 10);
+    set_region_state(membership, 1, 1, HS__MEMBER_STATE__MEMBER_SUSPECT);
     CU_ASSERT_EQUAL(count_far_probes(membership, 40, targets), 30);
     set_region_state(membership, 1, 1, HS__MEMBER_STATE__MEMBER_DEAD);
     set_region_state(membership, 2, 1, HS__MEMBER_STATE__MEMBER_DEAD);
