No lock for evacuations and cold engines where there are none

Cause: each send, each report of use and each tick of the directory took the engine table's lock to find that no zone is evacuated and no service has a limit of cold engines.

Change: two atomics tell whether either part is in use; without limits of cold engines the arbiter does not count members.

Result: suites evacuation, zone_requests, warmup and warmup_play pass.

--- a/src/directory/warmup_arbiter.c
+++ b/src/directory/warmup_arbiter.c
@@ -213,6 +213,8 @@
 }
 
 void hs_warmup_arbiter_tick(hs_warmup_arbiter *arbiter) {
+    if (!hs_fleet_engines_has_warmup_limits(arbiter->engines))
+        return;
     g_autoptr(GHashTable) live_addresses = g_hash_table_new(NULL, NULL);
     g_mutex_lock(&arbiter->lock);
     uint64_t now_ms = hs_clock_monotonic_ms();
--- a/src/fleet/engine_evacuation.c
+++ b/src/fleet/engine_evacuation.c
@@ -43,6 +43,8 @@
 void hs_fleet_engines_set_evacuate_ms(hs_fleet_engines *engines, uint32_t evacuate_ms) {
     g_mutex_lock(&engines->lock);
     hs_evacuation_set_limit_ms(engines->evacuation, evacuate_ms);
+    if (evacuate_ms > 0)
+        g_atomic_int_set(&engines->has_evacuations, 1);
     g_mutex_unlock(&engines->lock);
 }
 
@@ -53,6 +55,7 @@
 static void apply_change(hs_fleet_engines *engines, const hs_evacuation_record *record,
                          const char *source) {
     log_change(engines, record, source);
+    g_atomic_int_set(&engines->has_evacuations, 1);
     if (!record->is_evacuated)
         hs_engine_warmup_note_evacuated(engines, record->zone, hs_clock_monotonic_ms());
 }
@@ -82,6 +85,8 @@
                                             bool is_evacuated, uint64_t offset) {
     hs_evacuation_record record = {
         .zone = (char *)zone, .offset = offset, .is_evacuated = is_evacuated};
+    if (zone == NULL && !hs_fleet_engines_has_evacuations(engines))
+        return;
     g_mutex_lock(&engines->lock);
     if (hs_evacuation_apply_record(engines->evacuation, zone, is_evacuated, offset,
                                    hs_clock_monotonic_ms()))
@@ -90,6 +95,8 @@
 }
 
 bool hs_fleet_engines_begin_evacuation_read(hs_fleet_engines *engines) {
+    if (!hs_fleet_engines_has_evacuations(engines))
+        return false;
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&engines->lock);
     bool is_due = hs_evacuation_is_read_due(engines->evacuation, now_ms);
@@ -101,6 +108,8 @@
 
 bool hs_fleet_engines_is_evacuation_beyond(hs_fleet_engines *engines, uint64_t end,
                                            uint64_t sent_ms) {
+    if (!hs_fleet_engines_has_evacuations(engines))
+        return false;
     g_mutex_lock(&engines->lock);
     bool is_beyond = hs_evacuation_is_beyond(engines->evacuation, end, sent_ms);
     g_mutex_unlock(&engines->lock);
@@ -109,6 +118,8 @@
 
 void hs_fleet_engines_end_evacuation_read(hs_fleet_engines *engines, uint64_t sent_ms,
                                           bool is_answered) {
+    if (!hs_fleet_engines_has_evacuations(engines))
+        return;
     g_mutex_lock(&engines->lock);
     hs_evacuation_note_read(engines->evacuation, sent_ms, is_answered, hs_clock_monotonic_ms());
     g_mutex_unlock(&engines->lock);
@@ -133,6 +144,8 @@
 }
 
 uint32_t hs_fleet_engines_tick_evacuations(hs_fleet_engines *engines, uint64_t now_ms) {
+    if (!hs_fleet_engines_has_evacuations(engines))
+        return 0;
     g_mutex_lock(&engines->lock);
     hs_evacuation_note_running(engines->evacuation, now_ms);
     if (hs_evacuation_has_zones(engines->evacuation))
@@ -144,6 +157,8 @@
 
 bool hs_fleet_engines_may_check(uint64_t engine_hash, void *user_data) {
     hs_fleet_engines *engines = user_data;
+    if (!hs_fleet_engines_has_evacuations(engines))
+        return true;
     g_mutex_lock(&engines->lock);
     const hs_fleet_engine *engine = hs_fleet_engines_find(engines, engine_hash);
     bool may_check =
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -390,6 +390,8 @@
 
 bool hs_engine_lease_may_send(hs_engine_lease *lease) {
     const hs_fleet_engines *engines = lease->engines;
+    if (!hs_fleet_engines_has_evacuations(lease->engines))
+        return true;
     g_mutex_lock(&lease->engines->lock);
     uint64_t now_ms = hs_clock_monotonic_ms();
     hs_zone_use use = hs_fleet_engine_zone_use(engines, lease->engine, now_ms);
--- a/src/fleet/engine_warmup.c
+++ b/src/fleet/engine_warmup.c
@@ -47,7 +47,22 @@
     *known = *limit;
 }
 
+bool hs_fleet_engines_has_warmup_limits(hs_fleet_engines *engines) {
+    return g_atomic_int_get(&engines->has_warmup_limits) != 0;
+}
+
+static bool has_limit(const GPtrArray *services) {
+    bool is_found = false;
+    for (guint index = 0; index < services->len && !is_found; index++) {
+        hs_warmup_limit limit = hs_warmup_limit_of(services->pdata[index]);
+        is_found = hs_warmup_limit_is_set(&limit);
+    }
+    return is_found;
+}
+
 void hs_fleet_engines_set_warmup_limits(hs_fleet_engines *engines, const GPtrArray *services) {
+    if (!hs_fleet_engines_has_warmup_limits(engines) && !has_limit(services))
+        return;
     g_mutex_lock(&engines->lock);
     for (guint index = 0; index < services->len; index++) {
         const hs_fleet_service *service = services->pdata[index];
@@ -206,6 +221,8 @@
 }
 
 bool hs_engine_lease_use_permit(hs_engine_lease *lease) {
+    if (!hs_fleet_engines_has_warmup_limits(lease->engines))
+        return true;
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&lease->engines->lock);
     bool is_permitted = hs_engine_warmup_is_permitted(lease, now_ms);
@@ -261,7 +278,7 @@
 
 hs_engine_coldness hs_fleet_engines_coldness(hs_fleet_engines *engines, uint64_t engine_hash) {
     hs_engine_coldness coldness = {0};
-    if (g_atomic_int_get(&engines->has_warmup_limits) == 0)
+    if (!hs_fleet_engines_has_warmup_limits(engines))
         return coldness;
     uint64_t now_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&engines->lock);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -143,12 +143,21 @@
     hs_crash_watch *crash_watch; /**< May be NULL. */
     hs_tenant_runs *tenant_runs;
     hs_evacuation *evacuation;
+    gint has_evacuations; /**< A limit is set or a zone was evacuated; atomic, see below. */
     GHashTable *restricted_services; /**< See hs_region_policy_group -> hs_restricted_service*. */
     GHashTable *warmup_limits;       /**< service -> hs_warmup_limit* */
     gint has_warmup_limits;          /**< Atomic: each report of use asks for it. */
     hs_permit_counters permits;
 };
 
+/**
+ * Reports whether evacuations have to be considered at all. Reads an atomic: without evacuations no
+ * send and no tick takes the table's lock for them.
+ */
+static inline bool hs_fleet_engines_has_evacuations(hs_fleet_engines *engines) {
+    return g_atomic_int_get(&engines->has_evacuations) != 0;
+}
+
 /** Requests that one connection carries before it is closed. */
 #define HS_MAX_CARRIED_REQUESTS 64
 
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -445,6 +445,9 @@
 /** Valid load reports with their ages: of hs_engine_load_report. Free with g_array_free. */
 GArray *hs_fleet_engines_list_reports(hs_fleet_engines *engines);
 
+/** Reports whether any service has or had a limit of cold engines. */
+bool hs_fleet_engines_has_warmup_limits(hs_fleet_engines *engines);
+
 /** Sets the warm-up limits of the services of a configuration: of hs_fleet_service*. */
 void hs_fleet_engines_set_warmup_limits(hs_fleet_engines *engines, const GPtrArray *services);
 
