Share and retry times of permits; a test of cold engines over processes

Cause: over three processes only 14 of 20 allowed requests were sent in 5 s. A daemon's seed stays proposed under a placeholder id beside the member at the same address, so that 3 of 4 members counted as live. A daemon that asked just before the next permit was also queued behind others.

Change: proposed members at a live member's address don't count. A daemon that asks within 40 ms of the next permit is told its time. The system test fleet_warmup turns two engines cold under 24 callers and counts what they get.

--- a/src/directory/warmup_arbiter.c
+++ b/src/directory/warmup_arbiter.c
@@ -149,6 +149,18 @@
     return GSIZE_TO_POINTER(((gsize)address << 16) | port);
 }
 
+/** Counts proposed members at other addresses than those of live ones, as a seed's is. */
+static uint32_t count_proposed(const GPtrArray *members, GHashTable *live_addresses) {
+    uint32_t count = 0;
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        count +=
+            member->state == HS_MEMBER_PROPOSED &&
+            !g_hash_table_contains(live_addresses, address_key(member->address, member->peer_port));
+    }
+    return count;
+}
+
 /**
  * Counts the members and remembers the live ones. @p live_addresses: set of the live members'
  * addresses, filled here: a lost member whose address another one has is replaced by it.
@@ -163,7 +175,6 @@
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         counts.live += member->state == HS_MEMBER_ALIVE;
-        counts.known += member->state == HS_MEMBER_PROPOSED;
         if (!hs_member_is_live(member) && member->state != HS_MEMBER_LEAVING)
             continue;
         known_member *known = find_or_add_member(arbiter, member->id);
@@ -175,6 +186,7 @@
         known->live_ms = now_ms;
         g_hash_table_add(live_addresses, address_key(member->address, member->peer_port));
     }
+    counts.known = count_proposed(members, live_addresses);
     hs_membership_service_unlock(arbiter->membership);
     if (rejoin_count != arbiter->rejoin_count)
         hs_warmup_clock_restart(&arbiter->clock, now_ms);
@@ -212,6 +224,13 @@
             g_hash_table_iter_remove(&iterator);
 }
 
+double hs_warmup_arbiter_share(hs_warmup_arbiter *arbiter) {
+    g_mutex_lock(&arbiter->lock);
+    double share = arbiter->share.share;
+    g_mutex_unlock(&arbiter->lock);
+    return share;
+}
+
 void hs_warmup_arbiter_tick(hs_warmup_arbiter *arbiter) {
     g_autoptr(GHashTable) live_addresses = g_hash_table_new(NULL, NULL);
     g_mutex_lock(&arbiter->lock);
--- a/src/directory/warmup_arbiter.h
+++ b/src/directory/warmup_arbiter.h
@@ -33,6 +33,9 @@
 void hs_warmup_arbiter_decide(hs_warmup_arbiter *arbiter, const hs_engine_use *use,
                               hs_engine_load_report *load);
 
+/** This daemon's share of the limits of the engines that it arbitrates, 0 to 1. */
+double hs_warmup_arbiter_share(hs_warmup_arbiter *arbiter);
+
 /** Updates the members and this daemon's share. To be called several times per second. */
 void hs_warmup_arbiter_tick(hs_warmup_arbiter *arbiter);
 
--- a/src/fleet/warmup_budget.c
+++ b/src/fleet/warmup_budget.c
@@ -19,8 +19,6 @@
  * others before them, delayed requests would get it, and their answers come too late to be used.
  */
 #define RETRY_LEAD_MS 40
-/** Shortest retry time, except for the next permit's own time. */
-#define MIN_RETRY_MS 20
 /** Longest time in ms after the next permit at which a daemon is told to request again. */
 #define MAX_RETRY_SPREAD_MS 1000
 /** Bound of a retry time, for limits far below one request per second. */
@@ -40,18 +38,24 @@
     budget->filled_ms = now_ms;
 }
 
+/** Time in ms until the next permit. */
+static double next_permit_ms(const hs_warmup_budget *budget, double per_s, uint64_t now_ms) {
+    double from_ms = budget->filled_ms > now_ms ? (double)(budget->filled_ms - now_ms) : 0;
+    return per_s > 0 ? from_ms + (1 - budget->permits) * MS_PER_S / per_s : (double)MAX_RETRY_MS;
+}
+
 /** Returns when a daemon that is denied now requests again. */
 static uint32_t schedule_retry(hs_warmup_budget *budget, double per_s, uint64_t now_ms) {
-    double from_ms = budget->filled_ms > now_ms ? (double)(budget->filled_ms - now_ms) : 0;
-    double next_ms =
-        per_s > 0 ? from_ms + (1 - budget->permits) * MS_PER_S / per_s : (double)MAX_RETRY_MS;
-    next_ms = fmax(next_ms - RETRY_LEAD_MS, fmin(next_ms, MIN_RETRY_MS));
+    double next_ms = next_permit_ms(budget, per_s, now_ms);
+    if (next_ms <= RETRY_LEAD_MS) /* This daemon is one of the first. */
+        return (uint32_t)fmax(ceil(next_ms), 1);
+    double first_ms = next_ms - RETRY_LEAD_MS;
     double spread_ms = MS_PER_S / fmax(per_s, 1e-3) / DAEMONS_PER_PERMIT;
     double queued_ms =
         budget->last_retry_ms > now_ms ? (double)(budget->last_retry_ms - now_ms) + spread_ms : 0;
-    double retry_ms = fmax(next_ms, queued_ms);
+    double retry_ms = fmax(first_ms, queued_ms);
     if (retry_ms > next_ms + MAX_RETRY_SPREAD_MS)
-        retry_ms = next_ms; /* Begins anew, so that requests stay spread over the time. */
+        retry_ms = first_ms; /* Begins anew, so that requests stay spread over the time. */
     uint32_t rounded_ms = (uint32_t)fmax(ceil(fmin(retry_ms, MAX_RETRY_MS)), 1);
     budget->last_retry_ms = now_ms + rounded_ms;
     return rounded_ms;
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -38,6 +38,7 @@
         {"fleet_tenants", fleet_tenant_system_tests, begin_tenants, end_tenants},
         {"fleet_waking", fleet_waking_system_tests, bench_set_up, bench_tear_down},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
+        {"fleet_warmup", fleet_warmup_system_tests, begin_warmup, bench_tear_down},
         {"fleet_memory", fleet_memory_system_tests, begin_memory, end_memory},
     };
     ulfius_global_init();
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -57,6 +57,10 @@
 
 extern const test_case fleet_waking_system_tests[];
 
+/** Starts the bench with a limit of cold engines; bench_tear_down stops it. */
+int begin_warmup(void);
+extern const test_case fleet_warmup_system_tests[];
+
 extern const test_case fleet_tenant_system_tests[];
 
 /** Start and stop the bench with tenants, and with daemons that log to files. */
--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -268,6 +268,36 @@
     return *(const bool *)user_data;
 }
 
+/** Guards against a share that a seed lowers, whose daemon is known by its own id as well. */
+static void members_at_a_live_address_count_once(void) {
+    hs_error error = {0};
+    hs_member self = {.id = (char *)"a",
+                      .zone = (char *)"z",
+                      .incarnation = 1,
+                      .address = INADDR_LOOPBACK,
+                      .peer_port = 7};
+    hs_membership_service_settings settings = {.probe_interval_ms = 100};
+    hs_peer_socket *socket = hs_peer_socket_new("127.0.0.1", 0, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(socket);
+    hs_membership_service *membership = hs_membership_service_new(&self, &settings, socket);
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_warmup_arbiter *granting = hs_warmup_arbiter_new(engines, membership, is_own, NULL);
+    hs_membership *members = hs_membership_service_lock(membership);
+    hs_membership_propose(members, "seed-1", INADDR_LOOPBACK, 7, 1);
+    hs_membership_service_unlock(membership);
+    hs_warmup_arbiter_tick(granting);
+    CU_ASSERT_EQUAL(hs_warmup_arbiter_share(granting), 1);
+    members = hs_membership_service_lock(membership);
+    hs_membership_propose(members, "b", INADDR_LOOPBACK, 8, 1);
+    hs_membership_service_unlock(membership);
+    hs_warmup_arbiter_tick(granting);
+    CU_ASSERT_EQUAL(hs_warmup_arbiter_share(granting), 0.5);
+    hs_warmup_arbiter_free(granting);
+    hs_fleet_engines_free(engines);
+    hs_membership_service_free(membership);
+    hs_peer_socket_free(socket);
+}
+
 /** Guards against permits of a daemon that has just started, or is not the engine's arbiter. */
 static void an_arbiter_grants_after_the_settle_time(void) {
     hs_error error = {0};
@@ -284,6 +314,7 @@
         .engine_hash = ((hs_fleet_engine *)g_hash_table_lookup(engines->by_id, "cold"))->hash};
     hs_engine_load_report load = {0};
     hs_warmup_arbiter_tick(granting);
+    CU_ASSERT_EQUAL(hs_warmup_arbiter_share(granting), 1);
     hs_warmup_arbiter_decide(granting, &use, &load);
     CU_ASSERT_EQUAL(load.permit, HS_PERMIT_NONE); /* The service has no limit. */
     hs_engine_warmup_set_limit(engines, SERVICE, &limit);
@@ -328,5 +359,6 @@
     {"a_cold_engine_counts_by_its_rate", a_cold_engine_counts_by_its_rate},
     {"an_attempt_without_a_permit_opens_no_connection",
      an_attempt_without_a_permit_opens_no_connection},
+    {"members_at_a_live_address_count_once", members_at_a_live_address_count_once},
     {"an_arbiter_grants_after_the_settle_time", an_arbiter_grants_after_the_settle_time},
     {NULL, NULL}};
