--- a/tests/unit/test_topology.c
+++ b/tests/unit/test_topology.c
@@ -55,6 +55,8 @@
     hs_error error = {0};
     hs_fleet_config *config = hs_platform_read_config(text, strlen(text), &error);
     CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    if (config == NULL)
+        return;
     const hs_fleet_route *limited = config->routes->pdata[0];
     const hs_fleet_route *open = config->routes->pdata[1];
     const hs_fleet_service *service = config->services->pdata[0];
