--- a/tests/unit/test_topology.c
+++ b/tests/unit/test_topology.c
@@ -51,6 +51,11 @@
     return regions != NULL ? (int)regions->len : UNRESTRICTED;
 }
 
+static bool has_region(const GPtrArray *regions, const char *name) {
+    return regions != NULL &&
+           g_ptr_array_find_with_equal_func((GPtrArray *)regions, name, g_str_equal, NULL);
+}
+
 /** Guards against limits of regions and of cold engines that are lost in the codec. */
 static void configuration_has_regions_and_warmup(void) {
     static const char text[] =
@@ -71,6 +76,7 @@
     const hs_fleet_service *warm = config->services->pdata[1];
     const hs_fleet_tenant *tenant = config->tenants->pdata[0];
     CU_ASSERT_EQUAL(count_regions(limited->allowed_regions), 2);
+    CU_ASSERT_TRUE(has_region(limited->allowed_regions, "akl"));
     CU_ASSERT_EQUAL(count_regions(open->allowed_regions), UNRESTRICTED);
     CU_ASSERT_EQUAL(count_regions(malformed->allowed_regions), 0);
     CU_ASSERT_EQUAL(count_regions(tenant->allowed_regions), 1);
