Soak: evacuations of zones by the operator

Cause: the soak never evacuated a zone, so that no random fault met an evacuation.

At the end every request that an engine received from 3 s (evacuate_ms) after the acknowledgement until the withdrawal is checked, if its daemon was in touch for 4 s; the daemon is part of an online request's id. Within 4 s after a withdrawal the engine must get requests again. Faults now record when they held which target. The stand-in engine marks calls that it answered with 421, which don't count. Soaks with an earlier build have no evacuations.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -78,6 +78,12 @@
     return number;
 }
 
+static void record_misdirection(token_engine *engine, uint32_t number) {
+    g_mutex_lock(&engine->lock);
+    g_array_index(engine->call_log, token_engine_call, number).is_misdirected = true;
+    g_mutex_unlock(&engine->lock);
+}
+
 static void record_call_end(token_engine *engine, uint32_t number) {
     g_mutex_lock(&engine->lock);
     g_array_index(engine->call_log, token_engine_call, number).ended_ms = hs_clock_monotonic_ms();
@@ -287,12 +293,14 @@
     }
     uint32_t call = record_call_start(engine, id, inbound->fields);
     bool is_streaming = false;
-    if (target_instance != NULL && strcmp(target_instance, engine->id) != 0)
+    if (target_instance != NULL && strcmp(target_instance, engine->id) != 0) {
+        record_misdirection(engine, call);
         reply_refusal(inbound, 421, id, false);
-    else if (g_atomic_int_get(&engine->mode) == TOKEN_ENGINE_FULL)
+    } else if (g_atomic_int_get(&engine->mode) == TOKEN_ENGINE_FULL) {
         reply_refusal(inbound, 503, id, false);
-    else
+    } else {
         is_streaming = run_request(engine, inbound, id, call);
+    }
     if (!is_streaming)
         record_call_end(engine, call);
 }
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -111,6 +111,7 @@
     char request_id[TOKEN_ENGINE_ID_BYTES];
     char tenant[TOKEN_ENGINE_ID_BYTES]; /**< Values of the tenant header, joined by commas. */
     bool has_key;                       /**< The request has an API key header. */
+    bool is_misdirected;                /**< Refused with status 421: meant for another engine. */
     uint64_t begun_ms;
     uint64_t ended_ms; /**< 0: still in progress. */
 } token_engine_call;
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -31,7 +31,7 @@
                                 uint32_t disconnect_after_ms) {
     int daemon = g_rand_int_range(caller->rng, 0, bench_daemon_count());
     bool is_reused = caller->connections[daemon] != NULL;
-    g_autofree char *id = g_strdup_printf("r%u-%u", caller->seed, caller->number++);
+    g_autofree char *id = soak_make_request_id(caller->seed, caller->number++, daemon);
     if (g_str_has_prefix(target, "/once/"))
         soak_add_id(record.run_once_ids, id);
     bench_answer answer = bench_send(&(bench_call){.daemon = daemon,
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -61,6 +61,32 @@
 /** Runs soak_check_sends for all contents that crashed engines. */
 void soak_check_crashes(void);
 
+/**
+ * Makes the id of an online request, which names the daemon that gets it and so sends it to
+ * engines. Free with g_free.
+ */
+char *soak_make_request_id(unsigned caller, uint32_t number, int daemon);
+
+/** The evacuation of an engine's zone. Monotonic times. */
+typedef struct {
+    int engine;
+    uint64_t acknowledged_ms; /**< The store acknowledged the evacuation. */
+    uint64_t withdrawing_ms;  /**< The withdrawal was sent. */
+    uint64_t withdrawn_ms;    /**< The store acknowledged the withdrawal. */
+} soak_evacuation;
+
+/**
+ * Checks that no daemon that was in touch sent a request to the engine from the time limit until
+ * the withdrawal. A request whose daemon is unknown, such as an item, counts if all were in touch.
+ */
+void soak_check_evacuated(const soak_evacuation *evacuation);
+
+/** Checks that the engine gets requests again within some seconds after the withdrawal. */
+void soak_check_return(const soak_evacuation *evacuation);
+
+/** Runs both checks for all evacuations. */
+void soak_check_evacuations(void);
+
 /** Checks that no run continued after its recorded end. */
 void soak_check_ends(void);
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -11,9 +11,18 @@
 #define SERIES_MS 16000
 #define FAULT_FREE_MS 9000
 
+/** A time for which a fault held a target. Monotonic times. */
+typedef struct {
+    fault_target target;
+    int index;
+    uint64_t from_ms;
+    uint64_t to_ms; /**< UINT64_MAX: still held. */
+} target_hold;
+
 static struct {
     GMutex lock;
     bool in_use[FAULT_TARGET_KINDS][BENCH_MAX_DAEMONS];
+    GArray *holds; /**< of target_hold, in order of their start; NULL: none. */
 } targets;
 
 /** Periods without a fault. Times are wall times in ms. */
@@ -28,6 +37,11 @@
     g_mutex_lock(&targets.lock);
     bool was_free = !targets.in_use[target][index];
     targets.in_use[target][index] = true;
+    target_hold hold = {target, index, hs_clock_monotonic_ms(), UINT64_MAX};
+    if (targets.holds == NULL)
+        targets.holds = g_array_new(FALSE, FALSE, sizeof(target_hold));
+    if (was_free)
+        g_array_append_val(targets.holds, hold);
     g_mutex_unlock(&targets.lock);
     return was_free;
 }
@@ -35,7 +49,24 @@
 void soak_release_target(fault_target target, int index) {
     g_mutex_lock(&targets.lock);
     targets.in_use[target][index] = false;
+    for (guint number = 0; number < targets.holds->len; number++) {
+        target_hold *hold = &g_array_index(targets.holds, target_hold, number);
+        if (hold->target == target && hold->index == index && hold->to_ms == UINT64_MAX)
+            hold->to_ms = hs_clock_monotonic_ms();
+    }
+    g_mutex_unlock(&targets.lock);
+}
+
+bool soak_was_target_free(fault_target target, int index, uint64_t from_ms, uint64_t to_ms) {
+    bool was_free = true;
+    g_mutex_lock(&targets.lock);
+    for (guint number = 0; targets.holds != NULL && number < targets.holds->len; number++) {
+        const target_hold *hold = &g_array_index(targets.holds, target_hold, number);
+        if (hold->target == target && hold->index == index)
+            was_free = was_free && (hold->to_ms < from_ms || to_ms < hold->from_ms);
+    }
     g_mutex_unlock(&targets.lock);
+    return was_free;
 }
 
 void soak_wait_random(const fault_injector *injector, int min_ms, int max_ms) {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -29,6 +29,12 @@
 
 /** Acquires a target for a fault. Returns false if another fault holds it. */
 bool soak_acquire_target(fault_target target, int index);
+/**
+ * Returns whether no fault held a target between two monotonic times in ms. The times of a fault
+ * are those at which it acquired and released the target.
+ */
+bool soak_was_target_free(fault_target target, int index, uint64_t from_ms, uint64_t to_ms);
+/** Releases a target. */
 void soak_release_target(fault_target target, int index);
 
 /** Sleeps for a random time between two bounds in ms, but not beyond the end of the series. */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -127,6 +127,13 @@
     return NULL;
 }
 
+static gpointer run_operator_thread(gpointer data) {
+    fault_thread_args *args = data;
+    soak_run_operator(args->rng, args->until_ms);
+    g_rand_free(args->rng);
+    return NULL;
+}
+
 /** Shows one line of progress if standard error is a terminal. */
 static void show_progress(uint64_t until_ms) {
     if (!isatty(STDERR_FILENO))
@@ -150,7 +157,14 @@
         thread_args[index] = (fault_thread_args){g_rand_new_with_seed_array(numbers, 2), until_ms};
         threads[index] = g_thread_new("faults", run_fault_thread, &thread_args[index]);
     }
+    guint32 operator_numbers[] = {line->seed, MAX_FAULT_INJECTORS};
+    fault_thread_args operator_args = {g_rand_new_with_seed_array(operator_numbers, 2), until_ms};
+    /* A build before evacuations does not know them. */
+    GThread *operator_thread =
+        line->past == NULL ? g_thread_new("operator", run_operator_thread, &operator_args) : NULL;
     show_progress(until_ms);
+    if (operator_thread != NULL)
+        g_thread_join(operator_thread);
     for (unsigned index = 0; index < injector_count; index++)
         g_thread_join(threads[index]);
     soak_log("fault injection ended");
@@ -171,6 +185,7 @@
         callers[index] = g_thread_new("caller", get_caller_function(index),
                                       GUINT_TO_POINTER(line->seed % 1000000 * 10 + index));
     run_faults(line);
+    record.callers_ended_ms = hs_clock_monotonic_ms();
     g_atomic_int_set(&record.stopping, 1);
     for (unsigned index = 0; index < CALLER_THREADS; index++)
         g_thread_join(callers[index]);
@@ -181,14 +196,16 @@
     printf("verdict seed=%u requests=%u served=%u refused=%u cut=%u on_kept_connections=%u jobs=%u "
            "accepted=%u reads=%u texts=%u text_joints=%u stream_joints=%u ends=%u ends_judged=%u "
            "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
-           "beside_served=%u faults=%d violations=%u\n",
+           "beside_served=%u evacuations=%u evacuations_judged=%u returns_judged=%u faults=%d "
+           "violations=%u\n",
            line->seed, record.requests_sent, record.requests_served, record.requests_refused,
            record.streams_cut, record.connections_reused, record.jobs_sent,
            g_hash_table_size(record.accepted_jobs), record.job_reads, record.texts,
            record.text_joints, record.stream_joints, record.end_count, record.ends_checked,
            record.late_runs, record.engine_crashes, record.crash_requests_sent,
            record.crash_requests_quarantined, record.other_requests_sent,
-           record.other_requests_served, record.fault_count, record.violations->len);
+           record.other_requests_served, record.evacuations, record.evacuations_checked,
+           record.returns_checked, record.fault_count, record.violations->len);
 }
 
 static void run_soak(const command_line *line) {
@@ -199,6 +216,8 @@
         .slots = ENGINE_SLOTS,
         .connections = (uint32_t)daemons * ENGINE_CONNECTIONS_PER_DAEMON,
         .retention_s = RETENTION_S,
+        .zones = soak_zones,
+        .evacuate_ms = line->past == NULL ? SOAK_EVACUATE_MS : 0,
         .log_directory = line->logs,
     };
     bench.previous_program = line->past;
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -223,6 +223,50 @@
     soak_check_sends("fatal", with_fault ? now_ms - SEND_DELAY_MS : now_ms, started_ms);
 }
 
+/** An evacuation that ended just now, after which callers have sent for long enough. */
+static soak_evacuation make_evacuation(uint64_t acknowledged_ms) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    return (soak_evacuation){.acknowledged_ms = acknowledged_ms,
+                             .withdrawing_ms = now_ms + 1,
+                             .withdrawn_ms = now_ms + 1};
+}
+
+/** A request of daemon 0 after the time limit; without the fault, within it. */
+static void plant_send_to_evacuated_zone(bool with_fault) {
+    uint64_t past_ms = with_fault ? SOAK_EVACUATE_MS + 1 : SOAK_EVACUATE_MS / 2;
+    uint64_t sent_ms = hs_clock_monotonic_ms();
+    run_repeatedly("r1-0.0", 1);
+    soak_evacuation evacuation = make_evacuation(sent_ms - past_ms);
+    soak_check_evacuated(&evacuation);
+}
+
+/** The same of an item; without the fault, one of the daemons was paused. */
+static void plant_item_in_evacuated_zone(bool with_fault) {
+    uint64_t sent_ms = hs_clock_monotonic_ms();
+    if (!with_fault)
+        soak_acquire_target(FAULT_PROCESS, 1);
+    run_repeatedly("item-0", 1);
+    soak_evacuation evacuation = make_evacuation(sent_ms - SOAK_EVACUATE_MS - 1);
+    soak_check_evacuated(&evacuation);
+    if (!with_fault)
+        soak_release_target(FAULT_PROCESS, 1);
+}
+
+/** The engine's only request comes before the withdrawal; without the fault, after it. */
+static void plant_unused_zone_after_return(bool with_fault) {
+    soak_evacuation evacuation = make_evacuation(0);
+    if (with_fault)
+        run_repeatedly("r1-1.0", 1);
+    hs_clock_sleep_ms(EVENT_MS);
+    evacuation.withdrawn_ms = hs_clock_monotonic_ms();
+    if (!with_fault)
+        run_repeatedly("r1-1.0", 1);
+    record.callers_ended_ms = UINT64_MAX;
+    soak_check_return(&evacuation);
+    if (record.returns_checked != 1)
+        soak_report_violation("the return was not checked");
+}
+
 static const planted_fault planted_faults[] = {
     {"wrong resume event", plant_wrong_resume_event, "was asked to go on after"},
     {"missing event", plant_missing_event, "follows event"},
@@ -244,6 +288,9 @@
     {"run after its end", plant_run_after_end, "after its end"},
     {"quarantine of a harmless request", plant_wrong_quarantine, "quarantined though"},
     {"late sends of a crash content", plant_late_sends, "sent 4 times"},
+    {"send to an evacuated zone", plant_send_to_evacuated_zone, "after the evacuation"},
+    {"unused zone after its return", plant_unused_zone_after_return, "got no request"},
+    {"item in an evacuated zone", plant_item_in_evacuated_zone, "after the evacuation"},
     {"late run near an injected fault", plant_run_near_fault, "after its end"},
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -11,6 +11,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Setting fleet.evacuate_ms of the daemons. Daemons use half of it; the rest covers busy machines.
+ */
+#define SOAK_EVACUATE_MS 3000
+/** Zones of the daemons and engines, by index; the crash fleet is in zone-a. */
+extern const char *const soak_zones[];
+
 /**
  * Observations of one run, shared by all threads. @c lock guards the members that are written while
  * callers run.
@@ -36,7 +42,11 @@
     uint32_t crash_requests_sent, crash_requests_quarantined;
     uint32_t other_requests_sent, other_requests_served; /**< At the engines of the crash fleet. */
     uint32_t engine_crashes;
-    uint64_t started_ms; /**< Monotonic time. */
+    uint32_t evacuations;
+    uint32_t evacuations_checked; /**< Some daemon was in touch until after the time limit. */
+    uint32_t returns_checked;  /**< Withdrawals without a fault of the zone's engine after them. */
+    uint64_t callers_ended_ms; /**< Monotonic time at which callers stopped sending; 0: not yet. */
+    uint64_t started_ms;       /**< Monotonic time. */
     gint fault_count;
     int config_version; /**< Version that was written last. */
     bool is_quiet;      /**< Violations are not printed, because a fault is planted. */
@@ -91,6 +101,12 @@
  */
 void soak_run_faults(GRand *rng, uint64_t until_ms);
 
+/**
+ * Evacuates the zone of an engine for some seconds, and withdraws that, again and again until
+ * @p until_ms (monotonic).
+ */
+void soak_run_operator(GRand *rng, uint64_t until_ms);
+
 /** Returns whether no fault was active at any time between two wall times in ms. */
 bool soak_was_fault_free(uint64_t from_ms, uint64_t to_ms);
 
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -105,6 +105,8 @@
     if (bench.settings.zone_regions != NULL)
         add_setting(arguments,
                     g_strdup_printf("fleet.zone_regions=%s", bench.settings.zone_regions));
+    if (bench.settings.evacuate_ms != 0)
+        add_setting(arguments, g_strdup_printf("fleet.evacuate_ms=%u", bench.settings.evacuate_ms));
     add_address(arguments, "front", get_port(PORT_FRONT, index));
     add_address(arguments, "ready", get_port(PORT_READY, index));
     add_address(arguments, "directory", get_port(PORT_DIRECTORY, index));
