Soak: cold engines after restarts

Cause: the soak's engines never restarted and were never cold, so that no random fault met the permits for cold engines.

Change: the operator's thread restarts engines. They keep their ids, are cold for 6 s with 2 requests a second, and report that in their entries and answers (warmup-left-ms, Heathsail-Warmup-Ms). At the end, the requests that each cold engine received are counted over every interval of one second, over all daemons; the bound is 2 x 1.5 + 5 = 8.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -33,6 +33,7 @@
     uint32_t total_run_count;
     uint32_t entry_sequence; /**< Sequence number of the last announced entry. */
     uint64_t started_at_ms;  /**< Wall time. */
+    uint64_t cold_until_ms;  /**< Monotonic time; 0: never cold. Guarded by lock. */
 };
 
 /** An open stream. */
@@ -157,19 +158,36 @@
     return sscanf(data, "token %u of %63[^/]/%u", event, engine_id, run) == 3;
 }
 
-static void add_response_fields(const token_engine *engine, GArray *fields,
-                                const char *request_id) {
+/** Returns how much longer the engine is cold; 0: it is warm. */
+static uint32_t get_warmup_left_ms(token_engine *engine) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&engine->lock);
+    uint64_t until_ms = engine->cold_until_ms;
+    g_mutex_unlock(&engine->lock);
+    return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 0;
+}
+
+static void add_warmup_field(token_engine *engine, GArray *fields) {
+    if (engine->settings.warmup_ms == 0)
+        return;
+    g_autofree char *left = g_strdup_printf("%u", get_warmup_left_ms(engine));
+    hs_http_fields_add(fields, HEADER_WARMUP_MS, left);
+}
+
+static void add_response_fields(token_engine *engine, GArray *fields, const char *request_id) {
     hs_http_fields_add(fields, HEADER_REQUEST_ID, request_id);
     hs_http_fields_add(fields, HEADER_SIGNATURE, "sig.1");
     hs_http_fields_add(fields, HEADER_SERVER_LOAD, "1,0,8");
     hs_http_fields_add(fields, "X-Engine", engine->id);
     hs_http_fields_add(fields, "X-Twice", "one");
     hs_http_fields_add(fields, "X-Twice", "two");
+    add_warmup_field(engine, fields);
 }
 
-static void reply_refusal(hs_inbound *inbound, uint32_t status, const char *request_id,
-                          bool executed) {
+static void reply_refusal(token_engine *engine, hs_inbound *inbound, uint32_t status,
+                          const char *request_id, bool executed) {
     GArray *fields = hs_http_fields_new();
+    add_warmup_field(engine, fields);
     hs_http_fields_add(fields, HEADER_REQUEST_ID, request_id);
     if (executed)
         hs_http_fields_add(fields, HEADER_SIGNATURE, "sig.f");
@@ -267,7 +285,7 @@
         return false;
     }
     if (mode == TOKEN_ENGINE_FAILS || mode == TOKEN_ENGINE_UNPROCESSABLE) {
-        reply_refusal(inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
+        reply_refusal(engine, inbound, mode == TOKEN_ENGINE_FAILS ? 500 : 422, id, true);
         record_run_end(engine, started.run);
         return false;
     }
@@ -288,16 +306,16 @@
     const char *id = hs_http_fields_find(inbound->fields, HEADER_REQUEST_ID);
     const char *target_instance = hs_http_fields_find(inbound->fields, HEADER_TARGET_INSTANCE);
     if (id == NULL) {
-        reply_refusal(inbound, 400, "-", false);
+        reply_refusal(engine, inbound, 400, "-", false);
         return;
     }
     uint32_t call = record_call_start(engine, id, inbound->fields);
     bool is_streaming = false;
     if (target_instance != NULL && strcmp(target_instance, engine->id) != 0) {
         record_misdirection(engine, call);
-        reply_refusal(inbound, 421, id, false);
+        reply_refusal(engine, inbound, 421, id, false);
     } else if (g_atomic_int_get(&engine->mode) == TOKEN_ENGINE_FULL) {
-        reply_refusal(inbound, 503, id, false);
+        reply_refusal(engine, inbound, 503, id, false);
     } else {
         is_streaming = run_request(engine, inbound, id, call);
     }
@@ -322,8 +340,14 @@
 }
 
 void token_engine_restart(token_engine *engine, const char *id) {
-    g_free(engine->id);
-    engine->id = g_strdup(id);
+    if (strcmp(engine->id, id) != 0) { /* Other threads may read an id that stays. */
+        g_free(engine->id);
+        engine->id = g_strdup(id);
+    }
+    g_mutex_lock(&engine->lock);
+    engine->cold_until_ms =
+        engine->settings.warmup_ms > 0 ? hs_clock_monotonic_ms() + engine->settings.warmup_ms : 0;
+    g_mutex_unlock(&engine->lock);
     engine->entry_sequence = 0;
     engine->started_at_ms = hs_clock_wall_ms();
     g_atomic_int_set(&engine->is_crashing, 0);
@@ -382,11 +406,11 @@
             : g_strdup("");
     g_autofree char *entry = g_strdup_printf(
         "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
-        "\"slots\":%u,\"state\":\"%s\",\"warmup-left-ms\":0,\"sequence\":%u}",
+        "\"slots\":%u,\"state\":\"%s\",\"warmup-left-ms\":%u,\"sequence\":%u}",
         start, engine->service, engine->announced_port,
         engine->settings.zone != NULL ? engine->settings.zone : "zone-a",
         engine->settings.slots != 0 ? engine->settings.slots : DEFAULT_SLOT_COUNT,
-        draining ? "draining" : "ready", ++engine->entry_sequence);
+        draining ? "draining" : "ready", get_warmup_left_ms(engine), ++engine->entry_sequence);
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
 }
 
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -50,6 +50,8 @@
     const char *fatal;             /**< Prefix of bodies that request a crash of the engine after
                                         fatal_after_ms; NULL: none. */
     uint32_t fatal_after_ms;
+    uint32_t warmup_ms; /**< Cold phase after each restart, which the entry and all answers report;
+                             0: neither. */
 } token_engine_settings;
 
 /** Starts an engine on a leased port. Free with token_engine_stop. */
@@ -64,7 +66,7 @@
  */
 void token_engine_crash(token_engine *engine);
 
-/** Starts a crashed engine again under the id @p id. */
+/** Starts a crashed engine again under the id @p id; it is cold if the settings say so. */
 void token_engine_restart(token_engine *engine, const char *id);
 
 /** Returns true if a fatal request has run and the engine is to be crashed. */
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -84,8 +84,21 @@
 /** Checks that the engine gets requests again within some seconds after the withdrawal. */
 void soak_check_return(const soak_evacuation *evacuation);
 
-/** Runs both checks for all evacuations. */
-void soak_check_evacuations(void);
+/** A cold phase of an engine. Monotonic times. */
+typedef struct {
+    int engine;
+    uint64_t from_ms;
+    uint64_t until_ms;
+} soak_cold_phase;
+
+/**
+ * Checks that a cold engine received no more requests in any one second than its limit with
+ * overage and slack, over all daemons, whether in touch or not.
+ */
+void soak_check_cold_phase(const soak_cold_phase *phase);
+
+/** Runs these checks for all evacuations and cold phases. */
+void soak_check_operations(void);
 
 /** Checks that no run continued after its recorded end. */
 void soak_check_ends(void);
--- a/tests/soak/end_checks.c
+++ b/tests/soak/end_checks.c
@@ -69,5 +69,5 @@
     soak_check_runs();
     soak_check_ends();
     soak_check_crashes();
-    soak_check_evacuations();
+    soak_check_operations();
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -196,7 +196,8 @@
     printf("verdict seed=%u requests=%u served=%u refused=%u cut=%u on_kept_connections=%u jobs=%u "
            "accepted=%u reads=%u texts=%u text_joints=%u stream_joints=%u ends=%u ends_judged=%u "
            "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
-           "beside_served=%u evacuations=%u evacuations_judged=%u returns_judged=%u faults=%d "
+           "beside_served=%u evacuations=%u evacuations_judged=%u returns_judged=%u cold_starts=%u "
+           "cold_requests=%u cold_most=%u faults=%d "
            "violations=%u\n",
            line->seed, record.requests_sent, record.requests_served, record.requests_refused,
            record.streams_cut, record.connections_reused, record.jobs_sent,
@@ -205,7 +206,8 @@
            record.late_runs, record.engine_crashes, record.crash_requests_sent,
            record.crash_requests_quarantined, record.other_requests_sent,
            record.other_requests_served, record.evacuations, record.evacuations_checked,
-           record.returns_checked, record.fault_count, record.violations->len);
+           record.returns_checked, record.cold_starts, record.cold_requests,
+           record.most_cold_requests, record.fault_count, record.violations->len);
 }
 
 static void run_soak(const command_line *line) {
@@ -217,6 +219,8 @@
         .connections = (uint32_t)daemons * ENGINE_CONNECTIONS_PER_DAEMON,
         .retention_s = RETENTION_S,
         .zones = soak_zones,
+        .warmup_s = line->past == NULL ? SOAK_WARMUP_S : 0,
+        .warmup_per_s = line->past == NULL ? SOAK_WARMUP_PER_S : 0,
         .evacuate_ms = line->past == NULL ? SOAK_EVACUATE_MS : 0,
         .log_directory = line->logs,
     };
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -267,6 +267,34 @@
         soak_report_violation("the return was not checked");
 }
 
+/** A cold engine receives 9 requests in a second; without the fault 8, its bound. */
+static void plant_too_many_cold_requests(bool with_fault) {
+    soak_cold_phase phase = {.from_ms = hs_clock_monotonic_ms(), .until_ms = UINT64_MAX};
+    for (int request = 0; request < 8 + with_fault; request++) {
+        bench_answer answer = send_to_engine("cold", "/plain/soak", 0);
+        bench_answer_clear(&answer);
+    }
+    soak_check_cold_phase(&phase);
+}
+
+/** The entry of an engine reports no cold phase after a restart; without the fault, it does. */
+static void plant_warm_restart(bool with_fault) {
+    token_engine *engine = token_engine_start(&(token_engine_settings){
+        .id = "restarted", .service = "llm", .warmup_ms = with_fault ? 0 : SEND_DELAY_MS});
+    token_engine_crash(engine);
+    token_engine_restart(engine, "restarted");
+    bench_answer answer = bench_send(&(bench_call){.port = token_engine_port(engine),
+                                                   .method = "POST",
+                                                   .target = "/plain/soak",
+                                                   .request_id = "warm",
+                                                   .body = "hello"});
+    const char *left = hs_http_fields_find(answer.fields, HEADER_WARMUP_MS);
+    if (left == NULL || g_ascii_strtoull(left, NULL, 10) == 0)
+        soak_report_violation("the restarted engine is warm");
+    bench_answer_clear(&answer);
+    token_engine_stop(engine);
+}
+
 static const planted_fault planted_faults[] = {
     {"wrong resume event", plant_wrong_resume_event, "was asked to go on after"},
     {"missing event", plant_missing_event, "follows event"},
@@ -291,6 +319,8 @@
     {"send to an evacuated zone", plant_send_to_evacuated_zone, "after the evacuation"},
     {"unused zone after its return", plant_unused_zone_after_return, "got no request"},
     {"item in an evacuated zone", plant_item_in_evacuated_zone, "after the evacuation"},
+    {"too many requests to a cold engine", plant_too_many_cold_requests, "9 requests in a second"},
+    {"engine that restarts warm", plant_warm_restart, "is warm"},
     {"late run near an injected fault", plant_run_near_fault, "after its end"},
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,6 +14,9 @@
 /** Setting fleet.evacuate_ms of the daemons. Daemons use half of it; the rest covers busy machines.
  */
 #define SOAK_EVACUATE_MS 3000
+/** Members warmup-s and warmup-per-s of the engines' service. */
+#define SOAK_WARMUP_S 6
+#define SOAK_WARMUP_PER_S 2
 /** Zones of the daemons and engines, by index; the crash fleet is in zone-a. */
 extern const char *const soak_zones[];
 
@@ -44,7 +47,10 @@
     uint32_t engine_crashes;
     uint32_t evacuations;
     uint32_t evacuations_checked; /**< Some daemon was in touch until after the time limit. */
-    uint32_t returns_checked;  /**< Withdrawals without a fault of the zone's engine after them. */
+    uint32_t returns_checked; /**< Withdrawals without a fault of the zone's engine after them. */
+    uint32_t cold_starts;     /**< Restarts of engines that are cold then. */
+    uint32_t cold_requests;   /**< Requests that cold engines received. */
+    uint32_t most_cold_requests; /**< In any one second, at one engine. */
     uint64_t callers_ended_ms; /**< Monotonic time at which callers stopped sending; 0: not yet. */
     uint64_t started_ms;       /**< Monotonic time. */
     gint fault_count;
@@ -102,8 +108,8 @@
 void soak_run_faults(GRand *rng, uint64_t until_ms);
 
 /**
- * Evacuates the zone of an engine for some seconds, and withdraws that, again and again until
- * @p until_ms (monotonic).
+ * Until @p until_ms (monotonic): evacuates the zone of an engine for some seconds and withdraws
+ * that, or restarts an engine, which is cold then.
  */
 void soak_run_operator(GRand *rng, uint64_t until_ms);
 
--- a/tests/soak/zone_faults.c
+++ b/tests/soak/zone_faults.c
@@ -1,4 +1,4 @@
-/** @file zone_faults.c  Evacuations of zones by the operator, and their checks. */
+/** @file zone_faults.c  Evacuations of zones, restarts of engines, and their checks. */
 #include "base/clock.h"
 #include "platform/names.h"
 #include "tests/soak/checks.h"
@@ -25,8 +25,17 @@
 const char *const soak_zones[] = {ZONES_180, ZONES_180, ZONES_36, ZONES_6};
 G_STATIC_ASSERT(G_N_ELEMENTS(soak_zones) >= BENCH_MAX_DAEMONS);
 
-/** of soak_evacuation; NULL: none. Written by the operator's thread only. */
+/** Time for which a restarted engine is down: less and more than the daemons' time-outs. */
+#define MIN_ENGINE_DOWN_MS 200
+#define MAX_ENGINE_DOWN_MS 2500
+/** Bounds of the requests that a cold engine receives in a second: limit x overage + slack. */
+#define WARMUP_OVERAGE 1.5
+#define WARMUP_SLACK 5
+#define MS_PER_S 1000
+
+/** of soak_evacuation, of soak_cold_phase; NULL: none. Written by the operator's thread only. */
 static GArray *evacuations;
+static GArray *cold_phases;
 
 static void put_evacuation(int engine, const char *value) {
     g_autofree char *key = g_strdup_printf(KEY_EVACUATE_PREFIX "%s", soak_zones[engine]);
@@ -47,13 +56,41 @@
     hs_clock_sleep_ms(RETURN_MS);
 }
 
+/** The engine keeps its id, so that its runs stay traceable, and its entry tells the new start. */
+static void restart_engine_cold(GRand *rng) {
+    soak_cold_phase phase = {.engine = g_rand_int_range(rng, 0, BENCH_ENGINES)};
+    uint64_t down_ms = (uint64_t)g_rand_int_range(rng, MIN_ENGINE_DOWN_MS, MAX_ENGINE_DOWN_MS + 1);
+    token_engine *engine = bench.engines[phase.engine];
+    if (!soak_acquire_target(FAULT_ENGINE, phase.engine))
+        return;
+    soak_begin_fault();
+    soak_log("fault restart engine=%d", phase.engine);
+    token_engine_crash(engine);
+    hs_clock_sleep_ms(down_ms);
+    phase.from_ms = hs_clock_monotonic_ms();
+    token_engine_restart(engine, token_engine_id(engine));
+    token_engine_announce(engine, bench.store, false);
+    phase.until_ms = phase.from_ms + (uint64_t)SOAK_WARMUP_S * MS_PER_S;
+    soak_log("fault restart ended engine=%d, cold now", phase.engine);
+    soak_end_fault();
+    soak_release_target(FAULT_ENGINE, phase.engine);
+    g_array_append_val(cold_phases, phase);
+    hs_clock_sleep_ms((uint64_t)SOAK_WARMUP_S * MS_PER_S);
+}
+
 void soak_run_operator(GRand *rng, uint64_t until_ms) {
     evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation));
+    cold_phases = g_array_new(FALSE, FALSE, sizeof(soak_cold_phase));
+    bool evacuates = true;
     while (hs_clock_monotonic_ms() + MAX_BEFORE_EVACUATION_MS + MAX_EVACUATION_MS + RETURN_MS <
            until_ms) {
         hs_clock_sleep_ms((uint64_t)g_rand_int_range(rng, MIN_BEFORE_EVACUATION_MS,
                                                      MAX_BEFORE_EVACUATION_MS + 1));
-        evacuate_zone(rng);
+        if (evacuates)
+            evacuate_zone(rng);
+        else
+            restart_engine_cold(rng);
+        evacuates = !evacuates;
     }
 }
 
@@ -129,9 +166,38 @@
                               token_engine_id(bench.engines[engine]), RETURN_MS);
 }
 
-void soak_check_evacuations(void) {
+void soak_check_cold_phase(const soak_cold_phase *phase) {
+    token_engine *engine = bench.engines[phase->engine];
+    g_autoptr(GArray) received_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    token_engine_call call;
+    guint first = 0;
+    guint most = 0;
+    uint64_t most_from_ms = 0;
+    for (uint32_t number = 0; token_engine_find_call(engine, number, &call); number++) {
+        if (call.begun_ms < phase->from_ms || call.begun_ms >= phase->until_ms ||
+            call.is_misdirected)
+            continue;
+        g_array_append_val(received_ms, call.begun_ms);
+        while (g_array_index(received_ms, uint64_t, first) + MS_PER_S <= call.begun_ms)
+            first++;
+        if (received_ms->len - first > most)
+            most_from_ms = g_array_index(received_ms, uint64_t, first);
+        most = MAX(most, received_ms->len - first);
+    }
+    if (most > SOAK_WARMUP_PER_S * WARMUP_OVERAGE + WARMUP_SLACK)
+        soak_report_violation("cold %s received %u requests in a second, %u ms after its start",
+                              token_engine_id(engine), most,
+                              (unsigned)(most_from_ms - phase->from_ms));
+    record.cold_starts++;
+    record.cold_requests += received_ms->len;
+    record.most_cold_requests = MAX(record.most_cold_requests, most);
+}
+
+void soak_check_operations(void) {
     for (guint index = 0; evacuations != NULL && index < evacuations->len; index++) {
         soak_check_evacuated(&g_array_index(evacuations, soak_evacuation, index));
         soak_check_return(&g_array_index(evacuations, soak_evacuation, index));
     }
+    for (guint index = 0; cold_phases != NULL && index < cold_phases->len; index++)
+        soak_check_cold_phase(&g_array_index(cold_phases, soak_cold_phase, index));
 }
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -35,6 +35,7 @@
 /** Retention of items for the service without engines. */
 #define FAR_JOBS_RETENTION_S 10U
 #define EVENT_INTERVAL_MS 15
+#define MS_PER_S 1000U
 
 fleet_bench bench;
 
@@ -351,13 +352,14 @@
         "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
         "\"completion-target-ms\":20000,\"service\":\"far\",\"max-attempts\":2,"
         "\"retention-s\":%u}],"
-        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":%u},"
+        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"warmup-s\":%u,"
+        "\"warmup-per-s\":%u,\"max-connections\":%u},"
         "{\"name\":\"frail\",\"health-check\":\"/h\",\"max-connections\":%u},"
         "{\"name\":\"far\",\"health-check\":\"/h\",\"max-connections\":%u}],"
         "%s\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, members, members, retention_s, FAR_JOBS_RETENTION_S, connections, connections,
-        connections, tenants_member);
+        version, members, members, retention_s, FAR_JOBS_RETENTION_S, bench.settings.warmup_s,
+        bench.settings.warmup_per_s, connections, connections, connections, tenants_member);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
@@ -373,6 +375,8 @@
                                  .long_paths = long_paths,
                                  .long_pace = has_pace ? bench.settings.item_pace : pace,
                                  .break_after = 5,
+                                 .announces_start = bench.settings.warmup_s > 0,
+                                 .warmup_ms = bench.settings.warmup_s * MS_PER_S,
                                  .zone = get_zone(index),
                                  .slots = bench.settings.slots});
 }
