Soak: losses of zones, and their return

Cause: the soak killed daemons and let engines fail one by one, never a zone's daemons and engine at once.

Change: the operator's thread kills all daemons of a zone and its engine at once, and starts them again after 3 to 6 s, the engine cold. Checked: daemons in touch of other zones serve at least nine of ten requests from 1 s after the loss on; the engine gets requests within 4 s after the return, if it had no fault; after all faults each engine's zone serves within 10 s, in every run.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -34,6 +34,7 @@
     g_autofree char *id = soak_make_request_id(caller->seed, caller->number++, daemon);
     if (g_str_has_prefix(target, "/once/"))
         soak_add_id(record.run_once_ids, id);
+    uint64_t sent_ms = hs_clock_monotonic_ms();
     bench_answer answer = bench_send(&(bench_call){.daemon = daemon,
                                                    .method = "POST",
                                                    .target = target,
@@ -45,6 +46,7 @@
     if (answer.left)
         soak_record_end(id);
     soak_check_answer(id, target, &answer);
+    soak_record_online_answer(daemon, sent_ms, &answer);
     bench_answer_clear(&answer);
     g_mutex_lock(&record.lock);
     record.connections_reused += is_reused;
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -84,6 +84,28 @@
 /** Checks that the engine gets requests again within some seconds after the withdrawal. */
 void soak_check_return(const soak_evacuation *evacuation);
 
+/**
+ * Checks that requests sent to a port are served at an engine again within a time, after all faults
+ * have ended.
+ */
+void soak_check_zone_serves(int engine, uint16_t port, uint32_t timeout_ms);
+
+/** The loss of all daemons and the engine of a zone at once. Monotonic times. */
+typedef struct {
+    int engine;
+    uint64_t lost_ms;
+    uint64_t returned_ms; /**< The engine runs again, and the daemons start. */
+} soak_loss;
+
+/** Records how a daemon answered an online request that was sent at @p sent_ms (monotonic). */
+void soak_record_online_answer(int daemon, uint64_t sent_ms, const bench_answer *answer);
+
+/**
+ * Checks that the other zones' daemons that were in touch served their requests during the loss,
+ * except for its first second and single requests, and that the engine gets requests after it.
+ */
+void soak_check_loss(const soak_loss *loss);
+
 /** A cold phase of an engine. Monotonic times. */
 typedef struct {
     int engine;
@@ -97,7 +119,7 @@
  */
 void soak_check_cold_phase(const soak_cold_phase *phase);
 
-/** Runs these checks for all evacuations and cold phases. */
+/** Runs these checks for all evacuations, losses and cold phases. */
 void soak_check_operations(void);
 
 /** Checks that no run continued after its recorded end. */
--- a/tests/soak/end_checks.c
+++ b/tests/soak/end_checks.c
@@ -9,6 +9,8 @@
 #define JOBS_TIMEOUT_MS 90000
 #define CONFIG_TIMEOUT_MS 8000
 #define POLL_INTERVAL_MS 100
+/** For the first request at a zone's engine after the last fault. */
+#define ZONE_TIMEOUT_MS 10000
 /** Daemons that each job is read from, to limit the duration; jobs rotate over all daemons. */
 #define MAX_DAEMONS_PER_JOB 8
 
@@ -17,6 +19,11 @@
         soak_check_ready(daemon, bench_wait_ready(daemon));
 }
 
+static void check_zones_serve(void) {
+    for (int engine = 0; engine < BENCH_ENGINES; engine++)
+        soak_check_zone_serves(engine, bench_front_port(engine), ZONE_TIMEOUT_MS);
+}
+
 static bool has_expected_config(const char *metrics) {
     g_autofree char *expected =
         g_strdup_printf("heathsail_config_version %d\n", record.config_version);
@@ -65,6 +72,7 @@
 void soak_check_end(void) {
     check_ready();
     check_config();
+    check_zones_serve();
     check_jobs();
     soak_check_runs();
     soak_check_ends();
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -295,6 +295,37 @@
     token_engine_stop(engine);
 }
 
+/** A loss in which daemon 2, of another zone, answers 20 requests; 3 of them with 503, or 2. */
+static void plant_failures_in_zone_loss(bool with_fault) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    soak_loss loss = {.lost_ms = now_ms - SEND_DELAY_MS, .returned_ms = now_ms + 2};
+    for (int request = 0; request < 20; request++) {
+        bool fails = request < 2 + with_fault;
+        bench_answer answer = {.status = fails ? 503 : 200, .whole = true};
+        soak_record_online_answer(2, now_ms, &answer);
+    }
+    while (hs_clock_monotonic_ms() <= loss.returned_ms)
+        hs_clock_sleep_ms(1);
+    soak_check_loss(&loss);
+    if (record.losses_checked != 1)
+        soak_report_violation("the loss was not checked");
+}
+
+/** The engine of a lost zone gets no request after its return; without the fault, one. */
+static void plant_unused_zone_after_loss(bool with_fault) {
+    soak_loss loss = {.lost_ms = hs_clock_monotonic_ms() - SEND_DELAY_MS,
+                      .returned_ms = hs_clock_monotonic_ms()};
+    if (!with_fault)
+        run_repeatedly("r1-2.0", 1);
+    record.callers_ended_ms = UINT64_MAX;
+    soak_check_loss(&loss);
+}
+
+/** All requests reach the other engine; without the fault, this one. */
+static void plant_unused_zone_at_end(bool with_fault) {
+    soak_check_zone_serves(0, token_engine_port(bench.engines[with_fault]), LATE_RUN_DELAY_MS);
+}
+
 static const planted_fault planted_faults[] = {
     {"wrong resume event", plant_wrong_resume_event, "was asked to go on after"},
     {"missing event", plant_missing_event, "follows event"},
@@ -321,6 +352,9 @@
     {"item in an evacuated zone", plant_item_in_evacuated_zone, "after the evacuation"},
     {"too many requests to a cold engine", plant_too_many_cold_requests, "9 requests in a second"},
     {"engine that restarts warm", plant_warm_restart, "is warm"},
+    {"failures in a zone's loss", plant_failures_in_zone_loss, "failed 3 of 20"},
+    {"unused zone after its loss", plant_unused_zone_after_loss, "loss ended"},
+    {"unused zone at the end", plant_unused_zone_at_end, "served no request"},
     {"late run near an injected fault", plant_run_near_fault, "after its end"},
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -51,6 +51,8 @@
     uint32_t cold_starts;     /**< Restarts of engines that are cold then. */
     uint32_t cold_requests;   /**< Requests that cold engines received. */
     uint32_t most_cold_requests; /**< In any one second, at one engine. */
+    uint32_t zone_losses;
+    uint32_t losses_checked;   /**< The other zones had no other fault for long enough. */
     uint64_t callers_ended_ms; /**< Monotonic time at which callers stopped sending; 0: not yet. */
     uint64_t started_ms;       /**< Monotonic time. */
     gint fault_count;
@@ -108,11 +110,15 @@
 void soak_run_faults(GRand *rng, uint64_t until_ms);
 
 /**
- * Until @p until_ms (monotonic): evacuates the zone of an engine for some seconds and withdraws
- * that, or restarts an engine, which is cold then.
+ * Until @p until_ms (monotonic), in turn: evacuates the zone of an engine for some seconds and
+ * withdraws that; restarts an engine, which is cold then; lets a zone's engine and daemons fail at
+ * once and return.
  */
 void soak_run_operator(GRand *rng, uint64_t until_ms);
 
+/** Frees what is recorded of operations and online answers. */
+void soak_clear_operations(void);
+
 /** Returns whether no fault was active at any time between two wall times in ms. */
 bool soak_was_fault_free(uint64_t from_ms, uint64_t to_ms);
 
