--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -61,6 +61,70 @@
 /** Runs soak_check_sends for all contents that crashed engines. */
 void soak_check_crashes(void);
 
+/**
+ * Makes the id of an online request, which names the daemon that gets it and so sends it to
+ * engines. Free with g_free.
+ */
+char *soak_make_request_id(unsigned caller, uint32_t number, int daemon);
+
+/** The evacuation of an engine's zone. Monotonic times. */
+typedef struct {
+    int engine;
+    uint64_t acknowledged_ms; /**< The store acknowledged the evacuation. */
+    uint64_t withdrawing_ms;  /**< The withdrawal was sent. */
+    uint64_t withdrawn_ms;    /**< The store acknowledged the withdrawal. */
+} soak_evacuation;
+
+/**
+ * Checks that no daemon that was in touch sent a request to the engine from the time limit until
+ * the withdrawal. A request whose daemon is unknown, such as an item, counts if all were in touch.
+ */
+void soak_check_evacuated(const soak_evacuation *evacuation);
+
+/** Checks that the engine gets requests again within some seconds after the withdrawal. */
+void soak_check_return(const soak_evacuation *evacuation);
+
+/**
+ * Checks that requests sent to a port are served at an engine again within a time, after all faults
+ * have ended.
+ */
+void soak_check_zone_serves(int engine, uint16_t port, uint32_t timeout_ms);
+
+/** The loss of all daemons and the engine of a zone at once. Monotonic times. */
+typedef struct {
+    int engine;
+    uint64_t lost_ms;
+    uint64_t returned_ms; /**< The engine runs again, and the daemons start. */
+} soak_loss;
+
+/** Records how a daemon answered an online request that was sent at @p sent_ms (monotonic). */
+void soak_record_online_answer(int daemon, uint64_t sent_ms, const bench_answer *answer);
+
+/**
+ * Checks that the other zones' daemons that were in touch served their requests during the loss,
+ * except for its first second and single requests, and that the engine gets requests after it.
+ */
+void soak_check_loss(const soak_loss *loss);
+
+/** A cold phase of an engine. Monotonic times. */
+typedef struct {
+    int engine;
+    uint64_t from_ms;
+    uint64_t until_ms;
+} soak_cold_phase;
+
+/**
+ * Checks that a cold engine received no more requests in any one second than its limit with
+ * overage and slack, over all daemons, whether in touch or not.
+ */
+void soak_check_cold_phase(const soak_cold_phase *phase);
+
+/** Checks that no request with an allowed region reached an engine in another region. */
+void soak_check_home_requests(void);
+
+/** Runs these checks for all evacuations, losses and cold phases. */
+void soak_check_operations(void);
+
 /** Checks that no run continued after its recorded end. */
 void soak_check_ends(void);
 
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -29,6 +29,12 @@
 
 /** Acquires a target for a fault. Returns false if another fault holds it. */
 bool soak_acquire_target(fault_target target, int index);
+/**
+ * Returns whether no fault held a target between two monotonic times in ms. The times of a fault
+ * are those at which it acquired and released the target.
+ */
+bool soak_was_target_free(fault_target target, int index, uint64_t from_ms, uint64_t to_ms);
+/** Releases a target. */
 void soak_release_target(fault_target target, int index);
 
 /** Sleeps for a random time between two bounds in ms, but not beyond the end of the series. */
@@ -61,6 +67,12 @@
 void soak_silence_open_links(const fault_injector *injector);
 void soak_reset_engine_links(const fault_injector *injector);
 
+/**
+ * Cuts the links to the home region's engine for some seconds, and those to the store of the home
+ * region's daemons or of all others.
+ */
+void soak_cut_home_region(GRand *rng);
+
 void soak_fail_store_calls(const fault_injector *injector);
 void soak_delay_store(const fault_injector *injector);
 /** Makes the store drop the records of a topic, or rebalance the partitions. */
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -223,6 +223,130 @@
     soak_check_sends("fatal", with_fault ? now_ms - SEND_DELAY_MS : now_ms, started_ms);
 }
 
+/** An evacuation that ended just now, after which callers have sent for long enough. */
+static soak_evacuation make_evacuation(uint64_t acknowledged_ms) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    return (soak_evacuation){.acknowledged_ms = acknowledged_ms,
+                             .withdrawing_ms = now_ms + 1,
+                             .withdrawn_ms = now_ms + 1};
+}
+
+/** A request of daemon 0 after the time limit; without the fault, within it. */
+static void plant_send_to_evacuated_zone(bool with_fault) {
+    uint64_t past_ms = with_fault ? SOAK_EVACUATE_MS + 1 : SOAK_EVACUATE_MS / 2;
+    uint64_t sent_ms = hs_clock_monotonic_ms();
+    run_repeatedly("r1-0.0", 1);
+    soak_evacuation evacuation = make_evacuation(sent_ms - past_ms);
+    soak_check_evacuated(&evacuation);
+}
+
+/** The same of an item; without the fault, one of the daemons was paused. */
+static void plant_item_in_evacuated_zone(bool with_fault) {
+    uint64_t sent_ms = hs_clock_monotonic_ms();
+    if (!with_fault)
+        soak_acquire_target(FAULT_PROCESS, 1);
+    run_repeatedly("item-0", 1);
+    soak_evacuation evacuation = make_evacuation(sent_ms - SOAK_EVACUATE_MS - 1);
+    soak_check_evacuated(&evacuation);
+    if (!with_fault)
+        soak_release_target(FAULT_PROCESS, 1);
+}
+
+/** The engine's only request comes before the withdrawal; without the fault, after it. */
+static void plant_unused_zone_after_return(bool with_fault) {
+    soak_evacuation evacuation = make_evacuation(0);
+    if (with_fault)
+        run_repeatedly("r1-1.0", 1);
+    hs_clock_sleep_ms(EVENT_MS);
+    evacuation.withdrawn_ms = hs_clock_monotonic_ms();
+    if (!with_fault)
+        run_repeatedly("r1-1.0", 1);
+    record.callers_ended_ms = UINT64_MAX;
+    soak_check_return(&evacuation);
+    if (record.returns_checked != 1)
+        soak_report_violation("the return was not checked");
+}
+
+/** Sends 9 requests to an engine that is cold since some time; without the fault 8, its bound. */
+static void send_to_cold_engine(bool with_fault, uint64_t cold_for_ms) {
+    soak_cold_phase phase = {.from_ms = hs_clock_monotonic_ms() - cold_for_ms,
+                             .until_ms = UINT64_MAX};
+    for (int request = 0; request < 8 + with_fault; request++) {
+        bench_answer answer = send_to_engine("cold", "/plain/soak", 0);
+        bench_answer_clear(&answer);
+    }
+    soak_check_cold_phase(&phase);
+}
+
+static void plant_too_many_cold_requests(bool with_fault) {
+    send_to_cold_engine(with_fault, SEND_DELAY_MS);
+}
+
+static void plant_too_many_requests_at_start(bool with_fault) {
+    send_to_cold_engine(with_fault, 0);
+}
+
+/** The entry of an engine reports no cold phase after a restart; without the fault, it does. */
+static void plant_warm_restart(bool with_fault) {
+    token_engine *engine = token_engine_start(&(token_engine_settings){
+        .id = "restarted", .service = "llm", .warmup_ms = with_fault ? 0 : SEND_DELAY_MS});
+    token_engine_crash(engine);
+    token_engine_restart(engine, "restarted");
+    bench_answer answer = bench_send(&(bench_call){.port = token_engine_port(engine),
+                                                   .method = "POST",
+                                                   .target = "/plain/soak",
+                                                   .request_id = "warm",
+                                                   .body = "hello"});
+    const char *left = hs_http_fields_find(answer.fields, HEADER_WARMUP_MS);
+    if (left == NULL || g_ascii_strtoull(left, NULL, 10) == 0)
+        soak_report_violation("the restarted engine is warm");
+    bench_answer_clear(&answer);
+    token_engine_stop(engine);
+}
+
+/** A loss in which daemon 2, of another zone, answers 20 requests; 3 of them with 503, or 2. */
+static void plant_failures_in_zone_loss(bool with_fault) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    soak_loss loss = {.lost_ms = now_ms - SEND_DELAY_MS, .returned_ms = now_ms + 2};
+    for (int request = 0; request < 20; request++) {
+        bool fails = request < 2 + with_fault;
+        bench_answer answer = {.status = fails ? 503 : 200, .whole = true};
+        soak_record_online_answer(2, now_ms, &answer);
+    }
+    while (hs_clock_monotonic_ms() <= loss.returned_ms)
+        hs_clock_sleep_ms(1);
+    soak_check_loss(&loss);
+    if (record.losses_checked != 1)
+        soak_report_violation("the loss was not checked");
+}
+
+/** The engine of a lost zone gets no request after its return; without the fault, one. */
+static void plant_unused_zone_after_loss(bool with_fault) {
+    soak_loss loss = {.lost_ms = hs_clock_monotonic_ms() - SEND_DELAY_MS,
+                      .returned_ms = hs_clock_monotonic_ms()};
+    if (!with_fault)
+        run_repeatedly("r1-2.0", 1);
+    record.callers_ended_ms = UINT64_MAX;
+    soak_check_loss(&loss);
+}
+
+/** All requests reach the other engine; without the fault, this one. */
+static void plant_unused_zone_at_end(bool with_fault) {
+    soak_check_zone_serves(0, token_engine_port(bench.engines[with_fault]), LATE_RUN_DELAY_MS);
+}
+
+/** A request with an allowed region reaches the other engine; without the fault, its own. */
+static void plant_request_outside_region(bool with_fault) {
+    token_engine *engine = bench.engines[with_fault ? 1 - SOAK_HOME_ENGINE : SOAK_HOME_ENGINE];
+    bench_answer answer = bench_send(&(bench_call){.port = token_engine_port(engine),
+                                                   .method = "POST",
+                                                   .target = "/home/plain/soak",
+                                                   .request_id = "r1-3.0" SOAK_HOME_ID_SUFFIX,
+                                                   .body = "hello"});
+    bench_answer_clear(&answer);
+    soak_check_home_requests();
+}
+
 static const planted_fault planted_faults[] = {
     {"wrong resume event", plant_wrong_resume_event, "was asked to go on after"},
     {"missing event", plant_missing_event, "follows event"},
@@ -244,6 +368,17 @@
     {"run after its end", plant_run_after_end, "after its end"},
     {"quarantine of a harmless request", plant_wrong_quarantine, "quarantined though"},
     {"late sends of a crash content", plant_late_sends, "sent 4 times"},
+    {"send to an evacuated zone", plant_send_to_evacuated_zone, "after the evacuation"},
+    {"unused zone after its return", plant_unused_zone_after_return, "got no request"},
+    {"item in an evacuated zone", plant_item_in_evacuated_zone, "after the evacuation"},
+    {"too many requests to a cold engine", plant_too_many_cold_requests,
+     "cold engine-0 received 9"},
+    {"too many requests at a cold start", plant_too_many_requests_at_start, SOAK_UNREAD_COLD_START},
+    {"engine that restarts warm", plant_warm_restart, "is warm"},
+    {"failures in a zone's loss", plant_failures_in_zone_loss, "failed 3 of 20"},
+    {"unused zone after its loss", plant_unused_zone_after_loss, "loss ended"},
+    {"unused zone at the end", plant_unused_zone_at_end, "served no request"},
+    {"request outside its region", plant_request_outside_region, "outside of its allowed region"},
     {"late run near an injected fault", plant_run_near_fault, "after its end"},
 };
 
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -35,6 +35,7 @@
 /** Retention of items for the service without engines. */
 #define FAR_JOBS_RETENTION_S 10U
 #define EVENT_INTERVAL_MS 15
+#define MS_PER_S 1000U
 
 fleet_bench bench;
 
@@ -105,6 +106,8 @@
     if (bench.settings.zone_regions != NULL)
         add_setting(arguments,
                     g_strdup_printf("fleet.zone_regions=%s", bench.settings.zone_regions));
+    if (bench.settings.evacuate_ms != 0)
+        add_setting(arguments, g_strdup_printf("fleet.evacuate_ms=%u", bench.settings.evacuate_ms));
     add_address(arguments, "front", get_port(PORT_FRONT, index));
     add_address(arguments, "ready", get_port(PORT_READY, index));
     add_address(arguments, "directory", get_port(PORT_DIRECTORY, index));
@@ -313,6 +316,17 @@
     bench_configure_tenants(version, NULL);
 }
 
+/** Returns the route with an allowed region, followed by a comma; "" without it. */
+static char *make_home_route(void) {
+    if (bench.settings.home_region == NULL)
+        return g_strdup("");
+    return g_strdup_printf("{\"name\":\"home\",\"host\":\"" BENCH_HOST
+                           "\",\"path-prefix\":\"/home/\",\"kind\":\"idempotent\","
+                           "\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
+                           "\"max-attempts\":2,\"allowed-regions\":[\"%s\"]},",
+                           bench.settings.home_region);
+}
+
 void bench_configure_tenants(int version, const char *tenants) {
     g_autofree char *tenants_member =
         tenants != NULL ? g_strdup_printf("\"tenants\":%s,", tenants) : g_strdup("");
@@ -321,8 +335,9 @@
         bench.settings.connections > 0 ? bench.settings.connections : DEFAULT_CONNECTIONS;
     uint32_t retention_s =
         bench.settings.retention_s > 0 ? bench.settings.retention_s : DEFAULT_RETENTION_S;
+    g_autofree char *home = make_home_route();
     g_autofree char *text = g_strdup_printf(
-        "{\"version\":%d,\"routes\":["
+        "{\"version\":%d,\"routes\":[%s"
         "{\"name\":\"once\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/once/\","
         "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
         "\"max-attempts\":1,\"resumable\":false},"
@@ -349,13 +364,14 @@
         "\"kind\":\"batch\",\"timeout-ms\":30000,\"target-latency-ms\":400,"
         "\"completion-target-ms\":20000,\"service\":\"far\",\"max-attempts\":2,"
         "\"retention-s\":%u}],"
-        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"max-connections\":%u},"
+        "\"services\":[{\"name\":\"llm\",\"health-check\":\"/h\",\"warmup-s\":%u,"
+        "\"warmup-per-s\":%u,\"max-connections\":%u},"
         "{\"name\":\"frail\",\"health-check\":\"/h\",\"max-connections\":%u},"
         "{\"name\":\"far\",\"health-check\":\"/h\",\"max-connections\":%u}],"
         "%s\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, members, members, retention_s, FAR_JOBS_RETENTION_S, connections, connections,
-        connections, tenants_member);
+        version, home, members, members, retention_s, FAR_JOBS_RETENTION_S, bench.settings.warmup_s,
+        bench.settings.warmup_per_s, connections, connections, connections, tenants_member);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
 
@@ -371,6 +387,8 @@
                                  .long_paths = long_paths,
                                  .long_pace = has_pace ? bench.settings.item_pace : pace,
                                  .break_after = 5,
+                                 .announces_start = bench.settings.warmup_s > 0,
+                                 .warmup_ms = bench.settings.warmup_s * MS_PER_S,
                                  .zone = get_zone(index),
                                  .slots = bench.settings.slots});
 }
