Directory: what callers and daemons ask moves to directory_members

Change: resolution, owners and regions of daemons are in directory_members.c, the shared state in daemon_directory_state.h. No change of behaviour.

--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -1,23 +1,14 @@
 /**
  * @file daemon_directory.c
- * Members, their registry in the store, and resolution of addresses; see daemon_directory.h.
+ * Members, their registry in the store, and announcements to other daemons; see daemon_directory.h.
  */
-#include "directory/daemon_directory.h"
+#include "directory/daemon_directory_state.h"
 
 #include "base/clock.h"
 #include "base/endpoint.h"
-#include "base/hash.h"
 #include "base/log.h"
 #include "base/memory_budget.h"
-#include "base/stop_wait.h"
-#include "directory/crash_exchange.h"
-#include "directory/crash_store.h"
-#include "directory/evacuation_exchange.h"
-#include "directory/machine_load.h"
-#include "directory/peer_distances.h"
 #include "directory/region_reports.h"
-#include "directory/resolve_addresses.h"
-#include "directory/slot_arbiter.h"
 #include "directory/tenant_limiter.h"
 #include "directory/zone_watch.h"
 #include "fleet/arbiter_term.h"
@@ -49,40 +40,12 @@
 #define JOIN_CHECK_MS 200
 /** Interval at which changed crash records are written to the store. */
 #define CRASH_RECORDS_INTERVAL_MS 500
-/** Time after joining for which a daemon that knows no other returns no addresses. */
-#define SETTLE_MS 1500
 /** Probe intervals after which a suspected member is declared dead. */
 #define SUSPECT_PROBES 2
 #define FORGET_MS 30000
 /** Prefix of the placeholder id of a seed whose own id is not known yet. */
 #define SEED_PREFIX "seed-"
 
-struct hs_daemon_directory {
-    hs_daemon_directory_settings settings;
-    hs_peer_socket *socket;
-    hs_peer_distances *distances;
-    hs_membership_service *membership;
-    hs_slot_arbiter *slots;
-    hs_crash_exchange *crashes;
-    hs_evacuation_exchange *evacuations;
-    hs_tenant_limiter *limiter;
-    hs_crash_store *crash_records;
-    char *seeds; /**< Guarded by lock. */
-    gint resolve_ttl_s;
-    uint64_t started_ms;
-    uint64_t next_shares_ms;
-    guint next_peer;          /**< Index of the peer at which the next announcement starts. */
-    guint shares_rounds;      /**< Announcements so far; wraps. */
-    hs_machine_load load;     /**< Used by the ticker's thread only. */
-    gint utilisation_percent; /**< As last announced; atomic. */
-    GMutex lock;
-    hs_stop_wait pause;
-    gint leaving;
-    gint joined; /**< This daemon was ready to serve and takes part in the membership. */
-    GThread *ticker;
-    GThread *registry_thread;
-};
-
 static bool owns_partitions(hs_daemon_directory *directory, const char *id) {
     const hs_membership *membership = hs_membership_service_lock(directory->membership);
     const hs_member *member = hs_membership_find(membership, id);
@@ -508,121 +471,3 @@
     g_mutex_clear(&directory->lock);
     g_free(directory);
 }
-
-uint32_t hs_daemon_directory_utilisation_percent(hs_daemon_directory *directory) {
-    return (uint32_t)g_atomic_int_get(&directory->utilisation_percent);
-}
-
-char **hs_daemon_directory_resolve(hs_daemon_directory *directory, const hs_resolve_query *query) {
-    if (g_atomic_int_get(&directory->joined) == 0)
-        return NULL;
-    bool is_settled = hs_clock_monotonic_ms() > directory->started_ms + SETTLE_MS;
-    hs_membership *membership = hs_membership_service_lock(directory->membership);
-    bool knows_others = hs_membership_live_count(membership) > 1;
-    char **addresses = NULL;
-    hs_resolve_query completed = *query;
-    completed.without_self = g_atomic_int_get(&directory->leaving) != 0;
-    completed.topology = hs_fleet_engines_topology(directory->settings.engines);
-    if (knows_others || is_settled)
-        addresses = hs_resolve_addresses(membership, &completed);
-    hs_membership_service_unlock(directory->membership);
-    return addresses;
-}
-
-void hs_daemon_directory_announce_owned(hs_daemon_directory *directory, const GArray *partitions,
-                                        uint64_t generation) {
-    g_autoptr(GArray) owned = g_array_new(FALSE, FALSE, sizeof(hs_owned_partition));
-    g_autoptr(GPtrArray) no_engines = g_ptr_array_new();
-    for (guint index = 0; index < partitions->len; index++) {
-        hs_owned_partition partition = {.partition = g_array_index(partitions, uint32_t, index),
-                                        .epoch = (uint32_t)generation};
-        g_array_append_val(owned, partition);
-    }
-    hs_membership *membership = hs_membership_service_lock(directory->membership);
-    hs_membership_update_self(membership, 0, owned, no_engines);
-    hs_membership_service_unlock(directory->membership);
-}
-
-const hs_topology *hs_daemon_directory_topology(const hs_daemon_directory *directory) {
-    return hs_fleet_engines_topology(directory->settings.engines);
-}
-
-const char *hs_daemon_directory_own_region(const hs_daemon_directory *directory) {
-    return hs_topology_region(hs_daemon_directory_topology(directory), directory->settings.zone);
-}
-
-GArray *hs_daemon_directory_list_regions(hs_daemon_directory *directory) {
-    GArray *regions = g_array_new(FALSE, FALSE, sizeof(hs_daemon_region));
-    g_autoptr(GPtrArray) members = g_ptr_array_new();
-    const hs_topology *topology = hs_daemon_directory_topology(directory);
-    bool has_regions = hs_topology_has_regions(topology);
-    hs_membership *membership = hs_membership_service_lock(directory->membership);
-    hs_membership_list(membership, members);
-    for (guint index = 0; index < members->len; index++) {
-        const hs_member *member = members->pdata[index];
-        bool is_self = member == hs_membership_self(membership);
-        bool is_older_build = has_regions && *member->region == '\0';
-        if (!is_self &&
-            (!hs_member_is_live(member) || hs_daemon_is_seed(member->id) || is_older_build))
-            continue;
-        hs_daemon_region daemon = {.daemon = hs_hash_bytes(member->id, strlen(member->id)),
-                                   .region = hs_topology_region(topology, member->zone)};
-        g_array_append_val(regions, daemon);
-    }
-    hs_membership_service_unlock(directory->membership);
-    return regions;
-}
-
-bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
-                                    hs_daemon_address *owner) {
-    uint32_t epoch = 0;
-    const hs_membership *membership = hs_membership_service_lock(directory->membership);
-    const hs_member *member = hs_membership_find_owner(membership, partition, &epoch);
-    bool is_other = member != NULL && member != hs_membership_self(membership) &&
-                    member->state == HS_MEMBER_ALIVE;
-    if (is_other)
-        *owner = (hs_daemon_address){
-            .address = member->address,
-            .port = member->peer_port,
-            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone),
-            .is_far = hs_membership_is_far(membership, member)};
-    hs_membership_service_unlock(directory->membership);
-    return is_other;
-}
-
-bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory) {
-    return own_region(&directory->settings) != NULL;
-}
-
-hs_owner_counts hs_daemon_directory_count_owners(hs_daemon_directory *directory,
-                                                 uint32_t partition_count) {
-    hs_owner_counts counts = {0};
-    const hs_membership *membership = hs_membership_service_lock(directory->membership);
-    for (uint32_t partition = 0; partition < partition_count; partition++) {
-        uint32_t epoch = 0;
-        const hs_member *member = hs_membership_find_owner(membership, partition, &epoch);
-        counts.own += member != NULL && member == hs_membership_self(membership);
-        counts.located += member != NULL && member->state == HS_MEMBER_ALIVE;
-    }
-    hs_membership_service_unlock(directory->membership);
-    return counts;
-}
-
-hs_tenant_limiter *hs_daemon_directory_limiter(hs_daemon_directory *directory) {
-    return directory->limiter;
-}
-
-char *hs_daemon_directory_describe_traffic(hs_daemon_directory *directory) {
-    return hs_peer_socket_describe(directory->socket);
-}
-
-uint32_t hs_daemon_directory_live_count(hs_daemon_directory *directory) {
-    hs_membership *membership = hs_membership_service_lock(directory->membership);
-    uint32_t count = hs_membership_live_count(membership);
-    hs_membership_service_unlock(directory->membership);
-    return MAX(count, 1);
-}
-
-uint32_t hs_daemon_directory_ttl_s(const hs_daemon_directory *directory) {
-    return (uint32_t)g_atomic_int_get(&directory->resolve_ttl_s);
-}
