An engine that could not be reached counts as cold until it reports otherwise

Cause: an engine that starts anew under its id is cold before its entry is read, up to one read interval later. The soak found more requests in a second than the limit allows in that time.

Change: after a failed connection an engine of a service with a limit counts as cold for the warm-up time, until an answer, or an entry read 2 s later or more, says otherwise. A daemon that did not try the engine meanwhile still does not know; the arbiter's denial tells it.

Two tests of the arbiter's share now set a limit first: without limits the arbiter does not count members since. Their assertions are as before.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -328,6 +328,7 @@
         break;
     case HS_ATTEMPT_UNREACHABLE:
         mark_suspected(engine, now_ms, "unreachable");
+        hs_engine_warmup_note_unreachable(lease->engines, engine, now_ms);
         hs_fleet_engine_note_zone_failure(engine, now_ms);
         break;
     case HS_ATTEMPT_SILENT:
--- a/src/fleet/warmup_state.h
+++ b/src/fleet/warmup_state.h
@@ -25,17 +25,19 @@
 /** Source of the latest end of the cold phase. */
 typedef enum {
     HS_COLD_NOT,
-    HS_COLD_ENTRY,      /**< The engine's entry in the store. */
-    HS_COLD_ANSWER,     /**< A response of the engine. */
-    HS_COLD_EVACUATION, /**< The end of an evacuation of the engine's zone. */
-    HS_COLD_ARBITER,    /**< The engine's arbiter denied a permit that was not requested. */
+    HS_COLD_ENTRY,       /**< The engine's entry in the store. */
+    HS_COLD_ANSWER,      /**< A response of the engine. */
+    HS_COLD_EVACUATION,  /**< The end of an evacuation of the engine's zone. */
+    HS_COLD_ARBITER,     /**< The engine's arbiter denied a permit that was not requested. */
+    HS_COLD_UNREACHABLE, /**< It could not be reached, and may have started anew since. */
     HS_COLD_REASON_COUNT,
 } hs_cold_reason;
 
 /** Ends of the cold phase by source; 0: not cold by this source. Zero-initialise. */
 typedef struct {
     uint64_t until_ms[HS_COLD_REASON_COUNT];
-    uint64_t evacuated_ms; /**< When the last evacuation ended; 0: never. */
+    uint64_t evacuated_ms;   /**< When the last evacuation ended; 0: never. */
+    uint64_t unreachable_ms; /**< When the engine could not be reached last; 0: never. */
 } hs_warmup_state;
 
 /**
@@ -65,6 +67,13 @@
  */
 void hs_warmup_state_note_evacuated(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
 
+/**
+ * Records that the engine could not be reached: a start that its entry does not report yet may
+ * follow. It counts as cold until @p until_ms unless an answer, or an entry written after @p
+ * now_ms, says otherwise.
+ */
+void hs_warmup_state_note_unreachable(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
+
 /** Records that the engine's arbiter denied a permit that this daemon did not request. */
 void hs_warmup_state_note_denial(hs_warmup_state *state, uint64_t now_ms);
 
--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -211,6 +211,29 @@
     CU_ASSERT_EQUAL(hs_warmup_limit_slots(&limit, 8, 60000), 8);
 }
 
+/** Guards against requests to an engine that started anew before its entry reports it. */
+static void an_unreachable_engine_counts_as_cold(void) {
+    hs_warmup_state state = {0};
+    hs_warmup_state_note_entry(&state, 0, 1000);
+    CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 1000));
+    hs_warmup_state_note_unreachable(&state, 2000, 2000 + WARMUP_MS);
+    CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2001));
+    CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &none, 2001));
+    hs_warmup_state_note_entry(&state, 0, 2500); /* May be from before the new start. */
+    CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2501));
+    hs_warmup_state_note_entry(&state, 0, 2000 + HS_WARMUP_MAX_ENTRY_DELAY_MS);
+    CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 4001));
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    put_engine(engines, "e", 0);
+    hs_engine_query query = {.service = SERVICE, .warmup = limit};
+    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_UNREACHABLE);
+    const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, "e");
+    CU_ASSERT_TRUE(hs_engine_warmup_is_cold(engines, engine, hs_clock_monotonic_ms()));
+    hs_fleet_engines_free(engines);
+}
+
 /** Guards against free slots of cold engines that let requests wait for nothing. */
 static void a_cold_engine_counts_by_its_rate(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
@@ -283,6 +306,7 @@
     CU_ASSERT_PTR_NOT_NULL_FATAL(socket);
     hs_membership_service *membership = hs_membership_service_new(&self, &settings, socket);
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_warmup_set_limit(engines, SERVICE, &limit);
     hs_warmup_arbiter *granting = hs_warmup_arbiter_new(engines, membership, is_own, NULL);
     hs_membership *members = hs_membership_service_lock(membership);
     hs_membership_propose(members, "seed-1", INADDR_LOOPBACK, 7, 1);
@@ -315,11 +339,11 @@
     hs_engine_use use = {
         .engine_hash = ((hs_fleet_engine *)g_hash_table_lookup(engines->by_id, "cold"))->hash};
     hs_engine_load_report load = {0};
-    hs_warmup_arbiter_tick(granting);
-    CU_ASSERT_EQUAL(hs_warmup_arbiter_share(granting), 1);
     hs_warmup_arbiter_decide(granting, &use, &load);
     CU_ASSERT_EQUAL(load.permit, HS_PERMIT_NONE); /* The service has no limit. */
     hs_engine_warmup_set_limit(engines, SERVICE, &limit);
+    hs_warmup_arbiter_tick(granting);
+    CU_ASSERT_EQUAL(hs_warmup_arbiter_share(granting), 1);
     hs_warmup_arbiter_decide(granting, &use, &load);
     CU_ASSERT_EQUAL(load.permit, HS_PERMIT_DENIED);
     CU_ASSERT_EQUAL(load.permit_retry_ms, 0); /* It was not requested. */
@@ -358,6 +382,7 @@
     {"a_permit_is_for_one_request_in_time", a_permit_is_for_one_request_in_time},
     {"an_unrequested_denial_stops_a_request", an_unrequested_denial_stops_a_request},
     {"cold_engines_are_used_when_others_are_full", cold_engines_are_used_when_others_are_full},
+    {"an_unreachable_engine_counts_as_cold", an_unreachable_engine_counts_as_cold},
     {"a_cold_engine_counts_by_its_rate", a_cold_engine_counts_by_its_rate},
     {"an_attempt_without_a_permit_opens_no_connection",
      an_attempt_without_a_permit_opens_no_connection},
