Requests make their region policy anew only with a new configuration

Cause: each attempt, also each retry of a held request, searched all routes and built the policy's key again, although neither had changed.

Change: the policy is kept until the configuration's version or the tenant changes.

--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -196,6 +196,7 @@
         request->checked_version = config->version;
         g_free(request->tenant);
         request->tenant = tenant != NULL ? g_strdup(tenant->name) : NULL;
+        request->is_tenant_changed = true;
     } else {
         *reason = request->run == HS_RUN_NOT_EXECUTED ? HS_END_KEY_UNKNOWN : HS_END_BROKEN;
         hs_log_info("request_no_longer_allowed",
--- a/src/online/online_regions.c
+++ b/src/online/online_regions.c
@@ -20,6 +20,11 @@
     hs_fleet_config *config = hs_config_source_get(request->online->config);
     if (config == NULL)
         config = hs_fleet_config_ref(request->config);
+    if (request->regions_config != NULL && !request->is_tenant_changed &&
+        request->regions_config->version == config->version) {
+        hs_fleet_config_unref(config);
+        return;
+    }
     const hs_fleet_route *route =
         hs_fleet_config_find_route(config, request->terms.host, request->inbound->target);
     hs_region_policy policy = hs_region_policy_for_tenant_name(
@@ -28,6 +33,7 @@
     set_policy(request, &policy);
     hs_fleet_config_unref(request->regions_config);
     request->regions_config = config;
+    request->is_tenant_changed = false;
 }
 
 static void log_no_allowed_region(const hs_online_request *request) {
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -24,6 +24,7 @@
     double used_slots;        /**< Engine slots recently requested by the tenant; 0: unknown. */
     uint64_t checked_version; /**< Configuration version of the latest key check. */
     hs_fleet_config *regions_config; /**< Configuration that regions was made from. */
+    bool is_tenant_changed;          /**< Since regions was made. */
     hs_region_policy regions;        /**< Regions where the next attempt may run. */
     char *group;                     /**< See hs_region_policy_group. */
     hs_caller_terms terms;
