Feed: records of the store are passed on between daemons

Cause: each daemon read all state from the store by itself; at 986 daemons and 10,000 engines that is 2.7 GB at a start, of which the store gives 80 MB/s, and a page that failed began the list anew.

Nothing uses it yet.

--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 
 ## generate    write gen/ anew from proto/ (needs protobuf-c-compiler; not part of the build)
 generate:
-	protoc-c --c_out=gen --proto_path=proto proto/record.proto proto/peer.proto proto/job.proto
+	protoc-c --c_out=gen --proto_path=proto proto/record.proto proto/peer.proto proto/job.proto proto/feed.proto
 
 CHECKED = $(filter-out gen/%,$(wildcard src/*/*.[ch] platform/*.[ch] include/heathsail/*.h standin/*/*.[ch] tools/*/*.[ch] tests/*/*.[ch]))
 ## format      rewrite the sources with clang-format
--- /dev/null
+++ b/src/feed/feed_store.c
@@ -0,0 +1,128 @@
+/** @file feed_store.c  Reads of the store; see hs_state_feed_read_store. */
+#include "feed/state_feed_internal.h"
+
+#include "base/clock.h"
+
+#define MAX_READ_KB 1024
+
+/** Sends a call, and counts it and the bytes of the response. */
+static hs_store_outcome send_call(hs_state_feed *feed, hs_store_call *call, uint64_t limit_ms) {
+    hs_store_contact_note_call(&feed->contact);
+    hs_store_outcome outcome = hs_store_client_send(
+        feed->store, call, hs_clock_monotonic_ms() + limit_ms, NULL, feed->response);
+    g_mutex_lock(&feed->lock);
+    feed->counters.store_reads++;
+    feed->counters.store_bytes += feed->response->len;
+    g_mutex_unlock(&feed->lock);
+    return outcome;
+}
+
+/** Puts the entries of a page. The caller holds the lock. */
+static void put_entries(hs_state_feed *feed, const GArray *entries, hs_feed_batch *batch) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (guint index = 0; index < entries->len; index++) {
+        const hs_newest_entry *entry = &g_array_index(entries, hs_newest_entry, index);
+        g_autoptr(GBytes) value = g_bytes_new(entry->value, entry->value_length);
+        hs_feed_record *record = hs_feed_record_new(entry->key, value, entry->offset, now_ms);
+        hs_state_feed_put(feed, record, batch);
+        hs_feed_record_unref(record);
+    }
+}
+
+/** Merges a page; the last one ends the listing. The caller holds the lock. */
+static void merge_page(hs_state_feed *feed, const GArray *entries, bool has_more, uint64_t end,
+                       hs_feed_batch *batch) {
+    if (feed->page_after == NULL) {
+        /* The position is beyond the end: the log has begun anew, or a daemon's was wrong. */
+        if (hs_feed_log_next(feed->log) > end)
+            hs_feed_log_reset(feed->log);
+        hs_feed_log_begin_listing(feed->log);
+        feed->is_peer_listing = false;
+        feed->page_end = end;
+    }
+    put_entries(feed, entries, batch);
+    batch->has_more = has_more && entries->len > 0;
+    g_free(feed->page_after);
+    feed->page_after = NULL;
+    if (batch->has_more) {
+        feed->page_after = g_strdup(g_array_index(entries, hs_newest_entry, entries->len - 1).key);
+        return;
+    }
+    /* Keys may change between two pages: what follows the first page is read again. */
+    hs_feed_log_end_listing(feed->log, feed->page_end, feed->page_end);
+    feed->must_list = false;
+    feed->hops = 0;
+    batch->is_listed = true;
+}
+
+/** Reads the next page of a listing. A page that fails is read again, not the listing. */
+static hs_store_outcome list(hs_state_feed *feed, const hs_feed_limits *limits,
+                             hs_feed_batch *batch) {
+    hs_store_call call = hs_platform_build_newest_call(feed->topic, feed->page_after);
+    hs_store_outcome outcome = send_call(feed, &call, limits->store_timeout_ms);
+    if (outcome != HS_STORE_DONE)
+        return outcome;
+    GArray *entries = hs_newest_entries_new();
+    bool has_more = false;
+    uint64_t end = 0;
+    if (hs_platform_read_newest(feed->response, entries, &has_more, &end)) {
+        g_mutex_lock(&feed->lock);
+        merge_page(feed, entries, has_more, end, batch);
+        g_mutex_unlock(&feed->lock);
+    } else {
+        outcome = HS_STORE_UNKNOWN;
+    }
+    g_array_free(entries, TRUE);
+    return outcome;
+}
+
+/** Puts the records of a response that begins at @p next. The caller holds the lock. */
+static void put_records(hs_state_feed *feed, uint64_t next, hs_feed_batch *batch) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    size_t position = 0;
+    hs_store_record found;
+    while (hs_platform_read_next_record(feed->response, true, &position, &found)) {
+        g_autofree char *key = g_strndup(found.key, found.key_length);
+        g_autoptr(GBytes) value = g_bytes_new(found.value, found.value_length);
+        hs_feed_record *record = hs_feed_record_new(key, value, next, now_ms);
+        hs_state_feed_put(feed, record, batch);
+        hs_feed_record_unref(record);
+        next++;
+    }
+    hs_feed_log_advance(feed->log, next);
+    feed->hops = 0;
+}
+
+/** Reads the records from the position on. */
+static hs_store_outcome follow(hs_state_feed *feed, const hs_feed_limits *limits,
+                               hs_feed_batch *batch) {
+    g_mutex_lock(&feed->lock);
+    uint64_t next = hs_feed_log_next(feed->log);
+    g_mutex_unlock(&feed->lock);
+    hs_store_call call =
+        hs_platform_build_read_call(feed->topic, 0, next, MAX_READ_KB, limits->store_wait_ms);
+    uint64_t limit_ms = (uint64_t)limits->store_wait_ms + limits->store_timeout_ms;
+    hs_store_outcome outcome = send_call(feed, &call, limit_ms);
+    uint64_t end = 0;
+    uint64_t first = 0;
+    if (outcome == HS_STORE_DONE && hs_platform_read_bounds(feed->response, &end, &first) &&
+        end < next)
+        outcome = HS_STORE_GONE;
+    if (outcome == HS_STORE_DONE) {
+        g_mutex_lock(&feed->lock);
+        put_records(feed, next, batch);
+        g_mutex_unlock(&feed->lock);
+    }
+    return outcome;
+}
+
+void hs_state_feed_read_store(hs_state_feed *feed, const hs_feed_limits *limits,
+                              hs_feed_batch *batch) {
+    bool is_listing = feed->must_list || !hs_state_feed_is_complete(feed);
+    batch->outcome = is_listing ? list(feed, limits, batch) : follow(feed, limits, batch);
+    /* Until the last page, the store has not confirmed the records as a whole. */
+    if (!batch->has_more)
+        hs_store_contact_note_outcome(&feed->contact, batch->outcome);
+    if (batch->outcome == HS_STORE_GONE)
+        feed->must_list = true;
+}
--- a/tests/check_layers.sh
+++ b/tests/check_layers.sh
@@ -3,7 +3,7 @@
 # Prints each breach; fails when there is one.
 set -eu
 cd "$(dirname "$0")/.."
-layers="base http tenants store engine fleet online config peer membership directory jobs surface routing batch scheduling placement node commands queries daemon"
+layers="base http tenants store feed engine fleet online config peer membership directory jobs surface routing batch scheduling placement node commands queries daemon"
 rank() {
     position=0
     for layer in $layers; do
