Members announce whether they are starting and pass records on

Cause: a daemon took part in the membership only when it was ready, so that it could not learn from whom to get configuration and engines.

Change: MemberRecord.is_starting and relays_state. A member that is starting is probed and known, but is not live for callers, arbiters and ranks; an older build's relays of its record change nothing.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1646,7 +1646,7 @@
   (ProtobufCMessageInit) hs__owned_partition__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[17] =
+static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[19] =
 {
   {
     "id",
@@ -1852,6 +1852,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relays_state",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, relays_state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "is_starting",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, is_starting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__member_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -1861,12 +1885,14 @@
   13,   /* field[13] = descriptors */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
+  18,   /* field[18] = is_starting */
   10,   /* field[10] = leaving_engines */
   14,   /* field[14] = link_kbps */
   12,   /* field[12] = memory_mb */
   9,   /* field[9] = owned */
   5,   /* field[5] = peer_port */
   16,   /* field[16] = region */
+  17,   /* field[17] = relays_state */
   3,   /* field[3] = state */
   15,   /* field[15] = taken_percent */
   2,   /* field[2] = version */
@@ -1875,7 +1901,7 @@
 static const ProtobufCIntRange hs__member_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor hs__member_record__descriptor =
 {
@@ -1885,7 +1911,7 @@
   "Hs__MemberRecord",
   "hs",
   sizeof(Hs__MemberRecord),
-  17,
+  19,
   hs__member_record__field_descriptors,
   hs__member_record__field_indices_by_name,
   1,  hs__member_record__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -165,10 +165,18 @@
    * Region of the member's zone; empty: unknown, as in older builds.
    */
   char *region;
+  /*
+   * The member passes records of the store on; older builds do not.
+   */
+  protobuf_c_boolean relays_state;
+  /*
+   * The member is not ready to serve yet; older builds join when ready.
+   */
+  protobuf_c_boolean is_starting;
 };
 #define HS__MEMBER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__member_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -294,7 +294,7 @@
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         hs_daemon_address address = {.address = member->address, .port = member->peer_port};
-        if (member != hs_membership_self(membership) && member->state == HS_MEMBER_ALIVE)
+        if (member != hs_membership_self(membership) && hs_member_is_alive(member))
             g_array_append_val(addresses, address);
     }
     hs_membership_service_unlock(exchange->membership);
--- a/src/directory/directory_members.c
+++ b/src/directory/directory_members.c
@@ -82,8 +82,8 @@
     uint32_t epoch = 0;
     const hs_membership *membership = hs_membership_service_lock(directory->membership);
     const hs_member *member = hs_membership_find_owner(membership, partition, &epoch);
-    bool is_other = member != NULL && member != hs_membership_self(membership) &&
-                    member->state == HS_MEMBER_ALIVE;
+    bool is_other =
+        member != NULL && member != hs_membership_self(membership) && hs_member_is_alive(member);
     if (is_other)
         *owner = (hs_daemon_address){
             .address = member->address,
@@ -107,7 +107,7 @@
         uint32_t epoch = 0;
         const hs_member *member = hs_membership_find_owner(membership, partition, &epoch);
         counts.own += member != NULL && member == hs_membership_self(membership);
-        counts.located += member != NULL && member->state == HS_MEMBER_ALIVE;
+        counts.located += member != NULL && hs_member_is_alive(member);
     }
     hs_membership_service_unlock(directory->membership);
     return counts;
--- a/src/directory/evacuation_exchange.c
+++ b/src/directory/evacuation_exchange.c
@@ -118,7 +118,7 @@
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
         member_address address = {.address = member->address, .port = member->peer_port};
-        if (member != hs_membership_self(membership) && member->state == HS_MEMBER_ALIVE)
+        if (member != hs_membership_self(membership) && hs_member_is_alive(member))
             g_array_append_val(addresses, address);
     }
     hs_membership_service_unlock(exchange->membership);
--- a/src/directory/region_reports.c
+++ b/src/directory/region_reports.c
@@ -23,7 +23,7 @@
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
-        if (member == hs_membership_self(membership) || member->state != HS_MEMBER_ALIVE ||
+        if (member == hs_membership_self(membership) || !hs_member_is_alive(member) ||
             *member->region == '\0')
             continue;
         GArray *receivers = g_hash_table_lookup(regions, member->region);
--- a/src/directory/resolve_addresses.c
+++ b/src/directory/resolve_addresses.c
@@ -55,7 +55,7 @@
     for (guint index = 0; index < members->len; index++) {
         hs_member *member = members->pdata[index];
         bool is_self = member == hs_membership_self(membership);
-        bool usable = is_self ? !query->without_self : member->state == HS_MEMBER_ALIVE;
+        bool usable = is_self ? !query->without_self : hs_member_is_alive(member);
         if (usable && place_of(query, member) == wanted)
             g_ptr_array_add(found, member);
     }
--- a/src/directory/tenant_limiter.c
+++ b/src/directory/tenant_limiter.c
@@ -104,7 +104,7 @@
 /** Reports whether a member responds or is assumed to respond. */
 static bool is_reached(const hs_member *member, const lookup_assumptions *assumptions) {
     bool is_listed = member->state == HS_MEMBER_PROPOSED && !hs_daemon_is_seed(member->id);
-    return member->state == HS_MEMBER_ALIVE || (assumptions->assumes_listed_alive && is_listed);
+    return hs_member_is_alive(member) || (assumptions->assumes_listed_alive && is_listed);
 }
 
 /** Looks up the limit owner of @p tenant among the members. */
@@ -127,8 +127,8 @@
         if (!is_self && !is_reached(member, &assumptions))
             continue;
         lookup.reach.reached++;
-        lookup.alive += !is_self && member->state == HS_MEMBER_ALIVE;
-        lookup.started_earlier += !is_self && member->state == HS_MEMBER_ALIVE &&
+        lookup.alive += !is_self && hs_member_is_alive(member);
+        lookup.started_earlier += !is_self && hs_member_is_alive(member) &&
                                   member->incarnation + MAX_START_DIFFERENCE_MS < own_start;
         lookup.reached_hash += hs_hash_bytes(member->id, strlen(member->id));
         uint64_t rank = hs_hash_pair(tenant, member->id);
--- a/src/directory/warmup_arbiter.c
+++ b/src/directory/warmup_arbiter.c
@@ -174,7 +174,7 @@
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
-        counts.live += member->state == HS_MEMBER_ALIVE;
+        counts.live += hs_member_is_alive(member);
         if (!hs_member_is_live(member) && member->state != HS_MEMBER_LEAVING)
             continue;
         known_member *known = find_or_add_member(arbiter, member->id);
--- a/src/directory/zone_watch.c
+++ b/src/directory/zone_watch.c
@@ -19,7 +19,7 @@
             g_hash_table_insert(zones, g_strdup(member->zone), zone);
         }
         zone->members++;
-        zone->unavailable += member->state != HS_MEMBER_ALIVE;
+        zone->unavailable += !hs_member_is_alive(member);
     }
     hs_membership_service_unlock(service);
     return zones;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -73,6 +73,9 @@
     own->peer_port = self->peer_port;
     own->admin_port = self->admin_port;
     own->size = self->size;
+    own->is_self = true;
+    own->relays_state = self->relays_state;
+    own->is_starting = self->is_starting;
     membership->self = own;
     return membership;
 }
@@ -147,6 +150,14 @@
     raise_own_version(membership);
 }
 
+void hs_membership_set_starting(hs_membership *membership, bool is_starting) {
+    if (membership->self->is_starting == is_starting)
+        return;
+    membership->self->is_starting = is_starting;
+    membership->running_version++;
+    raise_own_version(membership);
+}
+
 void hs_membership_leave(hs_membership *membership) {
     membership->self->state = HS_MEMBER_LEAVING;
     membership->live_version++;
@@ -180,8 +191,10 @@
 static void set_state(hs_membership *membership, hs_member *member, hs_member_state state,
                       uint64_t now_ms) {
     bool was_live = hs_member_is_live(member);
-    if (member->state != state)
+    if (member->state != state) {
         member->state_since_ms = now_ms;
+        membership->running_version++;
+    }
     member->state = state;
     membership->live_version += was_live != hs_member_is_live(member);
     member->sent_count = 0;
@@ -233,7 +246,8 @@
 }
 
 static bool is_content_equal(const hs_member *member, const Hs__MemberRecord *record) {
-    if (member->size.utilisation_percent != record->taken_percent)
+    if (member->size.utilisation_percent != record->taken_percent ||
+        member->is_starting != record->is_starting)
         return false;
     if (member->owned->len != record->n_owned ||
         member->leaving_engines->len != record->n_leaving_engines)
@@ -282,6 +296,24 @@
         set_text(&member->region, record->region);
 }
 
+/**
+ * Copies whether the member passes records on and is starting. Older builds relay records without
+ * these; within an incarnation the former is retained, as it doesn't change. Returns whether a
+ * value changed.
+ */
+static bool copy_readiness(hs_member *member, const Hs__MemberRecord *record) {
+    bool is_relayed_by_older =
+        !record->relays_state && member->relays_state && record->incarnation == member->incarnation;
+    bool is_starting = is_relayed_by_older && record->version == member->version
+                           ? member->is_starting
+                           : record->is_starting != 0;
+    bool relays_state = is_relayed_by_older || record->relays_state;
+    bool has_changed = member->is_starting != is_starting || member->relays_state != relays_state;
+    member->is_starting = is_starting;
+    member->relays_state = relays_state;
+    return has_changed;
+}
+
 static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
     copy_region(member, record);
     member->incarnation = record->incarnation;
@@ -323,6 +355,7 @@
         if (is_same) {
             copy_size(member, record);
             copy_region(member, record);
+            membership->running_version += copy_readiness(member, record);
         }
         return false;
     }
@@ -333,8 +366,11 @@
     bool has_relayed_change = member->state != state_of_record(record) ||
                               member->incarnation != record->incarnation ||
                               !is_content_equal(member, record);
+    membership->running_version += copy_readiness(member, record);
     copy_record(member, record);
+    bool was_ready_state = hs_member_is_live(member);
     set_state(membership, member, state_of_record(record), now_ms);
+    membership->live_version += was_live != was_ready_state;
     if (!has_relayed_change)
         member->sent_count = sent_count;
     else if (source == HS_RECORD_FROM_COMPARISON)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -67,6 +67,9 @@
     GArray *owned;              /**< Of hs_owned_partition. */
     GPtrArray *leaving_engines; /**< Of char*: leaving engines reported by the member. */
     hs_machine_size size;
+    bool is_self;
+    bool relays_state; /**< Passes records of the store on to other daemons. */
+    bool is_starting;  /**< Not ready to serve; it counts as live for this daemon itself only. */
     uint64_t state_since_ms;
     uint32_t sent_count; /**< Times sent as gossip since the last change to relay. */
 } hs_member;
@@ -101,6 +104,9 @@
 /** Returns this daemon's own member, owned by @p membership. */
 const hs_member *hs_membership_self(const hs_membership *membership);
 
+/** Announces whether this daemon is not ready to serve yet; initially as in the copied member. */
+void hs_membership_set_starting(hs_membership *membership, bool is_starting);
+
 /** Sets the utilisation that this daemon reports; see hs_machine_size. */
 void hs_membership_set_utilisation_percent(hs_membership *membership, uint32_t utilisation_percent);
 
@@ -175,9 +181,15 @@
 /** Appends all members, self included. @p members: of hs_member*, owned by @p membership. */
 void hs_membership_list(const hs_membership *membership, GPtrArray *members);
 
-/** Returns true if the member is alive or suspect. */
+/** Returns true if the member is ready to serve, and alive or suspect. */
 bool hs_member_is_live(const hs_member *member);
 
+/** Returns true if the member is ready to serve, and alive. */
+bool hs_member_is_alive(const hs_member *member);
+
+/** Returns true if the member runs, be it ready or not: it is alive or suspect. */
+bool hs_member_is_running(const hs_member *member);
+
 /** Reports whether a member and this daemon have announced different regions. */
 bool hs_membership_is_far(const hs_membership *membership, const hs_member *member);
 
@@ -223,6 +235,12 @@
 /** Returns a version that changes with the set of live members; ranks may be cached until then. */
 uint64_t hs_membership_live_version(const hs_membership *membership);
 
+/**
+ * Returns a version that changes with the set of running members, with their readiness and with who
+ * of them passes records on.
+ */
+uint64_t hs_membership_running_version(const hs_membership *membership);
+
 /** Returns the number of live members, self included. */
 uint32_t hs_membership_live_count(const hs_membership *membership);
 
--- a/src/membership/membership_query.c
+++ b/src/membership/membership_query.c
@@ -6,10 +6,23 @@
 
 #define EPOCH_NONE 0
 
-bool hs_member_is_live(const hs_member *member) {
+bool hs_member_is_running(const hs_member *member) {
     return member->state == HS_MEMBER_ALIVE || member->state == HS_MEMBER_SUSPECT;
 }
 
+/** Whether the member is ready to serve; this daemon itself counts as ready here. */
+static bool is_ready(const hs_member *member) {
+    return !member->is_starting || member->is_self;
+}
+
+bool hs_member_is_live(const hs_member *member) {
+    return hs_member_is_running(member) && is_ready(member);
+}
+
+bool hs_member_is_alive(const hs_member *member) {
+    return member->state == HS_MEMBER_ALIVE && is_ready(member);
+}
+
 char *hs_member_admin_url(uint32_t address, uint16_t port, const char *path) {
     return g_strdup_printf("http://%u.%u.%u.%u:%u%s", address >> 24, (address >> 16) & 0xffU,
                            (address >> 8) & 0xffU, address & 0xffU, port, path);
@@ -155,6 +168,10 @@
     return membership->live_version;
 }
 
+uint64_t hs_membership_running_version(const hs_membership *membership) {
+    return membership->running_version;
+}
+
 uint32_t hs_membership_live_count(const hs_membership *membership) {
     uint32_t count = 0;
     GHashTableIter iterator;
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -24,6 +24,7 @@
     uint32_t next_sequence;
     uint32_t rejoin_count;
     uint64_t live_version;
+    uint64_t running_version;
     bool has_pending_gossip; /**< Some record may not have been sent often enough yet. */
 };
 
