Requests to a large service consider a sample of its engines

Cause: hs_fleet_engines_acquire estimated the state of each engine of the service under the table's lock, for each request, item and retry.

Change: above 512 engines of a service a request considers 64 home engines of this daemon in its zone, 4 in each other zone, 16 random ones and the engine that all daemons of the zone prefer for the prompt's shared part, out of rings by service and zone (engine_ring) that change with the engine that comes or goes. Where none of them has a free slot, all engines are considered as before. Services of up to 512 engines are not affected.

--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -7,6 +7,14 @@
 #include <math.h>
 #include <string.h>
 
+/** Engines of a service up to which a request considers all of them. */
+#define MAX_WALKED_ENGINES 512
+/** Engines of a sample: home engines in this daemon's zone and in each other one, and random ones.
+ */
+#define HOME_ENGINES 64
+#define FAR_ENGINES 4
+#define RANDOM_ENGINES 16
+
 static bool is_excluded(const hs_engine_query *query, const char *id) {
     for (guint index = 0; query->excluded != NULL && index < query->excluded->len; index++)
         if (strcmp(query->excluded->pdata[index], id) == 0)
@@ -21,27 +29,76 @@
     return use == HS_ZONE_OPEN || (use == HS_ZONE_LAST_RESORT && work == HS_WORK_ONLINE);
 }
 
+/** Whether the engine, which is one of the query's service, may take the request at all. */
+static bool is_eligible(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                        const hs_engine_query *query, uint64_t now_ms) {
+    double max_requests =
+        fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
+    return !engine->entry.draining && !engine->has_address_mismatch &&
+           !hs_fleet_engine_is_removal_due(engine, now_ms) &&
+           engine->online + engine->batch + 1.0 <= max_requests &&
+           is_zone_usable(engines, engine, query->work, now_ms) &&
+           !is_excluded(query, engine->entry.id) &&
+           hs_region_policy_allows_zone(&query->regions, engine->entry.zone);
+}
+
 GPtrArray *hs_engine_selection_collect(hs_fleet_engines *engines, const hs_engine_query *query) {
     GPtrArray *found = g_ptr_array_new();
     uint64_t now_ms = hs_clock_monotonic_ms();
-    double max_requests =
-        fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         hs_fleet_engine *engine = value;
-        if (strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
-            !engine->has_address_mismatch && !hs_fleet_engine_is_removal_due(engine, now_ms) &&
-            engine->online + engine->batch + 1.0 <= max_requests &&
-            is_zone_usable(engines, engine, query->work, now_ms) &&
-            !is_excluded(query, engine->entry.id) &&
-            hs_region_policy_allows_zone(&query->regions, engine->entry.zone))
+        if (strcmp(engine->entry.service, query->service) == 0 &&
+            is_eligible(engines, engine, query, now_ms))
             g_ptr_array_add(found, engine);
     }
     return found;
 }
 
+static bool is_large(const hs_fleet_engines *engines, const char *service) {
+    return hs_engine_rings_count(engines->rings, service) > MAX_WALKED_ENGINES;
+}
+
+/** Returns the engine of this zone that all daemons of the zone prefer for the prompt, or NULL. */
+static hs_fleet_engine *find_preferred(const hs_fleet_engines *engines,
+                                       const hs_engine_query *query) {
+    uint64_t shared = query->size != NULL ? hs_prompt_shared_hash(query->size) : 0;
+    return shared != 0
+               ? hs_engine_rings_first(engines->rings, query->service, engines->zone, shared)
+               : NULL;
+}
+
+GPtrArray *hs_engine_selection_sample(hs_fleet_engines *engines, const hs_engine_query *query) {
+    if (!is_large(engines, query->service))
+        return NULL;
+    g_autoptr(GHashTable) taken = g_hash_table_new(g_direct_hash, g_direct_equal);
+    hs_engine_ring_part home = {.position = engines->home_position,
+                                .zone = engines->zone,
+                                .zone_count = HOME_ENGINES,
+                                .far_count = FAR_ENGINES};
+    hs_engine_rings_take(engines->rings, query->service, &home, taken);
+    for (uint32_t count = 0; count < RANDOM_ENGINES; count++) {
+        hs_engine_ring_part random = {.position = (uint64_t)g_random_int() << 32 | g_random_int(),
+                                      .zone = engines->zone,
+                                      .zone_count = 1};
+        hs_engine_rings_take(engines->rings, query->service, &random, taken);
+    }
+    hs_fleet_engine *preferred = find_preferred(engines, query);
+    if (preferred != NULL)
+        g_hash_table_add(taken, preferred);
+    GPtrArray *found = g_ptr_array_new();
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    GHashTableIter iterator;
+    gpointer engine = NULL;
+    g_hash_table_iter_init(&iterator, taken);
+    while (g_hash_table_iter_next(&iterator, &engine, NULL))
+        if (is_eligible(engines, engine, query, now_ms))
+            g_ptr_array_add(found, engine);
+    return found;
+}
+
 /** Whether the query's service has an allowed engine that is not suspected, even if excluded or
  * full. */
 static bool has_healthy(const hs_fleet_engines *engines, const hs_engine_query *query,
@@ -83,11 +140,9 @@
     return is_found;
 }
 
-void hs_engine_selection_credit_shared_prefix(const GPtrArray *found, const hs_engine_query *query,
-                                              hs_engine_candidate *candidates) {
-    uint64_t shared = query->size != NULL ? hs_prompt_shared_hash(query->size) : 0;
-    if (shared == 0)
-        return;
+/** Returns the index of the candidate that ranks first for a shared prefix. */
+static guint find_first_ranked(const GPtrArray *found, const hs_engine_candidate *candidates,
+                               uint64_t shared) {
     uint64_t best_rank = 0;
     guint preferred = 0;
     bool is_own_region = has_own_region(candidates, found->len);
@@ -102,6 +157,20 @@
             preferred = index;
         }
     }
+    return preferred;
+}
+
+void hs_engine_selection_credit_shared_prefix(hs_fleet_engines *engines, const GPtrArray *found,
+                                              const hs_engine_query *query,
+                                              hs_engine_candidate *candidates) {
+    uint64_t shared = query->size != NULL ? hs_prompt_shared_hash(query->size) : 0;
+    if (shared == 0 || found->len == 0)
+        return;
+    guint preferred = 0;
+    if (!is_large(engines, query->service))
+        preferred = find_first_ranked(found, candidates, shared);
+    else if (!g_ptr_array_find((GPtrArray *)found, find_preferred(engines, query), &preferred))
+        return;
     double unshared = (double)query->size->prompt_tokens - hs_prompt_shared_tokens(query->size);
     candidates[preferred].uncached_tokens =
         fmin(candidates[preferred].uncached_tokens, fmax(unshared, 0.0));
--- a/src/fleet/engine_selection.h
+++ b/src/fleet/engine_selection.h
@@ -14,6 +14,14 @@
  */
 GPtrArray *hs_engine_selection_collect(hs_fleet_engines *engines, const hs_engine_query *query);
 
+/**
+ * Returns a sample of the eligible engines of the query's service, or NULL if the service is small
+ * enough to consider all: this daemon's home engines, which keep its connections and prompts, the
+ * engine that is preferred for the prompt's shared prefix, and some random ones, most of them in
+ * this daemon's zone. Of hs_fleet_engine*, borrowed. Free with g_ptr_array_free.
+ */
+GPtrArray *hs_engine_selection_sample(hs_fleet_engines *engines, const hs_engine_query *query);
+
 /**
  * Removes suspected engines from @p found, except those due for a probe, if the request can wait
  * and the service has a healthy engine. Waiting for a healthy engine costs less time than attempts
@@ -25,9 +33,11 @@
 /**
  * Assumes that the shared prefix of the request's prompt is cached by the engine that ranks first
  * for it by rendezvous hashing, so that all daemons of a region prefer the same engine of their
- * region without coordination. Without engines in the region, all engines are ranked.
+ * region without coordination. Without engines in the region, all engines are ranked. In a large
+ * service all daemons of a zone prefer the same engine of their zone.
  */
-void hs_engine_selection_credit_shared_prefix(const GPtrArray *found, const hs_engine_query *query,
+void hs_engine_selection_credit_shared_prefix(hs_fleet_engines *engines, const GPtrArray *found,
+                                              const hs_engine_query *query,
                                               hs_engine_candidate *candidates);
 
 /**
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -8,6 +8,7 @@
 
 #include "fleet/engine_choice.h"
 #include "fleet/engine_pace.h"
+#include "fleet/engine_ring.h"
 #include "fleet/evacuation.h"
 #include "fleet/fleet_engines.h"
 #include "fleet/prefix_index.h"
@@ -96,6 +97,7 @@
     uint64_t excess_since_ms; /**< Since when requests exceed the slots; 0: they don't. */
     hs_engine_pace pace;
     hs_engine_warmup warmup;
+    hs_engine_rings *rings; /**< Of the table, while the engine is in its rings; else NULL. */
     hs_prefix_index *prefixes;
     GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
     GQueue idle;             /**< of hs_idle_connection*, the most recently used last. */
@@ -112,9 +114,11 @@
 
 struct hs_fleet_engines {
     GMutex lock;
-    GHashTable *by_id;   /**< id -> hs_fleet_engine* */
-    GHashTable *by_hash; /**< hash -> hs_fleet_engine*, of by_id; NULL: to be rebuilt. */
-    GHashTable *peers;   /**< peer -> peer_load* */
+    GHashTable *by_id;      /**< id -> hs_fleet_engine* */
+    hs_engine_rings *rings; /**< The engines of by_id by service and zone. */
+    uint64_t home_position; /**< Where in the rings this daemon's home engines begin. */
+    GHashTable *by_hash;    /**< hash -> hs_fleet_engine*, of by_id; NULL: to be rebuilt. */
+    GHashTable *peers;      /**< peer -> peer_load* */
     char *zone;
     /** May be NULL. */
     const hs_topology *topology;
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -43,6 +43,8 @@
     g_mutex_init(&engines->lock);
     g_cond_init(&engines->reports_changed);
     engines->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_listed);
+    engines->rings = hs_engine_rings_new();
+    engines->home_position = (uint64_t)g_random_int() << 32 | g_random_int();
     engines->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
     engines->speeds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -108,6 +110,7 @@
         return;
     clear_hash_index(engines);
     g_hash_table_destroy(engines->by_id);
+    hs_engine_rings_free(engines->rings);
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
@@ -153,6 +156,13 @@
     return engine;
 }
 
+static void remove_from_rings(hs_fleet_engine *engine) {
+    if (engine->rings != NULL)
+        hs_engine_rings_remove(engine->rings, engine->entry.service, engine->entry.zone,
+                               engine->hash);
+    engine->rings = NULL;
+}
+
 /** Removes an engine whose id another start has taken over. Leases keep it alive. */
 static void retire_engine(hs_fleet_engines *engines, hs_fleet_engine *engine,
                           const hs_engine_entry *entry) {
@@ -163,6 +173,7 @@
                 engine->online, engine->batch);
     engine->listed = false;
     engine->has_restarted = true;
+    remove_from_rings(engine);
     g_queue_clear_full(&engine->idle, hs_idle_connection_free);
     clear_hash_index(engines);
     g_hash_table_remove(engines->by_id, entry->id);
@@ -200,8 +211,12 @@
     }
     if (entry->started_at_ms == 0)
         entry->started_at_ms = engine->entry.started_at_ms;
+    if (!is_new)
+        remove_from_rings(engine);
     hs_engine_entry_clear(&engine->entry);
     engine->entry = *entry;
+    engine->rings = engines->rings;
+    hs_engine_rings_add(engines->rings, entry->service, entry->zone, engine->hash, engine);
     hs_fleet_engine_set_zone_outage(engines, engine);
     engine->listed = true;
     engine->removal_at_ms = 0;
@@ -220,6 +235,7 @@
     if (listed != NULL && g_hash_table_contains(listed, key))
         return FALSE;
     engine->listed = false;
+    remove_from_rings(engine);
     log_entry("engine_gone", &engine->entry);
     return TRUE;
 }
@@ -363,23 +379,58 @@
     return is_free;
 }
 
-hs_engine_lease *hs_fleet_engines_acquire(hs_fleet_engines *engines, const hs_engine_query *query) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_engine_lease *lease = NULL;
-    hs_engine_use use = {0};
-    g_mutex_lock(&engines->lock);
-    hs_fleet_engines_sum_peers(engines, now_ms);
-    hs_engine_warmup_set_limit(engines, query->service, &query->warmup);
-    g_autoptr(GPtrArray) found = hs_engine_selection_collect(engines, query);
+/** Engines for a request, and their estimated states. */
+typedef struct {
+    GPtrArray *engines; /**< Of hs_fleet_engine*. */
+    hs_engine_candidate *candidates;
+} candidate_list;
+
+static void clear_candidates(candidate_list *list) {
+    g_clear_pointer(&list->engines, g_ptr_array_unref);
+    g_clear_pointer(&list->candidates, g_free);
+}
+
+/** Estimates the states of the engines in @p found, without those that the request may not use. */
+static candidate_list list_candidates(hs_fleet_engines *engines, GPtrArray *found,
+                                      const hs_engine_query *query, uint64_t now_ms) {
     if (!hs_evacuation_is_current(engines->evacuation, now_ms))
         g_ptr_array_set_size(found, 0);
     hs_engine_selection_drop_suspected(engines, found, query, now_ms);
     hs_engine_warmup_drop_unpermitted(engines, found, query, now_ms);
-    g_autofree hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
+    hs_engine_candidate *candidates = g_new0(hs_engine_candidate, found->len + 1);
     for (guint index = 0; index < found->len; index++)
         candidates[index] = hs_fleet_engine_candidate(engines, found->pdata[index], query, now_ms);
     hs_engine_selection_drop_evacuated(engines, found, candidates, now_ms);
-    hs_engine_selection_credit_shared_prefix(found, query, candidates);
+    return (candidate_list){.engines = found, .candidates = candidates};
+}
+
+/**
+ * Lists the candidates: a sample of a large service's engines if one of them has a free slot, else
+ * all of its engines.
+ */
+static candidate_list find_candidates(hs_fleet_engines *engines, const hs_engine_query *query,
+                                      uint64_t now_ms) {
+    GPtrArray *sample = hs_engine_selection_sample(engines, query);
+    if (sample != NULL) {
+        candidate_list list = list_candidates(engines, sample, query, now_ms);
+        if (is_any_free(list.candidates, list.engines->len))
+            return list;
+        clear_candidates(&list);
+    }
+    return list_candidates(engines, hs_engine_selection_collect(engines, query), query, now_ms);
+}
+
+hs_engine_lease *hs_fleet_engines_acquire(hs_fleet_engines *engines, const hs_engine_query *query) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_engine_lease *lease = NULL;
+    hs_engine_use use = {0};
+    g_mutex_lock(&engines->lock);
+    hs_fleet_engines_sum_peers(engines, now_ms);
+    hs_engine_warmup_set_limit(engines, query->service, &query->warmup);
+    candidate_list list = find_candidates(engines, query, now_ms);
+    GPtrArray *found = list.engines;
+    hs_engine_candidate *candidates = list.candidates;
+    hs_engine_selection_credit_shared_prefix(engines, found, query, candidates);
     const hs_engine_speed *speed = hs_fleet_engines_speed(engines, query->service);
     hs_engine_selection_keep_within_wait_limit(found, query, candidates, speed);
     size_t first = found->len > 0 ? engines->round_robin++ % found->len : 0;
@@ -406,6 +457,7 @@
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
     }
     g_mutex_unlock(&engines->lock);
+    clear_candidates(&list);
     if (lease != NULL)
         hs_fleet_engines_notify_use(engines, &use, true);
     return lease;
--- a/tests/unit/test_region_choice.c
+++ b/tests/unit/test_region_choice.c
@@ -86,6 +86,7 @@
 
 /** One engine of the whole fleet would draw the requests of a shared prefix to its region. */
 static void a_shared_prefix_prefers_an_engine_of_the_region(void) {
+    hs_fleet_engines *table = hs_fleet_engines_new("z");
     hs_fleet_engine engines[ENGINES] = {0};
     hs_engine_candidate candidates[ENGINES];
     g_autoptr(GPtrArray) found = g_ptr_array_new();
@@ -97,16 +98,17 @@
         hs_request_size size = {.parts = {{.id = prefix, .tokens = 900}, {.id = 7, .tokens = 100}},
                                 .part_count = 2,
                                 .prompt_tokens = 1000};
-        hs_engine_query query = {.size = &size};
+        hs_engine_query query = {.service = "svc", .size = &size};
         int credited = 0;
         fill(candidates, 0, 0, 0);
         for (int index = 0; index < ENGINES; index++)
             candidates[index].uncached_tokens = 1000;
-        hs_engine_selection_credit_shared_prefix(found, &query, candidates);
+        hs_engine_selection_credit_shared_prefix(table, found, &query, candidates);
         for (int index = 0; index < OWN; index++)
             credited += candidates[index].uncached_tokens < 1000;
         CU_ASSERT_EQUAL(credited, 1);
     }
+    hs_fleet_engines_free(table);
 }
 
 const test_case region_choice_tests[] = {
