Benchmark of engine choice by the number of engines; test of a 404 by an old configuration

Cause: the time of a choice had no figure beyond some hundred engines, and the rule that a missing route of an old configuration is no 404 had no test.

Change: heathsail-choice, run by make bench; a system test that refuses the daemons' reads for longer than fleet.config_apply_ms.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PRODUCT_LIB = $(BUILD)/libheathsail.a
 STANDIN_LIB = $(BUILD)/libstandin.a
 TOOL_LIB = $(BUILD)/libtools.a
-PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-limits heathsail-surface-demo
+PROGRAMS = heathsaild heathsailctl heathsail-platform heathsail-engine heathsail-fleet heathsail-load heathsail-limits heathsail-choice heathsail-surface-demo
 BINARIES = $(addprefix $(BUILD)/,$(PROGRAMS))
 
 PHONY_CHECKS = sanitize-address sanitize-thread fuzz soak soak-check
@@ -63,6 +63,7 @@
 $(eval $(call link_program,heathsail-fleet,tools/fleet/main.o))
 $(eval $(call link_program,heathsail-load,tools/load/main.o))
 $(eval $(call link_program,heathsail-limits,tools/limits/main.o))
+$(eval $(call link_program,heathsail-choice,tools/choice/main.o))
 $(eval $(call link_program,heathsail-surface-demo,tools/surface/main.o))
 
 $(BUILD)/unit-tests: $(call objects,$(UNIT_SOURCES) $(SUPPORT_SOURCES)) $(LIBS)
--- a/tests/system/test_fleet.c
+++ b/tests/system/test_fleet.c
@@ -17,6 +17,9 @@
 /** Delays in ms from the start of a daemon to its stop, which cover its whole start-up. */
 #define MAX_STOP_DELAY_MS 40
 #define STOP_DELAY_STEP_MS 4
+/** fleet.config_apply_ms, and the hold time of a read of the configuration with a margin. */
+#define CONFIG_APPLY_MS 2000
+#define MAX_READ_MS 1500
 /** Limit in ms for suspicions of engines to end; a failed engine is probed within 8 s. */
 #define SUSPICION_LIMIT_MS 12000
 /** Time in ms within which every daemon has read a change of the engines' entries. */
@@ -330,6 +333,28 @@
     CU_ASSERT_TRUE(bench_wait_ready(2));
 }
 
+static uint32_t status_of_unknown_route(void) {
+    bench_answer answer = post_request(0, "/nowhere/x", "unknown");
+    uint32_t status = answer.status;
+    bench_answer_clear(&answer);
+    return status;
+}
+
+/** Guards against a 404 by an old configuration for a route that a newer one has. */
+static void a_missing_route_of_an_old_configuration_is_no_404(void) {
+    log_store_set_mode(bench.store, LOG_STORE_REFUSES, CALL_READ, G_MAXUINT32);
+    hs_clock_sleep_ms(CONFIG_APPLY_MS + MAX_READ_MS);
+    CU_ASSERT_EQUAL(status_of_unknown_route(), 503);
+    bench_answer known = post_request(0, "/plain/x", "known-route");
+    CU_ASSERT_EQUAL(known.status, 200);
+    bench_answer_clear(&known);
+    log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
+    uint64_t limit_ms = hs_clock_monotonic_ms() + CONFIG_APPLY_MS + MAX_READ_MS;
+    while (status_of_unknown_route() != 404 && hs_clock_monotonic_ms() < limit_ms)
+        hs_clock_sleep_ms(50);
+    CU_ASSERT_EQUAL(status_of_unknown_route(), 404);
+}
+
 const test_case fleet_system_tests[] = {
     {"answers_are_forwarded_unchanged", answers_are_forwarded_unchanged},
     {"streams_are_complete_on_every_daemon", streams_are_complete_on_every_daemon},
@@ -349,6 +374,8 @@
      engines_are_kept_while_the_store_is_unavailable},
     {"a_new_configuration_is_applied_by_every_daemon",
      a_new_configuration_is_applied_by_every_daemon},
+    {"a_missing_route_of_an_old_configuration_is_no_404",
+     a_missing_route_of_an_old_configuration_is_no_404},
     {"a_stop_during_startup_is_clean", a_stop_during_startup_is_clean},
     {"a_stop_drains_requests_and_updates_the_directory",
      a_stop_drains_requests_and_updates_the_directory},
--- a/tools/bench/run.sh
+++ b/tools/bench/run.sh
@@ -8,3 +8,5 @@
 "$(dirname "$0")/edge_cost.sh" "$programs"
 echo "# online tail over real processes"
 "$(dirname "$0")/real_tail.sh" "$programs"
+echo "# processor time by the number of engines"
+"$programs/heathsail-choice" 2>/dev/null
