--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -9,6 +9,11 @@
 #define SENT_COUNT_NO_RELAY 1000000U
 /** A record is sent GOSSIP_FACTOR * log2(number of members) times. */
 #define GOSSIP_FACTOR 3
+/** Further members to probe for each member that comes to be suspected. */
+#define EXTRA_PROBES_PER_SUSPECT 8
+/** Bound of the extra probes that are due, and of those sent at a time. */
+#define MAX_EXTRA_PROBES 32
+#define MAX_EXTRA_PROBES_AT_ONCE 12
 /** One of so many probes goes to another region. */
 #define FAR_PROBE_INTERVAL 4
 /**
@@ -468,19 +473,32 @@
     g_array_append_val(orders, order);
 }
 
-bool hs_membership_probe_next(hs_membership *membership, uint64_t now_ms, GArray *orders) {
-    bool changed = age_members(membership, now_ms);
+/** Appends a probe of the next member. */
+static void probe_target(hs_membership *membership, uint64_t now_ms, GArray *orders) {
     hs_member *target = next_target(membership);
     if (target == NULL)
-        return changed;
+        return;
     open_probe probe = {.sequence = membership->next_sequence++,
                         .member_id = g_strdup(target->id),
                         .sent_ms = now_ms};
     g_array_append_val(membership->open_probes, probe);
     order_probe(orders, target, probe.sequence, "");
+}
+
+bool hs_membership_probe_next(hs_membership *membership, uint64_t now_ms, GArray *orders) {
+    bool changed = age_members(membership, now_ms);
+    probe_target(membership, now_ms, orders);
     return changed;
 }
 
+static void send_extra_probes(hs_membership *membership, uint64_t now_ms, GArray *orders) {
+    for (uint32_t count = 0; count < MAX_EXTRA_PROBES_AT_ONCE && membership->extra_probes > 0;
+         count++) {
+        membership->extra_probes--;
+        probe_target(membership, now_ms, orders);
+    }
+}
+
 static void order_indirect_probes(hs_membership *membership, const open_probe *probe,
                                   GArray *orders) {
     g_autoptr(GPtrArray) helpers = g_ptr_array_new();
@@ -515,14 +533,18 @@
             continue;
         }
         hs_member *member = g_hash_table_lookup(membership->members, probe->member_id);
-        if (member != NULL && member->state == HS_MEMBER_ALIVE)
+        if (member != NULL && member->state == HS_MEMBER_ALIVE) {
             set_state(membership, member, HS_MEMBER_SUSPECT, now_ms);
+            membership->extra_probes =
+                MIN(membership->extra_probes + EXTRA_PROBES_PER_SUSPECT, MAX_EXTRA_PROBES);
+        }
         if (member != NULL && member->state == HS_MEMBER_LEAVING) {
             set_state(membership, member, HS_MEMBER_DEAD, now_ms);
             changed = true;
         }
         g_array_remove_index(membership->open_probes, index);
     }
+    send_extra_probes(membership, now_ms, orders);
     return changed;
 }
 
@@ -559,12 +581,17 @@
     g_ptr_array_sort(candidates, compare_sent_count);
 }
 
+bool hs_membership_has_backlog(const hs_membership *membership, size_t limit) {
+    return membership->pending_gossip > limit;
+}
+
 void hs_membership_collect_gossip(hs_membership *membership, const char *receiver_id, size_t limit,
                                   GPtrArray *records) {
     g_autoptr(GPtrArray) candidates = g_ptr_array_new();
     if (membership->has_pending_gossip)
         collect_unsent_records(membership, candidates);
     membership->has_pending_gossip = candidates->len > 0;
+    membership->pending_gossip = candidates->len;
     g_ptr_array_add(records, membership->self);
     hs_member *receiver = g_hash_table_lookup(membership->members, receiver_id);
     bool must_notify_receiver = receiver != NULL && (receiver->state == HS_MEMBER_SUSPECT ||
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -7,7 +7,8 @@
  * record nor a stale entry of the platform's list reverts it. The platform's list only proposes
  * addresses to probe.
  *
- * Each member sends one probe per interval, independent of the number of members. With several
+ * Each member sends one probe per interval, independent of the number of members, and a few more
+ * for each member that it comes to suspect. With several
  * regions, most probes go to members of the own region; while several members of other regions are
  * suspect, most go to other regions, so that a region that is cut off is detected as soon. Records
  * are sent along with probes and acknowledgements, a number of times that grows with the logarithm
@@ -157,8 +158,9 @@
 
 /**
  * Appends indirect probes for members that did not answer in time to @p orders, and suspects
- * members that did not answer these either. To be called several times per probe timeout. Returns
- * true if a leaving member was marked dead.
+ * members that did not answer these either. Each suspicion makes further members be probed, some at
+ * each call, so that the loss of many is detected about as soon as that of one. To be called
+ * several times per probe timeout. Returns true if a leaving member was marked dead.
  */
 bool hs_membership_check_probes(hs_membership *membership, uint64_t now_ms, GArray *orders);
 
@@ -175,6 +177,12 @@
 void hs_membership_collect_gossip(hs_membership *membership, const char *receiver_id, size_t limit,
                                   GPtrArray *records);
 
+/**
+ * Returns whether more records than @p limit are left to be sent as gossip. They would take many
+ * messages to spread; a comparison with another daemon transfers what differs at once.
+ */
+bool hs_membership_has_backlog(const hs_membership *membership, size_t limit);
+
 /** Returns the member or NULL. Owned by @p membership. */
 const hs_member *hs_membership_find(const hs_membership *membership, const char *id);
 
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -354,11 +354,15 @@
     return false;
 }
 
-/** Returns whether this round's probe requests missing records. The caller holds the lock. */
+/**
+ * Returns whether this round's probe requests missing records. A loss or start of hundreds of
+ * members would take tens of seconds by gossip alone. The caller holds the lock.
+ */
 static bool is_comparison_due(hs_membership_service *service, uint64_t now_ms) {
     if (service->started_ms == 0)
         service->started_ms = now_ms;
-    if (now_ms < service->started_ms + JOINING_MS)
+    if (now_ms < service->started_ms + JOINING_MS ||
+        hs_membership_has_backlog(service->membership, MAX_GOSSIP_RECORDS))
         return true;
     if (now_ms < service->next_compare_ms)
         return false;
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -25,6 +25,8 @@
     uint32_t rejoin_count;
     uint64_t live_version;
     uint64_t running_version;
+    uint32_t pending_gossip; /**< Records left to be sent when gossip was collected last. */
+    uint32_t extra_probes;   /**< Probes to be sent beside those of the intervals. */
     bool has_pending_gossip; /**< Some record may not have been sent often enough yet. */
 };
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -50,6 +50,7 @@
         {"peer_state", peer_state_tests, NULL, NULL},
         {"engine_source", engine_source_tests, NULL, NULL},
         {"engine_ring", engine_ring_tests, NULL, NULL},
+        {"membership_deaths", membership_death_tests, NULL, NULL},
         {"feed", feed_tests, NULL, NULL},
         {"feed_play", feed_play_tests, NULL, NULL},
         {"feed_members", feed_member_tests, NULL, NULL},
