Feed, engine choice and their tests: clang-tidy clean

Cause: findings of clang-tidy in the new code. Change: no macro clears pointers of arrays, a counter is raised before it is used. Measured: clang-tidy without a finding on the changed files, suites feed, feed_play, engine_ring, engines pass.

--- a/src/feed/feed_codec.c
+++ b/src/feed/feed_codec.c
@@ -127,5 +127,7 @@
 }
 
 void hs_feed_answer_clear(hs_feed_answer *answer) {
-    g_clear_pointer(&answer->records, g_ptr_array_unref);
+    if (answer->records != NULL)
+        g_ptr_array_unref(answer->records);
+    answer->records = NULL;
 }
--- a/src/feed/state_feed.c
+++ b/src/feed/state_feed.c
@@ -178,7 +178,9 @@
 }
 
 void hs_feed_batch_clear(hs_feed_batch *batch) {
-    g_clear_pointer(&batch->changes, g_ptr_array_unref);
+    if (batch->changes != NULL)
+        g_ptr_array_unref(batch->changes);
+    batch->changes = NULL;
 }
 
 char *hs_state_feed_describe(hs_state_feed *feed) {
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -386,8 +386,8 @@
 } candidate_list;
 
 static void clear_candidates(candidate_list *list) {
-    g_clear_pointer(&list->engines, g_ptr_array_unref);
-    g_clear_pointer(&list->candidates, g_free);
+    g_ptr_array_unref(list->engines);
+    g_free(list->candidates);
 }
 
 /** Estimates the states of the engines in @p found, without those that the request may not use. */
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -33,8 +33,9 @@
         hs_feed_log_changes(from_log, from, hs_feed_log_next(from_log), max_bytes, &has_more);
     for (guint index = 0; index < records->len; index++)
         hs_feed_log_put(to, records->pdata[index]);
-    const hs_feed_record *last = records->len > 0 ? records->pdata[records->len - 1] : NULL;
-    *cursor = has_more ? last->offset + 1 : hs_feed_log_next(from_log);
+    *cursor = hs_feed_log_next(from_log);
+    if (has_more && records->len > 0)
+        *cursor = ((const hs_feed_record *)records->pdata[records->len - 1])->offset + 1;
     return records->len;
 }
 
--- a/tests/unit/test_feed_play.c
+++ b/tests/unit/test_feed_play.c
@@ -132,7 +132,8 @@
     uint64_t done_ms = MAX(fleet->store_free, fleet->now_ms) + bytes / STORE_BYTES_PER_MS + 4;
     if (fleet->is_store_silent || daemon->is_refused ||
         done_ms > fleet->now_ms + STORE_TIMEOUT_MS) {
-        uint64_t delay_ms = MIN(100ULL << MIN(++daemon->store_failures, 8), 2000);
+        daemon->store_failures++;
+        uint64_t delay_ms = MIN(100ULL << MIN(daemon->store_failures, 8), 2000);
         uint64_t took_ms = daemon->is_refused ? 4 : STORE_TIMEOUT_MS;
         daemon->store_allowed_ms = fleet->now_ms + took_ms + delay_ms;
         daemon->next_ms = fleet->now_ms + took_ms;
