Feeds: a read costs no walk over all members; strict revocation reads the store

Cause: each read of a feed asked the directory for all addresses, which compares each with each: 986 x 986 / 2 some three times a second at each daemon. And with strict revocation keys may not be older than fleet.revoke_ms, which a tree of four hops does not promise.

Change: whether others are known is the number of members; seeds are proposed before the feeds start. With strict revocation the configuration's feed has no tree.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -313,7 +313,9 @@
         return NULL;
     }
     hs_feed_members members = hs_feed_members_of(daemon->directory);
-    hs_state_feed_set_members(hs_config_source_feed(daemon->config), &members);
+    /* Keys that are to expire with the store's answers may not be as old as a tree makes them. */
+    if (settings->fleet_strict_revoke == 0)
+        hs_state_feed_set_members(hs_config_source_feed(daemon->config), &members);
     hs_state_feed_set_members(hs_engine_source_feed(daemon->engine_source), &members);
     make_peer_config(daemon);
     make_jobs(daemon);
@@ -321,9 +323,9 @@
         free_daemon(daemon);
         return NULL;
     }
+    hs_daemon_directory_start(daemon->directory);
     hs_config_source_start(daemon->config);
     hs_engine_source_start(daemon->engine_source);
-    hs_daemon_directory_start(daemon->directory);
     hs_peer_config_start(daemon->peer_config);
     hs_job_owner_start(daemon->owner);
     hs_log_info("daemon_started", "build=%s surface=fleet zone=%s front=%s store=%s parts=%d",
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -440,7 +440,6 @@
 
 /** Takes part in the membership, not ready to serve, until the daemon may join. */
 static bool start_and_join(hs_daemon_directory *directory) {
-    propose_seeds(directory);
     do {
         hs_stall_detector_check(directory->settings.stall_detector);
         hs_membership_service_tick(directory->membership, hs_clock_monotonic_ms());
@@ -481,6 +480,8 @@
 }
 
 void hs_daemon_directory_start(hs_daemon_directory *directory) {
+    propose_seeds(
+        directory); /* Before the first read of a feed, which waits if others are known. */
     directory->probing_ms = hs_clock_monotonic_ms();
     hs_peer_socket_start(directory->socket, handle_message, directory);
     directory->ticker = g_thread_new("directory", run_ticker, directory);
--- a/src/directory/feed_members.c
+++ b/src/directory/feed_members.c
@@ -52,9 +52,13 @@
     return tree;
 }
 
+/** Whether a member or a seed is known beside this daemon. */
 static bool knows_others(void *user_data) {
-    g_autoptr(GArray) peers = hs_daemon_directory_list_peers(user_data);
-    return peers->len > 0;
+    hs_daemon_directory *directory = user_data;
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    bool has_members = hs_membership_count(membership) > 1;
+    hs_membership_service_unlock(directory->membership);
+    return has_members;
 }
 
 bool hs_feed_members_rank(hs_daemon_directory *directory, uint32_t *rank) {
--- a/src/feed/state_feed.h
+++ b/src/feed/state_feed.h
@@ -20,7 +20,7 @@
 typedef struct {
     /** Returns the current view, which the feed unrefs. */
     hs_feed_tree *(*get_tree)(void *user_data);
-    /** Whether any member or seed other than this daemon is known. */
+    /** Whether any member or seed other than this daemon is known, be it running or not. */
     bool (*knows_others)(void *user_data);
     void *user_data;
 } hs_feed_members;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -189,6 +189,9 @@
 /** Appends all members, self included. @p members: of hs_member*, owned by @p membership. */
 void hs_membership_list(const hs_membership *membership, GPtrArray *members);
 
+/** Returns the number of known members in any state, self included. */
+uint32_t hs_membership_count(const hs_membership *membership);
+
 /** Returns true if the member is ready to serve, and alive or suspect. */
 bool hs_member_is_live(const hs_member *member);
 
--- a/src/membership/membership_query.c
+++ b/src/membership/membership_query.c
@@ -37,6 +37,10 @@
     return *own != '\0' && *member->region != '\0' && strcmp(own, member->region) != 0;
 }
 
+uint32_t hs_membership_count(const hs_membership *membership) {
+    return g_hash_table_size(membership->members);
+}
+
 void hs_membership_list(const hs_membership *membership, GPtrArray *members) {
     GHashTableIter iterator;
     gpointer data;
