Periodic work on engines walks those in use

Cause: each daemon walked all engines four times a second for its own uses and shares, and at each pruning for idle connections.

Change: the table keeps the set of engines that this daemon used within the last minute; own_uses, own_shares and prune walk it. Failures and suspicions of this daemon come from its own requests only, so that no other engine has any.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -14,6 +14,9 @@
 #define MIN_SUSPICION_MS 400
 #define MAX_SUSPICION_MS 5000
 #define FULL_BACKOFF_MS 40
+/** Time after the last request in which an engine counts as used: counts of failures decay
+ * meanwhile. */
+#define USE_KEPT_MS 60000
 #define BROKEN_BEFORE_SUSPICION 3
 #define SPEED_SMOOTHING 0.1
 /** Growth of the shortest time to a first byte with each sample, so that old samples expire. */
@@ -477,6 +480,12 @@
     }
 }
 
+/** Whether nothing is left of this daemon's use of the engine that periodic work looks at. */
+static bool is_use_over(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return engine->online + engine->batch == 0 && g_queue_is_empty((GQueue *)&engine->idle) &&
+           now_ms >= engine->suspected_until_ms && now_ms > engine->last_release_ms + USE_KEPT_MS;
+}
+
 void hs_fleet_engines_prune(hs_fleet_engines *engines) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     GHashTableIter iterator;
@@ -485,8 +494,11 @@
     hs_fleet_engines_sum_peers(engines, now_ms);
     hs_fleet_engines_remove_unlisted(engines, now_ms);
     hs_engine_warmup_prune(engines, now_ms);
-    g_hash_table_iter_init(&iterator, engines->by_id);
-    while (g_hash_table_iter_next(&iterator, NULL, &value))
+    g_hash_table_iter_init(&iterator, engines->used);
+    while (g_hash_table_iter_next(&iterator, &value, NULL)) {
         prune_engine(value, now_ms);
+        if (is_use_over(value, now_ms))
+            g_hash_table_iter_remove(&iterator);
+    }
     g_mutex_unlock(&engines->lock);
 }
--- a/src/fleet/engine_peers.c
+++ b/src/fleet/engine_peers.c
@@ -125,8 +125,8 @@
     GHashTableIter iterator;
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
-    g_hash_table_iter_init(&iterator, engines->by_id);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    g_hash_table_iter_init(&iterator, engines->used);
+    while (g_hash_table_iter_next(&iterator, &value, NULL)) {
         const hs_fleet_engine *engine = value;
         bool suspected =
             now_ms < engine->suspected_until_ms || hs_fleet_engine_is_silent(engine, now_ms);
--- a/src/fleet/engine_uses.c
+++ b/src/fleet/engine_uses.c
@@ -77,8 +77,8 @@
     GHashTableIter iterator;
     gpointer value = NULL;
     g_mutex_lock(&engines->lock);
-    g_hash_table_iter_init(&iterator, engines->by_id);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+    g_hash_table_iter_init(&iterator, engines->used);
+    while (g_hash_table_iter_next(&iterator, &value, NULL)) {
         const hs_fleet_engine *engine = value;
         bool is_used =
             engine->online + engine->batch > 0 ||
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -97,7 +97,7 @@
     uint64_t excess_since_ms; /**< Since when requests exceed the slots; 0: they don't. */
     hs_engine_pace pace;
     hs_engine_warmup warmup;
-    hs_engine_rings *rings; /**< Of the table, while the engine is in its rings; else NULL. */
+    struct hs_fleet_engines *table; /**< While the engine is in the table; else NULL. */
     hs_prefix_index *prefixes;
     GPtrArray *batch_leases; /**< of hs_engine_lease*, the newest last. */
     GQueue idle;             /**< of hs_idle_connection*, the most recently used last. */
@@ -116,6 +116,7 @@
     GMutex lock;
     GHashTable *by_id;      /**< id -> hs_fleet_engine* */
     hs_engine_rings *rings; /**< The engines of by_id by service and zone. */
+    GHashTable *used;       /**< Set of the engines of by_id that this daemon used recently. */
     uint64_t home_position; /**< Where in the rings this daemon's home engines begin. */
     GHashTable *by_hash;    /**< hash -> hs_fleet_engine*, of by_id; NULL: to be rebuilt. */
     GHashTable *peers;      /**< peer -> peer_load* */
@@ -234,6 +235,11 @@
 hs_engine_absence hs_fleet_engines_note_presence(hs_fleet_engines *engines, const char *service,
                                                  bool is_present, uint64_t now_ms);
 void hs_fleet_engine_unref(hs_fleet_engine *engine);
+/**
+ * Records that this daemon uses the engine. Its uses, failures and suspicions can only be of
+ * engines that were recorded, so that periodic work walks these and not all engines.
+ */
+void hs_fleet_engine_note_used(hs_fleet_engine *engine);
 /** Whether the engine's pending removal is due. No request goes to it, even before removal. */
 bool hs_fleet_engine_is_removal_due(const hs_fleet_engine *engine, uint64_t now_ms);
 /** Whether the engine has requests and has sent no byte for longer than its silence limit. */
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -44,6 +44,7 @@
     g_cond_init(&engines->reports_changed);
     engines->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_listed);
     engines->rings = hs_engine_rings_new();
+    engines->used = g_hash_table_new(g_direct_hash, g_direct_equal);
     engines->home_position = (uint64_t)g_random_int() << 32 | g_random_int();
     engines->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, hs_fleet_engines_free_peer);
@@ -111,6 +112,7 @@
     clear_hash_index(engines);
     g_hash_table_destroy(engines->by_id);
     hs_engine_rings_free(engines->rings);
+    g_hash_table_destroy(engines->used);
     g_hash_table_destroy(engines->peers);
     g_hash_table_destroy(engines->speeds);
     g_hash_table_destroy(engines->absences);
@@ -156,11 +158,19 @@
     return engine;
 }
 
-static void remove_from_rings(hs_fleet_engine *engine) {
-    if (engine->rings != NULL)
-        hs_engine_rings_remove(engine->rings, engine->entry.service, engine->entry.zone,
-                               engine->hash);
-    engine->rings = NULL;
+/** Removes an engine from the indices of its table. */
+static void remove_from_indices(hs_fleet_engine *engine) {
+    if (engine->table == NULL)
+        return;
+    hs_engine_rings_remove(engine->table->rings, engine->entry.service, engine->entry.zone,
+                           engine->hash);
+    g_hash_table_remove(engine->table->used, engine);
+    engine->table = NULL;
+}
+
+void hs_fleet_engine_note_used(hs_fleet_engine *engine) {
+    if (engine->table != NULL)
+        g_hash_table_add(engine->table->used, engine);
 }
 
 /** Removes an engine whose id another start has taken over. Leases keep it alive. */
@@ -173,7 +183,7 @@
                 engine->online, engine->batch);
     engine->listed = false;
     engine->has_restarted = true;
-    remove_from_rings(engine);
+    remove_from_indices(engine);
     g_queue_clear_full(&engine->idle, hs_idle_connection_free);
     clear_hash_index(engines);
     g_hash_table_remove(engines->by_id, entry->id);
@@ -211,11 +221,12 @@
     }
     if (entry->started_at_ms == 0)
         entry->started_at_ms = engine->entry.started_at_ms;
-    if (!is_new)
-        remove_from_rings(engine);
+    if (engine->table != NULL)
+        hs_engine_rings_remove(engines->rings, engine->entry.service, engine->entry.zone,
+                               engine->hash);
     hs_engine_entry_clear(&engine->entry);
     engine->entry = *entry;
-    engine->rings = engines->rings;
+    engine->table = engines;
     hs_engine_rings_add(engines->rings, entry->service, entry->zone, engine->hash, engine);
     hs_fleet_engine_set_zone_outage(engines, engine);
     engine->listed = true;
@@ -235,7 +246,7 @@
     if (listed != NULL && g_hash_table_contains(listed, key))
         return FALSE;
     engine->listed = false;
-    remove_from_rings(engine);
+    remove_from_indices(engine);
     log_entry("engine_gone", &engine->entry);
     return TRUE;
 }
@@ -357,6 +368,7 @@
     engine->silence_limit_ms =
         (uint32_t)fmax(MIN_SILENCE_LIMIT_MS, run_ms * SILENCE_LIMIT_RUNS * fmax(pace, 1));
     engine->references++;
+    hs_fleet_engine_note_used(engine);
     engine->queued_tokens += lease->unread_tokens;
     engine->memory_tokens_used += lease->memory_tokens;
     if (query->work == HS_WORK_ONLINE) {
