--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -196,11 +196,11 @@
 static void set_state(hs_membership *membership, hs_member *member, hs_member_state state,
                       uint64_t now_ms) {
     bool was_live = hs_member_is_live(member);
-    if (member->state != state) {
+    bool was_running = hs_member_is_running(member);
+    if (member->state != state)
         member->state_since_ms = now_ms;
-        membership->running_version++;
-    }
     member->state = state;
+    membership->running_version += was_running != hs_member_is_running(member);
     membership->live_version += was_live != hs_member_is_live(member);
     member->sent_count = 0;
     membership->has_pending_gossip = true;
