--- a/src/feed/state_feed.c
+++ b/src/feed/state_feed.c
@@ -99,10 +99,6 @@
     return is_awaiting;
 }
 
-void hs_state_feed_request_listing(hs_state_feed *feed) {
-    feed->must_list = true;
-}
-
 GPtrArray *hs_state_feed_list(hs_state_feed *feed) {
     bool has_more = false;
     g_mutex_lock(&feed->lock);
--- a/src/feed/state_feed.h
+++ b/src/feed/state_feed.h
@@ -63,9 +63,6 @@
 /** Whether the last chosen source is one in which changes are awaited rather than polled. */
 bool hs_state_feed_is_awaiting(hs_state_feed *feed);
 
-/** Makes the next read of the store list all keys anew; by the thread that reads. */
-void hs_state_feed_request_listing(hs_state_feed *feed);
-
 /** Returns all records, removals included (of hs_feed_record*). Free with g_ptr_array_unref. */
 GPtrArray *hs_state_feed_list(hs_state_feed *feed);
 
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -238,10 +238,6 @@
     g_free(source);
 }
 
-uint64_t hs_engine_source_last_received_ms(hs_engine_source *source) {
-    return hs_state_feed_store_received_ms(source->feed);
-}
-
 uint64_t hs_engine_source_as_of_ms(hs_engine_source *source) {
     g_mutex_lock(&source->lock);
     uint64_t peer_as_of_ms = source->peer_as_of_ms;
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -65,9 +65,6 @@
 bool hs_engine_source_apply_from_peer(hs_engine_source *source, const GPtrArray *entries,
                                       uint64_t asked_ms, uint64_t age_ms);
 
-/** Returns the monotonic time of the last response from the store; 0: none yet. */
-uint64_t hs_engine_source_last_received_ms(hs_engine_source *source);
-
 /**
  * Returns the monotonic time at which the last answered read of the store was sent, by this daemon
  * or by one from which it has the entries: the table reflects the store at that time or later. 0:
