--- a/Makefile
+++ b/Makefile
@@ -120,7 +120,7 @@
 ## sanitize-thread   the threaded unit tests under the thread sanitizer
 sanitize-thread:
 	@$(MAKE) --no-print-directory -j8 BUILD=$(BUILD)/tsan EXTRA_CFLAGS=-fsanitize=thread EXTRA_CPPFLAGS="-include tests/support/tsan_glib.h" $(BUILD)/tsan/unit-tests
-	@for suite in ring config; do TSAN_OPTIONS=suppressions=tests/support/tsan.supp $(BUILD)/tsan/unit-tests $$suite >$(BUILD)/tsan/output.txt 2>&1 || { cat $(BUILD)/tsan/output.txt; exit 1; }; done
+	@for suite in ring config feed; do TSAN_OPTIONS=suppressions=tests/support/tsan.supp $(BUILD)/tsan/unit-tests $$suite >$(BUILD)/tsan/output.txt 2>&1 || { cat $(BUILD)/tsan/output.txt; exit 1; }; done
 
 clean:
 	rm -rf $(BUILD)
