Run-once requests use no connection that was idle at a loss

Callers saw a second 502 after all connections of a daemon had gone silent: the first run-once request ended with 502, as designed, and the next one, sent after the loss was known, reused a connection to another engine.

Cause: a loss closed only the idle connections to the same engine.

Change: the time of the last loss is kept, and a run-once request reuses a connection only if it was used since. Repeatable requests are as before.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -212,12 +212,12 @@
     return false;
 }
 
-/** Returns the longest idle time of a connection that may be reused for the request. */
+/** Returns the idle time in ms from which a connection is not reused for the request. */
 static uint32_t max_idle_ms(const hs_attempt_parameters *parameters) {
-    uint32_t once_idle_ms = hs_connection_timeouts_get().once_idle_ms;
     if (parameters->needs_new_connection)
         return 0;
-    return parameters->may_repeat || once_idle_ms == 0 ? UINT32_MAX : once_idle_ms;
+    return parameters->may_repeat ? UINT32_MAX
+                                  : hs_connection_current_max_idle_ms(HS_CONNECTION_ENGINE);
 }
 
 bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
--- a/src/http/connection_guard.c
+++ b/src/http/connection_guard.c
@@ -1,6 +1,7 @@
 /** @file connection_guard.c  See connection_guard.h. */
 #include "http/connection_guard.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 
 #include <errno.h>
@@ -24,6 +25,8 @@
 static GMutex timeouts_lock;
 static hs_connection_timeouts current_timeouts;
 static gint loss_counts[HS_CONNECTION_KINDS];
+/** Monotonic times of the last losses in ms; 0: none. Protected by timeouts_lock. */
+static uint64_t last_loss_ms[HS_CONNECTION_KINDS];
 
 const char *hs_connection_kind_name(hs_connection_kind kind) {
     static const char *const names[] = {[HS_CONNECTION_CALLER] = "caller",
@@ -99,6 +102,9 @@
 
 void hs_connection_note_loss(hs_connection_kind kind, uint64_t age_ms, const char *noticed_by) {
     g_atomic_int_inc(&loss_counts[kind]);
+    g_mutex_lock(&timeouts_lock);
+    last_loss_ms[kind] = hs_clock_monotonic_ms();
+    g_mutex_unlock(&timeouts_lock);
     hs_log_warning("connection_lost", "kind=%s age_ms=%" G_GUINT64_FORMAT " noticed_by=%s",
                    hs_connection_kind_name(kind), (guint64)age_ms, noticed_by);
 }
@@ -106,3 +112,18 @@
 uint64_t hs_connection_loss_count(hs_connection_kind kind) {
     return (uint64_t)(guint)g_atomic_int_get(&loss_counts[kind]);
 }
+
+uint32_t hs_connection_max_idle_ms(uint32_t once_idle_ms, uint64_t lost_ms, uint64_t now_ms) {
+    uint64_t limit_ms = once_idle_ms > 0 ? once_idle_ms : UINT32_MAX;
+    if (lost_ms > 0)
+        limit_ms = MIN(limit_ms, now_ms - MIN(lost_ms, now_ms));
+    return (uint32_t)limit_ms;
+}
+
+uint32_t hs_connection_current_max_idle_ms(hs_connection_kind kind) {
+    g_mutex_lock(&timeouts_lock);
+    uint32_t once_idle_ms = current_timeouts.once_idle_ms;
+    uint64_t lost_ms = last_loss_ms[kind];
+    g_mutex_unlock(&timeouts_lock);
+    return hs_connection_max_idle_ms(once_idle_ms, lost_ms, hs_clock_monotonic_ms());
+}
--- a/src/http/connection_guard.h
+++ b/src/http/connection_guard.h
@@ -69,4 +69,16 @@
 /** Returns the number of connections of a kind lost since the start of the process. */
 uint64_t hs_connection_loss_count(hs_connection_kind kind);
 
+/**
+ * Returns the idle time in ms from which a connection is not reused for a request that must not run
+ * twice; UINT32_MAX: no limit. What silences one connection, such as a failed network path or a
+ * restarted NAT device, often silences others: those that were idle when the last loss was noticed
+ * are not reused. @p once_idle_ms: see hs_connection_timeouts. @p lost_ms: monotonic time of the
+ * last loss; 0: none.
+ */
+uint32_t hs_connection_max_idle_ms(uint32_t once_idle_ms, uint64_t lost_ms, uint64_t now_ms);
+
+/** The same for connections of @p kind at this time. */
+uint32_t hs_connection_current_max_idle_ms(hs_connection_kind kind);
+
 #endif
--- a/tests/system/test_fleet_silence.c
+++ b/tests/system/test_fleet_silence.c
@@ -151,6 +151,38 @@
     bench_answer_clear(&answer);
 }
 
+/** Sends a run-once request to the engine @p index; the other one refuses requests as full. */
+static bench_answer send_once_to_engine(int index, const char *id) {
+    bench_set_engine_modes(TOKEN_ENGINE_FULL);
+    token_engine_set_mode(bench.engines[index], TOKEN_ENGINE_HEALTHY);
+    bench_answer answer = post_request(2, "/once/x", id);
+    CU_ASSERT_EQUAL(bench_run_count(id), answer.status == 200);
+    bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
+    return answer;
+}
+
+/** Guards against a 502 for each engine whose connection was silenced together with a lost one. */
+static void a_run_once_request_uses_no_connection_idle_since_a_loss(void) {
+    static const char *const warm_ids[] = {"since-warm-0", "since-warm-1"};
+    static const char *const after_ids[] = {"since-after-0", "since-after-1"};
+    for (int index = 0; index < BENCH_ENGINES; index++) {
+        bench_answer warm = send_once_to_engine(index, warm_ids[index]);
+        CU_ASSERT_EQUAL(warm.status, 200);
+        bench_answer_clear(&warm);
+    }
+    bench_answer answer;
+    send_into_silence(PROXY_DROPS_ALL_PACKETS, 2, "/once/x", "since-lost", &answer);
+    CU_ASSERT_EQUAL(answer.status, 502);
+    bench_answer_clear(&answer);
+    int losses = get_daemon_metric(2, LOST_ENGINE);
+    for (int index = 0; index < BENCH_ENGINES; index++) {
+        answer = send_once_to_engine(index, after_ids[index]);
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+    }
+    CU_ASSERT_EQUAL(get_daemon_metric(2, LOST_ENGINE), losses);
+}
+
 static void a_run_once_request_uses_no_long_idle_connection(void) {
     warm_up(2, "/once/x");
     hs_clock_sleep_ms(LONG_IDLE_MS);
@@ -246,6 +278,8 @@
     {"a_resumable_stream_starts_within_its_target", a_resumable_stream_starts_within_its_target},
     {"a_run_once_request_on_a_silent_connection_ends_in_time",
      a_run_once_request_on_a_silent_connection_ends_in_time},
+    {"a_run_once_request_uses_no_connection_idle_since_a_loss",
+     a_run_once_request_uses_no_connection_idle_since_a_loss},
     {"a_run_once_request_uses_no_long_idle_connection",
      a_run_once_request_uses_no_long_idle_connection},
     {"a_configuration_is_applied_in_time_after_the_store_went_silent",
--- a/tests/unit/test_connection_guard.c
+++ b/tests/unit/test_connection_guard.c
@@ -185,6 +185,17 @@
     }
 }
 
+/** Guards against reuse, for a run-once request, of connections idle since before a loss. */
+static void a_loss_limits_the_idle_time_of_reuse(void) {
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(0, 0, 9000), UINT32_MAX);
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(2000, 0, 9000), 2000);
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(2000, 8700, 9000), 300);
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(0, 8700, 9000), 300);
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(2000, 9000, 9000), 0);
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(2000, 9001, 9000), 0);
+    CU_ASSERT_EQUAL(hs_connection_max_idle_ms(2000, 1000, 9000), 2000);
+}
+
 /** A call to a silent daemon ends at its deadline; the next call uses a new connection. */
 static void call_to_a_silent_daemon_times_out(void) {
     scripted_peer *peer = scripted_peer_start();
@@ -215,5 +226,6 @@
     {"idle_connection_without_a_peer_times_out", idle_connection_without_a_peer_times_out},
     {"liveness_check_detects_an_unacknowledged_request",
      liveness_check_detects_an_unacknowledged_request},
+    {"a_loss_limits_the_idle_time_of_reuse", a_loss_limits_the_idle_time_of_reuse},
     {"call_to_a_silent_daemon_times_out", call_to_a_silent_daemon_times_out},
     {NULL, NULL}};
