Trial runs that no engine began are not counted

Callers saw a harmless content refused for 14 s and more after engines crashed under it together with two contents that crash engines.

Cause: its two trial runs were granted 0.3 s and 2.3 s after its last loss, when all six engines were restarting. Each request found all of them unreachable and ended within a millisecond (attempt_failed run=did_not end=unreachable), and the decider counted both grants: 1,055 later requests ended with trial=spent.

Change: a daemon that suspects all engines requests no trial run, and a request that ends without a run returns its grant to the decider (TrialReturn). Older deciders drop the message.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1357,6 +1357,51 @@
   assert(message->base.descriptor == &hs__trial_verdict__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__trial_return__init
+                     (Hs__TrialReturn         *message)
+{
+  static const Hs__TrialReturn init_value = HS__TRIAL_RETURN__INIT;
+  *message = init_value;
+}
+size_t hs__trial_return__get_packed_size
+                     (const Hs__TrialReturn *message)
+{
+  assert(message->base.descriptor == &hs__trial_return__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__trial_return__pack
+                     (const Hs__TrialReturn *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__trial_return__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__trial_return__pack_to_buffer
+                     (const Hs__TrialReturn *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__trial_return__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__TrialReturn *
+       hs__trial_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__TrialReturn *)
+     protobuf_c_message_unpack (&hs__trial_return__descriptor,
+                                allocator, len, data);
+}
+void   hs__trial_return__free_unpacked
+                     (Hs__TrialReturn *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__trial_return__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__evacuated_zone__init
                      (Hs__EvacuatedZone         *message)
 {
@@ -4217,6 +4262,44 @@
   (ProtobufCMessageInit) hs__trial_verdict__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor hs__trial_return__field_descriptors[1] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__TrialReturn, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__trial_return__field_indices_by_name[] = {
+  0,   /* field[0] = content */
+};
+static const ProtobufCIntRange hs__trial_return__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor hs__trial_return__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.TrialReturn",
+  "TrialReturn",
+  "Hs__TrialReturn",
+  "hs",
+  sizeof(Hs__TrialReturn),
+  1,
+  hs__trial_return__field_descriptors,
+  hs__trial_return__field_indices_by_name,
+  1,  hs__trial_return__number_ranges,
+  (ProtobufCMessageInit) hs__trial_return__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor hs__evacuated_zone__field_descriptors[2] =
 {
   {
@@ -4319,7 +4402,7 @@
   (ProtobufCMessageInit) hs__evacuations__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[24] =
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[25] =
 {
   {
     "sender_id",
@@ -4609,6 +4692,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trial_return",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, trial_return),
+    &hs__trial_return__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   18,   /* field[18] = crash_report */
@@ -4634,12 +4729,13 @@
   19,   /* field[19] = tenant_ask */
   20,   /* field[20] = tenant_verdict */
   21,   /* field[21] = trial_ask */
+  24,   /* field[24] = trial_return */
   22,   /* field[22] = trial_verdict */
 };
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -4649,7 +4745,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  24,
+  25,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -45,6 +45,7 @@
 typedef struct Hs__TenantVerdict Hs__TenantVerdict;
 typedef struct Hs__TrialAsk Hs__TrialAsk;
 typedef struct Hs__TrialVerdict Hs__TrialVerdict;
+typedef struct Hs__TrialReturn Hs__TrialReturn;
 typedef struct Hs__EvacuatedZone Hs__EvacuatedZone;
 typedef struct Hs__Evacuations Hs__Evacuations;
 typedef struct Hs__PeerMessage Hs__PeerMessage;
@@ -920,6 +921,23 @@
     , 0, 0, 0 }
 
 
+/*
+ * A granted trial run that no engine began: the decider does not count it. Not answered. Older builds
+ * ignore the message and count the trial run.
+ */
+struct  Hs__TrialReturn
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the request content.
+   */
+  uint64_t content;
+};
+#define HS__TRIAL_RETURN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__trial_return__descriptor) \
+    , 0 }
+
+
 /*
  * An evacuated zone: its engines get no more requests.
  */
@@ -979,7 +997,8 @@
   HS__PEER_MESSAGE__KIND_TENANT_VERDICT = 21,
   HS__PEER_MESSAGE__KIND_TRIAL_ASK = 22,
   HS__PEER_MESSAGE__KIND_TRIAL_VERDICT = 23,
-  HS__PEER_MESSAGE__KIND_EVACUATIONS = 24
+  HS__PEER_MESSAGE__KIND_EVACUATIONS = 24,
+  HS__PEER_MESSAGE__KIND_TRIAL_RETURN = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -1018,6 +1037,7 @@
     Hs__TrialAsk *trial_ask;
     Hs__TrialVerdict *trial_verdict;
     Hs__Evacuations *evacuations;
+    Hs__TrialReturn *trial_return;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -1640,6 +1660,25 @@
 void   hs__trial_verdict__free_unpacked
                      (Hs__TrialVerdict *message,
                       ProtobufCAllocator *allocator);
+/* Hs__TrialReturn methods */
+void   hs__trial_return__init
+                     (Hs__TrialReturn         *message);
+size_t hs__trial_return__get_packed_size
+                     (const Hs__TrialReturn   *message);
+size_t hs__trial_return__pack
+                     (const Hs__TrialReturn   *message,
+                      uint8_t             *out);
+size_t hs__trial_return__pack_to_buffer
+                     (const Hs__TrialReturn   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__TrialReturn *
+       hs__trial_return__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__trial_return__free_unpacked
+                     (Hs__TrialReturn *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__EvacuatedZone methods */
 void   hs__evacuated_zone__init
                      (Hs__EvacuatedZone         *message);
@@ -1827,6 +1866,9 @@
 typedef void (*Hs__TrialVerdict_Closure)
                  (const Hs__TrialVerdict *message,
                   void *closure_data);
+typedef void (*Hs__TrialReturn_Closure)
+                 (const Hs__TrialReturn *message,
+                  void *closure_data);
 typedef void (*Hs__EvacuatedZone_Closure)
                  (const Hs__EvacuatedZone *message,
                   void *closure_data);
@@ -1880,6 +1922,7 @@
 extern const ProtobufCMessageDescriptor hs__tenant_verdict__descriptor;
 extern const ProtobufCMessageDescriptor hs__trial_ask__descriptor;
 extern const ProtobufCMessageDescriptor hs__trial_verdict__descriptor;
+extern const ProtobufCMessageDescriptor hs__trial_return__descriptor;
 extern const ProtobufCMessageDescriptor hs__evacuated_zone__descriptor;
 extern const ProtobufCMessageDescriptor hs__evacuations__descriptor;
 extern const ProtobufCMessageDescriptor hs__peer_message__descriptor;
--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -155,6 +155,23 @@
     return verdict;
 }
 
+/** Sent once: if the message is lost, the trial run counts. */
+static void return_trial(const hs_trial_query *query, void *user_data) {
+    hs_crash_exchange *exchange = user_data;
+    decider chosen = find_decider(exchange, query);
+    if (chosen.is_self) {
+        hs_crash_watch_take_returned_trial(exchange->watch, query->evidence->content);
+        return;
+    }
+    Hs__TrialReturn body = HS__TRIAL_RETURN__INIT;
+    body.content = query->evidence->content;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_TRIAL_RETURN;
+    message.trial_return = &body;
+    hs_membership_service_send(exchange->membership, chosen.address.address, chosen.address.port,
+                               &message);
+}
+
 /** Returns the evidence sent with a query. Earlier versions send none. */
 static hs_crash_evidence read_query_evidence(const Hs__TrialAsk *body) {
     if (body->evidence == NULL || body->evidence->content != body->content)
@@ -192,7 +209,9 @@
 hs_crash_exchange *hs_crash_exchange_new(hs_crash_watch *watch, hs_membership_service *membership) {
     hs_crash_exchange *exchange = g_new0(hs_crash_exchange, 1);
     exchange->trial_queries = hs_peer_queries_new(sizeof(hs_trial_verdict));
-    hs_crash_watch_set_trial_query(watch, query_decider, exchange);
+    hs_crash_watch_set_trial_calls(watch, &(hs_trial_calls){.query_trial = query_decider,
+                                                            .return_trial = return_trial,
+                                                            .user_data = exchange});
     exchange->watch = watch;
     exchange->membership = membership;
     g_mutex_init(&exchange->lock);
@@ -203,7 +222,7 @@
 void hs_crash_exchange_free(hs_crash_exchange *exchange) {
     if (exchange == NULL)
         return;
-    hs_crash_watch_set_trial_query(exchange->watch, NULL, NULL);
+    hs_crash_watch_set_trial_calls(exchange->watch, &(hs_trial_calls){0});
     hs_peer_queries_free(exchange->trial_queries);
     hs_trial_deciders_free(exchange->deciders);
     g_mutex_clear(&exchange->lock);
@@ -255,6 +274,9 @@
         hs_peer_queries_complete(exchange->trial_queries, message->trial_verdict->sequence,
                                  &verdict);
         return true;
+    case HS__PEER_MESSAGE__KIND_TRIAL_RETURN:
+        hs_crash_watch_take_returned_trial(exchange->watch, message->trial_return->content);
+        return true;
     default:
         return false;
     }
--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -32,8 +32,9 @@
 /** Trial runs of one content. */
 typedef struct {
     uint64_t content;
-    uint32_t count;
+    uint32_t count;             /**< Without those that were returned. */
     uint64_t last_ms;           /**< 0 if none was granted. */
+    bool is_last_returned;      /**< No engine began the last one. */
     bool has_alternative_cause; /**< At the last trial run. */
 } content_trials;
 
@@ -109,7 +110,7 @@
                                  const hs_trial_candidate *candidate) {
     if (!has_grounds(candidate))
         return MAX_TRIAL_DELAY_MS;
-    if (history->count == 0)
+    if (history->count == 0 || history->is_last_returned)
         return FIRST_TRIAL_DELAY_MS;
     uint32_t doublings = candidate->is_accepted ? MIN(history->count - 1, 8U) : 0;
     return MIN((uint64_t)NEXT_TRIAL_DELAY_MS << doublings, MAX_TRIAL_DELAY_MS);
@@ -128,7 +129,7 @@
     for (guint index = 0; index < trials->histories->len; index++) {
         const content_trials *history = &g_array_index(trials->histories, content_trials, index);
         others += history->has_alternative_cause && history->last_ms != 0 &&
-                  now_ms < history->last_ms + EXCLUSIVE_TRIAL_MS;
+                  !history->is_last_returned && now_ms < history->last_ms + EXCLUSIVE_TRIAL_MS;
     }
     return !candidate->has_alternative_cause ||
            others < (candidate->is_accepted ? MAX_CONCURRENT_ACCEPTED : 1U);
@@ -151,16 +152,28 @@
         return HS_TRIAL_TOO_SOON;
     history->count++;
     history->last_ms = now_ms;
+    history->is_last_returned = false;
     history->has_alternative_cause = candidate->has_alternative_cause;
     return HS_TRIAL_GRANTED;
 }
 
+void hs_crash_trials_return(hs_crash_trials *trials, uint64_t content) {
+    for (guint index = 0; index < trials->histories->len; index++) {
+        content_trials *history = &g_array_index(trials->histories, content_trials, index);
+        if (history->content != content || history->count == 0 || history->is_last_returned)
+            continue;
+        history->count--;
+        history->is_last_returned = true;
+    }
+}
+
 const char *hs_trial_verdict_name(hs_trial_verdict verdict) {
     static const char *const names[] = {
         [HS_TRIAL_NO_REASON] = "untold",         [HS_TRIAL_GRANTED] = "granted",
         [HS_TRIAL_NO_GROUNDS] = "no_grounds",    [HS_TRIAL_EXHAUSTED] = "spent",
         [HS_TRIAL_TOO_SOON] = "too_soon",        [HS_TRIAL_OTHERS_RUNNING] = "not_alone",
         [HS_TRIAL_TABLE_FULL] = "no_room",       [HS_TRIAL_UNANSWERED] = "unanswered",
-        [HS_TRIAL_NO_DECIDER] = "nobody_to_ask", [HS_TRIAL_UNKNOWN] = "unknown"};
+        [HS_TRIAL_NO_DECIDER] = "nobody_to_ask", [HS_TRIAL_NO_ENGINE] = "no_engine",
+        [HS_TRIAL_UNKNOWN] = "unknown"};
     return names[verdict];
 }
--- a/src/fleet/crash_trials.h
+++ b/src/fleet/crash_trials.h
@@ -24,9 +24,9 @@
 
 #include "fleet/crash_ledger.h"
 
-/** Maximum number of trial runs of a content that callers send. Each may cost an engine, and at
- * most three runs are allowed after the quarantine began, even if two daemons grant one each at the
- * same time. */
+/** Maximum number of trial runs of a content that callers send, but for returned ones. Each may
+ * cost an engine, and at most three runs are allowed after the quarantine began, even if two
+ * daemons grant one each at the same time. */
 #define HS_MAX_CALLER_TRIALS 2
 
 /** A quarantined content for which a trial run is requested. */
@@ -48,6 +48,7 @@
     HS_TRIAL_TABLE_FULL,     /**< The decider remembers too many contents. */
     HS_TRIAL_UNANSWERED,     /**< The decider did not answer in time. */
     HS_TRIAL_NO_DECIDER,     /**< There is no daemon to send the request to. */
+    HS_TRIAL_NO_ENGINE,      /**< Not requested: no engine is expected to begin the run. */
     HS_TRIAL_UNKNOWN,        /**< Refused for a reason that this version does not know. */
 } hs_trial_verdict;
 
@@ -70,4 +71,10 @@
 hs_trial_verdict hs_crash_trials_decide(hs_crash_trials *trials,
                                         const hs_trial_candidate *candidate, uint64_t now_ms);
 
+/**
+ * Returns the last trial run of a content, which no engine began. It is not counted and keeps no
+ * other content from running; the next one may follow after the delay of a first one.
+ */
+void hs_crash_trials_return(hs_crash_trials *trials, uint64_t content);
+
 #endif
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -18,8 +18,7 @@
     GArray *answered_runs;   /**< of hs_cut_run: recent cut runs whose engine was found running. */
     GArray *crashed_engines; /**< of crashed_engine: recent crashes that entries showed. */
     hs_crash_trials *trials;
-    hs_trial_query_function query_trial; /**< NULL: no trial runs are granted. */
-    void *query_data;
+    hs_trial_calls trial_calls;
     hs_crash_probe *probe;
 };
 
@@ -224,11 +223,9 @@
     return is_quarantined;
 }
 
-void hs_crash_watch_set_trial_query(hs_crash_watch *watch, hs_trial_query_function query_trial,
-                                    void *user_data) {
+void hs_crash_watch_set_trial_calls(hs_crash_watch *watch, const hs_trial_calls *calls) {
     g_mutex_lock(&watch->lock);
-    watch->query_trial = query_trial;
-    watch->query_data = user_data;
+    watch->trial_calls = *calls;
     g_mutex_unlock(&watch->lock);
 }
 
@@ -278,7 +275,7 @@
     hs_trial_query query = {.evidence = &evidence, .is_accepted = is_accepted};
     hs_trial_verdict verdict = HS_TRIAL_NO_GROUNDS;
     g_mutex_lock(&watch->lock);
-    hs_trial_query_function query_trial = watch->query_trial;
+    hs_trial_calls calls = watch->trial_calls;
     if (hs_crash_ledger_find(watch->ledger, content, &evidence)) {
         hs_trial_candidate candidate = make_candidate(watch, &query);
         verdict = hs_crash_trials_check(&candidate);
@@ -286,7 +283,26 @@
     g_mutex_unlock(&watch->lock);
     if (verdict != HS_TRIAL_GRANTED)
         return verdict;
-    return query_trial != NULL ? query_trial(&query, watch->query_data) : HS_TRIAL_NO_DECIDER;
+    return calls.query_trial != NULL ? calls.query_trial(&query, calls.user_data)
+                                     : HS_TRIAL_NO_DECIDER;
+}
+
+void hs_crash_watch_return_trial(hs_crash_watch *watch, uint64_t content) {
+    hs_crash_evidence evidence = {0};
+    hs_trial_query query = {.evidence = &evidence};
+    g_mutex_lock(&watch->lock);
+    hs_trial_calls calls = watch->trial_calls;
+    bool is_known = hs_crash_ledger_find(watch->ledger, content, &evidence);
+    g_mutex_unlock(&watch->lock);
+    if (is_known && calls.return_trial != NULL)
+        calls.return_trial(&query, calls.user_data);
+}
+
+void hs_crash_watch_take_returned_trial(hs_crash_watch *watch, uint64_t content) {
+    g_mutex_lock(&watch->lock);
+    hs_crash_trials_return(watch->trials, content);
+    g_mutex_unlock(&watch->lock);
+    hs_log_info("content_trial_returned", "content=%016" G_GINT64_MODIFIER "x", (guint64)content);
 }
 
 hs_trial_verdict hs_crash_watch_decide_trial(hs_crash_watch *watch, const hs_trial_query *query,
--- a/src/fleet/crash_watch.h
+++ b/src/fleet/crash_watch.h
@@ -55,10 +55,18 @@
 /** Sends a query to the decider and waits for its verdict. */
 typedef hs_trial_verdict (*hs_trial_query_function)(const hs_trial_query *query, void *user_data);
 
-/** Sets the function that queries the decider, before the first request. With NULL, no trial runs
- * are granted. */
-void hs_crash_watch_set_trial_query(hs_crash_watch *watch, hs_trial_query_function query_trial,
-                                    void *user_data);
+/** Tells the decider that no engine began the trial run that it granted last. */
+typedef void (*hs_trial_return_function)(const hs_trial_query *query, void *user_data);
+
+/** How to reach the decider. */
+typedef struct {
+    hs_trial_query_function query_trial; /**< NULL: no trial runs are granted. */
+    hs_trial_return_function return_trial;
+    void *user_data;
+} hs_trial_calls;
+
+/** Sets how to reach the decider, before the first request. */
+void hs_crash_watch_set_trial_calls(hs_crash_watch *watch, const hs_trial_calls *calls);
 
 /**
  * Requests a trial run of a quarantined content; see crash_trials.h. May wait for another daemon's
@@ -67,6 +75,15 @@
 hs_trial_verdict hs_crash_watch_request_trial(hs_crash_watch *watch, uint64_t content,
                                               bool is_accepted);
 
+/**
+ * Returns a granted trial run that no engine began, as for a request that found all engines
+ * unreachable. Otherwise it would count as one of the few that callers' contents get.
+ */
+void hs_crash_watch_return_trial(hs_crash_watch *watch, uint64_t content);
+
+/** Takes a returned trial run as the decider. */
+void hs_crash_watch_take_returned_trial(hs_crash_watch *watch, uint64_t content);
+
 /**
  * Decides on a trial run as the decider for all daemons; see crash_trials.h. Merges the evidence of
  * the query first. @p requester is the requesting daemon's id, for logs.
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -151,6 +151,17 @@
     return HS_NEXT_END;
 }
 
+/**
+ * Requests a trial run, unless this daemon suspects all engines: a content that crashed them is
+ * asked about while they restart, and a trial run that no engine begins finds nothing out.
+ */
+static hs_trial_verdict request_trial(const hs_online_request *request, hs_crash_watch *watch) {
+    hs_service_outlook outlook =
+        hs_fleet_engines_outlook_in(request->online->engines, request->service, &request->regions);
+    return outlook.healthy > 0 ? hs_crash_watch_request_trial(watch, request->content, false)
+                               : HS_TRIAL_NO_ENGINE;
+}
+
 /**
  * Reports whether the request must not be sent since its content is quarantined, and sets the end
  * reason. A quarantined request may get a trial run.
@@ -161,8 +172,7 @@
     if (watch == NULL || !hs_crash_watch_is_quarantined(watch, request->content, &quarantine))
         return false;
     bool is_unsent = request->is_on_trial && request->run == HS_RUN_NOT_EXECUTED;
-    hs_trial_verdict verdict =
-        is_unsent ? HS_TRIAL_GRANTED : hs_crash_watch_request_trial(watch, request->content, false);
+    hs_trial_verdict verdict = is_unsent ? HS_TRIAL_GRANTED : request_trial(request, watch);
     request->is_on_trial = verdict == HS_TRIAL_GRANTED;
     if (request->is_on_trial)
         return false;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -49,6 +49,9 @@
         return;
     request->is_end_recorded = true;
     hs_online_set_held(request, false, false);
+    if (request->is_on_trial && request->run == HS_RUN_NOT_EXECUTED)
+        hs_crash_watch_return_trial(hs_fleet_engines_crash_watch(request->online->engines),
+                                    request->content);
     log_end(request, reason);
 }
 
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -30,6 +30,8 @@
          end_crashes_same_ids},
         {"fleet_crashes_two_causes", fleet_crash_few_system_tests, begin_crashes_two_causes,
          end_crashes_same_ids},
+        {"fleet_crashes_all_down", fleet_crash_all_down_system_tests, begin_crashes_all_down,
+         end_crashes_same_ids},
         {"fleet_item_losses", fleet_item_loss_system_tests, begin_item_losses, end_item_losses},
         {"fleet_upgrade", fleet_upgrade_system_tests, begin_upgrade, end_upgrade},
         {"fleet_entries", fleet_entry_system_tests, bench_set_up, bench_tear_down},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -93,6 +93,11 @@
 int begin_crashes_two(void);
 int begin_crashes_two_causes(void);
 
+extern const test_case fleet_crash_all_down_system_tests[];
+
+/** As begin_crashes_same_ids, with three engines that are down for seconds. */
+int begin_crashes_all_down(void);
+
 extern const test_case fleet_entry_system_tests[];
 extern const test_case fleet_evacuation_system_tests[];
 
--- a/tests/system/test_fleet_crash_trials.c
+++ b/tests/system/test_fleet_crash_trials.c
@@ -20,6 +20,14 @@
 /** Trial runs of a crashing content that are allowed once all daemons know of its three crashes. */
 #define MAX_LATE_SENDS 3
 
+/** Engines of the test in which all are down, and the time in ms for which they are. */
+#define DOWN_ENGINES 3
+#define DOWN_MS 3500
+/** Runs that are lost with these engines; twice as many as engines, so that each has one. */
+#define LOST_RUNS (2 * DOWN_ENGINES)
+/** Time in ms after which the engines crash: long enough for a run to be no likely cause. */
+#define RUN_BEFORE_CRASH_MS 1300
+
 static int crashing_contents = 1;
 
 /** Results of the requests with the harmless content. */
@@ -107,6 +115,54 @@
     g_mutex_clear(&lock);
 }
 
+static gpointer send_long_request(gpointer data) {
+    bench_answer answer = send_crash_request(0, "/once/x", data, "long");
+    bench_answer_clear(&answer);
+    return NULL;
+}
+
+/** Crashes all engines while each runs the content, without a cause in it. */
+static void crash_all_engines(void) {
+    GThread *threads[LOST_RUNS];
+    char ids[LOST_RUNS][16];
+    for (int index = 0; index < LOST_RUNS; index++) {
+        g_snprintf(ids[index], sizeof ids[index], "lost-%d", index);
+        threads[index] = g_thread_new("long", send_long_request, ids[index]);
+    }
+    hs_clock_sleep_ms(RUN_BEFORE_CRASH_MS);
+    for (int index = 0; index < DOWN_ENGINES; index++)
+        crash_fleet_crash_engine(get_crash_fleet(), index);
+    for (int index = 0; index < LOST_RUNS; index++)
+        g_thread_join(threads[index]);
+}
+
+/** Guards against trial runs that are used up by requests that find all engines down. */
+static void what_ran_is_served_again_soon_after_all_engines_were_down(void) {
+    CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
+    crash_all_engines();
+    uint64_t start_ms = hs_clock_monotonic_ms();
+    bool was_quarantined = false;
+    bool is_served = false;
+    for (int number = 0;
+         !is_served && hs_clock_monotonic_ms() < start_ms + DOWN_MS + 2 * MAX_SERVICE_GAP_MS;
+         number++) {
+        g_autofree char *id = g_strdup_printf("again-%d", number);
+        was_quarantined = was_quarantined || is_request_quarantined(number % BENCH_DEFAULT_DAEMONS,
+                                                                    "/once/x", id, "long");
+        bench_answer answer =
+            send_crash_request(number % BENCH_DEFAULT_DAEMONS, "/once/x", id, "long");
+        is_served = answer.status == 200 && answer.whole;
+        bench_answer_clear(&answer);
+        hs_clock_sleep_ms(ARRIVAL_INTERVAL_MS);
+    }
+    uint64_t elapsed_ms = hs_clock_monotonic_ms() - start_ms;
+    fprintf(stderr, "served %d, %u ms after all engines crashed\n", is_served,
+            (unsigned)elapsed_ms);
+    CU_ASSERT_TRUE(was_quarantined);
+    CU_ASSERT_TRUE(is_served);
+    CU_ASSERT(elapsed_ms <= DOWN_MS + MAX_SERVICE_GAP_MS);
+}
+
 /** Starts few engines that restart quickly, with streams that last longer than a restart. */
 static int begin_few_engines(int count, uint32_t return_ms, int causes) {
     crashing_contents = causes;
@@ -133,3 +189,17 @@
     {"what_ran_beside_is_served_again_soon", what_ran_beside_is_served_again_soon},
     {NULL, NULL},
 };
+
+int begin_crashes_all_down(void) {
+    return begin_crashes_with_settings(
+        &(crash_fleet_settings){.engines = DOWN_ENGINES,
+                                .return_ms = DOWN_MS,
+                                .pace = {.events = 100, .event_ms = 15},
+                                .keeps_ids = true});
+}
+
+const test_case fleet_crash_all_down_system_tests[] = {
+    {"what_ran_is_served_again_soon_after_all_engines_were_down",
+     what_ran_is_served_again_soon_after_all_engines_were_down},
+    {NULL, NULL},
+};
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -302,6 +302,30 @@
     hs_crash_trials_free(trials);
 }
 
+/** Guards against trial runs that are used up while all engines are down, by requests not sent. */
+static void a_returned_trial_run_is_not_counted(void) {
+    hs_crash_trials *trials = hs_crash_trials_new();
+    hs_crash_evidence first = make_evidence(1, 3, 10000);
+    hs_crash_evidence second = make_evidence(2, 3, 10000);
+    uint64_t now_ms = 10400;
+    for (int grant = 0; grant < 2 * HS_MAX_CALLER_TRIALS; grant++, now_ms += 300) {
+        CU_ASSERT_EQUAL(decide(trials, &first, now_ms), HS_TRIAL_GRANTED);
+        hs_crash_trials_return(trials, 1);
+        CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 299), HS_TRIAL_TOO_SOON);
+    }
+    CU_ASSERT_EQUAL(decide(trials, &second, now_ms - 299), HS_TRIAL_GRANTED);
+    for (int grant = 0; grant < HS_MAX_CALLER_TRIALS; grant++, now_ms += 3000)
+        CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 3000), HS_TRIAL_GRANTED);
+    hs_crash_trials_return(trials, 2);
+    hs_crash_trials_return(trials, 3);
+    CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 30000), HS_TRIAL_EXHAUSTED);
+    hs_crash_trials_return(trials, 1);
+    hs_crash_trials_return(trials, 1); /* A repeated message returns no earlier trial run. */
+    CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 30000), HS_TRIAL_GRANTED);
+    CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 60000), HS_TRIAL_EXHAUSTED);
+    hs_crash_trials_free(trials);
+}
+
 /** Decides on accepted work that has no alternative cause. */
 static hs_trial_verdict decide_item(hs_crash_trials *trials, const hs_crash_evidence *evidence,
                                     uint64_t now_ms) {
@@ -435,6 +459,7 @@
 
 const test_case crash_tests[] = {
     {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
+    {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
     {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
     {"content_with_a_long_run_gets_a_trial_run_soon",
      content_with_a_long_run_gets_a_trial_run_soon},
