An engine that closes a connection early counts as cold

Cause: daemons learn that an engine is cold from its entry, its answers, its arbiter or a failed connection. A restart that is faster than the next connection shows none of these until the first answer. With the order of events forced, engine_cold had reason=answer 150 ms after the restart at all daemons.

Change: a connection that the engine closes before its keep-alive time, or within a request, counts as a sign of a restart, like a failed connection. A request that needs a permit by then selects an engine again.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -220,26 +220,41 @@
                                   : hs_connection_current_max_idle_ms(HS_CONNECTION_ENGINE);
 }
 
-bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
-                      hs_attempt *attempt) {
-    memset(attempt, 0, sizeof *attempt);
-    attempt->content = parameters->content;
+/**
+ * Selects an engine and connects to it. Sets @p is_unpermitted, and releases the lease, if the
+ * engine needs a permit by now: an idle connection that it had closed showed that it may have
+ * restarted. Returns whether the request may be sent.
+ */
+static bool connect_engine(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
+                           hs_attempt *attempt, bool *is_unpermitted) {
+    *is_unpermitted = false;
     attempt->step = HS_STEP_CUT;
     if (!select_engine(engines, parameters, attempt) || !keep_if_in_time(parameters, attempt))
         return false;
     attempt->connection =
         hs_engine_lease_connect(attempt->lease, parameters->request.request_id, &parameters->wait,
                                 max_idle_ms(parameters), &attempt->step);
-    if (attempt->connection == NULL)
-        return false;
-    if (!keep_if_may_send(parameters, attempt))
+    if (attempt->connection == NULL || !keep_if_may_send(parameters, attempt))
         return false;
-    if (!hs_engine_lease_use_permit(attempt->lease)) {
-        drop_lease(attempt, attempt->connection);
-        attempt->connection = NULL;
-        attempt->step = HS_STEP_CUT;
+    if (hs_engine_lease_use_permit(attempt->lease))
+        return true;
+    drop_lease(attempt, attempt->connection);
+    attempt->connection = NULL;
+    attempt->step = HS_STEP_CUT;
+    *is_unpermitted = true;
+    return false;
+}
+
+bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
+                      hs_attempt *attempt) {
+    memset(attempt, 0, sizeof *attempt);
+    attempt->content = parameters->content;
+    bool is_unpermitted = true;
+    bool is_connected = false;
+    for (uint32_t count = 0; is_unpermitted && count < MAX_PERMIT_REQUESTS; count++)
+        is_connected = connect_engine(engines, parameters, attempt, &is_unpermitted);
+    if (!is_connected)
         return false;
-    }
     attempt->step = send_request(parameters, attempt);
     attempt->sent_ms = hs_clock_monotonic_ms();
     if (attempt->step == HS_STEP_PROGRESS)
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -62,14 +62,31 @@
     *value += (sample - *value) * SPEED_SMOOTHING;
 }
 
-static bool is_connection_usable(const hs_idle_connection *idle, uint64_t now_ms) {
+/** Whether the engine is expected to keep the connection open, since it was used recently. */
+static bool is_within_keep_alive(const hs_idle_connection *idle, uint64_t now_ms) {
     uint64_t announced_ms = hs_client_connection_keep_alive_ms(idle->connection);
     uint64_t limit_ms = announced_ms > 0 ? (uint64_t)((double)announced_ms * KEEP_ALIVE_SHARE)
                                          : DEFAULT_KEEP_ALIVE_MS;
-    return now_ms < idle->idle_since_ms + limit_ms &&
+    return now_ms < idle->idle_since_ms + limit_ms;
+}
+
+static bool is_connection_usable(const hs_idle_connection *idle, uint64_t now_ms) {
+    return is_within_keep_alive(idle, now_ms) &&
            hs_client_connection_is_idle_and_open(idle->connection);
 }
 
+/**
+ * Frees an idle connection that is not usable. If the engine closed it early, the engine may have
+ * restarted. The caller holds the lock.
+ */
+static void discard_idle(const hs_fleet_engines *engines, hs_fleet_engine *engine,
+                         hs_idle_connection *idle, uint64_t now_ms) {
+    if (is_within_keep_alive(idle, now_ms) &&
+        hs_client_connection_is_closed_by_peer(idle->connection))
+        hs_engine_warmup_note_closed(engines, engine, now_ms);
+    hs_idle_connection_free(idle);
+}
+
 static bool has_carried(const hs_carried_requests *carried, uint64_t request_hash) {
     bool is_found = false;
     for (uint32_t index = 0; index < carried->count && !is_found; index++)
@@ -101,7 +118,7 @@
             lease->carried = idle->carried;
             g_free(idle);
         } else {
-            hs_idle_connection_free(idle);
+            discard_idle(lease->engines, lease->engine, idle, now_ms);
         }
         g_queue_delete_link(queue, link);
         link = before;
@@ -341,6 +358,7 @@
         break;
     case HS_ATTEMPT_BROKEN:
         note_end(engine, true, now_ms);
+        hs_engine_warmup_note_closed(lease->engines, engine, now_ms);
         if (++engine->failures >= BROKEN_BEFORE_SUSPICION)
             mark_suspected(engine, now_ms, "broken");
         break;
@@ -468,7 +486,8 @@
     g_free(lease);
 }
 
-static void prune_engine(hs_fleet_engine *engine, uint64_t now_ms) {
+static void prune_engine(const hs_fleet_engines *engines, hs_fleet_engine *engine,
+                         uint64_t now_ms) {
     guint count = g_queue_get_length(&engine->idle);
     for (guint index = 0; index < count; index++) {
         hs_idle_connection *idle = g_queue_pop_head(&engine->idle);
@@ -476,7 +495,7 @@
             g_queue_push_tail(&engine->idle, idle);
             continue;
         }
-        hs_idle_connection_free(idle);
+        discard_idle(engines, engine, idle, now_ms);
     }
 }
 
@@ -496,7 +515,7 @@
     hs_engine_warmup_prune(engines, now_ms);
     g_hash_table_iter_init(&iterator, engines->used);
     while (g_hash_table_iter_next(&iterator, &value, NULL)) {
-        prune_engine(value, now_ms);
+        prune_engine(engines, value, now_ms);
         if (is_use_over(value, now_ms))
             g_hash_table_iter_remove(&iterator);
     }
--- a/src/fleet/engine_warmup.c
+++ b/src/fleet/engine_warmup.c
@@ -128,6 +128,15 @@
     hs_engine_warmup_log(engines, engine, now_ms);
 }
 
+void hs_engine_warmup_note_closed(const hs_fleet_engines *engines, hs_fleet_engine *engine,
+                                  uint64_t now_ms) {
+    const hs_warmup_limit *limit = hs_engine_warmup_limit(engines, engine->entry.service);
+    if (!hs_warmup_limit_is_set(limit))
+        return;
+    hs_warmup_state_note_closed(&engine->warmup.state, now_ms, now_ms + limit->warmup_ms);
+    hs_engine_warmup_log(engines, engine, now_ms);
+}
+
 static bool has_permit(const hs_engine_warmup *warmup, uint64_t now_ms) {
     return now_ms < warmup->permit_until_ms;
 }
--- a/src/fleet/warmup_state.c
+++ b/src/fleet/warmup_state.c
@@ -24,8 +24,10 @@
     state->until_ms[HS_COLD_ENTRY] = end_of(left_ms, read_ms);
     if (read_ms >= state->evacuated_ms + HS_WARMUP_MAX_ENTRY_DELAY_MS)
         state->until_ms[HS_COLD_EVACUATION] = 0;
-    if (read_ms >= state->unreachable_ms + HS_WARMUP_MAX_ENTRY_DELAY_MS)
+    if (read_ms >= state->lost_ms + HS_WARMUP_MAX_ENTRY_DELAY_MS) {
         state->until_ms[HS_COLD_UNREACHABLE] = 0;
+        state->until_ms[HS_COLD_CLOSED] = 0;
+    }
 }
 
 void hs_warmup_state_note_answer(hs_warmup_state *state, uint32_t left_ms, uint64_t now_ms) {
@@ -39,10 +41,15 @@
 }
 
 void hs_warmup_state_note_unreachable(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms) {
-    state->unreachable_ms = now_ms;
+    state->lost_ms = now_ms;
     state->until_ms[HS_COLD_UNREACHABLE] = until_ms;
 }
 
+void hs_warmup_state_note_closed(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms) {
+    state->lost_ms = now_ms;
+    state->until_ms[HS_COLD_CLOSED] = until_ms;
+}
+
 void hs_warmup_state_note_denial(hs_warmup_state *state, uint64_t now_ms) {
     state->until_ms[HS_COLD_ARBITER] = now_ms + HS_WARMUP_ARBITER_VALID_MS;
 }
@@ -70,9 +77,12 @@
 }
 
 const char *hs_cold_reason_name(hs_cold_reason reason) {
-    static const char *const names[] = {
-        [HS_COLD_NOT] = "elapsed",     [HS_COLD_ENTRY] = "entry",
-        [HS_COLD_ANSWER] = "answer",   [HS_COLD_EVACUATION] = "evacuation",
-        [HS_COLD_ARBITER] = "arbiter", [HS_COLD_UNREACHABLE] = "unreachable"};
+    static const char *const names[] = {[HS_COLD_NOT] = "elapsed",
+                                        [HS_COLD_ENTRY] = "entry",
+                                        [HS_COLD_ANSWER] = "answer",
+                                        [HS_COLD_EVACUATION] = "evacuation",
+                                        [HS_COLD_ARBITER] = "arbiter",
+                                        [HS_COLD_UNREACHABLE] = "unreachable",
+                                        [HS_COLD_CLOSED] = "connection_closed"};
     return names[reason];
 }
--- a/src/fleet/warmup_state.h
+++ b/src/fleet/warmup_state.h
@@ -30,14 +30,15 @@
     HS_COLD_EVACUATION,  /**< The end of an evacuation of the engine's zone. */
     HS_COLD_ARBITER,     /**< The engine's arbiter denied a permit that was not requested. */
     HS_COLD_UNREACHABLE, /**< It could not be reached, and may have started anew since. */
+    HS_COLD_CLOSED,      /**< It closed a connection, and may have started anew since. */
     HS_COLD_REASON_COUNT,
 } hs_cold_reason;
 
 /** Ends of the cold phase by source; 0: not cold by this source. Zero-initialise. */
 typedef struct {
     uint64_t until_ms[HS_COLD_REASON_COUNT];
-    uint64_t evacuated_ms;   /**< When the last evacuation ended; 0: never. */
-    uint64_t unreachable_ms; /**< When the engine could not be reached last; 0: never. */
+    uint64_t evacuated_ms; /**< When the last evacuation ended; 0: never. */
+    uint64_t lost_ms; /**< When the engine last was unreachable or closed a connection; 0: never. */
 } hs_warmup_state;
 
 /**
@@ -74,6 +75,13 @@
  */
 void hs_warmup_state_note_unreachable(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
 
+/**
+ * Records that the engine closed a connection on which a response was expected, or an idle one
+ * before its keep-alive time: the only sign of a restart that takes less time than the interval
+ * between two requests. The same follows as after hs_warmup_state_note_unreachable.
+ */
+void hs_warmup_state_note_closed(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
+
 /** Records that the engine's arbiter denied a permit that this daemon did not request. */
 void hs_warmup_state_note_denial(hs_warmup_state *state, uint64_t now_ms);
 
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -483,6 +483,11 @@
     return poll(&polled, 1, 0) == 0;
 }
 
+bool hs_client_connection_is_closed_by_peer(const hs_client_connection *connection) {
+    struct pollfd polled = {.fd = connection->descriptor, .events = POLLRDHUP};
+    return poll(&polled, 1, 0) > 0;
+}
+
 uint64_t hs_client_connection_keep_alive_ms(const hs_client_connection *connection) {
     const char *value = hs_http_fields_find(connection->fields, "Keep-Alive");
     if (value == NULL)
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -138,6 +138,9 @@
 /** Whether an idle connection is open and has no unexpected bytes, as far as the kernel knows. */
 bool hs_client_connection_is_idle_and_open(const hs_client_connection *connection);
 
+/** Whether the peer has closed the connection, as far as the kernel knows. */
+bool hs_client_connection_is_closed_by_peer(const hs_client_connection *connection);
+
 /** Returns the time in ms for which the peer keeps an idle connection open; 0: not stated. */
 uint64_t hs_client_connection_keep_alive_ms(const hs_client_connection *connection);
 
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -61,6 +61,10 @@
 
 /** Starts the bench with a limit of cold engines; bench_tear_down stops it. */
 int begin_warmup(void);
+/** As bench_set_up, with engines that are cold after each restart; waits until they are warm. */
+int begin_warmup_restart(void);
+int end_warmup_restart(void);
+extern const test_case fleet_warmup_restart_system_tests[];
 extern const test_case fleet_warmup_system_tests[];
 
 extern const test_case fleet_tenant_system_tests[];
--- a/tests/system/test_fleet_warmup.c
+++ b/tests/system/test_fleet_warmup.c
@@ -13,6 +13,13 @@
 /** Time in ms within which a change of an engine's entry reaches all daemons. */
 #define ENTRY_PROPAGATION_MS 2000
 #define RETRY_PAUSE_MS 20
+/** Time in ms in which all daemons open connections to both engines, after the engines' warm-up. */
+#define CONNECT_MS 1000
+/** Callers at a restart, enough to use all slots of both engines, and the engines' limit. */
+#define RESTART_CALLERS 48
+#define RESTART_RATE_PER_S 2
+/** Time in ms from a restart in which the engine's requests are counted. */
+#define AFTER_RESTART_MS 2500
 
 int begin_warmup(void) {
     if (bench_set_up() != 0)
@@ -99,6 +106,59 @@
     }
 }
 
+/** Lets all callers send until @p until_ms. */
+static void run_callers(uint64_t until_ms) {
+    caller callers[RESTART_CALLERS];
+    GThread *threads[RESTART_CALLERS];
+    for (int index = 0; index < RESTART_CALLERS; index++) {
+        callers[index] = (caller){.number = index, .until_ms = until_ms};
+        threads[index] = g_thread_new("caller", send_requests, &callers[index]);
+    }
+    for (int index = 0; index < RESTART_CALLERS; index++)
+        g_thread_join(threads[index]);
+}
+
+/**
+ * The engine restarts at once, and its new entry is not written. Guards against daemons that send
+ * it as many requests as a warm engine until its first answer.
+ */
+static void a_restarted_engine_gets_its_limit_before_its_entry_is_read(void) {
+    token_engine *engine = bench.engines[0];
+    g_autofree char *id = g_strdup(token_engine_id(engine));
+    run_callers(hs_clock_monotonic_ms() + CONNECT_MS);
+    token_engine_crash(engine);
+    bench_set_engine_modes(TOKEN_ENGINE_SLOW); /* First answers are late, and slots are short. */
+    token_engine_restart(engine, id);
+    uint64_t from_ms = hs_clock_monotonic_ms();
+    run_callers(from_ms + AFTER_RESTART_MS);
+    uint32_t most = 0;
+    for (uint64_t second = from_ms; second + 1000 <= from_ms + AFTER_RESTART_MS; second += 10)
+        most = MAX(most, count_calls(engine, second, second + 1000));
+    uint32_t count = count_calls(engine, from_ms, from_ms + AFTER_RESTART_MS);
+    g_print("# restarted: calls=%u most_in_a_second=%u\n", count, most);
+    CU_ASSERT(most <= RESTART_RATE_PER_S * 1.5 + 5);
+    CU_ASSERT(count >= RESTART_RATE_PER_S);
+}
+
+int begin_warmup_restart(void) {
+    bench.settings =
+        (bench_settings){.warmup_s = COLD_MS / 1000, .warmup_per_s = RESTART_RATE_PER_S};
+    if (bench_set_up() != 0)
+        return -1;
+    hs_clock_sleep_ms(COLD_MS + SETTLE_MS);
+    return 0;
+}
+
+int end_warmup_restart(void) {
+    bench.settings = (bench_settings){0};
+    return bench_tear_down();
+}
+
+const test_case fleet_warmup_restart_system_tests[] = {
+    {"a_restarted_engine_gets_its_limit_before_its_entry_is_read",
+     a_restarted_engine_gets_its_limit_before_its_entry_is_read},
+    {NULL, NULL}};
+
 const test_case fleet_warmup_system_tests[] = {
     {"cold_engines_get_requests_within_their_limit", cold_engines_get_requests_within_their_limit},
     {NULL, NULL}};
--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -234,6 +234,29 @@
     hs_fleet_engines_free(engines);
 }
 
+/** Guards against requests to an engine that restarted between two requests. */
+static void an_engine_that_closed_a_connection_counts_as_cold(void) {
+    hs_warmup_state state = {0};
+    hs_warmup_state_note_closed(&state, 2000, 2000 + WARMUP_MS);
+    CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2001));
+    hs_warmup_state_note_entry(&state, 0, 2500); /* May be from before the restart. */
+    CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2501));
+    hs_warmup_state_note_answer(&state, 0, 2600);
+    CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 2601));
+    hs_warmup_state_note_closed(&state, 3000, 3000 + WARMUP_MS);
+    hs_warmup_state_note_entry(&state, 0, 3000 + HS_WARMUP_MAX_ENTRY_DELAY_MS);
+    CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 5001));
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    put_engine(engines, "e", 0);
+    hs_engine_query query = {.service = SERVICE, .warmup = limit};
+    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_BROKEN);
+    const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, "e");
+    CU_ASSERT_TRUE(hs_engine_warmup_is_cold(engines, engine, hs_clock_monotonic_ms()));
+    hs_fleet_engines_free(engines);
+}
+
 /** Guards against free slots of cold engines that let requests wait for nothing. */
 static void a_cold_engine_counts_by_its_rate(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
@@ -383,6 +406,8 @@
     {"an_unrequested_denial_stops_a_request", an_unrequested_denial_stops_a_request},
     {"cold_engines_are_used_when_others_are_full", cold_engines_are_used_when_others_are_full},
     {"an_unreachable_engine_counts_as_cold", an_unreachable_engine_counts_as_cold},
+    {"an_engine_that_closed_a_connection_counts_as_cold",
+     an_engine_that_closed_a_connection_counts_as_cold},
     {"a_cold_engine_counts_by_its_rate", a_cold_engine_counts_by_its_rate},
     {"an_attempt_without_a_permit_opens_no_connection",
      an_attempt_without_a_permit_opens_no_connection},
