Long polls end before an owner's fold is too old to answer

Calls about a job were answered from the store's log although its owner was asked: a right answer, one or two reads of the store later.

Cause: an owner answers from its fold if that is at most 900 ms old. A long poll of 500 ms that returns records shows only that the fold was complete when it began. A record 401 ms or more into a poll, followed by a poll without records, left the fold older than 900 ms for up to 100 ms, without any load. The poll of a caller that waits for a result lasted up to 5 s and was shared by all.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -24,11 +24,6 @@
 #define PAGE_ITEM_OVERHEAD_BYTES 256
 /** Maximum wait for the next result. */
 #define MAX_RESULT_WAIT_MS 5000
-/**
- * Maximum age of a fold that answers without a read of the log. Callers expect state reported to
- * them a second ago to be visible at every daemon.
- */
-#define MAX_FOLD_AGE_MS 900
 /**
  * Time allowed to an owner beyond its wait for a result. Leaves time for one read of the log before
  * callers time out.
@@ -38,7 +33,7 @@
 /** How complete a fold is known to be. */
 typedef enum {
     FOLD_STALE,    /**< Records may be missing. */
-    FOLD_RECENT,   /**< Only records of the last MAX_FOLD_AGE_MS may be missing. */
+    FOLD_RECENT,   /**< Only records of the last HS_JOB_MAX_FOLD_AGE_MS may be missing. */
     FOLD_COMPLETE, /**< The log was read to its end for this request. */
 } fold_state;
 
@@ -53,6 +48,7 @@
     hs_call_kind kind;
     const char *job_id;
     hs_deadline deadline;
+    uint64_t fold_age_ms; /**< At the start of the call; see hs_job_partition_age_ms. */
 } job_call;
 
 /** A page of results. */
@@ -68,9 +64,13 @@
                                         [HS_CALL_JOB_READ] = "read",
                                         [HS_CALL_JOB_END] = "end",
                                         [HS_CALL_ITEM_READ] = "item"};
-    hs_log_info("job_call", "job=%s call=%s part=%u by=%s answered=%d took_ms=%u", call->job_id,
-                names[call->kind], hs_job_partition_number(call->partition), answered_by,
-                is_answered, (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms));
+    bool has_age = call->fold_age_ms != UINT64_MAX;
+    hs_log_info("job_call",
+                "job=%s call=%s part=%u by=%s answered=%d took_ms=%u fold_age_ms=%" G_GINT64_FORMAT,
+                call->job_id, names[call->kind], hs_job_partition_number(call->partition),
+                answered_by, is_answered,
+                (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms),
+                has_age ? (gint64)call->fold_age_ms : -1);
 }
 
 /**
@@ -175,9 +175,8 @@
     return true;
 }
 
-static bool is_recent(hs_job_partition *partition) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    return hs_job_partition_is_current(partition, now_ms - MIN(now_ms, MAX_FOLD_AGE_MS));
+static bool is_recent(const job_call *call) {
+    return call->fold_age_ms <= HS_JOB_MAX_FOLD_AGE_MS;
 }
 
 /** Returns the route of the request's job, or NULL if this daemon does not know the job. */
@@ -238,21 +237,23 @@
 
 static job_call make_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                           hs_call_kind kind, const char *job_id) {
+    hs_job_partition *partition = hs_job_service_partition_for_job(service, job_id);
     return (job_call){.service = service,
-                      .partition = hs_job_service_partition_for_job(service, job_id),
+                      .partition = partition,
                       .inbound = inbound,
                       .terms = caller->terms,
                       .tenant = caller->tenant,
                       .config = caller->config,
                       .kind = kind,
                       .job_id = job_id,
-                      .deadline = hs_job_call_deadline(inbound, caller->terms)};
+                      .deadline = hs_job_call_deadline(inbound, caller->terms),
+                      .fold_age_ms = hs_job_partition_age_ms(partition)};
 }
 
 void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                          hs_call_kind kind, const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
-    if (is_recent(call.partition) && answer_from_fold(&call, FOLD_RECENT)) {
+    if (is_recent(&call) && answer_from_fold(&call, FOLD_RECENT)) {
         g_atomic_int_inc(&service->reads.from_own_fold);
         log_call(&call, "own_fold", true);
         return;
@@ -275,7 +276,7 @@
                                    const hs_job_caller *caller, hs_call_kind kind,
                                    const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
-    if (!answer_from_fold(&call, is_recent(call.partition) ? FOLD_RECENT : FOLD_STALE))
+    if (!answer_from_fold(&call, is_recent(&call) ? FOLD_RECENT : FOLD_STALE))
         hs_job_reply_text(inbound, 503, "this daemon's view of the job is not recent\n");
 }
 
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -20,6 +20,10 @@
 /** Contents are stored before their manifest, which may follow after up to this time. */
 #define TRIM_AGE_MS 30000
 /** Pause after a failed read. */
+/** Age in ms of the fold at which a long poll ends; the rest is for the answer to arrive. */
+#define POLL_END_AGE_MS (HS_JOB_MAX_FOLD_AGE_MS - 200)
+/** Minimum wait in ms of a long poll of a fold that is older than that. */
+#define MIN_POLL_MS 50
 #define FAILED_READ_PAUSE_MS 150
 
 hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t number) {
@@ -181,6 +185,18 @@
     return is_current;
 }
 
+uint64_t hs_job_partition_age_ms(hs_job_partition *partition) {
+    g_mutex_lock(&partition->lock);
+    uint64_t current_ms = partition->current_ms;
+    g_mutex_unlock(&partition->lock);
+    return current_ms != 0 ? hs_clock_monotonic_ms() - current_ms : UINT64_MAX;
+}
+
+uint32_t hs_job_poll_wait_ms(uint64_t current_ms, uint64_t now_ms, uint64_t until_ms) {
+    uint64_t due_ms = MAX(current_ms + POLL_END_AGE_MS, now_ms + MIN_POLL_MS);
+    return (uint32_t)(MIN(due_ms, until_ms) - now_ms);
+}
+
 void hs_job_partition_wait(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
     g_mutex_lock(&partition->lock);
     while (hs_job_state_next_offset(partition->state) <= offset) {
@@ -194,8 +210,9 @@
         }
         partition->is_following = true;
         uint64_t from = hs_job_state_next_offset(partition->state);
+        uint32_t wait_ms = hs_job_poll_wait_ms(partition->current_ms, now_ms, until);
         g_mutex_unlock(&partition->lock);
-        if (!long_poll(partition, from, (uint32_t)(until - now_ms)))
+        if (!long_poll(partition, from, wait_ms))
             hs_clock_sleep_ms(FAILED_READ_PAUSE_MS);
         g_mutex_lock(&partition->lock);
         partition->is_following = false;
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -37,13 +37,30 @@
  */
 bool hs_job_partition_is_current(hs_job_partition *partition, uint64_t since_ms);
 
+/**
+ * Maximum age in ms of a fold that answers without a read of the log. Callers expect state reported
+ * to them a second ago to be visible at every daemon.
+ */
+#define HS_JOB_MAX_FOLD_AGE_MS 900
+
+/** Returns the time in ms since the fold was known to be complete; UINT64_MAX: it never was. */
+uint64_t hs_job_partition_age_ms(hs_job_partition *partition);
+
+/**
+ * Returns how long the next long poll may wait so that the fold of a followed partition never gets
+ * older than HS_JOB_MAX_FOLD_AGE_MS. A poll that returns records shows only that the fold was
+ * complete when the poll began. @p current_ms: when the fold was last known to be complete. @p
+ * until_ms: when the caller stops waiting, after @p now_ms.
+ */
+uint32_t hs_job_poll_wait_ms(uint64_t current_ms, uint64_t now_ms, uint64_t until_ms);
+
 /** Locks and borrows the fold; see hs_job_partition_unlock. */
 hs_job_state *hs_job_partition_lock(hs_job_partition *partition);
 void hs_job_partition_unlock(hs_job_partition *partition);
 
 /**
  * Waits until the fold is past @p offset, at most until @p until. All waiting threads share one
- * long poll of the store.
+ * long poll of the store at a time; see hs_job_poll_wait_ms.
  */
 void hs_job_partition_wait(hs_job_partition *partition, uint64_t offset, hs_deadline until);
 
--- a/tests/system/test_fleet_jobs.c
+++ b/tests/system/test_fleet_jobs.c
@@ -21,6 +21,12 @@
 #define UNSERVED_JOBS 16
 /** Limit in ms, far below the time for which items without engines are retried. */
 #define SERVED_LIMIT_MS 4000
+/** Jobs that are read after their result was stored, for how long in ms, and how often. */
+#define READ_JOBS 16
+#define READ_MS 1000
+#define READ_PAUSE_MS 5
+/** Step in ms of the time from a job's record to its result's, over the length of a long poll. */
+#define RESULT_STEP_MS 32
 #define RUNNING_METRIC "heathsail_job_items_running "
 
 static void a_job_is_accepted_once_and_identical_at_every_daemon(void) {
@@ -117,6 +123,46 @@
     CU_ASSERT_EQUAL(from_log, 0);
 }
 
+/** Sums a metric over all daemons. */
+static int sum_metric(const char *name) {
+    int sum = 0;
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
+        sum += read_metric(daemon, name);
+    return sum;
+}
+
+/** Reads a job at each daemon in turn. */
+static void read_repeatedly(const char *id, uint64_t for_ms) {
+    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s?after=0", id);
+    uint64_t until_ms = hs_clock_monotonic_ms() + for_ms;
+    for (int number = 0; hs_clock_monotonic_ms() < until_ms; number++) {
+        bench_answer answer = bench_send(&(bench_call){
+            .daemon = number % BENCH_DEFAULT_DAEMONS, .method = "GET", .target = target});
+        CU_ASSERT_EQUAL(answer.status, 200);
+        bench_answer_clear(&answer);
+        hs_clock_sleep_ms(READ_PAUSE_MS);
+    }
+}
+
+/** Guards against reads of the log because the owner's fold gets too old between two long polls. */
+static void an_owner_answers_at_any_time_after_a_record(void) {
+    CU_ASSERT_TRUE(wait_for_owners());
+    int from_log = 0;
+    for (int number = 0; number < READ_JOBS; number++) {
+        g_autofree char *id = g_strdup_printf("read-%d", number);
+        bench_set_engine_modes(TOKEN_ENGINE_FULL);
+        CU_ASSERT_EQUAL(submit_job(number % BENCH_DEFAULT_DAEMONS, id, 1), 202);
+        hs_clock_sleep_ms((uint64_t)number * RESULT_STEP_MS);
+        bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
+        g_autofree char *page = bench_wait_job(0, id, 1, JOB_LIMIT_MS);
+        CU_ASSERT_PTR_NOT_NULL(page);
+        from_log -= sum_metric("heathsail_job_calls{by=\"log\"} ");
+        read_repeatedly(id, READ_MS);
+        from_log += sum_metric("heathsail_job_calls{by=\"log\"} ");
+    }
+    CU_ASSERT_EQUAL(from_log, 0);
+}
+
 static void open_items_return_their_bodies_and_stop_with_their_job(void) {
     bench_set_engine_modes(TOKEN_ENGINE_FULL);
     CU_ASSERT_EQUAL(submit_job(1, "job2", 3), 202);
@@ -336,6 +382,7 @@
     {"a_job_is_accepted_once_and_identical_at_every_daemon",
      a_job_is_accepted_once_and_identical_at_every_daemon},
     {"calls_about_a_job_are_answered_by_its_owner", calls_about_a_job_are_answered_by_its_owner},
+    {"an_owner_answers_at_any_time_after_a_record", an_owner_answers_at_any_time_after_a_record},
     {"open_items_return_their_bodies_and_stop_with_their_job",
      open_items_return_their_bodies_and_stop_with_their_job},
     {"impossible_and_failing_items_are_given_up", impossible_and_failing_items_are_given_up},
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -453,7 +453,20 @@
     close_fixture(&fixture);
 }
 
+/** Guards against long polls during which a followed fold gets too old to answer. */
+static void long_polls_end_before_the_fold_is_too_old(void) {
+    CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10000, 10500), 500);
+    CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10000, 15000), 700); /* A caller waits for long. */
+    CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10490, 10990), 210); /* Records came late. */
+    CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 11000, 11500), 50);
+    CU_ASSERT_EQUAL(hs_job_poll_wait_ms(0, 11000, 11020), 20);
+    for (uint64_t now_ms = 10000; now_ms < 10650; now_ms++)
+        CU_ASSERT(now_ms + hs_job_poll_wait_ms(10000, now_ms, now_ms + 5000) <
+                  10000 + HS_JOB_MAX_FOLD_AGE_MS);
+}
+
 const test_case job_tests[] = {
+    {"long_polls_end_before_the_fold_is_too_old", long_polls_end_before_the_fold_is_too_old},
     {"repeated_records_change_nothing", repeated_records_change_nothing},
     {"split_results_count_only_if_complete", split_results_count_only_if_complete},
     {"ended_jobs_expire_and_need_no_content", ended_jobs_expire_and_need_no_content},
