Contents lost with the same engines have one decider of trial runs

A harmless content's trial run could be cut by the trial run of a content that crashes engines, which costs its callers seconds of refusals.

Cause: trial runs of such contents are to run one at a time, 800 ms apart, but the decider was found by the lowest engine hash in each content's own evidence.

Change: the rank depends on the lowest engine hash among all suspects that are connected by shared engines, set at each evaluation of the ledger.

Measured: contents_lost_with_the_same_engines_have_one_decider checks the rule; the earlier one gave these contents the engines 5, 7 and 3.

--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -97,15 +97,12 @@
 
 /**
  * Returns the first daemon, in order of rank for this content, that is not skipped. The rank
- * depends on one of the lost engines, so that contents lost with the same engine usually have the
- * same decider, which knows all their trial runs.
+ * depends on the content's trial engine, so that contents lost with the same engines have the same
+ * decider, which knows all their trial runs and lets them run one at a time.
  */
 static decider find_decider(hs_crash_exchange *exchange, const hs_trial_query *query) {
-    const hs_crash_evidence *evidence = query->evidence;
-    uint64_t engine = UINT64_MAX;
-    for (uint32_t index = 0; index < evidence->engine_count; index++)
-        engine = MIN(engine, evidence->engines[index].engine);
-    g_autofree char *key = g_strdup_printf("trial-%" G_GINT64_MODIFIER "x", (guint64)engine);
+    g_autofree char *key =
+        g_strdup_printf("trial-%" G_GINT64_MODIFIER "x", (guint64)query->trial_engine);
     const hs_membership *membership = hs_membership_service_lock(exchange->membership);
     const hs_member *self = hs_membership_self(membership);
     const hs_member *member = hs_membership_rank_next(membership, key, NULL);
--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -30,6 +30,9 @@
 /** Contents that became suspects within this time in ms are taken to have been lost with the same
  * engine, so that neither was found before the other. */
 #define SIMULTANEOUS_MS 500
+/** Maximum number of suspects in a row, each sharing an engine with the next, that are found to
+ * belong together. Bounds the time of an evaluation. */
+#define MAX_TRIAL_ENGINE_PASSES 16
 /** Number of slots for recent acquittals (64 kB). The newer of two contents replaces the other in a
  * slot that they share. */
 #define ACQUITTAL_SLOTS 4096
@@ -38,6 +41,7 @@
     hs_crash_evidence evidence;
     hs_crash_quarantine quarantine; /**< As of the last evaluation. */
     uint64_t last_loss_ms;
+    uint64_t trial_engine; /**< See hs_crash_ledger_trial_engine; 0: not evaluated as a suspect. */
 } content_record;
 
 typedef struct {
@@ -319,6 +323,60 @@
     return suspects;
 }
 
+static uint64_t find_lowest_engine(const hs_crash_evidence *evidence) {
+    uint64_t lowest = UINT64_MAX;
+    for (uint32_t index = 0; index < evidence->engine_count; index++)
+        lowest = MIN(lowest, evidence->engines[index].engine);
+    return lowest;
+}
+
+/** Lowers a suspect's trial engine to the lowest known for any of its engines, and these likewise.
+ * Returns whether anything changed. */
+static bool lower_trial_engine(GHashTable *lowest_by_engine, content_record *record) {
+    hs_crash_evidence *evidence = &record->evidence;
+    uint64_t lowest = record->trial_engine;
+    bool has_changed = false;
+    for (uint32_t index = 0; index < evidence->engine_count; index++) {
+        const uint64_t *known =
+            g_hash_table_lookup(lowest_by_engine, &evidence->engines[index].engine);
+        lowest = known != NULL ? MIN(lowest, *known) : lowest;
+    }
+    has_changed = lowest != record->trial_engine;
+    record->trial_engine = lowest;
+    for (uint32_t index = 0; index < evidence->engine_count; index++) {
+        uint64_t *engine = &evidence->engines[index].engine;
+        const uint64_t *known = g_hash_table_lookup(lowest_by_engine, engine);
+        if (known != NULL && *known <= lowest)
+            continue;
+        g_hash_table_insert(lowest_by_engine, engine, &record->trial_engine);
+        has_changed = true;
+    }
+    return has_changed;
+}
+
+/** Sets the trial engines of all suspects (of suspect_content). */
+static void set_trial_engines(GArray *suspects) {
+    g_autoptr(GHashTable) lowest_by_engine = g_hash_table_new(g_int64_hash, g_int64_equal);
+    bool has_changed = true;
+    for (guint index = 0; index < suspects->len; index++) {
+        content_record *record = g_array_index(suspects, suspect_content, index).record;
+        record->trial_engine = find_lowest_engine(&record->evidence);
+    }
+    for (int pass = 0; has_changed && pass < MAX_TRIAL_ENGINE_PASSES; pass++) {
+        has_changed = false;
+        for (guint index = 0; index < suspects->len; index++)
+            has_changed |= lower_trial_engine(
+                lowest_by_engine, g_array_index(suspects, suspect_content, index).record);
+    }
+}
+
+uint64_t hs_crash_ledger_trial_engine(const hs_crash_ledger *ledger, uint64_t content) {
+    const content_record *record = find_record(ledger, content);
+    if (record == NULL)
+        return 0;
+    return record->trial_engine != 0 ? record->trial_engine : find_lowest_engine(&record->evidence);
+}
+
 static void remove_expired(hs_crash_ledger *ledger, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
@@ -331,6 +389,7 @@
 uint32_t hs_crash_ledger_evaluate(hs_crash_ledger *ledger, uint64_t now_ms, GArray *changes) {
     uint32_t quarantined_count = 0;
     g_autoptr(GArray) suspects = collect_suspects(ledger, changes);
+    set_trial_engines(suspects);
     g_autoptr(GHashTable) max_engines = compute_max_engines(ledger);
     g_autoptr(GHashTable) blamed = g_hash_table_new(g_int64_hash, g_int64_equal);
     engine_causes causes = {.max_engines = max_engines, .blamed = blamed};
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -130,6 +130,14 @@
  */
 bool hs_crash_ledger_has_alternative_cause(const hs_crash_ledger *ledger, uint64_t content);
 
+/**
+ * Returns the lowest hash of the engines with which this content was lost, or another suspect that
+ * shares an engine with it directly or through further suspects, as of the last evaluation. All of
+ * these contents have the same value, by which daemons find the one decider of their trial runs.
+ * Without an evaluation as a suspect, only this content's engines count.
+ */
+uint64_t hs_crash_ledger_trial_engine(const hs_crash_ledger *ledger, uint64_t content);
+
 /** Number of engines that two contents must have been lost with together to be each other's
  * alternative cause. */
 #define HS_MIN_SHARED_CRASHES 2
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -279,6 +279,7 @@
     if (hs_crash_ledger_find(watch->ledger, content, &evidence)) {
         hs_trial_candidate candidate = make_candidate(watch, &query);
         verdict = hs_crash_trials_check(&candidate);
+        query.trial_engine = hs_crash_ledger_trial_engine(watch->ledger, content);
     }
     g_mutex_unlock(&watch->lock);
     if (verdict != HS_TRIAL_GRANTED)
@@ -293,6 +294,7 @@
     g_mutex_lock(&watch->lock);
     hs_trial_calls calls = watch->trial_calls;
     bool is_known = hs_crash_ledger_find(watch->ledger, content, &evidence);
+    query.trial_engine = hs_crash_ledger_trial_engine(watch->ledger, content);
     g_mutex_unlock(&watch->lock);
     if (is_known && calls.return_trial != NULL)
         calls.return_trial(&query, calls.user_data);
--- a/src/fleet/crash_watch.h
+++ b/src/fleet/crash_watch.h
@@ -50,6 +50,7 @@
 typedef struct {
     const hs_crash_evidence *evidence; /**< What the requesting daemon knows. Borrowed. */
     bool is_accepted;                  /**< See hs_trial_candidate. */
+    uint64_t trial_engine; /**< See hs_crash_ledger_trial_engine; not set for the decider. */
 } hs_trial_query;
 
 /** Sends a query to the decider and waits for its verdict. */
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -457,6 +457,35 @@
     hs_crash_ledger_free(ledger);
 }
 
+static void add_losses(hs_crash_ledger *ledger, uint64_t content, const uint64_t engines[3]) {
+    for (int index = 0; index < 3; index++) {
+        hs_crash_loss loss = {.content = content, .engine = engines[index], .lost_ms = 1000};
+        hs_crash_ledger_add_loss(ledger, &loss, 1000);
+    }
+}
+
+/** Guards against two deciders that each grant a trial run to one of two contents at a time. */
+static void contents_lost_with_the_same_engines_have_one_decider(void) {
+    hs_crash_ledger *ledger = hs_crash_ledger_new();
+    g_autoptr(GArray) changes = g_array_new(FALSE, FALSE, sizeof(hs_crash_quarantine));
+    add_losses(ledger, 1, (const uint64_t[]){5, 6, 7});
+    add_losses(ledger, 2, (const uint64_t[]){7, 8, 9});
+    add_losses(ledger, 3, (const uint64_t[]){9, 3, 4});
+    add_losses(ledger, 4, (const uint64_t[]){20, 21, 22});
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 2), 7);
+    hs_crash_ledger_evaluate(ledger, 1000, changes);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 1), 3);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 2), 3);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 3), 3);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 4), 20);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 5), 0);
+    hs_crash_ledger_acquit(ledger, 2, 2000);
+    hs_crash_ledger_evaluate(ledger, 2000, changes);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 1), 5);
+    CU_ASSERT_EQUAL(hs_crash_ledger_trial_engine(ledger, 3), 3);
+    hs_crash_ledger_free(ledger);
+}
+
 const test_case crash_tests[] = {
     {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
     {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
@@ -467,6 +496,8 @@
     {"run_duration_is_merged_into_a_known_loss", run_duration_is_merged_into_a_known_loss},
     {"deciders_without_answer_or_reason_are_skipped",
      deciders_without_answer_or_reason_are_skipped},
+    {"contents_lost_with_the_same_engines_have_one_decider",
+     contents_lost_with_the_same_engines_have_one_decider},
     {"alternative_cause_was_lost_with_the_same_engines",
      alternative_cause_was_lost_with_the_same_engines},
     {"third_lost_engine_quarantines_a_content", third_lost_engine_quarantines_a_content},
