A connection without an answer is tried on a second socket

A stream began later than its target and an engine in good health was suspected; a configuration was applied after 2,234 ms, bound 2,000.

Cause: a new connection got the port of a lost one, whose other end still had an established socket: /proc/net/tcp showed a socket in SYN_SENT and its reverse established, with an empty listen queue. Such a packet, like any first packet that is lost, is repeated by the kernel only after one second, and connections are given 250 to 800 ms.

Change: after half of the time, at least 150 ms, a second socket connects beside the first one.

Measured: a_lost_first_packet_is_replaced_in_time failed 3 of 3 before and passes 3 of 3.

--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -21,6 +21,11 @@
 #define READ_SIZE 16384
 /** Interval at which an interrupt without a descriptor is checked. */
 #define INTERRUPT_CHECK_MS 250
+/** Minimum time in ms for which a connection's first socket is waited for alone; longer than the
+ * round trip between regions. */
+#define SECOND_CONNECT_MS 150
+/** Interval in ms at which the first of two sockets is checked. */
+#define CONNECT_CHECK_MS 10
 #define FIRST_FINAL_STATUS 200
 /** Largest body buffer that an idle connection retains. */
 #define MAX_RETAINED_BODY_BYTES 16384
@@ -218,29 +223,80 @@
     }
 }
 
-static int connect_socket(uint32_t address, uint16_t port, const hs_wait *wait, hs_step *step) {
+/** Starts to connect a socket. Returns -1 on failure. */
+static int begin_connect(uint32_t address, uint16_t port) {
     int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    *step = HS_STEP_CUT;
     if (descriptor < 0)
         return -1;
     int enabled = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
     struct sockaddr_in to = {
         .sin_family = AF_INET, .sin_port = htons(port), .sin_addr.s_addr = htonl(address)};
-    if (connect(descriptor, (struct sockaddr *)&to, sizeof to) != 0 && errno != EINPROGRESS) {
-        close(descriptor);
-        return -1;
-    }
+    if (connect(descriptor, (struct sockaddr *)&to, sizeof to) == 0 || errno == EINPROGRESS)
+        return descriptor;
+    close(descriptor);
+    return -1;
+}
+
+/** Waits until a socket is connected, with HS_STEP_PROGRESS then. */
+static hs_step await_connected(int descriptor, const hs_wait *wait) {
     short ready = 0;
-    *step = wait_for(descriptor, POLLOUT, wait, &ready);
+    hs_step step = wait_for(descriptor, POLLOUT, wait, &ready);
     int failure = 0;
     socklen_t length = sizeof failure;
-    if (*step == HS_STEP_PROGRESS &&
+    if (step == HS_STEP_PROGRESS &&
         (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &length) != 0 || failure != 0))
-        *step = HS_STEP_CUT;
+        step = HS_STEP_CUT;
+    return step;
+}
+
+/** Connects one of two sockets, of which the first has had no answer yet, and closes the other. */
+static int connect_either(int first, int second, const hs_wait *wait, hs_step *step) {
+    int connected = -1;
+    *step = HS_STEP_DEADLINE;
+    while (*step == HS_STEP_DEADLINE && hs_clock_monotonic_ms() < wait->deadline) {
+        hs_wait slice = *wait;
+        slice.deadline = MIN(wait->deadline, hs_clock_monotonic_ms() + CONNECT_CHECK_MS);
+        *step = await_connected(second, &slice);
+        connected = second;
+        struct pollfd polled = {.fd = first, .events = POLLOUT};
+        if (*step == HS_STEP_DEADLINE && poll(&polled, 1, 0) > 0) {
+            *step = await_connected(first, wait);
+            connected = first;
+        }
+    }
+    if (*step != HS_STEP_PROGRESS)
+        connected = -1;
+    if (connected != first)
+        close(first);
+    if (connected != second)
+        close(second);
+    return connected;
+}
+
+/**
+ * Connects to an address. If there is no answer for a while, tries a second socket as well: the
+ * kernel repeats a lost packet only after a second, and its port may be that of an earlier
+ * connection which the peer has not closed yet.
+ */
+static int connect_socket(uint32_t address, uint16_t port, const hs_wait *wait, hs_step *step) {
+    *step = HS_STEP_CUT;
+    int first = begin_connect(address, port);
+    if (first < 0)
+        return -1;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t left_ms = wait->deadline > now_ms ? wait->deadline - now_ms : 0;
+    hs_wait alone = *wait;
+    alone.deadline = now_ms + MIN(left_ms, MAX(left_ms / 2, SECOND_CONNECT_MS));
+    *step = await_connected(first, &alone);
     if (*step == HS_STEP_PROGRESS)
-        return descriptor;
-    close(descriptor);
+        return first;
+    int second = *step == HS_STEP_DEADLINE && alone.deadline < wait->deadline
+                     ? begin_connect(address, port)
+                     : -1;
+    if (second >= 0)
+        return connect_either(first, second, wait, step);
+    close(first);
     return -1;
 }
 
--- a/tests/support/fault_proxy.c
+++ b/tests/support/fault_proxy.c
@@ -191,6 +191,14 @@
     g_atomic_int_set(&proxy->mode, (gint)mode);
 }
 
+void fault_proxy_drop_new_connections(fault_proxy *proxy, bool is_dropping) {
+    int unused = 0;
+    if (is_dropping)
+        drop_packets(proxy->listener);
+    else
+        setsockopt(proxy->listener, SOL_SOCKET, SO_DETACH_FILTER, &unused, sizeof unused);
+}
+
 void fault_proxy_silence_open_connections(fault_proxy *proxy, proxy_silence silence) {
     gint accepted = g_atomic_int_get(&proxy->accepted);
     g_atomic_int_set(&proxy->silenced_until, accepted);
--- a/tests/support/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -7,6 +7,7 @@
 #ifndef TESTS_SUPPORT_FAULT_PROXY_H
 #define TESTS_SUPPORT_FAULT_PROXY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct fault_proxy fault_proxy;
@@ -31,6 +32,9 @@
 /** Sets the mode of all connections, open and new. */
 void fault_proxy_set_mode(fault_proxy *proxy, proxy_mode mode);
 
+/** Sets whether the kernel drops the packets that open new connections to the proxy. */
+void fault_proxy_drop_new_connections(fault_proxy *proxy, bool is_dropping);
+
 /** What a silenced connection does with packets. */
 typedef enum {
     PROXY_ACKNOWLEDGES_DATA, /**< The kernel acknowledges them, but nothing is forwarded. */
--- a/tests/unit/test_connection_guard.c
+++ b/tests/unit/test_connection_guard.c
@@ -27,6 +27,8 @@
 #define DETECTION_LIMIT_MS 3500
 #define LIMIT_MS 10000
 #define SHORT_LIMIT_MS 120
+/** Limit for a connection to an engine; below the second after which the kernel sends again. */
+#define CONNECT_LIMIT_MS 300
 
 static void set_timeouts(uint32_t kernel_timeout_ms) {
     hs_connection_timeouts timeouts = {0};
@@ -185,6 +187,36 @@
     }
 }
 
+static gpointer accept_new_connections(gpointer proxy) {
+    hs_clock_sleep_ms(SHORT_LIMIT_MS);
+    fault_proxy_drop_new_connections(proxy, false);
+    return NULL;
+}
+
+/** Guards against a connection that fails because one packet was lost. */
+static void a_lost_first_packet_is_replaced_in_time(void) {
+    scripted_peer *peer = scripted_peer_start();
+    fault_proxy *proxy = fault_proxy_start(scripted_peer_port(peer));
+    fault_proxy_drop_new_connections(proxy, true);
+    GThread *thread = g_thread_new("accept", accept_new_connections, proxy);
+    hs_wait wait = {.deadline = hs_clock_monotonic_ms() + CONNECT_LIMIT_MS,
+                    .watched = HS_WATCH_NOTHING};
+    hs_step step = HS_STEP_CUT;
+    hs_client_connection *connection =
+        hs_client_connection_open(INADDR_LOOPBACK, fault_proxy_port(proxy), &wait, &step);
+    CU_ASSERT_EQUAL(step, HS_STEP_PROGRESS);
+    CU_ASSERT_PTR_NOT_NULL(connection);
+    hs_client_connection_close(connection);
+    g_thread_join(thread);
+    fault_proxy_drop_new_connections(proxy, true); /* All packets are lost. */
+    wait.deadline = hs_clock_monotonic_ms() + CONNECT_LIMIT_MS;
+    connection = hs_client_connection_open(INADDR_LOOPBACK, fault_proxy_port(proxy), &wait, &step);
+    CU_ASSERT_EQUAL(step, HS_STEP_DEADLINE);
+    CU_ASSERT_PTR_NULL(connection);
+    fault_proxy_stop(proxy);
+    scripted_peer_stop(peer);
+}
+
 /** Guards against reuse, for a run-once request, of connections idle since before a loss. */
 static void a_loss_limits_the_idle_time_of_reuse(void) {
     CU_ASSERT_EQUAL(hs_connection_max_idle_ms(0, 0, 9000), UINT32_MAX);
@@ -226,6 +258,7 @@
     {"idle_connection_without_a_peer_times_out", idle_connection_without_a_peer_times_out},
     {"liveness_check_detects_an_unacknowledged_request",
      liveness_check_detects_an_unacknowledged_request},
+    {"a_lost_first_packet_is_replaced_in_time", a_lost_first_packet_is_replaced_in_time},
     {"a_loss_limits_the_idle_time_of_reuse", a_loss_limits_the_idle_time_of_reuse},
     {"call_to_a_silent_daemon_times_out", call_to_a_silent_daemon_times_out},
     {NULL, NULL}};
