--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -21,8 +21,8 @@
 #define READ_SIZE 16384
 /** Interval at which an interrupt without a descriptor is checked. */
 #define INTERRUPT_CHECK_MS 250
-/** Minimum time in ms for which a connection's first socket is waited for alone; longer than the
- * round trip between regions. */
+/** Minimum time in ms for which a connection's first socket is waited for alone, so that a slow
+ * path does not cost a second connection each time. */
 #define SECOND_CONNECT_MS 150
 /** Interval in ms at which the first of two sockets is checked. */
 #define CONNECT_CHECK_MS 10
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -19,11 +19,11 @@
 #define BYTES_PER_KB 1024
 /** Contents are stored before their manifest, which may follow after up to this time. */
 #define TRIM_AGE_MS 30000
-/** Pause after a failed read. */
 /** Age in ms of the fold at which a long poll ends; the rest is for the answer to arrive. */
 #define POLL_END_AGE_MS (HS_JOB_MAX_FOLD_AGE_MS - 200)
 /** Minimum wait in ms of a long poll of a fold that is older than that. */
 #define MIN_POLL_MS 50
+/** Pause after a failed read. */
 #define FAILED_READ_PAUSE_MS 150
 
 hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t number) {
