The delay between two trial runs counts from the first of them

Cause: after a trial run that was cut, the next one was due 2 s after the last loss. The content was released meanwhile, as another one explained its losses, and lost again in ordinary runs 0.9 s later, so that the 2 s began anew.

Change: the delay counts from the last trial run. After a later loss 0.3 s must pass, as after the loss before a first trial run.

Measured: the_delay_between_trial_runs_counts_from_the_last_one failed before and passes; suite crashes passes.

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -116,10 +116,18 @@
     return MIN((uint64_t)NEXT_TRIAL_DELAY_MS << doublings, MAX_TRIAL_DELAY_MS);
 }
 
+/**
+ * The delay between trial runs counts from the last one. A content may be lost in between, as it is
+ * released while another content explains its losses; after such a loss only the engines have to
+ * restart.
+ */
 static bool is_due(const content_trials *history, const hs_trial_candidate *candidate,
                    uint64_t now_ms) {
-    uint64_t last_ms = MAX(history->last_ms, find_last_loss_ms(candidate->evidence));
-    return now_ms >= last_ms + compute_delay_ms(history, candidate);
+    uint64_t loss_ms = find_last_loss_ms(candidate->evidence);
+    uint64_t delay_ms = compute_delay_ms(history, candidate);
+    bool has_trial = history->count > 0 && has_grounds(candidate);
+    uint64_t loss_delay_ms = has_trial ? FIRST_TRIAL_DELAY_MS : delay_ms;
+    return now_ms >= MAX(history->last_ms + delay_ms, loss_ms + loss_delay_ms);
 }
 
 /** Returns whether the candidate may run beside the trial runs that are under way. */
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -302,6 +302,19 @@
     hs_crash_trials_free(trials);
 }
 
+/** Guards against a delay that starts anew with each loss between two trial runs. */
+static void the_delay_between_trial_runs_counts_from_the_last_one(void) {
+    hs_crash_trials *trials = hs_crash_trials_new();
+    hs_crash_evidence lost = make_evidence(1, 3, 10000);
+    CU_ASSERT_EQUAL(decide(trials, &lost, 10300), HS_TRIAL_GRANTED);
+    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 8, .lost_ms = 10400};
+    CU_ASSERT_EQUAL(decide(trials, &lost, 12200), HS_TRIAL_TOO_SOON);
+    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 9, .lost_ms = 12100};
+    CU_ASSERT_EQUAL(decide(trials, &lost, 12399), HS_TRIAL_TOO_SOON);
+    CU_ASSERT_EQUAL(decide(trials, &lost, 12400), HS_TRIAL_GRANTED);
+    hs_crash_trials_free(trials);
+}
+
 /** Guards against trial runs that are used up while all engines are down, by requests not sent. */
 static void a_returned_trial_run_is_not_counted(void) {
     hs_crash_trials *trials = hs_crash_trials_new();
@@ -488,6 +501,8 @@
 
 const test_case crash_tests[] = {
     {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
+    {"the_delay_between_trial_runs_counts_from_the_last_one",
+     the_delay_between_trial_runs_counts_from_the_last_one},
     {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
     {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
     {"content_with_a_long_run_gets_a_trial_run_soon",
