--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -94,6 +94,14 @@
     return is_found;
 }
 
+/** Whether the engine keeps an idle connection open, so that it has not restarted since. */
+static bool has_open_idle(const hs_fleet_engine *engine, uint64_t now_ms) {
+    bool is_found = false;
+    for (const GList *link = engine->idle.head; link != NULL && !is_found; link = link->next)
+        is_found = is_connection_usable(link->data, now_ms);
+    return is_found;
+}
+
 /**
  * Returns the most recently used idle connection that is usable, or NULL, and closes unusable ones
  * on the way. Skips, but keeps, connections that carried the request before or were idle for
@@ -358,7 +366,8 @@
         break;
     case HS_ATTEMPT_BROKEN:
         note_end(engine, true, now_ms);
-        hs_engine_warmup_note_closed(lease->engines, engine, now_ms);
+        if (!has_open_idle(engine, now_ms))
+            hs_engine_warmup_note_closed(lease->engines, engine, now_ms);
         if (++engine->failures >= BROKEN_BEFORE_SUSPICION)
             mark_suspected(engine, now_ms, "broken");
         break;
