A trial run on an engine that another suspect crashes is not counted

A harmless content was refused for 5,325 ms, bound 5,000, in 1 of 32 runs of fleet_crashes_two_causes, four at once.

Cause: two of its trial runs began on engines that another content crashed, which was not quarantined at that moment. Both counted, and each delayed the next one by 2 s, although they showed nothing about the content.

Change: if another suspect was lost with the engine of a trial run, the trial run is returned, as one that no engine began.

--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -438,6 +438,24 @@
     return is_found;
 }
 
+bool hs_crash_ledger_is_last_loss_shared(const hs_crash_ledger *ledger, uint64_t content) {
+    const content_record *record = find_record(ledger, content);
+    if (record == NULL || lost_engine_count(record) == 0)
+        return false;
+    const hs_crash_engine *last = &record->evidence.engines[0];
+    for (uint32_t index = 1; index < lost_engine_count(record); index++)
+        if (record->evidence.engines[index].lost_ms > last->lost_ms)
+            last = &record->evidence.engines[index];
+    bool is_shared = false;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, ledger->by_content);
+    while (!is_shared && g_hash_table_iter_next(&iterator, NULL, &value))
+        is_shared = value != record && lost_engine_count(value) >= HS_MIN_CRASHES_TO_QUARANTINE &&
+                    has_engine(value, last->engine);
+    return is_shared;
+}
+
 void hs_crash_ledger_list_quarantined(const hs_crash_ledger *ledger, uint64_t now_ms,
                                       GArray *quarantines) {
     GHashTableIter iterator;
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -130,6 +130,13 @@
  */
 bool hs_crash_ledger_has_alternative_cause(const hs_crash_ledger *ledger, uint64_t content);
 
+/**
+ * Returns whether another suspect, that is, a content with HS_MIN_CRASHES_TO_QUARANTINE losses, was
+ * lost with the engine of this content's last loss. That loss then does not show which is the
+ * cause.
+ */
+bool hs_crash_ledger_is_last_loss_shared(const hs_crash_ledger *ledger, uint64_t content);
+
 /**
  * Returns the lowest hash of the engines with which this content was lost, or another suspect that
  * shares an engine with it directly or through further suspects, as of the last evaluation. All of
--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -34,7 +34,7 @@
     uint64_t content;
     uint32_t count;             /**< Without those that were returned. */
     uint64_t last_ms;           /**< 0 if none was granted. */
-    bool is_last_returned;      /**< No engine began the last one. */
+    bool is_last_returned;      /**< The last one was not begun, or found nothing out. */
     bool has_alternative_cause; /**< At the last trial run. */
 } content_trials;
 
@@ -62,11 +62,19 @@
             g_array_remove_index_fast(trials->histories, index - 1);
 }
 
-/** Returns a content's trial runs, or NULL if the table is full. */
-static content_trials *get_history(hs_crash_trials *trials, uint64_t content) {
+/** Returns a content's trial runs, or NULL if there were none. */
+static content_trials *find_history(hs_crash_trials *trials, uint64_t content) {
     for (guint index = 0; index < trials->histories->len; index++)
         if (g_array_index(trials->histories, content_trials, index).content == content)
             return &g_array_index(trials->histories, content_trials, index);
+    return NULL;
+}
+
+/** Returns a content's trial runs, empty if there were none, or NULL if the table is full. */
+static content_trials *get_history(hs_crash_trials *trials, uint64_t content) {
+    content_trials *history = find_history(trials, content);
+    if (history != NULL)
+        return history;
     if (trials->histories->len >= MAX_CONTENTS)
         return NULL;
     content_trials added = {.content = content};
@@ -143,12 +151,29 @@
            others < (candidate->is_accepted ? MAX_CONCURRENT_ACCEPTED : 1U);
 }
 
+/** Returns a content's last trial run, so that it is not counted. NULL is allowed. */
+static void return_last(content_trials *history) {
+    if (history == NULL || history->count == 0 || history->is_last_returned)
+        return;
+    history->count--;
+    history->is_last_returned = true;
+}
+
+/** Returns the last trial run if its engine crashed under another suspect as well, which may not
+ * have been quarantined yet: the trial run found nothing out. */
+static void return_if_inconclusive(content_trials *history, const hs_trial_candidate *candidate) {
+    if (history != NULL && candidate->is_last_loss_shared &&
+        find_last_loss_ms(candidate->evidence) >= history->last_ms)
+        return_last(history);
+}
+
 hs_trial_verdict hs_crash_trials_decide(hs_crash_trials *trials,
                                         const hs_trial_candidate *candidate, uint64_t now_ms) {
     remove_expired(trials, now_ms);
     hs_trial_verdict verdict = hs_crash_trials_check(candidate);
     if (verdict != HS_TRIAL_GRANTED)
         return verdict;
+    return_if_inconclusive(find_history(trials, candidate->evidence->content), candidate);
     if (!can_run_now(trials, candidate, now_ms))
         return HS_TRIAL_OTHERS_RUNNING;
     content_trials *history = get_history(trials, candidate->evidence->content);
@@ -166,13 +191,7 @@
 }
 
 void hs_crash_trials_return(hs_crash_trials *trials, uint64_t content) {
-    for (guint index = 0; index < trials->histories->len; index++) {
-        content_trials *history = &g_array_index(trials->histories, content_trials, index);
-        if (history->content != content || history->count == 0 || history->is_last_returned)
-            continue;
-        history->count--;
-        history->is_last_returned = true;
-    }
+    return_last(find_history(trials, content));
 }
 
 const char *hs_trial_verdict_name(hs_trial_verdict verdict) {
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -266,6 +266,8 @@
     return (hs_trial_candidate){.evidence = query->evidence,
                                 .has_alternative_cause = hs_crash_ledger_has_alternative_cause(
                                     watch->ledger, query->evidence->content),
+                                .is_last_loss_shared = hs_crash_ledger_is_last_loss_shared(
+                                    watch->ledger, query->evidence->content),
                                 .is_accepted = query->is_accepted};
 }
 
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -302,6 +302,41 @@
     hs_crash_trials_free(trials);
 }
 
+/** Guards against trial runs that are used up on engines which another content crashes. */
+static void an_inconclusive_trial_run_is_not_counted(void) {
+    hs_crash_trials *trials = hs_crash_trials_new();
+    hs_crash_evidence lost = make_evidence(1, 3, 10000);
+    hs_trial_candidate candidate = {.evidence = &lost, .has_alternative_cause = true};
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 10300), HS_TRIAL_GRANTED);
+    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 8, .lost_ms = 10500};
+    candidate.is_last_loss_shared = true;
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 10799), HS_TRIAL_TOO_SOON);
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 10800), HS_TRIAL_GRANTED);
+    candidate.is_last_loss_shared = false;
+    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 9, .lost_ms = 10900};
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 11700), HS_TRIAL_TOO_SOON);
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 12800), HS_TRIAL_GRANTED);
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 30000), HS_TRIAL_EXHAUSTED);
+    hs_crash_trials_free(trials);
+}
+
+static void a_last_loss_is_shared_with_another_suspect(void) {
+    hs_crash_ledger *ledger = hs_crash_ledger_new();
+    for (uint64_t engine = 1; engine <= 4; engine++) {
+        hs_crash_loss first = {.content = 1, .engine = engine, .lost_ms = 1000 * engine};
+        hs_crash_loss other = {.content = 2, .engine = engine, .lost_ms = 1000 * engine};
+        hs_crash_loss chance = {.content = 3, .engine = engine, .lost_ms = 1000 * engine};
+        hs_crash_ledger_add_loss(ledger, &first, 4000);
+        if (engine < 4)
+            hs_crash_ledger_add_loss(ledger, &other, 4000);
+        if (engine > 2)
+            hs_crash_ledger_add_loss(ledger, &chance, 4000);
+        CU_ASSERT_EQUAL(hs_crash_ledger_is_last_loss_shared(ledger, 1), engine == 3);
+    }
+    CU_ASSERT_FALSE(hs_crash_ledger_is_last_loss_shared(ledger, 9));
+    hs_crash_ledger_free(ledger);
+}
+
 /** Guards against a delay that starts anew with each loss between two trial runs. */
 static void the_delay_between_trial_runs_counts_from_the_last_one(void) {
     hs_crash_trials *trials = hs_crash_trials_new();
@@ -503,6 +538,8 @@
     {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
     {"the_delay_between_trial_runs_counts_from_the_last_one",
      the_delay_between_trial_runs_counts_from_the_last_one},
+    {"an_inconclusive_trial_run_is_not_counted", an_inconclusive_trial_run_is_not_counted},
+    {"a_last_loss_is_shared_with_another_suspect", a_last_loss_is_shared_with_another_suspect},
     {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
     {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
     {"content_with_a_long_run_gets_a_trial_run_soon",
