--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -334,18 +334,17 @@
     return lowest;
 }
 
-/** Lowers a suspect's trial engine to the lowest known for any of its engines, and these likewise.
- * Returns whether anything changed. */
+/** Lowers a suspect's trial engine to the lowest known for any of its engines, and records it for
+ * all of them. Returns whether anything changed. */
 static bool lower_trial_engine(GHashTable *lowest_by_engine, content_record *record) {
     hs_crash_evidence *evidence = &record->evidence;
     uint64_t lowest = record->trial_engine;
-    bool has_changed = false;
     for (uint32_t index = 0; index < evidence->engine_count; index++) {
         const uint64_t *known =
             g_hash_table_lookup(lowest_by_engine, &evidence->engines[index].engine);
         lowest = known != NULL ? MIN(lowest, *known) : lowest;
     }
-    has_changed = lowest != record->trial_engine;
+    bool has_changed = lowest != record->trial_engine;
     record->trial_engine = lowest;
     for (uint32_t index = 0; index < evidence->engine_count; index++) {
         uint64_t *engine = &evidence->engines[index].engine;
--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -34,7 +34,7 @@
     uint64_t content;
     uint32_t count;             /**< Without those that were returned. */
     uint64_t last_ms;           /**< 0 if none was granted. */
-    bool is_last_returned;      /**< The last one was not begun, or found nothing out. */
+    bool is_last_returned;      /**< The last one was not begun, or was inconclusive. */
     bool has_alternative_cause; /**< At the last trial run. */
 } content_trials;
 
@@ -159,8 +159,8 @@
     history->is_last_returned = true;
 }
 
-/** Returns the last trial run if its engine crashed under another suspect as well, which may not
- * have been quarantined yet: the trial run found nothing out. */
+/** Returns the last trial run if it was inconclusive: its engine crashed under another suspect as
+ * well, which may not have been quarantined yet. */
 static void return_if_inconclusive(content_trials *history, const hs_trial_candidate *candidate) {
     if (history != NULL && candidate->is_last_loss_shared &&
         find_last_loss_ms(candidate->evidence) >= history->last_ms)
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -252,7 +252,7 @@
     attempt->content = parameters->content;
     bool is_unpermitted = true;
     bool is_connected = false;
-    for (uint32_t count = 0; is_unpermitted && count < MAX_PERMIT_REQUESTS; count++)
+    for (uint32_t tries = 0; is_unpermitted && tries < MAX_PERMIT_REQUESTS; tries++)
         is_connected = connect_engine(engines, parameters, attempt, &is_unpermitted);
     if (!is_connected)
         return false;
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -152,8 +152,8 @@
 }
 
 /**
- * Requests a trial run, unless this daemon suspects all engines: a content that crashed them is
- * asked about while they restart, and a trial run that no engine begins finds nothing out.
+ * Requests a trial run, unless this daemon suspects all engines. They may all be restarting after
+ * the crashes that caused the quarantine, and a trial run that no engine begins shows nothing.
  */
 static hs_trial_verdict request_trial(const hs_online_request *request, hs_crash_watch *watch) {
     hs_service_outlook outlook =
