An arbiter no longer takes over that an engine is cold

Daemons that the arbiter had denied requested permits for that reason alone, and so renewed its belief for as long as requests came: all three daemons logged engine_cold reason=arbiter each second, long after the engine was warm.

--- a/src/directory/warmup_arbiter.c
+++ b/src/directory/warmup_arbiter.c
@@ -132,8 +132,6 @@
                                            entry->open_ms, now_ms);
     }
     g_mutex_unlock(&arbiter->lock);
-    if (is_own && !coldness.is_cold)
-        hs_fleet_engines_note_cold_elsewhere(arbiter->engines, use->engine_hash);
     put_verdict(load, &verdict);
 }
 
--- a/src/fleet/engine_warmup.c
+++ b/src/fleet/engine_warmup.c
@@ -310,18 +310,6 @@
     return coldness;
 }
 
-void hs_fleet_engines_note_cold_elsewhere(hs_fleet_engines *engines, uint64_t engine_hash) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    g_mutex_lock(&engines->lock);
-    hs_fleet_engine *engine = hs_fleet_engines_find(engines, engine_hash);
-    if (engine != NULL &&
-        hs_warmup_limit_is_set(hs_engine_warmup_limit(engines, engine->entry.service))) {
-        hs_warmup_state_note_denial(&engine->warmup.state, now_ms);
-        hs_engine_warmup_log(engines, engine, now_ms);
-    }
-    g_mutex_unlock(&engines->lock);
-}
-
 void hs_engine_warmup_prune(hs_fleet_engines *engines, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -459,13 +459,6 @@
 
 hs_engine_coldness hs_fleet_engines_coldness(hs_fleet_engines *engines, uint64_t engine_hash);
 
-/**
- * Records, at the engine's arbiter, that another daemon takes the engine for cold: it counts as
- * cold here for a moment, and daemons that do not know it are denied. No effect on services without
- * a limit of cold engines, and on engines that this daemon does not know.
- */
-void hs_fleet_engines_note_cold_elsewhere(hs_fleet_engines *engines, uint64_t engine_hash);
-
 /** Metrics of cold engines and permits. Free with g_free. */
 char *hs_fleet_engines_describe_warmup(hs_fleet_engines *engines);
 
--- a/src/fleet/warmup_state.h
+++ b/src/fleet/warmup_state.h
@@ -28,8 +28,7 @@
     HS_COLD_ENTRY,       /**< The engine's entry in the store. */
     HS_COLD_ANSWER,      /**< A response of the engine. */
     HS_COLD_EVACUATION,  /**< The end of an evacuation of the engine's zone. */
-    HS_COLD_ARBITER,     /**< The engine's arbiter denied a permit that was not requested. At the
-                            arbiter:     another daemon requested a permit. */
+    HS_COLD_ARBITER,     /**< The engine's arbiter denied a permit that was not requested. */
     HS_COLD_UNREACHABLE, /**< It could not be reached, and may have started anew since. */
     HS_COLD_CLOSED,      /**< It closed a connection, and may have started anew since. */
     HS_COLD_REASON_COUNT,
