One function for the signs that an engine may have restarted

Cause: an engine that could not be reached and one that closed a connection were recorded by two functions each in warmup_state and engine_warmup, which differed in the reason alone; two tests repeated ten lines.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -83,7 +83,7 @@
                          hs_idle_connection *idle, uint64_t now_ms) {
     if (is_within_keep_alive(idle, now_ms) &&
         hs_client_connection_is_closed_by_peer(idle->connection))
-        hs_engine_warmup_note_closed(engines, engine, now_ms);
+        hs_engine_warmup_note_lost(engines, engine, HS_COLD_CLOSED, now_ms);
     hs_idle_connection_free(idle);
 }
 
@@ -356,7 +356,7 @@
         break;
     case HS_ATTEMPT_UNREACHABLE:
         mark_suspected(engine, now_ms, "unreachable");
-        hs_engine_warmup_note_unreachable(lease->engines, engine, now_ms);
+        hs_engine_warmup_note_lost(lease->engines, engine, HS_COLD_UNREACHABLE, now_ms);
         hs_fleet_engine_note_zone_failure(engine, now_ms);
         break;
     case HS_ATTEMPT_SILENT:
@@ -367,7 +367,7 @@
     case HS_ATTEMPT_BROKEN:
         note_end(engine, true, now_ms);
         if (!has_open_idle(engine, now_ms))
-            hs_engine_warmup_note_closed(lease->engines, engine, now_ms);
+            hs_engine_warmup_note_lost(lease->engines, engine, HS_COLD_CLOSED, now_ms);
         if (++engine->failures >= BROKEN_BEFORE_SUSPICION)
             mark_suspected(engine, now_ms, "broken");
         break;
--- a/src/fleet/engine_warmup.c
+++ b/src/fleet/engine_warmup.c
@@ -119,21 +119,12 @@
     }
 }
 
-void hs_engine_warmup_note_unreachable(const hs_fleet_engines *engines, hs_fleet_engine *engine,
-                                       uint64_t now_ms) {
+void hs_engine_warmup_note_lost(const hs_fleet_engines *engines, hs_fleet_engine *engine,
+                                hs_cold_reason reason, uint64_t now_ms) {
     const hs_warmup_limit *limit = hs_engine_warmup_limit(engines, engine->entry.service);
     if (!hs_warmup_limit_is_set(limit))
         return;
-    hs_warmup_state_note_unreachable(&engine->warmup.state, now_ms, now_ms + limit->warmup_ms);
-    hs_engine_warmup_log(engines, engine, now_ms);
-}
-
-void hs_engine_warmup_note_closed(const hs_fleet_engines *engines, hs_fleet_engine *engine,
-                                  uint64_t now_ms) {
-    const hs_warmup_limit *limit = hs_engine_warmup_limit(engines, engine->entry.service);
-    if (!hs_warmup_limit_is_set(limit))
-        return;
-    hs_warmup_state_note_closed(&engine->warmup.state, now_ms, now_ms + limit->warmup_ms);
+    hs_warmup_state_note_lost(&engine->warmup.state, reason, now_ms, now_ms + limit->warmup_ms);
     hs_engine_warmup_log(engines, engine, now_ms);
 }
 
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -363,12 +363,9 @@
  * service's warm-up time, until they report otherwise.
  */
 void hs_engine_warmup_note_evacuated(hs_fleet_engines *engines, const char *zone, uint64_t now_ms);
-/** Records that the engine could not be reached; see hs_warmup_state_note_unreachable. */
-void hs_engine_warmup_note_unreachable(const hs_fleet_engines *engines, hs_fleet_engine *engine,
-                                       uint64_t now_ms);
-/** Records that the engine closed a connection early; see hs_warmup_state_note_closed. */
-void hs_engine_warmup_note_closed(const hs_fleet_engines *engines, hs_fleet_engine *engine,
-                                  uint64_t now_ms);
+/** Records a sign that the engine may have restarted; see hs_warmup_state_note_lost. */
+void hs_engine_warmup_note_lost(const hs_fleet_engines *engines, hs_fleet_engine *engine,
+                                hs_cold_reason reason, uint64_t now_ms);
 /** Returns the speeds of a service, with initial values if none were observed. */
 hs_engine_speed *hs_fleet_engines_speed(hs_fleet_engines *engines, const char *service);
 
--- a/src/fleet/warmup_state.c
+++ b/src/fleet/warmup_state.c
@@ -40,14 +40,10 @@
     state->until_ms[HS_COLD_EVACUATION] = until_ms;
 }
 
-void hs_warmup_state_note_unreachable(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms) {
+void hs_warmup_state_note_lost(hs_warmup_state *state, hs_cold_reason reason, uint64_t now_ms,
+                               uint64_t until_ms) {
     state->lost_ms = now_ms;
-    state->until_ms[HS_COLD_UNREACHABLE] = until_ms;
-}
-
-void hs_warmup_state_note_closed(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms) {
-    state->lost_ms = now_ms;
-    state->until_ms[HS_COLD_CLOSED] = until_ms;
+    state->until_ms[reason] = until_ms;
 }
 
 void hs_warmup_state_note_denial(hs_warmup_state *state, uint64_t now_ms) {
--- a/src/fleet/warmup_state.h
+++ b/src/fleet/warmup_state.h
@@ -69,18 +69,14 @@
 void hs_warmup_state_note_evacuated(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
 
 /**
- * Records that the engine could not be reached: a start that its entry does not report yet may
- * follow. It counts as cold until @p until_ms unless an answer, or an entry written after @p
- * now_ms, says otherwise.
+ * Records a sign that the engine may have restarted, which its entry does not report yet. @p
+ * reason: HS_COLD_UNREACHABLE, or HS_COLD_CLOSED if it closed a connection on which a response was
+ * expected, or an idle one before its keep-alive time: the only sign of a restart that takes less
+ * time than the interval between two requests. The engine counts as cold until @p until_ms unless
+ * an answer, or an entry written after @p now_ms, says otherwise.
  */
-void hs_warmup_state_note_unreachable(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
-
-/**
- * Records that the engine closed a connection on which a response was expected, or an idle one
- * before its keep-alive time: the only sign of a restart that takes less time than the interval
- * between two requests. The same follows as after hs_warmup_state_note_unreachable.
- */
-void hs_warmup_state_note_closed(hs_warmup_state *state, uint64_t now_ms, uint64_t until_ms);
+void hs_warmup_state_note_lost(hs_warmup_state *state, hs_cold_reason reason, uint64_t now_ms,
+                               uint64_t until_ms);
 
 /** Records that the engine's arbiter denied a permit that this daemon did not request. */
 void hs_warmup_state_note_denial(hs_warmup_state *state, uint64_t now_ms);
--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -211,50 +211,47 @@
     CU_ASSERT_EQUAL(hs_warmup_limit_slots(&limit, 8, 60000), 8);
 }
 
+/** Checks that an engine counts as cold after an attempt ended like this. */
+static void check_attempt_makes_cold(hs_attempt_end end) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    put_engine(engines, "e", 0);
+    hs_engine_query query = {.service = SERVICE, .warmup = limit};
+    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    hs_engine_lease_release(lease, NULL, end);
+    const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, "e");
+    CU_ASSERT_TRUE(hs_engine_warmup_is_cold(engines, engine, hs_clock_monotonic_ms()));
+    hs_fleet_engines_free(engines);
+}
+
 /** Guards against requests to an engine that started anew before its entry reports it. */
 static void an_unreachable_engine_counts_as_cold(void) {
     hs_warmup_state state = {0};
     hs_warmup_state_note_entry(&state, 0, 1000);
     CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 1000));
-    hs_warmup_state_note_unreachable(&state, 2000, 2000 + WARMUP_MS);
+    hs_warmup_state_note_lost(&state, HS_COLD_UNREACHABLE, 2000, 2000 + WARMUP_MS);
     CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2001));
     CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &none, 2001));
     hs_warmup_state_note_entry(&state, 0, 2500); /* May be from before the new start. */
     CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2501));
     hs_warmup_state_note_entry(&state, 0, 2000 + HS_WARMUP_MAX_ENTRY_DELAY_MS);
     CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 4001));
-    hs_fleet_engines *engines = hs_fleet_engines_new("z");
-    put_engine(engines, "e", 0);
-    hs_engine_query query = {.service = SERVICE, .warmup = limit};
-    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
-    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_UNREACHABLE);
-    const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, "e");
-    CU_ASSERT_TRUE(hs_engine_warmup_is_cold(engines, engine, hs_clock_monotonic_ms()));
-    hs_fleet_engines_free(engines);
+    check_attempt_makes_cold(HS_ATTEMPT_UNREACHABLE);
 }
 
 /** Guards against requests to an engine that restarted between two requests. */
 static void an_engine_that_closed_a_connection_counts_as_cold(void) {
     hs_warmup_state state = {0};
-    hs_warmup_state_note_closed(&state, 2000, 2000 + WARMUP_MS);
+    hs_warmup_state_note_lost(&state, HS_COLD_CLOSED, 2000, 2000 + WARMUP_MS);
     CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2001));
     hs_warmup_state_note_entry(&state, 0, 2500); /* May be from before the restart. */
     CU_ASSERT_TRUE(hs_warmup_state_is_cold(&state, &limit, 2501));
     hs_warmup_state_note_answer(&state, 0, 2600);
     CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 2601));
-    hs_warmup_state_note_closed(&state, 3000, 3000 + WARMUP_MS);
+    hs_warmup_state_note_lost(&state, HS_COLD_CLOSED, 3000, 3000 + WARMUP_MS);
     hs_warmup_state_note_entry(&state, 0, 3000 + HS_WARMUP_MAX_ENTRY_DELAY_MS);
     CU_ASSERT_FALSE(hs_warmup_state_is_cold(&state, &limit, 5001));
-    hs_fleet_engines *engines = hs_fleet_engines_new("z");
-    put_engine(engines, "e", 0);
-    hs_engine_query query = {.service = SERVICE, .warmup = limit};
-    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
-    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_BROKEN);
-    const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, "e");
-    CU_ASSERT_TRUE(hs_engine_warmup_is_cold(engines, engine, hs_clock_monotonic_ms()));
-    hs_fleet_engines_free(engines);
+    check_attempt_makes_cold(HS_ATTEMPT_BROKEN);
 }
 
 /** Guards against free slots of cold engines that let requests wait for nothing. */
