Attempts: one place drops the lease of a request that was not sent

Cause: a lease was released, and the attempt cleared, by the same four lines in keep_if_may_send, in connect_engine and in part in drop_lease. Change: drop_lease does all of it; the step is HS_STEP_CUT in each of these cases before and after.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -132,10 +132,12 @@
     return reasons->load_report_age_ms > 0 && !reasons->is_any_free;
 }
 
-/** Releases the lease of a request that was not sent. Takes ownership of @p connection. */
-static void drop_lease(hs_attempt *attempt, hs_client_connection *connection) {
-    hs_engine_lease_release(attempt->lease, connection, HS_ATTEMPT_DROPPED);
+/** Releases the lease and the connection, if any, of a request that was not sent. */
+static void drop_lease(hs_attempt *attempt) {
+    hs_engine_lease_release(attempt->lease, attempt->connection, HS_ATTEMPT_DROPPED);
     attempt->lease = NULL;
+    attempt->connection = NULL;
+    attempt->step = HS_STEP_CUT;
 }
 
 /**
@@ -156,7 +158,7 @@
             attempt->lease, is_batch ? BATCH_CONFIRM_TIMEOUT_MS : ONLINE_CONFIRM_TIMEOUT_MS);
         if (confirmation == HS_LEASE_NOT_PERMITTED) {
             query.excludes_cold = ++denials >= MAX_PERMIT_REQUESTS;
-            drop_lease(attempt, NULL);
+            drop_lease(attempt);
             if (denials == MAX_DENIALS)
                 break;
             continue;
@@ -174,7 +176,7 @@
         if (is_last_check && !is_batch)
             return true;
         g_strlcpy(rejected_engine_id, attempt->engine_id, sizeof rejected_engine_id);
-        drop_lease(attempt, NULL);
+        drop_lease(attempt);
         if (is_last_check)
             break;
     }
@@ -192,7 +194,7 @@
                                                        left_ms(parameters->wait.deadline));
     if (!attempt->lease_estimate.will_miss_deadline && attempt->lease_estimate.can_start_in_time)
         return true;
-    drop_lease(attempt, NULL);
+    drop_lease(attempt);
     return false;
 }
 
@@ -206,10 +208,7 @@
     const char *request_id = parameters->request.request_id;
     hs_log_info("request_not_sent_to_zone", "request=%s engine=%s",
                 request_id != NULL ? request_id : "-", attempt->engine_id);
-    hs_engine_lease_release(attempt->lease, attempt->connection, HS_ATTEMPT_DROPPED);
-    attempt->lease = NULL;
-    attempt->connection = NULL;
-    attempt->step = HS_STEP_CUT;
+    drop_lease(attempt);
     return false;
 }
 
@@ -239,9 +238,7 @@
         return false;
     if (hs_engine_lease_use_permit(attempt->lease))
         return true;
-    drop_lease(attempt, attempt->connection);
-    attempt->connection = NULL;
-    attempt->step = HS_STEP_CUT;
+    drop_lease(attempt);
     *is_unpermitted = true;
     return false;
 }
