Crash evidence: one function for the last loss

Cause: crash_trials and crash_ledger each searched the last loss of the same evidence, and every refused request of a quarantined content looked through the ledger for a fact that only the decider uses. Change: crash_ledger has the search; the decider alone asks whether the last loss is shared.

--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -240,6 +240,14 @@
     return times[HS_MIN_CRASHES_TO_QUARANTINE - 1];
 }
 
+const hs_crash_engine *hs_crash_evidence_last_loss(const hs_crash_evidence *evidence) {
+    const hs_crash_engine *last = NULL;
+    for (uint32_t index = 0; index < evidence->engine_count; index++)
+        if (last == NULL || evidence->engines[index].lost_ms > last->lost_ms)
+            last = &evidence->engines[index];
+    return last;
+}
+
 bool hs_crash_evidence_has_long_run(const hs_crash_evidence *evidence) {
     bool has_long_run = false;
     for (uint32_t index = 0; index < evidence->engine_count && !has_long_run; index++)
@@ -439,17 +447,13 @@
 
 bool hs_crash_ledger_is_last_loss_shared(const hs_crash_ledger *ledger, uint64_t content) {
     const content_record *record = find_record(ledger, content);
-    if (record == NULL || lost_engine_count(record) == 0)
-        return false;
-    const hs_crash_engine *last = &record->evidence.engines[0];
-    for (uint32_t index = 1; index < lost_engine_count(record); index++)
-        if (record->evidence.engines[index].lost_ms > last->lost_ms)
-            last = &record->evidence.engines[index];
+    const hs_crash_engine *last =
+        record != NULL ? hs_crash_evidence_last_loss(&record->evidence) : NULL;
     bool is_shared = false;
     GHashTableIter iterator;
     gpointer value = NULL;
     g_hash_table_iter_init(&iterator, ledger->by_content);
-    while (!is_shared && g_hash_table_iter_next(&iterator, NULL, &value))
+    while (last != NULL && !is_shared && g_hash_table_iter_next(&iterator, NULL, &value))
         is_shared = value != record && lost_engine_count(value) >= HS_MIN_CRASHES_TO_QUARANTINE &&
                     has_engine(value, last->engine);
     return is_shared;
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -70,6 +70,9 @@
  */
 uint64_t hs_crash_evidence_suspect_since_ms(const hs_crash_evidence *evidence);
 
+/** Returns the content's last loss; NULL: there is none. Borrowed. */
+const hs_crash_engine *hs_crash_evidence_last_loss(const hs_crash_evidence *evidence);
+
 /**
  * Returns whether a lost run had lasted for HS_CRASH_LONG_RUN_MS or more, which suggests another
  * cause: a content that crashes engines does so soon after its run starts.
--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -104,10 +104,8 @@
 }
 
 static uint64_t find_last_loss_ms(const hs_crash_evidence *evidence) {
-    uint64_t last_ms = 0;
-    for (uint32_t index = 0; index < evidence->engine_count; index++)
-        last_ms = MAX(last_ms, evidence->engines[index].lost_ms);
-    return last_ms;
+    const hs_crash_engine *last = hs_crash_evidence_last_loss(evidence);
+    return last != NULL ? last->lost_ms : 0;
 }
 
 /**
--- a/src/fleet/crash_trials.h
+++ b/src/fleet/crash_trials.h
@@ -33,8 +33,8 @@
 typedef struct {
     const hs_crash_evidence *evidence; /**< Borrowed. */
     bool has_alternative_cause;        /**< See hs_crash_ledger_has_alternative_cause. */
-    bool is_last_loss_shared;          /**< See hs_crash_ledger_is_last_loss_shared. */
-    bool is_accepted;                  /**< It is accepted work, which the fleet must complete. */
+    bool is_last_loss_shared; /**< See hs_crash_ledger_is_last_loss_shared; for the decision. */
+    bool is_accepted;         /**< It is accepted work, which the fleet must complete. */
 } hs_trial_candidate;
 
 /** Result of a request for a trial run. Daemons send these values to each other: add new ones at
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -266,8 +266,6 @@
     return (hs_trial_candidate){.evidence = query->evidence,
                                 .has_alternative_cause = hs_crash_ledger_has_alternative_cause(
                                     watch->ledger, query->evidence->content),
-                                .is_last_loss_shared = hs_crash_ledger_is_last_loss_shared(
-                                    watch->ledger, query->evidence->content),
                                 .is_accepted = query->is_accepted};
 }
 
@@ -319,6 +317,8 @@
     if (hs_crash_ledger_find(watch->ledger, query->evidence->content, &evidence)) {
         hs_trial_query known = {.evidence = &evidence, .is_accepted = query->is_accepted};
         hs_trial_candidate candidate = make_candidate(watch, &known);
+        candidate.is_last_loss_shared =
+            hs_crash_ledger_is_last_loss_shared(watch->ledger, evidence.content);
         verdict = hs_crash_trials_decide(watch->trials, &candidate, hs_clock_monotonic_ms());
     }
     g_mutex_unlock(&watch->lock);
