Trial runs: ask for a healthy engine, not for the whole outlook

Cause: each refused request of a quarantined content computed the service's outlook, which walks all engines, estimates their pressure and records presence, only to know whether one is healthy; engine_selection had that check. Change: it is public, ends at the first engine found, and is called in place of the outlook. An engine whose removal is due no longer counts, as it gets no request either.

--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -99,22 +99,20 @@
     return found;
 }
 
-/** Whether the query's service has an allowed engine that is not suspected, even if excluded or
- * full. */
-static bool has_healthy(const hs_fleet_engines *engines, const hs_engine_query *query,
-                        uint64_t now_ms) {
+bool hs_engine_selection_has_healthy(const hs_fleet_engines *engines, const char *service,
+                                     const hs_region_policy *regions, uint64_t now_ms) {
     GHashTableIter iterator;
     gpointer value = NULL;
     bool is_found = false;
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        is_found = strcmp(engine->entry.service, query->service) == 0 && !engine->entry.draining &&
+        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
                    !engine->has_address_mismatch &&
                    !hs_fleet_engine_is_removal_due(engine, now_ms) &&
                    is_zone_usable(engines, engine, HS_WORK_ONLINE, now_ms) &&
                    !hs_fleet_engine_is_suspected(engine, now_ms) &&
-                   hs_region_policy_allows_zone(&query->regions, engine->entry.zone);
+                   hs_region_policy_allows_zone(regions, engine->entry.zone);
     }
     return is_found;
 }
@@ -122,7 +120,8 @@
 void hs_engine_selection_drop_suspected(const hs_fleet_engines *engines, GPtrArray *found,
                                         const hs_engine_query *query, uint64_t now_ms) {
     bool can_wait = query->work == HS_WORK_ONLINE && query->has_wait_limit;
-    if (!can_wait || !has_healthy(engines, query, now_ms))
+    if (!can_wait ||
+        !hs_engine_selection_has_healthy(engines, query->service, &query->regions, now_ms))
         return;
     for (guint index = found->len; index > 0; index--) {
         const hs_fleet_engine *engine = found->pdata[index - 1];
--- a/src/fleet/engine_selection.h
+++ b/src/fleet/engine_selection.h
@@ -22,6 +22,13 @@
  */
 GPtrArray *hs_engine_selection_sample(hs_fleet_engines *engines, const hs_engine_query *query);
 
+/**
+ * Whether the service has an engine for online requests in the allowed regions that is not
+ * suspected, even if it is full. The caller holds the lock.
+ */
+bool hs_engine_selection_has_healthy(const hs_fleet_engines *engines, const char *service,
+                                     const hs_region_policy *regions, uint64_t now_ms);
+
 /**
  * Removes suspected engines from @p found, except those due for a probe, if the request can wait
  * and the service has a healthy engine. Waiting for a healthy engine costs less time than attempts
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -323,6 +323,10 @@
 hs_service_outlook hs_fleet_engines_outlook_in(hs_fleet_engines *engines, const char *service,
                                                const hs_region_policy *regions);
 
+/** Whether an online request may find an engine of the service that is not suspected. */
+bool hs_fleet_engines_has_healthy(hs_fleet_engines *engines, const char *service,
+                                  const hs_region_policy *regions);
+
 /** Pressure of a service by recent load reports; cached for some ms. */
 hs_service_pressure hs_fleet_engines_pressure(hs_fleet_engines *engines, const char *service);
 
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -2,6 +2,7 @@
 #include "fleet/fleet_engine.h"
 
 #include "base/clock.h"
+#include "fleet/engine_selection.h"
 
 #include <math.h>
 #include <string.h>
@@ -219,6 +220,16 @@
     return restricted->absence;
 }
 
+bool hs_fleet_engines_has_healthy(hs_fleet_engines *engines, const char *service,
+                                  const hs_region_policy *regions) {
+    g_mutex_lock(&engines->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_fleet_engines_sum_peers(engines, now_ms);
+    bool is_found = hs_engine_selection_has_healthy(engines, service, regions, now_ms);
+    g_mutex_unlock(&engines->lock);
+    return is_found;
+}
+
 hs_service_outlook hs_fleet_engines_outlook(hs_fleet_engines *engines, const char *service) {
     return hs_fleet_engines_outlook_in(engines, service, &(hs_region_policy){0});
 }
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -156,10 +156,10 @@
  * the crashes that caused the quarantine, and a trial run that no engine begins shows nothing.
  */
 static hs_trial_verdict request_trial(const hs_online_request *request, hs_crash_watch *watch) {
-    hs_service_outlook outlook =
-        hs_fleet_engines_outlook_in(request->online->engines, request->service, &request->regions);
-    return outlook.healthy > 0 ? hs_crash_watch_request_trial(watch, request->content, false)
-                               : HS_TRIAL_NO_ENGINE;
+    return hs_fleet_engines_has_healthy(request->online->engines, request->service,
+                                        &request->regions)
+               ? hs_crash_watch_request_trial(watch, request->content, false)
+               : HS_TRIAL_NO_ENGINE;
 }
 
 /**
