Suite fleet_warmup: the callers and the count by seconds are written once

Cause: the second test repeated the first one's loops of callers and of the second with the most calls. Change: run_callers and count_most_calls serve both; assertions as before.

--- a/tests/system/test_fleet_warmup.c
+++ b/tests/system/test_fleet_warmup.c
@@ -75,26 +75,37 @@
     return count;
 }
 
+/** Lets @p count callers send until @p until_ms. */
+static void run_callers(int count, uint64_t until_ms) {
+    g_autofree caller *callers = g_new(caller, (gsize)count);
+    g_autofree GThread **threads = g_new(GThread *, (gsize)count);
+    for (int index = 0; index < count; index++) {
+        callers[index] = (caller){.number = index, .until_ms = until_ms};
+        threads[index] = g_thread_new("caller", send_requests, &callers[index]);
+    }
+    for (int index = 0; index < count; index++)
+        g_thread_join(threads[index]);
+}
+
+/** Returns the most calls of the engine in any second of a time. */
+static uint32_t count_most_calls(token_engine *engine, uint64_t from_ms, uint64_t until_ms) {
+    uint32_t most = 0;
+    for (uint64_t second = from_ms; second + 1000 <= until_ms; second += 10)
+        most = MAX(most, count_calls(engine, second, second + 1000));
+    return most;
+}
+
 /** Guards against daemons that together send a cold engine more than it can handle, or nothing. */
 static void cold_engines_get_requests_within_their_limit(void) {
     uint64_t announced_ms = hs_clock_monotonic_ms();
     announce_cold_engines();
-    caller callers[CALLERS];
-    GThread *threads[CALLERS];
     uint64_t warm_ms = announced_ms + COLD_MS;
     hs_clock_sleep_ms(ENTRY_PROPAGATION_MS);
     uint64_t from_ms = hs_clock_monotonic_ms();
-    for (int index = 0; index < CALLERS; index++) {
-        callers[index] = (caller){.number = index, .until_ms = warm_ms + ENTRY_PROPAGATION_MS};
-        threads[index] = g_thread_new("caller", send_requests, &callers[index]);
-    }
-    for (int index = 0; index < CALLERS; index++)
-        g_thread_join(threads[index]);
+    run_callers(CALLERS, warm_ms + ENTRY_PROPAGATION_MS);
     for (int index = 0; index < BENCH_ENGINES; index++) {
         token_engine *engine = bench.engines[index];
-        uint32_t most = 0;
-        for (uint64_t second = from_ms; second + 1000 <= warm_ms; second += 10)
-            most = MAX(most, count_calls(engine, second, second + 1000));
+        uint32_t most = count_most_calls(engine, from_ms, warm_ms);
         uint32_t cold = count_calls(engine, from_ms, warm_ms);
         uint32_t warm = count_calls(engine, warm_ms, warm_ms + 2 * ENTRY_PROPAGATION_MS);
         g_print("# engine=%d cold_calls=%u in_ms=%u most_in_a_second=%u warm_calls=%u\n", index,
@@ -106,18 +117,6 @@
     }
 }
 
-/** Lets all callers send until @p until_ms. */
-static void run_callers(uint64_t until_ms) {
-    caller callers[RESTART_CALLERS];
-    GThread *threads[RESTART_CALLERS];
-    for (int index = 0; index < RESTART_CALLERS; index++) {
-        callers[index] = (caller){.number = index, .until_ms = until_ms};
-        threads[index] = g_thread_new("caller", send_requests, &callers[index]);
-    }
-    for (int index = 0; index < RESTART_CALLERS; index++)
-        g_thread_join(threads[index]);
-}
-
 /**
  * The engine restarts at once, and its new entry is not written. Guards against daemons that send
  * it as many requests as a warm engine until its first answer.
@@ -125,15 +124,13 @@
 static void a_restarted_engine_gets_its_limit_before_its_entry_is_read(void) {
     token_engine *engine = bench.engines[0];
     g_autofree char *id = g_strdup(token_engine_id(engine));
-    run_callers(hs_clock_monotonic_ms() + CONNECT_MS);
+    run_callers(RESTART_CALLERS, hs_clock_monotonic_ms() + CONNECT_MS);
     token_engine_crash(engine);
     bench_set_engine_modes(TOKEN_ENGINE_SLOW); /* First answers are late, and slots are short. */
     token_engine_restart(engine, id);
     uint64_t from_ms = hs_clock_monotonic_ms();
-    run_callers(from_ms + AFTER_RESTART_MS);
-    uint32_t most = 0;
-    for (uint64_t second = from_ms; second + 1000 <= from_ms + AFTER_RESTART_MS; second += 10)
-        most = MAX(most, count_calls(engine, second, second + 1000));
+    run_callers(RESTART_CALLERS, from_ms + AFTER_RESTART_MS);
+    uint32_t most = count_most_calls(engine, from_ms, from_ms + AFTER_RESTART_MS);
     uint32_t count = count_calls(engine, from_ms, from_ms + AFTER_RESTART_MS);
     g_print("# restarted: calls=%u most_in_a_second=%u\n", count, most);
     CU_ASSERT(most <= RESTART_RATE_PER_S * 1.5 + 5);
