Membership sends to random members in one place

Cause: the exchanges of crash evidence and of evacuations each listed the alive members and drew from them by the same loop; the change of who counts as alive had to be made in both. Change: hs_membership_service_send_to_random; the draws are as before. Measured: suites evacuation, crashes and membership pass.

--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -304,33 +304,11 @@
     hs_membership_service_reply(exchange->membership, from, &out->message);
 }
 
-/** Sends to MAX_RECIPIENTS live daemons chosen at random, or to all if there are no more. */
-static void send_to_random_members(hs_crash_exchange *exchange, Hs__PeerMessage *message) {
-    g_autoptr(GPtrArray) members = g_ptr_array_new();
-    g_autoptr(GArray) addresses = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
-    hs_membership *membership = hs_membership_service_lock(exchange->membership);
-    hs_membership_list(membership, members);
-    for (guint index = 0; index < members->len; index++) {
-        const hs_member *member = members->pdata[index];
-        hs_daemon_address address = {.address = member->address, .port = member->peer_port};
-        if (member != hs_membership_self(membership) && hs_member_is_alive(member))
-            g_array_append_val(addresses, address);
-    }
-    hs_membership_service_unlock(exchange->membership);
-    for (guint sent = 0; sent < MIN(addresses->len, MAX_RECIPIENTS); sent++) {
-        hs_daemon_address *list = (hs_daemon_address *)(void *)addresses->data;
-        guint other = (guint)g_random_int_range((gint32)sent, (gint32)addresses->len);
-        hs_daemon_address chosen = list[other];
-        list[other] = list[sent];
-        hs_membership_service_send(exchange->membership, chosen.address, chosen.port, message);
-    }
-}
-
 void hs_crash_exchange_tick(hs_crash_exchange *exchange, uint64_t now_ms) {
     g_autoptr(GArray) updates = hs_crash_watch_take_updates(exchange->watch);
     for (guint first = 0; first < updates->len; first += MAX_REPORT_EVIDENCE) {
         g_autofree outgoing_report *out = write_report(updates, first);
-        send_to_random_members(exchange, &out->message);
+        hs_membership_service_send_to_random(exchange->membership, MAX_RECIPIENTS, &out->message);
     }
     if (now_ms < exchange->next_refresh_ms)
         return;
--- a/src/directory/evacuation_exchange.c
+++ b/src/directory/evacuation_exchange.c
@@ -103,40 +103,6 @@
     return true;
 }
 
-/** Address of a member. */
-typedef struct {
-    uint32_t address;
-    uint16_t port;
-} member_address;
-
-/** Lists the other live members: of member_address. */
-static GArray *list_members(hs_evacuation_exchange *exchange) {
-    GArray *addresses = g_array_new(FALSE, FALSE, sizeof(member_address));
-    g_autoptr(GPtrArray) members = g_ptr_array_new();
-    hs_membership *membership = hs_membership_service_lock(exchange->membership);
-    hs_membership_list(membership, members);
-    for (guint index = 0; index < members->len; index++) {
-        const hs_member *member = members->pdata[index];
-        member_address address = {.address = member->address, .port = member->peer_port};
-        if (member != hs_membership_self(membership) && hs_member_is_alive(member))
-            g_array_append_val(addresses, address);
-    }
-    hs_membership_service_unlock(exchange->membership);
-    return addresses;
-}
-
-static void send_to_random_members(hs_evacuation_exchange *exchange, Hs__PeerMessage *message,
-                                   uint32_t max_recipients) {
-    g_autoptr(GArray) addresses = list_members(exchange);
-    for (guint sent = 0; sent < MIN(addresses->len, max_recipients); sent++) {
-        guint other = (guint)g_random_int_range((gint32)sent, (gint32)addresses->len);
-        member_address chosen = g_array_index(addresses, member_address, other);
-        g_array_index(addresses, member_address, other) =
-            g_array_index(addresses, member_address, sent);
-        hs_membership_service_send(exchange->membership, chosen.address, chosen.port, message);
-    }
-}
-
 void hs_evacuation_exchange_tick(hs_evacuation_exchange *exchange, uint64_t now_ms) {
     uint32_t max_recipients = hs_fleet_engines_tick_evacuations(exchange->engines, now_ms);
     if (max_recipients == 0)
@@ -144,7 +110,7 @@
     outgoing_set *out = write_set(exchange->engines);
     if (out == NULL)
         return;
-    send_to_random_members(exchange, &out->message, max_recipients);
+    hs_membership_service_send_to_random(exchange->membership, max_recipients, &out->message);
     free_outgoing(out);
 }
 
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -163,6 +163,28 @@
     hs_membership_service_send(service, to.address, to.port, message);
 }
 
+void hs_membership_service_send_to_random(hs_membership_service *service, uint32_t max_count,
+                                          Hs__PeerMessage *message) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    g_autoptr(GArray) addresses = g_array_new(FALSE, FALSE, sizeof(member_address));
+    g_mutex_lock(&service->lock);
+    hs_membership_list(service->membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        member_address address = address_of(member);
+        if (!member->is_self && hs_member_is_alive(member))
+            g_array_append_val(addresses, address);
+    }
+    g_mutex_unlock(&service->lock);
+    for (guint sent = 0; sent < MIN(addresses->len, max_count); sent++) {
+        guint other = (guint)g_random_int_range((gint32)sent, (gint32)addresses->len);
+        member_address chosen = g_array_index(addresses, member_address, other);
+        g_array_index(addresses, member_address, other) =
+            g_array_index(addresses, member_address, sent);
+        hs_membership_service_send(service, chosen.address, chosen.port, message);
+    }
+}
+
 /** Sends records, at most MAX_DATAGRAM_RECORDS per datagram. */
 static void send_records(hs_membership_service *service, uint32_t address, uint16_t port,
                          Hs__MemberRecord **records, size_t count, bool is_answer) {
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -53,6 +53,13 @@
 /** Sets the message's sender id and incarnation. The id is owned by the service. */
 void hs_membership_service_set_sender(hs_membership_service *service, Hs__PeerMessage *message);
 
+/**
+ * Sends @p message to @p max_count other alive members chosen at random, or to all if there are no
+ * more.
+ */
+void hs_membership_service_send_to_random(hs_membership_service *service, uint32_t max_count,
+                                          Hs__PeerMessage *message);
+
 /** Sets the sender of @p message and sends it; drops it if @p port is 0. */
 void hs_membership_service_send(hs_membership_service *service, uint32_t address, uint16_t port,
                                 Hs__PeerMessage *message);
