--- a/src/feed/state_feed.h
+++ b/src/feed/state_feed.h
@@ -25,6 +25,9 @@
     void *user_data;
 } hs_feed_members;
 
+/** Hold time of a read of the store by the few daemons of a large fleet that read it. */
+#define HS_FEED_AWAIT_MS 500
+
 /** Limits of one read. */
 typedef struct {
     uint32_t store_wait_ms;    /**< Hold time of a read of the store; 0: it returns at once. */
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -11,8 +11,6 @@
 
 /** Time that a long poll may take beyond its hold time. */
 #define LONG_POLL_MARGIN_MS 600
-/** Hold time of reads of the store by the few daemons of a large fleet that read it. */
-#define AWAIT_MS 500
 /**
  * First delay before a failed read is retried; doubles up to MAX_RETRY_DELAY_MS, to limit the load
  * of many daemons on a recovering store. The maximum is a fifth of the shortest time in which a
@@ -217,7 +215,7 @@
     bool is_read_due =
         source->engines != NULL && hs_fleet_engines_begin_evacuation_read(source->engines);
     bool is_awaiting = hs_state_feed_is_awaiting(source->feed);
-    uint32_t wait_ms = is_awaiting ? MIN(AWAIT_MS, source->poll_ms) : source->poll_ms;
+    uint32_t wait_ms = is_awaiting ? MIN(HS_FEED_AWAIT_MS, source->poll_ms) : source->poll_ms;
     hs_feed_limits limits = {.store_wait_ms = is_read_due ? 0 : wait_ms,
                              .store_timeout_ms = LONG_POLL_MARGIN_MS};
     hs_feed_batch batch;
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -11,8 +11,6 @@
 /** Reads within the time after which a draining engine must get no new requests. */
 #define READS_PER_DRAIN 3
 #define READ_TIMEOUT_MS 1200
-/** Hold time of reads of the store by the few daemons of a large fleet that read it. */
-#define AWAIT_MS 500
 /** Pause between two long polls, in which the changes of a burst come together. */
 #define BURST_MS 100
 /**
@@ -202,7 +200,7 @@
     uint64_t pause_ms = 0;
     do {
         hs_feed_limits limits = {.store_wait_ms =
-                                     hs_state_feed_is_awaiting(source->feed) ? AWAIT_MS : 0,
+                                     hs_state_feed_is_awaiting(source->feed) ? HS_FEED_AWAIT_MS : 0,
                                  .store_timeout_ms = READ_TIMEOUT_MS};
         hs_feed_batch batch;
         hs_state_feed_read(source->feed, &limits, &batch);
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -23,11 +23,10 @@
 /** Members notified directly when this daemon leaves; the others are notified by gossip. */
 #define MAX_LEAVE_MESSAGES 32
 /**
- * A new daemon requests missing records with each probe for JOINING_MS, about the time in which all
- * daemons of a fleet start, then every SETTLING_COMPARE_INTERVAL_MS until SETTLING_MS after its
- * start, then every COMPARE_INTERVAL_MS to repair records lost in gossip.
+ * A new daemon requests missing records with each probe for HS_MEMBERSHIP_JOINING_MS, then every
+ * SETTLING_COMPARE_INTERVAL_MS until SETTLING_MS after its start, then every COMPARE_INTERVAL_MS to
+ * repair records lost in gossip.
  */
-#define JOINING_MS 1500
 #define SETTLING_MS 10000
 #define SETTLING_COMPARE_INTERVAL_MS 2000
 #define COMPARE_INTERVAL_MS 60000
@@ -384,7 +383,7 @@
 static bool is_comparison_due(hs_membership_service *service, uint64_t now_ms) {
     if (service->started_ms == 0)
         service->started_ms = now_ms;
-    if (now_ms < service->started_ms + JOINING_MS ||
+    if (now_ms < service->started_ms + HS_MEMBERSHIP_JOINING_MS ||
         hs_membership_has_backlog(service->membership, MAX_GOSSIP_RECORDS))
         return true;
     if (now_ms < service->next_compare_ms)
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -9,6 +9,12 @@
 #include "membership/membership.h"
 #include "peer/peer_socket.h"
 
+/**
+ * Time in ms after its start in which a daemon requests missing records with each probe: about the
+ * time in which all daemons of a fleet start.
+ */
+#define HS_MEMBERSHIP_JOINING_MS 1500
+
 typedef struct hs_membership_service hs_membership_service;
 
 typedef struct {
