One order of 64-bit numbers for trees and sorting

Cause: the offsets of a feed's log, the hashes of the engine rings and the times of crash evidence were compared by three copies of one function. Change: base/compare.h; the feed's tree needs no function with user data any more.

--- a/src/feed/feed_log.c
+++ b/src/feed/feed_log.c
@@ -1,6 +1,8 @@
 /** @file feed_log.c  See feed_log.h. */
 #include "feed/feed_log.h"
 
+#include "base/compare.h"
+
 #include <string.h>
 
 /**
@@ -61,17 +63,10 @@
     g_free(data);
 }
 
-static gint compare_offsets(gconstpointer left, gconstpointer right, gpointer user_data) {
-    (void)user_data;
-    uint64_t first = *(const uint64_t *)left;
-    uint64_t second = *(const uint64_t *)right;
-    return (first > second) - (first < second);
-}
-
 hs_feed_log *hs_feed_log_new(void) {
     hs_feed_log *log = g_new0(hs_feed_log, 1);
     log->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
-    log->by_offset = g_tree_new_full(compare_offsets, NULL, NULL, NULL);
+    log->by_offset = g_tree_new(hs_compare_uint64);
     return log;
 }
 
@@ -89,7 +84,7 @@
 
 void hs_feed_log_reset(hs_feed_log *log) {
     g_tree_destroy(log->by_offset);
-    log->by_offset = g_tree_new_full(compare_offsets, NULL, NULL, NULL);
+    log->by_offset = g_tree_new(hs_compare_uint64);
     g_hash_table_remove_all(log->by_key);
     log->removals = 0;
     log->next = 0;
--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -1,6 +1,7 @@
 /** @file crash_ledger.c  See crash_ledger.h. */
 #include "fleet/crash_ledger.h"
 
+#include "base/compare.h"
 #include "base/hash.h"
 
 #include <stdlib.h>
@@ -224,19 +225,13 @@
     return MIN((uint64_t)INITIAL_QUARANTINE_MS << doublings, MAX_QUARANTINE_MS);
 }
 
-static gint compare_times(gconstpointer left, gconstpointer right) {
-    const uint64_t first = *(const uint64_t *)left;
-    const uint64_t second = *(const uint64_t *)right;
-    return (first > second) - (first < second);
-}
-
 uint64_t hs_crash_evidence_suspect_since_ms(const hs_crash_evidence *evidence) {
     uint64_t times[HS_MAX_CRASH_ENGINES];
     if (evidence->engine_count < HS_MIN_CRASHES_TO_QUARANTINE)
         return 0;
     for (uint32_t index = 0; index < evidence->engine_count; index++)
         times[index] = evidence->engines[index].lost_ms;
-    qsort(times, evidence->engine_count, sizeof *times, compare_times);
+    qsort(times, evidence->engine_count, sizeof *times, hs_compare_uint64);
     return times[HS_MIN_CRASHES_TO_QUARANTINE - 1];
 }
 
@@ -267,8 +262,8 @@
     const suspect_content *first = left;
     const suspect_content *second = right;
     if (first->since_ms != second->since_ms)
-        return compare_times(&first->since_ms, &second->since_ms);
-    return compare_times(&first->record->evidence.content, &second->record->evidence.content);
+        return hs_compare_uint64(&first->since_ms, &second->since_ms);
+    return hs_compare_uint64(&first->record->evidence.content, &second->record->evidence.content);
 }
 
 /** Contents that explain the losses of others, by engine. */
--- a/src/fleet/engine_ring.c
+++ b/src/fleet/engine_ring.c
@@ -1,6 +1,8 @@
 /** @file engine_ring.c  See engine_ring.h. */
 #include "fleet/engine_ring.h"
 
+#include "base/compare.h"
+
 #include <stdbool.h>
 
 /** The engines of one service. */
@@ -13,13 +15,6 @@
     GHashTable *by_service; /**< service -> service_rings* */
 };
 
-static gint compare_hashes(gconstpointer left, gconstpointer right, gpointer user_data) {
-    (void)user_data;
-    uint64_t first = *(const uint64_t *)left;
-    uint64_t second = *(const uint64_t *)right;
-    return (first > second) - (first < second);
-}
-
 static void free_service(gpointer data) {
     service_rings *service = data;
     g_hash_table_destroy(service->by_zone);
@@ -62,7 +57,7 @@
     }
     GTree *ring = g_hash_table_lookup(of_service->by_zone, zone);
     if (ring == NULL) {
-        ring = g_tree_new_full(compare_hashes, NULL, g_free, NULL);
+        ring = g_tree_new_full(hs_compare_uint64_with_data, NULL, g_free, NULL);
         g_hash_table_insert(of_service->by_zone, g_strdup(zone), ring);
     }
     of_service->count += g_tree_lookup(ring, &hash) == NULL;
