Engine selection: the conditions of an open engine are written once

Cause: is_eligible and has_healthy checked the same five conditions of an engine, one of them each time with others between. Change: is_open has them. Measured: suites suspicion, engines, engine_ring, regions, evacuation, zone_requests and attempt pass.

--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -29,17 +29,23 @@
     return use == HS_ZONE_OPEN || (use == HS_ZONE_LAST_RESORT && work == HS_WORK_ONLINE);
 }
 
+/** Whether the engine may get requests of this class that are allowed in the regions. */
+static bool is_open(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
+                    hs_work_class work, const hs_region_policy *regions, uint64_t now_ms) {
+    return !engine->entry.draining && !engine->has_address_mismatch &&
+           !hs_fleet_engine_is_removal_due(engine, now_ms) &&
+           is_zone_usable(engines, engine, work, now_ms) &&
+           hs_region_policy_allows_zone(regions, engine->entry.zone);
+}
+
 /** Whether the engine, which is one of the query's service, may take the request at all. */
 static bool is_eligible(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
                         const hs_engine_query *query, uint64_t now_ms) {
     double max_requests =
         fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
-    return !engine->entry.draining && !engine->has_address_mismatch &&
-           !hs_fleet_engine_is_removal_due(engine, now_ms) &&
+    return is_open(engines, engine, query->work, &query->regions, now_ms) &&
            engine->online + engine->batch + 1.0 <= max_requests &&
-           is_zone_usable(engines, engine, query->work, now_ms) &&
-           !is_excluded(query, engine->entry.id) &&
-           hs_region_policy_allows_zone(&query->regions, engine->entry.zone);
+           !is_excluded(query, engine->entry.id);
 }
 
 GPtrArray *hs_engine_selection_collect(hs_fleet_engines *engines, const hs_engine_query *query) {
@@ -107,12 +113,9 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
-                   !engine->has_address_mismatch &&
-                   !hs_fleet_engine_is_removal_due(engine, now_ms) &&
-                   is_zone_usable(engines, engine, HS_WORK_ONLINE, now_ms) &&
-                   !hs_fleet_engine_is_suspected(engine, now_ms) &&
-                   hs_region_policy_allows_zone(regions, engine->entry.zone);
+        is_found = strcmp(engine->entry.service, service) == 0 &&
+                   is_open(engines, engine, HS_WORK_ONLINE, regions, now_ms) &&
+                   !hs_fleet_engine_is_suspected(engine, now_ms);
     }
     return is_found;
 }
