--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -1,10 +1,8 @@
 /**
  * @file test_crashes.c
- * Tests of the crash ledger, which quarantines contents, and of the decisions on trial runs.
+ * Tests of the crash ledger, which quarantines contents; of trial runs, see test_crash_trials.c.
  */
-#include "directory/trial_deciders.h"
 #include "fleet/crash_ledger.h"
-#include "fleet/crash_trials.h"
 #include "fleet/request_content.h"
 #include "tests/unit/unit_tests.h"
 
@@ -18,10 +16,6 @@
 #define AFTER_EXPIRY_MS 1800000
 #define SEED_COUNT 50
 #define CAUSE_CONTENT 7
-/** Number of items that one crash makes suspects, and the time in ms in which all of them must have
- * a trial run: half of the time in which accepted work should complete. */
-#define SUSPECT_ITEMS 40
-#define SUSPECT_ITEMS_LIMIT_MS 9000
 #define FREQUENT_CONTENT 8
 
 typedef struct {
@@ -261,65 +255,6 @@
     CU_ASSERT_NOT_EQUAL(content, hash_content("POST", NULL, "/x", "body"));
 }
 
-static hs_crash_evidence make_evidence(uint64_t content, uint32_t engines, uint64_t last_ms) {
-    hs_crash_evidence evidence = {.content = content, .engine_count = engines};
-    for (uint32_t index = 0; index < engines; index++)
-        evidence.engines[index] =
-            (hs_crash_engine){.engine = index + 1, .lost_ms = last_ms - (engines - 1 - index)};
-    return evidence;
-}
-
-/** Decides on a caller's content that has an alternative cause. */
-static hs_trial_verdict decide(hs_crash_trials *trials, const hs_crash_evidence *evidence,
-                               uint64_t now_ms) {
-    return hs_crash_trials_decide(
-        trials, &(hs_trial_candidate){.evidence = evidence, .has_alternative_cause = true}, now_ms);
-}
-
-static bool can_have_trial(const hs_crash_evidence *evidence) {
-    return hs_crash_trials_check(&(hs_trial_candidate){
-               .evidence = evidence, .has_alternative_cause = true}) == HS_TRIAL_GRANTED;
-}
-
-/** Also limits the number of trial runs, and refuses them after too many late losses. */
-static void trial_runs_are_granted_one_at_a_time(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    hs_crash_evidence first = make_evidence(1, 3, 10000);
-    hs_crash_evidence second = make_evidence(2, 3, 10000);
-    CU_ASSERT_NOT_EQUAL(decide(trials, &first, 10100), HS_TRIAL_GRANTED); /* Too soon. */
-    CU_ASSERT_EQUAL(decide(trials, &first, 10400), HS_TRIAL_GRANTED);
-    CU_ASSERT_NOT_EQUAL(decide(trials, &second, 10500), HS_TRIAL_GRANTED); /* The first runs. */
-    CU_ASSERT_NOT_EQUAL(decide(trials, &first, 11450), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(decide(trials, &second, 11500), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(decide(trials, &first, 13500), HS_TRIAL_GRANTED);
-    CU_ASSERT_NOT_EQUAL(decide(trials, &first, 60000), HS_TRIAL_GRANTED); /* No trials left. */
-    hs_crash_evidence late = make_evidence(3, 3, 10000);
-    late.engines[late.engine_count++] = (hs_crash_engine){.engine = 8, .lost_ms = 14000};
-    CU_ASSERT_TRUE(can_have_trial(&late));
-    late.engines[late.engine_count++] = (hs_crash_engine){.engine = 9, .lost_ms = 15000};
-    CU_ASSERT_FALSE(can_have_trial(&late));
-    CU_ASSERT_NOT_EQUAL(decide(trials, &late, 30000), HS_TRIAL_GRANTED);
-    hs_crash_trials_free(trials);
-}
-
-/** Guards against trial runs that are used up on engines which another content crashes. */
-static void an_inconclusive_trial_run_is_not_counted(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    hs_crash_evidence lost = make_evidence(1, 3, 10000);
-    hs_trial_candidate candidate = {.evidence = &lost, .has_alternative_cause = true};
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 10300), HS_TRIAL_GRANTED);
-    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 8, .lost_ms = 10500};
-    candidate.is_last_loss_shared = true;
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 10799), HS_TRIAL_TOO_SOON);
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 10800), HS_TRIAL_GRANTED);
-    candidate.is_last_loss_shared = false;
-    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 9, .lost_ms = 10900};
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 11700), HS_TRIAL_TOO_SOON);
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 12800), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, 30000), HS_TRIAL_EXHAUSTED);
-    hs_crash_trials_free(trials);
-}
-
 static void a_last_loss_is_shared_with_another_suspect(void) {
     hs_crash_ledger *ledger = hs_crash_ledger_new();
     for (uint64_t engine = 1; engine <= 4; engine++) {
@@ -337,114 +272,6 @@
     hs_crash_ledger_free(ledger);
 }
 
-/** Guards against a delay that starts anew with each loss between two trial runs. */
-static void the_delay_between_trial_runs_counts_from_the_last_one(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    hs_crash_evidence lost = make_evidence(1, 3, 10000);
-    CU_ASSERT_EQUAL(decide(trials, &lost, 10300), HS_TRIAL_GRANTED);
-    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 8, .lost_ms = 10400};
-    CU_ASSERT_EQUAL(decide(trials, &lost, 12200), HS_TRIAL_TOO_SOON);
-    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 9, .lost_ms = 12100};
-    CU_ASSERT_EQUAL(decide(trials, &lost, 12399), HS_TRIAL_TOO_SOON);
-    CU_ASSERT_EQUAL(decide(trials, &lost, 12400), HS_TRIAL_GRANTED);
-    hs_crash_trials_free(trials);
-}
-
-/** Guards against trial runs that are used up while all engines are down, by requests not sent. */
-static void a_returned_trial_run_is_not_counted(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    hs_crash_evidence first = make_evidence(1, 3, 10000);
-    hs_crash_evidence second = make_evidence(2, 3, 10000);
-    uint64_t now_ms = 10400;
-    for (int grant = 0; grant < 2 * HS_MAX_CALLER_TRIALS; grant++, now_ms += 300) {
-        CU_ASSERT_EQUAL(decide(trials, &first, now_ms), HS_TRIAL_GRANTED);
-        hs_crash_trials_return(trials, 1);
-        CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 299), HS_TRIAL_TOO_SOON);
-    }
-    CU_ASSERT_EQUAL(decide(trials, &second, now_ms - 299), HS_TRIAL_GRANTED);
-    for (int grant = 0; grant < HS_MAX_CALLER_TRIALS; grant++, now_ms += 3000)
-        CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 3000), HS_TRIAL_GRANTED);
-    hs_crash_trials_return(trials, 2);
-    hs_crash_trials_return(trials, 3);
-    CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 30000), HS_TRIAL_EXHAUSTED);
-    hs_crash_trials_return(trials, 1);
-    hs_crash_trials_return(trials, 1); /* A repeated message returns no earlier trial run. */
-    CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 30000), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(decide(trials, &first, now_ms + 60000), HS_TRIAL_EXHAUSTED);
-    hs_crash_trials_free(trials);
-}
-
-/** Decides on accepted work that has no alternative cause. */
-static hs_trial_verdict decide_item(hs_crash_trials *trials, const hs_crash_evidence *evidence,
-                                    uint64_t now_ms) {
-    return hs_crash_trials_decide(
-        trials, &(hs_trial_candidate){.evidence = evidence, .is_accepted = true}, now_ms);
-}
-
-/** Accepted work has trial runs without other reasons, until too many engines are lost to it. */
-static void accepted_work_gets_further_trial_runs(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    hs_crash_evidence lost = make_evidence(1, 3, 10000);
-    hs_trial_candidate caller_candidate = {.evidence = &lost};
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &caller_candidate, 60000), HS_TRIAL_NO_GROUNDS);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 17900), HS_TRIAL_TOO_SOON);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 18000), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 25900), HS_TRIAL_TOO_SOON);
-    uint64_t now_ms = 18000;
-    for (int granted = 0; granted < 10; granted++) { /* They end without a result. */
-        now_ms += 8000;
-        CU_ASSERT_EQUAL(decide_item(trials, &lost, now_ms), HS_TRIAL_GRANTED);
-    }
-    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 8, .lost_ms = 18100};
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, now_ms + 8000), HS_TRIAL_GRANTED);
-    lost.engines[lost.engine_count++] = (hs_crash_engine){.engine = 9, .lost_ms = 26100};
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, now_ms + 60000), HS_TRIAL_EXHAUSTED);
-    hs_crash_trials_free(trials);
-}
-
-static void content_with_a_long_run_gets_a_trial_run_soon(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    hs_crash_evidence lost = make_evidence(1, 3, 10000);
-    lost.engines[1].ran_ms = HS_CRASH_LONG_RUN_MS - 1;
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 10400), HS_TRIAL_TOO_SOON);
-    lost.engines[1].ran_ms = HS_CRASH_LONG_RUN_MS;
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 10400), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 12300), HS_TRIAL_TOO_SOON);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 12400), HS_TRIAL_GRANTED);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 16300), HS_TRIAL_TOO_SOON);
-    CU_ASSERT_EQUAL(decide_item(trials, &lost, 16400), HS_TRIAL_GRANTED);
-    hs_crash_evidence other = make_evidence(2, 3, 10000);
-    other.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS;
-    hs_trial_candidate caller_candidate = {.evidence = &other};
-    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &caller_candidate, 10400), HS_TRIAL_GRANTED);
-    hs_crash_trials_free(trials);
-}
-
-/** One crash makes dozens of items suspects, and all have trial runs within seconds. */
-static void many_suspect_items_get_trial_runs_in_time(void) {
-    hs_crash_trials *trials = hs_crash_trials_new();
-    bool has_run[SUSPECT_ITEMS] = {false};
-    uint32_t run_count = 0;
-    uint64_t now_ms = 10300;
-    for (; run_count < SUSPECT_ITEMS && now_ms < 10000 + SUSPECT_ITEMS_LIMIT_MS; now_ms += 100) {
-        uint32_t concurrent_count = 0;
-        for (uint64_t item = 0; item < SUSPECT_ITEMS; item++) {
-            hs_crash_evidence lost = make_evidence(item + 1, 3, 10000);
-            hs_trial_candidate candidate = {
-                .evidence = &lost, .has_alternative_cause = true, .is_accepted = true};
-            if (has_run[item] ||
-                hs_crash_trials_decide(trials, &candidate, now_ms) != HS_TRIAL_GRANTED)
-                continue;
-            has_run[item] = true;
-            run_count++;
-            concurrent_count++;
-        }
-        CU_ASSERT(concurrent_count <= 4);
-    }
-    CU_ASSERT_EQUAL(run_count, SUSPECT_ITEMS);
-    hs_crash_trials_free(trials);
-}
-
 /** A daemon may report a loss without the run's duration, which another daemon reports later. */
 static void run_duration_is_merged_into_a_known_loss(void) {
     hs_crash_ledger *ledger = hs_crash_ledger_new();
@@ -462,28 +289,6 @@
     hs_crash_ledger_free(ledger);
 }
 
-/** A decider that did not respond is queried again after some time. */
-static void deciders_without_answer_or_reason_are_skipped(void) {
-    hs_trial_deciders *deciders = hs_trial_deciders_new();
-    CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 1, 1000));
-    hs_trial_deciders_note_no_reason(deciders, 1);
-    CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 1, 1000));
-    CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 2, 1000));
-    hs_trial_deciders_note_unanswered(deciders, 2, 1000);
-    hs_trial_deciders_note_unanswered(deciders, 2, 3000);
-    CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 2, 4900));
-    CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 2, 5000));
-    hs_trial_deciders_note_answered(deciders, 2);
-    CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 2, 5000));
-    hs_trial_deciders_note_unanswered(deciders, 3, 1000);
-    CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 3, 34900));
-    CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 3, 35000));
-    hs_trial_deciders_note_unanswered(deciders, 3, 35000);
-    CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 3, 38900));
-    CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 3, 39000));
-    hs_trial_deciders_free(deciders);
-}
-
 /** A content lost with two of the same engines is an alternative cause until it is acquitted. */
 static void alternative_cause_was_lost_with_the_same_engines(void) {
     hs_crash_ledger *ledger = hs_crash_ledger_new();
@@ -535,19 +340,8 @@
 }
 
 const test_case crash_tests[] = {
-    {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
-    {"the_delay_between_trial_runs_counts_from_the_last_one",
-     the_delay_between_trial_runs_counts_from_the_last_one},
-    {"an_inconclusive_trial_run_is_not_counted", an_inconclusive_trial_run_is_not_counted},
     {"a_last_loss_is_shared_with_another_suspect", a_last_loss_is_shared_with_another_suspect},
-    {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
-    {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
-    {"content_with_a_long_run_gets_a_trial_run_soon",
-     content_with_a_long_run_gets_a_trial_run_soon},
-    {"many_suspect_items_get_trial_runs_in_time", many_suspect_items_get_trial_runs_in_time},
     {"run_duration_is_merged_into_a_known_loss", run_duration_is_merged_into_a_known_loss},
-    {"deciders_without_answer_or_reason_are_skipped",
-     deciders_without_answer_or_reason_are_skipped},
     {"contents_lost_with_the_same_engines_have_one_decider",
      contents_lost_with_the_same_engines_have_one_decider},
     {"alternative_cause_was_lost_with_the_same_engines",
