--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -87,6 +87,10 @@
         if (!hs_job_state_apply(partition->state, offset, record.value, record.value_length))
             hs_log_warning("job_record_unreadable", "part=%u offset=%" G_GUINT64_FORMAT,
                            partition->number, (guint64)offset);
+        const char *ended = hs_job_state_last_ended(partition->state);
+        if (ended != NULL)
+            hs_log_info("job_end_folded", "job=%s part=%u offset=%" G_GUINT64_FORMAT " by=log",
+                        ended, partition->number, (guint64)offset);
     }
     return hs_job_state_next_offset(partition->state) >= end;
 }
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -71,6 +71,10 @@
 hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
                                          hs_deadline deadline);
 
+/** Makes one attempt to append the end of a job. HS_STORE_DONE: @p offset is the record's. */
+hs_store_outcome hs_job_partition_append_end(hs_job_partition *partition, const char *job_id,
+                                             hs_deadline deadline, uint64_t *offset);
+
 /**
  * Makes one attempt to append a result, split into several records if necessary. @p regions: where
  * the records may be sent to be appended by another daemon (NULL: anywhere), as for the other
--- a/src/jobs/job_partition_append.c
+++ b/src/jobs/job_partition_append.c
@@ -31,18 +31,33 @@
     return outcome;
 }
 
-hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
-                                         hs_deadline deadline) {
+static hs_store_outcome append_record(hs_job_partition *partition, const Hs__JobRecord *record,
+                                      hs_deadline deadline, uint64_t *offset) {
     GByteArray *records = g_byte_array_new();
-    uint64_t offset = 0;
     frame(records, record);
     hs_store_outcome outcome = HS_STORE_INVALID;
     if (records->len <= partition->settings.record_bytes)
-        outcome = append_records(partition, HS_TOPIC_JOBS, records, NULL, deadline, &offset);
+        outcome = append_records(partition, HS_TOPIC_JOBS, records, NULL, deadline, offset);
     g_byte_array_free(records, TRUE);
     return outcome;
 }
 
+hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
+                                         hs_deadline deadline) {
+    uint64_t offset = 0;
+    return append_record(partition, record, deadline, &offset);
+}
+
+hs_store_outcome hs_job_partition_append_end(hs_job_partition *partition, const char *job_id,
+                                             hs_deadline deadline, uint64_t *offset) {
+    Hs__JobEnd end = HS__JOB_END__INIT;
+    end.job_id = (char *)job_id;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_END;
+    record.end = &end;
+    return append_record(partition, &record, deadline, offset);
+}
+
 hs_store_outcome hs_job_partition_append_result(hs_job_partition *partition, const char *job_id,
                                                 uint32_t item, hs_item_outcome outcome,
                                                 const GString *text, const hs_body_regions *regions,
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -123,12 +123,14 @@
                 "job=%s item=%s tries=%u last_event=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                 " remaining_ms=%" G_GUINT64_FORMAT
                 " rank_ms=%d open=%u slots=%u believed_online=%.1f believed_batch=%.1f"
-                " expected_online=%.1f pressing=%d sends_share=%.2f pieces_share=%.2f",
+                " expected_online=%.1f pressing=%d sends_share=%.2f pieces_share=%.2f"
+                " fold_age_ms=%" G_GUINT64_FORMAT,
                 run->job_id, run->item_id, open->item->attempts, (guint64)run->events.last_id,
                 (gint64)open->left_ms, (guint64)open->remaining_ms, open->rank_ms, count,
                 capacity->slots, capacity->online, capacity->batch, starts->expected_online,
                 open->is_urgent, 1 - starts->start_throttle.withheld_share,
-                1 - starts->useful_run_throttle.withheld_share);
+                1 - starts->useful_run_throttle.withheld_share,
+                (guint64)hs_job_partition_age_ms(open->partition->partition));
 }
 
 static void start_item(hs_job_owner *owner, const hs_open_item *open) {
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -16,6 +16,7 @@
     GHashTable *jobs; /**< id -> hs_job* */
     uint64_t next;
     partial_result partial;
+    const char *last_ended; /**< Id of the job that the last record ended; NULL: none. */
 };
 
 static void free_result(gpointer data) {
@@ -58,6 +59,10 @@
     g_free(state);
 }
 
+const char *hs_job_state_last_ended(const hs_job_state *state) {
+    return state->last_ended;
+}
+
 uint64_t hs_job_state_next_offset(const hs_job_state *state) {
     return state->next;
 }
@@ -196,6 +201,7 @@
 
 bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes, size_t length) {
     state->next = offset + 1;
+    state->last_ended = NULL;
     Hs__JobRecord *record = hs__job_record__unpack(NULL, length, bytes);
     if (record == NULL)
         return false;
@@ -209,6 +215,7 @@
         break;
     case HS__JOB_RECORD__KIND_END: {
         hs_job *job = g_hash_table_lookup(state->jobs, record->end->job_id);
+        state->last_ended = job != NULL && !job->ended ? job->id : NULL;
         if (job != NULL)
             job->ended = true;
         break;
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -63,6 +63,18 @@
 /** Applies the record at @p offset. Returns false if it is malformed and was skipped. */
 bool hs_job_state_apply(hs_job_state *state, uint64_t offset, const uint8_t *bytes, size_t length);
 
+/**
+ * Returns the id of the job that the record applied last has ended, borrowed until the next
+ * change; NULL: the record ended none, or one that had ended before.
+ */
+const char *hs_job_state_last_ended(const hs_job_state *state);
+
+/**
+ * Returns the id of the job that the record applied last has ended, borrowed until the next change.
+ * NULL: it ended none, or the job had ended before.
+ */
+const char *hs_job_state_last_ended(const hs_job_state *state);
+
 /** Returns the offset of the next record to apply. */
 uint64_t hs_job_state_next_offset(const hs_job_state *state);
 
