Jobs: report a stored end to the owner before it is acknowledged

Cause: the daemon that acknowledges an end needs the store once, to append it; the owner that starts the items needs it a second time, to read the end back. Between the two it starts items from its old fold, for as long as the store is silent, or later than its reads wait. That holds for an owner that stored the end itself too.

Change: a stored end is applied to the fold of the daemon that stored it, and reported to the partition's owner and to the daemons that run its restricted items, each confirming, before the caller gets 200. An end commutes with all other records, so that applying it ahead of the log changes no result or order; that of an unknown job is kept for its manifest.

--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -102,6 +102,13 @@
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner);
 
+/**
+ * Finds another live daemon by the hash of its id, as in hs_daemon_region. Returns false if it is
+ * this daemon or not known to be alive.
+ */
+bool hs_daemon_directory_find_daemon(hs_daemon_directory *directory, uint64_t daemon,
+                                     hs_daemon_address *address);
+
 /** Reports whether the deployment has several regions and this daemon's region is known. */
 bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory);
 
--- a/src/directory/directory_members.c
+++ b/src/directory/directory_members.c
@@ -77,6 +77,34 @@
     return regions;
 }
 
+/** The address of a member; the caller holds the lock of the membership. */
+static hs_daemon_address address_of(const hs_daemon_directory *directory,
+                                    const hs_membership *membership, const hs_member *member) {
+    return (hs_daemon_address){
+        .address = member->address,
+        .port = member->peer_port,
+        .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone),
+        .is_far = hs_membership_is_far(membership, member)};
+}
+
+bool hs_daemon_directory_find_daemon(hs_daemon_directory *directory, uint64_t daemon,
+                                     hs_daemon_address *address) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    const hs_member *found = NULL;
+    for (guint index = 0; index < members->len && found == NULL; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member != hs_membership_self(membership) && hs_member_is_alive(member) &&
+            hs_hash_bytes(member->id, strlen(member->id)) == daemon)
+            found = member;
+    }
+    if (found != NULL)
+        *address = address_of(directory, membership, found);
+    hs_membership_service_unlock(directory->membership);
+    return found != NULL;
+}
+
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner) {
     uint32_t epoch = 0;
@@ -85,11 +113,7 @@
     bool is_other =
         member != NULL && member != hs_membership_self(membership) && hs_member_is_alive(member);
     if (is_other)
-        *owner = (hs_daemon_address){
-            .address = member->address,
-            .port = member->peer_port,
-            .region = hs_topology_region(hs_daemon_directory_topology(directory), member->zone),
-            .is_far = hs_membership_is_far(membership, member)};
+        *owner = address_of(directory, membership, member);
     hs_membership_service_unlock(directory->membership);
     return is_other;
 }
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -9,6 +9,7 @@
  * or cannot answer does this daemon read the
  * partition's log, so that a large fleet does not read each log in full on every daemon.
  */
+#include "jobs/job_end.h"
 #include "jobs/job_peer.h"
 #include "jobs/job_service_state.h"
 
@@ -157,6 +158,21 @@
     return true;
 }
 
+/** Stores the end of the job, reports it, and replies. */
+static void answer_end(const job_call *call) {
+    hs_store_outcome outcome =
+        hs_job_end_store(call->partition, call->job_id, call->inbound->received_ms, call->deadline);
+    if (outcome != HS_STORE_DONE) {
+        hs_job_reply_text(call->inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503,
+                          "the end was not stored\n");
+        return;
+    }
+    hs_job_end_report(
+        call->partition, call->job_id,
+        &(hs_job_end_audience){.daemons = call->service->daemons, .config = call->config});
+    hs_job_reply_text(call->inbound, 200, "");
+}
+
 /** Replies from this daemon's fold. Returns false without a reply if the fold may be incomplete. */
 static bool answer_from_fold(const job_call *call, fold_state fold) {
     bool is_known =
@@ -171,7 +187,7 @@
         return answer_results(call, fold);
     if (call->kind == HS_CALL_ITEM_READ)
         return answer_item(call);
-    hs_job_service_append_end(call->partition, call->inbound, call->job_id, call->deadline);
+    answer_end(call);
     return true;
 }
 
@@ -209,6 +225,14 @@
     return hs_body_regions_allow(&regions, owner->region);
 }
 
+/** Returns the time for the owner's answer. An owner stores an end before it answers. */
+static uint64_t get_owner_limit_ms(const job_call *call) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (call->kind == HS_CALL_JOB_END)
+        return call->deadline > now_ms ? (call->deadline - now_ms) / 2 : 0;
+    return MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + OWNER_ANSWER_SLACK_MS;
+}
+
 /**
  * Forwards the request to the partition's owner and replies with its answer. Returns false without
  * a reply if no owner is known or the owner gave no definite answer.
@@ -220,14 +244,18 @@
     if (daemons == NULL || !hs_daemon_directory_find_owner(daemons, number, &owner) ||
         !may_owner_answer(call, &owner))
         return false;
-    uint64_t limit_ms =
-        MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + OWNER_ANSWER_SLACK_MS;
+    uint64_t limit_ms = get_owner_limit_ms(call);
     hs_peer_answer owner_answer;
     if (hs_job_peer_forward(&owner, call->inbound, call->tenant,
                             MIN(call->deadline, hs_clock_monotonic_ms() + limit_ms),
                             &owner_answer) != HS_PEER_ANSWERED)
         return false;
     bool is_definite = owner_answer.status == 200 || owner_answer.status == 404;
+    if (call->kind == HS_CALL_JOB_END && owner_answer.status == 200)
+        hs_job_end_report(call->partition, call->job_id,
+                          &(hs_job_end_audience){.daemons = daemons,
+                                                 .config = call->config,
+                                                 .is_owner_informed = true});
     if (is_definite)
         hs_job_reply(call->inbound, owner_answer.status, owner_answer.type, owner_answer.body->data,
                      owner_answer.body->len);
@@ -253,7 +281,9 @@
 void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                          hs_call_kind kind, const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
-    if (is_recent(&call) && answer_from_fold(&call, FOLD_RECENT)) {
+    /* The end of a known job is stored without a recent fold. */
+    bool can_answer = is_recent(&call) || kind == HS_CALL_JOB_END;
+    if (can_answer && answer_from_fold(&call, FOLD_RECENT)) {
         g_atomic_int_inc(&service->reads.from_own_fold);
         log_call(&call, "own_fold", true);
         return;
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -95,6 +95,15 @@
     return hs_job_state_next_offset(partition->state) >= end;
 }
 
+void hs_job_partition_apply_end(hs_job_partition *partition, const char *job_id,
+                                const char *source) {
+    g_mutex_lock(&partition->lock);
+    bool is_new = hs_job_state_end_early(partition->state, job_id);
+    g_mutex_unlock(&partition->lock);
+    if (is_new)
+        hs_log_info("job_end_folded", "job=%s part=%u by=%s", job_id, partition->number, source);
+}
+
 /** Reads one page from the fold's position on. Only one thread reads at a time. */
 static bool read_once(hs_job_partition *partition, uint32_t wait_ms, hs_deadline deadline,
                       hs_interrupt *interrupt, bool *reached_end) {
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -54,6 +54,13 @@
  */
 uint32_t hs_job_poll_wait_ms(uint64_t current_ms, uint64_t now_ms, uint64_t until_ms);
 
+/**
+ * Applies the end of a job that is stored but may not have been read yet. @p source: for the log
+ * line, a literal.
+ */
+void hs_job_partition_apply_end(hs_job_partition *partition, const char *job_id,
+                                const char *source);
+
 /** Locks and borrows the fold; see hs_job_partition_unlock. */
 hs_job_state *hs_job_partition_lock(hs_job_partition *partition);
 void hs_job_partition_unlock(hs_job_partition *partition);
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -115,28 +115,3 @@
     hs_job_partition_unlock(partition);
     return visibility;
 }
-
-void hs_job_service_append_end(hs_job_partition *partition, hs_inbound *inbound, const char *job_id,
-                               hs_deadline deadline) {
-    uint64_t offset = 0;
-    uint32_t attempt = 0;
-    hs_store_outcome outcome = HS_STORE_REFUSED;
-    do {
-        if (attempt > 0)
-            hs_clock_sleep_ms(HS_JOB_RETRY_PAUSE_MS);
-        outcome = hs_job_partition_append_end(
-            partition, job_id, hs_job_partition_append_deadline(partition, attempt++, 0, deadline),
-            &offset);
-    } while (outcome != HS_STORE_DONE && outcome != HS_STORE_INVALID &&
-             hs_clock_monotonic_ms() < deadline);
-    hs_log_info("job_end_requested",
-                "job=%s part=%u outcome=%s offset=%" G_GUINT64_FORMAT " attempts=%u took_ms=%u",
-                job_id, hs_job_partition_number(partition), hs_store_outcome_name(outcome),
-                (guint64)offset, attempt,
-                (unsigned)(hs_clock_monotonic_ms() - inbound->received_ms));
-    if (outcome == HS_STORE_DONE)
-        hs_job_reply_text(inbound, 200, "");
-    else
-        hs_job_reply_text(inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503,
-                          "the end was not stored\n");
-}
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -51,8 +51,4 @@
 hs_job_visibility hs_job_check_visibility(hs_job_partition *partition, const char *job_id,
                                           const char *tenant);
 
-/** Appends the end of a known job, retrying until @p deadline, and replies. */
-void hs_job_service_append_end(hs_job_partition *partition, hs_inbound *inbound, const char *job_id,
-                               hs_deadline deadline);
-
 #endif
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -13,7 +13,8 @@
 } partial_result;
 
 struct hs_job_state {
-    GHashTable *jobs; /**< id -> hs_job* */
+    GHashTable *jobs;       /**< id -> hs_job* */
+    GHashTable *early_ends; /**< Set of ids of ended jobs whose manifest was not applied yet. */
     uint64_t next;
     partial_result partial;
     const char *last_ended; /**< Id of the job that the last record ended; NULL: none. */
@@ -46,6 +47,7 @@
 hs_job_state *hs_job_state_new(void) {
     hs_job_state *state = g_new0(hs_job_state, 1);
     state->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+    state->early_ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     state->partial.text = g_byte_array_new();
     return state;
 }
@@ -54,11 +56,21 @@
     if (state == NULL)
         return;
     g_hash_table_destroy(state->jobs);
+    g_hash_table_destroy(state->early_ends);
     g_free(state->partial.job_id);
     g_byte_array_free(state->partial.text, TRUE);
     g_free(state);
 }
 
+bool hs_job_state_end_early(hs_job_state *state, const char *job_id) {
+    hs_job *job = g_hash_table_lookup(state->jobs, job_id);
+    if (job == NULL)
+        return g_hash_table_add(state->early_ends, g_strdup(job_id));
+    bool is_new = !job->ended;
+    job->ended = true;
+    return is_new;
+}
+
 const char *hs_job_state_last_ended(const hs_job_state *state) {
     return state->last_ended;
 }
@@ -96,6 +108,7 @@
         g_array_append_val(job->items, item);
         g_hash_table_insert(job->item_by_id, g_strdup(entry->id), GSIZE_TO_POINTER(index + 1));
     }
+    job->ended = g_hash_table_contains(state->early_ends, job->id);
     g_hash_table_insert(state->jobs, job->id, job);
 }
 
@@ -218,6 +231,7 @@
         state->last_ended = job != NULL && !job->ended ? job->id : NULL;
         if (job != NULL)
             job->ended = true;
+        g_hash_table_remove(state->early_ends, record->end->job_id);
         break;
     }
     case HS__JOB_RECORD__KIND_PROGRESS:
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -75,6 +75,13 @@
  */
 const char *hs_job_state_last_ended(const hs_job_state *state);
 
+/**
+ * Ends a job whose end is stored but not applied yet. An end may be applied ahead of other records:
+ * it changes neither results nor their order. The end of an unknown job is kept for its manifest.
+ * Returns whether this was new.
+ */
+bool hs_job_state_end_early(hs_job_state *state, const char *job_id);
+
 /** Returns the offset of the next record to apply. */
 uint64_t hs_job_state_next_offset(const hs_job_state *state);
 
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -8,6 +8,7 @@
 #include "http/connection_plan.h"
 #include "http/front_watch.h"
 #include "http/http_fields.h"
+#include "jobs/job_end.h"
 #include "jobs/job_peer.h"
 #include "online/retry_after.h"
 #include "surface/fleet_metrics.h"
@@ -262,9 +263,21 @@
     hs_fleet_config_unref(config);
 }
 
+/** Serves another daemon's report of a job that has ended. */
+static void serve_end_report(hs_fleet_surface *surface, hs_inbound *inbound) {
+    hs_job_service *jobs = surface->settings.jobs;
+    uint32_t partition = 0;
+    if (hs_job_end_read_target(inbound->target, &partition) &&
+        partition < hs_job_service_partition_count(jobs))
+        hs_job_end_apply(hs_job_service_partition(jobs, partition), inbound);
+    else
+        reply_status(inbound, 400);
+}
+
 /**
  * Serves a call from another daemon: a check of the store's state, a request for changes of a
- * topic, a query for the state read from the store, a relayed append, or a forwarded call on a job.
+ * topic, a query for the state read from the store, a relayed append, a report of a job's end, or a
+ * forwarded call on a job.
  */
 static void serve_peer(hs_inbound *inbound, void *user_data) {
     hs_fleet_surface *surface = user_data;
@@ -287,6 +300,10 @@
         hs_job_relay_serve(surface->settings.store, inbound);
         return;
     }
+    if (hs_job_end_is_report(inbound->target)) {
+        serve_end_report(surface, inbound);
+        return;
+    }
     hs_caller_terms terms;
     hs_platform_read_terms(inbound->fields, &terms);
     g_autofree char *job_id = NULL;
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -105,6 +105,44 @@
     hs_job_state_free(state);
 }
 
+static void add_end(hs_job_state *state) {
+    Hs__JobEnd end = HS__JOB_END__INIT;
+    end.job_id = "job";
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_END;
+    record.end = &end;
+    apply(state, &record);
+}
+
+/** Otherwise two daemons would list the results of one job in different orders. */
+static void an_end_applied_before_its_record_changes_no_result(void) {
+    hs_job_state *state = hs_job_state_new();
+    add_manifest(state, "h");
+    add_result(state, &(result_part){2, 0, 1, "c"});
+    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job"));
+    CU_ASSERT_FALSE(hs_job_state_end_early(state, "job"));
+    CU_ASSERT_FALSE(hs_job_is_open(hs_job_state_find(state, "job")));
+    add_result(state, &(result_part){0, 0, 1, "a"});
+    add_end(state);
+    CU_ASSERT_PTR_NULL(hs_job_state_last_ended(state));
+    CU_ASSERT_EQUAL(result_at(state, 0)->item, 2);
+    CU_ASSERT_EQUAL(result_at(state, 1)->item, 0);
+    CU_ASSERT_EQUAL(hs_job_state_next_offset(state), 4);
+    hs_job_state_free(state);
+}
+
+/** Otherwise a fold that lacks the manifest would forget the end and run the job. */
+static void an_end_applied_before_the_manifest_is_kept(void) {
+    hs_job_state *state = hs_job_state_new();
+    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job"));
+    CU_ASSERT_PTR_NULL(hs_job_state_find(state, "job"));
+    add_manifest(state, "h");
+    CU_ASSERT_FALSE(hs_job_is_open(hs_job_state_find(state, "job")));
+    add_end(state);
+    CU_ASSERT_FALSE(hs_job_is_open(hs_job_state_find(state, "job")));
+    hs_job_state_free(state);
+}
+
 static void ended_jobs_expire_and_need_no_content(void) {
     hs_job_state *state = hs_job_state_new();
     CU_ASSERT_EQUAL(hs_job_state_first_needed_content(state), UINT64_MAX);
@@ -113,12 +151,7 @@
     CU_ASSERT_EQUAL(hs_job_state_first_needed_content(state), 10);
     hs_job_state_expire(state, 5000); /* Open jobs are not removed. */
     CU_ASSERT_PTR_NOT_NULL(hs_job_state_find(state, "job"));
-    Hs__JobEnd end = HS__JOB_END__INIT;
-    end.job_id = "job";
-    Hs__JobRecord record = HS__JOB_RECORD__INIT;
-    record.kind_case = HS__JOB_RECORD__KIND_END;
-    record.end = &end;
-    apply(state, &record);
+    add_end(state);
     CU_ASSERT_FALSE(hs_job_is_open(hs_job_state_find(state, "job")));
     hs_job_state_expire(state, 500);
     CU_ASSERT_PTR_NOT_NULL(hs_job_state_find(state, "job"));
@@ -469,6 +502,9 @@
     {"long_polls_end_before_the_fold_is_too_old", long_polls_end_before_the_fold_is_too_old},
     {"repeated_records_change_nothing", repeated_records_change_nothing},
     {"split_results_count_only_if_complete", split_results_count_only_if_complete},
+    {"an_end_applied_before_its_record_changes_no_result",
+     an_end_applied_before_its_record_changes_no_result},
+    {"an_end_applied_before_the_manifest_is_kept", an_end_applied_before_the_manifest_is_kept},
     {"ended_jobs_expire_and_need_no_content", ended_jobs_expire_and_need_no_content},
     {"progress_records_are_joined", progress_records_are_joined},
     {"latest_progress_event_wins", latest_progress_event_wins},
