Jobs: an owner starts items only from a recent fold

Cause: may_run asked only whether the fold had once been complete since the partition was assigned, however long ago. An owner that reads nothing any more, by a silent store, a suspension, or because the store turns it away and has given its partition to another daemon, went on starting items from it.

Change: items start, and are sent, only while the fold is at most cancel_ms less a third (a second at most) old; the rest is for the request to reach an engine. An end that the fold lacks is then younger than cancel_ms. The check is made in the scheduler's pass, after the item's body was read, and right before the request is sent. Running items go on; items whose time is over are still listed. New: fleet.cancel_ms, from the platform's bounds; log lines and a metric.

--- a/include/heathsail/settings.h
+++ b/include/heathsail/settings.h
@@ -84,6 +84,7 @@
     int64_t fleet_call_bytes;
     int64_t fleet_group_ttl_least_ms;
     int64_t fleet_drain_ms;
+    int64_t fleet_cancel_ms;
     int64_t fleet_config_apply_ms;
     int64_t fleet_contact_ms;
     int64_t fleet_heartbeat_ms;
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -176,6 +176,7 @@
                                    .part_count = store.part_count,
                                    .group_ttl_ms = (uint32_t)settings->fleet_group_ttl_least_ms *
                                                    GROUP_TTL_FACTOR,
+                                   .cancel_ms = (uint32_t)settings->fleet_cancel_ms,
                                    .store = daemon->store,
                                    .jobs = daemon->jobs,
                                    .config = daemon->config,
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -159,6 +159,9 @@
            "Shortest time after which the store drops a silent group member."),
     NUMBER("fleet", "drain_ms", fleet_drain_ms, "ms", 10, HOUR_MS, 2000,
            "Time within which a leaving engine must get no new work."),
+    NUMBER("fleet", "cancel_ms", fleet_cancel_ms, "ms", 10, HOUR_MS, 3000,
+           "Time after the acknowledged end of a job from which none of its items may start. An "
+           "owner whose view of the log is too old for that starts no items."),
     NUMBER("fleet", "config_apply_ms", fleet_config_apply_ms, "ms", 10, HOUR_MS, 2000,
            "Time within which a configuration must be in force."),
     NUMBER("fleet", "contact_ms", fleet_contact_ms, "ms", 10, HOUR_MS, 3000,
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -199,10 +199,17 @@
 }
 
 /**
- * Releases the lease and returns false if the engine's zone was evacuated, or the process was
- * suspended, while the request waited for a confirmation or a connection.
+ * Releases the lease and returns false if the request must not be sent any more: while it waited
+ * for a confirmation or a connection, its time to be sent ended, the engine's zone was evacuated,
+ * or the process was suspended.
  */
 static bool keep_if_may_send(const hs_attempt_parameters *parameters, hs_attempt *attempt) {
+    bool is_too_late =
+        parameters->send_until_ms != 0 && hs_clock_monotonic_ms() > parameters->send_until_ms;
+    if (is_too_late) {
+        drop_lease(attempt);
+        return false;
+    }
     if (hs_engine_lease_may_send(attempt->lease))
         return true;
     const char *request_id = parameters->request.request_id;
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -32,7 +32,8 @@
     hs_engine_request request; /**< engine_id and timeout_ms are set by hs_attempt_start. */
     const void *body;
     hs_wait wait;
-    uint32_t head_timeout_ms; /**< Longest wait for the response head; 0: up to the deadline. */
+    hs_deadline send_until_ms; /**< The request is not sent later; 0: at any time. */
+    uint32_t head_timeout_ms;  /**< Longest wait for the response head; 0: up to the deadline. */
     bool refuse_if_late; /**< Do not send the request if it is expected to be served too late. */
     bool needs_new_connection; /**< Open a new connection, because an idle one was lost before. */
     bool may_repeat;           /**< The request may be executed again after this attempt. */
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -19,6 +19,7 @@
     const char *member; /**< This daemon's member name in the group. */
     uint32_t part_count;
     uint32_t group_ttl_ms;
+    uint32_t cancel_ms; /**< Items of a job may start for this long after its acknowledged end. */
     hs_store_client *store;
     hs_job_service *jobs;
     hs_config_source *config;
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -48,6 +48,8 @@
     hs_job_partition *partition;
     GHashTable *items; /**< "job/index" -> hs_owned_item* */
     bool is_owned;     /**< The partition is assigned to this daemon. */
+    uint64_t
+        held_since_ms; /**< No item starts since then, as the fold is too old; 0: items start. */
     bool is_runner; /**< Not owned, but this daemon runs its restricted items; see job_runners.h. */
     const char *owner_region;      /**< As of the last update of runners; NULL: unknown. */
     uint64_t acquired_ms;          /**< Monotonic time of the latest assignment. */
@@ -99,6 +101,7 @@
     GHashTable *services;         /**< Group (interned) -> hs_service_starts*; see job_starts.h. */
     GArray *runners;              /**< Of hs_daemon_region; NULL: no items are restricted. */
     uint64_t next_runners_ms;     /**< Of the next update of runners. */
+    uint32_t held_partitions;     /**< Of this pass: their folds are too old to start items. */
     uint32_t unrunnable_items;    /**< Of this pass: no live daemon may run them. */
     hs_region_waits region_waits; /**< Of the latest pass. */
     uint64_t rejected_starts;     /**< Starts that were rejected because no engine had capacity. */
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -77,7 +77,8 @@
             .item = item,
             .left_ms = (int64_t)(job->submitted_ms + job->due_ms) - (int64_t)wall_ms,
             .remaining_ms = get_remaining_ms(owned, item, now_ms),
-            .may_start = runs_here && is_waiting && item->next_attempt_ms <= now_ms,
+            .may_start = runs_here && is_waiting && item->next_attempt_ms <= now_ms &&
+                         owned->held_since_ms == 0,
             .is_expired = owned->is_owned && is_waiting && has_expired(job, item, wall_ms, now_ms),
             .max_attempts = route != NULL ? route->max_attempts : DEFAULT_MAX_ATTEMPTS,
             .service = route != NULL ? g_intern_string(
@@ -219,6 +220,26 @@
     return true;
 }
 
+/**
+ * Holds the starts of a partition while its fold is too old: jobs may have ended since, and another
+ * daemon may own the partition by now. The caller holds the owner's lock.
+ */
+static void update_hold(hs_owned_job_partition *owned) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint64_t age_ms = hs_job_partition_age_ms(owned->partition);
+    uint64_t limit_ms = hs_job_max_start_age_ms(owned->owner->settings.cancel_ms);
+    bool is_held = age_ms > limit_ms;
+    owned->owner->held_partitions += is_held;
+    if (is_held == (owned->held_since_ms != 0))
+        return;
+    hs_log_info(is_held ? "partition_starts_held" : "partition_starts_resumed",
+                "part=%u fold_age_ms=%" G_GUINT64_FORMAT " limit_ms=%" G_GUINT64_FORMAT
+                " held_ms=%" G_GUINT64_FORMAT,
+                hs_job_partition_number(owned->partition), (guint64)age_ms, (guint64)limit_ms,
+                (guint64)(is_held ? 0 : now_ms - owned->held_since_ms));
+    owned->held_since_ms = is_held ? now_ms : 0;
+}
+
 /**
  * Runs one pass over all owned partitions. A service without capacity, or without capacity in the
  * regions to which items are restricted, delays only these items; others and those whose time is
@@ -228,10 +249,13 @@
 static void start_items(hs_job_owner *owner, const hs_fleet_config *config) {
     g_autoptr(GArray) open = g_array_new(FALSE, FALSE, sizeof(hs_open_item));
     owner->unrunnable_items = 0;
+    owner->held_partitions = 0;
     for (guint number = 0; number < owner->partitions->len; number++) {
         hs_owned_job_partition *owned = owner->partitions->pdata[number];
-        if (hs_job_owner_may_run(owned, hs_clock_monotonic_ms()))
-            collect_open_items(owned, config, open);
+        if (!hs_job_owner_may_run(owned, hs_clock_monotonic_ms()))
+            continue;
+        update_hold(owned);
+        collect_open_items(owned, config, open);
     }
     hs_job_starts_observe(owner, open);
     hs_job_regions_observe(owner, open);
--- a/src/jobs/job_starts.c
+++ b/src/jobs/job_starts.c
@@ -76,9 +76,10 @@
     g_string_append_printf(text,
                            "heathsail_job_item_cuts{cause=\"soon\"} %" G_GUINT64_FORMAT "\n"
                            "heathsail_job_item_cuts{cause=\"later\"} %" G_GUINT64_FORMAT "\n"
-                           "heathsail_job_item_cuts{cause=\"not_sent\"} %" G_GUINT64_FORMAT "\n",
+                           "heathsail_job_item_cuts{cause=\"not_sent\"} %" G_GUINT64_FORMAT "\n"
+                           "heathsail_job_partitions_held %u\n",
                            (guint64)owner->early_preemptions, (guint64)owner->late_preemptions,
-                           (guint64)owner->rejected_starts);
+                           (guint64)owner->rejected_starts, owner->held_partitions);
     hs_job_regions_write_metrics(&owner->region_waits, text);
     g_hash_table_iter_init(&iterator, owner->services);
     while (g_hash_table_iter_next(&iterator, &service, &value)) {
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -152,6 +152,8 @@
                                        .config = config,
                                        .own_region = get_own_region(owner),
                                        .rank_ms = task->rank_ms,
+                                       .max_fold_age_ms =
+                                           hs_job_max_start_age_ms(owner->settings.cancel_ms),
                                        .checkpoint = hs_job_checkpoint_take,
                                        .user_data = task};
         end = hs_item_run_attempt(item->run, &terms);
@@ -166,9 +168,10 @@
                           item->run->attempt_events, item->run->attempt_ms);
     hs_job_starts_note_end(owner, task, end);
     item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
-    item->attempts += end != HS_ITEM_ATTEMPT_NO_CAPACITY && end != HS_ITEM_ATTEMPT_QUARANTINED;
+    item->attempts += end != HS_ITEM_ATTEMPT_NO_CAPACITY && end != HS_ITEM_ATTEMPT_QUARANTINED &&
+                      end != HS_ITEM_ATTEMPT_STALE_FOLD;
     uint64_t pause_ms = get_backoff_ms(item->failures);
-    if (end == HS_ITEM_ATTEMPT_NO_CAPACITY)
+    if (end == HS_ITEM_ATTEMPT_NO_CAPACITY || end == HS_ITEM_ATTEMPT_STALE_FOLD)
         pause_ms = HS_JOB_PASS_INTERVAL_MS;
     else if (end == HS_ITEM_ATTEMPT_PREEMPTED)
         pause_ms = PREEMPTED_PAUSE_MS;
--- a/tests/system/test_fleet_job_ends.c
+++ b/tests/system/test_fleet_job_ends.c
@@ -4,6 +4,8 @@
 #include "tests/system/fleet_calls.h"
 #include "tests/system/system_tests.h"
 
+#include <signal.h>
+
 #define JOBS 5
 #define ITEMS 5
 /** Time in ms after an acknowledged end from which no item of the job may start. */
@@ -16,6 +18,8 @@
 #define HELD_READS_MS 1500
 /** Delay in ms of the store's answers. */
 #define STORE_DELAY_MS 800
+/** Time in ms for which a daemon is stopped: no other daemon can report an end to it. */
+#define STOPPED_MS 2000
 
 static uint32_t end_job(int daemon, const char *id) {
     g_autofree char *target = g_strdup_printf(PATH_JOBS "%s", id);
@@ -36,13 +40,16 @@
     hs_clock_sleep_ms(REFUSALS_MS);
 }
 
-/** Ends the jobs "PREFIX-n"; an end without an acknowledgement is repeated. */
-static void end_jobs(const char *prefix) {
+/**
+ * Ends the jobs "PREFIX-n" at the first @p daemons daemons; an end without an acknowledgement is
+ * repeated.
+ */
+static void end_jobs(const char *prefix, int daemons) {
     for (int job = 0; job < JOBS; job++) {
         g_autofree char *id = g_strdup_printf("%s-%d", prefix, job);
         bool is_acknowledged = false;
-        for (int attempt = 0; attempt < BENCH_DEFAULT_DAEMONS && !is_acknowledged; attempt++)
-            is_acknowledged = end_job((job + attempt) % BENCH_DEFAULT_DAEMONS, id) == 200;
+        for (int attempt = 0; attempt < 2 * daemons && !is_acknowledged; attempt++)
+            is_acknowledged = end_job((job + attempt) % daemons, id) == 200;
         CU_ASSERT_TRUE(is_acknowledged);
     }
 }
@@ -70,7 +77,7 @@
     submit_refused_jobs("silent");
     log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, CALL_READ, G_MAXUINT32);
     hs_clock_sleep_ms(HELD_READS_MS);
-    end_jobs("silent");
+    end_jobs("silent", BENCH_DEFAULT_DAEMONS);
     log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, NULL, G_MAXUINT32);
     CU_ASSERT_EQUAL(count_late_runs("silent"), 0);
     log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
@@ -81,15 +88,30 @@
     submit_refused_jobs("slow");
     log_store_set_delay(bench.store, STORE_DELAY_MS);
     hs_clock_sleep_ms(HELD_READS_MS);
-    end_jobs("slow");
+    end_jobs("slow", BENCH_DEFAULT_DAEMONS);
     CU_ASSERT_EQUAL(count_late_runs("slow"), 0);
     log_store_set_delay(bench.store, 0);
 }
 
+/** Guards against owners that start items from an old fold after they were suspended. */
+static void an_owner_starts_no_item_before_it_reads_the_ends_it_missed(void) {
+    int stopped = BENCH_DEFAULT_DAEMONS - 1;
+    submit_refused_jobs("stopped");
+    bench_signal_daemon(stopped, SIGSTOP);
+    end_jobs("stopped", stopped);
+    log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, NULL, G_MAXUINT32);
+    hs_clock_sleep_ms(STOPPED_MS);
+    bench_signal_daemon(stopped, SIGCONT);
+    CU_ASSERT_EQUAL(count_late_runs("stopped"), 0);
+    log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
+}
+
 const test_case fleet_job_end_system_tests[] = {
     {"items_of_ended_jobs_do_not_start_while_the_store_is_silent",
      items_of_ended_jobs_do_not_start_while_the_store_is_silent},
     {"items_of_ended_jobs_do_not_start_while_the_store_is_slow",
      items_of_ended_jobs_do_not_start_while_the_store_is_slow},
+    {"an_owner_starts_no_item_before_it_reads_the_ends_it_missed",
+     an_owner_starts_no_item_before_it_reads_the_ends_it_missed},
     {NULL, NULL},
 };
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -318,6 +318,24 @@
     close_fixture(&test);
 }
 
+/** Otherwise an item whose job may have ended meanwhile would reach an engine. */
+static void a_request_is_not_sent_after_its_time_to_be_sent(void) {
+    fixture test;
+    open_fixture(&test);
+    hs_attempt attempt;
+    test.parameters.send_until_ms = hs_clock_monotonic_ms() - 1;
+    CU_ASSERT_FALSE(
+        start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_NOT_EXECUTED);
+    CU_ASSERT_PTR_NULL(attempt.lease);
+    test.parameters.send_until_ms = hs_clock_monotonic_ms() + DEADLINE_MS;
+    CU_ASSERT_TRUE(
+        start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED);
+    CU_ASSERT_EQUAL(scripted_peer_request_count(test.peer), 1);
+    close_fixture(&test);
+}
+
 /**
  * Guards against a duplicate refusal being taken for the response to the next attempt, which
  * carries the same request id: the request would be reported as not executed while the engine
@@ -476,6 +494,8 @@
     {"connection_is_not_reused_after_a_resume_mismatch",
      connection_is_not_reused_after_a_resume_mismatch},
     {"repeatedly_refused_items_share_connections", repeatedly_refused_items_share_connections},
+    {"a_request_is_not_sent_after_its_time_to_be_sent",
+     a_request_is_not_sent_after_its_time_to_be_sent},
     {"early_response_stops_sending", early_response_stops_sending},
     {"partial_body_read_waits_for_more_bytes", partial_body_read_waits_for_more_bytes},
     {NULL, NULL}};
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -487,6 +487,13 @@
 }
 
 /** Guards against long polls during which a followed fold gets too old to answer. */
+/** Otherwise an item of a job that ended unnoticed would reach an engine after the limit. */
+static void items_start_only_from_folds_that_leave_time_to_send_them(void) {
+    CU_ASSERT_EQUAL(hs_job_max_start_age_ms(3000), 2000);
+    CU_ASSERT_EQUAL(hs_job_max_start_age_ms(300), 200);
+    CU_ASSERT_EQUAL(hs_job_max_start_age_ms(10000), 9000);
+}
+
 static void long_polls_end_before_the_fold_is_too_old(void) {
     CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10000, 10500), 500);
     CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10000, 15000), 700); /* A caller waits for long. */
@@ -500,6 +507,8 @@
 
 const test_case job_tests[] = {
     {"long_polls_end_before_the_fold_is_too_old", long_polls_end_before_the_fold_is_too_old},
+    {"items_start_only_from_folds_that_leave_time_to_send_them",
+     items_start_only_from_folds_that_leave_time_to_send_them},
     {"repeated_records_change_nothing", repeated_records_change_nothing},
     {"split_results_count_only_if_complete", split_results_count_only_if_complete},
     {"an_end_applied_before_its_record_changes_no_result",
