Items: one that was stopped before it was sent is not sent

Cause: a run that is interrupted while its task waits for a worker, a body or an arbiter learns of it at its next wait. On a kept connection to an engine there is none before the request is written, so that it was sent, ran, and was cut off right after.

Evidence: attempt.an_interrupted_request_is_not_sent failed before this change (the engine got the request); it passes on a new connection, whose connect waits.

--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -187,7 +187,8 @@
     g_strlcpy(run->engine_id, attempt.engine_id, sizeof run->engine_id);
     run->was_sent = attempt.connection != NULL;
     if (attempt.lease == NULL)
-        return HS_ITEM_ATTEMPT_NO_CAPACITY;
+        return attempt.step == HS_STEP_CALLER_GONE ? resolve_interruption(run)
+                                                   : HS_ITEM_ATTEMPT_NO_CAPACITY;
     hs_item_attempt_end end = HS_ITEM_ATTEMPT_BROKEN;
     if (has_head)
         end = evaluate_answer(run, terms, &attempt);
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -336,6 +336,32 @@
     close_fixture(&test);
 }
 
+/** Otherwise an item that was stopped while it waited for a connection would still run. */
+static void an_interrupted_request_is_not_sent(void) {
+    fixture test;
+    open_fixture(&test);
+    hs_interrupt interrupt;
+    hs_interrupt_init(&interrupt);
+    test.parameters.wait.interrupt = &interrupt;
+    hs_attempt attempt;
+    CU_ASSERT_TRUE(
+        start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
+    hs_client_connection_read_all(attempt.connection, BODY_LIMIT, &test.parameters.wait);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED); /* Its connection is kept. */
+    hs_interrupt_raise(&interrupt, HS_INTERRUPT_STOP);
+    test.parameters.request.request_id = "r2"; /* May use the kept connection. */
+    CU_ASSERT_FALSE(
+        start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_NOT_EXECUTED);
+    CU_ASSERT_EQUAL(attempt.step, HS_STEP_CALLER_GONE);
+    CU_ASSERT_PTR_NULL(attempt.connection);
+    hs_clock_sleep_ms(DEADLINE_MS / 4);
+    CU_ASSERT_EQUAL(scripted_peer_request_count(test.peer), 1);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
+    hs_interrupt_clear(&interrupt);
+    close_fixture(&test);
+}
+
 /**
  * Guards against a duplicate refusal being taken for the response to the next attempt, which
  * carries the same request id: the request would be reported as not executed while the engine
@@ -494,6 +520,7 @@
     {"connection_is_not_reused_after_a_resume_mismatch",
      connection_is_not_reused_after_a_resume_mismatch},
     {"repeatedly_refused_items_share_connections", repeatedly_refused_items_share_connections},
+    {"an_interrupted_request_is_not_sent", an_interrupted_request_is_not_sent},
     {"a_request_is_not_sent_after_its_time_to_be_sent",
      a_request_is_not_sent_after_its_time_to_be_sent},
     {"early_response_stops_sending", early_response_stops_sending},
