Jobs: an owner that is told of all ends needs no recent fold to start items

Cause: a fold that is not recent lacks only ends that were acknowledged since, and those are now reported before they are acknowledged. To hold all starts because the store is silent protects nobody while these reports arrive.

Change: an end is acknowledged once every running daemon that claims the partition has confirmed it (any answer counts: an older build answers 503 and relies on nothing), and answered 504 otherwise; it is stored then, and may be sent again. start_rule decides, purely: items start from a fold of less than cancel_ms less a third (a second at most), or from an older one if all ends since it was complete were reported. They may not have been before this daemon was known as owner (3 s after the assignment), while it was suspended, while fewer than half of the other daemons are running by its view, or while one that runs does not report ends: MemberRecord.reports_ends, passed over by older builds. Daemons that run restricted items for owners of other regions are not found by their claim and need a recent fold, as do all after a suspension.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -1691,7 +1691,7 @@
   (ProtobufCMessageInit) hs__owned_partition__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[19] =
+static const ProtobufCFieldDescriptor hs__member_record__field_descriptors[20] =
 {
   {
     "id",
@@ -1921,6 +1921,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reports_ends",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Hs__MemberRecord, reports_ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__member_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -1938,6 +1950,7 @@
   5,   /* field[5] = peer_port */
   16,   /* field[16] = region */
   17,   /* field[17] = relays_state */
+  19,   /* field[19] = reports_ends */
   3,   /* field[3] = state */
   15,   /* field[15] = taken_percent */
   2,   /* field[2] = version */
@@ -1946,7 +1959,7 @@
 static const ProtobufCIntRange hs__member_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor hs__member_record__descriptor =
 {
@@ -1956,7 +1969,7 @@
   "Hs__MemberRecord",
   "hs",
   sizeof(Hs__MemberRecord),
-  19,
+  20,
   hs__member_record__field_descriptors,
   hs__member_record__field_indices_by_name,
   1,  hs__member_record__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -170,6 +170,10 @@
    * The member passes records of the store on; older builds do not.
    */
   protobuf_c_boolean relays_state;
+  /*
+   * The member reports ends of jobs to their owners before it acknowledges them; older builds do not.
+   */
+  protobuf_c_boolean reports_ends;
   /*
    * The member is not ready to serve yet; older builds join when ready.
    */
@@ -177,7 +181,7 @@
 };
 #define HS__MEMBER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__member_record__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, HS__MEMBER_STATE__MEMBER_ALIVE, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -128,6 +128,7 @@
                       .admin_port = settings->front_port,
                       .size = settings->size,
                       .relays_state = true,
+                      .reports_ends = true,
                       .is_starting = true};
     uint32_t probe_ms = settings->probe_interval_ms;
     hs_membership_service_settings service_settings = {
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -109,6 +109,18 @@
 bool hs_daemon_directory_find_daemon(hs_daemon_directory *directory, uint64_t daemon,
                                      hs_daemon_address *address);
 
+/**
+ * Lists the other running daemons that claim a partition, former owners that have not released it
+ * included: of hs_daemon_address. Free with g_array_unref.
+ */
+GArray *hs_daemon_directory_list_claimants(hs_daemon_directory *directory, uint32_t partition);
+
+/**
+ * Whether other daemons know this one and report ends of jobs to it: at least half of the others
+ * known are running, and all running ones report ends.
+ */
+bool hs_daemon_directory_hears_of_ends(hs_daemon_directory *directory);
+
 /** Reports whether the deployment has several regions and this daemon's region is known. */
 bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory);
 
--- a/src/directory/directory_members.c
+++ b/src/directory/directory_members.c
@@ -105,6 +105,49 @@
     return found != NULL;
 }
 
+static bool claims_partition(const hs_member *member, uint32_t partition) {
+    bool is_claimed = false;
+    for (guint index = 0; index < member->owned->len && !is_claimed; index++)
+        is_claimed = g_array_index(member->owned, hs_owned_partition, index).partition == partition;
+    return is_claimed;
+}
+
+GArray *hs_daemon_directory_list_claimants(hs_daemon_directory *directory, uint32_t partition) {
+    GArray *claimants = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member->is_self || !hs_member_is_running(member) ||
+            !claims_partition(member, partition))
+            continue;
+        hs_daemon_address address = address_of(directory, membership, member);
+        g_array_append_val(claimants, address);
+    }
+    hs_membership_service_unlock(directory->membership);
+    return claimants;
+}
+
+bool hs_daemon_directory_hears_of_ends(hs_daemon_directory *directory) {
+    uint32_t running = 0;
+    uint32_t lost = 0;
+    bool do_all_report = true;
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership *membership = hs_membership_service_lock(directory->membership);
+    hs_membership_list(membership, members);
+    for (guint index = 0; index < members->len; index++) {
+        const hs_member *member = members->pdata[index];
+        if (member->is_self || hs_daemon_is_seed(member->id))
+            continue;
+        running += hs_member_is_running(member);
+        lost += member->state == HS_MEMBER_DEAD;
+        do_all_report = do_all_report && (member->reports_ends || !hs_member_is_running(member));
+    }
+    hs_membership_service_unlock(directory->membership);
+    return do_all_report && running >= lost;
+}
+
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner) {
     uint32_t epoch = 0;
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -269,8 +269,8 @@
             hs_clock_monotonic_ms() + CONTENT_READ_TIMEOUT_MS, &outcome);
     if (run->content == NULL)
         return HS_ITEM_ATTEMPT_NO_CONTENT;
-    uint64_t fold_age_ms = hs_job_partition_age_ms(terms->partition);
-    if (fold_age_ms > terms->max_fold_age_ms)
+    hs_deadline send_until_ms = hs_clock_monotonic_ms() + terms->send_time_ms;
+    if (!terms->may_start(terms->user_data))
         return HS_ITEM_ATTEMPT_STALE_FOLD;
     const hs_fleet_route *route = hs_fleet_config_find_route(config, run->host, run->content->path);
     if (route == NULL)
@@ -310,7 +310,7 @@
         .wait = {.deadline = run->give_up_ms,
                  .watched = HS_WATCH_NOTHING,
                  .interrupt = &run->interrupt},
-        .send_until_ms = hs_clock_monotonic_ms() + terms->max_fold_age_ms - fold_age_ms,
+        .send_until_ms = send_until_ms,
         .head_timeout_ms = RESPONSE_HEAD_TIMEOUT_MS,
         .may_repeat = true,
     };
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -20,7 +20,7 @@
     HS_ITEM_ATTEMPT_BROKEN,      /**< The connection or stream broke; another attempt may resume. */
     HS_ITEM_ATTEMPT_FAILED,      /**< The engine answered with an error. */
     HS_ITEM_ATTEMPT_IMPOSSIBLE,  /**< The engine answered that it can never process the item. */
-    HS_ITEM_ATTEMPT_STALE_FOLD,  /**< The job may have ended: the fold is too old. */
+    HS_ITEM_ATTEMPT_STALE_FOLD,  /**< Not sent: the job may have ended; see start_rule.h. */
     HS_ITEM_ATTEMPT_NO_CONTENT,  /**< The content could not be read from the store. */
     HS_ITEM_ATTEMPT_QUARANTINED, /**< The content is quarantined: it may crash engines. */
     HS_ITEM_ATTEMPT_NO_ROUTE,    /**< The configuration has no route for the item. */
@@ -82,10 +82,11 @@
     hs_job_partition *partition;
     hs_fleet_engines *engines;
     const hs_fleet_config *config;
-    const char *own_region;   /**< Of this daemon; NULL: unknown. */
-    int32_t rank_ms;          /**< See hs_engine_query. */
-    uint64_t max_fold_age_ms; /**< The item is not sent if the partition's fold is older. */
+    const char *own_region; /**< Of this daemon; NULL: unknown. */
+    int32_t rank_ms;        /**< See hs_engine_query. */
+    uint64_t send_time_ms;  /**< Time after may_start within which the item must be sent. */
     void (*checkpoint)(hs_item_run *run, void *user_data); /**< Called after each read. */
+    bool (*may_start)(void *user_data);                    /**< Asked after the content was read. */
     void *user_data;
 } hs_item_attempt_terms;
 
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -167,10 +167,12 @@
                           "the end was not stored\n");
         return;
     }
-    hs_job_end_report(
-        call->partition, call->job_id,
-        &(hs_job_end_audience){.daemons = call->service->daemons, .config = call->config});
-    hs_job_reply_text(call->inbound, 200, "");
+    if (hs_job_end_report(call->partition, call->job_id, call->service->daemons, call->config,
+                          call->deadline))
+        hs_job_reply_text(call->inbound, 200, "");
+    else
+        hs_job_reply_text(call->inbound, 504,
+                          "the end is stored, but not confirmed by its owner\n");
 }
 
 /** Replies from this daemon's fold. Returns false without a reply if the fold may be incomplete. */
@@ -251,11 +253,6 @@
                             &owner_answer) != HS_PEER_ANSWERED)
         return false;
     bool is_definite = owner_answer.status == 200 || owner_answer.status == 404;
-    if (call->kind == HS_CALL_JOB_END && owner_answer.status == 200)
-        hs_job_end_report(call->partition, call->job_id,
-                          &(hs_job_end_audience){.daemons = daemons,
-                                                 .config = call->config,
-                                                 .is_owner_informed = true});
     if (is_definite)
         hs_job_reply(call->inbound, owner_answer.status, owner_answer.type, owner_answer.body->data,
                      owner_answer.body->len);
--- a/src/jobs/job_end.c
+++ b/src/jobs/job_end.c
@@ -11,9 +11,8 @@
 
 /** Target of a report between daemons; the body is a JobRecord. */
 #define TARGET_FORMAT "/ended?part=%u"
-/** Maximum time for a daemon's confirmation, and the number of attempts. */
+/** Maximum time for one attempt to get a daemon's confirmation, and the pause before the next. */
 #define REPORT_LIMIT_MS 250
-#define REPORT_ATTEMPTS 3
 #define REPORT_PAUSE_MS 40
 
 hs_store_outcome hs_job_end_store(hs_job_partition *partition, const char *job_id,
@@ -50,71 +49,93 @@
     return packed;
 }
 
-/** Reports the end to one daemon; returns whether it confirmed. */
-static bool report_to(const hs_daemon_address *daemon, const char *target,
-                      const GByteArray *record) {
-    for (uint32_t attempt = 0; attempt < REPORT_ATTEMPTS; attempt++) {
-        if (attempt > 0)
-            hs_clock_sleep_ms(REPORT_PAUSE_MS);
-        hs_peer_answer answer;
-        if (hs_job_peer_post(daemon, target, record, hs_clock_monotonic_ms() + REPORT_LIMIT_MS,
-                             &answer) != HS_PEER_ANSWERED)
-            continue;
-        uint32_t status = answer.status;
-        hs_peer_answer_clear(&answer);
-        return status == 200; /* An older build answers 503 each time. */
-    }
-    return false;
-}
+/** A report of one end. */
+typedef struct {
+    char *target;
+    GByteArray *record;
+    GArray *confirmed; /**< Of hs_daemon_address: the daemons that need no further report. */
+} end_report;
 
-static void add_daemon(GArray *daemons, const hs_daemon_address *added) {
-    bool is_listed = false;
-    for (guint index = 0; index < daemons->len && !is_listed; index++) {
+static bool is_listed(const GArray *daemons, const hs_daemon_address *daemon) {
+    bool is_found = false;
+    for (guint index = 0; index < daemons->len && !is_found; index++) {
         const hs_daemon_address *listed = &g_array_index(daemons, hs_daemon_address, index);
-        is_listed = listed->address == added->address && listed->port == added->port;
+        is_found = listed->address == daemon->address && listed->port == daemon->port;
     }
-    if (!is_listed)
-        g_array_append_val(daemons, *added);
+    return is_found;
+}
+
+/**
+ * Reports the end to one daemon unless it has confirmed; returns whether it has. Any answer counts:
+ * an older build answers 503, and does not rely on reports.
+ */
+static bool report_to(end_report *report, const hs_daemon_address *daemon, hs_deadline deadline) {
+    if (is_listed(report->confirmed, daemon))
+        return true;
+    hs_deadline limit = MIN(deadline, hs_clock_monotonic_ms() + REPORT_LIMIT_MS);
+    hs_peer_answer answer;
+    if (hs_job_peer_post(daemon, report->target, report->record, limit, &answer) !=
+        HS_PEER_ANSWERED)
+        return false;
+    hs_peer_answer_clear(&answer);
+    g_array_append_val(report->confirmed, *daemon);
+    return true;
 }
 
-/** Lists the daemons that may run items of the partition: of hs_daemon_address. */
-static GArray *list_daemons(uint32_t partition, const hs_job_end_audience *audience) {
-    GArray *daemons = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
-    hs_daemon_address daemon;
-    if (!audience->is_owner_informed &&
-        hs_daemon_directory_find_owner(audience->daemons, partition, &daemon))
-        add_daemon(daemons, &daemon);
-    if (audience->config == NULL)
-        return daemons;
-    g_autoptr(GArray) policies = hs_region_runner_list_policies(
-        hs_daemon_directory_topology(audience->daemons), audience->config);
+/** Reports the end to each daemon that claims the partition; returns whether all confirmed. */
+static bool report_to_claimants(end_report *report, hs_daemon_directory *daemons, uint32_t number,
+                                hs_deadline deadline) {
+    g_autoptr(GArray) claimants = hs_daemon_directory_list_claimants(daemons, number);
+    bool is_complete = true;
+    for (guint index = 0; index < claimants->len; index++)
+        is_complete =
+            report_to(report, &g_array_index(claimants, hs_daemon_address, index), deadline) &&
+            is_complete;
+    return is_complete;
+}
+
+/** Reports the end once to the daemons that run restricted items of the partition. */
+static void report_to_runners(end_report *report, hs_daemon_directory *daemons,
+                              const hs_fleet_config *config, uint32_t number,
+                              hs_deadline deadline) {
+    g_autoptr(GArray) policies =
+        hs_region_runner_list_policies(hs_daemon_directory_topology(daemons), config);
     if (policies->len == 0)
-        return daemons;
-    g_autoptr(GArray) candidates = hs_daemon_directory_list_regions(audience->daemons);
+        return;
+    g_autoptr(GArray) candidates = hs_daemon_directory_list_regions(daemons);
     for (guint index = 0; index < policies->len; index++) {
         const hs_region_policy *policy = &g_array_index(policies, hs_region_policy, index);
-        uint64_t runner = hs_region_runner_choose(candidates, partition, policy);
-        if (hs_daemon_directory_find_daemon(audience->daemons, runner, &daemon))
-            add_daemon(daemons, &daemon);
+        uint64_t runner = hs_region_runner_choose(candidates, number, policy);
+        hs_daemon_address daemon;
+        if (hs_daemon_directory_find_daemon(daemons, runner, &daemon))
+            report_to(report, &daemon, deadline);
     }
-    return daemons;
 }
 
-void hs_job_end_report(hs_job_partition *partition, const char *job_id,
-                       const hs_job_end_audience *audience) {
-    if (audience->daemons == NULL)
-        return;
+bool hs_job_end_report(hs_job_partition *partition, const char *job_id,
+                       hs_daemon_directory *daemons, const hs_fleet_config *config,
+                       hs_deadline deadline) {
+    if (daemons == NULL)
+        return true;
     uint32_t number = hs_job_partition_number(partition);
     uint64_t started_ms = hs_clock_monotonic_ms();
-    g_autoptr(GArray) daemons = list_daemons(number, audience);
-    g_autoptr(GByteArray) record = pack_end(job_id);
-    g_autofree char *target = g_strdup_printf(TARGET_FORMAT, number);
-    guint confirmed = 0;
-    for (guint index = 0; index < daemons->len; index++)
-        confirmed +=
-            report_to(&g_array_index(daemons, hs_daemon_address, index), target, record) ? 1 : 0;
-    hs_log_info("job_end_reported", "job=%s part=%u daemons=%u confirmed=%u took_ms=%u", job_id,
-                number, daemons->len, confirmed, (unsigned)(hs_clock_monotonic_ms() - started_ms));
+    end_report report = {.target = g_strdup_printf(TARGET_FORMAT, number),
+                         .record = pack_end(job_id),
+                         .confirmed = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address))};
+    if (config != NULL)
+        report_to_runners(&report, daemons, config, number, deadline);
+    bool is_complete = report_to_claimants(&report, daemons, number, deadline);
+    while (!is_complete && hs_clock_monotonic_ms() < deadline) {
+        hs_clock_sleep_ms(REPORT_PAUSE_MS);
+        is_complete = report_to_claimants(&report, daemons, number, deadline);
+    }
+    hs_log_info("job_end_reported", "job=%s part=%u confirmed=%u complete=%d took_ms=%u", job_id,
+                number, report.confirmed->len, is_complete,
+                (unsigned)(hs_clock_monotonic_ms() - started_ms));
+    g_free(report.target);
+    g_byte_array_unref(report.record);
+    g_array_unref(report.confirmed);
+    return is_complete;
 }
 
 bool hs_job_end_is_report(const char *target) {
--- a/src/jobs/job_end.h
+++ b/src/jobs/job_end.h
@@ -18,21 +18,16 @@
 hs_store_outcome hs_job_end_store(hs_job_partition *partition, const char *job_id,
                                   uint64_t received_ms, hs_deadline deadline);
 
-/** The daemons to which a stored end is reported; all borrowed. */
-typedef struct {
-    hs_daemon_directory *daemons; /**< NULL: there are no others. */
-    const hs_fleet_config
-        *config;            /**< Names the regions that jobs are restricted to; NULL: none. */
-    bool is_owner_informed; /**< The partition's owner stored the end itself. */
-} hs_job_end_audience;
-
 /**
- * Reports a stored end to the partition's owner and to the daemons that run its restricted items.
- * Returns once each has confirmed it or the time for that is over; a daemon that has not confirmed
- * finds the end in the log.
+ * Reports a stored end to all running daemons that claim the partition, until each has confirmed
+ * it or is no longer running, at most until @p deadline, and once to those that run its restricted
+ * items. Returns whether the end may be acknowledged: no daemon that relies on reports lacks it
+ * (see start_rule.h). @p daemons: NULL if there are no others. @p config: names the regions that
+ * jobs are restricted to; NULL: none.
  */
-void hs_job_end_report(hs_job_partition *partition, const char *job_id,
-                       const hs_job_end_audience *audience);
+bool hs_job_end_report(hs_job_partition *partition, const char *job_id,
+                       hs_daemon_directory *daemons, const hs_fleet_config *config,
+                       hs_deadline deadline);
 
 /** Returns whether a request of another daemon reports an end, to be passed to hs_job_end_apply. */
 bool hs_job_end_is_report(const char *target);
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -46,10 +46,9 @@
 typedef struct {
     hs_job_owner *owner;
     hs_job_partition *partition;
-    GHashTable *items; /**< "job/index" -> hs_owned_item* */
-    bool is_owned;     /**< The partition is assigned to this daemon. */
-    uint64_t
-        held_since_ms; /**< No item starts since then, as the fold is too old; 0: items start. */
+    GHashTable *items;      /**< "job/index" -> hs_owned_item* */
+    bool is_owned;          /**< The partition is assigned to this daemon. */
+    uint64_t held_since_ms; /**< Since when no item may start by start_rule.h; 0: items may. */
     bool is_runner; /**< Not owned, but this daemon runs its restricted items; see job_runners.h. */
     const char *owner_region;      /**< As of the last update of runners; NULL: unknown. */
     uint64_t acquired_ms;          /**< Monotonic time of the latest assignment. */
@@ -101,6 +100,8 @@
     GHashTable *services;         /**< Group (interned) -> hs_service_starts*; see job_starts.h. */
     GArray *runners;              /**< Of hs_daemon_region; NULL: no items are restricted. */
     uint64_t next_runners_ms;     /**< Of the next update of runners. */
+    uint64_t reported_since_ms;   /**< See hs_ends_knowledge; of all partitions. */
+    uint64_t last_pass_ms;        /**< Start of the scheduler's latest pass. */
     uint32_t held_partitions;     /**< Of this pass: their folds are too old to start items. */
     uint32_t unrunnable_items;    /**< Of this pass: no live daemon may run them. */
     hs_region_waits region_waits; /**< Of the latest pass. */
@@ -131,6 +132,9 @@
  */
 bool hs_job_owner_may_run(const hs_owned_job_partition *owned, uint64_t now_ms);
 
+/** Whether items of an active partition may start by start_rule.h. Under the owner's lock. */
+bool hs_job_owner_may_start(const hs_owned_job_partition *owned);
+
 /** Whether this daemon owns the partition or runs its restricted items. Under the owner's lock. */
 bool hs_job_owner_is_active(const hs_owned_job_partition *owned);
 
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -23,9 +23,6 @@
 #define POLL_END_AGE_MS (HS_JOB_MAX_FOLD_AGE_MS - 200)
 /** Minimum wait in ms of a long poll of a fold that is older than that. */
 #define MIN_POLL_MS 50
-/** Part of the time after an end, and its maximum in ms, that is left for sending an item. */
-#define SEND_TIME_DIVISOR 3
-#define MAX_SEND_TIME_MS 1000
 /** Pause after a failed read: some ten times an answer's time, so that the store is not loaded and
  * its return is still noticed soon. */
 #define FAILED_READ_PAUSE_MS 150
@@ -209,10 +206,6 @@
     return current_ms != 0 ? hs_clock_monotonic_ms() - current_ms : UINT64_MAX;
 }
 
-uint64_t hs_job_max_start_age_ms(uint32_t cancel_ms) {
-    return cancel_ms - MIN(cancel_ms / SEND_TIME_DIVISOR, MAX_SEND_TIME_MS);
-}
-
 uint32_t hs_job_poll_wait_ms(uint64_t current_ms, uint64_t now_ms, uint64_t until_ms) {
     uint64_t due_ms = MAX(current_ms + POLL_END_AGE_MS, now_ms + MIN_POLL_MS);
     return (uint32_t)(MIN(due_ms, until_ms) - now_ms);
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -43,12 +43,6 @@
  */
 #define HS_JOB_MAX_FOLD_AGE_MS 900
 
-/**
- * Returns the maximum age in ms of a fold from which items start. An end that such a fold lacks is
- * younger than @p cancel_ms when the item reaches an engine.
- */
-uint64_t hs_job_max_start_age_ms(uint32_t cancel_ms);
-
 /** Returns the time in ms since the fold was known to be complete; UINT64_MAX: it never was. */
 uint64_t hs_job_partition_age_ms(hs_job_partition *partition);
 
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -7,15 +7,19 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/stall_detector.h"
 #include "jobs/job_plan.h"
 #include "jobs/job_regions.h"
 #include "jobs/job_room.h"
 #include "jobs/job_runners.h"
 #include "jobs/job_starts.h"
+#include "jobs/start_rule.h"
 
 #define DEFAULT_MAX_ATTEMPTS 3
 #define EXPIRY_SLACK_MS 2000
 #define DEFAULT_RETENTION_MS 60000
+/** Time in ms for an announcement of an owned partition to reach all daemons. */
+#define ANNOUNCE_TIME_MS 3000
 
 static uint64_t get_retention_ms(const hs_job *job) {
     return job->retention_ms > 0 ? job->retention_ms : DEFAULT_RETENTION_MS;
@@ -220,22 +224,45 @@
     return true;
 }
 
+bool hs_job_owner_may_start(const hs_owned_job_partition *owned) {
+    const hs_job_owner *owner = owned->owner;
+    /* Ends are reported to daemons that are known to own the partition, not to runners. */
+    uint64_t reported_since_ms =
+        owned->is_owned ? MAX(owner->reported_since_ms, owned->acquired_ms + ANNOUNCE_TIME_MS)
+                        : UINT64_MAX;
+    return hs_start_rule_may_start(
+        &(hs_ends_knowledge){.now_ms = hs_clock_monotonic_ms(),
+                             .fold_age_ms = hs_job_partition_age_ms(owned->partition),
+                             .reported_since_ms = reported_since_ms,
+                             .cancel_ms = owner->settings.cancel_ms});
+}
+
 /**
- * Holds the starts of a partition while its fold is too old: jobs may have ended since, and another
- * daemon may own the partition by now. The caller holds the owner's lock.
+ * Notes a time until which ends may not have been reported to this daemon: it was suspended, or
+ * other daemons may take it for dead. The caller holds the lock.
  */
+static void update_reported_since(hs_job_owner *owner) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    bool was_suspended = now_ms - owner->last_pass_ms > HS_MIN_STALL_MS;
+    owner->last_pass_ms = now_ms;
+    hs_daemon_directory *daemons = owner->settings.daemons;
+    if (was_suspended || (daemons != NULL && !hs_daemon_directory_hears_of_ends(daemons)))
+        owner->reported_since_ms = now_ms;
+}
+
+/** Holds or resumes the starts of a partition. The caller holds the owner's lock. */
 static void update_hold(hs_owned_job_partition *owned) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    uint64_t age_ms = hs_job_partition_age_ms(owned->partition);
-    uint64_t limit_ms = hs_job_max_start_age_ms(owned->owner->settings.cancel_ms);
-    bool is_held = age_ms > limit_ms;
+    bool is_held = !hs_job_owner_may_start(owned);
     owned->owner->held_partitions += is_held;
     if (is_held == (owned->held_since_ms != 0))
         return;
     hs_log_info(is_held ? "partition_starts_held" : "partition_starts_resumed",
-                "part=%u fold_age_ms=%" G_GUINT64_FORMAT " limit_ms=%" G_GUINT64_FORMAT
+                "part=%u fold_age_ms=%" G_GUINT64_FORMAT " reported_for_ms=%" G_GUINT64_FORMAT
                 " held_ms=%" G_GUINT64_FORMAT,
-                hs_job_partition_number(owned->partition), (guint64)age_ms, (guint64)limit_ms,
+                hs_job_partition_number(owned->partition),
+                (guint64)hs_job_partition_age_ms(owned->partition),
+                (guint64)(now_ms - owned->owner->reported_since_ms),
                 (guint64)(is_held ? 0 : now_ms - owned->held_since_ms));
     owned->held_since_ms = is_held ? now_ms : 0;
 }
@@ -287,6 +314,7 @@
     while (!owner->stopping) {
         hs_fleet_config *config = hs_config_source_get(owner->settings.config);
         hs_job_owner_release_superseded(owner);
+        update_reported_since(owner);
         if (config != NULL) {
             hs_job_runners_update(owner, config);
             start_items(owner, config);
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -9,6 +9,7 @@
 #include "base/log.h"
 #include "jobs/job_regions.h"
 #include "jobs/job_starts.h"
+#include "jobs/start_rule.h"
 
 #define PREEMPTED_PAUSE_MS 100
 /** Interval between requests of a quarantined item for a trial run: several in a delay between two
@@ -135,6 +136,15 @@
                                            : NULL;
 }
 
+static bool may_start(void *user_data) {
+    const hs_item_task *task = user_data;
+    hs_job_owner *owner = task->partition->owner;
+    g_mutex_lock(&owner->lock);
+    bool may_start = hs_job_owner_may_start(task->partition);
+    g_mutex_unlock(&owner->lock);
+    return may_start;
+}
+
 void hs_job_worker_run(gpointer data, gpointer user_data) {
     hs_job_owner *owner = user_data;
     hs_item_task *task = data;
@@ -152,8 +162,9 @@
                                        .config = config,
                                        .own_region = get_own_region(owner),
                                        .rank_ms = task->rank_ms,
-                                       .max_fold_age_ms =
-                                           hs_job_max_start_age_ms(owner->settings.cancel_ms),
+                                       .send_time_ms =
+                                           hs_start_rule_send_time_ms(owner->settings.cancel_ms),
+                                       .may_start = may_start,
                                        .checkpoint = hs_job_checkpoint_take,
                                        .user_data = task};
         end = hs_item_run_attempt(item->run, &terms);
--- a/src/membership/member_record.c
+++ b/src/membership/member_record.c
@@ -48,6 +48,7 @@
     record->taken_percent = member->size.utilisation_percent;
     record->relays_state = member->relays_state;
     record->is_starting = member->is_starting;
+    record->reports_ends = member->reports_ends;
     record->n_leaving_engines = member->leaving_engines->len;
     record->leaving_engines = g_new0(char *, member->leaving_engines->len);
     for (guint index = 0; index < member->leaving_engines->len; index++)
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -81,6 +81,7 @@
     own->is_self = true;
     own->relays_state = self->relays_state;
     own->is_starting = self->is_starting;
+    own->reports_ends = self->reports_ends;
     membership->self = own;
     return membership;
 }
@@ -319,8 +320,15 @@
     return has_changed;
 }
 
+/** As copy_region: within an incarnation the value is retained, as older builds leave it out. */
+static void copy_reports_ends(hs_member *member, const Hs__MemberRecord *record) {
+    bool is_same_run = record->incarnation == member->incarnation;
+    member->reports_ends = record->reports_ends || (is_same_run && member->reports_ends);
+}
+
 static void copy_record(hs_member *member, const Hs__MemberRecord *record) {
     copy_region(member, record);
+    copy_reports_ends(member, record);
     member->incarnation = record->incarnation;
     member->version = record->version;
     if (record->address != 0) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -70,6 +70,7 @@
     hs_machine_size size;
     bool is_self;
     bool relays_state; /**< Passes records of the store on to other daemons. */
+    bool reports_ends; /**< Reports ends of jobs to their owners before it acknowledges them. */
     bool is_starting;  /**< Not ready to serve; it counts as live for this daemon itself only. */
     uint64_t state_since_ms;
     uint32_t sent_count; /**< Times sent as gossip since the last change to relay. */
