Jobs: the daemon that forwards an end reports it too

Cause: an end that a daemon forwards to the owner was reported by the owner alone, by its view of the claims; the forwarding daemon may know of another claim, or hold one itself that it has not released, and it alone knows the regions of the configuration, so that daemons that run restricted items were told only of ends that the first daemon stored itself. Found by reading.

Change: after the owner's 200 the forwarding daemon applies the end to its own fold, if that has the job, and reports it as one that it stored; those that confirmed before answer at once.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -158,15 +158,8 @@
     return true;
 }
 
-/** Stores the end of the job, reports it, and replies. */
-static void answer_end(const job_call *call) {
-    hs_store_outcome outcome =
-        hs_job_end_store(call->partition, call->job_id, call->inbound->received_ms, call->deadline);
-    if (outcome != HS_STORE_DONE) {
-        hs_job_reply_text(call->inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503,
-                          "the end was not stored\n");
-        return;
-    }
+/** Reports the stored end, and replies. */
+static void acknowledge_end(const job_call *call) {
     if (hs_job_end_report(call->partition, call->job_id, call->service->daemons, call->config,
                           call->deadline))
         hs_job_reply_text(call->inbound, 200, "");
@@ -175,6 +168,27 @@
                           "the end is stored, but not confirmed by its owner\n");
 }
 
+/**
+ * Acknowledges an end that the owner stored. By this daemon's view there may be other claims to the
+ * partition, its own among them.
+ */
+static void acknowledge_forwarded_end(const job_call *call) {
+    if (hs_job_check_visibility(call->partition, call->job_id, call->tenant) == HS_JOB_VISIBLE)
+        hs_job_partition_apply_end(call->partition, call->job_id, "owner");
+    acknowledge_end(call);
+}
+
+/** Stores the end of the job, reports it, and replies. */
+static void answer_end(const job_call *call) {
+    hs_store_outcome outcome =
+        hs_job_end_store(call->partition, call->job_id, call->inbound->received_ms, call->deadline);
+    if (outcome == HS_STORE_DONE)
+        acknowledge_end(call);
+    else
+        hs_job_reply_text(call->inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503,
+                          "the end was not stored\n");
+}
+
 /** Replies from this daemon's fold. Returns false without a reply if the fold may be incomplete. */
 static bool answer_from_fold(const job_call *call, fold_state fold) {
     bool is_known =
@@ -253,7 +267,9 @@
                             &owner_answer) != HS_PEER_ANSWERED)
         return false;
     bool is_definite = owner_answer.status == 200 || owner_answer.status == 404;
-    if (is_definite)
+    if (call->kind == HS_CALL_JOB_END && owner_answer.status == 200)
+        acknowledge_forwarded_end(call);
+    else if (is_definite)
         hs_job_reply(call->inbound, owner_answer.status, owner_answer.type, owner_answer.body->data,
                      owner_answer.body->len);
     hs_peer_answer_clear(&owner_answer);
