Directory: who claims a partition, and whether ends are reported, decided apart

Change: src/directory/job_claims decides from the members, without a lock or a network; no rule is changed.

--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -115,11 +115,8 @@
  */
 GArray *hs_daemon_directory_list_claimants(hs_daemon_directory *directory, uint32_t partition);
 
-/**
- * Whether other daemons know this one and report ends of jobs to it: at least half of the others
- * known are running, and all running ones report ends.
- */
-bool hs_daemon_directory_hears_of_ends(hs_daemon_directory *directory);
+/** Whether the other daemons report ends of jobs to this one; see job_claims.h. */
+bool hs_daemon_directory_are_ends_reported(hs_daemon_directory *directory);
 
 /** Reports whether the deployment has several regions and this daemon's region is known. */
 bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory);
--- a/src/directory/directory_members.c
+++ b/src/directory/directory_members.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/hash.h"
+#include "directory/job_claims.h"
 
 #include <string.h>
 
@@ -105,13 +106,6 @@
     return found != NULL;
 }
 
-static bool claims_partition(const hs_member *member, uint32_t partition) {
-    bool is_claimed = false;
-    for (guint index = 0; index < member->owned->len && !is_claimed; index++)
-        is_claimed = g_array_index(member->owned, hs_owned_partition, index).partition == partition;
-    return is_claimed;
-}
-
 GArray *hs_daemon_directory_list_claimants(hs_daemon_directory *directory, uint32_t partition) {
     GArray *claimants = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address));
     g_autoptr(GPtrArray) members = g_ptr_array_new();
@@ -119,8 +113,7 @@
     hs_membership_list(membership, members);
     for (guint index = 0; index < members->len; index++) {
         const hs_member *member = members->pdata[index];
-        if (member->is_self || !hs_member_is_running(member) ||
-            !claims_partition(member, partition))
+        if (!hs_job_claims_is_claimant(member, partition))
             continue;
         hs_daemon_address address = address_of(directory, membership, member);
         g_array_append_val(claimants, address);
@@ -129,23 +122,16 @@
     return claimants;
 }
 
-bool hs_daemon_directory_hears_of_ends(hs_daemon_directory *directory) {
-    uint32_t running = 0;
-    uint32_t lost = 0;
-    bool do_all_report = true;
+bool hs_daemon_directory_are_ends_reported(hs_daemon_directory *directory) {
     g_autoptr(GPtrArray) members = g_ptr_array_new();
     hs_membership *membership = hs_membership_service_lock(directory->membership);
     hs_membership_list(membership, members);
-    for (guint index = 0; index < members->len; index++) {
-        const hs_member *member = members->pdata[index];
-        if (member->is_self || hs_daemon_is_seed(member->id))
-            continue;
-        running += hs_member_is_running(member);
-        lost += member->state == HS_MEMBER_DEAD;
-        do_all_report = do_all_report && (member->reports_ends || !hs_member_is_running(member));
-    }
+    for (guint index = members->len; index > 0; index--)
+        if (hs_daemon_is_seed(((const hs_member *)members->pdata[index - 1])->id))
+            g_ptr_array_remove_index_fast(members, index - 1);
+    bool are_reported = hs_job_claims_are_ends_reported(members);
     hs_membership_service_unlock(directory->membership);
-    return do_all_report && running >= lost;
+    return are_reported;
 }
 
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -246,7 +246,7 @@
     bool was_suspended = now_ms - owner->last_pass_ms > HS_MIN_STALL_MS;
     owner->last_pass_ms = now_ms;
     hs_daemon_directory *daemons = owner->settings.daemons;
-    if (was_suspended || (daemons != NULL && !hs_daemon_directory_hears_of_ends(daemons)))
+    if (was_suspended || (daemons != NULL && !hs_daemon_directory_are_ends_reported(daemons)))
         owner->reported_since_ms = now_ms;
 }
 
--- a/tests/unit/test_feed_members.c
+++ b/tests/unit/test_feed_members.c
@@ -4,6 +4,7 @@
  * registry and in the group of job owners.
  */
 #include "directory/feed_members.h"
+#include "directory/job_claims.h"
 #include "directory/registry_plan.h"
 #include "directory/resolve_addresses.h"
 #include "jobs/group_choice.h"
@@ -33,11 +34,14 @@
     uint32_t version;
     bool relays_state;
     bool is_starting;
+    bool reports_ends;
+    hs_member_state state; /**< PROPOSED: alive. */
+    const char *id;        /**< NULL: "b". */
 } member_terms;
 
 static void apply(hs_membership *membership, const member_terms *terms) {
     Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
-    record.id = (char *)"b";
+    record.id = (char *)(terms->id != NULL ? terms->id : "b");
     record.incarnation = 1;
     record.version = terms->version;
     record.address = 2;
@@ -46,6 +50,9 @@
     record.zone = (char *)"z";
     record.relays_state = terms->relays_state;
     record.is_starting = terms->is_starting;
+    record.reports_ends = terms->reports_ends;
+    if (terms->state == HS_MEMBER_DEAD)
+        record.state = HS__MEMBER_STATE__MEMBER_DEAD;
     hs_membership_apply_record(membership, &record, HS_RECORD_FROM_GOSSIP, 1);
 }
 
@@ -90,6 +97,40 @@
     hs_membership_free(membership);
 }
 
+static bool are_ends_reported(const hs_membership *membership) {
+    g_autoptr(GPtrArray) members = g_ptr_array_new();
+    hs_membership_list(membership, members);
+    return hs_job_claims_are_ends_reported(members);
+}
+
+/** Otherwise an owner would rely on reports of a build that sends none. */
+static void ends_are_not_reported_beside_an_older_build(void) {
+    hs_membership *membership = new_membership(false);
+    CU_ASSERT_TRUE(are_ends_reported(membership)); /* There is no other daemon. */
+    apply(membership, &(member_terms){.version = 1});
+    CU_ASSERT_FALSE(are_ends_reported(membership));
+    apply(membership, &(member_terms){.version = 2, .reports_ends = true});
+    CU_ASSERT_TRUE(are_ends_reported(membership));
+    apply(membership, &(member_terms){.version = 3}); /* Relayed by an older build. */
+    CU_ASSERT_TRUE(are_ends_reported(membership));
+    hs_membership_free(membership);
+}
+
+/** Otherwise an owner that is cut off would rely on reports that cannot reach it. */
+static void ends_are_not_reported_to_a_daemon_that_has_lost_most_others(void) {
+    hs_membership *membership = new_membership(false);
+    static const char *const ids[] = {"b", "c", "d"};
+    for (guint index = 0; index < G_N_ELEMENTS(ids); index++)
+        apply(membership, &(member_terms){.version = 1, .reports_ends = true, .id = ids[index]});
+    CU_ASSERT_TRUE(are_ends_reported(membership));
+    for (guint index = 0; index < 2; index++)
+        apply(membership,
+              &(member_terms){
+                  .version = 1, .reports_ends = true, .id = ids[index], .state = HS_MEMBER_DEAD});
+    CU_ASSERT_FALSE(are_ends_reported(membership));
+    hs_membership_free(membership);
+}
+
 /** Guards against a daemon that finds no arbiter since it does not count itself. */
 static void a_starting_daemon_counts_itself(void) {
     hs_membership *membership = new_membership(true);
@@ -130,6 +171,9 @@
     {"callers_do_not_get_a_starting_daemon", callers_do_not_get_a_starting_daemon},
     {"a_record_of_an_older_build_changes_no_readiness",
      a_record_of_an_older_build_changes_no_readiness},
+    {"ends_are_not_reported_beside_an_older_build", ends_are_not_reported_beside_an_older_build},
+    {"ends_are_not_reported_to_a_daemon_that_has_lost_most_others",
+     ends_are_not_reported_to_a_daemon_that_has_lost_most_others},
     {"a_starting_daemon_counts_itself", a_starting_daemon_counts_itself},
     {"the_registry_is_read_by_few_of_a_large_fleet", the_registry_is_read_by_few_of_a_large_fleet},
     {"partitions_are_owned_by_the_largest_machines", partitions_are_owned_by_the_largest_machines},
