Directory: who is told of ends, and who may rely on it, at starts, cuts and stops

An owner relied on reports that could not reach it, or were not sent:

- a leaving daemon was no claimant although it may start items for half of its grace time, and a leaving older build, which reports nothing, did not count;
- an owner that knew no other daemon, or only proposed ones, after a start or a cut of over 30 s, counted as told;
- an owner that others had falsely held for dead noticed nothing.

--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -77,6 +77,7 @@
 typedef struct {
     uint32_t address; /**< IPv4, in host order. */
     uint16_t port;
+    bool reports_ends;  /**< Only of claimants: relies on reports of ends of jobs. */
     bool is_far;        /**< In another region than this daemon, as both announced. */
     const char *region; /**< By the topology, from which it is borrowed; NULL: unknown. */
 } hs_daemon_address;
@@ -110,14 +111,23 @@
                                      hs_daemon_address *address);
 
 /**
- * Lists the other running daemons that claim a partition, former owners that have not released it
+ * Lists the other daemons that claim a partition, former owners that have not released it
  * included: of hs_daemon_address. Free with g_array_unref.
  */
 GArray *hs_daemon_directory_list_claimants(hs_daemon_directory *directory, uint32_t partition);
 
-/** Whether the other daemons report ends of jobs to this one; see job_claims.h. */
+/**
+ * Whether the other daemons report ends of jobs to this one; see job_claims.h. False as well if
+ * others held this daemon for dead since the last call; to be called by one thread.
+ */
 bool hs_daemon_directory_are_ends_reported(hs_daemon_directory *directory);
 
+/**
+ * Whether this daemon knows the other members: it joined, and was not suspended, for long enough to
+ * learn of them.
+ */
+bool hs_daemon_directory_is_settled(hs_daemon_directory *directory);
+
 /** Reports whether the deployment has several regions and this daemon's region is known. */
 bool hs_daemon_directory_has_regions(const hs_daemon_directory *directory);
 
--- a/src/directory/directory_members.c
+++ b/src/directory/directory_members.c
@@ -116,6 +116,7 @@
         if (!hs_job_claims_is_claimant(member, partition))
             continue;
         hs_daemon_address address = address_of(directory, membership, member);
+        address.reports_ends = member->reports_ends;
         g_array_append_val(claimants, address);
     }
     hs_membership_service_unlock(directory->membership);
@@ -129,11 +130,21 @@
     for (guint index = members->len; index > 0; index--)
         if (hs_daemon_is_seed(((const hs_member *)members->pdata[index - 1])->id))
             g_ptr_array_remove_index_fast(members, index - 1);
-    bool are_reported = hs_job_claims_are_ends_reported(members);
+    uint32_t rejoin_count = hs_membership_rejoin_count(membership);
+    bool was_held_for_dead = rejoin_count != directory->reports_rejoin_count;
+    directory->reports_rejoin_count = rejoin_count;
+    bool are_reported = !was_held_for_dead && hs_job_claims_are_ends_reported(members);
     hs_membership_service_unlock(directory->membership);
     return are_reported;
 }
 
+bool hs_daemon_directory_is_settled(hs_daemon_directory *directory) {
+    hs_stall_detector *detector = directory->settings.stall_detector;
+    uint64_t stalled_ms = detector != NULL ? hs_stall_detector_get_last_stall_ms(detector) : 0;
+    return g_atomic_int_get(&directory->joined) != 0 &&
+           hs_clock_monotonic_ms() > MAX(directory->started_ms, stalled_ms) + SETTLE_MS;
+}
+
 bool hs_daemon_directory_find_owner(hs_daemon_directory *directory, uint32_t partition,
                                     hs_daemon_address *owner) {
     uint32_t epoch = 0;
