Jobs: an end is acknowledged only on confirmations that mean something

Any answer to a report counted as a confirmation, also the 503 of an owner that lacks memory and threw the report away; a report waited 250 ms each time, so that an owner that needs longer never confirms; a daemon that has just started, or was suspended, acknowledged by a list of claims that it could not have yet; a report for another partition was applied.

Change: only 200 confirms, but for daemons that do not rely on reports; the time for it doubles with each attempt; the end waits until this daemon is settled; the partition is checked against the job's id; an owner gets 700 ms for an end.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -30,6 +30,8 @@
  * callers time out, 1.5 s after their own wait.
  */
 #define OWNER_ANSWER_SLACK_MS 400
+/** The same for the end of a job, which the owner stores before it answers. */
+#define OWNER_END_SLACK_MS 700
 
 /** How complete a fold is known to be. */
 typedef enum {
@@ -241,14 +243,6 @@
     return hs_body_regions_allow(&regions, owner->region);
 }
 
-/** Returns the time for the owner's answer. An owner stores an end before it answers. */
-static uint64_t get_owner_limit_ms(const job_call *call) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    if (call->kind == HS_CALL_JOB_END)
-        return call->deadline > now_ms ? (call->deadline - now_ms) / 2 : 0;
-    return MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + OWNER_ANSWER_SLACK_MS;
-}
-
 /**
  * Forwards the request to the partition's owner and replies with its answer. Returns false without
  * a reply if no owner is known or the owner gave no definite answer.
@@ -260,7 +254,8 @@
     if (daemons == NULL || !hs_daemon_directory_find_owner(daemons, number, &owner) ||
         !may_owner_answer(call, &owner))
         return false;
-    uint64_t limit_ms = get_owner_limit_ms(call);
+    uint64_t slack_ms = call->kind == HS_CALL_JOB_END ? OWNER_END_SLACK_MS : OWNER_ANSWER_SLACK_MS;
+    uint64_t limit_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + slack_ms;
     hs_peer_answer owner_answer;
     if (hs_job_peer_forward(&owner, call->inbound, call->tenant,
                             MIN(call->deadline, hs_clock_monotonic_ms() + limit_ms),
--- a/src/jobs/job_end.c
+++ b/src/jobs/job_end.c
@@ -11,8 +11,9 @@
 
 /** Target of a report between daemons; the body is a JobRecord. */
 #define TARGET_FORMAT "/ended?part=%u"
-/** Maximum time for one attempt to get a daemon's confirmation, and the pause before the next. */
-#define REPORT_LIMIT_MS 250
+/** Time for a daemon's first confirmation, which doubles with each attempt, and the pause between.
+ */
+#define FIRST_REPORT_LIMIT_MS 250
 #define REPORT_PAUSE_MS 40
 
 hs_store_outcome hs_job_end_store(hs_job_partition *partition, const char *job_id,
@@ -54,6 +55,7 @@
     char *target;
     GByteArray *record;
     GArray *confirmed; /**< Of hs_daemon_address: the daemons that need no further report. */
+    uint64_t attempt_limit_ms; /**< Time for one daemon's confirmation. */
 } end_report;
 
 static bool is_listed(const GArray *daemons, const hs_daemon_address *daemon) {
@@ -66,18 +68,22 @@
 }
 
 /**
- * Reports the end to one daemon unless it has confirmed; returns whether it has. Any answer counts:
- * an older build answers 503, and does not rely on reports.
+ * Reports the end to one daemon unless it has confirmed; returns whether it has. The answer of a
+ * daemon that does not rely on reports is not needed.
  */
 static bool report_to(end_report *report, const hs_daemon_address *daemon, hs_deadline deadline) {
     if (is_listed(report->confirmed, daemon))
         return true;
-    hs_deadline limit = MIN(deadline, hs_clock_monotonic_ms() + REPORT_LIMIT_MS);
+    hs_deadline limit = MIN(deadline, hs_clock_monotonic_ms() + report->attempt_limit_ms);
     hs_peer_answer answer;
-    if (hs_job_peer_post(daemon, report->target, report->record, limit, &answer) !=
-        HS_PEER_ANSWERED)
+    uint32_t status = 0;
+    if (hs_job_peer_post(daemon, report->target, report->record, limit, &answer) ==
+        HS_PEER_ANSWERED) {
+        status = answer.status;
+        hs_peer_answer_clear(&answer);
+    }
+    if (status != 200 && (status == 0 || daemon->reports_ends))
         return false;
-    hs_peer_answer_clear(&answer);
     g_array_append_val(report->confirmed, *daemon);
     return true;
 }
@@ -121,14 +127,19 @@
     uint64_t started_ms = hs_clock_monotonic_ms();
     end_report report = {.target = g_strdup_printf(TARGET_FORMAT, number),
                          .record = pack_end(job_id),
-                         .confirmed = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address))};
+                         .confirmed = g_array_new(FALSE, FALSE, sizeof(hs_daemon_address)),
+                         .attempt_limit_ms = FIRST_REPORT_LIMIT_MS};
     if (config != NULL)
         report_to_runners(&report, daemons, config, number, deadline);
     bool is_complete = report_to_claimants(&report, daemons, number, deadline);
-    while (!is_complete && hs_clock_monotonic_ms() < deadline) {
+    bool is_settled = hs_daemon_directory_is_settled(daemons);
+    while (!(is_complete && is_settled) && hs_clock_monotonic_ms() < deadline) {
         hs_clock_sleep_ms(REPORT_PAUSE_MS);
+        report.attempt_limit_ms *= is_complete ? 1 : 2;
+        is_settled = hs_daemon_directory_is_settled(daemons);
         is_complete = report_to_claimants(&report, daemons, number, deadline);
     }
+    is_complete = is_complete && is_settled;
     hs_log_info("job_end_reported", "job=%s part=%u confirmed=%u complete=%d took_ms=%u", job_id,
                 number, report.confirmed->len, is_complete,
                 (unsigned)(hs_clock_monotonic_ms() - started_ms));
@@ -142,16 +153,22 @@
     return g_str_has_prefix(target, "/ended?");
 }
 
-bool hs_job_end_read_target(const char *target, uint32_t *partition) {
-    return sscanf(target, TARGET_FORMAT, partition) == 1;
+static bool read_target(const char *target, uint32_t *number) {
+    return sscanf(target, TARGET_FORMAT, number) == 1;
 }
 
-void hs_job_end_apply(hs_job_partition *partition, hs_inbound *inbound) {
+void hs_job_end_apply(hs_job_service *service, hs_inbound *inbound) {
+    uint32_t number = 0;
+    bool is_readable = read_target(inbound->target, &number);
     Hs__JobRecord *record = hs__job_record__unpack(NULL, inbound->body->len, inbound->body->data);
-    bool is_end = record != NULL && record->kind_case == HS__JOB_RECORD__KIND_END;
-    if (is_end)
-        hs_job_partition_apply_end(partition, record->end->job_id, "report");
+    uint32_t part_count = hs_job_service_partition_count(service);
+    bool is_valid = is_readable && record != NULL &&
+                    record->kind_case == HS__JOB_RECORD__KIND_END &&
+                    hs_job_partition_number_for_job(record->end->job_id, part_count) == number;
+    if (is_valid)
+        hs_job_partition_apply_end(hs_job_service_partition(service, number), record->end->job_id,
+                                   "report");
     if (record != NULL)
         hs__job_record__free_unpacked(record, NULL);
-    hs_inbound_reply(inbound, is_end ? 200 : 400, NULL, "", 0);
+    hs_inbound_reply(inbound, is_valid ? 200 : 400, NULL, "", 0);
 }
--- a/src/jobs/job_end.h
+++ b/src/jobs/job_end.h
@@ -10,6 +10,7 @@
 #include "directory/daemon_directory.h"
 #include "http/listener.h"
 #include "jobs/job_partition.h"
+#include "jobs/job_service.h"
 
 /**
  * Appends the end of a known job, retrying until @p deadline, and applies it to this daemon's fold.
@@ -19,11 +20,11 @@
                                   uint64_t received_ms, hs_deadline deadline);
 
 /**
- * Reports a stored end to all running daemons that claim the partition, until each has confirmed
- * it or is no longer running, at most until @p deadline, and once to those that run its restricted
- * items. Returns whether the end may be acknowledged: no daemon that relies on reports lacks it
- * (see start_rule.h). @p daemons: NULL if there are no others. @p config: names the regions that
- * jobs are restricted to; NULL: none.
+ * Reports a stored end to all daemons that claim the partition, until each has confirmed it or is
+ * dead, at most until @p deadline, and once to those that run its restricted items. Returns whether
+ * the end may be acknowledged: no daemon that relies on reports lacks it (see start_rule.h). Waits
+ * while this daemon may not know all claims. @p daemons: NULL if there are no others. @p config:
+ * names the regions that jobs are restricted to; NULL: none.
  */
 bool hs_job_end_report(hs_job_partition *partition, const char *job_id,
                        hs_daemon_directory *daemons, const hs_fleet_config *config,
@@ -32,10 +33,7 @@
 /** Returns whether a request of another daemon reports an end, to be passed to hs_job_end_apply. */
 bool hs_job_end_is_report(const char *target);
 
-/** Returns the partition that a report names; false: the target is malformed. */
-bool hs_job_end_read_target(const char *target, uint32_t *partition);
-
-/** Applies a reported end to the fold and replies: 200, or 400 if the report is malformed. */
-void hs_job_end_apply(hs_job_partition *partition, hs_inbound *inbound);
+/** Applies a reported end to its partition and replies: 200, or 400 if the report is malformed. */
+void hs_job_end_apply(hs_job_service *service, hs_inbound *inbound);
 
 #endif
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -263,17 +263,6 @@
     hs_fleet_config_unref(config);
 }
 
-/** Serves another daemon's report of a job that has ended. */
-static void serve_end_report(hs_fleet_surface *surface, hs_inbound *inbound) {
-    hs_job_service *jobs = surface->settings.jobs;
-    uint32_t partition = 0;
-    if (hs_job_end_read_target(inbound->target, &partition) &&
-        partition < hs_job_service_partition_count(jobs))
-        hs_job_end_apply(hs_job_service_partition(jobs, partition), inbound);
-    else
-        reply_status(inbound, 400);
-}
-
 /**
  * Serves a call from another daemon: a check of the store's state, a request for changes of a
  * topic, a query for the state read from the store, a relayed append, a report of a job's end, or a
@@ -301,7 +290,7 @@
         return;
     }
     if (hs_job_end_is_report(inbound->target)) {
-        serve_end_report(surface, inbound);
+        hs_job_end_apply(surface->settings.jobs, inbound);
         return;
     }
     hs_caller_terms terms;
