Jobs: start rule with time to arrive; suspensions inside a pass; early ends expire

The time for a fold's age and for sending added up to cancel_ms exactly, with none left for the request to arrive; a suspension that began after the pass had noted its time, or before a worker's check, was not seen; a suspension of 960 ms to 1 s makes others take this daemon for dead and counted as none; ends of unknown jobs were kept for good.

Change: the fold may be cancel_ms less twice the send time old (1.5 s of 3 s); items start by reports only while the scheduler's last pass is at most 750 ms ago, also when a worker asks; ends without a manifest expire with the jobs.

--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -98,7 +98,7 @@
 void hs_job_partition_apply_end(hs_job_partition *partition, const char *job_id,
                                 const char *source) {
     g_mutex_lock(&partition->lock);
-    bool is_new = hs_job_state_end_early(partition->state, job_id);
+    bool is_new = hs_job_state_end_early(partition->state, job_id, hs_clock_wall_ms());
     g_mutex_unlock(&partition->lock);
     if (is_new)
         hs_log_info("job_end_folded", "job=%s part=%u by=%s", job_id, partition->number, source);
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -7,7 +7,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "base/stall_detector.h"
 #include "jobs/job_plan.h"
 #include "jobs/job_regions.h"
 #include "jobs/job_room.h"
@@ -20,6 +19,11 @@
 #define DEFAULT_RETENTION_MS 60000
 /** Time in ms for an announcement of an owned partition to reach all daemons. */
 #define ANNOUNCE_TIME_MS 3000
+/**
+ * Time in ms between two passes that counts as a suspension: others may have taken this daemon for
+ * dead. Below the time for that, three probes.
+ */
+#define SUSPENSION_MS 750
 
 static uint64_t get_retention_ms(const hs_job *job) {
     return job->retention_ms > 0 ? job->retention_ms : DEFAULT_RETENTION_MS;
@@ -226,10 +230,12 @@
 
 bool hs_job_owner_may_start(const hs_owned_job_partition *owned) {
     const hs_job_owner *owner = owned->owner;
+    bool is_suspended = hs_clock_monotonic_ms() - owner->last_pass_ms > SUSPENSION_MS;
     /* Ends are reported to daemons that are known to own the partition, not to runners. */
     uint64_t reported_since_ms =
-        owned->is_owned ? MAX(owner->reported_since_ms, owned->acquired_ms + ANNOUNCE_TIME_MS)
-                        : UINT64_MAX;
+        owned->is_owned && !is_suspended
+            ? MAX(owner->reported_since_ms, owned->acquired_ms + ANNOUNCE_TIME_MS)
+            : UINT64_MAX;
     return hs_start_rule_may_start(
         &(hs_ends_knowledge){.now_ms = hs_clock_monotonic_ms(),
                              .fold_age_ms = hs_job_partition_age_ms(owned->partition),
@@ -243,7 +249,7 @@
  */
 static void update_reported_since(hs_job_owner *owner) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    bool was_suspended = now_ms - owner->last_pass_ms > HS_MIN_STALL_MS;
+    bool was_suspended = now_ms - owner->last_pass_ms > SUSPENSION_MS;
     owner->last_pass_ms = now_ms;
     hs_daemon_directory *daemons = owner->settings.daemons;
     if (was_suspended || (daemons != NULL && !hs_daemon_directory_are_ends_reported(daemons)))
@@ -270,8 +276,7 @@
 /**
  * Runs one pass over all owned partitions. A service without capacity, or without capacity in the
  * regions to which items are restricted, delays only these items; others and those whose time is
- * over do not wait for it. The caller holds the
- * lock.
+ * over do not wait for it. The caller holds the lock.
  */
 static void start_items(hs_job_owner *owner, const hs_fleet_config *config) {
     g_autoptr(GArray) open = g_array_new(FALSE, FALSE, sizeof(hs_open_item));
--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -14,7 +14,7 @@
 
 struct hs_job_state {
     GHashTable *jobs;       /**< id -> hs_job* */
-    GHashTable *early_ends; /**< Set of ids of ended jobs whose manifest was not applied yet. */
+    GHashTable *early_ends; /**< Id of an ended job without manifest -> uint64_t*: when applied. */
     uint64_t next;
     partial_result partial;
     const char *last_ended; /**< Id of the job that the last record ended; NULL: none. */
@@ -47,7 +47,7 @@
 hs_job_state *hs_job_state_new(void) {
     hs_job_state *state = g_new0(hs_job_state, 1);
     state->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
-    state->early_ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    state->early_ends = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     state->partial.text = g_byte_array_new();
     return state;
 }
@@ -62,10 +62,13 @@
     g_free(state);
 }
 
-bool hs_job_state_end_early(hs_job_state *state, const char *job_id) {
+bool hs_job_state_end_early(hs_job_state *state, const char *job_id, uint64_t now_ms) {
     hs_job *job = g_hash_table_lookup(state->jobs, job_id);
-    if (job == NULL)
-        return g_hash_table_add(state->early_ends, g_strdup(job_id));
+    if (job == NULL) {
+        uint64_t *applied_ms = g_new(uint64_t, 1);
+        *applied_ms = now_ms;
+        return g_hash_table_insert(state->early_ends, g_strdup(job_id), applied_ms);
+    }
     bool is_new = !job->ended;
     job->ended = true;
     return is_new;
@@ -276,8 +279,14 @@
     return !hs_job_is_open(job) && job->submitted_ms < *(const uint64_t *)before_ms;
 }
 
+static gboolean is_applied_before(gpointer key, gpointer value, gpointer before_ms) {
+    (void)key;
+    return *(const uint64_t *)value < *(const uint64_t *)before_ms;
+}
+
 void hs_job_state_expire(hs_job_state *state, uint64_t before_ms) {
     g_hash_table_foreach_remove(state->jobs, is_removable, &before_ms);
+    g_hash_table_foreach_remove(state->early_ends, is_applied_before, &before_ms);
 }
 
 uint64_t hs_job_state_first_needed_content(const hs_job_state *state) {
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -69,18 +69,12 @@
  */
 const char *hs_job_state_last_ended(const hs_job_state *state);
 
-/**
- * Returns the id of the job that the record applied last has ended, borrowed until the next change.
- * NULL: it ended none, or the job had ended before.
- */
-const char *hs_job_state_last_ended(const hs_job_state *state);
-
 /**
  * Ends a job whose end is stored but not applied yet. An end may be applied ahead of other records:
- * it changes neither results nor their order. The end of an unknown job is kept for its manifest.
- * Returns whether this was new.
+ * it changes neither results nor their order. The end of an unknown job is kept for its manifest
+ * until hs_job_state_expire. @p now_ms: wall clock. Returns whether this was new.
  */
-bool hs_job_state_end_early(hs_job_state *state, const char *job_id);
+bool hs_job_state_end_early(hs_job_state *state, const char *job_id, uint64_t now_ms);
 
 /** Returns the offset of the next record to apply. */
 uint64_t hs_job_state_next_offset(const hs_job_state *state);
@@ -106,7 +100,10 @@
 /** Returns whether the job has not ended and an item has no result. */
 bool hs_job_is_open(const hs_job *job);
 
-/** Removes jobs that are not open and were submitted before @p before_ms (wall clock). */
+/**
+ * Removes jobs that are not open and were submitted before @p before_ms (wall clock), and ends of
+ * unknown jobs that were applied before.
+ */
 void hs_job_state_expire(hs_job_state *state, uint64_t before_ms);
 
 /** Returns the first content offset that an open job needs; UINT64_MAX: none. */
--- a/src/jobs/start_rule.c
+++ b/src/jobs/start_rule.c
@@ -4,8 +4,8 @@
 #include <glib.h>
 
 /** Part of cancel_ms, and its maximum in ms, that is left for sending an item. */
-#define SEND_TIME_DIVISOR 3
-#define MAX_SEND_TIME_MS 1000
+#define SEND_TIME_DIVISOR 4
+#define MAX_SEND_TIME_MS 750
 
 uint64_t hs_start_rule_send_time_ms(uint32_t cancel_ms) {
     return MIN(cancel_ms / SEND_TIME_DIVISOR, MAX_SEND_TIME_MS);
@@ -14,7 +14,9 @@
 bool hs_start_rule_may_start(const hs_ends_knowledge *knowledge) {
     if (knowledge->fold_age_ms > knowledge->now_ms)
         return false;
-    uint64_t max_age_ms = knowledge->cancel_ms - hs_start_rule_send_time_ms(knowledge->cancel_ms);
+    /* As much time again as for sending is left for the request to arrive. */
+    uint64_t max_age_ms =
+        knowledge->cancel_ms - 2 * hs_start_rule_send_time_ms(knowledge->cancel_ms);
     return knowledge->fold_age_ms <= max_age_ms ||
            knowledge->now_ms - knowledge->fold_age_ms >= knowledge->reported_since_ms;
 }
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -120,8 +120,8 @@
     hs_job_state *state = hs_job_state_new();
     add_manifest(state, "h");
     add_result(state, &(result_part){2, 0, 1, "c"});
-    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job"));
-    CU_ASSERT_FALSE(hs_job_state_end_early(state, "job"));
+    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job", 1000));
+    CU_ASSERT_FALSE(hs_job_state_end_early(state, "job", 1000));
     CU_ASSERT_FALSE(hs_job_is_open(hs_job_state_find(state, "job")));
     add_result(state, &(result_part){0, 0, 1, "a"});
     add_end(state);
@@ -135,7 +135,7 @@
 /** Otherwise a fold that lacks the manifest would forget the end and run the job. */
 static void an_end_applied_before_the_manifest_is_kept(void) {
     hs_job_state *state = hs_job_state_new();
-    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job"));
+    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job", 1000));
     CU_ASSERT_PTR_NULL(hs_job_state_find(state, "job"));
     add_manifest(state, "h");
     CU_ASSERT_FALSE(hs_job_is_open(hs_job_state_find(state, "job")));
@@ -144,6 +144,17 @@
     hs_job_state_free(state);
 }
 
+/** Otherwise ends of jobs that are gone would be kept for good. */
+static void an_end_without_a_manifest_expires(void) {
+    hs_job_state *state = hs_job_state_new();
+    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job", 1000));
+    hs_job_state_expire(state, 1000);
+    CU_ASSERT_FALSE(hs_job_state_end_early(state, "job", 1000));
+    hs_job_state_expire(state, 1001);
+    CU_ASSERT_TRUE(hs_job_state_end_early(state, "job", 2000));
+    hs_job_state_free(state);
+}
+
 static void ended_jobs_expire_and_need_no_content(void) {
     hs_job_state *state = hs_job_state_new();
     CU_ASSERT_EQUAL(hs_job_state_first_needed_content(state), UINT64_MAX);
@@ -492,16 +503,16 @@
 static void items_start_only_from_folds_that_leave_time_to_send_them(void) {
     hs_ends_knowledge knowledge = {
         .now_ms = 50000, .reported_since_ms = UINT64_MAX, .cancel_ms = 3000};
-    CU_ASSERT_EQUAL(hs_start_rule_send_time_ms(3000), 1000);
-    knowledge.fold_age_ms = 2000;
+    CU_ASSERT_EQUAL(hs_start_rule_send_time_ms(3000), 750);
+    knowledge.fold_age_ms = 1500;
     CU_ASSERT_TRUE(hs_start_rule_may_start(&knowledge));
-    knowledge.fold_age_ms = 2001;
+    knowledge.fold_age_ms = 1501;
     CU_ASSERT_FALSE(hs_start_rule_may_start(&knowledge));
     knowledge.cancel_ms = 300;
-    knowledge.fold_age_ms = 201;
+    knowledge.fold_age_ms = 151;
     CU_ASSERT_FALSE(hs_start_rule_may_start(&knowledge));
     knowledge.cancel_ms = 10000;
-    knowledge.fold_age_ms = 9000;
+    knowledge.fold_age_ms = 8500;
     CU_ASSERT_TRUE(hs_start_rule_may_start(&knowledge));
     knowledge.fold_age_ms = UINT64_MAX;
     CU_ASSERT_FALSE(hs_start_rule_may_start(&knowledge));
@@ -541,6 +552,7 @@
     {"an_end_applied_before_its_record_changes_no_result",
      an_end_applied_before_its_record_changes_no_result},
     {"an_end_applied_before_the_manifest_is_kept", an_end_applied_before_the_manifest_is_kept},
+    {"an_end_without_a_manifest_expires", an_end_without_a_manifest_expires},
     {"ended_jobs_expire_and_need_no_content", ended_jobs_expire_and_need_no_content},
     {"progress_records_are_joined", progress_records_are_joined},
     {"latest_progress_event_wins", latest_progress_event_wins},
