Test: jobs that end in the moment in which the store returns

The test ends jobs in the moment of the return, while owners still wait for lost answers on connections that the absence left.

--- a/tests/system/test_fleet_job_ends.c
+++ b/tests/system/test_fleet_job_ends.c
@@ -106,11 +106,23 @@
     log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
 }
 
+/** Guards against owners that are still waiting for lost answers when the store is back. */
+static void items_of_jobs_that_end_as_the_store_returns_do_not_start(void) {
+    submit_refused_jobs("back");
+    log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, NULL, G_MAXUINT32);
+    hs_clock_sleep_ms(FAULT_MS);
+    log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
+    end_jobs("back", BENCH_DEFAULT_DAEMONS);
+    CU_ASSERT_EQUAL(count_late_runs("back"), 0);
+}
+
 const test_case fleet_job_end_system_tests[] = {
     {"items_of_ended_jobs_do_not_start_while_the_store_is_silent",
      items_of_ended_jobs_do_not_start_while_the_store_is_silent},
     {"items_of_ended_jobs_do_not_start_while_the_store_is_slow",
      items_of_ended_jobs_do_not_start_while_the_store_is_slow},
+    {"items_of_jobs_that_end_as_the_store_returns_do_not_start",
+     items_of_jobs_that_end_as_the_store_returns_do_not_start},
     {"an_owner_starts_no_item_before_it_reads_the_ends_it_missed",
      an_owner_starts_no_item_before_it_reads_the_ends_it_missed},
     {NULL, NULL},
