Tests of ends beside kills, lost connections, moves of owners and old builds

The suite covered a silent and a slow store and a suspended owner; it did not cover running items, the daemon that acknowledged an end being killed, one daemon without a store, moves of partitions, region runners, older builds, or a larger fleet.

Change: what the suite shares is in job_end_calls; new suites fleet_job_end_stops, fleet_job_end_links, fleet_job_ends_large and fleet_upgrade_job_ends, and one test in fleet_regions.

items_of_ended_jobs_do_not_start_while_the_store_is_silent waits until all partitions have owners: at a load average of 252 the first assignment was under way when its fault began; the new owners had not read the jobs and could read nothing, so that no daemon acknowledged three ends (503 each time). Its checks are as before.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -4,14 +4,13 @@
 #
 # Suites share nothing but the machine (ports are leased), so some run side by side: the unit tests, the
 # OpenAI surface, the fleet surface, what crashes engines, items whose engines crash, and an upgrade from the
-# landed build, which is built first; a checkout without its commit counts that suite as skipped. The fleet of
-# 24 daemons runs alone, as its test bounds how soon all of them know. What the daemons of all suites wrote is
+# landed build, which is built first; a checkout without its commit counts that suite as skipped. Fleets of
+# 24 daemons run alone, as their tests bound how soon all of them know. What the daemons of all suites wrote is
 # in test-output.log of the build's folder: a failed test is traced from it.
 build=${1:-build}
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
 system="$build/fault/system-tests"
-alone="fleet_crashes_large"
 # A program that died prints no line for the test it died in.
 run() {
     "$@" 2>/dev/null
@@ -22,10 +21,10 @@
 lane() {
     for suite in $("$system" --list); do
         case "$suite" in
-        "$alone") found=alone ;;
-        fleet_crashes* | fleet_silence | fleet_waking) found=crashes ;;
+        *_large) found=alone ;;
+        fleet_crashes* | fleet_silence | fleet_waking | fleet_job_end*) found=crashes ;;
         fleet_item_losses) found=losses ;;
-        fleet_upgrade) found=upgrade ;;
+        fleet_upgrade*) found=upgrade ;;
         fleet_*) found=fleet ;;
         *) found=openai ;;
         esac
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -42,6 +42,23 @@
 extern const test_case fleet_system_tests[];
 extern const test_case fleet_job_system_tests[];
 extern const test_case fleet_job_end_system_tests[];
+extern const test_case fleet_job_end_stop_system_tests[];
+
+/** Start and stop the bench with a fault proxy between each daemon and the store. */
+extern const test_case fleet_job_end_link_system_tests[];
+int begin_job_end_links(void);
+int end_job_end_links(void);
+
+/** Start and stop the bench with many daemons. */
+extern const test_case fleet_job_ends_large_system_tests[];
+int begin_job_ends_large(void);
+int end_job_ends_large(void);
+
+/** Start and stop the bench with two daemons of an earlier build (HS_PAST_PROGRAM). */
+extern const test_case fleet_upgrade_job_end_system_tests[];
+int begin_upgrade_job_ends(void);
+int end_upgrade_job_ends(void);
+
 extern const test_case fleet_edge_system_tests[];
 extern const test_case fleet_run_system_tests[];
 
--- a/tests/system/test_fleet_job_ends.c
+++ b/tests/system/test_fleet_job_ends.c
@@ -2,108 +2,154 @@
 #include "base/clock.h"
 #include "platform/names.h"
 #include "tests/system/fleet_calls.h"
+#include "tests/system/job_end_calls.h"
 #include "tests/system/system_tests.h"
 
 #include <signal.h>
+#include <stdio.h>
 
 #define JOBS 5
 #define ITEMS 5
-/** Time in ms after an acknowledged end from which no item of the job may start. */
-#define CANCEL_MS 3000
-/** Time in ms after the ends for which the fault lasts. */
-#define FAULT_MS 6000
-/** Time in ms for the engines to refuse each item once, so that its body has been read. */
-#define REFUSALS_MS 1000
-/** Time in ms for reads that the store holds to return. */
-#define HELD_READS_MS 1500
 /** Delay in ms of the store's answers. */
 #define STORE_DELAY_MS 800
 /** Time in ms for which a daemon is stopped: no other daemon can report an end to it. */
 #define STOPPED_MS 2000
-
-static uint32_t end_job(int daemon, const char *id) {
-    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s", id);
-    bench_answer answer =
-        bench_send(&(bench_call){.daemon = daemon, .method = "DELETE", .target = target});
-    uint32_t status = answer.status;
-    bench_answer_clear(&answer);
-    return status;
-}
-
-/** Submits the jobs "PREFIX-n", whose items are refused by all engines. */
-static void submit_refused_jobs(const char *prefix) {
-    bench_set_engine_modes(TOKEN_ENGINE_FULL);
-    for (int job = 0; job < JOBS; job++) {
-        g_autofree char *id = g_strdup_printf("%s-%d", prefix, job);
-        CU_ASSERT_EQUAL(submit_job(job % BENCH_DEFAULT_DAEMONS, id, ITEMS), 202);
-    }
-    hs_clock_sleep_ms(REFUSALS_MS);
-}
-
-/**
- * Ends the jobs "PREFIX-n" at the first @p daemons daemons; an end without an acknowledgement is
- * repeated.
- */
-static void end_jobs(const char *prefix, int daemons) {
-    for (int job = 0; job < JOBS; job++) {
-        g_autofree char *id = g_strdup_printf("%s-%d", prefix, job);
-        bool is_acknowledged = false;
-        for (int attempt = 0; attempt < 2 * daemons && !is_acknowledged; attempt++)
-            is_acknowledged = end_job((job + attempt) % daemons, id) == 200;
-        CU_ASSERT_TRUE(is_acknowledged);
-    }
-}
-
-static uint32_t count_runs(const char *prefix) {
-    uint32_t count = 0;
-    for (int job = 0; job < JOBS; job++)
-        for (int item = 0; item < ITEMS; item++) {
-            g_autofree char *id = g_strdup_printf("%s-%d-%d", prefix, job, item);
-            count += bench_run_count(id);
-        }
-    return count;
-}
-
-/** Lets engines accept items from CANCEL_MS after the ends on, and returns how many runs start. */
-static uint32_t count_late_runs(const char *prefix) {
-    hs_clock_sleep_ms(CANCEL_MS);
-    bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
-    hs_clock_sleep_ms(FAULT_MS - CANCEL_MS);
-    return count_runs(prefix);
-}
+/** Items that the engines run at the same time: one of each of these jobs. */
+#define RUNNING_JOBS 6
+/** The platform's ack-ms: the time within which a call gets an answer. */
+#define ACK_MS 4000
+/** The platform's finish-s in ms: the time for jobs to complete after traffic. */
+#define FINISH_MS 18000
+/** Time in ms after which no owner has a fold that is recent enough to start items. */
+#define HOLD_MS 3500
+#define HELD_METRIC "heathsail_job_partitions_held "
 
 /** Guards against owners that learn of an end only by reading it back from the store. */
 static void items_of_ended_jobs_do_not_start_while_the_store_is_silent(void) {
-    submit_refused_jobs("silent");
-    log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, CALL_READ, G_MAXUINT32);
-    hs_clock_sleep_ms(HELD_READS_MS);
-    end_jobs("silent", BENCH_DEFAULT_DAEMONS);
-    log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, NULL, G_MAXUINT32);
-    CU_ASSERT_EQUAL(count_late_runs("silent"), 0);
-    log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
+    const job_group group = {"silent", JOBS, ITEMS};
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    submit_refused_jobs(&group);
+    silence_reads();
+    end_jobs(&group, 0, BENCH_DEFAULT_DAEMONS);
+    silence_store();
+    CU_ASSERT_EQUAL(count_late_runs(&group), 0);
+    heal_store();
 }
 
 /** Guards against reads that give up before the store answers, so that owners never see an end. */
 static void items_of_ended_jobs_do_not_start_while_the_store_is_slow(void) {
-    submit_refused_jobs("slow");
+    const job_group group = {"slow", JOBS, ITEMS};
+    submit_refused_jobs(&group);
     log_store_set_delay(bench.store, STORE_DELAY_MS);
     hs_clock_sleep_ms(HELD_READS_MS);
-    end_jobs("slow", BENCH_DEFAULT_DAEMONS);
-    CU_ASSERT_EQUAL(count_late_runs("slow"), 0);
+    end_jobs(&group, 0, BENCH_DEFAULT_DAEMONS);
+    CU_ASSERT_EQUAL(count_late_runs(&group), 0);
     log_store_set_delay(bench.store, 0);
 }
 
 /** Guards against owners that start items from an old fold after they were suspended. */
 static void an_owner_starts_no_item_before_it_reads_the_ends_it_missed(void) {
+    const job_group group = {"stopped", JOBS, ITEMS};
     int stopped = BENCH_DEFAULT_DAEMONS - 1;
-    submit_refused_jobs("stopped");
+    submit_refused_jobs(&group);
     bench_signal_daemon(stopped, SIGSTOP);
-    end_jobs("stopped", stopped);
-    log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, NULL, G_MAXUINT32);
+    end_jobs(&group, 0, stopped);
+    silence_store();
     hs_clock_sleep_ms(STOPPED_MS);
     bench_signal_daemon(stopped, SIGCONT);
-    CU_ASSERT_EQUAL(count_late_runs("stopped"), 0);
-    log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
+    CU_ASSERT_EQUAL(count_late_runs(&group), 0);
+    heal_store();
+}
+
+/** Guards against an end that only the daemon that acknowledged it knows. */
+static void an_end_holds_after_the_daemon_that_acknowledged_it_is_killed(void) {
+    const job_group group = {"killed", JOBS, ITEMS};
+    int killed = BENCH_DEFAULT_DAEMONS - 1;
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    submit_refused_jobs(&group);
+    silence_reads();
+    end_jobs(&group, killed, 1);
+    silence_store();
+    bench_signal_daemon(killed, SIGKILL);
+    CU_ASSERT_EQUAL(count_late_runs(&group), 0);
+    heal_store();
+    hs_clock_sleep_ms(FAULT_MS); /* Lets the partitions of the killed daemon have other owners. */
+    CU_ASSERT_EQUAL(count_runs(&group), 0);
+    CU_ASSERT_TRUE(bench_start_daemon(killed, false));
+    CU_ASSERT_TRUE(bench_wait_ready(killed));
+}
+
+/** Each daemon takes the ends in turn. Guards against running items that go on at their owner. */
+static void running_items_of_ended_jobs_stop_while_the_store_is_silent(void) {
+    static const char *const prefixes[BENCH_DEFAULT_DAEMONS] = {"runs-a", "runs-b", "runs-c"};
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
+        const job_group group = {prefixes[daemon], RUNNING_JOBS, 1};
+        CU_ASSERT_TRUE(wait_for_settled_owners());
+        bench_set_engine_modes(TOKEN_ENGINE_ENDLESS);
+        submit_jobs(&group);
+        CU_ASSERT_TRUE(move_open_runs(RUNNING_JOBS));
+        silence_reads();
+        CU_ASSERT_EQUAL(count_open_engine_runs(), RUNNING_JOBS);
+        end_jobs(&group, daemon, 1);
+        silence_store();
+        CU_ASSERT_TRUE(wait_for_engine_runs_to_end(STOP_MS));
+        heal_store();
+    }
+    bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
+}
+
+/** Guards against ends that are answered late, or as stored, and that cannot be repeated. */
+static void an_end_that_is_not_stored_is_answered_in_time_and_can_be_repeated(void) {
+    const job_group group = {"unstored", BENCH_DEFAULT_DAEMONS, 1};
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    submit_refused_jobs(&group);
+    log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, CALL_APPEND, G_MAXUINT32);
+    for (int job = 0; job < BENCH_DEFAULT_DAEMONS; job++) {
+        g_autofree char *id = g_strdup_printf("%s-%d", group.prefix, job);
+        uint64_t start_ms = hs_clock_monotonic_ms();
+        uint32_t status = end_job((job + 1) % BENCH_DEFAULT_DAEMONS, id);
+        uint64_t took_ms = hs_clock_monotonic_ms() - start_ms;
+        fprintf(stderr, "%s: status %u after %u ms\n", id, status, (unsigned)took_ms);
+        CU_ASSERT_TRUE(status == 503 || status == 504);
+        CU_ASSERT(took_ms <= ACK_MS);
+    }
+    heal_store();
+    for (int job = 0; job < BENCH_DEFAULT_DAEMONS; job++)
+        CU_ASSERT_TRUE(end_job_of(&group, job, (job + 1) % BENCH_DEFAULT_DAEMONS));
+    CU_ASSERT_EQUAL(count_late_runs(&group), 0);
+}
+
+static int count_held_partitions(void) {
+    int held = 0;
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
+        held += get_daemon_metric(daemon, HELD_METRIC);
+    return held;
+}
+
+/** Guards against starts that stay held once the store is back. */
+static void items_of_open_jobs_complete_after_an_absence_of_the_store(void) {
+    const job_group group = {"open", JOBS, ITEMS};
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    submit_refused_jobs(&group);
+    silence_store();
+    uint64_t finish_ms = hs_clock_monotonic_ms() + FINISH_MS;
+    hs_clock_sleep_ms(HOLD_MS);
+    CU_ASSERT(count_held_partitions() > 0);
+    bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
+    hs_clock_sleep_ms(FAULT_MS - HOLD_MS);
+    heal_store();
+    for (int job = 0; job < JOBS; job++) {
+        g_autofree char *id = g_strdup_printf("%s-%d", group.prefix, job);
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        g_autofree char *page =
+            bench_wait_job(0, id, ITEMS, finish_ms > now_ms ? (unsigned)(finish_ms - now_ms) : 1);
+        CU_ASSERT_PTR_NOT_NULL(page);
+        if (page != NULL)
+            check_job_results(page, ITEMS);
+    }
+    fprintf(stderr, "open jobs completed %u ms before the limit\n",
+            (unsigned)(finish_ms - hs_clock_monotonic_ms()));
+    CU_ASSERT_EQUAL(count_held_partitions(), 0);
 }
 
 const test_case fleet_job_end_system_tests[] = {
@@ -113,5 +159,17 @@
      items_of_ended_jobs_do_not_start_while_the_store_is_slow},
     {"an_owner_starts_no_item_before_it_reads_the_ends_it_missed",
      an_owner_starts_no_item_before_it_reads_the_ends_it_missed},
+    {"items_of_open_jobs_complete_after_an_absence_of_the_store",
+     items_of_open_jobs_complete_after_an_absence_of_the_store},
+    {"an_end_holds_after_the_daemon_that_acknowledged_it_is_killed",
+     an_end_holds_after_the_daemon_that_acknowledged_it_is_killed},
+    {NULL, NULL},
+};
+
+const test_case fleet_job_end_stop_system_tests[] = {
+    {"running_items_of_ended_jobs_stop_while_the_store_is_silent",
+     running_items_of_ended_jobs_stop_while_the_store_is_silent},
+    {"an_end_that_is_not_stored_is_answered_in_time_and_can_be_repeated",
+     an_end_that_is_not_stored_is_answered_in_time_and_can_be_repeated},
     {NULL, NULL},
 };
--- a/tests/system/test_fleet_regions.c
+++ b/tests/system/test_fleet_regions.c
@@ -7,6 +7,7 @@
 #include "platform/names.h"
 #include "tests/support/fault_proxy.h"
 #include "tests/system/fleet_calls.h"
+#include "tests/system/job_end_calls.h"
 #include "tests/system/system_tests.h"
 
 #include <signal.h>
@@ -20,6 +21,8 @@
 #define RECOVERY_MS 8000
 /** Enough jobs that each daemon owns some of their partitions. */
 #define FORWARDED_JOBS 24
+/** Jobs of one item each that an engine runs at the same time. */
+#define RUNNING_JOBS 7
 /** Time in ms within which a daemon has written its log lines. */
 #define LOG_MS 500
 /** Time in ms within which the partitions of a lost daemon have other owners. */
@@ -240,6 +243,29 @@
     fault_proxy_stop(proxy);
 }
 
+/** Guards against an end that is reported to the owner only, and not to the daemon that runs. */
+static void ends_reach_the_daemon_that_runs_items_for_another_region(void) {
+    const job_group waiting = {"job-waiting", FORWARDED_JOBS, 1};
+    const job_group running = {"job-running", RUNNING_JOBS, 1};
+    configure(ALLOW("wlg"));
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    bench_set_engine_modes(TOKEN_ENGINE_ENDLESS);
+    submit_jobs(&running);
+    CU_ASSERT_TRUE(wait_for_open_runs(RUNNING_JOBS, RUNNING_MS));
+    submit_refused_jobs(&waiting);
+    silence_reads();
+    CU_ASSERT_EQUAL(count_open_engine_runs(), RUNNING_JOBS);
+    for (int job = 0; job < RUNNING_JOBS; job++)
+        CU_ASSERT_TRUE(end_job_of(&running, job, job % 2 == 0 ? 0 : 2));
+    CU_ASSERT_TRUE(wait_for_engine_runs_to_end(STOP_MS));
+    for (int job = 0; job < FORWARDED_JOBS; job++)
+        CU_ASSERT_TRUE(end_job_of(&waiting, job, job % 2 == 0 ? 0 : 2));
+    silence_store();
+    CU_ASSERT_EQUAL(count_late_runs(&waiting), 0);
+    heal_store();
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+}
+
 /** Returns which daemons an answer names, as digits. */
 static char *resolve(const char *query) {
     g_autofree char *target = g_strdup_printf(PATH_RESOLVE "?%s", query);
@@ -278,6 +304,8 @@
     {"a_lost_region_is_not_replaced_by_another", a_lost_region_is_not_replaced_by_another},
     {"items_wait_for_an_engine_in_their_region", items_wait_for_an_engine_in_their_region},
     {"items_are_run_by_daemons_in_allowed_regions", items_are_run_by_daemons_in_allowed_regions},
+    {"ends_reach_the_daemon_that_runs_items_for_another_region",
+     ends_reach_the_daemon_that_runs_items_for_another_region},
     {"items_wait_for_a_daemon_in_their_region", items_wait_for_a_daemon_in_their_region},
     {"addresses_follow_the_routes_of_the_host", addresses_follow_the_routes_of_the_host},
     {"bodies_are_forwarded_to_allowed_regions_only", bodies_are_forwarded_to_allowed_regions_only},
