Jobs: an end that cannot be stored is answered within ack-ms

What callers saw: a DELETE that the store does not take was answered with 504 after 4,000 to 4,027 ms, later than ack-ms (4,000), and no earlier than the time that a caller announced in its timeout.

Cause: the whole limit of the call was spent on attempts to store the end, so that nothing was left for the answer.

Change: an end stops trying 100 ms before the limit.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -31,6 +31,9 @@
  */
 #define OWNER_ANSWER_SLACK_MS 400
 
+/** Time that is left of an end's limit for its answer to reach the caller. */
+#define END_ANSWER_SLACK_MS 100
+
 /** How complete a fold is known to be. */
 typedef enum {
     FOLD_STALE,    /**< Records may be missing. */
@@ -263,6 +266,13 @@
     return is_definite;
 }
 
+static hs_deadline get_deadline(const hs_inbound *inbound, const hs_caller_terms *terms,
+                                hs_call_kind kind) {
+    hs_deadline deadline = hs_job_call_deadline(inbound, terms);
+    return kind == HS_CALL_JOB_END ? MAX(deadline - END_ANSWER_SLACK_MS, inbound->received_ms)
+                                   : deadline;
+}
+
 static job_call make_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                           hs_call_kind kind, const char *job_id) {
     hs_job_partition *partition = hs_job_service_partition_for_job(service, job_id);
@@ -274,7 +284,7 @@
                       .config = caller->config,
                       .kind = kind,
                       .job_id = job_id,
-                      .deadline = hs_job_call_deadline(inbound, caller->terms),
+                      .deadline = get_deadline(inbound, caller->terms, kind),
                       .fold_age_ms = hs_job_partition_age_ms(partition)};
 }
 
