--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -324,7 +324,7 @@
     open_fixture(&test);
     hs_attempt attempt;
     test.parameters.send_until_ms = hs_clock_monotonic_ms() - 1;
-    CU_ASSERT_FALSE(
+    CU_ASSERT_FALSE_FATAL(
         start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
     CU_ASSERT_EQUAL(attempt.run, HS_RUN_NOT_EXECUTED);
     CU_ASSERT_PTR_NULL(attempt.lease);
@@ -350,7 +350,7 @@
     hs_attempt_finish(&attempt, HS_ATTEMPT_SERVED); /* Its connection is kept. */
     hs_interrupt_raise(&interrupt, HS_INTERRUPT_STOP);
     test.parameters.request.request_id = "r2"; /* May use the kept connection. */
-    CU_ASSERT_FALSE(
+    CU_ASSERT_FALSE_FATAL(
         start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
     CU_ASSERT_EQUAL(attempt.run, HS_RUN_NOT_EXECUTED);
     CU_ASSERT_EQUAL(attempt.step, HS_STEP_CALLER_GONE);
