Batches: report a stored cancellation to the owner before it is acknowledged

Callers: a batch that was cancelled with 200 went on running. Its items started for as long as the partition's owner could not read the partition's stream, while other daemons could.

The daemon that was asked appends the cancellation, reads it back and answers; the owner, at another daemon, learns of it only from its own read of the stream, and renews and makes grants meanwhile. Schedulers hold grants for as long as they are renewed.

Change: the daemon that read the cancellation back applies it to its own grants and posts it to the owner's admin listener (/internal/v1/cancelled-jobs/ID, at most 1 s) before it answers. The owner removes the job's grants, grants none of its items from then on, and sends GrantRevoke to the schedulers at once instead of at their next renewal. The fold is not touched: it remains a function of the log. An older owner answers 404 and reads the log, as before.

--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -329,6 +329,17 @@
     }
 }
 
+bool hs_coordinator_cancel_job(hs_coordinator *coordinator, uint32_t partition,
+                               const char *job_id) {
+    g_mutex_lock(&coordinator->lock);
+    hs_partition_owner *owner =
+        partition < coordinator->partition_count ? coordinator->owners[partition] : NULL;
+    if (owner != NULL)
+        hs_partition_owner_cancel_job(owner, job_id);
+    g_mutex_unlock(&coordinator->lock);
+    return owner != NULL;
+}
+
 uint32_t hs_coordinator_get_epoch(hs_coordinator *coordinator, uint32_t partition) {
     g_mutex_lock(&coordinator->lock);
     const hs_partition_owner *owner =
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -44,6 +44,12 @@
 bool hs_coordinator_handle(hs_coordinator *coordinator, const Hs__PeerMessage *message,
                            const struct sockaddr_in *from);
 
+/**
+ * Stops granting the items of a job whose cancellation is in the partition's stream, and revokes
+ * their grants. Returns false if this daemon does not own the partition. Thread-safe.
+ */
+bool hs_coordinator_cancel_job(hs_coordinator *coordinator, uint32_t partition, const char *job_id);
+
 /** Returns the epoch of an owned partition, or 0 if this daemon does not own it. Thread-safe. */
 uint32_t hs_coordinator_get_epoch(hs_coordinator *coordinator, uint32_t partition);
 
--- a/src/batch/grant_table.c
+++ b/src/batch/grant_table.c
@@ -16,8 +16,9 @@
 struct hs_grant_table {
     uint32_t lease_ms;
     uint64_t next_id;
-    GHashTable *grants; /**< id -> hs_grant */
-    GHashTable *jobs;   /**< job id -> job_grants */
+    GHashTable *grants;    /**< id -> hs_grant */
+    GHashTable *jobs;      /**< job id -> job_grants */
+    GHashTable *cancelled; /**< Set of ids of cancelled jobs that the state shows as running. */
 };
 
 static void free_grant(gpointer data) {
@@ -38,6 +39,7 @@
     table->next_id = 1;
     table->grants = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_grant);
     table->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_job_grants);
+    table->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return table;
 }
 
@@ -46,6 +48,7 @@
         return;
     g_hash_table_destroy(table->grants);
     g_hash_table_destroy(table->jobs);
+    g_hash_table_destroy(table->cancelled);
     g_free(table);
 }
 
@@ -107,6 +110,11 @@
     return count;
 }
 
+static bool is_running(const hs_grant_table *table, const hs_job *job) {
+    return job != NULL && hs_job_get_state(job) == HS_JOB_RUNNING &&
+           !g_hash_table_contains(table->cancelled, job->id);
+}
+
 /** Returns the running job to grant items of next, or NULL. A NULL request matches any model. */
 static hs_job *choose_job(hs_grant_table *table, const hs_partition *partition,
                           const hs_grant_request *request) {
@@ -117,7 +125,7 @@
     g_hash_table_iter_init(&iterator, partition->jobs);
     while (g_hash_table_iter_next(&iterator, NULL, &data)) {
         hs_job *job = data;
-        if (hs_job_get_state(job) != HS_JOB_RUNNING)
+        if (!is_running(table, job))
             continue;
         const hs_file *file = hs_partition_find_file(partition, job->file_id);
         if (request != NULL && !serves_model(request, file->model))
@@ -211,6 +219,26 @@
     return true;
 }
 
+void hs_grant_table_cancel_job(hs_grant_table *table, const hs_partition *partition,
+                               const char *job_id,
+                               void (*revoke)(const hs_grant *grant, void *user_data),
+                               void *user_data) {
+    const hs_job *job = hs_partition_find_job(partition, job_id);
+    if (job == NULL || hs_job_get_state(job) == HS_JOB_RUNNING)
+        g_hash_table_add(table->cancelled, g_strdup(job_id));
+    GHashTableIter iterator;
+    gpointer data;
+    g_hash_table_iter_init(&iterator, table->grants);
+    while (g_hash_table_iter_next(&iterator, NULL, &data)) {
+        const hs_grant *grant = data;
+        if (strcmp(grant->job_id, job_id) != 0)
+            continue;
+        revoke(grant, user_data);
+        release_items(table, grant);
+        g_hash_table_iter_remove(&iterator);
+    }
+}
+
 void hs_grant_table_remove_ended(hs_grant_table *table, const hs_partition *partition,
                                  uint64_t now_ms) {
     GHashTableIter iterator;
@@ -219,8 +247,8 @@
     while (g_hash_table_iter_next(&iterator, NULL, &data)) {
         const hs_grant *grant = data;
         const hs_job *job = hs_partition_find_job(partition, grant->job_id);
-        bool has_ended = job == NULL || hs_job_get_state(job) != HS_JOB_RUNNING ||
-                         all_items_done(job, grant) || now_ms >= grant->expires_ms;
+        bool has_ended =
+            !is_running(table, job) || all_items_done(job, grant) || now_ms >= grant->expires_ms;
         if (!has_ended)
             continue;
         release_items(table, grant);
@@ -230,7 +258,13 @@
     gpointer key;
     while (g_hash_table_iter_next(&iterator, &key, NULL)) {
         const hs_job *job = hs_partition_find_job(partition, key);
-        if (job == NULL || hs_job_get_state(job) != HS_JOB_RUNNING)
+        if (!is_running(table, job))
+            g_hash_table_iter_remove(&iterator);
+    }
+    g_hash_table_iter_init(&iterator, table->cancelled);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const hs_job *job = hs_partition_find_job(partition, key);
+        if (job != NULL && hs_job_get_state(job) != HS_JOB_RUNNING)
             g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/batch/grant_table.h
+++ b/src/batch/grant_table.h
@@ -50,6 +50,15 @@
 bool hs_grant_table_renew(hs_grant_table *table, uint64_t grant_id, const char *scheduler_id,
                           uint64_t now_ms);
 
+/**
+ * Removes the job's grants and grants none of its items any more: its cancellation is in the stream
+ * but may not be in @p partition yet. Calls @p revoke for each removed grant.
+ */
+void hs_grant_table_cancel_job(hs_grant_table *table, const hs_partition *partition,
+                               const char *job_id,
+                               void (*revoke)(const hs_grant *grant, void *user_data),
+                               void *user_data);
+
 /** Removes expired grants and those whose items all have results or whose job is not running. */
 void hs_grant_table_remove_ended(hs_grant_table *table, const hs_partition *partition,
                                  uint64_t now_ms);
--- a/src/batch/partition_owner.c
+++ b/src/batch/partition_owner.c
@@ -295,3 +295,39 @@
     hs_replica_unlock(owner->replica);
     return is_renewed;
 }
+
+typedef struct {
+    hs_partition_owner *owner;
+    uint32_t count;
+} revocation;
+
+/** Tells a scheduler; if the datagram is lost, it learns it from its next renewal. */
+static void send_revocation(const hs_grant *grant, void *user_data) {
+    revocation *self = user_data;
+    hs_membership_service *membership = self->owner->context->membership;
+    Hs__GrantRef ref = HS__GRANT_REF__INIT;
+    ref.partition = self->owner->partition;
+    ref.epoch = self->owner->epoch;
+    ref.grant_id = grant->id;
+    Hs__GrantRef *refs[] = {&ref};
+    Hs__GrantRevoke revoke = HS__GRANT_REVOKE__INIT;
+    revoke.n_grants = 1;
+    revoke.grants = refs;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_REVOKE;
+    message.grant_revoke = &revoke;
+    uint32_t address = 0;
+    uint16_t port = 0;
+    if (hs_membership_service_find_address(membership, grant->scheduler_id, &address, &port))
+        hs_membership_service_send(membership, address, port, &message);
+    self->count++;
+}
+
+void hs_partition_owner_cancel_job(hs_partition_owner *owner, const char *job_id) {
+    revocation revoked = {.owner = owner};
+    hs_partition *state = hs_replica_lock(owner->replica);
+    hs_grant_table_cancel_job(owner->grants, state, job_id, send_revocation, &revoked);
+    hs_replica_unlock(owner->replica);
+    hs_log_info("grants_cancelled", "job=%s partition=%u epoch=%u grants=%u", job_id,
+                owner->partition, owner->epoch, revoked.count);
+}
--- a/src/batch/partition_owner.h
+++ b/src/batch/partition_owner.h
@@ -38,4 +38,7 @@
 bool hs_partition_owner_renew(hs_partition_owner *owner, const Hs__GrantRef *ref,
                               const char *scheduler_id);
 
+/** Revokes the grants of a job whose cancellation is in the stream, and grants no more of it. */
+void hs_partition_owner_cancel_job(hs_partition_owner *owner, const char *job_id);
+
 #endif
--- a/src/commands/cancel.c
+++ b/src/commands/cancel.c
@@ -1,10 +1,11 @@
 /**
  * @file cancel.c
- * POST /v1/batches/{id}/cancel. Appends a cancellation record and answers with the job's state as
- * read back from the log.
+ * POST /v1/batches/{id}/cancel. Appends a cancellation record, reports it to the partition's owner
+ * and answers with the job's state as read back from the log.
  */
 #include "base/clock.h"
 #include "base/fault_point.h"
+#include "base/http_exchange.h"
 #include "base/log.h"
 #include "batch/batch_id.h"
 #include "batch/job_json.h"
@@ -17,6 +18,8 @@
 
 #define APPEND_TIMEOUT_MS 3000
 #define RETRY_AFTER_S 2
+#define REPORT_TIMEOUT_S 1
+#define HTTP_OK 200
 
 typedef enum { JOB_NOT_FOUND, JOB_RUNNING, JOB_ENDED, JOB_READ_FAILED } job_status;
 
@@ -40,6 +43,49 @@
     return status;
 }
 
+/** Returns the URL at which the partition's owner, if another daemon, takes a report, or NULL. */
+static char *make_report_url(hs_node *node, uint32_t partition, const char *job_id) {
+    uint32_t epoch = 0;
+    char *url = NULL;
+    hs_membership *membership = hs_membership_service_lock(node->membership);
+    const hs_member *owner = hs_membership_find_owner(membership, partition, &epoch);
+    if (owner != NULL && owner != hs_membership_self(membership) && owner->admin_port != 0) {
+        g_autofree char *path = g_strdup_printf("/internal/v1/cancelled-jobs/%s", job_id);
+        url = hs_member_admin_url(owner->address, owner->admin_port, path);
+    }
+    hs_membership_service_unlock(node->membership);
+    return url;
+}
+
+/**
+ * Makes the partition's owner stop granting items of the job, without waiting for its next read of
+ * the stream.
+ */
+static void report_to_owner(hs_node *node, uint32_t partition, const char *job_id) {
+    uint64_t started_ms = hs_clock_monotonic_ms();
+    bool is_informed = hs_coordinator_cancel_job(node->coordinator, partition, job_id);
+    g_autofree char *url = make_report_url(node, partition, job_id);
+    if (url != NULL) {
+        hs_http_request request = {.method = "POST", .url = url, .timeout_s = REPORT_TIMEOUT_S};
+        hs_http_answer answer;
+        is_informed = hs_http_exchange(&request, &answer) && answer.status == HTTP_OK;
+        hs_http_answer_clear(&answer);
+    }
+    hs_log_info("job_cancel_reported", "job=%s partition=%u informed=%d took_ms=%u", job_id,
+                partition, is_informed, (unsigned)(hs_clock_monotonic_ms() - started_ms));
+}
+
+int hs_command_note_cancelled(const struct _u_request *request, struct _u_response *response,
+                              void *user_data) {
+    hs_node *node = user_data;
+    const char *job_id = hs_http_parameter(request, "id");
+    uint32_t partition = 0;
+    if (!hs_id_partition(job_id, &partition) ||
+        !hs_coordinator_cancel_job(node->coordinator, partition, job_id))
+        return hs_refuse_invalid(response, 404, "not_owner", "not the owner of this partition");
+    return hs_http_reply_json(response, HTTP_OK, json_object());
+}
+
 static int cancel_job(hs_node *node, hs_replica *replica, const char *job_id, const char *tenant,
                       struct _u_response *response) {
     hs_error error = {0};
@@ -56,6 +102,7 @@
         status = read_job(replica, job_id, tenant, &document, &error);
     }
     if (status == JOB_ENDED) {
+        report_to_owner(node, hs_replica_partition(replica), job_id);
         hs_metrics_add(&node->metrics, HS_COUNT_JOBS_CANCELLED, 1);
         hs_log_info("job_cancelled", "job=%s tenant=%s", job_id, tenant);
         return hs_http_reply_json(response, 200, document);
--- a/src/commands/command_routes.c
+++ b/src/commands/command_routes.c
@@ -14,6 +14,8 @@
 void hs_command_register_admin_routes(hs_node *node, hs_http_server *server) {
     hs_fault_register_routes(server);
     hs_http_server_route(server, "POST", "/admin/v1/drain", hs_command_drain, node);
+    hs_http_server_route(server, "POST", "/internal/v1/cancelled-jobs/:id",
+                         hs_command_note_cancelled, node);
     hs_http_server_route(server, "PUT", "/admin/v1/:kind/:name", hs_command_publish, node);
     hs_http_server_route(server, "DELETE", "/admin/v1/:kind/:name", hs_command_delete, node);
 }
--- a/src/commands/command_routes.h
+++ b/src/commands/command_routes.h
@@ -24,6 +24,9 @@
 int hs_command_upload(const struct _u_request *request, struct _u_response *response, void *node);
 int hs_command_submit(const struct _u_request *request, struct _u_response *response, void *node);
 int hs_command_cancel(const struct _u_request *request, struct _u_response *response, void *node);
+/** Takes another daemon's report of a cancelled job in a partition that this daemon owns. */
+int hs_command_note_cancelled(const struct _u_request *request, struct _u_response *response,
+                              void *node);
 int hs_command_publish(const struct _u_request *request, struct _u_response *response, void *node);
 int hs_command_drain(const struct _u_request *request, struct _u_response *response, void *node);
 int hs_command_delete(const struct _u_request *request, struct _u_response *response, void *node);
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -39,6 +39,11 @@
 extern const test_case configuration_tests[];
 extern const test_case leaving_tests[];
 extern const test_case placement_system_tests[];
+extern const test_case batch_cancel_tests[];
+
+/** As begin_fleet, with a daemon that reaches the platform through a proxy. */
+int begin_batch_cancels(void);
+int end_batch_cancels(void);
 extern const test_case fleet_system_tests[];
 extern const test_case fleet_job_system_tests[];
 extern const test_case fleet_job_end_system_tests[];
--- a/tests/unit/test_grants.c
+++ b/tests/unit/test_grants.c
@@ -101,6 +101,31 @@
     hs_partition_free(partition);
 }
 
+static void count_revocation(const hs_grant *grant, void *user_data) {
+    (void)grant;
+    ++*(uint32_t *)user_data;
+}
+
+/** Guards against grants of a cancelled job whose cancellation the owner has not read yet. */
+static void a_job_cancelled_ahead_of_its_record_gets_no_grant(void) {
+    hs_partition *partition = new_partition_with_job();
+    hs_grant_table *table = hs_grant_table_new(LEASE_MS);
+    uint64_t grant = 0;
+    uint32_t revoked = 0;
+    take(table, partition, &request_a, 2, 0, &grant);
+    hs_grant_table_cancel_job(table, partition, TEST_JOB, count_revocation, &revoked);
+    CU_ASSERT_EQUAL(revoked, 1);
+    CU_ASSERT_FALSE(hs_grant_table_renew(table, grant, "a", 1));
+    CU_ASSERT_FALSE(hs_grant_table_has_ready_items(table, partition));
+    hs_grant_table_remove_ended(table, partition, 1);
+    CU_ASSERT_EQUAL(take(table, partition, &request_a, 8, 2, NULL), 0);
+    apply_cancel_record(partition, TEST_JOB);
+    hs_grant_table_remove_ended(table, partition, 3);
+    CU_ASSERT_EQUAL(take(table, partition, &request_a, 8, 4, NULL), 0);
+    hs_grant_table_free(table);
+    hs_partition_free(partition);
+}
+
 static void scheduler_without_the_model_gets_no_grant(void) {
     static const char *const others[] = {"other"};
     hs_grant_request request = request_a;
@@ -153,6 +178,8 @@
     {"items_of_a_restarted_scheduler_are_granted_again",
      items_of_a_restarted_scheduler_are_granted_again},
     {"grants_of_a_cancelled_job_are_removed", grants_of_a_cancelled_job_are_removed},
+    {"a_job_cancelled_ahead_of_its_record_gets_no_grant",
+     a_job_cancelled_ahead_of_its_record_gets_no_grant},
     {"scheduler_without_the_model_gets_no_grant", scheduler_without_the_model_gets_no_grant},
     {"partition_without_owner_is_claimed_after_the_settle_time",
      partition_without_owner_is_claimed_after_the_settle_time},
