Batches: items start only while their owner has read the stream recently

Callers: a batch whose partition's owner could not read the stream (the platform silent for it, or for all) ran items again and again that already had a result; and a cancellation of which the owner could not be told had no bound at all.

An owner grants and renews from its replica, however old that is. A scheduler that has finished an item stops renewing its grant; the owner, which does not see the result, grants the item again after the lease. A scheduler whose owner does not answer starts what it holds for as long as it holds it.

Change: a replica knows when it was last known to include the whole stream. An owner grants items only while that is less than batch.grant_lease_ms ago, and tells the scheduler for how long they may start (Grant.start_within_ms); each renewal extends it (GrantConfirm), counted from the time at which the scheduler sent its request, so that delayed datagrams and suspensions shorten it. A scheduler does not start, and a worker does not send, an ordinary item after that, nor one whose grant was revoked while its lines were read. Running items go on; run-once items read their intent back from the log, as before. An owner that has waited long for a record of an idle partition reads once more without a wait before it grants. Older owners send no limit (0: as before), older schedulers ignore it.

--- a/gen/peer.pb-c.c
+++ b/gen/peer.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &hs__grant_renew__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   hs__grant_confirm__init
+                     (Hs__GrantConfirm         *message)
+{
+  static const Hs__GrantConfirm init_value = HS__GRANT_CONFIRM__INIT;
+  *message = init_value;
+}
+size_t hs__grant_confirm__get_packed_size
+                     (const Hs__GrantConfirm *message)
+{
+  assert(message->base.descriptor == &hs__grant_confirm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t hs__grant_confirm__pack
+                     (const Hs__GrantConfirm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &hs__grant_confirm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t hs__grant_confirm__pack_to_buffer
+                     (const Hs__GrantConfirm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &hs__grant_confirm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Hs__GrantConfirm *
+       hs__grant_confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Hs__GrantConfirm *)
+     protobuf_c_message_unpack (&hs__grant_confirm__descriptor,
+                                allocator, len, data);
+}
+void   hs__grant_confirm__free_unpacked
+                     (Hs__GrantConfirm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &hs__grant_confirm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   hs__grant_revoke__init
                      (Hs__GrantRevoke         *message)
 {
@@ -2361,7 +2406,7 @@
   (ProtobufCMessageInit) hs__engine_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__pull_request__field_descriptors[5] =
+static const ProtobufCFieldDescriptor hs__pull_request__field_descriptors[6] =
 {
   {
     "partition",
@@ -2423,18 +2468,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__PullRequest, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__pull_request__field_indices_by_name[] = {
   4,   /* field[4] = models */
   0,   /* field[0] = partition */
   3,   /* field[3] = scheduler_incarnation */
+  5,   /* field[5] = sent_ms */
   2,   /* field[2] = sequence */
   1,   /* field[1] = want */
 };
 static const ProtobufCIntRange hs__pull_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor hs__pull_request__descriptor =
 {
@@ -2444,14 +2502,14 @@
   "Hs__PullRequest",
   "hs",
   sizeof(Hs__PullRequest),
-  5,
+  6,
   hs__pull_request__field_descriptors,
   hs__pull_request__field_indices_by_name,
   1,  hs__pull_request__number_ranges,
   (ProtobufCMessageInit) hs__pull_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__grant__field_descriptors[13] =
+static const ProtobufCFieldDescriptor hs__grant__field_descriptors[14] =
 {
   {
     "partition",
@@ -2609,6 +2667,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_within_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__Grant, start_within_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__grant__field_indices_by_name[] = {
   8,   /* field[8] = chunk_first_item */
@@ -2623,12 +2693,13 @@
   12,   /* field[12] = model */
   0,   /* field[0] = partition */
   9,   /* field[9] = run_once */
+  13,   /* field[13] = start_within_ms */
   4,   /* field[4] = tenant */
 };
 static const ProtobufCIntRange hs__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor hs__grant__descriptor =
 {
@@ -2638,14 +2709,14 @@
   "Hs__Grant",
   "hs",
   sizeof(Hs__Grant),
-  13,
+  14,
   hs__grant__field_descriptors,
   hs__grant__field_indices_by_name,
   1,  hs__grant__number_ranges,
   (ProtobufCMessageInit) hs__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__grant_reply__field_descriptors[2] =
+static const ProtobufCFieldDescriptor hs__grant_reply__field_descriptors[3] =
 {
   {
     "sequence",
@@ -2671,15 +2742,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__GrantReply, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__grant_reply__field_indices_by_name[] = {
   1,   /* field[1] = grants */
+  2,   /* field[2] = sent_ms */
   0,   /* field[0] = sequence */
 };
 static const ProtobufCIntRange hs__grant_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor hs__grant_reply__descriptor =
 {
@@ -2689,14 +2773,14 @@
   "Hs__GrantReply",
   "hs",
   sizeof(Hs__GrantReply),
-  2,
+  3,
   hs__grant_reply__field_descriptors,
   hs__grant_reply__field_indices_by_name,
   1,  hs__grant_reply__number_ranges,
   (ProtobufCMessageInit) hs__grant_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__grant_ref__field_descriptors[3] =
+static const ProtobufCFieldDescriptor hs__grant_ref__field_descriptors[4] =
 {
   {
     "partition",
@@ -2734,16 +2818,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_within_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hs__GrantRef, start_within_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__grant_ref__field_indices_by_name[] = {
   1,   /* field[1] = epoch */
   2,   /* field[2] = grant_id */
   0,   /* field[0] = partition */
+  3,   /* field[3] = start_within_ms */
 };
 static const ProtobufCIntRange hs__grant_ref__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor hs__grant_ref__descriptor =
 {
@@ -2753,14 +2850,14 @@
   "Hs__GrantRef",
   "hs",
   sizeof(Hs__GrantRef),
-  3,
+  4,
   hs__grant_ref__field_descriptors,
   hs__grant_ref__field_indices_by_name,
   1,  hs__grant_ref__number_ranges,
   (ProtobufCMessageInit) hs__grant_ref__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__grant_renew__field_descriptors[1] =
+static const ProtobufCFieldDescriptor hs__grant_renew__field_descriptors[2] =
 {
   {
     "grants",
@@ -2774,14 +2871,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__GrantRenew, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__grant_renew__field_indices_by_name[] = {
   0,   /* field[0] = grants */
+  1,   /* field[1] = sent_ms */
 };
 static const ProtobufCIntRange hs__grant_renew__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor hs__grant_renew__descriptor =
 {
@@ -2791,13 +2901,64 @@
   "Hs__GrantRenew",
   "hs",
   sizeof(Hs__GrantRenew),
-  1,
+  2,
   hs__grant_renew__field_descriptors,
   hs__grant_renew__field_indices_by_name,
   1,  hs__grant_renew__number_ranges,
   (ProtobufCMessageInit) hs__grant_renew__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor hs__grant_confirm__field_descriptors[2] =
+{
+  {
+    "grants",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__GrantConfirm, n_grants),
+    offsetof(Hs__GrantConfirm, grants),
+    &hs__grant_ref__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Hs__GrantConfirm, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned hs__grant_confirm__field_indices_by_name[] = {
+  0,   /* field[0] = grants */
+  1,   /* field[1] = sent_ms */
+};
+static const ProtobufCIntRange hs__grant_confirm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor hs__grant_confirm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "hs.GrantConfirm",
+  "GrantConfirm",
+  "Hs__GrantConfirm",
+  "hs",
+  sizeof(Hs__GrantConfirm),
+  2,
+  hs__grant_confirm__field_descriptors,
+  hs__grant_confirm__field_indices_by_name,
+  1,  hs__grant_confirm__number_ranges,
+  (ProtobufCMessageInit) hs__grant_confirm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor hs__grant_revoke__field_descriptors[1] =
 {
   {
@@ -4402,7 +4563,7 @@
   (ProtobufCMessageInit) hs__evacuations__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[25] =
+static const ProtobufCFieldDescriptor hs__peer_message__field_descriptors[26] =
 {
   {
     "sender_id",
@@ -4704,6 +4865,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant_confirm",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Hs__PeerMessage, kind_case),
+    offsetof(Hs__PeerMessage, grant_confirm),
+    &hs__grant_confirm__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hs__peer_message__field_indices_by_name[] = {
   18,   /* field[18] = crash_report */
@@ -4713,6 +4886,7 @@
   16,   /* field[16] = engine_totals */
   15,   /* field[15] = engine_uses */
   23,   /* field[23] = evacuations */
+  25,   /* field[25] = grant_confirm */
   8,   /* field[8] = grant_renew */
   7,   /* field[7] = grant_reply */
   9,   /* field[9] = grant_revoke */
@@ -4735,7 +4909,7 @@
 static const ProtobufCIntRange hs__peer_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor hs__peer_message__descriptor =
 {
@@ -4745,7 +4919,7 @@
   "Hs__PeerMessage",
   "hs",
   sizeof(Hs__PeerMessage),
-  25,
+  26,
   hs__peer_message__field_descriptors,
   hs__peer_message__field_indices_by_name,
   1,  hs__peer_message__number_ranges,
--- a/gen/peer.pb-c.h
+++ b/gen/peer.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct Hs__GrantReply Hs__GrantReply;
 typedef struct Hs__GrantRef Hs__GrantRef;
 typedef struct Hs__GrantRenew Hs__GrantRenew;
+typedef struct Hs__GrantConfirm Hs__GrantConfirm;
 typedef struct Hs__GrantRevoke Hs__GrantRevoke;
 typedef struct Hs__LimitAsk Hs__LimitAsk;
 typedef struct Hs__LimitGrant Hs__LimitGrant;
@@ -339,10 +340,14 @@
    */
   size_t n_models;
   char **models;
+  /*
+   * Monotonic time of the sender; the answer repeats it.
+   */
+  uint64_t sent_ms;
 };
 #define HS__PULL_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__pull_request__descriptor) \
-    , 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -377,10 +382,15 @@
    */
   uint64_t deadline_ms;
   char *model;
+  /*
+   * Time after GrantReply.sent_ms within which the items may start, unless GrantConfirm extends it;
+   * 0: not limited, as sent by older builds, which never confirm.
+   */
+  uint32_t start_within_ms;
 };
 #define HS__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__grant__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -395,10 +405,14 @@
   uint64_t sequence;
   size_t n_grants;
   Hs__Grant **grants;
+  /*
+   * Of the request.
+   */
+  uint64_t sent_ms;
 };
 #define HS__GRANT_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__grant_reply__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0 }
 
 
 /*
@@ -410,25 +424,52 @@
   uint32_t partition;
   uint32_t epoch;
   uint64_t grant_id;
+  /*
+   * In GrantConfirm only: time after GrantConfirm.sent_ms.
+   */
+  uint32_t start_within_ms;
 };
 #define HS__GRANT_REF__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__grant_ref__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
  * Renews the sender's grants at the partition's owner, which answers with GrantRevoke if any of
- * them are no longer valid.
+ * them are no longer valid, and with GrantConfirm if items of any may start.
  */
 struct  Hs__GrantRenew
 {
   ProtobufCMessage base;
   size_t n_grants;
   Hs__GrantRef **grants;
+  /*
+   * Monotonic time of the sender; the answer repeats it.
+   */
+  uint64_t sent_ms;
 };
 #define HS__GRANT_RENEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hs__grant_renew__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
+
+
+/*
+ * Grants whose items may start, as the owner has read the partition's stream recently. Older builds
+ * neither send nor read it.
+ */
+struct  Hs__GrantConfirm
+{
+  ProtobufCMessage base;
+  size_t n_grants;
+  Hs__GrantRef **grants;
+  /*
+   * Of the GrantRenew.
+   */
+  uint64_t sent_ms;
+};
+#define HS__GRANT_CONFIRM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&hs__grant_confirm__descriptor) \
+    , 0,NULL, 0 }
 
 
 /*
@@ -998,7 +1039,8 @@
   HS__PEER_MESSAGE__KIND_TRIAL_ASK = 22,
   HS__PEER_MESSAGE__KIND_TRIAL_VERDICT = 23,
   HS__PEER_MESSAGE__KIND_EVACUATIONS = 24,
-  HS__PEER_MESSAGE__KIND_TRIAL_RETURN = 25
+  HS__PEER_MESSAGE__KIND_TRIAL_RETURN = 25,
+  HS__PEER_MESSAGE__KIND_GRANT_CONFIRM = 26
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(HS__PEER_MESSAGE__KIND__CASE)
 } Hs__PeerMessage__KindCase;
 
@@ -1038,6 +1080,7 @@
     Hs__TrialVerdict *trial_verdict;
     Hs__Evacuations *evacuations;
     Hs__TrialReturn *trial_return;
+    Hs__GrantConfirm *grant_confirm;
   };
 };
 #define HS__PEER_MESSAGE__INIT \
@@ -1318,6 +1361,25 @@
 void   hs__grant_renew__free_unpacked
                      (Hs__GrantRenew *message,
                       ProtobufCAllocator *allocator);
+/* Hs__GrantConfirm methods */
+void   hs__grant_confirm__init
+                     (Hs__GrantConfirm         *message);
+size_t hs__grant_confirm__get_packed_size
+                     (const Hs__GrantConfirm   *message);
+size_t hs__grant_confirm__pack
+                     (const Hs__GrantConfirm   *message,
+                      uint8_t             *out);
+size_t hs__grant_confirm__pack_to_buffer
+                     (const Hs__GrantConfirm   *message,
+                      ProtobufCBuffer     *buffer);
+Hs__GrantConfirm *
+       hs__grant_confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   hs__grant_confirm__free_unpacked
+                     (Hs__GrantConfirm *message,
+                      ProtobufCAllocator *allocator);
 /* Hs__GrantRevoke methods */
 void   hs__grant_revoke__init
                      (Hs__GrantRevoke         *message);
@@ -1812,6 +1874,9 @@
 typedef void (*Hs__GrantRenew_Closure)
                  (const Hs__GrantRenew *message,
                   void *closure_data);
+typedef void (*Hs__GrantConfirm_Closure)
+                 (const Hs__GrantConfirm *message,
+                  void *closure_data);
 typedef void (*Hs__GrantRevoke_Closure)
                  (const Hs__GrantRevoke *message,
                   void *closure_data);
@@ -1904,6 +1969,7 @@
 extern const ProtobufCMessageDescriptor hs__grant_reply__descriptor;
 extern const ProtobufCMessageDescriptor hs__grant_ref__descriptor;
 extern const ProtobufCMessageDescriptor hs__grant_renew__descriptor;
+extern const ProtobufCMessageDescriptor hs__grant_confirm__descriptor;
 extern const ProtobufCMessageDescriptor hs__grant_revoke__descriptor;
 extern const ProtobufCMessageDescriptor hs__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor hs__limit_grant__descriptor;
--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -296,21 +296,43 @@
     hs_membership_service_reply(coordinator->context.membership, to, &message);
 }
 
-/** Renews valid grants and answers with the invalid ones. Ignores partitions of other owners. */
+static void send_confirmation(hs_coordinator *coordinator, GPtrArray *refs, uint64_t sent_ms,
+                              const struct sockaddr_in *to) {
+    Hs__GrantConfirm confirm = HS__GRANT_CONFIRM__INIT;
+    confirm.n_grants = refs->len;
+    confirm.grants = (Hs__GrantRef **)refs->pdata;
+    confirm.sent_ms = sent_ms;
+    Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
+    message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_CONFIRM;
+    message.grant_confirm = &confirm;
+    hs_membership_service_reply(coordinator->context.membership, to, &message);
+}
+
+/**
+ * Renews valid grants and answers with the invalid ones and with those whose items may start.
+ * Ignores partitions of other owners.
+ */
 static void handle_renew(hs_coordinator *coordinator, const Hs__PeerMessage *message,
                          const struct sockaddr_in *from) {
     const Hs__GrantRenew *renew = message->grant_renew;
     g_autoptr(GPtrArray) revoked_refs = g_ptr_array_new();
+    g_autoptr(GPtrArray) confirmed_refs = g_ptr_array_new();
     g_mutex_lock(&coordinator->lock);
     for (size_t index = 0; index < renew->n_grants; index++) {
         Hs__GrantRef *ref = renew->grants[index];
         hs_partition_owner *owner = ref->partition < coordinator->partition_count
                                         ? coordinator->owners[ref->partition]
                                         : NULL;
-        if (owner != NULL && !hs_partition_owner_renew(owner, ref, message->sender_id))
+        if (owner == NULL)
+            continue;
+        if (!hs_partition_owner_renew(owner, ref, message->sender_id, &ref->start_within_ms))
             g_ptr_array_add(revoked_refs, ref);
+        else if (ref->start_within_ms > 0)
+            g_ptr_array_add(confirmed_refs, ref);
     }
     g_mutex_unlock(&coordinator->lock);
+    if (confirmed_refs->len > 0)
+        send_confirmation(coordinator, confirmed_refs, renew->sent_ms, from);
     if (revoked_refs->len > 0)
         send_revocation(coordinator, revoked_refs, from);
 }
--- a/src/batch/item_runner.c
+++ b/src/batch/item_runner.c
@@ -204,6 +204,14 @@
     return HS_ITEM_RETRY;
 }
 
+/** Returns HS_ITEM_RECORDED if an ordinary item may be sent. */
+static hs_item_end check_grant(const hs_item_work *work) {
+    if (g_atomic_int_get(work->revoked) != 0)
+        return HS_ITEM_DROPPED;
+    bool is_late = work->start_until_ms != NULL && hs_clock_monotonic_ms() >= *work->start_until_ms;
+    return is_late ? HS_ITEM_HELD : HS_ITEM_RECORDED;
+}
+
 static hs_item_end run_on_engine(hs_item_runner *runner, item_run *run,
                                  void (*on_engine_free)(void *), void *user_data) {
     const hs_item_work *work = run->work;
@@ -250,7 +258,7 @@
         on_engine_free(user_data);
         return HS_ITEM_RETRY;
     }
-    hs_item_end end = work->run_once ? obtain_intent(runner, work) : HS_ITEM_RECORDED;
+    hs_item_end end = work->run_once ? obtain_intent(runner, work) : check_grant(work);
     if (end == HS_ITEM_RECORDED)
         end = run_on_engine(runner, &run, on_engine_free, user_data);
     else
--- a/src/batch/item_runner.h
+++ b/src/batch/item_runner.h
@@ -53,7 +53,9 @@
     bool run_once;
     const char *attempt_id;
     const char *engine_url;
-    const gint *revoked;        /**< Atomic. Not 0 if the grant was revoked. */
+    const gint *revoked; /**< Atomic. Not 0 if the grant was revoked. */
+    /** Monotonic time from which an ordinary item is not sent; NULL: none. */
+    const _Atomic uint64_t *start_until_ms;
     hs_item_progress *progress; /**< In and out; owned by the caller, passed to the next run. */
 } hs_item_work;
 
@@ -61,6 +63,7 @@
     HS_ITEM_RECORDED,     /**< The item has a result in the log. */
     HS_ITEM_RETRY,        /**< Run the item again, with a new attempt. */
     HS_ITEM_OTHER_ENGINE, /**< Run-once item not sent or refused: retry the attempt elsewhere. */
+    HS_ITEM_HELD,         /**< Not sent: the owner has not confirmed the grant in time. */
     HS_ITEM_DROPPED, /**< Grant revoked, another intent valid or process stopping: do not retry. */
 } hs_item_end;
 
--- a/src/batch/partition_owner.c
+++ b/src/batch/partition_owner.c
@@ -23,6 +23,7 @@
     GHashTable *orphans;    /**< attempt id -> time first seen without a scheduler; thread only */
     uint64_t next_recovery_ms;
     uint32_t wait_ms; /**< Maximum wait of the next read of the stream; thread only */
+    bool is_held;     /**< The state is too old for starts; thread only */
     gint valid;
     gint has_ready;
     gint stopping;
@@ -81,14 +82,39 @@
     return false;
 }
 
+/**
+ * Returns the time in ms within which items may start by the replica's state, 0: none may. An old
+ * state may lack cancellations, results and a later claim.
+ */
+static uint32_t get_start_time_ms(const hs_partition_owner *owner) {
+    uint64_t age_ms = hs_replica_age_ms(owner->replica);
+    uint64_t limit_ms = (uint64_t)owner->context->settings->grant_lease_ms;
+    return age_ms < limit_ms ? (uint32_t)(limit_ms - age_ms) : 0;
+}
+
+/** Logs when the owner begins and ends to hold the starts of open jobs. */
+static void note_hold(hs_partition_owner *owner, bool is_held) {
+    if (is_held != owner->is_held)
+        hs_log_info(is_held ? "partition_starts_held" : "partition_starts_resumed",
+                    "partition=%u epoch=%u", owner->partition, owner->epoch);
+    owner->is_held = is_held;
+}
+
 static void update_grants(hs_partition_owner *owner) {
+    uint32_t start_within_ms = get_start_time_ms(owner);
     hs_partition *state = hs_replica_lock(owner->replica);
     if (!is_still_owner(owner, state))
         g_atomic_int_set(&owner->valid, 0);
     hs_grant_table_remove_ended(owner->grants, state, hs_clock_monotonic_ms());
     drop_dead_schedulers(owner);
-    g_atomic_int_set(&owner->has_ready, hs_grant_table_has_ready_items(owner->grants, state));
-    owner->wait_ms = has_open_jobs(state) ? ACTIVE_READ_WAIT_MS : IDLE_READ_WAIT_MS;
+    g_atomic_int_set(&owner->has_ready,
+                     start_within_ms > 0 && hs_grant_table_has_ready_items(owner->grants, state));
+    bool has_jobs = has_open_jobs(state);
+    note_hold(owner, has_jobs && start_within_ms == 0);
+    if (!has_jobs)
+        owner->wait_ms = IDLE_READ_WAIT_MS;
+    else /* The long wait may have left the state too old for starts. */
+        owner->wait_ms = owner->wait_ms == IDLE_READ_WAIT_MS ? 0 : ACTIVE_READ_WAIT_MS;
     hs_replica_unlock(owner->replica);
 }
 
@@ -226,7 +252,7 @@
 
 /** Returns a message that borrows the strings of @p state. */
 static Hs__Grant build_grant_message(const hs_partition_owner *owner, const hs_partition *state,
-                                     const hs_grant *grant) {
+                                     const hs_grant *grant, uint32_t start_within_ms) {
     const hs_job *job = hs_partition_find_job(state, grant->job_id);
     const hs_file *file = hs_partition_find_file(state, job->file_id);
     const hs_chunk_ref *chunk = hs_file_find_chunk(file, grant->first_item);
@@ -244,20 +270,23 @@
     message.endpoint = job->endpoint;
     message.deadline_ms = job->deadline_ms;
     message.model = file->model;
+    message.start_within_ms = start_within_ms;
     return message;
 }
 
 static void send_grants(hs_partition_owner *owner, const hs_partition *state, GPtrArray *grants,
-                        uint64_t sequence, const struct sockaddr_in *to) {
+                        const Hs__PullRequest *pull, uint32_t start_within_ms,
+                        const struct sockaddr_in *to) {
     Hs__Grant messages[MAX_GRANTS_IN_REPLY];
     Hs__Grant *pointers[MAX_GRANTS_IN_REPLY];
     guint count = MIN(grants->len, MAX_GRANTS_IN_REPLY);
     for (guint index = 0; index < count; index++) {
-        messages[index] = build_grant_message(owner, state, grants->pdata[index]);
+        messages[index] = build_grant_message(owner, state, grants->pdata[index], start_within_ms);
         pointers[index] = &messages[index];
     }
     Hs__GrantReply reply = HS__GRANT_REPLY__INIT;
-    reply.sequence = sequence;
+    reply.sequence = pull->sequence;
+    reply.sent_ms = pull->sent_ms;
     reply.n_grants = count;
     reply.grants = pointers;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
@@ -275,19 +304,23 @@
                                 .models = (const char *const *)pull->models,
                                 .model_count = pull->n_models};
     g_autoptr(GPtrArray) grants = g_ptr_array_new();
+    uint32_t start_within_ms = get_start_time_ms(owner);
+    if (start_within_ms == 0)
+        return;
     hs_partition *state = hs_replica_lock(owner->replica);
     if (hs_partition_owner_is_valid(owner) && is_still_owner(owner, state)) {
         uint32_t want = MIN(pull->want, MAX_GRANTS_IN_REPLY);
         hs_grant_table_grant_items(owner->grants, state, &request, want, hs_clock_monotonic_ms(),
                                    grants);
-        send_grants(owner, state, grants, pull->sequence, from);
+        send_grants(owner, state, grants, pull, start_within_ms, from);
         g_atomic_int_set(&owner->has_ready, hs_grant_table_has_ready_items(owner->grants, state));
     }
     hs_replica_unlock(owner->replica);
 }
 
 bool hs_partition_owner_renew(hs_partition_owner *owner, const Hs__GrantRef *ref,
-                              const char *scheduler_id) {
+                              const char *scheduler_id, uint32_t *start_within_ms) {
+    *start_within_ms = get_start_time_ms(owner);
     hs_replica_lock(owner->replica);
     bool is_renewed =
         ref->epoch == owner->epoch &&
--- a/src/batch/partition_owner.h
+++ b/src/batch/partition_owner.h
@@ -34,9 +34,13 @@
 void hs_partition_owner_handle_pull(hs_partition_owner *owner, const Hs__PeerMessage *message,
                                     const struct sockaddr_in *from);
 
-/** Extends the lease of a grant; returns false if the grant is not valid. */
+/**
+ * Extends the lease of a grant; returns false if the grant is not valid. @p start_within_ms
+ * receives the time within which its items may start, 0: none may, as the stream was not read
+ * recently.
+ */
 bool hs_partition_owner_renew(hs_partition_owner *owner, const Hs__GrantRef *ref,
-                              const char *scheduler_id);
+                              const char *scheduler_id, uint32_t *start_within_ms);
 
 /** Revokes the grants of a job whose cancellation is in the stream, and grants no more of it. */
 void hs_partition_owner_cancel_job(hs_partition_owner *owner, const char *job_id);
--- a/src/batch/replica.c
+++ b/src/batch/replica.c
@@ -21,6 +21,7 @@
     bool snapshot_loaded; /**< The newest snapshot was searched for. */
     uint64_t snapshot_offset;
     uint64_t last_read_ms; /**< Monotonic; 0 before the first read. */
+    uint64_t current_ms;   /**< Sending time of the last read that reached the end; 0: none. */
 };
 
 hs_replica *hs_replica_new(const hs_log_client *log, uint32_t partition,
@@ -138,7 +139,17 @@
     return 0;
 }
 
-static void apply_slice(hs_replica *replica, const hs_log_slice *slice) {
+/** Whether the stream had no records beyond the slice; false if that is not sure. */
+static bool reaches_end(const hs_log_slice *slice) {
+    uint64_t bytes = 0;
+    for (guint index = 0; index < slice->records->len; index++)
+        bytes += g_array_index(slice->records, hs_log_record, index).length;
+    /* The platform ends a longer answer before a record that would exceed the maximum. */
+    return slice->records->len == 0 || bytes < MAX_READ_BYTES / 2;
+}
+
+/** Applies an answer to a read that was sent at @p sent_ms. */
+static void apply_slice(hs_replica *replica, const hs_log_slice *slice, uint64_t sent_ms) {
     g_mutex_lock(&replica->lock);
     for (guint index = 0; index < slice->records->len; index++) {
         const hs_log_record *raw = &g_array_index(slice->records, hs_log_record, index);
@@ -147,15 +158,25 @@
         if (record != NULL)
             hs__partition_record__free_unpacked(record, NULL);
     }
+    if (reaches_end(slice))
+        replica->current_ms = MAX(replica->current_ms, sent_ms);
+    g_mutex_unlock(&replica->lock);
+}
+
+uint64_t hs_replica_age_ms(hs_replica *replica) {
+    g_mutex_lock(&replica->lock);
+    uint64_t current_ms = replica->current_ms;
     g_mutex_unlock(&replica->lock);
+    return current_ms != 0 ? hs_clock_monotonic_ms() - current_ms : UINT64_MAX;
 }
 
 int hs_replica_poll(hs_replica *replica, uint32_t wait_ms, uint32_t *applied, hs_error *error) {
     int result = load_snapshot(replica, error);
     if (result != 0)
         return result;
+    uint64_t sent_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&replica->lock);
-    replica->last_read_ms = hs_clock_monotonic_ms();
+    replica->last_read_ms = sent_ms;
     uint64_t offset = replica->state->next_offset;
     g_mutex_unlock(&replica->lock);
     hs_log_slice slice;
@@ -163,7 +184,7 @@
         hs_log_read(replica->log, replica->stream, offset, wait_ms, MAX_READ_BYTES, &slice, error);
     if (result != 0)
         return result;
-    apply_slice(replica, &slice);
+    apply_slice(replica, &slice, sent_ms);
     *applied = slice.records->len;
     hs_log_slice_clear(&slice);
     return 0;
@@ -175,6 +196,7 @@
     if (idle) {
         hs_partition_free(replica->state);
         replica->state = hs_partition_new(replica->ended_retention_ms);
+        replica->current_ms = 0;
         replica->snapshot_loaded = false;
         replica->snapshot_offset = 0;
     }
--- a/src/batch/replica.h
+++ b/src/batch/replica.h
@@ -23,6 +23,12 @@
 /** Returns the name of the partition's stream. Borrowed. */
 const char *hs_replica_stream(const hs_replica *replica);
 
+/**
+ * Returns the time in ms since the state was last known to include the whole stream, UINT64_MAX:
+ * never.
+ */
+uint64_t hs_replica_age_ms(hs_replica *replica);
+
 /** Reads to the current end of the stream. */
 int hs_replica_refresh(hs_replica *replica, hs_error *error);
 
--- a/src/commands/cancel.c
+++ b/src/commands/cancel.c
@@ -59,7 +59,7 @@
 
 /**
  * Makes the partition's owner stop granting items of the job, without waiting for its next read of
- * the stream.
+ * the stream. If it cannot be told, the age of its replica limits the time in which items start.
  */
 static void report_to_owner(hs_node *node, uint32_t partition, const char *job_id) {
     uint64_t started_ms = hs_clock_monotonic_ms();
--- a/src/scheduling/batch_item.c
+++ b/src/scheduling/batch_item.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 hs_held_grant *hs_held_grant_new(const Hs__Grant *message, const char *owner_id,
-                                 uint64_t incarnation) {
+                                 uint64_t incarnation, uint64_t sent_ms) {
     hs_held_grant *grant = g_atomic_rc_box_new0(hs_held_grant);
     grant->partition = message->partition;
     grant->epoch = message->epoch;
@@ -17,9 +17,19 @@
     grant->chunk_first_item = message->chunk_first_item;
     grant->run_once = message->run_once;
     grant->owner_id = g_strdup(owner_id);
+    grant->start_until_ms =
+        message->start_within_ms > 0 ? sent_ms + message->start_within_ms : UINT64_MAX;
     return grant;
 }
 
+void hs_held_grant_confirm(hs_held_grant *grant, uint64_t start_until_ms) {
+    grant->start_until_ms = MAX(grant->start_until_ms, start_until_ms);
+}
+
+bool hs_held_grant_may_start(const hs_held_grant *grant, uint64_t now_ms) {
+    return now_ms < grant->start_until_ms;
+}
+
 static void clear_grant(gpointer data) {
     hs_held_grant *grant = data;
     g_free(grant->job_id);
--- a/src/scheduling/batch_item.h
+++ b/src/scheduling/batch_item.h
@@ -1,7 +1,7 @@
 /**
  * @file batch_item.h
  * Batch items that partition owners granted to this daemon's scheduler. The functions take no
- * locks; only the reference count of a grant and its `revoked` flag are atomic.
+ * locks; only the reference count of a grant, its `revoked` flag and `start_until_ms` are atomic.
  */
 #ifndef HS_SCHEDULING_BATCH_ITEM_H
 #define HS_SCHEDULING_BATCH_ITEM_H
@@ -25,7 +25,8 @@
     uint64_t chunk_offset;
     uint32_t chunk_first_item;
     bool run_once;
-    gint revoked; /**< Atomic; not 0 after the owner has revoked the grant. */
+    gint revoked;                    /**< Atomic; not 0 after the owner has revoked the grant. */
+    _Atomic uint64_t start_until_ms; /**< Monotonic time from which its items must not start. */
     char *owner_id;
 } hs_held_grant;
 
@@ -48,9 +49,16 @@
     uint64_t not_before_ms; /**< Earliest time of the next start. */
 } hs_batch_item;
 
-/** Returns a grant with one reference, for the caller; copies the strings of @p message. */
+/**
+ * Returns a grant with one reference, for the caller; copies the strings of @p message, which
+ * answers a request sent at @p sent_ms.
+ */
 hs_held_grant *hs_held_grant_new(const Hs__Grant *message, const char *owner_id,
-                                 uint64_t incarnation);
+                                 uint64_t incarnation, uint64_t sent_ms);
+/** Allows starts until @p start_until_ms, unless the owner allowed them for longer before. */
+void hs_held_grant_confirm(hs_held_grant *grant, uint64_t start_until_ms);
+/** Whether the grant's items may start as far as the owner's confirmations go. */
+bool hs_held_grant_may_start(const hs_held_grant *grant, uint64_t now_ms);
 hs_held_grant *hs_held_grant_acquire(hs_held_grant *grant);
 void hs_held_grant_release(hs_held_grant *grant);
 
--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -90,7 +90,8 @@
         const Hs__Grant *message = reply->grants[index];
         if (has_grant(scheduler, message))
             continue;
-        hs_held_grant *grant = hs_held_grant_new(message, event->message->sender_id, incarnation);
+        hs_held_grant *grant =
+            hs_held_grant_new(message, event->message->sender_id, incarnation, reply->sent_ms);
         for (uint32_t offset = 0; offset < message->item_count; offset++) {
             hs_batch_item *item = hs_batch_item_new(grant, message->first_item + offset);
             g_ptr_array_add(scheduler->queued, item);
@@ -100,6 +101,11 @@
     }
 }
 
+static bool is_grant_of(const hs_held_grant *grant, const Hs__GrantRef *ref) {
+    return grant->partition == ref->partition && grant->epoch == ref->epoch &&
+           grant->grant_id == ref->grant_id;
+}
+
 /** Marks grants as revoked and cancels their ordinary items at the engines. */
 static void handle_revocation(hs_scheduler *scheduler, const scheduler_event *event) {
     const Hs__GrantRevoke *revoke = event->message->grant_revoke;
@@ -108,8 +114,7 @@
         for (guint position = 0; position < scheduler->items->len; position++) {
             hs_batch_item *item = scheduler->items->pdata[position];
             hs_held_grant *grant = item->grant;
-            if (grant->partition != ref->partition || grant->epoch != ref->epoch ||
-                grant->grant_id != ref->grant_id)
+            if (!is_grant_of(grant, ref))
                 continue;
             /* A run-once item that may have started continues: its outcome must be recorded. */
             if (grant->run_once && item->state == HS_ITEM_RUNNING)
@@ -121,6 +126,18 @@
     }
 }
 
+static void handle_confirmation(hs_scheduler *scheduler, const scheduler_event *event) {
+    const Hs__GrantConfirm *confirm = event->message->grant_confirm;
+    for (size_t index = 0; index < confirm->n_grants; index++) {
+        const Hs__GrantRef *ref = confirm->grants[index];
+        for (guint position = 0; position < scheduler->items->len; position++) {
+            hs_held_grant *grant = ((hs_batch_item *)scheduler->items->pdata[position])->grant;
+            if (is_grant_of(grant, ref))
+                hs_held_grant_confirm(grant, confirm->sent_ms + ref->start_within_ms);
+        }
+    }
+}
+
 static void handle_engine_free(hs_scheduler *scheduler, hs_batch_item *item) {
     hs_batch_engine *engine = g_hash_table_lookup(scheduler->engines, item->engine_id);
     if (engine != NULL)
@@ -139,8 +156,9 @@
         return;
     }
     bool preempted = item->preempted;
-    item->failures += !preempted;
-    if (engine != NULL && !preempted)
+    bool failed = !preempted && end != HS_ITEM_HELD;
+    item->failures += failed;
+    if (engine != NULL && failed)
         hs_batch_engine_note_failure(engine, now_ms);
     /* The grant is no longer renewed, so that the owner grants the item to another scheduler. */
     if (item->failures > MAX_ITEM_FAILURES && !item->grant->run_once) {
@@ -164,6 +182,9 @@
     case EVENT_REVOKE:
         handle_revocation(scheduler, event);
         break;
+    case EVENT_CONFIRM:
+        handle_confirmation(scheduler, event);
+        break;
     case EVENT_ENGINE_FREE:
         handle_engine_free(scheduler, event->item);
         break;
@@ -232,6 +253,9 @@
     case HS__PEER_MESSAGE__KIND_GRANT_REVOKE:
         *kind = EVENT_REVOKE;
         return true;
+    case HS__PEER_MESSAGE__KIND_GRANT_CONFIRM:
+        *kind = EVENT_CONFIRM;
+        return true;
     default:
         return false;
     }
--- a/src/scheduling/scheduler_items.c
+++ b/src/scheduling/scheduler_items.c
@@ -43,6 +43,7 @@
                          .attempt_id = item->attempt_id,
                          .engine_url = item->engine_url,
                          .revoked = &grant->revoked,
+                         .start_until_ms = &grant->start_until_ms,
                          .progress = &item->progress};
     engine_free_context free_context = {.scheduler = scheduler, .item = item};
     hs_item_end end =
@@ -131,8 +132,9 @@
             hs_scheduler_remove_item(scheduler, item);
             continue;
         }
-        hs_batch_engine *engine =
-            now_ms >= item->not_before_ms ? choose_engine(scheduler, item, now_ms) : NULL;
+        bool may_start =
+            now_ms >= item->not_before_ms && hs_held_grant_may_start(item->grant, now_ms);
+        hs_batch_engine *engine = may_start ? choose_engine(scheduler, item, now_ms) : NULL;
         if (engine == NULL) {
             index++;
             continue;
--- a/src/scheduling/scheduler_pull.c
+++ b/src/scheduling/scheduler_pull.c
@@ -1,4 +1,5 @@
 /** @file scheduler_pull.c  Requests items from partition owners and renews grants. */
+#include "base/clock.h"
 #include "scheduling/scheduler_state.h"
 
 #define PULL_INTERVAL_MS 20
@@ -47,13 +48,24 @@
     return partitions;
 }
 
+/** Counts the queued items that their grants allow to start. */
+static uint32_t count_startable_items(const hs_scheduler *scheduler, uint64_t now_ms) {
+    uint32_t count = 0;
+    for (guint index = 0; index < scheduler->queued->len; index++) {
+        const hs_batch_item *item = scheduler->queued->pdata[index];
+        count += hs_held_grant_may_start(item->grant, now_ms);
+    }
+    return count;
+}
+
 void hs_scheduler_pull_items(hs_scheduler *scheduler, uint64_t now_ms) {
     if (now_ms < scheduler->next_pull_ms || g_atomic_int_get(&scheduler->draining) != 0)
         return;
     scheduler->next_pull_ms = now_ms + PULL_INTERVAL_MS;
     g_autoptr(GPtrArray) models = g_ptr_array_new();
     uint32_t free_slots = count_free_slots(scheduler, now_ms, models);
-    if (free_slots <= scheduler->queued->len)
+    uint32_t startable_items = count_startable_items(scheduler, now_ms);
+    if (free_slots <= startable_items)
         return;
     g_autoptr(GArray) partitions = ready_partitions(scheduler);
     if (partitions->len == 0)
@@ -62,8 +74,9 @@
         g_array_index(partitions, uint32_t, scheduler->pull_sequence % partitions->len);
     Hs__PullRequest request = HS__PULL_REQUEST__INIT;
     request.partition = partition;
-    request.want = MIN(free_slots - scheduler->queued->len, MAX_PULL_ITEMS);
+    request.want = MIN(free_slots - startable_items, MAX_PULL_ITEMS);
     request.sequence = ++scheduler->pull_sequence;
+    request.sent_ms = hs_clock_monotonic_ms();
     request.n_models = models->len;
     request.models = (char **)models->pdata;
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
@@ -82,6 +95,7 @@
     Hs__GrantRenew renew = HS__GRANT_RENEW__INIT;
     renew.n_grants = 1;
     renew.grants = refs;
+    renew.sent_ms = hs_clock_monotonic_ms();
     Hs__PeerMessage message = HS__PEER_MESSAGE__INIT;
     message.kind_case = HS__PEER_MESSAGE__KIND_GRANT_RENEW;
     message.grant_renew = &renew;
--- a/src/scheduling/scheduler_state.h
+++ b/src/scheduling/scheduler_state.h
@@ -16,6 +16,7 @@
     EVENT_NOTICE,      /**< An edge reported its online requests on an engine. */
     EVENT_GRANTS,      /**< A partition owner granted items. */
     EVENT_REVOKE,      /**< A partition owner revoked grants. */
+    EVENT_CONFIRM,     /**< A partition owner allowed items of grants to start. */
     EVENT_ENGINE_FREE, /**< An item no longer occupies a slot of its engine. */
     EVENT_ITEM_END,    /**< An item's run ended. */
 } event_kind;
--- a/tests/system/test_batch_cancels.c
+++ b/tests/system/test_batch_cancels.c
@@ -143,8 +143,18 @@
     fault_proxy_set_mode(platform_proxy, PROXY_FORWARDS);
 }
 
+/** Guards against owners that grant items from a state of unbounded age. */
+static void items_with_results_do_not_run_again_while_their_owner_cannot_read(void) {
+    g_autofree char *job_id = begin_batch_and_cut("finished");
+    CU_ASSERT_EQUAL(count_late_runs("finished", g_get_monotonic_time()), 0);
+    fault_proxy_set_mode(platform_proxy, PROXY_FORWARDS);
+    cancel_batch(job_id);
+}
+
 const test_case batch_cancel_tests[] = {
     {"a_cancelled_batch_stops_while_its_owner_cannot_read",
      a_cancelled_batch_stops_while_its_owner_cannot_read},
+    {"items_with_results_do_not_run_again_while_their_owner_cannot_read",
+     items_with_results_do_not_run_again_while_their_owner_cannot_read},
     {NULL, NULL},
 };
--- a/tests/unit/test_scheduling.c
+++ b/tests/unit/test_scheduling.c
@@ -1,4 +1,5 @@
 /** @file test_scheduling.c  Tests of batch pacing, online request counts and engine records. */
+#include "scheduling/batch_item.h"
 #include "scheduling/engine_slot.h"
 #include "tests/unit/unit_tests.h"
 
@@ -89,7 +90,32 @@
     hs_batch_engine_free(engine);
 }
 
+/** Guards against items that start although their owner has not confirmed the grant for long. */
+static void items_of_an_unconfirmed_grant_do_not_start(void) {
+    Hs__Grant message = HS__GRANT__INIT;
+    message.start_within_ms = 100;
+    hs_held_grant *grant = hs_held_grant_new(&message, "owner", 1, 1000);
+    CU_ASSERT_TRUE(hs_held_grant_may_start(grant, 1099));
+    CU_ASSERT_FALSE(hs_held_grant_may_start(grant, 1100));
+    hs_held_grant_confirm(grant, 1200);
+    hs_held_grant_confirm(grant, 1150); /* An older confirmation that arrives late. */
+    CU_ASSERT_TRUE(hs_held_grant_may_start(grant, 1199));
+    CU_ASSERT_FALSE(hs_held_grant_may_start(grant, 1200));
+    hs_held_grant_release(grant);
+}
+
+/** Guards against held items beside an owner of an older build, which confirms nothing. */
+static void items_of_an_older_owner_start_without_confirmations(void) {
+    Hs__Grant message = HS__GRANT__INIT;
+    hs_held_grant *grant = hs_held_grant_new(&message, "owner", 1, 0);
+    CU_ASSERT_TRUE(hs_held_grant_may_start(grant, UINT64_MAX - 1));
+    hs_held_grant_release(grant);
+}
+
 const test_case scheduling_tests[] = {
+    {"items_of_an_unconfirmed_grant_do_not_start", items_of_an_unconfirmed_grant_do_not_start},
+    {"items_of_an_older_owner_start_without_confirmations",
+     items_of_an_older_owner_start_without_confirmations},
     {"backoff_of_a_failing_engine_doubles", backoff_of_a_failing_engine_doubles},
     {"batch_is_full_only_on_an_idle_engine", batch_is_full_only_on_an_idle_engine},
     {"item_starts_keep_the_minimum_interval", item_starts_keep_the_minimum_interval},
