Keys: a held request is not sent once its key may have been revoked

Callers: with strict_revoke, a request with a key that was accepted just after the store fell silent was sent when an engine became free, seconds after fleet.revoke_ms, although the key may have been taken away meanwhile and a new request with it is answered 503.

The age of the list of keys was checked once, as the request came; a request that waits for an engine checks each try against the configuration that this daemon has, but not how old that is.

Change: each try of a request that has not run yet checks the age too, and ends as keys_unsure (503: it has not run). Requests that have run, and streams, go on as before.

--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -189,6 +189,21 @@
     return true;
 }
 
+bool hs_online_has_recent_keys(const hs_online *online) {
+    uint64_t as_of_ms = online->max_key_age_ms > 0 ? hs_config_source_as_of_ms(online->config) : 0;
+    return online->max_key_age_ms == 0 ||
+           (as_of_ms != 0 && hs_clock_monotonic_ms() <= as_of_ms + online->max_key_age_ms);
+}
+
+/** Whether the key of a request that has not run yet may have been revoked while it waited. */
+static bool is_key_unsure(const hs_online_request *request, hs_end_reason *reason) {
+    bool is_unsure = request->tenant != NULL && request->run == HS_RUN_NOT_EXECUTED &&
+                     !hs_online_has_recent_keys(request->online);
+    if (is_unsure)
+        *reason = HS_END_KEYS_STALE;
+    return is_unsure;
+}
+
 bool hs_online_is_still_authorized(hs_online_request *request, hs_end_reason *reason) {
     hs_fleet_config *config = hs_config_source_get(request->online->config);
     if (config == NULL || config->version == request->checked_version) {
@@ -225,7 +240,7 @@
     if (hs_online_is_over_share(request, reason))
         return false;
     while (action == HS_NEXT_RETRY) {
-        if (!hs_online_is_still_authorized(request, reason) ||
+        if (!hs_online_is_still_authorized(request, reason) || is_key_unsure(request, reason) ||
             !hs_online_has_allowed_region(request, reason) || is_quarantined(request, reason))
             return false;
         if (hs_peer_has_disconnected(request->inbound->descriptor)) {
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -82,6 +82,9 @@
     gint split_counter; /**< Distributes requests over the shares of a split route. */
 } hs_online;
 
+/** Returns whether the list of valid keys is recent enough; see hs_online. */
+bool hs_online_has_recent_keys(const hs_online *online);
+
 /** Route and tenant of a request, borrowed from @c config, to which this holds a reference. */
 typedef struct {
     hs_fleet_config *config;
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -74,13 +74,6 @@
                                                [HS_ACCESS_KEY_UNKNOWN] = HS_END_KEY_UNKNOWN,
                                                [HS_ACCESS_KEY_MALFORMED] = HS_END_KEY_MALFORMED};
 
-/** Returns whether the list of valid keys is recent enough; see hs_online. */
-static bool has_recent_keys(hs_online *online) {
-    uint64_t as_of_ms = hs_config_source_as_of_ms(online->config);
-    return online->max_key_age_ms == 0 ||
-           (as_of_ms != 0 && hs_clock_monotonic_ms() <= as_of_ms + online->max_key_age_ms);
-}
-
 /** Returns whether the caller has access; if not, the request is refused. */
 static bool has_access(hs_fleet_surface *surface, hs_inbound *inbound, const hs_caller_terms *terms,
                        const hs_fleet_config *config, bool is_public,
@@ -90,7 +83,7 @@
         &(hs_access_request){
             .key = terms->api_key, .has_many_keys = terms->has_many_keys, .is_public = is_public},
         tenant);
-    bool are_keys_recent = *tenant == NULL || has_recent_keys(surface->settings.online);
+    bool are_keys_recent = *tenant == NULL || hs_online_has_recent_keys(surface->settings.online);
     if (access != HS_ACCESS_GRANTED)
         refuse(surface, inbound, terms, access_reasons[access]);
     else if (!are_keys_recent)
--- a/tests/system/test_fleet_tenants.c
+++ b/tests/system/test_fleet_tenants.c
@@ -304,6 +304,26 @@
     end_strict_daemon(2, proxy);
 }
 
+static gpointer post_while_cut(gpointer status) {
+    *(uint32_t *)status = post_at(2, "/plain/x", "held-too-long", ALPHA_KEY);
+    return NULL;
+}
+
+/** Guards against requests that wait for an engine and use a key that expired meanwhile. */
+static void a_held_request_is_not_sent_after_its_key_has_expired(void) {
+    fault_proxy *proxy = start_strict_daemon(2);
+    uint32_t status = 0;
+    bench_set_engine_modes(TOKEN_ENGINE_FULL);
+    fault_proxy_set_mode(proxy, PROXY_RESETS);
+    GThread *caller = g_thread_new("caller", post_while_cut, &status);
+    hs_clock_sleep_ms(STRICT_EXPIRY_MS);
+    bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
+    g_thread_join(caller);
+    CU_ASSERT_EQUAL(status, 503);
+    CU_ASSERT_EQUAL(bench_run_count("held-too-long"), 0);
+    end_strict_daemon(2, proxy);
+}
+
 /** With strict revocation a stream ends when its key is revoked; without, the stream continues. */
 static void streams_of_a_revoked_key_end_with_strict_revocation(void) {
     fault_proxy *proxy = start_strict_daemon(2);
@@ -426,6 +446,8 @@
      a_held_request_is_checked_by_the_current_configuration},
     {"keys_are_valid_for_a_limited_time_without_the_store",
      keys_are_valid_for_a_limited_time_without_the_store},
+    {"a_held_request_is_not_sent_after_its_key_has_expired",
+     a_held_request_is_not_sent_after_its_key_has_expired},
     {"streams_of_a_revoked_key_end_with_strict_revocation",
      streams_of_a_revoked_key_end_with_strict_revocation},
     {"a_limit_holds_across_all_daemons", a_limit_holds_across_all_daemons},
