Jobs: limit reads of whole logs for callers after the store failed

Cause: an owner that has just got the store back is not recent, so that each daemon that a caller asks reads the partition's whole log instead, in pages of 256 KB. With all daemons at it the reads of the owners time out as well, no owner becomes recent, and all read on until each has read all logs.

Change: a log is read for a caller only 2 s after the last failed call to the store, and twice at once; else the caller gets 503 and asks again.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -286,6 +286,18 @@
                       .fold_age_ms = hs_job_partition_age_ms(partition)};
 }
 
+/** Reads the partition's log to its end, unless such reads are limited now. */
+static bool read_log(const job_call *call) {
+    hs_job_service *service = call->service;
+    if (!hs_log_read_limit_begin(&service->log_reads, hs_clock_monotonic_ms(),
+                                 hs_store_client_last_failure_ms(service->settings.store)))
+        return false;
+    bool is_read =
+        hs_job_partition_catch_up(call->partition, hs_job_attempt_deadline(call->deadline));
+    hs_log_read_limit_end(&service->log_reads);
+    return is_read;
+}
+
 void hs_job_service_call(hs_job_service *service, hs_inbound *inbound, const hs_job_caller *caller,
                          hs_call_kind kind, const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
@@ -301,8 +313,7 @@
         log_call(&call, "owner", true);
         return;
     }
-    bool is_read =
-        hs_job_partition_catch_up(call.partition, hs_job_attempt_deadline(call.deadline));
+    bool is_read = read_log(&call);
     bool is_answered = answer_from_fold(&call, is_read ? FOLD_COMPLETE : FOLD_STALE);
     if (!is_answered)
         hs_job_reply_text(inbound, 503, "the log cannot be read now\n");
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -6,6 +6,7 @@
 #define HS_JOBS_JOB_SERVICE_STATE_H
 
 #include "jobs/job_service.h"
+#include "jobs/log_read_limit.h"
 
 /** Pause between attempts of a call to the store: ten times an answer's time. */
 #define HS_JOB_RETRY_PAUSE_MS 40
@@ -16,6 +17,7 @@
     hs_job_quota *quota;
     hs_daemon_directory *daemons; /**< NULL: requests are not forwarded. */
     hs_job_read_counters reads;   /**< Accessed atomically. */
+    hs_log_read_limit log_reads;  /**< Of callers' requests about submitted jobs. */
 };
 
 /** Returns the partition of a job; borrowed. */
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -36,6 +36,7 @@
     GQueue idle; /**< Of hs_client_connection*; the most recently used last. */
     hs_store_counters counters;
     uint32_t consecutive_failures;
+    uint64_t last_failure_ms;
     GCond recovered;              /**< Calls no longer fail, or the client is interrupted. */
     uint64_t next_store_probe_ms; /**< While calls fail: when the next append may be sent. */
     bool is_interrupted;
@@ -261,11 +262,19 @@
     if (!has_failed && client->consecutive_failures >= FAILURE_THRESHOLD)
         g_cond_broadcast(&client->recovered);
     client->consecutive_failures = has_failed ? client->consecutive_failures + 1 : 0;
+    if (has_failed)
+        client->last_failure_ms = hs_clock_monotonic_ms();
     client->counters.refused += outcome == HS_STORE_REFUSED;
     client->counters.unknown += outcome == HS_STORE_UNKNOWN;
     g_mutex_unlock(&client->lock);
 }
 
+static void note_lost_call(hs_store_client *client) {
+    g_mutex_lock(&client->lock);
+    client->last_failure_ms = hs_clock_monotonic_ms();
+    g_mutex_unlock(&client->lock);
+}
+
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
                                       hs_deadline deadline, hs_interrupt *interrupt,
                                       GByteArray *response) {
@@ -298,6 +307,8 @@
     }
     if (!was_lost) /* A lost connection does not show whether the store is failing. */
         note_outcome(client, outcome);
+    else
+        note_lost_call(client);
     hs_store_call_clear(call);
     return outcome;
 }
@@ -311,6 +322,13 @@
     return MIN(first_ms << MIN(attempt, 8), MAX_WRITE_TIMEOUT_MS);
 }
 
+uint64_t hs_store_client_last_failure_ms(hs_store_client *client) {
+    g_mutex_lock(&client->lock);
+    uint64_t last_failure_ms = client->last_failure_ms;
+    g_mutex_unlock(&client->lock);
+    return last_failure_ms;
+}
+
 bool hs_store_client_is_failing(hs_store_client *client) {
     g_mutex_lock(&client->lock);
     bool is_failing = client->consecutive_failures >= FAILURE_THRESHOLD;
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -61,6 +61,9 @@
  */
 uint64_t hs_store_client_write_timeout_ms(hs_store_client *client, uint32_t attempt, size_t bytes);
 
+/** Returns the monotonic time in ms at which a call failed last; 0: none has. */
+uint64_t hs_store_client_last_failure_ms(hs_store_client *client);
+
 /** Returns whether the last calls failed, several in a row. */
 bool hs_store_client_is_failing(hs_store_client *client);
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -2,6 +2,7 @@
 #include "base/clock.h"
 #include "jobs/job_owner_state.h"
 #include "jobs/job_partition.h"
+#include "jobs/log_read_limit.h"
 #include "jobs/start_rule.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
@@ -530,6 +531,17 @@
     CU_ASSERT_FALSE(hs_start_rule_may_start(&knowledge));
 }
 
+/** Otherwise all daemons read whole logs when the store returns, and owners cannot read. */
+static void logs_are_not_read_for_callers_right_after_a_failure(void) {
+    hs_log_read_limit limit = {0};
+    CU_ASSERT_TRUE(hs_log_read_limit_begin(&limit, 10000, 0));
+    CU_ASSERT_TRUE(hs_log_read_limit_begin(&limit, 10000, 8000));
+    CU_ASSERT_FALSE(hs_log_read_limit_begin(&limit, 10000, 0)); /* Two are open. */
+    hs_log_read_limit_end(&limit);
+    CU_ASSERT_FALSE(hs_log_read_limit_begin(&limit, 10000, 8001));
+    CU_ASSERT_TRUE(hs_log_read_limit_begin(&limit, 10001, 8001));
+}
+
 static void long_polls_end_before_the_fold_is_too_old(void) {
     CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10000, 10500), 500);
     CU_ASSERT_EQUAL(hs_job_poll_wait_ms(10000, 10000, 15000), 700); /* A caller waits for long. */
@@ -543,6 +555,8 @@
 
 const test_case job_tests[] = {
     {"long_polls_end_before_the_fold_is_too_old", long_polls_end_before_the_fold_is_too_old},
+    {"logs_are_not_read_for_callers_right_after_a_failure",
+     logs_are_not_read_for_callers_right_after_a_failure},
     {"items_start_only_from_folds_that_leave_time_to_send_them",
      items_start_only_from_folds_that_leave_time_to_send_them},
     {"items_start_from_an_old_fold_only_if_all_ends_since_were_reported",
