--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -15,6 +15,7 @@
         {"fleet_surface", fleet_system_tests, bench_set_up, bench_tear_down},
         {"fleet_jobs", fleet_job_system_tests, bench_set_up, bench_tear_down},
         {"fleet_job_ends", fleet_job_end_system_tests, bench_set_up, bench_tear_down},
+        {"fleet_slow_store", fleet_slow_store_system_tests, bench_set_up, bench_tear_down},
         {"fleet_edges", fleet_edge_system_tests, bench_set_up, bench_tear_down},
         {"fleet_runs", fleet_run_system_tests, begin_fleet_runs, end_fleet_runs},
         {"online_taking", online_taking_tests, begin_fleet, end_fleet},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -42,6 +42,7 @@
 extern const test_case fleet_system_tests[];
 extern const test_case fleet_job_system_tests[];
 extern const test_case fleet_job_end_system_tests[];
+extern const test_case fleet_slow_store_system_tests[];
 extern const test_case fleet_edge_system_tests[];
 extern const test_case fleet_run_system_tests[];
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -505,7 +505,93 @@
                   10000 + HS_JOB_MAX_FOLD_AGE_MS);
 }
 
+/** Delay in ms of a slow store's answers, and for how long the fold is followed. */
+#define SLOW_STORE_MS 800
+#define FOLLOWED_MS 4000
+/** Time in ms for the first polls of a store that has become slow. */
+#define FIRST_POLLS_MS 3000
+
+/** Guards against long polls that give up before a slow store answers. */
+static void a_followed_fold_stays_young_enough_to_start_items_while_the_store_is_slow(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    log_store_set_delay(fixture.store, SLOW_STORE_MS);
+    uint64_t slow_ms = hs_clock_monotonic_ms();
+    uint64_t oldest_ms = 0;
+    while (hs_clock_monotonic_ms() < slow_ms + FIRST_POLLS_MS + FOLLOWED_MS) {
+        uint64_t began_ms = hs_clock_monotonic_ms();
+        uint64_t age_ms = hs_job_partition_age_ms(fixture.partition);
+        hs_job_partition_wait(fixture.partition, 0, began_ms + 500);
+        if (began_ms > slow_ms + FIRST_POLLS_MS)
+            oldest_ms = MAX(oldest_ms, age_ms + hs_clock_monotonic_ms() - began_ms);
+    }
+    CU_ASSERT(oldest_ms < hs_job_max_start_age_ms(3000));
+    close_fixture(&fixture);
+}
+
+/** Appends of another thread, and when the last one was stored. */
+typedef struct {
+    partition_fixture *fixture;
+    gint is_stopping;
+    GMutex lock;
+    uint64_t stored; /**< Number of records stored. */
+    uint64_t stored_ms;
+} record_writer;
+
+/** Appends records while the store is slow, silent and healthy in turn. */
+static gpointer write_records(gpointer data) {
+    record_writer *writer = data;
+    for (int round = 0; g_atomic_int_get(&writer->is_stopping) == 0; round++) {
+        log_store_set_delay(writer->fixture->store, round % 4 == 1 ? 300 : 0);
+        log_store_set_mode(writer->fixture->store,
+                           round % 4 == 3 ? LOG_STORE_UNRESPONSIVE : LOG_STORE_HEALTHY, "/log-read",
+                           G_MAXUINT32);
+        hs_clock_sleep_ms(400);
+        if (append_manifest(writer->fixture) != HS_STORE_DONE)
+            continue;
+        g_mutex_lock(&writer->lock);
+        writer->stored++;
+        writer->stored_ms = hs_clock_monotonic_ms();
+        g_mutex_unlock(&writer->lock);
+    }
+    return NULL;
+}
+
+/** Guards against a poll that counts as showing the log later than the store served it. */
+static void a_fold_never_counts_as_current_without_a_stored_record(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    record_writer writer = {.fixture = &fixture};
+    g_mutex_init(&writer.lock);
+    GThread *thread = g_thread_new("write-records", write_records, &writer);
+    uint64_t until_ms = hs_clock_monotonic_ms() + 2 * FOLLOWED_MS;
+    while (hs_clock_monotonic_ms() < until_ms) {
+        uint64_t next = hs_job_state_next_offset(hs_job_partition_lock(fixture.partition));
+        hs_job_partition_unlock(fixture.partition);
+        hs_job_partition_wait(fixture.partition, next, hs_clock_monotonic_ms() + 500);
+        g_mutex_lock(&writer.lock);
+        uint64_t stored = writer.stored;
+        uint64_t stored_ms = writer.stored_ms;
+        g_mutex_unlock(&writer.lock);
+        bool is_current = hs_job_partition_is_current(fixture.partition, stored_ms);
+        next = hs_job_state_next_offset(hs_job_partition_lock(fixture.partition));
+        hs_job_partition_unlock(fixture.partition);
+        CU_ASSERT(!is_current || next >= stored);
+    }
+    g_atomic_int_set(&writer.is_stopping, 1);
+    g_thread_join(thread);
+    CU_ASSERT(writer.stored > 0);
+    g_mutex_clear(&writer.lock);
+    close_fixture(&fixture);
+}
+
 const test_case job_tests[] = {
+    {"a_followed_fold_stays_young_enough_to_start_items_while_the_store_is_slow",
+     a_followed_fold_stays_young_enough_to_start_items_while_the_store_is_slow},
+    {"a_fold_never_counts_as_current_without_a_stored_record",
+     a_fold_never_counts_as_current_without_a_stored_record},
     {"long_polls_end_before_the_fold_is_too_old", long_polls_end_before_the_fold_is_too_old},
     {"items_start_only_from_folds_that_leave_time_to_send_them",
      items_start_only_from_folds_that_leave_time_to_send_them},
