Store reads follow the store's times, and keep waiting while they are sent again

Callers saw items of accepted jobs not start and reads of results end with 503 while the store answered 0.8 s late. Cause: a read on a used connection got half of its time, the connection was then closed as lost, with all idle ones, and the new connection got the other half: no limit of an owner's read was above the store's 0.8 s, so folds stood still while appends were stored, and the hold on starts lasted as long as the slowness.

A read is now sent again on a new connection when no answer came for a while, and the first one is still awaited (store/store_read.c); the first answer ends the read. The first connection counts as lost only if a newer one was answered instead. Owners' polls and short reads use these limits (hs_job_partition_follow); a poll that a caller waits for ends 1 s after the caller's wait, as callers give up after 1.5 s. A repeated poll is not held for longer than the first, so the fold still counts as of the end of the first poll's wait at the latest; a poll that is answered before its wait ends now counts as of its start only, also without records.

The test of repeated reads waits for calls that the stand-in counts only after its delay; the test of a followed fold uses the owner's function.

--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -196,9 +196,12 @@
     return (int)left;
 }
 
-/** Waits for @p events on the socket. HS_STEP_PROGRESS: @p ready holds those that occurred. */
-static hs_step wait_for(int descriptor, short events, const hs_wait *wait, short *ready) {
-    enum { OWN, WATCHED, INTERRUPT, POLLED };
+/**
+ * Waits for events on @p count sockets, at least one and HS_CLIENT_CONNECTION_MAX_AWAITED at most.
+ * HS_STEP_PROGRESS: the events occurred on at least one.
+ */
+static hs_step wait_for_any(struct pollfd *sockets, size_t count, const hs_wait *wait) {
+    enum { WATCHED, INTERRUPT, SOCKETS };
     int interrupt_descriptor =
         wait->interrupt != NULL ? hs_interrupt_descriptor(wait->interrupt) : -1;
     while (true) {
@@ -207,22 +210,34 @@
             return HS_STEP_CALLER_GONE;
         if (now_ms >= wait->deadline)
             return HS_STEP_DEADLINE;
-        struct pollfd polled[POLLED] = {
-            [OWN] = {.fd = descriptor, .events = events},
+        struct pollfd polled[SOCKETS + HS_CLIENT_CONNECTION_MAX_AWAITED] = {
             [WATCHED] = {.fd = wait->watched, .events = POLLRDHUP},
             [INTERRUPT] = {.fd = interrupt_descriptor, .events = POLLIN},
         };
-        int count = poll(polled, POLLED, poll_timeout_ms(wait, now_ms, interrupt_descriptor));
-        if (count < 0 && errno != EINTR)
+        memcpy(&polled[SOCKETS], sockets, count * sizeof *sockets);
+        int ready =
+            poll(polled, SOCKETS + count, poll_timeout_ms(wait, now_ms, interrupt_descriptor));
+        if (ready < 0 && errno != EINTR)
             return HS_STEP_CUT;
         if (polled[WATCHED].revents != 0)
             return HS_STEP_CALLER_GONE;
-        *ready = polled[OWN].revents;
-        if (count > 0 && *ready != 0)
+        memcpy(sockets, &polled[SOCKETS], count * sizeof *sockets);
+        bool is_ready = false;
+        for (size_t index = 0; index < count && ready > 0; index++)
+            is_ready = is_ready || sockets[index].revents != 0;
+        if (is_ready)
             return HS_STEP_PROGRESS;
     }
 }
 
+/** Waits for @p events on the socket. HS_STEP_PROGRESS: @p ready holds those that occurred. */
+static hs_step wait_for(int descriptor, short events, const hs_wait *wait, short *ready) {
+    struct pollfd polled = {.fd = descriptor, .events = events};
+    hs_step step = wait_for_any(&polled, 1, wait);
+    *ready = polled.revents;
+    return step;
+}
+
 /** Starts to connect a socket. Returns -1 on failure. */
 static int begin_connect(uint32_t address, uint16_t port) {
     int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
@@ -445,6 +460,22 @@
     return HS_STEP_PROGRESS;
 }
 
+hs_step hs_client_connection_await_any(hs_client_connection *const *connections, size_t count,
+                                       const hs_wait *wait, size_t *index) {
+    struct pollfd sockets[HS_CLIENT_CONNECTION_MAX_AWAITED];
+    for (size_t each = 0; each < count; each++) {
+        *index = each;
+        if (connections[each]->message_complete)
+            return HS_STEP_PROGRESS;
+        sockets[each] = (struct pollfd){.fd = connections[each]->descriptor, .events = POLLIN};
+    }
+    hs_step step = wait_for_any(sockets, count, wait);
+    *index = 0;
+    while (step == HS_STEP_PROGRESS && sockets[*index].revents == 0)
+        (*index)++;
+    return step;
+}
+
 bool hs_client_connection_has_sent_bytes(const hs_client_connection *connection) {
     return connection->sent_bytes > 0;
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -89,6 +89,16 @@
 hs_step hs_client_connection_check_liveness(hs_client_connection *connection, uint32_t limit_ms,
                                             const hs_wait *wait);
 
+/** Maximum number of connections of hs_client_connection_await_any. */
+#define HS_CLIENT_CONNECTION_MAX_AWAITED 4
+
+/**
+ * Waits until the response on one of @p count connections, at least one, begins to arrive or fails.
+ * HS_STEP_PROGRESS: it is that of the connection @p index. The connections stay usable otherwise.
+ */
+hs_step hs_client_connection_await_any(hs_client_connection *const *connections, size_t count,
+                                       const hs_wait *wait, size_t *index);
+
 /** Whether any byte of the current request was passed to the kernel. */
 bool hs_client_connection_has_sent_bytes(const hs_client_connection *connection);
 
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -89,7 +89,7 @@
         hs_job_partition_unlock(owned->partition);
         uint64_t now_ms = hs_clock_monotonic_ms();
         if (hs_job_partition_is_current(owned->partition, acquired_ms))
-            hs_job_partition_wait(owned->partition, next, now_ms + TAIL_WAIT_MS);
+            hs_job_partition_follow(owned->partition, next, now_ms + TAIL_WAIT_MS);
         else if (!hs_job_partition_catch_up(owned->partition, now_ms + CATCH_UP_LIMIT_MS))
             hs_clock_sleep_ms(CATCH_UP_PAUSE_MS);
         if (is_owned)
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -14,8 +14,12 @@
 #define MAX_READ_KB 256
 /** Size of one read of an item's content. */
 #define MAX_CONTENT_READ_KB 1024
+/** Limits of a short read, and of a long poll beyond its wait, while the store is fast. */
 #define READ_LIMIT_MS 1500
-#define ANSWER_SLACK_MS 700
+#define POLL_ANSWER_LIMIT_MS 1500
+/** Limit of the answer to a poll that a caller waits for: callers give up 1.5 s after their wait.
+ */
+#define CALLER_ANSWER_LIMIT_MS 1000
 #define BYTES_PER_KB 1024
 /** Contents are stored before their manifest, which may follow after up to this time. */
 #define TRIM_AGE_MS 30000
@@ -148,12 +152,15 @@
             break;
         partition->is_reading = true;
         uint64_t read_number = ++partition->reads_started;
+        uint64_t limit_ms = hs_store_client_read_limit_ms(partition->settings.store, READ_LIMIT_MS,
+                                                          partition->failed_reads);
         g_mutex_unlock(&partition->lock);
         bool has_reached_end = false;
         uint64_t started_ms = hs_clock_monotonic_ms();
-        hs_deadline limit = MIN(deadline, started_ms + READ_LIMIT_MS);
+        hs_deadline limit = MIN(deadline, started_ms + limit_ms);
         bool has_read = read_once(partition, 0, limit, NULL, &has_reached_end);
         g_mutex_lock(&partition->lock);
+        partition->failed_reads = has_read ? 0 : partition->failed_reads + 1;
         if (has_reached_end) {
             partition->last_complete_read = read_number;
             partition->current_ms = MAX(partition->current_ms, started_ms);
@@ -167,15 +174,23 @@
     return caught_up;
 }
 
-/** Long-polls the store for records from @p from on. Does not exclude short reads meanwhile. */
-static bool long_poll(hs_job_partition *partition, uint64_t from, uint32_t wait_ms) {
+/**
+ * Long-polls the store for records from @p from on, until @p until at the latest. Does not exclude
+ * short reads meanwhile. The caller holds the lock, which is released during the poll.
+ */
+static bool long_poll(hs_job_partition *partition, uint64_t from, uint32_t wait_ms,
+                      hs_deadline until) {
+    uint64_t limit_ms = hs_store_client_read_limit_ms(
+        partition->settings.store, POLL_ANSWER_LIMIT_MS, partition->failed_polls);
+    g_mutex_unlock(&partition->lock);
     uint64_t started_ms = hs_clock_monotonic_ms();
-    hs_deadline deadline = started_ms + wait_ms + ANSWER_SLACK_MS;
+    hs_deadline deadline = MIN(started_ms + wait_ms + limit_ms, until);
     hs_store_call call =
         hs_platform_build_read_call(HS_TOPIC_JOBS, partition->number, from, MAX_READ_KB, wait_ms);
     GByteArray *answer = g_byte_array_new();
     hs_store_outcome outcome =
         hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    uint64_t answered_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&partition->lock);
     uint64_t first = 0;
     while (partition->is_reading)
@@ -183,16 +198,20 @@
     if (outcome == HS_STORE_DONE && hs_job_state_next_offset(partition->state) == from &&
         apply_answer(partition, answer)) {
         /* A poll without records covers its wait; other answers may be as old as the call. */
-        bool has_records = hs_job_state_next_offset(partition->state) != from;
-        uint64_t current_ms = has_records ? started_ms : started_ms + wait_ms;
-        partition->current_ms =
-            MAX(partition->current_ms, MIN(current_ms, hs_clock_monotonic_ms()));
+        bool covers_wait = hs_job_state_next_offset(partition->state) == from &&
+                           answered_ms >= started_ms + wait_ms;
+        uint64_t current_ms = covers_wait ? started_ms + wait_ms : started_ms;
+        partition->current_ms = MAX(partition->current_ms, current_ms);
     }
     if (outcome == HS_STORE_GONE && hs_platform_read_first_offset(answer, &first))
         hs_job_state_skip_to(partition->state, first);
-    g_mutex_unlock(&partition->lock);
     g_byte_array_free(answer, TRUE);
-    return outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+    bool is_answered = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+    if (is_answered)
+        partition->failed_polls = 0;
+    else if (deadline < until)
+        partition->failed_polls++;
+    return is_answered;
 }
 
 bool hs_job_partition_is_current(hs_job_partition *partition, uint64_t since_ms) {
@@ -218,7 +237,9 @@
     return (uint32_t)(MIN(due_ms, until_ms) - now_ms);
 }
 
-void hs_job_partition_wait(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
+/** As hs_job_partition_wait; a poll ends at @p poll_until at the latest. */
+static void wait_past(hs_job_partition *partition, uint64_t offset, hs_deadline until,
+                      hs_deadline poll_until) {
     g_mutex_lock(&partition->lock);
     while (hs_job_state_next_offset(partition->state) <= offset) {
         uint64_t now_ms = hs_clock_monotonic_ms();
@@ -232,16 +253,25 @@
         partition->is_following = true;
         uint64_t from = hs_job_state_next_offset(partition->state);
         uint32_t wait_ms = hs_job_poll_wait_ms(partition->current_ms, now_ms, until);
-        g_mutex_unlock(&partition->lock);
-        if (!long_poll(partition, from, wait_ms))
+        if (!long_poll(partition, from, wait_ms, poll_until)) {
+            g_mutex_unlock(&partition->lock);
             hs_clock_sleep_ms(FAILED_READ_PAUSE_MS);
-        g_mutex_lock(&partition->lock);
+            g_mutex_lock(&partition->lock);
+        }
         partition->is_following = false;
         g_cond_broadcast(&partition->advanced);
     }
     g_mutex_unlock(&partition->lock);
 }
 
+void hs_job_partition_wait(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
+    wait_past(partition, offset, until, until + CALLER_ANSWER_LIMIT_MS);
+}
+
+void hs_job_partition_follow(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
+    wait_past(partition, offset, until, UINT64_MAX);
+}
+
 Hs__JobItemContent *hs_job_partition_read_content(hs_job_partition *partition, uint64_t offset,
                                                   uint32_t bytes, hs_deadline deadline,
                                                   hs_store_outcome *outcome) {
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -77,6 +77,12 @@
  */
 void hs_job_partition_wait(hs_job_partition *partition, uint64_t offset, hs_deadline until);
 
+/**
+ * As hs_job_partition_wait for the owner, who has no caller that waits: a poll lasts as long as the
+ * store's response times require.
+ */
+void hs_job_partition_follow(hs_job_partition *partition, uint64_t offset, hs_deadline until);
+
 /**
  * Makes one attempt to append a record. HS_STORE_UNKNOWN: the record may appear in the log, now or
  * later.
--- a/src/jobs/job_partition_state.h
+++ b/src/jobs/job_partition_state.h
@@ -16,6 +16,8 @@
     bool is_following; /**< A thread long-polls the store. */
     uint64_t reads_started;
     uint64_t last_complete_read; /**< Number of the latest read that reached the end of the log. */
+    uint32_t failed_reads;       /**< Short reads that failed since the last successful one. */
+    uint32_t failed_polls;       /**< The same of long polls. */
     uint64_t current_ms; /**< The fold held all records of the log at this time; 0: never. */
     uint64_t trimmed_to;
     uint64_t trim_candidate;    /**< First needed content at trim_candidate_ms. */
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -1,15 +1,12 @@
 /** @file store_client.c  See store_client.h. */
-#include "store/store_client.h"
+#include "store/store_client_state.h"
 
 #include "base/clock.h"
-#include "http/client_connection.h"
 
 #include <arpa/inet.h>
 #include <string.h>
 
 #define MAX_IDLE_CONNECTIONS 6
-/** A read's first attempt on a reused connection may take this fraction of the remaining time. */
-#define REUSED_READ_TIME_DIVISOR 2
 #define CONNECT_TIMEOUT_MS 800
 /** Multiple of the mean write time to wait for the response to a write. */
 #define WRITE_TIMEOUT_FACTOR 6.0
@@ -26,22 +23,6 @@
  * is short for callers of jobs, and probes of hundreds of daemons stay far below the store's rates.
  */
 #define STORE_PROBE_INTERVAL_MS 250
-#define MAX_RESPONSE_BYTES (32U * 1024 * 1024)
-
-struct hs_store_client {
-    uint32_t address;
-    uint16_t port;
-    char host[32];
-    GMutex lock;
-    GQueue idle; /**< Of hs_client_connection*; the most recently used last. */
-    hs_store_counters counters;
-    uint32_t consecutive_failures;
-    GCond recovered;              /**< Calls no longer fail, or the client is interrupted. */
-    uint64_t next_store_probe_ms; /**< While calls fail: when the next append may be sent. */
-    bool is_interrupted;
-    double mean_write_ms; /**< Moving average of the response times of small writes. */
-    hs_interrupt calls_interrupt;
-};
 
 hs_store_client *hs_store_client_new(uint32_t address, uint16_t port) {
     hs_store_client *client = g_new0(hs_store_client, 1);
@@ -70,7 +51,7 @@
     g_free(client);
 }
 
-static hs_client_connection *take_idle_connection(hs_store_client *client) {
+hs_client_connection *hs_store_client_take_idle(hs_store_client *client) {
     hs_client_connection *connection = NULL;
     g_mutex_lock(&client->lock);
     while (connection == NULL && !g_queue_is_empty(&client->idle)) {
@@ -84,7 +65,7 @@
     return connection;
 }
 
-static void return_connection(hs_store_client *client, hs_client_connection *connection) {
+void hs_store_client_return(hs_store_client *client, hs_client_connection *connection) {
     g_mutex_lock(&client->lock);
     bool is_pooled = hs_client_connection_is_reusable(connection) &&
                      g_queue_get_length(&client->idle) < MAX_IDLE_CONNECTIONS;
@@ -95,8 +76,7 @@
         hs_client_connection_close(connection);
 }
 
-/** Closes all idle connections; used when one was lost, as the others may be lost too. */
-static void close_idle_connections(hs_store_client *client) {
+void hs_store_client_close_idle(hs_store_client *client) {
     g_mutex_lock(&client->lock);
     while (!g_queue_is_empty(&client->idle))
         hs_client_connection_close(g_queue_pop_tail(&client->idle));
@@ -107,13 +87,7 @@
     return strcmp(call->method, "GET") == 0;
 }
 
-/** Returns how long the call's bytes may stay unacknowledged on a reused connection. */
-static uint32_t max_unacknowledged_ms(const hs_store_call *call) {
-    hs_connection_timeouts timeouts = hs_connection_timeouts_get();
-    return is_read(call) ? timeouts.repeat_unacknowledged_ms : timeouts.once_unacknowledged_ms;
-}
-
-static hs_store_outcome classify_status(uint32_t status) {
+hs_store_outcome hs_store_client_classify_status(uint32_t status) {
     switch (status) {
     case 200:
         return HS_STORE_DONE;
@@ -132,9 +106,10 @@
     }
 }
 
-static GString *write_head(const hs_store_client *client, const hs_store_call *call) {
+GString *hs_store_client_write_head(const hs_store_client *client, const hs_store_call *call,
+                                    const char *target) {
     GString *head = g_string_new(NULL);
-    g_string_append_printf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method, call->target,
+    g_string_append_printf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method, target,
                            client->host);
     if (call->body != NULL) {
         bool is_json = call->body->len > 0 && call->body->data[0] == '{';
@@ -146,75 +121,58 @@
     return head;
 }
 
-/**
- * Returns the deadline for the head of the response. A read on a reused connection leaves time for
- * a second attempt, unless it is a long poll.
- */
-static hs_deadline head_deadline(const hs_client_connection *connection, const hs_store_call *call,
-                                 hs_deadline deadline) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    bool has_second_attempt =
-        hs_client_connection_is_reused(connection) && is_read(call) && !call->holds;
-    return has_second_attempt && deadline > now_ms
-               ? now_ms + (deadline - now_ms) / REUSED_READ_TIME_DIVISOR
-               : deadline;
+void hs_store_client_count_call(hs_store_client *client, size_t sent, size_t received) {
+    g_mutex_lock(&client->lock);
+    client->counters.calls += sent > 0;
+    client->counters.bytes_sent += sent;
+    client->counters.bytes_received += received;
+    g_mutex_unlock(&client->lock);
 }
 
-/** Reads the response to a call that was sent. */
-static hs_step read_response(hs_client_connection *connection, const hs_store_call *call,
-                             const hs_wait *wait) {
-    bool is_reused = hs_client_connection_is_reused(connection);
+/** Reads the response to a write that was sent. */
+static hs_step read_response(hs_client_connection *connection, const hs_wait *wait) {
     hs_step step = HS_STEP_PROGRESS;
-    hs_wait first = *wait;
-    first.deadline = head_deadline(connection, call, wait->deadline);
-    if (is_reused)
-        step = hs_client_connection_check_liveness(connection, max_unacknowledged_ms(call), wait);
-    if (step == HS_STEP_PROGRESS)
-        step = hs_client_connection_read_head(connection, &first);
+    if (hs_client_connection_is_reused(connection))
+        step = hs_client_connection_check_liveness(
+            connection, hs_connection_timeouts_get().once_unacknowledged_ms, wait);
     /* The timeout of writes is too short to indicate a lost connection. */
-    if (step == HS_STEP_DEADLINE && is_reused && is_read(call))
-        step = hs_client_connection_mark_lost(connection, "timeout");
-    if (step == HS_STEP_PROGRESS || step == HS_STEP_COMPLETE)
-        step = hs_client_connection_read_all(connection, MAX_RESPONSE_BYTES, wait);
+    if (step == HS_STEP_PROGRESS)
+        step = hs_client_connection_read_all(connection, HS_STORE_MAX_RESPONSE_BYTES, wait);
     return step;
 }
 
-/** Makes one attempt on @p connection, which is closed or returned to the pool. */
+/** Makes one attempt of a write on @p connection, which is closed or returned to the pool. */
 static hs_store_outcome exchange(hs_store_client *client, hs_client_connection *connection,
                                  const hs_store_call *call, const hs_wait *wait,
                                  GByteArray *response, bool *was_lost) {
-    GString *head = write_head(client, call);
+    GString *head = hs_store_client_write_head(client, call, call->target);
     const void *body = call->body != NULL ? call->body->data : NULL;
     size_t body_length = call->body != NULL ? call->body->len : 0;
     hs_step step = hs_client_connection_send(connection, head, body, body_length, false, wait);
     size_t sent = head->len + body_length;
     g_string_free(head, TRUE);
     if (step == HS_STEP_PROGRESS)
-        step = read_response(connection, call, wait);
+        step = read_response(connection, wait);
     *was_lost = step == HS_STEP_LOST;
     hs_store_outcome outcome = HS_STORE_UNKNOWN;
     if (step == HS_STEP_COMPLETE) {
         const GByteArray *received = hs_client_connection_body(connection);
-        outcome = classify_status(hs_client_connection_status(connection));
+        outcome = hs_store_client_classify_status(hs_client_connection_status(connection));
         g_byte_array_append(response, received->data, received->len);
     } else if (!hs_client_connection_has_sent_bytes(connection)) {
         outcome = HS_STORE_REFUSED;
     }
-    g_mutex_lock(&client->lock);
-    client->counters.calls++;
-    client->counters.bytes_sent += sent;
-    client->counters.bytes_received += response->len;
-    g_mutex_unlock(&client->lock);
+    hs_store_client_count_call(client, sent, response->len);
     if (*was_lost)
-        close_idle_connections(client);
+        hs_store_client_close_idle(client);
     if (step == HS_STEP_COMPLETE)
-        return_connection(client, connection);
+        hs_store_client_return(client, connection);
     else
         hs_client_connection_close(connection);
     return outcome;
 }
 
-static hs_client_connection *connect_store(hs_store_client *client, const hs_wait *wait) {
+hs_client_connection *hs_store_client_connect(hs_store_client *client, const hs_wait *wait) {
     hs_wait connecting = *wait;
     connecting.deadline = MIN(wait->deadline, hs_clock_monotonic_ms() + CONNECT_TIMEOUT_MS);
     hs_step step = HS_STEP_CUT;
@@ -254,8 +212,7 @@
     return !is_failing || is_probe;
 }
 
-/** Counts the outcome of a call, and wakes waiting appends if calls no longer fail. */
-static void note_outcome(hs_store_client *client, hs_store_outcome outcome) {
+void hs_store_client_note_outcome(hs_store_client *client, hs_store_outcome outcome) {
     bool has_failed = outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN;
     g_mutex_lock(&client->lock);
     if (!has_failed && client->consecutive_failures >= FAILURE_THRESHOLD)
@@ -266,42 +223,57 @@
     g_mutex_unlock(&client->lock);
 }
 
-hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
-                                      hs_deadline deadline, hs_interrupt *interrupt,
-                                      GByteArray *response) {
-    hs_wait wait = {.deadline = deadline,
-                    .watched = HS_WATCH_NOTHING,
-                    .interrupt = interrupt != NULL ? interrupt : &client->calls_interrupt};
-    g_byte_array_set_size(response, 0);
-    if (call->appends && !may_append(client, deadline)) {
-        hs_store_call_clear(call);
-        return HS_STORE_REFUSED;
-    }
-    hs_client_connection *connection = take_idle_connection(client);
+/** Makes a write. */
+static hs_store_outcome write_call(hs_store_client *client, const hs_store_call *call,
+                                   const hs_wait *wait, GByteArray *response) {
+    hs_client_connection *connection = hs_store_client_take_idle(client);
     bool was_reused = connection != NULL;
     bool was_lost = false;
     if (connection == NULL)
-        connection = connect_store(client, &wait);
+        connection = hs_store_client_connect(client, wait);
     hs_store_outcome outcome = HS_STORE_REFUSED;
     uint64_t started_ms = hs_clock_monotonic_ms();
     if (connection != NULL)
-        outcome = exchange(client, connection, call, &wait, response, &was_lost);
-    if (outcome == HS_STORE_DONE && !is_read(call))
+        outcome = exchange(client, connection, call, wait, response, &was_lost);
+    if (outcome == HS_STORE_DONE)
         note_write_time(client, call, hs_clock_monotonic_ms() - started_ms);
-    bool in_time = hs_clock_monotonic_ms() < deadline;
-    if (was_reused && in_time && (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN) &&
-        response->len == 0 && (is_read(call) || outcome == HS_STORE_REFUSED)) {
-        connection = connect_store(client, &wait); /* The store may have closed the reused one. */
+    bool in_time = hs_clock_monotonic_ms() < wait->deadline;
+    if (was_reused && in_time && outcome == HS_STORE_REFUSED && response->len == 0) {
+        /* The store may have closed the reused one. */
+        connection = hs_store_client_connect(client, wait);
         was_lost = false;
         if (connection != NULL)
-            outcome = exchange(client, connection, call, &wait, response, &was_lost);
+            outcome = exchange(client, connection, call, wait, response, &was_lost);
     }
     if (!was_lost) /* A lost connection does not show whether the store is failing. */
-        note_outcome(client, outcome);
+        hs_store_client_note_outcome(client, outcome);
+    return outcome;
+}
+
+hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
+                                      hs_deadline deadline, hs_interrupt *interrupt,
+                                      GByteArray *response) {
+    hs_wait wait = {.deadline = deadline,
+                    .watched = HS_WATCH_NOTHING,
+                    .interrupt = interrupt != NULL ? interrupt : &client->calls_interrupt};
+    g_byte_array_set_size(response, 0);
+    hs_store_outcome outcome = HS_STORE_REFUSED;
+    if (is_read(call))
+        outcome = hs_store_client_read(client, call, &wait, response);
+    else if (!call->appends || may_append(client, deadline))
+        outcome = write_call(client, call, &wait, response);
     hs_store_call_clear(call);
     return outcome;
 }
 
+uint64_t hs_store_client_read_limit_ms(hs_store_client *client, uint64_t usual_ms,
+                                       uint32_t attempt) {
+    g_mutex_lock(&client->lock);
+    uint64_t limit_ms = hs_read_times_limit_ms(&client->read_times, usual_ms, attempt);
+    g_mutex_unlock(&client->lock);
+    return limit_ms;
+}
+
 uint64_t hs_store_client_write_timeout_ms(hs_store_client *client, uint32_t attempt, size_t bytes) {
     g_mutex_lock(&client->lock);
     double mean_ms = client->mean_write_ms;
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -48,7 +48,9 @@
  * Sends @p call, clears it, and replaces the contents of @p response by the response body. While
  * hs_store_client_is_failing, most appends are not sent: they wait for a short time and end as
  * HS_STORE_REFUSED. A read or a refused call that gets no body on a reused connection is repeated
- * once on a new connection.
+ * once on a new connection. A read without an answer is sent again on new connections, see
+ * hs_read_times_repeat_ms, and the first answer counts: a connection may be silent while new ones
+ * work, and the store may merely be slow.
  * @p interrupt ends the call; if NULL, hs_store_client_interrupt_calls does. See hs_wait.
  */
 hs_store_outcome hs_store_client_send(hs_store_client *client, hs_store_call *call,
@@ -61,6 +63,13 @@
  */
 uint64_t hs_store_client_write_timeout_ms(hs_store_client *client, uint32_t attempt, size_t bytes);
 
+/**
+ * Returns the limit in ms for attempt @p attempt (from 0) of a read that is given @p usual_ms while
+ * the store is fast; see hs_read_times_limit_ms.
+ */
+uint64_t hs_store_client_read_limit_ms(hs_store_client *client, uint64_t usual_ms,
+                                       uint32_t attempt);
+
 /** Returns whether the last calls failed, several in a row. */
 bool hs_store_client_is_failing(hs_store_client *client);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -17,6 +17,7 @@
         {"grants", grant_tests, NULL, NULL},
         {"membership", membership_tests, NULL, NULL},
         {"store_client", store_client_tests, NULL, NULL},
+        {"read_times", read_times_tests, NULL, NULL},
         {"membership_compare", membership_compare_tests, NULL, NULL},
         {"routing", routing_tests, NULL, NULL},
         {"scheduling", scheduling_tests, NULL, NULL},
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -522,7 +522,7 @@
     while (hs_clock_monotonic_ms() < slow_ms + FIRST_POLLS_MS + FOLLOWED_MS) {
         uint64_t began_ms = hs_clock_monotonic_ms();
         uint64_t age_ms = hs_job_partition_age_ms(fixture.partition);
-        hs_job_partition_wait(fixture.partition, 0, began_ms + 500);
+        hs_job_partition_follow(fixture.partition, 0, began_ms + 500);
         if (began_ms > slow_ms + FIRST_POLLS_MS)
             oldest_ms = MAX(oldest_ms, age_ms + hs_clock_monotonic_ms() - began_ms);
     }
@@ -570,7 +570,7 @@
     while (hs_clock_monotonic_ms() < until_ms) {
         uint64_t next = hs_job_state_next_offset(hs_job_partition_lock(fixture.partition));
         hs_job_partition_unlock(fixture.partition);
-        hs_job_partition_wait(fixture.partition, next, hs_clock_monotonic_ms() + 500);
+        hs_job_partition_follow(fixture.partition, next, hs_clock_monotonic_ms() + 500);
         g_mutex_lock(&writer.lock);
         uint64_t stored = writer.stored;
         uint64_t stored_ms = writer.stored_ms;
--- a/tests/unit/test_store_client.c
+++ b/tests/unit/test_store_client.c
@@ -121,9 +121,11 @@
     failing_store opened = open_failing_store();
     log_store_set_delay(opened.store, SLOW_MS);
     CU_ASSERT_EQUAL(read_within(opened.client, LONG_READ_LIMIT_MS), HS_STORE_DONE);
+    hs_clock_sleep_ms(2 * SLOW_MS); /* The store counts calls after its delay. */
     uint32_t before = log_store_call_count(opened.store, "/log-read");
     for (int read = 0; read < 4; read++)
         CU_ASSERT_EQUAL(read_within(opened.client, LONG_READ_LIMIT_MS), HS_STORE_DONE);
+    hs_clock_sleep_ms(2 * SLOW_MS);
     CU_ASSERT_EQUAL(log_store_call_count(opened.store, "/log-read") - before, 4);
     close_failing_store(&opened);
 }
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -18,6 +18,7 @@
 extern const test_case grant_tests[];
 extern const test_case membership_tests[];
 extern const test_case store_client_tests[];
+extern const test_case read_times_tests[];
 extern const test_case membership_compare_tests[];
 extern const test_case routing_tests[];
 extern const test_case scheduling_tests[];
