Jobs: callers' reads of a slow log overlap

Callers that asked one daemon about jobs of a partition shortly after each other got 503 while the store answered 0.8 s late: the daemon reads a log once at a time, and a caller needs a read that starts after its call, so it waited for up to two reads, beyond its 1.2 s.

A read now starts 200 ms after the latest one at the latest, at most eight at a time, and the callers that came meanwhile share it. An answer's records that the fold has from another read are passed over, so that long polls no longer wait for short reads, and are no longer lost to them. While the store is fast, reads end before the next is due, and nothing changes.

--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -17,6 +17,10 @@
 /** Limits of a short read, and of a long poll beyond its wait, while the store is fast. */
 #define READ_LIMIT_MS 1500
 #define POLL_ANSWER_LIMIT_MS 1500
+/** Callers that need a read which starts after their call share one that starts after this time in
+ * ms at the latest, so that they do not wait for a whole read of a slow store first. */
+#define READ_INTERVAL_MS 200
+#define MAX_OPEN_READS 8
 /** Limit of the answer to a poll that a caller waits for: callers give up 1.5 s after their wait.
  */
 #define CALLER_ANSWER_LIMIT_MS 1000
@@ -79,10 +83,12 @@
 }
 
 /**
- * Applies the records of an answer. Returns whether the fold is at the end of the log. The caller
- * holds the lock.
+ * Applies the records of an answer to a read from @p from on, except those that the fold has from
+ * another read. Returns whether the answer reaches the end of the log. The caller holds the lock.
  */
-static bool apply_answer(hs_job_partition *partition, const GByteArray *answer) {
+static bool apply_answer(hs_job_partition *partition, const GByteArray *answer, uint64_t from,
+                         uint64_t *record_count) {
+    *record_count = 0;
     uint64_t end = 0;
     uint64_t first = 0;
     if (!hs_platform_read_bounds(answer, &end, &first))
@@ -90,7 +96,9 @@
     size_t position = 0;
     hs_store_record record;
     while (hs_platform_read_next_record(answer, false, &position, &record)) {
-        uint64_t offset = hs_job_state_next_offset(partition->state);
+        uint64_t offset = from + (*record_count)++;
+        if (offset < hs_job_state_next_offset(partition->state))
+            continue;
         if (!hs_job_state_apply(partition->state, offset, record.value, record.value_length))
             hs_log_warning("job_record_unreadable", "part=%u offset=%" G_GUINT64_FORMAT,
                            partition->number, (guint64)offset);
@@ -111,7 +119,7 @@
         hs_log_info("job_end_folded", "job=%s part=%u by=%s", job_id, partition->number, source);
 }
 
-/** Reads one page from the fold's position on. Only one thread reads at a time. */
+/** Reads one page from the fold's position on. */
 static bool read_once(hs_job_partition *partition, uint32_t wait_ms, hs_deadline deadline,
                       hs_interrupt *interrupt, bool *reached_end) {
     g_mutex_lock(&partition->lock);
@@ -124,9 +132,10 @@
         hs_store_client_send(partition->settings.store, &call, deadline, interrupt, answer);
     g_mutex_lock(&partition->lock);
     uint64_t first = 0;
+    uint64_t record_count = 0;
     *reached_end = false;
     if (outcome == HS_STORE_DONE)
-        *reached_end = apply_answer(partition, answer);
+        *reached_end = apply_answer(partition, answer, from, &record_count);
     else if (outcome == HS_STORE_GONE && hs_platform_read_first_offset(answer, &first))
         hs_job_state_skip_to(partition->state, first);
     g_mutex_unlock(&partition->lock);
@@ -134,23 +143,22 @@
     return outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
 }
 
-static void end_reading(hs_job_partition *partition) {
-    partition->is_reading = false;
-    g_cond_broadcast(&partition->advanced);
-}
-
 bool hs_job_partition_catch_up(hs_job_partition *partition, hs_deadline deadline) {
     g_mutex_lock(&partition->lock);
     uint64_t required_read = partition->reads_started + 1; /* A read that starts after this call. */
     while (partition->last_complete_read < required_read) {
-        if (partition->is_reading) {
-            if (!hs_clock_wait_until(deadline, &partition->advanced, &partition->lock))
-                break;
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        if (now_ms >= deadline)
+            break;
+        uint64_t next_ms = partition->last_read_ms + READ_INTERVAL_MS;
+        if (partition->open_reads >= MAX_OPEN_READS ||
+            (partition->open_reads > 0 && now_ms < next_ms)) {
+            hs_deadline until = now_ms < next_ms ? MIN(next_ms, deadline) : deadline;
+            hs_clock_wait_until(until, &partition->advanced, &partition->lock);
             continue;
         }
-        if (hs_clock_monotonic_ms() >= deadline)
-            break;
-        partition->is_reading = true;
+        partition->open_reads++;
+        partition->last_read_ms = now_ms;
         uint64_t read_number = ++partition->reads_started;
         uint64_t limit_ms = hs_store_client_read_limit_ms(partition->settings.store, READ_LIMIT_MS,
                                                           partition->failed_reads);
@@ -162,10 +170,11 @@
         g_mutex_lock(&partition->lock);
         partition->failed_reads = has_read ? 0 : partition->failed_reads + 1;
         if (has_reached_end) {
-            partition->last_complete_read = read_number;
+            partition->last_complete_read = MAX(partition->last_complete_read, read_number);
             partition->current_ms = MAX(partition->current_ms, started_ms);
         }
-        end_reading(partition);
+        partition->open_reads--;
+        g_cond_broadcast(&partition->advanced);
         if (!has_read)
             break;
     }
@@ -193,13 +202,10 @@
     uint64_t answered_ms = hs_clock_monotonic_ms();
     g_mutex_lock(&partition->lock);
     uint64_t first = 0;
-    while (partition->is_reading)
-        g_cond_wait(&partition->advanced, &partition->lock);
-    if (outcome == HS_STORE_DONE && hs_job_state_next_offset(partition->state) == from &&
-        apply_answer(partition, answer)) {
+    uint64_t record_count = 0;
+    if (outcome == HS_STORE_DONE && apply_answer(partition, answer, from, &record_count)) {
         /* A poll without records covers its wait; other answers may be as old as the call. */
-        bool covers_wait = hs_job_state_next_offset(partition->state) == from &&
-                           answered_ms >= started_ms + wait_ms;
+        bool covers_wait = record_count == 0 && answered_ms >= started_ms + wait_ms;
         uint64_t current_ms = covers_wait ? started_ms + wait_ms : started_ms;
         partition->current_ms = MAX(partition->current_ms, current_ms);
     }
--- a/src/jobs/job_partition_state.h
+++ b/src/jobs/job_partition_state.h
@@ -11,9 +11,10 @@
     hs_job_store_settings settings;
     uint32_t number;
     GMutex lock;
-    GCond advanced;    /**< The fold advanced, or a read ended. */
-    bool is_reading;   /**< A thread reads from the log. */
-    bool is_following; /**< A thread long-polls the store. */
+    GCond advanced;        /**< The fold advanced, or a read ended. */
+    uint32_t open_reads;   /**< Threads that read from the log, not counting a long poll. */
+    uint64_t last_read_ms; /**< When the latest of these reads started. */
+    bool is_following;     /**< A thread long-polls the store. */
     uint64_t reads_started;
     uint64_t last_complete_read; /**< Number of the latest read that reached the end of the log. */
     uint32_t failed_reads;       /**< Short reads that failed since the last successful one. */
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -530,6 +530,37 @@
     close_fixture(&fixture);
 }
 
+/** Time in ms that a caller's read of the log may take, and the time between two callers. */
+#define CALLER_READ_MS 1200
+#define CALLER_STEP_MS 100
+#define CALLERS 6
+
+static gpointer catch_up_for_caller(gpointer data) {
+    partition_fixture *fixture = data;
+    bool is_read =
+        hs_job_partition_catch_up(fixture->partition, hs_clock_monotonic_ms() + CALLER_READ_MS);
+    return GINT_TO_POINTER(is_read);
+}
+
+/** Guards against callers that wait for another's read before their own starts. */
+static void callers_in_a_row_read_a_slow_log_in_time(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    append_manifest(&fixture);
+    log_store_set_delay(fixture.store, SLOW_STORE_MS);
+    GThread *threads[CALLERS];
+    for (int caller = 0; caller < CALLERS; caller++) {
+        threads[caller] = g_thread_new("caller", catch_up_for_caller, &fixture);
+        hs_clock_sleep_ms(CALLER_STEP_MS);
+    }
+    for (int caller = 0; caller < CALLERS; caller++)
+        CU_ASSERT_TRUE(GPOINTER_TO_INT(g_thread_join(threads[caller])));
+    CU_ASSERT_TRUE(is_known(&fixture));
+    CU_ASSERT_EQUAL(hs_job_state_next_offset(hs_job_partition_lock(fixture.partition)), 1);
+    hs_job_partition_unlock(fixture.partition);
+    close_fixture(&fixture);
+}
+
 /** Appends of another thread, and when the last one was stored. */
 typedef struct {
     partition_fixture *fixture;
@@ -590,6 +621,7 @@
 const test_case job_tests[] = {
     {"a_followed_fold_stays_young_enough_to_start_items_while_the_store_is_slow",
      a_followed_fold_stays_young_enough_to_start_items_while_the_store_is_slow},
+    {"callers_in_a_row_read_a_slow_log_in_time", callers_in_a_row_read_a_slow_log_in_time},
     {"a_fold_never_counts_as_current_without_a_stored_record",
      a_fold_never_counts_as_current_without_a_stored_record},
     {"long_polls_end_before_the_fold_is_too_old", long_polls_end_before_the_fold_is_too_old},
