Feeds: timeouts of store reads follow the store's times

A daemon's configuration and engine list stood still while the store answered later than their reads' fixed timeouts of 600 and 1,200 ms: each read failed (store_lost duty=config outcome=unknown in suite fleet_slow_store).

The timeout now follows the client's response times up to 1.5 s, and grows after a failed read if no other daemon can be asked instead. It stays as it is for a fast store, so that daemons which the store does not answer turn to others as soon as before.

feed.a_feed_reads_a_store_that_answers_later_than_its_timeout: red before, passes; suites feed and config pass, one run each.

--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -4,6 +4,8 @@
 #include "base/clock.h"
 
 #define MAX_READ_KB 1024
+/** Maximum of a timeout that follows the store's response times: other daemons may have a copy. */
+#define MAX_STORE_TIMEOUT_MS 1500
 
 /** Sends a call, and counts it and the bytes of the response. */
 static hs_store_outcome send_call(hs_state_feed *feed, hs_store_call *call, uint64_t limit_ms) {
@@ -17,6 +19,17 @@
     return outcome;
 }
 
+/**
+ * Returns the timeout of the next read beyond its hold time. It grows with failed attempts only if
+ * no other daemon can be asked instead.
+ */
+static uint64_t get_timeout_ms(hs_state_feed *feed, const hs_feed_limits *limits) {
+    uint32_t attempt = hs_state_feed_is_awaiting(feed) ? 0 : feed->store_failures;
+    uint64_t timeout_ms =
+        hs_store_client_read_limit_ms(feed->store, limits->store_timeout_ms, attempt);
+    return MIN(timeout_ms, MAX(limits->store_timeout_ms, MAX_STORE_TIMEOUT_MS));
+}
+
 /** Puts the entries of a page. The caller holds the lock. */
 static void put_entries(hs_state_feed *feed, const GArray *entries, hs_feed_batch *batch) {
     uint64_t now_ms = hs_clock_monotonic_ms();
@@ -59,7 +72,7 @@
 static hs_store_outcome list(hs_state_feed *feed, const hs_feed_limits *limits,
                              hs_feed_batch *batch) {
     hs_store_call call = hs_platform_build_newest_call(feed->topic, feed->page_after);
-    hs_store_outcome outcome = send_call(feed, &call, limits->store_timeout_ms);
+    hs_store_outcome outcome = send_call(feed, &call, get_timeout_ms(feed, limits));
     if (outcome != HS_STORE_DONE)
         return outcome;
     GArray *entries = hs_newest_entries_new();
@@ -101,7 +114,7 @@
     g_mutex_unlock(&feed->lock);
     hs_store_call call =
         hs_platform_build_read_call(feed->topic, 0, next, MAX_READ_KB, limits->store_wait_ms);
-    uint64_t limit_ms = (uint64_t)limits->store_wait_ms + limits->store_timeout_ms;
+    uint64_t limit_ms = (uint64_t)limits->store_wait_ms + get_timeout_ms(feed, limits);
     hs_store_outcome outcome = send_call(feed, &call, limit_ms);
     uint64_t end = 0;
     uint64_t first = 0;
--- a/src/feed/state_feed.h
+++ b/src/feed/state_feed.h
@@ -31,7 +31,7 @@
 /** Limits of one read. */
 typedef struct {
     uint32_t store_wait_ms;    /**< Hold time of a read of the store; 0: it returns at once. */
-    uint32_t store_timeout_ms; /**< Time limit of a read of the store beyond the hold time. */
+    uint32_t store_timeout_ms; /**< Time limit of a read of a fast store beyond the hold time. */
 } hs_feed_limits;
 
 /** Result of one read. */
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -323,6 +323,9 @@
     log_store_stop(made->store);
 }
 
+/** Delay in ms of a late store's answers: more than the timeout of read_once. */
+#define LATE_MS 1100
+
 /** Reads once; returns whether the read was answered. */
 static bool read_once(hs_state_feed *feed, hs_feed_source *source) {
     hs_feed_limits limits = {.store_timeout_ms = 1000};
@@ -392,7 +395,22 @@
     stop_pair(&daemons);
 }
 
+/** Guards against feeds that never read a store whose answers are later than their timeout. */
+static void a_feed_reads_a_store_that_answers_later_than_its_timeout(void) {
+    pair made = start_pair();
+    log_store_set_delay(made.store, LATE_MS);
+    bool is_answered = false;
+    hs_feed_source source = HS_FEED_WAIT;
+    for (int read = 0; read < 2 && !is_answered; read++)
+        is_answered = read_once(made.reader, &source);
+    CU_ASSERT_TRUE(is_answered);
+    CU_ASSERT_TRUE(read_once(made.reader, &source)); /* The response time is known now. */
+    stop_pair(&made);
+}
+
 const test_case feed_tests[] = {
+    {"a_feed_reads_a_store_that_answers_later_than_its_timeout",
+     a_feed_reads_a_store_that_answers_later_than_its_timeout},
     {"a_copy_in_parts_has_each_key_once", a_copy_in_parts_has_each_key_once},
     {"a_key_removed_meanwhile_is_dropped_by_a_listing",
      a_key_removed_meanwhile_is_dropped_by_a_listing},
