Jobs: joins of the group follow the store's times

While the store answered 1.2 s late, no daemon learned of a change of the group: joins took effect at the store but gave up after 0.9 s, so that a lost daemon's partitions had no owner and their items did not start.

The limit of a join follows the response times, up to two thirds of the group's TTL: an assignment in the answer still holds then, as the store moves a partition only after its member's TTL or next join.

--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -11,6 +11,7 @@
 #include "jobs/job_owner_state.h"
 
 #define JOINS_PER_TTL 3
+/** Limit of a join while the store is fast; at most the time of two joins while it is slow. */
 #define JOIN_LIMIT_MS 900
 /** Interval at which a daemon checks whether it knows its rank. */
 #define RANK_CHECK_MS 100
@@ -250,8 +251,12 @@
         owner->settings.member, owner->settings.group_ttl_ms, owner->generation);
     GByteArray *answer = g_byte_array_new();
     GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-    hs_store_outcome outcome = hs_store_client_send(
-        owner->settings.store, &call, hs_clock_monotonic_ms() + JOIN_LIMIT_MS, NULL, answer);
+    hs_store_client *store = owner->settings.store;
+    uint64_t limit_ms = hs_store_client_read_limit_ms(store, JOIN_LIMIT_MS, owner->failed_joins);
+    limit_ms = MIN(limit_ms, MAX(JOIN_LIMIT_MS, owner->settings.group_ttl_ms * 2 / JOINS_PER_TTL));
+    hs_store_outcome outcome =
+        hs_store_client_send(store, &call, hs_clock_monotonic_ms() + limit_ms, NULL, answer);
+    owner->failed_joins = outcome == HS_STORE_DONE ? 0 : owner->failed_joins + 1;
     if (outcome == HS_STORE_DONE &&
         hs_platform_read_join_response(answer, &owner->generation, numbers))
         set_owned(owner, numbers);
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -91,7 +91,8 @@
     GCond changed;
     GPtrArray *partitions; /**< of hs_owned_job_partition*: all partitions, by number. */
     uint64_t generation;
-    bool is_group_member; /**< Used by the group's thread only. */
+    bool is_group_member;  /**< Used by the group's thread only. */
+    uint32_t failed_joins; /**< Since the last successful one; used by the group's thread only. */
     bool stopping;
     bool draining;
     hs_deadline handover_deadline; /**< Of all partitions, while draining. */
--- a/tests/system/test_fleet_slow_store.c
+++ b/tests/system/test_fleet_slow_store.c
@@ -5,6 +5,7 @@
 #include "tests/system/system_tests.h"
 
 #include <jansson.h>
+#include <signal.h>
 #include <stdio.h>
 
 #define JOBS 5
@@ -132,6 +133,26 @@
     log_store_set_delay(bench.store, 0);
 }
 
+/** Guards against joins that give up before the store answers, so that partitions have no owner. */
+static void a_lost_owners_partitions_are_taken_while_the_store_is_very_slow(void) {
+    int lost = BENCH_DEFAULT_DAEMONS - 1;
+    CU_ASSERT_TRUE(wait_for_assignment());
+    log_store_set_delay(bench.store, VERY_SLOW_MS);
+    bench_signal_daemon(lost, SIGKILL);
+    uint64_t until_ms = hs_clock_monotonic_ms() + 2 * ASSIGNMENT_LIMIT_MS;
+    int owned = 0;
+    while (owned != BENCH_PARTITIONS && hs_clock_monotonic_ms() < until_ms) {
+        owned = 0;
+        for (int daemon = 0; daemon < lost; daemon++)
+            owned += get_daemon_metric(daemon, OWNED_METRIC);
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    CU_ASSERT_EQUAL(owned, BENCH_PARTITIONS);
+    log_store_set_delay(bench.store, 0);
+    CU_ASSERT_TRUE(bench_start_daemon(lost, false));
+    CU_ASSERT_TRUE(wait_for_assignment());
+}
+
 /** Guards against repeated reads that load a slow store more than one without a delay. */
 static void a_slow_store_gets_no_more_reads_than_a_fast_one(void) {
     hs_clock_sleep_ms(SLOW_BEFORE_MS);
@@ -151,6 +172,8 @@
     {"jobs_complete_and_can_be_read_while_the_store_is_slow",
      jobs_complete_and_can_be_read_while_the_store_is_slow},
     {"items_start_while_the_store_is_very_slow", items_start_while_the_store_is_very_slow},
+    {"a_lost_owners_partitions_are_taken_while_the_store_is_very_slow",
+     a_lost_owners_partitions_are_taken_while_the_store_is_very_slow},
     {"a_slow_store_gets_no_more_reads_than_a_fast_one",
      a_slow_store_gets_no_more_reads_than_a_fast_one},
     {NULL, NULL},
