--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -23,6 +23,7 @@
          end_job_ends_large},
         {"fleet_upgrade_job_ends", fleet_upgrade_job_end_system_tests, begin_upgrade_job_ends,
          end_upgrade_job_ends},
+        {"fleet_slow_store", fleet_slow_store_system_tests, bench_set_up, bench_tear_down},
         {"fleet_edges", fleet_edge_system_tests, bench_set_up, bench_tear_down},
         {"fleet_runs", fleet_run_system_tests, begin_fleet_runs, end_fleet_runs},
         {"online_taking", online_taking_tests, begin_fleet, end_fleet},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -47,6 +47,7 @@
 extern const test_case fleet_system_tests[];
 extern const test_case fleet_job_system_tests[];
 extern const test_case fleet_job_end_system_tests[];
+extern const test_case fleet_slow_store_system_tests[];
 extern const test_case fleet_job_end_stop_system_tests[];
 
 /** Start and stop the bench with a fault proxy between each daemon and the store. */
