--- a/src/jobs/start_rule.h
+++ b/src/jobs/start_rule.h
@@ -23,6 +23,9 @@
 /** Time in ms after the decision within which an item must be sent. */
 uint64_t hs_start_rule_send_time_ms(uint32_t cancel_ms);
 
+/** Age in ms up to which a fold is recent: an end that it lacks leaves time to send an item. */
+uint64_t hs_start_rule_max_age_ms(uint32_t cancel_ms);
+
 /**
  * Whether items may start. True if the fold is so recent that an end that it lacks is younger than
  * cancel_ms when the item reaches an engine, or if all ends that it lacks were reported.
