Soak: ends of jobs, and no item long after an end whatever the fault

Change: five more callers end nearly all of their jobs, several in a row, at once or while items run or are refused, again at other daemons, on kept connections. A further thread fails the store for all daemons or some right after an end was acknowledged, for 3 to 8 s, while other faults overlap. New check: no item reaches an engine, run or refused, more than 3000 ms after the first acknowledgement, during all faults; excused and counted are only a sender stopped by SIGSTOP, which the daemons' logs name, a link that delayed the request, and an item whose tries had all ended in time by the complete logs of all daemons. A repeated end no longer moves the time from which the older check counts. Faults that the self-test holds are forgotten between its cases.

Evidence: the self-test plants nine faults for the check; all cases pass.

--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -48,6 +48,17 @@
  */
 void soak_record_end(const char *id);
 
+/** Records that the end of a job was acknowledged at @p acknowledged_ms (monotonic). */
+void soak_record_job_end(const char *job, int items, uint64_t acknowledged_ms);
+
+/**
+ * Checks that no item reaches an engine more than 3 s after the end of its job was acknowledged,
+ * during all faults, unless the daemon that sent it was stopped by SIGSTOP or the link to the
+ * engine delayed requests. Daemons that may have sent it are known from their logs; without logs,
+ * every daemon may have. An item is also excused if all tries had ended in time by the logs.
+ */
+void soak_check_sends_after_ends(void);
+
 /** Checks that only contents that crash engines are quarantined. */
 void soak_check_hold(const char *id, bool is_crash_content, bool is_quarantined);
 
--- a/tests/soak/end_checks.c
+++ b/tests/soak/end_checks.c
@@ -76,6 +76,7 @@
     check_jobs();
     soak_check_runs();
     soak_check_ends();
+    soak_check_sends_after_ends();
     soak_check_crashes();
     soak_check_operations();
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -76,6 +76,12 @@
         hs_clock_sleep_ms(MIN(wait_ms, injector->until_ms - now_ms));
 }
 
+void soak_wait_for_end(const fault_injector *injector) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (now_ms < injector->until_ms)
+        hs_clock_sleep_ms(injector->until_ms - now_ms);
+}
+
 int soak_pick_daemon(const fault_injector *injector) {
     return g_rand_int_range(injector->rng, 0, bench_daemon_count());
 }
@@ -133,14 +139,33 @@
     }
 }
 
-void soak_run_faults(GRand *rng, uint64_t until_ms) {
+/** Runs series until @p until_ms, with fault-free periods between them. */
+static void run_all_series(GRand *rng, uint64_t until_ms, void (*run)(const fault_injector *)) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     while (now_ms < until_ms) {
         fault_injector injector = {.rng = rng, .until_ms = MIN(until_ms, now_ms + SERIES_MS)};
-        run_series(&injector);
+        run(&injector);
         now_ms = hs_clock_monotonic_ms();
         if (now_ms < until_ms)
             hs_clock_sleep_ms(MIN((uint64_t)FAULT_FREE_MS, until_ms - now_ms));
         now_ms = hs_clock_monotonic_ms();
     }
 }
+
+void soak_run_faults(GRand *rng, uint64_t until_ms) {
+    run_all_series(rng, until_ms, run_series);
+}
+
+void soak_run_end_faults(GRand *rng, uint64_t until_ms) {
+    run_all_series(rng, until_ms, soak_run_end_series);
+}
+
+void soak_clear_faults(void) {
+    if (targets.holds != NULL)
+        g_array_unref(targets.holds);
+    targets.holds = NULL;
+    if (fault_free.past != NULL)
+        g_array_unref(fault_free.past);
+    fault_free.past = NULL;
+    fault_free.from_ms = 0;
+}
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -12,9 +12,11 @@
 #include <stdint.h>
 
 typedef enum {
-    FAULT_PROCESS,     /**< Process of a daemon. */
-    FAULT_STORE_LINK,  /**< Link of a daemon to the store. */
-    FAULT_ENGINE_LINK, /**< Links of all daemons to an engine. */
+    FAULT_PROCESS,           /**< Process of a daemon. */
+    FAULT_PAUSE,             /**< Held with FAULT_PROCESS while the daemon is stopped by SIGSTOP. */
+    FAULT_STORE_LINK,        /**< Link of a daemon to the store. */
+    FAULT_ENGINE_LINK,       /**< Links of all daemons to an engine. */
+    FAULT_ENGINE_LINK_DELAY, /**< Held with FAULT_ENGINE_LINK while its proxy delays requests. */
     FAULT_ENGINE,
     FAULT_STORE,
     FAULT_STORE_DELAY,
@@ -40,6 +42,9 @@
 /** Sleeps for a random time between two bounds in ms, but not beyond the end of the series. */
 void soak_wait_random(const fault_injector *injector, int min_ms, int max_ms);
 
+/** Sleeps until the end of the series. */
+void soak_wait_for_end(const fault_injector *injector);
+
 int soak_pick_daemon(const fault_injector *injector);
 
 /** Mark the start and the end of a fault; see soak_was_fault_free. */
@@ -49,6 +54,12 @@
 /** Starts a stopped daemon, as a random one of the two builds if there is an earlier build. */
 void soak_start_daemon(const fault_injector *injector, int daemon);
 
+/**
+ * The series of soak_run_faults, with store faults of some seconds that begin right after an end of
+ * a job was acknowledged, and other faults at the same time.
+ */
+void soak_run_end_series(const fault_injector *injector);
+
 /** Kill a daemon, or several in turn, and start them again. */
 void soak_kill_daemon(const fault_injector *injector, int daemon);
 void soak_kill_daemons(const fault_injector *injector);
@@ -65,6 +76,20 @@
 void soak_degrade_engine_link(const fault_injector *injector);
 /** Silences the open connections of a link for good; new connections work. */
 void soak_silence_open_links(const fault_injector *injector);
+/** The same for a link to the store only. */
+void soak_silence_open_store_links(const fault_injector *injector);
+
+/** A fault of the links to the store of some daemons. */
+typedef enum {
+    STORE_LINK_SILENT,
+    STORE_LINK_LOSES_ANSWERS,
+    STORE_LINK_REFUSES,
+    STORE_LINK_LATE, /**< Answers arrive after a random delay of up to 1.5 s. */
+    STORE_LINK_KINDS,
+} store_link_fault;
+
+/** Degrades the links to the store of about half of the daemons, at least one if it is free. */
+void soak_degrade_store_links(const fault_injector *injector, store_link_fault kind);
 void soak_reset_engine_links(const fault_injector *injector);
 
 /**
--- a/tests/soak/link_faults.c
+++ b/tests/soak/link_faults.c
@@ -25,6 +25,11 @@
 /** Proxies poll their mode every 10 ms. */
 #define LINK_RESET_MS 30
 
+#define MIN_ANSWER_DELAY_MS 300
+#define MAX_ANSWER_DELAY_MS 1500
+/** Time for held answers to pass. */
+#define ANSWER_GAP_MS 30
+
 #define MIN_REGION_CUT_MS 2000
 #define MAX_REGION_CUT_MS 5000
 
@@ -117,8 +122,14 @@
     }
 }
 
-void soak_silence_open_links(const fault_injector *injector) {
-    int which = g_rand_int_range(injector->rng, 0, bench_daemon_count() + BENCH_ENGINES);
+static void set_store_links(const bool *is_set, proxy_mode mode) {
+    for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
+        if (is_set[daemon])
+            fault_proxy_set_mode(store_proxies[daemon], mode);
+}
+
+/** @p which: a daemon, or an engine after all daemons. */
+static void silence_open_links(const fault_injector *injector, int which) {
     bool is_store = which < bench_daemon_count();
     proxy_silence silence =
         g_rand_boolean(injector->rng) ? PROXY_ACKNOWLEDGES_DATA : PROXY_DROPS_ALL_PACKETS;
@@ -134,15 +145,75 @@
     soak_release_target(target, index);
 }
 
+void soak_silence_open_store_links(const fault_injector *injector) {
+    silence_open_links(injector, soak_pick_daemon(injector));
+}
+
+void soak_silence_open_links(const fault_injector *injector) {
+    silence_open_links(injector,
+                       g_rand_int_range(injector->rng, 0, bench_daemon_count() + BENCH_ENGINES));
+}
+
+/** Holds the answers on the links for random times until the end of the series. */
+static void delay_answers(const fault_injector *injector, const bool *is_degraded) {
+    while (hs_clock_monotonic_ms() < injector->until_ms) {
+        set_store_links(is_degraded, PROXY_BLOCKS_ANSWERS);
+        soak_wait_random(injector, MIN_ANSWER_DELAY_MS, MAX_ANSWER_DELAY_MS);
+        set_store_links(is_degraded, PROXY_FORWARDS);
+        hs_clock_sleep_ms(ANSWER_GAP_MS);
+    }
+}
+
+void soak_degrade_store_links(const fault_injector *injector, store_link_fault kind) {
+    static const proxy_mode modes[STORE_LINK_KINDS] = {PROXY_BLOCKS_ALL, PROXY_BLOCKS_ANSWERS,
+                                                       PROXY_RESETS, PROXY_FORWARDS};
+    bool is_degraded[BENCH_MAX_DAEMONS] = {false};
+    int always = soak_pick_daemon(injector);
+    int count = 0;
+    for (int daemon = 0; daemon < bench_daemon_count(); daemon++) {
+        bool is_picked = g_rand_boolean(injector->rng) || daemon == always;
+        is_degraded[daemon] = is_picked && soak_acquire_target(FAULT_STORE_LINK, daemon);
+        count += is_degraded[daemon];
+    }
+    soak_log("fault store links kind=%d daemons=%d first=%d", kind, count, always);
+    set_store_links(is_degraded, modes[kind]);
+    if (kind == STORE_LINK_LATE)
+        delay_answers(injector, is_degraded);
+    else
+        soak_wait_for_end(injector);
+    set_store_links(is_degraded, PROXY_FORWARDS);
+    soak_log("fault store links ended kind=%d", kind);
+    for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
+        if (is_degraded[daemon])
+            soak_release_target(FAULT_STORE_LINK, daemon);
+}
+
+/** Whether a proxy in this mode delivers requests late. */
+static bool delays_requests(proxy_mode mode) {
+    return mode == PROXY_DELAYS || mode == PROXY_BLOCKS_ALL;
+}
+
+static void begin_engine_link_fault(int engine, proxy_mode mode) {
+    if (delays_requests(mode))
+        soak_acquire_target(FAULT_ENGINE_LINK_DELAY, engine);
+    fault_proxy_set_mode(engine_proxies[engine], mode);
+}
+
+static void end_engine_link_fault(int engine, proxy_mode mode) {
+    fault_proxy_set_mode(engine_proxies[engine], PROXY_FORWARDS);
+    if (delays_requests(mode))
+        soak_release_target(FAULT_ENGINE_LINK_DELAY, engine);
+}
+
 void soak_degrade_engine_link(const fault_injector *injector) {
     int which = g_rand_int_range(injector->rng, 0, BENCH_ENGINES);
     proxy_mode mode = pick_link_fault(injector);
     if (!soak_acquire_target(FAULT_ENGINE_LINK, which))
         return;
     soak_log("fault engine link engine=%d mode=%d", which, mode);
-    fault_proxy_set_mode(engine_proxies[which], mode);
+    begin_engine_link_fault(which, mode);
     soak_wait_random(injector, MIN_LINK_FAULT_MS, MAX_LINK_FAULT_MS / 2);
-    fault_proxy_set_mode(engine_proxies[which], PROXY_FORWARDS);
+    end_engine_link_fault(which, mode);
     soak_release_target(FAULT_ENGINE_LINK, which);
 }
 
@@ -172,10 +243,7 @@
 }
 
 static void set_region_links(const bool *is_cut, proxy_mode mode) {
-    fault_proxy_set_mode(engine_proxies[SOAK_HOME_ENGINE], mode);
-    for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
-        if (is_cut[daemon])
-            fault_proxy_set_mode(store_proxies[daemon], mode);
+    set_store_links(is_cut, mode);
     g_atomic_int_set(&record.is_region_cut, mode != PROXY_FORWARDS);
 }
 
@@ -193,8 +261,10 @@
         bool is_home = strcmp(soak_zones[daemon], soak_zones[SOAK_HOME_ENGINE]) == 0;
         is_cut[daemon] = is_home != has_store && soak_acquire_target(FAULT_STORE_LINK, daemon);
     }
+    begin_engine_link_fault(SOAK_HOME_ENGINE, mode);
     set_region_links(is_cut, mode);
     hs_clock_sleep_ms(cut_ms);
+    end_engine_link_fault(SOAK_HOME_ENGINE, mode);
     set_region_links(is_cut, PROXY_FORWARDS);
     soak_log("fault cut ended of region=%s", SOAK_HOME_REGION);
     soak_end_fault();
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -21,7 +21,9 @@
 #define DISCONNECTING_CALLERS 2
 #define JOB_CALLERS 2
 #define CRASH_CALLERS 2
-#define CALLER_THREADS (ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS + CRASH_CALLERS)
+#define JOB_ENDING_CALLERS 5
+#define CALLER_THREADS                                                                             \
+    (ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS + CRASH_CALLERS + JOB_ENDING_CALLERS)
 /** Threads that inject faults at the same time. */
 #define MAX_FAULT_INJECTORS 3
 /** Enough for all items that run at once, also while two daemons own a partition. */
@@ -134,6 +136,13 @@
     return NULL;
 }
 
+static gpointer run_end_fault_thread(gpointer data) {
+    fault_thread_args *args = data;
+    soak_run_end_faults(args->rng, args->until_ms);
+    g_rand_free(args->rng);
+    return NULL;
+}
+
 /** Shows one line of progress if standard error is a terminal. */
 static void show_progress(uint64_t until_ms) {
     if (!isatty(STDERR_FILENO))
@@ -162,7 +171,11 @@
     /* A build before evacuations does not know them. */
     GThread *operator_thread =
         line->past == NULL ? g_thread_new("operator", run_operator_thread, &operator_args) : NULL;
+    guint32 end_numbers[] = {line->seed, MAX_FAULT_INJECTORS + 1};
+    fault_thread_args end_args = {g_rand_new_with_seed_array(end_numbers, 2), until_ms};
+    GThread *end_thread = g_thread_new("end faults", run_end_fault_thread, &end_args);
     show_progress(until_ms);
+    g_thread_join(end_thread);
     if (operator_thread != NULL)
         g_thread_join(operator_thread);
     for (unsigned index = 0; index < injector_count; index++)
@@ -175,8 +188,10 @@
         return soak_run_online_caller;
     if (index < ONLINE_CALLERS + DISCONNECTING_CALLERS)
         return soak_run_disconnecting_caller;
-    return index < ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS ? soak_run_job_caller
-                                                                        : soak_run_crash_caller;
+    if (index < ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS)
+        return soak_run_job_caller;
+    return index < CALLER_THREADS - JOB_ENDING_CALLERS ? soak_run_crash_caller
+                                                       : soak_run_job_ending_caller;
 }
 
 static void run_callers(const command_line *line) {
@@ -198,7 +213,9 @@
            "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
            "beside_served=%u evacuations=%u evacuations_judged=%u returns_judged=%u cold_starts=%u "
            "cold_requests=%u cold_most=%u losses=%u losses_judged=%u region_cuts=%u home=%u "
-           "home_in_cuts=%u known_red=%u faults=%d "
+           "home_in_cuts=%u jobs_ended=%u late_sends=%u late_of_stopped=%u late_on_links=%u "
+           "late_in_transit=%u "
+           "last_send_ms=%u known_red=%u faults=%d "
            "violations=%u\n",
            line->seed, record.requests_sent, record.requests_served, record.requests_refused,
            record.streams_cut, record.connections_reused, record.jobs_sent,
@@ -209,8 +226,9 @@
            record.other_requests_served, record.evacuations, record.evacuations_checked,
            record.returns_checked, record.cold_starts, record.cold_requests,
            record.most_cold_requests, record.zone_losses, record.losses_checked, record.region_cuts,
-           record.home_requests, record.home_requests_in_cuts, record.known_red, record.fault_count,
-           record.violations->len);
+           record.home_requests, record.home_requests_in_cuts, record.jobs_ended, record.late_sends,
+           record.late_sends_of_stopped, record.late_sends_on_links, record.late_sends_in_transit,
+           record.last_send_ms, record.known_red, record.fault_count, record.violations->len);
 }
 
 static void run_soak(const command_line *line) {
@@ -230,6 +248,7 @@
         .log_directory = line->logs,
     };
     bench.previous_program = line->past;
+    record.has_earlier_builds = line->past != NULL;
     for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
         bench.runs_previous_program[daemon] = line->past != NULL;
     printf("seed %u, %u s, %d daemons\n", line->seed, line->seconds, bench_daemon_count());
--- a/tests/soak/process_faults.c
+++ b/tests/soak/process_faults.c
@@ -62,9 +62,11 @@
     if (!soak_acquire_target(FAULT_PROCESS, daemon))
         return;
     soak_log("fault pause daemon=%d", daemon);
+    soak_acquire_target(FAULT_PAUSE, daemon);
     bench_signal_daemon(daemon, SIGSTOP);
     soak_wait_random(injector, MIN_DAEMON_PAUSE_MS, MAX_DAEMON_PAUSE_MS);
     bench_signal_daemon(daemon, SIGCONT);
+    soak_release_target(FAULT_PAUSE, daemon);
     soak_log("fault pause ended daemon=%d", daemon);
     soak_release_target(FAULT_PROCESS, daemon);
 }
--- a/tests/soak/run_checks.c
+++ b/tests/soak/run_checks.c
@@ -32,8 +32,13 @@
     g_mutex_lock(&record.lock);
     if (end_times == NULL)
         end_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    g_hash_table_insert(end_times, g_strdup(id), at_ms);
-    record.end_count++;
+    /* A repeated end does not extend the time. */
+    if (g_hash_table_contains(end_times, id)) {
+        g_free(at_ms);
+    } else {
+        g_hash_table_insert(end_times, g_strdup(id), at_ms);
+        record.end_count++;
+    }
     g_mutex_unlock(&record.lock);
 }
 
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -212,6 +212,126 @@
     soak_check_ends();
 }
 
+/** Sends an item of a job that ended 3.1 s ago; without the fault, 2.9 s ago. */
+static void plant_send_after_end(bool with_fault) {
+    soak_record_job_end("ended", 1, hs_clock_monotonic_ms() - (with_fault ? 3100 : 2900));
+    run_repeatedly("ended-0", 1);
+    soak_check_sends_after_ends();
+}
+
+/** Sends the item of a job that ended long ago. */
+static void send_long_after_end(void) {
+    soak_record_job_end("ended", 1, hs_clock_monotonic_ms() - SEND_DELAY_MS);
+    run_repeatedly("ended-0", 1);
+}
+
+/** A full engine refuses the item; without the fault, another item. */
+static void plant_refused_send_after_end(bool with_fault) {
+    token_engine_set_mode(bench.engines[0], TOKEN_ENGINE_FULL);
+    soak_record_job_end(with_fault ? "ended" : "open", 1, hs_clock_monotonic_ms() - SEND_DELAY_MS);
+    run_repeatedly("ended-0", 1);
+    soak_check_sends_after_ends();
+}
+
+/** A repeated end does not extend the time; without the fault, there is only the later one. */
+static void plant_send_after_repeated_end(bool with_fault) {
+    if (with_fault)
+        soak_record_job_end("ended", 1, hs_clock_monotonic_ms() - SEND_DELAY_MS);
+    soak_record_job_end("ended", 1, hs_clock_monotonic_ms());
+    run_repeatedly("ended-0", 1);
+    soak_check_sends_after_ends();
+}
+
+/** Holds a target while an item is sent long after its job's end. */
+static void send_during_fault(fault_target target, int index) {
+    soak_acquire_target(target, index);
+    soak_begin_fault();
+    send_long_after_end();
+    soak_check_sends_after_ends();
+    soak_end_fault();
+    soak_release_target(target, index);
+}
+
+/** The store is away; without the fault, a daemon is stopped by SIGSTOP. */
+static void plant_send_after_end_beside_store_fault(bool with_fault) {
+    send_during_fault(with_fault ? FAULT_STORE : FAULT_PAUSE, 0);
+    if (!with_fault && record.late_sends_of_stopped != 1)
+        soak_report_violation("the send of a stopped daemon was not counted");
+}
+
+/** A daemon is killed; without the fault, the link to the engine delays requests. */
+static void plant_send_after_end_beside_kill(bool with_fault) {
+    send_during_fault(with_fault ? FAULT_PROCESS : FAULT_ENGINE_LINK_DELAY, 0);
+    if (!with_fault && record.late_sends_on_links != 1)
+        soak_report_violation("the send on a delayed link was not counted");
+}
+
+/** The link to another engine delays requests; without the fault, that to this one. */
+static void plant_send_after_end_beside_other_link(bool with_fault) {
+    send_during_fault(FAULT_ENGINE_LINK_DELAY, with_fault);
+}
+
+/** By the logs, a daemon that was not stopped sent the item; without the fault, the stopped one. */
+static void plant_send_after_end_of_running_daemon(bool with_fault) {
+    g_autofree char *directory = g_dir_make_tmp("heathsail-soak-XXXXXX", NULL);
+    g_autofree char *path = g_strdup_printf("%s/daemon-%d.log", directory, with_fault);
+    g_autofree char *line =
+        g_strdup_printf("ts_ms=%" G_GUINT64_FORMAT " level=info instance=front event=item_started "
+                        "job=ended item=ended-0 tries=0\n",
+                        (guint64)hs_clock_wall_ms());
+    g_file_set_contents(path, line, -1, NULL);
+    hs_clock_sleep_ms(EVENT_MS);
+    bench.settings.log_directory = directory;
+    send_during_fault(FAULT_PAUSE, 0);
+    bench.settings.log_directory = NULL;
+    unlink(path);
+    rmdir(directory);
+}
+
+/** The try had not ended at the time limit; without the fault, the kernel held the item up. */
+static void plant_send_after_end_of_open_try(bool with_fault) {
+    g_autofree char *directory = g_dir_make_tmp("heathsail-soak-XXXXXX", NULL);
+    g_autofree char *path = g_strdup_printf("%s/daemon-0.log", directory);
+    guint64 wall_ms = hs_clock_wall_ms();
+    g_autofree char *lines = g_strdup_printf(
+        "ts_ms=%" G_GUINT64_FORMAT " level=info instance=front event=item_started job=ended "
+        "item=ended-0 tries=0\n"
+        "ts_ms=%" G_GUINT64_FORMAT " level=info instance=front event=item_try_ended job=ended "
+        "item=ended-0 engine=engine-0 end=abandoned\n",
+        wall_ms - SEND_DELAY_MS, wall_ms - (with_fault ? SEND_DELAY_MS / 8 : SEND_DELAY_MS / 2));
+    g_file_set_contents(path, lines, -1, NULL);
+    bench.settings.log_directory = directory;
+    send_long_after_end();
+    soak_check_sends_after_ends();
+    if (!with_fault && record.late_sends_in_transit != 1)
+        soak_report_violation("the send that was held up was not counted");
+    bench.settings.log_directory = NULL;
+    unlink(path);
+    rmdir(directory);
+}
+
+/** The item started at the daemon after its pause; without the fault, during it. */
+static void plant_send_after_end_started_after_pause(bool with_fault) {
+    g_autofree char *directory = g_dir_make_tmp("heathsail-soak-XXXXXX", NULL);
+    g_autofree char *path = g_strdup_printf("%s/daemon-0.log", directory);
+    soak_acquire_target(FAULT_PAUSE, 0);
+    uint64_t wall_ms = hs_clock_wall_ms();
+    hs_clock_sleep_ms(EVENT_MS);
+    soak_release_target(FAULT_PAUSE, 0);
+    hs_clock_sleep_ms(EVENT_MS);
+    g_autofree char *line =
+        g_strdup_printf("ts_ms=%" G_GUINT64_FORMAT " level=info instance=front event=item_started "
+                        "job=ended item=ended-0 tries=0\n",
+                        (guint64)(with_fault ? hs_clock_wall_ms() : wall_ms));
+    g_file_set_contents(path, line, -1, NULL);
+    bench.settings.log_directory = directory;
+    send_long_after_end();
+    soak_check_sends_after_ends();
+    bench.settings.log_directory = NULL;
+    unlink(path);
+    rmdir(directory);
+}
+
 static void plant_wrong_quarantine(bool with_fault) {
     soak_check_hold("held", !with_fault, true);
 }
@@ -383,6 +503,21 @@
     {"slow stop", plant_slow_stop, "after 7000 ms"},
     {"daemon not ready", plant_unready_daemon, "is not ready"},
     {"run after its end", plant_run_after_end, "after its end"},
+    {"item after its job's end", plant_send_after_end, "reached engine-0"},
+    {"refused item after its job's end", plant_refused_send_after_end, "reached engine-0"},
+    {"item after a repeated end", plant_send_after_repeated_end, "reached engine-0"},
+    {"item after its job's end beside a store fault", plant_send_after_end_beside_store_fault,
+     "reached engine-0"},
+    {"item after its job's end beside a kill", plant_send_after_end_beside_kill,
+     "reached engine-0"},
+    {"item after its job's end beside another link", plant_send_after_end_beside_other_link,
+     "reached engine-0"},
+    {"item of a running daemon after its job's end", plant_send_after_end_of_running_daemon,
+     "reached engine-0"},
+    {"item of an open try after its job's end", plant_send_after_end_of_open_try,
+     "reached engine-0"},
+    {"item started after a pause and its job's end", plant_send_after_end_started_after_pause,
+     "reached engine-0"},
     {"quarantine of a harmless request", plant_wrong_quarantine, "quarantined though"},
     {"late sends of a crash content", plant_late_sends, "sent 4 times"},
     {"send to an evacuated zone", plant_send_to_evacuated_zone, "after the evacuation"},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -51,6 +51,15 @@
     uint32_t end_count;     /**< Acknowledged ends of items and disconnects of callers. */
     uint32_t ends_checked;  /**< Ends that are not near an injected fault. */
     uint32_t late_runs;     /**< Runs that went on too long after an end near an injected fault. */
+    uint32_t jobs_ended;    /**< Acknowledged ends of jobs. */
+    uint32_t late_sends;    /**< Items that reached engines too late after the end of their job. */
+    uint32_t late_sends_of_stopped; /**< Others whose daemon was stopped by SIGSTOP. */
+    uint32_t late_sends_on_links;   /**< Others whose link delayed requests. */
+    uint32_t late_sends_in_transit; /**< Others whose tries had all ended in time. */
+    uint32_t last_send_ms;          /**< The longest time from an end to a send that counts. */
+    gint end_acknowledgements;      /**< Atomic; acknowledged ends, repeated ones included. */
+    gint is_collecting_jobs;        /**< Atomic; callers that end jobs hold their ends back. */
+    bool has_earlier_builds;        /**< Daemons of earlier builds take part. */
     uint32_t crash_requests_sent, crash_requests_quarantined;
     uint32_t other_requests_sent, other_requests_served; /**< At the engines of the crash fleet. */
     uint32_t engine_crashes;
@@ -105,6 +114,7 @@
  */
 gpointer soak_run_online_caller(gpointer data);
 gpointer soak_run_job_caller(gpointer data);
+gpointer soak_run_job_ending_caller(gpointer data);
 gpointer soak_run_disconnecting_caller(gpointer data);
 gpointer soak_run_crash_caller(gpointer data);
 
@@ -131,6 +141,9 @@
  */
 void soak_run_faults(GRand *rng, uint64_t until_ms);
 
+/** The same with faults of the store right after ends of jobs. For one thread. */
+void soak_run_end_faults(GRand *rng, uint64_t until_ms);
+
 /**
  * Until @p until_ms (monotonic), in turn: evacuates the zone of an engine for some seconds and
  * withdraws that; restarts an engine, which is cold then; lets a zone's engine and daemons fail at
@@ -141,6 +154,9 @@
 /** Frees what is recorded of operations and online answers. */
 void soak_clear_operations(void);
 
+/** Forgets past faults. No fault may be active. */
+void soak_clear_faults(void);
+
 /** Returns whether no fault was active at any time between two wall times in ms. */
 bool soak_was_fault_free(uint64_t from_ms, uint64_t to_ms);
 
