--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -95,6 +95,10 @@
 
 /** Name of a violation: a cold engine got too many requests before its new entry was read. */
 #define SOAK_UNREAD_COLD_START "soak.new_engines_get_their_limit_before_their_entry_is_read"
+/** Another: a daemon that cannot reach the store exits on SIGTERM after its grace period. */
+#define SOAK_SLOW_STOP_WITHOUT_STORE "soak.a_stop_without_the_store_ends_in_time"
+/** Another: the engine of a lost zone gets no request although the zone is back. */
+#define SOAK_UNUSED_AFTER_LOSS "soak.an_engine_gets_requests_after_its_zone_was_lost"
 
 /**
  * As soak_report_violation, but only prints and counts a violation whose name is the first field of
