Soak: reads go silent before the ends that they would show

Cause: those daemons acknowledge an end only while their fold is recent, and a read that is held when the store goes away still returns the next end. Most ends before the fault were read back, most after it were not acknowledged.

Change: in one of three rounds reads are silent from up to 1.5 s before the collected jobs end, and all calls once an end was acknowledged.

--- a/tests/soak/end_faults.c
+++ b/tests/soak/end_faults.c
@@ -26,9 +26,11 @@
 #define MAX_OVERLAPPING 2
 #define MAX_OVERLAPPING_GAP_MS 1500
 #define MAX_ROUND_GAP_MS 1500
-#define MAX_SILENT_READS_MS 3000
+#define MAX_SILENT_READS_MS 1500
 /** Cases of fail_store_somehow in which the store fails for all daemons. */
-#define ALL_STORE_FAULTS 9
+#define ALL_STORE_FAULTS 6
+/** Reads are silent before the ends in one of so many rounds. */
+#define ROUNDS_PER_SILENT_READS 3
 #define MIN_LATE_MS 300
 #define MAX_LATE_MS 1500
 
@@ -77,13 +79,20 @@
     soak_release_target(FAULT_STORE, 0);
 }
 
-/** Silences reads only, in which ends are still acknowledged, and then all calls. */
-static void silence_store_in_steps(const fault_injector *injector) {
+/**
+ * Silences reads shortly before the collected jobs end, and all calls right after an end was
+ * acknowledged. The rest of the round is as for other faults.
+ */
+static bool silence_reads_before_ends(const fault_injector *injector) {
     if (!soak_acquire_target(FAULT_STORE, 0))
-        return;
-    soak_log("fault store after end silent reads");
+        return false;
+    soak_log("fault store silent reads before ends");
     log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, CALL_READ, G_MAXUINT32);
     soak_wait_random(injector, 0, MAX_SILENT_READS_MS);
+    return true;
+}
+
+static void silence_store(const fault_injector *injector) {
     soak_log("fault store after end silent");
     log_store_set_mode(bench.store, LOG_STORE_UNRESPONSIVE, NULL, G_MAXUINT32);
     soak_wait_for_end(injector);
@@ -109,22 +118,17 @@
     int fault = g_rand_int_range(injector->rng, 0, ALL_STORE_FAULTS + STORE_LINK_KINDS);
     switch (fault) {
     case 0:
-    case 1:
-    case 2:
-        silence_store_in_steps(injector);
-        break;
-    case 3:
         fail_store(injector, LOG_STORE_UNRESPONSIVE);
         break;
-    case 4:
+    case 1:
         fail_store(injector, LOG_STORE_REFUSES);
         break;
-    case 5:
+    case 2:
         fail_store(injector, LOG_STORE_LOSES_ANSWER);
         break;
-    case 6:
-    case 7:
-    case 8:
+    case 3:
+    case 4:
+    case 5:
         delay_store(injector);
         break;
     default:
@@ -183,6 +187,8 @@
         set_engines_full(engines.is_full, true);
     g_atomic_int_set(&record.is_collecting_jobs, 1);
     hs_clock_sleep_ms(COLLECTING_MS);
+    bool is_silent =
+        g_rand_int_range(rng, 0, ROUNDS_PER_SILENT_READS) == 0 && silence_reads_before_ends(series);
     g_atomic_int_set(&record.is_collecting_jobs, 0);
     if (wait_for_acknowledged_end())
         soak_wait_random(series, 0, MAX_AFTER_END_MS);
@@ -196,7 +202,10 @@
     engines.injector.until_ms = until_ms - ACCEPTING_MS;
     GThread *emptying = fills ? g_thread_new("engines", empty_engines, &engines) : NULL;
     fault_injector injector = {rng, until_ms};
-    fail_store_somehow(&injector);
+    if (is_silent)
+        silence_store(&injector);
+    else
+        fail_store_somehow(&injector);
     for (int index = 0; index < count; index++) {
         g_thread_join(overlapping[index].thread);
         g_rand_free(overlapping[index].injector.rng);
