--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -51,6 +51,15 @@
     uint32_t end_count;     /**< Acknowledged ends of items and disconnects of callers. */
     uint32_t ends_checked;  /**< Ends that are not near an injected fault. */
     uint32_t late_runs;     /**< Runs that went on too long after an end near an injected fault. */
+    uint32_t jobs_ended;    /**< Acknowledged ends of jobs. */
+    uint32_t late_sends;    /**< Items that reached engines too late after the end of their job. */
+    uint32_t late_sends_of_stopped; /**< Others whose daemon was stopped by SIGSTOP. */
+    uint32_t late_sends_on_links;   /**< Others whose link delayed requests. */
+    uint32_t late_sends_in_transit; /**< Others whose tries had all ended in time. */
+    uint32_t last_send_ms;          /**< The longest time from an end to a send that counts. */
+    gint end_acknowledgements;      /**< Atomic; acknowledged ends, repeated ones included. */
+    gint is_collecting_jobs;        /**< Atomic; callers that end jobs hold their ends back. */
+    bool has_earlier_builds;        /**< Daemons of earlier builds take part. */
     uint32_t crash_requests_sent, crash_requests_quarantined;
     uint32_t other_requests_sent, other_requests_served; /**< At the engines of the crash fleet. */
     uint32_t engine_crashes;
@@ -86,6 +95,10 @@
 
 /** Name of a violation: a cold engine got too many requests before its new entry was read. */
 #define SOAK_UNREAD_COLD_START "soak.new_engines_get_their_limit_before_their_entry_is_read"
+/** Another: a daemon that cannot reach the store exits on SIGTERM after its grace period. */
+#define SOAK_SLOW_STOP_WITHOUT_STORE "soak.a_stop_without_the_store_ends_in_time"
+/** Another: the engine of a lost zone gets no request although the zone is back. */
+#define SOAK_UNUSED_AFTER_LOSS "soak.an_engine_gets_requests_after_its_zone_was_lost"
 
 /**
  * As soak_report_violation, but only prints and counts a violation whose name is the first field of
@@ -105,6 +118,7 @@
  */
 gpointer soak_run_online_caller(gpointer data);
 gpointer soak_run_job_caller(gpointer data);
+gpointer soak_run_job_ending_caller(gpointer data);
 gpointer soak_run_disconnecting_caller(gpointer data);
 gpointer soak_run_crash_caller(gpointer data);
 
@@ -131,6 +145,9 @@
  */
 void soak_run_faults(GRand *rng, uint64_t until_ms);
 
+/** The same with faults of the store right after ends of jobs. For one thread. */
+void soak_run_end_faults(GRand *rng, uint64_t until_ms);
+
 /**
  * Until @p until_ms (monotonic), in turn: evacuates the zone of an engine for some seconds and
  * withdraws that; restarts an engine, which is cold then; lets a zone's engine and daemons fail at
@@ -141,6 +158,9 @@
 /** Frees what is recorded of operations and online answers. */
 void soak_clear_operations(void);
 
+/** Forgets past faults. No fault may be active. */
+void soak_clear_faults(void);
+
 /** Returns whether no fault was active at any time between two wall times in ms. */
 bool soak_was_fault_free(uint64_t from_ms, uint64_t to_ms);
 
