--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -300,7 +300,7 @@
 static bool read_log(const job_call *call) {
     hs_job_service *service = call->service;
     if (!hs_log_read_limit_begin(&service->log_reads, hs_clock_monotonic_ms(),
-                                 hs_store_client_last_failure_ms(service->settings.store)))
+                                 hs_store_client_last_failed_read_ms(service->settings.store)))
         return false;
     bool is_read =
         hs_job_partition_catch_up(call->partition, hs_job_attempt_deadline(call->deadline));
--- a/src/jobs/log_read_limit.h
+++ b/src/jobs/log_read_limit.h
@@ -18,10 +18,11 @@
 
 /**
  * Returns whether a read may begin; if so, hs_log_read_limit_end ends it. Refused for a while after
- * a call to the store failed, and while several reads are open. Times are monotonic, in ms.
- * @p last_failure_ms: of any call to the store; 0: none.
+ * a read of the store failed, and while several reads are open. Times are monotonic, in ms.
+ * @p last_failed_read_ms: of any read of the store; 0: none.
  */
-bool hs_log_read_limit_begin(hs_log_read_limit *limit, uint64_t now_ms, uint64_t last_failure_ms);
+bool hs_log_read_limit_begin(hs_log_read_limit *limit, uint64_t now_ms,
+                             uint64_t last_failed_read_ms);
 
 void hs_log_read_limit_end(hs_log_read_limit *limit);
 
--- a/src/store/store_client.c
+++ b/src/store/store_client.c
@@ -250,10 +250,10 @@
     return outcome;
 }
 
-/** Also of a lost connection, which does not count as a failure of the store. */
-static void note_failure(hs_store_client *client) {
+/** A read that ends with a lost connection has failed too, but is no failure of the store. */
+static void note_failed_read(hs_store_client *client) {
     g_mutex_lock(&client->lock);
-    client->last_failure_ms = hs_clock_monotonic_ms();
+    client->last_failed_read_ms = hs_clock_monotonic_ms();
     g_mutex_unlock(&client->lock);
 }
 
@@ -269,8 +269,9 @@
         outcome = hs_store_client_read(client, call, &wait, response);
     else if (!call->appends || may_append(client, deadline))
         outcome = write_call(client, call, &wait, response);
-    if (outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN)
-        note_failure(client);
+    bool has_failed = outcome == HS_STORE_REFUSED || outcome == HS_STORE_UNKNOWN;
+    if (has_failed && is_read(call))
+        note_failed_read(client);
     hs_store_call_clear(call);
     return outcome;
 }
@@ -292,11 +293,11 @@
     return MIN(first_ms << MIN(attempt, 8), MAX_WRITE_TIMEOUT_MS);
 }
 
-uint64_t hs_store_client_last_failure_ms(hs_store_client *client) {
+uint64_t hs_store_client_last_failed_read_ms(hs_store_client *client) {
     g_mutex_lock(&client->lock);
-    uint64_t last_failure_ms = client->last_failure_ms;
+    uint64_t last_failed_read_ms = client->last_failed_read_ms;
     g_mutex_unlock(&client->lock);
-    return last_failure_ms;
+    return last_failed_read_ms;
 }
 
 bool hs_store_client_is_failing(hs_store_client *client) {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -70,8 +70,8 @@
 uint64_t hs_store_client_read_limit_ms(hs_store_client *client, uint64_t usual_ms,
                                        uint32_t attempt);
 
-/** Returns the monotonic time in ms at which a call failed last; 0: none has. */
-uint64_t hs_store_client_last_failure_ms(hs_store_client *client);
+/** Returns the monotonic time in ms at which a read failed last; 0: none has. */
+uint64_t hs_store_client_last_failed_read_ms(hs_store_client *client);
 
 /** Returns whether the last calls failed, several in a row. */
 bool hs_store_client_is_failing(hs_store_client *client);
--- a/src/store/store_client_state.h
+++ b/src/store/store_client_state.h
@@ -20,7 +20,7 @@
     GQueue idle; /**< Of hs_client_connection*; the most recently used last. */
     hs_store_counters counters;
     uint32_t consecutive_failures;
-    uint64_t last_failure_ms;     /**< See hs_store_client_last_failure_ms. */
+    uint64_t last_failed_read_ms; /**< See hs_store_client_last_failed_read_ms. */
     GCond recovered;              /**< Calls no longer fail, or the client is interrupted. */
     uint64_t next_store_probe_ms; /**< While calls fail: when the next append may be sent. */
     bool is_interrupted;
