Streams: one that no engine resumes ends incomplete

The failing branch of resume_stream left the step of that attempt, "complete", and deliver_events takes that for the end of the stream.

Change: the step is that of a cut, as in the two other failing branches.

--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -42,6 +42,7 @@
         hs_online_request_record_end(request,
                                      reason == HS_END_BROKEN ? HS_END_STREAM_BROKEN : reason);
         hs_online_count_end(request->online, HS_END_STREAM_BROKEN, request->first_byte_ms);
+        request->attempt.step = HS_STEP_CUT; /* Not that of a refusal that was read whole. */
         request->stream_ended = true;
         return false;
     }
