Jobs: the time for a report's confirmation stays bounded

Found by reading the diff: it doubled with each attempt without a limit; an owner whose port refuses connections at once would have overflowed it to 0 within an end's four seconds. Change: 2 s at most; a comment of store_read stands before its line.

--- a/src/jobs/job_end.c
+++ b/src/jobs/job_end.c
@@ -11,9 +11,10 @@
 
 /** Target of a report between daemons; the body is a JobRecord. */
 #define TARGET_FORMAT "/ended?part=%u"
-/** Time for a daemon's first confirmation, which doubles with each attempt, and the pause between.
- */
+/** Time for a daemon's first confirmation, and the maximum to which it doubles. */
 #define FIRST_REPORT_LIMIT_MS 250
+#define MAX_REPORT_LIMIT_MS 2000
+/** Pause between two attempts. */
 #define REPORT_PAUSE_MS 40
 
 hs_store_outcome hs_job_end_store(hs_job_partition *partition, const char *job_id,
@@ -135,7 +136,7 @@
     bool is_settled = hs_daemon_directory_is_settled(daemons);
     while (!(is_complete && is_settled) && hs_clock_monotonic_ms() < deadline) {
         hs_clock_sleep_ms(REPORT_PAUSE_MS);
-        report.attempt_limit_ms *= is_complete ? 1 : 2;
+        report.attempt_limit_ms = MIN(2 * report.attempt_limit_ms, MAX_REPORT_LIMIT_MS);
         is_settled = hs_daemon_directory_is_settled(daemons);
         is_complete = report_to_claimants(&report, daemons, number, deadline);
     }
--- a/src/store/store_read.c
+++ b/src/store/store_read.c
@@ -82,9 +82,9 @@
     if (!hs_client_connection_is_reused(newest->connection))
         hs_store_client_note_outcome(read->client, HS_STORE_UNKNOWN);
     read->next_start_ms = hs_clock_monotonic_ms() + read->repeat_ms;
+    /* The first attempt is kept for a slow store, the last one for a store that returns. */
     if (read->open_count == MAX_OPEN_ATTEMPTS)
-        drop_attempt(read,
-                     1); /* The first one is kept for a slow store, the last for its return. */
+        drop_attempt(read, 1);
     begin_new_attempt(read);
 }
 
