--- a/src/directory/daemon_directory_state.h
+++ b/src/directory/daemon_directory_state.h
@@ -38,8 +38,7 @@
     gint utilisation_percent; /**< As last announced; atomic. */
     GMutex lock;
     hs_stop_wait pause;
-    uint32_t
-        reports_rejoin_count; /**< Rejoins at the last hs_daemon_directory_are_ends_reported. */
+    uint32_t reports_rejoin_count; /**< See hs_daemon_directory_are_ends_reported. */
     gint leaving;
     gint joined; /**< This daemon was ready to serve and takes part in the membership. */
     GThread *ticker;
--- a/src/jobs/job_end.c
+++ b/src/jobs/job_end.c
@@ -59,21 +59,12 @@
     uint64_t attempt_limit_ms; /**< Time for one daemon's confirmation. */
 } end_report;
 
-static bool is_listed(const GArray *daemons, const hs_daemon_address *daemon) {
-    bool is_found = false;
-    for (guint index = 0; index < daemons->len && !is_found; index++) {
-        const hs_daemon_address *listed = &g_array_index(daemons, hs_daemon_address, index);
-        is_found = listed->address == daemon->address && listed->port == daemon->port;
-    }
-    return is_found;
-}
-
 /**
  * Reports the end to one daemon unless it has confirmed; returns whether it has. The answer of a
  * daemon that does not rely on reports is not needed.
  */
 static bool report_to(end_report *report, const hs_daemon_address *daemon, hs_deadline deadline) {
-    if (is_listed(report->confirmed, daemon))
+    if (hs_job_peer_is_listed(report->confirmed, daemon))
         return true;
     hs_deadline limit = MIN(deadline, hs_clock_monotonic_ms() + report->attempt_limit_ms);
     hs_peer_answer answer;
--- a/src/jobs/job_peer.c
+++ b/src/jobs/job_peer.c
@@ -111,6 +111,15 @@
     return can_reach;
 }
 
+bool hs_job_peer_is_listed(const GArray *daemons, const hs_daemon_address *daemon) {
+    bool is_found = false;
+    for (guint index = 0; index < daemons->len && !is_found; index++) {
+        const hs_daemon_address *listed = &g_array_index(daemons, hs_daemon_address, index);
+        is_found = listed->address == daemon->address && listed->port == daemon->port;
+    }
+    return is_found;
+}
+
 void hs_peer_answer_clear(hs_peer_answer *answer) {
     g_free(answer->type);
     g_byte_array_unref(answer->body);
--- a/src/jobs/job_peer.h
+++ b/src/jobs/job_peer.h
@@ -49,6 +49,9 @@
                                  const GByteArray *body, hs_deadline deadline,
                                  hs_peer_answer *answer);
 
+/** Whether @p daemons, of hs_daemon_address, has one with the address and port of @p daemon. */
+bool hs_job_peer_is_listed(const GArray *daemons, const hs_daemon_address *daemon);
+
 void hs_peer_answer_clear(hs_peer_answer *answer);
 
 #endif
--- a/src/jobs/job_relay.c
+++ b/src/jobs/job_relay.c
@@ -65,15 +65,6 @@
     g_mutex_unlock(&relay->lock);
 }
 
-static bool is_listed(const GArray *owners, const hs_daemon_address *owner) {
-    bool is_found = false;
-    for (guint index = 0; index < owners->len && !is_found; index++) {
-        const hs_daemon_address *listed = &g_array_index(owners, hs_daemon_address, index);
-        is_found = listed->address == owner->address && listed->port == owner->port;
-    }
-    return is_found;
-}
-
 /**
  * Appends owners of the next partitions, of this daemon's region or of others, until @p owners has
  * @p max_owners.
@@ -85,7 +76,7 @@
         uint32_t other = (partition + step) % relay->part_count;
         if (hs_daemon_directory_find_owner(relay->daemons, other, &owner) &&
             owner.is_far == is_far && hs_body_regions_allow(regions, owner.region) &&
-            !is_listed(owners, &owner))
+            !hs_job_peer_is_listed(owners, &owner))
             g_array_append_val(owners, owner);
     }
 }
