--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -108,6 +108,7 @@
     char *id;
     char *service;
     char *zone;
+    char *version;    /**< Of the engine's software; NULL: unknown. */
     uint32_t address; /**< IPv4 number in host order. */
     uint16_t port;
     uint32_t slots;
--- a/src/fleet/fleet_config.c
+++ b/src/fleet/fleet_config.c
@@ -68,6 +68,7 @@
     g_free(entry->id);
     g_free(entry->service);
     g_free(entry->zone);
+    g_free(entry->version);
     memset(entry, 0, sizeof *entry);
 }
 
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -130,8 +130,9 @@
 }
 
 static void log_entry(const char *event, const hs_engine_entry *entry) {
-    hs_log_info(event, "engine=%s service=%s zone=%s state=%s slots=%u", entry->id, entry->service,
-                entry->zone, entry->draining ? "draining" : "ready", entry->slots);
+    hs_log_info(event, "engine=%s service=%s version=%s zone=%s state=%s slots=%u", entry->id,
+                entry->service, entry->version != NULL ? entry->version : "-", entry->zone,
+                entry->draining ? "draining" : "ready", entry->slots);
 }
 
 /**
@@ -464,6 +465,8 @@
                                              .listed_age_ms = now_ms - engine->listed_ms,
                                              .load_report_age_ms = chosen->load_report_age_ms,
                                              .is_any_free = is_any_free(candidates, found->len)};
+        if (engine->entry.version != NULL)
+            g_strlcpy(lease->reasons.version, engine->entry.version, sizeof lease->reasons.version);
         use = hs_fleet_engine_use(engines, engine);
         hs_engine_warmup_begin(lease, &use, now_ms);
         hs_fleet_engines_note_presence(engines, query->service, true, now_ms);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -41,6 +41,9 @@
 /** Name of an attempt's end, for logs. */
 const char *hs_attempt_end_name(hs_attempt_end end);
 
+/** Size of a software version in logs, with the NUL; a longer one is truncated. */
+#define HS_LOGGED_VERSION_BYTES 32
+
 /** Figures behind the choice of an engine, for logs. */
 typedef struct {
     uint32_t candidates; /**< Engines that could be chosen. */
@@ -53,6 +56,7 @@
     uint64_t listed_age_ms;    /**< Since the store last listed the engine. */
     double load_report_age_ms; /**< Age of the load report used; 0: no relayed reports are used. */
     bool is_any_free;          /**< At least one candidate was estimated to have a free slot. */
+    char version[HS_LOGGED_VERSION_BYTES]; /**< Of the engine's software; "": unknown. */
 } hs_engine_reasons;
 
 /** Request for an engine. Pointers are borrowed. */
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -20,6 +20,10 @@
  */
 #define REUSED_SILENCE_DIVISOR 2
 
+const char *hs_online_version_name(const hs_attempt *attempt) {
+    return *attempt->reasons.version != '\0' ? attempt->reasons.version : "-";
+}
+
 bool hs_online_may_repeat(const hs_online_request *request) {
     return request->route->kind == HS_ROUTE_IDEMPOTENT ||
            (request->route->kind == HS_ROUTE_STREAMING && request->route->resumable);
@@ -95,15 +99,16 @@
 
 static void log_failed_attempt(const hs_online_request *request, hs_attempt_end end) {
     const hs_attempt *attempt = &request->attempt;
-    hs_log_info("attempt_failed",
-                "request=%s content=%016" G_GINT64_MODIFIER
-                "x engine=%s send=%u step=%s status=%u run=%s end=%s believed_running=%.1f "
-                "failure_rate=%.3f suspected=%d sent_ago_ms=%" G_GUINT64_FORMAT,
-                request->request_id, (guint64)request->content, attempt->engine_id, request->sends,
-                hs_step_name(attempt->step), attempt->status, hs_run_state_name(attempt->run),
-                hs_attempt_end_name(end), attempt->reasons.running, attempt->reasons.failure_rate,
-                attempt->reasons.suspected,
-                (guint64)(attempt->sent_ms > 0 ? hs_clock_monotonic_ms() - attempt->sent_ms : 0));
+    hs_log_info(
+        "attempt_failed",
+        "request=%s content=%016" G_GINT64_MODIFIER
+        "x engine=%s version=%s send=%u step=%s status=%u run=%s end=%s believed_running=%.1f "
+        "failure_rate=%.3f suspected=%d sent_ago_ms=%" G_GUINT64_FORMAT,
+        request->request_id, (guint64)request->content, attempt->engine_id,
+        hs_online_version_name(attempt), request->sends, hs_step_name(attempt->step),
+        attempt->status, hs_run_state_name(attempt->run), hs_attempt_end_name(end),
+        attempt->reasons.running, attempt->reasons.failure_rate, attempt->reasons.suspected,
+        (guint64)(attempt->sent_ms > 0 ? hs_clock_monotonic_ms() - attempt->sent_ms : 0));
 }
 
 hs_next_action hs_online_after_failure(hs_online_request *request, hs_attempt_end end,
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -22,15 +22,18 @@
         "request_ended",
         "request=%s content=%016" G_GINT64_MODIFIER
         "x route=%s tenant=%s service=%s config=%" G_GUINT64_FORMAT
-        " engine=%s reason=%s run=%s sends=%u runs=%u events=%" G_GUINT64_FORMAT
-        " first_byte_ms=%" G_GUINT64_FORMAT " total_ms=%" G_GUINT64_FORMAT
-        " left_ms=%" G_GINT64_FORMAT " engines=%u believed_running=%.1f slots=%u pace=%.2f"
+        " engine=%s version=%s resumes=%s reason=%s run=%s sends=%u runs=%u "
+        "events=%" G_GUINT64_FORMAT " first_byte_ms=%" G_GUINT64_FORMAT
+        " total_ms=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+        " engines=%u believed_running=%.1f slots=%u pace=%.2f"
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT
         " word_age_ms=%.0f age_ms=%" G_GUINT64_FORMAT " held_ms=%" G_GUINT64_FORMAT
         " woken=%u tries=%u admission=%s wait_ms=%.0f free_share=%.3f words_age_ms=%.0f%s",
         request->request_id, (guint64)request->content, request->route->name,
         request->tenant != NULL ? request->tenant : "-", request->service,
         (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
+        hs_online_version_name(attempt),
+        request->terms.resumed_id != NULL ? request->terms.resumed_id : "-",
         hs_end_reason_name(reason), hs_run_state_name(request->run), request->sends, request->runs,
         (guint64)request->events.event_count, (guint64)request->first_byte_ms,
         (guint64)(now_ms - request->inbound->received_ms),
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -61,6 +61,9 @@
 
 typedef enum { HS_NEXT_RETRY, HS_NEXT_END } hs_next_action;
 
+/** Returns the software version of the attempt's engine, for logs. */
+const char *hs_online_version_name(const hs_attempt *attempt);
+
 /** Reports whether the route allows the request to run more than once. */
 bool hs_online_may_repeat(const hs_online_request *request);
 
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -46,8 +46,9 @@
         request->stream_ended = true;
         return false;
     }
-    hs_log_info("stream_resumed", "request=%s engine=%s after_event=%" G_GUINT64_FORMAT,
-                request->request_id, request->attempt.engine_id, (guint64)request->events.last_id);
+    hs_log_info("stream_resumed", "request=%s engine=%s version=%s after_event=%" G_GUINT64_FORMAT,
+                request->request_id, request->attempt.engine_id,
+                hs_online_version_name(&request->attempt), (guint64)request->events.last_id);
     g_mutex_lock(&request->online->counters.lock);
     request->online->counters.resumed++;
     g_mutex_unlock(&request->online->counters.lock);
