Tests: streams of a service whose engines have two software versions

Suite fleet_versions: four daemons, six engines, half of them at v1 and half at v1.1; callers take streams up with Last-Event-Id and Resumes while engines crash and daemons are killed, restarted or suspended.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -405,10 +405,11 @@
             ? g_strdup_printf("\"born\":%" G_GUINT64_FORMAT ",", (guint64)engine->started_at_ms)
             : g_strdup("");
     g_autofree char *entry = g_strdup_printf(
-        "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"v1\","
+        "{%s\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"%s\",\"version\":\"%s\","
         "\"slots\":%u,\"state\":\"%s\",\"warmup-left-ms\":%u,\"sequence\":%u}",
         start, engine->service, engine->announced_port,
         engine->settings.zone != NULL ? engine->settings.zone : "zone-a",
+        engine->settings.version != NULL ? engine->settings.version : "v1",
         engine->settings.slots != 0 ? engine->settings.slots : DEFAULT_SLOT_COUNT,
         draining ? "draining" : "ready", get_warmup_left_ms(engine), ++engine->entry_sequence);
     log_store_put(store, TOPIC_ENGINES, engine->id, entry);
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -50,8 +50,9 @@
     const char *fatal;             /**< Prefix of bodies that request a crash of the engine after
                                         fatal_after_ms; NULL: none. */
     uint32_t fatal_after_ms;
-    uint32_t warmup_ms; /**< Cold phase after each restart, which the entry and all answers report;
-                             0: neither. */
+    const char *version; /**< Software version in the entry; NULL: "v1". */
+    uint32_t warmup_ms;  /**< Cold phase after each restart, which the entry and all answers report;
+                              0: neither. */
 } token_engine_settings;
 
 /** Starts an engine on a leased port. Free with token_engine_stop. */
--- a/tests/support/crash_fleet.c
+++ b/tests/support/crash_fleet.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "platform/names.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /** Delay of an engine's crash after the start of a fatal request, within its first tokens. */
@@ -58,6 +59,11 @@
     return g_strdup_printf("unit-%d-%u", index, incarnation);
 }
 
+int crash_fleet_engine_index(const char *engine_id) {
+    int index = -1;
+    return sscanf(engine_id, "unit-%d-", &index) == 1 ? index : -1;
+}
+
 /** Records the requests that run on an engine which is about to crash. */
 static void record_lost_requests(crash_fleet *fleet, const fleet_member *member) {
     lost_request lost = {.crashed_wall_ms = hs_clock_wall_ms()};
@@ -150,13 +156,14 @@
     for (int index = 0; index < fleet->settings.engines; index++) {
         fleet_member *member = &fleet->members[index];
         member->id = make_id(index, 0);
-        member->engine = token_engine_start(
-            &(token_engine_settings){.id = member->id,
-                                     .service = service,
-                                     .pace = fleet->settings.pace,
-                                     .announces_start = fleet->settings.keeps_ids,
-                                     .fatal = CRASH_FLEET_FATAL_PREFIX,
-                                     .fatal_after_ms = FATAL_CRASH_DELAY_MS});
+        member->engine = token_engine_start(&(token_engine_settings){
+            .id = member->id,
+            .service = service,
+            .pace = fleet->settings.pace,
+            .announces_start = fleet->settings.keeps_ids,
+            .version = fleet->settings.versions != NULL ? fleet->settings.versions[index] : NULL,
+            .fatal = CRASH_FLEET_FATAL_PREFIX,
+            .fatal_after_ms = FATAL_CRASH_DELAY_MS});
         token_engine_announce(member->engine, store, false);
         member->is_listed = true;
     }
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -23,6 +23,8 @@
     uint32_t return_ms;     /**< Delay of a crashed engine's restart; default 1,500. */
     token_engine_pace pace; /**< Of streams; default 6 events, 10 ms apart. */
     bool keeps_ids;         /**< Engines restart under the same id and announce their start time. */
+    const char *const *versions; /**< Software versions of the engines, which restarts keep; NULL:
+                                      all of one. */
 } crash_fleet_settings;
 
 /** Starts engines of @p service and announces them in @p store, which is borrowed. */
@@ -30,6 +32,9 @@
                                const crash_fleet_settings *settings);
 void crash_fleet_stop(crash_fleet *fleet);
 
+/** Returns the index of the engine with an id that an event names; -1: not of a fleet. */
+int crash_fleet_engine_index(const char *engine_id);
+
 /** Requests a crash of one engine, independent of the requests that it runs. */
 void crash_fleet_crash_engine(crash_fleet *fleet, int engine);
 
--- /dev/null
+++ b/tests/system/test_fleet_versions.c
@@ -0,0 +1,316 @@
+/**
+ * @file test_fleet_versions.c
+ * System tests of engines of two software versions in one service: a stream that breaks goes on
+ * only at the version that began it, at whichever daemon the caller takes it up.
+ */
+#include "base/clock.h"
+#include "platform/names.h"
+#include "tests/system/crash_calls.h"
+#include "tests/system/system_tests.h"
+
+#include <CUnit/CUnit.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DAEMONS 4
+/** Streams of 1.2 s, so that some are open at each fault. */
+#define EVENTS 40
+#define EVENT_MS 30
+#define CALLERS 10
+#define CALLER_PAUSE_MS 20
+/** Attempts of one caller for one stream. */
+#define MAX_TRIES 4
+/** Time in ms for which callers send streams, and the interval between two faults. */
+#define CALLING_MS 8000
+#define FAULT_INTERVAL_MS 600
+/** Streams that are taken up after one kind of fault, and the time in ms from a stream's start to
+ * the fault. */
+#define TAKEN_STREAMS 12
+#define FAULT_DELAY_MS 350
+/** Of them, streams that may end without going on, as datagrams may be lost. */
+#define MAX_LOST_STREAMS 1
+#define RETURN_MS 1500
+
+static const char *const versions[CRASH_FLEET_ENGINES] = {"v1", "v1.1", "v1", "v1.1", "v1", "v1.1"};
+
+/** The events of one stream over all tries of its caller. */
+typedef struct {
+    uint32_t events;
+    const char *version; /**< Of the first event; NULL: none has arrived. */
+    bool is_mixed;       /**< Events of two versions have arrived. */
+    bool is_out_of_order;
+    bool is_whole;
+    char first_id[TOKEN_ENGINE_ID_BYTES]; /**< Of the try that received the first event. */
+} caller_stream;
+
+/** Adds the whole events of an answer; returns how many there are. */
+static uint32_t add_events(caller_stream *stream, const char *request_id, const char *body) {
+    uint32_t before = stream->events;
+    g_auto(GStrv) events = g_strsplit(body, "\n\n", -1);
+    guint count = g_strv_length(events);
+    for (guint index = 0; index + 1 < count; index++) { /* The last one is incomplete. */
+        const char *data = strstr(events[index], "data: ");
+        uint32_t number = 0;
+        uint32_t run = 0;
+        char engine_id[TOKEN_ENGINE_ID_BYTES] = "";
+        bool is_event = data != NULL &&
+                        token_engine_parse_event(data + strlen("data: "), &number, engine_id, &run);
+        int engine = crash_fleet_engine_index(engine_id);
+        if (!is_event || engine < 0 || number != stream->events + 1) {
+            stream->is_out_of_order = true;
+            continue;
+        }
+        if (stream->version == NULL)
+            g_strlcpy(stream->first_id, request_id, sizeof stream->first_id);
+        stream->is_mixed |=
+            stream->version != NULL && strcmp(stream->version, versions[engine]) != 0;
+        stream->version = stream->version != NULL ? stream->version : versions[engine];
+        stream->events++;
+    }
+    return stream->events - before;
+}
+
+/** Sends one try of a stream's caller; returns how many events it received. */
+static uint32_t send_try(caller_stream *stream, int daemon, const char *request_id,
+                         uint32_t disconnect_after_ms) {
+    g_autofree char *resumes = g_strdup_printf(HEADER_RESUMES ": %s", stream->first_id);
+    const char *const fields[] = {stream->version != NULL ? resumes : NULL, NULL};
+    bench_answer answer = bench_send(&(bench_call){.daemon = daemon,
+                                                   .method = "POST",
+                                                   .target = "/again/x",
+                                                   .request_id = request_id,
+                                                   .body = "hello",
+                                                   .fields = fields,
+                                                   .last_event = stream->events,
+                                                   .disconnect_after_ms = disconnect_after_ms});
+    uint32_t events = 0;
+    if (answer.status == 200 && answer.body != NULL)
+        events = add_events(stream, request_id, answer.body);
+    stream->is_whole = answer.status == 200 && answer.whole;
+    bench_answer_clear(&answer);
+    return events;
+}
+
+/** Streams of all callers. */
+typedef struct {
+    gint stopping;
+    gint next_number;
+    GMutex lock;
+    uint32_t streams;
+    uint32_t begun;
+    uint32_t taken_up; /**< Tries after the first event. */
+    uint32_t went_on;  /**< Of them, those that received events. */
+    uint32_t whole;
+    uint32_t mixed;
+    uint32_t out_of_order;
+} stream_results;
+
+static void call_one_stream(stream_results *results) {
+    caller_stream stream = {0};
+    gint number = g_atomic_int_add(&results->next_number, 1);
+    uint32_t taken_up = 0;
+    uint32_t went_on = 0;
+    for (int attempt = 0; attempt < MAX_TRIES && !stream.is_whole; attempt++) {
+        g_autofree char *id = g_strdup_printf("stream-%d-%d", number, attempt);
+        bool is_resumed = stream.version != NULL;
+        bool has_events = send_try(&stream, (number + attempt) % DAEMONS, id, 0) > 0;
+        taken_up += is_resumed;
+        went_on += is_resumed && has_events;
+    }
+    g_mutex_lock(&results->lock);
+    results->streams++;
+    results->begun += stream.version != NULL;
+    results->taken_up += taken_up;
+    results->went_on += went_on;
+    results->whole += stream.is_whole && stream.events == EVENTS;
+    results->mixed += stream.is_mixed;
+    results->out_of_order += stream.is_out_of_order;
+    g_mutex_unlock(&results->lock);
+}
+
+static gpointer run_stream_caller(gpointer data) {
+    stream_results *results = data;
+    while (g_atomic_int_get(&results->stopping) == 0) {
+        call_one_stream(results);
+        hs_clock_sleep_ms(CALLER_PAUSE_MS);
+    }
+    return NULL;
+}
+
+/** Causes the fault @p turn while callers send streams. */
+typedef void (*fault_function)(int turn);
+
+static void run_callers_beside_faults(const char *title, fault_function cause_fault) {
+    stream_results results = {0};
+    GThread *threads[CALLERS];
+    CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
+    g_mutex_init(&results.lock);
+    for (int index = 0; index < CALLERS; index++)
+        threads[index] = g_thread_new("stream-caller", run_stream_caller, &results);
+    uint64_t until_ms = hs_clock_monotonic_ms() + CALLING_MS;
+    for (int turn = 0; hs_clock_monotonic_ms() < until_ms; turn++) {
+        hs_clock_sleep_ms(FAULT_INTERVAL_MS);
+        cause_fault(turn);
+    }
+    g_atomic_int_set(&results.stopping, 1);
+    for (int index = 0; index < CALLERS; index++)
+        g_thread_join(threads[index]);
+    fprintf(stderr, "%s: %u streams, %u begun, %u whole, %u mixed; %u taken up, %u went on\n",
+            title, results.streams, results.begun, results.whole, results.mixed, results.taken_up,
+            results.went_on);
+    CU_ASSERT(results.begun > 0);
+    CU_ASSERT_EQUAL(results.mixed, 0);
+    CU_ASSERT_EQUAL(results.out_of_order, 0);
+    /* The platform's bound: half of the share of new streams that begin. */
+    CU_ASSERT(results.went_on * 2 * results.streams >= results.taken_up * results.begun);
+    g_mutex_clear(&results.lock);
+}
+
+static void crash_next_engine(int turn) {
+    crash_fleet_crash_engine(get_crash_fleet(), turn % CRASH_FLEET_ENGINES);
+}
+
+static void a_stream_whose_engine_crashes_gets_no_events_of_another_version(void) {
+    run_callers_beside_faults("engines crash", crash_next_engine);
+}
+
+static void kill_next_daemon(int turn) {
+    int daemon = turn % DAEMONS;
+    bench_signal_daemon(daemon, SIGKILL);
+    bench_start_daemon(daemon, false);
+    CU_ASSERT_TRUE(bench_wait_ready(daemon));
+}
+
+static void a_stream_whose_daemon_is_killed_gets_no_events_of_another_version(void) {
+    run_callers_beside_faults("daemons killed", kill_next_daemon);
+}
+
+static void cause_mixed_fault(int turn) {
+    if (turn % 2 == 0)
+        crash_next_engine(turn / 2);
+    else
+        kill_next_daemon(turn / 2);
+}
+
+static void a_stream_gets_no_events_of_another_version_beside_crashes_and_kills(void) {
+    run_callers_beside_faults("engines crash, daemons killed", cause_mixed_fault);
+}
+
+/** Strikes the first daemon of streams, and names the daemon at which they are taken up. */
+typedef struct {
+    const char *title;
+    void (*strike)(void);
+    void (*heal)(void);
+    bool returns_to_first; /**< The stream is taken up at the first daemon. */
+} first_daemon_fault;
+
+static void leave_first(void) {
+}
+
+static void kill_first(void) {
+    bench_signal_daemon(0, SIGKILL);
+}
+
+static void start_first(void) {
+    bench_start_daemon(0, false);
+    CU_ASSERT_TRUE(bench_wait_ready(0));
+}
+
+static void restart_first(void) {
+    kill_first();
+    start_first();
+}
+
+static void suspend_first(void) {
+    bench_signal_daemon(0, SIGSTOP);
+}
+
+static void resume_first(void) {
+    bench_signal_daemon(0, SIGCONT);
+    CU_ASSERT_TRUE(bench_wait_ready(0));
+}
+
+static void take_streams_up(const first_daemon_fault *fault) {
+    uint32_t lost = 0;
+    uint32_t mixed = 0;
+    for (int number = 0; number < TAKEN_STREAMS; number++) {
+        caller_stream stream = {0};
+        g_autofree char *first = g_strdup_printf("%s-%d-first", fault->title, number);
+        g_autofree char *second = g_strdup_printf("%s-%d-second", fault->title, number);
+        CU_ASSERT(send_try(&stream, 0, first, FAULT_DELAY_MS) > 0);
+        fault->strike();
+        int next = fault->returns_to_first ? 0 : 1 + number % (DAEMONS - 1);
+        lost += send_try(&stream, next, second, 0) == 0;
+        mixed += stream.is_mixed;
+        CU_ASSERT_FALSE(stream.is_out_of_order);
+        fault->heal();
+    }
+    fprintf(stderr, "%s: of %d streams taken up, %u did not go on, %u mixed\n", fault->title,
+            TAKEN_STREAMS, lost, mixed);
+    CU_ASSERT_EQUAL(mixed, 0);
+    CU_ASSERT(lost <= MAX_LOST_STREAMS);
+}
+
+static void a_stream_goes_on_at_any_daemon_whatever_became_of_its_first(void) {
+    static const first_daemon_fault faults[] = {
+        {"alive", leave_first, leave_first, false},
+        {"dead", kill_first, start_first, false},
+        {"restarted", restart_first, leave_first, true},
+        {"suspended", suspend_first, resume_first, false},
+    };
+    CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
+    for (size_t index = 0; index < G_N_ELEMENTS(faults); index++)
+        take_streams_up(&faults[index]);
+}
+
+/** Returns the engines of a version, as crashed by crash_version. */
+static void crash_version(const char *version) {
+    for (int index = 0; index < CRASH_FLEET_ENGINES; index++)
+        if (strcmp(versions[index], version) == 0)
+            crash_fleet_crash_engine(get_crash_fleet(), index);
+}
+
+static void a_stream_whose_version_is_gone_is_refused_and_not_joined(void) {
+    CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
+    for (int number = 0; number < TAKEN_STREAMS / 2; number++) {
+        caller_stream stream = {0};
+        g_autofree char *first = g_strdup_printf("gone-%d-first", number);
+        g_autofree char *second = g_strdup_printf("gone-%d-second", number);
+        CU_ASSERT(send_try(&stream, number % DAEMONS, first, FAULT_DELAY_MS) > 0);
+        if (stream.version == NULL)
+            continue;
+        crash_version(stream.version);
+        send_try(&stream, (number + 1) % DAEMONS, second, 0);
+        CU_ASSERT_FALSE(stream.is_mixed);
+        CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
+    }
+}
+
+int begin_versions(void) {
+    bench.settings = (bench_settings){.daemons = DAEMONS};
+    return begin_crashes_with_settings(
+        &(crash_fleet_settings){.return_ms = RETURN_MS,
+                                .pace = {.events = EVENTS, .event_ms = EVENT_MS},
+                                .versions = versions});
+}
+
+int end_versions(void) {
+    int ended = end_crashes_same_ids();
+    bench.settings = (bench_settings){0};
+    return ended;
+}
+
+const test_case fleet_version_system_tests[] = {
+    {"a_stream_goes_on_at_any_daemon_whatever_became_of_its_first",
+     a_stream_goes_on_at_any_daemon_whatever_became_of_its_first},
+    {"a_stream_whose_engine_crashes_gets_no_events_of_another_version",
+     a_stream_whose_engine_crashes_gets_no_events_of_another_version},
+    {"a_stream_whose_daemon_is_killed_gets_no_events_of_another_version",
+     a_stream_whose_daemon_is_killed_gets_no_events_of_another_version},
+    {"a_stream_gets_no_events_of_another_version_beside_crashes_and_kills",
+     a_stream_gets_no_events_of_another_version_beside_crashes_and_kills},
+    {"a_stream_whose_version_is_gone_is_refused_and_not_joined",
+     a_stream_whose_version_is_gone_is_refused_and_not_joined},
+    {NULL, NULL},
+};
