Tests: requests with one prompt part that crashes engines, and refused connections

Suite fleet_crash_parts: four daemons, six engines that one part of a prompt crashes; no two fatal requests are alike, sound ones share their other parts. New: metric heathsail_engine_connects_failed, which the logs could not show.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -355,6 +355,7 @@
         engine->has_address_mismatch = true;
         break;
     case HS_ATTEMPT_UNREACHABLE:
+        lease->engines->failed_connects++;
         mark_suspected(engine, now_ms, "unreachable");
         hs_engine_warmup_note_lost(lease->engines, engine, HS_COLD_UNREACHABLE, now_ms);
         hs_fleet_engine_note_zone_failure(engine, now_ms);
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -136,6 +136,7 @@
     uint64_t summed_ms;        /**< When peers' loads were summed last; 0: they changed since. */
     uint64_t round_robin;      /**< Counts choices, to vary the first candidate. */
     uint64_t connects;
+    uint64_t failed_connects; /**< Attempts that ended as HS_ATTEMPT_UNREACHABLE. */
     uint64_t resume_mismatches;
     uint64_t slowdowns_rejected; /**< Slowdowns out of the valid range, sent by engines. */
     uint64_t use_sequence;
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -535,6 +535,9 @@
 /** Metrics of all engines. Free with g_free. */
 char *hs_fleet_engines_describe(hs_fleet_engines *engines);
 
+/** Attempts so far for which no connection to the engine could be established. */
+uint64_t hs_fleet_engines_failed_connect_count(hs_fleet_engines *engines);
+
 /** Connections to engines opened so far. */
 uint64_t hs_fleet_engines_opened_connection_count(hs_fleet_engines *engines);
 
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -259,6 +259,19 @@
     hs_inbound_reply_stream(inbound, 200, fields, write_event, events, end_stream);
 }
 
+/** Returns whether the prompt has the fatal part, which is not its last one. */
+static bool has_fatal_part(const token_engine *engine, const hs_inbound *inbound) {
+    const char *parts = hs_http_fields_find(inbound->fields, HEADER_PROMPT_PREFIX);
+    if (engine->settings.fatal_part == NULL || parts == NULL)
+        return false;
+    g_auto(GStrv) list = g_strsplit(parts, ",", -1);
+    g_autofree char *fatal = g_strdup_printf("%s:", engine->settings.fatal_part);
+    bool is_found = false;
+    for (guint index = 0; index + 1 < g_strv_length(list) && !is_found; index++)
+        is_found = g_str_has_prefix(list[index], fatal);
+    return is_found;
+}
+
 /** Runs a request. Returns true if a stream was started, which records the end of the call. */
 static bool run_request(token_engine *engine, hs_inbound *inbound, const char *id, uint32_t call) {
     token_engine_mode mode = (token_engine_mode)g_atomic_int_get(&engine->mode);
@@ -273,6 +286,7 @@
     const char *fatal = engine->settings.fatal;
     started.is_fatal = fatal != NULL && inbound->body->len >= strlen(fatal) &&
                        memcmp(inbound->body->data, fatal, strlen(fatal)) == 0;
+    started.is_fatal = started.is_fatal || has_fatal_part(engine, inbound);
     bool is_plain = strstr(inbound->target, "plain") != NULL;
     if (started.is_fatal && is_plain) {
         wait_for_disconnect_or_crash(engine, inbound->descriptor, engine->settings.fatal_after_ms);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -22,7 +22,7 @@
     for suite in $("$system" --list); do
         case "$suite" in
         *_large) found=alone ;;
-        fleet_crashes* | fleet_silence | fleet_waking | fleet_job_end*) found=crashes ;;
+        fleet_crash* | fleet_silence | fleet_waking | fleet_job_end*) found=crashes ;;
         fleet_item_losses) found=losses ;;
         fleet_upgrade*) found=upgrade ;;
         fleet_*) found=fleet ;;
--- a/tests/support/crash_fleet.c
+++ b/tests/support/crash_fleet.c
@@ -163,6 +163,7 @@
             .announces_start = fleet->settings.keeps_ids,
             .version = fleet->settings.versions != NULL ? fleet->settings.versions[index] : NULL,
             .fatal = CRASH_FLEET_FATAL_PREFIX,
+            .fatal_part = fleet->settings.fatal_part,
             .fatal_after_ms = FATAL_CRASH_DELAY_MS});
         token_engine_announce(member->engine, store, false);
         member->is_listed = true;
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -23,6 +23,7 @@
     uint32_t return_ms;     /**< Delay of a crashed engine's restart; default 1,500. */
     token_engine_pace pace; /**< Of streams; default 6 events, 10 ms apart. */
     bool keeps_ids;         /**< Engines restart under the same id and announce their start time. */
+    const char *fatal_part; /**< See token_engine_settings; NULL: none. */
     const char *const *versions; /**< Software versions of the engines, which restarts keep; NULL:
                                       all of one. */
 } crash_fleet_settings;
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -126,6 +126,11 @@
 /** As begin_crashes_same_ids, with three engines that are down for seconds. */
 int begin_crashes_all_down(void);
 
+/** As begin_crashes, with four daemons and engines that a prompt part crashes. */
+int begin_crash_parts(void);
+int end_crash_parts(void);
+extern const test_case fleet_crash_part_system_tests[];
+
 /** As begin_crashes, with four daemons and engines of two software versions. */
 int begin_versions(void);
 int end_versions(void);
