Crashes are counted by parts of prompts too

Cause: the ledger judged whole requests only. No fatal request was ever lost twice, and a sound body that came often had more losses than anything else.

A request is held if any of its contents is; a trial run needs a reason for each. A run that lasted says nothing about parts, nor does a 500. An answer without a length that ends with its connection clears its contents only when its engine has shown no crash for 4.5 s; a refused connection has such runs checked at once.

The second test used the same part, which was quarantined already, and showed nothing; it has a part of its own now.

--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -127,12 +127,13 @@
     uint32_t tokens;
 } hs_prompt_part;
 
-#define HS_MAX_PROMPT_PARTS 16
+#define HS_MAX_PROMPT_PARTS 64
 
 /** The size that a request declares. */
 typedef struct {
     hs_prompt_part parts[HS_MAX_PROMPT_PARTS];
     uint32_t part_count;
+    bool has_more_parts;    /**< The prompt has parts beyond HS_MAX_PROMPT_PARTS. */
     uint32_t prompt_tokens; /**< 0: not declared. */
     uint32_t output_tokens; /**< Upper bound. */
 } hs_request_size;
--- a/src/fleet/crash_probe.h
+++ b/src/fleet/crash_probe.h
@@ -9,6 +9,8 @@
 #ifndef HS_FLEET_CRASH_PROBE_H
 #define HS_FLEET_CRASH_PROBE_H
 
+#include "fleet/request_content.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -17,13 +19,15 @@
 
 /** A run whose response was cut by an engine that had not announced that it was leaving. */
 typedef struct {
-    uint64_t content;
+    hs_request_contents contents;
     uint64_t engine; /**< Hash of its id. */
     char engine_id[64];
     uint32_t address; /**< IPv4 address in host byte order. */
     uint16_t port;
     uint64_t cut_ms;
     uint32_t ran_ms; /**< See hs_crash_engine. */
+    /** The answer ended with its connection, and was whole as far as could be seen. */
+    bool may_be_whole;
 } hs_cut_run;
 
 /**
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -78,25 +78,47 @@
         evaluate(watch);
 }
 
+/** Adds the loss of one content of a run. Returns whether it was recorded. */
+static bool add_loss(hs_crash_watch *watch, const hs_cut_run *run, uint64_t content) {
+    hs_crash_loss loss = {
+        .content = content, .engine = run->engine, .lost_ms = run->cut_ms, .ran_ms = run->ran_ms};
+    hs_loss_result result = hs_crash_ledger_add_loss(watch->ledger, &loss, hs_clock_monotonic_ms());
+    if (result != HS_LOSS_IGNORED)
+        add_update(watch, content);
+    return result == HS_LOSS_RECORDED;
+}
+
+/** Returns the content of the run that was lost with the most engines. */
+static hs_crash_evidence find_most_lost(const hs_crash_watch *watch, const hs_cut_run *run) {
+    hs_crash_evidence most = {0};
+    hs_crash_evidence evidence;
+    for (uint32_t index = 0; index < run->contents.count; index++)
+        if (hs_crash_ledger_find(watch->ledger, run->contents.hashes[index], &evidence) &&
+            evidence.engine_count > most.engine_count)
+            most = evidence;
+    return most;
+}
+
+/**
+ * Records a run as lost. A part of a prompt that crashes engines does so as soon as they write an
+ * answer, so a run that lasted says nothing about its parts.
+ */
 static void record_lost_run(hs_crash_watch *watch, const hs_cut_run *run) {
-    hs_crash_loss loss = {.content = run->content,
-                          .engine = run->engine,
-                          .lost_ms = run->cut_ms,
-                          .ran_ms = run->ran_ms};
+    bool concerns_parts = run->ran_ms < HS_CRASH_LONG_RUN_MS;
     g_mutex_lock(&watch->lock);
     watch->lost_count++;
-    hs_loss_result result = hs_crash_ledger_add_loss(watch->ledger, &loss, hs_clock_monotonic_ms());
-    hs_crash_evidence evidence = {0};
-    hs_crash_ledger_find(watch->ledger, run->content, &evidence);
-    if (result != HS_LOSS_IGNORED)
-        add_update(watch, run->content);
-    if (result == HS_LOSS_RECORDED)
-        evaluate_content(watch, run->content);
+    bool is_recorded = add_loss(watch, run, run->contents.hashes[0]);
+    for (uint32_t index = 1; concerns_parts && index < run->contents.count; index++)
+        is_recorded |= add_loss(watch, run, run->contents.hashes[index]);
+    hs_crash_evidence most = find_most_lost(watch, run);
+    if (is_recorded)
+        evaluate_content(watch, most.content);
     g_mutex_unlock(&watch->lock);
     hs_log_info("run_lost_with_engine",
-                "content=%016" G_GINT64_MODIFIER "x engine=%s ran_ms=%u engines=%u acquitted=%d",
-                (guint64)run->content, run->engine_id, run->ran_ms, evidence.engine_count,
-                result == HS_LOSS_ACQUITTED);
+                "content=%016" G_GINT64_MODIFIER "x parts=%u engine=%s ran_ms=%u recorded=%d "
+                "most_lost=%016" G_GINT64_MODIFIER "x engines=%u",
+                (guint64)run->contents.hashes[0], run->contents.count - 1, run->engine_id,
+                run->ran_ms, is_recorded, (guint64)most.content, most.engine_count);
 }
 
 /** Returns whether the engine's entry showed that it crashed. */
@@ -107,20 +129,42 @@
     return false;
 }
 
-/** Remembers a run whose engine was found running: the engine may have restarted in between. */
-static void remember_answered_run(hs_crash_watch *watch, const hs_cut_run *run) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
+/** Acquits contents as of @p survived_ms; returns whether that removed losses. */
+static bool acquit(hs_crash_watch *watch, const hs_request_contents *contents,
+                   uint64_t survived_ms) {
+    bool is_changed = false;
+    for (uint32_t index = 0; index < contents->count; index++) {
+        if (!hs_crash_ledger_acquit(watch->ledger, contents->hashes[index], survived_ms))
+            continue;
+        add_update(watch, contents->hashes[index]);
+        is_changed = true;
+    }
+    if (is_changed)
+        evaluate(watch);
+    return is_changed;
+}
+
+/** Forgets runs whose engine has shown no crash for long enough, and acquits whole ones. */
+static void remove_answered_runs(hs_crash_watch *watch, uint64_t now_ms) {
     GArray *answered_runs = watch->answered_runs;
     guint expired_count = 0;
-    while (expired_count < answered_runs->len &&
-           g_array_index(answered_runs, hs_cut_run, expired_count).cut_ms + CRASH_DETECTION_MS <
-               now_ms)
-        expired_count++;
+    for (; expired_count < answered_runs->len; expired_count++) {
+        const hs_cut_run *run = &g_array_index(answered_runs, hs_cut_run, expired_count);
+        if (run->cut_ms + CRASH_DETECTION_MS >= now_ms)
+            break;
+        if (run->may_be_whole)
+            acquit(watch, &run->contents, run->cut_ms);
+    }
     if (expired_count == 0 && answered_runs->len == MAX_RECENT)
         expired_count = 1;
     if (expired_count > 0)
         g_array_remove_range(answered_runs, 0, expired_count);
-    g_array_append_val(answered_runs, *run);
+}
+
+/** Remembers a run whose engine was found running: the engine may have restarted in between. */
+static void remember_answered_run(hs_crash_watch *watch, const hs_cut_run *run) {
+    remove_answered_runs(watch, hs_clock_monotonic_ms());
+    g_array_append_val(watch->answered_runs, *run);
 }
 
 static void handle_probe_result(const GArray *runs, bool is_crashed, void *user_data) {
@@ -204,21 +248,48 @@
     g_mutex_unlock(&watch->lock);
 }
 
-void hs_crash_watch_note_survived(hs_crash_watch *watch, uint64_t content) {
+void hs_crash_watch_note_ended(hs_crash_watch *watch, const hs_cut_run *run) {
     g_mutex_lock(&watch->lock);
-    if (hs_crash_ledger_acquit(watch->ledger, content, hs_clock_monotonic_ms())) {
-        add_update(watch, content);
-        evaluate(watch);
-    }
+    remember_answered_run(watch, run);
+    g_array_index(watch->answered_runs, hs_cut_run, watch->answered_runs->len - 1).may_be_whole =
+        true;
+    g_mutex_unlock(&watch->lock);
+}
+
+void hs_crash_watch_note_refused(hs_crash_watch *watch, uint64_t engine) {
+    g_mutex_lock(&watch->lock);
+    g_autoptr(GArray) runs = take_answered_runs(watch, engine);
+    g_mutex_unlock(&watch->lock);
+    for (guint index = 0; index < runs->len; index++)
+        hs_crash_probe_submit(watch->probe, &g_array_index(runs, hs_cut_run, index));
+}
+
+void hs_crash_watch_note_survived(hs_crash_watch *watch, const hs_request_contents *contents) {
+    g_mutex_lock(&watch->lock);
+    acquit(watch, contents, hs_clock_monotonic_ms());
     g_mutex_unlock(&watch->lock);
 }
 
-bool hs_crash_watch_is_quarantined(hs_crash_watch *watch, uint64_t content,
+/** Orders quarantined contents by the engines lost with them, so that all daemons agree. */
+static bool is_more_suspect(const hs_crash_quarantine *one, const hs_crash_quarantine *other) {
+    return one->engines > other->engines ||
+           (one->engines == other->engines && one->content < other->content);
+}
+
+bool hs_crash_watch_is_quarantined(hs_crash_watch *watch, const hs_request_contents *contents,
                                    hs_crash_quarantine *quarantine) {
+    hs_crash_quarantine found;
+    bool is_quarantined = false;
     g_mutex_lock(&watch->lock);
-    bool is_quarantined =
-        watch->quarantined_count > 0 &&
-        hs_crash_ledger_is_quarantined(watch->ledger, content, hs_clock_monotonic_ms(), quarantine);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (uint32_t index = 0; watch->quarantined_count > 0 && index < contents->count; index++) {
+        if (!hs_crash_ledger_is_quarantined(watch->ledger, contents->hashes[index], now_ms,
+                                            &found) ||
+            (is_quarantined && !is_more_suspect(&found, quarantine)))
+            continue;
+        *quarantine = found;
+        is_quarantined = true;
+    }
     g_mutex_unlock(&watch->lock);
     return is_quarantined;
 }
@@ -269,7 +340,30 @@
                                 .is_accepted = query->is_accepted};
 }
 
-hs_trial_verdict hs_crash_watch_request_trial(hs_crash_watch *watch, uint64_t content,
+/**
+ * Checks the conditions of a trial run for all quarantined contents: one of them may have crashed
+ * engines too often, though another one is the most suspect.
+ */
+static hs_trial_verdict check_contents(const hs_crash_watch *watch,
+                                       const hs_request_contents *contents, bool is_accepted) {
+    hs_trial_verdict verdict = HS_TRIAL_GRANTED;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (uint32_t index = 0; index < contents->count && verdict == HS_TRIAL_GRANTED; index++) {
+        hs_crash_quarantine quarantine;
+        hs_crash_evidence evidence;
+        hs_trial_query query = {.evidence = &evidence, .is_accepted = is_accepted};
+        if (!hs_crash_ledger_is_quarantined(watch->ledger, contents->hashes[index], now_ms,
+                                            &quarantine) ||
+            !hs_crash_ledger_find(watch->ledger, contents->hashes[index], &evidence))
+            continue;
+        hs_trial_candidate candidate = make_candidate(watch, &query);
+        verdict = hs_crash_trials_check(&candidate);
+    }
+    return verdict;
+}
+
+hs_trial_verdict hs_crash_watch_request_trial(hs_crash_watch *watch,
+                                              const hs_request_contents *contents, uint64_t content,
                                               bool is_accepted) {
     hs_crash_evidence evidence = {0};
     hs_trial_query query = {.evidence = &evidence, .is_accepted = is_accepted};
@@ -277,8 +371,7 @@
     g_mutex_lock(&watch->lock);
     hs_trial_calls calls = watch->trial_calls;
     if (hs_crash_ledger_find(watch->ledger, content, &evidence)) {
-        hs_trial_candidate candidate = make_candidate(watch, &query);
-        verdict = hs_crash_trials_check(&candidate);
+        verdict = check_contents(watch, contents, is_accepted);
         query.trial_engine = hs_crash_ledger_trial_engine(watch->ledger, content);
     }
     g_mutex_unlock(&watch->lock);
@@ -385,6 +478,7 @@
 
 void hs_crash_watch_refresh(hs_crash_watch *watch) {
     g_mutex_lock(&watch->lock);
+    remove_answered_runs(watch, hs_clock_monotonic_ms());
     if (hs_crash_ledger_size(watch->ledger) > 0)
         evaluate(watch);
     g_mutex_unlock(&watch->lock);
--- a/src/fleet/crash_watch.h
+++ b/src/fleet/crash_watch.h
@@ -36,14 +36,26 @@
  */
 void hs_crash_watch_note_crashed(hs_crash_watch *watch, uint64_t engine);
 
-/** Reports a run of the content that ended with a complete response. */
-void hs_crash_watch_note_survived(hs_crash_watch *watch, uint64_t content);
+/**
+ * Reports a run whose answer ended with its connection, as answers without a length do: either the
+ * answer is complete, or the engine crashed between two events. It counts as survived unless signs
+ * of a crash follow.
+ */
+void hs_crash_watch_note_ended(hs_crash_watch *watch, const hs_cut_run *run);
+
+/** Reports a sign that an engine may have crashed: it refused a connection. Its recent runs are
+ * checked again. */
+void hs_crash_watch_note_refused(hs_crash_watch *watch, uint64_t engine);
+
+/** Reports a run of these contents that ended with a complete response. */
+void hs_crash_watch_note_survived(hs_crash_watch *watch, const hs_request_contents *contents);
 
 /**
- * Returns whether the content is quarantined now, that is, its requests are to be sent to no
- * engine. Fills @p quarantine in that case only.
+ * Returns whether one of the contents is quarantined now, that is, the request is to be sent to no
+ * engine. Fills @p quarantine in that case only, with the content that was lost with the most
+ * engines.
  */
-bool hs_crash_watch_is_quarantined(hs_crash_watch *watch, uint64_t content,
+bool hs_crash_watch_is_quarantined(hs_crash_watch *watch, const hs_request_contents *contents,
                                    hs_crash_quarantine *quarantine);
 
 /** A query to the decider for a trial run. */
@@ -70,10 +82,13 @@
 void hs_crash_watch_set_trial_calls(hs_crash_watch *watch, const hs_trial_calls *calls);
 
 /**
- * Requests a trial run of a quarantined content; see crash_trials.h. May wait for another daemon's
- * verdict. @p is_accepted: see hs_trial_candidate.
+ * Requests a trial run of a request with quarantined contents; see crash_trials.h. All of them must
+ * have a reason for one; the trial run counts as one of @p content, which
+ * hs_crash_watch_is_quarantined named. May wait for another daemon's verdict. @p is_accepted: see
+ * hs_trial_candidate.
  */
-hs_trial_verdict hs_crash_watch_request_trial(hs_crash_watch *watch, uint64_t content,
+hs_trial_verdict hs_crash_watch_request_trial(hs_crash_watch *watch,
+                                              const hs_request_contents *contents, uint64_t content,
                                               bool is_accepted);
 
 /**
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -256,7 +256,7 @@
 bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
                       hs_attempt *attempt) {
     memset(attempt, 0, sizeof *attempt);
-    attempt->content = parameters->content;
+    attempt->contents = parameters->contents;
     bool is_unpermitted = true;
     bool is_connected = false;
     for (uint32_t tries = 0; is_unpermitted && tries < MAX_PERMIT_REQUESTS; tries++)
@@ -285,7 +285,10 @@
     if (attempt->step == HS_STEP_LOST) /* Other idle connections to the engine may be lost too. */
         hs_engine_lease_drop_idle(attempt->lease);
     if (attempt->run != HS_RUN_NOT_EXECUTED)
-        hs_engine_lease_note_run_end(attempt->lease, attempt->content, end);
+        hs_engine_lease_note_run_end(
+            attempt->lease, &attempt->contents, end,
+            attempt->connection != NULL &&
+                hs_client_connection_is_ended_by_close(attempt->connection));
     hs_engine_lease_release(attempt->lease, attempt->connection, end);
     attempt->lease = NULL;
     attempt->connection = NULL;
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -28,7 +28,7 @@
 /** Parameters of an attempt. All pointers are borrowed. */
 typedef struct {
     hs_engine_query query;
-    uint64_t content;          /**< See hs_request_content_hash. */
+    hs_request_contents contents;
     hs_engine_request request; /**< engine_id and timeout_ms are set by hs_attempt_start. */
     const void *body;
     hs_wait wait;
@@ -48,7 +48,7 @@
 typedef struct {
     hs_engine_lease *lease; /**< NULL: there was no engine to send the request to. */
     hs_client_connection *connection;
-    uint64_t content; /**< Copied from the parameters. */
+    hs_request_contents contents; /**< Copied from the parameters. */
     hs_run_state run;
     hs_step step;     /**< PROGRESS or COMPLETE: the response head was read. */
     uint64_t sent_ms; /**< Monotonic time at which the request was sent; 0: no connection. */
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -438,31 +438,39 @@
     return engine->entry.draining || (!engine->listed && !engine->has_restarted);
 }
 
-static void note_cut(hs_engine_lease *lease, uint64_t content) {
+/** Describes a run that ended now. Returns false if the engine is expected to end runs. */
+static bool make_cut_run(hs_engine_lease *lease, const hs_request_contents *contents,
+                         hs_cut_run *run) {
     const hs_fleet_engine *engine = lease->engine;
-    hs_cut_run run = {.content = content, .cut_ms = hs_clock_monotonic_ms()};
+    *run = (hs_cut_run){.contents = *contents, .cut_ms = hs_clock_monotonic_ms()};
     if (lease->first_token_ms != 0)
-        run.ran_ms = (uint32_t)(run.cut_ms - lease->first_token_ms);
+        run->ran_ms = (uint32_t)(run->cut_ms - lease->first_token_ms);
     g_mutex_lock(&lease->engines->lock);
-    bool is_expected = is_leaving(engine) ||
-                       hs_fleet_engine_zone_use(lease->engines, engine, run.cut_ms) != HS_ZONE_OPEN;
-    run.engine = engine->hash;
-    run.address = engine->entry.address;
-    run.port = engine->entry.port;
-    g_strlcpy(run.engine_id, engine->entry.id, sizeof run.engine_id);
+    bool is_expected = is_leaving(engine) || hs_fleet_engine_zone_use(lease->engines, engine,
+                                                                      run->cut_ms) != HS_ZONE_OPEN;
+    run->engine = engine->hash;
+    run->address = engine->entry.address;
+    run->port = engine->entry.port;
+    g_strlcpy(run->engine_id, engine->entry.id, sizeof run->engine_id);
     g_mutex_unlock(&lease->engines->lock);
-    if (!is_expected)
-        hs_crash_watch_note_cut(lease->engines->crash_watch, &run);
+    return !is_expected;
 }
 
-void hs_engine_lease_note_run_end(hs_engine_lease *lease, uint64_t content, hs_attempt_end end) {
+void hs_engine_lease_note_run_end(hs_engine_lease *lease, const hs_request_contents *contents,
+                                  hs_attempt_end end, bool is_ended_by_close) {
     hs_crash_watch *watch = lease->engines->crash_watch;
     if (watch == NULL)
         return;
-    if (end == HS_ATTEMPT_SERVED || end == HS_ATTEMPT_FAILED)
-        hs_crash_watch_note_survived(watch, content);
-    else if (end == HS_ATTEMPT_BROKEN)
-        note_cut(lease, content);
+    hs_request_contents whole = {.count = 1, .hashes = {contents->hashes[0]}};
+    hs_cut_run run;
+    if (end == HS_ATTEMPT_FAILED) /* A refusal to answer shows nothing about the prompt's parts. */
+        hs_crash_watch_note_survived(watch, &whole);
+    else if (end == HS_ATTEMPT_SERVED && !is_ended_by_close)
+        hs_crash_watch_note_survived(watch, contents);
+    else if (end == HS_ATTEMPT_SERVED && make_cut_run(lease, contents, &run))
+        hs_crash_watch_note_ended(watch, &run);
+    else if (end == HS_ATTEMPT_BROKEN && make_cut_run(lease, contents, &run))
+        hs_crash_watch_note_cut(watch, &run);
 }
 
 void hs_engine_lease_release(hs_engine_lease *lease, hs_client_connection *connection,
@@ -482,6 +490,8 @@
     end_probe(lease);
     hs_engine_warmup_end(lease, now_ms);
     apply_attempt_end(lease, end, now_ms);
+    bool is_refused = end == HS_ATTEMPT_UNREACHABLE && !is_leaving(engine);
+    uint64_t engine_hash = engine->hash;
     bool is_kept = note_carried(lease) && keep_connection(lease, connection, now_ms);
     engine->last_release_ms = now_ms;
     hs_engine_use use = hs_fleet_engine_use(lease->engines, engine);
@@ -489,6 +499,8 @@
     g_mutex_unlock(&lease->engines->lock);
     if (!is_kept)
         hs_client_connection_close(connection);
+    if (is_refused && lease->engines->crash_watch != NULL)
+        hs_crash_watch_note_refused(lease->engines->crash_watch, engine_hash);
     hs_fleet_engines_notify_use(lease->engines, &use, false);
     if (end == HS_ATTEMPT_SERVED)
         hs_fleet_engines_notify_free_slot(lease->engines, service);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -281,10 +281,12 @@
 void hs_engine_lease_note_load(hs_engine_lease *lease, const hs_engine_load *load);
 
 /**
- * Notifies the crash watch of the end of a run of @p content. A complete answer shows that the
+ * Notifies the crash watch of the end of a run of @p contents. A complete answer shows that the
  * engine survived the run; a cut run is investigated, unless the engine was leaving.
+ * @p is_ended_by_close: see hs_client_connection_is_ended_by_close.
  */
-void hs_engine_lease_note_run_end(hs_engine_lease *lease, uint64_t content, hs_attempt_end end);
+void hs_engine_lease_note_run_end(hs_engine_lease *lease, const hs_request_contents *contents,
+                                  hs_attempt_end end, bool is_ended_by_close);
 
 /**
  * Releases the engine and frees the lease. Takes ownership of @p connection (may be NULL): it is
--- a/src/fleet/request_content.h
+++ b/src/fleet/request_content.h
@@ -1,11 +1,13 @@
 /**
  * @file request_content.h
- * Identifies the content of a request by a hash that is equal on all daemons for requests that an
- * engine can't distinguish. Pure function.
+ * Identifies the content of a request, and the parts of its prompt, by hashes that are equal on all
+ * daemons for requests that an engine can't distinguish. Pure functions.
  */
 #ifndef HS_FLEET_REQUEST_CONTENT_H
 #define HS_FLEET_REQUEST_CONTENT_H
 
+#include "heathsail/fleet.h"
+
 #include <stddef.h>
 #include <stdint.h>
 
@@ -24,4 +26,17 @@
  */
 uint64_t hs_request_content_hash(const hs_request_content *content);
 
+#define HS_MAX_REQUEST_CONTENTS (1 + HS_MAX_PROMPT_PARTS)
+
+/** What in a request may crash engines: each of it is judged by itself. */
+typedef struct {
+    uint32_t count; /**< At least 1. */
+    /** The whole request, then the parts of its prompt, without duplicates. The last part is left
+     * out, as it is the request's or its session's own. */
+    uint64_t hashes[HS_MAX_REQUEST_CONTENTS];
+} hs_request_contents;
+
+/** Returns the contents of a request with this hash of the whole. @p size may be NULL. */
+hs_request_contents hs_request_contents_make(uint64_t whole, const hs_request_size *size);
+
 #endif
--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -39,6 +39,7 @@
     bool in_value;
     bool head_complete;
     bool message_complete;
+    bool is_ended_by_close;
     bool is_head_method;
     GByteArray *surplus; /**< Bytes received after the end of the response. */
     bool unfinished_send;
@@ -372,6 +373,10 @@
 }
 
 /** Feeds the bytes that the socket holds to the parser, without waiting. */
+bool hs_client_connection_is_ended_by_close(const hs_client_connection *connection) {
+    return connection->is_ended_by_close;
+}
+
 static hs_step receive_some(hs_client_connection *connection) {
     char buffer[READ_SIZE];
     ssize_t length = recv(connection->descriptor, buffer, sizeof buffer, MSG_DONTWAIT);
@@ -383,6 +388,7 @@
         /* A response without a length ends with the connection. */
         http_parser_execute(&connection->parser, &parser_callbacks, NULL, 0);
         connection->failed = true;
+        connection->is_ended_by_close = connection->message_complete;
         return connection->message_complete ? HS_STEP_COMPLETE : HS_STEP_CUT;
     }
     if (!feed(connection, buffer, (size_t)length))
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -114,6 +114,12 @@
  */
 hs_step hs_client_connection_read_available(hs_client_connection *connection);
 
+/**
+ * Reports whether the response had neither a length nor chunks and ended with its connection. Such
+ * a response looks complete wherever it ends.
+ */
+bool hs_client_connection_is_ended_by_close(const hs_client_connection *connection);
+
 /** Reads the rest of the response. HS_STEP_INVALID: the body is longer than @p limit bytes. */
 hs_step hs_client_connection_read_all(hs_client_connection *connection, size_t limit,
                                       const hs_wait *wait);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -241,21 +241,23 @@
  * requested, since only a successful run can clear the content. A granted trial is kept until an
  * engine has run the item: engines may lack capacity or refuse it.
  */
-static bool is_quarantined(hs_item_run *run, hs_fleet_engines *engines, uint64_t content) {
+static bool is_quarantined(hs_item_run *run, hs_fleet_engines *engines,
+                           const hs_request_contents *contents) {
     hs_crash_watch *watch = hs_fleet_engines_crash_watch(engines);
     hs_crash_quarantine quarantine;
-    bool is_suspect = watch != NULL && hs_crash_watch_is_quarantined(watch, content, &quarantine);
+    bool is_suspect = watch != NULL && hs_crash_watch_is_quarantined(watch, contents, &quarantine);
     run->is_on_trial = run->is_on_trial && is_suspect;
     if (!is_suspect || run->is_on_trial)
         return false;
-    hs_trial_verdict verdict = hs_crash_watch_request_trial(watch, content, true);
+    hs_trial_verdict verdict =
+        hs_crash_watch_request_trial(watch, contents, quarantine.content, true);
     run->is_on_trial = verdict == HS_TRIAL_GRANTED;
     if (run->is_on_trial)
         return false;
     hs_log_info("item_held_back",
                 "job=%s item=%s content=%016" G_GINT64_MODIFIER
                 "x engines_lost=%u explained=%u trial=%s",
-                run->job_id, run->item_id, (guint64)content, quarantine.engines,
+                run->job_id, run->item_id, (guint64)quarantine.content, quarantine.engines,
                 quarantine.explained, hs_trial_verdict_name(verdict));
     return true;
 }
@@ -295,12 +297,14 @@
         return HS_ITEM_ATTEMPT_NO_ROUTE;
     regions = hs_item_run_regions(run, hs_fleet_engines_topology(terms->engines), config);
     run->is_restricted = hs_region_policy_is_restricted(&regions);
-    uint64_t content = hash_content(run);
-    if (is_quarantined(run, terms->engines, content))
-        return HS_ITEM_ATTEMPT_QUARANTINED;
     GArray *fields = build_header_fields(run->content);
     hs_caller_terms caller;
     hs_platform_read_terms(fields, &caller);
+    hs_request_contents contents = hs_request_contents_make(hash_content(run), &caller.size);
+    if (is_quarantined(run, terms->engines, &contents)) {
+        hs_http_fields_free(fields);
+        return HS_ITEM_ATTEMPT_QUARANTINED;
+    }
     const char *name = g_array_index(route->shares, hs_route_share, 0).service;
     const hs_fleet_service *service = hs_fleet_config_find_service(config, name);
     if (run->software != 0 && !hs_fleet_engines_has_software(terms->engines, name, run->software)) {
@@ -322,7 +326,7 @@
                   .regions = regions,
                   .software = run->software,
                   .warmup = hs_warmup_limit_of(service)},
-        .content = content,
+        .contents = contents,
         .request = {.method = ITEM_METHOD,
                     .target = run->content->path,
                     .fields = fields,
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -46,7 +46,7 @@
                   .regions = request->regions,
                   .warmup = request->warmup,
                   .software = request->software},
-        .content = request->content,
+        .contents = request->contents,
         .request = {.method = inbound->method,
                     .target = inbound->target,
                     .fields = inbound->fields,
@@ -105,7 +105,7 @@
         "request=%s content=%016" G_GINT64_MODIFIER
         "x engine=%s version=%s send=%u step=%s status=%u run=%s end=%s believed_running=%.1f "
         "failure_rate=%.3f suspected=%d sent_ago_ms=%" G_GUINT64_FORMAT,
-        request->request_id, (guint64)request->content, attempt->engine_id,
+        request->request_id, (guint64)request->contents.hashes[0], attempt->engine_id,
         hs_online_version_name(attempt), request->sends, hs_step_name(attempt->step),
         attempt->status, hs_run_state_name(attempt->run), hs_attempt_end_name(end),
         attempt->reasons.running, attempt->reasons.failure_rate, attempt->reasons.suspected,
@@ -165,10 +165,11 @@
  * Requests a trial run, unless this daemon suspects all engines. They may all be restarting after
  * the crashes that caused the quarantine, and a trial run that no engine begins shows nothing.
  */
-static hs_trial_verdict request_trial(const hs_online_request *request, hs_crash_watch *watch) {
+static hs_trial_verdict request_trial(const hs_online_request *request, hs_crash_watch *watch,
+                                      uint64_t content) {
     return hs_fleet_engines_has_healthy(request->online->engines, request->service,
                                         &request->regions)
-               ? hs_crash_watch_request_trial(watch, request->content, false)
+               ? hs_crash_watch_request_trial(watch, &request->contents, content, false)
                : HS_TRIAL_NO_ENGINE;
 }
 
@@ -179,23 +180,27 @@
 static bool is_quarantined(hs_online_request *request, hs_end_reason *reason) {
     hs_crash_watch *watch = hs_fleet_engines_crash_watch(request->online->engines);
     hs_crash_quarantine quarantine;
-    if (watch == NULL || !hs_crash_watch_is_quarantined(watch, request->content, &quarantine))
+    if (watch == NULL || !hs_crash_watch_is_quarantined(watch, &request->contents, &quarantine))
         return false;
     bool is_unsent = request->is_on_trial && request->run == HS_RUN_NOT_EXECUTED;
-    hs_trial_verdict verdict = is_unsent ? HS_TRIAL_GRANTED : request_trial(request, watch);
+    hs_trial_verdict verdict =
+        is_unsent ? HS_TRIAL_GRANTED : request_trial(request, watch, quarantine.content);
     request->is_on_trial = verdict == HS_TRIAL_GRANTED;
+    if (request->is_on_trial && !is_unsent)
+        request->trial_content = quarantine.content;
     if (request->is_on_trial)
         return false;
     uint64_t now_ms = hs_clock_monotonic_ms();
     request->retry_after_ms = quarantine.until_ms > now_ms ? quarantine.until_ms - now_ms : 0;
     *reason = request->run == HS_RUN_NOT_EXECUTED ? HS_END_QUARANTINED : HS_END_BROKEN;
     hs_log_info("request_held_back",
-                "request=%s content=%016" G_GINT64_MODIFIER
+                "request=%s content=%016" G_GINT64_MODIFIER "x held_content=%016" G_GINT64_MODIFIER
                 "x engines_lost=%u explained=%u trial=%s hold_left_ms=%" G_GUINT64_FORMAT
                 " run=%s sends=%u",
-                request->request_id, (guint64)request->content, quarantine.engines,
-                quarantine.explained, hs_trial_verdict_name(verdict),
-                (guint64)request->retry_after_ms, hs_run_state_name(request->run), request->sends);
+                request->request_id, (guint64)request->contents.hashes[0],
+                (guint64)quarantine.content, quarantine.engines, quarantine.explained,
+                hs_trial_verdict_name(verdict), (guint64)request->retry_after_ms,
+                hs_run_state_name(request->run), request->sends);
     return true;
 }
 
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -29,7 +29,7 @@
         " uncached_tokens=%.0f failure_rate=%.3f suspected=%d listed_age_ms=%" G_GUINT64_FORMAT
         " word_age_ms=%.0f age_ms=%" G_GUINT64_FORMAT " held_ms=%" G_GUINT64_FORMAT
         " woken=%u tries=%u admission=%s wait_ms=%.0f free_share=%.3f words_age_ms=%.0f%s",
-        request->request_id, (guint64)request->content, request->route->name,
+        request->request_id, (guint64)request->contents.hashes[0], request->route->name,
         request->tenant != NULL ? request->tenant : "-", request->service,
         (guint64)request->config->version, *attempt->engine_id != '\0' ? attempt->engine_id : "-",
         hs_online_version_name(attempt),
@@ -54,7 +54,7 @@
     hs_online_set_held(request, false, false);
     if (request->is_on_trial && request->run == HS_RUN_NOT_EXECUTED)
         hs_crash_watch_return_trial(hs_fleet_engines_crash_watch(request->online->engines),
-                                    request->content);
+                                    request->trial_content);
     log_end(request, reason);
 }
 
@@ -192,12 +192,13 @@
     request->request_id = g_strdup(terms->request_id != NULL ? terms->request_id : "-");
     request->stream_name =
         hs_stream_origins_name(terms->resumed_id != NULL ? terms->resumed_id : request->request_id);
-    request->content =
+    uint64_t whole =
         hs_request_content_hash(&(hs_request_content){.method = inbound->method,
                                                       .host = terms->host,
                                                       .target = inbound->target,
                                                       .body = inbound->body->data,
                                                       .body_length = inbound->body->len});
+    request->contents = hs_request_contents_make(whole, &request->terms.size);
     request->rank = hs_tenant_rank(route, access->tenant);
     hs_online_use_service(request, hs_online_pick_service(online, route));
     request->age_ms = hs_caller_ages_note(online->ages, route->name, terms->timeout_ms);
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -32,8 +32,9 @@
     uint64_t stream_name; /**< See hs_stream_origins_name; of the attempt that began it. */
     uint64_t software;    /**< That began the stream and has to continue it; 0: none yet. */
     bool is_origin_announced;
-    uint64_t content; /**< See hs_request_content_hash. */
-    uint32_t rank;    /**< See hs_tenant_rank. */
+    hs_request_contents contents;
+    uint64_t trial_content; /**< Of which a trial run was granted; 0: none was. */
+    uint32_t rank;          /**< See hs_tenant_rank. */
     uint64_t memory_tokens;
     uint32_t max_connections;
     hs_warmup_limit warmup; /**< Of the service. */
--- a/src/online/online_share.c
+++ b/src/online/online_share.c
@@ -6,7 +6,7 @@
 
 static double sample_of(const hs_online_request *request) {
     return hs_fair_share_sample(request->terms.request_id,
-                                request->content + request->inbound->received_ms);
+                                request->contents.hashes[0] + request->inbound->received_ms);
 }
 
 /** Whether the tenant's use is known and the request is neither sent yet nor a resumed stream. */
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -259,16 +259,15 @@
     hs_inbound_reply_stream(inbound, 200, fields, write_event, events, end_stream);
 }
 
-/** Returns whether the prompt has the fatal part, which is not its last one. */
+/** Returns whether the prompt has a fatal part that is not its last one. */
 static bool has_fatal_part(const token_engine *engine, const hs_inbound *inbound) {
     const char *parts = hs_http_fields_find(inbound->fields, HEADER_PROMPT_PREFIX);
     if (engine->settings.fatal_part == NULL || parts == NULL)
         return false;
     g_auto(GStrv) list = g_strsplit(parts, ",", -1);
-    g_autofree char *fatal = g_strdup_printf("%s:", engine->settings.fatal_part);
     bool is_found = false;
     for (guint index = 0; index + 1 < g_strv_length(list) && !is_found; index++)
-        is_found = g_str_has_prefix(list[index], fatal);
+        is_found = g_str_has_prefix(list[index], engine->settings.fatal_part);
     return is_found;
 }
 
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -49,8 +49,8 @@
     uint32_t slots;                /**< Slots in the entry; 0: the default of 8. */
     const char *fatal;             /**< Prefix of bodies that request a crash of the engine after
                                         fatal_after_ms; NULL: none. */
-    const char *fatal_part; /**< Id of a prompt part that requests a crash in the same way, unless
-                                 it is the last part; NULL: none. */
+    const char *fatal_part; /**< Prefix of ids of prompt parts that request a crash in the same way,
+                                 each unless it is the last part; NULL: none. */
     uint32_t fatal_after_ms;
     const char *version; /**< Software version in the entry; NULL: "v1". */
     uint32_t warmup_ms;  /**< Cold phase after each restart, which the entry and all answers report;
--- a/tests/system/test_fleet_crash_parts.c
+++ b/tests/system/test_fleet_crash_parts.c
@@ -14,7 +14,10 @@
 #include <string.h>
 
 #define DAEMONS 4
-#define FATAL_PART "dead01"
+/** Prefix of the ids of parts that crash engines, and one such part of each test. */
+#define FATAL_PREFIX "dead"
+#define LATER_FATAL_PART FATAL_PREFIX "01"
+#define FIRST_FATAL_PART FATAL_PREFIX "02"
 #define FIRST_PART "c0ffee:172"
 /** Streams of 0.3 s. */
 #define EVENTS 20
@@ -111,9 +114,9 @@
 
 static char *make_fatal_parts(const fatal_callers *callers, int number) {
     if (!callers->is_first)
-        return g_strdup_printf(FIRST_PART ",abc%d:50," FATAL_PART ":40,b%07x:20", number % 3,
+        return g_strdup_printf(FIRST_PART ",abc%d:50," LATER_FATAL_PART ":40,b%07x:20", number % 3,
                                number);
-    GString *parts = g_string_new(FATAL_PART ":40");
+    GString *parts = g_string_new(FIRST_FATAL_PART ":40");
     for (int index = 0; index < 24; index++)
         g_string_append_printf(parts, ",abc%d:5", index % 3);
     g_string_append_printf(parts, ",b%07x:20", number);
@@ -248,7 +251,7 @@
     return begin_crashes_with_settings(
         &(crash_fleet_settings){.return_ms = RETURN_MS,
                                 .pace = {.events = EVENTS, .event_ms = EVENT_MS},
-                                .fatal_part = FATAL_PART});
+                                .fatal_part = FATAL_PREFIX});
 }
 
 int end_crash_parts(void) {
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -47,6 +47,7 @@
         {"spread", spread_tests, NULL, NULL},
         {"crashes", crash_tests, NULL, NULL},
         {"crash_trials", crash_trial_tests, NULL, NULL},
+        {"crash_parts", crash_part_tests, NULL, NULL},
         {"versions", version_tests, NULL, NULL},
         {"records", record_tests, NULL, NULL},
         {"connections", connection_tests, NULL, NULL},
--- a/tests/unit/test_entries.c
+++ b/tests/unit/test_entries.c
@@ -139,6 +139,8 @@
     hs_fleet_engines_free(engines);
 }
 
+static const hs_request_contents contents = {.count = 1, .hashes = {77}};
+
 /** Three crashes under one id with different start times count as three lost engines. */
 static void three_crashed_starts_count_as_three_engines(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
@@ -149,14 +151,14 @@
         put(engines, "e", start * 1000);
         hs_engine_lease *lease = acquire_online(engines);
         CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
-        hs_engine_lease_note_run_end(lease, 77, HS_ATTEMPT_BROKEN);
+        hs_engine_lease_note_run_end(lease, &contents, HS_ATTEMPT_BROKEN, false);
         hs_engine_lease_release(lease, NULL, HS_ATTEMPT_BROKEN);
-        CU_ASSERT_FALSE(hs_crash_watch_is_quarantined(watch, 77, &quarantine));
+        CU_ASSERT_FALSE(hs_crash_watch_is_quarantined(watch, &contents, &quarantine));
     }
     put(engines, "e", 4000);
     bool is_quarantined = false;
     for (int polls = 0; polls < 100 && !is_quarantined; polls++) {
-        is_quarantined = hs_crash_watch_is_quarantined(watch, 77, &quarantine);
+        is_quarantined = hs_crash_watch_is_quarantined(watch, &contents, &quarantine);
         hs_clock_sleep_ms(10);
     }
     CU_ASSERT_TRUE(is_quarantined);
@@ -192,7 +194,7 @@
     put_at(engines, id, open_listener(&descriptor));
     hs_engine_lease *lease = acquire_online(engines);
     CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
-    hs_engine_lease_note_run_end(lease, 77, HS_ATTEMPT_BROKEN);
+    hs_engine_lease_note_run_end(lease, &contents, HS_ATTEMPT_BROKEN, false);
     hs_engine_lease_release(lease, NULL, HS_ATTEMPT_BROKEN);
     hs_clock_sleep_ms(LISTENER_OPEN_MS);
     close(descriptor);
@@ -210,10 +212,10 @@
     hs_crash_quarantine quarantine;
     for (guint index = 0; index < G_N_ELEMENTS(ids); index++) {
         break_run_with_open_listener(engines, ids[index]);
-        CU_ASSERT_FALSE(hs_crash_watch_is_quarantined(watch, 77, &quarantine));
+        CU_ASSERT_FALSE(hs_crash_watch_is_quarantined(watch, &contents, &quarantine));
         hs_fleet_engines_expire(engines, ids[index]);
     }
-    CU_ASSERT_TRUE(hs_crash_watch_is_quarantined(watch, 77, &quarantine));
+    CU_ASSERT_TRUE(hs_crash_watch_is_quarantined(watch, &contents, &quarantine));
     CU_ASSERT_EQUAL(quarantine.engines, 3);
     hs_fleet_engines_free(engines);
     hs_crash_watch_free(watch);
