An engine that refuses connections is probed by one request at a time

Cause: suspected engines were left out only while the service had a healthy one. With all of them down, each request tried each engine at once, and again after its pause.

Change: an engine that could not be reached gets one probe at a time when its suspicion has run out, also if no other engine is left, until it answers. The request waits or is refused with the time of the next probe, as before.

--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -200,6 +200,7 @@
 void hs_engine_lease_note_received(hs_engine_lease *lease) {
     g_mutex_lock(&lease->engines->lock);
     lease->engine->last_received_ms = hs_clock_monotonic_ms();
+    lease->engine->is_unreachable = false;
     hs_fleet_engine_note_zone_answer(lease->engine, lease->engine->last_received_ms);
     if (lease->is_probe)
         lease->engine->suspected_until_ms = 0;
@@ -342,6 +343,7 @@
     case HS_ATTEMPT_SERVED:
         engine->failures = 0;
         engine->suspected_until_ms = 0;
+        engine->is_unreachable = false;
         note_end(engine, false, now_ms);
         note_run(lease, (double)(now_ms - lease->acquired_ms));
         break;
@@ -356,6 +358,7 @@
         break;
     case HS_ATTEMPT_UNREACHABLE:
         lease->engines->failed_connects++;
+        engine->is_unreachable = true;
         mark_suspected(engine, now_ms, "unreachable");
         hs_engine_warmup_note_lost(lease->engines, engine, HS_COLD_UNREACHABLE, now_ms);
         hs_fleet_engine_note_zone_failure(engine, now_ms);
--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -38,13 +38,22 @@
            hs_region_policy_allows_zone(regions, engine->entry.zone);
 }
 
+/**
+ * Whether an attempt may connect to the engine now. One that could not be reached gets a single
+ * probe at a time, even if no other engine is left: attempts without a pause would reach it no
+ * sooner.
+ */
+static bool may_connect(const hs_fleet_engine *engine, uint64_t now_ms) {
+    return !engine->is_unreachable || hs_fleet_engine_is_probe_due(engine, now_ms);
+}
+
 /** Whether the engine, which is one of the query's service, may take the request at all. */
 static bool is_eligible(const hs_fleet_engines *engines, const hs_fleet_engine *engine,
                         const hs_engine_query *query, uint64_t now_ms) {
     double max_requests =
         fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
     return is_open(engines, engine, query->work, &query->regions, now_ms) &&
-           engine->online + engine->batch + 1.0 <= max_requests &&
+           engine->online + engine->batch + 1.0 <= max_requests && may_connect(engine, now_ms) &&
            (query->software == 0 || engine->software == query->software) &&
            !is_excluded(query, engine->entry.id);
 }
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -59,6 +59,8 @@
     uint64_t last_received_ms; /**< Last byte, or start of the first request after idleness. */
     uint64_t suspected_until_ms;
     bool is_probing; /**< A probe request is in flight to a suspected engine. */
+    /** The last attempt could not connect: only probes are sent until the engine answers. */
+    bool is_unreachable;
     uint64_t full_until_ms;
     uint64_t no_preemption_until_ms; /**< Until all daemons know of the items preempted last. */
     uint32_t failures;
--- a/tests/unit/test_engines.c
+++ b/tests/unit/test_engines.c
@@ -84,6 +84,9 @@
     hs_prefix_index_free(index);
 }
 
+/** Time in ms within which an engine that could not be reached is probed again. */
+#define PROBE_LIMIT_MS 2000
+
 static hs_engine_entry entry_of(const char *id, uint32_t slots) {
     return (hs_engine_entry){.id = g_strdup(id),
                              .service = g_strdup("svc"),
@@ -120,6 +123,35 @@
     hs_fleet_engines_free(engines);
 }
 
+/** Guards against attempts without a pause while the only engine refuses connections. */
+static void an_unreachable_engine_gets_one_probe_at_a_time(void) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = entry_of("e1", 4);
+    hs_fleet_engines_put(engines, &entry, 1);
+    hs_engine_query query = {.service = "svc"};
+    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
+    hs_engine_lease *earlier = hs_fleet_engines_acquire(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(earlier);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_UNREACHABLE);
+    CU_ASSERT_EQUAL(hs_fleet_engines_failed_connect_count(engines), 1);
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_acquire(engines, &query));
+    uint64_t limit_ms = hs_clock_monotonic_ms() + PROBE_LIMIT_MS;
+    do {
+        hs_clock_sleep_ms(10);
+        lease = hs_fleet_engines_acquire(engines, &query);
+    } while (lease == NULL && hs_clock_monotonic_ms() < limit_ms);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_acquire(engines, &query)); /* The probe is under way. */
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_UNREACHABLE);
+    CU_ASSERT_PTR_NULL(hs_fleet_engines_acquire(engines, &query));
+    hs_engine_lease_release(earlier, NULL, HS_ATTEMPT_SERVED);
+    lease = hs_fleet_engines_acquire(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    hs_engine_lease_release(lease, NULL, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_free(engines);
+}
+
 static void draining_engines_get_no_new_requests(void) {
     hs_fleet_engines *engines = hs_fleet_engines_new("z");
     hs_engine_entry entry = entry_of("e1", 4);
@@ -363,6 +395,8 @@
     {"a_queue_longer_than_the_deadline_is_detected", a_queue_longer_than_the_deadline_is_detected},
     {"late_requests_take_free_slots_only", late_requests_take_free_slots_only},
     {"cached_prefixes_are_evicted_by_age", cached_prefixes_are_evicted_by_age},
+    {"an_unreachable_engine_gets_one_probe_at_a_time",
+     an_unreachable_engine_gets_one_probe_at_a_time},
     {"draining_engines_get_no_new_requests", draining_engines_get_no_new_requests},
     {"served_runs_set_the_cost_of_a_tenants_requests",
      served_runs_set_the_cost_of_a_tenants_requests},
--- a/tests/unit/test_suspicion.c
+++ b/tests/unit/test_suspicion.c
@@ -117,7 +117,7 @@
     for (int sends = 0; sends < 3; sends++) {
         hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &new_request);
         CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
-        hs_engine_lease_release(lease, NULL, HS_ATTEMPT_UNREACHABLE);
+        hs_engine_lease_release(lease, NULL, HS_ATTEMPT_SILENT);
     }
     list_engine(engines, "s0");
     fill_healthy(engines);
