Soak: streams at engines of two software versions

Callers take broken streams up at other daemons, on connections that they keep; the new check finds its planted fault.

--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -2,6 +2,7 @@
 #ifndef TESTS_SOAK_CHECKS_H
 #define TESTS_SOAK_CHECKS_H
 
+#include "tests/support/crash_fleet.h"
 #include "tools/surface/fleet_bench.h"
 
 #include <glib.h>
@@ -69,6 +70,19 @@
  */
 void soak_check_sends(const char *content, uint64_t quarantined_ms, const GArray *started_ms);
 
+/** A stream over all tries of its caller. Zero-initialise. */
+typedef struct {
+    uint32_t events;
+    const char *version;                  /**< Of the events; NULL: none has arrived. */
+    char first_id[TOKEN_ENGINE_ID_BYTES]; /**< Of the try that received the first event. */
+} soak_stream;
+
+/** Software versions of the crash fleet's engines. */
+extern const char *const soak_versions[CRASH_FLEET_ENGINES];
+
+/** Checks that the events of a try follow those before, and are of the same software version. */
+void soak_check_stream_version(soak_stream *stream, const char *id, const char *body);
+
 /** Runs soak_check_sends for all contents that crashed engines. */
 void soak_check_crashes(void);
 
--- a/tests/soak/crash_callers.c
+++ b/tests/soak/crash_callers.c
@@ -16,6 +16,9 @@
 #define CONTENT_LIFETIME_MS 12000
 /** Mean number of requests per request that crashes engines. */
 #define REQUESTS_PER_CRASH 4
+/** Streams of 0.3 s, so that crashes and faults break some. */
+#define STREAM_EVENTS 16
+#define EVENT_MS 20
 #define MAX_PAUSE_MS 60
 #define TIMEOUT_MS 3000
 /** Time without faults within which all daemons learn of a quarantine. */
@@ -31,7 +34,8 @@
 static crash_fleet *crashing_fleet;
 
 void soak_start_crash_fleet(unsigned seed) {
-    crash_fleet_settings settings = {0};
+    crash_fleet_settings settings = {.versions = soak_versions,
+                                     .pace = {.events = STREAM_EVENTS, .event_ms = EVENT_MS}};
     settings.keeps_ids = seed % 2 == 1;
     settings.return_ms =
         settings.keeps_ids ? RESTART_DELAYS_MS[seed / 2 % G_N_ELEMENTS(RESTART_DELAYS_MS)] : 0;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -21,9 +21,11 @@
 #define DISCONNECTING_CALLERS 2
 #define JOB_CALLERS 2
 #define CRASH_CALLERS 2
+#define VERSION_CALLERS 3
 #define JOB_ENDING_CALLERS 5
 #define CALLER_THREADS                                                                             \
-    (ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS + CRASH_CALLERS + JOB_ENDING_CALLERS)
+    (ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS + CRASH_CALLERS + JOB_ENDING_CALLERS +   \
+     VERSION_CALLERS)
 /** Threads that inject faults at the same time. */
 #define MAX_FAULT_INJECTORS 3
 /** Enough for all items that run at once, also while two daemons own a partition. */
@@ -190,8 +192,10 @@
         return soak_run_disconnecting_caller;
     if (index < ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS)
         return soak_run_job_caller;
-    return index < CALLER_THREADS - JOB_ENDING_CALLERS ? soak_run_crash_caller
-                                                       : soak_run_job_ending_caller;
+    if (index < CALLER_THREADS - JOB_ENDING_CALLERS - VERSION_CALLERS)
+        return soak_run_crash_caller;
+    return index < CALLER_THREADS - VERSION_CALLERS ? soak_run_job_ending_caller
+                                                    : soak_run_version_caller;
 }
 
 static void run_callers(const command_line *line) {
@@ -211,7 +215,8 @@
     printf("verdict seed=%u requests=%u served=%u refused=%u cut=%u on_kept_connections=%u jobs=%u "
            "accepted=%u reads=%u texts=%u text_joints=%u stream_joints=%u ends=%u ends_judged=%u "
            "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
-           "beside_served=%u evacuations=%u evacuations_judged=%u returns_judged=%u cold_starts=%u "
+           "beside_served=%u taken_up=%u continued=%u evacuations=%u evacuations_judged=%u "
+           "returns_judged=%u cold_starts=%u "
            "cold_requests=%u cold_most=%u losses=%u losses_judged=%u region_cuts=%u home=%u "
            "home_in_cuts=%u jobs_ended=%u late_sends=%u late_of_stopped=%u late_on_links=%u "
            "late_in_transit=%u "
@@ -223,10 +228,11 @@
            record.text_joints, record.stream_joints, record.end_count, record.ends_checked,
            record.late_runs, record.engine_crashes, record.crash_requests_sent,
            record.crash_requests_quarantined, record.other_requests_sent,
-           record.other_requests_served, record.evacuations, record.evacuations_checked,
-           record.returns_checked, record.cold_starts, record.cold_requests,
-           record.most_cold_requests, record.zone_losses, record.losses_checked, record.region_cuts,
-           record.home_requests, record.home_requests_in_cuts, record.jobs_ended, record.late_sends,
+           record.other_requests_served, record.streams_taken_up, record.streams_continued,
+           record.evacuations, record.evacuations_checked, record.returns_checked,
+           record.cold_starts, record.cold_requests, record.most_cold_requests, record.zone_losses,
+           record.losses_checked, record.region_cuts, record.home_requests,
+           record.home_requests_in_cuts, record.jobs_ended, record.late_sends,
            record.late_sends_of_stopped, record.late_sends_on_links, record.late_sends_in_transit,
            record.last_send_ms, record.known_red, record.fault_count, record.violations->len);
 }
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -344,6 +344,14 @@
 }
 
 /** Four sends 4 s after the quarantine; without the fault, at the time of the quarantine. */
+static void plant_second_version(bool with_fault) {
+    soak_stream stream = {0};
+    soak_check_stream_version(&stream, "first", "id: 1\ndata: token 1 of unit-0-0/1\n\n");
+    soak_check_stream_version(&stream, "second",
+                              with_fault ? "id: 2\ndata: token 2 of unit-1-0/1\n\n"
+                                         : "id: 2\ndata: token 2 of unit-2-0/1\n\n");
+}
+
 static void plant_late_sends(bool with_fault) {
     g_autoptr(GArray) started_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     uint64_t now_ms = hs_clock_wall_ms();
@@ -527,6 +535,7 @@
     {"item started after a pause and its job's end", plant_send_after_end_started_after_pause,
      "reached engine-0"},
     {"quarantine of a harmless request", plant_wrong_quarantine, "quarantined though"},
+    {"stream at a second version", plant_second_version, "at version v1, goes on at unit-1-0"},
     {"late sends of a crash content", plant_late_sends, "sent 4 times"},
     {"send to an evacuated zone", plant_send_to_evacuated_zone, "after the evacuation"},
     {"unused zone after its return", plant_unused_zone_after_return, "got no request"},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -63,6 +63,8 @@
     uint32_t crash_requests_sent, crash_requests_quarantined;
     uint32_t other_requests_sent, other_requests_served; /**< At the engines of the crash fleet. */
     uint32_t engine_crashes;
+    uint32_t streams_taken_up;  /**< Tries after the first event at the crash fleet. */
+    uint32_t streams_continued; /**< Of these, tries that received events. */
     uint32_t evacuations;
     uint32_t evacuations_checked; /**< Some daemon was in touch until after the time limit. */
     uint32_t returns_checked; /**< Withdrawals without a fault of the zone's engine after them. */
@@ -121,6 +123,7 @@
 gpointer soak_run_job_ending_caller(gpointer data);
 gpointer soak_run_disconnecting_caller(gpointer data);
 gpointer soak_run_crash_caller(gpointer data);
+gpointer soak_run_version_caller(gpointer data);
 
 /** Starts the engines that crash on certain requests. Call it after bench_prepare. */
 void soak_start_crash_fleet(unsigned seed);
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -353,6 +353,9 @@
         "{\"name\":\"frail-once\",\"host\":\"" BENCH_HOST
         "\",\"path-prefix\":\"/frail/once/\",\"kind\":\"streaming\",\"timeout-ms\":4000,"
         "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":1},"
+        "{\"name\":\"frail-again\",\"host\":\"" BENCH_HOST
+        "\",\"path-prefix\":\"/frail/again/\",\"kind\":\"streaming\",\"timeout-ms\":4000,"
+        "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":4,\"resumable\":true},"
         "{\"name\":\"frail-plain\",\"host\":\"" BENCH_HOST
         "\",\"path-prefix\":\"/frail/plain/\",\"kind\":\"idempotent\",\"timeout-ms\":4000,"
         "\"target-latency-ms\":300,\"service\":\"frail\",\"max-attempts\":2},"
