Soak: requests with a part of their prompt that crashes engines

Fatal requests share only a part of their prompt; all requests to the crash fleet share another one.

--- a/tests/soak/crash_callers.c
+++ b/tests/soak/crash_callers.c
@@ -4,6 +4,7 @@
  * fleet, and checks that daemons quarantine the former and only them.
  */
 #include "base/clock.h"
+#include "platform/names.h"
 #include "tests/soak/checks.h"
 #include "tests/soak/soak.h"
 #include "tests/support/crash_fleet.h"
@@ -20,6 +21,9 @@
 #define STREAM_EVENTS 16
 #define EVENT_MS 20
 #define MAX_PAUSE_MS 60
+/** Prefix of the ids of prompt parts that crash engines, and a part that all requests have. */
+#define FATAL_PART_PREFIX "dead"
+#define SHARED_PART "c0ffee:100"
 #define TIMEOUT_MS 3000
 /** Time without faults within which all daemons learn of a quarantine. */
 #define QUARANTINE_SPREAD_MS 3000
@@ -35,6 +39,7 @@
 
 void soak_start_crash_fleet(unsigned seed) {
     crash_fleet_settings settings = {.versions = soak_versions,
+                                     .fatal_part = FATAL_PART_PREFIX,
                                      .pace = {.events = STREAM_EVENTS, .event_ms = EVENT_MS}};
     settings.keeps_ids = seed % 2 == 1;
     settings.return_ms =
@@ -49,21 +54,36 @@
 static const char *const targets[] = {"/frail/once/x", "/frail/plain/x"};
 
 /** Makes a content that crashes engines, the same for all callers in the same period. */
-static char *make_crash_content(int which, uint64_t record_started_ms) {
+static char *make_crash_content(const char *prefix, int which, uint64_t record_started_ms) {
     uint64_t epoch = (hs_clock_monotonic_ms() - record_started_ms) / CONTENT_LIFETIME_MS;
-    return g_strdup_printf(CRASH_FLEET_FATAL_PREFIX "-%u-%d.", (unsigned)epoch, which);
+    return g_strdup_printf("%s-%u-%d.", prefix, (unsigned)epoch, which);
 }
 
-/** Sends a request. @p crash_content: content that crashes engines, or NULL for a harmless body. */
+/** What in a request crashes engines. */
+typedef enum { CRASH_BY_NOTHING, CRASH_BY_BODY, CRASH_BY_PART } crash_cause;
+
+/**
+ * Sends a request. @p crash_content: body that crashes engines, or name of the part that does,
+ * which then is the only thing that two requests have in common; NULL for a harmless request.
+ */
 static void send_crash_fleet_request(GRand *rng, const char *target, const char *crash_content,
-                                     const char *id) {
+                                     crash_cause cause, const char *id) {
     const char *harmless = g_rand_boolean(rng) ? "asked by many" : id;
+    bool has_body = cause == CRASH_BY_BODY;
+    uint64_t epoch = cause == CRASH_BY_PART ? g_str_hash(crash_content) : 0;
+    g_autofree char *part = cause == CRASH_BY_PART
+                                ? g_strdup_printf(FATAL_PART_PREFIX "%08x:40,", (unsigned)epoch)
+                                : g_strdup("");
+    g_autofree char *parts = g_strdup_printf(HEADER_PROMPT_PREFIX ": " SHARED_PART ",%s%08x:20",
+                                             part, g_rand_int(rng) | 1U);
+    const char *const fields[] = {parts, NULL};
     bench_answer answer =
         bench_send(&(bench_call){.daemon = g_rand_int_range(rng, 0, bench_daemon_count()),
                                  .method = "POST",
                                  .target = target,
                                  .request_id = id,
-                                 .body = crash_content != NULL ? crash_content : harmless,
+                                 .body = has_body ? crash_content : harmless,
+                                 .fields = fields,
                                  .timeout_ms = TIMEOUT_MS});
     bool is_quarantined =
         answer.status == 503 && answer.body != NULL && strstr(answer.body, "crashed engines");
@@ -85,14 +105,18 @@
     while (g_atomic_int_get(&record.stopping) == 0) {
         bool is_crash_content = g_rand_int_range(rng, 0, REQUESTS_PER_CRASH) == 0;
         int which = g_rand_int_range(rng, 0, CRASH_CONTENTS);
+        crash_cause cause = CRASH_BY_NOTHING;
+        if (is_crash_content)
+            cause = g_rand_boolean(rng) ? CRASH_BY_BODY : CRASH_BY_PART;
+        const char *prefix = cause == CRASH_BY_PART ? "part" : CRASH_FLEET_FATAL_PREFIX;
         g_autofree char *crash_content =
-            is_crash_content ? make_crash_content(which, record_started_ms) : NULL;
+            is_crash_content ? make_crash_content(prefix, which, record_started_ms) : NULL;
         g_autofree char *id =
             g_strdup_printf("%s%u-%u", is_crash_content ? crash_content : "beside-",
                             GPOINTER_TO_UINT(data), number++);
         if (is_crash_content)
             soak_add_id(record.crash_contents, crash_content);
-        send_crash_fleet_request(rng, targets[which], crash_content, id);
+        send_crash_fleet_request(rng, targets[which], crash_content, cause, id);
         hs_clock_sleep_ms((uint64_t)g_rand_int_range(rng, 1, MAX_PAUSE_MS));
     }
     return NULL;
