Refusals of streams whose version is gone say when to come back

A crashed engine comes back after seconds. Retry-After was 20 to 40 ms, which used up the caller's retry; it is now as long as the version has been absent.

--- a/src/fleet/engine_software.c
+++ b/src/fleet/engine_software.c
@@ -22,6 +22,15 @@
     return is_found;
 }
 
+uint64_t hs_fleet_engines_software_absent_ms(hs_fleet_engines *engines, const char *service,
+                                             uint64_t software) {
+    g_mutex_lock(&engines->lock);
+    uint64_t absent_ms = hs_software_history_absent_ms(engines->software, service, software,
+                                                       hs_clock_monotonic_ms());
+    g_mutex_unlock(&engines->lock);
+    return absent_ms;
+}
+
 void hs_fleet_engines_note_list_as_of(hs_fleet_engines *engines, uint64_t as_of_ms) {
     g_mutex_lock(&engines->lock);
     if (engines->is_list_known && as_of_ms != 0)
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -339,6 +339,10 @@
 bool hs_fleet_engines_has_software(hs_fleet_engines *engines, const char *service,
                                    uint64_t software);
 
+/** Returns for how long no such engine has been listed; 0: unknown. */
+uint64_t hs_fleet_engines_software_absent_ms(hs_fleet_engines *engines, const char *service,
+                                             uint64_t software);
+
 /**
  * Records that the list of engines is known as of @p as_of_ms, a monotonic time. Earlier times than
  * the last one are ignored.
--- a/src/fleet/software_history.c
+++ b/src/fleet/software_history.c
@@ -93,3 +93,14 @@
         hs_software_list_add(list, g_array_index(removed, removed_software, index).software);
     return list;
 }
+
+uint64_t hs_software_history_absent_ms(const hs_software_history *history, const char *service,
+                                       uint64_t software, uint64_t now_ms) {
+    const GArray *removed = g_hash_table_lookup(history->services, service);
+    for (guint index = 0; removed != NULL && index < removed->len; index++) {
+        const removed_software *known = &g_array_index(removed, removed_software, index);
+        if (known->software == software)
+            return now_ms - MIN(now_ms, known->removed_ms);
+    }
+    return 0;
+}
--- a/src/fleet/software_history.h
+++ b/src/fleet/software_history.h
@@ -42,6 +42,12 @@
 GArray *hs_software_history_list_removed(hs_software_history *history, const char *service,
                                          uint64_t now_ms);
 
+/**
+ * Returns how long ago the last engine of the service with this software was removed; 0: unknown.
+ */
+uint64_t hs_software_history_absent_ms(const hs_software_history *history, const char *service,
+                                       uint64_t software, uint64_t now_ms);
+
 /** Adds @p software to @p list, an array of uint64_t, unless it is listed. */
 void hs_software_list_add(GArray *list, uint64_t software);
 
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -144,7 +144,7 @@
 static hs_next_action handle_no_engine(hs_online_request *request, hs_end_reason *reason) {
     bool has_run = request->run != HS_RUN_NOT_EXECUTED;
     if (hs_online_is_software_gone(request)) {
-        *reason = has_run ? HS_END_BROKEN : HS_END_VERSION_GONE;
+        *reason = has_run ? HS_END_BROKEN : hs_online_refuse_software(request);
         return HS_NEXT_END;
     }
     hs_refusal_choice choice = hs_online_choose_refusal(request);
--- a/src/online/online_origin.c
+++ b/src/online/online_origin.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "online/retry_after.h"
 
 /**
  * Longest search for an origin. Longer than the interval at which the list of engines is read, and
@@ -97,10 +98,18 @@
     }
     if (use_service_of(request, request->software))
         return true;
-    *reason = HS_END_VERSION_GONE;
+    *reason = hs_online_refuse_software(request);
     return false;
 }
 
+hs_end_reason hs_online_refuse_software(hs_online_request *request) {
+    request->retry_after_ms = hs_retry_after_absence_ms(
+        hs_fleet_engines_software_absent_ms(request->online->engines, request->service,
+                                            request->software),
+        0);
+    return HS_END_VERSION_GONE;
+}
+
 void hs_online_note_origin(hs_online_request *request) {
     if (request->events.run_events == 0 || request->is_origin_announced)
         return;
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -129,6 +129,12 @@
  */
 void hs_online_note_origin(hs_online_request *request);
 
+/**
+ * Returns the reason for a request whose software no engine has, and sets its Retry-After: a
+ * crashed engine may come back.
+ */
+hs_end_reason hs_online_refuse_software(hs_online_request *request);
+
 /** Reports whether no engine is left that has the software which the request needs. */
 bool hs_online_is_software_gone(const hs_online_request *request);
 
--- a/tests/unit/test_versions.c
+++ b/tests/unit/test_versions.c
@@ -94,6 +94,8 @@
     hs_software_history_note_removed(history, "svc", 5, 1000);
     hs_software_history_note_removed(history, "svc", 5, 2000);
     hs_software_history_note_removed(history, "other", 6, 2000);
+    CU_ASSERT_EQUAL(hs_software_history_absent_ms(history, "svc", 5, 2500), 500);
+    CU_ASSERT_EQUAL(hs_software_history_absent_ms(history, "svc", 6, 2500), 0);
     GArray *list = hs_software_history_list_removed(history, "svc", 2000 + HS_MAX_STREAM_AGE_MS);
     CU_ASSERT_EQUAL(list->len, 1);
     g_array_unref(list);
