Records of software: a service with a name over 255 bytes has none

The key of a keyed record has one byte for its length; a longer name of an engine's entry would have made the record unreadable for all daemons.

--- a/src/directory/software_store.c
+++ b/src/directory/software_store.c
@@ -6,8 +6,12 @@
 #include "gen/peer.pb-c.h"
 #include "store/keyed_topic.h"
 
+#include <string.h>
+
 /** Maximum wait for the store's response, in ms. */
 #define STORE_TIMEOUT_MS 1000
+/** Longest key of a record; a service with a longer name has none. */
+#define MAX_KEY_BYTES 255
 
 struct hs_software_store {
     hs_fleet_engines *engines;
@@ -75,6 +79,8 @@
 
 /** Returns whether this daemon writes the service's record. */
 static bool is_writer(hs_software_store *records, const char *service) {
+    if (strlen(service) > MAX_KEY_BYTES)
+        return false;
     const hs_membership *membership = hs_membership_service_lock(records->membership);
     bool is_self =
         hs_membership_rank_first(membership, service, NULL) == hs_membership_self(membership);
