The trial run of a part goes to requests without other suspects

Change: for 1.5 s after a loss the trial run is left to requests that have no other content with losses. The unit test fails without it.

The check that no harmless request is quarantined holds for those without a prompt, as before; sound ones that share a part are judged by the platform's bound, half of them, with no fault near.

--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -31,6 +31,12 @@
 /** Maximum number of runs, and of engines, remembered for that time. */
 #define MAX_RECENT 512
 
+/**
+ * Time in ms after the last loss of a quarantined content in which its trial run goes to a request
+ * that has no other lost content. A run of several suspects shows little if it is lost.
+ */
+#define SINGLE_SUSPECT_MS 1500
+
 /** An engine that crashed by its entry in the store. */
 typedef struct {
     uint64_t engine;
@@ -362,6 +368,23 @@
     return verdict;
 }
 
+/** Returns whether the request has another content with losses, and should leave the trial run of
+ * @p content to requests that have none. */
+static bool is_trial_left_to_others(const hs_crash_watch *watch,
+                                    const hs_request_contents *contents,
+                                    const hs_crash_evidence *content) {
+    const hs_crash_engine *last = hs_crash_evidence_last_loss(content);
+    if (last == NULL || hs_clock_monotonic_ms() >= last->lost_ms + SINGLE_SUSPECT_MS)
+        return false;
+    bool is_found = false;
+    hs_crash_evidence other;
+    for (uint32_t index = 0; index < contents->count && !is_found; index++)
+        is_found = contents->hashes[index] != content->content &&
+                   hs_crash_ledger_find(watch->ledger, contents->hashes[index], &other) &&
+                   other.engine_count > 0;
+    return is_found;
+}
+
 hs_trial_verdict hs_crash_watch_request_trial(hs_crash_watch *watch,
                                               const hs_request_contents *contents, uint64_t content,
                                               bool is_accepted) {
@@ -372,6 +395,8 @@
     hs_trial_calls calls = watch->trial_calls;
     if (hs_crash_ledger_find(watch->ledger, content, &evidence)) {
         verdict = check_contents(watch, contents, is_accepted);
+        if (verdict == HS_TRIAL_GRANTED && is_trial_left_to_others(watch, contents, &evidence))
+            verdict = HS_TRIAL_TOO_SOON;
         query.trial_engine = hs_crash_ledger_trial_engine(watch->ledger, content);
     }
     g_mutex_unlock(&watch->lock);
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -70,6 +70,9 @@
  */
 void soak_check_sends(const char *content, uint64_t quarantined_ms, const GArray *started_ms);
 
+/** Checks that at most half of the sound requests that share a part with fatal ones were held. */
+void soak_check_sharing(void);
+
 /** A stream over all tries of its caller. Zero-initialise. */
 typedef struct {
     uint32_t events;
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -352,6 +352,12 @@
                                          : "id: 2\ndata: token 2 of unit-2-0/1\n\n");
 }
 
+static void plant_held_sharing(bool with_fault) {
+    record.sharing_requests = 40;
+    record.sharing_requests_held = with_fault ? 21 : 20;
+    soak_check_sharing();
+}
+
 static void plant_late_sends(bool with_fault) {
     g_autoptr(GArray) started_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     uint64_t now_ms = hs_clock_wall_ms();
@@ -536,6 +542,7 @@
      "reached engine-0"},
     {"quarantine of a harmless request", plant_wrong_quarantine, "quarantined though"},
     {"stream at a second version", plant_second_version, "at version v1, goes on at unit-1-0"},
+    {"sound requests held for a shared part", plant_held_sharing, "21 of 40 sound requests"},
     {"late sends of a crash content", plant_late_sends, "sent 4 times"},
     {"send to an evacuated zone", plant_send_to_evacuated_zone, "after the evacuation"},
     {"unused zone after its return", plant_unused_zone_after_return, "got no request"},
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -63,8 +63,11 @@
     uint32_t crash_requests_sent, crash_requests_quarantined;
     uint32_t other_requests_sent, other_requests_served; /**< At the engines of the crash fleet. */
     uint32_t engine_crashes;
-    uint32_t streams_taken_up;  /**< Tries after the first event at the crash fleet. */
-    uint32_t streams_continued; /**< Of these, tries that received events. */
+    uint32_t
+        sharing_requests; /**< Harmless, with a part that fatal requests have, no fault near. */
+    uint32_t sharing_requests_held; /**< Of these, refused as quarantined. */
+    uint32_t streams_taken_up;      /**< Tries after the first event at the crash fleet. */
+    uint32_t streams_continued;     /**< Of these, tries that received events. */
     uint32_t evacuations;
     uint32_t evacuations_checked; /**< Some daemon was in touch until after the time limit. */
     uint32_t returns_checked; /**< Withdrawals without a fault of the zone's engine after them. */
--- a/tests/unit/test_crash_parts.c
+++ b/tests/unit/test_crash_parts.c
@@ -115,6 +115,37 @@
     hs_crash_watch_free(watch);
 }
 
+static hs_trial_verdict grant_trial(const hs_trial_query *query, void *user_data) {
+    (void)query;
+    (void)user_data;
+    return HS_TRIAL_GRANTED;
+}
+
+static hs_trial_verdict request_trial(hs_crash_watch *watch, const hs_request_contents *contents) {
+    hs_crash_quarantine quarantine;
+    CU_ASSERT_TRUE(hs_crash_watch_is_quarantined(watch, contents, &quarantine));
+    return hs_crash_watch_request_trial(watch, contents, quarantine.content, false);
+}
+
+/** Guards against a trial run of a shared part that is spent on a request with the fatal one. */
+static void the_trial_run_of_a_part_goes_to_a_request_without_other_suspects(void) {
+    hs_crash_watch *watch = hs_crash_watch_new();
+    hs_crash_watch_set_trial_calls(watch, &(hs_trial_calls){.query_trial = grant_trial});
+    for (uint64_t engine = 1; engine <= HS_MIN_CRASHES_TO_QUARANTINE; engine++) {
+        hs_request_contents fatal =
+            make_request(engine, (const uint64_t[]){SHARED_ID, FATAL_ID, 0});
+        lose_run(watch, &fatal, engine, 40);
+    }
+    hs_request_contents next_fatal = make_request(50, (const uint64_t[]){SHARED_ID, FATAL_ID, 0});
+    hs_request_contents next_sound = make_request(51, (const uint64_t[]){SHARED_ID, 0});
+    CU_ASSERT_EQUAL(request_trial(watch, &next_fatal), HS_TRIAL_TOO_SOON);
+    CU_ASSERT_EQUAL(request_trial(watch, &next_sound), HS_TRIAL_GRANTED);
+    hs_crash_watch_note_survived(watch, &next_sound);
+    CU_ASSERT_FALSE(is_quarantined(watch, &next_sound));
+    CU_ASSERT_EQUAL(request_trial(watch, &next_fatal), HS_TRIAL_NO_GROUNDS);
+    hs_crash_watch_free(watch);
+}
+
 const test_case crash_part_tests[] = {
     {"the_last_part_and_duplicates_are_no_contents", the_last_part_and_duplicates_are_no_contents},
     {"requests_that_share_only_a_fatal_part_are_quarantined",
@@ -123,5 +154,7 @@
     {"a_long_run_says_nothing_about_parts", a_long_run_says_nothing_about_parts},
     {"an_answer_that_ends_with_its_connection_clears_nothing_at_once",
      an_answer_that_ends_with_its_connection_clears_nothing_at_once},
+    {"the_trial_run_of_a_part_goes_to_a_request_without_other_suspects",
+     the_trial_run_of_a_part_goes_to_a_request_without_other_suspects},
     {NULL, NULL},
 };
