--- a/src/online/online_origin.c
+++ b/src/online/online_origin.c
@@ -15,8 +15,8 @@
  */
 #define MAX_SEARCH_MS 1000
 #define POLL_MS 20
-/** Queries after which other daemons that are known and alive have answered. */
-#define MIN_QUERIES 2
+/** Rounds after which other daemons that are known and alive have answered. */
+#define MIN_ROUNDS 2
 
 static const char *share_service(const hs_online_request *request, guint index) {
     return g_array_index(request->route->shares, hs_route_share, index).service;
@@ -50,34 +50,44 @@
     return software;
 }
 
+/** What one round of a search found. */
+typedef struct {
+    uint64_t software;  /**< 0: not found. */
+    const char *source; /**< Who knew it; for logs. */
+    bool is_final;      /**< Another round won't find it, as all that may know it were asked. */
+} origin_search;
+
 /**
- * Returns the software that began the stream, or 0, and names the source. A sole software counts
- * only by a list of engines that is newer than the request: an older one may lack the software.
+ * Asks all that may know the origin. A sole software counts only by a list of engines that is newer
+ * than the request: an older one may lack the software. Engines are asked in the first round only,
+ * as they forget a run soon after its end.
  */
-static uint64_t search_origin(const hs_online_request *request, const char **source) {
-    uint64_t received_ms = request->inbound->received_ms;
-    hs_deadline until_ms = MIN(request->deadline, received_ms + MAX_SEARCH_MS);
-    uint32_t queries = 0;
-    while (true) {
-        hs_origin_answer answer = look_up(request);
-        *source = "origin";
-        if (answer.software != 0)
-            return answer.software;
-        uint64_t sole = find_sole_software(request, received_ms);
-        *source = sole != 0 ? "sole" : "none";
-        bool may_be_sole = find_sole_software(request, 0) != 0;
-        if (queries++ == 0 && sole == 0 && !may_be_sole) {
-            *source = "engine";
-            uint64_t software = search_engines(request, until_ms);
-            if (software != 0)
-                return software;
-            *source = "none";
-        }
-        bool is_known_unknown = answer.is_final && queries >= MIN_QUERIES && !may_be_sole;
-        if (sole != 0 || is_known_unknown || hs_clock_monotonic_ms() >= until_ms)
-            return sole;
+static origin_search search_once(const hs_online_request *request, bool is_first_round,
+                                 hs_deadline deadline) {
+    hs_origin_answer answer = look_up(request);
+    if (answer.software != 0)
+        return (origin_search){.software = answer.software, .source = "origin"};
+    uint64_t sole = find_sole_software(request, request->inbound->received_ms);
+    if (sole != 0)
+        return (origin_search){.software = sole, .source = "sole"};
+    bool may_be_sole = find_sole_software(request, 0) != 0;
+    uint64_t reported = is_first_round && !may_be_sole ? search_engines(request, deadline) : 0;
+    if (reported != 0)
+        return (origin_search){.software = reported, .source = "engine"};
+    return (origin_search){.source = "none", .is_final = answer.is_final && !may_be_sole};
+}
+
+static origin_search search_origin(const hs_online_request *request) {
+    hs_deadline until_ms = MIN(request->deadline, request->inbound->received_ms + MAX_SEARCH_MS);
+    origin_search found = search_once(request, true, until_ms);
+    uint32_t rounds = 1;
+    while (found.software == 0 && !(found.is_final && rounds >= MIN_ROUNDS) &&
+           hs_clock_monotonic_ms() < until_ms) {
         hs_clock_sleep_ms(POLL_MS);
+        found = search_once(request, false, until_ms);
+        rounds++;
     }
+    return found;
 }
 
 /** Switches to the service of the software if the route has it. Returns false if none does. */
@@ -108,9 +118,9 @@
                        request->route->resumable;
     if (!is_taken_up || request->online->origins == NULL)
         return true;
-    const char *source = NULL;
-    request->software = search_origin(request, &source);
-    log_origin(request, source);
+    origin_search found = search_origin(request);
+    request->software = found.software;
+    log_origin(request, found.source);
     if (request->software == 0) {
         *reason = HS_END_VERSION_UNKNOWN;
         return false;
