--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -255,10 +255,10 @@
 }
 
 void hs_crash_watch_note_ended(hs_crash_watch *watch, const hs_cut_run *run) {
+    hs_cut_run ended = *run;
+    ended.may_be_whole = true;
     g_mutex_lock(&watch->lock);
-    remember_answered_run(watch, run);
-    g_array_index(watch->answered_runs, hs_cut_run, watch->answered_runs->len - 1).may_be_whole =
-        true;
+    remember_answered_run(watch, &ended);
     g_mutex_unlock(&watch->lock);
 }
 
