One function says whether this daemon ranks first for a key

Cause: crash_store and software_store asked the membership in the same four lines whether this daemon writes a record.

Change: hs_membership_service_is_first serves both; what it answers is as before.

--- a/src/directory/crash_store.c
+++ b/src/directory/crash_store.c
@@ -70,15 +70,6 @@
         hs_log_info("crash_records_read", "contents=%u", g_hash_table_size(records->tracked));
 }
 
-/** Returns whether this daemon writes the content's record. */
-static bool is_writer(hs_crash_store *records, const char *key) {
-    const hs_membership *membership = hs_membership_service_lock(records->membership);
-    bool is_self =
-        hs_membership_rank_first(membership, key, NULL) == hs_membership_self(membership);
-    hs_membership_service_unlock(records->membership);
-    return is_self;
-}
-
 /** Writes a content's record, or deletes it if @p evidence is NULL. Returns false on failure. */
 static bool write_record(hs_crash_store *records, const char *key,
                          const hs_crash_evidence *evidence) {
@@ -118,7 +109,7 @@
     uint32_t engines = is_quarantined ? evidence->engine_count : 0;
     if (is_quarantined && *written_engines >= engines)
         return false;
-    if (!is_writer(records, key))
+    if (!hs_membership_service_is_first(records->membership, key))
         return !is_quarantined;
     if (!write_record(records, key, evidence))
         return false;
--- a/src/directory/software_store.c
+++ b/src/directory/software_store.c
@@ -79,13 +79,8 @@
 
 /** Returns whether this daemon writes the service's record. */
 static bool is_writer(hs_software_store *records, const char *service) {
-    if (strlen(service) > MAX_KEY_BYTES)
-        return false;
-    const hs_membership *membership = hs_membership_service_lock(records->membership);
-    bool is_self =
-        hs_membership_rank_first(membership, service, NULL) == hs_membership_self(membership);
-    hs_membership_service_unlock(records->membership);
-    return is_self;
+    return strlen(service) <= MAX_KEY_BYTES &&
+           hs_membership_service_is_first(records->membership, service);
 }
 
 static bool write_record(hs_software_store *records, const char *service, const GArray *software) {
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -154,6 +154,14 @@
     hs_membership_service_send(service, to.address, to.port, message);
 }
 
+bool hs_membership_service_is_first(hs_membership_service *service, const char *key) {
+    const hs_membership *membership = hs_membership_service_lock(service);
+    bool is_first =
+        hs_membership_rank_first(membership, key, NULL) == hs_membership_self(membership);
+    hs_membership_service_unlock(service);
+    return is_first;
+}
+
 void hs_membership_service_send_to_first(hs_membership_service *service, const char *key,
                                          Hs__PeerMessage *message) {
     g_mutex_lock(&service->lock);
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -78,6 +78,9 @@
 void hs_membership_service_send_to_owner(hs_membership_service *service, uint32_t partition,
                                          Hs__PeerMessage *message);
 
+/** Returns whether this daemon is the highest-ranked live member for @p key. */
+bool hs_membership_service_is_first(hs_membership_service *service, const char *key);
+
 /** Sets the sender of @p message and sends it to the highest-ranked live member for @p key. */
 void hs_membership_service_send_to_first(hs_membership_service *service, const char *key,
                                          Hs__PeerMessage *message);
