Crash watch: an acquittal returns nothing

Cause: acquit reported whether it removed losses, and no caller asked.

Change: it evaluates the ledger in that case, as before, and returns nothing.

Evidence: unit suites crash_parts, crashes and crash_trials passed (84 tests of nine suites in all, 0 failed).

--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -135,8 +135,8 @@
     return false;
 }
 
-/** Acquits contents as of @p survived_ms; returns whether that removed losses. */
-static bool acquit(hs_crash_watch *watch, const hs_request_contents *contents,
+/** Acquits contents as of @p survived_ms. */
+static void acquit(hs_crash_watch *watch, const hs_request_contents *contents,
                    uint64_t survived_ms) {
     bool is_changed = false;
     for (uint32_t index = 0; index < contents->count; index++) {
@@ -147,7 +147,6 @@
     }
     if (is_changed)
         evaluate(watch);
-    return is_changed;
 }
 
 /** Forgets runs whose engine has shown no crash for long enough, and acquits whole ones. */
