One function says whether an engine has the software that is asked for

Cause: engine_selection and service_outlook compared an engine's software in three copies of one condition. Change: hs_fleet_engine_has_software serves them; what it answers is as before.

--- a/src/fleet/engine_selection.c
+++ b/src/fleet/engine_selection.c
@@ -54,7 +54,7 @@
         fmax(hs_fleet_engines_connection_share(engines, query->max_connections), 1.0);
     return is_open(engines, engine, query->work, &query->regions, now_ms) &&
            engine->online + engine->batch + 1.0 <= max_requests && may_connect(engine, now_ms) &&
-           (query->software == 0 || engine->software == query->software) &&
+           hs_fleet_engine_has_software(engine, query->software) &&
            !is_excluded(query, engine->entry.id);
 }
 
@@ -125,7 +125,7 @@
     while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
         is_found = strcmp(engine->entry.service, service) == 0 &&
-                   (software == 0 || engine->software == software) &&
+                   hs_fleet_engine_has_software(engine, software) &&
                    is_open(engines, engine, HS_WORK_ONLINE, regions, now_ms) &&
                    !hs_fleet_engine_is_suspected(engine, now_ms);
     }
--- a/src/fleet/fleet_engine.h
+++ b/src/fleet/fleet_engine.h
@@ -250,6 +250,10 @@
 void hs_fleet_engine_note_used(hs_fleet_engine *engine);
 /** Whether the engine's pending removal is due. No request goes to it, even before removal. */
 bool hs_fleet_engine_is_removal_due(const hs_fleet_engine *engine, uint64_t now_ms);
+/** Whether the engine has this software; 0: any will do. */
+static inline bool hs_fleet_engine_has_software(const hs_fleet_engine *engine, uint64_t software) {
+    return software == 0 || engine->software == software;
+}
 /** Whether the engine has requests and has sent no byte for longer than its silence limit. */
 bool hs_fleet_engine_is_silent(const hs_fleet_engine *engine, uint64_t now_ms);
 /** Records an attempt's end as evidence on the engine's zone. */
--- a/src/fleet/service_outlook.c
+++ b/src/fleet/service_outlook.c
@@ -251,7 +251,7 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        if (software != 0 && engine->software != software)
+        if (!hs_fleet_engine_has_software(engine, software))
             continue;
         bool is_closed = hs_fleet_engine_zone_use(engines, engine, now_ms) == HS_ZONE_CLOSED;
         if (is_eligible(engine, service, regions) && is_closed)
