Review case 3: answers of 421 for the weights take a service from a daemon for good

A script: clients ask for one or the other weights of two engines. Afterwards accepted jobs are never run.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x build/review/case3 ] || sh review/build.sh >/dev/null 2>&1 || exit 2
+exec build/review/case3
