Review case 3: reads of an ended job at daemons whose owner is turned away

The store turns a partition's owner away; an end is applied ahead of results that the owner's fold lacks, and reads that other daemons pass to it are answered 200 without results that were read before.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,7 +1,6 @@
 /**
- * Two engines of a service carry different weights, as while new ones are brought in. Some clients
- * ask for the weights of one or the other, which an engine with other weights answers with 421: does
- * the service's work still run?
+ * The store turns away the owner of a job, whose end is then acknowledged by another daemon: is a
+ * result that was read still there?
  */
 #include "review/lib/engine.h"
 #include "review/lib/fleet.h"
@@ -15,61 +14,139 @@
 
 #define DAEMONS 3
 #define ENGINES 2
-#define ITEMS 2
-/** Requests for each of the two weights, in turn, at each daemon. */
-#define REQUESTS_OF_WEIGHTS 4
-#define FINISH_MS 18000
-/** The last part of FINISH_MS, in which nothing else happens. */
-#define CALM_MS 5000
+#define ROUNDS 3
+#define SETTLE_MS 1000
+/** Time from a join of the owner until jobs are sent; they run at the next join, a second later. */
+#define SEND_AFTER_JOIN_MS 300
+/** Time for which the store turns the owner away. */
+#define TURNED_AWAY_MS 5000
+#define READ_PAUSE_MS 100
+#define RECOVERY_MS 8000
 
-static engine *engines[ENGINES];
+/** A job of a partition of the daemon that is turned away. */
+typedef struct {
+    char *id;
+    uint32_t status;
+    bool is_ended;
+    uint64_t read_ms; /**< When a daemon listed its first result; 0: not yet. */
+} job;
 
-/** Sends a request on the route "plain" to a daemon. */
-static uint32_t send_plain(int daemon, const char *id, unsigned weights) {
-    g_autofree char *field =
-        weights > 0 ? g_strdup_printf("Heathsail-Expected-Version: %u\r\n", weights) : g_strdup("");
-    fleet_answer answer = fleet_call_with(daemon, "POST", "/plain/q", id, "prompt", 4000, 0, 4000,
-                                          field);
-    if (weights > 0)
-        fleet_record("request %s for weights %u: daemon %d answers %u", id, weights, daemon,
-                     answer.status);
-    else
-        fleet_record("request %s: daemon %d answers %u", id, daemon, answer.status);
+static gint turned_away = -1; /**< Daemon; -1: none. */
+
+static gate_verdict turn_away(int daemon, const hs_inbound *call, void *user_data) {
+    (void)call;
+    (void)user_data;
+    bool is_refused = fleet_has_trouble() && g_atomic_int_get(&turned_away) == daemon;
+    return (gate_verdict){.action = is_refused ? GATE_REFUSE : GATE_PASS};
+}
+
+/** Sends a job of one short and one long item. */
+static uint32_t submit(int daemon, const char *id) {
+    g_autofree char *body = g_strdup_printf(
+        "{\"requests\":[{\"id\":\"%s-0\",\"path\":\"/jobs/run\",\"headers\":{},\"body\":\"aGk=\","
+        "\"tokens\":10},{\"id\":\"%s-1\",\"path\":\"/jobs/long\",\"headers\":{},"
+        "\"body\":\"aGk=\",\"tokens\":10}]}",
+        id, id);
+    g_autofree char *target = g_strdup_printf("/jobs/%s", id);
+    fleet_answer answer = fleet_call(daemon, "POST", target, id, body, 4000, 0, 5500);
     uint32_t status = answer.status;
+    fleet_record("job %s is sent to daemon %d, which answers %u", id, daemon, status);
     fleet_answer_clear(&answer);
     return status;
 }
 
-/** The number of results that a job has; -1: no answer. */
-static int count_results(const char *job, int daemon) {
-    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s?after=0", job);
-    fleet_answer answer = fleet_call(daemon, "GET", target, NULL, NULL, 2000, 0, 3000);
+/** Reads a job from position 0. Returns the number of results, or -1 without a 200. */
+static int read_job(int daemon, const char *id, uint32_t *status) {
+    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s?after=0", id);
+    fleet_answer answer = fleet_call(daemon, "GET", target, NULL, NULL, 2000, 0, 3500);
     json_t *page = answer.status == 200 ? json_loads(answer.body, 0, NULL) : NULL;
     int count = page != NULL ? (int)json_array_size(json_object_get(page, "results")) : -1;
+    *status = answer.status;
     json_decref(page);
     fleet_answer_clear(&answer);
     return count;
 }
 
-static uint32_t count_runs(void) {
-    uint32_t runs = 0;
-    for (int index = 0; index < ENGINES; index++)
-        runs += engine_all_runs(engines[index]);
-    return runs;
+static void end_job(int daemon, job *of) {
+    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s", of->id);
+    fleet_answer answer = fleet_call(daemon, "DELETE", target, NULL, NULL, 4000, 0, 5500);
+    fleet_record("the end of job %s is sent to daemon %d, which answers %u", of->id, daemon,
+                 answer.status);
+    of->is_ended = answer.status == 200;
+    fleet_answer_clear(&answer);
+}
+
+/** Reads a job at a daemon that the store serves. Returns whether a result that was read is gone. */
+static bool follow_job(int daemon, job *of) {
+    uint64_t sent_ms = fleet_now_ms();
+    uint32_t status = 0;
+    int count = read_job(daemon, of->id, &status);
+    if (of->read_ms == 0 && count > 0) {
+        of->read_ms = fleet_now_ms();
+        fleet_record("job %s: daemon %d lists %d results", of->id, daemon, count);
+        return false;
+    }
+    if (of->read_ms != 0 && !of->is_ended)
+        end_job(daemon, of);
+    bool is_gone = of->read_ms != 0 && sent_ms > of->read_ms + SETTLE_MS && count == 0;
+    if (is_gone)
+        fleet_record("LOST: job %s: daemon %d answers 200 and has nothing at position 0, %.1f s "
+                     "after the result there was read",
+                     of->id, daemon, (double)(sent_ms - of->read_ms) / 1000);
+    return is_gone;
+}
+
+/** Plays the case with one daemon turned away. Returns how many results were gone. */
+static int play_round(int owner) {
+    job jobs[FLEET_PARTITIONS] = {0};
+    int count = 0;
+    int lost = 0;
+    int other = (owner + 1) % DAEMONS;
+    uint64_t joined_ms = fleet_joined_ms(owner);
+    while (fleet_joined_ms(owner) == joined_ms)
+        hs_clock_sleep_ms(5);
+    fleet_sleep_until(fleet_joined_ms(owner) + SEND_AFTER_JOIN_MS);
+    for (uint32_t partition = 0; partition < FLEET_PARTITIONS; partition++) {
+        if (fleet_owner(partition) != owner)
+            continue;
+        g_autofree char *prefix = g_strdup_printf("d%d", owner);
+        jobs[count].id = fleet_id_in_partition(prefix, partition);
+        jobs[count].status = submit(other, jobs[count].id);
+        count++;
+    }
+    joined_ms = fleet_joined_ms(owner);
+    while (fleet_joined_ms(owner) == joined_ms)
+        hs_clock_sleep_ms(5);
+    uint64_t until_ms = fleet_now_ms() + TURNED_AWAY_MS;
+    if (fleet_has_trouble())
+        fleet_record("the store turns daemon %d away: 503", owner);
+    g_atomic_int_set(&turned_away, owner);
+    for (int turn = 0; fleet_now_ms() < until_ms; turn++) {
+        int daemon = (owner + 1 + turn % (DAEMONS - 1)) % DAEMONS;
+        for (int index = 0; index < count; index++)
+            if (jobs[index].status == 202)
+                lost += follow_job(daemon, &jobs[index]);
+        hs_clock_sleep_ms(READ_PAUSE_MS);
+    }
+    g_atomic_int_set(&turned_away, -1);
+    if (fleet_has_trouble())
+        fleet_record("the store serves daemon %d again", owner);
+    return lost;
 }
 
 int main(void) {
-    fleet_begin("3", DAEMONS, NULL, NULL);
+    fleet_begin("3", DAEMONS, turn_away, NULL);
     fleet_configure(1, 60);
     for (int index = 0; index < ENGINES; index++) {
         g_autofree char *id = g_strdup_printf("i-%d", index);
-        engines[index] = engine_start(&(engine_settings){.id = id,
-                                                         .slots = 8,
-                                                         .queue = 32,
-                                                         .events = 12,
-                                                         .event_ms = 15,
-                                                         .weights_version = (uint32_t)index + 1},
-                                      fleet_store());
+        engine_start(&(engine_settings){.id = id,
+                                        .slots = 16,
+                                        .queue = 32,
+                                        .events = 12,
+                                        .long_events = 200,
+                                        .event_ms = 75,
+                                        .weights_version = 1},
+                     fleet_store());
     }
     bool is_up = true;
     for (int index = 0; index < DAEMONS; index++)
@@ -78,48 +155,11 @@
         is_up = fleet_wait_ready(index, 8000) && is_up;
     if (!is_up || !fleet_wait_owners(15000))
         return fleet_end(FLEET_CANNOT_RUN);
-    for (int daemon = 0; daemon < DAEMONS; daemon++) {
-        g_autofree char *id = g_strdup_printf("before-%d", daemon);
-        if (send_plain(daemon, id, 0) != 200)
-            return fleet_end(FLEET_CANNOT_RUN);
-    }
-    for (int number = 0; number < 2 * REQUESTS_OF_WEIGHTS; number++)
-        for (int daemon = 0; daemon < DAEMONS; daemon++) {
-            g_autofree char *id = g_strdup_printf("weights-%d-%d", daemon, number);
-            send_plain(daemon, id, fleet_has_trouble() ? (unsigned)number % 2 + 1 : 0);
-        }
-    for (int index = 0; index < ENGINES; index++)
-        fleet_record("engine i-%d, with weights %d, has answered %u requests with 421", index,
-                     index + 1, engine_misdirected(engines[index]));
-    char *jobs[FLEET_PARTITIONS];
-    uint32_t statuses[FLEET_PARTITIONS];
-    for (uint32_t partition = 0; partition < FLEET_PARTITIONS; partition++) {
-        jobs[partition] = fleet_id_in_partition("c", partition);
-        statuses[partition] = fleet_submit((int)partition % DAEMONS, jobs[partition], ITEMS, 4000);
-    }
-    uint64_t finish_ms = fleet_now_ms() + FINISH_MS;
-    fleet_sleep_until(finish_ms - CALM_MS);
-    uint32_t runs_before = count_runs();
-    for (int daemon = 0; daemon < DAEMONS; daemon++) {
-        g_autofree char *id = g_strdup_printf("after-%d", daemon);
-        send_plain(daemon, id, 0);
-    }
-    fleet_sleep_until(finish_ms);
-    bool is_idle = true;
-    for (int index = 0; index < ENGINES; index++)
-        is_idle = is_idle && engine_open(engines[index]) == 0;
-    fleet_record("in the last %d s the engines ran %u requests; now they are %s", CALM_MS / 1000,
-                 count_runs() - runs_before, is_idle ? "idle" : "busy");
     int lost = 0;
-    for (int index = 0; index < FLEET_PARTITIONS; index++) {
-        if (statuses[index] != 202)
-            continue;
-        int count = count_results(jobs[index], index % DAEMONS);
-        if (count >= ITEMS)
-            continue;
-        lost++;
-        fleet_record("LOST: accepted job %s has %d results of %d, though the engines are idle",
-                     jobs[index], count, ITEMS);
+    for (int round = 0; round < ROUNDS; round++) {
+        lost += play_round(round % DAEMONS);
+        hs_clock_sleep_ms(RECOVERY_MS);
     }
-    return fleet_end(lost > 0 && is_idle ? FLEET_BROKEN : FLEET_HELD);
+    fleet_record("%d times a result that had been read was gone", lost);
+    return fleet_end(lost > 0 ? FLEET_BROKEN : FLEET_HELD);
 }
--- a/review/lib/engine.c
+++ b/review/lib/engine.c
@@ -110,7 +110,8 @@
     *begun = (run){.of = of,
                    .descriptor = call->descriptor,
                    .next = after != NULL ? (uint32_t)atoi(after) + 1 : 1,
-                   .last = of->settings.events};
+                   .last = g_str_has_prefix(call->target, "/jobs/long") ? of->settings.long_events
+                                                                        : of->settings.events};
     hs_inbound_reply_stream(call, 200, fields, write_event, begun, end_run);
     hs_http_fields_free(fields);
 }
--- a/review/lib/engine.h
+++ b/review/lib/engine.h
@@ -17,6 +17,7 @@
     uint32_t slots;
     uint32_t queue;           /**< Requests that may wait for a slot. */
     uint32_t events;          /**< Of a stream. */
+    uint32_t long_events;     /**< Of a stream at /jobs/long. */
     uint32_t event_ms;        /**< Interval of events. */
     uint32_t weights_version; /**< See Heathsail-Expected-Version. */
 } engine_settings;
--- a/review/lib/fleet.c
+++ b/review/lib/fleet.c
@@ -41,6 +41,8 @@
     uint64_t begun_ms;
     gint is_ending;
     GMutex lock;
+    int owners[FLEET_PARTITIONS]; /**< Daemon + 1 by the store's answers to joins; 0: none. */
+    uint64_t joined_ms[FLEET_MAX_DAEMONS];
 } fleet;
 
 uint64_t fleet_now_ms(void) {
@@ -107,6 +109,36 @@
     hs_inbound_drop(call);
 }
 
+/** Notes which partitions a daemon was given, by the store's answer to its join. */
+static void note_join(int daemon, const GByteArray *body) {
+    json_t *root = json_loadb((const char *)body->data, body->len, 0, NULL);
+    size_t index = 0;
+    json_t *row = NULL;
+    g_mutex_lock(&fleet.lock);
+    for (uint32_t partition = 0; partition < FLEET_PARTITIONS; partition++)
+        if (fleet.owners[partition] == daemon + 1)
+            fleet.owners[partition] = 0;
+    json_array_foreach(json_object_get(root, "parts"), index, row)
+        fleet.owners[json_integer_value(json_array_get(row, 1)) % FLEET_PARTITIONS] = daemon + 1;
+    fleet.joined_ms[daemon] = fleet_now_ms();
+    g_mutex_unlock(&fleet.lock);
+    json_decref(root);
+}
+
+int fleet_owner(uint32_t partition) {
+    g_mutex_lock(&fleet.lock);
+    int owner = fleet.owners[partition] - 1;
+    g_mutex_unlock(&fleet.lock);
+    return owner;
+}
+
+uint64_t fleet_joined_ms(int index) {
+    g_mutex_lock(&fleet.lock);
+    uint64_t joined_ms = fleet.joined_ms[index];
+    g_mutex_unlock(&fleet.lock);
+    return joined_ms;
+}
+
 static void serve_gate(hs_inbound *call, void *user_data) {
     const member *caller = user_data;
     gate_verdict verdict = {.action = GATE_PASS};
@@ -121,6 +153,13 @@
         return;
     }
     bool is_done = verdict.action != GATE_LOSE && pass_on(call, &status, body);
+    if (is_done && strcmp(call->method, "GET") == 0 && fleet.rule != NULL &&
+        fleet.rule(caller->index, call, fleet.user_data).action == GATE_REFUSE) {
+        hs_inbound_reply(call, 503, NULL, "{}", 2); /* Turned away while the call was held. */
+        return;
+    }
+    if (is_done && status == 200 && g_str_has_prefix(call->target, CALL_JOIN))
+        note_join(caller->index, body);
     bool is_answered = verdict.action == GATE_PASS || verdict.action == GATE_DELAY;
     if (!is_answered || !is_done) {
         stay_silent(call);
--- a/review/lib/fleet.h
+++ b/review/lib/fleet.h
@@ -73,6 +73,12 @@
 /** Waits until all partitions have had owners for a while. */
 bool fleet_wait_owners(unsigned limit_ms);
 
+/** Returns the daemon to which the store has given a partition of jobs, or -1. */
+int fleet_owner(uint32_t partition);
+
+/** Returns when the store last answered a daemon's join of the group. */
+uint64_t fleet_joined_ms(int index);
+
 /** Returns a metric of a daemon, or -1. */
 int fleet_metric(int index, const char *name);
 
