--- a/review/3/case.c
+++ b/review/3/case.c
@@ -76,7 +76,8 @@
     fleet_answer_clear(&answer);
 }
 
-/** Reads a job at a daemon that the store serves. Returns whether a result that was read is gone. */
+/** Reads a job at a daemon that the store serves. Returns whether a result that was read is gone.
+ */
 static bool follow_job(int daemon, job *of) {
     uint64_t sent_ms = fleet_now_ms();
     uint32_t status = 0;
--- a/review/lib/engine.c
+++ b/review/lib/engine.c
@@ -167,10 +167,9 @@
     started->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_mutex_init(&started->lock);
     g_cond_init(&started->freed);
-    started->listener =
-        hs_listener_start("127.0.0.1", started->port,
-                          &(hs_listener_limits){.max_body_bytes = 16U * 1024 * 1024}, serve,
-                          started, NULL);
+    started->listener = hs_listener_start(
+        "127.0.0.1", started->port, &(hs_listener_limits){.max_body_bytes = 16U * 1024 * 1024},
+        serve, started, NULL);
     if (started->listener == NULL)
         exit(2);
     g_autofree char *entry = g_strdup_printf(
--- a/review/lib/engine.h
+++ b/review/lib/engine.h
@@ -1,8 +1,8 @@
 /**
  * @file engine.h
  * A small engine for the review's scripts, by the users' pages: slots and a queue, streams of
- * numbered events, resumption after an event, the version of its weights, refusals that say that the
- * request did not run, and its entry in the store.
+ * numbered events, resumption after an event, the version of its weights, refusals that say that
+ * the request did not run, and its entry in the store.
  */
 #ifndef REVIEW_LIB_ENGINE_H
 #define REVIEW_LIB_ENGINE_H
--- a/review/lib/fleet.c
+++ b/review/lib/fleet.c
@@ -15,11 +15,14 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #define MAX_BODY (16U * 1024 * 1024)
 #define SILENT_CALL_MS 20000
+/** A script that hangs ends as one that could not run. */
+#define MAX_SCRIPT_S 115
 
 typedef struct {
     int index;
@@ -168,8 +171,36 @@
     hs_inbound_reply(call, status, NULL, body->data, body->len);
 }
 
+/** Ends the daemons and removes the temporary files. Async-signal-safe. */
+static void clean_up(void) {
+    for (int index = 0; index < fleet.count; index++) {
+        const member *of = &fleet.members[index];
+        if (of->pid > 0) {
+            kill(of->pid, SIGKILL);
+            waitpid(of->pid, NULL, 0);
+        }
+        if (of->log != NULL)
+            unlink(of->log);
+        if (of->settings != NULL)
+            unlink(of->settings);
+    }
+    if (fleet.folder != NULL)
+        rmdir(fleet.folder);
+}
+
+static void end_by_signal(int number) {
+    (void)number;
+    clean_up();
+    _exit(FLEET_CANNOT_RUN);
+}
+
 void fleet_begin(const char *name, int daemons, gate_rule rule, void *user_data) {
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGINT, end_by_signal);
+    signal(SIGTERM, end_by_signal);
+    signal(SIGHUP, end_by_signal);
+    signal(SIGALRM, end_by_signal);
+    alarm(MAX_SCRIPT_S);
     g_autofree char *path = g_strdup_printf("review/%s/record.txt", name);
     fleet.begun_ms = hs_clock_monotonic_ms();
     fleet.record = fopen(path, "w");
@@ -192,14 +223,15 @@
                           .gate_port = (uint16_t)(first + 5)};
         added->settings = g_strdup_printf("%s/settings-%d", fleet.folder, index);
         added->log = g_strdup_printf("%s/daemon-%d.log", fleet.folder, index);
-        added->gate =
-            hs_listener_start("127.0.0.1", added->gate_port,
-                              &(hs_listener_limits){.max_body_bytes = MAX_BODY}, serve_gate, added, NULL);
-        if (added->gate == NULL)
+        added->gate = hs_listener_start("127.0.0.1", added->gate_port,
+                                        &(hs_listener_limits){.max_body_bytes = MAX_BODY},
+                                        serve_gate, added, NULL);
+        if (added->gate == NULL) {
+            clean_up();
             exit(FLEET_CANNOT_RUN);
+        }
     }
-    fleet_record("begins with %d daemons, trouble %s", daemons,
-                 fleet_has_trouble() ? "on" : "off");
+    fleet_record("begins with %d daemons, trouble %s", daemons, fleet_has_trouble() ? "on" : "off");
 }
 
 void fleet_configure(int version, unsigned retention_s) {
@@ -256,8 +288,10 @@
     fflush(fleet.record);
     pid_t pid = fork();
     if (pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); /* Also if the driver is killed. */
         setenv("HEATHSAIL_CONFIG", started->settings, 1);
-        if (freopen(started->log, "a", stdout) == NULL || freopen(started->log, "a", stderr) == NULL)
+        if (freopen(started->log, "a", stdout) == NULL ||
+            freopen(started->log, "a", stderr) == NULL)
             _exit(127);
         execl("target/heathsaild", "target/heathsaild", (char *)NULL);
         _exit(127);
@@ -363,8 +397,8 @@
     uint64_t until_ms = fleet_now_ms() + limit_ms;
     bool is_ready = false;
     while (!is_ready && fleet_now_ms() < until_ms) {
-        fleet_answer answer = call_port(fleet.members[index].ready, "GET", PATH_READY, NULL, NULL, 0,
-                                        0, 1000, "");
+        fleet_answer answer =
+            call_port(fleet.members[index].ready, "GET", PATH_READY, NULL, NULL, 0, 0, 1000, "");
         is_ready = answer.status == 200;
         fleet_answer_clear(&answer);
         if (!is_ready)
@@ -438,24 +472,11 @@
 
 int fleet_end(int code) {
     g_atomic_int_set(&fleet.is_ending, 1);
-    for (int index = 0; index < fleet.count; index++)
-        if (fleet.members[index].pid > 0) {
-            kill(fleet.members[index].pid, SIGKILL);
-            waitpid(fleet.members[index].pid, NULL, 0);
-        }
     fleet_record("exit %d: %s", code,
                  code == FLEET_HELD     ? "the rule held"
                  : code == FLEET_BROKEN ? "the rule was broken"
                                         : "the case could not run");
-    if (g_getenv("KEEP_LOGS") == NULL) {
-        for (int index = 0; index < fleet.count; index++) {
-            g_unlink(fleet.members[index].log);
-            g_unlink(fleet.members[index].settings);
-        }
-        g_rmdir(fleet.folder);
-    } else {
-        fleet_record("logs are kept in %s", fleet.folder);
-    }
+    clean_up();
     fclose(fleet.record);
     _exit(code); /* Threads of the stand-ins may still wait for calls. */
 }
--- a/review/lib/fleet.h
+++ b/review/lib/fleet.h
@@ -24,12 +24,12 @@
 
 /** What the gate does with a call to the store. */
 typedef enum {
-    GATE_PASS,          /**< The store answers. */
-    GATE_LOSE,          /**< Not done and not answered. */
-    GATE_DO_LATE,       /**< Done after gate_verdict.late_ms, and not answered. */
-    GATE_DO_NO_ANSWER,  /**< Done at once, and not answered. */
-    GATE_DELAY,         /**< Answered after gate_verdict.late_ms. */
-    GATE_REFUSE,        /**< 503, not done. */
+    GATE_PASS,         /**< The store answers. */
+    GATE_LOSE,         /**< Not done and not answered. */
+    GATE_DO_LATE,      /**< Done after gate_verdict.late_ms, and not answered. */
+    GATE_DO_NO_ANSWER, /**< Done at once, and not answered. */
+    GATE_DELAY,        /**< Answered after gate_verdict.late_ms. */
+    GATE_REFUSE,       /**< 503, not done. */
 } gate_action;
 
 typedef struct {
