Log what an owner trims, and why an item's body is not read

A body that is gone could not be traced to its cause: no line named the offsets of a job's bodies, what an owner trimmed, what its open jobs needed at that moment, or how old its fold was.

job_stored names first_content, contents_trim_noted and contents_trimmed the owner's decision with first_needed and fold_age_ms, and item_content_unread the outcome of the read (gone, unknown, refused). No decision changes.

--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -287,8 +287,13 @@
         run->content = hs_job_partition_read_content(
             terms->partition, run->content_offset, run->content_bytes,
             hs_clock_monotonic_ms() + CONTENT_READ_TIMEOUT_MS, &outcome);
-    if (run->content == NULL)
+    if (run->content == NULL) {
+        hs_log_info("item_content_unread",
+                    "job=%s item=%s part=%u offset=%" G_GUINT64_FORMAT " outcome=%s", run->job_id,
+                    run->item_id, hs_job_partition_number(terms->partition),
+                    (guint64)run->content_offset, hs_store_outcome_name(outcome));
         return HS_ITEM_ATTEMPT_NO_CONTENT;
+    }
     hs_deadline send_until_ms = hs_clock_monotonic_ms() + terms->send_time_ms;
     if (terms->may_start != NULL && !terms->may_start(terms->user_data))
         return HS_ITEM_ATTEMPT_STALE_FOLD;
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -303,6 +303,17 @@
     return result;
 }
 
+/** Logs a trim with what the fold knows now: @p first is the first content that is needed. */
+static void log_trim(hs_job_partition *partition, uint64_t target, uint64_t first,
+                     uint64_t noted_ms, hs_store_outcome outcome) {
+    hs_log_info("contents_trimmed",
+                "part=%u before=%" G_GUINT64_FORMAT " first_needed=%" G_GINT64_FORMAT
+                " noted_ms_ago=%" G_GUINT64_FORMAT " fold_age_ms=%" G_GUINT64_FORMAT " outcome=%s",
+                partition->number, (guint64)target, first != UINT64_MAX ? (gint64)first : -1,
+                (guint64)(hs_clock_monotonic_ms() - noted_ms),
+                (guint64)hs_job_partition_age_ms(partition), hs_store_outcome_name(outcome));
+}
+
 /**
  * Returns the offset before which contents may be trimmed: the first needed one of TRIM_AGE_MS ago.
  * 0: none. The caller holds the lock.
@@ -317,6 +328,8 @@
     if (first != UINT64_MAX && (is_due || partition->trim_candidate_ms == 0)) {
         partition->trim_candidate = first;
         partition->trim_candidate_ms = now_ms;
+        hs_log_info("contents_trim_noted", "part=%u before=%" G_GUINT64_FORMAT, partition->number,
+                    (guint64)first);
     }
     return target;
 }
@@ -326,14 +339,18 @@
     g_mutex_lock(&partition->lock);
     if (wall_ms > partition->settings.status_ms)
         hs_job_state_expire(partition->state, wall_ms - partition->settings.status_ms);
+    uint64_t noted_ms = partition->trim_candidate_ms;
     uint64_t target = get_trim_target(partition, hs_clock_monotonic_ms());
+    uint64_t first = hs_job_state_first_needed_content(partition->state);
     g_mutex_unlock(&partition->lock);
     if (target == 0)
         return;
     hs_store_call call = hs_platform_build_trim_call(HS_TOPIC_BODIES, partition->number, target);
     GByteArray *answer = g_byte_array_new();
-    if (hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer) ==
-        HS_STORE_DONE)
+    hs_store_outcome outcome =
+        hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    if (outcome == HS_STORE_DONE)
         partition->trimmed_to = target;
+    log_trim(partition, target, first, noted_ms, outcome);
     g_byte_array_free(answer, TRUE);
 }
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -147,8 +147,12 @@
         else if (outcome == HS_STORE_INVALID)
             status = 413;
     }
-    hs_log_info("job_stored", "job=%s part=%u items=%u outcome=%s status=%u took_ms=%u",
+    bool has_contents = offsets->len > 0;
+    hs_log_info("job_stored",
+                "job=%s part=%u items=%u first_content=%" G_GINT64_FORMAT
+                " outcome=%s status=%u took_ms=%u",
                 job->terms->request_id, hs_job_partition_number(job->partition), job->items->len,
+                has_contents ? (gint64)g_array_index(offsets, uint64_t, 0) : -1,
                 hs_store_outcome_name(outcome), status,
                 (unsigned)(hs_clock_monotonic_ms() - job->inbound->received_ms));
     g_ptr_array_free(contents, TRUE);
