A trim keeps the bodies of jobs that became known after its note

Reads of the bodies got 503 for good.

Cause: an owner notes the first body that an open job needs, and trims up to it 30 s later. Two manifests may reach the log in the other order than their bodies. One that came after the note was in the fold, but the note was not lowered by it.

Ruled out: a fold that is behind, a note of an earlier ownership, removal by the store.

Fix: content_trim decides on the lesser of the note and of what open jobs need now, from a fold of at most 2 s. The time since the note counts only while the log was read without a gap, so that neither an absence of the store nor a time as another daemon's partition counts. What is below the result is needed by no manifest in the log, and a manifest that is still to come would be later than any submission lasts.

--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -25,8 +25,8 @@
  */
 #define CALLER_ANSWER_LIMIT_MS 1000
 #define BYTES_PER_KB 1024
-/** Contents are stored before their manifest, which may follow after up to this time. */
-#define TRIM_AGE_MS 30000
+/** Maximum age in ms of a fold that decides a trim. */
+#define MAX_TRIM_FOLD_AGE_MS 2000
 /** Age in ms of the fold at which a long poll ends; the rest is for the answer to arrive. */
 #define POLL_END_AGE_MS (HS_JOB_MAX_FOLD_AGE_MS - 200)
 /** Minimum wait in ms of a long poll of a fold that is older than that. */
@@ -116,6 +116,14 @@
         hs_log_info("job_end_folded", "job=%s part=%u by=%s", job_id, partition->number, source);
 }
 
+/** Records that the fold held the whole log at @p since_ms. The caller holds the lock. */
+static void note_complete(hs_job_partition *partition, uint64_t since_ms) {
+    if (since_ms <= partition->current_ms)
+        return;
+    hs_content_trim_add_read_time(&partition->trim, partition->current_ms, since_ms);
+    partition->current_ms = since_ms;
+}
+
 /** Reads one page from the fold's position on. */
 static bool read_once(hs_job_partition *partition, uint32_t wait_ms, hs_deadline deadline,
                       hs_interrupt *interrupt, bool *reached_end) {
@@ -168,7 +176,7 @@
         partition->failed_reads = has_read ? 0 : partition->failed_reads + 1;
         if (has_reached_end) {
             partition->last_complete_read = MAX(partition->last_complete_read, read_number);
-            partition->current_ms = MAX(partition->current_ms, started_ms);
+            note_complete(partition, started_ms);
         }
         partition->open_reads--;
         g_cond_broadcast(&partition->advanced);
@@ -203,8 +211,7 @@
     if (outcome == HS_STORE_DONE && apply_answer(partition, answer, from, &record_count)) {
         /* A poll without records covers its wait; other answers may be as old as the call. */
         bool covers_wait = record_count == 0 && answered_ms >= started_ms + wait_ms;
-        uint64_t current_ms = covers_wait ? started_ms + wait_ms : started_ms;
-        partition->current_ms = MAX(partition->current_ms, current_ms);
+        note_complete(partition, covers_wait ? started_ms + wait_ms : started_ms);
     }
     if (outcome == HS_STORE_GONE && hs_platform_read_first_offset(answer, &first))
         hs_job_state_skip_to(partition->state, first);
@@ -303,35 +310,39 @@
     return result;
 }
 
-/** Logs a trim with what the fold knows now: @p first is the first content that is needed. */
-static void log_trim(hs_job_partition *partition, uint64_t target, uint64_t first,
-                     uint64_t noted_ms, hs_store_outcome outcome) {
-    hs_log_info("contents_trimmed",
-                "part=%u before=%" G_GUINT64_FORMAT " first_needed=%" G_GINT64_FORMAT
-                " noted_ms_ago=%" G_GUINT64_FORMAT " fold_age_ms=%" G_GUINT64_FORMAT " outcome=%s",
-                partition->number, (guint64)target, first != UINT64_MAX ? (gint64)first : -1,
-                (guint64)(hs_clock_monotonic_ms() - noted_ms),
-                (guint64)hs_job_partition_age_ms(partition), hs_store_outcome_name(outcome));
-}
+/** What decided a trim. */
+typedef struct {
+    uint64_t target;       /**< Contents before it may be trimmed; 0: none. */
+    uint64_t first_needed; /**< First content that an open job needs; UINT64_MAX: none. */
+    uint64_t noted_read_ms;
+    uint64_t fold_age_ms;
+} trim_decision;
 
-/**
- * Returns the offset before which contents may be trimmed: the first needed one of TRIM_AGE_MS ago.
- * 0: none. The caller holds the lock.
- */
-static uint64_t get_trim_target(hs_job_partition *partition, uint64_t now_ms) {
-    uint64_t target = 0;
-    bool is_due =
-        partition->trim_candidate_ms != 0 && now_ms > partition->trim_candidate_ms + TRIM_AGE_MS;
-    if (is_due && partition->trim_candidate > partition->trimmed_to)
-        target = partition->trim_candidate;
-    uint64_t first = hs_job_state_first_needed_content(partition->state);
-    if (first != UINT64_MAX && (is_due || partition->trim_candidate_ms == 0)) {
-        partition->trim_candidate = first;
-        partition->trim_candidate_ms = now_ms;
+/** Decides a trim from a recent fold, otherwise none. The caller holds the lock. */
+static trim_decision decide_trim(hs_job_partition *partition) {
+    hs_content_trim *trim = &partition->trim;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    trim_decision decision = {.first_needed = hs_job_state_first_needed_content(partition->state),
+                              .noted_read_ms = trim->read_ms,
+                              .fold_age_ms = now_ms - partition->current_ms};
+    uint64_t noted = trim->noted;
+    if (partition->current_ms != 0 && decision.fold_age_ms <= MAX_TRIM_FOLD_AGE_MS)
+        decision.target = hs_content_trim_next(trim, decision.first_needed);
+    if (trim->noted != noted)
         hs_log_info("contents_trim_noted", "part=%u before=%" G_GUINT64_FORMAT, partition->number,
-                    (guint64)first);
-    }
-    return target;
+                    (guint64)trim->noted);
+    return decision;
+}
+
+static void log_trim(const hs_job_partition *partition, const trim_decision *decision,
+                     hs_store_outcome outcome) {
+    bool is_needed = decision->first_needed != UINT64_MAX;
+    hs_log_info("contents_trimmed",
+                "part=%u before=%" G_GUINT64_FORMAT " first_needed=%" G_GINT64_FORMAT
+                " noted_read_ms=%" G_GUINT64_FORMAT " fold_age_ms=%" G_GUINT64_FORMAT " outcome=%s",
+                partition->number, (guint64)decision->target,
+                is_needed ? (gint64)decision->first_needed : -1, (guint64)decision->noted_read_ms,
+                (guint64)decision->fold_age_ms, hs_store_outcome_name(outcome));
 }
 
 void hs_job_partition_trim(hs_job_partition *partition, hs_deadline deadline) {
@@ -339,18 +350,19 @@
     g_mutex_lock(&partition->lock);
     if (wall_ms > partition->settings.status_ms)
         hs_job_state_expire(partition->state, wall_ms - partition->settings.status_ms);
-    uint64_t noted_ms = partition->trim_candidate_ms;
-    uint64_t target = get_trim_target(partition, hs_clock_monotonic_ms());
-    uint64_t first = hs_job_state_first_needed_content(partition->state);
+    trim_decision decision = decide_trim(partition);
     g_mutex_unlock(&partition->lock);
-    if (target == 0)
+    if (decision.target == 0)
         return;
-    hs_store_call call = hs_platform_build_trim_call(HS_TOPIC_BODIES, partition->number, target);
+    hs_store_call call =
+        hs_platform_build_trim_call(HS_TOPIC_BODIES, partition->number, decision.target);
     GByteArray *answer = g_byte_array_new();
     hs_store_outcome outcome =
         hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    g_mutex_lock(&partition->lock);
     if (outcome == HS_STORE_DONE)
-        partition->trimmed_to = target;
-    log_trim(partition, target, first, noted_ms, outcome);
+        hs_content_trim_confirm(&partition->trim, decision.target);
+    g_mutex_unlock(&partition->lock);
+    log_trim(partition, &decision, outcome);
     g_byte_array_free(answer, TRUE);
 }
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -135,7 +135,10 @@
                                                   uint32_t bytes, hs_deadline deadline,
                                                   hs_store_outcome *outcome);
 
-/** Trims contents that no open job needs and removes jobs past their status time from the fold. */
+/**
+ * Trims contents that no open job needs, if the fold is recent (see content_trim.h), and removes
+ * jobs past their status time from the fold.
+ */
 void hs_job_partition_trim(hs_job_partition *partition, hs_deadline deadline);
 
 /**
--- a/src/jobs/job_partition_state.h
+++ b/src/jobs/job_partition_state.h
@@ -5,6 +5,7 @@
 #ifndef HS_JOBS_JOB_PARTITION_STATE_H
 #define HS_JOBS_JOB_PARTITION_STATE_H
 
+#include "jobs/content_trim.h"
 #include "jobs/job_partition.h"
 
 struct hs_job_partition {
@@ -20,9 +21,7 @@
     uint32_t failed_reads;       /**< Short reads that failed since the last successful one. */
     uint32_t failed_polls;       /**< The same of long polls. */
     uint64_t current_ms; /**< The fold held all records of the log at this time; 0: never. */
-    uint64_t trimmed_to;
-    uint64_t trim_candidate;    /**< First needed content at trim_candidate_ms. */
-    uint64_t trim_candidate_ms; /**< 0: none. */
+    hs_content_trim trim;
     hs_job_state *state;
 };
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -430,6 +430,82 @@
     close_fixture(&fixture);
 }
 
+/** Time in ms until an owner trims contents that were not needed once; see content_trim.h. */
+#define TRIM_DUE_MS 31000
+/** Interval in ms at which the tests trim and follow a partition. */
+#define TRIM_STEP_MS 500
+
+/** Stores one content in one record; returns its offset. */
+static uint64_t append_content(partition_fixture *fixture, const char *path) {
+    Hs__JobItemContent content = HS__JOB_ITEM_CONTENT__INIT;
+    content.path = (char *)path;
+    GByteArray *packed = g_byte_array_new();
+    g_byte_array_set_size(packed, (guint)hs__job_item_content__get_packed_size(&content));
+    hs__job_item_content__pack(&content, packed->data);
+    g_autoptr(GPtrArray) contents =
+        g_ptr_array_new_with_free_func((GDestroyNotify)g_byte_array_unref);
+    g_ptr_array_add(contents, packed);
+    g_autoptr(GArray) offsets = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    CU_ASSERT_EQUAL(hs_job_partition_append_contents(fixture->partition, contents, offsets, NULL,
+                                                     hs_clock_monotonic_ms() + 500),
+                    HS_STORE_DONE);
+    return g_array_index(offsets, uint64_t, 0);
+}
+
+static hs_store_outcome read_content_at(partition_fixture *fixture, uint64_t offset) {
+    hs_store_outcome outcome = HS_STORE_UNKNOWN;
+    Hs__JobItemContent *content = hs_job_partition_read_content(
+        fixture->partition, offset, 1, hs_clock_monotonic_ms() + 500, &outcome);
+    if (content != NULL)
+        hs__job_item_content__free_unpacked(content, NULL);
+    return outcome;
+}
+
+/** Stores the manifest of a job with one item, whose content is at @p offset. */
+static void append_job(partition_fixture *fixture, const char *job_id, uint64_t offset) {
+    Hs__JobManifest *manifest = make_manifest("h");
+    manifest->job_id = (char *)job_id;
+    manifest->submitted_ms = hs_clock_wall_ms();
+    manifest->n_items = 1;
+    manifest->items[0]->content_offset = offset;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
+    record.manifest = manifest;
+    CU_ASSERT_EQUAL(
+        hs_job_partition_append(fixture->partition, &record, hs_clock_monotonic_ms() + 500),
+        HS_STORE_DONE);
+}
+
+/** Follows and trims the partition as its owner does, for @p duration_ms. */
+static void follow_and_trim(partition_fixture *fixture, uint64_t duration_ms) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + duration_ms;
+    while (hs_clock_monotonic_ms() < until_ms) {
+        uint64_t next = hs_job_state_next_offset(hs_job_partition_lock(fixture->partition));
+        hs_job_partition_unlock(fixture->partition);
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        hs_job_partition_follow(fixture->partition, next, now_ms + TRIM_STEP_MS);
+        hs_job_partition_trim(fixture->partition, now_ms + TRIM_STEP_MS);
+    }
+}
+
+/** Guards against a trim of contents whose manifest came after a note of what was needed. */
+static void contents_of_a_late_manifest_are_not_trimmed(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    append_content(&fixture, "/unused");
+    uint64_t early = append_content(&fixture, "/early");
+    uint64_t late = append_content(&fixture, "/late");
+    append_job(&fixture, "late", late);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    hs_job_partition_trim(fixture.partition, hs_clock_monotonic_ms() + 500);
+    append_job(&fixture, "early", early);
+    follow_and_trim(&fixture, TRIM_DUE_MS);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, early), HS_STORE_DONE);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, late), HS_STORE_DONE);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, 0), HS_STORE_GONE);
+    close_fixture(&fixture);
+}
+
 static void contents_are_read_back_unchanged(void) {
     partition_fixture fixture;
     open_fixture(&fixture);
@@ -726,6 +802,7 @@
     {"reads_are_retried_on_a_new_connection", reads_are_retried_on_a_new_connection},
     {"lost_log_records_are_skipped", lost_log_records_are_skipped},
     {"trimmed_records_are_gone", trimmed_records_are_gone},
+    {"contents_of_a_late_manifest_are_not_trimmed", contents_of_a_late_manifest_are_not_trimmed},
     {"contents_are_read_back_unchanged", contents_are_read_back_unchanged},
     {"split_results_are_read_back_unchanged", split_results_are_read_back_unchanged},
     {"items_wait_for_a_complete_log_read", items_wait_for_a_complete_log_read},
