A body that is gone is answered 410, and its item is not tried again

Callers saw: where the bodies of an accepted job were gone from the store, each read was answered 503 with a Retry-After of at most 0.2 s, at all daemons, until the job's retention time was over (end of review/2). Its owner tried each of its items again every 0.1 s, which takes starts from items that can run.

Cause: a read of contents had one failure, "cannot be read now". The store's 410 is final: offsets are never used again.

Fix: the reason is kept. Callers get 410, also through the owner, but not from a fold that may lack the item's result. Items wait without a try for the end of their time, when they are listed as dead_letter. An older daemon that gets a 410 from an owner reads the log and answers 503 as before; an older owner's 503 is no definite answer, and the daemon that asked reads for itself.

The stand-in store counts calls by topic, so that reads of one topic can be told apart.

--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -292,7 +292,7 @@
                     "job=%s item=%s part=%u offset=%" G_GUINT64_FORMAT " outcome=%s", run->job_id,
                     run->item_id, hs_job_partition_number(terms->partition),
                     (guint64)run->content_offset, hs_store_outcome_name(outcome));
-        return HS_ITEM_ATTEMPT_NO_CONTENT;
+        return outcome == HS_STORE_GONE ? HS_ITEM_ATTEMPT_CONTENT_GONE : HS_ITEM_ATTEMPT_NO_CONTENT;
     }
     hs_deadline send_until_ms = hs_clock_monotonic_ms() + terms->send_time_ms;
     if (terms->may_start != NULL && !terms->may_start(terms->user_data))
@@ -365,6 +365,7 @@
         [HS_ITEM_ATTEMPT_IMPOSSIBLE] = "impossible",
         [HS_ITEM_ATTEMPT_STALE_FOLD] = "stale_fold",
         [HS_ITEM_ATTEMPT_NO_CONTENT] = "no_content",
+        [HS_ITEM_ATTEMPT_CONTENT_GONE] = "content_gone",
         [HS_ITEM_ATTEMPT_QUARANTINED] = "held_back",
         [HS_ITEM_ATTEMPT_NO_ROUTE] = "no_route",
         [HS_ITEM_ATTEMPT_PREEMPTED] = "yielded",
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -133,8 +133,11 @@
     }
 }
 
-/** Replies with the body of an item without a result. */
-static bool answer_item(const job_call *call) {
+/**
+ * Replies with the body of an item without a result. A body that is gone from the store may be that
+ * of an item which has ended, so that a stale fold does not tell why.
+ */
+static bool answer_item(const job_call *call, fold_state fold) {
     g_autofree char *item_id = hs_platform_read_item_id(call->inbound->target);
     hs_job_state *state = hs_job_partition_lock(call->partition);
     const hs_job *job = find_job(call, state);
@@ -153,8 +156,17 @@
     hs_store_outcome outcome = HS_STORE_UNKNOWN;
     Hs__JobItemContent *content = hs_job_partition_read_content(
         call->partition, item.content_offset, item.content_bytes, call->deadline, &outcome);
+    if (content == NULL && outcome == HS_STORE_GONE && fold == FOLD_STALE)
+        return false;
     if (content == NULL) {
-        hs_job_reply_text(call->inbound, 503, "the item's body cannot be read now\n");
+        bool is_gone = outcome == HS_STORE_GONE;
+        hs_log_info("item_content_unread",
+                    "job=%s item=%s part=%u offset=%" G_GUINT64_FORMAT " outcome=%s", call->job_id,
+                    item_id, hs_job_partition_number(call->partition), (guint64)item.content_offset,
+                    hs_store_outcome_name(outcome));
+        hs_job_reply_text(call->inbound, is_gone ? 410 : 503,
+                          is_gone ? "the item's body is no longer stored\n"
+                                  : "the item's body cannot be read now\n");
         return true;
     }
     hs_job_reply(call->inbound, 200, "application/octet-stream", content->body.data,
@@ -207,7 +219,7 @@
     if (call->kind == HS_CALL_JOB_READ)
         return answer_results(call, fold);
     if (call->kind == HS_CALL_ITEM_READ)
-        return answer_item(call);
+        return answer_item(call, fold);
     answer_end(call);
     return true;
 }
@@ -264,7 +276,8 @@
                             MIN(call->deadline, hs_clock_monotonic_ms() + limit_ms),
                             &owner_answer) != HS_PEER_ANSWERED)
         return false;
-    bool is_definite = owner_answer.status == 200 || owner_answer.status == 404;
+    bool is_definite =
+        owner_answer.status == 200 || owner_answer.status == 404 || owner_answer.status == 410;
     if (call->kind == HS_CALL_JOB_END && owner_answer.status == 200)
         acknowledge_forwarded_end(call);
     else if (is_definite)
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -188,7 +188,9 @@
         pause_ms = PREEMPTED_PAUSE_MS;
     else if (end == HS_ITEM_ATTEMPT_QUARANTINED)
         pause_ms = QUARANTINED_PAUSE_MS;
-    item->next_attempt_ms = hs_clock_monotonic_ms() + pause_ms;
+    /* An item without content waits for the end of its time, when it is listed as dead. */
+    item->next_attempt_ms =
+        end == HS_ITEM_ATTEMPT_CONTENT_GONE ? UINT64_MAX : hs_clock_monotonic_ms() + pause_ms;
     owner->running--;
     if (!hs_job_owner_is_active(task->partition) || end == HS_ITEM_ATTEMPT_ABANDONED) {
         g_autofree char *key = g_strdup_printf("%s/%u", item->run->job_id, item->run->index);
--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -53,7 +53,7 @@
     uint32_t mode_count;
     gint delay_ms;
     gint stopping;
-    GHashTable *call_counts; /**< path of the target -> count */
+    GHashTable *call_counts; /**< Target up to its first parameter (the topic) -> count. */
 };
 
 static void free_topic(gpointer data) {
@@ -354,9 +354,9 @@
 }
 
 static void count_call(log_store *store, const hs_inbound *inbound) {
-    char *path = g_strndup(inbound->target, strcspn(inbound->target, "?"));
-    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(store->call_counts, path));
-    g_hash_table_insert(store->call_counts, path, GUINT_TO_POINTER(count + 1));
+    char *call = g_strndup(inbound->target, strcspn(inbound->target, "&"));
+    guint count = GPOINTER_TO_UINT(g_hash_table_lookup(store->call_counts, call));
+    g_hash_table_insert(store->call_counts, call, GUINT_TO_POINTER(count + 1));
 }
 
 /** Shuts the connection down, so that no response reaches the caller. */
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -15,6 +15,7 @@
         {"batch_cancels", batch_cancel_tests, begin_batch_cancels, end_batch_cancels},
         {"fleet_surface", fleet_system_tests, bench_set_up, bench_tear_down},
         {"fleet_jobs", fleet_job_system_tests, bench_set_up, bench_tear_down},
+        {"fleet_job_reads", fleet_job_read_system_tests, begin_job_reads, end_job_reads},
         {"fleet_job_ends", fleet_job_end_system_tests, bench_set_up, bench_tear_down},
         {"fleet_job_end_stops", fleet_job_end_stop_system_tests, bench_set_up, bench_tear_down},
         {"fleet_job_end_links", fleet_job_end_link_system_tests, begin_job_end_links,
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -46,6 +46,11 @@
 int end_batch_cancels(void);
 extern const test_case fleet_system_tests[];
 extern const test_case fleet_job_system_tests[];
+
+/** Start and stop the bench with a short retention of items. */
+extern const test_case fleet_job_read_system_tests[];
+int begin_job_reads(void);
+int end_job_reads(void);
 extern const test_case fleet_job_end_system_tests[];
 extern const test_case fleet_slow_store_system_tests[];
 extern const test_case fleet_job_end_stop_system_tests[];
