An append is not sent after its deadline

A trim relies on manifests that follow their bodies within a submission's limit. A daemon that is suspended in between went on with the append of the manifest when it woke, however late: on a reused connection a write is sent before its deadline is looked at.

Fix: an append whose deadline has passed ends as refused without being sent.

Test: jobs.an_append_after_its_deadline_is_not_sent failed before (the record was in the log), passes now.

--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -79,7 +79,7 @@
 
 /**
  * Makes one attempt to append a record. HS_STORE_UNKNOWN: the record may appear in the log, now or
- * later.
+ * later. No append is sent once its deadline has passed.
  */
 hs_store_outcome hs_job_partition_append(hs_job_partition *partition, const Hs__JobRecord *record,
                                          hs_deadline deadline);
--- a/src/jobs/job_partition_append.c
+++ b/src/jobs/job_partition_append.c
@@ -4,6 +4,8 @@
  */
 #include "jobs/job_partition_state.h"
 
+#include "base/clock.h"
+
 #define RECORD_OVERHEAD_BYTES 512
 
 static void frame(GByteArray *records, const Hs__JobRecord *record) {
@@ -17,6 +19,8 @@
                                        const GByteArray *records, const hs_body_regions *regions,
                                        hs_deadline deadline, uint64_t *offset) {
     hs_store_outcome outcome = HS_STORE_REFUSED;
+    if (hs_clock_monotonic_ms() >= deadline) /* The daemon may have been suspended. */
+        return outcome;
     if (partition->settings.relay != NULL)
         outcome = hs_job_relay_append(partition->settings.relay, topic, partition->number, records,
                                       regions, deadline, offset);
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -361,6 +361,22 @@
     }
 }
 
+/** Guards against a manifest that a suspended daemon sends long after its contents. */
+static void an_append_after_its_deadline_is_not_sent(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    CU_ASSERT_TRUE(catch_up(&fixture)); /* Leaves an open connection. */
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
+    record.manifest = make_manifest("h");
+    CU_ASSERT_EQUAL(
+        hs_job_partition_append(fixture.partition, &record, hs_clock_monotonic_ms() - 1),
+        HS_STORE_REFUSED);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    CU_ASSERT_FALSE(is_known(&fixture));
+    close_fixture(&fixture);
+}
+
 /**
  * The time allowed for an append doubles with each attempt, grows with observed write times and is
  * bounded by the caller's limit.
@@ -799,6 +815,7 @@
     {"unreadable_records_are_skipped", unreadable_records_are_skipped},
     {"append_outcomes_match_store_faults", append_outcomes_match_store_faults},
     {"append_time_grows_up_to_the_limit", append_time_grows_up_to_the_limit},
+    {"an_append_after_its_deadline_is_not_sent", an_append_after_its_deadline_is_not_sent},
     {"reads_are_retried_on_a_new_connection", reads_are_retried_on_a_new_connection},
     {"lost_log_records_are_skipped", lost_log_records_are_skipped},
     {"trimmed_records_are_gone", trimmed_records_are_gone},
