An end that may be stored is answered 504, not 503

Callers saw: the end of a job was answered 503, "the end was not stored", and the job had ended all the same.

Cause: the status followed the last append. Once three appends got no answer, the store client refuses further ones itself, so that an end whose first appends were carried out ended as refused.

Fix: if any append had an unknown outcome, so has the end, unless a later one was confirmed. Submissions were judged like this already; results and progress are repeated until they are confirmed.

Test: jobs.an_end_that_may_be_stored_is_not_refused failed before (refused, with the end in the log), passes now.

--- a/src/jobs/job_end.c
+++ b/src/jobs/job_end.c
@@ -22,14 +22,18 @@
     uint64_t offset = 0;
     uint32_t attempt = 0;
     hs_store_outcome outcome = HS_STORE_REFUSED;
+    bool may_be_stored = false;
     do {
         if (attempt > 0)
             hs_clock_sleep_ms(HS_JOB_RETRY_PAUSE_MS);
         outcome = hs_job_partition_append_end(
             partition, job_id, hs_job_partition_append_deadline(partition, attempt++, 0, deadline),
             &offset);
+        may_be_stored = may_be_stored || outcome == HS_STORE_UNKNOWN;
     } while (outcome != HS_STORE_DONE && outcome != HS_STORE_INVALID &&
              hs_clock_monotonic_ms() < deadline);
+    if (outcome != HS_STORE_DONE && may_be_stored)
+        outcome = HS_STORE_UNKNOWN;
     hs_log_info("job_end_requested",
                 "job=%s part=%u outcome=%s offset=%" G_GUINT64_FORMAT " attempts=%u took_ms=%u",
                 job_id, hs_job_partition_number(partition), hs_store_outcome_name(outcome),
--- a/src/jobs/job_end.h
+++ b/src/jobs/job_end.h
@@ -14,7 +14,8 @@
 
 /**
  * Appends the end of a known job, retrying until @p deadline, and applies it to this daemon's fold.
- * @p received_ms: when the request arrived, for the log line.
+ * @p received_ms: when the request arrived, for the log line. HS_STORE_UNKNOWN: one of the appends
+ * may have stored the end.
  */
 hs_store_outcome hs_job_end_store(hs_job_partition *partition, const char *job_id,
                                   uint64_t received_ms, hs_deadline deadline);
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -1,6 +1,7 @@
 /** @file test_jobs.c  Tests the fold of batch jobs and a partition over the stand-in store. */
 #include "base/clock.h"
 #include "jobs/item_run.h"
+#include "jobs/job_end.h"
 #include "jobs/job_owner_state.h"
 #include "jobs/job_partition.h"
 #include "jobs/log_read_limit.h"
@@ -377,6 +378,29 @@
     close_fixture(&fixture);
 }
 
+/** Time in ms for an end's appends: more than the store client makes while all fail. */
+#define END_APPENDS_MS 1500
+
+/** Guards against a refusal of an end that one of several appends may have stored. */
+static void an_end_that_may_be_stored_is_not_refused(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    append_manifest(&fixture);
+    log_store_set_mode(fixture.store, LOG_STORE_LOSES_ANSWER, "/log-append", G_MAXUINT32);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(hs_job_end_store(fixture.partition, "job", now_ms, now_ms + END_APPENDS_MS),
+                    HS_STORE_UNKNOWN);
+    log_store_set_mode(fixture.store, LOG_STORE_HEALTHY, NULL, 0);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    CU_ASSERT_TRUE(hs_job_state_find(hs_job_partition_lock(fixture.partition), "job")->ended);
+    hs_job_partition_unlock(fixture.partition);
+    log_store_set_mode(fixture.store, LOG_STORE_REFUSES, "/log-append", G_MAXUINT32);
+    now_ms = hs_clock_monotonic_ms();
+    CU_ASSERT_EQUAL(hs_job_end_store(fixture.partition, "job", now_ms, now_ms + END_APPENDS_MS),
+                    HS_STORE_REFUSED);
+    close_fixture(&fixture);
+}
+
 /**
  * The time allowed for an append doubles with each attempt, grows with observed write times and is
  * bounded by the caller's limit.
@@ -816,6 +840,7 @@
     {"append_outcomes_match_store_faults", append_outcomes_match_store_faults},
     {"append_time_grows_up_to_the_limit", append_time_grows_up_to_the_limit},
     {"an_append_after_its_deadline_is_not_sent", an_append_after_its_deadline_is_not_sent},
+    {"an_end_that_may_be_stored_is_not_refused", an_end_that_may_be_stored_is_not_refused},
     {"reads_are_retried_on_a_new_connection", reads_are_retried_on_a_new_connection},
     {"lost_log_records_are_skipped", lost_log_records_are_skipped},
     {"trimmed_records_are_gone", trimmed_records_are_gone},
