Log what an owner answers to daemons that ask it, and the size of a page

A fold that is behind, an end applied ahead of it, a wrong owner and a lost record looked the same.

job_call has results= and ended=, and owners log it for other daemons with by=own_fold_for_peer or lagging_fold_for_peer. No decision changes.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -55,11 +55,15 @@
     const char *job_id;
     hs_deadline deadline;
     uint64_t fold_age_ms; /**< At the start of the call; see hs_job_partition_age_ms. */
+    int page_results;     /**< Of the page that was sent; -1: none was. */
+    bool is_page_of_ended_job;
 } job_call;
 
 /** A page of results. */
 typedef struct {
-    char *text;     /**< NULL: the job is unknown. Freed with g_free. */
+    char *text; /**< NULL: the job is unknown. Freed with g_free. */
+    size_t count;
+    bool is_ended;  /**< Of an ended job. */
     bool is_ready;  /**< There is a result, or no further result will follow. */
     bool is_beyond; /**< The requested position is past the last result. */
 } result_page;
@@ -71,12 +75,13 @@
                                         [HS_CALL_JOB_END] = "end",
                                         [HS_CALL_ITEM_READ] = "item"};
     bool has_age = call->fold_age_ms != UINT64_MAX;
-    hs_log_info("job_call",
-                "job=%s call=%s part=%u by=%s answered=%d took_ms=%u fold_age_ms=%" G_GINT64_FORMAT,
-                call->job_id, names[call->kind], hs_job_partition_number(call->partition),
-                answered_by, is_answered,
-                (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms),
-                has_age ? (gint64)call->fold_age_ms : -1);
+    hs_log_info(
+        "job_call",
+        "job=%s call=%s part=%u by=%s answered=%d took_ms=%u fold_age_ms=%" G_GINT64_FORMAT
+        " results=%d ended=%d",
+        call->job_id, names[call->kind], hs_job_partition_number(call->partition), answered_by,
+        is_answered, (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms),
+        has_age ? (gint64)call->fold_age_ms : -1, call->page_results, call->is_page_of_ended_job);
 }
 
 /**
@@ -107,12 +112,14 @@
     }
     return (result_page){
         .text = hs_platform_write_results(job->items->len, position + count, views, count),
+        .count = count,
+        .is_ended = job->ended,
         .is_ready = count > 0 || !hs_job_is_open(job),
         .is_beyond = position > job->results->len};
 }
 
 /** Replies with the results from a position on; waits until there is one. */
-static bool answer_results(const job_call *call, fold_state fold) {
+static bool answer_results(job_call *call, fold_state fold) {
     uint64_t position = hs_platform_read_position(call->inbound->target);
     hs_deadline wait_until =
         call->inbound->received_ms + MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
@@ -126,6 +133,8 @@
             (!page.is_ready && fold == FOLD_STALE))
             return false;
         if (page.is_ready || hs_clock_monotonic_ms() >= wait_until) {
+            call->page_results = (int)page.count;
+            call->is_page_of_ended_job = page.is_ended;
             hs_job_reply(call->inbound, 200, "application/json", text, strlen(text));
             return true;
         }
@@ -207,7 +216,7 @@
 }
 
 /** Replies from this daemon's fold. Returns false without a reply if the fold may be incomplete. */
-static bool answer_from_fold(const job_call *call, fold_state fold) {
+static bool answer_from_fold(job_call *call, fold_state fold) {
     bool is_known =
         hs_job_check_visibility(call->partition, call->job_id, call->tenant) == HS_JOB_VISIBLE;
     if (!is_known && fold != FOLD_COMPLETE)
@@ -306,7 +315,8 @@
                       .kind = kind,
                       .job_id = job_id,
                       .deadline = get_deadline(inbound, caller->terms, kind),
-                      .fold_age_ms = hs_job_partition_age_ms(partition)};
+                      .fold_age_ms = hs_job_partition_age_ms(partition),
+                      .page_results = -1};
 }
 
 /** Reads the partition's log to its end, unless such reads are limited now. */
@@ -348,8 +358,12 @@
                                    const hs_job_caller *caller, hs_call_kind kind,
                                    const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
-    if (!answer_from_fold(&call, is_recent(&call) ? FOLD_RECENT : FOLD_STALE))
+    fold_state fold = is_recent(&call) ? FOLD_RECENT : FOLD_STALE;
+    bool is_answered = answer_from_fold(&call, fold);
+    if (!is_answered)
         hs_job_reply_text(inbound, 503, "this daemon's view of the job is not recent\n");
+    log_call(&call, fold == FOLD_RECENT ? "own_fold_for_peer" : "lagging_fold_for_peer",
+             is_answered);
 }
 
 hs_job_read_counters hs_job_service_read_counters(hs_job_service *service) {
