A page without results of an ended job needs a recent fold

Cause: an owner that the store turns away has a fold that is behind. An end is applied there as soon as it is reported, ahead of the records before it. The owner took the page of a job that is not open for final, and gave it from that fold.

Ruled out: a result that was never stored, an owner of before.

Fix: result_page says which page holds whatever records the fold lacks: from a fold that is behind only one with results, or of a job whose items all have one. Other pages get 503 from the owner, and the daemon that asked reads the log. The owner's own callers had the same fault.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -12,17 +12,13 @@
 #include "jobs/job_end.h"
 #include "jobs/job_peer.h"
 #include "jobs/job_service_state.h"
+#include "jobs/result_page.h"
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "platform/job_codec.h"
 
 #include <string.h>
 
-/** Maximum size of one page of results; callers accept up to one megabyte. */
-#define MAX_PAGE_BYTES (1000U * 1000)
-/** Upper bound of the JSON added to each result of a page. */
-#define PAGE_ITEM_OVERHEAD_BYTES 256
 /** Maximum wait for the next result. */
 #define MAX_RESULT_WAIT_MS 5000
 /**
@@ -36,13 +32,6 @@
 /** Time that is left of an end's limit for its answer to reach the caller. */
 #define END_ANSWER_SLACK_MS 100
 
-/** How complete a fold is known to be. */
-typedef enum {
-    FOLD_STALE,    /**< Records may be missing. */
-    FOLD_RECENT,   /**< Only records of the last HS_JOB_MAX_FOLD_AGE_MS may be missing. */
-    FOLD_COMPLETE, /**< The log was read to its end for this request. */
-} fold_state;
-
 /** A request; all borrowed. */
 typedef struct {
     hs_job_service *service;
@@ -59,15 +48,6 @@
     bool is_page_of_ended_job;
 } job_call;
 
-/** A page of results. */
-typedef struct {
-    char *text; /**< NULL: the job is unknown. Freed with g_free. */
-    size_t count;
-    bool is_ended;  /**< Of an ended job. */
-    bool is_ready;  /**< There is a result, or no further result will follow. */
-    bool is_beyond; /**< The requested position is past the last result. */
-} result_page;
-
 /** @p answered_by: source of the answer. */
 static void log_call(const job_call *call, const char *answered_by, bool is_answered) {
     static const char *const names[] = {[HS_CALL_REQUEST] = "request",
@@ -93,46 +73,20 @@
     return job != NULL && hs_job_is_visible(job, call->tenant) ? job : NULL;
 }
 
-static result_page build_page(const hs_job *job, uint64_t position) {
-    if (job == NULL)
-        return (result_page){0};
-    g_autofree hs_result_view *views = g_new0(hs_result_view, job->results->len + 1);
-    size_t count = 0;
-    size_t bytes = 0;
-    for (uint64_t index = position; index < job->results->len; index++) {
-        const hs_job_result *result = job->results->pdata[index];
-        bytes += result->length + PAGE_ITEM_OVERHEAD_BYTES;
-        if (count > 0 && bytes > MAX_PAGE_BYTES)
-            break;
-        views[count++] =
-            (hs_result_view){.item_id = g_array_index(job->items, hs_job_item, result->item).id,
-                             .completed = result->outcome == HS_ITEM_COMPLETED,
-                             .text = result->text,
-                             .length = result->length};
-    }
-    return (result_page){
-        .text = hs_platform_write_results(job->items->len, position + count, views, count),
-        .count = count,
-        .is_ended = job->ended,
-        .is_ready = count > 0 || !hs_job_is_open(job),
-        .is_beyond = position > job->results->len};
-}
-
 /** Replies with the results from a position on; waits until there is one. */
-static bool answer_results(job_call *call, fold_state fold) {
+static bool answer_results(job_call *call, hs_fold_knowledge fold) {
     uint64_t position = hs_platform_read_position(call->inbound->target);
     hs_deadline wait_until =
         call->inbound->received_ms + MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
     while (true) {
         hs_job_state *state = hs_job_partition_lock(call->partition);
         uint64_t next = hs_job_state_next_offset(state);
-        result_page page = build_page(find_job(call, state), position);
+        hs_result_page page = hs_result_page_build(find_job(call, state), position);
         hs_job_partition_unlock(call->partition);
         g_autofree char *text = page.text;
-        if (text == NULL || (page.is_beyond && fold != FOLD_COMPLETE) ||
-            (!page.is_ready && fold == FOLD_STALE))
+        if (!hs_result_page_is_definite(&page, fold))
             return false;
-        if (page.is_ready || hs_clock_monotonic_ms() >= wait_until) {
+        if (hs_result_page_is_ready(&page) || hs_clock_monotonic_ms() >= wait_until) {
             call->page_results = (int)page.count;
             call->is_page_of_ended_job = page.is_ended;
             hs_job_reply(call->inbound, 200, "application/json", text, strlen(text));
@@ -146,7 +100,7 @@
  * Replies with the body of an item without a result. A body that is gone from the store may be that
  * of an item which has ended, so that a stale fold does not tell why.
  */
-static bool answer_item(const job_call *call, fold_state fold) {
+static bool answer_item(const job_call *call, hs_fold_knowledge fold) {
     g_autofree char *item_id = hs_platform_read_item_id(call->inbound->target);
     hs_job_state *state = hs_job_partition_lock(call->partition);
     const hs_job *job = find_job(call, state);
@@ -165,7 +119,7 @@
     hs_store_outcome outcome = HS_STORE_UNKNOWN;
     Hs__JobItemContent *content = hs_job_partition_read_content(
         call->partition, item.content_offset, item.content_bytes, call->deadline, &outcome);
-    if (content == NULL && outcome == HS_STORE_GONE && fold == FOLD_STALE)
+    if (content == NULL && outcome == HS_STORE_GONE && fold == HS_FOLD_STALE)
         return false;
     if (content == NULL) {
         bool is_gone = outcome == HS_STORE_GONE;
@@ -216,10 +170,10 @@
 }
 
 /** Replies from this daemon's fold. Returns false without a reply if the fold may be incomplete. */
-static bool answer_from_fold(job_call *call, fold_state fold) {
+static bool answer_from_fold(job_call *call, hs_fold_knowledge fold) {
     bool is_known =
         hs_job_check_visibility(call->partition, call->job_id, call->tenant) == HS_JOB_VISIBLE;
-    if (!is_known && fold != FOLD_COMPLETE)
+    if (!is_known && fold != HS_FOLD_COMPLETE)
         return false;
     if (!is_known) {
         hs_job_reply_text(call->inbound, 404, "no such job\n");
@@ -336,7 +290,7 @@
     job_call call = make_call(service, inbound, caller, kind, job_id);
     /* The end of a known job is stored without a recent fold. */
     bool can_answer = is_recent(&call) || kind == HS_CALL_JOB_END;
-    if (can_answer && answer_from_fold(&call, FOLD_RECENT)) {
+    if (can_answer && answer_from_fold(&call, HS_FOLD_RECENT)) {
         g_atomic_int_inc(&service->reads.from_own_fold);
         log_call(&call, "own_fold", true);
         return;
@@ -347,7 +301,7 @@
         return;
     }
     bool is_read = read_log(&call);
-    bool is_answered = answer_from_fold(&call, is_read ? FOLD_COMPLETE : FOLD_STALE);
+    bool is_answered = answer_from_fold(&call, is_read ? HS_FOLD_COMPLETE : HS_FOLD_STALE);
     if (!is_answered)
         hs_job_reply_text(inbound, 503, "the log cannot be read now\n");
     g_atomic_int_inc(is_answered ? &service->reads.from_log : &service->reads.refused);
@@ -358,11 +312,11 @@
                                    const hs_job_caller *caller, hs_call_kind kind,
                                    const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
-    fold_state fold = is_recent(&call) ? FOLD_RECENT : FOLD_STALE;
+    hs_fold_knowledge fold = is_recent(&call) ? HS_FOLD_RECENT : HS_FOLD_STALE;
     bool is_answered = answer_from_fold(&call, fold);
     if (!is_answered)
         hs_job_reply_text(inbound, 503, "this daemon's view of the job is not recent\n");
-    log_call(&call, fold == FOLD_RECENT ? "own_fold_for_peer" : "lagging_fold_for_peer",
+    log_call(&call, fold == HS_FOLD_RECENT ? "own_fold_for_peer" : "lagging_fold_for_peer",
              is_answered);
 }
 
--- /dev/null
+++ b/src/jobs/result_page.c
@@ -0,0 +1,46 @@
+/** @file result_page.c  See result_page.h. */
+#include "jobs/result_page.h"
+
+#include "platform/job_codec.h"
+
+/** Maximum size of one page of results; callers accept up to one megabyte. */
+#define MAX_PAGE_BYTES (1000U * 1000)
+/** Upper bound of the JSON added to each result of a page. */
+#define ITEM_OVERHEAD_BYTES 256
+
+hs_result_page hs_result_page_build(const hs_job *job, uint64_t position) {
+    if (job == NULL)
+        return (hs_result_page){0};
+    g_autofree hs_result_view *views = g_new0(hs_result_view, job->results->len + 1);
+    size_t count = 0;
+    size_t bytes = 0;
+    for (uint64_t index = position; index < job->results->len; index++) {
+        const hs_job_result *result = job->results->pdata[index];
+        bytes += result->length + ITEM_OVERHEAD_BYTES;
+        if (count > 0 && bytes > MAX_PAGE_BYTES)
+            break;
+        views[count++] =
+            (hs_result_view){.item_id = g_array_index(job->items, hs_job_item, result->item).id,
+                             .completed = result->outcome == HS_ITEM_COMPLETED,
+                             .text = result->text,
+                             .length = result->length};
+    }
+    return (hs_result_page){
+        .text = hs_platform_write_results(job->items->len, position + count, views, count),
+        .count = count,
+        .is_final = job->results->len >= job->items->len,
+        .is_ended = job->ended,
+        .is_beyond = position > job->results->len};
+}
+
+bool hs_result_page_is_definite(const hs_result_page *page, hs_fold_knowledge fold) {
+    if (page->text == NULL)
+        return false;
+    if (page->is_beyond)
+        return fold == HS_FOLD_COMPLETE;
+    return fold != HS_FOLD_STALE || page->count > 0 || page->is_final;
+}
+
+bool hs_result_page_is_ready(const hs_result_page *page) {
+    return page->count > 0 || page->is_final || page->is_ended;
+}
--- /dev/null
+++ b/src/jobs/result_page.h
@@ -0,0 +1,39 @@
+/**
+ * @file result_page.h
+ * Pages of a job's results, and which of them may be given as an answer. Pure.
+ *
+ * A fold that is behind lacks results, also those of a job that it shows as ended: an end may be
+ * applied ahead of other records (see hs_job_state_end_early). What such a fold has is right, but
+ * it does not show that there is nothing more.
+ */
+#ifndef HS_JOBS_RESULT_PAGE_H
+#define HS_JOBS_RESULT_PAGE_H
+
+#include "jobs/job_state.h"
+
+/** How complete a fold is known to be. */
+typedef enum {
+    HS_FOLD_STALE,    /**< Records may be missing. */
+    HS_FOLD_RECENT,   /**< Only records of the last HS_JOB_MAX_FOLD_AGE_MS may be missing. */
+    HS_FOLD_COMPLETE, /**< The log was read to its end for this request. */
+} hs_fold_knowledge;
+
+/** A page of results. */
+typedef struct {
+    char *text; /**< NULL: the job is unknown. Freed with g_free. */
+    size_t count;
+    bool is_final;  /**< All items have a result, so that no later record changes the page. */
+    bool is_ended;  /**< The job has ended; further results may follow. */
+    bool is_beyond; /**< The requested position is past the last result. */
+} hs_result_page;
+
+/** Builds the page of @p job from @p position on. @p job: NULL if unknown. */
+hs_result_page hs_result_page_build(const hs_job *job, uint64_t position);
+
+/** Returns whether the page holds, whatever records a fold of this kind lacks. */
+bool hs_result_page_is_definite(const hs_result_page *page, hs_fold_knowledge fold);
+
+/** Returns whether a caller that waits for a result gets the page at once. */
+bool hs_result_page_is_ready(const hs_result_page *page);
+
+#endif
--- a/tests/system/test_fleet_job_reads.c
+++ b/tests/system/test_fleet_job_reads.c
@@ -4,14 +4,32 @@
  */
 #include "base/clock.h"
 #include "platform/names.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/job_end_calls.h"
 #include "tests/system/system_tests.h"
 
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
 #include <string.h>
 
 /** Retention of items. */
 #define RETENTION_S 10
+/** Slots and pace of the engines: two items run at a time, each for under a second. */
+#define SLOTS 1
+#define ITEM_EVENTS 12
+#define ITEM_EVENT_MS 70
+/** Items of a job that is read while its owner's fold is behind. */
+#define READ_ITEMS 6
+/** Limits in ms for an owner to start a job's items, and for another daemon to list the first. */
+#define START_LIMIT_MS 3000
+#define FIRST_RESULT_LIMIT_MS 5000
+#define POLL_MS 20
+/** Time in ms for which an ended job is read, past the next assignment of its partition. */
+#define READ_ENDED_MS 4000
+/** Wait in ms of a read that is held until there is a result. */
+#define HELD_MS 1000
 /** Items of a job whose bodies are gone. */
 #define GONE_ITEMS 4
 /** Time in ms for an owner to try the items, and for which its reads are counted then. */
@@ -20,6 +38,9 @@
 /** Reads of the bodies topic; the query names the topic first. */
 #define CALL_READ_BODIES CALL_READ "?topic=" TOPIC_BODIES
 
+/** Before the store, one for each daemon. */
+static fault_proxy *store_proxies[BENCH_DEFAULT_DAEMONS];
+
 /** Returns the status of a read of an item's body. */
 static uint32_t read_body(int daemon, const char *job, int item) {
     g_autofree char *target = g_strdup_printf(PATH_ITEMS "%s?id=%s-%d", job, job, item);
@@ -65,20 +86,119 @@
     CU_ASSERT_PTR_NULL(strstr(page, "completed"));
 }
 
+/** Returns the daemon that runs items; -1: none within START_LIMIT_MS. */
+static int find_running_daemon(void) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + START_LIMIT_MS;
+    while (hs_clock_monotonic_ms() < until_ms) {
+        for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
+            if (get_daemon_metric(daemon, "heathsail_job_items_running ") > 0)
+                return daemon;
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    return -1;
+}
+
+/** Reads a job from the first position on. Returns the count of results; -1 without a 200. */
+static int count_results(int daemon, const char *job, uint32_t wait_ms) {
+    g_autofree char *target = g_strdup_printf(PATH_JOBS "%s?after=0", job);
+    bench_answer answer = bench_send(
+        &(bench_call){.daemon = daemon, .method = "GET", .target = target, .wait_ms = wait_ms});
+    json_t *page = answer.status == 200 ? json_loads(answer.body, 0, NULL) : NULL;
+    int count = page != NULL ? (int)json_array_size(json_object_get(page, "results")) : -1;
+    json_decref(page);
+    bench_answer_clear(&answer);
+    return count;
+}
+
+static bool wait_for_first_result(int daemon, const char *job) {
+    uint64_t until_ms = hs_clock_monotonic_ms() + FIRST_RESULT_LIMIT_MS;
+    int count = 0;
+    while (count <= 0 && hs_clock_monotonic_ms() < until_ms) {
+        count = count_results(daemon, job, 0);
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    return count > 0;
+}
+
+/** How reads of a job that has a result were answered. */
+typedef struct {
+    int with_results;
+    int without; /**< Answered 200 without a result. */
+} read_counts;
+
+/** Reads an ended job at all daemons in turn; every second read is held if there is no result. */
+static read_counts read_ended_job(const char *job) {
+    read_counts counts = {0};
+    uint64_t until_ms = hs_clock_monotonic_ms() + READ_ENDED_MS;
+    for (int turn = 0; hs_clock_monotonic_ms() < until_ms; turn++) {
+        int daemon = turn % BENCH_DEFAULT_DAEMONS;
+        int results = count_results(daemon, job, turn % 2 == 0 ? 0 : HELD_MS);
+        counts.with_results += results > 0;
+        counts.without += results == 0;
+        if (results == 0)
+            fprintf(stderr, "daemon %d has no result of %s\n", daemon, job);
+        hs_clock_sleep_ms(POLL_MS);
+    }
+    return counts;
+}
+
+/** Runs a job whose owner loses the store, ends it once a result was read, and reads it on. */
+static read_counts read_job_of_owner_without_store(const char *job) {
+    read_counts counts = {0};
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    CU_ASSERT_EQUAL(submit_job(0, job, READ_ITEMS), 202);
+    int owner = find_running_daemon();
+    CU_ASSERT(owner >= 0);
+    if (owner < 0)
+        return counts;
+    int other = (owner + 1) % BENCH_DEFAULT_DAEMONS;
+    fault_proxy_set_mode(store_proxies[owner], PROXY_RESETS);
+    CU_ASSERT_TRUE(wait_for_first_result(other, job));
+    CU_ASSERT_EQUAL(end_job(other, job), 200);
+    counts = read_ended_job(job);
+    fault_proxy_set_mode(store_proxies[owner], PROXY_FORWARDS);
+    return counts;
+}
+
+/** Guards against an ended job whose owner answers from a fold that lacks results. */
+static void results_of_an_ended_job_stay_while_its_owner_cannot_read_them(void) {
+    static const char *const jobs[] = {"stay-a", "stay-b", "stay-c"};
+    for (size_t index = 0; index < G_N_ELEMENTS(jobs); index++) {
+        read_counts counts = read_job_of_owner_without_store(jobs[index]);
+        CU_ASSERT_EQUAL(counts.without, 0);
+        CU_ASSERT(counts.with_results > 0);
+    }
+}
+
 int begin_job_reads(void) {
-    bench.settings.retention_s = RETENTION_S;
-    return bench_set_up();
+    bench.settings =
+        (bench_settings){.item_pace = {.events = ITEM_EVENTS, .event_ms = ITEM_EVENT_MS},
+                         .slots = SLOTS,
+                         .retention_s = RETENTION_S};
+    bench_prepare();
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
+        store_proxies[daemon] = fault_proxy_start(log_store_port(bench.store));
+        bench.store_ports[daemon] = fault_proxy_port(store_proxies[daemon]);
+    }
+    return bench_start();
 }
 
 int end_job_reads(void) {
-    bench_tear_down();
-    bench.settings.retention_s = 0;
-    return 0;
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
+        bench_signal_daemon(daemon, SIGKILL);
+        fault_proxy_stop(store_proxies[daemon]);
+        bench.store_ports[daemon] = 0;
+    }
+    int ended = bench_tear_down();
+    bench.settings = (bench_settings){0};
+    return ended;
 }
 
 const test_case fleet_job_read_system_tests[] = {
     {"a_body_that_is_gone_is_answered_410", a_body_that_is_gone_is_answered_410},
     {"items_whose_bodies_are_gone_are_not_tried_again",
      items_whose_bodies_are_gone_are_not_tried_again},
+    {"results_of_an_ended_job_stay_while_its_owner_cannot_read_them",
+     results_of_an_ended_job_stay_while_its_owner_cannot_read_them},
     {NULL, NULL},
 };
