A daemon passes on no page that lacks a result which it knows itself

Cause: a 200 of the owner was passed on whatever the daemon that asked had in its own fold, and whatever fold it came from.

Fix: a page without results is passed on only if the own fold has no result at that position and the owner vouches for it. Owners state the age of the fold that answers (Fold-Age-Ms), which shows that they give definite pages only; an earlier build does not, and its page counts only if it was held for the caller's whole wait, as it does that from a recent fold alone. Otherwise the log is read.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -44,6 +44,7 @@
     const char *job_id;
     hs_deadline deadline;
     uint64_t fold_age_ms; /**< At the start of the call; see hs_job_partition_age_ms. */
+    bool is_forwarded;    /**< By another daemon. */
     int page_results;     /**< Of the page that was sent; -1: none was. */
     bool is_page_of_ended_job;
 } job_call;
@@ -64,6 +65,21 @@
         has_age ? (gint64)call->fold_age_ms : -1, call->page_results, call->is_page_of_ended_job);
 }
 
+/** Replies to the caller, or to the daemon that forwarded the request. */
+static void reply(const job_call *call, uint32_t status, const char *type, const void *body,
+                  size_t length) {
+    uint64_t age_ms = hs_job_partition_age_ms(call->partition);
+    if (call->is_forwarded)
+        hs_job_reply_to_peer(call->inbound, status, type, body, length,
+                             age_ms != UINT64_MAX ? (int64_t)age_ms : -1);
+    else
+        hs_job_reply(call->inbound, status, type, body, length);
+}
+
+static void reply_text(const job_call *call, uint32_t status, const char *text) {
+    reply(call, status, "text/plain", text, strlen(text));
+}
+
 /**
  * Returns the request's job, or NULL if the caller may not see it. The caller holds the fold's
  * lock.
@@ -89,7 +105,7 @@
         if (hs_result_page_is_ready(&page) || hs_clock_monotonic_ms() >= wait_until) {
             call->page_results = (int)page.count;
             call->is_page_of_ended_job = page.is_ended;
-            hs_job_reply(call->inbound, 200, "application/json", text, strlen(text));
+            reply(call, 200, "application/json", text, strlen(text));
             return true;
         }
         hs_job_partition_wait(call->partition, next, wait_until);
@@ -113,7 +129,7 @@
     if (!is_known)
         return false;
     if (index < 0 || item.listed) {
-        hs_job_reply_text(call->inbound, 404, "no such open item\n");
+        reply_text(call, 404, "no such open item\n");
         return true;
     }
     hs_store_outcome outcome = HS_STORE_UNKNOWN;
@@ -127,13 +143,12 @@
                     "job=%s item=%s part=%u offset=%" G_GUINT64_FORMAT " outcome=%s", call->job_id,
                     item_id, hs_job_partition_number(call->partition), (guint64)item.content_offset,
                     hs_store_outcome_name(outcome));
-        hs_job_reply_text(call->inbound, is_gone ? 410 : 503,
-                          is_gone ? "the item's body is no longer stored\n"
-                                  : "the item's body cannot be read now\n");
+        reply_text(call, is_gone ? 410 : 503,
+                   is_gone ? "the item's body is no longer stored\n"
+                           : "the item's body cannot be read now\n");
         return true;
     }
-    hs_job_reply(call->inbound, 200, "application/octet-stream", content->body.data,
-                 content->body.len);
+    reply(call, 200, "application/octet-stream", content->body.data, content->body.len);
     hs__job_item_content__free_unpacked(content, NULL);
     return true;
 }
@@ -142,10 +157,9 @@
 static void acknowledge_end(const job_call *call) {
     if (hs_job_end_report(call->partition, call->job_id, call->service->daemons, call->config,
                           call->deadline))
-        hs_job_reply_text(call->inbound, 200, "");
+        reply_text(call, 200, "");
     else
-        hs_job_reply_text(call->inbound, 504,
-                          "the end is stored, but not confirmed by its owner\n");
+        reply_text(call, 504, "the end is stored, but not confirmed by its owner\n");
 }
 
 /**
@@ -165,8 +179,7 @@
     if (outcome == HS_STORE_DONE)
         acknowledge_end(call);
     else
-        hs_job_reply_text(call->inbound, outcome == HS_STORE_UNKNOWN ? 504 : 503,
-                          "the end was not stored\n");
+        reply_text(call, outcome == HS_STORE_UNKNOWN ? 504 : 503, "the end was not stored\n");
 }
 
 /** Replies from this daemon's fold. Returns false without a reply if the fold may be incomplete. */
@@ -176,7 +189,7 @@
     if (!is_known && fold != HS_FOLD_COMPLETE)
         return false;
     if (!is_known) {
-        hs_job_reply_text(call->inbound, 404, "no such job\n");
+        reply_text(call, 404, "no such job\n");
         return true;
     }
     if (call->kind == HS_CALL_JOB_READ)
@@ -221,6 +234,29 @@
     return hs_body_regions_allow(&regions, owner->region);
 }
 
+/** Returns how many results of the request's job this daemon's fold has. */
+static uint64_t count_known_results(const job_call *call) {
+    const hs_job_state *state = hs_job_partition_lock(call->partition);
+    const hs_job *job = find_job(call, state);
+    uint64_t count = job != NULL ? job->results->len : 0;
+    hs_job_partition_unlock(call->partition);
+    return count;
+}
+
+/** Whether the owner's answer, which took @p took_ms, may be passed on. */
+static bool is_definite(const job_call *call, const hs_peer_answer *answer, uint64_t took_ms) {
+    if (answer->status != 200 || call->kind != HS_CALL_JOB_READ)
+        return answer->status == 200 || answer->status == 404 || answer->status == 410;
+    uint64_t wait_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+    return hs_owner_page_is_definite(
+        &(hs_owner_page){.bytes = answer->body->data,
+                         .length = answer->body->len,
+                         .position = hs_platform_read_position(call->inbound->target),
+                         .known_results = count_known_results(call),
+                         .is_checked = answer->states_fold_age,
+                         .was_held = wait_ms > 0 && took_ms >= wait_ms});
+}
+
 /**
  * Forwards the request to the partition's owner and replies with its answer. Returns false without
  * a reply if no owner is known or the owner gave no definite answer.
@@ -234,20 +270,20 @@
         return false;
     uint64_t slack_ms = call->kind == HS_CALL_JOB_END ? OWNER_END_SLACK_MS : OWNER_ANSWER_SLACK_MS;
     uint64_t limit_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + slack_ms;
+    uint64_t started_ms = hs_clock_monotonic_ms();
     hs_peer_answer owner_answer;
     if (hs_job_peer_forward(&owner, call->inbound, call->tenant,
-                            MIN(call->deadline, hs_clock_monotonic_ms() + limit_ms),
+                            MIN(call->deadline, started_ms + limit_ms),
                             &owner_answer) != HS_PEER_ANSWERED)
         return false;
-    bool is_definite =
-        owner_answer.status == 200 || owner_answer.status == 404 || owner_answer.status == 410;
+    bool is_answer = is_definite(call, &owner_answer, hs_clock_monotonic_ms() - started_ms);
     if (call->kind == HS_CALL_JOB_END && owner_answer.status == 200)
         acknowledge_forwarded_end(call);
-    else if (is_definite)
-        hs_job_reply(call->inbound, owner_answer.status, owner_answer.type, owner_answer.body->data,
-                     owner_answer.body->len);
+    else if (is_answer)
+        reply(call, owner_answer.status, owner_answer.type, owner_answer.body->data,
+              owner_answer.body->len);
     hs_peer_answer_clear(&owner_answer);
-    return is_definite;
+    return is_answer;
 }
 
 static hs_deadline get_deadline(const hs_inbound *inbound, const hs_caller_terms *terms,
@@ -303,7 +339,7 @@
     bool is_read = read_log(&call);
     bool is_answered = answer_from_fold(&call, is_read ? HS_FOLD_COMPLETE : HS_FOLD_STALE);
     if (!is_answered)
-        hs_job_reply_text(inbound, 503, "the log cannot be read now\n");
+        reply_text(&call, 503, "the log cannot be read now\n");
     g_atomic_int_inc(is_answered ? &service->reads.from_log : &service->reads.refused);
     log_call(&call, is_read ? "log" : "lagging_fold", is_answered);
 }
@@ -312,10 +348,11 @@
                                    const hs_job_caller *caller, hs_call_kind kind,
                                    const char *job_id) {
     job_call call = make_call(service, inbound, caller, kind, job_id);
+    call.is_forwarded = true;
     hs_fold_knowledge fold = is_recent(&call) ? HS_FOLD_RECENT : HS_FOLD_STALE;
     bool is_answered = answer_from_fold(&call, fold);
     if (!is_answered)
-        hs_job_reply_text(inbound, 503, "this daemon's view of the job is not recent\n");
+        reply_text(&call, 503, "this daemon's view of the job is not recent\n");
     log_call(&call, fold == HS_FOLD_RECENT ? "own_fold_for_peer" : "lagging_fold_for_peer",
              is_answered);
 }
--- a/src/jobs/job_peer.c
+++ b/src/jobs/job_peer.c
@@ -50,10 +50,13 @@
 
 static void copy_answer(hs_client_connection *connection, hs_peer_answer *answer) {
     const GByteArray *body = hs_client_connection_body(connection);
-    const char *type = hs_http_fields_find(hs_client_connection_fields(connection), "Content-Type");
+    const GArray *fields = hs_client_connection_fields(connection);
+    const char *type = hs_http_fields_find(fields, "Content-Type");
     *answer = (hs_peer_answer){.status = hs_client_connection_status(connection),
                                .type = g_strdup(type != NULL ? type : "text/plain"),
-                               .body = g_byte_array_sized_new(body->len)};
+                               .body = g_byte_array_sized_new(body->len),
+                               .states_fold_age =
+                                   hs_http_fields_find(fields, HS_PEER_FOLD_AGE_FIELD) != NULL};
     g_byte_array_append(answer->body, body->data, body->len);
 }
 
--- a/src/jobs/job_peer.h
+++ b/src/jobs/job_peer.h
@@ -21,8 +21,16 @@
     uint32_t status;
     char *type; /**< Value of Content-Type. */
     GByteArray *body;
+    bool states_fold_age; /**< Has the field HS_PEER_FOLD_AGE_FIELD. */
 } hs_peer_answer;
 
+/**
+ * Field of an owner's answers to forwarded requests about jobs: the age in ms of the fold that made
+ * the answer, -1 if it was never complete. Its presence shows that a page without results comes
+ * from a recent fold (see result_page.h); earlier builds do not send it.
+ */
+#define HS_PEER_FOLD_AGE_FIELD "Fold-Age-Ms"
+
 /**
  * Forwards a caller's request and waits for the answer until @p deadline or until the caller
  * disconnects. @p tenant: tenant of the caller as identified by this daemon; "": none.
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "http/http_fields.h"
+#include "jobs/job_peer.h"
 #include "online/retry_after.h"
 
 #include <string.h>
@@ -65,8 +66,8 @@
         service, hs_job_partition_number_for_job(job_id, service->settings.part_count));
 }
 
-static void reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
-                  size_t length, uint64_t retry_after_ms) {
+/** Returns the fields of an answer. Free with hs_http_fields_free. */
+static GArray *make_fields(uint32_t status, const char *type, uint64_t retry_after_ms) {
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Content-Type", type);
     if (status == 503 || status == 429) {
@@ -74,15 +75,29 @@
         g_autofree char *seconds = g_strdup_printf("%.3f", (double)delay_ms / 1000.0);
         hs_http_fields_add(fields, "Retry-After", seconds);
     }
-    hs_inbound_reply(inbound, status, fields, body, length);
-    hs_http_fields_free(fields);
+    return fields;
+}
+
+/** Returns the Retry-After of a request that could not reach the log. */
+static uint64_t get_retry_after_ms(const hs_inbound *inbound) {
+    uint64_t elapsed_ms = hs_clock_monotonic_ms() - inbound->received_ms;
+    return MIN(hs_retry_after_absence_ms(elapsed_ms, 0), MAX_RETRY_DELAY_MS);
 }
 
 void hs_job_reply(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
                   size_t length) {
-    uint64_t elapsed_ms = hs_clock_monotonic_ms() - inbound->received_ms;
-    uint64_t retry_after_ms = MIN(hs_retry_after_absence_ms(elapsed_ms, 0), MAX_RETRY_DELAY_MS);
-    reply(inbound, status, type, body, length, retry_after_ms);
+    GArray *fields = make_fields(status, type, get_retry_after_ms(inbound));
+    hs_inbound_reply(inbound, status, fields, body, length);
+    hs_http_fields_free(fields);
+}
+
+void hs_job_reply_to_peer(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+                          size_t length, int64_t fold_age_ms) {
+    GArray *fields = make_fields(status, type, get_retry_after_ms(inbound));
+    g_autofree char *age = g_strdup_printf("%" G_GINT64_FORMAT, (gint64)fold_age_ms);
+    hs_http_fields_add(fields, HS_PEER_FOLD_AGE_FIELD, age);
+    hs_inbound_reply(inbound, status, fields, body, length);
+    hs_http_fields_free(fields);
 }
 
 void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text) {
@@ -91,7 +106,9 @@
 
 void hs_job_refuse(hs_inbound *inbound, uint32_t status, const char *text,
                    uint64_t retry_after_ms) {
-    reply(inbound, status, "text/plain", text, strlen(text), retry_after_ms);
+    GArray *fields = make_fields(status, "text/plain", retry_after_ms);
+    hs_inbound_reply(inbound, status, fields, text, strlen(text));
+    hs_http_fields_free(fields);
 }
 
 hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms) {
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -32,6 +32,10 @@
                   size_t length);
 void hs_job_reply_text(hs_inbound *inbound, uint32_t status, const char *text);
 
+/** As hs_job_reply, to a daemon that forwarded the request; see HS_PEER_FOLD_AGE_FIELD. */
+void hs_job_reply_to_peer(hs_inbound *inbound, uint32_t status, const char *type, const void *body,
+                          size_t length, int64_t fold_age_ms);
+
 /** Refuses a request with 429 or 503 and a Retry-After of at least @p retry_after_ms. */
 void hs_job_refuse(hs_inbound *inbound, uint32_t status, const char *text, uint64_t retry_after_ms);
 
--- a/src/jobs/result_page.c
+++ b/src/jobs/result_page.c
@@ -7,6 +7,8 @@
 #define MAX_PAGE_BYTES (1000U * 1000)
 /** Upper bound of the JSON added to each result of a page. */
 #define ITEM_OVERHEAD_BYTES 256
+/** Upper bound of a page without results. */
+#define MAX_EMPTY_PAGE_BYTES 128
 
 hs_result_page hs_result_page_build(const hs_job *job, uint64_t position) {
     if (job == NULL)
@@ -44,3 +46,16 @@
 bool hs_result_page_is_ready(const hs_result_page *page) {
     return page->count > 0 || page->is_final || page->is_ended;
 }
+
+bool hs_owner_page_is_definite(const hs_owner_page *page) {
+    if (page->length > MAX_EMPTY_PAGE_BYTES)
+        return true;
+    uint64_t total = 0;
+    uint64_t next = 0;
+    if (!hs_platform_read_page_bounds(page->bytes, page->length, &total, &next))
+        return false;
+    bool is_final = next >= total;
+    if (next > page->position || is_final)
+        return true;
+    return page->known_results <= page->position && (page->is_checked || page->was_held);
+}
--- a/src/jobs/result_page.h
+++ b/src/jobs/result_page.h
@@ -36,4 +36,21 @@
 /** Returns whether a caller that waits for a result gets the page at once. */
 bool hs_result_page_is_ready(const hs_result_page *page);
 
+/** A page that a partition's owner returned to another daemon. */
+typedef struct {
+    const void *bytes; /**< As sent to callers; borrowed. */
+    size_t length;
+    uint64_t position;      /**< The requested position. */
+    uint64_t known_results; /**< Of the job in the fold of the daemon that asked. */
+    bool is_checked;        /**< The owner's build gives definite pages only. */
+    bool was_held; /**< It came after the whole wait that the caller allows, which is not 0. */
+} hs_owner_page;
+
+/**
+ * Returns whether the owner's page may be passed on. A page without results may not if the daemon
+ * that asked knows one, nor if an earlier build may have given it from a stale fold: such a build
+ * does so for ended jobs, at once.
+ */
+bool hs_owner_page_is_definite(const hs_owner_page *page);
+
 #endif
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -46,6 +46,8 @@
         {"fleet_item_losses", fleet_item_loss_system_tests, begin_item_losses, end_item_losses},
         {"fleet_upgrade", fleet_upgrade_system_tests, begin_upgrade, end_upgrade},
         {"fleet_crash_parts", fleet_crash_part_system_tests, begin_crash_parts, end_crash_parts},
+        {"fleet_upgrade_job_reads", fleet_upgrade_job_read_system_tests, begin_upgrade_job_reads,
+         end_upgrade_job_reads},
         {"fleet_upgrade_versions", fleet_upgrade_version_system_tests, begin_upgrade_versions,
          end_upgrade_versions},
         {"fleet_versions", fleet_version_system_tests, begin_versions, end_versions},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -51,6 +51,11 @@
 extern const test_case fleet_job_read_system_tests[];
 int begin_job_reads(void);
 int end_job_reads(void);
+
+/** As begin_job_reads, with daemons of an earlier build beside one of this build. */
+extern const test_case fleet_upgrade_job_read_system_tests[];
+int begin_upgrade_job_reads(void);
+int end_upgrade_job_reads(void);
 extern const test_case fleet_job_end_system_tests[];
 extern const test_case fleet_slow_store_system_tests[];
 extern const test_case fleet_job_end_stop_system_tests[];
--- a/tests/system/test_fleet_job_reads.c
+++ b/tests/system/test_fleet_job_reads.c
@@ -28,6 +28,8 @@
 #define POLL_MS 20
 /** Time in ms for which an ended job is read, past the next assignment of its partition. */
 #define READ_ENDED_MS 4000
+/** Jobs beside owners of an earlier build. */
+#define UPGRADE_JOBS 6
 /** Wait in ms of a read that is held until there is a result. */
 #define HELD_MS 1000
 /** Items of a job whose bodies are gone. */
@@ -126,12 +128,15 @@
     int without; /**< Answered 200 without a result. */
 } read_counts;
 
-/** Reads an ended job at all daemons in turn; every second read is held if there is no result. */
-static read_counts read_ended_job(const char *job) {
+/**
+ * Reads an ended job at the first @p daemons daemons in turn; every second read is held if there is
+ * no result.
+ */
+static read_counts read_ended_job(const char *job, int daemons) {
     read_counts counts = {0};
     uint64_t until_ms = hs_clock_monotonic_ms() + READ_ENDED_MS;
     for (int turn = 0; hs_clock_monotonic_ms() < until_ms; turn++) {
-        int daemon = turn % BENCH_DEFAULT_DAEMONS;
+        int daemon = turn % daemons;
         int results = count_results(daemon, job, turn % 2 == 0 ? 0 : HELD_MS);
         counts.with_results += results > 0;
         counts.without += results == 0;
@@ -155,7 +160,7 @@
     fault_proxy_set_mode(store_proxies[owner], PROXY_RESETS);
     CU_ASSERT_TRUE(wait_for_first_result(other, job));
     CU_ASSERT_EQUAL(end_job(other, job), 200);
-    counts = read_ended_job(job);
+    counts = read_ended_job(job, BENCH_DEFAULT_DAEMONS);
     fault_proxy_set_mode(store_proxies[owner], PROXY_FORWARDS);
     return counts;
 }
@@ -170,7 +175,7 @@
     }
 }
 
-int begin_job_reads(void) {
+static void start_store_proxies(void) {
     bench.settings =
         (bench_settings){.item_pace = {.events = ITEM_EVENTS, .event_ms = ITEM_EVENT_MS},
                          .slots = SLOTS,
@@ -180,6 +185,10 @@
         store_proxies[daemon] = fault_proxy_start(log_store_port(bench.store));
         bench.store_ports[daemon] = fault_proxy_port(store_proxies[daemon]);
     }
+}
+
+int begin_job_reads(void) {
+    start_store_proxies();
     return bench_start();
 }
 
@@ -202,3 +211,63 @@
      results_of_an_ended_job_stay_while_its_owner_cannot_read_them},
     {NULL, NULL},
 };
+
+int begin_upgrade_job_reads(void) {
+    bench.previous_program = g_getenv("HS_PAST_PROGRAM");
+    if (bench.previous_program == NULL)
+        return -1;
+    for (int daemon = 1; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
+        bench.runs_previous_program[daemon] = true;
+    start_store_proxies();
+    return bench_start();
+}
+
+int end_upgrade_job_reads(void) {
+    int ended = end_job_reads();
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
+        bench.runs_previous_program[daemon] = false;
+    bench.previous_program = NULL;
+    return ended;
+}
+
+/**
+ * Runs and ends a job as read_job_of_owner_without_store does, through daemon 0, and reads it
+ * there, after a restart if @p is_restarted. Returns false if daemon 0 owns the job itself.
+ */
+static bool read_job_of_old_owner(const char *job, bool is_restarted) {
+    CU_ASSERT_TRUE(wait_for_settled_owners());
+    CU_ASSERT_EQUAL(submit_job(0, job, READ_ITEMS), 202);
+    int owner = find_running_daemon();
+    CU_ASSERT(owner >= 0);
+    if (owner <= 0)
+        return false;
+    fault_proxy_set_mode(store_proxies[owner], PROXY_RESETS);
+    CU_ASSERT_TRUE(wait_for_first_result(0, job));
+    CU_ASSERT_EQUAL(end_job(0, job), 200);
+    if (is_restarted) {
+        bench_signal_daemon(0, SIGKILL);
+        CU_ASSERT_TRUE(bench_start_daemon(0, false));
+        CU_ASSERT_TRUE(bench_wait_ready(0));
+    }
+    read_counts counts = read_ended_job(job, 1);
+    fault_proxy_set_mode(store_proxies[owner], PROXY_FORWARDS);
+    CU_ASSERT_EQUAL(counts.without, 0);
+    CU_ASSERT(counts.with_results > 0);
+    return true;
+}
+
+/** Guards against a page without results that an owner of an earlier build gives too early. */
+static void results_of_an_ended_job_stay_while_an_old_owner_cannot_read_them(void) {
+    int count = 0;
+    for (int index = 0; index < UPGRADE_JOBS; index++) {
+        g_autofree char *job = g_strdup_printf("old-%d", index);
+        count += read_job_of_old_owner(job, index % 2 == 1);
+    }
+    CU_ASSERT(count > 0);
+}
+
+const test_case fleet_upgrade_job_read_system_tests[] = {
+    {"results_of_an_ended_job_stay_while_an_old_owner_cannot_read_them",
+     results_of_an_ended_job_stay_while_an_old_owner_cannot_read_them},
+    {NULL, NULL},
+};
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -35,6 +35,7 @@
         {"connection_guard", connection_guard_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
         {"content_trim", content_trim_tests, NULL, NULL},
+        {"result_page", result_page_tests, NULL, NULL},
         {"item_plan", item_plan_tests, NULL, NULL},
         {"deal", allocation_tests, NULL, NULL},
         {"forecast", forecast_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -36,6 +36,7 @@
 extern const test_case attempt_tests[];
 extern const test_case job_tests[];
 extern const test_case content_trim_tests[];
+extern const test_case result_page_tests[];
 extern const test_case item_plan_tests[];
 extern const test_case allocation_tests[];
 extern const test_case forecast_tests[];
