A held read looks at its fold again before it ends without a result

Cause: how recent the fold is was looked at when the read came, not when it was answered, up to 5 s later.

Fix: if the fold is older than it may be and the latest read of the log failed, a page that needs a recent fold is not given. The read goes on as any other that the own fold cannot answer: the owner if there is another one by now, the log, 503. A store that is slow but answers changes nothing: its reads do not fail. What is forwarded after a hold is not held once more.

--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -94,6 +94,7 @@
     uint64_t position = hs_platform_read_position(call->inbound->target);
     hs_deadline wait_until =
         call->inbound->received_ms + MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+    bool was_held = false;
     while (true) {
         hs_job_state *state = hs_job_partition_lock(call->partition);
         uint64_t next = hs_job_state_next_offset(state);
@@ -103,12 +104,16 @@
         if (!hs_result_page_is_definite(&page, fold))
             return false;
         if (hs_result_page_is_ready(&page) || hs_clock_monotonic_ms() >= wait_until) {
+            bool is_behind = was_held && hs_job_partition_has_fallen_behind(call->partition);
+            if (is_behind && !hs_result_page_is_definite(&page, HS_FOLD_STALE))
+                return false;
             call->page_results = (int)page.count;
             call->is_page_of_ended_job = page.is_ended;
             reply(call, 200, "application/json", text, strlen(text));
             return true;
         }
         hs_job_partition_wait(call->partition, next, wait_until);
+        was_held = true;
     }
 }
 
@@ -269,8 +274,10 @@
         !may_owner_answer(call, &owner))
         return false;
     uint64_t slack_ms = call->kind == HS_CALL_JOB_END ? OWNER_END_SLACK_MS : OWNER_ANSWER_SLACK_MS;
-    uint64_t limit_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS) + slack_ms;
     uint64_t started_ms = hs_clock_monotonic_ms();
+    uint64_t waited_ms = started_ms - call->inbound->received_ms;
+    uint64_t wait_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+    uint64_t limit_ms = (wait_ms > waited_ms ? wait_ms - waited_ms : 0) + slack_ms;
     hs_peer_answer owner_answer;
     if (hs_job_peer_forward(&owner, call->inbound, call->tenant,
                             MIN(call->deadline, started_ms + limit_ms),
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -124,6 +124,16 @@
     partition->current_ms = since_ms;
 }
 
+/**
+ * Records whether a read was answered that ended now, with the limit @p deadline; its caller stops
+ * waiting at @p until. The caller holds the lock.
+ */
+static void note_read_end(hs_job_partition *partition, bool is_answered, hs_deadline deadline,
+                          hs_deadline until) {
+    bool has_failed = hs_clock_monotonic_ms() < deadline || deadline < until;
+    partition->is_log_lost = !is_answered && (has_failed || partition->is_log_lost);
+}
+
 /** Reads one page from the fold's position on. */
 static bool read_once(hs_job_partition *partition, uint32_t wait_ms, hs_deadline deadline,
                       hs_interrupt *interrupt, bool *reached_end) {
@@ -174,6 +184,7 @@
         bool has_read = read_once(partition, 0, limit, NULL, &has_reached_end);
         g_mutex_lock(&partition->lock);
         partition->failed_reads = has_read ? 0 : partition->failed_reads + 1;
+        note_read_end(partition, has_read, limit, deadline);
         if (has_reached_end) {
             partition->last_complete_read = MAX(partition->last_complete_read, read_number);
             note_complete(partition, started_ms);
@@ -217,6 +228,7 @@
         hs_job_state_skip_to(partition->state, first);
     g_byte_array_free(answer, TRUE);
     bool is_answered = outcome == HS_STORE_DONE || outcome == HS_STORE_GONE;
+    note_read_end(partition, is_answered, deadline, until);
     if (is_answered)
         partition->failed_polls = 0;
     else if (deadline < until)
@@ -238,6 +250,14 @@
     return current_ms != 0 ? hs_clock_monotonic_ms() - current_ms : UINT64_MAX;
 }
 
+bool hs_job_partition_has_fallen_behind(hs_job_partition *partition) {
+    uint64_t age_ms = hs_job_partition_age_ms(partition);
+    g_mutex_lock(&partition->lock);
+    bool has_fallen_behind = age_ms > HS_JOB_MAX_FOLD_AGE_MS && partition->is_log_lost;
+    g_mutex_unlock(&partition->lock);
+    return has_fallen_behind;
+}
+
 uint32_t hs_job_poll_wait_ms(uint64_t current_ms, uint64_t now_ms, uint64_t until_ms) {
     uint64_t due_ms = MAX(current_ms + POLL_END_AGE_MS, now_ms + MIN_POLL_MS);
     return (uint32_t)(MIN(due_ms, until_ms) - now_ms);
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -46,6 +46,12 @@
 /** Returns the time in ms since the fold was known to be complete; UINT64_MAX: it never was. */
 uint64_t hs_job_partition_age_ms(hs_job_partition *partition);
 
+/**
+ * Returns whether the fold is older than that because the log cannot be read. False while the store
+ * is merely slow.
+ */
+bool hs_job_partition_has_fallen_behind(hs_job_partition *partition);
+
 /**
  * Returns how long the next long poll may wait so that the fold of a followed partition never gets
  * older than HS_JOB_MAX_FOLD_AGE_MS. A poll that returns records shows only that the fold was
--- a/src/jobs/job_partition_state.h
+++ b/src/jobs/job_partition_state.h
@@ -20,6 +20,7 @@
     uint64_t last_complete_read; /**< Number of the latest read that reached the end of the log. */
     uint32_t failed_reads;       /**< Short reads that failed since the last successful one. */
     uint32_t failed_polls;       /**< The same of long polls. */
+    bool is_log_lost;    /**< The latest read failed, and not merely at its caller's deadline. */
     uint64_t current_ms; /**< The fold held all records of the log at this time; 0: never. */
     hs_content_trim trim;
     hs_job_state *state;
--- a/tests/system/test_fleet_job_reads.c
+++ b/tests/system/test_fleet_job_reads.c
@@ -32,6 +32,7 @@
 #define UPGRADE_JOBS 6
 /** Wait in ms of a read that is held until there is a result. */
 #define HELD_MS 1000
+#define LONG_HELD_MS 3000
 /** Items of a job whose bodies are gone. */
 #define GONE_ITEMS 4
 /** Time in ms for an owner to try the items, and for which its reads are counted then. */
@@ -175,6 +176,25 @@
     }
 }
 
+/** Guards against a read whose hold ends with what the owner knew before it lost the store. */
+static void a_held_read_is_not_answered_from_a_fold_that_fell_behind(void) {
+    static const char *const jobs[] = {"held-a", "held-b", "held-c"};
+    for (size_t index = 0; index < G_N_ELEMENTS(jobs); index++) {
+        CU_ASSERT_TRUE(wait_for_settled_owners());
+        CU_ASSERT_EQUAL(submit_job(0, jobs[index], READ_ITEMS), 202);
+        int owner = find_running_daemon();
+        CU_ASSERT_FATAL(owner >= 0);
+        fault_proxy_set_mode(store_proxies[owner], PROXY_RESETS);
+        int held = count_results(owner, jobs[index], LONG_HELD_MS);
+        int listed = count_results((owner + 1) % BENCH_DEFAULT_DAEMONS, jobs[index], 0);
+        fault_proxy_set_mode(store_proxies[owner], PROXY_FORWARDS);
+        CU_ASSERT(listed > 0);
+        CU_ASSERT(held != 0);
+        g_autofree char *page = bench_wait_job(0, jobs[index], READ_ITEMS, JOB_LIMIT_MS);
+        CU_ASSERT_PTR_NOT_NULL(page);
+    }
+}
+
 static void start_store_proxies(void) {
     bench.settings =
         (bench_settings){.item_pace = {.events = ITEM_EVENTS, .event_ms = ITEM_EVENT_MS},
@@ -209,6 +229,8 @@
      items_whose_bodies_are_gone_are_not_tried_again},
     {"results_of_an_ended_job_stay_while_its_owner_cannot_read_them",
      results_of_an_ended_job_stay_while_its_owner_cannot_read_them},
+    {"a_held_read_is_not_answered_from_a_fold_that_fell_behind",
+     a_held_read_is_not_answered_from_a_fold_that_fell_behind},
     {NULL, NULL},
 };
 
