Accepted work gets one more trial run after a storm of crashes

Cause: two losses later than 3 s after the quarantine began rule out further trial runs, whatever else crashes engines at that moment. Accepted work is sent by nobody else, so nothing revises that.

Ruled out: trial runs that no engine begins, deciders that forgot (other verdicts).

Fix: late losses that each came together with the loss of an engine that did not run the content do not show that it was the cause. Accepted work with only such losses gets one more trial run once no engine has been lost for 5 s. Work that was lost alone is judged as before.

--- a/src/fleet/crash_trials.h
+++ b/src/fleet/crash_trials.h
@@ -14,7 +14,10 @@
  * - The content is accepted work, which this fleet must complete: no caller sends it again, so
  *   nothing else can end its quarantine. Without one of the other reasons, the delays are longer.
  *
- * A content that only callers send and that has none of these reasons gets no trial run.
+ * A content that only callers send and that has none of these reasons gets no trial run. Accepted
+ * work that lost its trial runs while other engines crashed too gets one more once no engine has
+ * been lost for a while: those losses do not show that it was the cause, and nothing else would end
+ * its quarantine in time.
  *
  * The module does no I/O and reads no clock: times are passed in, in ms of the monotonic clock.
  * Objects are not thread-safe.
@@ -35,8 +38,17 @@
     bool has_alternative_cause;        /**< See hs_crash_ledger_has_alternative_cause. */
     bool is_last_loss_shared; /**< See hs_crash_ledger_is_last_loss_shared; for the decision. */
     bool is_accepted;         /**< It is accepted work, which the fleet must complete. */
+    bool are_late_losses_coincident; /**< See hs_crash_ledger_are_losses_coincident; of those after
+                                          hs_crash_trials_late_since_ms. */
+    bool is_calm;                    /**< See hs_crash_ledger_is_calm. */
 } hs_trial_candidate;
 
+/**
+ * Returns the time from which all daemons should have known of a content's quarantine, so that
+ * later losses are of trial runs. 0: the content is no suspect.
+ */
+uint64_t hs_crash_trials_late_since_ms(const hs_crash_evidence *evidence);
+
 /** Result of a request for a trial run. Daemons send these values to each other: add new ones at
  * the end. */
 typedef enum {
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -50,6 +50,7 @@
         {"crashes", crash_tests, NULL, NULL},
         {"crash_trials", crash_trial_tests, NULL, NULL},
         {"crash_parts", crash_part_tests, NULL, NULL},
+        {"crash_storm", crash_storm_tests, NULL, NULL},
         {"versions", version_tests, NULL, NULL},
         {"records", record_tests, NULL, NULL},
         {"connections", connection_tests, NULL, NULL},
--- /dev/null
+++ b/tests/unit/test_crash_storm.c
@@ -0,0 +1,129 @@
+/**
+ * @file test_crash_storm.c
+ * Tests of the quarantine of accepted work that ran on engines while many of them crashed.
+ */
+#include "base/clock.h"
+#include "fleet/crash_watch.h"
+#include "tests/unit/unit_tests.h"
+
+/** Time in ms without a loss after which a storm is over. */
+#define CALM_MS 5000
+#define SUSPECT 7
+#define BESIDE 8
+/** Engines of the suspect count from 1, those of the content beside it from here. */
+#define OTHER_ENGINES 100
+/** Losses of a suspect before its quarantine, and those of its trial runs. */
+#define FIRST_LOSSES 3
+#define LATE_LOSSES 2
+/** Interval in ms between losses; more than the time in which a quarantine spreads. */
+#define INTERVAL_MS 4000
+
+/** Returns the evidence on a content whose last loss was @p ago_ms ago. */
+static hs_crash_evidence make_losses(uint64_t content, uint64_t first_engine, uint64_t ago_ms) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_crash_evidence evidence = {.content = content, .engine_count = FIRST_LOSSES + LATE_LOSSES};
+    for (uint32_t index = 0; index < evidence.engine_count; index++)
+        evidence.engines[index] = (hs_crash_engine){
+            .engine = first_engine + index,
+            .lost_ms = now_ms - ago_ms - (evidence.engine_count - 1 - index) * INTERVAL_MS};
+    return evidence;
+}
+
+static void merge(hs_crash_watch *watch, const hs_crash_evidence *evidence) {
+    hs_crash_watch_merge_evidence(watch, evidence, &(hs_crash_evidence_source){.daemon = "other"});
+}
+
+static hs_trial_verdict decide(hs_crash_watch *watch, const hs_crash_evidence *evidence,
+                               bool is_accepted) {
+    hs_trial_query query = {.evidence = evidence, .is_accepted = is_accepted};
+    return hs_crash_watch_decide_trial(watch, &query, "other");
+}
+
+/** Guards against accepted items that are held back until they expire, long after a storm. */
+static void accepted_work_gets_a_trial_run_after_a_storm(void) {
+    hs_crash_watch *watch = hs_crash_watch_new();
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, CALM_MS);
+    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, CALM_MS);
+    merge(watch, &suspect);
+    merge(watch, &beside);
+    hs_clock_sleep_ms(10);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, false), HS_TRIAL_NO_GROUNDS);
+    hs_trial_verdict verdict = decide(watch, &suspect, true);
+    CU_ASSERT(verdict == HS_TRIAL_GRANTED || verdict == HS_TRIAL_TOO_SOON);
+    hs_clock_sleep_ms(3100); /* Work without another reason waits for 8 s after its last loss. */
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_GRANTED);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_EXHAUSTED); /* A single one. */
+    hs_crash_watch_free(watch);
+}
+
+/** Otherwise trial runs would go on in the storm, and cost an engine each if the work is fatal. */
+static void no_trial_run_beyond_the_limit_while_engines_crash(void) {
+    hs_crash_watch *watch = hs_crash_watch_new();
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
+    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, 2 * CALM_MS);
+    hs_crash_evidence recent = {.content = BESIDE + 1, .engine_count = 1};
+    recent.engines[0] =
+        (hs_crash_engine){.engine = 2 * OTHER_ENGINES, .lost_ms = hs_clock_monotonic_ms() - 1000};
+    merge(watch, &suspect);
+    merge(watch, &beside);
+    merge(watch, &recent);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_TOO_SOON);
+    hs_crash_watch_free(watch);
+}
+
+/** Otherwise work that crashes its engines would cost one more. */
+static void work_that_was_lost_alone_gets_no_further_trial_run(void) {
+    hs_crash_watch *watch = hs_crash_watch_new();
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
+    hs_crash_evidence same_engines = make_losses(BESIDE, 1, 2 * CALM_MS);
+    merge(watch, &suspect);
+    merge(watch, &same_engines);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_EXHAUSTED);
+    hs_crash_evidence beside = make_losses(BESIDE + 1, OTHER_ENGINES, 2 * CALM_MS);
+    beside.engine_count--; /* The last loss remains alone. */
+    merge(watch, &beside);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_EXHAUSTED);
+    hs_crash_watch_free(watch);
+}
+
+/** Otherwise a trial run that no engine began would be the last. */
+static void a_returned_trial_run_after_a_storm_is_granted_again(void) {
+    hs_crash_watch *watch = hs_crash_watch_new();
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
+    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, 2 * CALM_MS);
+    suspect.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS; /* The next one is due soon. */
+    merge(watch, &suspect);
+    merge(watch, &beside);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_GRANTED);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_EXHAUSTED);
+    hs_crash_watch_take_returned_trial(watch, SUSPECT);
+    hs_clock_sleep_ms(350);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_GRANTED);
+    hs_crash_watch_free(watch);
+}
+
+/** Guards against a storm that is forgotten as soon as the contents beside are acquitted. */
+static void a_storm_is_remembered_when_other_contents_are_acquitted(void) {
+    hs_crash_watch *watch = hs_crash_watch_new();
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
+    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, 2 * CALM_MS);
+    merge(watch, &suspect);
+    merge(watch, &beside);
+    hs_crash_evidence acquitted = {
+        .content = BESIDE, .is_acquitted = true, .acquitted_ms = hs_clock_monotonic_ms()};
+    merge(watch, &acquitted);
+    CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_GRANTED);
+    hs_crash_watch_free(watch);
+}
+
+const test_case crash_storm_tests[] = {
+    {"a_storm_is_remembered_when_other_contents_are_acquitted",
+     a_storm_is_remembered_when_other_contents_are_acquitted},
+    {"accepted_work_gets_a_trial_run_after_a_storm", accepted_work_gets_a_trial_run_after_a_storm},
+    {"no_trial_run_beyond_the_limit_while_engines_crash",
+     no_trial_run_beyond_the_limit_while_engines_crash},
+    {"work_that_was_lost_alone_gets_no_further_trial_run",
+     work_that_was_lost_alone_gets_no_further_trial_run},
+    {"a_returned_trial_run_after_a_storm_is_granted_again",
+     a_returned_trial_run_after_a_storm_is_granted_again},
+    {NULL, NULL}};
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -52,6 +52,7 @@
 extern const test_case crash_tests[];
 extern const test_case crash_trial_tests[];
 extern const test_case crash_part_tests[];
+extern const test_case crash_storm_tests[];
 extern const test_case version_tests[];
 extern const test_case record_tests[];
 extern const test_case connection_tests[];
