A 421 for the weights takes its engine from that request only

Cause: an engine answers 421 if the request is addressed to another engine, or names other weights. Both were taken for the former, and the engine was left out by all work until its entry changed.

Without the header all is served.

Fix: a 421 counts for the address if it names another engine, or names none and the request names no weights. Else the engine is left out for the further attempts of this request or item only. If all listed engines of the service are unsuited, the request is refused at once (503, other_weights).

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -253,6 +253,22 @@
     return false;
 }
 
+/**
+ * Returns why an engine did not run the request. If a misdirected request names weights, only the
+ * id of the engine that answered tells whether it is another one; without an id, nothing is
+ * concluded about the address, as other requests will show it.
+ */
+static hs_attempt_end classify_refusal(const hs_attempt_parameters *parameters,
+                                       const hs_attempt *attempt) {
+    const hs_engine_answer *answer = &attempt->answer;
+    if (!answer->misdirected)
+        return HS_ATTEMPT_REFUSED;
+    bool is_same_engine = answer->engine_id != NULL
+                              ? strcmp(answer->engine_id, attempt->engine_id) == 0
+                              : hs_platform_names_weights(parameters->request.fields);
+    return is_same_engine ? HS_ATTEMPT_OTHER_WEIGHTS : HS_ATTEMPT_WRONG_ENGINE;
+}
+
 bool hs_attempt_start(hs_fleet_engines *engines, const hs_attempt_parameters *parameters,
                       hs_attempt *attempt) {
     memset(attempt, 0, sizeof *attempt);
@@ -273,7 +289,8 @@
         hs_engine_lease_note_head(attempt->lease);
         hs_engine_lease_note_received(attempt->lease);
         hs_engine_lease_note_load(attempt->lease, &attempt->answer.load);
-        if (attempt->answer.has_warmup && !attempt->answer.wrong_engine)
+        attempt->refusal = classify_refusal(parameters, attempt);
+        if (attempt->answer.has_warmup && attempt->refusal != HS_ATTEMPT_WRONG_ENGINE)
             hs_engine_lease_note_warmup(attempt->lease, attempt->answer.warmup_ms);
     }
     return has_head;
--- a/src/fleet/engine_lease.c
+++ b/src/fleet/engine_lease.c
@@ -50,10 +50,15 @@
 
 const char *hs_attempt_end_name(hs_attempt_end end) {
     static const char *const names[] = {
-        [HS_ATTEMPT_SERVED] = "served",           [HS_ATTEMPT_FAILED] = "failed",
-        [HS_ATTEMPT_REFUSED] = "refused",         [HS_ATTEMPT_WRONG_ENGINE] = "wrong_engine",
-        [HS_ATTEMPT_UNREACHABLE] = "unreachable", [HS_ATTEMPT_BROKEN] = "broken",
-        [HS_ATTEMPT_SILENT] = "silent",           [HS_ATTEMPT_DROPPED] = "dropped",
+        [HS_ATTEMPT_SERVED] = "served",
+        [HS_ATTEMPT_FAILED] = "failed",
+        [HS_ATTEMPT_REFUSED] = "refused",
+        [HS_ATTEMPT_WRONG_ENGINE] = "wrong_engine",
+        [HS_ATTEMPT_OTHER_WEIGHTS] = "other_weights",
+        [HS_ATTEMPT_UNREACHABLE] = "unreachable",
+        [HS_ATTEMPT_BROKEN] = "broken",
+        [HS_ATTEMPT_SILENT] = "silent",
+        [HS_ATTEMPT_DROPPED] = "dropped",
     };
     return names[end];
 }
@@ -375,6 +380,7 @@
         if (++engine->failures >= BROKEN_BEFORE_SUSPICION)
             mark_suspected(engine, now_ms, "broken");
         break;
+    case HS_ATTEMPT_OTHER_WEIGHTS:
     case HS_ATTEMPT_DROPPED:
         break;
     }
--- a/src/fleet/engine_software.c
+++ b/src/fleet/engine_software.c
@@ -22,6 +22,25 @@
     return is_found;
 }
 
+bool hs_fleet_engines_has_other(hs_fleet_engines *engines, const char *service,
+                                const GPtrArray *ids) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    bool is_found = false;
+    g_mutex_lock(&engines->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_hash_table_iter_init(&iterator, engines->by_id);
+    while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const hs_fleet_engine *engine = value;
+        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+                   !hs_fleet_engine_is_removal_due(engine, now_ms) &&
+                   !g_ptr_array_find_with_equal_func((GPtrArray *)ids, engine->entry.id,
+                                                     g_str_equal, NULL);
+    }
+    g_mutex_unlock(&engines->lock);
+    return is_found;
+}
+
 uint64_t hs_fleet_engines_software_absent_ms(hs_fleet_engines *engines, const char *service,
                                              uint64_t software) {
     g_mutex_lock(&engines->lock);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -29,13 +29,14 @@
 /** How an attempt on an engine ended, as far as it concerns the engine's health. */
 typedef enum {
     HS_ATTEMPT_SERVED,
-    HS_ATTEMPT_FAILED,       /**< A complete answer that reports a failure of the engine. */
-    HS_ATTEMPT_REFUSED,      /**< The engine is full and states that it did not run the request. */
-    HS_ATTEMPT_WRONG_ENGINE, /**< Another engine answered at the address. */
-    HS_ATTEMPT_UNREACHABLE,  /**< The connection could not be established. */
-    HS_ATTEMPT_BROKEN,       /**< The connection was cut, or the answer is malformed. */
-    HS_ATTEMPT_SILENT,       /**< No byte arrived for too long. */
-    HS_ATTEMPT_DROPPED,      /**< Abandoned by this daemon; says nothing about the engine. */
+    HS_ATTEMPT_FAILED,        /**< A complete answer that reports a failure of the engine. */
+    HS_ATTEMPT_REFUSED,       /**< The engine is full and states that it did not run the request. */
+    HS_ATTEMPT_WRONG_ENGINE,  /**< Another engine answered at the address. */
+    HS_ATTEMPT_OTHER_WEIGHTS, /**< The engine has other weights than the request names. */
+    HS_ATTEMPT_UNREACHABLE,   /**< The connection could not be established. */
+    HS_ATTEMPT_BROKEN,        /**< The connection was cut, or the answer is malformed. */
+    HS_ATTEMPT_SILENT,        /**< No byte arrived for too long. */
+    HS_ATTEMPT_DROPPED,       /**< Abandoned by this daemon; says nothing about the engine. */
 } hs_attempt_end;
 
 /** Name of an attempt's end, for logs. */
@@ -339,6 +340,11 @@
 bool hs_fleet_engines_has_software(hs_fleet_engines *engines, const char *service,
                                    uint64_t software);
 
+/** Whether an engine of the service whose id is not in @p ids (of const char*) is listed and not
+ * draining. */
+bool hs_fleet_engines_has_other(hs_fleet_engines *engines, const char *service,
+                                const GPtrArray *ids);
+
 /** Returns for how long no such engine has been listed; 0: unknown. */
 uint64_t hs_fleet_engines_software_absent_ms(hs_fleet_engines *engines, const char *service,
                                              uint64_t software);
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -49,6 +49,7 @@
     run->content_offset = item->content_offset;
     run->content_bytes = item->content_bytes;
     run->texts = g_ptr_array_new_with_free_func(free_text);
+    run->unsuited = g_ptr_array_new_with_free_func(g_free);
     hs_interrupt_init(&run->interrupt);
     run->writer = make_writer();
     /* Output of unknown software can't be continued: engines don't check what they continue. */
@@ -75,6 +76,7 @@
     if (run->content != NULL)
         hs__job_item_content__free_unpacked(run->content, NULL);
     g_ptr_array_free(run->texts, TRUE);
+    g_ptr_array_free(run->unsuited, TRUE);
     hs_interrupt_clear(&run->interrupt);
     g_free(run);
 }
@@ -186,7 +188,7 @@
     case HS_ITEM_ATTEMPT_DONE:
         return HS_ATTEMPT_SERVED;
     case HS_ITEM_ATTEMPT_REFUSED:
-        return attempt->answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
+        return attempt->refusal;
     case HS_ITEM_ATTEMPT_BROKEN:
         return hs_attempt_classify_failure(attempt);
     case HS_ITEM_ATTEMPT_FAILED:
@@ -206,9 +208,11 @@
     bool has_head = hs_attempt_start(terms->engines, parameters, &attempt);
     g_strlcpy(run->engine_id, attempt.engine_id, sizeof run->engine_id);
     run->was_sent = attempt.connection != NULL;
-    if (attempt.lease == NULL)
+    if (attempt.lease == NULL) {
+        g_ptr_array_set_size(run->unsuited, 0); /* Weights may have changed. */
         return attempt.step == HS_STEP_CALLER_GONE ? resolve_interruption(run)
                                                    : HS_ITEM_ATTEMPT_NO_CAPACITY;
+    }
     hs_item_attempt_end end = HS_ITEM_ATTEMPT_BROKEN;
     if (has_head)
         end = evaluate_answer(run, terms, &attempt);
@@ -223,6 +227,8 @@
         if (step != HS_STEP_COMPLETE && end != HS_ITEM_ATTEMPT_REFUSED)
             end = HS_ITEM_ATTEMPT_BROKEN;
     }
+    if (end == HS_ITEM_ATTEMPT_REFUSED && attempt.refusal == HS_ATTEMPT_OTHER_WEIGHTS)
+        g_ptr_array_add(run->unsuited, g_strdup(attempt.engine_id));
     hs_attempt_finish(&attempt, to_attempt_end(&attempt, end));
     run->is_on_trial = run->is_on_trial && attempt.run == HS_RUN_NOT_EXECUTED;
     return end;
@@ -323,6 +329,7 @@
         .query = {.service = name,
                   .size = caller.size.prompt_tokens > 0 ? &caller.size : NULL,
                   .work = HS_WORK_BATCH,
+                  .excluded = run->unsuited,
                   /* A granted trial is a single run, so it is not preempted. */
                   .preemption_flag = run->is_on_trial ? NULL : &run->interrupt,
                   .rank_ms = terms->rank_ms,
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -43,6 +43,8 @@
     Hs__JobItemContent *content; /**< NULL until read. */
     hs_event_stream events;
     GPtrArray *texts;       /**< of GString*: the data of each event. */
+    GPtrArray *unsuited;    /**< of char*: ids of engines that have other weights than the item
+                                 names. */
     hs_interrupt interrupt; /**< Raised to end an attempt. */
     uint64_t writer;        /**< Random id of this run; see hs_job_progress. */
     uint64_t software;      /**< See hs_software_id; of the engines that made the output; 0: none
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -38,6 +38,8 @@
                              "no engine of the stream's version is left; not run\n"},
     [HS_END_VERSION_UNKNOWN] = {"version_unknown", 503,
                                 "the stream's version is not known; not run\n"},
+    [HS_END_OTHER_WEIGHTS] = {"other_weights", 503,
+                              "no engine has the requested weights; not run\n"},
     [HS_END_QUARANTINED] = {"held_back", 503, "requests like this crashed engines; not run\n"},
     [HS_END_BROKEN] = {"broken", 502, "the engine's answer broke; it may have run\n"},
     [HS_END_LATE] = {"late", 504, "the deadline passed; it may have run\n"},
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -13,6 +13,8 @@
 #include "tenants/tenant_index.h"
 
 #define RESUME_PAUSE_MS 50
+/** Retry-After in ms of a request whose weights no engine has: engines load weights in seconds. */
+#define OTHER_WEIGHTS_RETRY_MS 1000
 #define SILENCE_TARGET_FACTOR 3
 /**
  * On a reused connection a repeatable request waits for the response head for the target latency
@@ -80,8 +82,17 @@
     return parameters;
 }
 
-static void exclude_engine(hs_online_request *request) {
+static void exclude_engine(hs_online_request *request, hs_attempt_end end) {
     g_ptr_array_add(request->excluded, g_strdup(request->attempt.engine_id));
+    if (end == HS_ATTEMPT_OTHER_WEIGHTS)
+        g_ptr_array_add(request->unsuited, g_strdup(request->attempt.engine_id));
+}
+
+/** Whether all engines of the service answered that they have other weights. */
+static bool has_no_suited_engine(const hs_online_request *request) {
+    return request->unsuited->len > 0 &&
+           !hs_fleet_engines_has_other(request->online->engines, request->service,
+                                       request->unsuited);
 }
 
 /**
@@ -122,7 +133,7 @@
     if (attempt->step == HS_STEP_LOST) /* The engine may be healthy and hold the prompt's cache. */
         request->lost_connection = true;
     else
-        exclude_engine(request);
+        exclude_engine(request, end);
     hs_attempt_finish(attempt, end);
     if (caller_gone) {
         *reason = HS_END_CALLER_GONE;
@@ -147,6 +158,11 @@
         *reason = has_run ? HS_END_BROKEN : hs_online_refuse_software(request);
         return HS_NEXT_END;
     }
+    if (has_no_suited_engine(request)) {
+        request->retry_after_ms = OTHER_WEIGHTS_RETRY_MS;
+        *reason = has_run ? HS_END_BROKEN : HS_END_OTHER_WEIGHTS;
+        return HS_NEXT_END;
+    }
     hs_refusal_choice choice = hs_online_choose_refusal(request);
     if (choice.verdict == HS_REFUSAL_HOLD && (!has_run || hs_online_may_repeat(request))) {
         hs_queue_priority priority = hs_online_queue_priority(request);
@@ -154,6 +170,8 @@
         request->woken += hs_held_requests_wait(request->online->held, request->held, &priority,
                                                 request->inbound->descriptor, pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
+        for (guint index = 0; index < request->unsuited->len; index++)
+            g_ptr_array_add(request->excluded, g_strdup(request->unsuited->pdata[index]));
         return HS_NEXT_RETRY; /* The retry loop checks first whether the caller has left. */
     }
     request->retry_after_ms = choice.expected_ms;
@@ -286,8 +304,7 @@
         if (has_head) {
             hs_client_connection_read_all(request->attempt.connection, HS_ONLINE_MAX_ANSWER_BYTES,
                                           &parameters.wait);
-            end =
-                request->attempt.answer.wrong_engine ? HS_ATTEMPT_WRONG_ENGINE : HS_ATTEMPT_REFUSED;
+            end = request->attempt.refusal;
         }
         action = hs_online_after_failure(request, end, reason);
     }
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -70,6 +70,7 @@
     hs_fleet_config_unref(request->config);
     g_free(request->group);
     g_ptr_array_free(request->excluded, TRUE);
+    g_ptr_array_free(request->unsuited, TRUE);
     g_byte_array_free(request->ready, TRUE);
     g_free(request->request_id);
     g_free(request->tenant);
@@ -207,6 +208,7 @@
         limit_ms = MIN(limit_ms, terms->timeout_ms);
     request->deadline = inbound->received_ms + limit_ms;
     request->excluded = g_ptr_array_new_with_free_func(g_free);
+    request->unsuited = g_ptr_array_new_with_free_func(g_free);
     request->ready = g_byte_array_new();
     if (terms->has_last_event) {
         request->events.has_last_id = true;
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -43,6 +43,7 @@
     HS_END_UNREACHABLE,     /**< No connection to any engine succeeded. */
     HS_END_VERSION_GONE,    /**< No engine has the software version that began the stream. */
     HS_END_VERSION_UNKNOWN, /**< It is not known which software version began the stream. */
+    HS_END_OTHER_WEIGHTS,   /**< No engine has the weights that the request names. */
     HS_END_QUARANTINED,     /**< Requests of this content crashed engines. */
     HS_END_BROKEN,          /**< Response cut or invalid; the request may have run. */
     HS_END_LATE,            /**< The deadline passed; the request may have run. */
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -55,6 +55,7 @@
     uint32_t sends;
     bool lost_connection; /**< A connection was lost; use a new one for the next attempt. */
     GPtrArray *excluded;  /**< char *: ids of engines that refused or failed. */
+    GPtrArray *unsuited;  /**< char *: ids of those that have other weights than requested. */
     hs_attempt attempt;
     hs_event_stream events;
     GByteArray *ready;       /**< Whole events not yet delivered to the caller. */
--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -191,6 +191,8 @@
     GArray *fields = hs_http_fields_new();
     add_warmup_field(engine, fields);
     hs_http_fields_add(fields, HEADER_REQUEST_ID, request_id);
+    if (status == 421 && engine->settings.states_id)
+        hs_http_fields_add(fields, HEADER_INSTANCE_ID, engine->id);
     if (executed)
         hs_http_fields_add(fields, HEADER_SIGNATURE, "sig.f");
     else
@@ -352,7 +354,12 @@
     }
     uint32_t call = record_call_start(engine, id, inbound->fields);
     bool is_streaming = false;
-    if (target_instance != NULL && strcmp(target_instance, engine->id) != 0) {
+    const char *weights = hs_http_fields_find(inbound->fields, HEADER_EXPECTED_VERSION);
+    bool has_other_weights = weights != NULL && engine->settings.weights != NULL &&
+                             strcmp(weights, engine->settings.weights) != 0;
+    if (has_other_weights) {
+        reply_refusal(engine, inbound, 421, id, false);
+    } else if (target_instance != NULL && strcmp(target_instance, engine->id) != 0) {
         record_misdirection(engine, call);
         reply_refusal(engine, inbound, 421, id, false);
     } else if (g_atomic_int_get(&engine->mode) == TOKEN_ENGINE_FULL) {
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -53,6 +53,8 @@
                                  each unless it is the last part; NULL: none. */
     uint32_t fatal_after_ms;
     const char *version; /**< Software version in the entry; NULL: "v1". */
+    const char *weights; /**< Requests that name other weights get 421; NULL: none do. */
+    bool states_id;      /**< Answers of 421 contain the engine's id. */
     uint32_t warmup_ms;  /**< Cold phase after each restart, which the entry and all answers report;
                               0: neither. */
 } token_engine_settings;
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -58,6 +58,11 @@
 int end_upgrade_job_reads(void);
 extern const test_case fleet_job_end_system_tests[];
 extern const test_case fleet_slow_store_system_tests[];
+
+/** Start and stop the bench with engines of different weights. */
+extern const test_case fleet_weight_system_tests[];
+int begin_weights(void);
+int end_weights(void);
 extern const test_case fleet_job_end_stop_system_tests[];
 
 /** Start and stop the bench with a fault proxy between each daemon and the store. */
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -383,17 +383,19 @@
     static const char *const long_paths[] = {"/jobs/", "/once/long", "/again/long", NULL};
     static const token_engine_pace pace = {.events = BENCH_EVENTS, .event_ms = EVENT_INTERVAL_MS};
     bool has_pace = bench.settings.item_pace.events > 0;
-    return token_engine_start(
-        &(token_engine_settings){.id = ids[index],
-                                 .service = "llm",
-                                 .pace = pace,
-                                 .long_paths = long_paths,
-                                 .long_pace = has_pace ? bench.settings.item_pace : pace,
-                                 .break_after = 5,
-                                 .announces_start = bench.settings.warmup_s > 0,
-                                 .warmup_ms = bench.settings.warmup_s * MS_PER_S,
-                                 .zone = get_zone(index),
-                                 .slots = bench.settings.slots});
+    return token_engine_start(&(token_engine_settings){
+        .id = ids[index],
+        .service = "llm",
+        .pace = pace,
+        .long_paths = long_paths,
+        .long_pace = has_pace ? bench.settings.item_pace : pace,
+        .break_after = 5,
+        .announces_start = bench.settings.warmup_s > 0,
+        .warmup_ms = bench.settings.warmup_s * MS_PER_S,
+        .zone = get_zone(index),
+        .weights = bench.settings.weights != NULL ? bench.settings.weights[index] : NULL,
+        .states_id = index == 0,
+        .slots = bench.settings.slots});
 }
 
 void bench_prepare(void) {
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -32,6 +32,8 @@
     uint32_t connections;        /**< Maximum per engine, of all daemons together. */
     uint32_t retention_s;        /**< Retention of items. */
     const char *const *zones;    /**< Of the daemons and engines by index; NULL: "zone-a". */
+    const char *const *weights;  /**< Of the engines by index, see token_engine_settings; only the
+                                      first engine states its id. NULL: none. */
     const char *zone_regions;    /**< Setting fleet.zone_regions; NULL: none. */
     const char *home_region;     /**< The only allowed region of a route "home", of the paths
                                       /home/; NULL: no such route. */
