Items whose weights no engine has are tried once a second

An item that names weights and finds none passed over the engines that refused it until none was left, and began anew at once: some ten refusals a second at each engine, for each item.

Fix: if all listed engines refused it for their weights, the item pauses for a second (end=other_weights of item_try_ended), as engines load weights in seconds; it takes no part in the throttle of starts.

Also names and comments that a read of the whole diff asked for: the owner's page says states_fold_age, one function gives a read's wait.

--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -54,9 +54,9 @@
     uint64_t sent_ms; /**< Monotonic time at which the request was sent; 0: no connection. */
     uint32_t status;
     hs_engine_answer answer;
-    hs_attempt_end refusal;    /**< With answer.not_executed: HS_ATTEMPT_REFUSED,
-                                  HS_ATTEMPT_WRONG_ENGINE    or HS_ATTEMPT_OTHER_WEIGHTS. */
-    char engine_id[64];        /**< For logs; stays valid after hs_attempt_finish. */
+    hs_attempt_end
+        refusal;        /**< With answer.not_executed: REFUSED, WRONG_ENGINE or OTHER_WEIGHTS. */
+    char engine_id[64]; /**< For logs; stays valid after hs_attempt_finish. */
     hs_engine_reasons reasons; /**< Why the engine was chosen; stays valid likewise. */
     hs_lease_estimate
         lease_estimate; /**< With refuse_if_late: the estimate that decided on sending. */
--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -208,10 +208,14 @@
     bool has_head = hs_attempt_start(terms->engines, parameters, &attempt);
     g_strlcpy(run->engine_id, attempt.engine_id, sizeof run->engine_id);
     run->was_sent = attempt.connection != NULL;
+    if (attempt.lease == NULL && attempt.step == HS_STEP_CALLER_GONE)
+        return resolve_interruption(run);
     if (attempt.lease == NULL) {
-        g_ptr_array_set_size(run->unsuited, 0); /* Weights may have changed. */
-        return attempt.step == HS_STEP_CALLER_GONE ? resolve_interruption(run)
-                                                   : HS_ITEM_ATTEMPT_NO_CAPACITY;
+        bool is_unsuited =
+            run->unsuited->len > 0 &&
+            !hs_fleet_engines_has_other(terms->engines, parameters->query.service, run->unsuited);
+        g_ptr_array_set_size(run->unsuited, 0); /* Engines may load other weights. */
+        return is_unsuited ? HS_ITEM_ATTEMPT_UNSUITED : HS_ITEM_ATTEMPT_NO_CAPACITY;
     }
     hs_item_attempt_end end = HS_ITEM_ATTEMPT_BROKEN;
     if (has_head)
@@ -367,6 +371,7 @@
         [HS_ITEM_ATTEMPT_DONE] = "done",
         [HS_ITEM_ATTEMPT_NO_CAPACITY] = "no_room",
         [HS_ITEM_ATTEMPT_REFUSED] = "refused",
+        [HS_ITEM_ATTEMPT_UNSUITED] = "other_weights",
         [HS_ITEM_ATTEMPT_BROKEN] = "broken",
         [HS_ITEM_ATTEMPT_FAILED] = "failed",
         [HS_ITEM_ATTEMPT_IMPOSSIBLE] = "impossible",
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -17,6 +17,7 @@
     HS_ITEM_ATTEMPT_DONE,        /**< The output is complete. */
     HS_ITEM_ATTEMPT_NO_CAPACITY, /**< No engine has capacity now. */
     HS_ITEM_ATTEMPT_REFUSED,     /**< The engine refused the item without running it. */
+    HS_ITEM_ATTEMPT_UNSUITED,    /**< All engines have other weights than the item names. */
     HS_ITEM_ATTEMPT_BROKEN,      /**< The connection or stream broke; another attempt may resume. */
     HS_ITEM_ATTEMPT_FAILED,      /**< The engine answered with an error. */
     HS_ITEM_ATTEMPT_IMPOSSIBLE,  /**< The engine answered that it can never process the item. */
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -89,11 +89,15 @@
     return job != NULL && hs_job_is_visible(job, call->tenant) ? job : NULL;
 }
 
+/** Returns how long the caller waits for a result. */
+static uint64_t get_wait_ms(const job_call *call) {
+    return MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+}
+
 /** Replies with the results from a position on; waits until there is one. */
 static bool answer_results(job_call *call, hs_fold_knowledge fold) {
     uint64_t position = hs_platform_read_position(call->inbound->target);
-    hs_deadline wait_until =
-        call->inbound->received_ms + MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+    hs_deadline wait_until = call->inbound->received_ms + get_wait_ms(call);
     bool was_held = false;
     while (true) {
         hs_job_state *state = hs_job_partition_lock(call->partition);
@@ -252,13 +256,13 @@
 static bool is_definite(const job_call *call, const hs_peer_answer *answer, uint64_t took_ms) {
     if (answer->status != 200 || call->kind != HS_CALL_JOB_READ)
         return answer->status == 200 || answer->status == 404 || answer->status == 410;
-    uint64_t wait_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+    uint64_t wait_ms = get_wait_ms(call);
     return hs_owner_page_is_definite(
         &(hs_owner_page){.bytes = answer->body->data,
                          .length = answer->body->len,
                          .position = hs_platform_read_position(call->inbound->target),
                          .known_results = count_known_results(call),
-                         .is_checked = answer->states_fold_age,
+                         .states_fold_age = answer->states_fold_age,
                          .was_held = wait_ms > 0 && took_ms >= wait_ms});
 }
 
@@ -276,7 +280,7 @@
     uint64_t slack_ms = call->kind == HS_CALL_JOB_END ? OWNER_END_SLACK_MS : OWNER_ANSWER_SLACK_MS;
     uint64_t started_ms = hs_clock_monotonic_ms();
     uint64_t waited_ms = started_ms - call->inbound->received_ms;
-    uint64_t wait_ms = MIN(call->terms->wait_ms, (uint64_t)MAX_RESULT_WAIT_MS);
+    uint64_t wait_ms = get_wait_ms(call);
     uint64_t limit_ms = (wait_ms > waited_ms ? wait_ms - waited_ms : 0) + slack_ms;
     hs_peer_answer owner_answer;
     if (hs_job_peer_forward(&owner, call->inbound, call->tenant,
--- a/src/jobs/result_page.c
+++ b/src/jobs/result_page.c
@@ -57,5 +57,5 @@
     bool is_final = next >= total;
     if (next > page->position || is_final)
         return true;
-    return page->known_results <= page->position && (page->is_checked || page->was_held);
+    return page->known_results <= page->position && (page->states_fold_age || page->was_held);
 }
--- a/src/jobs/result_page.h
+++ b/src/jobs/result_page.h
@@ -42,7 +42,7 @@
     size_t length;
     uint64_t position;      /**< The requested position. */
     uint64_t known_results; /**< Of the job in the fold of the daemon that asked. */
-    bool is_checked;        /**< The owner's build gives definite pages only. */
+    bool states_fold_age;   /**< See HS_PEER_FOLD_AGE_FIELD. */
     bool was_held; /**< It came after the whole wait that the caller allows, which is not 0. */
 } hs_owner_page;
 
--- a/tests/system/test_fleet_job_reads.c
+++ b/tests/system/test_fleet_job_reads.c
@@ -84,7 +84,9 @@
     g_autofree char *beside = bench_wait_job(2, "beside", 2, JOB_LIMIT_MS);
     CU_ASSERT_PTR_NOT_NULL(beside);
     g_autofree char *page = bench_wait_job(1, "untried", GONE_ITEMS, JOB_LIMIT_MS);
-    CU_ASSERT_PTR_NOT_NULL_FATAL(page);
+    CU_ASSERT_PTR_NOT_NULL(page);
+    if (page == NULL)
+        return;
     CU_ASSERT_PTR_NOT_NULL(strstr(page, "dead_letter"));
     CU_ASSERT_PTR_NULL(strstr(page, "completed"));
 }
--- a/tests/unit/test_result_page.c
+++ b/tests/unit/test_result_page.c
@@ -59,9 +59,9 @@
 
 /** Guards against owners whose fold is behind that of the daemon that asks. */
 static void a_page_that_lacks_a_known_result_is_not_passed_on(void) {
-    CU_ASSERT_TRUE(may_pass_on(2, &(hs_owner_page){.is_checked = true, .known_results = 2}));
-    CU_ASSERT_FALSE(may_pass_on(2, &(hs_owner_page){.is_checked = true, .known_results = 3}));
-    CU_ASSERT_TRUE(may_pass_on(3, &(hs_owner_page){.is_checked = true, .known_results = 4}));
+    CU_ASSERT_TRUE(may_pass_on(2, &(hs_owner_page){.states_fold_age = true, .known_results = 2}));
+    CU_ASSERT_FALSE(may_pass_on(2, &(hs_owner_page){.states_fold_age = true, .known_results = 3}));
+    CU_ASSERT_TRUE(may_pass_on(3, &(hs_owner_page){.states_fold_age = true, .known_results = 4}));
     CU_ASSERT_FALSE(may_pass_on(2, &(hs_owner_page){.was_held = true, .known_results = 3}));
 }
 
@@ -79,7 +79,7 @@
                                          "{\"total\":-1,\"next-page-token\":2,\"results\":[]}"};
     for (size_t index = 0; index < G_N_ELEMENTS(bodies); index++)
         CU_ASSERT_FALSE(hs_owner_page_is_definite(&(hs_owner_page){
-            .bytes = bodies[index], .length = strlen(bodies[index]), .is_checked = true}));
+            .bytes = bodies[index], .length = strlen(bodies[index]), .states_fold_age = true}));
 }
 
 const test_case result_page_tests[] = {
