Read of the whole change: one predicate, one constant, less work a reply

Change: is_serving, HS_WEIGHTS_RETRY_MS and signed_age_ms serve both places; the age is read for forwarded requests only; whether engines are calm is asked for accepted work only, the only one that it decides on. No decision, bound or answer changes.

--- a/src/fleet/crash_trials.h
+++ b/src/fleet/crash_trials.h
@@ -38,9 +38,10 @@
     bool has_alternative_cause;        /**< See hs_crash_ledger_has_alternative_cause. */
     bool is_last_loss_shared; /**< See hs_crash_ledger_is_last_loss_shared; for the decision. */
     bool is_accepted;         /**< It is accepted work, which the fleet must complete. */
-    bool are_late_losses_coincident; /**< See hs_crash_ledger_are_losses_coincident; of those after
-                                          hs_crash_trials_late_since_ms. */
-    bool is_calm;                    /**< See hs_crash_ledger_is_calm. */
+    /** Of accepted work; see hs_crash_ledger_are_losses_coincident and
+     * hs_crash_trials_late_since_ms. */
+    bool are_late_losses_coincident;
+    bool is_calm; /**< Of accepted work; see hs_crash_ledger_is_calm. */
 } hs_trial_candidate;
 
 /**
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -348,7 +348,8 @@
         .are_late_losses_coincident =
             query->is_accepted &&
             hs_crash_ledger_are_losses_coincident(watch->ledger, content, late_since_ms),
-        .is_calm = hs_crash_ledger_is_calm(watch->ledger, hs_clock_monotonic_ms())};
+        .is_calm =
+            query->is_accepted && hs_crash_ledger_is_calm(watch->ledger, hs_clock_monotonic_ms())};
 }
 
 /**
--- a/src/fleet/engine_software.c
+++ b/src/fleet/engine_software.c
@@ -5,6 +5,12 @@
 
 #include <string.h>
 
+/** Returns whether the engine is listed for the service and not draining. */
+static bool is_serving(const hs_fleet_engine *engine, const char *service, uint64_t now_ms) {
+    return strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
+           !hs_fleet_engine_is_removal_due(engine, now_ms);
+}
+
 bool hs_fleet_engines_has_software(hs_fleet_engines *engines, const char *service,
                                    uint64_t software) {
     GHashTableIter iterator;
@@ -15,8 +21,7 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        is_found = engine->software == software && strcmp(engine->entry.service, service) == 0 &&
-                   !engine->entry.draining && !hs_fleet_engine_is_removal_due(engine, now_ms);
+        is_found = engine->software == software && is_serving(engine, service, now_ms);
     }
     g_mutex_unlock(&engines->lock);
     return is_found;
@@ -32,8 +37,7 @@
     g_hash_table_iter_init(&iterator, engines->by_id);
     while (!is_found && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_fleet_engine *engine = value;
-        is_found = strcmp(engine->entry.service, service) == 0 && !engine->entry.draining &&
-                   !hs_fleet_engine_is_removal_due(engine, now_ms) &&
+        is_found = is_serving(engine, service, now_ms) &&
                    !g_ptr_array_find_with_equal_func((GPtrArray *)ids, engine->entry.id,
                                                      g_str_equal, NULL);
     }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -340,6 +340,10 @@
 bool hs_fleet_engines_has_software(hs_fleet_engines *engines, const char *service,
                                    uint64_t software);
 
+/** Time in ms after which work whose weights no engine had is tried again: engines load weights in
+ * seconds. */
+#define HS_WEIGHTS_RETRY_MS 1000
+
 /** Whether an engine of the service whose id is not in @p ids (of const char*) is listed and not
  * draining. */
 bool hs_fleet_engines_has_other(hs_fleet_engines *engines, const char *service,
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -49,29 +49,32 @@
     bool is_page_of_ended_job;
 } job_call;
 
+/** Returns an age of a fold for log lines and answers: -1 if the fold was never complete. */
+static gint64 signed_age_ms(uint64_t age_ms) {
+    return age_ms != UINT64_MAX ? (gint64)age_ms : -1;
+}
+
 /** @p answered_by: source of the answer. */
 static void log_call(const job_call *call, const char *answered_by, bool is_answered) {
     static const char *const names[] = {[HS_CALL_REQUEST] = "request",
                                         [HS_CALL_JOB_READ] = "read",
                                         [HS_CALL_JOB_END] = "end",
                                         [HS_CALL_ITEM_READ] = "item"};
-    bool has_age = call->fold_age_ms != UINT64_MAX;
-    hs_log_info(
-        "job_call",
-        "job=%s call=%s part=%u by=%s answered=%d took_ms=%u fold_age_ms=%" G_GINT64_FORMAT
-        " results=%d ended=%d",
-        call->job_id, names[call->kind], hs_job_partition_number(call->partition), answered_by,
-        is_answered, (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms),
-        has_age ? (gint64)call->fold_age_ms : -1, call->page_results, call->is_page_of_ended_job);
+    hs_log_info("job_call",
+                "job=%s call=%s part=%u by=%s answered=%d took_ms=%u fold_age_ms=%" G_GINT64_FORMAT
+                " results=%d ended=%d",
+                call->job_id, names[call->kind], hs_job_partition_number(call->partition),
+                answered_by, is_answered,
+                (unsigned)(hs_clock_monotonic_ms() - call->inbound->received_ms),
+                signed_age_ms(call->fold_age_ms), call->page_results, call->is_page_of_ended_job);
 }
 
 /** Replies to the caller, or to the daemon that forwarded the request. */
 static void reply(const job_call *call, uint32_t status, const char *type, const void *body,
                   size_t length) {
-    uint64_t age_ms = hs_job_partition_age_ms(call->partition);
     if (call->is_forwarded)
         hs_job_reply_to_peer(call->inbound, status, type, body, length,
-                             age_ms != UINT64_MAX ? (int64_t)age_ms : -1);
+                             signed_age_ms(hs_job_partition_age_ms(call->partition)));
     else
         hs_job_reply(call->inbound, status, type, body, length);
 }
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -12,8 +12,6 @@
 #include "jobs/start_rule.h"
 
 #define PREEMPTED_PAUSE_MS 100
-/** Pause of an item whose weights no engine has: engines load weights in seconds. */
-#define UNSUITED_PAUSE_MS 1000
 /** Interval between requests of a quarantined item for a trial run: several in a delay between two
  * trial runs, and each costs one datagram there and back. */
 #define QUARANTINED_PAUSE_MS 500
@@ -191,7 +189,7 @@
     else if (end == HS_ITEM_ATTEMPT_QUARANTINED)
         pause_ms = QUARANTINED_PAUSE_MS;
     else if (end == HS_ITEM_ATTEMPT_UNSUITED)
-        pause_ms = UNSUITED_PAUSE_MS;
+        pause_ms = HS_WEIGHTS_RETRY_MS;
     /* An item without content waits for the end of its time, when it is listed as dead. */
     item->next_attempt_ms =
         end == HS_ITEM_ATTEMPT_CONTENT_GONE ? UINT64_MAX : hs_clock_monotonic_ms() + pause_ms;
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -13,8 +13,6 @@
 #include "tenants/tenant_index.h"
 
 #define RESUME_PAUSE_MS 50
-/** Retry-After in ms of a request whose weights no engine has: engines load weights in seconds. */
-#define OTHER_WEIGHTS_RETRY_MS 1000
 #define SILENCE_TARGET_FACTOR 3
 /**
  * On a reused connection a repeatable request waits for the response head for the target latency
@@ -159,7 +157,7 @@
         return HS_NEXT_END;
     }
     if (has_no_suited_engine(request)) {
-        request->retry_after_ms = OTHER_WEIGHTS_RETRY_MS;
+        request->retry_after_ms = HS_WEIGHTS_RETRY_MS;
         *reason = has_run ? HS_END_BROKEN : HS_END_OTHER_WEIGHTS;
         return HS_NEXT_END;
     }
