Tests of crash storms build their losses in one place

Cause: four tests of crash_storm merged the same two contents in the same lines. Change: merge_storm does; the 11 assertions are unchanged.

--- a/tests/unit/test_crash_storm.c
+++ b/tests/unit/test_crash_storm.c
@@ -33,6 +33,18 @@
     hs_crash_watch_merge_evidence(watch, evidence, &(hs_crash_evidence_source){.daemon = "other"});
 }
 
+/**
+ * Merges the losses of a suspect, and those of a content that was lost at the same times with other
+ * engines. Returns the evidence on the suspect.
+ */
+static hs_crash_evidence merge_storm(hs_crash_watch *watch, uint64_t ago_ms) {
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, ago_ms);
+    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, ago_ms);
+    merge(watch, &suspect);
+    merge(watch, &beside);
+    return suspect;
+}
+
 static hs_trial_verdict decide(hs_crash_watch *watch, const hs_crash_evidence *evidence,
                                bool is_accepted) {
     hs_trial_query query = {.evidence = evidence, .is_accepted = is_accepted};
@@ -42,10 +54,7 @@
 /** Guards against accepted items that are held back until they expire, long after a storm. */
 static void accepted_work_gets_a_trial_run_after_a_storm(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = make_losses(SUSPECT, 1, CALM_MS);
-    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, CALM_MS);
-    merge(watch, &suspect);
-    merge(watch, &beside);
+    hs_crash_evidence suspect = merge_storm(watch, CALM_MS);
     hs_clock_sleep_ms(10);
     CU_ASSERT_EQUAL(decide(watch, &suspect, false), HS_TRIAL_NO_GROUNDS);
     hs_trial_verdict verdict = decide(watch, &suspect, true);
@@ -59,13 +68,10 @@
 /** Otherwise trial runs would go on in the storm, and cost an engine each if the work is fatal. */
 static void no_trial_run_beyond_the_limit_while_engines_crash(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
-    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, 2 * CALM_MS);
+    hs_crash_evidence suspect = merge_storm(watch, 2 * CALM_MS);
     hs_crash_evidence recent = {.content = BESIDE + 1, .engine_count = 1};
     recent.engines[0] =
         (hs_crash_engine){.engine = 2 * OTHER_ENGINES, .lost_ms = hs_clock_monotonic_ms() - 1000};
-    merge(watch, &suspect);
-    merge(watch, &beside);
     merge(watch, &recent);
     CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_TOO_SOON);
     hs_crash_watch_free(watch);
@@ -89,11 +95,9 @@
 /** Otherwise a trial run that no engine began would be the last. */
 static void a_returned_trial_run_after_a_storm_is_granted_again(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
-    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, 2 * CALM_MS);
+    hs_crash_evidence suspect = merge_storm(watch, 2 * CALM_MS);
     suspect.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS; /* The next one is due soon. */
     merge(watch, &suspect);
-    merge(watch, &beside);
     CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_GRANTED);
     CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_EXHAUSTED);
     hs_crash_watch_take_returned_trial(watch, SUSPECT);
@@ -105,10 +109,7 @@
 /** Guards against a storm that is forgotten as soon as the contents beside are acquitted. */
 static void a_storm_is_remembered_when_other_contents_are_acquitted(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
-    hs_crash_evidence beside = make_losses(BESIDE, OTHER_ENGINES, 2 * CALM_MS);
-    merge(watch, &suspect);
-    merge(watch, &beside);
+    hs_crash_evidence suspect = merge_storm(watch, 2 * CALM_MS);
     hs_crash_evidence acquitted = {
         .content = BESIDE, .is_acquitted = true, .acquitted_ms = hs_clock_monotonic_ms()};
     merge(watch, &acquitted);
