Fault proxies before the store are started in one place

Change: tests/support/store_proxies serves the three. The assertions are unchanged; fleet_job_end_links kills all daemons before it stops the first proxy now, as the soak does.

--- a/tests/soak/link_faults.c
+++ b/tests/soak/link_faults.c
@@ -2,7 +2,7 @@
 #include "base/clock.h"
 #include "tests/soak/faults.h"
 #include "tests/soak/soak.h"
-#include "tests/support/fault_proxy.h"
+#include "tests/support/store_proxies.h"
 #include "tools/surface/fleet_bench.h"
 
 #include <signal.h>
@@ -33,14 +33,10 @@
 #define MIN_REGION_CUT_MS 2000
 #define MAX_REGION_CUT_MS 5000
 
-static fault_proxy *store_proxies[BENCH_MAX_DAEMONS];
 static fault_proxy *engine_proxies[BENCH_ENGINES];
 
 void soak_start_proxies(void) {
-    for (int daemon = 0; daemon < bench_daemon_count(); daemon++) {
-        store_proxies[daemon] = fault_proxy_start(log_store_port(bench.store));
-        bench.store_ports[daemon] = fault_proxy_port(store_proxies[daemon]);
-    }
+    store_proxies_start();
     for (int index = 0; index < BENCH_ENGINES; index++) {
         engine_proxies[index] = fault_proxy_start(token_engine_port(bench.engines[index]));
         token_engine_set_announced_port(bench.engines[index],
@@ -49,8 +45,7 @@
 }
 
 void soak_stop_proxies(void) {
-    for (int daemon = 0; daemon < bench_daemon_count(); daemon++)
-        fault_proxy_stop(store_proxies[daemon]);
+    store_proxies_stop();
     for (int index = 0; index < BENCH_ENGINES; index++)
         fault_proxy_stop(engine_proxies[index]);
 }
--- a/tests/system/test_fleet_job_end_links.c
+++ b/tests/system/test_fleet_job_end_links.c
@@ -3,7 +3,7 @@
  * System tests of jobs that end while some daemons lose the store, or partitions change owners.
  */
 #include "base/clock.h"
-#include "tests/support/fault_proxy.h"
+#include "tests/support/store_proxies.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/job_end_calls.h"
 #include "tests/system/system_tests.h"
@@ -18,24 +18,16 @@
 /** Shorter than a read that waits for records. */
 #define SILENCE_INTERVAL_MS 200
 
-/** Before the store, one for each daemon. */
-static fault_proxy *store_proxies[BENCH_DEFAULT_DAEMONS];
-
 int begin_job_end_links(void) {
     bench_prepare();
-    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
-        store_proxies[daemon] = fault_proxy_start(log_store_port(bench.store));
-        bench.store_ports[daemon] = fault_proxy_port(store_proxies[daemon]);
-    }
+    store_proxies_start();
     return bench_start();
 }
 
 int end_job_end_links(void) {
-    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
         bench_signal_daemon(daemon, SIGKILL);
-        fault_proxy_stop(store_proxies[daemon]);
-        bench.store_ports[daemon] = 0;
-    }
+    store_proxies_stop();
     return bench_tear_down();
 }
 
--- a/tests/system/test_fleet_job_reads.c
+++ b/tests/system/test_fleet_job_reads.c
@@ -4,7 +4,7 @@
  */
 #include "base/clock.h"
 #include "platform/names.h"
-#include "tests/support/fault_proxy.h"
+#include "tests/support/store_proxies.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/job_end_calls.h"
 #include "tests/system/system_tests.h"
@@ -41,9 +41,6 @@
 /** Reads of the bodies topic; the query names the topic first. */
 #define CALL_READ_BODIES CALL_READ "?topic=" TOPIC_BODIES
 
-/** Before the store, one for each daemon. */
-static fault_proxy *store_proxies[BENCH_DEFAULT_DAEMONS];
-
 /** Returns the status of a read of an item's body. */
 static uint32_t read_body(int daemon, const char *job, int item) {
     g_autofree char *target = g_strdup_printf(PATH_ITEMS "%s?id=%s-%d", job, job, item);
@@ -197,29 +194,24 @@
     }
 }
 
-static void start_store_proxies(void) {
+static void prepare_with_store_proxies(void) {
     bench.settings =
         (bench_settings){.item_pace = {.events = ITEM_EVENTS, .event_ms = ITEM_EVENT_MS},
                          .slots = SLOTS,
                          .retention_s = RETENTION_S};
     bench_prepare();
-    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
-        store_proxies[daemon] = fault_proxy_start(log_store_port(bench.store));
-        bench.store_ports[daemon] = fault_proxy_port(store_proxies[daemon]);
-    }
+    store_proxies_start();
 }
 
 int begin_job_reads(void) {
-    start_store_proxies();
+    prepare_with_store_proxies();
     return bench_start();
 }
 
 int end_job_reads(void) {
-    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++) {
+    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
         bench_signal_daemon(daemon, SIGKILL);
-        fault_proxy_stop(store_proxies[daemon]);
-        bench.store_ports[daemon] = 0;
-    }
+    store_proxies_stop();
     int ended = bench_tear_down();
     bench.settings = (bench_settings){0};
     return ended;
@@ -242,7 +234,7 @@
         return -1;
     for (int daemon = 1; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
         bench.runs_previous_program[daemon] = true;
-    start_store_proxies();
+    prepare_with_store_proxies();
     return bench_start();
 }
 
