Accepted work gets trial runs until it ends

Callers never hand in items for later that crash engines, so that no number of lost runs is a proof.

Evidence: real processes, 40 items on six engines that crash in turn, one each 0.6 s for 30 s. On six items were not complete 18 s after the last crash, with 398 lines item_held_back trial=spent up to the end. Ruled out: trial runs that do not begin (no other verdict), want of room (these items are held back).

Fix: accepted work has no limit of losses or trial runs. The delays between its trial runs are as before, and bound the engines lost a minute if an item shares the cause with callers' requests. Limits of contents that callers send are as before.

Tests: fleet_item_storm failed before (6 of 40 items), now all 40 items are complete as the last engine crashes, one run each.

--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -35,12 +35,6 @@
 /** Contents that became suspects within this time in ms are taken to have been lost with the same
  * engine, so that neither was found before the other. */
 #define SIMULTANEOUS_MS 500
-/** Time in ms within which two losses count as having come together: the time in which crashes of
- * the same moment are noticed. */
-#define COINCIDENCE_MS 500
-/** Number of engines whose losses are remembered apart from their contents (4 kB): several minutes
- * in which one is lost each second. */
-#define MAX_LOST_ENGINES 256
 /** Maximum number of suspects in a row, each sharing an engine with the next, that are found to
  * belong together. Bounds the time of an evaluation. */
 #define MAX_TRIAL_ENGINE_PASSES 16
@@ -60,15 +54,8 @@
     uint64_t survived_ms; /**< 0: the slot is free. */
 } acquittal;
 
-/** The loss of an engine; that of its contents may have been acquitted since. */
-typedef struct {
-    uint64_t engine;
-    uint64_t lost_ms; /**< 0: the slot is free. */
-} engine_loss;
-
 struct hs_crash_ledger {
     GHashTable *by_content; /**< content -> content_record* */
-    engine_loss lost_engines[MAX_LOST_ENGINES];
     acquittal acquittals[ACQUITTAL_SLOTS];
 };
 
@@ -180,25 +167,10 @@
     record->last_loss_ms = MAX(record->last_loss_ms, loss->lost_ms);
 }
 
-/** Remembers the loss of an engine, in place of the oldest one if there are too many. */
-static void add_lost_engine(hs_crash_ledger *ledger, const hs_crash_loss *loss) {
-    engine_loss *slot = &ledger->lost_engines[0];
-    for (uint32_t index = 0; index < MAX_LOST_ENGINES; index++) {
-        if (ledger->lost_engines[index].engine == loss->engine &&
-            ledger->lost_engines[index].lost_ms != 0)
-            return;
-        if (ledger->lost_engines[index].lost_ms < slot->lost_ms)
-            slot = &ledger->lost_engines[index];
-    }
-    if (loss->lost_ms > slot->lost_ms)
-        *slot = (engine_loss){.engine = loss->engine, .lost_ms = loss->lost_ms};
-}
-
 hs_loss_result hs_crash_ledger_add_loss(hs_crash_ledger *ledger, const hs_crash_loss *loss,
                                         uint64_t now_ms) {
     if (now_ms > loss->lost_ms + RETENTION_MS + MAX_QUARANTINE_MS)
         return HS_LOSS_IGNORED;
-    add_lost_engine(ledger, loss);
     content_record *record = get_or_create_record(ledger, loss->content);
     if (is_acquitted_loss(record, loss->lost_ms)) {
         record->last_loss_ms = MAX(record->last_loss_ms, loss->lost_ms);
@@ -482,37 +454,6 @@
     return is_shared;
 }
 
-bool hs_crash_ledger_is_calm(const hs_crash_ledger *ledger, uint64_t now_ms) {
-    bool is_calm = true;
-    for (uint32_t index = 0; index < MAX_LOST_ENGINES && is_calm; index++)
-        is_calm = ledger->lost_engines[index].lost_ms + HS_CRASH_CALM_MS <= now_ms;
-    return is_calm;
-}
-
-/** Returns whether an engine that did not run the content was lost near @p lost_ms. */
-static bool is_coincident(const hs_crash_ledger *ledger, const content_record *record,
-                          uint64_t lost_ms) {
-    bool is_found = false;
-    for (uint32_t index = 0; index < MAX_LOST_ENGINES && !is_found; index++) {
-        const engine_loss *loss = &ledger->lost_engines[index];
-        is_found = loss->lost_ms != 0 && loss->lost_ms + COINCIDENCE_MS >= lost_ms &&
-                   loss->lost_ms <= lost_ms + COINCIDENCE_MS && !has_engine(record, loss->engine);
-    }
-    return is_found;
-}
-
-bool hs_crash_ledger_are_losses_coincident(const hs_crash_ledger *ledger, uint64_t content,
-                                           uint64_t since_ms) {
-    const content_record *record = find_record(ledger, content);
-    bool are_coincident = true;
-    for (uint32_t index = 0;
-         record != NULL && index < record->evidence.engine_count && are_coincident; index++) {
-        uint64_t lost_ms = record->evidence.engines[index].lost_ms;
-        are_coincident = lost_ms <= since_ms || is_coincident(ledger, record, lost_ms);
-    }
-    return are_coincident;
-}
-
 void hs_crash_ledger_list_quarantined(const hs_crash_ledger *ledger, uint64_t now_ms,
                                       GArray *quarantines) {
     GHashTableIter iterator;
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -140,20 +140,6 @@
  */
 bool hs_crash_ledger_is_last_loss_shared(const hs_crash_ledger *ledger, uint64_t content);
 
-/** Time in ms without a loss of any engine after which engines are taken to be stable again. */
-#define HS_CRASH_CALM_MS 5000
-
-/** Returns whether no engine was lost for HS_CRASH_CALM_MS, by all losses that are known. */
-bool hs_crash_ledger_is_calm(const hs_crash_ledger *ledger, uint64_t now_ms);
-
-/**
- * Returns whether each loss of the content after @p since_ms came together with that of an engine
- * which did not run the content. Something else was crashing engines then, and may have crashed
- * these as well. True if there was no such loss.
- */
-bool hs_crash_ledger_are_losses_coincident(const hs_crash_ledger *ledger, uint64_t content,
-                                           uint64_t since_ms);
-
 /**
  * Returns the lowest hash of the engines with which this content was lost, or another suspect that
  * shares an engine with it directly or through further suspects, as of the last evaluation. All of
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -339,17 +339,10 @@
 }
 
 static hs_trial_candidate make_candidate(const hs_crash_watch *watch, const hs_trial_query *query) {
-    uint64_t content = query->evidence->content;
-    uint64_t late_since_ms = hs_crash_trials_late_since_ms(query->evidence);
-    return (hs_trial_candidate){
-        .evidence = query->evidence,
-        .has_alternative_cause = hs_crash_ledger_has_alternative_cause(watch->ledger, content),
-        .is_accepted = query->is_accepted,
-        .are_late_losses_coincident =
-            query->is_accepted &&
-            hs_crash_ledger_are_losses_coincident(watch->ledger, content, late_since_ms),
-        .is_calm =
-            query->is_accepted && hs_crash_ledger_is_calm(watch->ledger, hs_clock_monotonic_ms())};
+    return (hs_trial_candidate){.evidence = query->evidence,
+                                .has_alternative_cause = hs_crash_ledger_has_alternative_cause(
+                                    watch->ledger, query->evidence->content),
+                                .is_accepted = query->is_accepted};
 }
 
 /**
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -41,11 +41,15 @@
 
 /**
  * Plans @p times crashes: an engine that runs a request whose id begins with @p prefix crashes
- * @p after_ms after the start of the request, which is not the cause. Replaces an earlier plan.
+ * @p after_ms after the start of the request, which is not the cause. Replaces an earlier plan with
+ * the same prefix.
  */
 void crash_fleet_crash_during_requests(crash_fleet *fleet, const char *prefix, uint32_t after_ms,
                                        uint32_t times);
 
+/** Returns how many planned crashes have not happened yet. */
+uint32_t crash_fleet_count_planned(crash_fleet *fleet);
+
 uint32_t crash_fleet_get_crash_count(crash_fleet *fleet);
 
 /** Waits until all engines are up and announced; returns false after 6 s. */
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -164,6 +164,9 @@
 int begin_item_losses(void);
 int end_item_losses(void);
 
+/** Begun and ended as fleet_item_losses. */
+extern const test_case fleet_item_storm_system_tests[];
+
 /** Start and stop daemons of an earlier build (HS_PAST_PROGRAM) beside daemons of this build. */
 extern const test_case fleet_upgrade_system_tests[];
 int begin_upgrade(void);
