--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -45,6 +45,7 @@
          end_crashes_same_ids},
         {"fleet_item_losses", fleet_item_loss_system_tests, begin_item_losses, end_item_losses},
         {"fleet_item_storm", fleet_item_storm_system_tests, begin_item_losses, end_item_losses},
+        {"fleet_item_series", fleet_item_series_system_tests, begin_item_series, end_item_losses},
         {"fleet_upgrade", fleet_upgrade_system_tests, begin_upgrade, end_upgrade},
         {"fleet_crash_parts", fleet_crash_part_system_tests, begin_crash_parts, end_crash_parts},
         {"fleet_upgrade_job_reads", fleet_upgrade_job_read_system_tests, begin_upgrade_job_reads,
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -167,6 +167,10 @@
 /** Begun and ended as fleet_item_losses. */
 extern const test_case fleet_item_storm_system_tests[];
 
+/** As begin_item_losses, with the platform's retention; ended by end_item_losses. */
+extern const test_case fleet_item_series_system_tests[];
+int begin_item_series(void);
+
 /** Start and stop daemons of an earlier build (HS_PAST_PROGRAM) beside daemons of this build. */
 extern const test_case fleet_upgrade_system_tests[];
 int begin_upgrade(void);
