A decider of an earlier version that counts losses is passed over

Callers saw, during an upgrade: an accepted item that had lost five engines stays held back (trial=spent) while a daemon of an earlier version decides on its trial runs, though its owner is of this version.

Cause: only a refusal without a reason was taken for that of an earlier version. Deciders before give a reason, spent or no_room, that this version never gives for accepted work, and would go on giving it.

Fix: these verdicts on accepted work mark the decider as of an earlier version, and the next daemon in order is asked. Verdicts on callers' contents, for which both stay legitimate, mark nobody.

Test: crash_trials.deciders_that_count_trial_runs_of_accepted_work_are_ skipped; before, only an untold refusal was skipped.

--- a/src/directory/crash_exchange.c
+++ b/src/directory/crash_exchange.c
@@ -23,8 +23,8 @@
 #define MAX_DIGEST_ANSWERS 4
 /** Length of that window in ms: the interval of the load reports, with which digests are sent. */
 #define DIGEST_ANSWER_WINDOW_MS 240
-/** Maximum number of daemons queried for one trial run, while some refuse without a reason. The
- * next request skips those and queries others. */
+/** Maximum number of daemons queried for one trial run, while some refuse as earlier versions do.
+ * The next request skips those and queries others. */
 #define MAX_DECIDERS_QUERIED 8
 /** Interval in ms at which the ledger is evaluated, as quarantines and records expire. */
 #define REFRESH_INTERVAL_MS 1000
@@ -117,17 +117,12 @@
     return found;
 }
 
-/** Records how a daemon responded, for the next query for accepted work. */
+/** Records how a daemon responded to a query for accepted work. */
 static void record_verdict(hs_crash_exchange *exchange, uint64_t incarnation_hash,
                            hs_trial_verdict verdict) {
     g_mutex_lock(&exchange->lock);
-    if (verdict == HS_TRIAL_UNANSWERED)
-        hs_trial_deciders_note_unanswered(exchange->deciders, incarnation_hash,
-                                          hs_clock_monotonic_ms());
-    else
-        hs_trial_deciders_note_answered(exchange->deciders, incarnation_hash);
-    if (verdict == HS_TRIAL_NO_REASON)
-        hs_trial_deciders_note_no_reason(exchange->deciders, incarnation_hash);
+    hs_trial_deciders_note_verdict(exchange->deciders, incarnation_hash, verdict,
+                                   hs_clock_monotonic_ms());
     g_mutex_unlock(&exchange->lock);
 }
 
@@ -136,8 +131,8 @@
 static hs_trial_verdict query_decider(const hs_trial_query *query, void *user_data) {
     hs_crash_exchange *exchange = user_data;
     hs_trial_verdict verdict = HS_TRIAL_NO_REASON;
-    for (int attempt = 0; attempt < MAX_DECIDERS_QUERIED && verdict == HS_TRIAL_NO_REASON;
-         attempt++) {
+    bool is_final = false;
+    for (int attempt = 0; attempt < MAX_DECIDERS_QUERIED && !is_final; attempt++) {
         decider chosen = find_decider(exchange, query);
         if (chosen.is_self)
             return hs_crash_watch_decide_trial(exchange->watch, query, "self");
@@ -145,9 +140,9 @@
             .exchange = exchange, .query = query, .to = chosen.address};
         if (!hs_peer_queries_run(exchange->trial_queries, send_trial_query, &outgoing, &verdict))
             verdict = HS_TRIAL_UNANSWERED;
-        record_verdict(exchange, chosen.incarnation_hash, verdict);
-        if (!query->is_accepted)
-            break;
+        if (query->is_accepted)
+            record_verdict(exchange, chosen.incarnation_hash, verdict);
+        is_final = !query->is_accepted || !hs_trial_deciders_is_earlier_refusal(verdict);
     }
     return verdict;
 }
--- a/src/directory/trial_deciders.c
+++ b/src/directory/trial_deciders.c
@@ -12,7 +12,7 @@
 #define SKIP_MS 30000
 
 typedef struct {
-    bool has_refused_without_reason;
+    bool is_earlier_version;
     uint64_t unanswered_since_ms; /**< 0: it responded to the last query. */
 } decider_record;
 
@@ -54,23 +54,27 @@
     bool is_unresponsive = record->unanswered_since_ms != 0 &&
                            now_ms >= record->unanswered_since_ms + UNRESPONSIVE_AFTER_MS &&
                            now_ms < record->unanswered_since_ms + UNRESPONSIVE_AFTER_MS + SKIP_MS;
-    return record->has_refused_without_reason || is_unresponsive;
+    return record->is_earlier_version || is_unresponsive;
 }
 
-void hs_trial_deciders_note_no_reason(hs_trial_deciders *deciders, uint64_t incarnation_hash) {
-    get_or_create_record(deciders, incarnation_hash)->has_refused_without_reason = true;
-}
-
-void hs_trial_deciders_note_unanswered(hs_trial_deciders *deciders, uint64_t incarnation_hash,
-                                       uint64_t now_ms) {
-    decider_record *record = get_or_create_record(deciders, incarnation_hash);
+static void note_unanswered(decider_record *record, uint64_t now_ms) {
     uint64_t since_ms = record->unanswered_since_ms;
     if (since_ms == 0 || now_ms >= since_ms + UNRESPONSIVE_AFTER_MS + SKIP_MS)
         record->unanswered_since_ms = MAX(now_ms, 1);
 }
 
-void hs_trial_deciders_note_answered(hs_trial_deciders *deciders, uint64_t incarnation_hash) {
-    decider_record *record = g_hash_table_lookup(deciders->records, &incarnation_hash);
-    if (record != NULL)
+void hs_trial_deciders_note_verdict(hs_trial_deciders *deciders, uint64_t incarnation_hash,
+                                    hs_trial_verdict verdict, uint64_t now_ms) {
+    decider_record *record = get_or_create_record(deciders, incarnation_hash);
+    if (verdict == HS_TRIAL_UNANSWERED)
+        note_unanswered(record, now_ms);
+    else
         record->unanswered_since_ms = 0;
+    record->is_earlier_version =
+        record->is_earlier_version || hs_trial_deciders_is_earlier_refusal(verdict);
+}
+
+bool hs_trial_deciders_is_earlier_refusal(hs_trial_verdict verdict) {
+    return verdict == HS_TRIAL_NO_REASON || verdict == HS_TRIAL_EXHAUSTED ||
+           verdict == HS_TRIAL_TABLE_FULL;
 }
--- a/tests/unit/test_crash_trials.c
+++ b/tests/unit/test_crash_trials.c
@@ -199,23 +199,46 @@
 static void deciders_without_answer_or_reason_are_skipped(void) {
     hs_trial_deciders *deciders = hs_trial_deciders_new();
     CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 1, 1000));
-    hs_trial_deciders_note_no_reason(deciders, 1);
+    hs_trial_deciders_note_verdict(deciders, 1, HS_TRIAL_NO_REASON, 1000);
     CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 1, 1000));
     CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 2, 1000));
-    hs_trial_deciders_note_unanswered(deciders, 2, 1000);
-    hs_trial_deciders_note_unanswered(deciders, 2, 3000);
+    hs_trial_deciders_note_verdict(deciders, 2, HS_TRIAL_UNANSWERED, 1000);
+    hs_trial_deciders_note_verdict(deciders, 2, HS_TRIAL_UNANSWERED, 3000);
     CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 2, 4900));
     CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 2, 5000));
-    hs_trial_deciders_note_answered(deciders, 2);
+    hs_trial_deciders_note_verdict(deciders, 2, HS_TRIAL_TOO_SOON, 5000);
     CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 2, 5000));
-    hs_trial_deciders_note_unanswered(deciders, 3, 1000);
+    hs_trial_deciders_note_verdict(deciders, 3, HS_TRIAL_UNANSWERED, 1000);
     CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 3, 34900));
     CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 3, 35000));
-    hs_trial_deciders_note_unanswered(deciders, 3, 35000);
+    hs_trial_deciders_note_verdict(deciders, 3, HS_TRIAL_UNANSWERED, 35000);
     CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 3, 38900));
     CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 3, 39000));
     hs_trial_deciders_free(deciders);
 }
+
+/** Guards against accepted work that an earlier version holds back for good, as it counts losses.
+ */
+static void deciders_that_count_trial_runs_of_accepted_work_are_skipped(void) {
+    static const hs_trial_verdict earlier[] = {HS_TRIAL_NO_REASON, HS_TRIAL_EXHAUSTED,
+                                               HS_TRIAL_TABLE_FULL};
+    static const hs_trial_verdict usual[] = {HS_TRIAL_GRANTED, HS_TRIAL_TOO_SOON,
+                                             HS_TRIAL_OTHERS_RUNNING, HS_TRIAL_UNKNOWN};
+    hs_trial_deciders *deciders = hs_trial_deciders_new();
+    for (size_t index = 0; index < G_N_ELEMENTS(earlier); index++) {
+        CU_ASSERT_TRUE(hs_trial_deciders_is_earlier_refusal(earlier[index]));
+        hs_trial_deciders_note_verdict(deciders, index + 1, earlier[index], 1000);
+        hs_trial_deciders_note_verdict(deciders, index + 1, HS_TRIAL_TOO_SOON, 1000);
+        CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, index + 1, 100000));
+    }
+    for (size_t index = 0; index < G_N_ELEMENTS(usual); index++) {
+        CU_ASSERT_FALSE(hs_trial_deciders_is_earlier_refusal(usual[index]));
+        hs_trial_deciders_note_verdict(deciders, 100 + index, usual[index], 1000);
+        CU_ASSERT_FALSE(hs_trial_deciders_is_skipped(deciders, 100 + index, 1000));
+    }
+    hs_trial_deciders_free(deciders);
+}
+
 const test_case crash_trial_tests[] = {
     {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
     {"an_inconclusive_trial_run_is_not_counted", an_inconclusive_trial_run_is_not_counted},
@@ -228,5 +251,7 @@
     {"many_suspect_items_get_trial_runs_in_time", many_suspect_items_get_trial_runs_in_time},
     {"deciders_without_answer_or_reason_are_skipped",
      deciders_without_answer_or_reason_are_skipped},
+    {"deciders_that_count_trial_runs_of_accepted_work_are_skipped",
+     deciders_that_count_trial_runs_of_accepted_work_are_skipped},
     {NULL, NULL},
 };
