Accepted work gets a trial run also if the decider's table is full

Callers saw: after losses of engines under more than 1,024 contents within two minutes, further accepted items are held back (trial=no_room) until records expire, however long their engines have been whole.

Cause: the decider grants no trial run that it cannot record.

Fix: in a full table the record of an accepted item replaces the one with the oldest trial run. Contents that callers send are refused as before; one whose record is replaced is still limited by its losses. A record is added only for a trial run that is granted, so that requests that come too soon replace nothing.

Test: crash_trials.accepted_work_gets_a_trial_run_beside_many_contents failed before (no_room).

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -18,7 +18,7 @@
 #define MAX_CONCURRENT_ACCEPTED 4
 /** Time in ms for which a trial run is remembered: as long as a first quarantine. */
 #define RETENTION_MS 120000
-/** Maximum number of contents remembered. Any further one gets no trial run. */
+/** Maximum number of contents remembered. */
 #define MAX_CONTENTS 1024
 /** Time in ms after the loss that quarantines a content in which further losses are of runs that
  * had started before. Later losses are of trial runs, or of daemons that did not know of the
@@ -70,16 +70,31 @@
     return NULL;
 }
 
-/** Returns a content's trial runs, empty if there were none, or NULL if the table is full. */
-static content_trials *get_history(hs_crash_trials *trials, uint64_t content) {
-    content_trials *history = find_history(trials, content);
-    if (history != NULL)
-        return history;
-    if (trials->histories->len >= MAX_CONTENTS)
-        return NULL;
-    content_trials added = {.content = content};
-    g_array_append_val(trials->histories, added);
-    return &g_array_index(trials->histories, content_trials, trials->histories->len - 1);
+static content_trials *find_oldest_history(const hs_crash_trials *trials) {
+    content_trials *oldest = &g_array_index(trials->histories, content_trials, 0);
+    for (guint index = 1; index < trials->histories->len; index++) {
+        content_trials *history = &g_array_index(trials->histories, content_trials, index);
+        oldest = history->last_ms < oldest->last_ms ? history : oldest;
+    }
+    return oldest;
+}
+
+/**
+ * Adds an empty history. In a full table that of accepted work replaces the oldest one, since it
+ * must not wait for other contents; any other content gets NULL.
+ */
+static content_trials *add_history(hs_crash_trials *trials, const hs_trial_candidate *candidate) {
+    content_trials added = {.content = candidate->evidence->content};
+    content_trials *history = NULL;
+    if (trials->histories->len < MAX_CONTENTS) {
+        g_array_append_val(trials->histories, added);
+        return &g_array_index(trials->histories, content_trials, trials->histories->len - 1);
+    }
+    if (candidate->is_accepted) {
+        history = find_oldest_history(trials);
+        *history = added;
+    }
+    return history;
 }
 
 /** Counts the losses from a time at which all daemons should have known of the quarantine. */
@@ -176,13 +191,17 @@
     return_if_inconclusive(find_history(trials, candidate->evidence->content), candidate);
     if (!can_run_now(trials, candidate, now_ms))
         return HS_TRIAL_OTHERS_RUNNING;
-    content_trials *history = get_history(trials, candidate->evidence->content);
-    if (history == NULL)
-        return HS_TRIAL_TABLE_FULL;
-    if (!candidate->is_accepted && history->count >= HS_MAX_CALLER_TRIALS)
+    content_trials none = {.count = 0};
+    content_trials *history = find_history(trials, candidate->evidence->content);
+    const content_trials *known = history != NULL ? history : &none;
+    if (!candidate->is_accepted && known->count >= HS_MAX_CALLER_TRIALS)
         return HS_TRIAL_EXHAUSTED;
-    if (!is_due(history, candidate, now_ms))
+    if (!is_due(known, candidate, now_ms))
         return HS_TRIAL_TOO_SOON;
+    if (history == NULL)
+        history = add_history(trials, candidate);
+    if (history == NULL)
+        return HS_TRIAL_TABLE_FULL;
     history->count++;
     history->last_ms = now_ms;
     history->is_last_returned = false;
--- a/src/fleet/crash_trials.h
+++ b/src/fleet/crash_trials.h
@@ -49,7 +49,8 @@
                                   engines. Earlier versions also refuse accepted work so. */
     HS_TRIAL_TOO_SOON,       /**< Too soon after the last loss or trial run. */
     HS_TRIAL_OTHERS_RUNNING, /**< Other contents that may be the cause have their trial runs now. */
-    HS_TRIAL_TABLE_FULL,     /**< The decider remembers too many contents. */
+    HS_TRIAL_TABLE_FULL,     /**< The decider remembers too many contents. Only earlier versions
+                                  refuse accepted work for it. */
     HS_TRIAL_UNANSWERED,     /**< The decider did not answer in time. */
     HS_TRIAL_NO_DECIDER,     /**< There is no daemon to send the request to. */
     HS_TRIAL_NO_ENGINE,      /**< Not requested: no engine is expected to begin the run. */
--- a/tests/unit/test_crash_trials.c
+++ b/tests/unit/test_crash_trials.c
@@ -12,6 +12,8 @@
  * a trial run: half of the time in which accepted work should complete. */
 #define SUSPECT_ITEMS 40
 #define SUSPECT_ITEMS_LIMIT_MS 9000
+/** Number of contents that a decider remembers. */
+#define MANY_CONTENTS 1024
 
 static hs_crash_evidence make_evidence(uint64_t content, uint32_t engines, uint64_t last_ms) {
     hs_crash_evidence evidence = {.content = content, .engine_count = engines};
@@ -152,6 +154,29 @@
     hs_crash_trials_free(trials);
 }
 
+/** Guards against accepted work that waits for others, since the decider remembers too many. */
+static void accepted_work_gets_a_trial_run_beside_many_contents(void) {
+    hs_crash_trials *trials = hs_crash_trials_new();
+    uint64_t now_ms = 20000;
+    for (uint64_t content = 1; content <= MANY_CONTENTS; content++) {
+        hs_crash_evidence lost = make_evidence(content, 3, 10000);
+        lost.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS;
+        CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &(hs_trial_candidate){.evidence = &lost},
+                                               now_ms + content),
+                        HS_TRIAL_GRANTED);
+    }
+    now_ms += MANY_CONTENTS + 1;
+    hs_crash_evidence lost = make_evidence(MANY_CONTENTS + 1, 3, 10000);
+    lost.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS;
+    hs_trial_candidate callers = {.evidence = &lost};
+    hs_trial_candidate accepted = {.evidence = &lost, .is_accepted = true};
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &callers, now_ms), HS_TRIAL_TABLE_FULL);
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &accepted, now_ms), HS_TRIAL_GRANTED);
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &accepted, now_ms + 1999), HS_TRIAL_TOO_SOON);
+    CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &accepted, now_ms + 2000), HS_TRIAL_GRANTED);
+    hs_crash_trials_free(trials);
+}
+
 static void content_with_a_long_run_gets_a_trial_run_soon(void) {
     hs_crash_trials *trials = hs_crash_trials_new();
     hs_crash_evidence lost = make_evidence(1, 3, 10000);
@@ -246,6 +271,8 @@
      the_delay_between_trial_runs_counts_from_the_last_one},
     {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
     {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
+    {"accepted_work_gets_a_trial_run_beside_many_contents",
+     accepted_work_gets_a_trial_run_beside_many_contents},
     {"content_with_a_long_run_gets_a_trial_run_soon",
      content_with_a_long_run_gets_a_trial_run_soon},
     {"many_suspect_items_get_trial_runs_in_time", many_suspect_items_get_trial_runs_in_time},
