Crash evidence on a content keeps its newest losses

What operators would see: after more than ten losses of one content, daemons send each other evidence on it in each round, without an end, and the time of its last loss, from which the delay of an item's trial run counts, falls back. An item may have so many losses since.

Cause: a full record replaced its oldest loss by any that it did not have, also by an older one, as another daemon reports late. Two daemons could swap such losses for good; their digests never agreed.

Fix: a full record ignores a loss that is not newer than its oldest one. Daemons notice the losses of a moment in different orders, so two full records count as equal in the digest.

Tests: crashes.daemons_agree_on_a_content_with_many_losses and crashes. the_oldest_losses_of_a_content_are_dropped failed before.

--- a/src/fleet/crash_ledger.c
+++ b/src/fleet/crash_ledger.c
@@ -150,21 +150,27 @@
     return find_engine(record, engine) != NULL;
 }
 
-/** Adds a loss, in place of the oldest one if there are too many. */
-static void add_engine(content_record *record, const hs_crash_loss *loss) {
+static hs_crash_engine *find_oldest_engine(hs_crash_evidence *evidence) {
+    hs_crash_engine *oldest = &evidence->engines[0];
+    for (uint32_t index = 1; index < evidence->engine_count; index++)
+        if (evidence->engines[index].lost_ms < oldest->lost_ms)
+            oldest = &evidence->engines[index];
+    return oldest;
+}
+
+/** Adds a loss. A full record keeps the newest losses; returns whether this one is among them. */
+static bool add_engine(content_record *record, const hs_crash_loss *loss) {
     hs_crash_evidence *evidence = &record->evidence;
-    uint32_t slot = evidence->engine_count;
-    if (slot == HS_MAX_CRASH_ENGINES) {
-        slot = 0;
-        for (uint32_t index = 1; index < HS_MAX_CRASH_ENGINES; index++)
-            if (evidence->engines[index].lost_ms < evidence->engines[slot].lost_ms)
-                slot = index;
-    } else {
-        evidence->engine_count++;
-    }
-    evidence->engines[slot] =
+    bool is_full = evidence->engine_count == HS_MAX_CRASH_ENGINES;
+    hs_crash_engine *slot =
+        is_full ? find_oldest_engine(evidence) : &evidence->engines[evidence->engine_count];
+    if (is_full && loss->lost_ms <= slot->lost_ms)
+        return false;
+    evidence->engine_count += !is_full;
+    *slot =
         (hs_crash_engine){.engine = loss->engine, .lost_ms = loss->lost_ms, .ran_ms = loss->ran_ms};
     record->last_loss_ms = MAX(record->last_loss_ms, loss->lost_ms);
+    return true;
 }
 
 hs_loss_result hs_crash_ledger_add_loss(hs_crash_ledger *ledger, const hs_crash_loss *loss,
@@ -181,8 +187,7 @@
         existing->ran_ms = MAX(existing->ran_ms, loss->ran_ms);
         return HS_LOSS_IGNORED;
     }
-    add_engine(record, loss);
-    return HS_LOSS_RECORDED;
+    return add_engine(record, loss) ? HS_LOSS_RECORDED : HS_LOSS_IGNORED;
 }
 
 bool hs_crash_ledger_acquit(hs_crash_ledger *ledger, uint64_t content, uint64_t survived_ms) {
@@ -474,9 +479,12 @@
     g_hash_table_iter_init(&iterator, ledger->by_content);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const hs_crash_evidence *evidence = &((const content_record *)value)->evidence;
+        /* Of a full record, daemons may keep different losses: they notice them in any order. */
+        bool is_full = evidence->engine_count == HS_MAX_CRASH_ENGINES;
         for (uint32_t index = 0; evidence->engine_count > 1 && index < evidence->engine_count;
              index++) {
-            uint64_t pair[2] = {evidence->content, evidence->engines[index].engine};
+            uint64_t engine = is_full ? index : evidence->engines[index].engine;
+            uint64_t pair[2] = {evidence->content, engine};
             digest += hs_hash_bytes(pair, sizeof pair); /* The sum does not depend on the order. */
         }
     }
--- a/src/fleet/crash_ledger.h
+++ b/src/fleet/crash_ledger.h
@@ -37,7 +37,8 @@
 /** Maximum number of contents in the ledger (about 300 kB). A new content then replaces the one
  * that was lost with the fewest engines. */
 #define HS_MAX_CRASH_CONTENTS 1024
-/** Maximum number of engines recorded for a content. The longest quarantine takes fewer. */
+/** Maximum number of engines recorded for a content: those lost last. The longest quarantine takes
+ * fewer. */
 #define HS_MAX_CRASH_ENGINES 10
 
 /** The loss of a content's run with an engine that crashed. */
@@ -93,7 +94,7 @@
 
 /** Result of adding a loss to a ledger. */
 typedef enum {
-    HS_LOSS_IGNORED, /**< The loss is known already or too old. */
+    HS_LOSS_IGNORED, /**< The loss is known already, or too old, also for a full record. */
     HS_LOSS_RECORDED,
     HS_LOSS_ACQUITTED, /**< Not counted: a run of the content completed shortly before or later. */
 } hs_loss_result;
@@ -159,7 +160,7 @@
 /**
  * Returns a digest of all losses of contents with two or more losses. Daemons compare digests to
  * detect that one of them lacks losses. Contents with one loss are left out: most of them did not
- * cause the crash.
+ * cause the crash. Two full records of a content are taken to be equal.
  */
 uint64_t hs_crash_ledger_digest(const hs_crash_ledger *ledger);
 
--- a/tests/unit/test_crashes.c
+++ b/tests/unit/test_crashes.c
@@ -222,6 +222,80 @@
     }
 }
 
+/** Merges the evidence of each ledger into the other one, as if both were sent at the same time.
+ * Returns the number of losses that were new to either. */
+static uint32_t exchange_all(test_ledger *first, test_ledger *second) {
+    test_ledger *ledgers[] = {first, second};
+    g_autoptr(GArray) sent_by_first = g_array_new(FALSE, FALSE, sizeof(hs_crash_evidence));
+    g_autoptr(GArray) sent_by_second = g_array_new(FALSE, FALSE, sizeof(hs_crash_evidence));
+    const GArray *received[] = {sent_by_second, sent_by_first};
+    uint32_t recorded = 0;
+    hs_crash_ledger_list(first->ledger, 1, sent_by_first);
+    hs_crash_ledger_list(second->ledger, 1, sent_by_second);
+    for (int side = 0; side < 2; side++) {
+        for (guint index = 0; index < received[side]->len; index++) {
+            const hs_crash_evidence *evidence =
+                &g_array_index(received[side], hs_crash_evidence, index);
+            for (uint32_t engine = 0; engine < evidence->engine_count; engine++) {
+                hs_crash_loss loss = {.content = evidence->content,
+                                      .engine = evidence->engines[engine].engine,
+                                      .lost_ms = evidence->engines[engine].lost_ms};
+                recorded += hs_crash_ledger_add_loss(ledgers[side]->ledger, &loss,
+                                                     ledgers[side]->now_ms) == HS_LOSS_RECORDED;
+            }
+        }
+    }
+    return recorded;
+}
+
+/**
+ * Guards against daemons that send each other losses of one content without an end, as each of them
+ * drops a newer loss for an older one, or as they noticed losses in another order.
+ */
+static void daemons_agree_on_a_content_with_many_losses(void) {
+    test_ledger first = create_ledger();
+    test_ledger second = create_ledger();
+    uint64_t start_ms = first.now_ms;
+    for (uint64_t engine = 1; engine <= 2 * HS_MAX_CRASH_ENGINES; engine++) {
+        /* Two engines each crash nearly together, and the second daemon notices them swapped. */
+        uint64_t pair_ms = start_ms + (engine - 1) / 2 * SECOND_MS;
+        first.now_ms = pair_ms + (engine % 2 == 0 ? 5 : 0);
+        second.now_ms = pair_ms + (engine % 2 == 0 ? 0 : 5);
+        add_loss(&first, CAUSE_CONTENT, engine);
+        if (engine > 1 && engine <= HS_MAX_CRASH_ENGINES)
+            add_loss(&second, CAUSE_CONTENT, engine);
+    }
+    second.now_ms = start_ms;
+    add_loss(&second, CAUSE_CONTENT, 1);
+    second.now_ms = first.now_ms;
+    exchange_all(&first, &second);
+    exchange_all(&first, &second);
+    CU_ASSERT_EQUAL(exchange_all(&first, &second), 0);
+    CU_ASSERT_EQUAL(hs_crash_ledger_digest(first.ledger), hs_crash_ledger_digest(second.ledger));
+    hs_crash_evidence evidence;
+    CU_ASSERT_TRUE(hs_crash_ledger_find(second.ledger, CAUSE_CONTENT, &evidence));
+    CU_ASSERT(hs_crash_evidence_last_loss(&evidence)->engine >= 2 * HS_MAX_CRASH_ENGINES - 1);
+    free_ledger(&first);
+    free_ledger(&second);
+}
+
+/** Guards against a loss that is reported late and replaces a newer one of a content. */
+static void the_oldest_losses_of_a_content_are_dropped(void) {
+    test_ledger test = create_ledger();
+    hs_crash_evidence evidence;
+    for (uint64_t engine = 1; engine <= HS_MAX_CRASH_ENGINES + 1; engine++) {
+        test.now_ms += SECOND_MS;
+        CU_ASSERT_EQUAL(add_loss(&test, CAUSE_CONTENT, engine), HS_LOSS_RECORDED);
+    }
+    test.now_ms -= (uint64_t)HS_MAX_CRASH_ENGINES * SECOND_MS;
+    CU_ASSERT_EQUAL(add_loss(&test, CAUSE_CONTENT, 1), HS_LOSS_IGNORED);
+    CU_ASSERT_TRUE(hs_crash_ledger_find(test.ledger, CAUSE_CONTENT, &evidence));
+    CU_ASSERT_EQUAL(evidence.engine_count, HS_MAX_CRASH_ENGINES);
+    for (uint32_t index = 0; index < evidence.engine_count; index++)
+        CU_ASSERT_NOT_EQUAL(evidence.engines[index].engine, 1);
+    free_ledger(&test);
+}
+
 /** Engines that crash by themselves while they run requests that never come again. */
 static void random_crashes_quarantine_no_content(void) {
     test_ledger test = create_ledger();
@@ -358,6 +432,8 @@
     {"two_concurrent_causes_are_both_quarantined", two_concurrent_causes_are_both_quarantined},
     {"ledger_size_is_bounded", ledger_size_is_bounded},
     {"daemons_with_the_same_losses_agree", daemons_with_the_same_losses_agree},
+    {"daemons_agree_on_a_content_with_many_losses", daemons_agree_on_a_content_with_many_losses},
+    {"the_oldest_losses_of_a_content_are_dropped", the_oldest_losses_of_a_content_are_dropped},
     {"random_crashes_quarantine_no_content", random_crashes_quarantine_no_content},
     {"every_request_field_changes_the_content_hash", every_request_field_changes_the_content_hash},
     {NULL, NULL},
