A batch item that failed twice runs again beside others of its grant

Callers saw (OpenAI surface): an item of a batch whose engine crashed twice in a row was not run again until the other items granted with it had ended, though engines had room.

Cause: the scheduler drops an item after its second failure, for another scheduler to get it. The owner grants it again when the grant lapses, and the other items have it renewed.

Evidence: batch_losses, real processes: not run again within 10 s in 3 of 3 runs, beside 2 to 7 items that went on. Ruled out: engines held for failing (at most 0.5 s then; other items ran there).

Fix: while items that do not fail keep the grant, which nobody else may run, this scheduler runs the item again, after 0.2 to 3.2 s. Otherwise it is released as before.

--- a/src/scheduling/scheduler.c
+++ b/src/scheduling/scheduler.c
@@ -10,7 +10,9 @@
 
 #define EVENT_RING_SIZE 16384
 #define EVENT_WAIT_MS 5
+/** Delay in ms of the run after an item's first failure; doubles with each further one. */
 #define RETRY_DELAY_MS 200
+#define MAX_RETRY_DOUBLINGS 4U
 #define MAX_ITEM_FAILURES 1
 #define RUNNER_THREADS 512
 
@@ -145,6 +147,29 @@
     item->on_engine = false;
 }
 
+/** Whether the item may be run here only, since other items that do not fail keep its grant. */
+static bool is_grant_kept(const hs_scheduler *scheduler, const hs_batch_item *item) {
+    bool is_kept = false;
+    for (guint index = 0; index < scheduler->items->len && !is_kept; index++) {
+        const hs_batch_item *other = scheduler->items->pdata[index];
+        is_kept =
+            other != item && other->grant == item->grant && other->failures <= MAX_ITEM_FAILURES;
+    }
+    return is_kept;
+}
+
+/** Whether a failed item is left to another scheduler: the owner grants it again once its grant is
+ * no longer renewed. */
+static bool must_release(const hs_scheduler *scheduler, const hs_batch_item *item) {
+    return item->failures > MAX_ITEM_FAILURES && !item->grant->run_once &&
+           !is_grant_kept(scheduler, item);
+}
+
+static uint64_t get_retry_delay_ms(const hs_batch_item *item) {
+    uint32_t doublings = item->failures > 0 ? item->failures - 1 : 0;
+    return (uint64_t)RETRY_DELAY_MS << MIN(doublings, MAX_RETRY_DOUBLINGS);
+}
+
 static void handle_item_end(hs_scheduler *scheduler, hs_batch_item *item, hs_item_end end,
                             uint64_t now_ms) {
     hs_batch_engine *engine = g_hash_table_lookup(scheduler->engines, item->engine_id);
@@ -160,13 +185,12 @@
     item->failures += failed;
     if (engine != NULL && failed)
         hs_batch_engine_note_failure(engine, now_ms);
-    /* The grant is no longer renewed, so that the owner grants the item to another scheduler. */
-    if (item->failures > MAX_ITEM_FAILURES && !item->grant->run_once) {
+    if (must_release(scheduler, item)) {
         hs_scheduler_remove_item(scheduler, item);
         return;
     }
     item->state = HS_ITEM_QUEUED;
-    item->not_before_ms = preempted ? now_ms : now_ms + RETRY_DELAY_MS;
+    item->not_before_ms = preempted ? now_ms : now_ms + get_retry_delay_ms(item);
     g_ptr_array_insert(scheduler->queued, 0, item);
     COUNT(scheduler, items_retried, 1);
 }
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -12,6 +12,7 @@
         {"configuration", configuration_tests, begin_fleet, end_fleet},
         {"leaving", leaving_tests, begin_fleet, end_fleet},
         {"placement", placement_system_tests, begin_fleet, end_fleet},
+        {"batch_losses", batch_loss_tests, begin_fleet, end_fleet},
         {"batch_cancels", batch_cancel_tests, begin_batch_cancels, end_batch_cancels},
         {"fleet_surface", fleet_system_tests, bench_set_up, bench_tear_down},
         {"fleet_jobs", fleet_job_system_tests, bench_set_up, bench_tear_down},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -39,6 +39,7 @@
 extern const test_case configuration_tests[];
 extern const test_case leaving_tests[];
 extern const test_case placement_system_tests[];
+extern const test_case batch_loss_tests[];
 extern const test_case batch_cancel_tests[];
 
 /** As begin_fleet, with a daemon that reaches the platform through a proxy. */
