The delay between an item's trial runs holds at another decider

What operators would see: engines that are lost to one accepted item at short intervals, if the daemons that decide on its trial runs are lost one after the other, or have changed with the membership.

Cause: the delay grows with the trial runs that the decider granted itself.

Fix: a decider that has granted none takes an accepted item's losses since the quarantine began for earlier trial runs. Contents that callers send are as before.

Test: crash_trials.trial_runs_keep_their_delay_at_another_decider failed before.

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -125,17 +125,30 @@
     return last != NULL ? last->lost_ms : 0;
 }
 
+/**
+ * Returns the number of trial runs since the last inconclusive one. A decider that knows of none
+ * counts the late losses of accepted work, as another daemon may have decided before.
+ */
+static uint32_t count_trials(const content_trials *history, const hs_trial_candidate *candidate) {
+    if (history->is_last_returned)
+        return 0;
+    if (history->count == 0 && candidate->is_accepted)
+        return count_late_losses(candidate->evidence);
+    return history->count;
+}
+
 /**
  * Returns the required delay after the last trial run or loss. Accepted work has no maximum number
  * of trial runs; instead, its delay doubles with each.
  */
 static uint64_t compute_delay_ms(const content_trials *history,
                                  const hs_trial_candidate *candidate) {
+    uint32_t trials = count_trials(history, candidate);
     if (!has_grounds(candidate))
         return MAX_TRIAL_DELAY_MS;
-    if (history->count == 0 || history->is_last_returned)
+    if (trials == 0)
         return FIRST_TRIAL_DELAY_MS;
-    uint32_t doublings = candidate->is_accepted ? MIN(history->count - 1, 8U) : 0;
+    uint32_t doublings = candidate->is_accepted ? MIN(trials - 1, 8U) : 0;
     return MIN((uint64_t)NEXT_TRIAL_DELAY_MS << doublings, MAX_TRIAL_DELAY_MS);
 }
 
--- a/tests/system/test_fleet_item_losses.c
+++ b/tests/system/test_fleet_item_losses.c
@@ -4,6 +4,7 @@
  * run, so that it completes instead of waiting for the end of its quarantine.
  */
 #include "base/clock.h"
+#include "base/compare.h"
 #include "tests/system/crash_calls.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/item_loss_calls.h"
@@ -80,17 +81,11 @@
     check_completes("turned");
 }
 
-static gint compare_times(gconstpointer left, gconstpointer right) {
-    const uint64_t *first = left;
-    const uint64_t *second = right;
-    return *first < *second ? -1 : *first > *second;
-}
-
 /** Returns how often an item was sent from @p since_ms on, and checks the time between any two. */
 static uint32_t check_send_interval(const char *item, uint64_t since_ms) {
     g_autoptr(GArray) starts = crash_fleet_list_start_times(get_crash_fleet(), item);
     uint32_t sends = 0;
-    g_array_sort(starts, compare_times);
+    g_array_sort(starts, hs_compare_uint64);
     for (guint index = 1; index < starts->len; index++) {
         uint64_t start_ms = g_array_index(starts, uint64_t, index);
         if (start_ms < since_ms)
--- a/tests/unit/test_crash_trials.c
+++ b/tests/unit/test_crash_trials.c
@@ -154,6 +154,25 @@
     hs_crash_trials_free(trials);
 }
 
+/** Guards against trial runs at short intervals, each of which may lose an engine, after the daemon
+ * that decided on them was lost. */
+static void trial_runs_keep_their_delay_at_another_decider(void) {
+    static const uint64_t delays_ms[] = {300, 2000, 4000, 8000, 8000};
+    hs_crash_evidence lost = make_evidence(1, 3, 10000);
+    lost.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS;
+    uint64_t lost_ms = 10000;
+    for (size_t loss = 0; loss < G_N_ELEMENTS(delays_ms); loss++) {
+        hs_crash_trials *next_decider = hs_crash_trials_new();
+        CU_ASSERT_EQUAL(decide_item(next_decider, &lost, lost_ms + delays_ms[loss] - 1),
+                        HS_TRIAL_TOO_SOON);
+        CU_ASSERT_EQUAL(decide_item(next_decider, &lost, lost_ms + delays_ms[loss]),
+                        HS_TRIAL_GRANTED);
+        hs_crash_trials_free(next_decider);
+        lost_ms += 10000;
+        add_loss(&lost, 10 + loss, lost_ms);
+    }
+}
+
 /** Guards against accepted work that waits for others, since the decider remembers too many. */
 static void accepted_work_gets_a_trial_run_beside_many_contents(void) {
     hs_crash_trials *trials = hs_crash_trials_new();
@@ -271,6 +290,8 @@
      the_delay_between_trial_runs_counts_from_the_last_one},
     {"a_returned_trial_run_is_not_counted", a_returned_trial_run_is_not_counted},
     {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
+    {"trial_runs_keep_their_delay_at_another_decider",
+     trial_runs_keep_their_delay_at_another_decider},
     {"accepted_work_gets_a_trial_run_beside_many_contents",
      accepted_work_gets_a_trial_run_beside_many_contents},
     {"content_with_a_long_run_gets_a_trial_run_soon",
