--- a/tests/soak/table.sh
+++ b/tests/soak/table.sh
@@ -9,15 +9,16 @@
 mkdir -p "$kept"
 run='seed=$1 programs=$2 seconds=$3 kept=$4
 shift 4
-rm -rf "$kept/$seed" && mkdir "$kept/$seed"
-"$programs/heathsail-soak" --programs "$programs" --seconds "$seconds" --seed "$seed" --logs "$kept/$seed" "$@" \
-    >"$kept/$seed/output" 2>&1
+logs=$kept/$seed-$(date -u +%Y%m%dT%H%M%S)
+mkdir "$logs"
+"$programs/heathsail-soak" --programs "$programs" --seconds "$seconds" --seed "$seed" --logs "$logs" "$@" \
+    >"$logs/output" 2>&1
 status=$?
-grep "^verdict " "$kept/$seed/output" >"$kept/$seed.verdict" ||
+grep "^verdict " "$logs/output" >"$kept/$seed.verdict" ||
     echo "verdict seed=$seed violations=not-ended-status-$status" >"$kept/$seed.verdict"
 echo "seed $seed: $(sed "s/.* violations=//" "$kept/$seed.verdict") violations" >&2
-grep -h " KNOWN-RED " "$kept/$seed/output" >&2
-[ "$status" -ne 0 ] || rm -rf "$kept/$seed"'
+grep -h " KNOWN-RED " "$logs/output" >&2
+[ "$status" -ne 0 ] || rm -rf "$logs"'
 last=$((first + seeds - 1))
 seq "$first" "$last" | xargs -P "$at_once" -I SEED sh -c "$run" soak SEED "$programs" "$seconds" "$kept" "$@"
 for seed in $(seq "$first" "$last"); do cat "$kept/$seed.verdict"; done | awk '
