An item with a suspect part keeps the delay between its trial runs

Cause: a trial run that is lost beside another suspect is taken back as inconclusive, and the next one comes after 0.3 s. An item with a prompt shares each loss with its own parts. Also, the decider of an item depends on the engines it has lost, and each new one began with the shortest delay, or with the delay of the trial runs that it had granted itself.

Fix: for accepted work no trial run is taken back as inconclusive, the delay grows with the losses that all daemons know, and it counts from each loss. Contents that callers send are as before.

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -127,15 +127,14 @@
 }
 
 /**
- * Returns the number of trial runs since the last inconclusive one. A decider that knows of none
- * counts the late losses of accepted work, as another daemon may have decided before.
+ * Returns the number of trial runs that count for the delay. Those of accepted work are at least
+ * its late losses: other daemons may have decided before, as the decider depends on the engines
+ * lost.
  */
 static uint32_t count_trials(const content_trials *history, const hs_trial_candidate *candidate) {
-    if (history->is_last_returned)
-        return 0;
-    if (history->count == 0 && candidate->is_accepted)
-        return count_late_losses(candidate->evidence);
-    return history->count;
+    if (candidate->is_accepted)
+        return MAX(history->count, count_late_losses(candidate->evidence));
+    return history->is_last_returned ? 0 : history->count;
 }
 
 /**
@@ -154,17 +153,19 @@
 }
 
 /**
- * The delay between trial runs counts from the last one. A content may be lost in between, as it is
- * released while another content explains its losses; after such a loss only the engines have to
- * restart.
+ * The delay between trial runs counts from the last one, unless that was returned. A callers'
+ * content may be lost in between, as it is released while another content explains its losses;
+ * after such a loss only the engines have to restart. For accepted work the delay counts from each
+ * loss, as another daemon may have granted the trial run that was lost.
  */
 static bool is_due(const content_trials *history, const hs_trial_candidate *candidate,
                    uint64_t now_ms) {
     uint64_t loss_ms = find_last_loss_ms(candidate->evidence);
     uint64_t delay_ms = compute_delay_ms(history, candidate);
-    bool has_trial = history->count > 0 && has_grounds(candidate);
+    bool has_trial = history->count > 0 && !candidate->is_accepted;
     uint64_t loss_delay_ms = has_trial ? FIRST_TRIAL_DELAY_MS : delay_ms;
-    return now_ms >= MAX(history->last_ms + delay_ms, loss_ms + loss_delay_ms);
+    uint64_t trial_delay_ms = history->is_last_returned ? FIRST_TRIAL_DELAY_MS : delay_ms;
+    return now_ms >= MAX(history->last_ms + trial_delay_ms, loss_ms + loss_delay_ms);
 }
 
 /** Returns whether the candidate may run beside the trial runs that are under way. */
@@ -188,10 +189,12 @@
     history->is_last_returned = true;
 }
 
-/** Returns the last trial run if it was inconclusive: its engine crashed under another suspect as
- * well, which may not have been quarantined yet. */
+/** Returns the last trial run of a callers' content if it was inconclusive: its engine crashed
+ * under another suspect as well, which may not have been quarantined yet. Accepted work, whose
+ * trial runs are not limited, keeps its delay: the other suspect may be a part of its own prompt.
+ */
 static void return_if_inconclusive(content_trials *history, const hs_trial_candidate *candidate) {
-    if (history != NULL && candidate->is_last_loss_shared &&
+    if (history != NULL && !candidate->is_accepted && candidate->is_last_loss_shared &&
         find_last_loss_ms(candidate->evidence) >= history->last_ms)
         return_last(history);
 }
--- a/tests/system/item_loss_calls.c
+++ b/tests/system/item_loss_calls.c
@@ -2,6 +2,7 @@
 #include "tests/system/item_loss_calls.h"
 
 #include "base/clock.h"
+#include "base/compare.h"
 #include "tests/system/crash_calls.h"
 #include "tests/system/system_tests.h"
 
@@ -68,3 +69,17 @@
     if (page != NULL)
         check_results(page);
 }
+
+uint32_t check_send_interval(const char *item, uint64_t since_ms, uint64_t min_interval_ms) {
+    g_autoptr(GArray) starts = crash_fleet_list_start_times(get_crash_fleet(), item);
+    uint32_t sends = 0;
+    g_array_sort(starts, hs_compare_uint64);
+    for (guint index = 1; index < starts->len; index++) {
+        uint64_t start_ms = g_array_index(starts, uint64_t, index);
+        if (start_ms < since_ms)
+            continue;
+        sends++;
+        CU_ASSERT(start_ms - g_array_index(starts, uint64_t, index - 1) >= min_interval_ms);
+    }
+    return sends;
+}
--- a/tests/system/item_loss_calls.h
+++ b/tests/system/item_loss_calls.h
@@ -19,4 +19,10 @@
 /** Checks that all items of a job complete within FINISH_MS, with whole texts. */
 void check_job_completes(const char *id, int count);
 
+/**
+ * Returns how often an item was sent from wall time @p since_ms on, and checks that each of these
+ * sends came @p min_interval_ms or more after the one before.
+ */
+uint32_t check_send_interval(const char *item, uint64_t since_ms, uint64_t min_interval_ms);
+
 #endif
--- a/tests/system/test_fleet_crash_parts.c
+++ b/tests/system/test_fleet_crash_parts.c
@@ -7,6 +7,7 @@
 #include "platform/names.h"
 #include "tests/system/crash_calls.h"
 #include "tests/system/fleet_calls.h"
+#include "tests/system/item_loss_calls.h"
 #include "tests/system/system_tests.h"
 
 #include <CUnit/CUnit.h>
@@ -18,6 +19,7 @@
 #define FATAL_PREFIX "dead"
 #define LATER_FATAL_PART FATAL_PREFIX "01"
 #define FIRST_FATAL_PART FATAL_PREFIX "02"
+#define ITEM_FATAL_PART FATAL_PREFIX "03"
 #define FIRST_PART "c0ffee:172"
 /** Streams of 0.3 s. */
 #define EVENTS 20
@@ -35,6 +37,12 @@
 #define FATAL_CRASHES 5
 #define CONTACT_MS 3000
 #define MAX_LATE_SENDS 3
+/** Time in ms for which an item with a fatal part is observed, its sends in that time by the delays
+ * of 2, 4 and then 5 s between them, and the time from which they are 5 s apart. */
+#define ITEM_OBSERVATION_MS 25000
+#define MAX_ITEM_SENDS 6
+#define MIN_SEND_INTERVAL_MS 5000
+#define STEADY_AFTER_MS 12000
 /** Time in ms for which all engines are down, and the shortest time between two attempts of one
  * daemon at an engine that refused a connection. */
 #define DOWN_MS 4000
@@ -246,6 +254,33 @@
     g_mutex_clear(&sound.lock);
 }
 
+/**
+ * Guards against an item that is sent to one engine after the other, as each of its losses is
+ * shared with a part of its prompt, which it has in common with requests that crash engines.
+ */
+static void an_item_with_a_part_that_crashes_engines_is_sent_at_intervals(void) {
+    static const char id[] = "part-item";
+    CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
+    uint32_t before = crash_fleet_get_crash_count(get_crash_fleet());
+    bench_answer answer =
+        send_crash_request(0, "/jobs/x", id,
+                           "{\"requests\":[{\"id\":\"part-item-0\",\"path\":\"/jobs/run\","
+                           "\"headers\":{\"" HEADER_TOKEN_USAGE "\":\"300,20\","
+                           "\"" HEADER_PROMPT_PREFIX "\":\"" FIRST_PART "," ITEM_FATAL_PART
+                           ":40,b0000003:20\"},\"body\":\"aXRlbQ==\",\"tokens\":10}]}");
+    CU_ASSERT_EQUAL(answer.status, 202);
+    bench_answer_clear(&answer);
+    CU_ASSERT_TRUE(wait_for_crashes(before, MIN_QUARANTINE_CRASHES, STORM_MS));
+    uint64_t known_ms = crash_fleet_find_crash_ms(get_crash_fleet(), id, MIN_QUARANTINE_CRASHES);
+    CU_ASSERT(known_ms > 0);
+    hs_clock_sleep_ms(ITEM_OBSERVATION_MS);
+    uint32_t late = crash_fleet_count_starts(get_crash_fleet(), id, known_ms + CONTACT_MS);
+    fprintf(stderr, "item with a fatal part: %u engines lost, %u late sends\n",
+            crash_fleet_get_crash_count(get_crash_fleet()) - before, late);
+    CU_ASSERT(late <= MAX_ITEM_SENDS);
+    CU_ASSERT(check_send_interval(id, known_ms + STEADY_AFTER_MS, MIN_SEND_INTERVAL_MS) > 0);
+}
+
 int begin_crash_parts(void) {
     bench.settings = (bench_settings){.daemons = DAEMONS};
     return begin_crashes_with_settings(
@@ -267,5 +302,7 @@
      requests_whose_first_of_many_parts_crashes_engines_are_quarantined},
     {"engines_that_refuse_connections_are_tried_again_after_a_pause_only",
      engines_that_refuse_connections_are_tried_again_after_a_pause_only},
+    {"an_item_with_a_part_that_crashes_engines_is_sent_at_intervals",
+     an_item_with_a_part_that_crashes_engines_is_sent_at_intervals},
     {NULL, NULL},
 };
--- a/tests/system/test_fleet_item_losses.c
+++ b/tests/system/test_fleet_item_losses.c
@@ -4,7 +4,6 @@
  * run, so that it completes instead of waiting for the end of its quarantine.
  */
 #include "base/clock.h"
-#include "base/compare.h"
 #include "tests/system/crash_calls.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/item_loss_calls.h"
@@ -81,21 +80,6 @@
     check_completes("turned");
 }
 
-/** Returns how often an item was sent from @p since_ms on, and checks the time between any two. */
-static uint32_t check_send_interval(const char *item, uint64_t since_ms) {
-    g_autoptr(GArray) starts = crash_fleet_list_start_times(get_crash_fleet(), item);
-    uint32_t sends = 0;
-    g_array_sort(starts, hs_compare_uint64);
-    for (guint index = 1; index < starts->len; index++) {
-        uint64_t start_ms = g_array_index(starts, uint64_t, index);
-        if (start_ms < since_ms)
-            continue;
-        sends++;
-        CU_ASSERT(start_ms - g_array_index(starts, uint64_t, index - 1) >= MIN_SEND_INTERVAL_MS);
-    }
-    return sends;
-}
-
 /**
  * Guards against an item that is given up since it lost engines, and against one that does crash
  * its engines and is sent to one after the other, also over a kill of all daemons. The other items
@@ -112,7 +96,8 @@
     hs_clock_sleep_ms(CRASH_OBSERVATION_MS / 3);
     kill_and_restart_all_daemons();
     hs_clock_sleep_ms(CRASH_OBSERVATION_MS * 2 / 3);
-    uint32_t late = check_send_interval("crasher-0", known_ms + MAX_QUARANTINE_DELAY_MS);
+    uint32_t late =
+        check_send_interval("crasher-0", known_ms + MAX_QUARANTINE_DELAY_MS, MIN_SEND_INTERVAL_MS);
     fprintf(stderr, "crasher: %u engines crashed, %u late sends\n",
             crash_fleet_get_crash_count(get_crash_fleet()) - before, late);
     CU_ASSERT(known_ms > 0);
--- a/tests/unit/test_crash_trials.c
+++ b/tests/unit/test_crash_trials.c
@@ -177,23 +177,47 @@
     hs_crash_trials_free(trials);
 }
 
-/** Guards against trial runs at short intervals, each of which may lose an engine, after the daemon
- * that decided on them was lost. */
-static void trial_runs_keep_their_delay_at_another_decider(void) {
-    static const uint64_t delays_ms[] = {300, 2000, 4000, 5000, 5000};
+/** Guards against trial runs at short intervals, each of which may lose an engine, while two
+ * daemons decide on them in turn, and a third one later. */
+static void trial_runs_keep_their_delay_at_other_deciders(void) {
+    static const uint64_t delays_ms[] = {300, 2000, 4000, 5000, 5000, 5000, 5000};
+    hs_crash_trials *deciders[] = {hs_crash_trials_new(), hs_crash_trials_new(),
+                                   hs_crash_trials_new()};
+    static const int turns[] = {0, 1, 0, 1, 0, 2, 2};
     hs_crash_evidence lost = make_evidence(1, 3, 10000);
     lost.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS;
     uint64_t lost_ms = 10000;
     for (size_t loss = 0; loss < G_N_ELEMENTS(delays_ms); loss++) {
-        hs_crash_trials *next_decider = hs_crash_trials_new();
-        CU_ASSERT_EQUAL(decide_item(next_decider, &lost, lost_ms + delays_ms[loss] - 1),
-                        HS_TRIAL_TOO_SOON);
-        CU_ASSERT_EQUAL(decide_item(next_decider, &lost, lost_ms + delays_ms[loss]),
-                        HS_TRIAL_GRANTED);
-        hs_crash_trials_free(next_decider);
-        lost_ms += 10000;
+        hs_crash_trials *decider = deciders[turns[loss]];
+        uint64_t due_ms = lost_ms + delays_ms[loss];
+        CU_ASSERT_EQUAL(decide_item(decider, &lost, due_ms - 1), HS_TRIAL_TOO_SOON);
+        CU_ASSERT_EQUAL(decide_item(decider, &lost, due_ms), HS_TRIAL_GRANTED);
+        lost_ms = MAX(due_ms + 100, 14000); /* Later than the quarantine takes to spread. */
         add_loss(&lost, 10 + loss, lost_ms);
     }
+    for (size_t index = 0; index < G_N_ELEMENTS(deciders); index++)
+        hs_crash_trials_free(deciders[index]);
+}
+
+/** Guards against trial runs at short intervals of an item whose losses are always shared with
+ * another suspect, such as a part of its own prompt. */
+static void shared_losses_do_not_shorten_the_delay_of_accepted_work(void) {
+    static const uint64_t delays_ms[] = {300, 2000, 4000, 5000, 5000};
+    hs_crash_trials *trials = hs_crash_trials_new();
+    hs_crash_evidence lost = make_evidence(1, 3, 10000);
+    hs_trial_candidate candidate = {.evidence = &lost,
+                                    .has_alternative_cause = true,
+                                    .is_last_loss_shared = true,
+                                    .is_accepted = true};
+    uint64_t lost_ms = 10000;
+    for (size_t trial = 0; trial < G_N_ELEMENTS(delays_ms); trial++) {
+        uint64_t due_ms = lost_ms + delays_ms[trial];
+        CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, due_ms - 1), HS_TRIAL_TOO_SOON);
+        CU_ASSERT_EQUAL(hs_crash_trials_decide(trials, &candidate, due_ms), HS_TRIAL_GRANTED);
+        lost_ms = due_ms + 100;
+        add_loss(&lost, 10 + trial, lost_ms);
+    }
+    hs_crash_trials_free(trials);
 }
 
 /** Guards against accepted work that waits for others, since the decider remembers too many. */
@@ -315,8 +339,10 @@
     {"accepted_work_gets_further_trial_runs", accepted_work_gets_further_trial_runs},
     {"accepted_work_runs_again_in_time_after_eight_losses",
      accepted_work_runs_again_in_time_after_eight_losses},
-    {"trial_runs_keep_their_delay_at_another_decider",
-     trial_runs_keep_their_delay_at_another_decider},
+    {"trial_runs_keep_their_delay_at_other_deciders",
+     trial_runs_keep_their_delay_at_other_deciders},
+    {"shared_losses_do_not_shorten_the_delay_of_accepted_work",
+     shared_losses_do_not_shorten_the_delay_of_accepted_work},
     {"accepted_work_gets_a_trial_run_beside_many_contents",
      accepted_work_gets_a_trial_run_beside_many_contents},
     {"content_with_a_long_run_gets_a_trial_run_soon",
