Trial runs of accepted work: no work that decides nothing

Cause: since the conditions of a trial run, and whether the last loss was shared, matter for callers' contents only. Both were still computed for accepted work, by walks of the whole ledger under its lock, for each held item twice a second, at its owner and at the decider. A decision also looked the content up twice, and add_history had two ways out.

Change: check_contents is asked for callers' requests only; the decider computes is_last_loss_shared for these only; one look-up a decision. Behaviour is meant to stay.

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -85,16 +85,16 @@
  * must not wait for other contents; any other content gets NULL.
  */
 static content_trials *add_history(hs_crash_trials *trials, const hs_trial_candidate *candidate) {
-    content_trials added = {.content = candidate->evidence->content};
+    GArray *histories = trials->histories;
     content_trials *history = NULL;
-    if (trials->histories->len < MAX_CONTENTS) {
-        g_array_append_val(trials->histories, added);
-        return &g_array_index(trials->histories, content_trials, trials->histories->len - 1);
-    }
-    if (candidate->is_accepted) {
+    if (histories->len < MAX_CONTENTS) {
+        g_array_set_size(histories, histories->len + 1);
+        history = &g_array_index(histories, content_trials, histories->len - 1);
+    } else if (candidate->is_accepted) {
         history = find_oldest_history(trials);
-        *history = added;
     }
+    if (history != NULL)
+        *history = (content_trials){.content = candidate->evidence->content};
     return history;
 }
 
@@ -205,11 +205,11 @@
     hs_trial_verdict verdict = hs_crash_trials_check(candidate);
     if (verdict != HS_TRIAL_GRANTED)
         return verdict;
-    return_if_inconclusive(find_history(trials, candidate->evidence->content), candidate);
+    content_trials *history = find_history(trials, candidate->evidence->content);
+    return_if_inconclusive(history, candidate);
     if (!can_run_now(trials, candidate, now_ms))
         return HS_TRIAL_OTHERS_RUNNING;
-    content_trials none = {.count = 0};
-    content_trials *history = find_history(trials, candidate->evidence->content);
+    static const content_trials none;
     const content_trials *known = history != NULL ? history : &none;
     if (!candidate->is_accepted && known->count >= HS_MAX_CALLER_TRIALS)
         return HS_TRIAL_EXHAUSTED;
--- a/src/fleet/crash_trials.h
+++ b/src/fleet/crash_trials.h
@@ -35,7 +35,8 @@
 typedef struct {
     const hs_crash_evidence *evidence; /**< Borrowed. */
     bool has_alternative_cause;        /**< See hs_crash_ledger_has_alternative_cause. */
-    bool is_last_loss_shared; /**< See hs_crash_ledger_is_last_loss_shared; for the decision. */
+    bool is_last_loss_shared; /**< See hs_crash_ledger_is_last_loss_shared; for the decision on a
+                                   callers' content. */
     bool is_accepted;         /**< It is accepted work, which the fleet must complete. */
 } hs_trial_candidate;
 
--- a/src/fleet/crash_watch.c
+++ b/src/fleet/crash_watch.c
@@ -346,17 +346,17 @@
 }
 
 /**
- * Checks the conditions of a trial run for all quarantined contents: one of them may have crashed
- * engines too often, though another one is the most suspect.
+ * Checks the conditions of a trial run for all quarantined contents of a caller's request: one of
+ * them may have crashed engines too often, though another one is the most suspect.
  */
 static hs_trial_verdict check_contents(const hs_crash_watch *watch,
-                                       const hs_request_contents *contents, bool is_accepted) {
+                                       const hs_request_contents *contents) {
     hs_trial_verdict verdict = HS_TRIAL_GRANTED;
     uint64_t now_ms = hs_clock_monotonic_ms();
     for (uint32_t index = 0; index < contents->count && verdict == HS_TRIAL_GRANTED; index++) {
         hs_crash_quarantine quarantine;
         hs_crash_evidence evidence;
-        hs_trial_query query = {.evidence = &evidence, .is_accepted = is_accepted};
+        hs_trial_query query = {.evidence = &evidence};
         if (!hs_crash_ledger_is_quarantined(watch->ledger, contents->hashes[index], now_ms,
                                             &quarantine) ||
             !hs_crash_ledger_find(watch->ledger, contents->hashes[index], &evidence))
@@ -393,7 +393,8 @@
     g_mutex_lock(&watch->lock);
     hs_trial_calls calls = watch->trial_calls;
     if (hs_crash_ledger_find(watch->ledger, content, &evidence)) {
-        verdict = check_contents(watch, contents, is_accepted);
+        /* Accepted work meets these conditions, and each held item asks twice a second. */
+        verdict = is_accepted ? HS_TRIAL_GRANTED : check_contents(watch, contents);
         if (verdict == HS_TRIAL_GRANTED && is_trial_left_to_others(watch, contents, &evidence))
             verdict = HS_TRIAL_TOO_SOON;
         query.trial_engine = hs_crash_ledger_trial_engine(watch->ledger, content);
@@ -434,8 +435,8 @@
     if (hs_crash_ledger_find(watch->ledger, query->evidence->content, &evidence)) {
         hs_trial_query known = {.evidence = &evidence, .is_accepted = query->is_accepted};
         hs_trial_candidate candidate = make_candidate(watch, &known);
-        candidate.is_last_loss_shared =
-            hs_crash_ledger_is_last_loss_shared(watch->ledger, evidence.content);
+        candidate.is_last_loss_shared = !query->is_accepted && hs_crash_ledger_is_last_loss_shared(
+                                                                   watch->ledger, evidence.content);
         verdict = hs_crash_trials_decide(watch->trials, &candidate, hs_clock_monotonic_ms());
     }
     g_mutex_unlock(&watch->lock);
