Only daemons to be skipped are remembered as deciders

Cause: since each decider that answers a query for accepted work got a record, with nothing in it. The table of 1,024 is cleared when it is full, so that in a fleet of that size daemons that count an item's losses, or do not answer, were forgotten and asked anew.

Test: crash_trials.deciders_that_answer_are_not_remembered failed before; the suite passes, 14 passed, 0 failed.

--- a/src/directory/trial_deciders.c
+++ b/src/directory/trial_deciders.c
@@ -63,15 +63,20 @@
         record->unanswered_since_ms = MAX(now_ms, 1);
 }
 
+static void note_answered(hs_trial_deciders *deciders, uint64_t incarnation_hash) {
+    decider_record *record = g_hash_table_lookup(deciders->records, &incarnation_hash);
+    if (record != NULL)
+        record->unanswered_since_ms = 0;
+}
+
 void hs_trial_deciders_note_verdict(hs_trial_deciders *deciders, uint64_t incarnation_hash,
                                     hs_trial_verdict verdict, uint64_t now_ms) {
-    decider_record *record = get_or_create_record(deciders, incarnation_hash);
     if (verdict == HS_TRIAL_UNANSWERED)
-        note_unanswered(record, now_ms);
+        note_unanswered(get_or_create_record(deciders, incarnation_hash), now_ms);
     else
-        record->unanswered_since_ms = 0;
-    record->is_earlier_version =
-        record->is_earlier_version || hs_trial_deciders_is_earlier_refusal(verdict);
+        note_answered(deciders, incarnation_hash);
+    if (hs_trial_deciders_is_earlier_refusal(verdict))
+        get_or_create_record(deciders, incarnation_hash)->is_earlier_version = true;
 }
 
 bool hs_trial_deciders_is_earlier_refusal(hs_trial_verdict verdict) {
--- a/tests/unit/test_crash_trials.c
+++ b/tests/unit/test_crash_trials.c
@@ -17,7 +17,7 @@
 #define RETENTION_MS 60000
 #define COMPLETION_TARGET_MS 20000
 #define ITEM_POLL_MS 500
-/** Number of contents that a decider remembers. */
+/** Number of contents that a decider remembers, and of deciders that a daemon does. */
 #define MANY_CONTENTS 1024
 
 static hs_crash_evidence make_evidence(uint64_t content, uint32_t engines, uint64_t last_ms) {
@@ -330,6 +330,17 @@
     hs_trial_deciders_free(deciders);
 }
 
+/** Guards against a daemon to be skipped that is forgotten, since the table is full of others that
+ * answer. */
+static void deciders_that_answer_are_not_remembered(void) {
+    hs_trial_deciders *deciders = hs_trial_deciders_new();
+    hs_trial_deciders_note_verdict(deciders, 1, HS_TRIAL_EXHAUSTED, 1000);
+    for (uint64_t daemon = 2; daemon <= 2 * MANY_CONTENTS; daemon++)
+        hs_trial_deciders_note_verdict(deciders, daemon, HS_TRIAL_GRANTED, 1000);
+    CU_ASSERT_TRUE(hs_trial_deciders_is_skipped(deciders, 1, 1000));
+    hs_trial_deciders_free(deciders);
+}
+
 const test_case crash_trial_tests[] = {
     {"trial_runs_are_granted_one_at_a_time", trial_runs_are_granted_one_at_a_time},
     {"an_inconclusive_trial_run_is_not_counted", an_inconclusive_trial_run_is_not_counted},
@@ -352,5 +363,6 @@
      deciders_without_answer_or_reason_are_skipped},
     {"deciders_that_count_trial_runs_of_accepted_work_are_skipped",
      deciders_that_count_trial_runs_of_accepted_work_are_skipped},
+    {"deciders_that_answer_are_not_remembered", deciders_that_answer_are_not_remembered},
     {NULL, NULL},
 };
