Tests: requests of one engine are counted where those of all are

Change: count_runs_at in tests/system/support.c shares the search with count_engine_runs. All assertions stay.

--- a/tests/system/support.c
+++ b/tests/system/support.c
@@ -91,18 +91,33 @@
     return client_read_results(test_fleet.caller_urls[daemon], TEST_TENANT, job_id);
 }
 
-int count_engine_runs(const char *prompt_prefix, const char *state) {
-    json_t *records = fleet_engine_records(&test_fleet);
+/** Counts the requests of a record; see count_engine_runs. */
+static int count_requests(const json_t *requests, const char *prompt_prefix, const char *state) {
     int count = 0;
     size_t index;
-    json_t *record;
-    json_array_foreach(records, index, record) {
-        const char *prompt = json_string_value(json_object_get(record, "prompt"));
-        const char *record_state = json_string_value(json_object_get(record, "state"));
+    const json_t *request;
+    json_array_foreach(requests, index, request) {
+        const char *prompt = json_string_value(json_object_get(request, "prompt"));
+        const char *request_state = json_string_value(json_object_get(request, "state"));
         count += g_str_has_prefix(prompt, prompt_prefix) &&
-                 (state == NULL || strcmp(record_state, state) == 0);
+                 (state == NULL || strcmp(request_state, state) == 0);
     }
-    json_decref(records);
+    return count;
+}
+
+int count_engine_runs(const char *prompt_prefix, const char *state) {
+    json_t *requests = fleet_engine_records(&test_fleet);
+    int count = count_requests(requests, prompt_prefix, state);
+    json_decref(requests);
+    return count;
+}
+
+int count_runs_at(int engine, const char *prompt_prefix, const char *state) {
+    json_t *record = NULL;
+    client_call("GET", test_fleet.engine_urls[engine], "/control/record", NULL, NULL, NULL,
+                &record);
+    int count = count_requests(json_object_get(record, "requests"), prompt_prefix, state);
+    json_decref(record);
     return count;
 }
 
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -30,6 +30,9 @@
 /** Counts requests at all engines by prefix of the prompt and by state; NULL: any state. */
 int count_engine_runs(const char *prompt_prefix, const char *state);
 
+/** As count_engine_runs, at one engine. */
+int count_runs_at(int engine, const char *prompt_prefix, const char *state);
+
 /** Polls until @p condition returns true; returns false after @p timeout_ms. */
 bool wait_until(bool (*condition)(void *user_data), void *user_data, unsigned timeout_ms);
 
--- a/tests/system/test_fleet_item_series.c
+++ b/tests/system/test_fleet_item_series.c
@@ -10,7 +10,6 @@
 #include "tests/system/system_tests.h"
 
 #include <CUnit/CUnit.h>
-#include <stdio.h>
 
 /** Losses of the items that lose engines. */
 #define MIN_LOSSES 2
--- a/tests/system/test_fleet_item_storm.c
+++ b/tests/system/test_fleet_item_storm.c
@@ -9,7 +9,6 @@
 #include "tests/system/system_tests.h"
 
 #include <CUnit/CUnit.h>
-#include <stdio.h>
 
 #define ITEMS 40
 /** Crashes, each of the engine after the last one, and the interval between them in ms: an engine
