Trial runs: the delays of callers' contents and accepted work stand apart

Cause: after three functions decided when a trial run is due, each with branches for accepted work inside rules for callers' contents, though only the first delay is common.

Change: compute_due_ms has the rule of callers, and takes the delay of accepted work from compute_accepted_delay_ms. Behaviour stays.

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -127,45 +127,37 @@
 }
 
 /**
- * Returns the number of trial runs that count for the delay. Those of accepted work are at least
- * its late losses: other daemons may have decided before, as the decider depends on the engines
- * lost.
+ * Returns the delay of a trial run of accepted work, which has no maximum number of them. It grows
+ * with the trial runs that this daemon granted, or with the late losses if these are more: other
+ * daemons may have decided before, as the decider depends on the engines lost.
  */
-static uint32_t count_trials(const content_trials *history, const hs_trial_candidate *candidate) {
-    if (candidate->is_accepted)
-        return MAX(history->count, count_late_losses(candidate->evidence));
-    return history->is_last_returned ? 0 : history->count;
-}
-
-/**
- * Returns the required delay after the last trial run or loss. Accepted work has no maximum number
- * of trial runs; instead, its delay grows with each, at once if nothing else may be the cause.
- */
-static uint64_t compute_delay_ms(const content_trials *history,
-                                 const hs_trial_candidate *candidate) {
-    uint32_t trials = count_trials(history, candidate);
+static uint64_t compute_accepted_delay_ms(const content_trials *history,
+                                          const hs_trial_candidate *candidate) {
+    uint32_t trials = MAX(history->count, count_late_losses(candidate->evidence));
     if (!has_grounds(candidate))
         return trials == 0 ? NEXT_TRIAL_DELAY_MS : MAX_TRIAL_DELAY_MS;
     if (trials == 0)
         return FIRST_TRIAL_DELAY_MS;
-    uint32_t doublings = candidate->is_accepted ? MIN(trials - 1, 8U) : 0;
-    return MIN((uint64_t)NEXT_TRIAL_DELAY_MS << doublings, MAX_TRIAL_DELAY_MS);
+    return MIN((uint64_t)NEXT_TRIAL_DELAY_MS << MIN(trials - 1, 8U), MAX_TRIAL_DELAY_MS);
 }
 
 /**
- * The delay between trial runs counts from the last one, unless that was returned. A callers'
- * content may be lost in between, as it is released while another content explains its losses;
- * after such a loss only the engines have to restart. For accepted work the delay counts from each
- * loss, as another daemon may have granted the trial run that was lost.
+ * Returns when the next trial run is due. Its delay counts from the last one, unless that was
+ * returned, and for accepted work from each loss as well: another daemon may have granted the trial
+ * run that was lost. After a loss of a callers' content, only the engines have to restart: it may
+ * be lost in between, as it is released while another content explains its losses.
  */
-static bool is_due(const content_trials *history, const hs_trial_candidate *candidate,
-                   uint64_t now_ms) {
+static uint64_t compute_due_ms(const content_trials *history, const hs_trial_candidate *candidate) {
     uint64_t loss_ms = find_last_loss_ms(candidate->evidence);
-    uint64_t delay_ms = compute_delay_ms(history, candidate);
-    bool has_trial = history->count > 0 && !candidate->is_accepted;
-    uint64_t loss_delay_ms = has_trial ? FIRST_TRIAL_DELAY_MS : delay_ms;
-    uint64_t trial_delay_ms = history->is_last_returned ? FIRST_TRIAL_DELAY_MS : delay_ms;
-    return now_ms >= MAX(history->last_ms + trial_delay_ms, loss_ms + loss_delay_ms);
+    uint64_t delay_ms = history->count == 0 ? FIRST_TRIAL_DELAY_MS : NEXT_TRIAL_DELAY_MS;
+    uint64_t loss_delay_ms = FIRST_TRIAL_DELAY_MS;
+    if (candidate->is_accepted) {
+        delay_ms = compute_accepted_delay_ms(history, candidate);
+        loss_delay_ms = delay_ms;
+    }
+    if (history->is_last_returned)
+        delay_ms = FIRST_TRIAL_DELAY_MS;
+    return MAX(history->last_ms + delay_ms, loss_ms + loss_delay_ms);
 }
 
 /** Returns whether the candidate may run beside the trial runs that are under way. */
@@ -213,7 +205,7 @@
     const content_trials *known = history != NULL ? history : &none;
     if (!candidate->is_accepted && known->count >= HS_MAX_CALLER_TRIALS)
         return HS_TRIAL_EXHAUSTED;
-    if (!is_due(known, candidate, now_ms))
+    if (now_ms < compute_due_ms(known, candidate))
         return HS_TRIAL_TOO_SOON;
     if (history == NULL)
         history = add_history(trials, candidate);
