Tests: daemons of an earlier build are chosen in one place

Change: use_previous_program and stop_using_previous_program in tests/system/fleet_calls. All assertions stay.

--- a/tests/system/fleet_calls.c
+++ b/tests/system/fleet_calls.c
@@ -10,6 +10,18 @@
 
 #define POLL_MS 5
 
+bool use_previous_program(int first, int last) {
+    bench.previous_program = g_getenv("HS_PAST_PROGRAM");
+    for (int daemon = first; daemon <= last; daemon++)
+        bench.runs_previous_program[daemon] = bench.previous_program != NULL;
+    return bench.previous_program != NULL;
+}
+
+void stop_using_previous_program(void) {
+    memset(bench.runs_previous_program, 0, sizeof bench.runs_previous_program);
+    bench.previous_program = NULL;
+}
+
 bench_answer post_request(int daemon, const char *target, const char *id) {
     return bench_send(&(bench_call){
         .daemon = daemon, .method = "POST", .target = target, .request_id = id, .body = "hello"});
--- a/tests/system/fleet_calls.h
+++ b/tests/system/fleet_calls.h
@@ -8,6 +8,15 @@
 /** Time limit of a small job, changes of the job's owner included. */
 #define JOB_LIMIT_MS 15000
 
+/**
+ * Has daemons @p first to @p last start as the earlier build that HS_PAST_PROGRAM names. Returns
+ * false if it names none.
+ */
+bool use_previous_program(int first, int last);
+
+/** Has all daemons start as this build again. */
+void stop_using_previous_program(void);
+
 /** Sends a small request; the caller frees the answer with bench_answer_clear. */
 bench_answer post_request(int daemon, const char *target, const char *id);
 
--- a/tests/system/test_fleet_job_ends_mixed.c
+++ b/tests/system/test_fleet_job_ends_mixed.c
@@ -44,19 +44,14 @@
 
 /** Only daemon 0 runs this build. */
 int begin_upgrade_job_ends(void) {
-    bench.previous_program = g_getenv("HS_PAST_PROGRAM");
-    if (bench.previous_program == NULL)
+    if (!use_previous_program(1, BENCH_DEFAULT_DAEMONS - 1))
         return -1;
-    for (int daemon = 1; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
-        bench.runs_previous_program[daemon] = true;
     return bench_set_up();
 }
 
 int end_upgrade_job_ends(void) {
     int ended = bench_tear_down();
-    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
-        bench.runs_previous_program[daemon] = false;
-    bench.previous_program = NULL;
+    stop_using_previous_program();
     return ended;
 }
 
--- a/tests/system/test_fleet_job_reads.c
+++ b/tests/system/test_fleet_job_reads.c
@@ -229,20 +229,15 @@
 };
 
 int begin_upgrade_job_reads(void) {
-    bench.previous_program = g_getenv("HS_PAST_PROGRAM");
-    if (bench.previous_program == NULL)
+    if (!use_previous_program(1, BENCH_DEFAULT_DAEMONS - 1))
         return -1;
-    for (int daemon = 1; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
-        bench.runs_previous_program[daemon] = true;
     prepare_with_store_proxies();
     return bench_start();
 }
 
 int end_upgrade_job_reads(void) {
     int ended = end_job_reads();
-    for (int daemon = 0; daemon < BENCH_DEFAULT_DAEMONS; daemon++)
-        bench.runs_previous_program[daemon] = false;
-    bench.previous_program = NULL;
+    stop_using_previous_program();
     return ended;
 }
 
--- a/tests/system/test_fleet_upgrade.c
+++ b/tests/system/test_fleet_upgrade.c
@@ -232,20 +232,15 @@
 }
 
 int begin_upgrade(void) {
-    bench.previous_program = g_getenv("HS_PAST_PROGRAM");
-    if (bench.previous_program == NULL)
+    if (!use_previous_program(0, BENCH_DEFAULT_DAEMONS - 1))
         return -1;
-    for (int index = 0; index < BENCH_DEFAULT_DAEMONS; index++)
-        bench.runs_previous_program[index] = true;
     return begin_crashes_with_settings(
         &(crash_fleet_settings){.pace = {.events = STREAM_EVENTS, .event_ms = STREAM_EVENT_MS}});
 }
 
 int end_upgrade(void) {
     int ended = end_crashes_same_ids();
-    for (int index = 0; index < BENCH_DEFAULT_DAEMONS; index++)
-        bench.runs_previous_program[index] = false;
-    bench.previous_program = NULL;
+    stop_using_previous_program();
     return ended;
 }
 
--- a/tests/system/test_fleet_versions.c
+++ b/tests/system/test_fleet_versions.c
@@ -375,17 +375,12 @@
 }
 
 int begin_upgrade_versions(void) {
-    bench.previous_program = g_getenv("HS_PAST_PROGRAM");
-    if (bench.previous_program == NULL)
-        return -1;
-    bench.runs_previous_program[0] = true;
-    return begin_versions();
+    return use_previous_program(0, 0) ? begin_versions() : -1;
 }
 
 int end_upgrade_versions(void) {
     int ended = end_versions();
-    bench.runs_previous_program[0] = false;
-    bench.previous_program = NULL;
+    stop_using_previous_program();
     return ended;
 }
 
