A new decider of trial runs counts an item's early losses too

What callers saw: an item with a part that crashes engines was sent again 4.4 s after its last loss, in place of 5 s; its sixth engine was lost that much earlier.

Cause: the delay of a decider that has granted no trial run yet comes from the losses that all daemons know, but only from those later than 3 s after the quarantine began, which is the time that matters for callers' contents. An item's first trial run can be lost sooner, so a new decider began one step lower.

Fix: for accepted work all losses count since the first trial run was due, which only trial runs, or runs that began before all daemons knew, can have. The limit for callers' contents keeps its 3 s.

crash_trials.trial_runs_keep_their_delay_at_other_deciders moved its first losses to 4 s after the quarantine, which hid the fault. It no longer does, and failed before the fix.

--- a/src/fleet/crash_trials.c
+++ b/src/fleet/crash_trials.c
@@ -98,13 +98,13 @@
     return history;
 }
 
-/** Counts the losses from a time at which all daemons should have known of the quarantine. */
-static uint32_t count_late_losses(const hs_crash_evidence *evidence) {
+/** Counts the losses more than @p delay_ms after the one that quarantined the content. */
+static uint32_t count_losses_after(const hs_crash_evidence *evidence, uint64_t delay_ms) {
     uint64_t since_ms = hs_crash_evidence_suspect_since_ms(evidence);
-    uint32_t late = 0;
+    uint32_t count = 0;
     for (uint32_t index = 0; since_ms != 0 && index < evidence->engine_count; index++)
-        late += evidence->engines[index].lost_ms > since_ms + PROPAGATION_MS;
-    return late;
+        count += evidence->engines[index].lost_ms > since_ms + delay_ms;
+    return count;
 }
 
 /** Returns whether something else than the content may have crashed the engines. */
@@ -117,8 +117,8 @@
         return HS_TRIAL_GRANTED;
     if (!has_grounds(candidate))
         return HS_TRIAL_NO_GROUNDS;
-    return count_late_losses(candidate->evidence) > MAX_LATE_LOSSES ? HS_TRIAL_EXHAUSTED
-                                                                    : HS_TRIAL_GRANTED;
+    uint32_t late = count_losses_after(candidate->evidence, PROPAGATION_MS);
+    return late > MAX_LATE_LOSSES ? HS_TRIAL_EXHAUSTED : HS_TRIAL_GRANTED;
 }
 
 static uint64_t find_last_loss_ms(const hs_crash_evidence *evidence) {
@@ -128,12 +128,14 @@
 
 /**
  * Returns the delay of a trial run of accepted work, which has no maximum number of them. It grows
- * with the trial runs that this daemon granted, or with the late losses if these are more: other
- * daemons may have decided before, as the decider depends on the engines lost.
+ * with the trial runs that this daemon granted, or with the losses since the first one was due if
+ * these are more: other daemons may have decided before, as the decider depends on the engines
+ * lost.
  */
 static uint64_t compute_accepted_delay_ms(const content_trials *history,
                                           const hs_trial_candidate *candidate) {
-    uint32_t trials = MAX(history->count, count_late_losses(candidate->evidence));
+    uint32_t trials =
+        MAX(history->count, count_losses_after(candidate->evidence, FIRST_TRIAL_DELAY_MS));
     if (!has_grounds(candidate))
         return trials == 0 ? NEXT_TRIAL_DELAY_MS : MAX_TRIAL_DELAY_MS;
     if (trials == 0)
--- a/tests/unit/test_crash_trials.c
+++ b/tests/unit/test_crash_trials.c
@@ -192,7 +192,7 @@
         uint64_t due_ms = lost_ms + delays_ms[loss];
         CU_ASSERT_EQUAL(decide_item(decider, &lost, due_ms - 1), HS_TRIAL_TOO_SOON);
         CU_ASSERT_EQUAL(decide_item(decider, &lost, due_ms), HS_TRIAL_GRANTED);
-        lost_ms = MAX(due_ms + 100, 14000); /* Later than the quarantine takes to spread. */
+        lost_ms = due_ms + 100;
         add_loss(&lost, 10 + loss, lost_ms);
     }
     for (size_t index = 0; index < G_N_ELEMENTS(deciders); index++)
