--- a/tests/unit/test_crash_storm.c
+++ b/tests/unit/test_crash_storm.c
@@ -6,8 +6,6 @@
 #include "fleet/crash_watch.h"
 #include "tests/unit/unit_tests.h"
 
-/** Time in ms without a loss after which a storm is over. */
-#define CALM_MS 5000
 /** Delay in ms of a further trial run of accepted work without another reason. */
 #define TRIAL_DELAY_MS 5000
 #define SHORT_MS 200
@@ -100,8 +98,8 @@
  * it may be the cause of its losses. */
 static void a_content_of_callers_that_was_lost_alone_gets_no_further_trial_run(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * CALM_MS);
-    hs_crash_evidence same_engines = make_losses(BESIDE, 1, 2 * CALM_MS);
+    hs_crash_evidence suspect = make_losses(SUSPECT, 1, 2 * TRIAL_DELAY_MS);
+    hs_crash_evidence same_engines = make_losses(BESIDE, 1, 2 * TRIAL_DELAY_MS);
     merge(watch, &suspect);
     merge(watch, &same_engines);
     CU_ASSERT_EQUAL(decide(watch, &suspect, false), HS_TRIAL_EXHAUSTED);
@@ -113,7 +111,7 @@
 /** Otherwise a trial run that no engine began would delay the next one. */
 static void a_returned_trial_run_after_a_storm_is_granted_again(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = merge_storm(watch, 2 * CALM_MS);
+    hs_crash_evidence suspect = merge_storm(watch, 2 * TRIAL_DELAY_MS);
     suspect.engines[0].ran_ms = HS_CRASH_LONG_RUN_MS; /* The next one is due soon. */
     merge(watch, &suspect);
     CU_ASSERT_EQUAL(decide(watch, &suspect, true), HS_TRIAL_GRANTED);
@@ -125,10 +123,11 @@
     hs_crash_watch_free(watch);
 }
 
-/** Guards against a storm that is forgotten as soon as the contents beside are acquitted. */
-static void a_storm_is_remembered_when_other_contents_are_acquitted(void) {
+/** Guards against accepted work that is held back for good once what was lost beside it is
+ * acquitted. */
+static void accepted_work_gets_a_trial_run_when_other_contents_are_acquitted(void) {
     hs_crash_watch *watch = hs_crash_watch_new();
-    hs_crash_evidence suspect = merge_storm(watch, 2 * CALM_MS);
+    hs_crash_evidence suspect = merge_storm(watch, 2 * TRIAL_DELAY_MS);
     hs_crash_evidence acquitted = {
         .content = BESIDE, .is_acquitted = true, .acquitted_ms = hs_clock_monotonic_ms()};
     merge(watch, &acquitted);
@@ -137,8 +136,8 @@
 }
 
 const test_case crash_storm_tests[] = {
-    {"a_storm_is_remembered_when_other_contents_are_acquitted",
-     a_storm_is_remembered_when_other_contents_are_acquitted},
+    {"accepted_work_gets_a_trial_run_when_other_contents_are_acquitted",
+     accepted_work_gets_a_trial_run_when_other_contents_are_acquitted},
     {"accepted_work_gets_a_trial_run_after_a_storm", accepted_work_gets_a_trial_run_after_a_storm},
     {"trial_runs_keep_their_delay_while_engines_crash",
      trial_runs_keep_their_delay_while_engines_crash},
