Test engines: a planned crash counts for all requests that it hits

Seven items start together on six engines, so two of them share one. In the failed run these were all-middle-4 and all-middle-6 on unit-5-8, lost 1.2 s after their start. A crash counted only in the plans that were due at that poll, and requests that begin within the same millisecond are due at polls 3 ms apart: it counted for all-middle-4 alone. All items then lost at least as many engines as planned and completed (all-middle-6 eight, at 185 of its 200 events), but the plan of all-middle-6 waited for a ninth loss, which does not fit into the stream. A fault of the test, not of the product.

A crash now counts in each plan whose request it hits. Losses of each item, bounds and checks are as before.

--- a/tests/support/crash_fleet.c
+++ b/tests/support/crash_fleet.c
@@ -76,29 +76,34 @@
     }
 }
 
-static bool is_crash_due(const fleet_member *member, const planned_crashes *plan) {
+/** Returns whether the engine runs a request of the plan that began @p min_ms ago or earlier. */
+static bool runs_request(const fleet_member *member, const planned_crashes *plan, uint32_t min_ms) {
     uint64_t now_ms = hs_clock_wall_ms();
     token_engine_run run;
-    bool is_due = false;
+    bool is_found = false;
     for (uint32_t number = 0;
-         plan->remaining > 0 && !is_due && token_engine_find_run(member->engine, number, &run);
+         plan->remaining > 0 && !is_found && token_engine_find_run(member->engine, number, &run);
          number++)
-        is_due = run.ended_ms == 0 && run.begun_ms + plan->after_ms <= now_ms &&
-                 g_str_has_prefix(run.request_id, plan->prefix);
-    return is_due;
+        is_found = run.ended_ms == 0 && run.begun_ms + min_ms <= now_ms &&
+                   g_str_has_prefix(run.request_id, plan->prefix);
+    return is_found;
 }
 
-/** Returns whether a planned crash of this engine is due, and counts it in all plans that it fits.
+/**
+ * Returns whether a planned crash of this engine is due, and counts it in each plan of which the
+ * engine runs a request: requests that began together are due at different polls.
  */
 static bool take_due_crash(crash_fleet *fleet, const fleet_member *member) {
-    bool is_any_due = false;
-    for (guint index = 0; index < fleet->plans->len; index++) {
+    bool is_due = false;
+    for (guint index = 0; index < fleet->plans->len && !is_due; index++) {
+        const planned_crashes *plan = &g_array_index(fleet->plans, planned_crashes, index);
+        is_due = runs_request(member, plan, plan->after_ms);
+    }
+    for (guint index = 0; index < fleet->plans->len && is_due; index++) {
         planned_crashes *plan = &g_array_index(fleet->plans, planned_crashes, index);
-        bool is_due = is_crash_due(member, plan);
-        plan->remaining -= is_due;
-        is_any_due = is_any_due || is_due;
+        plan->remaining -= runs_request(member, plan, 0);
     }
-    return is_any_due;
+    return is_due;
 }
 
 static void crash_engine(crash_fleet *fleet, fleet_member *member) {
--- a/tests/support/crash_fleet.h
+++ b/tests/support/crash_fleet.h
@@ -41,8 +41,8 @@
 
 /**
  * Plans @p times crashes: an engine that runs a request whose id begins with @p prefix crashes
- * @p after_ms after the start of the request, which is not the cause. Replaces an earlier plan with
- * the same prefix.
+ * @p after_ms after the start of the request, which is not the cause. A crash counts in all plans
+ * whose requests it hits. Replaces an earlier plan with the same prefix.
  */
 void crash_fleet_crash_during_requests(crash_fleet *fleet, const char *prefix, uint32_t after_ms,
                                        uint32_t times);
