--- a/review/7/driver.c
+++ b/review/7/driver.c
@@ -22,7 +22,7 @@
 #define MEMORY_MB 250
 /** Jobs of one burst at each machine: 32 in all, x = 6 of 0.486 a second for 11 s. */
 #define JOBS_PER_DAEMON 16
-#define ROUNDS 5
+#define ROUNDS 7
 #define ITEMS 200
 #define ITEM_BYTES 15360
 #define BUSY_MS 4500
