--- a/review/lib2/kit2.c
+++ b/review/lib2/kit2.c
@@ -27,8 +27,8 @@
 static uint64_t started_ms;
 static char folder[64];
 
-int kit_memory_mb = 290;
-bool kit_is_large;
+int kit_memory_mb = 512;
+bool kit_is_large = true;
 int kit_zones = 1;
 int kit_link_mbps = 1000;
 
--- a/review/lib2/kit2.h
+++ b/review/lib2/kit2.h
@@ -60,9 +60,11 @@
 /** Waits; returns false early if the peer has closed the connection. */
 bool kit_wait_open(int descriptor, uint64_t ms);
 
-/** limits.memory-mb of the daemons that are started next; 290 by default. */
+/** limits.memory-mb of the daemons that are started next; 512 by default. */
 extern int kit_memory_mb;
-/** Whether the bounds are those of a deployment of 60 machines: drain and config-apply 3 s, contact 4 s. */
+/**
+ * Whether the bounds are those of a deployment of 60 machines: drain and config-apply 3 s, contact 4 s (the
+ * default); else 2, 2 and 3 s. */
 extern bool kit_is_large;
 /** Number of zones, which the daemons are in by turns: 1 (the default) to 3. */
 extern int kit_zones;
