--- a/review/4/driver.c
+++ b/review/4/driver.c
@@ -19,6 +19,8 @@
 #define ENGINES 3
 /** Engine 0 spoils its answers: share 0.33, one in so many: x = 0.02. */
 #define ANSWERS_PER_SPOILED 50
+/** Length of the disruption, from the engine's first answer on. */
+#define GARBLE_MS 5000
 #define SLOTS 8
 #define EVENTS 12
 #define EVENT_MS 15
@@ -32,6 +34,7 @@
     char id[16];
     gint answers;
     gint spoiled;
+    uint64_t first_answer_ms;
 } engine;
 
 static engine engines[ENGINES];
@@ -49,8 +52,11 @@
                                               ": 1\r\nContent-Length: 0\r\n\r\n");
     int after = request->last_event != NULL ? atoi(request->last_event) : 0;
     int number = g_atomic_int_add(&self->answers, 1) + 1;
-    bool is_spoiled =
-        kit_has_trouble() && self->number == 0 && number % ANSWERS_PER_SPOILED == 0;
+    if (number == 1)
+        self->first_answer_ms = kit_now_ms();
+    bool is_spoiled = kit_has_trouble() && self->number == 0 &&
+                      number % ANSWERS_PER_SPOILED == 0 &&
+                      kit_now_ms() < self->first_answer_ms + GARBLE_MS;
     int spoiled_event = is_spoiled ? MAX(after + 1, EVENTS / 2) : 0;
     if (!kit_sendf(request->descriptor,
                    "HTTP/1.1 200 OK\r\n" HEADER_REQUEST_ID ": %s\r\n" HEADER_SIGNATURE
