--- a/review/8/driver.c
+++ b/review/8/driver.c
@@ -80,7 +80,7 @@
         g_atomic_int_inc(is_leaving ? &leaving_runs : &staying_runs);
         if (is_leaving && after_ms > g_atomic_int_get(&latest_ms))
             g_atomic_int_set(&latest_ms, after_ms);
-        if (is_leaving && after_ms > DRAIN_MS) {
+        if (is_leaving && after_ms > DRAIN_MS && g_atomic_int_get(&is_away[index]) == 0) {
             g_atomic_int_inc(&late_runs);
             if (g_atomic_int_add(&late_by_daemon[index], 1) == 0)
                 kit_record("BROKEN: a request of machine %d reaches the engine %d ms after the "
