--- /dev/null
+++ b/src/base/drain.c
@@ -0,0 +1,42 @@
+/** @file drain.c  See drain.h. */
+#include "base/drain.h"
+
+#include <glib.h>
+
+struct hs_drain {
+    GMutex lock;
+    bool has_started;
+    hs_drain_times times;
+};
+
+hs_drain *hs_drain_new(void) {
+    hs_drain *drain = g_new0(hs_drain, 1);
+    g_mutex_init(&drain->lock);
+    return drain;
+}
+
+void hs_drain_free(hs_drain *drain) {
+    if (drain == NULL)
+        return;
+    g_mutex_clear(&drain->lock);
+    g_free(drain);
+}
+
+void hs_drain_begin(hs_drain *drain, const hs_drain_times *times) {
+    g_mutex_lock(&drain->lock);
+    if (!drain->has_started)
+        drain->times = *times;
+    drain->has_started = true;
+    g_mutex_unlock(&drain->lock);
+}
+
+bool hs_drain_get(hs_drain *drain, hs_drain_times *times) {
+    if (drain == NULL)
+        return false;
+    g_mutex_lock(&drain->lock);
+    bool has_started = drain->has_started;
+    if (has_started)
+        *times = drain->times;
+    g_mutex_unlock(&drain->lock);
+    return has_started;
+}
--- /dev/null
+++ b/src/base/drain.h
@@ -0,0 +1,32 @@
+/**
+ * @file drain.h
+ * The planned stop of the process: when it began, and until when requests are accepted and
+ * answered. Thread-safe.
+ */
+#ifndef HS_BASE_DRAIN_H
+#define HS_BASE_DRAIN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Monotonic times in ms. */
+typedef struct {
+    uint64_t started_ms;
+    uint64_t accept_until_ms; /**< New connections are accepted until then. */
+    uint64_t deadline_ms;     /**< Requests still open then are ended. */
+} hs_drain_times;
+
+typedef struct hs_drain hs_drain;
+
+hs_drain *hs_drain_new(void);
+/** NULL is allowed. */
+void hs_drain_free(hs_drain *drain);
+
+/** Starts the stop. Only the first call has an effect. */
+void hs_drain_begin(hs_drain *drain, const hs_drain_times *times);
+
+/** Returns whether the process is stopping, with @p times if so. @p drain may be NULL: it is not.
+ */
+bool hs_drain_get(hs_drain *drain, hs_drain_times *times);
+
+#endif
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -57,6 +57,7 @@
     hs_job_owner *owner;
     hs_online online;
     hs_fleet_surface *surface;
+    hs_drain *drain;
     hs_reload_counts reloads;
     hs_stall_detector stall_detector;
 };
@@ -206,6 +207,7 @@
     daemon->online.config = daemon->config;
     daemon->online.engines = daemon->engines;
     daemon->online.origins = daemon->origins;
+    daemon->online.drain = daemon->drain;
     daemon->online.max_key_age_ms = daemon->settings->fleet_strict_revoke != 0
                                         ? (uint64_t)daemon->settings->fleet_revoke_ms
                                         : 0;
@@ -258,6 +260,7 @@
     hs_store_client_free(daemon->store);
     hs_settings_free(daemon->reloaded);
     hs_stall_detector_clear(&daemon->stall_detector);
+    hs_drain_free(daemon->drain);
     g_free(daemon);
 }
 
@@ -294,6 +297,7 @@
     hs_fleet_daemon *daemon = g_new0(hs_fleet_daemon, 1);
     daemon->settings = settings;
     hs_stall_detector_init(&daemon->stall_detector);
+    daemon->drain = hs_drain_new();
     set_connection_timeouts(settings);
     hs_endpoint store = parse_endpoint(settings->fleet_store);
     daemon->store = hs_store_client_new(store.address, store.port);
@@ -401,40 +405,48 @@
     return NULL;
 }
 
-/** Accepts requests while callers may use old resolve answers, then waits for open requests. */
-static void finish_requests(hs_fleet_daemon *daemon, uint64_t stopped_ms) {
+static hs_drain_times plan_stop(const hs_fleet_daemon *daemon, uint64_t started_ms) {
     uint64_t total_ms = get_grace_ms(daemon);
     uint64_t accepting_ms =
         MIN(get_resolve_ttl_ms(daemon), (uint64_t)((double)total_ms * ACCEPTING_SHARE));
-    uint64_t deadline_ms =
-        stopped_ms + (total_ms > SHUTDOWN_RESERVE_MS ? total_ms - SHUTDOWN_RESERVE_MS : 0);
-    while (hs_clock_monotonic_ms() < stopped_ms + accepting_ms)
+    uint64_t serving_ms = total_ms > SHUTDOWN_RESERVE_MS ? total_ms - SHUTDOWN_RESERVE_MS : 0;
+    return (hs_drain_times){.started_ms = started_ms,
+                            .accept_until_ms = started_ms + accepting_ms,
+                            .deadline_ms = started_ms + serving_ms};
+}
+
+/** Accepts requests while callers may use old resolve answers, then waits for open requests. */
+static void finish_requests(hs_fleet_daemon *daemon, const hs_drain_times *stop) {
+    while (hs_clock_monotonic_ms() < stop->accept_until_ms)
         hs_clock_sleep_ms(DRAIN_POLL_MS);
     do {
         hs_fleet_surface_quiesce(daemon->surface);
         hs_clock_sleep_ms(DRAIN_POLL_MS);
     } while (hs_fleet_surface_open_request_count(daemon->surface) > 0 &&
-             hs_clock_monotonic_ms() < deadline_ms);
+             hs_clock_monotonic_ms() < stop->deadline_ms);
 }
 
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon) {
-    uint64_t stopped_ms = hs_clock_monotonic_ms();
-    hs_log_info("daemon_stopping", "open_requests=%u running_items=%u",
+    uint64_t started_ms = hs_clock_monotonic_ms();
+    hs_drain_times stop = plan_stop(daemon, started_ms);
+    hs_drain_begin(daemon->drain, &stop);
+    hs_log_info("daemon_stopping", "open_requests=%u running_items=%u serves_ms=%u",
                 hs_fleet_surface_open_request_count(daemon->surface),
-                hs_job_owner_running_count(daemon->owner));
+                hs_job_owner_running_count(daemon->owner),
+                (unsigned)(stop.deadline_ms - started_ms));
     hs_fleet_surface_start_draining(daemon->surface);
     hs_state_feed_close(hs_config_source_feed(daemon->config));
     hs_state_feed_close(hs_engine_source_feed(daemon->engine_source));
     hs_daemon_directory_leave(daemon->directory);
     GThread *handover = hs_thread_try_start("handover", hand_over_jobs, daemon);
-    finish_requests(daemon, stopped_ms);
+    finish_requests(daemon, &stop);
     if (handover != NULL)
         g_thread_join(handover);
     else
         hand_over_jobs(daemon);
     hs_log_info("daemon_stopped", "open_requests=%u took_ms=%u",
                 hs_fleet_surface_open_request_count(daemon->surface),
-                (unsigned)(hs_clock_monotonic_ms() - stopped_ms));
+                (unsigned)(hs_clock_monotonic_ms() - started_ms));
     hs_store_client_interrupt_calls(daemon->store);
     free_daemon(daemon);
 }
--- a/src/http/caller_connections.c
+++ b/src/http/caller_connections.c
@@ -18,6 +18,7 @@
     int descriptor;
     bool busy;                 /**< A request is being received or answered. */
     bool is_receive_shut_down; /**< The receiving side is shut down. */
+    uint32_t request_count;    /**< Requests that have started. */
     uint64_t idle_since_ms;
     hs_connection_kind kind;
     uint64_t opened_ms;
@@ -83,10 +84,21 @@
         return;
     g_mutex_lock(&connections->lock);
     connection->busy = busy;
+    connection->request_count += busy;
     connection->idle_since_ms = hs_clock_monotonic_ms();
     g_mutex_unlock(&connections->lock);
 }
 
+uint32_t hs_caller_connections_get_request_count(hs_caller_connections *connections,
+                                                 const hs_caller_connection *connection) {
+    if (connection == NULL)
+        return 0;
+    g_mutex_lock(&connections->lock);
+    uint32_t count = connection->request_count;
+    g_mutex_unlock(&connections->lock);
+    return count;
+}
+
 int hs_caller_connections_get_descriptor(hs_caller_connections *connections,
                                          const hs_caller_connection *connection) {
     if (connection == NULL)
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -77,6 +77,9 @@
     inbound->references = 1;
     g_atomic_int_inc(&inbound->listener->open_requests);
     set_busy(inbound->listener, connection, true);
+    inbound->is_on_kept_connection =
+        hs_caller_connections_get_request_count(inbound->listener->connections,
+                                                connection_of(connection)) > 1;
     return inbound;
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -31,10 +31,11 @@
     bool is_too_large; /**< The body is over the limit and incomplete. */
     bool lacks_memory; /**< The memory budget is exhausted; the body was discarded. */
     uint64_t charged;  /**< Bytes charged to the memory budget for the body. */
-    bool is_http_1_0;  /**< A response body of unknown length ends with the connection. */
-    bool answered;     /**< A response was queued. */
-    uint64_t received_ms; /**< Monotonic time at which the head was read. */
-    void *connection;     /**< The struct MHD_Connection. */
+    bool is_on_kept_connection; /**< Not the first request on its connection. */
+    bool is_http_1_0;           /**< A response body of unknown length ends with the connection. */
+    bool answered;              /**< A response was queued. */
+    uint64_t received_ms;       /**< Monotonic time at which the head was read. */
+    void *connection;           /**< The struct MHD_Connection. */
     hs_listener *listener;
     gint references; /**< Of the library, and of a streamed response. */
 } hs_inbound;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -49,6 +49,23 @@
         request->admitted_by.pressure.age_ms, regions);
 }
 
+/** Logs a request that the stop of this process ended, or that its caller left during the stop. */
+static void log_end_in_stop(const hs_online_request *request, hs_end_reason reason) {
+    hs_drain_times stop;
+    if (hs_end_reason_status(reason) != 0 || !hs_drain_get(request->online->drain, &stop))
+        return;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_log_warning("request_cut_in_stop",
+                   "request=%s reason=%s stop_ms=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+                   " received_stop_ms=%" G_GINT64_FORMAT " connection=%s run=%s"
+                   " events=%" G_GUINT64_FORMAT,
+                   request->request_id, hs_end_reason_name(reason),
+                   (guint64)(now_ms - stop.started_ms), (gint64)(stop.deadline_ms - now_ms),
+                   (gint64)(request->inbound->received_ms - stop.started_ms),
+                   request->inbound->is_on_kept_connection ? "kept" : "new",
+                   hs_run_state_name(request->run), (guint64)request->events.event_count);
+}
+
 void hs_online_request_record_end(hs_online_request *request, hs_end_reason reason) {
     if (request->is_end_recorded)
         return;
@@ -58,6 +75,7 @@
         hs_crash_watch_return_trial(hs_fleet_engines_crash_watch(request->online->engines),
                                     request->trial_content);
     log_end(request, reason);
+    log_end_in_stop(request, reason);
 }
 
 void hs_online_request_free(gpointer data) {
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -8,6 +8,7 @@
 #ifndef HS_ONLINE_ONLINE_REQUEST_H
 #define HS_ONLINE_ONLINE_REQUEST_H
 
+#include "base/drain.h"
 #include "fleet/config_source.h"
 #include "fleet/engine_attempt.h"
 #include "fleet/stream_origins.h"
@@ -84,6 +85,7 @@
     /** Max age of the list of valid keys; 0: no limit. With a limit, streams of a key that is
      * removed are ended. */
     uint64_t max_key_age_ms;
+    hs_drain *drain;    /**< NULL: the process is never stopped in order. */
     gint split_counter; /**< Distributes requests over the shares of a split route. */
 } hs_online;
 
