Answer the requests that a stop ends

Cause: nothing ended the requests that were open at the end. The listener was stopped under them, which closes their sockets. And the stop went on as soon as no request was open at one moment, although a connection that is kept may bring the next one right then.

Now waits of online requests end at an interrupt (base/drain): a request that has not run is refused (stopping, 503), one that may have run gets 502 (stopped), a started stream is cut (stream_stopped); 200 ms of the grace time are left for that. The stop waits until all connections are closed rather than until no request is open.

--- a/src/base/drain.c
+++ b/src/base/drain.c
@@ -7,17 +7,20 @@
     GMutex lock;
     bool has_started;
     hs_drain_times times;
+    hs_interrupt expiry;
 };
 
 hs_drain *hs_drain_new(void) {
     hs_drain *drain = g_new0(hs_drain, 1);
     g_mutex_init(&drain->lock);
+    hs_interrupt_init(&drain->expiry);
     return drain;
 }
 
 void hs_drain_free(hs_drain *drain) {
     if (drain == NULL)
         return;
+    hs_interrupt_clear(&drain->expiry);
     g_mutex_clear(&drain->lock);
     g_free(drain);
 }
@@ -40,3 +43,15 @@
     g_mutex_unlock(&drain->lock);
     return has_started;
 }
+
+void hs_drain_expire(hs_drain *drain) {
+    hs_interrupt_raise(&drain->expiry, HS_INTERRUPT_STOP);
+}
+
+bool hs_drain_has_expired(hs_drain *drain) {
+    return drain != NULL && hs_interrupt_get(&drain->expiry) != HS_INTERRUPT_NONE;
+}
+
+hs_interrupt *hs_drain_interrupt(hs_drain *drain) {
+    return drain != NULL ? &drain->expiry : NULL;
+}
--- a/src/base/drain.h
+++ b/src/base/drain.h
@@ -6,6 +6,8 @@
 #ifndef HS_BASE_DRAIN_H
 #define HS_BASE_DRAIN_H
 
+#include "base/interrupt.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -29,4 +31,13 @@
  */
 bool hs_drain_get(hs_drain *drain, hs_drain_times *times);
 
+/** Ends all waits for work that is still open; see hs_drain_interrupt. */
+void hs_drain_expire(hs_drain *drain);
+
+/** Returns whether open work is to end now. @p drain may be NULL: it is not. */
+bool hs_drain_has_expired(hs_drain *drain);
+
+/** Returns the interrupt that hs_drain_expire raises. NULL if @p drain is. Borrowed. */
+hs_interrupt *hs_drain_interrupt(hs_drain *drain);
+
 #endif
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -33,11 +33,14 @@
 #define ACCEPTING_SHARE 0.5
 /** TTL of resolve answers as a share of the grace time. */
 #define RESOLVE_TTL_SHARE 0.25
-/** Part of the grace time reserved for the shutdown after the last request. */
+/** Part of the grace time reserved for the shutdown after the last answer. */
 #define SHUTDOWN_RESERVE_MS 500
+/** Time in which requests that the stop ends are answered. */
+#define LAST_ANSWERS_MS 200
 /** Share of the grace time within which batch items must be handed over. */
 #define HANDOVER_SHARE 0.75
 #define DRAIN_POLL_MS 50
+#define ANSWER_POLL_MS 5
 /** Share of fleet.limit_slack that is allowed above a tenant's burst; see settings.c. */
 #define LIMIT_TOLERANCE_SHARE 0.5
 
@@ -409,21 +412,37 @@
     uint64_t total_ms = get_grace_ms(daemon);
     uint64_t accepting_ms =
         MIN(get_resolve_ttl_ms(daemon), (uint64_t)((double)total_ms * ACCEPTING_SHARE));
-    uint64_t serving_ms = total_ms > SHUTDOWN_RESERVE_MS ? total_ms - SHUTDOWN_RESERVE_MS : 0;
+    uint64_t reserved_ms = LAST_ANSWERS_MS + SHUTDOWN_RESERVE_MS;
+    uint64_t serving_ms = total_ms > reserved_ms ? total_ms - reserved_ms : 0;
     return (hs_drain_times){.started_ms = started_ms,
                             .accept_until_ms = started_ms + accepting_ms,
                             .deadline_ms = started_ms + serving_ms};
 }
 
-/** Accepts requests while callers may use old resolve answers, then waits for open requests. */
+/** Ends the requests that are still open, and waits until they are answered. */
+static void end_open_requests(hs_fleet_daemon *daemon) {
+    uint64_t answered_ms = hs_clock_monotonic_ms() + LAST_ANSWERS_MS;
+    hs_drain_expire(daemon->drain);
+    while (hs_fleet_surface_open_request_count(daemon->surface) > 0 &&
+           hs_clock_monotonic_ms() < answered_ms) {
+        hs_held_requests_wake_all(daemon->online.held);
+        hs_clock_sleep_ms(ANSWER_POLL_MS);
+    }
+}
+
+/**
+ * Accepts requests while callers may use old resolve answers, then waits until all connections are
+ * closed: on one that is still open, the next request may have arrived.
+ */
 static void finish_requests(hs_fleet_daemon *daemon, const hs_drain_times *stop) {
     while (hs_clock_monotonic_ms() < stop->accept_until_ms)
         hs_clock_sleep_ms(DRAIN_POLL_MS);
     do {
         hs_fleet_surface_quiesce(daemon->surface);
         hs_clock_sleep_ms(DRAIN_POLL_MS);
-    } while (hs_fleet_surface_open_request_count(daemon->surface) > 0 &&
+    } while (hs_fleet_surface_front_connection_count(daemon->surface) > 0 &&
              hs_clock_monotonic_ms() < stop->deadline_ms);
+    end_open_requests(daemon);
 }
 
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon) {
@@ -435,6 +454,7 @@
                 hs_job_owner_running_count(daemon->owner),
                 (unsigned)(stop.deadline_ms - started_ms));
     hs_fleet_surface_start_draining(daemon->surface);
+    hs_held_requests_wake_all(daemon->online.held); /* Some can no longer end in time. */
     hs_state_feed_close(hs_config_source_feed(daemon->config));
     hs_state_feed_close(hs_engine_source_feed(daemon->engine_source));
     hs_daemon_directory_leave(daemon->directory);
--- a/src/online/end_reason.c
+++ b/src/online/end_reason.c
@@ -48,6 +48,9 @@
     [HS_END_STREAM_BROKEN] = {"stream_broken", 0, ""},
     [HS_END_STREAM_LATE] = {"stream_late", 0, ""},
     [HS_END_READER_SLOW] = {"reader_slow", 0, ""},
+    [HS_END_STOPPING] = {"stopping", 503, "this daemon is stopping; not run\n"},
+    [HS_END_STOPPED] = {"stopped", 502, "this daemon stopped; it may have run\n"},
+    [HS_END_STREAM_STOPPED] = {"stream_stopped", 0, ""},
 };
 
 const char *hs_end_reason_name(hs_end_reason reason) {
--- a/src/online/held_requests.c
+++ b/src/online/held_requests.c
@@ -185,6 +185,22 @@
     return is_any_woken || is_restricted_woken;
 }
 
+void hs_held_requests_wake_all(hs_held_requests *held) {
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_mutex_lock(&held->lock);
+    g_hash_table_iter_init(&iterator, held->by_service);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const service_held *service = value;
+        for (guint index = 0; index < service->requests->len; index++) {
+            hs_held_request *request = service->requests->pdata[index];
+            request->is_woken = true;
+            g_cond_signal(&request->woken);
+        }
+    }
+    g_mutex_unlock(&held->lock);
+}
+
 /**
  * Returns how long the oldest request has waited that can be in time and is not behind @p priority
  * (NULL: none is behind). Returns 0 if there is none.
--- a/src/online/held_requests.h
+++ b/src/online/held_requests.h
@@ -66,6 +66,9 @@
  */
 bool hs_held_requests_wake(hs_held_requests *held, const char *service);
 
+/** Wakes all waiting requests. */
+void hs_held_requests_wake_all(hs_held_requests *held);
+
 /**
  * Returns the state of the service's held requests. @p priority: for ahead_waited_ms, see
  * hs_queue_priority_is_behind; NULL counts no request as behind.
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -13,6 +13,8 @@
 #include "tenants/tenant_index.h"
 
 #define RESUME_PAUSE_MS 50
+/** A held request of a stopping process is looked at again after this time. */
+#define STOP_PAUSE_MS 100
 #define SILENCE_TARGET_FACTOR 3
 /**
  * On a reused connection a repeatable request waits for the response head for the target latency
@@ -54,7 +56,7 @@
                     .tenant = request->tenant,
                     .body_length = inbound->body->len},
         .body = inbound->body->data,
-        .wait = {.deadline = request->deadline, .watched = inbound->descriptor},
+        .wait = hs_online_wait(request),
         .refuse_if_late = request->run == HS_RUN_NOT_EXECUTED,
     };
     parameters.query.has_wait_limit = request->run == HS_RUN_NOT_EXECUTED;
@@ -136,10 +138,12 @@
     else
         exclude_engine(request, end);
     hs_attempt_finish(attempt, end);
-    if (caller_gone) {
+    if (caller_gone && !hs_drain_has_expired(request->online->drain)) {
         *reason = HS_END_CALLER_GONE;
         return HS_NEXT_END;
     }
+    if (hs_online_is_ended_by_stop(request, reason))
+        return HS_NEXT_END;
     if (hs_clock_monotonic_ms() >= request->deadline) {
         *reason = request->run == HS_RUN_NOT_EXECUTED ? HS_END_LATE_NOT_RUN : HS_END_LATE;
         return HS_NEXT_END;
@@ -168,6 +172,8 @@
     if (choice.verdict == HS_REFUSAL_HOLD && (!has_run || hs_online_may_repeat(request))) {
         hs_queue_priority priority = hs_online_queue_priority(request);
         uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : choice.pause_ms;
+        if (hs_online_is_stopping(request))
+            pause_ms = MIN(pause_ms, STOP_PAUSE_MS);
         request->woken += hs_held_requests_wait(request->online->held, request->held, &priority,
                                                 request->inbound->descriptor, pause_ms);
         g_ptr_array_set_size(request->excluded, 0);
@@ -274,6 +280,8 @@
     if (hs_online_is_over_share(request, reason))
         return false;
     while (action == HS_NEXT_RETRY) {
+        if (hs_online_is_ended_by_stop(request, reason))
+            return false;
         if (!hs_online_is_still_authorized(request, reason) || is_key_unsure(request, reason) ||
             !hs_online_has_allowed_region(request, reason) || is_quarantined(request, reason))
             return false;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -49,13 +49,15 @@
         request->admitted_by.pressure.age_ms, regions);
 }
 
-/** Logs a request that the stop of this process ended, or that its caller left during the stop. */
+/** Logs a request that this process refuses or ends since it stops, or that its caller left. */
 static void log_end_in_stop(const hs_online_request *request, hs_end_reason reason) {
+    bool is_refused = reason == HS_END_STOPPING;
+    bool is_unanswered = hs_end_reason_status(reason) == 0 || reason == HS_END_STOPPED;
     hs_drain_times stop;
-    if (hs_end_reason_status(reason) != 0 || !hs_drain_get(request->online->drain, &stop))
+    if (!(is_refused || is_unanswered) || !hs_drain_get(request->online->drain, &stop))
         return;
     uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_log_warning("request_cut_in_stop",
+    hs_log_warning(is_refused ? "request_refused_in_stop" : "request_cut_in_stop",
                    "request=%s reason=%s stop_ms=%" G_GUINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
                    " received_stop_ms=%" G_GINT64_FORMAT " connection=%s run=%s"
                    " events=%" G_GUINT64_FORMAT,
@@ -171,7 +173,7 @@
 
 /** Reads and forwards the whole response. Returns false if another attempt is to be made. */
 static bool serve_whole(hs_online_request *request) {
-    hs_wait wait = {.deadline = request->deadline, .watched = request->inbound->descriptor};
+    hs_wait wait = hs_online_wait(request);
     hs_attempt *attempt = &request->attempt;
     attempt->step = hs_client_connection_read_all(
         attempt->connection, hs_memory_bound_answer(HS_ONLINE_MAX_ANSWER_BYTES), &wait);
@@ -255,7 +257,8 @@
                      const hs_online_access *access) {
     hs_online_request *request = create_request(online, inbound, terms, access);
     hs_end_reason reason = HS_END_BROKEN;
-    bool ended = !hs_online_find_origin(request, &reason);
+    bool ended =
+        hs_online_is_ended_by_stop(request, &reason) || !hs_online_find_origin(request, &reason);
     if (ended)
         end_with_own_response(request, reason);
     while (!ended) {
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -53,6 +53,9 @@
     HS_END_STREAM_BROKEN,   /**< A started stream was cut and could not be resumed. */
     HS_END_STREAM_LATE,     /**< The deadline passed during the stream. */
     HS_END_READER_SLOW,     /**< Memory was critical and this caller read slowest. */
+    HS_END_STOPPING,        /**< The process stops before the request could end; not run. */
+    HS_END_STOPPED,         /**< The process stopped before the answer; it may have run. */
+    HS_END_STREAM_STOPPED,  /**< The process stopped during the stream. */
     HS_END_REASON_COUNT,
 } hs_end_reason;
 
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -100,6 +100,17 @@
 /** Returns the end of a request's log line about its regions; "": not restricted. Free it. */
 char *hs_online_describe_regions(const hs_online_request *request);
 
+/**
+ * Reports whether the stop of this process has ended the request; sets @p reason.
+ */
+bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason);
+
+/** Reports whether this process stops. */
+bool hs_online_is_stopping(const hs_online_request *request);
+
+/** Returns what ends a wait for an engine: the deadline, the caller, or the end of a stop. */
+hs_wait hs_online_wait(const hs_online_request *request);
+
 /** Tries engines until one sends a response head. Returns false and sets @p reason if none does. */
 bool hs_online_find_answer(hs_online_request *request, hs_end_reason *reason);
 
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -40,6 +40,8 @@
     if (hs_online_after_failure(request, end, &reason) != HS_NEXT_RETRY ||
         !hs_online_may_repeat(request) || !hs_event_stream_can_resume(&request->events) ||
         request->is_origin_unknown || !hs_online_find_answer(request, &reason)) {
+        if (reason == HS_END_STOPPED)
+            reason = HS_END_STREAM_STOPPED;
         hs_online_request_record_end(request,
                                      reason == HS_END_BROKEN ? HS_END_STREAM_BROKEN : reason);
         hs_online_count_end(request->online, HS_END_STREAM_BROKEN, request->first_byte_ms);
@@ -66,7 +68,7 @@
 /** Waits for the next bytes of the engine's stream and moves their whole events to ready. */
 static void read_stream_step(hs_online_request *request) {
     hs_attempt *attempt = &request->attempt;
-    hs_wait wait = {.deadline = request->deadline, .watched = request->inbound->descriptor};
+    hs_wait wait = hs_online_wait(request);
     uint64_t now_ms = hs_clock_monotonic_ms();
     if (request->route->resumable && request->runs + 1 < request->route->max_attempts)
         wait.deadline = MIN(wait.deadline, now_ms + MAX(HS_ONLINE_MIN_SILENCE_MS,
@@ -111,7 +113,9 @@
     if (attempt->step == HS_STEP_COMPLETE) /* The stream ended within an event. */
         attempt->step = HS_STEP_CUT;
     if (attempt->step == HS_STEP_CALLER_GONE) {
-        finish_stream(request, HS_ATTEMPT_DROPPED, HS_END_CALLER_GONE);
+        bool is_stopped = hs_drain_has_expired(request->online->drain);
+        finish_stream(request, HS_ATTEMPT_DROPPED,
+                      is_stopped ? HS_END_STREAM_STOPPED : HS_END_CALLER_GONE);
         return false;
     }
     if (hs_clock_monotonic_ms() >= request->deadline) {
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -221,6 +221,10 @@
     hs_fleet_surface *surface = user_data;
     hs_caller_terms terms;
     hs_platform_read_terms(inbound->fields, &terms);
+    if (hs_drain_has_expired(surface->settings.online->drain)) {
+        refuse(surface, inbound, &terms, HS_END_STOPPING);
+        return;
+    }
     g_autofree char *job_id = NULL;
     hs_call_kind kind = hs_platform_classify_call(inbound->method, inbound->target, &job_id);
     hs_fleet_config *config = wait_for_config(surface);
@@ -461,6 +465,12 @@
         hs_listener_quiesce(surface->front);
 }
 
+uint32_t hs_fleet_surface_front_connection_count(hs_fleet_surface *surface) {
+    return surface->front != NULL
+               ? hs_caller_connections_count(hs_listener_connections(surface->front))
+               : 0;
+}
+
 uint32_t hs_fleet_surface_open_request_count(hs_fleet_surface *surface) {
     return surface->front != NULL ? hs_listener_open_request_count(surface->front) : 0;
 }
--- a/src/surface/fleet_surface.h
+++ b/src/surface/fleet_surface.h
@@ -56,6 +56,9 @@
  */
 void hs_fleet_surface_quiesce(hs_fleet_surface *surface);
 
+/** Returns the number of callers' connections that are open. */
+uint32_t hs_fleet_surface_front_connection_count(hs_fleet_surface *surface);
+
 /** Returns the number of callers' requests in progress. */
 uint32_t hs_fleet_surface_open_request_count(hs_fleet_surface *surface);
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -65,6 +65,7 @@
         {"urgency", urgency_tests, NULL, NULL},
         {"admission", admission_tests, NULL, NULL},
         {"holding", holding_tests, NULL, NULL},
+        {"stop_admission", stop_admission_tests, NULL, NULL},
         {"tenants", tenant_tests, NULL, NULL},
         {"limits", limit_tests, NULL, NULL},
         {"entries", entry_tests, NULL, NULL},
--- a/tests/unit/test_holding.c
+++ b/tests/unit/test_holding.c
@@ -223,6 +223,22 @@
     hs_held_requests_free(group.held);
 }
 
+static void all_waiting_requests_are_woken_at_a_stop(void) {
+    wait_group group = {.held = hs_held_requests_new()};
+    waiter first = {.group = &group, .priority = {.arrived_ms = 1, .is_in_time = true}};
+    waiter second = {.group = &group, .priority = {.arrived_ms = 2}};
+    GThread *threads[] = {g_thread_new("first", wait_for_slot, &first),
+                          g_thread_new("second", wait_for_slot, &second)};
+    while (hs_held_requests_view(group.held, "service", NULL).held < 2)
+        hs_clock_sleep_ms(1);
+    hs_clock_sleep_ms(20);
+    hs_held_requests_wake_all(group.held);
+    g_thread_join(threads[0]);
+    g_thread_join(threads[1]);
+    CU_ASSERT_EQUAL(group.woken, 2);
+    hs_held_requests_free(group.held);
+}
+
 /** Held requests of a tenant with much use do not delay those of a tenant with little use. */
 static void lower_priorities_do_not_lengthen_a_wait(void) {
     hs_held_requests *held = hs_held_requests_new();
@@ -243,6 +259,7 @@
 }
 
 const test_case holding_tests[] = {
+    {"all_waiting_requests_are_woken_at_a_stop", all_waiting_requests_are_woken_at_a_stop},
     {"free_slots_wake_held_requests_in_order", free_slots_wake_held_requests_in_order},
     {"frequent_wakes_of_a_request_are_limited", frequent_wakes_of_a_request_are_limited},
     {"an_unused_slot_wakes_the_next_request", an_unused_slot_wakes_the_next_request},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -66,6 +66,7 @@
 extern const test_case urgency_tests[];
 extern const test_case admission_tests[];
 extern const test_case holding_tests[];
+extern const test_case stop_admission_tests[];
 extern const test_case tenant_tests[];
 extern const test_case limit_tests[];
 extern const test_case entry_tests[];
