Refuse requests that would outlive the stop of their daemon

After the time in which new connections are accepted, a connection that was busy can bring one more request, which was passed on whatever time was left. The same holds for a body that ends late, and for a request that waited for a slot.

Now one question is asked wherever a request that has not run would be sent: does it end before this process has to? While callers may not know of the stop, it is sent if it probably does, by how long the requests of its route took lately (run_lengths); after that, only if all of them would end in time, or its own deadline is before the end. Otherwise it is refused unsent at once (503, Retry-After, connection closed).

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -215,6 +215,7 @@
                                         ? (uint64_t)daemon->settings->fleet_revoke_ms
                                         : 0;
     daemon->online.ages = hs_caller_ages_new();
+    daemon->online.run_lengths = hs_run_lengths_new();
     hs_memory_budget_set(hs_memory_budget_for_machine((uint32_t)daemon->settings->fleet_memory_mb));
     if (hs_memory_budget_get() > 0)
         daemon->online.read_ahead = hs_read_ahead_new();
@@ -253,6 +254,7 @@
     hs_config_source_free(daemon->config);
     hs_job_service_free(daemon->jobs);
     hs_caller_ages_free(daemon->online.ages);
+    hs_run_lengths_free(daemon->online.run_lengths);
     hs_held_requests_free(daemon->online.held);
     hs_read_ahead_free(daemon->online.read_ahead);
     hs_fair_shares_free(daemon->online.fair_shares);
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -305,6 +305,8 @@
             continue;
         }
         request->sends++;
+        if (request->first_sent_ms == 0)
+            request->first_sent_ms = request->attempt.sent_ms;
         if (has_head && !request->attempt.answer.not_executed) {
             hs_online_set_held(request, false, true);
             return true;
--- a/src/online/online_request.h
+++ b/src/online/online_request.h
@@ -18,6 +18,7 @@
 #include "online/held_requests.h"
 #include "online/read_ahead.h"
 #include "online/refusal_choice.h"
+#include "online/run_lengths.h"
 #include "platform/caller_codec.h"
 
 /** Why a request ended. Each reason has one status and one text, see end_reason.c. */
@@ -81,6 +82,7 @@
     hs_fleet_engines *engines;
     hs_online_counters counters;
     hs_caller_ages *ages;
+    hs_run_lengths *run_lengths; /**< NULL: unknown. */
     hs_held_requests *held;
     hs_read_ahead *read_ahead; /**< NULL: nothing is read ahead. */
     hs_fair_shares *fair_shares;
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -50,6 +50,7 @@
     hs_admission_view admitted_by; /**< Inputs of that decision. */
     bool is_less_urgent;           /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
+    uint64_t first_sent_ms; /**< Monotonic time of the first send to an engine; 0: not sent. */
     uint64_t first_byte_ms; /**< Time from arrival to the first body byte; 0: none yet. */
     hs_run_state run;
     uint32_t runs; /**< Attempts that may have run. */
@@ -101,7 +102,8 @@
 char *hs_online_describe_regions(const hs_online_request *request);
 
 /**
- * Reports whether the stop of this process has ended the request; sets @p reason.
+ * Reports whether a request that has not run must not be sent any more, since this process stops
+ * before it would end, or whether the stop has ended the request; sets @p reason.
  */
 bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason);
 
--- a/src/online/online_stop.c
+++ b/src/online/online_stop.c
@@ -1,6 +1,13 @@
 /** @file online_stop.c  Requests while this process stops; see online_request_state.h. */
 #include "online/online_request_state.h"
 
+#include "base/clock.h"
+#include "online/stop_admission.h"
+
+static uint64_t time_until(uint64_t end_ms, uint64_t now_ms) {
+    return end_ms > now_ms ? end_ms - now_ms : 0;
+}
+
 bool hs_online_is_stopping(const hs_online_request *request) {
     hs_drain_times stop;
     return hs_drain_get(request->online->drain, &stop);
@@ -12,10 +19,26 @@
                      .interrupt = hs_drain_interrupt(request->online->drain)};
 }
 
+static bool may_still_send(const hs_online_request *request, const hs_drain_times *stop) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_run_lengths *lengths = request->online->run_lengths;
+    hs_stop_admission_view view = {.left_ms = time_until(stop->deadline_ms, now_ms),
+                                   .request_left_ms = time_until(request->deadline, now_ms),
+                                   .is_accepting = now_ms < stop->accept_until_ms};
+    if (lengths != NULL)
+        view.runs = hs_run_lengths_compare(lengths, request->route->name, view.left_ms);
+    return hs_stop_admission_may_send(&view);
+}
+
 bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason) {
-    if (!hs_drain_has_expired(request->online->drain))
+    hs_drain_times stop;
+    if (!hs_drain_get(request->online->drain, &stop))
         return false;
     bool has_run = request->run != HS_RUN_NOT_EXECUTED;
+    bool is_ended =
+        has_run ? hs_drain_has_expired(request->online->drain) : !may_still_send(request, &stop);
+    if (!is_ended)
+        return false;
     request->retry_after_ms = 0; /* Other daemons can serve it at once. */
     *reason = has_run ? HS_END_STOPPED : HS_END_STOPPING;
     return true;
--- /dev/null
+++ b/src/online/run_lengths.c
@@ -0,0 +1,101 @@
+/** @file run_lengths.c  See run_lengths.h. */
+#include "online/run_lengths.h"
+
+#include "base/clock.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#define BUCKETS_PER_OCTAVE 8
+/** The last bucket begins at about an hour. */
+#define BUCKET_COUNT 176
+#define GENERATION_MS 60000
+
+/** Histogram of lengths in buckets of an eighth of an octave. */
+typedef struct {
+    uint32_t total;
+    uint32_t buckets[BUCKET_COUNT];
+} length_histogram;
+
+typedef struct {
+    length_histogram current;
+    length_histogram previous;
+    uint64_t current_since_ms;
+} route_lengths;
+
+struct hs_run_lengths {
+    GMutex lock;
+    GHashTable *by_route; /**< name -> route_lengths* */
+};
+
+hs_run_lengths *hs_run_lengths_new(void) {
+    hs_run_lengths *lengths = g_new0(hs_run_lengths, 1);
+    g_mutex_init(&lengths->lock);
+    lengths->by_route = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return lengths;
+}
+
+void hs_run_lengths_free(hs_run_lengths *lengths) {
+    if (lengths == NULL)
+        return;
+    g_hash_table_destroy(lengths->by_route);
+    g_mutex_clear(&lengths->lock);
+    g_free(lengths);
+}
+
+static size_t bucket_index(uint64_t length_ms) {
+    double index = BUCKETS_PER_OCTAVE * log2((double)MAX(length_ms, 1));
+    return (size_t)fmin(index, BUCKET_COUNT - 1);
+}
+
+/** Drops generations that have ended. */
+static void update_generations(route_lengths *route, uint64_t now_ms) {
+    uint64_t age_ms = now_ms - route->current_since_ms;
+    if (age_ms < GENERATION_MS)
+        return;
+    if (age_ms < 2 * (uint64_t)GENERATION_MS)
+        route->previous = route->current;
+    else
+        memset(&route->previous, 0, sizeof route->previous);
+    memset(&route->current, 0, sizeof route->current);
+    route->current_since_ms = now_ms;
+}
+
+void hs_run_lengths_note(hs_run_lengths *lengths, const char *name, uint64_t length_ms) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_mutex_lock(&lengths->lock);
+    route_lengths *route = g_hash_table_lookup(lengths->by_route, name);
+    if (route == NULL) {
+        route = g_new0(route_lengths, 1);
+        route->current_since_ms = now_ms;
+        g_hash_table_insert(lengths->by_route, g_strdup(name), route);
+    }
+    update_generations(route, now_ms);
+    route->current.buckets[bucket_index(length_ms)]++;
+    route->current.total++;
+    g_mutex_unlock(&lengths->lock);
+}
+
+static uint32_t count_from(const length_histogram *histogram, size_t first) {
+    uint32_t count = 0;
+    for (size_t index = first; index < BUCKET_COUNT; index++)
+        count += histogram->buckets[index];
+    return count;
+}
+
+hs_run_length_view hs_run_lengths_compare(hs_run_lengths *lengths, const char *name,
+                                          uint64_t time_ms) {
+    hs_run_length_view view = {0};
+    g_mutex_lock(&lengths->lock);
+    route_lengths *route = g_hash_table_lookup(lengths->by_route, name);
+    if (route != NULL) {
+        size_t first = bucket_index(time_ms);
+        update_generations(route, hs_clock_monotonic_ms());
+        view.count = route->current.total + route->previous.total;
+        uint32_t longer = count_from(&route->current, first) + count_from(&route->previous, first);
+        view.longer_share = view.count > 0 ? (double)longer / view.count : 0;
+    }
+    g_mutex_unlock(&lengths->lock);
+    return view;
+}
--- /dev/null
+++ b/src/online/run_lengths.h
@@ -0,0 +1,33 @@
+/**
+ * @file run_lengths.h
+ * How long the requests of each route took recently, from the first time they were sent to an
+ * engine to the end of their answer. Thread-safe.
+ */
+#ifndef HS_ONLINE_RUN_LENGTHS_H
+#define HS_ONLINE_RUN_LENGTHS_H
+
+#include <stdint.h>
+
+typedef struct hs_run_lengths hs_run_lengths;
+
+/** What is known of a route. */
+typedef struct {
+    uint32_t count;      /**< Observed requests; 0: nothing is known. */
+    double longer_share; /**< Share of these that took longer than the time in question. */
+} hs_run_length_view;
+
+hs_run_lengths *hs_run_lengths_new(void);
+/** NULL is allowed. */
+void hs_run_lengths_free(hs_run_lengths *lengths);
+
+/** Records that a request of the route took @p length_ms. */
+void hs_run_lengths_note(hs_run_lengths *lengths, const char *route, uint64_t length_ms);
+
+/**
+ * Compares the requests of the last one to two minutes with @p time_ms. A request that took up to a
+ * tenth less may count as longer.
+ */
+hs_run_length_view hs_run_lengths_compare(hs_run_lengths *lengths, const char *route,
+                                          uint64_t time_ms);
+
+#endif
--- a/tests/unit/test_stop_admission.c
+++ b/tests/unit/test_stop_admission.c
@@ -1,8 +1,63 @@
 /** @file test_stop_admission.c  Which requests are still sent while the process stops. */
 #include "base/clock.h"
 #include "base/drain.h"
+#include "online/stop_admission.h"
 #include "tests/unit/unit_tests.h"
 
+#define LEFT_MS 2000
+#define LONG_MS 60000
+
+static bool may_send(bool is_accepting, uint32_t count, double longer_share) {
+    return hs_stop_admission_may_send(
+        &(hs_stop_admission_view){.left_ms = LEFT_MS,
+                                  .request_left_ms = LONG_MS,
+                                  .is_accepting = is_accepting,
+                                  .runs = {.count = count, .longer_share = longer_share}});
+}
+
+static void requests_that_may_outlive_the_stop_are_not_sent(void) {
+    CU_ASSERT_FALSE(may_send(false, 100, 0.01));
+    CU_ASSERT_FALSE(may_send(false, 0, 0));
+    CU_ASSERT_TRUE(may_send(false, 100, 0));
+}
+
+static void requests_that_probably_end_are_sent_while_callers_do_not_know(void) {
+    CU_ASSERT_TRUE(may_send(true, 0, 0));
+    CU_ASSERT_TRUE(may_send(true, 100, 0.4));
+    CU_ASSERT_FALSE(may_send(true, 100, 0.6));
+}
+
+static void a_request_with_a_deadline_before_the_end_is_sent(void) {
+    hs_stop_admission_view view = {.left_ms = LEFT_MS, .request_left_ms = LEFT_MS};
+    CU_ASSERT_TRUE(hs_stop_admission_may_send(&view));
+}
+
+static void nothing_is_sent_at_the_end(void) {
+    CU_ASSERT_FALSE(hs_stop_admission_may_send(&(hs_stop_admission_view){.is_accepting = true}));
+}
+
+static void lengths_are_kept_by_route(void) {
+    hs_run_lengths *lengths = hs_run_lengths_new();
+    for (int run = 0; run < 3; run++)
+        hs_run_lengths_note(lengths, "short", 100);
+    hs_run_lengths_note(lengths, "short", 3600);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "long", 1).count, 0);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 4000).count, 4);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 4000).longer_share, 0);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 3600).longer_share, 0.25);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 200).longer_share, 0.25);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 0).longer_share, 1);
+    hs_run_lengths_free(lengths);
+}
+
+static void lengths_out_of_range_are_counted(void) {
+    hs_run_lengths *lengths = hs_run_lengths_new();
+    hs_run_lengths_note(lengths, "route", 0);
+    hs_run_lengths_note(lengths, "route", UINT64_MAX);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", 1000).longer_share, 0.5);
+    hs_run_lengths_free(lengths);
+}
+
 static gpointer expire(gpointer data) {
     hs_clock_sleep_ms(20);
     hs_drain_expire(data);
@@ -26,4 +81,14 @@
 }
 
 const test_case stop_admission_tests[] = {
-    {"the_end_of_a_stop_ends_waits", the_end_of_a_stop_ends_waits}, {NULL, NULL}};
+    {"requests_that_may_outlive_the_stop_are_not_sent",
+     requests_that_may_outlive_the_stop_are_not_sent},
+    {"requests_that_probably_end_are_sent_while_callers_do_not_know",
+     requests_that_probably_end_are_sent_while_callers_do_not_know},
+    {"a_request_with_a_deadline_before_the_end_is_sent",
+     a_request_with_a_deadline_before_the_end_is_sent},
+    {"nothing_is_sent_at_the_end", nothing_is_sent_at_the_end},
+    {"lengths_are_kept_by_route", lengths_are_kept_by_route},
+    {"lengths_out_of_range_are_counted", lengths_out_of_range_are_counted},
+    {"the_end_of_a_stop_ends_waits", the_end_of_a_stop_ends_waits},
+    {NULL, NULL}};
