--- a/src/base/interrupt.c
+++ b/src/base/interrupt.c
@@ -31,37 +31,37 @@
 
 bool hs_interrupt_raise(hs_interrupt *interrupt, hs_interrupt_cause cause) {
     g_mutex_lock(&interrupt->lock);
-    bool is_higher = cause > interrupt->cause;
+    bool is_higher = (gint)cause > interrupt->cause;
     if (is_higher && interrupt->cause == HS_INTERRUPT_NONE)
         set_descriptor_readable(interrupt, true);
     if (is_higher)
-        interrupt->cause = cause;
+        g_atomic_int_set(&interrupt->cause, (gint)cause);
     g_mutex_unlock(&interrupt->lock);
     return is_higher;
 }
 
 bool hs_interrupt_withdraw(hs_interrupt *interrupt, hs_interrupt_cause cause) {
     g_mutex_lock(&interrupt->lock);
-    bool is_current = interrupt->cause == cause && cause != HS_INTERRUPT_NONE;
+    bool is_current = interrupt->cause == (gint)cause && cause != HS_INTERRUPT_NONE;
     if (is_current) {
         set_descriptor_readable(interrupt, false);
-        interrupt->cause = HS_INTERRUPT_NONE;
+        g_atomic_int_set(&interrupt->cause, HS_INTERRUPT_NONE);
     }
     g_mutex_unlock(&interrupt->lock);
     return is_current;
 }
 
 hs_interrupt_cause hs_interrupt_get(hs_interrupt *interrupt) {
-    g_mutex_lock(&interrupt->lock);
-    hs_interrupt_cause cause = interrupt->cause;
-    g_mutex_unlock(&interrupt->lock);
-    return cause;
+    return (hs_interrupt_cause)g_atomic_int_get(&interrupt->cause);
 }
 
 int hs_interrupt_descriptor(hs_interrupt *interrupt) {
+    int known = g_atomic_int_get(&interrupt->descriptor);
+    if (known != NO_DESCRIPTOR)
+        return known;
     g_mutex_lock(&interrupt->lock);
     if (interrupt->descriptor == NO_DESCRIPTOR) {
-        interrupt->descriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+        g_atomic_int_set(&interrupt->descriptor, eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
         if (interrupt->cause != HS_INTERRUPT_NONE)
             set_descriptor_readable(interrupt, true);
     }
@@ -74,7 +74,7 @@
     g_mutex_lock(&interrupt->lock);
     if (interrupt->descriptor != NO_DESCRIPTOR)
         close(interrupt->descriptor);
-    interrupt->descriptor = NO_DESCRIPTOR;
+    g_atomic_int_set(&interrupt->descriptor, NO_DESCRIPTOR);
     g_mutex_unlock(&interrupt->lock);
 }
 
--- a/src/base/interrupt.h
+++ b/src/base/interrupt.h
@@ -18,10 +18,11 @@
     HS_INTERRUPT_STOP,    /**< The work ends. */
 } hs_interrupt_cause;
 
+/** Changed under the lock; read without it, since many threads may share an interrupt. */
 typedef struct {
     GMutex lock;
-    hs_interrupt_cause cause;
-    int descriptor; /**< An eventfd, readable while a cause is set; -1: not created. */
+    gint cause;      /**< A hs_interrupt_cause; atomic. */
+    gint descriptor; /**< An eventfd, readable while a cause is set; -1: not created. Atomic. */
 } hs_interrupt;
 
 void hs_interrupt_init(hs_interrupt *interrupt);
