--- a/tests/system/test_fleet_stops.c
+++ b/tests/system/test_fleet_stops.c
@@ -13,7 +13,8 @@
 
 #define DAEMONS 4
 #define SLOTS 32
-#define GRACE_MS 6000
+#define FIRST_GRACE_S 6
+#define SECOND_GRACE_S 8
 #define LONG_EVENTS 72
 #define LONG_EVENT_MS 50
 #define LONG_STREAM_MS (LONG_EVENTS * LONG_EVENT_MS)
@@ -28,7 +29,7 @@
     bench.settings =
         (bench_settings){.daemons = DAEMONS,
                          .slots = SLOTS,
-                         .grace_s = GRACE_MS / 1000,
+                         .grace_s = FIRST_GRACE_S,
                          .item_pace = {.events = LONG_EVENTS, .event_ms = LONG_EVENT_MS}};
     return begin_bench_with_long_timeouts();
 }
@@ -130,7 +131,8 @@
     end_stop(3);
 }
 
-static void stop_some_daemons(int first) {
+/** Stops daemons and starts them again with another grace time. */
+static void stop_some_daemons(int first, uint32_t *grace_s) {
     uint64_t signal_ms[STOPS_AT_ONCE];
     for (int index = 0; index < STOPS_AT_ONCE; index++) {
         signal_ms[index] = begin_stop((first + index) % DAEMONS);
@@ -138,16 +140,20 @@
     }
     for (int index = 0; index < STOPS_AT_ONCE; index++) {
         int daemon = (first + index) % DAEMONS;
+        uint64_t grace_ms = (uint64_t)grace_s[daemon] * 1000;
+        grace_s[daemon] = SECOND_GRACE_S;
+        bench.settings.grace_s = SECOND_GRACE_S;
         end_stop(daemon);
-        stop_callers_note_stop(daemon, signal_ms[index], hs_clock_monotonic_ms(), GRACE_MS);
+        stop_callers_note_stop(daemon, signal_ms[index], hs_clock_monotonic_ms(), grace_ms);
     }
 }
 
 static void no_answer_is_cut_while_daemons_stop_in_turn(void) {
+    uint32_t grace_s[DAEMONS] = {FIRST_GRACE_S, FIRST_GRACE_S, FIRST_GRACE_S, FIRST_GRACE_S};
     stop_callers_begin(CALLERS);
     hs_clock_sleep_ms(WARM_UP_MS);
     for (int round = 0; round < ROUNDS; round++)
-        stop_some_daemons(round * STOPS_AT_ONCE);
+        stop_some_daemons(round * STOPS_AT_ONCE, grace_s);
     stop_callers_end();
     stop_summary seen = stop_callers_summarize();
     printf("    sent %u, served %u, of these in stops %u, refused %u, excused %u, cut %u\n",
