--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -305,8 +305,8 @@
             continue;
         }
         request->sends++;
-        if (request->first_sent_ms == 0)
-            request->first_sent_ms = request->attempt.sent_ms;
+        if (request->run_started_ms == 0 && request->attempt.run != HS_RUN_NOT_EXECUTED)
+            request->run_started_ms = request->attempt.sent_ms;
         if (has_head && !request->attempt.answer.not_executed) {
             hs_online_set_held(request, false, true);
             return true;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -72,9 +72,9 @@
 static void note_run_length(const hs_online_request *request, hs_end_reason reason) {
     bool is_known =
         reason == HS_END_SERVED || reason == HS_END_LATE || reason == HS_END_STREAM_LATE;
-    if (is_known && request->first_sent_ms != 0 && request->online->run_lengths != NULL)
+    if (is_known && request->run_started_ms != 0 && request->online->run_lengths != NULL)
         hs_run_lengths_note(request->online->run_lengths, request->route->name,
-                            hs_clock_monotonic_ms() - request->first_sent_ms);
+                            hs_clock_monotonic_ms() - request->run_started_ms);
 }
 
 void hs_online_request_record_end(hs_online_request *request, hs_end_reason reason) {
