--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -104,6 +104,8 @@
 #define SOAK_SLOW_STOP_WITHOUT_STORE "soak.a_stop_without_the_store_ends_in_time"
 /** Another: the engine of a lost zone gets no request although the zone is back. */
 #define SOAK_UNUSED_AFTER_LOSS "soak.an_engine_gets_requests_after_its_zone_was_lost"
+/** Another: the engine of a zone serves no request of its zone after all faults. */
+#define SOAK_UNUSED_AFTER_FAULTS "soak.zones_serve_after_the_faults"
 
 /**
  * As soak_report_violation, but only prints and counts a violation whose name is the first field of
