cut_answers: answers and requests that end at any byte

Eleven answers (length, chunks with an extension and a trailer, unframed, after interim answers, HEAD, 204, 304, a refusal) are cut at each byte, with a FIN and with a reset, and read by a client connection, as the second answer of a kept connection, by a job call to another daemon, by a feed and by a connection probe; heads of the store's answers at each byte by appends and reads; requests of callers at each byte at the listener.

None is taken for whole, an append whose answer is cut is unknown, and the listener handles no request that is cut.

--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -32,6 +32,7 @@
         {"pace", pace_tests, NULL, NULL},
         {"pace_play", pace_play_tests, NULL, NULL},
         {"attempt", attempt_tests, NULL, NULL},
+        {"cut_answers", cut_answer_tests, NULL, NULL},
         {"connection_guard", connection_guard_tests, NULL, NULL},
         {"jobs", job_tests, NULL, NULL},
         {"content_trim", content_trim_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -34,6 +34,7 @@
 extern const test_case pace_tests[];
 extern const test_case pace_play_tests[];
 extern const test_case attempt_tests[];
+extern const test_case cut_answer_tests[];
 extern const test_case job_tests[];
 extern const test_case content_trim_tests[];
 extern const test_case result_page_tests[];
