http_exchange: no answer without a whole head

An engine, the log or a daemon closed within the head of its answer, and the OpenAI surface took what had arrived for an answer: a cut 503, 429 or 404 for a refusal, after which the request ran at another engine though it may have run; a cut 400 for an invalid request; a cut 200 for an accepted order, a confirmed cancellation, a permitted load of weights and a log without records; a cut 503 of the log for a refused append whose records may be there.

--- a/src/base/http_exchange.h
+++ b/src/base/http_exchange.h
@@ -1,6 +1,6 @@
 /**
  * @file http_exchange.h
- * A blocking HTTP client for single requests, based on ulfius. Thread-safe.
+ * A blocking HTTP client for single requests, based on libcurl. Thread-safe.
  */
 #ifndef HS_BASE_HTTP_EXCHANGE_H
 #define HS_BASE_HTTP_EXCHANGE_H
@@ -29,9 +29,22 @@
     uint32_t retry_after_s; /**< 0: no Retry-After header. */
 } hs_http_answer;
 
-/** Sends the request and fills @p answer. Returns whether an answer of any status was received. */
+/**
+ * Sends the request and fills @p answer. Returns whether a whole answer of any status was received;
+ * otherwise the request may have been processed.
+ */
 bool hs_http_exchange(const hs_http_request *request, hs_http_answer *answer);
 
+/** Receives bytes of a body. Returns false to abort the exchange. */
+typedef bool (*hs_http_body_callback)(const void *bytes, size_t length, void *user_data);
+
+/**
+ * As hs_http_exchange, but passes the body of an answer of any status to @p on_body as it arrives.
+ * @p status: the HTTP status; 0: no whole head was received.
+ */
+bool hs_http_stream(const hs_http_request *request, hs_http_body_callback on_body, void *user_data,
+                    long *status);
+
 /** Frees the strings of @p answer and zeroes the struct. */
 void hs_http_answer_clear(hs_http_answer *answer);
 
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -5,10 +5,10 @@
 #include "base/http_exchange.h"
 
 #include <errno.h>
+#include <jansson.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <ulfius.h>
 #include <unistd.h>
 
 #define DATA_PREFIX "data: "
@@ -65,24 +65,22 @@
     return !reader->aborted;
 }
 
-/** Write callback of curl: a return value other than the length aborts the transfer. */
-static size_t read_events(void *contents, size_t size, size_t count, void *user_data) {
+static bool read_events(const void *contents, size_t length, void *user_data) {
     event_reader *reader = user_data;
     const char *bytes = contents;
-    size_t length = size * count;
     for (size_t index = 0; index < length; index++) {
         if (bytes[index] != '\n') {
             g_string_append_c(reader->line, bytes[index]);
             if (reader->line->len > MAX_EVENT_BYTES)
-                return 0;
+                return false;
             continue;
         }
         bool is_data = g_str_has_prefix(reader->line->str, DATA_PREFIX);
         if (is_data && !process_event(reader, reader->line->str + strlen(DATA_PREFIX)))
-            return 0;
+            return false;
         g_string_truncate(reader->line, 0);
     }
-    return length;
+    return true;
 }
 
 /** Copies the error code of a JSON error body, which the reader has collected in its line. */
@@ -108,25 +106,6 @@
     return reader->done_seen && reader->finish_seen ? HS_RUN_COMPLETED : HS_RUN_INTERRUPTED;
 }
 
-static hs_run_result stream_request(struct _u_request *request, uint32_t first_token,
-                                    hs_token_callback on_token, void *user_data) {
-    event_reader reader = {.line = g_string_new(NULL),
-                           .next_token = first_token,
-                           .on_token = on_token,
-                           .user_data = user_data};
-    struct _u_response response;
-    ulfius_init_response(&response);
-    bool answered =
-        ulfius_send_http_streaming_request(request, &response, read_events, &reader) == U_OK;
-    hs_run_result result = {.end = classify_end(&reader, answered, response.status),
-                            .next_token = reader.next_token,
-                            .status = answered ? response.status : 0};
-    copy_error_code(&reader, &result);
-    ulfius_clean_response(&response);
-    g_string_free(reader.line, TRUE);
-    return result;
-}
-
 /** One streamed exchange. */
 typedef struct {
     const char *method;
@@ -137,17 +116,24 @@
 
 static hs_run_result run_exchange(const hs_engine_call *call, const stream_exchange *exchange,
                                   hs_token_callback on_token, void *user_data) {
-    struct _u_request request;
-    ulfius_init_request(&request);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, exchange->method, U_OPT_HTTP_URL,
-                                  exchange->url, U_OPT_TIMEOUT, (unsigned long)call->timeout_s,
-                                  U_OPT_NONE);
-    if (exchange->body != NULL)
-        ulfius_set_request_properties(&request, U_OPT_HEADER_PARAMETER, "Content-Type",
-                                      "application/json", U_OPT_STRING_BODY, exchange->body,
-                                      U_OPT_NONE);
-    hs_run_result result = stream_request(&request, exchange->first_token, on_token, user_data);
-    ulfius_clean_request(&request);
+    event_reader reader = {.line = g_string_new(NULL),
+                           .next_token = exchange->first_token,
+                           .on_token = on_token,
+                           .user_data = user_data};
+    hs_http_request request = {
+        .method = exchange->method, .url = exchange->url, .timeout_s = call->timeout_s};
+    if (exchange->body != NULL) {
+        request.content_type = "application/json";
+        request.body = exchange->body;
+        request.body_length = strlen(exchange->body);
+    }
+    long status = 0;
+    bool answered = hs_http_stream(&request, read_events, &reader, &status);
+    hs_run_result result = {.end = classify_end(&reader, answered, status),
+                            .next_token = reader.next_token,
+                            .status = answered ? status : 0};
+    copy_error_code(&reader, &result);
+    g_string_free(reader.line, TRUE);
     return result;
 }
 
