client_connection: 1xx, 204 and 304 end with their heads

A 204 or 304 that states a length or chunks was waited for until the deadline, and a caller got no answer though the engine had answered; the next answer of the connection would have been read as its body. An interim answer that states a length swallowed as many bytes of the final answer, whose head then belonged to the body.

http_parser reads the body that a head states unless told otherwise, which was done for HEAD only. RFC 9112, 6.3: these answers end with the empty line, whatever their fields say.

--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -27,6 +27,8 @@
 /** Interval in ms at which the first of two sockets is checked. */
 #define CONNECT_CHECK_MS 10
 #define FIRST_FINAL_STATUS 200
+#define NO_CONTENT 204
+#define NOT_MODIFIED 304
 /** Largest body buffer that an idle connection retains. */
 #define MAX_RETAINED_BODY_BYTES 16384
 /** Body of an engine up to which the memory budget is not asked: the request has already run. */
@@ -96,11 +98,18 @@
     return 0;
 }
 
+/** Whether a response ends with its head, whatever length its fields state. */
+static bool has_no_body(const hs_client_connection *connection, uint32_t status) {
+    return connection->is_head_method || status < FIRST_FINAL_STATUS || status == NO_CONTENT ||
+           status == NOT_MODIFIED;
+}
+
+/** Returns 1 if no body follows. */
 static int on_headers_complete(http_parser *parser) {
     hs_client_connection *connection = parser->data;
     flush_field(connection);
     connection->head_complete = parser->status_code >= FIRST_FINAL_STATUS;
-    return connection->is_head_method ? 1 : 0;
+    return has_no_body(connection, parser->status_code) ? 1 : 0;
 }
 
 static int on_body(http_parser *parser, const char *at, size_t length) {
--- a/tests/unit/test_cut_answers.c
+++ b/tests/unit/test_cut_answers.c
@@ -148,6 +148,47 @@
     scripted_peer_stop(peer);
 }
 
+/** Guards against body bytes that are taken from the answer that follows. */
+static void an_answer_that_has_no_body_ends_with_its_head(void) {
+    static const char *const heads[] = {
+        "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+    };
+    scripted_peer *peer = scripted_peer_start();
+    for (size_t index = 0; index < G_N_ELEMENTS(heads); index++) {
+        set_answer(peer, heads[index], strlen(heads[index]), PEER_KEEPS_OPEN);
+        hs_client_connection *connection = open_connection(peer);
+        for (int request = 0; request < 2; request++) {
+            CU_ASSERT_EQUAL(request_whole(connection, "GET"), HS_STEP_COMPLETE);
+            CU_ASSERT_EQUAL(hs_client_connection_body(connection)->len, 0);
+        }
+        hs_client_connection_close(connection);
+    }
+    scripted_peer_stop(peer);
+}
+
+/** Guards against an interim answer whose framing swallows the head of the final one. */
+static void an_interim_answer_with_a_length_has_no_body(void) {
+    static const char *const interims[] = {
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n",
+    };
+    scripted_peer *peer = scripted_peer_start();
+    for (size_t index = 0; index < G_N_ELEMENTS(interims); index++) {
+        g_autofree char *bytes =
+            g_strconcat(interims[index], "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", NULL);
+        set_answer(peer, bytes, strlen(bytes), PEER_KEEPS_OPEN);
+        hs_client_connection *connection = open_connection(peer);
+        CU_ASSERT_EQUAL(request_whole(connection, "GET"), HS_STEP_COMPLETE);
+        const GByteArray *body = hs_client_connection_body(connection);
+        CU_ASSERT(body->len == 4 && memcmp(body->data, "body", 4) == 0);
+        CU_ASSERT_EQUAL(hs_client_connection_status(connection), 200);
+        hs_client_connection_close(connection);
+    }
+    scripted_peer_stop(peer);
+}
+
 static void check_exchange(scripted_peer *peer, const answer *tested, bool is_whole) {
     g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/", scripted_peer_port(peer));
     hs_http_request request = {.method = tested->method, .url = url, .timeout_s = LIMIT_S};
@@ -381,6 +422,9 @@
 const test_case cut_answer_tests[] = {
     {"an_answer_cut_at_any_byte_is_not_whole", an_answer_cut_at_any_byte_is_not_whole},
     {"a_second_answer_cut_at_any_byte_is_not_whole", a_second_answer_cut_at_any_byte_is_not_whole},
+    {"an_answer_that_has_no_body_ends_with_its_head",
+     an_answer_that_has_no_body_ends_with_its_head},
+    {"an_interim_answer_with_a_length_has_no_body", an_interim_answer_with_a_length_has_no_body},
     {"an_exchange_whose_answer_is_cut_has_no_answer",
      an_exchange_whose_answer_is_cut_has_no_answer},
     {"a_run_whose_answer_head_is_cut_may_have_run", a_run_whose_answer_head_is_cut_may_have_run},
