client_connection: reject a switch of protocols

After a 101 that names a protocol, http_parser stops at the end of the head. The bytes that came with it were dropped, and the bytes of the next read were parsed as a new answer: an answer could lack its beginning, or a piece of the new protocol pass for an answer. No request asks for a switch (Upgrade is not forwarded), so a 101 is an invalid answer.

The test failed before: the exchange waited for its deadline of 4 s instead of ending as invalid.

--- a/src/http/client_connection.c
+++ b/src/http/client_connection.c
@@ -26,6 +26,7 @@
 #define SECOND_CONNECT_MS 150
 /** Interval in ms at which the first of two sockets is checked. */
 #define CONNECT_CHECK_MS 10
+#define SWITCHING_PROTOCOLS 101
 #define FIRST_FINAL_STATUS 200
 #define NO_CONTENT 204
 #define NOT_MODIFIED 304
@@ -104,10 +105,12 @@
            status == NOT_MODIFIED;
 }
 
-/** Returns 1 if no body follows. */
+/** Returns 1 if no body follows, and a negative number if the response is rejected. */
 static int on_headers_complete(http_parser *parser) {
     hs_client_connection *connection = parser->data;
     flush_field(connection);
+    if (parser->status_code == SWITCHING_PROTOCOLS) /* No request asks for it. */
+        return -1;
     connection->head_complete = parser->status_code >= FIRST_FINAL_STATUS;
     return has_no_body(connection, parser->status_code) ? 1 : 0;
 }
--- a/tests/unit/test_cut_answers.c
+++ b/tests/unit/test_cut_answers.c
@@ -189,6 +189,19 @@
     scripted_peer_stop(peer);
 }
 
+/** Guards against a change of protocol after which any bytes may pass for an answer. */
+static void a_switch_of_protocols_is_no_answer(void) {
+    static const char bytes[] =
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+        "\x01HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    scripted_peer *peer = scripted_peer_start();
+    set_answer(peer, bytes, strlen(bytes), PEER_KEEPS_OPEN);
+    hs_client_connection *connection = open_connection(peer);
+    CU_ASSERT_EQUAL(request_whole(connection, "GET"), HS_STEP_INVALID);
+    hs_client_connection_close(connection);
+    scripted_peer_stop(peer);
+}
+
 static void check_exchange(scripted_peer *peer, const answer *tested, bool is_whole) {
     g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/", scripted_peer_port(peer));
     hs_http_request request = {.method = tested->method, .url = url, .timeout_s = LIMIT_S};
@@ -425,6 +438,7 @@
     {"an_answer_that_has_no_body_ends_with_its_head",
      an_answer_that_has_no_body_ends_with_its_head},
     {"an_interim_answer_with_a_length_has_no_body", an_interim_answer_with_a_length_has_no_body},
+    {"a_switch_of_protocols_is_no_answer", a_switch_of_protocols_is_no_answer},
     {"an_exchange_whose_answer_is_cut_has_no_answer",
      an_exchange_whose_answer_is_cut_has_no_answer},
     {"a_run_whose_answer_head_is_cut_may_have_run", a_run_whose_answer_head_is_cut_may_have_run},
