tools/fleet: read streams by hs_http_stream

The client of tests and load took a stream whose head was cut for an answer without events, as ulfius's client does, and would not have shown such an answer of a daemon.

--- a/tools/fleet/client.c
+++ b/tools/fleet/client.c
@@ -4,7 +4,6 @@
 #include "base/clock.h"
 
 #include <string.h>
-#include <ulfius.h>
 
 #define REQUEST_TIMEOUT_S 60
 #define POLL_MS 20
@@ -113,10 +112,10 @@
     json_decref(event);
 }
 
-static size_t read_stream(void *contents, size_t size, size_t count, void *user_data) {
+static bool read_stream(const void *contents, size_t length, void *user_data) {
     stream_reader *reader = user_data;
     const char *bytes = contents;
-    for (size_t index = 0; index < size * count; index++) {
+    for (size_t index = 0; index < length; index++) {
         if (bytes[index] != '\n') {
             g_string_append_c(reader->line, bytes[index]);
             continue;
@@ -127,7 +126,7 @@
     }
     bool is_limit_reached = reader->disconnect_after_tokens > 0 &&
                             reader->stream->token_count >= reader->disconnect_after_tokens;
-    return is_limit_reached ? 0 : size * count;
+    return !is_limit_reached;
 }
 
 void client_stream_run(const char *base_url, const char *path, const char *tenant,
@@ -140,25 +139,19 @@
                             .disconnect_after_tokens = disconnect_after_tokens};
     g_autofree char *url = g_strconcat(base_url, path, NULL);
     g_autofree char *bearer = g_strconcat("Bearer ", tenant, NULL);
-    struct _u_request request;
-    struct _u_response response;
-    ulfius_init_request(&request);
-    ulfius_init_response(&response);
-    ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, "POST", U_OPT_HTTP_URL, url,
-                                  U_OPT_HEADER_PARAMETER, "Authorization", bearer,
-                                  U_OPT_HEADER_PARAMETER, "Content-Type", "application/json",
-                                  U_OPT_STRING_BODY, json_body, U_OPT_NONE);
-    for (; headers != NULL && headers[0] != NULL; headers += 2)
-        u_map_put(request.map_header, headers[0], headers[1]);
-    int result = ulfius_send_http_streaming_request(&request, &response, read_stream, &reader);
-    stream->has_transfer_error = result != U_OK;
-    stream->status = response.status;
+    const char *list[MAX_HEADERS + 2];
+    fill_headers(list, bearer, headers);
+    hs_http_request request = {.method = "POST",
+                               .url = url,
+                               .content_type = "application/json",
+                               .body = json_body,
+                               .body_length = strlen(json_body),
+                               .header_list = list};
+    stream->has_transfer_error = !hs_http_stream(&request, read_stream, &reader, &stream->status);
     json_t *document = json_loads(reader.line->str, 0, NULL);
     record_error(stream, document);
     json_decref(document);
     g_string_free(reader.line, TRUE);
-    ulfius_clean_request(&request);
-    ulfius_clean_response(&response);
 }
 
 void client_stream_clear(client_stream *stream) {
