Reject JSON nested deeper than 256 levels

Callers saw: a submission of a job with a member of some 2,000 nested objects ended the daemon, with all requests that it served.

Cause: jansson accepts 2,048 levels and recurses for each, also when it frees, copies or writes a value. Threads that serve callers have stacks of 256 KiB. Measured with 2,047 levels (gcc -O2, arm64, one thread on a filled stack): parsing 171 KB, freeing nested objects 268 KB, copying 238 KB, writing 664 KB.

Fix: all JSON from outside is parsed by hs_json_parse or hs_json_reader_read_value, which look at the nesting first, without recursion, and reject more than 256 levels: by the figures above some 34 KB to free and 83 KB to write. A text that is rejected counts as malformed, as one of more than 2,048 levels did before; bodies of 257 to 2,048 levels, which were taken if the stack sufficed, are now refused.

--- a/src/base/json_reader.c
+++ b/src/base/json_reader.c
@@ -1,6 +1,47 @@
 /** @file json_reader.c  See json_reader.h. */
 #include "base/json_reader.h"
 
+#include <string.h>
+
+static bool is_white_space(char byte) {
+    return byte == ' ' || byte == '\t' || byte == '\n' || byte == '\r';
+}
+
+/** Returns whether the value at the start of a text, after white space, has few enough levels. */
+static bool is_shallow(const char *text, size_t length) {
+    size_t levels = 0;
+    bool is_in_string = false;
+    for (size_t index = 0; index < length; index++) {
+        char byte = text[index];
+        if (is_in_string) {
+            is_in_string = byte != '"';
+            index += byte == '\\';
+        } else if (byte == '[' || byte == '{') {
+            if (++levels > HS_MAX_JSON_LEVELS)
+                return false;
+        } else if (byte == ']' || byte == '}') {
+            if (levels <= 1)
+                return true;
+            levels--;
+        } else if (levels == 0 && !is_white_space(byte)) {
+            return true;
+        } else {
+            is_in_string = byte == '"';
+        }
+    }
+    return true;
+}
+
+json_t *hs_json_parse(const void *bytes, size_t length, json_error_t *error) {
+    if (is_shallow(bytes, length))
+        return json_loadb(bytes, length, 0, error);
+    if (error != NULL) {
+        memset(error, 0, sizeof *error);
+        strcpy(error->text, "nested too deeply");
+    }
+    return NULL;
+}
+
 hs_json_reader hs_json_reader_make(const void *bytes, size_t length) {
     return (hs_json_reader){.at = bytes, .left = length};
 }
@@ -10,10 +51,6 @@
     reader->left -= length;
 }
 
-static bool is_white_space(char byte) {
-    return byte == ' ' || byte == '\t' || byte == '\n' || byte == '\r';
-}
-
 static void skip_white_space(hs_json_reader *reader) {
     while (reader->left > 0 && is_white_space(*reader->at))
         skip(reader, 1);
@@ -29,6 +66,8 @@
 
 json_t *hs_json_reader_read_value(hs_json_reader *reader) {
     json_error_t end; /* On success, its position is the length of the value. */
+    if (!is_shallow(reader->at, reader->left))
+        return NULL;
     json_t *value =
         json_loadb(reader->at, reader->left, JSON_DECODE_ANY | JSON_DISABLE_EOF_CHECK, &end);
     if (value != NULL)
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -1,7 +1,7 @@
 /**
  * @file json_reader.h
- * Reads a JSON text value by value, based on jansson, so that a large text never exists as a whole
- * tree. Thread-safe if each thread has its own reader.
+ * Parses JSON with jansson: a text as a whole, or value by value, so that a large text never exists
+ * as a whole tree. Thread-safe if each thread has its own reader.
  */
 #ifndef HS_BASE_JSON_READER_H
 #define HS_BASE_JSON_READER_H
@@ -10,6 +10,18 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+/**
+ * Values with more levels are malformed. jansson recurses for each level, also when it writes or
+ * frees a value, and the threads that serve callers have small stacks.
+ */
+#define HS_MAX_JSON_LEVELS 256
+
+/**
+ * Parses an object or array. Returns NULL and sets @p error (may be NULL) if the text is malformed
+ * or nested too deeply. Free with json_decref.
+ */
+json_t *hs_json_parse(const void *bytes, size_t length, json_error_t *error);
+
 /** The part of a text that was not read yet. Borrowed bytes. */
 typedef struct {
     const char *at;
--- a/src/batch/chunk_reader.c
+++ b/src/batch/chunk_reader.c
@@ -1,6 +1,7 @@
 /** @file chunk_reader.c  See chunk_reader.h. */
 #include "batch/chunk_reader.h"
 
+#include "base/json_reader.h"
 #include "gen/record.pb-c.h"
 
 #include <string.h>
@@ -110,7 +111,7 @@
         line = line != NULL ? line + 1 : NULL;
     }
     const char *end = line != NULL ? strchr(line, '\n') : NULL;
-    json_t *item = end != NULL ? json_loadb(line, (size_t)(end - line), 0, NULL) : NULL;
+    json_t *item = end != NULL ? hs_json_parse(line, (size_t)(end - line), NULL) : NULL;
     if (item == NULL)
         hs_error_set(error, HS_LAYER_BATCH, HS_NOT_FOUND, "no item %u in this chunk", index);
     return item;
--- a/src/batch/job_json.c
+++ b/src/batch/job_json.c
@@ -1,8 +1,11 @@
 /** @file job_json.c  See job_json.h. */
 #include "batch/job_json.h"
 
+#include "base/json_reader.h"
 #include "batch/batch_id.h"
 
+#include <string.h>
+
 #define MS_PER_S 1000
 
 static const char *get_status_name(hs_job_state state) {
@@ -18,7 +21,7 @@
     hs_job_state state = hs_job_get_state(job);
     bool has_ended = state == HS_JOB_COMPLETED || state == HS_JOB_CANCELLED;
     g_autofree char *output_id = hs_output_id(job->id);
-    json_t *metadata = json_loads(job->metadata_json, 0, NULL);
+    json_t *metadata = hs_json_parse(job->metadata_json, strlen(job->metadata_json), NULL);
     json_t *document = json_pack(
         "{s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:o,s:o,s:{s:i,s:i,s:i}}", "id", job->id, "object", "batch",
         "endpoint", job->endpoint, "input_file_id", job->file_id, "status", get_status_name(state),
--- a/src/batch/jsonl.c
+++ b/src/batch/jsonl.c
@@ -1,6 +1,8 @@
 /** @file jsonl.c  See jsonl.h. */
 #include "batch/jsonl.h"
 
+#include "base/json_reader.h"
+
 #include <stdbool.h>
 #include <string.h>
 
@@ -75,7 +77,7 @@
         return set_line_error(parser, "the line is over the limit");
     if (parser->file->item_count >= parser->rules->max_items)
         return set_line_error(parser, "too many lines");
-    json_t *line = json_loadb(text + begin, length, 0, NULL);
+    json_t *line = hs_json_parse(text + begin, length, NULL);
     if (!json_is_object(line)) {
         json_decref(line);
         return set_line_error(parser, "not a JSON object");
--- a/src/commands/complete.c
+++ b/src/commands/complete.c
@@ -5,6 +5,7 @@
  */
 #include "base/clock.h"
 #include "base/hash.h"
+#include "base/json_reader.h"
 #include "base/log.h"
 #include "commands/command_routes.h"
 #include "commands/completion_check.h"
@@ -60,7 +61,7 @@
         hs_refuse_invalid(response, 400, "bad_timeout", "Heathsail-Timeout-Ms is out of range");
         return false;
     }
-    fields->body = json_loadb(request->binary_body, request->binary_body_length, 0, NULL);
+    fields->body = hs_json_parse(request->binary_body, request->binary_body_length, NULL);
     if (fields->body == NULL) {
         hs_refuse_invalid(response, 400, "bad_json", "the body is not JSON");
         return false;
--- a/src/commands/publish.c
+++ b/src/commands/publish.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/fault_point.h"
 #include "base/hash.h"
+#include "base/json_reader.h"
 #include "base/log.h"
 #include "commands/command_routes.h"
 #include "config/config_object.h"
@@ -163,7 +164,7 @@
         return hs_refuse_invalid(response, 400, "bad_if_match", "If-Match must be a revision");
     json_t *object = NULL;
     if (!deleted) {
-        object = json_loadb(request->binary_body, request->binary_body_length, 0, NULL);
+        object = hs_json_parse(request->binary_body, request->binary_body_length, NULL);
         if (hs_config_object_check(self.kind, self.name, object, &error) != 0) {
             json_decref(object);
             return hs_refuse_invalid(response, 400, "bad_object", error.message);
--- a/src/commands/submit.c
+++ b/src/commands/submit.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/fault_point.h"
 #include "base/hash.h"
+#include "base/json_reader.h"
 #include "base/log.h"
 #include "batch/batch_id.h"
 #include "batch/job_json.h"
@@ -198,7 +199,7 @@
     if (!hs_node_is_accepting_requests(node))
         return hs_refuse_unavailable(response, "not_ready", "this daemon takes no requests now",
                                      RETRY_AFTER_S);
-    json_t *body = json_loadb(request->binary_body, request->binary_body_length, 0, NULL);
+    json_t *body = hs_json_parse(request->binary_body, request->binary_body_length, NULL);
     if (!json_is_object(body)) {
         json_decref(body);
         return hs_refuse_invalid(response, 400, "bad_json", "the body is not a JSON object");
--- a/src/config/config_fold.c
+++ b/src/config/config_fold.c
@@ -1,8 +1,11 @@
 /** @file config_fold.c  See config_fold.h. */
 #include "config/config_fold.h"
 
+#include "base/json_reader.h"
 #include "config/config_object.h"
 
+#include <string.h>
+
 static void free_object(gpointer data) {
     hs_config_object *object = data;
     g_free(object->kind);
@@ -39,7 +42,7 @@
     *content = NULL;
     if (change->deleted)
         return hs_config_kind_is_known(change->kind);
-    json_t *parsed = json_loads(change->object_json, 0, NULL);
+    json_t *parsed = hs_json_parse(change->object_json, strlen(change->object_json), NULL);
     if (hs_config_object_check(change->kind, change->name, parsed, NULL) != 0) {
         json_decref(parsed);
         return false;
--- a/src/config/config_state.c
+++ b/src/config/config_state.c
@@ -1,10 +1,12 @@
 /** @file config_state.c  See config_state.h. */
 #include "config/config_state.h"
 
+#include "base/json_reader.h"
 #include "config/config_object.h"
 #include "gen/peer.pb-c.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /** Returns the message of @p object, which borrows all strings but content_json. */
 static Hs__ConfigObjectState *new_object_state(const hs_config_object *object) {
@@ -57,7 +59,9 @@
         object->name = g_strdup(state->name);
         object->revision = state->revision;
         object->change_id = g_strdup(state->change_id);
-        object->content = state->deleted ? NULL : json_loads(state->content_json, 0, NULL);
+        object->content =
+            state->deleted ? NULL
+                           : hs_json_parse(state->content_json, strlen(state->content_json), NULL);
         g_hash_table_insert(fold->objects, g_strdup_printf("%s/%s", state->kind, state->name),
                             object);
     }
--- a/src/daemon/peer_engines.c
+++ b/src/daemon/peer_engines.c
@@ -2,6 +2,7 @@
 #include "daemon/peer_engines.h"
 
 #include "base/http_exchange.h"
+#include "base/json_reader.h"
 #include "base/log.h"
 
 #define FETCH_TIMEOUT_S 2
@@ -48,7 +49,7 @@
     hs_http_answer answer;
     json_t *document = NULL;
     if (hs_http_exchange(&request, &answer) && answer.status == HTTP_OK)
-        document = json_loads(answer.body, 0, NULL);
+        document = hs_json_parse(answer.body, answer.body_length, NULL);
     hs_http_answer_clear(&answer);
     const json_t *engines = json_object_get(document, "engines");
     size_t count = json_array_size(engines);
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -3,6 +3,7 @@
 
 #include "base/endpoint.h"
 #include "base/http_exchange.h"
+#include "base/json_reader.h"
 
 #include <errno.h>
 #include <poll.h>
@@ -45,7 +46,7 @@
         reader->done_seen = true;
         return true;
     }
-    json_t *event = json_loads(text, 0, NULL);
+    json_t *event = hs_json_parse(text, strlen(text), NULL);
     if (json_is_true(json_object_get(event, "cancelled"))) {
         reader->cancelled = true;
         json_decref(event);
@@ -87,7 +88,7 @@
 
 /** Copies the error code of a JSON error body, which the reader has collected in its line. */
 static void copy_error_code(const event_reader *reader, hs_run_result *result) {
-    json_t *body = json_loads(reader->line->str, 0, NULL);
+    json_t *body = hs_json_parse(reader->line->str, reader->line->len, NULL);
     const char *code = json_string_value(json_object_get(json_object_get(body, "error"), "code"));
     g_strlcpy(result->code, code != NULL ? code : "", sizeof result->code);
     json_decref(body);
@@ -243,7 +244,7 @@
     hs_http_answer answer;
     json_t *document = NULL;
     if (hs_http_exchange(&request, &answer) && answer.status == HTTP_OK)
-        document = json_loads(answer.body, 0, NULL);
+        document = hs_json_parse(answer.body, answer.body_length, NULL);
     hs_http_answer_clear(&answer);
     return document;
 }
--- a/src/store/log_client.c
+++ b/src/store/log_client.c
@@ -2,6 +2,7 @@
 #include "store/log_client.h"
 
 #include "base/http_exchange.h"
+#include "base/json_reader.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -20,7 +21,7 @@
 }
 
 static int parse_number(const char *body, const char *key, uint64_t *number, hs_error *error) {
-    json_t *root = json_loads(body, 0, NULL);
+    json_t *root = hs_json_parse(body, strlen(body), NULL);
     json_t *value = json_object_get(root, key);
     bool found = json_is_integer(value);
     if (found)
--- a/src/store/machine_list.c
+++ b/src/store/machine_list.c
@@ -3,6 +3,7 @@
 
 #include "base/endpoint.h"
 #include "base/http_exchange.h"
+#include "base/json_reader.h"
 
 #include <string.h>
 
@@ -64,7 +65,8 @@
         return 0;
     }
     g_autofree char *new_etag = g_strdup(answer.etag);
-    json_t *root = answer.status == HTTP_OK ? json_loads(answer.body, 0, NULL) : NULL;
+    json_t *root =
+        answer.status == HTTP_OK ? hs_json_parse(answer.body, answer.body_length, NULL) : NULL;
     hs_http_answer_clear(&answer);
     const json_t *entries = json_object_get(root, "machines");
     if (!json_is_array(entries)) {
--- a/tests/system/test_fleet_entries.c
+++ b/tests/system/test_fleet_entries.c
@@ -136,9 +136,42 @@
     token_engine_announce(bench.engines[1], bench.store, false);
 }
 
+/** Sends a job with a value of @p levels times @p opening; returns the answer's status. */
+static uint32_t submit_nested(int daemon, const char *opening, char closing, int levels) {
+    GString *body = g_string_new("{\"requests\":[{\"id\":\"nested\",\"path\":\"/jobs/x\","
+                                 "\"body\":\"\"}],\"note\":");
+    for (int level = 0; level < levels; level++)
+        g_string_append(body, opening);
+    g_string_append_c(body, '1');
+    for (int level = 0; level < levels; level++)
+        g_string_append_c(body, closing);
+    g_string_append_c(body, '}');
+    g_autofree char *id = g_strdup_printf("nested-%c-%d", closing, levels);
+    bench_answer answer = bench_send(&(bench_call){.daemon = daemon,
+                                                   .method = "POST",
+                                                   .target = "/jobs/x",
+                                                   .request_id = id,
+                                                   .body = body->str});
+    uint32_t status = answer.status;
+    bench_answer_clear(&answer);
+    g_string_free(body, TRUE);
+    return status;
+}
+
+/** Guards against a daemon that ends by a nested submission. */
+static void nested_submissions_end_no_daemon(void) {
+    static const int levels[] = {500, 1000, 2000, 2046, 3000, 10000};
+    for (size_t index = 0; index < G_N_ELEMENTS(levels); index++) {
+        CU_ASSERT_EQUAL(submit_nested(0, "{\"a\":", '}', levels[index]), 400);
+        CU_ASSERT_EQUAL(submit_nested(0, "[", ']', levels[index]), 400);
+    }
+    send_requests("after-nested");
+}
+
 const test_case fleet_entry_system_tests[] = {
     {"invalid_entries_get_no_requests", invalid_entries_get_no_requests},
     {"a_starting_daemon_ignores_invalid_entries", a_starting_daemon_ignores_invalid_entries},
+    {"nested_submissions_end_no_daemon", nested_submissions_end_no_daemon},
     {"an_overwritten_entry_is_restored_by_the_next_announcement",
      an_overwritten_entry_is_restored_by_the_next_announcement},
     {NULL, NULL}};
