Follow a topic beyond records without a valid key

Operators saw: after one record of another writer, daemons followed the list of engines no further. Draining engines went on getting requests, and new ones got none, until the daemons were restarted.

Cause: a record of a keyed topic whose key is longer than the record, or that is empty, counted as the end of the store's answer. The position stayed before it, so that each further read began with it and took nothing. Two more faults of keys: a key with a NUL byte was cut there, so that its record replaced that of the key which it begins with; and a record with an empty key was passed on to followers, who reject an answer that has one.

Evidence: on the former code engines_join_after_records_without_a_valid_ key fails: engine 1, which said that it drains, gets requests 2 s later; so does an_overwritten_entry_is_restored_by_the_next_announcement after it. So do the two unit tests, for each of the records. All pass now.

Fix: a record whose key is empty, too long, no UTF-8 or has a NUL byte is skipped by itself: the position moves on, and one line names its offset (feed_record_rejected).

--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -2,6 +2,7 @@
 #include "feed/state_feed_internal.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #define MAX_READ_KB 1024
 /** Maximum of a timeout that follows the store's response times: other daemons may have a copy. */
@@ -102,17 +103,28 @@
     return outcome;
 }
 
+/** Puts a record that was read from the store. The caller holds the lock. */
+static void put_record(hs_state_feed *feed, const hs_store_record *found, uint64_t offset,
+                       uint64_t now_ms, hs_feed_batch *batch) {
+    g_autofree char *key = g_strndup(found->key, found->key_length);
+    g_autoptr(GBytes) value = g_bytes_new(found->value, found->value_length);
+    hs_feed_record *record = hs_feed_record_new(key, value, offset, now_ms);
+    hs_state_feed_put(feed, record, batch);
+    hs_feed_record_unref(record);
+}
+
 /** Puts the records of a response that begins at @p next. The caller holds the lock. */
 static void put_records(hs_state_feed *feed, uint64_t next, hs_feed_batch *batch) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     size_t position = 0;
     hs_store_record found;
     while (hs_platform_read_next_record(feed->response, true, &position, &found)) {
-        g_autofree char *key = g_strndup(found.key, found.key_length);
-        g_autoptr(GBytes) value = g_bytes_new(found.value, found.value_length);
-        hs_feed_record *record = hs_feed_record_new(key, value, next, now_ms);
-        hs_state_feed_put(feed, record, batch);
-        hs_feed_record_unref(record);
+        if (found.key != NULL)
+            put_record(feed, &found, next, now_ms, batch);
+        else
+            hs_log_warning("feed_record_rejected",
+                           "topic=%s offset=%" G_GUINT64_FORMAT " reason=bad_key", feed->name,
+                           (guint64)next);
         next++;
     }
     hs_feed_log_advance(feed->log, next);
--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -445,6 +445,12 @@
     g_byte_array_free(record, TRUE);
 }
 
+void log_store_put_raw(log_store *store, const char *name, const void *record, size_t length) {
+    g_mutex_lock(&store->lock);
+    add_record(find_or_add_topic(store, name), 0, false, record, length);
+    g_mutex_unlock(&store->lock);
+}
+
 void log_store_discard_records(log_store *store, const char *name) {
     g_mutex_lock(&store->lock);
     topic *emptied = find_or_add_topic(store, name);
--- a/standin/log_store/log_store.h
+++ b/standin/log_store/log_store.h
@@ -37,6 +37,9 @@
 /** Appends a record to a keyed topic. An empty value deletes the key. */
 void log_store_put(log_store *store, const char *topic, const char *key, const char *value);
 
+/** Appends a record of a keyed topic as it is, also one without a valid key. */
+void log_store_put_raw(log_store *store, const char *topic, const void *record, size_t length);
+
 /** Removes all records of a topic. The newest values of a keyed topic remain. */
 void log_store_discard_records(log_store *store, const char *topic);
 
--- a/tests/system/test_fleet_entries.c
+++ b/tests/system/test_fleet_entries.c
@@ -168,10 +168,76 @@
     send_requests("after-nested");
 }
 
+/** Guards against daemons that follow a topic no further than to a record without a valid key. */
+static void engines_join_after_records_without_a_valid_key(void) {
+    static const char *const topics[] = {TOPIC_ENGINES, TOPIC_CONFIG, TOPIC_MEMBERS, TOPIC_CRASHES,
+                                         TOPIC_SOFTWARE};
+    for (size_t index = 0; index < G_N_ELEMENTS(topics); index++) {
+        log_store_put_raw(bench.store, topics[index], "", 0);
+        log_store_put_raw(bench.store, topics[index], "\x09k", 2);
+        log_store_put_raw(bench.store, topics[index], "\x02\0a{}", 5);
+    }
+    token_engine_announce(bench.engines[1], bench.store, true);
+    hs_clock_sleep_ms(ENTRY_PROPAGATION_MS);
+    uint32_t before = token_engine_total_run_count(bench.engines[1]);
+    send_requests("beyond");
+    CU_ASSERT_EQUAL(token_engine_total_run_count(bench.engines[1]), before);
+    token_engine_announce(bench.engines[1], bench.store, false);
+    hs_clock_sleep_ms(ENTRY_PROPAGATION_MS);
+}
+
+/** Further records of the topics that daemons read, as another writer might leave them. */
+static const struct {
+    const char *key;
+    const char *value;
+} odd_records[] = {
+    {"odd-text", "\xff\xfe no text"},
+    {"odd-mark", "\xef\xbb\xbf{}"},
+    {"odd-list", "[[],{}]"},
+    {"odd-number", "1e400"},
+    {"odd-negative", "-1"},
+    {"odd-endpoint", "127.0.0.1:65536"},
+    {"odd-port", "127.0.0.1:0"},
+    {"odd-address", "999.0.0.1:80"},
+    {"odd-varint", "\x0a\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01"},
+    {"odd-length", "\x0a\xff\xff\xff\x7f"},
+    {"odd-group", "\x0b\x0b\x0b\x0c"},
+    {"\x01", "{}"},
+    {"op/", "x"},
+    {"evacuate/", "x"},
+};
+
+static void put_odd_records(bool removes) {
+    static const char *const topics[] = {TOPIC_ENGINES, TOPIC_CONFIG, TOPIC_MEMBERS, TOPIC_CRASHES,
+                                         TOPIC_SOFTWARE};
+    g_autofree char *large = g_strnfill(60000, '[');
+    for (size_t topic = 0; topic < G_N_ELEMENTS(topics); topic++) {
+        for (size_t index = 0; index < G_N_ELEMENTS(odd_records); index++)
+            log_store_put(bench.store, topics[topic], odd_records[index].key,
+                          removes ? "" : odd_records[index].value);
+        log_store_put(bench.store, topics[topic], "odd-large", removes ? "" : large);
+    }
+}
+
+/** Guards against a daemon that ends by, or doesn't start with, records of another writer. */
+static void odd_records_of_other_topics_end_no_daemon(void) {
+    put_odd_records(false);
+    hs_clock_sleep_ms(ENTRY_PROPAGATION_MS);
+    send_requests("beside-odd");
+    bench_signal_daemon(1, SIGKILL);
+    bench_start_daemon(1, false);
+    CU_ASSERT_TRUE(bench_wait_ready(1));
+    send_requests("started-odd");
+    put_odd_records(true);
+}
+
 const test_case fleet_entry_system_tests[] = {
     {"invalid_entries_get_no_requests", invalid_entries_get_no_requests},
     {"a_starting_daemon_ignores_invalid_entries", a_starting_daemon_ignores_invalid_entries},
     {"nested_submissions_end_no_daemon", nested_submissions_end_no_daemon},
+    {"engines_join_after_records_without_a_valid_key",
+     engines_join_after_records_without_a_valid_key},
+    {"odd_records_of_other_topics_end_no_daemon", odd_records_of_other_topics_end_no_daemon},
     {"an_overwritten_entry_is_restored_by_the_next_announcement",
      an_overwritten_entry_is_restored_by_the_next_announcement},
     {NULL, NULL}};
--- a/tests/unit/test_foreign_records.c
+++ b/tests/unit/test_foreign_records.c
@@ -1,8 +1,13 @@
 /** @file test_foreign_records.c  Records and bodies of other writers that no daemon would write. */
+#include "base/clock.h"
+#include "feed/state_feed.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
+#include "platform/names.h"
+#include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
+#include <netinet/in.h>
 #include <pthread.h>
 #include <string.h>
 
@@ -60,6 +65,78 @@
     pthread_attr_destroy(&attributes);
 }
 
+/** Returns the value that the feed has for @p key, or NULL. */
+static char *get_value(hs_state_feed *feed, const char *key) {
+    g_autoptr(GPtrArray) records = hs_state_feed_list(feed);
+    for (guint index = 0; index < records->len; index++) {
+        const hs_feed_record *record = records->pdata[index];
+        gsize length = 0;
+        const char *value = g_bytes_get_data(record->value, &length);
+        if (strcmp(record->key, key) == 0)
+            return g_strndup(value, length);
+    }
+    return NULL;
+}
+
+static void read_feed(hs_state_feed *feed) {
+    hs_feed_limits limits = {.store_timeout_ms = 1000};
+    hs_feed_batch batch;
+    hs_state_feed_read(feed, &limits, &batch);
+    CU_ASSERT_EQUAL(batch.outcome, HS_STORE_DONE);
+    hs_feed_batch_clear(&batch);
+}
+
+/** Guards against a feed that stops at a record whose key can't be read. */
+static void a_feed_goes_on_after_records_without_a_valid_key(void) {
+    static const struct {
+        const char *bytes;
+        size_t length;
+    } records[] = {{"", 0},        {"\0", 1},        {"\x09k", 2},   {"\xff{}", 3},
+                   {"\0value", 6}, {"\x01\xffv", 3}, {"\x02\0av", 4}};
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    hs_state_feed *feed = hs_state_feed_new(client, HS_TOPIC_ENGINES, "engines");
+    read_feed(feed);
+    for (size_t index = 0; index < G_N_ELEMENTS(records); index++) {
+        g_autofree char *key = g_strdup_printf("e%zu", index);
+        log_store_put_raw(store, TOPIC_ENGINES, records[index].bytes, records[index].length);
+        log_store_put(store, TOPIC_ENGINES, key, "joined");
+        read_feed(feed);
+        g_autofree char *value = get_value(feed, key);
+        CU_ASSERT_EQUAL(g_strcmp0(value, "joined"), 0);
+        g_autofree char *unnamed = get_value(feed, "");
+        CU_ASSERT_PTR_NULL(unnamed); /* Daemons that follow this one would reject it. */
+    }
+    hs_state_feed_stop(feed);
+    hs_state_feed_free(feed);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
+/** Guards against a record that replaces that of another key, of which it only has the start. */
+static void a_key_with_a_nul_byte_does_not_replace_another(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    hs_state_feed *feed = hs_state_feed_new(client, HS_TOPIC_ENGINES, "engines");
+    log_store_put(store, TOPIC_ENGINES, "e1", "own");
+    read_feed(feed);
+    log_store_put_raw(store, TOPIC_ENGINES,
+                      "\x04"
+                      "e1\0xodd",
+                      8);
+    read_feed(feed);
+    g_autofree char *value = get_value(feed, "e1");
+    CU_ASSERT_EQUAL(g_strcmp0(value, "own"), 0);
+    hs_state_feed_stop(feed);
+    hs_state_feed_free(feed);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
 const test_case foreign_record_tests[] = {
+    {"a_feed_goes_on_after_records_without_a_valid_key",
+     a_feed_goes_on_after_records_without_a_valid_key},
+    {"a_key_with_a_nul_byte_does_not_replace_another",
+     a_key_with_a_nul_byte_does_not_replace_another},
     {"nested_bodies_fit_the_stacks_of_listeners", nested_bodies_fit_the_stacks_of_listeners},
     {NULL, NULL}};
