Read lists of the store without their malformed entries

Operators would have seen: a daemon that starts while one key of a list is no valid text, as JSON writes it, reads the list again and again and never knows an engine, a configuration or a member.

Cause: jansson rejects a whole text for one string with a NUL, half of a surrogate pair or invalid UTF-8, or one number beyond its range, and a page of newest records was parsed as one text. A page of which nothing could be read counted as the last one, though more followed, so that the engines on later pages would have been dropped.

Fix: a page is read entry by entry. An entry that jansson rejects is skipped by its brackets, and counted (feed_entries_rejected). A page that has more after it but no key to go on from is an error, not the end.

--- a/src/base/json_reader.c
+++ b/src/base/json_reader.c
@@ -1,15 +1,20 @@
 /** @file json_reader.c  See json_reader.h. */
 #include "base/json_reader.h"
 
+#include <stdint.h>
 #include <string.h>
 
 static bool is_white_space(char byte) {
     return byte == ' ' || byte == '\t' || byte == '\n' || byte == '\r';
 }
 
-/** Returns whether the value at the start of a text, after white space, has few enough levels. */
-static bool is_shallow(const char *text, size_t length) {
+/**
+ * Returns whether the value at the start of a text, after white space, has at most @p max_levels
+ * levels. @p end: the length of an object or array that ends; 0: neither.
+ */
+static bool measure(const char *text, size_t length, size_t max_levels, size_t *end) {
     size_t levels = 0;
+    *end = 0;
     bool is_in_string = false;
     for (size_t index = 0; index < length; index++) {
         char byte = text[index];
@@ -17,9 +22,10 @@
             is_in_string = byte != '"';
             index += byte == '\\';
         } else if (byte == '[' || byte == '{') {
-            if (++levels > HS_MAX_JSON_LEVELS)
+            if (++levels > max_levels)
                 return false;
         } else if (byte == ']' || byte == '}') {
+            *end = levels <= 1 ? index + 1 : 0;
             if (levels <= 1)
                 return true;
             levels--;
@@ -32,6 +38,11 @@
     return true;
 }
 
+static bool is_shallow(const char *text, size_t length) {
+    size_t end = 0;
+    return measure(text, length, HS_MAX_JSON_LEVELS, &end);
+}
+
 json_t *hs_json_parse(const void *bytes, size_t length, json_error_t *error) {
     if (is_shallow(bytes, length))
         return json_loadb(bytes, length, 0, error);
@@ -75,6 +86,15 @@
     return value;
 }
 
+bool hs_json_reader_skip_value(hs_json_reader *reader) {
+    size_t length = 0;
+    skip_white_space(reader);
+    measure(reader->at, reader->left, SIZE_MAX, &length);
+    bool is_whole = length > 0 && (*reader->at == '[' || *reader->at == '{');
+    skip(reader, is_whole ? length : 0);
+    return is_whole;
+}
+
 bool hs_json_reader_is_at_end(hs_json_reader *reader) {
     skip_white_space(reader);
     return reader->left == 0;
--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -36,6 +36,12 @@
 /** Reads one value with all its parts. Returns NULL if it is malformed. Free with json_decref. */
 json_t *hs_json_reader_read_value(hs_json_reader *reader);
 
+/**
+ * Skips an object or array that jansson rejects, such as one with an invalid text. Returns false if
+ * none is next, or if its end is missing.
+ */
+bool hs_json_reader_skip_value(hs_json_reader *reader);
+
 /** Returns whether only white space is left. */
 bool hs_json_reader_is_at_end(hs_json_reader *reader);
 
--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -57,18 +57,18 @@
 }
 
 /** Merges a page; the last one ends the listing. The caller holds the lock. */
-static void merge_page(hs_state_feed *feed, const GArray *entries, bool has_more, uint64_t end,
+static void merge_page(hs_state_feed *feed, const GArray *entries, const hs_newest_page *page,
                        hs_feed_batch *batch) {
     if (feed->page_after == NULL) {
         /* The position is beyond the end: the log has begun anew, or a daemon's was wrong. */
-        if (hs_feed_log_next(feed->log) > end)
+        if (hs_feed_log_next(feed->log) > page->end)
             hs_feed_log_reset(feed->log);
         hs_feed_log_begin_listing(feed->log);
         feed->is_peer_listing = false;
-        feed->page_end = end;
+        feed->page_end = page->end;
     }
     put_entries(feed, entries, batch);
-    batch->has_more = has_more && entries->len > 0;
+    batch->has_more = page->has_more;
     g_free(feed->page_after);
     feed->page_after = NULL;
     if (batch->has_more) {
@@ -90,11 +90,14 @@
     if (outcome != HS_STORE_DONE)
         return outcome;
     GArray *entries = hs_newest_entries_new();
-    bool has_more = false;
-    uint64_t end = 0;
-    if (hs_platform_read_newest(feed->response, entries, &has_more, &end)) {
+    hs_newest_page page;
+    bool is_read = hs_platform_read_newest(feed->response, entries, &page);
+    if (page.rejected > 0)
+        hs_log_warning("feed_entries_rejected", "topic=%s rejected=%u entries=%u", feed->name,
+                       page.rejected, entries->len);
+    if (is_read) {
         g_mutex_lock(&feed->lock);
-        merge_page(feed, entries, has_more, end, batch);
+        merge_page(feed, entries, &page, batch);
         g_mutex_unlock(&feed->lock);
     } else {
         outcome = HS_STORE_UNKNOWN;
--- a/src/store/keyed_topic.c
+++ b/src/store/keyed_topic.c
@@ -9,12 +9,12 @@
     hs_store_call call = hs_platform_build_newest_call(topic, *after);
     hs_deadline deadline = hs_clock_monotonic_ms() + timeout_ms;
     GByteArray *response = g_byte_array_new();
-    uint64_t end = 0;
+    hs_newest_page page = {0};
     bool is_read = hs_store_client_send(store, &call, deadline, NULL, response) == HS_STORE_DONE &&
-                   hs_platform_read_newest(response, entries, has_more, &end);
+                   hs_platform_read_newest(response, entries, &page);
     g_byte_array_free(response, TRUE);
-    *has_more = is_read && *has_more && entries->len > 0;
-    if (is_read && entries->len > 0) {
+    *has_more = is_read && page.has_more;
+    if (*has_more) {
         g_free(*after);
         *after = g_strdup(g_array_index(entries, hs_newest_entry, entries->len - 1).key);
     }
--- a/tests/fuzz/store_answer.c
+++ b/tests/fuzz/store_answer.c
@@ -20,9 +20,8 @@
 
 static void read_newest(const GByteArray *answer) {
     GArray *entries = hs_newest_entries_new();
-    bool has_more = false;
-    uint64_t end = 0;
-    hs_platform_read_newest(answer, entries, &has_more, &end);
+    hs_newest_page page;
+    hs_platform_read_newest(answer, entries, &page);
     for (guint index = 0; index < entries->len; index++)
         FUZZ_CHECK(g_array_index(entries, hs_newest_entry, index).key != NULL);
     g_array_free(entries, TRUE);
--- a/tests/unit/test_foreign_records.c
+++ b/tests/unit/test_foreign_records.c
@@ -4,6 +4,7 @@
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/names.h"
+#include "platform/store_codec.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
@@ -133,10 +134,49 @@
     log_store_stop(store);
 }
 
+/** Guards against a list that is not read at all since one of its keys is no valid text. */
+static void a_page_is_read_without_the_entries_that_are_malformed(void) {
+    static const char *const entries[] = {
+        "{\"key\":\"\\ud800\",\"value\":\"eA==\",\"offset\":1}",
+        "{\"key\":\"e\\u0000x\",\"value\":\"eA==\",\"offset\":1}",
+        "{\"key\":\"\xff\",\"value\":\"eA==\",\"offset\":1}",
+        "{\"key\":\"\",\"value\":\"eA==\",\"offset\":1}",
+        "{\"key\":7,\"value\":\"eA==\",\"offset\":1}",
+        "{\"key\":\"x\",\"value\":{},\"offset\":1}",
+        "{\"key\":\"x\",\"value\":\"eA==\",\"offset\":18446744073709551616}",
+        "{\"key\":\"x\",\"value\":\"eA==\",\"offset\":-1}",
+        "{\"key\":\"x\",\"value\":\"eA==\",\"offset\":1e400}",
+        "[\"}\\\"\",{\"key\":\"x\"}]",
+        "null",
+    };
+    for (size_t index = 0; index < G_N_ELEMENTS(entries); index++) {
+        g_autofree char *page =
+            g_strdup_printf("{\"requests\":[{\"key\":\"a\",\"value\":\"eA==\",\"offset\":3}, %s "
+                            ",{\"key\":\"b\",\"value\":\"eA==\",\"offset\":4}],"
+                            "\"has-more\":true,\"end\":9}",
+                            entries[index]);
+        g_autoptr(GByteArray) response = g_byte_array_new();
+        g_byte_array_append(response, (const guint8 *)page, (guint)strlen(page));
+        GArray *read = hs_newest_entries_new();
+        hs_newest_page bounds;
+        CU_ASSERT_TRUE(hs_platform_read_newest(response, read, &bounds));
+        CU_ASSERT_TRUE(bounds.has_more);
+        CU_ASSERT_EQUAL(bounds.end, 9);
+        CU_ASSERT_EQUAL(bounds.rejected, 1);
+        CU_ASSERT_EQUAL(read->len, 2);
+        for (guint entry = 0; entry < read->len && read->len == 2; entry++)
+            CU_ASSERT_STRING_EQUAL(g_array_index(read, hs_newest_entry, entry).key,
+                                   entry == 0 ? "a" : "b");
+        g_array_free(read, TRUE);
+    }
+}
+
 const test_case foreign_record_tests[] = {
     {"a_feed_goes_on_after_records_without_a_valid_key",
      a_feed_goes_on_after_records_without_a_valid_key},
     {"a_key_with_a_nul_byte_does_not_replace_another",
      a_key_with_a_nul_byte_does_not_replace_another},
+    {"a_page_is_read_without_the_entries_that_are_malformed",
+     a_page_is_read_without_the_entries_that_are_malformed},
     {"nested_bodies_fit_the_stacks_of_listeners", nested_bodies_fit_the_stacks_of_listeners},
     {NULL, NULL}};
