--- a/tests/unit/test_foreign_records.c
+++ b/tests/unit/test_foreign_records.c
@@ -171,6 +171,93 @@
     }
 }
 
+/** Reads a configuration that has @p number in all numeric fields but the version. */
+static hs_fleet_config *read_config(const char *number) {
+    static const char text[] =
+        "{\"version\":1,\"routes\":[{\"name\":\"r\",\"service\":\"s\",\"timeout-ms\":N,"
+        "\"target-latency-ms\":N,\"gap-target-ms\":N,\"completion-target-ms\":N,\"retention-s\":N,"
+        "\"max-attempts\":N,\"priority\":N,\"max-queued-tokens\":N,\"traffic-split\":["
+        "{\"service\":\"s\",\"weight\":N},{\"service\":\"t\",\"weight\":N}]}],\"services\":["
+        "{\"name\":\"s\",\"max-connections\":N,\"warmup-s\":N,\"warmup-per-s\":N,\"engine\":"
+        "{\"kv-capacity-tokens\":N}}],\"limits\":{\"max-header-bytes\":N,\"max-body-bytes\":N,"
+        "\"header-timeout-ms\":N,\"idle-timeout-ms\":N},\"tenants\":[{\"name\":\"t\","
+        "\"priority\":N,\"rate-per-s\":N,\"burst\":N}]}";
+    g_auto(GStrv) parts = g_strsplit(text, "N", -1);
+    g_autofree char *filled = g_strjoinv(number, parts);
+    hs_error error = {0};
+    return hs_platform_read_config(filled, strlen(filled), &error);
+}
+
+#define HOUR_MS 3600000
+
+/** Guards against numbers that a cast turns into small ones, such as a timeout of 0 ms. */
+static void large_numbers_of_a_configuration_stay_large(void) {
+    static const char *const numbers[] = {"4294967296", "9223372036854775807", "1e300",
+                                          "4294967297.5", "18446744073709551615.0"};
+    for (size_t index = 0; index < G_N_ELEMENTS(numbers); index++) {
+        hs_fleet_config *config = read_config(numbers[index]);
+        CU_ASSERT_PTR_NOT_NULL(config);
+        if (config == NULL)
+            continue;
+        const hs_fleet_route *route = config->routes->pdata[0];
+        const hs_fleet_service *service = config->services->pdata[0];
+        const hs_fleet_tenant *tenant = config->tenants->pdata[0];
+        CU_ASSERT(route->timeout_ms >= HOUR_MS);
+        CU_ASSERT(route->target_latency_ms >= HOUR_MS);
+        CU_ASSERT(3 * route->target_latency_ms > route->target_latency_ms);
+        CU_ASSERT(route->gap_target_ms >= HOUR_MS);
+        CU_ASSERT(2 * route->gap_target_ms > route->gap_target_ms);
+        CU_ASSERT(route->completion_target_ms >= HOUR_MS);
+        CU_ASSERT(route->retention_ms >= HOUR_MS && route->retention_ms < INT64_MAX / 2);
+        CU_ASSERT(route->max_attempts >= UINT16_MAX && route->priority >= UINT16_MAX);
+        CU_ASSERT(route->max_queued_tokens >= UINT32_MAX);
+        CU_ASSERT(route->max_queued_tokens <= INT64_MAX);
+        double weights = g_array_index(route->shares, hs_route_share, 0).weight +
+                         g_array_index(route->shares, hs_route_share, 1).weight;
+        CU_ASSERT(weights > 0 && weights <= 1e15);
+        CU_ASSERT(service->max_connections >= UINT16_MAX && service->warmup_ms >= HOUR_MS);
+        CU_ASSERT(service->memory_tokens >= UINT32_MAX && service->memory_tokens <= INT64_MAX);
+        CU_ASSERT(service->warmup_per_s <= 1e15 && tenant->rate_per_s <= 1e15);
+        CU_ASSERT(tenant->burst <= 1e15 && tenant->priority >= UINT16_MAX);
+        CU_ASSERT(config->limits.idle_timeout_ms >= HOUR_MS);
+        CU_ASSERT(config->limits.idle_timeout_ms <= UINT32_MAX);
+        CU_ASSERT(config->limits.header_timeout_ms >= HOUR_MS);
+        CU_ASSERT(config->limits.header_timeout_ms <= UINT32_MAX);
+        CU_ASSERT(config->limits.max_body_bytes >= UINT32_MAX);
+        hs_fleet_config_unref(config);
+    }
+}
+
+/** Guards against requests that all end at once by a limit below 0. */
+static void negative_numbers_of_a_configuration_are_replaced_by_defaults(void) {
+    hs_fleet_config *config = read_config("-1");
+    hs_fleet_config *defaults = read_config("null");
+    const hs_fleet_route *route = config->routes->pdata[0];
+    const hs_fleet_route *default_route = defaults->routes->pdata[0];
+    CU_ASSERT(default_route->timeout_ms > 0);
+    CU_ASSERT_EQUAL(route->timeout_ms, default_route->timeout_ms);
+    CU_ASSERT_EQUAL(route->target_latency_ms, default_route->target_latency_ms);
+    CU_ASSERT_EQUAL(route->retention_ms, default_route->retention_ms);
+    CU_ASSERT_EQUAL(config->limits.max_header_bytes, defaults->limits.max_header_bytes);
+    CU_ASSERT_EQUAL(config->limits.max_body_bytes, defaults->limits.max_body_bytes);
+    CU_ASSERT_EQUAL(config->limits.header_timeout_ms, defaults->limits.header_timeout_ms);
+    CU_ASSERT_EQUAL(config->limits.idle_timeout_ms, defaults->limits.idle_timeout_ms);
+    hs_fleet_config_unref(config);
+    hs_fleet_config_unref(defaults);
+}
+
+/** Guards against a newer configuration that is taken for the same as its predecessor. */
+static void configurations_with_large_versions_stay_distinct(void) {
+    hs_error error = {0};
+    static const char first[] = "{\"version\":9007199254740992,\"routes\":[]}";
+    static const char second[] = "{\"version\":9007199254740993,\"routes\":[]}";
+    hs_fleet_config *one = hs_platform_read_config(first, strlen(first), &error);
+    hs_fleet_config *other = hs_platform_read_config(second, strlen(second), &error);
+    CU_ASSERT(other->version > one->version);
+    hs_fleet_config_unref(one);
+    hs_fleet_config_unref(other);
+}
+
 const test_case foreign_record_tests[] = {
     {"a_feed_goes_on_after_records_without_a_valid_key",
      a_feed_goes_on_after_records_without_a_valid_key},
@@ -178,5 +265,10 @@
      a_key_with_a_nul_byte_does_not_replace_another},
     {"a_page_is_read_without_the_entries_that_are_malformed",
      a_page_is_read_without_the_entries_that_are_malformed},
+    {"large_numbers_of_a_configuration_stay_large", large_numbers_of_a_configuration_stay_large},
+    {"negative_numbers_of_a_configuration_are_replaced_by_defaults",
+     negative_numbers_of_a_configuration_are_replaced_by_defaults},
+    {"configurations_with_large_versions_stay_distinct",
+     configurations_with_large_versions_stay_distinct},
     {"nested_bodies_fit_the_stacks_of_listeners", nested_bodies_fit_the_stacks_of_listeners},
     {NULL, NULL}};
