--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -2,6 +2,7 @@
 #include "feed/state_feed_internal.h"
 
 #include "base/clock.h"
+#include "base/log.h"
 
 #define MAX_READ_KB 1024
 /** Maximum of a timeout that follows the store's response times: other daemons may have a copy. */
@@ -56,18 +57,18 @@
 }
 
 /** Merges a page; the last one ends the listing. The caller holds the lock. */
-static void merge_page(hs_state_feed *feed, const GArray *entries, bool has_more, uint64_t end,
+static void merge_page(hs_state_feed *feed, const GArray *entries, const hs_newest_page *page,
                        hs_feed_batch *batch) {
     if (feed->page_after == NULL) {
         /* The position is beyond the end: the log has begun anew, or a daemon's was wrong. */
-        if (hs_feed_log_next(feed->log) > end)
+        if (hs_feed_log_next(feed->log) > page->end)
             hs_feed_log_reset(feed->log);
         hs_feed_log_begin_listing(feed->log);
         feed->is_peer_listing = false;
-        feed->page_end = end;
+        feed->page_end = page->end;
     }
     put_entries(feed, entries, batch);
-    batch->has_more = has_more && entries->len > 0;
+    batch->has_more = page->has_more;
     g_free(feed->page_after);
     feed->page_after = NULL;
     if (batch->has_more) {
@@ -89,11 +90,14 @@
     if (outcome != HS_STORE_DONE)
         return outcome;
     GArray *entries = hs_newest_entries_new();
-    bool has_more = false;
-    uint64_t end = 0;
-    if (hs_platform_read_newest(feed->response, entries, &has_more, &end)) {
+    hs_newest_page page;
+    bool is_read = hs_platform_read_newest(feed->response, entries, &page);
+    if (page.rejected > 0)
+        hs_log_warning("feed_entries_rejected", "topic=%s rejected=%u entries=%u", feed->name,
+                       page.rejected, entries->len);
+    if (is_read) {
         g_mutex_lock(&feed->lock);
-        merge_page(feed, entries, has_more, end, batch);
+        merge_page(feed, entries, &page, batch);
         g_mutex_unlock(&feed->lock);
     } else {
         outcome = HS_STORE_UNKNOWN;
@@ -102,17 +106,28 @@
     return outcome;
 }
 
+/** Puts a record that was read from the store. The caller holds the lock. */
+static void put_record(hs_state_feed *feed, const hs_store_record *found, uint64_t offset,
+                       uint64_t now_ms, hs_feed_batch *batch) {
+    g_autofree char *key = g_strndup(found->key, found->key_length);
+    g_autoptr(GBytes) value = g_bytes_new(found->value, found->value_length);
+    hs_feed_record *record = hs_feed_record_new(key, value, offset, now_ms);
+    hs_state_feed_put(feed, record, batch);
+    hs_feed_record_unref(record);
+}
+
 /** Puts the records of a response that begins at @p next. The caller holds the lock. */
 static void put_records(hs_state_feed *feed, uint64_t next, hs_feed_batch *batch) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     size_t position = 0;
     hs_store_record found;
     while (hs_platform_read_next_record(feed->response, true, &position, &found)) {
-        g_autofree char *key = g_strndup(found.key, found.key_length);
-        g_autoptr(GBytes) value = g_bytes_new(found.value, found.value_length);
-        hs_feed_record *record = hs_feed_record_new(key, value, next, now_ms);
-        hs_state_feed_put(feed, record, batch);
-        hs_feed_record_unref(record);
+        if (found.key != NULL)
+            put_record(feed, &found, next, now_ms, batch);
+        else
+            hs_log_warning("feed_record_rejected",
+                           "topic=%s offset=%" G_GUINT64_FORMAT " reason=bad_key", feed->name,
+                           (guint64)next);
         next++;
     }
     hs_feed_log_advance(feed->log, next);
