A part of a read no longer confirms all records of a feed

The same time decides whether a daemon serves again after a stall, and followers take it from their parent.

Cause: hs_state_feed_as_of_ms rose in three cases in which the records were not those of that time: - the position was refused (410), which counts as contact with the store; - a read of changes ended at its limit of 1,024 kB before the log's end; - a listing in pages counted from its last page, though a key may change after the page on which it was listed.

Fix: the time is that of the first call of a read, and rises only when the read has reached the end of the log, or of the listing. Changes that follow a full part are read without a pause. The stand-in's listing has pages of 500 keys, as the protocol says.

--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -14,7 +14,6 @@
 
 /** Sends a call, and counts it and the bytes of the response. */
 static hs_store_outcome send_call(hs_state_feed *feed, hs_store_call *call, uint64_t limit_ms) {
-    hs_store_contact_note_call(&feed->contact);
     hs_store_outcome outcome = hs_store_client_send(
         feed->store, call, hs_clock_monotonic_ms() + limit_ms, NULL, feed->response);
     g_mutex_lock(&feed->lock);
@@ -85,6 +84,9 @@
 static hs_store_outcome list(hs_state_feed *feed, const hs_feed_limits *limits,
                              hs_feed_batch *batch) {
     hs_store_call call = hs_platform_build_newest_call(feed->topic, feed->page_after);
+    /* A key may change after the page on which it was listed. */
+    if (feed->page_after == NULL)
+        hs_store_contact_note_read(&feed->contact);
     hs_store_outcome outcome = send_call(feed, &call, get_timeout_ms(feed, limits));
     if (outcome != HS_STORE_DONE)
         return outcome;
@@ -102,8 +104,12 @@
     return outcome;
 }
 
-/** Puts the records of a response that begins at @p next. The caller holds the lock. */
-static void put_records(hs_state_feed *feed, uint64_t next, hs_feed_batch *batch) {
+/**
+ * Puts the records of a response that begins at @p next, of a log that ends at @p end. The caller
+ * holds the lock.
+ */
+static void put_records(hs_state_feed *feed, uint64_t next, uint64_t end, hs_feed_batch *batch) {
+    uint64_t from = next;
     uint64_t now_ms = hs_clock_monotonic_ms();
     size_t position = 0;
     hs_store_record found;
@@ -116,6 +122,7 @@
         next++;
     }
     hs_feed_log_advance(feed->log, next);
+    batch->has_more = next > from && next < end;
     feed->hops = 0;
 }
 
@@ -131,6 +138,7 @@
     if (hs_state_feed_is_awaiting(feed))
         follow_limits.store_timeout_ms = MIN(limits->store_timeout_ms, FOLLOW_TIMEOUT_MS);
     uint64_t limit_ms = (uint64_t)wait_ms + get_timeout_ms(feed, &follow_limits);
+    hs_store_contact_note_read(&feed->contact);
     hs_store_outcome outcome = send_call(feed, &call, limit_ms);
     uint64_t end = 0;
     uint64_t first = 0;
@@ -139,7 +147,7 @@
         outcome = HS_STORE_GONE;
     if (outcome == HS_STORE_DONE) {
         g_mutex_lock(&feed->lock);
-        put_records(feed, next, batch);
+        put_records(feed, next, end, batch);
         g_mutex_unlock(&feed->lock);
     }
     return outcome;
@@ -149,7 +157,7 @@
                               hs_feed_batch *batch) {
     bool is_listing = feed->must_list || !hs_state_feed_is_complete(feed);
     batch->outcome = is_listing ? list(feed, limits, batch) : follow(feed, limits, batch);
-    /* Until the last page, the store has not confirmed the records as a whole. */
+    /* Until the last part, the store has not confirmed the records as a whole. */
     if (!batch->has_more)
         hs_store_contact_note_outcome(&feed->contact, batch->outcome);
     if (batch->outcome == HS_STORE_GONE)
--- a/src/store/store_contact.c
+++ b/src/store/store_contact.c
@@ -13,9 +13,9 @@
     g_mutex_clear(&contact->lock);
 }
 
-void hs_store_contact_note_call(hs_store_contact *contact) {
+void hs_store_contact_note_read(hs_store_contact *contact) {
     g_mutex_lock(&contact->lock);
-    contact->call_sent_ms = hs_clock_monotonic_ms();
+    contact->read_began_ms = hs_clock_monotonic_ms();
     g_mutex_unlock(&contact->lock);
 }
 
@@ -26,10 +26,10 @@
     bool has_changed = contact->is_disconnected == is_success;
     uint64_t silent_ms = contact->last_success_ms != 0 ? now_ms - contact->last_success_ms : 0;
     contact->is_disconnected = !is_success;
-    if (is_success) {
+    if (is_success)
         contact->last_success_ms = now_ms;
-        contact->as_of_ms = contact->call_sent_ms;
-    }
+    if (outcome == HS_STORE_DONE)
+        contact->as_of_ms = contact->read_began_ms;
     g_mutex_unlock(&contact->lock);
     if (has_changed)
         hs_log_warning(is_success ? "store_regained" : "store_lost",
--- a/standin/log_store/log_store.c
+++ b/standin/log_store/log_store.c
@@ -16,6 +16,8 @@
 #define UNRESPONSIVE_WAIT_MS 20000
 #define POLL_INTERVAL_MS 5
 #define MAX_BODY_BYTES (16U * 1024 * 1024)
+/** Keys on a page of a listing. */
+#define NEWEST_PAGE_KEYS 500
 
 /** One partition of a topic. */
 typedef struct {
@@ -195,26 +197,41 @@
         reply_records(inbound, log, from, max_bytes);
 }
 
+/** Lists up to NEWEST_PAGE_KEYS keys after @p after (NULL: from the first on), in order. */
+static GList *list_page_keys(const topic *from, const char *after, bool *has_more) {
+    GList *keys = g_list_sort(g_hash_table_get_keys(from->newest_by_key), (GCompareFunc)strcmp);
+    while (after != NULL && keys != NULL && strcmp(keys->data, after) <= 0)
+        keys = g_list_delete_link(keys, keys);
+    GList *rest = g_list_nth(keys, NEWEST_PAGE_KEYS);
+    *has_more = rest != NULL;
+    if (rest != NULL) {
+        rest->prev->next = NULL;
+        rest->prev = NULL;
+        g_list_free(rest);
+    }
+    return keys;
+}
+
 static void serve_newest_values(log_store *store, hs_inbound *inbound) {
     g_autofree char *name = hs_platform_find_query_value(inbound->target, "topic");
+    g_autofree char *after = hs_platform_find_query_value(inbound->target, "after");
     topic *from = find_or_add_topic(store, name);
     json_t *list = json_array();
-    GHashTableIter iterator;
-    gpointer key = NULL;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iterator, from->newest_by_key);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        const keyed_value *entry = value;
+    bool has_more = false;
+    GList *keys = list_page_keys(from, after, &has_more);
+    for (const GList *key = keys; key != NULL; key = key->next) {
+        const keyed_value *entry = g_hash_table_lookup(from->newest_by_key, key->data);
         gsize length = 0;
         const guchar *bytes = g_bytes_get_data(entry->value, &length);
         g_autofree char *encoded = g_base64_encode(bytes, length);
-        json_array_append_new(list, json_pack("{s:s, s:s, s:I}", "key", key, "value", encoded,
+        json_array_append_new(list, json_pack("{s:s, s:s, s:I}", "key", key->data, "value", encoded,
                                               "offset", (json_int_t)entry->offset));
     }
+    g_list_free(keys);
     uint64_t end = from->partitions[0].first + from->partitions[0].records->len;
-    reply_json(
-        inbound, 200,
-        json_pack("{s:o, s:b, s:I}", "requests", list, "has-more", 0, "end", (json_int_t)end));
+    reply_json(inbound, 200,
+               json_pack("{s:o, s:b, s:I}", "requests", list, "has-more", (int)has_more, "end",
+                         (json_int_t)end));
 }
 
 /** Returns the name of the member that the partition is assigned to, or "" if there is none. */
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -479,7 +479,96 @@
     stop_pair(&made);
 }
 
+/** Appends @p count records with keys of their own and values of @p value_bytes. */
+static void put_records(log_store *store, const char *prefix, int count, gsize value_bytes) {
+    g_autofree char *value = g_strnfill(value_bytes, 'x');
+    for (int number = 0; number < count; number++) {
+        g_autofree char *key = g_strdup_printf("%s%04d", prefix, number);
+        log_store_put(store, TOPIC_ENGINES, key, value);
+    }
+}
+
+static bool has_key(hs_state_feed *feed, const char *key) {
+    bool is_found = false;
+    g_autoptr(GPtrArray) records = hs_state_feed_list(feed);
+    for (guint index = 0; index < records->len; index++)
+        is_found |= strcmp(((const hs_feed_record *)records->pdata[index])->key, key) == 0;
+    return is_found;
+}
+
+/** Reads until the records are confirmed as of @p as_of_ms. */
+static void read_until_as_of(hs_state_feed *feed, uint64_t as_of_ms) {
+    hs_feed_source source = HS_FEED_WAIT;
+    uint64_t limit_ms = hs_clock_monotonic_ms() + WAIT_LIMIT_MS;
+    while (hs_state_feed_as_of_ms(feed) < as_of_ms && hs_clock_monotonic_ms() < limit_ms)
+        read_once(feed, &source);
+    CU_ASSERT(hs_state_feed_as_of_ms(feed) >= as_of_ms);
+}
+
+/** Guards against old records that pass for current ones after a long time without the store. */
+static void a_lost_position_does_not_confirm_the_records(void) {
+    pair made = start_pair();
+    put_records(made.store, "a", 3, 10);
+    read_until(made.reader, 3);
+    hs_clock_sleep_ms(2);
+    put_records(made.store, "b", 1, 10);
+    log_store_discard_records(made.store, TOPIC_ENGINES);
+    uint64_t put_ms = hs_clock_monotonic_ms();
+    hs_clock_sleep_ms(2);
+    hs_feed_source source = HS_FEED_WAIT;
+    read_once(made.reader, &source); /* The position is refused. */
+    CU_ASSERT_FALSE(has_key(made.reader, "b0000"));
+    CU_ASSERT(hs_state_feed_as_of_ms(made.reader) < put_ms);
+    read_until_as_of(made.reader, put_ms);
+    CU_ASSERT_TRUE(has_key(made.reader, "b0000"));
+    stop_pair(&made);
+}
+
+/** Guards against a part of the changes that passes for all of them. */
+static void a_part_of_the_changes_does_not_confirm_the_records(void) {
+    pair made = start_pair();
+    put_records(made.store, "a", 3, 10);
+    read_until(made.reader, 3);
+    hs_clock_sleep_ms(2);
+    put_records(made.store, "b", 30, 100000);
+    uint64_t put_ms = hs_clock_monotonic_ms();
+    hs_clock_sleep_ms(2);
+    hs_feed_source source = HS_FEED_WAIT;
+    CU_ASSERT_TRUE(read_once(made.reader, &source));
+    CU_ASSERT_TRUE(has_key(made.reader, "b0000"));
+    CU_ASSERT_FALSE(has_key(made.reader, "b0029"));
+    CU_ASSERT(hs_state_feed_as_of_ms(made.reader) < put_ms);
+    read_until_as_of(made.reader, put_ms);
+    CU_ASSERT_TRUE(has_key(made.reader, "b0029"));
+    stop_pair(&made);
+}
+
+/** Guards against a listing in pages that passes for one of the time of its last page. */
+static void a_listing_confirms_the_records_as_of_its_first_page(void) {
+    pair made = start_pair();
+    put_records(made.store, "b", 600, 10);
+    hs_feed_source source = HS_FEED_WAIT;
+    CU_ASSERT_TRUE(read_once(made.reader, &source));
+    CU_ASSERT_FALSE(hs_state_feed_is_complete(made.reader));
+    hs_clock_sleep_ms(2);
+    put_records(made.store, "a", 1, 10); /* Before the keys of the first page. */
+    uint64_t put_ms = hs_clock_monotonic_ms();
+    hs_clock_sleep_ms(2);
+    CU_ASSERT_TRUE(read_once(made.reader, &source));
+    CU_ASSERT_TRUE(hs_state_feed_is_complete(made.reader));
+    CU_ASSERT_FALSE(has_key(made.reader, "a0000"));
+    CU_ASSERT(hs_state_feed_as_of_ms(made.reader) < put_ms);
+    read_until_as_of(made.reader, put_ms);
+    CU_ASSERT_TRUE(has_key(made.reader, "a0000"));
+    stop_pair(&made);
+}
+
 const test_case feed_tests[] = {
+    {"a_lost_position_does_not_confirm_the_records", a_lost_position_does_not_confirm_the_records},
+    {"a_part_of_the_changes_does_not_confirm_the_records",
+     a_part_of_the_changes_does_not_confirm_the_records},
+    {"a_listing_confirms_the_records_as_of_its_first_page",
+     a_listing_confirms_the_records_as_of_its_first_page},
     {"a_feed_reads_a_store_that_answers_later_than_its_timeout",
      a_feed_reads_a_store_that_answers_later_than_its_timeout},
     {"a_copy_in_parts_has_each_key_once", a_copy_in_parts_has_each_key_once},
