Streams of unknown origin wait while engines may have gone unseen

What callers could see: a stream that began at an engine which came and went while a daemon was out of step, taken up there with its origin unknown, went on at the only software that the daemon had listed (rule ORDER).

Cause: software_history took its record for complete since its first list. A daemon misses an engine's whole life if it lists all engines anew after a gap, or if it follows another daemon, which passes on only the last record of each key: a removal that names no software. Daemons that follow the store's log (fleets of up to 48) miss none.

Fix: such a removal, and a new listing more than a heartbeat after the last confirmation, start the 30 s anew in which a sole software is not taken for granted. Streams whose origin somebody knows are not affected. The daemon logs engines_unseen.

Not covered: an engine renewed twice under its id between two reads of a follower, with another software in between.

--- a/src/feed/feed_log.c
+++ b/src/feed/feed_log.c
@@ -127,6 +127,10 @@
     return true;
 }
 
+bool hs_feed_log_has(const hs_feed_log *log, const char *key) {
+    return g_hash_table_contains(log->by_key, key);
+}
+
 void hs_feed_log_begin_listing(hs_feed_log *log) {
     log->listing++;
 }
--- a/src/feed/feed_log.h
+++ b/src/feed/feed_log.h
@@ -49,6 +49,9 @@
  */
 bool hs_feed_log_put(hs_feed_log *log, hs_feed_record *record);
 
+/** Whether the log holds a record of the key, a removal included. */
+bool hs_feed_log_has(const hs_feed_log *log, const char *key);
+
 /** Begins a listing of all keys; the keys that are not put until its end are dropped then. */
 void hs_feed_log_begin_listing(hs_feed_log *log);
 
--- a/src/feed/state_feed.c
+++ b/src/feed/state_feed.c
@@ -58,8 +58,12 @@
 }
 
 void hs_state_feed_put(hs_state_feed *feed, hs_feed_record *record, hs_feed_batch *batch) {
-    if (hs_feed_log_put(feed->log, record))
-        g_ptr_array_add(batch->changes, hs_feed_record_ref(record));
+    bool is_unseen = hs_feed_log_is_complete(feed->log) && hs_feed_record_is_removal(record) &&
+                     !hs_feed_log_has(feed->log, record->key);
+    if (!hs_feed_log_put(feed->log, record))
+        return;
+    g_ptr_array_add(batch->changes, hs_feed_record_ref(record));
+    batch->has_unseen |= is_unseen;
 }
 
 uint64_t hs_state_feed_store_received_ms(hs_state_feed *feed) {
--- a/src/feed/state_feed.h
+++ b/src/feed/state_feed.h
@@ -41,6 +41,7 @@
     GPtrArray *changes;       /**< Of hs_feed_record*, in order; those the feed did not have. */
     /** The feed has become complete, or complete again: keys that it lacks were removed. */
     bool is_listed;
+    bool has_unseen; /**< A change removes a key that was never read: it came and went between. */
     /** The next read continues a listing or has more changes: it should follow without a pause. */
     bool has_more;
     bool is_cut_off;   /**< Nothing confirms the records: as for has_more. */
--- a/src/fleet/engine_software.c
+++ b/src/fleet/engine_software.c
@@ -62,6 +62,12 @@
     g_mutex_unlock(&engines->lock);
 }
 
+void hs_fleet_engines_note_unseen(hs_fleet_engines *engines) {
+    g_mutex_lock(&engines->lock);
+    hs_software_history_note_gap(engines->software, hs_clock_monotonic_ms());
+    g_mutex_unlock(&engines->lock);
+}
+
 /** Lists the recent software of one service: of uint64_t. The caller holds the lock. */
 static GArray *list_recent(hs_fleet_engines *engines, const char *service, uint64_t now_ms) {
     GArray *list = hs_software_history_list_removed(engines->software, service, now_ms);
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -162,8 +162,23 @@
     keep_only(source, listed);
 }
 
+/**
+ * Returns whether engines may have been added and removed again since the last batch. A new listing
+ * does not tell, but only an engine that lives less than a heartbeat is missed by one that follows
+ * the last confirmation closely. The caller holds the lock.
+ */
+static bool has_unseen_engines(const hs_engine_source *source, const hs_feed_batch *batch) {
+    return batch->has_unseen || (batch->is_listed && source->as_of_ms != 0 &&
+                                 batch->as_of_ms > source->as_of_ms + source->heartbeat_ms);
+}
+
 static void apply_batch(hs_engine_source *source, const hs_feed_batch *batch) {
     g_mutex_lock(&source->lock);
+    if (has_unseen_engines(source, batch)) {
+        hs_log_info("engines_unseen", "listed=%d unconfirmed_ms=%" G_GUINT64_FORMAT,
+                    batch->is_listed, (guint64)(batch->as_of_ms - source->as_of_ms));
+        hs_fleet_engines_note_unseen(source->engines);
+    }
     detect_outage(source, batch);
     for (guint index = 0; index < batch->changes->len; index++) {
         const hs_feed_record *record = batch->changes->pdata[index];
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -397,6 +397,9 @@
  */
 void hs_fleet_engines_note_list_as_of(hs_fleet_engines *engines, uint64_t as_of_ms);
 
+/** Records that engines may have been added and removed again without being listed here. */
+void hs_fleet_engines_note_unseen(hs_fleet_engines *engines);
+
 /**
  * Returns the software of all engines that the service had in the HS_MAX_STREAM_AGE_MS up to
  * @p as_of_ms, or 0 if there were several or the list is not known as of that time.
--- a/src/fleet/software_history.c
+++ b/src/fleet/software_history.c
@@ -13,6 +13,7 @@
     GHashTable *services; /**< service -> GArray of removed_software */
     bool has_start;
     uint64_t complete_since_ms;
+    uint64_t gap_ms; /**< When removals were missed last; 0: never. */
 };
 
 uint64_t hs_software_id(const char *service, const char *version) {
@@ -71,8 +72,13 @@
     history->has_start = true;
 }
 
+void hs_software_history_note_gap(hs_software_history *history, uint64_t now_ms) {
+    history->gap_ms = now_ms;
+}
+
 bool hs_software_history_is_complete(const hs_software_history *history, uint64_t now_ms) {
-    return history->has_start && history->complete_since_ms + HS_MAX_STREAM_AGE_MS <= now_ms;
+    return history->has_start && history->complete_since_ms + HS_MAX_STREAM_AGE_MS <= now_ms &&
+           (history->gap_ms == 0 || history->gap_ms + HS_MAX_STREAM_AGE_MS <= now_ms);
 }
 
 void hs_software_list_add(GArray *list, uint64_t software) {
--- a/src/fleet/software_history.h
+++ b/src/fleet/software_history.h
@@ -32,6 +32,9 @@
 /** Records that all removals since @p since_ms are known; the earliest call counts. */
 void hs_software_history_note_complete(hs_software_history *history, uint64_t since_ms);
 
+/** Records that removals up to @p now_ms may be unknown. */
+void hs_software_history_note_gap(hs_software_history *history, uint64_t now_ms);
+
 /** Reports whether the removals of the last HS_MAX_STREAM_AGE_MS are known. */
 bool hs_software_history_is_complete(const hs_software_history *history, uint64_t now_ms);
 
--- a/tests/unit/test_engine_source.c
+++ b/tests/unit/test_engine_source.c
@@ -1,6 +1,7 @@
 /** @file test_engine_source.c  Reads of the engine topic, and removal of engines from the table. */
 #include "base/clock.h"
 #include "fleet/engine_source.h"
+#include "fleet/software_history.h"
 #include "platform/names.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
@@ -104,7 +105,57 @@
     hs_fleet_engines_free(engines);
 }
 
+#define ENTRY_OF(version)                                                                          \
+    "{\"service\":\"svc\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":4,"                 \
+    "\"version\":\"" version "\",\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1}"
+
+/** Waits until the service has this number of engines, by a list as of @p as_of_ms or later. */
+static void wait_for_list(hs_engine_source *source, hs_fleet_engines *engines, uint32_t count,
+                          uint64_t as_of_ms) {
+    uint64_t started_ms = hs_clock_monotonic_ms();
+    while ((hs_engine_source_as_of_ms(source) < as_of_ms ||
+            hs_fleet_engines_capacity(engines, "svc").ready < count) &&
+           hs_clock_monotonic_ms() < started_ms + 5000)
+        hs_clock_sleep_ms(5);
+    CU_ASSERT_EQUAL(hs_fleet_engines_capacity(engines, "svc").ready, count);
+    CU_ASSERT(hs_engine_source_as_of_ms(source) >= as_of_ms);
+    hs_clock_sleep_ms(20); /* What was read is applied. */
+}
+
+/** Guards against streams that go on at the one listed version after others came and went. */
+static void a_new_list_after_a_gap_does_not_tell_a_sole_version(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_source *source =
+        hs_engine_source_new(client, engines, 3 * SHORT_READ_INTERVAL_MS, HEARTBEAT_MS);
+    log_store_put(store, TOPIC_ENGINES, "e1", ENTRY_OF("v1"));
+    hs_engine_source_start(source);
+    CU_ASSERT(wait_for_engine(engines, true) < 2000);
+    hs_fleet_engines_note_past_software_added(engines);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    wait_for_list(source, engines, 1, now_ms);
+    CU_ASSERT_EQUAL(hs_fleet_engines_sole_software(engines, "svc", now_ms),
+                    hs_software_id("svc", "v1"));
+    log_store_set_mode(store, LOG_STORE_REFUSES, NULL, UINT32_MAX);
+    hs_clock_sleep_ms(2ULL * HEARTBEAT_MS);
+    log_store_put(store, TOPIC_ENGINES, "e2", ENTRY_OF("v2"));
+    log_store_put(store, TOPIC_ENGINES, "e2", "");
+    log_store_put(store, TOPIC_ENGINES, "e3", ENTRY_OF("v1"));
+    log_store_discard_records(store, TOPIC_ENGINES);
+    now_ms = hs_clock_monotonic_ms();
+    log_store_set_mode(store, LOG_STORE_HEALTHY, NULL, UINT32_MAX);
+    wait_for_list(source, engines, 2, now_ms);
+    CU_ASSERT_EQUAL(hs_fleet_engines_sole_software(engines, "svc", now_ms), 0);
+    hs_engine_source_free(source);
+    hs_fleet_engines_free(engines);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
 const test_case engine_source_tests[] = {
+    {"a_new_list_after_a_gap_does_not_tell_a_sole_version",
+     a_new_list_after_a_gap_does_not_tell_a_sole_version},
     {"failed_read_is_retried_before_the_next_interval",
      failed_read_is_retried_before_the_next_interval},
     {"removed_engine_is_dropped_by_the_next_read", removed_engine_is_dropped_by_the_next_read},
--- a/tests/unit/test_feed.c
+++ b/tests/unit/test_feed.c
@@ -563,7 +563,38 @@
     stop_pair(&made);
 }
 
+/** Guards against a follower that does not know that it missed an engine's whole life. */
+static void a_key_that_came_and_went_between_two_reads_is_told(void) {
+    pair daemons = start_pair();
+    hs_feed_members members = {
+        .get_tree = get_tree, .knows_others = knows_others, .user_data = &daemons};
+    hs_state_feed_set_members(daemons.follower, &members);
+    log_store_put(daemons.store, TOPIC_ENGINES, "e1", "{}");
+    log_store_put(daemons.store, TOPIC_ENGINES, "before", "{}");
+    log_store_put(daemons.store, TOPIC_ENGINES, "before", "");
+    read_until(daemons.reader, 1);
+    read_until(daemons.follower, 1);
+    log_store_put(daemons.store, TOPIC_ENGINES, "e2", "{}");
+    log_store_put(daemons.store, TOPIC_ENGINES, "e2", "");
+    log_store_put(daemons.store, TOPIC_ENGINES, "e3", "{}");
+    read_until(daemons.reader, 2);
+    bool has_unseen = false;
+    uint64_t limit_ms = hs_clock_monotonic_ms() + WAIT_LIMIT_MS;
+    while (!has_key(daemons.follower, "e3") && hs_clock_monotonic_ms() < limit_ms) {
+        hs_feed_limits limits = {.store_timeout_ms = 1000};
+        hs_feed_batch batch;
+        hs_state_feed_read(daemons.follower, &limits, &batch);
+        has_unseen |= batch.has_unseen;
+        hs_feed_batch_clear(&batch);
+    }
+    CU_ASSERT_TRUE(has_key(daemons.follower, "e3"));
+    CU_ASSERT_TRUE(has_unseen);
+    stop_pair(&daemons);
+}
+
 const test_case feed_tests[] = {
+    {"a_key_that_came_and_went_between_two_reads_is_told",
+     a_key_that_came_and_went_between_two_reads_is_told},
     {"a_lost_position_does_not_confirm_the_records", a_lost_position_does_not_confirm_the_records},
     {"a_part_of_the_changes_does_not_confirm_the_records",
      a_part_of_the_changes_does_not_confirm_the_records},
