Tests that kill all daemons kill those beyond the third too

kill_and_restart_all_daemons counted to the bench's default of three, so that one of the four daemons of fleet_version_restarts outlived each kill and knew the origins of its streams. Now the suite's claim is tested; the bounds are the same.

--- a/tests/system/test_fleet_crashes.c
+++ b/tests/system/test_fleet_crashes.c
@@ -76,11 +76,11 @@
 }
 
 void kill_and_restart_all_daemons(void) {
-    for (int index = 0; index < BENCH_DEFAULT_DAEMONS; index++)
+    for (int index = 0; index < bench_daemon_count(); index++)
         bench_signal_daemon(index, SIGKILL);
-    for (int index = 0; index < BENCH_DEFAULT_DAEMONS; index++)
+    for (int index = 0; index < bench_daemon_count(); index++)
         bench_start_daemon(index, false);
-    for (int index = 0; index < BENCH_DEFAULT_DAEMONS; index++)
+    for (int index = 0; index < bench_daemon_count(); index++)
         CU_ASSERT_TRUE(bench_wait_ready(index));
 }
 
