Ignore quota records of partitions that do not exist

Callers would have seen: after one reservation of another writer for a partition beyond the last, submissions to its route are refused as full until the daemons are restarted.

Cause: only a level of the same partition settles a reservation or replaces a level, and no owner writes one for a partition that does not exist. Sums of tokens could also wrap to small ones, with which more jobs were accepted than fit.

Evidence: records_of_no_partition_fill_no_route and huge_reservations_do_not_wrap fail on the former code.

Fix: the fold knows the number of partitions; a record of a further one counts as malformed. A job counts as at most 2^40 tokens.

--- a/src/jobs/job_quota.c
+++ b/src/jobs/job_quota.c
@@ -29,10 +29,10 @@
 
 static void run_release(gpointer submission, gpointer data);
 
-hs_job_quota *hs_job_quota_new(hs_store_client *store) {
+hs_job_quota *hs_job_quota_new(hs_store_client *store, uint32_t partition_count) {
     hs_job_quota *quota = g_new0(hs_job_quota, 1);
     quota->store = store;
-    quota->fold = hs_quota_fold_new();
+    quota->fold = hs_quota_fold_new(partition_count);
     g_mutex_init(&quota->lock);
     quota->releases = g_thread_pool_new(run_release, quota, 1, FALSE, NULL);
     return quota;
--- a/src/jobs/job_quota.h
+++ b/src/jobs/job_quota.h
@@ -57,8 +57,8 @@
 
 typedef struct hs_job_quota hs_job_quota;
 
-/** @p store is borrowed. */
-hs_job_quota *hs_job_quota_new(hs_store_client *store);
+/** @p store is borrowed. @p partition_count: partitions of jobs. */
+hs_job_quota *hs_job_quota_new(hs_store_client *store, uint32_t partition_count);
 void hs_job_quota_free(hs_job_quota *quota);
 
 /**
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -33,7 +33,7 @@
     service->partitions = g_ptr_array_new_with_free_func(free_partition);
     for (uint32_t number = 0; number < settings->part_count; number++)
         g_ptr_array_add(service->partitions, hs_job_partition_new(&service->settings, number));
-    service->quota = hs_job_quota_new(settings->store);
+    service->quota = hs_job_quota_new(settings->store, settings->part_count);
     return service;
 }
 
--- a/src/jobs/quota_fold.c
+++ b/src/jobs/quota_fold.c
@@ -18,6 +18,9 @@
 /** Time constant of the decay of drains; several times the interval between levels. */
 #define DRAIN_DECAY_MS 8000.0
 
+/** Jobs with more tokens count as of so many, so that sums don't wrap. */
+#define MAX_JOB_TOKENS (1ULL << 40)
+
 /** Tokens of a route that levels show as finished. */
 typedef struct {
     double tokens; /**< Decayed up to at_ms. */
@@ -34,6 +37,7 @@
 } partition_level;
 
 struct hs_quota_fold {
+    uint32_t partition_count;
     GHashTable *levels;      /**< partition -> partition_level* */
     GPtrArray *reservations; /**< of hs_quota_reservation*, by offset. */
     GHashTable *drains;      /**< route -> route_drain* */
@@ -55,8 +59,9 @@
     g_free(reservation);
 }
 
-hs_quota_fold *hs_quota_fold_new(void) {
+hs_quota_fold *hs_quota_fold_new(uint32_t partition_count) {
     hs_quota_fold *fold = g_new0(hs_quota_fold, 1);
+    fold->partition_count = partition_count;
     fold->reservations = g_ptr_array_new_with_free_func(free_reservation);
     fold->levels = g_hash_table_new_full(NULL, NULL, NULL, free_level);
     fold->released = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -84,7 +89,7 @@
     reservation->job_id = g_strdup(reported->job_id);
     reservation->route = g_strdup(reported->route);
     reservation->submission = reported->submission;
-    reservation->tokens = reported->tokens;
+    reservation->tokens = MIN(reported->tokens, MAX_JOB_TOKENS);
     reservation->partition = reported->partition;
     reservation->offset = offset;
     reservation->read_ms = now_ms;
@@ -201,7 +206,7 @@
     g_autoptr(GHashTable) jobs = g_hash_table_new(g_str_hash, g_str_equal);
     for (size_t index = 0; index < reported->n_jobs; index++) {
         const Hs__QuotaJob *job = reported->jobs[index];
-        *tokens_of(level, job->route) += job->tokens;
+        *tokens_of(level, job->route) += MIN(job->tokens, MAX_JOB_TOKENS);
         g_hash_table_add(jobs, job->job_id);
     }
     note_drains(fold, before, level, now_ms);
@@ -210,18 +215,26 @@
     remove_reservations(fold, is_settled_by_level, &read);
 }
 
+/** Returns false if the record names a partition that does not exist. */
+static bool has_valid_partition(const hs_quota_fold *fold, const Hs__QuotaRecord *record) {
+    if (record->kind_case == HS__QUOTA_RECORD__KIND_RESERVATION)
+        return record->reservation->partition < fold->partition_count;
+    return record->kind_case != HS__QUOTA_RECORD__KIND_LEVEL ||
+           record->level->partition < fold->partition_count;
+}
+
 bool hs_quota_fold_apply(hs_quota_fold *fold, uint64_t offset, const uint8_t *bytes, size_t length,
                          uint64_t now_ms) {
     fold->next = offset + 1;
     Hs__QuotaRecord *record = hs__quota_record__unpack(NULL, length, bytes);
     if (record == NULL)
         return false;
-    bool is_known = true;
-    if (record->kind_case == HS__QUOTA_RECORD__KIND_RESERVATION)
+    bool is_known = has_valid_partition(fold, record);
+    if (is_known && record->kind_case == HS__QUOTA_RECORD__KIND_RESERVATION)
         apply_reservation(fold, offset, record->reservation, now_ms);
-    else if (record->kind_case == HS__QUOTA_RECORD__KIND_RELEASE)
+    else if (is_known && record->kind_case == HS__QUOTA_RECORD__KIND_RELEASE)
         apply_release(fold, record->release->submission);
-    else if (record->kind_case == HS__QUOTA_RECORD__KIND_LEVEL)
+    else if (is_known && record->kind_case == HS__QUOTA_RECORD__KIND_LEVEL)
         apply_level(fold, record->level, now_ms);
     else
         is_known = false;
--- a/src/jobs/quota_fold.h
+++ b/src/jobs/quota_fold.h
@@ -28,7 +28,8 @@
 
 typedef struct hs_quota_fold hs_quota_fold;
 
-hs_quota_fold *hs_quota_fold_new(void);
+/** Records of partitions from @p partition_count on count as malformed. */
+hs_quota_fold *hs_quota_fold_new(uint32_t partition_count);
 void hs_quota_fold_free(hs_quota_fold *fold);
 
 /**
--- a/tests/unit/test_quota.c
+++ b/tests/unit/test_quota.c
@@ -41,7 +41,7 @@
 
 /** Only earlier reservations count, each job once, and released ones do not. */
 static void reservations_count_in_log_order(void) {
-    hs_quota_fold *fold = hs_quota_fold_new();
+    hs_quota_fold *fold = hs_quota_fold_new(PARTITION_COUNT);
     apply_reservation(fold, "a", 1, 100);
     apply_reservation(fold, "b", 2, 200);
     apply_reservation(fold, "a", 3, 100);
@@ -59,7 +59,7 @@
 
 /** A retried append may store a reservation after its release. */
 static void a_late_copy_of_a_released_reservation_is_ignored(void) {
-    hs_quota_fold *fold = hs_quota_fold_new();
+    hs_quota_fold *fold = hs_quota_fold_new(PARTITION_COUNT);
     apply_release(fold, 7);
     apply_reservation(fold, "a", 7, 100);
     CU_ASSERT_EQUAL(hs_quota_fold_reserved(fold, "r", "x", 9), 0);
@@ -90,7 +90,7 @@
                                       .status_ms = 60000};
     for (uint32_t part = 0; part < PARTITION_COUNT; part++)
         g_ptr_array_add(started->partitions, hs_job_partition_new(&settings, part));
-    started->quota = hs_job_quota_new(started->client);
+    started->quota = hs_job_quota_new(started->client, PARTITION_COUNT);
 }
 
 static void stop_daemon(test_daemon *stopped) {
@@ -320,7 +320,7 @@
 
 /** Tokens that a level no longer includes are drained, with decay; a growing level drains none. */
 static void drains_show_recently_finished_tokens(void) {
-    hs_quota_fold *fold = hs_quota_fold_new();
+    hs_quota_fold *fold = hs_quota_fold_new(PARTITION_COUNT);
     CU_ASSERT_EQUAL(hs_quota_fold_drain(fold, "r", 5).observed_ms, 0);
     apply_level(fold, 1, "a", 1000);
     apply_level(fold, 2, NULL, 2000);
@@ -335,7 +335,7 @@
 
 /** A level settles the reservations of its jobs; stale levels are ignored; reservations expire. */
 static void levels_replace_reservations(void) {
-    hs_quota_fold *fold = hs_quota_fold_new();
+    hs_quota_fold *fold = hs_quota_fold_new(PARTITION_COUNT);
     apply_reservation(fold, "a", 1, 100);
     apply_reservation(fold, "b", 2, 200);
     apply_level(fold, 5, "a", 10);
@@ -353,6 +353,52 @@
     hs_quota_fold_free(fold);
 }
 
+static bool apply_record(hs_quota_fold *fold, const Hs__QuotaRecord *record, uint64_t now_ms) {
+    uint8_t bytes[256];
+    size_t length = hs__quota_record__pack(record, bytes);
+    return hs_quota_fold_apply(fold, hs_quota_fold_next(fold), bytes, length, now_ms);
+}
+
+/** Guards against a route that stays full by records that no level of a partition replaces. */
+static void records_of_no_partition_fill_no_route(void) {
+    hs_quota_fold *fold = hs_quota_fold_new(PARTITION_COUNT);
+    Hs__QuotaReservation reservation = HS__QUOTA_RESERVATION__INIT;
+    reservation.job_id = "a";
+    reservation.route = "r";
+    reservation.tokens = 100;
+    reservation.partition = PARTITION_COUNT;
+    Hs__QuotaRecord record = HS__QUOTA_RECORD__INIT;
+    record.kind_case = HS__QUOTA_RECORD__KIND_RESERVATION;
+    record.reservation = &reservation;
+    CU_ASSERT_FALSE(apply_record(fold, &record, 1));
+    CU_ASSERT_EQUAL(hs_quota_fold_reserved(fold, "r", "x", 9), 0);
+    Hs__QuotaJob job = HS__QUOTA_JOB__INIT;
+    Hs__QuotaJob *jobs[] = {&job};
+    job.job_id = "b";
+    job.route = "r";
+    job.tokens = 70;
+    Hs__QuotaLevel level = HS__QUOTA_LEVEL__INIT;
+    level.partition = UINT32_MAX;
+    level.n_jobs = 1;
+    level.jobs = jobs;
+    record.kind_case = HS__QUOTA_RECORD__KIND_LEVEL;
+    record.level = &level;
+    CU_ASSERT_FALSE(apply_record(fold, &record, 1));
+    CU_ASSERT_EQUAL(hs_quota_fold_unfinished(fold, "r"), 0);
+    CU_ASSERT_EQUAL(hs_quota_fold_next(fold), 2);
+    hs_quota_fold_free(fold);
+}
+
+/** Guards against a sum that wraps to a small one, with which more jobs are accepted. */
+static void huge_reservations_do_not_wrap(void) {
+    hs_quota_fold *fold = hs_quota_fold_new(PARTITION_COUNT);
+    apply_reservation(fold, "a", 1, UINT64_MAX);
+    apply_reservation(fold, "b", 2, 2);
+    uint64_t reserved = hs_quota_fold_reserved(fold, "r", "x", 9);
+    CU_ASSERT(reserved > LIMIT && reserved < INT64_MAX);
+    hs_quota_fold_free(fold);
+}
+
 const test_case quota_tests[] = {
     {"reservations_count_in_log_order", reservations_count_in_log_order},
     {"a_late_copy_of_a_released_reservation_is_ignored",
@@ -362,5 +408,7 @@
     {"an_unavailable_store_gives_no_verdict", an_unavailable_store_gives_no_verdict},
     {"drains_show_recently_finished_tokens", drains_show_recently_finished_tokens},
     {"levels_replace_reservations", levels_replace_reservations},
+    {"records_of_no_partition_fill_no_route", records_of_no_partition_fill_no_route},
+    {"huge_reservations_do_not_wrap", huge_reservations_do_not_wrap},
     {NULL, NULL},
 };
