Bound the times of a job's manifest

Callers would have seen: items of a job whose route has a huge retention-s expire at once, as its end is the sum of two times that wraps.

Cause: submitted_ms, due_ms and retention_ms were taken from the record as they are, and added in 64 bits.

Evidence: times_of_a_manifest_do_not_wrap fails on the former code.

Fix: the fold bounds them, so that their sums fit. A manifest beyond the bounds is not rejected: earlier builds wrote such retentions for jobs that they had accepted.

--- a/src/jobs/job_state.c
+++ b/src/jobs/job_state.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+/** Bounds of the times of a manifest; their sums fit into 63 bits. */
+#define MAX_WALL_MS (1ULL << 42)
+#define MAX_PERIOD_MS (1ULL << 40)
+
 /** A result split into several records, not all of which have been applied. */
 typedef struct {
     char *job_id;
@@ -94,9 +98,9 @@
     job->host = g_strdup(manifest->host);
     job->target = g_strdup(manifest->target);
     job->tenant = g_strdup(manifest->tenant);
-    job->submitted_ms = manifest->submitted_ms;
-    job->due_ms = manifest->due_ms;
-    job->retention_ms = manifest->retention_ms;
+    job->submitted_ms = MIN(manifest->submitted_ms, MAX_WALL_MS);
+    job->due_ms = MIN(manifest->due_ms, MAX_PERIOD_MS);
+    job->retention_ms = MIN(manifest->retention_ms, MAX_PERIOD_MS);
     job->manifest_offset = offset;
     job->items = g_array_new(FALSE, FALSE, sizeof(hs_job_item));
     g_array_set_clear_func(job->items, clear_item);
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -298,6 +298,27 @@
     hs_job_state_free(state);
 }
 
+/** Guards against jobs that expire at once, or never, since a sum of their times wraps. */
+static void times_of_a_manifest_do_not_wrap(void) {
+    hs_job_state *state = hs_job_state_new();
+    Hs__JobManifest *manifest = make_manifest("h");
+    manifest->submitted_ms = UINT64_MAX;
+    manifest->due_ms = UINT64_MAX;
+    manifest->retention_ms = UINT64_MAX;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
+    record.manifest = manifest;
+    CU_ASSERT_TRUE(apply(state, &record));
+    const hs_job *job = hs_job_state_find(state, "job");
+    CU_ASSERT_PTR_NOT_NULL(job);
+    if (job != NULL) {
+        CU_ASSERT(job->submitted_ms > 0 && job->submitted_ms < INT64_MAX / 4);
+        CU_ASSERT(job->due_ms > 0 && job->due_ms < INT64_MAX / 4);
+        CU_ASSERT(job->retention_ms > 0 && job->retention_ms < INT64_MAX / 4);
+    }
+    hs_job_state_free(state);
+}
+
 /** A partition over a stand-in store. */
 typedef struct {
     log_store *store;
@@ -857,6 +878,7 @@
     {"outputs_of_two_owners_are_not_mixed", outputs_of_two_owners_are_not_mixed},
     {"output_of_other_software_is_not_continued", output_of_other_software_is_not_continued},
     {"unreadable_records_are_skipped", unreadable_records_are_skipped},
+    {"times_of_a_manifest_do_not_wrap", times_of_a_manifest_do_not_wrap},
     {"append_outcomes_match_store_faults", append_outcomes_match_store_faults},
     {"append_time_grows_up_to_the_limit", append_time_grows_up_to_the_limit},
     {"an_append_after_its_deadline_is_not_sent", an_append_after_its_deadline_is_not_sent},
