--- a/src/store/machine_list.c
+++ b/src/store/machine_list.c
@@ -29,6 +29,12 @@
     return text != NULL ? hs_endpoint_parse_address(text) : 0;
 }
 
+/** Returns a port, or 0 if it is missing or out of range. */
+static uint16_t read_port(const json_t *entry, const char *key) {
+    json_int_t port = json_integer_value(json_object_get(entry, key));
+    return port > 0 && port <= UINT16_MAX ? (uint16_t)port : 0;
+}
+
 static hs_machine *parse_machine(const json_t *entry) {
     const char *kind = json_string_value(json_object_get(entry, "kind"));
     if (kind == NULL || json_string_value(json_object_get(entry, "id")) == NULL)
@@ -44,8 +50,8 @@
     if (machine->labels == NULL)
         machine->labels = json_object();
     machine->address = read_address(entry);
-    machine->peer_port = (uint16_t)json_integer_value(json_object_get(entry, "peer_port"));
-    machine->admin_port = (uint16_t)json_integer_value(json_object_get(entry, "admin_port"));
+    machine->peer_port = read_port(entry, "peer_port");
+    machine->admin_port = read_port(entry, "admin_port");
     return machine;
 }
 
--- a/tests/unit/test_foreign_records.c
+++ b/tests/unit/test_foreign_records.c
@@ -1,11 +1,14 @@
 /** @file test_foreign_records.c  Records and bodies of other writers that no daemon would write. */
 #include "base/clock.h"
 #include "feed/state_feed.h"
+#include "http/listener.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/names.h"
 #include "platform/store_codec.h"
 #include "standin/log_store/log_store.h"
+#include "standin/port_lease/port_lease.h"
+#include "store/machine_list.h"
 #include "tests/unit/unit_tests.h"
 
 #include <netinet/in.h>
@@ -258,6 +261,40 @@
     hs_fleet_config_unref(other);
 }
 
+static void reply_machines(hs_inbound *inbound, void *user_data) {
+    (void)user_data;
+    static const char body[] =
+        "{\"machines\":[7,null,[],{\"id\":1,\"kind\":\"daemon\"},"
+        "{\"id\":\"a\",\"kind\":\"daemon\",\"address\":\"127.0.0.1\",\"peer_port\":65616,"
+        "\"admin_port\":-65456},"
+        "{\"id\":\"b\",\"kind\":\"daemon\",\"address\":\"127.0.0.1\",\"peer_port\":80.5,"
+        "\"admin_port\":65535,\"labels\":[1]}]}";
+    hs_inbound_reply(inbound, 200, NULL, body, strlen(body));
+}
+
+/** Guards against a port out of range that a cast turns into another one. */
+static void machines_get_no_port_out_of_range(void) {
+    uint16_t port = port_lease_take(1);
+    hs_error error = {0};
+    hs_listener *listener = hs_listener_start("127.0.0.1", port, &(hs_listener_limits){0},
+                                              reply_machines, NULL, &error);
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", port);
+    g_autofree char *etag = NULL;
+    GPtrArray *machines = NULL;
+    CU_ASSERT_EQUAL(hs_machine_list_read(url, 2, &etag, &machines, &error), 0);
+    CU_ASSERT_PTR_NOT_NULL(machines);
+    if (machines != NULL) {
+        CU_ASSERT_EQUAL(machines->len, 2);
+        for (guint index = 0; index < machines->len; index++) {
+            const hs_machine *machine = machines->pdata[index];
+            CU_ASSERT_EQUAL(machine->peer_port, 0);
+            CU_ASSERT_EQUAL(machine->admin_port, strcmp(machine->id, "b") == 0 ? 65535 : 0);
+        }
+        g_ptr_array_unref(machines);
+    }
+    hs_listener_stop(listener);
+}
+
 const test_case foreign_record_tests[] = {
     {"a_feed_goes_on_after_records_without_a_valid_key",
      a_feed_goes_on_after_records_without_a_valid_key},
@@ -270,5 +307,6 @@
      negative_numbers_of_a_configuration_are_replaced_by_defaults},
     {"configurations_with_large_versions_stay_distinct",
      configurations_with_large_versions_stay_distinct},
+    {"machines_get_no_port_out_of_range", machines_get_no_port_out_of_range},
     {"nested_bodies_fit_the_stacks_of_listeners", nested_bodies_fit_the_stacks_of_listeners},
     {NULL, NULL}};
