Have a stopping daemon exit within its grace time

The platform kills a daemon that has not exited grace_s after SIGTERM.

Causes, by the log's times: deleting the directory's record (up to 1 s) delayed the start of the hand-over, whose limit counts from its own start; a join in progress and the leave of the group took up to 0.9 s each and more on a slow store; the stop waited for both although the requests' deadline was over; and the joins of threads afterwards have no limit.

The leave of the directory now only sends datagrams. The record is deleted after the hand-over and the leave of the group, and all three end by the deadline of open requests. At that deadline the calls to the store are interrupted. A stop that has used up its time exits without joining threads; exit_limit ends any other that still runs 400 ms before the grace's end. A stop that ends early still frees everything. stop_step logs the slow steps.

Test: fleet_stop_lengths, whose tests with a failing store failed before; thread.a_process_that_waits_for_a_thread_exits_at_its_limit.

--- /dev/null
+++ b/src/base/exit_limit.h
@@ -0,0 +1,25 @@
+/**
+ * @file exit_limit.h
+ * Bounds the time until the process exits: whatever still runs at the deadline, such as a join of a
+ * thread that waits for an answer, is abandoned. Thread-safe.
+ */
+#ifndef HS_BASE_EXIT_LIMIT_H
+#define HS_BASE_EXIT_LIMIT_H
+
+#include <stdint.h>
+#include <stdnoreturn.h>
+
+/**
+ * Ends the process with EXIT_SUCCESS while its threads still run. Buffered log lines are written;
+ * exit handlers, which free what the threads use, are not called.
+ */
+noreturn void hs_exit_at_once(void);
+
+/**
+ * Ends the process with EXIT_SUCCESS at the monotonic time @p deadline_ms, or up to the time of a
+ * flush of the log later, unless it has ended by then. There is no
+ * limit if the system cannot create a thread.
+ */
+void hs_exit_limit_start(uint64_t deadline_ms);
+
+#endif
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -238,12 +238,11 @@
 }
 
 /** Writes this daemon's record to the store, or deletes it if @p leaves. */
-static bool write_record(hs_daemon_directory *directory, bool leaves) {
+static bool write_record(hs_daemon_directory *directory, bool leaves, uint32_t limit_ms) {
     g_autofree char *value =
         g_strdup_printf("%s:%u", directory->settings.address, directory->settings.peer_port);
     return hs_keyed_topic_write(directory->settings.store, HS_TOPIC_MEMBERS, directory->settings.id,
-                                value, leaves ? 0 : strlen(value),
-                                REGISTRY_CALL_MS) == HS_STORE_DONE;
+                                value, leaves ? 0 : strlen(value), limit_ms) == HS_STORE_DONE;
 }
 
 static void propose_entry(const hs_newest_entry *entry, void *user_data) {
@@ -315,7 +314,7 @@
         if (hs_clock_monotonic_ms() < next_ms)
             continue;
         if (!is_written)
-            is_written = write_record(directory, false);
+            is_written = write_record(directory, false, REGISTRY_CALL_MS);
         update_registry(directory);
         next_ms = hs_clock_monotonic_ms() + HS_REGISTRY_INTERVAL_MS;
     } while (hs_stop_wait_pause(&directory->pause, g_atomic_int_get(&directory->joined) != 0
@@ -505,7 +504,12 @@
 void hs_daemon_directory_leave(hs_daemon_directory *directory) {
     g_atomic_int_set(&directory->leaving, 1);
     hs_membership_service_leave(directory->membership);
-    write_record(directory, true);
+}
+
+void hs_daemon_directory_delete_record(hs_daemon_directory *directory, hs_deadline deadline) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    if (now_ms < deadline)
+        write_record(directory, true, (uint32_t)MIN(deadline - now_ms, REGISTRY_CALL_MS));
 }
 
 void hs_daemon_directory_free(hs_daemon_directory *directory) {
--- a/src/directory/daemon_directory.h
+++ b/src/directory/daemon_directory.h
@@ -57,11 +57,14 @@
 void hs_daemon_directory_start(hs_daemon_directory *directory);
 
 /**
- * Announces to peers and the store that this daemon leaves. From then on this daemon is left out of
- * the addresses returned to callers.
+ * Announces to peers that this daemon leaves. From then on this daemon is left out of the addresses
+ * returned to callers. Does not wait for answers.
  */
 void hs_daemon_directory_leave(hs_daemon_directory *directory);
 
+/** Deletes this daemon's record at the store, by @p deadline. Call after the leave. */
+void hs_daemon_directory_delete_record(hs_daemon_directory *directory, hs_deadline deadline);
+
 /** Stops the threads and frees the directory. Abandon the store client first. NULL is allowed. */
 void hs_daemon_directory_free(hs_daemon_directory *directory);
 
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -49,6 +49,7 @@
     owner->settings = *settings;
     g_mutex_init(&owner->lock);
     g_cond_init(&owner->changed);
+    hs_interrupt_init(&owner->joins);
     owner->partitions = g_ptr_array_new_with_free_func(free_partition);
     for (uint32_t number = 0; number < settings->part_count; number++) {
         hs_owned_job_partition *owned = g_new0(hs_owned_job_partition, 1);
@@ -254,8 +255,8 @@
     hs_store_client *store = owner->settings.store;
     uint64_t limit_ms = hs_store_client_read_limit_ms(store, JOIN_LIMIT_MS, owner->failed_joins);
     limit_ms = MIN(limit_ms, MAX(JOIN_LIMIT_MS, owner->settings.group_ttl_ms * 2 / JOINS_PER_TTL));
-    hs_store_outcome outcome =
-        hs_store_client_send(store, &call, hs_clock_monotonic_ms() + limit_ms, NULL, answer);
+    hs_store_outcome outcome = hs_store_client_send(
+        store, &call, hs_clock_monotonic_ms() + limit_ms, &owner->joins, answer);
     owner->failed_joins = outcome == HS_STORE_DONE ? 0 : owner->failed_joins + 1;
     if (outcome == HS_STORE_DONE &&
         hs_platform_read_join_response(answer, &owner->generation, numbers))
@@ -265,11 +266,11 @@
     return outcome;
 }
 
-static void send_leave(hs_job_owner *owner) {
+static void send_leave(hs_job_owner *owner, hs_deadline deadline) {
     hs_store_call call = hs_platform_build_leave_call(owner->settings.member, owner->generation);
     GByteArray *answer = g_byte_array_new();
-    hs_store_client_send(owner->settings.store, &call, hs_clock_monotonic_ms() + JOIN_LIMIT_MS,
-                         NULL, answer);
+    hs_store_client_send(owner->settings.store, &call,
+                         MIN(deadline, hs_clock_monotonic_ms() + JOIN_LIMIT_MS), NULL, answer);
     g_byte_array_free(answer, TRUE);
 }
 
@@ -279,7 +280,7 @@
     hs_log_info("group_left", "reason=larger_machines generation=%" G_GUINT64_FORMAT,
                 (guint64)owner->generation);
     set_owned(owner, none);
-    send_leave(owner);
+    send_leave(owner, UINT64_MAX);
 }
 
 /**
@@ -310,10 +311,30 @@
         while (!owner->stopping && hs_clock_pause_wait(&pause, &owner->changed, &owner->lock))
             continue;
     }
+    owner->has_group_ended = true;
+    g_cond_broadcast(&owner->changed);
     g_mutex_unlock(&owner->lock);
     return NULL;
 }
 
+/**
+ * Ends the group's thread. A join in progress gets half of the time until @p deadline, since one
+ * that is interrupted may take effect after the leave.
+ */
+static void end_group(hs_job_owner *owner, hs_deadline deadline) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    hs_deadline until = deadline > now_ms ? now_ms + (deadline - now_ms) / 2 : now_ms;
+    if (owner->group == NULL)
+        return;
+    g_mutex_lock(&owner->lock);
+    while (!owner->has_group_ended && hs_clock_wait_until(until, &owner->changed, &owner->lock))
+        continue;
+    g_mutex_unlock(&owner->lock);
+    hs_interrupt_raise(&owner->joins, HS_INTERRUPT_STOP);
+    g_thread_join(owner->group);
+    owner->group = NULL;
+}
+
 void hs_job_owner_start(hs_job_owner *owner) {
     owner->group = g_thread_new("job-group", run_group, owner);
     owner->scheduler = g_thread_new("job-scheduler", hs_job_scheduler_run, owner);
@@ -335,7 +356,7 @@
     return running;
 }
 
-void hs_job_owner_leave(hs_job_owner *owner) {
+void hs_job_owner_leave(hs_job_owner *owner, hs_deadline deadline) {
     g_mutex_lock(&owner->lock);
     owner->stopping = true;
     owner->draining = true;
@@ -348,10 +369,8 @@
     }
     g_cond_broadcast(&owner->changed);
     g_mutex_unlock(&owner->lock);
-    if (owner->group != NULL)
-        g_thread_join(owner->group);
-    owner->group = NULL;
-    send_leave(owner);
+    end_group(owner, deadline);
+    send_leave(owner, deadline);
 }
 
 void hs_job_owner_free(hs_job_owner *owner) {
@@ -369,6 +388,7 @@
     g_hash_table_destroy(owner->services);
     if (owner->runners != NULL)
         g_array_unref(owner->runners);
+    hs_interrupt_clear(&owner->joins);
     g_cond_clear(&owner->changed);
     g_mutex_clear(&owner->lock);
     g_free(owner);
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -48,8 +48,11 @@
 /** Appends the metrics of the demand forecast and of item starts to @p text, one per line. */
 void hs_job_owner_write_metrics(hs_job_owner *owner, GString *text);
 
-/** Leaves the group and drops running items and progress that has not been stored. */
-void hs_job_owner_leave(hs_job_owner *owner);
+/**
+ * Leaves the group and drops running items and progress that has not been stored. Calls to the
+ * store end by @p deadline.
+ */
+void hs_job_owner_leave(hs_job_owner *owner, hs_deadline deadline);
 
 /**
  * Joins the threads and frees the owner; hs_job_owner_leave must have returned. NULL is allowed.
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -91,6 +91,8 @@
     GPtrArray *partitions; /**< of hs_owned_job_partition*: all partitions, by number. */
     uint64_t generation;
     bool is_group_member;  /**< Used by the group's thread only. */
+    bool has_group_ended;  /**< The group's thread makes no more calls. */
+    hs_interrupt joins;    /**< Ends a join in progress. */
     uint32_t failed_joins; /**< Since the last successful one; used by the group's thread only. */
     bool stopping;
     bool draining;
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -64,6 +64,8 @@
         {"fleet_regions", fleet_region_system_tests, begin_fleet_regions, end_fleet_regions},
         {"fleet_peer_state", fleet_peer_state_system_tests, bench_set_up, bench_tear_down},
         {"fleet_stops", fleet_stop_system_tests, begin_stops, end_stops},
+        {"fleet_stop_lengths", fleet_stop_length_system_tests, begin_stop_lengths,
+         end_stop_lengths},
         {"fleet_waking", fleet_waking_system_tests, bench_set_up, bench_tear_down},
         {"fleet_silence", fleet_silence_system_tests, begin_silence, end_silence},
         {"fleet_warmup", fleet_warmup_system_tests, begin_warmup, bench_tear_down},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -105,6 +105,12 @@
 int begin_stops(void);
 int end_stops(void);
 
+/** Start and stop the bench with items of seconds, and a proxy between each daemon and the store.
+ */
+extern const test_case fleet_stop_length_system_tests[];
+int begin_stop_lengths(void);
+int end_stop_lengths(void);
+
 extern const test_case fleet_peer_state_system_tests[];
 
 /** Starts the bench with a limit of cold engines; bench_tear_down stops it. */
--- a/tests/unit/test_thread.c
+++ b/tests/unit/test_thread.c
@@ -1,9 +1,12 @@
 /** @file test_thread.c  Starting of threads, also if the system cannot create one. */
+#include "base/clock.h"
+#include "base/exit_limit.h"
 #include "base/thread.h"
 #include "tests/unit/unit_tests.h"
 
 #include <stdbool.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -12,6 +15,7 @@
 /** Address space for two or three more stacks of 8 MB. */
 #define EXTRA_ADDRESS_SPACE_BYTES ((rlim_t)20 * 1024 * 1024)
 #define MAX_THREADS 64
+#define EXIT_LIMIT_MS 100
 
 static gpointer do_nothing(gpointer data) {
     return data;
@@ -63,7 +67,25 @@
     CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == CHILD_WAS_REFUSED);
 }
 
+/** Guards against a process that outlives its limit in a join. */
+static void a_process_that_waits_for_a_thread_exits_at_its_limit(void) {
+    uint64_t started_ms = hs_clock_monotonic_ms();
+    pid_t child = fork();
+    CU_ASSERT_FATAL(child >= 0);
+    if (child == 0) {
+        hs_exit_limit_start(started_ms + EXIT_LIMIT_MS);
+        g_thread_join(hs_thread_try_start("test", wait_forever, NULL));
+        _exit(CHILD_WAS_REFUSED);
+    }
+    int status = -1;
+    CU_ASSERT_EQUAL(waitpid(child, &status, 0), child);
+    CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == EXIT_SUCCESS);
+    CU_ASSERT(hs_clock_monotonic_ms() - started_ms >= EXIT_LIMIT_MS);
+}
+
 const test_case thread_tests[] = {
+    {"a_process_that_waits_for_a_thread_exits_at_its_limit",
+     a_process_that_waits_for_a_thread_exits_at_its_limit},
     {"a_thread_runs_and_is_joined", a_thread_runs_and_is_joined},
     {"a_failed_start_does_not_end_the_process", a_failed_start_does_not_end_the_process},
     {NULL, NULL}};
