End calls on jobs before the deadline of a stop

A read of results, an item's body or the end of a job that was completed late in a stop waited up to 5 s, past the end of the process: its connection was closed without an answer, and the process waited for it beyond its grace time. fleet_stop_lengths on, calls completed 3.5 and 5.1 s after SIGTERM, grace 6 s: with the store healthy a read ended without an answer at 5.5 s and the process at 6.5 s; with a silent store calls were answered at 7.5 s or cut (end and item, each once in two runs), and the process ended at 6.2 to 9.4 s.

The deadline of a call and the wait for a result are at most the deadline of the stop, also of one that begins during the wait.

--- a/src/base/drain.c
+++ b/src/base/drain.c
@@ -44,6 +44,11 @@
     return has_started;
 }
 
+uint64_t hs_drain_limit(hs_drain *drain, uint64_t time_ms) {
+    hs_drain_times times;
+    return hs_drain_get(drain, &times) ? MIN(time_ms, times.deadline_ms) : time_ms;
+}
+
 void hs_drain_expire(hs_drain *drain) {
     hs_interrupt_raise(&drain->expiry, HS_INTERRUPT_STOP);
 }
--- a/src/base/drain.h
+++ b/src/base/drain.h
@@ -31,6 +31,9 @@
  */
 bool hs_drain_get(hs_drain *drain, hs_drain_times *times);
 
+/** Returns @p time_ms, or the stop's deadline if that is earlier. @p drain may be NULL. */
+uint64_t hs_drain_limit(hs_drain *drain, uint64_t time_ms);
+
 /** Ends all waits for work that is still open; see hs_drain_interrupt. */
 void hs_drain_expire(hs_drain *drain);
 
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -181,7 +181,8 @@
                                    .part_count = (uint32_t)settings->fleet_parts,
                                    .record_bytes = (uint32_t)settings->fleet_record_bytes,
                                    .call_bytes = (uint32_t)settings->fleet_call_bytes,
-                                   .status_ms = (uint64_t)(settings->fleet_status_s * MS_PER_S)};
+                                   .status_ms = (uint64_t)(settings->fleet_status_s * MS_PER_S),
+                                   .drain = daemon->drain};
     daemon->jobs = hs_job_service_new(&store, daemon->directory);
     hs_job_owner_settings owner = {.member = settings->daemon_id,
                                    .part_count = store.part_count,
--- a/src/jobs/job_calls.c
+++ b/src/jobs/job_calls.c
@@ -126,6 +126,7 @@
     hs_deadline wait_until = call->inbound->received_ms + get_wait_ms(call);
     bool was_held = false;
     while (true) {
+        wait_until = hs_drain_limit(call->service->settings.drain, wait_until);
         hs_job_state *state = hs_job_partition_lock(call->partition);
         uint64_t next = hs_job_state_next_offset(state);
         const hs_job *job = find_job(call, state);
@@ -339,9 +340,9 @@
     return is_answer;
 }
 
-static hs_deadline get_deadline(const hs_inbound *inbound, const hs_caller_terms *terms,
-                                hs_call_kind kind) {
-    hs_deadline deadline = hs_job_call_deadline(inbound, terms);
+static hs_deadline get_deadline(const hs_job_service *service, const hs_inbound *inbound,
+                                const hs_caller_terms *terms, hs_call_kind kind) {
+    hs_deadline deadline = hs_job_call_deadline(service, inbound, terms);
     return kind == HS_CALL_JOB_END ? MAX(deadline - END_ANSWER_SLACK_MS, inbound->received_ms)
                                    : deadline;
 }
@@ -357,7 +358,7 @@
                       .config = caller->config,
                       .kind = kind,
                       .job_id = job_id,
-                      .deadline = get_deadline(inbound, caller->terms, kind),
+                      .deadline = get_deadline(service, inbound, caller->terms, kind),
                       .fold_age_ms = hs_job_partition_age_ms(partition),
                       .memory = {.kind = HS_MEMORY_JOBS},
                       .page_results = -1};
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -263,12 +263,16 @@
     return (uint32_t)(MIN(due_ms, until_ms) - now_ms);
 }
 
-/** As hs_job_partition_wait; a poll ends at @p poll_until at the latest. */
+/**
+ * As hs_job_partition_wait; a poll ends at @p poll_until at the latest. @p drain: the stop that
+ * ends the wait; NULL: none does.
+ */
 static void wait_past(hs_job_partition *partition, uint64_t offset, hs_deadline until,
-                      hs_deadline poll_until) {
+                      hs_deadline poll_until, hs_drain *drain) {
     g_mutex_lock(&partition->lock);
     while (hs_job_state_next_offset(partition->state) <= offset) {
         uint64_t now_ms = hs_clock_monotonic_ms();
+        until = hs_drain_limit(drain, until);
         if (now_ms >= until)
             break;
         if (partition->is_following) {
@@ -291,11 +295,11 @@
 }
 
 void hs_job_partition_wait(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
-    wait_past(partition, offset, until, until + CALLER_ANSWER_LIMIT_MS);
+    wait_past(partition, offset, until, until + CALLER_ANSWER_LIMIT_MS, partition->settings.drain);
 }
 
 void hs_job_partition_follow(hs_job_partition *partition, uint64_t offset, hs_deadline until) {
-    wait_past(partition, offset, until, UINT64_MAX);
+    wait_past(partition, offset, until, UINT64_MAX, NULL);
 }
 
 Hs__JobItemContent *hs_job_partition_read_content(hs_job_partition *partition, uint64_t offset,
--- a/src/jobs/job_partition.h
+++ b/src/jobs/job_partition.h
@@ -6,6 +6,7 @@
 #ifndef HS_JOBS_JOB_PARTITION_H
 #define HS_JOBS_JOB_PARTITION_H
 
+#include "base/drain.h"
 #include "jobs/job_contents.h"
 #include "jobs/job_relay.h"
 #include "jobs/job_state.h"
@@ -21,6 +22,7 @@
     uint32_t call_bytes;
     hs_job_relay *relay; /**< NULL: records are never appended through other daemons. */
     uint64_t status_ms;  /**< Time after its submission for which a finished job can be read. */
+    hs_drain *drain;     /**< Calls of callers end before its deadline; NULL: never stops. */
 } hs_job_store_settings;
 
 hs_job_partition *hs_job_partition_new(const hs_job_store_settings *settings, uint32_t number);
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -113,11 +113,13 @@
     hs_http_fields_free(fields);
 }
 
-hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms) {
+hs_deadline hs_job_call_deadline(const hs_job_service *service, const hs_inbound *inbound,
+                                 const hs_caller_terms *terms) {
     uint64_t limit_ms = CALL_LIMIT_MS;
     if (terms->timeout_ms > 0)
         limit_ms = MIN(limit_ms, terms->timeout_ms);
-    return inbound->received_ms + limit_ms;
+    hs_deadline deadline = hs_drain_limit(service->settings.drain, inbound->received_ms + limit_ms);
+    return MAX(deadline, inbound->received_ms);
 }
 
 hs_deadline hs_job_attempt_deadline(hs_deadline deadline) {
--- a/src/jobs/job_service_state.h
+++ b/src/jobs/job_service_state.h
@@ -43,8 +43,9 @@
 /** Refuses a request with 429 or 503 and a Retry-After of at least @p retry_after_ms. */
 void hs_job_refuse(hs_inbound *inbound, uint32_t status, const char *text, uint64_t retry_after_ms);
 
-/** Returns the time by which a request must be answered. */
-hs_deadline hs_job_call_deadline(const hs_inbound *inbound, const hs_caller_terms *terms);
+/** Returns the time by which a request must be answered, also if this process stops. */
+hs_deadline hs_job_call_deadline(const hs_job_service *service, const hs_inbound *inbound,
+                                 const hs_caller_terms *terms);
 
 /**
  * Returns the deadline of one attempt of an operation that the caller may retry at another daemon.
--- a/src/jobs/job_submission.c
+++ b/src/jobs/job_submission.c
@@ -347,7 +347,7 @@
                       .memory = {.kind = HS_MEMORY_JOBS},
                       .is_forwarded = is_forwarded,
                       .regions = make_body_regions(service, caller, config, route),
-                      .deadline = hs_job_call_deadline(inbound, terms)};
+                      .deadline = hs_job_call_deadline(service, inbound, terms)};
     job.refusal_deadline = inbound->received_ms + (job.deadline - inbound->received_ms) / 2;
     hs_job_visibility visibility = check_visibility(&job);
     if (visibility == HS_JOB_VISIBLE)
@@ -371,8 +371,8 @@
         return false;
     hs_job_partition *partition = hs_job_service_partition_for_job(service, terms->request_id);
     if (hs_job_check_visibility(partition, terms->request_id, caller->tenant) == HS_JOB_UNKNOWN)
-        hs_job_partition_catch_up(partition,
-                                  hs_job_attempt_deadline(hs_job_call_deadline(inbound, terms)));
+        hs_job_partition_catch_up(
+            partition, hs_job_attempt_deadline(hs_job_call_deadline(service, inbound, terms)));
     return hs_job_check_visibility(partition, terms->request_id, caller->tenant) != HS_JOB_UNKNOWN;
 }
 
--- a/tests/system/test_fleet_stop_lengths.c
+++ b/tests/system/test_fleet_stop_lengths.c
@@ -1,7 +1,7 @@
 /**
  * @file test_fleet_stop_lengths.c
- * System tests of the time from SIGTERM to the exit of a daemon, while the store works or
- * fails.
+ * System tests of the time from SIGTERM to the exit of a daemon, and of calls on jobs that are open
+ * meanwhile, while the store works or fails.
  */
 #include "base/clock.h"
 #include "platform/names.h"
@@ -31,6 +31,7 @@
 #define NOTICED_MS 3000
 /** Time after SIGTERM at which late calls are complete. */
 #define LATE_MS 3500
+#define LAST_MS 5100
 #define ANSWER_LIMIT_MS 10000
 
 typedef enum { STORE_HEALTHY, STORE_SILENT, STORE_SLOW, STORE_REFUSING } store_state;
@@ -124,6 +125,32 @@
     stop_at_work(0, STORE_REFUSING, NOTICED_MS, "refusing-long");
 }
 
+/** Calls on jobs, each sent without its end before SIGTERM and completed during the stop. */
+static const struct {
+    const char *name;
+    const char *start; /**< Format with the id of an open job. */
+} late_calls[] = {
+    {"read", "GET " PATH_JOBS "%s?after=0"},
+    {"read of an unknown job", "GET " PATH_JOBS "not-%s?after=0"},
+    {"item", "GET " PATH_ITEMS "%1$s?id=%1$s-1"},
+    {"end", "DELETE " PATH_JOBS "%s-ended"},
+};
+#define LATE_CALLS G_N_ELEMENTS(late_calls)
+
+static raw_caller *begin_late_call(int daemon, size_t index, const char *job) {
+    g_autofree char *target = g_strdup_printf(late_calls[index].start, job);
+    g_autofree char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: " BENCH_HOST "\r\n", target);
+    return send_incomplete(daemon, text);
+}
+
+static raw_caller *begin_late_submission(int daemon, const char *job, const char *body) {
+    g_autofree char *text =
+        g_strdup_printf("POST /jobs/x HTTP/1.1\r\nHost: " BENCH_HOST "\r\n" HEADER_REQUEST_ID
+                        ": late-%s\r\nContent-Length: %zu\r\n\r\n",
+                        job, strlen(body));
+    return send_incomplete(daemon, text);
+}
+
 static void check_late_answer(raw_caller *caller, const char *name, uint64_t signal_ms) {
     stop_request request = {0};
     stop_caller_read_answer(caller, &request, ANSWER_LIMIT_MS);
@@ -133,6 +160,30 @@
     raw_caller_close(caller);
 }
 
+/** Completes calls late in a stop; each must get a whole answer. */
+static void complete_calls_in_a_stop(int daemon, store_state state, uint64_t late_ms,
+                                     const char *job) {
+    raw_caller *callers[LATE_CALLS];
+    g_autofree char *body = bench_job_body(job, 1);
+    g_autofree char *ended = g_strconcat(job, "-ended", NULL);
+    CU_ASSERT_EQUAL(submit_job(daemon, job, 2), 202);
+    CU_ASSERT_EQUAL(submit_job(daemon, ended, 2), 202);
+    for (size_t index = 0; index < LATE_CALLS; index++)
+        callers[index] = begin_late_call(daemon, index, job);
+    raw_caller *submission = begin_late_submission(daemon, job, body);
+    hs_clock_sleep_ms(100);
+    uint64_t signal_ms = begin_stop(daemon);
+    set_store(state);
+    hs_clock_sleep_ms(late_ms);
+    for (size_t index = 0; index < LATE_CALLS; index++)
+        CU_ASSERT_TRUE(raw_caller_send(callers[index], HEADER_WAIT_MS ": 5000\r\n\r\n"));
+    CU_ASSERT_TRUE(raw_caller_send(submission, body));
+    check_late_answer(submission, "submission", signal_ms);
+    for (size_t index = 0; index < LATE_CALLS; index++)
+        check_late_answer(callers[index], late_calls[index].name, signal_ms);
+    end_stop(daemon, signal_ms);
+}
+
 static void further_signals_do_not_change_a_stop(void) {
     raw_caller *caller = send_incomplete(2, "POST /plain/x HTTP/1.1\r\nHost: " BENCH_HOST
                                             "\r\nContent-Length: 5\r\n\r\nhe");
@@ -147,10 +198,29 @@
     end_stop(2, signal_ms);
 }
 
+static void calls_on_jobs_are_answered_before_a_stop_ends(void) {
+    complete_calls_in_a_stop(0, STORE_HEALTHY, LATE_MS, "late-a");
+}
+
+static void calls_on_jobs_are_answered_before_a_stop_with_a_silent_store_ends(void) {
+    complete_calls_in_a_stop(1, STORE_SILENT, LATE_MS, "late-b");
+    complete_calls_in_a_stop(1, STORE_SILENT, LAST_MS, "late-c");
+}
+
+static void calls_on_jobs_are_answered_before_a_stop_with_a_slow_store_ends(void) {
+    complete_calls_in_a_stop(2, STORE_SLOW, LATE_MS, "late-d");
+}
+
 const test_case fleet_stop_length_system_tests[] = {
     {"a_stop_ends_in_time", a_stop_ends_in_time},
     {"a_stop_with_a_silent_store_ends_in_time", a_stop_with_a_silent_store_ends_in_time},
     {"a_stop_with_a_slow_store_ends_in_time", a_stop_with_a_slow_store_ends_in_time},
     {"a_stop_with_a_refusing_store_ends_in_time", a_stop_with_a_refusing_store_ends_in_time},
     {"further_signals_do_not_change_a_stop", further_signals_do_not_change_a_stop},
+    {"calls_on_jobs_are_answered_before_a_stop_ends",
+     calls_on_jobs_are_answered_before_a_stop_ends},
+    {"calls_on_jobs_are_answered_before_a_stop_with_a_silent_store_ends",
+     calls_on_jobs_are_answered_before_a_stop_with_a_silent_store_ends},
+    {"calls_on_jobs_are_answered_before_a_stop_with_a_slow_store_ends",
+     calls_on_jobs_are_answered_before_a_stop_with_a_slow_store_ends},
     {NULL, NULL}};
--- a/tests/unit/test_stop_admission.c
+++ b/tests/unit/test_stop_admission.c
@@ -80,7 +80,18 @@
     hs_drain_free(drain);
 }
 
+static void a_stop_moves_later_deadlines_to_its_own(void) {
+    hs_drain *drain = hs_drain_new();
+    CU_ASSERT_EQUAL(hs_drain_limit(NULL, 9), 9);
+    CU_ASSERT_EQUAL(hs_drain_limit(drain, 9), 9);
+    hs_drain_begin(drain, &(hs_drain_times){.started_ms = 1, .deadline_ms = 5});
+    CU_ASSERT_EQUAL(hs_drain_limit(drain, 9), 5);
+    CU_ASSERT_EQUAL(hs_drain_limit(drain, 4), 4);
+    hs_drain_free(drain);
+}
+
 const test_case stop_admission_tests[] = {
+    {"a_stop_moves_later_deadlines_to_its_own", a_stop_moves_later_deadlines_to_its_own},
     {"requests_that_may_outlive_the_stop_are_not_sent",
      requests_that_may_outlive_the_stop_are_not_sent},
     {"requests_that_probably_end_are_sent_while_callers_do_not_know",
