fleet_bench: daemons start with SIGHUP blocked

A SIGHUP of the soak within milliseconds of a daemon's start reached the forked child before its exec, whose handler of the soak's own (end_at_signal) killed all daemons and exited with status 129; after the exec it would end the daemon before it installs its handling. SIGTERM was already kept pending for the same reason.

--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -151,13 +151,14 @@
     int output[2] = {-1, -1};
     if (has_unread_output && pipe(output) != 0)
         return false;
-    /* The child inherits a blocked SIGTERM, so that a signal before the daemon installs its
-     * handling stays pending instead of ending the process. */
-    sigset_t stop_signals;
+    /* The child inherits blocked signals, so that one before the daemon installs its handling
+     * stays pending instead of ending the process. */
+    sigset_t daemon_signals;
     sigset_t previous_signals;
-    sigemptyset(&stop_signals);
-    sigaddset(&stop_signals, SIGTERM);
-    pthread_sigmask(SIG_BLOCK, &stop_signals, &previous_signals);
+    sigemptyset(&daemon_signals);
+    sigaddset(&daemon_signals, SIGTERM);
+    sigaddset(&daemon_signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &daemon_signals, &previous_signals);
     pid_t pid = fork();
     if (pid != 0)
         pthread_sigmask(SIG_SETMASK, &previous_signals, NULL);
