soak: answers that are cut while their daemon stops

- Twenty callers keep raw connections in use until their daemon ends them, with streams of 3.6 s that may be repeated or not, short streams and plain requests; whole, with a late last chunk, unframed, or read late.
What the system test's callers do is shared (tests/support/stop_request); engines of the bench have a third pace of streams.
- One to three daemons stop at once or in turn, once in each series and by chance; half get a SIGHUP during the stop, half a second SIGTERM.
- A request that an engine got, or that was not answered within 200 ms, has a whole answer unless rule LOST excuses the cut: sent within 3 s of the signal and an engine at work in the last sixth of the grace time, or its deadline passed.
It is judged if the daemon had no other fault meanwhile, nor an engine that got it or its link.
A stream that ends in order has its last event unless its daemon was killed.
The verdict counts judged, excused and cut requests.

--- a/standin/token_engine/token_engine.c
+++ b/standin/token_engine/token_engine.c
@@ -230,10 +230,10 @@
 }
 
 static const token_engine_pace *select_pace(const token_engine *engine, const char *path) {
-    const char *const *prefix = engine->settings.long_paths;
-    for (; prefix != NULL && *prefix != NULL; prefix++)
-        if (g_str_has_prefix(path, *prefix))
-            return &engine->settings.long_pace;
+    const token_engine_path_pace *entry = engine->settings.path_paces;
+    for (; entry != NULL && entry->prefix != NULL; entry++)
+        if (g_str_has_prefix(path, entry->prefix))
+            return &entry->pace;
     return &engine->settings.pace;
 }
 
--- a/standin/token_engine/token_engine.h
+++ b/standin/token_engine/token_engine.h
@@ -38,19 +38,26 @@
     uint32_t event_ms; /**< Interval between events. */
 } token_engine_pace;
 
-/** Settings of an engine. The engine copies @c id and @c service; other strings must outlive it. */
+/** Length and speed of the streams of some paths. */
+typedef struct {
+    const char *prefix; /**< Of the path. */
+    token_engine_pace pace;
+} token_engine_path_pace;
+
+/** Settings of an engine. The engine copies @c id and @c service; other pointers must outlive it.
+ */
 typedef struct {
     const char *id;
     const char *service;
     token_engine_pace pace;
-    const char *const *long_paths; /**< Path prefixes of long streams, NULL-terminated; or NULL. */
-    token_engine_pace long_pace;   /**< Used for @c long_paths, @c pace for other paths. */
-    uint32_t break_after;          /**< Events before a cut or a spoiled event; see the modes. */
-    bool announces_start;          /**< The entry contains the start time. */
-    const char *zone;              /**< Zone in the entry; NULL: "zone-a". */
-    uint32_t slots;                /**< Slots in the entry; 0: the default of 8. */
-    const char *fatal;             /**< Prefix of bodies that request a crash of the engine after
-                                        fatal_after_ms; NULL: none. */
+    const token_engine_path_pace *path_paces; /**< Instead of @c pace, by path; the last prefix is
+                                                   NULL. NULL: none. */
+    uint32_t break_after;   /**< Events before a cut or a spoiled event; see the modes. */
+    bool announces_start;   /**< The entry contains the start time. */
+    const char *zone;       /**< Zone in the entry; NULL: "zone-a". */
+    uint32_t slots;         /**< Slots in the entry; 0: the default of 8. */
+    const char *fatal;      /**< Prefix of bodies that request a crash of the engine after
+                                 fatal_after_ms; NULL: none. */
     const char *fatal_part; /**< Prefix of ids of prompt parts that request a crash in the same way,
                                  each unless it is the last part; NULL: none. */
     uint32_t fatal_after_ms;
--- a/tests/soak/checks.h
+++ b/tests/soak/checks.h
@@ -3,6 +3,7 @@
 #define TESTS_SOAK_CHECKS_H
 
 #include "tests/support/crash_fleet.h"
+#include "tests/support/stop_request.h"
 #include "tools/surface/fleet_bench.h"
 
 #include <glib.h>
@@ -37,6 +38,27 @@
 /** Checks that a daemon exited on SIGTERM with status 0 and within its grace period. */
 void soak_check_stop(int daemon, int status, uint64_t took_ms);
 
+/** A stop of a daemon. Monotonic times. */
+typedef struct {
+    int daemon;
+    uint64_t acquiring_ms; /**< Before the daemon's process was acquired as a target. */
+    uint64_t signal_ms;    /**< The first SIGTERM was sent. */
+    uint64_t exit_ms;
+} soak_stop;
+
+void soak_record_stop(const soak_stop *stop);
+
+/** Records a request of a caller that goes on while daemons stop. @p text: the answer. */
+void soak_record_stop_request(const stop_request *request, const char *target, const char *text);
+
+/**
+ * Checks that no recorded stream ended in order without its last event, unless its daemon was
+ * killed, and that no recorded request that a daemon read or passed on was cut by the stop of the
+ * daemon, unless it was sent within 3 s and at work in the last sixth of the grace time, or its
+ * deadline passed. Requests near another fault of the daemon, their engine or its link are counted.
+ */
+void soak_check_stop_requests(void);
+
 /** Checks that a daemon is ready after all faults have ended. */
 void soak_check_ready(int daemon, bool is_ready);
 
--- a/tests/soak/end_checks.c
+++ b/tests/soak/end_checks.c
@@ -79,4 +79,5 @@
     soak_check_sends_after_ends();
     soak_check_crashes();
     soak_check_operations();
+    soak_check_stop_requests();
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -118,7 +118,7 @@
 static void run_series(const fault_injector *injector) {
     static void (*const faults[])(const fault_injector *) = {
         soak_kill_daemons,         soak_kill_daemons,
-        soak_stop_daemon,          soak_stop_daemon,
+        soak_stop_daemons,         soak_stop_daemons,
         soak_pause_daemon,         soak_degrade_store_link,
         soak_degrade_store_link,   soak_rebalance_while_cut,
         soak_rebalance_while_cut,  soak_kill_owners_in_turn,
@@ -160,6 +160,10 @@
     run_all_series(rng, until_ms, soak_run_end_series);
 }
 
+void soak_run_stops(GRand *rng, uint64_t until_ms) {
+    run_all_series(rng, until_ms, soak_run_stop_series);
+}
+
 void soak_clear_faults(void) {
     if (targets.holds != NULL)
         g_array_unref(targets.holds);
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -65,6 +65,13 @@
 void soak_kill_daemons(const fault_injector *injector);
 /** Ends a daemon with SIGTERM, checks the exit and starts the daemon again. */
 void soak_stop_daemon(const fault_injector *injector);
+/**
+ * The same with one to three daemons, at once or in turn, of which some get a second SIGTERM or a
+ * SIGHUP during the stop.
+ */
+void soak_stop_daemons(const fault_injector *injector);
+/** A series of soak_run_faults in which daemons are stopped once at a random time. */
+void soak_run_stop_series(const fault_injector *injector);
 /** Suspends a daemon with SIGSTOP for some time. */
 void soak_pause_daemon(const fault_injector *injector);
 
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -23,9 +23,10 @@
 #define CRASH_CALLERS 2
 #define VERSION_CALLERS 3
 #define JOB_ENDING_CALLERS 5
+#define STOP_CALLERS 20
 #define CALLER_THREADS                                                                             \
     (ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS + CRASH_CALLERS + JOB_ENDING_CALLERS +   \
-     VERSION_CALLERS)
+     VERSION_CALLERS + STOP_CALLERS)
 /** Threads that inject faults at the same time. */
 #define MAX_FAULT_INJECTORS 3
 /** Enough for all items that run at once, also while two daemons own a partition. */
@@ -50,6 +51,9 @@
                                                {.events = 90, .event_ms = 60},
                                                {.events = 320, .event_ms = 20}};
 
+/** Streams of 3.6 s, somewhat less than their route's time-out. */
+static const token_engine_pace stop_pace = {.events = 72, .event_ms = 50};
+
 typedef struct {
     const char *programs;
     unsigned seconds;
@@ -145,6 +149,13 @@
     return NULL;
 }
 
+static gpointer run_stop_thread(gpointer data) {
+    fault_thread_args *args = data;
+    soak_run_stops(args->rng, args->until_ms);
+    g_rand_free(args->rng);
+    return NULL;
+}
+
 /** Shows one line of progress if standard error is a terminal. */
 static void show_progress(uint64_t until_ms) {
     if (!isatty(STDERR_FILENO))
@@ -176,7 +187,11 @@
     guint32 end_numbers[] = {line->seed, MAX_FAULT_INJECTORS + 1};
     fault_thread_args end_args = {g_rand_new_with_seed_array(end_numbers, 2), until_ms};
     GThread *end_thread = g_thread_new("end faults", run_end_fault_thread, &end_args);
+    guint32 stop_numbers[] = {line->seed, MAX_FAULT_INJECTORS + 2};
+    fault_thread_args stop_args = {g_rand_new_with_seed_array(stop_numbers, 2), until_ms};
+    GThread *stop_thread = g_thread_new("stops", run_stop_thread, &stop_args);
     show_progress(until_ms);
+    g_thread_join(stop_thread);
     g_thread_join(end_thread);
     if (operator_thread != NULL)
         g_thread_join(operator_thread);
@@ -192,10 +207,11 @@
         return soak_run_disconnecting_caller;
     if (index < ONLINE_CALLERS + DISCONNECTING_CALLERS + JOB_CALLERS)
         return soak_run_job_caller;
-    if (index < CALLER_THREADS - JOB_ENDING_CALLERS - VERSION_CALLERS)
+    if (index < CALLER_THREADS - JOB_ENDING_CALLERS - VERSION_CALLERS - STOP_CALLERS)
         return soak_run_crash_caller;
-    return index < CALLER_THREADS - VERSION_CALLERS ? soak_run_job_ending_caller
-                                                    : soak_run_version_caller;
+    if (index < CALLER_THREADS - VERSION_CALLERS - STOP_CALLERS)
+        return soak_run_job_ending_caller;
+    return index < CALLER_THREADS - STOP_CALLERS ? soak_run_version_caller : soak_run_stop_caller;
 }
 
 static void run_callers(const command_line *line) {
@@ -212,31 +228,34 @@
 
 /** Prints one line of name=value pairs, which table.sh reads. */
 static void print_verdict(const command_line *line) {
-    printf("verdict seed=%u requests=%u served=%u refused=%u cut=%u on_kept_connections=%u jobs=%u "
-           "accepted=%u reads=%u texts=%u text_joints=%u stream_joints=%u ends=%u ends_judged=%u "
-           "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
-           "beside_served=%u sharing=%u sharing_held=%u taken_up=%u continued=%u evacuations=%u "
-           "evacuations_judged=%u "
-           "returns_judged=%u cold_starts=%u "
-           "cold_requests=%u cold_most=%u losses=%u losses_judged=%u region_cuts=%u home=%u "
-           "home_in_cuts=%u jobs_ended=%u late_sends=%u late_of_stopped=%u late_on_links=%u "
-           "late_in_transit=%u "
-           "last_send_ms=%u known_red=%u faults=%d "
-           "violations=%u\n",
-           line->seed, record.requests_sent, record.requests_served, record.requests_refused,
-           record.streams_cut, record.connections_reused, record.jobs_sent,
-           g_hash_table_size(record.accepted_jobs), record.job_reads, record.texts,
-           record.text_joints, record.stream_joints, record.end_count, record.ends_checked,
-           record.late_runs, record.engine_crashes, record.crash_requests_sent,
-           record.crash_requests_quarantined, record.other_requests_sent,
-           record.other_requests_served, record.sharing_requests, record.sharing_requests_held,
-           record.streams_taken_up, record.streams_continued, record.evacuations,
-           record.evacuations_checked, record.returns_checked, record.cold_starts,
-           record.cold_requests, record.most_cold_requests, record.zone_losses,
-           record.losses_checked, record.region_cuts, record.home_requests,
-           record.home_requests_in_cuts, record.jobs_ended, record.late_sends,
-           record.late_sends_of_stopped, record.late_sends_on_links, record.late_sends_in_transit,
-           record.last_send_ms, record.known_red, record.fault_count, record.violations->len);
+    printf(
+        "verdict seed=%u requests=%u served=%u refused=%u cut=%u on_kept_connections=%u jobs=%u "
+        "accepted=%u reads=%u texts=%u text_joints=%u stream_joints=%u ends=%u ends_judged=%u "
+        "late_near_faults=%u crashes=%u fatal_sent=%u fatal_held=%u beside_sent=%u "
+        "beside_served=%u sharing=%u sharing_held=%u taken_up=%u continued=%u evacuations=%u "
+        "evacuations_judged=%u "
+        "returns_judged=%u cold_starts=%u "
+        "cold_requests=%u cold_most=%u losses=%u losses_judged=%u region_cuts=%u home=%u "
+        "home_in_cuts=%u jobs_ended=%u late_sends=%u late_of_stopped=%u late_on_links=%u "
+        "late_in_transit=%u "
+        "last_send_ms=%u stops=%u in_stops=%u in_stops_judged=%u unread_in_stops=%u "
+        "cut_excused=%u cut_in_stops=%u cut_near_faults=%u known_red=%u faults=%d "
+        "violations=%u\n",
+        line->seed, record.requests_sent, record.requests_served, record.requests_refused,
+        record.streams_cut, record.connections_reused, record.jobs_sent,
+        g_hash_table_size(record.accepted_jobs), record.job_reads, record.texts, record.text_joints,
+        record.stream_joints, record.end_count, record.ends_checked, record.late_runs,
+        record.engine_crashes, record.crash_requests_sent, record.crash_requests_quarantined,
+        record.other_requests_sent, record.other_requests_served, record.sharing_requests,
+        record.sharing_requests_held, record.streams_taken_up, record.streams_continued,
+        record.evacuations, record.evacuations_checked, record.returns_checked, record.cold_starts,
+        record.cold_requests, record.most_cold_requests, record.zone_losses, record.losses_checked,
+        record.region_cuts, record.home_requests, record.home_requests_in_cuts, record.jobs_ended,
+        record.late_sends, record.late_sends_of_stopped, record.late_sends_on_links,
+        record.late_sends_in_transit, record.last_send_ms, record.stops, record.stop_requests,
+        record.stop_requests_judged, record.stop_requests_unread, record.stop_cuts_excused,
+        record.stop_cuts, record.stop_cuts_near_faults, record.known_red, record.fault_count,
+        record.violations->len);
 }
 
 static void run_soak(const command_line *line) {
@@ -244,6 +263,7 @@
     bench.settings = (bench_settings){
         .daemons = daemons,
         .item_pace = item_paces[line->seed % G_N_ELEMENTS(item_paces)],
+        .medium_pace = stop_pace,
         .slots = ENGINE_SLOTS,
         .connections = (uint32_t)daemons * ENGINE_CONNECTIONS_PER_DAEMON,
         .retention_s = RETENTION_S,
--- a/tests/soak/record.c
+++ b/tests/soak/record.c
@@ -31,6 +31,7 @@
 
 void soak_record_clear(void) {
     soak_clear_operations();
+    soak_clear_stops();
     soak_clear_faults();
     g_hash_table_destroy(record.run_once_ids);
     g_hash_table_destroy(record.refused_ids);
--- a/tests/soak/self_test.c
+++ b/tests/soak/self_test.c
@@ -3,6 +3,7 @@
  * Self-test of the soak: each check must report a planted fault, and must report nothing in the
  * same case without the fault. Only stand-ins run, no daemons.
  */
+#include "tests/soak/self_test.h"
 #include "base/clock.h"
 #include "http/http_fields.h"
 #include "platform/names.h"
@@ -22,13 +23,6 @@
 /** Longer than daemons need to learn of a quarantine. */
 #define SEND_DELAY_MS 4000
 
-/** One case of the self-test. */
-typedef struct {
-    const char *name;
-    void (*plant)(bool with_fault);
-    const char *expected_text; /**< Part of the violation that must be reported. */
-} planted_fault;
-
 static bench_answer send_to_engine(const char *id, const char *target, unsigned after) {
     return bench_send(&(bench_call){.port = token_engine_port(bench.engines[0]),
                                     .method = "POST",
@@ -139,7 +133,7 @@
     check_plain("", with_fault ? 404 : 504, true);
 }
 
-static void run_repeatedly(const char *id, int times) {
+void soak_run_repeatedly(const char *id, int times) {
     for (int run = 0; run < times; run++) {
         bench_answer answer = send_to_engine(id, "/once/soak", 0);
         bench_answer_clear(&answer);
@@ -148,14 +142,14 @@
 
 static void plant_second_run(bool with_fault) {
     soak_add_id(record.run_once_ids, with_fault ? "twice" : "one-time");
-    run_repeatedly(with_fault ? "twice" : "one-time", with_fault ? 2 : 1);
+    soak_run_repeatedly(with_fault ? "twice" : "one-time", with_fault ? 2 : 1);
     soak_check_runs();
 }
 
 static void plant_refused_run(bool with_fault) {
     bench_answer refusal = {.status = 503, .whole = true, .body = (char *)""};
     soak_check_answer("refused", "/once/soak", &refusal);
-    run_repeatedly("refused", with_fault);
+    soak_run_repeatedly("refused", with_fault);
     soak_check_runs();
 }
 
@@ -196,11 +190,11 @@
 static void plant_run_after_end(bool with_fault) {
     const char *id = with_fault ? "late" : "in-time";
     if (!with_fault)
-        run_repeatedly(id, 1);
+        soak_run_repeatedly(id, 1);
     soak_record_end(id);
     hs_clock_sleep_ms(LATE_RUN_DELAY_MS);
     if (with_fault)
-        run_repeatedly(id, 1);
+        soak_run_repeatedly(id, 1);
     soak_check_ends();
 }
 
@@ -210,7 +204,7 @@
         soak_begin_fault();
     soak_record_end(with_fault ? "late-calm" : "late-near");
     hs_clock_sleep_ms(LATE_RUN_DELAY_MS);
-    run_repeatedly(with_fault ? "late-calm" : "late-near", 1);
+    soak_run_repeatedly(with_fault ? "late-calm" : "late-near", 1);
     if (!with_fault) {
         soak_check_ends();
         soak_end_fault();
@@ -222,21 +216,21 @@
 /** Sends an item of a job that ended 3.1 s ago; without the fault, 2.9 s ago. */
 static void plant_send_after_end(bool with_fault) {
     soak_record_job_end("ended", 1, hs_clock_monotonic_ms() - (with_fault ? 3100 : 2900));
-    run_repeatedly("ended-0", 1);
+    soak_run_repeatedly("ended-0", 1);
     soak_check_sends_after_ends();
 }
 
 /** Sends the item of a job that ended long ago. */
 static void send_long_after_end(void) {
     soak_record_job_end("ended", 1, hs_clock_monotonic_ms() - SEND_DELAY_MS);
-    run_repeatedly("ended-0", 1);
+    soak_run_repeatedly("ended-0", 1);
 }
 
 /** A full engine refuses the item; without the fault, another item. */
 static void plant_refused_send_after_end(bool with_fault) {
     token_engine_set_mode(bench.engines[0], TOKEN_ENGINE_FULL);
     soak_record_job_end(with_fault ? "ended" : "open", 1, hs_clock_monotonic_ms() - SEND_DELAY_MS);
-    run_repeatedly("ended-0", 1);
+    soak_run_repeatedly("ended-0", 1);
     soak_check_sends_after_ends();
 }
 
@@ -245,7 +239,7 @@
     if (with_fault)
         soak_record_job_end("ended", 1, hs_clock_monotonic_ms() - SEND_DELAY_MS);
     soak_record_job_end("ended", 1, hs_clock_monotonic_ms());
-    run_repeatedly("ended-0", 1);
+    soak_run_repeatedly("ended-0", 1);
     soak_check_sends_after_ends();
 }
 
@@ -378,7 +372,7 @@
 static void plant_send_to_evacuated_zone(bool with_fault) {
     uint64_t past_ms = with_fault ? SOAK_EVACUATE_MS + 1 : SOAK_EVACUATE_MS / 2;
     uint64_t sent_ms = hs_clock_monotonic_ms();
-    run_repeatedly("r1-0.0", 1);
+    soak_run_repeatedly("r1-0.0", 1);
     soak_evacuation evacuation = make_evacuation(sent_ms - past_ms);
     soak_check_evacuated(&evacuation);
 }
@@ -388,7 +382,7 @@
     uint64_t sent_ms = hs_clock_monotonic_ms();
     if (!with_fault)
         soak_acquire_target(FAULT_PROCESS, 1);
-    run_repeatedly("item-0", 1);
+    soak_run_repeatedly("item-0", 1);
     soak_evacuation evacuation = make_evacuation(sent_ms - SOAK_EVACUATE_MS - 1);
     soak_check_evacuated(&evacuation);
     if (!with_fault)
@@ -399,11 +393,11 @@
 static void plant_unused_zone_after_return(bool with_fault) {
     soak_evacuation evacuation = make_evacuation(0);
     if (with_fault)
-        run_repeatedly("r1-1.0", 1);
+        soak_run_repeatedly("r1-1.0", 1);
     hs_clock_sleep_ms(EVENT_MS);
     evacuation.withdrawn_ms = hs_clock_monotonic_ms();
     if (!with_fault)
-        run_repeatedly("r1-1.0", 1);
+        soak_run_repeatedly("r1-1.0", 1);
     record.callers_ended_ms = UINT64_MAX;
     soak_check_return(&evacuation);
     if (record.returns_checked != 1)
@@ -468,7 +462,7 @@
     soak_loss loss = {.lost_ms = hs_clock_monotonic_ms() - SEND_DELAY_MS,
                       .returned_ms = hs_clock_monotonic_ms()};
     if (!with_fault)
-        run_repeatedly("r1-2.0", 1);
+        soak_run_repeatedly("r1-2.0", 1);
     record.callers_ended_ms = UINT64_MAX;
     soak_check_loss(&loss);
 }
@@ -557,7 +551,7 @@
     {"request outside its region", plant_request_outside_region, "outside of its allowed region"},
     {"violation that is not listed", plant_unlisted_violation, "soak.known: unlisted 1"},
     {"late run near an injected fault", plant_run_near_fault, "after its end"},
-};
+    {NULL, NULL, NULL}};
 
 /** Counts the violations that contain a text, or all violations if it is NULL. */
 static guint count_violations(const char *expected_text) {
@@ -581,18 +575,25 @@
     return found;
 }
 
-int soak_run_self_test(void) {
-    int failed = 0;
-    for (gsize index = 0; index < G_N_ELEMENTS(planted_faults); index++) {
-        const planted_fault *planted = &planted_faults[index];
+/** Runs all cases of a list, and adds to the number of cases and of failed ones. */
+static void run_planted_faults(const planted_fault *planted, int *count, int *failed) {
+    for (; planted->name != NULL; planted++) {
+        (*count)++;
         bool is_reported = run_planted_fault(planted, true) > 0;
         bool is_specific = run_planted_fault(planted, false) == 0;
-        failed += !is_reported || !is_specific;
+        *failed += !is_reported || !is_specific;
         printf("%s %s%s%s\n", is_reported && is_specific ? "PASS" : "FAIL", planted->name,
                is_reported ? "" : ": not reported",
                is_specific ? "" : ": reported without the fault");
     }
-    printf("%d of %d checks report their planted fault and nothing without it\n",
-           (int)G_N_ELEMENTS(planted_faults) - failed, (int)G_N_ELEMENTS(planted_faults));
+}
+
+int soak_run_self_test(void) {
+    int count = 0;
+    int failed = 0;
+    run_planted_faults(planted_faults, &count, &failed);
+    run_planted_faults(soak_stop_faults, &count, &failed);
+    printf("%d of %d checks report their planted fault and nothing without it\n", count - failed,
+           count);
     return failed == 0 ? 0 : -1;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -80,6 +80,13 @@
     uint32_t home_requests;         /**< Sent to paths with an allowed region. */
     uint32_t home_requests_in_cuts; /**< Of these, during a cut. */
     gint is_region_cut;             /**< Atomic. */
+    uint32_t stops;                 /**< SIGTERM of daemons. */
+    uint32_t stop_requests;         /**< Requests of stop callers during a stop of their daemon. */
+    uint32_t stop_requests_judged;  /**< Of these, without another fault near. */
+    uint32_t stop_requests_unread;  /**< Judged; their connection ended before they were read. */
+    uint32_t stop_cuts_excused;     /**< Judged and cut, as is allowed late in a stop. */
+    uint32_t stop_cuts;             /**< Judged and cut otherwise. */
+    uint32_t stop_cuts_near_faults; /**< Cut, and not judged. */
     uint64_t callers_ended_ms; /**< Monotonic time at which callers stopped sending; 0: not yet. */
     uint64_t started_ms;       /**< Monotonic time. */
     gint fault_count;
@@ -127,6 +134,7 @@
 gpointer soak_run_disconnecting_caller(gpointer data);
 gpointer soak_run_crash_caller(gpointer data);
 gpointer soak_run_version_caller(gpointer data);
+gpointer soak_run_stop_caller(gpointer data);
 
 /** Starts the engines that crash on certain requests. Call it after bench_prepare. */
 void soak_start_crash_fleet(unsigned seed);
@@ -154,6 +162,9 @@
 /** The same with faults of the store right after ends of jobs. For one thread. */
 void soak_run_end_faults(GRand *rng, uint64_t until_ms);
 
+/** The same with stops of one to three daemons in each series. For one thread. */
+void soak_run_stops(GRand *rng, uint64_t until_ms);
+
 /**
  * Until @p until_ms (monotonic), in turn: evacuates the zone of an engine for some seconds and
  * withdraws that; restarts an engine, which is cold then; lets a zone's engine and daemons fail at
@@ -164,6 +175,9 @@
 /** Frees what is recorded of operations and online answers. */
 void soak_clear_operations(void);
 
+/** Frees what is recorded of stops and requests during them. */
+void soak_clear_stops(void);
+
 /** Forgets past faults. No fault may be active. */
 void soak_clear_faults(void);
 
--- a/tests/soak/table.sh
+++ b/tests/soak/table.sh
@@ -22,7 +22,7 @@
 last=$((first + seeds - 1))
 seq "$first" "$last" | xargs -P "$at_once" -I SEED sh -c "$run" soak SEED "$programs" "$seconds" "$kept" "$@"
 for seed in $(seq "$first" "$last"); do cat "$kept/$seed.verdict"; done | awk '
-    BEGIN { columns = split("seed requests jobs texts text_joints stream_joints sharing sharing_held taken_up continued ends_judged jobs_ended late_of_stopped late_on_links last_send_ms faults violations", name, " ") }
+    BEGIN { columns = split("seed requests jobs texts text_joints stream_joints sharing sharing_held taken_up continued ends_judged jobs_ended late_of_stopped late_on_links last_send_ms stops in_stops_judged cut_excused cut_in_stops faults violations", name, " ") }
     function row(values, column, width) {
         for (column = 1; column <= columns; column++) {
             width = length(name[column]) > 10 ? length(name[column]) : 10
--- a/tests/system/stop_callers.h
+++ b/tests/system/stop_callers.h
@@ -6,39 +6,11 @@
 #ifndef TESTS_SYSTEM_STOP_CALLERS_H
 #define TESTS_SYSTEM_STOP_CALLERS_H
 
-#include "tests/support/raw_caller.h"
+#include "tests/support/stop_request.h"
 
 #include <stdbool.h>
 #include <stdint.h>
 
-/** How a caller sends its requests and reads the answers. */
-typedef enum {
-    STOP_CALLER_PLAIN,
-    STOP_CALLER_LATE_BODY, /**< Sends the body in chunks, the last one late. */
-    STOP_CALLER_UNFRAMED,  /**< HTTP/1.0: the answer ends with its connection. */
-    STOP_CALLER_SLOW,      /**< Reads only after some time. */
-    STOP_CALLER_KINDS,
-} stop_caller_kind;
-
-/** A request and its answer. Monotonic times. */
-typedef struct {
-    char id[48];
-    int daemon;
-    uint32_t status;  /**< 0: no answer. */
-    bool is_whole;    /**< The answer is complete. */
-    bool is_closing;  /**< The answer says that the connection is closed after it. */
-    bool is_kept;     /**< Sent on a connection that was used before. */
-    uint64_t sent_ms; /**< When the last byte of the request was sent. */
-    uint64_t ended_ms;
-} stop_request;
-
-/** Sends "POST target" with a body of 5 bytes, and reads the answer for up to @p limit_ms. */
-stop_request stop_caller_post(raw_caller *caller, const char *target, const char *id,
-                              unsigned limit_ms);
-
-/** Only reads the answer. */
-void stop_caller_read_answer(raw_caller *caller, stop_request *request, unsigned limit_ms);
-
 /** Starts @p count callers, which send to all daemons until stop_callers_end. */
 void stop_callers_begin(int count);
 
--- a/tests/system/test_fleet_stops.c
+++ b/tests/system/test_fleet_stops.c
@@ -76,9 +76,9 @@
     hs_clock_sleep_ms(LONG_STREAM_MS - 3200);
     begin_stop(daemon);
     stop_request first = {0};
-    stop_caller_read_answer(caller, &first, ANSWER_LIMIT_MS);
+    stop_request_read_answer(caller, &first, ANSWER_LIMIT_MS);
     CU_ASSERT_TRUE(first.is_whole);
-    stop_request request = stop_caller_post(caller, target, id, ANSWER_LIMIT_MS);
+    stop_request request = stop_request_post(caller, target, id, ANSWER_LIMIT_MS);
     raw_caller_close(caller);
     end_stop(daemon);
     return request;
@@ -108,7 +108,7 @@
     hs_clock_sleep_ms(4000);
     CU_ASSERT_TRUE(raw_caller_send(caller, "llo"));
     stop_request request = {0};
-    stop_caller_read_answer(caller, &request, ANSWER_LIMIT_MS);
+    stop_request_read_answer(caller, &request, ANSWER_LIMIT_MS);
     CU_ASSERT_EQUAL(request.status, 503);
     CU_ASSERT_TRUE(request.is_whole && request.is_closing);
     CU_ASSERT_EQUAL(bench_run_count("late-body"), 0);
@@ -123,7 +123,7 @@
     send_request(caller, "/once/x", "unanswered", "hello");
     begin_stop(3);
     stop_request request = {0};
-    stop_caller_read_answer(caller, &request, ANSWER_LIMIT_MS);
+    stop_request_read_answer(caller, &request, ANSWER_LIMIT_MS);
     CU_ASSERT_EQUAL(request.status, 502); /* It may have run, so not 503. */
     CU_ASSERT_TRUE(request.is_whole);
     bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -195,8 +195,18 @@
     pid_t pid = bench.pids[index];
     if (pid == 0 || kill(pid, signal_number) != 0)
         return -1;
-    if (signal_number != SIGKILL && signal_number != SIGTERM)
-        return 0;
+    return signal_number == SIGKILL || signal_number == SIGTERM ? bench_wait_end(index) : 0;
+}
+
+void bench_begin_stop(int index) {
+    if (bench.pids[index] != 0)
+        kill(bench.pids[index], SIGTERM);
+}
+
+int bench_wait_end(int index) {
+    pid_t pid = bench.pids[index];
+    if (pid == 0)
+        return -1;
     int status = 0;
     bench.pids[index] = 0;
     if (waitpid(pid, &status, 0) != pid || !WIFEXITED(status))
@@ -384,15 +394,21 @@
 
 static token_engine *start_engine(int index) {
     static const char *const ids[BENCH_ENGINES] = {"engine-0", "engine-1"};
-    static const char *const long_paths[] = {"/jobs/", "/once/long", "/again/long", NULL};
     static const token_engine_pace pace = {.events = BENCH_EVENTS, .event_ms = EVENT_INTERVAL_MS};
-    bool has_pace = bench.settings.item_pace.events > 0;
+    static token_engine_path_pace path_paces[] = {
+        {.prefix = "/jobs/"},       {.prefix = "/once/long"},    {.prefix = "/again/long"},
+        {.prefix = "/once/medium"}, {.prefix = "/again/medium"}, {.prefix = NULL}};
+    for (token_engine_path_pace *entry = path_paces; entry->prefix != NULL; entry++) {
+        const token_engine_pace *chosen = g_str_has_suffix(entry->prefix, "medium")
+                                              ? &bench.settings.medium_pace
+                                              : &bench.settings.item_pace;
+        entry->pace = chosen->events > 0 ? *chosen : pace;
+    }
     return token_engine_start(&(token_engine_settings){
         .id = ids[index],
         .service = "llm",
         .pace = pace,
-        .long_paths = long_paths,
-        .long_pace = has_pace ? bench.settings.item_pace : pace,
+        .path_paces = path_paces,
         .break_after = 5,
         .announces_start = bench.settings.warmup_s > 0,
         .warmup_ms = bench.settings.warmup_s * MS_PER_S,
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -27,24 +27,26 @@
 /** Settings, read from bench_prepare on; 0 or NULL selects the default. */
 typedef struct {
     int daemons;
-    token_engine_pace item_pace; /**< Pace of the streams for items. */
-    uint32_t slots;              /**< Slots of each engine. */
-    uint32_t connections;        /**< Maximum per engine, of all daemons together. */
-    uint32_t retention_s;        /**< Retention of items. */
-    const char *const *zones;    /**< Of the daemons and engines by index; NULL: "zone-a". */
-    const char *const *weights;  /**< Of the engines by index, see token_engine_settings; only the
-                                      first engine states its id. NULL: none. */
-    const char *zone_regions;    /**< Setting fleet.zone_regions; NULL: none. */
-    const char *home_region;     /**< The only allowed region of a route "home", of the paths
-                                      /home/; NULL: no such route. */
-    uint32_t warmup_s;           /**< Of service "llm"; its engines then report cold phases and
-                                      their start times. 0: none. */
-    uint32_t warmup_per_s;       /**< Requests per second that a cold engine can handle. */
-    uint32_t grace_s;            /**< Setting fleet.grace_s; 0: 6. */
-    uint32_t evacuate_ms;        /**< Setting fleet.evacuate_ms; 0: not set. */
-    const char *route_members;   /**< JSON members of routes "plain" and "jobs", each followed by a
-                                      comma; NULL: none. Read by bench_configure. */
-    const char *log_directory;   /**< For the daemons' output, "daemon-N.log"; NULL: inherited. */
+    token_engine_pace item_pace;   /**< Pace of the streams for items and of /once/long and
+                                        /again/long. */
+    token_engine_pace medium_pace; /**< Pace of the streams of /once/medium and /again/medium. */
+    uint32_t slots;                /**< Slots of each engine. */
+    uint32_t connections;          /**< Maximum per engine, of all daemons together. */
+    uint32_t retention_s;          /**< Retention of items. */
+    const char *const *zones;      /**< Of the daemons and engines by index; NULL: "zone-a". */
+    const char *const *weights;    /**< Of the engines by index, see token_engine_settings; only the
+                                        first engine states its id. NULL: none. */
+    const char *zone_regions;      /**< Setting fleet.zone_regions; NULL: none. */
+    const char *home_region;       /**< The only allowed region of a route "home", of the paths
+                                        /home/; NULL: no such route. */
+    uint32_t warmup_s;             /**< Of service "llm"; its engines then report cold phases and
+                                        their start times. 0: none. */
+    uint32_t warmup_per_s;         /**< Requests per second that a cold engine can handle. */
+    uint32_t grace_s;              /**< Setting fleet.grace_s; 0: 6. */
+    uint32_t evacuate_ms;          /**< Setting fleet.evacuate_ms; 0: not set. */
+    const char *route_members; /**< JSON members of routes "plain" and "jobs", each followed by a
+                                    comma; NULL: none. Read by bench_configure. */
+    const char *log_directory; /**< For the daemons' output, "daemon-N.log"; NULL: inherited. */
 } bench_settings;
 
 /** State of the bench; a process has one. */
@@ -106,6 +108,12 @@
  */
 int bench_signal_daemon(int index, int signal_number);
 
+/** Sends SIGTERM to a daemon without waiting for its end. */
+void bench_begin_stop(int index);
+
+/** Waits until a daemon ends. Returns the same as bench_signal_daemon. */
+int bench_wait_end(int index);
+
 /** Writes a configuration of the given version. Service "far", of /far/, never has engines. */
 void bench_configure(int version);
 
