fleet_cut_answers: engines whose answers end at any byte

An engine cuts six answers (length, chunks, unframed, after an interim answer, a refusal, a failure) with a FIN or a reset: at each byte for orders, at each third for streams that run once, at each fifth for plain requests and resumable streams. No caller may get a whole 2xx or, once the engine has read the request, a status that promises that it did not run; orders and streams that run once reach the engine once.

--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -28,6 +28,7 @@
         {"fleet_slow_store", fleet_slow_store_system_tests, bench_set_up, bench_tear_down},
         {"fleet_edges", fleet_edge_system_tests, bench_set_up, bench_tear_down},
         {"fleet_runs", fleet_run_system_tests, begin_fleet_runs, end_fleet_runs},
+        {"fleet_cut_answers", fleet_cut_answer_system_tests, begin_cut_answers, end_cut_answers},
         {"online_taking", online_taking_tests, begin_fleet, end_fleet},
         {"fleet_taking", fleet_taking_system_tests, bench_set_up, bench_tear_down},
         {"online_callers", online_caller_tests, begin_fleet, end_fleet},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -90,6 +90,11 @@
 /** Start and stop the bench with an engine that sends surplus answers. */
 int begin_fleet_runs(void);
 int end_fleet_runs(void);
+
+/** Start and stop the bench with an engine whose answers are cut, and a route of orders. */
+extern const test_case fleet_cut_answer_system_tests[];
+int begin_cut_answers(void);
+int end_cut_answers(void);
 extern const test_case online_caller_tests[];
 extern const test_case online_taking_tests[];
 extern const test_case fleet_taking_system_tests[];
