Back off from items without a valid content

The platform would have seen: an item of a manifest whose content is not there, as another writer may store one, is read from the store 10 times a second for as long as its job is open, though these reads share the limit of reads per second. Each read also writes a line.

Cause: the pause before the next attempt grew with failed answers of engines only; an unread content counted as none.

Evidence: odd_job_records_end_no_daemon, which stores four such manifests and 45 other odd records in the topics of jobs, bodies and quotas, failed by its last check alone: more than 16 reads of bodies in 2 s, 3 s after the last job had ended.

Fix: a read that the store answered, but that found no valid content, has an end of its own (content_invalid) and lengthens the pause up to the longest one. Reads that the store did not answer are repeated as before.

--- a/src/jobs/item_run.c
+++ b/src/jobs/item_run.c
@@ -296,6 +296,14 @@
     return policy;
 }
 
+/** Returns how an attempt ends whose content was not read. */
+static hs_item_attempt_end get_unread_end(hs_store_outcome outcome) {
+    if (outcome == HS_STORE_GONE)
+        return HS_ITEM_ATTEMPT_CONTENT_GONE;
+    return outcome == HS_STORE_INVALID ? HS_ITEM_ATTEMPT_CONTENT_INVALID
+                                       : HS_ITEM_ATTEMPT_NO_CONTENT;
+}
+
 hs_item_attempt_end hs_item_run_attempt(hs_item_run *run, const hs_item_attempt_terms *terms) {
     const hs_fleet_config *config = terms->config;
     if (!hs_event_stream_can_resume(&run->events) || run->is_software_unknown)
@@ -314,7 +322,7 @@
                     "job=%s item=%s part=%u offset=%" G_GUINT64_FORMAT " outcome=%s", run->job_id,
                     run->item_id, hs_job_partition_number(terms->partition),
                     (guint64)run->content_offset, hs_store_outcome_name(outcome));
-        return outcome == HS_STORE_GONE ? HS_ITEM_ATTEMPT_CONTENT_GONE : HS_ITEM_ATTEMPT_NO_CONTENT;
+        return get_unread_end(outcome);
     }
     hs_deadline send_until_ms = hs_clock_monotonic_ms() + terms->send_time_ms;
     if (terms->may_start != NULL && !terms->may_start(terms->user_data))
@@ -390,6 +398,7 @@
         [HS_ITEM_ATTEMPT_IMPOSSIBLE] = "impossible",
         [HS_ITEM_ATTEMPT_STALE_FOLD] = "stale_fold",
         [HS_ITEM_ATTEMPT_NO_CONTENT] = "no_content",
+        [HS_ITEM_ATTEMPT_CONTENT_INVALID] = "content_invalid",
         [HS_ITEM_ATTEMPT_CONTENT_GONE] = "content_gone",
         [HS_ITEM_ATTEMPT_QUARANTINED] = "held_back",
         [HS_ITEM_ATTEMPT_NO_ROUTE] = "no_route",
--- a/src/jobs/item_run.h
+++ b/src/jobs/item_run.h
@@ -23,11 +23,12 @@
     HS_ITEM_ATTEMPT_IMPOSSIBLE,  /**< The engine answered that it can never process the item. */
     HS_ITEM_ATTEMPT_STALE_FOLD,  /**< Not sent: the job may have ended; see start_rule.h. */
     HS_ITEM_ATTEMPT_NO_CONTENT,  /**< The content could not be read from the store. */
-    HS_ITEM_ATTEMPT_CONTENT_GONE, /**< The store no longer has the content. */
-    HS_ITEM_ATTEMPT_QUARANTINED,  /**< The content is quarantined: it may crash engines. */
-    HS_ITEM_ATTEMPT_NO_ROUTE,     /**< The configuration has no route for the item. */
-    HS_ITEM_ATTEMPT_PREEMPTED,    /**< The item was preempted. */
-    HS_ITEM_ATTEMPT_ABANDONED,    /**< The item was stopped by its owner. */
+    HS_ITEM_ATTEMPT_CONTENT_INVALID, /**< The store has no valid content at its offset. */
+    HS_ITEM_ATTEMPT_CONTENT_GONE,    /**< The store no longer has the content. */
+    HS_ITEM_ATTEMPT_QUARANTINED,     /**< The content is quarantined: it may crash engines. */
+    HS_ITEM_ATTEMPT_NO_ROUTE,        /**< The configuration has no route for the item. */
+    HS_ITEM_ATTEMPT_PREEMPTED,       /**< The item was preempted. */
+    HS_ITEM_ATTEMPT_ABANDONED,       /**< The item was stopped by its owner. */
 } hs_item_attempt_end;
 
 /** An unfinished item; its owner keeps it from attempt to attempt. */
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -34,6 +34,7 @@
     hs_item_stage stage;
     uint32_t failures;
     uint32_t attempts;
+    uint32_t invalid_reads; /**< Reads of the content that found none. */
     uint64_t next_attempt_ms;
     uint64_t discovered_ms;
     uint64_t started_ms;   /**< Start of the latest attempt. */
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -181,7 +181,8 @@
     item->stage = listed ? HS_ITEM_STORED : HS_ITEM_WAITING;
     item->attempts += end != HS_ITEM_ATTEMPT_NO_CAPACITY && end != HS_ITEM_ATTEMPT_QUARANTINED &&
                       end != HS_ITEM_ATTEMPT_STALE_FOLD;
-    uint64_t pause_ms = get_backoff_ms(item->failures);
+    item->invalid_reads += end == HS_ITEM_ATTEMPT_CONTENT_INVALID;
+    uint64_t pause_ms = get_backoff_ms(MAX(item->failures, item->invalid_reads));
     if (end == HS_ITEM_ATTEMPT_NO_CAPACITY || end == HS_ITEM_ATTEMPT_STALE_FOLD)
         pause_ms = HS_JOB_PASS_INTERVAL_MS;
     else if (end == HS_ITEM_ATTEMPT_PREEMPTED)
--- a/tests/system/test_fleet_entries.c
+++ b/tests/system/test_fleet_entries.c
@@ -3,6 +3,7 @@
  * System tests of invalid entries that other writers store among the engines' entries.
  */
 #include "base/clock.h"
+#include "gen/job.pb-c.h"
 #include "http/listener.h"
 #include "platform/names.h"
 #include "standin/port_lease/port_lease.h"
@@ -231,6 +232,65 @@
     put_odd_records(true);
 }
 
+/** Time in ms after which contents that can't be read are read rarely, and bound of these reads. */
+#define BACKOFF_MS 3000
+#define COUNTED_MS 2000
+#define MAX_BODY_READS 16
+#define BODY_READS "/log-read?topic=" TOPIC_BODIES
+
+/** Stores a manifest of a job of one item, whose content another record should have. */
+static void put_manifest(const char *id, uint64_t content_offset, uint32_t content_bytes) {
+    Hs__JobItem item = HS__JOB_ITEM__INIT;
+    Hs__JobItem *items[] = {&item};
+    item.id = "\xff";
+    item.tokens = UINT32_MAX;
+    item.content_offset = content_offset;
+    item.content_bytes = content_bytes;
+    Hs__JobManifest manifest = HS__JOB_MANIFEST__INIT;
+    manifest.job_id = (char *)id;
+    manifest.host = BENCH_HOST;
+    manifest.target = "/jobs/x";
+    manifest.submitted_ms = UINT64_MAX;
+    manifest.due_ms = UINT64_MAX;
+    manifest.retention_ms = UINT64_MAX;
+    manifest.n_items = 1;
+    manifest.items = items;
+    Hs__JobRecord record = HS__JOB_RECORD__INIT;
+    record.kind_case = HS__JOB_RECORD__KIND_MANIFEST;
+    record.manifest = &manifest;
+    uint8_t bytes[512];
+    size_t length = hs__job_record__pack(&record, bytes);
+    log_store_put_raw(bench.store, TOPIC_JOBS, bytes, length);
+}
+
+/** Guards against a daemon that ends by, or runs no more jobs after, job records of another writer.
+ */
+static void odd_job_records_end_no_daemon(void) {
+    static const char *const topics[] = {TOPIC_JOBS, TOPIC_BODIES, TOPIC_QUOTA};
+    for (size_t topic = 0; topic < G_N_ELEMENTS(topics); topic++) {
+        log_store_put_raw(bench.store, topics[topic], "", 0);
+        for (size_t index = 0; index < G_N_ELEMENTS(odd_records); index++)
+            log_store_put_raw(bench.store, topics[topic], odd_records[index].value,
+                              strlen(odd_records[index].value));
+    }
+    put_manifest("odd-beyond", UINT64_MAX, 100);
+    put_manifest("odd-bytes", 0, UINT32_MAX);
+    put_manifest("odd-empty", 0, 0);
+    put_manifest("", 0, 1);
+    for (int index = 0; index < 2 * BENCH_DEFAULT_DAEMONS; index++) {
+        g_autofree char *id = g_strdup_printf("after-odd-%d", index);
+        CU_ASSERT_EQUAL(submit_job(index % bench_daemon_count(), id, 3), 202);
+        g_autofree char *page =
+            bench_wait_job((index + 1) % bench_daemon_count(), id, 3, JOB_LIMIT_MS);
+        CU_ASSERT_PTR_NOT_NULL(page);
+    }
+    send_requests("after-odd-jobs");
+    hs_clock_sleep_ms(BACKOFF_MS);
+    uint32_t before = log_store_call_count(bench.store, BODY_READS);
+    hs_clock_sleep_ms(COUNTED_MS);
+    CU_ASSERT(log_store_call_count(bench.store, BODY_READS) - before <= MAX_BODY_READS);
+}
+
 const test_case fleet_entry_system_tests[] = {
     {"invalid_entries_get_no_requests", invalid_entries_get_no_requests},
     {"a_starting_daemon_ignores_invalid_entries", a_starting_daemon_ignores_invalid_entries},
@@ -238,6 +298,7 @@
     {"engines_join_after_records_without_a_valid_key",
      engines_join_after_records_without_a_valid_key},
     {"odd_records_of_other_topics_end_no_daemon", odd_records_of_other_topics_end_no_daemon},
+    {"odd_job_records_end_no_daemon", odd_job_records_end_no_daemon},
     {"an_overwritten_entry_is_restored_by_the_next_announcement",
      an_overwritten_entry_is_restored_by_the_next_announcement},
     {NULL, NULL}};
