OpenAI surface: answer each request on a kept connection in a stop

Callers that went on using their connections while a daemon of the OpenAI surface stopped each lost a request: it was sent right after an answer that announced no close, and its connection was closed without an answer.

Answers now say that their connection closes from the beginning of the stop. When no call is in progress the listening socket is shut down, so that connections are refused instead of queued, idle connections are ended, and the server is freed only when no connection is left or the shutdown's grace time is over.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -254,12 +254,23 @@
     hs_appender_stop(node->appender);
 }
 
+/** Ends the callers' connections, each after the answer to its request. */
+static void end_connections(hs_http_server *server, uint64_t deadline_ms) {
+    do {
+        hs_http_server_quiesce(server);
+        hs_clock_sleep_ms(STOP_POLL_MS);
+    } while (hs_caller_connections_count(hs_http_server_connections(server)) > 0 &&
+             hs_clock_monotonic_ms() < deadline_ms);
+}
+
 int hs_daemon_stop(hs_daemon *daemon) {
     hs_node *node = &daemon->node;
     uint64_t deadline_ms = hs_clock_monotonic_ms() + (uint64_t)node->settings->shutdown_grace_ms;
     hs_log_info("stopping", "online=%d calls=%d", g_atomic_int_get(&node->online_count),
                 g_atomic_int_get(&node->call_count));
     g_atomic_int_set(&node->state, HS_NODE_DRAINING);
+    if (daemon->caller_server != NULL)
+        hs_http_server_close_after_answers(daemon->caller_server);
     hs_scheduler_drain(node->scheduler);
     hs_membership_service_leave(node->membership);
     hs_coordinator_wait_for_release(node->coordinator);
@@ -271,7 +282,7 @@
     if (node->front_watch != NULL)
         hs_front_watch_stop_probing(node->front_watch);
     if (daemon->caller_server != NULL)
-        hs_http_server_quiesce(daemon->caller_server);
+        end_connections(daemon->caller_server, deadline_ms);
     calls_done = wait_for_zero(&node->call_count, deadline_ms) && calls_done;
     hs_front_watch_stop(node->front_watch);
     hs_http_server_free(daemon->caller_server);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define ROUTE_PRIORITY_CHECK 0
@@ -21,6 +22,7 @@
     size_t max_header_bytes;
     bool started;
     int quiesced_socket;
+    gint closes_after_answers;
     uint32_t max_open_connections;
     hs_caller_connections *connections; /**< NULL before start. */
 };
@@ -72,10 +74,16 @@
     return hs_peer_has_disconnected(thread_descriptor);
 }
 
+/** Adds the header fields that depend on the state of the server. */
+static void add_connection_field(hs_http_server *server, struct _u_response *response) {
+    if (g_atomic_int_get(&server->closes_after_answers) != 0)
+        u_map_put(response->map_header, "Connection", "close");
+}
+
 static int reply_not_found(const struct _u_request *request, struct _u_response *response,
                            void *user_data) {
     (void)request;
-    (void)user_data;
+    add_connection_field(user_data, response);
     return hs_http_reply_error(response, &(hs_error_body){.status = 404,
                                                           .type = "invalid_request_error",
                                                           .code = "not_found",
@@ -102,7 +110,8 @@
 /** Runs before every handler. Refuses requests with a head or a body over the limit. */
 static int check_size(const struct _u_request *request, struct _u_response *response,
                       void *user_data) {
-    const hs_http_server *server = user_data;
+    hs_http_server *server = user_data;
+    add_connection_field(server, response);
     if (server->max_header_bytes > 0 && header_bytes(request) > server->max_header_bytes) {
         hs_http_reply_error(response, &(hs_error_body){.status = 431,
                                                        .type = "invalid_request_error",
@@ -134,7 +143,7 @@
     server->instance.allowed_post_processor = U_POST_PROCESS_NONE;
     /* One byte above the limit, so that a truncated chunked body is detected as oversized. */
     server->instance.max_post_body_size = max_body_bytes == 0 ? 0 : max_body_bytes + 1;
-    ulfius_set_default_endpoint(&server->instance, reply_not_found, NULL);
+    ulfius_set_default_endpoint(&server->instance, reply_not_found, server);
     return server;
 }
 
@@ -179,9 +188,19 @@
     return server->connections;
 }
 
+void hs_http_server_close_after_answers(hs_http_server *server) {
+    g_atomic_int_set(&server->closes_after_answers, 1);
+}
+
 void hs_http_server_quiesce(hs_http_server *server) {
-    if (server->started && server->quiesced_socket < 0)
+    if (!server->started)
+        return;
+    if (server->quiesced_socket < 0) {
         server->quiesced_socket = MHD_quiesce_daemon(server->instance.mhd_daemon);
+        if (server->quiesced_socket >= 0) /* Refuses connections that nobody would accept. */
+            shutdown(server->quiesced_socket, SHUT_RDWR);
+    }
+    hs_caller_connections_end_idle(server->connections);
 }
 
 void hs_http_server_free(hs_http_server *server) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -49,7 +49,13 @@
 /** Opens the port and starts to serve. Returns 0, or an error code with @p error. */
 int hs_http_server_start(hs_http_server *server, hs_error *error);
 
-/** Stops accepting connections. Open connections are served to their end. */
+/** From now on each answer says that its connection closes, so that no request follows it. */
+void hs_http_server_close_after_answers(hs_http_server *server);
+
+/**
+ * Stops accepting connections and ends idle ones. Requests that have arrived are still served; a
+ * further call ends the connections that are idle since.
+ */
 void hs_http_server_quiesce(hs_http_server *server);
 
 /** Closes all connections and frees the listener. NULL is allowed. */
--- a/tests/system/test_leaving.c
+++ b/tests/system/test_leaving.c
@@ -1,9 +1,13 @@
 /** @file test_leaving.c  Leaving engines, graceful stops, and rolling restarts under load. */
 #include "base/clock.h"
 #include "standin/engine/answer.h"
+#include "tests/support/raw_caller.h"
+#include "tests/system/stop_callers.h"
 #include "tests/system/system_tests.h"
 
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define DAEMONS 3
@@ -13,6 +17,11 @@
 #define RESTARTS 10
 #define JOB_TIMEOUT_MS 60000
 #define JOB_ITEMS 150
+#define KEPT_CALLERS 24
+#define KEPT_WARM_UP_MS 1000
+#define ANSWER_LIMIT_MS 10000
+/** Setting daemon.drain_notice_ms; connections that are idle for longer may be closed unasked. */
+#define DRAIN_NOTICE_MS 200
 
 /** Sends a completion; @p is_whole: whether the answer has the complete expected text. */
 static long complete_through(int daemon, const char *prompt, int tokens, bool *is_whole) {
@@ -154,7 +163,74 @@
     json_decref(job);
 }
 
+/** Callers that go on using their connections to daemon 1 while it stops. */
+typedef struct {
+    gint stopping;
+    gint answered;
+    gint refused;
+    gint cut; /**< Sent on a connection in use, and not answered whole. */
+} kept_load;
+
+static raw_caller *open_caller(void) {
+    const char *port = strrchr(test_fleet.caller_urls[1], ':') + 1;
+    return raw_caller_open((uint16_t)strtoul(port, NULL, 10));
+}
+
+static stop_request send_kept(raw_caller *caller) {
+    static const char body[] = "{\"model\":\"drafting-7b\",\"max_tokens\":2,\"prompt\":\"kept\"}";
+    g_autofree char *text = g_strdup_printf(
+        "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " TEST_TENANT
+        "\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+        strlen(body), body);
+    stop_request request = {0};
+    raw_caller_forget_text(caller);
+    bool is_sent = raw_caller_send(caller, text);
+    request.sent_ms = hs_clock_monotonic_ms();
+    if (is_sent)
+        stop_caller_read_answer(caller, &request, ANSWER_LIMIT_MS);
+    return request;
+}
+
+static gpointer send_on_kept_connection(gpointer data) {
+    kept_load *self = data;
+    raw_caller *caller = open_caller();
+    uint64_t last_sent_ms = 0; /* On this connection; 0: none was. */
+    while (caller != NULL && g_atomic_int_get(&self->stopping) == 0) {
+        stop_request request = send_kept(caller);
+        g_atomic_int_add(&self->answered, request.is_whole && request.status == 200);
+        g_atomic_int_add(&self->refused, request.is_whole && request.status == 503);
+        bool is_in_use = request.sent_ms < last_sent_ms + DRAIN_NOTICE_MS;
+        g_atomic_int_add(&self->cut, is_in_use && !request.is_whole);
+        last_sent_ms = request.is_whole && !request.is_closing ? request.sent_ms : 0;
+        if (last_sent_ms > 0)
+            continue;
+        raw_caller_close(caller);
+        caller = open_caller();
+    }
+    raw_caller_close(caller);
+    return NULL;
+}
+
+static void a_stop_answers_each_request_on_a_kept_connection(void) {
+    kept_load self = {0};
+    GThread *threads[KEPT_CALLERS];
+    for (int index = 0; index < KEPT_CALLERS; index++)
+        threads[index] = g_thread_new("kept", send_on_kept_connection, &self);
+    hs_clock_sleep_ms(KEPT_WARM_UP_MS);
+    CU_ASSERT_EQUAL(fleet_signal(&test_fleet.daemon_pids[1], SIGTERM), 0);
+    g_atomic_int_set(&self.stopping, 1);
+    for (int index = 0; index < KEPT_CALLERS; index++)
+        g_thread_join(threads[index]);
+    printf("    answered %d, refused %d, cut %d\n", self.answered, self.refused, self.cut);
+    CU_ASSERT(self.answered > KEPT_CALLERS);
+    CU_ASSERT_EQUAL(self.cut, 0);
+    fleet_start_daemon(&test_fleet, 1, NULL);
+    CU_ASSERT_TRUE(fleet_wait_ready(&test_fleet, 1, READY_TIMEOUT_MS));
+}
+
 const test_case leaving_tests[] = {
+    {"a_stop_answers_each_request_on_a_kept_connection",
+     a_stop_answers_each_request_on_a_kept_connection},
     {"leaving_engine_gets_no_requests_with_a_stale_engine_list",
      leaving_engine_gets_no_requests_with_a_stale_engine_list},
     {"graceful_stop_finishes_an_open_stream", graceful_stop_finishes_an_open_stream},
