--- a/tests/system/test_leaving.c
+++ b/tests/system/test_leaving.c
@@ -2,7 +2,7 @@
 #include "base/clock.h"
 #include "standin/engine/answer.h"
 #include "tests/support/raw_caller.h"
-#include "tests/system/stop_callers.h"
+#include "tests/support/stop_request.h"
 #include "tests/system/system_tests.h"
 
 #include <signal.h>
@@ -187,7 +187,7 @@
     bool is_sent = raw_caller_send(caller, text);
     request.sent_ms = hs_clock_monotonic_ms();
     if (is_sent)
-        stop_caller_read_answer(caller, &request, ANSWER_LIMIT_MS);
+        stop_request_read_answer(caller, &request, ANSWER_LIMIT_MS);
     return request;
 }
 
