listener: reset unframed streams that the end of the process cuts

Found by review: an answer to HTTP/1.0 ends with its connection. A stream that was still open when the process ended, while its thread was blocked on a slow reader or after SIGKILL, ended in order and looked whole.

Now the kernel resets such a connection when it is closed, until the stream has reached its end. fleet_edges.a_killed_daemon_resets_unframed_ streams failed before (closed in order) and holds.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -349,6 +349,13 @@
         shutdown(descriptor, SHUT_RDWR);
 }
 
+/** Has the kernel reset the connection when it is closed, also by the end of this process. */
+static void set_reset_on_close(int descriptor, bool resets) {
+    struct linger at_once = {.l_onoff = resets, .l_linger = 0};
+    if (descriptor >= 0)
+        setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 bool hs_inbound_reset(const hs_inbound *inbound) {
     if (inbound->descriptor < 0)
         return false;
@@ -360,8 +367,10 @@
     (void)position;
     stream_state *stream = data;
     ssize_t result = stream->reader(stream->reader_data, buffer, size);
-    if (result == HS_READER_END)
+    if (result == HS_READER_END) {
+        set_reset_on_close(stream->reset_descriptor, false);
         return MHD_CONTENT_READER_END_OF_STREAM;
+    }
     if (result == HS_READER_ABORT && stream->reset_descriptor >= 0)
         reset_connection(stream->reset_descriptor);
     if (result == HS_READER_ABORT)
@@ -385,6 +394,7 @@
                              .release = release,
                              .inbound = inbound,
                              .reset_descriptor = inbound->is_http_1_0 ? inbound->descriptor : -1};
+    set_reset_on_close(stream->reset_descriptor, true);
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, stream, free_stream);
     queue_response(inbound, status, fields, response);
--- a/tests/system/test_fleet_edges.c
+++ b/tests/system/test_fleet_edges.c
@@ -74,6 +74,22 @@
     raw_caller_close(caller);
 }
 
+static void a_killed_daemon_resets_unframed_streams(void) {
+    bench_set_engine_modes(TOKEN_ENGINE_ENDLESS);
+    raw_caller *caller = raw_caller_open(bench_front_port(1));
+    CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
+    g_autofree char *head = request_head("/once/killed", "1.0", "killed-old", "");
+    raw_caller_send(caller, head);
+    raw_caller_send(caller, "hello");
+    CU_ASSERT_TRUE(raw_caller_read_until(caller, "id: 2\n", LIMIT_MS));
+    bench_signal_daemon(1, SIGKILL);
+    CU_ASSERT_EQUAL(raw_caller_read_to_end(caller, LIMIT_MS), RAW_RESET);
+    raw_caller_close(caller);
+    bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
+    CU_ASSERT_TRUE(bench_start_daemon(1, false));
+    CU_ASSERT_TRUE(bench_wait_ready(1));
+}
+
 /** A caller that disconnects before its first event or within its stream ends the engine's run. */
 static void a_disconnected_caller_frees_its_engine(void) {
     static const char *const received[] = {"", "id: 2\n"};
@@ -209,6 +225,7 @@
     {"expect_100_continue_is_answered_once", expect_100_continue_is_answered_once},
     {"http_1_0_callers_are_served_without_chunks", http_1_0_callers_are_served_without_chunks},
     {"a_broken_stream_resets_http_1_0_connections", a_broken_stream_resets_http_1_0_connections},
+    {"a_killed_daemon_resets_unframed_streams", a_killed_daemon_resets_unframed_streams},
     {"a_disconnected_caller_frees_its_engine", a_disconnected_caller_frees_its_engine},
     {"a_stop_while_the_store_is_unavailable_loses_no_work",
      a_stop_while_the_store_is_unavailable_loses_no_work},
