Bound the remaining waits by the deadline of a stop

Found by review, by reading: a relayed append and the search for a daemon that reaches the store had least times of their own, the search for a stream's origin lasts up to a second, and the last poll of the stop could use up the time for answers. Each could end after the stop had closed the caller's connection. Events that an engine had sent by the deadline were dropped, and a stopping daemon still told others that it takes their calls.

The times of the stop are read without a lock, as each request asks.

--- a/src/base/drain.c
+++ b/src/base/drain.c
@@ -5,7 +5,7 @@
 
 struct hs_drain {
     GMutex lock;
-    bool has_started;
+    gint has_started; /**< Atomic, as each request asks. */
     hs_drain_times times;
     hs_interrupt expiry;
 };
@@ -27,21 +27,17 @@
 
 void hs_drain_begin(hs_drain *drain, const hs_drain_times *times) {
     g_mutex_lock(&drain->lock);
-    if (!drain->has_started)
+    if (g_atomic_int_get(&drain->has_started) == 0)
         drain->times = *times;
-    drain->has_started = true;
+    g_atomic_int_set(&drain->has_started, 1);
     g_mutex_unlock(&drain->lock);
 }
 
 bool hs_drain_get(hs_drain *drain, hs_drain_times *times) {
-    if (drain == NULL)
+    if (drain == NULL || g_atomic_int_get(&drain->has_started) == 0)
         return false;
-    g_mutex_lock(&drain->lock);
-    bool has_started = drain->has_started;
-    if (has_started)
-        *times = drain->times;
-    g_mutex_unlock(&drain->lock);
-    return has_started;
+    *times = drain->times; /* Not changed any more. */
+    return true;
 }
 
 uint64_t hs_drain_limit(hs_drain *drain, uint64_t time_ms) {
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -455,7 +455,7 @@
  * nothing waits for the store any longer.
  */
 static void end_open_requests(hs_fleet_daemon *daemon, const hs_drain_times *stop) {
-    uint64_t answered_ms = hs_clock_monotonic_ms() + LAST_ANSWERS_MS;
+    uint64_t answered_ms = MIN(hs_clock_monotonic_ms(), stop->deadline_ms) + LAST_ANSWERS_MS;
     hs_drain_expire(daemon->drain);
     if (hs_clock_monotonic_ms() >= stop->deadline_ms)
         hs_store_client_interrupt_calls(daemon->store);
@@ -474,8 +474,10 @@
     while (hs_clock_monotonic_ms() < stop->accept_until_ms)
         hs_clock_sleep_ms(DRAIN_POLL_MS);
     do {
+        uint64_t now_ms = hs_clock_monotonic_ms();
+        uint64_t left_ms = stop->deadline_ms > now_ms ? stop->deadline_ms - now_ms : 0;
         hs_fleet_surface_quiesce(daemon->surface);
-        hs_clock_sleep_ms(DRAIN_POLL_MS);
+        hs_clock_sleep_ms(MIN(DRAIN_POLL_MS, left_ms));
     } while (hs_fleet_surface_front_connection_count(daemon->surface) > 0 &&
              hs_clock_monotonic_ms() < stop->deadline_ms);
     end_open_requests(daemon, stop);
--- a/src/jobs/job_relay.c
+++ b/src/jobs/job_relay.c
@@ -30,16 +30,18 @@
 struct hs_job_relay {
     hs_daemon_directory *daemons;
     hs_store_client *store;
+    hs_drain *drain;
     uint32_t part_count;
     GMutex lock;
     uint64_t next_search_ms[2]; /**< Of all daemons, and of those in some regions. */
 };
 
 hs_job_relay *hs_job_relay_new(hs_daemon_directory *daemons, hs_store_client *store,
-                               uint32_t part_count) {
+                               hs_drain *drain, uint32_t part_count) {
     hs_job_relay *relay = g_new0(hs_job_relay, 1);
     relay->daemons = daemons;
     relay->store = store;
+    relay->drain = drain;
     relay->part_count = part_count;
     g_mutex_init(&relay->lock);
     return relay;
@@ -116,8 +118,8 @@
     g_autoptr(GArray) owners = list_owners(relay, partition, regions);
     for (guint index = 0; index < owners->len && !is_found; index++) {
         *peer = g_array_index(owners, hs_daemon_address, index);
-        is_found =
-            hs_job_peer_can_reach_store(peer, hs_clock_monotonic_ms() + STORE_CHECK_LIMIT_MS);
+        is_found = hs_job_peer_can_reach_store(
+            peer, hs_drain_limit(relay->drain, hs_clock_monotonic_ms() + STORE_CHECK_LIMIT_MS));
     }
     record_search(relay, is_restricted, is_found);
     return is_found;
@@ -150,7 +152,8 @@
         !hs_job_relay_find_peer(relay, partition, regions, &peer))
         return HS_STORE_REFUSED;
     g_autofree char *target = g_strdup_printf(TARGET_FORMAT, (unsigned)topic, partition);
-    hs_deadline limit = MAX(deadline, hs_clock_monotonic_ms() + MIN_RELAY_LIMIT_MS);
+    hs_deadline limit =
+        hs_drain_limit(relay->drain, MAX(deadline, hs_clock_monotonic_ms() + MIN_RELAY_LIMIT_MS));
     hs_peer_answer answer;
     hs_peer_outcome sent = hs_job_peer_post(&peer, target, records, limit, &answer);
     hs_store_outcome outcome = sent == HS_PEER_NO_ANSWER ? HS_STORE_UNKNOWN : HS_STORE_REFUSED;
--- a/src/jobs/job_relay.h
+++ b/src/jobs/job_relay.h
@@ -9,6 +9,7 @@
 #ifndef HS_JOBS_JOB_RELAY_H
 #define HS_JOBS_JOB_RELAY_H
 
+#include "base/drain.h"
 #include "directory/daemon_directory.h"
 #include "http/listener.h"
 #include "store/store_client.h"
@@ -16,11 +17,11 @@
 typedef struct hs_job_relay hs_job_relay;
 
 /**
- * Creates a relay. @p daemons: directory of the daemons to query; both pointers are borrowed for
- * the lifetime of the relay.
+ * Creates a relay. @p daemons: directory of the daemons to query; @p drain: calls end by its
+ * deadline, NULL: the process never stops. The pointers are borrowed for the lifetime of the relay.
  */
 hs_job_relay *hs_job_relay_new(hs_daemon_directory *daemons, hs_store_client *store,
-                               uint32_t part_count);
+                               hs_drain *drain, uint32_t part_count);
 void hs_job_relay_free(hs_job_relay *relay);
 
 /**
--- a/src/jobs/job_service.c
+++ b/src/jobs/job_service.c
@@ -29,7 +29,8 @@
     service->daemons = daemons;
     g_mutex_init(&service->decoding);
     service->settings = *settings;
-    service->settings.relay = hs_job_relay_new(daemons, settings->store, settings->part_count);
+    service->settings.relay =
+        hs_job_relay_new(daemons, settings->store, settings->drain, settings->part_count);
     service->partitions = g_ptr_array_new_with_free_func(free_partition);
     for (uint32_t number = 0; number < settings->part_count; number++)
         g_ptr_array_add(service->partitions, hs_job_partition_new(&service->settings, number));
--- a/src/online/online_origin.c
+++ b/src/online/online_origin.c
@@ -86,7 +86,9 @@
 }
 
 static origin_search search_origin(const hs_online_request *request) {
-    hs_deadline until_ms = MIN(request->deadline, request->inbound->received_ms + MAX_SEARCH_MS);
+    hs_deadline until_ms =
+        hs_drain_limit(request->online->drain,
+                       MIN(request->deadline, request->inbound->received_ms + MAX_SEARCH_MS));
     origin_search found = search_once(request, true, until_ms);
     uint32_t rounds = 1;
     while (found.software == 0 && !(found.is_final && rounds >= MIN_ROUNDS) &&
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -40,11 +40,13 @@
     if (hs_online_after_failure(request, end, &reason) != HS_NEXT_RETRY ||
         !hs_online_may_repeat(request) || !hs_event_stream_can_resume(&request->events) ||
         request->is_origin_unknown || !hs_online_find_answer(request, &reason)) {
-        if (reason == HS_END_STOPPED)
-            reason = HS_END_STREAM_STOPPED;
-        hs_online_request_record_end(request,
-                                     reason == HS_END_BROKEN ? HS_END_STREAM_BROKEN : reason);
-        hs_online_count_end(request->online, HS_END_STREAM_BROKEN, request->first_byte_ms);
+        bool is_stopped = reason == HS_END_STOPPED;
+        if (reason == HS_END_BROKEN || is_stopped)
+            reason = is_stopped ? HS_END_STREAM_STOPPED : HS_END_STREAM_BROKEN;
+        hs_online_request_record_end(request, reason);
+        hs_online_count_end(request->online,
+                            is_stopped ? HS_END_STREAM_STOPPED : HS_END_STREAM_BROKEN,
+                            request->first_byte_ms);
         request->attempt.step = HS_STEP_CUT; /* Not that of a refusal that was read whole. */
         request->stream_ended = true;
         return false;
@@ -65,6 +67,14 @@
     return request->online->max_key_age_ms > 0 && !hs_online_is_still_authorized(request, &reason);
 }
 
+/** Reads what the engine has sent by the end of a stop. HS_STEP_CALLER_GONE: nothing more. */
+static hs_step read_last_bytes(hs_client_connection *connection) {
+    guint before = hs_client_connection_body(connection)->len;
+    hs_step step = hs_client_connection_read_available(connection);
+    bool is_empty = hs_client_connection_body(connection)->len == before;
+    return step == HS_STEP_PROGRESS && is_empty ? HS_STEP_CALLER_GONE : step;
+}
+
 /** Waits for the next bytes of the engine's stream and moves their whole events to ready. */
 static void read_stream_step(hs_online_request *request) {
     hs_attempt *attempt = &request->attempt;
@@ -79,6 +89,8 @@
         attempt->step = request->stream.end_step;
     else
         attempt->step = hs_client_connection_read_body(attempt->connection, &wait);
+    if (attempt->step == HS_STEP_CALLER_GONE && hs_drain_has_expired(request->online->drain))
+        attempt->step = read_last_bytes(attempt->connection);
     request->stream.end_step = HS_STEP_PROGRESS;
     GByteArray *body = hs_client_connection_body(attempt->connection);
     if (body->len > 0) {
--- a/src/online/run_lengths.c
+++ b/src/online/run_lengths.c
@@ -64,6 +64,7 @@
 
 void hs_run_lengths_note(hs_run_lengths *lengths, const char *name, uint64_t length_ms) {
     uint64_t now_ms = hs_clock_monotonic_ms();
+    size_t bucket = bucket_index(length_ms);
     g_mutex_lock(&lengths->lock);
     route_lengths *route = g_hash_table_lookup(lengths->by_route, name);
     if (route == NULL) {
@@ -72,7 +73,7 @@
         g_hash_table_insert(lengths->by_route, g_strdup(name), route);
     }
     update_generations(route, now_ms);
-    route->current.buckets[bucket_index(length_ms)]++;
+    route->current.buckets[bucket]++;
     route->current.total++;
     g_mutex_unlock(&lengths->lock);
 }
--- a/src/surface/fleet_surface.c
+++ b/src/surface/fleet_surface.c
@@ -48,7 +48,8 @@
 
 /** Returns the configuration; waits briefly for it after a start. NULL: not available yet. */
 static hs_fleet_config *wait_for_config(hs_fleet_surface *surface) {
-    uint64_t deadline_ms = hs_clock_monotonic_ms() + CONFIG_WAIT_MS;
+    uint64_t deadline_ms =
+        hs_drain_limit(surface->settings.online->drain, hs_clock_monotonic_ms() + CONFIG_WAIT_MS);
     hs_fleet_config *config = hs_config_source_get(surface->settings.online->config);
     while (config == NULL && hs_clock_monotonic_ms() < deadline_ms) {
         hs_clock_sleep_ms(CONFIG_POLL_MS);
@@ -272,7 +273,9 @@
         return;
     }
     if (strcmp(inbound->target, HS_PEER_STORE_TARGET) == 0) {
-        reply_status(inbound, hs_store_client_is_failing(surface->settings.store) ? 503 : 200);
+        bool is_stopping = g_atomic_int_get(&surface->draining) != 0;
+        bool accepts_calls = !is_stopping && !hs_store_client_is_failing(surface->settings.store);
+        reply_status(inbound, accepts_calls ? 200 : 503);
         return;
     }
     if (hs_state_feed_serve(hs_config_source_feed(surface->settings.online->config), inbound) ||
