Start no items while a stopping daemon waits for the store

What operators saw: when all daemons stop while the store is away, an item ran again from its start.

Cause: a stopping daemon keeps its running items until the store is back, and until then it also started others. The first daemon that sees the store leaves the group, its partitions come to another one that has not seen it yet, and that one started an item whose progress its owner was about to store.

Now no item starts from the beginning of a stop.

--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -422,6 +422,8 @@
     uint64_t grace_ms = get_grace_ms(daemon);
     hs_deadline deadline =
         MIN(stop.started_ms + (uint64_t)((double)grace_ms * HANDOVER_SHARE), stop.deadline_ms);
+    /* Others that stop may leave before this one, and their partitions come here. */
+    hs_job_owner_stop_starts(daemon->owner);
     while (hs_engine_source_is_disconnected(daemon->engine_source) &&
            hs_clock_monotonic_ms() < MIN(stop.started_ms + grace_ms / 2, deadline))
         hs_clock_sleep_ms(DRAIN_POLL_MS);
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -340,8 +340,15 @@
     owner->scheduler = g_thread_new("job-scheduler", hs_job_scheduler_run, owner);
 }
 
+void hs_job_owner_stop_starts(hs_job_owner *owner) {
+    g_mutex_lock(&owner->lock);
+    owner->starts_no_items = true;
+    g_mutex_unlock(&owner->lock);
+}
+
 void hs_job_owner_drain(hs_job_owner *owner, hs_deadline deadline) {
     g_mutex_lock(&owner->lock);
+    owner->starts_no_items = true;
     owner->draining = true;
     owner->handover_deadline = deadline;
     for (guint number = 0; number < owner->partitions->len; number++)
@@ -359,6 +366,7 @@
 void hs_job_owner_leave(hs_job_owner *owner, hs_deadline deadline) {
     g_mutex_lock(&owner->lock);
     owner->stopping = true;
+    owner->starts_no_items = true;
     owner->draining = true;
     owner->handover_deadline = hs_clock_monotonic_ms();
     for (guint number = 0; number < owner->partitions->len; number++) {
--- a/src/jobs/job_owner.h
+++ b/src/jobs/job_owner.h
@@ -36,6 +36,9 @@
 hs_job_owner *hs_job_owner_new(const hs_job_owner_settings *settings);
 void hs_job_owner_start(hs_job_owner *owner);
 
+/** Starts no further items; the running ones continue. */
+void hs_job_owner_stop_starts(hs_job_owner *owner);
+
 /**
  * Starts no further items, stops the running ones and stores their progress for the next owner,
  * retrying until @p deadline. Returns without waiting for the items.
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -96,6 +96,7 @@
     hs_interrupt joins;    /**< Ends a join in progress. */
     uint32_t failed_joins; /**< Since the last successful one; used by the group's thread only. */
     bool stopping;
+    bool starts_no_items;
     bool draining;
     hs_deadline handover_deadline; /**< Of all partitions, while draining. */
     uint32_t running;
