Record an engine version while the recording daemon lacks the store

What callers saw: after all daemons were killed, streams that had begun at an engine of a withdrawn version went on at an engine of the other version (rule ORDER), if one daemon had been cut off from the store during the release.

Cause: keyed.software tells daemons that start which versions a service had lately. Only the live daemon that ranks first for the service writes it. A daemon that reaches the others but not the store stays first, does not learn of the new engines, and nobody records them. All daemons that start then take the one listed version for the only one.

Fix: the next two daemons by rank see to the record too: 1.5 and 3 s after a change of their own set they read the records and add what is missing. They remove nothing, as they may know less than the one before. A daemon of lower rank forgets what it knew of a record, so that it writes it when it becomes first. Cost: two reads of the topic for each change of a service's set; no write unless the first daemon has not written.

The records are not read anew within 5 s of a failed read, and the time limit follows the store's response times: failed reads hold up callers' reads of logs.

--- a/src/directory/software_store.c
+++ b/src/directory/software_store.c
@@ -1,8 +1,10 @@
 /** @file software_store.c  See software_store.h. */
 #include "directory/software_store.h"
 
+#include "base/clock.h"
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/software_history.h"
 #include "gen/peer.pb-c.h"
 #include "store/keyed_topic.h"
 
@@ -10,6 +12,11 @@
 
 /** Maximum wait for the store's response, in ms. */
 #define STORE_TIMEOUT_MS 1000
+/** Daemons that may write a service's record, and the time that each leaves to the one before. */
+#define WRITERS 3
+#define RANK_DELAY_MS 1500
+/** Time after a failed read of the store in which the records are not read anew. */
+#define READ_PAUSE_MS 5000
 /** Longest key of a record; a service with a longer name has none. */
 #define MAX_KEY_BYTES 255
 
@@ -18,7 +25,8 @@
     hs_membership_service *membership;
     hs_store_client *store;
     bool is_read;
-    GHashTable *written; /**< service -> uint64_t* digest of the set that the store has. */
+    GHashTable *settled; /**< service -> uint64_t* digest of the set that the store has. */
+    GHashTable *differs; /**< service -> uint64_t* since when its set is another one. */
 };
 
 hs_software_store *hs_software_store_new(hs_fleet_engines *engines,
@@ -28,14 +36,16 @@
     records->engines = engines;
     records->membership = membership;
     records->store = store;
-    records->written = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    records->settled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    records->differs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return records;
 }
 
 void hs_software_store_free(hs_software_store *records) {
     if (records == NULL)
         return;
-    g_hash_table_destroy(records->written);
+    g_hash_table_destroy(records->settled);
+    g_hash_table_destroy(records->differs);
     g_free(records);
 }
 
@@ -47,8 +57,8 @@
     return digest;
 }
 
-static void set_written(hs_software_store *records, const char *service, uint64_t digest) {
-    g_hash_table_insert(records->written, g_strdup(service), g_memdup2(&digest, sizeof digest));
+static void set_settled(hs_software_store *records, const char *service, uint64_t digest) {
+    g_hash_table_insert(records->settled, g_strdup(service), g_memdup2(&digest, sizeof digest));
 }
 
 static void load_record(const hs_newest_entry *entry, void *user_data) {
@@ -62,7 +72,7 @@
     }
     for (size_t index = 0; index < message->n_software; index++)
         hs_fleet_engines_add_past_software(records->engines, entry->key, message->software[index]);
-    set_written(records, entry->key, digest_of(message->software, message->n_software));
+    set_settled(records, entry->key, digest_of(message->software, message->n_software));
     hs__recent_software__free_unpacked(message, NULL);
 }
 
@@ -74,13 +84,7 @@
     if (!records->is_read)
         return;
     hs_fleet_engines_note_past_software_added(records->engines);
-    hs_log_info("software_records_read", "services=%u", g_hash_table_size(records->written));
-}
-
-/** Returns whether this daemon writes the service's record. */
-static bool is_writer(hs_software_store *records, const char *service) {
-    return strlen(service) <= MAX_KEY_BYTES &&
-           hs_membership_service_is_first(records->membership, service);
+    hs_log_info("software_records_read", "services=%u", g_hash_table_size(records->settled));
 }
 
 static bool write_record(hs_software_store *records, const char *service, const GArray *software) {
@@ -96,21 +100,111 @@
     return outcome == HS_STORE_DONE;
 }
 
+/** Whether the record is known to have all of the set that has this digest. */
+static bool is_settled(hs_software_store *records, const char *service, uint64_t digest) {
+    const uint64_t *settled = g_hash_table_lookup(records->settled, service);
+    return settled != NULL && *settled == digest;
+}
+
+/** Returns since when the set is not settled; 0: it is, or other daemons see to the record. */
+static uint64_t note_difference(hs_software_store *records, const char *service, uint64_t digest,
+                                uint32_t rank) {
+    if (rank >= WRITERS) /* Others change the record from now on. */
+        g_hash_table_remove(records->settled, service);
+    if (rank >= WRITERS || is_settled(records, service, digest)) {
+        g_hash_table_remove(records->differs, service);
+        return 0;
+    }
+    const uint64_t *since_ms = g_hash_table_lookup(records->differs, service);
+    if (since_ms != NULL)
+        return *since_ms;
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_hash_table_insert(records->differs, g_strdup(service), g_memdup2(&now_ms, sizeof now_ms));
+    return now_ms;
+}
+
+static void free_software(gpointer data) {
+    g_array_unref(data);
+}
+
+static void note_record(const hs_newest_entry *entry, void *user_data) {
+    GHashTable *found = user_data;
+    Hs__RecentSoftware *message =
+        hs__recent_software__unpack(NULL, entry->value_length, entry->value);
+    if (message == NULL)
+        return;
+    GArray *software = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    g_array_append_vals(software, message->software, (guint)message->n_software);
+    g_hash_table_replace(found, g_strdup(entry->key), software);
+    hs__recent_software__free_unpacked(message, NULL);
+}
+
+/**
+ * Reads the records anew: service -> GArray of uint64_t. Returns NULL on failure, or if a read of
+ * the store has failed lately: each failure holds up callers' reads of logs.
+ */
+static GHashTable *read_records(hs_software_store *records) {
+    uint64_t failed_ms = hs_store_client_last_failed_read_ms(records->store);
+    if (failed_ms != 0 && hs_clock_monotonic_ms() < failed_ms + READ_PAUSE_MS)
+        return NULL;
+    uint32_t timeout_ms =
+        (uint32_t)hs_store_client_read_limit_ms(records->store, STORE_TIMEOUT_MS, 0);
+    GHashTable *found = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_software);
+    if (hs_keyed_topic_read(records->store, HS_TOPIC_SOFTWARE, timeout_ms, note_record, found))
+        return found;
+    g_hash_table_destroy(found);
+    return NULL;
+}
+
+/**
+ * Adds the software that the record lacks, if any. What it has beyond @p software stays: this
+ * daemon may not know it. Returns whether the record has all of @p software now.
+ */
+static bool complete_record(hs_software_store *records, const char *service, const GArray *software,
+                            GHashTable *found) {
+    g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    const GArray *recorded = g_hash_table_lookup(found, service);
+    if (recorded != NULL)
+        g_array_append_vals(all, recorded->data, recorded->len);
+    guint before = all->len;
+    for (guint index = 0; index < software->len; index++)
+        hs_software_list_add(all, g_array_index(software, uint64_t, index));
+    return all->len == before || write_record(records, service, all);
+}
+
+/**
+ * Writes the record of one service if it is due. A daemon that does not rank first leaves time to
+ * those before it, and reads the records before it writes. @p found: NULL until they were read.
+ */
+static void update_service(hs_software_store *records, const char *service, const GArray *software,
+                           GHashTable **found) {
+    uint64_t digest = digest_of((const uint64_t *)(void *)software->data, software->len);
+    uint32_t rank = strlen(service) <= MAX_KEY_BYTES
+                        ? hs_membership_service_rank(records->membership, service, WRITERS)
+                        : WRITERS;
+    uint64_t since_ms = note_difference(records, service, digest, rank);
+    if (since_ms == 0 || hs_clock_monotonic_ms() < since_ms + (uint64_t)rank * RANK_DELAY_MS)
+        return;
+    if (rank > 0 && *found == NULL)
+        *found = read_records(records);
+    bool is_done = rank == 0
+                       ? write_record(records, service, software)
+                       : *found != NULL && complete_record(records, service, software, *found);
+    if (is_done)
+        set_settled(records, service, digest);
+}
+
 void hs_software_store_update(hs_software_store *records) {
     g_autoptr(GHashTable) services = hs_fleet_engines_list_software(records->engines);
     if (services == NULL || !records->is_read)
         return;
     GHashTableIter iterator;
     gpointer service = NULL;
-    gpointer value = NULL;
+    gpointer software = NULL;
+    GHashTable *found = NULL;
     g_hash_table_iter_init(&iterator, services);
-    while (g_hash_table_iter_next(&iterator, &service, &value)) {
-        const GArray *software = value;
-        uint64_t digest = digest_of((const uint64_t *)(void *)software->data, software->len);
-        const uint64_t *written = g_hash_table_lookup(records->written, service);
-        if (written != NULL && *written == digest)
-            continue;
-        if (is_writer(records, service) && write_record(records, service, software))
-            set_written(records, service, digest);
-    }
+    while (g_hash_table_iter_next(&iterator, &service, &software))
+        update_service(records, service, software, &found);
+    if (found != NULL)
+        g_hash_table_destroy(found);
 }
--- a/src/membership/membership_service.c
+++ b/src/membership/membership_service.c
@@ -154,6 +154,19 @@
     hs_membership_service_send(service, to.address, to.port, message);
 }
 
+uint32_t hs_membership_service_rank(hs_membership_service *service, const char *key,
+                                    uint32_t max_rank) {
+    uint32_t rank = 0;
+    const hs_membership *membership = hs_membership_service_lock(service);
+    const hs_member *self = hs_membership_self(membership);
+    const hs_member *member = hs_membership_rank_next(membership, key, NULL);
+    for (; member != NULL && member != self && rank < max_rank;
+         member = hs_membership_rank_next(membership, key, member))
+        rank++;
+    hs_membership_service_unlock(service);
+    return rank;
+}
+
 bool hs_membership_service_is_first(hs_membership_service *service, const char *key) {
     const hs_membership *membership = hs_membership_service_lock(service);
     bool is_first =
--- a/src/membership/membership_service.h
+++ b/src/membership/membership_service.h
@@ -78,6 +78,12 @@
 void hs_membership_service_send_to_owner(hs_membership_service *service, uint32_t partition,
                                          Hs__PeerMessage *message);
 
+/**
+ * Returns how many live members rank before this daemon for @p key, at most @p max_rank.
+ */
+uint32_t hs_membership_service_rank(hs_membership_service *service, const char *key,
+                                    uint32_t max_rank);
+
 /** Returns whether this daemon is the highest-ranked live member for @p key. */
 bool hs_membership_service_is_first(hs_membership_service *service, const char *key);
 
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -56,6 +56,8 @@
         {"fleet_versions", fleet_version_system_tests, begin_versions, end_versions},
         {"fleet_version_restarts", fleet_version_restart_system_tests, begin_versions_reused,
          end_versions},
+        {"fleet_version_records", fleet_version_record_system_tests, begin_version_records,
+         end_version_records},
         {"fleet_weights", fleet_weight_system_tests, begin_weights, end_weights},
         {"fleet_entries", fleet_entry_system_tests, bench_set_up, bench_tear_down},
         {"fleet_crashes_large", fleet_crash_large_system_tests, begin_crashes_large,
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -160,6 +160,12 @@
 int end_versions(void);
 extern const test_case fleet_version_system_tests[];
 
+/** As begin_versions, with engines of one version, and proxies between the daemons and the store.
+ */
+int begin_version_records(void);
+int end_version_records(void);
+extern const test_case fleet_version_record_system_tests[];
+
 /** As begin_versions, with one daemon of the earlier build that HS_PAST_PROGRAM names. */
 int begin_upgrade_versions(void);
 int end_upgrade_versions(void);
--- a/tests/system/test_fleet_versions.c
+++ b/tests/system/test_fleet_versions.c
@@ -4,7 +4,9 @@
  * only at the version that began it, at whichever daemon the caller takes it up.
  */
 #include "base/clock.h"
+#include "base/hash.h"
 #include "platform/names.h"
+#include "tests/support/store_proxies.h"
 #include "tests/system/crash_calls.h"
 #include "tests/system/fleet_calls.h"
 #include "tests/system/system_tests.h"
@@ -46,6 +48,17 @@
 static const char *const swapped_versions[CRASH_FLEET_ENGINES] = {"v1.1", "v1",   "v1.1",
                                                                   "v1",   "v1.1", "v1"};
 
+/** An engine of a release that is withdrawn, and the time for which its entry stands. */
+#define WITHDRAWN_ID "withdrawn"
+#define WITHDRAWN_VERSION "v2"
+#define WITHDRAWN_LISTED_MS 6000
+/** From a change of the list of engines until all daemons in touch with the store know it. */
+#define LIST_PROPAGATION_MS 1000
+/** Streams sent until one begins at the withdrawn engine. */
+#define MAX_BEGUN_STREAMS 40
+
+static const char *const sole_version[CRASH_FLEET_ENGINES] = {"v1", "v1", "v1", "v1", "v1", "v1"};
+
 /** The events of one stream over all tries of its caller. */
 typedef struct {
     uint32_t events;
@@ -57,6 +70,14 @@
     char body[TOKEN_ENGINE_ID_BYTES];     /**< "": that of all such streams. */
 } caller_stream;
 
+/** Returns the version that an engine had in a run; NULL: an unknown engine. */
+static const char *find_version(const char *engine_id, uint32_t run) {
+    if (strcmp(engine_id, WITHDRAWN_ID) == 0)
+        return WITHDRAWN_VERSION;
+    int engine = crash_fleet_engine_index(engine_id);
+    return engine >= 0 ? crash_fleet_get_run_version(get_crash_fleet(), engine, run) : NULL;
+}
+
 /** Adds the whole events of an answer; returns how many there are. */
 static uint32_t add_events(caller_stream *stream, const char *request_id, const char *body) {
     uint32_t before = stream->events;
@@ -69,14 +90,13 @@
         char engine_id[TOKEN_ENGINE_ID_BYTES] = "";
         bool is_event = data != NULL &&
                         token_engine_parse_event(data + strlen("data: "), &number, engine_id, &run);
-        int engine = crash_fleet_engine_index(engine_id);
-        if (!is_event || engine < 0 || number != stream->events + 1) {
+        const char *version = is_event ? find_version(engine_id, run) : NULL;
+        if (version == NULL || number != stream->events + 1) {
             stream->is_out_of_order = true;
             continue;
         }
         if (stream->version == NULL)
             g_strlcpy(stream->first_id, request_id, sizeof stream->first_id);
-        const char *version = crash_fleet_get_run_version(get_crash_fleet(), engine, run);
         stream->is_mixed |= stream->version != NULL && strcmp(stream->version, version) != 0;
         stream->version = stream->version != NULL ? stream->version : version;
         stream->events++;
@@ -425,6 +445,83 @@
     check_items_beside_crashes("items-renewed");
 }
 
+/** Puts proxies between the store and the daemons, which are restarted for it. */
+static void use_store_proxies(void) {
+    if (store_proxies[0] != NULL)
+        return;
+    store_proxies_start();
+    kill_and_restart_all_daemons();
+}
+
+/** Returns the daemon that records the versions of the service in the store. */
+static int find_recorder(const char *service) {
+    int recorder = 0;
+    uint64_t most = 0;
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        g_autofree char *id = g_strdup_printf("front-%d", daemon);
+        uint64_t weight = hs_hash_pair(service, id);
+        recorder = weight > most ? daemon : recorder;
+        most = MAX(most, weight);
+    }
+    return recorder;
+}
+
+/** Begins streams until one receives events of the withdrawn engine; returns whether one did. */
+static bool begin_at_withdrawn(caller_stream *stream, int daemon) {
+    for (int number = 0; number < MAX_BEGUN_STREAMS; number++) {
+        g_autofree char *id = g_strdup_printf("withdrawn-%d-first", number);
+        *stream = (caller_stream){0};
+        send_try(stream, daemon, id, FAULT_DELAY_MS);
+        if (g_strcmp0(stream->version, WITHDRAWN_VERSION) == 0)
+            return true;
+    }
+    return false;
+}
+
+/** Guards against a version that no daemon records, as the one that does has lost the store. */
+static void a_withdrawn_version_is_known_after_all_daemons_were_killed(void) {
+    int recorder = find_recorder("llm");
+    use_store_proxies();
+    fault_proxy_set_mode(store_proxies[recorder], PROXY_BLOCKS_ALL);
+    token_engine *engine = token_engine_start(
+        &(token_engine_settings){.id = WITHDRAWN_ID,
+                                 .service = "llm",
+                                 .pace = {.events = EVENTS, .event_ms = EVENT_MS},
+                                 .version = WITHDRAWN_VERSION});
+    token_engine_announce(engine, bench.store, false);
+    hs_clock_sleep_ms(WITHDRAWN_LISTED_MS);
+    caller_stream stream;
+    CU_ASSERT_TRUE(begin_at_withdrawn(&stream, (recorder + 1) % DAEMONS));
+    token_engine_crash(engine);
+    log_store_put(bench.store, TOPIC_ENGINES, WITHDRAWN_ID, "");
+    hs_clock_sleep_ms(LIST_PROPAGATION_MS);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        bench_signal_daemon(daemon, SIGKILL);
+    fault_proxy_set_mode(store_proxies[recorder], PROXY_FORWARDS);
+    kill_and_restart_all_daemons();
+    for (int daemon = 0; daemon < DAEMONS; daemon++) {
+        caller_stream taken_up = stream;
+        g_autofree char *id = g_strdup_printf("withdrawn-%d-second", daemon);
+        send_try(&taken_up, daemon, id, 0);
+        CU_ASSERT_FALSE(taken_up.is_mixed);
+        CU_ASSERT_FALSE(taken_up.is_out_of_order);
+    }
+    token_engine_stop(engine);
+}
+
+int begin_version_records(void) {
+    bench.settings = (bench_settings){.daemons = DAEMONS};
+    return begin_crashes_with_settings(&(crash_fleet_settings){
+        .engines = 2, .pace = {.events = EVENTS, .event_ms = EVENT_MS}, .versions = sole_version});
+}
+
+int end_version_records(void) {
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        bench_signal_daemon(daemon, SIGKILL);
+    store_proxies_stop();
+    return end_versions();
+}
+
 int begin_versions_reused(void) {
     bench.settings = (bench_settings){.daemons = DAEMONS};
     return begin_crashes_with_settings(
@@ -486,6 +583,12 @@
     {NULL, NULL},
 };
 
+const test_case fleet_version_record_system_tests[] = {
+    {"a_withdrawn_version_is_known_after_all_daemons_were_killed",
+     a_withdrawn_version_is_known_after_all_daemons_were_killed},
+    {NULL, NULL},
+};
+
 const test_case fleet_upgrade_version_system_tests[] = {
     {"a_stream_begun_at_an_earlier_build_goes_on_at_its_version",
      a_stream_begun_at_an_earlier_build_goes_on_at_its_version},
