A route that moved lately does not tell which software began a stream

What callers could see: a stream began at one service, its route moved to another, and where no daemon knew its origin (a daemon cut off from the others, or the keepers killed) it went on at the new service's only software (rule ORDER).

Cause: whether a service has had a single software was asked for the service that the route has now. What served the route's requests before did not count.

Routes count as unmoved before a daemon's first configuration (design 0030, "What remains").

Evidence: the unit test fails if the versions before are not looked at (4 assertions), and passes now. Not tried over real processes.

--- a/include/heathsail/fleet.h
+++ b/include/heathsail/fleet.h
@@ -43,6 +43,8 @@
     uint64_t max_queued_tokens;    /**< Batch: limit of the tokens in a tenant's unfinished items,
                                           or in all callers' if there are no tenants; 0: no limit. */
     bool is_public;                /**< Callers need no key. */
+    uint64_t sole_since_ms;        /**< Monotonic time at which the only service became the one of
+                                          all the route's requests; 0: before the first version. */
     GPtrArray
         *allowed_regions; /**< Of char*: where requests may be served and stored; NULL: all. */
 } hs_fleet_route;
--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -63,6 +63,36 @@
     source->value = value != NULL ? g_bytes_ref(value) : NULL;
 }
 
+static const char *first_service(const hs_fleet_route *route) {
+    return g_array_index(route->shares, hs_route_share, 0).service;
+}
+
+/** Returns since when requests of @p before have gone to the first service of @p route only. */
+static uint64_t find_sole_since_ms(const hs_fleet_route *route, const hs_fleet_route *before,
+                                   uint64_t now_ms) {
+    bool is_same =
+        before->shares->len == 1 && strcmp(first_service(before), first_service(route)) == 0;
+    return is_same ? before->sole_since_ms : now_ms;
+}
+
+/** Sets hs_fleet_route.sole_since_ms by the version before. */
+static void note_sole_services(hs_fleet_config *config, const hs_fleet_config *previous) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    for (guint index = 0; index < config->routes->len; index++) {
+        hs_fleet_route *route = config->routes->pdata[index];
+        const hs_fleet_route *wider =
+            hs_fleet_config_find_route(previous, route->host, route->path_prefix);
+        if (wider != NULL)
+            route->sole_since_ms = find_sole_since_ms(route, wider, now_ms);
+        for (guint other = 0; other < previous->routes->len; other++) {
+            const hs_fleet_route *before = previous->routes->pdata[other];
+            if (hs_fleet_config_find_route(config, before->host, before->path_prefix) == route)
+                route->sole_since_ms =
+                    MAX(route->sole_since_ms, find_sole_since_ms(route, before, now_ms));
+        }
+    }
+}
+
 /** As hs_config_source_apply_if_newer, with the record's value; NULL: not known. */
 static bool apply_record(hs_config_source *source, hs_fleet_config *config, GBytes *value) {
     g_mutex_lock(&source->lock);
@@ -70,6 +100,8 @@
     hs_fleet_config *released = is_newer ? source->config : config;
     uint64_t previous_version = source->config != NULL ? source->config->version : 0;
     if (is_newer) {
+        if (source->config != NULL)
+            note_sole_services(config, source->config);
         source->config = config;
         replace_value(source, value);
     }
--- a/src/online/online_origin.c
+++ b/src/online/online_origin.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "fleet/run_search.h"
+#include "fleet/software_history.h"
 #include "online/retry_after.h"
 
 /**
@@ -22,9 +23,16 @@
     return g_array_index(request->route->shares, hs_route_share, index).service;
 }
 
+/** Whether the route's only service has been so for as long as streams can be taken up. */
+static bool has_sole_service(const hs_fleet_route *route) {
+    return route->shares->len == 1 &&
+           (route->sole_since_ms == 0 ||
+            route->sole_since_ms + HS_MAX_STREAM_AGE_MS <= hs_clock_monotonic_ms());
+}
+
 /** Returns the only software that can have begun a stream on the route; 0: there may be several. */
 static uint64_t find_sole_software(const hs_online_request *request, uint64_t as_of_ms) {
-    return request->route->shares->len == 1
+    return has_sole_service(request->route)
                ? hs_fleet_engines_sole_software(request->online->engines, share_service(request, 0),
                                                 as_of_ms)
                : 0;
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -267,6 +267,56 @@
     hs_config_source_free(source);
 }
 
+/** Applies a configuration of routes "PREFIX SERVICE", separated by commas. */
+static void apply_routes(hs_config_source *source, uint64_t version, const char *routes) {
+    GString *text = g_string_new(NULL);
+    g_string_printf(text, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[", (guint64)version);
+    g_auto(GStrv) list = g_strsplit(routes, ",", -1);
+    for (int index = 0; list[index] != NULL; index++) {
+        g_auto(GStrv) parts = g_strsplit(list[index], " ", 2);
+        g_string_append_printf(
+            text,
+            "%s{\"name\":\"r%d\",\"host\":\"a.example\",\"path-prefix\":\"%s\","
+            "\"kind\":\"streaming\",\"timeout-ms\":6000,\"target-latency-ms\":500,"
+            "\"priority\":0,\"service\":\"%s\",\"max-attempts\":2,\"resumable\":true,"
+            "\"gap-target-ms\":500}",
+            index > 0 ? "," : "", index, parts[0], parts[1]);
+    }
+    const char *rest = strstr(config_text, "],\"services\"");
+    g_string_append(text, rest);
+    hs_error error = {0};
+    hs_fleet_config *config = hs_platform_read_config(text->str, text->len, &error);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(config);
+    CU_ASSERT_TRUE(hs_config_source_apply_if_newer(source, config));
+    g_string_free(text, TRUE);
+}
+
+/** Whether requests for the target can only have gone to the service that they go to now. */
+static bool has_always_been_sole(hs_config_source *source, const char *target) {
+    hs_fleet_config *config = hs_config_source_get(source);
+    const hs_fleet_route *route = hs_fleet_config_find_route(config, "a.example", target);
+    bool is_sole = route->shares->len == 1 && route->sole_since_ms == 0;
+    hs_fleet_config_unref(config);
+    return is_sole;
+}
+
+/** Guards against a stream that goes on at the service to which its route moved. */
+static void a_route_that_moved_does_not_tell_a_sole_service(void) {
+    hs_config_source *source = hs_config_source_new(NULL, 1000);
+    apply_routes(source, 1, "/x/ s1,/x/y/ s2,/z/ s1");
+    CU_ASSERT_TRUE(has_always_been_sole(source, "/x/a"));
+    apply_routes(source, 2, "/z/ s2,/x/ s1,/x/y/ s2");
+    CU_ASSERT_TRUE(has_always_been_sole(source, "/x/a"));
+    CU_ASSERT_TRUE(has_always_been_sole(source, "/x/y/a"));
+    CU_ASSERT_FALSE(has_always_been_sole(source, "/z/a"));
+    apply_routes(source, 3, "/x/ s1,/x/w/ s2,/z/ s2,/new/ s2"); /* One is gone, two are new. */
+    CU_ASSERT_FALSE(has_always_been_sole(source, "/x/a"));
+    CU_ASSERT_FALSE(has_always_been_sole(source, "/x/w/a"));
+    CU_ASSERT_FALSE(has_always_been_sole(source, "/z/a"));
+    CU_ASSERT_TRUE(has_always_been_sole(source, "/new/a"));
+    hs_config_source_free(source);
+}
+
 static void engine_request_heads_forward_caller_fields(void) {
     GArray *fields = hs_http_fields_new();
     hs_http_fields_add(fields, "Host", "a.example");
@@ -488,6 +538,8 @@
     {"routes_match_host_and_longest_prefix", routes_match_host_and_longest_prefix},
     {"invalid_configuration_is_rejected", invalid_configuration_is_rejected},
     {"traffic_split_converges_to_its_weights", traffic_split_converges_to_its_weights},
+    {"a_route_that_moved_does_not_tell_a_sole_service",
+     a_route_that_moved_does_not_tell_a_sole_service},
     {"older_configuration_is_not_applied", older_configuration_is_not_applied},
     {"engine_request_heads_forward_caller_fields", engine_request_heads_forward_caller_fields},
     {"caller_terms_are_parsed", caller_terms_are_parsed},
