Test daemons that are out of step in a release over real processes

fleet_version_gaps: one of eight daemons stands still while an engine of a new version joins, runs streams of other daemons and goes, and the store drops the log of that time; the other daemons are killed, and the streams are taken up at the first.

--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -165,6 +165,11 @@
 int begin_version_records(void);
 int end_version_records(void);
 extern const test_case fleet_version_record_system_tests[];
+extern const test_case fleet_version_cut_system_tests[];
+
+/** As begin_version_records, with more daemons; ends as end_versions. */
+int begin_version_gaps(void);
+extern const test_case fleet_version_gap_system_tests[];
 
 /** As begin_versions, with one daemon of the earlier build that HS_PAST_PROGRAM names. */
 int begin_upgrade_versions(void);
--- a/tests/system/test_fleet_versions.c
+++ b/tests/system/test_fleet_versions.c
@@ -57,13 +57,22 @@
 /** Streams sent until one begins at the withdrawn engine. */
 #define MAX_BEGUN_STREAMS 40
 
+/** Daemons and streams of a release that one daemon misses. */
+#define GAP_DAEMONS 8
+#define MISSED_STREAMS 12
+/** Faults for which a daemon stays cut from the store. */
+#define CUT_TURNS 4
+/** Below the stall detector's HS_MIN_STALL_MS, and above it. */
+#define SHORT_STOP_MS 800
+#define ISOLATED_MS 1500
+
 static const char *const sole_version[CRASH_FLEET_ENGINES] = {"v1", "v1", "v1", "v1", "v1", "v1"};
 
 /** The events of one stream over all tries of its caller. */
 typedef struct {
-    uint32_t events;
     const char *version; /**< Of the first event; NULL: none has arrived. */
-    bool is_mixed;       /**< Events of two versions have arrived. */
+    uint32_t events;
+    bool is_mixed; /**< Events of two versions have arrived. */
     bool is_out_of_order;
     bool is_whole;
     char first_id[TOKEN_ENGINE_ID_BYTES]; /**< Of the try that received the first event. */
@@ -129,6 +138,7 @@
 /** Streams of all callers. */
 typedef struct {
     const char *title;
+    uint32_t leave_after_ms; /**< Time after which a caller leaves its first try; 0: it stays. */
     gint stopping;
     gint next_number;
     GMutex lock;
@@ -151,7 +161,8 @@
     for (int attempt = 0; attempt < MAX_TRIES && !stream.is_whole; attempt++) {
         g_autofree char *id = g_strdup_printf("%s-%d-%d", results->title, number, attempt);
         bool is_resumed = stream.version != NULL;
-        bool has_events = send_try(&stream, (number + attempt) % DAEMONS, id, 0) > 0;
+        uint32_t leave_after_ms = attempt == 0 ? results->leave_after_ms : 0;
+        bool has_events = send_try(&stream, (number + attempt) % DAEMONS, id, leave_after_ms) > 0;
         taken_up += is_resumed;
         went_on += is_resumed && has_events;
     }
@@ -179,8 +190,9 @@
 typedef void (*fault_function)(int turn);
 
 /** Runs callers beside faults, and checks that no stream is joined from two versions. */
-static stream_results call_beside_faults(const char *title, fault_function cause_fault) {
-    stream_results results = {.title = title};
+static stream_results call_beside_faults(const char *title, fault_function cause_fault,
+                                         uint32_t leave_after_ms) {
+    stream_results results = {.title = title, .leave_after_ms = leave_after_ms};
     GThread *threads[CALLERS];
     CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
     g_mutex_init(&results.lock);
@@ -205,7 +217,7 @@
 }
 
 static void run_callers_beside_faults(const char *title, fault_function cause_fault) {
-    stream_results results = call_beside_faults(title, cause_fault);
+    stream_results results = call_beside_faults(title, cause_fault, 0);
     /* The platform's bound: half of the share of new streams that begin. */
     CU_ASSERT(results.went_on * 2 * results.streams >= results.taken_up * results.begun);
 }
@@ -215,7 +227,7 @@
  * for certain does not go on, nor does one whose caller finds no daemon; most streams end whole.
  */
 static void run_callers_beside_renewals(const char *title, fault_function cause_fault) {
-    stream_results results = call_beside_faults(title, cause_fault);
+    stream_results results = call_beside_faults(title, cause_fault, 0);
     CU_ASSERT(results.whole * 2 >= results.begun);
 }
 
@@ -453,6 +465,71 @@
     kill_and_restart_all_daemons();
 }
 
+/** Cuts one daemon after the other from the store, every second time one way only. */
+static void cut_next_daemon_from_store(int turn) {
+    int daemon = turn / CUT_TURNS % DAEMONS;
+    for (int other = 0; other < DAEMONS; other++)
+        fault_proxy_set_mode(store_proxies[other], other != daemon   ? PROXY_FORWARDS
+                                                   : daemon % 2 == 0 ? PROXY_BLOCKS_ALL
+                                                                     : PROXY_BLOCKS_ANSWERS);
+    crash_two_engines(turn);
+}
+
+/** Suspends a daemon for less than what its stall detector notices. */
+static void suspend_next_daemon_shortly(int turn) {
+    bench_signal_daemon(turn % DAEMONS, SIGSTOP);
+    crash_two_engines(turn);
+    hs_clock_sleep_ms(SHORT_STOP_MS);
+    bench_signal_daemon(turn % DAEMONS, SIGCONT);
+}
+
+/** Cuts a daemon from the others, which neither answer it nor are heard. */
+static void suspend_all_but_one(int turn) {
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        if (daemon != turn % DAEMONS)
+            bench_signal_daemon(daemon, SIGSTOP);
+    crash_two_engines(turn);
+    hs_clock_sleep_ms(ISOLATED_MS);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        bench_signal_daemon(daemon, SIGCONT);
+}
+
+/** Kills all daemons but one, which does not run meanwhile. */
+static void kill_all_but_a_suspended_daemon(int turn) {
+    int suspended = turn % DAEMONS;
+    bench_signal_daemon(suspended, SIGSTOP);
+    crash_two_engines(turn);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        if (daemon != suspended)
+            bench_signal_daemon(daemon, SIGKILL);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        if (daemon != suspended)
+            bench_start_daemon(daemon, false);
+    hs_clock_sleep_ms(ISOLATED_MS);
+    bench_signal_daemon(suspended, SIGCONT);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_wait_ready(daemon));
+}
+
+static void no_stream_is_joined_at_a_daemon_that_is_cut_from_the_store(void) {
+    use_store_proxies();
+    call_beside_faults("cut-from-store", cut_next_daemon_from_store, FAULT_DELAY_MS);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        fault_proxy_set_mode(store_proxies[daemon], PROXY_FORWARDS);
+}
+
+static void no_stream_is_joined_at_a_daemon_that_stood_still_unnoticed(void) {
+    call_beside_faults("stopped-shortly", suspend_next_daemon_shortly, FAULT_DELAY_MS);
+}
+
+static void no_stream_is_joined_at_a_daemon_that_is_cut_from_the_others(void) {
+    call_beside_faults("cut-from-others", suspend_all_but_one, FAULT_DELAY_MS);
+}
+
+static void no_stream_is_joined_at_a_daemon_that_outlives_the_others(void) {
+    call_beside_faults("others-killed", kill_all_but_a_suspended_daemon, FAULT_DELAY_MS);
+}
+
 /** Returns the daemon that records the versions of the service in the store. */
 static int find_recorder(const char *service) {
     int recorder = 0;
@@ -466,6 +543,18 @@
     return recorder;
 }
 
+/** Starts the engine of a release and waits until all daemons that run know it. */
+static token_engine *release_engine(void) {
+    token_engine *engine = token_engine_start(
+        &(token_engine_settings){.id = WITHDRAWN_ID,
+                                 .service = "llm",
+                                 .pace = {.events = EVENTS, .event_ms = EVENT_MS},
+                                 .version = WITHDRAWN_VERSION});
+    token_engine_announce(engine, bench.store, false);
+    hs_clock_sleep_ms(LIST_PROPAGATION_MS);
+    return engine;
+}
+
 /** Begins streams until one receives events of the withdrawn engine; returns whether one did. */
 static bool begin_at_withdrawn(caller_stream *stream, int daemon) {
     for (int number = 0; number < MAX_BEGUN_STREAMS; number++) {
@@ -483,12 +572,7 @@
     int recorder = find_recorder("llm");
     use_store_proxies();
     fault_proxy_set_mode(store_proxies[recorder], PROXY_BLOCKS_ALL);
-    token_engine *engine = token_engine_start(
-        &(token_engine_settings){.id = WITHDRAWN_ID,
-                                 .service = "llm",
-                                 .pace = {.events = EVENTS, .event_ms = EVENT_MS},
-                                 .version = WITHDRAWN_VERSION});
-    token_engine_announce(engine, bench.store, false);
+    token_engine *engine = release_engine();
     hs_clock_sleep_ms(WITHDRAWN_LISTED_MS);
     caller_stream stream;
     CU_ASSERT_TRUE(begin_at_withdrawn(&stream, (recorder + 1) % DAEMONS));
@@ -509,6 +593,44 @@
     token_engine_stop(engine);
 }
 
+/** Guards against a daemon that lists engines anew and does not know that it missed some. */
+static void a_daemon_that_missed_a_withdrawn_version_joins_no_stream(void) {
+    caller_stream streams[MISSED_STREAMS];
+    int begun = 0;
+    bench_signal_daemon(0, SIGSTOP);
+    token_engine *engine = release_engine();
+    for (int number = 0; number < MISSED_STREAMS; number++) {
+        g_autofree char *id = g_strdup_printf("missed-%d-first", number);
+        streams[begun] = (caller_stream){0};
+        send_try(&streams[begun], 1, id, FAULT_DELAY_MS);
+        begun += g_strcmp0(streams[begun].version, WITHDRAWN_VERSION) == 0;
+    }
+    CU_ASSERT(begun > 0);
+    token_engine_crash(engine);
+    log_store_put(bench.store, TOPIC_ENGINES, WITHDRAWN_ID, "");
+    log_store_discard_records(bench.store, TOPIC_ENGINES);
+    for (int daemon = 1; daemon < bench_daemon_count(); daemon++)
+        bench_signal_daemon(daemon, SIGKILL);
+    bench_signal_daemon(0, SIGCONT);
+    CU_ASSERT_TRUE(bench_wait_ready(0));
+    uint32_t mixed = 0;
+    for (int number = 0; number < begun; number++) {
+        g_autofree char *id = g_strdup_printf("missed-%d-second", number);
+        send_try(&streams[number], 0, id, 0);
+        mixed += streams[number].is_mixed;
+    }
+    fprintf(stderr, "missed release: of %d streams taken up, %u mixed\n", begun, mixed);
+    CU_ASSERT_EQUAL(mixed, 0);
+    token_engine_stop(engine);
+}
+
+/** More daemons than know a stream's origin. */
+int begin_version_gaps(void) {
+    bench.settings = (bench_settings){.daemons = GAP_DAEMONS};
+    return begin_crashes_with_settings(&(crash_fleet_settings){
+        .engines = 2, .pace = {.events = EVENTS, .event_ms = EVENT_MS}, .versions = sole_version});
+}
+
 int begin_version_records(void) {
     bench.settings = (bench_settings){.daemons = DAEMONS};
     return begin_crashes_with_settings(&(crash_fleet_settings){
@@ -583,6 +705,24 @@
     {NULL, NULL},
 };
 
+const test_case fleet_version_gap_system_tests[] = {
+    {"a_daemon_that_missed_a_withdrawn_version_joins_no_stream",
+     a_daemon_that_missed_a_withdrawn_version_joins_no_stream},
+    {NULL, NULL},
+};
+
+const test_case fleet_version_cut_system_tests[] = {
+    {"no_stream_is_joined_at_a_daemon_that_is_cut_from_the_store",
+     no_stream_is_joined_at_a_daemon_that_is_cut_from_the_store},
+    {"no_stream_is_joined_at_a_daemon_that_stood_still_unnoticed",
+     no_stream_is_joined_at_a_daemon_that_stood_still_unnoticed},
+    {"no_stream_is_joined_at_a_daemon_that_is_cut_from_the_others",
+     no_stream_is_joined_at_a_daemon_that_is_cut_from_the_others},
+    {"no_stream_is_joined_at_a_daemon_that_outlives_the_others",
+     no_stream_is_joined_at_a_daemon_that_outlives_the_others},
+    {NULL, NULL},
+};
+
 const test_case fleet_version_record_system_tests[] = {
     {"a_withdrawn_version_is_known_after_all_daemons_were_killed",
      a_withdrawn_version_is_known_after_all_daemons_were_killed},
