--- a/src/directory/software_store.c
+++ b/src/directory/software_store.c
@@ -15,6 +15,8 @@
 /** Daemons that may write a service's record, and the time that each leaves to the one before. */
 #define WRITERS 3
 #define RANK_DELAY_MS 1500
+/** Time after a failed read of the store in which the records are not read anew. */
+#define READ_PAUSE_MS 5000
 /** Longest key of a record; a service with a longer name has none. */
 #define MAX_KEY_BYTES 255
 
@@ -137,11 +139,18 @@
     hs__recent_software__free_unpacked(message, NULL);
 }
 
-/** Reads the records anew: service -> GArray of uint64_t. Returns NULL on failure. */
+/**
+ * Reads the records anew: service -> GArray of uint64_t. Returns NULL on failure, or if a read of
+ * the store has failed lately: each failure holds up callers' reads of logs.
+ */
 static GHashTable *read_records(hs_software_store *records) {
+    uint64_t failed_ms = hs_store_client_last_failed_read_ms(records->store);
+    if (failed_ms != 0 && hs_clock_monotonic_ms() < failed_ms + READ_PAUSE_MS)
+        return NULL;
+    uint32_t timeout_ms =
+        (uint32_t)hs_store_client_read_limit_ms(records->store, STORE_TIMEOUT_MS, 0);
     GHashTable *found = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_software);
-    if (hs_keyed_topic_read(records->store, HS_TOPIC_SOFTWARE, STORE_TIMEOUT_MS, note_record,
-                            found))
+    if (hs_keyed_topic_read(records->store, HS_TOPIC_SOFTWARE, timeout_ms, note_record, found))
         return found;
     g_hash_table_destroy(found);
     return NULL;
