stop_request: a slow reader notes when its connection was closed

A slow reader begins to read 300 ms after its request, and so saw each end of a connection at least 300 ms late: a request on a kept connection that the daemon had closed unread looked as if it had waited for more than 200 ms.

The reader now asks the kernel, without reading, when the peer closed; the bound of 200 ms stays.

--- a/tests/support/raw_caller.c
+++ b/tests/support/raw_caller.c
@@ -93,6 +93,11 @@
     return caller->text->len >= length;
 }
 
+uint64_t raw_caller_wait_closed(const raw_caller *caller, unsigned limit_ms) {
+    struct pollfd polled = {.fd = caller->descriptor, .events = POLLRDHUP};
+    return poll(&polled, 1, (int)limit_ms) > 0 ? hs_clock_monotonic_ms() : 0;
+}
+
 void raw_caller_forget_text(raw_caller *caller) {
     g_string_truncate(caller->text, 0);
 }
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -37,6 +37,12 @@
 /** Reads until @p length bytes are received; false if the connection or the time ends. */
 bool raw_caller_read_length(raw_caller *caller, size_t length, unsigned limit_ms);
 
+/**
+ * Waits without reading. Returns the monotonic time at which the peer closed the connection; 0: it
+ * is open after @p limit_ms.
+ */
+uint64_t raw_caller_wait_closed(const raw_caller *caller, unsigned limit_ms);
+
 /** Forgets the received text, before the next request. */
 void raw_caller_forget_text(raw_caller *caller);
 
--- a/tests/support/stop_request.c
+++ b/tests/support/stop_request.c
@@ -74,10 +74,14 @@
             : send_whole(caller, target, id, kind == STOP_CALLER_UNFRAMED ? "1.0" : "1.1");
     request.sent_ms = hs_clock_monotonic_ms();
     request.ended_ms = request.sent_ms;
-    if (kind == STOP_CALLER_SLOW)
-        hs_clock_sleep_ms(SLOW_READ_MS);
+    uint64_t closed_ms =
+        kind == STOP_CALLER_SLOW ? raw_caller_wait_closed(caller, SLOW_READ_MS) : 0;
+    if (closed_ms != 0)
+        hs_clock_sleep_ms(SLOW_READ_MS - MIN(closed_ms - request.sent_ms, SLOW_READ_MS));
     if (is_sent)
         stop_request_read_answer(caller, &request, limit_ms);
+    if (request.status == 0 && closed_ms != 0)
+        request.ended_ms = closed_ms;
     return request;
 }
 
