--- a/tests/system/test_fleet_stop_lengths.c
+++ b/tests/system/test_fleet_stop_lengths.c
@@ -153,7 +153,7 @@
 
 static void check_late_answer(raw_caller *caller, const char *name, uint64_t signal_ms) {
     stop_request request = {0};
-    stop_caller_read_answer(caller, &request, ANSWER_LIMIT_MS);
+    stop_request_read_answer(caller, &request, ANSWER_LIMIT_MS);
     printf("    %s: status %u, whole %d, %u ms after the signal\n", name, request.status,
            request.is_whole, (unsigned)(request.ended_ms - signal_ms));
     CU_ASSERT_TRUE(request.is_whole);
