Count open runs when a stop asks how long requests take

Cause: the daemon had started a second before the signal. Admission late in a stop asks how long the route's requests took lately, and only requests that had ended counted: some thirty short ones. All of its long ones were still open, so none of them told that the next one might be as long. Requiring eight runs does not help, as there were more.

Fix: each run of an online request is known from its head on, and one that already runs for longer than the time in question counts as longer.

Not covered: a request whose answer has no head yet, and a route of which no long request is in progress or ended lately.

--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -305,8 +305,9 @@
             continue;
         }
         request->sends++;
-        if (request->run_started_ms == 0 && request->attempt.run != HS_RUN_NOT_EXECUTED)
-            request->run_started_ms = request->attempt.sent_ms;
+        if (request->open_run == NULL && request->attempt.run != HS_RUN_NOT_EXECUTED)
+            request->open_run = hs_run_lengths_begin(
+                request->online->run_lengths, request->route->name, request->attempt.sent_ms);
         if (has_head && !request->attempt.answer.not_executed) {
             hs_online_set_held(request, false, true);
             return true;
--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -69,12 +69,11 @@
 }
 
 /** A request whose deadline passed at an engine took at least that long. */
-static void note_run_length(const hs_online_request *request, hs_end_reason reason) {
+static void end_run(hs_online_request *request, hs_end_reason reason) {
     bool is_known =
         reason == HS_END_SERVED || reason == HS_END_LATE || reason == HS_END_STREAM_LATE;
-    if (is_known && request->run_started_ms != 0 && request->online->run_lengths != NULL)
-        hs_run_lengths_note(request->online->run_lengths, request->route->name,
-                            hs_clock_monotonic_ms() - request->run_started_ms);
+    hs_run_lengths_end(request->open_run, is_known);
+    request->open_run = NULL;
 }
 
 void hs_online_request_record_end(hs_online_request *request, hs_end_reason reason) {
@@ -85,7 +84,7 @@
     if (request->is_on_trial && request->run == HS_RUN_NOT_EXECUTED)
         hs_crash_watch_return_trial(hs_fleet_engines_crash_watch(request->online->engines),
                                     request->trial_content);
-    note_run_length(request, reason);
+    end_run(request, reason);
     log_end(request, reason);
     log_end_in_stop(request, reason);
 }
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -50,8 +50,8 @@
     hs_admission_view admitted_by; /**< Inputs of that decision. */
     bool is_less_urgent;           /**< See hs_fleet_config_is_less_urgent. */
     hs_deadline deadline;
-    uint64_t run_started_ms; /**< When the first run was sent, monotonic; 0: none was. */
-    uint64_t first_byte_ms;  /**< Time from arrival to the first body byte; 0: none yet. */
+    hs_open_run *open_run;  /**< From the first run on; NULL: none, or not recorded. */
+    uint64_t first_byte_ms; /**< Time from arrival to the first body byte; 0: none yet. */
     hs_run_state run;
     uint32_t runs; /**< Attempts that may have run. */
     uint32_t sends;
--- a/src/online/run_lengths.c
+++ b/src/online/run_lengths.c
@@ -22,8 +22,16 @@
     length_histogram current;
     length_histogram previous;
     uint64_t current_since_ms;
+    GQueue open; /**< of hs_open_run */
 } route_lengths;
 
+struct hs_open_run {
+    hs_run_lengths *lengths;
+    route_lengths *route;
+    GList link;
+    uint64_t started_ms;
+};
+
 struct hs_run_lengths {
     GMutex lock;
     GHashTable *by_route; /**< name -> route_lengths* */
@@ -62,19 +70,61 @@
     route->current_since_ms = now_ms;
 }
 
-void hs_run_lengths_note(hs_run_lengths *lengths, const char *name, uint64_t length_ms) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    g_mutex_lock(&lengths->lock);
+/** Returns the route's entry, which exists from now on. The caller holds the lock. */
+static route_lengths *get_route(hs_run_lengths *lengths, const char *name) {
     route_lengths *route = g_hash_table_lookup(lengths->by_route, name);
     if (route == NULL) {
         route = g_new0(route_lengths, 1);
-        route->current_since_ms = now_ms;
+        route->current_since_ms = hs_clock_monotonic_ms();
         g_hash_table_insert(lengths->by_route, g_strdup(name), route);
     }
-    update_generations(route, now_ms);
+    return route;
+}
+
+/** The caller holds the lock. */
+static void count_length(route_lengths *route, uint64_t length_ms) {
+    update_generations(route, hs_clock_monotonic_ms());
     route->current.buckets[bucket_index(length_ms)]++;
     route->current.total++;
+}
+
+void hs_run_lengths_note(hs_run_lengths *lengths, const char *name, uint64_t length_ms) {
+    g_mutex_lock(&lengths->lock);
+    count_length(get_route(lengths, name), length_ms);
+    g_mutex_unlock(&lengths->lock);
+}
+
+hs_open_run *hs_run_lengths_begin(hs_run_lengths *lengths, const char *name, uint64_t started_ms) {
+    if (lengths == NULL)
+        return NULL;
+    hs_open_run *run = g_new0(hs_open_run, 1);
+    run->lengths = lengths;
+    run->link.data = run;
+    run->started_ms = started_ms;
+    g_mutex_lock(&lengths->lock);
+    run->route = get_route(lengths, name);
+    g_queue_push_tail_link(&run->route->open, &run->link);
     g_mutex_unlock(&lengths->lock);
+    return run;
+}
+
+void hs_run_lengths_end(hs_open_run *run, bool is_counted) {
+    if (run == NULL)
+        return;
+    g_mutex_lock(&run->lengths->lock);
+    g_queue_unlink(&run->route->open, &run->link);
+    if (is_counted)
+        count_length(run->route, hs_clock_monotonic_ms() - run->started_ms);
+    g_mutex_unlock(&run->lengths->lock);
+    g_free(run);
+}
+
+static uint32_t count_open_longer(const route_lengths *route, uint64_t time_ms) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    uint32_t count = 0;
+    for (const GList *link = route->open.head; link != NULL; link = link->next)
+        count += now_ms > ((const hs_open_run *)link->data)->started_ms + time_ms;
+    return count;
 }
 
 static uint32_t count_from(const length_histogram *histogram, size_t first) {
@@ -92,8 +142,10 @@
     if (route != NULL) {
         size_t first = bucket_index(time_ms);
         update_generations(route, hs_clock_monotonic_ms());
-        view.count = route->current.total + route->previous.total;
-        uint32_t longer = count_from(&route->current, first) + count_from(&route->previous, first);
+        uint32_t open = count_open_longer(route, time_ms);
+        view.count = route->current.total + route->previous.total + open;
+        uint32_t longer =
+            count_from(&route->current, first) + count_from(&route->previous, first) + open;
         view.longer_share = view.count > 0 ? (double)longer / view.count : 0;
     }
     g_mutex_unlock(&lengths->lock);
--- a/src/online/run_lengths.h
+++ b/src/online/run_lengths.h
@@ -6,9 +6,12 @@
 #ifndef HS_ONLINE_RUN_LENGTHS_H
 #define HS_ONLINE_RUN_LENGTHS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct hs_run_lengths hs_run_lengths;
+/** A request that an engine runs. */
+typedef struct hs_open_run hs_open_run;
 
 /** What is known of a route. */
 typedef struct {
@@ -24,8 +27,18 @@
 void hs_run_lengths_note(hs_run_lengths *lengths, const char *route, uint64_t length_ms);
 
 /**
- * Compares the requests of the last one to two minutes with @p time_ms. A request that took up to a
- * tenth less may count as longer.
+ * Records that a request of the route was sent at @p started_ms (monotonic) and runs. @p lengths
+ * may be NULL.
+ * @return the run, which hs_run_lengths_end frees; NULL if @p lengths is.
+ */
+hs_open_run *hs_run_lengths_begin(hs_run_lengths *lengths, const char *route, uint64_t started_ms);
+
+/** Ends a run, which may be NULL; @p is_counted: its length is recorded. */
+void hs_run_lengths_end(hs_open_run *run, bool is_counted);
+
+/**
+ * Compares the requests of the last one to two minutes with @p time_ms, and those that already run
+ * for longer. A request that took up to a tenth less may count as longer.
  */
 hs_run_length_view hs_run_lengths_compare(hs_run_lengths *lengths, const char *route,
                                           uint64_t time_ms);
--- a/tests/system/test_fleet_stops.c
+++ b/tests/system/test_fleet_stops.c
@@ -21,6 +21,8 @@
 #define ANSWER_LIMIT_MS 10000
 /** Requests after which a daemon knows how long those of a route take. */
 #define KNOWN_REQUESTS 10
+#define SHORT_REQUESTS 10
+#define LATER_MS 300
 #define CALLERS 40
 #define ROUNDS 3
 #define STOPS_AT_ONCE 2
@@ -136,6 +138,36 @@
     end_stop(3);
 }
 
+/** The daemon has served only short requests of the route; one that is long is in progress. */
+static void a_stream_like_one_in_progress_is_refused_unsent(void) {
+    raw_caller *running = raw_caller_open(bench_front_port(3));
+    raw_caller *caller = raw_caller_open(bench_front_port(3));
+    CU_ASSERT_FATAL(running != NULL && caller != NULL);
+    for (int number = 0; number < SHORT_REQUESTS; number++) {
+        g_autofree char *id = g_strdup_printf("short-%d", number);
+        CU_ASSERT_EQUAL(stop_request_post(caller, "/once/x", id, ANSWER_LIMIT_MS).status, 200);
+    }
+    raw_caller_forget_text(caller);
+    send_request(caller, "/again/long", "kept-busy", "hello");
+    hs_clock_sleep_ms(LATER_MS);
+    send_request(running, "/once/long", "in-progress", "hello");
+    hs_clock_sleep_ms(LONG_STREAM_MS - 3200 - LATER_MS);
+    begin_stop(3);
+    stop_request first = {0};
+    stop_request_read_answer(caller, &first, ANSWER_LIMIT_MS);
+    raw_caller_forget_text(caller);
+    send_request(caller, "/once/long", "like-it", "hello");
+    stop_request request = {0};
+    stop_request_read_answer(caller, &request, ANSWER_LIMIT_MS);
+    CU_ASSERT_TRUE(first.is_whole);
+    CU_ASSERT_EQUAL(request.status, 503);
+    CU_ASSERT_TRUE(request.is_whole);
+    CU_ASSERT_EQUAL(bench_run_count("like-it"), 0);
+    raw_caller_close(running);
+    raw_caller_close(caller);
+    end_stop(3);
+}
+
 /** Stops daemons and starts them again with another grace time. */
 static void stop_some_daemons(int first, uint32_t *grace_s) {
     uint64_t signal_ms[STOPS_AT_ONCE];
@@ -175,5 +207,7 @@
      a_body_that_ends_late_in_a_stop_is_refused_unsent},
     {"a_request_that_no_engine_answers_is_answered_before_a_stop_ends",
      a_request_that_no_engine_answers_is_answered_before_a_stop_ends},
+    {"a_stream_like_one_in_progress_is_refused_unsent",
+     a_stream_like_one_in_progress_is_refused_unsent},
     {"no_answer_is_cut_while_daemons_stop_in_turn", no_answer_is_cut_while_daemons_stop_in_turn},
     {NULL, NULL}};
--- a/tests/unit/test_stop_admission.c
+++ b/tests/unit/test_stop_admission.c
@@ -59,6 +59,23 @@
     hs_run_lengths_free(lengths);
 }
 
+static void runs_that_are_still_open_count_as_longer(void) {
+    hs_run_lengths *lengths = hs_run_lengths_new();
+    for (int run = 0; run < 9; run++)
+        hs_run_lengths_note(lengths, "route", 200);
+    uint64_t started_ms = hs_clock_monotonic_ms() - LEFT_MS - 1;
+    hs_open_run *run = hs_run_lengths_begin(lengths, "route", started_ms);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", LEFT_MS).longer_share, 0.1);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", 10 * LEFT_MS).longer_share, 0);
+    hs_run_lengths_end(run, false);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", LEFT_MS).longer_share, 0);
+    run = hs_run_lengths_begin(lengths, "route", started_ms);
+    hs_run_lengths_end(run, true);
+    CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", LEFT_MS).longer_share, 0.1);
+    hs_run_lengths_end(hs_run_lengths_begin(NULL, "route", started_ms), true);
+    hs_run_lengths_free(lengths);
+}
+
 static gpointer expire(gpointer data) {
     hs_clock_sleep_ms(20);
     hs_drain_expire(data);
@@ -102,5 +119,6 @@
     {"nothing_is_sent_at_the_end", nothing_is_sent_at_the_end},
     {"lengths_are_kept_by_route", lengths_are_kept_by_route},
     {"lengths_out_of_range_are_counted", lengths_out_of_range_are_counted},
+    {"runs_that_are_still_open_count_as_longer", runs_that_are_still_open_count_as_longer},
     {"the_end_of_a_stop_ends_waits", the_end_of_a_stop_ends_waits},
     {NULL, NULL}};
