--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -90,6 +90,11 @@
 /** Start and stop the bench with an engine that sends surplus answers. */
 int begin_fleet_runs(void);
 int end_fleet_runs(void);
+
+/** Start and stop the bench with an engine whose answers are cut, and a route of orders. */
+extern const test_case fleet_cut_answer_system_tests[];
+int begin_cut_answers(void);
+int end_cut_answers(void);
 extern const test_case online_caller_tests[];
 extern const test_case online_taking_tests[];
 extern const test_case fleet_taking_system_tests[];
@@ -171,6 +176,11 @@
 int begin_version_records(void);
 int end_version_records(void);
 extern const test_case fleet_version_record_system_tests[];
+extern const test_case fleet_version_cut_system_tests[];
+
+/** As begin_version_records, with more daemons; ends as end_versions. */
+int begin_version_gaps(void);
+extern const test_case fleet_version_gap_system_tests[];
 
 /** As begin_versions, with one daemon of the earlier build that HS_PAST_PROGRAM names. */
 int begin_upgrade_versions(void);
--- a/tests/system/test_fleet_stop_lengths.c
+++ b/tests/system/test_fleet_stop_lengths.c
@@ -6,9 +6,9 @@
 #include "base/clock.h"
 #include "platform/names.h"
 #include "tests/support/raw_caller.h"
+#include "tests/support/stop_request.h"
 #include "tests/support/store_proxies.h"
 #include "tests/system/fleet_calls.h"
-#include "tests/system/stop_callers.h"
 #include "tests/system/system_tests.h"
 
 #include <signal.h>
