--- a/src/base/drain.h
+++ b/src/base/drain.h
@@ -27,17 +27,16 @@
 /** Starts the stop. Only the first call has an effect. */
 void hs_drain_begin(hs_drain *drain, const hs_drain_times *times);
 
-/** Returns whether the process is stopping, with @p times if so. @p drain may be NULL: it is not.
- */
+/** Returns whether the process is stopping, with @p times if so. False if @p drain is NULL. */
 bool hs_drain_get(hs_drain *drain, hs_drain_times *times);
 
 /** Returns @p time_ms, or the stop's deadline if that is earlier. @p drain may be NULL. */
 uint64_t hs_drain_limit(hs_drain *drain, uint64_t time_ms);
 
-/** Ends all waits for work that is still open; see hs_drain_interrupt. */
+/** Ends the waits of requests that are still open, at the deadline or once none is left. */
 void hs_drain_expire(hs_drain *drain);
 
-/** Returns whether open work is to end now. @p drain may be NULL: it is not. */
+/** Returns whether hs_drain_expire was called. False if @p drain is NULL. */
 bool hs_drain_has_expired(hs_drain *drain);
 
 /** Returns the interrupt that hs_drain_expire raises. NULL if @p drain is. Borrowed. */
--- a/src/base/exit_limit.h
+++ b/src/base/exit_limit.h
@@ -16,9 +16,8 @@
 noreturn void hs_exit_at_once(void);
 
 /**
- * Ends the process with EXIT_SUCCESS at the monotonic time @p deadline_ms, or up to the time of a
- * flush of the log later, unless it has ended by then. There is no
- * limit if the system cannot create a thread.
+ * Ends the process with EXIT_SUCCESS at the monotonic time @p deadline_ms unless it has ended by
+ * then; the flush of the log may add to that. Without effect if no thread can be created.
  */
 void hs_exit_limit_start(uint64_t deadline_ms);
 
--- a/tests/system/test_fleet_stops.c
+++ b/tests/system/test_fleet_stops.c
@@ -168,7 +168,7 @@
     end_stop(3);
 }
 
-/** Stops daemons and starts them again with another grace time. */
+/** Stops daemons and starts them again with the second grace time. */
 static void stop_some_daemons(int first, uint32_t *grace_s) {
     uint64_t signal_ms[STOPS_AT_ONCE];
     for (int index = 0; index < STOPS_AT_ONCE; index++) {
