--- a/tests/run.sh
+++ b/tests/run.sh
@@ -6,7 +6,7 @@
 # Suites share nothing but the machine (ports are leased), so some run side by side: the unit tests, the
 # OpenAI surface, the fleet surface, what crashes engines, items whose engines crash, and an upgrade from the
 # landed build, which is built first; a checkout without its commit counts that suite as skipped. Fleets of
-# 24 daemons run alone, as their tests bound how soon all of them know. What the daemons of all suites wrote is
+# 24 daemons run alone, as their tests bound how soon all of them know, and so do tests of how soon a process ends. What the daemons of all suites wrote is
 # in test-output.log of the build's folder: a failed test is traced from it.
 build=${1:-build}
 log=$(mktemp)
@@ -22,7 +22,7 @@
 lane() {
     for suite in $("$system" --list); do
         case "$suite" in
-        *_large) found=alone ;;
+        *_large | fleet_stop_lengths) found=alone ;;
         fleet_crash* | fleet_silence | fleet_waking | fleet_job_end*) found=crashes ;;
         fleet_item_*) found=losses ;;
         fleet_upgrade*) found=upgrade ;;
