--- a/src/online/online_stop.c
+++ b/src/online/online_stop.c
@@ -26,9 +26,7 @@
                                    .request_left_ms = time_until(request->deadline, now_ms),
                                    .is_accepting = now_ms < stop->accept_until_ms};
     if (lengths != NULL)
-        view.runs =
-            hs_run_lengths_compare(lengths, request->route->name,
-                                   hs_stop_admission_run_limit_ms(view.left_ms, view.is_accepting));
+        view.runs = hs_run_lengths_compare(lengths, request->route->name, view.left_ms);
     return hs_stop_admission_may_send(&view);
 }
 
--- a/src/online/stop_admission.c
+++ b/src/online/stop_admission.c
@@ -5,13 +5,6 @@
 /** The next request may well take longer than all of fewer ones did. */
 #define MIN_RUNS 8
 
-/** The next request may take longer than the longest recent one. */
-#define LATE_RUN_SHARE (2.0 / 3)
-
-uint64_t hs_stop_admission_run_limit_ms(uint64_t left_ms, bool is_accepting) {
-    return is_accepting ? left_ms : (uint64_t)((double)left_ms * LATE_RUN_SHARE);
-}
-
 bool hs_stop_admission_may_send(const hs_stop_admission_view *view) {
     if (view->left_ms == 0)
         return false;
--- a/src/online/stop_admission.h
+++ b/src/online/stop_admission.h
@@ -15,12 +15,9 @@
     uint64_t left_ms;         /**< Time until requests that are still open are ended. */
     uint64_t request_left_ms; /**< Time until the request's own deadline. */
     bool is_accepting;        /**< Callers may not know yet that this process stops. */
-    hs_run_length_view runs;  /**< The route's requests, see hs_stop_admission_run_limit_ms. */
+    hs_run_length_view runs;  /**< The route's requests, compared with left_ms. */
 } hs_stop_admission_view;
 
-/** Returns the time with which the lengths of the route's requests are compared. */
-uint64_t hs_stop_admission_run_limit_ms(uint64_t left_ms, bool is_accepting);
-
 /**
  * Returns whether the request is to be sent: while callers may not know of the stop, if it probably
  * ends in time; after that, only if all recent requests of its route would have, of several.
