stop_admission: a margin only where few requests of a route are known

Now a request has to fit into the time left by all recent ones of its route, and into a quarter of it if fewer than 20 are known.

--- a/src/online/online_stop.c
+++ b/src/online/online_stop.c
@@ -19,14 +19,24 @@
                      .interrupt = hs_drain_interrupt(request->online->drain)};
 }
 
+static hs_run_length_view compare_runs(const hs_online_request *request, uint64_t left_ms,
+                                       bool is_accepting) {
+    hs_run_lengths *lengths = request->online->run_lengths;
+    const char *route = request->route->name;
+    if (lengths == NULL)
+        return (hs_run_length_view){0};
+    hs_run_length_view runs = hs_run_lengths_compare(lengths, route, left_ms);
+    uint64_t limit_ms = hs_stop_admission_late_limit_ms(left_ms, runs.count);
+    return is_accepting || limit_ms == left_ms ? runs
+                                               : hs_run_lengths_compare(lengths, route, limit_ms);
+}
+
 static bool may_still_send(const hs_online_request *request, const hs_drain_times *stop) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_run_lengths *lengths = request->online->run_lengths;
     hs_stop_admission_view view = {.left_ms = time_until(stop->deadline_ms, now_ms),
                                    .request_left_ms = time_until(request->deadline, now_ms),
                                    .is_accepting = now_ms < stop->accept_until_ms};
-    if (lengths != NULL)
-        view.runs = hs_run_lengths_compare(lengths, request->route->name, view.left_ms);
+    view.runs = compare_runs(request, view.left_ms, view.is_accepting);
     return hs_stop_admission_may_send(&view);
 }
 
--- a/src/online/stop_admission.c
+++ b/src/online/stop_admission.c
@@ -2,8 +2,12 @@
 #include "online/stop_admission.h"
 
 #define MAX_LONGER_SHARE 0.5
-/** The next request may well take longer than all of fewer ones did. */
-#define MIN_RUNS 8
+#define FEW_RUNS 20
+#define FEW_RUNS_DIVISOR 4
+
+uint64_t hs_stop_admission_late_limit_ms(uint64_t left_ms, uint32_t count) {
+    return count < FEW_RUNS ? left_ms / FEW_RUNS_DIVISOR : left_ms;
+}
 
 bool hs_stop_admission_may_send(const hs_stop_admission_view *view) {
     if (view->left_ms == 0)
@@ -12,5 +16,5 @@
         return true;
     if (view->is_accepting)
         return view->runs.longer_share <= MAX_LONGER_SHARE;
-    return view->runs.count >= MIN_RUNS && view->runs.longer_share == 0;
+    return view->runs.count > 0 && view->runs.longer_share == 0;
 }
--- a/tests/support/stop_request.h
+++ b/tests/support/stop_request.h
@@ -27,6 +27,7 @@
     uint32_t status;   /**< 0: no answer. */
     bool is_whole;     /**< The answer is complete. */
     bool is_closing;   /**< The answer says that the connection is closed after it. */
+    bool is_plain;     /**< Of a route of short requests. */
     bool runs_once;    /**< May run only once. */
     bool is_kept;      /**< Sent on a connection that was used before. */
     uint64_t begun_ms; /**< When the first byte of the request was sent. */
--- a/tests/system/stop_callers.c
+++ b/tests/system/stop_callers.c
@@ -12,6 +12,8 @@
 #define MAX_CALLERS 100
 #define ANSWER_LIMIT_MS 12000
 #define RECONNECT_PAUSE_MS 30
+/** Time before the end of the grace time in which also short requests may be refused. */
+#define SHORT_REQUEST_MS 1500
 
 typedef struct {
     int daemon;
@@ -79,6 +81,7 @@
             request.is_whole = has_last_event(target, raw_caller_text(caller));
         request.daemon = daemon;
         request.is_kept = is_kept;
+        request.is_plain = g_str_has_prefix(target, "/plain/");
         request.runs_once = g_str_has_prefix(target, "/once/");
         record_request(&request);
         is_kept = true;
@@ -145,6 +148,12 @@
     return request->runs_once && ((is_refused && runs > 0) || runs > 1);
 }
 
+/** Requests of the plain route end within milliseconds. */
+static bool is_needless_refusal(const stop_request *request, const daemon_stop *stop) {
+    return request->is_plain && request->is_whole && request->status == 503 &&
+           request->ended_ms < stop->signal_ms + stop->grace_ms - SHORT_REQUEST_MS;
+}
+
 stop_summary stop_callers_summarize(void) {
     stop_summary summary = {.sent = callers.requests->len};
     for (guint index = 0; index < callers.requests->len; index++) {
@@ -157,6 +166,7 @@
         summary.sent_in_stops += is_in_stop;
         summary.served_in_stops += is_served && is_in_stop;
         summary.broken_promises += is_broken_promise(request);
+        summary.needless_refusals += stop != NULL && is_needless_refusal(request, stop);
         if (request->is_whole || stop == NULL)
             continue;
         if (stop_request_is_unread(request, bench_run_count(request->id)) ||
--- a/tests/system/stop_callers.h
+++ b/tests/system/stop_callers.h
@@ -23,7 +23,8 @@
     uint32_t served;
     uint32_t sent_in_stops;
     uint32_t served_in_stops;
-    uint32_t broken_promises; /**< Refused requests that ran, or second runs of one. */
+    uint32_t needless_refusals; /**< Refused requests of a short route, with time left. */
+    uint32_t broken_promises;   /**< Refused requests that ran, or second runs of one. */
     uint32_t refused;
     uint32_t excused; /**< Cut, but sent early in the stop and at work at its end. */
     uint32_t cut;     /**< Cut otherwise. */
