config_source: look each route of the version before up once

Cause: to tell since when a route has had its only service, each route of a new version looked up, for every route of the version before, which of the new ones now gets its requests. That look-up does not depend on the first route, but was repeated for it, and all of it holds the lock that requests take to get the configuration.

Change: one pass over the new routes, then one over the former ones. The values are the same: the second pass only raises what the first has set.

--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -75,7 +75,7 @@
     return is_same ? before->sole_since_ms : now_ms;
 }
 
-/** Sets hs_fleet_route.sole_since_ms by the version before. */
+/** Sets hs_fleet_route.sole_since_ms by the version before: by the routes that had its requests. */
 static void note_sole_services(hs_fleet_config *config, const hs_fleet_config *previous) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     for (guint index = 0; index < config->routes->len; index++) {
@@ -84,12 +84,14 @@
             hs_fleet_config_find_route(previous, route->host, route->path_prefix);
         if (wider != NULL)
             route->sole_since_ms = find_sole_since_ms(route, wider, now_ms);
-        for (guint other = 0; other < previous->routes->len; other++) {
-            const hs_fleet_route *before = previous->routes->pdata[other];
-            if (hs_fleet_config_find_route(config, before->host, before->path_prefix) == route)
-                route->sole_since_ms =
-                    MAX(route->sole_since_ms, find_sole_since_ms(route, before, now_ms));
-        }
+    }
+    for (guint index = 0; index < previous->routes->len; index++) {
+        const hs_fleet_route *before = previous->routes->pdata[index];
+        hs_fleet_route *route =
+            (hs_fleet_route *)hs_fleet_config_find_route(config, before->host, before->path_prefix);
+        if (route != NULL)
+            route->sole_since_ms =
+                MAX(route->sole_since_ms, find_sole_since_ms(route, before, now_ms));
     }
 }
 
