run_lengths: drop the way to record a length that only tests used

Cause: since runs are known from their start, the daemon records a length by ending a run; hs_run_lengths_note was left for the tests, and so kept a second path to the same histogram.

Change: the tests begin runs in the past and end them. All assertions stay; the length out of range is half of the former one, still beyond the last bucket, as a run cannot have begun that long before the clock's zero.

--- a/src/online/run_lengths.c
+++ b/src/online/run_lengths.c
@@ -88,13 +88,6 @@
     route->current.total++;
 }
 
-void hs_run_lengths_note(hs_run_lengths *lengths, const char *name, uint64_t length_ms) {
-    size_t bucket = bucket_index(length_ms);
-    g_mutex_lock(&lengths->lock);
-    count_length(get_route(lengths, name), bucket);
-    g_mutex_unlock(&lengths->lock);
-}
-
 hs_open_run *hs_run_lengths_begin(hs_run_lengths *lengths, const char *name, uint64_t started_ms) {
     if (lengths == NULL)
         return NULL;
--- a/src/online/run_lengths.h
+++ b/src/online/run_lengths.h
@@ -23,9 +23,6 @@
 /** NULL is allowed. */
 void hs_run_lengths_free(hs_run_lengths *lengths);
 
-/** Records that a request of the route took @p length_ms. */
-void hs_run_lengths_note(hs_run_lengths *lengths, const char *route, uint64_t length_ms);
-
 /**
  * Records that a request of the route was sent at @p started_ms (monotonic) and runs. @p lengths
  * may be NULL.
--- a/tests/unit/test_stop_admission.c
+++ b/tests/unit/test_stop_admission.c
@@ -42,11 +42,17 @@
     CU_ASSERT_FALSE(hs_stop_admission_may_send(&(hs_stop_admission_view){.is_accepting = true}));
 }
 
+/** Records a run that took @p length_ms, or a ms more. */
+static void note_run(hs_run_lengths *lengths, const char *route, uint64_t length_ms) {
+    hs_run_lengths_end(hs_run_lengths_begin(lengths, route, hs_clock_monotonic_ms() - length_ms),
+                       true);
+}
+
 static void lengths_are_kept_by_route(void) {
     hs_run_lengths *lengths = hs_run_lengths_new();
     for (int run = 0; run < 3; run++)
-        hs_run_lengths_note(lengths, "short", 100);
-    hs_run_lengths_note(lengths, "short", 3600);
+        note_run(lengths, "short", 100);
+    note_run(lengths, "short", 3600);
     CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "long", 1).count, 0);
     CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 4000).count, 4);
     CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "short", 4000).longer_share, 0);
@@ -58,8 +64,8 @@
 
 static void lengths_out_of_range_are_counted(void) {
     hs_run_lengths *lengths = hs_run_lengths_new();
-    hs_run_lengths_note(lengths, "route", 0);
-    hs_run_lengths_note(lengths, "route", UINT64_MAX);
+    note_run(lengths, "route", 0);
+    note_run(lengths, "route", UINT64_MAX / 2);
     CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", 1000).longer_share, 0.5);
     hs_run_lengths_free(lengths);
 }
@@ -67,7 +73,7 @@
 static void runs_that_are_still_open_count_as_longer(void) {
     hs_run_lengths *lengths = hs_run_lengths_new();
     for (int run = 0; run < 9; run++)
-        hs_run_lengths_note(lengths, "route", 200);
+        note_run(lengths, "route", 200);
     uint64_t started_ms = hs_clock_monotonic_ms() - LEFT_MS - 1;
     hs_open_run *run = hs_run_lengths_begin(lengths, "route", started_ms);
     CU_ASSERT_EQUAL(hs_run_lengths_compare(lengths, "route", LEFT_MS).longer_share, 0.1);
