clock: the time left until a deadline in one place

Cause: "deadline minus now, or 0" was written out once more in each part that the stop's deadline reached (the stop itself, its admission, the group's end, the directory's record, the exit limit), beside a private function of engine_attempt that does the same.

Change: hs_clock_left_ms, called in these places, in engine_attempt and in the OpenAI surface's exchange.

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -29,6 +29,11 @@
     return hs_clock_monotonic_us() / MS_PER_S;
 }
 
+uint64_t hs_clock_left_ms(uint64_t deadline_ms) {
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    return deadline_ms > now_ms ? deadline_ms - now_ms : 0;
+}
+
 uint64_t hs_clock_wall_ms(void) {
     struct timespec now;
     clock_gettime(CLOCK_REALTIME, &now);
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -17,6 +17,9 @@
 /** Returns monotonic time in ms, which includes the time for which the machine was suspended. */
 uint64_t hs_clock_monotonic_ms(void);
 
+/** Returns the time in ms until hs_clock_monotonic_ms reaches @p deadline_ms; 0: it has. */
+uint64_t hs_clock_left_ms(uint64_t deadline_ms);
+
 /** Returns hs_clock_monotonic_ms in microseconds. */
 uint64_t hs_clock_monotonic_us(void);
 
--- a/src/base/exit_limit.c
+++ b/src/base/exit_limit.c
@@ -16,9 +16,8 @@
 static gpointer exit_at(gpointer data) {
     uint64_t deadline_ms = *(uint64_t *)data;
     g_free(data);
-    for (uint64_t now_ms = hs_clock_monotonic_ms(); now_ms < deadline_ms;
-         now_ms = hs_clock_monotonic_ms())
-        hs_clock_sleep_ms(deadline_ms - now_ms);
+    while (hs_clock_left_ms(deadline_ms) > 0)
+        hs_clock_sleep_ms(hs_clock_left_ms(deadline_ms));
     hs_log_warning("exit_forced", "reason=grace_time_over");
     hs_exit_at_once();
 }
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -200,9 +200,7 @@
 
 /** Bounds how long an unresponsive engine occupies the worker after the deadline. */
 static uint32_t exchange_timeout_s(const hs_online_request *request) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    uint64_t left_ms = request->deadline_ms > now_ms ? request->deadline_ms - now_ms : 0;
-    return (uint32_t)(left_ms / 1000) + EXCHANGE_SLACK_S;
+    return (uint32_t)(hs_clock_left_ms(request->deadline_ms) / 1000) + EXCHANGE_SLACK_S;
 }
 
 /** Sends the request to the chosen engine and reads the response, with resumes. */
--- a/src/daemon/fleet_daemon.c
+++ b/src/daemon/fleet_daemon.c
@@ -476,10 +476,8 @@
     while (hs_clock_monotonic_ms() < stop->accept_until_ms)
         hs_clock_sleep_ms(DRAIN_POLL_MS);
     do {
-        uint64_t now_ms = hs_clock_monotonic_ms();
-        uint64_t left_ms = stop->deadline_ms > now_ms ? stop->deadline_ms - now_ms : 0;
         hs_fleet_surface_quiesce(daemon->surface);
-        hs_clock_sleep_ms(MIN(DRAIN_POLL_MS, left_ms));
+        hs_clock_sleep_ms(MIN(DRAIN_POLL_MS, hs_clock_left_ms(stop->deadline_ms)));
     } while (hs_fleet_surface_front_connection_count(daemon->surface) > 0 &&
              hs_clock_monotonic_ms() < stop->deadline_ms);
     end_open_requests(daemon, stop);
--- a/src/directory/daemon_directory.c
+++ b/src/directory/daemon_directory.c
@@ -507,9 +507,9 @@
 }
 
 void hs_daemon_directory_delete_record(hs_daemon_directory *directory, hs_deadline deadline) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    if (now_ms < deadline)
-        write_record(directory, true, (uint32_t)MIN(deadline - now_ms, REGISTRY_CALL_MS));
+    uint32_t limit_ms = (uint32_t)MIN(hs_clock_left_ms(deadline), REGISTRY_CALL_MS);
+    if (limit_ms > 0)
+        write_record(directory, true, limit_ms);
 }
 
 void hs_daemon_directory_free(hs_daemon_directory *directory) {
--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -29,15 +29,10 @@
 #define MIN_SUCCESS_STATUS 200
 #define MAX_SUCCESS_STATUS 299
 
-static uint64_t left_ms(hs_deadline deadline) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    return deadline > now_ms ? deadline - now_ms : 0;
-}
-
 static hs_step send_request(const hs_attempt_parameters *parameters, hs_attempt *attempt) {
     hs_engine_request request = parameters->request;
     request.engine_id = attempt->engine_id;
-    request.timeout_ms = left_ms(parameters->wait.deadline);
+    request.timeout_ms = hs_clock_left_ms(parameters->wait.deadline);
     if (request.timeout_ms == 0)
         return HS_STEP_DEADLINE;
     GString *head = hs_platform_write_engine_head(&request);
@@ -202,7 +197,7 @@
     if (!parameters->refuse_if_late)
         return true;
     attempt->lease_estimate = hs_engine_lease_estimate(attempt->lease, &parameters->query,
-                                                       left_ms(parameters->wait.deadline));
+                                                       hs_clock_left_ms(parameters->wait.deadline));
     if (!attempt->lease_estimate.will_miss_deadline && attempt->lease_estimate.can_start_in_time)
         return true;
     drop_lease(attempt);
--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -322,8 +322,7 @@
  * that is interrupted may take effect after the leave.
  */
 static void end_group(hs_job_owner *owner, hs_deadline deadline) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_deadline until = deadline > now_ms ? now_ms + (deadline - now_ms) / 2 : now_ms;
+    hs_deadline until = hs_clock_monotonic_ms() + hs_clock_left_ms(deadline) / 2;
     if (owner->group == NULL)
         return;
     g_mutex_lock(&owner->lock);
--- a/src/online/online_stop.c
+++ b/src/online/online_stop.c
@@ -4,10 +4,6 @@
 #include "base/clock.h"
 #include "online/stop_admission.h"
 
-static uint64_t time_until(uint64_t end_ms, uint64_t now_ms) {
-    return end_ms > now_ms ? end_ms - now_ms : 0;
-}
-
 bool hs_online_is_stopping(const hs_online_request *request) {
     hs_drain_times stop;
     return hs_drain_get(request->online->drain, &stop);
@@ -32,10 +28,9 @@
 }
 
 static bool may_still_send(const hs_online_request *request, const hs_drain_times *stop) {
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    hs_stop_admission_view view = {.left_ms = time_until(stop->deadline_ms, now_ms),
-                                   .request_left_ms = time_until(request->deadline, now_ms),
-                                   .is_accepting = now_ms < stop->accept_until_ms};
+    hs_stop_admission_view view = {.left_ms = hs_clock_left_ms(stop->deadline_ms),
+                                   .request_left_ms = hs_clock_left_ms(request->deadline),
+                                   .is_accepting = hs_clock_left_ms(stop->accept_until_ms) > 0};
     view.runs = compare_runs(request, view.left_ms, view.is_accepting);
     return hs_stop_admission_may_send(&view);
 }
