online_stream: one reason for a stream that ends unresumed

Cause: the reason of a stream that the stop of its daemon ends was worked out twice, for the log and for the counter, in nested conditions.

Change: the counted reason is chosen once; the log has it too, unless the end has a reason of its own.

--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -40,13 +40,11 @@
     if (hs_online_after_failure(request, end, &reason) != HS_NEXT_RETRY ||
         !hs_online_may_repeat(request) || !hs_event_stream_can_resume(&request->events) ||
         request->is_origin_unknown || !hs_online_find_answer(request, &reason)) {
-        bool is_stopped = reason == HS_END_STOPPED;
-        if (reason == HS_END_BROKEN || is_stopped)
-            reason = is_stopped ? HS_END_STREAM_STOPPED : HS_END_STREAM_BROKEN;
-        hs_online_request_record_end(request, reason);
-        hs_online_count_end(request->online,
-                            is_stopped ? HS_END_STREAM_STOPPED : HS_END_STREAM_BROKEN,
-                            request->first_byte_ms);
+        hs_end_reason counted =
+            reason == HS_END_STOPPED ? HS_END_STREAM_STOPPED : HS_END_STREAM_BROKEN;
+        bool is_general = reason == HS_END_STOPPED || reason == HS_END_BROKEN;
+        hs_online_request_record_end(request, is_general ? counted : reason);
+        hs_online_count_end(request->online, counted, request->first_byte_ms);
         request->attempt.step = HS_STEP_CUT; /* Not that of a refusal that was read whole. */
         request->stream_ended = true;
         return false;
