job_owner: one phase in place of three flags

Cause: a stopping owner had three flags, starts_no_items, draining and stopping, of which each implies the one before, so that two functions set two or three of them together.

Change: hs_owner_phase, in order; each function raises it to its own step, and readers compare.

--- a/src/jobs/job_owner.c
+++ b/src/jobs/job_owner.c
@@ -83,7 +83,7 @@
     hs_quota_reported reported = {0};
     uint32_t acquisition_count = 0;
     g_mutex_lock(&owner->lock);
-    while (hs_job_owner_is_active(owned) && !owner->stopping) {
+    while (hs_job_owner_is_active(owned) && owner->phase < HS_OWNER_STOPPED) {
         bool is_owned = owned->is_owned;
         uint64_t acquired_ms = owned->acquired_ms;
         g_mutex_unlock(&owner->lock);
@@ -304,11 +304,12 @@
 static gpointer run_group(gpointer data) {
     hs_job_owner *owner = data;
     g_mutex_lock(&owner->lock);
-    while (!owner->stopping) {
+    while (owner->phase < HS_OWNER_STOPPED) {
         g_mutex_unlock(&owner->lock);
         hs_pause pause = hs_clock_pause_begin(update_group(owner));
         g_mutex_lock(&owner->lock);
-        while (!owner->stopping && hs_clock_pause_wait(&pause, &owner->changed, &owner->lock))
+        while (owner->phase < HS_OWNER_STOPPED &&
+               hs_clock_pause_wait(&pause, &owner->changed, &owner->lock))
             continue;
     }
     owner->has_group_ended = true;
@@ -341,14 +342,13 @@
 
 void hs_job_owner_stop_starts(hs_job_owner *owner) {
     g_mutex_lock(&owner->lock);
-    owner->starts_no_items = true;
+    owner->phase = MAX(owner->phase, HS_OWNER_STARTS_NOTHING);
     g_mutex_unlock(&owner->lock);
 }
 
 void hs_job_owner_drain(hs_job_owner *owner, hs_deadline deadline) {
     g_mutex_lock(&owner->lock);
-    owner->starts_no_items = true;
-    owner->draining = true;
+    owner->phase = MAX(owner->phase, HS_OWNER_DRAINING);
     owner->handover_deadline = deadline;
     for (guint number = 0; number < owner->partitions->len; number++)
         abandon_runs(owner->partitions->pdata[number]);
@@ -364,9 +364,7 @@
 
 void hs_job_owner_leave(hs_job_owner *owner, hs_deadline deadline) {
     g_mutex_lock(&owner->lock);
-    owner->stopping = true;
-    owner->starts_no_items = true;
-    owner->draining = true;
+    owner->phase = HS_OWNER_STOPPED;
     owner->handover_deadline = hs_clock_monotonic_ms();
     for (guint number = 0; number < owner->partitions->len; number++) {
         hs_owned_job_partition *owned = owner->partitions->pdata[number];
--- a/src/jobs/job_owner_state.h
+++ b/src/jobs/job_owner_state.h
@@ -26,6 +26,14 @@
 #define HS_JOB_MAX_WORKERS 256
 
 /** Whether an item waits for a start, is handled by a worker, or has its result in the log. */
+/** How far the owner has stopped, in order; each phase includes those before it. */
+typedef enum {
+    HS_OWNER_RUNNING,
+    HS_OWNER_STARTS_NOTHING, /**< No further items start; the running ones continue. */
+    HS_OWNER_DRAINING,       /**< The running items end, and their progress is stored. */
+    HS_OWNER_STOPPED,        /**< The threads end. */
+} hs_owner_phase;
+
 typedef enum { HS_ITEM_WAITING, HS_ITEM_RUNNING, HS_ITEM_STORED } hs_item_stage;
 
 /** The owner's in-memory state of an item. */
@@ -95,10 +103,8 @@
     bool has_group_ended;  /**< The group's thread makes no more calls. */
     hs_interrupt joins;    /**< Ends a join in progress. */
     uint32_t failed_joins; /**< Since the last successful one; used by the group's thread only. */
-    bool stopping;
-    bool starts_no_items;
-    bool draining;
-    hs_deadline handover_deadline; /**< Of all partitions, while draining. */
+    hs_owner_phase phase;
+    hs_deadline handover_deadline; /**< Of all partitions, from HS_OWNER_DRAINING on. */
     uint32_t running;
     hs_item_pace pace;
     double mean_online_slots;     /**< Moving average; see job_plan.c. */
--- a/src/jobs/job_runners.c
+++ b/src/jobs/job_runners.c
@@ -63,7 +63,7 @@
 void hs_job_runners_update(hs_job_owner *owner, const hs_fleet_config *config) {
     hs_daemon_directory *daemons = owner->settings.daemons;
     uint64_t now_ms = hs_clock_monotonic_ms();
-    if (daemons == NULL || owner->draining || now_ms < owner->next_runners_ms)
+    if (daemons == NULL || owner->phase >= HS_OWNER_DRAINING || now_ms < owner->next_runners_ms)
         return;
     owner->next_runners_ms = now_ms + UPDATE_INTERVAL_MS;
     g_autoptr(GArray) policies =
--- a/src/jobs/job_scheduler.c
+++ b/src/jobs/job_scheduler.c
@@ -296,7 +296,7 @@
         g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
     pass_starts pass = {.counts = counts,
                         .daemons = owner->settings.live_daemon_count(owner->settings.user_data)};
-    for (guint index = 0; index < open->len && !owner->starts_no_items; index++) {
+    for (guint index = 0; index < open->len && owner->phase == HS_OWNER_RUNNING; index++) {
         const hs_open_item *entry = &g_array_index(open, hs_open_item, index);
         if (!entry->may_start && !entry->is_expired)
             continue;
@@ -316,7 +316,7 @@
 gpointer hs_job_scheduler_run(gpointer data) {
     hs_job_owner *owner = data;
     g_mutex_lock(&owner->lock);
-    while (!owner->stopping) {
+    while (owner->phase < HS_OWNER_STOPPED) {
         hs_fleet_config *config = hs_config_source_get(owner->settings.config);
         hs_job_owner_release_superseded(owner);
         update_reported_since(owner);
--- a/src/jobs/job_worker.c
+++ b/src/jobs/job_worker.c
@@ -25,7 +25,7 @@
     hs_job_owner *owner = owned->owner;
     hs_deadline limit = UINT64_MAX;
     g_mutex_lock(&owner->lock);
-    if (owner->draining)
+    if (owner->phase >= HS_OWNER_DRAINING)
         limit = owner->handover_deadline;
     else if (!hs_job_owner_is_active(owned))
         limit = owned->handover_deadline;
@@ -126,7 +126,7 @@
 /** Returns whether an interrupted item is handed over to another owner. */
 static bool is_owner_changing(hs_job_owner *owner, const hs_owned_job_partition *owned) {
     g_mutex_lock(&owner->lock);
-    bool is_changing = !hs_job_owner_is_active(owned) || owner->draining;
+    bool is_changing = !hs_job_owner_is_active(owned) || owner->phase >= HS_OWNER_DRAINING;
     g_mutex_unlock(&owner->lock);
     return is_changing;
 }
