fleet_versions: a content of its own for each stream whose version crashes

What was seen: fleet_versions.a_stream_whose_version_is_gone_is_refused_and_not_joined failed in one run: a stream's first try got no event. Cause: all streams of the test had one content, whose engines the test crashes while it runs. Where a second try met two crashed engines the content had lost four, and was quarantined (request_held_back engines_lost=4 in the log), as it has to be; the next stream was refused for it. Change: each stream has its own content. Assertions, times and counts stay.

--- a/tests/system/test_fleet_versions.c
+++ b/tests/system/test_fleet_versions.c
@@ -188,6 +188,8 @@
     CU_ASSERT_TRUE(crash_fleet_wait_all_up(get_crash_fleet()));
     for (int number = 0; number < TAKEN_STREAMS / 2; number++) {
         caller_stream stream = {0};
+        /* Streams of one content would share the losses of their engines, and be quarantined. */
+        g_snprintf(stream.body, sizeof stream.body, "gone-%d", number);
         g_autofree char *first = g_strdup_printf("gone-%d-first", number);
         g_autofree char *second = g_strdup_printf("gone-%d-second", number);
         CU_ASSERT(send_try(&stream, number % VERSION_DAEMONS, first, FAULT_DELAY_MS) > 0);
