--- a/tests/system/test_fleet_edges.c
+++ b/tests/system/test_fleet_edges.c
@@ -27,6 +27,17 @@
                            target, version, id, more);
 }
 
+/** Opens a connection to a daemon and sends a whole request on it; NULL: cannot connect. */
+static raw_caller *open_call(int daemon, const char *target, const char *version, const char *id) {
+    raw_caller *caller = raw_caller_open(bench_front_port(daemon));
+    if (caller == NULL)
+        return NULL;
+    g_autofree char *head = request_head(target, version, id, "");
+    raw_caller_send(caller, head);
+    raw_caller_send(caller, "hello");
+    return caller;
+}
+
 static void expect_100_continue_is_answered_once(void) {
     raw_caller *caller = raw_caller_open(bench_front_port(0));
     CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
@@ -47,11 +58,8 @@
     static const char *const last_parts[] = {"/plain/old", "id: 12\ndata: token 12 of engine-"};
     static const char *const ends[] = {"/plain/old", "\n\n"};
     for (size_t index = 0; index < G_N_ELEMENTS(targets); index++) {
-        raw_caller *caller = raw_caller_open(bench_front_port(1));
+        raw_caller *caller = open_call(1, targets[index], "1.0", "old");
         CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
-        g_autofree char *head = request_head(targets[index], "1.0", "old", "");
-        raw_caller_send(caller, head);
-        raw_caller_send(caller, "hello");
         CU_ASSERT_EQUAL(raw_caller_read_to_end(caller, LIMIT_MS), RAW_CLOSED);
         CU_ASSERT_PTR_NOT_NULL(strstr(raw_caller_text(caller), " 200 OK\r\n"));
         CU_ASSERT_PTR_NULL(strstr(raw_caller_text(caller), "chunked"));
@@ -64,11 +72,8 @@
 /** An orderly close without chunked encoding would make a truncated stream look complete. */
 static void a_broken_stream_resets_http_1_0_connections(void) {
     bench_set_engine_modes(TOKEN_ENGINE_BREAKS_STREAMS);
-    raw_caller *caller = raw_caller_open(bench_front_port(1));
+    raw_caller *caller = open_call(1, "/once/cut", "1.0", "cut-old");
     CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
-    g_autofree char *head = request_head("/once/cut", "1.0", "cut-old", "");
-    raw_caller_send(caller, head);
-    raw_caller_send(caller, "hello");
     CU_ASSERT_EQUAL(raw_caller_read_to_end(caller, LIMIT_MS), RAW_RESET);
     bench_set_engine_modes(TOKEN_ENGINE_HEALTHY);
     raw_caller_close(caller);
@@ -76,11 +81,8 @@
 
 static void a_killed_daemon_resets_unframed_streams(void) {
     bench_set_engine_modes(TOKEN_ENGINE_ENDLESS);
-    raw_caller *caller = raw_caller_open(bench_front_port(1));
+    raw_caller *caller = open_call(1, "/once/killed", "1.0", "killed-old");
     CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
-    g_autofree char *head = request_head("/once/killed", "1.0", "killed-old", "");
-    raw_caller_send(caller, head);
-    raw_caller_send(caller, "hello");
     CU_ASSERT_TRUE(raw_caller_read_until(caller, "id: 2\n", LIMIT_MS));
     bench_signal_daemon(1, SIGKILL);
     CU_ASSERT_EQUAL(raw_caller_read_to_end(caller, LIMIT_MS), RAW_RESET);
@@ -95,11 +97,8 @@
     static const char *const received[] = {"", "id: 2\n"};
     bench_set_engine_modes(TOKEN_ENGINE_ENDLESS);
     for (size_t index = 0; index < G_N_ELEMENTS(received); index++) {
-        raw_caller *caller = raw_caller_open(bench_front_port(2));
+        raw_caller *caller = open_call(2, "/once/gone", "1.1", "gone");
         CU_ASSERT_PTR_NOT_NULL_FATAL(caller);
-        g_autofree char *head = request_head("/once/gone", "1.1", "gone", "");
-        raw_caller_send(caller, head);
-        raw_caller_send(caller, "hello");
         CU_ASSERT_TRUE(raw_caller_read_until(caller, received[index], LIMIT_MS));
         hs_clock_sleep_ms(30);
         CU_ASSERT_EQUAL(count_open_engine_runs(), 1);
