scripted_peer: own the bytes of its script

Cause: the peer's threads sent bytes that the test owned. In cut_answers.an_interim_answer_with_a_length_has_no_body a client has a whole answer as soon as the kernel has the bytes, and the test frees them before the peer's send() has returned; the sanitizer checks its buffer afterwards.

The peer copies the script, and each thread holds the copy that it sends, so no test has to keep bytes alive for it.

--- a/tests/support/scripted_peer.c
+++ b/tests/support/scripted_peer.c
@@ -17,7 +17,9 @@
     int listener;
     uint16_t port;
     GMutex lock;
-    peer_script script;
+    GBytes *bytes; /**< This and the next two: the script, under the lock. */
+    peer_ending ending;
+    size_t read_limit;
     gint request_count;
     gint stopping;
     gint open_connections;
@@ -66,11 +68,24 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
 
-static peer_script get_script(scripted_peer *peer) {
+static size_t get_read_limit(scripted_peer *peer) {
     g_mutex_lock(&peer->lock);
-    peer_script script = peer->script;
+    size_t read_limit = peer->read_limit;
     g_mutex_unlock(&peer->lock);
-    return script;
+    return read_limit;
+}
+
+/** Sends the answer of the present script; returns what follows it. */
+static peer_ending answer(scripted_peer *peer, int descriptor) {
+    g_mutex_lock(&peer->lock);
+    g_autoptr(GBytes) bytes = g_bytes_ref(peer->bytes);
+    peer_ending ending = peer->ending;
+    g_mutex_unlock(&peer->lock);
+    size_t length = 0;
+    const void *data = g_bytes_get_data(bytes, &length);
+    if (length > 0)
+        send(descriptor, data, length, MSG_NOSIGNAL);
+    return ending;
 }
 
 static gpointer serve(gpointer data) {
@@ -78,16 +93,14 @@
     scripted_peer *peer = connection->peer;
     bool keeps_open = true;
     while (keeps_open) {
-        keeps_open = read_request(peer, connection->descriptor, get_script(peer).read_limit);
+        keeps_open = read_request(peer, connection->descriptor, get_read_limit(peer));
         if (!keeps_open)
             break;
-        peer_script script = get_script(peer); /* May have changed since the request started. */
-        if (script.length > 0)
-            send(connection->descriptor, script.bytes, script.length, MSG_NOSIGNAL);
-        keeps_open = script.ending == PEER_KEEPS_OPEN;
-        if (script.ending == PEER_GOES_SILENT)
+        peer_ending ending = answer(peer, connection->descriptor);
+        keeps_open = ending == PEER_KEEPS_OPEN;
+        if (ending == PEER_GOES_SILENT)
             wait_for_events(peer, connection->descriptor, POLLRDHUP);
-        if (script.ending == PEER_RESETS)
+        if (ending == PEER_RESETS)
             set_reset_on_close(connection->descriptor);
     }
     close(connection->descriptor);
@@ -114,6 +127,7 @@
 scripted_peer *scripted_peer_start(void) {
     scripted_peer *peer = g_new0(scripted_peer, 1);
     g_mutex_init(&peer->lock);
+    peer->bytes = g_bytes_new(NULL, 0);
     peer->listener = loopback_listener_open(64, &peer->port);
     peer->thread = g_thread_new("peer-accept", accept_all, peer);
     return peer;
@@ -125,6 +139,7 @@
     while (g_atomic_int_get(&peer->open_connections) > 0)
         g_usleep(1000);
     close(peer->listener);
+    g_bytes_unref(peer->bytes);
     g_mutex_clear(&peer->lock);
     g_free(peer);
 }
@@ -134,9 +149,14 @@
 }
 
 void scripted_peer_set(scripted_peer *peer, const peer_script *script) {
+    GBytes *bytes = g_bytes_new(script->bytes, script->length);
     g_mutex_lock(&peer->lock);
-    peer->script = *script;
+    GBytes *former = peer->bytes;
+    peer->bytes = bytes;
+    peer->ending = script->ending;
+    peer->read_limit = script->read_limit;
     g_mutex_unlock(&peer->lock);
+    g_bytes_unref(former);
 }
 
 uint32_t scripted_peer_request_count(scripted_peer *peer) {
--- a/tests/support/scripted_peer.h
+++ b/tests/support/scripted_peer.h
@@ -31,7 +31,7 @@
 void scripted_peer_stop(scripted_peer *peer);
 uint16_t scripted_peer_port(const scripted_peer *peer);
 
-/** Sets the script of later requests, also on open connections; the bytes are borrowed. */
+/** Sets the script of later requests, also on open connections; copies the bytes. */
 void scripted_peer_set(scripted_peer *peer, const peer_script *script);
 
 /** Returns the count of requests read so far. */
