Ask right before a request is sent whether the stop allows it

What callers saw: nothing on record; found by reading. A request that was admitted before or early in a stop was sent after it had waited for a confirmation by the engine's arbiter, a connection (300 ms each) and the engine's report (100 ms), by then perhaps too late to end before the process.

Cause: the stop was asked at the beginning of each attempt, not where the attempt sends.

An attempt asks its caller as the last step before it sends (hs_attempt_parameters.may_send); a request that was denied so ends as refused by the stop, in place of one for which no engine was found.

--- a/src/fleet/engine_attempt.c
+++ b/src/fleet/engine_attempt.c
@@ -206,15 +206,16 @@
 
 /**
  * Releases the lease and returns false if the request must not be sent any more: while it waited
- * for a confirmation or a connection, it was interrupted, its time to be sent ended, the engine's
- * zone was evacuated, or the process was suspended.
+ * for a confirmation or a connection, it was interrupted, its time to be sent ended, may_send
+ * denies it by now, the engine's zone was evacuated, or the process was suspended.
  */
 static bool keep_if_may_send(const hs_attempt_parameters *parameters, hs_attempt *attempt) {
     bool is_too_late =
         parameters->send_until_ms != 0 && hs_clock_monotonic_ms() > parameters->send_until_ms;
     bool is_interrupted = parameters->wait.interrupt != NULL &&
                           hs_interrupt_get(parameters->wait.interrupt) != HS_INTERRUPT_NONE;
-    if (is_too_late || is_interrupted) {
+    bool is_denied = parameters->may_send != NULL && !parameters->may_send(parameters->user_data);
+    if (is_too_late || is_interrupted || is_denied) {
         drop_lease(attempt);
         attempt->step = is_interrupted ? HS_STEP_CALLER_GONE : HS_STEP_CUT;
         return false;
--- a/src/fleet/engine_attempt.h
+++ b/src/fleet/engine_attempt.h
@@ -33,7 +33,10 @@
     const void *body;
     hs_wait wait;
     hs_deadline send_until_ms; /**< The request is not sent later; 0: at any time. */
-    uint32_t head_timeout_ms;  /**< Longest wait for the response head; 0: up to the deadline. */
+    /** Asked right before the request is sent, whether it still may be; NULL: it may. */
+    bool (*may_send)(const void *user_data);
+    const void *user_data;    /**< Of may_send. */
+    uint32_t head_timeout_ms; /**< Longest wait for the response head; 0: up to the deadline. */
     bool refuse_if_late; /**< Do not send the request if it is expected to be served too late. */
     bool needs_new_connection; /**< Open a new connection, because an idle one was lost before. */
     bool may_repeat;           /**< The request may be executed again after this attempt. */
--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -35,6 +35,10 @@
     return hs_clock_monotonic_ms() - request->inbound->received_ms;
 }
 
+static bool may_still_send(const void *request) {
+    return hs_online_may_send(request);
+}
+
 static hs_attempt_parameters make_parameters(const hs_online_request *request) {
     const hs_inbound *inbound = request->inbound;
     hs_attempt_parameters parameters = {
@@ -57,6 +61,8 @@
                     .body_length = inbound->body->len},
         .body = inbound->body->data,
         .wait = hs_online_wait(request),
+        .may_send = may_still_send,
+        .user_data = request,
         .refuse_if_late = request->run == HS_RUN_NOT_EXECUTED,
     };
     parameters.query.has_wait_limit = request->run == HS_RUN_NOT_EXECUTED;
@@ -301,6 +307,8 @@
             return false;
         }
         if (request->attempt.lease == NULL) {
+            if (hs_online_is_ended_by_stop(request, reason))
+                return false;
             action = handle_no_engine(request, reason);
             continue;
         }
--- a/src/online/online_request_state.h
+++ b/src/online/online_request_state.h
@@ -107,6 +107,9 @@
  */
 bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason);
 
+/** Reports whether the request may be sent to an engine, as far as a stop of this process goes. */
+bool hs_online_may_send(const hs_online_request *request);
+
 /** Reports whether this process stops. */
 bool hs_online_is_stopping(const hs_online_request *request);
 
--- a/src/online/online_stop.c
+++ b/src/online/online_stop.c
@@ -27,7 +27,7 @@
                                                : hs_run_lengths_compare(lengths, route, limit_ms);
 }
 
-static bool may_still_send(const hs_online_request *request, const hs_drain_times *stop) {
+static bool ends_before_stop(const hs_online_request *request, const hs_drain_times *stop) {
     hs_stop_admission_view view = {.left_ms = hs_clock_left_ms(stop->deadline_ms),
                                    .request_left_ms = hs_clock_left_ms(request->deadline),
                                    .is_accepting = hs_clock_left_ms(stop->accept_until_ms) > 0};
@@ -35,16 +35,18 @@
     return hs_stop_admission_may_send(&view);
 }
 
-bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason) {
+bool hs_online_may_send(const hs_online_request *request) {
     hs_drain_times stop;
     if (!hs_drain_get(request->online->drain, &stop))
-        return false;
-    bool has_run = request->run != HS_RUN_NOT_EXECUTED;
-    bool is_ended =
-        has_run ? hs_drain_has_expired(request->online->drain) : !may_still_send(request, &stop);
-    if (!is_ended)
+        return true;
+    return request->run != HS_RUN_NOT_EXECUTED ? !hs_drain_has_expired(request->online->drain)
+                                               : ends_before_stop(request, &stop);
+}
+
+bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason) {
+    if (hs_online_may_send(request))
         return false;
     request->retry_after_ms = 0; /* Other daemons can serve it at once. */
-    *reason = has_run ? HS_END_STOPPED : HS_END_STOPPING;
+    *reason = request->run != HS_RUN_NOT_EXECUTED ? HS_END_STOPPED : HS_END_STOPPING;
     return true;
 }
--- a/tests/unit/test_attempt.c
+++ b/tests/unit/test_attempt.c
@@ -390,6 +390,30 @@
     close_fixture(&test);
 }
 
+static bool deny(const void *user_data) {
+    g_atomic_int_inc((gint *)user_data);
+    return false;
+}
+
+/** Guards against a request that is sent though the stop of its daemon began as it connected. */
+static void a_request_denied_after_it_connected_is_not_sent(void) {
+    fixture test;
+    open_fixture(&test);
+    gint asked = 0;
+    test.parameters.may_send = deny;
+    test.parameters.user_data = &asked;
+    hs_attempt attempt;
+    CU_ASSERT_FALSE_FATAL(
+        start(&test, COMPLETE_RESPONSE, strlen(COMPLETE_RESPONSE), PEER_KEEPS_OPEN, &attempt));
+    CU_ASSERT_EQUAL(asked, 1);
+    CU_ASSERT_EQUAL(attempt.run, HS_RUN_NOT_EXECUTED);
+    CU_ASSERT_PTR_NULL(attempt.lease);
+    hs_clock_sleep_ms(DEADLINE_MS / 4);
+    CU_ASSERT_EQUAL(scripted_peer_request_count(test.peer), 0);
+    hs_attempt_finish(&attempt, HS_ATTEMPT_DROPPED);
+    close_fixture(&test);
+}
+
 /**
  * Guards against a duplicate refusal being taken for the response to the next attempt, which
  * carries the same request id: the request would be reported as not executed while the engine
@@ -551,6 +575,8 @@
      connection_is_not_reused_after_a_resume_mismatch},
     {"repeatedly_refused_items_share_connections", repeatedly_refused_items_share_connections},
     {"an_interrupted_request_is_not_sent", an_interrupted_request_is_not_sent},
+    {"a_request_denied_after_it_connected_is_not_sent",
+     a_request_denied_after_it_connected_is_not_sent},
     {"a_request_is_not_sent_after_its_time_to_be_sent",
      a_request_is_not_sent_after_its_time_to_be_sent},
     {"early_response_stops_sending", early_response_stops_sending},
