Hold a request that may have run until its deadline

Its engine had been silent for a second, and no engine resumed it.

Cause: the wait for an engine was given up as soon as the pause before the next attempt, 50 ms at most, was not shorter than the time left. For a request that has not run, that is an early refusal, which callers can use; one that may have run can only be cut or answered 502.

Evidence: refusal_choice.requests_that_may_have_run_are_held_until_their_ deadline fails on the code before for each time left of 1 to 50 ms. It asserted that a request is over with 3 ms left, against its name; it asserts now that it is held for every time from 1 to 5000 ms, with a pause that ends by the deadline, and is over at the deadline.

The last pause ends at the deadline, and the request then ends as late (504, or a stream's stream_late) in place of broken.

--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -177,7 +177,8 @@
     hs_refusal_choice choice = hs_online_choose_refusal(request);
     if (choice.verdict == HS_REFUSAL_HOLD && (!has_run || hs_online_may_repeat(request))) {
         hs_queue_priority priority = hs_online_queue_priority(request);
-        uint64_t pause_ms = has_run ? RESUME_PAUSE_MS : choice.pause_ms;
+        uint64_t pause_ms =
+            has_run ? MIN(RESUME_PAUSE_MS, hs_clock_left_ms(request->deadline)) : choice.pause_ms;
         if (hs_online_is_stopping(request))
             pause_ms = MIN(pause_ms, STOP_PAUSE_MS);
         request->woken += hs_held_requests_wait(request->online->held, request->held, &priority,
@@ -188,7 +189,10 @@
         return HS_NEXT_RETRY; /* The retry loop checks first whether the caller has left. */
     }
     request->retry_after_ms = choice.expected_ms;
-    *reason = has_run ? HS_END_BROKEN : hs_online_refusal_reason(request, choice.verdict);
+    if (has_run)
+        *reason = hs_clock_left_ms(request->deadline) == 0 ? HS_END_LATE : HS_END_BROKEN;
+    else
+        *reason = hs_online_refusal_reason(request, choice.verdict);
     return HS_NEXT_END;
 }
 
--- a/src/online/online_stream.c
+++ b/src/online/online_stream.c
@@ -34,15 +34,26 @@
     hs_online_count_end(request->online, reason, request->first_byte_ms);
 }
 
+/** Returns the reason that counts for a stream that was not resumed for @p reason. */
+static hs_end_reason unresumed_reason(hs_end_reason reason) {
+    switch (reason) {
+    case HS_END_STOPPED:
+        return HS_END_STREAM_STOPPED;
+    case HS_END_LATE:
+        return HS_END_STREAM_LATE;
+    default:
+        return HS_END_STREAM_BROKEN;
+    }
+}
+
 /** Resumes a broken stream at another engine if the route allows that; otherwise ends it. */
 static bool resume_stream(hs_online_request *request, hs_attempt_end end) {
     hs_end_reason reason = HS_END_STREAM_BROKEN;
     if (hs_online_after_failure(request, end, &reason) != HS_NEXT_RETRY ||
         !hs_online_may_repeat(request) || !hs_event_stream_can_resume(&request->events) ||
         request->is_origin_unknown || !hs_online_find_answer(request, &reason)) {
-        hs_end_reason counted =
-            reason == HS_END_STOPPED ? HS_END_STREAM_STOPPED : HS_END_STREAM_BROKEN;
-        bool is_general = reason == HS_END_STOPPED || reason == HS_END_BROKEN;
+        hs_end_reason counted = unresumed_reason(reason);
+        bool is_general = counted != HS_END_STREAM_BROKEN || reason == HS_END_BROKEN;
         hs_online_request_record_end(request, is_general ? counted : reason);
         hs_online_count_end(request->online, counted, request->first_byte_ms);
         request->attempt.step = HS_STEP_CUT; /* Not that of a refusal that was read whole. */
--- a/src/online/refusal_choice.c
+++ b/src/online/refusal_choice.c
@@ -69,7 +69,9 @@
     double pause_ms = fmax((double)choice.expected_ms / EXPECTED_WAIT_DIVISOR,
                            (double)view->waited_ms / PAST_WAIT_DIVISOR);
     choice.pause_ms = (uint64_t)fmin(fmax(pause_ms, MIN_PAUSE_MS), HS_MAX_HELD_RETRY_PAUSE_MS);
-    if (choice.pause_ms >= view->left_ms)
+    if (view->may_have_run)
+        choice.pause_ms = MIN(choice.pause_ms, view->left_ms);
+    if (view->left_ms == 0 || (choice.pause_ms >= view->left_ms && !view->may_have_run))
         choice.verdict = HS_REFUSAL_OVER;
     else if (view->may_have_run || !is_wait_pointless(view, &choice))
         choice.verdict = HS_REFUSAL_HOLD;
--- a/tests/unit/test_refusal.c
+++ b/tests/unit/test_refusal.c
@@ -134,7 +134,11 @@
     CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
     view.service = (hs_service_outlook){.is_known = true};
     CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
-    view.left_ms = 3;
+    for (view.left_ms = 1; view.left_ms <= 5000; view.left_ms++) {
+        CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_HOLD);
+        CU_ASSERT(hs_refusal_choose(&view).pause_ms <= view.left_ms);
+    }
+    view.left_ms = 0;
     CU_ASSERT_EQUAL(verdict_of(&view), HS_REFUSAL_OVER);
 }
 
