Free the engine source after the directory that reads it

Cause: until the daemon has joined the others, the directory's thread asks each 80 ms whether configuration and engines are known. The engine source was freed before that thread was joined, and joining the configuration's thread in between takes 100 ms and more, as a failed read is followed by a pause.

Both sources are stopped first and freed after the directory, as the configuration's was.

--- a/src/daemon/fleet_stop.c
+++ b/src/daemon/fleet_stop.c
@@ -40,12 +40,14 @@
     begun_ms = log_step("free_peer_config", begun_ms);
     hs_job_owner_free(daemon->owner);
     begun_ms = log_step("free_job_owner", begun_ms);
-    hs_engine_source_free(daemon->engine_source);
-    begun_ms = log_step("free_engine_source", begun_ms);
-    hs_config_source_stop(daemon->config); /* Its thread uses the directory's members. */
+    /* The threads of the sources use the directory's members, and its ticker what they read. */
+    hs_engine_source_stop(daemon->engine_source);
+    begun_ms = log_step("stop_engine_source", begun_ms);
+    hs_config_source_stop(daemon->config);
     begun_ms = log_step("stop_config_source", begun_ms);
-    hs_daemon_directory_free(daemon->directory); /* Its ticker reads the configuration. */
+    hs_daemon_directory_free(daemon->directory);
     log_step("free_directory", begun_ms);
+    hs_engine_source_free(daemon->engine_source);
     hs_config_source_free(daemon->config);
     hs_job_service_free(daemon->jobs);
     hs_caller_ages_free(daemon->online.ages);
--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -239,13 +239,18 @@
     source->thread = g_thread_new("engine-source", run_source, source);
 }
 
-void hs_engine_source_free(hs_engine_source *source) {
-    if (source == NULL)
-        return;
+void hs_engine_source_stop(hs_engine_source *source) {
     hs_state_feed_stop(source->feed);
     hs_stop_wait_request_stop(&source->stop_wait);
     if (source->thread != NULL)
         g_thread_join(source->thread);
+    source->thread = NULL;
+}
+
+void hs_engine_source_free(hs_engine_source *source) {
+    if (source == NULL)
+        return;
+    hs_engine_source_stop(source);
     hs_stop_wait_clear(&source->stop_wait);
     hs_state_feed_free(source->feed);
     g_hash_table_destroy(source->fault_by_id);
--- a/src/fleet/engine_source.h
+++ b/src/fleet/engine_source.h
@@ -42,9 +42,12 @@
 bool hs_engine_source_is_disconnected(hs_engine_source *source);
 
 /**
- * Joins the thread and frees the source. NULL is allowed. The store client must have been abandoned
- * before, so that a read in progress ends.
+ * Joins the thread; what it read stays readable. May be called more than once. The store client
+ * must have been abandoned before, so that a read in progress ends.
  */
+void hs_engine_source_stop(hs_engine_source *source);
+
+/** Stops and frees the source. NULL is allowed. */
 void hs_engine_source_free(hs_engine_source *source);
 
 /** Whether the list of engines is known, from the store or from another daemon. */
--- a/tests/system/test_fleet_stops.c
+++ b/tests/system/test_fleet_stops.c
@@ -6,6 +6,7 @@
 #include "tests/system/system_tests.h"
 #include "tools/surface/fleet_bench.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -26,6 +27,8 @@
 #define STOPS_AT_ONCE 2
 /** Time for which callers send before daemons are stopped. */
 #define WARM_UP_MS 4500
+/** Time from the start of daemons that lack the list of engines to their stop. */
+#define UNREADY_MS 1000
 
 int begin_stops(void) {
     bench.settings =
@@ -164,6 +167,26 @@
     end_stop(3);
 }
 
+/** Guards against daemons that crash at the end of a stop that began before they were ready. */
+static void daemons_without_a_list_of_engines_stop_in_order(void) {
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        bench_signal_daemon(daemon, SIGKILL);
+    log_store_set_mode(bench.store, LOG_STORE_REFUSES, CALL_NEWEST "?topic=" TOPIC_ENGINES,
+                       UINT32_MAX);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
+    hs_clock_sleep_ms(UNREADY_MS);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        bench_begin_stop(daemon);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        CU_ASSERT_EQUAL(bench_wait_end(daemon), 0);
+    log_store_set_mode(bench.store, LOG_STORE_HEALTHY, NULL, 0);
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_start_daemon(daemon, false));
+    for (int daemon = 0; daemon < DAEMONS; daemon++)
+        CU_ASSERT_TRUE(bench_wait_ready(daemon));
+}
+
 /** Stops daemons and starts them again with the second grace time. */
 static void stop_some_daemons(int first, uint32_t *grace_s) {
     uint64_t signal_ms[STOPS_AT_ONCE];
@@ -207,5 +230,7 @@
      a_request_that_no_engine_answers_is_answered_before_a_stop_ends},
     {"a_stream_like_one_in_progress_is_refused_unsent",
      a_stream_like_one_in_progress_is_refused_unsent},
+    {"daemons_without_a_list_of_engines_stop_in_order",
+     daemons_without_a_list_of_engines_stop_in_order},
     {"no_answer_is_cut_while_daemons_stop_in_turn", no_answer_is_cut_while_daemons_stop_in_turn},
     {NULL, NULL}};
