listener: reset cut streams also on connections that are being ended

A stream to HTTP/1.0 that is cut ends in order, so that it looks whole, if the stop of its daemon had counted the connection as idle just before the request was read.

Cause: such a connection's receiving side is shut down, so its socket can't be watched, and the request has no descriptor. Resets used the same field.

A request has two fields now, the socket to reset and the one to watch.

--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -39,6 +39,13 @@
     return info != NULL ? info->socket_context : NULL;
 }
 
+/** Returns the connection's socket, or -1 if it is unknown. */
+static int socket_of(struct MHD_Connection *connection) {
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info != NULL ? info->connect_fd : -1;
+}
+
 /** Limits the kernel's send buffer, which the memory budget does not count, if a budget is set. */
 static void bound_send_buffer(int descriptor) {
     int bytes = SEND_BUFFER_BYTES;
@@ -50,9 +57,7 @@
                             enum MHD_ConnectionNotificationCode code) {
     hs_listener *listener = data;
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        const union MHD_ConnectionInfo *info =
-            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        int descriptor = info != NULL ? info->connect_fd : -1;
+        int descriptor = socket_of(connection);
         bound_send_buffer(descriptor);
         *state = hs_caller_connections_add(listener->connections, descriptor);
     } else {
@@ -74,6 +79,7 @@
     inbound->target = g_strdup(target);
     inbound->fields = hs_http_fields_new();
     inbound->body = g_byte_array_new();
+    inbound->socket = -1;
     inbound->descriptor = -1;
     inbound->references = 1;
     g_atomic_int_inc(&inbound->listener->open_requests);
@@ -136,6 +142,7 @@
     const struct sockaddr_in *caller = caller_of(inbound);
     inbound->caller_address = caller != NULL ? ntohl(caller->sin_addr.s_addr) : 0;
     MHD_get_connection_values(inbound->connection, MHD_HEADER_KIND, add_field, inbound->fields);
+    inbound->socket = socket_of(inbound->connection);
     inbound->descriptor = hs_caller_connections_get_descriptor(inbound->listener->connections,
                                                                connection_of(inbound->connection));
     unsigned int idle_s = (unsigned int)g_atomic_int_get(&inbound->listener->idle_timeout_s);
@@ -355,9 +362,9 @@
 }
 
 bool hs_inbound_reset(const hs_inbound *inbound) {
-    if (inbound->descriptor < 0)
+    if (inbound->socket < 0)
         return false;
-    reset_connection(inbound->descriptor);
+    reset_connection(inbound->socket);
     return true;
 }
 
@@ -391,7 +398,7 @@
                              .reader_data = reader_data,
                              .release = release,
                              .inbound = inbound,
-                             .reset_descriptor = inbound->is_http_1_0 ? inbound->descriptor : -1};
+                             .reset_descriptor = inbound->is_http_1_0 ? inbound->socket : -1};
     set_reset_on_close(stream->reset_descriptor, true);
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, stream, free_stream);
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -27,10 +27,11 @@
     GArray *fields; /**< of hs_http_field, in order of arrival. */
     GByteArray *body;
     uint32_t caller_address; /**< IPv4 address in host order; 0: unknown. */
-    int descriptor;    /**< The caller's socket, for watching only (base/peer_watch.h); -1: none. */
-    bool is_too_large; /**< The body is over the limit and incomplete. */
-    bool lacks_memory; /**< The memory budget is exhausted; the body was discarded. */
-    uint64_t charged;  /**< Bytes charged to the memory budget for the body. */
+    int socket;              /**< The caller's socket, to reset the connection; -1: unknown. */
+    int descriptor; /**< The same, for watching only (base/peer_watch.h); -1: can't be watched. */
+    bool is_too_large;          /**< The body is over the limit and incomplete. */
+    bool lacks_memory;          /**< The memory budget is exhausted; the body was discarded. */
+    uint64_t charged;           /**< Bytes charged to the memory budget for the body. */
     bool is_on_kept_connection; /**< Not the first request on its connection. */
     bool is_http_1_0;           /**< A response body of unknown length ends with the connection. */
     bool answered;              /**< A response was queued. */
