run_lengths: count runs that were broken off as at least that long

On a route whose long streams are mostly left by their callers, or broken by engines, a daemon knows only the short ones. Late in its stop it sends a long one, and cuts it.

Cause: only runs that ended served or late were counted.

Like an open run, a run that was broken off counts only for times that it outlasted: it says nothing about longer ones.

--- a/src/online/online_request.c
+++ b/src/online/online_request.c
@@ -68,11 +68,8 @@
                    hs_run_state_name(request->run), (guint64)request->events.event_count);
 }
 
-/** A request whose deadline passed at an engine took at least that long. */
 static void end_run(hs_online_request *request, hs_end_reason reason) {
-    bool is_known =
-        reason == HS_END_SERVED || reason == HS_END_LATE || reason == HS_END_STREAM_LATE;
-    hs_run_lengths_end(request->open_run, is_known);
+    hs_run_lengths_end(request->open_run, reason == HS_END_SERVED);
     request->open_run = NULL;
 }
 
--- a/src/online/run_lengths.c
+++ b/src/online/run_lengths.c
@@ -14,8 +14,9 @@
 
 /** Histogram of lengths in buckets of an eighth of an octave. */
 typedef struct {
-    uint32_t total;
+    uint32_t total; /**< Of whole runs. */
     uint32_t buckets[BUCKET_COUNT];
+    uint32_t broken_off[BUCKET_COUNT]; /**< Runs that would have taken longer than that. */
 } length_histogram;
 
 typedef struct {
@@ -82,10 +83,13 @@
 }
 
 /** The caller holds the lock. */
-static void count_length(route_lengths *route, size_t bucket) {
+static void count_length(route_lengths *route, size_t bucket, bool is_whole) {
     update_generations(route, hs_clock_monotonic_ms());
-    route->current.buckets[bucket]++;
-    route->current.total++;
+    if (is_whole)
+        route->current.buckets[bucket]++;
+    else
+        route->current.broken_off[bucket]++;
+    route->current.total += is_whole;
 }
 
 hs_open_run *hs_run_lengths_begin(hs_run_lengths *lengths, const char *name, uint64_t started_ms) {
@@ -102,14 +106,13 @@
     return run;
 }
 
-void hs_run_lengths_end(hs_open_run *run, bool is_counted) {
+void hs_run_lengths_end(hs_open_run *run, bool is_whole) {
     if (run == NULL)
         return;
     size_t bucket = bucket_index(hs_clock_monotonic_ms() - run->started_ms);
     g_mutex_lock(&run->lengths->lock);
     g_queue_unlink(&run->route->open, &run->link);
-    if (is_counted)
-        count_length(run->route, bucket);
+    count_length(run->route, bucket, is_whole);
     g_mutex_unlock(&run->lengths->lock);
     g_free(run);
 }
@@ -122,10 +125,10 @@
     return count;
 }
 
-static uint32_t count_from(const length_histogram *histogram, size_t first) {
+static uint32_t count_from(const uint32_t *buckets, size_t first) {
     uint32_t count = 0;
     for (size_t index = first; index < BUCKET_COUNT; index++)
-        count += histogram->buckets[index];
+        count += buckets[index];
     return count;
 }
 
@@ -137,10 +140,12 @@
     if (route != NULL) {
         size_t first = bucket_index(time_ms);
         update_generations(route, hs_clock_monotonic_ms());
-        uint32_t open = count_open_longer(route, time_ms);
-        view.count = route->current.total + route->previous.total + open;
-        uint32_t longer =
-            count_from(&route->current, first) + count_from(&route->previous, first) + open;
+        uint32_t unfinished = count_open_longer(route, time_ms) +
+                              count_from(route->current.broken_off, first) +
+                              count_from(route->previous.broken_off, first);
+        view.count = route->current.total + route->previous.total + unfinished;
+        uint32_t longer = count_from(route->current.buckets, first) +
+                          count_from(route->previous.buckets, first) + unfinished;
         view.longer_share = view.count > 0 ? (double)longer / view.count : 0;
     }
     g_mutex_unlock(&lengths->lock);
--- a/src/online/run_lengths.h
+++ b/src/online/run_lengths.h
@@ -30,12 +30,12 @@
  */
 hs_open_run *hs_run_lengths_begin(hs_run_lengths *lengths, const char *route, uint64_t started_ms);
 
-/** Ends a run, which may be NULL; @p is_counted: its length is recorded. */
-void hs_run_lengths_end(hs_open_run *run, bool is_counted);
+/** Ends a run, which may be NULL; @p is_whole: with its answer, otherwise it was broken off. */
+void hs_run_lengths_end(hs_open_run *run, bool is_whole);
 
 /**
- * Compares the requests of the last one to two minutes with @p time_ms, and those that already run
- * for longer. A request that took up to a tenth less may count as longer.
+ * Compares the requests of the last one to two minutes with @p time_ms, and those that run, or were
+ * broken off, for longer. A request that took up to a tenth less may count as longer.
  */
 hs_run_length_view hs_run_lengths_compare(hs_run_lengths *lengths, const char *route,
                                           uint64_t time_ms);
