Block the signals of the daemon before it reads its settings

A SIGHUP that a deployment sends to a daemon that has just been started ends it likewise.

Cause: the signals were blocked after the settings had been read.

Evidence: fleet_stops.a_signal_before_the_settings_are_read_does_not_kill, with settings from a FIFO on which the daemon waits: with daemons of SIGTERM and SIGHUP killed it (one run), now neither (one run).

They are blocked first and taken as before, once the daemon waits for them. What remains is the time from exec to main.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -159,22 +159,27 @@
     return EXIT_SUCCESS;
 }
 
-static int serve(const command_line *line) {
+static int serve(const command_line *line, const sigset_t *signals) {
     const hs_settings *settings = line->settings;
-    sigset_t stop_signals;
-    sigemptyset(&stop_signals);
-    sigaddset(&stop_signals, SIGINT);
-    sigaddset(&stop_signals, SIGTERM);
-    sigaddset(&stop_signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &stop_signals, NULL);
-    signal(SIGPIPE, SIG_IGN);
     hs_log_open(settings->daemon_id, parse_log_level(settings->log_level));
     ulfius_global_init();
-    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(line, &stop_signals)
-                                                   : serve_openai(settings, &stop_signals);
+    return strcmp(settings->surface, "fleet") == 0 ? serve_fleet(line, signals)
+                                                   : serve_openai(settings, signals);
+}
+
+/** Blocks the signals that wait_for_stop takes, in all threads to come. */
+static void block_signals(sigset_t *signals) {
+    sigemptyset(signals);
+    sigaddset(signals, SIGINT);
+    sigaddset(signals, SIGTERM);
+    sigaddset(signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, signals, NULL);
+    signal(SIGPIPE, SIG_IGN);
 }
 
 int main(int argument_count, char **arguments) {
+    sigset_t signals;
+    block_signals(&signals);
     hs_allocator_configure();
     command_line line = {.settings = hs_settings_new(), .overrides = g_ptr_array_new()};
     struct argp parser = {
@@ -194,7 +199,7 @@
         printf("settings are valid\n");
         return EXIT_SUCCESS;
     }
-    int result = serve(&line);
+    int result = serve(&line, &signals);
     g_ptr_array_free(line.overrides, TRUE);
     hs_settings_free(line.settings);
     return result;
--- a/tests/system/test_fleet_stops.c
+++ b/tests/system/test_fleet_stops.c
@@ -6,9 +6,14 @@
 #include "tests/system/system_tests.h"
 #include "tools/surface/fleet_bench.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #define DAEMONS 4
 #define SLOTS 32
@@ -27,7 +32,7 @@
 #define STOPS_AT_ONCE 2
 /** Time for which callers send before daemons are stopped. */
 #define WARM_UP_MS 4500
-/** Time from the start of daemons that lack the list of engines to their stop. */
+/** Time from the start of daemons that don't get ready to their signal. */
 #define UNREADY_MS 1000
 
 int begin_stops(void) {
@@ -187,6 +192,49 @@
         CU_ASSERT_TRUE(bench_wait_ready(daemon));
 }
 
+/** Starts a daemon as an init system does, with no signal blocked, that reads @p settings. */
+static pid_t start_plain_daemon(const char *settings) {
+    g_autofree char *program = g_strdup_printf("%s/heathsaild", g_getenv("HS_TEST_PROGRAMS"));
+    pid_t pid = fork();
+    if (pid == 0) {
+        execl(program, program, "--settings", settings, NULL);
+        _exit(EXIT_FAILURE);
+    }
+    return pid;
+}
+
+/** Has a daemon that reads a FIFO go on with settings that it rejects. Returns its exit status. */
+static int end_with_invalid_settings(pid_t pid, const char *settings) {
+    int status = 0;
+    int writer = -1;
+    while (writer < 0 && waitpid(pid, &status, WNOHANG) == 0) {
+        hs_clock_sleep_ms(10);
+        writer = open(settings, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    }
+    if (writer < 0)
+        return status;
+    CU_ASSERT_EQUAL(write(writer, "?", 1), 1);
+    close(writer);
+    CU_ASSERT_EQUAL(waitpid(pid, &status, 0), pid);
+    return status;
+}
+
+/** Guards against a daemon that dies by a signal as it reads its settings. */
+static void a_signal_before_the_settings_are_read_does_not_kill(void) {
+    static const int signals[] = {SIGTERM, SIGHUP};
+    g_autofree char *folder = g_dir_make_tmp("heathsail-XXXXXX", NULL);
+    g_autofree char *settings = g_build_filename(folder, "settings", NULL);
+    CU_ASSERT_EQUAL_FATAL(mkfifo(settings, S_IRUSR | S_IWUSR), 0);
+    for (size_t index = 0; index < G_N_ELEMENTS(signals); index++) {
+        pid_t pid = start_plain_daemon(settings);
+        hs_clock_sleep_ms(UNREADY_MS);
+        CU_ASSERT_EQUAL(kill(pid, signals[index]), 0);
+        CU_ASSERT_TRUE(WIFEXITED(end_with_invalid_settings(pid, settings)));
+    }
+    unlink(settings);
+    rmdir(folder);
+}
+
 /** Stops daemons and starts them again with the second grace time. */
 static void stop_some_daemons(int first, uint32_t *grace_s) {
     uint64_t signal_ms[STOPS_AT_ONCE];
@@ -232,5 +280,7 @@
      a_stream_like_one_in_progress_is_refused_unsent},
     {"daemons_without_a_list_of_engines_stop_in_order",
      daemons_without_a_list_of_engines_stop_in_order},
+    {"a_signal_before_the_settings_are_read_does_not_kill",
+     a_signal_before_the_settings_are_read_does_not_kill},
     {"no_answer_is_cut_while_daemons_stop_in_turn", no_answer_is_cut_while_daemons_stop_in_turn},
     {NULL, NULL}};
