Leave the settings to the exit of the process

The thread that limits the length of a stop may log up to the exit, and the name of the daemon in each line is borrowed from the settings, which were freed before.

--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -199,8 +199,6 @@
         printf("settings are valid\n");
         return EXIT_SUCCESS;
     }
-    int result = serve(&line, &signals);
-    g_ptr_array_free(line.overrides, TRUE);
-    hs_settings_free(line.settings);
-    return result;
+    /* The settings are not freed, as log lines of threads that outlive the stop name the daemon. */
+    return serve(&line, &signals);
 }
