A request that a stop ends does not show that its engine is silent

At the end of a stop each request that had waited for a second or more for its engine's answer marked that engine as silent and counted as a failure of its zone, so that in the last 200 ms other requests of the daemon may be refused, and the log names healthy engines.

Such attempts count as dropped now. A request that has not run is not sent either once the drain has expired, in place of being tried until the stop's deadline.

--- a/src/online/online_attempts.c
+++ b/src/online/online_attempts.c
@@ -106,11 +106,13 @@
 
 /**
  * Classifies a failed attempt. An engine counts as silent only after a long wait: a short timeout
- * of the caller or the route is no evidence against the engine.
+ * of the caller or the route, or the stop of this process, is no evidence against the engine.
  */
 static hs_attempt_end classify_failure(const hs_online_request *request) {
     hs_attempt_end end = hs_attempt_classify_failure(&request->attempt);
-    if (request->attempt.step == HS_STEP_LOST)
+    bool is_ended_by_stop = request->attempt.step == HS_STEP_CALLER_GONE &&
+                            hs_drain_has_expired(request->online->drain);
+    if (request->attempt.step == HS_STEP_LOST || is_ended_by_stop)
         return HS_ATTEMPT_DROPPED;
     bool waited_long = waited_ms(request) >= HS_ONLINE_MIN_SILENCE_MS;
     if (end == HS_ATTEMPT_SILENT || end == HS_ATTEMPT_DROPPED)
--- a/src/online/online_stop.c
+++ b/src/online/online_stop.c
@@ -39,8 +39,9 @@
     hs_drain_times stop;
     if (!hs_drain_get(request->online->drain, &stop))
         return true;
-    return request->run != HS_RUN_NOT_EXECUTED ? !hs_drain_has_expired(request->online->drain)
-                                               : ends_before_stop(request, &stop);
+    if (hs_drain_has_expired(request->online->drain))
+        return false;
+    return request->run != HS_RUN_NOT_EXECUTED || ends_before_stop(request, &stop);
 }
 
 bool hs_online_is_ended_by_stop(hs_online_request *request, hs_end_reason *reason) {
