Request the next page of a listing after a page without valid entries

Operators saw: a daemon that starts, or that has fallen behind, never learns the engines, the configuration or the crash records if one page of the listing says that more follows and has no entry that can be used. It reads that page again without end.

Cause: the next page was requested after the last valid entry; a page without one counted as malformed.

The next page is requested after the last key that can be read. A valid key is preferred, also that of a rejected entry; otherwise the key's bytes are taken from the entry as it stands (invalid UTF-8, NUL, surrogates) and escaped. A page that would lead to itself fails, where the reader of crash records requested it in a loop without a pause.

--- a/src/base/json_reader.h
+++ b/src/base/json_reader.h
@@ -6,6 +6,7 @@
 #ifndef HS_BASE_JSON_READER_H
 #define HS_BASE_JSON_READER_H
 
+#include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
@@ -42,6 +43,13 @@
  */
 bool hs_json_reader_skip_value(hs_json_reader *reader);
 
+/**
+ * Finds a member of an object, also of one that jansson rejects, and appends its text to @p text: a
+ * byte that is no UTF-8 as it stands, an escaped surrogate as its three bytes. Returns false if the
+ * object has no such member, or if that is no text.
+ */
+bool hs_json_reader_find_text(const hs_json_reader *object, const char *name, GByteArray *text);
+
 /** Returns whether only white space is left. */
 bool hs_json_reader_is_at_end(hs_json_reader *reader);
 
--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -68,10 +68,9 @@
     }
     put_entries(feed, entries, batch);
     batch->has_more = page->has_more;
-    g_free(feed->page_after);
-    feed->page_after = NULL;
+    g_clear_pointer(&feed->page_after, g_bytes_unref);
     if (batch->has_more) {
-        feed->page_after = g_strdup(g_array_index(entries, hs_newest_entry, entries->len - 1).key);
+        feed->page_after = g_bytes_ref(page->last_key);
         return;
     }
     /* Keys may change between two pages: what follows the first page is read again. */
@@ -97,7 +96,7 @@
     if (page.rejected > 0)
         hs_log_warning("feed_entries_rejected", "topic=%s rejected=%u entries=%u", feed->name,
                        page.rejected, entries->len);
-    if (is_read) {
+    if (is_read && !hs_newest_page_is_repeated(&page, feed->page_after)) {
         g_mutex_lock(&feed->lock);
         merge_page(feed, entries, &page, batch);
         g_mutex_unlock(&feed->lock);
@@ -105,6 +104,7 @@
         outcome = HS_STORE_UNKNOWN;
     }
     g_array_free(entries, TRUE);
+    hs_newest_page_clear(&page);
     return outcome;
 }
 
--- a/src/feed/state_feed_internal.h
+++ b/src/feed/state_feed_internal.h
@@ -51,9 +51,9 @@
     uint64_t store_allowed_ms;
     uint32_t store_failures;
     GByteArray *response;
-    char *page_after;  /**< Last key of the listing's previous page; NULL: it begins. */
-    uint64_t page_end; /**< End of the topic's log as of the listing's first page. */
-    bool must_list;    /**< The position is not known, or not valid any more. */
+    GBytes *page_after; /**< Last key of the listing's previous page; NULL: it begins. */
+    uint64_t page_end;  /**< End of the topic's log as of the listing's first page. */
+    bool must_list;     /**< The position is not known, or not valid any more. */
     hs_feed_parent parent;
     hs_feed_duty duty;
     hs_feed_source last_source;
--- a/src/store/keyed_topic.c
+++ b/src/store/keyed_topic.c
@@ -4,26 +4,28 @@
 #include "base/clock.h"
 
 /** Reads the page of records after the key @p after, and sets @p after to the last key read. */
-static bool read_page(hs_store_client *store, hs_topic topic, uint32_t timeout_ms, char **after,
+static bool read_page(hs_store_client *store, hs_topic topic, uint32_t timeout_ms, GBytes **after,
                       GArray *entries, bool *has_more) {
     hs_store_call call = hs_platform_build_newest_call(topic, *after);
     hs_deadline deadline = hs_clock_monotonic_ms() + timeout_ms;
     GByteArray *response = g_byte_array_new();
     hs_newest_page page = {0};
     bool is_read = hs_store_client_send(store, &call, deadline, NULL, response) == HS_STORE_DONE &&
-                   hs_platform_read_newest(response, entries, &page);
+                   hs_platform_read_newest(response, entries, &page) &&
+                   !hs_newest_page_is_repeated(&page, *after);
     g_byte_array_free(response, TRUE);
     *has_more = is_read && page.has_more;
     if (*has_more) {
-        g_free(*after);
-        *after = g_strdup(g_array_index(entries, hs_newest_entry, entries->len - 1).key);
+        g_clear_pointer(after, g_bytes_unref);
+        *after = g_steal_pointer(&page.last_key);
     }
+    hs_newest_page_clear(&page);
     return is_read;
 }
 
 bool hs_keyed_topic_read(hs_store_client *store, hs_topic topic, uint32_t timeout_ms,
                          hs_keyed_topic_callback on_record, void *user_data) {
-    g_autofree char *after = NULL;
+    g_autoptr(GBytes) after = NULL;
     bool has_more = true;
     bool is_read = true;
     while (has_more && is_read) {
--- a/tests/fuzz/store_answer.c
+++ b/tests/fuzz/store_answer.c
@@ -25,6 +25,7 @@
     for (guint index = 0; index < entries->len; index++)
         FUZZ_CHECK(g_array_index(entries, hs_newest_entry, index).key != NULL);
     g_array_free(entries, TRUE);
+    hs_newest_page_clear(&page);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
--- a/tests/unit/test_foreign_records.c
+++ b/tests/unit/test_foreign_records.c
@@ -8,6 +8,7 @@
 #include "platform/store_codec.h"
 #include "standin/log_store/log_store.h"
 #include "standin/port_lease/port_lease.h"
+#include "store/keyed_topic.h"
 #include "store/machine_list.h"
 #include "tests/unit/unit_tests.h"
 
@@ -167,6 +168,9 @@
         CU_ASSERT_EQUAL(bounds.end, 9);
         CU_ASSERT_EQUAL(bounds.rejected, 1);
         CU_ASSERT_EQUAL(read->len, 2);
+        CU_ASSERT_EQUAL(g_bytes_get_size(bounds.last_key), 1);
+        CU_ASSERT_EQUAL(*(const char *)g_bytes_get_data(bounds.last_key, NULL), 'b');
+        hs_newest_page_clear(&bounds);
         for (guint entry = 0; entry < read->len && read->len == 2; entry++)
             CU_ASSERT_STRING_EQUAL(g_array_index(read, hs_newest_entry, entry).key,
                                    entry == 0 ? "a" : "b");
@@ -174,6 +178,74 @@
     }
 }
 
+/** A store whose first page has a single entry, with more after it. */
+typedef struct {
+    const char *entry;
+    const char *after; /**< The query's part that requests the second page. */
+} odd_store;
+
+static void reply_page(hs_inbound *inbound, void *user_data) {
+    const odd_store *store = user_data;
+    bool is_second = g_str_has_suffix(inbound->target, store->after);
+    g_autofree char *body = g_strdup_printf(
+        "{\"requests\":[%s],\"has-more\":%s,\"end\":9}",
+        is_second ? "{\"key\":\"\xef\xbf\xbf\",\"value\":\"eA==\",\"offset\":3}" : store->entry,
+        is_second ? "false" : "true");
+    hs_inbound_reply(inbound, 200, NULL, body, strlen(body));
+}
+
+static void count_entry(const hs_newest_entry *entry, void *user_data) {
+    (void)entry;
+    ++*(guint *)user_data;
+}
+
+/** Guards against a list that is never read as all entries of a page are malformed. */
+static void a_listing_goes_on_after_a_page_without_valid_entries(void) {
+    static odd_store stores[] = {
+        {"{\"key\":\"e\",\"value\":\"eA==\",\"offset\":-1}", "&after=e"},
+        {"{\"value\":{\"key\":\"a\"},\"offset\":1e400,\"key\":\"e\"}", "&after=e"},
+        {"{\"offset\":null, \"value\":\"}\\\"\",\"key\" : \"\\u0065 &\"}", "&after=e%20%26"},
+        {"{\"key\":\"e\\u0000x\",\"value\":\"eA==\",\"offset\":1}", "&after=e%00x"},
+        {"{\"key\":\"\xff\",\"value\":\"eA==\",\"offset\":1}", "&after=%FF"},
+        {"{\"key\":\"\\ud800\",\"value\":\"eA==\",\"offset\":1}", "&after=%ED%A0%80"},
+        {"{\"key\":\"\\ud83d\\ude00\",\"value\":7}", "&after=%F0%9F%98%80"},
+        {"{\"key\":\"e\",\"value\":7},{\"key\":\"\",\"value\":7},{\"key\":7},null", "&after=e"},
+        {"{\"key\":\"e\",\"value\":7},{\"key\":\"\xff\",\"value\":7}", "&after=e"},
+    };
+    for (size_t index = 0; index < G_N_ELEMENTS(stores); index++) {
+        uint16_t port = port_lease_take(1);
+        hs_listener *listener = hs_listener_start("127.0.0.1", port, &(hs_listener_limits){0},
+                                                  reply_page, &stores[index], NULL);
+        hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, port);
+        hs_state_feed *feed = hs_state_feed_new(client, HS_TOPIC_ENGINES, "engines");
+        read_feed(feed);
+        read_feed(feed);
+        g_autofree char *value = get_value(feed, "\xef\xbf\xbf");
+        CU_ASSERT_EQUAL(g_strcmp0(value, "x"), 0);
+        guint entries = 0;
+        CU_ASSERT_TRUE(hs_keyed_topic_read(client, HS_TOPIC_CRASHES, 1000, count_entry, &entries));
+        CU_ASSERT_EQUAL(entries, 1);
+        hs_state_feed_stop(feed);
+        hs_state_feed_free(feed);
+        hs_store_client_free(client);
+        hs_listener_stop(listener);
+    }
+}
+
+/** Guards against a page that is requested again without end. */
+static void a_listing_fails_if_its_next_page_is_the_same(void) {
+    static odd_store store = {"{\"key\":\"e\",\"value\":\"eA==\",\"offset\":1}", "&after=never"};
+    uint16_t port = port_lease_take(1);
+    hs_listener *listener =
+        hs_listener_start("127.0.0.1", port, &(hs_listener_limits){0}, reply_page, &store, NULL);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, port);
+    guint entries = 0;
+    CU_ASSERT_FALSE(hs_keyed_topic_read(client, HS_TOPIC_CRASHES, 1000, count_entry, &entries));
+    CU_ASSERT_EQUAL(entries, 1);
+    hs_store_client_free(client);
+    hs_listener_stop(listener);
+}
+
 /** Reads a configuration that has @p number in all numeric fields but the version. */
 static hs_fleet_config *read_config(const char *number) {
     static const char text[] =
@@ -302,6 +374,9 @@
      a_key_with_a_nul_byte_does_not_replace_another},
     {"a_page_is_read_without_the_entries_that_are_malformed",
      a_page_is_read_without_the_entries_that_are_malformed},
+    {"a_listing_goes_on_after_a_page_without_valid_entries",
+     a_listing_goes_on_after_a_page_without_valid_entries},
+    {"a_listing_fails_if_its_next_page_is_the_same", a_listing_fails_if_its_next_page_is_the_same},
     {"large_numbers_of_a_configuration_stay_large", large_numbers_of_a_configuration_stay_large},
     {"negative_numbers_of_a_configuration_are_replaced_by_defaults",
      negative_numbers_of_a_configuration_are_replaced_by_defaults},
