Log each event as one line whatever its texts hold

Operators saw: a key, id or text of another writer with a line break, as in feed_record or item lines, ended the line of its event and could pass for a line of the daemon's own.

Cause: texts were written into the line as they are.

Control characters (C0, C1 and DEL), line and paragraph separators, and bytes that are not UTF-8 become question marks where the line is made, which is the one place that all events and GLib's own messages pass.

Spaces are left as they are, so a text can still hold what looks like a pair of its own line.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -65,10 +65,35 @@
            (level & (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_ERROR)) == 0;
 }
 
+/** Whether a character would end a line, or change how a terminal shows it. */
+static bool is_control(gunichar character) {
+    GUnicodeType type = g_unichar_type(character);
+    return type == G_UNICODE_CONTROL || type == G_UNICODE_LINE_SEPARATOR ||
+           type == G_UNICODE_PARAGRAPH_SEPARATOR;
+}
+
+/** Appends a text, with a mark in place of each control character and each byte of invalid UTF-8.
+ */
+static void append_clean(GString *line, const char *text) {
+    while (*text != '\0') {
+        gunichar character = g_utf8_get_char_validated(text, -1);
+        bool is_valid = character != (gunichar)-1 && character != (gunichar)-2;
+        size_t length = is_valid ? (size_t)(g_utf8_next_char(text) - text) : 1;
+        if (is_valid && !is_control(character))
+            g_string_append_len(line, text, (gssize)length);
+        else
+            g_string_append_c(line, '?');
+        text += length;
+    }
+}
+
 static char *format_line(GLogLevelFlags level, const char *event, const char *pairs) {
-    return g_strdup_printf("ts_ms=%" G_GUINT64_FORMAT " level=%s instance=%s event=%s %s\n",
-                           (guint64)hs_clock_wall_ms(), level_name(level), log_instance_id, event,
-                           pairs);
+    GString *line = g_string_sized_new(256);
+    g_string_append_printf(line, "ts_ms=%" G_GUINT64_FORMAT " level=%s instance=%s event=%s ",
+                           (guint64)hs_clock_wall_ms(), level_name(level), log_instance_id, event);
+    append_clean(line, pairs); /* It may hold texts of others. */
+    g_string_append_c(line, '\n');
+    return g_string_free(line, FALSE);
 }
 
 static GLogWriterOutput write_line(GLogLevelFlags level, const GLogField *fields, gsize field_count,
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -23,7 +23,10 @@
 /** Sets the most verbose level that is logged. */
 void hs_log_set_level(GLogLevelFlags max_verbosity);
 
-/** Logs the event named @p event; @p format gives key=value pairs as printf does. */
+/**
+ * Logs the event named @p event; @p format gives key=value pairs as printf does. Control characters
+ * and invalid UTF-8 become question marks, so that an event is always one line.
+ */
 void hs_log_event(GLogLevelFlags level, const char *event, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -71,6 +71,7 @@
         {"limits", limit_tests, NULL, NULL},
         {"entries", entry_tests, NULL, NULL},
         {"foreign_records", foreign_record_tests, NULL, NULL},
+        {"log", log_tests, NULL, NULL},
         {"callers", caller_tests, NULL, NULL},
         {"memory", memory_tests, NULL, NULL},
         {"shares", share_tests, NULL, NULL},
--- a/tests/unit/unit_tests.h
+++ b/tests/unit/unit_tests.h
@@ -62,6 +62,7 @@
 extern const test_case membership_death_tests[];
 extern const test_case feed_tests[];
 extern const test_case foreign_record_tests[];
+extern const test_case log_tests[];
 extern const test_case feed_play_tests[];
 extern const test_case feed_member_tests[];
 extern const test_case refusal_choice_tests[];
