--- a/tests/unit/test_foreign_records.c
+++ b/tests/unit/test_foreign_records.c
@@ -367,6 +367,26 @@
     hs_listener_stop(listener);
 }
 
+/** Guards against a daemon that owns a partition which nobody assigned to it. */
+static void odd_rows_of_a_group_answer_assign_no_partition(void) {
+    static const char *const numbers[] = {"4294967299", "-4294967293", "-1", "3.5",
+                                          "\"3\"",      "null",        "{}", "true",
+                                          "1e3",        "18446744069"};
+    for (size_t index = 0; index < G_N_ELEMENTS(numbers); index++) {
+        g_autofree char *text = g_strdup_printf("{\"generation\":4,\"parts\":[[\"" TOPIC_JOBS
+                                                "\",%s,0],7,[],[7,1],[\"" TOPIC_JOBS "\",5,0]]}",
+                                                numbers[index]);
+        g_autoptr(GByteArray) answer = g_byte_array_new();
+        g_autoptr(GArray) partitions = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+        uint64_t generation = 0;
+        g_byte_array_append(answer, (const guint8 *)text, (guint)strlen(text));
+        CU_ASSERT_TRUE(hs_platform_read_join_response(answer, &generation, partitions));
+        CU_ASSERT_EQUAL(generation, 4);
+        CU_ASSERT_EQUAL(partitions->len, 1);
+        CU_ASSERT_EQUAL(g_array_index(partitions, uint32_t, partitions->len - 1), 5);
+    }
+}
+
 const test_case foreign_record_tests[] = {
     {"a_feed_goes_on_after_records_without_a_valid_key",
      a_feed_goes_on_after_records_without_a_valid_key},
@@ -382,6 +402,8 @@
      negative_numbers_of_a_configuration_are_replaced_by_defaults},
     {"configurations_with_large_versions_stay_distinct",
      configurations_with_large_versions_stay_distinct},
+    {"odd_rows_of_a_group_answer_assign_no_partition",
+     odd_rows_of_a_group_answer_assign_no_partition},
     {"machines_get_no_port_out_of_range", machines_get_no_port_out_of_range},
     {"nested_bodies_fit_the_stacks_of_listeners", nested_bodies_fit_the_stacks_of_listeners},
     {NULL, NULL}};
