Ignore member records with numbers out of range

Operators would see: a daemon that the others hold for dead for good, as its incarnation begins anew at 0, or calls that go to another process, as port 65616 becomes 80.

Cause: a daemon that refutes a record takes the number after the record's, which wraps after the largest one; ports were cast to 16 bits.

A record whose incarnation or version has no room to rise, or with a port above 65535, changes nothing. Incarnations are times in ms and versions counts of changes, so records of daemons are far below the bounds.

--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -351,8 +351,16 @@
         g_ptr_array_add(member->leaving_engines, g_strdup(record->leaving_engines[index]));
 }
 
+/** Whether a daemon may have written a record: its numbers can be stored, and can rise. */
+static bool is_plausible(const Hs__MemberRecord *record) {
+    return record->incarnation < UINT64_MAX / 2 && record->version < UINT32_MAX / 2 &&
+           record->peer_port <= UINT16_MAX && record->admin_port <= UINT16_MAX;
+}
+
 bool hs_membership_apply_record(hs_membership *membership, const Hs__MemberRecord *record,
                                 hs_record_source source, uint64_t now_ms) {
+    if (!is_plausible(record))
+        return false;
     if (strcmp(record->id, membership->self->id) == 0)
         return refute(membership, record);
     hs_member *member = g_hash_table_lookup(membership->members, record->id);
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -45,6 +45,35 @@
     hs_membership_free(membership);
 }
 
+/** Guards against a daemon that nobody believes again, as its incarnation began anew at 0. */
+static void odd_records_of_this_daemon_do_not_lower_its_incarnation(void) {
+    hs_membership *membership = new_membership();
+    const hs_member *self = hs_membership_self(membership);
+    apply_record(membership, "self", UINT64_MAX, 1, HS__MEMBER_STATE__MEMBER_DEAD, 1);
+    CU_ASSERT(self->incarnation >= 5);
+    apply_record(membership, "self", 5, UINT32_MAX, HS__MEMBER_STATE__MEMBER_SUSPECT, 2);
+    CU_ASSERT(self->version >= 1);
+    hs_membership_free(membership);
+}
+
+/** Guards against a port out of range that a cast turns into that of another process. */
+static void records_with_a_port_out_of_range_are_ignored(void) {
+    hs_membership *membership = new_membership();
+    Hs__MemberRecord record = HS__MEMBER_RECORD__INIT;
+    record.id = (char *)"b";
+    record.zone = (char *)"z";
+    record.incarnation = 1;
+    record.address = 1;
+    record.peer_port = 65616;
+    hs_membership_apply_record(membership, &record, HS_RECORD_FROM_GOSSIP, 1);
+    CU_ASSERT_PTR_NULL(hs_membership_find(membership, "b"));
+    record.peer_port = 80;
+    record.admin_port = 65616;
+    hs_membership_apply_record(membership, &record, HS_RECORD_FROM_GOSSIP, 1);
+    CU_ASSERT_PTR_NULL(hs_membership_find(membership, "b"));
+    hs_membership_free(membership);
+}
+
 static void leaving_is_final_within_an_incarnation(void) {
     hs_membership *membership = new_membership();
     apply_record(membership, "b", 1, 5, HS__MEMBER_STATE__MEMBER_LEAVING, 1);
@@ -263,6 +292,9 @@
     {"many_dead_members_are_announced_with_one_probe",
      many_dead_members_are_announced_with_one_probe},
     {"platform_list_only_proposes_members", platform_list_only_proposes_members},
+    {"odd_records_of_this_daemon_do_not_lower_its_incarnation",
+     odd_records_of_this_daemon_do_not_lower_its_incarnation},
+    {"records_with_a_port_out_of_range_are_ignored", records_with_a_port_out_of_range_are_ignored},
     {"leaving_is_final_within_an_incarnation", leaving_is_final_within_an_incarnation},
     {"newer_own_record_supersedes_suspicion", newer_own_record_supersedes_suspicion},
     {"unresponsive_member_is_suspected_then_dead", unresponsive_member_is_suspected_then_dead},
