OpenAI surface: answer completions that are open when the grace ends

A completion whose engine was silent or slow when shutdown_grace_ms ended got no answer: the listener was freed under it, its connection was closed without a byte, and a stream that had begun was cut without its error event.

Cause: handlers wait for their engine until the request's own deadline and did not know of the stop's. Freeing the listener took the sockets away, which the handlers then took for callers that had left.

The stop begins a hs_drain and expires it when calls are open at the deadline. Requests that wait for an event, or are about to make another attempt, ask it: an answer that has not begun becomes 502 "stopped" (it may have run), a stream gets this error as its last event and is cut. The stop then waits up to 300 ms for the connections to close before it frees the listener.

--- a/src/commands/complete.c
+++ b/src/commands/complete.c
@@ -118,6 +118,22 @@
     hs_config_view_release(fields->view);
 }
 
+/** Returns the error body of a request that is not waited for any longer. */
+static hs_error_body make_unfinished_body(const hs_online_request *request) {
+    if (hs_drain_has_expired(request->node->drain))
+        return (hs_error_body){.status = HTTP_BAD_GATEWAY,
+                               .type = "outcome_unknown",
+                               .code = "stopped",
+                               .message = "this daemon stopped",
+                               .may_have_run = true};
+    return (hs_error_body){.status = HTTP_GATEWAY_TIMEOUT,
+                           .type = "outcome_unknown",
+                           .code = "deadline",
+                           .message = "the deadline has passed",
+                           .may_have_run = true,
+                           .retry_after_s = RETRY_AFTER_S};
+}
+
 /** Returns the error body of a request that did not complete; refers to @p request's texts. */
 static hs_error_body make_error_body(const hs_online_request *request, hs_online_state state) {
     switch (state) {
@@ -139,12 +155,7 @@
                                .message = request->failure,
                                .may_have_run = true};
     case HS_ONLINE_RUNNING:
-        return (hs_error_body){.status = HTTP_GATEWAY_TIMEOUT,
-                               .type = "outcome_unknown",
-                               .code = "deadline",
-                               .message = "the deadline has passed",
-                               .may_have_run = true,
-                               .retry_after_s = RETRY_AFTER_S};
+        return make_unfinished_body(request);
     default:
         return (hs_error_body){.status = HTTP_BAD_GATEWAY,
                                .type = "outcome_unknown",
--- a/src/commands/online_request.c
+++ b/src/commands/online_request.c
@@ -58,10 +58,11 @@
 
 /* ---- Connection's thread ------------------------------------------------------------------ */
 
-/** Waits for a change; false once the deadline has passed or the caller has disconnected. */
+/** Waits for a change; false once nothing may be waited for any longer. */
 static bool wait_for_change(hs_online_request *request) {
     uint64_t now_ms = hs_clock_monotonic_ms();
-    if (now_ms >= request->deadline_ms || hs_peer_has_disconnected(request->caller_descriptor))
+    if (now_ms >= request->deadline_ms || hs_drain_has_expired(request->node->drain) ||
+        hs_peer_has_disconnected(request->caller_descriptor))
         return false;
     uint64_t until_ms = MIN(request->deadline_ms, now_ms + CALLER_CHECK_MS);
     hs_clock_wait_until(until_ms, &request->changed, &request->lock);
@@ -122,7 +123,8 @@
 
 static bool should_stop(hs_online_request *request) {
     g_mutex_lock(&request->lock);
-    bool stop = request->abandoned || hs_clock_monotonic_ms() >= request->deadline_ms;
+    bool stop = request->abandoned || hs_clock_monotonic_ms() >= request->deadline_ms ||
+                hs_drain_has_expired(request->node->drain);
     g_mutex_unlock(&request->lock);
     return stop;
 }
@@ -373,7 +375,9 @@
         if (!is_awaited(request))
             return;
         if (should_stop(request)) {
-            end_without_engine(request, "the deadline has passed");
+            end_without_engine(request, hs_drain_has_expired(node->drain)
+                                            ? "this daemon has stopped"
+                                            : "the deadline has passed");
             return;
         }
         if (!is_free_attempt && !acquire_retry(request)) {
--- a/src/commands/online_request.h
+++ b/src/commands/online_request.h
@@ -62,9 +62,10 @@
 void hs_online_request_release(hs_online_request *request);
 
 /**
- * Waits for the next token event until the deadline or until the caller disconnects.
- * @return the event (caller owns it), or NULL if the request has ended, the deadline has passed or
- *         the caller has disconnected. @p state is RUNNING in the latter two cases.
+ * Waits for the next token event until the deadline, until the caller disconnects or until the
+ * daemon's stop ends open requests.
+ * @return the event (caller owns it), or NULL if the request has ended or is not waited for any
+ *         longer; @p state is RUNNING in the latter case.
  */
 json_t *hs_online_request_wait_for_event(hs_online_request *request, hs_online_state *state);
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -21,6 +21,8 @@
 #define APPENDER_CAPACITY 8192
 #define TRACE_CAPACITY 4096
 #define STOP_POLL_MS 10
+/** Time after the grace time in which open requests are answered. */
+#define LAST_ANSWERS_MS 300
 #define MULTIPART_OVERHEAD_BYTES 65536
 #define DEAD_MEMBER_RETENTION_MS 60000
 /**
@@ -192,6 +194,7 @@
     hs_daemon *daemon = g_new0(hs_daemon, 1);
     hs_node *node = &daemon->node;
     node->settings = settings;
+    node->drain = hs_drain_new();
     node->socket = hs_peer_socket_new(settings->address, (uint16_t)settings->peer_port, error);
     if (node->socket == NULL) {
         g_free(daemon);
@@ -263,9 +266,22 @@
              hs_clock_monotonic_ms() < deadline_ms);
 }
 
+/** Ends the requests that are still open, and waits until they are answered. */
+static void end_open_requests(hs_daemon *daemon) {
+    hs_drain_expire(daemon->node.drain);
+    if (daemon->caller_server != NULL)
+        end_connections(daemon->caller_server, hs_clock_monotonic_ms() + LAST_ANSWERS_MS);
+}
+
 int hs_daemon_stop(hs_daemon *daemon) {
     hs_node *node = &daemon->node;
-    uint64_t deadline_ms = hs_clock_monotonic_ms() + (uint64_t)node->settings->shutdown_grace_ms;
+    uint64_t started_ms = hs_clock_monotonic_ms();
+    uint64_t deadline_ms = started_ms + (uint64_t)node->settings->shutdown_grace_ms;
+    hs_drain_begin(
+        node->drain,
+        &(hs_drain_times){.started_ms = started_ms,
+                          .accept_until_ms = started_ms + (uint64_t)node->settings->drain_notice_ms,
+                          .deadline_ms = deadline_ms});
     hs_log_info("stopping", "online=%d calls=%d", g_atomic_int_get(&node->online_count),
                 g_atomic_int_get(&node->call_count));
     g_atomic_int_set(&node->state, HS_NODE_DRAINING);
@@ -284,6 +300,8 @@
     if (daemon->caller_server != NULL)
         end_connections(daemon->caller_server, deadline_ms);
     calls_done = wait_for_zero(&node->call_count, deadline_ms) && calls_done;
+    if (!calls_done)
+        end_open_requests(daemon);
     hs_front_watch_stop(node->front_watch);
     hs_http_server_free(daemon->caller_server);
     hs_http_server_free(daemon->admin_server);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #ifndef HS_NODE_NODE_H
 #define HS_NODE_NODE_H
 
+#include "base/drain.h"
 #include "batch/coordinator.h"
 #include "config/config_store.h"
 #include "heathsail/settings.h"
@@ -51,9 +52,10 @@
     hs_trace_log *traces;
     GThreadPool *online_workers; /**< Runs attempts of online requests. */
     gint notice_sequence;
-    gint online_count;           /**< Online requests in progress. */
-    gint call_count;             /**< Callers' handlers in progress. */
-    gint state;                  /**< hs_node_state */
+    gint online_count; /**< Online requests in progress. */
+    gint call_count;   /**< Callers' handlers in progress. */
+    gint state;        /**< hs_node_state */
+    hs_drain *drain;
     hs_front_watch *front_watch; /**< NULL: this daemon does not serve callers. */
 } hs_node;
 
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -11,6 +11,7 @@
         {"online", online_tests, begin_fleet, end_fleet},
         {"configuration", configuration_tests, begin_fleet, end_fleet},
         {"leaving", leaving_tests, begin_fleet, end_fleet},
+        {"openai_stop_lengths", openai_stop_length_tests, begin_openai_stop_lengths, end_fleet},
         {"placement", placement_system_tests, begin_fleet, end_fleet},
         {"batch_losses", batch_loss_tests, begin_fleet, end_fleet},
         {"batch_cancels", batch_cancel_tests, begin_batch_cancels, end_batch_cancels},
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -41,6 +41,11 @@
 extern const test_case online_tests[];
 extern const test_case configuration_tests[];
 extern const test_case leaving_tests[];
+
+/** As begin_fleet, with a daemon whose grace time is short; end_fleet stops it. */
+extern const test_case openai_stop_length_tests[];
+int begin_openai_stop_lengths(void);
+
 extern const test_case placement_system_tests[];
 extern const test_case batch_loss_tests[];
 extern const test_case batch_cancel_tests[];
