OpenAI surface: bound the length of a stop, also with a silent store

With a store that did not answer, a stop lasted as long as the store's calls: the wait for the release of partitions, and the joins of threads afterwards, had no limit. Open completions were not answered when the grace ended, as the stop had not got there yet.

The wait for the release and the notice time end by the stop's deadline, and hs_exit_limit ends the process one second after the grace time.

openai_stop_lengths.a_stop_with_a_silent_store_ends_in_time (grace 1.5 s, platform.timeout_s=8, engines silent).

threads.a_process_that_waits_for_a_thread_exits_at_its_limit passes a status of its own and expects it in place of EXIT_SUCCESS, which is stricter.

--- a/src/base/exit_limit.h
+++ b/src/base/exit_limit.h
@@ -16,9 +16,9 @@
 noreturn void hs_exit_at_once(void);
 
 /**
- * Ends the process with EXIT_SUCCESS at the monotonic time @p deadline_ms unless it has ended by
- * then; the flush of the log may add to that. Without effect if no thread can be created.
+ * Ends the process with @p status at the monotonic time @p deadline_ms unless it has ended by then;
+ * the flush of the log may add to that. Without effect if no thread can be created.
  */
-void hs_exit_limit_start(uint64_t deadline_ms);
+void hs_exit_limit_start(uint64_t deadline_ms, int status);
 
 #endif
--- a/src/batch/coordinator.c
+++ b/src/batch/coordinator.c
@@ -262,9 +262,9 @@
     coordinator->thread = g_thread_new("coordinator", run_coordinator, coordinator);
 }
 
-void hs_coordinator_wait_for_release(hs_coordinator *coordinator) {
+void hs_coordinator_wait_for_release(hs_coordinator *coordinator, uint64_t deadline_ms) {
     /* The coordinator's thread releases each partition because this member is leaving. */
-    while (hs_coordinator_owned_count(coordinator) > 0)
+    while (hs_coordinator_owned_count(coordinator) > 0 && hs_clock_monotonic_ms() < deadline_ms)
         hs_clock_sleep_ms(TICK_MS / 10);
 }
 
--- a/src/batch/coordinator.h
+++ b/src/batch/coordinator.h
@@ -32,10 +32,10 @@
 void hs_coordinator_start(hs_coordinator *coordinator);
 
 /**
- * Waits until the coordinator has released every partition. The daemon must have announced before
- * that it is leaving, else this function does not return.
+ * Waits until the coordinator has released every partition, at most until the monotonic time
+ * @p deadline_ms. Without effect unless the daemon has announced before that it is leaving.
  */
-void hs_coordinator_wait_for_release(hs_coordinator *coordinator);
+void hs_coordinator_wait_for_release(hs_coordinator *coordinator, uint64_t deadline_ms);
 
 void hs_coordinator_stop(hs_coordinator *coordinator);
 void hs_coordinator_free(hs_coordinator *coordinator);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "base/descriptor_limit.h"
 #include "base/endpoint.h"
+#include "base/exit_limit.h"
 #include "base/log.h"
 #include "commands/command_routes.h"
 #include "commands/online_request.h"
@@ -18,11 +19,15 @@
 #include "queries/query_routes.h"
 #include "scheduling/report_reader.h"
 
+#include <stdlib.h>
+
 #define APPENDER_CAPACITY 8192
 #define TRACE_CAPACITY 4096
 #define STOP_POLL_MS 10
 /** Time after the grace time in which open requests are answered. */
 #define LAST_ANSWERS_MS 300
+/** Time after the grace time by which the process exits. */
+#define EXIT_LIMIT_MS 1000
 #define MULTIPART_OVERHEAD_BYTES 65536
 #define DEAD_MEMBER_RETENTION_MS 60000
 /**
@@ -282,6 +287,7 @@
         &(hs_drain_times){.started_ms = started_ms,
                           .accept_until_ms = started_ms + (uint64_t)node->settings->drain_notice_ms,
                           .deadline_ms = deadline_ms});
+    hs_exit_limit_start(deadline_ms + EXIT_LIMIT_MS, EXIT_FAILURE);
     hs_log_info("stopping", "online=%d calls=%d", g_atomic_int_get(&node->online_count),
                 g_atomic_int_get(&node->call_count));
     g_atomic_int_set(&node->state, HS_NODE_DRAINING);
@@ -289,9 +295,10 @@
         hs_http_server_close_after_answers(daemon->caller_server);
     hs_scheduler_drain(node->scheduler);
     hs_membership_service_leave(node->membership);
-    hs_coordinator_wait_for_release(node->coordinator);
+    hs_coordinator_wait_for_release(node->coordinator, deadline_ms);
     /* Callers see that this daemon is not ready before requests are refused. */
-    hs_clock_sleep_ms((uint64_t)node->settings->drain_notice_ms);
+    hs_clock_sleep_ms(
+        MIN((uint64_t)node->settings->drain_notice_ms, hs_clock_left_ms(deadline_ms)));
     g_atomic_int_set(&node->state, HS_NODE_STOPPING);
     bool calls_done = wait_for_zero(&node->call_count, deadline_ms);
     bool items_done = wait_for_items(node->scheduler, deadline_ms);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -19,7 +19,9 @@
 
 /**
  * Planned stop: reports not ready, hands partitions over, waits up to the grace time for open
- * requests and running items, then stops all threads. @return 0 if everything finished in time.
+ * requests and running items, answers the requests that are still open, then stops all threads.
+ * Threads that have not ended soon after the grace time are abandoned: the process then exits with
+ * EXIT_FAILURE. @return 0 if everything finished in time.
  */
 int hs_daemon_stop(hs_daemon *daemon);
 
--- a/src/daemon/fleet_stop.c
+++ b/src/daemon/fleet_stop.c
@@ -7,6 +7,8 @@
 #include "base/thread.h"
 #include "daemon/settings.h"
 
+#include <stdlib.h>
+
 #define MS_PER_S 1000.0
 /** Share of the grace time in which a stopping daemon still accepts requests; the rest is for open
  * ones. */
@@ -154,7 +156,7 @@
 static void limit_exit(const hs_fleet_daemon *daemon, uint64_t started_ms) {
     uint64_t grace_ms = get_grace_ms(daemon);
     if (grace_ms > EXIT_RESERVE_MS)
-        hs_exit_limit_start(started_ms + grace_ms - EXIT_RESERVE_MS);
+        hs_exit_limit_start(started_ms + grace_ms - EXIT_RESERVE_MS, EXIT_SUCCESS);
 }
 
 void hs_fleet_daemon_stop(hs_fleet_daemon *daemon) {
--- a/tests/system/test_stop_length.c
+++ b/tests/system/test_stop_length.c
@@ -14,14 +14,19 @@
 #define DRAFTING_ENGINES 3
 #define GRACE_MS 1500
 #define GRACE_SETTING "daemon.shutdown_grace_ms=1500"
+/** A call to a silent store takes longer than a stop. */
+#define STORE_SETTING "platform.timeout_s=8"
 /** Time in which open requests are answered, and the process exits, after the grace time. */
 #define ANSWER_SLACK_MS 600
-#define EXIT_SLACK_MS 1500
+#define EXIT_SLACK_MS 1300
 /** Deadline of the completions. */
 #define TIMEOUT_MS 12000
 #define READ_LIMIT_MS 30000
 #define READY_TIMEOUT_MS 15000
 #define SLOW_STEP_MS 100
+#define JOB_TIMEOUT_MS 90000
+#define ITEMS 60
+#define ITEM_TOKENS 200
 #define BAD_GATEWAY 502
 
 int begin_openai_stop_lengths(void) {
@@ -33,6 +38,7 @@
         for (int index = 0; test_fleet.options.daemon_settings[index] != NULL; index++)
             g_ptr_array_add(settings, (gpointer)test_fleet.options.daemon_settings[index]);
         g_ptr_array_add(settings, GRACE_SETTING);
+        g_ptr_array_add(settings, STORE_SETTING);
         g_ptr_array_add(settings, NULL);
     }
     test_fleet.options.daemon_settings = (const char *const *)settings->pdata;
@@ -153,6 +159,64 @@
     restart_daemon();
 }
 
+static bool owns_a_partition(void *user_data) {
+    (void)user_data;
+    json_t *status = NULL;
+    bool is_owner = false;
+    size_t index;
+    json_t *member;
+    g_autofree char *id = g_strdup_printf("daemon-%d", STOPPED);
+    client_call("GET", test_fleet.admin_urls[0], "/admin/v1/status", NULL, NULL, NULL, &status);
+    json_array_foreach(json_object_get(status, "members"), index, member) {
+        bool is_stopped = g_strcmp0(json_string_value(json_object_get(member, "id")), id) == 0;
+        is_owner |= is_stopped && json_array_size(json_object_get(member, "partitions")) > 0;
+    }
+    json_decref(status);
+    return is_owner;
+}
+
+/** Guards against waits for the hand-over of partitions, and joins of threads, without limit. */
+static void a_stop_with_a_silent_store_ends_in_time(void) {
+    CU_ASSERT_TRUE(wait_until(owns_a_partition, NULL, READY_TIMEOUT_MS));
+    signal_engines(SIGSTOP);
+    raw_caller *caller = send_completion("silent-store", false);
+    hs_clock_sleep_ms(100);
+    fleet_signal(&test_fleet.platform_pid, SIGSTOP);
+    observed_stop stop = begin_stop();
+    check_error_answer(caller, &stop);
+    await_exit(&stop);
+    CU_ASSERT_EQUAL(stop.exit_status, EXIT_FAILURE);
+    raw_caller_close(caller);
+    fleet_signal(&test_fleet.platform_pid, SIGCONT);
+    signal_engines(SIGCONT);
+    restart_daemon();
+}
+
+static bool is_running_items(void *user_data) {
+    return count_engine_runs(user_data, "running") >= DRAFTING_ENGINES;
+}
+
+/** Guards against joins of threads whose items wait for an engine. */
+static void a_stop_with_items_at_silent_engines_ends_in_time(void) {
+    slow_engines_down(SLOW_STEP_MS);
+    g_autofree char *lines = test_lines("silent-item", ITEMS, ITEM_TOKENS, 0);
+    g_autofree char *job_id = submit_lines(lines, 0, 0, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(job_id);
+    CU_ASSERT_TRUE(wait_until(is_running_items, "silent-item", READY_TIMEOUT_MS));
+    signal_engines(SIGSTOP);
+    observed_stop stop = begin_stop();
+    await_exit(&stop);
+    CU_ASSERT_EQUAL(stop.exit_status, EXIT_FAILURE);
+    signal_engines(SIGCONT);
+    slow_engines_down(0);
+    restart_daemon();
+    json_t *job = client_wait_batch(test_fleet.caller_urls[0], TEST_TENANT, job_id, JOB_TIMEOUT_MS);
+    CU_ASSERT_EQUAL(
+        json_integer_value(json_object_get(json_object_get(job, "request_counts"), "completed")),
+        ITEMS);
+    json_decref(job);
+}
+
 const test_case openai_stop_length_tests[] = {
     {"a_completion_at_a_silent_engine_is_answered_when_the_grace_ends",
      a_completion_at_a_silent_engine_is_answered_when_the_grace_ends},
@@ -160,4 +224,7 @@
      a_stream_that_has_not_begun_is_answered_when_the_grace_ends},
     {"a_stream_that_outlives_the_grace_is_cut_at_its_end",
      a_stream_that_outlives_the_grace_is_cut_at_its_end},
+    {"a_stop_with_a_silent_store_ends_in_time", a_stop_with_a_silent_store_ends_in_time},
+    {"a_stop_with_items_at_silent_engines_ends_in_time",
+     a_stop_with_items_at_silent_engines_ends_in_time},
     {NULL, NULL}};
--- a/tests/unit/test_thread.c
+++ b/tests/unit/test_thread.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #define CHILD_WAS_REFUSED 7
+#define CHILD_EXIT_STATUS 5
 /** Address space for two or three more stacks of 8 MB. */
 #define EXTRA_ADDRESS_SPACE_BYTES ((rlim_t)20 * 1024 * 1024)
 #define MAX_THREADS 64
@@ -73,13 +74,13 @@
     pid_t child = fork();
     CU_ASSERT_FATAL(child >= 0);
     if (child == 0) {
-        hs_exit_limit_start(started_ms + EXIT_LIMIT_MS);
+        hs_exit_limit_start(started_ms + EXIT_LIMIT_MS, CHILD_EXIT_STATUS);
         g_thread_join(hs_thread_try_start("test", wait_forever, NULL));
         _exit(CHILD_WAS_REFUSED);
     }
     int status = -1;
     CU_ASSERT_EQUAL(waitpid(child, &status, 0), child);
-    CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == EXIT_SUCCESS);
+    CU_ASSERT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == CHILD_EXIT_STATUS);
     CU_ASSERT(hs_clock_monotonic_ms() - started_ms >= EXIT_LIMIT_MS);
 }
 
