Replace a service's recorded versions only by a list without gaps

What callers saw: streams that had begun at engines of a new version were continued at engines of the old one (ORDER) after all daemons had been killed, though the version had been recorded in keyed.software.

Cause: a daemon that receives no datagrams but still sends holds all others for dead, ranks first for each service by its own view, and replaced the record with the software of its own list. That list was old: it received no answers of the store either, while its writes reached the store. Daemons that started then read a record without the new version and took the old one for the service's only software.

Evidence: fleet_version_losses, over four real daemons, one of which loses what arrives at its datagram socket and the store's answers during a release that is withdrawn.

The daemon that ranks first now replaces a record only if its list of engines was confirmed after it noticed the change and has had no gap for as long as streams can be taken up, and asks for a new confirmation after each failed write. Until then it only adds what the record lacks, as the other writers do. A set that only grows costs one read more than before.

--- a/src/directory/software_store.c
+++ b/src/directory/software_store.c
@@ -26,9 +26,18 @@
     hs_store_client *store;
     bool is_read;
     GHashTable *settled; /**< service -> uint64_t* digest of the set that the store has. */
-    GHashTable *differs; /**< service -> uint64_t* since when its set is another one. */
+    GHashTable *differs; /**< service -> difference*, of those whose set is another one. */
 };
 
+/** A set that the store's record may lack. */
+typedef struct {
+    uint64_t digest;
+    uint64_t since_ms;
+    uint64_t confirm_ms; /**< The record is replaced by what is known as of then, or later. */
+    bool is_recorded;    /**< The record has all of the set. */
+    bool has_more;       /**< The record has other software too. */
+} difference;
+
 hs_software_store *hs_software_store_new(hs_fleet_engines *engines,
                                          hs_membership_service *membership,
                                          hs_store_client *store) {
@@ -106,21 +115,26 @@
     return settled != NULL && *settled == digest;
 }
 
-/** Returns since when the set is not settled; 0: it is, or other daemons see to the record. */
-static uint64_t note_difference(hs_software_store *records, const char *service, uint64_t digest,
-                                uint32_t rank) {
+/** Returns the difference of a set that is not settled; NULL: others see to it, or there is none.
+ */
+static difference *note_difference(hs_software_store *records, const char *service, uint64_t digest,
+                                   uint32_t rank) {
     if (rank >= WRITERS) /* Others change the record from now on. */
         g_hash_table_remove(records->settled, service);
     if (rank >= WRITERS || is_settled(records, service, digest)) {
         g_hash_table_remove(records->differs, service);
-        return 0;
+        return NULL;
     }
-    const uint64_t *since_ms = g_hash_table_lookup(records->differs, service);
-    if (since_ms != NULL)
-        return *since_ms;
-    uint64_t now_ms = hs_clock_monotonic_ms();
-    g_hash_table_insert(records->differs, g_strdup(service), g_memdup2(&now_ms, sizeof now_ms));
-    return now_ms;
+    difference *known = g_hash_table_lookup(records->differs, service);
+    if (known == NULL) {
+        known = g_new0(difference, 1);
+        known->since_ms = hs_clock_monotonic_ms();
+        known->confirm_ms = known->since_ms;
+        g_hash_table_insert(records->differs, g_strdup(service), known);
+    }
+    known->is_recorded = known->is_recorded && known->digest == digest;
+    known->digest = digest;
+    return known;
 }
 
 static void free_software(gpointer data) {
@@ -158,23 +172,43 @@
 
 /**
  * Adds the software that the record lacks, if any. What it has beyond @p software stays: this
- * daemon may not know it. Returns whether the record has all of @p software now.
+ * daemon may not know it.
  */
-static bool complete_record(hs_software_store *records, const char *service, const GArray *software,
-                            GHashTable *found) {
+static void complete_record(hs_software_store *records, const char *service, const GArray *software,
+                            GHashTable **found, difference *known) {
     g_autoptr(GArray) all = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-    const GArray *recorded = g_hash_table_lookup(found, service);
+    if (*found == NULL)
+        *found = read_records(records);
+    if (*found == NULL)
+        return;
+    const GArray *recorded = g_hash_table_lookup(*found, service);
     if (recorded != NULL)
         g_array_append_vals(all, recorded->data, recorded->len);
     guint before = all->len;
     for (guint index = 0; index < software->len; index++)
         hs_software_list_add(all, g_array_index(software, uint64_t, index));
-    return all->len == before || write_record(records, service, all);
+    known->has_more = all->len > software->len;
+    known->is_recorded = all->len == before || write_record(records, service, all);
+}
+
+/**
+ * Replaces the record if all recent software is known as of @p known's confirm_ms. A daemon that
+ * has lost the store or the others may rank first and know less than the record.
+ */
+static bool replace_record(hs_software_store *records, const char *service, const GArray *software,
+                           difference *known) {
+    uint64_t as_of_ms = hs_fleet_engines_software_as_of_ms(records->engines);
+    bool is_confirmed = as_of_ms >= known->confirm_ms;
+    if (is_confirmed && write_record(records, service, software))
+        return true;
+    if (is_confirmed || as_of_ms == 0)
+        known->confirm_ms = hs_clock_monotonic_ms();
+    return false;
 }
 
 /**
  * Writes the record of one service if it is due. A daemon that does not rank first leaves time to
- * those before it, and reads the records before it writes. @p found: NULL until they were read.
+ * those before it, and only adds to the record. @p found: NULL until the records were read.
  */
 static void update_service(hs_software_store *records, const char *service, const GArray *software,
                            GHashTable **found) {
@@ -182,15 +216,13 @@
     uint32_t rank = strlen(service) <= MAX_KEY_BYTES
                         ? hs_membership_service_rank(records->membership, service, WRITERS)
                         : WRITERS;
-    uint64_t since_ms = note_difference(records, service, digest, rank);
-    if (since_ms == 0 || hs_clock_monotonic_ms() < since_ms + (uint64_t)rank * RANK_DELAY_MS)
+    difference *known = note_difference(records, service, digest, rank);
+    if (known == NULL || hs_clock_monotonic_ms() < known->since_ms + (uint64_t)rank * RANK_DELAY_MS)
         return;
-    if (rank > 0 && *found == NULL)
-        *found = read_records(records);
-    bool is_done = rank == 0
-                       ? write_record(records, service, software)
-                       : *found != NULL && complete_record(records, service, software, *found);
-    if (is_done)
+    bool is_done = rank == 0 && replace_record(records, service, software, known);
+    if (!is_done && !known->is_recorded)
+        complete_record(records, service, software, found, known);
+    if (is_done || (known->is_recorded && (rank > 0 || !known->has_more)))
         set_settled(records, service, digest);
 }
 
--- a/src/directory/software_store.h
+++ b/src/directory/software_store.h
@@ -4,8 +4,9 @@
  * that daemons that all start anew know whether a stream can only have begun at one version.
  *
  * The store has one record per service. The live daemon that ranks first for the service writes it
- * when the set changes; if it does not, as it may be cut off from the store, the next ones do. A
- * daemon reads all records after its start.
+ * when the set changes; if it does not, as it may be cut off from the store, the next ones do. Only
+ * a daemon that ranks first and knows all recent software drops software from a record. A daemon
+ * reads all records after its start.
  *
  * Not thread-safe: one thread calls the functions.
  */
--- a/src/fleet/engine_software.c
+++ b/src/fleet/engine_software.c
@@ -96,6 +96,14 @@
     return sole;
 }
 
+uint64_t hs_fleet_engines_software_as_of_ms(hs_fleet_engines *engines) {
+    g_mutex_lock(&engines->lock);
+    bool is_complete = hs_software_history_is_complete(engines->software, hs_clock_monotonic_ms());
+    uint64_t as_of_ms = is_complete ? engines->list_as_of_ms : 0;
+    g_mutex_unlock(&engines->lock);
+    return as_of_ms;
+}
+
 static void free_list(gpointer data) {
     g_array_unref(data);
 }
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -407,6 +407,12 @@
 uint64_t hs_fleet_engines_sole_software(hs_fleet_engines *engines, const char *service,
                                         uint64_t as_of_ms);
 
+/**
+ * Returns as of when all software of the HS_MAX_STREAM_AGE_MS before is known; 0: engines may have
+ * been added and removed unseen.
+ */
+uint64_t hs_fleet_engines_software_as_of_ms(hs_fleet_engines *engines);
+
 /**
  * Lists the software of each service's engines, including those removed within the last
  * HS_MAX_STREAM_AGE_MS: service -> GArray of uint64_t. Free with g_hash_table_destroy. NULL: the
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -176,6 +176,7 @@
 int begin_version_records(void);
 int end_version_records(void);
 extern const test_case fleet_version_record_system_tests[];
+extern const test_case fleet_version_loss_system_tests[];
 extern const test_case fleet_version_cut_system_tests[];
 
 /** As begin_version_records, with more daemons; ends as end_versions. */
--- a/tests/system/test_fleet_version_gaps.c
+++ b/tests/system/test_fleet_version_gaps.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/hash.h"
 #include "platform/names.h"
+#include "tests/support/socket_filter.h"
 #include "tests/support/store_proxies.h"
 #include "tests/system/crash_calls.h"
 #include "tests/system/system_tests.h"
@@ -19,6 +20,8 @@
 #define WITHDRAWN_LISTED_MS 6000
 /** From a change of the list of engines until all daemons in touch with the store know it. */
 #define LIST_PROPAGATION_MS 1000
+/** From a daemon's start until it has joined the others and has a list of engines. */
+#define JOIN_MS 3000
 /** Streams sent until one begins at the withdrawn engine. */
 #define MAX_BEGUN_STREAMS 40
 /** Daemons and streams of a release that one daemon misses. */
@@ -105,17 +108,21 @@
     call_beside_faults("others-killed", kill_all_but_a_suspended_daemon, FAULT_DELAY_MS);
 }
 
-/** Returns the daemon that records the versions of the service in the store. */
-static int find_recorder(const char *service) {
-    int recorder = 0;
-    uint64_t most = 0;
+/** Returns the daemon that has a rank, from 0, for recording the service's versions. */
+static int find_recorder(const char *service, int rank) {
+    uint64_t weights[VERSION_DAEMONS];
     for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++) {
         g_autofree char *id = g_strdup_printf("front-%d", daemon);
-        uint64_t weight = hs_hash_pair(service, id);
-        recorder = weight > most ? daemon : recorder;
-        most = MAX(most, weight);
+        weights[daemon] = hs_hash_pair(service, id);
     }
-    return recorder;
+    for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++) {
+        int before = 0;
+        for (int other = 0; other < VERSION_DAEMONS; other++)
+            before += weights[other] > weights[daemon];
+        if (before == rank)
+            return daemon;
+    }
+    return 0;
 }
 
 /** Starts the engine of a release and waits until all daemons that run know it. */
@@ -142,29 +149,63 @@
     return false;
 }
 
-/** Guards against a version that no daemon records, as the one that does has lost the store. */
-static void a_withdrawn_version_is_known_after_all_daemons_were_killed(void) {
-    int recorder = find_recorder("llm");
-    use_store_proxies();
-    fault_proxy_set_mode(store_proxies[recorder], PROXY_BLOCKS_ALL);
+/** Takes a stream up at each daemon, after all of them were killed and started again. */
+static void take_up_after_all_were_killed(const caller_stream *stream, const char *title) {
+    uint32_t mixed = 0;
+    uint32_t went_on = 0;
+    kill_and_restart_all_daemons();
+    for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++) {
+        caller_stream taken_up = *stream;
+        g_autofree char *id = g_strdup_printf("%s-%d-second", title, daemon);
+        went_on += send_try(&taken_up, daemon, id, 0) > 0;
+        mixed += taken_up.is_mixed;
+        CU_ASSERT_FALSE(taken_up.is_out_of_order);
+    }
+    fprintf(stderr, "%s: of %d taken up, %u went on, %u mixed\n", title, VERSION_DAEMONS, went_on,
+            mixed);
+    CU_ASSERT_EQUAL(mixed, 0);
+}
+
+/** Begins a stream at an engine of a release, which is withdrawn; returns its engine. */
+static token_engine *release_and_withdraw(caller_stream *stream, int daemon) {
     token_engine *engine = release_engine();
     hs_clock_sleep_ms(WITHDRAWN_LISTED_MS);
-    caller_stream stream;
-    CU_ASSERT_TRUE(begin_at_withdrawn(&stream, (recorder + 1) % VERSION_DAEMONS));
+    CU_ASSERT_TRUE(begin_at_withdrawn(stream, daemon));
     token_engine_crash(engine);
     log_store_put(bench.store, TOPIC_ENGINES, WITHDRAWN_ID, "");
     hs_clock_sleep_ms(LIST_PROPAGATION_MS);
+    return engine;
+}
+
+/** Guards against a version that no daemon records, as the one that does has lost the store. */
+static void a_withdrawn_version_is_known_after_all_daemons_were_killed(void) {
+    int recorder = find_recorder("llm", 0);
+    use_store_proxies();
+    fault_proxy_set_mode(store_proxies[recorder], PROXY_BLOCKS_ALL);
+    caller_stream stream;
+    token_engine *engine = release_and_withdraw(&stream, (recorder + 1) % VERSION_DAEMONS);
     for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++)
         bench_signal_daemon(daemon, SIGKILL);
     fault_proxy_set_mode(store_proxies[recorder], PROXY_FORWARDS);
-    kill_and_restart_all_daemons();
-    for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++) {
-        caller_stream taken_up = stream;
-        g_autofree char *id = g_strdup_printf("withdrawn-%d-second", daemon);
-        send_try(&taken_up, daemon, id, 0);
-        CU_ASSERT_FALSE(taken_up.is_mixed);
-        CU_ASSERT_FALSE(taken_up.is_out_of_order);
-    }
+    take_up_after_all_were_killed(&stream, "not recorded");
+    token_engine_stop(engine);
+}
+
+/** Guards against a daemon that hears nothing and replaces the versions that others recorded. */
+static void a_withdrawn_version_stays_known_beside_a_daemon_that_receives_nothing(void) {
+    int deaf = find_recorder("llm", VERSION_DAEMONS - 1);
+    use_store_proxies();
+    hs_clock_sleep_ms(JOIN_MS);
+    fault_proxy_set_mode(store_proxies[deaf], PROXY_BLOCKS_ANSWERS);
+    CU_ASSERT_EQUAL(socket_filter_drop_datagrams(bench.pids[deaf], bench_control_port(deaf),
+                                                 SOCKET_FILTER_ANY_PORT),
+                    1);
+    caller_stream stream;
+    token_engine *engine = release_and_withdraw(&stream, (deaf + 1) % VERSION_DAEMONS);
+    for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++)
+        bench_signal_daemon(daemon, SIGKILL);
+    fault_proxy_set_mode(store_proxies[deaf], PROXY_FORWARDS);
+    take_up_after_all_were_killed(&stream, "replaced");
     token_engine_stop(engine);
 }
 
@@ -246,3 +287,9 @@
      a_withdrawn_version_is_known_after_all_daemons_were_killed},
     {NULL, NULL},
 };
+
+const test_case fleet_version_loss_system_tests[] = {
+    {"a_withdrawn_version_stays_known_beside_a_daemon_that_receives_nothing",
+     a_withdrawn_version_stays_known_beside_a_daemon_that_receives_nothing},
+    {NULL, NULL},
+};
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -68,6 +68,10 @@
     return get_port(PORT_DIRECTORY, index);
 }
 
+uint16_t bench_control_port(int index) {
+    return get_port(PORT_CONTROL, index);
+}
+
 uint16_t bench_metrics_port(int index) {
     return get_port(PORT_METRICS, index);
 }
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -156,6 +156,7 @@
 uint16_t bench_front_port(int index);
 uint16_t bench_ready_port(int index);
 uint16_t bench_directory_port(int index);
+uint16_t bench_control_port(int index);
 uint16_t bench_metrics_port(int index);
 
 /** Returns the submission body of a job of @p count items "ID-n". Free with g_free. */
