Record the software of the service that a route had before

What callers saw: a route moved to another service, all daemons were killed some seconds later, and streams that had begun at the former service were continued at engines of the new one (ORDER).

Cause: a daemon knows from the versions of the configuration that a route had another service within the last 30 s, but only since its start. Daemons that start with the new configuration find one software in the new service's record and take it for the only one that can have begun a stream of the route.

The recent software of the services that had a route's requests now counts as past software of the route's new service. So it is part of that service's set, is recorded as any version that was withdrawn, and is forgotten after 30 s. Until the record is written (about a second) the fault remains, and also if no engine of the new service is listed meanwhile. Streams of unknown origin on other routes of the new service are refused for these 30 s as well.

--- a/src/fleet/config_source.c
+++ b/src/fleet/config_source.c
@@ -75,23 +75,41 @@
     return is_same ? before->sole_since_ms : now_ms;
 }
 
-/** Sets hs_fleet_route.sole_since_ms by the version before: by the routes that had its requests. */
-static void note_sole_services(hs_fleet_config *config, const hs_fleet_config *previous) {
+/** Adds the software of the services of @p before, so that it is known after a restart too. */
+static void inherit_software(hs_fleet_engines *engines, const hs_fleet_route *route,
+                             const hs_fleet_route *before) {
+    for (guint index = 0; index < before->shares->len; index++) {
+        const char *service = g_array_index(before->shares, hs_route_share, index).service;
+        if (strcmp(service, first_service(route)) != 0)
+            hs_fleet_engines_inherit_software(engines, first_service(route), service);
+    }
+}
+
+/** Records which services had requests of @p route, of which @p before was the route until now. */
+static void note_route_before(const hs_config_source *source, hs_fleet_route *route,
+                              const hs_fleet_route *before, uint64_t now_ms) {
+    route->sole_since_ms = MAX(route->sole_since_ms, find_sole_since_ms(route, before, now_ms));
+    if (source->engines != NULL && route->shares->len == 1)
+        inherit_software(source->engines, route, before);
+}
+
+/** Compares each route with the routes of the version before that had its requests. */
+static void note_sole_services(const hs_config_source *source, hs_fleet_config *config,
+                               const hs_fleet_config *previous) {
     uint64_t now_ms = hs_clock_monotonic_ms();
     for (guint index = 0; index < config->routes->len; index++) {
         hs_fleet_route *route = config->routes->pdata[index];
         const hs_fleet_route *wider =
             hs_fleet_config_find_route(previous, route->host, route->path_prefix);
         if (wider != NULL)
-            route->sole_since_ms = find_sole_since_ms(route, wider, now_ms);
+            note_route_before(source, route, wider, now_ms);
     }
     for (guint index = 0; index < previous->routes->len; index++) {
         const hs_fleet_route *before = previous->routes->pdata[index];
         hs_fleet_route *route =
             (hs_fleet_route *)hs_fleet_config_find_route(config, before->host, before->path_prefix);
         if (route != NULL)
-            route->sole_since_ms =
-                MAX(route->sole_since_ms, find_sole_since_ms(route, before, now_ms));
+            note_route_before(source, route, before, now_ms);
     }
 }
 
@@ -103,7 +121,7 @@
     uint64_t previous_version = source->config != NULL ? source->config->version : 0;
     if (is_newer) {
         if (source->config != NULL)
-            note_sole_services(config, source->config);
+            note_sole_services(source, config, source->config);
         source->config = config;
         replace_value(source, value);
     }
--- a/src/fleet/engine_software.c
+++ b/src/fleet/engine_software.c
@@ -135,6 +135,17 @@
     g_mutex_unlock(&engines->lock);
 }
 
+void hs_fleet_engines_inherit_software(hs_fleet_engines *engines, const char *service,
+                                       const char *before) {
+    g_mutex_lock(&engines->lock);
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    g_autoptr(GArray) list = list_recent(engines, before, now_ms);
+    for (guint index = 0; index < list->len; index++)
+        hs_software_history_note_removed(engines->software, service,
+                                         g_array_index(list, uint64_t, index), now_ms);
+    g_mutex_unlock(&engines->lock);
+}
+
 void hs_fleet_engines_note_past_software_added(hs_fleet_engines *engines) {
     g_mutex_lock(&engines->lock);
     hs_software_history_note_complete(engines->software, 0);
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -426,6 +426,13 @@
 void hs_fleet_engines_add_past_software(hs_fleet_engines *engines, const char *service,
                                         uint64_t software);
 
+/**
+ * Counts the recent software of the service @p before as past software of @p service too: streams
+ * that began there may be taken up here.
+ */
+void hs_fleet_engines_inherit_software(hs_fleet_engines *engines, const char *service,
+                                       const char *before);
+
 /** Records that all software before this daemon's start was added. */
 void hs_fleet_engines_note_past_software_added(hs_fleet_engines *engines);
 
--- a/tests/system/main.c
+++ b/tests/system/main.c
@@ -61,6 +61,8 @@
          end_version_records},
         {"fleet_version_losses", fleet_version_loss_system_tests, begin_version_records,
          end_version_records},
+        {"fleet_version_moves", fleet_version_move_system_tests, begin_version_records,
+         end_versions},
         {"fleet_version_gaps", fleet_version_gap_system_tests, begin_version_gaps, end_versions},
         {"fleet_version_cuts", fleet_version_cut_system_tests, begin_versions, end_version_records},
         {"fleet_version_cuts_reused", fleet_version_cut_system_tests, begin_versions_reused,
--- a/tests/system/system_tests.h
+++ b/tests/system/system_tests.h
@@ -177,6 +177,7 @@
 int end_version_records(void);
 extern const test_case fleet_version_record_system_tests[];
 extern const test_case fleet_version_loss_system_tests[];
+extern const test_case fleet_version_move_system_tests[];
 extern const test_case fleet_version_cut_system_tests[];
 
 /** As begin_version_records, with more daemons; ends as end_versions. */
--- a/tests/system/test_fleet_version_gaps.c
+++ b/tests/system/test_fleet_version_gaps.c
@@ -126,10 +126,10 @@
 }
 
 /** Starts the engine of a release and waits until all daemons that run know it. */
-static token_engine *release_engine(void) {
+static token_engine *release_engine(const char *service) {
     token_engine *engine = token_engine_start(
         &(token_engine_settings){.id = WITHDRAWN_ID,
-                                 .service = "llm",
+                                 .service = service,
                                  .pace = {.events = VERSION_EVENTS, .event_ms = VERSION_EVENT_MS},
                                  .version = WITHDRAWN_VERSION});
     token_engine_announce(engine, bench.store, false);
@@ -168,7 +168,7 @@
 
 /** Begins a stream at an engine of a release, which is withdrawn; returns its engine. */
 static token_engine *release_and_withdraw(caller_stream *stream, int daemon) {
-    token_engine *engine = release_engine();
+    token_engine *engine = release_engine("llm");
     hs_clock_sleep_ms(WITHDRAWN_LISTED_MS);
     CU_ASSERT_TRUE(begin_at_withdrawn(stream, daemon));
     token_engine_crash(engine);
@@ -209,12 +209,27 @@
     token_engine_stop(engine);
 }
 
+/** Guards against a stream that goes on at the service to which its route moved before the kills.
+ */
+static void a_stream_of_a_moved_route_is_not_joined_after_all_daemons_were_killed(void) {
+    token_engine *engine = release_engine("frail");
+    hs_clock_sleep_ms(JOIN_MS);
+    caller_stream stream = {0};
+    CU_ASSERT(send_try(&stream, 0, "moved-first", FAULT_DELAY_MS) > 0);
+    bench.settings.again_service = "frail";
+    bench_configure(2);
+    hs_clock_sleep_ms(JOIN_MS);
+    take_up_after_all_were_killed(&stream, "moved");
+    bench.settings.again_service = NULL;
+    token_engine_stop(engine);
+}
+
 /** Guards against a daemon that lists engines anew and does not know that it missed some. */
 static void a_daemon_that_missed_a_withdrawn_version_joins_no_stream(void) {
     caller_stream streams[MISSED_STREAMS];
     int begun = 0;
     bench_signal_daemon(0, SIGSTOP);
-    token_engine *engine = release_engine();
+    token_engine *engine = release_engine("llm");
     for (int number = 0; number < MISSED_STREAMS; number++) {
         g_autofree char *id = g_strdup_printf("missed-%d-first", number);
         streams[begun] = (caller_stream){0};
@@ -293,3 +308,9 @@
      a_withdrawn_version_stays_known_beside_a_daemon_that_receives_nothing},
     {NULL, NULL},
 };
+
+const test_case fleet_version_move_system_tests[] = {
+    {"a_stream_of_a_moved_route_is_not_joined_after_all_daemons_were_killed",
+     a_stream_of_a_moved_route_is_not_joined_after_all_daemons_were_killed},
+    {NULL, NULL},
+};
--- a/tools/surface/fleet_bench.c
+++ b/tools/surface/fleet_bench.c
@@ -360,7 +360,7 @@
         "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
         "\"max-attempts\":1,\"resumable\":false},"
         "{\"name\":\"again\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/again/\","
-        "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"llm\","
+        "\"kind\":\"streaming\",\"timeout-ms\":4000,\"target-latency-ms\":300,\"service\":\"%s\","
         "\"max-attempts\":4,\"resumable\":true},"
         "{%s\"name\":\"plain\",\"host\":\"" BENCH_HOST "\",\"path-prefix\":\"/plain/\","
         "\"kind\":\"idempotent\",\"timeout-ms\":4000,\"target-latency-ms\":300,"
@@ -391,7 +391,8 @@
         "{\"name\":\"far\",\"health-check\":\"/h\",\"max-connections\":%u}],"
         "%s\"limits\":{\"max-header-bytes\":8192,\"max-body-bytes\":100000,"
         "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}",
-        version, home, members, members, retention_s, FAR_JOBS_RETENTION_S, bench.settings.warmup_s,
+        version, home, bench.settings.again_service != NULL ? bench.settings.again_service : "llm",
+        members, members, retention_s, FAR_JOBS_RETENTION_S, bench.settings.warmup_s,
         bench.settings.warmup_per_s, connections, connections, connections, tenants_member);
     log_store_put(bench.store, TOPIC_CONFIG, KEY_CONFIG, text);
 }
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -46,6 +46,8 @@
     uint32_t evacuate_ms;          /**< Setting fleet.evacuate_ms; 0: not set. */
     const char *route_members; /**< JSON members of routes "plain" and "jobs", each followed by a
                                     comma; NULL: none. Read by bench_configure. */
+    const char *again_service; /**< Service of the route "again", read by bench_configure; NULL:
+                                    "llm". */
     const char *log_directory; /**< For the daemons' output, "daemon-N.log"; NULL: inherited. */
 } bench_settings;
 
