Start the 30 s anew when a follower gets a next start after a gap

What callers saw: none reported. In a fleet above 48 daemons, a stream that began at one start of an engine could be continued at a later start of another version, by a daemon that had not heard of the start in between.

Cause: another daemon passes on the newest record of each key only. If an engine is renewed under its id to another version and back between two reads of a follower, the follower gets the last start and takes the service for one of a single version.

Not tried over real processes.

The next start of an engine in a batch of another daemon, confirmed more than a heartbeat after the last, now counts as a new listing does: engines may have been missed, and streams of unknown origin are refused for 30 s. Two renewals within a heartbeat are still missed. The store's log has every start, so that daemons that read it are not affected.

--- a/src/fleet/engine_source.c
+++ b/src/fleet/engine_source.c
@@ -41,9 +41,11 @@
     uint64_t last_answer_ms; /**< Time of the last successful read; 0: none yet. */
     uint64_t as_of_ms;       /**< As of when the last batch was confirmed; 0: unknown. */
     uint64_t next_prune_ms;
-    GMutex lock;            /**< Guards the fields below, and the order of changes of the table. */
-    GHashTable *values;     /**< Engine id -> listed_value*, of the valid entries. */
-    bool has_peer_list;     /**< Another daemon gave the entries, see peer_state.h. */
+    bool has_new_start; /**< Another daemon gave the entry of an engine's next start, in a read that
+                             has not reached the end yet. */
+    GMutex lock;        /**< Guards the fields below, and the order of changes of the table. */
+    GHashTable *values; /**< Engine id -> listed_value*, of the valid entries. */
+    bool has_peer_list; /**< Another daemon gave the entries, see peer_state.h. */
     uint64_t peer_as_of_ms; /**< As of when; 0: unknown. */
     hs_stop_wait stop_wait;
     GThread *thread;
@@ -132,6 +134,7 @@
         listed_value *listed = g_new0(listed_value, 1);
         *listed = (listed_value){.value = g_bytes_ref(value), .read_ms = read_ms};
         g_hash_table_insert(source->values, g_strdup(id), listed);
+        source->has_new_start |= hs_fleet_engines_is_another_start(source->engines, &entry);
         hs_fleet_engines_put(source->engines, &entry, read_ms);
     } else {
         hs_fleet_engines_drop(source->engines, id);
@@ -164,28 +167,35 @@
 
 /**
  * Returns whether engines may have been added and removed again since the last batch. A new listing
- * does not tell, but only an engine that lives less than a heartbeat is missed by one that follows
- * the last confirmation closely. The caller holds the lock.
+ * does not tell, nor does another daemon tell the starts of an engine before its last one. But only
+ * an engine that lives less than a heartbeat is missed by a batch that follows the last
+ * confirmation closely. The caller holds the lock.
  */
-static bool has_unseen_engines(const hs_engine_source *source, const hs_feed_batch *batch) {
-    return batch->has_unseen || (batch->is_listed && source->as_of_ms != 0 &&
-                                 batch->as_of_ms > source->as_of_ms + source->heartbeat_ms);
+static bool has_unseen_engines(const hs_engine_source *source, const hs_feed_batch *batch,
+                               uint64_t last_as_of_ms) {
+    bool has_gap = last_as_of_ms != 0 && batch->as_of_ms > last_as_of_ms + source->heartbeat_ms;
+    return batch->has_unseen || (has_gap && (batch->is_listed || source->has_new_start));
 }
 
 static void apply_batch(hs_engine_source *source, const hs_feed_batch *batch) {
     g_mutex_lock(&source->lock);
-    if (has_unseen_engines(source, batch)) {
-        hs_log_info("engines_unseen", "listed=%d unconfirmed_ms=%" G_GUINT64_FORMAT,
-                    batch->is_listed, (guint64)(batch->as_of_ms - source->as_of_ms));
-        hs_fleet_engines_note_unseen(source->engines);
-    }
+    uint64_t last_as_of_ms = source->as_of_ms;
+    bool had_new_start = source->has_new_start;
     detect_outage(source, batch);
     for (guint index = 0; index < batch->changes->len; index++) {
         const hs_feed_record *record = batch->changes->pdata[index];
         apply_entry(source, record->key, record->value, record->read_ms);
     }
+    if (batch->source != HS_FEED_PARENT) /* The log of the store has all starts. */
+        source->has_new_start = had_new_start;
     if (batch->is_listed)
         keep_listed(source);
+    if (has_unseen_engines(source, batch, last_as_of_ms)) {
+        hs_log_info("engines_unseen", "listed=%d unconfirmed_ms=%" G_GUINT64_FORMAT,
+                    batch->is_listed, (guint64)(batch->as_of_ms - last_as_of_ms));
+        hs_fleet_engines_note_unseen(source->engines);
+    }
+    source->has_new_start &= batch->has_more;
     hs_fleet_engines_note_list_as_of(source->engines, batch->as_of_ms);
     g_mutex_unlock(&source->lock);
 }
--- a/src/fleet/fleet_engines.c
+++ b/src/fleet/fleet_engines.c
@@ -199,6 +199,14 @@
     return entry->started_at_ms != 0 && entry->started_at_ms != engine->entry.started_at_ms;
 }
 
+bool hs_fleet_engines_is_another_start(hs_fleet_engines *engines, const hs_engine_entry *entry) {
+    g_mutex_lock(&engines->lock);
+    const hs_fleet_engine *engine = g_hash_table_lookup(engines->by_id, entry->id);
+    bool is_another = engine != NULL && is_another_start(engine, entry);
+    g_mutex_unlock(&engines->lock);
+    return is_another;
+}
+
 /** Whether the loss of the engine is expected, and no evidence of a crash. */
 static bool is_loss_expected(const hs_fleet_engines *engines, const hs_fleet_engine *engine) {
     return engine->entry.draining ||
--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -163,6 +163,9 @@
 /** Adds or updates an engine. Takes ownership of the strings of @p entry and clears it. */
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
 
+/** Whether the entry belongs to another start than the listed engine of its id. */
+bool hs_fleet_engines_is_another_start(hs_fleet_engines *engines, const hs_engine_entry *entry);
+
 /**
  * Removes an engine whose entry expired while the store was available. Unless the engine was
  * draining, the crash watch is notified that it crashed.
--- a/tests/unit/test_engine_source.c
+++ b/tests/unit/test_engine_source.c
@@ -4,6 +4,7 @@
 #include "fleet/software_history.h"
 #include "platform/names.h"
 #include "standin/log_store/log_store.h"
+#include "standin/port_lease/port_lease.h"
 #include "tests/unit/unit_tests.h"
 
 #include <netinet/in.h>
@@ -153,7 +154,82 @@
     log_store_stop(store);
 }
 
+#define ENTRY_OF_START(version, born)                                                              \
+    "{\"service\":\"svc\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"slots\":4,"                 \
+    "\"version\":\"" version "\",\"state\":\"ready\",\"warmup-left-ms\":0,\"sequence\":1,"         \
+    "\"born\":" born "}"
+
+static void serve(hs_inbound *inbound, void *user_data) {
+    if (!hs_state_feed_serve(user_data, inbound))
+        hs_inbound_reply(inbound, 404, NULL, "", 0);
+}
+
+/** The view of a daemon that follows others; all have the address of the listener. */
+static hs_feed_tree *get_tree(void *user_data) {
+    g_autoptr(GArray) nodes = g_array_new(FALSE, FALSE, sizeof(hs_feed_node));
+    for (uint32_t number = 1; number <= 3; number++) {
+        hs_feed_node node = {.id = number,
+                             .zone = 1,
+                             .strength = 10 - number,
+                             .address = INADDR_LOOPBACK,
+                             .port = *(const uint16_t *)user_data};
+        g_array_append_val(nodes, node);
+    }
+    return hs_feed_tree_new(nodes, 3, HS_FEED_DIRECT_DAEMONS + 1);
+}
+
+static bool knows_others(void *user_data) {
+    (void)user_data;
+    return true;
+}
+
+static void read_feed(hs_state_feed *feed) {
+    hs_feed_limits limits = {.store_timeout_ms = READ_INTERVAL_MS};
+    hs_feed_batch batch;
+    hs_state_feed_read(feed, &limits, &batch);
+    CU_ASSERT_EQUAL(batch.outcome, HS_STORE_DONE);
+    hs_feed_batch_clear(&batch);
+}
+
+/** Guards against a follower that misses a version between two starts of one engine. */
+static void a_follower_that_misses_a_start_does_not_tell_a_sole_version(void) {
+    log_store *store = log_store_start(0);
+    hs_store_client *client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(store));
+    hs_state_feed *parent = hs_state_feed_new(client, HS_TOPIC_ENGINES, "engines");
+    uint16_t port = port_lease_take(1);
+    hs_listener_limits limits = {.max_body_bytes = 1000};
+    hs_listener *listener = hs_listener_start("127.0.0.1", port, &limits, serve, parent, NULL);
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_source *source =
+        hs_engine_source_new(client, engines, 3 * SHORT_READ_INTERVAL_MS, HEARTBEAT_MS);
+    hs_feed_members members = {
+        .get_tree = get_tree, .knows_others = knows_others, .user_data = &port};
+    hs_state_feed_set_members(hs_engine_source_feed(source), &members);
+    log_store_put(store, TOPIC_ENGINES, "e1", ENTRY_OF_START("v1", "1000"));
+    read_feed(parent);
+    hs_engine_source_start(source);
+    CU_ASSERT(wait_for_engine(engines, true) < 2000);
+    hs_fleet_engines_note_past_software_added(engines);
+    CU_ASSERT_EQUAL(hs_fleet_engines_sole_software(engines, "svc", 1), hs_software_id("svc", "v1"));
+    hs_clock_sleep_ms(2ULL * HEARTBEAT_MS);
+    log_store_put(store, TOPIC_ENGINES, "e1", ENTRY_OF_START("v2", "2000"));
+    log_store_put(store, TOPIC_ENGINES, "e1", ENTRY_OF_START("v1", "3000"));
+    uint64_t now_ms = hs_clock_monotonic_ms();
+    read_feed(parent);
+    wait_for_list(source, engines, 1, now_ms);
+    CU_ASSERT_EQUAL(hs_fleet_engines_sole_software(engines, "svc", now_ms), 0);
+    hs_state_feed_stop(parent);
+    hs_engine_source_free(source);
+    hs_listener_stop(listener);
+    hs_state_feed_free(parent);
+    hs_fleet_engines_free(engines);
+    hs_store_client_free(client);
+    log_store_stop(store);
+}
+
 const test_case engine_source_tests[] = {
+    {"a_follower_that_misses_a_start_does_not_tell_a_sole_version",
+     a_follower_that_misses_a_start_does_not_tell_a_sole_version},
     {"a_new_list_after_a_gap_does_not_tell_a_sole_version",
      a_new_list_after_a_gap_does_not_tell_a_sole_version},
     {"failed_read_is_retried_before_the_next_interval",
