--- a/src/fleet/fleet_engines.h
+++ b/src/fleet/fleet_engines.h
@@ -163,6 +163,9 @@
 /** Adds or updates an engine. Takes ownership of the strings of @p entry and clears it. */
 void hs_fleet_engines_put(hs_fleet_engines *engines, hs_engine_entry *entry, uint64_t now_ms);
 
+/** Whether the entry belongs to another start than the listed engine of its id. */
+bool hs_fleet_engines_is_another_start(hs_fleet_engines *engines, const hs_engine_entry *entry);
+
 /**
  * Removes an engine whose entry expired while the store was available. Unless the engine was
  * draining, the crash watch is notified that it crashed.
@@ -407,6 +410,12 @@
 uint64_t hs_fleet_engines_sole_software(hs_fleet_engines *engines, const char *service,
                                         uint64_t as_of_ms);
 
+/**
+ * Returns as of when all software of the HS_MAX_STREAM_AGE_MS before is known; 0: engines may have
+ * been added and removed unseen.
+ */
+uint64_t hs_fleet_engines_software_as_of_ms(hs_fleet_engines *engines);
+
 /**
  * Lists the software of each service's engines, including those removed within the last
  * HS_MAX_STREAM_AGE_MS: service -> GArray of uint64_t. Free with g_hash_table_destroy. NULL: the
@@ -420,6 +429,13 @@
 void hs_fleet_engines_add_past_software(hs_fleet_engines *engines, const char *service,
                                         uint64_t software);
 
+/**
+ * Counts the recent software of the service @p before as past software of @p service too: streams
+ * that began there may be taken up here.
+ */
+void hs_fleet_engines_inherit_software(hs_fleet_engines *engines, const char *service,
+                                       const char *before);
+
 /** Records that all software before this daemon's start was added. */
 void hs_fleet_engines_note_past_software_added(hs_fleet_engines *engines);
 
--- a/tools/surface/fleet_bench.h
+++ b/tools/surface/fleet_bench.h
@@ -46,6 +46,8 @@
     uint32_t evacuate_ms;          /**< Setting fleet.evacuate_ms; 0: not set. */
     const char *route_members; /**< JSON members of routes "plain" and "jobs", each followed by a
                                     comma; NULL: none. Read by bench_configure. */
+    const char *again_service; /**< Service of the route "again", read by bench_configure; NULL:
+                                    "llm". */
     const char *log_directory; /**< For the daemons' output, "daemon-N.log"; NULL: inherited. */
 } bench_settings;
 
@@ -156,6 +158,7 @@
 uint16_t bench_front_port(int index);
 uint16_t bench_ready_port(int index);
 uint16_t bench_directory_port(int index);
+uint16_t bench_control_port(int index);
 uint16_t bench_metrics_port(int index);
 
 /** Returns the submission body of a job of @p count items "ID-n". Free with g_free. */
