cut_answers: reports of engines, forwarded calls, heads after interim ones

Each answer is cut at each byte, with a FIN and a reset. A cut report is never the known start of an engine (start_check) and names no run (run_search); a connection whose report is still under way is not used. A forwarded call, or one that asks for the store's state, without a whole answer may have been taken and does not permit a relay. A run, a load report or a list of models whose final head is cut after a 100 or 103 is interrupted or none, and a run is complete only with its whole framing.

--- a/tests/unit/test_cut_answers.c
+++ b/tests/unit/test_cut_answers.c
@@ -7,8 +7,12 @@
 #include "base/http_exchange.h"
 #include "engine/engine_client.h"
 #include "feed/feed_parent.h"
+#include "fleet/fleet_engines.h"
+#include "fleet/run_search.h"
+#include "fleet/start_check.h"
 #include "http/client_connection.h"
 #include "http/connection_probe.h"
+#include "http/http_fields.h"
 #include "http/http_server.h"
 #include "http/listener.h"
 #include "jobs/job_peer.h"
@@ -276,6 +280,80 @@
     for_each_cut_head(statuses, check_order);
 }
 
+/** As for_each_cut_head with a final head that follows an interim one, with a FIN and a reset. */
+static void for_each_cut_final_head(const char *const *statuses,
+                                    void (*check)(scripted_peer *peer, const char *url)) {
+    static const char *const interims[] = {"HTTP/1.1 100 Continue\r\n\r\n",
+                                           "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"};
+    scripted_peer *peer = scripted_peer_start();
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", scripted_peer_port(peer));
+    for (; *statuses != NULL; statuses++) {
+        for (size_t index = 0; index < G_N_ELEMENTS(interims); index++) {
+            g_autofree char *heads = g_strconcat(
+                interims[index], "HTTP/1.1 ", *statuses,
+                "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n", NULL);
+            for (size_t length = 0; length < strlen(heads); length++) {
+                set_answer(peer, heads, length, PEER_CLOSES);
+                check(peer, url);
+                set_answer(peer, heads, length, PEER_RESETS);
+                check(peer, url);
+            }
+        }
+    }
+    scripted_peer_stop(peer);
+}
+
+static void a_run_whose_head_is_cut_after_an_interim_one_may_have_run(void) {
+    static const char *const statuses[] = {"200 OK", "503 Full", NULL};
+    for_each_cut_final_head(statuses, check_run);
+}
+
+static void check_load(scripted_peer *peer, const char *url) {
+    (void)peer;
+    hs_engine_report report;
+    CU_ASSERT_FALSE(hs_engine_read_load(url, &report));
+    CU_ASSERT_PTR_NULL(hs_engine_read_models(url));
+}
+
+/** Guards against an engine that is taken for idle, or for one without models. */
+static void a_load_report_whose_head_is_cut_is_none(void) {
+    static const char *const statuses[] = {"200 OK", NULL};
+    for_each_cut_final_head(statuses, check_load);
+}
+
+static bool accept_token(uint32_t token_index, json_t *event, void *user_data) {
+    (void)event;
+    *(uint32_t *)user_data = token_index + 1;
+    return true;
+}
+
+/** Guards against a stream that counts as complete although its framing is not. */
+static void a_run_cut_at_any_byte_is_not_complete(void) {
+    static const char events[] =
+        "data: {\"token_index\":0,\"choices\":[{\"finish_reason\":null}]}\n\n"
+        "data: {\"token_index\":1,\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n"
+        "data: [DONE]\n\n";
+    scripted_peer *peer = scripted_peer_start();
+    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u", scripted_peer_port(peer));
+    g_autofree char *framed = g_strdup_printf(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+        strlen(events), events);
+    hs_engine_call call = {.engine_url = url,
+                           .path = "/v1/completions",
+                           .request_id = "r1",
+                           .body = "{}",
+                           .timeout_s = LIMIT_S};
+    for (size_t length = 0; length <= strlen(framed); length++) {
+        uint32_t tokens = 0;
+        set_answer(peer, framed, length, PEER_CLOSES);
+        hs_run_result result = hs_engine_run(&call, accept_token, &tokens);
+        bool is_whole = length == strlen(framed);
+        CU_ASSERT_EQUAL(result.end, is_whole ? HS_RUN_COMPLETED : HS_RUN_INTERRUPTED);
+        CU_ASSERT_EQUAL(result.next_token, tokens);
+    }
+    scripted_peer_stop(peer);
+}
+
 static void check_log(scripted_peer *peer, const char *url) {
     (void)peer;
     g_autofree char *base_url = g_strdup(url);
@@ -356,6 +434,54 @@
     for_each_cut(check_peer, false);
 }
 
+/** Forwards a caller's call on a job. */
+static hs_peer_outcome forward_call(const hs_daemon_address *daemon, const char *method,
+                                    hs_peer_answer *received) {
+    g_autofree char *copied = g_strdup(method);
+    g_autofree char *target = g_strdup("/jobs/a");
+    g_autoptr(GByteArray) body = g_byte_array_new();
+    hs_inbound inbound = {.method = copied,
+                          .target = target,
+                          .fields = hs_http_fields_new(),
+                          .body = body,
+                          .descriptor = HS_WATCH_NOTHING};
+    hs_peer_outcome outcome = HS_PEER_NOT_SENT;
+    for (int tries = 0; tries < MAX_CONNECTS && outcome == HS_PEER_NOT_SENT; tries++)
+        outcome = hs_job_peer_forward(daemon, &inbound, "t", hs_clock_monotonic_ms() + LIMIT_MS,
+                                      received);
+    hs_http_fields_free(inbound.fields);
+    return outcome;
+}
+
+static void check_forwarded(scripted_peer *peer, const answer *tested, bool is_whole) {
+    hs_daemon_address daemon = {.address = INADDR_LOOPBACK, .port = scripted_peer_port(peer)};
+    hs_peer_answer received;
+    if (strcmp(tested->method, "HEAD") == 0)
+        return;
+    uint32_t before = scripted_peer_request_count(peer);
+    hs_peer_outcome outcome = forward_call(&daemon, tested->method, &received);
+    CU_ASSERT_EQUAL(scripted_peer_request_count(peer), before + 1);
+    CU_ASSERT_EQUAL(outcome, is_whole ? HS_PEER_ANSWERED : HS_PEER_NO_ANSWER);
+    if (outcome == HS_PEER_ANSWERED)
+        hs_peer_answer_clear(&received);
+}
+
+/** Guards against a submission that is stored twice, or refused though it is stored. */
+static void a_forwarded_call_whose_answer_is_cut_may_have_been_taken(void) {
+    for_each_cut(check_forwarded, false);
+}
+
+static void check_store_report(scripted_peer *peer, const char *url) {
+    (void)url;
+    hs_daemon_address daemon = {.address = INADDR_LOOPBACK, .port = scripted_peer_port(peer)};
+    CU_ASSERT_FALSE(hs_job_peer_can_reach_store(&daemon, hs_clock_monotonic_ms() + LIMIT_MS));
+}
+
+static void a_peer_whose_answer_head_is_cut_does_not_reach_the_store(void) {
+    static const char *const statuses[] = {"200 OK", NULL};
+    for_each_cut_head(statuses, check_store_report);
+}
+
 static void check_feed(scripted_peer *peer, const answer *tested, bool is_whole) {
     hs_feed_node node = {.address = INADDR_LOOPBACK, .port = scripted_peer_port(peer)};
     hs_feed_parent parent = {0};
@@ -393,6 +519,117 @@
     for_each_cut(check_probe, false);
 }
 
+#define REPORT_START_MS 17
+#define REPORT "{\"born\":17,\"run-count\":[[\"r1\",1,2,0]]}"
+
+/** Reports of an engine, of 38 bytes. */
+static const answer reports[] = {
+    {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n" REPORT, false, 0},
+    {"GET",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "26\r\n" REPORT "\r\n0\r\n\r\n",
+     false, 0},
+    {"GET",
+     "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n" REPORT,
+     false, 0},
+    {"GET", "HTTP/1.1 200 OK\r\n\r\n" REPORT, true, 0},
+};
+
+/** An engine "e1" of version "v1" whose entry names the start of the reports. */
+static hs_fleet_engines *make_reporting_engine(scripted_peer *peer) {
+    hs_fleet_engines *engines = hs_fleet_engines_new("z");
+    hs_engine_entry entry = {.id = g_strdup("e1"),
+                             .service = g_strdup("svc"),
+                             .zone = g_strdup("z"),
+                             .version = g_strdup("v1"),
+                             .address = INADDR_LOOPBACK,
+                             .port = scripted_peer_port(peer),
+                             .slots = 4,
+                             .started_at_ms = REPORT_START_MS};
+    hs_fleet_engines_put(engines, &entry, hs_clock_monotonic_ms());
+    return engines;
+}
+
+/** Checks the start behind a new connection to a new engine. */
+static hs_start_check check_start(scripted_peer *peer, bool *is_peer_known) {
+    hs_fleet_engines *engines = make_reporting_engine(peer);
+    hs_engine_query query = {.service = "svc", .work = HS_WORK_ONLINE};
+    hs_engine_lease *lease = hs_fleet_engines_acquire(engines, &query);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(lease);
+    hs_client_connection *connection = open_connection(peer);
+    hs_wait wait = wait_until_limit();
+    hs_start_check result = hs_start_check_run(lease, connection, true, &wait);
+    *is_peer_known = hs_client_connection_is_peer_known(connection);
+    hs_engine_lease_release(lease, connection, HS_ATTEMPT_DROPPED);
+    hs_fleet_engines_free(engines);
+    return result;
+}
+
+static bool is_known_start(scripted_peer *peer, const answer *report, size_t length,
+                           peer_ending ending) {
+    bool is_peer_known = false;
+    set_answer(peer, report->bytes, length, ending);
+    hs_start_check result = check_start(peer, &is_peer_known);
+    CU_ASSERT(is_peer_known || result != HS_START_KNOWN);
+    return result == HS_START_KNOWN;
+}
+
+/** Guards against a stream that is continued by an engine that may have restarted. */
+static void an_engine_whose_report_is_cut_is_of_no_known_start(void) {
+    scripted_peer *peer = scripted_peer_start();
+    for (size_t index = 0; index < G_N_ELEMENTS(reports); index++) {
+        size_t whole = strlen(reports[index].bytes);
+        for (size_t length = 0; length < whole; length++) {
+            CU_ASSERT_FALSE(is_known_start(peer, &reports[index], length, PEER_CLOSES));
+            CU_ASSERT_FALSE(is_known_start(peer, &reports[index], length, PEER_RESETS));
+        }
+        bool is_known = reports[index].is_unframed;
+        for (int tries = 0; tries < MAX_CONNECTS && !is_known; tries++)
+            is_known = is_known_start(peer, &reports[index], whole, PEER_KEEPS_OPEN);
+        CU_ASSERT_TRUE(is_known);
+    }
+    scripted_peer_stop(peer);
+}
+
+/** Guards against the rest of a late report that is taken for the answer to a request. */
+static void a_connection_with_a_report_under_way_is_not_used(void) {
+    scripted_peer *peer = scripted_peer_start();
+    for (size_t index = 0; index < G_N_ELEMENTS(reports); index++) {
+        size_t head = (size_t)(strstr(reports[index].bytes, "\r\n\r\n") - reports[index].bytes) + 4;
+        const size_t lengths[] = {0, 5, head - 1, head, strlen(reports[index].bytes) - 1};
+        for (size_t at = 0; at < G_N_ELEMENTS(lengths); at++)
+            CU_ASSERT_FALSE(is_known_start(peer, &reports[index], lengths[at], PEER_GOES_SILENT));
+    }
+    scripted_peer_stop(peer);
+}
+
+static uint64_t search_run(scripted_peer *peer, const answer *report, size_t length,
+                           peer_ending ending) {
+    set_answer(peer, report->bytes, length, ending);
+    hs_fleet_engines *engines = make_reporting_engine(peer);
+    uint64_t found = hs_run_search_find(engines, "svc", "r1", hs_clock_monotonic_ms() + LIMIT_MS);
+    hs_fleet_engines_free(engines);
+    return found;
+}
+
+/** Guards against a stream that is continued by software that did not begin it. */
+static void a_report_that_is_cut_names_no_run(void) {
+    scripted_peer *peer = scripted_peer_start();
+    for (size_t index = 0; index < G_N_ELEMENTS(reports); index++) {
+        size_t whole = strlen(reports[index].bytes);
+        for (size_t length = 0; length < whole; length++) {
+            CU_ASSERT_EQUAL(search_run(peer, &reports[index], length, PEER_CLOSES), 0);
+            CU_ASSERT_EQUAL(search_run(peer, &reports[index], length, PEER_RESETS), 0);
+        }
+        uint64_t found = 0;
+        for (int tries = 0; tries < MAX_CONNECTS && found == 0; tries++)
+            found = search_run(peer, &reports[index], whole, PEER_CLOSES);
+        CU_ASSERT_NOT_EQUAL(found, 0);
+    }
+    scripted_peer_stop(peer);
+}
+
 static void count_request(hs_inbound *inbound, void *user_data) {
     g_atomic_int_inc((gint *)user_data);
     hs_inbound_reply(inbound, 200, NULL, "ok", 2);
@@ -494,6 +731,10 @@
     {"an_exchange_whose_answer_is_cut_has_no_answer",
      an_exchange_whose_answer_is_cut_has_no_answer},
     {"a_run_whose_answer_head_is_cut_may_have_run", a_run_whose_answer_head_is_cut_may_have_run},
+    {"a_run_whose_head_is_cut_after_an_interim_one_may_have_run",
+     a_run_whose_head_is_cut_after_an_interim_one_may_have_run},
+    {"a_load_report_whose_head_is_cut_is_none", a_load_report_whose_head_is_cut_is_none},
+    {"a_run_cut_at_any_byte_is_not_complete", a_run_cut_at_any_byte_is_not_complete},
     {"an_order_whose_answer_head_is_cut_is_not_confirmed",
      an_order_whose_answer_head_is_cut_is_not_confirmed},
     {"a_log_answer_whose_head_is_cut_tells_nothing", a_log_answer_whose_head_is_cut_tells_nothing},
@@ -501,8 +742,17 @@
     {"an_append_whose_answer_head_is_cut_is_unknown",
      an_append_whose_answer_head_is_cut_is_unknown},
     {"a_peer_answer_cut_at_any_byte_is_none", a_peer_answer_cut_at_any_byte_is_none},
+    {"a_forwarded_call_whose_answer_is_cut_may_have_been_taken",
+     a_forwarded_call_whose_answer_is_cut_may_have_been_taken},
+    {"a_peer_whose_answer_head_is_cut_does_not_reach_the_store",
+     a_peer_whose_answer_head_is_cut_does_not_reach_the_store},
     {"a_feed_answer_cut_at_any_byte_is_none", a_feed_answer_cut_at_any_byte_is_none},
     {"a_probe_answer_cut_at_any_byte_is_none", a_probe_answer_cut_at_any_byte_is_none},
+    {"an_engine_whose_report_is_cut_is_of_no_known_start",
+     an_engine_whose_report_is_cut_is_of_no_known_start},
+    {"a_connection_with_a_report_under_way_is_not_used",
+     a_connection_with_a_report_under_way_is_not_used},
+    {"a_report_that_is_cut_names_no_run", a_report_that_is_cut_names_no_run},
     {"a_request_cut_at_any_byte_is_not_handled", a_request_cut_at_any_byte_is_not_handled},
     {"a_call_cut_at_any_byte_is_not_handled", a_call_cut_at_any_byte_is_not_handled},
     {NULL, NULL}};
