peer_state: answers to a daemon that starts, cut on the way

It passes on the present code.

A daemon that starts asks 24 others, whose answers are cut at 24 places from the first byte to the last, with a FIN and a reset in turn: neither a configuration nor an engine is applied. Whole answers of the same daemons are. make_sources is split off make_node, since the query needs the directory first.

--- a/tests/unit/test_peer_state.c
+++ b/tests/unit/test_peer_state.c
@@ -5,6 +5,7 @@
 #include "fleet/fleet_engine.h"
 #include "platform/names.h"
 #include "standin/log_store/log_store.h"
+#include "tests/support/scripted_peer.h"
 #include "tests/unit/unit_tests.h"
 
 #include <netinet/in.h>
@@ -15,6 +16,7 @@
     "\"version\":\"v1\",\"state\":\"ready\",\"warmup-left-ms\":5000,\"sequence\":1}"
 #define HEARTBEAT_MS 60000
 #define WAIT_LIMIT_MS 3000
+#define CUT_PEERS 24
 
 /** Sources of a daemon, and the store that it reads. */
 typedef struct {
@@ -26,11 +28,17 @@
     hs_peer_config *peers;
 } node;
 
-static node make_node(void) {
+/** Makes a node without its peers. */
+static node make_sources(void) {
     node made = {.store = log_store_start(0), .engines = hs_fleet_engines_new("z")};
     made.client = hs_store_client_new(INADDR_LOOPBACK, log_store_port(made.store));
     made.config = hs_config_source_new(made.client, 200);
     made.engine_source = hs_engine_source_new(made.client, made.engines, 300, HEARTBEAT_MS);
+    return made;
+}
+
+static node make_node(void) {
+    node made = make_sources();
     hs_peer_config_settings settings = {.config = made.config, .engine_source = made.engine_source};
     made.peers = hs_peer_config_new(&settings);
     return made;
@@ -85,6 +93,114 @@
     return is_known;
 }
 
+/** A directory that lists its seeds, and what it needs. */
+typedef struct {
+    hs_topology *topology;
+    hs_crash_watch *crash_watch;
+    hs_stream_origins *origins;
+    hs_daemon_directory *directory;
+} seed_directory;
+
+static seed_directory make_directory(node *of, const char *seeds) {
+    seed_directory made = {.topology = hs_topology_new(""),
+                           .crash_watch = hs_crash_watch_new(),
+                           .origins = hs_stream_origins_new()};
+    hs_daemon_directory_settings settings = {.id = "d",
+                                             .zone = "z",
+                                             .topology = made.topology,
+                                             .address = "127.0.0.1",
+                                             .seeds = seeds,
+                                             .probe_interval_ms = HEARTBEAT_MS,
+                                             .resolve_ttl_s = 1,
+                                             .store = of->client,
+                                             .engines = of->engines,
+                                             .config = of->config,
+                                             .crash_watch = made.crash_watch,
+                                             .origins = made.origins};
+    made.directory = hs_daemon_directory_new(&settings, NULL);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(made.directory);
+    return made;
+}
+
+static void free_directory(const seed_directory *made) {
+    hs_daemon_directory_free(made->directory);
+    hs_crash_watch_free(made->crash_watch);
+    hs_stream_origins_free(made->origins);
+    hs_topology_free(made->topology);
+}
+
+/** Returns a whole answer with version 7 and the engine "e1". */
+static GByteArray *write_state_answer(void) {
+    hs_peer_state *state = make_state(7, 0);
+    g_autoptr(GByteArray) body = hs_peer_state_encode(state);
+    hs_peer_state_free(state);
+    g_autofree char *head =
+        g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", body->len);
+    GByteArray *bytes = g_byte_array_new();
+    g_byte_array_append(bytes, (const guint8 *)head, (guint)strlen(head));
+    g_byte_array_append(bytes, body->data, body->len);
+    return bytes;
+}
+
+static void set_cut(scripted_peer *peer, const GByteArray *bytes, size_t length,
+                    peer_ending ending) {
+    scripted_peer_set(
+        peer,
+        &(peer_script){.bytes = (const char *)bytes->data, .length = length, .ending = ending});
+}
+
+/** Waits until each peer was asked and a second round has begun, so that all answers were handled.
+ */
+static bool wait_for_round(scripted_peer *const *peers, uint64_t until_ms) {
+    bool is_over = false;
+    while (!is_over && hs_clock_monotonic_ms() < until_ms) {
+        uint32_t asked = 0;
+        uint32_t requests = 0;
+        for (int index = 0; index < CUT_PEERS; index++) {
+            asked += scripted_peer_request_count(peers[index]) > 0;
+            requests += scripted_peer_request_count(peers[index]);
+        }
+        is_over = asked == CUT_PEERS && requests > CUT_PEERS;
+        hs_clock_sleep_ms(5);
+    }
+    return is_over;
+}
+
+/** Guards against a configuration, or engines, from a part of a daemon's answer. */
+static void a_state_whose_answer_is_cut_is_not_applied(void) {
+    scripted_peer *peers[CUT_PEERS];
+    g_autoptr(GByteArray) bytes = write_state_answer();
+    g_autoptr(GString) seeds = g_string_new(NULL);
+    for (int index = 0; index < CUT_PEERS; index++) {
+        peers[index] = scripted_peer_start();
+        g_string_append_printf(seeds, ",127.0.0.1:%u", scripted_peer_port(peers[index]));
+        set_cut(peers[index], bytes, (bytes->len - 1) * (size_t)index / (CUT_PEERS - 1),
+                index % 2 == 0 ? PEER_CLOSES : PEER_RESETS);
+    }
+    node made = make_sources();
+    seed_directory members = make_directory(&made, seeds->str + 1);
+    hs_peer_config_settings settings = {
+        .config = made.config, .engine_source = made.engine_source, .members = members.directory};
+    made.peers = hs_peer_config_new(&settings);
+    hs_peer_config_start(made.peers);
+    CU_ASSERT_TRUE(wait_for_round(peers, hs_clock_monotonic_ms() + CUT_PEERS * WAIT_LIMIT_MS));
+    CU_ASSERT_EQUAL(get_version(&made), 0);
+    CU_ASSERT_FALSE(has_engine(&made, "e1"));
+    for (int index = 0; index < CUT_PEERS; index++)
+        set_cut(peers[index], bytes, bytes->len, PEER_CLOSES);
+    uint64_t until_ms = hs_clock_monotonic_ms() + WAIT_LIMIT_MS;
+    while (get_version(&made) == 0 && hs_clock_monotonic_ms() < until_ms)
+        hs_clock_sleep_ms(5);
+    CU_ASSERT_EQUAL(get_version(&made), 7);
+    CU_ASSERT_TRUE(has_engine(&made, "e1"));
+    hs_peer_config_free(made.peers);
+    made.peers = NULL;
+    free_directory(&members);
+    free_node(&made);
+    for (int index = 0; index < CUT_PEERS; index++)
+        scripted_peer_stop(peers[index]);
+}
+
 /** Guards against answers of other builds, or cut ones, that are taken for a state. */
 static void a_state_is_read_whole_or_not_at_all(void) {
     static const uint8_t later_section[] = {0, 0, 0, 99, 0, 0, 0, 2, 1, 2};
@@ -194,6 +310,7 @@
 }
 
 const test_case peer_state_tests[] = {
+    {"a_state_whose_answer_is_cut_is_not_applied", a_state_whose_answer_is_cut_is_not_applied},
     {"a_state_is_read_whole_or_not_at_all", a_state_is_read_whole_or_not_at_all},
     {"daemons_are_asked_only_while_the_store_is_silent",
      daemons_are_asked_only_while_the_store_is_silent},
