--- a/tests/run.sh
+++ b/tests/run.sh
@@ -22,7 +22,7 @@
 lane() {
     for suite in $("$system" --list); do
         case "$suite" in
-        *_large | fleet_stop_lengths) found=alone ;;
+        *_large | *_stop_lengths) found=alone ;;
         fleet_crash* | fleet_silence | fleet_waking | fleet_job_end*) found=crashes ;;
         fleet_item_*) found=losses ;;
         fleet_upgrade*) found=upgrade ;;
