Read no content beyond its last record

Operators would see: a daemon that reads all contents of a partition again and again, into memory, for one item whose manifest claims up to 4 GB.

Cause: a content was read until the claimed length, across the contents of other items, and parsed only then.

All records of a content but the last are as long as the first, in what this build and older ones write. A shorter one before the claimed length, or a longer one, begins another content, and the read ends as invalid. A log of records of equal length is still read to the claimed length.

--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -302,11 +302,27 @@
     wait_past(partition, offset, until, UINT64_MAX, NULL);
 }
 
+/** Lengths of the records that were read of a content. */
+typedef struct {
+    size_t first; /**< 0: none was read. */
+    size_t latest;
+} content_lengths;
+
+/** Whether a record may follow those that were read: all but the last of a content are as long. */
+static bool may_follow(content_lengths *lengths, size_t length) {
+    if (lengths->first == 0)
+        lengths->first = lengths->latest = length;
+    bool is_like_first = lengths->latest == lengths->first && length <= lengths->first;
+    lengths->latest = length;
+    return is_like_first && length > 0;
+}
+
 Hs__JobItemContent *hs_job_partition_read_content(hs_job_partition *partition, uint64_t offset,
                                                   uint32_t bytes, hs_deadline deadline,
                                                   hs_store_outcome *outcome) {
     GByteArray *content = g_byte_array_new();
     GByteArray *answer = g_byte_array_new();
+    content_lengths lengths = {0};
     *outcome = HS_STORE_DONE;
     while (content->len < bytes && *outcome == HS_STORE_DONE) {
         uint32_t max_kb = (bytes - content->len) / BYTES_PER_KB + 1;
@@ -318,6 +334,8 @@
         guint before = content->len;
         while (*outcome == HS_STORE_DONE && content->len < bytes &&
                hs_platform_read_next_record(answer, false, &position, &record)) {
+            if (!may_follow(&lengths, record.value_length))
+                *outcome = HS_STORE_INVALID; /* It begins another content. */
             g_byte_array_append(content, record.value, (guint)record.value_length);
             offset++;
         }
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -6,6 +6,7 @@
 #include "jobs/job_partition.h"
 #include "jobs/log_read_limit.h"
 #include "jobs/start_rule.h"
+#include "platform/names.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
@@ -564,6 +565,24 @@
     close_fixture(&fixture);
 }
 
+/** Guards against a read of all contents that follow one whose claimed length is too large. */
+static void a_content_of_a_false_length_is_not_read_beyond_its_end(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    g_autofree char *path = g_strnfill(60000, 'p');
+    uint64_t first = append_content(&fixture, path);
+    for (int count = 0; count < 80; count++)
+        append_content(&fixture, path);
+    uint32_t reads = log_store_call_count(fixture.store, CALL_READ);
+    hs_store_outcome outcome = HS_STORE_UNKNOWN;
+    Hs__JobItemContent *content = hs_job_partition_read_content(
+        fixture.partition, first, UINT32_MAX, hs_clock_monotonic_ms() + 5000, &outcome);
+    CU_ASSERT_PTR_NULL(content);
+    CU_ASSERT_EQUAL(outcome, HS_STORE_INVALID);
+    CU_ASSERT_EQUAL(log_store_call_count(fixture.store, CALL_READ) - reads, 1);
+    close_fixture(&fixture);
+}
+
 static void contents_are_read_back_unchanged(void) {
     partition_fixture fixture;
     open_fixture(&fixture);
@@ -886,6 +905,8 @@
     {"reads_are_retried_on_a_new_connection", reads_are_retried_on_a_new_connection},
     {"lost_log_records_are_skipped", lost_log_records_are_skipped},
     {"trimmed_records_are_gone", trimmed_records_are_gone},
+    {"a_content_of_a_false_length_is_not_read_beyond_its_end",
+     a_content_of_a_false_length_is_not_read_beyond_its_end},
     {"contents_of_a_late_manifest_are_not_trimmed", contents_of_a_late_manifest_are_not_trimmed},
     {"contents_are_read_back_unchanged", contents_are_read_back_unchanged},
     {"split_results_are_read_back_unchanged", split_results_are_read_back_unchanged},
