Trim no contents up to an offset beyond their log

Operators would see: an accepted job whose contents are gone. A manifest of another writer claims a content far beyond the log and is the only open job of its partition; 30 s later its owner trims all contents up to that offset, those of a job that is being submitted among them.

Cause: the first content that open jobs need was noted as claimed. The rule that what is noted is trimmed only after the appends under way have ended assumes an offset that the log had then.

Before a note, the owner compares the offset with the end of the log of contents that it knows, and reads that end if the offset is beyond it, at most once in 30 s unless the read fails. What is beyond the log isn't noted (contents_missing), and the earlier note goes on counting.

follow_and_trim of the tests passed a deadline to the trim that it had computed before a wait of the same length, so that trims were refused or unanswered (seen in the new test's first runs, outcome=refused); it is computed after the wait now. No expectation changed.

--- a/src/jobs/content_trim.h
+++ b/src/jobs/content_trim.h
@@ -34,6 +34,9 @@
  */
 void hs_content_trim_add_read_time(hs_content_trim *trim, uint64_t from_ms, uint64_t to_ms);
 
+/** Returns whether the next call of hs_content_trim_next notes the first needed content. */
+bool hs_content_trim_is_note_due(const hs_content_trim *trim);
+
 /**
  * Returns the offset before which contents may be trimmed now, or 0 for none, and notes the first
  * needed one if a note is due. @p first_needed: of open jobs; UINT64_MAX: none.
--- a/src/jobs/job_partition.c
+++ b/src/jobs/job_partition.c
@@ -360,11 +360,54 @@
     uint64_t fold_age_ms;
 } trim_decision;
 
+/**
+ * Reads the end of the log of contents, from which a manifest claims to need @p offset. The caller
+ * holds the lock, which is released meanwhile.
+ */
+static void read_content_end(hs_job_partition *partition, uint64_t offset, hs_deadline deadline) {
+    g_mutex_unlock(&partition->lock);
+    hs_store_call call = hs_platform_build_read_call(HS_TOPIC_BODIES, partition->number,
+                                                     MIN(offset, INT64_MAX), 1, 0);
+    g_autoptr(GByteArray) answer = g_byte_array_new();
+    hs_store_outcome outcome =
+        hs_store_client_send(partition->settings.store, &call, deadline, NULL, answer);
+    uint64_t end = 0;
+    uint64_t first = 0;
+    if (outcome == HS_STORE_DONE)
+        hs_platform_read_bounds(answer, &end, &first);
+    else if (outcome == HS_STORE_GONE)
+        hs_platform_read_first_offset(answer, &end);
+    if (outcome == HS_STORE_DONE && end <= offset)
+        hs_log_warning("contents_missing",
+                       "part=%u first_needed=%" G_GUINT64_FORMAT " end=%" G_GUINT64_FORMAT,
+                       partition->number, (guint64)offset, (guint64)end);
+    g_mutex_lock(&partition->lock);
+    partition->content_end = MAX(partition->content_end, end);
+    if (outcome == HS_STORE_DONE || outcome == HS_STORE_GONE)
+        partition->next_end_read_ms = hs_clock_monotonic_ms() + HS_CONTENT_TRIM_AGE_MS;
+}
+
+/**
+ * Returns the first content that an open job needs; UINT64_MAX: none. A claimed offset beyond the
+ * log does not count: a trim up to it would take contents that are stored later. The caller holds
+ * the lock.
+ */
+static uint64_t find_first_needed(hs_job_partition *partition, hs_deadline deadline) {
+    uint64_t first_needed = hs_job_state_first_needed_content(partition->state);
+    if (first_needed != UINT64_MAX && first_needed >= partition->content_end &&
+        hs_content_trim_is_note_due(&partition->trim) &&
+        hs_clock_monotonic_ms() >= partition->next_end_read_ms) {
+        read_content_end(partition, first_needed, deadline);
+        first_needed = hs_job_state_first_needed_content(partition->state);
+    }
+    return first_needed < partition->content_end ? first_needed : UINT64_MAX;
+}
+
 /** Decides a trim from a recent fold, otherwise none. The caller holds the lock. */
-static trim_decision decide_trim(hs_job_partition *partition) {
+static trim_decision decide_trim(hs_job_partition *partition, uint64_t first_needed) {
     hs_content_trim *trim = &partition->trim;
     uint64_t now_ms = hs_clock_monotonic_ms();
-    trim_decision decision = {.first_needed = hs_job_state_first_needed_content(partition->state),
+    trim_decision decision = {.first_needed = first_needed,
                               .noted_read_ms = trim->read_ms,
                               .fold_age_ms = now_ms - partition->current_ms};
     uint64_t noted = trim->noted;
@@ -392,7 +435,8 @@
     g_mutex_lock(&partition->lock);
     if (wall_ms > partition->settings.status_ms)
         hs_job_state_expire(partition->state, wall_ms - partition->settings.status_ms);
-    trim_decision decision = decide_trim(partition);
+    uint64_t first_needed = find_first_needed(partition, deadline);
+    trim_decision decision = decide_trim(partition, first_needed);
     g_mutex_unlock(&partition->lock);
     if (decision.target == 0)
         return;
--- a/src/jobs/job_partition_state.h
+++ b/src/jobs/job_partition_state.h
@@ -23,6 +23,8 @@
     bool is_log_lost;    /**< The latest read failed, and not merely at its caller's deadline. */
     uint64_t current_ms; /**< The fold held all records of the log at this time; 0: never. */
     hs_content_trim trim;
+    uint64_t content_end;      /**< End of the log of contents when it was read last. */
+    uint64_t next_end_read_ms; /**< It is not read before. */
     hs_job_state *state;
 };
 
--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -1,5 +1,6 @@
 /** @file test_jobs.c  Tests the fold of batch jobs and a partition over the stand-in store. */
 #include "base/clock.h"
+#include "jobs/content_trim.h"
 #include "jobs/item_run.h"
 #include "jobs/job_end.h"
 #include "jobs/job_owner_state.h"
@@ -543,7 +544,7 @@
         hs_job_partition_unlock(fixture->partition);
         uint64_t now_ms = hs_clock_monotonic_ms();
         hs_job_partition_follow(fixture->partition, next, now_ms + TRIM_STEP_MS);
-        hs_job_partition_trim(fixture->partition, now_ms + TRIM_STEP_MS);
+        hs_job_partition_trim(fixture->partition, hs_clock_monotonic_ms() + TRIM_STEP_MS);
     }
 }
 
@@ -565,6 +566,25 @@
     close_fixture(&fixture);
 }
 
+/** Guards against a trim up to an offset that a manifest claims, of contents whose job is new. */
+static void contents_of_new_jobs_are_not_trimmed_by_a_claimed_offset(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    uint64_t unused = append_content(&fixture, "/unused");
+    uint64_t own = append_content(&fixture, "/own");
+    append_job(&fixture, "odd", UINT64_MAX / 4);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    hs_job_partition_trim(fixture.partition, hs_clock_monotonic_ms() + 500);
+    append_job(&fixture, "own", own);
+    follow_and_trim(&fixture, HS_CONTENT_TRIM_AGE_MS - 4 * TRIM_STEP_MS);
+    uint64_t late = append_content(&fixture, "/late");
+    hs_job_partition_apply_end(fixture.partition, "own", "test");
+    follow_and_trim(&fixture, 8 * TRIM_STEP_MS);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, unused), HS_STORE_GONE);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, late), HS_STORE_DONE);
+    close_fixture(&fixture);
+}
+
 /** Guards against a read of all contents that follow one whose claimed length is too large. */
 static void a_content_of_a_false_length_is_not_read_beyond_its_end(void) {
     partition_fixture fixture;
@@ -907,6 +927,8 @@
     {"trimmed_records_are_gone", trimmed_records_are_gone},
     {"a_content_of_a_false_length_is_not_read_beyond_its_end",
      a_content_of_a_false_length_is_not_read_beyond_its_end},
+    {"contents_of_new_jobs_are_not_trimmed_by_a_claimed_offset",
+     contents_of_new_jobs_are_not_trimmed_by_a_claimed_offset},
     {"contents_of_a_late_manifest_are_not_trimmed", contents_of_a_late_manifest_are_not_trimmed},
     {"contents_are_read_back_unchanged", contents_are_read_back_unchanged},
     {"split_results_are_read_back_unchanged", split_results_are_read_back_unchanged},
