--- a/tests/unit/test_jobs.c
+++ b/tests/unit/test_jobs.c
@@ -1,11 +1,13 @@
 /** @file test_jobs.c  Tests the fold of batch jobs and a partition over the stand-in store. */
 #include "base/clock.h"
+#include "jobs/content_trim.h"
 #include "jobs/item_run.h"
 #include "jobs/job_end.h"
 #include "jobs/job_owner_state.h"
 #include "jobs/job_partition.h"
 #include "jobs/log_read_limit.h"
 #include "jobs/start_rule.h"
+#include "platform/names.h"
 #include "standin/log_store/log_store.h"
 #include "tests/unit/unit_tests.h"
 
@@ -542,7 +544,7 @@
         hs_job_partition_unlock(fixture->partition);
         uint64_t now_ms = hs_clock_monotonic_ms();
         hs_job_partition_follow(fixture->partition, next, now_ms + TRIM_STEP_MS);
-        hs_job_partition_trim(fixture->partition, now_ms + TRIM_STEP_MS);
+        hs_job_partition_trim(fixture->partition, hs_clock_monotonic_ms() + TRIM_STEP_MS);
     }
 }
 
@@ -564,6 +566,43 @@
     close_fixture(&fixture);
 }
 
+/** Guards against a trim up to an offset that a manifest claims, of contents whose job is new. */
+static void contents_of_new_jobs_are_not_trimmed_by_a_claimed_offset(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    uint64_t unused = append_content(&fixture, "/unused");
+    uint64_t own = append_content(&fixture, "/own");
+    append_job(&fixture, "odd", UINT64_MAX / 4);
+    CU_ASSERT_TRUE(catch_up(&fixture));
+    hs_job_partition_trim(fixture.partition, hs_clock_monotonic_ms() + 500);
+    append_job(&fixture, "own", own);
+    follow_and_trim(&fixture, HS_CONTENT_TRIM_AGE_MS - 4 * TRIM_STEP_MS);
+    uint64_t late = append_content(&fixture, "/late");
+    hs_job_partition_apply_end(fixture.partition, "own", "test");
+    follow_and_trim(&fixture, 8 * TRIM_STEP_MS);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, unused), HS_STORE_GONE);
+    CU_ASSERT_EQUAL(read_content_at(&fixture, late), HS_STORE_DONE);
+    close_fixture(&fixture);
+}
+
+/** Guards against a read of all contents that follow one whose claimed length is too large. */
+static void a_content_of_a_false_length_is_not_read_beyond_its_end(void) {
+    partition_fixture fixture;
+    open_fixture(&fixture);
+    g_autofree char *path = g_strnfill(60000, 'p');
+    uint64_t first = append_content(&fixture, path);
+    for (int count = 0; count < 80; count++)
+        append_content(&fixture, path);
+    uint32_t reads = log_store_call_count(fixture.store, CALL_READ);
+    hs_store_outcome outcome = HS_STORE_UNKNOWN;
+    Hs__JobItemContent *content = hs_job_partition_read_content(
+        fixture.partition, first, UINT32_MAX, hs_clock_monotonic_ms() + 5000, &outcome);
+    CU_ASSERT_PTR_NULL(content);
+    CU_ASSERT_EQUAL(outcome, HS_STORE_INVALID);
+    CU_ASSERT_EQUAL(log_store_call_count(fixture.store, CALL_READ) - reads, 1);
+    close_fixture(&fixture);
+}
+
 static void contents_are_read_back_unchanged(void) {
     partition_fixture fixture;
     open_fixture(&fixture);
@@ -886,6 +925,10 @@
     {"reads_are_retried_on_a_new_connection", reads_are_retried_on_a_new_connection},
     {"lost_log_records_are_skipped", lost_log_records_are_skipped},
     {"trimmed_records_are_gone", trimmed_records_are_gone},
+    {"a_content_of_a_false_length_is_not_read_beyond_its_end",
+     a_content_of_a_false_length_is_not_read_beyond_its_end},
+    {"contents_of_new_jobs_are_not_trimmed_by_a_claimed_offset",
+     contents_of_new_jobs_are_not_trimmed_by_a_claimed_offset},
     {"contents_of_a_late_manifest_are_not_trimmed", contents_of_a_late_manifest_are_not_trimmed},
     {"contents_are_read_back_unchanged", contents_are_read_back_unchanged},
     {"split_results_are_read_back_unchanged", split_results_are_read_back_unchanged},
