--- a/tests/system/test_fleet_version_gaps.c
+++ b/tests/system/test_fleet_version_gaps.c
@@ -197,9 +197,7 @@
     use_store_proxies();
     hs_clock_sleep_ms(JOIN_MS);
     fault_proxy_set_mode(store_proxies[deaf], PROXY_BLOCKS_ANSWERS);
-    CU_ASSERT_EQUAL(socket_filter_drop_datagrams(bench.pids[deaf], bench_control_port(deaf),
-                                                 SOCKET_FILTER_ANY_PORT),
-                    1);
+    CU_ASSERT_EQUAL(socket_filter_drop_datagrams(bench.pids[deaf], bench_control_port(deaf)), 1);
     caller_stream stream;
     token_engine *engine = release_and_withdraw(&stream, (deaf + 1) % VERSION_DAEMONS);
     for (int daemon = 0; daemon < VERSION_DAEMONS; daemon++)
