--- a/src/feed/feed_follow.c
+++ b/src/feed/feed_follow.c
@@ -24,7 +24,8 @@
 
 /** Begins to ask for all records; gives up a listing of the store. The caller holds the lock. */
 static void begin_listing(hs_state_feed *feed, hs_feed_batch *batch) {
-    g_clear_pointer(&feed->page_after, g_bytes_unref);
+    g_bytes_unref(feed->page_after);
+    feed->page_after = NULL;
     hs_feed_log_begin_listing(feed->log);
     feed->is_peer_listing = true;
     feed->listing_floor = 0;
--- a/src/feed/feed_store.c
+++ b/src/feed/feed_store.c
@@ -68,7 +68,8 @@
     }
     put_entries(feed, entries, batch);
     batch->has_more = page->has_more;
-    g_clear_pointer(&feed->page_after, g_bytes_unref);
+    g_bytes_unref(feed->page_after);
+    feed->page_after = NULL;
     if (batch->has_more) {
         feed->page_after = g_bytes_ref(page->last_key);
         return;
--- a/src/feed/state_feed.c
+++ b/src/feed/state_feed.c
@@ -49,7 +49,7 @@
     hs_feed_log_free(feed->log);
     g_byte_array_free(feed->response, TRUE);
     g_hash_table_destroy(feed->listings);
-    g_clear_pointer(&feed->page_after, g_bytes_unref);
+    g_bytes_unref(feed->page_after);
     hs_store_contact_clear(&feed->contact);
     hs_interrupt_clear(&feed->stop);
     g_cond_clear(&feed->changed);
--- a/src/store/keyed_topic.c
+++ b/src/store/keyed_topic.c
@@ -16,7 +16,7 @@
     g_byte_array_free(response, TRUE);
     *has_more = is_read && page.has_more;
     if (*has_more) {
-        g_clear_pointer(after, g_bytes_unref);
+        g_bytes_unref(*after);
         *after = g_steal_pointer(&page.last_key);
     }
     hs_newest_page_clear(&page);
--- a/tests/unit/test_connections.c
+++ b/tests/unit/test_connections.c
@@ -71,9 +71,8 @@
     gint *events = data;
     if (g_atomic_int_add(events, 1) > 0)
         return HS_READER_ABORT;
-    size_t length = MIN(size, strlen(EVENT));
-    memcpy(buffer, EVENT, length);
-    return (ssize_t)length;
+    g_assert(size > strlen(EVENT));
+    return (ssize_t)g_strlcpy(buffer, EVENT, size);
 }
 
 static void serve_cut_stream(hs_inbound *inbound, void *user_data) {
