log: append printable ASCII in runs

Cause: since each character of a line was decoded as UTF-8, classified and appended by itself, though nearly all lines are plain ASCII. A daemon logs a line of some 450 characters for each request.

Change: runs of printable ASCII are appended at once; only what follows them is decoded. What is written stays the same (log.an_event_is_one_line_of_text).

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -72,10 +72,23 @@
            type == G_UNICODE_PARAGRAPH_SEPARATOR;
 }
 
+/** Returns how many printable ASCII characters the text begins with: nearly all of a line. */
+static size_t plain_length(const char *text) {
+    size_t length = 0;
+    while (g_ascii_isprint(text[length]))
+        length++;
+    return length;
+}
+
 /** Appends a text, with a mark in place of each control character and each byte of invalid UTF-8.
  */
 static void append_clean(GString *line, const char *text) {
-    while (*text != '\0') {
+    while (true) {
+        size_t plain = plain_length(text);
+        g_string_append_len(line, text, (gssize)plain);
+        text += plain;
+        if (*text == '\0')
+            return;
         gunichar character = g_utf8_get_char_validated(text, -1);
         bool is_valid = character != (gunichar)-1 && character != (gunichar)-2;
         size_t length = is_valid ? (size_t)(g_utf8_next_char(text) - text) : 1;
